--- /dev/null
+++ b/src/core/actions.ts
@@ -0,0 +1,52 @@
+import type {JournalName} from './common/journal-name.ts';
+import type {AttemptId} from './ids/attempt-id.ts';
+import type {NodeId} from './ids/node-id.ts';
+import type {RequestId} from './ids/request-id.ts';
+import type {TargetId} from './ids/target-id.ts';
+import type {KeptAnswer} from './ledger/kept-answer.ts';
+import type {EngineOrder} from './orders/engine-order.ts';
+import type {PeerMessage} from './peer-message.ts';
+import type {CounterName} from './results/counter-name.ts';
+import type {Refusal} from './results/refusal.ts';
+import type {ChangeOutcome} from './tree/change-outcome.ts';
+
+/** What the server carries out for the core. */
+export type Action =
+	| {readonly type: 'send'; readonly to: NodeId; readonly message: PeerMessage}
+	| {readonly type: 'append'; readonly journal: JournalName; readonly records: readonly unknown[]; readonly token: number}
+	| {readonly type: 'rewrite'; readonly journal: JournalName; readonly records: readonly unknown[]; readonly token: number}
+	| {readonly type: 'count'; readonly name: CounterName; readonly reason?: string; readonly amount: number}
+	| {readonly type: 'log'; readonly part: string; readonly text: string}
+	/** Sends the request's body to `address`; the attempt owns the request until it ends or is cancelled. */
+	| {
+		readonly type: 'start-attempt';
+		readonly requestId: RequestId;
+		readonly attemptId: AttemptId;
+		readonly address: string;
+		/** Set for a target of this region. */
+		readonly targetId?: TargetId;
+		/** Set for an entry of another region that the request is forwarded to. */
+		readonly forwardTo?: NodeId;
+		/** Settings revision that a forwarded request was decided under. */
+		readonly revision: number;
+		/** True if the answer goes on from the text already passed on. */
+		readonly resume: boolean;
+		/** Longest time to the first byte and inside the answer, in milliseconds. */
+		readonly firstByteMs: number;
+		readonly silenceMs: number;
+		/** Largest answer to hand back with `attempt-end` for keeping; 0 for none. */
+		readonly keepBytes: number;
+	}
+	/** Stops an attempt; nothing more of it may reach the caller. */
+	| {readonly type: 'cancel-attempt'; readonly attemptId: AttemptId}
+	/** The attempt's whole answer is the request's: the server closes the caller's response as complete. */
+	| {readonly type: 'complete'; readonly requestId: RequestId; readonly attemptId: AttemptId}
+	/** Final answer that is not a target's; inside a stream it becomes an error event without an end marker. */
+	| {readonly type: 'refuse'; readonly requestId: RequestId; readonly refusal: Refusal}
+	| {readonly type: 'replay'; readonly requestId: RequestId; readonly answer: KeptAnswer}
+	| {readonly type: 'change-answer'; readonly changeId: string; readonly outcome: ChangeOutcome}
+	| {readonly type: 'order'; readonly order: EngineOrder}
+	/** The settings in force changed; the server may refresh what it caches. */
+	| {readonly type: 'settings'; readonly revision: number}
+	/** No request is in flight any more after `drain`. */
+	| {readonly type: 'drained'};
--- /dev/null
+++ b/src/core/admission/admission.ts
@@ -0,0 +1,23 @@
+import type {Millis} from '../ids/millis.ts';
+import type {RequestId} from '../ids/request-id.ts';
+import type {Refusal} from '../results/refusal.ts';
+import type {RequestInfo} from '../settings/request-info.ts';
+import type {RouteSettings} from '../settings/route-settings.ts';
+
+/** Bounded queues of waiting requests, one for each service: by priority, then fair between organisations. */
+export interface Admission {
+	/** Queues a request that the router told to wait, or refuses it at once with when to come back. */
+	enqueue(req: RequestInfo, settings: RouteSettings, predictedMs: number, now: Millis): {type: 'queued'} | {type: 'refused'; refusal: Refusal};
+	/** The next waiting request of a service, left in the queue; call `take` once it is placed. */
+	peek(service: string, now: Millis): RequestInfo | undefined;
+	/** Removes a request from its queue: placed, refused or abandoned. */
+	take(requestId: RequestId): void;
+	/** Notes that a request was placed, for the organisations' shares; called for queued and direct ones alike. */
+	placed(req: RequestInfo, now: Millis): void;
+	/** Waiting requests whose deadline cannot be met any more, removed from the queue, with their refusals. */
+	expire(now: Millis): ReadonlyArray<{req: RequestInfo; refusal: Refusal}>;
+	/** Keys (`firm/deployment/service`) of services that have waiting requests. */
+	waiting(): readonly string[];
+	/** Waiting requests of a service. */
+	depth(service: string): number;
+}
--- /dev/null
+++ b/src/core/consensus/consensus-message.ts
@@ -0,0 +1,2 @@
+/** Messages of the consensus part between processes. */
+export type ConsensusMessage = {readonly type: 'none'};
--- /dev/null
+++ b/src/core/ledger/kept-answer.ts
@@ -0,0 +1,7 @@
+/** A whole answer kept for resends. */
+export type KeptAnswer = {
+	readonly status: number;
+	readonly contentType: string;
+	/** The body, base64. */
+	readonly body: string;
+};
--- /dev/null
+++ b/src/core/ledger/ledger-message.ts
@@ -0,0 +1,2 @@
+/** Messages of the ledger part between processes. */
+export type LedgerMessage = {readonly type: 'none'};
--- /dev/null
+++ b/src/core/membership/membership-message.ts
@@ -0,0 +1,2 @@
+/** Messages of the membership part between processes. */
+export type MembershipMessage = {readonly type: 'none'};
--- /dev/null
+++ b/src/core/results/counter-name.ts
@@ -0,0 +1,23 @@
+/** Names of the counters in `/metrics`, each with a `reason` label where one applies. */
+export type CounterName =
+	| 'requests'
+	| 'answers'
+	| 'refusals'
+	| 'retries'
+	| 'resumes'
+	| 'away'
+	| 'away_bytes'
+	| 'attempts'
+	| 'attempt_failures'
+	| 'claims'
+	| 'replays'
+	| 'ejections'
+	| 'poison'
+	| 'announcements'
+	| 'changes'
+	| 'settings_updates'
+	| 'elections'
+	| 'peer_messages'
+	| 'peer_bytes'
+	| 'orders'
+	| 'stale_messages';
--- /dev/null
+++ b/src/core/settings/route-path.ts
@@ -0,0 +1,7 @@
+/** Names one route of the settings tree. */
+export type RoutePath = {
+	readonly firm: string;
+	readonly deployment: string;
+	readonly service: string;
+	readonly route: string;
+};
--- /dev/null
+++ b/src/core/targets/service-summary.ts
@@ -0,0 +1,14 @@
+/** Sums over a region's targets of one service; what other regions get instead of every target. */
+export type ServiceSummary = {
+	readonly firm: string;
+	readonly deployment: string;
+	readonly service: string;
+	readonly models: readonly string[];
+	readonly targets: number;
+	/** Requests that the targets can work on at once. */
+	readonly capacity: number;
+	readonly running: number;
+	readonly queued: number;
+	/** Median milliseconds between output tokens, or of one call for a plain service. */
+	readonly typicalMs: number;
+};
--- /dev/null
+++ b/src/core/targets/target-view.ts
@@ -0,0 +1,27 @@
+import type {Millis} from '../ids/millis.ts';
+import type {TargetId} from '../ids/target-id.ts';
+import type {Announcement} from './announcement.ts';
+
+/** A target of this node's region whose lease is valid, with what this node learnt of it. */
+export type TargetView = {
+	readonly targetId: TargetId;
+	readonly announcement: Announcement;
+	/** When the figures in `announcement.load` were true, on this node's clock. */
+	readonly loadAt: Millis;
+	/** Requests of this node in flight there. */
+	readonly inFlight: number;
+	/** Predicted output tokens of those that are not yet produced. */
+	readonly inFlightTokens: number;
+	/** Requests that this node sent there since `loadAt`. */
+	readonly sentSinceReport: number;
+	/** Learnt milliseconds between output tokens for one request there; undefined before the first answer. */
+	readonly tokenMs?: number;
+	/** Learnt milliseconds of prefill for one uncached prompt token. */
+	readonly prefillTokenMs?: number;
+	/** Learnt milliseconds of one call of a plain service. */
+	readonly callMs?: number;
+	/** True while outlier ejection keeps it out of the choice. */
+	readonly ejected: boolean;
+	/** How many of the leading prefix blocks are believed to be cached there. */
+	cachedBlocks(prefixBlocks: readonly string[]): number;
+};
--- /dev/null
+++ b/src/core/targets/targets-message.ts
@@ -0,0 +1,2 @@
+/** Messages of the targets part between processes. */
+export type TargetsMessage = {readonly type: 'none'};
--- /dev/null
+++ b/src/core/tree/settings-tree.ts
@@ -0,0 +1,25 @@
+import type {RoutePath} from '../settings/route-path.ts';
+import type {RouteSettings} from '../settings/route-settings.ts';
+import type {HistoryEntry} from './history-entry.ts';
+
+/** The settings in force at this node; read-only for all but the tree part. */
+export interface SettingsTree {
+	readonly revision: number;
+	/** Settings of a route after inheritance; undefined if a node of the path does not exist. Cached by revision. */
+	route(path: RoutePath): RouteSettings | undefined;
+	/** Settings of any tree node after inheritance. */
+	resolve(path: string): RouteSettings | undefined;
+	/** Own (not inherited) settings of a tree node. */
+	own(path: string): Readonly<Record<string, unknown>> | undefined;
+	/** Paths of all tree nodes, parents before children. */
+	paths(): readonly string[];
+	/** Newest accepted changes, newest first; bounded. */
+	history(limit: number): readonly HistoryEntry[];
+	/**
+	 * Finds what a caller key stands for, over the whole tree: the node it is set at
+	 * (a firm or a deployment) and its value. Constant time.
+	 */
+	callerKey(sha256: string): {path: string; key: RouteSettings['callerKeys'][string]} | undefined;
+	/** Finds the tree node that a target key is set at. Constant time. */
+	targetKey(sha256: string): {path: string; name: string} | undefined;
+}
