--- a/src/core/actions.ts
+++ b/src/core/actions.ts
@@ -29,6 +29,8 @@
 		readonly forwardTo?: NodeId;
 		/** Settings revision that a forwarded request was decided under. */
 		readonly revision: number;
+		/** True if this entry holds the request's claim; a peer that gets it forwarded must not claim again. */
+		readonly claimed: boolean;
 		/** True if the answer goes on from the text already passed on. */
 		readonly resume: boolean;
 		/** Longest time to the first byte and inside the answer, in milliseconds. */
--- /dev/null
+++ b/src/core/attempts/attempt-runner.ts
@@ -0,0 +1,225 @@
+import type {AttemptId} from '../ids/attempt-id.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {Region} from '../ids/region.ts';
+import type {TargetId} from '../ids/target-id.ts';
+import {toId} from '../ids/to-id.ts';
+import type {NodeInfo} from '../membership/node-info.ts';
+import type {RouteSettings} from '../settings/route-settings.ts';
+import type {AttemptOutcome} from '../targets/attempt-outcome.ts';
+import type {TargetView} from '../targets/target-view.ts';
+import type {AttemptFailure} from './attempt-failure.ts';
+import {attemptLimits} from './attempt-limits.ts';
+import type {AttemptState} from './attempt-state.ts';
+import {AttemptTable} from './attempt-table.ts';
+import type {CoordinatorOptions} from './coordinator-options.ts';
+import {CrashWatch} from './crash-watch.ts';
+import {isClientError} from './is-client-error.ts';
+import {RateMeter} from './rate-meter.ts';
+import type {RequestState} from './request-state.ts';
+import {routedRequest} from './routed-request.ts';
+
+/** Share of the time to the deadline after which a target that gave no byte may be left for another one. */
+const moveShare = 0.5;
+
+/** Starts, follows and ends attempts; what it learns goes to the target table and the poison guard. */
+export class AttemptRunner {
+	readonly #parts: CoordinatorOptions;
+	readonly #table = new AttemptTable();
+	readonly #crashes: CrashWatch;
+	readonly #awayBytes = new RateMeter();
+
+	constructor(parts: CoordinatorOptions) {
+		this.#parts = parts;
+		this.#crashes = new CrashWatch(parts);
+	}
+
+	/** The attempt with this id, if it still owns its request; others are counted. */
+	get(attemptId: AttemptId): AttemptState | undefined {
+		const attempt = this.#table.get(attemptId);
+		if (!attempt) {
+			this.#parts.outbox.count('stale_messages', 'attempt');
+		}
+
+		return attempt;
+	}
+
+	onTarget(targetId: TargetId): readonly AttemptState[] {
+		return this.#table.onTarget(targetId);
+	}
+
+	awayBytesLastSecond(now: Millis): number {
+		return this.#awayBytes.lastSecond(now);
+	}
+
+	tick(now: Millis): void {
+		this.#crashes.tick(now);
+	}
+
+	/** Sends a request to a target of this region. */
+	start(state: RequestState, settings: RouteSettings, choice: {view: TargetView; cachedTokens: number}, now: Millis): void {
+		const {targetId, announcement} = choice.view;
+		const place = {type: 'target', targetId, incarnation: announcement.incarnation} as const;
+		const attempt = this.#add(state, {place, cachedTokens: choice.cachedTokens}, now);
+		state.triedTargets.add(targetId);
+		attempt.moveAt = moveTime(state, now);
+		this.#parts.poison.started(state.req.fingerprint, targetId, now);
+		this.#parts.targets.started(targetId, {
+			promptTokens: attempt.promptTokens,
+			outputTokens: attempt.outputTokens,
+			prefixBlocks: state.req.prefixBlocks,
+		}, now);
+		this.#parts.outbox.count('attempts', 'target');
+		this.#emitStart(state, settings, {attempt, address: announcement.address, targetId}, now);
+	}
+
+	/** Sends a request to an entry of another region. */
+	forward(state: RequestState, settings: RouteSettings, choice: {entry: NodeInfo; region: Region}, now: Millis): void {
+		const {entry, region} = choice;
+		const attempt = this.#add(state, {place: {type: 'peer', nodeId: entry.nodeId, region}, cachedTokens: 0}, now);
+		state.triedRegions.add(region);
+		this.#countAway(state.req.bodyBytes, region, now);
+		this.#parts.outbox.count('away', region);
+		this.#parts.outbox.count('attempts', 'peer');
+		this.#emitStart(state, settings, {attempt, address: entry.callerAddress, forwardTo: entry.nodeId}, now);
+	}
+
+	firstByte(attempt: AttemptState, now: Millis): void {
+		attempt.firstByteAt ??= now;
+		attempt.progressAt = now;
+	}
+
+	progress(attempt: AttemptState, totals: {tokens: number; bytes: number}, now: Millis): void {
+		if (attempt.place.type === 'peer') {
+			this.#countAway(totals.bytes - attempt.bytes, attempt.place.region, now);
+		}
+
+		attempt.firstByteAt ??= now;
+		attempt.progressAt = now;
+		attempt.tokens = totals.tokens;
+		attempt.bytes = totals.bytes;
+	}
+
+	/** The whole answer came. */
+	complete(state: RequestState, attempt: AttemptState, now: Millis): void {
+		this.#finish(state, attempt, 'whole', now);
+		if (attempt.place.type === 'target') {
+			this.#parts.poison.cleared(state.req.fingerprint, attempt.place.targetId, now);
+		}
+	}
+
+	/** The attempt gave no whole answer; the request keeps what may have happened because of it. */
+	fail(state: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Millis): void {
+		this.#parts.outbox.count('attempt_failures', failure.reason);
+		attempt.tokens = Math.max(attempt.tokens, failure.tokens);
+		const certainlyNotRun = failure.notSent || failure.refusal?.ran === 'no';
+		state.mayHaveRun ||= !certainlyNotRun;
+		state.passedOn ||= failure.passedOn;
+		state.tokensPassedOn += failure.passedOn ? attempt.tokens : 0;
+		this.#finish(state, attempt, isClientError(failure.status) ? 'cancelled' : 'failed', now);
+		this.#noteCrash(state, attempt, failure, now);
+	}
+
+	/** Stops the attempt; nothing more of it reaches the caller. */
+	cancel(state: RequestState, now: Millis): void {
+		const {attempt} = state;
+		if (!attempt) {
+			return;
+		}
+
+		state.mayHaveRun = true;
+		this.#parts.emit({type: 'cancel-attempt', attemptId: attempt.attemptId});
+		this.#finish(state, attempt, 'cancelled', now);
+	}
+
+	/** Takes a target for crashed with all these requests in flight. */
+	suspectCrash(targetId: TargetId, incarnation: number, fingerprints: readonly string[], now: Millis): void {
+		if (fingerprints.length > 0) {
+			this.#crashes.suspect(targetId, incarnation, fingerprints, now);
+		}
+	}
+
+	#add(state: RequestState, choice: {place: AttemptState['place']; cachedTokens: number}, now: Millis): AttemptState {
+		state.attempts += 1;
+		const routed = routedRequest(state);
+		const attempt: AttemptState = {
+			attemptId: toId<AttemptId>(`${state.req.requestId}/${this.#parts.self}/${state.attempts}`),
+			requestId: state.req.requestId,
+			place: choice.place,
+			startedAt: now,
+			promptTokens: routed.promptTokens,
+			cachedTokens: choice.cachedTokens,
+			outputTokens: routed.outputTokens,
+			tokens: 0,
+			bytes: 0,
+		};
+		state.attempt = attempt;
+		state.phase = 'running';
+		this.#table.add(attempt);
+		return attempt;
+	}
+
+	#emitStart(
+		state: RequestState,
+		settings: RouteSettings,
+		to: {attempt: AttemptState; address: string; targetId?: TargetId; forwardTo?: NodeInfo['nodeId']},
+		now: Millis,
+	): void {
+		const {attempt, ...destination} = to;
+		this.#parts.emit({
+			type: 'start-attempt',
+			requestId: state.req.requestId,
+			attemptId: attempt.attemptId,
+			...destination,
+			revision: this.#parts.tree().revision,
+			claimed: state.claim !== 'none',
+			resume: state.passedOn,
+			...attemptLimits(state, settings, now),
+			keepBytes: state.claim === 'held' ? settings.answerKeepBytes : 0,
+		});
+	}
+
+	#finish(state: RequestState, attempt: AttemptState, result: AttemptOutcome['result'], now: Millis): void {
+		this.#table.remove(attempt);
+		state.attempt = undefined;
+		state.phase = 'placing';
+		if (attempt.place.type === 'peer') {
+			return;
+		}
+
+		const firstByteMs = attempt.firstByteAt === undefined ? undefined : attempt.firstByteAt - attempt.startedAt;
+		this.#parts.poison.stopped(state.req.fingerprint, attempt.place.targetId, now);
+		this.#parts.targets.finished(attempt.place.targetId, {
+			result,
+			promptTokens: attempt.promptTokens,
+			cachedTokens: attempt.cachedTokens,
+			outputTokens: attempt.tokens,
+			predictedOutputTokens: attempt.outputTokens,
+			firstByteMs,
+			totalMs: now - attempt.startedAt,
+		}, now);
+	}
+
+	/** A connection that broke after the request was sent may mean a crash: the request is a suspect at once. */
+	#noteCrash(state: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Millis): void {
+		const broken = failure.reason === 'reset' || failure.reason === 'truncated';
+		if (broken && !failure.notSent && attempt.place.type === 'target') {
+			const {targetId, incarnation} = attempt.place;
+			this.suspectCrash(targetId, incarnation, [state.req.fingerprint], now);
+		}
+	}
+
+	#countAway(bytes: number, region: Region, now: Millis): void {
+		this.#awayBytes.add(bytes, now);
+		this.#parts.outbox.count('away_bytes', region, bytes);
+	}
+}
+
+/** Only a repeatable request whose first byte comes before the whole answer can gain by moving. */
+function moveTime(state: RequestState, now: Millis): Millis | undefined {
+	const early = state.req.kind === 'call' || state.req.streamed;
+	if (!state.repeatable || !early || now >= state.deadlineAt) {
+		return undefined;
+	}
+
+	return now + ((state.deadlineAt - now) * moveShare) as Millis;
+}
--- /dev/null
+++ b/src/core/attempts/attempt-table.ts
@@ -0,0 +1,46 @@
+import type {AttemptId} from '../ids/attempt-id.ts';
+import type {TargetId} from '../ids/target-id.ts';
+import type {AttemptState} from './attempt-state.ts';
+
+/** The attempts that own a request now. An id that is not in the table belongs to an attempt that is over. */
+export class AttemptTable {
+	readonly #attempts = new Map<AttemptId, AttemptState>();
+	readonly #byTarget = new Map<TargetId, Set<AttemptId>>();
+
+	add(attempt: AttemptState): void {
+		this.#attempts.set(attempt.attemptId, attempt);
+		if (attempt.place.type === 'target') {
+			const ids = this.#byTarget.get(attempt.place.targetId) ?? new Set();
+			ids.add(attempt.attemptId);
+			this.#byTarget.set(attempt.place.targetId, ids);
+		}
+	}
+
+	get(attemptId: AttemptId): AttemptState | undefined {
+		return this.#attempts.get(attemptId);
+	}
+
+	remove(attempt: AttemptState): void {
+		this.#attempts.delete(attempt.attemptId);
+		if (attempt.place.type !== 'target') {
+			return;
+		}
+
+		const ids = this.#byTarget.get(attempt.place.targetId);
+		ids?.delete(attempt.attemptId);
+		if (ids?.size === 0) {
+			this.#byTarget.delete(attempt.place.targetId);
+		}
+	}
+
+	/** Attempts that run on a target now. */
+	onTarget(targetId: TargetId): readonly AttemptState[] {
+		const ids = this.#byTarget.get(targetId) ?? [];
+		return [...ids].map(id => this.#attempts.get(id)!);
+	}
+
+	/** Every attempt, oldest first. */
+	all(): readonly AttemptState[] {
+		return [...this.#attempts.values()];
+	}
+}
--- /dev/null
+++ b/src/core/attempts/claim-request-of.ts
@@ -0,0 +1,18 @@
+import type {ClaimRequest} from '../ledger/claim-request.ts';
+import type {RequestInfo} from '../settings/request-info.ts';
+import type {RouteSettings} from '../settings/route-settings.ts';
+
+/** The claim that a request which may not be repeated needs before its first byte is sent. */
+export function claimRequestOf(req: RequestInfo, idempotencyKey: string, settings: RouteSettings): ClaimRequest {
+	const {firm, deployment, service} = req.path;
+	return {
+		requestId: req.requestId,
+		scope: `${firm}/${deployment}/${service}/${req.organisation}`,
+		organisation: req.organisation,
+		idempotencyKey,
+		fingerprint: req.fingerprint,
+		homeRegion: req.homeRegion,
+		keepMs: settings.answerKeepMs,
+		keepBytes: settings.answerKeepBytes,
+	};
+}
--- /dev/null
+++ b/src/core/attempts/claim-tracker.ts
@@ -0,0 +1,104 @@
+import type {Millis} from '../ids/millis.ts';
+import type {RequestId} from '../ids/request-id.ts';
+import type {ClaimOutcome} from '../ledger/claim-outcome.ts';
+import type {KeptAnswer} from '../ledger/kept-answer.ts';
+import type {Ledger} from '../ledger/ledger.ts';
+import type {Refusal} from '../results/refusal.ts';
+import type {RouteSettings} from '../settings/route-settings.ts';
+import {claimRequestOf} from './claim-request-of.ts';
+import type {RequestState} from './request-state.ts';
+
+/** What an outcome of the ledger means for its request. */
+type ClaimStep =
+	| {readonly type: 'run'}
+	| {readonly type: 'replay'; readonly answer: KeptAnswer}
+	| {readonly type: 'refuse'; readonly reason: Omit<Refusal, 'ran'>};
+
+/** Claims of this entry's requests that may not be repeated, from the first question to the settled outcome. */
+export class ClaimTracker {
+	readonly #ledger: Ledger;
+	/** Requests that were given up before the ledger answered. */
+	readonly #abandoned = new Set<RequestId>();
+
+	constructor(ledger: Ledger) {
+		this.#ledger = ledger;
+	}
+
+	claim(state: RequestState, idempotencyKey: string, settings: RouteSettings, now: Millis): void {
+		state.phase = 'claiming';
+		this.#ledger.claim(claimRequestOf(state.req, idempotencyKey, settings), now);
+	}
+
+	/** The request is given up; a claim that is granted later is released, since nothing was sent. */
+	abandon(requestId: RequestId): void {
+		this.#abandoned.add(requestId);
+	}
+
+	/** Takes an outcome for a request that is not waiting for one; false if it is unknown here. */
+	lateOutcome(requestId: RequestId, outcome: ClaimOutcome, now: Millis): boolean {
+		if (!this.#abandoned.delete(requestId)) {
+			return false;
+		}
+
+		if (outcome.type === 'granted') {
+			this.#ledger.release(requestId, now);
+		}
+
+		return true;
+	}
+
+	/** Applies an outcome to the request that waits for it. */
+	apply(state: RequestState, outcome: ClaimOutcome): ClaimStep {
+		state.phase = 'placing';
+		switch (outcome.type) {
+			case 'granted': {
+				state.claim = 'held';
+				state.earlierRunPossible = false;
+				return {type: 'run'};
+			}
+
+			case 'replay': {
+				return {type: 'replay', answer: outcome.answer};
+			}
+
+			case 'in-progress': {
+				return {type: 'refuse', reason: {result: 'inProgress', retryAfterMs: outcome.retryAfterMs}};
+			}
+
+			case 'may-have-run': {
+				return {type: 'refuse', reason: {result: 'mayHaveRun'}};
+			}
+
+			case 'key-reused': {
+				state.earlierRunPossible = false;
+				return {type: 'refuse', reason: {result: 'keyReused'}};
+			}
+
+			case 'unavailable': {
+				return {type: 'refuse', reason: {result: 'ledgerUnavailable', retryAfterMs: outcome.retryAfterMs}};
+			}
+		}
+	}
+
+	/** The request has its whole answer. */
+	done(state: RequestState, answer: KeptAnswer | undefined, now: Millis): void {
+		if (state.claim === 'held') {
+			state.claim = 'none';
+			this.#ledger.done(state.req.requestId, answer, now);
+		}
+	}
+
+	/** The request ends without a whole answer: its key is free again only if it certainly did not run. */
+	giveUp(state: RequestState, now: Millis): void {
+		if (state.claim !== 'held') {
+			return;
+		}
+
+		state.claim = 'none';
+		if (state.mayHaveRun) {
+			this.#ledger.unknown(state.req.requestId, now);
+		} else {
+			this.#ledger.release(state.req.requestId, now);
+		}
+	}
+}
--- /dev/null
+++ b/src/core/attempts/new-request-state.ts
@@ -0,0 +1,29 @@
+import type {RequestInfo} from '../settings/request-info.ts';
+import type {RouteSettings} from '../settings/route-settings.ts';
+import type {RequestState} from './request-state.ts';
+
+/** State of a request that has just arrived. */
+export function newRequestState(req: RequestInfo, settings: RouteSettings): RequestState {
+	const {firm, deployment, service, route} = req.path;
+	const serviceKey = `${firm}/${deployment}/${service}`;
+	const claimedElsewhere = req.forwardedBy?.claimed === true;
+	const repeatable = settings.repeatable && !claimedElsewhere;
+	return {
+		req,
+		serviceKey,
+		routeKey: `${serviceKey}/${route}`,
+		repeatable,
+		phase: 'placing',
+		claim: claimedElsewhere ? 'elsewhere' : 'none',
+		attempts: 0,
+		triedTargets: new Set(),
+		triedRegions: new Set(),
+		earlierRunPossible: !repeatable && !req.forwardedBy && req.idempotencyKey !== undefined,
+		mayHaveRun: false,
+		passedOn: false,
+		tokensPassedOn: 0,
+		deadlineAt: req.deadlineAt,
+		callerGone: false,
+		parkedUntil: req.arrivedAt,
+	};
+}
--- /dev/null
+++ b/src/core/attempts/request-coordinator.ts
@@ -0,0 +1,400 @@
+import type {AttemptId} from '../ids/attempt-id.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {RequestId} from '../ids/request-id.ts';
+import type {TargetId} from '../ids/target-id.ts';
+import type {ClaimOutcome} from '../ledger/claim-outcome.ts';
+import type {KeptAnswer} from '../ledger/kept-answer.ts';
+import type {Refusal} from '../results/refusal.ts';
+import type {ResultName} from '../results/result-name.ts';
+import type {RequestInfo} from '../settings/request-info.ts';
+import type {RouteSettings} from '../settings/route-settings.ts';
+import type {AttemptFailure} from './attempt-failure.ts';
+import {AttemptRunner} from './attempt-runner.ts';
+import type {AttemptState} from './attempt-state.ts';
+import {ClaimTracker} from './claim-tracker.ts';
+import {comeBackAfter} from './come-back-after.ts';
+import type {CoordinatorOptions} from './coordinator-options.ts';
+import {newRequestState} from './new-request-state.ts';
+import {refusalRule} from './refusal-rule.ts';
+import {RequestDispatcher} from './request-dispatcher.ts';
+import type {RequestState} from './request-state.ts';
+import {retryRule} from './retry-rule.ts';
+
+/** Results that another try later may change. */
+const comeBackResults = new Set<ResultName>([
+	'overloaded',
+	'deadline',
+	'queueFull',
+	'noTarget',
+	'draining',
+	'organisationShare',
+	'poison',
+	'inProgress',
+	'ledgerUnavailable',
+	'targetFailed',
+	'silence',
+]);
+
+/** A target that passed bytes on within this time is not taken for lost, in milliseconds. */
+const livelyMs = 1000;
+
+/**
+ * Follows every request of this entry from its arrival to its final answer: claim, choice of a place,
+ * attempts, retries and resumption. Each request gets exactly one `complete`, `refuse` or `replay`,
+ * unless its caller went away before that and nothing of it is left to wait for.
+ */
+export class RequestCoordinator {
+	readonly #parts: CoordinatorOptions;
+	readonly #dispatcher: RequestDispatcher;
+	readonly #runner: AttemptRunner;
+	readonly #claims: ClaimTracker;
+	readonly #requests = new Map<RequestId, RequestState>();
+	#draining = false;
+
+	constructor(options: CoordinatorOptions) {
+		this.#parts = options;
+		this.#runner = new AttemptRunner(options);
+		this.#claims = new ClaimTracker(options.ledger);
+		this.#dispatcher = new RequestDispatcher({
+			parts: options,
+			runner: this.#runner,
+			find: requestId => this.#requests.get(requestId),
+			refuse: this.#refuse.bind(this),
+		});
+	}
+
+	/** Takes a request from a caller or from an entry of another region. */
+	request(req: RequestInfo, now: Millis): void {
+		if (this.#requests.has(req.requestId)) {
+			this.#parts.outbox.count('stale_messages', 'request');
+			return;
+		}
+
+		this.#parts.outbox.count('requests', req.forwardedBy ? 'forwarded' : req.kind);
+		const settings = this.#parts.tree().route(req.path);
+		if (!settings) {
+			this.#emitRefusal(req.requestId, {result: 'unknownRoute', ran: req.idempotencyKey === undefined ? 'no' : 'maybe'});
+			return;
+		}
+
+		const state = newRequestState(req, settings);
+		this.#requests.set(req.requestId, state);
+		this.#admit(state, settings, now);
+	}
+
+	/** The caller closed its connection: repeatable work is cancelled, other work runs on so that its answer is kept. */
+	callerGone(requestId: RequestId, now: Millis): void {
+		const state = this.#requests.get(requestId);
+		if (!state) {
+			return;
+		}
+
+		state.callerGone = true;
+		if (state.attempt && !state.repeatable) {
+			return;
+		}
+
+		this.#parts.outbox.count('refusals', 'callerGone');
+		this.#runner.cancel(state, now);
+		this.#close(state, now);
+		this.#dispatcher.drainQueue(state.serviceKey, now);
+	}
+
+	/** The first byte of a successful answer came. */
+	firstByte(attemptId: AttemptId, now: Millis): void {
+		const attempt = this.#runner.get(attemptId);
+		if (attempt) {
+			this.#runner.firstByte(attempt, now);
+		}
+	}
+
+	/** More of an answer was passed on; totals of the attempt. */
+	progress(attemptId: AttemptId, totals: {tokens: number; bytes: number}, now: Millis): void {
+		const attempt = this.#runner.get(attemptId);
+		if (attempt) {
+			this.#runner.progress(attempt, totals, now);
+		}
+	}
+
+	/** The whole answer came. */
+	ended(attemptId: AttemptId, end: {tokens: number; bytes: number; answer?: KeptAnswer}, now: Millis): void {
+		const attempt = this.#runner.get(attemptId);
+		if (!attempt) {
+			return;
+		}
+
+		const state = this.#requests.get(attempt.requestId)!;
+		this.#runner.progress(attempt, end, now);
+		this.#runner.complete(state, attempt, now);
+		this.#claims.done(state, end.answer, now);
+		this.#parts.outbox.count('answers', state.req.kind);
+		this.#parts.emit({type: 'complete', requestId: state.req.requestId, attemptId});
+		this.#requests.delete(state.req.requestId);
+		this.#dispatcher.drainQueue(state.serviceKey, now);
+	}
+
+	/** An attempt gave no whole answer. */
+	failed(attemptId: AttemptId, failure: AttemptFailure, now: Millis): void {
+		const attempt = this.#runner.get(attemptId);
+		if (!attempt) {
+			return;
+		}
+
+		const state = this.#requests.get(attempt.requestId)!;
+		this.#runner.fail(state, attempt, failure, now);
+		this.#afterFailure(state, failure, now);
+		this.#dispatcher.drainQueue(state.serviceKey, now);
+	}
+
+	/** Answers of the ledger to claims. */
+	claimOutcomes(outcomes: ReadonlyArray<{requestId: RequestId; outcome: ClaimOutcome}>, now: Millis): void {
+		for (const {requestId, outcome} of outcomes) {
+			this.#parts.outbox.count('claims', outcome.type);
+			this.#claimOutcome(requestId, outcome, now);
+		}
+	}
+
+	/** Targets whose lease ended or that came back as a new incarnation: their work is moved at once. */
+	targetsLost(targetIds: readonly TargetId[], now: Millis): void {
+		const silent = targetIds
+			.flatMap(targetId => this.#runner.onTarget(targetId))
+			.filter(attempt => now - (attempt.progressAt ?? attempt.startedAt) >= livelyMs);
+		for (const attempt of silent) {
+			this.#suspectLost(attempt, now);
+		}
+
+		for (const attempt of silent) {
+			this.#moveLost(attempt, now);
+		}
+	}
+
+	/** Places what waits and gives up what cannot be answered in time; called about every 50 ms. */
+	tick(now: Millis): void {
+		this.#runner.tick(now);
+		for (const {req, refusal} of this.#parts.admission.expire(now)) {
+			const state = this.#requests.get(req.requestId);
+			if (state) {
+				this.#refuse(state, refusal, now);
+			}
+		}
+
+		for (const serviceKey of this.#parts.admission.waiting()) {
+			this.#dispatcher.drainQueue(serviceKey, now);
+		}
+
+		for (const state of this.#requests.values()) {
+			this.#tickRequest(state, now);
+		}
+	}
+
+	/** Takes no new requests from now on; those in flight go on. */
+	drain(): void {
+		this.#draining = true;
+	}
+
+	/** True once `drain` was called and nothing is in flight any more. */
+	drained(): boolean {
+		return this.#draining && this.#requests.size === 0;
+	}
+
+	/** Requests without a final answer: claiming, waiting and running ones. */
+	inFlight(): number {
+		return this.#requests.size;
+	}
+
+	/** Bytes that this node exchanged with entries of other regions for its callers in the last second. */
+	awayBytesLastSecond(now: Millis): number {
+		return this.#runner.awayBytesLastSecond(now);
+	}
+
+	#admit(state: RequestState, settings: RouteSettings, now: Millis): void {
+		const {req} = state;
+		if (this.#draining) {
+			this.#refuse(state, {result: 'draining'}, now);
+		} else if (state.repeatable || state.claim === 'elsewhere') {
+			this.#dispatcher.drainQueue(state.serviceKey, now);
+			this.#dispatcher.place(state, now);
+		} else if (req.forwardedBy) {
+			this.#refuse(state, {result: 'ledgerUnavailable', detail: 'The forwarding entry holds no claim.'}, now);
+		} else if (req.idempotencyKey === undefined) {
+			this.#refuse(state, {result: 'keyMissing'}, now);
+		} else {
+			this.#claims.claim(state, req.idempotencyKey, settings, now);
+		}
+	}
+
+	#claimOutcome(requestId: RequestId, outcome: ClaimOutcome, now: Millis): void {
+		const state = this.#requests.get(requestId);
+		if (state?.phase !== 'claiming') {
+			const known = this.#claims.lateOutcome(requestId, outcome, now);
+			this.#parts.outbox.count('stale_messages', known ? 'abandoned_claim' : 'claim');
+			return;
+		}
+
+		const step = this.#claims.apply(state, outcome);
+		switch (step.type) {
+			case 'run': {
+				this.#dispatcher.drainQueue(state.serviceKey, now);
+				this.#dispatcher.place(state, now);
+				break;
+			}
+
+			case 'replay': {
+				this.#parts.outbox.count('replays');
+				this.#parts.emit({type: 'replay', requestId, answer: step.answer});
+				this.#requests.delete(requestId);
+				break;
+			}
+
+			case 'refuse': {
+				this.#refuse(state, step.reason, now);
+				break;
+			}
+		}
+	}
+
+	#tickRequest(state: RequestState, now: Millis): void {
+		if (state.phase === 'running') {
+			this.#moveSlow(state, now);
+		} else if (state.phase === 'claiming' && now >= state.deadlineAt) {
+			this.#refuse(state, {result: 'ledgerUnavailable'}, now);
+		} else if (state.phase === 'parked' && now >= state.deadlineAt) {
+			this.#refuse(state, {result: 'deadline'}, now);
+		} else if (state.phase === 'parked' && now >= state.parkedUntil) {
+			this.#dispatcher.place(state, now);
+		}
+	}
+
+	/** Leaves a target that gave no byte for half of the time, if another one is predicted to answer before the deadline. */
+	#moveSlow(state: RequestState, now: Millis): void {
+		const {attempt} = state;
+		if (!attempt || attempt.firstByteAt !== undefined || attempt.moveAt === undefined || now < attempt.moveAt) {
+			return;
+		}
+
+		attempt.moveAt = undefined;
+		const settings = this.#parts.tree().route(state.req.path);
+		if (!settings?.repeatable || state.attempts >= settings.maxAttempts) {
+			return;
+		}
+
+		const free = this.#parts.poison.verdict(state.req.fingerprint, now).type === 'free';
+		const decision = this.#dispatcher.preview(state, settings, now);
+		const better = free && decision.type === 'target' && now + decision.predictedMs < state.deadlineAt;
+		if (better && this.#withdraw(state, 'first_byte', now)) {
+			this.#runner.cancel(state, now);
+			this.#dispatcher.place(state, now);
+		}
+	}
+
+	#suspectLost(attempt: AttemptState, now: Millis): void {
+		const state = this.#requests.get(attempt.requestId)!;
+		if (attempt.place.type === 'target') {
+			this.#runner.suspectCrash(attempt.place.targetId, attempt.place.incarnation, [state.req.fingerprint], now);
+		}
+	}
+
+	/** Moves the work of a lost target; without another place it stays, in case the target answers after all. */
+	#moveLost(attempt: AttemptState, now: Millis): void {
+		const state = this.#requests.get(attempt.requestId)!;
+		const settings = this.#parts.tree().route(state.req.path);
+		if (!settings || !state.repeatable) {
+			return;
+		}
+
+		const passedOn = attempt.firstByteAt !== undefined;
+		const failure: AttemptFailure = {
+			reason: 'reset', notSent: false, passedOn, tokens: attempt.tokens,
+		};
+		const trial: RequestState = {...state, passedOn: state.passedOn || passedOn, mayHaveRun: true};
+		const movable = retryRule(trial, failure, settings, now).type !== 'give-up';
+		if (movable && this.#dispatcher.preview(trial, settings, now).type !== 'refuse') {
+			this.#parts.emit({type: 'cancel-attempt', attemptId: attempt.attemptId});
+			this.#runner.fail(state, attempt, failure, now);
+			this.#afterFailure(state, failure, now);
+		}
+	}
+
+	#afterFailure(state: RequestState, failure: AttemptFailure, now: Millis): void {
+		const settings = this.#parts.tree().route(state.req.path);
+		if (!settings) {
+			this.#refuse(state, {result: 'unknownRoute'}, now);
+			return;
+		}
+
+		const verdict = retryRule(state, failure, settings, now);
+		if (verdict.type === 'give-up') {
+			this.#giveUp(state, failure, verdict, now);
+		} else if (this.#withdraw(state, failure.reason, now) || isBroken(failure)) {
+			this.#again(state, settings, now);
+		} else {
+			this.#giveUp(state, failure, {result: 'targetFailed', canComeBack: true}, now);
+		}
+	}
+
+	#again(state: RequestState, settings: RouteSettings, now: Millis): void {
+		if (state.passedOn) {
+			state.deadlineAt = now + settings.deadlineMs as Millis;
+			this.#parts.outbox.count('resumes');
+		}
+
+		this.#dispatcher.place(state, now);
+	}
+
+	#withdraw(state: RequestState, reason: string, now: Millis): boolean {
+		const allowed = this.#parts.retryBudget.withdraw(state.routeKey, now);
+		this.#parts.outbox.count('retries', allowed ? reason : 'budget_exhausted');
+		return allowed;
+	}
+
+	#giveUp(
+		state: RequestState,
+		failure: AttemptFailure,
+		verdict: {readonly result: Refusal['result']; readonly canComeBack: boolean},
+		now: Millis,
+	): void {
+		const retryAfterMs = failure.retryAfterMs ?? failure.refusal?.retryAfterMs ?? comeBackAfter(this.#parts.random);
+		const detail = failure.refusal?.detail;
+		this.#refuse(state, {
+			result: verdict.result,
+			...(verdict.canComeBack && {retryAfterMs}),
+			...(detail !== undefined && {detail}),
+		}, now);
+	}
+
+	/** Gives a request its final answer; the claim is settled and a time to come back is given where that can help. */
+	#refuse(state: RequestState, reason: Omit<Refusal, 'ran'>, now: Millis): void {
+		const refusal = refusalRule(state, reason);
+		const comesBack = comeBackResults.has(refusal.result) && refusal.retryAfterMs === undefined;
+		this.#close(state, now);
+		this.#emitRefusal(state.req.requestId, comesBack ? {...refusal, retryAfterMs: comeBackAfter(this.#parts.random)} : refusal);
+	}
+
+	#emitRefusal(requestId: RequestId, refusal: Refusal): void {
+		this.#parts.outbox.count('refusals', refusal.result);
+		this.#parts.emit({type: 'refuse', requestId, refusal});
+	}
+
+	/** Ends a request without a whole answer. */
+	#close(state: RequestState, now: Millis): void {
+		const {requestId} = state.req;
+		if (state.phase === 'queued') {
+			this.#parts.admission.take(requestId);
+		}
+
+		if (state.phase === 'claiming') {
+			this.#claims.abandon(requestId);
+		}
+
+		this.#claims.giveUp(state, now);
+		this.#requests.delete(requestId);
+	}
+}
+
+/**
+ * A broken connection ends work that was running: moving it needs no budget. Such a request is a suspect,
+ * so that the poison guard bounds how often and where it runs again.
+ */
+function isBroken(failure: AttemptFailure): boolean {
+	return !failure.notSent && (failure.reason === 'reset' || failure.reason === 'truncated');
+}
--- /dev/null
+++ b/src/core/attempts/request-dispatcher.ts
@@ -0,0 +1,213 @@
+import type {Millis} from '../ids/millis.ts';
+import type {RequestId} from '../ids/request-id.ts';
+import type {Refusal} from '../results/refusal.ts';
+import type {RouteDecision} from '../routing/route-decision.ts';
+import type {RouteSettings} from '../settings/route-settings.ts';
+import type {AttemptRunner} from './attempt-runner.ts';
+import type {CoordinatorOptions} from './coordinator-options.ts';
+import {pickEntry} from './pick-entry.ts';
+import type {RequestState} from './request-state.ts';
+import {RouteChooser} from './route-chooser.ts';
+import {routedRequest} from './routed-request.ts';
+
+/** Between two tries to place a suspect, in milliseconds. */
+const parkMs = 100;
+
+type DispatcherOptions = {
+	readonly parts: CoordinatorOptions;
+	readonly runner: AttemptRunner;
+	/** The request of this id, while it has no final answer. */
+	readonly find: (requestId: RequestId) => RequestState | undefined;
+	/** Gives a request its final answer. */
+	readonly refuse: (state: RequestState, reason: Omit<Refusal, 'ran'>, now: Millis) => void;
+};
+
+/** What one choice gave. */
+type Choice<Decision = RouteDecision> = {
+	readonly settings: RouteSettings;
+	readonly alone: boolean;
+	readonly decision: Decision;
+};
+
+/** Brings requests to a target, to another region or into the queue of their service. */
+export class RequestDispatcher {
+	readonly #parts: CoordinatorOptions;
+	readonly #runner: AttemptRunner;
+	readonly #chooser: RouteChooser;
+	readonly #find: DispatcherOptions['find'];
+	readonly #refuse: DispatcherOptions['refuse'];
+
+	constructor(options: DispatcherOptions) {
+		this.#parts = options.parts;
+		this.#runner = options.runner;
+		this.#chooser = new RouteChooser(options.parts);
+		this.#find = options.find;
+		this.#refuse = options.refuse;
+	}
+
+	/** Starts the request, forwards it, lets it wait or refuses it. */
+	place(state: RequestState, now: Millis): void {
+		const choice = this.#choose(state, now);
+		if (choice) {
+			this.#follow(state, choice, now);
+		}
+	}
+
+	/** Where the router would send the request now, without doing it. */
+	preview(state: RequestState, settings: RouteSettings, now: Millis): RouteDecision {
+		const alone = this.#parts.poison.verdict(state.req.fingerprint, now).type === 'alone';
+		return this.#decide(state, settings, alone, now);
+	}
+
+	/** Places waiting requests of a service in their order, until one has to go on waiting. */
+	drainQueue(serviceKey: string, now: Millis): void {
+		const {admission} = this.#parts;
+		for (let left = admission.depth(serviceKey); left > 0; left--) {
+			const req = admission.peek(serviceKey, now);
+			const state = req && this.#find(req.requestId);
+			if (!req || (state?.phase === 'queued' && !this.#placeQueued(state, now))) {
+				return;
+			}
+
+			if (state?.phase !== 'queued') {
+				admission.take(req.requestId);
+			}
+		}
+	}
+
+	/** Asks for a decision; a request that may not run is refused here. */
+	#choose(state: RequestState, now: Millis): Choice | undefined {
+		const settings = this.#parts.tree().route(state.req.path);
+		if (!settings) {
+			this.#refuse(state, {result: 'unknownRoute'}, now);
+			return;
+		}
+
+		const verdict = this.#parts.poison.verdict(state.req.fingerprint, now);
+		if (verdict.type === 'refused') {
+			this.#refuse(state, {result: 'poison', retryAfterMs: verdict.retryAfterMs}, now);
+			return;
+		}
+
+		const alone = verdict.type === 'alone';
+		return {settings, alone, decision: this.#decide(state, settings, alone, now)};
+	}
+
+	#decide(state: RequestState, settings: RouteSettings, alone: boolean, now: Millis): RouteDecision {
+		const awayBytesLastSecond = this.#runner.awayBytesLastSecond(now);
+		return this.#chooser.choose(state, settings, {alone, awayBytesLastSecond}, now);
+	}
+
+	#follow(state: RequestState, choice: Choice, now: Millis): void {
+		const {settings, alone, decision} = choice;
+		switch (decision.type) {
+			case 'target': {
+				this.#startOnTarget(state, {settings, alone, decision}, now);
+				break;
+			}
+
+			case 'away': {
+				this.#forward(state, {settings, alone, decision}, now);
+				break;
+			}
+
+			case 'wait': {
+				if (alone) {
+					this.#park(state, now);
+				} else {
+					this.#enqueue(state, settings, decision.predictedMs, now);
+				}
+
+				break;
+			}
+
+			case 'refuse': {
+				this.#refuse(state, decision.refusal, now);
+				break;
+			}
+		}
+	}
+
+	#startOnTarget(
+		state: RequestState,
+		choice: Choice<Extract<RouteDecision, {type: 'target'}>>,
+		now: Millis,
+	): void {
+		const {targetId, cachedTokens} = choice.decision;
+		const view = this.#parts.targets.get(targetId, now);
+		if (!view) {
+			state.triedTargets.add(targetId);
+			this.place(state, now);
+			return;
+		}
+
+		if (choice.alone && this.#parts.poison.permit(state.req.fingerprint, targetId, now) !== 'granted') {
+			this.#park(state, now);
+			return;
+		}
+
+		this.#notePlaced(state, choice.settings, now);
+		this.#runner.start(state, choice.settings, {view, cachedTokens}, now);
+	}
+
+	#forward(
+		state: RequestState,
+		choice: Choice<Extract<RouteDecision, {type: 'away'}>>,
+		now: Millis,
+	): void {
+		const {region} = choice.decision;
+		const view = this.#parts.membership.region(region, now);
+		const entry = pickEntry(view?.entries ?? [], this.#parts.membership, this.#parts.random);
+		if (!entry) {
+			state.triedRegions.add(region);
+			this.place(state, now);
+			return;
+		}
+
+		if (choice.alone && !this.#parts.poison.informed(state.req.fingerprint, entry.nodeId, now)) {
+			this.#park(state, now);
+			return;
+		}
+
+		this.#notePlaced(state, choice.settings, now);
+		this.#runner.forward(state, choice.settings, {entry, region}, now);
+	}
+
+	#notePlaced(state: RequestState, settings: RouteSettings, now: Millis): void {
+		if (state.attempts === 0) {
+			this.#parts.admission.placed(state.req, now);
+			this.#parts.retryBudget.deposit(state.routeKey, settings.retryBudget, now);
+		}
+	}
+
+	/** A suspect waits outside the queue, so that it holds up nobody else. */
+	#park(state: RequestState, now: Millis): void {
+		state.phase = 'parked';
+		state.parkedUntil = now + parkMs as Millis;
+	}
+
+	#enqueue(state: RequestState, settings: RouteSettings, predictedMs: number, now: Millis): void {
+		const result = this.#parts.admission.enqueue(routedRequest(state), settings, predictedMs, now);
+		if (result.type === 'refused') {
+			this.#refuse(state, result.refusal, now);
+			return;
+		}
+
+		state.phase = 'queued';
+	}
+
+	/** False if the request has to go on waiting. */
+	#placeQueued(state: RequestState, now: Millis): boolean {
+		const choice = this.#choose(state, now);
+		if (choice?.decision.type === 'wait' && !choice.alone) {
+			return false;
+		}
+
+		this.#parts.admission.take(state.req.requestId);
+		if (choice) {
+			this.#follow(state, choice, now);
+		}
+
+		return true;
+	}
+}
--- /dev/null
+++ b/src/core/attempts/retry-rule.ts
@@ -0,0 +1,65 @@
+import type {Millis} from '../ids/millis.ts';
+import type {ResultName} from '../results/result-name.ts';
+import type {RouteSettings} from '../settings/route-settings.ts';
+import type {AttemptFailure} from './attempt-failure.ts';
+import {isClientError} from './is-client-error.ts';
+import type {RequestState} from './request-state.ts';
+import type {RetryVerdict} from './retry-verdict.ts';
+
+/** Refusals of a peer that no other target or region would answer differently. */
+const finalResults = new Set<ResultName>([
+	'poison', 'incomplete', 'mayHaveRun', 'unauthenticated', 'malformed', 'tooLarge', 'targetRefused',
+]);
+
+/**
+ * Decides whether a request whose attempt failed may be sent again. The caller has already updated
+ * `state.mayHaveRun` and `state.passedOn`; the retry budget is asked afterwards.
+ */
+export function retryRule(state: RequestState, failure: AttemptFailure, settings: RouteSettings, now: Millis): RetryVerdict {
+	if (state.passedOn) {
+		return resumeRule(state, settings);
+	}
+
+	if (!state.repeatable && state.mayHaveRun) {
+		return giveUp('mayHaveRun', false);
+	}
+
+	if (failure.refusal && finalResults.has(failure.refusal.result)) {
+		return giveUp(failure.refusal.result, failure.refusal.retryAfterMs !== undefined);
+	}
+
+	if (isClientError(failure.status)) {
+		return giveUp('targetRefused', false);
+	}
+
+	if (state.callerGone) {
+		return giveUp('callerGone', false);
+	}
+
+	if (state.attempts >= settings.maxAttempts || now >= state.deadlineAt) {
+		return giveUp(resultOf(failure), true);
+	}
+
+	return {type: 'retry'};
+}
+
+function resumeRule(state: RequestState, settings: RouteSettings): RetryVerdict {
+	const resumable = state.repeatable && !state.callerGone && state.req.kind === 'completion' && state.req.streamed;
+	if (resumable && state.attempts < settings.maxAttempts) {
+		return {type: 'resume'};
+	}
+
+	return giveUp('incomplete', state.repeatable);
+}
+
+function resultOf(failure: AttemptFailure): ResultName {
+	if (failure.reason === 'silence') {
+		return 'silence';
+	}
+
+	return failure.reason === 'refused' ? failure.refusal?.result ?? 'targetRefused' : 'targetFailed';
+}
+
+function giveUp(result: ResultName, canComeBack: boolean): RetryVerdict {
+	return {type: 'give-up', result, canComeBack};
+}
--- /dev/null
+++ b/src/core/attempts/route-chooser.ts
@@ -0,0 +1,99 @@
+import type {Millis} from '../ids/millis.ts';
+import type {TargetId} from '../ids/target-id.ts';
+import type {RouteDecision} from '../routing/route-decision.ts';
+import type {RouteSettings} from '../settings/route-settings.ts';
+import type {TargetView} from '../targets/target-view.ts';
+import type {CoordinatorOptions} from './coordinator-options.ts';
+import type {RequestState} from './request-state.ts';
+import {routedRequest} from './routed-request.ts';
+
+/** Asks the router where a request goes, from what this node knows now. */
+export class RouteChooser {
+	readonly #parts: CoordinatorOptions;
+
+	constructor(parts: CoordinatorOptions) {
+		this.#parts = parts;
+	}
+
+	/** Chooses a place. `alone` keeps a suspect off every target that another suspect runs on. */
+	choose(state: RequestState, settings: RouteSettings, context: {alone: boolean; awayBytesLastSecond: number}, now: Millis): RouteDecision {
+		const {router, region} = this.#parts;
+		if (state.req.forwardedBy && !this.#allowedHere(state, settings)) {
+			return {type: 'refuse', refusal: {result: 'residency', ran: 'no'}};
+		}
+
+		const targets = this.#targets(state, settings, now);
+		const decision = router.choose({
+			req: routedRequest(state),
+			settings,
+			now,
+			region,
+			targets,
+			regions: this.#regions(state, now),
+			tried: {targets: this.#excluded(state, targets, context.alone, now), regions: state.triedRegions},
+			alone: context.alone,
+			awayBytesLastSecond: context.awayBytesLastSecond,
+		});
+		if (decision.type === 'away' && state.req.forwardedBy) {
+			return {type: 'refuse', refusal: {result: 'hopLimit', ran: 'no'}};
+		}
+
+		const mayWait = context.alone && decision.type === 'refuse' && this.#freedLater(state, targets, now);
+		return mayWait ? {type: 'wait', predictedMs: 0} : decision;
+	}
+
+	/** True if a target is kept from this suspect only by another suspect that runs there now. */
+	#freedLater(state: RequestState, targets: readonly TargetView[], now: Millis): boolean {
+		const occupied = this.#parts.poison.occupied(now);
+		return targets.some(view =>
+			occupied.has(view.targetId)
+			&& !state.triedTargets.has(view.targetId)
+			&& (!state.passedOn || view.announcement.resumes));
+	}
+
+	#targets(state: RequestState, settings: RouteSettings, now: Millis): readonly TargetView[] {
+		const model = settings.model ?? state.req.model;
+		return this.#parts.targets.serving(state.req.path, model, now);
+	}
+
+	/** A forwarded request stays here; an answer that broke off is resumed only by a target of this region. */
+	#regions(state: RequestState, now: Millis) {
+		const staysHere = state.req.forwardedBy !== undefined || state.passedOn;
+		if (staysHere) {
+			return [];
+		}
+
+		return this.#parts.membership.regions(now).filter(view => view.region !== this.#parts.region);
+	}
+
+	#excluded(state: RequestState, targets: readonly TargetView[], alone: boolean, now: Millis): ReadonlySet<TargetId> {
+		if (!alone && !state.passedOn) {
+			return state.triedTargets;
+		}
+
+		const excluded = new Set(state.triedTargets);
+		if (alone) {
+			for (const targetId of this.#parts.poison.occupied(now)) {
+				excluded.add(targetId);
+			}
+		}
+
+		if (state.passedOn) {
+			for (const view of targets) {
+				if (!view.announcement.resumes) {
+					excluded.add(view.targetId);
+				}
+			}
+		}
+
+		return excluded;
+	}
+
+	/** A receiver decides residency again, under its own settings. */
+	#allowedHere(state: RequestState, settings: RouteSettings): boolean {
+		const {region} = this.#parts;
+		const byRequest = state.req.residency?.includes(region) ?? true;
+		const bySettings = settings.residency?.includes(region) ?? true;
+		return byRequest && bySettings;
+	}
+}
--- a/src/core/settings/request-info.ts
+++ b/src/core/settings/request-info.ts
@@ -35,6 +35,9 @@
 	/** Time by which the first byte of the answer is wanted. */
 	readonly deadlineAt: Millis;
 	readonly bodyBytes: number;
-	/** Set if an entry of another region forwarded it: it is never forwarded again. */
-	readonly forwardedBy?: {readonly nodeId: NodeId; readonly region: Region; readonly revision: number};
+	/**
+	 * Set if an entry of another region forwarded it: it is never forwarded again.
+	 * `claimed` is set if that entry holds the claim of a request that may not be repeated.
+	 */
+	readonly forwardedBy?: {readonly nodeId: NodeId; readonly region: Region; readonly revision: number; readonly claimed?: boolean};
 };
--- /dev/null
+++ b/test/core/attempts/request-coordinator.test.ts
@@ -0,0 +1,282 @@
+import test from 'ava';
+import type {Millis} from '../../../src/core/ids/millis.ts';
+import type {NodeId} from '../../../src/core/ids/node-id.ts';
+import type {TargetId} from '../../../src/core/ids/target-id.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import {CoordinatorHarness} from '../../fixtures/attempts/coordinator-harness.ts';
+
+const once = {kind: 'call', streamed: false, idempotencyKey: 'order-7'} as const;
+
+test('a whole answer completes its request once, and late events go nowhere', t => {
+	const harness = new CoordinatorHarness();
+	harness.targets.add('engine-1');
+	const start = harness.request('r1')!;
+	harness.end(start.attemptId);
+	harness.end(start.attemptId);
+	harness.fail(start.attemptId);
+	t.is(harness.finals('r1').length, 1);
+	t.is(harness.finals('r1')[0]!.type, 'complete');
+	t.is(harness.outbox.counts.get('stale_messages:attempt'), 2);
+	t.is(harness.coordinator.inFlight(), 0);
+});
+
+test('a cancelled attempt that ends late does not complete the request of its successor', t => {
+	const harness = new CoordinatorHarness();
+	const lost = harness.targets.add('engine-1');
+	harness.targets.add('engine-2');
+	const first = harness.request('r1')!;
+	harness.now = 5000 as Millis;
+	harness.targets.remove(lost);
+	harness.coordinator.targetsLost([lost], harness.now);
+	const second = harness.lastStart('r1')!;
+	t.deepEqual(harness.cancelled(), [first.attemptId]);
+	harness.end(first.attemptId);
+	t.is(harness.finals('r1').length, 0);
+	harness.end(second.attemptId);
+	t.like(harness.finals('r1'), [{type: 'complete', attemptId: second.attemptId}]);
+});
+
+test('an unknown route, a missing key and a draining entry are refused', t => {
+	const harness = new CoordinatorHarness({settings: {repeatable: false}});
+	harness.targets.add('engine-1');
+	harness.request('r1', {
+		path: {
+			firm: 'prairie', deployment: 'print', service: 'proofer', route: 'other',
+		},
+	});
+	t.like(harness.refusal('r1'), {result: 'unknownRoute', ran: 'no'});
+	harness.request('r2');
+	t.like(harness.refusal('r2'), {result: 'keyMissing', ran: 'no'});
+	harness.coordinator.drain();
+	harness.request('r3', once);
+	t.like(harness.refusal('r3'), {result: 'draining', ran: 'maybe'}, 'an earlier sending with this key may have run');
+	t.truthy(harness.refusal('r3')!.retryAfterMs);
+	t.true(harness.coordinator.drained());
+});
+
+test('draining lets requests in flight end', t => {
+	const harness = new CoordinatorHarness();
+	harness.targets.add('engine-1');
+	const start = harness.request('r1')!;
+	harness.coordinator.drain();
+	t.false(harness.coordinator.drained());
+	harness.end(start.attemptId);
+	t.true(harness.coordinator.drained());
+});
+
+test('a request that may not be repeated is claimed first and never retried after it was sent', t => {
+	const harness = new CoordinatorHarness({settings: {repeatable: false}});
+	harness.targets.add('engine-1');
+	harness.targets.add('engine-2');
+	t.is(harness.request('r1', once), undefined);
+	harness.claim('r1', {type: 'granted'});
+	harness.fail(harness.lastStart('r1')!.attemptId, {reason: 'reset'});
+	t.is(harness.starts('r1').length, 1);
+	t.like(harness.refusal('r1'), {result: 'mayHaveRun', ran: 'maybe'});
+	t.like(harness.ledger.settled, [{as: 'unknown'}]);
+});
+
+test('a request that may not be repeated is retried if it was not sent, and released if it never ran', t => {
+	const harness = new CoordinatorHarness({settings: {repeatable: false}});
+	harness.targets.add('engine-1');
+	harness.targets.add('engine-2');
+	harness.request('r1', once);
+	harness.claim('r1', {type: 'granted'});
+	harness.fail(harness.lastStart('r1')!.attemptId, {reason: 'connect', notSent: true});
+	t.is(harness.starts('r1').length, 2);
+	harness.fail(harness.lastStart('r1')!.attemptId, {reason: 'connect', notSent: true});
+	t.like(harness.refusal('r1'), {result: 'targetFailed', ran: 'no'});
+	t.truthy(harness.refusal('r1')!.retryAfterMs);
+	t.like(harness.ledger.settled, [{as: 'released'}]);
+});
+
+test('claims that are not granted run nothing', t => {
+	const harness = new CoordinatorHarness({settings: {repeatable: false}});
+	harness.targets.add('engine-1');
+	const answer = {status: 200, contentType: 'text/plain', body: 'b2s='};
+	const outcomes = [
+		['replay', {type: 'replay', answer}, undefined, undefined],
+		['progress', {type: 'in-progress', retryAfterMs: 5}, 'inProgress', 'maybe'],
+		['may', {type: 'may-have-run'}, 'mayHaveRun', 'maybe'],
+		['reused', {type: 'key-reused'}, 'keyReused', 'no'],
+		['none', {type: 'unavailable', retryAfterMs: 5}, 'ledgerUnavailable', 'maybe'],
+	] as const;
+	for (const [name, outcome, result, ran] of outcomes) {
+		harness.request(name, once);
+		harness.claim(name, outcome);
+		t.is(harness.finals(name).length, 1, `${name}`);
+		t.is(harness.refusal(name)?.result, result, `${name}`);
+		t.is(harness.refusal(name)?.ran, ran, `${name}`);
+		t.is(harness.starts(name).length, 0, `${name}`);
+	}
+});
+
+test('a claim granted after the caller left is released and runs nothing', t => {
+	const harness = new CoordinatorHarness({settings: {repeatable: false}});
+	harness.targets.add('engine-1');
+	harness.request('r1', once);
+	harness.coordinator.callerGone(toId('r1'), harness.now);
+	harness.claim('r1', {type: 'granted'});
+	t.is(harness.starts('r1').length, 0);
+	t.like(harness.ledger.settled, [{as: 'released'}]);
+});
+
+test('a caller that left cancels repeatable work; other work runs on and its answer is kept', t => {
+	const harness = new CoordinatorHarness();
+	harness.targets.add('engine-1');
+	const start = harness.request('r1')!;
+	harness.coordinator.callerGone(toId('r1'), harness.now);
+	t.deepEqual(harness.cancelled(), [start.attemptId]);
+	t.is(harness.targets.outcomes[0]!.outcome.result, 'cancelled');
+
+	const claimed = new CoordinatorHarness({settings: {repeatable: false}});
+	claimed.targets.add('engine-1');
+	claimed.request('r2', once);
+	claimed.claim('r2', {type: 'granted'});
+	claimed.coordinator.callerGone(toId('r2'), claimed.now);
+	t.deepEqual(claimed.cancelled(), []);
+	claimed.end(claimed.lastStart('r2')!.attemptId);
+	t.like(claimed.ledger.settled, [{as: 'done', answer: {status: 200}}]);
+});
+
+test('a broken stream is resumed only by a target that can, else it ends as incomplete', t => {
+	const harness = new CoordinatorHarness();
+	harness.targets.add('engine-1');
+	harness.targets.add('engine-2', {resumes: false});
+	harness.targets.add('engine-3');
+	const first = harness.request('r1')!;
+	harness.fail(first.attemptId, {passedOn: true, tokens: 40});
+	const second = harness.lastStart('r1')!;
+	t.is(second.targetId, toId<TargetId>('engine-3'));
+	t.true(second.resume);
+	t.is(harness.router.queries.at(-1)!.req.outputTokens, 160);
+	harness.fail(second.attemptId, {passedOn: true, tokens: 10});
+	t.like(harness.refusal('r1'), {result: 'incomplete', ran: 'maybe'});
+	t.is(harness.starts('r1').length, 2);
+});
+
+test('a forwarded request is decided under the own settings and never forwarded again', t => {
+	const harness = new CoordinatorHarness({settings: {residency: [toId('saskatoon-a')]}});
+	harness.targets.add('engine-1');
+	harness.membership.addRegion('saskatoon-a', {'entry-5': 1});
+	const forwardedBy = {nodeId: toId<never>('entry-9'), region: toId<never>('winnipeg-a'), revision: 1};
+	harness.request('r1', {forwardedBy});
+	t.like(harness.refusal('r1'), {result: 'residency', ran: 'no'});
+
+	const open = new CoordinatorHarness();
+	open.membership.addRegion('saskatoon-a', {'entry-5': 1});
+	open.request('r2', {forwardedBy});
+	t.is(open.starts('r2').length, 0);
+	t.is(open.refusal('r2')!.ran, 'no');
+});
+
+test('a peer that did not run the request does not count as a run; its region is not tried again', t => {
+	const harness = new CoordinatorHarness({settings: {repeatable: false}});
+	harness.membership.addRegion('saskatoon-a', {'entry-5': 1});
+	harness.membership.addRegion('winnipeg-a', {'entry-6': 1});
+	harness.request('r1', once);
+	harness.claim('r1', {type: 'granted'});
+	const first = harness.lastStart('r1')!;
+	t.true(first.claimed);
+	harness.fail(first.attemptId, {reason: 'refused', refusal: {result: 'residency', ran: 'no'}});
+	const second = harness.lastStart('r1')!;
+	t.not(second.forwardTo, first.forwardTo);
+	harness.end(second.attemptId);
+	t.like(harness.ledger.settled, [{as: 'done'}]);
+});
+
+test('a forwarded request that may not be repeated runs under the forwarding entry\'s claim only', t => {
+	const harness = new CoordinatorHarness({settings: {repeatable: false}});
+	harness.targets.add('engine-1');
+	const forwardedBy = {nodeId: toId<never>('entry-9'), region: toId<never>('winnipeg-a'), revision: 1};
+	harness.request('r1', {...once, forwardedBy});
+	t.like(harness.refusal('r1'), {result: 'ledgerUnavailable', ran: 'no'});
+	harness.request('r2', {...once, forwardedBy: {...forwardedBy, claimed: true}});
+	t.is(harness.starts('r2').length, 1);
+	t.is(harness.ledger.claims.length, 0);
+});
+
+test('waiting requests are placed when room comes free, and refused when their time is over', t => {
+	const harness = new CoordinatorHarness({settings: {targetConcurrency: 1}});
+	harness.targets.add('engine-1');
+	const first = harness.request('r1')!;
+	harness.request('r2');
+	harness.request('r3');
+	t.is(harness.starts('r2').length, 0);
+	harness.end(first.attemptId);
+	t.is(harness.starts('r2').length, 1);
+	t.is(harness.starts('r3').length, 0);
+	harness.advance(30_000);
+	t.like(harness.refusal('r3'), {result: 'deadline', ran: 'no'});
+	t.is(harness.finals('r3').length, 1);
+});
+
+test('slowness does not cut an answer; silence before the first byte moves it if another target is in time', t => {
+	const harness = new CoordinatorHarness();
+	harness.targets.add('engine-1');
+	harness.targets.add('engine-2');
+	const slow = harness.request('slow')!;
+	harness.coordinator.firstByte(slow.attemptId, harness.now);
+	const silent = harness.request('silent')!;
+	harness.advance(16_000);
+	t.deepEqual(harness.cancelled(), [silent.attemptId]);
+	t.is(harness.lastStart('silent')!.targetId, toId<TargetId>('engine-2'));
+	harness.advance(600_000);
+	t.is(harness.starts('slow').length, 1);
+	t.false(harness.cancelled().includes(slow.attemptId));
+});
+
+test('retries stay within the budget while no target can be reached', t => {
+	const harness = new CoordinatorHarness();
+	for (let index = 0; index < 5; index++) {
+		harness.targets.add(`engine-${index}`);
+	}
+
+	let attempts = 0;
+	const requests = 2000;
+	for (let index = 0; index < requests; index++) {
+		harness.now = index * 10 as Millis;
+		let start = harness.request(`r${index}`);
+		while (start && harness.finals(`r${index}`).length === 0) {
+			attempts++;
+			harness.fail(start.attemptId, {reason: 'connect', notSent: true});
+			start = harness.lastStart(`r${index}`);
+		}
+
+		t.is(harness.refusal(`r${index}`)!.ran, 'no');
+	}
+
+	// A tenth of the requests, two a second for 20 s, and the first 20 tokens.
+	t.true(attempts <= requests + 200 + 40 + 20, `${attempts} attempts`);
+	t.true(attempts > requests);
+});
+
+test('forwarding spreads over the entries of a region by weight', t => {
+	const harness = new CoordinatorHarness({seed: 7});
+	harness.membership.addRegion('saskatoon-a', {small: 1, large: 3});
+	for (let index = 0; index < 400; index++) {
+		harness.request(`r${index}`);
+	}
+
+	const large = harness.actions.filter(action => action.type === 'start-attempt' && action.forwardTo === toId<NodeId>('large'));
+	t.true(large.length > 260 && large.length < 340, `${large.length} of 400`);
+	t.is(harness.coordinator.awayBytesLastSecond(harness.now), 400 * 1000);
+});
+
+test('a suspect starts only with a permit and never on an occupied target', t => {
+	const harness = new CoordinatorHarness();
+	const busy = harness.targets.add('engine-1');
+	harness.targets.add('engine-2');
+	harness.poison.alone.add('odd');
+	harness.poison.occupiedTargets.add(busy);
+	harness.poison.permitted = false;
+	harness.request('r1', {fingerprint: 'odd'});
+	harness.advance(200);
+	t.is(harness.starts('r1').length, 0);
+	harness.poison.permitted = true;
+	harness.advance(200);
+	t.is(harness.lastStart('r1')!.targetId, toId<TargetId>('engine-2'));
+	harness.poison.refused.add('worse');
+	harness.request('r2', {fingerprint: 'worse'});
+	t.like(harness.refusal('r2'), {result: 'poison', ran: 'no', retryAfterMs: 60_000});
+});
