feat(attempts): bound what one poison request can crash

SuspectTable holds what is known of suspects as two growing sets, so lost and reordered messages merge to one result. SuspectSharer sends records until they are acknowledged. PermitArbiter gives one run of a suspect at a time over the installation and one suspect on a target: every live peer and one entry of each reachable region, which asks its own peers, has to agree.

Weighed: one owner entry by rendezvous hash needs equal views of the live entries, and a second hop; a permit from all holds while any two rivals hear each other. Not covered: the sides of a network partition count apart, and three or more entries that take the same content within one message delay, before the first crash is known, each lose a target.

Interface: PoisonGuard gains `broken`; `permit` may answer `denied`. A suspect waits outside the service's queue.

--- a/src/core/attempts/attempt-runner.ts
+++ b/src/core/attempts/attempt-runner.ts
@@ -13,6 +13,7 @@
 import {AttemptTable} from './attempt-table.ts';
 import type {CoordinatorOptions} from './coordinator-options.ts';
 import {CrashWatch} from './crash-watch.ts';
+import {isBroken} from './is-broken.ts';
 import {isClientError} from './is-client-error.ts';
 import {RateMeter} from './rate-meter.ts';
 import type {RequestState} from './request-state.ts';
@@ -115,8 +116,8 @@
 		state.mayHaveRun ||= !certainlyNotRun;
 		state.passedOn ||= failure.passedOn;
 		state.tokensPassedOn += failure.passedOn ? attempt.tokens : 0;
-		this.#finish(state, attempt, isClientError(failure.status) ? 'cancelled' : 'failed', now);
 		this.#noteCrash(state, attempt, failure, now);
+		this.#finish(state, attempt, isClientError(failure.status) ? 'cancelled' : 'failed', now);
 	}
 
 	/** Stops the attempt; nothing more of it reaches the caller. */
@@ -201,8 +202,7 @@
 
 	/** A connection that broke after the request was sent may mean a crash: the request is a suspect at once. */
 	#noteCrash(state: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Millis): void {
-		const broken = failure.reason === 'reset' || failure.reason === 'truncated';
-		if (broken && !failure.notSent && attempt.place.type === 'target') {
+		if (isBroken(failure) && attempt.place.type === 'target') {
 			const {targetId, incarnation} = attempt.place;
 			this.suspectCrash(targetId, incarnation, [state.req.fingerprint], now);
 		}
--- /dev/null
+++ b/src/core/attempts/permit-arbiter.ts
@@ -0,0 +1,337 @@
+import type {Outbox} from '../common/outbox.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {TargetId} from '../ids/target-id.ts';
+import type {PoisonMessage} from './poison-message.ts';
+import {PermitRound} from './permit-round.ts';
+import type {SuspectTable} from './suspect-table.ts';
+
+/** How long a grant holds while its holder still asks others, in milliseconds. */
+const askingMs = 5000;
+
+/** How long a permit in use holds without renewal, in milliseconds. */
+const heldMs = 30_000;
+
+/** Between two renewals of a permit that is in use, in milliseconds. */
+const renewMs = 2000;
+
+/** A permit that nobody asked for during this time is given back, in milliseconds. */
+const idleMs = 1000;
+
+/** Requests of other regions that are passed on at the same time. */
+const maxRelayed = 256;
+
+type PermitRequest = Extract<PoisonMessage, {type: 'permit-request'}>;
+
+type Options = {
+	readonly self: NodeId;
+	readonly table: SuspectTable;
+	readonly peers: () => readonly NodeId[];
+	readonly delegates: () => ReadonlyArray<readonly NodeId[]>;
+	/** Targets that a request of this content runs on at this node. */
+	readonly running: (fingerprint: string) => readonly TargetId[];
+	/** Suspects that run at this node, with their targets. */
+	readonly runningSuspects: () => ReadonlyArray<{fingerprint: string; targetId: TargetId}>;
+	readonly outbox: Outbox;
+};
+
+/** A permit of this node: asked for, then granted by all, then in use. */
+type OwnPermit = {
+	readonly targetId: TargetId;
+	readonly round: PermitRound;
+	askedAt: Millis;
+	inUse: boolean;
+};
+
+/**
+ * Mutual exclusion of suspects: one run of a suspect over the installation, and one suspect on a target.
+ *
+ * A node that wants to run a suspect asks every live peer of its region and one entry of each reachable
+ * region, which asks its own peers. Each of them refuses while it runs the same content, or has granted
+ * the content or the target to somebody else. Two nodes that ask each other at the same time are ordered
+ * by node id. A lost message delays the permit and never grants it.
+ *
+ * Not covered: two sides of a network partition grant without each other, and so does a node that
+ * heard nothing from the holder for longer than a grant holds.
+ */
+export class PermitArbiter {
+	readonly #options: Options;
+	readonly #own = new Map<string, OwnPermit>();
+	/** Grants to other nodes by fingerprint: one for each suspect that they run. */
+	readonly #grants = new Map<string, {holder: NodeId; targetId: TargetId; until: Millis}>();
+	/** Requests of other regions, by permit id, while this region's peers are asked. */
+	readonly #relayed = new Map<string, {readonly request: PermitRequest; readonly from: NodeId; readonly round: PermitRound}>();
+	#permits = 0;
+	#renewedAt = 0 as Millis;
+
+	constructor(options: Options) {
+		this.#options = options;
+	}
+
+	/** Asks for a permit, or looks whether it is there; `denied` if the target or the content is taken. */
+	permit(fingerprint: string, targetId: TargetId, now: Millis): 'granted' | 'pending' | 'denied' {
+		const own = this.#own.get(fingerprint);
+		const otherTarget = own !== undefined && own.targetId !== targetId;
+		if (otherTarget) {
+			return 'denied';
+		}
+
+		if (this.#options.running(fingerprint).length > 0) {
+			return 'denied';
+		}
+
+		const taken = this.#taken(fingerprint, targetId, this.#options.self, now);
+		const refused = own?.round.denied ?? false;
+		if (refused || taken) {
+			this.#options.outbox.count('poison', 'permit_denied');
+			this.release(fingerprint);
+			return 'denied';
+		}
+
+		const permit = own ?? this.#ask(fingerprint, targetId, now);
+		permit.askedAt = now;
+		permit.round.send(now);
+		return permit.round.complete() ? 'granted' : 'pending';
+	}
+
+	/** The permit is in use: it is renewed until `release`. */
+	use(fingerprint: string): void {
+		const own = this.#own.get(fingerprint);
+		if (own) {
+			own.inUse = true;
+			this.announceRunning(fingerprint, own.targetId);
+		}
+	}
+
+	/** A suspect runs here no longer. */
+	ended(fingerprint: string): void {
+		this.#own.delete(fingerprint);
+		this.#broadcast({type: 'permit-released', holder: this.#options.self, fingerprint});
+	}
+
+	/** Gives a permit back. */
+	release(fingerprint: string): void {
+		if (this.#own.has(fingerprint)) {
+			this.ended(fingerprint);
+		}
+	}
+
+	/** Tells the others that a suspect runs here, with or without a permit. */
+	announceRunning(fingerprint: string, targetId: TargetId): void {
+		this.#broadcast({
+			type: 'permit-held', holder: this.#options.self, fingerprint, targetId,
+		});
+	}
+
+	/** Targets that are kept for suspects: other nodes' and this node's own. */
+	targets(now: Millis): ReadonlySet<TargetId> {
+		const held = [...this.#grants.values()].filter(grant => now < grant.until);
+		const own = [...this.#own.values()];
+		const running = this.#options.runningSuspects();
+		return new Set([...held, ...own, ...running].map(({targetId}) => targetId));
+	}
+
+	/** Another node asks for a permit. */
+	requested(from: NodeId, request: PermitRequest, now: Millis): void {
+		const {fingerprint} = request.suspect;
+		if (!this.#mayGrant(fingerprint, request.targetId, request.holder, now)) {
+			this.#reply(from, request, false, now);
+			return;
+		}
+
+		this.#yieldTo(fingerprint, request.targetId);
+		this.#grants.set(fingerprint, {holder: request.holder, targetId: request.targetId, until: now + askingMs as Millis});
+		if (request.relay) {
+			this.#relay(from, request, now);
+		} else {
+			this.#reply(from, request, true, now);
+		}
+	}
+
+	/** A node answered a request of this node, or one that it passes on. */
+	replied(from: NodeId, reply: Extract<PoisonMessage, {type: 'permit-reply'}>, now: Millis): void {
+		const own = this.#own.get(reply.fingerprint);
+		if (own?.round.permitId === reply.permitId) {
+			own.round.note(from, reply.granted);
+		}
+
+		const relayed = this.#relayed.get(reply.permitId);
+		if (relayed) {
+			relayed.round.note(from, reply.granted);
+			this.#finishRelay(reply.permitId, now);
+		}
+	}
+
+	/** Another node runs a suspect. */
+	held(message: Extract<PoisonMessage, {type: 'permit-held'}>, now: Millis): void {
+		const {fingerprint, holder, targetId} = message;
+		this.#grants.set(fingerprint, {holder, targetId, until: now + heldMs as Millis});
+		if (message.relay) {
+			this.#broadcastHere({...message, relay: false});
+		}
+	}
+
+	/** Another node gave its permit back. */
+	released(message: Extract<PoisonMessage, {type: 'permit-released'}>): void {
+		if (this.#grants.get(message.fingerprint)?.holder === message.holder) {
+			this.#grants.delete(message.fingerprint);
+		}
+
+		if (message.relay) {
+			this.#broadcastHere({...message, relay: false});
+		}
+	}
+
+	/** Sends requests again, renews permits in use and forgets what nobody waits for. */
+	tick(now: Millis): void {
+		for (const [fingerprint, own] of this.#own) {
+			if (!own.inUse && now - own.askedAt >= idleMs) {
+				this.release(fingerprint);
+			}
+		}
+
+		for (const [fingerprint, grant] of this.#grants) {
+			if (now >= grant.until) {
+				this.#grants.delete(fingerprint);
+			}
+		}
+
+		for (const [permitId, relayed] of this.#relayed) {
+			relayed.round.send(now);
+			this.#finishRelay(permitId, now);
+		}
+
+		if (now - this.#renewedAt >= renewMs) {
+			this.#renewedAt = now;
+			for (const {fingerprint, targetId} of this.#options.runningSuspects()) {
+				this.announceRunning(fingerprint, targetId);
+			}
+		}
+	}
+
+	#ask(fingerprint: string, targetId: TargetId, now: Millis): OwnPermit {
+		this.#permits += 1;
+		const permitId = `${this.#options.self}/${this.#permits}`;
+		const groups = () => [
+			...this.#options.peers().map(peer => ({relay: false, members: [peer]})),
+			...this.#options.delegates().map(members => ({relay: true, members})),
+		];
+		const round = new PermitRound({
+			permitId,
+			groups,
+			send: (to, relay) => {
+				this.#sendRequest(to, {
+					permitId, holder: this.#options.self, targetId, relay,
+				}, fingerprint, now);
+			},
+		});
+		const own = {
+			targetId, round, askedAt: now, inUse: false,
+		};
+		this.#own.set(fingerprint, own);
+		return own;
+	}
+
+	#sendRequest(to: NodeId, request: Omit<PermitRequest, 'type' | 'suspect'>, fingerprint: string, now: Millis): void {
+		const suspect = this.#options.table.digest(fingerprint, now);
+		if (suspect) {
+			this.#options.outbox.send(to, {part: 'poison', body: {type: 'permit-request', ...request, suspect}});
+		}
+	}
+
+	/** Passes a request of another region on to this region's peers. */
+	#relay(from: NodeId, request: PermitRequest, now: Millis): void {
+		if (!this.#relayed.has(request.permitId) && this.#relayed.size < maxRelayed) {
+			const round = new PermitRound({
+				permitId: request.permitId,
+				groups: () => this.#options.peers().map(peer => ({relay: false, members: [peer]})),
+				send: to => {
+					this.#options.outbox.send(to, {part: 'poison', body: {...request, relay: false}});
+				},
+			});
+			this.#relayed.set(request.permitId, {request, from, round});
+		}
+
+		this.#relayed.get(request.permitId)?.round.send(now);
+		this.#finishRelay(request.permitId, now);
+	}
+
+	#finishRelay(permitId: string, now: Millis): void {
+		const relayed = this.#relayed.get(permitId);
+		if (!relayed) {
+			return;
+		}
+
+		const {request, from, round} = relayed;
+		if (round.denied || round.complete()) {
+			this.#relayed.delete(permitId);
+			this.#reply(from, request, !round.denied, now);
+		} else if (round.expired(now)) {
+			this.#relayed.delete(permitId);
+		}
+	}
+
+	#reply(to: NodeId, request: PermitRequest, granted: boolean, now: Millis): void {
+		const {permitId, suspect: {fingerprint}} = request;
+		const suspect = this.#options.table.digest(fingerprint, now);
+		this.#options.outbox.send(to, {
+			part: 'poison', body: {
+				type: 'permit-reply', permitId, fingerprint, granted, suspect,
+			},
+		});
+	}
+
+	#mayGrant(fingerprint: string, targetId: TargetId, holder: NodeId, now: Millis): boolean {
+		const {running, table, runningSuspects, self} = this.#options;
+		const refused = table.refusedForMs(fingerprint, now) > 0;
+		const runsHere = running(fingerprint).length > 0 || runningSuspects().some(suspect => suspect.targetId === targetId);
+		if (refused || runsHere || this.#taken(fingerprint, targetId, holder, now)) {
+			return false;
+		}
+
+		const rivals = this.#rivals(fingerprint, targetId);
+		return rivals.every(([, own]) => !own.round.complete() && holder < self);
+	}
+
+	/** Own permits that stand against a request of another node. */
+	#rivals(fingerprint: string, targetId: TargetId): ReadonlyArray<readonly [string, OwnPermit]> {
+		return [...this.#own].filter(([other, own]) => other === fingerprint || own.targetId === targetId);
+	}
+
+	#yieldTo(fingerprint: string, targetId: TargetId): void {
+		for (const [other] of this.#rivals(fingerprint, targetId)) {
+			this.release(other);
+		}
+	}
+
+	/** True if the content or the target was granted to somebody else than `holder`. */
+	#taken(fingerprint: string, targetId: TargetId, holder: NodeId, now: Millis): boolean {
+		for (const [other, grant] of this.#grants) {
+			const sameContent = other === fingerprint && grant.holder !== holder;
+			const sameTarget = other !== fingerprint && grant.targetId === targetId;
+			if (now < grant.until && (sameContent || sameTarget)) {
+				return true;
+			}
+		}
+
+		return holder === this.#options.self && this.#rivals(fingerprint, targetId).some(([other]) => other !== fingerprint);
+	}
+
+	#broadcast(message: OwnNotice): void {
+		this.#broadcastHere({...message, relay: false});
+		for (const [delegate] of this.#options.delegates()) {
+			if (delegate !== undefined) {
+				this.#options.outbox.send(delegate, {part: 'poison', body: {...message, relay: true}});
+			}
+		}
+	}
+
+	#broadcastHere(body: PoisonMessage): void {
+		for (const peer of this.#options.peers()) {
+			this.#options.outbox.send(peer, {part: 'poison', body});
+		}
+	}
+}
+
+type Notice = Extract<PoisonMessage, {type: 'permit-held' | 'permit-released'}>;
+type OwnNotice = Notice extends infer Kind ? Kind extends Notice ? Omit<Kind, 'relay'> : never : never;
--- a/src/core/attempts/poison-guard.ts
+++ b/src/core/attempts/poison-guard.ts
@@ -12,8 +12,13 @@
 	verdict(fingerprint: string, now: Millis): {type: 'free'} | {type: 'alone'} | {type: 'refused'; retryAfterMs: number};
 	/** Targets that suspects of any node run on now, in this region; none of them may get another suspect. */
 	occupied(now: Millis): ReadonlySet<TargetId>;
-	/** Asks for the exclusive right to run a suspect on a target; call again until it is granted. */
-	permit(fingerprint: string, targetId: TargetId, now: Millis): 'granted' | 'pending';
+	/** Whether a target of this incarnation seems to have crashed: no suspect goes there until it is known to run. */
+	broken(targetId: TargetId, incarnation: number): boolean;
+	/**
+	 * Asks for the exclusive right to run a suspect on a target; call again with the same target until it is
+	 * `granted`. `denied` means that the target or the content is taken: choose again later.
+	 */
+	permit(fingerprint: string, targetId: TargetId, now: Millis): 'granted' | 'pending' | 'denied';
 	/** Whether a peer is known to hold what this node knows of a suspect; tells the peer if it is not. */
 	informed(fingerprint: string, nodeId: NodeId, now: Millis): boolean;
 	/** An attempt starts on a target, suspect or not. */
--- a/src/core/attempts/request-coordinator.ts
+++ b/src/core/attempts/request-coordinator.ts
@@ -14,6 +14,7 @@
 import {ClaimTracker} from './claim-tracker.ts';
 import {comeBackAfter} from './come-back-after.ts';
 import type {CoordinatorOptions} from './coordinator-options.ts';
+import {isBroken} from './is-broken.ts';
 import {newRequestState} from './new-request-state.ts';
 import {refusalRule} from './refusal-rule.ts';
 import {RequestDispatcher} from './request-dispatcher.ts';
@@ -326,6 +327,7 @@
 		if (verdict.type === 'give-up') {
 			this.#giveUp(state, failure, verdict, now);
 		} else if (this.#withdraw(state, failure.reason, now) || isBroken(failure)) {
+			// Work that a crash cut off is moved without a budget: the poison guard bounds where a suspect runs again.
 			this.#again(state, settings, now);
 		} else {
 			this.#giveUp(state, failure, {result: 'targetFailed', canComeBack: true}, now);
@@ -390,11 +392,3 @@
 		this.#requests.delete(requestId);
 	}
 }
-
-/**
- * A broken connection ends work that was running: moving it needs no budget. Such a request is a suspect,
- * so that the poison guard bounds how often and where it runs again.
- */
-function isBroken(failure: AttemptFailure): boolean {
-	return !failure.notSent && (failure.reason === 'reset' || failure.reason === 'truncated');
-}
--- a/src/core/attempts/request-dispatcher.ts
+++ b/src/core/attempts/request-dispatcher.ts
@@ -1,5 +1,6 @@
 import type {Millis} from '../ids/millis.ts';
 import type {RequestId} from '../ids/request-id.ts';
+import type {TargetId} from '../ids/target-id.ts';
 import type {Refusal} from '../results/refusal.ts';
 import type {RouteDecision} from '../routing/route-decision.ts';
 import type {RouteSettings} from '../settings/route-settings.ts';
@@ -90,7 +91,21 @@
 		}
 
 		const alone = verdict.type === 'alone';
-		return {settings, alone, decision: this.#decide(state, settings, alone, now)};
+		const decision = this.#decide(state, settings, alone, now);
+		return {settings, alone, decision: alone ? this.#keepWanted(state, decision, now) : decision};
+	}
+
+	/** While a permit for a target is being asked for, the request stays with that target. */
+	#keepWanted(state: RequestState, decision: RouteDecision, now: Millis): RouteDecision {
+		const view = state.wantedTarget && this.#parts.targets.get(state.wantedTarget, now);
+		const barred = decision.type === 'refuse' && decision.refusal.result === 'residency';
+		if (!view || barred || view.announcement.state !== 'serving') {
+			return decision;
+		}
+
+		return {
+			type: 'target', targetId: view.targetId, predictedMs: 0, cachedTokens: 0,
+		};
 	}
 
 	#decide(state: RequestState, settings: RouteSettings, alone: boolean, now: Millis): RouteDecision {
@@ -141,7 +156,7 @@
 			return;
 		}
 
-		if (choice.alone && this.#parts.poison.permit(state.req.fingerprint, targetId, now) !== 'granted') {
+		if (choice.alone && !this.#permitted(state, targetId, now)) {
 			this.#park(state, now);
 			return;
 		}
@@ -150,6 +165,12 @@
 		this.#runner.start(state, choice.settings, {view, cachedTokens}, now);
 	}
 
+	#permitted(state: RequestState, targetId: TargetId, now: Millis): boolean {
+		const answer = this.#parts.poison.permit(state.req.fingerprint, targetId, now);
+		state.wantedTarget = answer === 'pending' ? targetId : undefined;
+		return answer === 'granted';
+	}
+
 	#forward(
 		state: RequestState,
 		choice: Choice<Extract<RouteDecision, {type: 'away'}>>,
--- a/src/core/attempts/request-state.ts
+++ b/src/core/attempts/request-state.ts
@@ -33,6 +33,8 @@
 	callerGone: boolean;
 	/** Next try to place a parked request. */
 	parkedUntil: Millis;
+	/** Target that a permit is being asked for. */
+	wantedTarget?: TargetId;
 	/** The attempt that owns the request; undefined outside the phase `running`. */
 	attempt?: AttemptState;
 };
--- a/src/core/attempts/route-chooser.ts
+++ b/src/core/attempts/route-chooser.ts
@@ -42,15 +42,22 @@
 		return mayWait ? {type: 'wait', predictedMs: 0} : decision;
 	}
 
-	/** True if a target is kept from this suspect only by another suspect that runs there now. */
+	/** True if a target is kept from this suspect only by another suspect, or by a crash that is not proven. */
 	#freedLater(state: RequestState, targets: readonly TargetView[], now: Millis): boolean {
-		const occupied = this.#parts.poison.occupied(now);
+		const barred = this.#barred(targets, now);
 		return targets.some(view =>
-			occupied.has(view.targetId)
+			barred.has(view.targetId)
 			&& !state.triedTargets.has(view.targetId)
 			&& (!state.passedOn || view.announcement.resumes));
 	}
 
+	/** Targets that no suspect may start on now. */
+	#barred(targets: readonly TargetView[], now: Millis): ReadonlySet<TargetId> {
+		const {poison} = this.#parts;
+		const broken = targets.filter(view => poison.broken(view.targetId, view.announcement.incarnation));
+		return new Set([...poison.occupied(now), ...broken.map(view => view.targetId)]);
+	}
+
 	#targets(state: RequestState, settings: RouteSettings, now: Millis): readonly TargetView[] {
 		const model = settings.model ?? state.req.model;
 		return this.#parts.targets.serving(state.req.path, model, now);
@@ -73,7 +80,7 @@
 
 		const excluded = new Set(state.triedTargets);
 		if (alone) {
-			for (const targetId of this.#parts.poison.occupied(now)) {
+			for (const targetId of this.#barred(targets, now)) {
 				excluded.add(targetId);
 			}
 		}
--- /dev/null
+++ b/src/core/attempts/suspect-poison-guard.ts
@@ -0,0 +1,266 @@
+import type {Outbox} from '../common/outbox.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {TargetId} from '../ids/target-id.ts';
+import {PermitArbiter} from './permit-arbiter.ts';
+import type {PoisonGuard} from './poison-guard.ts';
+import type {PoisonMessage} from './poison-message.ts';
+import type {SuspectDigest} from './suspect-digest.ts';
+import {SuspectSharer} from './suspect-sharer.ts';
+import {SuspectTable} from './suspect-table.ts';
+
+/** Between two periodic exchanges of records with one other node, in milliseconds. */
+const exchangeMs = 2000;
+
+/** Records in one periodic exchange. */
+const exchangedRecords = 32;
+
+type Options = {
+	readonly self: NodeId;
+	/** Live entries of this node's region without itself. */
+	readonly peers: () => readonly NodeId[];
+	/** For each other region that can be reached: a few of its live entries. */
+	readonly delegates: () => ReadonlyArray<readonly NodeId[]>;
+	readonly outbox: Outbox;
+	/** Suspects remembered at most. @default 4096 */
+	readonly maxSuspects?: number;
+	/** How long an unproven suspicion stands, in milliseconds. @default 600_000 */
+	readonly suspectMs?: number;
+	/** How long a request that crashed two targets is refused, in milliseconds. @default 3_600_000 */
+	readonly refuseMs?: number;
+};
+
+/**
+ * Poison guard of one entry. A request that was in flight on a target when it crashed becomes a suspect,
+ * known by its content's fingerprint. Records are shared at once with the region and, by delegates, with
+ * the other regions. A suspect runs only under a permit of the `PermitArbiter`, so one run at a time over
+ * the installation; a second crash gets it refused everywhere, a whole answer clears it.
+ *
+ * Memory: at most `maxSuspects` records of a few hundred bytes, one entry for each attempt in flight, and
+ * one grant for each suspect that runs elsewhere.
+ */
+export class SuspectPoisonGuard implements PoisonGuard {
+	readonly #peers: Options['peers'];
+	readonly #delegates: Options['delegates'];
+	readonly #outbox: Outbox;
+	readonly #table: SuspectTable;
+	readonly #sharer: SuspectSharer;
+	readonly #arbiter: PermitArbiter;
+	/** Attempts of this node by content and target, suspects or not. */
+	readonly #running = new Map<string, Map<TargetId, number>>();
+	#exchanges = 0;
+	#exchangedAt = 0 as Millis;
+
+	constructor(options: Options) {
+		this.#peers = options.peers;
+		this.#delegates = options.delegates;
+		this.#outbox = options.outbox;
+		this.#table = new SuspectTable(options);
+		const {self, peers, delegates, outbox} = options;
+		const table = this.#table;
+		this.#sharer = new SuspectSharer({
+			table, peers, delegates, outbox,
+		});
+		this.#arbiter = new PermitArbiter({
+			self,
+			table,
+			peers,
+			delegates,
+			outbox,
+			running: fingerprint => [...this.#running.get(fingerprint)?.keys() ?? []],
+			runningSuspects: () => this.#runningSuspects(),
+		});
+	}
+
+	verdict(fingerprint: string, now: Millis): ReturnType<PoisonGuard['verdict']> {
+		const retryAfterMs = this.#table.refusedForMs(fingerprint, now);
+		if (retryAfterMs > 0) {
+			return {type: 'refused', retryAfterMs};
+		}
+
+		return {type: this.#table.blamed(fingerprint) > 0 ? 'alone' : 'free'};
+	}
+
+	occupied(now: Millis): ReadonlySet<TargetId> {
+		return this.#arbiter.targets(now);
+	}
+
+	broken(targetId: TargetId, incarnation: number): boolean {
+		return this.#table.isBlamed(crashName(targetId, incarnation));
+	}
+
+	permit(fingerprint: string, targetId: TargetId, now: Millis): 'granted' | 'pending' | 'denied' {
+		return this.#arbiter.permit(fingerprint, targetId, now);
+	}
+
+	informed(fingerprint: string, nodeId: NodeId, now: Millis): boolean {
+		return this.#sharer.informed(fingerprint, nodeId, now);
+	}
+
+	started(fingerprint: string, targetId: TargetId, _now: Millis): void {
+		const targets = this.#running.get(fingerprint) ?? new Map<TargetId, number>();
+		targets.set(targetId, (targets.get(targetId) ?? 0) + 1);
+		this.#running.set(fingerprint, targets);
+		this.#arbiter.use(fingerprint);
+	}
+
+	stopped(fingerprint: string, targetId: TargetId, _now: Millis): void {
+		const targets = this.#running.get(fingerprint);
+		const count = targets?.get(targetId) ?? 0;
+		if (count > 1) {
+			targets!.set(targetId, count - 1);
+			return;
+		}
+
+		targets?.delete(targetId);
+		if (targets?.size === 0) {
+			this.#running.delete(fingerprint);
+			this.#endSuspect(fingerprint);
+		}
+	}
+
+	cleared(fingerprint: string, _targetId: TargetId, now: Millis): void {
+		if (this.#table.absolve(fingerprint, now)) {
+			this.#outbox.count('poison', 'cleared');
+			this.#sharer.share(fingerprint, true, now);
+		}
+	}
+
+	crashed(targetId: TargetId, incarnation: number, fingerprints: readonly string[], now: Millis): void {
+		for (const fingerprint of fingerprints) {
+			if (this.#table.addCrash(fingerprint, crashName(targetId, incarnation), now)) {
+				this.#outbox.count('poison', this.#table.refusedForMs(fingerprint, now) > 0 ? 'refused' : 'suspect');
+				this.#changed(fingerprint, true, now);
+			}
+		}
+	}
+
+	survived(targetId: TargetId, incarnation: number, now: Millis): void {
+		const crash = crashName(targetId, incarnation);
+		for (const fingerprint of this.#table.blamedFor(crash)) {
+			this.#table.absolveCrash(fingerprint, crash, now);
+			this.#outbox.count('poison', 'survived');
+			this.#sharer.share(fingerprint, true, now);
+		}
+	}
+
+	handle(from: NodeId, message: PoisonMessage, now: Millis): void {
+		switch (message.type) {
+			case 'suspects': {
+				this.#takeSuspects(from, message, now);
+				break;
+			}
+
+			case 'suspects-known': {
+				this.#sharer.known(from, message.known);
+				break;
+			}
+
+			case 'permit-request': {
+				this.#merge(message.suspect, false, now);
+				this.#arbiter.requested(from, message, now);
+				break;
+			}
+
+			case 'permit-reply': {
+				if (message.suspect) {
+					this.#merge(message.suspect, false, now);
+				}
+
+				this.#arbiter.replied(from, message, now);
+				break;
+			}
+
+			case 'permit-held': {
+				this.#arbiter.held(message, now);
+				break;
+			}
+
+			case 'permit-released': {
+				this.#arbiter.released(message);
+				break;
+			}
+		}
+	}
+
+	tick(now: Millis): void {
+		this.#table.expire(now);
+		this.#sharer.tick(now);
+		this.#arbiter.tick(now);
+		if (now - this.#exchangedAt >= exchangeMs) {
+			this.#exchangedAt = now;
+			this.#exchange(now);
+		}
+	}
+
+	#endSuspect(fingerprint: string): void {
+		if (this.#table.blamed(fingerprint) > 0) {
+			this.#arbiter.ended(fingerprint);
+		} else {
+			this.#arbiter.release(fingerprint);
+		}
+	}
+
+	#takeSuspects(from: NodeId, message: Extract<PoisonMessage, {type: 'suspects'}>, now: Millis): void {
+		for (const suspect of message.suspects) {
+			this.#merge(suspect, message.relay, now);
+		}
+
+		const known = message.suspects.map(({fingerprint, version}) => ({fingerprint, version}));
+		this.#outbox.send(from, {part: 'poison', body: {type: 'suspects-known', known}});
+	}
+
+	#merge(digest: SuspectDigest, relay: boolean, now: Millis): void {
+		if (!this.#table.merge(digest, now)) {
+			return;
+		}
+
+		this.#changed(digest.fingerprint, false, now);
+		if (relay) {
+			this.#sharer.share(digest.fingerprint, false, now);
+		}
+	}
+
+	/** A record is news here: the others learn where such a request runs, and of the record if it is this node's own. */
+	#changed(fingerprint: string, own: boolean, now: Millis): void {
+		if (own) {
+			this.#sharer.share(fingerprint, true, now);
+		}
+
+		for (const targetId of this.#running.get(fingerprint)?.keys() ?? []) {
+			this.#arbiter.announceRunning(fingerprint, targetId);
+		}
+	}
+
+	#runningSuspects(): ReadonlyArray<{fingerprint: string; targetId: TargetId}> {
+		const suspects: Array<{fingerprint: string; targetId: TargetId}> = [];
+		if (this.#table.size === 0) {
+			return suspects;
+		}
+
+		for (const [fingerprint, targets] of this.#running) {
+			if (this.#table.blamed(fingerprint) > 0) {
+				suspects.push(...[...targets.keys()].map(targetId => ({fingerprint, targetId})));
+			}
+		}
+
+		return suspects;
+	}
+
+	/** Sends the newest records to one node in turn, in case that messages were lost. */
+	#exchange(now: Millis): void {
+		const others = [...this.#peers(), ...this.#delegates().flat()];
+		const to = others[this.#exchanges % others.length];
+		this.#exchanges += 1;
+		const suspects = this.#table.newest(exchangedRecords)
+			.map(fingerprint => this.#table.digest(fingerprint, now))
+			.filter(digest => digest !== undefined);
+		if (to !== undefined && suspects.length > 0) {
+			this.#outbox.send(to, {part: 'poison', body: {type: 'suspects', relay: false, suspects}});
+		}
+	}
+}
+
+function crashName(targetId: TargetId, incarnation: number): string {
+	return `${targetId}@${incarnation}`;
+}
--- /dev/null
+++ b/src/core/attempts/suspect-sharer.ts
@@ -0,0 +1,170 @@
+import type {Outbox} from '../common/outbox.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {SuspectDigest} from './suspect-digest.ts';
+import type {SuspectTable} from './suspect-table.ts';
+
+/** Between two sendings of what was not acknowledged, in milliseconds. */
+const resendMs = 250;
+
+/** Sendings of one record to one node; after them, periodic exchange brings it. */
+const maxSendings = 20;
+
+/** Records under way to one node; the oldest is left to periodic exchange. */
+const maxPending = 256;
+
+/** Delegates of each other region that are told. */
+const delegatesTold = 2;
+
+type Options = {
+	readonly table: SuspectTable;
+	readonly peers: () => readonly NodeId[];
+	readonly delegates: () => ReadonlyArray<readonly NodeId[]>;
+	readonly outbox: Outbox;
+};
+
+type Pending = {
+	relay: boolean;
+	version: number;
+	sendings: number;
+	nextAt: Millis;
+};
+
+/** Brings records of suspects to other nodes: sent at once, and again until each node has acknowledged them. */
+export class SuspectSharer {
+	readonly #table: SuspectTable;
+	readonly #peers: () => readonly NodeId[];
+	readonly #delegates: () => ReadonlyArray<readonly NodeId[]>;
+	readonly #outbox: Outbox;
+	readonly #pending = new Map<NodeId, Map<string, Pending>>();
+	/** Newest version that a node acknowledged, by fingerprint; only nodes that someone asked about. */
+	readonly #acknowledged = new Map<string, Map<NodeId, number>>();
+
+	constructor(options: Options) {
+		this.#table = options.table;
+		this.#peers = options.peers;
+		this.#delegates = options.delegates;
+		this.#outbox = options.outbox;
+	}
+
+	/** Tells the region's peers of a changed record; `beyond` tells delegates of the other regions, too. */
+	share(fingerprint: string, beyond: boolean, now: Millis): void {
+		for (const nodeId of this.#peers()) {
+			this.#add(nodeId, fingerprint, false, now);
+		}
+
+		if (beyond) {
+			for (const nodeId of this.#delegates().flatMap(entries => entries.slice(0, delegatesTold))) {
+				this.#add(nodeId, fingerprint, true, now);
+			}
+		}
+
+		this.#flush(now);
+	}
+
+	/** Whether a node acknowledged the newest record of a suspect; sends it otherwise. */
+	informed(fingerprint: string, nodeId: NodeId, now: Millis): boolean {
+		const version = this.#table.version(fingerprint);
+		const acknowledged = this.#acknowledged.get(fingerprint) ?? new Map<NodeId, number>();
+		if (version === 0 || acknowledged.get(nodeId) === version) {
+			return true;
+		}
+
+		acknowledged.set(nodeId, acknowledged.get(nodeId) ?? 0);
+		this.#acknowledged.set(fingerprint, acknowledged);
+		if (this.#pending.get(nodeId)?.get(fingerprint)?.version !== version) {
+			this.#add(nodeId, fingerprint, true, now);
+			this.#flush(now);
+		}
+
+		return false;
+	}
+
+	/** A node acknowledged records. */
+	known(from: NodeId, known: ReadonlyArray<{fingerprint: string; version: number}>): void {
+		const pending = this.#pending.get(from);
+		for (const {fingerprint, version} of known) {
+			if (pending?.get(fingerprint)?.version === version) {
+				pending.delete(fingerprint);
+			}
+
+			const acknowledged = this.#acknowledged.get(fingerprint);
+			if (acknowledged?.has(from)) {
+				acknowledged.set(from, version);
+			}
+		}
+
+		if (pending?.size === 0) {
+			this.#pending.delete(from);
+		}
+	}
+
+	/** Sends again what was not acknowledged, and forgets nodes and records that are gone. */
+	tick(now: Millis): void {
+		const reachable = new Set([...this.#peers(), ...this.#delegates().flat()]);
+		for (const nodeId of this.#pending.keys()) {
+			if (!reachable.has(nodeId)) {
+				this.#pending.delete(nodeId);
+			}
+		}
+
+		for (const fingerprint of this.#acknowledged.keys()) {
+			if (this.#table.version(fingerprint) === 0) {
+				this.#acknowledged.delete(fingerprint);
+			}
+		}
+
+		this.#flush(now);
+	}
+
+	#add(nodeId: NodeId, fingerprint: string, relay: boolean, now: Millis): void {
+		const pending = this.#pending.get(nodeId) ?? new Map<string, Pending>();
+		pending.set(fingerprint, {
+			relay, version: this.#table.version(fingerprint), sendings: 0, nextAt: now,
+		});
+		if (pending.size > maxPending) {
+			const [oldest] = pending.keys();
+			pending.delete(oldest!);
+		}
+
+		this.#pending.set(nodeId, pending);
+	}
+
+	#flush(now: Millis): void {
+		for (const [nodeId, pending] of this.#pending) {
+			this.#send(nodeId, this.#due(pending, true, now), true);
+			this.#send(nodeId, this.#due(pending, false, now), false);
+			if (pending.size === 0) {
+				this.#pending.delete(nodeId);
+			}
+		}
+	}
+
+	#due(pending: Map<string, Pending>, relay: boolean, now: Millis): readonly SuspectDigest[] {
+		const due: SuspectDigest[] = [];
+		for (const [fingerprint, item] of pending) {
+			if (item.relay !== relay || now < item.nextAt) {
+				continue;
+			}
+
+			const digest = this.#table.digest(fingerprint, now);
+			if (!digest || item.sendings >= maxSendings) {
+				pending.delete(fingerprint);
+				continue;
+			}
+
+			item.version = digest.version;
+			item.sendings += 1;
+			item.nextAt = now + resendMs as Millis;
+			due.push(digest);
+		}
+
+		return due;
+	}
+
+	#send(to: NodeId, suspects: readonly SuspectDigest[], relay: boolean): void {
+		if (suspects.length > 0) {
+			this.#outbox.send(to, {part: 'poison', body: {type: 'suspects', relay, suspects}});
+		}
+	}
+}
--- /dev/null
+++ b/src/core/attempts/suspect-table.ts
@@ -0,0 +1,203 @@
+import type {Millis} from '../ids/millis.ts';
+import type {SuspectDigest} from './suspect-digest.ts';
+
+/** Crashes after which a request is refused. */
+const crashesToRefuse = 2;
+
+/** Crashes remembered for one suspect; absolved ones beyond this are forgotten. */
+const maxCrashes = 8;
+
+type Options = {
+	/** Suspects remembered; the one unchanged for longest is forgotten. @default 4096 */
+	readonly maxSuspects?: number;
+	/** How long an unproven suspicion stands, in milliseconds. @default 600_000 */
+	readonly suspectMs?: number;
+	/** How long a request that crashed two targets is refused, in milliseconds. @default 3_600_000 */
+	readonly refuseMs?: number;
+};
+
+type SuspectRecord = {
+	readonly crashes: Set<string>;
+	readonly absolved: Set<string>;
+	changedAt: Millis;
+	version: number;
+};
+
+/**
+ * Suspects by fingerprint. A record holds two sets that only grow, crashes and absolved crashes, and
+ * records of different nodes are merged by union: lost, repeated and reordered messages lead to one result.
+ */
+export class SuspectTable {
+	readonly #maxSuspects: number;
+	readonly #suspectMs: number;
+	readonly #refuseMs: number;
+	readonly #records = new Map<string, SuspectRecord>();
+	#version = 0;
+	/** Crashes that some suspect is blamed for; undefined if it has to be collected again. */
+	#blamedCrashes: Set<string> | undefined;
+
+	constructor(options: Options = {}) {
+		this.#maxSuspects = options.maxSuspects ?? 4096;
+		this.#suspectMs = options.suspectMs ?? 600_000;
+		this.#refuseMs = options.refuseMs ?? 3_600_000;
+	}
+
+	get size(): number {
+		return this.#records.size;
+	}
+
+	/** Crashes that the request is blamed for. */
+	blamed(fingerprint: string): number {
+		const record = this.#records.get(fingerprint);
+		return record ? blamedCount(record) : 0;
+	}
+
+	/** Milliseconds for which the request is still refused; 0 if it is not. */
+	refusedForMs(fingerprint: string, now: Millis): number {
+		const record = this.#records.get(fingerprint);
+		const refused = record && blamedCount(record) >= crashesToRefuse;
+		return refused ? Math.max(0, record.changedAt + this.#refuseMs - now) : 0;
+	}
+
+	version(fingerprint: string): number {
+		return this.#records.get(fingerprint)?.version ?? 0;
+	}
+
+	/** Notes a crash; true if it is news. */
+	addCrash(fingerprint: string, crash: string, now: Millis): boolean {
+		return this.#merge(fingerprint, {crashes: [crash], absolved: [], changedAt: now});
+	}
+
+	/** Takes all blame off a request; true if there was any. */
+	absolve(fingerprint: string, now: Millis): boolean {
+		const crashes = this.#records.get(fingerprint)?.crashes ?? [];
+		return this.#merge(fingerprint, {crashes: [], absolved: [...crashes], changedAt: now});
+	}
+
+	/** Fingerprints of the requests blamed for a crash. */
+	blamedFor(crash: string): readonly string[] {
+		return [...this.#records]
+			.filter(([, record]) => record.crashes.has(crash) && !record.absolved.has(crash))
+			.map(([fingerprint]) => fingerprint);
+	}
+
+	/** True if a suspect is blamed for this crash. */
+	isBlamed(crash: string): boolean {
+		this.#blamedCrashes ??= this.#collectBlamed();
+		return this.#blamedCrashes.has(crash);
+	}
+
+	absolveCrash(fingerprint: string, crash: string, now: Millis): boolean {
+		return this.#merge(fingerprint, {crashes: [], absolved: [crash], changedAt: now});
+	}
+
+	/** Takes over what another node knows; true if it is news. */
+	merge(digest: SuspectDigest, now: Millis): boolean {
+		if (digest.ageMs >= this.#refuseMs) {
+			return false;
+		}
+
+		return this.#merge(digest.fingerprint, {
+			crashes: digest.crashes,
+			absolved: digest.absolved,
+			changedAt: now - digest.ageMs as Millis,
+		});
+	}
+
+	digest(fingerprint: string, now: Millis): SuspectDigest | undefined {
+		const record = this.#records.get(fingerprint);
+		return record && {
+			fingerprint,
+			crashes: [...record.crashes],
+			absolved: [...record.absolved],
+			ageMs: now - record.changedAt,
+			version: record.version,
+		};
+	}
+
+	/** The suspects that changed last, newest first. */
+	newest(limit: number): readonly string[] {
+		return [...this.#records.keys()].slice(-limit).reverse();
+	}
+
+	/** Forgets what is too old to matter. */
+	expire(now: Millis): void {
+		for (const [fingerprint, record] of this.#records) {
+			const keepMs = blamedCount(record) >= crashesToRefuse ? this.#refuseMs : this.#suspectMs;
+			if (now - record.changedAt >= keepMs) {
+				this.#blamedCrashes = undefined;
+				this.#records.delete(fingerprint);
+			}
+		}
+	}
+
+	#merge(fingerprint: string, news: {crashes: readonly string[]; absolved: readonly string[]; changedAt: Millis}): boolean {
+		const record = this.#records.get(fingerprint) ?? {
+			crashes: new Set<string>(), absolved: new Set<string>(), changedAt: news.changedAt, version: 0,
+		};
+		const before = record.crashes.size + record.absolved.size;
+		addAll(record.crashes, news.crashes);
+		addAll(record.absolved, news.absolved);
+		if (record.crashes.size + record.absolved.size === before) {
+			return false;
+		}
+
+		forgetAbsolved(record);
+
+		this.#version += 1;
+		this.#blamedCrashes = undefined;
+		record.version = this.#version;
+		record.changedAt = Math.max(record.changedAt, news.changedAt) as Millis;
+		this.#records.delete(fingerprint);
+		this.#records.set(fingerprint, record);
+		this.#evict();
+		return true;
+	}
+
+	#collectBlamed(): Set<string> {
+		const blamed = new Set<string>();
+		for (const {crashes, absolved} of this.#records.values()) {
+			for (const crash of crashes) {
+				if (!absolved.has(crash)) {
+					blamed.add(crash);
+				}
+			}
+		}
+
+		return blamed;
+	}
+
+	#evict(): void {
+		if (this.#records.size > this.#maxSuspects) {
+			const [oldest] = this.#records.keys();
+			this.#records.delete(oldest!);
+		}
+	}
+}
+
+function blamedCount(record: SuspectRecord): number {
+	let count = 0;
+	for (const crash of record.crashes) {
+		count += record.absolved.has(crash) ? 0 : 1;
+	}
+
+	return count;
+}
+
+/** Makes room for later crashes: what the request is not blamed for any more goes first. */
+function forgetAbsolved(record: SuspectRecord): void {
+	for (const crash of record.absolved) {
+		if (record.crashes.size <= maxCrashes && record.absolved.size <= maxCrashes) {
+			return;
+		}
+
+		record.absolved.delete(crash);
+		record.crashes.delete(crash);
+	}
+}
+
+function addAll(set: Set<string>, values: readonly string[]): void {
+	for (const value of values) {
+		set.add(value);
+	}
+}
--- /dev/null
+++ b/test/core/attempts/suspect-poison-guard.test.ts
@@ -0,0 +1,116 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {SuspectPoisonGuard} from '../../../src/core/attempts/suspect-poison-guard.ts';
+import type {Millis} from '../../../src/core/ids/millis.ts';
+import type {NodeId} from '../../../src/core/ids/node-id.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import {PoisonNetwork} from '../../fixtures/attempts/poison-network.ts';
+import {RecordingOutbox} from '../../fixtures/recording-outbox.ts';
+
+const bystanders = ['a', 'b', 'c', 'd', 'e', 'f'];
+
+test('with resends to every entry and lost messages, at most two targets are lost and bystanders are served', t => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 1_000_000}), fc.constantFrom(0, 0.1, 0.3), (seed, loss) => {
+		const network = new PoisonNetwork({seed, loss});
+		for (const [index, name] of bystanders.entries()) {
+			network.send(index % 2, name);
+		}
+
+		network.send(seed % 6, 'poison');
+		network.advance(200);
+		for (let resend = 0; resend < 40; resend++) {
+			network.advance(250);
+			network.send((seed + resend) % 6, 'poison');
+		}
+
+		network.advance(60_000);
+		const open = network.runs.filter(run => run.state !== 'whole' && run.fingerprint !== 'poison');
+		const cleared = network.entries.every((_, index) => network.send(index, 'a').state === 'running');
+		return cleared && network.crashes.get('poison')! <= 2 && network.shared === 0 && open.length === 0
+			&& network.runs.every(run => run.fingerprint !== 'poison' || run.state === 'refused');
+	}), {seed: 20_261, numRuns: 40});
+	t.pass();
+});
+
+test('a request sent to two entries at almost the same time costs at most two targets', t => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 1_000_000}), fc.nat(5), fc.nat(5), fc.nat(9), (seed, first, second, steps) => {
+		const network = new PoisonNetwork({seed, loss: 0.1});
+		network.send(first, 'poison');
+		network.advance(steps * 10);
+		network.send(second, 'poison');
+		network.advance(5000);
+		network.send((first + 1) % 6, 'poison');
+		network.send((second + 1) % 6, 'poison');
+		network.advance(60_000);
+		return network.crashes.get('poison')! <= 2 && network.shared === 0;
+	}), {seed: 20_262, numRuns: 100});
+	t.pass();
+});
+
+test('two poison requests do not share a target, and each costs at most two', t => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 1_000_000}), seed => {
+		const network = new PoisonNetwork({seed, poison: ['first', 'second'], loss: 0.1});
+		network.send(0, 'first');
+		network.send(1, 'second');
+		for (const name of bystanders) {
+			network.send(0, name);
+		}
+
+		network.advance(120_000);
+		return network.shared === 0
+			&& (network.crashes.get('first') ?? 0) <= 2
+			&& (network.crashes.get('second') ?? 0) <= 2;
+	}), {seed: 20_263, numRuns: 40});
+	t.pass();
+});
+
+test('a look-up that is asked again and again is served every time, also beside a poison request', t => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 1_000_000}), seed => {
+		const network = new PoisonNetwork({seed});
+		for (let round = 0; round < 100; round++) {
+			if (round % 8 === 3) {
+				network.send((seed + round) % 6, 'poison');
+			}
+
+			network.send(round % 6, 'status of order 7');
+			network.advance(50);
+		}
+
+		network.advance(60_000);
+		return network.crashes.get('poison')! <= 2
+			&& network.runs.every(run => run.state === (run.fingerprint === 'poison' ? 'refused' : 'whole'));
+	}), {seed: 20_264, numRuns: 40});
+	t.pass();
+});
+
+test('a target that goes on as the same incarnation takes the suspicion back', t => {
+	const guard = new SuspectPoisonGuard({
+		self: toId<NodeId>('entry-1'), peers: () => [], delegates: () => [], outbox: new RecordingOutbox(),
+	});
+	const now = 0 as Millis;
+	guard.crashed(toId('engine-1'), 3, ['x'], now);
+	t.is(guard.verdict('x', now).type, 'alone');
+	t.true(guard.broken(toId('engine-1'), 3));
+	t.false(guard.broken(toId('engine-1'), 4));
+	guard.survived(toId('engine-1'), 3, now);
+	t.is(guard.verdict('x', now).type, 'free');
+	guard.crashed(toId('engine-1'), 4, ['x'], now);
+	guard.crashed(toId('engine-2'), 1, ['x'], now);
+	t.is(guard.verdict('x', now).type, 'refused');
+	t.is(guard.verdict('x', 3_600_000 as Millis).type, 'alone', 'one that nobody forgot yet runs alone');
+});
+
+test('memory for suspects is bounded', t => {
+	const outbox = new RecordingOutbox();
+	const guard = new SuspectPoisonGuard({
+		self: toId<NodeId>('entry-1'), peers: () => [], delegates: () => [], outbox, maxSuspects: 10,
+	});
+	for (let index = 0; index < 50; index++) {
+		guard.crashed(toId('engine-1'), index, [`x${index}`], index as Millis);
+	}
+
+	t.is(guard.verdict('x49', 50 as Millis).type, 'alone');
+	t.is(guard.verdict('x0', 50 as Millis).type, 'free');
+	guard.tick(700_000 as Millis);
+	t.is(guard.verdict('x49', 700_000 as Millis).type, 'free');
+});
