test(attempts): check requests under random orders of events

The check that kept claimed work from being moved off a lost target changed nothing, since the retry rule already forbids it: taken out.

--- a/src/core/attempts/request-coordinator.ts
+++ b/src/core/attempts/request-coordinator.ts
@@ -299,7 +299,7 @@
 	#moveLost(attempt: AttemptState, now: Millis): void {
 		const state = this.#requests.get(attempt.requestId)!;
 		const settings = this.#parts.tree().route(state.req.path);
-		if (!settings || !state.repeatable) {
+		if (!settings) {
 			return;
 		}
 
--- /dev/null
+++ b/test/core/attempts/request-invariants.test.ts
@@ -0,0 +1,274 @@
+import test from 'ava';
+import fc from 'fast-check';
+import type {Action} from '../../../src/core/actions.ts';
+import {SuspectPoisonGuard} from '../../../src/core/attempts/suspect-poison-guard.ts';
+import type {AttemptId} from '../../../src/core/ids/attempt-id.ts';
+import type {NodeId} from '../../../src/core/ids/node-id.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import type {ClaimOutcome} from '../../../src/core/ledger/claim-outcome.ts';
+import type {Refusal} from '../../../src/core/results/refusal.ts';
+import {CoordinatorHarness} from '../../fixtures/attempts/coordinator-harness.ts';
+import {routeSettings} from '../../fixtures/attempts/route-settings.ts';
+import {RecordingOutbox} from '../../fixtures/recording-outbox.ts';
+
+type Start = Extract<Action, {type: 'start-attempt'}>;
+type Step = {readonly what: number; readonly pick: number; readonly notSent: boolean; readonly passedOn: boolean};
+
+/** Runs random events and checks after each of them what must always hold. */
+class Checker {
+	readonly harness = new CoordinatorHarness({
+		settings: {targetConcurrency: 2, deadlineMs: 5000},
+		poison: new SuspectPoisonGuard({
+			self: toId<NodeId>('entry-1'), peers: () => [], delegates: () => [], outbox: new RecordingOutbox(),
+		}),
+	});
+
+	/** What became of each attempt, as the outside world knows it. */
+	readonly #attempts = new Map<AttemptId, {start: Start; fate: 'open' | 'not-run' | 'may-have-run' | 'whole'}>();
+	readonly #finals = new Map<string, string>();
+	readonly #gone = new Set<string>();
+	#seen = 0;
+	#requests = 0;
+	#incarnation = 1;
+
+	constructor() {
+		this.harness.tree.settings.set('prairie/print/proofer/order', routeSettings({repeatable: false, deadlineMs: 5000}));
+		for (const name of ['engine-0', 'engine-1', 'engine-2', 'engine-3']) {
+			this.harness.targets.add(name, {resumes: name !== 'engine-3'});
+		}
+
+		this.harness.membership.addRegion('saskatoon-a', {'entry-5': 1, 'entry-6': 2});
+	}
+
+	step(step: Step): void {
+		const {harness} = this;
+		switch (step.what) {
+			case 0: {
+				this.#send('draft');
+				break;
+			}
+
+			case 1: {
+				this.#send('order');
+				break;
+			}
+
+			case 2: {
+				this.#withAttempt(step, id => {
+					this.#setFate(id, 'whole');
+					harness.end(id);
+				});
+				break;
+			}
+
+			case 3: {
+				this.#withAttempt(step, id => {
+					this.#setFate(id, step.notSent ? 'not-run' : 'may-have-run');
+					const passedOn = step.passedOn && !step.notSent;
+					harness.fail(id, {
+						reason: step.notSent ? 'connect' : 'reset', notSent: step.notSent, passedOn, tokens: passedOn ? 5 : 0,
+					});
+				});
+				break;
+			}
+
+			case 4: {
+				this.#withAttempt(step, id => {
+					this.#setFate(id, 'not-run');
+					harness.fail(id, {reason: 'refused', refusal: {result: 'overloaded', ran: 'no'}});
+				});
+				break;
+			}
+
+			case 5: {
+				this.#withAttempt(step, id => {
+					harness.coordinator.firstByte(id, harness.now);
+				});
+				break;
+			}
+
+			case 6: {
+				const requestId = `r${step.pick % Math.max(1, this.#requests)}`;
+				this.#gone.add(requestId);
+				harness.coordinator.callerGone(toId(requestId), harness.now);
+				break;
+			}
+
+			case 7: {
+				this.#claim(step);
+				break;
+			}
+
+			case 8: {
+				this.#loseTarget(step);
+				break;
+			}
+
+			default: {
+				harness.advance(step.pick * 20);
+			}
+		}
+
+		this.#check();
+	}
+
+	/** Lets everything come to an end; every request must have its final answer by then. */
+	finish(): void {
+		for (let round = 0; round < 40; round++) {
+			for (const [id, {fate}] of this.#attempts) {
+				if (fate === 'open') {
+					this.#setFate(id, 'whole');
+					this.harness.end(id);
+				}
+			}
+
+			this.harness.advance(500);
+			this.#check();
+		}
+
+		assert(this.harness.coordinator.inFlight() === 0, 'a request was forgotten');
+		for (let index = 0; index < this.#requests; index++) {
+			assert(this.#finals.has(`r${index}`) || this.#gone.has(`r${index}`), `r${index} has no final answer`);
+		}
+	}
+
+	#send(route: string): void {
+		const requestId = `r${this.#requests++}`;
+		const order = route === 'order';
+		this.harness.request(requestId, {
+			path: {
+				firm: 'prairie', deployment: 'print', service: 'proofer', route,
+			},
+			kind: order ? 'call' : 'completion',
+			streamed: !order,
+			deadlineAt: (this.harness.now + 5000) as typeof this.harness.now,
+			...(order && {idempotencyKey: requestId}),
+		});
+	}
+
+	#claim(step: Step): void {
+		const outcomes: ClaimOutcome[] = [
+			{type: 'granted'}, {type: 'granted'}, {type: 'in-progress', retryAfterMs: 1}, {type: 'unavailable', retryAfterMs: 1},
+		];
+		const claim = this.harness.ledger.claims.shift();
+		if (claim) {
+			this.harness.claim(claim.requestId, outcomes[step.pick % outcomes.length]!);
+		}
+	}
+
+	#loseTarget(step: Step): void {
+		const name = `engine-${step.pick % 4}`;
+		const targetId = toId<never>(name);
+		this.harness.targets.remove(targetId);
+		this.harness.coordinator.targetsLost([targetId], this.harness.now);
+		this.#incarnation += 1;
+		this.harness.targets.add(name, {incarnation: this.#incarnation});
+	}
+
+	#withAttempt(step: Step, act: (id: AttemptId) => void): void {
+		const ids = [...this.#attempts.keys()];
+		const id = ids[step.pick % ids.length];
+		if (id !== undefined) {
+			act(id);
+		}
+	}
+
+	/** The first news of an attempt decides; what comes later is late or crossed. */
+	#setFate(id: AttemptId, fate: 'not-run' | 'may-have-run' | 'whole'): void {
+		const attempt = this.#attempts.get(id)!;
+		if (attempt.fate === 'open') {
+			attempt.fate = fate;
+		}
+	}
+
+	#check(): void {
+		for (const action of this.harness.actions.slice(this.#seen)) {
+			this.#checkAction(action);
+		}
+
+		this.#seen = this.harness.actions.length;
+	}
+
+	#checkAction(action: Action): void {
+		if (action.type === 'start-attempt') {
+			this.#checkStart(action);
+		}
+
+		if (action.type === 'cancel-attempt') {
+			this.#checkCancel(action.attemptId);
+		}
+
+		if (action.type === 'complete') {
+			this.#checkComplete(action.requestId, action.attemptId);
+		}
+
+		if (action.type === 'refuse') {
+			this.#checkRefusal(action.requestId, action.refusal);
+		}
+	}
+
+	#checkCancel(attemptId: AttemptId): void {
+		const attempt = this.#attempts.get(attemptId)!;
+		assert(this.#route(attempt.start) === 'draft', 'work that may not be repeated was cancelled');
+		attempt.fate = 'may-have-run';
+	}
+
+	#checkComplete(requestId: string, attemptId: AttemptId): void {
+		assert(this.#attempts.get(attemptId)!.fate === 'whole', 'completed without a whole answer');
+		assert(this.#of(requestId).at(-1)!.start.attemptId === attemptId, 'completed by an old attempt');
+		this.#final(requestId, 'complete');
+	}
+
+	#checkRefusal(requestId: string, refusal: Refusal): void {
+		const fates = this.#of(requestId).map(({fate}) => fate);
+		assert(refusal.ran === 'maybe' || fates.every(fate => fate === 'not-run'), `ran: no after ${fates.join(', ')}`);
+		assert(!fates.includes('open'), 'refused while an attempt runs');
+		this.#final(requestId, refusal.result);
+	}
+
+	#checkStart(start: Start): void {
+		const before = this.#of(start.requestId);
+		assert(before.every(({fate}) => fate !== 'open'), 'two attempts at once');
+		assert(!this.#finals.has(start.requestId), 'an attempt after the final answer');
+		assert(start.targetId === undefined || before.every(attempt => attempt.start.targetId !== start.targetId), 'the same target twice');
+		assert(start.forwardTo === undefined || before.every(attempt => attempt.start.forwardTo === undefined), 'the same region twice');
+		const repeatable = this.#route(start) === 'draft';
+		assert(repeatable || before.every(({fate}) => fate === 'not-run'), 'a second run');
+		this.#attempts.set(start.attemptId, {start, fate: 'open'});
+	}
+
+	#final(requestId: string, result: string): void {
+		assert(!this.#finals.has(requestId), 'two final answers');
+		this.#finals.set(requestId, result);
+	}
+
+	#route(start: Start): 'draft' | 'order' {
+		return start.claimed ? 'order' : 'draft';
+	}
+
+	#of(requestId: string) {
+		return [...this.#attempts.values()].filter(({start}) => start.requestId === requestId);
+	}
+}
+
+function assert(condition: boolean, problem: string): void {
+	if (!condition) {
+		throw new Error(problem);
+	}
+}
+
+const steps = fc.array(fc.record({
+	what: fc.nat(10), pick: fc.nat(30), notSent: fc.boolean(), passedOn: fc.boolean(),
+}), {minLength: 20, maxLength: 120});
+
+test('under any order of events: one owner, one final answer, no second run, and true refusals', t => {
+	fc.assert(fc.property(steps, sequence => {
+		const checker = new Checker();
+		for (const step of sequence) {
+			checker.step(step);
+		}
+
+		checker.finish();
+	}), {seed: 20_265, numRuns: 400});
+	t.pass();
+});
