--- /dev/null
+++ b/src/server/log.ts
@@ -0,0 +1,27 @@
+import debug from 'debug';
+
+const json = process.env['LOVAGEFERRY_LOG'] === 'json';
+
+/**
+ * Returns the logger of one part: a short sentence under `lovageferry:<part>`, shown if `DEBUG` selects the part.
+ * With `LOVAGEFERRY_LOG=json` each line is a JSON object with time, part and text.
+ */
+export function log(part: string): (text: string) => void {
+	const logger = debug(`lovageferry:${part}`);
+	if (json) {
+		logger.log = () => undefined;
+	}
+
+	return text => {
+		if (!logger.enabled) {
+			return;
+		}
+
+		if (json) {
+			process.stderr.write(`${JSON.stringify({time: new Date().toISOString(), part, text})}\n`);
+			return;
+		}
+
+		logger(text);
+	};
+}
--- /dev/null
+++ b/src/server/metrics.ts
@@ -0,0 +1,79 @@
+import {build, type Histogram} from 'hdr-histogram-js';
+
+const quantiles = [50, 90, 95, 99, 99.9];
+const highestMicroseconds = 3_600_000_000;
+
+/** Counters with a reason label, gauges and latency histograms of one process, in the text exposition format. */
+export class Metrics {
+	readonly #counters = new Map<string, Map<string, number>>();
+	readonly #gauges = new Map<string, () => number>();
+	readonly #histograms = new Map<string, {histogram: Histogram; sum: number}>();
+
+	count(name: string, reason = '', amount = 1): void {
+		let reasons = this.#counters.get(name);
+		if (!reasons) {
+			reasons = new Map();
+			this.#counters.set(name, reasons);
+		}
+
+		reasons.set(reason, (reasons.get(reason) ?? 0) + amount);
+	}
+
+	/** Registers a value that is read when metrics are asked for. */
+	gauge(name: string, read: () => number): void {
+		this.#gauges.set(name, read);
+	}
+
+	/** Records one duration in milliseconds. */
+	time(name: string, milliseconds: number): void {
+		let entry = this.#histograms.get(name);
+		if (!entry) {
+			entry = {histogram: build({bitBucketSize: 64, numberOfSignificantValueDigits: 2, highestTrackableValue: highestMicroseconds}), sum: 0};
+			this.#histograms.set(name, entry);
+		}
+
+		const microseconds = Math.min(highestMicroseconds, Math.max(1, Math.round(milliseconds * 1000)));
+		entry.histogram.recordValue(microseconds);
+		entry.sum += milliseconds;
+	}
+
+	/** Value of a counter, for status pages and tests. */
+	value(name: string, reason = ''): number {
+		return this.#counters.get(name)?.get(reason) ?? 0;
+	}
+
+	/** All metrics as text. */
+	expose(): string {
+		return [...this.#counterLines(), ...this.#gaugeLines(), ...this.#histogramLines(), ''].join('\n');
+	}
+
+	* #counterLines() {
+		for (const [name, reasons] of this.#counters) {
+			yield `# TYPE lovageferry_${name}_total counter`;
+			for (const [reason, value] of reasons) {
+				const label = reason === '' ? '' : `{reason="${reason}"}`;
+				yield `lovageferry_${name}_total${label} ${value}`;
+			}
+		}
+	}
+
+	* #gaugeLines() {
+		for (const [name, read] of this.#gauges) {
+			yield `# TYPE lovageferry_${name} gauge`;
+			yield `lovageferry_${name} ${read()}`;
+		}
+	}
+
+	* #histogramLines() {
+		for (const [name, {histogram, sum}] of this.#histograms) {
+			const metric = `lovageferry_${name}_seconds`;
+			yield `# TYPE ${metric} summary`;
+			for (const quantile of quantiles) {
+				yield `${metric}{quantile="${quantile / 100}"} ${histogram.getValueAtPercentile(quantile) / 1_000_000}`;
+			}
+
+			yield `${metric}_sum ${sum / 1000}`;
+			yield `${metric}_count ${histogram.totalCount}`;
+		}
+	}
+}
--- /dev/null
+++ b/src/server/problem.ts
@@ -0,0 +1,20 @@
+import {resultCodes} from '../core/results/result-codes.ts';
+import type {Refusal} from '../core/results/refusal.ts';
+import type {Problem} from './problem-document.ts';
+
+/** Makes the RFC 9457 problem document of a refusal. */
+export function problem(refusal: Refusal, context: {region: string; revision: number}): Problem {
+	const {code, status, title} = resultCodes[refusal.result];
+	return {
+		type: `urn:lovageferry:result:${code}`,
+		title,
+		status,
+		detail: refusal.detail,
+		code,
+		result: refusal.result,
+		ran: refusal.ran,
+		region: context.region,
+		revision: context.revision,
+		retryAfterMs: refusal.retryAfterMs,
+	};
+}
--- /dev/null
+++ b/src/server/read-body.ts
@@ -0,0 +1,54 @@
+import type {Buffer as NodeBuffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import {constants} from '../settings/constants.ts';
+import {BodyError} from './body-error.ts';
+
+/**
+ * Reads a whole request body within the time and size allowed.
+ *
+ * @throws BodyError if it is too large, too slow, or the caller left.
+ */
+export async function readBody(req: IncomingMessage, maxBytes: number): Promise<NodeBuffer> {
+	const announced = Number(req.headers['content-length'] ?? 0);
+	if (announced > maxBytes) {
+		throw new BodyError('tooLarge', `the body has ${announced} bytes, ${maxBytes} are allowed`);
+	}
+
+	return new Promise((resolve, reject) => {
+		const chunks: NodeBuffer[] = [];
+		let size = 0;
+		const timer = setTimeout(() => {
+			finish(new BodyError('slowCaller', `the body did not arrive within ${constants.bodyTimeoutMs} ms`));
+		}, constants.bodyTimeoutMs);
+		const finish = (error?: BodyError) => {
+			clearTimeout(timer);
+			req.removeAllListeners('data');
+			if (error) {
+				reject(error);
+				return;
+			}
+
+			resolve(Buffer.concat(chunks));
+		};
+
+		req.on('data', (chunk: NodeBuffer) => {
+			size += chunk.length;
+			if (size > maxBytes) {
+				finish(new BodyError('tooLarge', `the body has more than ${maxBytes} bytes`));
+				return;
+			}
+
+			chunks.push(chunk);
+		});
+		req.once('end', () => {
+			finish();
+		});
+		req.once('error', () => {
+			finish(new BodyError('callerGone', 'the caller closed the connection'));
+		});
+		req.once('close', () => {
+			finish(req.complete ? undefined : new BodyError('callerGone', 'the caller closed the connection'));
+		});
+	});
+}
--- /dev/null
+++ b/src/server/send-problem.ts
@@ -0,0 +1,17 @@
+import type {ServerResponse} from 'node:http';
+import type {Problem} from './problem-document.ts';
+
+/** Answers with a problem document and, if coming back makes sense, `Retry-After` in whole seconds. */
+export function sendProblem(res: ServerResponse, problem: Problem): void {
+	if (res.destroyed || res.headersSent) {
+		return;
+	}
+
+	const headers: Record<string, string> = {'content-type': 'application/problem+json'};
+	if (problem.retryAfterMs !== undefined) {
+		headers['retry-after'] = String(Math.max(1, Math.ceil(problem.retryAfterMs / 1000)));
+	}
+
+	res.writeHead(problem.status, headers);
+	res.end(JSON.stringify(problem));
+}
--- /dev/null
+++ b/src/settings/constants.ts
@@ -0,0 +1,36 @@
+/** Numbers of the process around the core; settings of the tree have their defaults in `src/core/settings`. */
+export const constants = {
+	/** Time between two `tick` events. */
+	tickMs: 50,
+	/** Longest time a caller may take to send headers. */
+	headersTimeoutMs: 10_000,
+	/** Longest time a caller may take to send the whole body. */
+	bodyTimeoutMs: 30_000,
+	/** Open connections of callers; further ones are closed at once. */
+	maxConnections: 20_000,
+	/** Largest body of an announcement or a change. */
+	maxControlBodyBytes: 8_388_608,
+	/** Answers up to this size are read whole before they are passed on, so that a broken one can be retried. */
+	wholeAnswerBytes: 262_144,
+	/** Characters of a prompt that one prefix block stands for. */
+	prefixBlockCharacters: 256,
+	/** Prefix blocks taken of one prompt. */
+	maxPrefixBlocks: 64,
+	/** Characters of text that stand for one token where nobody counted. */
+	charactersPerToken: 4,
+	/** Messages waiting for one peer; the oldest are dropped beyond. */
+	maxPeerQueue: 4096,
+	/** Frames that one peer may have under way before messages wait. */
+	peerReconnectMs: 250,
+	/** Time after which an idle link is asked for a sign of life, and the time it has for it. */
+	peerPingIntervalMs: 1000,
+	peerPingTimeoutMs: 2000,
+	/** Largest difference between two machines' wall clocks for a link to be taken. */
+	peerClockSkewMs: 60_000,
+	/** Time to connect to a target or a peer's entry. */
+	connectTimeoutMs: 2000,
+	/** Time to live of the entries list. */
+	entriesTtlMs: 2000,
+	/** How long an operator's request waits for a change to be in force in every reachable region. */
+	inForceWaitMs: 6000,
+} as const;
--- /dev/null
+++ b/src/settings/process-settings-schema.ts
@@ -0,0 +1,51 @@
+import {z} from 'zod';
+
+const address = z.string().regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/v, 'must be an IP number and a port, such as 10.0.0.1:7101');
+const name = z.string().regex(/^[a-z0-9][a-z0-9\-]{0,62}$/v, 'must be lower-case letters, digits and hyphens');
+const roles = z.array(z.enum(['entry', 'control'])).min(1);
+
+/** Checks the settings file of one process. */
+export const processSettingsSchema = z.strictObject({
+	node: name,
+	region: name,
+	zone: name,
+	roles,
+	listen: z.strictObject({callers: address, peers: address}),
+	/** Addresses that others use, if they differ from `listen`. */
+	advertise: z.strictObject({callers: address.optional(), peers: address.optional()}).optional(),
+	/** @default 1 */
+	weight: z.number().positive().max(1000).default(1),
+	dataFolder: z.string().min(1).optional(),
+	peerKeyFile: z.string().min(1),
+	operatorKeysFile: z.string().min(1),
+	orderKeyFile: z.string().min(1).optional(),
+	peers: z.array(z.strictObject({
+		node: name,
+		region: name,
+		zone: name,
+		roles,
+		callers: address,
+		peers: address,
+		weight: z.number().positive().max(1000).default(1),
+		disk: z.boolean().default(false),
+	})).default([]),
+	control: z.strictObject({members: z.array(name).min(1)}),
+}).superRefine((settings, context) => {
+	if (settings.roles.includes('control') && !settings.dataFolder) {
+		context.addIssue({code: 'custom', path: ['dataFolder'], message: 'is needed by the role control: name a folder on a disk'});
+	}
+
+	const known = new Set([settings.node, ...settings.peers.map(peer => peer.node)]);
+	for (const [index, member] of settings.control.members.entries()) {
+		if (!known.has(member)) {
+			context.addIssue({code: 'custom', path: ['control', 'members', index], message: `names "${member}", which is not under peers: add it there`});
+		}
+	}
+
+	const names = settings.peers.map(peer => peer.node);
+	for (const [index, peer] of names.entries()) {
+		if (peer === settings.node || names.indexOf(peer) !== index) {
+			context.addIssue({code: 'custom', path: ['peers', index, 'node'], message: `names "${peer}" a second time: remove one`});
+		}
+	}
+});
