feat(server): read callers' requests and run attempts

Cause: the path needs the bodies piped outside the core, with identity checked at each hand-over. Ruled out: bodies through step() (copies and back-pressure belong to the sockets). Conclusion: an answer is passed on only by the attempt that owns the request; the end marker is held until the core says the answer is whole.

--- /dev/null
+++ b/src/server/attempt-runner.ts
@@ -0,0 +1,80 @@
+import {Buffer} from 'node:buffer';
+import {Agent, type Dispatcher} from 'undici';
+import type {Action} from '../core/actions.ts';
+import type {CoreEvent} from '../core/events.ts';
+import type {AttemptId} from '../core/ids/attempt-id.ts';
+import {constants} from '../settings/constants.ts';
+import {AttemptAnswer} from './attempt-answer.ts';
+import {attemptFailure} from './attempt-failure.ts';
+import type {CallerRequest} from './caller-request.ts';
+import {outgoingRequest} from './outgoing-request.ts';
+import type {PeerToken} from './peer-token.ts';
+
+type StartAttempt = Extract<Action, {type: 'start-attempt'}>;
+
+type AttemptRunnerOptions = {
+	readonly self: {readonly nodeId: string; readonly region: string};
+	readonly token: PeerToken;
+	readonly step: (event: CoreEvent) => void;
+};
+
+/** Carries out attempts: sends a request to a target or a peer's entry and hands its answer to the caller. */
+export class AttemptRunner {
+	readonly #options: AttemptRunnerOptions;
+	readonly #running = new Map<AttemptId, AbortController>();
+	readonly #agent = new Agent({
+		connect: {timeout: constants.connectTimeoutMs},
+		pipelining: 1,
+		keepAliveTimeout: 4000,
+	});
+
+	constructor(options: AttemptRunnerOptions) {
+		this.#options = options;
+	}
+
+	/** Starts an attempt; its progress and end come back as events. */
+	start(action: StartAttempt, request: CallerRequest): void {
+		request.bind(action.attemptId);
+		void this.#run(action, request);
+	}
+
+	/** Stops an attempt and closes its connection, which cancels the work at the target. */
+	cancel(attemptId: AttemptId): void {
+		this.#running.get(attemptId)?.abort();
+		this.#running.delete(attemptId);
+	}
+
+	async close(): Promise<void> {
+		await this.#agent.close();
+	}
+
+	async #run(action: StartAttempt, request: CallerRequest): Promise<void> {
+		const abort = new AbortController();
+		this.#running.set(action.attemptId, abort);
+		const answer = new AttemptAnswer(action, request, this.#options.step);
+		try {
+			const res = await this.#agent.request(this.#dispatch(action, request, abort.signal));
+			await answer.read(res);
+		} catch (error) {
+			if (!abort.signal.aborted && !answer.ended) {
+				this.#options.step({type: 'attempt-failed', attemptId: action.attemptId, failure: attemptFailure(error, answer)});
+			}
+		} finally {
+			this.#running.delete(action.attemptId);
+		}
+	}
+
+	#dispatch(action: StartAttempt, request: CallerRequest, signal: AbortSignal): Dispatcher.RequestOptions {
+		const outgoing = outgoingRequest(action, request, this.#options);
+		return {
+			origin: `http://${action.address}`,
+			method: request.method,
+			path: outgoing.path,
+			headers: outgoing.headers,
+			body: request.method === 'GET' || request.method === 'HEAD' ? undefined : Buffer.from(outgoing.body),
+			headersTimeout: action.firstByteMs,
+			bodyTimeout: action.silenceMs,
+			signal,
+		};
+	}
+}
--- /dev/null
+++ b/src/server/chat-body.ts
@@ -0,0 +1,49 @@
+import type {Buffer} from 'node:buffer';
+import {z} from 'zod';
+import {RequestError} from './request-error.ts';
+
+const maxMessages = 10_000;
+
+const schema = z.looseObject({
+	model: z.string().max(200).optional(),
+	stream: z.boolean().optional(),
+	max_tokens: z.number().int().positive().optional(),
+	max_completion_tokens: z.number().int().positive().optional(),
+	messages: z.array(z.looseObject({role: z.string(), content: z.unknown()})).min(1).max(maxMessages),
+});
+
+/** What the gateway reads of a chat completion's body. */
+type ChatBody = {
+	readonly model?: string;
+	readonly streamed: boolean;
+	readonly maxTokens?: number;
+	readonly prompt: string;
+};
+
+/** @throws RequestError if the body is no chat completion. */
+export function chatBody(body: Buffer): ChatBody {
+	let json: unknown;
+	try {
+		json = JSON.parse(body.toString('utf8'));
+	} catch {
+		throw new RequestError({result: 'malformed', ran: 'no', detail: 'The body is not JSON.'});
+	}
+
+	const result = schema.safeParse(json);
+	if (!result.success) {
+		const issue = result.error.issues[0]!;
+		throw new RequestError({result: 'malformed', ran: 'no', detail: `The body's ${issue.path.join('.') || 'value'} is not valid: ${issue.message}.`});
+	}
+
+	const {data} = result;
+	return {
+		model: data.model,
+		streamed: data.stream ?? false,
+		maxTokens: data.max_completion_tokens ?? data.max_tokens,
+		prompt: data.messages.map(message => `${message.role}\n${contentText(message.content)}\n`).join(''),
+	};
+}
+
+function contentText(content: unknown): string {
+	return typeof content === 'string' ? content : JSON.stringify(content ?? '');
+}
--- a/src/server/log.ts
+++ b/src/server/log.ts
@@ -1,6 +1,7 @@
+import process from 'node:process';
 import debug from 'debug';
 
-const json = process.env['LOVAGEFERRY_LOG'] === 'json';
+const json = process.env.LOVAGEFERRY_LOG === 'json';
 
 /**
  * Returns the logger of one part: a short sentence under `lovageferry:<part>`, shown if `DEBUG` selects the part.
--- /dev/null
+++ b/src/server/outgoing-request.ts
@@ -0,0 +1,55 @@
+import {Buffer} from 'node:buffer';
+import type {Action} from '../core/actions.ts';
+import type {CallerRequest} from './caller-request.ts';
+import type {PeerToken} from './peer-token.ts';
+
+type StartAttempt = Extract<Action, {type: 'start-attempt'}>;
+
+const passedHeaders = ['content-type', 'accept', 'idempotency-key', 'lovageferry-organisation', 'lovageferry-priority'];
+const forwardedHeaders = ['authorization', 'lovageferry-service', 'lovageferry-deployment', 'lovageferry-route'];
+
+/**
+ * Makes the request that an attempt sends. To a target go the caller's method, path, body and a few headers;
+ * to a peer's entry also the caller's key and the signed note of who forwards it under which settings revision.
+ */
+export function outgoingRequest(
+	action: StartAttempt,
+	request: CallerRequest,
+	options: {readonly self: {readonly nodeId: string; readonly region: string}; readonly token: PeerToken},
+): {path: string; headers: Record<string, string>; body: Uint8Array} {
+	const headers: Record<string, string> = {'lovageferry-attempt': action.attemptId};
+	copyHeaders(request, passedHeaders, headers);
+	if (action.forwardTo) {
+		copyHeaders(request, forwardedHeaders, headers);
+		const claim = `${options.self.nodeId};${options.self.region};${action.revision}`;
+		headers['lovageferry-forwarded-by'] = claim;
+		headers['lovageferry-forward-token'] = options.token.sign(claim);
+		headers['lovageferry-deadline-ms'] = String(Math.max(1, Math.round(action.firstByteMs)));
+	}
+
+	const path = action.forwardTo && request.info.kind === 'call'
+		? `/s/${request.info.path.service}${request.targetPath}`
+		: request.targetPath;
+	return {path, headers, body: action.resume ? resumeBody(request) : request.body};
+}
+
+function copyHeaders(request: CallerRequest, names: readonly string[], into: Record<string, string>): void {
+	for (const name of names) {
+		const value = request.headers[name];
+		if (typeof value === 'string') {
+			into[name] = value;
+		}
+	}
+}
+
+/** Asks an engine to go on from the text that the caller has already. */
+function resumeBody(request: CallerRequest): Uint8Array {
+	const body = JSON.parse(request.body.toString('utf8')) as {messages: unknown[]; max_tokens?: number};
+	return Buffer.from(JSON.stringify({
+		...body,
+		messages: [...body.messages, {role: 'assistant', content: request.passedText}],
+		continue_final_message: true,
+		add_generation_prompt: false,
+		...(body.max_tokens === undefined ? {} : {max_tokens: Math.max(1, body.max_tokens - request.passedTokens)}),
+	}));
+}
--- /dev/null
+++ b/src/server/peer-token.ts
@@ -0,0 +1,40 @@
+import {createHmac, timingSafeEqual} from 'node:crypto';
+import {Buffer} from 'node:buffer';
+import {constants} from '../settings/constants.ts';
+
+/**
+ * Proves to a peer that a message comes from a holder of the peer key, without sending the key:
+ * a keyed digest over the claim and the time, accepted for a short while only.
+ */
+export class PeerToken {
+	readonly #keys: () => readonly string[];
+
+	/** @param keys - the current keys, the one to sign with first; read at each use, so that rotation takes effect. */
+	constructor(keys: () => readonly string[]) {
+		this.#keys = keys;
+	}
+
+	sign(claim: string): string {
+		const time = String(Date.now());
+		return `${time}.${digest(this.#keys()[0] ?? '', claim, time)}`;
+	}
+
+	verify(claim: string, token: string): boolean {
+		const [time = '', signature = ''] = token.split('.');
+		if (Math.abs(Date.now() - Number(time)) > constants.peerClockSkewMs) {
+			return false;
+		}
+
+		return this.#keys().some(key => equal(digest(key, claim, time), signature));
+	}
+}
+
+function digest(key: string, claim: string, time: string): string {
+	return createHmac('sha256', key).update(`${time}\n${claim}`).digest('base64url');
+}
+
+function equal(left: string, right: string): boolean {
+	const a = Buffer.from(left);
+	const b = Buffer.from(right);
+	return a.length === b.length && timingSafeEqual(a, b);
+}
--- /dev/null
+++ b/src/server/prefix-blocks.ts
@@ -0,0 +1,15 @@
+import {hash32} from '../core/common/hash32.ts';
+import {constants} from '../settings/constants.ts';
+
+/** Digests of growing prefixes of a prompt, one for each block of characters; a last, shorter block has none. */
+export function prefixBlocks(prompt: string): string[] {
+	const blocks: string[] = [];
+	const size = constants.prefixBlockCharacters;
+	let previous = '';
+	for (let end = size; end <= prompt.length && blocks.length < constants.maxPrefixBlocks; end += size) {
+		previous = hash32(previous + prompt.slice(end - size, end)).toString(36);
+		blocks.push(previous);
+	}
+
+	return blocks;
+}
--- a/src/server/read-body.ts
+++ b/src/server/read-body.ts
@@ -1,4 +1,3 @@
-import type {Buffer as NodeBuffer} from 'node:buffer';
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {constants} from '../settings/constants.ts';
@@ -9,14 +8,14 @@
  *
  * @throws BodyError if it is too large, too slow, or the caller left.
  */
-export async function readBody(req: IncomingMessage, maxBytes: number): Promise<NodeBuffer> {
+export async function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer> {
 	const announced = Number(req.headers['content-length'] ?? 0);
 	if (announced > maxBytes) {
 		throw new BodyError('tooLarge', `the body has ${announced} bytes, ${maxBytes} are allowed`);
 	}
 
 	return new Promise((resolve, reject) => {
-		const chunks: NodeBuffer[] = [];
+		const chunks: Buffer[] = [];
 		let size = 0;
 		const timer = setTimeout(() => {
 			finish(new BodyError('slowCaller', `the body did not arrive within ${constants.bodyTimeoutMs} ms`));
@@ -32,7 +31,7 @@
 			resolve(Buffer.concat(chunks));
 		};
 
-		req.on('data', (chunk: NodeBuffer) => {
+		req.on('data', (chunk: Buffer) => {
 			size += chunk.length;
 			if (size > maxBytes) {
 				finish(new BodyError('tooLarge', `the body has more than ${maxBytes} bytes`));
--- /dev/null
+++ b/src/server/request-reader.ts
@@ -0,0 +1,179 @@
+import {randomUUID} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Millis} from '../core/ids/millis.ts';
+import {toId} from '../core/ids/to-id.ts';
+import type {RequestInfo} from '../core/settings/request-info.ts';
+import type {RoutePath} from '../core/settings/route-path.ts';
+import type {RouteSettings} from '../core/settings/route-settings.ts';
+import type {SettingsTree} from '../core/tree/settings-tree.ts';
+import {constants} from '../settings/constants.ts';
+import {bearerKey} from './bearer-key.ts';
+import {BodyError} from './body-error.ts';
+import {CallerRequest} from './caller-request.ts';
+import {chatBody} from './chat-body.ts';
+import type {PeerToken} from './peer-token.ts';
+import {prefixBlocks} from './prefix-blocks.ts';
+import {readBody} from './read-body.ts';
+import {RequestError} from './request-error.ts';
+import {sha256} from './sha256.ts';
+
+type CallerKey = RouteSettings['callerKeys'][string];
+type Caller = {readonly path: string; readonly key: CallerKey};
+
+const idempotencyKeyMaxLength = 256;
+
+type RequestReaderOptions = {
+	readonly self: {readonly nodeId: string; readonly region: string};
+	readonly tree: () => SettingsTree;
+	readonly token: PeerToken;
+	readonly now: () => Millis;
+};
+
+/** Turns a caller's HTTP request into what the core decides on. */
+export class RequestReader {
+	readonly #options: RequestReaderOptions;
+
+	constructor(options: RequestReaderOptions) {
+		this.#options = options;
+	}
+
+	/** @throws RequestError with the refusal to give. */
+	async read(req: IncomingMessage, res: ServerResponse, call: {service?: string; targetPath: string}): Promise<CallerRequest> {
+		const arrivedAt = this.#options.now();
+		const caller = this.#caller(req);
+		const path = this.#routePath(req, caller, call.service);
+		const settings = this.#options.tree().route(path);
+		if (!settings) {
+			throw new RequestError({result: 'unknownRoute', ran: 'no', detail: `There is no route ${path.firm}/${path.deployment}/${path.service}/${path.route}.`});
+		}
+
+		const body = await takeBody(req, settings.maxBodyBytes);
+		const kind = call.service === undefined ? 'completion' : 'call';
+		const chat = kind === 'completion' ? chatBody(body) : undefined;
+		const prompt = chat?.prompt ?? '';
+		const info: RequestInfo = {
+			requestId: toId(randomUUID()),
+			path,
+			organisation: toId(caller.key.organisation),
+			organisationWeight: caller.key.weight ?? 1,
+			kind,
+			streamed: chat?.streamed ?? false,
+			model: settings.model ?? chat?.model,
+			residency: intersection(settings.residency, caller.key.residency),
+			homeRegion: caller.key.homeRegion ?? settings.homeRegion ?? toId(this.#options.self.region),
+			promptTokens: Math.ceil(prompt.length / constants.charactersPerToken),
+			prefixBlocks: prefixBlocks(prompt),
+			prefixBlockTokens: constants.prefixBlockCharacters / constants.charactersPerToken,
+			outputTokens: Math.min(chat?.maxTokens ?? Number.POSITIVE_INFINITY, settings.expectedOutputTokens),
+			fingerprint: sha256(`${req.method} ${call.targetPath} ${path.firm}/${path.deployment}/${path.service}/${path.route} ${caller.key.organisation}\n`, body).slice(0, 32),
+			idempotencyKey: idempotencyKey(req),
+			priority: priority(req, settings.priority),
+			arrivedAt,
+			deadlineAt: arrivedAt + this.#deadlineMs(req, settings) as Millis,
+			bodyBytes: body.length,
+			forwardedBy: this.#forwardedBy(req),
+		};
+		return new CallerRequest({
+			info, body, method: req.method ?? 'GET', targetPath: call.targetPath, headers: req.headers, res,
+		});
+	}
+
+	#caller(req: IncomingMessage): Caller {
+		const key = bearerKey(req);
+		const caller = key === '' ? undefined : this.#options.tree().callerKey(sha256(key));
+		if (!caller) {
+			throw new RequestError({result: 'unauthenticated', ran: 'no'});
+		}
+
+		return caller;
+	}
+
+	#routePath(req: IncomingMessage, caller: Caller, service?: string): RoutePath {
+		const [firm = '', ownDeployment] = caller.path.split('/');
+		const name = service ?? header(req, 'lovageferry-service');
+		if (!name) {
+			throw new RequestError({result: 'malformed', ran: 'no', detail: 'The header Lovageferry-Service names no service.'});
+		}
+
+		const deployment = ownDeployment ?? header(req, 'lovageferry-deployment') ?? this.#deploymentOf(firm, name);
+		return {
+			firm,
+			deployment,
+			service: name,
+			route: header(req, 'lovageferry-route') ?? 'default',
+		};
+	}
+
+	/** The firm's deployment that has the service, if it is the only one. */
+	#deploymentOf(firm: string, service: string): string {
+		const found = this.#options.tree().paths().filter(path => {
+			const parts = path.split('/');
+			return parts.length === 3 && parts[0] === firm && parts[2] === service;
+		});
+		if (found.length !== 1) {
+			const detail = found.length === 0 ? `No deployment has the service ${service}.` : 'Several deployments have the service: name one in Lovageferry-Deployment.';
+			throw new RequestError({result: 'unknownRoute', ran: 'no', detail});
+		}
+
+		return found[0]!.split('/')[1]!;
+	}
+
+	#deadlineMs(req: IncomingMessage, settings: RouteSettings): number {
+		const wanted = Number(header(req, 'lovageferry-deadline-ms'));
+		return Number.isFinite(wanted) && wanted > 0 ? Math.min(wanted, settings.deadlineMs) : settings.deadlineMs;
+	}
+
+	#forwardedBy(req: IncomingMessage): RequestInfo['forwardedBy'] {
+		const claim = header(req, 'lovageferry-forwarded-by');
+		if (claim === undefined) {
+			return undefined;
+		}
+
+		if (!this.#options.token.verify(claim, header(req, 'lovageferry-forward-token') ?? '')) {
+			throw new RequestError({result: 'unauthenticated', ran: 'no'});
+		}
+
+		const [nodeId = '', region = '', revision = '0'] = claim.split(';');
+		return {nodeId: toId(nodeId), region: toId(region), revision: Number(revision)};
+	}
+}
+
+async function takeBody(req: IncomingMessage, maxBytes: number) {
+	try {
+		return await readBody(req, maxBytes);
+	} catch (error) {
+		if (error instanceof BodyError) {
+			throw new RequestError({result: error.result, ran: 'no', detail: error.message});
+		}
+
+		throw error;
+	}
+}
+
+function header(req: IncomingMessage, name: string): string | undefined {
+	const value = req.headers[name];
+	return typeof value === 'string' && value !== '' ? value : undefined;
+}
+
+function idempotencyKey(req: IncomingMessage): string | undefined {
+	const key = header(req, 'idempotency-key');
+	if (key !== undefined && key.length > idempotencyKeyMaxLength) {
+		throw new RequestError({result: 'malformed', ran: 'no', detail: `The Idempotency-Key has more than ${idempotencyKeyMaxLength} characters.`});
+	}
+
+	return key;
+}
+
+/** A caller may make its request less urgent than the route, never more. */
+function priority(req: IncomingMessage, own: number): number {
+	const wanted = Number(header(req, 'lovageferry-priority') ?? Number.NaN);
+	return Number.isInteger(wanted) && wanted >= own && wanted <= 9 ? wanted : own;
+}
+
+function intersection<Item>(left?: readonly Item[], right?: readonly Item[]): readonly Item[] | undefined {
+	if (!left || !right) {
+		return left ?? right;
+	}
+
+	return left.filter(item => right.includes(item));
+}
