feat(server): HTTP interface, peer links and carrying out of actions

Cause: the thin path needs callers, targets, operators and peers to reach the core. Ruled out: one connection for both directions of a pair (each side opens its own, so a one-way cut is seen by the side that is cut). Conclusion: sockets, files and timers live here; every decision stays in src/core.

--- a/src/server/attempt-answer.ts
+++ b/src/server/attempt-answer.ts
@@ -102,7 +102,7 @@
 			}
 
 			if (event.type === 'error') {
-				await this.#passText(raw, head);
+				await this.#passText(raw, head); // eslint-disable-line no-await-in-loop
 				throw new TargetError('truncated', {refusal: this.#action.forwardTo && peerRefusal(event.error as Problem)});
 			}
 
--- /dev/null
+++ b/src/server/caller-api.ts
@@ -0,0 +1,101 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {toId} from '../core/ids/to-id.ts';
+import type {RequestId} from '../core/ids/request-id.ts';
+import type {Refusal} from '../core/results/refusal.ts';
+import {constants} from '../settings/constants.ts';
+import {bearerKey} from './bearer-key.ts';
+import type {CallerRequest} from './caller-request.ts';
+import type {CoreRunner} from './core-runner.ts';
+import type {GatewayNode} from './gateway-node.ts';
+import type {Metrics} from './metrics.ts';
+import {problem} from './problem.ts';
+import {RequestError} from './request-error.ts';
+import type {RequestReader} from './request-reader.ts';
+import {sendJson} from './send-json.ts';
+import {sendProblem} from './send-problem.ts';
+import {sha256} from './sha256.ts';
+
+const notReadyRetryMs = 1000;
+const servicePrefix = '/s/';
+
+type CallerApiOptions = {
+	readonly node: GatewayNode;
+	readonly region: string;
+	readonly runner: CoreRunner;
+	readonly reader: RequestReader;
+	readonly metrics: Metrics;
+	/** Open requests by id, shared with whoever carries out the core's actions. */
+	readonly requests: Map<RequestId, CallerRequest>;
+};
+
+/** Serves callers: completions, plain services, and the list of entries. */
+export class CallerApi {
+	readonly #options: CallerApiOptions;
+
+	constructor(options: CallerApiOptions) {
+		this.#options = options;
+	}
+
+	async completion(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		await this.#serve(req, res, {targetPath: '/v1/chat/completions'});
+	}
+
+	async service(req: IncomingMessage, res: ServerResponse, url: URL): Promise<void> {
+		const rest = url.pathname.slice(servicePrefix.length);
+		const slash = rest.indexOf('/');
+		const service = slash === -1 ? rest : rest.slice(0, slash);
+		const targetPath = (slash === -1 ? '/' : rest.slice(slash)) + url.search;
+		await this.#serve(req, res, {service, targetPath});
+	}
+
+	/** Callers ask which entries to use; the answer needs no key if it names no path. */
+	entries(req: IncomingMessage, res: ServerResponse, url: URL): void {
+		const {node, runner} = this.#options;
+		const caller = node.tree.callerKey(sha256(bearerKey(req)));
+		const zone = url.searchParams.get('zone');
+		sendJson(res, {
+			ttlMs: constants.entriesTtlMs,
+			entries: node.entries({zone: zone ? toId(zone) : undefined, path: caller?.path}, runner.now()),
+		});
+	}
+
+	async #serve(req: IncomingMessage, res: ServerResponse, call: {service?: string; targetPath: string}): Promise<void> {
+		const {node, runner, reader, requests, metrics} = this.#options;
+		metrics.count('requests');
+		if (!node.ready(runner.now())) {
+			this.#refuse(res, {
+				result: 'notReady', ran: 'no', retryAfterMs: notReadyRetryMs, detail: 'The entry has no settings yet; use another one.',
+			});
+			return;
+		}
+
+		let request: CallerRequest;
+		try {
+			request = await reader.read(req, res, call);
+		} catch (error) {
+			if (error instanceof RequestError) {
+				this.#refuse(res, error.refusal);
+				return;
+			}
+
+			throw error;
+		}
+
+		const {requestId} = request.info;
+		requests.set(requestId, request);
+		res.on('close', () => {
+			requests.delete(requestId);
+			if (!res.writableFinished) {
+				runner.step({type: 'caller-gone', requestId});
+			}
+		});
+		runner.step({type: 'request', req: request.info});
+	}
+
+	#refuse(res: ServerResponse, refusal: Refusal): void {
+		const {node, region, metrics} = this.#options;
+		metrics.count('refusals', refusal.result);
+		res.setHeader('connection', 'close');
+		sendProblem(res, problem(refusal, {region, revision: node.tree.revision}));
+	}
+}
--- /dev/null
+++ b/src/server/caller-listener.ts
@@ -0,0 +1,75 @@
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {constants} from '../settings/constants.ts';
+import {log} from './log.ts';
+
+type Handler = (req: IncomingMessage, res: ServerResponse, url: URL) => Promise<void> | void;
+/** A route of the HTTP interface: method (`*` for any), path or path prefix ending in `/`. */
+type HttpRoute = {readonly method: string; readonly path: string; readonly handle: Handler};
+
+/** The HTTP server for callers, targets and operators. */
+export class CallerListener {
+	readonly #server: Server;
+	readonly #routes: readonly HttpRoute[];
+	readonly #listen: {readonly host: string; readonly port: number};
+	readonly #log = log('http');
+
+	constructor(options: {listen: {host: string; port: number}; routes: readonly HttpRoute[]}) {
+		this.#listen = options.listen;
+		this.#routes = options.routes;
+		this.#server = createServer({
+			headersTimeout: constants.headersTimeoutMs,
+			requestTimeout: constants.headersTimeoutMs + constants.bodyTimeoutMs,
+			keepAliveTimeout: 5000,
+			noDelay: true,
+		}, (req, res) => {
+			void this.#handle(req, res);
+		});
+		this.#server.maxConnections = constants.maxConnections;
+	}
+
+	async open(): Promise<void> {
+		const {host, port} = this.#listen;
+		return new Promise((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, host, 1024, resolve);
+		});
+	}
+
+	/** Takes no more connections and resolves when the open ones have ended. */
+	async close(): Promise<void> {
+		return new Promise(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+			this.#server.closeIdleConnections();
+		});
+	}
+
+	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		try {
+			const url = new URL(req.url ?? '/', 'http://gateway');
+			const route = this.#routes.find(candidate => matches(candidate, req.method ?? 'GET', url.pathname));
+			if (!route) {
+				res.writeHead(404, {'content-type': 'application/json'}).end('{"error":"no such path"}');
+				return;
+			}
+
+			await route.handle(req, res, url);
+		} catch (error) {
+			this.#log(`handler failed: ${(error as Error).stack ?? String(error)}`);
+			if (res.headersSent) {
+				res.destroy();
+				return;
+			}
+
+			res.writeHead(500).end();
+		}
+	}
+}
+
+function matches(route: HttpRoute, method: string, path: string): boolean {
+	return (route.method === '*' || route.method === method)
+		&& (route.path.endsWith('/') ? path.startsWith(route.path) : path === route.path);
+}
--- /dev/null
+++ b/src/server/operator-api.ts
@@ -0,0 +1,177 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {z} from 'zod';
+import {toId} from '../core/ids/to-id.ts';
+import type {Change} from '../core/tree/change.ts';
+import type {ChangeOutcome} from '../core/tree/change-outcome.ts';
+import type {ResultName} from '../core/results/result-name.ts';
+import {resultCodes} from '../core/results/result-codes.ts';
+import {constants} from '../settings/constants.ts';
+import {bearerKey} from './bearer-key.ts';
+import type {CoreRunner} from './core-runner.ts';
+import type {GatewayNode} from './gateway-node.ts';
+import {problem} from './problem.ts';
+import {parseJson} from './parse-json.ts';
+import {readBody} from './read-body.ts';
+import {sendJson} from './send-json.ts';
+import {sendProblem} from './send-problem.ts';
+import {sha256} from './sha256.ts';
+
+const historyLimit = 100;
+const maxOperations = 50_000;
+
+const changeSchema = z.strictObject({
+	changeId: z.string().min(1).max(200),
+	number: z.number().int().positive(),
+	operations: z.array(z.discriminatedUnion('op', [
+		z.strictObject({op: z.literal('create'), path: z.string()}),
+		z.strictObject({op: z.literal('delete'), path: z.string(), recursive: z.boolean().optional()}),
+		z.strictObject({
+			op: z.literal('set'), path: z.string(), key: z.string(), value: z.unknown(),
+		}),
+		z.strictObject({op: z.literal('unset'), path: z.string(), key: z.string()}),
+	])).min(1).max(maxOperations),
+});
+
+const outcomeResults: Partial<Record<ChangeOutcome['type'], ResultName>> = {
+	'number-taken': 'numberTaken',
+	'id-reused': 'changeIdReused',
+	invalid: 'invalidChange',
+	'no-quorum': 'noQuorum',
+};
+
+type OperatorApiOptions = {
+	readonly node: GatewayNode;
+	readonly region: string;
+	readonly runner: CoreRunner;
+	/** Operator keys, read at each use so that rotation takes effect. */
+	readonly operators: () => ReadonlyArray<{readonly name: string; readonly sha256: string}>;
+};
+
+/** Serves operators: changes of the settings tree, and what the node knows. */
+export class OperatorApi {
+	readonly #options: OperatorApiOptions;
+	readonly #waiting = new Map<string, Array<(outcome: ChangeOutcome) => void>>();
+
+	constructor(options: OperatorApiOptions) {
+		this.#options = options;
+	}
+
+	/** The core decided on a change. */
+	answered(changeId: string, outcome: ChangeOutcome): void {
+		const waiting = this.#waiting.get(changeId) ?? [];
+		this.#waiting.delete(changeId);
+		for (const resolve of waiting) {
+			resolve(outcome);
+		}
+	}
+
+	async change(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const operator = this.#operator(req, res);
+		if (operator === undefined) {
+			return;
+		}
+
+		const body = await readBody(req, constants.maxControlBodyBytes);
+		const parsed = changeSchema.safeParse(parseJson(body.toString('utf8')));
+		if (!parsed.success) {
+			const issue = parsed.error.issues[0]!;
+			this.#refuse(res, 'malformed', `${issue.path.join('.')}: ${issue.message}`);
+			return;
+		}
+
+		const change: Change = {
+			...parsed.data,
+			changeId: toId(parsed.data.changeId),
+			operator,
+			submittedAt: Date.now(),
+		};
+		const outcome = await this.#submit(change);
+		this.#answer(res, outcome);
+	}
+
+	tree(req: IncomingMessage, res: ServerResponse, url: URL): void {
+		if (this.#operator(req, res) === undefined) {
+			return;
+		}
+
+		const {tree} = this.#options.node;
+		const path = url.searchParams.get('path') ?? '';
+		const paths = tree.paths().filter(candidate => path === '' || candidate === path || candidate.startsWith(`${path}/`));
+		if (path !== '' && paths.length === 0) {
+			this.#refuse(res, 'unknownRoute', `There is no tree node ${path}.`);
+			return;
+		}
+
+		const resolved = url.searchParams.get('resolved') === 'true';
+		sendJson(res, {
+			revision: tree.revision,
+			nodes: paths.map(candidate => ({path: candidate, settings: resolved ? tree.resolve(candidate) : tree.own(candidate)})),
+		});
+	}
+
+	history(req: IncomingMessage, res: ServerResponse, url: URL): void {
+		if (this.#operator(req, res) === undefined) {
+			return;
+		}
+
+		const limit = Math.min(historyLimit, Number(url.searchParams.get('limit') ?? historyLimit) || historyLimit);
+		sendJson(res, {revision: this.#options.node.tree.revision, history: this.#options.node.tree.history(limit)});
+	}
+
+	status(req: IncomingMessage, res: ServerResponse): void {
+		if (this.#operator(req, res) === undefined) {
+			return;
+		}
+
+		sendJson(res, this.#options.node.status(this.#options.runner.now()));
+	}
+
+	targets(req: IncomingMessage, res: ServerResponse): void {
+		if (this.#operator(req, res) === undefined) {
+			return;
+		}
+
+		const {node, runner} = this.#options;
+		sendJson(res, {targets: node.targets(runner.now())});
+	}
+
+	async #submit(change: Change): Promise<ChangeOutcome> {
+		return new Promise(resolve => {
+			const waiting = this.#waiting.get(change.changeId) ?? [];
+			waiting.push(resolve);
+			this.#waiting.set(change.changeId, waiting);
+			this.#options.runner.step({type: 'change', change});
+		});
+	}
+
+	#answer(res: ServerResponse, outcome: ChangeOutcome): void {
+		const {node, runner, region} = this.#options;
+		const {regions} = node.status(runner.now());
+		const inForce = regions.map(view => ({region: view.region, reachable: view.reachable, revision: view.revision}));
+		const result = outcomeResults[outcome.type];
+		if (!result) {
+			sendJson(res, {...outcome, inForce});
+			return;
+		}
+
+		const retryAfterMs = outcome.type === 'no-quorum' ? outcome.retryAfterMs : undefined;
+		const document = problem({result, ran: outcome.type === 'no-quorum' ? 'maybe' : 'no', retryAfterMs}, {region, revision: node.tree.revision});
+		sendJson(res, {...document, ...outcome, inForce}, resultCodes[result].status);
+	}
+
+	/** Name of the operator that the key belongs to; answers with a refusal if there is none. */
+	#operator(req: IncomingMessage, res: ServerResponse): string | undefined {
+		const digest = sha256(bearerKey(req));
+		const operator = this.#options.operators().find(candidate => candidate.sha256 === digest);
+		if (!operator) {
+			this.#refuse(res, 'unauthenticated');
+		}
+
+		return operator?.name;
+	}
+
+	#refuse(res: ServerResponse, result: ResultName, detail?: string): void {
+		const {node, region} = this.#options;
+		sendProblem(res, problem({result, ran: 'no', detail}, {region, revision: node.tree.revision}));
+	}
+}
--- /dev/null
+++ b/src/server/peer-link.ts
@@ -0,0 +1,113 @@
+import {createClient, type Client} from '@connectrpc/connect';
+import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {PeerService} from '../gen/peer_pb.ts';
+import type {NodeInfo} from '../core/membership/node-info.ts';
+import type {PeerMessage} from '../core/peer-message.ts';
+import {constants} from '../settings/constants.ts';
+import type {PeerToken} from './peer-token.ts';
+
+type PeerLinkOptions = {
+	readonly self: NodeInfo;
+	readonly peer: {readonly nodeId: string; readonly address: string};
+	readonly token: PeerToken;
+	readonly log: (text: string) => void;
+	/** Called for each frame handed to the connection. */
+	readonly onSent: (messages: number, bytes: number) => void;
+};
+
+/** Keeps one stream of messages open to a peer; messages are dropped, oldest first, while it cannot be reached. */
+export class PeerLink {
+	readonly #options: PeerLinkOptions;
+	#queue: string[] = [];
+	#wake: (() => void) | undefined;
+	#closed = false;
+	#sessions: Http2SessionManager | undefined;
+
+	constructor(options: PeerLinkOptions) {
+		this.#options = options;
+		void this.#run();
+	}
+
+	get address(): string {
+		return this.#options.peer.address;
+	}
+
+	send(message: PeerMessage): void {
+		this.#queue.push(JSON.stringify(message));
+		if (this.#queue.length > constants.maxPeerQueue) {
+			this.#queue.splice(0, this.#queue.length - constants.maxPeerQueue);
+		}
+
+		this.#wake?.();
+	}
+
+	close(): void {
+		this.#closed = true;
+		this.#wake?.();
+		this.#sessions?.abort();
+	}
+
+	async #run(): Promise<void> {
+		while (!this.#closed) {
+			// One connection at a time: the next one is opened when this one has ended.
+			/* eslint-disable no-await-in-loop */
+			try {
+				await this.#connect();
+			} catch (error) {
+				this.#options.log(`link to ${this.#options.peer.nodeId} ended: ${(error as Error).message}`);
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, constants.peerReconnectMs);
+			});
+			/* eslint-enable no-await-in-loop */
+		}
+	}
+
+	async #connect(): Promise<void> {
+		const baseUrl = `http://${this.#options.peer.address}`;
+		this.#sessions = new Http2SessionManager(baseUrl, {
+			pingIntervalMs: constants.peerPingIntervalMs,
+			pingTimeoutMs: constants.peerPingTimeoutMs,
+			pingIdleConnection: true,
+		});
+		const client: Client<typeof PeerService> = createClient(PeerService, createConnectTransport({
+			httpVersion: '2', baseUrl, sessionManager: this.#sessions,
+		}));
+		const {nodeId, incarnation} = this.#options.self;
+		const claim = `${nodeId};${incarnation};${this.#options.peer.nodeId}`;
+		try {
+			await client.link(this.#frames(), {
+				headers: {'lovageferry-peer': claim, 'lovageferry-peer-token': this.#options.token.sign(claim)},
+			});
+		} finally {
+			this.#sessions.abort();
+		}
+	}
+
+	async * #frames() {
+		for (;;) {
+			while (this.#queue.length === 0 && !this.#closed) {
+				await this.#waitForMessage(); // eslint-disable-line no-await-in-loop
+			}
+
+			if (this.#closed) {
+				return;
+			}
+
+			const messages = this.#queue;
+			this.#queue = [];
+			this.#options.onSent(messages.length, messages.reduce((sum, text) => sum + text.length, 0));
+			yield {messages};
+		}
+	}
+
+	async #waitForMessage(): Promise<void> {
+		return new Promise(resolve => {
+			this.#wake = () => {
+				this.#wake = undefined;
+				resolve();
+			};
+		});
+	}
+}
--- /dev/null
+++ b/src/server/peer-links.ts
@@ -0,0 +1,64 @@
+import type {NodeId} from '../core/ids/node-id.ts';
+import type {NodeInfo} from '../core/membership/node-info.ts';
+import type {PeerMessage} from '../core/peer-message.ts';
+import {log} from './log.ts';
+import type {Metrics} from './metrics.ts';
+import {PeerLink} from './peer-link.ts';
+import type {PeerToken} from './peer-token.ts';
+
+type PeerLinksOptions = {
+	readonly self: NodeInfo;
+	readonly token: PeerToken;
+	readonly metrics: Metrics;
+	/** Where a node is reached now; undefined if it is not known. */
+	readonly address: (nodeId: NodeId) => string | undefined;
+};
+
+/** The outgoing links of this process, opened when the first message for a peer comes up. */
+export class PeerLinks {
+	readonly #options: PeerLinksOptions;
+	readonly #links = new Map<NodeId, PeerLink>();
+	readonly #log = log('peers');
+
+	constructor(options: PeerLinksOptions) {
+		this.#options = options;
+	}
+
+	send(to: NodeId, message: PeerMessage): void {
+		const address = this.#options.address(to);
+		if (address === undefined) {
+			return;
+		}
+
+		this.#link(to, address).send(message);
+	}
+
+	close(): void {
+		for (const link of this.#links.values()) {
+			link.close();
+		}
+
+		this.#links.clear();
+	}
+
+	#link(to: NodeId, address: string): PeerLink {
+		const known = this.#links.get(to);
+		if (known?.address === address) {
+			return known;
+		}
+
+		known?.close();
+		const link = new PeerLink({
+			self: this.#options.self,
+			peer: {nodeId: to, address},
+			token: this.#options.token,
+			log: this.#log,
+			onSent: (messages, bytes) => {
+				this.#options.metrics.count('peer_messages', 'sent', messages);
+				this.#options.metrics.count('peer_bytes', 'sent', bytes);
+			},
+		});
+		this.#links.set(to, link);
+		return link;
+	}
+}
--- /dev/null
+++ b/src/server/peer-listener.ts
@@ -0,0 +1,90 @@
+import {createServer, type Http2Server, type ServerHttp2Session} from 'node:http2';
+import {
+	Code, ConnectError, type ConnectRouter, type HandlerContext,
+} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import type {NodeId} from '../core/ids/node-id.ts';
+import {toId} from '../core/ids/to-id.ts';
+import type {PeerMessage} from '../core/peer-message.ts';
+import {PeerService, type Frame} from '../gen/peer_pb.ts';
+import {log} from './log.ts';
+import type {Metrics} from './metrics.ts';
+import type {PeerToken} from './peer-token.ts';
+
+const maxFrameBytes = 67_108_864;
+
+type PeerListenerOptions = {
+	readonly self: {readonly nodeId: NodeId};
+	readonly listen: {readonly host: string; readonly port: number};
+	readonly token: PeerToken;
+	readonly metrics: Metrics;
+	readonly onMessage: (from: NodeId, message: PeerMessage) => void;
+};
+
+/** Takes the links of other processes; only holders of the peer key get through. */
+export class PeerListener {
+	readonly #options: PeerListenerOptions;
+	readonly #server: Http2Server;
+	readonly #sessions = new Set<ServerHttp2Session>();
+	readonly #log = log('peers');
+
+	constructor(options: PeerListenerOptions) {
+		this.#options = options;
+		const routes = (router: ConnectRouter) => {
+			router.service(PeerService, {link: async (frames, context) => this.#link(frames, context)});
+		};
+
+		this.#server = createServer(connectNodeAdapter({routes, readMaxBytes: maxFrameBytes}));
+		this.#server.on('session', session => {
+			this.#sessions.add(session);
+			session.on('close', () => this.#sessions.delete(session));
+			session.on('error', () => undefined);
+		});
+	}
+
+	async open(): Promise<void> {
+		const {host, port} = this.#options.listen;
+		return new Promise((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, host, resolve);
+		});
+	}
+
+	async close(): Promise<void> {
+		for (const session of this.#sessions) {
+			session.destroy();
+		}
+
+		return new Promise(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+		});
+	}
+
+	async #link(frames: AsyncIterable<Frame>, context: HandlerContext) {
+		const from = this.#authenticate(context);
+		for await (const frame of frames) {
+			this.#options.metrics.count('peer_messages', 'received', frame.messages.length);
+			for (const text of frame.messages) {
+				this.#options.metrics.count('peer_bytes', 'received', text.length);
+				this.#options.onMessage(from, JSON.parse(text) as PeerMessage);
+			}
+		}
+
+		return {};
+	}
+
+	#authenticate(context: HandlerContext): NodeId {
+		const claim = context.requestHeader.get('lovageferry-peer') ?? '';
+		const token = context.requestHeader.get('lovageferry-peer-token') ?? '';
+		const [from = '', , to = ''] = claim.split(';');
+		if (from === '' || to !== this.#options.self.nodeId || !this.#options.token.verify(claim, token)) {
+			this.#log(`refused a link that claims to come from "${from}"`);
+			this.#options.metrics.count('refusals', 'peer-unauthenticated');
+			throw new ConnectError('the peer key does not match', Code.Unauthenticated);
+		}
+
+		return toId(from);
+	}
+}
