feat(cli): commands for running, checking and operating

Cause: operators drive the system only through the tree; the commands are its face. Conclusion: a thin CLI, one file a command, exit codes in one place.

--- /dev/null
+++ b/src/commands/entry-client.ts
@@ -0,0 +1,52 @@
+import {request} from 'undici';
+import type {ClientOptions} from './client-options.ts';
+import {CommandError} from './command-error.ts';
+import {exitCodes} from './exit-codes.ts';
+
+const headersTimeoutMs = 15_000;
+
+type Answer = {readonly status: number; readonly body: unknown};
+
+/** Talks to the first entry that answers. */
+export class EntryClient {
+	readonly #options: ClientOptions;
+
+	constructor(options: ClientOptions) {
+		this.#options = options;
+	}
+
+	/** @throws CommandError if no entry answers. */
+	async call(method: 'GET' | 'POST', path: string, body?: unknown): Promise<Answer> {
+		const problems: string[] = [];
+		for (const entry of this.#options.entries) {
+			try {
+				return await this.#callOne(entry, method, path, body); // eslint-disable-line no-await-in-loop
+			} catch (error) {
+				problems.push(`${entry}: ${(error as Error).message}`);
+			}
+		}
+
+		throw new CommandError(`No entry answered: ${problems.join('; ')}. Name another one with --entry.`, exitCodes.unavailable);
+	}
+
+	/** Like `call`, for a path whose refusals end the command. */
+	async get(path: string): Promise<unknown> {
+		const {status, body} = await this.call('GET', path);
+		if (status !== 200) {
+			const {title, detail} = body as {title?: string; detail?: string};
+			throw new CommandError(`${title ?? `Status ${status}`}${detail ? `: ${detail}` : ''}`, exitCodes.failed);
+		}
+
+		return body;
+	}
+
+	async #callOne(entry: string, method: 'GET' | 'POST', path: string, body?: unknown): Promise<Answer> {
+		const res = await request(`http://${entry}${path}`, {
+			method,
+			headers: {authorization: `Bearer ${this.#options.key}`, 'content-type': 'application/json'},
+			body: body === undefined ? undefined : JSON.stringify(body),
+			headersTimeout: headersTimeoutMs,
+		});
+		return {status: res.statusCode, body: await res.body.json()};
+	}
+}
--- /dev/null
+++ b/src/commands/tree-difference.ts
@@ -0,0 +1,63 @@
+import type {TreeOperation} from '../core/tree/tree-operation.ts';
+
+const keyedSettings = new Set(['callerKeys', 'targetKeys', 'models']);
+
+/** Operations that turn the current tree into the wanted one; nodes and settings not wanted are kept unless `prune`. */
+export function treeDifference(
+	current: ReadonlyArray<{path: string; settings: Record<string, unknown>}>,
+	wanted: Readonly<Record<string, Readonly<Record<string, unknown>> | null>>,
+	prune: boolean,
+): TreeOperation[] {
+	const known = new Map(current.map(node => [node.path, flatten(node.settings)]));
+	const operations: TreeOperation[] = [];
+	for (const path of Object.keys(wanted).toSorted(byDepth)) {
+		const own = known.get(path);
+		if (!own) {
+			operations.push({op: 'create', path});
+		}
+
+		operations.push(...settingOperations(path, own ?? new Map<string, unknown>(), flatten(wanted[path] ?? {}), prune));
+	}
+
+	return prune ? [...operations, ...deletions(known.keys(), wanted)] : operations;
+}
+
+function settingOperations(path: string, own: Map<string, unknown>, wanted: Map<string, unknown>, prune: boolean): TreeOperation[] {
+	const sets = [...wanted]
+		.filter(([key, value]) => JSON.stringify(own.get(key)) !== JSON.stringify(value))
+		.map(([key, value]): TreeOperation => ({
+			op: 'set', path, key, value,
+		}));
+	const unsets = [...own.keys()]
+		.filter(key => prune && !wanted.has(key))
+		.map((key): TreeOperation => ({op: 'unset', path, key}));
+	return [...sets, ...unsets];
+}
+
+function deletions(paths: Iterable<string>, wanted: Readonly<Record<string, unknown>>): TreeOperation[] {
+	return [...paths]
+		.filter(path => !(path in wanted))
+		.toSorted((left, right) => byDepth(right, left))
+		.map(path => ({op: 'delete', path}));
+}
+
+/** Keyed settings become one entry for each subkey. */
+function flatten(settings: Readonly<Record<string, unknown>>): Map<string, unknown> {
+	const flat = new Map<string, unknown>();
+	for (const [key, value] of Object.entries(settings)) {
+		if (!keyedSettings.has(key)) {
+			flat.set(key, value);
+			continue;
+		}
+
+		for (const [subkey, subvalue] of Object.entries(value as Record<string, unknown>)) {
+			flat.set(`${key}/${subkey}`, subvalue);
+		}
+	}
+
+	return flat;
+}
+
+function byDepth(left: string, right: string): number {
+	return left.split('/').length - right.split('/').length || (left < right ? -1 : 1);
+}
--- a/src/server/caller-api.ts
+++ b/src/server/caller-api.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {toId} from '../core/ids/to-id.ts';
 import type {RequestId} from '../core/ids/request-id.ts';
+import type {Zone} from '../core/ids/zone.ts';
 import type {Refusal} from '../core/results/refusal.ts';
 import {constants} from '../settings/constants.ts';
 import {bearerKey} from './bearer-key.ts';
@@ -55,7 +56,7 @@
 		const zone = url.searchParams.get('zone');
 		sendJson(res, {
 			ttlMs: constants.entriesTtlMs,
-			entries: node.entries({zone: zone ? toId(zone) : undefined, path: caller?.path}, runner.now()),
+			entries: node.entries({zone: zone ? toId<Zone>(zone) : undefined, path: caller?.path}, runner.now()),
 		});
 	}
 
--- /dev/null
+++ b/src/server/crypto-random.ts
@@ -0,0 +1,14 @@
+import {randomInt} from 'node:crypto';
+import type {Random} from '../core/common/random.ts';
+import {SeededRandom} from '../core/common/seeded-random.ts';
+
+const seedLimit = 4_294_967_296;
+
+/** Randomness of a running process: a fast generator seeded from the system's. */
+export class CryptoRandom implements Random {
+	readonly #generator = new SeededRandom(randomInt(seedLimit));
+
+	next(): number {
+		return this.#generator.next();
+	}
+}
--- /dev/null
+++ b/src/server/daemon.ts
@@ -0,0 +1,230 @@
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Action} from '../core/actions.ts';
+import {GatewayCore} from '../core/gateway-core.ts';
+import type {RequestId} from '../core/ids/request-id.ts';
+import {constants} from '../settings/constants.ts';
+import {loadSettings} from '../settings/load-settings.ts';
+import type {ResolvedSettings} from '../settings/resolved-settings.ts';
+import {CryptoRandom} from './crypto-random.ts';
+import {ActionPerformer} from './action-performer.ts';
+import {AttemptRunner} from './attempt-runner.ts';
+import {CallerApi} from './caller-api.ts';
+import {CallerListener} from './caller-listener.ts';
+import type {CallerRequest} from './caller-request.ts';
+import {CoreRunner} from './core-runner.ts';
+import {DataFolder} from './journal/data-folder.ts';
+import {log} from './log.ts';
+import {Metrics} from './metrics.ts';
+import {OperatorApi} from './operator-api.ts';
+import {OrderSender} from './order-sender.ts';
+import {PeerLinks} from './peer-links.ts';
+import {PeerListener} from './peer-listener.ts';
+import {PeerToken} from './peer-token.ts';
+import {RequestReader} from './request-reader.ts';
+import {sendJson} from './send-json.ts';
+import {TargetApi} from './target-api.ts';
+
+/** One running process of the system: the core with its sockets, files and timers. */
+export class Daemon {
+	#settings: ResolvedSettings;
+	readonly #startedAt: number;
+	readonly #metrics = new Metrics();
+	readonly #requests = new Map<RequestId, CallerRequest>();
+	readonly #log = log('process');
+	readonly #folder: DataFolder | undefined;
+	readonly #core: GatewayCore;
+	readonly #runner: CoreRunner;
+	readonly #links: PeerLinks;
+	readonly #attempts: AttemptRunner;
+	readonly #orders: OrderSender;
+	readonly #operators: OperatorApi;
+	readonly #peers: PeerListener;
+	readonly #callers: CallerListener;
+	readonly #performer: ActionPerformer;
+	#ticker: NodeJS.Timeout | undefined;
+	#drained: (() => void) | undefined;
+
+	private constructor(settings: ResolvedSettings, startedAt: number, folder: DataFolder | undefined) {
+		this.#settings = settings;
+		this.#startedAt = startedAt;
+		this.#folder = folder;
+		const token = new PeerToken(() => this.#settings.keys.peer);
+		const {self} = settings;
+		this.#core = new GatewayCore({
+			self,
+			seeds: settings.seeds,
+			controlMembers: settings.controlMembers,
+			random: new CryptoRandom(),
+			storage: folder && {storageId: folder.storageId, consensus: folder.loads.consensus, ledger: folder.loads.ledger},
+		});
+		this.#runner = new CoreRunner({
+			node: this.#core,
+			perform: action => {
+				this.#perform(action);
+			},
+		});
+		const step = this.#runner.step.bind(this.#runner);
+		this.#links = new PeerLinks({
+			self, token, metrics: this.#metrics, address: nodeId => this.#core.info(nodeId)?.peerAddress,
+		});
+		this.#attempts = new AttemptRunner({self, token, step});
+		this.#orders = new OrderSender({key: () => this.#settings.keys.order, step});
+		const common = {node: this.#core, region: self.region, runner: this.#runner};
+		this.#operators = new OperatorApi({...common, operators: () => this.#settings.keys.operators});
+		this.#peers = new PeerListener({
+			self,
+			listen: settings.listen.peers,
+			token,
+			metrics: this.#metrics,
+			onMessage(from, message) {
+				step({type: 'peer', from, message});
+			},
+		});
+		const reader = new RequestReader({
+			self, token, tree: () => this.#core.tree, now: () => this.#runner.now(),
+		});
+		const callers = new CallerApi({
+			...common, reader, metrics: this.#metrics, requests: this.#requests,
+		});
+		const targets = new TargetApi({...common, metrics: this.#metrics});
+		this.#callers = new CallerListener({listen: settings.listen.callers, routes: this.#routes(callers, targets)});
+		this.#performer = new ActionPerformer({
+			region: self.region,
+			revision: () => this.#core.tree.revision,
+			requests: this.#requests,
+			attempts: this.#attempts,
+			links: this.#links,
+			metrics: this.#metrics,
+			orders: this.#orders,
+			operators: this.#operators,
+			journals: folder?.journals,
+			step,
+			now: () => this.#runner.now(),
+			onDrained: () => {
+				this.#drained?.();
+			},
+		});
+		this.#registerGauges();
+	}
+
+	/**
+	 * Reads the settings, opens the data folder and starts to serve.
+	 *
+	 * @throws SettingsError, or the data folder's error if it is damaged.
+	 */
+	static async start(file: string): Promise<Daemon> {
+		const startedAt = Date.now();
+		const settings = loadSettings(file, startedAt);
+		const folder = settings.dataFolder === undefined ? undefined : await DataFolder.open(settings.dataFolder);
+		const daemon = new Daemon(settings, startedAt, folder);
+		await daemon.#open();
+		return daemon;
+	}
+
+	/** Reads the settings file again: keys take effect at once, anything else needs a restart. */
+	reload(): void {
+		const fresh = loadSettings(this.#settings.file, this.#startedAt);
+		this.#settings = {...this.#settings, keys: fresh.keys};
+		this.#log('the keys were read again');
+	}
+
+	/** Leaves the entries list, finishes every request in flight, then closes everything. */
+	async stop(): Promise<void> {
+		this.#log('draining');
+		const drained = new Promise<void>(resolve => {
+			this.#drained = resolve;
+		});
+		const listed = sleep(constants.drainMinMs);
+		this.#runner.step({type: 'drain'});
+		await Promise.all([drained, listed]);
+		await this.#close();
+		this.#log('stopped');
+	}
+
+	async #open(): Promise<void> {
+		await this.#peers.open();
+		await this.#callers.open();
+		this.#ticker = setInterval(() => {
+			this.#runner.step({type: 'tick'});
+		}, constants.tickMs);
+		const {self, listen} = this.#settings;
+		this.#log(`${self.nodeId} serves callers on ${listen.callers.host}:${listen.callers.port}`);
+	}
+
+	async #close(): Promise<void> {
+		await this.#callers.close();
+		clearInterval(this.#ticker);
+		this.#links.close();
+		await this.#peers.close();
+		await this.#attempts.close();
+		await this.#orders.close();
+		await this.#folder?.close();
+	}
+
+	#perform(action: Action): void {
+		this.#performer.perform(action);
+	}
+
+	#routes(callers: CallerApi, targets: TargetApi): ConstructorParameters<typeof CallerListener>[0]['routes'] {
+		const operators = this.#operators;
+		return [
+			{method: 'POST', path: '/v1/chat/completions', handle: async (req, res) => callers.completion(req, res)},
+			{method: '*', path: '/s/', handle: async (req, res, url) => callers.service(req, res, url)},
+			{
+				method: 'GET', path: '/v1/entries', handle(req, res, url) {
+					callers.entries(req, res, url);
+				},
+			},
+			{method: 'POST', path: '/v1/announcements', handle: async (req, res) => targets.announce(req, res)},
+			{method: 'POST', path: '/v1/members', handle: async (req, res) => operators.members(req, res)},
+			{method: 'POST', path: '/v1/changes', handle: async (req, res) => operators.change(req, res)},
+			{
+				method: 'GET', path: '/v1/tree', handle(req, res, url) {
+					operators.tree(req, res, url);
+				},
+			},
+			{
+				method: 'GET', path: '/v1/history', handle(req, res, url) {
+					operators.history(req, res, url);
+				},
+			},
+			{
+				method: 'GET', path: '/v1/status', handle(req, res) {
+					operators.status(req, res);
+				},
+			},
+			{
+				method: 'GET', path: '/v1/targets', handle(req, res) {
+					operators.targets(req, res);
+				},
+			},
+			{
+				method: 'GET', path: '/metrics', handle: (_req, res) => {
+					res.writeHead(200, {'content-type': 'text/plain; version=0.0.4'}).end(this.#metrics.expose());
+				},
+			},
+			{
+				method: 'GET', path: '/healthz', handle(_req, res) {
+					sendJson(res, {alive: true});
+				},
+			},
+			{
+				method: 'GET', path: '/readyz', handle: (_req, res) => {
+					const ready = this.#core.ready(this.#runner.now());
+					sendJson(res, {ready}, ready ? 200 : 503);
+				},
+			},
+		];
+	}
+
+	#registerGauges(): void {
+		this.#metrics.gauge('requests_in_flight', () => this.#core.inFlight());
+		this.#metrics.gauge('settings_revision', () => this.#core.tree.revision);
+		this.#metrics.gauge('resident_bytes', () => process.memoryUsage.rss());
+		this.#metrics.gauge('cpu_seconds', () => {
+			const {user, system} = process.cpuUsage();
+			return (user + system) / 1_000_000;
+		});
+	}
+}
--- a/src/server/gateway-node.ts
+++ b/src/server/gateway-node.ts
@@ -20,5 +20,7 @@
 	status(now: Millis): NodeStatus;
 	targets(now: Millis): readonly TargetView[];
 	entries(query: {zone?: Zone; path?: string}, now: Millis): readonly EntryListing[];
+	/** Starts a membership change of the settings log if this node leads it; else names the leader's address. */
+	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): {type: 'started'} | {type: 'refused'; leader?: string};
 	info(nodeId: NodeId): NodeInfo | undefined;
 }
--- a/src/server/operator-api.ts
+++ b/src/server/operator-api.ts
@@ -32,6 +32,8 @@
 	])).min(1).max(maxOperations),
 });
 
+const membersSchema = z.strictObject({type: z.enum(['add', 'remove']), node: z.string().min(1)});
+
 const outcomeResults: Partial<Record<ChangeOutcome['type'], ResultName>> = {
 	'number-taken': 'numberTaken',
 	'id-reused': 'changeIdReused',
@@ -135,6 +137,30 @@
 		sendJson(res, {targets: node.targets(runner.now())});
 	}
 
+	/** Adds or removes a member of the settings log; only its leader can. */
+	async members(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		if (this.#operator(req, res) === undefined) {
+			return;
+		}
+
+		const body = await readBody(req, constants.maxControlBodyBytes);
+		const parsed = membersSchema.safeParse(parseJson(body.toString('utf8')));
+		if (!parsed.success) {
+			this.#refuse(res, 'malformed', 'The body needs type (add or remove) and node.');
+			return;
+		}
+
+		const {node, runner, region} = this.#options;
+		const answer = node.changeMembers({type: parsed.data.type, nodeId: toId(parsed.data.node)}, runner.now());
+		if (answer.type === 'started') {
+			sendJson(res, {started: true});
+			return;
+		}
+
+		const document = problem({result: 'invalidMembership', ran: 'no'}, {region, revision: node.tree.revision});
+		sendJson(res, {...document, leader: answer.leader}, document.status);
+	}
+
 	async #submit(change: Change): Promise<ChangeOutcome> {
 		return new Promise(resolve => {
 			const waiting = this.#waiting.get(change.changeId) ?? [];
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -31,6 +31,8 @@
 	connectTimeoutMs: 2000,
 	/** Time to live of the entries list. */
 	entriesTtlMs: 2000,
+	/** Shortest time between leaving the entries list and closing: callers with an older list get an honest refusal. */
+	drainMinMs: 2500,
 	/** How long an operator's request waits for a change to be in force in every reachable region. */
 	inForceWaitMs: 6000,
 } as const;
