--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -27,6 +27,20 @@
 
 /** One running process of the system: the core with its sockets, files and timers. */
 export class Daemon {
+	/**
+	 * Reads the settings, opens the data folder and starts to serve.
+	 *
+	 * @throws SettingsError, or the data folder's error if it is damaged.
+	 */
+	static async start(file: string): Promise<Daemon> {
+		const startedAt = Date.now();
+		const settings = loadSettings(file, startedAt);
+		const folder = settings.dataFolder === undefined ? undefined : await DataFolder.open(settings.dataFolder);
+		const daemon = new Daemon(settings, startedAt, folder);
+		await daemon.#open();
+		return daemon;
+	}
+
 	#settings: ResolvedSettings;
 	readonly #startedAt: number;
 	readonly #metrics = new Metrics();
@@ -108,20 +122,6 @@
 		this.#registerGauges();
 	}
 
-	/**
-	 * Reads the settings, opens the data folder and starts to serve.
-	 *
-	 * @throws SettingsError, or the data folder's error if it is damaged.
-	 */
-	static async start(file: string): Promise<Daemon> {
-		const startedAt = Date.now();
-		const settings = loadSettings(file, startedAt);
-		const folder = settings.dataFolder === undefined ? undefined : await DataFolder.open(settings.dataFolder);
-		const daemon = new Daemon(settings, startedAt, folder);
-		await daemon.#open();
-		return daemon;
-	}
-
 	/** Reads the settings file again: keys take effect at once, anything else needs a restart. */
 	reload(): void {
 		const fresh = loadSettings(this.#settings.file, this.#startedAt);
