test(proofs): add stand-ins for an engine and a plain service

The demo and the proofs need targets that behave like the real ones: a batch that slows down, a bounded prefix cache with late events and gaps, load that lags, resume, cancel, crash on a chosen prompt, orders with or without fencing. Each writes a run log of JSON lines for the checks.

Answers are a function of the prompt alone, so that a caller can check a whole answer to the letter, also after a resume on another engine.

--- /dev/null
+++ b/test/fakes/announcer.ts
@@ -0,0 +1,123 @@
+import {request} from 'undici';
+import type {Announcement} from '../../src/core/targets/announcement.ts';
+import type {Zone} from '../../src/core/ids/zone.ts';
+import type {TargetId} from '../../src/core/ids/target-id.ts';
+import {toId} from '../../src/core/ids/to-id.ts';
+import type {TargetOptions} from './target-options.ts';
+
+const defaultRenewMs = 1000;
+const requestTimeoutMs = 2000;
+const loadSampleMs = 100;
+
+type Details = Omit<Announcement, 'targetId' | 'incarnation' | 'sequence' | 'firm' | 'deployment' | 'service' | 'address' | 'zone' | 'state' | 'capacity' | 'load'>;
+
+type AnnouncerOptions = {
+	readonly target: TargetOptions;
+	/** The rest of the next announcement; called once for each. */
+	readonly details: () => Details;
+	/** The load at this moment. */
+	readonly load: () => {running: number; queued: number};
+};
+
+/** Announces a stand-in target to its entries about once a second, with load figures that lag. */
+export class Announcer {
+	readonly #options: AnnouncerOptions;
+	readonly #incarnation = Date.now();
+	readonly #samples: Array<{at: number; running: number; queued: number}> = [];
+	#sequence = 0;
+	#state: Announcement['state'] = 'serving';
+	#renewMs = defaultRenewMs;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(options: AnnouncerOptions) {
+		this.#options = options;
+	}
+
+	start(): void {
+		setInterval(() => {
+			this.#sample();
+		}, loadSampleMs).unref();
+		this.#run();
+	}
+
+	/** Announces "leaving" at once and from then on. */
+	leave(): void {
+		this.#state = 'leaving';
+		this.#announce();
+	}
+
+	stop(): void {
+		clearTimeout(this.#timer);
+	}
+
+	#run(): void {
+		this.#announce();
+		this.#timer = setTimeout(() => {
+			this.#run();
+		}, this.#renewMs);
+	}
+
+	#announce(): void {
+		const announcement = this.#next();
+		void this.#sendToAll(announcement);
+		const {replayAnnouncementsMs} = this.#options.target;
+		if (replayAnnouncementsMs > 0) {
+			setTimeout(() => {
+				void this.#sendToAll(announcement);
+			}, replayAnnouncementsMs).unref();
+		}
+	}
+
+	#next(): Announcement {
+		const {target, details} = this.#options;
+		this.#sequence += 1;
+		return {
+			targetId: toId<TargetId>(target.id),
+			incarnation: this.#incarnation,
+			sequence: this.#sequence,
+			firm: target.firm,
+			deployment: target.deployment,
+			service: target.service,
+			address: `127.0.0.1:${target.port}`,
+			zone: toId<Zone>(target.zone),
+			state: this.#state,
+			capacity: target.capacity,
+			load: this.#laggingLoad(),
+			...details(),
+		};
+	}
+
+	#sample(): void {
+		const {load, target} = this.#options;
+		const now = Date.now();
+		this.#samples.push({at: now, ...load()});
+		while (this.#samples.length > 1 && this.#samples[1]!.at <= now - target.loadLagMs) {
+			this.#samples.shift();
+		}
+	}
+
+	#laggingLoad(): Announcement['load'] {
+		const sample = this.#samples[0] ?? {at: Date.now(), running: 0, queued: 0};
+		return {running: sample.running, queued: sample.queued, ageMs: Date.now() - sample.at};
+	}
+
+	async #sendToAll(announcement: Announcement): Promise<void> {
+		await Promise.all(this.#options.target.announceTo.map(async address => this.#send(address, announcement)));
+	}
+
+	async #send(address: string, announcement: Announcement): Promise<void> {
+		try {
+			const response = await request(`http://${address}/v1/announcements`, {
+				method: 'POST',
+				headers: {'content-type': 'application/json', authorization: `Bearer ${this.#options.target.key}`},
+				body: JSON.stringify(announcement),
+				headersTimeout: requestTimeoutMs,
+				bodyTimeout: requestTimeoutMs,
+			});
+			const reply = await response.body.json() as {renewMs?: number};
+			this.#renewMs = reply.renewMs ?? this.#renewMs;
+		} catch {
+			// The next announcement tries again.
+		}
+	}
+}
--- /dev/null
+++ b/test/fakes/engine-handler.ts
@@ -0,0 +1,157 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import process from 'node:process';
+import type {BatchScheduler} from './batch-scheduler.ts';
+import type {CompletionRequest} from './completion-request.ts';
+import type {Order} from './order.ts';
+import type {OrderBook} from './order-book.ts';
+import type {PrefixCache} from './prefix-cache.ts';
+import {prefixDigests} from './prefix-digests.ts';
+import {promptDigest} from './prompt-digest.ts';
+import {promptOf} from './prompt-of.ts';
+import type {RunLog} from './run-log.ts';
+import {Sequence} from './sequence.ts';
+
+const charactersPerToken = 4;
+const tokensPerBlock = 64;
+const defaultMaxTokens = 64;
+/** Tokens after which a crash prompt ends the process. */
+const crashAfterTokens = 2;
+
+type EngineHandlerOptions = {
+	readonly scheduler: BatchScheduler;
+	readonly cache: PrefixCache;
+	readonly orders: OrderBook;
+	readonly log: RunLog;
+	readonly crashOn?: string;
+	readonly prefillMsPerToken: number;
+	/** Answers end without an end marker after this many tokens; 0 for never. */
+	readonly truncateAfter: number;
+};
+
+/** Answers the HTTP requests of a stand-in engine. */
+export class EngineHandler {
+	readonly #options: EngineHandlerOptions;
+
+	constructor(options: EngineHandlerOptions) {
+		this.#options = options;
+	}
+
+	handle(req: IncomingMessage, res: ServerResponse, body: string): void {
+		if (req.url === '/v1/orders') {
+			this.#order(req, res, body);
+			return;
+		}
+
+		if (req.method !== 'POST' || req.url !== '/v1/chat/completions') {
+			res.writeHead(404).end();
+			return;
+		}
+
+		this.#complete(req, res, JSON.parse(body) as CompletionRequest);
+	}
+
+	#order(req: IncomingMessage, res: ServerResponse, body: string): void {
+		const {orders, log} = this.#options;
+		const status = orders.take(JSON.parse(body) as Order, req.headers.authorization);
+		log.write({event: status === 202 ? 'order' : 'order-refused', detail: body});
+		res.writeHead(status).end();
+	}
+
+	#complete(req: IncomingMessage, res: ServerResponse, body: CompletionRequest): void {
+		const prompt = promptOf(body);
+		const digest = promptDigest(prompt);
+		const run = {
+			attempt: String(req.headers['lovageferry-attempt'] ?? ''),
+			key: req.headers['idempotency-key']?.toString(),
+			digest,
+			resumed: body.continue_final_message,
+		};
+		const {scheduler, log} = this.#options;
+		const pieces: string[] = [];
+		const sequence = new Sequence({
+			digest,
+			priority: body.priority ?? 0,
+			prefillMs: this.#prefillMs(prompt),
+			given: body.continue_final_message ? body.messages.at(-1)!.content : '',
+			maxTokens: body.max_tokens ?? defaultMaxTokens,
+			onStart() {
+				log.write({event: 'start', ...run});
+			},
+			onToken: text => {
+				this.#crashIfAsked(prompt, pieces.length, run);
+				pieces.push(text);
+				this.#writeToken(res, body, text);
+				this.#truncateIfAsked(res, pieces.length);
+			},
+			onEnd: () => {
+				log.write({event: 'whole', ...run});
+				this.#writeEnd(res, body, pieces);
+			},
+		});
+		res.on('close', () => {
+			if (!res.writableFinished) {
+				scheduler.cancel(sequence);
+				log.write({event: 'cancel', ...run});
+			}
+		});
+		scheduler.add(sequence);
+	}
+
+	#prefillMs(prompt: string): number {
+		const {cache, prefillMsPerToken} = this.#options;
+		const cachedTokens = cache.use(prefixDigests(prompt)) * tokensPerBlock;
+		const tokens = Math.ceil(prompt.length / charactersPerToken);
+		return Math.max(0, tokens - cachedTokens) * prefillMsPerToken;
+	}
+
+	#crashIfAsked(prompt: string, produced: number, run: {attempt: string; digest: string}): void {
+		const {crashOn, log} = this.#options;
+		if (crashOn !== undefined && produced >= crashAfterTokens && prompt.includes(crashOn)) {
+			log.write({event: 'crash', ...run});
+			process.kill(process.pid, 'SIGKILL');
+		}
+	}
+
+	#truncateIfAsked(res: ServerResponse, produced: number): void {
+		const {truncateAfter} = this.#options;
+		if (truncateAfter > 0 && produced >= truncateAfter && res.headersSent && !res.writableEnded) {
+			res.end();
+		}
+	}
+
+	#writeToken(res: ServerResponse, body: CompletionRequest, text: string): void {
+		if (!body.stream || res.writableEnded) {
+			return;
+		}
+
+		if (!res.headersSent) {
+			res.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-cache'});
+		}
+
+		res.write(this.#chunk(body, {content: text}, null));
+	}
+
+	#writeEnd(res: ServerResponse, body: CompletionRequest, pieces: readonly string[]): void {
+		if (res.writableEnded) {
+			return;
+		}
+
+		if (body.stream) {
+			res.end(this.#chunk(body, {}, 'stop') + 'data: [DONE]\n\n');
+			return;
+		}
+
+		res.writeHead(200, {'content-type': 'application/json'});
+		res.end(JSON.stringify({
+			object: 'chat.completion',
+			model: body.model,
+			choices: [{index: 0, message: {role: 'assistant', content: pieces.join('')}, finish_reason: 'stop'}],
+			usage: {completion_tokens: pieces.length},
+		}));
+	}
+
+	#chunk(body: CompletionRequest, delta: {content?: string}, finishReason: string | null): string {
+		const choices = [{index: 0, delta, finish_reason: finishReason}];
+		return `data: ${JSON.stringify({object: 'chat.completion.chunk', model: body.model, choices})}\n\n`;
+	}
+}
--- /dev/null
+++ b/test/fakes/target-server.ts
@@ -0,0 +1,76 @@
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import process from 'node:process';
+import type {Announcer} from './announcer.ts';
+import type {RunLog} from './run-log.ts';
+import type {TargetOptions} from './target-options.ts';
+
+type TargetServerOptions = {
+	readonly target: TargetOptions;
+	readonly announcer: Announcer;
+	readonly log: RunLog;
+	readonly handle: (req: IncomingMessage, res: ServerResponse, body: string) => void;
+};
+
+const drainPollMs = 50;
+
+/** HTTP side of a stand-in target, with its graceful leave on SIGTERM. */
+export class TargetServer {
+	readonly #options: TargetServerOptions;
+	readonly #server: Server;
+	#open = 0;
+
+	constructor(options: TargetServerOptions) {
+		this.#options = options;
+		this.#server = createServer((req, res) => {
+			void this.#receive(req, res);
+		});
+	}
+
+	start(): void {
+		const {target, announcer, log} = this.#options;
+		this.#server.listen(target.port, '127.0.0.1', () => {
+			log.write({event: 'up'});
+			announcer.start();
+		});
+		process.on('SIGTERM', () => {
+			this.#leave();
+		});
+	}
+
+	async #receive(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		this.#open += 1;
+		res.on('close', () => {
+			this.#open -= 1;
+		});
+		try {
+			const chunks: Buffer[] = [];
+			for await (const chunk of req) {
+				chunks.push(chunk as Buffer);
+			}
+
+			this.#options.handle(req, res, Buffer.concat(chunks).toString());
+		} catch {
+			res.destroy();
+		}
+	}
+
+	#leave(): void {
+		const {target, announcer, log} = this.#options;
+		const earliest = Date.now() + target.leaveMs;
+		log.write({event: 'leaving'});
+		announcer.leave();
+		const timer = setInterval(() => {
+			if (this.#open > 0 || Date.now() < earliest) {
+				return;
+			}
+
+			clearInterval(timer);
+			announcer.stop();
+			this.#server.close();
+			this.#server.closeAllConnections();
+		}, drainPollMs);
+	}
+}
