test(proofs): add the fault proxy and the launcher

One TCP proxy for each link holds, delays, limits, half-opens or resets connections; the launcher writes settings files, starts an installation's processes from bundles (a start through tsx costs more than the process), and ends only what it started. Ports come from guarded blocks below the range of outgoing connections, since a port that is free now may be taken by one.

The launcher itself has not run yet: the process does not exist.

--- a/test/fakes/announcer.ts
+++ b/test/fakes/announcer.ts
@@ -78,7 +78,7 @@
 			firm: target.firm,
 			deployment: target.deployment,
 			service: target.service,
-			address: `127.0.0.1:${target.port}`,
+			address: target.address,
 			zone: toId<Zone>(target.zone),
 			state: this.#state,
 			capacity: target.capacity,
--- a/test/fakes/engine-handler.ts
+++ b/test/fakes/engine-handler.ts
@@ -1,18 +1,18 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import process from 'node:process';
+import {constants} from '../../src/settings/constants.ts';
+import {prefixBlocks} from '../../src/server/prefix-blocks.ts';
 import type {BatchScheduler} from './batch-scheduler.ts';
 import type {CompletionRequest} from './completion-request.ts';
 import type {Order} from './order.ts';
 import type {OrderBook} from './order-book.ts';
 import type {PrefixCache} from './prefix-cache.ts';
-import {prefixDigests} from './prefix-digests.ts';
 import {promptDigest} from './prompt-digest.ts';
 import {promptOf} from './prompt-of.ts';
 import type {RunLog} from './run-log.ts';
 import {Sequence} from './sequence.ts';
 
-const charactersPerToken = 4;
-const tokensPerBlock = 64;
+const tokensPerBlock = constants.prefixBlockCharacters / constants.charactersPerToken;
 const defaultMaxTokens = 64;
 /** Tokens after which a crash prompt ends the process. */
 const crashAfterTokens = 2;
@@ -74,9 +74,6 @@
 			prefillMs: this.#prefillMs(prompt),
 			given: body.continue_final_message ? body.messages.at(-1)!.content : '',
 			maxTokens: body.max_tokens ?? defaultMaxTokens,
-			onStart() {
-				log.write({event: 'start', ...run});
-			},
 			onToken: text => {
 				this.#crashIfAsked(prompt, pieces.length, run);
 				pieces.push(text);
@@ -94,13 +91,14 @@
 				log.write({event: 'cancel', ...run});
 			}
 		});
+		log.write({event: 'start', ...run});
 		scheduler.add(sequence);
 	}
 
 	#prefillMs(prompt: string): number {
 		const {cache, prefillMsPerToken} = this.#options;
-		const cachedTokens = cache.use(prefixDigests(prompt)) * tokensPerBlock;
-		const tokens = Math.ceil(prompt.length / charactersPerToken);
+		const cachedTokens = cache.use(prefixBlocks(prompt)) * tokensPerBlock;
+		const tokens = Math.ceil(prompt.length / constants.charactersPerToken);
 		return Math.max(0, tokens - cachedTokens) * prefillMsPerToken;
 	}
 
--- a/test/fakes/parse-target-options.ts
+++ b/test/fakes/parse-target-options.ts
@@ -2,6 +2,7 @@
 import type {TargetOptions} from './target-options.ts';
 
 const optionNames = [
+	'address',
 	'port',
 	'id',
 	'region',
@@ -39,6 +40,7 @@
 	const zone = required('zone');
 	const common: TargetOptions = {
 		port: Number(required('port')),
+		address: values.address ?? `127.0.0.1:${required('port')}`,
 		id: required('id'),
 		region: values.region ?? zone.slice(0, zone.lastIndexOf('-')),
 		zone,
--- a/test/fakes/sequence.ts
+++ b/test/fakes/sequence.ts
@@ -9,7 +9,6 @@
 	readonly given: string;
 	/** Tokens still to produce. */
 	readonly maxTokens: number;
-	readonly onStart: () => void;
 	readonly onToken: (text: string, index: number) => void;
 	readonly onEnd: () => void;
 };
@@ -35,7 +34,6 @@
 
 	begin(now: number): void {
 		this.readyAt = now + this.#options.prefillMs;
-		this.#options.onStart();
 	}
 
 	/** Produces one token; true once the answer is whole. */
--- a/test/fakes/target-options.ts
+++ b/test/fakes/target-options.ts
@@ -1,6 +1,8 @@
 /** What every stand-in target is started with. */
 export type TargetOptions = {
 	readonly port: number;
+	/** Address that it announces. */
+	readonly address: string;
 	readonly id: string;
 	readonly region: string;
 	readonly zone: string;
--- /dev/null
+++ b/test/harness/fault-proxy.test.ts
@@ -0,0 +1,82 @@
+import {once} from 'node:events';
+import {
+	connect, createServer, type AddressInfo, type Socket,
+} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import test from 'ava';
+import {FaultProxy} from './fault-proxy.ts';
+import {PortBlock} from './port-block.ts';
+
+async function makeLink() {
+	const server = createServer(socket => {
+		socket.on('error', () => socket.destroy());
+		socket.pipe(socket);
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const ports = await PortBlock.take();
+	const port = ports.next();
+	const proxy = new FaultProxy(port, (server.address() as AddressInfo).port);
+	await proxy.listen();
+	const client = connect(port, '127.0.0.1');
+	await once(client, 'connect');
+	return {
+		proxy, client, received: collect(client), end() {
+			client.destroy();
+			proxy.close();
+			server.close();
+			ports.release();
+		},
+	};
+}
+
+function collect(socket: Socket) {
+	let text = '';
+	socket.on('data', chunk => {
+		text += String(chunk);
+	});
+	return () => text;
+}
+
+test('a cut holds bytes in one direction until it heals', async t => {
+	const link = await makeLink();
+	link.proxy.cut('backward');
+	link.client.write('a');
+	await delay(200);
+	t.is(link.received(), '');
+	link.proxy.heal();
+	await once(link.client, 'data');
+	t.is(link.received(), 'a');
+	link.end();
+});
+
+test('a bandwidth limit and a delay keep the order of bytes', async t => {
+	const link = await makeLink();
+	link.proxy.limit(10_000);
+	link.proxy.delay(20);
+	const text = Array.from({length: 2000}, (_, index) => String(index % 10)).join('');
+	const before = Date.now();
+	link.client.write(text);
+	while (link.received().length < text.length) {
+		await delay(20); // eslint-disable-line no-await-in-loop
+	}
+
+	t.is(link.received(), text);
+	t.true(Date.now() - before >= 200);
+	link.end();
+});
+
+test('a reset breaks open connections and a half-open one stays silent', async t => {
+	const link = await makeLink();
+	link.proxy.halfOpen();
+	link.client.write('a');
+	await delay(200);
+	t.is(link.received(), '');
+	t.false(link.client.destroyed);
+	const closed = new Promise<Error>(resolve => {
+		link.client.once('error', resolve);
+	});
+	link.proxy.reset();
+	const error = await closed;
+	t.true(error.message.includes('ECONNRESET'));
+	link.end();
+});
--- /dev/null
+++ b/test/harness/fault-proxy.ts
@@ -0,0 +1,103 @@
+import {
+	connect, createServer, type Server, type Socket,
+} from 'node:net';
+import {FaultyPipe} from './faulty-pipe.ts';
+import type {LinkFault} from './link-fault.ts';
+
+type Direction = 'forward' | 'backward' | 'both';
+type Connection = {client: Socket; server: Socket; pipes: readonly FaultyPipe[]};
+
+/** TCP proxy for one link; faults apply to open and to new connections alike. */
+export class FaultProxy {
+	readonly #forward: LinkFault = {blocked: false, delayMs: 0, bytesPerSecond: Infinity};
+	readonly #backward: LinkFault = {blocked: false, delayMs: 0, bytesPerSecond: Infinity};
+	readonly #connections = new Set<Connection>();
+	readonly #server: Server;
+	readonly #port: number;
+	readonly #baseDelayMs: number;
+
+	/** Listens on `port` and passes everything to `targetPort`, both on loopback, each way after a delay. */
+	constructor(port: number, targetPort: number, baseDelayMs = 0) {
+		this.#baseDelayMs = baseDelayMs;
+		this.#apply('both', {delayMs: baseDelayMs});
+		this.#port = port;
+		this.#server = createServer({allowHalfOpen: true}, client => {
+			this.#accept(client, targetPort);
+		});
+	}
+
+	async listen(): Promise<void> {
+		return new Promise((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(this.#port, '127.0.0.1', resolve);
+		});
+	}
+
+	/** Lets nothing through in a direction; connections stay open. */
+	cut(direction: Direction = 'both'): void {
+		this.#apply(direction, {blocked: true});
+	}
+
+	delay(delayMs: number, direction: Direction = 'both'): void {
+		this.#apply(direction, {delayMs});
+	}
+
+	limit(bytesPerSecond: number, direction: Direction = 'both'): void {
+		this.#apply(direction, {bytesPerSecond});
+	}
+
+	/** Ends every fault; what waited passes. */
+	heal(): void {
+		this.#apply('both', {blocked: false, delayMs: this.#baseDelayMs, bytesPerSecond: Infinity});
+	}
+
+	/** Drops the server's side of open connections; the client's side hears nothing of it. */
+	halfOpen(): void {
+		for (const {server} of this.#connections) {
+			server.removeAllListeners('close');
+			server.removeAllListeners('end');
+			server.destroy();
+		}
+	}
+
+	/** Resets every open connection on both sides. */
+	reset(): void {
+		for (const {client, server} of this.#connections) {
+			client.resetAndDestroy();
+			server.resetAndDestroy();
+		}
+	}
+
+	close(): void {
+		this.#server.close();
+		for (const {client, server} of this.#connections) {
+			client.destroy();
+			server.destroy();
+		}
+	}
+
+	#accept(client: Socket, targetPort: number): void {
+		const server = connect({port: targetPort, host: '127.0.0.1', allowHalfOpen: true});
+		const connection: Connection = {
+			client, server, pipes: [new FaultyPipe(client, server, this.#forward), new FaultyPipe(server, client, this.#backward)],
+		};
+		this.#connections.add(connection);
+		client.on('close', () => {
+			this.#connections.delete(connection);
+		});
+	}
+
+	#apply(direction: Direction, change: Partial<LinkFault>): void {
+		if (direction !== 'backward') {
+			Object.assign(this.#forward, change);
+		}
+
+		if (direction !== 'forward') {
+			Object.assign(this.#backward, change);
+		}
+
+		for (const pipe of [...this.#connections].flatMap(({pipes}) => pipes)) {
+			pipe.flush();
+		}
+	}
+}
--- /dev/null
+++ b/test/harness/faulty-pipe.ts
@@ -0,0 +1,79 @@
+import type {Buffer} from 'node:buffer';
+import type {Socket} from 'node:net';
+import type {LinkFault} from './link-fault.ts';
+
+const maxQueuedBytes = 262_144;
+const millisecondsPerSecond = 1000;
+
+/** Copies one direction of a connection under a fault that may change at any time. */
+export class FaultyPipe {
+	readonly #source: Socket;
+	readonly #sink: Socket;
+	readonly #fault: LinkFault;
+	readonly #queue: Array<{due: number; chunk: Buffer | 'end' | 'close'}> = [];
+	#queuedBytes = 0;
+	/** Time at which the link is free again under its bandwidth limit. */
+	#freeAt = 0;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(source: Socket, sink: Socket, fault: LinkFault) {
+		this.#source = source;
+		this.#sink = sink;
+		this.#fault = fault;
+		source.on('data', (chunk: Buffer) => {
+			this.#push(chunk, chunk.length);
+		});
+		source.on('end', () => {
+			this.#push('end', 0);
+		});
+		source.on('close', () => {
+			this.#push('close', 0);
+		});
+		source.on('error', () => {
+			// The close that follows is passed on.
+		});
+	}
+
+	/** Passes on what is due; called again after a change of the fault. */
+	flush(): void {
+		clearTimeout(this.#timer);
+		const now = Date.now();
+		while (!this.#fault.blocked && this.#queue.length > 0 && this.#queue[0]!.due <= now) {
+			this.#deliver(this.#queue.shift()!.chunk);
+		}
+
+		if (this.#queuedBytes < maxQueuedBytes) {
+			this.#source.resume();
+		}
+
+		const next = this.#queue[0];
+		if (next && !this.#fault.blocked) {
+			this.#timer = setTimeout(() => {
+				this.flush();
+			}, next.due - now);
+		}
+	}
+
+	#push(chunk: Buffer | 'end' | 'close', length: number): void {
+		const {delayMs, bytesPerSecond} = this.#fault;
+		this.#freeAt = Math.max(this.#freeAt, Date.now()) + (length * millisecondsPerSecond / bytesPerSecond);
+		this.#queue.push({due: Math.floor(this.#freeAt) + delayMs, chunk});
+		this.#queuedBytes += length;
+		if (this.#queuedBytes >= maxQueuedBytes) {
+			this.#source.pause();
+		}
+
+		this.flush();
+	}
+
+	#deliver(chunk: Buffer | 'end' | 'close'): void {
+		if (chunk === 'end') {
+			this.#sink.end();
+		} else if (chunk === 'close') {
+			this.#sink.destroy();
+		} else {
+			this.#queuedBytes -= chunk.length;
+			this.#sink.write(chunk);
+		}
+	}
+}
--- /dev/null
+++ b/test/harness/launcher.ts
@@ -0,0 +1,214 @@
+import {
+	mkdirSync, mkdtempSync, readFileSync, rmSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
+import {request} from 'undici';
+import type {RunLogLine} from '../fakes/run-log-line.ts';
+import {bundle} from './bundle.ts';
+import type {InstallationSpec} from './installation-spec.ts';
+import {Links} from './links.ts';
+import {ManagedProcess} from './managed-process.ts';
+import type {NodeSpec} from './node-spec.ts';
+import {PortBlock} from './port-block.ts';
+import type {TargetSpec} from './target-spec.ts';
+import {writeNodeSettings} from './write-node-settings.ts';
+
+type Ports = {readonly callers: number; readonly peers: number};
+
+const readyTimeoutMs = 30_000;
+const pollMs = 100;
+const operatorKey = 'test-operator-key';
+const requestTimeoutMs = 5000;
+
+/** Starts, watches and ends the processes of one installation; no other process is touched. */
+export class Launcher {
+	/** Starts nothing yet: ports, proxies and settings files are made. */
+	static async create(spec: InstallationSpec): Promise<Launcher> {
+		const ports = await PortBlock.take();
+		const launcher = new Launcher(spec, ports);
+		await launcher.#prepare();
+		return launcher;
+	}
+
+	/** Folder of settings, data, logs and run logs. */
+	readonly folder: string;
+	readonly links: Links;
+	readonly processes = new Map<string, ManagedProcess>();
+	readonly #ports: PortBlock;
+	readonly #nodePorts = new Map<string, Ports>();
+
+	private constructor(readonly spec: InstallationSpec, ports: PortBlock) {
+		this.#ports = ports;
+		this.folder = mkdtempSync(path.join(tmpdir(), 'lovageferry-'));
+		this.links = new Links(ports);
+	}
+
+	/** Starts every process, waits until all nodes are ready and puts the first settings in force. */
+	async start(): Promise<void> {
+		for (const managed of this.processes.values()) {
+			managed.start();
+		}
+
+		await Promise.all(this.spec.nodes.map(async ({node}) => this.#answers(node, '/healthz')));
+		await this.#firstChange();
+		await Promise.all(this.spec.nodes.map(async ({node}) => this.ready(node)));
+	}
+
+	/** Address at which callers and operators reach a node, without a proxy. */
+	origin(node: string): string {
+		return `http://127.0.0.1:${this.#nodePorts.get(node)!.callers}`;
+	}
+
+	async ready(node: string): Promise<void> {
+		await this.#answers(node, '/readyz');
+	}
+
+	/** Reads a JSON page of a node; undefined if it does not answer. */
+	async get(node: string, page: string): Promise<unknown> {
+		try {
+			const headers = {authorization: `Bearer ${operatorKey}`};
+			const response = await request(this.origin(node) + page, {headers, headersTimeout: requestTimeoutMs, bodyTimeout: requestTimeoutMs});
+			const text = await response.body.text();
+			return response.statusCode === 200 ? (text.startsWith('{') || text.startsWith('[') ? JSON.parse(text) : text) : undefined;
+		} catch {
+			return undefined;
+		}
+	}
+
+	/** Submits a change of the settings tree at a node; returns status and outcome. */
+	async change(node: string, change: Record<string, unknown>, timeoutMs = 20_000): Promise<{status: number; body: Record<string, unknown>}> {
+		const response = await request(`${this.origin(node)}/v1/changes`, {
+			method: 'POST',
+			headers: {'content-type': 'application/json', authorization: `Bearer ${operatorKey}`},
+			body: JSON.stringify({operator: 'tester', submittedAt: Date.now(), ...change}),
+			headersTimeout: timeoutMs,
+			bodyTimeout: timeoutMs,
+		});
+		return {status: response.statusCode, body: await response.body.json() as Record<string, unknown>};
+	}
+
+	/** All lines of all targets' run logs, oldest first. */
+	runLog(): RunLogLine[] {
+		const lines = this.spec.targets.flatMap(({id}) => {
+			try {
+				return readFileSync(this.#runLogFile(id), 'utf8').split('\n').filter(Boolean).map(line => JSON.parse(line) as RunLogLine);
+			} catch {
+				return [];
+			}
+		});
+		return lines.sort((a, b) => a.at - b.at);
+	}
+
+	dataFolder(node: string): string {
+		return path.join(this.folder, node, 'data');
+	}
+
+	/** Ends every process and frees the ports; the folder is kept if asked. */
+	async dispose(options: {keepFolder: boolean}): Promise<void> {
+		await Promise.all([...this.processes.values()].map(async managed => managed.end('SIGKILL')));
+		this.links.close();
+		this.#ports.release();
+		if (!options.keepFolder) {
+			rmSync(this.folder, {recursive: true, force: true, maxRetries: 3});
+		}
+	}
+
+	async #prepare(): Promise<void> {
+		for (const {node} of this.spec.nodes) {
+			this.#nodePorts.set(node, {callers: this.#ports.next(), peers: this.#ports.next()});
+		}
+
+		mkdirSync(path.join(this.folder, 'runs'));
+		const bundles = {cli: await bundle('src/cli.ts'), engine: await bundle('test/fakes/engine.ts'), service: await bundle('test/fakes/service.ts')};
+		await Promise.all(this.spec.nodes.map(async node => this.#addNode(node, bundles.cli)));
+		await Promise.all(this.spec.targets.map(async target => this.#addTarget(target, bundles[target.kind])));
+	}
+
+	async #addNode(node: NodeSpec, program: string): Promise<void> {
+		const others = new Map<string, Ports>();
+		for (const other of this.spec.nodes.filter(candidate => candidate !== node)) {
+			others.set(other.node, await this.#reach(node, other)); // eslint-disable-line no-await-in-loop
+		}
+
+		const file = writeNodeSettings({
+			spec: this.spec, node, folder: path.join(this.folder, node.node), operatorKey, own: this.#nodePorts.get(node.node)!, others,
+		});
+		this.processes.set(node.node, new ManagedProcess([program, 'run', file], path.join(this.folder, `${node.node}.log`)));
+	}
+
+	/** Ports at which one node reaches another. */
+	async #reach(from: NodeSpec, to: NodeSpec): Promise<Ports> {
+		const ports = this.#nodePorts.get(to.node)!;
+		if (!this.spec.proxies) {
+			return ports;
+		}
+
+		const delayMs = from.region === to.region ? 0 : this.spec.regionDelayMs;
+		return {
+			callers: await this.links.add(from.node, to.node, ports.callers, delayMs),
+			peers: await this.links.add(from.node, to.node, ports.peers, delayMs),
+		};
+	}
+
+	async #addTarget(target: TargetSpec, program: string): Promise<void> {
+		const port = this.#ports.next();
+		const entries = this.spec.nodes.filter(node => node.region === target.region && node.roles.includes('entry'));
+		const announceTo: string[] = [];
+		for (const {node} of entries) {
+			const direct = this.#nodePorts.get(node)!.callers;
+			announceTo.push(`127.0.0.1:${this.spec.proxies ? await this.links.add(target.id, node, direct) : direct}`); // eslint-disable-line no-await-in-loop
+		}
+
+		const reachedAt = this.spec.proxies ? await this.links.add('entries', target.id, port) : port;
+		const options: Record<string, string | number> = {
+			port,
+			address: `127.0.0.1:${reachedAt}`,
+			id: target.id,
+			region: target.region,
+			zone: target.zone,
+			firm: this.spec.firm,
+			deployment: this.spec.deployment,
+			service: target.service,
+			'announce-to': announceTo.join(','),
+			key: this.spec.targetKey,
+			'run-log': this.#runLogFile(target.id),
+			...target.options,
+		};
+		const args = Object.entries(options).flatMap(([name, value]) => [`--${name}`, String(value)]);
+		this.processes.set(target.id, new ManagedProcess([program, ...args], path.join(this.folder, `${target.id}.log`)));
+	}
+
+	#runLogFile(target: string): string {
+		return path.join(this.folder, 'runs', `${target}.jsonl`);
+	}
+
+	async #answers(node: string, page: string): Promise<void> {
+		const end = Date.now() + readyTimeoutMs;
+		while (Date.now() < end) {
+			if (await this.get(node, page) !== undefined) { // eslint-disable-line no-await-in-loop
+				return;
+			}
+
+			await delay(pollMs); // eslint-disable-line no-await-in-loop
+		}
+
+		throw new Error(`${node} does not answer ${page} within ${readyTimeoutMs} ms`);
+	}
+
+	async #firstChange(): Promise<void> {
+		const end = Date.now() + readyTimeoutMs;
+		let last: unknown;
+		while (Date.now() < end) {
+			last = await this.change(this.spec.nodes[0]!.node, {changeId: 'initial', number: 1, operations: this.spec.operations}); // eslint-disable-line no-await-in-loop
+			if ((last as {body: {type?: string}}).body.type === 'accepted') {
+				return;
+			}
+
+			await delay(pollMs); // eslint-disable-line no-await-in-loop
+		}
+
+		throw new Error(`the first change was not accepted: ${JSON.stringify(last)}`);
+	}
+}
--- /dev/null
+++ b/test/harness/links.ts
@@ -0,0 +1,38 @@
+import {FaultProxy} from './fault-proxy.ts';
+import type {PortBlock} from './port-block.ts';
+
+type Link = {readonly from: string; readonly to: string; readonly proxy: FaultProxy};
+
+/** The proxied links of an installation, each from one process to another. */
+export class Links {
+	readonly #ports: PortBlock;
+	readonly #links: Link[] = [];
+
+	constructor(ports: PortBlock) {
+		this.#ports = ports;
+	}
+
+	/** Puts a proxy before a port; returns the port to use instead. */
+	async add(from: string, to: string, targetPort: number, delayMs = 0): Promise<number> {
+		const port = this.#ports.next();
+		const proxy = new FaultProxy(port, targetPort, delayMs);
+		await proxy.listen();
+		this.#links.push({from, to, proxy});
+		return port;
+	}
+
+	/** Links that lead from any of the first processes to any of the second. */
+	between(from: ReadonlySet<string>, to: ReadonlySet<string>): readonly FaultProxy[] {
+		return this.#links.filter(link => from.has(link.from) && to.has(link.to)).map(link => link.proxy);
+	}
+
+	all(): readonly FaultProxy[] {
+		return this.#links.map(link => link.proxy);
+	}
+
+	close(): void {
+		for (const {proxy} of this.#links) {
+			proxy.close();
+		}
+	}
+}
--- /dev/null
+++ b/test/harness/port-block.ts
@@ -0,0 +1,44 @@
+import {once} from 'node:events';
+import {createServer, type Server} from 'node:net';
+
+/** Below the range from which the kernel picks ports of outgoing connections. */
+const firstPort = 10_000;
+const lastPort = 32_000;
+const blockSize = 400;
+const maxTries = 200;
+
+/** A block of ports for one installation, held against other harnesses of the same machine by a listener on its first port. */
+export class PortBlock {
+	static async take(): Promise<PortBlock> {
+		for (let attempt = 0; attempt < maxTries; attempt++) {
+			const blocks = Math.floor((lastPort - firstPort) / blockSize);
+			const base = firstPort + (Math.floor(Math.random() * blocks) * blockSize);
+			const guard = createServer().listen(base, '127.0.0.1');
+			try {
+				await once(guard, 'listening'); // eslint-disable-line no-await-in-loop
+				return new PortBlock(base, guard);
+			} catch {
+				// Another harness has this block.
+			}
+		}
+
+		throw new Error('no free block of ports');
+	}
+
+	#next: number;
+	readonly #guard: Server;
+
+	private constructor(base: number, guard: Server) {
+		this.#next = base + 1;
+		this.#guard = guard;
+	}
+
+	next(): number {
+		this.#next += 1;
+		return this.#next - 1;
+	}
+
+	release(): void {
+		this.#guard.close();
+	}
+}
