--- /dev/null
+++ b/src/core/tree/key-index.ts
@@ -0,0 +1,46 @@
+/** Finds the tree nodes that a key's digest is set at, in constant time. */
+export class KeyIndex {
+	/** Most digests are set at one node, so that one path is kept without a list. */
+	readonly #paths = new Map<string, string | readonly string[]>();
+
+	add(digest: string, path: string): void {
+		const known = this.all(digest);
+		if (known.includes(path)) {
+			return;
+		}
+
+		this.#paths.set(digest, known.length === 0 ? path : [...known, path]);
+	}
+
+	remove(digest: string, path: string): void {
+		const rest = this.all(digest).filter(known => known !== path);
+		if (rest.length === 0) {
+			this.#paths.delete(digest);
+			return;
+		}
+
+		this.#paths.set(digest, rest.length === 1 ? rest[0]! : rest);
+	}
+
+	all(digest: string): readonly string[] {
+		const known = this.#paths.get(digest);
+		if (known === undefined) {
+			return [];
+		}
+
+		return typeof known === 'string' ? [known] : known;
+	}
+
+	/** The node nearest to the root; keys of one digest lie on one path. */
+	top(digest: string): string | undefined {
+		const [first, ...rest] = this.all(digest);
+		let top = first;
+		for (const path of rest) {
+			if (path.length < top!.length) {
+				top = path;
+			}
+		}
+
+		return top;
+	}
+}
--- /dev/null
+++ b/src/core/tree/setting-key.ts
@@ -0,0 +1,5 @@
+/** Names one value of a tree node; `subkey` is set for one item of a keyed setting. */
+export type SettingKey = {
+	readonly name: string;
+	readonly subkey?: string;
+};
--- /dev/null
+++ b/src/core/tree/tree-state.ts
@@ -0,0 +1,174 @@
+import type {RoutePath} from '../settings/route-path.ts';
+import type {RouteSettings} from '../settings/route-settings.ts';
+import type {Change} from './change.ts';
+import {ChangeHistory} from './change-history.ts';
+import type {HistoryEntry} from './history-entry.ts';
+import {keyedSettingRules} from './keyed-setting-rules.ts';
+import {NodeStore} from './node-store.ts';
+import {OperationApplier} from './operation-applier.ts';
+import {resolveSettings} from './resolve-settings.ts';
+import type {SettingsTree} from './settings-tree.ts';
+import type {TreeProblem} from './tree-problem.ts';
+import type {TreeSnapshot} from './tree-snapshot.ts';
+import {TreeValidator} from './tree-validator.ts';
+
+/** Largest number of operations in one change. */
+const maxOperations = 2000;
+
+/** The settings tree in memory: a change is applied in place and undone if its result is not valid. */
+export class TreeState implements SettingsTree {
+	#revision = 0;
+	#store = new NodeStore();
+	#validator = new TreeValidator(this.#store);
+	#paths: readonly string[] | undefined;
+	readonly #history = new ChangeHistory();
+	/** Resolved settings by path, of the current revision. */
+	readonly #resolved = new Map<string, RouteSettings>();
+
+	get revision(): number {
+		return this.#revision;
+	}
+
+	/** Applies the change with the next number; with problems, all of them, the tree stays as it was. */
+	apply(change: Change): readonly TreeProblem[] {
+		const {length} = change.operations;
+		if (length > maxOperations) {
+			return [{path: '', problem: `the change has ${length} operations`, remedy: `Send at most ${maxOperations} in one change.`}];
+		}
+
+		const applier = this.#run(change);
+		const problems = [...applier.problems, ...this.#validator.validate(applier.touched)];
+		if (problems.length > 0) {
+			this.#store.rollback();
+			return problems;
+		}
+
+		this.#accept(change);
+		return [];
+	}
+
+	/** Applies a change that the replicated log accepted, without checking it again. */
+	applyAccepted(change: Change): void {
+		this.#run(change);
+		this.#accept(change);
+	}
+
+	route({firm, deployment, service, route}: RoutePath): RouteSettings | undefined {
+		return this.resolve(`${firm}/${deployment}/${service}/${route}`);
+	}
+
+	resolve(path: string): RouteSettings | undefined {
+		const known = this.#resolved.get(path);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const node = this.#store.get(path);
+		if (node === undefined) {
+			return undefined;
+		}
+
+		const settings = resolveSettings(node);
+		this.#resolved.set(path, settings);
+		return settings;
+	}
+
+	own(path: string): Readonly<Record<string, unknown>> | undefined {
+		return this.#store.get(path)?.own;
+	}
+
+	paths(): readonly string[] {
+		this.#paths ??= [...this.#store.nodes()].map(node => node.path).sort(comparePaths);
+		return this.#paths;
+	}
+
+	history(limit: number): readonly HistoryEntry[] {
+		return this.#history.newest(limit);
+	}
+
+	/** Accepted changes after a revision, oldest first; undefined if some of them are no longer kept. */
+	changesSince(revision: number): readonly Change[] | undefined {
+		return revision === this.#revision ? [] : this.#history.since(revision);
+	}
+
+	/** The accepted change with this number, if it is still kept. */
+	acceptedChange(revision: number): Change | undefined {
+		return this.#history.at(revision)?.change;
+	}
+
+	callerKey(sha256: string): {path: string; key: RouteSettings['callerKeys'][string]} | undefined {
+		const path = this.#store.callerKeys.top(sha256);
+		if (path === undefined) {
+			return undefined;
+		}
+
+		const keys = this.#store.get(path)!.own.callerKeys as RouteSettings['callerKeys'];
+		return {path, key: keys[sha256]!};
+	}
+
+	targetKey(sha256: string): {path: string; name: string} | undefined {
+		const path = this.#store.targetKeys.top(sha256);
+		if (path === undefined) {
+			return undefined;
+		}
+
+		const keys = this.#store.get(path)!.own.targetKeys as RouteSettings['targetKeys'];
+		return {path, name: keys[sha256]!.name};
+	}
+
+	snapshot(): TreeSnapshot {
+		const nodes = this.paths().map(path => ({path, own: copyOwn(this.#store.get(path)!.own)}));
+		return {revision: this.#revision, nodes, history: this.#history.all()};
+	}
+
+	restore(snapshot: TreeSnapshot): void {
+		this.#store = new NodeStore();
+		this.#validator = new TreeValidator(this.#store);
+		for (const {path, own} of snapshot.nodes) {
+			this.#store.restore(path, own);
+		}
+
+		this.#history.restore(snapshot.history);
+		this.#revision = snapshot.revision;
+		this.#forgetDerived();
+	}
+
+	#run(change: Change): OperationApplier {
+		const applier = new OperationApplier(this.#store);
+		for (const operation of change.operations) {
+			applier.apply(operation);
+		}
+
+		return applier;
+	}
+
+	#accept(change: Change): void {
+		this.#store.commit();
+		this.#history.add(change);
+		this.#revision = change.number;
+		this.#forgetDerived();
+	}
+
+	#forgetDerived(): void {
+		this.#resolved.clear();
+		this.#paths = undefined;
+	}
+}
+
+/** Copies the records that later changes alter in place; the values themselves are never altered. */
+function copyOwn(own: Readonly<Record<string, unknown>>): Record<string, unknown> {
+	const copy: Record<string, unknown> = {};
+	for (const [name, value] of Object.entries(own)) {
+		copy[name] = Object.hasOwn(keyedSettingRules, name) ? {...value as Record<string, unknown>} : value;
+	}
+
+	return copy;
+}
+
+function comparePaths(left: string, right: string): number {
+	if (left === right) {
+		return 0;
+	}
+
+	return left < right ? -1 : 1;
+}
