feat(tree): settings service that spreads accepted settings and takes changes to the leader

Nodes without a log follow one control node (pull each second, which also subscribes to pushes), cross-check another each three seconds and change over when the other one has news first, so that a silently isolated control node does not hold them back. Keeper sets travel with the settings. Ruled out: streams only, because a cut-off source keeps its stream open.

Interface: call committed(consensus.takeCommitted(), now) after each step of a control node; keeperSets() on every node.

--- /dev/null
+++ b/src/core/tree/change-submitter.ts
@@ -0,0 +1,114 @@
+import type {Outbox} from '../common/outbox.ts';
+import type {Random} from '../common/random.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {Change} from './change.ts';
+import {changeDigest} from './change-digest.ts';
+import type {ChangeOutcome} from './change-outcome.ts';
+
+/** Longest wait for an outcome, in milliseconds. */
+const giveUpMs = 4000;
+/** Time without an answer after which a change is sent again, in milliseconds. */
+const resendMs = 500;
+/** Pause before another try where no leader is known, in milliseconds. */
+const redirectPauseMs = 100;
+/** Time after which operators may try again, in milliseconds. */
+const retryAfterMs = 2000;
+
+type Pending = {readonly change: Change; readonly digest: string; readonly giveUpAt: number; sendAt: number};
+
+type SubmitterOptions = {
+	readonly outbox: Outbox;
+	readonly random: Random;
+	/** Control nodes, this node left out. */
+	readonly controlNodes: () => readonly NodeId[];
+	/** Takes the change on this node if it leads, or knows the outcome. */
+	readonly decideHere: (change: Change, digest: string, now: Millis) => boolean;
+};
+
+/** Takes operators' changes to the leader and resends them, under the same id, until there is an outcome. */
+export class ChangeSubmitter {
+	readonly #options: SubmitterOptions;
+	readonly #pending = new Map<string, Pending>();
+	#outcomes: Array<{changeId: string; outcome: ChangeOutcome}> = [];
+	#leader: NodeId | undefined;
+
+	constructor(options: SubmitterOptions) {
+		this.#options = options;
+	}
+
+	submit(change: Change, now: Millis): void {
+		const digest = changeDigest(change);
+		const pending = {
+			change, digest, giveUpAt: now + giveUpMs, sendAt: now,
+		};
+		this.#pending.set(keyOf(change.changeId, digest), pending);
+		this.#send(pending, now);
+	}
+
+	outcome(changeId: string, digest: string, outcome: ChangeOutcome): void {
+		if (this.#pending.delete(keyOf(changeId, digest))) {
+			this.#options.outbox.count('changes', outcome.type);
+			this.#outcomes.push({changeId, outcome});
+		}
+	}
+
+	/** The node that was asked does not lead; follows its hint at once, else pauses. */
+	redirected(changeId: string, digest: string, leader: NodeId | undefined, now: Millis): void {
+		const pending = this.#pending.get(keyOf(changeId, digest));
+		if (pending === undefined) {
+			return;
+		}
+
+		const sameHint = leader === this.#leader;
+		this.#leader = leader;
+		pending.sendAt = now + redirectPauseMs;
+		if (leader !== undefined && !sameHint) {
+			this.#send(pending, now);
+		}
+	}
+
+	tick(now: Millis): void {
+		for (const pending of this.#pending.values()) {
+			if (now >= pending.giveUpAt) {
+				this.outcome(pending.change.changeId, pending.digest, {type: 'no-quorum', retryAfterMs});
+			} else if (now >= pending.sendAt) {
+				this.#send(pending, now);
+				// The next try goes elsewhere unless this one is answered.
+				this.#leader = undefined;
+			}
+		}
+	}
+
+	take(): ReadonlyArray<{changeId: string; outcome: ChangeOutcome}> {
+		const outcomes = this.#outcomes;
+		this.#outcomes = [];
+		return outcomes;
+	}
+
+	#send(pending: Pending, now: Millis): void {
+		const {change, digest} = pending;
+		pending.sendAt = now + resendMs;
+		if (this.#options.decideHere(change, digest, now)) {
+			return;
+		}
+
+		const to = this.#target();
+		if (to !== undefined) {
+			this.#options.outbox.send(to, {part: 'tree', body: {type: 'submit', change, digest}});
+		}
+	}
+
+	#target(): NodeId | undefined {
+		const nodes = this.#options.controlNodes();
+		if (this.#leader !== undefined && nodes.includes(this.#leader)) {
+			return this.#leader;
+		}
+
+		return nodes[Math.floor(this.#options.random.next() * nodes.length)];
+	}
+}
+
+function keyOf(changeId: string, digest: string): string {
+	return `${digest} ${changeId}`;
+}
--- /dev/null
+++ b/src/core/tree/settings-follower.ts
@@ -0,0 +1,175 @@
+import type {Outbox} from '../common/outbox.ts';
+import type {Random} from '../common/random.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {SettingsCopy} from './settings-copy.ts';
+import type {SettingsSnapshot} from './settings-snapshot.ts';
+import type {TreeMessage} from './tree-message.ts';
+
+/** Time between two pulls from the source that is followed, in milliseconds. */
+const pullEveryMs = 1000;
+/** Time between two pulls from some other control node, in milliseconds. */
+const crossCheckEveryMs = 3000;
+/** Time without an answer after which another source is followed, in milliseconds. */
+const sourceTimeoutMs = 2500;
+/** Shortest time between two pulls from nodes known to be ahead, in milliseconds. */
+const aheadEveryMs = 200;
+/** Nodes ahead that are pulled from at once. */
+const maxAhead = 2;
+
+type FollowerOptions = {
+	readonly copy: SettingsCopy;
+	readonly outbox: Outbox;
+	readonly random: Random;
+	/** Control nodes, nearest first. */
+	readonly controlNodes: () => readonly NodeId[];
+};
+
+/** Keeps the copy of a node without a log of its own up to date; never installs a lower revision. */
+export class SettingsFollower {
+	readonly #options: FollowerOptions;
+	#source: NodeId | undefined;
+	#heardAt = 0;
+	#pullAt = 0;
+	#crossCheckAt = 0;
+	#aheadAt = Number.NEGATIVE_INFINITY;
+	#partial: {from: NodeId; revision: number; text: string} | undefined;
+
+	constructor(options: FollowerOptions) {
+		this.#options = options;
+	}
+
+	/** The control node that is followed. */
+	get source(): NodeId | undefined {
+		return this.#source;
+	}
+
+	tick(now: Millis): void {
+		this.#chooseSource(now);
+		if (this.#source !== undefined && now >= this.#pullAt) {
+			this.#pullAt = now + pullEveryMs;
+			this.pull(this.#source, true);
+		}
+
+		if (now >= this.#crossCheckAt) {
+			this.#crossCheckAt = now + crossCheckEveryMs;
+			this.#crossCheck();
+		}
+	}
+
+	behind(ahead: readonly NodeId[], now: Millis): void {
+		if (now - this.#aheadAt < aheadEveryMs) {
+			return;
+		}
+
+		this.#aheadAt = now;
+		for (const nodeId of ahead.slice(0, maxAhead)) {
+			this.pull(nodeId, false);
+		}
+	}
+
+	pull(from: NodeId, follow: boolean): void {
+		const {tree, keepers} = this.#options.copy;
+		this.#send(from, {
+			type: 'pull', revision: tree.revision, keepers: keepers.version, follow,
+		});
+	}
+
+	delta(from: NodeId, delta: TreeMessage & {type: 'delta'}, now: Millis): void {
+		const {copy, outbox} = this.#options;
+		const before = copy.tree.revision;
+		copy.keepers.merge(delta.keepers);
+		for (const change of delta.changes) {
+			if (change.number === copy.tree.revision + 1) {
+				copy.tree.applyAccepted(change);
+			}
+		}
+
+		if (copy.tree.revision > before) {
+			outbox.count('settings_updates', 'delta', copy.tree.revision - before);
+		}
+
+		this.#heard(from, copy.tree.revision > before, now);
+		const progress = copy.tree.revision > before || delta.base > before;
+		if (delta.revision > copy.tree.revision && progress) {
+			this.pull(from, from === this.#source);
+		}
+	}
+
+	snapshot(from: NodeId, chunk: TreeMessage & {type: 'snapshot'}, now: Millis): void {
+		const {revision, offset, total, text} = chunk;
+		if (revision <= this.#options.copy.tree.revision) {
+			this.#heard(from, false, now);
+			return;
+		}
+
+		if (offset === 0) {
+			this.#partial = {from, revision, text: ''};
+		}
+
+		const partial = this.#partial;
+		if (partial?.from !== from || partial.revision !== revision || partial.text.length !== offset) {
+			return;
+		}
+
+		partial.text += text;
+		this.#heard(from, true, now);
+		if (partial.text.length < total) {
+			this.#send(from, {type: 'snapshot-pull', revision, offset: partial.text.length});
+			return;
+		}
+
+		this.#partial = undefined;
+		this.#install(JSON.parse(partial.text) as SettingsSnapshot);
+		this.pull(from, from === this.#source);
+	}
+
+	#install({tree, keepers}: SettingsSnapshot): void {
+		const {copy, outbox} = this.#options;
+		copy.keepers.merge(keepers);
+		copy.tree.restore(tree);
+		outbox.count('settings_updates', 'snapshot');
+	}
+
+	/** A source that delivers news before the followed one does is followed from now on. */
+	#heard(from: NodeId, news: boolean, now: Millis): void {
+		const changeOver = news && from !== this.#source && this.#options.controlNodes().includes(from);
+		if (changeOver) {
+			this.#source = from;
+			this.#pullAt = now;
+		}
+
+		if (from === this.#source) {
+			this.#heardAt = now;
+		}
+	}
+
+	#chooseSource(now: Millis): void {
+		const nodes = this.#options.controlNodes();
+		if (this.#source !== undefined && now - this.#heardAt <= sourceTimeoutMs) {
+			return;
+		}
+
+		if (this.#source !== undefined) {
+			this.#options.outbox.log('tree', `${this.#source} is silent, another source is followed`);
+		}
+
+		const next = this.#source === undefined ? 0 : (nodes.indexOf(this.#source) + 1) % Math.max(1, nodes.length);
+		this.#source = nodes[next];
+		this.#heardAt = now;
+		this.#pullAt = now;
+	}
+
+	#crossCheck(): void {
+		const {controlNodes, random} = this.#options;
+		const others = controlNodes().filter(nodeId => nodeId !== this.#source);
+		const other = others[Math.floor(random.next() * others.length)];
+		if (other !== undefined) {
+			this.pull(other, false);
+		}
+	}
+
+	#send(to: NodeId, body: TreeMessage): void {
+		this.#options.outbox.send(to, {part: 'tree', body});
+	}
+}
--- /dev/null
+++ b/src/core/tree/settings-service.ts
@@ -0,0 +1,203 @@
+import type {Outbox} from '../common/outbox.ts';
+import type {Random} from '../common/random.ts';
+import type {Consensus} from '../consensus/consensus.ts';
+import type {LogCommand} from '../consensus/log-command.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {KeeperSet} from '../ledger/keeper-set.ts';
+import type {Change} from './change.ts';
+import {ChangeDesk} from './change-desk.ts';
+import {changeDigest} from './change-digest.ts';
+import type {ChangeOutcome} from './change-outcome.ts';
+import {ChangeSubmitter} from './change-submitter.ts';
+import type {CommandOutcome} from './command-outcome.ts';
+import {KeeperSets} from './keeper-sets.ts';
+import type {SettingsCopy} from './settings-copy.ts';
+import {SettingsFollower} from './settings-follower.ts';
+import {SettingsSource} from './settings-source.ts';
+import type {SettingsTree} from './settings-tree.ts';
+import {StartupRound} from './startup-round.ts';
+import type {SystemState} from './system-state.ts';
+import type {TreeMessage} from './tree-message.ts';
+import type {TreeService} from './tree-service.ts';
+import {TreeState} from './tree-state.ts';
+
+type SettingsServiceOptions = {
+	readonly self: NodeId;
+	readonly outbox: Outbox;
+	readonly random: Random;
+	/** Known control nodes, nearest first; this node may be among them. */
+	readonly controlNodes: () => readonly NodeId[];
+	/** Other nodes to ask at start, such as entries of the same region. @default none */
+	readonly peers?: () => readonly NodeId[];
+	/** Set on control nodes, whose settings come from their log. */
+	readonly control?: {readonly consensus: Consensus<CommandOutcome>; readonly state: SystemState};
+};
+
+/** The tree part of a node, with or without a log of its own. */
+export class SettingsService implements TreeService {
+	readonly #options: SettingsServiceOptions;
+	readonly #copy: SettingsCopy;
+	readonly #source: SettingsSource;
+	readonly #follower: SettingsFollower;
+	readonly #submitter: ChangeSubmitter;
+	readonly #startup: StartupRound;
+	readonly #desk: ChangeDesk | undefined;
+
+	constructor(options: SettingsServiceOptions) {
+		const {self, outbox, random, control, peers = () => []} = options;
+		const controlNodes = () => options.controlNodes().filter(nodeId => nodeId !== self);
+		const sources = () => [...new Set([...controlNodes(), ...peers()])].filter(nodeId => nodeId !== self);
+		this.#options = options;
+		this.#copy = control?.state ?? {tree: new TreeState(), keepers: new KeeperSets()};
+		this.#source = new SettingsSource(this.#copy, outbox);
+		this.#follower = new SettingsFollower({
+			copy: this.#copy, outbox, random, controlNodes,
+		});
+		this.#startup = new StartupRound(sources, nodeId => {
+			this.#follower.pull(nodeId, false);
+		});
+		this.#desk = control && new ChangeDesk({
+			...control,
+			reply: (to, change, digest, outcome) => {
+				this.#reply(to, change, digest, outcome);
+			},
+		});
+		this.#submitter = new ChangeSubmitter({
+			outbox,
+			random,
+			controlNodes,
+			decideHere: (change, digest, now) => this.#desk?.take(self, change, digest, now) ?? false,
+		});
+	}
+
+	get tree(): SettingsTree {
+		return this.#copy.tree;
+	}
+
+	/** The current keeper set of each region, as far as this node knows. */
+	keeperSets(): readonly KeeperSet[] {
+		return this.#copy.keepers.all();
+	}
+
+	ready(now: Millis): boolean {
+		const {control} = this.#options;
+		const starting = control?.consensus.status(now).role === 'starting';
+		const state = {revision: this.#copy.tree.revision, hasOwnLog: control !== undefined};
+		return !starting && this.#startup.ended(state, now);
+	}
+
+	submit(change: Change, now: Millis): void {
+		this.#submitter.submit(change, now);
+	}
+
+	takeOutcomes(): ReadonlyArray<{changeId: string; outcome: ChangeOutcome}> {
+		return this.#submitter.take();
+	}
+
+	/** Takes what `Consensus.takeCommitted` returned: answers those who wait and tells followers. */
+	committed(entries: ReadonlyArray<{command: LogCommand; outcome: CommandOutcome}>, now: Millis): void {
+		for (const {command, outcome} of entries) {
+			if (command.type === 'change') {
+				this.#desk?.committed(command.change, changeDigest(command.change), outcome as ChangeOutcome);
+			}
+		}
+
+		this.#source.push(now);
+	}
+
+	handle(from: NodeId, message: TreeMessage, now: Millis): void {
+		switch (message.type) {
+			case 'pull': {
+				this.#source.pulled(from, message, now);
+				return;
+			}
+
+			case 'snapshot-pull': {
+				this.#source.snapshotPulled(from, message, now);
+				return;
+			}
+
+			case 'delta':
+			case 'snapshot': {
+				this.#startup.answered(from, message.revision);
+				this.#install(from, message, now);
+				return;
+			}
+
+			case 'submit': {
+				this.#submitted(from, message, now);
+				return;
+			}
+
+			case 'outcome': {
+				this.#submitter.outcome(message.changeId, message.digest, message.outcome);
+				return;
+			}
+
+			case 'redirect': {
+				this.#submitter.redirected(message.changeId, message.digest, message.leader, now);
+			}
+		}
+	}
+
+	tick(now: Millis): void {
+		this.#startup.tick(now);
+		this.#submitter.tick(now);
+		this.#desk?.tick(now);
+		if (this.#options.control === undefined) {
+			this.#follower.tick(now);
+		}
+
+		this.#source.push(now);
+	}
+
+	behind(ahead: readonly NodeId[], now: Millis): void {
+		if (this.#options.control === undefined) {
+			this.#follower.behind(ahead, now);
+		}
+	}
+
+	#install(from: NodeId, message: TreeMessage & {type: 'delta' | 'snapshot'}, now: Millis): void {
+		if (this.#options.control !== undefined) {
+			return;
+		}
+
+		if (message.type === 'delta') {
+			this.#follower.delta(from, message, now);
+		} else {
+			this.#follower.snapshot(from, message, now);
+		}
+
+		this.#source.push(now);
+	}
+
+	#submitted(from: NodeId, {change, digest}: TreeMessage & {type: 'submit'}, now: Millis): void {
+		if (this.#desk?.take(from, change, digest, now)) {
+			return;
+		}
+
+		const leader = this.#options.control?.consensus.leader();
+		this.#options.outbox.send(from, {
+			part: 'tree',
+			body: {
+				type: 'redirect', changeId: change.changeId, digest, leader,
+			},
+		});
+	}
+
+	#reply(to: NodeId, change: Change, digest: string, outcome: ChangeOutcome): void {
+		const {changeId} = change;
+		if (to === this.#options.self) {
+			this.#submitter.outcome(changeId, digest, outcome);
+			return;
+		}
+
+		this.#options.outbox.send(to, {
+			part: 'tree',
+			body: {
+				type: 'outcome', changeId, digest, outcome,
+			},
+		});
+	}
+}
--- /dev/null
+++ b/src/core/tree/settings-source.ts
@@ -0,0 +1,113 @@
+import type {Outbox} from '../common/outbox.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {Change} from './change.ts';
+import type {SettingsCopy} from './settings-copy.ts';
+import type {SettingsSnapshot} from './settings-snapshot.ts';
+import type {TreeMessage} from './tree-message.ts';
+
+/** Time after its last pull that a follower is still told of changes, in milliseconds. */
+const followMs = 3000;
+/** Time without use after which the snapshot text is dropped, in milliseconds. */
+const snapshotIdleMs = 10_000;
+/** Characters of snapshot text in one message. */
+const chunkLength = 262_144;
+/** Operations in one delta, apart from its first change. */
+const maxDeltaOperations = 2000;
+/** Accepted changes that a snapshot carries along, so that its receiver can serve deltas itself. */
+const snapshotHistory = 100;
+
+type Follower = {revision: number; keepers: number; until: number};
+
+/** Answers pulls from this node's copy and tells followers of changes as they come. */
+export class SettingsSource {
+	readonly #copy: SettingsCopy;
+	readonly #outbox: Outbox;
+	readonly #followers = new Map<NodeId, Follower>();
+	#snapshot: {revision: number; text: string; usedAt: number} | undefined;
+
+	constructor(copy: SettingsCopy, outbox: Outbox) {
+		this.#copy = copy;
+		this.#outbox = outbox;
+	}
+
+	pulled(from: NodeId, pull: TreeMessage & {type: 'pull'}, now: Millis): void {
+		this.#answer(from, pull.revision, pull.keepers, now);
+		if (pull.follow) {
+			const {tree, keepers} = this.#copy;
+			this.#followers.set(from, {revision: tree.revision, keepers: keepers.version, until: now + followMs});
+		}
+	}
+
+	/** Sends the part of a snapshot that was asked for; another revision starts over. */
+	snapshotPulled(from: NodeId, {revision, offset}: {revision: number; offset: number}, now: Millis): void {
+		const known = this.#snapshot?.revision === revision;
+		this.#sendChunk(from, known ? offset : 0, now);
+	}
+
+	/** Tells followers what they do not have yet. */
+	push(now: Millis): void {
+		for (const [nodeId, follower] of this.#followers) {
+			if (now > follower.until) {
+				this.#followers.delete(nodeId);
+			} else if (follower.revision < this.#copy.tree.revision || follower.keepers < this.#copy.keepers.version) {
+				this.#answer(nodeId, follower.revision, follower.keepers, now);
+				follower.revision = this.#copy.tree.revision;
+				follower.keepers = this.#copy.keepers.version;
+			}
+		}
+
+		if (this.#snapshot !== undefined && now - this.#snapshot.usedAt > snapshotIdleMs) {
+			this.#snapshot = undefined;
+		}
+	}
+
+	#answer(to: NodeId, revision: number, keepersVersion: number, now: Millis): void {
+		const {tree, keepers} = this.#copy;
+		const changes = revision > tree.revision ? [] : tree.changesSince(revision);
+		if (changes === undefined) {
+			this.#sendChunk(to, 0, now);
+			return;
+		}
+
+		this.#send(to, {
+			type: 'delta',
+			base: revision,
+			changes: firstChanges(changes),
+			keepers: keepers.version > keepersVersion ? keepers.all() : [],
+			revision: tree.revision,
+		});
+	}
+
+	#sendChunk(to: NodeId, offset: number, now: Millis): void {
+		this.#snapshot ??= {revision: this.#copy.tree.revision, text: this.#serialise(), usedAt: now};
+		const {revision, text} = this.#snapshot;
+		this.#snapshot.usedAt = now;
+		this.#send(to, {
+			type: 'snapshot', revision, offset, total: text.length, text: text.slice(offset, offset + chunkLength),
+		});
+	}
+
+	#serialise(): string {
+		const tree = this.#copy.tree.snapshot();
+		const snapshot: SettingsSnapshot = {
+			tree: {...tree, history: tree.history.slice(-snapshotHistory)},
+			keepers: this.#copy.keepers.all(),
+		};
+		return JSON.stringify(snapshot);
+	}
+
+	#send(to: NodeId, body: TreeMessage): void {
+		this.#outbox.send(to, {part: 'tree', body});
+	}
+}
+
+/** The oldest changes that fit one message; the receiver pulls again for the rest. */
+function firstChanges(changes: readonly Change[]): readonly Change[] {
+	let operations = 0;
+	const end = changes.findIndex((change, index) => {
+		operations += change.operations.length + 1;
+		return index > 0 && operations > maxDeltaOperations;
+	});
+	return end === -1 ? changes : changes.slice(0, end);
+}
