feat(targets): keep a region's targets under leases and spread their news; first pipeline router

Cause: entries need the targets of their region, and a choice among them, before anything can be served.

Ruled out: sending every announcement to every entry (172 engines x 400 B = 69 KB/s a node); digests every 500 ms (leases of 3 s were near their end before news came: 200 pulls/s and 60-100 KB/s a node in the harness of the test); answering pulls with full records for known targets.

Seen: 85 entries and 172 targets announcing once a second, rounds of 250 ms, fan-out 3: 9.9 KB/s sent by each entry over 10 s, no lease lost, all 172 served everywhere. A region that starts all at once spends 93 KB/s for about two seconds on full records.

--- /dev/null
+++ b/src/core/routing/affine-target.ts
@@ -0,0 +1,54 @@
+import {hash32} from '../common/hash32.ts';
+import type {TargetId} from '../ids/target-id.ts';
+import type {Candidate} from './candidate.ts';
+
+/** Index of the prefix block that decides on affinity: long enough to tell organisations apart. */
+const affinityBlock = 2;
+
+/** Largest load of the affine target relative to the mean share of capacity in use. */
+const loadBound = 1.25;
+
+/**
+ * The target that entries agree on for a prefix, by rendezvous hashing, if it is not much busier than the rest.
+ * It makes entries that know nothing of each other's caches send the same prefix to the same target.
+ */
+export function affineTarget(candidates: readonly Candidate[], prefixBlocks: readonly string[]): TargetId | undefined {
+	const block = prefixBlocks[Math.min(affinityBlock, prefixBlocks.length - 1)];
+	if (block === undefined) {
+		return undefined;
+	}
+
+	const placement = hash32(block);
+	let best: Candidate | undefined;
+	let bestWeight = -1;
+	for (const candidate of candidates) {
+		const weight = mix(candidate.target.placement, placement);
+		if (weight > bestWeight) {
+			best = candidate;
+			bestWeight = weight;
+		}
+	}
+
+	return best && !busy(best, candidates) ? best.target.targetId : undefined;
+}
+
+/** Combines two hashes into a third one, evenly spread. */
+function mix(a: number, b: number): number {
+	let hash = Math.imul(a ^ (b >>> 3), 0x85_EB_CA_6B) ^ b;
+	hash = Math.imul(hash ^ (hash >>> 13), 0xC2_B2_AE_35);
+	return (hash ^ (hash >>> 16)) >>> 0;
+}
+
+/** The bounded-load rule: at most a fixed factor over the mean, rounded up to one request. */
+function busy(candidate: Candidate, candidates: readonly Candidate[]): boolean {
+	let load = 1;
+	let capacity = 0;
+	for (const {target} of candidates) {
+		load += target.inFlight + target.othersInFlight;
+		capacity += target.announcement.capacity;
+	}
+
+	const {target} = candidate;
+	const bound = Math.ceil(loadBound * load * target.announcement.capacity / Math.max(1, capacity));
+	return target.inFlight + target.othersInFlight >= bound;
+}
--- /dev/null
+++ b/src/core/routing/learn-typical-speed.ts
@@ -0,0 +1,27 @@
+import type {Candidate} from './candidate.ts';
+import type {TypicalSpeed} from './typical-speed.ts';
+
+/** Speeds assumed while no target of a service was learnt. */
+const unknown: TypicalSpeed = {tokenMs: 30, prefillTokenMs: 0.5, callMs: 100};
+
+/** The means of what was learnt of the other targets, for those that nothing was learnt of. */
+export function learnTypicalSpeed(candidates: readonly Candidate[]): TypicalSpeed {
+	return {
+		tokenMs: mean(candidates.map(({target}) => target.tokenMs)) ?? unknown.tokenMs,
+		prefillTokenMs: mean(candidates.map(({target}) => target.prefillTokenMs)) ?? unknown.prefillTokenMs,
+		callMs: mean(candidates.map(({target}) => target.callMs)) ?? unknown.callMs,
+	};
+}
+
+function mean(values: ReadonlyArray<number | undefined>): number | undefined {
+	let sum = 0;
+	let count = 0;
+	for (const value of values) {
+		if (value !== undefined) {
+			sum += value;
+			count += 1;
+		}
+	}
+
+	return count > 0 ? sum / count : undefined;
+}
--- /dev/null
+++ b/src/core/routing/predict-away.ts
@@ -0,0 +1,32 @@
+import type {RegionView} from '../membership/region-view.ts';
+import type {RequestInfo} from '../settings/request-info.ts';
+import type {ServiceSummary} from '../targets/service-summary.ts';
+
+/** Prefill of one prompt token relative to the time of one output token, where only sums are known. */
+const prefillPerToken = 0.02;
+
+/** Share of the region's other entries' forwards that are taken to be like this node's own. */
+const likeOthers = 2;
+
+/** How much longer a token takes in a full batch than alone, as a share of the time alone. */
+const fullBatchSlowdown = 1;
+
+/** Predicted times of a request in another region, from its sums; no cached prompt is assumed. */
+export function predictAway(view: RegionView, summary: ServiceSummary, options: {
+	req: RequestInfo;
+	/** Own forwards that the sums do not show yet. */
+	sentSince: number;
+}): {firstByteMs: number; wholeMs: number; fill: number} {
+	const {req, sentSince} = options;
+	const capacity = Math.max(1, summary.capacity);
+	const load = summary.running + summary.queued + (sentSince * likeOthers);
+	const fill = load / capacity;
+	const ahead = Math.max(0, load + 1 - capacity);
+	const tokenMs = summary.typicalMs * (req.kind === 'call' ? 1 : 1 + (fullBatchSlowdown * Math.min(1, fill)));
+	const prefillMs = req.kind === 'call' ? 0 : req.promptTokens * summary.typicalMs * prefillPerToken;
+	const workMs = req.kind === 'call' ? tokenMs : req.outputTokens * tokenMs;
+	const waitMs = view.roundTripMs + (ahead * (prefillMs + workMs) / capacity);
+	const wholeMs = waitMs + prefillMs + workMs;
+	const streamedMs = waitMs + prefillMs + tokenMs;
+	return {firstByteMs: req.streamed ? streamedMs : wholeMs, wholeMs, fill};
+}
--- /dev/null
+++ b/src/core/routing/reserve-step.ts
@@ -0,0 +1,62 @@
+import type {Random} from '../common/random.ts';
+import type {RouteDecision} from './route-decision.ts';
+import type {RoutingContext} from './routing-context.ts';
+import type {RoutingStep} from './routing-step.ts';
+import {spreadRetry} from './spread-retry.ts';
+
+/** Time after which a caller may come back when no target is known. */
+const noTargetRetryMs = 2000;
+
+/** Settles on the best candidate: now if it has room, later if the deadline leaves time for that, else never. */
+export class ReserveStep implements RoutingStep {
+	readonly #random: Random;
+
+	constructor(options: {random: Random}) {
+		this.#random = options.random;
+	}
+
+	run(context: RoutingContext): RouteDecision {
+		const {best, query} = context;
+		if (!best) {
+			return this.#withoutTarget(context);
+		}
+
+		if (query.now + best.firstByteMs > query.req.deadlineAt) {
+			return this.#tooLate(context, best.firstByteMs);
+		}
+
+		if (!best.hasRoom) {
+			return {type: 'wait', predictedMs: best.firstByteMs};
+		}
+
+		return {
+			type: 'target',
+			targetId: best.target.targetId,
+			predictedMs: best.firstByteMs,
+			cachedTokens: best.cachedTokens,
+		};
+	}
+
+	#withoutTarget(context: RoutingContext): RouteDecision {
+		if (!context.ownRegionAllowed) {
+			return {type: 'refuse', refusal: {result: 'residency', ran: 'no', retryAfterMs: spreadRetry(noTargetRetryMs, this.#random)}};
+		}
+
+		return {type: 'refuse', refusal: {result: 'noTarget', ran: 'no', retryAfterMs: spreadRetry(noTargetRetryMs, this.#random)}};
+	}
+
+	/** A busy target is an overload; a target too slow for the deadline even when idle is not. */
+	#tooLate(context: RoutingContext, predictedMs: number): RouteDecision {
+		const {query} = context;
+		const busy = context.candidates.every(({hasRoom}) => !hasRoom);
+		const lateMs = query.now + predictedMs - query.req.deadlineAt;
+		return {
+			type: 'refuse',
+			refusal: {
+				result: busy ? 'overloaded' : 'deadline',
+				ran: 'no',
+				retryAfterMs: spreadRetry(lateMs, this.#random),
+			},
+		};
+	}
+}
--- a/src/core/routing/route-query.ts
+++ b/src/core/routing/route-query.ts
@@ -17,6 +17,8 @@
 	readonly targets: readonly TargetView[];
 	/** The other regions. */
 	readonly regions: readonly RegionView[];
+	/** Requests of the service that wait at this entry, the one at hand not counted. @default 0 */
+	readonly waiting?: number;
 	/** Targets and regions that this request tried already. */
 	readonly tried: {readonly targets: ReadonlySet<TargetId>; readonly regions: ReadonlySet<Region>};
 	/** True if the request is suspected of crashing targets and must run alone. */
--- /dev/null
+++ b/src/core/routing/routing-step.ts
@@ -0,0 +1,7 @@
+import type {RouteDecision} from './route-decision.ts';
+import type {RoutingContext} from './routing-context.ts';
+
+/** One step of a choice: narrows the candidates, or decides. */
+export interface RoutingStep {
+	run(context: RoutingContext): RouteDecision | undefined;
+}
--- /dev/null
+++ b/src/core/routing/typical-speed.ts
@@ -0,0 +1,9 @@
+/** Speeds assumed for a target of which nothing was learnt yet. */
+export type TypicalSpeed = {
+	/** Milliseconds between output tokens for one request alone. */
+	readonly tokenMs: number;
+	/** Milliseconds of prefill for one uncached prompt token. */
+	readonly prefillTokenMs: number;
+	/** Milliseconds of one call of a plain service. */
+	readonly callMs: number;
+};
--- /dev/null
+++ b/src/core/targets/cache-hints.ts
@@ -0,0 +1,69 @@
+/** Prefix blocks remembered for one target. */
+const mostBlocks = 4096;
+
+/**
+ * Which prefix blocks a target is believed to have cached: a hint, never a truth.
+ * Fed by own requests and by the target's late cache events; bounded, oldest use dropped first.
+ */
+export class CacheHints {
+	readonly #blocks = new Set<string>();
+	readonly #most: number;
+	#nextEvent: number | undefined;
+
+	constructor(options: {mostBlocks?: number} = {}) {
+		this.#most = options.mostBlocks ?? mostBlocks;
+	}
+
+	/** Number of remembered blocks. */
+	get size(): number {
+		return this.#blocks.size;
+	}
+
+	/** How many of the leading blocks are believed to be cached. */
+	leading(prefixBlocks: readonly string[]): number {
+		let count = 0;
+		while (count < prefixBlocks.length && this.#blocks.has(prefixBlocks[count]!)) {
+			count++;
+		}
+
+		return count;
+	}
+
+	/** Notes that a request with these blocks was sent to the target. */
+	used(prefixBlocks: readonly string[]): void {
+		for (const block of prefixBlocks) {
+			this.#store(block);
+		}
+	}
+
+	/** Applies the target's cache events; a gap in their numbers clears everything that was believed. */
+	events(cache: {readonly firstEvent: number; readonly stored: readonly string[]; readonly removed: readonly string[]}): void {
+		if (this.#nextEvent !== undefined && cache.firstEvent > this.#nextEvent) {
+			this.#blocks.clear();
+		}
+
+		this.#nextEvent = Math.max(this.#nextEvent ?? 0, cache.firstEvent + cache.stored.length + cache.removed.length);
+		for (const block of cache.stored) {
+			this.#store(block);
+		}
+
+		for (const block of cache.removed) {
+			this.#blocks.delete(block);
+		}
+	}
+
+	/** Forgets everything, as after a restart of the target. */
+	clear(): void {
+		this.#blocks.clear();
+		this.#nextEvent = undefined;
+	}
+
+	#store(block: string): void {
+		this.#blocks.delete(block);
+		this.#blocks.add(block);
+		if (this.#blocks.size > this.#most) {
+			const [oldest] = this.#blocks;
+			this.#blocks.delete(oldest!);
+		}
+	}
+}
--- /dev/null
+++ b/src/core/targets/encode-loads.ts
@@ -0,0 +1,30 @@
+import {loadFieldWidths as widths} from './load-field-widths.ts';
+import type {LoadNews} from './load-news.ts';
+
+const digits = 'ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_';
+
+/** Packs loads into 15 characters each, so that a region's digest stays within a node's bytes for control. */
+export function encodeLoads(loads: readonly LoadNews[]): string {
+	return loads.map(load => encodeLoad(load)).join('');
+}
+
+function encodeLoad(load: LoadNews): string {
+	return encodeField(load.handle, widths.handle)
+		+ encodeField(load.sequence, widths.sequence)
+		+ encodeField(load.running, widths.running)
+		+ encodeField(load.queued, widths.queued)
+		+ encodeField(Math.ceil(load.heardAgeMs / widths.ageStepMs), widths.heardAge)
+		+ encodeField(Math.ceil(load.loadAgeMs / widths.ageStepMs), widths.loadAge);
+}
+
+function encodeField(value: number, width: number): string {
+	const largest = (2 ** (widths.digitBits * width)) - 1;
+	let rest = Math.max(0, Math.min(largest, Math.round(value)));
+	let text = '';
+	for (let index = 0; index < width; index++) {
+		text = digits.charAt(rest & 0x3F) + text;
+		rest = Math.floor(rest / 64);
+	}
+
+	return text;
+}
--- /dev/null
+++ b/src/core/targets/summarize-targets.ts
@@ -0,0 +1,45 @@
+import type {ServiceSummary} from './service-summary.ts';
+import type {TargetRecord} from './target-record.ts';
+
+/** Milliseconds between tokens assumed before anything was learnt. */
+const unknownTokenMs = 30;
+
+/** Sums up the serving targets of one service for the other regions. */
+export function summarizeTargets(targets: readonly TargetRecord[]): ServiceSummary {
+	const {firm, deployment, service} = targets[0]!.announcement;
+	const usable = targets.filter(target => !target.ejected);
+	return {
+		firm,
+		deployment,
+		service,
+		models: [...new Set(usable.flatMap(target => target.announcement.models))],
+		targets: usable.length,
+		capacity: sum(usable, target => target.announcement.capacity),
+		running: sum(usable, target => Math.min(target.announcement.capacity, target.inFlight + target.othersInFlight)),
+		queued: sum(usable, target => Math.max(0, target.inFlight + target.othersInFlight - target.announcement.capacity)),
+		typicalMs: median(usable.map(target => typicalMs(target))),
+	};
+}
+
+function typicalMs(target: TargetRecord): number {
+	if (target.announcement.kind === 'service') {
+		return target.callMs ?? unknownTokenMs;
+	}
+
+	const {tokensPerSecond} = target.announcement;
+	return target.tokenMs ?? (tokensPerSecond ? 1000 / tokensPerSecond : unknownTokenMs);
+}
+
+function sum(targets: readonly TargetRecord[], of: (target: TargetRecord) => number): number {
+	let total = 0;
+	for (const target of targets) {
+		total += of(target);
+	}
+
+	return total;
+}
+
+function median(values: readonly number[]): number {
+	const sorted = values.toSorted((a, b) => a - b);
+	return sorted[Math.floor(sorted.length / 2)] ?? unknownTokenMs;
+}
--- /dev/null
+++ b/src/core/targets/target-store.ts
@@ -0,0 +1,91 @@
+import type {Millis} from '../ids/millis.ts';
+import type {TargetId} from '../ids/target-id.ts';
+import type {Announcement} from './announcement.ts';
+import type {TargetRecord} from './target-record.ts';
+
+/** Time for which an ended target is remembered, so that no late announcement revives it. */
+const rememberMs = 600_000;
+
+/** Ended targets remembered at most. */
+const mostRemembered = 2048;
+
+/** The records of a region's targets, indexed by id, by handle and by service. */
+export class TargetStore {
+	readonly #byId = new Map<TargetId, TargetRecord>();
+	readonly #byHandle = new Map<number, TargetRecord>();
+	readonly #byService = new Map<string, TargetRecord[]>();
+
+	get(targetId: TargetId): TargetRecord | undefined {
+		return this.#byId.get(targetId);
+	}
+
+	withHandle(handle: number): TargetRecord | undefined {
+		return this.#byHandle.get(handle);
+	}
+
+	/** Records of a service (`firm/deployment/service`), ended ones included. */
+	ofService(service: string): readonly TargetRecord[] {
+		return this.#byService.get(service) ?? [];
+	}
+
+	services(): Iterable<readonly TargetRecord[]> {
+		return this.#byService.values();
+	}
+
+	all(): Iterable<TargetRecord> {
+		return this.#byId.values();
+	}
+
+	add(record: TargetRecord): void {
+		this.#byId.set(record.targetId, record);
+		this.#byHandle.set(record.handle, record);
+		const service = this.serviceKey(record.announcement);
+		this.#byService.set(service, [...this.ofService(service), record]);
+	}
+
+	/** Takes a newer announcement into a record and keeps the indexes right. */
+	update(record: TargetRecord, news: {announcement: Announcement; heardAt: Millis; direct: boolean}): void {
+		const known = record.announcement;
+		const moved = known.incarnation !== news.announcement.incarnation
+			|| this.serviceKey(known) !== this.serviceKey(news.announcement);
+		if (!moved) {
+			record.update(news.announcement, news.heardAt, news.direct);
+			return;
+		}
+
+		this.#remove(record);
+		record.update(news.announcement, news.heardAt, news.direct);
+		this.add(record);
+	}
+
+	/** Forgets targets that ended long ago. */
+	prune(now: Millis): void {
+		const ended = [...this.#byId.values()].filter(record => record.lost);
+		ended.sort((a, b) => b.heardAt - a.heardAt);
+		for (const [index, record] of ended.entries()) {
+			if (index >= mostRemembered || now - record.heardAt > rememberMs) {
+				this.#remove(record);
+			}
+		}
+	}
+
+	/** Key of the service that an announcement belongs to. */
+	serviceKey(service: {readonly firm: string; readonly deployment: string; readonly service: string}): string {
+		return `${service.firm}/${service.deployment}/${service.service}`;
+	}
+
+	#remove(record: TargetRecord): void {
+		this.#byId.delete(record.targetId);
+		if (this.#byHandle.get(record.handle) === record) {
+			this.#byHandle.delete(record.handle);
+		}
+
+		const service = this.serviceKey(record.announcement);
+		const rest = this.ofService(service).filter(other => other !== record);
+		if (rest.length > 0) {
+			this.#byService.set(service, rest);
+		} else {
+			this.#byService.delete(service);
+		}
+	}
+}
--- a/src/core/targets/target-view.ts
+++ b/src/core/targets/target-view.ts
@@ -14,7 +14,13 @@
 	readonly inFlightTokens: number;
 	/** Requests that this node sent there since `loadAt`. */
 	readonly sentSinceReport: number;
-	/** Learnt milliseconds between output tokens for one request there; undefined before the first answer. */
+	/** Requests of other callers and entries there: the reported load less this node's own part of it. */
+	readonly othersInFlight: number;
+	/** Requests that this node may have in flight there now: the capacity that others leave, and never less than a fair share. */
+	readonly limit: number;
+	/** Hash of the target's id, for rendezvous hashing. */
+	readonly placement: number;
+	/** Learnt milliseconds between output tokens for one request alone there; undefined before the first answer. */
 	readonly tokenMs?: number;
 	/** Learnt milliseconds of prefill for one uncached prompt token. */
 	readonly prefillTokenMs?: number;
--- /dev/null
+++ b/test/core/targets/regional-target-table.test.ts
@@ -0,0 +1,152 @@
+import test from 'ava';
+import {SeededRandom} from '../../../src/core/common/seeded-random.ts';
+import type {Millis} from '../../../src/core/ids/millis.ts';
+import type {NodeId} from '../../../src/core/ids/node-id.ts';
+import type {TargetId} from '../../../src/core/ids/target-id.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import {RegionalTargetTable} from '../../../src/core/targets/regional-target-table.ts';
+import {announcementFixture} from '../../fixtures/announcement-fixture.ts';
+import {RecordingOutbox} from '../../fixtures/recording-outbox.ts';
+
+const service = {firm: 'prairie', deployment: 'print', service: 'proofer'};
+const {targetId} = announcementFixture();
+
+function regionFixture(size: number) {
+	const entries = Array.from({length: size}, (_, index) => toId<NodeId>(`entry-${index}`));
+	return entries.map((self, index) => {
+		const outbox = new RecordingOutbox();
+		const table = new RegionalTargetTable({
+			self, entries: () => entries, outbox, random: new SeededRandom(index + 1),
+		});
+		return {self, outbox, table};
+	});
+}
+
+type Region = ReturnType<typeof regionFixture>;
+
+/** Delivers what was sent, except what `lost` matches; returns the bytes sent. */
+function deliver(region: Region, now: Millis, lost: (type: string) => boolean = () => false): number {
+	let bytes = 0;
+	for (const {self, outbox} of region) {
+		for (const {to, message} of outbox.takeSent()) {
+			bytes += JSON.stringify(message).length;
+			if (message.part === 'targets' && !lost(message.body.type)) {
+				region.find(entry => entry.self === to)?.table.handle(self, message.body, now);
+			}
+		}
+	}
+
+	return bytes;
+}
+
+function run(region: Region, from: number, to: number, each: (now: Millis) => void = () => undefined): number {
+	let bytes = 0;
+	for (let at = from; at <= to; at += 100) {
+		const now = at as Millis;
+		each(now);
+		for (const {table} of region) {
+			table.tick(now);
+		}
+
+		bytes += deliver(region, now);
+	}
+
+	return bytes;
+}
+
+function serves(entry: Region[number], at: number): boolean {
+	return entry.table.serving(service, undefined, at as Millis).length > 0;
+}
+
+test('a target heard by one entry is served by all, until its lease ends', t => {
+	const region = regionFixture(3);
+	region[0]!.table.announce(announcementFixture(), 0 as Millis);
+	run(region, 0, 1000);
+	t.true(region.every(entry => serves(entry, 2900)));
+	t.false(region.some(entry => serves(entry, 3000)));
+	run(region, 3000, 3100);
+	t.deepEqual(region[2]!.table.takeLost(), [targetId]);
+	t.deepEqual(region[2]!.table.takeLost(), []);
+});
+
+test('leaving reaches every entry at once and a late serving does not revive the target', t => {
+	const region = regionFixture(6);
+	region[0]!.table.announce(announcementFixture(), 0 as Millis);
+	run(region, 0, 1000);
+	region[0]!.table.announce(announcementFixture({sequence: 3, state: 'leaving'}), 1100 as Millis);
+	deliver(region, 1100 as Millis);
+	t.false(region.some(entry => serves(entry, 1100)));
+	t.is(region[1]!.table.announce(announcementFixture({sequence: 2}), 1200 as Millis), 'stale');
+	t.is(region[1]!.table.announce(announcementFixture({sequence: 9}), 1200 as Millis), 'stale');
+	run(region, 1200, 2000);
+	t.false(region.some(entry => serves(entry, 2000)));
+});
+
+test('an older incarnation never comes back and a newer one reports the old one lost', t => {
+	const [entry] = regionFixture(1);
+	entry!.table.announce(announcementFixture({incarnation: 5}), 0 as Millis);
+	t.is(entry!.table.announce(announcementFixture({incarnation: 4, sequence: 99}), 10 as Millis), 'stale');
+	t.is(entry!.table.announce(announcementFixture({incarnation: 6}), 20 as Millis), 'accepted');
+	t.deepEqual(entry!.table.takeLost(), [targetId]);
+});
+
+test('where all news of leaving is lost the lease ends new work within 3 s', t => {
+	const region = regionFixture(2);
+	region[0]!.table.announce(announcementFixture(), 0 as Millis);
+	run(region, 0, 900);
+	region[0]!.table.announce(announcementFixture({sequence: 2, state: 'leaving'}), 1000 as Millis);
+	for (let at = 1000; at <= 4000; at += 100) {
+		region[0]!.table.announce(announcementFixture({sequence: at, state: 'leaving'}), at as Millis);
+		for (const {table} of region) {
+			table.tick(at as Millis);
+		}
+
+		deliver(region, at as Millis, () => true);
+	}
+
+	t.false(serves(region[1]!, 4000));
+});
+
+test('a compact load that was held up does not renew a lease that has ended', t => {
+	const region = regionFixture(2);
+	region[0]!.table.announce(announcementFixture(), 0 as Millis);
+	run(region, 0, 600);
+	region[0]!.table.announce(announcementFixture({sequence: 2}), 700 as Millis);
+	region[0]!.table.tick(1200 as Millis);
+	const held = region[0]!.outbox.takeSent();
+	t.true(held.length > 0);
+	for (const {message} of held) {
+		region[1]!.table.handle(region[0]!.self, message.body as never, 9000 as Millis);
+	}
+
+	t.false(serves(region[1]!, 9000));
+});
+
+test('85 entries keep 172 targets alive on less than 12 KB a second each', t => {
+	const region = regionFixture(85);
+	const announceAll = (now: Millis) => {
+		for (let index = 0; index < 172; index++) {
+			if ((now / 100) % 10 === index % 10) {
+				const running = (now / 100 * 7) % 13;
+				region[index % 85]!.table.announce(announcementFixture({
+					targetId: toId<TargetId>(`engine-${index}`), sequence: now, load: {running, queued: 0, ageMs: 0},
+				}), now);
+			}
+		}
+	};
+
+	run(region, 0, 4000, announceAll);
+	for (const {table} of region) {
+		table.takeLost();
+	}
+
+	const seconds = 10;
+	const bytes = run(region, 4100, 4000 + (seconds * 1000), announceAll);
+	const perNode = bytes / 85 / seconds;
+	t.log(`${Math.round(perNode)} bytes a second sent by each entry`);
+	t.true(perNode < 12_000);
+	const lost = region.reduce((sum, {table}) => sum + table.takeLost().length, 0);
+	t.is(lost, 0);
+	const served = region.map(({table}) => table.serving(service, undefined, 14_000 as Millis).length);
+	t.is(Math.min(...served), 172);
+});
