feat(demo): start a whole installation on one machine and run the main job

Cause: README's first command must show the whole path. Ruled out: a second launcher of its own for processes (the harness's ManagedProcess serves both).

--- /dev/null
+++ b/scripts/demo/demo-installation.ts
@@ -0,0 +1,174 @@
+import {
+	cpSync, mkdirSync, mkdtempSync, rmSync, writeFileSync,
+} from 'node:fs';
+import {createHash, randomBytes} from 'node:crypto';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import {bundle} from '../../test/harness/bundle.ts';
+import {ManagedProcess} from '../../test/harness/managed-process.ts';
+import type {DemoPlan} from './demo-plan.ts';
+
+const binary = path.resolve('dist/lovageferry');
+const operatorKey = 'demo-operator-key';
+const targetKey = 'demo-target-key';
+const firstTargetPort = 7600;
+const readyTimeoutMs = 30_000;
+const pollMs = 100;
+
+/** All processes of one deployment on this machine: nodes from the example settings, stand-ins for the targets. */
+export class DemoInstallation {
+	readonly folder = mkdtempSync(path.join(tmpdir(), 'lovageferry-demo-'));
+	readonly #plan: DemoPlan;
+	readonly #nodes = new Map<string, ManagedProcess>();
+	readonly #targets = new Map<string, ManagedProcess>();
+	#ports = firstTargetPort;
+
+	constructor(plan: DemoPlan) {
+		this.#plan = plan;
+	}
+
+	get operatorKeyFile(): string {
+		return path.join(this.folder, 'operator.key');
+	}
+
+	/** Callers' address of a node, as in its example settings. */
+	address(node: string): string {
+		const first = this.#plan.firm === 'prairie' ? 7101 : 7301;
+		return `127.0.0.1:${first + this.#plan.nodes.indexOf(node)}`;
+	}
+
+	/** Starts the nodes and waits until each serves its health page. */
+	async startNodes(): Promise<void> {
+		this.#writeFiles();
+		for (const node of this.#plan.nodes) {
+			const process = new ManagedProcess(['run', path.join(this.folder, `${node}.yaml`)], path.join(this.folder, `${node}.log`), binary);
+			this.#nodes.set(node, process);
+			process.start();
+		}
+
+		await Promise.all(this.#plan.nodes.map(async node => this.#page(node, '/healthz')));
+	}
+
+	async nodesReady(): Promise<void> {
+		await Promise.all(this.#plan.nodes.map(async node => this.#page(node, '/readyz')));
+	}
+
+	/** Starts the stand-ins; resolves when every node knows a target of its region. */
+	async startTargets(): Promise<void> {
+		const [engine, service] = await Promise.all([bundle('test/fakes/engine.ts'), bundle('test/fakes/service.ts')]);
+		for (const [index, zone] of this.#plan.engine.zones.entries()) {
+			this.#startTarget(engine, `${this.#plan.engine.service}-${index + 1}`, this.#plan.engine.service, zone, ['--model', this.#plan.engine.model, '--token-ms', String(4 + index)]);
+		}
+
+		for (const [index, zone] of this.#plan.desk.zones.entries()) {
+			this.#startTarget(service, `${this.#plan.desk.service}-${index + 1}`, this.#plan.desk.service, zone, []);
+		}
+
+		await Promise.all(this.#plan.nodes.map(async node => this.#seesTargets(node)));
+	}
+
+	/** Stops the targets of a service in a region by SIGTERM: each announces that it leaves. */
+	async stopTargets(service: string, region: string): Promise<void> {
+		const stopped = [...this.#targets].filter(([id]) => id.startsWith(`${service}-`) && this.#zoneOf(id).startsWith(region));
+		await Promise.all(stopped.map(async ([, process]) => process.end('SIGTERM')));
+	}
+
+	/** Ends every node by SIGTERM; returns the exit codes by node. */
+	async stopNodes(): Promise<Record<string, number | undefined>> {
+		await Promise.all([...this.#nodes.values()].map(async process => process.end('SIGTERM')));
+		return Object.fromEntries([...this.#nodes].map(([node, process]) => [node, process.exitCode]));
+	}
+
+	/** Ends whatever still runs and removes the folder. */
+	async dispose(): Promise<void> {
+		await Promise.all([...this.#nodes.values(), ...this.#targets.values()].map(async process => process.end('SIGKILL')));
+		rmSync(this.folder, {recursive: true, force: true});
+	}
+
+	#writeFiles(): void {
+		cpSync(this.#plan.examples, this.folder, {recursive: true});
+		mkdirSync(path.join(this.folder, 'runs'));
+		const secret = (name: string, text: string) => {
+			writeFileSync(path.join(this.folder, name), text, {mode: 0o600});
+		};
+
+		const sha256 = createHash('sha256').update(operatorKey).digest('hex');
+		secret('peer.key', randomBytes(32).toString('hex'));
+		secret('order.key', randomBytes(32).toString('hex'));
+		secret('operator.key', operatorKey);
+		secret('operators.yaml', `- {name: demo, sha256: ${sha256}}\n`);
+	}
+
+	#startTarget(program: string, id: string, service: string, zone: string, extra: readonly string[]): void {
+		this.#ports += 1;
+		const entries = this.#plan.nodes.filter(node => zone.startsWith(node.split('-')[0]!)).map(node => this.address(node));
+		const process = new ManagedProcess([
+			program,
+			'--port',
+			String(this.#ports),
+			'--id',
+			id,
+			'--zone',
+			zone,
+			'--firm',
+			this.#plan.firm,
+			'--deployment',
+			this.#plan.deployment,
+			'--service',
+			service,
+			'--announce-to',
+			entries.join(','),
+			'--key',
+			targetKey,
+			'--run-log',
+			path.join(this.folder, 'runs', `${id}.jsonl`),
+			...extra,
+		], path.join(this.folder, `${id}.log`));
+		this.#targets.set(id, process);
+		process.start();
+	}
+
+	#zoneOf(id: string): string {
+		const index = Number(id.slice(id.lastIndexOf('-') + 1)) - 1;
+		const {engine, desk} = this.#plan;
+		return (id.startsWith(desk.service) ? desk.zones : engine.zones)[index]!;
+	}
+
+	async #seesTargets(node: string): Promise<void> {
+		await this.#until(async () => {
+			const body = await this.#page(node, '/v1/targets') as {targets: Array<{announcement: {service: string}}>};
+			return new Set(body.targets.map(target => target.announcement.service)).size === 2;
+		}, `${node} sees no target of its region`);
+	}
+
+	async #page(node: string, page: string): Promise<unknown> {
+		let body: unknown;
+		await this.#until(async () => {
+			const res = await request(`http://${this.address(node)}${page}`, {headers: {authorization: `Bearer ${operatorKey}`}});
+			body = await res.body.json();
+			return res.statusCode === 200;
+		}, `${node} does not answer ${page}`);
+		return body;
+	}
+
+	async #until(holds: () => Promise<boolean>, otherwise: string): Promise<void> {
+		const end = Date.now() + readyTimeoutMs;
+		while (Date.now() < end) {
+			/* eslint-disable no-await-in-loop */
+			try {
+				if (await holds()) {
+					return;
+				}
+			} catch {
+				// Not up yet.
+			}
+
+			await sleep(pollMs);
+			/* eslint-enable no-await-in-loop */
+		}
+
+		throw new Error(`${otherwise} within ${readyTimeoutMs} ms; see its log in ${this.folder}`);
+	}
+}
--- /dev/null
+++ b/src/core/action-queue.ts
@@ -0,0 +1,71 @@
+import type {Action} from './actions.ts';
+import type {JournalName} from './common/journal-name.ts';
+import type {Outbox} from './common/outbox.ts';
+import type {NodeId} from './ids/node-id.ts';
+import type {PeerMessage} from './peer-message.ts';
+import type {CounterName} from './results/counter-name.ts';
+
+/** Collects the actions of one step; messages of the node to itself come back to it without a link. */
+export class ActionQueue implements Outbox {
+	readonly #self: NodeId;
+	#actions: Action[] = [];
+	#loopback: PeerMessage[] = [];
+	#token = 0;
+
+	constructor(self: NodeId) {
+		this.#self = self;
+	}
+
+	push(action: Action): void {
+		this.#actions.push(action);
+	}
+
+	send(to: NodeId, message: PeerMessage): void {
+		if (to === this.#self) {
+			this.#loopback.push(message);
+			return;
+		}
+
+		this.#actions.push({type: 'send', to, message});
+	}
+
+	append(journal: JournalName, records: readonly unknown[]): number {
+		this.#token += 1;
+		this.#actions.push({
+			type: 'append', journal, records, token: this.#token,
+		});
+		return this.#token;
+	}
+
+	rewrite(journal: JournalName, records: readonly unknown[]): number {
+		this.#token += 1;
+		this.#actions.push({
+			type: 'rewrite', journal, records, token: this.#token,
+		});
+		return this.#token;
+	}
+
+	count(name: CounterName, reason?: string, amount = 1): void {
+		this.#actions.push({
+			type: 'count', name, reason, amount,
+		});
+	}
+
+	log(part: string, text: string): void {
+		this.#actions.push({type: 'log', part, text});
+	}
+
+	/** Returns and forgets the actions collected so far. */
+	take(): readonly Action[] {
+		const actions = this.#actions;
+		this.#actions = [];
+		return actions;
+	}
+
+	/** Returns and forgets the node's messages to itself. */
+	takeLoopback(): readonly PeerMessage[] {
+		const messages = this.#loopback;
+		this.#loopback = [];
+		return messages;
+	}
+}
--- a/src/server/operator-api.ts
+++ b/src/server/operator-api.ts
@@ -19,7 +19,7 @@
 const historyLimit = 100;
 const maxOperations = 50_000;
 
-const changeSchema = z.strictObject({
+const changeSchema = z.object({
 	changeId: z.string().min(1).max(200),
 	number: z.number().int().positive(),
 	operations: z.array(z.discriminatedUnion('op', [
