--- /dev/null
+++ b/src/core/gateway-core.ts
@@ -0,0 +1,335 @@
+import type {Action} from './actions.ts';
+import {ActionQueue} from './action-queue.ts';
+import type {EntryListing} from './entries/entry-listing.ts';
+import {listEntries} from './entries/list-entries.ts';
+import type {CoreEvent} from './events.ts';
+import {GatewayParts} from './gateway-parts.ts';
+import type {GatewayCoreOptions} from './gateway-core-options.ts';
+import type {Millis} from './ids/millis.ts';
+import type {NodeId} from './ids/node-id.ts';
+import type {Zone} from './ids/zone.ts';
+import type {NodeInfo} from './membership/node-info.ts';
+import type {NodeStatus} from './node-status.ts';
+import type {PeerMessage} from './peer-message.ts';
+import type {TargetView} from './targets/target-view.ts';
+import type {SettingsTree} from './tree/settings-tree.ts';
+
+/** Requests in flight for each unit of a machine's weight at which an entry calls itself full. */
+const requestsPerWeight = 500;
+/** Entries of other regions in the list for callers, for each region. */
+const awayEntriesPerRegion = 2;
+/** Passes over the parts' outcomes in one step, as a bound against endless rounds. */
+const maxSettlePasses = 16;
+
+/**
+ * Every decision of a node: takes one event, returns what is to be done. Without input, output, clock or
+ * randomness of its own; the same events in the same order give the same actions.
+ */
+export class GatewayCore {
+	readonly #options: GatewayCoreOptions;
+	readonly #queue: ActionQueue;
+	readonly #parts: GatewayParts;
+	#draining = false;
+	#drainedTold = false;
+	#revisionTold = -1;
+
+	constructor(options: GatewayCoreOptions) {
+		this.#options = options;
+		this.#queue = new ActionQueue(options.self.nodeId);
+		this.#parts = new GatewayParts(options, this.#queue);
+	}
+
+	/** The settings in force. */
+	get tree(): SettingsTree {
+		return this.#parts.settings.tree;
+	}
+
+	/** Takes one event at time `now` and returns the actions it leads to, in order. */
+	step(event: CoreEvent, now: Millis): readonly Action[] {
+		this.#take(event, now);
+		this.#settle(now);
+		return this.#queue.take();
+	}
+
+	ready(now: Millis): boolean {
+		return this.#parts.settings.ready(now) && this.tree.revision > 0;
+	}
+
+	inFlight(): number {
+		return this.#parts.requests.inFlight();
+	}
+
+	info(nodeId: NodeId): NodeInfo | undefined {
+		return this.#parts.membership.info(nodeId);
+	}
+
+	targets(now: Millis): readonly TargetView[] {
+		return this.#parts.targets.all(now);
+	}
+
+	/** The list for callers; `path` is the tree node of the caller's key, which narrows it to the regions allowed. */
+	entries(query: {zone?: Zone; path?: string}, now: Millis): readonly EntryListing[] {
+		const {membership} = this.#parts;
+		const away = membership.regions(now)
+			.filter(view => view.region !== this.#options.self.region && view.reachable)
+			.toSorted((left, right) => left.roundTripMs - right.roundTripMs)
+			.flatMap(view => view.entries.slice(0, awayEntriesPerRegion))
+			.map(nodeId => membership.info(nodeId))
+			.filter(info => info !== undefined);
+		return listEntries({
+			zone: query.zone,
+			region: this.#options.self.region,
+			nodes: membership.nodes(),
+			away,
+			residency: query.path === undefined ? undefined : this.tree.resolve(query.path)?.residency,
+		});
+	}
+
+	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): {type: 'started'} | {type: 'refused'; leader?: string} {
+		const {consensus, membership} = this.#parts;
+		if (consensus?.changeMembers(change, now)) {
+			return {type: 'started'};
+		}
+
+		const leader = consensus?.leader();
+		return {type: 'refused', leader: leader && membership.info(leader)?.callerAddress};
+	}
+
+	status(now: Millis): NodeStatus {
+		const {self} = this.#options;
+		const {membership, consensus, settings} = this.#parts;
+		return {
+			node: self.nodeId,
+			region: self.region,
+			zone: self.zone,
+			roles: self.roles,
+			ready: this.ready(now),
+			draining: this.#draining,
+			revision: this.tree.revision,
+			inFlight: this.inFlight(),
+			load: this.#load(),
+			control: consensus?.status(now),
+			nodes: membership.nodes().map(({info, state, draining, revision, load}) => ({
+				node: info.nodeId, zone: info.zone, state, draining, revision, load,
+			})),
+			regions: membership.regions(now).map(({region, reachable, revision, ageMs, roundTripMs}) => ({
+				region, reachable, revision, ageMs, roundTripMs,
+			})),
+			keepers: settings.keeperSets(),
+		};
+	}
+
+	#take(event: CoreEvent, now: Millis): void {
+		const {requests, targets, settings} = this.#parts;
+		switch (event.type) {
+			case 'tick': {
+				this.#tick(now);
+				break;
+			}
+
+			case 'peer': {
+				this.#peer(event.from, event.message, now);
+				break;
+			}
+
+			case 'request': {
+				requests.request(event.req, now);
+				break;
+			}
+
+			case 'caller-gone': {
+				requests.callerGone(event.requestId, now);
+				break;
+			}
+
+			case 'announcement': {
+				targets.announce(event.announcement, now);
+				break;
+			}
+
+			case 'attempt-first-byte': {
+				requests.firstByte(event.attemptId, now);
+				break;
+			}
+
+			case 'attempt-progress': {
+				requests.progress(event.attemptId, event, now);
+				break;
+			}
+
+			case 'attempt-end': {
+				requests.ended(event.attemptId, event, now);
+				break;
+			}
+
+			case 'attempt-failed': {
+				requests.failed(event.attemptId, event.failure, now);
+				break;
+			}
+
+			case 'written':
+			case 'write-failed': {
+				this.#journal(event, now);
+				break;
+			}
+
+			case 'change': {
+				settings.submit(event.change, now);
+				break;
+			}
+
+			case 'order-result': {
+				this.#parts.orders.result(event.orderId, event.ok, event.reason, now);
+				break;
+			}
+
+			case 'drain': {
+				this.#draining = true;
+				requests.drain();
+				this.#report(now);
+				break;
+			}
+		}
+	}
+
+	#tick(now: Millis): void {
+		const {membership, consensus, settings, targets, ledger, poison, requests, orders, leadership} = this.#parts;
+		this.#report(now);
+		membership.tick(now);
+		consensus?.tick(now);
+		settings.behind(membership.ahead(this.tree.revision), now);
+		settings.tick(now);
+		targets.tick(now);
+		ledger.tick(now);
+		poison.tick(now);
+		requests.tick(now);
+		leadership?.tick(now);
+		orders.tick(leadership?.lead(now), now);
+	}
+
+	#report(now: Millis): void {
+		this.#parts.membership.report({
+			revision: this.tree.revision,
+			load: this.#load(),
+			draining: this.#draining,
+			services: this.#parts.targets.summaries(now),
+		});
+	}
+
+	#load(): number {
+		return Math.min(1, this.inFlight() / (this.#options.self.weight * requestsPerWeight));
+	}
+
+	#peer(from: NodeId, message: PeerMessage, now: Millis): void {
+		const parts = this.#parts;
+		switch (message.part) {
+			case 'consensus': {
+				parts.consensus?.handle(from, message.body, now);
+				break;
+			}
+
+			case 'tree': {
+				parts.settings.handle(from, message.body, now);
+				break;
+			}
+
+			case 'membership': {
+				parts.membership.handle(from, message.body, now);
+				break;
+			}
+
+			case 'targets': {
+				parts.targets.handle(from, message.body, now);
+				break;
+			}
+
+			case 'ledger': {
+				parts.ledger.handle(from, message.body, now);
+				break;
+			}
+
+			case 'poison': {
+				parts.poison.handle(from, message.body, now);
+				break;
+			}
+
+			case 'orders': {
+				parts.orders.handle(from, message.body, now);
+				break;
+			}
+		}
+	}
+
+	#journal(event: Extract<CoreEvent, {type: 'written' | 'write-failed'}>, now: Millis): void {
+		const {consensus, ledger} = this.#parts;
+		if (event.type === 'written') {
+			if (event.journal === 'consensus') {
+				consensus?.written(event.token, now);
+			} else {
+				ledger.written(event.token, now);
+			}
+
+			return;
+		}
+
+		this.#queue.log('disk', `a write to the ${event.journal} journal failed: ${event.reason}`);
+		if (event.journal === 'consensus') {
+			consensus?.writeFailed(event.reason, now);
+		}
+	}
+
+	/** Carries the outcomes of one part to the next until none is left. */
+	#settle(now: Millis): void {
+		for (let pass = 0; pass < maxSettlePasses; pass++) {
+			if (!this.#settleOnce(now)) {
+				break;
+			}
+		}
+
+		this.#tellSettings();
+		if (this.#draining && !this.#drainedTold && this.#parts.requests.drained()) {
+			this.#drainedTold = true;
+			this.#queue.push({type: 'drained'});
+		}
+	}
+
+	#settleOnce(now: Millis): boolean {
+		const {consensus, settings, ledger, requests, targets, orders, leadership} = this.#parts;
+		const loopback = this.#queue.takeLoopback();
+		for (const message of loopback) {
+			this.#peer(this.#options.self.nodeId, message, now);
+		}
+
+		const committed = consensus?.takeCommitted() ?? [];
+		if (committed.length > 0) {
+			settings.committed(committed, now);
+			leadership?.committed(committed);
+		}
+
+		const claims = ledger.takeOutcomes();
+		requests.claimOutcomes(claims, now);
+		const changes = settings.takeOutcomes();
+		for (const {changeId, outcome} of changes) {
+			this.#queue.count('changes', outcome.type);
+			this.#queue.push({type: 'change-answer', changeId, outcome});
+		}
+
+		const lost = targets.takeLost();
+		requests.targetsLost(lost, now);
+		const given = orders.takeOrders();
+		for (const order of given) {
+			this.#queue.push({type: 'order', order});
+		}
+
+		return [loopback, committed, claims, changes, lost, given].some(list => list.length > 0);
+	}
+
+	#tellSettings(): void {
+		if (this.#revisionTold === this.tree.revision) {
+			return;
+		}
+
+		this.#revisionTold = this.tree.revision;
+		this.#queue.push({type: 'settings', revision: this.tree.revision});
+	}
+}
