feat(admission): queue by priority and fairly between organisations, within bounds

Cause: what finds no room must wait in bounded queues or be refused at once with a time to come back.

Ruled out: tags given at arrival (placed is also called for requests that never waited, which would count work twice); a fixed share per organisation (a full queue of 256 organisations with one request each pushed out one equal for another).

--- /dev/null
+++ b/src/core/admission/priority-class.ts
@@ -0,0 +1,82 @@
+import type {OrganisationId} from '../ids/organisation-id.ts';
+import type {WaitingRequest} from './waiting-request.ts';
+
+/** Waiting requests of one priority, first in first out for each organisation. */
+export class PriorityClass {
+	readonly #backlogs = new Map<OrganisationId, {items: WaitingRequest[]; weight: number}>();
+	#size = 0;
+
+	/** Waiting requests. */
+	get size(): number {
+		return this.#size;
+	}
+
+	/** Organisations that wait here. */
+	organisations(): Iterable<OrganisationId> {
+		return this.#backlogs.keys();
+	}
+
+	/** Waiting requests of an organisation. */
+	backlog(organisation: OrganisationId): number {
+		return this.#backlogs.get(organisation)?.items.length ?? 0;
+	}
+
+	/** First request of an organisation. */
+	head(organisation: OrganisationId): WaitingRequest | undefined {
+		return this.#backlogs.get(organisation)?.items[0];
+	}
+
+	add(waiting: WaitingRequest): void {
+		const {organisation, organisationWeight} = waiting.req;
+		const backlog = this.#backlogs.get(organisation) ?? {items: [], weight: organisationWeight};
+		backlog.items.push(waiting);
+		backlog.weight = organisationWeight;
+		this.#backlogs.set(organisation, backlog);
+		this.#size += 1;
+	}
+
+	remove(waiting: WaitingRequest): void {
+		const backlog = this.#backlogs.get(waiting.req.organisation);
+		const index = backlog?.items.indexOf(waiting) ?? -1;
+		if (!backlog || index === -1) {
+			return;
+		}
+
+		backlog.items.splice(index, 1);
+		this.#size -= 1;
+		if (backlog.items.length === 0) {
+			this.#backlogs.delete(waiting.req.organisation);
+		}
+	}
+
+	/** Backlog of an organisation relative to its weight, with `more` requests added. */
+	relativeBacklog(organisation: OrganisationId, weight: number, more = 0): number {
+		return (this.backlog(organisation) + more) / Math.max(weight, Number.EPSILON);
+	}
+
+	/** Newest request of the organisation with the largest backlog relative to its weight. */
+	newestOfLargest(): WaitingRequest | undefined {
+		let largest = 0;
+		let newest: WaitingRequest | undefined;
+		for (const {items, weight} of this.#backlogs.values()) {
+			const relative = items.length / Math.max(weight, Number.EPSILON);
+			if (relative > largest) {
+				largest = relative;
+				newest = items.at(-1);
+			}
+		}
+
+		return newest;
+	}
+
+	/** Requests served before the next one of an organisation if all take turns. */
+	aheadOf(organisation: OrganisationId): number {
+		const own = this.backlog(organisation);
+		let ahead = 0;
+		for (const {items} of this.#backlogs.values()) {
+			ahead += Math.min(items.length, own + 1);
+		}
+
+		return ahead;
+	}
+}
--- /dev/null
+++ b/src/core/admission/waiting-request.ts
@@ -0,0 +1,8 @@
+import type {Millis} from '../ids/millis.ts';
+import type {RequestInfo} from '../settings/request-info.ts';
+
+/** A request in a queue. */
+export type WaitingRequest = {
+	readonly req: RequestInfo;
+	readonly since: Millis;
+};
--- a/src/core/routing/reserve-step.ts
+++ b/src/core/routing/reserve-step.ts
@@ -1,8 +1,8 @@
 import type {Random} from '../common/random.ts';
+import {spreadRetry} from '../admission/spread-retry.ts';
 import type {RouteDecision} from './route-decision.ts';
 import type {RoutingContext} from './routing-context.ts';
 import type {RoutingStep} from './routing-step.ts';
-import {spreadRetry} from './spread-retry.ts';
 
 /** Time after which a caller may come back when no target is known. */
 const noTargetRetryMs = 2000;
