--- /dev/null
+++ b/test/core/routing/score-step.test.ts
@@ -0,0 +1,58 @@
+import test from 'ava';
+import {SeededRandom} from '../../../src/core/common/seeded-random.ts';
+import {LimitsStep} from '../../../src/core/routing/limits-step.ts';
+import type {RouteQuery} from '../../../src/core/routing/route-query.ts';
+import {ScoreStep} from '../../../src/core/routing/score-step.ts';
+import type {TargetView} from '../../../src/core/targets/target-view.ts';
+import {routeQueryFixture} from '../../fixtures/route-query-fixture.ts';
+import {routingContextFixture} from '../../fixtures/routing-context-fixture.ts';
+import {targetViewFixture} from '../../fixtures/target-view-fixture.ts';
+
+function best(targets: readonly TargetView[], overrides: Partial<RouteQuery> = {}, prefixBlocks: readonly string[] = []): string | undefined {
+	const context = routingContextFixture(routeQueryFixture({targets, ...overrides}, {req: {prefixBlocks}}));
+	new LimitsStep().run(context);
+	new ScoreStep({random: new SeededRandom(3)}).run(context);
+	return context.best?.target.targetId;
+}
+
+test('the faster of two equally loaded targets is chosen', t => {
+	t.is(best([targetViewFixture('slow', {tokenMs: 50}), targetViewFixture('fast', {tokenMs: 5})]), 'fast');
+});
+
+test('the target with the cached prompt is chosen among equals', t => {
+	t.is(best([targetViewFixture('cold'), targetViewFixture('warm', {cachedBlocks: () => 4})], {}, ['a', 'b', 'c', 'd']), 'warm');
+});
+
+test('work that others sent there counts', t => {
+	t.is(best([targetViewFixture('busy', {othersInFlight: 7}), targetViewFixture('idle')]), 'idle');
+});
+
+test('a full fast target is waited for while few wait, and left when many do', t => {
+	const targets = [
+		targetViewFixture('fast', {tokenMs: 4, inFlight: 8, limit: 8}),
+		targetViewFixture('slow', {tokenMs: 40}),
+	];
+	t.is(best(targets, {waiting: 0}), 'fast');
+	t.is(best(targets, {waiting: 200}), 'slow');
+});
+
+test('requests with one prefix meet at one target, until it is busier than the rest', t => {
+	const targets = Array.from({length: 6}, (_, index) => targetViewFixture(`engine-${index}`));
+	const blocks = ['x', 'y', 'z'];
+	const affine = best(targets, {}, blocks);
+	t.is(best(targets.toReversed(), {}, blocks), affine);
+	const busy = targets.map(target => target.targetId as string === affine ? {...target, inFlight: 4} : target);
+	t.not(best(busy, {}, blocks), affine);
+});
+
+test('equal targets are chosen by chance, not by order', t => {
+	const random = new SeededRandom(1);
+	const chosen = new Set<string>();
+	for (let index = 0; index < 50; index++) {
+		const context = routingContextFixture(routeQueryFixture({targets: ['a', 'b', 'c'].map(id => targetViewFixture(id))}, {req: {prefixBlocks: []}}));
+		new ScoreStep({random}).run(context);
+		chosen.add(context.best!.target.targetId);
+	}
+
+	t.is(chosen.size, 3);
+});
