--- a/test/fakes/engine-handler.ts
+++ b/test/fakes/engine-handler.ts
@@ -10,6 +10,7 @@
 import {promptDigest} from './prompt-digest.ts';
 import {promptOf} from './prompt-of.ts';
 import type {RunLog} from './run-log.ts';
+import type {TargetOptions} from './target-options.ts';
 import {Sequence} from './sequence.ts';
 
 const tokensPerBlock = constants.prefixBlockCharacters / constants.charactersPerToken;
@@ -22,7 +23,7 @@
 	readonly cache: PrefixCache;
 	readonly orders: OrderBook;
 	readonly log: RunLog;
-	readonly crashOn?: string;
+	readonly target: TargetOptions;
 	readonly prefillMsPerToken: number;
 	/** Answers end without an end marker after this many tokens; 0 for never. */
 	readonly truncateAfter: number;
@@ -103,7 +104,7 @@
 	}
 
 	#crashIfAsked(prompt: string, produced: number, run: {attempt: string; digest: string}): void {
-		const {crashOn, log} = this.#options;
+		const {target: {crashOn}, log} = this.#options;
 		if (crashOn !== undefined && produced >= crashAfterTokens && prompt.includes(crashOn)) {
 			log.write({event: 'crash', ...run});
 			process.kill(process.pid, 'SIGKILL');
--- a/test/fakes/engine.ts
+++ b/test/fakes/engine.ts
@@ -41,7 +41,7 @@
 	load: () => ({running: scheduler.running, queued: scheduler.queued}),
 });
 const handler = new EngineHandler({
-	scheduler, cache, orders, log, crashOn: common.crashOn, prefillMsPerToken, truncateAfter: Number(extra['truncate-after'] ?? 0),
+	scheduler, cache, orders, log, target: common, prefillMsPerToken, truncateAfter: Number(extra['truncate-after'] ?? 0),
 });
 new TargetServer({
 	target: common,
--- a/test/fakes/service-handler.ts
+++ b/test/fakes/service-handler.ts
@@ -2,12 +2,13 @@
 import process from 'node:process';
 import {promptDigest} from './prompt-digest.ts';
 import type {RunLog} from './run-log.ts';
+import type {TargetOptions} from './target-options.ts';
 
 type ServiceHandlerOptions = {
 	readonly log: RunLog;
 	/** Working time of one call, in milliseconds. */
 	readonly delayMs: number;
-	readonly crashOn?: string;
+	readonly target: TargetOptions;
 	/** Closes the connection after the run instead of answering, for bodies that contain this text. */
 	readonly dropAnswerOn?: string;
 };
@@ -40,7 +41,7 @@
 	}
 
 	#work(res: ServerResponse, run: {attempt: string; key?: string; digest: string}, body: string): void {
-		const {crashOn, dropAnswerOn, delayMs, log} = this.#options;
+		const {target: {crashOn}, dropAnswerOn, delayMs, log} = this.#options;
 		const runs = (this.#runs.get(run.key ?? '') ?? 0) + 1;
 		this.#runs.set(run.key ?? '', runs);
 		if (crashOn !== undefined && body.includes(crashOn)) {
--- a/test/fakes/service.ts
+++ b/test/fakes/service.ts
@@ -11,7 +11,7 @@
 	target: common.id, region: common.region, zone: common.zone, service: common.service,
 });
 const handler = new ServiceHandler({
-	log, delayMs: Number(extra['delay-ms'] ?? 20), crashOn: common.crashOn, dropAnswerOn: extra['drop-answer-on'],
+	log, delayMs: Number(extra['delay-ms'] ?? 20), target: common, dropAnswerOn: extra['drop-answer-on'],
 });
 const announcer = new Announcer({
 	target: common,
--- a/test/fakes/target-options.ts
+++ b/test/fakes/target-options.ts
@@ -15,7 +15,7 @@
 	readonly capacity: number;
 	readonly runLog?: string;
 	/** Content that makes the process exit in the middle of the run. */
-	readonly crashOn?: string;
+	crashOn?: string;
 	/** Sends each announcement a second time after this delay, as if the network had kept it; 0 for never. */
 	readonly replayAnnouncementsMs: number;
 	/** Age of the load figures in announcements, in milliseconds. */
--- a/test/fakes/target-server.ts
+++ b/test/fakes/target-server.ts
@@ -51,7 +51,14 @@
 				chunks.push(chunk as Buffer);
 			}
 
-			this.#options.handle(req, res, Buffer.concat(chunks).toString());
+			const body = Buffer.concat(chunks).toString();
+			if (req.url === '/test/crash-on') {
+				this.#options.target.crashOn = body;
+				res.end();
+				return;
+			}
+
+			this.#options.handle(req, res, body);
 		} catch {
 			res.destroy();
 		}
--- /dev/null
+++ b/test/harness/answer.ts
@@ -0,0 +1,4 @@
+import type {CallRecord} from './call-record.ts';
+
+/** What one sending came to, without who sent it. */
+export type Answer = Pick<CallRecord, 'outcome' | 'result' | 'ran' | 'retryAfterMs' | 'detail'>;
--- a/test/harness/fault-proxy.ts
+++ b/test/harness/fault-proxy.ts
@@ -17,7 +17,7 @@
 	readonly #baseDelayMs: number;
 
 	/** Listens on `port` and passes everything to `targetPort`, both on loopback, each way after a delay. */
-	constructor(port: number, targetPort: number, baseDelayMs = 0) {
+	constructor(port: number, readonly targetPort: number, baseDelayMs = 0) {
 		this.#baseDelayMs = baseDelayMs;
 		this.#apply('both', {delayMs: baseDelayMs});
 		this.#port = port;
--- a/test/harness/launcher.ts
+++ b/test/harness/launcher.ts
@@ -56,9 +56,9 @@
 		await Promise.all(this.spec.nodes.map(async ({node}) => this.ready(node)));
 	}
 
-	/** Address at which callers and operators reach a node, without a proxy. */
-	origin(node: string): string {
-		return `http://127.0.0.1:${this.#nodePorts.get(node)!.callers}`;
+	/** `ip:port` at which callers and operators reach a node, without a proxy. */
+	address(node: string): string {
+		return `127.0.0.1:${this.#nodePorts.get(node)!.callers}`;
 	}
 
 	async ready(node: string): Promise<void> {
@@ -66,10 +66,10 @@
 	}
 
 	/** Reads a JSON page of a node; undefined if it does not answer. */
-	async get(node: string, page: string): Promise<unknown> {
+	async get(node: string, page: string, timeoutMs = requestTimeoutMs): Promise<unknown> {
 		try {
 			const headers = {authorization: `Bearer ${operatorKey}`};
-			const response = await request(this.origin(node) + page, {headers, headersTimeout: requestTimeoutMs, bodyTimeout: requestTimeoutMs});
+			const response = await request(`http://${this.address(node)}${page}`, {headers, headersTimeout: timeoutMs, bodyTimeout: timeoutMs});
 			const text = await response.body.text();
 			return response.statusCode === 200 ? (text.startsWith('{') || text.startsWith('[') ? JSON.parse(text) : text) : undefined;
 		} catch {
@@ -79,10 +79,10 @@
 
 	/** Submits a change of the settings tree at a node; returns status and outcome. */
 	async change(node: string, change: Record<string, unknown>, timeoutMs = 20_000): Promise<{status: number; body: Record<string, unknown>}> {
-		const response = await request(`${this.origin(node)}/v1/changes`, {
+		const response = await request(`http://${this.address(node)}/v1/changes`, {
 			method: 'POST',
 			headers: {'content-type': 'application/json', authorization: `Bearer ${operatorKey}`},
-			body: JSON.stringify({operator: 'tester', submittedAt: Date.now(), ...change}),
+			body: JSON.stringify(change),
 			headersTimeout: timeoutMs,
 			bodyTimeout: timeoutMs,
 		});
--- /dev/null
+++ b/test/harness/load-generator.ts
@@ -0,0 +1,189 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {Agent} from 'undici';
+import type {z} from 'zod';
+import {answerToken} from '../fakes/answer-token.ts';
+import {promptDigest} from '../fakes/prompt-digest.ts';
+import {promptOf} from '../fakes/prompt-of.ts';
+import type {Answer} from './answer.ts';
+import type {CallRecord} from './call-record.ts';
+import type {loadSchema} from './load-schema.ts';
+import {readAnswer} from './read-answer.ts';
+
+type Load = z.infer<typeof loadSchema>;
+type Call = {
+	readonly method: 'GET' | 'POST';
+	readonly path: string;
+	readonly headers: Record<string, string>;
+	readonly body?: string;
+	/** Digest in the targets' run logs. */
+	readonly digest: string;
+	/** What a whole answer holds. */
+	readonly wanted: string;
+	readonly key?: string;
+};
+
+const resendPauseMs = 300;
+const longestPauseMs = 2000;
+const entriesTimeoutMs = 1000;
+
+type LoadGeneratorOptions = {
+	readonly load: Load;
+	readonly region: string;
+	/** Services of the firm by kind of call. */
+	readonly services: {readonly engine: string; readonly call: string};
+	/** Nodes of the region that the Directory knows: asked which entries to use. */
+	readonly directory: readonly string[];
+	/** `ip:port` of a node, past the proxies between nodes. */
+	readonly addressOf: (node: string) => string;
+	readonly record: (record: CallRecord) => void;
+};
+
+/** The callers of one load in one region; each sends its requests one after another and checks its answers. */
+export class LoadGenerator {
+	readonly #options: LoadGeneratorOptions;
+	readonly #agent = new Agent({connections: 64, connect: {timeout: entriesTimeoutMs}});
+	#turn = 0;
+
+	constructor(options: LoadGeneratorOptions) {
+		this.#options = options;
+	}
+
+	async run(): Promise<void> {
+		const {load} = this.#options;
+		await Promise.all(Array.from({length: load.callers}, async (_, caller) => this.#caller(caller)));
+		await this.#agent.close();
+	}
+
+	async #caller(caller: number): Promise<void> {
+		const {load} = this.#options;
+		await delay(load.everyMs * caller / load.callers);
+		for (let index = 0; index < load.requests; index++) {
+			await this.#request(this.#makeCall(`${caller}-${index}`)); // eslint-disable-line no-await-in-loop
+			await delay(load.everyMs); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	/** Sends a request until it is answered whole or the resends are used up; each time at another entry. */
+	async #request(call: Call): Promise<void> {
+		const {load} = this.#options;
+		for (let sending = 0; sending <= load.resends; sending++) {
+			const answer = await this.#send(call, sending); // eslint-disable-line no-await-in-loop
+			if (answer.outcome === 'whole' && !load.resendWhole) {
+				return;
+			}
+
+			const pause = answer.retryAfterMs ?? resendPauseMs;
+			await delay(Math.min(pause, longestPauseMs)); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	async #send(call: Call, sending: number): Promise<Answer> {
+		const {load, region, record} = this.#options;
+		const entry = await this.#entry();
+		const sentAt = Date.now();
+		const answer = await this.#exchange(entry, call);
+		record({
+			load: load.name,
+			digest: call.digest,
+			key: call.key,
+			sending,
+			region,
+			organisation: `${region}-${load.organisation}`,
+			entry,
+			sentAt,
+			endAt: Date.now(),
+			...answer,
+		});
+		return answer;
+	}
+
+	async #exchange(entry: string, call: Call): Promise<Answer> {
+		const {load} = this.#options;
+		const signal = AbortSignal.timeout(load.giveUpMs);
+		try {
+			const response = await this.#agent.request({
+				origin: `http://${this.#options.addressOf(entry)}`, method: call.method, path: call.path, headers: call.headers, body: call.body, signal, headersTimeout: 0, bodyTimeout: 0,
+			});
+			const contentType = String(response.headers['content-type']);
+			return readAnswer({status: response.statusCode, contentType, body: await response.body.text()}, call.wanted);
+		} catch (error) {
+			if (signal.aborted) {
+				return {outcome: load.giveUpMs < 60_000 ? 'gave-up' : 'hung'};
+			}
+
+			return {outcome: 'broken', detail: (error as Error).message};
+		}
+	}
+
+	/** Asks a node which entries to use and takes the next of those of the own region. */
+	async #entry(): Promise<string> {
+		const {directory, region} = this.#options;
+		this.#turn += 1;
+		for (const offset of directory.keys()) {
+			const node = directory[(this.#turn + offset) % directory.length]!;
+			const listed = await this.#listed(node); // eslint-disable-line no-await-in-loop
+			const own = listed.filter(entry => entry.region === region);
+			const usable = own.length > 0 ? own : listed;
+			if (usable.length > 0) {
+				return usable[this.#turn % usable.length]!.node;
+			}
+		}
+
+		return directory[this.#turn % directory.length]!;
+	}
+
+	async #listed(node: string): Promise<ReadonlyArray<{node: string; region: string}>> {
+		try {
+			const response = await this.#agent.request({
+				origin: `http://${this.#options.addressOf(node)}`, method: 'GET', path: '/v1/entries', headersTimeout: entriesTimeoutMs, bodyTimeout: entriesTimeoutMs,
+			});
+			const list = await response.body.json() as {entries: Array<{node: string; region: string}>};
+			return list.entries;
+		} catch {
+			return [];
+		}
+	}
+
+	#makeCall(id: string): Call {
+		const {load, region, services} = this.#options;
+		const name = `${load.name}-${region}-${id}`;
+		const headers: Record<string, string> = {authorization: `Bearer ${region}-${load.organisation}`, 'content-type': 'application/json'};
+		if (load.deadlineMs !== undefined) {
+			headers['lovageferry-deadline-ms'] = String(load.deadlineMs);
+		}
+
+		if (load.kind === 'draft' || load.kind === 'answer') {
+			return this.#makeCompletion(name, {...headers, 'lovageferry-service': services.engine});
+		}
+
+		if (load.kind === 'status') {
+			const path = `/status/${name}`;
+			const digest = promptDigest(`${path}\n`);
+			return {
+				method: 'GET', path: `/s/${services.call}${path}`, headers, digest, wanted: digest,
+			};
+		}
+
+		const body = JSON.stringify({order: name, text: load.text});
+		const digest = promptDigest(`/orders\n${body}`);
+		return {
+			method: 'POST', path: `/s/${services.call}/orders`, headers: {...headers, 'lovageferry-route': 'orders', 'idempotency-key': name}, body, digest, wanted: digest, key: name,
+		};
+	}
+
+	#makeCompletion(name: string, headers: Record<string, string>): Call {
+		const {load} = this.#options;
+		// A text that crashes targets is the same each time, as when its caller sends it again.
+		const subject = load.text === '' ? `Request ${name}. ` : load.text;
+		const history = 'Check the layout of this notice against the bylaw. '.repeat(Math.ceil(load.promptCharacters / 50)).slice(0, load.promptCharacters);
+		const messages = [{role: 'user', content: `${history}${subject}`}];
+		const digest = promptDigest(promptOf({messages}));
+		const wanted = Array.from({length: load.tokens}, (_, index) => answerToken(digest, index)).join('');
+		const body = JSON.stringify({
+			model: 'layout-1', messages, stream: load.kind === 'draft', max_tokens: load.tokens,
+		});
+		return {
+			method: 'POST', path: '/v1/chat/completions', headers, body, digest, wanted,
+		};
+	}
+}
--- /dev/null
+++ b/test/harness/operator-steps.ts
@@ -0,0 +1,123 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import type {RunState} from './run-state.ts';
+import type {StepValues} from './step-values.ts';
+
+type Outcome = {readonly type?: string; readonly revision?: number; readonly winner?: string; readonly result?: string};
+
+const pollMs = 100;
+const maxTries = 20;
+
+/** The steps of a scenario that change the settings tree. */
+export class OperatorSteps {
+	readonly #state: RunState;
+	readonly #nodes: (names: readonly string[]) => string[];
+	#count = 0;
+
+	constructor(state: RunState, nodes: (names: readonly string[]) => string[]) {
+		this.#state = state;
+		this.#nodes = nodes;
+	}
+
+	/** Makes one change and waits until it is in force where it must be. */
+	async change(step: StepValues['change']): Promise<void> {
+		this.#count += 1;
+		const number = step.number ?? await this.#nextNumber(step.at);
+		const submitted = Date.now();
+		const outcome = await this.#submit(step.at, {changeId: step.changeId ?? `change-${this.#count}`, number, operations: step.operations}, step.expect);
+		if (outcome.type !== step.expect) {
+			this.#state.problems.push(`change ${this.#count} at ${step.at}: ${JSON.stringify(outcome)} instead of ${step.expect}`);
+			return;
+		}
+
+		if (outcome.type !== 'accepted') {
+			return;
+		}
+
+		if (step.narrows) {
+			this.#state.narrowings.push({revision: outcome.revision!, ...step.narrows});
+		}
+
+		await this.#inForce(outcome.revision!, step.inForce, submitted + step.withinMs);
+	}
+
+	/** Sends different changes with one number at the same time: exactly one may win, also when all are sent again. */
+	async race(step: StepValues['race']): Promise<void> {
+		this.#count += 1;
+		const number = await this.#nextNumber(step.at[0]!);
+		const changes = step.at.map((at, index) => ({
+			at,
+			change: {
+				changeId: `race-${this.#count}-${index}`, number, operations: [{
+					op: 'set', path: step.path, key: step.key, value: step.values[index % step.values.length],
+				}],
+			},
+		}));
+		const first = await Promise.all(changes.map(async ({at, change}) => this.#submit(at, change)));
+		const again = await Promise.all(changes.map(async ({change}, index) => this.#submit(changes[(index + 1) % changes.length]!.at, change)));
+		const winners = first.filter(({type}) => type === 'accepted');
+		const losers = first.filter(({type}) => type === 'number-taken');
+		if (winners.length !== 1 || losers.length !== changes.length - 1) {
+			this.#state.problems.push(`race for number ${number}: ${JSON.stringify(first)}`);
+		}
+
+		if (first.some(({type}, index) => again[index]!.type !== type)) {
+			this.#state.problems.push(`race for number ${number}: sent again ${JSON.stringify(again)} instead of ${JSON.stringify(first)}`);
+		}
+	}
+
+	/** Makes many changes one after another, each sent twice. */
+	async many(step: StepValues['changes']): Promise<void> {
+		for (let index = 0; index < step.count; index++) {
+			const number = await this.#nextNumber(step.at); // eslint-disable-line no-await-in-loop
+			const change = {
+				changeId: `many-${number}`, number, operations: [{
+					op: 'set', path: step.path, key: step.key, value: 1000 + index,
+				}],
+			};
+			const first = await this.#submit(step.at, change); // eslint-disable-line no-await-in-loop
+			const again = index % 50 === 0 ? await this.#submit(step.at, change) : first; // eslint-disable-line no-await-in-loop
+			if (first.type !== 'accepted' || again.revision !== first.revision) {
+				this.#state.problems.push(`change ${number}: ${JSON.stringify(first)}, sent again ${JSON.stringify(again)}`);
+				return;
+			}
+		}
+	}
+
+	/** Sends a change, and again after a lost answer or while there is no quorum. */
+	async #submit(at: string, change: Record<string, unknown>, expected = 'accepted'): Promise<Outcome> {
+		let last: Outcome = {};
+		for (let attempt = 0; attempt < maxTries; attempt++) {
+			try {
+				const {body} = await this.#state.launcher.change(at, change); // eslint-disable-line no-await-in-loop
+				last = body;
+			} catch (error) {
+				last = {type: (error as Error).message};
+			}
+
+			if ([expected, 'accepted', 'number-taken', 'id-reused', 'invalid'].includes(last.type ?? '')) {
+				return last;
+			}
+
+			await delay(pollMs); // eslint-disable-line no-await-in-loop
+		}
+
+		return last;
+	}
+
+	async #nextNumber(at: string): Promise<number> {
+		const status = await this.#state.launcher.get(at, '/v1/status') as {revision: number} | undefined;
+		return (status?.revision ?? 0) + 1;
+	}
+
+	async #inForce(revision: number, names: readonly string[], end: number): Promise<void> {
+		const nodes = this.#nodes(names);
+		const behind = () => nodes.filter(node => this.#state.monitor.revision(node) < revision);
+		while (behind().length > 0 && Date.now() < end) {
+			await delay(pollMs); // eslint-disable-line no-await-in-loop
+		}
+
+		if (behind().length > 0) {
+			this.#state.problems.push(`revision ${revision} is not in force in time at ${behind().join(', ')}`);
+		}
+	}
+}
--- /dev/null
+++ b/test/harness/run-scenario.ts
@@ -0,0 +1,51 @@
+import process from 'node:process';
+import {SeededRandom} from '../../src/core/common/seeded-random.ts';
+import {checkInvariants} from './check-invariants.ts';
+import {checkScenario} from './check-scenario.ts';
+import {Launcher} from './launcher.ts';
+import {makeSpec} from './make-spec.ts';
+import type {RunState} from './run-state.ts';
+import type {Scenario} from './scenario.ts';
+import {SettingsMonitor} from './settings-monitor.ts';
+import {StepRunner} from './step-runner.ts';
+
+type Result = {
+	/** Nothing if the proof passed. */
+	readonly problems: readonly string[];
+	readonly notes: readonly string[];
+	/** Folder of logs, kept if it did not. */
+	readonly folder: string;
+	readonly summary: string;
+};
+
+/** Runs one scenario with one seed on an installation of its own. */
+export async function runScenario(scenario: Scenario, seed: number): Promise<Result> {
+	const launcher = await Launcher.create(makeSpec(scenario.installation));
+	const monitor = new SettingsMonitor(launcher);
+	const state: RunState = {
+		launcher, monitor, records: [], problems: [], notes: [], narrowings: [],
+	};
+	try {
+		await launcher.start();
+		monitor.start();
+		const steps = new StepRunner(state, new SeededRandom(seed));
+		await steps.run(scenario.steps);
+		await steps.join(['all']);
+		state.problems.push(...await checkScenario(state, scenario.checks), ...checkInvariants(state));
+	} catch (error) {
+		state.problems.push(`the run broke off: ${(error as Error).message}`);
+	} finally {
+		monitor.stop();
+	}
+
+	const keepFolder = state.problems.length > 0 || process.env['KEEP_LOGS'] !== undefined;
+	await launcher.dispose({keepFolder});
+	return {
+		problems: state.problems, notes: state.notes, folder: launcher.folder, summary: summarise(state),
+	};
+}
+
+function summarise({records}: RunState): string {
+	const outcomes = Map.groupBy(records, ({load, outcome, result}) => [load, outcome, result].filter(Boolean).join(' '));
+	return [...outcomes].map(([name, {length}]) => `${name}: ${length}`).join(', ');
+}
--- /dev/null
+++ b/test/harness/step-runner.ts
@@ -0,0 +1,217 @@
+import {readdirSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
+import {request} from 'undici';
+import type {Random} from '../../src/core/common/random.ts';
+import type {FaultProxy} from './fault-proxy.ts';
+import {FaultMix} from './fault-mix.ts';
+import {LoadGenerator} from './load-generator.ts';
+import {OperatorSteps} from './operator-steps.ts';
+import type {RunState} from './run-state.ts';
+import type {Step} from './step.ts';
+import type {StepValues} from './step-values.ts';
+
+type LinkStep = 'cut' | 'delay' | 'limit' | 'half-open' | 'reset';
+type Direction = 'forward' | 'backward' | 'both';
+
+const signals = {
+	freeze: 'SIGSTOP', thaw: 'SIGCONT', drain: 'SIGTERM', leave: 'SIGTERM',
+} as const;
+const linkActions: {[Name in LinkStep]: (proxy: FaultProxy, direction: Direction, value: StepValues[Name]) => void} = {
+	cut(proxy, direction) {
+		proxy.cut(direction);
+	},
+	delay(proxy, direction, {ms}) {
+		proxy.delay(ms, direction);
+	},
+	limit(proxy, direction, {bytesPerSecond}) {
+		proxy.limit(bytesPerSecond, direction);
+	},
+	'half-open'(proxy) {
+		proxy.halfOpen();
+	},
+	reset(proxy) {
+		proxy.reset();
+	},
+};
+
+/** Carries out the steps of a scenario on an installation. */
+export class StepRunner {
+	readonly #state: RunState;
+	readonly #random: Random;
+	readonly #loads = new Map<string, Promise<unknown>>();
+	readonly #operator: OperatorSteps;
+
+	constructor(state: RunState, random: Random) {
+		this.#state = state;
+		this.#random = random;
+		this.#operator = new OperatorSteps(state, names => this.#nodes(names));
+	}
+
+	async run(steps: readonly Step[]): Promise<void> {
+		for (const step of steps) {
+			await this.#one(step); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	/** Waits for the loads with these names. */
+	async join(names: readonly string[]): Promise<void> {
+		const wanted = names.includes('all') ? [...this.#loads.keys()] : names;
+		await Promise.all(wanted.map(async name => this.#loads.get(name)));
+	}
+
+	async #one(step: Step): Promise<void> {
+		const [name, value] = Object.entries(step)[0]! as [keyof StepValues, never];
+		if (name in linkActions) {
+			const act = linkActions[name as LinkStep] as (proxy: FaultProxy, direction: Direction, value: never) => void;
+			this.#eachLink(value, (proxy, direction) => {
+				act(proxy, direction, value);
+			});
+			return;
+		}
+
+		if (name in signals) {
+			await this.#eachProcess(value, async id => {
+				this.#process(id).signal(signals[name as keyof typeof signals]);
+			});
+			return;
+		}
+
+		await (this.#actions[name as keyof typeof this.#actions] as (value: never) => Promise<void> | void)(value);
+	}
+
+	readonly #actions: {[Name in Exclude<keyof StepValues, LinkStep | keyof typeof signals>]: (value: StepValues[Name]) => Promise<void> | void} = {
+		load: load => {
+			this.#startLoad(load);
+		},
+		join: async ({load}) => this.join(load),
+		wait: async milliseconds => delay(milliseconds),
+		heal: () => {
+			for (const proxy of this.#state.launcher.links.all()) {
+				proxy.heal();
+			}
+		},
+		kill: async step => this.#eachProcess(step, async id => this.#process(id).end('SIGKILL')),
+		start: async step => this.#eachProcess(step, async id => this.#start(id)),
+		restart: async step => this.#eachProcess(step, async id => this.#restart(id)),
+		'lose-disk': async step => this.#eachProcess(step, async id => this.#loseDisk(id)),
+		'damage-disk': async step => this.#eachProcess(step, async id => this.#damageDisk(id)),
+		'crash-on': async step => this.#eachProcess(step, async id => this.#crashOn(id, step.text)),
+		change: async step => this.#operator.change(step),
+		race: async step => this.#operator.race(step),
+		changes: async step => this.#operator.many(step),
+		mix: async step => this.#mix(step),
+	};
+
+	#startLoad(load: StepValues['load']): void {
+		const {launcher, records} = this.#state;
+		const {nodes, targets} = launcher.spec;
+		const regions = [...new Set(nodes.map(node => node.region))].filter(region => load.regions.includes('all') || load.regions.includes(region));
+		const services = {engine: targets.find(({kind}) => kind === 'engine')?.service ?? '', call: targets.find(({kind}) => kind === 'service')?.service ?? ''};
+		this.#loads.set(load.name, Promise.all(regions.map(async region => new LoadGenerator({
+			load,
+			region,
+			services,
+			directory: nodes.filter(node => node.region === region).map(({node}) => node),
+			addressOf: node => launcher.address(node),
+			record(record) {
+				records.push(record);
+			},
+		}).run())));
+	}
+
+	#process(id: string) {
+		return this.#state.launcher.processes.get(id)!;
+	}
+
+	async #eachProcess({process}: {readonly process: readonly string[]}, action: (id: string) => Promise<void>): Promise<void> {
+		await Promise.all([...this.#names(process)].map(async id => action(id)));
+	}
+
+	async #start(id: string): Promise<void> {
+		if (this.#process(id).up) {
+			return;
+		}
+
+		this.#process(id).start();
+		if (this.#nodes([id]).length > 0) {
+			await this.#state.launcher.ready(id);
+		}
+	}
+
+	async #restart(id: string): Promise<void> {
+		await this.#process(id).end('SIGTERM');
+		if (this.#process(id).exitCode !== 0) {
+			this.#state.problems.push(`${id} ended with ${this.#process(id).exitCode} on a graceful shutdown`);
+		}
+
+		await this.#start(id);
+	}
+
+	async #loseDisk(id: string): Promise<void> {
+		await this.#process(id).end('SIGKILL');
+		rmSync(this.#state.launcher.dataFolder(id), {recursive: true, force: true});
+		await this.#start(id);
+	}
+
+	/** Overwrites bytes in the middle of the largest file of the data folder; the process stays down. */
+	async #damageDisk(id: string): Promise<void> {
+		await this.#process(id).end('SIGKILL');
+		const folder = this.#state.launcher.dataFolder(id);
+		const files = readdirSync(folder, {recursive: true, withFileTypes: true}).filter(entry => entry.isFile());
+		const contents = files.map(entry => path.join(entry.parentPath, entry.name)).map(file => ({file, bytes: readFileSync(file)}));
+		const [largest] = contents.sort((a, b) => b.bytes.length - a.bytes.length);
+		largest!.bytes.fill(0x5A, Math.floor(largest!.bytes.length / 3), Math.floor(largest!.bytes.length / 3) + 8);
+		writeFileSync(largest!.file, largest!.bytes);
+	}
+
+	async #crashOn(id: string, text: string): Promise<void> {
+		const {targetPort} = this.#state.launcher.links.between(new Set(['entries']), new Set([id]))[0]!;
+		const response = await request(`http://127.0.0.1:${targetPort}/test/crash-on`, {method: 'PUT', body: text});
+		await response.body.dump();
+	}
+
+	/** Starts faults over the first half of the time, ends each after its time, and leaves nothing broken. */
+	async #mix({faults: [least, most], holdMs}: StepValues['mix']): Promise<void> {
+		const {launcher, notes} = this.#state;
+		const picked = new FaultMix(launcher.spec, this.#random).pick(least, most);
+		const starts = picked.map(() => this.#random.next() * holdMs);
+		notes.push(picked.map(({name}, index) => `${Math.round(starts[index]!)} ms: ${name}`).join(', '));
+		await Promise.all(picked.map(async (fault, index) => {
+			await delay(starts[index]!);
+			await this.#one(fault.begin);
+			await delay(holdMs);
+			if (fault.end) {
+				await this.#one(fault.end);
+			}
+		}));
+		await this.run([{heal: {}}, {thaw: {process: ['all']}}, {start: {process: ['all']}}]);
+	}
+
+	#eachLink({from, to, direction}: LinkNames, action: (proxy: FaultProxy, direction: Direction) => void): void {
+		const senders = this.#names(from);
+		const receivers = this.#names(to, senders);
+		const {links} = this.#state.launcher;
+		for (const proxy of links.between(senders, receivers)) {
+			action(proxy, direction === 'both' ? 'both' : 'forward');
+		}
+
+		for (const proxy of links.between(receivers, senders)) {
+			action(proxy, direction === 'both' ? 'both' : 'backward');
+		}
+	}
+
+	/** Processes meant by names: a process, a region with all of its processes, `entries`, `all`, or `others` than the given ones. */
+	#names(names: readonly string[], besides: ReadonlySet<string> = new Set()): Set<string> {
+		const {nodes, targets} = this.#state.launcher.spec;
+		const processes = [...nodes.map(({node, region}) => ({id: node, region})), ...targets.map(({id, region}) => ({id, region}))];
+		const found = processes.filter(({id, region}) => names.includes('all') || names.includes(id) || names.includes(region)
+			|| (names.includes('others') && !besides.has(id)));
+		return new Set([...found.map(({id}) => id), ...(names.includes('entries') ? ['entries'] : [])]);
+	}
+
+	#nodes(names: readonly string[]): string[] {
+		const found = this.#names(names);
+		return this.#state.launcher.spec.nodes.map(({node}) => node).filter(node => found.has(node));
+	}
+}
