--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,25 @@
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+
+type Bench = (options: {json: boolean; seed: number}) => Promise<unknown> | unknown;
+
+/** Measurements by name; each is loaded only when asked for. */
+const benches: Readonly<Record<string, () => Promise<Bench>>> = {
+	async path() {
+		const {benchPath} = await import('./path.ts');
+		return benchPath;
+	},
+};
+
+const {values, positionals} = parseArgs({
+	allowPositionals: true,
+	options: {json: {type: 'boolean', default: false}, seed: {type: 'string', default: '1'}},
+});
+const load = benches[positionals[0] ?? ''];
+if (load) {
+	const bench = await load();
+	await bench({json: values.json, seed: Number(values.seed)});
+} else {
+	process.stderr.write(`usage: npm run bench -- ${Object.keys(benches).join('|')} [--json] [--seed N]\n`);
+	process.exitCode = 2;
+}
--- /dev/null
+++ b/src/core/gateway-parts.ts
@@ -0,0 +1,119 @@
+import type {ActionQueue} from './action-queue.ts';
+import {FairAdmission} from './admission/fair-admission.ts';
+import {RequestCoordinator} from './attempts/request-coordinator.ts';
+import {SuspectPoisonGuard} from './attempts/suspect-poison-guard.ts';
+import {TokenRetryBudget} from './attempts/token-retry-budget.ts';
+import type {JournalLoad} from './common/journal-load.ts';
+import type {ConsensusRecord} from './consensus/consensus-record.ts';
+import {RaftMember} from './consensus/raft-member.ts';
+import type {GatewayCoreOptions} from './gateway-core-options.ts';
+import type {NodeId} from './ids/node-id.ts';
+import {Leadership} from './leadership.ts';
+import {ClaimLedger} from './ledger/claim-ledger.ts';
+import type {LedgerRecord} from './ledger/ledger-record.ts';
+import {ClusterMembership} from './membership/cluster-membership.ts';
+import {LeaderOrders} from './orders/leader-orders.ts';
+import {PipelineRouter} from './routing/pipeline-router.ts';
+import {RegionalTargetTable} from './targets/regional-target-table.ts';
+import type {CommandOutcome} from './tree/command-outcome.ts';
+import {SettingsService} from './tree/settings-service.ts';
+import {SystemState} from './tree/system-state.ts';
+
+/** The parts of a node's core, wired to each other; they act on the outside only through the action queue. */
+export class GatewayParts {
+	readonly membership: ClusterMembership;
+	/** Only on members of the replicated log. */
+	readonly consensus?: RaftMember<CommandOutcome>;
+	readonly leadership?: Leadership;
+	readonly settings: SettingsService;
+	readonly targets: RegionalTargetTable;
+	readonly ledger: ClaimLedger;
+	readonly poison: SuspectPoisonGuard;
+	readonly requests: RequestCoordinator;
+	readonly orders: LeaderOrders;
+	readonly #options: GatewayCoreOptions;
+
+	constructor(options: GatewayCoreOptions, outbox: ActionQueue) {
+		const {self, seeds, random, storage, controlMembers} = options;
+		this.#options = options;
+		this.membership = new ClusterMembership({
+			self, seeds, outbox, random,
+		});
+		const state = new SystemState();
+		if (storage && self.roles.includes('control')) {
+			this.consensus = new RaftMember({
+				self: self.nodeId,
+				storageId: storage.storageId,
+				initialMembers: controlMembers,
+				load: storage.consensus as JournalLoad<ConsensusRecord>,
+				state,
+				outbox,
+				random,
+			});
+		}
+
+		this.settings = new SettingsService({
+			self: self.nodeId,
+			outbox,
+			random,
+			controlNodes: () => this.#controlNodes(),
+			peers: () => this.#regionPeers(),
+			control: this.consensus && {consensus: this.consensus, state},
+		});
+		this.targets = new RegionalTargetTable({
+			self: self.nodeId, entries: () => this.#regionPeers(), outbox, random,
+		});
+		this.ledger = new ClaimLedger({
+			self: self.nodeId,
+			incarnation: self.incarnation,
+			hasDisk: storage !== undefined,
+			load: (storage?.ledger ?? {status: 'missing', records: []}) as JournalLoad<LedgerRecord>,
+			membership: this.membership,
+			outbox,
+			random,
+		});
+		this.poison = new SuspectPoisonGuard({
+			self: self.nodeId,
+			peers: () => this.#regionPeers(),
+			delegates: () => this.#delegates(),
+			outbox,
+		});
+		this.requests = new RequestCoordinator({
+			self: self.nodeId,
+			region: self.region,
+			tree: () => this.settings.tree,
+			router: new PipelineRouter({random}),
+			admission: new FairAdmission({random}),
+			targets: this.targets,
+			ledger: this.ledger,
+			membership: this.membership,
+			retryBudget: new TokenRetryBudget(),
+			poison: this.poison,
+			random,
+			outbox,
+			emit: action => {
+				outbox.push(action);
+			},
+		});
+	}
+
+	#controlNodes(): readonly NodeId[] {
+		const known = this.#options.seeds.filter(seed => seed.roles.includes('control'));
+		const own = known.filter(seed => seed.region === this.#options.self.region);
+		const others = known.filter(seed => seed.region !== this.#options.self.region);
+		return [...own, ...others].map(seed => seed.nodeId);
+	}
+
+	/** Live entries of this node's region without itself. */
+	#regionPeers(): readonly NodeId[] {
+		return this.membership.nodes()
+			.filter(({info, state}) => state !== 'dead' && info.nodeId !== this.#options.self.nodeId)
+			.map(({info}) => info.nodeId);
+	}
+
+	#delegates(): ReadonlyArray<readonly NodeId[]> {
+		return this.membership.regions(this.membership.clock)
+			.filter(view => view.region !== this.#options.self.region && view.reachable)
+			.map(view => view.entries);
+	}
+}
