--- /dev/null
+++ b/src/core/consensus/bootstrap.ts
@@ -0,0 +1,106 @@
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {StorageId} from '../ids/storage-id.ts';
+import {consensusTiming} from './consensus-timing.ts';
+import type {LogEntry} from './log-entry.ts';
+import type {MemberContext} from './member-context.ts';
+
+type Answer = {readonly storageId: StorageId; readonly empty: boolean; readonly promised: string};
+
+/**
+ * The start of a member with an empty folder. The lowest of the initial members forms the first
+ * configuration, but only if all of them answer that they are empty too and promise to belong to its group.
+ */
+export class Bootstrap {
+	readonly #context: MemberContext;
+	readonly #initial: readonly NodeId[];
+	readonly #answers = new Map<NodeId, Answer>();
+	#askAt = 0;
+	#historySeen = false;
+
+	constructor(context: MemberContext, initialMembers: readonly NodeId[]) {
+		this.#context = context;
+		this.#initial = [...initialMembers].sort();
+	}
+
+	/** True once some member was seen to have history: this one joins it as a learner. */
+	get historySeen(): boolean {
+		return this.#historySeen;
+	}
+
+	/** Asks the others; forms the first configuration and returns true if all are empty. */
+	tick(now: Millis): boolean {
+		if (this.#historySeen || !this.#context.storage.empty) {
+			return false;
+		}
+
+		if (this.#mayForm()) {
+			this.#form();
+			return true;
+		}
+
+		if (now >= this.#askAt) {
+			this.#askAt = now + consensusTiming.helloMs;
+			this.#ask();
+		}
+
+		return false;
+	}
+
+	/** Answers a member that starts; an empty one promises to belong to the group that is proposed. */
+	hello(from: NodeId, propose: string | undefined): void {
+		const {storage, send} = this.#context;
+		if (storage.empty && !this.#historySeen && propose !== undefined && propose !== storage.group) {
+			storage.setGroup(propose);
+		}
+
+		storage.writes.whenSynced(() => {
+			send(from, {type: 'hello-answer', empty: storage.empty, promised: storage.group});
+		});
+	}
+
+	answered(from: NodeId, answer: Answer): void {
+		this.#answers.set(from, answer);
+		this.#historySeen ||= !answer.empty;
+	}
+
+	#ask(): void {
+		const {self, send} = this.#context;
+		const propose = this.#isLowest() ? self.storageId : undefined;
+		for (const nodeId of this.#others()) {
+			send(nodeId, {type: 'hello', propose});
+		}
+	}
+
+	#mayForm(): boolean {
+		if (!this.#isLowest()) {
+			return false;
+		}
+
+		return this.#others().every(nodeId => {
+			const answer = this.#answers.get(nodeId);
+			return answer?.empty && answer.promised === this.#context.self.storageId;
+		});
+	}
+
+	#form(): void {
+		const {self, storage} = this.#context;
+		const others = this.#others().map(nodeId => ({nodeId, storageId: this.#answers.get(nodeId)!.storageId}));
+		const first: LogEntry = {
+			index: 1,
+			term: 1,
+			content: {type: 'configuration', configuration: {voters: [self, ...others], wanted: this.#initial}},
+		};
+		storage.setGroup(self.storageId);
+		storage.setVote(1, undefined);
+		storage.append([first]);
+	}
+
+	#isLowest(): boolean {
+		return this.#initial[0] === this.#context.self.nodeId;
+	}
+
+	#others(): readonly NodeId[] {
+		return this.#initial.filter(nodeId => nodeId !== this.#context.self.nodeId);
+	}
+}
--- /dev/null
+++ b/src/core/consensus/log-acceptor.ts
@@ -0,0 +1,82 @@
+import type {NodeId} from '../ids/node-id.ts';
+import type {ConsensusMessage} from './consensus-message.ts';
+import type {LogEntry} from './log-entry.ts';
+import type {MemberContext} from './member-context.ts';
+
+type Append = ConsensusMessage['body'] & {type: 'append'};
+
+/** A follower's side of replication: checks that the logs agree, stores entries, answers once they are synced. */
+export class LogAcceptor {
+	readonly #context: MemberContext;
+
+	constructor(context: MemberContext) {
+		this.#context = context;
+	}
+
+	/** Stores what is new; returns the index up to which the log agrees with the leader's, or undefined. */
+	accept(from: NodeId, message: Append, commit: number): number | undefined {
+		const {storage} = this.#context;
+		const {previousIndex, previousTerm, entries} = message;
+		if (previousIndex > commit && storage.log.term(previousIndex) !== previousTerm) {
+			this.#answer(from, message, false, this.#retryAt(previousIndex, commit));
+			return undefined;
+		}
+
+		const fresh = this.#firstNew(entries, commit);
+		if (fresh.length > 0) {
+			this.#store(fresh);
+		}
+
+		const matched = previousIndex + entries.length;
+		storage.writes.whenSynced(() => {
+			if (storage.term === message.term) {
+				this.#answer(from, message, true, matched);
+			}
+		});
+		return matched;
+	}
+
+	/** Refuses the message of a leader of an earlier term. */
+	refuse(from: NodeId, message: Append): void {
+		this.#answer(from, message, false, this.#context.storage.log.lastIndex);
+	}
+
+	#store(fresh: readonly LogEntry[]): void {
+		const {storage} = this.#context;
+		if (fresh[0]!.index <= storage.log.lastIndex) {
+			storage.truncate(fresh[0]!.index);
+		}
+
+		storage.append(fresh);
+	}
+
+	/** The entries from the first one on that the log does not hold; committed ones are held for certain. */
+	#firstNew(entries: readonly LogEntry[], commit: number): readonly LogEntry[] {
+		const {log} = this.#context.storage;
+		const first = entries.findIndex(({index, term}) => index > commit && log.term(index) !== term);
+		return first === -1 ? [] : entries.slice(first);
+	}
+
+	/** Where the leader should try next: before the whole conflicting term, but never before what is committed. */
+	#retryAt(previousIndex: number, commit: number): number {
+		const {log} = this.#context.storage;
+		if (previousIndex > log.lastIndex) {
+			return log.lastIndex;
+		}
+
+		const conflicting = log.term(previousIndex);
+		let index = previousIndex - 1;
+		while (index > commit && log.term(index) === conflicting) {
+			index -= 1;
+		}
+
+		return index;
+	}
+
+	#answer(from: NodeId, message: Append, ok: boolean, index: number): void {
+		const {storage, send} = this.#context;
+		send(from, {
+			type: 'append-answer', term: storage.term, ok, index, previousIndex: message.previousIndex, sentAt: message.sentAt,
+		});
+	}
+}
--- /dev/null
+++ b/src/core/consensus/member-context.ts
@@ -0,0 +1,16 @@
+import type {Outbox} from '../common/outbox.ts';
+import type {Random} from '../common/random.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {StorageId} from '../ids/storage-id.ts';
+import type {ConsensusMessage} from './consensus-message.ts';
+import type {LogMember} from './log-member.ts';
+import type {MemberStorage} from './member-storage.ts';
+
+/** What the parts of one member share. */
+export type MemberContext = {
+	readonly self: LogMember;
+	readonly storage: MemberStorage;
+	readonly outbox: Outbox;
+	readonly random: Random;
+	readonly send: (to: NodeId, body: ConsensusMessage['body'], storageId?: StorageId) => void;
+};
--- /dev/null
+++ b/src/core/consensus/member-storage.ts
@@ -0,0 +1,225 @@
+import type {JournalLoad} from '../common/journal-load.ts';
+import type {Outbox} from '../common/outbox.ts';
+import type {Configuration} from './configuration.ts';
+import {ConfigurationHistory} from './configuration-history.ts';
+import {consensusLimits} from './consensus-limits.ts';
+import type {ConsensusRecord} from './consensus-record.ts';
+import {DurableWrites} from './durable-writes.ts';
+import {entryWeight} from './entry-weight.ts';
+import type {LogEntry} from './log-entry.ts';
+import type {LogSnapshot} from './log-snapshot.ts';
+import {RaftLog} from './raft-log.ts';
+
+/** What a member must not forget: term and vote, group, entries, snapshot. Memory runs ahead of the disk; answers wait for it. */
+export class MemberStorage {
+	readonly log = new RaftLog();
+	readonly writes: DurableWrites;
+	readonly #configurations = new ConfigurationHistory();
+	#term = 0;
+	#votedFor: string | undefined;
+	#group = '';
+	#snapshotIndex = 0;
+	/** Snapshot found at start, until it is taken. */
+	#loaded: LogSnapshot | undefined;
+	#recordedCommit = 0;
+	/** Operations of the entries applied since the snapshot. */
+	#appliedWeight = 0;
+
+	constructor(load: JournalLoad<ConsensusRecord>, outbox: Outbox) {
+		this.writes = new DurableWrites(outbox);
+		for (const record of load.records) {
+			this.#replay(record);
+		}
+	}
+
+	get term(): number {
+		return this.#term;
+	}
+
+	get votedFor(): string | undefined {
+		return this.#votedFor;
+	}
+
+	get group(): string {
+		return this.#group;
+	}
+
+	get snapshotIndex(): number {
+		return this.#snapshotIndex;
+	}
+
+	/** Newest index known from the disk to be committed. */
+	get recordedCommit(): number {
+		return this.#recordedCommit;
+	}
+
+	/** The configuration in force: the newest one in the log. */
+	get configuration(): Configuration | undefined {
+		return this.#configurations.latest;
+	}
+
+	get configurationIndex(): number {
+		return this.#configurations.latestIndex;
+	}
+
+	/** True for a folder that never held an entry. */
+	get empty(): boolean {
+		return this.log.lastIndex === 0;
+	}
+
+	configurationAt(index: number): Configuration | undefined {
+		return this.#configurations.at(index);
+	}
+
+	takeLoadedSnapshot(): LogSnapshot | undefined {
+		const snapshot = this.#loaded;
+		this.#loaded = undefined;
+		return snapshot;
+	}
+
+	setVote(term: number, votedFor: string | undefined): void {
+		this.#term = term;
+		this.#votedFor = votedFor;
+		this.writes.append(this.#voteRecord());
+	}
+
+	setGroup(group: string): void {
+		this.#group = group;
+		this.writes.append({type: 'group', group});
+	}
+
+	append(entries: readonly LogEntry[]): void {
+		for (const entry of entries) {
+			this.#remember(entry);
+		}
+
+		this.writes.append({type: 'entries', entries});
+	}
+
+	truncate(from: number): void {
+		this.#forget(from);
+		this.writes.append({type: 'truncation', from});
+	}
+
+	/** Records, without anybody waiting for it, how far entries are committed. */
+	recordCommit(index: number): void {
+		if (index > this.#recordedCommit) {
+			this.#recordedCommit = index;
+			this.writes.append({type: 'commit', index});
+		}
+	}
+
+	/** Counts an applied entry; returns true when a new snapshot is due. */
+	applied(entry: LogEntry): boolean {
+		this.#appliedWeight += entryWeight(entry);
+		const count = entry.index - this.#snapshotIndex;
+		return count >= consensusLimits.snapshotEntries || this.#appliedWeight >= consensusLimits.snapshotWeight;
+	}
+
+	/** Replaces the journal's entries up to an applied index by the state there. */
+	compact(index: number, state: unknown): void {
+		const snapshot = {
+			index, term: this.log.term(index)!, configuration: this.configurationAt(index)!, state,
+		};
+		this.#snapshotIndex = index;
+		this.#recordedCommit = Math.max(index, this.#recordedCommit);
+		this.#rewrite(snapshot);
+		this.log.compact(this.#firstKept(index));
+		this.#configurations.compact(this.log.baseIndex);
+	}
+
+	/** Takes over a leader's snapshot; entries behind it stay only if the log agrees with it. */
+	install(snapshot: LogSnapshot): void {
+		const {index, term, configuration} = snapshot;
+		if (this.log.term(index) === term) {
+			this.log.compact(index);
+			this.#configurations.compact(index);
+		} else {
+			this.log.reset(index, term);
+			this.#configurations.reset(index, configuration);
+		}
+
+		this.#snapshotIndex = index;
+		this.#recordedCommit = Math.max(index, this.#recordedCommit);
+		this.#rewrite(snapshot);
+	}
+
+	#rewrite(snapshot: LogSnapshot): void {
+		this.#appliedWeight = 0;
+		this.writes.rewrite([
+			this.#voteRecord(),
+			{type: 'group', group: this.#group},
+			{type: 'snapshot', snapshot},
+			{type: 'entries', entries: this.log.slice(snapshot.index + 1)},
+			{type: 'commit', index: this.#recordedCommit},
+		]);
+	}
+
+	/** Index up to which memory may forget, so that members that lag a little need no snapshot. */
+	#firstKept(index: number): number {
+		const {keptEntries, snapshotWeight} = consensusLimits;
+		let first = index;
+		let weight = 0;
+		while (first > this.log.baseIndex && index - first < keptEntries && weight < snapshotWeight) {
+			weight += entryWeight(this.log.at(first)!);
+			first -= 1;
+		}
+
+		return first;
+	}
+
+	#remember(entry: LogEntry): void {
+		this.log.append(entry);
+		this.#configurations.append(entry);
+	}
+
+	#forget(from: number): void {
+		this.log.truncate(from);
+		this.#configurations.truncate(from);
+	}
+
+	#voteRecord(): ConsensusRecord {
+		return {type: 'vote', term: this.#term, votedFor: this.#votedFor};
+	}
+
+	#replay(record: ConsensusRecord): void {
+		switch (record.type) {
+			case 'vote': {
+				this.#term = record.term;
+				this.#votedFor = record.votedFor;
+				return;
+			}
+
+			case 'group': {
+				this.#group = record.group;
+				return;
+			}
+
+			case 'entries': {
+				for (const entry of record.entries) {
+					this.#remember(entry);
+				}
+
+				return;
+			}
+
+			case 'truncation': {
+				this.#forget(record.from);
+				return;
+			}
+
+			case 'commit': {
+				this.#recordedCommit = record.index;
+				return;
+			}
+
+			case 'snapshot': {
+				const {index, term, configuration} = record.snapshot;
+				this.#loaded = record.snapshot;
+				this.#snapshotIndex = index;
+				this.log.reset(index, term);
+				this.#configurations.reset(index, configuration);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/core/consensus/raft-log.ts
@@ -0,0 +1,63 @@
+import type {LogEntry} from './log-entry.ts';
+
+/** The entries in memory: a gapless run after `baseIndex`. */
+export class RaftLog {
+	#entries: LogEntry[] = [];
+	#baseIndex = 0;
+	#baseTerm = 0;
+
+	/** Index of the newest entry that is no longer held. */
+	get baseIndex(): number {
+		return this.#baseIndex;
+	}
+
+	get lastIndex(): number {
+		return this.#baseIndex + this.#entries.length;
+	}
+
+	get lastTerm(): number {
+		return this.#entries.at(-1)?.term ?? this.#baseTerm;
+	}
+
+	/** Term of an entry; undefined if it is not held. */
+	term(index: number): number | undefined {
+		return index === this.#baseIndex ? this.#baseTerm : this.at(index)?.term;
+	}
+
+	at(index: number): LogEntry | undefined {
+		return this.#entries[index - this.#baseIndex - 1];
+	}
+
+	append(entry: LogEntry): void {
+		this.#entries.push(entry);
+	}
+
+	truncate(from: number): void {
+		this.#entries.length = Math.max(0, from - this.#baseIndex - 1);
+	}
+
+	/** Held entries from an index on, at most `count`. */
+	slice(from: number, count = Number.MAX_SAFE_INTEGER): readonly LogEntry[] {
+		const start = from - this.#baseIndex - 1;
+		return this.#entries.slice(start, start + count);
+	}
+
+	/** Drops the entries up to an index that is held. */
+	compact(index: number): void {
+		if (index <= this.#baseIndex) {
+			return;
+		}
+
+		const term = this.term(index)!;
+		this.#entries = this.#entries.slice(index - this.#baseIndex);
+		this.#baseIndex = index;
+		this.#baseTerm = term;
+	}
+
+	/** Starts over behind a snapshot. */
+	reset(index: number, term: number): void {
+		this.#entries = [];
+		this.#baseIndex = index;
+		this.#baseTerm = term;
+	}
+}
--- /dev/null
+++ b/src/core/consensus/raft-member-options.ts
@@ -0,0 +1,20 @@
+import type {JournalLoad} from '../common/journal-load.ts';
+import type {Outbox} from '../common/outbox.ts';
+import type {Random} from '../common/random.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {StorageId} from '../ids/storage-id.ts';
+import type {ConsensusRecord} from './consensus-record.ts';
+import type {ReplicatedState} from './replicated-state.ts';
+
+/** How a member of the replicated log is made. */
+export type RaftMemberOptions<Outcome> = {
+	readonly self: NodeId;
+	/** Identity of the data folder; made anew with the folder. */
+	readonly storageId: StorageId;
+	/** Control nodes of the installation, this one included: they form the first configuration. */
+	readonly initialMembers: readonly NodeId[];
+	readonly load: JournalLoad<ConsensusRecord>;
+	readonly state: ReplicatedState<Outcome>;
+	readonly outbox: Outbox;
+	readonly random: Random;
+};
--- /dev/null
+++ b/src/core/consensus/raft-member.ts
@@ -0,0 +1,444 @@
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {StorageId} from '../ids/storage-id.ts';
+import {AppliedLog} from './applied-log.ts';
+import {Bootstrap} from './bootstrap.ts';
+import type {Consensus} from './consensus.ts';
+import type {ConsensusMessage} from './consensus-message.ts';
+import type {ConsensusStatus} from './consensus-status.ts';
+import {consensusTiming} from './consensus-timing.ts';
+import {Election} from './election.ts';
+import {isVoter} from './is-voter.ts';
+import {LogAcceptor} from './log-acceptor.ts';
+import type {LogCommand} from './log-command.ts';
+import type {LogEntry} from './log-entry.ts';
+import type {LogMember} from './log-member.ts';
+import type {MemberContext} from './member-context.ts';
+import {MemberStorage} from './member-storage.ts';
+import {MembershipChanges} from './membership-changes.ts';
+import type {RaftMemberOptions} from './raft-member-options.ts';
+import {Replicator} from './replicator.ts';
+import {SnapshotReceiver} from './snapshot-receiver.ts';
+
+type Body = ConsensusMessage['body'];
+type Greeting = Body & {type: 'hello' | 'hello-answer'};
+
+/** A member of the replicated log: Raft with pre-vote, leader lease, learners and snapshots. */
+export class RaftMember<Outcome> implements Consensus<Outcome> {
+	readonly #context: MemberContext;
+	readonly #storage: MemberStorage;
+	readonly #applied: AppliedLog<Outcome>;
+	readonly #initialMembers: readonly NodeId[];
+	readonly #bootstrap: Bootstrap;
+	readonly #election: Election;
+	readonly #acceptor: LogAcceptor;
+	readonly #receiver = new SnapshotReceiver();
+	readonly #changes = new MembershipChanges();
+	/** Set while this member leads. */
+	#replicator: Replicator | undefined;
+	#leader: NodeId | undefined;
+	/** Index of this leader's first entry: once it is committed the leader knows all that is. */
+	#firstIndex = 0;
+	#joinAt = 0;
+	#problem: string | undefined;
+
+	constructor(options: RaftMemberOptions<Outcome>) {
+		const {self, storageId, initialMembers, load, state, outbox, random} = options;
+		this.#storage = new MemberStorage(load, outbox);
+		this.#initialMembers = initialMembers;
+		this.#context = {
+			self: {nodeId: self, storageId},
+			storage: this.#storage,
+			outbox,
+			random,
+			send: (to, body, storage) => {
+				this.#send(to, body, storage);
+			},
+		};
+		this.#applied = new AppliedLog(this.#storage, state);
+		this.#bootstrap = new Bootstrap(this.#context, initialMembers);
+		this.#acceptor = new LogAcceptor(this.#context);
+		this.#election = new Election(this.#context, now => {
+			this.#lead(now);
+		});
+	}
+
+	handle(from: NodeId, message: ConsensusMessage, now: Millis): void {
+		const forAnother = message.to !== undefined && message.to !== this.#context.self.storageId;
+		if (this.#problem !== undefined || forAnother) {
+			return;
+		}
+
+		const {body} = message;
+		if (body.type === 'hello' || body.type === 'hello-answer') {
+			this.#greeted(from, message.storageId, body);
+			return;
+		}
+
+		if (this.#sameGroup(message)) {
+			this.#dispatch({nodeId: from, storageId: message.storageId}, body, now);
+		}
+	}
+
+	tick(now: Millis): void {
+		if (this.#problem !== undefined) {
+			return;
+		}
+
+		this.#bootstrap.tick(now);
+		if (this.#replicator === undefined) {
+			this.#election.tick(now);
+			this.#joinIfAlone(now);
+		} else {
+			this.#tickLeader(this.#replicator, now);
+		}
+
+		this.#storage.recordCommit(this.#applied.commit);
+	}
+
+	written(token: number, now: Millis): void {
+		if (this.#problem === undefined) {
+			this.#storage.writes.written(token);
+			this.#advanceLeader(now);
+		}
+	}
+
+	writeFailed(reason: string, now: Millis): void {
+		this.#stepBack(now);
+		this.#problem = reason;
+		this.#context.outbox.log('consensus', `The journal cannot be written, this member takes no part: ${reason}`);
+	}
+
+	propose(command: LogCommand, now: Millis): number | undefined {
+		if (!this.leads(now)) {
+			return undefined;
+		}
+
+		return this.#append({type: 'command', command}, now);
+	}
+
+	leads(now: Millis): boolean {
+		if (this.#replicator === undefined || this.#applied.commit < this.#firstIndex) {
+			return false;
+		}
+
+		return now - this.#replicator.majorityContact(now) < consensusTiming.leaseMs;
+	}
+
+	leader(): NodeId | undefined {
+		return this.#leader;
+	}
+
+	takeCommitted(): ReturnType<Consensus<Outcome>['takeCommitted']> {
+		return this.#applied.take();
+	}
+
+	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): boolean {
+		const current = this.#storage.configuration;
+		if (current === undefined || !this.leads(now) || this.#configurationOpen()) {
+			return false;
+		}
+
+		const next = this.#changes.commanded(current, change);
+		if (next === undefined) {
+			return false;
+		}
+
+		this.#append({type: 'configuration', configuration: next}, now);
+		return true;
+	}
+
+	status(): ConsensusStatus {
+		const {log, configuration, term, snapshotIndex} = this.#storage;
+		const learners = this.#replicator?.learners() ?? [];
+		return {
+			role: this.#role(),
+			term,
+			leader: this.#leader,
+			commitIndex: this.#applied.commit,
+			lastIndex: log.lastIndex,
+			snapshotIndex,
+			voters: configuration?.voters.map(voter => voter.nodeId) ?? [],
+			learners: learners.map(({member}) => member.nodeId),
+			...(this.#problem === undefined ? {} : {problem: this.#problem}),
+		};
+	}
+
+	#role(): ConsensusStatus['role'] {
+		if (this.#problem !== undefined) {
+			return 'stopped';
+		}
+
+		if (this.#replicator !== undefined) {
+			return 'leader';
+		}
+
+		if (this.#storage.empty && !this.#bootstrap.historySeen) {
+			return 'starting';
+		}
+
+		if (!isVoter(this.#storage.configuration, this.#context.self)) {
+			return 'learner';
+		}
+
+		return this.#election.standing ? 'candidate' : 'follower';
+	}
+
+	#send(to: NodeId, body: Body, storageId: StorageId | undefined): void {
+		// An empty member may have promised a group that was never formed: it joins any.
+		const group = body.type === 'join' && this.#storage.empty ? '' : this.#storage.group;
+		const message: ConsensusMessage = {
+			group, storageId: this.#context.self.storageId, to: storageId, body,
+		};
+		this.#context.outbox.send(to, {part: 'consensus', body: message});
+	}
+
+	#greeted(from: NodeId, storageId: StorageId, body: Greeting): void {
+		if (body.type === 'hello') {
+			this.#bootstrap.hello(from, body.propose);
+		} else {
+			this.#bootstrap.answered(from, {storageId, empty: body.empty, promised: body.promised});
+		}
+	}
+
+	/** An empty member that saw history belongs to the group that takes it up; others never change theirs. */
+	#sameGroup({group, body}: ConsensusMessage): boolean {
+		if (group === this.#storage.group) {
+			return group !== '';
+		}
+
+		if (body.type === 'join') {
+			return group === '';
+		}
+
+		const free = this.#storage.empty && this.#bootstrap.historySeen && group !== '';
+		const needed = body.type === 'append' || body.type === 'snapshot' || body.type === 'vote';
+		if (free && needed) {
+			this.#storage.setGroup(group);
+			return true;
+		}
+
+		return false;
+	}
+
+	#dispatch(from: LogMember, body: Exclude<Body, Greeting>, now: Millis): void {
+		if (!this.#followTerm(body, now)) {
+			return;
+		}
+
+		switch (body.type) {
+			case 'join': {
+				this.#replicator?.join(from, now);
+				return;
+			}
+
+			case 'vote': {
+				this.#election.requested(from, body, this.#leaderAlive(now), now);
+				return;
+			}
+
+			case 'vote-answer': {
+				this.#election.answered(from, body, now);
+				return;
+			}
+
+			case 'append': {
+				this.#appended(from, body, now);
+				return;
+			}
+
+			case 'snapshot': {
+				this.#snapshotSent(from, body, now);
+				return;
+			}
+
+			case 'append-answer':
+			case 'snapshot-answer': {
+				this.#answered(from, body, now);
+			}
+		}
+	}
+
+	/** Takes over a higher term; false for a message that must be ignored. */
+	#followTerm(body: Body, now: Millis): boolean {
+		if (!('term' in body) || body.term <= this.#storage.term) {
+			return true;
+		}
+
+		const preVote = (body.type === 'vote' || body.type === 'vote-answer') && body.pre;
+		if (preVote && (body.type === 'vote' || body.granted)) {
+			return true;
+		}
+
+		// A vote asked for while a leader is alive must not disturb it.
+		if (body.type === 'vote' && this.#leaderAlive(now)) {
+			return false;
+		}
+
+		this.#stepBack(now);
+		this.#storage.setVote(body.term, undefined);
+		return true;
+	}
+
+	#leaderAlive(now: Millis): boolean {
+		if (this.#replicator !== undefined) {
+			return !this.#replicator.quorumLost(now);
+		}
+
+		return this.#election.silence(now) < consensusTiming.electionMs;
+	}
+
+	#appended(from: LogMember, body: Body & {type: 'append'}, now: Millis): void {
+		if (body.term < this.#storage.term) {
+			this.#acceptor.refuse(from.nodeId, body);
+			return;
+		}
+
+		this.#heardLeader(from.nodeId, now);
+		const matched = this.#acceptor.accept(from.nodeId, body, this.#applied.commit);
+		if (matched !== undefined) {
+			this.#applied.advance(Math.min(body.commit, matched));
+		}
+	}
+
+	#snapshotSent(from: LogMember, body: Body & {type: 'snapshot'}, now: Millis): void {
+		const {term, index, sentAt} = body;
+		if (term < this.#storage.term) {
+			return;
+		}
+
+		this.#heardLeader(from.nodeId, now);
+		if (index > this.#applied.commit) {
+			const received = this.#receiver.receive(from.storageId, body);
+			if (typeof received === 'number') {
+				this.#send(from.nodeId, {
+					type: 'snapshot-answer', term, index, offset: received, sentAt,
+				}, from.storageId);
+				return;
+			}
+
+			this.#applied.install(received);
+		}
+
+		this.#storage.writes.whenSynced(() => {
+			this.#send(from.nodeId, {
+				type: 'append-answer', term, ok: true, index, previousIndex: index, sentAt,
+			}, from.storageId);
+		});
+	}
+
+	#answered(from: LogMember, body: Body & {type: 'append-answer' | 'snapshot-answer'}, now: Millis): void {
+		if (this.#replicator === undefined || body.term !== this.#storage.term) {
+			return;
+		}
+
+		if (body.type === 'append-answer') {
+			this.#replicator.acknowledged(from, body, this.#applied.commit, now);
+			this.#advanceLeader(now);
+		} else {
+			this.#replicator.snapshotAcknowledged(from, body, now);
+		}
+	}
+
+	#heardLeader(nodeId: NodeId, now: Millis): void {
+		this.#leader = nodeId;
+		this.#election.heardLeader(now);
+	}
+
+	#lead(now: Millis): void {
+		this.#context.outbox.log('consensus', `Leads term ${this.#storage.term}`);
+		this.#leader = this.#context.self.nodeId;
+		this.#replicator = new Replicator(this.#context, () => this.#applied.snapshot(), now);
+		this.#replicator.tick(this.#applied.commit, now);
+		this.#firstIndex = this.#append({type: 'command', command: {type: 'lead', nodeId: this.#context.self.nodeId}}, now);
+	}
+
+	#stepBack(now: Millis): void {
+		if (this.#replicator !== undefined) {
+			this.#context.outbox.log('consensus', `Leads no more, term ${this.#storage.term}`);
+			this.#replicator = undefined;
+		}
+
+		this.#leader = undefined;
+		this.#election.stop(now);
+	}
+
+	#append(content: LogEntry['content'], now: Millis): number {
+		const {log, term, writes} = this.#storage;
+		const index = log.lastIndex + 1;
+		this.#storage.append([{index, term, content}]);
+		writes.whenSynced(() => {
+			if (this.#replicator !== undefined && this.#storage.term === term) {
+				this.#replicator.selfMatch = Math.max(index, this.#replicator.selfMatch);
+			}
+		});
+		this.#replicator!.replicate(now);
+		return index;
+	}
+
+	#tickLeader(replicator: Replicator, now: Millis): void {
+		if (replicator.quorumLost(now)) {
+			this.#stepBack(now);
+			return;
+		}
+
+		replicator.tick(this.#applied.commit, now);
+		this.#changeConfiguration(replicator, now);
+	}
+
+	/** Commits what a majority has synced, if the newest of it is of this term. */
+	#advanceLeader(now: Millis): void {
+		const replicator = this.#replicator;
+		if (replicator === undefined) {
+			return;
+		}
+
+		const index = replicator.majorityMatch();
+		if (index <= this.#applied.commit || this.#storage.log.term(index) !== this.#storage.term) {
+			return;
+		}
+
+		this.#applied.advance(index);
+		const removed = !this.#configurationOpen() && !isVoter(this.#storage.configuration, this.#context.self);
+		if (removed) {
+			this.#stepBack(now);
+		}
+	}
+
+	#changeConfiguration(replicator: Replicator, now: Millis): void {
+		const current = this.#storage.configuration!;
+		if (!this.leads(now) || this.#configurationOpen()) {
+			return;
+		}
+
+		const {lastIndex} = this.#storage.log;
+		const configuration = this.#changes.next(current, {learners: replicator.learners(), lastIndex});
+		if (configuration !== undefined) {
+			this.#append({type: 'configuration', configuration}, now);
+			replicator.tick(this.#applied.commit, now);
+		}
+	}
+
+	/** True while the newest configuration is not committed. */
+	#configurationOpen(): boolean {
+		return this.#storage.configurationIndex > this.#applied.commit;
+	}
+
+	/** Without a leader for long, a member makes itself known to all: it may have been removed or replaced. */
+	#joinIfAlone(now: Millis): void {
+		const {electionMs, joinMs} = consensusTiming;
+		const knowsNoGroup = this.#storage.empty && !this.#bootstrap.historySeen;
+		if (now < this.#joinAt || knowsNoGroup || this.#election.silence(now) < 2 * electionMs) {
+			return;
+		}
+
+		this.#joinAt = now + joinMs;
+		const {configuration} = this.#storage;
+		const voters = configuration?.voters.map(voter => voter.nodeId) ?? [];
+		for (const nodeId of new Set([...this.#initialMembers, ...voters, ...(configuration?.wanted ?? [])])) {
+			if (nodeId !== this.#context.self.nodeId) {
+				this.#send(nodeId, {type: 'join'}, undefined);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/core/consensus/replicator.ts
@@ -0,0 +1,236 @@
+import type {Millis} from '../ids/millis.ts';
+import {consensusLimits} from './consensus-limits.ts';
+import type {ConsensusMessage} from './consensus-message.ts';
+import {consensusTiming} from './consensus-timing.ts';
+import {entryWeight} from './entry-weight.ts';
+import {isVoter} from './is-voter.ts';
+import type {LogEntry} from './log-entry.ts';
+import type {LogMember} from './log-member.ts';
+import type {LogSnapshot} from './log-snapshot.ts';
+import {majorityValue} from './majority-value.ts';
+import type {MemberContext} from './member-context.ts';
+import {memberKey} from './member-key.ts';
+import type {PeerProgress} from './peer-progress.ts';
+import {SnapshotSender} from './snapshot-sender.ts';
+
+type AppendAnswer = ConsensusMessage['body'] & {type: 'append-answer'};
+type SnapshotAnswer = ConsensusMessage['body'] & {type: 'snapshot-answer'};
+
+/** A leader's work for one term: brings the other members up to date and counts what a majority holds. */
+export class Replicator {
+	/** Highest index synced on the leader's own disk. */
+	selfMatch = 0;
+	readonly #context: MemberContext;
+	readonly #snapshots: SnapshotSender;
+	readonly #peers = new Map<string, PeerProgress>();
+	readonly #electedAt: Millis;
+	#commit = 0;
+
+	constructor(context: MemberContext, takeSnapshot: () => LogSnapshot, now: Millis) {
+		this.#context = context;
+		this.#snapshots = new SnapshotSender(context, takeSnapshot);
+		this.#electedAt = now;
+	}
+
+	peers(): readonly PeerProgress[] {
+		return [...this.#peers.values()];
+	}
+
+	learners(): readonly PeerProgress[] {
+		const {configuration} = this.#context.storage;
+		return this.peers().filter(peer => !isVoter(configuration, peer.member));
+	}
+
+	/** Takes up a member that asks to be brought up to date. */
+	join(member: LogMember, now: Millis): void {
+		const peer = this.#peers.get(memberKey(member)) ?? this.#add(member, now);
+		peer.heardAt = now;
+		this.#sendTo(peer, now, true);
+	}
+
+	/** Sends new entries, as far as members answer. */
+	replicate(now: Millis): void {
+		for (const peer of this.#peers.values()) {
+			this.#sendTo(peer, now, false);
+		}
+	}
+
+	tick(commit: number, now: Millis): void {
+		this.#commit = commit;
+		this.#followConfiguration(now);
+		this.#snapshots.tick(now);
+		for (const peer of this.#peers.values()) {
+			this.#tickPeer(peer, now);
+		}
+	}
+
+	acknowledged(from: LogMember, answer: AppendAnswer, commit: number, now: Millis): void {
+		const peer = this.#heard(from, answer.sentAt, now);
+		this.#commit = commit;
+		if (peer === undefined) {
+			return;
+		}
+
+		if (answer.ok) {
+			this.#matched(peer, answer.index, now);
+			return;
+		}
+
+		// Of several messages refused at once only the first one sets the place to try next.
+		if (!peer.probing || answer.previousIndex === peer.next - 1) {
+			peer.next = Math.max(peer.match + 1, Math.min(answer.index + 1, answer.previousIndex));
+			peer.probing = true;
+			peer.unanswered = 0;
+			this.#sendTo(peer, now, true);
+		}
+	}
+
+	snapshotAcknowledged(from: LogMember, answer: SnapshotAnswer, now: Millis): void {
+		const peer = this.#heard(from, answer.sentAt, now);
+		if (peer?.transfer?.index === answer.index) {
+			const progress = answer.offset > peer.transfer.offset || answer.offset === 0;
+			peer.transfer.offset = answer.offset;
+			if (progress) {
+				this.#snapshots.send(peer, now);
+			}
+		}
+	}
+
+	/** The highest index that a majority of voters has synced. */
+	majorityMatch(): number {
+		return majorityValue(this.#voterValues(peer => peer.match, this.selfMatch));
+	}
+
+	/** The newest time at which a majority of voters still took this member for their leader. */
+	majorityContact(now: Millis): number {
+		return majorityValue(this.#voterValues(peer => peer.ackedAt, now));
+	}
+
+	/** True if the leader has been without a majority for too long. */
+	quorumLost(now: Millis): boolean {
+		const contact = Math.max(this.majorityContact(now), this.#electedAt);
+		return now - contact > consensusTiming.quorumLossMs;
+	}
+
+	#voterValues(value: (peer: PeerProgress) => number, own: number): readonly number[] {
+		const {storage, self} = this.#context;
+		const selfKey = memberKey(self);
+		return storage.configuration!.voters.map(voter => {
+			const key = memberKey(voter);
+			if (key === selfKey) {
+				return own;
+			}
+
+			const peer = this.#peers.get(key);
+			return peer === undefined ? Number.NEGATIVE_INFINITY : value(peer);
+		});
+	}
+
+	#add(member: LogMember, now: Millis): PeerProgress {
+		const peer: PeerProgress = {
+			member,
+			match: 0,
+			next: this.#context.storage.log.lastIndex + 1,
+			probing: true,
+			unanswered: 0,
+			ackedAt: Number.NEGATIVE_INFINITY,
+			heardAt: now,
+			sentAt: Number.NEGATIVE_INFINITY,
+		};
+		this.#peers.set(memberKey(member), peer);
+		return peer;
+	}
+
+	#followConfiguration(now: Millis): void {
+		const {storage, self} = this.#context;
+		for (const voter of storage.configuration!.voters) {
+			if (!this.#peers.has(memberKey(voter)) && memberKey(voter) !== memberKey(self)) {
+				this.#add(voter, now);
+			}
+		}
+
+		for (const peer of this.learners()) {
+			if (now - peer.heardAt > consensusTiming.learnerMs) {
+				this.#peers.delete(memberKey(peer.member));
+			}
+		}
+	}
+
+	#tickPeer(peer: PeerProgress, now: Millis): void {
+		if (peer.unanswered > 0 && now - peer.ackedAt > consensusTiming.resendMs) {
+			peer.unanswered = 0;
+			peer.next = peer.match + 1;
+			peer.probing = true;
+		}
+
+		if (now - peer.sentAt >= consensusTiming.heartbeatMs) {
+			this.#sendTo(peer, now, true);
+		}
+	}
+
+	#heard(from: LogMember, sentAt: number, now: Millis): PeerProgress | undefined {
+		const peer = this.#peers.get(memberKey(from));
+		if (peer !== undefined) {
+			peer.heardAt = now;
+			peer.ackedAt = Math.max(peer.ackedAt, sentAt);
+		}
+
+		return peer;
+	}
+
+	#matched(peer: PeerProgress, index: number, now: Millis): void {
+		peer.match = Math.max(peer.match, index);
+		peer.next = Math.max(peer.next, peer.match + 1);
+		peer.probing = false;
+		peer.unanswered = Math.max(0, peer.unanswered - 1);
+		peer.transfer = undefined;
+		this.#sendTo(peer, now, false);
+	}
+
+	/** Sends the next entries; without any, only if `force` asks for a heartbeat. */
+	#sendTo(peer: PeerProgress, now: Millis, force: boolean): void {
+		const {storage} = this.#context;
+		if (peer.next <= storage.log.baseIndex) {
+			if (force) {
+				this.#snapshots.send(peer, now);
+			}
+
+			return;
+		}
+
+		const room = peer.probing ? force : peer.unanswered < consensusLimits.unanswered;
+		const entries = room ? this.#nextEntries(peer.next) : [];
+		if (entries.length > 0 || force) {
+			this.#append(peer, entries, now);
+		}
+	}
+
+	#append(peer: PeerProgress, entries: readonly LogEntry[], now: Millis): void {
+		const {storage, send} = this.#context;
+		const previousIndex = peer.next - 1;
+		send(peer.member.nodeId, {
+			type: 'append',
+			term: storage.term,
+			previousIndex,
+			previousTerm: storage.log.term(previousIndex)!,
+			entries,
+			commit: this.#commit,
+			sentAt: now,
+		}, peer.member.storageId);
+		peer.sentAt = now;
+		if (!peer.probing && entries.length > 0) {
+			peer.unanswered += 1;
+			peer.next += entries.length;
+		}
+	}
+
+	#nextEntries(from: number): readonly LogEntry[] {
+		const entries = this.#context.storage.log.slice(from, consensusLimits.messageEntries);
+		let weight = 0;
+		const end = entries.findIndex((entry, position) => {
+			weight += entryWeight(entry);
+			return position > 0 && weight > consensusLimits.messageWeight;
+		});
+		return end === -1 ? entries : entries.slice(0, end);
+	}
+}
