--- /dev/null
+++ b/src/server/journal/data-folder.ts
@@ -0,0 +1,131 @@
+import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
+import {mkdir, readFile, stat} from 'node:fs/promises';
+import path from 'node:path';
+import type {JournalLoad} from '../../core/common/journal-load.ts';
+import type {JournalName} from '../../core/common/journal-name.ts';
+import type {ConsensusRecord} from '../../core/consensus/consensus-record.ts';
+import type {StorageId} from '../../core/ids/storage-id.ts';
+import {toId} from '../../core/ids/to-id.ts';
+import {FolderError} from './folder-error.ts';
+import {FolderLock} from './folder-lock.ts';
+import {Journal} from './journal.ts';
+import {replaceFile} from './replace-file.ts';
+
+const journalNames: readonly JournalName[] = ['consensus', 'ledger'];
+const remedy = 'Move the data folder away and start again: the member rejoins with an empty one and is brought up to date';
+
+type OpenedJournal = Awaited<ReturnType<typeof Journal.open>>;
+
+type OpenedFolder = {
+	readonly storageId: StorageId;
+	readonly lock: FolderLock;
+	readonly consensus: OpenedJournal;
+	readonly ledger: OpenedJournal;
+};
+
+/** The files under one data folder that hold what must survive a restart. */
+export class DataFolder {
+	/**
+	 * Opens a folder and reads its journals; an empty or missing folder gets a new identity.
+	 *
+	 * @throws FolderError if the folder is damaged or used by another process.
+	 */
+	static async open(folder: string): Promise<DataFolder> {
+		await mkdir(folder, {recursive: true, mode: 0o700});
+		const lock = await FolderLock.take(path.join(folder, 'lock'));
+		try {
+			return await DataFolder.#load(folder, lock);
+		} catch (error) {
+			await lock.release();
+			throw error;
+		}
+	}
+
+	static async #load(folder: string, lock: FolderLock): Promise<DataFolder> {
+		const identityFile = path.join(folder, 'identity');
+		const known = await readIdentity(identityFile);
+		await checkFiles(folder, known);
+		const consensus = await Journal.open(journalFile(folder, 'consensus'));
+		const ledger = await Journal.open(journalFile(folder, 'ledger'));
+		// The identity comes last: a folder that has one has its journals.
+		const storageId = known ?? await createIdentity(identityFile);
+		return new DataFolder({
+			storageId, lock, consensus, ledger,
+		});
+	}
+
+	readonly storageId: StorageId;
+	readonly journals: Readonly<Record<JournalName, Journal>>;
+	readonly loads: {readonly consensus: JournalLoad<ConsensusRecord>; readonly ledger: JournalLoad<never>};
+	readonly #lock: FolderLock;
+
+	private constructor(opened: OpenedFolder) {
+		this.storageId = opened.storageId;
+		this.#lock = opened.lock;
+		this.journals = {consensus: opened.consensus.journal, ledger: opened.ledger.journal};
+		this.loads = {
+			consensus: opened.consensus.load as JournalLoad<ConsensusRecord>,
+			ledger: opened.ledger.load as JournalLoad<never>,
+		};
+	}
+
+	async close(): Promise<void> {
+		await this.journals.consensus.close();
+		await this.journals.ledger.close();
+		await this.#lock.release();
+	}
+}
+
+function journalFile(folder: string, name: JournalName): string {
+	return path.join(folder, `${name}.journal`);
+}
+
+/** A folder with an identity has both journals; one without has no records. */
+async function checkFiles(folder: string, known: StorageId | undefined): Promise<void> {
+	for (const name of journalNames) {
+		const file = journalFile(folder, name);
+		const size = await sizeOf(file); // eslint-disable-line no-await-in-loop
+		if (known !== undefined && size === undefined) {
+			throw new FolderError({
+				result: 'folderDamaged', file, problem: 'the journal is missing', remedy,
+			});
+		}
+
+		if (known === undefined && (size ?? 0) > 0) {
+			throw new FolderError({
+				result: 'folderDamaged', file: path.join(folder, 'identity'), problem: 'the identity is missing beside a journal with records', remedy,
+			});
+		}
+	}
+}
+
+async function sizeOf(file: string): Promise<number | undefined> {
+	try {
+		const {size} = await stat(file);
+		return size;
+	} catch {
+		return undefined;
+	}
+}
+
+async function readIdentity(file: string): Promise<StorageId | undefined> {
+	if (await sizeOf(file) === undefined) {
+		return undefined;
+	}
+
+	try {
+		const {storageId} = JSON.parse(await readFile(file, 'utf8')) as {storageId: string};
+		return toId<StorageId>(storageId);
+	} catch (error) {
+		throw new FolderError({
+			result: 'folderDamaged', file, offset: 0, problem: 'the identity cannot be read', remedy, cause: error,
+		});
+	}
+}
+
+async function createIdentity(file: string): Promise<StorageId> {
+	const storageId = toId<StorageId>(randomUUID());
+	await replaceFile(file, Buffer.from(JSON.stringify({storageId})));
+	return storageId;
+}
--- /dev/null
+++ b/src/server/journal/folder-lock.ts
@@ -0,0 +1,62 @@
+import {readFile, rm, writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import {FolderError} from './folder-error.ts';
+
+/** Position of the start time among the fields behind the command name in `/proc/<pid>/stat`. */
+const startTimeField = 19;
+
+/** Keeps a second process out of a data folder: a file with the holder's process id and start time. */
+export class FolderLock {
+	/** @throws FolderError if another live process holds the folder. */
+	static async take(file: string): Promise<FolderLock> {
+		const holder = await readHolder(file);
+		if (holder !== undefined && holder.pid !== process.pid && await isAlive(holder)) {
+			throw new FolderError({
+				result: 'settingsInvalid',
+				file,
+				problem: `process ${holder.pid} uses the folder`,
+				remedy: 'Give each process a data folder of its own',
+			});
+		}
+
+		const startTime = await readStartTime(process.pid);
+		await writeFile(file, JSON.stringify({pid: process.pid, startTime}), {mode: 0o600});
+		return new FolderLock(file);
+	}
+
+	readonly #file: string;
+
+	private constructor(file: string) {
+		this.#file = file;
+	}
+
+	async release(): Promise<void> {
+		await rm(this.#file, {force: true});
+	}
+}
+
+type Holder = {readonly pid: number; readonly startTime?: string};
+
+async function readHolder(file: string): Promise<Holder | undefined> {
+	try {
+		return JSON.parse(await readFile(file, 'utf8')) as Holder;
+	} catch {
+		return undefined;
+	}
+}
+
+/** A process id that was used again since belongs to another start time. */
+async function isAlive({pid, startTime}: Holder): Promise<boolean> {
+	const current = await readStartTime(pid);
+	return current !== undefined && current === startTime;
+}
+
+async function readStartTime(pid: number): Promise<string | undefined> {
+	try {
+		const stat = await readFile(`/proc/${pid}/stat`, 'utf8');
+		const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+		return fields[startTimeField];
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/server/journal/journal.ts
@@ -0,0 +1,165 @@
+import {Buffer} from 'node:buffer';
+import {
+	type FileHandle, open, readFile, rm,
+} from 'node:fs/promises';
+import path from 'node:path';
+import type {JournalLoad} from '../../core/common/journal-load.ts';
+import {FolderError} from './folder-error.ts';
+import {recordCodec} from './record-codec.ts';
+import {replaceFile} from './replace-file.ts';
+import {syncFolder} from './sync-folder.ts';
+
+type Write = {
+	readonly kind: 'append' | 'rewrite';
+	readonly records: readonly unknown[];
+	readonly resolve: () => void;
+	readonly reject: (error: Error) => void;
+};
+
+const damageRemedy = 'Move the data folder away and start again: the member rejoins with an empty one and is brought up to date';
+const fullRemedy = 'Free space or replace the disk, then restart the process';
+
+/** An append-only file of records. A write is reported once it is synced; writes complete in order. */
+export class Journal {
+	/**
+	 * Opens a journal, reads it, and cuts off a record that was being written when the process ended.
+	 *
+	 * @throws FolderError with `folderDamaged` if anything else is wrong with it.
+	 */
+	static async open(file: string): Promise<{journal: Journal; load: JournalLoad<unknown>}> {
+		await rm(`${file}.new`, {force: true});
+		const bytes = await readIfThere(file);
+		const decoded = recordCodec.decode(bytes ?? Buffer.alloc(0));
+		if (decoded.rest === 'damaged') {
+			throw new FolderError({
+				result: 'folderDamaged', file, offset: decoded.length, problem: 'a checksum does not match', remedy: damageRemedy,
+			});
+		}
+
+		const handle = await open(file, bytes === undefined ? 'wx+' : 'r+', 0o600);
+		await handle.truncate(decoded.length);
+		await handle.sync();
+		await syncFolder(path.dirname(file));
+		const torn = decoded.rest === 'torn' ? 'torn' : 'intact';
+		const status = bytes === undefined ? 'missing' : torn;
+		return {journal: new Journal(file, handle, decoded.length), load: {status, records: decoded.records}};
+	}
+
+	readonly #file: string;
+	#handle: FileHandle;
+	#length: number;
+	readonly #queue: Write[] = [];
+	#running: Promise<void> | undefined;
+	#failure: FolderError | undefined;
+
+	private constructor(file: string, handle: FileHandle, length: number) {
+		this.#file = file;
+		this.#handle = handle;
+		this.#length = length;
+	}
+
+	/** Adds records at the end; those waiting at the same time share one sync. */
+	async append(records: readonly unknown[]): Promise<void> {
+		return this.#enqueue('append', records);
+	}
+
+	/** Replaces all records atomically. */
+	async rewrite(records: readonly unknown[]): Promise<void> {
+		return this.#enqueue('rewrite', records);
+	}
+
+	/** Ends the writes under way and closes the file. */
+	async close(): Promise<void> {
+		await this.#running;
+		this.#failure ??= new FolderError({
+			result: 'folderFull', file: this.#file, problem: 'the journal is closed', remedy: 'Restart the process',
+		});
+		await this.#handle.close();
+	}
+
+	async #enqueue(kind: Write['kind'], records: readonly unknown[]): Promise<void> {
+		return new Promise((resolve, reject) => {
+			this.#queue.push({
+				kind, records, resolve, reject,
+			});
+			this.#running ??= this.#drain();
+		});
+	}
+
+	async #drain(): Promise<void> {
+		// Writes asked for in the same turn of the loop go together.
+		await Promise.resolve();
+		while (this.#queue.length > 0) {
+			const batch = this.#takeBatch();
+			await this.#perform(batch); // eslint-disable-line no-await-in-loop
+		}
+
+		this.#running = undefined;
+	}
+
+	/** The writes that go together: appends up to the next rewrite, or one rewrite. */
+	#takeBatch(): Write[] {
+		const rewrite = this.#queue.findIndex(write => write.kind === 'rewrite');
+		const count = rewrite === -1 ? this.#queue.length : Math.max(1, rewrite);
+		return this.#queue.splice(0, count);
+	}
+
+	async #perform(batch: readonly Write[]): Promise<void> {
+		try {
+			if (this.#failure !== undefined) {
+				throw this.#failure;
+			}
+
+			const bytes = recordCodec.encode(batch.flatMap(write => write.records));
+			await (batch[0]!.kind === 'rewrite' ? this.#replace(bytes) : this.#add(bytes));
+		} catch (error) {
+			this.#fail(error as Error, batch);
+			return;
+		}
+
+		for (const write of batch) {
+			write.resolve();
+		}
+	}
+
+	async #add(bytes: Buffer): Promise<void> {
+		let written = 0;
+		while (written < bytes.length) {
+			const result = await this.#handle.write(bytes, written, bytes.length - written, this.#length + written); // eslint-disable-line no-await-in-loop
+			written += result.bytesWritten;
+		}
+
+		await this.#handle.datasync();
+		this.#length += bytes.length;
+	}
+
+	async #replace(bytes: Buffer): Promise<void> {
+		await replaceFile(this.#file, bytes);
+		const old = this.#handle;
+		this.#handle = await open(this.#file, 'r+');
+		this.#length = bytes.length;
+		await old.close();
+	}
+
+	/** After a failed write or sync nothing is known of the file's end: no later write is tried. */
+	#fail(error: Error, batch: readonly Write[]): void {
+		this.#failure ??= new FolderError({
+			result: 'folderFull', file: this.#file, problem: error.message, remedy: fullRemedy, cause: error,
+		});
+		for (const write of batch) {
+			write.reject(this.#failure);
+		}
+	}
+}
+
+async function readIfThere(file: string): Promise<Buffer | undefined> {
+	try {
+		return await readFile(file);
+	} catch (error) {
+		if ((error as NodeJS.ErrnoException).code === 'ENOENT') {
+			return undefined;
+		}
+
+		throw error;
+	}
+}
--- /dev/null
+++ b/test/server/journal/append-until-killed.ts
@@ -0,0 +1,28 @@
+import process from 'node:process';
+import {Journal} from '../../../src/server/journal/journal.ts';
+
+/** Run by a test as a process of its own: appends numbered records and prints each number once it is synced. */
+const {journal, load} = await Journal.open(process.argv[2]!);
+const limit = Number(process.argv[3]);
+let filler = 'x'.repeat(700);
+const writes: Array<Promise<void>> = [];
+
+const append = async (number: number): Promise<void> => {
+	try {
+		await journal.append([{number, filler}]);
+		process.stdout.write(`${number}\n`);
+	} catch (error) {
+		// A smaller record would still fit.
+		filler = '';
+		process.stdout.write(`${(error as {result?: string}).result}\n`);
+	}
+};
+
+for (let number = load.records.length; number < limit; number++) {
+	writes.push(append(number));
+	if (number % 3 === 0) {
+		await Promise.all(writes); // eslint-disable-line no-await-in-loop
+	}
+}
+
+await Promise.all(writes);
--- /dev/null
+++ b/test/server/journal/journal.test.ts
@@ -0,0 +1,156 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {
+	mkdir, mkdtemp, readFile, rm, writeFile,
+} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import test, {type ExecutionContext} from 'ava';
+import {DataFolder} from '../../../src/server/journal/data-folder.ts';
+import {FolderError} from '../../../src/server/journal/folder-error.ts';
+import {Journal} from '../../../src/server/journal/journal.ts';
+
+const writer = fileURLToPath(new URL('append-until-killed.ts', import.meta.url));
+const records = [{a: 1}, {text: 'two'}, {list: [3]}];
+
+async function makeFolder(t: ExecutionContext): Promise<string> {
+	const folder = await mkdtemp(path.join(tmpdir(), 'journal-'));
+	t.teardown(async () => rm(folder, {recursive: true, force: true}));
+	return folder;
+}
+
+async function makeJournal(t: ExecutionContext): Promise<string> {
+	const file = path.join(await makeFolder(t), 'j');
+	const {journal, load} = await Journal.open(file);
+	t.is(load.status, 'missing');
+	await Promise.all(records.map(async record => journal.append([record])));
+	await journal.close();
+	return file;
+}
+
+async function load(file: string) {
+	const opened = await Journal.open(file);
+	await opened.journal.close();
+	return opened.load;
+}
+
+/** Runs the writer as a process and collects the lines it prints. */
+function startWriter(file: string, limit: number, prefix: readonly string[] = []) {
+	const [command, ...args] = [...prefix, process.execPath, '--import=tsx', writer, file, String(limit)];
+	const child = spawn(command, args, {stdio: ['ignore', 'pipe', 'inherit']});
+	const lines: string[] = [];
+	child.stdout.setEncoding('utf8').on('data', (text: string) => {
+		lines.push(...text.split('\n').filter(Boolean));
+	});
+	return {child, lines, ended: once(child, 'close')};
+}
+
+test('keeps records in order over a restart and a rewrite', async t => {
+	const file = await makeJournal(t);
+	t.deepEqual(await load(file), {status: 'intact', records});
+	const {journal} = await Journal.open(file);
+	const writes = [journal.append([{before: 1}]), journal.rewrite([{snapshot: true}]), journal.append([{after: 1}])];
+	await Promise.all(writes);
+	await journal.close();
+	t.deepEqual(await load(file), {status: 'intact', records: [{snapshot: true}, {after: 1}]});
+	await t.throwsAsync(journal.append([1]), {instanceOf: FolderError});
+});
+
+test('a file cut short at any byte loses only the record that was cut', async t => {
+	const file = await makeJournal(t);
+	const bytes = await readFile(file);
+	let whole = 0;
+	for (let length = 0; length < bytes.length; length++) {
+		await writeFile(file, bytes.subarray(0, length)); // eslint-disable-line no-await-in-loop
+		const cut = await load(file); // eslint-disable-line no-await-in-loop
+		t.true(cut.records.length >= whole);
+		whole = cut.records.length;
+		t.deepEqual(cut.records, records.slice(0, whole));
+		t.deepEqual(await load(file), {status: 'intact', records: cut.records}); // eslint-disable-line no-await-in-loop
+	}
+
+	t.is(whole, 2);
+});
+
+test('a flipped bit at any byte is damage, named with file and place', async t => {
+	const file = await makeJournal(t);
+	const bytes = await readFile(file);
+	for (let place = 0; place < bytes.length; place++) {
+		const flipped = Uint8Array.from(bytes);
+		flipped[place]! ^= 1 << (place % 8);
+		await writeFile(file, flipped); // eslint-disable-line no-await-in-loop
+		const error = await t.throwsAsync(load(file), {instanceOf: FolderError}); // eslint-disable-line no-await-in-loop
+		t.like(error, {result: 'folderDamaged', file});
+		t.true(error.offset! <= place);
+	}
+});
+
+test('a killed process loses no record that was reported as synced', async t => {
+	const file = path.join(await makeFolder(t), 'j');
+	for (let round = 0; round < 3; round++) {
+		const {child, lines, ended} = startWriter(file, 1_000_000);
+		const enough = 150 + (70 * round);
+		child.stdout.on('data', () => {
+			if (lines.length > enough) {
+				child.kill('SIGKILL');
+			}
+		});
+		await ended; // eslint-disable-line no-await-in-loop
+		const {records: found} = await load(file); // eslint-disable-line no-await-in-loop
+		t.true(lines.length > enough);
+		t.true(found.length > Number(lines.at(-1)));
+		t.deepEqual(found.map(record => (record as {number: number}).number), found.map((_, index) => index));
+	}
+});
+
+test('a file that cannot grow rejects with folderFull, then every later write as well', async t => {
+	const file = path.join(await makeFolder(t), 'j');
+	const {lines, ended} = startWriter(file, 60, ['bash', '-c', 'ulimit -f 16 && exec "$@"', 'bash']);
+	await ended;
+	const first = lines.indexOf('folderFull');
+	t.true(first > 0);
+	t.true(lines.slice(first).every(line => line === 'folderFull'));
+	const {records: found} = await load(file);
+	t.true(found.length >= first);
+});
+
+test('a rewrite that fails leaves the old records', async t => {
+	const file = await makeJournal(t);
+	const {journal} = await Journal.open(file);
+	const elsewhere = `${file}.new`;
+	await mkdir(elsewhere);
+	await t.throwsAsync(journal.rewrite([{lost: true}]), {instanceOf: FolderError, message: /Free space/});
+	await journal.close();
+	await rm(elsewhere, {recursive: true});
+	t.deepEqual(await load(file), {status: 'intact', records});
+});
+
+test('a folder keeps its identity, lets no second process in, and is refused with a part missing', async t => {
+	const folder = path.join(await makeFolder(t), 'data');
+	const first = await DataFolder.open(folder);
+	t.is(first.loads.consensus.status, 'missing');
+	await first.journals.ledger.append([{kept: 1}]);
+	await first.close();
+	const second = await DataFolder.open(folder);
+	t.is(second.storageId, first.storageId);
+	t.deepEqual(second.loads.ledger.records, [{kept: 1}] as unknown[] as never[]);
+	await second.close();
+
+	const holder = spawn('sleep', ['30']);
+	t.teardown(() => holder.kill());
+	const stat = await readFile(`/proc/${holder.pid}/stat`, 'utf8');
+	const startTime = stat.slice(stat.lastIndexOf(')') + 2).split(' ')[19];
+	await writeFile(path.join(folder, 'lock'), JSON.stringify({pid: holder.pid, startTime}));
+	await t.throwsAsync(DataFolder.open(folder), {instanceOf: FolderError, message: /uses the folder/});
+	await writeFile(path.join(folder, 'lock'), JSON.stringify({pid: holder.pid, startTime: '1'}));
+	const third = await DataFolder.open(folder);
+	await third.close();
+
+	await rm(path.join(folder, 'consensus.journal'));
+	await t.throwsAsync(DataFolder.open(folder), {instanceOf: FolderError, message: /journal is missing/});
+	await writeFile(path.join(folder, 'consensus.journal'), '');
+	await rm(path.join(folder, 'identity'));
+	await t.throwsAsync(DataFolder.open(folder), {instanceOf: FolderError, message: /identity is missing/});
+});
