feat(membership): gossip membership with probes in the region and sums between regions

Ruled out: heartbeat counters of every member in gossip (85 records in each of some 12 messages a second do not fit in 18 KB/s); sums ordered by a wall-clock version (a maker whose clock is ahead would hide the region when it dies, so sums carry their age instead); suspicion by a node that nobody answers (it is kept local: a node that receives nothing would make everybody doubt everybody).

--- /dev/null
+++ b/src/core/membership/gossip-queue.ts
@@ -0,0 +1,51 @@
+import type {NodeId} from '../ids/node-id.ts';
+
+type QueuedUpdate = {
+	left: number;
+	urgent: boolean;
+};
+
+/** Times that an update is passed on, for each decimal digit of the number of nodes. */
+const sendsPerDigit = 5;
+/** Times that a change of load or revision is passed on. */
+const softSends = 2;
+
+/** Members whose records changed lately, and how often each is still passed on. */
+export class GossipQueue {
+	readonly #updates = new Map<NodeId, QueuedUpdate>();
+	#fresh = false;
+
+	/** Queues a member's record; an `urgent` one goes before the others. */
+	add(nodeId: NodeId, urgent: boolean, nodeCount: number): void {
+		const queued = this.#updates.get(nodeId);
+		if (!urgent && queued?.urgent) {
+			return;
+		}
+
+		const left = urgent ? sendsPerDigit * Math.ceil(Math.log10(nodeCount + 1) + 0.01) : softSends;
+		this.#updates.set(nodeId, {left, urgent});
+		this.#fresh ||= urgent;
+	}
+
+	/** True once after an urgent update was queued. */
+	takeFresh(): boolean {
+		const fresh = this.#fresh;
+		this.#fresh = false;
+		return fresh;
+	}
+
+	/** Returns the members to tell of in the next message: urgent ones first, then those told of least. */
+	take(limit: number): readonly NodeId[] {
+		const chosen = [...this.#updates]
+			.sort(([, a], [, b]) => Number(b.urgent) - Number(a.urgent) || b.left - a.left)
+			.slice(0, limit);
+		for (const [nodeId, queued] of chosen) {
+			queued.left -= 1;
+			if (queued.left <= 0) {
+				this.#updates.delete(nodeId);
+			}
+		}
+
+		return chosen.map(([nodeId]) => nodeId);
+	}
+}
--- /dev/null
+++ b/src/core/membership/member-table.ts
@@ -0,0 +1,188 @@
+import {hash32} from '../common/hash32.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {AddressBook} from './address-book.ts';
+import type {MemberEntry} from './member-entry.ts';
+import type {MemberUpdate} from './member-update.ts';
+import type {NodeInfo} from './node-info.ts';
+import type {NodeView} from './node-view.ts';
+
+const stateRank = {alive: 0, suspect: 1, dead: 2} as const;
+
+/** Time for a suspect to refute before it is dead, in milliseconds. */
+const refuteMs = 2000;
+/** How long a dead member is remembered, in milliseconds; longer than a usual network partition. */
+const deadKeepMs = 600_000;
+
+/** The members of this node's region other than itself, by the newest records heard. */
+export class MemberTable {
+	readonly #entries = new Map<NodeId, MemberEntry>();
+	readonly #book: AddressBook;
+
+	constructor(book: AddressBook) {
+		this.#book = book;
+	}
+
+	/** Adds a member of the settings that was not heard yet. */
+	addSeed(info: NodeInfo, now: Millis): void {
+		this.#entries.set(info.nodeId, {
+			info: {...info, incarnation: 0}, state: 'dead', sequence: 0, draining: false, beat: 0, revision: 0, load: 0, since: now, local: true,
+		});
+	}
+
+	get(nodeId: NodeId): MemberEntry | undefined {
+		return this.#entries.get(nodeId);
+	}
+
+	all(): MemberEntry[] {
+		return [...this.#entries.values()];
+	}
+
+	/** Members that are probed: alive or suspect. */
+	present(): MemberEntry[] {
+		return this.all().filter(entry => entry.state !== 'dead');
+	}
+
+	alive(): MemberEntry[] {
+		return this.all().filter(entry => entry.state === 'alive');
+	}
+
+	/**
+	 * Takes a record. `changed` must be spread at once, `soft` changed only load or revision,
+	 * `unknown` needs the member's address data first.
+	 */
+	merge(update: MemberUpdate, now: Millis): 'changed' | 'soft' | 'unknown' | 'ignored' {
+		const entry = this.#entries.get(update.nodeId);
+		const known = entry?.info.incarnation ?? -1;
+		if (update.incarnation < known) {
+			return 'ignored';
+		}
+
+		if (!entry || update.incarnation > known) {
+			return this.#replace(update, now);
+		}
+
+		const soft = this.#mergeSoft(entry, update);
+		const changed = this.#mergeState(entry, update, now);
+		if (changed) {
+			return 'changed';
+		}
+
+		return soft ? 'soft' : 'ignored';
+	}
+
+	/** Sets this node's own belief of a member's state; `local` ones are not spread. */
+	mark(entry: MemberEntry, state: MemberEntry['state'], local: boolean, now: Millis): void {
+		entry.state = state;
+		entry.local = local;
+		entry.since = now;
+	}
+
+	/** Takes suspects that did not refute in time for dead; returns those to tell others of. */
+	endSuspicions(now: Millis): NodeId[] {
+		const ended = this.all().filter(({state, since}) => state === 'suspect' && now - since >= refuteMs);
+		for (const entry of ended) {
+			this.mark(entry, 'dead', entry.local, now);
+		}
+
+		return ended.filter(({local}) => !local).map(({info}) => info.nodeId);
+	}
+
+	/** Forgets members that have been dead for long, except those of the settings. */
+	expire(now: Millis): void {
+		for (const [nodeId, entry] of this.#entries) {
+			if (entry.state === 'dead' && now - entry.since > deadKeepMs && !this.#book.isSeed(nodeId)) {
+				this.#entries.delete(nodeId);
+			}
+		}
+	}
+
+	view({info, state, draining, revision, load}: MemberEntry): NodeView {
+		return {
+			info, state, draining, revision, load,
+		};
+	}
+
+	/** The record of a member as it is told to others. */
+	toUpdate(entry: MemberEntry, withInfo: boolean): MemberUpdate {
+		return {
+			nodeId: entry.info.nodeId,
+			incarnation: entry.info.incarnation,
+			sequence: entry.sequence,
+			state: entry.local ? 'alive' : entry.state,
+			draining: entry.draining,
+			beat: entry.beat,
+			revision: entry.revision,
+			load: entry.load,
+			...(withInfo && {info: entry.info}),
+		};
+	}
+
+	/** Records of every member that was heard of. */
+	updates(): MemberUpdate[] {
+		return this.all()
+			.filter(entry => entry.info.incarnation > 0)
+			.map(entry => this.toUpdate(entry, false));
+	}
+
+	/** Hash over the states of all members but dead ones, as this node believes them: equal on nodes that agree. */
+	digest(self: MemberUpdate): number {
+		let digest = hash32(`${self.nodeId}/${self.incarnation}/${self.sequence}/alive`);
+		for (const entry of this.#entries.values()) {
+			const {info, sequence, state} = entry;
+			if (state !== 'dead') {
+				digest = (digest ^ hash32(`${info.nodeId}/${info.incarnation}/${sequence}/${state}`)) >>> 0;
+			}
+		}
+
+		return digest;
+	}
+
+	#replace(update: MemberUpdate, now: Millis): 'changed' | 'unknown' | 'ignored' {
+		if (!update.info) {
+			return update.state === 'dead' ? 'ignored' : 'unknown';
+		}
+
+		this.#entries.set(update.nodeId, {
+			info: this.#book.resolve(update.info),
+			state: update.state,
+			sequence: update.sequence,
+			draining: update.draining,
+			beat: update.beat,
+			revision: update.revision,
+			load: update.load,
+			since: now,
+			local: false,
+		});
+		return 'changed';
+	}
+
+	#mergeSoft(entry: MemberEntry, update: MemberUpdate): boolean {
+		if (update.beat <= entry.beat) {
+			return false;
+		}
+
+		const changed = update.revision !== entry.revision;
+		entry.beat = update.beat;
+		entry.revision = update.revision;
+		entry.load = update.load;
+		return changed;
+	}
+
+	#mergeState(entry: MemberEntry, update: MemberUpdate, now: Millis): boolean {
+		const known = entry.local ? 'alive' : entry.state;
+		const newer = update.sequence > entry.sequence
+			|| (update.sequence === entry.sequence && stateRank[update.state] > stateRank[known]);
+		if (!newer) {
+			return false;
+		}
+
+		entry.sequence = update.sequence;
+		entry.draining = update.draining;
+		if (update.state !== entry.state || entry.local) {
+			this.mark(entry, update.state, false, now);
+		}
+
+		return true;
+	}
+}
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -9,6 +9,8 @@
 
 /** Which nodes and regions there are and how they are, seen from this node. */
 export interface Membership {
+	/** Times that this process was found to have been paused; anything decided under a lower count is stale. */
+	readonly pauses: number;
 	handle(from: NodeId, message: MembershipMessage, now: Millis): void;
 	/** Sends heartbeats and expires what was not heard; called about every 50 ms. */
 	tick(now: Millis): void;
@@ -24,4 +26,9 @@
 	region(region: Region, now: Millis): RegionView | undefined;
 	/** Nodes known to have a higher settings revision than this one, best first. */
 	ahead(revision: number): readonly NodeId[];
+	/**
+	 * False from the end of a pause of this process until a peer answered again, or the wait for one ended:
+	 * what this node believes of others is stale until then.
+	 */
+	fresh(now: Millis): boolean;
 }
--- /dev/null
+++ b/src/core/membership/own-region.ts
@@ -0,0 +1,71 @@
+import type {Random} from '../common/random.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {ServiceSummary} from '../targets/service-summary.ts';
+import type {NodeInfo} from './node-info.ts';
+import {rankByHash} from './rank-by-hash.ts';
+import type {RegionNode} from './region-node.ts';
+import type {RegionSum} from './region-sum.ts';
+import {sample} from './sample.ts';
+
+type OwnRegionOptions = {
+	/** Live nodes of the region, this one included. */
+	readonly nodes: readonly RegionNode[];
+	readonly self: NodeInfo;
+	readonly version: number;
+	readonly services: readonly ServiceSummary[];
+	readonly heard: Readonly<Record<string, number>>;
+	readonly random: Random;
+};
+
+/** Nodes named to other regions, of each kind. */
+const listLimit = 3;
+
+/** The nodes of a region that may act for it, in an order that all its nodes agree on. */
+function delegateOrder(nodes: readonly RegionNode[]): RegionNode[] {
+	const able = nodes.filter(({draining, info}) => !draining && info.roles.includes('entry'));
+	return rankByHash(able.length > 0 ? able : nodes, ({info}) => info.nodeId);
+}
+
+/** The region of this node: who acts for it and what other regions are told of it. */
+export const ownRegion = {
+	/** This node's place among those that exchange sums with other regions. */
+	rank(nodes: readonly RegionNode[], self: NodeId): number {
+		const rank = delegateOrder(nodes).findIndex(({info}) => info.nodeId === self);
+		return rank === -1 ? Infinity : rank;
+	},
+
+	/** Nodes that may keep claims, best first: those with a disk, then by hash. */
+	candidates(nodes: readonly RegionNode[]): RegionNode[] {
+		return delegateOrder(nodes.filter(({draining}) => !draining))
+			.sort((a, b) => Number(b.info.hasDisk) - Number(a.info.hasDisk))
+			.slice(0, listLimit);
+	},
+
+	/** Lowest settings revision in force at a live entry. */
+	revision(nodes: readonly RegionNode[]): number {
+		const entries = nodes.filter(({info}) => info.roles.includes('entry'));
+		return Math.min(...(entries.length > 0 ? entries : nodes).map(({revision}) => revision));
+	},
+
+	/** Sums of the region for the others. */
+	sum({nodes, self, version, services, heard, random}: OwnRegionOptions): RegionSum {
+		const delegates = delegateOrder(nodes);
+		const entries = sample(delegates, listLimit, random);
+		const candidates = ownRegion.candidates(nodes);
+		const highest = [...nodes].sort((a, b) => b.revision - a.revision)[0]!;
+		return {
+			region: self.region,
+			maker: self.nodeId,
+			makerIncarnation: self.incarnation,
+			version,
+			ageMs: 0,
+			revision: ownRegion.revision(nodes),
+			highest: {nodeId: highest.info.nodeId, revision: highest.revision},
+			nodes: [...new Set([...entries, ...candidates, highest])],
+			entries: entries.map(({info}) => info.nodeId),
+			candidates: candidates.map(({info}) => info.nodeId),
+			services,
+			heard,
+		};
+	},
+};
--- /dev/null
+++ b/src/core/membership/region-exchange.ts
@@ -0,0 +1,74 @@
+import type {Random} from '../common/random.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {Region} from '../ids/region.ts';
+import type {RegionStore} from './region-store.ts';
+import {sample} from './sample.ts';
+
+type RegionExchangeOptions = {
+	readonly store: RegionStore;
+	readonly random: Random;
+};
+
+/** Pause between two exchanges with a region, in milliseconds. */
+const periodMs = 1000;
+/** Nodes that try to reach a region which cannot be reached. */
+const searcherCount = 6;
+/** Age below which an exchange is left out: the other side began one. */
+const recentMs = 600;
+/** Age of a region's sums from which more nodes take part and each asks two contacts, in milliseconds. */
+const staleMs = 3500;
+/** Time after which further nodes join in, in milliseconds, and their number. */
+const escalationMs = 1000;
+const nodesPerEscalation = 2;
+/** Share of exchanges that go to any node ever heard of instead of one in the newest sums. */
+const exploreShare = 0.25;
+
+/** Decides when this node exchanges sums with which nodes of other regions. */
+export class RegionExchange {
+	readonly #store: RegionStore;
+	readonly #random: Random;
+	#nextAt: number | undefined;
+
+	constructor({store, random}: RegionExchangeOptions) {
+		this.#store = store;
+		this.#random = random;
+	}
+
+	/** Returns the nodes to send this region's sums to; `rank` is this node's place among the region's delegates. */
+	tick(rank: number, now: Millis): NodeId[] {
+		this.#nextAt ??= now + (this.#random.next() * periodMs / 4);
+		if (now < this.#nextAt) {
+			return [];
+		}
+
+		this.#nextAt = now + periodMs;
+		return this.#store.regions()
+			.filter(region => rank < this.#wantedDelegates(region, now))
+			.flatMap(region => this.#contacts(region, now));
+	}
+
+	/** The longer a region was not heard, the more nodes try: some link between the two regions may work. */
+	#wantedDelegates(region: Region, now: Millis): number {
+		const age = this.#store.age(region, now);
+		if (!this.#store.reachable(region, now)) {
+			return searcherCount;
+		}
+
+		if (age < recentMs) {
+			return 0;
+		}
+
+		const late = Math.max(0, Math.ceil((age - staleMs) / escalationMs));
+		return 1 + (nodesPerEscalation * late);
+	}
+
+	#contacts(region: Region, now: Millis): NodeId[] {
+		const stored = this.#store.get(region)!;
+		const known = [...stored.infos.keys()];
+		const listed = stored.sum?.entries ?? [];
+		const stale = this.#store.age(region, now) > staleMs;
+		const explore = stale || listed.length === 0 || this.#random.next() < exploreShare;
+		return sample(explore ? known : listed, stale ? 2 : 1, this.#random);
+	}
+}
--- /dev/null
+++ b/src/core/membership/region-sums.ts
@@ -0,0 +1,182 @@
+import type {Outbox} from '../common/outbox.ts';
+import type {Random} from '../common/random.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {Region} from '../ids/region.ts';
+import type {ServiceSummary} from '../targets/service-summary.ts';
+import type {AddressBook} from './address-book.ts';
+import type {MembershipMessage} from './membership-message.ts';
+import type {NodeInfo} from './node-info.ts';
+import {ownRegion} from './own-region.ts';
+import {RegionExchange} from './region-exchange.ts';
+import type {RegionNode} from './region-node.ts';
+import {RegionStore} from './region-store.ts';
+import type {RegionSum} from './region-sum.ts';
+import type {RegionView} from './region-view.ts';
+import {sample} from './sample.ts';
+
+type RegionSumsOptions = {
+	readonly region: Region;
+	readonly book: AddressBook;
+	readonly outbox: Outbox;
+	readonly random: Random;
+};
+
+/** This node's region as it is now. */
+type OwnRegion = {
+	readonly self: NodeInfo;
+	/** Live nodes, `self` included. */
+	readonly nodes: readonly RegionNode[];
+	readonly services: readonly ServiceSummary[];
+};
+
+type SumMessage = Extract<MembershipMessage, {type: 'region-sum' | 'region-sum-reply'}>;
+
+/** Sums are passed on inside the region if they are newer by this much, in milliseconds: a fixed part and one for each node. */
+const advanceMs = 1000;
+const advancePerNodeMs = 8;
+
+/** Pause between two sums that this node passes on inside its region, in milliseconds. */
+const relayPauseMs = 300;
+
+/** Exchanges sums with the other regions and passes theirs on inside this one. */
+export class RegionSums {
+	readonly #region: Region;
+	readonly #book: AddressBook;
+	readonly #outbox: Outbox;
+	readonly #random: Random;
+	readonly #store: RegionStore;
+	readonly #exchange: RegionExchange;
+	#version = 0;
+	#nextRelayAt = 0;
+
+	constructor({region, book, outbox, random}: RegionSumsOptions) {
+		this.#region = region;
+		this.#book = book;
+		this.#outbox = outbox;
+		this.#random = random;
+		this.#store = new RegionStore(region, book);
+		this.#exchange = new RegionExchange({store: this.#store, random});
+	}
+
+	/** Adds a node of another region that the settings name. */
+	addSeed(seed: NodeInfo): void {
+		this.#store.addSeed(seed);
+	}
+
+	/** Sends this region's sums to the others if it is this node's turn. */
+	tick(own: OwnRegion, now: Millis): void {
+		const contacts = this.#exchange.tick(ownRegion.rank(own.nodes, own.self.nodeId), now);
+		if (contacts.length === 0) {
+			return;
+		}
+
+		const sum = this.#make(own, now);
+		for (const contact of contacts) {
+			this.#send(contact, {type: 'region-sum', sum, sentAt: now});
+		}
+	}
+
+	/** Takes another region's sums and answers with this one's. */
+	handle(from: NodeId, message: SumMessage, own: OwnRegion, now: Millis): void {
+		const {sum, sentAt} = message;
+		if (message.type === 'region-sum-reply') {
+			this.#store.roundTrip(sum.region, now - sentAt);
+		}
+
+		const transitMs = (this.#store.get(sum.region)?.roundTripMs ?? 0) / 2;
+		this.#store.merge({...sum, ageMs: sum.ageMs + transitMs, roundTripMs: undefined}, now);
+		if (message.type === 'region-sum') {
+			this.#send(from, {type: 'region-sum-reply', sum: this.#make(own, now), sentAt});
+		}
+	}
+
+	/** Takes sums passed on by a node of this region. */
+	relayed(sums: readonly RegionSum[], now: Millis): void {
+		for (const sum of sums) {
+			this.#store.merge(sum, now);
+		}
+	}
+
+	/** Sums worth passing on to a node of this region that has sums of these ages; bounded in rate. */
+	newerThan(ages: Readonly<Record<string, number>>, nodeCount: number, now: Millis): readonly RegionSum[] {
+		if (now < this.#nextRelayAt) {
+			return [];
+		}
+
+		const newer = this.#store.newerThan(ages, advanceMs + (advancePerNodeMs * nodeCount), now);
+		if (newer.length > 0) {
+			this.#nextRelayAt = now + relayPauseMs;
+		}
+
+		return sample(newer, 1, this.#random);
+	}
+
+	/** Milliseconds since the sums of each region were made. */
+	ages(now: Millis): Readonly<Record<string, number>> {
+		return this.#store.ages(now);
+	}
+
+	info(nodeId: NodeId): NodeInfo | undefined {
+		return this.#store.info(nodeId);
+	}
+
+	/** Nodes with the highest settings revision of each region. */
+	highest(): ReadonlyArray<{nodeId: NodeId; revision: number}> {
+		return this.#store.regions()
+			.map(region => this.#store.get(region)?.sum?.highest)
+			.filter(highest => highest !== undefined);
+	}
+
+	/** The other regions. */
+	views(now: Millis): readonly RegionView[] {
+		return this.#store.regions().map(region => this.view(region, now)!);
+	}
+
+	view(region: Region, now: Millis): RegionView | undefined {
+		const stored = this.#store.get(region);
+		if (!stored) {
+			return undefined;
+		}
+
+		const {sum, roundTripMs = 0} = stored;
+		return {
+			region,
+			reachable: this.#store.reachable(region, now),
+			ageMs: this.#store.age(region, now),
+			revision: sum?.revision ?? 0,
+			entries: sum?.entries ?? [],
+			candidates: (sum?.nodes ?? [])
+				.filter(({info}) => sum?.candidates.includes(info.nodeId))
+				.map(node => ({...node, info: this.#book.resolve(node.info), state: 'alive'})),
+			services: sum?.services ?? [],
+			roundTripMs,
+		};
+	}
+
+	/** This node's own region in the form of the others. */
+	ownView({nodes, services}: OwnRegion): RegionView {
+		const entries = nodes.filter(({info, draining}) => info.roles.includes('entry') && !draining);
+		return {
+			region: this.#region,
+			reachable: true,
+			ageMs: 0,
+			revision: ownRegion.revision(nodes),
+			entries: entries.map(({info}) => info.nodeId),
+			candidates: ownRegion.candidates(nodes).map(node => ({...node, state: 'alive'})),
+			services,
+			roundTripMs: 0,
+		};
+	}
+
+	#make({self, nodes, services}: OwnRegion, now: Millis): RegionSum {
+		this.#version += 1;
+		return ownRegion.sum({
+			nodes, self, version: this.#version, services, heard: this.#store.ages(now), random: this.#random,
+		});
+	}
+
+	#send(to: NodeId, body: MembershipMessage): void {
+		this.#outbox.send(to, {part: 'membership', body});
+	}
+}
--- /dev/null
+++ b/test/core/membership/cluster-membership.test.ts
@@ -0,0 +1,163 @@
+import test from 'ava';
+import type {NodeId} from '../../../src/core/ids/node-id.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import {regionFixture} from './region-fixture.ts';
+
+const node = (id: string) => toId<NodeId>(id);
+
+test('a frozen node of 85 is out of use everywhere within 3 s at 10% loss, and back after it wakes', t => {
+	const {network, seenAlive, others, parts, doubted} = regionFixture({nodesPerRegion: 85, loss: 0.1});
+	network.run(15_000);
+	for (const id of ['r0-0', 'r0-40', 'r0-84'].map(text => node(text))) {
+		network.freeze(id);
+		network.run(3000);
+		t.is(seenAlive(id), 0, `for ${id}`);
+		network.run(5000);
+		t.true(others(id).every(part => part.node(id)?.state === 'dead'), `for ${id}`);
+		network.thaw(id);
+		t.is(parts.get(id)!.pauses, 1);
+		t.true(network.run(10_000, () => seenAlive(id) === 84), `for ${id}`);
+	}
+
+	t.true(network.run(20_000, () => doubted().length === 0));
+});
+
+test('no node is taken for dead at 1% loss', t => {
+	const {network, parts} = regionFixture({nodesPerRegion: 85, loss: 0.01, seed: 7});
+	network.run(20_000);
+	const someDead = () => [...parts.values()].some(part => part.nodes().some(({state}) => state === 'dead'));
+	t.false(someDead());
+	t.false(network.run(30_000, someDead));
+});
+
+test('a node whose messages to one other are cut stays alive; one that cannot send at all is dead to all', t => {
+	const {network, cuts, infos, seenAlive, others, doubted} = regionFixture({nodesPerRegion: 5});
+	network.run(5000);
+	cuts.add('r0-1>r0-2');
+	t.false(network.run(20_000, () => doubted().length > 0));
+	for (const {nodeId} of infos) {
+		cuts.add(`r0-3>${nodeId}`);
+	}
+
+	network.run(5000);
+	t.is(seenAlive(node('r0-3')), 0);
+	for (const id of ['r0-0', 'r0-1', 'r0-2', 'r0-4'].map(text => node(text))) {
+		t.true(others(id).filter(part => part.node(node('r0-3'))?.state !== 'alive').every(part => part.node(id)?.state !== 'dead'), `for ${id}`);
+	}
+
+	cuts.clear();
+	t.true(network.run(10_000, () => doubted().length === 0));
+});
+
+test('a node that receives nothing does not make others doubt each other', t => {
+	const {network, cuts, infos, parts} = regionFixture({nodesPerRegion: 10});
+	network.run(10_000);
+	for (const {nodeId} of infos) {
+		cuts.add(`${nodeId}>r0-3`);
+	}
+
+	const healthy = [...parts].filter(([id]) => id !== 'r0-3').map(([, part]) => part);
+	const doubt = () => healthy.some(part => part.nodes().some(({state, info}) => state !== 'alive' && info.nodeId !== 'r0-3'));
+	t.false(network.run(20_000, doubt));
+	t.true(healthy.every(part => part.node(node('r0-3'))?.state === 'dead'));
+});
+
+test('draining is known to all 85 nodes within half a second', t => {
+	const {network, parts, others} = regionFixture({nodesPerRegion: 85});
+	network.run(15_000);
+	const id = node('r0-17');
+	parts.get(id)!.report({
+		revision: 0, load: 0, draining: true, services: [],
+	});
+	t.true(network.run(500, () => others(id).every(part => part.node(id)?.draining)));
+});
+
+test('a restarted node is known by its new incarnation, and an old process does not come back', t => {
+	const {network, infos, start, others, parts} = regionFixture({nodesPerRegion: 4});
+	network.run(3000);
+	const id = node('r0-3');
+	const old = parts.get(id)!;
+	const incarnation = infos[3]!.incarnation + 5000;
+	start({...infos[3]!, incarnation});
+	const known = () => others(id).every(part => part.node(id)?.info.incarnation === incarnation);
+	t.true(network.run(3000, known));
+	old.tick(network.now);
+	t.false(network.run(5000, () => !known()));
+});
+
+test('a node that no settings name becomes known to all, and addresses of the settings win', t => {
+	const {network, infos, start, parts} = regionFixture({nodesPerRegion: 4});
+	start({...infos[0]!, incarnation: infos[0]!.incarnation + 1, peerAddress: '10.9.9.9:1'});
+	const added = start({...infos[3]!, nodeId: node('r0-9'), peerAddress: '10.8.8.8:1'});
+	t.true(network.run(5000, () => [...parts.values()].every(part => part.info(node('r0-9')) && part.info(node('r0-3')))));
+	t.is(parts.get(node('r0-2'))!.info(node('r0-9'))!.peerAddress, '10.8.8.8:1');
+	t.is(added.info(node('r0-0'))!.peerAddress, infos[0]!.peerAddress);
+});
+
+test('a process that was paused trusts nobody until a peer answers', t => {
+	const {network, parts} = regionFixture({nodesPerRegion: 3});
+	network.run(3000);
+	const id = node('r0-1');
+	const part = parts.get(id)!;
+	t.true(part.fresh(network.now));
+	network.freeze(id);
+	network.run(10_000);
+	part.tick(network.now);
+	t.false(part.fresh(network.now));
+	t.deepEqual(part.nodes().filter(({state}) => state === 'alive').map(({info}) => info.nodeId), [id]);
+	network.thaw(id);
+	t.true(network.run(2000, () => part.nodes().every(({state}) => state === 'alive')));
+	t.true(part.fresh(network.now));
+});
+
+test('a region is unreachable while the links one way are cut, and only then', t => {
+	const {network, parts, cuts, infos} = regionFixture({regions: 3, nodesPerRegion: 5});
+	network.run(10_000);
+	const reachable = (from: string, to: string) => parts.get(node(from))!.region(toId(to), network.now)!.reachable;
+	t.true(reachable('r0-4', 'r1'));
+	t.true(parts.get(node('r0-4'))!.region(toId('r1'), network.now)!.roundTripMs > 50);
+	for (const from of infos.filter(({region}) => region === 'r0')) {
+		for (const to of infos.filter(({region}) => region === 'r1')) {
+			cuts.add(`${from.nodeId}>${to.nodeId}`);
+		}
+	}
+
+	network.run(12_000);
+	t.false(reachable('r0-4', 'r1'));
+	t.false(reachable('r1-4', 'r0'));
+	t.true(reachable('r0-4', 'r2'));
+	t.true(reachable('r2-4', 'r0'));
+	cuts.clear();
+	t.true(network.run(5000, () => reachable('r0-4', 'r1') && reachable('r1-4', 'r0')));
+});
+
+test('a region stays reachable while one of its nodes after the other is cut off from the rest', t => {
+	const {network, parts, cuts, infos} = regionFixture({regions: 2, nodesPerRegion: 5});
+	network.run(10_000);
+	const far = infos.filter(({region}) => region === 'r1');
+	const part = parts.get(node('r0-4'))!;
+	const unreachable = () => !part.region(toId('r1'), network.now)!.reachable;
+	for (const cut of infos.filter(({region}) => region === 'r0').slice(0, 4)) {
+		cuts.clear();
+		for (const {nodeId} of far) {
+			cuts.add(`${cut.nodeId}>${nodeId}`).add(`${nodeId}>${cut.nodeId}`);
+		}
+
+		t.false(network.run(10_000, unreachable), `${cut.nodeId} is cut off`);
+	}
+});
+
+test('names nodes with a later revision, in other regions too', t => {
+	const {network, parts} = regionFixture({regions: 2, nodesPerRegion: 3});
+	network.run(5000);
+	const report = (id: string, revision: number) => {
+		parts.get(node(id))!.report({
+			revision, load: 0, draining: false, services: [],
+		});
+	};
+
+	report('r0-1', 4);
+	report('r1-2', 9);
+	t.true(network.run(4000, () => parts.get(node('r0-2'))!.ahead(0).join(',') === 'r1-2,r0-1'));
+	t.deepEqual(parts.get(node('r0-2'))!.ahead(4), [node('r1-2')]);
+});
