feat(bench): measure the routing policy against four baselines on one load

Cause: every rule of the choice has to earn its place by a figure.

The harness drives the core's own table, router and admission of each entry with its own clock: both deployments, an engine model with continuous batching, chunked prefill and a limited prefix cache, load reports two seconds late, daily peaks offset between regions, histories shared by several requests. Baselines take the place of the score and see the same loads, limits, queue and predictions for refusal.

Ruled out: shared prefixes of organisations alone; they fit into every engine's cache, so no policy recomputed much.

--- /dev/null
+++ b/bench/baseline-step.ts
@@ -0,0 +1,72 @@
+import type {Random} from '../src/core/common/random.ts';
+import type {Candidate} from '../src/core/routing/candidate.ts';
+import {learnTypicalSpeed} from '../src/core/routing/learn-typical-speed.ts';
+import {predictWork} from '../src/core/routing/predict-work.ts';
+import type {RoutingContext} from '../src/core/routing/routing-context.ts';
+import type {RoutingStep} from '../src/core/routing/routing-step.ts';
+
+/** Name of a policy that the bench compares with the product's. */
+type BaselineName = 'round-robin' | 'random' | 'least-in-flight' | 'power-of-two';
+
+/**
+ * Takes the place of the score: one of the usual choices among the home region's targets with room.
+ * It sees the same loads, limits and predictions for refusal as the product's own policy.
+ */
+export class BaselineStep implements RoutingStep {
+	readonly #name: BaselineName;
+	readonly #random: Random;
+	#turn = 0;
+
+	constructor(options: {name: BaselineName; random: Random}) {
+		this.#name = options.name;
+		this.#random = options.random;
+	}
+
+	run(context: RoutingContext): undefined {
+		const {candidates, query} = context;
+		const typical = learnTypicalSpeed(candidates);
+		for (const candidate of candidates) {
+			const {req} = query;
+			candidate.cachedTokens = Math.min(req.promptTokens, candidate.target.cachedBlocks(req.prefixBlocks) * req.prefixBlockTokens);
+			Object.assign(candidate, predictWork(candidate.target, {
+				req, typical, cachedTokens: candidate.cachedTokens, hasRoom: candidate.hasRoom, waiting: query.waiting ?? 0,
+			}));
+		}
+
+		const free = candidates.filter(({hasRoom}) => hasRoom);
+		context.best = free.length > 0
+			? this.#choose(free)
+			: candidates.toSorted((a, b) => a.firstByteMs - b.firstByteMs)[0];
+	}
+
+	#choose(free: readonly Candidate[]): Candidate | undefined {
+		switch (this.#name) {
+			case 'round-robin': {
+				this.#turn += 1;
+				return free[this.#turn % free.length];
+			}
+
+			case 'random': {
+				return this.#any(free);
+			}
+
+			case 'least-in-flight': {
+				const least = Math.min(...free.map(candidate => loadOf(candidate)));
+				return this.#any(free.filter(candidate => loadOf(candidate) === least));
+			}
+
+			case 'power-of-two': {
+				const [first, second] = [this.#any(free)!, this.#any(free)!];
+				return loadOf(first) <= loadOf(second) ? first : second;
+			}
+		}
+	}
+
+	#any(candidates: readonly Candidate[]): Candidate | undefined {
+		return candidates[Math.floor(this.#random.next() * candidates.length)];
+	}
+}
+
+function loadOf({target}: Candidate): number {
+	return target.inFlight + target.othersInFlight;
+}
--- /dev/null
+++ b/bench/policy-load.ts
@@ -0,0 +1,165 @@
+import type {Random} from '../src/core/common/random.ts';
+import {SeededRandom} from '../src/core/common/seeded-random.ts';
+import type {Millis} from '../src/core/ids/millis.ts';
+import {toId} from '../src/core/ids/to-id.ts';
+import type {RequestInfo} from '../src/core/settings/request-info.ts';
+import type {PolicyDeployment} from './policy-deployment.ts';
+
+/** Organisations of one region. */
+const organisationsPerRegion = 30;
+
+const blockTokens = 64;
+
+/** How far the daily peak of a region is above its mean. */
+const peak = 0.3;
+
+/** Briefs worked on at a time in one region. */
+const activeBriefs = 60;
+
+/** Share of the requests that begin a new brief in place of an old one. */
+const newBriefShare = 0.08;
+
+/** A history that several requests share. */
+type Brief = {readonly id: number; readonly organisation: number; readonly blocks: number};
+
+/** One request of the load, with what only the engine knows. */
+type LoadItem = {
+	readonly at: number;
+	readonly region: number;
+	readonly req: RequestInfo;
+	readonly outputTokens: number;
+};
+
+/** Draws the requests of one deployment: prefixes shared by firm, organisation and brief, peaks offset between regions. */
+export class PolicyLoad {
+	readonly #deployment: PolicyDeployment;
+	readonly #random: Random;
+	readonly #briefs: Brief[][];
+	#count = 0;
+
+	constructor(deployment: PolicyDeployment, seed: number) {
+		this.#deployment = deployment;
+		this.#random = new SeededRandom(seed);
+		this.#briefs = deployment.regions.map(() => Array.from({length: activeBriefs}, () => this.#newBrief()));
+	}
+
+	/** All requests of a run by time; `rates` in requests a second for each region, at the mean of the day. */
+	draw(rates: readonly number[], callRate: number, durationMs: number): readonly LoadItem[] {
+		const items: LoadItem[] = [];
+		for (const [region, rate] of rates.entries()) {
+			items.push(
+				...this.#arrivals(rate, region, durationMs, at => this.completion(region, at)),
+				...this.#arrivals(callRate, region, durationMs, at => this.#call(region, at)),
+			);
+		}
+
+		return items.toSorted((a, b) => a.at - b.at);
+	}
+
+	/** A request to the model engines. */
+	completion(region: number, at: number): LoadItem {
+		const {shortTokens, longTokens, longShare} = this.#deployment;
+		const brief = this.#pickBrief(region);
+		const {organisation} = brief;
+		const mean = this.#random.next() < longShare ? longTokens : shortTokens;
+		const outputTokens = Math.max(8, Math.round(mean * this.#spread()));
+		const prefixBlocks = this.#blocks(region, brief);
+		const {name} = this.#deployment;
+		return this.#item({region, at, organisation}, {
+			path: {
+				firm: name, deployment: 'main', service: 'engines', route: 'drafts',
+			},
+			kind: 'completion',
+			promptTokens: prefixBlocks.length * blockTokens,
+			prefixBlocks,
+			outputTokens: Math.max(8, Math.round(outputTokens * this.#spread())),
+		}, outputTokens);
+	}
+
+	#call(region: number, at: number): LoadItem {
+		const organisation = Math.floor(organisationsPerRegion * this.#random.next());
+		return this.#item({region, at, organisation}, {
+			path: {
+				firm: this.#deployment.name, deployment: 'main', service: 'desk', route: 'status',
+			},
+			kind: 'call',
+			promptTokens: 0,
+			prefixBlocks: [],
+			outputTokens: 0,
+		}, 0);
+	}
+
+	#item(from: {region: number; at: number; organisation: number}, parts: Pick<RequestInfo, 'path' | 'kind' | 'promptTokens' | 'prefixBlocks' | 'outputTokens'>, outputTokens: number): LoadItem {
+		this.#count += 1;
+		const chance = this.#random.next();
+		const priority = chance < 0.2 ? 2 : (chance < 0.8 ? 5 : 8);
+		const req: RequestInfo = {
+			...parts,
+			requestId: toId(`r${this.#count}`),
+			organisation: toId(`o${from.region}-${from.organisation}`),
+			organisationWeight: 1,
+			streamed: true,
+			homeRegion: toId(this.#deployment.regions[from.region]!.name),
+			prefixBlockTokens: blockTokens,
+			fingerprint: `f${this.#count}`,
+			priority,
+			arrivedAt: from.at as Millis,
+			deadlineAt: from.at + this.#deployment.deadlineMs as Millis,
+			bodyBytes: this.#deployment.bodyBytes,
+		};
+		return {
+			at: from.at, region: from.region, req, outputTokens,
+		};
+	}
+
+	#pickBrief(region: number): Brief {
+		const briefs = this.#briefs[region]!;
+		const index = Math.floor(this.#random.next() * briefs.length);
+		if (this.#random.next() < newBriefShare) {
+			briefs[index] = this.#newBrief();
+		}
+
+		return briefs[index]!;
+	}
+
+	#newBrief(): Brief {
+		this.#count += 1;
+		return {
+			id: this.#count,
+			organisation: Math.floor(organisationsPerRegion * (this.#random.next() ** 2)),
+			blocks: 4 + Math.floor(this.#random.next() * (this.#deployment.mostBriefBlocks - 3)),
+		};
+	}
+
+	/** One block of the firm, some of the organisation, those of the brief, and one or two of the request's own. */
+	#blocks(region: number, brief: Brief): string[] {
+		const organisation = `o${region}-${brief.organisation}`;
+		const own = this.#random.next() < 0.5 ? ['own'] : ['own', 'own-too'];
+		return [
+			'firm',
+			...Array.from({length: 2 + (brief.organisation % 4)}, (_, index) => `${organisation}-${index}`),
+			...Array.from({length: brief.blocks}, (_, index) => `${organisation}-b${brief.id}-${index}`),
+			...own.map(part => `r${this.#count}-${part}`),
+		];
+	}
+
+	#arrivals(rate: number, region: number, durationMs: number, draw: (at: number) => LoadItem): LoadItem[] {
+		const items: LoadItem[] = [];
+		const highest = rate * (1 + peak);
+		let at = 0;
+		while (at < durationMs) {
+			at += -Math.log(1 - this.#random.next()) * 1000 / highest;
+			const phase = 2 * Math.PI * ((at / durationMs) + (region / this.#deployment.regions.length));
+			if (this.#random.next() * (1 + peak) < 1 + (peak * Math.sin(phase))) {
+				items.push(draw(at));
+			}
+		}
+
+		return items;
+	}
+
+	/** A factor around 1, between about a half and two. */
+	#spread(): number {
+		return Math.exp((this.#random.next() + this.#random.next() - 1) * 0.7);
+	}
+}
--- /dev/null
+++ b/bench/policy-run.ts
@@ -0,0 +1,327 @@
+import type {Outbox} from '../src/core/common/outbox.ts';
+import type {Millis} from '../src/core/ids/millis.ts';
+import type {NodeId} from '../src/core/ids/node-id.ts';
+import type {Region} from '../src/core/ids/region.ts';
+import type {TargetId} from '../src/core/ids/target-id.ts';
+import {toId} from '../src/core/ids/to-id.ts';
+import type {RegionView} from '../src/core/membership/region-view.ts';
+import type {RoutingStep} from '../src/core/routing/routing-step.ts';
+import {routeSettingsFixture} from '../test/fixtures/route-settings-fixture.ts';
+import {PolicyClock} from './policy-clock.ts';
+import type {PolicyDeployment} from './policy-deployment.ts';
+import {PolicyEngine} from './policy-engine.ts';
+import {PolicyEntry} from './policy-entry.ts';
+import type {PolicyLoad} from './policy-load.ts';
+import type {PolicyRecord} from './policy-record.ts';
+import type {PolicyScenario} from './policy-scenario.ts';
+
+/** Lateness of the load figures and cache events in announcements, in milliseconds. */
+const reportLagMs = 2000;
+
+const announceEveryMs = 1000;
+const sumsEveryMs = 1000;
+const tickMs = 50;
+
+/** One way between an entry and a target or another entry of its region, in milliseconds. */
+const hopMs = 1;
+
+/** Requests that an engine and a plain service work on at once. */
+const engineSlots = 16;
+const serviceSlots = 8;
+
+/** Time after the last arrival in which what is in flight may end. */
+const drainMs = 90_000;
+
+type RunTarget = {
+	readonly targetId: TargetId;
+	readonly region: number;
+	readonly service: 'engines' | 'desk';
+	readonly callMs: number;
+	readonly engine: PolicyEngine;
+	sequence: number;
+};
+
+/** One run: both kinds of targets, the entries, the links between them and one load. */
+export class PolicyRun {
+	readonly records: PolicyRecord[] = [];
+	readonly #clock = new PolicyClock();
+	readonly #deployment: PolicyDeployment;
+	readonly #targets: RunTarget[];
+	readonly #entries: PolicyEntry[];
+	#sums: RegionView[] = [];
+
+	constructor(options: {deployment: PolicyDeployment; seed: number; steps: (seed: number) => readonly RoutingStep[] | undefined}) {
+		this.#deployment = options.deployment;
+		this.#targets = this.#createTargets();
+		this.#entries = this.#createEntries(options.seed, options.steps);
+	}
+
+	get engines(): readonly PolicyEngine[] {
+		return this.#targets.filter(({service}) => service === 'engines').map(({engine}) => engine);
+	}
+
+	run(items: ReturnType<PolicyLoad['draw']>, scenario: PolicyScenario, durationMs: number): void {
+		for (const target of this.#targets) {
+			this.#every(announceEveryMs, () => {
+				this.#announce(target);
+			});
+		}
+
+		this.#every(tickMs, () => {
+			for (const entry of this.#entries) {
+				entry.tick();
+			}
+		});
+		this.#every(sumsEveryMs, () => {
+			this.#sums = this.#deployment.regions.map((region, index) => this.#sum(region.name, index));
+		});
+		this.#disturb(scenario, durationMs);
+		for (const item of items) {
+			this.#clock.after(item.at, () => {
+				this.#arrive(item);
+			});
+		}
+
+		this.#clock.runUntil(durationMs + drainMs);
+	}
+
+	#arrive(item: ReturnType<PolicyLoad['draw']>[number]): void {
+		const {req} = item;
+		const record: PolicyRecord = {
+			kind: req.kind,
+			organisation: req.organisation,
+			priority: req.priority,
+			tokens: item.outputTokens,
+			arrivedAt: item.at,
+			deadlineAt: req.deadlineAt,
+			away: false,
+		};
+		this.records.push(record);
+		const entries = this.#entriesOf(item.region);
+		entries[this.records.length % entries.length]!.receive({
+			req, outputTokens: item.outputTokens, record, tried: {targets: new Set(), regions: new Set()},
+		});
+	}
+
+	#forward(item: Parameters<PolicyEntry['receive']>[0], from: NodeId, to: Region): void {
+		const sender = this.#entries.find(entry => entry.nodeId === from)!;
+		const index = this.#deployment.regions.findIndex(region => region.name === to);
+		const receivers = this.#entriesOf(index);
+		const receiver = receivers[this.records.length % receivers.length]!;
+		const oneWayMs = this.#deployment.roundTripMs / 2;
+		this.#clock.after(oneWayMs, () => {
+			receiver.receive({
+				...item,
+				req: {...item.req, forwardedBy: {nodeId: from, region: sender.region, revision: 1}},
+				tried: {targets: new Set(), regions: new Set()},
+				record: this.#remoteRecord(item.record, oneWayMs),
+				refused: () => {
+					this.#clock.after(oneWayMs, () => {
+						sender.receive(item);
+					});
+				},
+			});
+		});
+	}
+
+	/** The record as the receiver of a forward writes it: the answer comes later by the way back. */
+	#remoteRecord(record: PolicyRecord, oneWayMs: number): PolicyRecord {
+		return new Proxy(record, {
+			set(target, key, value: number) {
+				target.away = true;
+				return Reflect.set(target, key, value + oneWayMs);
+			},
+		});
+	}
+
+	#submit(targetId: TargetId, item: Parameters<PolicyEntry['receive']>[0], done: Parameters<PolicyEngine['submit']>[2]): void {
+		const target = this.#targets.find(other => other.targetId === targetId)!;
+		this.#clock.after(hopMs, () => {
+			target.engine.submit(item.req, item.req.kind === 'call' ? 1 : item.outputTokens, event => {
+				this.#clock.after(hopMs, () => {
+					done(event);
+				});
+			});
+		});
+	}
+
+	/** An announcement whose figures are two seconds old; a target that is down sends none. */
+	#announce(target: RunTarget): void {
+		const {engine} = target;
+		if (!engine.up) {
+			return;
+		}
+
+		target.sequence += 1;
+		const {sequence} = target;
+		const {load, incarnation, capacity} = engine;
+		const cache = engine.takeEvents();
+		this.#clock.after(reportLagMs, () => {
+			if (!engine.up || engine.incarnation !== incarnation) {
+				return;
+			}
+
+			const entries = this.#entriesOf(target.region);
+			entries[this.#targets.indexOf(target) % entries.length]!.table.announce({
+				targetId: target.targetId,
+				incarnation,
+				sequence,
+				firm: this.#deployment.name,
+				deployment: 'main',
+				service: target.service,
+				address: target.targetId,
+				zone: toId('a'),
+				kind: target.service === 'engines' ? 'engine' : 'service',
+				state: 'serving',
+				models: [],
+				capacity,
+				load: {...load, ageMs: reportLagMs},
+				resumes: false,
+				cache,
+			}, this.#now());
+		});
+	}
+
+	#sum(name: string, index: number): RegionView {
+		const madeAt = this.#clock.now;
+		const entries = this.#entriesOf(index);
+		const [first] = entries;
+		const clock = this.#clock;
+		const {roundTripMs} = this.#deployment;
+		return {
+			region: toId(name),
+			reachable: true,
+			get ageMs() {
+				return clock.now - madeAt + (roundTripMs / 2);
+			},
+			revision: 1,
+			entries: entries.map(entry => entry.nodeId),
+			services: first!.table.summaries(this.#now()),
+			roundTripMs,
+		};
+	}
+
+	#disturb(scenario: PolicyScenario, durationMs: number): void {
+		const first = this.#targets.filter(({region, service}) => region === 0 && service === 'engines');
+		switch (scenario.name) {
+			case 'slow-engine': {
+				this.#clock.after(durationMs / 4, () => {
+					first[0]!.engine.slowness = 10;
+				});
+				break;
+			}
+
+			case 'half-region': {
+				for (const {engine} of first) {
+					engine.capacity /= 2;
+				}
+
+				break;
+			}
+
+			case 'returning-region': {
+				for (const {engine} of first) {
+					this.#clock.after(durationMs / 3, () => {
+						engine.crash();
+					});
+					this.#clock.after(durationMs / 2, () => {
+						engine.up = true;
+					});
+				}
+
+				break;
+			}
+
+			case 'steady': {
+				break;
+			}
+		}
+	}
+
+	#createTargets(): RunTarget[] {
+		const computed = new Set<string>();
+		const schedule = (delayMs: number, run: () => void): void => {
+			this.#clock.after(delayMs, run);
+		};
+
+		return this.#deployment.regions.flatMap((region, index) => [
+			...region.engines.map((tokenMs, nth) => ({
+				targetId: toId<TargetId>(`${region.name}-engine-${nth}`),
+				region: index,
+				service: 'engines' as const,
+				callMs: 0,
+				engine: new PolicyEngine({
+					tokenMs, capacity: engineSlots, schedule, computed,
+				}),
+				sequence: 0,
+			})),
+			...region.services.map((callMs, nth) => ({
+				targetId: toId<TargetId>(`${region.name}-desk-${nth}`),
+				region: index,
+				service: 'desk' as const,
+				callMs,
+				engine: new PolicyEngine({
+					tokenMs: callMs, capacity: serviceSlots, schedule, computed,
+				}),
+				sequence: 0,
+			})),
+		]);
+	}
+
+	#createEntries(seed: number, steps: (seed: number) => readonly RoutingStep[] | undefined): PolicyEntry[] {
+		const world = {
+			now: () => this.#now(),
+			settings: routeSettingsFixture({awayPenaltyMs: this.#deployment.awayPenaltyMs, deadlineMs: this.#deployment.deadlineMs}),
+			regions: () => this.#sums,
+			forward: this.#forward.bind(this),
+			submit: this.#submit.bind(this),
+		};
+		return this.#deployment.regions.flatMap((region, index) => {
+			const ids = Array.from({length: region.entries}, (_, nth) => toId<NodeId>(`${region.name}-entry-${nth}`));
+			return ids.map((nodeId, nth) => new PolicyEntry({
+				nodeId,
+				region: toId<Region>(region.name),
+				entries: () => ids,
+				outbox: this.#outbox(nodeId),
+				seed: (seed * 100) + (index * 10) + nth,
+				steps: steps((seed * 100) + (index * 10) + nth + 50),
+				world,
+			}));
+		});
+	}
+
+	#outbox(from: NodeId): Outbox {
+		return {
+			send: (to, message) => {
+				this.#clock.after(hopMs, () => {
+					if (message.part === 'targets') {
+						this.#entries.find(entry => entry.nodeId === to)?.table.handle(from, message.body, this.#now());
+					}
+				});
+			},
+			append: () => 0,
+			rewrite: () => 0,
+			count: () => undefined,
+			log: () => undefined,
+		};
+	}
+
+	#entriesOf(region: number): readonly PolicyEntry[] {
+		const {name} = this.#deployment.regions[region]!;
+		return this.#entries.filter(entry => entry.region as string === name);
+	}
+
+	#every(periodMs: number, run: () => void): void {
+		const again = (): void => {
+			run();
+			this.#clock.after(periodMs, again);
+		};
+
+		again();
+	}
+
+	#now(): Millis {
+		return this.#clock.now as Millis;
+	}
+}
+
--- /dev/null
+++ b/bench/policy-scenario.ts
@@ -0,0 +1,6 @@
+/** One scenario of the policy bench. */
+export type PolicyScenario = {
+	readonly name: 'steady' | 'slow-engine' | 'half-region' | 'returning-region';
+	/** Offered load as a share of the capacity of all engines. */
+	readonly loadShare: number;
+};
--- a/src/core/routing/affine-target.ts
+++ b/src/core/routing/affine-target.ts
@@ -2,8 +2,8 @@
 import type {TargetId} from '../ids/target-id.ts';
 import type {Candidate} from './candidate.ts';
 
-/** Index of the prefix block that decides on affinity: long enough to tell organisations apart. */
-const affinityBlock = 2;
+/** Index of the prefix block that decides on affinity: deep enough to tell histories of one organisation apart. */
+const affinityBlock = 7;
 
 /** Largest load of the affine target relative to the mean share of capacity in use. */
 const loadBound = 1.25;
--- a/src/core/routing/predict-work.ts
+++ b/src/core/routing/predict-work.ts
@@ -18,10 +18,11 @@
 	const {req, typical, cachedTokens, hasRoom, waiting} = options;
 	const capacity = Math.max(1, target.announcement.capacity);
 	const load = target.inFlight + target.othersInFlight;
-	const ahead = hasRoom ? Math.max(0, load + 1 - capacity) : Math.max(1, load + 1 - capacity) + waiting;
 	if (req.kind === 'call') {
 		const callMs = target.callMs ?? typical.callMs;
-		const whole = callMs + (ahead * callMs / capacity);
+		const whole = callMs + waitMs(target, {
+			taskMs: callMs, load, hasRoom, waiting,
+		});
 		return {firstByteMs: whole, wholeMs: whole};
 	}
 
@@ -29,11 +30,25 @@
 	const tokenMs = (target.tokenMs ?? announcedTokenMs(target) ?? typical.tokenMs) * slowdown;
 	const prefillTokenMs = target.prefillTokenMs ?? announcedPrefillMs(target) ?? typical.prefillTokenMs;
 	const prefillMs = (req.promptTokens - cachedTokens) * prefillTokenMs;
-	const decodeMs = req.outputTokens * tokenMs;
-	const waitMs = ahead * (prefillMs + decodeMs) / capacity;
-	const firstByteMs = waitMs + prefillMs + tokenMs;
-	const wholeMs = waitMs + prefillMs + decodeMs;
-	return {firstByteMs: req.streamed ? firstByteMs : wholeMs, wholeMs};
+	const meanTokens = target.inFlight > 0 ? target.inFlightTokens / target.inFlight : req.outputTokens;
+	const taskMs = prefillMs + (meanTokens * tokenMs);
+	const startMs = waitMs(target, {
+		taskMs, load, hasRoom, waiting,
+	}) + prefillMs;
+	const wholeMs = startMs + (req.outputTokens * tokenMs);
+	return {firstByteMs: req.streamed ? startMs + tokenMs : wholeMs, wholeMs};
+}
+
+/** Time until a slot is free: at the target's own queue, or here if the request may not be sent yet. */
+function waitMs(target: TargetView, options: {taskMs: number; load: number; hasRoom: boolean; waiting: number}): number {
+	const {taskMs, load, hasRoom, waiting} = options;
+	const capacity = Math.max(1, target.announcement.capacity);
+	const atTarget = Math.max(0, load + 1 - capacity) * taskMs / capacity;
+	if (hasRoom) {
+		return atTarget;
+	}
+
+	return Math.max(atTarget, (waiting + 1) * taskMs / Math.max(1, target.inFlight));
 }
 
 function announcedTokenMs(target: TargetView): number | undefined {
--- a/src/core/routing/score-step.ts
+++ b/src/core/routing/score-step.ts
@@ -10,7 +10,7 @@
 const affinityCredit = 0.5;
 
 /** Prefix blocks that are taken to be shared with other requests. */
-const sharedBlocks = 3;
+const sharedBlocks = 12;
 
 /** Scores that differ by less than this share are a tie, decided by chance. */
 const tieShare = 0.02;
