--- a/test/harness/launcher.ts
+++ b/test/harness/launcher.ts
@@ -45,7 +45,7 @@
 		this.links = new Links(ports);
 	}
 
-	/** Starts every process, waits until all nodes are ready and puts the first settings in force. */
+	/** Starts every process, puts the first settings in force, and waits until all nodes are ready and know their targets. */
 	async start(): Promise<void> {
 		for (const managed of this.processes.values()) {
 			managed.start();
@@ -54,6 +54,7 @@
 		await Promise.all(this.spec.nodes.map(async ({node}) => this.#answers(node, '/healthz')));
 		await this.#firstChange();
 		await Promise.all(this.spec.nodes.map(async ({node}) => this.ready(node)));
+		await Promise.all(this.spec.nodes.map(async node => this.#knowsTargets(node)));
 	}
 
 	/** `ip:port` at which callers and operators reach a node, without a proxy. */
@@ -197,6 +198,21 @@
 		throw new Error(`${node} does not answer ${page} within ${readyTimeoutMs} ms`);
 	}
 
+	async #knowsTargets({node, region}: NodeSpec): Promise<void> {
+		const wanted = this.spec.targets.filter(target => target.region === region).length;
+		const end = Date.now() + readyTimeoutMs;
+		while (Date.now() < end) {
+			const known = await this.get(node, '/v1/targets') as {targets: unknown[]} | undefined; // eslint-disable-line no-await-in-loop
+			if (known && known.targets.length >= wanted) {
+				return;
+			}
+
+			await delay(pollMs); // eslint-disable-line no-await-in-loop
+		}
+
+		throw new Error(`${node} does not know the ${wanted} targets of its region`);
+	}
+
 	async #firstChange(): Promise<void> {
 		const end = Date.now() + readyTimeoutMs;
 		let last: unknown;
