--- /dev/null
+++ b/bench/path.ts
@@ -0,0 +1,159 @@
+import {performance} from 'node:perf_hooks';
+import {Agent, request} from 'undici';
+import {Launcher} from '../test/harness/launcher.ts';
+import {makeSpec} from '../test/harness/make-spec.ts';
+import {printRows} from './print-rows.ts';
+
+const warmUpCalls = 300;
+const calls = 2000;
+const concurrency = 8;
+const streams = 1000;
+const streamTokens = 200;
+const megabyte = 1_048_576;
+
+type Sample = {readonly sorted: readonly number[]; readonly totalMs: number};
+type Row = Readonly<Record<string, string | number>>;
+type Call = () => Promise<void>;
+
+/**
+ * One entry against calling the stand-ins directly, in the same run: added latency, tokens passed, memory with open streams.
+ * All processes share this machine, the measuring one included.
+ */
+export async function benchPath(options: {json: boolean}): Promise<unknown> {
+	const spec = makeSpec({
+		entriesPerRegion: 1,
+		engines: 1,
+		services: 1,
+		proxies: false,
+		engineOptions: {
+			capacity: 2000, 'token-ms': 1, 'prefill-ms-per-token': 0, slowdown: 0,
+		},
+		serviceOptions: {capacity: 2000, 'delay-ms': 0},
+	});
+	const launcher = await Launcher.create(spec);
+	const agent = new Agent({connections: streams});
+	try {
+		await launcher.start();
+		const node = spec.nodes[0]!;
+		await waitForTargets(launcher, node.node);
+		const rows: Row[] = [
+			...await callRows(launcher, node.node, node.region, agent),
+			...await streamRows(launcher, node.node, node.region, agent),
+		];
+		printRows(rows, options.json);
+		return rows;
+	} finally {
+		await agent.destroy();
+		await launcher.dispose({keepFolder: false});
+	}
+}
+
+async function waitForTargets(launcher: Launcher, node: string): Promise<void> {
+	for (;;) {
+		const body = await launcher.get(node, '/v1/targets') as {targets?: unknown[]} | undefined; // eslint-disable-line no-await-in-loop
+		if ((body?.targets?.length ?? 0) >= 2) {
+			return;
+		}
+	}
+}
+
+async function callRows(launcher: Launcher, node: string, region: string, agent: Agent): Promise<Row[]> {
+	const target = await addressOf(launcher, node, 'pressdesk');
+	const direct: Call = async () => get(agent, `http://${target}/status/1`, '');
+	const through: Call = async () => get(agent, `${origin(launcher, node)}/s/pressdesk/status/1`, `${region}-home`);
+	await sample(direct, warmUpCalls);
+	await sample(through, warmUpCalls);
+	const cpuBefore = await gauge(launcher, node, 'cpu_seconds');
+	const viaEntry = await sample(through, calls);
+	const cpuMs = (await gauge(launcher, node, 'cpu_seconds') - cpuBefore) * 1000;
+	const alone = await sample(direct, calls);
+	return [
+		{
+			name: 'direct', perSecond: calls / alone.totalMs * 1000, p50Ms: at(alone, 0.5), p99Ms: at(alone, 0.99),
+		},
+		{
+			name: 'through one entry', perSecond: calls / viaEntry.totalMs * 1000, p50Ms: at(viaEntry, 0.5), p99Ms: at(viaEntry, 0.99), cpuMsPerCall: cpuMs / calls,
+		},
+		{name: 'ratio (targets: p50 3, p99 4)', p50Ms: at(viaEntry, 0.5) / at(alone, 0.5), p99Ms: at(viaEntry, 0.99) / at(alone, 0.99)},
+	];
+}
+
+async function streamRows(launcher: Launcher, node: string, region: string, agent: Agent): Promise<Row[]> {
+	const url = `${origin(launcher, node)}/v1/chat/completions`;
+	const memoryBefore = await gauge(launcher, node, 'resident_bytes');
+	const cpuBefore = await gauge(launcher, node, 'cpu_seconds');
+	const startedAt = performance.now();
+	const watched = {open: true, peak: 0};
+	const watch = (async () => {
+		while (watched.open) {
+			watched.peak = Math.max(watched.peak, await gauge(launcher, node, 'resident_bytes')); // eslint-disable-line no-await-in-loop
+		}
+	})();
+	const answers = await Promise.all(Array.from({length: streams}, async () => stream(agent, url, `${region}-home`)));
+	const seconds = (performance.now() - startedAt) / 1000;
+	watched.open = false;
+	await watch;
+	const cpuSeconds = await gauge(launcher, node, 'cpu_seconds') - cpuBefore;
+	const tokens = answers.reduce((sum, answer) => sum + answer.tokens, 0);
+	return [{
+		name: `${streams} streams`,
+		whole: answers.filter(answer => answer.whole).length,
+		tokensPerSecond: tokens / seconds,
+		tokensPerCpuSecond: tokens / cpuSeconds,
+		restMemoryMb: memoryBefore / megabyte,
+		addedMemoryMb: (watched.peak - memoryBefore) / megabyte,
+	}];
+}
+
+function origin(launcher: Launcher, node: string): string {
+	return `http://${launcher.address(node)}`;
+}
+
+async function addressOf(launcher: Launcher, node: string, service: string): Promise<string> {
+	const body = await launcher.get(node, '/v1/targets') as {targets: Array<{announcement: {service: string; address: string}}>};
+	return body.targets.find(({announcement}) => announcement.service === service)!.announcement.address;
+}
+
+async function gauge(launcher: Launcher, node: string, name: string): Promise<number> {
+	const text = await launcher.get(node, '/metrics') as string;
+	return Number(new RegExp(`^lovageferry_${name} (?<value>\\S+)`, 'mv').exec(text)?.groups?.value ?? Number.NaN);
+}
+
+async function get(agent: Agent, url: string, key: string): Promise<void> {
+	const res = await request(url, {dispatcher: agent, headers: {authorization: `Bearer ${key}`}});
+	await res.body.dump();
+	if (res.statusCode !== 200) {
+		throw new Error(`${url} answered ${res.statusCode}`);
+	}
+}
+
+async function stream(agent: Agent, url: string, key: string): Promise<{tokens: number; whole: boolean}> {
+	const res = await request(url, {
+		method: 'POST',
+		dispatcher: agent,
+		headers: {authorization: `Bearer ${key}`, 'content-type': 'application/json', 'lovageferry-service': 'proofer'},
+		body: JSON.stringify({stream: true, max_tokens: streamTokens, messages: [{role: 'user', content: 'Draft a festival banner.'}]}),
+	});
+	const text = await res.body.text();
+	return {tokens: text.split('"content"').length - 1, whole: text.includes('[DONE]')};
+}
+
+/** Runs calls at a fixed concurrency; returns their sorted latencies and the whole time. */
+async function sample(call: Call, count: number): Promise<Sample> {
+	const latencies: number[] = [];
+	const startedAt = performance.now();
+	const worker = async () => {
+		while (latencies.length < count) {
+			const from = performance.now();
+			await call(); // eslint-disable-line no-await-in-loop
+			latencies.push(performance.now() - from);
+		}
+	};
+
+	await Promise.all(Array.from({length: concurrency}, worker));
+	return {sorted: latencies.toSorted((left, right) => left - right), totalMs: performance.now() - startedAt};
+}
+
+function at(sample: Sample, quantile: number): number {
+	return sample.sorted[Math.min(sample.sorted.length - 1, Math.floor(sample.sorted.length * quantile))]!;
+}
--- a/bench/policy-run.ts
+++ b/bench/policy-run.ts
@@ -196,6 +196,7 @@
 			},
 			revision: 1,
 			entries: entries.map(entry => entry.nodeId),
+			candidates: [],
 			services: first!.table.summaries(this.#now()),
 			roundTripMs,
 		};
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -5,6 +5,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {parseArgs, promisify} from 'node:util';
 import {request} from 'undici';
+import {exitCodes} from '../src/commands/exit-codes.ts';
 import {DemoCaller} from './demo/demo-caller.ts';
 import {DemoInstallation} from './demo/demo-installation.ts';
 import {demoPlans} from './demo/demo-plans.ts';
@@ -48,7 +49,7 @@
 			show(await operate('tree', 'apply', path.join(plan!.examples, 'tree.yaml')));
 			return;
 		} catch (error) {
-			if (Date.now() > end) {
+			if (Date.now() > end || (error as {code?: number}).code === exitCodes.refused) {
 				throw error;
 			}
 
--- a/src/core/consensus/consensus.ts
+++ b/src/core/consensus/consensus.ts
@@ -19,11 +19,13 @@
 	propose(command: LogCommand, now: Millis): number | undefined;
 	/** True while this member leads and its lease, renewed by a majority, is valid. */
 	leads(now: Millis): boolean;
+	/** End of this member's lease on its clock; undefined while it does not lead with a valid one. */
+	leaseUntil(now: Millis): Millis | undefined;
 	/** The member believed to lead. */
 	leader(): NodeId | undefined;
 	/** Outcomes of commands applied since the last call, in log order. */
 	takeCommitted(): ReadonlyArray<{index: number; term: number; command: LogCommand; outcome: Outcome}>;
 	/** Asks the leader's membership change: one at a time; false if this member does not lead or another is under way. */
 	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): boolean;
-	status(now: Millis): ConsensusStatus;
+	status(): ConsensusStatus;
 }
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -118,11 +118,16 @@
 	}
 
 	leads(now: Millis): boolean {
+		return this.leaseUntil(now) !== undefined;
+	}
+
+	leaseUntil(now: Millis): Millis | undefined {
 		if (this.#replicator === undefined || this.#applied.commit < this.#firstIndex) {
-			return false;
+			return undefined;
 		}
 
-		return now - this.#replicator.majorityContact(now) < consensusTiming.leaseMs;
+		const until = this.#replicator.majorityContact(now) + consensusTiming.leaseMs as Millis;
+		return now < until ? until : undefined;
 	}
 
 	leader(): NodeId | undefined {
--- a/src/core/gateway-core.ts
+++ b/src/core/gateway-core.ts
@@ -46,6 +46,7 @@
 
 	/** Takes one event at time `now` and returns the actions it leads to, in order. */
 	step(event: CoreEvent, now: Millis): readonly Action[] {
+		this.#parts.now = now;
 		this.#take(event, now);
 		this.#settle(now);
 		return this.#queue.take();
@@ -108,7 +109,7 @@
 			revision: this.tree.revision,
 			inFlight: this.inFlight(),
 			load: this.#load(),
-			control: consensus?.status(now),
+			control: consensus?.status(),
 			nodes: membership.nodes().map(({info, state, draining, revision, load}) => ({
 				node: info.nodeId, zone: info.zone, state, draining, revision, load,
 			})),
--- a/src/core/gateway-parts.ts
+++ b/src/core/gateway-parts.ts
@@ -7,12 +7,12 @@
 import type {ConsensusRecord} from './consensus/consensus-record.ts';
 import {RaftMember} from './consensus/raft-member.ts';
 import type {GatewayCoreOptions} from './gateway-core-options.ts';
+import type {Millis} from './ids/millis.ts';
 import type {NodeId} from './ids/node-id.ts';
 import {Leadership} from './leadership.ts';
-import {ClaimLedger} from './ledger/claim-ledger.ts';
-import type {LedgerRecord} from './ledger/ledger-record.ts';
+import {RefusingLedger} from './ledger/refusing-ledger.ts';
 import {ClusterMembership} from './membership/cluster-membership.ts';
-import {LeaderOrders} from './orders/leader-orders.ts';
+import {NoOrders} from './orders/no-orders.ts';
 import {PipelineRouter} from './routing/pipeline-router.ts';
 import {RegionalTargetTable} from './targets/regional-target-table.ts';
 import type {CommandOutcome} from './tree/command-outcome.ts';
@@ -27,10 +27,12 @@
 	readonly leadership?: Leadership;
 	readonly settings: SettingsService;
 	readonly targets: RegionalTargetTable;
-	readonly ledger: ClaimLedger;
+	readonly ledger: RefusingLedger;
 	readonly poison: SuspectPoisonGuard;
 	readonly requests: RequestCoordinator;
-	readonly orders: LeaderOrders;
+	readonly orders: NoOrders;
+	/** Time of the event that is being handled. */
+	now = 0 as Millis;
 	readonly #options: GatewayCoreOptions;
 
 	constructor(options: GatewayCoreOptions, outbox: ActionQueue) {
@@ -63,21 +65,15 @@
 		this.targets = new RegionalTargetTable({
 			self: self.nodeId, entries: () => this.#regionPeers(), outbox, random,
 		});
-		this.ledger = new ClaimLedger({
-			self: self.nodeId,
-			incarnation: self.incarnation,
-			hasDisk: storage !== undefined,
-			load: (storage?.ledger ?? {status: 'missing', records: []}) as JournalLoad<LedgerRecord>,
-			membership: this.membership,
-			outbox,
-			random,
-		});
+		this.ledger = new RefusingLedger();
 		this.poison = new SuspectPoisonGuard({
 			self: self.nodeId,
 			peers: () => this.#regionPeers(),
 			delegates: () => this.#delegates(),
 			outbox,
 		});
+		this.leadership = this.consensus && new Leadership({self: self.nodeId, consensus: this.consensus, planKeepers: () => []});
+		this.orders = new NoOrders();
 		this.requests = new RequestCoordinator({
 			self: self.nodeId,
 			region: self.region,
@@ -91,7 +87,7 @@
 			poison: this.poison,
 			random,
 			outbox,
-			emit: action => {
+			emit(action) {
 				outbox.push(action);
 			},
 		});
@@ -112,7 +108,7 @@
 	}
 
 	#delegates(): ReadonlyArray<readonly NodeId[]> {
-		return this.membership.regions(this.membership.clock)
+		return this.membership.regions(this.now)
 			.filter(view => view.region !== this.#options.self.region && view.reachable)
 			.map(view => view.entries);
 	}
--- /dev/null
+++ b/src/core/leadership.ts
@@ -0,0 +1,63 @@
+import type {Consensus} from './consensus/consensus.ts';
+import type {LogCommand} from './consensus/log-command.ts';
+import type {Millis} from './ids/millis.ts';
+import type {NodeId} from './ids/node-id.ts';
+import type {KeeperSet} from './ledger/keeper-set.ts';
+import type {CommandOutcome} from './tree/command-outcome.ts';
+
+/** Shortest time between two proposals of the same kind, in milliseconds. */
+const proposeEveryMs = 500;
+
+type LeadershipOptions = {
+	readonly self: NodeId;
+	readonly consensus: Consensus<CommandOutcome>;
+	/** Keeper sets that should replace the current ones now. */
+	readonly planKeepers: (now: Millis) => readonly KeeperSet[];
+};
+
+/** What the leader of the replicated log does besides taking changes: marks its term and replaces lost keepers. */
+export class Leadership {
+	readonly #options: LeadershipOptions;
+	#fencing: number | undefined;
+	#proposedAt = Number.NEGATIVE_INFINITY;
+
+	constructor(options: LeadershipOptions) {
+		this.#options = options;
+	}
+
+	tick(now: Millis): void {
+		const {consensus, planKeepers, self} = this.#options;
+		if (!consensus.leads(now)) {
+			this.#fencing = undefined;
+			return;
+		}
+
+		if (now - this.#proposedAt < proposeEveryMs) {
+			return;
+		}
+
+		this.#proposedAt = now;
+		if (this.#fencing === undefined) {
+			consensus.propose({type: 'lead', nodeId: self}, now);
+		}
+
+		for (const set of planKeepers(now)) {
+			consensus.propose({type: 'keepers', set}, now);
+		}
+	}
+
+	/** Takes commands that were committed: the index of this leader's own `lead` command is its fencing number. */
+	committed(entries: ReadonlyArray<{index: number; command: LogCommand}>): void {
+		for (const {index, command} of entries) {
+			if (command.type === 'lead') {
+				this.#fencing = command.nodeId === this.#options.self ? index : undefined;
+			}
+		}
+	}
+
+	/** The right to give orders; undefined unless this node leads with a valid lease and its term is marked. */
+	lead(now: Millis): {fencing: number; leaseUntil: Millis} | undefined {
+		const leaseUntil = this.#options.consensus.leaseUntil(now);
+		return this.#fencing === undefined || leaseUntil === undefined ? undefined : {fencing: this.#fencing, leaseUntil};
+	}
+}
--- a/src/core/tree/settings-service.ts
+++ b/src/core/tree/settings-service.ts
@@ -82,7 +82,7 @@
 
 	ready(now: Millis): boolean {
 		const {control} = this.#options;
-		const starting = control?.consensus.status(now).role === 'starting';
+		const starting = control?.consensus.status().role === 'starting';
 		const state = {revision: this.#copy.tree.revision, hasOwnLog: control !== undefined};
 		return !starting && this.#startup.ended(state, now);
 	}
--- a/src/server/outgoing-request.ts
+++ b/src/server/outgoing-request.ts
@@ -21,7 +21,7 @@
 	copyHeaders(request, passedHeaders, headers);
 	if (action.forwardTo) {
 		copyHeaders(request, forwardedHeaders, headers);
-		const claim = `${options.self.nodeId};${options.self.region};${action.revision}`;
+		const claim = `${options.self.nodeId};${options.self.region};${action.revision};${action.claimed ? 'claimed' : 'free'}`;
 		headers['lovageferry-forwarded-by'] = claim;
 		headers['lovageferry-forward-token'] = options.token.sign(claim);
 		headers['lovageferry-deadline-ms'] = String(Math.max(1, Math.round(action.firstByteMs)));
--- a/src/server/request-reader.ts
+++ b/src/server/request-reader.ts
@@ -133,8 +133,13 @@
 			throw new RequestError({result: 'unauthenticated', ran: 'no'});
 		}
 
-		const [nodeId = '', region = '', revision = '0'] = claim.split(';');
-		return {nodeId: toId(nodeId), region: toId(region), revision: Number(revision)};
+		const [nodeId = '', region = '', revision = '0', claimed] = claim.split(';');
+		return {
+			nodeId: toId(nodeId),
+			region: toId(region),
+			revision: Number(revision),
+			claimed: claimed === 'claimed',
+		};
 	}
 }
 
--- a/test/docs/result-codes.test.ts
+++ b/test/docs/result-codes.test.ts
@@ -5,7 +5,7 @@
 test('docs/RESULT-CODES.md lists every result with its code, status and title', t => {
 	const page = readFileSync('docs/RESULT-CODES.md', 'utf8');
 	for (const [name, {code, status, title}] of Object.entries(resultCodes)) {
-		t.true(page.includes(`| ${code} | ${name} | ${status === 0 ? 'exit code' : status} | ${title} |`), name);
+		t.true(page.includes(`| ${code} | ${name} | ${status === 0 ? 'exit code' : status} | ${title} |`), `${name} is not in the page`);
 	}
 
 	const rows = page.split('\n').filter(line => /^\| \d{4} /v.test(line));
