--- a/src/core/targets/in-flight-log.ts
+++ b/src/core/targets/in-flight-log.ts
@@ -52,10 +52,16 @@
 
 /** Counts the times after `at` in an ascending list. */
 function countAfter(times: readonly Millis[], at: Millis): number {
-	let count = 0;
-	while (count < times.length && times[times.length - 1 - count]! > at) {
-		count++;
+	let low = 0;
+	let high = times.length;
+	while (low < high) {
+		const middle = (low + high) >>> 1;
+		if (times[middle]! > at) {
+			high = middle;
+		} else {
+			low = middle + 1;
+		}
 	}
 
-	return count;
+	return times.length - low;
 }
