--- a/src/core/consensus/member-storage.ts
+++ b/src/core/consensus/member-storage.ts
@@ -2,10 +2,10 @@
 import type {Outbox} from '../common/outbox.ts';
 import type {Configuration} from './configuration.ts';
 import {ConfigurationHistory} from './configuration-history.ts';
-import {consensusLimits} from './consensus-limits.ts';
 import type {ConsensusRecord} from './consensus-record.ts';
 import {DurableWrites} from './durable-writes.ts';
 import {entryWeight} from './entry-weight.ts';
+import type {Limits} from './limits.ts';
 import type {LogEntry} from './log-entry.ts';
 import type {LogSnapshot} from './log-snapshot.ts';
 import {RaftLog} from './raft-log.ts';
@@ -14,6 +14,7 @@
 export class MemberStorage {
 	readonly log = new RaftLog();
 	readonly writes: DurableWrites;
+	readonly #limits: Limits;
 	readonly #configurations = new ConfigurationHistory();
 	#term = 0;
 	#votedFor: string | undefined;
@@ -25,7 +26,8 @@
 	/** Operations of the entries applied since the snapshot. */
 	#appliedWeight = 0;
 
-	constructor(load: JournalLoad<ConsensusRecord>, outbox: Outbox) {
+	constructor(load: JournalLoad<ConsensusRecord>, outbox: Outbox, limits: Limits) {
+		this.#limits = limits;
 		this.writes = new DurableWrites(outbox);
 		for (const record of load.records) {
 			this.#replay(record);
@@ -113,7 +115,7 @@
 	applied(entry: LogEntry): boolean {
 		this.#appliedWeight += entryWeight(entry);
 		const count = entry.index - this.#snapshotIndex;
-		return count >= consensusLimits.snapshotEntries || this.#appliedWeight >= consensusLimits.snapshotWeight;
+		return count >= this.#limits.snapshotEntries || this.#appliedWeight >= this.#limits.snapshotWeight;
 	}
 
 	/** Replaces the journal's entries up to an applied index by the state there. */
@@ -157,7 +159,7 @@
 
 	/** Index up to which memory may forget, so that members that lag a little need no snapshot. */
 	#firstKept(index: number): number {
-		const {keptEntries, snapshotWeight} = consensusLimits;
+		const {keptEntries, snapshotWeight} = this.#limits;
 		let first = index;
 		let weight = 0;
 		while (first > this.log.baseIndex && index - first < keptEntries && weight < snapshotWeight) {
--- a/src/core/consensus/membership-changes.ts
+++ b/src/core/consensus/membership-changes.ts
@@ -1,13 +1,12 @@
 import type {NodeId} from '../ids/node-id.ts';
 import type {Configuration} from './configuration.ts';
-import {consensusLimits} from './consensus-limits.ts';
 import type {LogMember} from './log-member.ts';
 import type {PeerProgress} from './peer-progress.ts';
 
 type Learner = Pick<PeerProgress, 'member' | 'match'>;
 
 /** What a leader knows when it looks for the next step. */
-type Situation = {readonly learners: readonly Learner[]; readonly lastIndex: number};
+type Situation = {readonly learners: readonly Learner[]; readonly lastIndex: number; readonly learnerLag: number};
 
 /**
  * Decides the next configuration: one voter more or one less than the last, so that majorities of
@@ -46,7 +45,7 @@
 	return voters.find(voter => successors.some(({nodeId, storageId}) => nodeId === voter.nodeId && storageId !== voter.storageId));
 }
 
-function caughtUp({learners, lastIndex}: Situation): readonly LogMember[] {
-	const near = learners.filter(({match}) => match > 0 && lastIndex - match <= consensusLimits.learnerLag);
+function caughtUp({learners, lastIndex, learnerLag}: Situation): readonly LogMember[] {
+	const near = learners.filter(({match}) => match > 0 && lastIndex - match <= learnerLag);
 	return near.map(({member}) => member);
 }
--- a/src/core/consensus/raft-member-options.ts
+++ b/src/core/consensus/raft-member-options.ts
@@ -4,6 +4,7 @@
 import type {NodeId} from '../ids/node-id.ts';
 import type {StorageId} from '../ids/storage-id.ts';
 import type {ConsensusRecord} from './consensus-record.ts';
+import type {Limits} from './limits.ts';
 import type {ReplicatedState} from './replicated-state.ts';
 
 /** How a member of the replicated log is made. */
@@ -17,4 +18,6 @@
 	readonly state: ReplicatedState<Outcome>;
 	readonly outbox: Outbox;
 	readonly random: Random;
+	/** Bounds that differ from the default ones. */
+	readonly limits?: Partial<Limits>;
 };
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -4,6 +4,7 @@
 import {AppliedLog} from './applied-log.ts';
 import {Bootstrap} from './bootstrap.ts';
 import type {Consensus} from './consensus.ts';
+import {consensusLimits} from './consensus-limits.ts';
 import type {ConsensusMessage} from './consensus-message.ts';
 import type {ConsensusStatus} from './consensus-status.ts';
 import {consensusTiming} from './consensus-timing.ts';
@@ -44,12 +45,14 @@
 
 	constructor(options: RaftMemberOptions<Outcome>) {
 		const {self, storageId, initialMembers, load, state, outbox, random} = options;
-		this.#storage = new MemberStorage(load, outbox);
+		const limits = {...consensusLimits, ...options.limits};
+		this.#storage = new MemberStorage(load, outbox, limits);
 		this.#initialMembers = initialMembers;
 		this.#context = {
 			self: {nodeId: self, storageId},
 			storage: this.#storage,
 			outbox,
+			limits,
 			random,
 			send: (to, body, storage) => {
 				this.#send(to, body, storage);
@@ -412,7 +415,7 @@
 		}
 
 		const {lastIndex} = this.#storage.log;
-		const configuration = this.#changes.next(current, {learners: replicator.learners(), lastIndex});
+		const configuration = this.#changes.next(current, {learners: replicator.learners(), lastIndex, learnerLag: this.#context.limits.learnerLag});
 		if (configuration !== undefined) {
 			this.#append({type: 'configuration', configuration}, now);
 			replicator.tick(this.#applied.commit, now);
--- a/src/core/consensus/replicator.ts
+++ b/src/core/consensus/replicator.ts
@@ -1,5 +1,4 @@
 import type {Millis} from '../ids/millis.ts';
-import {consensusLimits} from './consensus-limits.ts';
 import type {ConsensusMessage} from './consensus-message.ts';
 import {consensusTiming} from './consensus-timing.ts';
 import {entryWeight} from './entry-weight.ts';
@@ -198,7 +197,7 @@
 			return;
 		}
 
-		const room = peer.probing ? force : peer.unanswered < consensusLimits.unanswered;
+		const room = peer.probing ? force : peer.unanswered < this.#context.limits.unanswered;
 		const entries = room ? this.#nextEntries(peer.next) : [];
 		if (entries.length > 0 || force) {
 			this.#append(peer, entries, now);
@@ -225,11 +224,11 @@
 	}
 
 	#nextEntries(from: number): readonly LogEntry[] {
-		const entries = this.#context.storage.log.slice(from, consensusLimits.messageEntries);
+		const entries = this.#context.storage.log.slice(from, this.#context.limits.messageEntries);
 		let weight = 0;
 		const end = entries.findIndex((entry, position) => {
 			weight += entryWeight(entry);
-			return position > 0 && weight > consensusLimits.messageWeight;
+			return position > 0 && weight > this.#context.limits.messageWeight;
 		});
 		return end === -1 ? entries : entries.slice(0, end);
 	}
--- a/src/core/consensus/snapshot-sender.ts
+++ b/src/core/consensus/snapshot-sender.ts
@@ -1,5 +1,4 @@
 import type {Millis} from '../ids/millis.ts';
-import {consensusLimits} from './consensus-limits.ts';
 import {consensusTiming} from './consensus-timing.ts';
 import type {LogSnapshot} from './log-snapshot.ts';
 import type {MemberContext} from './member-context.ts';
@@ -31,7 +30,7 @@
 			index,
 			offset,
 			total: text.length,
-			text: text.slice(offset, offset + consensusLimits.chunkLength),
+			text: text.slice(offset, offset + this.#context.limits.chunkLength),
 			sentAt: now,
 		}, peer.member.storageId);
 	}
--- /dev/null
+++ b/test/core/consensus/cluster-checker.ts
@@ -0,0 +1,82 @@
+import type {ExecutionContext} from 'ava';
+import type {Change} from '../../../src/core/tree/change.ts';
+import type {ChangeOutcome} from '../../../src/core/tree/change-outcome.ts';
+import type {SimCluster} from '../../fixtures/sim-cluster.ts';
+import type {SimProcess} from '../../fixtures/sim-process.ts';
+
+/** Watches a cluster for broken promises of the replicated log and the settings. */
+export class ClusterChecker {
+	readonly submitted = new Map<string, Change>();
+	readonly #outcomes = new Map<string, ChangeOutcome>();
+	readonly #commands = new Map<number, string>();
+	readonly #seen = new WeakMap<SimProcess, {applied: number; revision: number}>();
+	readonly #t: ExecutionContext;
+	readonly #cluster: SimCluster;
+
+	constructor(t: ExecutionContext, cluster: SimCluster) {
+		this.#t = t;
+		this.#cluster = cluster;
+	}
+
+	/** Checks what must hold at any moment. */
+	check(): void {
+		let leaders = 0;
+		for (const node of this.#cluster.nodes.values()) {
+			if (node.process !== undefined) {
+				this.#checkProcess(node.process);
+				leaders += node.process.member?.leads(this.#cluster.clock(node)) ? 1 : 0;
+			}
+		}
+
+		this.#require(leaders <= 1, 'two members lead at once');
+	}
+
+	/** Checks, once all is healed, that every answer still stands on every control node. */
+	checkAnswers(): void {
+		for (const [changeId, outcome] of this.#outcomes) {
+			for (const nodeId of this.#cluster.controlIds) {
+				const {state} = this.#cluster.process(nodeId);
+				const again = state.knownOutcome(this.submitted.get(changeId)!);
+				this.#require(JSON.stringify(again) === JSON.stringify(outcome), `${changeId} was answered ${JSON.stringify(outcome)}, ${nodeId} says ${JSON.stringify(again)}`);
+			}
+		}
+	}
+
+	get answers(): number {
+		return this.#outcomes.size;
+	}
+
+	#checkProcess(process: SimProcess): void {
+		const seen = this.#seen.get(process) ?? {applied: 0, revision: 0};
+		const {revision} = process.service.tree;
+		this.#require(revision >= seen.revision, 'a revision went back');
+		for (const {index, command} of process.committed.slice(seen.applied)) {
+			const text = JSON.stringify(command);
+			const known = this.#commands.get(index) ?? text;
+			this.#require(known === text, `index ${index} has ${known} and ${text}`);
+			this.#commands.set(index, text);
+		}
+
+		this.#seen.set(process, {applied: process.committed.length, revision});
+		this.#collect(process);
+	}
+
+	#collect(process: SimProcess): void {
+		for (const {changeId, outcome} of process.service.takeOutcomes()) {
+			if (outcome.type === 'no-quorum') {
+				continue;
+			}
+
+			const known = this.#outcomes.get(changeId) ?? outcome;
+			this.#require(JSON.stringify(known) === JSON.stringify(outcome), `${changeId} got two answers`);
+			this.#outcomes.set(changeId, outcome);
+		}
+	}
+
+	#require(holds: boolean, problem: string): void {
+		if (!holds) {
+			this.#t.log(problem);
+			throw new Error(problem);
+		}
+	}
+}
--- a/test/core/consensus/raft-member.test.ts
+++ b/test/core/consensus/raft-member.test.ts
@@ -165,6 +165,40 @@
 	t.true(cluster.runUntil(() => cluster.leader() !== undefined && cluster.leader() !== leader && !voters().includes(leader as NodeId)));
 });
 
+test('an up-to-date member that was cut off one way or both disturbs nobody', t => {
+	const cluster = startCluster();
+	acceptChange(cluster, 1);
+	cluster.run(2000);
+	const leader = cluster.leader()!;
+	const [away] = otherThan(cluster, leader) as [NodeId];
+	const {term} = cluster.process(leader).member!.status();
+	cluster.cut.add(`${leader}>${away}`);
+	cluster.run(10_000);
+	cluster.isolate(away, true);
+	cluster.run(10_000);
+	cluster.isolate(away, false);
+	cluster.run(5000);
+	t.is(cluster.leader(), leader);
+	for (const name of cluster.controlIds) {
+		t.is(cluster.process(name).member!.status().term, term);
+	}
+});
+
+test('half of an even number of voters neither leads nor accepts', t => {
+	const cluster = startCluster({members: 4});
+	acceptChange(cluster, 1);
+	for (const [from, to] of [['c1', 'c3'], ['c1', 'c4'], ['c2', 'c3'], ['c2', 'c4']]) {
+		cluster.cut.add(`${from}>${to}`).add(`${to}>${from}`);
+	}
+
+	cluster.run(3000);
+	t.is(cluster.leader(), undefined);
+	cluster.run(10_000);
+	t.is(cluster.leader(), undefined);
+	cluster.cut.clear();
+	t.true(acceptChange(cluster, 2));
+});
+
 test('a member whose journal cannot be written steps back, the others go on', t => {
 	const cluster = startCluster();
 	const leader = cluster.leader()!;
--- /dev/null
+++ b/test/core/consensus/single-member.test.ts
@@ -0,0 +1,135 @@
+import test from 'ava';
+import {SeededRandom} from '../../../src/core/common/seeded-random.ts';
+import type {ConsensusMessage} from '../../../src/core/consensus/consensus-message.ts';
+import type {ConsensusRecord} from '../../../src/core/consensus/consensus-record.ts';
+import {RaftMember} from '../../../src/core/consensus/raft-member.ts';
+import type {Millis} from '../../../src/core/ids/millis.ts';
+import type {NodeId} from '../../../src/core/ids/node-id.ts';
+import type {StorageId} from '../../../src/core/ids/storage-id.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import {SystemState} from '../../../src/core/tree/system-state.ts';
+import {RecordingOutbox} from '../../fixtures/recording-outbox.ts';
+
+type Body = ConsensusMessage['body'];
+
+const names = ['c1', 'c2', 'c3'].map(name => toId<NodeId>(name));
+const voters = names.map(nodeId => ({nodeId, storageId: toId<StorageId>(`${nodeId}-disk`)}));
+
+/** Member c1 after a restart: its log holds an entry of term 2 that may or may not be committed. */
+function restartMember() {
+	const records: ConsensusRecord[] = [
+		{type: 'group', group: 'g'},
+		{type: 'vote', term: 3},
+		{
+			type: 'entries', entries: [
+				{index: 1, term: 1, content: {type: 'configuration', configuration: {voters, wanted: names}}},
+				{index: 2, term: 2, content: {type: 'command', command: {type: 'lead', nodeId: 'c2'}}},
+			],
+		},
+	];
+	const outbox = new RecordingOutbox();
+	const member = new RaftMember({
+		self: names[0]!,
+		storageId: voters[0]!.storageId,
+		initialMembers: names,
+		load: {status: 'intact', records},
+		state: new SystemState(),
+		outbox,
+		random: new SeededRandom(1),
+	});
+	const sync = (now: number) => {
+		for (const {token} of outbox.takeWrites()) {
+			member.written(token, now as Millis);
+		}
+	};
+
+	const receive = (from: number, body: Body, now: number) => {
+		member.handle(names[from - 1]!, {group: 'g', storageId: voters[from - 1]!.storageId, body}, now as Millis);
+	};
+
+	const sent = (type: Body['type']) => outbox.takeSent().map(({message}) => (message.body as ConsensusMessage).body).filter(body => body.type === type);
+	return {
+		member, outbox, sync, receive, sent,
+	};
+}
+
+const append: Body = {
+	type: 'append', term: 3, previousIndex: 2, previousTerm: 2, entries: [], commit: 1, sentAt: 5,
+};
+
+test('no vote leaves before its sync, and none is given twice in a term', t => {
+	const {member, receive, sync, sent} = restartMember();
+	member.tick(0 as Millis);
+	const vote: Body = {
+		type: 'vote', pre: false, term: 4, lastIndex: 2, lastTerm: 2,
+	};
+	receive(2, vote, 1500);
+	t.deepEqual(sent('vote-answer'), []);
+	sync(1501);
+	t.like(sent('vote-answer'), [{granted: true, term: 4}]);
+	receive(3, vote, 1502);
+	sync(1503);
+	t.like(sent('vote-answer'), [{granted: false, term: 4}]);
+});
+
+test('entries are acknowledged only after their sync', t => {
+	const {receive, sync, sent} = restartMember();
+	receive(2, {...append, entries: [{index: 3, term: 3, content: {type: 'command', command: {type: 'lead', nodeId: 'c2'}}}]}, 10);
+	t.deepEqual(sent('append-answer'), []);
+	sync(11);
+	t.like(sent('append-answer'), [{ok: true, index: 3}]);
+});
+
+test('a member that just started, or just heard a leader, helps to elect no other', t => {
+	const vote: Body = {
+		type: 'vote', pre: true, term: 4, lastIndex: 9, lastTerm: 3,
+	};
+	const {member, receive, sync, sent} = restartMember();
+	member.tick(0 as Millis);
+	receive(3, vote, 900);
+	t.like(sent('vote-answer'), [{granted: false}]);
+	receive(2, append, 950);
+	sync(951);
+	receive(3, vote, 1900);
+	receive(3, {...vote, pre: false}, 1900);
+	sync(1901);
+	t.like(sent('vote-answer'), [{granted: false}]);
+	t.is(member.status().term, 3);
+	receive(3, vote, 2000);
+	t.like(sent('vote-answer'), [{granted: true}]);
+});
+
+test('a leader does not count an entry of an earlier term as committed by itself', t => {
+	const {member, receive, sync} = restartMember();
+	member.tick(0 as Millis);
+	member.tick(5000 as Millis);
+	receive(2, {
+		type: 'vote-answer', pre: true, term: 4, granted: true,
+	}, 5010);
+	sync(5020);
+	receive(2, {
+		type: 'vote-answer', pre: false, term: 4, granted: true,
+	}, 5030);
+	t.is(member.status().role, 'leader');
+	sync(5040);
+	const answer: Body = {
+		type: 'append-answer', term: 4, ok: true, index: 2, previousIndex: 2, sentAt: 5030,
+	};
+	receive(2, answer, 5050);
+	t.is(member.status().commitIndex, 0);
+	receive(2, {...answer, index: 3}, 5060);
+	t.is(member.status().commitIndex, 3);
+});
+
+test('a message for another folder or from another group is ignored', t => {
+	const {member, sync, sent} = restartMember();
+	const from = names[1]!;
+	const {storageId} = voters[1]!;
+	member.handle(from, {
+		group: 'g', storageId, to: toId<StorageId>('former-disk'), body: append,
+	}, 10 as Millis);
+	member.handle(from, {group: 'other', storageId, body: append}, 20 as Millis);
+	sync(30);
+	t.deepEqual(sent('append-answer'), []);
+	t.is(member.leader(), undefined);
+});
