--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,10 @@
 
 /** Measurements by name; each is loaded only when asked for. */
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
+	async capacity() {
+		const {benchCapacity} = await import('./capacity.ts');
+		return benchCapacity;
+	},
 	async path() {
 		const {benchPath} = await import('./path.ts');
 		return benchPath;
--- a/src/server/peer-link.ts
+++ b/src/server/peer-link.ts
@@ -4,6 +4,7 @@
 import type {NodeInfo} from '../core/membership/node-info.ts';
 import type {PeerMessage} from '../core/peer-message.ts';
 import {constants} from '../settings/constants.ts';
+import {LinkWatch} from './link-watch.ts';
 import type {PeerToken} from './peer-token.ts';
 
 type PeerLinkOptions = {
@@ -20,6 +21,7 @@
 	readonly #options: PeerLinkOptions;
 	#queue: string[] = [];
 	#wake: (() => void) | undefined;
+	readonly #watch = new LinkWatch();
 	#closed = false;
 	#sessions: Http2SessionManager | undefined;
 
@@ -66,21 +68,26 @@
 
 	async #connect(): Promise<void> {
 		const baseUrl = `http://${this.#options.peer.address}`;
-		this.#sessions = new Http2SessionManager(baseUrl, {
-			pingIntervalMs: constants.peerPingIntervalMs,
-			pingTimeoutMs: constants.peerPingTimeoutMs,
-			pingIdleConnection: true,
-		});
+		// No pings of the session manager: one that times out ends the process by an error nobody listens for.
+		this.#sessions = new Http2SessionManager(baseUrl);
 		const client: Client<typeof PeerService> = createClient(PeerService, createConnectTransport({
 			httpVersion: '2', baseUrl, sessionManager: this.#sessions,
 		}));
 		const {nodeId, incarnation} = this.#options.self;
 		const claim = `${nodeId};${incarnation};${this.#options.peer.nodeId}`;
+		const headers = {'lovageferry-peer': claim, 'lovageferry-peer-token': this.#options.token.sign(claim)};
+		this.#watch.opened();
+		const watchdog = setInterval(() => {
+			if (this.#watch.silent()) {
+				this.#sessions?.abort();
+			}
+		}, constants.peerPulseMs);
 		try {
-			await client.link(this.#frames(), {
-				headers: {'lovageferry-peer': claim, 'lovageferry-peer-token': this.#options.token.sign(claim)},
-			});
+			for await (const _ of client.link(this.#frames(), {headers})) {
+				this.#watch.heard();
+			}
 		} finally {
+			clearInterval(watchdog);
 			this.#sessions.abort();
 		}
 	}
@@ -95,6 +102,7 @@
 				return;
 			}
 
+			this.#watch.sent();
 			const messages = this.#queue;
 			this.#queue = [];
 			this.#options.onSent(messages.length, messages.reduce((sum, text) => sum + text.length, 0));
--- a/src/server/peer-listener.ts
+++ b/src/server/peer-listener.ts
@@ -1,3 +1,4 @@
+import {performance} from 'node:perf_hooks';
 import {createServer, type Http2Server, type ServerHttp2Session} from 'node:http2';
 import {
 	Code, ConnectError, type ConnectRouter, type HandlerContext,
@@ -7,6 +8,7 @@
 import {toId} from '../core/ids/to-id.ts';
 import type {PeerMessage} from '../core/peer-message.ts';
 import {PeerService, type Frame} from '../gen/peer_pb.ts';
+import {constants} from '../settings/constants.ts';
 import {log} from './log.ts';
 import type {Metrics} from './metrics.ts';
 import type {PeerToken} from './peer-token.ts';
@@ -31,7 +33,7 @@
 	constructor(options: PeerListenerOptions) {
 		this.#options = options;
 		const routes = (router: ConnectRouter) => {
-			router.service(PeerService, {link: async (frames, context) => this.#link(frames, context)});
+			router.service(PeerService, {link: (frames, context) => this.#link(frames, context)});
 		};
 
 		this.#server = createServer(connectNodeAdapter({routes, readMaxBytes: maxFrameBytes}));
@@ -62,17 +64,22 @@
 		});
 	}
 
-	async #link(frames: AsyncIterable<Frame>, context: HandlerContext) {
+	async * #link(frames: AsyncIterable<Frame>, context: HandlerContext) {
 		const from = this.#authenticate(context);
+		let pulseAt = Number.NEGATIVE_INFINITY;
 		for await (const frame of frames) {
 			this.#options.metrics.count('peer_messages', 'received', frame.messages.length);
 			for (const text of frame.messages) {
 				this.#options.metrics.count('peer_bytes', 'received', text.length);
 				this.#options.onMessage(from, JSON.parse(text) as PeerMessage);
 			}
-		}
 
-		return {};
+			const now = performance.now();
+			if (now - pulseAt >= constants.peerPulseMs) {
+				pulseAt = now;
+				yield {};
+			}
+		}
 	}
 
 	#authenticate(context: HandlerContext): NodeId {
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -20,11 +20,12 @@
 	charactersPerToken: 4,
 	/** Messages waiting for one peer; the oldest are dropped beyond. */
 	maxPeerQueue: 4096,
-	/** Frames that one peer may have under way before messages wait. */
+	/** Pause before a link that ended is opened again. */
 	peerReconnectMs: 250,
-	/** Time after which an idle link is asked for a sign of life, and the time it has for it. */
-	peerPingIntervalMs: 1000,
-	peerPingTimeoutMs: 2000,
+	/** Shortest time between two signs of life of a link's receiver. */
+	peerPulseMs: 1000,
+	/** Time after a frame that must be answered by a sign of life; then the link is opened anew. */
+	peerSilenceMs: 3000,
 	/** Largest difference between two machines' wall clocks for a link to be taken. */
 	peerClockSkewMs: 60_000,
 	/** Time to connect to a target or a peer's entry. */
