--- /dev/null
+++ b/bench/state.ts
@@ -0,0 +1,37 @@
+import process from 'node:process';
+import {printRows} from './print-rows.ts';
+import {measureAcceptance} from './state-acceptance.ts';
+import {measureRecovery} from './state-recovery.ts';
+import type {StateRow} from './state-row.ts';
+import {measureSpread} from './state-spread.ts';
+import {measureSync} from './state-sync.ts';
+import {measureTreeSize} from './state-tree-size.ts';
+
+type BenchStateOptions = {
+	/** Prints JSON in place of tables. @default false */
+	readonly json?: boolean;
+	/** @default 1 */
+	readonly seed?: number;
+};
+
+/**
+ * Measures the shared state: log, settings tree, journal. Links and members are simulated with 40 ms
+ * one way; each simulated sync takes between the median and the 99th percentile of real ones on this machine.
+ */
+export async function benchState({json = false, seed = 1}: BenchStateOptions = {}): Promise<readonly StateRow[]> {
+	const sync = await measureSync();
+	const {p50Ms, p99Ms} = sync[0] as {p50Ms: number; p99Ms: number};
+	const options = {seed, syncMs: [p50Ms, p99Ms] as const};
+	const tables = [sync, measureTreeSize(), measureAcceptance(options), measureSpread(options), measureRecovery(options)];
+	if (json) {
+		printRows(tables.flat(), true);
+		return tables.flat();
+	}
+
+	for (const table of tables) {
+		printRows(table, false);
+		process.stdout.write('\n');
+	}
+
+	return tables.flat();
+}
