feat(ledger): claims kept by a small keeper set per region

A claim id is used in one epoch only. A set takes over from one sealed member of the epoch before that never lost its memory; a member that was never active in an epoch proves that nothing was granted in it. A member that restarted without a disk takes part in the next epoch at the earliest.

Left open: a keeper that is cut off from the rest of its region but not from the coordinator may still make a refusal say 'ran: no' under an epoch that is over.

Interface: KeeperSet gets incarnations and earlier (KeeperEpoch is its part without history); the outcome 'unavailable' gets ran. ClaimLedger needs the start time now and its region.

--- /dev/null
+++ b/src/core/ledger/claim-attempt.ts
@@ -0,0 +1,263 @@
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {ClaimId} from './claim-id.ts';
+import type {ClaimOutcome} from './claim-outcome.ts';
+import type {ClaimReply} from './claim-reply.ts';
+import type {ClaimRequest} from './claim-request.ts';
+import {claimText} from './claim-text.ts';
+import type {KeeperSet} from './keeper-set.ts';
+import type {LedgerMessage} from './ledger-message.ts';
+
+type ClaimStatus = Extract<LedgerMessage, {type: 'query-reply'}>['status'];
+
+type ClaimAttemptOptions = {
+	readonly request: ClaimRequest;
+	readonly key: string;
+	readonly set: KeeperSet;
+	readonly claimId: ClaimId;
+	readonly deadlineAt: number;
+	readonly send: (to: NodeId, message: LedgerMessage) => void;
+	/** State of a claim of this node itself. */
+	readonly ownStatus: (claimId: ClaimId) => ClaimStatus;
+	readonly self: NodeId;
+	/** Whether the process that made a claim is believed to be running. */
+	readonly running: (claimId: ClaimId) => boolean;
+};
+
+/** What is found out about another claim that holds the key. */
+type Doubt = {
+	readonly by: ClaimId;
+	readonly stage: 'query' | 'fence';
+	readonly until: number;
+	readonly held: Set<NodeId>;
+};
+
+/** What the coordinator has to do next. */
+type AttemptStep =
+	| {readonly type: 'end'; readonly outcome: ClaimOutcome}
+	/** The other claim was never granted and never will be: it is to be released. */
+	| {readonly type: 'release'; readonly claimId: ClaimId};
+
+/** Pause between two messages to a keeper that did not answer, in milliseconds. */
+const askPauseMs = 150;
+/** Wait for another claim's coordinator, and for the keepers to fence it, in milliseconds. */
+const doubtMs = 500;
+/** When to come back to a request that is being run, and if the keepers cannot be reached, in milliseconds. */
+const inProgressRetryMs = 500;
+const unavailableRetryMs = 1000;
+
+const inProgress: ClaimOutcome = {type: 'in-progress', retryAfterMs: inProgressRetryMs};
+
+/** One claim under one epoch, until it is granted by all keepers or given up. */
+export class ClaimAttempt {
+	readonly #options: ClaimAttemptOptions;
+	readonly #replies = new Map<NodeId, ClaimReply>();
+	#doubt: Doubt | undefined;
+	#nextAskAt = 0;
+
+	constructor(options: ClaimAttemptOptions) {
+		this.#options = options;
+	}
+
+	get request(): ClaimRequest {
+		return this.#options.request;
+	}
+
+	get claimId(): ClaimId {
+		return this.#options.claimId;
+	}
+
+	get key(): string {
+		return this.#options.key;
+	}
+
+	get set(): KeeperSet {
+		return this.#options.set;
+	}
+
+	get deadlineAt(): number {
+		return this.#options.deadlineAt;
+	}
+
+	/** True if some keeper took the claim. */
+	get acceptedBySome(): boolean {
+		return [...this.#replies.values()].some(({type}) => type === 'accepted');
+	}
+
+	/** Asks again where there is no answer, and gives up in time. */
+	tick(now: Millis): AttemptStep | undefined {
+		if (now > this.#options.deadlineAt) {
+			return {type: 'end', outcome: this.#givenUp()};
+		}
+
+		if (this.#doubt && now > this.#doubt.until) {
+			const step = this.#doubtEnded(this.#doubt, now);
+			if (step) {
+				return step;
+			}
+		}
+
+		if (now >= this.#nextAskAt) {
+			this.#nextAskAt = now + askPauseMs;
+			this.#ask();
+		}
+
+		return undefined;
+	}
+
+	/** Takes a keeper's reply. */
+	replied(from: NodeId, reply: ClaimReply, now: Millis): AttemptStep | undefined {
+		if (now > this.#options.deadlineAt || !this.set.members.includes(from)) {
+			return undefined;
+		}
+
+		this.#replies.set(from, reply);
+		const outcome = this.#final(reply) ?? this.#granted();
+		if (outcome) {
+			return {type: 'end', outcome};
+		}
+
+		return reply.type === 'held' && !this.#doubt ? this.#investigate(reply.by, now) : undefined;
+	}
+
+	/** Takes what a coordinator says of its claim. */
+	queried(claimId: ClaimId, status: ClaimStatus, now: Millis): AttemptStep | undefined {
+		if (this.#doubt?.stage !== 'query' || claimText(claimId) !== claimText(this.#doubt.by)) {
+			return undefined;
+		}
+
+		return this.#judge(this.#doubt.by, status, now);
+	}
+
+	/** Takes a keeper's answer to a fence. */
+	fenced(from: NodeId, claimId: ClaimId, held: boolean): AttemptStep | undefined {
+		if (this.#doubt?.stage !== 'fence' || claimText(claimId) !== claimText(this.#doubt.by)) {
+			return undefined;
+		}
+
+		if (!held) {
+			this.#clearDoubt();
+			return {type: 'release', claimId};
+		}
+
+		this.#doubt.held.add(from);
+		return this.set.members.every(member => this.#doubt!.held.has(member))
+			? {type: 'end', outcome: this.#heldFor(this.#doubt.by)}
+			: undefined;
+	}
+
+	#final(reply: ClaimReply): ClaimOutcome | undefined {
+		switch (reply.type) {
+			case 'done': {
+				return reply.answer ? {type: 'replay', answer: reply.answer} : {type: 'may-have-run'};
+			}
+
+			case 'unknown': {
+				return {type: 'may-have-run'};
+			}
+
+			case 'key-reused': {
+				return {type: 'key-reused'};
+			}
+
+			case 'full': {
+				return this.#unavailable();
+			}
+
+			case 'fenced': {
+				return inProgress;
+			}
+
+			case 'accepted':
+			case 'held': {
+				return undefined;
+			}
+		}
+	}
+
+	#granted(): ClaimOutcome | undefined {
+		return this.set.members.every(member => this.#replies.get(member)?.type === 'accepted') ? {type: 'granted'} : undefined;
+	}
+
+	#investigate(by: ClaimId, now: Millis): AttemptStep | undefined {
+		if (by.coordinator === this.#options.self) {
+			return this.#judge(by, this.#options.ownStatus(by), now);
+		}
+
+		this.#doubt = {
+			by, stage: 'query', until: now + doubtMs, held: new Set(),
+		};
+		this.#options.send(by.coordinator, {type: 'query', claimId: by});
+		return undefined;
+	}
+
+	#judge(by: ClaimId, status: ClaimStatus, now: Millis): AttemptStep | undefined {
+		if (status === 'never') {
+			this.#clearDoubt();
+			return undefined;
+		}
+
+		if (status !== 'forgotten') {
+			return {type: 'end', outcome: inProgress};
+		}
+
+		this.#fence(by, now);
+		return undefined;
+	}
+
+	#fence(by: ClaimId, now: Millis): void {
+		this.#doubt = {
+			by, stage: 'fence', until: now + doubtMs, held: new Set(),
+		};
+		this.#nextAskAt = now;
+	}
+
+	#doubtEnded({stage, by}: Doubt, now: Millis): AttemptStep | undefined {
+		if (stage === 'fence') {
+			return {type: 'end', outcome: this.#heldFor(by)};
+		}
+
+		this.#fence(by, now);
+		return undefined;
+	}
+
+	/** The other claim was given up: its holders are asked again. */
+	#clearDoubt(): void {
+		this.#doubt = undefined;
+		for (const [member, reply] of this.#replies) {
+			if (reply.type === 'held') {
+				this.#replies.delete(member);
+			}
+		}
+	}
+
+	#ask(): void {
+		const {set, claimId, key, request, send} = this.#options;
+		for (const member of set.members) {
+			if (this.#doubt?.stage === 'fence') {
+				send(member, {
+					type: 'fence', region: set.region, epoch: set.epoch, key, claimId: this.#doubt.by,
+				});
+			} else if (!this.#replies.has(member)) {
+				send(member, {
+					type: 'claim', region: set.region, epoch: set.epoch, claimId, key, fingerprint: request.fingerprint, keepMs: request.keepMs,
+				});
+			}
+		}
+	}
+
+	#givenUp(): ClaimOutcome {
+		const held = [...this.#replies.values()].find(reply => reply.type === 'held');
+		const by = this.#doubt?.by ?? (held?.type === 'held' ? held.by : undefined);
+		return by ? this.#heldFor(by) : this.#unavailable();
+	}
+
+	/** The key is held by a claim that may have been granted. */
+	#heldFor(by: ClaimId): ClaimOutcome {
+		return this.#options.running(by) ? inProgress : {type: 'may-have-run'};
+	}
+
+	#unavailable(): ClaimOutcome {
+		return {type: 'unavailable', retryAfterMs: unavailableRetryMs, ran: 'maybe'};
+	}
+}
--- /dev/null
+++ b/src/core/ledger/claim-ledger.ts
@@ -0,0 +1,262 @@
+import type {JournalLoad} from '../common/journal-load.ts';
+import type {Outbox} from '../common/outbox.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {Region} from '../ids/region.ts';
+import type {RequestId} from '../ids/request-id.ts';
+import type {Membership} from '../membership/membership.ts';
+import {ClaimCoordinator} from './claim-coordinator.ts';
+import type {ClaimId} from './claim-id.ts';
+import type {ClaimRequest} from './claim-request.ts';
+import {ClaimStore} from './claim-store.ts';
+import type {KeeperSet} from './keeper-set.ts';
+import {KeeperReplica} from './keeper-replica.ts';
+import type {KeptAnswer} from './kept-answer.ts';
+import type {Ledger} from './ledger.ts';
+import type {LedgerMessage} from './ledger-message.ts';
+import type {LedgerRecord} from './ledger-record.ts';
+
+type ClaimLedgerOptions = {
+	readonly self: NodeId;
+	readonly region: Region;
+	/** Start time of this process. */
+	readonly incarnation: number;
+	readonly hasDisk: boolean;
+	/** What was read back from the journal `ledger`. */
+	readonly restored?: JournalLoad<LedgerRecord>;
+	readonly outbox: Outbox;
+	/** Tells whether the coordinator of another claim still runs, and the incarnation that others know of this node. */
+	readonly membership: Pick<Membership, 'node'>;
+	/** Time of the start on the clock that all other calls use. */
+	readonly now: Millis;
+	/** Keys that this node remembers as a keeper. @default 100_000 */
+	readonly maxClaims?: number;
+	/** Bytes of all answers that this node keeps. @default 16_777_216 */
+	readonly maxAnswerBytes?: number;
+};
+
+type LocalMessage = {
+	readonly from: NodeId;
+	readonly message: LedgerMessage;
+};
+
+/** Claims kept by a small set of keepers in each home region; a claim is granted once all of them hold it. */
+export class ClaimLedger implements Ledger {
+	readonly #self: NodeId;
+	readonly #region: Region;
+	readonly #outbox: Outbox;
+	readonly #coordinator: ClaimCoordinator;
+	readonly #keeper: KeeperReplica;
+	readonly #sets = new Map<Region, KeeperSet>();
+	/** Messages of this node to itself. */
+	#local: LocalMessage[] = [];
+
+	constructor({self, region, incarnation, hasDisk, restored, outbox, membership, now, maxClaims, maxAnswerBytes}: ClaimLedgerOptions) {
+		this.#self = self;
+		this.#region = region;
+		this.#outbox = outbox;
+		const send = (to: NodeId, message: LedgerMessage) => {
+			this.#send(to, message);
+		};
+
+		const running = (claimId: ClaimId) => {
+			const view = membership.node(claimId.coordinator);
+			return view?.state === 'alive' && view.info.incarnation === claimId.incarnation;
+		};
+
+		this.#coordinator = new ClaimCoordinator({
+			self, incarnation, sets: this.#sets, send, running,
+		});
+		this.#keeper = new KeeperReplica({
+			self,
+			incarnation: () => membership.node(self)?.info.incarnation ?? incarnation,
+			hasDisk,
+			restored: restored ?? {status: 'missing', records: []},
+			store: new ClaimStore({maxClaims, maxAnswerBytes}),
+			outbox,
+			send,
+			now,
+		});
+		if (this.#keeper.set) {
+			this.#sets.set(region, this.#keeper.set);
+		}
+	}
+
+	claim(request: ClaimRequest, now: Millis): void {
+		this.#coordinator.claim(request, now);
+		this.#deliverLocal(now);
+	}
+
+	done(requestId: RequestId, answer: KeptAnswer | undefined, now: Millis): void {
+		this.#coordinator.finish(requestId, 'done', answer, now);
+		this.#deliverLocal(now);
+	}
+
+	release(requestId: RequestId, now: Millis): void {
+		this.#coordinator.finish(requestId, 'released', undefined, now);
+		this.#deliverLocal(now);
+	}
+
+	unknown(requestId: RequestId, now: Millis): void {
+		this.#coordinator.finish(requestId, 'unknown', undefined, now);
+		this.#deliverLocal(now);
+	}
+
+	handle(from: NodeId, message: LedgerMessage, now: Millis): void {
+		this.#handle(from, message, now);
+		this.#deliverLocal(now);
+	}
+
+	tick(now: Millis): void {
+		this.#keeper.tick(now);
+		this.#coordinator.tick(now);
+		this.#deliverLocal(now);
+	}
+
+	written(token: number, now: Millis): void {
+		this.#keeper.written(token);
+		this.#deliverLocal(now);
+	}
+
+	keepers(set: KeeperSet, now: Millis): void {
+		this.#learn(set, now);
+		this.#deliverLocal(now);
+	}
+
+	takeOutcomes() {
+		const outcomes = this.#coordinator.takeOutcomes();
+		for (const {outcome} of outcomes) {
+			this.#outbox.count('claims', outcome.type);
+		}
+
+		return outcomes;
+	}
+
+	/** What operators see of this node as a keeper; `lost` waits for `acceptLoss`. */
+	status() {
+		return this.#keeper.status();
+	}
+
+	/** An operator's decision to go on without claims that all keepers lost; false if that is not so. */
+	acceptLoss(now: Millis): boolean {
+		const accepted = this.#keeper.acceptLoss(now);
+		this.#deliverLocal(now);
+		return accepted;
+	}
+
+	#handle(from: NodeId, message: LedgerMessage, now: Millis): void {
+		switch (message.type) {
+			case 'claim': {
+				this.#keeper.handleClaim(from, message, now);
+				break;
+			}
+
+			case 'finish': {
+				this.#keeper.handleFinish(from, message, now);
+				break;
+			}
+
+			case 'fence': {
+				this.#keeper.handleFence(from, message, now);
+				break;
+			}
+
+			case 'take-over': {
+				this.#learn(message.set, now);
+				this.#keeper.handleTakeOver(from, message, now);
+				break;
+			}
+
+			case 'state': {
+				this.#keeper.handleState(from, message, now);
+				break;
+			}
+
+			case 'never-active': {
+				this.#keeper.handleNeverActive(message, now);
+				break;
+			}
+
+			case 'empty': {
+				this.#keeper.handleEmpty(from, message);
+				break;
+			}
+
+			case 'claim-reply': {
+				this.#coordinator.replied(from, message, now);
+				break;
+			}
+
+			case 'finish-reply': {
+				this.#coordinator.finished(from, message, now);
+				break;
+			}
+
+			case 'query': {
+				this.#send(from, {type: 'query-reply', claimId: message.claimId, status: this.#coordinator.status(message.claimId)});
+				break;
+			}
+
+			case 'query-reply': {
+				this.#coordinator.queried(message, now);
+				break;
+			}
+
+			case 'fence-reply': {
+				this.#coordinator.fenced(from, message, now);
+				break;
+			}
+
+			case 'not-ready': {
+				this.#handleNotReady(from, message, now);
+				break;
+			}
+
+			case 'set': {
+				this.#learn(message.set, now);
+				break;
+			}
+		}
+	}
+
+	/** A keeper cannot act: whoever knows the older set learns the newer one. */
+	#handleNotReady(from: NodeId, {region, set}: Extract<LedgerMessage, {type: 'not-ready'}>, now: Millis): void {
+		const known = this.#sets.get(region);
+		if (known && known.epoch > (set?.epoch ?? 0)) {
+			this.#send(from, {type: 'set', set: known});
+		} else if (set) {
+			this.#learn(set, now);
+		}
+	}
+
+	#learn(set: KeeperSet, now: Millis): void {
+		if (set.epoch <= (this.#sets.get(set.region)?.epoch ?? 0)) {
+			return;
+		}
+
+		this.#sets.set(set.region, set);
+		if (set.region === this.#region) {
+			this.#keeper.learn(set, now);
+		}
+
+		this.#coordinator.learned(set.region, now);
+	}
+
+	#send(to: NodeId, message: LedgerMessage): void {
+		if (to === this.#self) {
+			this.#local.push({from: to, message});
+		} else {
+			this.#outbox.send(to, {part: 'ledger', body: message});
+		}
+	}
+
+	#deliverLocal(now: Millis): void {
+		while (this.#local.length > 0) {
+			const messages = this.#local;
+			this.#local = [];
+			for (const {from, message} of messages) {
+				this.#handle(from, message, now);
+			}
+		}
+	}
+}
--- a/src/core/ledger/claim-outcome.ts
+++ b/src/core/ledger/claim-outcome.ts
@@ -10,5 +10,8 @@
 	/** It was claimed and its end is not known, or its answer is no longer kept. */
 	| {readonly type: 'may-have-run'}
 	| {readonly type: 'key-reused'}
-	/** The keepers cannot be reached; the claim was not made and will not be. */
-	| {readonly type: 'unavailable'; readonly retryAfterMs: number};
+	/**
+	 * The keepers cannot be reached; the claim was not made and will not be.
+	 * `ran` is `no` if a keeper held the claim from its start to its end, so that no other try of the key ran; else one may have.
+	 */
+	| {readonly type: 'unavailable'; readonly retryAfterMs: number; readonly ran: 'no' | 'maybe'};
--- /dev/null
+++ b/src/core/ledger/known-claim-reply.ts
@@ -0,0 +1,23 @@
+import type {ClaimCopy} from './claim-copy.ts';
+import type {ClaimReply} from './claim-reply.ts';
+
+/** A keeper's reply to a claim of a key that another claim has already. */
+export function knownClaimReply(known: ClaimCopy, fingerprint: string): ClaimReply {
+	if (known.fingerprint !== fingerprint) {
+		return {type: 'key-reused'};
+	}
+
+	switch (known.state) {
+		case 'done': {
+			return {type: 'done', answer: known.answer};
+		}
+
+		case 'unknown': {
+			return {type: 'unknown'};
+		}
+
+		case 'claimed': {
+			return {type: 'held', by: known.claimId};
+		}
+	}
+}
--- /dev/null
+++ b/src/core/ledger/next-keepers.ts
@@ -0,0 +1,71 @@
+import {rankByHash} from '../membership/rank-by-hash.ts';
+import type {NodeView} from '../membership/node-view.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {Region} from '../ids/region.ts';
+import type {KeeperEpoch} from './keeper-epoch.ts';
+import type {KeeperSet} from './keeper-set.ts';
+
+type NextKeepersOptions = {
+	readonly region: Region;
+	/** Nodes of the region that are alive and not draining. */
+	readonly live: readonly NodeView[];
+	readonly current?: KeeperSet;
+	/** Wanted number of members. */
+	readonly size: number;
+};
+
+/** Earlier epochs named in a set. */
+const earlierLimit = 4;
+
+/** Members of the current set that are still there come first, then nodes with a disk, then zones not taken yet. */
+function choose({live, current, size}: NextKeepersOptions): NodeView[] {
+	const pool = rankByHash(live.filter(({info}) => info.roles.includes('entry') || info.hasDisk), ({info}) => info.nodeId);
+	const chosen: NodeView[] = [];
+	while (chosen.length < size && pool.length > 0) {
+		const score = ({info}: NodeView) => (
+			(current?.members.includes(info.nodeId) ? 4 : 0)
+			+ (info.hasDisk ? 2 : 0)
+			+ (chosen.some(other => other.info.zone === info.zone) ? 0 : 1)
+		);
+		// The sort is stable: among equals the order by hash stays.
+		pool.sort((a, b) => score(b) - score(a));
+		chosen.push(pool.shift()!);
+	}
+
+	return chosen;
+}
+
+/** The current epoch and those before it, without their own histories. */
+function earlierEpochs(current: KeeperSet | undefined): KeeperEpoch[] {
+	if (!current) {
+		return [];
+	}
+
+	const {earlier, ...epoch} = current;
+	return [epoch, ...earlier].slice(0, earlierLimit);
+}
+
+/** The set of keepers that a region should have next; undefined if the current one is as good as can be. */
+export function nextKeepers(options: NextKeepersOptions): KeeperSet | undefined {
+	const {region, current} = options;
+	const chosen = choose(options);
+	const incarnations: Record<NodeId, number> = {};
+	for (const {info} of chosen) {
+		incarnations[info.nodeId] = info.incarnation;
+	}
+
+	const same = current?.members.length === chosen.length
+		&& chosen.every(({info}) => current.members.includes(info.nodeId) && current.incarnations[info.nodeId] === info.incarnation);
+	if (same || chosen.length === 0) {
+		return undefined;
+	}
+
+	return {
+		region,
+		epoch: (current?.epoch ?? 0) + 1,
+		members: chosen.map(({info}) => info.nodeId),
+		incarnations,
+		previous: current?.members ?? [],
+		earlier: earlierEpochs(current),
+	};
+}
--- /dev/null
+++ b/test/core/ledger/claim-ledger.property.test.ts
@@ -0,0 +1,140 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {ledgerFixture} from './ledger-fixture.ts';
+
+const node = fc.integer({min: 0, max: 3});
+const keeper = fc.integer({min: 0, max: 2});
+
+/** What callers, machines, links and the log do, and for how long the system runs after it. */
+const step = fc.record({
+	op: fc.oneof(
+		{
+			weight: 8, arbitrary: fc.record({
+				type: fc.constant('claim' as const),
+				node,
+				key: fc.integer({min: 0, max: 2}),
+				ending: fc.constantFrom('done' as const, 'done' as const, 'unknown' as const, 'release' as const, 'never' as const),
+				endMs: fc.constantFrom(10, 500, 5000),
+			}),
+		},
+		{
+			weight: 2, arbitrary: fc.record({
+				type: fc.constant('restart' as const), node, downMs: fc.constantFrom(0, 1000, 8000), diskLost: fc.constant(false),
+			}),
+		},
+		{
+			weight: 1, arbitrary: fc.record({
+				type: fc.constant('restart' as const), node: fc.constant(0), downMs: fc.constantFrom(0, 8000), diskLost: fc.constant(true),
+			}),
+		},
+		{weight: 2, arbitrary: fc.record({type: fc.constant('freeze' as const), node, ms: fc.constantFrom(300, 2000, 20_000)})},
+		{
+			weight: 2, arbitrary: fc.record({
+				type: fc.constant('cut' as const), from: node, to: node, ms: fc.constantFrom(400, 5000),
+			}),
+		},
+		{weight: 1, arbitrary: fc.record({type: fc.constant('log' as const), ms: fc.constantFrom(2000, 15_000)})},
+	),
+	waitMs: fc.constantFrom(0, 0, 1, 5, 40, 300, 2000, 6000),
+});
+type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
+
+function play(steps: readonly Step[], options: Parameters<typeof ledgerFixture>[0]) {
+	const fixture = ledgerFixture(options);
+	const {names, network, cuts, log} = fixture;
+	log.missed = options?.loss ?? 0;
+	const later: Array<{at: number; run: () => void}> = [];
+	const advance = (ms: number) => {
+		const end = network.now + ms;
+		for (const event of later.filter(({at}) => at <= end).sort((a, b) => a.at - b.at)) {
+			later.splice(later.indexOf(event), 1);
+			fixture.advance(Math.max(0, event.at - network.now));
+			event.run();
+		}
+
+		fixture.advance(Math.max(0, end - network.now));
+	};
+
+	const inFuture = (ms: number, run: () => void) => later.push({at: network.now + ms, run});
+	advance(3000);
+	for (const {op, waitMs} of steps) {
+		switch (op.type) {
+			case 'claim': {
+				fixture.claim(names[op.node]!, `key-${op.key}`, op);
+				break;
+			}
+
+			case 'restart': {
+				const name = names[op.node]!;
+				fixture.stop(name);
+				inFuture(op.downMs, () => {
+					if (!fixture.processes.has(name)) {
+						fixture.start(name, op);
+					}
+				});
+				break;
+			}
+
+			case 'freeze': {
+				fixture.freeze(names[op.node]!);
+				inFuture(op.ms, () => {
+					fixture.thaw(names[op.node]!);
+				});
+				break;
+			}
+
+			case 'cut': {
+				const cut = `${names[op.from]}>${names[op.to]}`;
+				cuts.add(cut);
+				inFuture(op.ms, () => cuts.delete(cut));
+				break;
+			}
+
+			case 'log': {
+				log.decides = false;
+				inFuture(op.ms, () => {
+					log.decides = true;
+				});
+				break;
+			}
+		}
+
+		advance(waitMs);
+	}
+
+	advance(80_000);
+	return fixture;
+}
+
+for (const {title, options} of [
+	{title: 'links without loss', options: {}},
+	{title: 'links that lose, repeat and reorder messages', options: {loss: 0.15}},
+]) {
+	test(`no key runs twice, whatever crashes, freezes, is cut or restarts: ${title}`, t => {
+		let granted = 0;
+		fc.assert(fc.property(fc.array(step, {minLength: 5, maxLength: 30}), fc.nat(), (steps, seed) => {
+			const {problems, runs, outcomes} = play(steps, {...options, seed});
+			granted += runs.size;
+			const refused = [...outcomes].filter(([, {type}]) => type !== 'granted').map(([requestId]) => requestId);
+			const ran = new Set([...runs.values()].flat());
+			t.deepEqual([...problems, ...refused.filter(requestId => ran.has(requestId))], []);
+		}), {seed: 4, numRuns: 400});
+		t.true(granted > 400);
+	});
+}
+
+test('after faults that lose no two keepers at once, new requests are taken and old ones are remembered', t => {
+	fc.assert(fc.property(fc.array(step.filter(({op}) => op.type !== 'restart'), {maxLength: 15}), keeper, fc.boolean(), (steps, restarted, diskLost) => {
+		const {names, stop, start, advance, ask, runs, problems} = play(steps, {seed: steps.length});
+		stop(names[restarted]!);
+		start(names[restarted]!, {diskLost: diskLost && restarted === 0});
+		advance(10_000);
+		t.is(ask(names[1]!, 'new'), 'granted');
+		t.is(ask(names[3]!, 'new'), 'replay');
+		for (const key of runs.keys()) {
+			t.true(['replay', 'may-have-run', 'in-progress'].includes(ask(names[2]!, key)!));
+		}
+
+		t.deepEqual(problems, []);
+	}), {seed: 5, numRuns: 60});
+});
--- /dev/null
+++ b/test/core/ledger/claim-ledger.test.ts
@@ -0,0 +1,151 @@
+import test from 'ava';
+import {ledgerFixture} from './ledger-fixture.ts';
+
+/** A region in which `a` (disk) and `c` (memory) are the keepers of epoch 1. */
+function settled(options: Parameters<typeof ledgerFixture>[0] = {}) {
+	const fixture = ledgerFixture(options);
+	fixture.advance(3000);
+	const [a, b, c, x] = fixture.names;
+	return {
+		...fixture, a: a!, b: b!, c: c!, x: x!,
+	};
+}
+
+test('a resend gets the answer at any entry, another request of the same key is refused', t => {
+	const {ask, b, c, x} = settled();
+	t.is(ask(b, 'k'), 'granted');
+	t.is(ask(b, 'k'), 'replay');
+	t.is(ask(x, 'k'), 'replay');
+	t.is(ask(c, 'k', {fingerprint: 'other'}), 'key-reused');
+});
+
+test('a resend of a running request is told to come back, of one whose entry died that it may have run', t => {
+	const {ask, stop, b, c, x} = settled();
+	t.is(ask(x, 'k', {ending: 'never'}), 'granted');
+	t.is(ask(b, 'k'), 'in-progress');
+	stop(x);
+	t.is(ask(b, 'k'), 'may-have-run');
+	t.is(ask(c, 'k'), 'may-have-run');
+});
+
+test('a released key can be claimed again, one with an unknown end cannot', t => {
+	const {ask, b, c} = settled();
+	t.is(ask(b, 'k', {ending: 'release'}), 'granted');
+	t.is(ask(c, 'k', {ending: 'unknown'}), 'granted');
+	t.is(ask(b, 'k'), 'may-have-run');
+});
+
+test('a claim that its entry could not complete before it died holds no key', t => {
+	const {ask, claim, stop, cuts, advance, a, b, x} = settled();
+	cuts.add(`${x}>${a}`);
+	claim(x, 'k');
+	advance(500);
+	stop(x);
+	t.is(ask(b, 'k'), 'granted');
+});
+
+test('claims outlive a killed keeper, a lost disk, and a restart of the whole region', t => {
+	const {ask, stop, start, advance, status, names, a, b, c} = settled();
+	t.is(ask(b, 'k1'), 'granted');
+	stop(c);
+	advance(6000);
+	t.is(ask(b, 'k1'), 'replay');
+	t.is(ask(b, 'k2', {ending: 'never'}), 'granted');
+	start(c);
+	stop(a);
+	start(a, {diskLost: true});
+	advance(6000);
+	t.is(ask(c, 'k2'), 'in-progress');
+	t.is(ask(c, 'k3'), 'granted');
+	for (const name of names) {
+		stop(name);
+	}
+
+	for (const name of names) {
+		start(name);
+	}
+
+	advance(6000);
+	t.is(status(a)?.role, 'active');
+	t.is(ask(c, 'k1'), 'replay');
+	t.is(ask(c, 'k2'), 'may-have-run');
+	t.is(ask(c, 'k3'), 'replay');
+	t.is(ask(c, 'k4'), 'granted');
+});
+
+test('after all keepers lost their memory nothing is granted until an operator accepts the loss', t => {
+	const {ask, stop, start, advance, status, processes, network, a, b, c} = settled();
+	t.is(ask(b, 'k'), 'granted');
+	t.false(processes.get(a)!.ledger.acceptLoss(network.now));
+	for (const name of [a, b, c]) {
+		stop(name);
+		start(name, {diskLost: true});
+	}
+
+	advance(20_000);
+	t.is(status(a)?.role, 'lost');
+	t.is(ask(b, 'k'), 'unavailable');
+	t.true(processes.get(a)!.ledger.acceptLoss(network.now));
+	advance(2000);
+	t.is(ask(b, 'k2'), 'granted');
+});
+
+test('a region without the log goes on with all its keepers, and refuses as not run with one short', t => {
+	const {ask, claim, advance, outcomes, freeze, thaw, log, b, c} = settled();
+	log.decides = false;
+	t.is(ask(b, 'k1'), 'granted');
+	freeze(c);
+	const refused = claim(b, 'k2');
+	advance(2500);
+	t.deepEqual(outcomes.get(refused), {type: 'unavailable', retryAfterMs: 1000, ran: 'no'});
+	thaw(c);
+	t.is(ask(b, 'k2'), 'granted');
+});
+
+test('a keeper that was frozen while it was replaced does not act under its old epoch', t => {
+	const {ask, advance, freeze, thaw, log, status, a, b, c} = settled();
+	freeze(c);
+	advance(10_000);
+	t.deepEqual(log.set?.members, [a, b]);
+	t.is(ask(b, 'k', {ending: 'never'}), 'granted');
+	thaw(c);
+	t.is(ask(c, 'k'), 'in-progress');
+	t.is(status(c)?.role, 'none');
+});
+
+test('past the bounds on answers and keys a resend is refused, never run', t => {
+	const {ask, b, c} = settled({maxClaims: 3, maxAnswerBytes: 4});
+	t.is(ask(b, 'k1'), 'granted');
+	t.is(ask(b, 'k2'), 'granted');
+	t.is(ask(b, 'k3'), 'granted');
+	t.is(ask(c, 'k1'), 'may-have-run');
+	t.is(ask(c, 'k3'), 'replay');
+	t.is(ask(b, 'k4'), 'unavailable');
+	t.is(ask(b, 'k2'), 'replay');
+});
+
+test('a key is forgotten only after its time', t => {
+	const {ask, advance, b} = settled();
+	t.is(ask(b, 'k', {keepMs: 20_000}), 'granted');
+	advance(10_000);
+	t.is(ask(b, 'k', {keepMs: 20_000}), 'replay');
+	advance(20_000);
+	t.is(ask(b, 'k', {keepMs: 20_000}), 'granted');
+});
+
+test('the journal is compacted and still holds every claim', t => {
+	const {claim, ask, advance, network, stop, start, a, b, c} = settled();
+	for (let index = 0; index < 2500; index++) {
+		claim(b, `k${index}`, {ending: index < 2490 ? 'release' : 'done'});
+	}
+
+	advance(5000);
+	t.true(network.disks.get(a)!.length < 2100);
+	for (const name of [a, b, c]) {
+		stop(name);
+		start(name);
+	}
+
+	advance(6000);
+	t.is(ask(b, 'k2495'), 'replay');
+});
