refactor(attempts): move retry, resumption and moving into RequestRecovery

Work cut off at a peer counts against the retry budget; only work that a target's crash cut off does not.

Seen: 131 tests pass. On a scratch copy the new tests fail with the leaving state ignored and with the lost region ignored.

--- a/src/core/actions.ts
+++ b/src/core/actions.ts
@@ -33,6 +33,8 @@
 		readonly claimed: boolean;
 		/** True if the answer goes on from the text already passed on. */
 		readonly resume: boolean;
+		/** Time left until the first byte is wanted, in milliseconds; a peer that gets it forwarded counts from there. */
+		readonly deadlineMs: number;
 		/** Longest time to the first byte and inside the answer, in milliseconds. */
 		readonly firstByteMs: number;
 		readonly silenceMs: number;
--- a/src/core/attempts/attempt-runner.ts
+++ b/src/core/attempts/attempt-runner.ts
@@ -22,12 +22,16 @@
 /** Share of the time to the deadline after which a target that gave no byte may be left for another one. */
 const moveShare = 0.5;
 
+/** Between two looks for targets that are leaving, in milliseconds. */
+const leavingMs = 500;
+
 /** Starts, follows and ends attempts; what it learns goes to the target table and the poison guard. */
 export class AttemptRunner {
 	readonly #parts: CoordinatorOptions;
 	readonly #table = new AttemptTable();
 	readonly #crashes: CrashWatch;
 	readonly #awayBytes = new RateMeter();
+	#leavingAt = 0 as Millis;
 
 	constructor(parts: CoordinatorOptions) {
 		this.#parts = parts;
@@ -54,6 +58,10 @@
 
 	tick(now: Millis): void {
 		this.#crashes.tick(now);
+		if (now - this.#leavingAt >= leavingMs) {
+			this.#leavingAt = now;
+			this.#noteLeaving(now);
+		}
 	}
 
 	/** Sends a request to a target of this region. */
@@ -78,6 +86,7 @@
 		const {entry, region} = choice;
 		const attempt = this.#add(state, {place: {type: 'peer', nodeId: entry.nodeId, region}, cachedTokens: 0}, now);
 		state.triedRegions.add(region);
+		attempt.moveAt = moveTime(state, now);
 		this.#countAway(state.req.bodyBytes, region, now);
 		this.#parts.outbox.count('away', region);
 		this.#parts.outbox.count('attempts', 'peer');
@@ -150,6 +159,7 @@
 			promptTokens: routed.promptTokens,
 			cachedTokens: choice.cachedTokens,
 			outputTokens: routed.outputTokens,
+			leaving: false,
 			tokens: 0,
 			bytes: 0,
 		};
@@ -159,6 +169,16 @@
 		return attempt;
 	}
 
+	#noteLeaving(now: Millis): void {
+		for (const view of this.#parts.targets.all(now)) {
+			if (view.announcement.state === 'leaving') {
+				for (const attempt of this.#table.onTarget(view.targetId)) {
+					attempt.leaving = true;
+				}
+			}
+		}
+	}
+
 	#emitStart(
 		state: RequestState,
 		settings: RouteSettings,
@@ -174,6 +194,7 @@
 			revision: this.#parts.tree().revision,
 			claimed: state.claim !== 'none',
 			resume: state.passedOn,
+			deadlineMs: Math.max(0, state.deadlineAt - now),
 			...attemptLimits(state, settings, now),
 			keepBytes: state.claim === 'held' ? settings.answerKeepBytes : 0,
 		});
--- a/src/core/attempts/attempt-state.ts
+++ b/src/core/attempts/attempt-state.ts
@@ -17,6 +17,8 @@
 	readonly outputTokens: number;
 	/** When a target that could answer sooner is looked for, if no byte came; undefined for never. */
 	moveAt?: Millis;
+	/** True once the target said that it is leaving: the end of its lease is no crash then. */
+	leaving: boolean;
 	firstByteAt?: Millis;
 	/** When bytes of the answer were last reported. */
 	progressAt?: Millis;
--- a/src/core/attempts/request-coordinator.ts
+++ b/src/core/attempts/request-coordinator.ts
@@ -10,16 +10,14 @@
 import type {RouteSettings} from '../settings/route-settings.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import {AttemptRunner} from './attempt-runner.ts';
-import type {AttemptState} from './attempt-state.ts';
 import {ClaimTracker} from './claim-tracker.ts';
 import {comeBackAfter} from './come-back-after.ts';
 import type {CoordinatorOptions} from './coordinator-options.ts';
-import {isBroken} from './is-broken.ts';
 import {newRequestState} from './new-request-state.ts';
 import {refusalRule} from './refusal-rule.ts';
 import {RequestDispatcher} from './request-dispatcher.ts';
+import {RequestRecovery} from './request-recovery.ts';
 import type {RequestState} from './request-state.ts';
-import {retryRule} from './retry-rule.ts';
 
 /** Results that another try later may change. */
 const comeBackResults = new Set<ResultName>([
@@ -36,9 +34,6 @@
 	'silence',
 ]);
 
-/** A target that passed bytes on within this time is not taken for lost, in milliseconds. */
-const livelyMs = 1000;
-
 /**
  * Follows every request of this entry from its arrival to its final answer: claim, choice of a place,
  * attempts, retries and resumption. Each request gets exactly one `complete`, `refuse` or `replay`,
@@ -47,6 +42,7 @@
 export class RequestCoordinator {
 	readonly #parts: CoordinatorOptions;
 	readonly #dispatcher: RequestDispatcher;
+	readonly #recovery: RequestRecovery;
 	readonly #runner: AttemptRunner;
 	readonly #claims: ClaimTracker;
 	readonly #requests = new Map<RequestId, RequestState>();
@@ -56,12 +52,14 @@
 		this.#parts = options;
 		this.#runner = new AttemptRunner(options);
 		this.#claims = new ClaimTracker(options.ledger);
-		this.#dispatcher = new RequestDispatcher({
+		const shared = {
 			parts: options,
 			runner: this.#runner,
-			find: requestId => this.#requests.get(requestId),
+			requestOf: (requestId: RequestId) => this.#requests.get(requestId),
 			refuse: this.#refuse.bind(this),
-		});
+		};
+		this.#dispatcher = new RequestDispatcher(shared);
+		this.#recovery = new RequestRecovery({...shared, dispatcher: this.#dispatcher});
 	}
 
 	/** Takes a request from a caller or from an entry of another region. */
@@ -142,8 +140,7 @@
 		}
 
 		const state = this.#requests.get(attempt.requestId)!;
-		this.#runner.fail(state, attempt, failure, now);
-		this.#afterFailure(state, failure, now);
+		this.#recovery.failed(state, attempt, failure, now);
 		this.#dispatcher.drainQueue(state.serviceKey, now);
 	}
 
@@ -157,16 +154,7 @@
 
 	/** Targets whose lease ended or that came back as a new incarnation: their work is moved at once. */
 	targetsLost(targetIds: readonly TargetId[], now: Millis): void {
-		const silent = targetIds
-			.flatMap(targetId => this.#runner.onTarget(targetId))
-			.filter(attempt => now - (attempt.progressAt ?? attempt.startedAt) >= livelyMs);
-		for (const attempt of silent) {
-			this.#suspectLost(attempt, now);
-		}
-
-		for (const attempt of silent) {
-			this.#moveLost(attempt, now);
-		}
+		this.#recovery.targetsLost(targetIds, now);
 	}
 
 	/** Places what waits and gives up what cannot be answered in time; called about every 50 ms. */
@@ -256,7 +244,7 @@
 
 	#tickRequest(state: RequestState, now: Millis): void {
 		if (state.phase === 'running') {
-			this.#moveSlow(state, now);
+			this.#recovery.check(state, now);
 		} else if (state.phase === 'claiming' && now >= state.deadlineAt) {
 			this.#refuse(state, {result: 'ledgerUnavailable'}, now);
 		} else if (state.phase === 'parked' && now >= state.deadlineAt) {
@@ -266,104 +254,6 @@
 		}
 	}
 
-	/** Leaves a target that gave no byte for half of the time, if another one is predicted to answer before the deadline. */
-	#moveSlow(state: RequestState, now: Millis): void {
-		const {attempt} = state;
-		if (!attempt || attempt.firstByteAt !== undefined || attempt.moveAt === undefined || now < attempt.moveAt) {
-			return;
-		}
-
-		attempt.moveAt = undefined;
-		const settings = this.#parts.tree().route(state.req.path);
-		if (!settings?.repeatable || state.attempts >= settings.maxAttempts) {
-			return;
-		}
-
-		const free = this.#parts.poison.verdict(state.req.fingerprint, now).type === 'free';
-		const decision = this.#dispatcher.preview(state, settings, now);
-		const better = free && decision.type === 'target' && now + decision.predictedMs < state.deadlineAt;
-		if (better && this.#withdraw(state, 'first_byte', now)) {
-			this.#runner.cancel(state, now);
-			this.#dispatcher.place(state, now);
-		}
-	}
-
-	#suspectLost(attempt: AttemptState, now: Millis): void {
-		const state = this.#requests.get(attempt.requestId)!;
-		if (attempt.place.type === 'target') {
-			this.#runner.suspectCrash(attempt.place.targetId, attempt.place.incarnation, [state.req.fingerprint], now);
-		}
-	}
-
-	/** Moves the work of a lost target; without another place it stays, in case the target answers after all. */
-	#moveLost(attempt: AttemptState, now: Millis): void {
-		const state = this.#requests.get(attempt.requestId)!;
-		const settings = this.#parts.tree().route(state.req.path);
-		if (!settings) {
-			return;
-		}
-
-		const passedOn = attempt.firstByteAt !== undefined;
-		const failure: AttemptFailure = {
-			reason: 'reset', notSent: false, passedOn, tokens: attempt.tokens,
-		};
-		const trial: RequestState = {...state, passedOn: state.passedOn || passedOn, mayHaveRun: true};
-		const movable = retryRule(trial, failure, settings, now).type !== 'give-up';
-		if (movable && this.#dispatcher.preview(trial, settings, now).type !== 'refuse') {
-			this.#parts.emit({type: 'cancel-attempt', attemptId: attempt.attemptId});
-			this.#runner.fail(state, attempt, failure, now);
-			this.#afterFailure(state, failure, now);
-		}
-	}
-
-	#afterFailure(state: RequestState, failure: AttemptFailure, now: Millis): void {
-		const settings = this.#parts.tree().route(state.req.path);
-		if (!settings) {
-			this.#refuse(state, {result: 'unknownRoute'}, now);
-			return;
-		}
-
-		const verdict = retryRule(state, failure, settings, now);
-		if (verdict.type === 'give-up') {
-			this.#giveUp(state, failure, verdict, now);
-		} else if (this.#withdraw(state, failure.reason, now) || isBroken(failure)) {
-			// Work that a crash cut off is moved without a budget: the poison guard bounds where a suspect runs again.
-			this.#again(state, settings, now);
-		} else {
-			this.#giveUp(state, failure, {result: 'targetFailed', canComeBack: true}, now);
-		}
-	}
-
-	#again(state: RequestState, settings: RouteSettings, now: Millis): void {
-		if (state.passedOn) {
-			state.deadlineAt = now + settings.deadlineMs as Millis;
-			this.#parts.outbox.count('resumes');
-		}
-
-		this.#dispatcher.place(state, now);
-	}
-
-	#withdraw(state: RequestState, reason: string, now: Millis): boolean {
-		const allowed = this.#parts.retryBudget.withdraw(state.routeKey, now);
-		this.#parts.outbox.count('retries', allowed ? reason : 'budget_exhausted');
-		return allowed;
-	}
-
-	#giveUp(
-		state: RequestState,
-		failure: AttemptFailure,
-		verdict: {readonly result: Refusal['result']; readonly canComeBack: boolean},
-		now: Millis,
-	): void {
-		const retryAfterMs = failure.retryAfterMs ?? failure.refusal?.retryAfterMs ?? comeBackAfter(this.#parts.random);
-		const detail = failure.refusal?.detail;
-		this.#refuse(state, {
-			result: verdict.result,
-			...(verdict.canComeBack && {retryAfterMs}),
-			...(detail !== undefined && {detail}),
-		}, now);
-	}
-
 	/** Gives a request its final answer; the claim is settled and a time to come back is given where that can help. */
 	#refuse(state: RequestState, reason: Omit<Refusal, 'ran'>, now: Millis): void {
 		const refusal = refusalRule(state, reason);
--- a/src/core/attempts/request-dispatcher.ts
+++ b/src/core/attempts/request-dispatcher.ts
@@ -18,7 +18,7 @@
 	readonly parts: CoordinatorOptions;
 	readonly runner: AttemptRunner;
 	/** The request of this id, while it has no final answer. */
-	readonly find: (requestId: RequestId) => RequestState | undefined;
+	readonly requestOf: (requestId: RequestId) => RequestState | undefined;
 	/** Gives a request its final answer. */
 	readonly refuse: (state: RequestState, reason: Omit<Refusal, 'ran'>, now: Millis) => void;
 };
@@ -35,14 +35,14 @@
 	readonly #parts: CoordinatorOptions;
 	readonly #runner: AttemptRunner;
 	readonly #chooser: RouteChooser;
-	readonly #find: DispatcherOptions['find'];
+	readonly #requestOf: DispatcherOptions['requestOf'];
 	readonly #refuse: DispatcherOptions['refuse'];
 
 	constructor(options: DispatcherOptions) {
 		this.#parts = options.parts;
 		this.#runner = options.runner;
 		this.#chooser = new RouteChooser(options.parts);
-		this.#find = options.find;
+		this.#requestOf = options.requestOf;
 		this.#refuse = options.refuse;
 	}
 
@@ -65,7 +65,7 @@
 		const {admission} = this.#parts;
 		for (let left = admission.depth(serviceKey); left > 0; left--) {
 			const req = admission.peek(serviceKey, now);
-			const state = req && this.#find(req.requestId);
+			const state = req && this.#requestOf(req.requestId);
 			if (!req || (state?.phase === 'queued' && !this.#placeQueued(state, now))) {
 				return;
 			}
--- a/src/core/attempts/retry-rule.ts
+++ b/src/core/attempts/retry-rule.ts
@@ -4,6 +4,7 @@
 import type {AttemptFailure} from './attempt-failure.ts';
 import {isClientError} from './is-client-error.ts';
 import type {RequestState} from './request-state.ts';
+import {resultOfFailure} from './result-of-failure.ts';
 import type {RetryVerdict} from './retry-verdict.ts';
 
 /** Refusals of a peer that no other target or region would answer differently. */
@@ -37,7 +38,7 @@
 	}
 
 	if (state.attempts >= settings.maxAttempts || now >= state.deadlineAt) {
-		return giveUp(resultOf(failure), true);
+		return giveUp(resultOfFailure(failure), true);
 	}
 
 	return {type: 'retry'};
@@ -52,14 +53,6 @@
 	return giveUp('incomplete', state.repeatable);
 }
 
-function resultOf(failure: AttemptFailure): ResultName {
-	if (failure.reason === 'silence') {
-		return 'silence';
-	}
-
-	return failure.reason === 'refused' ? failure.refusal?.result ?? 'targetRefused' : 'targetFailed';
-}
-
 function giveUp(result: ResultName, canComeBack: boolean): RetryVerdict {
 	return {type: 'give-up', result, canComeBack};
 }
--- a/src/core/attempts/suspect-table.ts
+++ b/src/core/attempts/suspect-table.ts
@@ -4,6 +4,9 @@
 /** Crashes after which a request is refused. */
 const crashesToRefuse = 2;
 
+/** Until then a crash may turn out to have been a broken connection, in milliseconds. */
+const proofMs = 10_000;
+
 /** Crashes remembered for one suspect; absolved ones beyond this are forgotten. */
 const maxCrashes = 8;
 
@@ -52,11 +55,15 @@
 		return record ? blamedCount(record) : 0;
 	}
 
-	/** Milliseconds for which the request is still refused; 0 if it is not. */
+	/** When a request that is refused may come back, in milliseconds; 0 if it is not refused. */
 	refusedForMs(fingerprint: string, now: Millis): number {
 		const record = this.#records.get(fingerprint);
-		const refused = record && blamedCount(record) >= crashesToRefuse;
-		return refused ? Math.max(0, record.changedAt + this.#refuseMs - now) : 0;
+		if (!record || blamedCount(record) < crashesToRefuse) {
+			return 0;
+		}
+
+		const age = now - record.changedAt;
+		return Math.max(0, (age < proofMs ? proofMs : this.#refuseMs) - age);
 	}
 
 	version(fingerprint: string): number {
--- a/test/core/attempts/request-coordinator.test.ts
+++ b/test/core/attempts/request-coordinator.test.ts
@@ -226,6 +226,45 @@
 	t.false(harness.cancelled().includes(slow.attemptId));
 });
 
+test('work on a target that said that it leaves stays when its lease ends', t => {
+	const harness = new CoordinatorHarness();
+	const leaving = harness.targets.add('engine-1');
+	harness.targets.add('engine-2');
+	const start = harness.request('r1')!;
+	harness.targets.add('engine-1', {state: 'leaving'});
+	harness.advance(5000);
+	harness.targets.remove(leaving);
+	harness.coordinator.targetsLost([leaving], harness.now);
+	t.deepEqual(harness.cancelled(), []);
+	t.is(harness.poison.crashes.length, 0);
+	harness.end(start.attemptId);
+	t.is(harness.finals('r1')[0]!.type, 'complete');
+});
+
+test('a request forwarded to a region that was lost is moved; one that may not be repeated waits for its end', t => {
+	const harness = new CoordinatorHarness();
+	const away = harness.membership.addRegion('saskatoon-a', {'entry-5': 1});
+	const start = harness.request('r1')!;
+	t.is(start.deadlineMs, 30_000);
+	harness.targets.add('engine-1');
+	harness.advance(2000);
+	t.deepEqual(harness.cancelled(), []);
+	harness.membership.removeRegion(away);
+	harness.advance(100);
+	t.deepEqual(harness.cancelled(), [start.attemptId]);
+	t.is(harness.lastStart('r1')!.targetId, toId<TargetId>('engine-1'));
+
+	const claimed = new CoordinatorHarness({settings: {repeatable: false}});
+	const region = claimed.membership.addRegion('saskatoon-a', {'entry-5': 1});
+	claimed.request('r2', once);
+	claimed.claim('r2', {type: 'granted'});
+	claimed.targets.add('engine-1');
+	claimed.membership.removeRegion(region);
+	claimed.advance(5000);
+	t.deepEqual(claimed.cancelled(), []);
+	t.is(claimed.starts('r2').length, 1);
+});
+
 test('retries stay within the budget while no target can be reached', t => {
 	const harness = new CoordinatorHarness();
 	for (let index = 0; index < 5; index++) {
