feat(core): claims, keeper placement and engine orders on the whole path

Cause: the ledger and the orders are ready; the path refused what may not be repeated. Ruled out: proposing keepers from every control member (only the leader, from each reachable region's own sums). Conclusion: every part of the core is on the path.

--- a/src/core/attempts/claim-tracker.ts
+++ b/src/core/attempts/claim-tracker.ts
@@ -75,6 +75,7 @@
 			}
 
 			case 'unavailable': {
+				state.earlierRunPossible &&= outcome.ran === 'maybe';
 				return {type: 'refuse', reason: {result: 'ledgerUnavailable', retryAfterMs: outcome.retryAfterMs}};
 			}
 		}
--- a/src/core/attempts/request-coordinator.ts
+++ b/src/core/attempts/request-coordinator.ts
@@ -147,7 +147,6 @@
 	/** Answers of the ledger to claims. */
 	claimOutcomes(outcomes: ReadonlyArray<{requestId: RequestId; outcome: ClaimOutcome}>, now: Millis): void {
 		for (const {requestId, outcome} of outcomes) {
-			this.#parts.outbox.count('claims', outcome.type);
 			this.#claimOutcome(requestId, outcome, now);
 		}
 	}
--- a/src/core/gateway-core-options.ts
+++ b/src/core/gateway-core-options.ts
@@ -1,5 +1,6 @@
 import type {JournalLoad} from './common/journal-load.ts';
 import type {Random} from './common/random.ts';
+import type {Millis} from './ids/millis.ts';
 import type {NodeId} from './ids/node-id.ts';
 import type {StorageId} from './ids/storage-id.ts';
 import type {NodeInfo} from './membership/node-info.ts';
@@ -12,6 +13,8 @@
 	/** Initial members of the replicated log. */
 	readonly controlMembers: readonly NodeId[];
 	readonly random: Random;
+	/** Time of the start, on the clock of all later events. */
+	readonly startedAt: Millis;
 	/** What was read back from the data folder; absent on a process without one. */
 	readonly storage?: {
 		readonly storageId: StorageId;
--- a/src/core/gateway-core.ts
+++ b/src/core/gateway-core.ts
@@ -7,6 +7,7 @@
 import type {GatewayCoreOptions} from './gateway-core-options.ts';
 import type {Millis} from './ids/millis.ts';
 import type {NodeId} from './ids/node-id.ts';
+import type {Region} from './ids/region.ts';
 import type {Zone} from './ids/zone.ts';
 import type {NodeInfo} from './membership/node-info.ts';
 import type {NodeStatus} from './node-status.ts';
@@ -32,6 +33,7 @@
 	#draining = false;
 	#drainedTold = false;
 	#revisionTold = -1;
+	readonly #epochsTold = new Map<Region, number>();
 
 	constructor(options: GatewayCoreOptions) {
 		this.#options = options;
@@ -201,6 +203,7 @@
 		settings.behind(membership.ahead(this.tree.revision), now);
 		settings.tick(now);
 		targets.tick(now);
+		this.#tellKeepers(now);
 		ledger.tick(now);
 		poison.tick(now);
 		requests.tick(now);
@@ -325,6 +328,16 @@
 		return [loopback, committed, claims, changes, lost, given].some(list => list.length > 0);
 	}
 
+	/** Passes keeper sets on to the ledger when the replicated log has newer ones. */
+	#tellKeepers(now: Millis): void {
+		for (const set of this.#parts.settings.keeperSets()) {
+			if ((this.#epochsTold.get(set.region) ?? 0) < set.epoch) {
+				this.#epochsTold.set(set.region, set.epoch);
+				this.#parts.ledger.keepers(set, now);
+			}
+		}
+	}
+
 	#tellSettings(): void {
 		if (this.#revisionTold === this.tree.revision) {
 			return;
--- a/src/core/gateway-parts.ts
+++ b/src/core/gateway-parts.ts
@@ -9,16 +9,22 @@
 import type {GatewayCoreOptions} from './gateway-core-options.ts';
 import type {Millis} from './ids/millis.ts';
 import type {NodeId} from './ids/node-id.ts';
+import type {Region} from './ids/region.ts';
 import {Leadership} from './leadership.ts';
-import {RefusingLedger} from './ledger/refusing-ledger.ts';
+import {ClaimLedger} from './ledger/claim-ledger.ts';
+import {KeeperPlacement} from './ledger/keeper-placement.ts';
+import type {KeeperSet} from './ledger/keeper-set.ts';
+import type {LedgerRecord} from './ledger/ledger-record.ts';
 import {ClusterMembership} from './membership/cluster-membership.ts';
-import {NoOrders} from './orders/no-orders.ts';
+import {LeaderOrders} from './orders/leader-orders.ts';
 import {PipelineRouter} from './routing/pipeline-router.ts';
 import {RegionalTargetTable} from './targets/regional-target-table.ts';
 import type {CommandOutcome} from './tree/command-outcome.ts';
 import {SettingsService} from './tree/settings-service.ts';
 import {SystemState} from './tree/system-state.ts';
 
+const minKeepers = 1;
+
 /** The parts of a node's core, wired to each other; they act on the outside only through the action queue. */
 export class GatewayParts {
 	readonly membership: ClusterMembership;
@@ -27,13 +33,14 @@
 	readonly leadership?: Leadership;
 	readonly settings: SettingsService;
 	readonly targets: RegionalTargetTable;
-	readonly ledger: RefusingLedger;
+	readonly ledger: ClaimLedger;
 	readonly poison: SuspectPoisonGuard;
 	readonly requests: RequestCoordinator;
-	readonly orders: NoOrders;
+	readonly orders: LeaderOrders;
 	/** Time of the event that is being handled. */
 	now = 0 as Millis;
 	readonly #options: GatewayCoreOptions;
+	readonly #placement = new KeeperPlacement();
 
 	constructor(options: GatewayCoreOptions, outbox: ActionQueue) {
 		const {self, seeds, random, storage, controlMembers} = options;
@@ -65,15 +72,33 @@
 		this.targets = new RegionalTargetTable({
 			self: self.nodeId, entries: () => this.#regionPeers(), outbox, random,
 		});
-		this.ledger = new RefusingLedger();
+		this.ledger = new ClaimLedger({
+			self: self.nodeId,
+			region: self.region,
+			incarnation: self.incarnation,
+			hasDisk: storage !== undefined,
+			restored: storage?.ledger as JournalLoad<LedgerRecord> | undefined,
+			outbox,
+			membership: this.membership,
+			now: options.startedAt,
+		});
 		this.poison = new SuspectPoisonGuard({
 			self: self.nodeId,
 			peers: () => this.#regionPeers(),
+			delegates: () => this.#delegates().filter(({region}) => region !== self.region).map(({entries}) => entries),
+			outbox,
+		});
+		this.orders = new LeaderOrders({
+			tree: () => this.settings.tree,
+			targets: this.targets,
 			delegates: () => this.#delegates(),
 			outbox,
+			propose: (command, now) => {
+				this.consensus?.propose(command, now);
+			},
+			loggedBudget: deployment => state.weightBudget(deployment),
 		});
-		this.leadership = this.consensus && new Leadership({self: self.nodeId, consensus: this.consensus, planKeepers: () => []});
-		this.orders = new NoOrders();
+		this.leadership = this.consensus && new Leadership({self: self.nodeId, consensus: this.consensus, planKeepers: now => this.#planKeepers(now)});
 		this.requests = new RequestCoordinator({
 			self: self.nodeId,
 			region: self.region,
@@ -107,9 +132,32 @@
 			.map(({info}) => info.nodeId);
 	}
 
-	#delegates(): ReadonlyArray<readonly NodeId[]> {
+	/** Live entries of every region that can be reached, this node's own included. */
+	#delegates(): ReadonlyArray<{region: Region; entries: readonly NodeId[]}> {
 		return this.membership.regions(this.now)
-			.filter(view => view.region !== this.#options.self.region && view.reachable)
-			.map(view => view.entries);
+			.filter(view => view.reachable)
+			.map(({region, entries}) => ({region, entries}));
+	}
+
+	/** Keeper sets that should replace the current ones; a region that cannot be reached keeps its own. */
+	#planKeepers(now: Millis): readonly KeeperSet[] {
+		const current = new Map(this.settings.keeperSets().map(set => [set.region, set]));
+		const size = this.#keepersWanted();
+		return this.membership.regions(now)
+			.filter(view => view.reachable)
+			.map(({region, candidates}) => this.#placement.propose({
+				region,
+				nodes: region === this.#options.self.region ? this.membership.nodes() : candidates,
+				current: current.get(region),
+				size,
+			}, now))
+			.filter(set => set !== undefined);
+	}
+
+	/** The largest number of keepers that any firm asks for. */
+	#keepersWanted(): number {
+		const {tree} = this.settings;
+		const firms = tree.paths().filter(path => !path.includes('/'));
+		return Math.max(minKeepers, ...firms.map(path => tree.resolve(path)?.keepers ?? minKeepers));
 	}
 }
--- a/src/server/caller-api.ts
+++ b/src/server/caller-api.ts
@@ -61,8 +61,7 @@
 	}
 
 	async #serve(req: IncomingMessage, res: ServerResponse, call: {service?: string; targetPath: string}): Promise<void> {
-		const {node, runner, reader, requests, metrics} = this.#options;
-		metrics.count('requests');
+		const {node, runner, reader, requests} = this.#options;
 		if (!node.ready(runner.now())) {
 			this.#refuse(res, {
 				result: 'notReady', ran: 'no', retryAfterMs: notReadyRetryMs, detail: 'The entry has no settings yet; use another one.',
--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -1,7 +1,9 @@
+import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Action} from '../core/actions.ts';
 import {GatewayCore} from '../core/gateway-core.ts';
+import type {Millis} from '../core/ids/millis.ts';
 import type {RequestId} from '../core/ids/request-id.ts';
 import {constants} from '../settings/constants.ts';
 import {loadSettings} from '../settings/load-settings.ts';
@@ -70,6 +72,7 @@
 			seeds: settings.seeds,
 			controlMembers: settings.controlMembers,
 			random: new CryptoRandom(),
+			startedAt: performance.now() as Millis,
 			storage: folder && {storageId: folder.storageId, consensus: folder.loads.consensus, ledger: folder.loads.ledger},
 		});
 		this.#runner = new CoreRunner({
--- a/test/core/attempts/request-coordinator.test.ts
+++ b/test/core/attempts/request-coordinator.test.ts
@@ -99,7 +99,8 @@
 		['progress', {type: 'in-progress', retryAfterMs: 5}, 'inProgress', 'maybe'],
 		['may', {type: 'may-have-run'}, 'mayHaveRun', 'maybe'],
 		['reused', {type: 'key-reused'}, 'keyReused', 'no'],
-		['none', {type: 'unavailable', retryAfterMs: 5}, 'ledgerUnavailable', 'maybe'],
+		['none', {type: 'unavailable', retryAfterMs: 5, ran: 'maybe'}, 'ledgerUnavailable', 'maybe'],
+		['not-run', {type: 'unavailable', retryAfterMs: 5, ran: 'no'}, 'ledgerUnavailable', 'no'],
 	] as const;
 	for (const [name, outcome, result, ran] of outcomes) {
 		harness.request(name, once);
--- a/test/core/attempts/request-invariants.test.ts
+++ b/test/core/attempts/request-invariants.test.ts
@@ -148,7 +148,7 @@
 
 	#claim(step: Step): void {
 		const outcomes: ClaimOutcome[] = [
-			{type: 'granted'}, {type: 'granted'}, {type: 'in-progress', retryAfterMs: 1}, {type: 'unavailable', retryAfterMs: 1},
+			{type: 'granted'}, {type: 'granted'}, {type: 'in-progress', retryAfterMs: 1}, {type: 'unavailable', retryAfterMs: 1, ran: 'maybe'},
 		];
 		const claim = this.harness.ledger.claims.shift();
 		if (claim) {
