fix(tree): a control node puts in force what its peers have, also when its log stands still

A control node that is cut off from the other control nodes, or whose disk failed, kept the settings of its own log in force while the entries beside it had moved on; where one process has both roles its callers were served under old settings. What is in force is now a copy of its own: level with the log, and ahead of it where a peer is. Ruled out: applying peers' changes to the replicated state itself, because members would differ.

--- a/bench/state-tree-size.ts
+++ b/bench/state-tree-size.ts
@@ -5,6 +5,7 @@
 import {runInNewContext} from 'node:vm';
 import type {TreeOperation} from '../src/core/tree/tree-operation.ts';
 import {SystemState} from '../src/core/tree/system-state.ts';
+import {TreeState} from '../src/core/tree/tree-state.ts';
 import {quantile} from './quantile.ts';
 import {stateChange} from './state-change.ts';
 import type {StateRow} from './state-row.ts';
@@ -36,6 +37,10 @@
 	}));
 	collect();
 	const heap = process.memoryUsage().heapUsed - before;
+	const copy = new TreeState();
+	copy.advanceTo(state.tree);
+	collect();
+	const copyHeap = process.memoryUsage().heapUsed - before - heap;
 	let text = '';
 	const snapshotMs = timed(() => {
 		text = JSON.stringify(state.snapshot());
@@ -43,10 +48,15 @@
 	const restoreMs = timed(() => {
 		new SystemState().restore(JSON.parse(text));
 	});
+	if (copy.revision !== state.tree.revision) {
+		throw new Error('the copy is not level');
+	}
+
 	return {
 		measure: 'tree size',
 		organisations,
 		heapMb: heap / megabyte,
+		servedCopyMb: copyHeap / megabyte,
 		applyMicrosP50: quantile(applied, 0.5) * 1000,
 		applyMicrosP99: quantile(applied, 0.99) * 1000,
 		snapshotMb: text.length / megabyte,
--- a/src/core/tree/operation-applier.ts
+++ b/src/core/tree/operation-applier.ts
@@ -8,7 +8,6 @@
 import type {TreeProblem} from './tree-problem.ts';
 
 const pathPattern = /^[a-z\d][\w.-]{0,62}(?:\/[a-z\d][\w.-]{0,62}){0,3}$/i;
-const operationNames = new Set<string>(['create', 'delete', 'set', 'unset']);
 const missingNode = 'there is no such node';
 
 /** Carries out the operations of one change on the nodes; steps that cannot be taken become problems. */
@@ -22,11 +21,6 @@
 	}
 
 	apply(operation: TreeOperation): void {
-		if (!operationNames.has(operation.op)) {
-			this.#problem(String(operation.path), `the operation ${String(operation.op)} is unknown`, 'Use create, delete, set or unset.');
-			return;
-		}
-
 		switch (operation.op) {
 			case 'create': {
 				this.#create(operation.path);
@@ -50,8 +44,8 @@
 	}
 
 	#create(path: string): void {
-		if (typeof path !== 'string' || !pathPattern.test(path)) {
-			this.#problem(String(path), 'the path is not valid', 'Use one to four names of letters, digits, dots, dashes or underscores, parted by slashes.');
+		if (!pathPattern.test(path)) {
+			this.#problem(path, 'the path is not valid', 'Use one to four names of letters, digits, dots, dashes or underscores, parted by slashes.');
 			return;
 		}
 
@@ -97,7 +91,7 @@
 			return;
 		}
 
-		const parsed = parseSettingKey(String(key));
+		const parsed = parseSettingKey(key);
 		const misuse = keyMisuse(parsed, node.depth);
 		if (misuse !== undefined) {
 			this.#problem(path, misuse.problem, misuse.remedy, key);
@@ -110,7 +104,7 @@
 
 	#unset(path: string, key: string): void {
 		const node = this.#store.get(path);
-		const parsed = parseSettingKey(String(key));
+		const parsed = parseSettingKey(key);
 		if (parsed.subkey === undefined && keyedSettingRules[parsed.name] !== undefined) {
 			this.#problem(path, 'the setting has subkeys', `Unset ${parsed.name}/<subkey>, one at a time.`, key);
 			return;
--- a/src/core/tree/settings-follower.ts
+++ b/src/core/tree/settings-follower.ts
@@ -25,7 +25,7 @@
 	readonly controlNodes: () => readonly NodeId[];
 };
 
-/** Keeps the copy of a node without a log of its own up to date; never installs a lower revision. */
+/** Keeps a node's copy level with what other nodes have; never installs a lower revision. */
 export class SettingsFollower {
 	readonly #options: FollowerOptions;
 	#source: NodeId | undefined;
@@ -44,11 +44,10 @@
 		return this.#source;
 	}
 
-	tick(now: Millis): void {
-		this.#chooseSource(now);
-		if (this.#source !== undefined && now >= this.#pullAt) {
-			this.#pullAt = now + pullEveryMs;
-			this.pull(this.#source, true);
+	/** Pulls from the source, if one is followed, and now and then from some other control node. */
+	tick(followsSource: boolean, now: Millis): void {
+		if (followsSource) {
+			this.#followSource(now);
 		}
 
 		if (now >= this.#crossCheckAt) {
@@ -144,6 +143,14 @@
 		}
 	}
 
+	#followSource(now: Millis): void {
+		this.#chooseSource(now);
+		if (this.#source !== undefined && now >= this.#pullAt) {
+			this.#pullAt = now + pullEveryMs;
+			this.pull(this.#source, true);
+		}
+	}
+
 	#chooseSource(now: Millis): void {
 		const nodes = this.#options.controlNodes();
 		if (this.#source !== undefined && now - this.#heardAt <= sourceTimeoutMs) {
--- a/src/core/tree/settings-service.ts
+++ b/src/core/tree/settings-service.ts
@@ -37,7 +37,8 @@
 /** The tree part of a node, with or without a log of its own. */
 export class SettingsService implements TreeService {
 	readonly #options: SettingsServiceOptions;
-	readonly #copy: SettingsCopy;
+	/** What is in force here; on a control node usually what its log says, but never less than a peer has. */
+	readonly #copy: SettingsCopy = {tree: new TreeState(), keepers: new KeeperSets()};
 	readonly #source: SettingsSource;
 	readonly #follower: SettingsFollower;
 	readonly #submitter: ChangeSubmitter;
@@ -49,7 +50,6 @@
 		const controlNodes = () => options.controlNodes().filter(nodeId => nodeId !== self);
 		const sources = () => [...new Set([...controlNodes(), ...peers()])].filter(nodeId => nodeId !== self);
 		this.#options = options;
-		this.#copy = control?.state ?? {tree: new TreeState(), keepers: new KeeperSets()};
 		this.#source = new SettingsSource(this.#copy, outbox);
 		this.#follower = new SettingsFollower({
 			copy: this.#copy, outbox, random, controlNodes,
@@ -69,6 +69,7 @@
 			controlNodes,
 			decideHere: (change, digest, now) => this.#desk?.take(self, change, digest, now) ?? false,
 		});
+		this.#takeFromLog();
 	}
 
 	get tree(): SettingsTree {
@@ -97,6 +98,7 @@
 
 	/** Takes what `Consensus.takeCommitted` returned: answers those who wait and tells followers. */
 	committed(entries: ReadonlyArray<{command: LogCommand; outcome: CommandOutcome}>, now: Millis): void {
+		this.#takeFromLog();
 		for (const {command, outcome} of entries) {
 			if (command.type === 'change') {
 				this.#desk?.committed(command.change, changeDigest(command.change), outcome as ChangeOutcome);
@@ -145,24 +147,16 @@
 		this.#startup.tick(now);
 		this.#submitter.tick(now);
 		this.#desk?.tick(now);
-		if (this.#options.control === undefined) {
-			this.#follower.tick(now);
-		}
-
+		this.#takeFromLog();
+		this.#follower.tick(this.#options.control === undefined, now);
 		this.#source.push(now);
 	}
 
 	behind(ahead: readonly NodeId[], now: Millis): void {
-		if (this.#options.control === undefined) {
-			this.#follower.behind(ahead, now);
-		}
+		this.#follower.behind(ahead, now);
 	}
 
 	#install(from: NodeId, message: TreeMessage & {type: 'delta' | 'snapshot'}, now: Millis): void {
-		if (this.#options.control !== undefined) {
-			return;
-		}
-
 		if (message.type === 'delta') {
 			this.#follower.delta(from, message, now);
 		} else {
@@ -172,6 +166,24 @@
 		this.#source.push(now);
 	}
 
+	/** Puts in force what this control node's log has decided. */
+	#takeFromLog(): void {
+		const {control} = this.#options;
+		if (control === undefined) {
+			return;
+		}
+
+		const {tree, keepers} = this.#copy;
+		const {state} = control;
+		if (state.keepers.version > keepers.version) {
+			keepers.merge(state.keepers.all());
+		}
+
+		if (state.tree.revision > tree.revision) {
+			tree.advanceTo(state.tree);
+		}
+	}
+
 	#submitted(from: NodeId, {change, digest}: TreeMessage & {type: 'submit'}, now: Millis): void {
 		if (this.#desk?.take(from, change, digest, now)) {
 			return;
--- /dev/null
+++ b/src/core/tree/shape-problems.ts
@@ -0,0 +1,13 @@
+import {changeSchema} from './change-schema.ts';
+import type {TreeProblem} from './tree-problem.ts';
+
+/** Says what is wrong with the form of a change, before it meets the tree. */
+export function shapeProblems(change: unknown): readonly TreeProblem[] {
+	const parsed = changeSchema.safeParse(change);
+	return (parsed.error?.issues ?? []).map(issue => ({
+		path: '',
+		key: issue.path.join('.'),
+		problem: issue.message,
+		remedy: 'Send {changeId, operator, number, operations, submittedAt}; each operation is a create, delete, set or unset with its path.',
+	}));
+}
--- a/src/core/tree/system-state.ts
+++ b/src/core/tree/system-state.ts
@@ -6,6 +6,7 @@
 import type {ChangeOutcome} from './change-outcome.ts';
 import type {CommandOutcome} from './command-outcome.ts';
 import {KeeperSets} from './keeper-sets.ts';
+import {shapeProblems} from './shape-problems.ts';
 import type {SystemSnapshot} from './system-snapshot.ts';
 import type {TreeProblem} from './tree-problem.ts';
 import {TreeState} from './tree-state.ts';
@@ -79,6 +80,11 @@
 	}
 
 	#applyChange(change: Change): ChangeOutcome {
+		const malformed = shapeProblems(change);
+		if (malformed.length > 0) {
+			return {type: 'invalid', problems: limit(malformed)};
+		}
+
 		const digest = changeDigest(change);
 		const known = this.#memory.recall(change.changeId, digest);
 		if (known !== undefined) {
--- a/src/core/tree/tree-state.ts
+++ b/src/core/tree/tree-state.ts
@@ -12,9 +12,6 @@
 import type {TreeSnapshot} from './tree-snapshot.ts';
 import {TreeValidator} from './tree-validator.ts';
 
-/** Largest number of operations in one change. */
-const maxOperations = 2000;
-
 /** The settings tree in memory: a change is applied in place and undone if its result is not valid. */
 export class TreeState implements SettingsTree {
 	#revision = 0;
@@ -31,11 +28,6 @@
 
 	/** Applies the change with the next number; with problems, all of them, the tree stays as it was. */
 	apply(change: Change): readonly TreeProblem[] {
-		const {length} = change.operations;
-		if (length > maxOperations) {
-			return [{path: '', problem: `the change has ${length} operations`, remedy: `Send at most ${maxOperations} in one change.`}];
-		}
-
 		const applier = this.#run(change);
 		const problems = [...applier.problems, ...this.#validator.validate(applier.touched)];
 		if (problems.length > 0) {
@@ -53,6 +45,19 @@
 		this.#accept(change);
 	}
 
+	/** Takes over what another tree, which is ahead, has accepted; the values are shared. */
+	advanceTo(other: TreeState): void {
+		const changes = other.changesSince(this.#revision);
+		if (changes === undefined) {
+			this.restore(other.snapshot());
+			return;
+		}
+
+		for (const change of changes) {
+			this.applyAccepted(change);
+		}
+	}
+
 	route({firm, deployment, service, route}: RoutePath): RouteSettings | undefined {
 		return this.resolve(`${firm}/${deployment}/${service}/${route}`);
 	}
--- a/test/core/tree/settings-service.test.ts
+++ b/test/core/tree/settings-service.test.ts
@@ -125,7 +125,39 @@
 	acceptMany(cluster, 2, 2);
 	t.is(revision(cluster, stale), 1);
 	t.true(cluster.runUntil(() => revision(cluster, 'e1') === 2, 6000));
+	t.is(cluster.process(stale).state.tree.revision, 1);
+});
+
+test('a control node that is cut off from the others puts in force what its region has', t => {
+	const cluster = startCluster(1);
+	acceptMany(cluster, 1, 1);
+	const [stale] = followers(cluster) as [NodeId];
+	const away = cluster.controlIds.filter(nodeId => nodeId !== stale);
+	cluster.runUntil(() => revision(cluster, stale) === 1);
+	for (const name of away) {
+		cluster.cut.add(`${name}>${stale}`).add(`${stale}>${name}`);
+	}
+
+	acceptMany(cluster, 2, 9);
+	cluster.runUntil(() => revision(cluster, 'e1') === 9);
 	t.is(revision(cluster, stale), 1);
+	const tell = () => {
+		cluster.act(stale, (process, now) => {
+			process.service.behind([cluster.node('e1').nodeId], now);
+		});
+		return revision(cluster, stale) === 9;
+	};
+
+	t.true(cluster.runUntil(tell));
+	t.is(cluster.process(stale).state.tree.revision, 1);
+	cluster.cut.clear();
+	t.true(cluster.runUntil(() => cluster.process(stale).state.tree.revision === 9));
+	cluster.act(stale, (process, now) => {
+		process.member!.writeFailed('no space left', now);
+	});
+	acceptMany(cluster, 10, 12);
+	t.true(cluster.runUntil(() => revision(cluster, stale) === 12));
+	t.is(cluster.process(stale).state.tree.revision, 9);
 });
 
 test('an entry that starts beside a lagging control node serves only with the newest settings', t => {
--- a/test/core/tree/system-state.test.ts
+++ b/test/core/tree/system-state.test.ts
@@ -65,3 +65,22 @@
 	t.is(restored.keepers.version, 1);
 	t.deepEqual(restored.lead, {nodeId: 'n1', fencing: 4});
 });
+
+test('a malformed change is refused and leaves nothing behind', t => {
+	const state = new SystemState();
+	const before = JSON.stringify(state.snapshot());
+	const malformed: unknown[] = [
+		{...makeChange(), operations: undefined},
+		{...makeChange(), operations: [null]},
+		{...makeChange(), operations: [{op: 'move', path: 'a'}]},
+		{...makeChange(), operations: [{op: 'create', path: 7}]},
+		{...makeChange(), operations: Array.from({length: 2001}, () => ({op: 'create', path: 'a'}))},
+		{...makeChange(), changeId: 5},
+		{...makeChange(), number: 1.5},
+	];
+	for (const change of malformed) {
+		t.is(apply(state, change as Change).type, 'invalid');
+	}
+
+	t.is(JSON.stringify(state.snapshot()), before);
+});
