--- a/src/core/routing/affine-target.ts
+++ b/src/core/routing/affine-target.ts
@@ -1,18 +1,23 @@
 import {hash32} from '../common/hash32.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Candidate} from './candidate.ts';
+import type {TypicalSpeed} from './typical-speed.ts';
 
 /** Index of the prefix block that decides on affinity: deep enough to tell histories of one organisation apart. */
-const affinityBlock = 7;
+const affinityBlock = 4;
+
+/** One more than the largest hash. */
+const hashRange = (2 ** 32) + 1;
 
 /** Largest load of the affine target relative to the mean share of capacity in use. */
 const loadBound = 1.25;
 
 /**
- * The target that entries agree on for a prefix, by rendezvous hashing, if it is not much busier than the rest.
+ * The target that entries agree on for a prefix: the first in the order of rendezvous hashing that has room and
+ * is not much busier than the rest.
  * It makes entries that know nothing of each other's caches send the same prefix to the same target.
  */
-export function affineTarget(candidates: readonly Candidate[], prefixBlocks: readonly string[]): TargetId | undefined {
+export function affineTarget(candidates: readonly Candidate[], prefixBlocks: readonly string[], typical: TypicalSpeed): TargetId | undefined {
 	const block = prefixBlocks[Math.min(affinityBlock, prefixBlocks.length - 1)];
 	if (block === undefined) {
 		return undefined;
@@ -22,14 +27,21 @@
 	let best: Candidate | undefined;
 	let bestWeight = -1;
 	for (const candidate of candidates) {
-		const weight = mix(candidate.target.placement, placement);
-		if (weight > bestWeight) {
+		const weight = weigh(candidate, placement, typical);
+		if (weight > bestWeight && candidate.hasRoom && !busy(candidate, candidates)) {
 			best = candidate;
 			bestWeight = weight;
 		}
 	}
 
-	return best && !busy(best, candidates) ? best.target.targetId : undefined;
+	return best?.target.targetId;
+}
+
+/** Weighted rendezvous hashing: a target gets prefixes in proportion to the work it can do. */
+function weigh({target}: Candidate, placement: number, typical: TypicalSpeed): number {
+	const rate = target.announcement.capacity / (target.tokenMs ?? typical.tokenMs);
+	const share = (mix(target.placement, placement) + 1) / hashRange;
+	return -rate / Math.log(share);
 }
 
 /** Combines two hashes into a third one, evenly spread. */
--- a/src/core/routing/away-step.ts
+++ b/src/core/routing/away-step.ts
@@ -3,6 +3,7 @@
 import type {RegionView} from '../membership/region-view.ts';
 import type {ServiceSummary} from '../targets/service-summary.ts';
 import {AwayMemory} from './away-memory.ts';
+import {delayWeight} from './delay-weight.ts';
 import {predictAway} from './predict-away.ts';
 import {ResidencyStep} from './residency-step.ts';
 import type {RouteDecision} from './route-decision.ts';
@@ -92,7 +93,8 @@
 			return undefined;
 		}
 
-		return {view, predictedMs: times.wholeMs + (view.ageMs * ageShare), firstByteMs: times.firstByteMs};
+		const predictedMs = times.wholeMs + (times.delayMs * delayWeight) + (view.ageMs * ageShare);
+		return {view, predictedMs, firstByteMs: times.firstByteMs};
 	}
 
 	/** The region's sums of the service, if the region can be reached and has the model. */
--- a/src/core/routing/learn-typical-speed.ts
+++ b/src/core/routing/learn-typical-speed.ts
@@ -2,13 +2,12 @@
 import type {TypicalSpeed} from './typical-speed.ts';
 
 /** Speeds assumed while no target of a service was learnt. */
-const unknown: TypicalSpeed = {tokenMs: 30, prefillTokenMs: 0.5, callMs: 100};
+const unknown: TypicalSpeed = {tokenMs: 30, callMs: 100};
 
 /** The means of what was learnt of the other targets, for those that nothing was learnt of. */
 export function learnTypicalSpeed(candidates: readonly Candidate[]): TypicalSpeed {
 	return {
 		tokenMs: mean(candidates.map(({target}) => target.tokenMs)) ?? unknown.tokenMs,
-		prefillTokenMs: mean(candidates.map(({target}) => target.prefillTokenMs)) ?? unknown.prefillTokenMs,
 		callMs: mean(candidates.map(({target}) => target.callMs)) ?? unknown.callMs,
 	};
 }
--- a/src/core/routing/predict-away.ts
+++ b/src/core/routing/predict-away.ts
@@ -1,10 +1,8 @@
 import type {RegionView} from '../membership/region-view.ts';
 import type {RequestInfo} from '../settings/request-info.ts';
+import {promptTokenShare} from '../targets/prompt-token-share.ts';
 import type {ServiceSummary} from '../targets/service-summary.ts';
 
-/** Prefill of one prompt token relative to the time of one output token, where only sums are known. */
-const prefillPerToken = 0.02;
-
 /** Share of the region's other entries' forwards that are taken to be like this node's own. */
 const likeOthers = 2;
 
@@ -16,17 +14,20 @@
 	req: RequestInfo;
 	/** Own forwards that the sums do not show yet. */
 	sentSince: number;
-}): {firstByteMs: number; wholeMs: number; fill: number} {
+}): {firstByteMs: number; wholeMs: number; delayMs: number; fill: number} {
 	const {req, sentSince} = options;
 	const capacity = Math.max(1, summary.capacity);
 	const load = summary.running + summary.queued + (sentSince * likeOthers);
 	const fill = load / capacity;
 	const ahead = Math.max(0, load + 1 - capacity);
 	const tokenMs = summary.typicalMs * (req.kind === 'call' ? 1 : 1 + (fullBatchSlowdown * Math.min(1, fill)));
-	const prefillMs = req.kind === 'call' ? 0 : req.promptTokens * summary.typicalMs * prefillPerToken;
+	const prefillMs = req.kind === 'call' ? 0 : req.promptTokens * summary.typicalMs * promptTokenShare;
 	const workMs = req.kind === 'call' ? tokenMs : req.outputTokens * tokenMs;
 	const waitMs = view.roundTripMs + (ahead * (prefillMs + workMs) / capacity);
 	const wholeMs = waitMs + prefillMs + workMs;
 	const streamedMs = waitMs + prefillMs + tokenMs;
-	return {firstByteMs: req.streamed ? streamedMs : wholeMs, wholeMs, fill};
+	const delayMs = prefillMs * Math.min(load, capacity) / Math.max(1, summary.targets);
+	return {
+		firstByteMs: req.streamed ? streamedMs : wholeMs, wholeMs, delayMs, fill,
+	};
 }
--- a/src/core/routing/predict-work.ts
+++ b/src/core/routing/predict-work.ts
@@ -1,10 +1,19 @@
 import type {RequestInfo} from '../settings/request-info.ts';
+import {promptTokenShare} from '../targets/prompt-token-share.ts';
 import type {TargetView} from '../targets/target-view.ts';
 import type {TypicalSpeed} from './typical-speed.ts';
 
 /** How much longer a token takes in a full batch than alone, as a share of the time alone. */
 const fullBatchSlowdown = 1;
 
+/** Predicted times of one request at one target, in milliseconds. */
+type PredictedWork = {
+	readonly firstByteMs: number;
+	readonly wholeMs: number;
+	/** Sum of the delays that its prefill brings to the requests that run there. */
+	readonly delayMs: number;
+};
+
 /** Predicts the times of a request at a target from its load, its learnt speed and the uncached part of the prompt. */
 export function predictWork(target: TargetView, options: {
 	req: RequestInfo;
@@ -14,41 +23,37 @@
 	hasRoom: boolean;
 	/** Requests of this entry that wait for a target too. */
 	waiting: number;
-}): {firstByteMs: number; wholeMs: number} {
-	const {req, typical, cachedTokens, hasRoom, waiting} = options;
+	/** Wait of the request's priority relative to the mean. @default 1 */
+	waitFactor?: number;
+}): PredictedWork {
+	const {req, typical, cachedTokens} = options;
 	const capacity = Math.max(1, target.announcement.capacity);
 	const load = target.inFlight + target.othersInFlight;
 	if (req.kind === 'call') {
 		const callMs = target.callMs ?? typical.callMs;
-		const whole = callMs + waitMs(target, {
-			taskMs: callMs, load, hasRoom, waiting,
-		});
-		return {firstByteMs: whole, wholeMs: whole};
+		const whole = callMs + waitMs(target, callMs, options);
+		return {firstByteMs: whole, wholeMs: whole, delayMs: 0};
 	}
 
 	const slowdown = 1 + (fullBatchSlowdown * Math.min(1, (load + 1) / capacity));
 	const tokenMs = (target.tokenMs ?? announcedTokenMs(target) ?? typical.tokenMs) * slowdown;
-	const prefillTokenMs = target.prefillTokenMs ?? announcedPrefillMs(target) ?? typical.prefillTokenMs;
-	const prefillMs = (req.promptTokens - cachedTokens) * prefillTokenMs;
+	const prefillMs = (req.promptTokens - cachedTokens) * promptTokenMs(target, tokenMs);
 	const meanTokens = target.inFlight > 0 ? target.inFlightTokens / target.inFlight : req.outputTokens;
 	const taskMs = prefillMs + (meanTokens * tokenMs);
-	const startMs = waitMs(target, {
-		taskMs, load, hasRoom, waiting,
-	}) + prefillMs;
+	const startMs = waitMs(target, taskMs, options) + prefillMs + (target.startMs ?? tokenMs);
 	const wholeMs = startMs + (req.outputTokens * tokenMs);
-	return {firstByteMs: req.streamed ? startMs + tokenMs : wholeMs, wholeMs};
+	const delayMs = prefillMs * Math.min(load, capacity);
+	return {firstByteMs: req.streamed ? startMs : wholeMs, wholeMs, delayMs};
 }
 
 /** Time until a slot is free: at the target's own queue, or here if the request may not be sent yet. */
-function waitMs(target: TargetView, options: {taskMs: number; load: number; hasRoom: boolean; waiting: number}): number {
-	const {taskMs, load, hasRoom, waiting} = options;
+function waitMs(target: TargetView, taskMs: number, options: {hasRoom: boolean; waiting: number; waitFactor?: number}): number {
+	const {hasRoom, waiting, waitFactor = 1} = options;
 	const capacity = Math.max(1, target.announcement.capacity);
-	const atTarget = Math.max(0, load + 1 - capacity) * taskMs / capacity;
-	if (hasRoom) {
-		return atTarget;
-	}
-
-	return Math.max(atTarget, (waiting + 1) * taskMs / Math.max(1, target.inFlight));
+	const load = target.inFlight + target.othersInFlight;
+	const atTargetMs = Math.max(0, load + 1 - capacity) * taskMs / capacity;
+	const hereMs = hasRoom ? 0 : (waiting + 1) * taskMs / Math.max(1, target.inFlight);
+	return waitFactor * Math.max(atTargetMs, hereMs);
 }
 
 function announcedTokenMs(target: TargetView): number | undefined {
@@ -56,7 +61,8 @@
 	return tokensPerSecond ? 1000 / tokensPerSecond : undefined;
 }
 
-function announcedPrefillMs(target: TargetView): number | undefined {
+/** Prefill time of one prompt token: announced, or taken from the time of an output token. */
+function promptTokenMs(target: TargetView, tokenMs: number): number {
 	const {prefillTokensPerSecond} = target.announcement;
-	return prefillTokensPerSecond ? 1000 / prefillTokensPerSecond : undefined;
+	return prefillTokensPerSecond ? 1000 / prefillTokensPerSecond : tokenMs * promptTokenShare;
 }
--- /dev/null
+++ b/src/core/routing/priority-mix.ts
@@ -0,0 +1,32 @@
+/** Priorities that a request may have: 0 to 9. */
+const priorities = 10;
+
+/** Weight of the newest request in the shares. */
+const smoothing = 0.005;
+
+/** Longest factor: beyond it the wait is as good as endless. */
+const largestFactor = 8;
+
+/** Learns how requests are spread over the priorities, and how much longer or shorter than the mean each one waits. */
+export class PriorityMix {
+	readonly #shares: number[] = Array.from({length: priorities}, () => 1 / priorities);
+
+	/** Notes a request. */
+	observe(priority: number): void {
+		for (let index = 0; index < priorities; index++) {
+			const hit = index === priority ? 1 : 0;
+			this.#shares[index]! += smoothing * (hit - this.#shares[index]!);
+		}
+	}
+
+	/** Wait in a queue by priority relative to one in order of arrival: those behind do not count, those before keep coming. */
+	waitFactor(priority: number): number {
+		let better = 0;
+		for (let index = 0; index < priority; index++) {
+			better += this.#shares[index]!;
+		}
+
+		const upTo = better + (this.#shares[priority] ?? 0);
+		return Math.min(largestFactor, upTo / Math.max(1 / largestFactor, 1 - better));
+	}
+}
--- a/src/core/routing/score-step.ts
+++ b/src/core/routing/score-step.ts
@@ -1,16 +1,15 @@
 import type {Random} from '../common/random.ts';
 import {affineTarget} from './affine-target.ts';
+import {delayWeight} from './delay-weight.ts';
 import type {Candidate} from './candidate.ts';
 import {learnTypicalSpeed} from './learn-typical-speed.ts';
 import {predictWork} from './predict-work.ts';
+import {PriorityMix} from './priority-mix.ts';
 import type {RoutingContext} from './routing-context.ts';
 import type {RoutingStep} from './routing-step.ts';
 
-/** Share of the shared prefix that the affine target is taken to have cached though nothing is known of it. */
-const affinityCredit = 0.5;
-
-/** Prefix blocks that are taken to be shared with other requests. */
-const sharedBlocks = 12;
+/** Share of the prompt that the affine target is taken to have cached though nothing is known of it. */
+const affinityCredit = 0.4;
 
 /** Scores that differ by less than this share are a tie, decided by chance. */
 const tieShare = 0.02;
@@ -18,6 +17,7 @@
 /** Scores each candidate by its predicted time and finds the best one. */
 export class ScoreStep implements RoutingStep {
 	readonly #random: Random;
+	readonly #mix = new PriorityMix();
 
 	constructor(options: {random: Random}) {
 		this.#random = options.random;
@@ -26,21 +26,21 @@
 	run(context: RoutingContext): undefined {
 		const {candidates, query} = context;
 		const {req} = query;
+		this.#mix.observe(req.priority);
+		const waitFactor = this.#mix.waitFactor(req.priority);
 		const typical = learnTypicalSpeed(candidates);
-		const affine = affineTarget(candidates, req.prefixBlocks);
+		const affine = affineTarget(candidates, req.prefixBlocks, typical);
 		for (const candidate of candidates) {
-			const {target} = candidate;
+			const {target, hasRoom} = candidate;
 			candidate.cachedTokens = Math.min(req.promptTokens, target.cachedBlocks(req.prefixBlocks) * req.prefixBlockTokens);
-			const times = predictWork(target, {
-				req, typical, cachedTokens: candidate.cachedTokens, hasRoom: candidate.hasRoom, waiting: query.waiting ?? 0,
+			const assumed = target.targetId === affine ? req.promptTokens * affinityCredit : 0;
+			const cachedTokens = Math.max(candidate.cachedTokens, assumed);
+			const {firstByteMs, wholeMs, delayMs} = predictWork(target, {
+				req, typical, cachedTokens, hasRoom, waiting: query.waiting ?? 0, waitFactor,
 			});
-			candidate.firstByteMs = times.firstByteMs;
-			candidate.wholeMs = times.wholeMs;
-			candidate.score = times.wholeMs;
-			if (target.targetId === affine && candidate.cachedTokens === 0) {
-				const credit = Math.min(req.promptTokens, sharedBlocks * req.prefixBlockTokens) * affinityCredit;
-				candidate.score -= credit * (target.prefillTokenMs ?? typical.prefillTokenMs);
-			}
+			candidate.firstByteMs = firstByteMs;
+			candidate.wholeMs = wholeMs;
+			candidate.score = wholeMs + (delayMs * delayWeight);
 		}
 
 		context.best = this.#best(candidates);
--- a/src/core/routing/typical-speed.ts
+++ b/src/core/routing/typical-speed.ts
@@ -2,8 +2,6 @@
 export type TypicalSpeed = {
 	/** Milliseconds between output tokens for one request alone. */
 	readonly tokenMs: number;
-	/** Milliseconds of prefill for one uncached prompt token. */
-	readonly prefillTokenMs: number;
 	/** Milliseconds of one call of a plain service. */
 	readonly callMs: number;
 };
--- a/src/core/targets/learnt-speed.ts
+++ b/src/core/targets/learnt-speed.ts
@@ -1,24 +1,23 @@
 import type {AttemptOutcome} from './attempt-outcome.ts';
+import {promptTokenShare} from './prompt-token-share.ts';
 
 /** Weight of the newest answer in a smoothed average. */
 const smoothing = 0.15;
 
-/** Weight of a slower first byte than known: mostly queueing, not prefill. */
-const queueingSmoothing = 0.03;
-
 /** How much longer a token takes in a full batch than alone, as a share of the time alone. */
 const fullBatchSlowdown = 1;
 
+/** Weight of the newest time to the first byte. */
+const startSmoothing = 0.05;
+
 /** Fewest output tokens from which a token time is learnt. */
 const fewestTokens = 4;
 
-/** Fewest uncached prompt tokens from which a prefill time is learnt. */
-const fewestPromptTokens = 32;
-
 /** Smoothed speeds of one target, taken back to what one request alone would see. */
 export class LearntSpeed {
 	#tokenMs: number | undefined;
-	#prefillTokenMs: number | undefined;
+	#startMs: number | undefined;
+	#answers = 0;
 	#callMs: number | undefined;
 
 	/** Milliseconds between output tokens for one request alone. */
@@ -26,9 +25,14 @@
 		return this.#tokenMs;
 	}
 
-	/** Milliseconds of prefill for one uncached prompt token. */
-	get prefillTokenMs(): number | undefined {
-		return this.#prefillTokenMs;
+	/** Milliseconds to the first byte that the prefill of the uncached prompt does not explain. */
+	get startMs(): number | undefined {
+		return this.#startMs;
+	}
+
+	/** Whole answers learnt from. */
+	get answers(): number {
+		return this.#answers;
 	}
 
 	/** Milliseconds of one call of a plain service. */
@@ -42,6 +46,7 @@
 			return;
 		}
 
+		this.#answers += 1;
 		if (kind === 'service') {
 			this.#callMs = smooth(this.#callMs, outcome.totalMs, smoothing);
 			return;
@@ -49,7 +54,7 @@
 
 		const firstByteMs = outcome.firstByteMs ?? outcome.totalMs;
 		this.#learnToken(outcome, firstByteMs, fill);
-		this.#learnPrefill(outcome, firstByteMs);
+		this.#learnStart(outcome);
 	}
 
 	#learnToken(outcome: AttemptOutcome, firstByteMs: number, fill: number): void {
@@ -63,15 +68,13 @@
 		this.#tokenMs = smooth(this.#tokenMs, observed / (1 + (fullBatchSlowdown * fill)), smoothing);
 	}
 
-	#learnPrefill(outcome: AttemptOutcome, firstByteMs: number): void {
-		const uncached = outcome.promptTokens - outcome.cachedTokens;
-		if (uncached < fewestPromptTokens || outcome.firstByteMs === undefined) {
+	#learnStart(outcome: AttemptOutcome): void {
+		if (outcome.firstByteMs === undefined || this.#tokenMs === undefined) {
 			return;
 		}
 
-		const observed = firstByteMs / uncached;
-		const slower = this.#prefillTokenMs !== undefined && observed > this.#prefillTokenMs;
-		this.#prefillTokenMs = smooth(this.#prefillTokenMs, observed, slower ? queueingSmoothing : smoothing);
+		const prefillMs = (outcome.promptTokens - outcome.cachedTokens) * this.#tokenMs * promptTokenShare;
+		this.#startMs = smooth(this.#startMs, Math.max(0, outcome.firstByteMs - prefillMs), startSmoothing);
 	}
 }
 
--- a/src/core/targets/service-summary.ts
+++ b/src/core/targets/service-summary.ts
@@ -9,6 +9,6 @@
 	readonly capacity: number;
 	readonly running: number;
 	readonly queued: number;
-	/** Median milliseconds between output tokens, or of one call for a plain service. */
+	/** Milliseconds between output tokens, or of one call for a plain service, that the next requests are predicted to get. */
 	readonly typicalMs: number;
 };
--- a/src/core/targets/summarize-targets.ts
+++ b/src/core/targets/summarize-targets.ts
@@ -17,7 +17,7 @@
 		capacity: sum(usable, target => target.announcement.capacity),
 		running: sum(usable, target => Math.min(target.announcement.capacity, target.inFlight + target.othersInFlight)),
 		queued: sum(usable, target => Math.max(0, target.inFlight + target.othersInFlight - target.announcement.capacity)),
-		typicalMs: median(usable.map(target => typicalMs(target))),
+		typicalMs: nextTypicalMs(usable),
 	};
 }
 
@@ -39,7 +39,11 @@
 	return total;
 }
 
-function median(values: readonly number[]): number {
-	const sorted = values.toSorted((a, b) => a - b);
-	return sorted[Math.floor(sorted.length / 2)] ?? unknownTokenMs;
+/** Harmonic mean of the times at the free slots, or at all slots if none is free: what the next requests get. */
+function nextTypicalMs(targets: readonly TargetRecord[]): number {
+	const free = (target: TargetRecord) => Math.max(0, target.announcement.capacity - target.inFlight - target.othersInFlight);
+	const anyFree = targets.some(target => free(target) > 0);
+	const slots = (target: TargetRecord) => anyFree ? free(target) : target.announcement.capacity;
+	const rate = sum(targets, target => slots(target) / typicalMs(target));
+	return rate > 0 ? sum(targets, slots) / rate : unknownTokenMs;
 }
--- a/src/core/targets/target-record.ts
+++ b/src/core/targets/target-record.ts
@@ -8,6 +8,9 @@
 import {targetHandle} from './target-handle.ts';
 import type {TargetView} from './target-view.ts';
 
+/** Requests in flight allowed at a target that gave no answer yet; each whole answer allows one more. */
+const firstLimit = 2;
+
 /** What this node keeps of one target; read by the router as a `TargetView`. */
 export class TargetRecord implements TargetView {
 	readonly targetId: TargetId;
@@ -28,6 +31,8 @@
 	readonly speed = new LearntSpeed();
 	readonly cache = new CacheHints();
 	readonly log = new InFlightLog();
+	/** Answers of earlier incarnations. */
+	#answersBefore = 0;
 
 	constructor(announcement: Announcement, heardAt: Millis, direct: boolean) {
 		this.targetId = announcement.targetId;
@@ -58,15 +63,16 @@
 
 	get limit(): number {
 		const {capacity} = this.announcement;
-		return Math.max(Math.ceil(capacity / this.sharers), capacity - this.othersInFlight);
+		const shared = Math.max(Math.ceil(capacity / this.sharers), capacity - this.othersInFlight);
+		return Math.min(shared, firstLimit + this.#answers());
 	}
 
 	get tokenMs(): number | undefined {
 		return this.speed.tokenMs;
 	}
 
-	get prefillTokenMs(): number | undefined {
-		return this.speed.prefillTokenMs;
+	get startMs(): number | undefined {
+		return this.speed.startMs;
 	}
 
 	get callMs(): number | undefined {
@@ -86,6 +92,7 @@
 	update(announcement: Announcement, heardAt: Millis, direct: boolean): void {
 		if (announcement.incarnation !== this.announcement.incarnation) {
 			this.cache.clear();
+			this.#answersBefore = this.speed.answers;
 			this.handle = targetHandle(announcement.targetId, announcement.incarnation);
 		}
 
@@ -95,6 +102,11 @@
 		this.direct = direct;
 		this.lost = false;
 	}
+
+	/** Whole answers of this incarnation. */
+	#answers(): number {
+		return this.speed.answers - this.#answersBefore;
+	}
 }
 
 function loadTime(announcement: Announcement, heardAt: Millis): Millis {
--- a/src/core/targets/target-view.ts
+++ b/src/core/targets/target-view.ts
@@ -22,8 +22,8 @@
 	readonly placement: number;
 	/** Learnt milliseconds between output tokens for one request alone there; undefined before the first answer. */
 	readonly tokenMs?: number;
-	/** Learnt milliseconds of prefill for one uncached prompt token. */
-	readonly prefillTokenMs?: number;
+	/** Learnt milliseconds to the first byte beyond the prefill of the uncached prompt. */
+	readonly startMs?: number;
 	/** Learnt milliseconds of one call of a plain service. */
 	readonly callMs?: number;
 	/** True while outlier ejection keeps it out of the choice. */
