feat(routing): keep to targets that meet the deadline, and let waiting requests pass one that waits

Interface: Admission.peek takes the requests to pass over; Node should ask up to 16 times in one go.

--- a/bench/policy-entry.ts
+++ b/bench/policy-entry.ts
@@ -4,6 +4,7 @@
 import type {Millis} from '../src/core/ids/millis.ts';
 import type {NodeId} from '../src/core/ids/node-id.ts';
 import type {Region} from '../src/core/ids/region.ts';
+import type {RequestId} from '../src/core/ids/request-id.ts';
 import type {TargetId} from '../src/core/ids/target-id.ts';
 import type {RegionView} from '../src/core/membership/region-view.ts';
 import {PipelineRouter} from '../src/core/routing/pipeline-router.ts';
@@ -15,6 +16,9 @@
 import {RegionalTargetTable} from '../src/core/targets/regional-target-table.ts';
 import type {PolicyRecord} from './policy-record.ts';
 
+/** Waiting requests that are passed over at most in one go. */
+const mostPassed = 16;
+
 /** Targets and regions that a request tried. */
 type Tried = {targets: Set<TargetId>; regions: Set<Region>};
 
@@ -92,10 +96,11 @@
 		this.#pump(serviceKey(item.req));
 	}
 
-	/** Places waiting requests until the next one has to wait on. */
+	/** Places waiting requests; passes over some that have to wait on. */
 	#pump(service: string): void {
-		for (;;) {
-			const req = this.#admission.peek(service, this.#world.now());
+		const passed = new Set<RequestId>();
+		while (passed.size < mostPassed) {
+			const req = this.#admission.peek(service, this.#world.now(), passed);
 			if (!req) {
 				return;
 			}
@@ -103,7 +108,8 @@
 			const item = this.#items.get(req.requestId)!;
 			const decision = this.#choose(item, this.#admission.depth(service) - 1);
 			if (decision.type === 'wait') {
-				return;
+				passed.add(req.requestId);
+				continue;
 			}
 
 			this.#admission.take(req.requestId);
--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -8,8 +8,11 @@
 export interface Admission {
 	/** Queues a request that the router told to wait, or refuses it at once with when to come back. */
 	enqueue(req: RequestInfo, settings: RouteSettings, predictedMs: number, now: Millis): {type: 'queued'} | {type: 'refused'; refusal: Refusal};
-	/** The next waiting request of a service, left in the queue; call `take` once it is placed. */
-	peek(service: string, now: Millis): RequestInfo | undefined;
+	/**
+	 * The next waiting request of a service, left in the queue; call `take` once it is placed.
+	 * `passed` names requests that the router told to wait on: those behind them may fit elsewhere.
+	 */
+	peek(service: string, now: Millis, passed?: ReadonlySet<RequestId>): RequestInfo | undefined;
 	/** Removes a request from its queue: placed, refused or abandoned. */
 	take(requestId: RequestId): void;
 	/** Notes that a request was placed, for the organisations' shares; called for queued and direct ones alike. */
--- a/src/core/admission/fair-admission.ts
+++ b/src/core/admission/fair-admission.ts
@@ -49,8 +49,8 @@
 		return {type: 'queued'};
 	}
 
-	peek(service: string, _now: Millis): RequestInfo | undefined {
-		return this.#queues.get(service)?.first()?.req;
+	peek(service: string, _now: Millis, passed: ReadonlySet<RequestId> = new Set()): RequestInfo | undefined {
+		return this.#queues.get(service)?.first(passed)?.req;
 	}
 
 	take(requestId: RequestId): void {
--- a/src/core/admission/priority-class.ts
+++ b/src/core/admission/priority-class.ts
@@ -1,4 +1,5 @@
 import type {OrganisationId} from '../ids/organisation-id.ts';
+import type {RequestId} from '../ids/request-id.ts';
 import type {WaitingRequest} from './waiting-request.ts';
 
 /** Waiting requests of one priority, first in first out for each organisation. */
@@ -21,9 +22,10 @@
 		return this.#backlogs.get(organisation)?.items.length ?? 0;
 	}
 
-	/** First request of an organisation. */
-	head(organisation: OrganisationId): WaitingRequest | undefined {
-		return this.#backlogs.get(organisation)?.items[0];
+	/** First request of an organisation, leaving out some. */
+	head(organisation: OrganisationId, passed: ReadonlySet<RequestId>): WaitingRequest | undefined {
+		const items = this.#backlogs.get(organisation)?.items;
+		return passed.size === 0 ? items?.[0] : items?.find(({req}) => !passed.has(req.requestId));
 	}
 
 	add(waiting: WaitingRequest): void {
--- a/src/core/admission/service-queue.ts
+++ b/src/core/admission/service-queue.ts
@@ -1,4 +1,5 @@
 import type {Millis} from '../ids/millis.ts';
+import type {RequestId} from '../ids/request-id.ts';
 import type {RequestInfo} from '../settings/request-info.ts';
 import {DrainRate} from './drain-rate.ts';
 import {PriorityClass} from './priority-class.ts';
@@ -41,10 +42,10 @@
 		}
 	}
 
-	/** The request to place next. */
-	first(): WaitingRequest | undefined {
+	/** The request to place next, leaving out some. */
+	first(passed: ReadonlySet<RequestId>): WaitingRequest | undefined {
 		for (const [, priorityClass] of this.#byPriority()) {
-			const head = this.#firstOf(priorityClass);
+			const head = this.#firstOf(priorityClass, passed);
 			if (head) {
 				return head;
 			}
@@ -112,12 +113,16 @@
 	}
 
 	/** Head of the organisation with the lowest start tag; the longest waiting one of equals. */
-	#firstOf(priorityClass: PriorityClass): WaitingRequest | undefined {
+	#firstOf(priorityClass: PriorityClass, passed: ReadonlySet<RequestId>): WaitingRequest | undefined {
 		let best: WaitingRequest | undefined;
 		let bestTag = Number.POSITIVE_INFINITY;
 		for (const organisation of priorityClass.organisations()) {
 			const tag = this.#clock.startTag(organisation);
-			const head = priorityClass.head(organisation)!;
+			const head = priorityClass.head(organisation, passed);
+			if (!head) {
+				continue;
+			}
+
 			if (!best || tag < bestTag || (tag === bestTag && head.since < best.since)) {
 				best = head;
 				bestTag = tag;
--- a/src/core/routing/score-step.ts
+++ b/src/core/routing/score-step.ts
@@ -14,7 +14,7 @@
 /** Scores that differ by less than this share are a tie, decided by chance. */
 const tieShare = 0.02;
 
-/** Scores each candidate by its predicted time and finds the best one. */
+/** Scores each candidate by its predicted time and finds the best one of those that meet the deadline. */
 export class ScoreStep implements RoutingStep {
 	readonly #random: Random;
 	readonly #mix = new PriorityMix();
@@ -43,7 +43,8 @@
 			candidate.score = wholeMs + (delayMs * delayWeight);
 		}
 
-		context.best = this.#best(candidates);
+		const inTime = candidates.filter(({firstByteMs}) => query.now + firstByteMs <= req.deadlineAt);
+		context.best = this.#best(inTime.length > 0 ? inTime : candidates);
 	}
 
 	/** The lowest score; near ties are broken by chance, so that entries do not all choose alike. */
