feat(attempts): free bystanders once the poison request is known

- Once a request is refused, it explains its crashes: others that were in flight run as usual again.
Such a crash still counts if another one follows, so that two crashes stay the bound for each of them.
- A held permit ends after 10 s without renewal, not 30.
- An answer that broke off waits up to a minute for a target; a target that was restarted may be tried again.

--- a/src/core/attempts/attempt-runner.ts
+++ b/src/core/attempts/attempt-runner.ts
@@ -69,7 +69,7 @@
 		const {targetId, announcement} = choice.view;
 		const place = {type: 'target', targetId, incarnation: announcement.incarnation} as const;
 		const attempt = this.#add(state, {place, cachedTokens: choice.cachedTokens}, now);
-		state.triedTargets.add(targetId);
+		state.triedTargets.set(targetId, announcement.incarnation);
 		attempt.moveAt = moveTime(state, now);
 		this.#parts.poison.started(state.req.fingerprint, targetId, now);
 		this.#parts.targets.started(targetId, {
--- a/src/core/attempts/new-request-state.ts
+++ b/src/core/attempts/new-request-state.ts
@@ -16,7 +16,7 @@
 		phase: 'placing',
 		claim: claimedElsewhere ? 'elsewhere' : 'none',
 		attempts: 0,
-		triedTargets: new Set(),
+		triedTargets: new Map(),
 		triedRegions: new Set(),
 		earlierRunPossible: !repeatable && !req.forwardedBy && req.idempotencyKey !== undefined,
 		mayHaveRun: false,
--- a/src/core/attempts/permit-arbiter.ts
+++ b/src/core/attempts/permit-arbiter.ts
@@ -10,7 +10,7 @@
 const askingMs = 5000;
 
 /** How long a permit in use holds without renewal, in milliseconds. */
-const heldMs = 30_000;
+const heldMs = 10_000;
 
 /** Between two renewals of a permit that is in use, in milliseconds. */
 const renewMs = 2000;
--- a/src/core/attempts/request-dispatcher.ts
+++ b/src/core/attempts/request-dispatcher.ts
@@ -11,7 +11,10 @@
 import {RouteChooser} from './route-chooser.ts';
 import {routedRequest} from './routed-request.ts';
 
-/** Between two tries to place a suspect, in milliseconds. */
+/** Refusals that end once a target comes or has room. */
+const waitResults = new Set<Refusal['result']>(['noTarget', 'overloaded', 'deadline', 'queueFull', 'organisationShare']);
+
+/** Between two tries to place a parked request, in milliseconds. */
 const parkMs = 100;
 
 type DispatcherOptions = {
@@ -137,7 +140,12 @@
 			}
 
 			case 'refuse': {
-				this.#refuse(state, decision.refusal, now);
+				if (mayWaitForTarget(state, decision.refusal, now)) {
+					this.#park(state, now);
+				} else {
+					this.#refuse(state, decision.refusal, now);
+				}
+
 				break;
 			}
 		}
@@ -151,7 +159,7 @@
 		const {targetId, cachedTokens} = choice.decision;
 		const view = this.#parts.targets.get(targetId, now);
 		if (!view) {
-			state.triedTargets.add(targetId);
+			state.triedTargets.set(targetId, Number.POSITIVE_INFINITY);
 			this.place(state, now);
 			return;
 		}
@@ -201,7 +209,7 @@
 		}
 	}
 
-	/** A suspect waits outside the queue, so that it holds up nobody else. */
+	/** Suspects, and broken answers without a target, wait outside the queue, so that they hold up nobody else. */
 	#park(state: RequestState, now: Millis): void {
 		state.phase = 'parked';
 		state.parkedUntil = now + parkMs as Millis;
@@ -209,6 +217,11 @@
 
 	#enqueue(state: RequestState, settings: RouteSettings, predictedMs: number, now: Millis): void {
 		const result = this.#parts.admission.enqueue(routedRequest(state), settings, predictedMs, now);
+		if (result.type === 'refused' && mayWaitForTarget(state, result.refusal, now)) {
+			this.#park(state, now);
+			return;
+		}
+
 		if (result.type === 'refused') {
 			this.#refuse(state, result.refusal, now);
 			return;
@@ -232,3 +245,8 @@
 		return true;
 	}
 }
+
+/** An answer that broke off waits for a target to come, since its caller has part of it. */
+function mayWaitForTarget(state: RequestState, refusal: Refusal, now: Millis): boolean {
+	return state.passedOn && now < state.deadlineAt && waitResults.has(refusal.result);
+}
--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -18,7 +18,7 @@
 const livelyMs = 1000;
 
 /** Shortest time for which an answer that broke off waits for a place: its caller has part of it, in milliseconds. */
-const resumeWaitMs = 120_000;
+const resumeWaitMs = 60_000;
 
 type RecoveryOptions = {
 	readonly parts: CoordinatorOptions;
--- a/src/core/attempts/request-state.ts
+++ b/src/core/attempts/request-state.ts
@@ -13,12 +13,13 @@
 	readonly routeKey: string;
 	/** Decided at the arrival, so that a later settings change cannot cause a second run. */
 	readonly repeatable: boolean;
-	/** `claiming` waits for the ledger, `parked` for a permit to run as a suspect, `queued` for room. */
+	/** `claiming` waits for the ledger, `parked` for a permit to run as a suspect or for any target, `queued` for room. */
 	phase: 'placing' | 'claiming' | 'parked' | 'queued' | 'running';
 	/** Claim of a request that may not be repeated: held by this entry, by the entry that forwarded it, or by none. */
 	claim: 'none' | 'held' | 'elsewhere';
 	attempts: number;
-	readonly triedTargets: Set<TargetId>;
+	/** Targets tried, with the incarnation: one that was restarted since may be tried again. */
+	readonly triedTargets: Map<TargetId, number>;
 	readonly triedRegions: Set<Region>;
 	/** True while the ledger has not said whether an earlier sending of the same request ran. */
 	earlierRunPossible: boolean;
--- a/src/core/attempts/route-chooser.ts
+++ b/src/core/attempts/route-chooser.ts
@@ -47,7 +47,7 @@
 		const barred = this.#barred(targets, now);
 		return targets.some(view =>
 			barred.has(view.targetId)
-			&& !state.triedTargets.has(view.targetId)
+			&& !isTried(state, view)
 			&& (!state.passedOn || view.announcement.resumes));
 	}
 
@@ -74,26 +74,10 @@
 	}
 
 	#excluded(state: RequestState, targets: readonly TargetView[], alone: boolean, now: Millis): ReadonlySet<TargetId> {
-		if (!alone && !state.passedOn) {
-			return state.triedTargets;
-		}
-
-		const excluded = new Set(state.triedTargets);
-		if (alone) {
-			for (const targetId of this.#barred(targets, now)) {
-				excluded.add(targetId);
-			}
-		}
-
-		if (state.passedOn) {
-			for (const view of targets) {
-				if (!view.announcement.resumes) {
-					excluded.add(view.targetId);
-				}
-			}
-		}
-
-		return excluded;
+		const barred = alone ? this.#barred(targets, now) : new Set<TargetId>();
+		const unfit = targets.filter(view =>
+			isTried(state, view) || barred.has(view.targetId) || (state.passedOn && !view.announcement.resumes));
+		return new Set(unfit.map(view => view.targetId));
 	}
 
 	/** A receiver decides residency again, under its own settings. */
@@ -104,3 +88,9 @@
 		return byRequest && bySettings;
 	}
 }
+
+/** True if the request was sent to this process of the target before. */
+function isTried(state: RequestState, view: TargetView): boolean {
+	const incarnation = state.triedTargets.get(view.targetId);
+	return incarnation !== undefined && view.announcement.incarnation <= incarnation;
+}
--- a/src/core/attempts/suspect-poison-guard.ts
+++ b/src/core/attempts/suspect-poison-guard.ts
@@ -34,7 +34,8 @@
  * Poison guard of one entry. A request that was in flight on a target when it crashed becomes a suspect,
  * known by its content's fingerprint. Records are shared at once with the region and, by delegates, with
  * the other regions. A suspect runs only under a permit of the `PermitArbiter`, so one run at a time over
- * the installation; a second crash gets it refused everywhere, a whole answer clears it.
+ * the installation; a second crash gets it refused everywhere, a whole answer clears it. Once a request is
+ * refused, those that were in flight with it at its crashes run as usual again.
  *
  * Memory: at most `maxSuspects` records of a few hundred bytes, one entry for each attempt in flight, and
  * one grant for each suspect that runs elsewhere.
@@ -78,7 +79,7 @@
 			return {type: 'refused', retryAfterMs};
 		}
 
-		return {type: this.#table.blamed(fingerprint) > 0 ? 'alone' : 'free'};
+		return {type: this.#table.suspected(fingerprint) ? 'alone' : 'free'};
 	}
 
 	occupied(now: Millis): ReadonlySet<TargetId> {
@@ -239,7 +240,7 @@
 		}
 
 		for (const [fingerprint, targets] of this.#running) {
-			if (this.#table.blamed(fingerprint) > 0) {
+			if (this.#table.suspected(fingerprint)) {
 				suspects.push(...[...targets.keys()].map(targetId => ({fingerprint, targetId})));
 			}
 		}
--- a/src/core/attempts/suspect-table.ts
+++ b/src/core/attempts/suspect-table.ts
@@ -38,6 +38,8 @@
 	#version = 0;
 	/** Crashes that some suspect is blamed for; undefined if it has to be collected again. */
 	#blamedCrashes: Set<string> | undefined;
+	/** Crashes that a refused request is blamed for; undefined if it has to be collected again. */
+	#explained: Set<string> | undefined;
 
 	constructor(options: Options = {}) {
 		this.#maxSuspects = options.maxSuspects ?? 4096;
@@ -55,6 +57,21 @@
 		return record ? blamedCount(record) : 0;
 	}
 
+	/**
+	 * True if the request is blamed for a crash that no refused request explains. What shared a target with
+	 * a request that crashed two of them is no suspect for that crash; it still counts if another one follows.
+	 */
+	suspected(fingerprint: string): boolean {
+		const record = this.#records.get(fingerprint);
+		if (!record) {
+			return false;
+		}
+
+		const crashes = blamedCrashes(record);
+		this.#explained ??= this.#collectExplained();
+		return crashes.length >= crashesToRefuse || crashes.some(crash => !this.#explained!.has(crash));
+	}
+
 	/** When a request that is refused may come back, in milliseconds; 0 if it is not refused. */
 	refusedForMs(fingerprint: string, now: Millis): number {
 		const record = this.#records.get(fingerprint);
@@ -132,7 +149,7 @@
 		for (const [fingerprint, record] of this.#records) {
 			const keepMs = blamedCount(record) >= crashesToRefuse ? this.#refuseMs : this.#suspectMs;
 			if (now - record.changedAt >= keepMs) {
-				this.#blamedCrashes = undefined;
+				this.#forgetCollected();
 				this.#records.delete(fingerprint);
 			}
 		}
@@ -152,7 +169,7 @@
 		forgetAbsolved(record);
 
 		this.#version += 1;
-		this.#blamedCrashes = undefined;
+		this.#forgetCollected();
 		record.version = this.#version;
 		record.changedAt = Math.max(record.changedAt, news.changedAt) as Millis;
 		this.#records.delete(fingerprint);
@@ -161,17 +178,18 @@
 		return true;
 	}
 
+	#forgetCollected(): void {
+		this.#blamedCrashes = undefined;
+		this.#explained = undefined;
+	}
+
 	#collectBlamed(): Set<string> {
-		const blamed = new Set<string>();
-		for (const {crashes, absolved} of this.#records.values()) {
-			for (const crash of crashes) {
-				if (!absolved.has(crash)) {
-					blamed.add(crash);
-				}
-			}
-		}
+		return new Set([...this.#records.values()].flatMap(record => blamedCrashes(record)));
+	}
 
-		return blamed;
+	#collectExplained(): Set<string> {
+		const refused = [...this.#records.values()].filter(record => blamedCount(record) >= crashesToRefuse);
+		return new Set(refused.flatMap(record => blamedCrashes(record)));
 	}
 
 	#evict(): void {
@@ -182,13 +200,12 @@
 	}
 }
 
-function blamedCount(record: SuspectRecord): number {
-	let count = 0;
-	for (const crash of record.crashes) {
-		count += record.absolved.has(crash) ? 0 : 1;
-	}
+function blamedCrashes(record: SuspectRecord): readonly string[] {
+	return [...record.crashes].filter(crash => !record.absolved.has(crash));
+}
 
-	return count;
+function blamedCount(record: SuspectRecord): number {
+	return blamedCrashes(record).length;
 }
 
 /** Makes room for later crashes: what the request is not blamed for any more goes first. */
--- a/test/core/attempts/suspect-poison-guard.test.ts
+++ b/test/core/attempts/suspect-poison-guard.test.ts
@@ -100,6 +100,23 @@
 	t.is(guard.verdict('x', 3_600_000 as Millis).type, 'alone', 'one that nobody forgot yet runs alone');
 });
 
+test('once a request is refused, those that shared its target run as usual, but their next crash counts', t => {
+	const guard = new SuspectPoisonGuard({
+		self: toId<NodeId>('entry-1'), peers: () => [], delegates: () => [], outbox: new RecordingOutbox(),
+	});
+	const now = 0 as Millis;
+	guard.crashed(toId('engine-1'), 1, ['poison', 'a', 'b'], now);
+	t.is(guard.verdict('a', now).type, 'alone');
+	guard.crashed(toId('engine-2'), 1, ['poison'], now);
+	t.is(guard.verdict('poison', now).type, 'refused');
+	t.is(guard.verdict('a', now).type, 'free');
+	guard.crashed(toId('engine-3'), 1, ['a'], now);
+	t.is(guard.verdict('a', now).type, 'refused');
+	guard.cleared('b', toId('engine-4'), now);
+	guard.crashed(toId('engine-3'), 1, ['b'], now);
+	t.is(guard.verdict('b', now).type, 'free', 'the crash of engine-3 is explained');
+});
+
 test('memory for suspects is bounded', t => {
 	const outbox = new RecordingOutbox();
 	const guard = new SuspectPoisonGuard({
