feat(attempts): have a restarted entry ask for known suspects

Cause: an entry that is restarted forgets its suspects and would run a known poison request as a free one until the periodic exchange reaches it: a third target lost.

It asks up to three nodes, in three rounds of 500 ms, as soon as it knows any.

--- a/src/core/attempts/poison-message.ts
+++ b/src/core/attempts/poison-message.ts
@@ -6,6 +6,8 @@
 export type PoisonMessage =
 	/** What the sender knows of suspects; `relay` asks the receiver to tell its own region. */
 	| {readonly type: 'suspects'; readonly relay: boolean; readonly suspects: readonly SuspectDigest[]}
+	/** A node that was just started asks for what others know. */
+	| {readonly type: 'suspects-wanted'}
 	| {readonly type: 'suspects-known'; readonly known: ReadonlyArray<{readonly fingerprint: string; readonly version: number}>}
 	/** Asks for the exclusive right to run a suspect; `relay` asks the receiver to ask its own region first. */
 	| {
--- a/src/core/attempts/suspect-poison-guard.ts
+++ b/src/core/attempts/suspect-poison-guard.ts
@@ -12,8 +12,14 @@
 /** Between two periodic exchanges of records with one other node, in milliseconds. */
 const exchangeMs = 2000;
 
-/** Records in one periodic exchange. */
+/** Records in one periodic exchange, and in the answer to a node that was just started. */
 const exchangedRecords = 32;
+const startRecords = 256;
+
+/** Rounds of questions after the start, the nodes asked in each, and the time between two, in milliseconds. */
+const startRounds = 3;
+const startNodes = 3;
+const startRoundMs = 500;
 
 type Options = {
 	readonly self: NodeId;
@@ -49,6 +55,8 @@
 	readonly #arbiter: PermitArbiter;
 	/** Attempts of this node by content and target, suspects or not. */
 	readonly #running = new Map<string, Map<TargetId, number>>();
+	#startRounds = 0;
+	#askedAt = Number.NEGATIVE_INFINITY;
 	#exchanges = 0;
 	#exchangedAt = 0 as Millis;
 
@@ -152,6 +160,11 @@
 				break;
 			}
 
+			case 'suspects-wanted': {
+				this.#sendNewest(from, startRecords, now);
+				break;
+			}
+
 			case 'suspects-known': {
 				this.#sharer.known(from, message.known);
 				break;
@@ -188,6 +201,10 @@
 		this.#table.expire(now);
 		this.#sharer.tick(now);
 		this.#arbiter.tick(now);
+		if (this.#startRounds < startRounds && now - this.#askedAt >= startRoundMs) {
+			this.#askOthers(now);
+		}
+
 		if (now - this.#exchangedAt >= exchangeMs) {
 			this.#exchangedAt = now;
 			this.#exchange(now);
@@ -248,15 +265,35 @@
 		return suspects;
 	}
 
+	/** After the start: asks a few nodes, the region's own first, for what they know. */
+	#askOthers(now: Millis): void {
+		const others = [...this.#peers(), ...this.#delegates().flat()];
+		if (others.length === 0) {
+			return;
+		}
+
+		this.#startRounds += 1;
+		this.#askedAt = now;
+		for (const to of others.slice(0, startNodes)) {
+			this.#outbox.send(to, {part: 'poison', body: {type: 'suspects-wanted'}});
+		}
+	}
+
 	/** Sends the newest records to one node in turn, in case that messages were lost. */
 	#exchange(now: Millis): void {
 		const others = [...this.#peers(), ...this.#delegates().flat()];
 		const to = others[this.#exchanges % others.length];
 		this.#exchanges += 1;
-		const suspects = this.#table.newest(exchangedRecords)
+		if (to !== undefined) {
+			this.#sendNewest(to, exchangedRecords, now);
+		}
+	}
+
+	#sendNewest(to: NodeId, limit: number, now: Millis): void {
+		const suspects = this.#table.newest(limit)
 			.map(fingerprint => this.#table.digest(fingerprint, now))
 			.filter(digest => digest !== undefined);
-		if (to !== undefined && suspects.length > 0) {
+		if (suspects.length > 0) {
 			this.#outbox.send(to, {part: 'poison', body: {type: 'suspects', relay: false, suspects}});
 		}
 	}
--- a/test/core/attempts/suspect-poison-guard.test.ts
+++ b/test/core/attempts/suspect-poison-guard.test.ts
@@ -83,6 +83,18 @@
 	t.pass();
 });
 
+test('an entry that was restarted learns of suspects before the next periodic exchange', t => {
+	const network = new PoisonNetwork({seed: 9});
+	network.send(0, 'poison');
+	network.advance(10_000);
+	t.is(network.crashes.get('poison'), 2);
+	for (const index of network.entries.keys()) {
+		network.restart(index);
+		network.advance(200);
+		t.is(network.send(index, 'poison').state, 'refused');
+	}
+});
+
 test('a target that goes on as the same incarnation takes the suspicion back', t => {
 	const guard = new SuspectPoisonGuard({
 		self: toId<NodeId>('entry-1'), peers: () => [], delegates: () => [], outbox: new RecordingOutbox(),
