--- a/src/server/caller-api.ts
+++ b/src/server/caller-api.ts
@@ -95,7 +95,12 @@
 	#refuse(res: ServerResponse, refusal: Refusal): void {
 		const {node, region, metrics} = this.#options;
 		metrics.count('refusals', refusal.result);
-		res.setHeader('connection', 'close');
+		if (refusal.result === 'slowCaller') {
+			res.setHeader('connection', 'close');
+		}
+
+		// The rest of a body that is not taken is read and dropped: closing at once would reset the caller before it reads the refusal.
+		res.req.resume();
 		sendProblem(res, problem(refusal, {region, revision: node.tree.revision}));
 	}
 }
--- /dev/null
+++ b/test/server/http-interface.test.ts
@@ -0,0 +1,125 @@
+import {connect} from 'node:net';
+import test from 'ava';
+import {request} from 'undici';
+import {Launcher} from '../harness/launcher.ts';
+import {makeSpec} from '../harness/make-spec.ts';
+
+type Problem = {readonly code: number; readonly ran: string};
+
+const spec = makeSpec({entriesPerRegion: 1, proxies: false});
+const entry = spec.nodes[0]!;
+let launcher: Launcher;
+
+test.before(async () => {
+	launcher = await Launcher.create(spec);
+	await launcher.start();
+});
+
+test.after.always(async () => {
+	launcher.dispose({keepFolder: false});
+});
+
+function url(path: string): string {
+	return `http://${launcher.address(entry.node)}${path}`;
+}
+
+async function complete(body: string, key = `${entry.region}-home`, headers: Record<string, string> = {}) {
+	const res = await request(url('/v1/chat/completions'), {
+		method: 'POST',
+		headers: {
+			authorization: `Bearer ${key}`, 'content-type': 'application/json', 'lovageferry-service': 'proofer', ...headers,
+		},
+		body,
+	});
+	return {status: res.statusCode, problem: await res.body.json() as Problem};
+}
+
+const draft = JSON.stringify({messages: [{role: 'user', content: 'Draft.'}]});
+
+test('a wrong key is refused with 401 and nothing else is told', async t => {
+	for (const key of ['', 'wrong']) {
+		const {status, problem} = await complete(draft, key); // eslint-disable-line no-await-in-loop
+		t.is(status, 401);
+		t.like(problem, {code: 1001, ran: 'no'});
+	}
+});
+
+test('a body that cannot be read, and one that is too large, get numbered refusals', async t => {
+	const large = JSON.stringify({messages: [{role: 'user', content: 'x'.repeat(5_000_000)}]});
+	for (const [body, code] of [['{', 1002], ['{"messages": []}', 1002], [large, 1003]] as const) {
+		const {problem} = await complete(body); // eslint-disable-line no-await-in-loop
+		t.like(problem, {code, ran: 'no'});
+	}
+});
+
+test('an unknown route, and a missing idempotency key, are refused as not run', async t => {
+	const {problem} = await complete(draft, undefined, {'lovageferry-route': 'nowhere'});
+	t.like(problem, {code: 1004, ran: 'no'});
+	const res = await request(url('/s/pressdesk/orders'), {
+		method: 'POST', headers: {authorization: `Bearer ${entry.region}-home`, 'lovageferry-route': 'orders'}, body: '{}',
+	});
+	t.like(await res.body.json(), {code: 3001, ran: 'no'});
+});
+
+test('the tree, its history and its changes need an operator key', async t => {
+	for (const path of ['/v1/tree', '/v1/history', '/v1/status', '/v1/targets']) {
+		const res = await request(url(path)); // eslint-disable-line no-await-in-loop
+		t.is(res.statusCode, 401, `${path} without a key`);
+		await res.body.dump(); // eslint-disable-line no-await-in-loop
+	}
+
+	const res = await request(url('/v1/changes'), {method: 'POST', body: '{}'});
+	t.is(res.statusCode, 401);
+	await res.body.dump();
+});
+
+test('an announcement needs the target key of its service', async t => {
+	const announcement = {
+		targetId: 'stranger',
+		incarnation: 1,
+		sequence: 1,
+		firm: spec.firm,
+		deployment: spec.deployment,
+		service: 'proofer',
+		address: '127.0.0.1:9',
+		zone: entry.zone,
+		kind: 'engine',
+		state: 'serving',
+		models: [],
+		capacity: 1,
+		load: {running: 0, queued: 0, ageMs: 0},
+		resumes: false,
+	};
+	const res = await request(url('/v1/announcements'), {method: 'POST', headers: {authorization: 'Bearer wrong'}, body: JSON.stringify(announcement)});
+	t.is(res.statusCode, 403);
+	await res.body.dump();
+	const {targets} = await launcher.get(entry.node, '/v1/targets') as {targets: Array<{targetId: string}>};
+	t.false(targets.some(({targetId}) => targetId === 'stranger'));
+});
+
+test('a forwarded request without the peer key is refused', async t => {
+	const {problem} = await complete(draft, undefined, {
+		'lovageferry-forwarded-by': 'saskatoon-1;saskatoon-a;1;claimed', 'lovageferry-forward-token': '1.guess',
+	});
+	t.like(problem, {code: 1001, ran: 'no'});
+});
+
+test('a caller that sends headers and no end is closed within the bound', async t => {
+	const [host, port] = launcher.address(entry.node).split(':');
+	const socket = connect(Number(port), host);
+	socket.write('POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\n');
+	const closed = new Promise<boolean>(resolve => {
+		socket.on('close', () => {
+			resolve(true);
+		});
+		socket.on('data', () => undefined);
+		setTimeout(resolve, 45_000, false);
+	});
+	t.true(await closed);
+});
+
+test('metrics count each refusal by its reason', async t => {
+	await complete(draft, 'wrong');
+	const text = await launcher.get(entry.node, '/metrics') as string;
+	t.regex(text, /lovageferry_refusals_total\{reason="unauthenticated"\} \d+/v);
+});
