fix(consensus): a slow disk no longer ends a leader's lease

Answers to heartbeats waited for the sync of entries that came before, so that syncs of 500 to 900 ms made the leader refuse changes. Members now answer each append at once with what is synced, and again after the sync of what is new. What may be sent ahead is bounded by unacknowledged entries in place of unanswered messages. Ruled out: a longer lease, because a new leader would be waited for longer; heartbeats on a timer of their own, because a lost answer to entries would still count against the window.

--- a/src/core/consensus/consensus-limits.ts
+++ b/src/core/consensus/consensus-limits.ts
@@ -10,8 +10,8 @@
 	messageWeight: 2000,
 	/** Entries of one message. */
 	messageEntries: 256,
-	/** Unanswered messages with entries to one member. */
-	unanswered: 8,
+	/** Entries sent to one member and not acknowledged yet. */
+	unacknowledged: 2048,
 	/** Characters of snapshot text in one message. */
 	chunkLength: 262_144,
 	/** Entries by which a learner may lag when it is made a voter. */
--- a/src/core/consensus/log-acceptor.ts
+++ b/src/core/consensus/log-acceptor.ts
@@ -5,7 +5,7 @@
 
 type Append = ConsensusMessage['body'] & {type: 'append'};
 
-/** A follower's side of replication: checks that the logs agree, stores entries, answers once they are synced. */
+/** A follower's side of replication: checks that the logs agree, stores entries, acknowledges what is synced. */
 export class LogAcceptor {
 	readonly #context: MemberContext;
 
@@ -28,11 +28,15 @@
 		}
 
 		const matched = previousIndex + entries.length;
-		storage.writes.whenSynced(() => {
-			if (storage.term === message.term) {
-				this.#answer(from, message, true, matched);
-			}
-		});
+		if (storage.termSynced) {
+			// The leader's lease must not depend on the speed of the disk.
+			this.#answer(from, message, true, Math.min(matched, storage.syncedIndex));
+		}
+
+		if (fresh.length > 0 || !storage.termSynced) {
+			this.#answerWhenSynced(from, message, matched);
+		}
+
 		return matched;
 	}
 
@@ -41,6 +45,15 @@
 		this.#answer(from, message, false, this.#context.storage.log.lastIndex);
 	}
 
+	#answerWhenSynced(from: NodeId, message: Append, matched: number): void {
+		const {storage} = this.#context;
+		storage.writes.whenSynced(() => {
+			if (storage.term === message.term) {
+				this.#answer(from, message, true, matched);
+			}
+		});
+	}
+
 	#store(fresh: readonly LogEntry[]): void {
 		const {storage} = this.#context;
 		if (fresh[0]!.index <= storage.log.lastIndex) {
--- a/src/core/consensus/member-storage.ts
+++ b/src/core/consensus/member-storage.ts
@@ -23,6 +23,8 @@
 	/** Snapshot found at start, until it is taken. */
 	#loaded: LogSnapshot | undefined;
 	#recordedCommit = 0;
+	#syncedIndex = 0;
+	#syncedTerm = 0;
 	/** Operations of the entries applied since the snapshot. */
 	#appliedWeight = 0;
 
@@ -32,6 +34,9 @@
 		for (const record of load.records) {
 			this.#replay(record);
 		}
+
+		this.#syncedIndex = this.log.lastIndex;
+		this.#syncedTerm = this.#term;
 	}
 
 	get term(): number {
@@ -50,6 +55,16 @@
 		return this.#snapshotIndex;
 	}
 
+	/** Index up to which the log is on the disk. */
+	get syncedIndex(): number {
+		return this.#syncedIndex;
+	}
+
+	/** True if the current term, with the vote in it, is on the disk. */
+	get termSynced(): boolean {
+		return this.#syncedTerm === this.#term;
+	}
+
 	/** Newest index known from the disk to be committed. */
 	get recordedCommit(): number {
 		return this.#recordedCommit;
@@ -83,6 +98,9 @@
 		this.#term = term;
 		this.#votedFor = votedFor;
 		this.writes.append(this.#voteRecord());
+		this.writes.whenSynced(() => {
+			this.#syncedTerm = Math.max(term, this.#syncedTerm);
+		});
 	}
 
 	setGroup(group: string): void {
@@ -96,10 +114,12 @@
 		}
 
 		this.writes.append({type: 'entries', entries});
+		this.#whenHeld(entries.at(-1)!);
 	}
 
 	truncate(from: number): void {
 		this.#forget(from);
+		this.#syncedIndex = Math.min(from - 1, this.#syncedIndex);
 		this.writes.append({type: 'truncation', from});
 	}
 
@@ -143,7 +163,18 @@
 
 		this.#snapshotIndex = index;
 		this.#recordedCommit = Math.max(index, this.#recordedCommit);
+		this.#syncedIndex = Math.min(this.log.lastIndex, this.#syncedIndex);
 		this.#rewrite(snapshot);
+		this.#whenHeld({index, term});
+	}
+
+	/** Counts an entry as synced after the writes so far, unless it is truncated before. */
+	#whenHeld({index, term}: {index: number; term: number}): void {
+		this.writes.whenSynced(() => {
+			if (this.log.term(index) === term) {
+				this.#syncedIndex = Math.max(index, this.#syncedIndex);
+			}
+		});
 	}
 
 	#rewrite(snapshot: LogSnapshot): void {
--- a/src/core/consensus/peer-progress.ts
+++ b/src/core/consensus/peer-progress.ts
@@ -9,8 +9,6 @@
 	next: number;
 	/** True until an answer shows where the logs agree: one message at a time. */
 	probing: boolean;
-	/** Messages with entries that are not answered yet. */
-	unanswered: number;
 	/** Leader's time at which the newest answered message was sent. */
 	ackedAt: number;
 	/** When anything was last heard, on the leader's clock. */
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -372,14 +372,9 @@
 	}
 
 	#append(content: LogEntry['content'], now: Millis): number {
-		const {log, term, writes} = this.#storage;
+		const {log, term} = this.#storage;
 		const index = log.lastIndex + 1;
 		this.#storage.append([{index, term, content}]);
-		writes.whenSynced(() => {
-			if (this.#replicator !== undefined && this.#storage.term === term) {
-				this.#replicator.selfMatch = Math.max(index, this.#replicator.selfMatch);
-			}
-		});
 		this.#replicator!.replicate(now);
 		return index;
 	}
--- a/src/core/consensus/replicator.ts
+++ b/src/core/consensus/replicator.ts
@@ -17,8 +17,6 @@
 
 /** A leader's work for one term: brings the other members up to date and counts what a majority holds. */
 export class Replicator {
-	/** Highest index synced on the leader's own disk. */
-	selfMatch = 0;
 	readonly #context: MemberContext;
 	readonly #snapshots: SnapshotSender;
 	readonly #peers = new Map<string, PeerProgress>();
@@ -79,7 +77,6 @@
 		if (!peer.probing || answer.previousIndex === peer.next - 1) {
 			peer.next = Math.max(peer.match + 1, Math.min(answer.index + 1, answer.previousIndex));
 			peer.probing = true;
-			peer.unanswered = 0;
 			this.#sendTo(peer, now, true);
 		}
 	}
@@ -97,7 +94,7 @@
 
 	/** The highest index that a majority of voters has synced. */
 	majorityMatch(): number {
-		return majorityValue(this.#voterValues(peer => peer.match, this.selfMatch));
+		return majorityValue(this.#voterValues(peer => peer.match, this.#context.storage.syncedIndex));
 	}
 
 	/** The newest time at which a majority of voters still took this member for their leader. */
@@ -131,7 +128,6 @@
 			match: 0,
 			next: this.#context.storage.log.lastIndex + 1,
 			probing: true,
-			unanswered: 0,
 			ackedAt: Number.NEGATIVE_INFINITY,
 			heardAt: now,
 			sentAt: Number.NEGATIVE_INFINITY,
@@ -156,8 +152,7 @@
 	}
 
 	#tickPeer(peer: PeerProgress, now: Millis): void {
-		if (peer.unanswered > 0 && now - peer.ackedAt > consensusTiming.resendMs) {
-			peer.unanswered = 0;
+		if (peer.next - 1 > peer.match && now - peer.heardAt > consensusTiming.resendMs) {
 			peer.next = peer.match + 1;
 			peer.probing = true;
 		}
@@ -181,7 +176,6 @@
 		peer.match = Math.max(peer.match, index);
 		peer.next = Math.max(peer.next, peer.match + 1);
 		peer.probing = false;
-		peer.unanswered = Math.max(0, peer.unanswered - 1);
 		peer.transfer = undefined;
 		this.#sendTo(peer, now, false);
 	}
@@ -197,7 +191,7 @@
 			return;
 		}
 
-		const room = peer.probing ? force : peer.unanswered < this.#context.limits.unanswered;
+		const room = peer.probing ? force : peer.next - 1 - peer.match < this.#context.limits.unacknowledged;
 		const entries = room ? this.#nextEntries(peer.next) : [];
 		if (entries.length > 0 || force) {
 			this.#append(peer, entries, now);
@@ -218,7 +212,6 @@
 		}, peer.member.storageId);
 		peer.sentAt = now;
 		if (!peer.probing && entries.length > 0) {
-			peer.unanswered += 1;
 			peer.next += entries.length;
 		}
 	}
--- a/test/core/consensus/raft-member.test.ts
+++ b/test/core/consensus/raft-member.test.ts
@@ -184,6 +184,29 @@
 	}
 });
 
+test('slow disks cost time, not the leader', t => {
+	const cluster = startCluster({syncMs: [500, 900]});
+	acceptChange(cluster, 1);
+	const leader = cluster.leader()!;
+	const {term} = cluster.process(leader).member!.status();
+	const submitted = 300;
+	const indexes: Array<number | undefined> = [];
+	const propose = (number: number) => {
+		cluster.act(leader, (process, now) => {
+			indexes.push(process.member!.propose({type: 'change', change: makeChange({number})}, now));
+		});
+	};
+
+	for (let number = 2; number <= submitted; number++) {
+		propose(number);
+		cluster.run(40);
+	}
+
+	t.false(indexes.includes(undefined));
+	t.true(cluster.runUntil(() => cluster.process(leader).state.tree.revision === submitted));
+	t.is(cluster.process(leader).member!.status().term, term);
+});
+
 test('half of an even number of voters neither leads nor accepts', t => {
 	const cluster = startCluster({members: 4});
 	acceptChange(cluster, 1);
