perf(membership): spread exchanges between regions over the nodes; add benches

Cause: bench/membership.ts with ten services a region showed up to 23.2 KB/s sent by the one node that exchanged sums with all other regions (85 nodes a region, 4 regions), over the 18 KB/s a node may spend.

How: the exchanging node is ranked for each other region by itself, and sums are passed on inside the region if they are newer by 1.2 s + 12 ms a node (before: 1 s + 8 ms).

--- /dev/null
+++ b/bench/ledger.ts
@@ -0,0 +1,131 @@
+import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {SeededRandom} from '../src/core/common/seeded-random.ts';
+import type {Millis} from '../src/core/ids/millis.ts';
+import type {NodeId} from '../src/core/ids/node-id.ts';
+import {toId} from '../src/core/ids/to-id.ts';
+import type {ClaimCopy} from '../src/core/ledger/claim-copy.ts';
+import {ClaimStore} from '../src/core/ledger/claim-store.ts';
+import {ledgerFixture} from '../test/core/ledger/ledger-fixture.ts';
+import {logLatencies} from './ledger-log.ts';
+import {printRows} from './print-rows.ts';
+
+type BenchLedgerOptions = {
+	readonly json?: boolean;
+	readonly seed?: number;
+	/** Claims measured for each row. @default 300 */
+	readonly claims?: number;
+	/** One way between two regions, in milliseconds. @default 40 */
+	readonly farMs?: number;
+	/** Time to sync a journal, in milliseconds. @default 2 */
+	readonly writeMs?: number;
+};
+
+/** One way between two zones of a region, in milliseconds. */
+const nearMs = 1;
+/** Claims kept to measure memory. */
+const keptClaims = 50_000;
+
+/** Time to claim a key, against the same command in a replicated log, and what a claim costs; on the pure core with its own clock. */
+export function benchLedger({json = false, seed = 1, claims = 300, farMs = 40, writeMs = 2}: BenchLedgerOptions = {}) {
+	const near = keeperLatencies('b', {
+		seed, claims, farMs, writeMs,
+	});
+	const far = keeperLatencies('x', {
+		seed, claims, farMs, writeMs,
+	});
+	const global = logLatencies({
+		members: 3, oneWayMs: farMs, writeMs, claims, seed,
+	});
+	const regional = logLatencies({
+		members: 2, oneWayMs: nearMs, writeMs, claims, seed,
+	});
+	const rows = [
+		row('keeper set, entry of the region', near.times, 0),
+		row('keeper set, entry of another region', far.times, 0),
+		row('global log of 3, entry beside the leader', global, 0),
+		row('global log of 3, entry elsewhere', global, 2 * farMs),
+		row('log of 2 in the region, entry beside the leader', regional, 0),
+		row('log of 2 in the region, entry of another region', regional, 2 * farMs),
+	];
+	printRows(rows, json);
+	const cost = [{...near.cost, ...memory()}];
+	printRows(cost, json);
+	return {rows, cost};
+}
+
+type LatencyOptions = Required<Pick<BenchLedgerOptions, 'seed' | 'claims' | 'farMs' | 'writeMs'>>;
+
+function row(way: string, times: readonly number[], forwardMs: number) {
+	const sorted = times.map(time => time + forwardMs).sort((a, b) => a - b);
+	return {way, medianMs: sorted[sorted.length >> 1]!, p99Ms: sorted[Math.floor(sorted.length * 0.99)]!};
+}
+
+/** Claims one key after the other at an entry and finishes each. */
+function keeperLatencies(entry: string, {seed, claims, farMs, writeMs}: LatencyOptions) {
+	const fixture = ledgerFixture({
+		seed, farMs, writeMs,
+	});
+	const {network, outcomes, claim, advance} = fixture;
+	advance(3000);
+	network.countBytes = true;
+	const before = process.cpuUsage();
+	const times: number[] = [];
+	for (let index = 0; index < claims; index++) {
+		const from = network.now;
+		const requestId = claim(toId<NodeId>(entry), `key-${index}`, {endMs: 1});
+		network.run(1000, () => outcomes.has(requestId));
+		times.push(fixture.grantedAt.get(requestId)! - from);
+		network.run(100);
+	}
+
+	const {user, system} = process.cpuUsage(before);
+	const sent = [...network.sent.values()];
+	const total = (pick: (node: {messages: number; bytes: number}) => number) => sent.map(node => pick(node)).reduce((a, b) => a + b, 0);
+	return {
+		times,
+		cost: {
+			messagesPerClaim: total(({messages}) => messages) / claims,
+			bytesPerClaim: total(({bytes}) => bytes) / claims,
+			cpuMsPerClaimAllNodes: (user + system) / 1000 / claims,
+		},
+	};
+}
+
+/** Resident cost of one kept claim without and with an answer of 1 kB. */
+function memory() {
+	return {bytesPerKeptClaim: storeBytes(0), bytesPerKeptClaimWithAnswer: storeBytes(1000)};
+}
+
+function storeBytes(answerBytes: number): number {
+	const collect = garbageCollector();
+	const random = new SeededRandom(1);
+	collect();
+	const before = process.memoryUsage().heapUsed;
+	const store = new ClaimStore({maxAnswerBytes: Number.MAX_SAFE_INTEGER});
+	for (let index = 0; index < keptClaims; index++) {
+		const digest = String(random.next());
+		const claim = {
+			key: `prairie/print/orders/city-${index % 400}\n${digest}`,
+			claimId: {coordinator: toId(`entry-${index % 7}`), incarnation: 1_700_000_000_000, number: index},
+			fingerprint: digest.repeat(3),
+			state: 'done',
+			keepMs: 86_400_000,
+			ageMs: 0,
+			...(answerBytes > 0 && {answer: {status: 200, contentType: 'application/json', body: digest.repeat(Math.ceil(answerBytes / digest.length))}}),
+		};
+		// As it comes off the wire.
+		const text = JSON.stringify(claim);
+		store.put(JSON.parse(text) as ClaimCopy, 0 as Millis);
+	}
+
+	collect();
+	const bytes = (process.memoryUsage().heapUsed - before) / keptClaims;
+	return store.size === keptClaims ? Math.round(bytes) : Number.NaN;
+}
+
+function garbageCollector(): () => void {
+	setFlagsFromString('--expose-gc');
+	return runInNewContext('gc') as () => void;
+}
--- a/src/core/ledger/claim-ledger.ts
+++ b/src/core/ledger/claim-ledger.ts
@@ -31,7 +31,7 @@
 	readonly now: Millis;
 	/** Keys that this node remembers as a keeper. @default 100_000 */
 	readonly maxClaims?: number;
-	/** Bytes of all answers that this node keeps. @default 16_777_216 */
+	/** Bytes of all answers that this node keeps. @default 8_388_608 */
 	readonly maxAnswerBytes?: number;
 };
 
--- a/src/core/ledger/claim-store.ts
+++ b/src/core/ledger/claim-store.ts
@@ -14,7 +14,7 @@
 type ClaimStoreOptions = {
 	/** Keys remembered; no new one is taken beyond. @default 100_000 */
 	readonly maxClaims?: number;
-	/** Bytes of all kept answers; the oldest are dropped beyond. @default 16_777_216 */
+	/** Bytes of all kept answers; the oldest are dropped beyond. @default 8_388_608 */
 	readonly maxAnswerBytes?: number;
 };
 
@@ -37,7 +37,7 @@
 	#order = 0;
 	#sweep: Iterator<[string, StoredClaim]> | undefined;
 
-	constructor({maxClaims = 100_000, maxAnswerBytes = 16_777_216}: ClaimStoreOptions = {}) {
+	constructor({maxClaims = 100_000, maxAnswerBytes = 8_388_608}: ClaimStoreOptions = {}) {
 		this.#maxClaims = maxClaims;
 		this.#maxAnswerBytes = maxAnswerBytes;
 	}
--- a/src/core/membership/own-region.ts
+++ b/src/core/membership/own-region.ts
@@ -1,5 +1,6 @@
 import type {Random} from '../common/random.ts';
 import type {NodeId} from '../ids/node-id.ts';
+import type {Region} from '../ids/region.ts';
 import type {ServiceSummary} from '../targets/service-summary.ts';
 import type {NodeInfo} from './node-info.ts';
 import {rankByHash} from './rank-by-hash.ts';
@@ -21,17 +22,18 @@
 const entryLimit = 3;
 const candidateLimit = 4;
 
-/** The nodes of a region that may act for it, in an order that all its nodes agree on. */
-function delegateOrder(nodes: readonly RegionNode[]): RegionNode[] {
+/** The nodes of a region that may act for it. */
+function delegates(nodes: readonly RegionNode[]): readonly RegionNode[] {
 	const able = nodes.filter(({draining, info}) => !draining && info.roles.includes('entry'));
-	return rankByHash(able.length > 0 ? able : nodes, ({info}) => info.nodeId);
+	return able.length > 0 ? able : nodes;
 }
 
 /** The region of this node: who acts for it and what other regions are told of it. */
 export const ownRegion = {
-	/** This node's place among those that exchange sums with other regions. */
-	rank(nodes: readonly RegionNode[], self: NodeId): number {
-		const rank = delegateOrder(nodes).findIndex(({info}) => info.nodeId === self);
+	/** This node's place in the order, known to all nodes of the region, in which they exchange sums with `other`. */
+	rank(nodes: readonly RegionNode[], self: NodeId, other: Region): number {
+		const order = rankByHash(delegates(nodes), ({info}) => `${other}/${info.nodeId}`);
+		const rank = order.findIndex(({info}) => info.nodeId === self);
 		return rank === -1 ? Infinity : rank;
 	},
 
@@ -51,8 +53,7 @@
 
 	/** Sums of the region for the others. */
 	sum({nodes, self, version, services, heard, random}: OwnRegionOptions): RegionSum {
-		const delegates = delegateOrder(nodes);
-		const entries = sample(delegates, entryLimit, random);
+		const entries = sample(delegates(nodes), entryLimit, random);
 		const candidates = ownRegion.candidates(nodes);
 		const highest = [...nodes].sort((a, b) => b.revision - a.revision)[0]!;
 		return {
--- a/src/core/membership/region-exchange.ts
+++ b/src/core/membership/region-exchange.ts
@@ -35,8 +35,8 @@
 		this.#random = random;
 	}
 
-	/** Returns the nodes to send this region's sums to; `rank` is this node's place among the region's delegates. */
-	tick(rank: number, now: Millis): NodeId[] {
+	/** Returns the nodes to send this region's sums to; `rank` is this node's place among those that may exchange sums with a region. */
+	tick(rank: (region: Region) => number, now: Millis): NodeId[] {
 		this.#nextAt ??= now + (this.#random.next() * periodMs / 4);
 		if (now < this.#nextAt) {
 			return [];
@@ -44,7 +44,7 @@
 
 		this.#nextAt = now + periodMs;
 		return this.#store.regions()
-			.filter(region => rank < this.#wantedDelegates(region, now))
+			.filter(region => rank(region) < this.#wantedDelegates(region, now))
 			.flatMap(region => this.#contacts(region, now));
 	}
 
--- a/src/core/membership/region-sums.ts
+++ b/src/core/membership/region-sums.ts
@@ -33,8 +33,8 @@
 type SumMessage = Extract<MembershipMessage, {type: 'region-sum' | 'region-sum-reply'}>;
 
 /** Sums are passed on inside the region if they are newer by this much, in milliseconds: a fixed part and one for each node. */
-const advanceMs = 1000;
-const advancePerNodeMs = 8;
+const advanceMs = 1200;
+const advancePerNodeMs = 12;
 
 /** Pause between two sums that this node passes on inside its region, in milliseconds. */
 const relayPauseMs = 300;
@@ -66,7 +66,7 @@
 
 	/** Sends this region's sums to the others if it is this node's turn. */
 	tick(own: OwnRegion, now: Millis): void {
-		const contacts = this.#exchange.tick(ownRegion.rank(own.nodes, own.self.nodeId), now);
+		const contacts = this.#exchange.tick(region => ownRegion.rank(own.nodes, own.self.nodeId, region), now);
 		if (contacts.length === 0) {
 			return;
 		}
--- a/test/core/ledger/ledger-fixture.ts
+++ b/test/core/ledger/ledger-fixture.ts
@@ -26,6 +26,9 @@
 	readonly loss?: number;
 	readonly maxClaims?: number;
 	readonly maxAnswerBytes?: number;
+	/** One way between the regions, in milliseconds. @default 30 */
+	readonly farMs?: number;
+	readonly writeMs?: number;
 };
 
 type Process = {
@@ -40,11 +43,12 @@
 const home = toId<KeeperSet['region']>('home');
 
 /** A region's keepers, an entry elsewhere, and a stand-in for the log that decides the keepers. */
-export function ledgerFixture({seed = 1, loss = 0, maxClaims, maxAnswerBytes}: LedgerFixtureOptions = {}) {
+export function ledgerFixture({seed = 1, loss = 0, maxClaims, maxAnswerBytes, farMs = 30, writeMs}: LedgerFixtureOptions = {}) {
 	const random = new SeededRandom(seed);
 	const processes = new Map<NodeId, Process>();
 	const cuts = new Set<string>();
 	const outcomes = new Map<string, ClaimOutcome>();
+	const grantedAt = new Map<string, number>();
 	const endings = new Map<string, {key: string; ending: Ending; endMs: number}>();
 	/** Requests that ran, by key. */
 	const runs = new Map<string, string[]>();
@@ -54,6 +58,7 @@
 	let lives = 1000;
 	const network: FakeNetwork = new FakeNetwork({
 		random,
+		writeMs,
 		duplicate: () => random.next() < loss,
 		delay(from, to) {
 			if (cuts.has(`${from}>${to}`) || random.next() < loss) {
@@ -62,7 +67,7 @@
 
 			const near = from !== 'x' && to !== 'x';
 			// With loss, messages overtake each other too.
-			return (near ? 1 : 30) + (loss > 0 ? random.next() * random.next() * 200 : 0);
+			return (near ? 1 : farMs) + (loss > 0 ? random.next() * random.next() * 200 : 0);
 		},
 	});
 
@@ -112,6 +117,7 @@
 
 			outcomes.set(requestId, outcome);
 			if (outcome.type === 'granted') {
+				grantedAt.set(requestId, network.now);
 				run(nodeId, ledger, requestId);
 			} else if (outcome.type === 'replay' && (outcome.answer.body !== key || !runs.has(key))) {
 				problems.push(`${requestId} got the answer of another request`);
@@ -244,7 +250,7 @@
 	}
 
 	return {
-		names, network, processes, cuts, outcomes, runs, problems, log, start, stop, freeze, thaw, advance, claim, ask,
+		names, network, processes, cuts, outcomes, grantedAt, runs, problems, log, start, stop, freeze, thaw, advance, claim, ask,
 		status: (nodeId: NodeId) => processes.get(nodeId)?.ledger.status(),
 	};
 }
