--- a/src/core/routing/away-step.ts
+++ b/src/core/routing/away-step.ts
@@ -3,7 +3,7 @@
 import type {RegionView} from '../membership/region-view.ts';
 import type {ServiceSummary} from '../targets/service-summary.ts';
 import {AwayMemory} from './away-memory.ts';
-import {delayWeight} from './delay-weight.ts';
+import {objective} from './objective.ts';
 import {predictAway} from './predict-away.ts';
 import {ResidencyStep} from './residency-step.ts';
 import type {RouteDecision} from './route-decision.ts';
@@ -93,7 +93,7 @@
 			return undefined;
 		}
 
-		const predictedMs = times.wholeMs + (times.delayMs * delayWeight) + (view.ageMs * ageShare);
+		const predictedMs = objective(times) + (view.ageMs * ageShare);
 		return {view, predictedMs, firstByteMs: times.firstByteMs};
 	}
 
--- a/src/core/routing/score-step.ts
+++ b/src/core/routing/score-step.ts
@@ -1,8 +1,8 @@
 import type {Random} from '../common/random.ts';
 import {affineTarget} from './affine-target.ts';
-import {delayWeight} from './delay-weight.ts';
 import type {Candidate} from './candidate.ts';
 import {learnTypicalSpeed} from './learn-typical-speed.ts';
+import {objective} from './objective.ts';
 import {predictWork} from './predict-work.ts';
 import {PriorityMix} from './priority-mix.ts';
 import type {RoutingContext} from './routing-context.ts';
@@ -40,7 +40,7 @@
 			});
 			candidate.firstByteMs = firstByteMs;
 			candidate.wholeMs = wholeMs;
-			candidate.score = wholeMs + (delayMs * delayWeight);
+			candidate.score = objective({firstByteMs, wholeMs, delayMs});
 		}
 
 		const inTime = candidates.filter(({firstByteMs}) => query.now + firstByteMs <= req.deadlineAt);
