--- a/src/core/routing/away-memory.ts
+++ b/src/core/routing/away-memory.ts
@@ -1,6 +1,5 @@
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
-import {CacheHints} from '../targets/cache-hints.ts';
 import type {RegionView} from '../membership/region-view.ts';
 
 /** Time over which traffic to a region that came back grows to all of it. */
@@ -47,15 +46,9 @@
 		return this.#memory(region).forwarding;
 	}
 
-	/** Leading prefix blocks that earlier forwards brought to a region. */
-	forwardedBlocks(region: Region, prefixBlocks: readonly string[]): number {
-		return this.#memory(region).cache.leading(prefixBlocks);
-	}
-
 	/** Notes a forward. */
-	sent(region: Region, prefixBlocks: readonly string[], now: Millis): void {
+	sent(region: Region, now: Millis): void {
 		const memory = this.#memory(region);
-		memory.cache.used(prefixBlocks);
 		memory.forwarding = true;
 		memory.sent = [...memory.sent.filter(time => now - time < historyMs), now];
 	}
@@ -71,7 +64,7 @@
 		let memory = this.#regions.get(region);
 		if (!memory) {
 			memory = {
-				seen: false, usable: false, forwarding: false, sent: [], cache: new CacheHints(),
+				seen: false, usable: false, forwarding: false, sent: [],
 			};
 			this.#regions.set(region, memory);
 		}
@@ -86,5 +79,4 @@
 	backAt?: Millis;
 	forwarding: boolean;
 	sent: Millis[];
-	readonly cache: CacheHints;
 };
--- a/src/core/routing/away-step.ts
+++ b/src/core/routing/away-step.ts
@@ -76,7 +76,7 @@
 			return undefined;
 		}
 
-		memory.sent(fastest.view.region, query.req.prefixBlocks, query.now);
+		memory.sent(fastest.view.region, query.now);
 		return {type: 'away', region: fastest.view.region, predictedMs: fastest.firstByteMs};
 	}
 
@@ -88,10 +88,7 @@
 		}
 
 		const sumsAt = query.now - view.ageMs as Millis;
-		const cachedBlocks = memory.forwardedBlocks(view.region, query.req.prefixBlocks);
-		const times = predictAway(view, summary, {
-			req: query.req, sentSince: memory.sentSince(view.region, sumsAt), cachedTokens: cachedBlocks * query.req.prefixBlockTokens,
-		});
+		const times = predictAway(view, summary, {req: query.req, sentSince: memory.sentSince(view.region, sumsAt)});
 		if (times.fill >= fullestRegion) {
 			return undefined;
 		}
--- a/src/core/routing/predict-away.ts
+++ b/src/core/routing/predict-away.ts
@@ -9,21 +9,19 @@
 /** How much longer a token takes in a full batch than alone, as a share of the time alone. */
 const fullBatchSlowdown = 1;
 
-/** Predicted times of a request in another region, from its sums and what was forwarded there before. */
+/** Predicted times of a request in another region, from its sums; no cached prompt is assumed. */
 export function predictAway(view: RegionView, summary: ServiceSummary, options: {
 	req: RequestInfo;
 	/** Own forwards that the sums do not show yet. */
 	sentSince: number;
-	/** Leading prompt tokens that earlier forwards brought there. */
-	cachedTokens: number;
 }): {firstByteMs: number; wholeMs: number; delayMs: number; fill: number} {
-	const {req, sentSince, cachedTokens} = options;
+	const {req, sentSince} = options;
 	const capacity = Math.max(1, summary.capacity);
 	const load = summary.running + summary.queued + (sentSince * likeOthers);
 	const fill = load / capacity;
 	const ahead = Math.max(0, load + 1 - capacity);
 	const tokenMs = summary.typicalMs * (req.kind === 'call' ? 1 : 1 + (fullBatchSlowdown * Math.min(1, fill)));
-	const prefillMs = req.kind === 'call' ? 0 : (req.promptTokens - cachedTokens) * summary.typicalMs * promptTokenShare;
+	const prefillMs = req.kind === 'call' ? 0 : req.promptTokens * summary.typicalMs * promptTokenShare;
 	const workMs = req.kind === 'call' ? tokenMs : req.outputTokens * tokenMs;
 	const waitMs = view.roundTripMs + (ahead * (prefillMs + workMs) / capacity);
 	const wholeMs = waitMs + prefillMs + workMs;
