--- a/test/core/attempts/request-invariants.test.ts
+++ b/test/core/attempts/request-invariants.test.ts
@@ -8,7 +8,7 @@
 import type {ClaimOutcome} from '../../../src/core/ledger/claim-outcome.ts';
 import type {Refusal} from '../../../src/core/results/refusal.ts';
 import {CoordinatorHarness} from '../../fixtures/attempts/coordinator-harness.ts';
-import {routeSettings} from '../../fixtures/attempts/route-settings.ts';
+import {routeSettingsFixture} from '../../fixtures/route-settings-fixture.ts';
 import {RecordingOutbox} from '../../fixtures/recording-outbox.ts';
 
 type Start = Extract<Action, {type: 'start-attempt'}>;
@@ -32,7 +32,7 @@
 	#incarnation = 1;
 
 	constructor() {
-		this.harness.tree.settings.set('prairie/print/proofer/order', routeSettings({repeatable: false, deadlineMs: 5000}));
+		this.harness.tree.settings.set('prairie/print/proofer/order', routeSettingsFixture({repeatable: false, deadlineMs: 5000}));
 		for (const name of ['engine-0', 'engine-1', 'engine-2', 'engine-3']) {
 			this.harness.targets.add(name, {resumes: name !== 'engine-3'});
 		}
@@ -44,7 +44,7 @@
 		const {harness} = this;
 		switch (step.what) {
 			case 0: {
-				this.#send('draft');
+				this.#send('drafts');
 				break;
 			}
 
@@ -209,7 +209,7 @@
 
 	#checkCancel(attemptId: AttemptId): void {
 		const attempt = this.#attempts.get(attemptId)!;
-		assert(this.#route(attempt.start) === 'draft', 'work that may not be repeated was cancelled');
+		assert(this.#route(attempt.start) === 'drafts', 'work that may not be repeated was cancelled');
 		attempt.fate = 'may-have-run';
 	}
 
@@ -233,7 +233,7 @@
 		assert(!this.#finals.has(start.requestId), 'an attempt after the final answer');
 		assert(start.targetId === undefined || before.every(attempt => attempt.process !== process), 'the same process of a target twice');
 		assert(start.forwardTo === undefined || before.every(attempt => attempt.start.forwardTo === undefined), 'the same region twice');
-		const repeatable = this.#route(start) === 'draft';
+		const repeatable = this.#route(start) === 'drafts';
 		assert(repeatable || before.every(({fate}) => fate === 'not-run'), 'a second run');
 		this.#attempts.set(start.attemptId, {start, process, fate: 'open'});
 	}
@@ -243,8 +243,8 @@
 		this.#finals.set(requestId, result);
 	}
 
-	#route(start: Start): 'draft' | 'order' {
-		return start.claimed ? 'order' : 'draft';
+	#route(start: Start): 'drafts' | 'order' {
+		return start.claimed ? 'order' : 'drafts';
 	}
 
 	#of(requestId: string) {
--- a/test/core/orders/leader-orders.test.ts
+++ b/test/core/orders/leader-orders.test.ts
@@ -7,7 +7,7 @@
 import type {OrdersMessage} from '../../../src/core/orders/orders-message.ts';
 import type {RouteSettings} from '../../../src/core/settings/route-settings.ts';
 import {FakeTargets} from '../../fixtures/attempts/fake-targets.ts';
-import {routeSettings} from '../../fixtures/attempts/route-settings.ts';
+import {routeSettingsFixture} from '../../fixtures/route-settings-fixture.ts';
 import {OrdersNetwork} from '../../fixtures/orders/orders-network.ts';
 import {RecordingOutbox} from '../../fixtures/recording-outbox.ts';
 
@@ -25,7 +25,7 @@
 /** Three engines in each of two regions. */
 function networkWith(models: RouteSettings['models'], options: Partial<ConstructorParameters<typeof OrdersNetwork>[0]> = {}): OrdersNetwork {
 	const network = new OrdersNetwork({regions: {regina: [[], [], []], winnipeg: [[], [], []]}, ...options});
-	network.tree.settings.set(service, routeSettings({models}));
+	network.tree.settings.set(service, routeSettingsFixture({models}));
 	return network;
 }
 
@@ -44,7 +44,7 @@
 		{draft: {replicas: 0, bytes: 1000}, check: {replicas: 1, bytes: 1000}},
 		{regions: {regina: [['draft'], ['draft', 'check'], ['other']], winnipeg: [['check'], ['check']]}},
 	);
-	network.tree.settings.set(`${service}/layout`, routeSettings({model: 'draft'}));
+	network.tree.settings.set(`${service}/layout`, routeSettingsFixture({model: 'draft'}));
 	network.lead('leader-1', 5, leaseMs, always);
 	network.advance(50_000);
 	t.is(network.started.length, 0, 'a difference has to last');
@@ -85,7 +85,7 @@
 	const bytes = 4_000_000_000;
 	const rate = 250_000_000;
 	const network = networkWith({}, {loadMs: 3000});
-	network.tree.settings.set(service, routeSettings({models: manyModels(20, bytes), weightStoreBytesPerSecond: rate}));
+	network.tree.settings.set(service, routeSettingsFixture({models: manyModels(20, bytes), weightStoreBytesPerSecond: rate}));
 	for (let leader = 1; leader <= 6; leader++) {
 		network.lead(`leader-${1 + (leader % 2)}`, leader, leaseMs, network.now + 25_000);
 		for (let second = 0; second < 26; second++) {
