--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,22 @@
 		const {benchCapacity} = await import('./capacity.ts');
 		return benchCapacity;
 	},
+	async state() {
+		const {benchState} = await import('./state.ts');
+		return benchState;
+	},
+	async policy() {
+		const {benchPolicy} = await import('./policy.ts');
+		return benchPolicy;
+	},
+	async membership() {
+		const {benchMembership} = await import('./membership.ts');
+		return benchMembership;
+	},
+	async ledger() {
+		const {benchLedger} = await import('./ledger.ts');
+		return benchLedger;
+	},
 	async path() {
 		const {benchPath} = await import('./path.ts');
 		return benchPath;
--- a/test/server/http-interface.test.ts
+++ b/test/server/http-interface.test.ts
@@ -16,7 +16,7 @@
 });
 
 test.after.always(async () => {
-	launcher.dispose({keepFolder: false});
+	await launcher.dispose({keepFolder: false});
 });
 
 function url(path: string): string {
