feat(cli): show keepers and take the decision about lost claims

Cause: a region whose keepers all lost their claims refuses new ones until an operator decides; there was no command for it. Ruled out: deciding by time-out (a claim that is not known may have run).

--- a/src/cli.ts
+++ b/src/cli.ts
@@ -58,6 +58,12 @@
 		await members(action, node, options);
 	});
 
+operatorCommand('keepers <action>', 'Claims of requests that may not be repeated: status | accept-loss (ask a keeper of the region with --entry)')
+	.action(async (action: string, options: CommandLineOptions) => {
+		const {keepers} = await import('./commands/keepers.ts');
+		await keepers(action, options);
+	});
+
 cli.help();
 cli.version(version);
 
--- /dev/null
+++ b/src/commands/keepers.ts
@@ -0,0 +1,29 @@
+import process from 'node:process';
+import type {NodeStatus} from '../core/node-status.ts';
+import {CommandError} from './command-error.ts';
+import type {CommandLineOptions} from './command-line-options.ts';
+import {EntryClient} from './entry-client.ts';
+import {exitCodes} from './exit-codes.ts';
+import {printJson} from './print-json.ts';
+import {resolveClientOptions} from './resolve-client-options.ts';
+
+/** Shows the keepers of claims, or takes the decision to go on without claims that all of them lost. */
+export async function keepers(action: string, options: CommandLineOptions): Promise<void> {
+	const client = new EntryClient(resolveClientOptions(options));
+	if (action === 'status') {
+		const status = await client.get('/v1/status') as NodeStatus;
+		printJson({node: status.node, keeper: status.keeper, keepers: status.keepers});
+		return;
+	}
+
+	if (action !== 'accept-loss') {
+		throw new CommandError('Use keepers status or keepers accept-loss.', exitCodes.usage);
+	}
+
+	const {status} = await client.call('POST', '/v1/keepers/accept-loss', {});
+	if (status !== 200) {
+		throw new CommandError('This node does not wait for that decision: see keepers status.', exitCodes.refused);
+	}
+
+	process.stdout.write('the region goes on without the lost claims\n');
+}
--- a/src/core/gateway-core.ts
+++ b/src/core/gateway-core.ts
@@ -98,6 +98,11 @@
 		return {type: 'refused', leader: leader && membership.info(leader)?.callerAddress};
 	}
 
+	/** Goes on without the claims that all keepers of this region lost; false if this node does not wait for that decision. */
+	acceptLoss(now: Millis): boolean {
+		return this.#parts.ledger.acceptLoss(now);
+	}
+
 	status(now: Millis): NodeStatus {
 		const {self} = this.#options;
 		const {membership, consensus, settings} = this.#parts;
@@ -119,6 +124,7 @@
 				region, reachable, revision, ageMs, roundTripMs,
 			})),
 			keepers: settings.keeperSets(),
+			keeper: this.#parts.ledger.status(),
 		};
 	}
 
--- a/src/core/node-status.ts
+++ b/src/core/node-status.ts
@@ -21,4 +21,6 @@
 	readonly nodes: ReadonlyArray<{node: NodeId; zone: Zone; state: string; draining: boolean; revision: number; load: number}>;
 	readonly regions: ReadonlyArray<{region: Region; reachable: boolean; revision: number; ageMs: number; roundTripMs: number}>;
 	readonly keepers: readonly KeeperSet[];
+	/** This node as a keeper of claims; `lost` waits for an operator's decision. */
+	readonly keeper: {readonly role: 'none' | 'active' | 'joining' | 'lost' | 'ineligible'; readonly epoch: number; readonly claims: number};
 };
--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -181,6 +181,11 @@
 			},
 			{method: 'POST', path: '/v1/announcements', handle: async (req, res) => targets.announce(req, res)},
 			{method: 'POST', path: '/v1/members', handle: async (req, res) => operators.members(req, res)},
+			{
+				method: 'POST', path: '/v1/keepers/accept-loss', handle(req, res) {
+					operators.acceptLoss(req, res);
+				},
+			},
 			{method: 'POST', path: '/v1/changes', handle: async (req, res) => operators.change(req, res)},
 			{
 				method: 'GET', path: '/v1/tree', handle(req, res, url) {
--- a/src/server/gateway-node.ts
+++ b/src/server/gateway-node.ts
@@ -22,5 +22,7 @@
 	entries(query: {zone?: Zone; path?: string}, now: Millis): readonly EntryListing[];
 	/** Starts a membership change of the settings log if this node leads it; else names the leader's address. */
 	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): {type: 'started'} | {type: 'refused'; leader?: string};
+	/** Goes on without lost claims, by an operator's decision; false if this node does not wait for it. */
+	acceptLoss(now: Millis): boolean;
 	info(nodeId: NodeId): NodeInfo | undefined;
 }
--- a/src/server/operator-api.ts
+++ b/src/server/operator-api.ts
@@ -161,6 +161,17 @@
 		sendJson(res, {...document, leader: answer.leader}, document.status);
 	}
 
+	/** An operator's decision to go on without the claims that all keepers of the region lost. */
+	acceptLoss(req: IncomingMessage, res: ServerResponse): void {
+		if (this.#operator(req, res) === undefined) {
+			return;
+		}
+
+		const {node, runner} = this.#options;
+		const accepted = node.acceptLoss(runner.now());
+		sendJson(res, {accepted}, accepted ? 200 : 409);
+	}
+
 	async #submit(change: Change): Promise<ChangeOutcome> {
 		return new Promise(resolve => {
 			const waiting = this.#waiting.get(change.changeId) ?? [];
