--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,26 @@
 
 /** Measurements by name; each is loaded only when asked for. */
 const benches: Readonly<Record<string, () => Promise<Bench>>> = {
+	async capacity() {
+		const {benchCapacity} = await import('./capacity.ts');
+		return benchCapacity;
+	},
+	async state() {
+		const {benchState} = await import('./state.ts');
+		return benchState;
+	},
+	async policy() {
+		const {benchPolicy} = await import('./policy.ts');
+		return benchPolicy;
+	},
+	async membership() {
+		const {benchMembership} = await import('./membership.ts');
+		return benchMembership;
+	},
+	async ledger() {
+		const {benchLedger} = await import('./ledger.ts');
+		return benchLedger;
+	},
 	async path() {
 		const {benchPath} = await import('./path.ts');
 		return benchPath;
--- a/src/core/attempts/request-dispatcher.ts
+++ b/src/core/attempts/request-dispatcher.ts
@@ -11,14 +11,17 @@
 import {RouteChooser} from './route-chooser.ts';
 import {routedRequest} from './routed-request.ts';
 
-/** Between two tries to place a suspect, in milliseconds. */
+/** Refusals that end once a target comes or has room. */
+const waitResults = new Set<Refusal['result']>(['noTarget', 'overloaded', 'deadline', 'queueFull', 'organisationShare']);
+
+/** Between two tries to place a parked request, in milliseconds. */
 const parkMs = 100;
 
 type DispatcherOptions = {
 	readonly parts: CoordinatorOptions;
 	readonly runner: AttemptRunner;
 	/** The request of this id, while it has no final answer. */
-	readonly find: (requestId: RequestId) => RequestState | undefined;
+	readonly requestOf: (requestId: RequestId) => RequestState | undefined;
 	/** Gives a request its final answer. */
 	readonly refuse: (state: RequestState, reason: Omit<Refusal, 'ran'>, now: Millis) => void;
 };
@@ -35,14 +38,14 @@
 	readonly #parts: CoordinatorOptions;
 	readonly #runner: AttemptRunner;
 	readonly #chooser: RouteChooser;
-	readonly #find: DispatcherOptions['find'];
+	readonly #requestOf: DispatcherOptions['requestOf'];
 	readonly #refuse: DispatcherOptions['refuse'];
 
 	constructor(options: DispatcherOptions) {
 		this.#parts = options.parts;
 		this.#runner = options.runner;
 		this.#chooser = new RouteChooser(options.parts);
-		this.#find = options.find;
+		this.#requestOf = options.requestOf;
 		this.#refuse = options.refuse;
 	}
 
@@ -65,7 +68,7 @@
 		const {admission} = this.#parts;
 		for (let left = admission.depth(serviceKey); left > 0; left--) {
 			const req = admission.peek(serviceKey, now);
-			const state = req && this.#find(req.requestId);
+			const state = req && this.#requestOf(req.requestId);
 			if (!req || (state?.phase === 'queued' && !this.#placeQueued(state, now))) {
 				return;
 			}
@@ -137,7 +140,12 @@
 			}
 
 			case 'refuse': {
-				this.#refuse(state, decision.refusal, now);
+				if (mayWaitForTarget(state, decision.refusal, now)) {
+					this.#park(state, now);
+				} else {
+					this.#refuse(state, decision.refusal, now);
+				}
+
 				break;
 			}
 		}
@@ -151,7 +159,7 @@
 		const {targetId, cachedTokens} = choice.decision;
 		const view = this.#parts.targets.get(targetId, now);
 		if (!view) {
-			state.triedTargets.add(targetId);
+			state.triedTargets.set(targetId, Number.POSITIVE_INFINITY);
 			this.place(state, now);
 			return;
 		}
@@ -201,7 +209,7 @@
 		}
 	}
 
-	/** A suspect waits outside the queue, so that it holds up nobody else. */
+	/** Suspects, and broken answers without a target, wait outside the queue, so that they hold up nobody else. */
 	#park(state: RequestState, now: Millis): void {
 		state.phase = 'parked';
 		state.parkedUntil = now + parkMs as Millis;
@@ -209,6 +217,11 @@
 
 	#enqueue(state: RequestState, settings: RouteSettings, predictedMs: number, now: Millis): void {
 		const result = this.#parts.admission.enqueue(routedRequest(state), settings, predictedMs, now);
+		if (result.type === 'refused' && mayWaitForTarget(state, result.refusal, now)) {
+			this.#park(state, now);
+			return;
+		}
+
 		if (result.type === 'refused') {
 			this.#refuse(state, result.refusal, now);
 			return;
@@ -232,3 +245,8 @@
 		return true;
 	}
 }
+
+/** An answer that broke off waits for a target to come, since its caller has part of it. */
+function mayWaitForTarget(state: RequestState, refusal: Refusal, now: Millis): boolean {
+	return state.passedOn && now < state.deadlineAt && waitResults.has(refusal.result);
+}
--- a/src/server/caller-api.ts
+++ b/src/server/caller-api.ts
@@ -61,8 +61,7 @@
 	}
 
 	async #serve(req: IncomingMessage, res: ServerResponse, call: {service?: string; targetPath: string}): Promise<void> {
-		const {node, runner, reader, requests, metrics} = this.#options;
-		metrics.count('requests');
+		const {node, runner, reader, requests} = this.#options;
 		if (!node.ready(runner.now())) {
 			this.#refuse(res, {
 				result: 'notReady', ran: 'no', retryAfterMs: notReadyRetryMs, detail: 'The entry has no settings yet; use another one.',
@@ -96,7 +95,12 @@
 	#refuse(res: ServerResponse, refusal: Refusal): void {
 		const {node, region, metrics} = this.#options;
 		metrics.count('refusals', refusal.result);
-		res.setHeader('connection', 'close');
+		if (refusal.result === 'slowCaller') {
+			res.setHeader('connection', 'close');
+		}
+
+		// The rest of a body that is not taken is read and dropped: closing at once would reset the caller before it reads the refusal.
+		res.req.resume();
 		sendProblem(res, problem(refusal, {region, revision: node.tree.revision}));
 	}
 }
