--- a/bench/policy-deployments.ts
+++ b/bench/policy-deployments.ts
@@ -15,7 +15,7 @@
 				name: 'winnipeg-a', entries: 2, engines: [10.8, 15.8], services: [40],
 			},
 		],
-		awayPenaltyMs: 150,
+		awayPenaltyMs: 1000,
 		deadlineMs: 10_000,
 		bodyBytes: 16_000,
 		shortTokens: 120,
--- a/src/core/targets/target-record.ts
+++ b/src/core/targets/target-record.ts
@@ -63,8 +63,9 @@
 
 	get limit(): number {
 		const {capacity} = this.announcement;
-		const shared = Math.max(Math.ceil(capacity / this.sharers), capacity - this.othersInFlight);
-		return Math.min(shared, firstLimit + this.#answers());
+		const fairShare = this.sharers > capacity ? 0 : Math.ceil(capacity / this.sharers);
+		const left = Math.max(fairShare, capacity - this.othersInFlight);
+		return Math.min(left, firstLimit + this.#answers());
 	}
 
 	get tokenMs(): number | undefined {
--- a/test/core/admission/fair-admission.test.ts
+++ b/test/core/admission/fair-admission.test.ts
@@ -133,6 +133,15 @@
 	t.deepEqual(admission.waiting(), [service]);
 });
 
+test('requests that wait on are passed over without losing their place', t => {
+	const admission = admissionFixture();
+	const [first, second] = [from('a', {priority: 2}), from('b', {priority: 5})];
+	fill(admission, [first, second]);
+	t.is(admission.peek(service, start, new Set([first.requestId])), second);
+	t.is(admission.peek(service, start, new Set([first.requestId, second.requestId])), undefined);
+	t.is(admission.peek(service, start), first);
+});
+
 test('the memory of organisations stays bounded', t => {
 	const clock = new VirtualClock();
 	for (let index = 0; index < 120_000; index++) {
--- /dev/null
+++ b/test/core/targets/outlier-ejector.test.ts
@@ -0,0 +1,60 @@
+import test from 'ava';
+import type {Millis} from '../../../src/core/ids/millis.ts';
+import type {TargetId} from '../../../src/core/ids/target-id.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import {OutlierEjector} from '../../../src/core/targets/outlier-ejector.ts';
+
+function failAll(ejector: OutlierEjector, targets: number, now: number): number {
+	for (let round = 0; round < 4; round++) {
+		for (let index = 0; index < targets; index++) {
+			ejector.failed(toId<TargetId>(`t${index}`), targets, now as Millis);
+		}
+	}
+
+	return countEjected(ejector, targets, now);
+}
+
+function countEjected(ejector: OutlierEjector, targets: number, now: number): number {
+	let ejected = 0;
+	for (let index = 0; index < targets; index++) {
+		ejected += ejector.ejected(toId<TargetId>(`t${index}`), now as Millis) ? 1 : 0;
+	}
+
+	return ejected;
+}
+
+test('at most a third of the targets is ejected, though all fail, and never the last one', t => {
+	t.is(failAll(new OutlierEjector(), 9, 1000), 3);
+	t.is(failAll(new OutlierEjector(), 2, 1000), 1);
+	t.is(failAll(new OutlierEjector(), 1, 1000), 0);
+});
+
+test('an ejection ends, and the next one lasts longer', t => {
+	const ejector = new OutlierEjector();
+	const bad = toId<TargetId>('t0');
+	const failFrom = (at: number) => {
+		for (let index = 0; index < 4; index++) {
+			ejector.failed(bad, 3, at as Millis);
+		}
+	};
+
+	failFrom(0);
+	t.true(ejector.ejected(bad, 4999 as Millis));
+	t.false(ejector.ejected(bad, 5000 as Millis));
+	failFrom(5000);
+	t.true(ejector.ejected(bad, 14_000 as Millis));
+	t.false(ejector.ejected(bad, 15_000 as Millis));
+});
+
+test('an answer between failures keeps a target in', t => {
+	const ejector = new OutlierEjector();
+	const target = toId<TargetId>('t0');
+	for (let index = 0; index < 20; index++) {
+		ejector.failed(target, 3, 0 as Millis);
+		if (index % 3 === 2) {
+			ejector.succeeded(target);
+		}
+	}
+
+	t.false(ejector.ejected(target, 1 as Millis));
+});
