--- a/src/core/actions.ts
+++ b/src/core/actions.ts
@@ -29,8 +29,12 @@
 		readonly forwardTo?: NodeId;
 		/** Settings revision that a forwarded request was decided under. */
 		readonly revision: number;
+		/** True if this entry holds the request's claim; a peer that gets it forwarded must not claim again. */
+		readonly claimed: boolean;
 		/** True if the answer goes on from the text already passed on. */
 		readonly resume: boolean;
+		/** Time left until the first byte is wanted, in milliseconds; a peer that gets it forwarded counts from there. */
+		readonly deadlineMs: number;
 		/** Longest time to the first byte and inside the answer, in milliseconds. */
 		readonly firstByteMs: number;
 		readonly silenceMs: number;
