fix(routing): count each request once in the shares of the priorities

Cause: a waiting request is chosen for at every tick, so the shares leaned to the priorities that wait.

Conclusion: kept, because the shares no longer depend on how often the server ticks.

--- a/src/core/routing/score-step.ts
+++ b/src/core/routing/score-step.ts
@@ -11,6 +11,9 @@
 /** Share of the prompt that the affine target is taken to have cached though nothing is known of it. */
 const affinityCredit = 0.4;
 
+/** Age up to which a request counts as new; those that wait are chosen for again and again. */
+const newcomerMs = 10;
+
 /** Scores that differ by less than this share are a tie, decided by chance. */
 const tieShare = 0.02;
 
@@ -26,7 +29,10 @@
 	run(context: RoutingContext): undefined {
 		const {candidates, query} = context;
 		const {req} = query;
-		this.#mix.observe(req.priority);
+		if (query.now - req.arrivedAt < newcomerMs) {
+			this.#mix.observe(req.priority);
+		}
+
 		const waitFactor = this.#mix.waitFactor(req.priority);
 		const typical = learnTypicalSpeed(candidates);
 		const affine = affineTarget(candidates, req.prefixBlocks, typical);
