--- a/src/core/routing/away-step.ts
+++ b/src/core/routing/away-step.ts
@@ -23,9 +23,6 @@
 /** Largest share of a region's capacity that forwards from outside may fill it to. */
 const fullestRegion = 0.9;
 
-/** The same where this node's region has no target: a queue elsewhere is better than a refusal. */
-const fullestWithoutHome = 1.5;
-
 /** Services whose forwards are remembered at most. */
 const mostServices = 512;
 
@@ -48,9 +45,8 @@
 		}
 
 		const memory = this.#memory(query);
-		const homeless = context.best === undefined;
 		const options = query.regions
-			.map(view => this.#option(view, query, {memory, homeless}))
+			.map(view => this.#option(view, query, memory))
 			.filter(option => option !== undefined);
 		if (!this.#withinBytes(query)) {
 			return undefined;
@@ -84,8 +80,7 @@
 		return {type: 'away', region: fastest.view.region, predictedMs: fastest.firstByteMs};
 	}
 
-	#option(view: RegionView, query: RouteQuery, state: {memory: AwayMemory; homeless: boolean}): AwayOption | undefined {
-		const {memory, homeless} = state;
+	#option(view: RegionView, query: RouteQuery, memory: AwayMemory): AwayOption | undefined {
 		const summary = this.#summary(view, query);
 		memory.observe(view, summary !== undefined, query.now);
 		if (!summary || query.tried.regions.has(view.region) || !ResidencyStep.allows(query, view.region)) {
@@ -94,7 +89,7 @@
 
 		const sumsAt = query.now - view.ageMs as Millis;
 		const times = predictAway(view, summary, {req: query.req, sentSince: memory.sentSince(view.region, sumsAt)});
-		if (times.fill >= (homeless ? fullestWithoutHome : fullestRegion)) {
+		if (times.fill >= fullestRegion) {
 			return undefined;
 		}
 
