--- a/src/core/routing/away-step.ts
+++ b/src/core/routing/away-step.ts
@@ -63,8 +63,7 @@
 			return undefined;
 		}
 
-		const inTime = best !== undefined && query.now + best.firstByteMs <= query.req.deadlineAt;
-		const homeMs = inTime ? best.score : Number.POSITIVE_INFINITY;
+		const homeMs = best?.score ?? Number.POSITIVE_INFINITY;
 		const factor = memory.forwarding(fastest.view.region) ? 1 : startFactor;
 		const gainMs = homeMs - fastest.predictedMs;
 		if (gainMs <= query.settings.awayPenaltyMs * factor) {
