feat(targets): take a target whose answers are overdue for slower than learnt

Ruled out: ejecting what is far slower than the median; with speeds spread tenfold that loses capacity that 95% and 120% need.

Conclusion: kept at one answer's time.

--- a/src/core/targets/in-flight-log.ts
+++ b/src/core/targets/in-flight-log.ts
@@ -9,6 +9,7 @@
 	#tokens = 0;
 	#starts: Millis[] = [];
 	#ends: Millis[] = [];
+	#quietSince = 0 as Millis;
 
 	/** Own requests in flight now. */
 	get inFlight(): number {
@@ -20,13 +21,23 @@
 		return this.#tokens;
 	}
 
+	/** Since when no request has ended though some were in flight. */
+	get quietSince(): Millis {
+		return this.#quietSince;
+	}
+
 	start(outputTokens: number, now: Millis): void {
+		if (this.#inFlight === 0) {
+			this.#quietSince = now;
+		}
+
 		this.#inFlight += 1;
 		this.#tokens += outputTokens;
 		this.#starts = append(this.#starts, now);
 	}
 
 	end(outputTokens: number, now: Millis): void {
+		this.#quietSince = now;
 		this.#inFlight = Math.max(0, this.#inFlight - 1);
 		this.#tokens = Math.max(0, this.#tokens - outputTokens);
 		this.#ends = append(this.#ends, now);
--- a/src/core/targets/regional-target-table.ts
+++ b/src/core/targets/regional-target-table.ts
@@ -233,6 +233,7 @@
 		}
 
 		record.sharers = sharers;
+		record.checkStall(now);
 		const ejector = this.#ejectors.get(this.#store.serviceKey(record.announcement));
 		record.ejected = ejector?.ejected(record.targetId, now) ?? false;
 		if (!this.#leased(record, now)) {
--- a/src/core/targets/target-record.ts
+++ b/src/core/targets/target-record.ts
@@ -11,6 +11,9 @@
 /** Requests in flight allowed at a target that gave no answer yet; each whole answer allows one more. */
 const firstLimit = 2;
 
+/** Time without any answer, relative to the time of one answer, from which a target seems to be slower than learnt. */
+const overdueFactor = 1;
+
 /** What this node keeps of one target; read by the router as a `TargetView`. */
 export class TargetRecord implements TargetView {
 	readonly targetId: TargetId;
@@ -31,6 +34,8 @@
 	readonly speed = new LearntSpeed();
 	readonly cache = new CacheHints();
 	readonly log = new InFlightLog();
+	/** How much slower than learnt the target seems, from answers that are overdue. */
+	#stall = 1;
 	/** Answers of earlier incarnations. */
 	#answersBefore = 0;
 
@@ -69,7 +74,8 @@
 	}
 
 	get tokenMs(): number | undefined {
-		return this.speed.tokenMs;
+		const {tokenMs} = this.speed;
+		return tokenMs === undefined ? undefined : tokenMs * this.#stall;
 	}
 
 	get startMs(): number | undefined {
@@ -104,6 +110,19 @@
 		this.lost = false;
 	}
 
+	/** Compares the time without an answer with the learnt time between answers. */
+	checkStall(now: Millis): void {
+		const {tokenMs} = this.speed;
+		if (tokenMs === undefined || this.inFlight === 0) {
+			this.#stall = 1;
+			return;
+		}
+
+		const answerMs = (this.speed.startMs ?? 0) + (this.inFlightTokens / this.inFlight * tokenMs * (1 + this.fill));
+		const overdue = (now - this.log.quietSince) / (overdueFactor * answerMs);
+		this.#stall = Math.max(1, overdue);
+	}
+
 	/** Whole answers of this incarnation. */
 	#answers(): number {
 		return this.speed.answers - this.#answersBefore;
