perf(orders): plan loads by region instead of by pairs of engines

Cause: the planner sorted all engines again for each order and counted a region's replicas in each comparison.

On a scratch copy the spreading over regions and the keeping of the last replica still fail their tests when taken out.

--- a/src/core/orders/order-leader.ts
+++ b/src/core/orders/order-leader.ts
@@ -94,6 +94,7 @@
 	#orders = 0;
 	readonly #regions = new Map<Region, RegionState>();
 	readonly #pending = new Map<TargetId, Pending>();
+	#managed: {readonly revision: number; readonly services: readonly string[]} | undefined;
 	/** When a model's replicas first differed from what is wanted, by service and model. */
 	readonly #differsSince = new Map<string, number>();
 
@@ -236,11 +237,16 @@
 		});
 	}
 
-	/** Services with wanted models: `firm/deployment/service`. */
+	/** Services with wanted models (`firm/deployment/service`); collected once for each settings revision. */
 	#services(): readonly string[] {
 		const tree = this.#options.tree();
-		return tree.paths().filter(path =>
-			path.split('/').length === servicePathLength && Object.keys(tree.resolve(path)?.models ?? {}).length > 0);
+		if (this.#managed?.revision !== tree.revision) {
+			const services = tree.paths().filter(path =>
+				path.split('/').length === servicePathLength && Object.keys(tree.resolve(path)?.models ?? {}).length > 0);
+			this.#managed = {revision: tree.revision, services};
+		}
+
+		return this.#managed.services;
 	}
 
 	#ordersOf(service: string, region: Region, lead: Lead, now: Millis): readonly GivenOrder[] {
--- a/src/core/orders/plan-orders.ts
+++ b/src/core/orders/plan-orders.ts
@@ -26,79 +26,110 @@
 	readonly action: EngineOrder['action'];
 };
 
+/** Engines of one region that an order may go to, best last, and how many hold the model. */
+type RegionPool = {
+	readonly engines: number;
+	holders: number;
+	readonly open: Engine[];
+};
+
 /**
  * Compares wanted with announced models of one service. Missing replicas go to the region with the smallest
  * share of them, surplus ones leave the region with the largest. Models that no setting names are left alone.
  */
 export function planOrders(options: Options): readonly Planned[] {
-	const engines = [...options.engines];
 	const planned: Planned[] = [];
+	const busy = new Set(options.engines.filter(engine => engine.pending));
 	for (const [model, {replicas, bytes}] of Object.entries(options.models)) {
-		for (;;) {
-			const next = nextOrder({...options, engines}, {model, replicas, bytes});
-			if (!next) {
-				break;
-			}
-
-			planned.push(next);
-			engines[engines.indexOf(next.engine)] = {...next.engine, pending: next.action};
+		const held = options.engines.filter(engine => holds(engine, model)).length;
+		const orders = held < replicas
+			? planLoads(options, busy, {model, bytes, missing: replicas - held})
+			: planUnloads(options, busy, {model, surplus: held - replicas, held});
+		for (const order of orders) {
+			busy.add(order.engine);
+			planned.push(order);
 		}
 	}
 
 	return planned;
 }
 
-function nextOrder(options: Options, wanted: {model: string; replicas: number; bytes: number}): Planned | undefined {
-	const {model, replicas, bytes} = wanted;
-	const holders = options.engines.filter(engine => holds(engine, model));
-	if (holders.length < replicas) {
-		const engine = engineToLoad(options, model);
-		return engine && {engine, action: {type: 'load', model, bytes}};
+function planLoads(options: Options, busy: ReadonlySet<Engine>, wanted: {model: string; bytes: number; missing: number}): readonly Planned[] {
+	const {model, bytes, missing} = wanted;
+	const pools = poolsOf(options.engines, model, engine =>
+		!busy.has(engine) && !holds(engine, model) && (options.residency?.includes(engine.region) ?? true));
+	for (const {open} of pools) {
+		open.sort((a, b) => b.state.models.length - a.state.models.length || compare(b.state.targetId, a.state.targetId));
+	}
+
+	return take(pools, missing, 1).map(engine => ({engine, action: {type: 'load', model, bytes}}));
+}
+
+function planUnloads(options: Options, busy: ReadonlySet<Engine>, wanted: {model: string; surplus: number; held: number}): readonly Planned[] {
+	const {model, surplus, held} = wanted;
+	if (surplus === 0 || !options.complete) {
+		return [];
 	}
 
-	if (holders.length > replicas && options.complete) {
-		const engine = engineToUnload(options, holders, model);
-		return engine && {engine, action: {type: 'unload', model}};
+	const pools = poolsOf(options.engines, model, engine => !busy.has(engine) && holds(engine, model));
+	for (const {open} of pools) {
+		open.sort((a, b) => Number(b.state.used) - Number(a.state.used) || compare(b.state.targetId, a.state.targetId));
 	}
 
-	return undefined;
+	const taken = take(pools, surplus, -1);
+	const last = taken.length === held ? taken.at(-1) : undefined;
+	const kept = last && (options.routed.has(model) || last.state.used) ? last : undefined;
+	return taken.filter(engine => engine !== kept).map(engine => ({engine, action: {type: 'unload', model}}));
 }
 
-/** True if the engine has the model, or will have it once its order is carried out. */
-function holds(engine: Engine, model: string): boolean {
-	if (engine.pending?.model === model) {
-		return engine.pending.type === 'load';
+function poolsOf(engines: readonly Engine[], model: string, fits: (engine: Engine) => boolean): readonly RegionPool[] {
+	const regions = new Map<Region, Engine[]>();
+	for (const engine of engines) {
+		const members = regions.get(engine.region) ?? [];
+		members.push(engine);
+		regions.set(engine.region, members);
 	}
 
-	return engine.state.models.includes(model);
+	return [...regions.values()].map(members => ({
+		engines: members.length,
+		holders: members.filter(engine => holds(engine, model)).length,
+		open: members.filter(engine => fits(engine)),
+	}));
 }
 
-function engineToLoad(options: Options, model: string): Engine | undefined {
-	const open = options.engines.filter(engine =>
-		!engine.pending && !holds(engine, model) && (options.residency?.includes(engine.region) ?? true));
-	return open.sort((a, b) =>
-		share(options.engines, a.region, model) - share(options.engines, b.region, model)
-		|| a.state.models.length - b.state.models.length
-		|| compare(a.state.targetId, b.state.targetId))[0];
-}
+/** Takes engines one by one from the region whose share of holders, as they are taken, is the smallest (1) or largest (-1). */
+function take(pools: readonly RegionPool[], count: number, direction: 1 | -1): readonly Engine[] {
+	const taken: Engine[] = [];
+	while (taken.length < count) {
+		const open = pools.filter(pool => pool.open.length > 0);
+		const [first, ...rest] = open;
+		if (!first) {
+			break;
+		}
+
+		let best = first;
+		for (const pool of rest) {
+			best = direction * (shareOf(pool) - shareOf(best)) < 0 ? pool : best;
+		}
 
-function engineToUnload(options: Options, holders: readonly Engine[], model: string): Engine | undefined {
-	const last = holders.length === 1;
-	if (last && options.routed.has(model)) {
-		return undefined;
+		best.holders += direction;
+		taken.push(best.open.pop()!);
 	}
 
-	const open = holders.filter(engine => !engine.pending && !(last && engine.state.used));
-	return open.sort((a, b) =>
-		share(options.engines, b.region, model) - share(options.engines, a.region, model)
-		|| Number(a.state.used) - Number(b.state.used)
-		|| compare(a.state.targetId, b.state.targetId))[0];
+	return taken;
 }
 
-/** Share of a region's engines that hold the model. */
-function share(engines: readonly Engine[], region: Region, model: string): number {
-	const own = engines.filter(engine => engine.region === region);
-	return own.filter(engine => holds(engine, model)).length / own.length;
+function shareOf(pool: RegionPool): number {
+	return pool.holders / pool.engines;
+}
+
+/** True if the engine has the model, or will have it once its order is carried out. */
+function holds(engine: Engine, model: string): boolean {
+	if (engine.pending?.model === model) {
+		return engine.pending.type === 'load';
+	}
+
+	return engine.state.models.includes(model);
 }
 
 function compare(a: string, b: string): number {
