perf(attempts): skip the search for unfit targets on a first attempt

Cause: each choice looked at every target once more, although a first attempt of a request that is no suspect excludes none.

--- a/src/core/attempts/route-chooser.ts
+++ b/src/core/attempts/route-chooser.ts
@@ -7,6 +7,8 @@
 import type {RequestState} from './request-state.ts';
 import {routedRequest} from './routed-request.ts';
 
+const noTargets: ReadonlySet<TargetId> = new Set();
+
 /** Asks the router where a request goes, from what this node knows now. */
 export class RouteChooser {
 	readonly #parts: CoordinatorOptions;
@@ -74,6 +76,10 @@
 	}
 
 	#excluded(state: RequestState, targets: readonly TargetView[], alone: boolean, now: Millis): ReadonlySet<TargetId> {
+		if (!alone && !state.passedOn && state.triedTargets.size === 0) {
+			return noTargets;
+		}
+
 		const barred = alone ? this.#barred(targets, now) : new Set<TargetId>();
 		const unfit = targets.filter(view =>
 			isTried(state, view) || barred.has(view.targetId) || (state.passedOn && !view.announcement.resumes));
