--- /dev/null
+++ b/test/proofs/proofs.test.ts
@@ -0,0 +1,22 @@
+import test from 'ava';
+import {Limiter} from '../harness/limiter.ts';
+import {loadScenarios} from '../harness/load-scenarios.ts';
+import {runScenario} from '../harness/run-scenario.ts';
+
+/** Scenarios that run at once, each with about 15 processes. */
+const parallel = 3;
+/** Seeds of a mixed scenario within the tests; `npm run proofs` runs all of them. */
+const seedsInTests = 2;
+const maxMinutes = 14;
+
+const limiter = new Limiter(parallel);
+for (const scenario of loadScenarios()) {
+	for (let seed = 1; seed <= Math.min(scenario.seeds, seedsInTests); seed++) {
+		test(`${scenario.id}: ${scenario.title}, seed ${seed}`, async t => {
+			t.timeout(maxMinutes * 60_000);
+			const {problems, notes, summary} = await limiter.run(async () => runScenario(scenario, seed));
+			t.log([...notes, summary].join(' | '));
+			t.deepEqual(problems, []);
+		});
+	}
+}
