fix(attempts): a broken answer waits for a place no longer than silence may last

Tried and taken back: resuming at the engine that was tried, if it goes on announcing (two tests hold that a resume goes to another target; the poison guard counts on it). Now: silenceMs (20 s by default) bounds it; then the answer is refused as incomplete.

--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -17,9 +17,6 @@
 /** A place that passed bytes on within this time is not taken for lost, in milliseconds. */
 const livelyMs = 1000;
 
-/** Shortest time for which an answer that broke off waits for a place: its caller has part of it, in milliseconds. */
-const resumeWaitMs = 60_000;
-
 type RecoveryOptions = {
 	readonly parts: CoordinatorOptions;
 	readonly runner: AttemptRunner;
@@ -146,7 +143,8 @@
 
 	#again(state: RequestState, settings: RouteSettings, now: Millis): void {
 		if (state.passedOn) {
-			state.deadlineAt = now + Math.max(settings.deadlineMs, resumeWaitMs) as Millis;
+			// The caller has part of the answer: it waits for the rest as long as silence inside an answer may last.
+			state.deadlineAt = now + settings.silenceMs as Millis;
 			this.#parts.outbox.count('resumes');
 		}
 
