fix(consensus): bound what a leader takes ahead of commits; name folders that cannot be opened

A leader with a slow disk or slow members took commands without bound; now 10,000 uncommitted entries at most (the answer is no-quorum with a time to come back). A data folder that cannot be made or read is reported as folderFull with its path and a remedy; it was a bare system error.

--- a/src/core/consensus/consensus-limits.ts
+++ b/src/core/consensus/consensus-limits.ts
@@ -14,6 +14,8 @@
 	unacknowledged: 2048,
 	/** Characters of snapshot text in one message. */
 	chunkLength: 262_144,
+	/** Entries that are proposed and not committed yet; beyond them a leader takes no more. */
+	uncommitted: 10_000,
 	/** Entries by which a learner may lag when it is made a voter. */
 	learnerLag: 32,
 } as const;
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -119,7 +119,8 @@
 	}
 
 	propose(command: LogCommand, now: Millis): number | undefined {
-		if (!this.leads(now)) {
+		const uncommitted = this.#storage.log.lastIndex - this.#applied.commit;
+		if (!this.leads(now) || uncommitted >= this.#context.limits.uncommitted) {
 			return undefined;
 		}
 
@@ -174,7 +175,7 @@
 			snapshotIndex,
 			voters: configuration?.voters.map(voter => voter.nodeId) ?? [],
 			learners: learners.map(({member}) => member.nodeId),
-			...(this.#problem === undefined ? {} : {problem: this.#problem}),
+			problem: this.#problem,
 		};
 	}
 
--- a/src/server/journal/data-folder.ts
+++ b/src/server/journal/data-folder.ts
@@ -32,6 +32,24 @@
 	 * @throws FolderError if the folder is damaged or used by another process.
 	 */
 	static async open(folder: string): Promise<DataFolder> {
+		try {
+			return await DataFolder.#open(folder);
+		} catch (error) {
+			if (error instanceof FolderError) {
+				throw error;
+			}
+
+			throw new FolderError({
+				result: 'folderFull',
+				file: folder,
+				problem: (error as Error).message,
+				remedy: 'Check that the folder is on a disk with free space and belongs to the process',
+				cause: error,
+			});
+		}
+	}
+
+	static async #open(folder: string): Promise<DataFolder> {
 		await mkdir(folder, {recursive: true, mode: 0o700});
 		const lock = await FolderLock.take(path.join(folder, 'lock'));
 		try {
--- a/test/core/consensus/raft-member.test.ts
+++ b/test/core/consensus/raft-member.test.ts
@@ -184,6 +184,20 @@
 	}
 });
 
+test('a leader takes only so many commands ahead of their commit', t => {
+	const cluster = startCluster({limits: {uncommitted: 5}});
+	const leader = cluster.leader()!;
+	const indexes: Array<number | undefined> = [];
+	cluster.act(leader, (process, now) => {
+		for (let number = 1; number <= 8; number++) {
+			indexes.push(process.member!.propose({type: 'change', change: makeChange({number})}, now));
+		}
+	});
+	t.deepEqual(indexes.map(index => index === undefined), [false, false, false, false, false, true, true, true]);
+	t.true(cluster.runUntil(() => cluster.process(leader).state.tree.revision === 5));
+	t.true(acceptChange(cluster, 6));
+});
+
 test('slow disks cost time, not the leader', t => {
 	const cluster = startCluster({syncMs: [500, 900]});
 	acceptChange(cluster, 1);
--- a/test/server/journal/journal.test.ts
+++ b/test/server/journal/journal.test.ts
@@ -148,6 +148,10 @@
 	const third = await DataFolder.open(folder);
 	await third.close();
 
+	const file = path.join(folder, 'identity');
+	const error = await t.throwsAsync(DataFolder.open(path.join(file, 'below-a-file')), {instanceOf: FolderError});
+	t.is(error.result, 'folderFull');
+
 	await rm(path.join(folder, 'consensus.journal'));
 	await t.throwsAsync(DataFolder.open(folder), {instanceOf: FolderError, message: /journal is missing/});
 	await writeFile(path.join(folder, 'consensus.journal'), '');
