--- a/bench/state-tree-size.ts
+++ b/bench/state-tree-size.ts
@@ -13,6 +13,7 @@
 const sizes = [1000, 10_000, 45_000];
 const operationsInChange = 1000;
 const measuredChanges = 300;
+const manyChanges = 10_000;
 const megabyte = 1_048_576;
 const route = {
 	firm: 'prairie', deployment: 'prod', service: 'proofer', route: 'draft',
@@ -22,7 +23,22 @@
 export function measureTreeSize(): StateRow[] {
 	setFlagsFromString('--expose-gc');
 	const collect = runInNewContext('gc') as () => void;
-	return sizes.map(size => measure(size, collect));
+	return [...sizes.map(size => measure(size, collect)), measureMemory(collect)];
+}
+
+/** Heap of the remembered outcomes and the history, which are bounded, after more changes than either holds. */
+function measureMemory(collect: () => void): StateRow {
+	collect();
+	const before = process.memoryUsage().heapUsed;
+	const state = new SystemState();
+	for (let number = 1; number <= manyChanges; number++) {
+		const text = JSON.stringify(stateChange(number));
+		state.apply(number, {type: 'change', change: JSON.parse(text) as ReturnType<typeof stateChange>});
+	}
+
+	collect();
+	const heapMb = (process.memoryUsage().heapUsed - before) / megabyte;
+	return {measure: `tree after ${state.tree.revision} changes`, organisations: 0, heapMb};
 }
 
 function measure(organisations: number, collect: () => void): StateRow {
