--- /dev/null
+++ b/bench/create-policy-targets.ts
@@ -0,0 +1,34 @@
+import type {TargetId} from '../src/core/ids/target-id.ts';
+import {toId} from '../src/core/ids/to-id.ts';
+import type {PolicyClock} from './policy-clock.ts';
+import type {PolicyDeployment} from './policy-deployment.ts';
+import {PolicyEngine} from './policy-engine.ts';
+import type {PolicyTarget} from './policy-target.ts';
+
+/** Requests that an engine and a plain service work on at once. */
+const slots = {engines: 16, desk: 8} as const;
+
+/** Creates the engines and plain services of all regions of a deployment. */
+export function createPolicyTargets(deployment: PolicyDeployment, clock: PolicyClock): PolicyTarget[] {
+	const computed = new Set<string>();
+	return deployment.regions.flatMap((region, index) => {
+		const create = (service: PolicyTarget['service'], tokenMs: number, nth: number): PolicyTarget => ({
+			targetId: toId<TargetId>(`${region.name}-${service === 'engines' ? 'engine' : 'desk'}-${nth}`),
+			region: index,
+			service,
+			engine: new PolicyEngine({
+				tokenMs,
+				capacity: slots[service],
+				schedule(delayMs, run) {
+					clock.after(delayMs, run);
+				},
+				computed,
+			}),
+			sequence: 0,
+		});
+		return [
+			...region.engines.map((tokenMs, nth) => create('engines', tokenMs, nth)),
+			...region.services.map((callMs, nth) => create('desk', callMs, nth)),
+		];
+	});
+}
--- a/bench/policy-run.ts
+++ b/bench/policy-run.ts
@@ -7,13 +7,16 @@
 import type {RegionView} from '../src/core/membership/region-view.ts';
 import type {RoutingStep} from '../src/core/routing/routing-step.ts';
 import {routeSettingsFixture} from '../test/fixtures/route-settings-fixture.ts';
+import {createPolicyTargets} from './create-policy-targets.ts';
+import {disturbPolicyTargets} from './disturb-policy-targets.ts';
 import {PolicyClock} from './policy-clock.ts';
 import type {PolicyDeployment} from './policy-deployment.ts';
-import {PolicyEngine} from './policy-engine.ts';
+import type {PolicyEngine} from './policy-engine.ts';
 import {PolicyEntry} from './policy-entry.ts';
 import type {PolicyLoad} from './policy-load.ts';
 import type {PolicyRecord} from './policy-record.ts';
 import type {PolicyScenario} from './policy-scenario.ts';
+import type {PolicyTarget} from './policy-target.ts';
 
 /** Lateness of the load figures and cache events in announcements, in milliseconds. */
 const reportLagMs = 2000;
@@ -25,34 +28,21 @@
 /** One way between an entry and a target or another entry of its region, in milliseconds. */
 const hopMs = 1;
 
-/** Requests that an engine and a plain service work on at once. */
-const engineSlots = 16;
-const serviceSlots = 8;
-
 /** Time after the last arrival in which what is in flight may end. */
 const drainMs = 90_000;
 
-type RunTarget = {
-	readonly targetId: TargetId;
-	readonly region: number;
-	readonly service: 'engines' | 'desk';
-	readonly callMs: number;
-	readonly engine: PolicyEngine;
-	sequence: number;
-};
-
 /** One run: both kinds of targets, the entries, the links between them and one load. */
 export class PolicyRun {
 	readonly records: PolicyRecord[] = [];
 	readonly #clock = new PolicyClock();
 	readonly #deployment: PolicyDeployment;
-	readonly #targets: RunTarget[];
+	readonly #targets: PolicyTarget[];
 	readonly #entries: PolicyEntry[];
 	#sums: RegionView[] = [];
 
 	constructor(options: {deployment: PolicyDeployment; seed: number; steps: (seed: number) => readonly RoutingStep[] | undefined}) {
 		this.#deployment = options.deployment;
-		this.#targets = this.#createTargets();
+		this.#targets = createPolicyTargets(options.deployment, this.#clock);
 		this.#entries = this.#createEntries(options.seed, options.steps);
 	}
 
@@ -75,7 +65,7 @@
 		this.#every(sumsEveryMs, () => {
 			this.#sums = this.#deployment.regions.map((region, index) => this.#sum(region.name, index));
 		});
-		this.#disturb(scenario, durationMs);
+		disturbPolicyTargets(this.#targets, {scenario, durationMs, clock: this.#clock});
 		for (const item of items) {
 			this.#clock.after(item.at, () => {
 				this.#arrive(item);
@@ -146,7 +136,7 @@
 	}
 
 	/** An announcement whose figures are two seconds old; a target that is down sends none. */
-	#announce(target: RunTarget): void {
+	#announce(target: PolicyTarget): void {
 		const {engine} = target;
 		if (!engine.up) {
 			return;
@@ -202,73 +192,6 @@
 		};
 	}
 
-	#disturb(scenario: PolicyScenario, durationMs: number): void {
-		const first = this.#targets.filter(({region, service}) => region === 0 && service === 'engines');
-		switch (scenario.name) {
-			case 'slow-engine': {
-				this.#clock.after(durationMs / 4, () => {
-					first[0]!.engine.slowness = 10;
-				});
-				break;
-			}
-
-			case 'half-region': {
-				for (const {engine} of first) {
-					engine.capacity /= 2;
-				}
-
-				break;
-			}
-
-			case 'returning-region': {
-				for (const {engine} of first) {
-					this.#clock.after(durationMs / 3, () => {
-						engine.crash();
-					});
-					this.#clock.after(durationMs / 2, () => {
-						engine.up = true;
-					});
-				}
-
-				break;
-			}
-
-			case 'steady': {
-				break;
-			}
-		}
-	}
-
-	#createTargets(): RunTarget[] {
-		const computed = new Set<string>();
-		const schedule = (delayMs: number, run: () => void): void => {
-			this.#clock.after(delayMs, run);
-		};
-
-		return this.#deployment.regions.flatMap((region, index) => [
-			...region.engines.map((tokenMs, nth) => ({
-				targetId: toId<TargetId>(`${region.name}-engine-${nth}`),
-				region: index,
-				service: 'engines' as const,
-				callMs: 0,
-				engine: new PolicyEngine({
-					tokenMs, capacity: engineSlots, schedule, computed,
-				}),
-				sequence: 0,
-			})),
-			...region.services.map((callMs, nth) => ({
-				targetId: toId<TargetId>(`${region.name}-desk-${nth}`),
-				region: index,
-				service: 'desk' as const,
-				callMs,
-				engine: new PolicyEngine({
-					tokenMs: callMs, capacity: serviceSlots, schedule, computed,
-				}),
-				sequence: 0,
-			})),
-		]);
-	}
-
 	#createEntries(seed: number, steps: (seed: number) => readonly RoutingStep[] | undefined): PolicyEntry[] {
 		const world = {
 			now: () => this.#now(),
