--- a/src/core/routing/predict-work.ts
+++ b/src/core/routing/predict-work.ts
@@ -38,7 +38,7 @@
 	const slowdown = 1 + (fullBatchSlowdown * Math.min(1, (load + 1) / capacity));
 	const tokenMs = (target.tokenMs ?? announcedTokenMs(target) ?? typical.tokenMs) * slowdown;
 	const prefillMs = (req.promptTokens - cachedTokens) * promptTokenMs(target, tokenMs);
-	const meanTokens = target.inFlight > 0 ? target.inFlightTokens / target.inFlight : req.outputTokens;
+	const meanTokens = target.meanTokens ?? req.outputTokens;
 	const taskMs = prefillMs + (meanTokens * tokenMs);
 	const startMs = waitMs(target, taskMs, options) + prefillMs + (target.startMs ?? tokenMs);
 	const wholeMs = startMs + (req.outputTokens * tokenMs);
--- a/src/core/targets/in-flight-log.ts
+++ b/src/core/targets/in-flight-log.ts
@@ -3,6 +3,9 @@
 /** How far back starts and ends are remembered, in milliseconds; load reports older than this are not corrected. */
 const historyMs = 6000;
 
+/** Weight of the newest request in the mean of the output tokens. */
+const smoothing = 0.05;
+
 /** Own requests in flight at one target, with enough history to tell how many there were when a late report was true. */
 export class InFlightLog {
 	#inFlight = 0;
@@ -10,6 +13,7 @@
 	#starts: Millis[] = [];
 	#ends: Millis[] = [];
 	#quietSince = 0 as Millis;
+	#meanTokens: number | undefined;
 
 	/** Own requests in flight now. */
 	get inFlight(): number {
@@ -21,6 +25,11 @@
 		return this.#tokens;
 	}
 
+	/** Smoothed output tokens of the requests started; long requests do not weigh more than short ones. */
+	get meanTokens(): number | undefined {
+		return this.#meanTokens;
+	}
+
 	/** Since when no request has ended though some were in flight. */
 	get quietSince(): Millis {
 		return this.#quietSince;
@@ -31,6 +40,9 @@
 			this.#quietSince = now;
 		}
 
+		this.#meanTokens = this.#meanTokens === undefined
+			? outputTokens
+			: this.#meanTokens + (smoothing * (outputTokens - this.#meanTokens));
 		this.#inFlight += 1;
 		this.#tokens += outputTokens;
 		this.#starts = append(this.#starts, now);
--- a/src/core/targets/target-record.ts
+++ b/src/core/targets/target-record.ts
@@ -57,6 +57,10 @@
 		return this.log.tokens;
 	}
 
+	get meanTokens(): number | undefined {
+		return this.log.meanTokens;
+	}
+
 	get sentSinceReport(): number {
 		return this.log.startedSince(this.loadAt);
 	}
--- a/src/core/targets/target-view.ts
+++ b/src/core/targets/target-view.ts
@@ -12,6 +12,8 @@
 	readonly inFlight: number;
 	/** Predicted output tokens of those that are not yet produced. */
 	readonly inFlightTokens: number;
+	/** Smoothed output tokens of the requests that this node sent there; undefined before the first one. */
+	readonly meanTokens?: number;
 	/** Requests that this node sent there since `loadAt`. */
 	readonly sentSinceReport: number;
 	/** Requests of other callers and entries there: the reported load less this node's own part of it. */
