refactor(routing): keep the slowdown of a full batch in one place; test the shares of priorities

Cause: one constant stood three times; the wait factors had no test of their own.

Seen: all tests of targets, routing and admission pass; behaviour is unchanged.

--- a/src/core/routing/predict-away.ts
+++ b/src/core/routing/predict-away.ts
@@ -1,14 +1,12 @@
 import type {RegionView} from '../membership/region-view.ts';
 import type {RequestInfo} from '../settings/request-info.ts';
+import {fullBatchSlowdown} from '../targets/full-batch-slowdown.ts';
 import {promptTokenShare} from '../targets/prompt-token-share.ts';
 import type {ServiceSummary} from '../targets/service-summary.ts';
 
-/** Share of the region's other entries' forwards that are taken to be like this node's own. */
+/** Forwards of the whole region that are assumed for each one of this node, since the sums were made. */
 const likeOthers = 2;
 
-/** How much longer a token takes in a full batch than alone, as a share of the time alone. */
-const fullBatchSlowdown = 1;
-
 /** Predicted times of a request in another region, from its sums; no cached prompt is assumed. */
 export function predictAway(view: RegionView, summary: ServiceSummary, options: {
 	req: RequestInfo;
--- a/src/core/routing/predict-work.ts
+++ b/src/core/routing/predict-work.ts
@@ -1,11 +1,9 @@
 import type {RequestInfo} from '../settings/request-info.ts';
+import {fullBatchSlowdown} from '../targets/full-batch-slowdown.ts';
 import {promptTokenShare} from '../targets/prompt-token-share.ts';
 import type {TargetView} from '../targets/target-view.ts';
 import type {TypicalSpeed} from './typical-speed.ts';
 
-/** How much longer a token takes in a full batch than alone, as a share of the time alone. */
-const fullBatchSlowdown = 1;
-
 /** Predicted times of one request at one target, in milliseconds. */
 type PredictedWork = {
 	readonly firstByteMs: number;
--- a/src/core/routing/priority-mix.ts
+++ b/src/core/routing/priority-mix.ts
@@ -4,7 +4,7 @@
 /** Weight of the newest request in the shares. */
 const smoothing = 0.005;
 
-/** Longest factor: beyond it the wait is as good as endless. */
+/** Largest factor by which a wait is taken to be longer than the mean. */
 const largestFactor = 8;
 
 /** Learns how requests are spread over the priorities, and how much longer or shorter than the mean each one waits. */
--- a/src/core/targets/learnt-speed.ts
+++ b/src/core/targets/learnt-speed.ts
@@ -1,12 +1,10 @@
 import type {AttemptOutcome} from './attempt-outcome.ts';
+import {fullBatchSlowdown} from './full-batch-slowdown.ts';
 import {promptTokenShare} from './prompt-token-share.ts';
 
 /** Weight of the newest answer in a smoothed average. */
 const smoothing = 0.15;
 
-/** How much longer a token takes in a full batch than alone, as a share of the time alone. */
-const fullBatchSlowdown = 1;
-
 /** Weight of the newest time to the first byte. */
 const startSmoothing = 0.05;
 
--- /dev/null
+++ b/test/core/routing/priority-mix.test.ts
@@ -0,0 +1,27 @@
+import test from 'ava';
+import {PriorityMix} from '../../../src/core/routing/priority-mix.ts';
+
+function mixOf(priorities: readonly number[]): PriorityMix {
+	const mix = new PriorityMix();
+	for (let round = 0; round < 500; round++) {
+		for (const priority of priorities) {
+			mix.observe(priority);
+		}
+	}
+
+	return mix;
+}
+
+test('a worse priority waits longer, within a bound; the best one hardly waits', t => {
+	const mix = mixOf([2, 5, 5, 5, 8]);
+	const factors = [0, 2, 5, 8, 9].map(priority => mix.waitFactor(priority));
+	t.deepEqual(factors, factors.toSorted((a, b) => a - b));
+	t.true(factors[1]! < 0.3);
+	t.true(factors[3]! > 4);
+	t.true(factors[4]! <= 8);
+});
+
+test('with one priority only the wait is the mean one', t => {
+	const factor = mixOf([5]).waitFactor(5);
+	t.true(factor > 0.99 && factor < 1.01);
+});
