--- a/test/harness/check-scenario.ts
+++ b/test/harness/check-scenario.ts
@@ -23,6 +23,7 @@
 		...atLeast('crashes', crashes, checks.minCrashes ?? 0),
 		...atMost('crashes', crashes, checks.maxCrashes ?? Number.POSITIVE_INFINITY),
 		...(checks.leftAfterMs === undefined ? [] : afterLeaving(state, checks.leftAfterMs)),
+		...(checks.maxHops === undefined ? [] : atMost('forwards for one sending', await hops(state), checks.maxHops)),
 		...(checks.agreeMs === undefined ? [] : await disagreement(state, checks.agreeMs)),
 	];
 }
@@ -90,6 +91,13 @@
 	return recordsOf(state, load).filter(({outcome, detail}) => outcome === 'broken' && !detail?.includes('ECONNREFUSED')).length;
 }
 
+/** Forwards between regions by all entries' own counters, for each sending of a caller. */
+async function hops({launcher, records}: RunState): Promise<number> {
+	const pages = await Promise.all(launcher.spec.nodes.map(async ({node}) => String(await launcher.get(node, '/metrics'))));
+	const counts = pages.map(page => Number(page.split('\n').find(line => line.startsWith('lovageferry_attempts_total{reason="peer"}'))?.split(' ').at(-1) ?? 0));
+	return counts.reduce((sum, count) => sum + count, 0) / records.length;
+}
+
 /** Waits until every node shows the same tree; returns who does not. */
 async function disagreement({launcher}: RunState, limitMs: number): Promise<string[]> {
 	const end = Date.now() + limitMs;
--- a/test/harness/scenario-schema.ts
+++ b/test/harness/scenario-schema.ts
@@ -28,6 +28,8 @@
 	minNotRun: z.record(z.string(), z.number().int()).default({}),
 	/** Resumed attempts that must have been seen. */
 	minResumed: z.number().int().default(0),
+	/** Most forwards between regions for one sending, on average over all loads. */
+	maxHops: z.number().optional(),
 	/** At the end every node must hold the same settings within the time. */
 	agreeMs: milliseconds.optional(),
 }).prefault({});
