--- a/src/core/consensus/replicator.ts
+++ b/src/core/consensus/replicator.ts
@@ -17,8 +17,6 @@
 
 /** A leader's work for one term: brings the other members up to date and counts what a majority holds. */
 export class Replicator {
-	/** Highest index synced on the leader's own disk. */
-	selfMatch = 0;
 	readonly #context: MemberContext;
 	readonly #snapshots: SnapshotSender;
 	readonly #peers = new Map<string, PeerProgress>();
@@ -47,8 +45,9 @@
 		this.#sendTo(peer, now, true);
 	}
 
-	/** Sends new entries, as far as members answer. */
-	replicate(now: Millis): void {
+	/** Sends new entries and news of commits, as far as members answer. */
+	replicate(commit: number, now: Millis): void {
+		this.#commit = commit;
 		for (const peer of this.#peers.values()) {
 			this.#sendTo(peer, now, false);
 		}
@@ -79,7 +78,6 @@
 		if (!peer.probing || answer.previousIndex === peer.next - 1) {
 			peer.next = Math.max(peer.match + 1, Math.min(answer.index + 1, answer.previousIndex));
 			peer.probing = true;
-			peer.unanswered = 0;
 			this.#sendTo(peer, now, true);
 		}
 	}
@@ -97,7 +95,7 @@
 
 	/** The highest index that a majority of voters has synced. */
 	majorityMatch(): number {
-		return majorityValue(this.#voterValues(peer => peer.match, this.selfMatch));
+		return majorityValue(this.#voterValues(peer => peer.match, this.#context.storage.syncedIndex));
 	}
 
 	/** The newest time at which a majority of voters still took this member for their leader. */
@@ -130,8 +128,8 @@
 			member,
 			match: 0,
 			next: this.#context.storage.log.lastIndex + 1,
+			commitSent: 0,
 			probing: true,
-			unanswered: 0,
 			ackedAt: Number.NEGATIVE_INFINITY,
 			heardAt: now,
 			sentAt: Number.NEGATIVE_INFINITY,
@@ -156,8 +154,7 @@
 	}
 
 	#tickPeer(peer: PeerProgress, now: Millis): void {
-		if (peer.unanswered > 0 && now - peer.ackedAt > consensusTiming.resendMs) {
-			peer.unanswered = 0;
+		if (peer.next - 1 > peer.match && now - peer.heardAt > consensusTiming.resendMs) {
 			peer.next = peer.match + 1;
 			peer.probing = true;
 		}
@@ -181,7 +178,6 @@
 		peer.match = Math.max(peer.match, index);
 		peer.next = Math.max(peer.next, peer.match + 1);
 		peer.probing = false;
-		peer.unanswered = Math.max(0, peer.unanswered - 1);
 		peer.transfer = undefined;
 		this.#sendTo(peer, now, false);
 	}
@@ -197,9 +193,11 @@
 			return;
 		}
 
-		const room = peer.probing ? force : peer.unanswered < this.#context.limits.unanswered;
+		const room = peer.probing ? force : peer.next - 1 - peer.match < this.#context.limits.unacknowledged;
 		const entries = room ? this.#nextEntries(peer.next) : [];
-		if (entries.length > 0 || force) {
+		// A member that holds all entries is told at once that they are committed.
+		const commitNews = !peer.probing && peer.match === peer.next - 1 && peer.commitSent < this.#commit;
+		if (entries.length > 0 || commitNews || force) {
 			this.#append(peer, entries, now);
 		}
 	}
@@ -217,8 +215,8 @@
 			sentAt: now,
 		}, peer.member.storageId);
 		peer.sentAt = now;
+		peer.commitSent = this.#commit;
 		if (!peer.probing && entries.length > 0) {
-			peer.unanswered += 1;
 			peer.next += entries.length;
 		}
 	}
--- a/src/core/routing/score-step.ts
+++ b/src/core/routing/score-step.ts
@@ -1,8 +1,8 @@
 import type {Random} from '../common/random.ts';
 import {affineTarget} from './affine-target.ts';
-import {delayWeight} from './delay-weight.ts';
 import type {Candidate} from './candidate.ts';
 import {learnTypicalSpeed} from './learn-typical-speed.ts';
+import {objective} from './objective.ts';
 import {predictWork} from './predict-work.ts';
 import {PriorityMix} from './priority-mix.ts';
 import type {RoutingContext} from './routing-context.ts';
@@ -11,6 +11,9 @@
 /** Share of the prompt that the affine target is taken to have cached though nothing is known of it. */
 const affinityCredit = 0.4;
 
+/** Age up to which a request counts as new; those that wait are chosen for again and again. */
+const newcomerMs = 10;
+
 /** Scores that differ by less than this share are a tie, decided by chance. */
 const tieShare = 0.02;
 
@@ -26,7 +29,10 @@
 	run(context: RoutingContext): undefined {
 		const {candidates, query} = context;
 		const {req} = query;
-		this.#mix.observe(req.priority);
+		if (query.now - req.arrivedAt < newcomerMs) {
+			this.#mix.observe(req.priority);
+		}
+
 		const waitFactor = this.#mix.waitFactor(req.priority);
 		const typical = learnTypicalSpeed(candidates);
 		const affine = affineTarget(candidates, req.prefixBlocks, typical);
@@ -40,7 +46,7 @@
 			});
 			candidate.firstByteMs = firstByteMs;
 			candidate.wholeMs = wholeMs;
-			candidate.score = wholeMs + (delayMs * delayWeight);
+			candidate.score = objective({firstByteMs, wholeMs, delayMs});
 		}
 
 		const inTime = candidates.filter(({firstByteMs}) => query.now + firstByteMs <= req.deadlineAt);
