feat(server): engines are always asked for a stream; a caller's single piece is put together here

Ruled out: a shorter time-out (a long draft may take minutes); TCP keep-alive alone (a middle box answers for the dead host). Now silence is bounded by silenceMs for every completion, and broken ones go on from the text already there. A forwarded request carries the digest of what the caller sent, signed, so that a suspect stays the same suspect.

--- a/src/server/attempt-answer.ts
+++ b/src/server/attempt-answer.ts
@@ -96,7 +96,10 @@
 		let ended = false;
 		for (const {raw: text, event} of events) {
 			if (event.type === 'end') {
-				this.#keep(Buffer.from(text));
+				if (this.#request.info.streamed) {
+					this.#keep(Buffer.from(text));
+				}
+
 				ended = true;
 				break;
 			}
@@ -107,15 +110,27 @@
 			}
 
 			raw += text;
-			if (event.type === 'token') {
-				this.#noteToken(event.text);
-			}
+			this.#note(event);
 		}
 
 		await this.#passText(raw, head);
 		if (ended) {
+			this.#endStream(head);
+		}
+	}
+
+	/** The end marker came: a caller that wants the answer in one piece gets it put together. */
+	#endStream(head: AnswerHead): void {
+		if (this.#request.info.streamed) {
 			this.#end(head);
+			return;
 		}
+
+		const whole = {status: head.status, contentType: 'application/json'};
+		const body = Buffer.from(this.#request.assembler.toJson());
+		this.#keep(body);
+		this.#request.hold(this.#action.attemptId, whole, body);
+		this.#end(whole);
 	}
 
 	#end(head: AnswerHead): void {
@@ -134,9 +149,13 @@
 			return;
 		}
 
-		this.#keep(Buffer.from(raw));
 		this.passedOn = true;
 		this.#progress();
+		if (!this.#request.info.streamed) {
+			return;
+		}
+
+		this.#keep(Buffer.from(raw));
 		await this.#request.pass(this.#action.attemptId, head, raw);
 	}
 
@@ -167,11 +186,22 @@
 		this.#progress();
 	}
 
-	#noteToken(text: string): void {
-		this.tokens += 1;
-		if (this.#request.owns(this.#action.attemptId)) {
+	#note(event: ReturnType<SseReader['push']>[number]['event']): void {
+		if (event.type === 'token') {
+			this.tokens += 1;
+		}
+
+		if (!this.#request.owns(this.#action.attemptId)) {
+			return;
+		}
+
+		if (event.type === 'token') {
 			this.#request.passedTokens += 1;
-			this.#request.passedText += text;
+			this.#request.passedText += event.text;
+		}
+
+		if (!this.#request.info.streamed && 'data' in event && event.data !== undefined) {
+			this.#request.assembler.add(event.data);
 		}
 	}
 
--- a/src/server/attempt-runner.ts
+++ b/src/server/attempt-runner.ts
@@ -35,6 +35,10 @@
 	/** Starts an attempt; its progress and end come back as events. */
 	start(action: StartAttempt, request: CallerRequest): void {
 		request.bind(action.attemptId);
+		if (!action.resume) {
+			request.restart();
+		}
+
 		void this.#run(action, request);
 	}
 
--- a/src/server/caller-request.ts
+++ b/src/server/caller-request.ts
@@ -3,6 +3,7 @@
 import type {AttemptId} from '../core/ids/attempt-id.ts';
 import type {KeptAnswer} from '../core/ledger/kept-answer.ts';
 import type {RequestInfo} from '../core/settings/request-info.ts';
+import {CompletionAssembler} from './completion-assembler.ts';
 import type {Problem} from './problem-document.ts';
 import {sendProblem} from './send-problem.ts';
 
@@ -16,10 +17,12 @@
 	/** Path and query at the target. */
 	readonly targetPath: string;
 	readonly headers: IncomingMessage['headers'];
-	/** Text of a streamed answer that was passed on so far, over all attempts. */
+	/** Text of an answer that was passed on, or put together, so far, over all attempts. */
 	passedText = '';
-	/** Tokens of a streamed answer that were passed on so far, over all attempts. */
+	/** Tokens of that text. */
 	passedTokens = 0;
+	/** The answer so far, where the caller wants it in one piece. */
+	assembler = new CompletionAssembler();
 	readonly #res: ServerResponse;
 	#owner: AttemptId | undefined;
 	#held: {head: AnswerHead; body: Buffer} | undefined;
@@ -57,6 +60,13 @@
 		this.#held = undefined;
 	}
 
+	/** Forgets what earlier attempts put together: the next one starts from the beginning. */
+	restart(): void {
+		this.passedText = '';
+		this.passedTokens = 0;
+		this.assembler = new CompletionAssembler();
+	}
+
 	owns(attemptId: AttemptId): boolean {
 		return this.#owner === attemptId;
 	}
--- a/src/server/outgoing-request.ts
+++ b/src/server/outgoing-request.ts
@@ -21,7 +21,8 @@
 	copyHeaders(request, passedHeaders, headers);
 	if (action.forwardTo) {
 		copyHeaders(request, forwardedHeaders, headers);
-		const claim = `${options.self.nodeId};${options.self.region};${action.revision};${action.claimed ? 'claimed' : 'free'}`;
+		const {fingerprint} = request.info;
+		const claim = [options.self.nodeId, options.self.region, action.revision, action.claimed ? 'claimed' : 'free', fingerprint].join(';');
 		headers['lovageferry-forwarded-by'] = claim;
 		headers['lovageferry-forward-token'] = options.token.sign(claim);
 		headers['lovageferry-deadline-ms'] = String(Math.max(1, Math.round(action.firstByteMs)));
@@ -30,7 +31,7 @@
 	const path = action.forwardTo && request.info.kind === 'call'
 		? `/s/${request.info.path.service}${request.targetPath}`
 		: request.targetPath;
-	return {path, headers, body: action.resume ? resumeBody(request) : request.body};
+	return {path, headers, body: outgoingBody(action, request)};
 }
 
 function copyHeaders(request: CallerRequest, names: readonly string[], into: Record<string, string>): void {
@@ -42,11 +43,23 @@
 	}
 }
 
+/** Engines are always asked for a stream: its pauses tell a silent engine from a slow one. */
+function outgoingBody(action: StartAttempt, request: CallerRequest): Uint8Array {
+	if (action.resume) {
+		return resumeBody(request);
+	}
+
+	return request.info.kind === 'completion' && !request.info.streamed
+		? Buffer.from(JSON.stringify({...JSON.parse(request.body.toString('utf8')) as Record<string, unknown>, stream: true}))
+		: request.body;
+}
+
 /** Asks an engine to go on from the text that the caller has already. */
 function resumeBody(request: CallerRequest): Uint8Array {
 	const body = JSON.parse(request.body.toString('utf8')) as {messages: unknown[]; max_tokens?: number};
 	return Buffer.from(JSON.stringify({
 		...body,
+		stream: true,
 		messages: [...body.messages, {role: 'assistant', content: request.passedText}],
 		continue_final_message: true,
 		add_generation_prompt: false,
--- a/src/server/request-reader.ts
+++ b/src/server/request-reader.ts
@@ -1,6 +1,8 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Millis} from '../core/ids/millis.ts';
+import type {NodeId} from '../core/ids/node-id.ts';
+import type {Region} from '../core/ids/region.ts';
 import {toId} from '../core/ids/to-id.ts';
 import type {RequestInfo} from '../core/settings/request-info.ts';
 import type {RoutePath} from '../core/settings/route-path.ts';
@@ -21,6 +23,8 @@
 type Caller = {readonly path: string; readonly key: CallerKey};
 
 const idempotencyKeyMaxLength = 256;
+/** Hexadecimal digits of a content digest. */
+const fingerprintLength = 32;
 
 type RequestReaderOptions = {
 	readonly self: {readonly nodeId: string; readonly region: string};
@@ -40,6 +44,7 @@
 	/** @throws RequestError with the refusal to give. */
 	async read(req: IncomingMessage, res: ServerResponse, call: {service?: string; targetPath: string}): Promise<CallerRequest> {
 		const arrivedAt = this.#options.now();
+		const forwarded = this.#forwarded(req);
 		const caller = this.#caller(req);
 		const path = this.#routePath(req, caller, call.service);
 		const settings = this.#options.tree().route(path);
@@ -65,13 +70,13 @@
 			prefixBlocks: prefixBlocks(prompt),
 			prefixBlockTokens: constants.prefixBlockCharacters / constants.charactersPerToken,
 			outputTokens: Math.min(chat?.maxTokens ?? Number.POSITIVE_INFINITY, settings.expectedOutputTokens),
-			fingerprint: sha256(`${req.method} ${call.targetPath} ${path.firm}/${path.deployment}/${path.service}/${path.route} ${caller.key.organisation}\n`, body).slice(0, 32),
+			fingerprint: forwarded?.fingerprint ?? fingerprintOf(req, call.targetPath, {path, organisation: caller.key.organisation}, body),
 			idempotencyKey: idempotencyKey(req),
 			priority: priority(req, settings.priority),
 			arrivedAt,
 			deadlineAt: arrivedAt + this.#deadlineMs(req, settings) as Millis,
 			bodyBytes: body.length,
-			forwardedBy: this.#forwardedBy(req),
+			forwardedBy: forwarded?.by,
 		};
 		return new CallerRequest({
 			info, body, method: req.method ?? 'GET', targetPath: call.targetPath, headers: req.headers, res,
@@ -123,7 +128,8 @@
 		return Number.isFinite(wanted) && wanted > 0 ? Math.min(wanted, settings.deadlineMs) : settings.deadlineMs;
 	}
 
-	#forwardedBy(req: IncomingMessage): RequestInfo['forwardedBy'] {
+	/** Who forwards the request, and the digest of its content as the caller sent it. */
+	#forwarded(req: IncomingMessage): {by: NonNullable<RequestInfo['forwardedBy']>; fingerprint: string} | undefined {
 		const claim = header(req, 'lovageferry-forwarded-by');
 		if (claim === undefined) {
 			return undefined;
@@ -133,16 +139,24 @@
 			throw new RequestError({result: 'unauthenticated', ran: 'no'});
 		}
 
-		const [nodeId = '', region = '', revision = '0', claimed] = claim.split(';');
-		return {
-			nodeId: toId(nodeId),
-			region: toId(region),
+		const [nodeId = '', region = '', revision = '0', claimed, fingerprint = ''] = claim.split(';');
+		const by = {
+			nodeId: toId<NodeId>(nodeId),
+			region: toId<Region>(region),
 			revision: Number(revision),
 			claimed: claimed === 'claimed',
 		};
+		return {by, fingerprint};
 	}
 }
 
+/** Digest of the content: two requests of an organisation with the same one are the same request. */
+function fingerprintOf(req: IncomingMessage, targetPath: string, scope: {path: RoutePath; organisation: string}, body: Uint8Array): string {
+	const {firm, deployment, service, route} = scope.path;
+	const head = `${req.method} ${targetPath} ${firm}/${deployment}/${service}/${route} ${scope.organisation}\n`;
+	return sha256(head, body).slice(0, fingerprintLength);
+}
+
 async function takeBody(req: IncomingMessage, maxBytes: number) {
 	try {
 		return await readBody(req, maxBytes);
--- a/src/server/sse-reader.ts
+++ b/src/server/sse-reader.ts
@@ -3,9 +3,9 @@
 /** One event of a stream of server-sent events, as far as the gateway looks into it. */
 type SseEvent =
 	| {readonly type: 'end'}
-	| {readonly type: 'token'; readonly text: string}
+	| {readonly type: 'token'; readonly text: string; readonly data: string}
 	| {readonly type: 'error'; readonly error: unknown}
-	| {readonly type: 'other'};
+	| {readonly type: 'other'; readonly data?: string};
 
 /**
  * Splits an answer stream of an engine into events across chunk borders.
@@ -51,7 +51,7 @@
 			}
 
 			const content = chunk.choices?.[0]?.delta?.content;
-			return typeof content === 'string' && content !== '' ? {type: 'token', text: content} : {type: 'other'};
+			return typeof content === 'string' && content !== '' ? {type: 'token', text: content, data} : {type: 'other', data};
 		} catch {
 			return {type: 'other'};
 		}
