--- a/bench/state-tree-size.ts
+++ b/bench/state-tree-size.ts
@@ -5,6 +5,7 @@
 import {runInNewContext} from 'node:vm';
 import type {TreeOperation} from '../src/core/tree/tree-operation.ts';
 import {SystemState} from '../src/core/tree/system-state.ts';
+import {TreeState} from '../src/core/tree/tree-state.ts';
 import {quantile} from './quantile.ts';
 import {stateChange} from './state-change.ts';
 import type {StateRow} from './state-row.ts';
@@ -12,6 +13,7 @@
 const sizes = [1000, 10_000, 45_000];
 const operationsInChange = 1000;
 const measuredChanges = 300;
+const manyChanges = 10_000;
 const megabyte = 1_048_576;
 const route = {
 	firm: 'prairie', deployment: 'prod', service: 'proofer', route: 'draft',
@@ -21,7 +23,22 @@
 export function measureTreeSize(): StateRow[] {
 	setFlagsFromString('--expose-gc');
 	const collect = runInNewContext('gc') as () => void;
-	return sizes.map(size => measure(size, collect));
+	return [...sizes.map(size => measure(size, collect)), measureMemory(collect)];
+}
+
+/** Heap of the remembered outcomes and the history, which are bounded, after more changes than either holds. */
+function measureMemory(collect: () => void): StateRow {
+	collect();
+	const before = process.memoryUsage().heapUsed;
+	const state = new SystemState();
+	for (let number = 1; number <= manyChanges; number++) {
+		const text = JSON.stringify(stateChange(number));
+		state.apply(number, {type: 'change', change: JSON.parse(text) as ReturnType<typeof stateChange>});
+	}
+
+	collect();
+	const heapMb = (process.memoryUsage().heapUsed - before) / megabyte;
+	return {measure: `tree after ${state.tree.revision} changes`, organisations: 0, heapMb};
 }
 
 function measure(organisations: number, collect: () => void): StateRow {
@@ -36,6 +53,10 @@
 	}));
 	collect();
 	const heap = process.memoryUsage().heapUsed - before;
+	const copy = new TreeState();
+	copy.advanceTo(state.tree);
+	collect();
+	const copyHeap = process.memoryUsage().heapUsed - before - heap;
 	let text = '';
 	const snapshotMs = timed(() => {
 		text = JSON.stringify(state.snapshot());
@@ -43,10 +64,15 @@
 	const restoreMs = timed(() => {
 		new SystemState().restore(JSON.parse(text));
 	});
+	if (copy.revision !== state.tree.revision) {
+		throw new Error('the copy is not level');
+	}
+
 	return {
 		measure: 'tree size',
 		organisations,
 		heapMb: heap / megabyte,
+		servedCopyMb: copyHeap / megabyte,
 		applyMicrosP50: quantile(applied, 0.5) * 1000,
 		applyMicrosP99: quantile(applied, 0.99) * 1000,
 		snapshotMb: text.length / megabyte,
--- a/src/core/targets/target-record.ts
+++ b/src/core/targets/target-record.ts
@@ -8,6 +8,12 @@
 import {targetHandle} from './target-handle.ts';
 import type {TargetView} from './target-view.ts';
 
+/** Requests in flight allowed at a target that gave no answer yet; each whole answer allows one more. */
+const firstLimit = 2;
+
+/** Time without any answer, relative to the time of one answer, from which a target seems to be slower than learnt. */
+const overdueFactor = 1;
+
 /** What this node keeps of one target; read by the router as a `TargetView`. */
 export class TargetRecord implements TargetView {
 	readonly targetId: TargetId;
@@ -28,6 +34,10 @@
 	readonly speed = new LearntSpeed();
 	readonly cache = new CacheHints();
 	readonly log = new InFlightLog();
+	/** How much slower than learnt the target seems, from answers that are overdue. */
+	#stall = 1;
+	/** Answers of earlier incarnations. */
+	#answersBefore = 0;
 
 	constructor(announcement: Announcement, heardAt: Millis, direct: boolean) {
 		this.targetId = announcement.targetId;
@@ -47,6 +57,10 @@
 		return this.log.tokens;
 	}
 
+	get meanTokens(): number | undefined {
+		return this.log.meanTokens;
+	}
+
 	get sentSinceReport(): number {
 		return this.log.startedSince(this.loadAt);
 	}
@@ -58,15 +72,18 @@
 
 	get limit(): number {
 		const {capacity} = this.announcement;
-		return Math.max(Math.ceil(capacity / this.sharers), capacity - this.othersInFlight);
+		const fairShare = this.sharers > capacity ? 0 : Math.ceil(capacity / this.sharers);
+		const left = Math.max(fairShare, capacity - this.othersInFlight);
+		return Math.min(left, firstLimit + this.#answers());
 	}
 
 	get tokenMs(): number | undefined {
-		return this.speed.tokenMs;
+		const {tokenMs} = this.speed;
+		return tokenMs === undefined ? undefined : tokenMs * this.#stall;
 	}
 
-	get prefillTokenMs(): number | undefined {
-		return this.speed.prefillTokenMs;
+	get startMs(): number | undefined {
+		return this.speed.startMs;
 	}
 
 	get callMs(): number | undefined {
@@ -86,6 +103,7 @@
 	update(announcement: Announcement, heardAt: Millis, direct: boolean): void {
 		if (announcement.incarnation !== this.announcement.incarnation) {
 			this.cache.clear();
+			this.#answersBefore = this.speed.answers;
 			this.handle = targetHandle(announcement.targetId, announcement.incarnation);
 		}
 
@@ -95,6 +113,24 @@
 		this.direct = direct;
 		this.lost = false;
 	}
+
+	/** Compares the time without an answer with the learnt time between answers. */
+	checkStall(now: Millis): void {
+		const {tokenMs} = this.speed;
+		if (tokenMs === undefined || this.inFlight === 0) {
+			this.#stall = 1;
+			return;
+		}
+
+		const answerMs = (this.speed.startMs ?? 0) + (this.inFlightTokens / this.inFlight * tokenMs * (1 + this.fill));
+		const overdue = (now - this.log.quietSince) / (overdueFactor * answerMs);
+		this.#stall = Math.max(1, overdue);
+	}
+
+	/** Whole answers of this incarnation. */
+	#answers(): number {
+		return this.speed.answers - this.#answersBefore;
+	}
 }
 
 function loadTime(announcement: Announcement, heardAt: Millis): Millis {
--- a/src/core/targets/target-view.ts
+++ b/src/core/targets/target-view.ts
@@ -12,6 +12,8 @@
 	readonly inFlight: number;
 	/** Predicted output tokens of those that are not yet produced. */
 	readonly inFlightTokens: number;
+	/** Smoothed output tokens of the requests that this node sent there; undefined before the first one. */
+	readonly meanTokens?: number;
 	/** Requests that this node sent there since `loadAt`. */
 	readonly sentSinceReport: number;
 	/** Requests of other callers and entries there: the reported load less this node's own part of it. */
@@ -22,8 +24,8 @@
 	readonly placement: number;
 	/** Learnt milliseconds between output tokens for one request alone there; undefined before the first answer. */
 	readonly tokenMs?: number;
-	/** Learnt milliseconds of prefill for one uncached prompt token. */
-	readonly prefillTokenMs?: number;
+	/** Learnt milliseconds to the first byte beyond the prefill of the uncached prompt. */
+	readonly startMs?: number;
 	/** Learnt milliseconds of one call of a plain service. */
 	readonly callMs?: number;
 	/** True while outlier ejection keeps it out of the choice. */
--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -1,7 +1,9 @@
+import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Action} from '../core/actions.ts';
 import {GatewayCore} from '../core/gateway-core.ts';
+import type {Millis} from '../core/ids/millis.ts';
 import type {RequestId} from '../core/ids/request-id.ts';
 import {constants} from '../settings/constants.ts';
 import {loadSettings} from '../settings/load-settings.ts';
@@ -70,6 +72,7 @@
 			seeds: settings.seeds,
 			controlMembers: settings.controlMembers,
 			random: new CryptoRandom(),
+			startedAt: performance.now() as Millis,
 			storage: folder && {storageId: folder.storageId, consensus: folder.loads.consensus, ledger: folder.loads.ledger},
 		});
 		this.#runner = new CoreRunner({
@@ -178,6 +181,11 @@
 			},
 			{method: 'POST', path: '/v1/announcements', handle: async (req, res) => targets.announce(req, res)},
 			{method: 'POST', path: '/v1/members', handle: async (req, res) => operators.members(req, res)},
+			{
+				method: 'POST', path: '/v1/keepers/accept-loss', handle(req, res) {
+					operators.acceptLoss(req, res);
+				},
+			},
 			{method: 'POST', path: '/v1/changes', handle: async (req, res) => operators.change(req, res)},
 			{
 				method: 'GET', path: '/v1/tree', handle(req, res, url) {
