fix(attempts): a dead target's stale connections convict no bystander

After a crash a kept-alive connection to the dead target was used again within its lease and broke after 5 ms; that counted as the bystander's second crash. Ruled out by the entries' logs: a third crash (there were two), shared fingerprints, a second crash with the bystander in flight.

A target that seems to have crashed is taken only if no other one has room, and an attempt that started on one and got no byte blames nobody when it breaks. An answer that broke off waits for a target as long as the route lets an answer be silent, not a minute: with both engines of a region down, callers waited past the proof's 60 s.

--- a/src/core/attempts/attempt-runner.ts
+++ b/src/core/attempts/attempt-runner.ts
@@ -68,7 +68,8 @@
 	start(state: RequestState, settings: RouteSettings, choice: {view: TargetView; cachedTokens: number}, now: Millis): void {
 		const {targetId, announcement} = choice.view;
 		const place = {type: 'target', targetId, incarnation: announcement.incarnation} as const;
-		const attempt = this.#add(state, {place, cachedTokens: choice.cachedTokens}, now);
+		const onBroken = this.#parts.poison.broken(targetId, announcement.incarnation);
+		const attempt = this.#add(state, {place, cachedTokens: choice.cachedTokens, onBroken}, now);
 		state.triedTargets.set(targetId, announcement.incarnation);
 		attempt.moveAt = moveTime(state, now);
 		this.#parts.poison.started(state.req.fingerprint, targetId, now);
@@ -84,7 +85,7 @@
 	/** Sends a request to an entry of another region. */
 	forward(state: RequestState, settings: RouteSettings, choice: {entry: NodeInfo; region: Region}, now: Millis): void {
 		const {entry, region} = choice;
-		const attempt = this.#add(state, {place: {type: 'peer', nodeId: entry.nodeId, region}, cachedTokens: 0}, now);
+		const attempt = this.#add(state, {place: {type: 'peer', nodeId: entry.nodeId, region}, cachedTokens: 0, onBroken: false}, now);
 		state.triedRegions.add(region);
 		attempt.moveAt = moveTime(state, now);
 		this.#countAway(state.req.bodyBytes, region, now);
@@ -141,14 +142,16 @@
 		this.#finish(state, attempt, 'cancelled', now);
 	}
 
-	/** Takes a target for crashed with all these requests in flight. */
-	suspectCrash(targetId: TargetId, incarnation: number, fingerprints: readonly string[], now: Millis): void {
-		if (fingerprints.length > 0) {
-			this.#crashes.suspect(targetId, incarnation, fingerprints, now);
+	/** Takes the attempt's target for crashed, unless it was before the attempt started and gave no byte since. */
+	suspectCrash(state: RequestState, attempt: AttemptState, now: Millis): void {
+		const before = attempt.onBroken && attempt.firstByteAt === undefined;
+		if (attempt.place.type === 'target' && !before) {
+			const {targetId, incarnation} = attempt.place;
+			this.#crashes.suspect(targetId, incarnation, [state.req.fingerprint], now);
 		}
 	}
 
-	#add(state: RequestState, choice: {place: AttemptState['place']; cachedTokens: number}, now: Millis): AttemptState {
+	#add(state: RequestState, choice: {place: AttemptState['place']; cachedTokens: number; onBroken: boolean}, now: Millis): AttemptState {
 		state.attempts += 1;
 		const routed = routedRequest(state);
 		const attempt: AttemptState = {
@@ -159,6 +162,7 @@
 			promptTokens: routed.promptTokens,
 			cachedTokens: choice.cachedTokens,
 			outputTokens: routed.outputTokens,
+			onBroken: choice.onBroken,
 			leaving: false,
 			tokens: 0,
 			bytes: 0,
@@ -223,9 +227,8 @@
 
 	/** A connection that broke after the request was sent may mean a crash: the request is a suspect at once. */
 	#noteCrash(state: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Millis): void {
-		if (isBroken(failure) && attempt.place.type === 'target') {
-			const {targetId, incarnation} = attempt.place;
-			this.suspectCrash(targetId, incarnation, [state.req.fingerprint], now);
+		if (isBroken(failure)) {
+			this.suspectCrash(state, attempt, now);
 		}
 	}
 
--- a/src/core/attempts/attempt-state.ts
+++ b/src/core/attempts/attempt-state.ts
@@ -17,6 +17,8 @@
 	readonly outputTokens: number;
 	/** When a target that could answer sooner is looked for, if no byte came; undefined for never. */
 	moveAt?: Millis;
+	/** True if the target seemed to have crashed before the attempt started: a broken connection proves nothing then. */
+	readonly onBroken: boolean;
 	/** True once the target said that it is leaving: the end of its lease is no crash then. */
 	leaving: boolean;
 	firstByteAt?: Millis;
--- a/src/core/attempts/poison-guard.ts
+++ b/src/core/attempts/poison-guard.ts
@@ -12,7 +12,7 @@
 	verdict(fingerprint: string, now: Millis): {type: 'free'} | {type: 'alone'} | {type: 'refused'; retryAfterMs: number};
 	/** Targets that suspects of any node run on now, in this region; none of them may get another suspect. */
 	occupied(now: Millis): ReadonlySet<TargetId>;
-	/** Whether a target of this incarnation seems to have crashed: no suspect goes there until it is known to run. */
+	/** Whether a target of this incarnation seems to have crashed and is not yet known to run on. */
 	broken(targetId: TargetId, incarnation: number): boolean;
 	/**
 	 * Asks for the exclusive right to run a suspect on a target; call again with the same target until it is
--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -17,9 +17,6 @@
 /** A place that passed bytes on within this time is not taken for lost, in milliseconds. */
 const livelyMs = 1000;
 
-/** Shortest time for which an answer that broke off waits for a place: its caller has part of it, in milliseconds. */
-const resumeWaitMs = 60_000;
-
 type RecoveryOptions = {
 	readonly parts: CoordinatorOptions;
 	readonly runner: AttemptRunner;
@@ -74,7 +71,7 @@
 			.flatMap(targetId => this.#runner.onTarget(targetId))
 			.filter(attempt => !attempt.leaving && isSilent(attempt, now));
 		for (const attempt of lost) {
-			this.#suspect(attempt, now);
+			this.#runner.suspectCrash(this.#options.requestOf(attempt.requestId)!, attempt, now);
 		}
 
 		for (const attempt of lost) {
@@ -113,13 +110,6 @@
 		}
 	}
 
-	#suspect(attempt: AttemptState, now: Millis): void {
-		const state = this.#options.requestOf(attempt.requestId)!;
-		if (attempt.place.type === 'target') {
-			this.#runner.suspectCrash(attempt.place.targetId, attempt.place.incarnation, [state.req.fingerprint], now);
-		}
-	}
-
 	/** Moves work away from a lost place; without another one it stays, in case the answer comes after all. */
 	#moveLost(attempt: AttemptState, now: Millis): void {
 		const state = this.#options.requestOf(attempt.requestId)!;
@@ -146,7 +136,8 @@
 
 	#again(state: RequestState, settings: RouteSettings, now: Millis): void {
 		if (state.passedOn) {
-			state.deadlineAt = now + Math.max(settings.deadlineMs, resumeWaitMs) as Millis;
+			// An answer may be silent for this long, whatever the reason.
+			state.deadlineAt = now + settings.silenceMs as Millis;
 			this.#parts.outbox.count('resumes');
 		}
 
--- a/src/core/attempts/route-chooser.ts
+++ b/src/core/attempts/route-chooser.ts
@@ -25,17 +25,21 @@
 		}
 
 		const targets = this.#targets(state, settings, now);
-		const decision = router.choose({
+		const excluded = this.#excluded(state, targets, context.alone, now);
+		const ask = (unfit: ReadonlySet<TargetId>) => router.choose({
 			req: routedRequest(state),
 			settings,
 			now,
 			region,
 			targets,
 			regions: this.#regions(state, now),
-			tried: {targets: this.#excluded(state, targets, context.alone, now), regions: state.triedRegions},
+			tried: {targets: unfit, regions: state.triedRegions},
 			alone: context.alone,
 			awayBytesLastSecond: context.awayBytesLastSecond,
 		});
+		const broken = this.#broken(targets);
+		const sound = broken.length > 0 && !context.alone ? ask(new Set([...excluded, ...broken])) : undefined;
+		const decision = sound?.type === 'target' ? sound : ask(excluded);
 		if (decision.type === 'away' && state.req.forwardedBy) {
 			return {type: 'refuse', refusal: {result: 'hopLimit', ran: 'no'}};
 		}
@@ -44,6 +48,14 @@
 		return mayWait ? {type: 'wait', predictedMs: 0} : decision;
 	}
 
+	/** Targets that seem to have crashed: taken only if no other one has room. */
+	#broken(targets: readonly TargetView[]): readonly TargetId[] {
+		const {poison} = this.#parts;
+		return targets
+			.filter(view => poison.broken(view.targetId, view.announcement.incarnation))
+			.map(view => view.targetId);
+	}
+
 	/** True if a target is kept from this suspect only by another suspect, or by a crash that is not proven. */
 	#freedLater(state: RequestState, targets: readonly TargetView[], now: Millis): boolean {
 		const barred = this.#barred(targets, now);
@@ -55,9 +67,7 @@
 
 	/** Targets that no suspect may start on now. */
 	#barred(targets: readonly TargetView[], now: Millis): ReadonlySet<TargetId> {
-		const {poison} = this.#parts;
-		const broken = targets.filter(view => poison.broken(view.targetId, view.announcement.incarnation));
-		return new Set([...poison.occupied(now), ...broken.map(view => view.targetId)]);
+		return new Set([...this.#parts.poison.occupied(now), ...this.#broken(targets)]);
 	}
 
 	#targets(state: RequestState, settings: RouteSettings, now: Millis): readonly TargetView[] {
--- a/src/core/attempts/suspect-poison-guard.ts
+++ b/src/core/attempts/suspect-poison-guard.ts
@@ -95,7 +95,7 @@
 	}
 
 	broken(targetId: TargetId, incarnation: number): boolean {
-		return this.#table.isBlamed(crashName(targetId, incarnation));
+		return this.#table.size > 0 && this.#table.isBlamed(crashName(targetId, incarnation));
 	}
 
 	permit(fingerprint: string, targetId: TargetId, now: Millis): 'granted' | 'pending' | 'denied' {
