--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -136,7 +136,7 @@
 
 	#again(state: RequestState, settings: RouteSettings, now: Millis): void {
 		if (state.passedOn) {
-			// An answer may be silent for this long, whatever the reason.
+			// The caller has part of the answer: it waits for the rest as long as silence inside an answer may last.
 			state.deadlineAt = now + settings.silenceMs as Millis;
 			this.#parts.outbox.count('resumes');
 		}
