--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -71,7 +71,7 @@
 			.flatMap(targetId => this.#runner.onTarget(targetId))
 			.filter(attempt => !attempt.leaving && isSilent(attempt, now));
 		for (const attempt of lost) {
-			this.#suspect(attempt, now);
+			this.#runner.suspectCrash(this.#options.requestOf(attempt.requestId)!, attempt, now);
 		}
 
 		for (const attempt of lost) {
@@ -110,13 +110,6 @@
 		}
 	}
 
-	#suspect(attempt: AttemptState, now: Millis): void {
-		const state = this.#options.requestOf(attempt.requestId)!;
-		if (attempt.place.type === 'target') {
-			this.#runner.suspectCrash(attempt.place.targetId, attempt.place.incarnation, [state.req.fingerprint], now);
-		}
-	}
-
 	/** Moves work away from a lost place; without another one it stays, in case the answer comes after all. */
 	#moveLost(attempt: AttemptState, now: Millis): void {
 		const state = this.#options.requestOf(attempt.requestId)!;
