fix(server): a forwarded request takes its own deadline along; keyed refusals before the core say ran: maybe

Cause: firstByteMs includes the bound on silence, so the receiver took requests that miss their deadline; and a keyed request refused before the core said ran: no though an earlier send under the key may have run. Ruled out: asking the ledger for requests without a route (there is no scope for the key). Test: the HTTP interface test holds ran: maybe for a keyed request to an unknown route.

--- a/src/core/attempts/claim-tracker.ts
+++ b/src/core/attempts/claim-tracker.ts
@@ -75,7 +75,7 @@
 			}
 
 			case 'unavailable': {
-				state.earlierRunPossible &&= outcome.ran === 'maybe';
+				state.earlierRunPossible &&= outcome.ran !== 'no';
 				return {type: 'refuse', reason: {result: 'ledgerUnavailable', retryAfterMs: outcome.retryAfterMs}};
 			}
 		}
--- a/src/server/caller-api.ts
+++ b/src/server/caller-api.ts
@@ -94,6 +94,8 @@
 
 	#refuse(res: ServerResponse, refusal: Refusal): void {
 		const {node, region, metrics} = this.#options;
+		// An earlier send under the same key may have run; only the core's ledger could tell.
+		const ran = res.req.headers['idempotency-key'] === undefined ? refusal.ran : 'maybe';
 		metrics.count('refusals', refusal.result);
 		if (refusal.result === 'slowCaller') {
 			res.setHeader('connection', 'close');
@@ -101,6 +103,6 @@
 
 		// The rest of a body that is not taken is read and dropped: closing at once would reset the caller before it reads the refusal.
 		res.req.resume();
-		sendProblem(res, problem(refusal, {region, revision: node.tree.revision}));
+		sendProblem(res, problem({...refusal, ran}, {region, revision: node.tree.revision}));
 	}
 }
--- a/src/server/outgoing-request.ts
+++ b/src/server/outgoing-request.ts
@@ -25,7 +25,7 @@
 		const claim = [options.self.nodeId, options.self.region, action.revision, action.claimed ? 'claimed' : 'free', fingerprint].join(';');
 		headers['lovageferry-forwarded-by'] = claim;
 		headers['lovageferry-forward-token'] = options.token.sign(claim);
-		headers['lovageferry-deadline-ms'] = String(Math.max(1, Math.round(action.firstByteMs)));
+		headers['lovageferry-deadline-ms'] = String(Math.max(1, Math.round(action.deadlineMs)));
 	}
 
 	const path = action.forwardTo && request.info.kind === 'call'
--- a/test/server/http-interface.test.ts
+++ b/test/server/http-interface.test.ts
@@ -55,6 +55,8 @@
 test('an unknown route, and a missing idempotency key, are refused as not run', async t => {
 	const {problem} = await complete(draft, undefined, {'lovageferry-route': 'nowhere'});
 	t.like(problem, {code: 1004, ran: 'no'});
+	const keyed = await complete(draft, undefined, {'lovageferry-route': 'nowhere', 'idempotency-key': 'order-1'});
+	t.like(keyed.problem, {code: 1004, ran: 'maybe'});
 	const res = await request(url('/s/pressdesk/orders'), {
 		method: 'POST', headers: {authorization: `Bearer ${entry.region}-home`, 'lovageferry-route': 'orders'}, body: '{}',
 	});
