--- a/bench/main.ts
+++ b/bench/main.ts
@@ -25,6 +25,10 @@
 		const {benchLedger} = await import('./ledger.ts');
 		return benchLedger;
 	},
+	async decisions() {
+		const {benchDecisions} = await import('./decisions.ts');
+		return benchDecisions;
+	},
 	async path() {
 		const {benchPath} = await import('./path.ts');
 		return benchPath;
--- a/src/core/attempts/request-dispatcher.ts
+++ b/src/core/attempts/request-dispatcher.ts
@@ -14,6 +14,9 @@
 /** Refusals that end once a target comes or has room. */
 const waitResults = new Set<Refusal['result']>(['noTarget', 'overloaded', 'deadline', 'queueFull', 'organisationShare']);
 
+/** Waiting requests that are passed over at most in one go. */
+const mostPassed = 16;
+
 /** Between two tries to place a parked request, in milliseconds. */
 const parkMs = 100;
 
@@ -63,18 +66,21 @@
 		return this.#decide(state, settings, alone, now);
 	}
 
-	/** Places waiting requests of a service in their order, until one has to go on waiting. */
+	/** Places waiting requests of a service in their order; passes over some that have to go on waiting. */
 	drainQueue(serviceKey: string, now: Millis): void {
 		const {admission} = this.#parts;
-		for (let left = admission.depth(serviceKey); left > 0; left--) {
-			const req = admission.peek(serviceKey, now);
-			const state = req && this.#requestOf(req.requestId);
-			if (!req || (state?.phase === 'queued' && !this.#placeQueued(state, now))) {
+		const passed = new Set<RequestId>();
+		while (passed.size < mostPassed) {
+			const req = admission.peek(serviceKey, now, passed);
+			if (!req) {
 				return;
 			}
 
+			const state = this.#requestOf(req.requestId);
 			if (state?.phase !== 'queued') {
 				admission.take(req.requestId);
+			} else if (!this.#placeQueued(state, now)) {
+				passed.add(req.requestId);
 			}
 		}
 	}
@@ -113,14 +119,22 @@
 
 	#decide(state: RequestState, settings: RouteSettings, alone: boolean, now: Millis): RouteDecision {
 		const awayBytesLastSecond = this.#runner.awayBytesLastSecond(now);
-		return this.#chooser.choose(state, settings, {alone, awayBytesLastSecond}, now);
+		const depth = this.#parts.admission.depth(state.serviceKey);
+		const waiting = state.phase === 'queued' ? Math.max(0, depth - 1) : depth;
+		return this.#chooser.choose(state, settings, {alone, awayBytesLastSecond, waiting}, now);
 	}
 
 	#follow(state: RequestState, choice: Choice, now: Millis): void {
 		const {settings, alone, decision} = choice;
 		switch (decision.type) {
 			case 'target': {
-				this.#startOnTarget(state, {settings, alone, decision}, now);
+				if (this.#mustQueue(state, alone)) {
+					this.#enqueue(state, settings, decision.predictedMs, now);
+					this.drainQueue(state.serviceKey, now);
+				} else {
+					this.#startOnTarget(state, {settings, alone, decision}, now);
+				}
+
 				break;
 			}
 
@@ -151,6 +165,12 @@
 		}
 	}
 
+	/** A new request does not pass those that wait already: the queue decides whose turn it is. */
+	#mustQueue(state: RequestState, alone: boolean): boolean {
+		const isNew = state.phase !== 'queued' && state.attempts === 0;
+		return isNew && !alone && this.#parts.admission.depth(state.serviceKey) > 0;
+	}
+
 	#startOnTarget(
 		state: RequestState,
 		choice: Choice<Extract<RouteDecision, {type: 'target'}>>,
--- a/src/core/attempts/route-chooser.ts
+++ b/src/core/attempts/route-chooser.ts
@@ -18,7 +18,7 @@
 	}
 
 	/** Chooses a place. `alone` keeps a suspect off every target that another suspect runs on. */
-	choose(state: RequestState, settings: RouteSettings, context: {alone: boolean; awayBytesLastSecond: number}, now: Millis): RouteDecision {
+	choose(state: RequestState, settings: RouteSettings, context: {alone: boolean; awayBytesLastSecond: number; waiting: number}, now: Millis): RouteDecision {
 		const {router, region} = this.#parts;
 		if (state.req.forwardedBy && !this.#allowedHere(state, settings)) {
 			return {type: 'refuse', refusal: {result: 'residency', ran: 'no'}};
@@ -33,6 +33,7 @@
 			region,
 			targets,
 			regions: this.#regions(state, now),
+			waiting: context.waiting,
 			tried: {targets: unfit, regions: state.triedRegions},
 			alone: context.alone,
 			awayBytesLastSecond: context.awayBytesLastSecond,
