--- a/test/core/attempts/request-coordinator.test.ts
+++ b/test/core/attempts/request-coordinator.test.ts
@@ -241,6 +241,19 @@
 	t.is(harness.finals('r3').length, 1);
 });
 
+test('a waiting request does not hold up one behind it whose model has room', t => {
+	const harness = new CoordinatorHarness({settings: {targetConcurrency: 1}});
+	harness.targets.add('engine-1', {models: ['draft']});
+	harness.targets.add('engine-2', {models: ['check']});
+	harness.request('draft-1', {model: 'draft'});
+	const check = harness.request('check-1', {model: 'check'})!;
+	harness.request('draft-2', {model: 'draft'});
+	harness.request('check-2', {model: 'check'});
+	harness.end(check.attemptId);
+	t.is(harness.starts('check-2').length, 1);
+	t.is(harness.starts('draft-2').length, 0);
+});
+
 test('slowness does not cut an answer; silence before the first byte moves it if another target is in time', t => {
 	const harness = new CoordinatorHarness();
 	harness.targets.add('engine-1');
