--- a/src/core/gateway-parts.ts
+++ b/src/core/gateway-parts.ts
@@ -16,6 +16,8 @@
 import type {KeeperSet} from './ledger/keeper-set.ts';
 import type {LedgerRecord} from './ledger/ledger-record.ts';
 import {ClusterMembership} from './membership/cluster-membership.ts';
+import type {NodeInfo} from './membership/node-info.ts';
+import {rankByHash} from './membership/rank-by-hash.ts';
 import {LeaderOrders} from './orders/leader-orders.ts';
 import {PipelineRouter} from './routing/pipeline-router.ts';
 import {RegionalTargetTable} from './targets/regional-target-table.ts';
@@ -44,6 +46,7 @@
 
 	constructor(options: GatewayCoreOptions, outbox: ActionQueue) {
 		const {self, seeds, random, storage, controlMembers} = options;
+		const controlNodes = rankControlNodes(self, seeds);
 		this.#options = options;
 		this.membership = new ClusterMembership({
 			self, seeds, outbox, random,
@@ -65,7 +68,7 @@
 			self: self.nodeId,
 			outbox,
 			random,
-			controlNodes: () => this.#controlNodes(),
+			controlNodes: () => controlNodes,
 			peers: () => this.#regionPeers(),
 			control: this.consensus && {consensus: this.consensus, state},
 		});
@@ -118,13 +121,6 @@
 		});
 	}
 
-	#controlNodes(): readonly NodeId[] {
-		const known = this.#options.seeds.filter(seed => seed.roles.includes('control'));
-		const own = known.filter(seed => seed.region === this.#options.self.region);
-		const others = known.filter(seed => seed.region !== this.#options.self.region);
-		return [...own, ...others].map(seed => seed.nodeId);
-	}
-
 	/** Live entries of this node's region without itself. */
 	#regionPeers(): readonly NodeId[] {
 		return this.membership.nodes()
@@ -161,3 +157,11 @@
 		return Math.max(minKeepers, ...firms.map(path => tree.resolve(path)?.keepers ?? minKeepers));
 	}
 }
+
+/** Control nodes that the settings name, those of the own region first; each node has an order of its own, so that they share the followers. */
+function rankControlNodes(self: NodeInfo, seeds: readonly NodeInfo[]): readonly NodeId[] {
+	const known = rankByHash(seeds.filter(seed => seed.roles.includes('control')), seed => `${self.nodeId}:${seed.nodeId}`);
+	const own = known.filter(seed => seed.region === self.region);
+	const others = known.filter(seed => seed.region !== self.region);
+	return [...own, ...others].map(seed => seed.nodeId);
+}
