test(proofs): make the scenarios fail without their mechanism

Seen in scratch copies with the mechanism switched off: old announcements came back at the same moment as new ones and hid a reopened target; resends with pauses hid an isolated region's outage.

--- a/test/harness/check-scenario.ts
+++ b/test/harness/check-scenario.ts
@@ -15,6 +15,7 @@
 		...each(checks.whole, (load, share) => wholeShare(requestsOf(state, load), share)),
 		...each(checks.refusedWithin, (load, limits) => refusedWithin(recordsOf(state, load), limits)),
 		...each(checks.p90Ms, (load, limit) => slowest(recordsOf(state, load), limit)),
+		...each(checks.maxMs, (load, limit) => atMost('ms for one sending', Math.max(...recordsOf(state, load).map(({sentAt, endAt}) => endAt - sentAt)), limit)),
 		...each(checks.minAway, (load, least) => atLeast('away', awayRuns(state, load), least)),
 		...each(checks.maxAway, (load, most) => atMost('away', awayRuns(state, load), most)),
 		...each(checks.maxBroken, (load, most) => atMost('broken answers', brokenAnswers(state, load), most)),
@@ -92,10 +93,12 @@
 }
 
 /** Forwards between regions by all entries' own counters, for each sending of a caller. */
-async function hops({launcher, records}: RunState): Promise<number> {
+async function hops({launcher, records, notes}: RunState): Promise<number> {
 	const pages = await Promise.all(launcher.spec.nodes.map(async ({node}) => String(await launcher.get(node, '/metrics'))));
 	const counts = pages.map(page => Number(page.split('\n').find(line => line.startsWith('lovageferry_attempts_total{reason="peer"}'))?.split(' ').at(-1) ?? 0));
-	return counts.reduce((sum, count) => sum + count, 0) / records.length;
+	const forwards = counts.reduce((sum, count) => sum + count, 0);
+	notes.push(`${forwards} forwards for ${records.length} sendings`);
+	return forwards / records.length;
 }
 
 /** Waits until every node shows the same tree; returns who does not. */
--- a/test/harness/launcher.ts
+++ b/test/harness/launcher.ts
@@ -148,8 +148,8 @@
 
 		const delayMs = from.region === to.region ? 0 : this.spec.regionDelayMs;
 		return {
-			callers: await this.links.add(from.node, to.node, ports.callers, delayMs),
-			peers: await this.links.add(from.node, to.node, ports.peers, delayMs),
+			callers: await this.links.add(from.node, to.node, ports.callers, {delayMs}),
+			peers: await this.links.add(from.node, to.node, ports.peers, {of: 'peers', delayMs}),
 		};
 	}
 
--- a/test/harness/links.ts
+++ b/test/harness/links.ts
@@ -1,7 +1,7 @@
 import {FaultProxy} from './fault-proxy.ts';
 import type {PortBlock} from './port-block.ts';
 
-type Link = {readonly from: string; readonly to: string; readonly proxy: FaultProxy};
+type Link = {readonly from: string; readonly to: string; readonly of: 'callers' | 'peers'; readonly proxy: FaultProxy};
 
 /** The proxied links of an installation, each from one process to another. */
 export class Links {
@@ -13,17 +13,19 @@
 	}
 
 	/** Puts a proxy before a port; returns the port to use instead. */
-	async add(from: string, to: string, targetPort: number, delayMs = 0): Promise<number> {
+	async add(from: string, to: string, targetPort: number, options: {of?: 'callers' | 'peers'; delayMs?: number} = {}): Promise<number> {
 		const port = this.#ports.next();
-		const proxy = new FaultProxy(port, targetPort, delayMs);
+		const proxy = new FaultProxy(port, targetPort, options.delayMs);
 		await proxy.listen();
-		this.#links.push({from, to, proxy});
+		this.#links.push({
+			from, to, of: options.of ?? 'callers', proxy,
+		});
 		return port;
 	}
 
 	/** Links that lead from any of the first processes to any of the second. */
-	between(from: ReadonlySet<string>, to: ReadonlySet<string>): readonly FaultProxy[] {
-		return this.#links.filter(link => from.has(link.from) && to.has(link.to)).map(link => link.proxy);
+	between(from: ReadonlySet<string>, to: ReadonlySet<string>, of?: 'callers' | 'peers'): readonly FaultProxy[] {
+		return this.#links.filter(link => from.has(link.from) && to.has(link.to) && (of === undefined || of === link.of)).map(link => link.proxy);
 	}
 
 	all(): readonly FaultProxy[] {
--- a/test/harness/scenario-schema.ts
+++ b/test/harness/scenario-schema.ts
@@ -15,6 +15,8 @@
 	refusedWithin: z.record(z.string(), z.strictObject({atLeast: z.number().int(), ms: milliseconds})).default({}),
 	/** Time within which 9 in 10 whole answers of a load came. */
 	p90Ms: z.record(z.string(), milliseconds).default({}),
+	/** Longest time of any sending of a load, refused or not. */
+	maxMs: z.record(z.string(), milliseconds).default({}),
 	maxCrashes: z.number().int().optional(),
 	minCrashes: z.number().int().optional(),
 	/** Targets that get nothing new this long after their leaving. */
--- a/test/harness/step-runner.ts
+++ b/test/harness/step-runner.ts
@@ -22,7 +22,7 @@
 const signals = {
 	freeze: 'SIGSTOP', thaw: 'SIGCONT', drain: 'SIGTERM', leave: 'SIGTERM',
 } as const;
-type LinkNames = {readonly from: readonly string[]; readonly to: readonly string[]; readonly direction: 'both' | 'one-way'};
+type LinkNames = {readonly from: readonly string[]; readonly to: readonly string[]; readonly direction: 'both' | 'one-way'; readonly of?: 'callers' | 'peers'};
 type ActionName = Exclude<keyof StepValues, LinkStep | keyof typeof signals>;
 
 const linkActions: {[Name in LinkStep]: (proxy: FaultProxy, direction: Direction, value: StepValues[Name]) => void} = {
@@ -206,15 +206,15 @@
 		await this.run([{heal: {}}, {thaw: {process: ['all']}}, {start: {process: ['all']}}]);
 	}
 
-	#eachLink({from, to, direction}: LinkNames, action: (proxy: FaultProxy, direction: Direction) => void): void {
+	#eachLink({from, to, direction, of}: LinkNames, action: (proxy: FaultProxy, direction: Direction) => void): void {
 		const senders = this.#names(from);
 		const receivers = this.#names(to, senders);
 		const {links} = this.#state.launcher;
-		for (const proxy of links.between(senders, receivers)) {
+		for (const proxy of links.between(senders, receivers, of)) {
 			action(proxy, direction === 'both' ? 'both' : 'forward');
 		}
 
-		for (const proxy of links.between(receivers, senders)) {
+		for (const proxy of links.between(receivers, senders, of)) {
 			action(proxy, direction === 'both' ? 'both' : 'backward');
 		}
 	}
--- a/test/harness/step-schemas.ts
+++ b/test/harness/step-schemas.ts
@@ -4,7 +4,9 @@
 import {operationSchema as operation} from './operation-schema.ts';
 
 const milliseconds = z.number().int().nonnegative();
-const link = z.strictObject({from: names, to: names, direction: z.enum(['both', 'one-way']).default('both')});
+const link = z.strictObject({
+	from: names, to: names, direction: z.enum(['both', 'one-way']).default('both'), of: z.enum(['callers', 'peers']).optional(),
+});
 const process = z.strictObject({process: names});
 
 const change = z.strictObject({
