--- a/src/core/routing/predict-work.ts
+++ b/src/core/routing/predict-work.ts
@@ -1,11 +1,9 @@
 import type {RequestInfo} from '../settings/request-info.ts';
+import {fullBatchSlowdown} from '../targets/full-batch-slowdown.ts';
 import {promptTokenShare} from '../targets/prompt-token-share.ts';
 import type {TargetView} from '../targets/target-view.ts';
 import type {TypicalSpeed} from './typical-speed.ts';
 
-/** How much longer a token takes in a full batch than alone, as a share of the time alone. */
-const fullBatchSlowdown = 1;
-
 /** Predicted times of one request at one target, in milliseconds. */
 type PredictedWork = {
 	readonly firstByteMs: number;
@@ -38,7 +36,7 @@
 	const slowdown = 1 + (fullBatchSlowdown * Math.min(1, (load + 1) / capacity));
 	const tokenMs = (target.tokenMs ?? announcedTokenMs(target) ?? typical.tokenMs) * slowdown;
 	const prefillMs = (req.promptTokens - cachedTokens) * promptTokenMs(target, tokenMs);
-	const meanTokens = target.inFlight > 0 ? target.inFlightTokens / target.inFlight : req.outputTokens;
+	const meanTokens = target.meanTokens ?? req.outputTokens;
 	const taskMs = prefillMs + (meanTokens * tokenMs);
 	const startMs = waitMs(target, taskMs, options) + prefillMs + (target.startMs ?? tokenMs);
 	const wholeMs = startMs + (req.outputTokens * tokenMs);
