fix(cli): one clear line and a documented exit code for what goes wrong

Ruled out for the held folder: an id used anew, since the start time is compared; ps showed the old process in state Z.

Before: run with a taken callers' port did not end within 8 s; targets showed 'undefined' in flight; 'status | head -1' printed a stack trace. After: exit codes 6 (data folder) and 7 (listen) with file or key and remedy; 'in flight' is a number.

--- a/src/cli.ts
+++ b/src/cli.ts
@@ -2,7 +2,9 @@
 import process from 'node:process';
 import {cac} from 'cac';
 import type {CommandLineOptions} from './commands/command-line-options.ts';
+import {exitCodeOf} from './commands/exit-code-of.ts';
 import {exitCodes} from './commands/exit-codes.ts';
+import {ignoreClosedOutput} from './commands/ignore-closed-output.ts';
 import {version} from './version.ts';
 
 const cli = cac('lovageferry');
@@ -27,7 +29,7 @@
 	.option('--key-file <file>', 'File with the operator key', {default: 'operator.key'})
 	.option('--json', 'Print JSON');
 
-operatorCommand('tree <action> [...args]', 'Settings tree: show [path] | set <path> <key> <value> | unset <path> <key> | apply <file> | history')
+operatorCommand('tree <action> [...args]', 'Settings tree: show [path] | set <path> <key> <value> | unset <path> <key> | create <path> | delete <path> [recursive] | apply <file> | history')
 	.option('--resolved', 'Show settings after inheritance')
 	.option('--prune', 'With apply: delete nodes and settings that the file does not have')
 	.option('--change-id <id>', 'Id of the change; repeat it to resend a change whose answer was lost')
@@ -68,9 +70,11 @@
 cli.version(version);
 
 async function main(): Promise<void> {
+	ignoreClosedOutput(process.stdout);
 	cli.parse(process.argv, {run: false});
 	if (!cli.matchedCommand && !cli.options.help && !cli.options.version) {
-		cli.outputHelp();
+		const [command] = cli.args;
+		process.stderr.write(`${command === undefined ? 'A command is needed' : `Unknown command "${command}"`}: see lovageferry --help.\n`);
 		process.exitCode = exitCodes.usage;
 		return;
 	}
@@ -81,8 +85,7 @@
 // The one binary is a CommonJS bundle, which has no top-level await.
 // eslint-disable-next-line unicorn/prefer-top-level-await
 main().catch((error: unknown) => {
-	const {name, message} = error as Error;
-	const usage = name === 'CACError' || name === 'SettingsError';
-	process.stderr.write(`${message}\n`);
-	process.exitCode = usage ? exitCodes.usage : (error as {exitCode?: number}).exitCode ?? exitCodes.failed;
+	process.stderr.write(`${(error as Error).message}\n`);
+	// A process that could not start ends, though some of its sockets may be open.
+	process.exit(exitCodeOf(error));
 });
--- a/src/commands/command-line-options.ts
+++ b/src/commands/command-line-options.ts
@@ -7,7 +7,8 @@
 	readonly resolved?: boolean;
 	readonly prune?: boolean;
 	readonly changeId?: string | number;
-	readonly number?: number;
+	/** Text if it is no number. */
+	readonly number?: number | string;
 	/** False with `--no-wait`. */
 	readonly wait?: boolean;
 };
--- a/src/commands/entry-client.ts
+++ b/src/commands/entry-client.ts
@@ -4,6 +4,7 @@
 import {exitCodes} from './exit-codes.ts';
 
 const headersTimeoutMs = 15_000;
+const unauthorized = 401;
 
 type Answer = {readonly status: number; readonly body: unknown};
 
@@ -15,13 +16,17 @@
 		this.#options = options;
 	}
 
-	/** @throws CommandError if no entry answers. */
+	/** @throws CommandError if no entry answers, or one does not know the key. */
 	async call(method: 'GET' | 'POST', path: string, body?: unknown): Promise<Answer> {
 		const problems: string[] = [];
 		for (const entry of this.#options.entries) {
 			try {
 				return await this.#callOne(entry, method, path, body); // eslint-disable-line no-await-in-loop
 			} catch (error) {
+				if (error instanceof CommandError) {
+					throw error;
+				}
+
 				problems.push(`${entry}: ${(error as Error).message}`);
 			}
 		}
@@ -47,6 +52,11 @@
 			body: body === undefined ? undefined : JSON.stringify(body),
 			headersTimeout: headersTimeoutMs,
 		});
-		return {status: res.statusCode, body: await res.body.json()};
+		const answer = await res.body.json();
+		if (res.statusCode === unauthorized) {
+			throw new CommandError(`${entry} does not know this operator key: name the file of another one with --key-file.`, exitCodes.failed);
+		}
+
+		return {status: res.statusCode, body: answer};
 	}
 }
--- a/src/commands/exit-codes.ts
+++ b/src/commands/exit-codes.ts
@@ -11,4 +11,8 @@
 	notInForce: 4,
 	/** No entry could be reached, or the control members have no quorum. */
 	unavailable: 5,
+	/** The data folder is damaged, full or used by another process. */
+	dataFolder: 6,
+	/** An address of the settings cannot be listened on. */
+	listen: 7,
 } as const;
--- a/src/commands/keepers.ts
+++ b/src/commands/keepers.ts
@@ -9,6 +9,10 @@
 
 /** Shows the keepers of claims, or takes the decision to go on without claims that all of them lost. */
 export async function keepers(action: string, options: CommandLineOptions): Promise<void> {
+	if (action !== 'status' && action !== 'accept-loss') {
+		throw new CommandError('Use keepers status or keepers accept-loss.', exitCodes.usage);
+	}
+
 	const client = new EntryClient(resolveClientOptions(options));
 	if (action === 'status') {
 		const status = await client.get('/v1/status') as NodeStatus;
@@ -16,10 +20,6 @@
 		return;
 	}
 
-	if (action !== 'accept-loss') {
-		throw new CommandError('Use keepers status or keepers accept-loss.', exitCodes.usage);
-	}
-
 	const {status} = await client.call('POST', '/v1/keepers/accept-loss', {});
 	if (status !== 200) {
 		throw new CommandError('This node does not wait for that decision: see keepers status.', exitCodes.refused);
--- a/src/commands/members.ts
+++ b/src/commands/members.ts
@@ -11,23 +11,37 @@
 
 /** Lists, adds or removes members of the replicated settings log. */
 export async function members(action: string, node: string | undefined, options: CommandLineOptions): Promise<void> {
+	const wellFormed = action === 'list' ? node === undefined : (action === 'add' || action === 'remove') && node !== undefined;
+	if (!wellFormed) {
+		throw new CommandError('Use members list, members add <node> or members remove <node>.', exitCodes.usage);
+	}
+
 	const client = new EntryClient(resolveClientOptions(options));
 	if (action === 'list') {
 		const {control} = await client.get('/v1/status') as NodeStatus;
-		printJson(control ?? 'this entry is no member: ask a control VM with --entry');
-		return;
-	}
+		if (!control) {
+			throw new CommandError('This entry is no member of the settings log: ask a control VM with --entry.', exitCodes.refused);
+		}
 
-	if ((action !== 'add' && action !== 'remove') || node === undefined) {
-		throw new CommandError('Use members list, members add <node> or members remove <node>.', exitCodes.usage);
+		printJson(control);
+		return;
 	}
 
 	const {status, body} = await client.call('POST', '/v1/members', {type: action, node});
 	const answer = body as MembersAnswer;
 	if (status !== 200) {
-		const hint = answer.leader ? ` Ask the leader with --entry ${answer.leader}.` : '';
-		throw new CommandError(`${answer.title ?? 'Not possible now'}.${hint}`, exitCodes.refused);
+		throw new CommandError(describeRefusal(node!, answer, [options.entry ?? []].flat()), exitCodes.refused);
 	}
 
 	process.stdout.write(`${action} ${node}: under way; watch members list\n`);
 }
+
+function describeRefusal(node: string, {title = 'Not possible now', leader}: MembersAnswer, entries: readonly string[]): string {
+	if (leader === undefined) {
+		return `${title}: no leader is known there. Ask another control VM with --entry.`;
+	}
+
+	return entries.includes(leader)
+		? `${title}. See members list: ${node} may be a member already or be none, or another change is under way.`
+		: `${title}. Ask the leader with --entry ${leader}.`;
+}
--- a/src/commands/run.ts
+++ b/src/commands/run.ts
@@ -1,11 +1,9 @@
 import process from 'node:process';
 import {Daemon} from '../server/daemon.ts';
-import {log} from '../server/log.ts';
 
 /** Runs one process of the system until SIGTERM or SIGINT; SIGHUP reads the keys again. */
 export async function run(settings: string): Promise<void> {
 	const daemon = await Daemon.start(settings);
-	const logger = log('process');
 	let stopping = false;
 	const stop = async () => {
 		if (stopping) {
@@ -23,7 +21,7 @@
 		try {
 			daemon.reload();
 		} catch (error) {
-			logger(`the settings were not read again: ${(error as Error).message}`);
+			process.stderr.write(`The keys were not read again, the old ones stay in use: ${(error as Error).message}\n`);
 		}
 	});
 }
--- a/src/commands/tree.ts
+++ b/src/commands/tree.ts
@@ -1,5 +1,4 @@
 import {randomUUID} from 'node:crypto';
-import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {parse} from 'yaml';
@@ -14,6 +13,7 @@
 import {exitCodes} from './exit-codes.ts';
 import {printJson} from './print-json.ts';
 import {printTable} from './print-table.ts';
+import {readTreeFile} from './read-tree-file.ts';
 import {resolveClientOptions} from './resolve-client-options.ts';
 import {treeDifference} from './tree-difference.ts';
 
@@ -22,36 +22,42 @@
 
 const pollMs = 100;
 
+type Usage = {readonly text: string; readonly least: number; readonly most: number};
+
+const usages: Readonly<Record<string, Usage>> = {
+	show: {text: '[path]', least: 0, most: 1},
+	set: {text: '<path> <key> <value>', least: 3, most: 3},
+	unset: {text: '<path> <key>', least: 2, most: 2},
+	create: {text: '<path>', least: 1, most: 1},
+	delete: {text: '<path> [recursive]', least: 1, most: 2},
+	apply: {text: '<file>', least: 1, most: 1},
+	history: {text: '', least: 0, most: 0},
+};
+
 /** Shows or changes the settings tree. */
 export async function tree(action: string, args: readonly string[], options: CommandLineOptions): Promise<void> {
+	checkArguments(action, args);
+	checkNumber(options.number);
 	const resolved = resolveClientOptions(options);
 	const client = new EntryClient(resolved);
 	switch (action) {
 		case 'show': {
 			await showTree(client, args[0], options);
-			return;
+			break;
 		}
 
 		case 'history': {
 			await showHistory(client, resolved.json);
-			return;
-		}
-
-		case 'set':
-		case 'unset':
-		case 'create':
-		case 'delete': {
-			await change(client, [operation(action, args)], options);
-			return;
+			break;
 		}
 
 		case 'apply': {
-			await apply(client, args[0], options);
-			return;
+			await apply(client, args[0]!, options);
+			break;
 		}
 
 		default: {
-			throw new CommandError(`Unknown action "${action}": use show, set, unset, create, delete, apply or history.`, exitCodes.usage);
+			await change(client, [operation(action as TreeOperation['op'], args)], options);
 		}
 	}
 }
@@ -85,15 +91,8 @@
 	]));
 }
 
-function operation(action: 'set' | 'unset' | 'create' | 'delete', args: readonly string[]): TreeOperation {
-	const [path, key, value] = args;
-	const needed = {
-		set: 3, unset: 2, create: 1, delete: 1,
-	}[action];
-	if (args.length < needed || path === undefined) {
-		throw new CommandError(`tree ${action} needs ${needed} arguments: see lovageferry tree --help.`, exitCodes.usage);
-	}
-
+function operation(action: TreeOperation['op'], args: readonly string[]): TreeOperation {
+	const [path = '', key, value] = args;
 	switch (action) {
 		case 'set': {
 			return {
@@ -115,12 +114,8 @@
 	}
 }
 
-async function apply(client: EntryClient, file: string | undefined, options: CommandLineOptions): Promise<void> {
-	if (file === undefined) {
-		throw new CommandError('tree apply needs a file: see lovageferry tree --help.', exitCodes.usage);
-	}
-
-	const wanted = parse(readFileSync(file, 'utf8')) as Record<string, Record<string, unknown>>;
+async function apply(client: EntryClient, file: string, options: CommandLineOptions): Promise<void> {
+	const wanted = readTreeFile(file);
 	const current = await client.get('/v1/tree') as TreeDocument;
 	const operations = treeDifference(current.nodes, wanted, options.prune === true);
 	if (operations.length === 0) {
@@ -132,7 +127,7 @@
 }
 
 async function change(client: EntryClient, operations: readonly TreeOperation[], options: CommandLineOptions): Promise<void> {
-	const number = options.number === undefined ? (await currentRevision(client)) + 1 : Number(options.number);
+	const number = options.number ?? (await currentRevision(client)) + 1;
 	const changeId = String(options.changeId ?? randomUUID());
 	const {body} = await client.call('POST', '/v1/changes', {changeId, number, operations});
 	const answer = body as ChangeAnswer;
@@ -152,6 +147,24 @@
 	}
 }
 
+function checkArguments(action: string, args: readonly string[]): void {
+	const usage = usages[action];
+	if (!usage) {
+		throw new CommandError(`Unknown action "${action}": use ${Object.keys(usages).join(', ')}.`, exitCodes.usage);
+	}
+
+	const wrongWord = action === 'delete' && args.length === 2 && args[1] !== 'recursive';
+	if (args.length < usage.least || args.length > usage.most || wrongWord) {
+		throw new CommandError(`Use lovageferry tree ${`${action} ${usage.text}`.trim()}.`, exitCodes.usage);
+	}
+}
+
+function checkNumber(number: number | string | undefined): void {
+	if (number !== undefined && !(Number.isSafeInteger(number) && Number(number) > 0)) {
+		throw new CommandError(`--number ${String(number)}: must be a revision, such as 12.`, exitCodes.usage);
+	}
+}
+
 async function currentRevision(client: EntryClient): Promise<number> {
 	const {revision} = await client.get('/v1/tree?path=') as TreeDocument;
 	return revision;
--- a/src/server/caller-listener.ts
+++ b/src/server/caller-listener.ts
@@ -2,6 +2,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {constants} from '../settings/constants.ts';
+import {ListenError} from './listen-error.ts';
 import {log} from './log.ts';
 
 type Handler = (req: IncomingMessage, res: ServerResponse, url: URL) => Promise<void> | void;
@@ -32,7 +33,11 @@
 	async open(): Promise<void> {
 		const {host, port} = this.#listen;
 		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
+			this.#server.once('error', (cause: Error) => {
+				reject(new ListenError({
+					key: 'listen.callers', host, port, cause,
+				}));
+			});
 			this.#server.listen(port, host, 1024, resolve);
 		});
 	}
--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -32,14 +32,20 @@
 	/**
 	 * Reads the settings, opens the data folder and starts to serve.
 	 *
-	 * @throws SettingsError, or the data folder's error if it is damaged.
+	 * @throws SettingsError, the data folder's error if it is damaged, or a ListenError.
 	 */
 	static async start(file: string): Promise<Daemon> {
 		const startedAt = Date.now();
 		const settings = loadSettings(file, startedAt);
 		const folder = settings.dataFolder === undefined ? undefined : await DataFolder.open(settings.dataFolder);
 		const daemon = new Daemon(settings, startedAt, folder);
-		await daemon.#open();
+		try {
+			await daemon.#open();
+		} catch (error) {
+			await folder?.close();
+			throw error;
+		}
+
 		return daemon;
 	}
 
@@ -219,7 +225,7 @@
 			},
 			{
 				method: 'GET', path: '/readyz', handle: (_req, res) => {
-					const ready = this.#core.ready(this.#runner.now());
+					const ready = this.#drained === undefined && this.#core.ready(this.#runner.now());
 					sendJson(res, {ready}, ready ? 200 : 503);
 				},
 			},
--- a/src/server/operator-api.ts
+++ b/src/server/operator-api.ts
@@ -15,6 +15,7 @@
 import {sendJson} from './send-json.ts';
 import {sendProblem} from './send-problem.ts';
 import {sha256} from './sha256.ts';
+import {targetListing} from './target-listing.ts';
 
 const historyLimit = 100;
 const maxOperations = 50_000;
@@ -134,7 +135,7 @@
 		}
 
 		const {node, runner} = this.#options;
-		sendJson(res, {targets: node.targets(runner.now())});
+		sendJson(res, {targets: node.targets(runner.now()).map(target => targetListing(target))});
 	}
 
 	/** Adds or removes a member of the settings log; only its leader can. */
--- a/src/server/peer-listener.ts
+++ b/src/server/peer-listener.ts
@@ -9,6 +9,7 @@
 import type {PeerMessage} from '../core/peer-message.ts';
 import {PeerService, type Frame} from '../gen/peer_pb.ts';
 import {constants} from '../settings/constants.ts';
+import {ListenError} from './listen-error.ts';
 import {log} from './log.ts';
 import type {Metrics} from './metrics.ts';
 import type {PeerToken} from './peer-token.ts';
@@ -47,7 +48,11 @@
 	async open(): Promise<void> {
 		const {host, port} = this.#options.listen;
 		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
+			this.#server.once('error', (cause: Error) => {
+				reject(new ListenError({
+					key: 'listen.peers', host, port, cause,
+				}));
+			});
 			this.#server.listen(port, host, resolve);
 		});
 	}
--- a/src/settings/load-settings.ts
+++ b/src/settings/load-settings.ts
@@ -56,7 +56,7 @@
 
 	const document = parseDocument(text);
 	if (document.errors.length > 0) {
-		throw new SettingsError(document.errors.map(error => `${file}: ${error.message}: correct the YAML`));
+		throw new SettingsError(document.errors.map(error => `${file}: ${firstLine(error.message)}: correct the YAML`));
 	}
 
 	const result = schema.safeParse(document.toJS());
@@ -68,9 +68,21 @@
 }
 
 function describe(issue: z.core.$ZodIssue): string {
-	return issue.code === 'unrecognized_keys'
-		? `unknown key ${issue.keys.map(key => `"${key}"`).join(', ')}: remove or correct it`
-		: issue.message;
+	if (issue.code === 'unrecognized_keys') {
+		return `unknown key ${issue.keys.map(key => `"${key}"`).join(', ')}: remove or correct it`;
+	}
+
+	if (issue.code === 'invalid_type') {
+		return issue.message.endsWith('received undefined')
+			? `is missing: add it (${issue.expected})`
+			: `must be ${issue.expected}: correct it`;
+	}
+
+	return issue.message;
+}
+
+function firstLine(text: string): string {
+	return text.split('\n', 1)[0]!.replace(/:$/v, '');
 }
 
 function readOperators(file: string) {
--- a/src/settings/process-settings-schema.ts
+++ b/src/settings/process-settings-schema.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
+import {isAddress} from './is-address.ts';
 
-const address = z.string().regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/v, 'must be an IP number and a port, such as 10.0.0.1:7101');
+const address = z.string().refine(isAddress, 'must be an IP number and a port, such as 10.0.0.1:7101');
 const name = z.string().regex(/^[a-z0-9][a-z0-9\-]{0,62}$/v, 'must be lower-case letters, digits and hyphens');
 const roles = z.array(z.enum(['entry', 'control'])).min(1);
 
