test(cli): run the command line as processes against a small installation

Covers order and outcome of changes, a race for one number, resends, invalid changes, keys, JSON output, usage errors and starts that cannot succeed.

--- /dev/null
+++ b/test/commands/cli.test.ts
@@ -0,0 +1,193 @@
+import {execFile} from 'node:child_process';
+import {once} from 'node:events';
+import {chmodSync, readFileSync, writeFileSync} from 'node:fs';
+import {createServer, type AddressInfo} from 'node:net';
+import path from 'node:path';
+import process from 'node:process';
+import test from 'ava';
+import {exitCodes} from '../../src/commands/exit-codes.ts';
+import {bundle} from '../harness/bundle.ts';
+import {Launcher} from '../harness/launcher.ts';
+import {makeSpec} from '../harness/make-spec.ts';
+
+type Result = {readonly code: number; readonly stdout: string; readonly stderr: string};
+
+const commandTimeoutMs = 40_000;
+const service = 'prairie/print/proofer';
+const spec = makeSpec({
+	entriesPerRegion: 1, engines: 0, services: 0, proxies: false,
+});
+const [first, second] = spec.nodes.map(node => node.node) as [string, string];
+let launcher: Launcher;
+let program: string;
+
+test.before(async () => {
+	program = await bundle('src/cli.ts');
+	launcher = await Launcher.create(spec);
+	await launcher.start();
+	writeFileSync(file('operator.key'), 'test-operator-key\n', {mode: 0o600});
+});
+
+test.after.always(async () => {
+	await launcher.dispose({keepFolder: false});
+});
+
+function file(name: string): string {
+	return path.join(launcher.folder, name);
+}
+
+/** Runs the command line as a process of its own. */
+async function cli(...args: string[]): Promise<Result> {
+	return new Promise(resolve => {
+		execFile(process.execPath, [program, ...args], {timeout: commandTimeoutMs}, (error, stdout, stderr) => {
+			resolve({code: error ? Number(error.code ?? -1) : 0, stdout, stderr});
+		});
+	});
+}
+
+async function at(node: string, ...args: string[]): Promise<Result> {
+	return cli(...args, '--entry', launcher.address(node), '--key-file', file('operator.key'));
+}
+
+async function json<Value>(node: string, ...args: string[]): Promise<Value> {
+	const {stdout} = await at(node, ...args, '--json');
+	return JSON.parse(stdout) as Value;
+}
+
+async function freePort(): Promise<number> {
+	const server = createServer().listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	server.close();
+	return port;
+}
+
+async function nextNumber(): Promise<string> {
+	const {revision} = await json<{revision: number}>(first, 'tree', 'show');
+	return String(revision + 1);
+}
+
+test.serial('set, show, unset, apply and history follow one another', async t => {
+	const set = await at(first, 'tree', 'set', service, 'deadlineMs', '21000');
+	t.is(set.code, exitCodes.ok);
+	t.regex(set.stdout, /^accepted as revision \d+\n$/v);
+	const shown = await at(second, 'tree', 'show', service);
+	t.regex(shown.stdout, /deadlineMs: 21000/v);
+	t.like(await at(first, 'tree', 'unset', service, 'deadlineMs'), {code: exitCodes.ok});
+	const unset = await at(first, 'tree', 'show', service);
+	t.notRegex(unset.stdout, /deadlineMs/v);
+
+	writeFileSync(file('tree.yaml'), `${service}: {deadlineMs: 22000}\n`);
+	const applied = await at(first, 'tree', 'apply', file('tree.yaml'));
+	t.is(applied.code, exitCodes.ok);
+	const again = await at(first, 'tree', 'apply', file('tree.yaml'));
+	t.regex(again.stdout, /has all of/v);
+	const {history} = await json<{history: Array<{revision: number; change: {operator: string}}>}>(first, 'tree', 'history');
+	t.is(history.length, 4);
+	t.is(history[0]!.change.operator, 'tester');
+});
+
+test.serial('of two changes with one number one is accepted, the other is told which won', async t => {
+	const number = await nextNumber();
+	const race = async (node: string, changeId: string, value: string) => at(node, 'tree', 'set', service, 'deadlineMs', value, '--number', number, '--change-id', changeId);
+	const results = await Promise.all([race(first, 'race-a', '23000'), race(second, 'race-b', '24000')]);
+	const codes = results.map(({code}) => code);
+	t.deepEqual(codes.toSorted((left, right) => left - right), [exitCodes.ok, exitCodes.refused]);
+	const winner = codes[0] === exitCodes.ok ? 'race-a' : 'race-b';
+	const loser = results.find(({code}) => code === exitCodes.refused)!;
+	t.true(loser.stderr.includes(`taken by ${winner}`));
+});
+
+test.serial('a resend with the same change id is answered alike; other content under that id is refused', async t => {
+	const number = await nextNumber();
+	const send = async (node: string, value: string) => at(node, 'tree', 'set', service, 'deadlineMs', value, '--number', number, '--change-id', 'resent');
+	const sent = await send(first, '25000');
+	t.is(sent.code, exitCodes.ok);
+	t.deepEqual(await send(second, '25000'), sent);
+	const other = await send(first, '26000');
+	t.is(other.code, exitCodes.refused);
+	t.regex(other.stderr, /change id/v);
+});
+
+test.serial('an invalid change lists every problem and changes nothing', async t => {
+	const number = await nextNumber();
+	writeFileSync(file('wrong.yaml'), `${service}: {deadlineMs: 0, noSuchKey: 1}\n`);
+	const wrong = await at(first, 'tree', 'apply', file('wrong.yaml'));
+	t.is(wrong.code, exitCodes.refused);
+	t.regex(wrong.stderr, /deadlineMs/v);
+	t.regex(wrong.stderr, /noSuchKey/v);
+	t.is(await nextNumber(), number);
+});
+
+test.serial('a wrong or missing key shows nothing', async t => {
+	writeFileSync(file('wrong.key'), 'wrong', {mode: 0o600});
+	const wrong = await cli('tree', 'show', '--entry', launcher.address(first), '--key-file', file('wrong.key'));
+	t.is(wrong.code, exitCodes.failed);
+	t.is(wrong.stdout, '');
+	const missing = await cli('tree', 'show', '--entry', launcher.address(first), '--key-file', file('none.key'));
+	t.is(missing.code, exitCodes.usage);
+	t.regex(missing.stderr, /none\.key: --key-file: cannot be read/v);
+});
+
+test.serial('status, entries, members and keepers tell of all regions', async t => {
+	const status = await json<{node: string; regions: unknown[]}>(second, 'status');
+	t.is(status.node, second);
+	t.is(status.regions.length, 3);
+	const {entries} = await json<{entries: Array<{node: string}>}>(second, 'entries');
+	t.is(entries[0]!.node, second);
+	t.is(entries.length, 3);
+	const members = await json<{voters: string[]}>(first, 'members', 'list');
+	t.is(members.voters.length, 3);
+	const keepers = await json<{node: string; keepers: Array<{region: string}>}>(first, 'keepers', 'status');
+	t.is(keepers.node, first);
+	const {stdout} = await at(first, 'status');
+	t.regex(stdout, /^region +reachable/mv);
+});
+
+test.serial('what cannot be understood ends with exit code 2 and one line', async t => {
+	const wrong = [
+		'bogus',
+		'tree',
+		'tree bogus',
+		'tree set a b',
+		'tree set a b c d',
+		'tree apply',
+		'tree apply none.yaml',
+		'tree history --number x',
+		'status --bogus',
+		'status --entry nowhere',
+		'members add',
+		'keepers bogus',
+		'check none.yaml',
+		'run none.yaml',
+		'run',
+	];
+	for (const line of wrong) {
+		const {code, stderr} = await cli(...line.split(' ')); // eslint-disable-line no-await-in-loop
+		t.is(code, exitCodes.usage, `${line}: exit code`);
+		t.is(stderr.trimEnd().split('\n').length, 1, `${line}: one line`);
+	}
+});
+
+test.serial('check names every problem; run names a taken port and a folder in use', async t => {
+	const own = path.join(launcher.folder, first, `${first}.yaml`);
+	t.like(await cli('check', own), {code: exitCodes.ok});
+	const key = path.join(launcher.folder, first, 'peer.key');
+	chmodSync(key, 0o644);
+	const open = await cli('check', own);
+	chmodSync(key, 0o600);
+	t.is(open.code, exitCodes.usage);
+	t.regex(open.stderr, /peer\.key: peerKeyFile: may be read by other users: run chmod 600/v);
+
+	const folder = await cli('run', own);
+	t.is(folder.code, exitCodes.dataFolder);
+	t.regex(folder.stderr, /uses the folder/v);
+
+	const taken = path.join(launcher.folder, first, 'taken.yaml');
+	const listen = `{callers: ${launcher.address(first)}, peers: 127.0.0.1:${await freePort()}}`;
+	const text = readFileSync(own, 'utf8').replace(/listen:\n.*\n.*\n/v, `listen: ${listen}\n`).replace('dataFolder: data', 'dataFolder: data-2');
+	writeFileSync(taken, text);
+	const port = await cli('run', taken);
+	t.is(port.code, exitCodes.listen);
+	t.regex(port.stderr, /^listen\.callers: cannot listen on [^\n]*EADDRINUSE[^\n]*\n$/v);
+});
