--- a/test/core/attempts/request-coordinator.test.ts
+++ b/test/core/attempts/request-coordinator.test.ts
@@ -170,6 +170,21 @@
 	t.like(without.refusal('r3'), {result: 'incomplete', ran: 'maybe'});
 });
 
+test('a target that seems to have crashed is the last choice, and its broken connection blames nobody again', t => {
+	const harness = new CoordinatorHarness({settings: {targetConcurrency: 1}});
+	harness.poison.brokenTargets.add(harness.targets.add('engine-1'));
+	harness.targets.add('engine-2');
+	t.is(harness.request('r1')!.targetId, toId<TargetId>('engine-2'));
+	const second = harness.request('r2')!;
+	t.is(second.targetId, toId<TargetId>('engine-1'));
+	harness.fail(second.attemptId, {reason: 'reset'});
+	t.is(harness.poison.crashes.length, 0);
+	const third = harness.request('r3')!;
+	harness.coordinator.firstByte(third.attemptId, harness.now);
+	harness.fail(third.attemptId, {reason: 'reset'});
+	t.like(harness.poison.crashes, [{fingerprints: ['content-of-r3']}], 'it ran after all');
+});
+
 test('a forwarded request is decided under the own settings and never forwarded again', t => {
 	const harness = new CoordinatorHarness({settings: {residency: [toId('saskatoon-a')]}});
 	harness.targets.add('engine-1');
@@ -226,6 +241,19 @@
 	t.is(harness.finals('r3').length, 1);
 });
 
+test('a waiting request does not hold up one behind it whose model has room', t => {
+	const harness = new CoordinatorHarness({settings: {targetConcurrency: 1}});
+	harness.targets.add('engine-1', {models: ['draft']});
+	harness.targets.add('engine-2', {models: ['check']});
+	harness.request('draft-1', {model: 'draft'});
+	const check = harness.request('check-1', {model: 'check'})!;
+	harness.request('draft-2', {model: 'draft'});
+	harness.request('check-2', {model: 'check'});
+	harness.end(check.attemptId);
+	t.is(harness.starts('check-2').length, 1);
+	t.is(harness.starts('draft-2').length, 0);
+});
+
 test('slowness does not cut an answer; silence before the first byte moves it if another target is in time', t => {
 	const harness = new CoordinatorHarness();
 	harness.targets.add('engine-1');
