--- a/test/harness/make-spec.ts
+++ b/test/harness/make-spec.ts
@@ -61,7 +61,7 @@
 		zone: `${region}-${(index % 2) + 1}`,
 		roles: index === 0 ? ['entry', 'control'] as const : ['entry'] as const,
 		weight: index + 1,
-		disk: true,
+		disk: index === 0,
 	}));
 }
 
