--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -165,7 +165,6 @@
 
 	status(): ConsensusStatus {
 		const {log, configuration, term, snapshotIndex} = this.#storage;
-		const learners = this.#replicator?.learners() ?? [];
 		return {
 			role: this.#role(),
 			term,
@@ -174,7 +173,7 @@
 			lastIndex: log.lastIndex,
 			snapshotIndex,
 			voters: configuration?.voters.map(voter => voter.nodeId) ?? [],
-			learners: learners.map(({member}) => member.nodeId),
+			learners: this.#replicator?.learners().map(({member}) => member.nodeId) ?? [],
 			problem: this.#problem,
 		};
 	}
