--- a/test/harness/bundle.ts
+++ b/test/harness/bundle.ts
@@ -1,11 +1,12 @@
-import {mkdtempSync} from 'node:fs';
+import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import process from 'node:process';
 import {build} from 'esbuild';
 
 const bundles = new Map<string, Promise<string>>();
 
-/** Bundles the entry file of a process once, so that many processes start fast; returns the bundle's path. */
+/** Bundles the entry file of a process once, so that many processes start fast; returns the bundle's path, which lasts as long as this process. */
 export async function bundle(entryFile: string): Promise<string> {
 	const known = bundles.get(entryFile);
 	if (known) {
@@ -19,6 +20,9 @@
 
 async function makeBundle(entryFile: string): Promise<string> {
 	const folder = mkdtempSync(path.join(tmpdir(), 'lovageferry-bundle-'));
+	process.on('exit', () => {
+		rmSync(folder, {recursive: true, force: true});
+	});
 	const outfile = path.join(folder, path.basename(entryFile, '.ts') + '.cjs');
 	await build({
 		entryPoints: [entryFile], outfile, bundle: true, platform: 'node', format: 'cjs', target: 'node20', sourcemap: 'inline', logLevel: 'error',
