fix(cli): show the actions in the help of tree, members and keepers; take numbers as text

Cause: a command's own help shows its usage but not its description, where the actions stood; an option value made of digits arrives as a number, so that '--entry 5' would have failed inside a text function. Seen: the usage lines list the actions; '--entry 5' ends with exit code 2 and one line; the 8 tests of the command line pass.

--- a/src/cli.ts
+++ b/src/cli.ts
@@ -30,6 +30,7 @@
 	.option('--json', 'Print JSON');
 
 operatorCommand('tree <action> [...args]', 'Settings tree: show [path] | set <path> <key> <value> | unset <path> <key> | create <path> | delete <path> [recursive] | apply <file> | history')
+	.usage('tree show [path] | set <path> <key> <value> | unset <path> <key> | create <path> | delete <path> [recursive] | apply <file> | history')
 	.option('--resolved', 'Show settings after inheritance')
 	.option('--prune', 'With apply: delete nodes and settings that the file does not have')
 	.option('--change-id <id>', 'Id of the change; repeat it to resend a change whose answer was lost')
@@ -55,12 +56,14 @@
 }
 
 operatorCommand('members <action> [node]', 'Members of the settings log: list | add <node> | remove <node>')
+	.usage('members list | add <node> | remove <node>')
 	.action(async (action: string, node: string | undefined, options: CommandLineOptions) => {
 		const {members} = await import('./commands/members.ts');
 		await members(action, node, options);
 	});
 
 operatorCommand('keepers <action>', 'Claims of requests that may not be repeated: status | accept-loss (ask a keeper of the region with --entry)')
+	.usage('keepers status | accept-loss')
 	.action(async (action: string, options: CommandLineOptions) => {
 		const {keepers} = await import('./commands/keepers.ts');
 		await keepers(action, options);
--- a/src/commands/resolve-client-options.ts
+++ b/src/commands/resolve-client-options.ts
@@ -11,7 +11,7 @@
  * @throws CommandError if an entry is no address or the key file cannot be read.
  */
 export function resolveClientOptions(options: CommandLineOptions): ClientOptions {
-	const entries = [options.entry ?? '127.0.0.1:7101'].flat();
+	const entries = [options.entry ?? '127.0.0.1:7101'].flat().map(String);
 	const wrong = entries.find(entry => !isAddress(entry));
 	if (wrong !== undefined) {
 		throw new CommandError(`--entry ${wrong}: must be an IP number and a port, such as 10.0.0.1:7101.`, exitCodes.usage);
@@ -19,7 +19,7 @@
 
 	return {
 		entries,
-		key: readKey(options.keyFile ?? 'operator.key'),
+		key: readKey(String(options.keyFile ?? 'operator.key')),
 		json: options.json === true,
 	};
 }
--- a/test/commands/cli.test.ts
+++ b/test/commands/cli.test.ts
@@ -156,6 +156,7 @@
 		'tree history --number x',
 		'status --bogus',
 		'status --entry nowhere',
+		'status --entry 5',
 		'members add',
 		'keepers bogus',
 		'check none.yaml',
