--- a/src/core/targets/regional-target-table.ts
+++ b/src/core/targets/regional-target-table.ts
@@ -49,7 +49,7 @@
 			return 'stale';
 		}
 
-		this.#outbox.count('announcements');
+		this.#outbox.count('announcements', announcement.state);
 		this.#take(announcement, now, true, now);
 		return 'accepted';
 	}
--- a/src/server/metrics.ts
+++ b/src/server/metrics.ts
@@ -1,6 +1,6 @@
 import {build, type Histogram} from 'hdr-histogram-js';
 
-const quantiles = [50, 90, 95, 99, 99.9];
+const quantiles = [[50, '0.5'], [90, '0.9'], [95, '0.95'], [99, '0.99'], [99.9, '0.999']] as const;
 const highestMicroseconds = 3_600_000_000;
 
 /** Counters with a reason label, gauges and latency histograms of one process, in the text exposition format. */
@@ -68,8 +68,8 @@
 		for (const [name, {histogram, sum}] of this.#histograms) {
 			const metric = `lovageferry_${name}_seconds`;
 			yield `# TYPE ${metric} summary`;
-			for (const quantile of quantiles) {
-				yield `${metric}{quantile="${quantile / 100}"} ${histogram.getValueAtPercentile(quantile) / 1_000_000}`;
+			for (const [quantile, label] of quantiles) {
+				yield `${metric}{quantile="${label}"} ${histogram.getValueAtPercentile(quantile) / 1_000_000}`;
 			}
 
 			yield `${metric}_sum ${sum / 1000}`;
--- a/src/server/target-api.ts
+++ b/src/server/target-api.ts
@@ -68,7 +68,6 @@
 			return;
 		}
 
-		this.#options.metrics.count('announcements', announcement.state);
 		this.#options.runner.step({type: 'announcement', announcement});
 		sendJson(res, {accepted: true, renewMs, leaseMs});
 	}
