refactor(server): one list of HTTP routes, and an API of its own for health and metrics

Cause: the daemon's file held routes, gauges and start-up; a newcomer had to read it whole to find a path. Seen: HTTP interface tests pass; behaviour unchanged.

--- a/src/server/caller-listener.ts
+++ b/src/server/caller-listener.ts
@@ -3,12 +3,9 @@
 } from 'node:http';
 import {constants} from '../settings/constants.ts';
 import {ListenError} from './listen-error.ts';
+import type {HttpRoute} from './http-route.ts';
 import {log} from './log.ts';
 
-type Handler = (req: IncomingMessage, res: ServerResponse, url: URL) => Promise<void> | void;
-/** A route of the HTTP interface: method (`*` for any), path or path prefix ending in `/`. */
-type HttpRoute = {readonly method: string; readonly path: string; readonly handle: Handler};
-
 /** The HTTP server for callers, targets and operators. */
 export class CallerListener {
 	readonly #server: Server;
--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -1,5 +1,4 @@
 import {performance} from 'node:perf_hooks';
-import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Action} from '../core/actions.ts';
 import {GatewayCore} from '../core/gateway-core.ts';
@@ -16,6 +15,7 @@
 import type {CallerRequest} from './caller-request.ts';
 import {CoreRunner} from './core-runner.ts';
 import {DataFolder} from './journal/data-folder.ts';
+import {httpRoutes} from './http-routes.ts';
 import {log} from './log.ts';
 import {Metrics} from './metrics.ts';
 import {OperatorApi} from './operator-api.ts';
@@ -23,8 +23,8 @@
 import {PeerLinks} from './peer-links.ts';
 import {PeerListener} from './peer-listener.ts';
 import {PeerToken} from './peer-token.ts';
+import {ProcessApi} from './process-api.ts';
 import {RequestReader} from './request-reader.ts';
-import {sendJson} from './send-json.ts';
 import {TargetApi} from './target-api.ts';
 
 /** One running process of the system: the core with its sockets, files and timers. */
@@ -110,8 +110,17 @@
 		const callers = new CallerApi({
 			...common, reader, metrics: this.#metrics, requests: this.#requests,
 		});
-		const targets = new TargetApi({...common, metrics: this.#metrics});
-		this.#callers = new CallerListener({listen: settings.listen.callers, routes: this.#routes(callers, targets)});
+		const routes = httpRoutes({
+			callers,
+			targets: new TargetApi({...common, metrics: this.#metrics}),
+			operators: this.#operators,
+			process: new ProcessApi({
+				node: this.#core,
+				metrics: this.#metrics,
+				ready: () => this.#drained === undefined && this.#core.ready(this.#runner.now()),
+			}),
+		});
+		this.#callers = new CallerListener({listen: settings.listen.callers, routes});
 		this.#performer = new ActionPerformer({
 			region: self.region,
 			revision: () => this.#core.tree.revision,
@@ -128,7 +137,6 @@
 				this.#drained?.();
 			},
 		});
-		this.#registerGauges();
 	}
 
 	/** Reads the settings file again: keys take effect at once, anything else needs a restart. */
@@ -174,71 +182,4 @@
 	#perform(action: Action): void {
 		this.#performer.perform(action);
 	}
-
-	#routes(callers: CallerApi, targets: TargetApi): ConstructorParameters<typeof CallerListener>[0]['routes'] {
-		const operators = this.#operators;
-		return [
-			{method: 'POST', path: '/v1/chat/completions', handle: async (req, res) => callers.completion(req, res)},
-			{method: '*', path: '/s/', handle: async (req, res, url) => callers.service(req, res, url)},
-			{
-				method: 'GET', path: '/v1/entries', handle(req, res, url) {
-					callers.entries(req, res, url);
-				},
-			},
-			{method: 'POST', path: '/v1/announcements', handle: async (req, res) => targets.announce(req, res)},
-			{method: 'POST', path: '/v1/members', handle: async (req, res) => operators.members(req, res)},
-			{
-				method: 'POST', path: '/v1/keepers/accept-loss', handle(req, res) {
-					operators.acceptLoss(req, res);
-				},
-			},
-			{method: 'POST', path: '/v1/changes', handle: async (req, res) => operators.change(req, res)},
-			{
-				method: 'GET', path: '/v1/tree', handle(req, res, url) {
-					operators.tree(req, res, url);
-				},
-			},
-			{
-				method: 'GET', path: '/v1/history', handle(req, res, url) {
-					operators.history(req, res, url);
-				},
-			},
-			{
-				method: 'GET', path: '/v1/status', handle(req, res) {
-					operators.status(req, res);
-				},
-			},
-			{
-				method: 'GET', path: '/v1/targets', handle(req, res) {
-					operators.targets(req, res);
-				},
-			},
-			{
-				method: 'GET', path: '/metrics', handle: (_req, res) => {
-					res.writeHead(200, {'content-type': 'text/plain; version=0.0.4'}).end(this.#metrics.expose());
-				},
-			},
-			{
-				method: 'GET', path: '/healthz', handle(_req, res) {
-					sendJson(res, {alive: true});
-				},
-			},
-			{
-				method: 'GET', path: '/readyz', handle: (_req, res) => {
-					const ready = this.#drained === undefined && this.#core.ready(this.#runner.now());
-					sendJson(res, {ready}, ready ? 200 : 503);
-				},
-			},
-		];
-	}
-
-	#registerGauges(): void {
-		this.#metrics.gauge('requests_in_flight', () => this.#core.inFlight());
-		this.#metrics.gauge('settings_revision', () => this.#core.tree.revision);
-		this.#metrics.gauge('resident_bytes', () => process.memoryUsage.rss());
-		this.#metrics.gauge('cpu_seconds', () => {
-			const {user, system} = process.cpuUsage();
-			return (user + system) / 1_000_000;
-		});
-	}
 }
