--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -18,6 +18,7 @@
 const changes = 100;
 const targetKey = 'capacity-target-key';
 const sizes: readonly Size[] = [
+	{regions: 1, nodesPerRegion: 1, targetsPerRegion: 0},
 
 	{regions: 4, nodesPerRegion: 3, targetsPerRegion: 0},
 	{regions: 4, nodesPerRegion: 6, targetsPerRegion: 0},
--- a/src/core/attempts/request-coordinator.ts
+++ b/src/core/attempts/request-coordinator.ts
@@ -156,7 +156,7 @@
 		this.#recovery.targetsLost(targetIds, now);
 	}
 
-	/** Places what waits and gives up what cannot be answered in time; called about every 50 ms. */
+	/** Places what waits and gives up what cannot be answered in time; called about every 100 ms. */
 	tick(now: Millis): void {
 		this.#runner.tick(now);
 		for (const {req, refusal} of this.#parts.admission.expire(now)) {
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -11,7 +11,7 @@
 
 /** What happens to a node; `Node.step` takes one at a time. */
 export type CoreEvent =
-	/** Sent by the server about every 50 ms. */
+	/** Sent by the server about every 100 ms. */
 	| {readonly type: 'tick'}
 	| {readonly type: 'peer'; readonly from: NodeId; readonly message: PeerMessage}
 	| {readonly type: 'request'; readonly req: RequestInfo}
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -12,7 +12,7 @@
 	/** Times that this process was found to have been paused; anything decided under a lower count is stale. */
 	readonly pauses: number;
 	handle(from: NodeId, message: MembershipMessage, now: Millis): void;
-	/** Sends heartbeats and expires what was not heard; called about every 50 ms. */
+	/** Sends heartbeats and expires what was not heard; called about every 100 ms. */
 	tick(now: Millis): void;
 	/** State of this node that heartbeats carry. */
 	report(state: {revision: number; load: number; draining: boolean; services: readonly ServiceSummary[]}): void;
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -1,7 +1,7 @@
 /** Numbers of the process around the core; settings of the tree have their defaults in `src/core/settings`. */
 export const constants = {
 	/** Time between two `tick` events. */
-	tickMs: 50,
+	tickMs: 100,
 	/** Longest time a caller may take to send headers. */
 	headersTimeoutMs: 10_000,
 	/** Longest time a caller may take to send the whole body. */
