fix(server): what may not be repeated needs a home region

Cause (found reading the change): with a homeRegion neither at the caller key nor at the route each entry took its own region as home, so a resend through another region met other keepers and could run again. Ruled out: a home by hash of the key (regions come and go); validation of the tree (a key may bring its own home).

--- a/src/server/request-reader.ts
+++ b/src/server/request-reader.ts
@@ -52,6 +52,7 @@
 			throw new RequestError({result: 'unknownRoute', ran: 'no', detail: `There is no route ${path.firm}/${path.deployment}/${path.service}/${path.route}.`});
 		}
 
+		const homeRegion = this.#homeRegion(caller, settings, forwarded !== undefined);
 		const body = await takeBody(req, settings.maxBodyBytes);
 		const kind = call.service === undefined ? 'completion' : 'call';
 		const chat = kind === 'completion' ? chatBody(body) : undefined;
@@ -65,7 +66,7 @@
 			streamed: chat?.streamed ?? false,
 			model: settings.model ?? chat?.model,
 			residency: intersection(settings.residency, caller.key.residency),
-			homeRegion: caller.key.homeRegion ?? settings.homeRegion ?? toId(this.#options.self.region),
+			homeRegion,
 			promptTokens: Math.ceil(prompt.length / constants.charactersPerToken),
 			prefixBlocks: prefixBlocks(prompt),
 			prefixBlockTokens: constants.prefixBlockCharacters / constants.charactersPerToken,
@@ -83,6 +84,20 @@
 		});
 	}
 
+	/** Region that keeps the claims; without one in the tree a resend through another region could run again. */
+	#homeRegion(caller: Caller, settings: RouteSettings, forwarded: boolean): Region {
+		const homeRegion = caller.key.homeRegion ?? settings.homeRegion;
+		if (homeRegion === undefined && !settings.repeatable && !forwarded) {
+			throw new RequestError({
+				result: 'ledgerUnavailable',
+				ran: 'maybe',
+				detail: 'Neither the caller key nor the route has a homeRegion; set one in the tree.',
+			});
+		}
+
+		return homeRegion ?? toId(this.#options.self.region);
+	}
+
 	#caller(req: IncomingMessage): Caller {
 		const key = bearerKey(req);
 		const caller = key === '' ? undefined : this.#options.tree().callerKey(sha256(key));
--- a/test/server/http-interface.test.ts
+++ b/test/server/http-interface.test.ts
@@ -1,12 +1,19 @@
 import {connect} from 'node:net';
 import test from 'ava';
 import {request} from 'undici';
+import {sha256} from '../../src/server/sha256.ts';
 import {Launcher} from '../harness/launcher.ts';
 import {makeSpec} from '../harness/make-spec.ts';
 
-type Problem = {readonly code: number; readonly ran: string};
+type Problem = {readonly code: number; readonly ran: string; readonly detail: string};
 
-const spec = makeSpec({entriesPerRegion: 1, proxies: false});
+const spec = makeSpec({
+	entriesPerRegion: 1,
+	proxies: false,
+	operations: [{
+		op: 'set', path: 'prairie', key: `callerKeys/${sha256('no-home')}`, value: {organisation: 'no-home'},
+	}],
+});
 const entry = spec.nodes[0]!;
 let launcher: Launcher;
 
@@ -63,6 +70,15 @@
 	t.like(await res.body.json(), {code: 3001, ran: 'no'});
 });
 
+test('what may not be repeated is refused where neither key nor route has a home region', async t => {
+	const res = await request(url('/s/pressdesk/orders'), {
+		method: 'POST', headers: {authorization: 'Bearer no-home', 'lovageferry-route': 'orders', 'idempotency-key': 'order-2'}, body: '{}',
+	});
+	const problem = await res.body.json() as Problem;
+	t.like(problem, {code: 3004, ran: 'maybe'});
+	t.regex(problem.detail, /homeRegion/v);
+});
+
 test('the tree, its history and its changes need an operator key', async t => {
 	for (const path of ['/v1/tree', '/v1/history', '/v1/status', '/v1/targets']) {
 		const res = await request(url(path)); // eslint-disable-line no-await-in-loop
