--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -84,7 +84,7 @@
 
 function tableOf(targets: number, random: SeededRandom): RegionalTargetTable {
 	const outbox = {
-		send: () => undefined, append: () => 0, rewrite: () => 0, count: () => undefined, log: () => undefined,
+		send: () => undefined, append: () => 0, rewrite: () => 0, count: () => undefined, event: () => undefined, log: () => undefined,
 	};
 	const self = toId<NodeId>('entry');
 	const table = new RegionalTargetTable({
--- a/bench/policy-run.ts
+++ b/bench/policy-run.ts
@@ -226,6 +226,7 @@
 			append: () => 0,
 			rewrite: () => 0,
 			count: () => undefined,
+			event: () => undefined,
 			log: () => undefined,
 		};
 	}
--- /dev/null
+++ b/src/command-line.ts
@@ -0,0 +1,94 @@
+import process from 'node:process';
+import {cac, type CAC} from 'cac';
+import type {CommandLineOptions} from './commands/command-line-options.ts';
+import {exitCodes} from './commands/exit-codes.ts';
+import {ignoreClosedOutput} from './commands/ignore-closed-output.ts';
+import type {Dialect} from './server/routes/dialect.ts';
+import {version} from './version.ts';
+
+type CommandLineSetup = {
+	/** Formats of the platform that this build speaks, for deployments with a routes document. */
+	readonly dialect?: Dialect;
+};
+
+/** Runs the command that the process was started with. */
+export async function runCommandLine({dialect}: CommandLineSetup = {}): Promise<void> {
+	const cli = cac('lovageferry');
+	defineCommands(cli, dialect);
+
+	ignoreClosedOutput(process.stdout);
+	cli.parse(process.argv, {run: false});
+	if (!cli.matchedCommand && !cli.options.help && !cli.options.version) {
+		const [command] = cli.args;
+		process.stderr.write(`${command === undefined ? 'A command is needed' : `Unknown command "${command}"`}: see lovageferry --help.\n`);
+		process.exitCode = exitCodes.usage;
+		return;
+	}
+
+	await cli.runMatchedCommand();
+}
+
+function defineCommands(cli: CAC, dialect: Dialect | undefined): void {
+	cli
+		.command('run <settings>', 'Run one process of the system with a settings file')
+		.action(async (settings: string) => {
+			const {run} = await import('./commands/run.ts');
+			await run(settings, dialect);
+		});
+
+	cli
+		.command('check <settings>', 'Check a settings file: prints every problem, exit code 2 if there is one')
+		.action(async (settings: string) => {
+			const {check} = await import('./commands/check.ts');
+			check(settings);
+		});
+
+	const operatorCommand = (name: string, description: string) => cli
+		.command(name, description)
+		.option('--entry <address>', 'Entry to ask (ip:port); give it several times to try others', {default: '127.0.0.1:7101'})
+		.option('--key-file <file>', 'File with the operator key', {default: 'operator.key'})
+		.option('--json', 'Print JSON');
+
+	operatorCommand('tree <action> [...args]', 'Settings tree: show [path] | set <path> <key> <value> | unset <path> <key> | create <path> | delete <path> [recursive] | apply <file> | history')
+		.usage('tree show [path] | set <path> <key> <value> | unset <path> <key> | create <path> | delete <path> [recursive] | apply <file> | history')
+		.option('--resolved', 'Show settings after inheritance')
+		.option('--prune', 'With apply: delete nodes and settings that the file does not have')
+		.option('--change-id <id>', 'Id of the change; repeat it to resend a change whose answer was lost')
+		.option('--number <revision>', 'Number of the change; the next revision if left out')
+		.option('--no-wait', 'Do not wait until the change is in force everywhere')
+		.example('lovageferry tree set prairie/print/proofer deadlineMs 20000 --entry 127.0.0.1:7101')
+		.action(async (action: string, args: string[], options: CommandLineOptions) => {
+			const {tree} = await import('./commands/tree.ts');
+			await tree(action, args, options);
+		});
+
+	for (const [name, description] of [
+		['status', 'What an entry knows of itself, its region, the other regions and the settings log'],
+		['targets', 'Targets of the entry\'s region'],
+		['entries', 'Entries that callers may use, in order'],
+	] as const) {
+		operatorCommand(name, description)
+			.option('--zone <zone>', 'Zone of the caller (entries)')
+			.action(async (options: CommandLineOptions) => {
+				const {show} = await import('./commands/show.ts');
+				await show(name, options);
+			});
+	}
+
+	operatorCommand('members <action> [node]', 'Members of the settings log: list | add <node> | remove <node>')
+		.usage('members list | add <node> | remove <node>')
+		.action(async (action: string, node: string | undefined, options: CommandLineOptions) => {
+			const {members} = await import('./commands/members.ts');
+			await members(action, node, options);
+		});
+
+	operatorCommand('keepers <action>', 'Claims of requests that may not be repeated: status | accept-loss (ask a keeper of the region with --entry)')
+		.usage('keepers status | accept-loss')
+		.action(async (action: string, options: CommandLineOptions) => {
+			const {keepers} = await import('./commands/keepers.ts');
+			await keepers(action, options);
+		});
+
+	cli.help();
+	cli.version(version);
+}
--- a/src/commands/run.ts
+++ b/src/commands/run.ts
@@ -1,22 +1,22 @@
 import process from 'node:process';
-import {Daemon} from '../server/daemon.ts';
+import type {Dialect} from '../server/routes/dialect.ts';
+import {settingsMode} from '../settings/settings-mode.ts';
+import {CommandError} from './command-error.ts';
+import {exitCodes} from './exit-codes.ts';
 
-/** Runs one process of the system until SIGTERM or SIGINT; SIGHUP reads the keys again. */
-export async function run(settings: string): Promise<void> {
-	const daemon = await Daemon.start(settings);
-	let stopping = false;
-	const stop = async () => {
-		if (stopping) {
-			return;
-		}
+/** Pause before a process that failed ends, so that it is not restarted in a rush, in milliseconds. */
+const failurePauseMs = 1000;
 
-		stopping = true;
-		await daemon.stop();
-		process.exit(0); // eslint-disable-line unicorn/no-process-exit
-	};
+/** Runs one process of the system until SIGTERM or SIGINT; SIGHUP reads what can change while it runs. */
+export async function run(settings: string, dialect?: Dialect): Promise<void> {
+	if (settingsMode(settings) === 'routes') {
+		await runRoutes(settings, dialect);
+		return;
+	}
 
-	process.on('SIGTERM', stop);
-	process.on('SIGINT', stop);
+	const {Daemon} = await import('../server/daemon.ts');
+	const daemon = await Daemon.start(settings);
+	stopOnSignal(async () => daemon.stop());
 	process.on('SIGHUP', () => {
 		try {
 			daemon.reload();
@@ -25,3 +25,42 @@
 		}
 	});
 }
+
+async function runRoutes(file: string, dialect: Dialect | undefined): Promise<void> {
+	if (dialect === undefined) {
+		throw new CommandError('this build speaks no platform\'s formats, which mode "routes" needs: run the platform\'s build', exitCodes.usage);
+	}
+
+	const {startRoutesProcess} = await import('../server/routes/start-routes-process.ts');
+	const {process: running, log} = await startRoutesProcess({
+		file,
+		dialect,
+		onFailed() {
+			setTimeout(() => {
+				process.exit(exitCodes.failed); // eslint-disable-line unicorn/no-process-exit
+			}, failurePauseMs);
+		},
+	});
+	stopOnSignal(async () => {
+		log.write('stopping', {});
+		await running.stop();
+		log.write('stopped', {});
+	});
+	process.on('SIGHUP', () => {
+		running.reload();
+	});
+}
+
+function stopOnSignal(stop: () => Promise<void>): void {
+	let stopping = false;
+	const once = async () => {
+		if (!stopping) {
+			stopping = true;
+			await stop();
+			process.exit(0); // eslint-disable-line unicorn/no-process-exit
+		}
+	};
+
+	process.on('SIGTERM', once);
+	process.on('SIGINT', once);
+}
--- a/src/core/action-queue.ts
+++ b/src/core/action-queue.ts
@@ -2,13 +2,14 @@
 import type {JournalName} from './common/journal-name.ts';
 import type {Outbox} from './common/outbox.ts';
 import type {NodeId} from './ids/node-id.ts';
+import type {OutboxAction} from './outbox-action.ts';
 import type {PeerMessage} from './peer-message.ts';
 import type {CounterName} from './results/counter-name.ts';
 
 /** Collects the actions of one step; messages of the node to itself come back to it without a link. */
-export class ActionQueue implements Outbox {
+export class ActionQueue<NodeAction extends {type: string} = Action> implements Outbox {
 	readonly #self: NodeId;
-	#actions: Action[] = [];
+	#actions: Array<NodeAction | OutboxAction> = [];
 	#loopback: PeerMessage[] = [];
 	#token = 0;
 
@@ -16,7 +17,7 @@
 		this.#self = self;
 	}
 
-	push(action: Action): void {
+	push(action: NodeAction | OutboxAction): void {
 		this.#actions.push(action);
 	}
 
@@ -51,12 +52,16 @@
 		});
 	}
 
+	event(event: string, fields: Readonly<Record<string, unknown>>): void {
+		this.#actions.push({type: 'event', event, fields});
+	}
+
 	log(part: string, text: string): void {
 		this.#actions.push({type: 'log', part, text});
 	}
 
 	/** Returns and forgets the actions collected so far. */
-	take(): readonly Action[] {
+	take(): ReadonlyArray<NodeAction | OutboxAction> {
 		const actions = this.#actions;
 		this.#actions = [];
 		return actions;
--- a/src/core/actions.ts
+++ b/src/core/actions.ts
@@ -1,22 +1,16 @@
-import type {JournalName} from './common/journal-name.ts';
 import type {AttemptId} from './ids/attempt-id.ts';
 import type {NodeId} from './ids/node-id.ts';
 import type {RequestId} from './ids/request-id.ts';
 import type {TargetId} from './ids/target-id.ts';
 import type {KeptAnswer} from './ledger/kept-answer.ts';
 import type {EngineOrder} from './orders/engine-order.ts';
-import type {PeerMessage} from './peer-message.ts';
-import type {CounterName} from './results/counter-name.ts';
+import type {OutboxAction} from './outbox-action.ts';
 import type {Refusal} from './results/refusal.ts';
 import type {ChangeOutcome} from './tree/change-outcome.ts';
 
 /** What the server carries out for the core. */
 export type Action =
-	| {readonly type: 'send'; readonly to: NodeId; readonly message: PeerMessage}
-	| {readonly type: 'append'; readonly journal: JournalName; readonly records: readonly unknown[]; readonly token: number}
-	| {readonly type: 'rewrite'; readonly journal: JournalName; readonly records: readonly unknown[]; readonly token: number}
-	| {readonly type: 'count'; readonly name: CounterName; readonly reason?: string; readonly amount: number}
-	| {readonly type: 'log'; readonly part: string; readonly text: string}
+	| OutboxAction
 	/** Sends the request's body to `address`; the attempt owns the request until it ends or is cancelled. */
 	| {
 		readonly type: 'start-attempt';
--- a/src/core/common/outbox.ts
+++ b/src/core/common/outbox.ts
@@ -16,6 +16,8 @@
 	rewrite(journal: JournalName, records: readonly unknown[]): number;
 	/** Adds one (or `amount`) to a counter; `reason` becomes a label. */
 	count(name: CounterName, reason?: string, amount?: number): void;
+	/** Emits a line of the structured log: a decision and what decided it. */
+	event(event: string, fields: Readonly<Record<string, unknown>>): void;
 	/** Emits a debug line: a short sentence under the prefix of its part. */
 	log(part: string, text: string): void;
 }
--- a/src/core/consensus/bootstrap.ts
+++ b/src/core/consensus/bootstrap.ts
@@ -18,12 +18,14 @@
 export class Bootstrap {
 	readonly #context: MemberContext;
 	readonly #initial: readonly NodeId[];
+	readonly #mayFound: boolean;
 	readonly #answers = new Map<NodeId, Answer>();
 	#askAt = 0;
 	#historySeen = false;
 
-	constructor(context: MemberContext, initialMembers: readonly NodeId[]) {
+	constructor(context: MemberContext, initialMembers: readonly NodeId[], mayFound: boolean) {
 		this.#context = context;
+		this.#mayFound = mayFound;
 		this.#initial = [...initialMembers].sort();
 	}
 
@@ -82,14 +84,14 @@
 
 	#ask(): void {
 		const {self, send} = this.#context;
-		const propose = this.#isLowest() ? self.storageId : undefined;
+		const propose = this.#mayFound && this.#isLowest() ? self.storageId : undefined;
 		for (const nodeId of this.#others()) {
 			send(nodeId, {type: 'hello', propose});
 		}
 	}
 
 	#mayForm(): boolean {
-		if (!this.#isLowest()) {
+		if (!this.#mayFound || !this.#isLowest()) {
 			return false;
 		}
 
--- a/src/core/consensus/raft-member-options.ts
+++ b/src/core/consensus/raft-member-options.ts
@@ -14,6 +14,12 @@
 	readonly storageId: StorageId;
 	/** Control nodes of the installation, this one included: they form the first configuration. */
 	readonly initialMembers: readonly NodeId[];
+	/**
+	 * False for a member that must not found the group, since it may have lost its folder.
+	 *
+	 * @default true
+	 */
+	readonly mayFound?: boolean;
 	readonly load: JournalLoad<ConsensusRecord>;
 	readonly state: ReplicatedState<Outcome>;
 	readonly outbox: Outbox;
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -10,6 +10,7 @@
 import {consensusTiming} from './consensus-timing.ts';
 import {Election} from './election.ts';
 import {GroupGate} from './group-gate.ts';
+import type {GroupView} from './group-view.ts';
 import {isVoter} from './is-voter.ts';
 import {JoinRequests} from './join-requests.ts';
 import {LogAcceptor} from './log-acceptor.ts';
@@ -17,6 +18,7 @@
 import type {LogEntry} from './log-entry.ts';
 import type {LogMember} from './log-member.ts';
 import type {MemberContext} from './member-context.ts';
+import {memberKey} from './member-key.ts';
 import {memberRole} from './member-role.ts';
 import {MemberStorage} from './member-storage.ts';
 import {MembershipChanges} from './membership-changes.ts';
@@ -47,7 +49,7 @@
 	#problem: string | undefined;
 
 	constructor(options: RaftMemberOptions<Outcome>) {
-		const {self, storageId, initialMembers, load, state, outbox, random} = options;
+		const {self, storageId, initialMembers, mayFound = true, load, state, outbox, random} = options;
 		const limits = {...consensusLimits, ...options.limits};
 		this.#storage = new MemberStorage(load, outbox, limits);
 		this.#context = {
@@ -61,7 +63,7 @@
 			},
 		};
 		this.#applied = new AppliedLog(this.#storage, state);
-		this.#bootstrap = new Bootstrap(this.#context, initialMembers);
+		this.#bootstrap = new Bootstrap(this.#context, initialMembers, mayFound);
 		this.#gate = new GroupGate(this.#storage, this.#bootstrap);
 		this.#joins = new JoinRequests(this.#context, initialMembers);
 		this.#acceptor = new LogAcceptor(this.#context);
@@ -140,6 +142,42 @@
 		return now < until ? until : undefined;
 	}
 
+	/**
+	 * Time, on this member's clock, at which a majority still took it for the leader and its state held everything
+	 * committed until then; undefined while it does not lead. A read that arrived earlier may be answered from the state.
+	 */
+	confirmedAt(now: Millis): Millis | undefined {
+		const contact = this.#replicator?.majorityContact(now);
+		return contact === undefined || this.#applied.commit < this.#firstIndex ? undefined : contact as Millis;
+	}
+
+	/** Index of the newest entry that is committed and applied here. */
+	get commitIndex(): number {
+		return this.#applied.commit;
+	}
+
+	/** Time since this member led or heard a leader, in milliseconds. */
+	leaderSilence(now: Millis): number {
+		return this.#replicator === undefined ? this.#election.silence(now) : 0;
+	}
+
+	/** What the leader knows of the group's members; undefined while this member does not lead with a valid lease. */
+	group(now: Millis): GroupView | undefined {
+		const {configuration, log} = this.#storage;
+		if (this.#replicator === undefined || configuration === undefined || !this.leads(now)) {
+			return undefined;
+		}
+
+		const silences = new Map(this.#replicator.peers().map(({member, heardAt}) => [memberKey(member), now - heardAt]));
+		const near = this.#replicator.learners().filter(({match}) => match > 0 && log.lastIndex - match <= this.#context.limits.learnerLag);
+		return {
+			settled: !this.#configurationOpen(),
+			wanted: configuration.wanted,
+			voters: configuration.voters.map(voter => ({nodeId: voter.nodeId, silentMs: silences.get(memberKey(voter)) ?? 0})),
+			standbys: near.map(({member}) => member.nodeId),
+		};
+	}
+
 	leader(): NodeId | undefined {
 		return this.#leader;
 	}
--- /dev/null
+++ b/src/core/control/call-answer.ts
@@ -0,0 +1,7 @@
+import type {StoredDocument} from '../routes/stored-document.ts';
+
+/** Answer to an operator's call; `unavailable` promises nothing. */
+export type CallAnswer =
+	| {readonly type: 'accepted'; readonly index: number}
+	| {readonly type: 'document'; readonly document: StoredDocument | undefined}
+	| {readonly type: 'unavailable'; readonly reason: string};
--- /dev/null
+++ b/src/core/control/control-core.ts
@@ -0,0 +1,303 @@
+import {ActionQueue} from '../action-queue.ts';
+import type {JournalLoad} from '../common/journal-load.ts';
+import type {ConsensusRecord} from '../consensus/consensus-record.ts';
+import type {ConsensusStatus} from '../consensus/consensus-status.ts';
+import {RaftMember} from '../consensus/raft-member.ts';
+import type {EntryAddress} from '../ids/entry-address.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {Region} from '../ids/region.ts';
+import type {Zone} from '../ids/zone.ts';
+import type {PeerMessage} from '../peer-message.ts';
+import {EntryDirectory} from '../registry/entry-directory.ts';
+import {sumRegions} from '../registry/sum-regions.ts';
+import {TargetRegistry} from '../registry/target-registry.ts';
+import type {CommandOutcome} from '../tree/command-outcome.ts';
+import {SystemState} from '../tree/system-state.ts';
+import type {ControlAction} from './control-action.ts';
+import type {ControlCoreOptions} from './control-core-options.ts';
+import type {ControlEvent} from './control-event.ts';
+import type {ControlMessage} from './control-message.ts';
+import {controlTiming} from './control-timing.ts';
+import {EntryFeed} from './entry-feed.ts';
+import {OperatorDesk} from './operator-desk.ts';
+import {RegistryGossip} from './registry-gossip.ts';
+import {VoterPlan} from './voter-plan.ts';
+
+/**
+ * Every decision of a control node of a deployment with a routes document: the replicated state, the registry of
+ * targets, the directory of entries, and what entries are told. Takes one event and returns what is to be done.
+ */
+export class ControlCore {
+	readonly #options: ControlCoreOptions;
+	readonly #queue: ActionQueue<ControlAction>;
+	readonly #state = new SystemState();
+	readonly #consensus: RaftMember<CommandOutcome>;
+	readonly #registry: TargetRegistry;
+	readonly #directory = new EntryDirectory();
+	readonly #desk: OperatorDesk;
+	readonly #feed: EntryFeed;
+	readonly #gossip: RegistryGossip;
+	readonly #voters: VoterPlan;
+	/** Control nodes that have gossiped to this one, with the time of the last message. */
+	readonly #heard = new Map<NodeId, Millis>();
+	#membersChangedAt = Number.NEGATIVE_INFINITY;
+	#evacuated: ReadonlySet<Zone> = new Set();
+	#turn = 0;
+	#urgent = false;
+	#now = 0 as Millis;
+
+	constructor(options: ControlCoreOptions) {
+		this.#options = options;
+		const {self, seeds, firstStart, zones, toleratedLosses, reportEveryMs, random, epoch, storage} = options;
+		this.#queue = new ActionQueue(self.nodeId);
+		const outbox = this.#queue;
+		this.#consensus = new RaftMember({
+			self: self.nodeId,
+			storageId: storage.storageId,
+			initialMembers: seeds,
+			mayFound: firstStart,
+			load: storage.consensus as JournalLoad<ConsensusRecord>,
+			state: this.#state,
+			outbox,
+			random,
+		});
+		this.#registry = new TargetRegistry({reportEveryMs, regionOf: zone => zones.get(zone)});
+		this.#voters = new VoterPlan(toleratedLosses);
+		this.#desk = new OperatorDesk({
+			self: self.nodeId,
+			consensus: this.#consensus,
+			state: this.#state.routes,
+			safeVoters: 2 * toleratedLosses,
+			outbox,
+			answer: (callId, answer) => {
+				this.#queue.push({type: 'call-answer', callId, answer});
+			},
+		});
+		this.#gossip = new RegistryGossip({
+			...self, self: self.nodeId, epoch, registry: this.#registry, directory: this.#directory, outbox, peers: () => this.#peers(),
+		});
+		this.#feed = new EntryFeed({
+			epoch,
+			registry: this.#registry,
+			state: this.#state.routes,
+			outbox,
+			current: now => this.#current(now),
+			control: () => this.#gossip.control(this.#now),
+			regions: now => sumRegions(this.#directory.ready(now), this.#turn),
+		});
+		this.#evacuated = new Set(this.#state.routes.evacuated());
+	}
+
+	step(event: ControlEvent, now: Millis): readonly ControlAction[] {
+		this.#now = now;
+		this.#take(event, now);
+		this.#settle(now);
+		return this.#queue.take();
+	}
+
+	/** Where a caller should connect. */
+	addresses(caller: {region?: Region; zone?: Zone}, now: Millis): readonly EntryAddress[] {
+		return this.#directory.addresses(caller, now);
+	}
+
+	/** Where a target of a zone should send its later reports; undefined for here. */
+	reportAddress(zone: Zone, now: Millis): string | undefined {
+		const region = this.#options.zones.get(zone);
+		return region === undefined ? undefined : this.#gossip.operatorAddress(region, now);
+	}
+
+	/** The log index of the last order about a zone that is known here. */
+	evacuationBasis(zone: Zone): number {
+		return this.#state.routes.evacuation(zone)?.index ?? 0;
+	}
+
+	status(now: Millis): {consensus: ConsensusStatus; current: boolean; documentVersion?: number; evacuated: readonly Zone[]; entries: number; targets: number} {
+		return {
+			consensus: this.#consensus.status(),
+			current: this.#current(now),
+			documentVersion: this.#state.routes.document?.version,
+			evacuated: this.#state.routes.evacuated(),
+			entries: this.#directory.ready(now).length,
+			targets: this.#registry.serving(now).length,
+		};
+	}
+
+	#take(event: ControlEvent, now: Millis): void {
+		switch (event.type) {
+			case 'tick': {
+				this.#tick(now);
+				break;
+			}
+
+			case 'peer': {
+				this.#peer(event.from, event.message, now);
+				break;
+			}
+
+			case 'written': {
+				if (event.journal === 'consensus') {
+					this.#consensus.written(event.token, now);
+				}
+
+				break;
+			}
+
+			case 'write-failed': {
+				this.#consensus.writeFailed(event.reason, now);
+				this.#queue.push({type: 'disk-failed', reason: event.reason});
+				break;
+			}
+
+			case 'call': {
+				this.#desk.call(event.callId, event.call, now);
+				break;
+			}
+
+			case 'report': {
+				const {report} = event;
+				if (this.#registry.report(report, now)) {
+					this.#queue.event('target-changed', {
+						target: report.targetId, service: report.service, address: report.address, zone: report.zone, state: report.state, coldMs: report.coldMs, born: report.born, sequence: report.sequence,
+					});
+				}
+
+				break;
+			}
+
+			case 'withdraw': {
+				if (this.#registry.withdraw(event.targetId, event.wallClock, now)) {
+					this.#queue.event('target-withdrawn', {target: event.targetId});
+				}
+
+				break;
+			}
+		}
+	}
+
+	#tick(now: Millis): void {
+		this.#turn += 1;
+		for (const [nodeId, heardAt] of this.#heard) {
+			if (now - heardAt > controlTiming.forgetPeerMs) {
+				this.#heard.delete(nodeId);
+			}
+		}
+
+		this.#consensus.tick(now);
+		this.#registry.tick(now);
+		this.#directory.tick(now);
+		this.#desk.tick(now);
+		this.#changeMembers(now);
+	}
+
+	#peer(from: NodeId, message: PeerMessage, now: Millis): void {
+		if (message.part === 'consensus') {
+			this.#consensus.handle(from, message.body, now);
+		} else if (message.part === 'control') {
+			this.#control(from, message.body, now);
+		} else {
+			this.#queue.count('stale_messages', message.part);
+		}
+	}
+
+	#control(from: NodeId, message: ControlMessage, now: Millis): void {
+		switch (message.type) {
+			case 'follow': {
+				this.#urgent ||= this.#stateChanged(message.status.nodeId, message.status.state, now);
+				this.#directory.heard(message.status, now);
+				this.#feed.follow(from, message, now);
+				break;
+			}
+
+			case 'gossip': {
+				this.#heard.set(from, now);
+				this.#gossip.handle(from, message, now);
+				break;
+			}
+
+			case 'propose':
+			case 'proposed':
+			case 'confirm':
+			case 'confirmed': {
+				this.#desk.handle(from, message, now);
+				break;
+			}
+
+			case 'feed': {
+				break;
+			}
+		}
+	}
+
+	/** True if an entry that was ready is not any more, or the other way round: callers must learn it soon. */
+	#stateChanged(nodeId: NodeId, state: string, now: Millis): boolean {
+		const wasReady = this.#directory.ready(now).some(entry => entry.nodeId === nodeId);
+		return wasReady !== (state === 'ready');
+	}
+
+	#settle(now: Millis): void {
+		for (let loopback = this.#queue.takeLoopback(); loopback.length > 0; loopback = this.#queue.takeLoopback()) {
+			for (const message of loopback) {
+				this.#peer(this.#options.self.nodeId, message, now);
+			}
+		}
+
+		const committed = this.#consensus.takeCommitted();
+		if (committed.length > 0) {
+			this.#desk.committed(committed);
+		}
+
+		this.#followEvacuations(now);
+		this.#desk.settle(now);
+		this.#feed.push(now);
+		this.#gossip.push(now, this.#urgent);
+		this.#urgent = false;
+	}
+
+	/** Targets of a zone that is taken back may be cold without having said so yet. */
+	#followEvacuations(now: Millis): void {
+		const evacuated = new Set(this.#state.routes.evacuated());
+		for (const zone of this.#evacuated) {
+			if (!evacuated.has(zone)) {
+				this.#registry.maybeCold(zone, now);
+				this.#queue.event('evacuation-ended', {zone, index: this.#state.routes.index});
+			}
+		}
+
+		for (const zone of evacuated) {
+			if (!this.#evacuated.has(zone)) {
+				this.#queue.event('evacuation-began', {zone, index: this.#state.routes.index});
+			}
+		}
+
+		this.#evacuated = evacuated;
+	}
+
+	#changeMembers(now: Millis): void {
+		const group = this.#consensus.group(now);
+		if (group === undefined || now - this.#membersChangedAt < controlTiming.memberChangeMs) {
+			return;
+		}
+
+		const change = this.#voters.next(group, this.#options.self.nodeId);
+		if (change !== undefined && this.#consensus.changeMembers(change, now)) {
+			this.#membersChangedAt = now;
+			this.#queue.event('member-change', {change: change.type, node: change.nodeId, voters: group.voters.length});
+		}
+	}
+
+	#current(now: Millis): boolean {
+		const consensus = this.#consensus;
+		return consensus.leader() === this.#options.self.nodeId
+			? consensus.leads(now)
+			: consensus.leader() !== undefined && consensus.leaderSilence(now) < controlTiming.currentMs;
+	}
+
+	/** The other control nodes: members of the group, and those that the settings name. */
+	#peers(): readonly NodeId[] {
+		const {voters, learners} = this.#consensus.status();
+		const known = new Set([...this.#options.seeds, ...voters, ...learners, ...this.#heard.keys()]);
+		known.delete(this.#options.self.nodeId);
+		return [...known];
+	}
+}
--- /dev/null
+++ b/src/core/control/control-event.ts
@@ -0,0 +1,18 @@
+import type {JournalName} from '../common/journal-name.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {TargetId} from '../ids/target-id.ts';
+import type {PeerMessage} from '../peer-message.ts';
+import type {TargetReport} from '../registry/target-report.ts';
+import type {OperatorCall} from './operator-call.ts';
+
+/** What happens to a control node. */
+export type ControlEvent =
+	/** Sent by the server about every 100 ms. */
+	| {readonly type: 'tick'}
+	| {readonly type: 'peer'; readonly from: NodeId; readonly message: PeerMessage}
+	| {readonly type: 'written'; readonly journal: JournalName; readonly token: number}
+	| {readonly type: 'write-failed'; readonly journal: JournalName; readonly reason: string}
+	| {readonly type: 'call'; readonly callId: string; readonly call: OperatorCall}
+	| {readonly type: 'report'; readonly report: TargetReport}
+	/** A target takes itself off the list; `wallClock` is this machine's Unix time in milliseconds. */
+	| {readonly type: 'withdraw'; readonly targetId: TargetId; readonly wallClock: number};
--- /dev/null
+++ b/src/core/control/entry-feed.ts
@@ -0,0 +1,79 @@
+import type {Outbox} from '../common/outbox.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {Region} from '../ids/region.ts';
+import type {RegionLoad} from '../registry/region-load.ts';
+import type {TargetRegistry} from '../registry/target-registry.ts';
+import type {RoutesState} from '../routes/routes-state.ts';
+import type {ControlMessage} from './control-message.ts';
+import type {ControlPeer} from './control-peer.ts';
+import {controlTiming} from './control-timing.ts';
+
+type Follow = ControlMessage & {type: 'follow'};
+
+type EntryFeedOptions = {
+	/** Names this run of the node: positions of earlier runs mean nothing. */
+	readonly epoch: string;
+	readonly registry: TargetRegistry;
+	readonly state: RoutesState;
+	readonly outbox: Outbox;
+	readonly current: (now: Millis) => boolean;
+	readonly control: () => readonly ControlPeer[];
+	readonly regions: (now: Millis) => readonly RegionLoad[];
+};
+
+type Follower = {readonly region: Region; followedAt: Millis; sentRevision: number; sentState: number};
+
+/** Keeps the entries that follow this control node up to date: at once when something changes, else with each of their statuses. */
+export class EntryFeed {
+	readonly #options: EntryFeedOptions;
+	readonly #followers = new Map<NodeId, Follower>();
+
+	constructor(options: EntryFeedOptions) {
+		this.#options = options;
+	}
+
+	follow(from: NodeId, {status, have, stateIndex}: Follow, now: Millis): void {
+		const position = have?.epoch === this.#options.epoch ? have.revision : -1;
+		const follower = {
+			region: status.region, followedAt: now, sentRevision: position, sentState: stateIndex,
+		};
+		this.#followers.set(from, follower);
+		this.#send(from, follower, now);
+	}
+
+	/** Pushes what changed since the last message to each follower. */
+	push(now: Millis): void {
+		const {registry, state} = this.#options;
+		for (const [nodeId, follower] of this.#followers) {
+			if (now - follower.followedAt > controlTiming.followLeaseMs) {
+				this.#followers.delete(nodeId);
+			} else if (registry.revision > follower.sentRevision || state.index > follower.sentState) {
+				this.#send(nodeId, follower, now);
+			}
+		}
+	}
+
+	#send(nodeId: NodeId, follower: Follower, now: Millis): void {
+		const {epoch, registry, state, outbox, current, control, regions} = this.#options;
+		const news = state.index > follower.sentState;
+		outbox.send(nodeId, {
+			part: 'control',
+			body: {
+				type: 'feed',
+				epoch,
+				from: follower.sentRevision,
+				to: registry.revision,
+				targets: registry.changedSince(follower.sentRevision, now, entry => entry.region === follower.region),
+				signs: registry.signs(follower.region),
+				current: current(now),
+				control: control(),
+				stateIndex: state.index,
+				state: news ? {document: state.document, evacuated: state.evacuated()} : undefined,
+				regions: regions(now),
+			},
+		});
+		follower.sentRevision = registry.revision;
+		follower.sentState = Math.max(state.index, follower.sentState);
+	}
+}
--- /dev/null
+++ b/src/core/control/operator-desk.ts
@@ -0,0 +1,248 @@
+import type {RaftMember} from '../consensus/raft-member.ts';
+import type {Outbox} from '../common/outbox.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {RoutesCommand} from '../routes/routes-command.ts';
+import type {RoutesOutcome} from '../routes/routes-outcome.ts';
+import type {RoutesState} from '../routes/routes-state.ts';
+import type {CommandOutcome} from '../tree/command-outcome.ts';
+import type {CallAnswer} from './call-answer.ts';
+import type {ControlMessage} from './control-message.ts';
+import {controlTiming} from './control-timing.ts';
+import type {OperatorCall} from './operator-call.ts';
+
+type OperatorDeskOptions = {
+	readonly self: NodeId;
+	readonly consensus: RaftMember<CommandOutcome>;
+	readonly state: RoutesState;
+	/** Voters from which on a majority outlives the disks that may be lost at once. */
+	readonly safeVoters: number;
+	readonly outbox: Outbox;
+	readonly answer: (callId: string, answer: CallAnswer) => void;
+};
+
+/** A call that came to this node from an operator. */
+type OpenCall = {
+	readonly call: OperatorCall;
+	readonly since: Millis;
+	askedAt: number;
+	asked?: NodeId;
+	/** Set once it is known which log index the answer must reflect. */
+	index?: number;
+};
+
+/** A command in the leader's log whose outcome a call waits for. */
+type Proposal = {readonly callId: string; readonly from: NodeId; readonly index: number; readonly term: number; outcome?: RoutesOutcome};
+
+/** A read that waits until a majority has confirmed this leader after it came. */
+type Confirmation = {readonly callId: string; readonly from: NodeId; readonly since: Millis};
+
+/**
+ * Operators' changes and reads. A change is accepted once its entry is committed and a majority outlives
+ * the tolerated losses; a read is answered from a state that a majority confirmed after the read came.
+ * Calls that reach another node than the leader are passed to it; what gets no clear outcome is `unavailable`.
+ */
+export class OperatorDesk {
+	readonly #options: OperatorDeskOptions;
+	readonly #open = new Map<string, OpenCall>();
+	#proposals: Proposal[] = [];
+	#confirmations: Confirmation[] = [];
+
+	constructor(options: OperatorDeskOptions) {
+		this.#options = options;
+	}
+
+	call(callId: string, call: OperatorCall, now: Millis): void {
+		this.#open.set(callId, {call, since: now, askedAt: Number.NEGATIVE_INFINITY});
+		this.tick(now);
+	}
+
+	handle(from: NodeId, message: ControlMessage, now: Millis): void {
+		switch (message.type) {
+			case 'propose': {
+				this.#propose(message.callId, from, message.command, now);
+				break;
+			}
+
+			case 'proposed': {
+				this.#proposed(message.callId, message.outcome, now);
+				break;
+			}
+
+			case 'confirm': {
+				this.#confirmations.push({callId: message.callId, from, since: now});
+				this.settle(now);
+				break;
+			}
+
+			case 'confirmed': {
+				const open = this.#open.get(message.callId);
+				if (open !== undefined) {
+					open.index = message.index;
+					this.settle(now);
+				}
+
+				break;
+			}
+
+			case 'follow':
+			case 'feed':
+			case 'gossip': {
+				break;
+			}
+		}
+	}
+
+	/** Takes entries that were committed. */
+	committed(entries: ReadonlyArray<{index: number; term: number; outcome: CommandOutcome}>): void {
+		for (const {index, term, outcome} of entries) {
+			for (const proposal of this.#proposals) {
+				if (proposal.index === index) {
+					proposal.outcome = proposal.term === term && outcome.type === 'routes' ? outcome : {type: 'routes', result: 'stale'};
+				}
+			}
+		}
+	}
+
+	tick(now: Millis): void {
+		const leader = this.#options.consensus.leader();
+		for (const [callId, open] of this.#open) {
+			if (now - open.since > controlTiming.callMs) {
+				this.#finish(callId, {type: 'unavailable', reason: leader === undefined ? 'the replicated log has no leader' : 'the leader did not confirm in time'});
+			} else if (leader !== undefined && open.index === undefined && (open.asked !== leader || now - open.askedAt > controlTiming.resendMs)) {
+				open.asked = leader;
+				open.askedAt = now;
+				this.#ask(leader, callId, open.call, now);
+			}
+		}
+
+		this.#confirmations = this.#confirmations.filter(({since}) => now - since <= controlTiming.callMs);
+		this.settle(now);
+	}
+
+	/** Answers what can be answered now. */
+	settle(now: Millis): void {
+		this.#settleProposals(now);
+		this.#settleConfirmations(now);
+		for (const [callId, {call, index}] of this.#open) {
+			if (call.type === 'read' && index !== undefined && this.#options.consensus.commitIndex >= index) {
+				this.#finish(callId, {type: 'document', document: this.#options.state.document});
+			}
+		}
+	}
+
+	#ask(leader: NodeId, callId: string, call: OperatorCall, now: Millis): void {
+		const {self, outbox} = this.#options;
+		if (call.type === 'read') {
+			if (leader === self) {
+				this.#confirmations.push({callId, from: self, since: now});
+			} else {
+				outbox.send(leader, {part: 'control', body: {type: 'confirm', callId}});
+			}
+		} else if (leader === self) {
+			this.#propose(callId, self, call.command, now);
+		} else {
+			outbox.send(leader, {part: 'control', body: {type: 'propose', callId, command: call.command}});
+		}
+	}
+
+	#propose(callId: string, from: NodeId, command: RoutesCommand, now: Millis): void {
+		if (this.#proposals.some(proposal => proposal.callId === callId)) {
+			return;
+		}
+
+		const {consensus} = this.#options;
+		const index = consensus.propose(command, now);
+		if (index === undefined) {
+			this.#report(callId, from, undefined, now);
+			return;
+		}
+
+		this.#proposals.push({
+			callId, from, index, term: consensus.status().term,
+		});
+	}
+
+	#settleProposals(now: Millis): void {
+		if (this.#proposals.length === 0) {
+			return;
+		}
+
+		const {consensus, safeVoters} = this.#options;
+		const group = consensus.group(now);
+		if (consensus.leader() !== this.#options.self) {
+			// Whether the entries will be committed is for the next leader; nobody is told anything.
+			this.#proposals = [];
+			return;
+		}
+
+		if (group === undefined || !group.settled || group.voters.length < safeVoters) {
+			return;
+		}
+
+		const done = this.#proposals.filter(({outcome}) => outcome !== undefined);
+		this.#proposals = this.#proposals.filter(({outcome}) => outcome === undefined);
+		for (const {callId, from, outcome} of done) {
+			this.#report(callId, from, outcome, now);
+		}
+	}
+
+	#settleConfirmations(now: Millis): void {
+		if (this.#confirmations.length === 0) {
+			return;
+		}
+
+		const {consensus, self, outbox} = this.#options;
+		const confirmedAt = consensus.confirmedAt(now);
+		if (confirmedAt === undefined) {
+			return;
+		}
+
+		const done = this.#confirmations.filter(({since}) => since <= confirmedAt);
+		this.#confirmations = this.#confirmations.filter(({since}) => since > confirmedAt);
+		for (const {callId, from} of done) {
+			const index = consensus.commitIndex;
+			if (from === self) {
+				const open = this.#open.get(callId);
+				if (open !== undefined) {
+					open.index = index;
+				}
+			} else {
+				outbox.send(from, {part: 'control', body: {type: 'confirmed', callId, index}});
+			}
+		}
+	}
+
+	#report(callId: string, from: NodeId, outcome: RoutesOutcome | undefined, now: Millis): void {
+		if (from === this.#options.self) {
+			this.#proposed(callId, outcome, now);
+		} else {
+			this.#options.outbox.send(from, {part: 'control', body: {type: 'proposed', callId, outcome}});
+		}
+	}
+
+	#proposed(callId: string, outcome: RoutesOutcome | undefined, now: Millis): void {
+		const open = this.#open.get(callId);
+		if (open === undefined) {
+			return;
+		}
+
+		if (outcome === undefined) {
+			// That node does not lead (any more): asked again when a leader is known, but not in a rush.
+			open.askedAt = now;
+			return;
+		}
+
+		if (outcome.result === 'stale') {
+			this.#finish(callId, {type: 'unavailable', reason: 'a newer order went first'});
+			return;
+		}
+
+		this.#finish(callId, {type: 'accepted', index: this.#options.consensus.commitIndex});
+	}
+
+	#finish(callId: string, answer: CallAnswer): void {
+		this.#open.delete(callId);
+		this.#options.answer(callId, answer);
+	}
+}
--- /dev/null
+++ b/src/core/control/registry-gossip.ts
@@ -0,0 +1,156 @@
+import type {Outbox} from '../common/outbox.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {Region} from '../ids/region.ts';
+import type {TargetId} from '../ids/target-id.ts';
+import type {EntryDirectory} from '../registry/entry-directory.ts';
+import type {TargetRegistry} from '../registry/target-registry.ts';
+import type {ControlMessage} from './control-message.ts';
+import type {ControlPeer} from './control-peer.ts';
+import {controlTiming} from './control-timing.ts';
+
+type Gossip = ControlMessage & {type: 'gossip'};
+
+type RegistryGossipOptions = {
+	readonly self: NodeId;
+	readonly epoch: string;
+	readonly region: Region;
+	/** Where targets and operators reach this node. */
+	readonly operatorAddress: string;
+	readonly registry: TargetRegistry;
+	readonly directory: EntryDirectory;
+	readonly outbox: Outbox;
+	/** The other control nodes. */
+	readonly peers: () => readonly NodeId[];
+};
+
+type Peer = {
+	/** Revision of this node's registry up to which the peer has its direct reports. */
+	acked: number;
+	sent: number;
+	sentAt: number;
+	/** The peer's own run and the revision up to which it was followed. */
+	epoch?: string;
+	revision: number;
+	heardAt: number;
+	region?: Region;
+	operatorAddress?: string;
+	/** Targets of the peer whose reports are missing here. */
+	missing: TargetId[];
+};
+
+/**
+ * Spreads what control nodes hear from targets and entries: each sends the others what came to itself, news at once
+ * and signs of life in batches. Every node tells every other one directly, so nothing is passed on.
+ */
+export class RegistryGossip {
+	readonly #options: RegistryGossipOptions;
+	readonly #peers = new Map<NodeId, Peer>();
+
+	constructor(options: RegistryGossipOptions) {
+		this.#options = options;
+	}
+
+	/** Where targets of a region should send their reports: a control node of their region that was heard lately. */
+	operatorAddress(region: Region, now: Millis): string | undefined {
+		if (region === this.#options.region) {
+			return undefined;
+		}
+
+		return [...this.#peers.values()].find(peer => peer.region === region && now - peer.heardAt < controlTiming.followLeaseMs)?.operatorAddress;
+	}
+
+	control(now: Millis): readonly ControlPeer[] {
+		const {self, region, peers} = this.#options;
+		const others = peers()
+			.map(nodeId => ({nodeId, peer: this.#peers.get(nodeId)}))
+			.filter(({peer}) => peer !== undefined && now - peer.heardAt < controlTiming.followLeaseMs)
+			.map(({nodeId, peer}) => ({nodeId, region: peer!.region}));
+		return [{nodeId: self, region}, ...others];
+	}
+
+	handle(from: NodeId, message: Gossip, now: Millis): void {
+		const {registry, directory, epoch} = this.#options;
+		const peer = this.#peer(from);
+		if (peer.epoch !== message.epoch) {
+			peer.epoch = message.epoch;
+			peer.revision = 0;
+		}
+
+		peer.heardAt = now;
+		peer.region = message.region;
+		peer.operatorAddress = message.operatorAddress;
+		if (message.from <= peer.revision) {
+			peer.revision = Math.max(message.to, peer.revision);
+		}
+
+		for (const {report, ageMs} of message.reports) {
+			registry.report(report, now, {direct: false, ageMs});
+		}
+
+		peer.missing = message.signs
+			.filter(([targetId, born, sequence, ageMs]) => !registry.alive(targetId, {born, sequence, ageMs}, now))
+			.map(([targetId]) => targetId);
+		for (const {status, ageMs} of message.entries) {
+			directory.heard(status, now, {direct: false, ageMs});
+		}
+
+		peer.acked = message.have?.epoch === epoch ? message.have.revision : 0;
+		if (message.missing.length > 0) {
+			peer.acked = 0;
+			peer.sent = 0;
+		}
+	}
+
+	/** Sends news at once, and everything due. */
+	push(now: Millis, urgent: boolean): void {
+		const {registry, peers} = this.#options;
+		for (const nodeId of peers()) {
+			const peer = this.#peer(nodeId);
+			const due = now - peer.sentAt >= controlTiming.followMs;
+			if (due) {
+				peer.sent = peer.acked;
+			}
+
+			const news = registry.revision > peer.sent && registry.directSince(peer.sent, now).length > 0;
+			if (due || urgent || news) {
+				this.#send(nodeId, peer, now);
+			}
+		}
+	}
+
+	#send(nodeId: NodeId, peer: Peer, now: Millis): void {
+		const {epoch, region, operatorAddress, registry, directory, outbox} = this.#options;
+		outbox.send(nodeId, {
+			part: 'control',
+			body: {
+				type: 'gossip',
+				epoch,
+				region,
+				operatorAddress,
+				from: peer.sent,
+				to: registry.revision,
+				reports: registry.directSince(peer.sent, now),
+				signs: registry.directSigns(2 * controlTiming.followMs, now),
+				entries: directory.direct(now),
+				have: peer.epoch === undefined ? undefined : {epoch: peer.epoch, revision: peer.revision},
+				missing: peer.missing,
+			},
+		});
+		peer.missing = [];
+		peer.sent = registry.revision;
+		peer.sentAt = now;
+	}
+
+	#peer(nodeId: NodeId): Peer {
+		let peer = this.#peers.get(nodeId);
+		if (peer === undefined) {
+			peer = {
+				acked: 0, sent: 0, sentAt: Number.NEGATIVE_INFINITY, revision: 0, heardAt: Number.NEGATIVE_INFINITY, missing: [],
+			};
+			this.#peers.set(nodeId, peer);
+		}
+
+		return peer;
+	}
+}
--- /dev/null
+++ b/src/core/control/voter-plan.ts
@@ -0,0 +1,34 @@
+import type {GroupView} from '../consensus/group-view.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import {controlTiming} from './control-timing.ts';
+
+/** One change of the members that ought to vote. */
+type MemberChange = {readonly type: 'add' | 'remove'; readonly nodeId: NodeId};
+
+/**
+ * Which control nodes vote: enough that the tolerated number of them may be lost and a majority is left.
+ * A standby fills a free place; a voter that has fallen silent gives up its place only while a standby can take it.
+ */
+export class VoterPlan {
+	readonly #size: number;
+
+	/** @param tolerated - disks that may be lost at the same time. */
+	constructor(tolerated: number) {
+		this.#size = (2 * tolerated) + 1;
+	}
+
+	next({settled, wanted, voters, standbys}: GroupView, self: NodeId): MemberChange | undefined {
+		const open = wanted.some(nodeId => !voters.some(voter => voter.nodeId === nodeId));
+		const standby = standbys.find(nodeId => !wanted.includes(nodeId));
+		if (!settled || open || standby === undefined) {
+			return undefined;
+		}
+
+		if (wanted.length < this.#size) {
+			return {type: 'add', nodeId: standby};
+		}
+
+		const silent = voters.find(({nodeId, silentMs}) => nodeId !== self && silentMs > controlTiming.replaceVoterMs);
+		return silent === undefined ? undefined : {type: 'remove', nodeId: silent.nodeId};
+	}
+}
--- /dev/null
+++ b/src/core/edge/control-follower.ts
@@ -0,0 +1,173 @@
+import type {ControlMessage} from '../control/control-message.ts';
+import type {ControlPeer} from '../control/control-peer.ts';
+import {controlTiming} from '../control/control-timing.ts';
+import type {Outbox} from '../common/outbox.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {Region} from '../ids/region.ts';
+import {rankByHash} from '../membership/rank-by-hash.ts';
+import type {EntryStatus} from '../registry/entry-status.ts';
+
+type Feed = ControlMessage & {type: 'feed'};
+
+type ControlFollowerOptions = {
+	readonly self: {readonly nodeId: NodeId; readonly region: Region};
+	readonly seeds: readonly NodeId[];
+	readonly outbox: Outbox;
+	readonly status: (now: Millis) => EntryStatus;
+	/** Log index of the newest state that the entry has taken. */
+	readonly stateIndex: () => number;
+};
+
+/**
+ * Follows one control node, one of the own region if there is any, and changes to another when it falls silent
+ * or has lost touch with the replicated log. While no node is in touch, the last one goes on.
+ */
+export class ControlFollower {
+	readonly #options: ControlFollowerOptions;
+	#peers: readonly ControlPeer[];
+	#primary: NodeId | undefined;
+	#chosenAt = Number.NEGATIVE_INFINITY;
+	#heardAt = Number.NEGATIVE_INFINITY;
+	#currentAt = Number.NEGATIVE_INFINITY;
+	#sentAt = Number.NEGATIVE_INFINITY;
+	#position: {readonly epoch: string; readonly revision: number} | undefined;
+	readonly #avoidUntil = new Map<NodeId, number>();
+
+	constructor(options: ControlFollowerOptions) {
+		this.#options = options;
+		this.#peers = options.seeds.map(nodeId => ({nodeId}));
+	}
+
+	/** The control node that is followed. */
+	get primary(): NodeId | undefined {
+		return this.#primary;
+	}
+
+	/** Time since the last feed, in milliseconds. */
+	silence(now: Millis): number {
+		return now - this.#heardAt;
+	}
+
+	tick(now: Millis): void {
+		if (this.#failed(now)) {
+			this.#change(now);
+		}
+
+		if (now - this.#sentAt >= controlTiming.followMs) {
+			this.report(now);
+		}
+	}
+
+	/** Sends the status at once, as when the entry starts to leave. */
+	report(now: Millis): void {
+		if (this.#primary === undefined) {
+			return;
+		}
+
+		this.#sentAt = now;
+		const {outbox, status, stateIndex} = this.#options;
+		outbox.send(this.#primary, {
+			part: 'control',
+			body: {
+				type: 'follow', status: status(now), have: this.#position, stateIndex: stateIndex(),
+			},
+		});
+	}
+
+	/** Notes a feed; returns whether its targets may be taken, and whether they are the whole list. */
+	heard(from: NodeId, feed: Feed, now: Millis): 'whole' | 'changes' | undefined {
+		this.#learn(feed.control);
+		if (from !== this.#primary) {
+			return undefined;
+		}
+
+		this.#heardAt = now;
+		if (feed.current) {
+			this.#currentAt = now;
+		}
+
+		this.#returnHome(now);
+		if (feed.from === -1) {
+			this.#position = {epoch: feed.epoch, revision: feed.to};
+			return 'whole';
+		}
+
+		if (this.#position?.epoch !== feed.epoch || feed.from > this.#position.revision) {
+			return undefined;
+		}
+
+		this.#position = {epoch: feed.epoch, revision: Math.max(feed.to, this.#position.revision)};
+		return 'changes';
+	}
+
+	#failed(now: Millis): boolean {
+		if (this.#primary === undefined) {
+			return true;
+		}
+
+		const since = Math.max(this.#chosenAt, this.#heardAt);
+		const lostTouch = now - Math.max(this.#chosenAt, this.#currentAt) > controlTiming.feedSilenceMs;
+		return now - since > controlTiming.feedSilenceMs || (lostTouch && this.#peers.length > 1);
+	}
+
+	#change(now: Millis): void {
+		if (this.#primary !== undefined) {
+			this.#avoidUntil.set(this.#primary, now + controlTiming.avoidMs);
+		}
+
+		const ranked = this.#ranked(now);
+		const next = ranked.find(nodeId => nodeId !== this.#primary) ?? ranked[0];
+		if (next === undefined) {
+			return;
+		}
+
+		this.#follow(next, now);
+	}
+
+	/** Goes back to a node of the own region once one is known that has not failed lately. */
+	#returnHome(now: Millis): void {
+		const {self} = this.#options;
+		const current = this.#peers.find(({nodeId}) => nodeId === this.#primary);
+		if (current?.region === self.region || now - this.#chosenAt < controlTiming.avoidMs) {
+			return;
+		}
+
+		const home = this.#ranked(now).find(nodeId => this.#peers.some(peer => peer.nodeId === nodeId && peer.region === self.region));
+		if (home !== undefined && (this.#avoidUntil.get(home) ?? 0) <= now) {
+			this.#follow(home, now);
+		}
+	}
+
+	#follow(nodeId: NodeId, now: Millis): void {
+		const {outbox} = this.#options;
+		outbox.event('control-followed', {control: nodeId, before: this.#primary, silentMs: Math.round(Math.min(this.silence(now), 1e9))});
+		this.#primary = nodeId;
+		this.#chosenAt = now;
+		this.#position = undefined;
+		this.report(now);
+	}
+
+	/** Control nodes in order of preference: not failed lately, own region, then by hash so that entries share them. */
+	#ranked(now: Millis): readonly NodeId[] {
+		const {self} = this.#options;
+		const mixed = rankByHash(this.#peers, ({nodeId}) => `${self.nodeId}:${nodeId}`);
+		const cost = ({nodeId, region}: ControlPeer) => {
+			const avoided = (this.#avoidUntil.get(nodeId) ?? 0) > now ? 2 : 0;
+			return avoided + (region === self.region ? 0 : 1);
+		};
+
+		return mixed.toSorted((left, right) => cost(left) - cost(right)).map(({nodeId}) => nodeId);
+	}
+
+	#learn(control: readonly ControlPeer[]): void {
+		const known = new Map(control.map(peer => [peer.nodeId, peer]));
+		for (const nodeId of this.#options.seeds) {
+			if (!known.has(nodeId)) {
+				known.set(nodeId, this.#peers.find(peer => peer.nodeId === nodeId) ?? {nodeId});
+			}
+		}
+
+		this.#peers = [...known.values()];
+	}
+}
--- /dev/null
+++ b/src/core/edge/edge-core-options.ts
@@ -0,0 +1,24 @@
+import type {Random} from '../common/random.ts';
+import type {EntryAddress} from '../ids/entry-address.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {Region} from '../ids/region.ts';
+import type {Zone} from '../ids/zone.ts';
+import type {ParseDocument} from '../routes/parse-document.ts';
+
+/** What an entry's core is made from. */
+export type EdgeCoreOptions = {
+	readonly self: {
+		readonly nodeId: NodeId;
+		readonly region: Region;
+		readonly zone: Zone;
+		readonly address: EntryAddress;
+		readonly relayAddress: string;
+		readonly weight: number;
+	};
+	/** Control nodes that the settings name. */
+	readonly seeds: readonly NodeId[];
+	/** The deployment's bound on requests that are sent again. */
+	readonly repeats: {readonly ratio: number; readonly slack: number; readonly windowMs: number};
+	readonly parseDocument: ParseDocument;
+	readonly random: Random;
+};
--- /dev/null
+++ b/src/core/edge/edge-core.ts
@@ -0,0 +1,228 @@
+import {ActionQueue} from '../action-queue.ts';
+import type {ControlMessage} from '../control/control-message.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {EntryStatus} from '../registry/entry-status.ts';
+import type {ServiceLoad} from '../registry/service-load.ts';
+import {RouteTable} from '../routes/route-table.ts';
+import type {StoredDocument} from '../routes/stored-document.ts';
+import {ControlFollower} from './control-follower.ts';
+import type {EdgeAction} from './edge-action.ts';
+import type {EdgeCoreOptions} from './edge-core-options.ts';
+import type {EdgeEvent} from './edge-event.ts';
+import {localPlacement} from './local-placement.ts';
+import {RegionChoice} from './region-choice.ts';
+import {RepeatBudget} from './repeat-budget.ts';
+import {RequestDesk} from './request-desk.ts';
+import {TargetPool} from './target-pool.ts';
+import {WaitQueue} from './wait-queue.ts';
+
+/**
+ * Every decision of an entry of a deployment with a routes document: which control node it follows, where each
+ * request goes, waits or is refused. Takes one event and returns what is to be done.
+ */
+export class EdgeCore {
+	readonly #options: EdgeCoreOptions;
+	readonly #queue: ActionQueue<EdgeAction>;
+	readonly #follower: ControlFollower;
+	readonly #pool = new TargetPool();
+	readonly #regions: RegionChoice;
+	readonly #waiting = new WaitQueue();
+	readonly #desk: RequestDesk;
+	#table: RouteTable | undefined;
+	#stateIndex = 0;
+	#leaving = false;
+	#drainedTold = false;
+
+	constructor(options: EdgeCoreOptions) {
+		this.#options = options;
+		const {self, seeds, repeats, random} = options;
+		this.#queue = new ActionQueue(self.nodeId);
+		this.#regions = new RegionChoice(self.region);
+		this.#follower = new ControlFollower({
+			self, seeds, outbox: this.#queue, status: now => this.#status(now), stateIndex: () => this.#stateIndex,
+		});
+		this.#desk = new RequestDesk({
+			region: self.region,
+			table: () => this.#table,
+			pool: this.#pool,
+			regions: this.#regions,
+			waiting: this.#waiting,
+			budget: new RepeatBudget(repeats),
+			random,
+			queue: this.#queue,
+		});
+	}
+
+	step(event: EdgeEvent, now: Millis): readonly EdgeAction[] {
+		this.#take(event, now);
+		this.#desk.settle(now);
+		if (this.#leaving && !this.#drainedTold && this.#desk.inFlight === 0) {
+			this.#drainedTold = true;
+			this.#queue.push({type: 'drained'});
+		}
+
+		return this.#queue.take();
+	}
+
+	/** True if callers may be sent here. */
+	get ready(): boolean {
+		return this.#table !== undefined && !this.#leaving;
+	}
+
+	get leaving(): boolean {
+		return this.#leaving;
+	}
+
+	get inFlight(): number {
+		return this.#desk.inFlight;
+	}
+
+	get documentVersion(): number | undefined {
+		return this.#table?.version;
+	}
+
+	/** The routes in force. */
+	get table(): RouteTable | undefined {
+		return this.#table;
+	}
+
+	status(now: Millis): EntryStatus & {control?: NodeId; controlSilentMs: number; documentVersion?: number; inFlight: number} {
+		return {
+			...this.#status(now),
+			control: this.#follower.primary,
+			controlSilentMs: Math.round(this.#follower.silence(now)),
+			documentVersion: this.documentVersion,
+			inFlight: this.inFlight,
+		};
+	}
+
+	#take(event: EdgeEvent, now: Millis): void {
+		switch (event.type) {
+			case 'tick': {
+				this.#follower.tick(now);
+				this.#desk.tick(now);
+				break;
+			}
+
+			case 'peer': {
+				if (event.message.part === 'control' && event.message.body.type === 'feed') {
+					this.#feed(event.from, event.message.body, now);
+				} else {
+					this.#queue.count('stale_messages', event.message.part);
+				}
+
+				break;
+			}
+
+			case 'request': {
+				this.#desk.request(event.req, now);
+				break;
+			}
+
+			case 'caller-gone': {
+				this.#desk.callerGone(event.requestId, now);
+				break;
+			}
+
+			case 'attempt-head': {
+				this.#desk.head(event.attempt, event.head, now);
+				break;
+			}
+
+			case 'attempt-events': {
+				this.#desk.events(event.attempt, event, now);
+				break;
+			}
+
+			case 'attempt-end': {
+				this.#desk.ended(event.attempt, now);
+				break;
+			}
+
+			case 'attempt-failed': {
+				this.#desk.failed(event.attempt, event.failure, now);
+				break;
+			}
+
+			case 'drain': {
+				this.#leaving = true;
+				this.#follower.report(now);
+				break;
+			}
+
+			case 'shut': {
+				this.#desk.shut();
+				break;
+			}
+		}
+	}
+
+	#feed(from: NodeId, feed: ControlMessage & {type: 'feed'}, now: Millis): void {
+		const targets = this.#follower.heard(from, feed, now);
+		if (feed.state !== undefined && feed.stateIndex > this.#stateIndex) {
+			this.#stateIndex = feed.stateIndex;
+			this.#pool.evacuate(feed.state.evacuated);
+			this.#queue.event('state-taken', {
+				index: feed.stateIndex, version: feed.state.document?.version, evacuated: feed.state.evacuated, control: from,
+			});
+			this.#install(feed.state.document, now);
+		}
+
+		if (targets !== undefined) {
+			this.#pool.update(feed.targets, targets === 'whole', now);
+			this.#pool.signs(feed.signs);
+			this.#regions.update(feed.regions, now);
+		}
+	}
+
+	/** Puts a newer document in force; one that cannot be read here is left out, and the last one stays. */
+	#install(stored: StoredDocument | undefined, now: Millis): void {
+		if (stored === undefined || stored.version <= (this.#table?.version ?? -1)) {
+			return;
+		}
+
+		const parsed = this.#options.parseDocument(stored.text);
+		if ('problems' in parsed) {
+			this.#queue.event('document-unreadable', {version: stored.version, problems: parsed.problems.slice(0, 3)});
+			return;
+		}
+
+		this.#table = new RouteTable(parsed.document);
+		this.#queue.push({type: 'document', version: stored.version});
+		this.#follower.report(now);
+	}
+
+	#status(now: Millis): EntryStatus {
+		const {nodeId, region, zone, address, relayAddress, weight} = this.#options.self;
+		return {
+			nodeId,
+			region,
+			zone,
+			address,
+			relayAddress,
+			weight,
+			state: this.#leaving ? 'leaving' : (this.#table === undefined ? 'starting' : 'ready'),
+			loads: this.#loads(now),
+		};
+	}
+
+	#loads(now: Millis): readonly ServiceLoad[] {
+		const services = this.#table?.document.services ?? [];
+		return services.map(spec => {
+			const targets = this.#pool.usable(spec.name, now);
+			const prompt = spec.engine && {parts: [], promptTokens: 1, outputTokens: 1};
+			const [best] = localPlacement({
+				prompt, spec, targets, entries: this.#regions.entriesHere,
+			}, now);
+			const waiting = this.#waiting.size(spec.name);
+			return {
+				service: spec.name,
+				targets: targets.length,
+				inFlight: targets.reduce((sum, target) => sum + target.attempts.size, 0),
+				waiting,
+				startMs: best === undefined ? 0 : Math.round(best.startMs + (best.hasRoom ? 0 : 300) - (prompt === undefined ? best.target.callMs.value : 0)),
+			};
+		}).filter(({targets, waiting}) => targets > 0 || waiting > 0);
+	}
+}
--- /dev/null
+++ b/src/core/edge/local-placement.ts
@@ -0,0 +1,97 @@
+import {hash32} from '../common/hash32.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {ServiceSpec} from '../routes/service-spec.ts';
+import type {PlacementCandidate} from './placement-candidate.ts';
+import type {PooledTarget} from './pooled-target.ts';
+import type {Prompt} from './prompt.ts';
+
+/** Time that an engine needs for a first event beside reading the prompt, in milliseconds. */
+const firstEventMs = 25;
+/** Requests beyond its slots that a plain service may have: its own queue covers the way to it and back. */
+const queuedCalls = 2;
+/** Share of an engine's memory that requests may fill; the rest keeps shared prompt parts. */
+const memoryShare = 0.9;
+/** Share of a prompt's shared tokens that the preferred engine is taken to keep though nothing is known of it. */
+const assumedShare = 0.5;
+
+type Wanted = {
+	readonly prompt?: Prompt;
+	readonly spec: ServiceSpec | undefined;
+	readonly targets: readonly PooledTarget[];
+	/** Entries of this region that share the targets. */
+	readonly entries: number;
+};
+
+/**
+ * Predicts, for each target of the region, when a request would start and end there.
+ *
+ * Answers the load of long prompts with shared parts on engines of unequal speed: the time to the first event is
+ * what the engine still has to read, for others and for this prompt, at the speed that was learnt of it. Prompts
+ * with the same shared part prefer the same engine until its queue outweighs what it keeps.
+ */
+export function localPlacement({prompt, spec, targets, entries}: Wanted, now: Millis): readonly PlacementCandidate[] {
+	const preferred = prompt === undefined ? undefined : preferredTarget(prompt, targets);
+	return targets
+		.map(target => prompt === undefined
+			? callCandidate(target, now)
+			: streamCandidate(target, {
+				prompt, spec, preferred: target === preferred, entries,
+			}, now))
+		.sort((left, right) => left.startMs - right.startMs);
+}
+
+function callCandidate(target: PooledTarget, now: Millis): PlacementCandidate {
+	const slots = Math.max(1, target.listed.slots);
+	const inFlight = target.inFlight(now);
+	const waitMs = Math.max(0, inFlight + 1 - slots) / slots * target.callMs.value;
+	const startMs = waitMs + target.callMs.value + (inFlight / slots);
+	return {
+		target, startMs, wholeMs: startMs, uncachedTokens: 0, aheadTokens: 0, memoryTokens: 0, hasRoom: !target.isFull(now) && inFlight < slots + queuedCalls,
+	};
+}
+
+type StreamOptions = {readonly prompt: Prompt; readonly spec: ServiceSpec | undefined; readonly preferred: boolean; readonly entries: number};
+
+function streamCandidate(target: PooledTarget, {prompt, spec, preferred, entries}: StreamOptions, now: Millis): PlacementCandidate {
+	const cached = target.prefixes.cachedTokens(prompt);
+	const assumed = preferred ? assumedShare * sharedTokens(prompt) : 0;
+	const uncachedTokens = Math.max(1, prompt.promptTokens - Math.max(cached, assumed));
+	const aheadTokens = target.unreadTokens(now);
+	const startMs = firstEventMs + ((aheadTokens + uncachedTokens) / target.readRate.value);
+	const events = prompt.outputTokens / (spec?.engine?.tokensPerEvent ?? 1);
+	const memoryTokens = prompt.promptTokens - sharedTokens(prompt) + prompt.outputTokens;
+	const capacity = memoryShare * (spec?.engine?.cacheTokens ?? Number.POSITIVE_INFINITY);
+	const others = target.othersInFlight(now);
+	const ownMean = target.attempts.size === 0 ? memoryTokens : target.memoryTokens() / target.attempts.size;
+	const memory = target.memoryTokens() + (others * ownMean) + memoryTokens;
+	const slots = Math.max(1, target.listed.slots);
+	const hasRoom = !target.isFull(now) && target.inFlight(now) < slots && (memory <= capacity || target.attempts.size < slots / 8 / entries);
+	return {
+		target, startMs, wholeMs: startMs + (events * target.gapMs.value), uncachedTokens, aheadTokens, memoryTokens, hasRoom,
+	};
+}
+
+/** Tokens of all parts but the last, which is the request's own. */
+function sharedTokens({parts}: Prompt): number {
+	return parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
+}
+
+/** Rendezvous hashing over the last shared part: every entry that knows the same targets prefers the same one. */
+function preferredTarget({parts}: Prompt, targets: readonly PooledTarget[]): PooledTarget | undefined {
+	const shared = parts.at(-2);
+	if (shared === undefined) {
+		return undefined;
+	}
+
+	let best: PooledTarget | undefined;
+	let bestRank = Number.POSITIVE_INFINITY;
+	for (const target of targets) {
+		const rank = hash32(`${shared.id}:${target.listed.targetId}`);
+		if (rank < bestRank) {
+			best = target;
+			bestRank = rank;
+		}
+	}
+
+	return best;
+}
--- /dev/null
+++ b/src/core/edge/pooled-target.ts
@@ -0,0 +1,168 @@
+import type {AttemptNumber} from '../ids/attempt-number.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {ListedTarget} from '../registry/listed-target.ts';
+import {MovingAverage} from './moving-average.ts';
+import type {PooledAttempt} from './pooled-attempt.ts';
+import {PrefixMemory} from './prefix-memory.ts';
+import type {TargetLoad} from './target-load.ts';
+
+/** Extra time for which a cold target is spared, for the way of its report, in milliseconds. */
+const coldMarginMs = 300;
+/** Longest time that a target is kept out after a broken connection while it does not report, in milliseconds. */
+const longestSuspensionMs = 4000;
+/** Time for which a target that had no place gets nothing, in milliseconds. */
+const fullMs = 150;
+/** Time in which what a target said of other callers' requests loses half of its weight, in milliseconds. */
+const loadHalfLifeMs = 1000;
+/** Prompt tokens from which the time to the first event tells the reading speed. */
+const fewestTokens = 1000;
+/** Time of an engine's first step that does not depend on the prompt, in milliseconds. */
+const firstStepMs = 15;
+
+/** A target of this entry's region: what control lists of it, what this entry has there, and what was learnt of it. */
+export class PooledTarget {
+	listed: ListedTarget;
+	readonly attempts = new Map<AttemptNumber, PooledAttempt>();
+	readonly prefixes = new PrefixMemory();
+	/** Prompt tokens read in a millisecond. The start is a middling engine's of the first deployments. */
+	readonly readRate = new MovingAverage({
+		weight: 0.15, initial: 45, min: 4, max: 120,
+	});
+
+	/** Milliseconds of one call of a plain service. */
+	readonly callMs = new MovingAverage({
+		weight: 0.1, initial: 40, min: 1, max: 5000,
+	});
+
+	/** Milliseconds between two events of a stream. */
+	readonly gapMs = new MovingAverage({
+		weight: 0.1, initial: 60, min: 1, max: 2000,
+	});
+
+	#coldUntil: Millis | undefined;
+	#goneAt: Millis | undefined;
+	#sign: number;
+	#suspended: {readonly since: Millis; readonly sign: number} | undefined;
+	#fullUntil = Number.NEGATIVE_INFINITY;
+	#others = {count: 0, at: Number.NEGATIVE_INFINITY};
+
+	constructor(listed: ListedTarget, now: Millis) {
+		this.listed = listed;
+		this.#sign = listed.sequence;
+		this.update(listed, now);
+	}
+
+	/** Takes a newer listing; a new incarnation has forgotten everything. */
+	update(listed: ListedTarget, now: Millis): void {
+		if (listed.born !== this.listed.born) {
+			this.prefixes.clear();
+			this.#suspended = undefined;
+			this.#sign = listed.sequence;
+			this.#others = {count: 0, at: Number.NEGATIVE_INFINITY};
+		}
+
+		this.listed = listed;
+		this.#coldUntil = listed.coldForMs === 'unknown' ? undefined : now + listed.coldForMs + (listed.coldForMs > 0 ? coldMarginMs : 0) as Millis;
+		this.#goneAt = listed.goneInMs === undefined ? undefined : now + listed.goneInMs as Millis;
+		this.sign(listed.sequence);
+	}
+
+	/** The target has reported under this number. */
+	sign(sequence: number): void {
+		this.#sign = Math.max(sequence, this.#sign);
+		if (this.#suspended !== undefined && this.#sign > this.#suspended.sign) {
+			this.#suspended = undefined;
+		}
+	}
+
+	/** A connection to the target broke or could not be made: it is left out until it reports again. */
+	suspend(now: Millis): void {
+		this.#suspended = {since: now, sign: this.#sign};
+	}
+
+	/** The target said that it has no place. */
+	full(now: Millis): void {
+		this.#fullUntil = now + fullMs;
+	}
+
+	/** True if the target may get new requests. */
+	usable(now: Millis): boolean {
+		const suspended = this.#suspended !== undefined && now - this.#suspended.since < longestSuspensionMs;
+		return this.listed.state === 'serving'
+			&& this.#goneAt === undefined
+			&& this.#coldUntil !== undefined
+			&& now >= this.#coldUntil
+			&& !suspended;
+	}
+
+	isFull(now: Millis): boolean {
+		return now < this.#fullUntil;
+	}
+
+	/** Time until the target is taken away by force, in milliseconds; undefined if that is not announced. */
+	goneInMs(now: Millis): number | undefined {
+		return this.#goneAt === undefined ? undefined : this.#goneAt - now;
+	}
+
+	/** Takes what the target said of its load: the rest belongs to other entries. */
+	reported(load: TargetLoad, now: Millis): void {
+		const count = Math.max(0, load.running + load.waiting - this.attempts.size);
+		this.#others = {count, at: now};
+	}
+
+	/** Requests of other entries that are believed to be there. */
+	othersInFlight(now: Millis): number {
+		return this.#others.count * (2 ** ((this.#others.at - now) / loadHalfLifeMs));
+	}
+
+	inFlight(now: Millis): number {
+		return this.attempts.size + this.othersInFlight(now);
+	}
+
+	/** Prompt tokens of this entry's requests there that are not read yet. */
+	unreadTokens(now: Millis): number {
+		let unread = 0;
+		for (const {startedAt, sentAt, uncachedTokens, aheadTokens} of this.attempts.values()) {
+			if (startedAt === undefined) {
+				const read = ((now - sentAt) * this.readRate.value) - aheadTokens;
+				unread += Math.max(0, uncachedTokens - Math.max(0, read));
+			}
+		}
+
+		return unread;
+	}
+
+	/** Tokens in the target's memory that this entry's requests hold at their end. */
+	memoryTokens(): number {
+		let sum = 0;
+		for (const {memoryTokens} of this.attempts.values()) {
+			sum += memoryTokens;
+		}
+
+		return sum;
+	}
+
+	/** Notes the first event of a stream, or the head of a call. */
+	started(attempt: AttemptNumber, now: Millis): void {
+		const entry = this.attempts.get(attempt);
+		if (entry === undefined || entry.startedAt !== undefined) {
+			return;
+		}
+
+		entry.startedAt = now;
+		entry.lastEventAt = now;
+		const tokens = entry.aheadTokens + entry.uncachedTokens;
+		if (tokens >= fewestTokens) {
+			this.readRate.add(tokens / Math.max(1, now - entry.sentAt - firstStepMs));
+		}
+	}
+
+	/** Notes further events of a stream. */
+	progressed(attempt: AttemptNumber, events: number, now: Millis): void {
+		const entry = this.attempts.get(attempt);
+		if (entry?.lastEventAt !== undefined && events > 0) {
+			this.gapMs.add((now - entry.lastEventAt) / events);
+			entry.lastEventAt = now;
+		}
+	}
+}
--- /dev/null
+++ b/src/core/edge/region-choice.ts
@@ -0,0 +1,108 @@
+import type {Millis} from '../ids/millis.ts';
+import type {Region} from '../ids/region.ts';
+import type {ServiceName} from '../ids/service-name.ts';
+import type {RegionLoad} from '../registry/region-load.ts';
+import type {Prompt} from './prompt.ts';
+
+/** Time to another region and back, in milliseconds, until it is measured. */
+const initialRoundTripMs = 120;
+/** Prompt tokens read in a millisecond by a middling engine. */
+const typicalReadRate = 45;
+/** Milliseconds of one call of a plain service at a region whose speed is not known. */
+const typicalCallMs = 45;
+/** Time for which requests sent to a region count as not yet in its reported load, in milliseconds. */
+const reportLagMs = 1500;
+/** Time for which a region that refused or could not be reached gets nothing, in milliseconds. */
+const avoidMs = 400;
+/** Age from which on what is known of other regions is not used any more, in milliseconds. */
+const oldestLoadMs = 10_000;
+
+type Sent = {readonly at: Millis; readonly tokens: number};
+
+/** A region that could take a request. */
+type RegionCandidate = {readonly region: Region; readonly address: string; readonly startMs: number; readonly targets: number};
+
+/**
+ * Chooses another region for a request.
+ *
+ * Answers peaks that come to one region after the other: what regions report of their load is a second old, so what
+ * was sent there since is added to it, times the entries that are likely to do the same.
+ */
+export class RegionChoice {
+	readonly #own: Region;
+	#loads: readonly RegionLoad[] = [];
+	#heardAt = Number.NEGATIVE_INFINITY;
+	readonly #sent = new Map<string, Sent[]>();
+	readonly #avoidUntil = new Map<string, number>();
+	#turn = 0;
+
+	constructor(own: Region) {
+		this.#own = own;
+	}
+
+	/** Entries of the own region, at least this one. */
+	get entriesHere(): number {
+		return Math.max(1, this.#loads.find(({region}) => region === this.#own)?.entries ?? 1);
+	}
+
+	/** Entries of the whole deployment. */
+	get entries(): number {
+		return Math.max(1, this.#loads.reduce((sum, {entries}) => sum + entries, 0));
+	}
+
+	update(loads: readonly RegionLoad[], now: Millis): void {
+		this.#loads = loads;
+		this.#heardAt = now;
+	}
+
+	/** Regions that could take a request, the soonest first. */
+	candidates({service, homes, prompt}: {service: ServiceName; homes: readonly Region[]; prompt?: Prompt}, now: Millis): readonly RegionCandidate[] {
+		if (now - this.#heardAt > oldestLoadMs) {
+			return [];
+		}
+
+		const candidates: RegionCandidate[] = [];
+		for (const {region, relayAddresses, loads} of this.#loads) {
+			const allowed = region !== this.#own && (homes.length === 0 || homes.includes(region));
+			const load = loads.find(entry => entry.service === service);
+			const addresses = relayAddresses.filter(address => !this.#avoided(address, service, now));
+			if (!allowed || load === undefined || load.targets === 0 || addresses.length === 0) {
+				continue;
+			}
+
+			const sentTokens = this.#sentTokens(region, service, now) * this.entriesHere;
+			const ownMs = prompt === undefined ? typicalCallMs : prompt.promptTokens / typicalReadRate;
+			const queuedMs = prompt === undefined ? sentTokens * typicalCallMs / load.targets / 6 : sentTokens / typicalReadRate / load.targets;
+			this.#turn += 1;
+			candidates.push({
+				region,
+				address: addresses[this.#turn % addresses.length]!,
+				startMs: initialRoundTripMs + load.startMs + queuedMs + ownMs,
+				targets: load.targets,
+			});
+		}
+
+		return candidates.sort((left, right) => left.startMs - right.startMs);
+	}
+
+	sent({region, service, prompt}: {region: Region; service: ServiceName; prompt?: Prompt}, now: Millis): void {
+		const key = `${region} ${service}`;
+		const sent = (this.#sent.get(key) ?? []).filter(({at}) => now - at < reportLagMs);
+		sent.push({at: now, tokens: prompt?.promptTokens ?? 1});
+		this.#sent.set(key, sent);
+	}
+
+	/** An entry of a region refused a request of the service, or could not be reached. */
+	refused(address: string, service: ServiceName, now: Millis): void {
+		this.#avoidUntil.set(`${address} ${service}`, now + avoidMs);
+	}
+
+	#avoided(address: string, service: ServiceName, now: Millis): boolean {
+		return (this.#avoidUntil.get(`${address} ${service}`) ?? 0) > now;
+	}
+
+	#sentTokens(region: Region, service: ServiceName, now: Millis): number {
+		const sent = this.#sent.get(`${region} ${service}`) ?? [];
+		return sent.reduce((sum, {at, tokens}) => now - at < reportLagMs ? sum + tokens : sum, 0);
+	}
+}
--- /dev/null
+++ b/src/core/edge/request-desk.ts
@@ -0,0 +1,494 @@
+import type {ActionQueue} from '../action-queue.ts';
+import type {Random} from '../common/random.ts';
+import type {AttemptNumber} from '../ids/attempt-number.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {Region} from '../ids/region.ts';
+import type {RequestId} from '../ids/request-id.ts';
+import type {RouteTable} from '../routes/route-table.ts';
+import type {AnswerHead} from './answer-head.ts';
+import type {AttemptFailure} from './attempt-failure.ts';
+import type {EdgeAction} from './edge-action.ts';
+import type {EdgeRefusal} from './edge-refusal.ts';
+import type {EdgeRequest} from './edge-request.ts';
+import {localPlacement} from './local-placement.ts';
+import type {PlacementCandidate} from './placement-candidate.ts';
+import type {RegionChoice} from './region-choice.ts';
+import type {RepeatBudget} from './repeat-budget.ts';
+import {mayRepeat} from './repeat-rule.ts';
+import type {RequestRecord} from './request-record.ts';
+import {retryAfter} from './retry-after.ts';
+import {stallMs} from './stall-rule.ts';
+import type {TargetPool} from './target-pool.ts';
+import type {WaitQueue} from './wait-queue.ts';
+
+/** Gain from which on a request goes to another region, in milliseconds: its bytes are dear. */
+const awayPenaltyMs = 150;
+/** Waiting requests that are looked at in one step for each service. */
+const placementsPerStep = 16;
+/** Time kept for the way of an answer to the caller, in milliseconds. */
+const answerMarginMs = 20;
+/** Status of an answer that its target did not vouch for, or that another target gave. */
+const misdirected = 421;
+
+type RequestDeskOptions = {
+	readonly region: Region;
+	readonly table: () => RouteTable | undefined;
+	readonly pool: TargetPool;
+	readonly regions: RegionChoice;
+	readonly waiting: WaitQueue;
+	readonly budget: RepeatBudget;
+	readonly random: Random;
+	readonly queue: ActionQueue<EdgeAction>;
+};
+
+/** Requests at one entry from their arrival to their final answer. */
+export class RequestDesk {
+	readonly #options: RequestDeskOptions;
+	readonly #records = new Map<RequestId, RequestRecord>();
+	readonly #byAttempt = new Map<AttemptNumber, RequestRecord>();
+	#lastAttempt = 0;
+	#shut = false;
+	#placeable = false;
+
+	constructor(options: RequestDeskOptions) {
+		this.#options = options;
+	}
+
+	get inFlight(): number {
+		return this.#records.size;
+	}
+
+	/** Refuses new requests from now on. */
+	shut(): void {
+		this.#shut = true;
+	}
+
+	request(req: EdgeRequest, now: Millis): void {
+		const table = this.#options.table();
+		const early = this.#refusedEarly(req, table);
+		if (early !== undefined) {
+			this.#options.queue.push({type: 'refuse', requestId: req.requestId, refusal: early});
+			this.#options.queue.event('refused', {request: req.callerKey, ...early, path: req.path, version: table?.version});
+			return;
+		}
+
+		const route = table!.match(req.host, req.path)!;
+		const service = table!.pickService(route, req.callerKey);
+		const limitMs = Math.min(req.budgetMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
+		const record: RequestRecord = {
+			req,
+			route,
+			service,
+			table: table!,
+			deadlineAt: req.arrivedAt + limitMs as Millis,
+			ranOn: new Set(),
+			tried: new Set(),
+			sends: 0,
+			awayRuns: 0,
+			mayHaveRun: false,
+			passing: false,
+			lastEventId: req.resumeAfter,
+		};
+		this.#records.set(req.requestId, record);
+		this.#place(record, now);
+	}
+
+	callerGone(requestId: RequestId, now: Millis): void {
+		const record = this.#records.get(requestId);
+		if (record === undefined) {
+			return;
+		}
+
+		const {running} = record;
+		if (running !== undefined) {
+			this.#options.queue.push({type: 'cancel', attempt: running.attempt});
+		}
+
+		this.#options.queue.event('caller-gone', {request: record.req.callerKey, afterMs: Math.round(now - record.req.arrivedAt), target: running?.targetId ?? running?.away?.region});
+		this.#stopAttempt(record);
+		this.#forget(record);
+	}
+
+	head(attempt: AttemptNumber, head: AnswerHead, now: Millis): void {
+		const record = this.#byAttempt.get(attempt);
+		const running = record?.running;
+		if (record === undefined || running === undefined) {
+			return;
+		}
+
+		running.head = head;
+		running.progressAt = now;
+		const target = running.targetId === undefined ? undefined : this.#options.pool.get(running.targetId);
+		if (head.load !== undefined) {
+			target?.reported(head.load, now);
+		}
+
+		if (head.notRun || head.status === misdirected) {
+			this.#notRun(record, head, now);
+			return;
+		}
+
+		const good = head.status >= 200 && head.status < 300;
+		if (record.route.kind !== 'stream' && good) {
+			target?.started(attempt, now);
+			target?.callMs.add(now - running.sentAt);
+		}
+
+		if (good && !head.signed) {
+			this.#options.queue.push({type: 'cancel', attempt});
+			this.#attemptFailed(record, 'unsigned answer', now);
+			return;
+		}
+
+		if (good && record.route.kind === 'stream') {
+			record.passing = true;
+			this.#options.queue.push({type: 'pass', requestId: record.req.requestId, attempt});
+			return;
+		}
+
+		if (!good && (record.passing || (head.status >= 500 && this.#canRepeatNow(record, now)))) {
+			this.#options.queue.push({type: 'cancel', attempt});
+			this.#attemptFailed(record, `status ${head.status}`, now);
+		}
+	}
+
+	events(attempt: AttemptNumber, {count, lastId}: {count: number; lastId?: string}, now: Millis): void {
+		const record = this.#byAttempt.get(attempt);
+		const running = record?.running;
+		if (record === undefined || running === undefined) {
+			return;
+		}
+
+		const target = running.targetId === undefined ? undefined : this.#options.pool.get(running.targetId);
+		if (running.events === 0) {
+			target?.started(attempt, now);
+			this.#placeable = true;
+		} else {
+			target?.progressed(attempt, count, now);
+		}
+
+		running.events += count;
+		running.progressAt = now;
+		record.lastEventId = lastId ?? record.lastEventId;
+	}
+
+	ended(attempt: AttemptNumber, now: Millis): void {
+		const record = this.#byAttempt.get(attempt);
+		if (record === undefined) {
+			return;
+		}
+
+		const {req, running, service, route} = record;
+		this.#options.queue.push({type: 'complete', requestId: req.requestId, attempt});
+		this.#options.queue.count('answers', route.kind);
+		this.#options.queue.event('answered', {
+			request: req.callerKey, route: route.name, service, status: running?.head?.status, target: running?.targetId ?? running?.away?.region, sends: record.sends, tookMs: Math.round(now - req.arrivedAt), predictedMs: Math.round(running?.predictedMs ?? 0),
+		});
+		this.#stopAttempt(record);
+		this.#forget(record);
+	}
+
+	failed(attempt: AttemptNumber, failure: AttemptFailure, now: Millis): void {
+		const record = this.#byAttempt.get(attempt);
+		const running = record?.running;
+		if (record === undefined || running === undefined) {
+			return;
+		}
+
+		if (running.away !== undefined) {
+			this.#options.regions.refused(running.away.address, record.service, now);
+		} else if (running.targetId !== undefined && failure.reason !== 'foreign-answer') {
+			this.#options.pool.get(running.targetId)?.suspend(now);
+		}
+
+		if (failure.notSent) {
+			record.sends -= 1;
+			this.#stopAttempt(record);
+			this.#options.queue.event('attempt-not-sent', {request: record.req.callerKey, target: running.targetId ?? running.away?.region, reason: failure.reason});
+			this.#place(record, now);
+			return;
+		}
+
+		this.#attemptFailed(record, failure.reason, now);
+	}
+
+	tick(now: Millis): void {
+		for (const record of this.#records.values()) {
+			if (now >= record.deadlineAt) {
+				this.#expire(record, now);
+			} else {
+				this.#checkStall(record, now);
+			}
+		}
+
+		this.#placeable = true;
+	}
+
+	/** Places what waits, if something has changed since the last time. */
+	settle(now: Millis): void {
+		if (!this.#placeable) {
+			return;
+		}
+
+		this.#placeable = false;
+		const {waiting} = this.#options;
+		for (const service of waiting.services()) {
+			let looked = 0;
+			for (const record of waiting.list(service)) {
+				looked += 1;
+				if (looked > placementsPerStep) {
+					break;
+				}
+
+				waiting.remove(record);
+				this.#place(record, now);
+				if (waiting.has(record.req.requestId)) {
+					break;
+				}
+			}
+		}
+	}
+
+	#refusedEarly(req: EdgeRequest, table: RouteTable | undefined): EdgeRefusal | undefined {
+		const {random} = this.#options;
+		if (table === undefined) {
+			return {reason: 'not-configured', ran: 'no', retryAfterMs: retryAfter(500, random)};
+		}
+
+		if (this.#shut) {
+			return {reason: 'leaving', ran: 'no', retryAfterMs: retryAfter(0, random)};
+		}
+
+		if (req.forwarded !== undefined && req.forwarded.documentVersion > table.version) {
+			return {reason: 'outdated', ran: 'no', retryAfterMs: retryAfter(500, random)};
+		}
+
+		return table.match(req.host, req.path) === undefined ? {reason: 'no-route', ran: 'no'} : undefined;
+	}
+
+	/** Sends a request to the best place, lets it wait, or refuses it. */
+	#place(record: RequestRecord, now: Millis): void {
+		const {pool, regions, waiting, random} = this.#options;
+		const {req, route, service} = record;
+		const leftMs = record.deadlineAt - now - answerMarginMs;
+		if (record.sends > 0 && !this.#canRepeat(record, now)) {
+			this.#giveUp(record, 'target-failed', now);
+			return;
+		}
+
+		const homeAllowed = route.homes.length === 0 || route.homes.includes(this.#options.region);
+		const usable = homeAllowed ? pool.usable(service, now).filter(({listed}) => !record.tried.has(listed.targetId)) : [];
+		const local = localPlacement({
+			prompt: req.prompt, spec: record.table.service(service), targets: usable, entries: regions.entriesHere,
+		}, now);
+		const best = local.find(({hasRoom}) => hasRoom);
+		const [away] = req.forwarded === undefined ? regions.candidates({service, homes: route.homes, prompt: req.prompt}, now) : [];
+		const awayMs = away === undefined ? Number.POSITIVE_INFINITY : away.startMs + awayPenaltyMs;
+		const bestMs = best?.startMs ?? Number.POSITIVE_INFINITY;
+		if (best !== undefined && bestMs <= awayMs && bestMs < leftMs) {
+			this.#send(record, best, now);
+			return;
+		}
+
+		if (away !== undefined && away.startMs < leftMs) {
+			this.#sendAway(record, away, now);
+			return;
+		}
+
+		const soonest = Math.min(local[0]?.startMs ?? Number.POSITIVE_INFINITY, away?.startMs ?? Number.POSITIVE_INFINITY);
+		if (local.length > 0 && soonest < leftMs && !waiting.has(req.requestId)) {
+			waiting.add(record);
+			return;
+		}
+
+		record.retryAfterMs = Math.min(record.retryAfterMs ?? Number.POSITIVE_INFINITY, retryAfter(Number.isFinite(soonest) ? soonest / 2 : 1000, random));
+		this.#giveUp(record, local.length === 0 ? 'no-target' : 'overloaded', now);
+	}
+
+	#send(record: RequestRecord, {target, startMs, uncachedTokens, aheadTokens, memoryTokens}: PlacementCandidate, now: Millis): void {
+		const {req, service} = record;
+		const {targetId, address} = target.listed;
+		if (record.sends === 0) {
+			this.#options.budget.request(service, now);
+		}
+
+		const attempt = this.#nextAttempt(record);
+		target.attempts.set(attempt, {
+			sentAt: now, uncachedTokens, aheadTokens, memoryTokens,
+		});
+		if (req.prompt !== undefined) {
+			target.prefixes.used(req.prompt, record.table.service(service)?.engine?.cacheTokens ?? 0);
+		}
+
+		record.running = {
+			attempt, sentAt: now, targetId, predictedMs: startMs, progressAt: now, events: 0,
+		};
+		this.#start(record, {attempt, address, targetId}, now);
+	}
+
+	#sendAway(record: RequestRecord, {region, address, startMs}: {region: Region; address: string; startMs: number}, now: Millis): void {
+		const attempt = this.#nextAttempt(record);
+		this.#options.regions.sent({region, service: record.service, prompt: record.req.prompt}, now);
+		this.#options.queue.count('away', region);
+		record.running = {
+			attempt, sentAt: now, away: {region, address}, predictedMs: startMs, progressAt: now, events: 0,
+		};
+		this.#start(record, {attempt, address}, now);
+	}
+
+	#start(record: RequestRecord, to: Pick<EdgeAction & {type: 'start'}, 'attempt' | 'address' | 'targetId'>, now: Millis): void {
+		const {req, route, table} = record;
+		record.sends += 1;
+		this.#options.queue.push({
+			type: 'start',
+			...to,
+			requestId: req.requestId,
+			deadlineMs: Math.max(1, Math.floor(record.deadlineAt - now)),
+			urgency: Math.min(9, (route.priority * 2) + 1),
+			stream: route.kind === 'stream',
+			resumeAfter: record.lastEventId,
+			documentVersion: table.version,
+		});
+	}
+
+	#nextAttempt(record: RequestRecord): AttemptNumber {
+		this.#lastAttempt += 1;
+		const attempt = this.#lastAttempt as AttemptNumber;
+		this.#byAttempt.set(attempt, record);
+		return attempt;
+	}
+
+	/** The target or the other region's entry vouches that the request has not run. */
+	#notRun(record: RequestRecord, head: AnswerHead, now: Millis): void {
+		const {running} = record;
+		const {pool, regions, queue} = this.#options;
+		queue.event('attempt-not-run', {request: record.req.callerKey, target: running!.targetId ?? running!.away?.region, status: head.status});
+		if (running!.away !== undefined) {
+			regions.refused(running!.away.address, record.service, now);
+			record.sends -= 1;
+		} else if (running!.targetId !== undefined) {
+			record.tried.add(running!.targetId);
+			const target = pool.get(running!.targetId);
+			if (head.status === misdirected) {
+				target?.suspend(now);
+			} else {
+				target?.full(now);
+			}
+		}
+
+		record.retryAfterMs = head.retryAfterMs ?? record.retryAfterMs;
+		this.#stopAttempt(record);
+		this.#place(record, now);
+	}
+
+	/** An attempt that may have run gave no answer: another one if that is allowed, else an honest end. */
+	#attemptFailed(record: RequestRecord, reason: string, now: Millis): void {
+		const {running, req} = record;
+		if (running?.targetId !== undefined) {
+			record.ranOn.add(running.targetId);
+			record.tried.add(running.targetId);
+		} else {
+			record.awayRuns += 1;
+		}
+
+		record.mayHaveRun = true;
+		this.#options.queue.count('attempt_failures', reason);
+		this.#options.queue.event('attempt-failed', {
+			request: req.callerKey, target: running?.targetId ?? running?.away?.region, reason, events: running?.events, afterMs: Math.round(now - (running?.sentAt ?? now)),
+		});
+		this.#stopAttempt(record);
+		this.#place(record, now);
+	}
+
+	#checkStall(record: RequestRecord, now: Millis): void {
+		const {running} = record;
+		if (running === undefined) {
+			return;
+		}
+
+		const mayRun = {...record, mayHaveRun: true, ranOn: new Set([...record.ranOn, ...running.targetId === undefined ? [] : [running.targetId]]), awayRuns: record.awayRuns + (running.away === undefined ? 0 : 1)};
+		if (!mayRepeat(mayRun)) {
+			return;
+		}
+
+		const limitMs = stallMs(record.route, {predictedMs: running.predictedMs, events: running.events, away: running.away !== undefined});
+		if (now - running.progressAt <= limitMs || !this.#options.budget.withdraw(record.service, this.#options.regions.entries, now)) {
+			return;
+		}
+
+		this.#options.queue.push({type: 'cancel', attempt: running.attempt});
+		if (running.targetId !== undefined) {
+			this.#options.pool.get(running.targetId)?.suspend(now);
+		}
+
+		this.#budgeted = record;
+		this.#attemptFailed(record, 'stalled', now);
+		this.#budgeted = undefined;
+	}
+
+	/** The record whose next send is paid for already. */
+	#budgeted: RequestRecord | undefined;
+
+	#canRepeat(record: RequestRecord, now: Millis): boolean {
+		if (!mayRepeat(record)) {
+			return false;
+		}
+
+		return this.#budgeted === record || this.#options.budget.withdraw(record.service, this.#options.regions.entries, now);
+	}
+
+	/** Whether a failed answer may be thrown away for another try. */
+	#canRepeatNow(record: RequestRecord, now: Millis): boolean {
+		const {running} = record;
+		const after = {
+			...record, mayHaveRun: true, ranOn: new Set([...record.ranOn, ...running?.targetId === undefined ? [] : [running.targetId]]), awayRuns: record.awayRuns + (running?.away === undefined ? 0 : 1),
+		};
+		return mayRepeat(after) && record.deadlineAt - now > record.route.objectiveMs / 4;
+	}
+
+	#expire(record: RequestRecord, now: Millis): void {
+		const {running} = record;
+		if (running !== undefined) {
+			this.#options.queue.push({type: 'cancel', attempt: running.attempt});
+			record.mayHaveRun = true;
+			this.#stopAttempt(record);
+		}
+
+		this.#giveUp(record, record.mayHaveRun ? 'timeout' : 'overloaded', now);
+	}
+
+	#giveUp(record: RequestRecord, reason: EdgeRefusal['reason'], now: Millis): void {
+		const {req, route, mayHaveRun, sends, retryAfterMs} = record;
+		const refusal: EdgeRefusal = {
+			reason: mayHaveRun && reason !== 'timeout' ? 'target-failed' : reason,
+			ran: mayHaveRun ? 'maybe' : 'no',
+			retryAfterMs: mayHaveRun ? undefined : retryAfterMs ?? retryAfter(500, this.#options.random),
+		};
+		this.#options.queue.push({type: 'refuse', requestId: req.requestId, refusal});
+		this.#options.queue.count('refusals', refusal.reason);
+		this.#options.queue.event('refused', {
+			request: req.callerKey, route: route.name, service: record.service, ...refusal, sends, passing: record.passing, afterMs: Math.round(now - req.arrivedAt), leftMs: Math.round(record.deadlineAt - now),
+		});
+		this.#forget(record);
+	}
+
+	#stopAttempt(record: RequestRecord): void {
+		const {running} = record;
+		if (running === undefined) {
+			return;
+		}
+
+		this.#byAttempt.delete(running.attempt);
+		if (running.targetId !== undefined) {
+			this.#options.pool.get(running.targetId)?.attempts.delete(running.attempt);
+		}
+
+		record.running = undefined;
+		this.#placeable = true;
+	}
+
+	#forget(record: RequestRecord): void {
+		this.#options.waiting.remove(record);
+		this.#records.delete(record.req.requestId);
+	}
+}
--- /dev/null
+++ b/src/core/edge/request-record.ts
@@ -0,0 +1,51 @@
+import type {AttemptNumber} from '../ids/attempt-number.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {Region} from '../ids/region.ts';
+import type {ServiceName} from '../ids/service-name.ts';
+import type {TargetId} from '../ids/target-id.ts';
+import type {RouteRule} from '../routes/route-rule.ts';
+import type {RouteTable} from '../routes/route-table.ts';
+import type {AnswerHead} from './answer-head.ts';
+import type {EdgeRequest} from './edge-request.ts';
+
+/** The sending of a request that is under way. */
+type RunningAttempt = {
+	readonly attempt: AttemptNumber;
+	readonly sentAt: Millis;
+	/** Set for a target of this region. */
+	readonly targetId?: TargetId;
+	/** Set for an entry of another region. */
+	readonly away?: {readonly region: Region; readonly address: string};
+	/** Time to the first event or answer that was predicted, in milliseconds. */
+	readonly predictedMs: number;
+	head?: AnswerHead;
+	/** Time of the newest event that was passed on. */
+	progressAt: Millis;
+	events: number;
+};
+
+/** What an entry keeps of one request until its final answer. */
+export type RequestRecord = {
+	readonly req: EdgeRequest;
+	readonly route: RouteRule;
+	readonly service: ServiceName;
+	/** The routes that were in force when the request came: it is handled under these to its end. */
+	readonly table: RouteTable;
+	readonly deadlineAt: Millis;
+	running?: RunningAttempt;
+	/** Targets that the request may have run on. */
+	readonly ranOn: Set<TargetId>;
+	/** Targets that turned it away or failed it. */
+	readonly tried: Set<TargetId>;
+	/** Times that it was sent to targets or to other regions. */
+	sends: number;
+	/** Times that an entry of another region took it, which may have run it. */
+	awayRuns: number;
+	mayHaveRun: boolean;
+	/** True once a head was passed to the caller: nothing but events may follow. */
+	passing: boolean;
+	/** Id of the last event that the caller has. */
+	lastEventId?: string;
+	/** Shortest time to come back that a target or region named, in milliseconds. */
+	retryAfterMs?: number;
+};
--- /dev/null
+++ b/src/core/edge/target-pool.ts
@@ -0,0 +1,69 @@
+import type {Millis} from '../ids/millis.ts';
+import type {ServiceName} from '../ids/service-name.ts';
+import type {TargetId} from '../ids/target-id.ts';
+import type {Zone} from '../ids/zone.ts';
+import type {ListedTarget} from '../registry/listed-target.ts';
+import {PooledTarget} from './pooled-target.ts';
+
+/** The targets of this entry's region. */
+export class TargetPool {
+	readonly #targets = new Map<TargetId, PooledTarget>();
+	#evacuated: ReadonlySet<Zone> = new Set();
+
+	/** Takes listings of control; `whole` if targets that are not among them are gone. */
+	update(listed: readonly ListedTarget[], whole: boolean, now: Millis): void {
+		for (const entry of listed) {
+			this.#take(entry, now);
+		}
+
+		if (whole) {
+			const names = new Set(listed.map(({targetId}) => targetId));
+			for (const [targetId, target] of this.#targets) {
+				if (!names.has(targetId) && target.attempts.size === 0) {
+					this.#targets.delete(targetId);
+				}
+			}
+		}
+	}
+
+	signs(signs: ReadonlyArray<readonly [TargetId, number]>): void {
+		for (const [targetId, sequence] of signs) {
+			this.#targets.get(targetId)?.sign(sequence);
+		}
+	}
+
+	evacuate(zones: readonly Zone[]): void {
+		this.#evacuated = new Set(zones);
+	}
+
+	get(targetId: TargetId): PooledTarget | undefined {
+		return this.#targets.get(targetId);
+	}
+
+	/** Targets of a service that may get new requests. */
+	usable(service: ServiceName, now: Millis): readonly PooledTarget[] {
+		return this.#of(service).filter(target => target.usable(now) && !this.#evacuated.has(target.listed.zone));
+	}
+
+	#of(service: ServiceName): PooledTarget[] {
+		return [...this.#targets.values()].filter(({listed}) => listed.service === service);
+	}
+
+	#take(listed: ListedTarget, now: Millis): void {
+		const known = this.#targets.get(listed.targetId);
+		if (known === undefined) {
+			this.#targets.set(listed.targetId, new PooledTarget(listed, now));
+			return;
+		}
+
+		const {born, sequence, state} = known.listed;
+		const older = listed.born < born || (listed.born === born && listed.sequence < sequence && listed.state !== 'leaving');
+		if (older) {
+			return;
+		}
+
+		// A target that was seen to leave stays out, also if another control node has not heard of it yet.
+		const left = listed.born === born && state === 'leaving';
+		known.update(left ? {...listed, state: 'leaving'} : listed, now);
+	}
+}
--- /dev/null
+++ b/src/core/edge/wait-queue.ts
@@ -0,0 +1,54 @@
+import type {RequestId} from '../ids/request-id.ts';
+import type {ServiceName} from '../ids/service-name.ts';
+import type {RequestRecord} from './request-record.ts';
+
+/** Requests that wait at this entry for a place, by service: the most urgent first, then the one that came first. */
+export class WaitQueue {
+	readonly #queues = new Map<ServiceName, RequestRecord[]>();
+
+	add(record: RequestRecord): void {
+		const queue = this.#queues.get(record.service) ?? [];
+		const position = queue.findIndex(other => goesBefore(record, other));
+		queue.splice(position === -1 ? queue.length : position, 0, record);
+		this.#queues.set(record.service, queue);
+	}
+
+	remove(record: RequestRecord): boolean {
+		const queue = this.#queues.get(record.service);
+		const position = queue?.indexOf(record) ?? -1;
+		if (position === -1) {
+			return false;
+		}
+
+		queue!.splice(position, 1);
+		return true;
+	}
+
+	size(service: ServiceName): number {
+		return this.#queues.get(service)?.length ?? 0;
+	}
+
+	/** Requests waiting for a service that go before a new one of this urgency. */
+	ahead(service: ServiceName, priority: number): number {
+		return this.#queues.get(service)?.filter(({route}) => route.priority <= priority).length ?? 0;
+	}
+
+	services(): readonly ServiceName[] {
+		return [...this.#queues].filter(([, queue]) => queue.length > 0).map(([service]) => service);
+	}
+
+	/** The waiting requests of a service in order. */
+	list(service: ServiceName): readonly RequestRecord[] {
+		return [...this.#queues.get(service) ?? []];
+	}
+
+	has(requestId: RequestId): boolean {
+		return [...this.#queues.values()].some(queue => queue.some(({req}) => req.requestId === requestId));
+	}
+}
+
+function goesBefore(left: RequestRecord, right: RequestRecord): boolean {
+	return left.route.priority === right.route.priority
+		? left.req.arrivedAt < right.req.arrivedAt
+		: left.route.priority < right.route.priority;
+}
--- a/src/core/gateway-core.ts
+++ b/src/core/gateway-core.ts
@@ -267,6 +267,12 @@
 				parts.orders.handle(from, message.body, now);
 				break;
 			}
+
+			case 'control': {
+				// Spoken by processes that serve a routes document; this one serves a settings tree.
+				this.#queue.count('stale_messages', 'control');
+				break;
+			}
 		}
 	}
 
--- /dev/null
+++ b/src/core/registry/region-load.ts
@@ -0,0 +1,13 @@
+import type {Region} from '../ids/region.ts';
+import type {ServiceLoad} from './service-load.ts';
+
+/** What entries of one region can take, summed over them, and where some of them are reached. */
+export type RegionLoad = {
+	readonly region: Region;
+	/** Entries that take requests. */
+	readonly entries: number;
+	/** `ip:port` of some of them for requests from other regions. */
+	readonly relayAddresses: readonly string[];
+	/** `targets` is the largest number that an entry sees, `startMs` the mean, the rest are sums. */
+	readonly loads: readonly ServiceLoad[];
+};
--- /dev/null
+++ b/src/core/registry/sum-regions.ts
@@ -0,0 +1,51 @@
+import type {Region} from '../ids/region.ts';
+import type {ServiceName} from '../ids/service-name.ts';
+import type {EntryStatus} from './entry-status.ts';
+import type {RegionLoad} from './region-load.ts';
+import type {ServiceLoad} from './service-load.ts';
+
+/** Entries of a region whose addresses are given out at a time. */
+const sampleSize = 4;
+
+/** Sums the loads of entries by region, so that what is told of a region does not grow with its entries. `turn` moves the sample of addresses on. */
+export function sumRegions(entries: readonly EntryStatus[], turn: number): readonly RegionLoad[] {
+	const byRegion = new Map<Region, EntryStatus[]>();
+	for (const entry of entries) {
+		const list = byRegion.get(entry.region) ?? [];
+		list.push(entry);
+		byRegion.set(entry.region, list);
+	}
+
+	return [...byRegion].map(([region, list]) => ({
+		region,
+		entries: list.length,
+		relayAddresses: sample(list, turn),
+		loads: sumLoads(list),
+	}));
+}
+
+function sample(entries: readonly EntryStatus[], turn: number): readonly string[] {
+	const sorted = entries.toSorted((left, right) => left.nodeId < right.nodeId ? -1 : 1);
+	const count = Math.min(sampleSize, sorted.length);
+	return Array.from({length: count}, (_, index) => sorted[(turn + index) % sorted.length]!.relayAddress);
+}
+
+function sumLoads(entries: readonly EntryStatus[]): readonly ServiceLoad[] {
+	const sums = new Map<ServiceName, {targets: number; inFlight: number; waiting: number; startMs: number; reports: number}>();
+	for (const {loads} of entries) {
+		for (const load of loads) {
+			const sum = sums.get(load.service) ?? {
+				targets: 0, inFlight: 0, waiting: 0, startMs: 0, reports: 0,
+			};
+			sums.set(load.service, {
+				targets: Math.max(sum.targets, load.targets),
+				inFlight: sum.inFlight + load.inFlight,
+				waiting: sum.waiting + load.waiting,
+				startMs: sum.startMs + load.startMs,
+				reports: sum.reports + 1,
+			});
+		}
+	}
+
+	return [...sums].map(([service, {reports, startMs, ...rest}]) => ({...rest, service, startMs: Math.round(startMs / reports)}));
+}
--- /dev/null
+++ b/src/core/registry/target-registry.ts
@@ -0,0 +1,263 @@
+import type {Millis} from '../ids/millis.ts';
+import type {Region} from '../ids/region.ts';
+import type {TargetId} from '../ids/target-id.ts';
+import type {Zone} from '../ids/zone.ts';
+import type {ListedTarget} from './listed-target.ts';
+import type {TargetEntry} from './target-entry.ts';
+import type {TargetReport} from './target-report.ts';
+
+/** Time for which a target that ended or fell silent is remembered, so that late reports do not revive it. */
+const rememberMs = 60_000;
+/** Reports that a target may miss before it counts as lost. */
+const missedReports = 3.5;
+
+type TargetRegistryOptions = {
+	/** Time between two reports of a target, in milliseconds. */
+	readonly reportEveryMs: number;
+	readonly regionOf: (zone: Zone) => Region | undefined;
+};
+
+/**
+ * The targets that one control node knows, from their own reports and from other control nodes.
+ * A report counts only if it is newer than the last one of its incarnation; a target that is leaving
+ * or withdrawn stays so until a later incarnation reports.
+ */
+export class TargetRegistry {
+	readonly #options: TargetRegistryOptions;
+	readonly #entries = new Map<TargetId, TargetEntry>();
+	#revision = 0;
+
+	constructor(options: TargetRegistryOptions) {
+		this.#options = options;
+	}
+
+	/** Grows with every change that entries have to know. */
+	get revision(): number {
+		return this.#revision;
+	}
+
+	/** Takes a report that was sent `ageMs` ago; returns whether it changed anything but the target's last sign of life. */
+	report(report: TargetReport, now: Millis, {direct = true, ageMs = 0}: {direct?: boolean; ageMs?: number} = {}): boolean {
+		const region = this.#options.regionOf(report.zone);
+		if (region === undefined) {
+			return false;
+		}
+
+		const known = this.#entries.get(report.targetId);
+		if (known !== undefined && !isNewer(report, known.report)) {
+			return false;
+		}
+
+		if (this.#addressTaken(report, known)) {
+			return false;
+		}
+
+		const sentAt = now - ageMs as Millis;
+		const sameLife = known !== undefined && known.report.born === report.born;
+		const ended = (sameLife && known.ended) || report.state === 'leaving';
+		const entry: TargetEntry = {
+			report: ended ? {...report, state: 'leaving'} : report,
+			region,
+			heardAt: sentAt,
+			coldUntil: sentAt + report.coldMs as Millis,
+			goneAt: report.goneInMs === undefined ? (sameLife ? known.goneAt : undefined) : sentAt + report.goneInMs as Millis,
+			coldUnknownSince: known?.coldUnknownSince !== undefined && sentAt <= known.coldUnknownSince ? known.coldUnknownSince : undefined,
+			ended,
+			revision: known?.revision ?? 0,
+			direct,
+		};
+		this.#entries.set(report.targetId, entry);
+		const changed = known === undefined || this.#differs(known, entry, now);
+		if (changed) {
+			this.#touch(entry);
+		}
+
+		return changed;
+	}
+
+	/** Takes a sign of life of a target whose report is known; false if it is not. */
+	alive(targetId: TargetId, sign: {born: number; sequence: number; ageMs: number}, now: Millis): boolean {
+		const known = this.#entries.get(targetId);
+		if (known === undefined || known.report.born !== sign.born) {
+			return known !== undefined && known.report.born > sign.born;
+		}
+
+		if (sign.sequence <= known.report.sequence) {
+			return true;
+		}
+
+		const sentAt = now - sign.ageMs as Millis;
+		const wasLost = this.#lost(known, now);
+		known.report = {...known.report, sequence: sign.sequence};
+		known.heardAt = Math.max(known.heardAt, sentAt) as Millis;
+		known.direct = false;
+		if (known.coldUnknownSince !== undefined && sentAt > known.coldUnknownSince) {
+			known.coldUnknownSince = undefined;
+			this.#touch(known);
+		}
+
+		if (wasLost && !this.#lost(known, now)) {
+			this.#touch(known);
+		}
+
+		return true;
+	}
+
+	/** A target said that it goes: nothing of this incarnation counts any more. */
+	withdraw(targetId: TargetId, wallClock: number, now: Millis): boolean {
+		const known = this.#entries.get(targetId);
+		if (known === undefined || known.ended) {
+			if (known === undefined) {
+				this.#rememberUnknown(targetId, wallClock, now);
+			}
+
+			return false;
+		}
+
+		known.ended = true;
+		known.report = {...known.report, state: 'leaving'};
+		this.#touch(known);
+		return true;
+	}
+
+	/** Targets of a zone may have become cold: they are spared until they have reported after `now`. */
+	maybeCold(zone: Zone, now: Millis): void {
+		for (const entry of this.#entries.values()) {
+			if (entry.report.zone === zone && !entry.ended) {
+				entry.coldUnknownSince = now;
+				this.#touch(entry);
+			}
+		}
+	}
+
+	/** Forgets targets that have been silent for long, and notes those that fell silent. */
+	tick(now: Millis): void {
+		for (const [targetId, entry] of this.#entries) {
+			const silence = now - entry.heardAt;
+			if (silence > rememberMs) {
+				this.#entries.delete(targetId);
+				this.#revision += 1;
+			} else if (this.#lost(entry, now) && !entry.ended && entry.report.state === 'serving' && !this.#toldLost.has(targetId)) {
+				this.#toldLost.add(targetId);
+				this.#touch(entry);
+			} else if (!this.#lost(entry, now)) {
+				this.#toldLost.delete(targetId);
+			}
+		}
+	}
+
+	/** Targets that changed after a revision, as entries are told; those that are lost or gone are listed as leaving. */
+	changedSince(revision: number, now: Millis, filter: (entry: TargetEntry) => boolean = () => true): readonly ListedTarget[] {
+		return [...this.#entries.values()]
+			.filter(entry => entry.revision > revision && filter(entry))
+			.map(entry => this.#listed(entry, now));
+	}
+
+	/** Reports that came to this node itself and changed after a revision, as other control nodes are told. */
+	directSince(revision: number, now: Millis): ReadonlyArray<{report: TargetReport; ageMs: number}> {
+		return [...this.#entries.values()]
+			.filter(entry => entry.revision > revision && entry.direct && entry.report.address !== '')
+			.map(entry => ({
+				report: {...entry.report, coldMs: Math.max(0, entry.coldUntil - entry.heardAt), goneInMs: entry.goneAt === undefined ? undefined : entry.goneAt - entry.heardAt},
+				ageMs: now - entry.heardAt,
+			}));
+	}
+
+	/** Signs of life that came to this node itself within a time. */
+	directSigns(withinMs: number, now: Millis): ReadonlyArray<readonly [TargetId, number, number, number]> {
+		return [...this.#entries.values()]
+			.filter(entry => entry.direct && now - entry.heardAt <= withinMs && !entry.ended)
+			.map(({report, heardAt}) => [report.targetId, report.born, report.sequence, Math.round(now - heardAt)] as const);
+	}
+
+	/** Newest signs of life of the targets that entries of a region use. */
+	signs(region: Region): ReadonlyArray<readonly [TargetId, number]> {
+		return [...this.#entries.values()]
+			.filter(entry => entry.region === region && !entry.ended)
+			.map(({report}) => [report.targetId, report.sequence] as const);
+	}
+
+	/** Serving targets and their slots, summed by region and service. */
+	serving(now: Millis): ReadonlyArray<{region: Region; report: TargetReport}> {
+		return [...this.#entries.values()]
+			.filter(entry => entry.report.state === 'serving' && !this.#lost(entry, now))
+			.map(({region, report}) => ({region, report}));
+	}
+
+	readonly #toldLost = new Set<TargetId>();
+
+	#listed(entry: TargetEntry, now: Millis): ListedTarget {
+		const {coldMs: _, goneInMs: __, ...report} = entry.report;
+		return {
+			...report,
+			state: this.#lost(entry, now) && report.state === 'serving' ? 'lost' : report.state,
+			region: entry.region,
+			coldForMs: entry.coldUnknownSince === undefined ? Math.max(0, Math.round(entry.coldUntil - now)) : 'unknown',
+			goneInMs: entry.goneAt === undefined ? undefined : Math.round(entry.goneAt - now),
+		};
+	}
+
+	#lost(entry: TargetEntry, now: Millis): boolean {
+		return now - entry.heardAt > missedReports * this.#options.reportEveryMs;
+	}
+
+	/** True if a later incarnation holds the report's address; an earlier one that holds it has ended. */
+	#addressTaken(report: TargetReport, known: TargetEntry | undefined): boolean {
+		for (const other of this.#entries.values()) {
+			if (other === known || other.report.targetId === report.targetId || other.report.address !== report.address) {
+				continue;
+			}
+
+			if (other.report.born > report.born) {
+				return true;
+			}
+
+			if (!other.ended) {
+				other.ended = true;
+				other.report = {...other.report, state: 'leaving'};
+				this.#touch(other);
+			}
+		}
+
+		return false;
+	}
+
+	#differs(before: TargetEntry, after: TargetEntry, now: Millis): boolean {
+		const [left, right] = [before.report, after.report];
+		return left.born !== right.born
+			|| left.state !== right.state
+			|| left.address !== right.address
+			|| left.service !== right.service
+			|| left.zone !== right.zone
+			|| left.slots !== right.slots
+			|| before.ended !== after.ended
+			|| before.coldUnknownSince !== after.coldUnknownSince
+			|| before.goneAt !== after.goneAt
+			|| Math.max(before.coldUntil, now) !== Math.max(after.coldUntil, now)
+			|| this.#lost(before, now);
+	}
+
+	/** A target that was never heard of withdrew: its earlier incarnations stay out. */
+	#rememberUnknown(targetId: TargetId, wallClock: number, now: Millis): void {
+		this.#entries.set(targetId, {
+			report: {
+				targetId, service: '' as TargetReport['service'], address: '', zone: '' as Zone, slots: 0, state: 'leaving', coldMs: 0, born: wallClock, sequence: Number.MAX_SAFE_INTEGER,
+			},
+			region: '' as Region,
+			heardAt: now,
+			coldUntil: now,
+			ended: true,
+			revision: 0,
+			direct: false,
+		});
+	}
+
+	#touch(entry: TargetEntry): void {
+		this.#revision += 1;
+		entry.revision = this.#revision;
+	}
+}
+
+function isNewer(report: TargetReport, known: TargetReport): boolean {
+	return report.born > known.born || (report.born === known.born && report.sequence > known.sequence);
+}
--- /dev/null
+++ b/src/core/routes/document-problems.ts
@@ -0,0 +1,43 @@
+import type {RoutesDocument} from './routes-document.ts';
+
+/** Everything that makes a routes document invalid, as sentences for its operator; empty if it is valid. */
+export function documentProblems({version, routes, services}: RoutesDocument): readonly string[] {
+	const problems: string[] = [];
+	const known = new Set(services.map(({name}) => name));
+	const places = new Set<string>();
+	if (!Number.isSafeInteger(version) || version < 0) {
+		problems.push('the version must be a whole number: raise the last one');
+	}
+
+	if (known.size !== services.length) {
+		problems.push('two services have the same name: rename one');
+	}
+
+	for (const {name, host, prefix, split, timeoutMs} of routes) {
+		const place = `${host.toLowerCase()} ${prefix}`;
+		if (places.has(place)) {
+			problems.push(`route ${name}: another route has the same host and prefix: remove one`);
+		}
+
+		places.add(place);
+		if (!prefix.startsWith('/') || !prefix.endsWith('/')) {
+			problems.push(`route ${name}: the prefix must begin and end with a slash`);
+		}
+
+		if (!(timeoutMs > 0)) {
+			problems.push(`route ${name}: the timeout must be above 0`);
+		}
+
+		if (split.some(({weight}) => weight < 0) || !(split.reduce((sum, {weight}) => sum + weight, 0) > 0)) {
+			problems.push(`route ${name}: the weights must not be negative and must not add up to 0`);
+		}
+
+		for (const {service} of split) {
+			if (!known.has(service)) {
+				problems.push(`route ${name}: service ${service} is not in the document: add it or correct the name`);
+			}
+		}
+	}
+
+	return problems;
+}
--- /dev/null
+++ b/src/core/routes/route-table.ts
@@ -0,0 +1,62 @@
+import {hash32} from '../common/hash32.ts';
+import type {ServiceName} from '../ids/service-name.ts';
+import type {RouteRule} from './route-rule.ts';
+import type {RoutesDocument} from './routes-document.ts';
+import type {ServiceSpec} from './service-spec.ts';
+
+/** Steps into which the weights of a split are resolved. */
+const splitSteps = 4_294_967_296;
+
+/** A routes document prepared for look-ups. */
+export class RouteTable {
+	readonly document: RoutesDocument;
+	readonly #byHost = new Map<string, RouteRule[]>();
+	readonly #services = new Map<ServiceName, ServiceSpec>();
+
+	constructor(document: RoutesDocument) {
+		this.document = document;
+		for (const route of document.routes) {
+			const host = route.host.toLowerCase();
+			const routes = this.#byHost.get(host) ?? [];
+			routes.push(route);
+			this.#byHost.set(host, routes);
+		}
+
+		for (const routes of this.#byHost.values()) {
+			routes.sort((left, right) => right.prefix.length - left.prefix.length);
+		}
+
+		for (const service of document.services) {
+			this.#services.set(service.name, service);
+		}
+	}
+
+	get version(): number {
+		return this.document.version;
+	}
+
+	/** The route of a host with the longest prefix that begins the path; a query is no part of it. */
+	match(host: string, path: string): RouteRule | undefined {
+		const name = host.toLowerCase().replace(/:\d+$/v, '');
+		const [pathname = ''] = path.split('?', 1);
+		return this.#byHost.get(name)?.find(({prefix}) => pathname.startsWith(prefix));
+	}
+
+	service(name: ServiceName): ServiceSpec | undefined {
+		return this.#services.get(name);
+	}
+
+	/** The service for one request of a route: the same at every entry, and over many requests as the weights say. */
+	pickService(route: RouteRule, requestKey: string): ServiceName {
+		const total = route.split.reduce((sum, {weight}) => sum + weight, 0);
+		let rest = hash32(requestKey) / splitSteps * total;
+		for (const {service, weight} of route.split) {
+			rest -= weight;
+			if (rest < 0) {
+				return service;
+			}
+		}
+
+		return route.split.findLast(({weight}) => weight > 0)!.service;
+	}
+}
--- a/src/core/tree/system-snapshot.ts
+++ b/src/core/tree/system-snapshot.ts
@@ -1,4 +1,5 @@
 import type {KeeperSet} from '../ledger/keeper-set.ts';
+import type {RoutesSnapshot} from '../routes/routes-snapshot.ts';
 import type {ChangeMemory} from './change-memory.ts';
 import type {TreeSnapshot} from './tree-snapshot.ts';
 import type {WeightBudget} from './weight-budget.ts';
@@ -10,4 +11,6 @@
 	readonly keepers: readonly KeeperSet[];
 	readonly lead?: {readonly nodeId: string; readonly fencing: number};
 	readonly budgets: readonly WeightBudget[];
+	/** Absent in snapshots of versions before 0.2. */
+	readonly routes?: RoutesSnapshot;
 };
--- a/src/core/tree/system-state.ts
+++ b/src/core/tree/system-state.ts
@@ -1,5 +1,6 @@
 import type {LogCommand} from '../consensus/log-command.ts';
 import type {ReplicatedState} from '../consensus/replicated-state.ts';
+import {RoutesState} from '../routes/routes-state.ts';
 import type {Change} from './change.ts';
 import {changeDigest} from './change-digest.ts';
 import {ChangeMemory} from './change-memory.ts';
@@ -15,10 +16,11 @@
 /** Largest number of problems that one answer lists. */
 const maxProblems = 200;
 
-/** The state behind the replicated log: settings tree, keeper sets, leader's fencing number, weight budgets. */
+/** The state behind the replicated log: settings tree, routes, keeper sets, leader's fencing number, weight budgets. */
 export class SystemState implements ReplicatedState<CommandOutcome> {
 	readonly tree = new TreeState();
 	readonly keepers = new KeeperSets();
+	readonly routes = new RoutesState();
 	readonly #memory = new ChangeMemory();
 	#lead: SystemSnapshot['lead'];
 	#budgets = new Map<string, WeightBudget>();
@@ -43,6 +45,11 @@
 				return this.#applyChange(command.change);
 			}
 
+			case 'document':
+			case 'evacuation': {
+				return this.routes.apply(index, command);
+			}
+
 			case 'keepers': {
 				return {type: 'keepers', installed: this.keepers.installNext(command.set)};
 			}
@@ -67,15 +74,17 @@
 			keepers: this.keepers.all(),
 			lead: this.#lead,
 			budgets: [...this.#budgets.values()],
+			routes: this.routes.snapshot(),
 		};
 	}
 
 	restore(snapshot: unknown): void {
-		const {tree, remembered, keepers, lead, budgets} = snapshot as SystemSnapshot;
+		const {tree, remembered, keepers, lead, budgets, routes} = snapshot as SystemSnapshot;
 		this.tree.restore(tree);
 		this.#memory.restore(remembered);
 		this.keepers.restore(keepers);
 		this.#lead = lead;
+		this.routes.restore(routes ?? {index: 0, evacuations: []});
 		this.#budgets = new Map(budgets.map(budget => [budget.deployment, budget]));
 	}
 
--- a/src/server/action-performer.ts
+++ b/src/server/action-performer.ts
@@ -63,6 +63,11 @@
 				break;
 			}
 
+			case 'event': {
+				this.#log('event', `${action.event} ${JSON.stringify(action.fields)}`);
+				break;
+			}
+
 			case 'log': {
 				this.#log(action.part, action.text);
 				break;
--- a/src/server/peer-link.ts
+++ b/src/server/peer-link.ts
@@ -8,7 +8,7 @@
 import type {PeerToken} from './peer-token.ts';
 
 type PeerLinkOptions = {
-	readonly self: NodeInfo;
+	readonly self: Pick<NodeInfo, 'nodeId' | 'incarnation'>;
 	readonly peer: {readonly nodeId: string; readonly address: string};
 	readonly token: PeerToken;
 	readonly log: (text: string) => void;
--- a/src/server/peer-links.ts
+++ b/src/server/peer-links.ts
@@ -7,7 +7,7 @@
 import type {PeerToken} from './peer-token.ts';
 
 type PeerLinksOptions = {
-	readonly self: NodeInfo;
+	readonly self: Pick<NodeInfo, 'nodeId' | 'incarnation'>;
 	readonly token: PeerToken;
 	readonly metrics: Metrics;
 	/** Where a node is reached now; undefined if it is not known. */
--- /dev/null
+++ b/src/server/routes/caller-exchange.ts
@@ -0,0 +1,113 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {EdgeRefusal} from '../../core/edge/edge-refusal.ts';
+import type {EdgeRequest} from '../../core/edge/edge-request.ts';
+import type {AttemptNumber} from '../../core/ids/attempt-number.ts';
+import type {RequestHead} from './request-head.ts';
+
+const statusOf: Readonly<Record<EdgeRefusal['reason'], number>> = {
+	'not-configured': 503,
+	'no-route': 404,
+	overloaded: 503,
+	'no-target': 503,
+	leaving: 503,
+	outdated: 503,
+	'target-failed': 502,
+	timeout: 504,
+};
+
+type CallerExchangeOptions = {
+	readonly req: IncomingMessage;
+	readonly res: ServerResponse;
+	readonly head: RequestHead;
+	readonly info: EdgeRequest;
+	readonly body: Buffer;
+};
+
+/** One caller's request and the answer to it. Only the attempt that owns it may write. */
+export class CallerExchange {
+	readonly head: RequestHead;
+	readonly info: EdgeRequest;
+	readonly body: Buffer;
+	/** The attempt whose answer goes to the caller. */
+	owner: AttemptNumber | undefined;
+	readonly #res: ServerResponse;
+	#streaming = false;
+
+	constructor({res, head, info, body}: CallerExchangeOptions) {
+		this.head = head;
+		this.info = info;
+		this.body = body;
+		this.#res = res;
+	}
+
+	/** True once the head of a stream was sent. */
+	get streaming(): boolean {
+		return this.#streaming;
+	}
+
+	/** Sends the head of a stream; later ones change nothing. */
+	begin(status: number, headers: readonly string[]): void {
+		if (this.#streaming || this.#res.destroyed) {
+			return;
+		}
+
+		this.#streaming = true;
+		this.#res.writeHead(status, toPairs(headers));
+		this.#res.flushHeaders();
+	}
+
+	/** Passes on bytes of a stream; resolves when the caller can take more. */
+	async write(bytes: Uint8Array): Promise<void> {
+		if (this.#res.destroyed || this.#res.write(bytes)) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const done = () => {
+				this.#res.off('drain', done);
+				this.#res.off('close', done);
+				resolve();
+			};
+
+			this.#res.once('drain', done);
+			this.#res.once('close', done);
+		});
+	}
+
+	/** Ends a stream as complete. */
+	end(): void {
+		this.#res.end();
+	}
+
+	/** Sends a whole answer. */
+	answer(status: number, headers: readonly string[], body: Buffer): void {
+		if (this.#res.destroyed || this.#res.headersSent) {
+			return;
+		}
+
+		const empty = status === 204 || status === 304;
+		this.#res.writeHead(status, toPairs([...headers, ...empty ? [] : ['Content-Length', String(body.length)]]));
+		this.#res.end(this.head.method === 'HEAD' || empty ? undefined : body);
+	}
+
+	/** Sends a refusal; a stream that has begun is broken off, so that it cannot look complete. */
+	refuse({reason, ran}: EdgeRefusal, headers: readonly string[]): void {
+		if (this.#res.destroyed) {
+			return;
+		}
+
+		if (this.#res.headersSent) {
+			this.#res.destroy();
+			return;
+		}
+
+		const body = Buffer.from(JSON.stringify({title: reason, ran}));
+		this.answer(statusOf[reason], ['Content-Type', 'application/problem+json', ...headers], body);
+	}
+}
+
+/** Node's `writeHead` takes pairs, which keep the names as they were written and repeated headers apart. */
+function toPairs(headers: readonly string[]): string[] {
+	return [...headers];
+}
--- /dev/null
+++ b/src/server/routes/control-listeners.ts
@@ -0,0 +1,219 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import process from 'node:process';
+import type {CallAnswer} from '../../core/control/call-answer.ts';
+import type {ControlCore} from '../../core/control/control-core.ts';
+import type {ControlEvent} from '../../core/control/control-event.ts';
+import type {OperatorCall} from '../../core/control/operator-call.ts';
+import type {Millis} from '../../core/ids/millis.ts';
+import {documentProblems} from '../../core/routes/document-problems.ts';
+import {constants} from '../../settings/constants.ts';
+import {BodyError} from '../body-error.ts';
+import type {EventLog} from '../event-log.ts';
+import {readBody} from '../read-body.ts';
+import type {ControlDialect} from './control-dialect.ts';
+import {HttpServer} from './http-server.ts';
+
+type HostPort = {readonly host: string; readonly port: number};
+
+type ControlListenersOptions = {
+	readonly operators: HostPort;
+	readonly directory: HostPort;
+	readonly directoryTtlMs: number;
+	readonly dialect: ControlDialect;
+	readonly core: ControlCore;
+	readonly step: (event: ControlEvent) => void;
+	readonly now: () => Millis;
+	readonly log: EventLog;
+};
+
+/** Time to come back that an operator is told when a call could not be settled, in seconds. */
+const operatorRetrySeconds = 1;
+
+/** The HTTP servers of a control node: for targets and operators, and for callers that ask where to connect. */
+export class ControlListeners {
+	readonly #options: ControlListenersOptions;
+	readonly #servers: readonly HttpServer[];
+	readonly #calls = new Map<string, (answer: CallAnswer) => void>();
+	#lastCall = 0;
+
+	constructor(options: ControlListenersOptions) {
+		this.#options = options;
+		const onError = (error: Error) => {
+			options.log.warn('handler-failed', {error: error.stack});
+		};
+
+		this.#servers = [
+			new HttpServer({
+				key: 'listen.operators', listen: options.operators, keepAliveMs: 10_000, onError, handle: async (req, res) => this.#operators(req, res),
+			}),
+			new HttpServer({
+				key: 'listen.directory',
+				listen: options.directory,
+				keepAliveMs: 10_000,
+				onError,
+				handle: (req, res) => {
+					this.#directory(req, res);
+				},
+			}),
+		];
+	}
+
+	async open(): Promise<void> {
+		for (const server of this.#servers) {
+			await server.open(); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	async close(): Promise<void> {
+		await Promise.all(this.#servers.map(async server => server.close()));
+	}
+
+	answered(callId: string, answer: CallAnswer): void {
+		const resolve = this.#calls.get(callId);
+		this.#calls.delete(callId);
+		resolve?.(answer);
+	}
+
+	#directory(req: IncomingMessage, res: ServerResponse): void {
+		const {dialect, core, now, directoryTtlMs} = this.#options;
+		const query = dialect.directoryQuery(req.url ?? '');
+		if (query === undefined) {
+			res.writeHead(404).end();
+			return;
+		}
+
+		const addresses = core.addresses(query, now());
+		if (addresses.length === 0) {
+			res.writeHead(503).end();
+			return;
+		}
+
+		sendText(res, 200, dialect.directoryAnswer(addresses, directoryTtlMs));
+	}
+
+	async #operators(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const {dialect, step, core, now} = this.#options;
+		const call = dialect.call(req.method ?? '', req.url ?? '');
+		if (call === undefined) {
+			res.writeHead(404).end();
+			return;
+		}
+
+		const body = await this.#body(req, res);
+		if (body === undefined) {
+			return;
+		}
+
+		switch (call.type) {
+			case 'put-document': {
+				await this.#putDocument(body, res);
+				break;
+			}
+
+			case 'read-document': {
+				const answer = await this.#call({type: 'read'});
+				if (answer.type === 'document' && answer.document !== undefined) {
+					sendText(res, 200, answer.document.text);
+				} else {
+					this.#unavailable(res, answer);
+				}
+
+				break;
+			}
+
+			case 'evacuation': {
+				const {zone, active} = call;
+				const answer = await this.#call({
+					type: 'change',
+					command: {
+						type: 'evacuation', zone, active, basis: core.evacuationBasis(zone),
+					},
+				});
+				this.#options.log.write('operator-call', {call: 'evacuation', zone, active, answer});
+				this.#acknowledge(res, answer);
+				break;
+			}
+
+			case 'report': {
+				const report = dialect.report(call.targetId, body);
+				if (report === undefined) {
+					sendText(res, 400, '{"error":"the report cannot be used"}');
+					break;
+				}
+
+				step({type: 'report', report});
+				sendText(res, 200, dialect.reportAnswer(core.reportAddress(report.zone, now())));
+				break;
+			}
+
+			case 'withdraw': {
+				step({type: 'withdraw', targetId: call.targetId, wallClock: Date.now()});
+				sendText(res, 200, '{}');
+				break;
+			}
+		}
+	}
+
+	async #putDocument(text: string, res: ServerResponse): Promise<void> {
+		const {dialect, log} = this.#options;
+		const parsed = dialect.parseDocument(text);
+		const problems = 'problems' in parsed ? parsed.problems : documentProblems(parsed.document);
+		if ('problems' in parsed || problems.length > 0) {
+			log.write('document-refused', {problems: problems.slice(0, 3)});
+			sendText(res, 400, JSON.stringify({error: 'the document is invalid', problems}));
+			return;
+		}
+
+		const {version} = parsed.document;
+		const answer = await this.#call({type: 'change', command: {type: 'document', document: {version, text}}});
+		log.write('operator-call', {call: 'put-document', version, answer});
+		this.#acknowledge(res, answer);
+	}
+
+	#acknowledge(res: ServerResponse, answer: CallAnswer): void {
+		if (answer.type === 'accepted') {
+			sendText(res, 200, '{}');
+			return;
+		}
+
+		this.#unavailable(res, answer);
+	}
+
+	#unavailable(res: ServerResponse, answer: CallAnswer): void {
+		const reason = answer.type === 'unavailable' ? answer.reason : 'there is no document yet';
+		res.setHeader('Retry-After', String(operatorRetrySeconds));
+		sendText(res, 503, JSON.stringify({error: reason}));
+	}
+
+	async #call(call: OperatorCall): Promise<CallAnswer> {
+		this.#lastCall += 1;
+		const callId = `${process.pid}-${Date.now()}-${this.#lastCall}`;
+		return new Promise(resolve => {
+			this.#calls.set(callId, resolve);
+			this.#options.step({type: 'call', callId, call});
+		});
+	}
+
+	async #body(req: IncomingMessage, res: ServerResponse): Promise<string | undefined> {
+		try {
+			const body = await readBody(req, constants.maxControlBodyBytes);
+			return body.toString('utf8');
+		} catch (error) {
+			if (!(error instanceof BodyError)) {
+				throw error;
+			}
+
+			if (!res.destroyed) {
+				sendText(res, 413, JSON.stringify({error: error.message}));
+			}
+
+			return undefined;
+		}
+	}
+}
+
+function sendText(res: ServerResponse, status: number, body: string): void {
+	if (!res.destroyed) {
+		res.writeHead(status, {'content-type': 'application/json'}).end(body);
+	}
+}
--- /dev/null
+++ b/src/server/routes/control-process.ts
@@ -0,0 +1,163 @@
+import {randomUUID} from 'node:crypto';
+import {ControlCore} from '../../core/control/control-core.ts';
+import type {ControlAction} from '../../core/control/control-action.ts';
+import type {ControlEvent} from '../../core/control/control-event.ts';
+import type {Region} from '../../core/ids/region.ts';
+import {toId} from '../../core/ids/to-id.ts';
+import type {Zone} from '../../core/ids/zone.ts';
+import type {RoutesSettings} from '../../settings/routes-settings.ts';
+import {CryptoRandom} from '../crypto-random.ts';
+import type {EventLog} from '../event-log.ts';
+import {DataFolder} from '../journal/data-folder.ts';
+import {Metrics} from '../metrics.ts';
+import {ControlListeners} from './control-listeners.ts';
+import type {Dialect} from './dialect.ts';
+import {MetricsServer} from './metrics-server.ts';
+import {PeerConnections} from './peer-connections.ts';
+import type {RoutesProcess} from './routes-process.ts';
+import {StepLoop} from './step-loop.ts';
+
+/** Time between two ticks of the core, in milliseconds. */
+const tickMs = 50;
+
+type ControlProcessOptions = {
+	readonly settings: RoutesSettings;
+	readonly dialect: Dialect;
+	readonly log: EventLog;
+	readonly folder: DataFolder;
+	/** Called when the disk fails: the process must be started again. */
+	readonly onDiskFailed: () => void;
+};
+
+/** A control node: keeps the replicated state, the registry of targets and the directory of entries. */
+export class ControlProcess implements RoutesProcess {
+	readonly #options: ControlProcessOptions;
+	readonly #metrics = new Metrics();
+	readonly #core: ControlCore;
+	readonly #loop: StepLoop<ControlEvent, ControlAction>;
+	readonly #peers: PeerConnections;
+	readonly #listeners: ControlListeners;
+	readonly #metricsServer: MetricsServer | undefined;
+	#ticker: NodeJS.Timeout | undefined;
+
+	constructor(options: ControlProcessOptions) {
+		const {settings, dialect, log, folder} = options;
+		this.#options = options;
+		const {nodeId, region, zones, listen, seeds, firstStart, toleratedDisks, reportEveryMs, directoryTtlMs} = settings;
+		const operators = listen.operators!;
+		this.#core = new ControlCore({
+			self: {nodeId, region: toId(region), operatorAddress: `${operators.host}:${operators.port}`},
+			seeds,
+			firstStart,
+			zones: new Map(Object.entries(zones).map(([zone, name]) => [toId<Zone>(zone), toId<Region>(name)])),
+			toleratedLosses: toleratedDisks,
+			reportEveryMs,
+			random: new CryptoRandom(),
+			epoch: randomUUID(),
+			storage: {storageId: folder.storageId, consensus: folder.loads.consensus},
+		});
+		this.#loop = new StepLoop({
+			node: this.#core,
+			perform: action => {
+				this.#perform(action);
+			},
+		});
+		const step = this.#loop.step.bind(this.#loop);
+		const now = () => this.#loop.now();
+		this.#peers = new PeerConnections({
+			settings,
+			metrics: this.#metrics,
+			onMessage(from, message) {
+				step({type: 'peer', from, message});
+			},
+		});
+		this.#listeners = new ControlListeners({
+			operators, directory: listen.directory!, directoryTtlMs, dialect: dialect.control, core: this.#core, step, now, log,
+		});
+		this.#metricsServer = listen.metrics && new MetricsServer({
+			listen: listen.metrics,
+			metrics: this.#metrics,
+			status: () => this.#core.status(now()),
+			onError(error) {
+				log.warn('handler-failed', {error: error.stack});
+			},
+		});
+		this.#metrics.gauge('document_version', () => this.#core.status(now()).documentVersion ?? 0);
+		this.#metrics.gauge('commit_index', () => this.#core.status(now()).consensus.commitIndex);
+		this.#metrics.gauge('current', () => Number(this.#core.status(now()).current));
+	}
+
+	async open(): Promise<void> {
+		await this.#peers.open();
+		await this.#listeners.open();
+		await this.#metricsServer?.open();
+		this.#ticker = setInterval(() => {
+			this.#loop.step({type: 'tick'});
+		}, tickMs);
+		this.#loop.step({type: 'tick'});
+	}
+
+	async stop(): Promise<void> {
+		clearInterval(this.#ticker);
+		await this.#listeners.close();
+		await this.#metricsServer?.close();
+		await this.#peers.close();
+		await this.#options.folder.close();
+	}
+
+	reload(): void {
+		// Seeds only matter to a node that joins: the group's own list is kept in the replicated log.
+		this.#options.log.write('reloaded', {file: this.#options.settings.file});
+	}
+
+	#perform(action: ControlAction): void {
+		switch (action.type) {
+			case 'send': {
+				this.#peers.links.send(action.to, action.message);
+				break;
+			}
+
+			case 'append':
+			case 'rewrite': {
+				void this.#write(action);
+				break;
+			}
+
+			case 'count': {
+				this.#metrics.count(action.name, action.reason, action.amount);
+				break;
+			}
+
+			case 'event': {
+				this.#options.log.write(action.event, action.fields);
+				break;
+			}
+
+			case 'log': {
+				this.#options.log.write(action.text, {part: action.part});
+				break;
+			}
+
+			case 'call-answer': {
+				this.#listeners.answered(action.callId, action.answer);
+				break;
+			}
+
+			case 'disk-failed': {
+				this.#options.log.warn('disk-failed', {reason: action.reason});
+				this.#options.onDiskFailed();
+				break;
+			}
+		}
+	}
+
+	async #write({type, journal, records, token}: ControlAction & {type: 'append' | 'rewrite'}): Promise<void> {
+		const writer = this.#options.folder.journals[journal];
+		try {
+			await (type === 'append' ? writer.append(records) : writer.rewrite(records));
+			this.#loop.step({type: 'written', journal, token});
+		} catch (error) {
+			this.#loop.step({type: 'write-failed', journal, reason: (error as Error).message});
+		}
+	}
+}
--- /dev/null
+++ b/src/server/routes/peer-connections.ts
@@ -0,0 +1,39 @@
+import type {NodeId} from '../../core/ids/node-id.ts';
+import type {PeerMessage} from '../../core/peer-message.ts';
+import type {RoutesSettings} from '../../settings/routes-settings.ts';
+import type {Metrics} from '../metrics.ts';
+import {PeerLinks} from '../peer-links.ts';
+import {PeerListener} from '../peer-listener.ts';
+import {PeerToken} from '../peer-token.ts';
+
+type PeerConnectionsOptions = {
+	readonly settings: RoutesSettings;
+	readonly metrics: Metrics;
+	readonly onMessage: (from: NodeId, message: PeerMessage) => void;
+};
+
+/** Links to other processes of the system, whose ids are their addresses. */
+export class PeerConnections {
+	readonly links: PeerLinks;
+	readonly #listener: PeerListener;
+
+	constructor({settings, metrics, onMessage}: PeerConnectionsOptions) {
+		const self = {nodeId: settings.nodeId, incarnation: Date.now()};
+		const token = new PeerToken(() => settings.peerKeys);
+		this.links = new PeerLinks({
+			self, token, metrics, address: nodeId => nodeId,
+		});
+		this.#listener = new PeerListener({
+			self, listen: settings.listen.peers, token, metrics, onMessage,
+		});
+	}
+
+	async open(): Promise<void> {
+		await this.#listener.open();
+	}
+
+	async close(): Promise<void> {
+		this.links.close();
+		await this.#listener.close();
+	}
+}
--- /dev/null
+++ b/src/server/routes/request-listener.ts
@@ -0,0 +1,144 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {EdgeEvent} from '../../core/edge/edge-event.ts';
+import type {Millis} from '../../core/ids/millis.ts';
+import type {RequestId} from '../../core/ids/request-id.ts';
+import {toId} from '../../core/ids/to-id.ts';
+import type {CallerLimits} from '../../core/routes/caller-limits.ts';
+import {BodyError} from '../body-error.ts';
+import {readBody} from '../read-body.ts';
+import {CallerExchange} from './caller-exchange.ts';
+import {HttpServer} from './http-server.ts';
+import {relayHeader} from './relay-header.ts';
+import type {RequestDialect} from './request-dialect.ts';
+
+/** Bounds until a routes document sets them. */
+const initialLimits: CallerLimits = {
+	headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+};
+/** Time beyond the allowed idle time after which an idle connection is closed, so that callers never meet the close. */
+const idleMarginMs = 2000;
+const statusOfBodyError: Readonly<Record<string, number>> = {tooLarge: 413, slowCaller: 408};
+
+type RequestListenerOptions = {
+	readonly key: string;
+	readonly listen: {readonly host: string; readonly port: number};
+	/** True for the listener that entries of other regions use. */
+	readonly relay: boolean;
+	readonly dialect: RequestDialect;
+	readonly exchanges: Map<RequestId, CallerExchange>;
+	readonly step: (event: EdgeEvent) => void;
+	readonly now: () => Millis;
+	readonly leaving: () => boolean;
+	readonly onError: (error: Error) => void;
+};
+
+let lastRequest = 0;
+
+/** Takes callers' requests, or those that entries of other regions forward, and hands them to the core. */
+export class RequestListener {
+	readonly #options: RequestListenerOptions;
+	readonly #http: HttpServer;
+	#limits = initialLimits;
+
+	constructor(options: RequestListenerOptions) {
+		this.#options = options;
+		this.#http = new HttpServer({
+			...options,
+			keepAliveMs: initialLimits.idleTimeoutMs + idleMarginMs,
+			handle: async (req, res) => this.#handle(req, res),
+		});
+		this.limit(initialLimits);
+	}
+
+	async open(): Promise<void> {
+		return this.#http.open();
+	}
+
+	/** Takes the bounds of a new routes document. */
+	limit(limits: CallerLimits): void {
+		this.#limits = limits;
+		this.#http.server.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
+		this.#http.server.headersTimeout = 2 * limits.headerTimeoutMs;
+	}
+
+	stopListening(): void {
+		this.#http.stopListening();
+	}
+
+	async close(): Promise<void> {
+		return this.#http.close();
+	}
+
+	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const {dialect, exchanges, step, now, relay, leaving} = this.#options;
+		const arrivedAt = now();
+		res.sendDate = false;
+		const body = await this.#body(req, res);
+		if (body === undefined) {
+			return;
+		}
+
+		if (leaving()) {
+			res.setHeader('Connection', 'close');
+			res.shouldKeepAlive = false;
+		}
+
+		const head = dialect.readRequest({method: req.method ?? 'GET', url: req.url ?? '/', rawHeaders: req.rawHeaders});
+		lastRequest += 1;
+		const requestId = toId<RequestId>(String(lastRequest));
+		const exchange = new CallerExchange({
+			req,
+			res,
+			head,
+			body,
+			info: {
+				requestId,
+				callerKey: head.key,
+				host: head.host,
+				path: head.path,
+				arrivedAt,
+				budgetMs: head.budgetMs,
+				prompt: head.prompt,
+				resumeAfter: head.resumeAfter,
+				forwarded: relay ? relayHeader.read(req.headers[relayHeader.name]) : undefined,
+			},
+		});
+		exchanges.set(requestId, exchange);
+		res.once('close', () => {
+			exchanges.delete(requestId);
+			if (!res.writableFinished) {
+				step({type: 'caller-gone', requestId});
+			}
+		});
+		if (res.destroyed) {
+			exchanges.delete(requestId);
+			return;
+		}
+
+		step({type: 'request', req: exchange.info});
+	}
+
+	/** Reads the body; answers what is too large or too slow itself. */
+	async #body(req: IncomingMessage, res: ServerResponse): Promise<Buffer | undefined> {
+		if (req.headers['content-length'] === undefined && req.headers['transfer-encoding'] === undefined) {
+			req.resume();
+			return Buffer.alloc(0);
+		}
+
+		try {
+			return await readBody(req, this.#limits.bodyBytes);
+		} catch (error) {
+			if (!(error instanceof BodyError)) {
+				throw error;
+			}
+
+			const status = statusOfBodyError[error.result];
+			if (status !== undefined && !res.destroyed) {
+				res.writeHead(status, {connection: 'close', 'content-type': 'application/problem+json'}).end(JSON.stringify({title: error.message, ran: 'no'}));
+			}
+
+			return undefined;
+		}
+	}
+}
--- /dev/null
+++ b/src/server/routes/start-routes-process.ts
@@ -0,0 +1,37 @@
+import {loadRoutesSettings} from '../../settings/load-routes-settings.ts';
+import {version} from '../../version.ts';
+import {EventLog} from '../event-log.ts';
+import {DataFolder} from '../journal/data-folder.ts';
+import {ControlProcess} from './control-process.ts';
+import type {Dialect} from './dialect.ts';
+import {EntryProcess} from './entry-process.ts';
+import type {RoutesProcess} from './routes-process.ts';
+
+type StartOptions = {
+	readonly file: string;
+	readonly dialect: Dialect;
+	/** Called when the process cannot go on and should be started again. */
+	readonly onFailed: () => void;
+};
+
+/**
+ * Starts one process of a deployment with a routes document, in the role that its settings name.
+ *
+ * @throws SettingsError, the data folder's error if it is damaged, or a ListenError.
+ */
+export async function startRoutesProcess({file, dialect, onFailed}: StartOptions): Promise<{process: RoutesProcess; log: EventLog}> {
+	const settings = loadRoutesSettings(file);
+	const log = new EventLog({node: settings.node, level: settings.logLevel});
+	const {role, zone, region, nodeId, firstStart} = settings;
+	log.write('starting', {
+		role, zone, region, nodeId, firstStart, version,
+	});
+	const process = role === 'entry'
+		? new EntryProcess({settings, dialect, log})
+		: new ControlProcess({
+			settings, dialect, log, folder: await DataFolder.open(settings.dataFolder!), onDiskFailed: onFailed,
+		});
+	await process.open();
+	log.write('started', {role});
+	return {process, log};
+}
--- /dev/null
+++ b/src/server/routes/target-client.ts
@@ -0,0 +1,129 @@
+import {Agent} from 'undici';
+import type {EdgeAction} from '../../core/edge/edge-action.ts';
+import type {EdgeEvent} from '../../core/edge/edge-event.ts';
+import type {AttemptNumber} from '../../core/ids/attempt-number.ts';
+import type {Region} from '../../core/ids/region.ts';
+import type {CallerExchange} from './caller-exchange.ts';
+import {relayHeader} from './relay-header.ts';
+import type {RequestDialect} from './request-dialect.ts';
+import {TargetAnswer} from './target-answer.ts';
+
+type Start = EdgeAction & {type: 'start'};
+
+/** Time to connect to a target of the own region, in milliseconds. */
+const targetConnectMs = 500;
+/** Time to connect to an entry of another region, in milliseconds. */
+const entryConnectMs = 1000;
+/** Time after which an idle connection to a target is closed, in milliseconds, where the target names none. */
+const idleMs = 4000;
+/** Answers that are read whole before they are passed on, in bytes. */
+const maxWholeBytes = 16_777_216;
+
+/** Codes of errors that come up before a connection stands: no byte of the request can have left. */
+const connectCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT']);
+
+type TargetClientOptions = {
+	readonly region: Region;
+	readonly dialect: RequestDialect;
+	readonly step: (event: EdgeEvent) => void;
+};
+
+type Running = {readonly abort: AbortController; readonly answer: TargetAnswer};
+
+/** Sends requests to targets and to entries of other regions, over connections that are kept. */
+export class TargetClient {
+	readonly #options: TargetClientOptions;
+	readonly #running = new Map<AttemptNumber, Running>();
+	readonly #targets = agent(targetConnectMs);
+	readonly #entries = agent(entryConnectMs);
+
+	constructor(options: TargetClientOptions) {
+		this.#options = options;
+	}
+
+	start(action: Start, exchange: CallerExchange): void {
+		exchange.owner = action.attempt;
+		const {dialect, step} = this.#options;
+		const running = {
+			abort: new AbortController(),
+			answer: new TargetAnswer({
+				action, exchange, dialect, step, maxWholeBytes,
+			}),
+		};
+		this.#running.set(action.attempt, running);
+		void this.#run(action, exchange, running);
+	}
+
+	cancel(attempt: AttemptNumber): void {
+		const running = this.#running.get(attempt);
+		this.#running.delete(attempt);
+		running?.answer.stop();
+		running?.abort.abort();
+	}
+
+	pass(attempt: AttemptNumber): void {
+		this.#running.get(attempt)?.answer.pass();
+	}
+
+	complete(attempt: AttemptNumber): void {
+		this.#running.get(attempt)?.answer.complete();
+		this.#running.delete(attempt);
+	}
+
+	async close(): Promise<void> {
+		await Promise.all([this.#targets.destroy(), this.#entries.destroy()]);
+	}
+
+	async #run(action: Start, exchange: CallerExchange, {abort, answer}: Running): Promise<void> {
+		const {step} = this.#options;
+		const {attempt} = action;
+		try {
+			const client = action.targetId === undefined ? this.#entries : this.#targets;
+			const res = await client.request({
+				origin: `http://${action.address}`,
+				method: exchange.head.method,
+				path: exchange.head.path,
+				headers: this.#headers(action, exchange),
+				body: exchange.body.length > 0 ? exchange.body : undefined,
+				// Silence is judged by the core, which knows the route's bounds.
+				headersTimeout: 0,
+				bodyTimeout: 0,
+				responseHeaders: 'raw',
+				signal: abort.signal,
+			});
+			await answer.read(res);
+		} catch (error) {
+			const {code = ''} = error as {code?: string};
+			if (this.#running.has(attempt)) {
+				const notSent = connectCodes.has(code);
+				step({type: 'attempt-failed', attempt, failure: {reason: notSent ? 'connect' : (code.startsWith('HPE') ? 'malformed' : 'reset'), notSent}});
+			}
+		} finally {
+			this.#running.delete(attempt);
+		}
+	}
+
+	#headers(action: Start, exchange: CallerExchange): string[] {
+		const {dialect, region} = this.#options;
+		const {deadlineMs, targetId, urgency, resumeAfter, documentVersion} = action;
+		const headers = dialect.outgoingHeaders(exchange.head, {
+			deadlineMs, targetId, urgency, resumeAfter,
+		});
+		if (targetId === undefined) {
+			headers.push(relayHeader.name, relayHeader.write(region, documentVersion));
+		}
+
+		return headers;
+	}
+}
+
+function agent(connectMs: number): Agent {
+	return new Agent({
+		connect: {timeout: connectMs},
+		pipelining: 1,
+		keepAliveTimeout: idleMs,
+		keepAliveMaxTimeout: 60_000,
+		keepAliveTimeoutThreshold: 1000,
+		autoSelectFamily: false,
+	});
+}
--- a/src/settings/load-settings.ts
+++ b/src/settings/load-settings.ts
@@ -1,9 +1,8 @@
-import {readFileSync} from 'node:fs';
 import path from 'node:path';
-import {parseDocument} from 'yaml';
 import {z} from 'zod';
 import {toId} from '../core/ids/to-id.ts';
 import type {NodeInfo} from '../core/membership/node-info.ts';
+import {parseSettingsFile} from './parse-settings-file.ts';
 import {processSettingsSchema} from './process-settings-schema.ts';
 import {readSecretFile} from './read-secret-file.ts';
 import type {ResolvedSettings} from './resolved-settings.ts';
@@ -23,7 +22,7 @@
  * @throws SettingsError with every problem found, each with file, key and remedy.
  */
 export function loadSettings(file: string, startedAt: number): ResolvedSettings {
-	const settings = parseFile(file, processSettingsSchema);
+	const settings = parseSettingsFile(file, processSettingsSchema);
 	const folder = path.dirname(path.resolve(file));
 	const problems: string[] = [];
 	const keys = {
@@ -46,48 +45,9 @@
 	};
 }
 
-function parseFile<Schema extends z.ZodType>(file: string, schema: Schema): z.infer<Schema> {
-	let text;
-	try {
-		text = readFileSync(file, 'utf8');
-	} catch (error) {
-		throw new SettingsError([`${file}: cannot be read (${(error as NodeJS.ErrnoException).code}): check the path`]);
-	}
-
-	const document = parseDocument(text);
-	if (document.errors.length > 0) {
-		throw new SettingsError(document.errors.map(error => `${file}: ${firstLine(error.message)}: correct the YAML`));
-	}
-
-	const result = schema.safeParse(document.toJS());
-	if (!result.success) {
-		throw new SettingsError(result.error.issues.map(issue => `${file}: ${issue.path.join('.') || '(top)'}: ${describe(issue)}`));
-	}
-
-	return result.data;
-}
-
-function describe(issue: z.core.$ZodIssue): string {
-	if (issue.code === 'unrecognized_keys') {
-		return `unknown key ${issue.keys.map(key => `"${key}"`).join(', ')}: remove or correct it`;
-	}
-
-	if (issue.code === 'invalid_type') {
-		return issue.message.endsWith('received undefined')
-			? `is missing: add it (${issue.expected})`
-			: `must be ${issue.expected}: correct it`;
-	}
-
-	return issue.message;
-}
-
-function firstLine(text: string): string {
-	return text.split('\n', 1)[0]!.replace(/:$/v, '');
-}
-
 function readOperators(file: string) {
 	readSecretFile(file, 'operatorKeysFile');
-	return parseFile(file, operatorsSchema);
+	return parseSettingsFile(file, operatorsSchema);
 }
 
 function collect<Value>(problems: string[], read: () => Value): Value | undefined {
