fix(consensus): a member with a new folder rejoins in time and for good

Change: an empty member joins at once; of several folders of one node only the one heard last is a learner; links notice silence after 1.2 s; a withdrawal is spread and ends the incarnation whatever its number.

--- a/src/core/consensus/join-requests.ts
+++ b/src/core/consensus/join-requests.ts
@@ -14,10 +14,10 @@
 		this.#initialMembers = initialMembers;
 	}
 
-	/** Asks to join if a leader has not been heard for `silenceMs`. */
+	/** Asks to join if a leader has not been heard for `silenceMs`; a member with an empty folder does so at once. */
 	tick(silenceMs: number, now: Millis): void {
 		const {electionMs, joinMs} = consensusTiming;
-		if (now < this.#sendAt || silenceMs < 2 * electionMs) {
+		if (now < this.#sendAt || (silenceMs < 2 * electionMs && !this.#context.storage.empty)) {
 			return;
 		}
 
--- a/src/core/consensus/replicator.ts
+++ b/src/core/consensus/replicator.ts
@@ -33,9 +33,10 @@
 		return [...this.#peers.values()];
 	}
 
+	/** Members without a vote; of a node that came back with another folder only the folder heard last counts. */
 	learners(): readonly PeerProgress[] {
 		const {configuration} = this.#context.storage;
-		return this.peers().filter(peer => !isVoter(configuration, peer.member));
+		return this.peers().filter(peer => !isVoter(configuration, peer.member) && !this.#superseded(peer));
 	}
 
 	/** Takes up a member that asks to be brought up to date. */
@@ -123,6 +124,11 @@
 		});
 	}
 
+	#superseded({member, heardAt}: PeerProgress): boolean {
+		return this.peers().some(other =>
+			other.member.nodeId === member.nodeId && other.member.storageId !== member.storageId && other.heardAt > heardAt);
+	}
+
 	#add(member: LogMember, now: Millis): PeerProgress {
 		const peer: PeerProgress = {
 			member,
@@ -146,8 +152,8 @@
 			}
 		}
 
-		for (const peer of this.learners()) {
-			if (now - peer.heardAt > consensusTiming.learnerMs) {
+		for (const peer of this.peers()) {
+			if (!isVoter(storage.configuration, peer.member) && now - peer.heardAt > consensusTiming.learnerMs) {
 				this.#peers.delete(memberKey(peer.member));
 			}
 		}
--- a/src/core/registry/target-registry.ts
+++ b/src/core/registry/target-registry.ts
@@ -38,13 +38,17 @@
 
 	/** Takes a report that was sent `ageMs` ago; returns whether it changed anything but the target's last sign of life. */
 	report(report: TargetReport, now: Millis, {direct = true, ageMs = 0}: {direct?: boolean; ageMs?: number} = {}): boolean {
-		const region = this.#options.regionOf(report.zone);
-		if (region === undefined) {
-			return false;
+		const known = this.#entries.get(report.targetId);
+		if (report.state === 'leaving' && known !== undefined && !known.ended && report.born >= known.report.born) {
+			// Also under a number that is known: the target withdrew at another node after it.
+			this.#end(known, direct);
+			known.heardAt = Math.max(known.heardAt, now - ageMs) as Millis;
+			known.goneAt = report.goneInMs === undefined ? known.goneAt : now - ageMs + report.goneInMs as Millis;
+			return true;
 		}
 
-		const known = this.#entries.get(report.targetId);
-		if (known !== undefined && !isNewer(report, known.report)) {
+		const region = this.#options.regionOf(report.zone);
+		if (region === undefined || (known !== undefined && !isNewer(report, known.report))) {
 			return false;
 		}
 
@@ -114,9 +118,7 @@
 			return false;
 		}
 
-		known.ended = true;
-		known.report = {...known.report, state: 'leaving'};
-		this.#touch(known);
+		this.#end(known, true);
 		return true;
 	}
 
@@ -156,7 +158,7 @@
 	/** Reports that came to this node itself and changed after a revision, as other control nodes are told. */
 	directSince(revision: number, now: Millis): ReadonlyArray<{report: TargetReport; ageMs: number}> {
 		return [...this.#entries.values()]
-			.filter(entry => entry.revision > revision && entry.direct && entry.report.address !== '')
+			.filter(entry => entry.revision > revision && entry.direct)
 			.map(entry => ({
 				report: {...entry.report, coldMs: Math.max(0, entry.coldUntil - entry.heardAt), goneInMs: entry.goneAt === undefined ? undefined : entry.goneAt - entry.heardAt},
 				ageMs: now - entry.heardAt,
@@ -213,9 +215,7 @@
 			}
 
 			if (!other.ended) {
-				other.ended = true;
-				other.report = {...other.report, state: 'leaving'};
-				this.#touch(other);
+				this.#end(other, other.direct);
 			}
 		}
 
@@ -248,8 +248,17 @@
 			coldUntil: now,
 			ended: true,
 			revision: 0,
-			direct: false,
+			direct: true,
 		});
+		this.#touch(this.#entries.get(targetId)!);
+	}
+
+	/** Nothing of the target's incarnation counts from now on; `direct` if this node has to tell the others. */
+	#end(entry: TargetEntry, direct: boolean): void {
+		entry.ended = true;
+		entry.direct = direct;
+		entry.report = {...entry.report, state: 'leaving'};
+		this.#touch(entry);
 	}
 
 	#touch(entry: TargetEntry): void {
--- a/src/server/link-watch.ts
+++ b/src/server/link-watch.ts
@@ -2,10 +2,10 @@
 import {constants} from '../settings/constants.ts';
 
 /** Spare time for the way of a sign of life, in milliseconds. */
-const marginMs = 500;
+const marginMs = 200;
 
 /**
- * Tells whether a link is dead. The receiver answers a frame by a sign of life if its last one is a second old,
+ * Tells whether a link is dead. The receiver answers a frame by a sign of life if its last one is old enough,
  * so an idle link costs nothing and a frame sent later than that must be answered.
  */
 export class LinkWatch {
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -21,11 +21,11 @@
 	/** Messages waiting for one peer; the oldest are dropped beyond. */
 	maxPeerQueue: 4096,
 	/** Pause before a link that ended is opened again. */
-	peerReconnectMs: 250,
+	peerReconnectMs: 100,
 	/** Shortest time between two signs of life of a link's receiver. */
-	peerPulseMs: 1000,
+	peerPulseMs: 300,
 	/** Time after a frame that must be answered by a sign of life; then the link is opened anew. */
-	peerSilenceMs: 3000,
+	peerSilenceMs: 1200,
 	/** Largest difference between two machines' wall clocks for a link to be taken. */
 	peerClockSkewMs: 60_000,
 	/** Time to connect to a target or a peer's entry. */
--- /dev/null
+++ b/test/core/consensus/rejoin.test.ts
@@ -0,0 +1,33 @@
+import test from 'ava';
+import {SimCluster} from '../../fixtures/sim-cluster.ts';
+
+/** Bound on the time in which a machine with a new disk must count again, in milliseconds (catch-up of the first deployments). */
+const catchUpMs = 4000;
+
+test('a member that lost its folder votes again well within the time allowed for catching up', t => {
+	for (let seed = 1; seed <= 10; seed++) {
+		const cluster = new SimCluster({members: 5, seed, delayMs: [50, 60]});
+		for (const nodeId of cluster.controlIds) {
+			cluster.start(nodeId);
+		}
+
+		cluster.runUntil(() => cluster.leader() !== undefined);
+		cluster.run(3000);
+		const wiped = cluster.controlIds.find(nodeId => nodeId !== cluster.leader())!;
+		cluster.crash(wiped);
+		cluster.run(1000);
+		cluster.start(wiped, {emptyDisk: true});
+		const {storageId} = cluster.node(wiped);
+		const votes = () => {
+			const leader = cluster.leader();
+			return leader !== undefined && cluster.process(leader).member!.status().role === 'leader' && cluster.process(wiped).member!.status().role === 'follower' && cluster.node(wiped).storageId === storageId;
+		};
+
+		t.true(cluster.runUntil(votes, catchUpMs), `seed ${seed}`);
+		const leader = cluster.process(cluster.leader()!).member!;
+		cluster.run(500);
+		const settled = leader.status().lastIndex;
+		cluster.run(3000);
+		t.is(leader.status().lastIndex, settled, `seed ${seed}: the members change again and again`);
+	}
+});
