fix(control): a wiped control node finds a leader that its settings do not name

A joining node asks the seeds of its settings only; the leader was none of them, and followers dropped the request. The new simulated cluster of control nodes also showed that a change accepted by four voters leaves no majority when two disks are lost. Change: a follower names the leader to a node that asks to join; a change is accepted only with 2 x tolerated + 1 voters; a successor votes before its predecessor is dropped, after 0.8 s of silence.

--- a/src/core/consensus/consensus-message.ts
+++ b/src/core/consensus/consensus-message.ts
@@ -1,3 +1,4 @@
+import type {NodeId} from '../ids/node-id.ts';
 import type {StorageId} from '../ids/storage-id.ts';
 import type {LogEntry} from './log-entry.ts';
 
@@ -17,6 +18,8 @@
 	| {readonly type: 'hello-answer'; readonly empty: boolean; readonly promised: string}
 	/** A member without a leader asks to be brought up to date. */
 	| {readonly type: 'join'}
+	/** Answer of a member that does not lead to one that asks to join. */
+	| {readonly type: 'join-redirect'; readonly leader: NodeId}
 	| {readonly type: 'vote'; readonly pre: boolean; readonly term: number; readonly lastIndex: number; readonly lastTerm: number}
 	| {readonly type: 'vote-answer'; readonly pre: boolean; readonly term: number; readonly granted: boolean}
 	| {
--- a/src/core/consensus/join-requests.ts
+++ b/src/core/consensus/join-requests.ts
@@ -8,6 +8,8 @@
 	readonly #context: MemberContext;
 	readonly #initialMembers: readonly NodeId[];
 	#sendAt = 0;
+	/** The leader that another member named. */
+	#named: NodeId | undefined;
 
 	constructor(context: MemberContext, initialMembers: readonly NodeId[]) {
 		this.#context = context;
@@ -29,9 +31,18 @@
 		}
 	}
 
+	/** Asks a leader that another member named: the settings of a new member may not know it. */
+	redirected(leader: NodeId): void {
+		if (leader !== this.#context.self.nodeId) {
+			this.#named = leader;
+			this.#context.send(leader, {type: 'join'});
+		}
+	}
+
 	#known(): ReadonlySet<NodeId> {
 		const {configuration} = this.#context.storage;
 		const voters = configuration?.voters.map(voter => voter.nodeId) ?? [];
-		return new Set([...this.#initialMembers, ...voters, ...(configuration?.wanted ?? [])]);
+		const named = this.#named === undefined ? [] : [this.#named];
+		return new Set([...this.#initialMembers, ...voters, ...(configuration?.wanted ?? []), ...named]);
 	}
 }
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -27,7 +27,7 @@
 import {SnapshotReceiver} from './snapshot-receiver.ts';
 
 type Body = ConsensusMessage['body'];
-type Greeting = Body & {type: 'hello' | 'hello-answer'};
+type Greeting = Body & {type: 'hello' | 'hello-answer' | 'join-redirect'};
 
 /** A member of the replicated log: Raft with pre-vote, leader lease, learners and snapshots. */
 export class RaftMember<Outcome> implements Consensus<Outcome> {
@@ -85,6 +85,11 @@
 			return;
 		}
 
+		if (body.type === 'join-redirect') {
+			this.#joins.redirected(body.leader);
+			return;
+		}
+
 		if (this.#gate.admits(message)) {
 			this.#dispatch({nodeId: from, storageId: message.storageId}, body, now);
 		}
@@ -240,7 +245,7 @@
 
 		switch (body.type) {
 			case 'join': {
-				this.#replicator?.join(from, now);
+				this.#joinRequested(from, now);
 				return;
 			}
 
@@ -271,6 +276,14 @@
 		}
 	}
 
+	#joinRequested(from: LogMember, now: Millis): void {
+		if (this.#replicator !== undefined) {
+			this.#replicator.join(from, now);
+		} else if (this.#leader !== undefined && this.#leader !== from.nodeId) {
+			this.#send(from.nodeId, {type: 'join-redirect', leader: this.#leader}, from.storageId);
+		}
+	}
+
 	/** Takes over a higher term; false for a message that must be ignored. */
 	#followTerm(body: Body, now: Millis): boolean {
 		if (!('term' in body) || body.term <= this.#storage.term) {
--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -44,6 +44,7 @@
 	#membersChangedAt = Number.NEGATIVE_INFINITY;
 	#evacuated: ReadonlySet<Zone> = new Set();
 	#turn = 0;
+	#groupTold = '';
 	#urgent = false;
 	#now = 0 as Millis;
 
@@ -68,7 +69,7 @@
 			self: self.nodeId,
 			consensus: this.#consensus,
 			state: this.#state.routes,
-			safeVoters: 2 * toleratedLosses,
+			safeVoters: (2 * toleratedLosses) + 1,
 			outbox,
 			answer: (callId, answer) => {
 				this.#queue.push({type: 'call-answer', callId, answer});
@@ -188,6 +189,19 @@
 		this.#directory.tick(now);
 		this.#desk.tick(now);
 		this.#changeMembers(now);
+		this.#tellGroup();
+	}
+
+	/** Logs what changed of the replicated log's group, as this node knows it. */
+	#tellGroup(): void {
+		const {role, leader, voters, term, commitIndex} = this.#consensus.status();
+		const group = `${role} ${leader} ${voters.join(',')}`;
+		if (group !== this.#groupTold) {
+			this.#groupTold = group;
+			this.#queue.event('group-changed', {
+				role, leader, voters, term, commitIndex, version: this.#state.routes.document?.version,
+			});
+		}
 	}
 
 	#peer(from: NodeId, message: PeerMessage, now: Millis): void {
--- a/src/core/control/control-timing.ts
+++ b/src/core/control/control-timing.ts
@@ -15,7 +15,7 @@
 	/** Time after which a call is sent to the leader again. */
 	resendMs: 600,
 	/** Silence after which a voter is replaced by a standby, if there is one. */
-	replaceVoterMs: 1500,
+	replaceVoterMs: 800,
 	/** Silence after which a control node that is neither a seed nor a voter is no longer written to. */
 	forgetPeerMs: 10_000,
 	/** Shortest time between two changes of the group's members. */
--- a/src/core/control/operator-desk.ts
+++ b/src/core/control/operator-desk.ts
@@ -15,7 +15,7 @@
 	readonly self: NodeId;
 	readonly consensus: RaftMember<CommandOutcome>;
 	readonly state: RoutesState;
-	/** Voters from which on a majority outlives the disks that may be lost at once. */
+	/** Voters of whom a majority is left when the disks that may be lost at once are lost. */
 	readonly safeVoters: number;
 	readonly outbox: Outbox;
 	readonly answer: (callId: string, answer: CallAnswer) => void;
--- a/src/core/control/voter-plan.ts
+++ b/src/core/control/voter-plan.ts
@@ -19,16 +19,18 @@
 
 	next({settled, wanted, voters, standbys}: GroupView, self: NodeId): MemberChange | undefined {
 		const open = wanted.some(nodeId => !voters.some(voter => voter.nodeId === nodeId));
-		const standby = standbys.find(nodeId => !wanted.includes(nodeId));
-		if (!settled || open || standby === undefined) {
+		if (!settled || open) {
 			return undefined;
 		}
 
-		if (wanted.length < this.#size) {
-			return {type: 'add', nodeId: standby};
+		const silent = voters.find(({nodeId, silentMs}) => nodeId !== self && silentMs > controlTiming.replaceVoterMs);
+		if (wanted.length > this.#size && silent !== undefined) {
+			return {type: 'remove', nodeId: silent.nodeId};
 		}
 
-		const silent = voters.find(({nodeId, silentMs}) => nodeId !== self && silentMs > controlTiming.replaceVoterMs);
-		return silent === undefined ? undefined : {type: 'remove', nodeId: silent.nodeId};
+		// The successor votes before its predecessor is dropped, so that there are never too few voters.
+		const standby = standbys.find(nodeId => !wanted.includes(nodeId));
+		const wants = wanted.length < this.#size || (wanted.length === this.#size && silent !== undefined);
+		return wants && standby !== undefined ? {type: 'add', nodeId: standby} : undefined;
 	}
 }
--- /dev/null
+++ b/test/core/control/control-core.test.ts
@@ -0,0 +1,160 @@
+import test from 'ava';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import type {Zone} from '../../../src/core/ids/zone.ts';
+import type {RoutesCommand} from '../../../src/core/routes/routes-command.ts';
+import {ControlCluster} from '../../fixtures/control-cluster.ts';
+
+/** Time in which a machine with a new disk must count again, in milliseconds (catch-up of the first deployments). */
+const catchUpMs = 4000;
+const zone = toId<Zone>('regina-a');
+
+function startCluster(options: Partial<ConstructorParameters<typeof ControlCluster>[0]> = {}): ControlCluster {
+	const cluster = new ControlCluster({nodes: 5, ...options});
+	cluster.startAll();
+	return cluster;
+}
+
+const document = (version: number): RoutesCommand => ({type: 'document', document: {version, text: `document ${version}`}});
+
+/** Sends a change to one node after the other until one of them accepts it. */
+function accept(cluster: ControlCluster, command: RoutesCommand, ms = 20_000): boolean {
+	const until = cluster.now + ms;
+	for (let turn = 0; cluster.now < until; turn++) {
+		const callId = cluster.call(turn % cluster.nodes.length, {type: 'change', command});
+		cluster.runUntil(() => cluster.answers.has(callId), 1000);
+		if (cluster.answers.get(callId)?.type === 'accepted') {
+			return true;
+		}
+	}
+
+	return false;
+}
+
+/** Version that a read at a node gives; undefined if it gives none. */
+function read(cluster: ControlCluster, index: number): number | undefined {
+	const callId = cluster.call(index, {type: 'read'});
+	cluster.runUntil(() => cluster.answers.has(callId), 2000);
+	const answer = cluster.answers.get(callId);
+	return answer?.type === 'document' ? answer.document?.version : undefined;
+}
+
+test('five nodes that know three seeds become five voters, and any of them accepts and reads', t => {
+	const cluster = startCluster();
+	t.true(accept(cluster, document(3)));
+	t.true(cluster.runUntil(() => cluster.voters() === 5, 5000));
+	for (const index of cluster.nodes.keys()) {
+		t.is(read(cluster, index), 3);
+	}
+});
+
+test('the highest version counts, a lower one is accepted and changes nothing', t => {
+	const cluster = startCluster();
+	t.true(accept(cluster, document(5)));
+	t.true(accept(cluster, document(2)));
+	t.is(read(cluster, 4), 5);
+});
+
+test('a node that lost its disk votes again in time, also while the leader is none of its seeds', t => {
+	for (let seed = 1; seed <= 8; seed++) {
+		const cluster = startCluster({seed});
+		t.true(accept(cluster, document(1)));
+		t.true(cluster.runUntil(() => cluster.voters() === 5));
+		// The seeds fail one after the other until a node leads that no settings name.
+		while (cluster.leader()! < 3) {
+			const leader = cluster.leader()!;
+			cluster.kill(leader);
+			t.true(cluster.runUntil(() => cluster.leader() !== undefined && cluster.leader() !== leader));
+			cluster.start(leader);
+			cluster.run(1500);
+		}
+
+		cluster.kill(0);
+		cluster.run(500);
+		cluster.start(0, {emptyDisk: true});
+		t.true(cluster.runUntil(() => cluster.nodes[0]!.core!.status(cluster.clock(0)).consensus.role === 'follower', catchUpMs), `seed ${seed}`);
+	}
+});
+
+test('what was accepted outlives two wiped disks while all others lose power', t => {
+	for (let seed = 1; seed <= 12; seed++) {
+		const cluster = startCluster({seed});
+		t.true(accept(cluster, document(seed)));
+		t.true(accept(cluster, {
+			type: 'evacuation', zone, active: true, basis: 0,
+		}));
+		const wiped = [seed % 5, (seed + 2) % 5];
+		for (const index of cluster.nodes.keys()) {
+			cluster.kill(index);
+		}
+
+		cluster.run(700);
+		for (const index of cluster.nodes.keys()) {
+			cluster.start(index, {emptyDisk: wiped.includes(index)});
+		}
+
+		t.true(cluster.runUntil(() => cluster.leader() !== undefined), `seed ${seed}`);
+		cluster.run(3000);
+		t.is(read(cluster, wiped[0]!), seed, `seed ${seed}`);
+		const leader = cluster.leader()!;
+		t.deepEqual(cluster.nodes[leader]!.core!.status(cluster.clock(leader)).evacuated, [zone]);
+	}
+});
+
+test('nothing is accepted while a majority would not outlive two wiped disks', t => {
+	const cluster = new ControlCluster({nodes: 5});
+	for (const index of [0, 1, 2]) {
+		cluster.start(index, {firstStart: true});
+	}
+
+	t.true(cluster.runUntil(() => cluster.leader() !== undefined));
+	t.false(accept(cluster, document(1), 4000));
+	cluster.start(3, {firstStart: true});
+	t.false(accept(cluster, document(1), 4000));
+	cluster.start(4, {firstStart: true});
+	t.true(accept(cluster, document(1), 4000));
+});
+
+test('a node cut off from the majority gives no answer to a read', t => {
+	const cluster = startCluster();
+	t.true(accept(cluster, document(1)));
+	t.true(cluster.runUntil(() => cluster.voters() === 5));
+	const old = cluster.leader()!;
+	const others = [0, 1, 2, 3, 4].filter(index => index !== old);
+	cluster.part([old], others, true);
+	t.is(read(cluster, old), undefined);
+	t.true(cluster.runUntil(() => others.some(index => cluster.nodes[index]!.core!.status(cluster.clock(index)).consensus.role === 'leader')));
+	cluster.part([old], others, false);
+	t.true(accept(cluster, document(2)));
+	t.is(read(cluster, old), 2);
+});
+
+test('a delayed copy of an evacuation does not undo its end', t => {
+	const cluster = startCluster();
+	const begin: RoutesCommand = {
+		type: 'evacuation', zone, active: true, basis: 0,
+	};
+	t.true(accept(cluster, begin));
+	const leader = cluster.leader()!;
+	const basis = cluster.nodes[leader]!.core!.evacuationBasis(zone);
+	t.true(accept(cluster, {
+		type: 'evacuation', zone, active: false, basis,
+	}));
+	const callId = cluster.call(leader, {type: 'change', command: begin});
+	cluster.runUntil(() => cluster.answers.has(callId), 3000);
+	t.is(cluster.answers.get(callId)?.type, 'unavailable');
+	t.deepEqual(cluster.nodes[leader]!.core!.status(cluster.clock(leader)).evacuated, []);
+});
+
+test('a removed node\'s place is taken by a new one', t => {
+	const cluster = new ControlCluster({nodes: 6});
+	for (const index of [0, 1, 2, 3, 4]) {
+		cluster.start(index, {firstStart: true});
+	}
+
+	t.true(cluster.runUntil(() => cluster.voters() === 5));
+	cluster.kill(1);
+	cluster.run(1000);
+	cluster.start(5);
+	const votes = () => cluster.nodes[5]!.core!.status(cluster.clock(5)).consensus.role !== 'learner' && cluster.voters() === 5;
+	t.true(cluster.runUntil(votes, catchUpMs));
+});
