fix(routes): an answer without a length that was reset is not a whole one

Two layers hide the reset: undici completes such an answer on ECONNRESET, and libuv reports an end of file when data and a reset come in one poll. Change: the connector renames the reset's code, and verifies each end by a write. Ruled out: the engine's own FIN (the trace shows an end followed by no error, and the write fails).

--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -7,6 +7,7 @@
 import {relayHeader} from './relay-header.ts';
 import type {RequestDialect} from './request-dialect.ts';
 import {TargetAnswer} from './target-answer.ts';
+import {targetConnector} from './target-connector.ts';
 
 type Start = EdgeAction & {type: 'start'};
 
@@ -119,11 +120,10 @@
 
 function agent(connectMs: number): Agent {
 	return new Agent({
-		connect: {timeout: connectMs},
+		connect: targetConnector(connectMs),
 		pipelining: 1,
 		keepAliveTimeout: idleMs,
 		keepAliveMaxTimeout: 60_000,
 		keepAliveTimeoutThreshold: 1000,
-		autoSelectFamily: false,
 	});
 }
