--- a/src/core/edge/edge-action.ts
+++ b/src/core/edge/edge-action.ts
@@ -35,5 +35,5 @@
 	/** A final answer of the gateway's own; inside a stream the caller's connection is broken off. */
 	| {readonly type: 'refuse'; readonly requestId: RequestId; readonly refusal: EdgeRefusal}
 	| {readonly type: 'document'; readonly version: number}
-	/** No request is in flight any more after `drain`. */
+	/** No request is in flight any more after `shut`. */
 	| {readonly type: 'drained'};
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -57,7 +57,7 @@
 	step(event: EdgeEvent, now: Millis): readonly EdgeAction[] {
 		this.#take(event, now);
 		this.#desk.settle(now);
-		if (this.#leaving && !this.#drainedTold && this.#desk.inFlight === 0) {
+		if (this.#desk.closed && !this.#drainedTold && this.#desk.inFlight === 0) {
 			this.#drainedTold = true;
 			this.#queue.push({type: 'drained'});
 		}
--- a/src/core/edge/request-desk.ts
+++ b/src/core/edge/request-desk.ts
@@ -58,6 +58,11 @@
 		return this.#records.size;
 	}
 
+	/** True once new requests are refused. */
+	get closed(): boolean {
+		return this.#shut;
+	}
+
 	/** Refuses new requests from now on. */
 	shut(): void {
 		this.#shut = true;
--- /dev/null
+++ b/test/core/edge/edge-core.test.ts
@@ -0,0 +1,211 @@
+import test from 'ava';
+import type {EdgeAction} from '../../../src/core/edge/edge-action.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import type {Region} from '../../../src/core/ids/region.ts';
+import type {Zone} from '../../../src/core/ids/zone.ts';
+import type {ServiceName} from '../../../src/core/ids/service-name.ts';
+import {EdgeHarness} from '../../fixtures/edge-harness.ts';
+import {listedTargetFixture} from '../../fixtures/listed-target-fixture.ts';
+import {routesDocumentFixture} from '../../fixtures/routes-document-fixture.ts';
+
+type Options = ConstructorParameters<typeof EdgeHarness>[0];
+
+/** An entry that has targets of the names given. */
+function harnessWith(names: readonly string[], options: Options = {}): EdgeHarness {
+	const harness = new EdgeHarness(options);
+	harness.feed({targets: names.map(name => listedTargetFixture(name))});
+	return harness;
+}
+
+const unsafe = {document: routesDocumentFixture({route: {kind: 'unsafe', attempts: 1}})};
+const stream = {document: routesDocumentFixture({route: {kind: 'stream', resumable: true}, engine: true})};
+const types = (actions: readonly EdgeAction[]) => actions.map(({type}) => type);
+const away = {
+	region: toId<Region>('winnipeg'),
+	entries: 1,
+	relayAddresses: ['10.3.0.9:7101'],
+	loads: [{
+		service: toId<ServiceName>('desk'), targets: 2, inFlight: 0, waiting: 0, startMs: 0,
+	}],
+};
+
+test('an entry without a document refuses with a time to come back, and never with "no route"', t => {
+	const harness = new EdgeHarness();
+	harness.request();
+	const [refusal] = harness.refusals();
+	t.is(refusal!.reason, 'not-configured');
+	t.is(refusal!.ran, 'no');
+	t.true(refusal!.retryAfterMs! > 0);
+});
+
+test('a request for no route is refused as such', t => {
+	const harness = harnessWith(['a']);
+	harness.request({path: '/other/1'});
+	t.is(harness.refusals()[0]!.reason, 'no-route');
+});
+
+test('an unsafe request that may have run is never sent again', t => {
+	const harness = harnessWith(['a', 'b'], unsafe);
+	harness.request();
+	harness.step({type: 'attempt-failed', attempt: harness.lastStart().attempt, failure: {reason: 'reset', notSent: false}});
+	t.is(harness.starts().length, 1);
+	t.deepEqual(harness.refusals().map(({reason, ran}) => [reason, ran]), [['target-failed', 'maybe']]);
+});
+
+test('an unsafe request that its target did not run goes to another target', t => {
+	const harness = harnessWith(['a', 'b'], unsafe);
+	harness.request();
+	const first = harness.lastStart();
+	harness.head(first.attempt, {status: 503, notRun: true, signed: false});
+	t.is(harness.starts().length, 2);
+	t.not(harness.lastStart().targetId, first.targetId);
+});
+
+test('an unsafe request whose target could not be reached goes to another target without a repeat being counted', t => {
+	const harness = harnessWith(['a', 'b'], {...unsafe, slack: 0, ratio: 0});
+	harness.request();
+	harness.step({type: 'attempt-failed', attempt: harness.lastStart().attempt, failure: {reason: 'connect', notSent: true}});
+	t.is(harness.starts().length, 2);
+});
+
+test('a safe call is repeated on as many targets as the route allows', t => {
+	const harness = harnessWith(['a', 'b', 'c']);
+	harness.request();
+	harness.head(harness.lastStart().attempt, {status: 500});
+	t.is(harness.starts().length, 2);
+	harness.head(harness.lastStart().attempt, {status: 500});
+	t.is(harness.starts().length, 2);
+});
+
+test('a repeat needs a place in the budget', t => {
+	const harness = harnessWith(['a', 'b'], {slack: 0, ratio: 0});
+	harness.request();
+	harness.step({type: 'attempt-failed', attempt: harness.lastStart().attempt, failure: {reason: 'reset', notSent: false}});
+	t.is(harness.starts().length, 1);
+	t.is(harness.refusals()[0]!.ran, 'maybe');
+});
+
+test('a forwarded request runs on one target only: the rest of the attempts stays with the entry that forwarded it', t => {
+	const harness = harnessWith(['a', 'b']);
+	harness.request({forwarded: {region: toId('winnipeg'), documentVersion: 1}});
+	harness.step({type: 'attempt-failed', attempt: harness.lastStart().attempt, failure: {reason: 'reset', notSent: false}});
+	t.is(harness.starts().length, 1);
+	t.is(harness.refusals()[0]!.reason, 'target-failed');
+});
+
+test('a request decided under a newer document is refused as not run', t => {
+	const harness = harnessWith(['a']);
+	harness.request({forwarded: {region: toId('winnipeg'), documentVersion: 2}});
+	t.deepEqual(harness.refusals().map(({reason, ran}) => [reason, ran]), [['outdated', 'no']]);
+});
+
+test('a forwarded request is never forwarded again', t => {
+	const harness = new EdgeHarness();
+	harness.feed({regions: [away]});
+	harness.request({forwarded: {region: toId('saskatoon'), documentVersion: 1}});
+	t.is(harness.starts().length, 0);
+	t.is(harness.refusals()[0]!.ran, 'no');
+});
+
+test('requests of a route with homes go to those regions only', t => {
+	const harness = new EdgeHarness({document: routesDocumentFixture({route: {homes: [toId('saskatoon')]}})});
+	harness.feed({targets: [listedTargetFixture('a')], regions: [away]});
+	harness.request();
+	t.is(harness.starts().length, 0);
+	harness.feed({targets: [listedTargetFixture('a')], regions: [{...away, region: toId('saskatoon')}]});
+	harness.request();
+	t.is(harness.lastStart().address, '10.3.0.9:7101');
+});
+
+test('a broken stream goes on after the last event at another engine', t => {
+	const harness = harnessWith(['a', 'b'], stream);
+	harness.request({prompt: {parts: [], promptTokens: 2000, outputTokens: 80}});
+	const first = harness.lastStart();
+	t.deepEqual(types(harness.head(first.attempt)).filter(type => type === 'pass'), ['pass']);
+	harness.step({
+		type: 'attempt-events', attempt: first.attempt, count: 3, lastId: '3',
+	});
+	harness.step({type: 'attempt-failed', attempt: first.attempt, failure: {reason: 'truncated', notSent: false}});
+	const second = harness.lastStart();
+	t.not(second.targetId, first.targetId);
+	t.is(second.resumeAfter, '3');
+});
+
+test('an engine that stalls loses a stream that may be resumed, and is spared until it reports again', t => {
+	const harness = harnessWith(['a', 'b'], stream);
+	harness.request({budgetMs: 12_000, prompt: {parts: [], promptTokens: 2000, outputTokens: 80}});
+	const first = harness.lastStart();
+	harness.run(2900);
+	t.is(harness.starts().length, 2);
+	t.true(harness.actions.some(action => action.type === 'cancel' && action.attempt === first.attempt));
+});
+
+test('a request without an answer at its route\'s timeout gets its final answer then', t => {
+	const harness = harnessWith(['a'], unsafe);
+	harness.request({budgetMs: 10_000});
+	harness.run(2900);
+	t.is(harness.refusals().length, 0);
+	harness.run(200);
+	t.deepEqual(harness.refusals().map(({reason, ran}) => [reason, ran]), [['timeout', 'maybe']]);
+});
+
+test('a caller that leaves stops its target at once', t => {
+	const harness = harnessWith(['a']);
+	harness.request();
+	const {attempt} = harness.lastStart();
+	t.true(harness.step({type: 'caller-gone', requestId: toId('r1')}).some(action => action.type === 'cancel' && action.attempt === attempt));
+	t.is(harness.core.inFlight, 0);
+});
+
+test('a cold, leaving, lost or evacuated target gets nothing', t => {
+	const harness = new EdgeHarness();
+	harness.feed({targets: [
+		listedTargetFixture('cold', {coldForMs: 3000}),
+		listedTargetFixture('unknown', {coldForMs: 'unknown'}),
+		listedTargetFixture('leaving', {state: 'leaving'}),
+		listedTargetFixture('lost', {state: 'lost'}),
+		listedTargetFixture('evacuated', {zone: toId<Zone>('regina-b')}),
+	], state: {document: {version: 1, text: ''}, evacuated: [toId<Zone>('regina-b')]}});
+	harness.request();
+	t.is(harness.starts().length, 0);
+});
+
+test('a target seen to leave stays out when another control node still lists it', t => {
+	const harness = harnessWith(['a']);
+	harness.feed({targets: [listedTargetFixture('a', {state: 'leaving', sequence: 5})]});
+	harness.feed({targets: [listedTargetFixture('a', {sequence: 6})]});
+	harness.request();
+	t.is(harness.starts().length, 0);
+	harness.feed({targets: [listedTargetFixture('a', {born: 2000})]});
+	harness.request();
+	t.is(harness.starts().length, 1);
+});
+
+test('no older document replaces a newer one, whichever control node sends it', t => {
+	const harness = harnessWith(['a']);
+	harness.install(routesDocumentFixture({version: 5}), 9);
+	harness.install(routesDocumentFixture({version: 4}), 8);
+	t.is(harness.core.documentVersion, 5);
+});
+
+test('a leaving entry finishes requests that came before it was shut, and says so only then', t => {
+	const harness = harnessWith(['a']);
+	harness.step({type: 'drain'});
+	harness.request();
+	const {attempt} = harness.lastStart();
+	harness.step({type: 'shut'});
+	t.false(harness.actions.some(({type}) => type === 'drained'));
+	harness.request();
+	t.is(harness.refusals()[0]!.reason, 'leaving');
+	harness.head(attempt);
+	t.true(types(harness.step({type: 'attempt-end', attempt})).includes('drained'));
+});
+
+test('the deadline handed on shrinks by the time spent', t => {
+	const harness = harnessWith(['a', 'b']);
+	harness.request();
+	t.is(harness.lastStart().deadlineMs, 2500);
+	harness.now += 400;
+	harness.step({type: 'attempt-failed', attempt: harness.lastStart().attempt, failure: {reason: 'reset', notSent: false}});
+	t.is(harness.lastStart().deadlineMs, 2100);
+});
