perf(routing): place streams by predicted cost, not by first event alone

Change: one decision module (placement-rule) compares places by predicted start, outstanding work, shared tokens read again, lateness and an end beyond the deadline; regions report the same.

--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -11,12 +11,16 @@
 import type {EdgeCoreOptions} from './edge-core-options.ts';
 import type {EdgeEvent} from './edge-event.ts';
 import {localPlacement} from './local-placement.ts';
+import {PlacementRule} from './placement-rule.ts';
 import {RegionChoice} from './region-choice.ts';
 import {RepeatBudget} from './repeat-budget.ts';
 import {RequestDesk} from './request-desk.ts';
 import {TargetPool} from './target-pool.ts';
 import {WaitQueue} from './wait-queue.ts';
 
+/** Time that a full target is reckoned to need for a place, in milliseconds. */
+const noRoomMs = 300;
+
 /**
  * Every decision of an entry of a deployment with a routes document: which control node it follows, where each
  * request goes, waits or is refused. Takes one event and returns what is to be done.
@@ -43,7 +47,9 @@
 			self, seeds, outbox: this.#queue, status: now => this.#status(now), stateIndex: () => this.#stateIndex,
 		});
 		this.#desk = new RequestDesk({
-			region: self.region,
+			placement: new PlacementRule({
+				region: self.region, pool: this.#pool, regions: this.#regions, random,
+			}),
 			table: () => this.#table,
 			pool: this.#pool,
 			regions: this.#regions,
@@ -213,7 +219,7 @@
 			const targets = this.#pool.usable(spec.name, now);
 			const prompt = spec.engine && {parts: [], promptTokens: 1, outputTokens: 1};
 			const [best] = localPlacement({
-				prompt, spec, targets, entries: this.#regions.entriesHere,
+				prompt, spec, targets, entries: this.#regions.entriesHere, objectiveMs: Number.POSITIVE_INFINITY, leftMs: Number.POSITIVE_INFINITY,
 			}, now);
 			const waiting = this.#waiting.size(spec.name);
 			return {
@@ -221,7 +227,8 @@
 				targets: targets.length,
 				inFlight: targets.reduce((sum, target) => sum + target.attempts.size, 0),
 				waiting,
-				startMs: best === undefined ? 0 : Math.round(best.startMs + (best.hasRoom ? 0 : 300) - (prompt === undefined ? best.target.callMs.value : 0)),
+				startMs: best === undefined ? 0 : Math.round(best.startMs + (best.hasRoom ? 0 : noRoomMs) - (prompt === undefined ? best.target.callMs.value : 0)),
+				extraMs: best === undefined ? 0 : Math.round(best.costMs - best.startMs),
 			};
 		}).filter(({targets, waiting}) => targets > 0 || waiting > 0);
 	}
--- a/src/core/edge/local-placement.ts
+++ b/src/core/edge/local-placement.ts
@@ -13,6 +13,15 @@
 const memoryShare = 0.9;
 /** Share of a prompt's shared tokens that the preferred engine is taken to keep though nothing is known of it. */
 const assumedShare = 0.5;
+/** Weight of an engine's outstanding work: it slows down every stream there. */
+const workWeight = 0.25;
+/** Cost of a shared prompt token that is read though another engine keeps it, in milliseconds. */
+const rereadMs = 0.06;
+/** Part of the objective beyond which a predicted start counts as late, and what that costs, in milliseconds. */
+const lateShare = 0.7;
+const lateMs = 1500;
+/** Cost of an answer that is not predicted to end in time, in milliseconds. */
+const unfinishedMs = 3000;
 
 type Wanted = {
 	readonly prompt?: Prompt;
@@ -20,6 +29,9 @@
 	readonly targets: readonly PooledTarget[];
 	/** Entries of this region that share the targets. */
 	readonly entries: number;
+	/** Time left for the first event within the objective, and for the whole answer, in milliseconds. */
+	readonly objectiveMs: number;
+	readonly leftMs: number;
 };
 
 /**
@@ -29,15 +41,13 @@
  * what the engine still has to read, for others and for this prompt, at the speed that was learnt of it. Prompts
  * with the same shared part prefer the same engine until its queue outweighs what it keeps.
  */
-export function localPlacement({prompt, spec, targets, entries}: Wanted, now: Millis): readonly PlacementCandidate[] {
+export function localPlacement({prompt, targets, ...wanted}: Wanted, now: Millis): readonly PlacementCandidate[] {
 	const preferred = prompt === undefined ? undefined : preferredTarget(prompt, targets);
 	return targets
 		.map(target => prompt === undefined
 			? callCandidate(target, now)
-			: streamCandidate(target, {
-				prompt, spec, preferred: target === preferred, entries,
-			}, now))
-		.sort((left, right) => left.startMs - right.startMs);
+			: streamCandidate(target, {...wanted, prompt, preferred: target === preferred}, now))
+		.sort((left, right) => left.costMs - right.costMs);
 }
 
 function callCandidate(target: PooledTarget, now: Millis): PlacementCandidate {
@@ -46,28 +56,36 @@
 	const waitMs = Math.max(0, inFlight + 1 - slots) / slots * target.callMs.value;
 	const startMs = waitMs + target.callMs.value + (inFlight / slots);
 	return {
-		target, startMs, wholeMs: startMs, uncachedTokens: 0, aheadTokens: 0, memoryTokens: 0, hasRoom: !target.isFull(now) && inFlight < slots + queuedCalls,
+		target, startMs, costMs: startMs, wholeMs: startMs, uncachedTokens: 0, aheadTokens: 0, memoryTokens: 0, hasRoom: !target.isFull(now) && inFlight < slots + queuedCalls,
 	};
 }
 
-type StreamOptions = {readonly prompt: Prompt; readonly spec: ServiceSpec | undefined; readonly preferred: boolean; readonly entries: number};
+type StreamOptions = Omit<Wanted, 'targets'> & {readonly prompt: Prompt; readonly preferred: boolean};
 
-function streamCandidate(target: PooledTarget, {prompt, spec, preferred, entries}: StreamOptions, now: Millis): PlacementCandidate {
+function streamCandidate(target: PooledTarget, {prompt, spec, preferred, entries, objectiveMs, leftMs}: StreamOptions, now: Millis): PlacementCandidate {
+	const shared = sharedTokens(prompt);
 	const cached = target.prefixes.cachedTokens(prompt);
-	const assumed = preferred ? assumedShare * sharedTokens(prompt) : 0;
+	const assumed = preferred ? assumedShare * shared : 0;
 	const uncachedTokens = Math.max(1, prompt.promptTokens - Math.max(cached, assumed));
 	const aheadTokens = target.unreadTokens(now);
 	const startMs = firstEventMs + ((aheadTokens + uncachedTokens) / target.readRate.value);
 	const events = prompt.outputTokens / (spec?.engine?.tokensPerEvent ?? 1);
-	const memoryTokens = prompt.promptTokens - sharedTokens(prompt) + prompt.outputTokens;
+	const memoryTokens = prompt.promptTokens - shared + prompt.outputTokens;
 	const capacity = memoryShare * (spec?.engine?.cacheTokens ?? Number.POSITIVE_INFINITY);
 	const others = target.othersInFlight(now);
 	const ownMean = target.attempts.size === 0 ? memoryTokens : target.memoryTokens() / target.attempts.size;
 	const memory = target.memoryTokens() + (others * ownMean) + memoryTokens;
 	const slots = Math.max(1, target.listed.slots);
 	const hasRoom = !target.isFull(now) && target.inFlight(now) < slots && (memory <= capacity || target.attempts.size < slots / 8 / entries);
+	const wholeMs = startMs + (events * target.gapMs.value);
+	const reread = Math.max(0, shared - Math.max(cached, assumed));
+	const costMs = startMs
+		+ (workWeight * target.workMs(now))
+		+ (rereadMs * reread)
+		+ (startMs > lateShare * objectiveMs ? lateMs : 0)
+		+ (wholeMs > leftMs ? unfinishedMs : 0);
 	return {
-		target, startMs, wholeMs: startMs + (events * target.gapMs.value), uncachedTokens, aheadTokens, memoryTokens, hasRoom,
+		target, startMs, costMs, wholeMs, uncachedTokens, aheadTokens, memoryTokens, hasRoom,
 	};
 }
 
--- a/src/core/edge/placement-candidate.ts
+++ b/src/core/edge/placement-candidate.ts
@@ -5,6 +5,8 @@
 	readonly target: PooledTarget;
 	/** Time to the first event of a stream or to the answer of a call, in milliseconds. */
 	readonly startMs: number;
+	/** What placing it there is reckoned to cost, in milliseconds: by this places are compared. */
+	readonly costMs: number;
 	/** Time to the whole answer, in milliseconds. */
 	readonly wholeMs: number;
 	/** Prompt tokens that have to be read, and those of others before. */
--- /dev/null
+++ b/src/core/edge/placement-rule.ts
@@ -0,0 +1,89 @@
+import type {Random} from '../common/random.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {Region} from '../ids/region.ts';
+import type {EdgeRefusal} from './edge-refusal.ts';
+import {localPlacement} from './local-placement.ts';
+import type {PlacementCandidate} from './placement-candidate.ts';
+import type {RegionChoice} from './region-choice.ts';
+import type {RequestRecord} from './request-record.ts';
+import {retryAfter} from './retry-after.ts';
+import type {TargetPool} from './target-pool.ts';
+
+/** Gain from which on a request goes to another region, in milliseconds: its bytes are dear. */
+const awayPenaltyMs = 150;
+/** Time kept for the way of an answer to the caller, in milliseconds. */
+const answerMarginMs = 20;
+
+/** Where a request goes now. */
+type Placement =
+	| {readonly type: 'target'; readonly candidate: PlacementCandidate}
+	| {readonly type: 'away'; readonly region: Region; readonly address: string; readonly startMs: number}
+	| {readonly type: 'wait'}
+	| {readonly type: 'refuse'; readonly reason: EdgeRefusal['reason']; readonly retryAfterMs: number};
+
+type PlacementRuleOptions = {
+	readonly region: Region;
+	readonly pool: TargetPool;
+	readonly regions: RegionChoice;
+	readonly random: Random;
+};
+
+/**
+ * Decides between a target of this region, another region, waiting and refusing.
+ *
+ * Answers a region whose peak exceeds its own targets: the request goes where it is predicted to cost least, to
+ * another region only for a gain worth its bytes; it waits only while it can still be served in time, and what
+ * cannot is refused at once.
+ */
+export class PlacementRule {
+	readonly #options: PlacementRuleOptions;
+
+	constructor(options: PlacementRuleOptions) {
+		this.#options = options;
+	}
+
+	decide(record: RequestRecord, now: Millis): Placement {
+		const {regions, random} = this.#options;
+		const {req, route, service} = record;
+		const leftMs = record.deadlineAt - now - answerMarginMs;
+		const local = this.#local(record, now);
+		const best = local.find(({hasRoom, startMs}) => hasRoom && startMs < leftMs);
+		const [away] = req.forwarded === undefined ? regions.candidates({service, homes: route.homes, prompt: req.prompt}, now) : [];
+		const awayCost = away === undefined ? Number.POSITIVE_INFINITY : away.costMs + awayPenaltyMs;
+		if (best !== undefined && best.costMs <= awayCost) {
+			return {type: 'target', candidate: best};
+		}
+
+		if (away !== undefined && away.startMs < leftMs) {
+			return {type: 'away', ...away};
+		}
+
+		const soonestMs = Math.min(...local.map(({startMs}) => startMs), away?.startMs ?? Number.POSITIVE_INFINITY);
+		if (local.length > 0 && soonestMs < leftMs) {
+			return {type: 'wait'};
+		}
+
+		return {
+			type: 'refuse',
+			reason: local.length === 0 ? 'no-target' : 'overloaded',
+			retryAfterMs: retryAfter(Number.isFinite(soonestMs) ? soonestMs / 2 : 1000, random),
+		};
+	}
+
+	/** Targets of this region for a request, the cheapest first. */
+	#local({req, route, service, table, tried, deadlineAt}: RequestRecord, now: Millis): readonly PlacementCandidate[] {
+		const {region, pool, regions} = this.#options;
+		if (route.homes.length > 0 && !route.homes.includes(region)) {
+			return [];
+		}
+
+		return localPlacement({
+			prompt: req.prompt,
+			spec: table.service(service),
+			targets: pool.usable(service, now).filter(({listed}) => !tried.has(listed.targetId)),
+			entries: regions.entriesHere,
+			objectiveMs: route.objectiveMs - (now - req.arrivedAt),
+			leftMs: deadlineAt - now,
+		}, now);
+	}
+}
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -16,6 +16,8 @@
 const loadHalfLifeMs = 1000;
 /** Prompt tokens from which the time to the first event tells the reading speed. */
 const fewestTokens = 1000;
+/** Work of an output token beside others in a batch, in prompt tokens. From an engine's step times on the first deployments. */
+const outputTokenWork = 8;
 /** Time of an engine's first step that does not depend on the prompt, in milliseconds. */
 const firstStepMs = 15;
 
@@ -132,6 +134,16 @@
 		return unread;
 	}
 
+	/** Time that the target needs for all that this entry's requests still want of it, in milliseconds. */
+	workMs(now: Millis): number {
+		let output = 0;
+		for (const {outputTokens} of this.attempts.values()) {
+			output += outputTokens;
+		}
+
+		return (this.unreadTokens(now) + (output * outputTokenWork)) / this.readRate.value;
+	}
+
 	/** Tokens in the target's memory that this entry's requests hold at their end. */
 	memoryTokens(): number {
 		let sum = 0;
@@ -158,9 +170,10 @@
 	}
 
 	/** Notes further events of a stream. */
-	progressed(attempt: AttemptNumber, events: number, now: Millis): void {
+	progressed(attempt: AttemptNumber, {events, tokens}: {events: number; tokens: number}, now: Millis): void {
 		const entry = this.attempts.get(attempt);
 		if (entry?.lastEventAt !== undefined && events > 0) {
+			entry.outputTokens = Math.max(0, entry.outputTokens - tokens);
 			this.gapMs.add((now - entry.lastEventAt) / events);
 			entry.lastEventAt = now;
 		}
--- a/src/core/edge/region-choice.ts
+++ b/src/core/edge/region-choice.ts
@@ -20,7 +20,7 @@
 type Sent = {readonly at: Millis; readonly tokens: number};
 
 /** A region that could take a request. */
-type RegionCandidate = {readonly region: Region; readonly address: string; readonly startMs: number; readonly targets: number};
+type RegionCandidate = {readonly region: Region; readonly address: string; readonly startMs: number; readonly costMs: number};
 
 /**
  * Chooses another region for a request.
@@ -74,15 +74,13 @@
 			const ownMs = prompt === undefined ? typicalCallMs : prompt.promptTokens / typicalReadRate;
 			const queuedMs = prompt === undefined ? sentTokens * typicalCallMs / load.targets / 6 : sentTokens / typicalReadRate / load.targets;
 			this.#turn += 1;
+			const startMs = initialRoundTripMs + load.startMs + queuedMs + ownMs;
 			candidates.push({
-				region,
-				address: addresses[this.#turn % addresses.length]!,
-				startMs: initialRoundTripMs + load.startMs + queuedMs + ownMs,
-				targets: load.targets,
+				region, address: addresses[this.#turn % addresses.length]!, startMs, costMs: startMs + load.extraMs,
 			});
 		}
 
-		return candidates.sort((left, right) => left.startMs - right.startMs);
+		return candidates.sort((left, right) => left.costMs - right.costMs);
 	}
 
 	sent({region, service, prompt}: {region: Region; service: ServiceName; prompt?: Prompt}, now: Millis): void {
--- a/src/core/edge/request-desk.ts
+++ b/src/core/edge/request-desk.ts
@@ -10,8 +10,8 @@
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {EdgeRequest} from './edge-request.ts';
-import {localPlacement} from './local-placement.ts';
 import type {PlacementCandidate} from './placement-candidate.ts';
+import type {PlacementRule} from './placement-rule.ts';
 import type {RegionChoice} from './region-choice.ts';
 import type {RepeatBudget} from './repeat-budget.ts';
 import {mayRepeat} from './repeat-rule.ts';
@@ -21,17 +21,13 @@
 import type {TargetPool} from './target-pool.ts';
 import type {WaitQueue} from './wait-queue.ts';
 
-/** Gain from which on a request goes to another region, in milliseconds: its bytes are dear. */
-const awayPenaltyMs = 150;
 /** Waiting requests that are looked at in one step for each service. */
 const placementsPerStep = 16;
-/** Time kept for the way of an answer to the caller, in milliseconds. */
-const answerMarginMs = 20;
 /** Status of an answer that its target did not vouch for, or that another target gave. */
 const misdirected = 421;
 
 type RequestDeskOptions = {
-	readonly region: Region;
+	readonly placement: PlacementRule;
 	readonly table: () => RouteTable | undefined;
 	readonly pool: TargetPool;
 	readonly regions: RegionChoice;
@@ -49,6 +45,8 @@
 	#lastAttempt = 0;
 	#shut = false;
 	#placeable = false;
+	/** The record whose next send is paid for already. */
+	#budgeted: RequestRecord | undefined;
 
 	constructor(options: RequestDeskOptions) {
 		this.#options = options;
@@ -169,7 +167,7 @@
 			target?.started(attempt, now);
 			this.#placeable = true;
 		} else {
-			target?.progressed(attempt, count, now);
+			target?.progressed(attempt, {events: count, tokens: count * (record.table.service(record.service)?.engine?.tokensPerEvent ?? 1)}, now);
 		}
 
 		running.events += count;
@@ -273,41 +271,34 @@
 
 	/** Sends a request to the best place, lets it wait, or refuses it. */
 	#place(record: RequestRecord, now: Millis): void {
-		const {pool, regions, waiting, random} = this.#options;
-		const {req, route, service} = record;
-		const leftMs = record.deadlineAt - now - answerMarginMs;
+		const {placement, waiting} = this.#options;
 		if (record.sends > 0 && !this.#canRepeat(record, now)) {
 			this.#giveUp(record, 'target-failed', now);
 			return;
 		}
 
-		const homeAllowed = route.homes.length === 0 || route.homes.includes(this.#options.region);
-		const usable = homeAllowed ? pool.usable(service, now).filter(({listed}) => !record.tried.has(listed.targetId)) : [];
-		const local = localPlacement({
-			prompt: req.prompt, spec: record.table.service(service), targets: usable, entries: regions.entriesHere,
-		}, now);
-		const best = local.find(({hasRoom}) => hasRoom);
-		const [away] = req.forwarded === undefined ? regions.candidates({service, homes: route.homes, prompt: req.prompt}, now) : [];
-		const awayMs = away === undefined ? Number.POSITIVE_INFINITY : away.startMs + awayPenaltyMs;
-		const bestMs = best?.startMs ?? Number.POSITIVE_INFINITY;
-		if (best !== undefined && bestMs <= awayMs && bestMs < leftMs) {
-			this.#send(record, best, now);
-			return;
-		}
+		const decision = placement.decide(record, now);
+		switch (decision.type) {
+			case 'target': {
+				this.#send(record, decision.candidate, now);
+				break;
+			}
 
-		if (away !== undefined && away.startMs < leftMs) {
-			this.#sendAway(record, away, now);
-			return;
-		}
+			case 'away': {
+				this.#sendAway(record, decision, now);
+				break;
+			}
 
-		const soonest = Math.min(local[0]?.startMs ?? Number.POSITIVE_INFINITY, away?.startMs ?? Number.POSITIVE_INFINITY);
-		if (local.length > 0 && soonest < leftMs && !waiting.has(req.requestId)) {
-			waiting.add(record);
-			return;
-		}
+			case 'wait': {
+				waiting.add(record);
+				break;
+			}
 
-		record.retryAfterMs = Math.min(record.retryAfterMs ?? Number.POSITIVE_INFINITY, retryAfter(Number.isFinite(soonest) ? soonest / 2 : 1000, random));
-		this.#giveUp(record, local.length === 0 ? 'no-target' : 'overloaded', now);
+			case 'refuse': {
+				record.retryAfterMs = Math.min(record.retryAfterMs ?? Number.POSITIVE_INFINITY, decision.retryAfterMs);
+				this.#giveUp(record, decision.reason, now);
+			}
+		}
 	}
 
 	#send(record: RequestRecord, {target, startMs, uncachedTokens, aheadTokens, memoryTokens}: PlacementCandidate, now: Millis): void {
@@ -319,7 +310,7 @@
 
 		const attempt = this.#nextAttempt(record);
 		target.attempts.set(attempt, {
-			sentAt: now, uncachedTokens, aheadTokens, memoryTokens,
+			sentAt: now, uncachedTokens, aheadTokens, memoryTokens, outputTokens: req.prompt?.outputTokens ?? 0,
 		});
 		if (req.prompt !== undefined) {
 			target.prefixes.used(req.prompt, record.table.service(service)?.engine?.cacheTokens ?? 0);
@@ -411,8 +402,7 @@
 			return;
 		}
 
-		const mayRun = {...record, mayHaveRun: true, ranOn: new Set([...record.ranOn, ...running.targetId === undefined ? [] : [running.targetId]]), awayRuns: record.awayRuns + (running.away === undefined ? 0 : 1)};
-		if (!mayRepeat(mayRun)) {
+		if (!mayRepeat(failedNow(record))) {
 			return;
 		}
 
@@ -431,9 +421,6 @@
 		this.#budgeted = undefined;
 	}
 
-	/** The record whose next send is paid for already. */
-	#budgeted: RequestRecord | undefined;
-
 	#canRepeat(record: RequestRecord, now: Millis): boolean {
 		if (!mayRepeat(record)) {
 			return false;
@@ -444,11 +431,7 @@
 
 	/** Whether a failed answer may be thrown away for another try. */
 	#canRepeatNow(record: RequestRecord, now: Millis): boolean {
-		const {running} = record;
-		const after = {
-			...record, mayHaveRun: true, ranOn: new Set([...record.ranOn, ...running?.targetId === undefined ? [] : [running.targetId]]), awayRuns: record.awayRuns + (running?.away === undefined ? 0 : 1),
-		};
-		return mayRepeat(after) && record.deadlineAt - now > record.route.objectiveMs / 4;
+		return mayRepeat(failedNow(record)) && record.deadlineAt - now > record.route.objectiveMs / 4;
 	}
 
 	#expire(record: RequestRecord, now: Millis): void {
@@ -497,3 +480,14 @@
 		this.#records.delete(record.req.requestId);
 	}
 }
+
+/** The record as it would be if the attempt that is under way had failed. */
+function failedNow(record: RequestRecord): RequestRecord {
+	const {running, ranOn, awayRuns} = record;
+	return {
+		...record,
+		mayHaveRun: true,
+		ranOn: running?.targetId === undefined ? ranOn : new Set([...ranOn, running.targetId]),
+		awayRuns: awayRuns + (running?.away === undefined ? 0 : 1),
+	};
+}
--- a/src/core/registry/region-load.ts
+++ b/src/core/registry/region-load.ts
@@ -8,6 +8,6 @@
 	readonly entries: number;
 	/** `ip:port` of some of them for requests from other regions. */
 	readonly relayAddresses: readonly string[];
-	/** `targets` is the largest number that an entry sees, `startMs` the mean, the rest are sums. */
+	/** `targets` is the largest number that an entry sees, `startMs` and `extraMs` are means, the rest are sums. */
 	readonly loads: readonly ServiceLoad[];
 };
--- a/src/core/registry/service-load.ts
+++ b/src/core/registry/service-load.ts
@@ -11,4 +11,6 @@
 	readonly waiting: number;
 	/** Predicted time to the start of a new request, in milliseconds. */
 	readonly startMs: number;
+	/** What else placing a request there is reckoned to cost, in milliseconds. */
+	readonly extraMs: number;
 };
--- a/src/core/registry/sum-regions.ts
+++ b/src/core/registry/sum-regions.ts
@@ -31,21 +31,24 @@
 }
 
 function sumLoads(entries: readonly EntryStatus[]): readonly ServiceLoad[] {
-	const sums = new Map<ServiceName, {targets: number; inFlight: number; waiting: number; startMs: number; reports: number}>();
+	const sums = new Map<ServiceName, {targets: number; inFlight: number; waiting: number; startMs: number; extraMs: number; reports: number}>();
 	for (const {loads} of entries) {
 		for (const load of loads) {
 			const sum = sums.get(load.service) ?? {
-				targets: 0, inFlight: 0, waiting: 0, startMs: 0, reports: 0,
+				targets: 0, inFlight: 0, waiting: 0, startMs: 0, extraMs: 0, reports: 0,
 			};
 			sums.set(load.service, {
 				targets: Math.max(sum.targets, load.targets),
 				inFlight: sum.inFlight + load.inFlight,
 				waiting: sum.waiting + load.waiting,
 				startMs: sum.startMs + load.startMs,
+				extraMs: sum.extraMs + load.extraMs,
 				reports: sum.reports + 1,
 			});
 		}
 	}
 
-	return [...sums].map(([service, {reports, startMs, ...rest}]) => ({...rest, service, startMs: Math.round(startMs / reports)}));
+	return [...sums].map(([service, {reports, startMs, extraMs, ...rest}]) => ({
+		...rest, service, startMs: Math.round(startMs / reports), extraMs: Math.round(extraMs / reports),
+	}));
 }
--- a/test/core/edge/edge-core.test.ts
+++ b/test/core/edge/edge-core.test.ts
@@ -25,7 +25,7 @@
 	entries: 1,
 	relayAddresses: ['10.3.0.9:7101'],
 	loads: [{
-		service: toId<ServiceName>('desk'), targets: 2, inFlight: 0, waiting: 0, startMs: 0,
+		service: toId<ServiceName>('desk'), targets: 2, inFlight: 0, waiting: 0, startMs: 0, extraMs: 0,
 	}],
 };
 
