fix(routing): what has not run is not refused as failed; a waiting repeat is paid for once

Cause: found on reading: a request that every target turned away got 502 where the budget of repeats was used up, though it had not run; a repeat that waited took a place of the budget at each look; requests behind a blocked one were not looked at until their time was over. Change: the final reason follows from whether the request may have run; a record keeps that its repeat is paid; hopeless requests behind a blocked one are refused at once. Attempts have a module of their own.

--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -158,9 +158,7 @@
 			case 'report': {
 				const {report} = event;
 				if (this.#registry.report(report, now)) {
-					this.#queue.event('target-changed', {
-						target: report.targetId, service: report.service, address: report.address, zone: report.zone, state: report.state, coldMs: report.coldMs, born: report.born, sequence: report.sequence,
-					});
+					this.#queue.event('target-changed', {...report});
 				}
 
 				break;
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -23,7 +23,7 @@
 
 /** A target of this entry's region: what control lists of it, what this entry has there, and what was learnt of it. */
 export class PooledTarget {
-	listed: ListedTarget;
+	#listed: ListedTarget;
 	readonly attempts = new Map<AttemptNumber, PooledAttempt>();
 	readonly prefixes = new PrefixMemory();
 	/** Prompt tokens read in a millisecond. The start is a middling engine's of the first deployments. */
@@ -49,11 +49,16 @@
 	#others = {count: 0, at: Number.NEGATIVE_INFINITY};
 
 	constructor(listed: ListedTarget, now: Millis) {
-		this.listed = listed;
+		this.#listed = listed;
 		this.#sign = listed.sequence;
 		this.update(listed, now);
 	}
 
+	/** The newest listing. */
+	get listed(): ListedTarget {
+		return this.#listed;
+	}
+
 	/** Takes a newer listing; a new incarnation has forgotten everything. */
 	update(listed: ListedTarget, now: Millis): void {
 		if (listed.born !== this.listed.born) {
@@ -63,7 +68,7 @@
 			this.#others = {count: 0, at: Number.NEGATIVE_INFINITY};
 		}
 
-		this.listed = listed;
+		this.#listed = listed;
 		this.#coldUntil = listed.coldForMs === 'unknown' ? undefined : now + listed.coldForMs + (listed.coldForMs > 0 ? coldMarginMs : 0) as Millis;
 		this.#goneAt = listed.goneInMs === undefined ? undefined : now + listed.goneInMs as Millis;
 		this.sign(listed.sequence);
--- a/src/core/edge/region-choice.ts
+++ b/src/core/edge/region-choice.ts
@@ -100,7 +100,11 @@
 	}
 
 	#sentTokens(region: Region, service: ServiceName, now: Millis): number {
-		const sent = this.#sent.get(`${region} ${service}`) ?? [];
-		return sent.reduce((sum, {at, tokens}) => now - at < reportLagMs ? sum + tokens : sum, 0);
+		let sum = 0;
+		for (const {at, tokens} of this.#sent.get(`${region} ${service}`) ?? []) {
+			sum += now - at < reportLagMs ? tokens : 0;
+		}
+
+		return sum;
 	}
 }
--- a/src/core/edge/request-desk.ts
+++ b/src/core/edge/request-desk.ts
@@ -2,15 +2,14 @@
 import type {Random} from '../common/random.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
-import type {Region} from '../ids/region.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {RouteTable} from '../routes/route-table.ts';
 import type {AnswerHead} from './answer-head.ts';
+import {AttemptDesk} from './attempt-desk.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {EdgeRequest} from './edge-request.ts';
-import type {PlacementCandidate} from './placement-candidate.ts';
 import type {PlacementRule} from './placement-rule.ts';
 import type {RegionChoice} from './region-choice.ts';
 import type {RepeatBudget} from './repeat-budget.ts';
@@ -41,15 +40,13 @@
 export class RequestDesk {
 	readonly #options: RequestDeskOptions;
 	readonly #records = new Map<RequestId, RequestRecord>();
-	readonly #byAttempt = new Map<AttemptNumber, RequestRecord>();
-	#lastAttempt = 0;
+	readonly #attempts: AttemptDesk;
 	#shut = false;
 	#placeable = false;
-	/** The record whose next send is paid for already. */
-	#budgeted: RequestRecord | undefined;
 
 	constructor(options: RequestDeskOptions) {
 		this.#options = options;
+		this.#attempts = new AttemptDesk(options);
 	}
 
 	get inFlight(): number {
@@ -71,7 +68,9 @@
 		const early = this.#refusedEarly(req, table);
 		if (early !== undefined) {
 			this.#options.queue.push({type: 'refuse', requestId: req.requestId, refusal: early});
-			this.#options.queue.event('refused', {request: req.callerKey, ...early, path: req.path, version: table?.version});
+			this.#options.queue.event('refused', {
+				request: req.callerKey, ...early, path: req.path, version: table?.version,
+			});
 			return;
 		}
 
@@ -89,6 +88,7 @@
 			sends: 0,
 			awayRuns: 0,
 			mayHaveRun: false,
+			repeatPaid: false,
 			passing: false,
 			lastEventId: req.resumeAfter,
 		};
@@ -107,13 +107,13 @@
 			this.#options.queue.push({type: 'cancel', attempt: running.attempt});
 		}
 
-		this.#options.queue.event('caller-gone', {request: record.req.callerKey, afterMs: Math.round(now - record.req.arrivedAt), target: running?.targetId ?? running?.away?.region});
+		this.#options.queue.event('caller-gone', {request: record.req.callerKey, afterMs: Math.round(now - record.req.arrivedAt), target: placeOf(record)});
 		this.#stopAttempt(record);
 		this.#forget(record);
 	}
 
 	head(attempt: AttemptNumber, head: AnswerHead, now: Millis): void {
-		const record = this.#byAttempt.get(attempt);
+		const record = this.#attempts.recordOf(attempt);
 		const running = record?.running;
 		if (record === undefined || running === undefined) {
 			return;
@@ -132,31 +132,29 @@
 		}
 
 		const good = head.status >= 200 && head.status < 300;
-		if (record.route.kind !== 'stream' && good) {
-			target?.started(attempt, now);
-			target?.callMs.add(now - running.sentAt);
+		if (!good) {
+			this.#badHead(record, head, now);
+			return;
 		}
 
-		if (good && !head.signed) {
+		if (!head.signed) {
 			this.#options.queue.push({type: 'cancel', attempt});
 			this.#attemptFailed(record, 'unsigned answer', now);
 			return;
 		}
 
-		if (good && record.route.kind === 'stream') {
+		if (record.route.kind === 'stream') {
 			record.passing = true;
 			this.#options.queue.push({type: 'pass', requestId: record.req.requestId, attempt});
 			return;
 		}
 
-		if (!good && (record.passing || (head.status >= 500 && this.#canRepeatNow(record, now)))) {
-			this.#options.queue.push({type: 'cancel', attempt});
-			this.#attemptFailed(record, `status ${head.status}`, now);
-		}
+		target?.started(attempt, now);
+		target?.callMs.add(now - running.sentAt);
 	}
 
 	events(attempt: AttemptNumber, {count, lastId}: {count: number; lastId?: string}, now: Millis): void {
-		const record = this.#byAttempt.get(attempt);
+		const record = this.#attempts.recordOf(attempt);
 		const running = record?.running;
 		if (record === undefined || running === undefined) {
 			return;
@@ -176,7 +174,7 @@
 	}
 
 	ended(attempt: AttemptNumber, now: Millis): void {
-		const record = this.#byAttempt.get(attempt);
+		const record = this.#attempts.recordOf(attempt);
 		if (record === undefined) {
 			return;
 		}
@@ -185,14 +183,21 @@
 		this.#options.queue.push({type: 'complete', requestId: req.requestId, attempt});
 		this.#options.queue.count('answers', route.kind);
 		this.#options.queue.event('answered', {
-			request: req.callerKey, route: route.name, service, status: running?.head?.status, target: running?.targetId ?? running?.away?.region, sends: record.sends, tookMs: Math.round(now - req.arrivedAt), predictedMs: Math.round(running?.predictedMs ?? 0),
+			request: req.callerKey,
+			route: route.name,
+			service,
+			status: running?.head?.status,
+			target: placeOf(record),
+			sends: record.sends,
+			tookMs: Math.round(now - req.arrivedAt),
+			predictedMs: Math.round(running?.predictedMs ?? 0),
 		});
 		this.#stopAttempt(record);
 		this.#forget(record);
 	}
 
 	failed(attempt: AttemptNumber, failure: AttemptFailure, now: Millis): void {
-		const record = this.#byAttempt.get(attempt);
+		const record = this.#attempts.recordOf(attempt);
 		const running = record?.running;
 		if (record === undefined || running === undefined) {
 			return;
@@ -207,7 +212,7 @@
 		if (failure.notSent) {
 			record.sends -= 1;
 			this.#stopAttempt(record);
-			this.#options.queue.event('attempt-not-sent', {request: record.req.callerKey, target: running.targetId ?? running.away?.region, reason: failure.reason});
+			this.#options.queue.event('attempt-not-sent', {request: record.req.callerKey, target: placeOf(record), reason: failure.reason});
 			this.#place(record, now);
 			return;
 		}
@@ -236,19 +241,22 @@
 		this.#placeable = false;
 		const {waiting} = this.#options;
 		for (const service of waiting.services()) {
-			let looked = 0;
-			for (const record of waiting.list(service)) {
-				looked += 1;
-				if (looked > placementsPerStep) {
-					break;
-				}
-
-				waiting.remove(record);
-				this.#place(record, now);
-				if (waiting.has(record.req.requestId)) {
-					break;
-				}
+			this.#placeWaiting(waiting.list(service).slice(0, placementsPerStep), now);
+		}
+	}
+
+	/** Places waiting requests in their order up to the first that must go on waiting; those behind it that are hopeless are refused at once. */
+	#placeWaiting(records: readonly RequestRecord[], now: Millis): void {
+		const {waiting, placement} = this.#options;
+		let blocked = false;
+		for (const record of records) {
+			if (blocked && placement.decide(record, now).type !== 'refuse') {
+				continue;
 			}
+
+			waiting.remove(record);
+			this.#place(record, now);
+			blocked ||= waiting.has(record.req.requestId);
 		}
 	}
 
@@ -280,12 +288,12 @@
 		const decision = placement.decide(record, now);
 		switch (decision.type) {
 			case 'target': {
-				this.#send(record, decision.candidate, now);
+				this.#attempts.send(record, decision.candidate, now);
 				break;
 			}
 
 			case 'away': {
-				this.#sendAway(record, decision, now);
+				this.#attempts.sendAway(record, decision, now);
 				break;
 			}
 
@@ -301,77 +309,34 @@
 		}
 	}
 
-	#send(record: RequestRecord, {target, startMs, uncachedTokens, aheadTokens, memoryTokens}: PlacementCandidate, now: Millis): void {
-		const {req, service} = record;
-		const {targetId, address} = target.listed;
-		if (record.sends === 0) {
-			this.#options.budget.request(service, now);
+	/** A target's failure is the caller's answer, unless another target may still do better. */
+	#badHead(record: RequestRecord, {status}: AnswerHead, now: Millis): void {
+		if (record.passing || (status >= 500 && this.#canRepeatNow(record, now))) {
+			this.#options.queue.push({type: 'cancel', attempt: record.running!.attempt});
+			this.#attemptFailed(record, `status ${status}`, now);
 		}
-
-		const attempt = this.#nextAttempt(record);
-		target.attempts.set(attempt, {
-			sentAt: now, uncachedTokens, aheadTokens, memoryTokens, outputTokens: req.prompt?.outputTokens ?? 0,
-		});
-		if (req.prompt !== undefined) {
-			target.prefixes.used(req.prompt, record.table.service(service)?.engine?.cacheTokens ?? 0);
-		}
-
-		record.running = {
-			attempt, sentAt: now, targetId, predictedMs: startMs, progressAt: now, events: 0,
-		};
-		this.#start(record, {attempt, address, targetId}, now);
-	}
-
-	#sendAway(record: RequestRecord, {region, address, startMs}: {region: Region; address: string; startMs: number}, now: Millis): void {
-		const attempt = this.#nextAttempt(record);
-		this.#options.regions.sent({region, service: record.service, prompt: record.req.prompt}, now);
-		this.#options.queue.count('away', region);
-		record.running = {
-			attempt, sentAt: now, away: {region, address}, predictedMs: startMs, progressAt: now, events: 0,
-		};
-		this.#start(record, {attempt, address}, now);
-	}
-
-	#start(record: RequestRecord, to: Pick<EdgeAction & {type: 'start'}, 'attempt' | 'address' | 'targetId'>, now: Millis): void {
-		const {req, route, table} = record;
-		record.sends += 1;
-		this.#options.queue.push({
-			type: 'start',
-			...to,
-			requestId: req.requestId,
-			deadlineMs: Math.max(1, Math.floor(record.deadlineAt - now)),
-			urgency: Math.min(9, (route.priority * 2) + 1),
-			stream: route.kind === 'stream',
-			resumeAfter: record.lastEventId,
-			documentVersion: table.version,
-		});
-	}
-
-	#nextAttempt(record: RequestRecord): AttemptNumber {
-		this.#lastAttempt += 1;
-		const attempt = this.#lastAttempt as AttemptNumber;
-		this.#byAttempt.set(attempt, record);
-		return attempt;
 	}
 
 	/** The target or the other region's entry vouches that the request has not run. */
 	#notRun(record: RequestRecord, head: AnswerHead, now: Millis): void {
 		const {running} = record;
 		const {pool, regions, queue} = this.#options;
-		queue.event('attempt-not-run', {request: record.req.callerKey, target: running!.targetId ?? running!.away?.region, status: head.status});
-		if (running!.away !== undefined) {
-			regions.refused(running!.away.address, record.service, now);
-			record.sends -= 1;
-		} else if (running!.targetId !== undefined) {
-			record.tried.add(running!.targetId);
-			const target = pool.get(running!.targetId);
+		queue.event('attempt-not-run', {request: record.req.callerKey, target: placeOf(record), status: head.status});
+		const target = running?.targetId === undefined ? undefined : pool.get(running.targetId);
+		if (target !== undefined) {
+			record.tried.add(target.listed.targetId);
 			if (head.status === misdirected) {
-				target?.suspend(now);
+				target.suspend(now);
 			} else {
-				target?.full(now);
+				target.full(now);
 			}
 		}
 
+		if (running?.away !== undefined) {
+			regions.refused(running.away.address, record.service, now);
+			record.sends -= 1;
+		}
+
 		record.retryAfterMs = head.retryAfterMs ?? record.retryAfterMs;
 		this.#stopAttempt(record);
 		this.#place(record, now);
@@ -380,17 +345,17 @@
 	/** An attempt that may have run gave no answer: another one if that is allowed, else an honest end. */
 	#attemptFailed(record: RequestRecord, reason: string, now: Millis): void {
 		const {running, req} = record;
-		if (running?.targetId !== undefined) {
+		if (running?.targetId === undefined) {
+			record.awayRuns += 1;
+		} else {
 			record.ranOn.add(running.targetId);
 			record.tried.add(running.targetId);
-		} else {
-			record.awayRuns += 1;
 		}
 
 		record.mayHaveRun = true;
 		this.#options.queue.count('attempt_failures', reason);
 		this.#options.queue.event('attempt-failed', {
-			request: req.callerKey, target: running?.targetId ?? running?.away?.region, reason, events: running?.events, afterMs: Math.round(now - (running?.sentAt ?? now)),
+			request: req.callerKey, target: placeOf(record), reason, events: running?.events, afterMs: Math.round(now - (running?.sentAt ?? now)),
 		});
 		this.#stopAttempt(record);
 		this.#place(record, now);
@@ -416,9 +381,8 @@
 			this.#options.pool.get(running.targetId)?.suspend(now);
 		}
 
-		this.#budgeted = record;
+		record.repeatPaid = true;
 		this.#attemptFailed(record, 'stalled', now);
-		this.#budgeted = undefined;
 	}
 
 	#canRepeat(record: RequestRecord, now: Millis): boolean {
@@ -426,7 +390,8 @@
 			return false;
 		}
 
-		return this.#budgeted === record || this.#options.budget.withdraw(record.service, this.#options.regions.entries, now);
+		record.repeatPaid ||= this.#options.budget.withdraw(record.service, this.#options.regions.entries, now);
+		return record.repeatPaid;
 	}
 
 	/** Whether a failed answer may be thrown away for another try. */
@@ -448,31 +413,30 @@
 	#giveUp(record: RequestRecord, reason: EdgeRefusal['reason'], now: Millis): void {
 		const {req, route, mayHaveRun, sends, retryAfterMs} = record;
 		const refusal: EdgeRefusal = {
-			reason: mayHaveRun && reason !== 'timeout' ? 'target-failed' : reason,
+			reason: finalReason(reason, mayHaveRun),
 			ran: mayHaveRun ? 'maybe' : 'no',
 			retryAfterMs: mayHaveRun ? undefined : retryAfterMs ?? retryAfter(500, this.#options.random),
 		};
 		this.#options.queue.push({type: 'refuse', requestId: req.requestId, refusal});
 		this.#options.queue.count('refusals', refusal.reason);
 		this.#options.queue.event('refused', {
-			request: req.callerKey, route: route.name, service: record.service, ...refusal, sends, passing: record.passing, afterMs: Math.round(now - req.arrivedAt), leftMs: Math.round(record.deadlineAt - now),
+			request: req.callerKey,
+			route: route.name,
+			service: record.service,
+			...refusal,
+			sends,
+			passing: record.passing,
+			afterMs: Math.round(now - req.arrivedAt),
+			leftMs: Math.round(record.deadlineAt - now),
 		});
 		this.#forget(record);
 	}
 
 	#stopAttempt(record: RequestRecord): void {
-		const {running} = record;
-		if (running === undefined) {
-			return;
-		}
-
-		this.#byAttempt.delete(running.attempt);
-		if (running.targetId !== undefined) {
-			this.#options.pool.get(running.targetId)?.attempts.delete(running.attempt);
+		if (record.running !== undefined) {
+			this.#attempts.stop(record);
+			this.#placeable = true;
 		}
-
-		record.running = undefined;
-		this.#placeable = true;
 	}
 
 	#forget(record: RequestRecord): void {
@@ -481,6 +445,15 @@
 	}
 }
 
+/** What may have run is never refused as not run, and what has not run never as failed. */
+function finalReason(reason: EdgeRefusal['reason'], mayHaveRun: boolean): EdgeRefusal['reason'] {
+	if (mayHaveRun) {
+		return reason === 'timeout' ? reason : 'target-failed';
+	}
+
+	return reason === 'target-failed' ? 'overloaded' : reason;
+}
+
 /** The record as it would be if the attempt that is under way had failed. */
 function failedNow(record: RequestRecord): RequestRecord {
 	const {running, ranOn, awayRuns} = record;
@@ -491,3 +464,8 @@
 		awayRuns: awayRuns + (running?.away === undefined ? 0 : 1),
 	};
 }
+
+/** The target or region that a request is at, for logs. */
+function placeOf({running}: RequestRecord): string | undefined {
+	return running?.targetId ?? running?.away?.region;
+}
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -42,6 +42,8 @@
 	/** Times that an entry of another region took it, which may have run it. */
 	awayRuns: number;
 	mayHaveRun: boolean;
+	/** True if its next send is paid for out of the budget of repeats. */
+	repeatPaid: boolean;
 	/** True once a head was passed to the caller: nothing but events may follow. */
 	passing: boolean;
 	/** Id of the last event that the caller has. */
--- a/src/core/registry/target-registry.ts
+++ b/src/core/registry/target-registry.ts
@@ -11,6 +11,12 @@
 /** Reports that a target may miss before it counts as lost. */
 const missedReports = 3.5;
 
+type Hearing = {
+	/** True if the report came to this node itself and not through another. */
+	readonly direct?: boolean;
+	readonly ageMs?: number;
+};
+
 type TargetRegistryOptions = {
 	/** Time between two reports of a target, in milliseconds. */
 	readonly reportEveryMs: number;
@@ -25,6 +31,8 @@
 export class TargetRegistry {
 	readonly #options: TargetRegistryOptions;
 	readonly #entries = new Map<TargetId, TargetEntry>();
+	/** Targets whose silence entries have been told of. */
+	readonly #toldLost = new Set<TargetId>();
 	#revision = 0;
 
 	constructor(options: TargetRegistryOptions) {
@@ -37,9 +45,9 @@
 	}
 
 	/** Takes a report that was sent `ageMs` ago; returns whether it changed anything but the target's last sign of life. */
-	report(report: TargetReport, now: Millis, {direct = true, ageMs = 0}: {direct?: boolean; ageMs?: number} = {}): boolean {
+	report(report: TargetReport, now: Millis, {direct = true, ageMs = 0}: Hearing = {}): boolean {
 		const known = this.#entries.get(report.targetId);
-		if (report.state === 'leaving' && known !== undefined && !known.ended && report.born >= known.report.born) {
+		if (report.state === 'leaving' && known?.ended === false && report.born >= known.report.born) {
 			// Also under a number that is known: the target withdrew at another node after it.
 			this.#end(known, direct);
 			known.heardAt = Math.max(known.heardAt, now - ageMs) as Millis;
@@ -48,28 +56,14 @@
 		}
 
 		const region = this.#options.regionOf(report.zone);
-		if (region === undefined || (known !== undefined && !isNewer(report, known.report))) {
+		const older = known ? !isNewer(report, known.report) : false;
+		if (region === undefined || older || this.#addressTaken(report, known)) {
 			return false;
 		}
 
-		if (this.#addressTaken(report, known)) {
-			return false;
-		}
-
-		const sentAt = now - ageMs as Millis;
-		const sameLife = known !== undefined && known.report.born === report.born;
-		const ended = (sameLife && known.ended) || report.state === 'leaving';
-		const entry: TargetEntry = {
-			report: ended ? {...report, state: 'leaving'} : report,
-			region,
-			heardAt: sentAt,
-			coldUntil: sentAt + report.coldMs as Millis,
-			goneAt: report.goneInMs === undefined ? (sameLife ? known.goneAt : undefined) : sentAt + report.goneInMs as Millis,
-			coldUnknownSince: known?.coldUnknownSince !== undefined && sentAt <= known.coldUnknownSince ? known.coldUnknownSince : undefined,
-			ended,
-			revision: known?.revision ?? 0,
-			direct,
-		};
+		const entry = newEntry(report, {
+			known, region, direct, sentAt: now - ageMs as Millis,
+		});
 		this.#entries.set(report.targetId, entry);
 		const changed = known === undefined || this.#differs(known, entry, now);
 		if (changed) {
@@ -110,16 +104,14 @@
 	/** A target said that it goes: nothing of this incarnation counts any more. */
 	withdraw(targetId: TargetId, wallClock: number, now: Millis): boolean {
 		const known = this.#entries.get(targetId);
-		if (known === undefined || known.ended) {
-			if (known === undefined) {
-				this.#rememberUnknown(targetId, wallClock, now);
-			}
-
-			return false;
+		if (known === undefined) {
+			this.#rememberUnknown(targetId, wallClock, now);
+		} else if (!known.ended) {
+			this.#end(known, true);
+			return true;
 		}
 
-		this.#end(known, true);
-		return true;
+		return false;
 	}
 
 	/** Targets of a zone may have become cold: they are spared until they have reported after `now`. */
@@ -186,8 +178,6 @@
 			.map(({region, report}) => ({region, report}));
 	}
 
-	readonly #toldLost = new Set<TargetId>();
-
 	#listed(entry: TargetEntry, now: Millis): ListedTarget {
 		const {coldMs: _, goneInMs: __, ...report} = entry.report;
 		return {
@@ -270,3 +260,23 @@
 function isNewer(report: TargetReport, known: TargetReport): boolean {
 	return report.born > known.born || (report.born === known.born && report.sequence > known.sequence);
 }
+
+type EntryFacts = {readonly known: TargetEntry | undefined; readonly region: Region; readonly direct: boolean; readonly sentAt: Millis};
+
+/** What is kept of a report; an incarnation that is leaving or possibly cold stays so. */
+function newEntry(report: TargetReport, {known, region, direct, sentAt}: EntryFacts): TargetEntry {
+	const earlier = known?.report.born === report.born ? known : undefined;
+	const ended = earlier?.ended === true || report.state === 'leaving';
+	const coldSince = known?.coldUnknownSince;
+	return {
+		report: ended ? {...report, state: 'leaving'} : report,
+		region,
+		heardAt: sentAt,
+		coldUntil: sentAt + report.coldMs as Millis,
+		goneAt: report.goneInMs === undefined ? earlier?.goneAt : sentAt + report.goneInMs as Millis,
+		coldUnknownSince: coldSince !== undefined && sentAt <= coldSince ? coldSince : undefined,
+		ended,
+		revision: known?.revision ?? 0,
+		direct,
+	};
+}
--- a/src/server/event-log.ts
+++ b/src/server/event-log.ts
@@ -1,4 +1,6 @@
-import {destination as openDestination, pino, stdTimeFunctions, type Logger} from 'pino';
+import {
+	destination as openDestination, pino, stdTimeFunctions, type Logger,
+} from 'pino';
 
 /** Bytes of log lines that wait for a slow reader at most; lines beyond are left out and counted. */
 const maxBufferedBytes = 262_144;
--- a/src/server/routes/control-dialect.ts
+++ b/src/server/routes/control-dialect.ts
@@ -15,6 +15,8 @@
 /** How operators, targets and callers of the directory write their calls and read the answers. */
 export interface ControlDialect {
 	readonly parseDocument: ParseDocument;
+	/** Path on which an entry is asked whether it is ready. */
+	readonly readinessPath: string;
 	/** What a call asks for; undefined for a path that is not known. */
 	call(method: string, url: string): ControlCall | undefined;
 	/** Reads a target's report; undefined if it cannot be used. */
@@ -24,6 +26,4 @@
 	/** Reads a caller's question where to connect; undefined for another path. */
 	directoryQuery(url: string): {region?: Region; zone?: Zone} | undefined;
 	directoryAnswer(addresses: readonly string[], ttlMs: number): string;
-	/** Path on which an entry is asked whether it is ready. */
-	readonly readinessPath: string;
 }
--- a/src/server/routes/control-listeners.ts
+++ b/src/server/routes/control-listeners.ts
@@ -129,7 +129,9 @@
 						type: 'evacuation', zone, active, basis: core.evacuationBasis(zone),
 					},
 				});
-				this.#options.log.write('operator-call', {call: 'evacuation', zone, active, answer});
+				this.#options.log.write('operator-call', {
+					call: 'evacuation', zone, active, answer,
+				});
 				this.#acknowledge(res, answer);
 				break;
 			}
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -8,7 +8,7 @@
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
 import {CryptoRandom} from '../crypto-random.ts';
 import type {EventLog} from '../event-log.ts';
-import {DataFolder} from '../journal/data-folder.ts';
+import {type DataFolder} from '../journal/data-folder.ts';
 import {Metrics} from '../metrics.ts';
 import {ControlListeners} from './control-listeners.ts';
 import type {Dialect} from './dialect.ts';
