fix(routing): a stalled target keeps its request while there is no other place; no crash on a foreign answer

Cause: found by the new tests of the whole path on loopback. An answer to another request ended the entry's process: its body was destroyed with nobody listening for the error. Change: bodies always have a listener; a stall counts only while another place exists.

--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -23,7 +23,6 @@
 
 /** A target of this entry's region: what control lists of it, what this entry has there, and what was learnt of it. */
 export class PooledTarget {
-	#listed: ListedTarget;
 	readonly attempts = new Map<AttemptNumber, PooledAttempt>();
 	readonly prefixes = new PrefixMemory();
 	/** Prompt tokens read in a millisecond. The start is a middling engine's of the first deployments. */
@@ -41,6 +40,7 @@
 		weight: 0.1, initial: 60, min: 1, max: 2000,
 	});
 
+	#listed: ListedTarget;
 	#coldUntil: Millis | undefined;
 	#goneAt: Millis | undefined;
 	#sign: number;
--- a/src/core/edge/request-desk.ts
+++ b/src/core/edge/request-desk.ts
@@ -367,12 +367,17 @@
 			return;
 		}
 
-		if (!mayRepeat(failedNow(record))) {
+		const failed = failedNow(record);
+		if (!mayRepeat(failed)) {
 			return;
 		}
 
 		const limitMs = stallMs(record.route, {predictedMs: running.predictedMs, events: running.events, away: running.away !== undefined});
-		if (now - running.progressAt <= limitMs || !this.#options.budget.withdraw(record.service, this.#options.regions.entries, now)) {
+		if (now - running.progressAt <= limitMs || !this.#hasOtherPlace(failed, now)) {
+			return;
+		}
+
+		if (!this.#options.budget.withdraw(record.service, this.#options.regions.entries, now)) {
 			return;
 		}
 
@@ -385,6 +390,12 @@
 		this.#attemptFailed(record, 'stalled', now);
 	}
 
+	/** A target that stalls keeps its request while no other place could take it. */
+	#hasOtherPlace(failed: RequestRecord, now: Millis): boolean {
+		const {type} = this.#options.placement.decide(failed, now);
+		return type === 'target' || type === 'away';
+	}
+
 	#canRepeat(record: RequestRecord, now: Millis): boolean {
 		if (!mayRepeat(record)) {
 			return false;
@@ -456,11 +467,12 @@
 
 /** The record as it would be if the attempt that is under way had failed. */
 function failedNow(record: RequestRecord): RequestRecord {
-	const {running, ranOn, awayRuns} = record;
+	const {running, ranOn, tried, awayRuns} = record;
 	return {
 		...record,
 		mayHaveRun: true,
 		ranOn: running?.targetId === undefined ? ranOn : new Set([...ranOn, running.targetId]),
+		tried: running?.targetId === undefined ? tried : new Set([...tried, running.targetId]),
 		awayRuns: awayRuns + (running?.away === undefined ? 0 : 1),
 	};
 }
--- a/src/core/registry/target-registry.ts
+++ b/src/core/registry/target-registry.ts
@@ -76,8 +76,9 @@
 	/** Takes a sign of life of a target whose report is known; false if it is not. */
 	alive(targetId: TargetId, sign: {born: number; sequence: number; ageMs: number}, now: Millis): boolean {
 		const known = this.#entries.get(targetId);
-		if (known === undefined || known.report.born !== sign.born) {
-			return known !== undefined && known.report.born > sign.born;
+		if (known?.report.born !== sign.born) {
+			// A later incarnation is known: the sign is an old one.
+			return (known?.report.born ?? Number.NEGATIVE_INFINITY) > sign.born;
 		}
 
 		if (sign.sequence <= known.report.sequence) {
--- a/src/server/routes/target-answer.ts
+++ b/src/server/routes/target-answer.ts
@@ -55,6 +55,8 @@
 	/** Reads an answer to its end. */
 	async read(res: Dispatcher.ResponseData): Promise<void> {
 		const {action: {attempt}, exchange, dialect, step} = this.#options;
+		// A body that nobody reads any more fails without anybody to tell.
+		res.body.on('error', () => undefined);
 		this.#status = res.statusCode;
 		this.#headers = res.headers as unknown as string[];
 		const {head, key} = dialect.readAnswer(res.statusCode, this.#headers);
--- /dev/null
+++ b/test/fakes/platform-engine.ts
@@ -0,0 +1,109 @@
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+
+/** How the stand-in answers: `cut` breaks a stream off after two events, `reset` breaks a call off before its answer. */
+type Manner = 'well' | 'cut' | 'reset' | 'full' | 'silent' | 'foreign' | 'unsigned';
+
+type Seen = {readonly method: string; readonly path: string; readonly headers: IncomingMessage['headers']; readonly body: string};
+
+/** Events of a whole stream. */
+const eventCount = 6;
+
+/** A small engine and service that speaks the platform's protocol towards callers. */
+export class PlatformEngine {
+	manner: Manner = 'well';
+	/** Requests that reached it, in order. */
+	readonly seen: Seen[] = [];
+	/** Requests whose connection closed before their answer ended. */
+	dropped = 0;
+	readonly identifier: string;
+	readonly #server: Server;
+	readonly #sockets = new Set<Socket>();
+
+	constructor(identifier: string) {
+		this.identifier = identifier;
+		this.#server = createServer((req, res) => {
+			void this.#handle(req, res);
+		});
+		this.#server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.on('close', () => this.#sockets.delete(socket));
+		});
+	}
+
+	get address(): string {
+		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	async listen(): Promise<void> {
+		return new Promise(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+	}
+
+	async close(): Promise<void> {
+		this.#server.closeAllConnections();
+		return new Promise(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+		});
+	}
+
+	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const chunks: Buffer[] = [];
+		for await (const chunk of req) {
+			chunks.push(chunk as Buffer);
+		}
+
+		const {manner} = this;
+		this.seen.push({
+			method: req.method!, path: req.url!, headers: req.headers, body: Buffer.concat(chunks).toString('utf8'),
+		});
+		res.on('close', () => {
+			this.dropped += res.writableFinished ? 0 : 1;
+		});
+		if (manner === 'silent') {
+			return;
+		}
+
+		if (manner === 'reset') {
+			req.socket.resetAndDestroy();
+			return;
+		}
+
+		if (manner === 'full') {
+			res.writeHead(503, {'not-executed': '1', 'request-identifier': req.headers['request-identifier']}).end();
+			return;
+		}
+
+		const headers = {
+			'request-identifier': manner === 'foreign' ? 'another' : req.headers['request-identifier'],
+			...manner === 'unsigned' ? {} : {'server-signature': `${this.identifier}.sig`},
+			'server-load': '1,0,6',
+		};
+		if (req.headers['token-counts'] === undefined) {
+			res.writeHead(200, headers).end(`answer of ${this.identifier}`);
+			return;
+		}
+
+		res.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
+		const first = Number(req.headers['last-event-id'] ?? 0) + 1;
+		for (let id = first; id <= eventCount; id++) {
+			if (manner === 'cut' && id === first + 2) {
+				res.write(`id: ${id}\ndata: half`);
+				setTimeout(() => {
+					req.socket.resetAndDestroy();
+				}, 30);
+				return;
+			}
+
+			res.write(`id: ${id}\ndata: piece ${id}\n\n`);
+		}
+
+		res.end();
+	}
+}
--- /dev/null
+++ b/test/platform/platform-requests.test.ts
@@ -0,0 +1,56 @@
+import test from 'ava';
+import {platformRequests} from '../../platform/platform-requests.ts';
+import {toId} from '../../src/core/ids/to-id.ts';
+
+const options = {deadlineMs: 1500, targetId: toId<never>('i-7'), urgency: 3};
+
+function headOf(rawHeaders: readonly string[]) {
+	return platformRequests.readRequest({method: 'POST', url: '/lohu930/2f?x=1', rawHeaders});
+}
+
+function pairs(headers: readonly string[]): ReadonlyArray<readonly [string, string]> {
+	return Array.from({length: headers.length / 2}, (_, index) => [headers[2 * index]!.toLowerCase(), headers[(2 * index) + 1]!] as const);
+}
+
+test('a request\'s headers are read once', t => {
+	const head = headOf(['Host', 'ficu95.example', 'Request-Identifier', 'abc', 'Deadline-Milliseconds', '12000', 'Token-Counts', '1460,80', 'Prompt-Prefix', '5c1e07a2:800,91bd3f06:410,e4402b7d:250', 'Last-Event-Id', '12']);
+	t.like(head, {
+		host: 'ficu95.example', key: 'abc', budgetMs: 12_000, resumeAfter: '12', path: '/lohu930/2f?x=1',
+	});
+	t.deepEqual(head.prompt, {
+		promptTokens: 1460, outputTokens: 80, parts: [{id: '5c1e07a2', tokens: 800}, {id: '91bd3f06', tokens: 410}, {id: 'e4402b7d', tokens: 250}],
+	});
+});
+
+test('odd or missing values say nothing', t => {
+	const head = headOf(['Deadline-Milliseconds', 'soon', 'Token-Counts', 'many', 'Prompt-Prefix', ':::,zz:1']);
+	t.is(head.budgetMs, undefined);
+	t.is(head.prompt, undefined);
+	t.is(head.key, '');
+});
+
+test('what is the system\'s to set, and what concerns one connection, does not reach a target', t => {
+	const kept = ['Model', 'm', 'X-Custom', '1', 'x-custom', '2'];
+	const dropped = ['Hold', 'h', 'pin-milliseconds', '900', 'Cache-Backup', '10.0.0.1:80', 'KV-FROM', 'x', 'Kv-Fetch', 'x', 'Request-Priority', '0', 'Expected-Instance', 'i-0', 'Expected-Version', '9', 'Lovageferry-Relayed', 'x;1', 'Connection', 'keep-alive, X-Hop', 'X-Hop', '1', 'Transfer-Encoding', 'chunked', 'Content-Length', '5', 'Expect', '100-continue', 'Keep-Alive', '5', 'TE', 'x', 'Upgrade', 'x'];
+	const headers = pairs(platformRequests.outgoingHeaders(headOf([...dropped, ...kept]), options));
+	t.deepEqual(headers, [['model', 'm'], ['x-custom', '1'], ['x-custom', '2'], ['deadline-milliseconds', '1500'], ['expected-instance', 'i-7']]);
+});
+
+test('a resumed stream names the last event that was passed on, once', t => {
+	const head = headOf(['Last-Event-Id', '4', 'Token-Counts', '10,10']);
+	const headers = pairs(platformRequests.outgoingHeaders(head, {...options, resumeAfter: '9'}));
+	t.deepEqual(headers.filter(([name]) => name === 'last-event-id'), [['last-event-id', '9']]);
+	t.deepEqual(headers.filter(([name]) => name === 'request-priority'), [['request-priority', '3']]);
+});
+
+test('an answer\'s head is read, and the caller gets it without what concerns the connection', t => {
+	const raw = ['Request-Identifier', 'abc', 'Server-Signature', '3e1b', 'Server-Load', '3,1,8', 'Retry-After', '0.5', 'Connection', 'close', 'Content-Length', '7', 'X-Engine', 'yes'];
+	const {head, key} = platformRequests.readAnswer(200, raw);
+	t.is(key, 'abc');
+	t.like(head, {
+		status: 200, signed: true, notRun: false, load: {running: 3, waiting: 1, slots: 8}, retryAfterMs: 500,
+	});
+	t.deepEqual(platformRequests.callerHeaders(raw), ['Request-Identifier', 'abc', 'Server-Signature', '3e1b', 'Retry-After', '0.5', 'X-Engine', 'yes']);
+	t.true(platformRequests.readAnswer(503, ['Not-Executed', '1']).head.notRun);
+	t.is(platformRequests.readAnswer(200, ['Server-Load', 'odd']).head.load, undefined);
+});
--- /dev/null
+++ b/test/platform/read-document.test.ts
@@ -0,0 +1,73 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {readDocument} from '../../platform/read-document.ts';
+import {documentProblems} from '../../src/core/routes/document-problems.ts';
+import {RouteTable} from '../../src/core/routes/route-table.ts';
+
+const route = {
+	name: 'r-1', host: 'ficu95.example', 'path-prefix': '/lohu930/', kind: 'streaming', 'timeout-ms': 12_000, 'target-latency-ms': 1200, priority: 1, 'traffic-split': [{service: 'huvo11a', weight: 90}, {service: 'wuno96b', weight: 10}], attempts: 2, 'sticky-sessions': true, resumable: true, 'target-gap-ms': 600, 'home-regions': ['muscat'],
+};
+const whole = {
+	version: 7,
+	routes: [route, {
+		...route, name: 'r-2', 'path-prefix': '/lohu930/2f/', kind: 'unsafe', 'traffic-split': undefined, service: 'wuno96b',
+	}],
+	services: [
+		{
+			name: 'huvo11a', 'connection-limit': 360, 'cold-start-s': 3, engine: {slots: 64, 'kv-cache-tokens': 425_000, stride: 8},
+		},
+		{name: 'wuno96b', 'connection-limit': 100, 'cold-start-s': 0},
+	],
+	limits: {
+		'max-header-bytes': 16_384, 'max-body-bytes': 4_194_304, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000,
+	},
+};
+
+function problemsOf(value: unknown): readonly string[] {
+	const result = readDocument(typeof value === 'string' ? value : JSON.stringify(value));
+	return 'problems' in result ? result.problems : documentProblems(result.document);
+}
+
+function tableOf(value: unknown): RouteTable {
+	const result = readDocument(JSON.stringify(value));
+	if ('problems' in result) {
+		throw new Error(result.problems.join());
+	}
+
+	return new RouteTable(result.document);
+}
+
+test('a whole configuration is valid, and the longest prefix selects the route', t => {
+	t.deepEqual(problemsOf(whole), []);
+	const table = tableOf(whole);
+	t.is(table.match('FICU95.example:80', '/lohu930/2f/x?y=/lohu930/')?.name, 'r-2');
+	t.is(table.match('ficu95.example', '/lohu930/2f')?.name, 'r-1');
+	t.is(table.match('ficu95.example', '/other/'), undefined);
+	t.is(table.match('other.example', '/lohu930/'), undefined);
+});
+
+test('a split follows its weights, and every entry picks the same service for a request', t => {
+	const table = tableOf(whole);
+	const [first] = table.document.routes;
+	const picks = Array.from({length: 2000}, (_, index) => table.pickService(first!, `request-${index}`));
+	const share = picks.filter(service => service === table.document.services[0]!.name).length / picks.length;
+	t.true(share > 0.87 && share < 0.93, String(share));
+	t.is(table.pickService(first!, 'request-5'), picks[5]!);
+});
+
+test('what makes a configuration invalid is named', t => {
+	t.is(problemsOf(JSON.stringify(whole).slice(0, -20)).length, 1);
+	t.regex(problemsOf({...whole, routes: [{...route, 'traffic-split': [{service: 'nobody', weight: 1}]}]}).join(), /nobody/v);
+	t.regex(problemsOf({...whole, routes: [route, {...route, name: 'r-3'}]}).join(), /same host and prefix/v);
+	t.regex(problemsOf({...whole, routes: [{...route, 'traffic-split': [{service: 'huvo11a', weight: 0}]}]}).join(), /weights/v);
+	t.regex(problemsOf({...whole, routes: [{...route, 'timeout-ms': 0}]}).join(), /timeout/v);
+	t.regex(problemsOf({...whole, routes: [{...route, kind: 'telepathy'}]}).join(), /telepathy/v);
+	t.true(problemsOf({routes: [], services: []}).length > 0);
+});
+
+test('whatever bytes come, nothing is thrown', t => {
+	fc.assert(fc.property(fc.oneof(fc.string(), fc.json(), fc.anything().map(value => JSON.stringify({...whole, routes: [value], services: value}) ?? '')), text => {
+		readDocument(text);
+	}), {seed: 11, numRuns: 500});
+	t.pass();
+});
--- /dev/null
+++ b/test/server/routes/routes-path.test.ts
@@ -0,0 +1,166 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {RoutesDeployment} from '../../fixtures/routes-deployment.ts';
+
+async function start(t: ExecutionContext, options: Parameters<typeof RoutesDeployment.start>[0]): Promise<RoutesDeployment> {
+	const deployment = await RoutesDeployment.start(options);
+	t.teardown(async () => deployment.close());
+	return deployment;
+}
+
+const streamHeaders = {'token-counts': '100,48', 'prompt-prefix': 'a1:60,b2:40', model: 'm'};
+
+test('a call reaches a target unchanged and its answer comes back unchanged', async t => {
+	const deployment = await start(t, {desk: ['d1']});
+	const [engine] = deployment.desk;
+	const res = await deployment.call({path: '/calls/7?x=%20y', headers: {'x-own': '1', hold: 'mine'}, body: 'artwork'});
+	t.is(res.statusCode, 200);
+	t.is(await res.body.text(), 'answer of d1');
+	t.is(res.headers['server-signature'], 'd1.sig');
+	t.is(res.headers['server-load'], undefined);
+	const [seen] = engine!.seen;
+	t.like(seen, {method: 'POST', path: '/calls/7?x=%20y', body: 'artwork'});
+	t.is(seen!.headers['x-own'], '1');
+	t.is(seen!.headers.hold, undefined);
+	t.is(seen!.headers['expected-instance'], 'd1');
+	t.true(Number(seen!.headers['deadline-milliseconds']) <= 3000);
+});
+
+test('a request that the target did not run is refused as such, with a time to come back', async t => {
+	const deployment = await start(t, {desk: ['d1']});
+	deployment.desk[0]!.manner = 'full';
+	const res = await deployment.call({path: '/orders/1', body: 'order'});
+	t.is(res.statusCode, 503);
+	t.true(Number(res.headers['retry-after']) > 0);
+	t.is(res.headers['server-signature'], undefined);
+	t.is(deployment.desk[0]!.seen.length, 1);
+	await res.body.dump();
+});
+
+test('an order whose connection broke is not sent again and promises nothing', async t => {
+	const deployment = await start(t, {desk: ['d1', 'd2']});
+	for (const engine of deployment.desk) {
+		engine.manner = 'reset';
+	}
+
+	const res = await deployment.call({path: '/orders/1', body: 'order'});
+	t.is(res.statusCode, 502);
+	t.is(deployment.desk.reduce((sum, engine) => sum + engine.seen.length, 0), 1);
+	await res.body.dump();
+});
+
+test('a safe call whose connection broke is answered by another target', async t => {
+	const deployment = await start(t, {desk: ['d1', 'd2']});
+	for (let round = 0; round < 6; round++) {
+		deployment.desk[0]!.manner = 'reset';
+		const res = await deployment.call(); // eslint-disable-line no-await-in-loop
+		t.is(await res.body.text(), 'answer of d2'); // eslint-disable-line no-await-in-loop
+	}
+});
+
+test('an answer to another request, or one that its target does not vouch for, is never passed on', async t => {
+	const deployment = await start(t, {desk: ['d1']});
+	for (const manner of ['foreign', 'unsigned'] as const) {
+		deployment.desk[0]!.manner = manner;
+		const res = await deployment.call({path: '/orders/1'}); // eslint-disable-line no-await-in-loop
+		t.is(res.statusCode, 502, manner);
+		t.false((await res.body.text()).includes('answer'), manner); // eslint-disable-line no-await-in-loop
+	}
+});
+
+test('a stream that breaks goes on at another engine, without a piece missing or twice', async t => {
+	const deployment = await start(t, {writers: ['w1', 'w2']});
+	deployment.writers[0]!.manner = 'cut';
+	deployment.writers[1]!.manner = 'cut';
+	const broken = await deployment.call({path: '/drafts/1', headers: streamHeaders});
+	await t.throwsAsync(broken.body.text());
+	deployment.writers[1]!.manner = 'well';
+	// An engine whose connection broke is spared until it reports again: calls may be refused until then.
+	const resumed = await deployment.until(async () => {
+		const res = await deployment.call({path: '/drafts/1', headers: streamHeaders});
+		const text = await res.body.text();
+		if (res.statusCode === 200) {
+			t.deepEqual([...text.matchAll(/^id: (\d+)$/gmv)].map(match => Number(match[1])), [1, 2, 3, 4, 5, 6]);
+			t.false(text.includes('half'));
+		}
+
+		return res.headers['server-signature'] === 'w1.sig';
+	});
+	t.true(resumed);
+	t.true(deployment.writers[1]!.seen.some(({headers}) => headers['last-event-id'] === '2'));
+});
+
+test('a caller that leaves stops its target\'s work at once', async t => {
+	const deployment = await start(t, {desk: ['d1']});
+	deployment.desk[0]!.manner = 'silent';
+	const abort = new AbortController();
+	const call = deployment.call({path: '/orders/1', signal: abort.signal});
+	t.true(await deployment.until(() => deployment.desk[0]!.seen.length === 1));
+	abort.abort();
+	await t.throwsAsync(call, {any: true});
+	await sleep(300);
+	t.is(deployment.desk[0]!.dropped, 1);
+});
+
+test('a request gets its final answer at its route\'s timeout', async t => {
+	const deployment = await start(t, {desk: ['d1']});
+	deployment.desk[0]!.manner = 'silent';
+	const before = performance.now();
+	const res = await deployment.call({path: '/orders/1', headers: {'deadline-milliseconds': '9000'}});
+	t.is(res.statusCode, 504);
+	t.true(performance.now() - before < 3500);
+	await res.body.dump();
+});
+
+test('a configuration is taken by its version, invalid ones are refused, and reads give it back whole', async t => {
+	const deployment = await start(t, {desk: ['d1']});
+	const third = deployment.configuration(3);
+	t.is((await deployment.operate('PUT', '/configuration', third)).status, 200);
+	t.is((await deployment.operate('PUT', '/configuration', deployment.configuration(2))).status, 200);
+	t.is((await deployment.operate('PUT', '/configuration', third.slice(0, -9))).status, 400);
+	const {status, body} = await deployment.operate('GET', '/configuration');
+	t.is(status, 200);
+	t.is(body, third);
+	t.is((await deployment.operate('GET', '/elsewhere')).status, 404);
+});
+
+test('a leaving, evacuated or unreadable target gets nothing, and the rest serve', async t => {
+	const deployment = await start(t, {desk: ['d1']});
+	t.is((await deployment.operate('PUT', '/instances/odd', '{"service":"desk"')).status, 400);
+	t.is((await deployment.operate('POST', '/evacuations/regina-a')).status, 200);
+	const refused = async () => {
+		const res = await deployment.call();
+		await res.body.dump();
+		return res.statusCode === 503;
+	};
+
+	t.true(await deployment.until(refused));
+	t.is((await deployment.operate('DELETE', '/evacuations/regina-a')).status, 200);
+	t.true(await deployment.until(async () => !await refused()));
+	deployment.stopReports();
+	t.is((await deployment.operate('DELETE', '/instances/d1')).status, 200);
+	t.true(await deployment.until(refused));
+});
+
+test('requests for no route are told so, and the directory names the entry', async t => {
+	const deployment = await start(t, {desk: ['d1']});
+	const res = await deployment.call({path: '/nowhere/1'});
+	t.is(res.statusCode, 404);
+	await res.body.dump();
+	const {status, body} = await deployment.resolve();
+	t.is(status, 200);
+	t.is((JSON.parse(body) as {addresses: string[]}).addresses.length, 1);
+});
+
+test('an entry that stops finishes what is in flight and is out of the directory', async t => {
+	const deployment = await start(t, {writers: ['w1']});
+	deployment.writers[0]!.manner = 'silent';
+	const call = deployment.call({path: '/drafts/1', headers: streamHeaders});
+	t.true(await deployment.until(() => deployment.writers[0]!.seen.length === 1));
+	const stopped = deployment.stopEntry();
+	t.true(await deployment.until(async () => (await deployment.resolve()).status === 503));
+	const res = await call;
+	t.is(res.statusCode, 504);
+	await res.body.dump();
+	await stopped;
+});
