--- a/src/command-line.ts
+++ b/src/command-line.ts
@@ -43,6 +43,14 @@
 			check(settings);
 		});
 
+	cli
+		.command('explain <request> [...logs]', 'Timeline and cause of one request, out of the structured logs of several processes')
+		.example('lovageferry explain 9c41d07be2a35f68 entry-1.log entry-2.log control-1.log')
+		.action(async (request: string, logs: string[]) => {
+			const {explain} = await import('./commands/explain.ts');
+			explain(request, logs);
+		});
+
 	const operatorCommand = (name: string, description: string) => cli
 		.command(name, description)
 		.option('--entry <address>', 'Entry to ask (ip:port); give it several times to try others', {default: '127.0.0.1:7101'})
--- /dev/null
+++ b/src/commands/read-log-lines.ts
@@ -0,0 +1,23 @@
+import type {LogLine} from './log-line.ts';
+
+/** Reads the structured lines of a log; what stands before the JSON of a line, and lines without any, are passed over. */
+export function readLogLines(text: string): readonly LogLine[] {
+	const lines: LogLine[] = [];
+	for (const line of text.split('\n')) {
+		const start = line.indexOf('{"level":');
+		if (start === -1) {
+			continue;
+		}
+
+		try {
+			const entry = JSON.parse(line.slice(start)) as LogLine;
+			if (typeof entry.time === 'string' && typeof entry.msg === 'string') {
+				lines.push(entry);
+			}
+		} catch {
+			// A line that was cut off says nothing.
+		}
+	}
+
+	return lines;
+}
--- /dev/null
+++ b/test/commands/explain-request.test.ts
@@ -0,0 +1,30 @@
+import test from 'ava';
+import {explainRequest} from '../../src/commands/explain-request.ts';
+
+const line = (time: string, node: string, event: string, fields: object) => JSON.stringify({
+	level: 30, time: `2026-12-04T01:00:${time}Z`, node, ...fields, msg: event,
+});
+
+const entry = [
+	line('00.100', 'entry-1', 'started', {role: 'entry'}),
+	line('00.400', 'entry-1', 'state-taken', {index: 7, version: 3, control: 'c1'}),
+	`  12.5 entry-1 ${line('03.000', 'entry-1', 'attempt-not-run', {request: 'r1', target: 'i-1', status: 503})}`,
+	line('03.100', 'entry-1', 'attempt-failed', {request: 'other', target: 'i-1', reason: 'reset'}),
+	line('03.900', 'entry-1', 'refused', {request: 'r1', reason: 'overloaded', ran: 'no'}),
+	'{"level":30,"time":"2026-12-04T01:00:04.0',
+].join('\n');
+const relay = line('03.500', 'entry-2', 'refused', {request: 'r1', reason: 'no-target', ran: 'no'});
+const control = line('03.200', 'control-1', 'target-withdrawn', {target: 'i-1'});
+
+test('lines of several processes make one timeline with the cause at its end', t => {
+	const lines = explainRequest('r1', [entry, relay, control]);
+	t.deepEqual(lines.map(text => text.split(' ').slice(1, 3).join(' ')), [
+		'entry-1 started', 'entry-1 state-taken', 'entry-1 attempt-not-run', 'entry-2 refused', 'entry-1 refused', 'no target',
+	]);
+	t.regex(lines[1]!, /version=3/v);
+	t.regex(lines.at(-1)!, /^cause: no target could start/v);
+});
+
+test('a request that no line names has no timeline', t => {
+	t.deepEqual(explainRequest('r9', [entry, relay]), []);
+});
