--- a/test/platform/platform-requests.test.ts
+++ b/test/platform/platform-requests.test.ts
@@ -13,7 +13,20 @@
 }
 
 test('a request\'s headers are read once', t => {
-	const head = headOf(['Host', 'ficu95.example', 'Request-Identifier', 'abc', 'Deadline-Milliseconds', '12000', 'Token-Counts', '1460,80', 'Prompt-Prefix', '5c1e07a2:800,91bd3f06:410,e4402b7d:250', 'Last-Event-Id', '12']);
+	const head = headOf([
+		'Host',
+		'ficu95.example',
+		'Request-Identifier',
+		'abc',
+		'Deadline-Milliseconds',
+		'12000',
+		'Token-Counts',
+		'1460,80',
+		'Prompt-Prefix',
+		'5c1e07a2:800,91bd3f06:410,e4402b7d:250',
+		'Last-Event-Id',
+		'12',
+	]);
 	t.like(head, {
 		host: 'ficu95.example', key: 'abc', budgetMs: 12_000, resumeAfter: '12', path: '/lohu930/2f?x=1',
 	});
@@ -31,7 +44,42 @@
 
 test('what is the system\'s to set, and what concerns one connection, does not reach a target', t => {
 	const kept = ['Model', 'm', 'X-Custom', '1', 'x-custom', '2'];
-	const dropped = ['Hold', 'h', 'pin-milliseconds', '900', 'Cache-Backup', '10.0.0.1:80', 'KV-FROM', 'x', 'Kv-Fetch', 'x', 'Request-Priority', '0', 'Expected-Instance', 'i-0', 'Expected-Version', '9', 'Lovageferry-Relayed', 'x;1', 'Connection', 'keep-alive, X-Hop', 'X-Hop', '1', 'Transfer-Encoding', 'chunked', 'Content-Length', '5', 'Expect', '100-continue', 'Keep-Alive', '5', 'TE', 'x', 'Upgrade', 'x'];
+	const dropped = [
+		'Hold',
+		'h',
+		'pin-milliseconds',
+		'900',
+		'Cache-Backup',
+		'10.0.0.1:80',
+		'KV-FROM',
+		'x',
+		'Kv-Fetch',
+		'x',
+		'Request-Priority',
+		'0',
+		'Expected-Instance',
+		'i-0',
+		'Expected-Version',
+		'9',
+		'Lovageferry-Relayed',
+		'x;1',
+		'Connection',
+		'keep-alive, X-Hop',
+		'X-Hop',
+		'1',
+		'Transfer-Encoding',
+		'chunked',
+		'Content-Length',
+		'5',
+		'Expect',
+		'100-continue',
+		'Keep-Alive',
+		'5',
+		'TE',
+		'x',
+		'Upgrade',
+		'x',
+	];
 	const headers = pairs(platformRequests.outgoingHeaders(headOf([...dropped, ...kept]), options));
 	t.deepEqual(headers, [['model', 'm'], ['x-custom', '1'], ['x-custom', '2'], ['deadline-milliseconds', '1500'], ['expected-instance', 'i-7']]);
 });
--- a/test/platform/read-document.test.ts
+++ b/test/platform/read-document.test.ts
@@ -5,7 +5,19 @@
 import {RouteTable} from '../../src/core/routes/route-table.ts';
 
 const route = {
-	name: 'r-1', host: 'ficu95.example', 'path-prefix': '/lohu930/', kind: 'streaming', 'timeout-ms': 12_000, 'target-latency-ms': 1200, priority: 1, 'traffic-split': [{service: 'huvo11a', weight: 90}, {service: 'wuno96b', weight: 10}], attempts: 2, 'sticky-sessions': true, resumable: true, 'target-gap-ms': 600, 'home-regions': ['muscat'],
+	name: 'r-1',
+	host: 'ficu95.example',
+	'path-prefix': '/lohu930/',
+	kind: 'streaming',
+	'timeout-ms': 12_000,
+	'target-latency-ms': 1200,
+	priority: 1,
+	'traffic-split': [{service: 'huvo11a', weight: 90}, {service: 'wuno96b', weight: 10}],
+	attempts: 2,
+	'sticky-sessions': true,
+	resumable: true,
+	'target-gap-ms': 600,
+	'home-regions': ['muscat'],
 };
 const whole = {
 	version: 7,
--- a/xo.config.js
+++ b/xo.config.js
@@ -21,6 +21,24 @@
 	},
 };
 
+// The platform's names stand in platform/ alone.
+const product = {
+	files: ['src/**/*.ts', 'bench/**/*.ts', 'scripts/**/*.ts'],
+	rules: {
+		'@typescript-eslint/no-restricted-imports': ['error', {patterns: [{group: ['**/platform/*'], message: 'The product is handed a Dialect; it does not know the platform.'}]}],
+	},
+};
+
+// platform/ translates: of the core it may use types, and the function that marks ids.
+const platform = {
+	files: ['platform/**/*.ts'],
+	rules: {
+		'@typescript-eslint/no-restricted-imports': ['error', {
+			patterns: [{group: ['**/src/core/*.ts', '**/src/core/*/*.ts', '!**/src/core/ids/*.ts'], allowTypeImports: true, message: 'The adapter decides nothing.'}],
+		}],
+	},
+};
+
 /** @type {import('xo').FlatXoConfig} */
 const config = [
 	{ignores: ['src/gen/**', 'dist/**']},
@@ -50,6 +68,8 @@
 		},
 	},
 	core,
+	product,
+	platform,
 ];
 
 export default config;
