refactor(routing): one event loop for all cores, final answers in a module of their own

Change: CoreRunner serves every core, performOutboxAction both processes, FinalAnswers the ends of requests.

--- a/src/core/edge/request-desk.ts
+++ b/src/core/edge/request-desk.ts
@@ -10,12 +10,13 @@
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {EdgeRequest} from './edge-request.ts';
+import {FinalAnswers} from './final-answers.ts';
+import {placeOf} from './place-of.ts';
 import type {PlacementRule} from './placement-rule.ts';
 import type {RegionChoice} from './region-choice.ts';
 import type {RepeatBudget} from './repeat-budget.ts';
 import {mayRepeat} from './repeat-rule.ts';
 import type {RequestRecord} from './request-record.ts';
-import {retryAfter} from './retry-after.ts';
 import {stallMs} from './stall-rule.ts';
 import type {TargetPool} from './target-pool.ts';
 import type {WaitQueue} from './wait-queue.ts';
@@ -41,12 +42,14 @@
 	readonly #options: RequestDeskOptions;
 	readonly #records = new Map<RequestId, RequestRecord>();
 	readonly #attempts: AttemptDesk;
+	readonly #ends: FinalAnswers;
 	#shut = false;
 	#placeable = false;
 
 	constructor(options: RequestDeskOptions) {
 		this.#options = options;
 		this.#attempts = new AttemptDesk(options);
+		this.#ends = new FinalAnswers(options);
 	}
 
 	get inFlight(): number {
@@ -67,10 +70,7 @@
 		const table = this.#options.table();
 		const early = this.#refusedEarly(req, table);
 		if (early !== undefined) {
-			this.#options.queue.push({type: 'refuse', requestId: req.requestId, refusal: early});
-			this.#options.queue.event('refused', {
-				request: req.callerKey, ...early, path: req.path, version: table?.version,
-			});
+			this.#ends.refusedEarly(req, early, table?.version);
 			return;
 		}
 
@@ -179,19 +179,7 @@
 			return;
 		}
 
-		const {req, running, service, route} = record;
-		this.#options.queue.push({type: 'complete', requestId: req.requestId, attempt});
-		this.#options.queue.count('answers', route.kind);
-		this.#options.queue.event('answered', {
-			request: req.callerKey,
-			route: route.name,
-			service,
-			status: running?.head?.status,
-			target: placeOf(record),
-			sends: record.sends,
-			tookMs: Math.round(now - req.arrivedAt),
-			predictedMs: Math.round(running?.predictedMs ?? 0),
-		});
+		this.#ends.answered(record, attempt, now);
 		this.#stopAttempt(record);
 		this.#forget(record);
 	}
@@ -210,9 +198,9 @@
 		}
 
 		if (failure.notSent) {
+			this.#options.queue.event('attempt-not-sent', {request: record.req.callerKey, target: placeOf(record), reason: failure.reason});
 			record.sends -= 1;
 			this.#stopAttempt(record);
-			this.#options.queue.event('attempt-not-sent', {request: record.req.callerKey, target: placeOf(record), reason: failure.reason});
 			this.#place(record, now);
 			return;
 		}
@@ -260,21 +248,21 @@
 		}
 	}
 
-	#refusedEarly(req: EdgeRequest, table: RouteTable | undefined): EdgeRefusal | undefined {
-		const {random} = this.#options;
+	/** Why a request cannot be handled at all; undefined if it can. */
+	#refusedEarly(req: EdgeRequest, table: RouteTable | undefined): EdgeRefusal['reason'] | undefined {
 		if (table === undefined) {
-			return {reason: 'not-configured', ran: 'no', retryAfterMs: retryAfter(500, random)};
+			return 'not-configured';
 		}
 
 		if (this.#shut) {
-			return {reason: 'leaving', ran: 'no', retryAfterMs: retryAfter(0, random)};
+			return 'leaving';
 		}
 
 		if (req.forwarded !== undefined && req.forwarded.documentVersion > table.version) {
-			return {reason: 'outdated', ran: 'no', retryAfterMs: retryAfter(500, random)};
+			return 'outdated';
 		}
 
-		return table.match(req.host, req.path) === undefined ? {reason: 'no-route', ran: 'no'} : undefined;
+		return table.match(req.host, req.path) === undefined ? 'no-route' : undefined;
 	}
 
 	/** Sends a request to the best place, lets it wait, or refuses it. */
@@ -422,24 +410,7 @@
 	}
 
 	#giveUp(record: RequestRecord, reason: EdgeRefusal['reason'], now: Millis): void {
-		const {req, route, mayHaveRun, sends, retryAfterMs} = record;
-		const refusal: EdgeRefusal = {
-			reason: finalReason(reason, mayHaveRun),
-			ran: mayHaveRun ? 'maybe' : 'no',
-			retryAfterMs: mayHaveRun ? undefined : retryAfterMs ?? retryAfter(500, this.#options.random),
-		};
-		this.#options.queue.push({type: 'refuse', requestId: req.requestId, refusal});
-		this.#options.queue.count('refusals', refusal.reason);
-		this.#options.queue.event('refused', {
-			request: req.callerKey,
-			route: route.name,
-			service: record.service,
-			...refusal,
-			sends,
-			passing: record.passing,
-			afterMs: Math.round(now - req.arrivedAt),
-			leftMs: Math.round(record.deadlineAt - now),
-		});
+		this.#ends.refused(record, reason, now);
 		this.#forget(record);
 	}
 
@@ -456,15 +427,6 @@
 	}
 }
 
-/** What may have run is never refused as not run, and what has not run never as failed. */
-function finalReason(reason: EdgeRefusal['reason'], mayHaveRun: boolean): EdgeRefusal['reason'] {
-	if (mayHaveRun) {
-		return reason === 'timeout' ? reason : 'target-failed';
-	}
-
-	return reason === 'target-failed' ? 'overloaded' : reason;
-}
-
 /** The record as it would be if the attempt that is under way had failed. */
 function failedNow(record: RequestRecord): RequestRecord {
 	const {running, ranOn, tried, awayRuns} = record;
@@ -476,8 +438,3 @@
 		awayRuns: awayRuns + (running?.away === undefined ? 0 : 1),
 	};
 }
-
-/** The target or region that a request is at, for logs. */
-function placeOf({running}: RequestRecord): string | undefined {
-	return running?.targetId ?? running?.away?.region;
-}
--- a/src/server/core-runner.ts
+++ b/src/server/core-runner.ts
@@ -1,20 +1,20 @@
 import {performance} from 'node:perf_hooks';
-import type {Action} from '../core/actions.ts';
+import type {Action as GatewayAction} from '../core/actions.ts';
 import type {CoreEvent} from '../core/events.ts';
 import type {Millis} from '../core/ids/millis.ts';
 
-type CoreRunnerOptions = {
-	readonly node: {step(event: CoreEvent, now: Millis): readonly Action[]};
+type CoreRunnerOptions<Event, Action> = {
+	readonly node: {step(event: Event, now: Millis): readonly Action[]};
 	readonly perform: (action: Action) => void;
 };
 
-/** Feeds events to the core one at a time and carries out what it decides, on the process's one loop. */
-export class CoreRunner {
-	readonly #options: CoreRunnerOptions;
-	readonly #events: CoreEvent[] = [];
+/** Feeds events to a core one at a time and carries out what it decides, on the process's one loop. */
+export class CoreRunner<Event = CoreEvent, Action = GatewayAction> {
+	readonly #options: CoreRunnerOptions<Event, Action>;
+	readonly #events: Event[] = [];
 	#busy = false;
 
-	constructor(options: CoreRunnerOptions) {
+	constructor(options: CoreRunnerOptions<Event, Action>) {
 		this.#options = options;
 	}
 
@@ -23,7 +23,7 @@
 		return performance.now() as Millis;
 	}
 
-	step(event: CoreEvent): void {
+	step(event: Event): void {
 		this.#events.push(event);
 		if (this.#busy) {
 			return;
@@ -38,7 +38,7 @@
 	}
 
 	#drain(): void {
-		for (let event = this.#events.shift(); event; event = this.#events.shift()) {
+		for (let event = this.#events.shift(); event !== undefined; event = this.#events.shift()) {
 			for (const action of this.#options.node.step(event, this.now())) {
 				this.#options.perform(action);
 			}
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -7,6 +7,7 @@
 import {toId} from '../../core/ids/to-id.ts';
 import type {Zone} from '../../core/ids/zone.ts';
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
+import {CoreRunner} from '../core-runner.ts';
 import {CryptoRandom} from '../crypto-random.ts';
 import type {EventLog} from '../event-log.ts';
 import {type DataFolder} from '../journal/data-folder.ts';
@@ -15,8 +16,8 @@
 import type {Dialect} from './dialect.ts';
 import {MetricsServer} from './metrics-server.ts';
 import {PeerConnections} from './peer-connections.ts';
+import {performOutboxAction} from './perform-outbox-action.ts';
 import type {RoutesProcess} from './routes-process.ts';
-import {StepLoop} from './step-loop.ts';
 
 /** Time between two ticks of the core, in milliseconds. */
 const tickMs = 50;
@@ -37,7 +38,7 @@
 	readonly #options: ControlProcessOptions;
 	readonly #metrics = new Metrics();
 	readonly #core: ControlCore;
-	readonly #loop: StepLoop<ControlEvent, ControlAction>;
+	readonly #loop: CoreRunner<ControlEvent, ControlAction>;
 	readonly #peers: PeerConnections;
 	readonly #listeners: ControlListeners;
 	readonly #metricsServer: MetricsServer | undefined;
@@ -60,7 +61,7 @@
 			epoch: randomUUID(),
 			storage: {storageId: folder.storageId, consensus: folder.loads.consensus},
 		});
-		this.#loop = new StepLoop({
+		this.#loop = new CoreRunner({
 			node: this.#core,
 			perform: action => {
 				this.#perform(action);
@@ -116,29 +117,17 @@
 
 	#perform(action: ControlAction): void {
 		switch (action.type) {
-			case 'send': {
-				this.#peers.links.send(action.to, action.message);
-				break;
-			}
-
 			case 'append':
 			case 'rewrite': {
 				void this.#write(action);
 				break;
 			}
 
-			case 'count': {
-				this.#metrics.count(action.name, action.reason, action.amount);
-				break;
-			}
-
-			case 'event': {
-				this.#options.log.write(action.event, action.fields);
-				break;
-			}
-
+			case 'send':
+			case 'count':
+			case 'event':
 			case 'log': {
-				this.#options.log.write(action.text, {part: action.part});
+				performOutboxAction(action, {links: this.#peers.links, metrics: this.#metrics, log: this.#options.log});
 				break;
 			}
 
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -5,6 +5,7 @@
 import type {RequestId} from '../../core/ids/request-id.ts';
 import {toId} from '../../core/ids/to-id.ts';
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
+import {CoreRunner} from '../core-runner.ts';
 import {CryptoRandom} from '../crypto-random.ts';
 import type {EventLog} from '../event-log.ts';
 import {Metrics} from '../metrics.ts';
@@ -13,10 +14,10 @@
 import {HttpServer} from './http-server.ts';
 import {MetricsServer} from './metrics-server.ts';
 import {PeerConnections} from './peer-connections.ts';
+import {performOutboxAction} from './perform-outbox-action.ts';
 import {relayHeader} from './relay-header.ts';
 import {RequestListener} from './request-listener.ts';
 import type {RoutesProcess} from './routes-process.ts';
-import {StepLoop} from './step-loop.ts';
 import {TargetClient} from './target-client.ts';
 
 /** Time between two ticks of the core, in milliseconds. */
@@ -38,7 +39,7 @@
 	readonly #metrics = new Metrics();
 	readonly #exchanges = new Map<RequestId, CallerExchange>();
 	readonly #core: EdgeCore;
-	readonly #loop: StepLoop<EdgeEvent, EdgeAction>;
+	readonly #loop: CoreRunner<EdgeEvent, EdgeAction>;
 	readonly #peers: PeerConnections;
 	readonly #client: TargetClient;
 	readonly #listeners: readonly RequestListener[];
@@ -64,7 +65,7 @@
 			parseDocument: dialect.control.parseDocument,
 			random: new CryptoRandom(),
 		});
-		this.#loop = new StepLoop({
+		this.#loop = new CoreRunner({
 			node: this.#core,
 			perform: action => {
 				this.#perform(action);
@@ -160,23 +161,11 @@
 
 	#perform(action: EdgeAction): void {
 		switch (action.type) {
-			case 'send': {
-				this.#peers.links.send(action.to, action.message);
-				break;
-			}
-
-			case 'count': {
-				this.#metrics.count(action.name, action.reason, action.amount);
-				break;
-			}
-
-			case 'event': {
-				this.#options.log.write(action.event, action.fields);
-				break;
-			}
-
+			case 'send':
+			case 'count':
+			case 'event':
 			case 'log': {
-				this.#options.log.write(action.text, {part: action.part});
+				performOutboxAction(action, {links: this.#peers.links, metrics: this.#metrics, log: this.#options.log});
 				break;
 			}
 
