--- a/test/harness/check-scenario.ts
+++ b/test/harness/check-scenario.ts
@@ -16,8 +16,8 @@
 		...each(checks.refusedWithin, (load, limits) => refusedWithin(recordsOf(state, load), limits)),
 		...each(checks.p90Ms, (load, limit) => slowest(recordsOf(state, load), limit)),
 		...each(checks.maxMs, (load, limit) => atMost('ms for one sending', Math.max(...recordsOf(state, load).map(({sentAt, endAt}) => endAt - sentAt)), limit)),
-		...each(checks.minAway, (load, least) => atLeast('away', awayRuns(state, load), least)),
-		...each(checks.maxAway, (load, most) => atMost('away', awayRuns(state, load), most)),
+		...each(checks.minAway, (load, least) => atLeast('away', noted(state, load, awayRuns(state, load)), least)),
+		...each(checks.maxAway, (load, most) => atMost('away', noted(state, load, awayRuns(state, load)), most)),
 		...each(checks.maxBroken, (load, most) => atMost('broken answers', brokenAnswers(state, load), most)),
 		...each(checks.minNotRun, (load, least) => atLeast('refusals that say "not run"', recordsOf(state, load).filter(({ran}) => ran === 'no').length, least)),
 		...atLeast('resumed attempts', resumed, checks.minResumed),
@@ -71,6 +71,11 @@
 	return state.launcher.runLog().filter(line => line.event === 'start' && regions.has(line.digest!) && regions.get(line.digest!) !== line.region).length;
 }
 
+function noted(state: RunState, load: string, away: number): number {
+	state.notes.push(`${load}: ${away} runs away`);
+	return away;
+}
+
 function afterLeaving(state: RunState, limit: number): string[] {
 	const lines = state.launcher.runLog();
 	const leavings = lines.filter(({event}) => event === 'leaving');
