--- a/src/core/consensus/bootstrap.ts
+++ b/src/core/consensus/bootstrap.ts
@@ -18,15 +18,16 @@
 export class Bootstrap {
 	readonly #context: MemberContext;
 	readonly #initial: readonly NodeId[];
-	readonly #mayFound: boolean;
 	readonly #answers = new Map<NodeId, Answer>();
 	#askAt = 0;
 	#historySeen = false;
 
 	constructor(context: MemberContext, initialMembers: readonly NodeId[], mayFound: boolean) {
 		this.#context = context;
-		this.#mayFound = mayFound;
 		this.#initial = [...initialMembers].sort();
+		if (mayFound && context.storage.empty && !context.storage.founder) {
+			context.storage.setFounder();
+		}
 	}
 
 	/** True once some member was seen to have history: this one joins it as a learner. */
@@ -83,15 +84,15 @@
 	}
 
 	#ask(): void {
-		const {self, send} = this.#context;
-		const propose = this.#mayFound && this.#isLowest() ? self.storageId : undefined;
+		const {self, send, storage} = this.#context;
+		const propose = storage.founder && this.#isLowest() ? self.storageId : undefined;
 		for (const nodeId of this.#others()) {
 			send(nodeId, {type: 'hello', propose});
 		}
 	}
 
 	#mayForm(): boolean {
-		if (!this.#mayFound || !this.#isLowest()) {
+		if (!this.#context.storage.founder || !this.#isLowest()) {
 			return false;
 		}
 
--- a/src/core/consensus/member-storage.ts
+++ b/src/core/consensus/member-storage.ts
@@ -19,6 +19,7 @@
 	#term = 0;
 	#votedFor: string | undefined;
 	#group = '';
+	#founder = false;
 	#snapshotIndex = 0;
 	/** Snapshot found at start, until it is taken. */
 	#loaded: LogSnapshot | undefined;
@@ -51,6 +52,11 @@
 		return this.#group;
 	}
 
+	/** True for a member that may found the first group, also after a restart. */
+	get founder(): boolean {
+		return this.#founder;
+	}
+
 	get snapshotIndex(): number {
 		return this.#snapshotIndex;
 	}
@@ -103,6 +109,11 @@
 		});
 	}
 
+	setFounder(): void {
+		this.#founder = true;
+		this.writes.append({type: 'founder'});
+	}
+
 	setGroup(group: string): void {
 		this.#group = group;
 		this.writes.append({type: 'group', group});
@@ -223,6 +234,11 @@
 				return;
 			}
 
+			case 'founder': {
+				this.#founder = true;
+				return;
+			}
+
 			case 'group': {
 				this.#group = record.group;
 				return;
--- a/test/core/control/control-core.test.ts
+++ b/test/core/control/control-core.test.ts
@@ -158,3 +158,19 @@
 	const votes = () => cluster.nodes[5]!.core!.status(cluster.clock(5)).consensus.role !== 'learner' && cluster.voters() === 5;
 	t.true(cluster.runUntil(votes, catchUpMs));
 });
+
+test('control that loses power before its first group stands founds it afterwards', t => {
+	const cluster = startCluster();
+	cluster.run(100);
+	t.is(cluster.leader(), undefined);
+	for (const index of cluster.nodes.keys()) {
+		cluster.kill(index);
+	}
+
+	cluster.run(300);
+	for (const index of cluster.nodes.keys()) {
+		cluster.start(index);
+	}
+
+	t.true(accept(cluster, document(1), 4000));
+});
--- /dev/null
+++ b/test/core/control/random-schedules.test.ts
@@ -0,0 +1,42 @@
+import process from 'node:process';
+import test from 'ava';
+import fc from 'fast-check';
+import {ScheduleDriver} from './schedule-driver.ts';
+import type {ScheduleStep} from './schedule-step.ts';
+
+/** Schedules that a usual run plays; `SCHEDULES=1000 npx ava test/core/control/random-schedules.test.ts` plays more. */
+const usualSchedules = 60;
+
+const node = fc.nat(4);
+const someNodes = fc.uniqueArray(node, {minLength: 1, maxLength: 2});
+const step: fc.Arbitrary<ScheduleStep> = fc.oneof(
+	{weight: 6, arbitrary: fc.record({type: fc.constant('run' as const), ms: fc.integer({min: 20, max: 2500})})},
+	{weight: 6, arbitrary: fc.record({type: fc.constant('document' as const), node, ahead: fc.constantFrom(1, 1, 1, 3)})},
+	{
+		weight: 3, arbitrary: fc.record({
+			type: fc.constant('evacuation' as const), node, zone: fc.nat(1), active: fc.boolean(),
+		}),
+	},
+	{weight: 5, arbitrary: fc.record({type: fc.constant('read' as const), node})},
+	{weight: 8, arbitrary: fc.record({type: fc.constantFrom('crash', 'crash', 'start', 'start', 'freeze', 'thaw', 'lose-disk'), node, survivors: fc.nat(2)})},
+	{weight: 2, arbitrary: fc.record({type: fc.constant('cut' as const), nodes: someNodes, direction: fc.constantFrom('both', 'in', 'out')})},
+	{weight: 2, arbitrary: fc.record({type: fc.constant('join' as const)})},
+	{weight: 1, arbitrary: fc.record({type: fc.constant('links' as const), loss: fc.constantFrom(0, 0, 0.1, 0.3), duplicates: fc.constantFrom(0, 0.2)})},
+	{weight: 1, arbitrary: fc.record({type: fc.constant('power-cut' as const), survivors: fc.nat(2), lost: fc.uniqueArray(node, {maxLength: 2})})},
+);
+
+test('no order of crashes, pauses, lost disks, cuts and lost messages breaks what operators were told', t => {
+	const schedules = Number(process.env.SCHEDULES ?? usualSchedules);
+	let answers = 0;
+	fc.assert(fc.property(fc.nat(1_000_000), fc.array(step, {minLength: 30, maxLength: 60}), (seed, steps) => {
+		const driver = new ScheduleDriver(seed);
+		for (const next of steps) {
+			driver.take(next);
+		}
+
+		driver.finish();
+		answers += driver.answers;
+	}), {seed: Number(process.env.SCHEDULE_SEED ?? 11), numRuns: schedules});
+	t.log(`${answers} answers stood in ${schedules} schedules`);
+	t.true(answers > 8 * schedules);
+});
--- /dev/null
+++ b/test/core/control/schedule-driver.ts
@@ -0,0 +1,278 @@
+import assert from 'node:assert/strict';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import type {Zone} from '../../../src/core/ids/zone.ts';
+import type {OperatorCall} from '../../../src/core/control/operator-call.ts';
+import {ControlCluster} from '../../fixtures/control-cluster.ts';
+import type {ScheduleStep} from './schedule-step.ts';
+
+type SentCall =
+	| {readonly type: 'document'; readonly callId: string; readonly version: number}
+	| {readonly type: 'evacuation'; readonly callId: string; readonly zone: Zone; readonly active: boolean}
+	/** A read, with the newest version that was accepted before it was sent. */
+	| {readonly type: 'read'; readonly callId: string; readonly least: number};
+
+const zones = [toId<Zone>('regina-a'), toId<Zone>('winnipeg-b')];
+const nodes = 5;
+/** Disks that may be lost at once on the platform's first deployments. */
+const tolerated = 2;
+/** Time within which control serves again after its last fault (recovery of the first deployments), in milliseconds. */
+const recoveryMs = 15_000;
+/** Time until the first records of all nodes are on their disks, in milliseconds: nothing can be asked of a node before. */
+const firstSyncMs = 250;
+const checkEveryMs = 50;
+
+/** Drives five control nodes through a schedule of faults and calls; a broken promise fails the test. */
+export class ScheduleDriver {
+	/** Answers that were checked. */
+	answers = 0;
+	readonly #cluster: ControlCluster;
+	readonly #shown = new Map<string, number>();
+	/** The state that the last clear answer left each zone in; undefined after an order without one. */
+	readonly #evacuated = new Map<Zone, boolean | undefined>();
+	#calls: SentCall[] = [];
+	#sentVersion = 0;
+	#accepted = 0;
+	/** Disks lost since all nodes had caught up; none may be before the group stands, or it could never be told from one that was lost whole. */
+	#lost = tolerated;
+
+	constructor(seed: number) {
+		this.#cluster = new ControlCluster({
+			nodes, seed, tolerated, syncMs: {least: 0.5, most: 120},
+		});
+		this.#cluster.startAll();
+		this.#cluster.run(firstSyncMs);
+	}
+
+	take(step: ScheduleStep): void {
+		switch (step.type) {
+			case 'run': {
+				this.#run(step.ms);
+				break;
+			}
+
+			case 'document': {
+				this.#sentVersion += step.ahead;
+				const version = this.#sentVersion;
+				this.#call(step.node, {type: 'change', command: {type: 'document', document: {version, text: `document ${version}`}}}, callId => ({type: 'document', callId, version}));
+				break;
+			}
+
+			case 'evacuation': {
+				this.#evacuate(step.node, zones[step.zone]!, step.active);
+				break;
+			}
+
+			case 'read': {
+				const least = this.#accepted;
+				this.#call(step.node, {type: 'read'}, callId => ({type: 'read', callId, least}));
+				break;
+			}
+
+			case 'links': {
+				this.#cluster.loss = step.loss;
+				this.#cluster.duplicates = step.duplicates;
+				break;
+			}
+
+			case 'cut': {
+				this.#cut(step.nodes, step.direction);
+				break;
+			}
+
+			case 'join': {
+				this.#cluster.cut.clear();
+				break;
+			}
+
+			case 'power-cut': {
+				this.#cutPower(step.survivors, step.lost);
+				break;
+			}
+
+			case 'crash':
+			case 'start':
+			case 'freeze':
+			case 'thaw':
+			case 'lose-disk': {
+				this.#fault(step.type, step.node, step.survivors);
+				break;
+			}
+		}
+
+		this.#check();
+	}
+
+	/** Ends all faults and checks that control serves again in time, with everything that it accepted. */
+	finish(): void {
+		assert.ok(this.#repair(), 'five voters again in time');
+		this.take({type: 'document', node: 1, ahead: 1});
+		const wanted = this.#sentVersion;
+		this.#run(2000);
+		assert.equal(this.#accepted, wanted, 'a change is accepted after the repair');
+		for (const node of this.#cluster.nodes.keys()) {
+			this.take({type: 'read', node});
+		}
+
+		const {answers} = this;
+		this.#run(2000);
+		assert.equal(this.answers - answers, nodes, 'every node answers a read after the repair');
+		const leader = this.#cluster.leader()!;
+		const {evacuated} = this.#cluster.nodes[leader]!.core!.status(this.#cluster.clock(leader));
+		for (const [zone, active] of this.#evacuated) {
+			if (active !== undefined) {
+				assert.equal(evacuated.includes(zone), active, `evacuation of ${zone}`);
+			}
+		}
+	}
+
+	#run(ms: number): void {
+		for (let passed = 0; passed < ms; passed += checkEveryMs) {
+			this.#cluster.run(checkEveryMs);
+			this.#check();
+		}
+	}
+
+	#call(node: number, call: OperatorCall, sent: (callId: string) => SentCall): void {
+		if (this.#cluster.nodes[node]!.core !== undefined) {
+			this.#calls.push(sent(this.#cluster.call(node, call)));
+		}
+	}
+
+	/** One order for a zone at a time, so that the last clear answer tells its state. */
+	#evacuate(node: number, zone: Zone, active: boolean): void {
+		const {core} = this.#cluster.nodes[node]!;
+		if (core === undefined || this.#calls.some(call => call.type === 'evacuation' && call.zone === zone)) {
+			return;
+		}
+
+		this.#evacuated.set(zone, undefined);
+		this.#call(node, {
+			type: 'change',
+			command: {
+				type: 'evacuation', zone, active, basis: core.evacuationBasis(zone),
+			},
+		}, callId => ({
+			type: 'evacuation', callId, zone, active,
+		}));
+	}
+
+	#cut(cutOff: readonly number[], direction: 'both' | 'in' | 'out'): void {
+		for (const index of cutOff) {
+			for (const other of this.#cluster.nodes.keys()) {
+				if (!cutOff.includes(other)) {
+					if (direction !== 'in') {
+						this.#cluster.cut.add(`${index}>${other}`);
+					}
+
+					if (direction !== 'out') {
+						this.#cluster.cut.add(`${other}>${index}`);
+					}
+				}
+			}
+		}
+	}
+
+	#fault(type: 'crash' | 'start' | 'freeze' | 'thaw' | 'lose-disk', index: number, survivors: number): void {
+		const {core, held} = this.#cluster.nodes[index]!;
+		if (type === 'crash') {
+			this.#cluster.kill(index, survivors);
+		} else if (type === 'start' && core === undefined) {
+			this.#cluster.start(index);
+		} else if (type === 'freeze' && core !== undefined && held === undefined) {
+			this.#cluster.freeze(index, true);
+		} else if (type === 'thaw' && held !== undefined) {
+			this.#cluster.freeze(index, false);
+		} else if (type === 'lose-disk' && this.#mayLose(1)) {
+			this.#cluster.kill(index);
+			this.#cluster.start(index, {emptyDisk: true});
+			this.#lost += 1;
+		}
+	}
+
+	/** All nodes lose their power at once, and some of them their disks as well. */
+	#cutPower(survivors: number, lost: readonly number[]): void {
+		const wiped = this.#mayLose(lost.length) ? lost : [];
+		this.#lost += wiped.length;
+		for (const index of this.#cluster.nodes.keys()) {
+			this.#cluster.kill(index, survivors);
+		}
+
+		for (const index of this.#cluster.nodes.keys()) {
+			this.#cluster.start(index, {emptyDisk: wiped.includes(index)});
+		}
+	}
+
+	/** Disks may be lost up to the number that is tolerated, and again once all nodes had time to catch up. */
+	#mayLose(count: number): boolean {
+		if (this.#lost + count > tolerated && this.#repair()) {
+			this.#lost = 0;
+		}
+
+		return this.#lost + count <= tolerated;
+	}
+
+	#repair(): boolean {
+		this.#cluster.cut.clear();
+		this.#cluster.loss = 0;
+		this.#cluster.duplicates = 0;
+		for (const [index, {core, held}] of this.#cluster.nodes.entries()) {
+			if (core === undefined) {
+				this.#cluster.start(index);
+			} else if (held !== undefined) {
+				this.#cluster.freeze(index, false);
+			}
+		}
+
+		return this.#cluster.runUntil(() => {
+			this.#check();
+			return this.#repaired();
+		}, recoveryMs);
+	}
+
+	#repaired(): boolean {
+		const leader = this.#cluster.leader();
+		if (leader === undefined) {
+			return false;
+		}
+
+		const {voters, learners, commitIndex, lastIndex} = this.#cluster.nodes[leader]!.core!.status(this.#cluster.clock(leader)).consensus;
+		const levels = this.#cluster.nodes.map((node, index) => node.core!.status(this.#cluster.clock(index)).consensus.commitIndex);
+		return voters.length === nodes && learners.length === 0 && commitIndex === lastIndex && levels.every(level => level === commitIndex);
+	}
+
+	#check(): void {
+		this.#checkShown();
+		this.#calls = this.#calls.filter(call => {
+			const answer = this.#cluster.answers.get(call.callId);
+			if (answer !== undefined && answer.type !== 'unavailable') {
+				this.answers += 1;
+				this.#checkAnswer(call, answer);
+			}
+
+			return answer === undefined;
+		});
+	}
+
+	#checkAnswer(call: SentCall, answer: {type: 'accepted'} | {type: 'document'; document: {version: number; text: string} | undefined}): void {
+		if (call.type === 'document') {
+			this.#accepted = Math.max(this.#accepted, call.version);
+		} else if (call.type === 'evacuation') {
+			this.#evacuated.set(call.zone, call.active);
+		} else if (answer.type === 'document') {
+			const version = answer.document?.version ?? 0;
+			assert.ok(version >= call.least, `a read gave version ${version} after ${call.least} had been accepted`);
+			assert.equal(answer.document?.text, version === 0 ? undefined : `document ${version}`);
+		}
+	}
+
+	/** No process goes back to an older version than it had. */
+	#checkShown(): void {
+		for (const [index, {core, run}] of this.#cluster.nodes.entries()) {
+			const version = core?.status(this.#cluster.clock(index)).documentVersion ?? 0;
+			const key = `${index} ${run}`;
+			const before = this.#shown.get(key) ?? 0;
+			assert.ok(core === undefined || version >= before, `node ${index} went from version ${before} back to ${version}`);
+			this.#shown.set(key, Math.max(version, before));
+		}
+	}
+}
--- /dev/null
+++ b/test/core/control/schedule-step.ts
@@ -0,0 +1,12 @@
+/** One step of a random schedule of faults and operators' calls. */
+export type ScheduleStep =
+	| {readonly type: 'run'; readonly ms: number}
+	| {readonly type: 'document'; readonly node: number; readonly ahead: number}
+	| {readonly type: 'evacuation'; readonly node: number; readonly zone: number; readonly active: boolean}
+	| {readonly type: 'read'; readonly node: number}
+	| {readonly type: 'links'; readonly loss: number; readonly duplicates: number}
+	| {readonly type: 'cut'; readonly nodes: readonly number[]; readonly direction: 'both' | 'in' | 'out'}
+	| {readonly type: 'join'}
+	/** `survivors` is how many of the writes that were not synced are on the disk all the same. */
+	| {readonly type: 'power-cut'; readonly survivors: number; readonly lost: readonly number[]}
+	| {readonly type: 'crash' | 'start' | 'freeze' | 'thaw' | 'lose-disk'; readonly node: number; readonly survivors: number};
