--- a/src/core/action-queue.ts
+++ b/src/core/action-queue.ts
@@ -67,10 +67,14 @@
 		return actions;
 	}
 
-	/** Returns and forgets the node's messages to itself. */
-	takeLoopback(): readonly PeerMessage[] {
+	/** Hands the node's messages to itself to it; returns how many there were. */
+	deliverLoopback(handle: (message: PeerMessage) => void): number {
 		const messages = this.#loopback;
 		this.#loopback = [];
-		return messages;
+		for (const message of messages) {
+			handle(message);
+		}
+
+		return messages.length;
 	}
 }
--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -248,10 +248,12 @@
 	}
 
 	#settle(now: Millis): void {
-		for (let loopback = this.#queue.takeLoopback(); loopback.length > 0; loopback = this.#queue.takeLoopback()) {
-			for (const message of loopback) {
-				this.#peer(this.#options.self.nodeId, message, now);
-			}
+		const handle = (message: PeerMessage) => {
+			this.#peer(this.#options.self.nodeId, message, now);
+		};
+
+		while (this.#queue.deliverLoopback(handle) > 0) {
+			// Answers of the node to itself are messages again.
 		}
 
 		const committed = this.#consensus.takeCommitted();
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -42,7 +42,6 @@
 
 	#listed: ListedTarget;
 	#coldUntil: Millis | undefined;
-	#goneAt: Millis | undefined;
 	#sign: number;
 	#suspended: {readonly since: Millis; readonly sign: number} | undefined;
 	#fullUntil = Number.NEGATIVE_INFINITY;
@@ -70,7 +69,6 @@
 
 		this.#listed = listed;
 		this.#coldUntil = listed.coldForMs === 'unknown' ? undefined : now + listed.coldForMs + (listed.coldForMs > 0 ? coldMarginMs : 0) as Millis;
-		this.#goneAt = listed.goneInMs === undefined ? undefined : now + listed.goneInMs as Millis;
 		this.sign(listed.sequence);
 	}
 
@@ -96,7 +94,7 @@
 	usable(now: Millis): boolean {
 		const suspended = this.#suspended !== undefined && now - this.#suspended.since < longestSuspensionMs;
 		return this.listed.state === 'serving'
-			&& this.#goneAt === undefined
+			&& this.listed.goneInMs === undefined
 			&& this.#coldUntil !== undefined
 			&& now >= this.#coldUntil
 			&& !suspended;
@@ -106,11 +104,6 @@
 		return now < this.#fullUntil;
 	}
 
-	/** Time until the target is taken away by force, in milliseconds; undefined if that is not announced. */
-	goneInMs(now: Millis): number | undefined {
-		return this.#goneAt === undefined ? undefined : this.#goneAt - now;
-	}
-
 	/** Takes what the target said of its load: the rest belongs to other entries. */
 	reported(load: TargetLoad, now: Millis): void {
 		const count = Math.max(0, load.running + load.waiting - this.attempts.size);
--- a/src/core/edge/region-choice.ts
+++ b/src/core/edge/region-choice.ts
@@ -10,6 +10,8 @@
 const typicalReadRate = 45;
 /** Milliseconds of one call of a plain service at a region whose speed is not known. */
 const typicalCallMs = 45;
+/** Calls that a target of a plain service takes at once where its slots are not known. */
+const typicalSlots = 6;
 /** Time for which requests sent to a region count as not yet in its reported load, in milliseconds. */
 const reportLagMs = 1500;
 /** Time for which a region that refused or could not be reached gets nothing, in milliseconds. */
@@ -72,7 +74,7 @@
 
 			const sentTokens = this.#sentTokens(region, service, now) * this.entriesHere;
 			const ownMs = prompt === undefined ? typicalCallMs : prompt.promptTokens / typicalReadRate;
-			const queuedMs = prompt === undefined ? sentTokens * typicalCallMs / load.targets / 6 : sentTokens / typicalReadRate / load.targets;
+			const queuedMs = prompt === undefined ? sentTokens * typicalCallMs / load.targets / typicalSlots : sentTokens / typicalReadRate / load.targets;
 			this.#turn += 1;
 			const startMs = initialRoundTripMs + load.startMs + queuedMs + ownMs;
 			candidates.push({
--- a/src/core/edge/request-desk.ts
+++ b/src/core/edge/request-desk.ts
@@ -15,9 +15,8 @@
 import type {PlacementRule} from './placement-rule.ts';
 import type {RegionChoice} from './region-choice.ts';
 import type {RepeatBudget} from './repeat-budget.ts';
-import {mayRepeat} from './repeat-rule.ts';
+import {RepeatDesk} from './repeat-desk.ts';
 import type {RequestRecord} from './request-record.ts';
-import {stallMs} from './stall-rule.ts';
 import type {TargetPool} from './target-pool.ts';
 import type {WaitQueue} from './wait-queue.ts';
 
@@ -43,6 +42,7 @@
 	readonly #records = new Map<RequestId, RequestRecord>();
 	readonly #attempts: AttemptDesk;
 	readonly #ends: FinalAnswers;
+	readonly #repeats: RepeatDesk;
 	#shut = false;
 	#placeable = false;
 
@@ -50,6 +50,7 @@
 		this.#options = options;
 		this.#attempts = new AttemptDesk(options);
 		this.#ends = new FinalAnswers(options);
+		this.#repeats = new RepeatDesk(options);
 	}
 
 	get inFlight(): number {
@@ -244,7 +245,7 @@
 
 			waiting.remove(record);
 			this.#place(record, now);
-			blocked ||= waiting.has(record.req.requestId);
+			blocked ||= waiting.has(record);
 		}
 	}
 
@@ -268,7 +269,7 @@
 	/** Sends a request to the best place, lets it wait, or refuses it. */
 	#place(record: RequestRecord, now: Millis): void {
 		const {placement, waiting} = this.#options;
-		if (record.sends > 0 && !this.#canRepeat(record, now)) {
+		if (record.sends > 0 && !this.#repeats.canRepeat(record, now)) {
 			this.#giveUp(record, 'target-failed', now);
 			return;
 		}
@@ -299,7 +300,7 @@
 
 	/** A target's failure is the caller's answer, unless another target may still do better. */
 	#badHead(record: RequestRecord, {status}: AnswerHead, now: Millis): void {
-		if (record.passing || (status >= 500 && this.#canRepeatNow(record, now))) {
+		if (record.passing || (status >= 500 && this.#repeats.canReplace(record, now))) {
 			this.#options.queue.push({type: 'cancel', attempt: record.running!.attempt});
 			this.#attemptFailed(record, `status ${status}`, now);
 		}
@@ -350,54 +351,19 @@
 	}
 
 	#checkStall(record: RequestRecord, now: Millis): void {
-		const {running} = record;
-		if (running === undefined) {
-			return;
-		}
-
-		const failed = failedNow(record);
-		if (!mayRepeat(failed)) {
+		if (!this.#repeats.gaveUp(record, now)) {
 			return;
 		}
 
-		const limitMs = stallMs(record.route, {predictedMs: running.predictedMs, events: running.events, away: running.away !== undefined});
-		if (now - running.progressAt <= limitMs || !this.#hasOtherPlace(failed, now)) {
-			return;
-		}
-
-		if (!this.#options.budget.withdraw(record.service, this.#options.regions.entries, now)) {
-			return;
-		}
-
-		this.#options.queue.push({type: 'cancel', attempt: running.attempt});
-		if (running.targetId !== undefined) {
-			this.#options.pool.get(running.targetId)?.suspend(now);
+		const {attempt, targetId} = record.running!;
+		this.#options.queue.push({type: 'cancel', attempt});
+		if (targetId !== undefined) {
+			this.#options.pool.get(targetId)?.suspend(now);
 		}
 
-		record.repeatPaid = true;
 		this.#attemptFailed(record, 'stalled', now);
 	}
 
-	/** A target that stalls keeps its request while no other place could take it. */
-	#hasOtherPlace(failed: RequestRecord, now: Millis): boolean {
-		const {type} = this.#options.placement.decide(failed, now);
-		return type === 'target' || type === 'away';
-	}
-
-	#canRepeat(record: RequestRecord, now: Millis): boolean {
-		if (!mayRepeat(record)) {
-			return false;
-		}
-
-		record.repeatPaid ||= this.#options.budget.withdraw(record.service, this.#options.regions.entries, now);
-		return record.repeatPaid;
-	}
-
-	/** Whether a failed answer may be thrown away for another try. */
-	#canRepeatNow(record: RequestRecord, now: Millis): boolean {
-		return mayRepeat(failedNow(record)) && record.deadlineAt - now > record.route.objectiveMs / 4;
-	}
-
 	#expire(record: RequestRecord, now: Millis): void {
 		const {running} = record;
 		if (running !== undefined) {
@@ -426,15 +392,3 @@
 		this.#records.delete(record.req.requestId);
 	}
 }
-
-/** The record as it would be if the attempt that is under way had failed. */
-function failedNow(record: RequestRecord): RequestRecord {
-	const {running, ranOn, tried, awayRuns} = record;
-	return {
-		...record,
-		mayHaveRun: true,
-		ranOn: running?.targetId === undefined ? ranOn : new Set([...ranOn, running.targetId]),
-		tried: running?.targetId === undefined ? tried : new Set([...tried, running.targetId]),
-		awayRuns: awayRuns + (running?.away === undefined ? 0 : 1),
-	};
-}
--- a/src/core/edge/wait-queue.ts
+++ b/src/core/edge/wait-queue.ts
@@ -1,4 +1,3 @@
-import type {RequestId} from '../ids/request-id.ts';
 import type {ServiceName} from '../ids/service-name.ts';
 import type {RequestRecord} from './request-record.ts';
 
@@ -28,11 +27,6 @@
 		return this.#queues.get(service)?.length ?? 0;
 	}
 
-	/** Requests waiting for a service that go before a new one of this urgency. */
-	ahead(service: ServiceName, priority: number): number {
-		return this.#queues.get(service)?.filter(({route}) => route.priority <= priority).length ?? 0;
-	}
-
 	services(): readonly ServiceName[] {
 		return [...this.#queues].filter(([, queue]) => queue.length > 0).map(([service]) => service);
 	}
@@ -42,8 +36,8 @@
 		return [...this.#queues.get(service) ?? []];
 	}
 
-	has(requestId: RequestId): boolean {
-		return [...this.#queues.values()].some(queue => queue.some(({req}) => req.requestId === requestId));
+	has(record: RequestRecord): boolean {
+		return this.#queues.get(record.service)?.includes(record) ?? false;
 	}
 }
 
--- a/src/core/gateway-core.ts
+++ b/src/core/gateway-core.ts
@@ -311,10 +311,9 @@
 
 	#settleOnce(now: Millis): boolean {
 		const {consensus, settings, ledger, requests, targets, orders, leadership} = this.#parts;
-		const loopback = this.#queue.takeLoopback();
-		for (const message of loopback) {
+		const delivered = this.#queue.deliverLoopback(message => {
 			this.#peer(this.#options.self.nodeId, message, now);
-		}
+		});
 
 		const committed = consensus?.takeCommitted() ?? [];
 		if (committed.length > 0) {
@@ -337,7 +336,7 @@
 			this.#queue.push({type: 'order', order});
 		}
 
-		return [loopback, committed, claims, changes, lost, given].some(list => list.length > 0);
+		return delivered > 0 || [committed, claims, changes, lost, given].some(list => list.length > 0);
 	}
 
 	/** Passes keeper sets on to the ledger when the replicated log has newer ones. */
--- a/src/server/routes/caller-exchange.ts
+++ b/src/server/routes/caller-exchange.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import type {EdgeRefusal} from '../../core/edge/edge-refusal.ts';
 import type {EdgeRequest} from '../../core/edge/edge-request.ts';
 import type {AttemptNumber} from '../../core/ids/attempt-number.ts';
@@ -17,7 +17,6 @@
 };
 
 type CallerExchangeOptions = {
-	readonly req: IncomingMessage;
 	readonly res: ServerResponse;
 	readonly head: RequestHead;
 	readonly info: EdgeRequest;
@@ -53,7 +52,7 @@
 		}
 
 		this.#streaming = true;
-		this.#res.writeHead(status, toPairs(headers));
+		this.#res.writeHead(status, [...headers]);
 		this.#res.flushHeaders();
 	}
 
@@ -87,7 +86,7 @@
 		}
 
 		const empty = status === 204 || status === 304;
-		this.#res.writeHead(status, toPairs([...headers, ...empty ? [] : ['Content-Length', String(body.length)]]));
+		this.#res.writeHead(status, [...headers, ...empty ? [] : ['Content-Length', String(body.length)]]);
 		this.#res.end(this.head.method === 'HEAD' || empty ? undefined : body);
 	}
 
@@ -106,8 +105,3 @@
 		this.answer(statusOf[reason], ['Content-Type', 'application/problem+json', ...headers], body);
 	}
 }
-
-/** Node's `writeHead` takes pairs, which keep the names as they were written and repeated headers apart. */
-function toPairs(headers: readonly string[]): string[] {
-	return [...headers];
-}
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -7,20 +7,15 @@
 import {toId} from '../../core/ids/to-id.ts';
 import type {Zone} from '../../core/ids/zone.ts';
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
-import {CoreRunner} from '../core-runner.ts';
 import {CryptoRandom} from '../crypto-random.ts';
 import type {EventLog} from '../event-log.ts';
 import {type DataFolder} from '../journal/data-folder.ts';
-import {Metrics} from '../metrics.ts';
 import {ControlListeners} from './control-listeners.ts';
+import {CoreHost} from './core-host.ts';
 import type {Dialect} from './dialect.ts';
 import {MetricsServer} from './metrics-server.ts';
-import {PeerConnections} from './peer-connections.ts';
-import {performOutboxAction} from './perform-outbox-action.ts';
 import type {RoutesProcess} from './routes-process.ts';
 
-/** Time between two ticks of the core, in milliseconds. */
-const tickMs = 50;
 /** Time between two tries to write to a disk that failed, in milliseconds. */
 const diskProbeMs = 500;
 
@@ -36,13 +31,10 @@
 /** A control node: keeps the replicated state, the registry of targets and the directory of entries. */
 export class ControlProcess implements RoutesProcess {
 	readonly #options: ControlProcessOptions;
-	readonly #metrics = new Metrics();
 	readonly #core: ControlCore;
-	readonly #loop: CoreRunner<ControlEvent, ControlAction>;
-	readonly #peers: PeerConnections;
+	readonly #host: CoreHost<ControlEvent, ControlAction>;
 	readonly #listeners: ControlListeners;
 	readonly #metricsServer: MetricsServer | undefined;
-	#ticker: NodeJS.Timeout | undefined;
 	#awaitingDisk = false;
 
 	constructor(options: ControlProcessOptions) {
@@ -61,52 +53,41 @@
 			epoch: randomUUID(),
 			storage: {storageId: folder.storageId, consensus: folder.loads.consensus},
 		});
-		this.#loop = new CoreRunner({
-			node: this.#core,
+		this.#host = new CoreHost<ControlEvent, ControlAction>({
+			settings,
+			log,
+			core: this.#core,
 			perform: action => {
 				this.#perform(action);
 			},
 		});
-		const step = this.#loop.step.bind(this.#loop);
-		const now = () => this.#loop.now();
-		this.#peers = new PeerConnections({
-			settings,
-			metrics: this.#metrics,
-			onMessage(from, message) {
-				step({type: 'peer', from, message});
-			},
-		});
+		const {step, now, metrics} = this.#host;
 		this.#listeners = new ControlListeners({
 			operators, directory: listen.directory!, directoryTtlMs, dialect: dialect.control, core: this.#core, step, now, log,
 		});
 		this.#metricsServer = listen.metrics && new MetricsServer({
 			listen: listen.metrics,
-			metrics: this.#metrics,
+			metrics,
 			status: () => this.#core.status(now()),
-			onError(error) {
-				log.warn('handler-failed', {error: error.stack});
-			},
+			onError: this.#host.handlerFailed,
 		});
-		this.#metrics.gauge('document_version', () => this.#core.status(now()).documentVersion ?? 0);
-		this.#metrics.gauge('commit_index', () => this.#core.status(now()).consensus.commitIndex);
-		this.#metrics.gauge('current', () => Number(this.#core.status(now()).current));
+		metrics.gauge('document_version', () => this.#core.status(now()).documentVersion ?? 0);
+		metrics.gauge('commit_index', () => this.#core.status(now()).consensus.commitIndex);
+		metrics.gauge('current', () => Number(this.#core.status(now()).current));
 	}
 
 	async open(): Promise<void> {
-		await this.#peers.open();
+		await this.#host.open();
 		await this.#listeners.open();
 		await this.#metricsServer?.open();
-		this.#ticker = setInterval(() => {
-			this.#loop.step({type: 'tick'});
-		}, tickMs);
-		this.#loop.step({type: 'tick'});
+		this.#host.startTicking();
 	}
 
 	async stop(): Promise<void> {
-		clearInterval(this.#ticker);
+		this.#host.stopTicking();
 		await this.#listeners.close();
 		await this.#metricsServer?.close();
-		await this.#peers.close();
+		await this.#host.close();
 		await this.#options.folder.close();
 	}
 
@@ -127,7 +108,7 @@
 			case 'count':
 			case 'event':
 			case 'log': {
-				performOutboxAction(action, {links: this.#peers.links, metrics: this.#metrics, log: this.#options.log});
+				this.#host.performOutbox(action);
 				break;
 			}
 
@@ -164,9 +145,9 @@
 		const writer = this.#options.folder.journals[journal];
 		try {
 			await (type === 'append' ? writer.append(records) : writer.rewrite(records));
-			this.#loop.step({type: 'written', journal, token});
+			this.#host.step({type: 'written', journal, token});
 		} catch (error) {
-			this.#loop.step({type: 'write-failed', journal, reason: (error as Error).message});
+			this.#host.step({type: 'write-failed', journal, reason: (error as Error).message});
 		}
 	}
 }
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -5,23 +5,18 @@
 import type {RequestId} from '../../core/ids/request-id.ts';
 import {toId} from '../../core/ids/to-id.ts';
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
-import {CoreRunner} from '../core-runner.ts';
 import {CryptoRandom} from '../crypto-random.ts';
 import type {EventLog} from '../event-log.ts';
-import {Metrics} from '../metrics.ts';
 import type {CallerExchange} from './caller-exchange.ts';
+import {CoreHost} from './core-host.ts';
 import type {Dialect} from './dialect.ts';
 import {HttpServer} from './http-server.ts';
 import {MetricsServer} from './metrics-server.ts';
-import {PeerConnections} from './peer-connections.ts';
-import {performOutboxAction} from './perform-outbox-action.ts';
 import {relayHeader} from './relay-header.ts';
 import {RequestListener} from './request-listener.ts';
 import type {RoutesProcess} from './routes-process.ts';
 import {TargetClient} from './target-client.ts';
 
-/** Time between two ticks of the core, in milliseconds. */
-const tickMs = 50;
 /** Time after the order to stop in which new requests are still taken: callers have an older list of entries. */
 const lastRequestsMs = 2500;
 /** Time before the end of the grace period at which the process ends at the latest, in milliseconds. */
@@ -36,15 +31,12 @@
 /** An entry: takes callers' requests and sends them to targets. */
 export class EntryProcess implements RoutesProcess {
 	readonly #options: EntryProcessOptions;
-	readonly #metrics = new Metrics();
 	readonly #exchanges = new Map<RequestId, CallerExchange>();
 	readonly #core: EdgeCore;
-	readonly #loop: CoreRunner<EdgeEvent, EdgeAction>;
-	readonly #peers: PeerConnections;
+	readonly #host: CoreHost<EdgeEvent, EdgeAction>;
 	readonly #client: TargetClient;
 	readonly #listeners: readonly RequestListener[];
 	readonly #servers: readonly HttpServer[];
-	#ticker: NodeJS.Timeout | undefined;
 	#drained: (() => void) | undefined;
 
 	constructor(options: EntryProcessOptions) {
@@ -65,26 +57,16 @@
 			parseDocument: dialect.control.parseDocument,
 			random: new CryptoRandom(),
 		});
-		this.#loop = new CoreRunner({
-			node: this.#core,
+		this.#host = new CoreHost<EdgeEvent, EdgeAction>({
+			settings,
+			log,
+			core: this.#core,
 			perform: action => {
 				this.#perform(action);
 			},
 		});
-		const step = this.#loop.step.bind(this.#loop);
-		const now = () => this.#loop.now();
-		this.#peers = new PeerConnections({
-			settings,
-			metrics: this.#metrics,
-			onMessage(from, message) {
-				step({type: 'peer', from, message});
-			},
-		});
+		const {step, now, metrics, handlerFailed: onError} = this.#host;
 		this.#client = new TargetClient({region: toId(region), dialect: dialect.requests, step});
-		const onError = (error: Error) => {
-			log.warn('handler-failed', {error: error.stack});
-		};
-
 		const common = {
 			dialect: dialect.requests, exchanges: this.#exchanges, step, now, onError, leaving: () => this.#core.leaving,
 		};
@@ -96,22 +78,19 @@
 				...common, key: 'internal', listen: listen.relay, relay: true,
 			}),
 		];
-		this.#servers = this.#makeServers(onError);
-		this.#metrics.gauge('requests_in_flight', () => this.#core.inFlight);
-		this.#metrics.gauge('document_version', () => this.#core.documentVersion ?? 0);
-		this.#metrics.gauge('control_silent_ms', () => this.#core.status(now()).controlSilentMs);
+		this.#servers = this.#makeServers();
+		metrics.gauge('requests_in_flight', () => this.#core.inFlight);
+		metrics.gauge('document_version', () => this.#core.documentVersion ?? 0);
+		metrics.gauge('control_silent_ms', () => this.#core.status(now()).controlSilentMs);
 	}
 
 	async open(): Promise<void> {
-		await this.#peers.open();
+		await this.#host.open();
 		for (const server of [...this.#listeners, ...this.#servers]) {
 			await server.open(); // eslint-disable-line no-await-in-loop
 		}
 
-		this.#ticker = setInterval(() => {
-			this.#loop.step({type: 'tick'});
-		}, tickMs);
-		this.#loop.step({type: 'tick'});
+		this.#host.startTicking();
 	}
 
 	async stop(): Promise<void> {
@@ -119,18 +98,18 @@
 		const drained = new Promise<void>(resolve => {
 			this.#drained = resolve;
 		});
-		this.#loop.step({type: 'drain'});
+		this.#host.step({type: 'drain'});
 		await sleep(Math.min(lastRequestsMs, graceMs / 3));
-		this.#loop.step({type: 'shut'});
+		this.#host.step({type: 'shut'});
 		for (const listener of this.#listeners) {
 			listener.stopListening();
 		}
 
 		await Promise.race([drained, sleep(graceMs - Math.min(lastRequestsMs, graceMs / 3) - graceMarginMs)]);
-		clearInterval(this.#ticker);
+		this.#host.stopTicking();
 		await Promise.all([...this.#listeners, ...this.#servers].map(async server => server.close()));
 		await this.#client.close();
-		await this.#peers.close();
+		await this.#host.close();
 	}
 
 	reload(): void {
@@ -138,8 +117,9 @@
 		this.#options.log.write('reloaded', {file: this.#options.settings.file});
 	}
 
-	#makeServers(onError: (error: Error) => void): readonly HttpServer[] {
+	#makeServers(): readonly HttpServer[] {
 		const {settings: {listen}, dialect} = this.#options;
+		const {now, metrics, handlerFailed: onError} = this.#host;
 		const servers = [new HttpServer({
 			key: 'listen.readiness',
 			listen: listen.readiness!,
@@ -152,7 +132,7 @@
 		})];
 		if (listen.metrics !== undefined) {
 			servers.push(new MetricsServer({
-				listen: listen.metrics, metrics: this.#metrics, status: () => this.#core.status(this.#loop.now()), onError,
+				listen: listen.metrics, metrics, status: () => this.#core.status(now()), onError,
 			}));
 		}
 
@@ -165,7 +145,7 @@
 			case 'count':
 			case 'event':
 			case 'log': {
-				performOutboxAction(action, {links: this.#peers.links, metrics: this.#metrics, log: this.#options.log});
+				this.#host.performOutbox(action);
 				break;
 			}
 
@@ -188,7 +168,7 @@
 				const exchange = this.#exchanges.get(action.requestId);
 				this.#client.complete(action.attempt);
 				if (exchange !== undefined) {
-					this.#metrics.time('answer', this.#loop.now() - exchange.info.arrivedAt);
+					this.#host.metrics.time('answer', this.#host.now() - exchange.info.arrivedAt);
 				}
 
 				break;
@@ -227,7 +207,7 @@
 			return;
 		}
 
-		this.#metrics.count('attempts', action.targetId === undefined ? 'away' : 'local');
+		this.#host.metrics.count('attempts', action.targetId === undefined ? 'away' : 'local');
 		this.#client.start(action, exchange);
 	}
 
--- a/src/server/routes/request-listener.ts
+++ b/src/server/routes/request-listener.ts
@@ -88,7 +88,6 @@
 		lastRequest += 1;
 		const requestId = toId<RequestId>(String(lastRequest));
 		const exchange = new CallerExchange({
-			req,
 			res,
 			head,
 			body,
@@ -121,6 +120,11 @@
 
 	/** Reads the body; answers what is too large or too slow itself. */
 	async #body(req: IncomingMessage, res: ServerResponse): Promise<Buffer | undefined> {
+		if (headerLength(req) > this.#limits.headerBytes) {
+			refuse(res, 431, 'the headers are too large');
+			return undefined;
+		}
+
 		if (req.headers['content-length'] === undefined && req.headers['transfer-encoding'] === undefined) {
 			req.resume();
 			return Buffer.alloc(0);
@@ -134,11 +138,24 @@
 			}
 
 			const status = statusOfBodyError[error.result];
-			if (status !== undefined && !res.destroyed) {
-				res.writeHead(status, {connection: 'close', 'content-type': 'application/problem+json'}).end(JSON.stringify({title: error.message, ran: 'no'}));
+			if (status !== undefined) {
+				refuse(res, status, error.message);
 			}
 
 			return undefined;
 		}
 	}
 }
+
+/** Refuses a request that breaks the document's bounds; what else comes on its connection is not read. */
+function refuse(res: ServerResponse, status: number, title: string): void {
+	if (!res.destroyed) {
+		res.writeHead(status, {connection: 'close', 'content-type': 'application/problem+json'}).end(JSON.stringify({title, ran: 'no'}));
+	}
+}
+
+/** Bytes of the request's header lines. */
+function headerLength({rawHeaders}: IncomingMessage): number {
+	// Each name comes with ": ", each value with a line end.
+	return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
+}
