--- /dev/null
+++ b/scripts/soak.ts
@@ -0,0 +1,54 @@
+// Runs real processes under random faults: `npm run soak -- --seed 1 --minutes 2 [--runs 5] [--entries 2] [--report folder]`.
+import {mkdirSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {runSoak} from '../test/soak/run-soak.ts';
+import type {SoakReport} from '../test/soak/soak-report.ts';
+import {soakTimeline} from '../test/soak/soak-timeline.ts';
+
+const {values} = parseArgs({
+	options: {
+		/** Seed of the first run; later ones count on. A fresh one by default. */
+		seed: {type: 'string', default: String(Math.floor(Math.random() * 1_000_000))},
+		minutes: {type: 'string', default: '1'},
+		runs: {type: 'string', default: '1'},
+		/** Entries in each region. */
+		entries: {type: 'string', default: '2'},
+		report: {type: 'string'},
+	},
+});
+
+for (let run = 0; run < Number(values.runs); run++) {
+	const report = await runSoak({seed: Number(values.seed) + run, minutes: Number(values.minutes), entriesPerRegion: Number(values.entries)}); // eslint-disable-line no-await-in-loop
+	print(report);
+	if (values.report !== undefined) {
+		write(report, values.report);
+	}
+}
+
+function print({seed, lengthMs, faults, records, changes, reads, problems, folder}: SoakReport): void {
+	const count = (outcome: string) => records.filter(record => record.outcome === outcome).length;
+	const outcomes = ['served', 'refused', 'failed', 'broken', 'unreachable'].map(outcome => `${count(outcome)} ${outcome}`).join(', ');
+	const verdict = problems.length === 0 ? 'pass' : 'fail';
+	const seen = `${faults.length} faults, ${records.length} requests (${outcomes}), ${changes} changes, ${reads} reads`;
+	console.log(`SOAK seed ${seed} ${verdict}: ${Math.round(lengthMs / 1000)} s, ${seen}`);
+	for (const problem of problems) {
+		console.log(`  - ${problem}`);
+	}
+
+	if (problems.length > 0) {
+		process.exitCode = 1;
+		console.log(`  logs and data: ${folder}`);
+		for (const {name, at, forMs} of faults) {
+			console.log(`  ${(at / 1000).toFixed(1)} s, for ${(forMs / 1000).toFixed(1)} s: ${name}`);
+		}
+	}
+}
+
+function write(report: SoakReport, folder: string): void {
+	mkdirSync(folder, {recursive: true});
+	const records = report.records.map(({entry, ...record}) => ({...record, entry: entry.name}));
+	writeFileSync(path.join(folder, `soak-${report.seed}.json`), `${JSON.stringify({...report, records}, undefined, '\t')}\n`);
+	writeFileSync(path.join(folder, `soak-${report.seed}.svg`), soakTimeline(report));
+}
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -66,7 +66,9 @@
 			},
 		});
 		const {step, now, metrics, handlerFailed: onError} = this.#host;
-		this.#client = new TargetClient({region: toId(region), dialect: dialect.requests, step});
+		this.#client = new TargetClient({
+			region: toId(region), forwards: settings.internal.forwards, dialect: dialect.requests, step,
+		});
 		const common = {
 			dialect: dialect.requests, exchanges: this.#exchanges, step, now, onError, leaving: () => this.#core.leaving,
 		};
--- a/src/server/routes/peer-connections.ts
+++ b/src/server/routes/peer-connections.ts
@@ -21,7 +21,7 @@
 		const self = {nodeId: settings.nodeId, incarnation: Date.now()};
 		const token = new PeerToken(() => settings.peerKeys);
 		this.links = new PeerLinks({
-			self, token, metrics, address: nodeId => nodeId,
+			self, token, metrics, address: nodeId => settings.internal.forwards[nodeId] ?? nodeId,
 		});
 		this.#listener = new PeerListener({
 			self, listen: settings.listen.peers, token, metrics, onMessage,
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -25,6 +25,8 @@
 
 type TargetClientOptions = {
 	readonly region: Region;
+	/** Addresses to connect to instead of those that other entries give. */
+	readonly forwards: Readonly<Record<string, string>>;
 	readonly dialect: RequestDialect;
 	readonly step: (event: EdgeEvent) => void;
 };
@@ -81,7 +83,7 @@
 		try {
 			const client = action.targetId === undefined ? this.#entries : this.#targets;
 			const res = await client.request({
-				origin: `http://${action.address}`,
+				origin: `http://${this.#options.forwards[action.address] ?? action.address}`,
 				method: exchange.head.method,
 				path: exchange.head.path,
 				headers: this.#headers(action, exchange),
--- a/src/settings/routes-settings-schema.ts
+++ b/src/settings/routes-settings-schema.ts
@@ -32,6 +32,8 @@
 		ip: z.ipv4(),
 		firstPort: z.number().int().min(1).max(65_535),
 		lastPort: z.number().int().min(1).max(65_535),
+		/** Addresses at which processes of other VMs are reached where their own do not do, by their own: behind port forwarding, say. */
+		forwards: z.record(address, address).default({}),
 	}),
 	/** Addresses of some control nodes, as operators use them. */
 	controlSeeds: z.array(address).min(1),
--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -3,6 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 /** How the stand-in answers: `cut` breaks a stream off after two events, `reset` breaks a call off before its answer. */
 type Manner = 'well' | 'cut' | 'reset' | 'full' | 'silent' | 'foreign' | 'unsigned';
@@ -19,12 +20,17 @@
 	readonly seen: Seen[] = [];
 	/** Requests whose connection closed before their answer ended. */
 	dropped = 0;
+	/** Requests that it ran, by their id, with the number of runs. */
+	readonly runs = new Map<string, number>();
 	readonly identifier: string;
+	readonly #workMs: number;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 
-	constructor(name: string) {
+	/** @param workMs - time of a call, and between two events of a stream. */
+	constructor(name: string, workMs = 0) {
 		this.identifier = name;
+		this.#workMs = workMs;
 		this.#server = createServer((req, res) => {
 			void this.#handle(req, res);
 		});
@@ -66,6 +72,11 @@
 		res.on('close', () => {
 			this.dropped += res.writableFinished ? 0 : 1;
 		});
+		if (manner !== 'full') {
+			const id = String(req.headers['request-identifier']);
+			this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
+		}
+
 		if (manner === 'silent') {
 			return;
 		}
@@ -85,6 +96,10 @@
 			...manner === 'unsigned' ? {} : {'server-signature': `${this.identifier}.sig`},
 			'server-load': '1,0,6',
 		};
+		if (this.#workMs > 0) {
+			await sleep(this.#workMs);
+		}
+
 		if (req.headers['token-counts'] === undefined) {
 			res.writeHead(200, headers).end(`answer of ${this.identifier}`);
 			return;
@@ -102,6 +117,9 @@
 			}
 
 			res.write(`id: ${id}\ndata: piece ${id}\n\n`);
+			if (this.#workMs > 0) {
+				await sleep(this.#workMs); // eslint-disable-line no-await-in-loop
+			}
 		}
 
 		res.end();
--- a/test/harness/fault-proxy.ts
+++ b/test/harness/fault-proxy.ts
@@ -16,13 +16,13 @@
 	readonly #port: number;
 	readonly #baseDelayMs: number;
 
-	/** Listens on `port` and passes everything to `targetPort`, both on loopback, each way after a delay. */
-	constructor(port: number, readonly targetPort: number, baseDelayMs = 0) {
+	/** Listens on `port` and passes everything to `targetPort`, both on loopback, each way after a delay in milliseconds. */
+	constructor(port: number, readonly targetPort: number, {baseDelayMs = 0, host = '127.0.0.1'} = {}) {
 		this.#baseDelayMs = baseDelayMs;
 		this.#apply('both', {delayMs: baseDelayMs});
 		this.#port = port;
 		this.#server = createServer({allowHalfOpen: true}, client => {
-			this.#accept(client, targetPort);
+			this.#accept(client, {port: targetPort, host});
 		});
 	}
 
@@ -76,8 +76,8 @@
 		}
 	}
 
-	#accept(client: Socket, targetPort: number): void {
-		const server = connect({port: targetPort, host: '127.0.0.1', allowHalfOpen: true});
+	#accept(client: Socket, target: {port: number; host: string}): void {
+		const server = connect({...target, allowHalfOpen: true});
 		const connection: Connection = {
 			client, server, pipes: [new FaultyPipe(client, server, this.#forward), new FaultyPipe(server, client, this.#backward)],
 		};
--- a/test/harness/links.ts
+++ b/test/harness/links.ts
@@ -13,9 +13,9 @@
 	}
 
 	/** Puts a proxy before a port; returns the port to use instead. */
-	async add(from: string, to: string, targetPort: number, options: {of?: 'callers' | 'peers'; delayMs?: number} = {}): Promise<number> {
+	async add(from: string, to: string, targetPort: number, options: {of?: 'callers' | 'peers'; delayMs?: number; host?: string} = {}): Promise<number> {
 		const port = this.#ports.next();
-		const proxy = new FaultProxy(port, targetPort, options.delayMs);
+		const proxy = new FaultProxy(port, targetPort, {baseDelayMs: options.delayMs, host: options.host});
 		await proxy.listen();
 		this.#links.push({
 			from, to, of: options.of ?? 'callers', proxy,
--- /dev/null
+++ b/test/soak/soak-callers.ts
@@ -0,0 +1,123 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Agent} from 'undici';
+import type {Random} from '../../src/core/common/random.ts';
+import type {SoakDeployment} from './soak-deployment.ts';
+import type {SoakNode} from './soak-node.ts';
+
+const kinds = [
+	{name: 'call', path: '/calls/1', headers: {}},
+	{name: 'order', path: '/orders/1', headers: {}},
+	{name: 'draft', path: '/drafts/1', headers: {'token-counts': '100,48', 'prompt-prefix': 'a1:60,b2:40', model: 'm'}},
+] as const;
+
+/** What a caller saw of one request. */
+type SoakRecord = {
+	readonly id: string;
+	readonly kind: typeof kinds[number]['name'];
+	readonly entry: SoakNode;
+	readonly sentAt: number;
+	/** True if no fault has touched its entry or any control node for a while. */
+	readonly inTouch: boolean;
+	endAt: number;
+	/** `broken`: the connection ended before a whole answer. */
+	outcome: 'served' | 'refused' | 'failed' | 'broken' | 'unreachable';
+	status?: number;
+	/** What must not happen. */
+	problem?: string;
+};
+
+/** Statuses that say that a request has not run. */
+const notRunStatuses = new Set([404, 408, 413, 421, 429, 431, 503]);
+/** Time after which a caller that hears nothing leaves, in milliseconds; beyond the routes' timeout of 3 s. */
+const patienceMs = 6000;
+/** Time without a fault after which a process is in touch (stability window of the first deployments), in milliseconds. */
+const stableMs = 6000;
+const pollMs = 100;
+const wholeStream = Array.from({length: 6}, (_, index) => `id: ${index + 1}\ndata: piece ${index + 1}\n\n`).join('');
+
+/** Callers that send requests to any entry at a steady rate over connections that they keep. */
+export class SoakCallers {
+	readonly records: SoakRecord[] = [];
+	readonly #deployment: SoakDeployment;
+	readonly #random: Random;
+	readonly #now: () => number;
+	readonly #agent = new Agent({
+		connect: {timeout: 1000}, keepAliveTimeout: 10_000, headersTimeout: patienceMs, bodyTimeout: patienceMs,
+	});
+
+	/** Requests under way. */
+	#open = 0;
+	#timer: NodeJS.Timeout | undefined;
+	#last = 0;
+
+	constructor(deployment: SoakDeployment, {random, now}: {random: Random; now: () => number}) {
+		this.#deployment = deployment;
+		this.#random = random;
+		this.#now = now;
+	}
+
+	start(perSecond: number): void {
+		this.#timer = setInterval(() => {
+			void this.#send();
+		}, 1000 / perSecond);
+	}
+
+	/** Sends nothing more and waits for what is under way. */
+	async finish(): Promise<void> {
+		clearInterval(this.#timer);
+		while (this.#open > 0) {
+			await sleep(pollMs); // eslint-disable-line no-await-in-loop
+		}
+
+		await this.#agent.close();
+	}
+
+	async #send(): Promise<void> {
+		this.#open += 1;
+		const kind = kinds[Math.floor(this.#random.next() * kinds.length)]!;
+		const {entries, control} = this.#deployment;
+		const entry = entries[Math.floor(this.#random.next() * entries.length)]!;
+		this.#last += 1;
+		const now = this.#now();
+		const record: SoakRecord = {
+			id: `r-${this.#last}`, kind: kind.name, entry, sentAt: now, endAt: now, outcome: 'unreachable',
+			inTouch: [entry, ...control].every(({faults, touchedAt}) => faults === 0 && now - touchedAt > stableMs),
+		};
+		try {
+			await this.#exchange(record, kind);
+		} catch (error) {
+			const {code} = error as {code?: string};
+			record.outcome = code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT' ? 'unreachable' : 'broken';
+		}
+
+		record.endAt = this.#now();
+		this.records.push(record);
+		this.#open -= 1;
+	}
+
+	async #exchange(record: SoakRecord, kind: typeof kinds[number]): Promise<void> {
+		const res = await this.#agent.request({
+			origin: `http://${record.entry.address('callers')}`,
+			path: kind.path,
+			method: 'POST',
+			headers: {
+				host: 'prairie.example', 'request-identifier': record.id, 'deadline-milliseconds': '5000', ...kind.headers,
+			},
+			body: `order of ${record.id}`,
+		});
+		const text = await res.body.text();
+		record.status = res.statusCode;
+		record.outcome = res.statusCode === 200 ? 'served' : (notRunStatuses.has(res.statusCode) ? 'refused' : 'failed');
+		if (res.statusCode !== 200) {
+			return;
+		}
+
+		const target = String(res.headers['server-signature']).replace(/\.sig$/v, '');
+		const expected = kind.name === 'draft' ? wholeStream : `answer of ${target}`;
+		if (text !== expected) {
+			record.problem = `${kind.name} ${record.id} at ${record.entry.name} ended as whole with ${JSON.stringify(text.slice(0, 120))}`;
+		} else if (res.headers['request-identifier'] !== record.id) {
+			record.problem = `${kind.name} ${record.id} got the answer to ${String(res.headers['request-identifier'])}`;
+		}
+	}
+}
--- /dev/null
+++ b/test/soak/soak-deployment.ts
@@ -0,0 +1,195 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {request} from 'undici';
+import type {Random} from '../../src/core/common/random.ts';
+import {PlatformEngine} from '../fakes/platform-engine.ts';
+import {bundle} from '../harness/bundle.ts';
+import {Links} from '../harness/links.ts';
+import {PortBlock} from '../harness/port-block.ts';
+import {SoakNode} from './soak-node.ts';
+
+type SoakEngine = {readonly engine: PlatformEngine; readonly service: 'desk' | 'writers'; readonly region: string; sequence: number};
+
+type NodePlan = Pick<ConstructorParameters<typeof SoakNode>[0], 'name' | 'role' | 'region' | 'ip'>;
+
+const regions = ['regina', 'saskatoon', 'winnipeg'];
+/** Regions of the control nodes; settings name the first three. */
+const controlRegions = ['regina', 'saskatoon', 'winnipeg', 'regina', 'saskatoon'];
+const namedControl = 3;
+const enginesPerRegion = 2;
+/** Time of a call, and between two events of a stream, in milliseconds. */
+const workMs = 25;
+const reportEveryMs = 300;
+const regionDelayMs = 15;
+const callTimeoutMs = 2500;
+/** Version of the first configuration; operators' changes count on from it. */
+const firstVersion = 1;
+
+/** A deployment with a routes document in real processes, each link between two of them behind a proxy. */
+export class SoakDeployment {
+	static async create(options: {entriesPerRegion: number; random: Random}): Promise<SoakDeployment> {
+		const deployment = new SoakDeployment(options.random, await PortBlock.take());
+		await deployment.#prepare(options.entriesPerRegion);
+		return deployment;
+	}
+
+	readonly regions = regions;
+	readonly nodes: SoakNode[] = [];
+	readonly engines: SoakEngine[] = [];
+	readonly links: Links;
+	/** Processes' logs and data. */
+	readonly folder = mkdtempSync(path.join(tmpdir(), 'lovageferry-soak-'));
+	readonly #random: Random;
+	readonly #ports: PortBlock;
+	#reporter: NodeJS.Timeout | undefined;
+
+	private constructor(random: Random, ports: PortBlock) {
+		this.#random = random;
+		this.#ports = ports;
+		this.links = new Links(ports);
+	}
+
+	get control(): readonly SoakNode[] {
+		return this.nodes.filter(({role}) => role === 'control');
+	}
+
+	get entries(): readonly SoakNode[] {
+		return this.nodes.filter(({role}) => role === 'entry');
+	}
+
+	async start(): Promise<void> {
+		for (const node of this.nodes) {
+			node.start();
+		}
+
+		this.#reporter = setInterval(() => {
+			void this.#report();
+		}, reportEveryMs);
+	}
+
+	/** An operator's call to a control node; undefined without a clear answer. */
+	async operate(node: SoakNode, method: 'GET' | 'PUT' | 'POST' | 'DELETE', callPath: string, body?: string): Promise<{status: number; text: string} | undefined> {
+		try {
+			const res = await request(`http://${node.address('operators')}${callPath}`, {
+				method, body, headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs,
+			});
+			return {status: res.statusCode, text: await res.body.text()};
+		} catch {
+			// A process that is down, paused or starting.
+			return undefined;
+		}
+	}
+
+	configuration(version = firstVersion): string {
+		const common = {
+			host: 'prairie.example', 'timeout-ms': 3000, 'target-latency-ms': 400, 'target-gap-ms': 600,
+		};
+		const routes = [
+			{
+				...common, name: 'calls', 'path-prefix': '/calls/', kind: 'safe', service: 'desk', attempts: 2,
+			},
+			{
+				...common, name: 'orders', 'path-prefix': '/orders/', kind: 'unsafe', service: 'desk', attempts: 1,
+			},
+			{
+				...common, name: 'drafts', 'path-prefix': '/drafts/', kind: 'streaming', service: 'writers', attempts: 2, resumable: true,
+			},
+		];
+		return JSON.stringify({
+			version,
+			routes,
+			services: [{name: 'desk', 'connection-limit': 200}, {name: 'writers', engine: {slots: 8, 'kv-cache-tokens': 100_000, stride: 8}}],
+			limits: {
+				'max-header-bytes': 16_384, 'max-body-bytes': 100_000, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000,
+			},
+		});
+	}
+
+	/** Runs of a request over all targets. */
+	runsOf(requestId: string): number {
+		return this.engines.reduce((sum, {engine}) => sum + (engine.runs.get(requestId) ?? 0), 0);
+	}
+
+	/** Ends every process that was started here. */
+	async dispose(options: {keepFolder: boolean}): Promise<void> {
+		clearInterval(this.#reporter);
+		await Promise.all(this.nodes.map(async node => node.end('SIGKILL')));
+		await Promise.all(this.engines.map(async ({engine}) => engine.close()));
+		this.links.close();
+		this.#ports.release();
+		if (!options.keepFolder) {
+			rmSync(this.folder, {recursive: true, force: true, maxRetries: 3});
+		}
+	}
+
+	async #prepare(entriesPerRegion: number): Promise<void> {
+		const ports = {
+			callers: this.#ports.next(), readiness: this.#ports.next(), operators: this.#ports.next(), directory: this.#ports.next(), internal: this.#ports.next(),
+		};
+		// The range of internal ports.
+		for (let count = 0; count < 5; count++) {
+			this.#ports.next();
+		}
+
+		const program = await bundle('platform/main.ts');
+		const plans: NodePlan[] = [
+			...controlRegions.map((region, index) => ({
+				name: `control-${index + 1}`, role: 'control' as const, region, ip: `127.0.1.${index + 1}`,
+			})),
+			...regions.flatMap((region, at) => Array.from({length: entriesPerRegion}, (_, index) => ({
+				name: `${region}-${index + 1}`, role: 'entry' as const, region, ip: `127.0.2.${(at * entriesPerRegion) + index + 1}`,
+			}))),
+		];
+		const seeds = plans.slice(0, namedControl).map(({ip}) => `${ip}:${ports.operators}`);
+		for (const plan of plans) {
+			const forwards = await this.#forwards(plan, plans, ports); // eslint-disable-line no-await-in-loop
+			this.nodes.push(new SoakNode({
+				...plan, folder: this.folder, program, ports, seeds, regions, forwards,
+			}));
+		}
+
+		for (const region of regions) {
+			for (const service of ['desk', 'writers'] as const) {
+				for (let index = 1; index <= enginesPerRegion; index++) {
+					const engine = new PlatformEngine(`${region}-${service}-${index}`, workMs);
+					await engine.listen(); // eslint-disable-line no-await-in-loop
+					this.engines.push({
+						engine, service, region, sequence: 0,
+					});
+				}
+			}
+		}
+	}
+
+	/** Puts a proxy on the way from a node to each other one that it may write to. */
+	async #forwards(from: NodePlan, plans: readonly NodePlan[], ports: ConstructorParameters<typeof SoakNode>[0]['ports']): Promise<Record<string, string>> {
+		const forwards: Record<string, string> = {};
+		for (const to of plans.filter(plan => plan !== from)) {
+			for (const address of SoakNode.addresses({...to, ports})) {
+				const [host, port] = address.split(':');
+				const delayMs = from.region === to.region ? 0 : regionDelayMs;
+				forwards[address] = `127.0.0.1:${await this.links.add(from.name, to.name, Number(port), {of: 'peers', delayMs, host})}`; // eslint-disable-line no-await-in-loop
+			}
+		}
+
+		return forwards;
+	}
+
+	/** Each target tells any control node that answers of itself. */
+	async #report(): Promise<void> {
+		const control = this.control.filter(({up}) => up);
+		const node = control[Math.floor(this.#random.next() * control.length)];
+		if (node === undefined) {
+			return;
+		}
+
+		await Promise.all(this.engines.map(async target => {
+			target.sequence += 1;
+			const {engine: {identifier, address}, service, region, sequence} = target;
+			await this.operate(node, 'PUT', `/instances/${identifier}`, JSON.stringify({
+				service, address, zone: `${region}-a`, slots: 8, state: 'ready', 'cold-remaining-ms': 0, born: 1000, sequence,
+			}));
+		}));
+	}
+}
--- /dev/null
+++ b/test/soak/soak-faults.ts
@@ -0,0 +1,228 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {Random} from '../../src/core/common/random.ts';
+import type {SoakDeployment} from './soak-deployment.ts';
+import type {SoakNode} from './soak-node.ts';
+
+type SoakFault = {
+	readonly name: string;
+	/** Nodes that it touches. */
+	readonly nodes: readonly SoakNode[];
+	begin(): Promise<void> | void;
+	/** What undoes it, if it does not pass by itself. */
+	end?(): Promise<void> | void;
+};
+
+type Manner = SoakDeployment['engines'][number]['engine']['manner'];
+
+const badManners: readonly Manner[] = ['cut', 'reset', 'full', 'silent', 'foreign', 'unsigned'];
+/** Disks that may be lost until control has caught up again, and the time that is given for it, in milliseconds. */
+const mostLostDisks = 2;
+const catchUpMs = 8000;
+const mostTornBytes = 11;
+
+/** Picks faults of a run from its seed. */
+export class SoakFaults {
+	readonly #deployment: SoakDeployment;
+	readonly #random: Random;
+	#disksLostAt: number[] = [];
+
+	constructor(deployment: SoakDeployment, random: Random) {
+		this.#deployment = deployment;
+		this.#random = random;
+	}
+
+	pick(now: number): SoakFault {
+		const {nodes, control, entries} = this.#deployment;
+		return this.#any([
+			() => this.#kill(this.#any(nodes), now),
+			() => this.#kill(this.#any(control), now),
+			() => this.#stop(this.#any(entries)),
+			() => this.#freeze(this.#any(nodes)),
+			() => this.#cutNode(this.#any(nodes)),
+			() => this.#cutRegions(),
+			() => this.#slowLinks(this.#any(nodes)),
+			() => this.#dropLinks(this.#any(nodes)),
+			() => this.#misbehave(),
+			() => this.#misbehave(),
+			() => this.#powerCut(),
+		])();
+	}
+
+	/** A killed process comes back with its disk, with a torn write at its end, or without it. */
+	#kill(node: SoakNode, now: number): SoakFault {
+		this.#disksLostAt = this.#disksLostAt.filter(at => now - at < catchUpMs);
+		const fate = node.role === 'control' ? this.#any(['kept', 'torn', 'lost'] as const) : 'kept';
+		const disk = fate === 'lost' && this.#disksLostAt.length >= mostLostDisks ? 'kept' : fate;
+		if (disk === 'lost') {
+			this.#disksLostAt.push(now);
+		}
+
+		return {
+			name: `kill ${node.name}, disk ${disk}`,
+			nodes: [node],
+			async begin() {
+				await node.end('SIGKILL');
+			},
+			end: () => {
+				if (!node.up && disk === 'lost') {
+					node.loseDisk();
+				} else if (!node.up && disk === 'torn') {
+					node.tearWrite(1 + Math.floor(this.#random.next() * mostTornBytes));
+				}
+
+				node.start();
+			},
+		};
+	}
+
+	#stop(node: SoakNode): SoakFault {
+		return {
+			name: `stop ${node.name}`,
+			nodes: [node],
+			async begin() {
+				await node.end('SIGTERM');
+			},
+			end() {
+				node.start();
+			},
+		};
+	}
+
+	#freeze(node: SoakNode): SoakFault {
+		return {
+			name: `pause ${node.name}`,
+			nodes: [node],
+			begin() {
+				node.freeze(true);
+			},
+			end() {
+				node.freeze(false);
+			},
+		};
+	}
+
+	/** All processes of control end at once. */
+	#powerCut(): SoakFault {
+		const {control} = this.#deployment;
+		return {
+			name: 'kill all control',
+			nodes: control,
+			async begin() {
+				await Promise.all(control.map(async node => node.end('SIGKILL')));
+			},
+			async end() {
+				for (const node of control) {
+					node.start();
+					await sleep(20); // eslint-disable-line no-await-in-loop
+				}
+			},
+		};
+	}
+
+	#cutNode(node: SoakNode): SoakFault {
+		return this.#cut(`cut ${node.name}`, new Set([node.name]), new Set(this.#names().filter(name => name !== node.name)), [node]);
+	}
+
+	#cutRegions(): SoakFault {
+		const one = this.#any(this.#deployment.regions);
+		const other = this.#any(this.#deployment.regions.filter(region => region !== one));
+		const touched = this.#deployment.nodes.filter(({region}) => region === one || region === other);
+		return this.#cut(`cut ${one} from ${other}`, this.#namesOf(one), this.#namesOf(other), touched);
+	}
+
+	/** Lets nothing through between two sets of nodes: both ways, or only what the first ones send. */
+	#cut(name: string, left: ReadonlySet<string>, right: ReadonlySet<string>, nodes: readonly SoakNode[]): SoakFault {
+		const {links} = this.#deployment;
+		const oneWay = this.#random.next() < 0.5;
+		const [out, back] = [links.between(left, right), links.between(right, left)];
+		return {
+			name: oneWay ? `${name}, one way` : name,
+			nodes,
+			begin() {
+				for (const proxy of out) {
+					proxy.cut(oneWay ? 'forward' : 'both');
+				}
+
+				for (const proxy of back) {
+					proxy.cut(oneWay ? 'backward' : 'both');
+				}
+			},
+			end() {
+				for (const proxy of [...out, ...back]) {
+					proxy.heal();
+				}
+			},
+		};
+	}
+
+	#slowLinks(node: SoakNode): SoakFault {
+		const proxies = this.#linksOf(node);
+		const delayMs = 50 + Math.floor(this.#random.next() * 400);
+		return {
+			name: `${delayMs} ms to and from ${node.name}`,
+			nodes: [node],
+			begin() {
+				for (const proxy of proxies) {
+					proxy.delay(delayMs);
+				}
+			},
+			end() {
+				for (const proxy of proxies) {
+					proxy.heal();
+				}
+			},
+		};
+	}
+
+	/** Open connections are reset, or go silent on one side. */
+	#dropLinks(node: SoakNode): SoakFault {
+		const proxies = this.#linksOf(node);
+		const silent = this.#random.next() < 0.5;
+		return {
+			name: `${silent ? 'half-open' : 'reset'} links of ${node.name}`,
+			nodes: [node],
+			begin() {
+				for (const proxy of proxies) {
+					if (silent) {
+						proxy.halfOpen();
+					} else {
+						proxy.reset();
+					}
+				}
+			},
+		};
+	}
+
+	#misbehave(): SoakFault {
+		const {engine} = this.#any(this.#deployment.engines);
+		const manner = this.#any(badManners);
+		return {
+			name: `${engine.identifier}: ${manner}`,
+			nodes: [],
+			begin() {
+				engine.manner = manner;
+			},
+			end() {
+				engine.manner = 'well';
+			},
+		};
+	}
+
+	#linksOf(node: SoakNode) {
+		const self = new Set([node.name]);
+		const others = new Set(this.#names().filter(name => name !== node.name));
+		return [...this.#deployment.links.between(self, others), ...this.#deployment.links.between(others, self)];
+	}
+
+	#names(): string[] {
+		return this.#deployment.nodes.map(({name}) => name);
+	}
+
+	#namesOf(region: string): ReadonlySet<string> {
+		return new Set(this.#deployment.nodes.filter(node => node.region === region).map(({name}) => name));
+	}
+
+	#any<Item>(items: readonly Item[]): Item {
+		return items[Math.floor(this.#random.next() * items.length)]!;
+	}
+}
--- /dev/null
+++ b/test/soak/soak-node.ts
@@ -0,0 +1,134 @@
+import {Buffer} from 'node:buffer';
+import {
+	appendFileSync, existsSync, mkdirSync, rmSync, writeFileSync,
+} from 'node:fs';
+import path from 'node:path';
+import {ManagedProcess} from '../harness/managed-process.ts';
+
+type SoakNodeOptions = {
+	readonly name: string;
+	readonly role: 'entry' | 'control';
+	readonly region: string;
+	/** Loopback address that is the node's own. */
+	readonly ip: string;
+	readonly folder: string;
+	readonly program: string;
+	readonly ports: NodePorts;
+	/** Operators' addresses of the control nodes that settings name. */
+	readonly seeds: readonly string[];
+	readonly regions: readonly string[];
+	/** Proxies on the way to other nodes, by those nodes' own addresses. */
+	readonly forwards: Readonly<Record<string, string>>;
+};
+
+/** Ports, the same on each node's address. */
+type NodePorts = {readonly callers: number; readonly readiness: number; readonly operators: number; readonly directory: number; readonly internal: number};
+
+/** Places of the peers' and the relay's ports in the range of internal ports, as the settings define them. */
+const controlPeersOffset = 4;
+const relayOffset = 1;
+const graceMs = 6000;
+
+/** One lovageferry process of the soak with its settings and data. */
+export class SoakNode {
+	/** Own addresses at which other nodes reach a node, before any proxy. */
+	static addresses({role, ip, ports}: Pick<SoakNodeOptions, 'role' | 'ip' | 'ports'>): readonly string[] {
+		const offsets = role === 'control' ? [controlPeersOffset] : [0, relayOffset];
+		return offsets.map(offset => `${ip}:${ports.internal + offset}`);
+	}
+
+	readonly name: string;
+	readonly role: 'entry' | 'control';
+	readonly region: string;
+	frozen = false;
+	/** Faults that touch it now, and when the last one ended, in milliseconds of the run. */
+	faults = 0;
+	touchedAt = 0;
+	readonly #options: SoakNodeOptions;
+	readonly #process: ManagedProcess;
+	#started = false;
+
+	constructor(options: SoakNodeOptions) {
+		this.#options = options;
+		this.name = options.name;
+		this.role = options.role;
+		this.region = options.region;
+		mkdirSync(this.#dataFolder, {recursive: true});
+		this.#process = new ManagedProcess([options.program, 'run', this.#settingsFile], path.join(options.folder, `${options.name}.log`));
+	}
+
+	get up(): boolean {
+		return this.#process.up;
+	}
+
+	address(port: keyof NodePorts): string {
+		return `${this.#options.ip}:${this.#options.ports[port]}`;
+	}
+
+	start(): void {
+		if (!this.up) {
+			this.#writeSettings({firstStart: !this.#started});
+			this.#started = true;
+			this.#process.start();
+		}
+	}
+
+	async end(signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
+		if (this.frozen) {
+			this.freeze(false);
+		}
+
+		await this.#process.end(signal);
+	}
+
+	freeze(frozen: boolean): void {
+		this.frozen = frozen;
+		this.#process.signal(frozen ? 'SIGSTOP' : 'SIGCONT');
+	}
+
+	loseDisk(): void {
+		rmSync(this.#dataFolder, {recursive: true, force: true});
+		mkdirSync(this.#dataFolder);
+	}
+
+	/** Adds the first bytes of a record to the journal, as when power fails within a write. */
+	tearWrite(bytes: number): void {
+		const journal = path.join(this.#dataFolder, 'consensus.journal');
+		if (existsSync(journal)) {
+			appendFileSync(journal, Buffer.alloc(bytes, 1));
+		}
+	}
+
+	get #settingsFile(): string {
+		return path.join(this.#options.folder, `${this.#options.name}.yaml`);
+	}
+
+	get #dataFolder(): string {
+		return path.join(this.#options.folder, this.#options.name);
+	}
+
+	#writeSettings({firstStart}: {firstStart: boolean}): void {
+		const {name, role, region, ip, ports, seeds, regions, forwards} = this.#options;
+		const listen = role === 'entry'
+			? {callers: this.address('callers'), readiness: this.address('readiness')}
+			: {operators: this.address('operators'), directory: this.address('directory')};
+		writeFileSync(this.#settingsFile, JSON.stringify({
+			mode: 'routes',
+			role,
+			node: name,
+			zone: `${region}-a`,
+			region,
+			zones: Object.fromEntries(regions.map(other => [`${other}-a`, other])),
+			internal: {
+				ip, firstPort: ports.internal, lastPort: ports.internal + 5, forwards,
+			},
+			controlSeeds: seeds,
+			firstStart,
+			toleratedDisks: 2,
+			reportEveryMs: 300,
+			graceMs,
+			dataFolder: role === 'control' ? this.#dataFolder : undefined,
+			listen,
+		}));
+	}
+}
--- /dev/null
+++ b/test/soak/soak-operator.ts
@@ -0,0 +1,72 @@
+import type {Random} from '../../src/core/common/random.ts';
+import type {SoakDeployment} from './soak-deployment.ts';
+
+const pauseMs = 350;
+
+/** An operator who changes and reads the configuration at any control node. */
+export class SoakOperator {
+	readonly problems: string[] = [];
+	/** Newest version that was accepted. */
+	accepted = 0;
+	changes = 0;
+	reads = 0;
+	readonly #deployment: SoakDeployment;
+	readonly #random: Random;
+	#sent = 0;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(deployment: SoakDeployment, random: Random) {
+		this.#deployment = deployment;
+		this.#random = random;
+	}
+
+	start(): void {
+		this.#timer = setInterval(() => {
+			void (this.#random.next() < 0.4 ? this.change() : this.read());
+		}, pauseMs);
+	}
+
+	stop(): void {
+		clearInterval(this.#timer);
+	}
+
+	/** Sends the next version; true if it was accepted. */
+	async change(): Promise<boolean> {
+		this.#sent += 1;
+		const version = this.#sent;
+		const answer = await this.#deployment.operate(this.#anyControl(), 'PUT', '/configuration', this.#deployment.configuration(version));
+		if (answer?.status !== 200) {
+			return false;
+		}
+
+		this.changes += 1;
+		this.accepted = Math.max(this.accepted, version);
+		return true;
+	}
+
+	/** Reads the configuration: none may be older than what was accepted before. */
+	async read(node = this.#anyControl()): Promise<boolean> {
+		const least = this.accepted;
+		const answer = await this.#deployment.operate(node, 'GET', '/configuration');
+		if (answer?.status !== 200) {
+			return false;
+		}
+
+		this.reads += 1;
+		const {version} = JSON.parse(answer.text) as {version: number};
+		if (version < least) {
+			this.problems.push(`${node.name} gave version ${version} after ${least} had been accepted`);
+		}
+
+		if (answer.text !== this.#deployment.configuration(version)) {
+			this.problems.push(`${node.name} gave another text for version ${version} than was sent`);
+		}
+
+		return true;
+	}
+
+	#anyControl() {
+		const {control} = this.#deployment;
+		return control[Math.floor(this.#random.next() * control.length)]!;
+	}
+}
