--- /dev/null
+++ b/src/core/consensus/leadership.ts
@@ -0,0 +1,161 @@
+import type {Millis} from '../ids/millis.ts';
+import type {AppliedLog} from './applied-log.ts';
+import type {ConsensusMessage} from './consensus-message.ts';
+import {consensusTiming} from './consensus-timing.ts';
+import type {GroupView} from './group-view.ts';
+import {isVoter} from './is-voter.ts';
+import type {LogCommand} from './log-command.ts';
+import type {LogEntry} from './log-entry.ts';
+import type {LogMember} from './log-member.ts';
+import type {MemberContext} from './member-context.ts';
+import {memberKey} from './member-key.ts';
+import {MembershipChanges} from './membership-changes.ts';
+import {Replicator} from './replicator.ts';
+
+type Answer = ConsensusMessage['body'] & {type: 'append-answer' | 'snapshot-answer'};
+
+type LeadershipOptions<Outcome> = {
+	readonly context: MemberContext;
+	readonly applied: AppliedLog<Outcome>;
+	readonly now: Millis;
+};
+
+/** One term of a member as the leader: appends, replicates, commits, and changes the group. */
+export class Leadership<Outcome> {
+	readonly #context: MemberContext;
+	readonly #applied: AppliedLog<Outcome>;
+	readonly #replicator: Replicator;
+	readonly #changes = new MembershipChanges();
+	/** Index of this leader's first entry: once it is committed the leader knows all that is. */
+	readonly #firstIndex: number;
+
+	constructor({context, applied, now}: LeadershipOptions<Outcome>) {
+		this.#context = context;
+		this.#applied = applied;
+		this.#replicator = new Replicator(context, () => applied.snapshot(), now);
+		this.#replicator.tick(applied.commit, now);
+		this.#firstIndex = this.#append({type: 'command', command: {type: 'lead', nodeId: context.self.nodeId}}, now);
+	}
+
+	get learners(): ReturnType<Replicator['learners']> {
+		return this.#replicator.learners();
+	}
+
+	/** Time until which no other member can lead; undefined if the leader may be out of date already. */
+	leaseUntil(now: Millis): Millis | undefined {
+		if (this.#applied.commit < this.#firstIndex) {
+			return undefined;
+		}
+
+		const until = this.#replicator.majorityContact(now) + consensusTiming.leaseMs as Millis;
+		return now < until ? until : undefined;
+	}
+
+	/** Time at which a majority still took this member for the leader, if its state held everything committed until then. */
+	confirmedAt(now: Millis): Millis | undefined {
+		return this.#applied.commit < this.#firstIndex ? undefined : this.#replicator.majorityContact(now) as Millis;
+	}
+
+	quorumLost(now: Millis): boolean {
+		return this.#replicator.quorumLost(now);
+	}
+
+	/** Appends a command; undefined without a valid lease, or while too much is uncommitted. */
+	propose(command: LogCommand, now: Millis): number | undefined {
+		const uncommitted = this.#context.storage.log.lastIndex - this.#applied.commit;
+		if (this.leaseUntil(now) === undefined || uncommitted >= this.#context.limits.uncommitted) {
+			return undefined;
+		}
+
+		return this.#append({type: 'command', command}, now);
+	}
+
+	changeMembers(change: Parameters<MembershipChanges['commanded']>[1], now: Millis): boolean {
+		const current = this.#context.storage.configuration;
+		if (current === undefined || this.leaseUntil(now) === undefined || this.#configurationOpen()) {
+			return false;
+		}
+
+		const next = this.#changes.commanded(current, change);
+		if (next === undefined) {
+			return false;
+		}
+
+		this.#append({type: 'configuration', configuration: next}, now);
+		return true;
+	}
+
+	/** What the leader knows of the group's members; undefined without a valid lease. */
+	group(now: Millis): GroupView | undefined {
+		const {storage: {configuration, log}, limits} = this.#context;
+		if (configuration === undefined || this.leaseUntil(now) === undefined) {
+			return undefined;
+		}
+
+		const silences = new Map(this.#replicator.peers().map(({member, heardAt}) => [memberKey(member), now - heardAt]));
+		const near = this.learners.filter(({match}) => match > 0 && log.lastIndex - match <= limits.learnerLag);
+		return {
+			settled: !this.#configurationOpen(),
+			wanted: configuration.wanted,
+			voters: configuration.voters.map(voter => ({nodeId: voter.nodeId, silentMs: silences.get(memberKey(voter)) ?? 0})),
+			standbys: near.map(({member}) => member.nodeId),
+		};
+	}
+
+	join(from: LogMember, now: Millis): void {
+		this.#replicator.join(from, now);
+	}
+
+	answered(from: LogMember, body: Answer, now: Millis): void {
+		if (body.type === 'append-answer') {
+			this.#replicator.acknowledged(from, body, this.#applied.commit, now);
+		} else {
+			this.#replicator.snapshotAcknowledged(from, body, now);
+		}
+	}
+
+	tick(now: Millis): void {
+		this.#replicator.tick(this.#applied.commit, now);
+		this.#changeConfiguration(now);
+	}
+
+	/** Commits what a majority has synced, if the newest of it is of this term; false once the leader has removed itself. */
+	advance(now: Millis): boolean {
+		const {storage, self} = this.#context;
+		const index = this.#replicator.majorityMatch();
+		if (index <= this.#applied.commit || storage.log.term(index) !== storage.term) {
+			return true;
+		}
+
+		this.#applied.advance(index);
+		this.#replicator.replicate(this.#applied.commit, now);
+		return this.#configurationOpen() || isVoter(storage.configuration, self);
+	}
+
+	#append(content: LogEntry['content'], now: Millis): number {
+		const {storage} = this.#context;
+		const index = storage.log.lastIndex + 1;
+		storage.append([{index, term: storage.term, content}]);
+		this.#replicator.replicate(this.#applied.commit, now);
+		return index;
+	}
+
+	#changeConfiguration(now: Millis): void {
+		const {storage, limits} = this.#context;
+		if (this.leaseUntil(now) === undefined || this.#configurationOpen()) {
+			return;
+		}
+
+		const {lastIndex} = storage.log;
+		const configuration = this.#changes.next(storage.configuration!, {learners: this.learners, lastIndex, learnerLag: limits.learnerLag});
+		if (configuration !== undefined) {
+			this.#append({type: 'configuration', configuration}, now);
+			this.#replicator.tick(this.#applied.commit, now);
+		}
+	}
+
+	/** True while the newest configuration is not committed. */
+	#configurationOpen(): boolean {
+		return this.#context.storage.configurationIndex > this.#applied.commit;
+	}
+}
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -13,17 +13,14 @@
 import type {GroupView} from './group-view.ts';
 import {isVoter} from './is-voter.ts';
 import {JoinRequests} from './join-requests.ts';
+import {Leadership} from './leadership.ts';
 import {LogAcceptor} from './log-acceptor.ts';
 import type {LogCommand} from './log-command.ts';
-import type {LogEntry} from './log-entry.ts';
 import type {LogMember} from './log-member.ts';
 import type {MemberContext} from './member-context.ts';
-import {memberKey} from './member-key.ts';
 import {memberRole} from './member-role.ts';
 import {MemberStorage} from './member-storage.ts';
-import {MembershipChanges} from './membership-changes.ts';
 import type {RaftMemberOptions} from './raft-member-options.ts';
-import {Replicator} from './replicator.ts';
 import {SnapshotReceiver} from './snapshot-receiver.ts';
 
 type Body = ConsensusMessage['body'];
@@ -40,12 +37,9 @@
 	readonly #election: Election;
 	readonly #acceptor: LogAcceptor;
 	readonly #receiver: SnapshotReceiver;
-	readonly #changes = new MembershipChanges();
 	/** Set while this member leads. */
-	#replicator: Replicator | undefined;
+	#leadership: Leadership<Outcome> | undefined;
 	#leader: NodeId | undefined;
-	/** Index of this leader's first entry: once it is committed the leader knows all that is. */
-	#firstIndex = 0;
 	#problem: string | undefined;
 
 	constructor(options: RaftMemberOptions<Outcome>) {
@@ -101,12 +95,14 @@
 		}
 
 		this.#bootstrap.tick(now);
-		if (this.#replicator === undefined) {
+		if (this.#leadership === undefined) {
 			this.#forgetSilentLeader(now);
 			this.#election.tick(now);
 			this.#joinIfAlone(now);
+		} else if (this.#leadership.quorumLost(now)) {
+			this.#stepBack(now);
 		} else {
-			this.#tickLeader(this.#replicator, now);
+			this.#leadership.tick(now);
 		}
 
 		this.#storage.recordCommit(this.#applied.commit);
@@ -126,12 +122,7 @@
 	}
 
 	propose(command: LogCommand, now: Millis): number | undefined {
-		const uncommitted = this.#storage.log.lastIndex - this.#applied.commit;
-		if (!this.leads(now) || uncommitted >= this.#context.limits.uncommitted) {
-			return undefined;
-		}
-
-		return this.#append({type: 'command', command}, now);
+		return this.#leadership?.propose(command, now);
 	}
 
 	leads(now: Millis): boolean {
@@ -139,12 +130,7 @@
 	}
 
 	leaseUntil(now: Millis): Millis | undefined {
-		if (this.#replicator === undefined || this.#applied.commit < this.#firstIndex) {
-			return undefined;
-		}
-
-		const until = this.#replicator.majorityContact(now) + consensusTiming.leaseMs as Millis;
-		return now < until ? until : undefined;
+		return this.#leadership?.leaseUntil(now);
 	}
 
 	/**
@@ -152,8 +138,7 @@
 	 * committed until then; undefined while it does not lead. A read that arrived earlier may be answered from the state.
 	 */
 	confirmedAt(now: Millis): Millis | undefined {
-		const contact = this.#replicator?.majorityContact(now);
-		return contact === undefined || this.#applied.commit < this.#firstIndex ? undefined : contact as Millis;
+		return this.#leadership?.confirmedAt(now);
 	}
 
 	/** Index of the newest entry that is committed and applied here. */
@@ -163,24 +148,12 @@
 
 	/** Time since this member led or heard a leader, in milliseconds. */
 	leaderSilence(now: Millis): number {
-		return this.#replicator === undefined ? this.#election.silence(now) : 0;
+		return this.#leadership === undefined ? this.#election.silence(now) : 0;
 	}
 
 	/** What the leader knows of the group's members; undefined while this member does not lead with a valid lease. */
 	group(now: Millis): GroupView | undefined {
-		const {configuration, log} = this.#storage;
-		if (this.#replicator === undefined || configuration === undefined || !this.leads(now)) {
-			return undefined;
-		}
-
-		const silences = new Map(this.#replicator.peers().map(({member, heardAt}) => [memberKey(member), now - heardAt]));
-		const near = this.#replicator.learners().filter(({match}) => match > 0 && log.lastIndex - match <= this.#context.limits.learnerLag);
-		return {
-			settled: !this.#configurationOpen(),
-			wanted: configuration.wanted,
-			voters: configuration.voters.map(voter => ({nodeId: voter.nodeId, silentMs: silences.get(memberKey(voter)) ?? 0})),
-			standbys: near.map(({member}) => member.nodeId),
-		};
+		return this.#leadership?.group(now);
 	}
 
 	leader(): NodeId | undefined {
@@ -192,18 +165,7 @@
 	}
 
 	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): boolean {
-		const current = this.#storage.configuration;
-		if (current === undefined || !this.leads(now) || this.#configurationOpen()) {
-			return false;
-		}
-
-		const next = this.#changes.commanded(current, change);
-		if (next === undefined) {
-			return false;
-		}
-
-		this.#append({type: 'configuration', configuration: next}, now);
-		return true;
+		return this.#leadership?.changeMembers(change, now) ?? false;
 	}
 
 	status(): ConsensusStatus {
@@ -216,7 +178,7 @@
 			lastIndex: log.lastIndex,
 			snapshotIndex,
 			voters: configuration?.voters.map(voter => voter.nodeId) ?? [],
-			learners: this.#replicator?.learners().map(({member}) => member.nodeId) ?? [],
+			learners: this.#leadership?.learners.map(({member}) => member.nodeId) ?? [],
 			problem: this.#problem,
 		};
 	}
@@ -224,7 +186,7 @@
 	#role(): ConsensusStatus['role'] {
 		return memberRole({
 			stopped: this.#problem !== undefined,
-			leads: this.#replicator !== undefined,
+			leads: this.#leadership !== undefined,
 			starting: this.#bootstrap.starting,
 			votes: isVoter(this.#storage.configuration, this.#context.self),
 			stands: this.#election.standing,
@@ -277,8 +239,8 @@
 	}
 
 	#joinRequested(from: LogMember, now: Millis): void {
-		if (this.#replicator !== undefined) {
-			this.#replicator.join(from, now);
+		if (this.#leadership !== undefined) {
+			this.#leadership.join(from, now);
 		} else if (this.#leader !== undefined && this.#leader !== from.nodeId) {
 			this.#send(from.nodeId, {type: 'join-redirect', leader: this.#leader}, from.storageId);
 		}
@@ -318,8 +280,8 @@
 	}
 
 	#leaderAlive(now: Millis): boolean {
-		if (this.#replicator !== undefined) {
-			return !this.#replicator.quorumLost(now);
+		if (this.#leadership !== undefined) {
+			return !this.#leadership.quorumLost(now);
 		}
 
 		return this.#election.silence(now) < consensusTiming.electionMs;
@@ -357,15 +319,13 @@
 	}
 
 	#answered(from: LogMember, body: Body & {type: 'append-answer' | 'snapshot-answer'}, now: Millis): void {
-		if (this.#replicator === undefined || body.term !== this.#storage.term) {
+		if (this.#leadership === undefined || body.term !== this.#storage.term) {
 			return;
 		}
 
+		this.#leadership.answered(from, body, now);
 		if (body.type === 'append-answer') {
-			this.#replicator.acknowledged(from, body, this.#applied.commit, now);
 			this.#advanceLeader(now);
-		} else {
-			this.#replicator.snapshotAcknowledged(from, body, now);
 		}
 	}
 
@@ -377,75 +337,22 @@
 	#lead(now: Millis): void {
 		this.#context.outbox.log('consensus', `Leads term ${this.#storage.term}`);
 		this.#leader = this.#context.self.nodeId;
-		this.#replicator = new Replicator(this.#context, () => this.#applied.snapshot(), now);
-		this.#replicator.tick(this.#applied.commit, now);
-		this.#firstIndex = this.#append({type: 'command', command: {type: 'lead', nodeId: this.#context.self.nodeId}}, now);
+		this.#leadership = new Leadership({context: this.#context, applied: this.#applied, now});
 	}
 
 	#stepBack(now: Millis): void {
-		if (this.#replicator !== undefined) {
+		if (this.#leadership !== undefined) {
 			this.#context.outbox.log('consensus', `Leads no more, term ${this.#storage.term}`);
-			this.#replicator = undefined;
+			this.#leadership = undefined;
 		}
 
 		this.#leader = undefined;
 		this.#election.stop(now);
 	}
 
-	#append(content: LogEntry['content'], now: Millis): number {
-		const {log, term} = this.#storage;
-		const index = log.lastIndex + 1;
-		this.#storage.append([{index, term, content}]);
-		this.#replicator!.replicate(this.#applied.commit, now);
-		return index;
-	}
-
-	#tickLeader(replicator: Replicator, now: Millis): void {
-		if (replicator.quorumLost(now)) {
-			this.#stepBack(now);
-			return;
-		}
-
-		replicator.tick(this.#applied.commit, now);
-		this.#changeConfiguration(replicator, now);
-	}
-
-	/** Commits what a majority has synced, if the newest of it is of this term. */
 	#advanceLeader(now: Millis): void {
-		const replicator = this.#replicator;
-		if (replicator === undefined) {
-			return;
-		}
-
-		const index = replicator.majorityMatch();
-		if (index <= this.#applied.commit || this.#storage.log.term(index) !== this.#storage.term) {
-			return;
-		}
-
-		this.#applied.advance(index);
-		replicator.replicate(this.#applied.commit, now);
-		const removed = !this.#configurationOpen() && !isVoter(this.#storage.configuration, this.#context.self);
-		if (removed) {
+		if (this.#leadership?.advance(now) === false) {
 			this.#stepBack(now);
 		}
 	}
-
-	#changeConfiguration(replicator: Replicator, now: Millis): void {
-		const current = this.#storage.configuration!;
-		if (!this.leads(now) || this.#configurationOpen()) {
-			return;
-		}
-
-		const {lastIndex} = this.#storage.log;
-		const configuration = this.#changes.next(current, {learners: replicator.learners(), lastIndex, learnerLag: this.#context.limits.learnerLag});
-		if (configuration !== undefined) {
-			this.#append({type: 'configuration', configuration}, now);
-			replicator.tick(this.#applied.commit, now);
-		}
-	}
-
-	/** True while the newest configuration is not committed. */
-	#configurationOpen(): boolean {
-		return this.#storage.configurationIndex > this.#applied.commit;
-	}
 }
