--- a/bench/main.ts
+++ b/bench/main.ts
@@ -29,6 +29,10 @@
 		const {benchDecisions} = await import('./decisions.ts');
 		return benchDecisions;
 	},
+	async edge() {
+		const {benchEdge} = await import('./edge.ts');
+		return benchEdge;
+	},
 	async path() {
 		const {benchPath} = await import('./path.ts');
 		return benchPath;
--- a/src/core/edge/attempt-desk.ts
+++ b/src/core/edge/attempt-desk.ts
@@ -3,6 +3,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
 import type {EdgeAction} from './edge-action.ts';
+import {IdleRule} from './idle-rule.ts';
 import type {PlacementCandidate} from './placement-candidate.ts';
 import type {RegionChoice} from './region-choice.ts';
 import type {RepeatBudget} from './repeat-budget.ts';
@@ -25,6 +26,7 @@
 export class AttemptDesk {
 	readonly #options: AttemptDeskOptions;
 	readonly #records = new Map<AttemptNumber, RequestRecord>();
+	readonly #idle = new IdleRule();
 	#last = 0;
 
 	constructor(options: AttemptDeskOptions) {
@@ -39,7 +41,7 @@
 	send(record: RequestRecord, {target, startMs, uncachedTokens, aheadTokens, memoryTokens}: PlacementCandidate, now: Millis): void {
 		const {req: {prompt}, service, table} = record;
 		const {targetId, address} = target.listed;
-		if (record.sends === 0) {
+		if (record.sends === 0 && record.req.forwarded === undefined) {
 			this.#options.budget.request(service, now);
 		}
 
@@ -59,6 +61,7 @@
 
 	sendAway(record: RequestRecord, {region, address, startMs}: {region: Region; address: string; startMs: number}, now: Millis): void {
 		const attempt = this.#next(record);
+		record.awaySends += 1;
 		this.#options.regions.sent({region, service: record.service, prompt: record.req.prompt}, now);
 		this.#options.queue.count('away', region);
 		record.running = {
@@ -67,6 +70,11 @@
 		this.#start(record, {attempt, address}, now);
 	}
 
+	/** An attempt at a target was reset before any answer came. */
+	wasReset({service}: RequestRecord, now: Millis): void {
+		this.#idle.wasReset(service, now);
+	}
+
 	/** Forgets a record's attempt: nothing more is heard of it. */
 	stop(record: RequestRecord): void {
 		const {running} = record;
@@ -83,7 +91,7 @@
 	}
 
 	#start(record: RequestRecord, to: Destination, now: Millis): void {
-		const {req, route, table} = record;
+		const {req, route, service, table} = record;
 		record.sends += 1;
 		record.repeatPaid = false;
 		this.#options.queue.push({
@@ -92,6 +100,7 @@
 			requestId: req.requestId,
 			deadlineMs: Math.max(1, Math.floor(record.deadlineAt - now)),
 			urgency: Math.min(lastUrgency, (route.priority * 2) + 1),
+			fresh: this.#idle.needsFresh(route, service, now),
 			stream: route.kind === 'stream',
 			resumeAfter: record.lastEventId,
 			documentVersion: table.version,
--- a/src/core/edge/edge-action.ts
+++ b/src/core/edge/edge-action.ts
@@ -19,6 +19,8 @@
 		readonly deadlineMs: number;
 		/** 0 to 9, 0 first, for engines. */
 		readonly urgency: number;
+		/** True if it must not go out on a connection that has rested: it could be reset there. */
+		readonly fresh: boolean;
 		/** True for a stream, whose events are passed on one by one. */
 		readonly stream: boolean;
 		/** Id of the event after which the stream goes on. */
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -48,7 +48,7 @@
 		});
 		this.#desk = new RequestDesk({
 			placement: new PlacementRule({
-				region: self.region, pool: this.#pool, regions: this.#regions, random,
+				region: self.region, relayAddress: self.relayAddress, pool: this.#pool, regions: this.#regions, random,
 			}),
 			table: () => this.#table,
 			pool: this.#pool,
@@ -219,7 +219,7 @@
 			const targets = this.#pool.usable(spec.name, now);
 			const prompt = spec.engine && {parts: [], promptTokens: 1, outputTokens: 1};
 			const [best] = localPlacement({
-				prompt, spec, targets, entries: this.#regions.entriesHere, objectiveMs: Number.POSITIVE_INFINITY, leftMs: Number.POSITIVE_INFINITY,
+				prompt, spec, targets, entries: this.#regions.placingHere, objectiveMs: Number.POSITIVE_INFINITY, leftMs: Number.POSITIVE_INFINITY,
 			}, now);
 			const waiting = this.#waiting.size(spec.name);
 			return {
--- a/src/core/edge/local-placement.ts
+++ b/src/core/edge/local-placement.ts
@@ -22,11 +22,15 @@
 const lateMs = 1500;
 /** Cost of an answer that is not predicted to end in time, in milliseconds. */
 const unfinishedMs = 3000;
+/** Cost of a target that another entry fills first, and of whose queue little is known, in milliseconds. */
+const foreignMs = 300;
 
 type Wanted = {
 	readonly prompt?: Prompt;
 	readonly spec: ServiceSpec | undefined;
 	readonly targets: readonly PooledTarget[];
+	/** Targets that this entry fills first; empty if it has no preference. */
+	readonly group?: ReadonlySet<PooledTarget>;
 	/** Entries of this region that share the targets. */
 	readonly entries: number;
 	/** Time left for the first event within the objective, and for the whole answer, in milliseconds. */
@@ -41,12 +45,15 @@
  * what the engine still has to read, for others and for this prompt, at the speed that was learnt of it. Prompts
  * with the same shared part prefer the same engine until its queue outweighs what it keeps.
  */
-export function localPlacement({prompt, targets, ...wanted}: Wanted, now: Millis): readonly PlacementCandidate[] {
-	const preferred = prompt === undefined ? undefined : preferredTarget(prompt, targets);
+export function localPlacement({prompt, targets, group, ...wanted}: Wanted, now: Millis): readonly PlacementCandidate[] {
+	const grouped = group === undefined ? [] : targets.filter(target => group.has(target));
+	const preferred = prompt === undefined ? undefined : preferredTarget(prompt, grouped.length > 0 ? grouped : targets);
 	return targets
 		.map(target => prompt === undefined
 			? callCandidate(target, now)
-			: streamCandidate(target, {...wanted, prompt, preferred: target === preferred}, now))
+			: streamCandidate(target, {
+				...wanted, prompt, preferred: target === preferred, foreign: grouped.length > 0 && !group!.has(target),
+			}, now))
 		.sort((left, right) => left.costMs - right.costMs);
 }
 
@@ -60,9 +67,14 @@
 	};
 }
 
-type StreamOptions = Omit<Wanted, 'targets'> & {readonly prompt: Prompt; readonly preferred: boolean};
+type StreamOptions = Omit<Wanted, 'targets' | 'group'> & {
+	readonly prompt: Prompt;
+	readonly preferred: boolean;
+	/** True if another entry fills the target first. */
+	readonly foreign: boolean;
+};
 
-function streamCandidate(target: PooledTarget, {prompt, spec, preferred, entries, objectiveMs, leftMs}: StreamOptions, now: Millis): PlacementCandidate {
+function streamCandidate(target: PooledTarget, {prompt, spec, preferred, foreign, entries, objectiveMs, leftMs}: StreamOptions, now: Millis): PlacementCandidate {
 	const shared = sharedTokens(prompt);
 	const cached = target.prefixes.cachedTokens(prompt);
 	const assumed = preferred ? assumedShare * shared : 0;
@@ -82,6 +94,7 @@
 	const costMs = startMs
 		+ (workWeight * target.workMs(now))
 		+ (rereadMs * reread)
+		+ (foreign ? foreignMs : 0)
 		+ (startMs > lateShare * objectiveMs ? lateMs : 0)
 		+ (wholeMs > leftMs ? unfinishedMs : 0);
 	return {
--- a/src/core/edge/placement-rule.ts
+++ b/src/core/edge/placement-rule.ts
@@ -23,6 +23,8 @@
 
 type PlacementRuleOptions = {
 	readonly region: Region;
+	/** Where other entries pass requests on to this one. */
+	readonly relayAddress: string;
 	readonly pool: TargetPool;
 	readonly regions: RegionChoice;
 	readonly random: Random;
@@ -33,7 +35,7 @@
  *
  * Answers a region whose peak exceeds its own targets: the request goes where it is predicted to cost least, to
  * another region only for a gain worth its bytes; it waits only while it can still be served in time, and what
- * cannot is refused at once.
+ * cannot is refused at once. In a region whose prompts are placed by some of its entries, the others pass them on once.
  */
 export class PlacementRule {
 	readonly #options: PlacementRuleOptions;
@@ -48,7 +50,13 @@
 		const leftMs = record.deadlineAt - now - answerMarginMs;
 		const local = this.#local(record, now);
 		const best = local.find(({hasRoom, startMs}) => hasRoom && startMs < leftMs);
-		const [away] = req.forwarded === undefined ? regions.candidates({service, homes: route.homes, prompt: req.prompt}, now) : [];
+		const placer = this.#placer(record, now);
+		if (placer !== undefined && local.length > 0) {
+			return {type: 'away', region: this.#options.region, ...placer};
+		}
+
+		const mayLeave = req.forwarded === undefined || req.forwarded.region === this.#options.region;
+		const [away] = mayLeave ? regions.candidates({service, homes: route.homes, prompt: req.prompt}, now) : [];
 		const awayCost = away === undefined ? Number.POSITIVE_INFINITY : away.costMs + awayPenaltyMs;
 		if (best !== undefined && best.costMs <= awayCost) {
 			return {type: 'target', candidate: best};
@@ -70,9 +78,20 @@
 		};
 	}
 
+	/** The entry of this region that has to place a request; undefined if this one has. */
+	#placer({req, service, awaySends}: RequestRecord, now: Millis): {address: string; startMs: number} | undefined {
+		const {regions, relayAddress} = this.#options;
+		if (req.prompt === undefined || req.forwarded !== undefined || awaySends > 0) {
+			return undefined;
+		}
+
+		const placer = regions.placer({service, prompt: req.prompt}, now);
+		return placer?.address === relayAddress ? undefined : placer;
+	}
+
 	/** Targets of this region for a request, the cheapest first. */
 	#local({req, route, service, table, tried, deadlineAt}: RequestRecord, now: Millis): readonly PlacementCandidate[] {
-		const {region, pool, regions} = this.#options;
+		const {region, relayAddress, pool, regions} = this.#options;
 		if (route.homes.length > 0 && !route.homes.includes(region)) {
 			return [];
 		}
@@ -81,7 +100,8 @@
 			prompt: req.prompt,
 			spec: table.service(service),
 			targets: pool.usable(service, now).filter(({listed}) => !tried.has(listed.targetId)),
-			entries: regions.entriesHere,
+			group: pool.group(service, {count: regions.placers.length, index: regions.placers.indexOf(relayAddress)}),
+			entries: regions.placingHere,
 			objectiveMs: route.objectiveMs - (now - req.arrivedAt),
 			leftMs: deadlineAt - now,
 		}, now);
--- a/src/core/edge/region-choice.ts
+++ b/src/core/edge/region-choice.ts
@@ -1,3 +1,4 @@
+import {hash32} from '../common/hash32.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
 import type {ServiceName} from '../ids/service-name.ts';
@@ -42,9 +43,20 @@
 		this.#own = own;
 	}
 
-	/** Entries of the own region, at least this one. */
-	get entriesHere(): number {
-		return Math.max(1, this.#loads.find(({region}) => region === this.#own)?.entries ?? 1);
+	/** Entries of the own region that place requests, at least this one. */
+	get placingHere(): number {
+		const own = this.#here;
+		return Math.max(1, own?.hasPlacers ? own.relayAddresses.length : own?.entries ?? 1);
+	}
+
+	/** Addresses of the entries that place the own region's requests to model engines; none if all do. */
+	get placers(): readonly string[] {
+		const own = this.#here;
+		return own?.hasPlacers ? own.relayAddresses : [];
+	}
+
+	get #here(): RegionLoad | undefined {
+		return this.#loads.find(({region}) => region === this.#own);
 	}
 
 	/** Entries of the whole deployment. */
@@ -57,6 +69,13 @@
 		this.#heardAt = now;
 	}
 
+	/** The entry of the own region that places a prompt: requests with the same shared part come to the same one. */
+	placer({service, prompt}: {service: ServiceName; prompt: Prompt}, now: Millis): {address: string; startMs: number} | undefined {
+		const address = this.#ranked(this.placers, prompt).find(candidate => !this.#avoided(candidate, service, now));
+		const load = this.#here?.loads.find(entry => entry.service === service);
+		return address === undefined || load === undefined ? undefined : {address, startMs: load.startMs + (prompt.promptTokens / typicalReadRate)};
+	}
+
 	/** Regions that could take a request, the soonest first. */
 	candidates({service, homes, prompt}: {service: ServiceName; homes: readonly Region[]; prompt?: Prompt}, now: Millis): readonly RegionCandidate[] {
 		if (now - this.#heardAt > oldestLoadMs) {
@@ -64,7 +83,7 @@
 		}
 
 		const candidates: RegionCandidate[] = [];
-		for (const {region, relayAddresses, loads} of this.#loads) {
+		for (const {region, hasPlacers, relayAddresses, loads} of this.#loads) {
 			const allowed = region !== this.#own && (homes.length === 0 || homes.includes(region));
 			const load = loads.find(entry => entry.service === service);
 			const addresses = relayAddresses.filter(address => !this.#avoided(address, service, now));
@@ -72,13 +91,14 @@
 				continue;
 			}
 
-			const sentTokens = this.#sentTokens(region, service, now) * this.entriesHere;
+			const sentTokens = this.#sentTokens(region, service, now) * this.placingHere;
 			const ownMs = prompt === undefined ? typicalCallMs : prompt.promptTokens / typicalReadRate;
 			const queuedMs = prompt === undefined ? sentTokens * typicalCallMs / load.targets / typicalSlots : sentTokens / typicalReadRate / load.targets;
 			this.#turn += 1;
+			const address = hasPlacers && prompt !== undefined ? this.#ranked(addresses, prompt)[0]! : addresses[this.#turn % addresses.length]!;
 			const startMs = initialRoundTripMs + load.startMs + queuedMs + ownMs;
 			candidates.push({
-				region, address: addresses[this.#turn % addresses.length]!, startMs, costMs: startMs + load.extraMs,
+				region, address, startMs, costMs: startMs + load.extraMs,
 			});
 		}
 
@@ -97,6 +117,13 @@
 		this.#avoidUntil.set(`${address} ${service}`, now + avoidMs);
 	}
 
+	/** Addresses by rendezvous hashing over a prompt's last shared part. */
+	#ranked(addresses: readonly string[], {parts}: Prompt): readonly string[] {
+		const key = parts.at(-2)?.id ?? parts.at(-1)?.id ?? '';
+		const ranks = new Map(addresses.map(address => [address, hash32(`${key}:${address}`)]));
+		return addresses.toSorted((left, right) => ranks.get(left)! - ranks.get(right)!);
+	}
+
 	#avoided(address: string, service: ServiceName, now: Millis): boolean {
 		return (this.#avoidUntil.get(`${address} ${service}`) ?? 0) > now;
 	}
--- a/src/core/edge/request-desk.ts
+++ b/src/core/edge/request-desk.ts
@@ -87,6 +87,7 @@
 			ranOn: new Set(),
 			tried: new Set(),
 			sends: 0,
+			awaySends: 0,
 			awayRuns: 0,
 			mayHaveRun: false,
 			repeatPaid: false,
@@ -144,6 +145,10 @@
 			return;
 		}
 
+		if (running.away !== undefined && record.sends === 1) {
+			this.#options.budget.request(record.service, now);
+		}
+
 		if (record.route.kind === 'stream') {
 			record.passing = true;
 			this.#options.queue.push({type: 'pass', requestId: record.req.requestId, attempt});
@@ -198,6 +203,10 @@
 			this.#options.pool.get(running.targetId)?.suspend(now);
 		}
 
+		if (failure.reason === 'reset' && running.targetId !== undefined && running.head === undefined) {
+			this.#attempts.wasReset(record, now);
+		}
+
 		if (failure.notSent) {
 			this.#options.queue.event('attempt-not-sent', {request: record.req.callerKey, target: placeOf(record), reason: failure.reason});
 			record.sends -= 1;
@@ -355,10 +364,12 @@
 			return;
 		}
 
-		const {attempt, targetId} = record.running!;
+		const {attempt, targetId, away} = record.running!;
 		this.#options.queue.push({type: 'cancel', attempt});
 		if (targetId !== undefined) {
 			this.#options.pool.get(targetId)?.suspend(now);
+		} else if (away !== undefined) {
+			this.#options.regions.refused(away.address, record.service, now);
 		}
 
 		this.#attemptFailed(record, 'stalled', now);
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -14,7 +14,7 @@
 	readonly sentAt: Millis;
 	/** Set for a target of this region. */
 	readonly targetId?: TargetId;
-	/** Set for an entry of another region. */
+	/** Set for another entry, of another region or one that places this region's prompts. */
 	readonly away?: {readonly region: Region; readonly address: string};
 	/** Time to the first event or answer that was predicted, in milliseconds. */
 	readonly predictedMs: number;
@@ -39,7 +39,9 @@
 	readonly tried: Set<TargetId>;
 	/** Times that it was sent to targets or to other regions. */
 	sends: number;
-	/** Times that an entry of another region took it, which may have run it. */
+	/** Times that it was passed to another entry. */
+	awaySends: number;
+	/** Times that another entry took it, which may have run it. */
 	awayRuns: number;
 	mayHaveRun: boolean;
 	/** True if its next send is paid for out of the budget of repeats. */
--- a/src/core/edge/target-pool.ts
+++ b/src/core/edge/target-pool.ts
@@ -45,6 +45,12 @@
 		return this.#of(service).filter(target => target.usable(now) && !this.#evacuated.has(target.listed.zone));
 	}
 
+	/** Every `count`-th target of a service, from `index` on: the part of the region's targets that one of its placers fills first. */
+	group(service: ServiceName, {count, index}: {count: number; index: number}): ReadonlySet<PooledTarget> {
+		const sorted = index === -1 ? [] : this.#of(service).sort((left, right) => left.listed.targetId < right.listed.targetId ? -1 : 1);
+		return new Set(sorted.filter((_, position) => position % count === index));
+	}
+
 	#of(service: ServiceName): PooledTarget[] {
 		return [...this.#targets.values()].filter(({listed}) => listed.service === service);
 	}
--- a/src/core/registry/region-load.ts
+++ b/src/core/registry/region-load.ts
@@ -6,8 +6,10 @@
 	readonly region: Region;
 	/** Entries that take requests. */
 	readonly entries: number;
-	/** `ip:port` of some of them for requests from other regions. */
+	/** True if the entries at `relayAddresses` place all of the region's requests to model engines. */
+	readonly hasPlacers: boolean;
+	/** `ip:port` of some of them for requests that other entries pass on. */
 	readonly relayAddresses: readonly string[];
-	/** `targets` is the largest number that an entry sees, `startMs` and `extraMs` are means, the rest are sums. */
+	/** Of the placers, if there are any: `targets` is the largest number that an entry sees, `startMs` and `extraMs` are means, the rest are sums. */
 	readonly loads: readonly ServiceLoad[];
 };
--- a/src/core/registry/sum-regions.ts
+++ b/src/core/registry/sum-regions.ts
@@ -1,5 +1,6 @@
 import type {Region} from '../ids/region.ts';
 import type {ServiceName} from '../ids/service-name.ts';
+import {choosePlacers} from './choose-placers.ts';
 import type {EntryStatus} from './entry-status.ts';
 import type {RegionLoad} from './region-load.ts';
 import type {ServiceLoad} from './service-load.ts';
@@ -16,12 +17,17 @@
 		byRegion.set(entry.region, list);
 	}
 
-	return [...byRegion].map(([region, list]) => ({
-		region,
-		entries: list.length,
-		relayAddresses: sample(list, turn),
-		loads: sumLoads(list),
-	}));
+	return [...byRegion].map(([region, list]) => {
+		const placers = choosePlacers(list);
+		const hasPlacers = placers.length > 0;
+		return {
+			region,
+			entries: list.length,
+			hasPlacers,
+			relayAddresses: hasPlacers ? placers.map(({relayAddress}) => relayAddress) : sample(list, turn),
+			loads: sumLoads(hasPlacers ? placers : list),
+		};
+	});
 }
 
 function sample(entries: readonly EntryStatus[], turn: number): readonly string[] {
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -17,6 +17,10 @@
 const entryConnectMs = 1000;
 /** Time after which an idle connection to a target is closed, in milliseconds, where the target names none. */
 const idleMs = 4000;
+/** Longest rest that a target may name, in milliseconds. */
+const longestIdleMs = 60_000;
+/** The same for connections of requests that must not be reset on one that has rested, in milliseconds; targets forget them after 300 ms and more. */
+const shortIdleMs = 200;
 /** Answers that are read whole before they are passed on, in bytes. */
 const maxWholeBytes = 16_777_216;
 
@@ -37,8 +41,10 @@
 export class TargetClient {
 	readonly #options: TargetClientOptions;
 	readonly #running = new Map<AttemptNumber, Running>();
-	readonly #targets = agent(targetConnectMs);
-	readonly #entries = agent(entryConnectMs);
+	readonly #targets = agent({connectMs: targetConnectMs});
+	/** Connections to targets that hardly rest between two requests. */
+	readonly #freshTargets = agent({connectMs: targetConnectMs, idleMs: shortIdleMs, mostIdleMs: shortIdleMs});
+	readonly #entries = agent({connectMs: entryConnectMs});
 
 	constructor(options: TargetClientOptions) {
 		this.#options = options;
@@ -74,14 +80,14 @@
 	}
 
 	async close(): Promise<void> {
-		await Promise.all([this.#targets.destroy(), this.#entries.destroy()]);
+		await Promise.all([this.#targets, this.#freshTargets, this.#entries].map(async client => client.destroy()));
 	}
 
 	async #run(action: Start, exchange: CallerExchange, {abort, answer}: Running): Promise<void> {
 		const {step} = this.#options;
 		const {attempt} = action;
 		try {
-			const client = action.targetId === undefined ? this.#entries : this.#targets;
+			const client = action.targetId === undefined ? this.#entries : (action.fresh ? this.#freshTargets : this.#targets);
 			const res = await client.request({
 				origin: `http://${this.#options.forwards[action.address] ?? action.address}`,
 				method: exchange.head.method,
@@ -120,12 +126,13 @@
 	}
 }
 
-function agent(connectMs: number): Agent {
+/** Connections that are closed after a rest; a target's own hint may make it longer, up to `mostIdleMs`. */
+function agent({connectMs, idleMs: keepAliveTimeout = idleMs, mostIdleMs = longestIdleMs}: {connectMs: number; idleMs?: number; mostIdleMs?: number}): Agent {
 	return new Agent({
 		connect: targetConnector(connectMs),
 		pipelining: 1,
-		keepAliveTimeout: idleMs,
-		keepAliveMaxTimeout: 60_000,
+		keepAliveTimeout,
+		keepAliveMaxTimeout: mostIdleMs,
 		keepAliveTimeoutThreshold: 1000,
 	});
 }
--- a/test/core/edge/edge-core.test.ts
+++ b/test/core/edge/edge-core.test.ts
@@ -23,6 +23,7 @@
 const away = {
 	region: toId<Region>('winnipeg'),
 	entries: 1,
+	hasPlacers: false,
 	relayAddresses: ['10.3.0.9:7101'],
 	loads: [{
 		service: toId<ServiceName>('desk'), targets: 2, inFlight: 0, waiting: 0, startMs: 0, extraMs: 0,
@@ -243,3 +244,18 @@
 	harness.run(280);
 	t.true(harness.refusals().some(({ran}) => ran === 'no'));
 });
+
+test('what may not be repeated never takes a connection that has rested, and nothing does after one was reset', t => {
+	const order = harnessWith(['a'], unsafe);
+	order.request();
+	t.true(order.lastStart().fresh);
+	const harness = harnessWith(['a', 'b']);
+	harness.request();
+	t.false(harness.lastStart().fresh);
+	harness.step({type: 'attempt-failed', attempt: harness.lastStart().attempt, failure: {reason: 'reset', notSent: false}});
+	t.true(harness.lastStart().fresh);
+	harness.run(11_000);
+	harness.feed({targets: ['a', 'b'].map(name => listedTargetFixture(name, {sequence: 2}))});
+	harness.request();
+	t.false(harness.lastStart().fresh);
+});
--- /dev/null
+++ b/test/core/registry/choose-placers.test.ts
@@ -0,0 +1,42 @@
+import test from 'ava';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import {choosePlacers} from '../../../src/core/registry/choose-placers.ts';
+import type {EntryStatus} from '../../../src/core/registry/entry-status.ts';
+import {sumRegions} from '../../../src/core/registry/sum-regions.ts';
+
+function entries(weights: readonly number[]): EntryStatus[] {
+	return weights.map((weight, index) => ({
+		nodeId: toId(`10.1.0.${index + 10}:7100`),
+		region: toId('regina'),
+		zone: toId('regina-a'),
+		address: toId(`10.1.0.${index + 10}:80`),
+		relayAddress: `10.1.0.${index + 10}:7101`,
+		state: 'ready',
+		weight,
+		loads: [{
+			service: toId('desk'), targets: 4, inFlight: 1, waiting: 0, startMs: weight * 100, extraMs: 0,
+		}],
+	}));
+}
+
+test('the largest entries place for the others, as many as have half of the processors', t => {
+	const list = entries([...Array.from({length: 12}, () => 0.25), 1, 1, 1]);
+	const placers = choosePlacers(list);
+	t.deepEqual(placers.map(({weight}) => weight), [1, 1, 1]);
+	t.deepEqual(choosePlacers([...list].reverse()), placers);
+});
+
+test('in a small region every entry places', t => {
+	t.deepEqual(choosePlacers(entries([1, 1, 1, 1])), []);
+	const [sum] = sumRegions(entries([1, 1, 1, 1]), 0);
+	t.false(sum!.hasPlacers);
+	t.is(sum!.entries, 4);
+});
+
+test('the load of a region with placers is theirs: the others see nothing of it', t => {
+	const [sum] = sumRegions(entries([...Array.from({length: 12}, () => 0.25), 1, 1, 1]), 0);
+	t.true(sum!.hasPlacers);
+	t.is(sum!.entries, 15);
+	t.deepEqual(sum!.relayAddresses, ['10.1.0.22:7101', '10.1.0.23:7101', '10.1.0.24:7101']);
+	t.is(sum!.loads[0]!.startMs, 100);
+});
--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -3,6 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 
 /** How the stand-in answers: `cut` breaks a stream off after two events, `reset` breaks a call off before its answer. */
@@ -16,6 +17,8 @@
 /** A small engine and service that speaks the platform's protocol towards callers. */
 export class PlatformEngine {
 	manner: Manner = 'well';
+	/** Rest after which it forgets a connection, in milliseconds: what is sent next there is reset. */
+	forgetIdleMs = Number.POSITIVE_INFINITY;
 	/** Requests that reached it, in order. */
 	readonly seen: Seen[] = [];
 	/** Requests whose connection closed before their answer ended. */
@@ -26,6 +29,7 @@
 	readonly #workMs: number;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
+	readonly #usedAt = new WeakMap<Socket, number>();
 
 	/** @param workMs - time of a call, and between two events of a stream. */
 	constructor(name: string, workMs = 0) {
@@ -60,6 +64,15 @@
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const restMs = performance.now() - (this.#usedAt.get(req.socket) ?? performance.now());
+		if (restMs > this.forgetIdleMs) {
+			req.socket.resetAndDestroy();
+			return;
+		}
+
+		res.on('finish', () => {
+			this.#usedAt.set(req.socket, performance.now());
+		});
 		const chunks: Buffer[] = [];
 		for await (const chunk of req) {
 			chunks.push(chunk as Buffer);
--- a/test/server/routes/routes-path.test.ts
+++ b/test/server/routes/routes-path.test.ts
@@ -104,6 +104,17 @@
 	t.is(deployment.desk[0]!.dropped, 1);
 });
 
+test('an order is not sent on a connection that its target may have forgotten', async t => {
+	const deployment = await start(t, {desk: ['d1']});
+	deployment.desk[0]!.forgetIdleMs = 300;
+	for (let order = 0; order < 3; order++) {
+		const res = await deployment.call({path: '/orders/1'}); // eslint-disable-line no-await-in-loop
+		t.is(res.statusCode, 200);
+		await res.body.dump(); // eslint-disable-line no-await-in-loop
+		await sleep(400); // eslint-disable-line no-await-in-loop
+	}
+});
+
 test('a request beyond the bounds of the configuration is refused and reaches no target', async t => {
 	const deployment = await start(t, {desk: ['d1']});
 	const headers = await deployment.call({path: '/calls/1', headers: {long: 'x'.repeat(16_500)}});
