--- a/test/harness/fault-proxy.ts
+++ b/test/harness/fault-proxy.ts
@@ -3,14 +3,24 @@
 } from 'node:net';
 import {FaultyPipe} from './faulty-pipe.ts';
 import type {LinkFault} from './link-fault.ts';
+import {retransmissionMs} from './retransmission-ms.ts';
+
+/** Time after which TCP tries to connect again at first, in milliseconds. */
+const firstConnectMs = 1000;
 
 type Direction = 'forward' | 'backward' | 'both';
 type Connection = {client: Socket; server: Socket; pipes: readonly FaultyPipe[]};
 
 /** TCP proxy for one link; faults apply to open and to new connections alike. */
 export class FaultProxy {
-	readonly #forward: LinkFault = {blocked: false, delayMs: 0, bytesPerSecond: Infinity};
-	readonly #backward: LinkFault = {blocked: false, delayMs: 0, bytesPerSecond: Infinity};
+	readonly #forward: LinkFault = {
+		blocked: false, delayMs: 0, loss: 0, bytesPerSecond: Infinity,
+	};
+
+	readonly #backward: LinkFault = {
+		blocked: false, delayMs: 0, loss: 0, bytesPerSecond: Infinity,
+	};
+
 	readonly #connections = new Set<Connection>();
 	readonly #server: Server;
 	readonly #port: number;
@@ -22,7 +32,17 @@
 		this.#apply('both', {delayMs: baseDelayMs});
 		this.#port = port;
 		this.#server = createServer({allowHalfOpen: true}, client => {
-			this.#accept(client, {port: targetPort, host});
+			const accept = () => {
+				this.#accept(client, {port: targetPort, host});
+			};
+
+			const lostMs = retransmissionMs(this.#forward.loss, firstConnectMs);
+			if (lostMs === 0) {
+				accept();
+			} else {
+				client.pause();
+				setTimeout(accept, lostMs);
+			}
 		});
 	}
 
@@ -42,13 +62,19 @@
 		this.#apply(direction, {delayMs});
 	}
 
+	lose(loss: number): void {
+		this.#apply('both', {loss});
+	}
+
 	limit(bytesPerSecond: number, direction: Direction = 'both'): void {
 		this.#apply(direction, {bytesPerSecond});
 	}
 
 	/** Ends every fault; what waited passes. */
 	heal(): void {
-		this.#apply('both', {blocked: false, delayMs: this.#baseDelayMs, bytesPerSecond: Infinity});
+		this.#apply('both', {
+			blocked: false, delayMs: this.#baseDelayMs, loss: 0, bytesPerSecond: Infinity,
+		});
 	}
 
 	/** Drops the server's side of open connections; the client's side hears nothing of it. */
@@ -82,6 +108,7 @@
 			client, server, pipes: [new FaultyPipe(client, server, this.#forward), new FaultyPipe(server, client, this.#backward)],
 		};
 		this.#connections.add(connection);
+		client.resume();
 		client.on('close', () => {
 			this.#connections.delete(connection);
 		});
--- a/test/harness/faulty-pipe.ts
+++ b/test/harness/faulty-pipe.ts
@@ -1,9 +1,12 @@
 import type {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
 import type {LinkFault} from './link-fault.ts';
+import {retransmissionMs} from './retransmission-ms.ts';
 
 const maxQueuedBytes = 262_144;
 const millisecondsPerSecond = 1000;
+/** Time after which TCP sends a lost segment again at first; it doubles with each further loss. */
+const firstRetransmissionMs = 200;
 
 /** Copies one direction of a connection under a fault that may change at any time. */
 export class FaultyPipe {
@@ -55,8 +58,8 @@
 	}
 
 	#push(chunk: Buffer | 'end' | 'close', length: number): void {
-		const {delayMs, bytesPerSecond} = this.#fault;
-		this.#freeAt = Math.max(this.#freeAt, Date.now()) + (length * millisecondsPerSecond / bytesPerSecond);
+		const {delayMs, bytesPerSecond, loss} = this.#fault;
+		this.#freeAt = Math.max(this.#freeAt, Date.now() + retransmissionMs(loss, firstRetransmissionMs)) + (length * millisecondsPerSecond / bytesPerSecond);
 		this.#queue.push({due: Math.floor(this.#freeAt) + delayMs, chunk});
 		this.#queuedBytes += length;
 		if (this.#queuedBytes >= maxQueuedBytes) {
--- a/test/harness/link-fault.ts
+++ b/test/harness/link-fault.ts
@@ -4,6 +4,8 @@
 	blocked: boolean;
 	/** One-way delay in milliseconds. */
 	delayMs: number;
+	/** Share of packets that are lost: each waits for TCP to send it again, and what follows waits behind it. */
+	loss: number;
 	/** Bytes per second; infinite for no limit. */
 	bytesPerSecond: number;
 };
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -19,6 +19,8 @@
 const mostLostDisks = 2;
 const catchUpMs = 8000;
 const mostTornBytes = 11;
+/** Largest share of packets that a link loses, beyond 0.03; the platform's links lose up to three in ten. */
+const mostLoss = 0.27;
 
 /** Picks faults of a run from its seed. */
 export class SoakFaults {
@@ -41,6 +43,7 @@
 			() => this.#cutNode(this.#any(nodes)),
 			() => this.#cutRegions(),
 			() => this.#slowLinks(this.#any(nodes)),
+			() => this.#loseOnLinks(this.#any(nodes)),
 			() => this.#dropLinks(this.#any(nodes)),
 			() => this.#misbehave(),
 			() => this.#misbehave(),
@@ -174,6 +177,26 @@
 		};
 	}
 
+	/** Packets are lost, as TCP shows it: what follows a lost one waits. */
+	#loseOnLinks(node: SoakNode): SoakFault {
+		const proxies = this.#linksOf(node);
+		const loss = 0.03 + (this.#random.next() * mostLoss);
+		return {
+			name: `${Math.round(loss * 100)} % loss to and from ${node.name}`,
+			nodes: [node],
+			begin() {
+				for (const proxy of proxies) {
+					proxy.lose(loss);
+				}
+			},
+			end() {
+				for (const proxy of proxies) {
+					proxy.heal();
+				}
+			},
+		};
+	}
+
 	/** Open connections are reset, or go silent on one side. */
 	#dropLinks(node: SoakNode): SoakFault {
 		const proxies = this.#linksOf(node);
