--- a/test/server/routes/routes-path.test.ts
+++ b/test/server/routes/routes-path.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {monitorEventLoopDelay} from 'node:perf_hooks';
 import test, {type ExecutionContext} from 'ava';
+import {platformConfiguration} from '../../fixtures/platform-configuration.ts';
 import {RoutesDeployment} from '../../fixtures/routes-deployment.ts';
 
 async function start(t: ExecutionContext, options: Parameters<typeof RoutesDeployment.start>[0]): Promise<RoutesDeployment> {
@@ -143,9 +144,9 @@
 
 test('a configuration is taken by its version, invalid ones are refused, and reads give it back whole', async t => {
 	const deployment = await start(t, {desk: ['d1']});
-	const third = deployment.configuration(3);
+	const third = platformConfiguration(3);
 	t.is(await deployment.statusOf('PUT', '/configuration', third), 200);
-	t.is(await deployment.statusOf('PUT', '/configuration', deployment.configuration(2)), 200);
+	t.is(await deployment.statusOf('PUT', '/configuration', platformConfiguration(2)), 200);
 	t.is(await deployment.statusOf('PUT', '/configuration', third.slice(0, -9)), 400);
 	const {status, body} = await deployment.operate('GET', '/configuration');
 	t.is(status, 200);
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -23,8 +23,6 @@
 const reportEveryMs = 300;
 const regionDelayMs = 15;
 const callTimeoutMs = 2500;
-/** Version of the first configuration; operators' changes count on from it. */
-const firstVersion = 1;
 
 /** A deployment with a routes document in real processes, each link between two of them behind a proxy. */
 export class SoakDeployment {
@@ -81,31 +79,6 @@
 		}
 	}
 
-	configuration(version = firstVersion): string {
-		const common = {
-			host: 'prairie.example', 'timeout-ms': 3000, 'target-latency-ms': 400, 'target-gap-ms': 600,
-		};
-		const routes = [
-			{
-				...common, name: 'calls', 'path-prefix': '/calls/', kind: 'safe', service: 'desk', attempts: 2,
-			},
-			{
-				...common, name: 'orders', 'path-prefix': '/orders/', kind: 'unsafe', service: 'desk', attempts: 1,
-			},
-			{
-				...common, name: 'drafts', 'path-prefix': '/drafts/', kind: 'streaming', service: 'writers', attempts: 2, resumable: true,
-			},
-		];
-		return JSON.stringify({
-			version,
-			routes,
-			services: [{name: 'desk', 'connection-limit': 200}, {name: 'writers', engine: {slots: 8, 'kv-cache-tokens': 100_000, stride: 8}}],
-			limits: {
-				'max-header-bytes': 16_384, 'max-body-bytes': 100_000, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000,
-			},
-		});
-	}
-
 	/** Runs of a request over all targets. */
 	runsOf(requestId: string): number {
 		return this.engines.reduce((sum, {engine}) => sum + (engine.runs.get(requestId) ?? 0), 0);
--- a/test/soak/soak-operator.ts
+++ b/test/soak/soak-operator.ts
@@ -1,4 +1,5 @@
 import type {Random} from '../../src/core/common/random.ts';
+import {platformConfiguration} from '../fixtures/platform-configuration.ts';
 import type {SoakDeployment} from './soak-deployment.ts';
 
 const pauseMs = 350;
@@ -34,7 +35,7 @@
 	async change(): Promise<boolean> {
 		this.#sent += 1;
 		const version = this.#sent;
-		const answer = await this.#deployment.operate(this.#anyControl(), 'PUT', '/configuration', this.#deployment.configuration(version));
+		const answer = await this.#deployment.operate(this.#anyControl(), 'PUT', '/configuration', platformConfiguration(version));
 		if (answer?.status !== 200) {
 			return false;
 		}
@@ -58,7 +59,7 @@
 			this.problems.push(`${node.name} gave version ${version} after ${least} had been accepted`);
 		}
 
-		if (answer.text !== this.#deployment.configuration(version)) {
+		if (answer.text !== platformConfiguration(version)) {
 			this.problems.push(`${node.name} gave another text for version ${version} than was sent`);
 		}
 
