--- a/src/core/edge/region-choice.ts
+++ b/src/core/edge/region-choice.ts
@@ -43,10 +43,9 @@
 		this.#own = own;
 	}
 
-	/** Entries of the own region that place requests, at least this one. */
+	/** Entries of the own region that place requests to model engines, at least this one. */
 	get placingHere(): number {
-		const own = this.#here;
-		return Math.max(1, own?.hasPlacers ? own.relayAddresses.length : own?.entries ?? 1);
+		return this.placers.length === 0 ? this.#entriesHere : this.placers.length;
 	}
 
 	/** Addresses of the entries that place the own region's requests to model engines; none if all do. */
@@ -55,6 +54,10 @@
 		return own?.hasPlacers ? own.relayAddresses : [];
 	}
 
+	get #entriesHere(): number {
+		return Math.max(1, this.#here?.entries ?? 1);
+	}
+
 	get #here(): RegionLoad | undefined {
 		return this.#loads.find(({region}) => region === this.#own);
 	}
@@ -71,6 +74,10 @@
 
 	/** The entry of the own region that places a prompt: requests with the same shared part come to the same one. */
 	placer({service, prompt}: {service: ServiceName; prompt: Prompt}, now: Millis): {address: string; startMs: number} | undefined {
+		if (this.#isOld(now)) {
+			return undefined;
+		}
+
 		const address = this.#ranked(this.placers, prompt).find(candidate => !this.#avoided(candidate, service, now));
 		const load = this.#here?.loads.find(entry => entry.service === service);
 		return address === undefined || load === undefined ? undefined : {address, startMs: load.startMs + (prompt.promptTokens / typicalReadRate)};
@@ -78,7 +85,7 @@
 
 	/** Regions that could take a request, the soonest first. */
 	candidates({service, homes, prompt}: {service: ServiceName; homes: readonly Region[]; prompt?: Prompt}, now: Millis): readonly RegionCandidate[] {
-		if (now - this.#heardAt > oldestLoadMs) {
+		if (this.#isOld(now)) {
 			return [];
 		}
 
@@ -91,7 +98,7 @@
 				continue;
 			}
 
-			const sentTokens = this.#sentTokens(region, service, now) * this.placingHere;
+			const sentTokens = this.#sentTokens(region, service, now) * (prompt === undefined ? this.#entriesHere : this.placingHere);
 			const ownMs = prompt === undefined ? typicalCallMs : prompt.promptTokens / typicalReadRate;
 			const queuedMs = prompt === undefined ? sentTokens * typicalCallMs / load.targets / typicalSlots : sentTokens / typicalReadRate / load.targets;
 			this.#turn += 1;
@@ -124,6 +131,11 @@
 		return addresses.toSorted((left, right) => ranks.get(left)! - ranks.get(right)!);
 	}
 
+	/** Without control nothing tells which entries still run. */
+	#isOld(now: Millis): boolean {
+		return now - this.#heardAt > oldestLoadMs;
+	}
+
 	#avoided(address: string, service: ServiceName, now: Millis): boolean {
 		return (this.#avoidUntil.get(`${address} ${service}`) ?? 0) > now;
 	}
--- a/test/core/edge/placers.test.ts
+++ b/test/core/edge/placers.test.ts
@@ -93,6 +93,13 @@
 	t.is(harness.starts().length, 0);
 });
 
+test('once nothing has been heard of the region for long, every entry places again', t => {
+	const harness = harnessIn([region(others)]);
+	harness.run(11_000);
+	harness.request({prompt: promptOf('x')});
+	t.truthy(harness.lastStart().targetId);
+});
+
 test('28 entries on 33 engines of unequal speed start long prompts in time, as one entry would', t => {
 	for (const seed of [1, 2]) {
 		const figures = new EdgeRegion({
