--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -32,99 +32,145 @@
 
 /** Runs real processes under random faults and checks what callers, operators and targets see. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
-	const {seed, minutes, entriesPerRegion = 2, requestsPerSecond = 40} = options;
-	const random = new SeededRandom(seed);
+	const {seed, entriesPerRegion = 2} = options;
 	const deployment = await SoakDeployment.create({entriesPerRegion, random: new SeededRandom(seed + 1)});
-	const startedAt = performance.now();
-	const now = () => performance.now() - startedAt;
-	const callers = new SoakCallers(deployment, {random: new SeededRandom(seed + 2), now});
-	const operator = new SoakOperator(deployment, new SeededRandom(seed + 3));
-	const faults = new SoakFaults(deployment, random);
-	const problems: string[] = [];
-	const injected: Array<SoakReport['faults'][number]> = [];
-
-	const servedSince = (since: number) => {
-		const recent = callers.records.filter(({sentAt}) => sentAt >= since);
-		return recent.length < requestsPerSecond / 4 ? 0 : recent.filter(({outcome}) => outcome === 'served').length / recent.length;
-	};
-
-	const until = async (condition: () => Promise<boolean> | boolean, ms: number) => {
-		for (const end = now() + ms; now() < end;) {
-			if (await condition()) { // eslint-disable-line no-await-in-loop
-				return true;
-			}
+	const run = new SoakRun(deployment, options);
+	try {
+		await run.play();
+		return run.report();
+	} finally {
+		await deployment.dispose({keepFolder: run.problems.length > 0});
+	}
+}
 
-			await sleep(pollMs); // eslint-disable-line no-await-in-loop
+/** One run: rounds of faults that overlap, each followed by a recovery and a calm that are checked. */
+class SoakRun {
+	readonly problems: string[] = [];
+	readonly #options: SoakOptions;
+	readonly #deployment: SoakDeployment;
+	readonly #random: SeededRandom;
+	readonly #callers: SoakCallers;
+	readonly #operator: SoakOperator;
+	readonly #faults: SoakFaults;
+	readonly #injected: Array<SoakReport['faults'][number]> = [];
+	readonly #perSecond: number;
+	readonly #startedAt = performance.now();
+
+	constructor(deployment: SoakDeployment, options: SoakOptions) {
+		const {seed, requestsPerSecond = 40} = options;
+		this.#options = options;
+		this.#deployment = deployment;
+		this.#perSecond = requestsPerSecond;
+		this.#random = new SeededRandom(seed);
+		this.#callers = new SoakCallers(deployment, {random: new SeededRandom(seed + 2), now: () => this.#now()});
+		this.#operator = new SoakOperator(deployment, new SeededRandom(seed + 3));
+		this.#faults = new SoakFaults(deployment, this.#random);
+	}
+
+	async play(): Promise<void> {
+		await this.#deployment.start();
+		if (!await this.#until(async () => this.#operator.change(), startMs)) {
+			this.problems.push('the deployment did not start');
 		}
 
-		return false;
-	};
+		this.#callers.start(this.#perSecond);
+		this.#operator.start();
+		await this.#recover();
+		while (this.#now() < this.#options.minutes * 60_000 && this.problems.length === 0) {
+			await this.#injectRound(); // eslint-disable-line no-await-in-loop
+			await this.#recover(); // eslint-disable-line no-await-in-loop
+		}
+
+		this.#operator.stop();
+		await this.#callers.finish();
+		await this.#checkEnd();
+	}
+
+	report(): SoakReport {
+		return {
+			seed: this.#options.seed,
+			lengthMs: this.#now(),
+			problems: this.problems,
+			faults: this.#injected,
+			records: this.#callers.records,
+			changes: this.#operator.changes,
+			reads: this.#operator.reads,
+			folder: this.#deployment.folder,
+		};
+	}
+
+	async #injectRound(): Promise<void> {
+		const {least, most} = faultsInRound;
+		const count = least + Math.floor(this.#random.next() * (most - least + 1));
+		await Promise.all(Array.from({length: count}, async () => this.#inject()));
+	}
 
-	const inject = async () => {
-		await sleep(random.next() * roundMs);
-		const fault = faults.pick(now());
-		const at = now();
+	async #inject(): Promise<void> {
+		await sleep(this.#random.next() * roundMs);
+		const at = this.#now();
+		const fault = this.#faults.pick(at);
 		for (const node of fault.nodes) {
 			node.faults += 1;
 		}
 
 		await fault.begin();
-		const forMs = holdMs.least + (random.next() * (holdMs.most - holdMs.least));
-		await sleep(forMs);
+		await sleep(holdMs.least + (this.#random.next() * (holdMs.most - holdMs.least)));
 		await fault.end?.();
 		for (const node of fault.nodes) {
 			node.faults -= 1;
-			node.touchedAt = now();
+			node.touchedAt = this.#now();
 		}
 
-		injected.push({name: fault.name, at, forMs: now() - at});
-	};
+		this.#injected.push({name: fault.name, at, forMs: this.#now() - at});
+	}
 
-	const recover = async () => {
-		const healedAt = now();
-		const back = await until(() => servedSince(now() - 1000) >= calmShare, recoveryMs);
-		const changed = await until(async () => operator.change(), recoveryMs);
-		if (!back || !changed) {
-			problems.push(`${back ? 'no change was accepted' : 'requests were not served again'} within ${recoveryMs} ms after the faults that ended at ${Math.round(healedAt)} ms`);
+	/** Waits until requests are served and a change is accepted again, then checks a calm time. */
+	async #recover(): Promise<void> {
+		const healedAt = Math.round(this.#now());
+		const served = await this.#until(() => this.#servedSince(this.#now() - 1000) >= calmShare, recoveryMs);
+		const changed = await this.#until(async () => this.#operator.change(), recoveryMs);
+		if (!served || !changed) {
+			this.problems.push(`${served ? 'no change was accepted' : 'requests were not served again'} within ${recoveryMs} ms after the faults that ended at ${healedAt} ms`);
 			return;
 		}
 
-		const calmFrom = now();
+		const calmFrom = this.#now();
 		await sleep(calmMs);
-		const share = servedSince(calmFrom);
+		const share = this.#servedSince(calmFrom);
 		if (share < calmShare) {
-			problems.push(`only ${share.toFixed(3)} of the requests were served in the calm from ${Math.round(calmFrom)} ms on`);
+			this.problems.push(`only ${share.toFixed(3)} of the requests were served in the calm from ${Math.round(calmFrom)} ms on`);
 		}
-	};
+	}
 
-	try {
-		await deployment.start();
-		if (!await until(async () => operator.change(), startMs)) {
-			problems.push('the deployment did not start');
+	async #checkEnd(): Promise<void> {
+		for (const node of this.#deployment.control) {
+			if (!await this.#operator.read(node)) { // eslint-disable-line no-await-in-loop
+				this.problems.push(`${node.name} answered no read at the end`);
+			}
 		}
 
-		callers.start(requestsPerSecond);
-		operator.start();
-		await recover();
-		while (now() < minutes * 60_000 && problems.length === 0) {
-			const count = faultsInRound.least + Math.floor(random.next() * (faultsInRound.most - faultsInRound.least + 1));
-			await Promise.all(Array.from({length: count}, inject)); // eslint-disable-line no-await-in-loop
-			await recover(); // eslint-disable-line no-await-in-loop
-		}
+		this.problems.push(...this.#operator.problems, ...checkRecords(this.#callers.records, id => this.#deployment.runsOf(id)));
+	}
 
-		operator.stop();
-		await callers.finish();
-		for (const node of deployment.control) {
-			if (!await operator.read(node)) { // eslint-disable-line no-await-in-loop
-				problems.push(`${node.name} answered no read at the end`);
+	/** Share of the requests since a time that were served; 0 if too few came to tell. */
+	#servedSince(since: number): number {
+		const recent = this.#callers.records.filter(({sentAt}) => sentAt >= since);
+		return recent.length < this.#perSecond / 4 ? 0 : recent.filter(({outcome}) => outcome === 'served').length / recent.length;
+	}
+
+	async #until(condition: () => Promise<boolean> | boolean, ms: number): Promise<boolean> {
+		for (const end = this.#now() + ms; this.#now() < end;) {
+			if (await condition()) { // eslint-disable-line no-await-in-loop
+				return true;
 			}
+
+			await sleep(pollMs); // eslint-disable-line no-await-in-loop
 		}
 
-		problems.push(...operator.problems, ...checkRecords(callers.records, id => deployment.runsOf(id)));
-		return {
-			seed, lengthMs: now(), problems, faults: injected, records: callers.records, changes: operator.changes, reads: operator.reads, folder: deployment.folder,
-		};
-	} finally {
-		await deployment.dispose({keepFolder: problems.length > 0});
+		return false;
+	}
+
+	#now(): number {
+		return performance.now() - this.#startedAt;
 	}
 }
