--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -40,6 +40,8 @@
 	/** Set while this member leads. */
 	#leadership: Leadership<Outcome> | undefined;
 	#leader: NodeId | undefined;
+	/** Since when the leader has named a commit beyond what is applied here. */
+	#behindSince: Millis | undefined;
 	#problem: string | undefined;
 
 	constructor(options: RaftMemberOptions<Outcome>) {
@@ -151,6 +153,11 @@
 		return this.#leadership === undefined ? this.#election.silence(now) : 0;
 	}
 
+	/** Time since this member has known that entries are committed which it does not hold, in milliseconds; 0 if it knows of none. */
+	lag(now: Millis): number {
+		return this.#leadership !== undefined || this.#behindSince === undefined ? 0 : now - this.#behindSince;
+	}
+
 	/** What the leader knows of the group's members; undefined while this member does not lead with a valid lease. */
 	group(now: Millis): GroupView | undefined {
 		return this.#leadership?.group(now);
@@ -298,6 +305,8 @@
 		if (matched !== undefined) {
 			this.#applied.advance(Math.min(body.commit, matched));
 		}
+
+		this.#behindSince = this.#applied.commit < body.commit ? this.#behindSince ?? now : undefined;
 	}
 
 	#snapshotSent(from: LogMember, body: Body & {type: 'snapshot'}, now: Millis): void {
--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -304,7 +304,7 @@
 		const consensus = this.#consensus;
 		return consensus.leader() === this.#options.self.nodeId
 			? consensus.leads(now)
-			: consensus.leader() !== undefined && consensus.leaderSilence(now) < controlTiming.currentMs;
+			: consensus.leader() !== undefined && consensus.leaderSilence(now) < controlTiming.currentMs && consensus.lag(now) <= controlTiming.mostLagMs;
 	}
 
 	/** The other control nodes: members of the group, and those that the settings name. */
--- a/src/core/control/control-timing.ts
+++ b/src/core/control/control-timing.ts
@@ -10,6 +10,8 @@
 	followLeaseMs: 2500,
 	/** Time without hearing the leader after which a control node calls itself out of touch. */
 	currentMs: 1500,
+	/** Time behind the leader's commits after which a control node calls itself out of touch: two ways between regions and a sync. */
+	mostLagMs: 500,
 	/** Time an operator's call is worked on before it is answered as unavailable; callers wait about a second. */
 	callMs: 1500,
 	/** Time after which a call is sent to the leader again. */
--- a/test/core/control/control-core.test.ts
+++ b/test/core/control/control-core.test.ts
@@ -6,6 +6,8 @@
 
 /** Time in which a machine with a new disk must count again, in milliseconds (catch-up of the first deployments). */
 const catchUpMs = 4000;
+/** Time within which a node must see that it is behind: entries need 1.6 s more to leave it, and a configuration applies within 3 s. */
+const outOfTouchMs = 1000;
 const zone = toId<Zone>('regina-a');
 
 function startCluster(options: Partial<ConstructorParameters<typeof ControlCluster>[0]> = {}): ControlCluster {
@@ -174,3 +176,26 @@
 
 	t.true(accept(cluster, document(1), 4000));
 });
+
+test('a node that hears the leader but gets no entries tells its followers that it is out of touch', t => {
+	const cluster = startCluster();
+	t.true(accept(cluster, document(1)));
+	t.true(cluster.runUntil(() => cluster.voters() === 5));
+	const leader = cluster.leader()!;
+	const behind = (leader + 1) % 5;
+	const current = () => cluster.nodes[behind]!.core!.status(cluster.clock(behind)).current;
+	t.true(current());
+	// What the node answers is lost: the leader takes it for dead and sends it heartbeats only.
+	cluster.cut.add(`${behind}>${leader}`);
+	cluster.run(1500);
+	t.true(accept(cluster, document(2)));
+	cluster.run(outOfTouchMs);
+	for (let checks = 0; checks < 20; checks++) {
+		cluster.run(100);
+		t.false(current());
+	}
+
+	cluster.cut.clear();
+	t.true(cluster.runUntil(current, catchUpMs));
+	t.is(read(cluster, behind), 2);
+});
