--- a/src/server/peer-link.ts
+++ b/src/server/peer-link.ts
@@ -1,5 +1,5 @@
 import {createClient, type Client} from '@connectrpc/connect';
-import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {compressionGzip, createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
 import {PeerService} from '../gen/peer_pb.ts';
 import type {NodeInfo} from '../core/membership/node-info.ts';
 import type {PeerMessage} from '../core/peer-message.ts';
@@ -71,7 +71,7 @@
 		// No pings of the session manager: one that times out ends the process by an error nobody listens for.
 		this.#sessions = new Http2SessionManager(baseUrl);
 		const client: Client<typeof PeerService> = createClient(PeerService, createConnectTransport({
-			httpVersion: '2', baseUrl, sessionManager: this.#sessions,
+			httpVersion: '2', baseUrl, sessionManager: this.#sessions, sendCompression: compressionGzip, compressMinBytes: constants.peerCompressBytes,
 		}));
 		const {nodeId, incarnation} = this.#options.self;
 		const claim = `${nodeId};${incarnation};${this.#options.peer.nodeId}`;
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -20,6 +20,8 @@
 	charactersPerToken: 4,
 	/** Messages waiting for one peer; the oldest are dropped beyond. */
 	maxPeerQueue: 4096,
+	/** Size from which on frames between processes are compressed, in bytes: configurations and lists of targets, not heartbeats. */
+	peerCompressBytes: 2048,
 	/** Pause before a link that ended is opened again. */
 	peerReconnectMs: 100,
 	/** Shortest time between two signs of life of a link's receiver. */
--- a/test/server/peer-links.test.ts
+++ b/test/server/peer-links.test.ts
@@ -15,6 +15,9 @@
 const saskatoon = toId<NodeId>('saskatoon-1');
 const pollMs = 100;
 const withinMs = 20_000;
+const slowBytesPerSecond = 20_000;
+/** Time within which a configuration must apply (the first deployments), in milliseconds. */
+const applyMs = 3000;
 
 function nodeInfo(nodeId: NodeId): NodeInfo {
 	return {
@@ -101,3 +104,17 @@
 	await until(t, () => metrics.value('refusals', 'peer-unauthenticated') > 0, 'the link is refused');
 	t.deepEqual(received, []);
 });
+
+test('a configuration gets through a slow link long before its length in text would', async t => {
+	const {links, proxy, received} = await openLink(t, {sender: 'secret', receiver: 'secret'});
+	links.send(saskatoon, message(1));
+	await until(t, () => received.includes(1), 'the first message arrives');
+	// As much as TCP carries between regions while it loses packets, for a document of some hundred routes.
+	proxy.limit(slowBytesPerSecond);
+	const route = '{"name":"r","host":"prairie.example","path-prefix":"/orders/","kind":"unsafe","timeout-ms":3000}';
+	const text = Array.from({length: 1000}, (_, index) => route.replace('orders', String(index))).join(',');
+	const sentAt = performance.now();
+	links.send(saskatoon, {part: 'membership', body: {type: 'ping-request', probe: 2, target: toId<NodeId>(text)}});
+	await until(t, () => received.includes(2), 'the document arrives');
+	t.true(performance.now() - sentAt < applyMs);
+});
