--- a/bench/edge-region.ts
+++ b/bench/edge-region.ts
@@ -1,5 +1,6 @@
 import type {Random} from '../src/core/common/random.ts';
 import {SeededRandom} from '../src/core/common/seeded-random.ts';
+import {controlTiming} from '../src/core/control/control-timing.ts';
 import type {TargetLoad} from '../src/core/edge/target-load.ts';
 import type {EdgeAction} from '../src/core/edge/edge-action.ts';
 import {EdgeCore} from '../src/core/edge/edge-core.ts';
@@ -8,13 +9,13 @@
 import type {Millis} from '../src/core/ids/millis.ts';
 import type {AttemptNumber} from '../src/core/ids/attempt-number.ts';
 import type {NodeId} from '../src/core/ids/node-id.ts';
-import type {Region} from '../src/core/ids/region.ts';
 import type {RequestId} from '../src/core/ids/request-id.ts';
 import {toId} from '../src/core/ids/to-id.ts';
 import {choosePlacers} from '../src/core/registry/choose-placers.ts';
 import type {RegionLoad} from '../src/core/registry/region-load.ts';
 import type {RoutesDocument} from '../src/core/routes/routes-document.ts';
 import {EventQueue} from '../test/fixtures/event-queue.ts';
+import {feedFixture} from '../test/fixtures/feed-fixture.ts';
 import {listedTargetFixture} from '../test/fixtures/listed-target-fixture.ts';
 import {routesDocumentFixture} from '../test/fixtures/routes-document-fixture.ts';
 import {EdgeEngine} from './edge-engine.ts';
@@ -130,26 +131,19 @@
 
 		this.#queue.after(this.#random.next() * tickMs, tick);
 		step({type: 'tick'});
-		step({
-			type: 'peer',
-			from: control,
-			message: {
-				part: 'control',
-				body: {
-					type: 'feed',
-					epoch: 'run-1',
-					from: -1,
-					to: 1,
-					targets: [...this.#engines.keys()].map(name => listedTargetFixture(name, {slots: 64})),
-					signs: [],
-					current: true,
-					control: [{nodeId: control, region: toId<Region>('regina')}],
-					stateIndex: 1,
-					state: {document: {version: 1, text: ''}, evacuated: []},
-					regions: [this.#regionLoad()],
-				},
-			},
-		});
+		let revision = 0;
+		const feed = () => {
+			revision += 1;
+			step(feedFixture(control, {
+				to: revision,
+				targets: [...this.#engines.keys()].map(name => listedTargetFixture(name, {slots: 64})),
+				state: {document: {version: 1, text: ''}, evacuated: []},
+				regions: [this.#regionLoad()],
+			}));
+			this.#queue.after(controlTiming.followMs, feed);
+		};
+
+		feed();
 		return core;
 	}
 
--- a/src/commands/explain-request.ts
+++ b/src/commands/explain-request.ts
@@ -11,7 +11,7 @@
 	overloaded: 'no target could start the request in time: see the lines before it for targets that turned it away',
 	'no-target': 'no target of the service could be used from this region: look for target-changed, evacuation-began and attempt-failed',
 	leaving: 'the entry was stopping',
-	outdated: 'the entry of the other region had an older routes document than the one that forwarded the request',
+	outdated: 'the entry that it was passed to had an older routes document than the one that forwarded the request',
 	'target-failed': 'a target failed while it had the request, which may not be repeated any more: see attempt-failed',
 	timeout: 'a target had the request, and its time was over: see the target and how long it had been there',
 };
--- a/src/core/edge/attempt-desk.ts
+++ b/src/core/edge/attempt-desk.ts
@@ -3,7 +3,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
 import type {EdgeAction} from './edge-action.ts';
-import {IdleRule} from './idle-rule.ts';
+import type {IdleRule} from './idle-rule.ts';
 import type {PlacementCandidate} from './placement-candidate.ts';
 import type {RegionChoice} from './region-choice.ts';
 import type {RepeatBudget} from './repeat-budget.ts';
@@ -17,6 +17,7 @@
 	readonly pool: TargetPool;
 	readonly regions: RegionChoice;
 	readonly budget: RepeatBudget;
+	readonly idle: IdleRule;
 	readonly queue: ActionQueue<EdgeAction>;
 };
 
@@ -26,7 +27,6 @@
 export class AttemptDesk {
 	readonly #options: AttemptDeskOptions;
 	readonly #records = new Map<AttemptNumber, RequestRecord>();
-	readonly #idle = new IdleRule();
 	#last = 0;
 
 	constructor(options: AttemptDeskOptions) {
@@ -70,11 +70,6 @@
 		this.#start(record, {attempt, address}, now);
 	}
 
-	/** An attempt at a target was reset before any answer came. */
-	wasReset({service}: RequestRecord, now: Millis): void {
-		this.#idle.wasReset(service, now);
-	}
-
 	/** Forgets a record's attempt: nothing more is heard of it. */
 	stop(record: RequestRecord): void {
 		const {running} = record;
@@ -100,7 +95,7 @@
 			requestId: req.requestId,
 			deadlineMs: Math.max(1, Math.floor(record.deadlineAt - now)),
 			urgency: Math.min(lastUrgency, (route.priority * 2) + 1),
-			fresh: this.#idle.needsFresh(route, service, now),
+			fresh: this.#options.idle.needsFresh(route, service, now),
 			stream: route.kind === 'stream',
 			resumeAfter: record.lastEventId,
 			documentVersion: table.version,
--- a/src/core/edge/edge-action.ts
+++ b/src/core/edge/edge-action.ts
@@ -7,7 +7,7 @@
 /** What the server carries out for an entry. */
 export type EdgeAction =
 	| OutboxAction
-	/** Sends the request to a target, or to an entry of another region. */
+	/** Sends the request to a target, or to another entry. */
 	| {
 		readonly type: 'start';
 		readonly attempt: AttemptNumber;
--- a/src/core/edge/idle-rule.ts
+++ b/src/core/edge/idle-rule.ts
@@ -9,7 +9,7 @@
  * Decides which requests must not go out on a connection that has rested.
  *
  * Answers targets that forget idle connections without a word: what is sent next on one is reset, and a request that
- * may not be repeated is lost. Such requests never take one; others do until a service is seen to do it.
+ * may not be repeated is lost. Unsafe requests never take one; others do until a service is seen to do it.
  */
 export class IdleRule {
 	readonly #avoidUntil = new Map<ServiceName, number>();
--- a/src/core/edge/placement-rule.ts
+++ b/src/core/edge/placement-rule.ts
@@ -4,6 +4,7 @@
 import type {EdgeRefusal} from './edge-refusal.ts';
 import {localPlacement} from './local-placement.ts';
 import type {PlacementCandidate} from './placement-candidate.ts';
+import type {PooledTarget} from './pooled-target.ts';
 import type {RegionChoice} from './region-choice.ts';
 import type {RequestRecord} from './request-record.ts';
 import {retryAfter} from './retry-after.ts';
@@ -48,13 +49,14 @@
 		const {regions, random} = this.#options;
 		const {req, route, service} = record;
 		const leftMs = record.deadlineAt - now - answerMarginMs;
-		const local = this.#local(record, now);
-		const best = local.find(({hasRoom, startMs}) => hasRoom && startMs < leftMs);
+		const targets = this.#targets(record, now);
 		const placer = this.#placer(record, now);
-		if (placer !== undefined && local.length > 0) {
+		if (placer !== undefined && targets.length > 0) {
 			return {type: 'away', region: this.#options.region, ...placer};
 		}
 
+		const local = this.#local(record, targets, now);
+		const best = local.find(({hasRoom, startMs}) => hasRoom && startMs < leftMs);
 		const mayLeave = req.forwarded === undefined || req.forwarded.region === this.#options.region;
 		const [away] = mayLeave ? regions.candidates({service, homes: route.homes, prompt: req.prompt}, now) : [];
 		const awayCost = away === undefined ? Number.POSITIVE_INFINITY : away.costMs + awayPenaltyMs;
@@ -89,18 +91,25 @@
 		return placer?.address === relayAddress ? undefined : placer;
 	}
 
-	/** Targets of this region for a request, the cheapest first. */
-	#local({req, route, service, table, tried, deadlineAt}: RequestRecord, now: Millis): readonly PlacementCandidate[] {
-		const {region, relayAddress, pool, regions} = this.#options;
+	/** Targets of this region that may get a request. */
+	#targets({route, service, tried}: RequestRecord, now: Millis): readonly PooledTarget[] {
+		const {region, pool} = this.#options;
 		if (route.homes.length > 0 && !route.homes.includes(region)) {
 			return [];
 		}
 
+		return pool.usable(service, now).filter(({listed}) => !tried.has(listed.targetId));
+	}
+
+	/** Places at targets for a request, the cheapest first. */
+	#local({req, route, service, table, deadlineAt}: RequestRecord, targets: readonly PooledTarget[], now: Millis): readonly PlacementCandidate[] {
+		const {relayAddress, pool, regions} = this.#options;
+		const {placers} = regions;
 		return localPlacement({
 			prompt: req.prompt,
 			spec: table.service(service),
-			targets: pool.usable(service, now).filter(({listed}) => !tried.has(listed.targetId)),
-			group: pool.group(service, {count: regions.placers.length, index: regions.placers.indexOf(relayAddress)}),
+			targets,
+			group: pool.group(service, {count: placers.length, index: placers.indexOf(relayAddress)}),
 			entries: regions.placingHere,
 			objectiveMs: route.objectiveMs - (now - req.arrivedAt),
 			leftMs: deadlineAt - now,
--- a/src/core/edge/request-desk.ts
+++ b/src/core/edge/request-desk.ts
@@ -11,19 +11,19 @@
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {EdgeRequest} from './edge-request.ts';
 import {FinalAnswers} from './final-answers.ts';
+import {IdleRule} from './idle-rule.ts';
 import {placeOf} from './place-of.ts';
 import type {PlacementRule} from './placement-rule.ts';
 import type {RegionChoice} from './region-choice.ts';
 import type {RepeatBudget} from './repeat-budget.ts';
 import {RepeatDesk} from './repeat-desk.ts';
 import type {RequestRecord} from './request-record.ts';
+import {TargetFeedback} from './target-feedback.ts';
 import type {TargetPool} from './target-pool.ts';
 import type {WaitQueue} from './wait-queue.ts';
 
 /** Waiting requests that are looked at in one step for each service. */
 const placementsPerStep = 16;
-/** Status of an answer that its target did not vouch for, or that another target gave. */
-const misdirected = 421;
 
 type RequestDeskOptions = {
 	readonly placement: PlacementRule;
@@ -43,14 +43,17 @@
 	readonly #attempts: AttemptDesk;
 	readonly #ends: FinalAnswers;
 	readonly #repeats: RepeatDesk;
+	readonly #feedback: TargetFeedback;
 	#shut = false;
 	#placeable = false;
 
 	constructor(options: RequestDeskOptions) {
 		this.#options = options;
-		this.#attempts = new AttemptDesk(options);
+		const idle = new IdleRule();
+		this.#attempts = new AttemptDesk({...options, idle});
 		this.#ends = new FinalAnswers(options);
 		this.#repeats = new RepeatDesk(options);
+		this.#feedback = new TargetFeedback({...options, idle});
 	}
 
 	get inFlight(): number {
@@ -123,12 +126,8 @@
 
 		running.head = head;
 		running.progressAt = now;
-		const target = running.targetId === undefined ? undefined : this.#options.pool.get(running.targetId);
-		if (head.load !== undefined) {
-			target?.reported(head.load, now);
-		}
-
-		if (head.notRun || head.status === misdirected) {
+		this.#feedback.head(record, head, now);
+		if (this.#feedback.isNotRun(head)) {
 			this.#notRun(record, head, now);
 			return;
 		}
@@ -155,8 +154,7 @@
 			return;
 		}
 
-		target?.started(attempt, now);
-		target?.callMs.add(now - running.sentAt);
+		this.#feedback.called(record, now);
 	}
 
 	events(attempt: AttemptNumber, {count, lastId}: {count: number; lastId?: string}, now: Millis): void {
@@ -166,14 +164,8 @@
 			return;
 		}
 
-		const target = running.targetId === undefined ? undefined : this.#options.pool.get(running.targetId);
-		if (running.events === 0) {
-			target?.started(attempt, now);
-			this.#placeable = true;
-		} else {
-			target?.progressed(attempt, {events: count, tokens: count * (record.table.service(record.service)?.engine?.tokensPerEvent ?? 1)}, now);
-		}
-
+		this.#feedback.events(record, count, now);
+		this.#placeable ||= running.events === 0;
 		running.events += count;
 		running.progressAt = now;
 		record.lastEventId = lastId ?? record.lastEventId;
@@ -192,21 +184,11 @@
 
 	failed(attempt: AttemptNumber, failure: AttemptFailure, now: Millis): void {
 		const record = this.#attempts.recordOf(attempt);
-		const running = record?.running;
-		if (record === undefined || running === undefined) {
+		if (record?.running === undefined) {
 			return;
 		}
 
-		if (running.away !== undefined) {
-			this.#options.regions.refused(running.away.address, record.service, now);
-		} else if (running.targetId !== undefined && failure.reason !== 'foreign-answer') {
-			this.#options.pool.get(running.targetId)?.suspend(now);
-		}
-
-		if (failure.reason === 'reset' && running.targetId !== undefined && running.head === undefined) {
-			this.#attempts.wasReset(record, now);
-		}
-
+		this.#feedback.failed(record, failure, now);
 		if (failure.notSent) {
 			this.#options.queue.event('attempt-not-sent', {request: record.req.callerKey, target: placeOf(record), reason: failure.reason});
 			record.sends -= 1;
@@ -315,24 +297,15 @@
 		}
 	}
 
-	/** The target or the other region's entry vouches that the request has not run. */
+	/** The target or the other entry vouches that the request has not run. */
 	#notRun(record: RequestRecord, head: AnswerHead, now: Millis): void {
 		const {running} = record;
-		const {pool, regions, queue} = this.#options;
-		queue.event('attempt-not-run', {request: record.req.callerKey, target: placeOf(record), status: head.status});
-		const target = running?.targetId === undefined ? undefined : pool.get(running.targetId);
-		if (target !== undefined) {
-			record.tried.add(target.listed.targetId);
-			if (head.status === misdirected) {
-				target.suspend(now);
-			} else {
-				target.full(now);
-			}
-		}
-
-		if (running?.away !== undefined) {
-			regions.refused(running.away.address, record.service, now);
+		this.#options.queue.event('attempt-not-run', {request: record.req.callerKey, target: placeOf(record), status: head.status});
+		this.#feedback.notRun(record, head, now);
+		if (running?.targetId === undefined) {
 			record.sends -= 1;
+		} else {
+			record.tried.add(running.targetId);
 		}
 
 		record.retryAfterMs = head.retryAfterMs ?? record.retryAfterMs;
@@ -364,14 +337,8 @@
 			return;
 		}
 
-		const {attempt, targetId, away} = record.running!;
-		this.#options.queue.push({type: 'cancel', attempt});
-		if (targetId !== undefined) {
-			this.#options.pool.get(targetId)?.suspend(now);
-		} else if (away !== undefined) {
-			this.#options.regions.refused(away.address, record.service, now);
-		}
-
+		this.#options.queue.push({type: 'cancel', attempt: record.running!.attempt});
+		this.#feedback.stalled(record, now);
 		this.#attemptFailed(record, 'stalled', now);
 	}
 
--- a/src/core/edge/target-pool.ts
+++ b/src/core/edge/target-pool.ts
@@ -8,10 +8,16 @@
 /** The targets of this entry's region. */
 export class TargetPool {
 	readonly #targets = new Map<TargetId, PooledTarget>();
+	/** Targets of each service by their ids, until the list changes. */
+	readonly #sorted = new Map<ServiceName, readonly PooledTarget[]>();
 	#evacuated: ReadonlySet<Zone> = new Set();
 
 	/** Takes listings of control; `whole` if targets that are not among them are gone. */
 	update(listed: readonly ListedTarget[], whole: boolean, now: Millis): void {
+		if (listed.length > 0 || whole) {
+			this.#sorted.clear();
+		}
+
 		for (const entry of listed) {
 			this.#take(entry, now);
 		}
@@ -47,7 +53,12 @@
 
 	/** Every `count`-th target of a service, from `index` on: the part of the region's targets that one of its placers fills first. */
 	group(service: ServiceName, {count, index}: {count: number; index: number}): ReadonlySet<PooledTarget> {
-		const sorted = index === -1 ? [] : this.#of(service).sort((left, right) => left.listed.targetId < right.listed.targetId ? -1 : 1);
+		if (index === -1) {
+			return new Set();
+		}
+
+		const sorted = this.#sorted.get(service) ?? this.#of(service).sort((left, right) => left.listed.targetId < right.listed.targetId ? -1 : 1);
+		this.#sorted.set(service, sorted);
 		return new Set(sorted.filter((_, position) => position % count === index));
 	}
 
--- a/src/server/routes/control-listeners.ts
+++ b/src/server/routes/control-listeners.ts
@@ -24,6 +24,8 @@
 	readonly step: (event: ControlEvent) => void;
 	readonly now: () => Millis;
 	readonly log: EventLog;
+	/** Called with what a handler throws. */
+	readonly onError: (error: Error) => void;
 };
 
 /** Time to come back that an operator is told when a call could not be settled, in seconds. */
@@ -38,18 +40,14 @@
 
 	constructor(options: ControlListenersOptions) {
 		this.#options = options;
-		const onError = (error: Error) => {
-			options.log.warn('handler-failed', {error: error.stack});
-		};
-
+		const {onError} = options;
 		this.#servers = [
 			new HttpServer({
-				key: 'listen.operators', listen: options.operators, keepAliveMs: 10_000, onError, handle: async (req, res) => this.#operators(req, res),
+				key: 'listen.operators', listen: options.operators, onError, handle: async (req, res) => this.#operators(req, res),
 			}),
 			new HttpServer({
 				key: 'listen.directory',
 				listen: options.directory,
-				keepAliveMs: 10_000,
 				onError,
 				handle: (req, res) => {
 					this.#directory(req, res);
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -6,6 +6,7 @@
 import type {Region} from '../../core/ids/region.ts';
 import {toId} from '../../core/ids/to-id.ts';
 import type {Zone} from '../../core/ids/zone.ts';
+import type {SharedAction} from '../../core/shared-action.ts';
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
 import {CryptoRandom} from '../crypto-random.ts';
 import type {EventLog} from '../event-log.ts';
@@ -19,6 +20,9 @@
 /** Time between two tries to write to a disk that failed, in milliseconds. */
 const diskProbeMs = 500;
 
+/** What only this kind of process carries out. */
+type OwnAction = Exclude<ControlAction, SharedAction>;
+
 type ControlProcessOptions = {
 	readonly settings: RoutesSettings;
 	readonly dialect: Dialect;
@@ -32,7 +36,7 @@
 export class ControlProcess implements RoutesProcess {
 	readonly #options: ControlProcessOptions;
 	readonly #core: ControlCore;
-	readonly #host: CoreHost<ControlEvent, ControlAction>;
+	readonly #host: CoreHost<ControlEvent, OwnAction>;
 	readonly #listeners: ControlListeners;
 	readonly #metricsServer: MetricsServer | undefined;
 	#awaitingDisk = false;
@@ -53,7 +57,7 @@
 			epoch: randomUUID(),
 			storage: {storageId: folder.storageId, consensus: folder.loads.consensus},
 		});
-		this.#host = new CoreHost<ControlEvent, ControlAction>({
+		this.#host = new CoreHost<ControlEvent, OwnAction>({
 			settings,
 			log,
 			core: this.#core,
@@ -63,7 +67,7 @@
 		});
 		const {step, now, metrics} = this.#host;
 		this.#listeners = new ControlListeners({
-			operators, directory: listen.directory!, directoryTtlMs, dialect: dialect.control, core: this.#core, step, now, log,
+			operators, directory: listen.directory!, directoryTtlMs, dialect: dialect.control, core: this.#core, step, now, log, onError: this.#host.handlerFailed,
 		});
 		this.#metricsServer = listen.metrics && new MetricsServer({
 			listen: listen.metrics,
@@ -96,7 +100,7 @@
 		this.#options.log.write('reloaded', {file: this.#options.settings.file});
 	}
 
-	#perform(action: ControlAction): void {
+	#perform(action: OwnAction): void {
 		switch (action.type) {
 			case 'append':
 			case 'rewrite': {
@@ -104,14 +108,6 @@
 				break;
 			}
 
-			case 'send':
-			case 'count':
-			case 'event':
-			case 'log': {
-				this.#host.performOutbox(action);
-				break;
-			}
-
 			case 'call-answer': {
 				this.#listeners.answered(action.callId, action.answer);
 				break;
--- a/src/server/routes/core-host.ts
+++ b/src/server/routes/core-host.ts
@@ -1,7 +1,7 @@
 import type {Millis} from '../../core/ids/millis.ts';
 import type {NodeId} from '../../core/ids/node-id.ts';
-import type {OutboxAction} from '../../core/outbox-action.ts';
 import type {PeerMessage} from '../../core/peer-message.ts';
+import type {SharedAction} from '../../core/shared-action.ts';
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
 import {CoreRunner} from '../core-runner.ts';
 import type {EventLog} from '../event-log.ts';
@@ -10,27 +10,36 @@
 
 /** Time between two ticks of a core, in milliseconds. */
 const tickMs = 50;
+const sharedTypes: ReadonlySet<string> = new Set<SharedAction['type']>(['send', 'count', 'event', 'log']);
 
 type HostEvent = {readonly type: 'tick'} | {readonly type: 'peer'; readonly from: NodeId; readonly message: PeerMessage};
 
 type CoreHostOptions<Event, Action> = {
 	readonly settings: RoutesSettings;
 	readonly log: EventLog;
-	readonly core: {step(event: Event | HostEvent, now: Millis): readonly Action[]};
+	readonly core: {step(event: Event | HostEvent, now: Millis): ReadonlyArray<Action | SharedAction>};
+	/** Carries out the actions of this kind of core. */
 	readonly perform: (action: Action) => void;
 };
 
 /** What every process of a deployment with a routes document has around its core: the loop, links to other nodes, metrics. */
-export class CoreHost<Event, Action> {
+export class CoreHost<Event, Action extends {readonly type: string}> {
 	readonly metrics = new Metrics();
 	readonly #log: EventLog;
-	readonly #loop: CoreRunner<Event | HostEvent, Action>;
+	readonly #performOwn: (action: Action) => void;
+	readonly #loop: CoreRunner<Event | HostEvent, Action | SharedAction>;
 	readonly #peers: PeerConnections;
 	#ticker: NodeJS.Timeout | undefined;
 
 	constructor({settings, log, core, perform}: CoreHostOptions<Event, Action>) {
 		this.#log = log;
-		this.#loop = new CoreRunner({node: core, perform});
+		this.#performOwn = perform;
+		this.#loop = new CoreRunner({
+			node: core,
+			perform: action => {
+				this.#perform(action);
+			},
+		});
 		this.#peers = new PeerConnections({
 			settings,
 			metrics: this.metrics,
@@ -71,8 +80,13 @@
 		return this.#peers.close();
 	}
 
-	/** Carries out what any core may ask for: messages, counters, log lines. */
-	performOutbox(action: Exclude<OutboxAction, {type: 'append' | 'rewrite'}>): void {
+	/** Carries out an action, or hands it to the process if only that knows how. */
+	#perform(action: Action | SharedAction): void {
+		if (!isShared(action)) {
+			this.#performOwn(action);
+			return;
+		}
+
 		switch (action.type) {
 			case 'send': {
 				this.#peers.links.send(action.to, action.message);
@@ -96,3 +110,7 @@
 		}
 	}
 }
+
+function isShared(action: {readonly type: string}): action is SharedAction {
+	return sharedTypes.has(action.type);
+}
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -4,6 +4,7 @@
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
 import type {RequestId} from '../../core/ids/request-id.ts';
 import {toId} from '../../core/ids/to-id.ts';
+import type {SharedAction} from '../../core/shared-action.ts';
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
 import {CryptoRandom} from '../crypto-random.ts';
 import type {EventLog} from '../event-log.ts';
@@ -22,6 +23,9 @@
 /** Time before the end of the grace period at which the process ends at the latest, in milliseconds. */
 const graceMarginMs = 300;
 
+/** What only this kind of process carries out. */
+type OwnAction = Exclude<EdgeAction, SharedAction>;
+
 type EntryProcessOptions = {
 	readonly settings: RoutesSettings;
 	readonly dialect: Dialect;
@@ -33,7 +37,7 @@
 	readonly #options: EntryProcessOptions;
 	readonly #exchanges = new Map<RequestId, CallerExchange>();
 	readonly #core: EdgeCore;
-	readonly #host: CoreHost<EdgeEvent, EdgeAction>;
+	readonly #host: CoreHost<EdgeEvent, OwnAction>;
 	readonly #client: TargetClient;
 	readonly #listeners: readonly RequestListener[];
 	readonly #servers: readonly HttpServer[];
@@ -57,7 +61,7 @@
 			parseDocument: dialect.control.parseDocument,
 			random: new CryptoRandom(),
 		});
-		this.#host = new CoreHost<EdgeEvent, EdgeAction>({
+		this.#host = new CoreHost<EdgeEvent, OwnAction>({
 			settings,
 			log,
 			core: this.#core,
@@ -125,7 +129,6 @@
 		const servers = [new HttpServer({
 			key: 'listen.readiness',
 			listen: listen.readiness!,
-			keepAliveMs: 10_000,
 			onError,
 			handle: (req, res) => {
 				const ready = req.url === dialect.control.readinessPath && this.#core.ready;
@@ -141,16 +144,8 @@
 		return servers;
 	}
 
-	#perform(action: EdgeAction): void {
+	#perform(action: OwnAction): void {
 		switch (action.type) {
-			case 'send':
-			case 'count':
-			case 'event':
-			case 'log': {
-				this.#host.performOutbox(action);
-				break;
-			}
-
 			case 'start': {
 				this.#start(action);
 				break;
--- a/src/server/routes/http-server.ts
+++ b/src/server/routes/http-server.ts
@@ -3,6 +3,10 @@
 } from 'node:http';
 import {ListenError} from '../listen-error.ts';
 
+/** Time after which an idle connection is closed, in milliseconds, where nothing else is known of its callers. */
+const usualKeepAliveMs = 10_000;
+/** Time between two looks for connections whose headers take too long, in milliseconds. */
+const checkEveryMs = 1000;
 /** Connections that wait to be accepted at most. */
 const backlog = 1024;
 /** Headers that are read at most, in bytes; a document may allow less. */
@@ -15,7 +19,8 @@
 	readonly handle: (req: IncomingMessage, res: ServerResponse) => Promise<void> | void;
 	/** Called when a handler throws. */
 	readonly onError: (error: Error) => void;
-	readonly keepAliveMs: number;
+	/** Time after which an idle connection is closed, in milliseconds. @default 10_000 */
+	readonly keepAliveMs?: number;
 };
 
 /** One listening HTTP server of a process. */
@@ -30,11 +35,11 @@
 		};
 
 		this.server = createServer({
-			keepAliveTimeout: options.keepAliveMs,
+			keepAliveTimeout: options.keepAliveMs ?? usualKeepAliveMs,
 			requestTimeout: 0,
 			maxHeaderSize: maxHeaderBytes,
 			noDelay: true,
-			connectionsCheckingInterval: 1000,
+			connectionsCheckingInterval: checkEveryMs,
 		}, listener);
 	}
 
--- a/src/server/routes/metrics-server.ts
+++ b/src/server/routes/metrics-server.ts
@@ -9,6 +9,9 @@
 	readonly onError: (error: Error) => void;
 };
 
+/** Time after which an idle connection is closed, in milliseconds: Node's own default. */
+const idleMs = 5000;
+
 /** Serves `/metrics` as text and `/status` as JSON to those who watch the process. */
 export class MetricsServer extends HttpServer {
 	constructor({listen, metrics, status, onError}: MetricsServerOptions) {
@@ -16,7 +19,7 @@
 			key: 'listen.metricsPort',
 			listen,
 			onError,
-			keepAliveMs: 5000,
+			keepAliveMs: idleMs,
 			handle(req, res) {
 				if (req.url === '/status') {
 					res.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify(status()));
--- a/test/core/edge/placers.test.ts
+++ b/test/core/edge/placers.test.ts
@@ -11,7 +11,7 @@
 /** Where other entries pass requests on to the harness's entry. */
 const self = '10.1.0.9:7101';
 const others = ['10.1.0.21:7101', '10.1.0.22:7101', '10.1.0.23:7101'];
-/** Share of first events that must come within their objective while the region's engines are not overloaded. */
+/** Share of first events that must come within their objective while the region's engines are not overloaded: 95 in 100, the users' aim for the first token. */
 const leastInTime = 0.95;
 
 const region = (relayAddresses: readonly string[], given: Partial<RegionLoad> = {}): RegionLoad => ({
