feat(edge): log how an answer was framed and what was left of its last event

Each answer's head now says whether its body ends with its connection (counter unframed_answers, field unframed of answered), and a stream that ends before the end of its last event writes the line answer-ends-inside-event with framing, events and bytes left. What the caller gets is unchanged.

--- a/bench/edge-region.ts
+++ b/bench/edge-region.ts
@@ -232,7 +232,7 @@
 				type: 'attempt-head',
 				attempt: relayed.attempt,
 				head: {
-					status: 503, notRun: true, signed: false, refusedBy: 'entry',
+					status: 503, notRun: true, signed: false, unframed: false, refusedBy: 'entry',
 				},
 			});
 		});
@@ -270,14 +270,14 @@
 		if (first) {
 			this.#step(core, {
 				type: 'attempt-head', attempt, head: {
-					status: 200, notRun: false, signed: true, load,
+					status: 200, notRun: false, signed: true, unframed: false, load,
 				},
 			});
 		}
 
 		this.#step(core, {type: 'attempt-events', attempt, count: 1});
 		if (last) {
-			this.#step(core, {type: 'attempt-end', attempt});
+			this.#step(core, {type: 'attempt-end', attempt, incompleteBytes: 0});
 		}
 	}
 }
--- a/src/core/edge/answer-head.ts
+++ b/src/core/edge/answer-head.ts
@@ -7,6 +7,8 @@
 	readonly notRun: boolean;
 	/** True if the answer carries the target's signature. */
 	readonly signed: boolean;
+	/** True if the body has neither a length nor chunks, so that it ends with its connection. */
+	readonly unframed: boolean;
 	/** Load that the target reported with the answer. */
 	readonly load?: TargetLoad;
 	/** Set if the entry that the request was forwarded to refused it. */
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -142,7 +142,7 @@
 			}
 
 			case 'attempt-end': {
-				this.#requests.handleEnd(event.attempt, now);
+				this.#requests.handleEnd(event.attempt, event, now);
 				break;
 			}
 
--- a/src/core/edge/request-completion.ts
+++ b/src/core/edge/request-completion.ts
@@ -28,11 +28,16 @@
 		const {queue} = this.#options;
 		queue.push({type: 'complete', requestId: req.requestId, attempt});
 		queue.count('answers', route.kind);
+		if (running?.head?.unframed === true) {
+			queue.count('unframed_answers', route.kind);
+		}
+
 		queue.event('answered', {
 			request: req.callerKey,
 			route: route.name,
 			service,
 			status: running?.head?.status,
+			unframed: running?.head?.unframed,
 			target: destinationOf(record),
 			sends,
 			tookMs: Math.round(now - req.arrivedAt),
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -173,12 +173,18 @@
 		record.lastEventId = lastId ?? record.lastEventId;
 	}
 
-	handleEnd(attempt: AttemptNumber, now: Millis): void {
+	handleEnd(attempt: AttemptNumber, {incompleteBytes}: {incompleteBytes: number}, now: Millis): void {
 		const record = this.#attempts.recordOf(attempt);
 		if (record === undefined) {
 			return;
 		}
 
+		if (incompleteBytes > 0) {
+			this.#options.queue.event('answer-ends-inside-event', {
+				request: record.req.callerKey, target: destinationOf(record), unframed: record.running?.head?.unframed, events: record.running?.events, incompleteBytes,
+			});
+		}
+
 		this.#completion.complete(record, attempt, now);
 		this.#releaseAttempt(record);
 		this.#forget(record);
--- a/src/core/results/counter-name.ts
+++ b/src/core/results/counter-name.ts
@@ -8,6 +8,7 @@
 export type CounterName =
 	| 'requests'
 	| 'answers'
+	| 'unframed_answers'
 	| 'refusals'
 	| 'retries'
 	| 'resumes'
--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -2,6 +2,7 @@
 import type {Dispatcher} from 'undici';
 import type {EdgeAction} from '../../core/edge/edge-action.ts';
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
+import {isUnframed} from '../is-unframed.ts';
 import type {CallerExchange} from './caller-exchange.ts';
 import {SseSplitter} from './sse-splitter.ts';
 import type {RequestCodec} from './request-codec.ts';
@@ -66,24 +67,30 @@
 			return;
 		}
 
-		step({type: 'attempt-head', attempt, head});
+		step({type: 'attempt-head', attempt, head: {...head, unframed: this.#isUnframed()}});
 		if (this.#stopped) {
 			return;
 		}
 
-		await (this.#streaming ? this.#readStream(res) : this.#readBuffered(res));
+		const incompleteBytes = await (this.#streaming ? this.#readStream(res) : this.#readBuffered(res));
 		if (!this.#stopped) {
-			step({type: 'attempt-end', attempt});
+			step({type: 'attempt-end', attempt, incompleteBytes});
 		}
 	}
 
-	async #readStream(res: Dispatcher.ResponseData): Promise<void> {
+	#isUnframed(): boolean {
+		const headerNames = this.#headers.filter((_, index) => index % 2 === 0).map(String);
+		return isUnframed({method: this.#options.exchange.head.method, status: this.#status, headerNames});
+	}
+
+	/** Passes a stream on; returns the size of a last event that has no end. */
+	async #readStream(res: Dispatcher.ResponseData): Promise<number> {
 		const {action: {attempt}, exchange, step} = this.#options;
 		const splitter = new SseSplitter();
 		for await (const chunk of res.body as AsyncIterable<Buffer>) {
 			const events = splitter.push(chunk);
 			if (this.#stopped) {
-				return;
+				return 0;
 			}
 
 			if (events !== undefined) {
@@ -98,9 +105,11 @@
 		if (!this.#stopped && splitter.incomplete.length > 0) {
 			await exchange.write(splitter.incomplete);
 		}
+
+		return splitter.incomplete.length;
 	}
 
-	async #readBuffered(res: Dispatcher.ResponseData): Promise<void> {
+	async #readBuffered(res: Dispatcher.ResponseData): Promise<number> {
 		const chunks: Buffer[] = [];
 		let size = 0;
 		for await (const chunk of res.body as AsyncIterable<Buffer>) {
@@ -113,5 +122,6 @@
 		}
 
 		this.#body = Buffer.concat(chunks);
+		return 0;
 	}
 }
--- a/test/core/edge/edge-core.test.ts
+++ b/test/core/edge/edge-core.test.ts
@@ -201,7 +201,7 @@
 	harness.request();
 	t.is(harness.refusals()[0]!.reason, 'leaving');
 	harness.head(attempt);
-	t.true(types(harness.step({type: 'attempt-end', attempt})).includes('drained'));
+	t.true(types(harness.step({type: 'attempt-end', attempt, incompleteBytes: 0})).includes('drained'));
 });
 
 test('the deadline of a retry is shorter by the time already spent', t => {
@@ -231,7 +231,7 @@
 	harness.run(300);
 	const second = harness.starts().find(({targetId}) => targetId !== harness.starts()[0]!.targetId);
 	harness.head(second!.attempt);
-	harness.step({type: 'attempt-end', attempt: second!.attempt});
+	harness.step({type: 'attempt-end', attempt: second!.attempt, incompleteBytes: 0});
 	t.is(harness.starts().filter(({requestId}) => requestId === 'r1').length, 2);
 });
 
