test(routes): a stream that ends inside an event must not end as complete

With a reset instead of a regular end the existing test passes, so of the three hypotheses the second is ruled out for these bytes; the first and the third have one cause, since any end without an error counts as complete. The CRLF case passes today and guards the fix.

--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -7,10 +7,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 
 /**
- * How the stand-in answers. `well`: correctly; `cut`: resets the connection of a stream within its third event; `reset`: resets the connection before the answer;
+ * How the stand-in answers. `well`: correctly; `cut`: resets the connection of a stream within its third event; `short`: ends a stream within its third event, without a reset;
+ * `reset`: resets the connection before the answer;
  * `full`: refuses with 503 without running the request; `silent`: never answers; `foreign`: answers with the identifier of another request; `unsigned`: answers without its `server-signature`.
  */
-type Manner = 'well' | 'cut' | 'reset' | 'full' | 'silent' | 'foreign' | 'unsigned';
+type Manner = 'well' | 'cut' | 'short' | 'reset' | 'full' | 'silent' | 'foreign' | 'unsigned';
 
 type ReceivedRequest = {readonly method: string; readonly path: string; readonly headers: IncomingMessage['headers']; readonly body: string};
 
@@ -20,6 +21,10 @@
 /** In-process engine and service that implements the platform's protocol for targets. */
 export class PlatformEngine {
 	manner: Manner = 'well';
+	/** True if answers have neither a length nor chunks and end with their connection. */
+	unframed = false;
+	/** Line break within and after the events of a stream. */
+	lineBreak: '\n' | '\r\n' = '\n';
 	/** Idle time in milliseconds after which the next request on a connection is answered with a reset, as if the engine had dropped the connection. */
 	resetAfterIdleMs = Number.POSITIVE_INFINITY;
 	/** Requests received, in order. */
@@ -116,12 +121,17 @@
 			await sleep(this.#workMs);
 		}
 
+		// Without chunks, and without a length since the body is written before the end is known, the answer ends with its connection.
+		res.useChunkedEncodingByDefault = !this.unframed;
 		if (req.headers['token-counts'] === undefined) {
-			res.writeHead(200, headers).end(`answer of ${this.identifier}`);
+			res.writeHead(200, headers);
+			res.write(`answer of ${this.identifier}`);
+			res.end();
 			return;
 		}
 
 		res.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
+		const {lineBreak} = this;
 		const first = Number(req.headers['last-event-id'] ?? 0) + 1;
 		for (let id = first; id <= eventCount; id++) {
 			if (manner === 'cut' && id === first + 2) {
@@ -132,7 +142,12 @@
 				return;
 			}
 
-			res.write(`id: ${id}\ndata: piece ${id}\n\n`);
+			if (manner === 'short' && id === first + 2) {
+				res.end(`id: ${id}${lineBreak}data: half`);
+				return;
+			}
+
+			res.write(`id: ${id}${lineBreak}data: piece ${id}${lineBreak}${lineBreak}`);
 			if (this.#workMs > 0) {
 				await sleep(this.#workMs); // eslint-disable-line no-await-in-loop
 			}
--- a/test/server/routes/routes-deployment.test.ts
+++ b/test/server/routes/routes-deployment.test.ts
@@ -93,6 +93,42 @@
 	t.true(deployment.writers[1]!.receivedRequests.some(({headers}) => headers['last-event-id'] === '2'));
 });
 
+for (const unframed of [true, false]) {
+	test(`a stream that ends inside an event, ${unframed ? 'with its connection' : 'framed as complete'}, is resumed and never passed on as complete`, async t => {
+		const deployment = await start(t, {writers: ['w1', 'w2']});
+		for (const engine of deployment.writers) {
+			engine.unframed = unframed;
+		}
+
+		deployment.writers[0]!.manner = 'short';
+		const resumed = await deployment.waitUntil(async () => {
+			const res = await deployment.call({path: '/drafts/1', headers: streamHeaders});
+			const text = await res.body.text();
+			t.deepEqual([...text.matchAll(/^data: (.*)$/gmv)].map(match => match[1]), ['piece 1', 'piece 2', 'piece 3', 'piece 4', 'piece 5', 'piece 6']);
+			return res.headers['server-signature'] === 'w1.sig';
+		});
+		t.true(resumed);
+		t.true(deployment.writers[1]!.receivedRequests.some(({headers}) => headers['last-event-id'] === '2'));
+	});
+}
+
+test('a stream that ends inside an event at every engine breaks off for its caller', async t => {
+	const deployment = await start(t, {writers: ['w1']});
+	deployment.writers[0]!.manner = 'short';
+	deployment.writers[0]!.unframed = true;
+	const res = await deployment.call({path: '/drafts/1', headers: streamHeaders});
+	await t.throwsAsync(res.body.text());
+});
+
+test('a complete stream whose lines end with CRLF is passed on as complete', async t => {
+	const deployment = await start(t, {writers: ['w1']});
+	deployment.writers[0]!.lineBreak = '\r\n';
+	deployment.writers[0]!.unframed = true;
+	const res = await deployment.call({path: '/drafts/1', headers: streamHeaders});
+	const text = await res.body.text();
+	t.deepEqual([...text.matchAll(/^id: (\d+)\r$/gmv)].map(match => Number(match[1])), [1, 2, 3, 4, 5, 6]);
+});
+
 test('a request is aborted at its target once the caller disconnects', async t => {
 	const deployment = await start(t, {desk: ['d1']});
 	deployment.desk[0]!.manner = 'silent';
