fix(routes): a stream that ends inside an event has been broken off

Cause: whatever ended without an error of the connection counted as complete, also an answer that has neither a length nor chunks, whose end says nothing. The reader even wrote the incomplete event to the caller.

The reader now reports what is left of a last event, and the core treats such an end as a failed attempt (reason truncated): the stream is resumed after its last whole event if the route allows it, else the caller's connection is aborted. An unframed stream without any event counts as broken off too. The incomplete event is never written.

--- a/bench/edge-region.ts
+++ b/bench/edge-region.ts
@@ -232,7 +232,7 @@
 				type: 'attempt-head',
 				attempt: relayed.attempt,
 				head: {
-					status: 503, notRun: true, signed: false, unframed: false, refusedBy: 'entry',
+					status: 503, notRun: true, signed: false, unframed: false, eventStream: true, refusedBy: 'entry',
 				},
 			});
 		});
@@ -270,7 +270,7 @@
 		if (first) {
 			this.#step(core, {
 				type: 'attempt-head', attempt, head: {
-					status: 200, notRun: false, signed: true, unframed: false, load,
+					status: 200, notRun: false, signed: true, unframed: false, eventStream: true, load,
 				},
 			});
 		}
--- a/src/core/edge/answer-head.ts
+++ b/src/core/edge/answer-head.ts
@@ -9,6 +9,8 @@
 	readonly signed: boolean;
 	/** True if the body has neither a length nor chunks, so that it ends with its connection. */
 	readonly unframed: boolean;
+	/** True if the body is a stream of events, which may be passed on event by event. */
+	readonly eventStream: boolean;
 	/** Load that the target reported with the answer. */
 	readonly load?: TargetLoad;
 	/** Set if the entry that the request was forwarded to refused it. */
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -149,7 +149,7 @@
 			this.#options.budget.countRequest(record.service, now);
 		}
 
-		if (record.route.kind === 'stream') {
+		if (record.route.kind === 'stream' && head.eventStream) {
 			record.headPassed = true;
 			this.#options.queue.push({type: 'pass', requestId: record.req.requestId, attempt});
 			return;
@@ -173,16 +173,18 @@
 		record.lastEventId = lastId ?? record.lastEventId;
 	}
 
+	/** Completes a request, unless its answer was broken off: within an event, or, if its connection alone ended it, before the first one. */
 	handleEnd(attempt: AttemptNumber, {incompleteBytes}: {incompleteBytes: number}, now: Millis): void {
 		const record = this.#attempts.recordOf(attempt);
 		if (record === undefined) {
 			return;
 		}
 
-		if (incompleteBytes > 0) {
-			this.#options.queue.event('answer-ends-inside-event', {
-				request: record.req.callerKey, target: destinationOf(record), unframed: record.running?.head?.unframed, events: record.running?.events, incompleteBytes,
-			});
+		const {running, headPassed} = record;
+		const isEmpty = headPassed && running?.head?.unframed === true && running.events === 0;
+		if (incompleteBytes > 0 || isEmpty) {
+			this.handleFailure(attempt, {reason: 'truncated', notSent: false}, now);
+			return;
 		}
 
 		this.#completion.complete(record, attempt, now);
@@ -334,7 +336,7 @@
 		record.mayHaveRun = true;
 		this.#options.queue.count('attempt_failures', reason);
 		this.#options.queue.event('attempt-failed', {
-			request: req.callerKey, target: destinationOf(record), reason, events: running?.events, afterMs: Math.round(now - (running?.sentAt ?? now)),
+			request: req.callerKey, target: destinationOf(record), reason, events: running?.events, unframed: running?.head?.unframed, afterMs: Math.round(now - (running?.sentAt ?? now)),
 		});
 		this.#releaseAttempt(record);
 		this.#place(record, now);
--- /dev/null
+++ b/src/server/describe-answer-body.ts
@@ -0,0 +1,30 @@
+import type {AnswerBody} from './answer-body.ts';
+
+type AnswerHeaders = {
+	readonly method: string;
+	readonly status: number;
+	/** Value of a header, by its name in lower case. */
+	readonly header: (name: string) => string | undefined;
+};
+
+const statusesWithoutBody = new Set([204, 304]);
+const eventsTypePattern = /^text\/event-stream\b/iv;
+const jsonTypePattern = /^application\/(?:[^;]+\+)?json\b/iv;
+
+/** Reads from an answer's status and headers what its body is. */
+export function describeAnswerBody({method, status, header}: AnswerHeaders): AnswerBody {
+	const hasBody = method !== 'HEAD' && !statusesWithoutBody.has(status);
+	return {
+		format: readFormat(header),
+		unframed: hasBody && header('content-length') === undefined && header('transfer-encoding') === undefined,
+	};
+}
+
+function readFormat(header: AnswerHeaders['header']): AnswerBody['format'] {
+	const type = header('content-type') ?? '';
+	if ((header('content-encoding') ?? 'identity') !== 'identity') {
+		return 'other';
+	}
+
+	return eventsTypePattern.test(type) ? 'events' : (jsonTypePattern.test(type) ? 'json' : 'other');
+}
--- a/src/server/routes/request-codec.ts
+++ b/src/server/routes/request-codec.ts
@@ -11,7 +11,7 @@
 	/** Headers of a request to a target or to another entry, without those that describe its body. */
 	outgoingHeaders(head: RequestHead, options: OutgoingHeaderOptions): string[];
 	/** Reads the platform's part of the head of an answer; `key` is the caller's id of the request that it answers, undefined if the answer names none. */
-	readAnswer(status: number, rawHeaders: RawHeaders): {head: Omit<AnswerHead, 'unframed'>; key?: string};
+	readAnswer(status: number, rawHeaders: RawHeaders): {head: Omit<AnswerHead, 'unframed' | 'eventStream'>; key?: string};
 	/** Headers of a target's answer that the caller receives, without those that describe its body. */
 	callerHeaders(rawHeaders: RawHeaders): string[];
 	/** Value of the `Retry-After` header for a time in milliseconds. */
--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -2,7 +2,7 @@
 import type {Dispatcher} from 'undici';
 import type {EdgeAction} from '../../core/edge/edge-action.ts';
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
-import {isUnframed} from '../is-unframed.ts';
+import {describeAnswerBody} from '../describe-answer-body.ts';
 import type {CallerExchange} from './caller-exchange.ts';
 import {SseSplitter} from './sse-splitter.ts';
 import type {RequestCodec} from './request-codec.ts';
@@ -55,7 +55,7 @@
 
 	/** Reads an answer to its end. */
 	async read(res: Dispatcher.ResponseData): Promise<void> {
-		const {action: {attempt}, exchange, codec, step} = this.#options;
+		const {action: {attempt, stream}, exchange, codec, step} = this.#options;
 		// An aborted body emits an error, which would be uncaught once nothing reads it.
 		res.body.on('error', () => undefined);
 		this.#status = res.statusCode;
@@ -67,7 +67,11 @@
 			return;
 		}
 
-		step({type: 'attempt-head', attempt, head: {...head, unframed: this.#isUnframed()}});
+		const header = (name: string) => findHeader(this.#headers, name);
+		const {format, unframed} = describeAnswerBody({method: exchange.head.method, status: res.statusCode, header});
+		// A target need not name the type of a stream.
+		const eventStream = format === 'events' || (stream && header('content-type') === undefined);
+		step({type: 'attempt-head', attempt, head: {...head, unframed, eventStream}});
 		if (this.#stopped) {
 			return;
 		}
@@ -78,12 +82,7 @@
 		}
 	}
 
-	#isUnframed(): boolean {
-		const headerNames = this.#headers.filter((_, index) => index % 2 === 0).map(String);
-		return isUnframed({method: this.#options.exchange.head.method, status: this.#status, headerNames});
-	}
-
-	/** Passes a stream on; returns the size of a last event that has no end. */
+	/** Passes the complete events of a stream on; returns the size of a last event that has no end. */
 	async #readStream(res: Dispatcher.ResponseData): Promise<number> {
 		const {action: {attempt}, exchange, step} = this.#options;
 		const splitter = new SseSplitter();
@@ -102,11 +101,12 @@
 			}
 		}
 
-		if (!this.#stopped && splitter.incomplete.length > 0) {
-			await exchange.write(splitter.incomplete);
+		const {incompleteBytes, rest} = splitter;
+		if (!this.#stopped && incompleteBytes === 0 && rest.length > 0) {
+			await exchange.write(rest);
 		}
 
-		return splitter.incomplete.length;
+		return incompleteBytes;
 	}
 
 	async #readBuffered(res: Dispatcher.ResponseData): Promise<number> {
@@ -125,3 +125,9 @@
 		return 0;
 	}
 }
+
+/** First value of a header among alternating names and values, which the HTTP client provides as bytes. */
+function findHeader(headers: readonly unknown[], name: string): string | undefined {
+	const index = headers.findIndex((text, position) => position % 2 === 0 && String(text).toLowerCase() === name);
+	return index === -1 ? undefined : String(headers[index + 1]);
+}
--- a/test/core/edge/edge-core.test.ts
+++ b/test/core/edge/edge-core.test.ts
@@ -132,6 +132,23 @@
 	t.is(second.resumeAfter, '3');
 });
 
+test('a stream that ends with its connection before its first event is sent to another engine', t => {
+	const harness = harnessWith(['a', 'b'], stream);
+	harness.request({prompt: {parts: [], promptTokens: 2000, outputTokens: 80}});
+	const first = harness.lastStart();
+	harness.head(first.attempt, {unframed: true});
+	t.false(types(harness.step({type: 'attempt-end', attempt: first.attempt, incompleteBytes: 0})).includes('complete'));
+	t.not(harness.lastStart().targetId, first.targetId);
+});
+
+test('an answer on a stream route that is no stream of events is passed on whole', t => {
+	const harness = harnessWith(['a'], stream);
+	harness.request({prompt: {parts: [], promptTokens: 2000, outputTokens: 80}});
+	const {attempt} = harness.lastStart();
+	t.false(types(harness.head(attempt, {unframed: true, eventStream: false})).includes('pass'));
+	t.true(types(harness.step({type: 'attempt-end', attempt, incompleteBytes: 0})).includes('complete'));
+});
+
 test('a resumable stream on a stalled engine is moved to another one', t => {
 	const harness = harnessWith(['a', 'b'], stream);
 	harness.request({budgetMs: 12_000, prompt: {parts: [], promptTokens: 2000, outputTokens: 80}});
