fix(server): a reset never completes a whole answer of the completions path

AttemptClient used a plain connection pool. The HTTP client takes a reset for the end of a body that has neither a length nor chunks, so half an answer of a plain service was held and sent with a length, as if it were whole.

AttemptClient now connects through targetConnector, as the entries of routes documents do; the module moves to src/server since both paths use it. Streams of completions were not affected: they need their end marker.

Evidence: attempt-client.test.ts gave attempt-end for the reset before and gives attempt-failed now; an answer that is closed regularly still ends.

--- a/src/server/attempt-client.ts
+++ b/src/server/attempt-client.ts
@@ -9,6 +9,7 @@
 import type {CallerRequest} from './caller-request.ts';
 import {buildAttemptRequest} from './build-attempt-request.ts';
 import type {PeerToken} from './peer-token.ts';
+import {targetConnector} from './target-connector.ts';
 
 type StartAttempt = Extract<Action, {type: 'start-attempt'}>;
 
@@ -23,7 +24,7 @@
 	readonly #options: AttemptClientOptions;
 	readonly #abortControllers = new Map<AttemptId, AbortController>();
 	readonly #agent = new Agent({
-		connect: {timeout: constants.connectTimeoutMs},
+		connect: targetConnector(constants.connectTimeoutMs),
 		pipelining: 1,
 		keepAliveTimeout: 4000,
 	});
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -3,11 +3,11 @@
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
 import type {AttemptNumber} from '../../core/ids/attempt-number.ts';
 import type {Region} from '../../core/ids/region.ts';
+import {targetConnector} from '../target-connector.ts';
 import type {CallerExchange} from './caller-exchange.ts';
 import {relayHeader} from './relay-header.ts';
 import type {RequestCodec} from './request-codec.ts';
 import {TargetResponseReader} from './target-response-reader.ts';
-import {targetConnector} from './target-connector.ts';
 
 type StartAction = EdgeAction & {type: 'start'};
 
--- /dev/null
+++ b/test/server/attempt-client.test.ts
@@ -0,0 +1,89 @@
+import {Buffer} from 'node:buffer';
+import {ServerResponse, IncomingMessage} from 'node:http';
+import {createServer, Socket, type AddressInfo} from 'node:net';
+import test, {type ExecutionContext} from 'ava';
+import type {TargetId} from '../../src/core/ids/target-id.ts';
+import {toId} from '../../src/core/ids/to-id.ts';
+import type {CoreEvent} from '../../src/core/events.ts';
+import {AttemptClient} from '../../src/server/attempt-client.ts';
+import {CallerRequest} from '../../src/server/caller-request.ts';
+import {PeerToken} from '../../src/server/peer-token.ts';
+import {requestInfoFixture} from '../fixtures/request-info-fixture.ts';
+
+type Answer = {
+	readonly contentType: string;
+	readonly text: string;
+	/** How the target ends the connection, which alone ends the answer. */
+	readonly end: 'close' | 'reset';
+};
+
+/** Starts a target whose answers have neither a length nor chunks. */
+async function listen(t: ExecutionContext, {contentType, text, end}: Answer): Promise<string> {
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			socket.write(`HTTP/1.1 200 OK\r\nContent-Type: ${contentType}\r\nConnection: close\r\n\r\n${text}`, () => {
+				setTimeout(() => {
+					if (end === 'reset') {
+						socket.resetAndDestroy();
+					} else {
+						socket.end();
+					}
+				}, 50);
+			});
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	t.teardown(() => {
+		server.close();
+	});
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+/** Sends one call to a target; returns the event that ends the attempt. */
+async function outcomeOf(t: ExecutionContext, answer: Answer): Promise<CoreEvent> {
+	const address = await listen(t, answer);
+	const info = requestInfoFixture({kind: 'call', streamed: false});
+	return new Promise(resolve => {
+		const client = new AttemptClient({
+			self: {nodeId: 'regina-1', region: 'regina'},
+			token: new PeerToken(() => ['key']),
+			step(event) {
+				if (event.type === 'attempt-end' || event.type === 'attempt-failed') {
+					resolve(event);
+				}
+			},
+		});
+		t.teardown(async () => client.close());
+		const res = new ServerResponse(new IncomingMessage(new Socket()));
+		const request = new CallerRequest({
+			info, body: Buffer.from('order'), method: 'POST', targetPath: '/orders', headers: {}, res,
+		});
+		client.start({
+			type: 'start-attempt',
+			requestId: info.requestId,
+			attemptId: toId('attempt-1'),
+			address,
+			targetId: toId<TargetId>('d1'),
+			revision: 1,
+			claimed: false,
+			resume: false,
+			deadlineMs: 3000,
+			firstByteMs: 3000,
+			silenceMs: 3000,
+			keepBytes: 0,
+		}, request);
+	});
+}
+
+test('a whole answer without a length whose connection is reset is never taken for complete', async t => {
+	const outcome = await outcomeOf(t, {contentType: 'text/plain', text: 'half of it', end: 'reset'});
+	t.is(outcome.type, 'attempt-failed');
+});
+
+test('a whole answer without a length ends when its connection is closed', async t => {
+	const outcome = await outcomeOf(t, {contentType: 'application/json', text: '{"order":1}', end: 'close'});
+	t.is(outcome.type, 'attempt-end');
+});
--- a/test/server/routes/target-connector.test.ts
+++ b/test/server/target-connector.test.ts
@@ -1,7 +1,7 @@
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {Agent} from 'undici';
-import {targetConnector} from '../../../src/server/routes/target-connector.ts';
+import {targetConnector} from '../../src/server/target-connector.ts';
 
 const connectTimeoutMs = 2000;
 
