fix(server): a whole answer that its connection cuts short within its document fails

A body that names its own format says more. JSON that ends with its connection must now be a whole document, and a held stream of events must not end inside an event; otherwise the attempt fails as truncated, so a safe call is retried and any other gets 502. Text of an unknown format that is closed regularly and encoded bodies can't be checked.

Evidence: the four new tests (attempt-client, routes-deployment) failed before with the half answer passed on as complete, and pass now.

--- a/src/core/edge/edge-event.ts
+++ b/src/core/edge/edge-event.ts
@@ -16,7 +16,7 @@
 	| {readonly type: 'attempt-head'; readonly attempt: AttemptNumber; readonly head: AnswerHead}
 	/** Complete events of a stream were passed on to the caller; `lastId` is the id of the last one. */
 	| {readonly type: 'attempt-events'; readonly attempt: AttemptNumber; readonly count: number; readonly lastId?: string}
-	/** The answer was read to its end; `incompleteBytes` is the size of a last event that has no end. */
+	/** The answer was read to its end; `incompleteBytes` is the size of its last event, or of its document, if that has no end. */
 	| {readonly type: 'attempt-end'; readonly attempt: AttemptNumber; readonly incompleteBytes: number}
 	| {readonly type: 'attempt-failed'; readonly attempt: AttemptNumber; readonly failure: AttemptFailure}
 	/** The entry is about to stop: it reports itself as leaving, and still accepts requests that are on their way. */
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -173,7 +173,7 @@
 		record.lastEventId = lastId ?? record.lastEventId;
 	}
 
-	/** Completes a request, unless its answer was broken off: within an event, or, if its connection alone ended it, before the first one. */
+	/** Completes a request, unless its answer was broken off: within an event or a document, or, if its connection alone ended it, before the first event. */
 	handleEnd(attempt: AttemptNumber, {incompleteBytes}: {incompleteBytes: number}, now: Millis): void {
 		const record = this.#attempts.recordOf(attempt);
 		if (record === undefined) {
--- a/src/server/attempt-response-reader.ts
+++ b/src/server/attempt-response-reader.ts
@@ -8,6 +8,8 @@
 import {constants} from '../settings/constants.ts';
 import type {CallerRequest} from './caller-request.ts';
 import type {ProblemDocument} from './problem-document.ts';
+import {describeAnswerBody} from './describe-answer-body.ts';
+import {incompleteBytesOf} from './incomplete-bytes-of.ts';
 import {SseParser} from './sse-parser.ts';
 import {TargetError} from './target-error.ts';
 
@@ -178,6 +180,11 @@
 		}
 
 		if (!this.passedOn) {
+			const description = describeAnswerBody({method: this.#request.method, status: head.status, header: name => header(res, name)});
+			if (incompleteBytesOf(Buffer.concat(pending), description) > 0) {
+				throw new TargetError('truncated');
+			}
+
 			this.#request.holdResponse(this.#action.attemptId, head, Buffer.concat(pending));
 		}
 
--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -2,9 +2,11 @@
 import type {Dispatcher} from 'undici';
 import type {EdgeAction} from '../../core/edge/edge-action.ts';
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
+import type {AnswerBody} from '../answer-body.ts';
 import {describeAnswerBody} from '../describe-answer-body.ts';
+import {incompleteBytesOf} from '../incomplete-bytes-of.ts';
+import {SseSplitter} from '../sse-splitter.ts';
 import type {CallerExchange} from './caller-exchange.ts';
-import {SseSplitter} from './sse-splitter.ts';
 import type {RequestCodec} from './request-codec.ts';
 
 type StartAction = EdgeAction & {type: 'start'};
@@ -68,7 +70,8 @@
 		}
 
 		const header = (name: string) => findHeader(this.#headers, name);
-		const {format, unframed} = describeAnswerBody({method: exchange.head.method, status: res.statusCode, header});
+		const description = describeAnswerBody({method: exchange.head.method, status: res.statusCode, header});
+		const {format, unframed} = description;
 		// A target need not name the type of a stream.
 		const eventStream = format === 'events' || (stream && header('content-type') === undefined);
 		step({type: 'attempt-head', attempt, head: {...head, unframed, eventStream}});
@@ -76,7 +79,7 @@
 			return;
 		}
 
-		const incompleteBytes = await (this.#streaming ? this.#readStream(res) : this.#readBuffered(res));
+		const incompleteBytes = await (this.#streaming ? this.#readStream(res) : this.#readBuffered(res, description));
 		if (!this.#stopped) {
 			step({type: 'attempt-end', attempt, incompleteBytes});
 		}
@@ -109,7 +112,8 @@
 		return incompleteBytes;
 	}
 
-	async #readBuffered(res: Dispatcher.ResponseData): Promise<number> {
+	/** Holds an answer back until it is whole; returns the size of the part that has no end. */
+	async #readBuffered(res: Dispatcher.ResponseData, description: AnswerBody): Promise<number> {
 		const chunks: Buffer[] = [];
 		let size = 0;
 		for await (const chunk of res.body as AsyncIterable<Buffer>) {
@@ -122,7 +126,7 @@
 		}
 
 		this.#body = Buffer.concat(chunks);
-		return 0;
+		return incompleteBytesOf(this.#body, description);
 	}
 }
 
--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -1,13 +1,13 @@
 import {Buffer} from 'node:buffer';
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
+	createServer, type IncomingMessage, type OutgoingHttpHeaders, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 
 /**
- * How the stand-in answers. `well`: correctly; `cut`: resets the connection of a stream within its third event; `short`: ends a stream within its third event, without a reset;
+ * How the stand-in answers. `well`: correctly; `cut`: resets the connection of a stream within its third event; `short`: ends a stream within its third event, and a call within its document, without a reset;
  * `reset`: resets the connection before the answer;
  * `full`: refuses with 503 without running the request; `silent`: never answers; `foreign`: answers with the identifier of another request; `unsigned`: answers without its `server-signature`.
  */
@@ -124,14 +124,23 @@
 		// Without chunks, and without a length since the body is written before the end is known, the answer ends with its connection.
 		res.useChunkedEncodingByDefault = !this.unframed;
 		if (req.headers['token-counts'] === undefined) {
-			res.writeHead(200, headers);
-			res.write(`answer of ${this.identifier}`);
-			res.end();
+			this.#answerCall(res, headers);
 			return;
 		}
 
+		await this.#answerStream(req, res, headers);
+	}
+
+	#answerCall(res: ServerResponse, headers: OutgoingHttpHeaders): void {
+		const isShort = this.manner === 'short';
+		res.writeHead(200, {...headers, ...isShort ? {'content-type': 'application/json'} : {}});
+		res.write(isShort ? '{"answer":' : `answer of ${this.identifier}`);
+		res.end();
+	}
+
+	async #answerStream(req: IncomingMessage, res: ServerResponse, headers: OutgoingHttpHeaders): Promise<void> {
+		const {lineBreak, manner} = this;
 		res.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
-		const {lineBreak} = this;
 		const first = Number(req.headers['last-event-id'] ?? 0) + 1;
 		for (let id = first; id <= eventCount; id++) {
 			if (manner === 'cut' && id === first + 2) {
--- a/test/server/attempt-client.test.ts
+++ b/test/server/attempt-client.test.ts
@@ -83,6 +83,13 @@
 	t.is(outcome.type, 'attempt-failed');
 });
 
+for (const [contentType, text] of [['application/json', '{"order":'], ['text/event-stream', 'data: one\n\ndata: ha']] as const) {
+	test(`a whole answer of type ${contentType} that its connection cuts short is never taken for complete`, async t => {
+		const outcome = await outcomeOf(t, {contentType, text, end: 'close'});
+		t.is(outcome.type, 'attempt-failed');
+	});
+}
+
 test('a whole answer without a length ends when its connection is closed', async t => {
 	const outcome = await outcomeOf(t, {contentType: 'application/json', text: '{"order":1}', end: 'close'});
 	t.is(outcome.type, 'attempt-end');
--- a/test/server/routes/routes-deployment.test.ts
+++ b/test/server/routes/routes-deployment.test.ts
@@ -120,6 +120,30 @@
 	await t.throwsAsync(res.body.text());
 });
 
+test('a JSON answer that its connection cuts short is retried if the call is safe', async t => {
+	const deployment = await start(t, {desk: ['d1', 'd2']});
+	const [short] = deployment.desk;
+	short!.unframed = true;
+	short!.manner = 'short';
+	const isRetried = async () => {
+		const res = await deployment.call();
+		t.is(await res.body.text(), 'answer of d2');
+		return short!.receivedRequests.length > 0;
+	};
+
+	t.true(await deployment.waitUntil(isRetried));
+});
+
+test('a JSON answer that its connection cuts short fails a request that must not be retried', async t => {
+	const deployment = await start(t, {desk: ['d1']});
+	const [short] = deployment.desk;
+	short!.unframed = true;
+	short!.manner = 'short';
+	const res = await deployment.call({path: '/orders/1'});
+	t.is(res.statusCode, 502);
+	await res.body.dump();
+});
+
 test('a complete stream whose lines end with CRLF is passed on as complete', async t => {
 	const deployment = await start(t, {writers: ['w1']});
 	deployment.writers[0]!.lineBreak = '\r\n';
--- a/test/server/routes/sse-splitter.test.ts
+++ b/test/server/sse-splitter.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import test from 'ava';
 import fc from 'fast-check';
-import {SseSplitter} from '../../../src/server/routes/sse-splitter.ts';
+import {SseSplitter} from '../../src/server/sse-splitter.ts';
 
 /** Splits a text given in the chunks that end at `cuts`. */
 function split(text: string, cuts: readonly number[]) {
