test(soak): engines whose answers are unframed or end early

Engines now also end a stream inside an event and a call inside its document without a reset, half of the time unframed.

--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -14,7 +14,7 @@
 
 type Manner = SoakDeployment['engines'][number]['engine']['manner'];
 
-const faultyManners: readonly Manner[] = ['cut', 'reset', 'full', 'silent', 'foreign', 'unsigned'];
+const faultyManners: readonly Manner[] = ['cut', 'short', 'reset', 'full', 'silent', 'foreign', 'unsigned'];
 /** Maximum number of disks lost within the time in which a control node catches up with the others, and that time in milliseconds. */
 const maxLostDisks = 2;
 const catchUpMs = 8000;
@@ -220,14 +220,17 @@
 	#misbehavingEngine(): SoakFault {
 		const {engine} = this.#pickItem(this.#deployment.engines);
 		const manner = this.#pickItem(faultyManners);
+		const unframed = this.#random.next() < 0.5;
 		return {
-			name: `${engine.identifier}: ${manner}`,
+			name: `${engine.identifier}: ${manner}${unframed ? ', unframed' : ''}`,
 			nodes: [],
 			begin() {
 				engine.manner = manner;
+				engine.unframed = unframed;
 			},
 			end() {
 				engine.manner = 'well';
+				engine.unframed = false;
 			},
 		};
 	}
