feat(edge): software versions of targets and resumed streams in the logs

Reports, listings, target-changed, attempt-failed and answered now carry softwareVersion; stream-resumed names the stream that a caller takes up, the event after which it goes on, the target and its version. Placement is unchanged.

--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -2,6 +2,7 @@
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
+import {destinationOf} from './destination-of.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {IdleConnectionPolicy} from './idle-connection-policy.ts';
 import type {PlacementCandidate} from './placement-candidate.ts';
@@ -40,7 +41,7 @@
 
 	send(record: RequestRecord, {target, startMs, uncachedTokens, aheadTokens, kvCacheTokens}: PlacementCandidate, now: Millis): void {
 		const {req: {prompt}, service, table} = record;
-		const {targetId, address} = target.listed;
+		const {targetId, address, softwareVersion} = target.listed;
 		if (record.sends === 0 && record.req.forwarded === undefined) {
 			this.#options.budget.countRequest(service, now);
 		}
@@ -54,7 +55,7 @@
 		}
 
 		record.running = {
-			attempt, sentAt: now, targetId, predictedMs: startMs, lastProgressAt: now, events: 0,
+			attempt, sentAt: now, targetId, softwareVersion, predictedMs: startMs, lastProgressAt: now, events: 0,
 		};
 		this.#start(record, {attempt, address, targetId}, now);
 	}
@@ -86,9 +87,15 @@
 	}
 
 	#start(record: RequestRecord, destination: Destination, now: Millis): void {
-		const {req, route, service, table} = record;
+		const {req, route, service, table, lastEventId, running} = record;
 		record.sends += 1;
 		record.retryReserved = false;
+		if (lastEventId !== undefined) {
+			this.#options.queue.event('stream-resumed', {
+				request: req.callerKey, resumes: req.resumes, after: lastEventId, target: destinationOf(record), softwareVersion: running?.softwareVersion,
+			});
+		}
+
 		this.#options.queue.push({
 			type: 'start',
 			...destination,
@@ -97,7 +104,7 @@
 			urgency: Math.min(lowestUrgency, (route.priority * 2) + 1),
 			fresh: this.#options.idle.needsFreshConnection(route, service, now),
 			stream: route.kind === 'stream',
-			resumeAfter: record.lastEventId,
+			resumeAfter: lastEventId,
 			documentVersion: table.version,
 		});
 	}
--- a/src/core/edge/edge-request.ts
+++ b/src/core/edge/edge-request.ts
@@ -16,6 +16,8 @@
 	readonly prompt?: Prompt;
 	/** Id of the last event that the caller received, if it resumes a stream. */
 	readonly resumeAfter?: string;
+	/** The caller's id of the request that brought the first event of the stream that it resumes. */
+	readonly resumes?: string;
 	/** Set if another entry forwarded the request: that entry's region, and the version of the routes document it applied. */
 	readonly forwarded?: {readonly region: Region; readonly documentVersion: number};
 };
--- a/src/core/edge/request-completion.ts
+++ b/src/core/edge/request-completion.ts
@@ -39,6 +39,7 @@
 			status: running?.head?.status,
 			unframed: running?.head?.unframed,
 			target: destinationOf(record),
+			softwareVersion: running?.softwareVersion,
 			sends,
 			tookMs: Math.round(now - req.arrivedAt),
 			predictedMs: Math.round(running?.predictedMs ?? 0),
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -336,7 +336,13 @@
 		record.mayHaveRun = true;
 		this.#options.queue.count('attempt_failures', reason);
 		this.#options.queue.event('attempt-failed', {
-			request: req.callerKey, target: destinationOf(record), reason, events: running?.events, unframed: running?.head?.unframed, afterMs: Math.round(now - (running?.sentAt ?? now)),
+			request: req.callerKey,
+			target: destinationOf(record),
+			reason,
+			events: running?.events,
+			unframed: running?.head?.unframed,
+			softwareVersion: running?.softwareVersion,
+			afterMs: Math.round(now - (running?.sentAt ?? now)),
 		});
 		this.#releaseAttempt(record);
 		this.#place(record, now);
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -2,6 +2,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
 import type {ServiceName} from '../ids/service-name.ts';
+import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {RouteRule} from '../routes/route-rule.ts';
 import type {RouteTable} from '../routes/route-table.ts';
@@ -14,6 +15,8 @@
 	readonly sentAt: Millis;
 	/** Set for a target of this region. */
 	readonly targetId?: TargetId;
+	/** Software version of that target. */
+	readonly softwareVersion?: SoftwareVersion;
 	/** Set if the attempt was forwarded: to an entry of a remote region, or to a placer of this region. */
 	readonly forwardedTo?: {readonly region: Region; readonly address: string};
 	/** Predicted time to the first event of a stream or to the answer of a call, in milliseconds. */
--- a/src/core/registry/target-registry.ts
+++ b/src/core/registry/target-registry.ts
@@ -1,5 +1,6 @@
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
+import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Zone} from '../ids/zone.ts';
 import type {ListedTarget} from './listed-target.ts';
@@ -221,6 +222,7 @@
 			|| left.address !== right.address
 			|| left.service !== right.service
 			|| left.zone !== right.zone
+			|| left.softwareVersion !== right.softwareVersion
 			|| left.slots !== right.slots
 			|| before.ended !== after.ended
 			|| before.coldUnknownSince !== after.coldUnknownSince
@@ -233,7 +235,16 @@
 	#addWithdrawn(targetId: TargetId, wallClock: number, now: Millis): void {
 		this.#records.set(targetId, {
 			report: {
-				targetId, service: '' as TargetReport['service'], address: '', zone: '' as Zone, slots: 0, state: 'leaving', coldMs: 0, born: wallClock, sequence: Number.MAX_SAFE_INTEGER,
+				targetId,
+				service: '' as TargetReport['service'],
+				address: '',
+				zone: '' as Zone,
+				softwareVersion: '' as SoftwareVersion,
+				slots: 0,
+				state: 'leaving',
+				coldMs: 0,
+				born: wallClock,
+				sequence: Number.MAX_SAFE_INTEGER,
 			},
 			region: '' as Region,
 			heardAt: now,
--- a/src/core/registry/target-report.ts
+++ b/src/core/registry/target-report.ts
@@ -1,4 +1,5 @@
 import type {ServiceName} from '../ids/service-name.ts';
+import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Zone} from '../ids/zone.ts';
 
@@ -9,6 +10,7 @@
 	/** `ip:port`. */
 	readonly address: string;
 	readonly zone: Zone;
+	readonly softwareVersion: SoftwareVersion;
 	/** Requests that it processes at the same time. */
 	readonly slots: number;
 	readonly state: 'serving' | 'leaving';
--- a/src/server/routes/request-head.ts
+++ b/src/server/routes/request-head.ts
@@ -13,6 +13,8 @@
 	readonly prompt?: Prompt;
 	/** Id of the last event that the caller has received. */
 	readonly resumeAfter?: string;
+	/** The caller's id of the request that brought the first event of the stream that it resumes. */
+	readonly resumes?: string;
 	/** Headers that are copied to the request to a target, as alternating names and values: without hop-by-hop headers and those that only the gateway may set. */
 	readonly copiedHeaders: readonly string[];
 };
--- a/src/server/routes/request-server.ts
+++ b/src/server/routes/request-server.ts
@@ -101,6 +101,7 @@
 				budgetMs: head.budgetMs,
 				prompt: head.prompt,
 				resumeAfter: head.resumeAfter,
+				resumes: head.resumes,
 				forwarded: relay ? relayHeader.read(req.headers[relayHeader.name]) : undefined,
 			},
 		});
--- a/test/platform/read-report.test.ts
+++ b/test/platform/read-report.test.ts
@@ -11,7 +11,7 @@
 
 test('a complete report is converted to a TargetReport', t => {
 	t.deepEqual(readReport(targetId, JSON.stringify(whole)), {
-		targetId, service: 'huvo11a', address: '10.128.0.9:8080', zone: 'muscat-a', slots: 64, state: 'serving', coldMs: 250, goneInMs: undefined, born: 1700, sequence: 4,
+		targetId, service: 'huvo11a', address: '10.128.0.9:8080', zone: 'muscat-a', softwareVersion: 'v1', slots: 64, state: 'serving', coldMs: 250, goneInMs: undefined, born: 1700, sequence: 4,
 	} as unknown as ReturnType<typeof readReport>);
 	t.is(readReport(targetId, JSON.stringify({...whole, state: 'draining', 'remaining-ms': 900}))?.goneInMs, 900);
 });
