--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -21,6 +21,8 @@
 /** In-process engine and service that implements the platform's protocol for targets. */
 export class PlatformEngine {
 	manner: Manner = 'well';
+	/** Version of the engine's software, for its reports; the events of a stream don't name it. */
+	softwareVersion = 'v1';
 	/** True if answers have neither a length nor chunks and end with their connection. */
 	unframed = false;
 	/** Line break within and after the events of a stream. */
--- a/test/server/routes/routes-deployment.test.ts
+++ b/test/server/routes/routes-deployment.test.ts
@@ -120,6 +120,69 @@
 	await t.throwsAsync(res.body.text());
 });
 
+test('a stream that breaks off at one software version is not continued at another', async t => {
+	const deployment = await start(t, {writers: ['w1', 'w2']});
+	const [older, newer] = deployment.writers;
+	newer!.softwareVersion = 'v2';
+	older!.manner = 'cut';
+	// Later calls find the engine suspended until its next report, so the first one that reaches it decides.
+	const isBroken = async () => {
+		const res = await deployment.call({path: '/drafts/1', headers: streamHeaders});
+		const isOlder = res.headers['server-signature'] === 'w1.sig';
+		await (isOlder ? t.throwsAsync(res.body.text()) : res.body.dump());
+		return isOlder;
+	};
+
+	await sleep(1000);
+	t.true(await deployment.waitUntil(isBroken));
+	t.false(newer!.receivedRequests.some(({headers}) => headers['last-event-id'] !== undefined));
+});
+
+test('a caller that takes up a stream gets it from the software version that began it, also at an entry that has restarted', async t => {
+	const deployment = await start(t, {writers: ['w1', 'w2']});
+	const [older, newer] = deployment.writers;
+	newer!.softwareVersion = 'v2';
+	await sleep(1000);
+	const began = new Map<string, string>();
+	const isBegunAtBoth = async () => {
+		// Each shared part of a prompt has an engine that it prefers.
+		const id = `began-${began.size}`;
+		const res = await deployment.call({path: '/drafts/1', headers: {...streamHeaders, 'prompt-prefix': `a${began.size}:60,b2:40`, 'request-identifier': id}});
+		await res.body.dump();
+		if (res.statusCode === 200) {
+			began.set(id, String(res.headers['server-signature']));
+		}
+
+		return new Set(began.values()).size === 2;
+	};
+
+	t.true(await deployment.waitUntil(isBegunAtBoth));
+	for (const restarted of [false, true]) {
+		if (restarted) {
+			await sleep(500); // eslint-disable-line no-await-in-loop
+			await deployment.restartEntry(); // eslint-disable-line no-await-in-loop
+		}
+
+		for (const [id, signature] of began) {
+			const resumed = async () => {
+				const res = await deployment.call({path: '/drafts/1', headers: {...streamHeaders, resumes: id, 'last-event-id': '2'}});
+				await res.body.dump();
+				if (res.statusCode === 200) {
+					t.is(res.headers['server-signature'], signature);
+				}
+
+				return res.statusCode === 200;
+			};
+
+			t.true(await deployment.waitUntil(resumed)); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	for (const engine of [older!, newer!]) {
+		t.true(engine.receivedRequests.every(({headers: {resumes}}) => resumes === undefined || began.get(String(resumes)) === `${engine.identifier}.sig`));
+	}
+});
+
 test('a JSON answer that its connection cuts short is retried if the call is safe', async t => {
 	const deployment = await start(t, {desk: ['d1', 'd2']});
 	const [short] = deployment.desk;
