fix(edge): a stream goes on only at the software version that began it

Forwarding lost the fact that the stream had begun.

With its first event a request gets an origin, the software version of the target that sent it. Only targets of that version may resume it; regions announce the versions that they have room at; an entry that forwards the stream names the version, the other entry keeps to it, and names its target's version in its answer. A stream of unknown origin is not resumed. Without a target of its version the stream is broken off for its caller.

The caller that takes a stream up in a new request is still red.

--- a/src/core/edge/answer-head.ts
+++ b/src/core/edge/answer-head.ts
@@ -1,3 +1,4 @@
+import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetLoad} from './target-load.ts';
 
 /** Status and headers of an answer that the core's decisions depend on. */
@@ -15,5 +16,7 @@
 	readonly load?: TargetLoad;
 	/** Set if the entry that the request was forwarded to refused it. */
 	readonly refusedBy?: 'entry';
+	/** In the answer of another entry: software version of the target that answers. */
+	readonly softwareVersion?: SoftwareVersion;
 	readonly retryAfterMs?: number;
 };
--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -105,6 +105,7 @@
 			fresh: this.#options.idle.needsFreshConnection(route, service, now),
 			stream: route.kind === 'stream',
 			resumeAfter: lastEventId,
+			softwareVersion: record.origin?.softwareVersion,
 			documentVersion: table.version,
 		});
 	}
--- a/src/core/edge/edge-action.ts
+++ b/src/core/edge/edge-action.ts
@@ -1,5 +1,6 @@
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {RequestId} from '../ids/request-id.ts';
+import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {OutboxAction} from '../outbox-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
@@ -25,13 +26,15 @@
 		readonly stream: boolean;
 		/** Id of the event after which the stream is to be resumed. */
 		readonly resumeAfter?: string;
+		/** Software version of the targets at which the stream may be resumed, if it has begun. */
+		readonly softwareVersion?: SoftwareVersion;
 		/** Version of the routes document under which the request is handled. */
 		readonly documentVersion: number;
 	}
 	/** Aborts an attempt and closes its connection; nothing more of it may reach the caller. */
 	| {readonly type: 'cancel'; readonly attempt: AttemptNumber}
-	/** Streams the attempt's answer to the caller: the head now, events as they arrive. */
-	| {readonly type: 'pass'; readonly requestId: RequestId; readonly attempt: AttemptNumber}
+	/** Streams the attempt's answer to the caller: the head now, events as they arrive. An entry that forwarded the request is told the software version of the target. */
+	| {readonly type: 'pass'; readonly requestId: RequestId; readonly attempt: AttemptNumber; readonly softwareVersion?: SoftwareVersion}
 	/** The attempt's answer was read to its end: sends it to the caller, or ends the caller's stream. */
 	| {readonly type: 'complete'; readonly requestId: RequestId; readonly attempt: AttemptNumber}
 	/** Sends the gateway's own final answer; if the head of a stream was already sent, aborts the caller's connection. */
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -227,6 +227,7 @@
 			return {
 				service: spec.name,
 				targets: targets.length,
+				softwareVersions: [...new Set(targets.map(({listed}) => listed.softwareVersion))],
 				inFlight: targets.reduce((sum, target) => sum + target.attempts.size, 0),
 				waiting,
 				startMs: best === undefined ? 0 : Math.round(best.startMs + (best.hasRoom ? 0 : fullTargetWaitMs) - (prompt === undefined ? best.target.callMs.value : 0)),
--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -3,6 +3,7 @@
 import type {Region} from '../ids/region.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import {rankLocalTargets} from './rank-local-targets.ts';
+import {mayContinueAt} from './may-continue-at.ts';
 import type {PlacementCandidate} from './placement-candidate.ts';
 import type {PooledTarget} from './pooled-target.ts';
 import type {RegionSelector} from './region-selector.ts';
@@ -60,7 +61,11 @@
 		const best = local.find(({hasRoom, startMs}) => hasRoom && startMs < leftMs);
 		// A placer may forward requests that entries of its own region forwarded to it, but not those of a remote region.
 		const mayForward = req.forwarded === undefined || req.forwarded.region === this.#options.region;
-		const [remote] = mayForward ? regions.candidates({service, homes: route.homes, prompt: req.prompt}, now) : [];
+		const [remote] = mayForward
+			? regions.candidates({
+				service, homes: route.homes, prompt: req.prompt, origin: record.origin,
+			}, now)
+			: [];
 		const remoteCostMs = remote === undefined ? Number.POSITIVE_INFINITY : remote.costMs + remoteRegionPenaltyMs;
 		if (best !== undefined && best.costMs <= remoteCostMs) {
 			return {type: 'target', candidate: best};
@@ -94,13 +99,13 @@
 	}
 
 	/** Targets of this region that may get the request. */
-	#eligibleTargets({route, service, excludedTargets}: RequestRecord, now: Millis): readonly PooledTarget[] {
+	#eligibleTargets({route, service, excludedTargets, origin}: RequestRecord, now: Millis): readonly PooledTarget[] {
 		const {region, pool} = this.#options;
 		if (route.homes.length > 0 && !route.homes.includes(region)) {
 			return [];
 		}
 
-		return pool.usable(service, now).filter(({listed}) => !excludedTargets.has(listed.targetId));
+		return pool.usable(service, now).filter(({listed}) => !excludedTargets.has(listed.targetId) && mayContinueAt(origin, listed.softwareVersion));
 	}
 
 	/** Candidates among the targets for a request, the cheapest first. */
--- a/src/core/edge/region-selector.ts
+++ b/src/core/edge/region-selector.ts
@@ -3,7 +3,9 @@
 import type {Region} from '../ids/region.ts';
 import type {ServiceName} from '../ids/service-name.ts';
 import type {RegionLoad} from '../registry/region-load.ts';
+import {mayContinueAt} from './may-continue-at.ts';
 import type {Prompt} from './prompt.ts';
+import type {StreamOrigin} from './stream-origin.ts';
 
 /** Assumed round trip to a remote region, in milliseconds. */
 const assumedRoundTripMs = 120;
@@ -85,8 +87,8 @@
 		return address === undefined || load === undefined ? undefined : {address, startMs: load.startMs + (prompt.promptTokens / typicalPrefillRate)};
 	}
 
-	/** Remote regions that could take a request, the cheapest first. */
-	candidates({service, homes, prompt}: {service: ServiceName; homes: readonly Region[]; prompt?: Prompt}, now: Millis): readonly RegionCandidate[] {
+	/** Remote regions that could take a request, or go on with the stream of that origin, the cheapest first. */
+	candidates({service, homes, prompt, origin}: {service: ServiceName; homes: readonly Region[]; prompt?: Prompt; origin?: StreamOrigin}, now: Millis): readonly RegionCandidate[] {
 		if (this.#isStale(now)) {
 			return [];
 		}
@@ -96,7 +98,8 @@
 			const allowed = region !== this.#ownRegion && (homes.length === 0 || homes.includes(region));
 			const load = loads.find(serviceLoad => serviceLoad.service === service);
 			const addresses = relayAddresses.filter(address => !this.#isAvoided(address, service, now));
-			if (!allowed || load === undefined || load.targets === 0 || addresses.length === 0) {
+			const mayContinue = origin === undefined || load?.softwareVersions?.some(softwareVersion => mayContinueAt(origin, softwareVersion)) === true;
+			if (!allowed || load === undefined || load.targets === 0 || addresses.length === 0 || !mayContinue) {
 				continue;
 			}
 
--- a/src/core/edge/request-completion.ts
+++ b/src/core/edge/request-completion.ts
@@ -6,6 +6,7 @@
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {EdgeRequest} from './edge-request.ts';
 import {destinationOf} from './destination-of.ts';
+import {softwareVersionOf} from './software-version-of.ts';
 import type {RequestRecord} from './request-record.ts';
 import {callerRetryAfterMs} from './caller-retry-after-ms.ts';
 
@@ -39,7 +40,7 @@
 			status: running?.head?.status,
 			unframed: running?.head?.unframed,
 			target: destinationOf(record),
-			softwareVersion: running?.softwareVersion,
+			softwareVersion: running && softwareVersionOf(running),
 			sends,
 			tookMs: Math.round(now - req.arrivedAt),
 			predictedMs: Math.round(running?.predictedMs ?? 0),
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -16,6 +16,7 @@
 import type {PlacementPolicy} from './placement-policy.ts';
 import type {RegionSelector} from './region-selector.ts';
 import type {WindowedRetryBudget} from './windowed-retry-budget.ts';
+import {softwareVersionOf} from './software-version-of.ts';
 import {RetryPolicy} from './retry-policy.ts';
 import type {RequestRecord} from './request-record.ts';
 import {TargetFeedback} from './target-feedback.ts';
@@ -96,6 +97,7 @@
 			retryReserved: false,
 			headPassed: false,
 			lastEventId: req.resumeAfter,
+			origin: req.forwarded?.softwareVersion === undefined ? undefined : {softwareVersion: req.forwarded.softwareVersion},
 		};
 		this.#records.set(req.requestId, record);
 		this.#place(record, now);
@@ -151,7 +153,9 @@
 
 		if (record.route.kind === 'stream' && head.eventStream) {
 			record.headPassed = true;
-			this.#options.queue.push({type: 'pass', requestId: record.req.requestId, attempt});
+			this.#options.queue.push({
+				type: 'pass', requestId: record.req.requestId, attempt, softwareVersion: softwareVersionOf(running),
+			});
 			return;
 		}
 
@@ -168,6 +172,10 @@
 		this.#feedback.recordEvents(record, count, now);
 		// The first event shows that the prefill has ended, which shortens the predicted start of waiting requests.
 		this.#capacityChanged ||= running.events === 0;
+		if (count > 0) {
+			record.origin ??= {softwareVersion: softwareVersionOf(running)};
+		}
+
 		running.events += count;
 		running.lastProgressAt = now;
 		record.lastEventId = lastId ?? record.lastEventId;
@@ -341,7 +349,7 @@
 			reason,
 			events: running?.events,
 			unframed: running?.head?.unframed,
-			softwareVersion: running?.softwareVersion,
+			softwareVersion: running && softwareVersionOf(running),
 			afterMs: Math.round(now - (running?.sentAt ?? now)),
 		});
 		this.#releaseAttempt(record);
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -8,6 +8,7 @@
 import type {RouteTable} from '../routes/route-table.ts';
 import type {AnswerHead} from './answer-head.ts';
 import type {EdgeRequest} from './edge-request.ts';
+import type {StreamOrigin} from './stream-origin.ts';
 
 /** An attempt that is in progress. */
 type RunningAttempt = {
@@ -53,6 +54,8 @@
 	headPassed: boolean;
 	/** Id of the last event that the caller has, from this request or, if it resumes a stream, from an earlier one. */
 	lastEventId?: string;
+	/** Origin of the stream, once the caller has an event of it. */
+	origin?: StreamOrigin;
 	/** Retry delay to report to the caller, from the refusals seen so far, in milliseconds. */
 	retryAfterMs?: number;
 };
--- a/src/core/registry/summarize-regions.ts
+++ b/src/core/registry/summarize-regions.ts
@@ -1,5 +1,6 @@
 import type {Region} from '../ids/region.ts';
 import type {ServiceName} from '../ids/service-name.ts';
+import type {SoftwareVersion} from '../ids/software-version.ts';
 import {choosePlacers} from './choose-placers.ts';
 import type {EntryStatus} from './entry-status.ts';
 import type {RegionLoad} from './region-load.ts';
@@ -37,14 +38,15 @@
 }
 
 function summarizeLoads(entries: readonly EntryStatus[]): readonly ServiceLoad[] {
-	const sums = new Map<ServiceName, {targets: number; inFlight: number; waiting: number; startMs: number; extraMs: number; reports: number}>();
+	const sums = new Map<ServiceName, {targets: number; softwareVersions: readonly SoftwareVersion[]; inFlight: number; waiting: number; startMs: number; extraMs: number; reports: number}>();
 	for (const {loads} of entries) {
 		for (const load of loads) {
 			const sum = sums.get(load.service) ?? {
-				targets: 0, inFlight: 0, waiting: 0, startMs: 0, extraMs: 0, reports: 0,
+				targets: 0, softwareVersions: [], inFlight: 0, waiting: 0, startMs: 0, extraMs: 0, reports: 0,
 			};
 			sums.set(load.service, {
 				targets: Math.max(sum.targets, load.targets),
+				softwareVersions: [...new Set([...sum.softwareVersions, ...load.softwareVersions ?? []])],
 				inFlight: sum.inFlight + load.inFlight,
 				waiting: sum.waiting + load.waiting,
 				startMs: sum.startMs + load.startMs,
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -157,7 +157,7 @@
 			}
 
 			case 'pass': {
-				this.#client.startStreaming(action.attempt);
+				this.#client.startStreaming(action.attempt, action.softwareVersion);
 				break;
 			}
 
--- a/src/server/routes/relay-header.ts
+++ b/src/server/routes/relay-header.ts
@@ -1,23 +1,33 @@
-import type {Region} from '../../core/ids/region.ts';
+import type {EdgeRequest} from '../../core/edge/edge-request.ts';
+import type {SoftwareVersion} from '../../core/ids/software-version.ts';
 import {toId} from '../../core/ids/to-id.ts';
+import {decodeHeaderText} from './decode-header-text.ts';
 
-/** Header of a forwarded request: region of the forwarding entry and version of its routes document. */
+type RelayedRequest = NonNullable<EdgeRequest['forwarded']>;
+
+/** Header of a forwarded request: region of the forwarding entry, version of its routes document and, for a stream that has begun, the software version at which it must go on. */
 const name = 'lovageferry-relayed';
 /** Header of an answer: the entry of the remote region refused the request, which has not run there. */
 const refusedName = 'lovageferry-refused';
 
+/** Header of an answer: software version of the target that answers. */
+const softwareVersionName = 'lovageferry-software-version';
+
 /** Headers that entries add to requests and answers between regions. */
 export const relayHeader = {
 	name,
 	refusedName,
+	softwareVersionName,
 	/** Formats the value of the header `name`. */
-	write(region: Region, documentVersion: number): string {
-		return `${region};${documentVersion}`;
+	write({region, documentVersion, softwareVersion}: RelayedRequest): string {
+		return [region, documentVersion, ...softwareVersion === undefined ? [] : [encodeURIComponent(softwareVersion)]].join(';');
 	},
 	/** Parses the value of the header `name`; undefined if it is missing or malformed. */
-	read(value: string | string[] | undefined): {region: Region; documentVersion: number} | undefined {
-		const [region, version] = typeof value === 'string' ? value.split(';') : [];
+	read(value: string | string[] | undefined): RelayedRequest | undefined {
+		const [region, version, softwareVersion] = typeof value === 'string' ? value.split(';') : [];
 		const documentVersion = Number(version);
-		return region && Number.isSafeInteger(documentVersion) ? {region: toId(region), documentVersion} : undefined;
+		return region && Number.isSafeInteger(documentVersion)
+			? {region: toId(region), documentVersion, softwareVersion: softwareVersion === undefined ? undefined : toId<SoftwareVersion>(decodeHeaderText(softwareVersion))}
+			: undefined;
 	},
 } as const;
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -2,6 +2,7 @@
 import type {EdgeAction} from '../../core/edge/edge-action.ts';
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
 import type {AttemptNumber} from '../../core/ids/attempt-number.ts';
+import type {SoftwareVersion} from '../../core/ids/software-version.ts';
 import type {Region} from '../../core/ids/region.ts';
 import {targetConnector} from '../target-connector.ts';
 import type {CallerExchange} from './caller-exchange.ts';
@@ -72,9 +73,9 @@
 		running?.abortController.abort();
 	}
 
-	/** Streams the attempt's answer to the caller from now on. */
-	startStreaming(attempt: AttemptNumber): void {
-		this.#running.get(attempt)?.reader.startStreaming();
+	/** Streams the attempt's answer to the caller from now on; an entry that forwarded the request is told the target's software version. */
+	startStreaming(attempt: AttemptNumber, softwareVersion: SoftwareVersion | undefined): void {
+		this.#running.get(attempt)?.reader.startStreaming(softwareVersion);
 	}
 
 	/** Ends the caller's stream, or sends the buffered answer. */
@@ -118,12 +119,12 @@
 
 	#buildHeaders(action: StartAction, exchange: CallerExchange): string[] {
 		const {codec, region} = this.#options;
-		const {deadlineMs, targetId, urgency, resumeAfter, documentVersion} = action;
+		const {deadlineMs, targetId, urgency, resumeAfter, documentVersion, softwareVersion} = action;
 		const headers = codec.outgoingHeaders(exchange.head, {
 			deadlineMs, targetId, urgency, resumeAfter,
 		});
 		if (targetId === undefined) {
-			headers.push(relayHeader.name, relayHeader.write(region, documentVersion));
+			headers.push(relayHeader.name, relayHeader.write({region, documentVersion, softwareVersion}));
 		}
 
 		return headers;
--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -5,8 +5,10 @@
 import type {AnswerBody} from '../answer-body.ts';
 import {describeAnswerBody} from '../describe-answer-body.ts';
 import {incompleteBytesOf} from '../incomplete-bytes-of.ts';
+import type {SoftwareVersion} from '../../core/ids/software-version.ts';
 import {SseSplitter} from '../sse-splitter.ts';
 import type {CallerExchange} from './caller-exchange.ts';
+import {relayHeader} from './relay-header.ts';
 import type {RequestCodec} from './request-codec.ts';
 
 type StartAction = EdgeAction & {type: 'start'};
@@ -39,9 +41,15 @@
 	}
 
 	/** Streams the answer to the caller from now on, starting with its head. */
-	startStreaming(): void {
+	startStreaming(softwareVersion: SoftwareVersion | undefined): void {
+		const {exchange, codec} = this.#options;
 		this.#streaming = true;
-		this.#options.exchange.startStream(this.#status, this.#options.codec.callerHeaders(this.#headers));
+		const headers = codec.callerHeaders(this.#headers);
+		if (exchange.edgeRequest.forwarded !== undefined && softwareVersion !== undefined) {
+			headers.push(relayHeader.softwareVersionName, encodeURIComponent(softwareVersion));
+		}
+
+		exchange.startStream(this.#status, headers);
 	}
 
 	/** Ends the caller's stream, or sends the buffered answer. */
--- a/test/core/edge/software-versions.test.ts
+++ b/test/core/edge/software-versions.test.ts
@@ -78,3 +78,30 @@
 		t.is(harness.starts().length, starts, `region with ${versions.join(' and ')}`);
 	}
 });
+
+test('a stream that another entry forwards goes on only at the software version that this entry names', t => {
+	const harness = harnessWith({a: v1, b: v2});
+	const forwarded = {region: toId<Region>('winnipeg'), documentVersion: 1};
+	harness.request({prompt, resumeAfter: '3', forwarded: {...forwarded, softwareVersion: v2}});
+	t.is(harness.lastStart().targetId as string, 'b');
+	harness.request({prompt, resumeAfter: '3', forwarded: {...forwarded, softwareVersion: toId<SoftwareVersion>('v3')}});
+	t.is(harness.starts().length, 1);
+	t.deepEqual(harness.refusals().map(({ran}) => ran), ['no']);
+});
+
+test('a stream that broke off at another entry goes on here at the software version that the other entry named', t => {
+	for (const [softwareVersion, targetId] of [[v2, 'b'], [undefined, undefined]] as const) {
+		const harness = harnessWith({});
+		harness.feed({regions: [remoteRegion([v1, v2])]});
+		harness.request({prompt});
+		const {attempt, address} = harness.lastStart();
+		t.is(address, '10.3.0.9:7101');
+		harness.feed({targets: [listedTargetFixture('a', {softwareVersion: v1}), listedTargetFixture('b', {softwareVersion: v2})]});
+		harness.head(attempt, {softwareVersion});
+		harness.step({
+			type: 'attempt-events', attempt, count: 3, lastId: '3',
+		});
+		harness.step({type: 'attempt-failed', attempt, failure: {reason: 'reset', notSent: false}});
+		t.deepEqual(harness.starts().slice(1).map(start => start.targetId as string | undefined), targetId === undefined ? [] : [targetId]);
+	}
+});
--- /dev/null
+++ b/test/server/routes/relay-header.test.ts
@@ -0,0 +1,22 @@
+import test from 'ava';
+import type {Region} from '../../../src/core/ids/region.ts';
+import type {SoftwareVersion} from '../../../src/core/ids/software-version.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import {relayHeader} from '../../../src/server/routes/relay-header.ts';
+
+test('a forwarded request is read as it was written, whatever its software version', t => {
+	for (const softwareVersion of [undefined, '', 'v1.1', 'a;b %', 'ü']) {
+		const relayed = {
+			region: toId<Region>('regina'),
+			documentVersion: 7,
+			softwareVersion: softwareVersion === undefined ? undefined : toId<SoftwareVersion>(softwareVersion),
+		};
+		t.deepEqual(relayHeader.read(relayHeader.write(relayed)), relayed);
+	}
+});
+
+test('a value without a region or a document version is not read', t => {
+	for (const value of ['', ';7', 'regina', 'regina;seven', undefined, ['regina;7']]) {
+		t.is(relayHeader.read(value), undefined);
+	}
+});
