fix(edge): a caller takes a stream up at the software version that began it

Each entry now keeps the origin (service and software version) of the streams that began at it for 30 s, by the caller's id of the request that brought the first event, and reports new ones to its control node within 100 ms. A request that takes a stream up is placed once its origin is known: from the entry itself, or from the control nodes, which are all asked at once (300 ms). While a service has had one version for as long as streams can be taken up, that version answers for unreported streams. Otherwise the request is refused as not run (origin-unknown, 503). An entry that forwards the stream names its service and version; an entry that follows a new run of a control node tells it all recent streams.

--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -22,6 +22,7 @@
 import {EntryFeed} from './entry-feed.ts';
 import {OperatorCallHandler} from './operator-call-handler.ts';
 import {RegistryGossip} from './registry-gossip.ts';
+import {StreamOriginAnswerer} from './stream-origin-answerer.ts';
 import {VoterPolicy} from './voter-policy.ts';
 
 /**
@@ -38,6 +39,7 @@
 	readonly #operatorCalls: OperatorCallHandler;
 	readonly #feed: EntryFeed;
 	readonly #gossip: RegistryGossip;
+	readonly #streamOrigins: StreamOriginAnswerer;
 	readonly #voterPolicy: VoterPolicy;
 	/** Time of the last gossip message from each other control node. */
 	readonly #lastGossipAt = new Map<NodeId, Millis>();
@@ -79,6 +81,7 @@
 		this.#gossip = new RegistryGossip({
 			...self, self: self.nodeId, epoch, registry: this.#registry, directory: this.#directory, outbox, peers: () => this.#peers(),
 		});
+		this.#streamOrigins = new StreamOriginAnswerer({registry: this.#registry, outbox, isCurrent: now => this.#isCurrent(now)});
 		this.#feed = new EntryFeed({
 			epoch,
 			registry: this.#registry,
@@ -186,6 +189,7 @@
 		this.#consensus.tick(now);
 		this.#registry.tick(now);
 		this.#directory.tick(now);
+		this.#streamOrigins.tick(now);
 		this.#operatorCalls.tick(now);
 		this.#changeMembers(now);
 		this.#logGroupChange();
@@ -236,7 +240,19 @@
 				break;
 			}
 
-			case 'feed': {
+			case 'streams-begun': {
+				this.#streamOrigins.handleBegun(message, now);
+				break;
+			}
+
+			case 'find-stream': {
+				this.#streamOrigins.answer(from, message, now);
+				break;
+			}
+
+			case 'feed':
+			case 'stream-found': {
+				// For entries only.
 				break;
 			}
 		}
--- a/src/core/control/control-message.ts
+++ b/src/core/control/control-message.ts
@@ -1,4 +1,7 @@
 import type {Region} from '../ids/region.ts';
+import type {RequestId} from '../ids/request-id.ts';
+import type {ServiceName} from '../ids/service-name.ts';
+import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Zone} from '../ids/zone.ts';
 import type {EntryStatus} from '../registry/entry-status.ts';
@@ -8,6 +11,7 @@
 import type {RoutesCommand} from '../routes/routes-command.ts';
 import type {RoutesOutcome} from '../routes/routes-outcome.ts';
 import type {StoredDocument} from '../routes/stored-document.ts';
+import type {BegunStream} from './begun-stream.ts';
 import type {ControlPeer} from './control-peer.ts';
 
 /** A position in one control node's registry; revisions are comparable only within one `epoch`, a run of that node's process. */
@@ -53,6 +57,12 @@
 		/** Targets that the sender got a heartbeat for but has no report of. */
 		readonly missing: readonly TargetId[];
 	}
+	/** Streams that began at an entry: the caller's id of the request that brought the first event, the service and the software version of the target. */
+	| {readonly type: 'streams-begun'; readonly streams: ReadonlyArray<readonly [callerKey: string, service: ServiceName, softwareVersion: SoftwareVersion]>}
+	/** An entry asks where a stream began that a request takes up; `service` is set if it can be only this one. */
+	| {readonly type: 'find-stream'; readonly requestId: RequestId; readonly callerKey: string; readonly service?: ServiceName}
+	/** `stream` is where it began, if the sender was told; otherwise `soleVersion` is set if the sender knows that it can't have begun elsewhere. */
+	| {readonly type: 'stream-found'; readonly requestId: RequestId; readonly stream?: BegunStream; readonly soleVersion?: BegunStream}
 	/** Asks the leader to append an operator's command to the replicated log. */
 	| {readonly type: 'propose'; readonly callId: string; readonly command: RoutesCommand}
 	/** Outcome of the committed command; undefined if the receiver of `propose` does not lead. */
--- a/src/core/control/control-timing.ts
+++ b/src/core/control/control-timing.ts
@@ -20,6 +20,12 @@
 	replaceVoterMs: 800,
 	/** Silence after which a control node that is neither a seed nor a member of the replicated log is forgotten. */
 	peerExpiryMs: 10_000,
+	/** Time for which a stream can still be taken up: longer than callers wait for one. */
+	streamRetentionMs: 30_000,
+	/** Shortest time between two reports of an entry on the streams that began at it; streams younger than this may be lost with their entry. */
+	streamReportIntervalMs: 100,
+	/** Time that control nodes have to answer where a stream began; allows for a round trip between regions. */
+	streamQueryTimeoutMs: 300,
 	/** Shortest time between two membership changes of the replicated log. */
 	memberChangeIntervalMs: 300,
 } as const;
--- /dev/null
+++ b/src/core/control/stream-origin-answerer.ts
@@ -0,0 +1,66 @@
+import type {Outbox} from '../common/outbox.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {ServiceName} from '../ids/service-name.ts';
+import type {TargetRegistry} from '../registry/target-registry.ts';
+import type {BegunStream} from './begun-stream.ts';
+import {BegunStreams} from './begun-streams.ts';
+import type {ControlMessage} from './control-message.ts';
+import {controlTiming} from './control-timing.ts';
+
+type AnswererOptions = {
+	readonly registry: TargetRegistry;
+	readonly outbox: Outbox;
+	/** Whether this node is up to date with the replicated log, and so hears of targets in other regions. */
+	readonly isCurrent: (now: Millis) => boolean;
+};
+
+/**
+ * Answers entries that ask where a stream began. While all targets of a service have had one software version for as
+ * long as a stream can be taken up, that version answers for streams that nobody has reported.
+ */
+export class StreamOriginAnswerer {
+	readonly #options: AnswererOptions;
+	readonly #streams = new BegunStreams();
+	#startedAt: Millis | undefined;
+
+	constructor(options: AnswererOptions) {
+		this.#options = options;
+	}
+
+	handleBegun({streams}: ControlMessage & {type: 'streams-begun'}, now: Millis): void {
+		for (const [callerKey, service, softwareVersion] of streams) {
+			this.#streams.record(callerKey, {service, softwareVersion}, now);
+		}
+	}
+
+	answer(from: NodeId, {requestId, callerKey, service}: ControlMessage & {type: 'find-stream'}, now: Millis): void {
+		const stream = this.#streams.get(callerKey);
+		this.#options.outbox.send(from, {
+			part: 'control',
+			body: {
+				type: 'stream-found',
+				requestId,
+				stream,
+				soleVersion: stream === undefined && service !== undefined ? this.#soleVersion(service, now) : undefined,
+			},
+		});
+	}
+
+	tick(now: Millis): void {
+		this.#startedAt ??= now;
+		this.#streams.tick(now);
+	}
+
+	/** The service with its software version, if no target of it that may have begun a recent stream had another one. */
+	#soleVersion(service: ServiceName, now: Millis): BegunStream | undefined {
+		const {registry, isCurrent} = this.#options;
+		const knowsRecentTargets = this.#startedAt !== undefined && now - this.#startedAt > controlTiming.streamRetentionMs;
+		if (!knowsRecentTargets || !isCurrent(now)) {
+			return undefined;
+		}
+
+		const [softwareVersion, ...others] = registry.softwareVersions(service);
+		return softwareVersion === undefined || others.length > 0 ? undefined : {service, softwareVersion};
+	}
+}
--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -87,7 +87,7 @@
 	}
 
 	#start(record: RequestRecord, destination: Destination, now: Millis): void {
-		const {req, route, service, table, lastEventId, running} = record;
+		const {req, route, service, table, lastEventId, running, origin: {softwareVersion} = {}} = record;
 		record.sends += 1;
 		record.retryReserved = false;
 		if (lastEventId !== undefined) {
@@ -105,7 +105,7 @@
 			fresh: this.#options.idle.needsFreshConnection(route, service, now),
 			stream: route.kind === 'stream',
 			resumeAfter: lastEventId,
-			softwareVersion: record.origin?.softwareVersion,
+			origin: softwareVersion === undefined ? undefined : {service, softwareVersion},
 			documentVersion: table.version,
 		});
 	}
--- a/src/core/edge/control-follower.ts
+++ b/src/core/edge/control-follower.ts
@@ -45,6 +45,11 @@
 		return this.#primary;
 	}
 
+	/** All control nodes that are known. */
+	get nodes(): readonly NodeId[] {
+		return this.#peers.map(({nodeId}) => nodeId);
+	}
+
 	/** Time since the last feed, in milliseconds. */
 	silenceMs(now: Millis): number {
 		return now - this.#lastFeedAt;
--- /dev/null
+++ b/src/core/edge/create-request-record.ts
@@ -0,0 +1,28 @@
+import type {Millis} from '../ids/millis.ts';
+import type {RouteRule} from '../routes/route-rule.ts';
+import type {RouteTable} from '../routes/route-table.ts';
+import type {EdgeRequest} from './edge-request.ts';
+import type {RequestRecord} from './request-record.ts';
+
+/** Creates the record of a request that has just arrived. A forwarded stream that has begun stays with its service; otherwise the route picks one. */
+export function createRequestRecord(req: EdgeRequest, route: RouteRule, table: RouteTable): RequestRecord {
+	const origin = req.forwarded?.origin;
+	const limitMs = Math.min(req.budgetMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
+	return {
+		req,
+		route,
+		service: origin?.service ?? table.pickService(route, req.callerKey),
+		table,
+		deadlineAt: req.arrivedAt + limitMs as Millis,
+		mayHaveRunOn: new Set(),
+		excludedTargets: new Set(),
+		sends: 0,
+		forwardCount: 0,
+		forwardedRuns: 0,
+		mayHaveRun: false,
+		retryReserved: false,
+		headPassed: false,
+		lastEventId: req.resumeAfter,
+		origin: origin && {softwareVersion: origin.softwareVersion},
+	};
+}
--- a/src/core/edge/edge-action.ts
+++ b/src/core/edge/edge-action.ts
@@ -1,3 +1,4 @@
+import type {BegunStream} from '../control/begun-stream.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {SoftwareVersion} from '../ids/software-version.ts';
@@ -26,8 +27,8 @@
 		readonly stream: boolean;
 		/** Id of the event after which the stream is to be resumed. */
 		readonly resumeAfter?: string;
-		/** Software version of the targets at which the stream may be resumed, if it has begun. */
-		readonly softwareVersion?: SoftwareVersion;
+		/** Where the stream began, if the caller has events of it; an entry that gets the request keeps to it. */
+		readonly origin?: BegunStream;
 		/** Version of the routes document under which the request is handled. */
 		readonly documentVersion: number;
 	}
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -2,6 +2,7 @@
 import type {ControlMessage} from '../control/control-message.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
+import type {PeerMessage} from '../peer-message.ts';
 import type {EntryStatus} from '../registry/entry-status.ts';
 import type {ServiceLoad} from '../registry/service-load.ts';
 import {RouteTable} from '../routes/route-table.ts';
@@ -15,6 +16,7 @@
 import {RegionSelector} from './region-selector.ts';
 import {WindowedRetryBudget} from './windowed-retry-budget.ts';
 import {RequestHandler} from './request-handler.ts';
+import {StreamOrigins} from './stream-origins.ts';
 import {TargetPool} from './target-pool.ts';
 import {WaitQueue} from './wait-queue.ts';
 
@@ -32,6 +34,7 @@
 	readonly #pool = new TargetPool();
 	readonly #regions: RegionSelector;
 	readonly #waiting = new WaitQueue();
+	readonly #origins: StreamOrigins;
 	readonly #requests: RequestHandler;
 	#table: RouteTable | undefined;
 	#stateIndex = 0;
@@ -46,7 +49,11 @@
 		this.#follower = new ControlFollower({
 			self, seeds, outbox: this.#queue, status: now => this.#status(now), stateIndex: () => this.#stateIndex,
 		});
+		this.#origins = new StreamOrigins({
+			queue: this.#queue, primary: () => this.#follower.primary, controlNodes: () => this.#follower.nodes,
+		});
 		this.#requests = new RequestHandler({
+			origins: this.#origins,
 			placement: new PlacementPolicy({
 				region: self.region, relayAddress: self.relayAddress, pool: this.#pool, regions: this.#regions, random,
 			}),
@@ -107,17 +114,13 @@
 		switch (event.type) {
 			case 'tick': {
 				this.#follower.tick(now);
+				this.#origins.tick(now);
 				this.#requests.tick(now);
 				break;
 			}
 
 			case 'peer': {
-				if (event.message.part === 'control' && event.message.body.type === 'feed') {
-					this.#handleFeed(event.from, event.message.body, now);
-				} else {
-					this.#queue.count('stale_messages', event.message.part);
-				}
-
+				this.#handlePeerMessage(event.from, event.message, now);
 				break;
 			}
 
@@ -164,8 +167,22 @@
 		}
 	}
 
+	#handlePeerMessage(from: NodeId, message: PeerMessage, now: Millis): void {
+		if (message.part === 'control' && message.body.type === 'feed') {
+			this.#handleFeed(from, message.body, now);
+		} else if (message.part === 'control' && message.body.type === 'stream-found') {
+			this.#origins.handleAnswer(from, message.body, now);
+		} else {
+			this.#queue.count('stale_messages', message.part);
+		}
+	}
+
 	#handleFeed(from: NodeId, feed: ControlMessage & {type: 'feed'}, now: Millis): void {
 		const targets = this.#follower.handleFeed(from, feed, now);
+		if (from === this.#follower.primary) {
+			this.#origins.handleFeed(feed.epoch);
+		}
+
 		if (feed.state !== undefined && feed.stateIndex > this.#stateIndex) {
 			this.#stateIndex = feed.stateIndex;
 			this.#pool.setEvacuatedZones(feed.state.evacuated);
--- a/src/core/edge/edge-refusal.ts
+++ b/src/core/edge/edge-refusal.ts
@@ -7,6 +7,8 @@
 	| 'overloaded'
 	/** No target of the service can be used from here now. */
 	| 'no-target'
+	/** It is unknown at which software version the stream began that the request takes up. */
+	| 'origin-unknown'
 	/** The entry is stopping. */
 	| 'leaving'
 	/** The entry that forwarded the request applied a newer routes document than this one. */
--- a/src/core/edge/edge-request.ts
+++ b/src/core/edge/edge-request.ts
@@ -1,7 +1,7 @@
+import type {BegunStream} from '../control/begun-stream.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
 import type {RequestId} from '../ids/request-id.ts';
-import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {Prompt} from './prompt.ts';
 
 /** A caller's request as the core sees it: only the fields that routing and placement need; the body stays opaque. */
@@ -19,6 +19,6 @@
 	readonly resumeAfter?: string;
 	/** The caller's id of the request that brought the first event of the stream that it resumes. */
 	readonly resumes?: string;
-	/** Set if another entry forwarded the request: that entry's region, the version of the routes document it applied, and the software version at which a stream that has begun must go on. */
-	readonly forwarded?: {readonly region: Region; readonly documentVersion: number; readonly softwareVersion?: SoftwareVersion};
+	/** Set if another entry forwarded the request: that entry's region, the version of the routes document it applied, and where the stream began if the caller has events of it. */
+	readonly forwarded?: {readonly region: Region; readonly documentVersion: number; readonly origin?: BegunStream};
 };
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -10,6 +10,7 @@
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {EdgeRequest} from './edge-request.ts';
+import {createRequestRecord} from './create-request-record.ts';
 import {RequestCompletion} from './request-completion.ts';
 import {IdleConnectionPolicy} from './idle-connection-policy.ts';
 import {destinationOf} from './destination-of.ts';
@@ -20,6 +21,7 @@
 import {RetryPolicy} from './retry-policy.ts';
 import type {RequestRecord} from './request-record.ts';
 import {TargetFeedback} from './target-feedback.ts';
+import type {StreamOrigins} from './stream-origins.ts';
 import type {TargetPool} from './target-pool.ts';
 import type {WaitQueue} from './wait-queue.ts';
 
@@ -32,6 +34,7 @@
 	readonly pool: TargetPool;
 	readonly regions: RegionSelector;
 	readonly waiting: WaitQueue;
+	readonly origins: StreamOrigins;
 	readonly budget: WindowedRetryBudget;
 	readonly random: Random;
 	readonly queue: ActionQueue<EdgeAction>;
@@ -80,27 +83,26 @@
 		}
 
 		const route = table!.match(req.host, req.path)!;
-		const service = table!.pickService(route, req.callerKey);
-		const limitMs = Math.min(req.budgetMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
-		const record: RequestRecord = {
-			req,
-			route,
-			service,
-			table: table!,
-			deadlineAt: req.arrivedAt + limitMs as Millis,
-			mayHaveRunOn: new Set(),
-			excludedTargets: new Set(),
-			sends: 0,
-			forwardCount: 0,
-			forwardedRuns: 0,
-			mayHaveRun: false,
-			retryReserved: false,
-			headPassed: false,
-			lastEventId: req.resumeAfter,
-			origin: req.forwarded?.softwareVersion === undefined ? undefined : {softwareVersion: req.forwarded.softwareVersion},
-		};
+		const record = createRequestRecord(req, route, table!);
 		this.#records.set(req.requestId, record);
-		this.#place(record, now);
+		if (!route.split.some(({service}) => service === record.service)) {
+			this.#refuse(record, 'no-target', now);
+			return;
+		}
+
+		const mustLocate = route.kind === 'stream' && req.resumeAfter !== undefined && record.origin === undefined;
+		if (!mustLocate) {
+			this.#place(record, now);
+			return;
+		}
+
+		this.#options.origins.locate(record, (refusal, locatedAt) => {
+			if (refusal === undefined) {
+				this.#place(record, locatedAt);
+			} else {
+				this.#refuse(record, refusal, locatedAt);
+			}
+		}, now);
 	}
 
 	handleCallerGone(requestId: RequestId, now: Millis): void {
@@ -173,7 +175,7 @@
 		// The first event shows that the prefill has ended, which shortens the predicted start of waiting requests.
 		this.#capacityChanged ||= running.events === 0;
 		if (count > 0) {
-			record.origin ??= {softwareVersion: softwareVersionOf(running)};
+			this.#options.origins.recordFirstEvent(record, now);
 		}
 
 		running.events += count;
@@ -391,6 +393,7 @@
 
 	#forget(record: RequestRecord): void {
 		this.#options.waiting.remove(record);
+		this.#options.origins.cancel(record.req.requestId);
 		this.#records.delete(record.req.requestId);
 	}
 }
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -32,7 +32,8 @@
 export type RequestRecord = {
 	readonly req: EdgeRequest;
 	readonly route: RouteRule;
-	readonly service: ServiceName;
+	/** Chosen when the request arrives; a stream that is taken up stays with the service that began it. */
+	service: ServiceName;
 	/** Routes in force when the request arrived; a newer document does not change how it is handled. */
 	readonly table: RouteTable;
 	readonly deadlineAt: Millis;
--- /dev/null
+++ b/src/core/edge/stream-origins.ts
@@ -0,0 +1,166 @@
+import type {ActionQueue} from '../action-queue.ts';
+import type {BegunStream} from '../control/begun-stream.ts';
+import {BegunStreams} from '../control/begun-streams.ts';
+import type {ControlMessage} from '../control/control-message.ts';
+import {controlTiming} from '../control/control-timing.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {RequestId} from '../ids/request-id.ts';
+import type {EdgeAction} from './edge-action.ts';
+import type {EdgeRefusal} from './edge-refusal.ts';
+import type {RequestRecord} from './request-record.ts';
+import {softwareVersionOf} from './software-version-of.ts';
+
+/** Who knew where a stream began: this entry, a control node that was told, or a control node that knows no other version of the service; or nobody. */
+type OriginSource = 'own' | 'control' | 'sole-version' | 'unknown';
+
+/** Called once it is known where the request's stream began, or with the reason to refuse the request. */
+type Located = (refusal: EdgeRefusal['reason'] | undefined, now: Millis) => void;
+
+type Query = {readonly record: RequestRecord; readonly sentAt: Millis; readonly unanswered: Set<NodeId>; readonly located: Located};
+
+type StreamOriginsOptions = {
+	readonly queue: ActionQueue<EdgeAction>;
+	/** The control node that is told of streams. */
+	readonly primary: () => NodeId | undefined;
+	/** The control nodes that are asked. */
+	readonly controlNodes: () => readonly NodeId[];
+};
+
+/**
+ * Keeps track of where streams began, so that a stream goes on at the software version that began it.
+ *
+ * A caller whose connection broke comes back through any entry, often because the one before was killed. Each entry
+ * therefore tells its control node of the streams that begin at it, and asks all control nodes about those it doesn't know.
+ */
+export class StreamOrigins {
+	readonly #options: StreamOriginsOptions;
+	readonly #streams = new BegunStreams();
+	readonly #queries = new Map<RequestId, Query>();
+	#unreported = new Map<string, BegunStream>();
+	#reportedAt = Number.NEGATIVE_INFINITY;
+	/** The run of the control node that was told of all streams. */
+	#toldEpoch: string | undefined;
+
+	constructor(options: StreamOriginsOptions) {
+		this.#options = options;
+	}
+
+	/** Records where a request's stream began, when its first event has been passed on. */
+	recordFirstEvent(record: RequestRecord, now: Millis): void {
+		if (record.origin !== undefined) {
+			return;
+		}
+
+		const {req: {callerKey}, service} = record;
+		const softwareVersion = softwareVersionOf(record.running!);
+		record.origin = {softwareVersion};
+		if (softwareVersion !== undefined && callerKey !== '') {
+			this.#streams.record(callerKey, {service, softwareVersion}, now);
+			this.#unreported.set(callerKey, {service, softwareVersion});
+		}
+	}
+
+	/** Finds out where the stream began that a request takes up: at once if this entry knows it, else once control has answered or its time is up. */
+	locate(record: RequestRecord, located: Located, now: Millis): void {
+		const {req: {requestId}, route: {split}} = record;
+		const callerKey = keyOf(record);
+		const own = this.#streams.get(callerKey);
+		const nodes = this.#options.controlNodes();
+		const query: Query = {
+			record, sentAt: now, unanswered: new Set(nodes), located,
+		};
+		if (own !== undefined || nodes.length === 0) {
+			this.#resolve(query, own, own === undefined ? 'unknown' : 'own', now);
+			return;
+		}
+
+		this.#queries.set(requestId, query);
+		for (const nodeId of nodes) {
+			this.#options.queue.send(nodeId, {
+				part: 'control',
+				body: {
+					type: 'find-stream', requestId, callerKey, service: split.length === 1 ? split[0]!.service : undefined,
+				},
+			});
+		}
+	}
+
+	/** Drops the query of a request that has ended. */
+	cancel(requestId: RequestId): void {
+		this.#queries.delete(requestId);
+	}
+
+	handleAnswer(from: NodeId, {requestId, stream, soleVersion}: ControlMessage & {type: 'stream-found'}, now: Millis): void {
+		const query = this.#queries.get(requestId);
+		if (query === undefined) {
+			return;
+		}
+
+		query.unanswered.delete(from);
+		if (stream !== undefined) {
+			this.#resolve(query, stream, 'control', now);
+		} else if (soleVersion !== undefined) {
+			this.#resolve(query, soleVersion, 'sole-version', now);
+		} else if (query.unanswered.size === 0) {
+			this.#resolve(query, undefined, 'unknown', now);
+		}
+	}
+
+	/** Tells a control node that has started, or that is followed newly, of all streams that it may be asked about. */
+	handleFeed(epoch: string): void {
+		if (epoch !== this.#toldEpoch) {
+			this.#toldEpoch = epoch;
+			this.#unreported = new Map(this.#streams.list());
+		}
+	}
+
+	tick(now: Millis): void {
+		this.#streams.tick(now);
+		for (const query of this.#queries.values()) {
+			if (now - query.sentAt > controlTiming.streamQueryTimeoutMs) {
+				this.#resolve(query, undefined, 'unknown', now);
+			}
+		}
+
+		if (now - this.#reportedAt >= controlTiming.streamReportIntervalMs) {
+			this.#report(now);
+		}
+	}
+
+	#report(now: Millis): void {
+		const primary = this.#options.primary();
+		if (primary === undefined || this.#unreported.size === 0) {
+			return;
+		}
+
+		this.#reportedAt = now;
+		const streams = [...this.#unreported].map(([callerKey, {service, softwareVersion}]) => [callerKey, service, softwareVersion] as const);
+		this.#unreported.clear();
+		this.#options.queue.send(primary, {part: 'control', body: {type: 'streams-begun', streams}});
+	}
+
+	/** Ends a query. A stream stays with the service that began it, if the route still leads there. */
+	#resolve({record, located}: Query, stream: BegunStream | undefined, source: OriginSource, now: Millis): void {
+		const {req, route} = record;
+		this.#queries.delete(req.requestId);
+		const isAllowed = stream !== undefined && route.split.some(({service}) => service === stream.service);
+		this.#options.queue.count('resumes', source);
+		this.#options.queue.event('stream-origin', {
+			request: req.callerKey, resumes: keyOf(record), source, ...stream, allowed: isAllowed, afterMs: Math.round(now - req.arrivedAt),
+		});
+		if (!isAllowed) {
+			located(stream === undefined ? 'origin-unknown' : 'no-target', now);
+			return;
+		}
+
+		record.service = stream.service;
+		record.origin = {softwareVersion: stream.softwareVersion};
+		located(undefined, now);
+	}
+}
+
+/** The caller's id of the request that brought the stream's first event; an entry that forwards a stream within one answer keeps the id of that request. */
+function keyOf({req: {callerKey, resumes}}: RequestRecord): string {
+	return resumes ?? callerKey;
+}
--- a/src/core/registry/target-registry.ts
+++ b/src/core/registry/target-registry.ts
@@ -1,5 +1,6 @@
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
+import type {ServiceName} from '../ids/service-name.ts';
 import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Zone} from '../ids/zone.ts';
@@ -174,6 +175,13 @@
 			.map(({report}) => [report.targetId, report.sequence] as const);
 	}
 
+	/** Software versions of a service's targets, each once, with those that ended lately. */
+	softwareVersions(service: ServiceName): readonly SoftwareVersion[] {
+		return [...new Set([...this.#records.values()]
+			.filter(({report}) => report.service === service)
+			.map(({report}) => report.softwareVersion))];
+	}
+
 	/** Reports of the serving targets that are not lost, with their regions. */
 	servingTargets(now: Millis): ReadonlyArray<{region: Region; report: TargetReport}> {
 		return [...this.#records.values()]
--- a/src/server/routes/caller-exchange.ts
+++ b/src/server/routes/caller-exchange.ts
@@ -10,6 +10,7 @@
 	'no-route': 404,
 	overloaded: 503,
 	'no-target': 503,
+	'origin-unknown': 503,
 	leaving: 503,
 	outdated: 503,
 	'target-failed': 502,
--- a/src/server/routes/relay-header.ts
+++ b/src/server/routes/relay-header.ts
@@ -1,11 +1,11 @@
 import type {EdgeRequest} from '../../core/edge/edge-request.ts';
-import type {SoftwareVersion} from '../../core/ids/software-version.ts';
+import type {BegunStream} from '../../core/control/begun-stream.ts';
 import {toId} from '../../core/ids/to-id.ts';
 import {decodeHeaderText} from './decode-header-text.ts';
 
 type RelayedRequest = NonNullable<EdgeRequest['forwarded']>;
 
-/** Header of a forwarded request: region of the forwarding entry, version of its routes document and, for a stream that has begun, the software version at which it must go on. */
+/** Header of a forwarded request: region of the forwarding entry, version of its routes document and, for a stream that has begun, its service and software version. */
 const name = 'lovageferry-relayed';
 /** Header of an answer: the entry of the remote region refused the request, which has not run there. */
 const refusedName = 'lovageferry-refused';
@@ -19,15 +19,21 @@
 	refusedName,
 	softwareVersionName,
 	/** Formats the value of the header `name`. */
-	write({region, documentVersion, softwareVersion}: RelayedRequest): string {
-		return [region, documentVersion, ...softwareVersion === undefined ? [] : [encodeURIComponent(softwareVersion)]].join(';');
+	write({region, documentVersion, origin}: RelayedRequest): string {
+		return [region, documentVersion, ...origin === undefined ? [] : [encodeURIComponent(origin.service), encodeURIComponent(origin.softwareVersion)]].join(';');
 	},
 	/** Parses the value of the header `name`; undefined if it is missing or malformed. */
 	read(value: string | string[] | undefined): RelayedRequest | undefined {
-		const [region, version, softwareVersion] = typeof value === 'string' ? value.split(';') : [];
+		const [region, version, service, softwareVersion] = typeof value === 'string' ? value.split(';') : [];
 		const documentVersion = Number(version);
 		return region && Number.isSafeInteger(documentVersion)
-			? {region: toId(region), documentVersion, softwareVersion: softwareVersion === undefined ? undefined : toId<SoftwareVersion>(decodeHeaderText(softwareVersion))}
+			? {region: toId(region), documentVersion, origin: readOrigin(service, softwareVersion)}
 			: undefined;
 	},
 } as const;
+
+function readOrigin(service: string | undefined, softwareVersion: string | undefined): BegunStream | undefined {
+	return service === undefined || softwareVersion === undefined
+		? undefined
+		: {service: toId(decodeHeaderText(service)), softwareVersion: toId(decodeHeaderText(softwareVersion))};
+}
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -119,12 +119,12 @@
 
 	#buildHeaders(action: StartAction, exchange: CallerExchange): string[] {
 		const {codec, region} = this.#options;
-		const {deadlineMs, targetId, urgency, resumeAfter, documentVersion, softwareVersion} = action;
+		const {deadlineMs, targetId, urgency, resumeAfter, documentVersion, origin} = action;
 		const headers = codec.outgoingHeaders(exchange.head, {
 			deadlineMs, targetId, urgency, resumeAfter,
 		});
 		if (targetId === undefined) {
-			headers.push(relayHeader.name, relayHeader.write({region, documentVersion, softwareVersion}));
+			headers.push(relayHeader.name, relayHeader.write({region, documentVersion, origin}));
 		}
 
 		return headers;
--- /dev/null
+++ b/test/core/control/stream-origin-answerer.test.ts
@@ -0,0 +1,90 @@
+import test from 'ava';
+import type {ControlMessage} from '../../../src/core/control/control-message.ts';
+import {controlTiming} from '../../../src/core/control/control-timing.ts';
+import {StreamOriginAnswerer} from '../../../src/core/control/stream-origin-answerer.ts';
+import type {Millis} from '../../../src/core/ids/millis.ts';
+import type {NodeId} from '../../../src/core/ids/node-id.ts';
+import type {Region} from '../../../src/core/ids/region.ts';
+import type {ServiceName} from '../../../src/core/ids/service-name.ts';
+import type {SoftwareVersion} from '../../../src/core/ids/software-version.ts';
+import type {TargetId} from '../../../src/core/ids/target-id.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import {TargetRegistry} from '../../../src/core/registry/target-registry.ts';
+import {RecordingOutbox} from '../../fixtures/recording-outbox.ts';
+import {targetReportFixture} from '../../fixtures/target-report-fixture.ts';
+
+const service = toId<ServiceName>('proofer');
+const v1 = toId<SoftwareVersion>('v1');
+const v2 = toId<SoftwareVersion>('v2');
+const entry = toId<NodeId>('10.1.0.9:7100');
+const afterRetention = controlTiming.streamRetentionMs + 1;
+
+function start() {
+	const outbox = new RecordingOutbox();
+	const registry = new TargetRegistry({reportEveryMs: 1000, regionOf: () => toId<Region>('regina')});
+	const state = {current: true, now: 0 as Millis};
+	const answerer = new StreamOriginAnswerer({registry, outbox, isCurrent: () => state.current});
+	answerer.tick(state.now);
+	return {
+		state, registry, answerer,
+		report(targetId: string, softwareVersion: SoftwareVersion, address = `${targetId}:80`) {
+			registry.recordReport(targetReportFixture({
+				targetId: toId<TargetId>(targetId), softwareVersion, address, sequence: state.now + 1,
+			}), state.now);
+		},
+		wait(ms: number) {
+			state.now = state.now + ms as Millis;
+			answerer.tick(state.now);
+			registry.tick(state.now);
+		},
+		/** What an entry that asks is answered: the version where the stream began, or the only one of the service. */
+		ask(callerKey = 'began', of: ServiceName | undefined = service) {
+			answerer.answer(entry, {
+				type: 'find-stream', requestId: toId('r1'), callerKey, service: of,
+			}, state.now);
+			const {stream, soleVersion} = outbox.sent.at(-1)!.message.body as ControlMessage & {type: 'stream-found'};
+			return {stream: stream?.softwareVersion, sole: soleVersion?.softwareVersion};
+		},
+	};
+}
+
+test('a stream that an entry reported is found until it can no longer be taken up', t => {
+	const {answerer, ask, wait, state} = start();
+	answerer.handleBegun({type: 'streams-begun', streams: [['began', service, v2]]}, state.now);
+	t.is(ask().stream, v2);
+	t.is(ask('another').stream, undefined);
+	wait(afterRetention);
+	t.is(ask().stream, undefined);
+});
+
+test('the only software version of a service is named only after all targets that began recent streams are known', t => {
+	const {report, ask, wait} = start();
+	report('a', v1);
+	t.is(ask().sole, undefined);
+	wait(afterRetention);
+	report('a', v1);
+	t.is(ask().sole, v1);
+	t.is(ask('began', toId<ServiceName>('desk')).sole, undefined);
+});
+
+test('no software version is named as the only one while another serves, or served lately', t => {
+	const {report, ask, wait, registry, state} = start();
+	wait(afterRetention);
+	report('a', v1);
+	report('b', v2);
+	t.is(ask().sole, undefined);
+	registry.withdraw(toId('a'), state.now, state.now);
+	wait(controlTiming.streamRetentionMs - 1000);
+	report('b', v2);
+	t.is(ask().sole, undefined);
+});
+
+test('a control node that may not know all targets names no only software version', t => {
+	const {report, ask, wait, state} = start();
+	wait(afterRetention);
+	report('a', v1);
+	state.current = false;
+	t.is(ask().sole, undefined);
+	state.current = true;
+	t.is(ask().sole, v1);
+});
--- a/test/core/edge/software-versions.test.ts
+++ b/test/core/edge/software-versions.test.ts
@@ -8,6 +8,7 @@
 import {routesDocumentFixture} from '../../fixtures/routes-document-fixture.ts';
 
 const prompt = {parts: [], promptTokens: 2000, outputTokens: 80};
+const desk = toId<ServiceName>('desk');
 const v1 = toId<SoftwareVersion>('v1');
 const v2 = toId<SoftwareVersion>('v2');
 
@@ -19,7 +20,7 @@
 		hasPlacers: false,
 		relayAddresses: ['10.3.0.9:7101'],
 		loads: [{
-			service: toId<ServiceName>('desk'), targets: 2, inFlight: 0, waiting: 0, startMs: 0, extraMs: 0, softwareVersions,
+			service: desk, targets: 2, inFlight: 0, waiting: 0, startMs: 0, extraMs: 0, softwareVersions,
 		}],
 	};
 }
@@ -82,9 +83,9 @@
 test('a stream that another entry forwards goes on only at the software version that this entry names', t => {
 	const harness = harnessWith({a: v1, b: v2});
 	const forwarded = {region: toId<Region>('winnipeg'), documentVersion: 1};
-	harness.request({prompt, resumeAfter: '3', forwarded: {...forwarded, softwareVersion: v2}});
+	harness.request({prompt, resumeAfter: '3', forwarded: {...forwarded, origin: {service: desk, softwareVersion: v2}}});
 	t.is(harness.lastStart().targetId as string, 'b');
-	harness.request({prompt, resumeAfter: '3', forwarded: {...forwarded, softwareVersion: toId<SoftwareVersion>('v3')}});
+	harness.request({prompt, resumeAfter: '3', forwarded: {...forwarded, origin: {service: desk, softwareVersion: toId('v3')}}});
 	t.is(harness.starts().length, 1);
 	t.deepEqual(harness.refusals().map(({ran}) => ran), ['no']);
 });
--- /dev/null
+++ b/test/core/edge/stream-origins.test.ts
@@ -0,0 +1,190 @@
+import test from 'ava';
+import fc from 'fast-check';
+import type {BegunStream} from '../../../src/core/control/begun-stream.ts';
+import type {ControlMessage} from '../../../src/core/control/control-message.ts';
+import {controlTiming} from '../../../src/core/control/control-timing.ts';
+import type {NodeId} from '../../../src/core/ids/node-id.ts';
+import type {Region} from '../../../src/core/ids/region.ts';
+import type {ServiceName} from '../../../src/core/ids/service-name.ts';
+import type {SoftwareVersion} from '../../../src/core/ids/software-version.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import {EdgeHarness} from '../../fixtures/edge-harness.ts';
+import {listedTargetFixture} from '../../fixtures/listed-target-fixture.ts';
+import {routesDocumentFixture} from '../../fixtures/routes-document-fixture.ts';
+
+type Answer = Omit<ControlMessage & {type: 'stream-found'}, 'type' | 'requestId'>;
+
+const prompt = {parts: [], promptTokens: 2000, outputTokens: 80};
+const service = toId<ServiceName>('desk');
+const v1 = toId<SoftwareVersion>('v1');
+const v2 = toId<SoftwareVersion>('v2');
+const begunAt = (softwareVersion: SoftwareVersion): BegunStream => ({service, softwareVersion});
+const control = toId<NodeId>('10.1.0.1:7104');
+const otherControl = toId<NodeId>('10.2.0.1:7104');
+/** Margin for the ticks of the harness, in milliseconds. */
+const tickMs = 50;
+
+/** An entry with one target of each version, which knows two control nodes. */
+function startEntry(): EdgeHarness {
+	const harness = new EdgeHarness({document: routesDocumentFixture({route: {kind: 'stream', resumable: true, attempts: 3}, engine: true})});
+	feed(harness, 'run-1');
+	return harness;
+}
+
+/** Sends a whole list of the targets in a run of the control node. */
+function feed(harness: EdgeHarness, epoch: string): void {
+	harness.feed({
+		epoch,
+		targets: [listedTargetFixture('a', {softwareVersion: v1}), listedTargetFixture('b', {softwareVersion: v2})],
+		control: [{nodeId: control, region: toId<Region>('regina')}, {nodeId: otherControl, region: toId<Region>('winnipeg')}],
+	});
+}
+
+/** Control messages that the entry has sent, with their receivers. */
+function sent<Type extends ControlMessage['type']>(harness: EdgeHarness, type: Type) {
+	return harness.actions.flatMap(action => action.type === 'send' && action.message.part === 'control' && action.message.body.type === type
+		? [{to: action.to, body: action.message.body as ControlMessage & {type: Type}}]
+		: []);
+}
+
+/** A caller takes up the stream that the request `resumes` began. */
+function resume(harness: EdgeHarness, resumes = 'began'): void {
+	harness.request({
+		prompt, callerKey: 'again', resumeAfter: '3', resumes,
+	});
+}
+
+function answer(harness: EdgeHarness, from: NodeId, found: Answer): void {
+	const {requestId} = sent(harness, 'find-stream').at(-1)!.body;
+	harness.step({type: 'peer', from, message: {part: 'control', body: {type: 'stream-found', requestId, ...found}}});
+}
+
+/** Lets a stream begin at the entry; returns the version of its target. */
+function begin(harness: EdgeHarness, callerKey: string): SoftwareVersion {
+	harness.request({prompt, callerKey});
+	const {attempt, targetId} = harness.lastStart();
+	harness.head(attempt);
+	harness.step({
+		type: 'attempt-events', attempt, count: 1, lastId: '1',
+	});
+	harness.step({type: 'attempt-end', attempt, incompleteBytes: 0});
+	return (targetId as string) === 'a' ? v1 : v2;
+}
+
+test('a stream that began at this entry is taken up at its software version without a question', t => {
+	const harness = startEntry();
+	const version = begin(harness, 'began');
+	resume(harness);
+	t.is(sent(harness, 'find-stream').length, 0);
+	t.is(harness.lastStart().targetId as string, version === v1 ? 'a' : 'b');
+});
+
+test('a stream that began elsewhere waits until a control node names its software version', t => {
+	for (const [version, target] of [[v1, 'a'], [v2, 'b']] as const) {
+		const harness = startEntry();
+		resume(harness);
+		t.deepEqual(sent(harness, 'find-stream').map(({to}) => to), [control, otherControl]);
+		t.is(harness.starts().length, 0);
+		answer(harness, control, {});
+		t.is(harness.starts().length, 0);
+		answer(harness, otherControl, {stream: begunAt(version)});
+		t.is(harness.lastStart().targetId as string, target);
+	}
+});
+
+test('a stream whose software version nobody knows is refused as not run, at once or when control does not answer', t => {
+	for (const answered of [true, false]) {
+		const harness = startEntry();
+		resume(harness);
+		if (answered) {
+			answer(harness, control, {});
+			answer(harness, otherControl, {});
+		} else {
+			harness.run(controlTiming.streamQueryTimeoutMs + (2 * tickMs));
+		}
+
+		t.is(harness.starts().length, 0);
+		t.deepEqual(harness.refusals().map(({reason, ran}) => [reason, ran]), [['origin-unknown', 'no']]);
+		answer(harness, control, {stream: begunAt(v1)});
+		t.is(harness.starts().length, 0);
+	}
+});
+
+test('a stream is taken up at the only software version that its service has had', t => {
+	const harness = startEntry();
+	resume(harness);
+	answer(harness, control, {soleVersion: begunAt(v2)});
+	t.is(harness.lastStart().targetId as string, 'b');
+});
+
+test('a stream whose service the route no longer leads to is refused as not run', t => {
+	const harness = startEntry();
+	resume(harness);
+	answer(harness, control, {stream: {service: toId('elsewhere'), softwareVersion: v1}});
+	t.is(harness.starts().length, 0);
+	t.deepEqual(harness.refusals().map(({ran}) => ran), ['no']);
+});
+
+test('control is told soon of each stream that began, and of all recent ones after it has started again', t => {
+	const harness = startEntry();
+	const versions = ['one', 'two'].map(callerKey => [callerKey, 'desk', begin(harness, callerKey)]);
+	harness.run(controlTiming.streamReportIntervalMs + tickMs);
+	t.deepEqual(sent(harness, 'streams-begun').flatMap(({body}) => body.streams as unknown[]), versions);
+	harness.run(1000);
+	t.is(sent(harness, 'streams-begun').length, 1);
+	feed(harness, 'run-2');
+	harness.run(controlTiming.streamReportIntervalMs + tickMs);
+	t.deepEqual(sent(harness, 'streams-begun').at(-1)!.body.streams as unknown[], versions);
+});
+
+test('a stream is never taken up at another software version, whatever control nodes answer and when', t => {
+	const step = fc.constantFrom('begin', 'resume', 'answer', 'no answer', 'wait', 'other control');
+	t.notThrows(() => {
+		fc.assert(fc.property(fc.array(step, {maxLength: 30}), fc.array(fc.boolean(), {minLength: 30, maxLength: 30}), (steps, draws) => {
+			const harness = startEntry();
+			const truth = new Map<string, SoftwareVersion>(draws.map((draw, index) => [`elsewhere-${index}`, draw ? v1 : v2]));
+			for (const [index, action] of steps.entries()) {
+				const query = sent(harness, 'find-stream').at(-1)?.body;
+				switch (action) {
+					case 'begin': {
+						truth.set(`here-${index}`, begin(harness, `here-${index}`));
+						break;
+					}
+
+					case 'resume': {
+						const keys = [...truth.keys()];
+						resume(harness, keys[(index * 7) % keys.length]);
+						break;
+					}
+
+					case 'answer':
+					case 'no answer': {
+						const version = query && truth.get(query.callerKey);
+						if (version !== undefined) {
+							answer(harness, draws[index] ? control : otherControl, action === 'answer' ? {stream: begunAt(version)} : {});
+						}
+
+						break;
+					}
+
+					case 'wait': {
+						harness.run(200);
+						break;
+					}
+
+					case 'other control': {
+						feed(harness, `run-${index}`);
+						break;
+					}
+				}
+			}
+
+			const resumedAt = harness.actions.flatMap(action => action.type === 'event' && action.event === 'stream-resumed' ? [action.fields] : []);
+			for (const {resumes, softwareVersion} of resumedAt) {
+				if (truth.get(String(resumes)) !== softwareVersion) {
+					throw new Error(`${String(resumes)} went on at ${String(softwareVersion)}`);
+				}
+			}
+		}), {seed: 20, numRuns: 200});
+	});
+});
--- a/test/server/routes/relay-header.test.ts
+++ b/test/server/routes/relay-header.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import type {Region} from '../../../src/core/ids/region.ts';
+import type {ServiceName} from '../../../src/core/ids/service-name.ts';
 import type {SoftwareVersion} from '../../../src/core/ids/software-version.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
 import {relayHeader} from '../../../src/server/routes/relay-header.ts';
@@ -9,7 +10,7 @@
 		const relayed = {
 			region: toId<Region>('regina'),
 			documentVersion: 7,
-			softwareVersion: softwareVersion === undefined ? undefined : toId<SoftwareVersion>(softwareVersion),
+			origin: softwareVersion === undefined ? undefined : {service: toId<ServiceName>('print;desk'), softwareVersion: toId<SoftwareVersion>(softwareVersion)},
 		};
 		t.deepEqual(relayHeader.read(relayHeader.write(relayed)), relayed);
 	}
