fix(attempts): an interrupted completion goes on only at the software version that began it

Targets may now announce a softwareVersion; a partial answer goes on only at a target that announces the same one. A deployment whose targets announce none behaves as before. After a forwarded attempt the version is unknown, so only targets that announce none may go on with its answer.

--- a/src/core/attempts/attempt-runner.ts
+++ b/src/core/attempts/attempt-runner.ts
@@ -17,6 +17,7 @@
 import {isClientError} from './is-client-error.ts';
 import {RateMeter} from './rate-meter.ts';
 import type {RequestState} from './request-state.ts';
+import {softwareVersionOf} from './software-version-of.ts';
 import {remainingRequest} from './remaining-request.ts';
 
 /** Share of the time to the deadline after which an attempt without a first byte may fail over to another target. */
@@ -68,7 +69,10 @@
 	/** Sends a request to a target of this region. */
 	start(state: RequestState, settings: RouteSettings, choice: {view: TargetView; cachedTokens: number}, now: Millis): void {
 		const {targetId, announcement} = choice.view;
-		const destination = {type: 'target', targetId, incarnation: announcement.incarnation} as const;
+		const {incarnation, softwareVersion} = announcement;
+		const destination = {
+			type: 'target', targetId, incarnation, softwareVersion,
+		} as const;
 		const crashSuspectedAtStart = this.#parts.poison.isCrashSuspected(targetId, announcement.incarnation);
 		const attempt = this.#add(state, {destination, cachedTokens: choice.cachedTokens, crashSuspectedAtStart}, now);
 		state.triedTargets.set(targetId, announcement.incarnation);
@@ -126,7 +130,11 @@
 		attempt.tokens = Math.max(attempt.tokens, failure.tokens);
 		const certainlyNotRun = failure.notSent || failure.refusal?.ran === 'no';
 		state.mayHaveRun ||= !certainlyNotRun;
-		state.partiallyAnswered ||= failure.passedOn;
+		if (failure.passedOn && !state.partiallyAnswered) {
+			state.partiallyAnswered = true;
+			state.softwareVersion = softwareVersionOf(attempt);
+		}
+
 		state.deliveredTokens += failure.passedOn ? attempt.tokens : 0;
 		this.#suspectIfBroken(state, attempt, failure, now);
 		this.#finish(state, attempt, isClientError(failure.status) ? 'cancelled' : 'failed', now);
--- a/src/core/attempts/attempt-state.ts
+++ b/src/core/attempts/attempt-state.ts
@@ -3,6 +3,7 @@
 import type {NodeId} from '../ids/node-id.ts';
 import type {Region} from '../ids/region.ts';
 import type {RequestId} from '../ids/request-id.ts';
+import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
 
 /** An attempt in flight; a request has at most one. */
@@ -32,5 +33,5 @@
 
 /** Where an attempt runs: on a target of this region, or through an entry of another region. */
 type AttemptDestination =
-	| {readonly type: 'target'; readonly targetId: TargetId; readonly incarnation: number}
+	| {readonly type: 'target'; readonly targetId: TargetId; readonly incarnation: number; readonly softwareVersion?: SoftwareVersion}
 	| {readonly type: 'peer'; readonly nodeId: NodeId; readonly region: Region};
--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -11,6 +11,7 @@
 import {isConnectionBroken} from './is-connection-broken.ts';
 import type {RequestDispatcher} from './request-dispatcher.ts';
 import type {RequestState} from './request-state.ts';
+import {softwareVersionOf} from './software-version-of.ts';
 import {failureResult} from './failure-result.ts';
 import {decideRetry} from './decide-retry.ts';
 
@@ -125,7 +126,12 @@
 		const failure: AttemptFailure = {
 			reason: 'reset', notSent: false, passedOn, tokens: attempt.tokens,
 		};
-		const stateIfLost: RequestState = {...state, partiallyAnswered: state.partiallyAnswered || passedOn, mayHaveRun: true};
+		const stateIfLost: RequestState = {
+			...state,
+			partiallyAnswered: state.partiallyAnswered || passedOn,
+			softwareVersion: state.partiallyAnswered ? state.softwareVersion : softwareVersionOf(attempt),
+			mayHaveRun: true,
+		};
 		const canFailOver = decideRetry(stateIfLost, failure, settings, now).type !== 'give-up';
 		if (canFailOver && this.#dispatcher.preview(stateIfLost, settings, now).type !== 'refuse') {
 			this.#parts.emit({type: 'cancel-attempt', attemptId: attempt.attemptId});
--- a/src/core/attempts/request-state.ts
+++ b/src/core/attempts/request-state.ts
@@ -1,5 +1,6 @@
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
+import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {RequestInfo} from '../settings/request-info.ts';
 import type {AttemptState} from './attempt-state.ts';
@@ -31,6 +32,8 @@
 	mayHaveRun: boolean;
 	/** True once bytes of an answer were delivered to the caller. */
 	partiallyAnswered: boolean;
+	/** Software version of the target that began a partial answer; undefined if it named none, or if another entry's target began it. */
+	softwareVersion?: SoftwareVersion;
 	/** Output tokens that earlier attempts delivered to the caller. */
 	deliveredTokens: number;
 	/** Time by which the next byte of the answer is due: the request's deadline, or later for a resumed answer. */
--- a/src/core/attempts/route-chooser.ts
+++ b/src/core/attempts/route-chooser.ts
@@ -5,6 +5,7 @@
 import type {TargetView} from '../targets/target-view.ts';
 import type {CoordinatorOptions} from './coordinator-options.ts';
 import type {RequestState} from './request-state.ts';
+import {mayResumeOn} from './may-resume-on.ts';
 import {remainingRequest} from './remaining-request.ts';
 
 const noTargets: ReadonlySet<TargetId> = new Set();
@@ -63,7 +64,7 @@
 		return targets.some(view =>
 			unavailable.has(view.targetId)
 			&& !isTried(state, view)
-			&& (!state.partiallyAnswered || view.announcement.resumes));
+			&& mayResumeOn(state, view));
 	}
 
 	/** Targets on which no suspect may start now. */
@@ -93,7 +94,7 @@
 
 		const unavailable = alone ? this.#unavailableToSuspects(targets, now) : new Set<TargetId>();
 		const excluded = targets.filter(view =>
-			isTried(state, view) || unavailable.has(view.targetId) || (state.partiallyAnswered && !view.announcement.resumes));
+			isTried(state, view) || unavailable.has(view.targetId) || !mayResumeOn(state, view));
 		return new Set(excluded.map(view => view.targetId));
 	}
 
--- a/src/core/targets/announcement.ts
+++ b/src/core/targets/announcement.ts
@@ -1,3 +1,4 @@
+import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Zone} from '../ids/zone.ts';
 
@@ -31,6 +32,8 @@
 	readonly prefillTokensPerSecond?: number;
 	/** True if it can continue an answer from text that was already generated. */
 	readonly resumes: boolean;
+	/** Version of its software, not of its models. Targets that name different ones do not resume each other's answers. */
+	readonly softwareVersion?: SoftwareVersion;
 	/** KV cache events since the last announcement; they may be late and have gaps. */
 	readonly cache?: {
 		/** Number of the first of these events. */
--- a/src/core/targets/equal-except-load.ts
+++ b/src/core/targets/equal-except-load.ts
@@ -11,6 +11,7 @@
 		&& a.capacity === b.capacity
 		&& a.zone === b.zone
 		&& a.resumes === b.resumes
+		&& a.softwareVersion === b.softwareVersion
 		&& a.fencing === b.fencing
 		&& a.tokensPerSecond === b.tokensPerSecond
 		&& a.prefillTokensPerSecond === b.prefillTokensPerSecond
--- a/src/server/target-api.ts
+++ b/src/server/target-api.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {z} from 'zod';
+import type {SoftwareVersion} from '../core/ids/software-version.ts';
 import {toId} from '../core/ids/to-id.ts';
 import type {Announcement} from '../core/targets/announcement.ts';
 import {constants} from '../settings/constants.ts';
@@ -39,6 +40,7 @@
 	tokensPerSecond: z.number().positive().optional(),
 	prefillTokensPerSecond: z.number().positive().optional(),
 	resumes: z.boolean(),
+	softwareVersion: label.optional(),
 	cache: z.object({
 		firstEvent: nonNegativeInteger,
 		stored: z.array(z.string()).max(maxCacheEvents),
@@ -64,7 +66,10 @@
 			return;
 		}
 
-		const announcement: Announcement = {...parsed.data, targetId: toId(parsed.data.targetId), zone: toId(parsed.data.zone)};
+		const {targetId, zone, softwareVersion} = parsed.data;
+		const announcement: Announcement = {
+			...parsed.data, targetId: toId(targetId), zone: toId(zone), softwareVersion: softwareVersion === undefined ? undefined : toId<SoftwareVersion>(softwareVersion),
+		};
 		if (!this.#isAuthorised(bearerKey(req), announcement)) {
 			this.#refuse(res, 'announcementRefused', 'The target key is not known at this service.');
 			return;
--- a/test/core/attempts/request-coordinator.test.ts
+++ b/test/core/attempts/request-coordinator.test.ts
@@ -2,6 +2,7 @@
 import type {Millis} from '../../../src/core/ids/millis.ts';
 import type {NodeId} from '../../../src/core/ids/node-id.ts';
 import type {TargetId} from '../../../src/core/ids/target-id.ts';
+import type {SoftwareVersion} from '../../../src/core/ids/software-version.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
 import {CoordinatorHarness} from '../../fixtures/attempts/coordinator-harness.ts';
 
@@ -140,6 +141,20 @@
 	t.like(claimed.ledger.settled, [{as: 'done', answer: {status: 200}}]);
 });
 
+test('an interrupted stream is resumed only on a target of the software version that began it', t => {
+	const harness = new CoordinatorHarness();
+	const version = (text: string) => ({softwareVersion: toId<SoftwareVersion>(text)});
+	harness.targets.add('engine-1', version('v1'));
+	const first = harness.request('r1')!;
+	harness.targets.add('engine-2', version('v2'));
+	harness.fail(first.attemptId, {passedOn: true, tokens: 40});
+	harness.advance(200);
+	t.is(harness.starts('r1').length, 1);
+	harness.targets.add('engine-3', version('v1'));
+	harness.advance(200);
+	t.like(harness.lastStart('r1'), {targetId: 'engine-3', resume: true});
+});
+
 test('an interrupted stream is resumed only on a target that can resume, and ends as incomplete without one', t => {
 	const harness = new CoordinatorHarness();
 	harness.targets.add('engine-1');
