fix(server): a response without chunks that breaks off is reset

Both request paths now reset such a connection; chunked responses are closed without their last chunk as before, which keeps the events on their way.

Evidence: the new test of routes-deployment got the half stream as complete before and ECONNRESET now; a whole stream still ends regularly.

--- a/src/server/caller-request.ts
+++ b/src/server/caller-request.ts
@@ -3,6 +3,7 @@
 import type {AttemptId} from '../core/ids/attempt-id.ts';
 import type {StoredAnswer} from '../core/ledger/stored-answer.ts';
 import type {RequestInfo} from '../core/settings/request-info.ts';
+import {abortResponse} from './abort-response.ts';
 import {CompletionAssembler} from './completion-assembler.ts';
 import type {ProblemDocument} from './problem-document.ts';
 import {sendProblem} from './send-problem.ts';
@@ -131,7 +132,7 @@
 			return;
 		}
 
-		this.#res.destroy();
+		abortResponse(this.#res);
 	}
 
 	#sendResponse(head: ResponseHead, body: Buffer, extraHeaders: Record<string, string>): void {
--- a/src/server/routes/caller-exchange.ts
+++ b/src/server/routes/caller-exchange.ts
@@ -3,6 +3,7 @@
 import type {EdgeRefusal} from '../../core/edge/edge-refusal.ts';
 import type {EdgeRequest} from '../../core/edge/edge-request.ts';
 import type {AttemptNumber} from '../../core/ids/attempt-number.ts';
+import {abortResponse} from '../abort-response.ts';
 import type {RequestHead} from './request-head.ts';
 
 const statusByReason: Readonly<Record<EdgeRefusal['reason'], number>> = {
@@ -98,7 +99,7 @@
 		}
 
 		if (this.#res.headersSent) {
-			this.#res.destroy();
+			abortResponse(this.#res);
 			return;
 		}
 
--- a/test/server/routes/routes-deployment.test.ts
+++ b/test/server/routes/routes-deployment.test.ts
@@ -183,6 +183,18 @@
 	}
 });
 
+test('a stream that breaks off is reset for a caller of HTTP/1.0, whose answers have no chunks', async t => {
+	const deployment = await start(t, {writers: ['w1']});
+	deployment.writers[0]!.manner = 'cut';
+	const head = Object.entries({
+		...streamHeaders, host: 'prairie.example', 'request-identifier': 'old', 'deadline-milliseconds': '4000', 'content-length': '0',
+	}).map(([name, value]) => `${name}: ${value}\r\n`).join('');
+	await t.throwsAsync(deployment.callRaw(`POST /drafts/1 HTTP/1.0\r\n${head}\r\n`), {code: 'ECONNRESET'});
+	await sleep(1000);
+	deployment.writers[0]!.manner = 'well';
+	t.regex(await deployment.callRaw(`POST /drafts/1 HTTP/1.0\r\n${head}\r\n`), /data: piece 6\n\n$/v);
+});
+
 test('a JSON answer that its connection cuts short is retried if the call is safe', async t => {
 	const deployment = await start(t, {desk: ['d1', 'd2']});
 	const [short] = deployment.desk;
