fix(edge): the only version of a service does not answer for streams older than control's memory

On a route with a longer timeout a stream may have begun at a version whose targets control has forgotten, and the only version left would have answered for it. Such a route no longer asks for it, so its unreported streams are refused as not run.

Evidence: the new test of stream-origins asked for it before and doesn't now.

--- a/src/core/edge/stream-origins.ts
+++ b/src/core/edge/stream-origins.ts
@@ -63,7 +63,7 @@
 
 	/** Finds out where the stream began that a request takes up: at once if this entry knows it, else once control has answered or its time is up. */
 	locate(record: RequestRecord, located: Located, now: Millis): void {
-		const {req: {requestId}, route: {split}} = record;
+		const {req: {requestId}, route: {split, timeoutMs}} = record;
 		const callerKey = keyOf(record);
 		const own = this.#streams.get(callerKey);
 		const nodes = this.#options.controlNodes();
@@ -75,12 +75,14 @@
 			return;
 		}
 
+		// Control forgets the targets of streams that last longer.
+		const mayAskForSole = split.length === 1 && timeoutMs <= controlTiming.streamRetentionMs;
 		this.#queries.set(requestId, query);
 		for (const nodeId of nodes) {
 			this.#options.queue.send(nodeId, {
 				part: 'control',
 				body: {
-					type: 'find-stream', requestId, callerKey, service: split.length === 1 ? split[0]!.service : undefined,
+					type: 'find-stream', requestId, callerKey, service: mayAskForSole ? split[0]!.service : undefined,
 				},
 			});
 		}
--- a/test/core/edge/stream-origins.test.ts
+++ b/test/core/edge/stream-origins.test.ts
@@ -8,6 +8,7 @@
 import type {ServiceName} from '../../../src/core/ids/service-name.ts';
 import type {SoftwareVersion} from '../../../src/core/ids/software-version.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
+import type {RouteRule} from '../../../src/core/routes/route-rule.ts';
 import {EdgeHarness} from '../../fixtures/edge-harness.ts';
 import {listedTargetFixture} from '../../fixtures/listed-target-fixture.ts';
 import {routesDocumentFixture} from '../../fixtures/routes-document-fixture.ts';
@@ -25,8 +26,14 @@
 const tickMs = 50;
 
 /** An entry with one target of each version, which knows two control nodes. */
-function startEntry(): EdgeHarness {
-	const harness = new EdgeHarness({document: routesDocumentFixture({route: {kind: 'stream', resumable: true, attempts: 3}, engine: true})});
+function startEntry(route: Partial<RouteRule> = {}): EdgeHarness {
+	const harness = new EdgeHarness({
+		document: routesDocumentFixture({
+			route: {
+				kind: 'stream', resumable: true, attempts: 3, ...route,
+			}, engine: true,
+		}),
+	});
 	feed(harness, 'run-1');
 	return harness;
 }
@@ -117,6 +124,14 @@
 	t.is(harness.lastStart().targetId as string, 'b');
 });
 
+test('no only software version is asked for if the stream may be older than what control remembers', t => {
+	for (const [timeoutMs, asked] of [[3000, 'desk'], [controlTiming.streamRetentionMs + 1, undefined]] as const) {
+		const harness = startEntry({timeoutMs});
+		resume(harness);
+		t.is(sent(harness, 'find-stream')[0]!.body.service, asked);
+	}
+});
+
 test('a stream whose service the route no longer leads to is refused as not run', t => {
 	const harness = startEntry();
 	resume(harness);
