--- a/test/core/edge/stream-origins.test.ts
+++ b/test/core/edge/stream-origins.test.ts
@@ -125,7 +125,7 @@
 });
 
 test('no only software version is asked for if the stream may be older than what control remembers', t => {
-	for (const [timeoutMs, asked] of [[3000, 'desk'], [controlTiming.streamRetentionMs + 1, undefined]] as const) {
+	for (const [timeoutMs, asked] of [[3000, service], [controlTiming.streamRetentionMs + 1, undefined]] as const) {
 		const harness = startEntry({timeoutMs});
 		resume(harness);
 		t.is(sent(harness, 'find-stream')[0]!.body.service, asked);
