fix(edge): streams of a service with one software version are taken up soon after a start

Control names it from the start if the whole deployment is new, since no stream can be older (first start with an empty log). An entry answers itself once its feeds have listed one version alone for 30 s without a gap, so a restart of control no longer matters.

--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -81,7 +81,12 @@
 		this.#gossip = new RegistryGossip({
 			...self, self: self.nodeId, epoch, registry: this.#registry, directory: this.#directory, outbox, peers: () => this.#peers(),
 		});
-		this.#streamOrigins = new StreamOriginAnswerer({registry: this.#registry, outbox, isCurrent: now => this.#isCurrent(now)});
+		this.#streamOrigins = new StreamOriginAnswerer({
+			registry: this.#registry,
+			outbox,
+			isNewDeployment: firstStart && storage.consensus.records.length === 0,
+			isCurrent: now => this.#isCurrent(now),
+		});
 		this.#feed = new EntryFeed({
 			epoch,
 			registry: this.#registry,
--- a/src/core/control/stream-origin-answerer.ts
+++ b/src/core/control/stream-origin-answerer.ts
@@ -11,6 +11,8 @@
 type AnswererOptions = {
 	readonly registry: TargetRegistry;
 	readonly outbox: Outbox;
+	/** True if the whole deployment starts for the first time, so that no stream can have begun before. */
+	readonly isNewDeployment: boolean;
 	/** Whether this node is up to date with the replicated log, and so hears of targets in other regions. */
 	readonly isCurrent: (now: Millis) => boolean;
 };
@@ -54,8 +56,8 @@
 
 	/** The service with its software version, if no target of it that may have begun a recent stream had another one. */
 	#soleVersion(service: ServiceName, now: Millis): BegunStream | undefined {
-		const {registry, isCurrent} = this.#options;
-		const knowsRecentTargets = this.#startedAt !== undefined && now - this.#startedAt > controlTiming.streamRetentionMs;
+		const {registry, isCurrent, isNewDeployment} = this.#options;
+		const knowsRecentTargets = isNewDeployment || (this.#startedAt !== undefined && now - this.#startedAt > controlTiming.streamRetentionMs);
 		if (!knowsRecentTargets || !isCurrent(now)) {
 			return undefined;
 		}
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -17,6 +17,7 @@
 import {WindowedRetryBudget} from './windowed-retry-budget.ts';
 import {RequestHandler} from './request-handler.ts';
 import {StreamOrigins} from './stream-origins.ts';
+import {ServiceVersions} from './service-versions.ts';
 import {TargetPool} from './target-pool.ts';
 import {WaitQueue} from './wait-queue.ts';
 
@@ -34,6 +35,7 @@
 	readonly #pool = new TargetPool();
 	readonly #regions: RegionSelector;
 	readonly #waiting = new WaitQueue();
+	readonly #versions = new ServiceVersions();
 	readonly #origins: StreamOrigins;
 	readonly #requests: RequestHandler;
 	#table: RouteTable | undefined;
@@ -50,7 +52,7 @@
 			self, seeds, outbox: this.#queue, status: now => this.#status(now), stateIndex: () => this.#stateIndex,
 		});
 		this.#origins = new StreamOrigins({
-			queue: this.#queue, primary: () => this.#follower.primary, controlNodes: () => this.#follower.nodes,
+			queue: this.#queue, versions: this.#versions, primary: () => this.#follower.primary, controlNodes: () => this.#follower.nodes,
 		});
 		this.#requests = new RequestHandler({
 			origins: this.#origins,
@@ -196,9 +198,20 @@
 			this.#pool.update(feed.targets, targets === 'whole', now);
 			this.#pool.recordHeartbeats(feed.signs);
 			this.#regions.update(feed.regions, now);
+			this.#recordVersions(feed, now);
 		}
 	}
 
+	#recordVersions({current, regions}: ControlMessage & {type: 'feed'}, now: Millis): void {
+		if (!current) {
+			return;
+		}
+
+		const remote = regions.flatMap(({loads}) => loads).flatMap(({service, targets, softwareVersions = [undefined]}) =>
+			targets === 0 ? [] : softwareVersions.map(softwareVersion => ({service, softwareVersion})));
+		this.#versions.update([...this.#pool.listings(), ...remote], now);
+	}
+
 	/** Puts a newer document in force. A document that this entry cannot parse is logged and skipped, and the last one stays in force. */
 	#install(stored: StoredDocument | undefined, now: Millis): void {
 		if (stored === undefined || stored.version <= (this.#table?.version ?? -1)) {
--- a/src/core/edge/stream-origins.ts
+++ b/src/core/edge/stream-origins.ts
@@ -6,12 +6,14 @@
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {RequestId} from '../ids/request-id.ts';
+import type {ServiceName} from '../ids/service-name.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {RequestRecord} from './request-record.ts';
+import type {ServiceVersions} from './service-versions.ts';
 import {softwareVersionOf} from './software-version-of.ts';
 
-/** Who knew where a stream began: this entry, a control node that was told, or a control node that knows no other version of the service; or nobody. */
+/** Who knew where a stream began: this entry, a control node that was told, or either of them because the service has had no other version; or nobody. */
 type OriginSource = 'own' | 'control' | 'sole-version' | 'unknown';
 
 /** Called once it is known where the request's stream began, or with the reason to refuse the request. */
@@ -21,6 +23,7 @@
 
 type StreamOriginsOptions = {
 	readonly queue: ActionQueue<EdgeAction>;
+	readonly versions: ServiceVersions;
 	/** The control node that is told of streams. */
 	readonly primary: () => NodeId | undefined;
 	/** The control nodes that are asked. */
@@ -63,26 +66,31 @@
 
 	/** Finds out where the stream began that a request takes up: at once if this entry knows it, else once control has answered or its time is up. */
 	locate(record: RequestRecord, located: Located, now: Millis): void {
-		const {req: {requestId}, route: {split, timeoutMs}} = record;
+		const {req: {requestId}} = record;
 		const callerKey = keyOf(record);
 		const own = this.#streams.get(callerKey);
 		const nodes = this.#options.controlNodes();
 		const query: Query = {
 			record, sentAt: now, unanswered: new Set(nodes), located,
 		};
-		if (own !== undefined || nodes.length === 0) {
-			this.#resolve(query, own, own === undefined ? 'unknown' : 'own', now);
+		if (own !== undefined) {
+			this.#resolve(query, own, 'own', now);
+			return;
+		}
+
+		const service = onlyServiceOf(record);
+		const softwareVersion = service && this.#options.versions.sole(service, now);
+		if (service !== undefined && softwareVersion !== undefined) {
+			this.#resolve(query, {service, softwareVersion}, 'sole-version', now);
 			return;
 		}
 
-		// Control forgets the targets of streams that last longer.
-		const mayAskForSole = split.length === 1 && timeoutMs <= controlTiming.streamRetentionMs;
 		this.#queries.set(requestId, query);
 		for (const nodeId of nodes) {
 			this.#options.queue.send(nodeId, {
 				part: 'control',
 				body: {
-					type: 'find-stream', requestId, callerKey, service: mayAskForSole ? split[0]!.service : undefined,
+					type: 'find-stream', requestId, callerKey, service,
 				},
 			});
 		}
@@ -166,3 +174,8 @@
 function keyOf({req: {callerKey, resumes}}: RequestRecord): string {
 	return resumes ?? callerKey;
 }
+
+/** The service that must have begun the stream; undefined if the route has several, or if the stream may be older than what is remembered of targets. */
+function onlyServiceOf({route: {split, timeoutMs}}: RequestRecord): ServiceName | undefined {
+	return split.length === 1 && timeoutMs <= controlTiming.streamRetentionMs ? split[0]!.service : undefined;
+}
--- a/src/core/edge/target-pool.ts
+++ b/src/core/edge/target-pool.ts
@@ -42,6 +42,11 @@
 		this.#evacuated = new Set(zones);
 	}
 
+	/** Listings of all targets, whatever their state. */
+	listings(): readonly ListedTarget[] {
+		return [...this.#targets.values()].map(({listed}) => listed);
+	}
+
 	get(targetId: TargetId): PooledTarget | undefined {
 		return this.#targets.get(targetId);
 	}
--- a/test/core/control/stream-origin-answerer.test.ts
+++ b/test/core/control/stream-origin-answerer.test.ts
@@ -19,11 +19,13 @@
 const entry = toId<NodeId>('10.1.0.9:7100');
 const afterRetention = controlTiming.streamRetentionMs + 1;
 
-function start() {
+function start({isNewDeployment = false} = {}) {
 	const outbox = new RecordingOutbox();
 	const registry = new TargetRegistry({reportEveryMs: 1000, regionOf: () => toId<Region>('regina')});
 	const state = {current: true, now: 0 as Millis};
-	const answerer = new StreamOriginAnswerer({registry, outbox, isCurrent: () => state.current});
+	const answerer = new StreamOriginAnswerer({
+		registry, outbox, isNewDeployment, isCurrent: () => state.current,
+	});
 	answerer.tick(state.now);
 	return {
 		state, registry, answerer,
@@ -67,6 +69,15 @@
 	t.is(ask('began', toId<ServiceName>('desk')).sole, undefined);
 });
 
+test('the only software version is named at once when the whole deployment is new', t => {
+	const {report, ask} = start({isNewDeployment: true});
+	t.is(ask().sole, undefined);
+	report('a', v1);
+	t.is(ask().sole, v1);
+	report('b', v2);
+	t.is(ask().sole, undefined);
+});
+
 test('no software version is named as the only one while another serves, or served lately', t => {
 	const {report, ask, wait, registry, state} = start();
 	wait(afterRetention);
--- a/test/core/edge/stream-origins.test.ts
+++ b/test/core/edge/stream-origins.test.ts
@@ -8,6 +8,7 @@
 import type {ServiceName} from '../../../src/core/ids/service-name.ts';
 import type {SoftwareVersion} from '../../../src/core/ids/software-version.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
+import type {ListedTarget} from '../../../src/core/registry/listed-target.ts';
 import type {RouteRule} from '../../../src/core/routes/route-rule.ts';
 import {EdgeHarness} from '../../fixtures/edge-harness.ts';
 import {listedTargetFixture} from '../../fixtures/listed-target-fixture.ts';
@@ -124,6 +125,34 @@
 	t.is(harness.lastStart().targetId as string, 'b');
 });
 
+test('an entry that has long listed one software version alone asks nobody; after a gap in its feeds it asks again', t => {
+	const harness = startEntry();
+	const targets = [listedTargetFixture('a', {softwareVersion: v1})];
+	const listFor = (ms: number, other: readonly ListedTarget[] = []) => {
+		for (let waited = 0; waited < ms; waited += 500) {
+			harness.run(500);
+			harness.feed({targets: [...targets, ...other]});
+		}
+	};
+
+	const asksControl = () => {
+		const before = sent(harness, 'find-stream').length;
+		resume(harness);
+		return sent(harness, 'find-stream').length > before;
+	};
+
+	t.true(asksControl(), 'another version was listed lately');
+	listFor(controlTiming.streamRetentionMs + 1000);
+	t.false(asksControl());
+	t.is(harness.lastStart().targetId as string, 'a');
+	harness.run(controlTiming.feedTimeoutMs + 500);
+	t.true(asksControl(), 'no feed arrives');
+	listFor(2000);
+	t.true(asksControl(), 'a version may have come and gone');
+	listFor(controlTiming.streamRetentionMs + 1000, [listedTargetFixture('c', {softwareVersion: v2, state: 'leaving'})]);
+	t.true(asksControl(), 'another version is leaving');
+});
+
 test('no only software version is asked for if the stream may be older than what control remembers', t => {
 	for (const [timeoutMs, asked] of [[3000, service], [controlTiming.streamRetentionMs + 1, undefined]] as const) {
 		const harness = startEntry({timeoutMs});
