test(soak): two software versions side by side, and callers that take streams up

Each region now has an engine of v1 and one of v2, each event names its version, and a caller whose stream broke off takes it up once at a random entry; the stream that the caller received over its tries must be whole and of one version.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -31,7 +31,9 @@
 	const count = (outcome: string) => records.filter(record => record.outcome === outcome).length;
 	const outcomes = ['served', 'refused', 'failed', 'broken', 'unreachable'].map(outcome => `${count(outcome)} ${outcome}`).join(', ');
 	const verdict = problems.length === 0 ? 'pass' : 'fail';
-	const totals = `${faults.length} faults, ${records.length} requests (${outcomes}), ${changes} changes, ${reads} reads`;
+	const takenUp = records.filter(({resumedBy}) => resumedBy !== undefined);
+	const resumed = `${takenUp.filter(record => record.resumed).length} of ${takenUp.length} broken streams taken up`;
+	const totals = `${faults.length} faults, ${records.length} requests (${outcomes}; ${resumed}), ${changes} changes, ${reads} reads`;
 	console.log(`SOAK seed ${seed} ${verdict}: ${Math.round(lengthMs / 1000)} s, ${totals}`);
 	for (const problem of problems) {
 		console.log(`  - ${problem}`);
--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -21,7 +21,7 @@
 /** In-process engine and service that implements the platform's protocol for targets. */
 export class PlatformEngine {
 	manner: Manner = 'well';
-	/** Version of the engine's software, for its reports; the events of a stream don't name it. */
+	/** Version of the engine's software, in its reports and in each event of a stream. */
 	softwareVersion = 'v1';
 	/** True if answers have neither a length nor chunks and end with their connection. */
 	unframed = false;
@@ -158,7 +158,7 @@
 				return;
 			}
 
-			res.write(`id: ${id}${lineBreak}data: piece ${id}${lineBreak}${lineBreak}`);
+			res.write(`id: ${id}${lineBreak}data: piece ${id}${lineBreak}version: ${this.softwareVersion}${lineBreak}${lineBreak}`);
 			if (this.#workMs > 0) {
 				await sleep(this.#workMs); // eslint-disable-line no-await-in-loop
 			}
--- a/test/server/routes/routes-deployment.test.ts
+++ b/test/server/routes/routes-deployment.test.ts
@@ -192,7 +192,7 @@
 	await t.throwsAsync(deployment.callRaw(`POST /drafts/1 HTTP/1.0\r\n${head}\r\n`), {code: 'ECONNRESET'});
 	await sleep(1000);
 	deployment.writers[0]!.manner = 'well';
-	t.regex(await deployment.callRaw(`POST /drafts/1 HTTP/1.0\r\n${head}\r\n`), /data: piece 6\n\n$/v);
+	t.regex(await deployment.callRaw(`POST /drafts/1 HTTP/1.0\r\n${head}\r\n`), /data: piece 6\nversion: v1\n\n$/v);
 });
 
 test('a JSON answer that its connection cuts short is retried if the call is safe', async t => {
--- a/test/soak/soak-callers.ts
+++ b/test/soak/soak-callers.ts
@@ -1,3 +1,4 @@
+import type {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Agent} from 'undici';
 import type {Random} from '../../src/core/common/random.ts';
@@ -15,6 +16,10 @@
 	readonly id: string;
 	readonly kind: typeof kinds[number]['name'];
 	readonly entry: SoakNode;
+	/** Identifier of the request with which the caller took up its stream after it broke off. */
+	resumedBy?: string;
+	/** True if that request brought the rest of the stream. */
+	resumed?: boolean;
 	readonly sentAt: number;
 	/** True if, when the request was sent, no fault had affected its entry or any control node within the stability window. */
 	readonly withoutRecentFault: boolean;
@@ -41,6 +46,8 @@
 /** Simulates callers that send requests to random entries at a constant rate over keep-alive connections. */
 export class SoakCallers {
 	readonly records: SoakRecord[] = [];
+	/** Whole events of streams that broke off, by the identifier of the request. */
+	readonly #passedEvents = new Map<string, string>();
 	readonly #deployment: SoakDeployment;
 	readonly #random: Random;
 	readonly #now: () => number;
@@ -93,11 +100,64 @@
 			record.outcome = code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT' ? 'unreachable' : 'broken';
 		}
 
+		await this.#resume(record, kind);
+
 		record.endAt = this.#now();
 		this.records.push(record);
 		this.#openRequests -= 1;
 	}
 
+	/** Reads a body; if it breaks off, its whole events are kept for the request that takes the stream up. */
+	async #readBody(record: SoakRecord, body: AsyncIterable<Buffer>): Promise<string> {
+		let text = '';
+		try {
+			for await (const chunk of body) {
+				text += chunk.toString('utf8');
+			}
+		} catch (error) {
+			const end = text.lastIndexOf('\n\n');
+			if (record.kind === 'draft' && end !== -1) {
+				this.#passedEvents.set(record.id, text.slice(0, end + 2));
+			}
+
+			throw error;
+		}
+
+		return text;
+	}
+
+	/** Takes up a stream that broke off after an event, once, at any entry. */
+	async #resume(record: SoakRecord, kind: typeof kinds[number]): Promise<void> {
+		const passed = this.#passedEvents.get(record.id);
+		this.#passedEvents.delete(record.id);
+		if (record.outcome !== 'broken' || passed === undefined) {
+			return;
+		}
+
+		const {entries} = this.#deployment;
+		const entry = entries[Math.floor(this.#random.next() * entries.length)]!;
+		record.resumedBy = `${record.id}-again`;
+		const last = passed.split('\n\n').length - 1;
+		try {
+			const res = await this.#agent.request({
+				origin: `http://${entry.address('callers')}`,
+				path: kind.path,
+				method: 'POST',
+				headers: {
+					host: 'prairie.example', 'request-identifier': record.resumedBy, resumes: record.id, 'last-event-id': String(last), 'deadline-milliseconds': '5000', ...kind.headers,
+				},
+				body: `order of ${record.id}`,
+			});
+			const text = await res.body.text();
+			if (res.statusCode === 200) {
+				record.resumed = true;
+				record.problem = streamProblem(passed + text) && `${kind.name} ${record.id} went on at ${entry.name}: ${streamProblem(passed + text)}`;
+			}
+		} catch {
+			// The connection broke again; the record stays `broken`.
+		}
+	}
+
 	async #exchange(record: SoakRecord, kind: typeof kinds[number]): Promise<void> {
 		const res = await this.#agent.request({
 			origin: `http://${record.entry.address('callers')}`,
@@ -108,7 +168,7 @@
 			},
 			body: `order of ${record.id}`,
 		});
-		const text = await res.body.text();
+		const text = await this.#readBody(record, res.body);
 		record.status = res.statusCode;
 		record.outcome = res.statusCode === 200 ? 'served' : (notRunStatuses.has(res.statusCode) ? 'refused' : 'failed');
 		if (res.statusCode !== 200) {
@@ -116,11 +176,21 @@
 		}
 
 		const target = String(res.headers['server-signature']).replace(/\.sig$/v, '');
-		const expected = kind.name === 'draft' ? wholeStream : `answer of ${target}`;
-		if (text !== expected) {
-			record.problem = `${kind.name} ${record.id} at ${record.entry.name} got status 200 with an unexpected body: ${JSON.stringify(text.slice(0, 120))}`;
+		const problem = kind.name === 'draft' ? streamProblem(text) : (text === `answer of ${target}` ? undefined : `unexpected body ${JSON.stringify(text.slice(0, 120))}`);
+		if (problem !== undefined) {
+			record.problem = `${kind.name} ${record.id} at ${record.entry.name} got status 200: ${problem}`;
 		} else if (res.headers['request-identifier'] !== record.id) {
 			record.problem = `${kind.name} ${record.id} got the answer to ${String(res.headers['request-identifier'])}`;
 		}
 	}
 }
+
+/** What is wrong with a stream as its caller received it, over all its tries; undefined if it is whole and of one software version. */
+function streamProblem(text: string): string | undefined {
+	const versions = new Set([...text.matchAll(/^version: (.*)$/gmv)].map(match => match[1]));
+	if (versions.size > 1) {
+		return `events of the software versions ${[...versions].join(' and ')}`;
+	}
+
+	return text.replaceAll(/^version: .*\n/gmv, '') === wholeStream ? undefined : `unexpected body ${JSON.stringify(text.slice(0, 200))}`;
+}
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -126,6 +126,8 @@
 			for (const service of ['desk', 'writers'] as const) {
 				for (let index = 1; index <= enginesPerRegion; index++) {
 					const engine = new PlatformEngine(`${region}-${service}-${index}`, workMs);
+					// Two software versions serve side by side in each region.
+					engine.softwareVersion = `v${index}`;
 					await engine.listen(); // eslint-disable-line no-await-in-loop
 					this.engines.push({
 						engine, service, region, sequence: 0,
@@ -159,9 +161,9 @@
 
 		await Promise.all(this.engines.map(async target => {
 			target.sequence += 1;
-			const {engine: {identifier, address}, service, region, sequence} = target;
+			const {engine: {identifier, address, softwareVersion}, service, region, sequence} = target;
 			await this.callOperatorApi(node, 'PUT', `/instances/${identifier}`, JSON.stringify({
-				service, address, zone: `${region}-a`, slots: 8, state: 'ready', 'cold-remaining-ms': 0, born: 1000, sequence,
+				service, address, zone: `${region}-a`, version: softwareVersion, slots: 8, state: 'ready', 'cold-remaining-ms': 0, born: 1000, sequence,
 			}));
 		}));
 	}
