--- a/test/server/routes/routes-deployment.test.ts
+++ b/test/server/routes/routes-deployment.test.ts
@@ -77,8 +77,24 @@
 	deployment.writers[1]!.manner = 'cut';
 	const broken = await deployment.call({path: '/drafts/1', headers: streamHeaders});
 	await t.throwsAsync(broken.body.text());
-	deployment.writers[1]!.manner = 'well';
-	// An engine whose connection broke is not used until its next report, so requests may be refused until then.
+	// An engine whose connection broke is not used until its next report. Both must be in use again before one of them breaks off, so that the other can resume.
+	for (const engine of deployment.writers) {
+		engine.manner = 'well';
+	}
+
+	const signatures = new Set<unknown>();
+	let calls = 0;
+	const areBothUsed = async () => {
+		// Each shared part of a prompt has an engine that it prefers.
+		calls += 1;
+		const res = await deployment.call({path: '/drafts/1', headers: {...streamHeaders, 'prompt-prefix': `c${calls}:60,b2:40`}});
+		await res.body.dump();
+		signatures.add(res.headers['server-signature']);
+		return ['w1.sig', 'w2.sig'].every(signature => signatures.has(signature));
+	};
+
+	t.true(await deployment.waitUntil(areBothUsed));
+	deployment.writers[0]!.manner = 'cut';
 	const resumed = await deployment.waitUntil(async () => {
 		const res = await deployment.call({path: '/drafts/1', headers: streamHeaders});
 		const text = await res.body.text();
