feat(edge): failed attempts name the shared parts of their prompts

Cause: the log could not tell a prompt part that many requests share from repeats of one request, since attempt-failed had only the request's id. Change: attempt-failed has parts, the ids of the prompt's shared parts.

--- a/src/core/edge/rank-local-targets.ts
+++ b/src/core/edge/rank-local-targets.ts
@@ -4,6 +4,7 @@
 import type {PlacementCandidate} from './placement-candidate.ts';
 import type {PooledTarget} from './pooled-target.ts';
 import type {Prompt} from './prompt.ts';
+import {sharedParts} from './shared-parts.ts';
 
 /** Time to the first event of an engine in addition to the prefill, in milliseconds. */
 const firstEventMs = 25;
@@ -106,9 +107,8 @@
 	};
 }
 
-/** Tokens of the shared parts: all but the last, which is the request's own. */
-function sharedTokens({parts}: Prompt): number {
-	return parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0);
+function sharedTokens(prompt: Prompt): number {
+	return sharedParts(prompt).reduce((sum, {tokens}) => sum + tokens, 0);
 }
 
 /** Target preferred for a prompt, by rendezvous hashing over its last shared part: entries that know the same targets prefer the same one. */
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -10,6 +10,7 @@
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {EdgeRequest} from './edge-request.ts';
+import {describeFailedAttempt} from './describe-failed-attempt.ts';
 import {createRequestRecord} from './create-request-record.ts';
 import {RequestCompletion} from './request-completion.ts';
 import {IdleConnectionPolicy} from './idle-connection-policy.ts';
@@ -335,7 +336,7 @@
 
 	/** Handles an attempt that may have run but gave no usable answer: retries the request if that is allowed, else refuses it. */
 	#handleAttemptFailure(record: RequestRecord, reason: string, now: Millis): void {
-		const {running, req} = record;
+		const {running} = record;
 		if (running?.targetId === undefined) {
 			record.forwardedRuns += 1;
 		} else {
@@ -345,15 +346,7 @@
 
 		record.mayHaveRun = true;
 		this.#options.queue.count('attempt_failures', reason);
-		this.#options.queue.event('attempt-failed', {
-			request: req.callerKey,
-			target: destinationOf(record),
-			reason,
-			events: running?.events,
-			unframed: running?.head?.unframed,
-			softwareVersion: running && softwareVersionOf(running),
-			afterMs: Math.round(now - (running?.sentAt ?? now)),
-		});
+		this.#options.queue.event('attempt-failed', describeFailedAttempt(record, reason, now));
 		this.#releaseAttempt(record);
 		this.#place(record, now);
 	}
