fix(edge): a prompt part that crashes engines is contained over the deployment

Cause: nothing on this path remembers what ran on an engine that crashed. Each such request is new, is sent within its attempts, and comes to any entry, so that no limit for a request or an entry applies.

Change: an entry reports which shared parts were in the requests that broke off with a target. Control commits that to the replicated log; a part that is blamed for three crashes, without a complete answer to a request with it in between, is refused everywhere (contained, not run), also after restarts of all processes. A complete answer clears a part, and reports of a target that lives on withdraw its crash. Many targets at once are not blamed on requests: the network is the likely cause.

--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -19,6 +19,7 @@
 import type {ControlEvent} from './control-event.ts';
 import type {ControlMessage} from './control-message.ts';
 import {controlTiming} from './control-timing.ts';
+import {CrashReportHandler} from './crash-report-handler.ts';
 import {EntryFeed} from './entry-feed.ts';
 import {OperatorCallHandler} from './operator-call-handler.ts';
 import {RegistryGossip} from './registry-gossip.ts';
@@ -40,6 +41,7 @@
 	readonly #feed: EntryFeed;
 	readonly #gossip: RegistryGossip;
 	readonly #streamOrigins: StreamOriginAnswerer;
+	readonly #crashReports: CrashReportHandler;
 	readonly #voterPolicy: VoterPolicy;
 	/** Time of the last gossip message from each other control node. */
 	readonly #lastGossipAt = new Map<NodeId, Millis>();
@@ -75,8 +77,20 @@
 			requiredVoters: (2 * toleratedLosses) + 1,
 			outbox,
 			answer: (callId, answer) => {
-				this.#queue.push({type: 'call-answer', callId, answer});
+				if (!this.#crashReports.handleAnswer(callId, answer)) {
+					this.#queue.push({type: 'call-answer', callId, answer});
+				}
+			},
+		});
+		this.#crashReports = new CrashReportHandler({
+			callPrefix: `${self.nodeId}/${epoch}/crashes-`,
+			ledger: this.#state.routes.crashes,
+			registry: this.#registry,
+			outbox,
+			submit: (callId, command, now) => {
+				this.#operatorCalls.call(callId, {type: 'change', command}, now);
 			},
+			leads: now => this.#consensus.leads(now),
 		});
 		this.#gossip = new RegistryGossip({
 			...self, self: self.nodeId, epoch, registry: this.#registry, directory: this.#directory, outbox, peers: () => this.#peers(),
@@ -195,6 +209,7 @@
 		this.#registry.tick(now);
 		this.#directory.tick(now);
 		this.#streamOrigins.tick(now);
+		this.#crashReports.tick(now);
 		this.#operatorCalls.tick(now);
 		this.#changeMembers(now);
 		this.#logGroupChange();
@@ -255,8 +270,14 @@
 				break;
 			}
 
+			case 'crashes-seen': {
+				this.#crashReports.handleSeen(from, message, now);
+				break;
+			}
+
 			case 'feed':
-			case 'stream-found': {
+			case 'stream-found':
+			case 'crashes-recorded': {
 				// For entries only.
 				break;
 			}
--- a/src/core/control/control-message.ts
+++ b/src/core/control/control-message.ts
@@ -1,5 +1,7 @@
+import type {CrashId} from '../ids/crash-id.ts';
 import type {Region} from '../ids/region.ts';
 import type {RequestId} from '../ids/request-id.ts';
+import type {RequestTrait} from '../ids/request-trait.ts';
 import type {ServiceName} from '../ids/service-name.ts';
 import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
@@ -8,9 +10,11 @@
 import type {ListedTarget} from '../registry/listed-target.ts';
 import type {RegionLoad} from '../registry/region-load.ts';
 import type {TargetReport} from '../registry/target-report.ts';
+import type {CrashReport} from '../routes/crash-report.ts';
 import type {RoutesCommand} from '../routes/routes-command.ts';
 import type {RoutesOutcome} from '../routes/routes-outcome.ts';
 import type {StoredDocument} from '../routes/stored-document.ts';
+import type {SuspectTrait} from '../routes/suspect-trait.ts';
 import type {BegunStream} from './begun-stream.ts';
 import type {ControlPeer} from './control-peer.ts';
 
@@ -19,8 +23,8 @@
 
 /** Messages between control nodes, and between them and entries. */
 export type ControlMessage =
-	/** An entry's status, which also subscribes it to feeds; `have` and `stateIndex` say what it already has. */
-	| {readonly type: 'follow'; readonly status: EntryStatus; readonly have?: FeedPosition; readonly stateIndex: number}
+	/** An entry's status, which also subscribes it to feeds; `have`, `stateIndex` and `crashIndex` say what it already has. */
+	| {readonly type: 'follow'; readonly status: EntryStatus; readonly have?: FeedPosition; readonly stateIndex: number; readonly crashIndex?: number}
 	/** Changes for an entry since the position that it has; the whole list if it has no position in this run of the node. */
 	| {
 		readonly type: 'feed';
@@ -38,6 +42,8 @@
 		readonly stateIndex: number;
 		readonly state?: {readonly document?: StoredDocument; readonly evacuated: readonly Zone[]};
 		readonly regions: readonly RegionLoad[];
+		/** Traits blamed for crashes, with the log index of their newest change; absent if the entry already has them. */
+		readonly crashes?: {readonly index: number; readonly suspects: readonly SuspectTrait[]};
 	}
 	/** What a control node heard directly from targets and entries, sent to the other control nodes. */
 	| {
@@ -63,6 +69,10 @@
 	| {readonly type: 'find-stream'; readonly requestId: RequestId; readonly callerKey: string; readonly service?: ServiceName}
 	/** `stream` is where it began, if the sender was told; otherwise `soleVersion` is set if the sender knows that it can't have begun elsewhere. */
 	| {readonly type: 'stream-found'; readonly requestId: RequestId; readonly stream?: BegunStream; readonly soleVersion?: BegunStream}
+	/** What an entry saw of crashes: what broke off with targets, and blamed traits with which requests were answered in full since. */
+	| {readonly type: 'crashes-seen'; readonly reports: readonly CrashReport[]; readonly served: readonly RequestTrait[]}
+	/** Crashes whose reports are committed, or change nothing. */
+	| {readonly type: 'crashes-recorded'; readonly crashes: readonly CrashId[]}
 	/** Asks the leader to append an operator's command to the replicated log. */
 	| {readonly type: 'propose'; readonly callId: string; readonly command: RoutesCommand}
 	/** Outcome of the committed command; undefined if the receiver of `propose` does not lead. */
--- a/src/core/control/entry-feed.ts
+++ b/src/core/control/entry-feed.ts
@@ -25,8 +25,8 @@
 	readonly regionLoads: (now: Millis) => readonly RegionLoad[];
 };
 
-/** An entry that follows this node; `sentRevision` (registry) and `sentStateIndex` (log) are what it was sent last, or said that it has. */
-type Follower = {readonly region: Region; followedAt: Millis; sentRevision: number; sentStateIndex: number};
+/** An entry that follows this node; `sentRevision` (registry), `sentStateIndex` and `sentCrashIndex` (log) are what it was sent last, or said that it has. */
+type Follower = {readonly region: Region; followedAt: Millis; sentRevision: number; sentStateIndex: number; sentCrashIndex: number};
 
 /** Sends feeds to the entries that follow this control node: at once when something changes, and in answer to each status. */
 export class EntryFeed {
@@ -37,10 +37,10 @@
 		this.#options = options;
 	}
 
-	follow(from: NodeId, {status, have, stateIndex}: Follow, now: Millis): void {
+	follow(from: NodeId, {status, have, stateIndex, crashIndex = 0}: Follow, now: Millis): void {
 		const position = have?.epoch === this.#options.epoch ? have.revision : -1;
 		const follower = {
-			region: status.region, followedAt: now, sentRevision: position, sentStateIndex: stateIndex,
+			region: status.region, followedAt: now, sentRevision: position, sentStateIndex: stateIndex, sentCrashIndex: crashIndex,
 		};
 		this.#followers.set(from, follower);
 		this.#send(from, follower, now);
@@ -52,7 +52,7 @@
 		for (const [nodeId, follower] of this.#followers) {
 			if (now - follower.followedAt > controlTiming.followLeaseMs) {
 				this.#followers.delete(nodeId);
-			} else if (registry.revision > follower.sentRevision || state.index > follower.sentStateIndex) {
+			} else if (registry.revision > follower.sentRevision || state.index > follower.sentStateIndex || state.crashes.index > follower.sentCrashIndex) {
 				this.#send(nodeId, follower, now);
 			}
 		}
@@ -60,6 +60,7 @@
 
 	#send(nodeId: NodeId, follower: Follower, now: Millis): void {
 		const {epoch, registry, state, outbox, isCurrent, controlPeers, regionLoads} = this.#options;
+		const {crashes} = state;
 		const stateChanged = state.index > follower.sentStateIndex;
 		outbox.send(nodeId, {
 			part: 'control',
@@ -75,9 +76,11 @@
 				stateIndex: state.index,
 				state: stateChanged ? {document: state.document, evacuated: state.evacuated()} : undefined,
 				regions: regionLoads(now),
+				crashes: crashes.index > follower.sentCrashIndex ? {index: crashes.index, suspects: crashes.suspects()} : undefined,
 			},
 		});
 		follower.sentRevision = registry.revision;
 		follower.sentStateIndex = Math.max(state.index, follower.sentStateIndex);
+		follower.sentCrashIndex = Math.max(crashes.index, follower.sentCrashIndex);
 	}
 }
--- a/src/core/control/operator-call-handler.ts
+++ b/src/core/control/operator-call-handler.ts
@@ -91,7 +91,9 @@
 			case 'gossip':
 			case 'streams-begun':
 			case 'find-stream':
-			case 'stream-found': {
+			case 'stream-found':
+			case 'crashes-seen':
+			case 'crashes-recorded': {
 				break;
 			}
 		}
--- a/src/core/edge/control-follower.ts
+++ b/src/core/edge/control-follower.ts
@@ -17,6 +17,8 @@
 	readonly status: (now: Millis) => EntryStatus;
 	/** Log index of the newest routes state that the entry has applied. */
 	readonly stateIndex: () => number;
+	/** Log index of the newest change of blamed traits that the entry has. */
+	readonly crashIndex: () => number;
 };
 
 /**
@@ -72,11 +74,11 @@
 		}
 
 		this.#lastReportAt = now;
-		const {outbox, status, stateIndex} = this.#options;
+		const {outbox, status, stateIndex, crashIndex} = this.#options;
 		outbox.send(this.#primary, {
 			part: 'control',
 			body: {
-				type: 'follow', status: status(now), have: this.#position, stateIndex: stateIndex(),
+				type: 'follow', status: status(now), have: this.#position, stateIndex: stateIndex(), crashIndex: crashIndex(),
 			},
 		});
 	}
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -8,6 +8,7 @@
 import {RouteTable} from '../routes/route-table.ts';
 import type {StoredDocument} from '../routes/stored-document.ts';
 import {ControlFollower} from './control-follower.ts';
+import {CrashContainment} from './crash-containment.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeCoreOptions} from './edge-core-options.ts';
 import type {EdgeEvent} from './edge-event.ts';
@@ -37,6 +38,7 @@
 	readonly #waiting = new WaitQueue();
 	readonly #versions = new ServiceVersions();
 	readonly #origins: StreamOrigins;
+	readonly #containment: CrashContainment;
 	readonly #requests: RequestHandler;
 	#table: RouteTable | undefined;
 	#stateIndex = 0;
@@ -49,12 +51,16 @@
 		this.#queue = new ActionQueue(self.nodeId);
 		this.#regions = new RegionSelector(self.region);
 		this.#follower = new ControlFollower({
-			self, seeds, outbox: this.#queue, status: now => this.#status(now), stateIndex: () => this.#stateIndex,
+			self, seeds, outbox: this.#queue, status: now => this.#status(now), stateIndex: () => this.#stateIndex, crashIndex: () => this.#containment.index,
 		});
 		this.#origins = new StreamOrigins({
 			queue: this.#queue, versions: this.#versions, primary: () => this.#follower.primary, controlNodes: () => this.#follower.nodes,
 		});
+		this.#containment = new CrashContainment({
+			queue: this.#queue, primary: () => this.#follower.primary, targetCount: () => this.#pool.listings().length,
+		});
 		this.#requests = new RequestHandler({
+			containment: this.#containment,
 			origins: this.#origins,
 			placement: new PlacementPolicy({
 				region: self.region, relayAddress: self.relayAddress, pool: this.#pool, regions: this.#regions, random,
@@ -117,6 +123,7 @@
 			case 'tick': {
 				this.#follower.tick(now);
 				this.#origins.tick(now);
+				this.#containment.tick(now);
 				this.#requests.tick(now);
 				break;
 			}
@@ -174,6 +181,8 @@
 			this.#handleFeed(from, message.body, now);
 		} else if (message.part === 'control' && message.body.type === 'stream-found') {
 			this.#origins.handleAnswer(from, message.body, now);
+		} else if (message.part === 'control' && message.body.type === 'crashes-recorded') {
+			this.#containment.handleRecorded(message.body);
 		} else {
 			this.#queue.count('stale_messages', message.part);
 		}
@@ -181,6 +190,7 @@
 
 	#handleFeed(from: NodeId, feed: ControlMessage & {type: 'feed'}, now: Millis): void {
 		const targets = this.#follower.handleFeed(from, feed, now);
+		this.#containment.handleFeed(feed);
 		if (from === this.#follower.primary) {
 			this.#origins.handleFeed(feed.epoch);
 		}
--- a/src/core/edge/edge-refusal.ts
+++ b/src/core/edge/edge-refusal.ts
@@ -9,6 +9,8 @@
 	| 'no-target'
 	/** It is unknown at which software version the stream began that the request takes up. */
 	| 'origin-unknown'
+	/** The request has a trait that crashes targets. */
+	| 'contained'
 	/** The entry is stopping. */
 	| 'leaving'
 	/** The entry that forwarded the request applied a newer routes document than this one. */
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -58,6 +58,11 @@
 		return this.#listed;
 	}
 
+	/** Number of the newest report that is known. */
+	get lastSequence(): number {
+		return this.#lastSequence;
+	}
+
 	/** Takes a newer listing. A new incarnation starts with an empty KV cache, without a suspension and without load of other entries. */
 	update(listed: ListedTarget, now: Millis): void {
 		if (listed.born !== this.listed.born) {
--- a/src/core/edge/request-completion.ts
+++ b/src/core/edge/request-completion.ts
@@ -2,10 +2,12 @@
 import type {Random} from '../common/random.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
+import type {CrashContainment} from './crash-containment.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {EdgeRequest} from './edge-request.ts';
 import {destinationOf} from './destination-of.ts';
+import {isSuccess} from './is-success.ts';
 import {softwareVersionOf} from './software-version-of.ts';
 import type {RequestRecord} from './request-record.ts';
 import {callerRetryAfterMs} from './caller-retry-after-ms.ts';
@@ -13,7 +15,7 @@
 /** Retry delay given to callers if nothing is known about the wait for capacity, in milliseconds. */
 const defaultRetryAfterMs = 500;
 
-type RequestCompletionOptions = {readonly random: Random; readonly queue: ActionQueue<EdgeAction>};
+type RequestCompletionOptions = {readonly random: Random; readonly queue: ActionQueue<EdgeAction>; readonly containment: CrashContainment};
 
 /** Completes requests: emits the final answer or refusal, with its log event and counter. */
 export class RequestCompletion {
@@ -26,7 +28,11 @@
 	/** Completes a request whose answer was read to its end. */
 	complete(record: RequestRecord, attempt: AttemptNumber, now: Millis): void {
 		const {req, running, service, route, sends} = record;
-		const {queue} = this.#options;
+		const {queue, containment} = this.#options;
+		if (running?.head !== undefined && isSuccess(running.head.status)) {
+			containment.recordServed(req, now);
+		}
+
 		queue.push({type: 'complete', requestId: req.requestId, attempt});
 		queue.count('answers', route.kind);
 		if (running?.head?.unframed === true) {
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -15,6 +15,8 @@
 import {RequestCompletion} from './request-completion.ts';
 import {IdleConnectionPolicy} from './idle-connection-policy.ts';
 import {destinationOf} from './destination-of.ts';
+import type {CrashContainment} from './crash-containment.ts';
+import {isSuccess} from './is-success.ts';
 import type {PlacementPolicy} from './placement-policy.ts';
 import type {RegionSelector} from './region-selector.ts';
 import type {WindowedRetryBudget} from './windowed-retry-budget.ts';
@@ -36,6 +38,7 @@
 	readonly regions: RegionSelector;
 	readonly waiting: WaitQueue;
 	readonly origins: StreamOrigins;
+	readonly containment: CrashContainment;
 	readonly budget: WindowedRetryBudget;
 	readonly random: Random;
 	readonly queue: ActionQueue<EdgeAction>;
@@ -137,8 +140,7 @@
 			return;
 		}
 
-		const succeeded = head.status >= 200 && head.status < 300;
-		if (!succeeded) {
+		if (!isSuccess(head.status)) {
 			this.#handleErrorStatus(record, head, now);
 			return;
 		}
@@ -280,7 +282,12 @@
 
 	/** Sends a request to the best destination, queues it or refuses it. A retry has to fit the retry budget first. */
 	#place(record: RequestRecord, now: Millis): void {
-		const {placement, waiting} = this.#options;
+		const {placement, waiting, containment} = this.#options;
+		if (containment.isContained(record.req)) {
+			this.#refuse(record, 'contained', now);
+			return;
+		}
+
 		if (record.sends > 0 && !this.#retryPolicy.reserveRetry(record, now)) {
 			this.#refuse(record, 'target-failed', now);
 			return;
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -1,6 +1,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {AnswerHead} from './answer-head.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
+import type {CrashContainment} from './crash-containment.ts';
 import type {IdleConnectionPolicy} from './idle-connection-policy.ts';
 import type {PooledTarget} from './pooled-target.ts';
 import type {RegionSelector} from './region-selector.ts';
@@ -10,10 +11,14 @@
 /** Status 421, Misdirected Request: the answer is from another target than the request names, or not vouched for by that target; the request has not run. */
 const misdirectedStatus = 421;
 
+/** Reasons for which an attempt breaks off when its target crashes: the connection was reset, or it ended within the answer. */
+const crashReasons: ReadonlySet<string> = new Set<AttemptFailure['reason']>(['reset', 'truncated']);
+
 type TargetFeedbackOptions = {
 	readonly pool: TargetPool;
 	readonly regions: RegionSelector;
 	readonly idle: IdleConnectionPolicy;
+	readonly containment: CrashContainment;
 };
 
 /** Updates the load and health estimates of targets and other entries from the outcome of attempts; later placements use them. */
@@ -63,8 +68,12 @@
 	}
 
 	/** Records that the attempt's connection failed, or that its answer was invalid or belonged to another request. */
-	recordFailure(record: RequestRecord, {reason}: AttemptFailure, now: Millis): void {
+	recordFailure(record: RequestRecord, {reason, notSent}: AttemptFailure, now: Millis): void {
 		const target = this.#targetOf(record);
+		if (target !== undefined && !notSent && crashReasons.has(reason)) {
+			this.#options.containment.recordBreak(record.req, target, now);
+		}
+
 		if (reason !== 'foreign-answer') {
 			target?.suspend(now);
 		}
--- a/src/core/registry/target-registry.ts
+++ b/src/core/registry/target-registry.ts
@@ -175,6 +175,12 @@
 			.map(({report}) => [report.targetId, report.sequence] as const);
 	}
 
+	/** Number of the newest report of an incarnation; undefined if it is not the newest one known. */
+	newestSequence(targetId: TargetId, born: number): number | undefined {
+		const known = this.#records.get(targetId)?.report;
+		return known?.born === born ? known.sequence : undefined;
+	}
+
 	/** Software versions of a service's targets, each once, with those that ended lately. */
 	softwareVersions(service: ServiceName): readonly SoftwareVersion[] {
 		return [...new Set([...this.#records.values()]
--- /dev/null
+++ b/src/core/routes/crash-ledger.ts
@@ -0,0 +1,145 @@
+import type {CrashId} from '../ids/crash-id.ts';
+import type {RequestTrait} from '../ids/request-trait.ts';
+import type {CrashLedgerSnapshot} from './crash-ledger-snapshot.ts';
+import type {CrashReport} from './crash-report.ts';
+import type {SuspectTrait} from './suspect-trait.ts';
+
+/** Largest number of traits kept; beyond it, the one that was blamed first and for the fewest crashes is dropped. */
+const maxTraits = 1024;
+/** Largest number of cleared crashes remembered for a trait, so that a report that arrives again does not blame it anew. */
+const maxClearedCrashes = 16;
+/** Fewest crashes from which on entries are told of a trait. One crash says little: all that ran on the target is blamed for it. */
+const crashesToSuspect = 2;
+
+type TraitRecord = {blamed: CrashId[]; cleared: CrashId[]};
+
+/** A crash that can still be withdrawn, since its target may turn out to be alive. */
+type KnownCrash = Omit<CrashReport, 'traits'>;
+
+/**
+ * Part of the replicated state: which traits of requests are blamed for crashes of targets.
+ *
+ * Whatever ran on a target that crashed is blamed for it. A trait that requests are served with is cleared of the
+ * crashes so far by the next complete answer, one that crashes every target never is.
+ */
+export class CrashLedger {
+	#index = 0;
+	readonly #traits = new Map<RequestTrait, TraitRecord>();
+	readonly #crashes = new Map<CrashId, KnownCrash>();
+
+	/** Log index of the newest change. */
+	get index(): number {
+		return this.#index;
+	}
+
+	/** Crashes that traits are blamed for. */
+	crashes(): readonly KnownCrash[] {
+		return [...this.#crashes.values()];
+	}
+
+	/** True if the trait is blamed for a crash or was cleared of it. */
+	knows(trait: RequestTrait, crash: CrashId): boolean {
+		const record = this.#traits.get(trait);
+		return record !== undefined && (record.blamed.includes(crash) || record.cleared.includes(crash));
+	}
+
+	/** Traits that entries have to know of. */
+	suspects(): readonly SuspectTrait[] {
+		return [...this.#traits]
+			.filter(([, {blamed}]) => blamed.length >= crashesToSuspect)
+			.map(([trait, {blamed}]) => ({trait, crashes: blamed}));
+	}
+
+	/** Blames the traits of reported crashes; returns whether that changes anything. */
+	record(index: number, reports: readonly CrashReport[]): boolean {
+		let changed = false;
+		for (const {traits, ...crash} of reports) {
+			for (const trait of traits.filter(candidate => !this.knows(candidate, crash.crash))) {
+				changed = true;
+				this.#crashes.set(crash.crash, crash);
+				const record = this.#traits.get(trait) ?? {blamed: [], cleared: []};
+				record.blamed.push(crash.crash);
+				this.#traits.set(trait, record);
+			}
+		}
+
+		this.#limit();
+		return this.#recordChange(index, changed);
+	}
+
+	/** Clears traits of all their crashes so far, since requests with them were answered in full. */
+	clear(index: number, traits: readonly RequestTrait[]): boolean {
+		let changed = false;
+		for (const trait of traits) {
+			const record = this.#traits.get(trait);
+			if (record !== undefined && record.blamed.length > 0) {
+				changed = true;
+				record.cleared = [...record.cleared, ...record.blamed].slice(-maxClearedCrashes);
+				record.blamed = [];
+			}
+		}
+
+		this.#forgetUnblamedCrashes();
+		return this.#recordChange(index, changed);
+	}
+
+	/** Withdraws crashes of targets that turned out to be alive; their incarnations may still crash later. */
+	withdraw(index: number, crashes: readonly CrashId[]): boolean {
+		const withdrawn = new Set(crashes.filter(crash => this.#crashes.has(crash)));
+		for (const record of this.#traits.values()) {
+			record.blamed = record.blamed.filter(crash => !withdrawn.has(crash));
+		}
+
+		this.#forgetUnblamedCrashes();
+		return this.#recordChange(index, withdrawn.size > 0);
+	}
+
+	snapshot(): CrashLedgerSnapshot {
+		return {
+			index: this.#index,
+			traits: [...this.#traits].map(([trait, {blamed, cleared}]) => ({trait, blamed: [...blamed], cleared: [...cleared]})),
+			crashes: this.crashes(),
+		};
+	}
+
+	restore({index, traits, crashes}: CrashLedgerSnapshot): void {
+		this.#index = index;
+		this.#traits.clear();
+		this.#crashes.clear();
+		for (const {trait, blamed, cleared} of traits) {
+			this.#traits.set(trait, {blamed: [...blamed], cleared: [...cleared]});
+		}
+
+		for (const crash of crashes) {
+			this.#crashes.set(crash.crash, crash);
+		}
+	}
+
+	#recordChange(index: number, changed: boolean): boolean {
+		this.#index = changed ? index : this.#index;
+		return changed;
+	}
+
+	#limit(): void {
+		if (this.#traits.size <= maxTraits) {
+			return;
+		}
+
+		// The sort is stable, so that those that were blamed first come first among equals.
+		const ranked = [...this.#traits].sort(([, left], [, right]) => left.blamed.length - right.blamed.length);
+		for (const [trait] of ranked.slice(0, this.#traits.size - maxTraits)) {
+			this.#traits.delete(trait);
+		}
+
+		this.#forgetUnblamedCrashes();
+	}
+
+	#forgetUnblamedCrashes(): void {
+		const blamed = new Set([...this.#traits.values()].flatMap(record => record.blamed));
+		for (const crash of this.#crashes.keys()) {
+			if (!blamed.has(crash)) {
+				this.#crashes.delete(crash);
+			}
+		}
+	}
+}
--- a/src/core/routes/routes-command.ts
+++ b/src/core/routes/routes-command.ts
@@ -1,8 +1,16 @@
+import type {CrashId} from '../ids/crash-id.ts';
+import type {RequestTrait} from '../ids/request-trait.ts';
 import type {Zone} from '../ids/zone.ts';
+import type {CrashReport} from './crash-report.ts';
 import type {StoredDocument} from './stored-document.ts';
 
-/** An operator's change of the routes state, as stored in the replicated log. */
+/** A change of the routes state, as stored in the replicated log: of an operator, or of control nodes that were told of crashes. */
 export type RoutesCommand =
 	| {readonly type: 'document'; readonly document: StoredDocument}
 	/** `basis` is the log index of the zone's last change that the receiving node knew, so that a delayed copy of an older command does not undo a newer one. */
-	| {readonly type: 'evacuation'; readonly zone: Zone; readonly active: boolean; readonly basis: number};
+	| {readonly type: 'evacuation'; readonly zone: Zone; readonly active: boolean; readonly basis: number}
+	| {readonly type: 'crashes'; readonly reports: readonly CrashReport[]}
+	/** Requests with these traits were answered in full. */
+	| {readonly type: 'traits-served'; readonly traits: readonly RequestTrait[]}
+	/** The targets of these crashes turned out to be alive. */
+	| {readonly type: 'crashes-withdrawn'; readonly crashes: readonly CrashId[]};
--- a/src/core/routes/routes-snapshot.ts
+++ b/src/core/routes/routes-snapshot.ts
@@ -1,3 +1,4 @@
+import type {CrashLedgerSnapshot} from './crash-ledger-snapshot.ts';
 import type {StoredDocument} from './stored-document.ts';
 import type {ZoneEvacuation} from './zone-evacuation.ts';
 
@@ -7,4 +8,6 @@
 	readonly index: number;
 	readonly document?: StoredDocument;
 	readonly evacuations: readonly ZoneEvacuation[];
+	/** Absent in snapshots of versions that kept no crashes. */
+	readonly crashes?: CrashLedgerSnapshot;
 };
--- a/src/core/tree/system-state.ts
+++ b/src/core/tree/system-state.ts
@@ -46,7 +46,10 @@
 			}
 
 			case 'document':
-			case 'evacuation': {
+			case 'evacuation':
+			case 'crashes':
+			case 'traits-served':
+			case 'crashes-withdrawn': {
 				return this.routes.apply(index, command);
 			}
 
--- a/src/server/routes/caller-exchange.ts
+++ b/src/server/routes/caller-exchange.ts
@@ -12,6 +12,7 @@
 	overloaded: 503,
 	'no-target': 503,
 	'origin-unknown': 503,
+	contained: 503,
 	leaving: 503,
 	outdated: 503,
 	'target-failed': 502,
