fix(attempts): a part of a prompt that crashes engines is contained in the completions path

The poison guard knows whole requests only; new requests with one fatal message in their prompts were each tried once or twice, at every entry.

Change: the messages of a prompt but the last have fingerprints of their own, scoped to the service, which are blamed, cleared and replicated like those of requests. After three crashes all requests with the part are refused. A part that requests were answered with in the last 5 s is not blamed, so that instructions that most prompts share stay usable.

--- a/bench/policy-load.ts
+++ b/bench/policy-load.ts
@@ -105,6 +105,7 @@
 			streamed: true,
 			homeRegion: toId(this.#deployment.regions[from.region]!.name),
 			prefixBlockTokens: blockTokens,
+			promptParts: [],
 			fingerprint: `f${this.#count}`,
 			priority,
 			arrivedAt: from.at as Millis,
--- a/src/core/attempts/attempt-runner.ts
+++ b/src/core/attempts/attempt-runner.ts
@@ -15,6 +15,7 @@
 import {CrashMonitor} from './crash-monitor.ts';
 import {isConnectionBroken} from './is-connection-broken.ts';
 import {isClientError} from './is-client-error.ts';
+import {partFingerprint} from './part-fingerprint.ts';
 import {RateMeter} from './rate-meter.ts';
 import type {RequestState} from './request-state.ts';
 import {softwareVersionOf} from './software-version-of.ts';
@@ -120,7 +121,9 @@
 	complete(state: RequestState, attempt: AttemptState, now: Millis): void {
 		this.#finish(state, attempt, 'whole', now);
 		if (attempt.destination.type === 'target') {
-			this.#parts.poison.attemptSucceeded(state.req.fingerprint, attempt.destination.targetId, now);
+			for (const fingerprint of partFingerprint.allOf(state.req)) {
+				this.#parts.poison.attemptSucceeded(fingerprint, attempt.destination.targetId, now);
+			}
 		}
 	}
 
@@ -160,7 +163,7 @@
 		const crashedBefore = attempt.crashSuspectedAtStart && attempt.firstByteAt === undefined;
 		if (attempt.destination.type === 'target' && !crashedBefore) {
 			const {targetId, incarnation} = attempt.destination;
-			this.#crashMonitor.suspect(targetId, incarnation, [state.req.fingerprint], now);
+			this.#crashMonitor.suspect(targetId, incarnation, partFingerprint.allOf(state.req), now);
 		}
 	}
 
--- a/src/core/attempts/poison-guard.ts
+++ b/src/core/attempts/poison-guard.ts
@@ -5,7 +5,8 @@
 
 /**
  * Limits a request that crashes targets to two crashes over the whole installation. Requests are identified by the
- * fingerprint of their content; a request in flight on a target when it crashed is a suspect.
+ * fingerprint of their content; a request in flight on a target when it crashed is a suspect. The parts of its prompt
+ * have fingerprints too (`partFingerprint`): after three crashes, all requests with such a part are refused.
  */
 export interface PoisonGuard {
 	/**
--- a/src/core/attempts/request-dispatcher.ts
+++ b/src/core/attempts/request-dispatcher.ts
@@ -6,6 +6,7 @@
 import type {RouteSettings} from '../settings/route-settings.ts';
 import type {AttemptRunner} from './attempt-runner.ts';
 import type {CoordinatorOptions} from './coordinator-options.ts';
+import {classifyRequest} from './classify-request.ts';
 import {pickEntry} from './pick-entry.ts';
 import type {RequestState} from './request-state.ts';
 import {RouteChooser} from './route-chooser.ts';
@@ -62,7 +63,7 @@
 
 	/** The decision that the router would make for the request now, without carrying it out. */
 	preview(state: RequestState, settings: RouteSettings, now: Millis): RouteDecision {
-		const alone = this.#parts.poison.classify(state.req.fingerprint, now).type === 'alone';
+		const alone = classifyRequest(this.#parts.poison, state.req, now).type === 'alone';
 		return this.#decide(state, settings, alone, now);
 	}
 
@@ -93,7 +94,7 @@
 			return;
 		}
 
-		const classification = this.#parts.poison.classify(state.req.fingerprint, now);
+		const classification = classifyRequest(this.#parts.poison, state.req, now);
 		if (classification.type === 'refused') {
 			this.#refuse(state, {result: 'poison', retryAfterMs: classification.retryAfterMs}, now);
 			return;
--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -13,6 +13,7 @@
 import type {RequestState} from './request-state.ts';
 import {softwareVersionOf} from './software-version-of.ts';
 import {failureResult} from './failure-result.ts';
+import {classifyRequest} from './classify-request.ts';
 import {decideRetry} from './decide-retry.ts';
 
 /** An attempt that started or received bytes within this time is not treated as lost, in milliseconds. */
@@ -105,7 +106,7 @@
 			return;
 		}
 
-		const free = this.#parts.poison.classify(state.req.fingerprint, now).type === 'free';
+		const free = classifyRequest(this.#parts.poison, state.req, now).type === 'free';
 		const decision = this.#dispatcher.preview(state, settings, now);
 		const better = free && decision.type === 'target' && now + decision.predictedMs < state.deadlineAt;
 		if (better && this.#withdrawRetry(state, 'first_byte', now)) {
--- a/src/core/attempts/suspect-poison-guard.ts
+++ b/src/core/attempts/suspect-poison-guard.ts
@@ -2,6 +2,8 @@
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {TargetId} from '../ids/target-id.ts';
+import {RecentSet} from '../common/recent-set.ts';
+import {partFingerprint} from './part-fingerprint.ts';
 import {PermitArbiter} from './permit-arbiter.ts';
 import type {PoisonGuard} from './poison-guard.ts';
 import type {PoisonMessage} from './poison-message.ts';
@@ -16,6 +18,10 @@
 const recordsPerExchange = 32;
 const recordsAfterStart = 256;
 
+/** Time after a complete answer during which the parts of its prompt are not blamed, in milliseconds, and the largest number of parts remembered for that. */
+const recentlyServedMs = 5000;
+const maxServedParts = 4096;
+
 /** Rounds in which a node that has just started queries others for their records. */
 const startupQueryRounds = 3;
 /** Nodes queried in each of these rounds. */
@@ -43,6 +49,7 @@
  * identified by the fingerprint of its content. Its record is replicated at once to the region's peers and, through
  * entries that relay it, to the other regions. A suspect runs only under a permit of the `PermitArbiter`, so at most
  * once at a time over the installation; after a second crash it is refused everywhere, and a complete answer clears it.
+ * Parts of prompts, which requests that differ otherwise share, are blamed in the same way and refused after a third crash.
  * Once a request is refused, those that were in flight with it during its crashes run without restriction again.
  *
  * Memory: at most `maxSuspects` records of a few hundred bytes, one entry for each attempt in flight, and one grant for
@@ -57,6 +64,7 @@
 	readonly #arbiter: PermitArbiter;
 	/** Number of attempts in flight on this node by fingerprint and target, of suspects and of other requests. */
 	readonly #running = new Map<string, Map<TargetId, number>>();
+	readonly #servedParts = new RecentSet<string>({keepMs: recentlyServedMs, maxSize: maxServedParts});
 	#startupQueries = 0;
 	#queriedAt = Number.NEGATIVE_INFINITY;
 	#exchangeCount = 0;
@@ -131,6 +139,10 @@
 	}
 
 	attemptSucceeded(fingerprint: string, _targetId: TargetId, now: Millis): void {
+		if (partFingerprint.is(fingerprint)) {
+			this.#servedParts.add(fingerprint, now);
+		}
+
 		if (this.#table.absolve(fingerprint, now)) {
 			this.#outbox.count('poison', 'cleared');
 			this.#replicator.replicate(fingerprint, true, now);
@@ -138,7 +150,8 @@
 	}
 
 	targetCrashed(targetId: TargetId, incarnation: number, fingerprints: readonly string[], now: Millis): void {
-		for (const fingerprint of fingerprints) {
+		// A part that requests were served with lately is not the cause.
+		for (const fingerprint of fingerprints.filter(candidate => !this.#servedParts.has(candidate, now))) {
 			if (this.#table.addCrash(fingerprint, crashKey(targetId, incarnation), now)) {
 				this.#outbox.count('poison', this.#table.refusedForMs(fingerprint, now) > 0 ? 'refused' : 'suspect');
 				this.#recordChanged(fingerprint, true, now);
--- a/src/core/attempts/suspect-table.ts
+++ b/src/core/attempts/suspect-table.ts
@@ -1,8 +1,9 @@
 import type {Millis} from '../ids/millis.ts';
+import {partFingerprint} from './part-fingerprint.ts';
 import type {SuspectDigest} from './suspect-digest.ts';
 
-/** Crashes after which a request is refused. */
-const crashesToRefuse = 2;
+/** Crashes after which a request is refused, and after which all requests with a part of a prompt are. */
+const crashesToRefuse = {request: 2, part: 3};
 
 /** Time within which a reported crash may still turn out to be only a broken connection, in milliseconds. */
 const confirmationMs = 10_000;
@@ -70,7 +71,7 @@
 
 		const crashes = blamedCrashes(record);
 		this.#explainedCrashes ??= this.#collectExplained();
-		return crashes.length >= crashesToRefuse || crashes.some(crash => !this.#explainedCrashes!.has(crash));
+		return crashes.length >= refusalThreshold(fingerprint) || crashes.some(crash => !this.#explainedCrashes!.has(crash));
 	}
 
 	/**
@@ -79,7 +80,7 @@
 	 */
 	refusedForMs(fingerprint: string, now: Millis): number {
 		const record = this.#records.get(fingerprint);
-		if (!record || blamedCount(record) < crashesToRefuse) {
+		if (!record || blamedCount(record) < refusalThreshold(fingerprint)) {
 			return 0;
 		}
 
@@ -151,7 +152,7 @@
 	/** Drops expired records. */
 	expire(now: Millis): void {
 		for (const [fingerprint, record] of this.#records) {
-			const keepMs = blamedCount(record) >= crashesToRefuse ? this.#refuseMs : this.#suspectMs;
+			const keepMs = blamedCount(record) >= refusalThreshold(fingerprint) ? this.#refuseMs : this.#suspectMs;
 			if (now - record.changedAt >= keepMs) {
 				this.#invalidateCaches();
 				this.#records.delete(fingerprint);
@@ -192,8 +193,8 @@
 	}
 
 	#collectExplained(): Set<string> {
-		const refused = [...this.#records.values()].filter(record => blamedCount(record) >= crashesToRefuse);
-		return new Set(refused.flatMap(record => blamedCrashes(record)));
+		const refused = [...this.#records].filter(([fingerprint, record]) => blamedCount(record) >= refusalThreshold(fingerprint));
+		return new Set(refused.flatMap(([, record]) => blamedCrashes(record)));
 	}
 
 	#evict(): void {
@@ -204,6 +205,10 @@
 	}
 }
 
+function refusalThreshold(fingerprint: string): number {
+	return partFingerprint.is(fingerprint) ? crashesToRefuse.part : crashesToRefuse.request;
+}
+
 function blamedCrashes(record: SuspectRecord): readonly string[] {
 	return [...record.crashes].filter(crash => !record.absolved.has(crash));
 }
--- a/src/core/edge/crash-containment.ts
+++ b/src/core/edge/crash-containment.ts
@@ -1,4 +1,5 @@
 import type {ActionQueue} from '../action-queue.ts';
+import {RecentSet} from '../common/recent-set.ts';
 import type {ControlMessage} from '../control/control-message.ts';
 import type {CrashId} from '../ids/crash-id.ts';
 import type {Millis} from '../ids/millis.ts';
@@ -55,8 +56,8 @@
 	readonly #pending = new Map<CrashId, PendingReport>();
 	/** Crashes since the last report. */
 	#fresh = new Map<CrashId, CrashReport>();
-	/** Time of the last complete answer of each trait, in that order. */
-	readonly #servedAt = new Map<RequestTrait, Millis>();
+	readonly #recentlyServed = new RecentSet<RequestTrait>({keepMs: recentlyServedMs, maxSize: maxServedTraits});
+	/** Blamed traits with which requests were answered since the last report. */
 	readonly #served = new Set<RequestTrait>();
 	#reportedAt = Number.NEGATIVE_INFINITY;
 
@@ -76,7 +77,7 @@
 
 	/** Blames the traits of a request whose attempt broke off at a target. */
 	recordBreak(req: EdgeRequest, {listed: {targetId, born}, lastSequence: sequence}: PooledTarget, now: Millis): void {
-		const traits = traitsOf(req).filter(trait => now - (this.#servedAt.get(trait) ?? Number.NEGATIVE_INFINITY) > recentlyServedMs);
+		const traits = traitsOf(req).filter(trait => !this.#recentlyServed.has(trait, now));
 		if (traits.length === 0) {
 			return;
 		}
@@ -91,19 +92,13 @@
 	/** Records that a request was answered in full, which clears its traits. */
 	recordServed(req: EdgeRequest, now: Millis): void {
 		for (const trait of traitsOf(req)) {
-			this.#servedAt.delete(trait);
-			this.#servedAt.set(trait, now);
+			this.#recentlyServed.add(trait, now);
 			if (this.#suspects.has(trait)) {
 				this.#served.add(trait);
 			}
 
 			this.#clearPending(trait);
 		}
-
-		if (this.#servedAt.size > maxServedTraits) {
-			const [oldest] = this.#servedAt.keys();
-			this.#servedAt.delete(oldest!);
-		}
 	}
 
 	handleFeed({crashes}: ControlMessage & {type: 'feed'}): void {
--- a/src/core/settings/request-info.ts
+++ b/src/core/settings/request-info.ts
@@ -32,6 +32,8 @@
 	readonly outputTokens: number;
 	/** Digest over method, path, route, organisation and body; requests with equal fingerprints count as the same request. */
 	readonly fingerprint: string;
+	/** Digests of the prompt's messages but the last, which is the request's own; other requests to the service may have them too. */
+	readonly promptParts: readonly string[];
 	readonly idempotencyKey?: string;
 	readonly priority: number;
 	readonly arrivedAt: Millis;
--- a/src/server/parse-chat-body.ts
+++ b/src/server/parse-chat-body.ts
@@ -19,6 +19,8 @@
 	readonly maxTokens?: number;
 	/** Roles and contents of all messages, joined; used to estimate tokens and to hash prefixes. */
 	readonly prompt: string;
+	/** Role and content of each message. */
+	readonly messages: readonly string[];
 };
 
 /** @throws RequestError if the body is not a valid chat completion request. */
@@ -37,11 +39,13 @@
 	}
 
 	const {data} = result;
+	const messages = data.messages.map(message => `${message.role}\n${contentText(message.content)}\n`);
 	return {
 		model: data.model,
 		streamed: data.stream ?? false,
 		maxTokens: data.max_completion_tokens ?? data.max_tokens,
-		prompt: data.messages.map(message => `${message.role}\n${contentText(message.content)}\n`).join(''),
+		prompt: messages.join(''),
+		messages,
 	};
 }
 
--- a/src/server/request-reader.ts
+++ b/src/server/request-reader.ts
@@ -23,6 +23,8 @@
 type Caller = {readonly path: string; readonly key: CallerKey};
 
 const maxIdempotencyKeyCharacters = 256;
+/** Largest number of messages of a prompt that are told apart; long conversations differ in their first ones. */
+const maxPromptParts = 32;
 /** Hexadecimal digits of a content fingerprint. */
 const fingerprintDigits = 32;
 
@@ -72,6 +74,7 @@
 			prefixBlockTokens: constants.prefixBlockCharacters / constants.charactersPerToken,
 			outputTokens: Math.min(chat?.maxTokens ?? Number.POSITIVE_INFINITY, settings.expectedOutputTokens),
 			fingerprint: forwarded?.fingerprint ?? contentFingerprint(req, destination.targetPath, {path, organisation: caller.key.organisation}, body),
+			promptParts: (chat?.messages ?? []).slice(0, -1).slice(0, maxPromptParts).map(message => partDigest(path, message)),
 			idempotencyKey: readIdempotencyKey(req),
 			priority: effectivePriority(req, settings.priority),
 			arrivedAt,
@@ -168,6 +171,11 @@
 	}
 }
 
+/** Digest of a message of a prompt to one service. */
+function partDigest({firm, deployment, service}: RoutePath, message: string): string {
+	return sha256(`${firm}/${deployment}/${service}\n`, message).slice(0, fingerprintDigits);
+}
+
 /** Digest of method, target path, route, organisation and body; requests with equal fingerprints count as the same request. */
 function contentFingerprint(req: IncomingMessage, targetPath: string, scope: {path: RoutePath; organisation: string}, body: Uint8Array): string {
 	const {firm, deployment, service, route} = scope.path;
--- a/test/core/attempts/suspect-poison-guard.test.ts
+++ b/test/core/attempts/suspect-poison-guard.test.ts
@@ -7,6 +7,8 @@
 import {PoisonNetwork} from '../../fixtures/attempts/poison-network.ts';
 import {RecordingOutbox} from '../../fixtures/recording-outbox.ts';
 
+/** Crashes of a poisonous part: five until it counts as such, and three requests that reach targets afterwards. */
+const maxPartCrashes = 8;
 const bystanders = ['a', 'b', 'c', 'd', 'e', 'f'];
 
 test('with retries at every entry and lost messages, a poison request crashes at most two targets and other requests are served', t => {
@@ -32,6 +34,25 @@
 	t.pass();
 });
 
+test('new requests with a poisonous part of their prompts crash few targets, and others with their other parts are served', t => {
+	fc.assert(fc.property(fc.integer({min: 1, max: 1_000_000}), fc.constantFrom(0, 0.1), (seed, loss) => {
+		const network = new PoisonNetwork({seed, loss});
+		const sound = [];
+		for (let round = 0; round < 120; round++) {
+			if (round > 20 && round % 4 === 0) {
+				network.send((seed + round) % 6, `poisoned-${round}`, ['instructions', 'poison']);
+			}
+
+			sound.push(network.send(round % 6, `sound-${round}`, ['instructions', `document-${round % 7}`]));
+			network.advance(250);
+		}
+
+		network.advance(60_000);
+		return (network.crashes.get('poison') ?? 0) <= maxPartCrashes && sound.every(({state}) => state === 'whole');
+	}), {seed: 20_265, numRuns: 20});
+	t.pass();
+});
+
 test('a poison request sent to two entries at almost the same time crashes at most two targets', t => {
 	fc.assert(fc.property(fc.integer({min: 1, max: 1_000_000}), fc.nat(5), fc.nat(5), fc.nat(9), (seed, first, second, steps) => {
 		const network = new PoisonNetwork({seed, loss: 0.1});
