feat(edge): the limit that a target names in its answers is read and logged

Cause: neither the limit nor what an entry makes of it was in the log. Change: the codec decodes it, the target's estimates keep it (an answer without one ends it, unless it answers an older attempt), target-limit logs each change. Placement does not use it yet.

--- a/src/core/edge/answer-head.ts
+++ b/src/core/edge/answer-head.ts
@@ -14,6 +14,8 @@
 	readonly eventStream: boolean;
 	/** Load that the target reported with the answer. */
 	readonly load?: TargetLoad;
+	/** Requests a second that the target takes from all entries together, for as long as its answers say so; undefined without a limit. */
+	readonly limitPerSecond?: number;
 	/** Set if the entry that the request was forwarded to refused it. */
 	readonly refusedBy?: 'entry';
 	/** In the answer of another entry: software version of the target that answers. */
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -4,6 +4,7 @@
 import {MovingAverage} from './moving-average.ts';
 import type {PooledAttempt} from './pooled-attempt.ts';
 import {PrefixCacheEstimate} from './prefix-cache-estimate.ts';
+import type {TargetLimit} from './target-limit.ts';
 import type {TargetLoad} from './target-load.ts';
 
 /** Extra time for which a cold target gets no requests, to allow for the delay of its report, in milliseconds. */
@@ -43,6 +44,7 @@
 	#listed: ListedTarget;
 	#coldUntil: Millis | undefined;
 	#lastSequence: number;
+	#limit: TargetLimit | undefined;
 	#suspended: {readonly since: Millis; readonly sequence: number} | undefined;
 	#fullUntil = Number.NEGATIVE_INFINITY;
 	#othersLoad = {count: 0, at: Number.NEGATIVE_INFINITY};
@@ -63,11 +65,12 @@
 		return this.#lastSequence;
 	}
 
-	/** Takes a newer listing. A new incarnation starts with an empty KV cache, without a suspension and without load of other entries. */
+	/** Takes a newer listing. A new incarnation starts with an empty KV cache, without a suspension, a limit and load of other entries. */
 	update(listed: ListedTarget, now: Millis): void {
 		if (listed.born !== this.listed.born) {
 			this.prefixCache.clear();
 			this.#suspended = undefined;
+			this.#limit = undefined;
 			this.#lastSequence = listed.sequence;
 			this.#othersLoad = {count: 0, at: Number.NEGATIVE_INFINITY};
 		}
@@ -109,6 +112,22 @@
 		return now < this.#fullUntil;
 	}
 
+	/** Limit that the target named last; undefined if it has none. */
+	get limit(): TargetLimit | undefined {
+		return this.#limit;
+	}
+
+	/** Takes the limit in an answer to an attempt sent at `sentAt`. An answer without one ends a limit, unless the attempt is older than it. Returns whether the limit changed. */
+	updateLimit(perSecond: number | undefined, sentAt: Millis, now: Millis): boolean {
+		const before = this.#limit;
+		if (perSecond === before?.perSecond || (perSecond === undefined && sentAt < before!.namedAt)) {
+			return false;
+		}
+
+		this.#limit = perSecond === undefined ? undefined : {perSecond, namedAt: now};
+		return true;
+	}
+
 	/** Takes the load that the target reported; requests beyond this entry's own are those of other entries. */
 	updateLoad(load: TargetLoad, now: Millis): void {
 		const count = Math.max(0, load.running + load.waiting - this.attempts.size);
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -1,7 +1,9 @@
+import type {ActionQueue} from '../action-queue.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {AnswerHead} from './answer-head.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import type {CrashContainment} from './crash-containment.ts';
+import type {EdgeAction} from './edge-action.ts';
 import type {IdleConnectionPolicy} from './idle-connection-policy.ts';
 import type {PooledTarget} from './pooled-target.ts';
 import type {RegionSelector} from './region-selector.ts';
@@ -19,6 +21,7 @@
 	readonly regions: RegionSelector;
 	readonly idle: IdleConnectionPolicy;
 	readonly containment: CrashContainment;
+	readonly queue: ActionQueue<EdgeAction>;
 };
 
 /** Updates the load and health estimates of targets and other entries from the outcome of attempts; later placements use them. */
@@ -29,10 +32,21 @@
 		this.#options = options;
 	}
 
-	/** Records the head of an answer, which may carry the target's load. */
-	recordHead(record: RequestRecord, {load}: AnswerHead, now: Millis): void {
+	/** Records the head of an answer, which may carry the target's load and its limit. */
+	recordHead(record: RequestRecord, {load, limitPerSecond, signed, notRun}: AnswerHead, now: Millis): void {
+		const target = this.#targetOf(record);
+		if (target === undefined) {
+			return;
+		}
+
 		if (load !== undefined) {
-			this.#targetOf(record)?.updateLoad(load, now);
+			target.updateLoad(load, now);
+		}
+
+		// An answer that the target does not vouch for proves nothing about the end of a limit.
+		const ownAnswer = signed || notRun;
+		if ((limitPerSecond !== undefined || ownAnswer) && target.updateLimit(limitPerSecond, record.running!.sentAt, now)) {
+			this.#options.queue.event('target-limit', {target: target.listed.targetId, perSecond: limitPerSecond, request: record.req.callerKey});
 		}
 	}
 
--- a/test/platform/platform-request-codec.test.ts
+++ b/test/platform/platform-request-codec.test.ts
@@ -91,6 +91,11 @@
 	t.deepEqual(headers.filter(([name]) => name === 'request-priority'), [['request-priority', '3']]);
 });
 
+test('readAnswer reads a target\'s limit as a decimal number, and none where the value is not one', t => {
+	const limit = (value: string) => platformRequestCodec.readAnswer(200, ['Server-Limit', value]).head.limitPerSecond;
+	t.deepEqual([limit('1.8'), limit('12'), limit('0'), limit('-1'), limit('many'), limit('')], [1.8, 12, 0, undefined, undefined, undefined]);
+});
+
 test('readAnswer reads the platform\'s headers of an answer; the caller gets no hop-by-hop headers', t => {
 	const raw = ['Request-Identifier', 'abc', 'Server-Signature', '3e1b', 'Server-Load', '3,1,8', 'Retry-After', '0.5', 'Connection', 'close', 'Content-Length', '7', 'X-Engine', 'yes'];
 	const {head, key} = platformRequestCodec.readAnswer(200, raw);
