fix(edge): a limit that a target names holds for the sum over all entries

Cause: the limit was not read, and nothing in placement could have kept to one: the number of requests in flight is bounded, not their rate.

Change: each entry has its share of a named limit, one slot every entries / limit seconds, from a phase of its own on. A target without an open slot has no room; requests go elsewhere or wait, and the wait is part of the predicted start. All sends pass there: first ones, retries, resumed streams and those that other entries forwarded. With many entries an unused slot runs out, so that they cannot save them up. The number of entries counts as the largest of the last 5 s, as control that starts anew knows few at first. An answer without a limit ends it, unless its attempt is older.

--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -47,6 +47,7 @@
 		}
 
 		const attempt = this.#register(record);
+		target.recordSend(this.#options.regions.limitEntries(prompt !== undefined), now);
 		target.attempts.set(attempt, {
 			sentAt: now, uncachedTokens, aheadTokens, kvCacheTokens, outputTokens: prompt?.outputTokens ?? 0,
 		});
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -33,7 +33,7 @@
 	readonly #options: EdgeCoreOptions;
 	readonly #queue: ActionQueue<EdgeAction>;
 	readonly #follower: ControlFollower;
-	readonly #pool = new TargetPool();
+	readonly #pool: TargetPool;
 	readonly #regions: RegionSelector;
 	readonly #waiting = new WaitQueue();
 	readonly #versions = new ServiceVersions();
@@ -49,6 +49,7 @@
 		this.#options = options;
 		const {self, seeds, repeats, random} = options;
 		this.#queue = new ActionQueue(self.nodeId);
+		this.#pool = new TargetPool(self.nodeId);
 		this.#regions = new RegionSelector(self.region);
 		this.#follower = new ControlFollower({
 			self, seeds, outbox: this.#queue, status: now => this.#status(now), stateIndex: () => this.#stateIndex, crashIndex: () => this.#containment.index,
@@ -260,7 +261,13 @@
 			// A prompt of one token gives the times and costs that do not depend on the request.
 			const prompt = spec.engine && {parts: [], promptTokens: 1, outputTokens: 1};
 			const [best] = rankLocalTargets({
-				prompt, spec, targets, entries: this.#regions.placingEntryCount, objectiveMs: Number.POSITIVE_INFINITY, leftMs: Number.POSITIVE_INFINITY,
+				prompt,
+				spec,
+				targets,
+				entries: this.#regions.placingEntryCount,
+				limitEntries: this.#regions.limitEntries(prompt !== undefined),
+				objectiveMs: Number.POSITIVE_INFINITY,
+				leftMs: Number.POSITIVE_INFINITY,
 			}, now);
 			const waiting = this.#waiting.size(spec.name);
 			// `best.startMs` of a call is the time to its answer; without the duration of the call it is the time until the call starts.
--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -118,6 +118,7 @@
 			targets,
 			partition: pool.partition(service, {count: placers.length, index: placers.indexOf(relayAddress)}),
 			entries: regions.placingEntryCount,
+			limitEntries: regions.limitEntries(req.prompt !== undefined),
 			objectiveMs: route.objectiveMs - (now - req.arrivedAt),
 			leftMs: deadlineAt - now,
 		}, now);
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -1,10 +1,10 @@
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {ListedTarget} from '../registry/listed-target.ts';
+import {LimitShare} from './limit-share.ts';
 import {MovingAverage} from './moving-average.ts';
 import type {PooledAttempt} from './pooled-attempt.ts';
 import {PrefixCacheEstimate} from './prefix-cache-estimate.ts';
-import type {TargetLimit} from './target-limit.ts';
 import type {TargetLoad} from './target-load.ts';
 
 /** Extra time for which a cold target gets no requests, to allow for the delay of its report, in milliseconds. */
@@ -22,6 +22,13 @@
 /** Part of the time of an engine's first step that does not depend on the prompt, in milliseconds. */
 const firstStepMs = 15;
 
+type NamedLimit = {
+	readonly perSecond: number;
+	/** Time at which this entry learnt that the target has a limit. */
+	readonly namedAt: Millis;
+	readonly share: LimitShare;
+};
+
 /** A target of this entry's region: its listing by control, this entry's attempts there, and estimates of its speed and load. */
 export class PooledTarget {
 	readonly attempts = new Map<AttemptNumber, PooledAttempt>();
@@ -44,12 +51,15 @@
 	#listed: ListedTarget;
 	#coldUntil: Millis | undefined;
 	#lastSequence: number;
-	#limit: TargetLimit | undefined;
+	readonly #phase: number;
+	#limit: NamedLimit | undefined;
 	#suspended: {readonly since: Millis; readonly sequence: number} | undefined;
 	#fullUntil = Number.NEGATIVE_INFINITY;
 	#othersLoad = {count: 0, at: Number.NEGATIVE_INFINITY};
 
-	constructor(listed: ListedTarget, now: Millis) {
+	/** @param options - `phase`: see `LimitShare`. */
+	constructor(listed: ListedTarget, {phase}: {phase: number}, now: Millis) {
+		this.#phase = phase;
 		this.#listed = listed;
 		this.#lastSequence = listed.sequence;
 		this.update(listed, now);
@@ -112,9 +122,14 @@
 		return now < this.#fullUntil;
 	}
 
-	/** Limit that the target named last; undefined if it has none. */
-	get limit(): TargetLimit | undefined {
-		return this.#limit;
+	/** Time until the target's limit lets this entry send a request, in milliseconds; 0 without a limit. `entries` is the number of entries that share the limit. */
+	limitWaitMs(entries: number, now: Millis): number {
+		return this.#limit === undefined ? 0 : this.#limit.share.waitMs({perSecond: this.#limit.perSecond, entries}, now);
+	}
+
+	/** Records that a request is sent, which counts towards the limit. */
+	recordSend(entries: number, now: Millis): void {
+		this.#limit?.share.use({perSecond: this.#limit.perSecond, entries}, now);
 	}
 
 	/** Takes the limit in an answer to an attempt sent at `sentAt`. An answer without one ends a limit, unless the attempt is older than it. Returns whether the limit changed. */
@@ -124,7 +139,11 @@
 			return false;
 		}
 
-		this.#limit = perSecond === undefined ? undefined : {perSecond, namedAt: now};
+		this.#limit = perSecond === undefined
+			? undefined
+			: {
+				perSecond, namedAt: before?.namedAt ?? now, share: before?.share ?? new LimitShare({phase: this.#phase, startedAt: now}),
+			};
 		return true;
 	}
 
--- a/src/core/edge/rank-local-targets.ts
+++ b/src/core/edge/rank-local-targets.ts
@@ -35,6 +35,8 @@
 	readonly partition?: ReadonlySet<PooledTarget>;
 	/** Entries of this region that share the targets. */
 	readonly entries: number;
+	/** Entries of this region that share the limits that targets name. */
+	readonly limitEntries: number;
 	/** Time left for the first event within the latency objective, in milliseconds. */
 	readonly objectiveMs: number;
 	/** Time left until the deadline, in milliseconds. */
@@ -53,21 +55,29 @@
 	const preferred = prompt === undefined ? undefined : preferredTarget(prompt, partitionTargets.length > 0 ? partitionTargets : targets);
 	return targets
 		.map(target => prompt === undefined
-			? callCandidate(target, now)
+			? callCandidate(target, rest.limitEntries, now)
 			: streamCandidate(target, {
 				...rest, prompt, preferred: target === preferred, inOtherPartition: partitionTargets.length > 0 && !partition!.has(target),
 			}, now))
 		.sort((left, right) => left.costMs - right.costMs);
 }
 
-function callCandidate(target: PooledTarget, now: Millis): PlacementCandidate {
+function callCandidate(target: PooledTarget, limitEntries: number, now: Millis): PlacementCandidate {
 	const slots = Math.max(1, target.listed.slots);
 	const inFlight = target.inFlight(now);
 	const waitMs = Math.max(0, inFlight + 1 - slots) / slots * target.callMs.value;
 	// The last term breaks ties in favour of the less loaded target.
-	const startMs = waitMs + target.callMs.value + (inFlight / slots);
+	const limitWaitMs = target.limitWaitMs(limitEntries, now);
+	const startMs = limitWaitMs + waitMs + target.callMs.value + (inFlight / slots);
 	return {
-		target, startMs, costMs: startMs, completionMs: startMs, uncachedTokens: 0, aheadTokens: 0, kvCacheTokens: 0, hasRoom: !target.isFull(now) && inFlight < slots + maxQueuedCalls,
+		target,
+		startMs,
+		costMs: startMs,
+		completionMs: startMs,
+		uncachedTokens: 0,
+		aheadTokens: 0,
+		kvCacheTokens: 0,
+		hasRoom: limitWaitMs === 0 && !target.isFull(now) && inFlight < slots + maxQueuedCalls,
 	};
 }
 
@@ -78,13 +88,14 @@
 	readonly inOtherPartition: boolean;
 };
 
-function streamCandidate(target: PooledTarget, {prompt, spec, preferred, inOtherPartition, entries, objectiveMs, leftMs}: StreamOptions, now: Millis): PlacementCandidate {
+function streamCandidate(target: PooledTarget, {prompt, spec, preferred, inOtherPartition, entries, limitEntries, objectiveMs, leftMs}: StreamOptions, now: Millis): PlacementCandidate {
 	const shared = sharedTokens(prompt);
 	const cached = target.prefixCache.cachedTokens(prompt);
 	const assumed = preferred ? assumedCachedShare * shared : 0;
 	const uncachedTokens = Math.max(1, prompt.promptTokens - Math.max(cached, assumed));
 	const aheadTokens = target.pendingPrefillTokens(now);
-	const startMs = firstEventMs + ((aheadTokens + uncachedTokens) / target.prefillRate.value);
+	const limitWaitMs = target.limitWaitMs(limitEntries, now);
+	const startMs = limitWaitMs + firstEventMs + ((aheadTokens + uncachedTokens) / target.prefillRate.value);
 	const events = prompt.outputTokens / (spec?.engine?.tokensPerEvent ?? 1);
 	const kvCacheTokens = prompt.promptTokens - shared + prompt.outputTokens;
 	const capacity = kvCacheShare * (spec?.engine?.cacheTokens ?? Number.POSITIVE_INFINITY);
@@ -93,7 +104,7 @@
 	const expectedKvCacheTokens = target.kvCacheTokens() + (others * meanKvCacheTokens) + kvCacheTokens;
 	const slots = Math.max(1, target.listed.slots);
 	// Even if its KV cache is expected to be full, a target may get up to an eighth of its slots, divided between the entries.
-	const hasRoom = !target.isFull(now) && target.inFlight(now) < slots && (expectedKvCacheTokens <= capacity || target.attempts.size < slots / 8 / entries);
+	const hasRoom = limitWaitMs === 0 && !target.isFull(now) && target.inFlight(now) < slots && (expectedKvCacheTokens <= capacity || target.attempts.size < slots / 8 / entries);
 	const completionMs = startMs + (events * target.gapMs.value);
 	const recomputedTokens = Math.max(0, shared - Math.max(cached, assumed));
 	const costMs = startMs
--- a/src/core/edge/region-selector.ts
+++ b/src/core/edge/region-selector.ts
@@ -22,6 +22,9 @@
 /** Age from which on the reported loads of regions are no longer used, in milliseconds. */
 const maxLoadAgeMs = 10_000;
 
+/** Time for which a smaller number of entries is not relied on, in milliseconds. */
+const entryCountHoldMs = 5000;
+
 /** A request sent to a remote region; `tokens` is the length of its prompt, or 1 for a call of a plain service. */
 type SentRequest = {readonly at: Millis; readonly tokens: number};
 
@@ -38,6 +41,8 @@
 export class RegionSelector {
 	readonly #ownRegion: Region;
 	#loads: readonly RegionLoad[] = [];
+	/** Numbers of the own region's entries in the last `entryCountHoldMs`. */
+	#recentCounts: ReadonlyArray<{readonly at: Millis; readonly placing: number; readonly all: number}> = [];
 	#updatedAt = Number.NEGATIVE_INFINITY;
 	readonly #recentSends = new Map<string, SentRequest[]>();
 	readonly #avoidUntil = new Map<string, number>();
@@ -66,6 +71,11 @@
 		return this.#loads.find(({region}) => region === this.#ownRegion);
 	}
 
+	/** Number of entries of the own region that send prompts, or calls, to its targets, at least 1: the largest one lately, since control nodes that start anew know few entries at first. */
+	limitEntries(prompts: boolean): number {
+		return Math.max(...this.#recentCounts.map(({placing, all}) => prompts ? placing : all), prompts ? this.placingEntryCount : this.#ownEntryCount);
+	}
+
 	/** Number of entries of the whole deployment, at least 1. */
 	get entryCount(): number {
 		return Math.max(1, this.#loads.reduce((sum, {entries}) => sum + entries, 0));
@@ -74,6 +84,7 @@
 	update(loads: readonly RegionLoad[], now: Millis): void {
 		this.#loads = loads;
 		this.#updatedAt = now;
+		this.#recentCounts = [...this.#recentCounts.filter(({at}) => now - at <= entryCountHoldMs), {at: now, placing: this.placingEntryCount, all: this.#ownEntryCount}];
 	}
 
 	/** The placer of the own region for a prompt: prompts with the same shared part get the same one. Undefined if there is none, all are avoided, or the region's load is unknown or too old. */
--- a/src/core/edge/target-pool.ts
+++ b/src/core/edge/target-pool.ts
@@ -1,4 +1,6 @@
+import {hash32} from '../common/hash32.ts';
 import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
 import type {ServiceName} from '../ids/service-name.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Zone} from '../ids/zone.ts';
@@ -10,8 +12,14 @@
 	readonly #targets = new Map<TargetId, PooledTarget>();
 	/** Targets of each service in the order of their ids; cleared when listings change. */
 	readonly #sorted = new Map<ServiceName, readonly PooledTarget[]>();
+	readonly #self: NodeId;
 	#evacuated: ReadonlySet<Zone> = new Set();
 
+	/** @param self - this entry; entries differ in their phases of a target's limit. */
+	constructor(self: NodeId) {
+		this.#self = self;
+	}
+
 	/** Takes listings of control. If `whole`, they are the complete list, and other targets are removed once they have no attempts. */
 	update(listed: readonly ListedTarget[], whole: boolean, now: Millis): void {
 		if (listed.length > 0 || whole) {
@@ -74,7 +82,7 @@
 	#merge(listed: ListedTarget, now: Millis): void {
 		const known = this.#targets.get(listed.targetId);
 		if (known === undefined) {
-			this.#targets.set(listed.targetId, new PooledTarget(listed, now));
+			this.#targets.set(listed.targetId, new PooledTarget(listed, {phase: hash32(`${this.#self}:${listed.targetId}`) / (2 ** 32)}, now));
 			return;
 		}
 
