fix(edge): a contained request is told to come back after a minute

Cause: the refusal gave the usual delay of about half a second, after which the retry was refused as well.

--- a/src/core/edge/crash-containment.ts
+++ b/src/core/edge/crash-containment.ts
@@ -5,6 +5,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {RequestTrait} from '../ids/request-trait.ts';
+import {toId} from '../ids/to-id.ts';
 import type {CrashReport} from '../routes/crash-report.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRequest} from './edge-request.ts';
@@ -82,7 +83,7 @@
 			return;
 		}
 
-		const crash = `${targetId}@${born}` as CrashId;
+		const crash = toId<CrashId>(`${targetId}@${born}`);
 		const report = this.#fresh.get(crash);
 		this.#fresh.set(crash, {
 			crash, targetId, born, sequence: report?.sequence ?? sequence, traits: [...new Set([...traits, ...report?.traits ?? []])].slice(0, maxTraitsPerReport),
--- a/src/core/edge/request-completion.ts
+++ b/src/core/edge/request-completion.ts
@@ -15,6 +15,9 @@
 /** Retry delay given to callers if nothing is known about the wait for capacity, in milliseconds. */
 const defaultRetryAfterMs = 500;
 
+/** Retry delay for a request that is contained, in milliseconds: a sooner retry is refused as well. */
+const containedRetryAfterMs = 60_000;
+
 type RequestCompletionOptions = {readonly random: Random; readonly queue: ActionQueue<EdgeAction>; readonly containment: CrashContainment};
 
 /** Completes requests: emits the final answer or refusal, with its log event and counter. */
@@ -65,7 +68,8 @@
 
 	/** Refuses a request that was accepted; the reason and the retry delay depend on whether it may have run. */
 	refuse(record: RequestRecord, reason: EdgeRefusal['reason'], now: Millis): void {
-		const {req, route, service, mayHaveRun, sends, headPassed, retryAfterMs, deadlineAt} = record;
+		const {req, route, service, mayHaveRun, sends, headPassed, deadlineAt} = record;
+		const retryAfterMs = reason === 'contained' ? containedRetryAfterMs : record.retryAfterMs;
 		const refusal: EdgeRefusal = {
 			reason: finalReason(reason, mayHaveRun),
 			ran: mayHaveRun ? 'maybe' : 'no',
