feat(edge): single trials of a contained prompt part

Cause: a part that was blamed wrongly, or whose engines were mended, stayed refused for good, since only a complete answer clears it and none can come. Change: after 1 min, 10 min and 1 h one request may run in spite of its contained part. The replicated log grants each trial once over all entries, so that a part that does crash engines reaches them three times at most.

--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -275,8 +275,14 @@
 				break;
 			}
 
+			case 'trial-wanted': {
+				this.#crashReports.handleTrialWanted(from, message, now);
+				break;
+			}
+
 			case 'feed':
 			case 'stream-found':
+			case 'trial-answer':
 			case 'crashes-recorded': {
 				// For entries only.
 				break;
--- a/src/core/control/control-message.ts
+++ b/src/core/control/control-message.ts
@@ -71,6 +71,9 @@
 	| {readonly type: 'stream-found'; readonly requestId: RequestId; readonly stream?: BegunStream; readonly soleVersion?: BegunStream}
 	/** What an entry saw of crashes: what broke off with targets, and blamed traits with which requests were answered in full since. */
 	| {readonly type: 'crashes-seen'; readonly reports: readonly CrashReport[]; readonly served: readonly RequestTrait[]}
+	/** An entry asks for trial `number` of a contained trait, for one request. */
+	| {readonly type: 'trial-wanted'; readonly requestId: RequestId; readonly trait: RequestTrait; readonly number: number}
+	| {readonly type: 'trial-answer'; readonly requestId: RequestId; readonly granted: boolean}
 	/** Crashes whose reports are committed, or change nothing. */
 	| {readonly type: 'crashes-recorded'; readonly crashes: readonly CrashId[]}
 	/** Asks the leader to append an operator's command to the replicated log. */
--- a/src/core/control/crash-report-handler.ts
+++ b/src/core/control/crash-report-handler.ts
@@ -2,6 +2,7 @@
 import type {CrashId} from '../ids/crash-id.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
+import type {RequestId} from '../ids/request-id.ts';
 import type {TargetRegistry} from '../registry/target-registry.ts';
 import type {CrashLedger} from '../routes/crash-ledger.ts';
 import type {RoutesCommand} from '../routes/routes-command.ts';
@@ -25,7 +26,8 @@
 	readonly leads: (now: Millis) => boolean;
 };
 
-type WaitingEntry = {readonly from: NodeId; readonly crashes: readonly CrashId[]};
+/** An entry that waits for the outcome of a call: of its reports, or of a trial for one of its requests. */
+type WaitingEntry = {readonly from: NodeId} & ({readonly crashes: readonly CrashId[]} | {readonly requestId: RequestId});
 
 /** Commits what entries saw of crashes to the replicated log, and withdraws crashes of targets that still report. */
 export class CrashReportHandler {
@@ -69,13 +71,21 @@
 
 		const waiting = this.#waiting.get(callId);
 		this.#waiting.delete(callId);
-		if (waiting !== undefined && answer.type === 'accepted') {
+		const accepted = answer.type === 'accepted';
+		if (waiting !== undefined && 'requestId' in waiting) {
+			this.#options.outbox.send(waiting.from, {part: 'control', body: {type: 'trial-answer', requestId: waiting.requestId, granted: accepted}});
+		} else if (waiting !== undefined && accepted) {
 			this.#acknowledge(waiting.from, waiting.crashes);
 		}
 
 		return true;
 	}
 
+	/** Asks for a trial; the log grants each one once over all entries. */
+	handleTrialWanted(from: NodeId, {requestId, trait, number}: ControlMessage & {type: 'trial-wanted'}, now: Millis): void {
+		this.#submit({type: 'trial', trait, number}, now, {from, requestId});
+	}
+
 	tick(now: Millis): void {
 		const {ledger, registry, outbox, leads} = this.#options;
 		if (now - this.#withdrawnAt < withdrawalIntervalMs || !leads(now)) {
--- a/src/core/control/operator-call-handler.ts
+++ b/src/core/control/operator-call-handler.ts
@@ -93,6 +93,8 @@
 			case 'find-stream':
 			case 'stream-found':
 			case 'crashes-seen':
+			case 'trial-wanted':
+			case 'trial-answer':
 			case 'crashes-recorded': {
 				break;
 			}
--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -91,6 +91,7 @@
 		const {req, route, service, table, lastEventId, running, origin: {softwareVersion} = {}} = record;
 		record.sends += 1;
 		record.retryReserved = false;
+		record.isTrial = false;
 		if (lastEventId !== undefined) {
 			this.#options.queue.event('stream-resumed', {
 				request: req.callerKey, resumes: req.resumes, after: lastEventId, target: destinationOf(record), softwareVersion: running?.softwareVersion,
--- a/src/core/edge/crash-containment.ts
+++ b/src/core/edge/crash-containment.ts
@@ -7,6 +7,7 @@
 import type {RequestTrait} from '../ids/request-trait.ts';
 import {toId} from '../ids/to-id.ts';
 import type {CrashReport} from '../routes/crash-report.ts';
+import {ContainmentTrials} from './containment-trials.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRequest} from './edge-request.ts';
 import type {PooledTarget} from './pooled-target.ts';
@@ -49,6 +50,7 @@
  * blamed as well, until one of their kind is answered in full.
  */
 export class CrashContainment {
+	readonly trials: ContainmentTrials;
 	readonly #options: CrashContainmentOptions;
 	#index = 0;
 	/** Crashes that traits are blamed for, over all entries. */
@@ -64,6 +66,7 @@
 
 	constructor(options: CrashContainmentOptions) {
 		this.#options = options;
+		this.trials = new ContainmentTrials(options);
 	}
 
 	/** Log index of the newest change of blamed traits that this entry has. */
@@ -71,9 +74,9 @@
 		return this.#index;
 	}
 
-	/** True if the request must not be sent to a target. */
-	isContained(req: EdgeRequest): boolean {
-		return (this.#suspects.size > 0 || this.#pending.size > 0) && traitsOf(req).some(trait => this.#crashCount(trait) >= crashesToContain);
+	/** Traits of the request that must keep it away from targets. */
+	containedTraits(req: EdgeRequest): readonly RequestTrait[] {
+		return this.#suspects.size === 0 && this.#pending.size === 0 ? [] : traitsOf(req).filter(trait => this.#crashCount(trait) >= crashesToContain);
 	}
 
 	/** Blames the traits of a request whose attempt broke off at a target. */
@@ -102,7 +105,7 @@
 		}
 	}
 
-	handleFeed({crashes}: ControlMessage & {type: 'feed'}): void {
+	handleFeed({crashes}: ControlMessage & {type: 'feed'}, now: Millis): void {
 		if (crashes === undefined || crashes.index <= this.#index) {
 			return;
 		}
@@ -110,6 +113,7 @@
 		const before = this.#suspects;
 		this.#index = crashes.index;
 		this.#suspects = new Map(crashes.suspects.map(suspect => [suspect.trait, suspect.crashes]));
+		this.trials.update(crashes.suspects.filter(suspect => suspect.crashes.length >= crashesToContain), now);
 		for (const [trait, blamed] of this.#suspects) {
 			if (blamed.length >= crashesToContain && (before.get(trait)?.length ?? 0) < crashesToContain) {
 				this.#options.queue.count('poison', 'contained');
@@ -133,6 +137,7 @@
 	}
 
 	tick(now: Millis): void {
+		this.trials.tick(now);
 		if (now - this.#reportedAt < reportIntervalMs) {
 			return;
 		}
--- a/src/core/edge/create-request-record.ts
+++ b/src/core/edge/create-request-record.ts
@@ -21,6 +21,7 @@
 		forwardedRuns: 0,
 		mayHaveRun: false,
 		retryReserved: false,
+		isTrial: false,
 		headPassed: false,
 		lastEventId: req.resumeAfter,
 		origin: origin && {softwareVersion: origin.softwareVersion},
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -184,6 +184,8 @@
 			this.#origins.handleAnswer(from, message.body, now);
 		} else if (message.part === 'control' && message.body.type === 'crashes-recorded') {
 			this.#containment.handleRecorded(message.body);
+		} else if (message.part === 'control' && message.body.type === 'trial-answer') {
+			this.#containment.trials.handleAnswer(message.body, now);
 		} else {
 			this.#queue.count('stale_messages', message.part);
 		}
@@ -191,7 +193,7 @@
 
 	#handleFeed(from: NodeId, feed: ControlMessage & {type: 'feed'}, now: Millis): void {
 		const targets = this.#follower.handleFeed(from, feed, now);
-		this.#containment.handleFeed(feed);
+		this.#containment.handleFeed(feed, now);
 		if (from === this.#follower.primary) {
 			this.#origins.handleFeed(feed.epoch);
 		}
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -3,10 +3,12 @@
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {RequestId} from '../ids/request-id.ts';
+import type {RequestTrait} from '../ids/request-trait.ts';
 import type {RouteTable} from '../routes/route-table.ts';
 import type {AnswerHead} from './answer-head.ts';
 import {AttemptTracker} from './attempt-tracker.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
+import {earlyRefusalReason} from './early-refusal-reason.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {EdgeRequest} from './edge-request.ts';
@@ -80,7 +82,7 @@
 
 	handleRequest(req: EdgeRequest, now: Millis): void {
 		const table = this.#options.table();
-		const refusalReason = this.#earlyRefusalReason(req, table);
+		const refusalReason = earlyRefusalReason(req, {table, closed: this.#closed});
 		if (refusalReason !== undefined) {
 			this.#completion.refuseEarly(req, refusalReason, table?.version);
 			return;
@@ -263,28 +265,12 @@
 		}
 	}
 
-	/** Reason to refuse a request before it gets a record; undefined if it can be handled. */
-	#earlyRefusalReason(req: EdgeRequest, table: RouteTable | undefined): EdgeRefusal['reason'] | undefined {
-		if (table === undefined) {
-			return 'not-configured';
-		}
-
-		if (this.#closed) {
-			return 'leaving';
-		}
-
-		if (req.forwarded !== undefined && req.forwarded.documentVersion > table.version) {
-			return 'outdated';
-		}
-
-		return table.match(req.host, req.path) === undefined ? 'no-route' : undefined;
-	}
-
 	/** Sends a request to the best destination, queues it or refuses it. A retry has to fit the retry budget first. */
 	#place(record: RequestRecord, now: Millis): void {
 		const {placement, waiting, containment} = this.#options;
-		if (containment.isContained(record.req)) {
-			this.#refuse(record, 'contained', now);
+		const contained = record.isTrial ? [] : containment.containedTraits(record.req);
+		if (contained.length > 0) {
+			this.#handleContained(record, contained, now);
 			return;
 		}
 
@@ -317,6 +303,20 @@
 		}
 	}
 
+	/** Refuses a contained request, unless it may run as a trial: a new request that only one trait keeps away. */
+	#handleContained(record: RequestRecord, [trait, ...others]: readonly RequestTrait[], now: Millis): void {
+		const {trials} = this.#options.containment;
+		if (record.sends > 0 || others.length > 0 || !trials.isDue(trait!, now)) {
+			this.#refuse(record, 'contained', now);
+			return;
+		}
+
+		trials.request(record.req.requestId, trait!, (granted, decidedAt) => {
+			record.isTrial = granted;
+			this.#place(record, decidedAt);
+		}, now);
+	}
+
 	/** Handles a status other than 2xx: discards the answer if the caller already has the head of an earlier one, or if the status is 5xx and the request may be retried. Otherwise the answer is read on and passed to the caller. */
 	#handleErrorStatus(record: RequestRecord, {status}: AnswerHead, now: Millis): void {
 		if (record.headPassed || (status >= 500 && this.#retryPolicy.mayRetryAnswer(record, now))) {
@@ -394,6 +394,7 @@
 	#forget(record: RequestRecord): void {
 		this.#options.waiting.remove(record);
 		this.#options.origins.cancel(record.req.requestId);
+		this.#options.containment.trials.cancel(record.req.requestId);
 		this.#records.delete(record.req.requestId);
 	}
 }
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -51,6 +51,8 @@
 	mayHaveRun: boolean;
 	/** True if its next attempt is already charged to the retry budget. */
 	retryReserved: boolean;
+	/** True if its next attempt is a trial of a contained trait. */
+	isTrial: boolean;
 	/** True once the caller has the head of an answer: only events of the stream may follow. */
 	headPassed: boolean;
 	/** Id of the last event that the caller has, from this request or, if it resumes a stream, from an earlier one. */
--- a/src/core/routes/crash-ledger-snapshot.ts
+++ b/src/core/routes/crash-ledger-snapshot.ts
@@ -6,6 +6,6 @@
 export type CrashLedgerSnapshot = {
 	/** Log index of the newest change. */
 	readonly index: number;
-	readonly traits: ReadonlyArray<{readonly trait: RequestTrait; readonly blamed: readonly CrashId[]; readonly cleared: readonly CrashId[]}>;
+	readonly traits: ReadonlyArray<{readonly trait: RequestTrait; readonly blamed: readonly CrashId[]; readonly cleared: readonly CrashId[]; readonly trials: number}>;
 	readonly crashes: ReadonlyArray<Omit<CrashReport, 'traits'>>;
 };
--- a/src/core/routes/crash-ledger.ts
+++ b/src/core/routes/crash-ledger.ts
@@ -11,7 +11,7 @@
 /** Fewest crashes from which on entries are told of a trait. One crash says little: all that ran on the target is blamed for it. */
 const crashesToSuspect = 2;
 
-type TraitRecord = {blamed: CrashId[]; cleared: CrashId[]};
+type TraitRecord = {blamed: CrashId[]; cleared: CrashId[]; trials: number};
 
 /** A crash that can still be withdrawn, since its target may turn out to be alive. */
 type KnownCrash = Omit<CrashReport, 'traits'>;
@@ -47,7 +47,7 @@
 	suspects(): readonly SuspectTrait[] {
 		return [...this.#traits]
 			.filter(([, {blamed}]) => blamed.length >= crashesToSuspect)
-			.map(([trait, {blamed}]) => ({trait, crashes: blamed}));
+			.map(([trait, {blamed, trials}]) => ({trait, crashes: blamed, trials}));
 	}
 
 	/** Blames the traits of reported crashes; returns whether that changes anything. */
@@ -57,7 +57,7 @@
 			for (const trait of traits.filter(candidate => !this.knows(candidate, crash.crash))) {
 				changed = true;
 				this.#crashes.set(crash.crash, crash);
-				const record = this.#traits.get(trait) ?? {blamed: [], cleared: []};
+				const record = this.#traits.get(trait) ?? {blamed: [], cleared: [], trials: 0};
 				record.blamed.push(crash.crash);
 				this.#traits.set(trait, record);
 			}
@@ -76,6 +76,7 @@
 				changed = true;
 				record.cleared = [...record.cleared, ...record.blamed].slice(-maxClearedCrashes);
 				record.blamed = [];
+				record.trials = 0;
 			}
 		}
 
@@ -83,6 +84,17 @@
 		return this.#recordChange(index, changed);
 	}
 
+	/** Grants trial `number` of a trait, so that one request may run in spite of it; false if that trial was granted before. */
+	grantTrial(index: number, trait: RequestTrait, number: number): boolean {
+		const record = this.#traits.get(trait);
+		if (record?.trials !== number - 1) {
+			return false;
+		}
+
+		record.trials = number;
+		return this.#recordChange(index, true);
+	}
+
 	/** Withdraws crashes of targets that turned out to be alive; their incarnations may still crash later. */
 	withdraw(index: number, crashes: readonly CrashId[]): boolean {
 		const withdrawn = new Set(crashes.filter(crash => this.#crashes.has(crash)));
@@ -97,7 +109,9 @@
 	snapshot(): CrashLedgerSnapshot {
 		return {
 			index: this.#index,
-			traits: [...this.#traits].map(([trait, {blamed, cleared}]) => ({trait, blamed: [...blamed], cleared: [...cleared]})),
+			traits: [...this.#traits].map(([trait, {blamed, cleared, trials}]) => ({
+				trait, blamed: [...blamed], cleared: [...cleared], trials,
+			})),
 			crashes: this.crashes(),
 		};
 	}
@@ -106,8 +120,8 @@
 		this.#index = index;
 		this.#traits.clear();
 		this.#crashes.clear();
-		for (const {trait, blamed, cleared} of traits) {
-			this.#traits.set(trait, {blamed: [...blamed], cleared: [...cleared]});
+		for (const {trait, blamed, cleared, trials} of traits) {
+			this.#traits.set(trait, {blamed: [...blamed], cleared: [...cleared], trials});
 		}
 
 		for (const crash of crashes) {
--- a/src/core/routes/routes-command.ts
+++ b/src/core/routes/routes-command.ts
@@ -12,5 +12,7 @@
 	| {readonly type: 'crashes'; readonly reports: readonly CrashReport[]}
 	/** Requests with these traits were answered in full. */
 	| {readonly type: 'traits-served'; readonly traits: readonly RequestTrait[]}
+	/** Grants trial `number` of a contained trait to the sender. */
+	| {readonly type: 'trial'; readonly trait: RequestTrait; readonly number: number}
 	/** The targets of these crashes turned out to be alive. */
 	| {readonly type: 'crashes-withdrawn'; readonly crashes: readonly CrashId[]};
--- a/src/core/routes/routes-state.ts
+++ b/src/core/routes/routes-state.ts
@@ -50,6 +50,10 @@
 				return toOutcome(this.crashes.clear(index, command.traits));
 			}
 
+			case 'trial': {
+				return {type: 'routes', result: this.crashes.grantTrial(index, command.trait, command.number) ? 'applied' : 'stale'};
+			}
+
 			case 'crashes-withdrawn': {
 				return toOutcome(this.crashes.withdraw(index, command.crashes));
 			}
--- a/src/core/routes/suspect-trait.ts
+++ b/src/core/routes/suspect-trait.ts
@@ -6,4 +6,6 @@
 	readonly trait: RequestTrait;
 	/** Crashes it is blamed for and not cleared of. */
 	readonly crashes: readonly CrashId[];
+	/** Number of trials granted since it was blamed first. */
+	readonly trials: number;
 };
--- a/src/core/tree/system-state.ts
+++ b/src/core/tree/system-state.ts
@@ -49,6 +49,7 @@
 			case 'evacuation':
 			case 'crashes':
 			case 'traits-served':
+			case 'trial':
 			case 'crashes-withdrawn': {
 				return this.routes.apply(index, command);
 			}
--- a/test/core/edge/crashing-prompt-part.test.ts
+++ b/test/core/edge/crashing-prompt-part.test.ts
@@ -112,6 +112,33 @@
 	}
 });
 
+/** Requests with the part for `ms` milliseconds, at a low rate, and then none. */
+function playLong(ms: number, fatalParts: Set<string>): SimulatedDeployment {
+	const deployment = new SimulatedDeployment({seed: 1, fatalParts});
+	deployment.start();
+	deployment.load({perSecond: 4, ms}, soundPrompt);
+	deployment.load({perSecond: 1, ms}, fatalPrompt);
+	deployment.run(20_000);
+	return deployment;
+}
+
+test('a part that no longer crashes targets is served again after a trial', t => {
+	const fatalParts = new Set([fatalPart]);
+	const deployment = playLong(120_000, fatalParts);
+	t.true(deployment.crashes.length >= 2, 'the part crashes targets');
+	fatalParts.clear();
+	deployment.run(100_000);
+	const last = deployment.calls.filter(({prompt, sentAt}) => isFatal(prompt) && sentAt > deployment.now - 20_000);
+	t.true(last.length > 0 && last.every(({completed}) => completed), `${last.filter(({completed}) => completed).length} of ${last.length} served`);
+});
+
+test('a part that goes on to crash targets reaches them three times more at most, however long its requests come', t => {
+	const deployment = playLong(900_000, new Set([fatalPart]));
+	deployment.run(880_000);
+	t.true(deployment.crashes.length >= 2, 'the part crashes targets');
+	t.true(laterArrivals(deployment) <= maxLaterArrivals, `${laterArrivals(deployment)} arrivals after containment`);
+});
+
 /** Plays sound traffic for 40 s with a disturbance each second. */
 function playSound({seed, perSecond}: {seed: number; perSecond: number}, disturb: (deployment: SimulatedDeployment, second: number) => void): SimulatedDeployment {
 	const deployment = new SimulatedDeployment({seed, fatalParts: new Set()});
