perf(control): entries are told of blamed traits only from their second crash on

Cause: each crash that any entry reported changed the index that feeds go by, so that a target that resets connections made control send a feed to every entry several times a second, though entries use only traits with two crashes. Change: the index follows the suspects alone.

--- a/src/core/routes/crash-ledger.ts
+++ b/src/core/routes/crash-ledger.ts
@@ -27,7 +27,7 @@
 	readonly #traits = new Map<RequestTrait, TraitRecord>();
 	readonly #crashes = new Map<CrashId, KnownCrash>();
 
-	/** Log index of the newest change. */
+	/** Log index of the newest change of the suspects. */
 	get index(): number {
 		return this.#index;
 	}
@@ -60,11 +60,12 @@
 				const record = this.#traits.get(trait) ?? {blamed: [], cleared: [], trials: 0};
 				record.blamed.push(crash.crash);
 				this.#traits.set(trait, record);
+				this.#noteChange(index, record.blamed.length);
 			}
 		}
 
 		this.#limit();
-		return this.#recordChange(index, changed);
+		return changed;
 	}
 
 	/** Clears traits of all their crashes so far, since requests with them were answered in full. */
@@ -74,6 +75,7 @@
 			const record = this.#traits.get(trait);
 			if (record !== undefined && record.blamed.length > 0) {
 				changed = true;
+				this.#noteChange(index, record.blamed.length);
 				record.cleared = [...record.cleared, ...record.blamed].slice(-maxClearedCrashes);
 				record.blamed = [];
 				record.trials = 0;
@@ -81,7 +83,7 @@
 		}
 
 		this.#forgetUnblamedCrashes();
-		return this.#recordChange(index, changed);
+		return changed;
 	}
 
 	/** Grants trial `number` of a trait, so that one request may run in spite of it; false if that trial was granted before. */
@@ -92,18 +94,23 @@
 		}
 
 		record.trials = number;
-		return this.#recordChange(index, true);
+		this.#noteChange(index, record.blamed.length);
+		return true;
 	}
 
 	/** Withdraws crashes of targets that turned out to be alive; their incarnations may still crash later. */
 	withdraw(index: number, crashes: readonly CrashId[]): boolean {
 		const withdrawn = new Set(crashes.filter(crash => this.#crashes.has(crash)));
 		for (const record of this.#traits.values()) {
-			record.blamed = record.blamed.filter(crash => !withdrawn.has(crash));
+			const kept = record.blamed.filter(crash => !withdrawn.has(crash));
+			if (kept.length < record.blamed.length) {
+				this.#noteChange(index, record.blamed.length);
+				record.blamed = kept;
+			}
 		}
 
 		this.#forgetUnblamedCrashes();
-		return this.#recordChange(index, withdrawn.size > 0);
+		return withdrawn.size > 0;
 	}
 
 	snapshot(): CrashLedgerSnapshot {
@@ -129,9 +136,11 @@
 		}
 	}
 
-	#recordChange(index: number, changed: boolean): boolean {
-		this.#index = changed ? index : this.#index;
-		return changed;
+	/** Notes a change of a trait that is, or was, blamed for `crashes` crashes: entries are told of suspects only. */
+	#noteChange(index: number, crashes: number): void {
+		if (crashes >= crashesToSuspect) {
+			this.#index = index;
+		}
 	}
 
 	#limit(): void {
