feat(edge): attempt-failed names the content of its request

Cause: the log could not tell whether attempts that broke off at several targets carried the same request, as callers give each sending an id of its own. Change: a digest of method, host, path and body, made by the function that makes the completions path's; no decision uses it yet.

--- a/bench/edge-region.ts
+++ b/bench/edge-region.ts
@@ -165,6 +165,7 @@
 				callerKey: requestId,
 				host: 'prairie.example',
 				path: long ? '/long/1' : '/short/1',
+				fingerprint: toId(requestId),
 				arrivedAt: this.#queue.now as Millis,
 				budgetMs: long ? 12_000 : 3000,
 				prompt,
--- a/src/core/edge/describe-failed-attempt.ts
+++ b/src/core/edge/describe-failed-attempt.ts
@@ -14,6 +14,7 @@
 		events: running?.events,
 		unframed: running?.head?.unframed,
 		softwareVersion: running && softwareVersionOf(running),
+		fingerprint: req.fingerprint,
 		parts: req.prompt && sharedParts(req.prompt).map(({id}) => id),
 		afterMs: Math.round(now - (running?.sentAt ?? now)),
 	};
--- a/src/core/edge/edge-request.ts
+++ b/src/core/edge/edge-request.ts
@@ -1,4 +1,5 @@
 import type {BegunStream} from '../control/begun-stream.ts';
+import type {ContentFingerprint} from '../ids/content-fingerprint.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
 import type {RequestId} from '../ids/request-id.ts';
@@ -11,6 +12,8 @@
 	readonly callerKey: string;
 	readonly host: string;
 	readonly path: string;
+	/** Equal for requests with the same method, host, path and body, whichever id the caller gave them. */
+	readonly fingerprint: ContentFingerprint;
 	readonly arrivedAt: Millis;
 	/** Time that the caller waits for the answer, in milliseconds from `arrivedAt`. */
 	readonly budgetMs?: number;
--- a/src/server/request-reader.ts
+++ b/src/server/request-reader.ts
@@ -12,6 +12,7 @@
 import {bearerKey} from './bearer-key.ts';
 import {BodyError} from './body-error.ts';
 import {CallerRequest} from './caller-request.ts';
+import {fingerprintOf} from './fingerprint-of.ts';
 import {parseChatBody} from './parse-chat-body.ts';
 import type {PeerToken} from './peer-token.ts';
 import {prefixBlocks} from './prefix-blocks.ts';
@@ -25,8 +26,6 @@
 const maxIdempotencyKeyCharacters = 256;
 /** Largest number of messages of a prompt that are told apart; long conversations differ in their first ones. */
 const maxPromptParts = 32;
-/** Hexadecimal digits of a content fingerprint. */
-const fingerprintDigits = 32;
 
 type RequestReaderOptions = {
 	readonly self: {readonly nodeId: string; readonly region: string};
@@ -173,14 +172,13 @@
 
 /** Digest of a message of a prompt to one service. */
 function partDigest({firm, deployment, service}: RoutePath, message: string): string {
-	return sha256(`${firm}/${deployment}/${service}\n`, message).slice(0, fingerprintDigits);
+	return fingerprintOf(`${firm}/${deployment}/${service}`, message);
 }
 
 /** Digest of method, target path, route, organisation and body; requests with equal fingerprints count as the same request. */
 function contentFingerprint(req: IncomingMessage, targetPath: string, scope: {path: RoutePath; organisation: string}, body: Uint8Array): string {
 	const {firm, deployment, service, route} = scope.path;
-	const head = `${req.method} ${targetPath} ${firm}/${deployment}/${service}/${route} ${scope.organisation}\n`;
-	return sha256(head, body).slice(0, fingerprintDigits);
+	return fingerprintOf(`${req.method} ${targetPath} ${firm}/${deployment}/${service}/${route} ${scope.organisation}`, body);
 }
 
 async function readBodyOrRefuse(req: IncomingMessage, maxBytes: number) {
--- a/src/server/routes/request-server.ts
+++ b/src/server/routes/request-server.ts
@@ -6,6 +6,7 @@
 import {toId} from '../../core/ids/to-id.ts';
 import type {CallerLimits} from '../../core/routes/caller-limits.ts';
 import {BodyError} from '../body-error.ts';
+import {fingerprintOf} from '../fingerprint-of.ts';
 import {readBody} from '../read-body.ts';
 import {CallerExchange} from './caller-exchange.ts';
 import {HttpServer} from './http-server.ts';
@@ -97,6 +98,8 @@
 				callerKey: head.key,
 				host: head.host,
 				path: head.path,
+				// Headers are left out: callers send a request again under another id and with another deadline.
+				fingerprint: toId(fingerprintOf(`${head.method} ${head.host.toLowerCase()} ${head.path}`, body)),
 				arrivedAt,
 				budgetMs: head.budgetMs,
 				prompt: head.prompt,
