test(server): the cut JSON answer is asked for, whichever target is listed first

Cause, traced: if d2 is listed first it gets the fixture's first call, counts as faster from then on, and d1, the target under test, gets no call. With the reports sent in that order the test fails each time. Change: d2 takes longer than a target is expected to before its first answer. Check and bounds stay.

--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -31,6 +31,8 @@
 	lineBreak: '\n' | '\r\n' = '\n';
 	/** Idle time in milliseconds after which the next request on a connection is answered with a reset, as if the engine had dropped the connection. */
 	resetAfterIdleMs = Number.POSITIVE_INFINITY;
+	/** Duration of a call and interval between two events of a stream, in milliseconds. */
+	workMs: number;
 	/** Requests received, in order. */
 	readonly receivedRequests: ReceivedRequest[] = [];
 	/** Number of requests whose connection closed before the answer was complete. */
@@ -40,15 +42,13 @@
 	/** Number of runs by request identifier. */
 	readonly runs = new Map<string, number>();
 	readonly identifier: string;
-	readonly #workMs: number;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 	readonly #lastUsedAt = new WeakMap<Socket, number>();
 
-	/** @param workMs - duration of a call and interval between two events of a stream, in milliseconds. */
 	constructor(name: string, workMs = 0) {
 		this.identifier = name;
-		this.#workMs = workMs;
+		this.workMs = workMs;
 		this.#server = createServer((req, res) => {
 			void this.#handle(req, res);
 		});
@@ -128,8 +128,8 @@
 			...manner === 'unsigned' ? {} : {'server-signature': `${this.identifier}.sig`},
 			'server-load': '1,0,6',
 		};
-		if (this.#workMs > 0) {
-			await sleep(this.#workMs);
+		if (this.workMs > 0) {
+			await sleep(this.workMs);
 		}
 
 		// Without chunks, and without a length since the body is written before the end is known, the answer ends with its connection.
@@ -175,8 +175,8 @@
 			}
 
 			res.write(`id: ${id}${lineBreak}data: piece ${id}${lineBreak}version: ${this.softwareVersion}${lineBreak}${lineBreak}`);
-			if (this.#workMs > 0) {
-				await sleep(this.#workMs); // eslint-disable-line no-await-in-loop
+			if (this.workMs > 0) {
+				await sleep(this.workMs); // eslint-disable-line no-await-in-loop
 			}
 		}
 
--- a/test/server/routes/routes-deployment.test.ts
+++ b/test/server/routes/routes-deployment.test.ts
@@ -240,9 +240,11 @@
 
 test('a JSON answer that its connection cuts short is retried if the call is safe', async t => {
 	const deployment = await start(t, {desk: ['d1', 'd2']});
-	const [short] = deployment.desk;
+	const [short, whole] = deployment.desk;
 	short!.unframed = true;
 	short!.manner = 'short';
+	// Slower than a target is expected to be before its first answer, so that calls go to the other one.
+	whole!.workMs = 100;
 	const isRetried = async () => {
 		const res = await deployment.call();
 		t.is(await res.body.text(), 'answer of d2');
