test(edge): a request that crashes targets must stop reaching them

The simulated deployment now also has plain services, and contents that crash targets; what it checked before is unchanged.

--- a/test/core/edge/crashing-prompt-part.test.ts
+++ b/test/core/edge/crashing-prompt-part.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import type {Random} from '../../../src/core/common/random.ts';
-import type {Prompt} from '../../../src/core/edge/prompt.ts';
 import type {SimulatedCall} from '../../fixtures/simulated-call.ts';
+import type {SimulatedRequest} from '../../fixtures/simulated-request.ts';
 import {SimulatedDeployment} from '../../fixtures/simulated-deployment.ts';
 import type {SimulatedTarget} from '../../fixtures/simulated-target.ts';
 
@@ -16,27 +16,27 @@
 const fatalMs = 45_000;
 
 /** A prompt with a first part that many have and a second part that few have. */
-function soundPrompt(random: Random, number: number): Prompt {
-	return makePrompt([`first-${Math.floor(random.next() * 4)}`, `second-${Math.floor(random.next() * 200)}`], number);
+function soundRequest(random: Random, number: number): SimulatedRequest {
+	return makeRequest([`first-${Math.floor(random.next() * 4)}`, `second-${Math.floor(random.next() * 200)}`], number);
 }
 
-function fatalPrompt(random: Random, number: number): Prompt {
-	return makePrompt([`first-${Math.floor(random.next() * 4)}`, fatalPart], number);
+function fatalRequest(random: Random, number: number): SimulatedRequest {
+	return makeRequest([`first-${Math.floor(random.next() * 4)}`, fatalPart], number);
 }
 
-function makePrompt(shared: readonly string[], number: number): Prompt {
+function makeRequest(shared: readonly string[], number: number): SimulatedRequest {
 	return {
-		parts: [...shared.map(id => ({id, tokens: 300})), {id: `own-${number}`, tokens: 500}], promptTokens: 1100, outputTokens: 24,
+		prompt: {parts: [...shared.map(id => ({id, tokens: 300})), {id: `own-${number}`, tokens: 500}], promptTokens: 1100, outputTokens: 24},
 	};
 }
 
-function isFatal({parts}: Prompt): boolean {
-	return parts.some(({id}) => id === fatalPart);
+function isFatal({prompt}: SimulatedRequest): boolean {
+	return prompt!.parts.some(({id}) => id === fatalPart);
 }
 
 /** Share of the sound requests of a span whose answer began. */
 function begunShare(calls: readonly SimulatedCall[], from: number, to: number): number {
-	const sound = calls.filter(({prompt, sentAt}) => !isFatal(prompt) && sentAt >= from && sentAt < to);
+	const sound = calls.filter(call => !isFatal(call) && call.sentAt >= from && call.sentAt < to);
 	return sound.filter(({begun}) => begun).length / sound.length;
 }
 
@@ -46,9 +46,9 @@
 	deployment.start();
 	deployment.run(3000);
 	const start = deployment.now;
-	deployment.load(soundLoad, soundPrompt);
+	deployment.load(soundLoad, soundRequest);
 	deployment.run(10_000);
-	deployment.load({perSecond, ms: fatalMs}, fatalPrompt);
+	deployment.load({perSecond, ms: fatalMs}, fatalRequest);
 	deployment.run(20_000);
 	disturb?.(deployment);
 	deployment.run(33_000);
@@ -57,7 +57,7 @@
 
 function laterArrivals({crashes, arrivals}: SimulatedDeployment): number {
 	const fifth = crashes[crashesToContain - 1] ?? Number.POSITIVE_INFINITY;
-	return arrivals.filter(({at, prompt}) => isFatal(prompt) && at > fifth + containmentMs).length;
+	return arrivals.filter(arrival => isFatal(arrival) && arrival.at > fifth + containmentMs).length;
 }
 
 for (const seed of [1, 2, 3]) {
@@ -116,8 +116,8 @@
 function playLong(ms: number, fatalParts: Set<string>): SimulatedDeployment {
 	const deployment = new SimulatedDeployment({seed: 1, fatalParts});
 	deployment.start();
-	deployment.load({perSecond: 4, ms}, soundPrompt);
-	deployment.load({perSecond: 1, ms}, fatalPrompt);
+	deployment.load({perSecond: 4, ms}, soundRequest);
+	deployment.load({perSecond: 1, ms}, fatalRequest);
 	deployment.run(20_000);
 	return deployment;
 }
@@ -128,7 +128,7 @@
 	t.true(deployment.crashes.length >= 2, 'the part crashes targets');
 	fatalParts.clear();
 	deployment.run(100_000);
-	const last = deployment.calls.filter(({prompt, sentAt}) => isFatal(prompt) && sentAt > deployment.now - 20_000);
+	const last = deployment.calls.filter(call => isFatal(call) && call.sentAt > deployment.now - 20_000);
 	t.true(last.length > 0 && last.every(({completed}) => completed), `${last.filter(({completed}) => completed).length} of ${last.length} served`);
 });
 
@@ -143,7 +143,7 @@
 function playSound({seed, perSecond}: {seed: number; perSecond: number}, disturb: (deployment: SimulatedDeployment, second: number) => void): SimulatedDeployment {
 	const deployment = new SimulatedDeployment({seed, fatalParts: new Set()});
 	deployment.start();
-	deployment.load({perSecond, ms: 43_000}, soundPrompt);
+	deployment.load({perSecond, ms: 43_000}, soundRequest);
 	for (let second = 0; second < 40; second++) {
 		deployment.run(1000);
 		disturb(deployment, second);
--- a/test/core/edge/target-limit.test.ts
+++ b/test/core/edge/target-limit.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import type {Random} from '../../../src/core/common/random.ts';
-import type {Prompt} from '../../../src/core/edge/prompt.ts';
 import {SimulatedDeployment} from '../../fixtures/simulated-deployment.ts';
+import type {SimulatedRequest} from '../../fixtures/simulated-request.ts';
 
 /** Bound on the requests in any window: this share of what the limit allows, and some more. */
 const windowMs = 4000;
@@ -14,9 +14,9 @@
 /** Least share of what the limit allows that a target gets while requests press. */
 const leastServed = 0.5;
 
-function makePrompt(random: Random, number: number): Prompt {
+function makeRequest(random: Random, number: number): SimulatedRequest {
 	return {
-		parts: [{id: `first-${Math.floor(random.next() * 40)}`, tokens: 300}, {id: `own-${number}`, tokens: 500}], promptTokens: 800, outputTokens: 24,
+		prompt: {parts: [{id: `first-${Math.floor(random.next() * 40)}`, tokens: 300}, {id: `own-${number}`, tokens: 500}], promptTokens: 800, outputTokens: 24},
 	};
 }
 
@@ -24,10 +24,10 @@
 
 /** Two targets of a region name a limit after 5 s; returns the arrivals at each from then on. */
 function play({seed, limitPerSecond, entriesPerRegion, perSecond = 40}: Play, disturb?: (deployment: SimulatedDeployment) => void) {
-	const deployment = new SimulatedDeployment({seed, entriesPerRegion, fatalParts: new Set()});
+	const deployment = new SimulatedDeployment({seed, entriesPerRegion});
 	deployment.start();
 	deployment.run(3000);
-	deployment.load({perSecond, ms: 35_000}, makePrompt);
+	deployment.load({perSecond, ms: 35_000}, makeRequest);
 	deployment.run(5000);
 	const limited = deployment.targets.slice(0, 2);
 	for (const target of limited) {
