--- a/src/core/edge/crash-containment.ts
+++ b/src/core/edge/crash-containment.ts
@@ -25,8 +25,8 @@
 const resendMs = 600;
 /** Largest number of reports that wait for control's confirmation. */
 const maxPendingReports = 64;
-/** Largest number of traits in one report; the requests that were sent last come first. */
-const maxTraitsPerReport = 64;
+/** Largest number of traits in one report, for a target that ran dozens of requests; those of the attempts that broke off last come first. */
+const maxTraitsPerReport = 256;
 /** Fewest targets that look crashed at once, and their least share of all, for the network or this VM to be the likely cause. */
 const minSimultaneousCrashes = 3;
 const minSimultaneousShare = 0.5;
@@ -44,8 +44,8 @@
 /**
  * Keeps requests away from targets if what they have in common with others crashes each target that answers them.
  *
- * Callers send new requests with the same fatal part to any entry, so neither a limit on the attempts of a request nor
- * the memory of one entry helps. Each entry reports what broke off with a target; the counts over all entries come
+ * Callers send a fatal request again, or new ones with the same fatal part, to any entry, so neither a limit on the
+ * attempts of a request nor the memory of one entry helps. Each entry reports what broke off with a target; the counts over all entries come
  * back through the replicated log, which also outlives restarts. Sound requests that happened to run on the targets are
  * blamed as well, until one of their kind is answered in full.
  */
--- a/src/core/routes/crash-ledger.ts
+++ b/src/core/routes/crash-ledger.ts
@@ -5,7 +5,7 @@
 import type {SuspectTrait} from './suspect-trait.ts';
 
 /** Largest number of traits kept; beyond it, the one that was blamed first and for the fewest crashes is dropped. */
-const maxTraits = 1024;
+const maxTraits = 2048;
 /** Largest number of cleared crashes remembered for a trait, so that a report that arrives again does not blame it anew. */
 const maxClearedCrashes = 16;
 /** Fewest crashes from which on entries are told of a trait. One crash says little: all that ran on the target is blamed for it. */
