--- a/test/core/edge/crashing-request.test.ts
+++ b/test/core/edge/crashing-request.test.ts
@@ -15,7 +15,15 @@
 const fatalRates = [0.5, 2, 10];
 const fatalMs = 45_000;
 
-type Case = {readonly title: string; readonly route: Partial<RouteRule>; readonly targetsPerRegion: number; readonly sound: (random: Random, number: number) => SimulatedRequest; readonly fatal: (random: Random, number: number) => SimulatedRequest};
+type MakeRequest = (random: Random, number: number) => SimulatedRequest;
+
+type Case = {
+	readonly title: string;
+	readonly route: Partial<RouteRule>;
+	readonly targetsPerRegion: number;
+	readonly sound: MakeRequest;
+	readonly fatal: MakeRequest;
+};
 
 /** A prompt whose parts but the last many have. */
 function makePrompt(random: Random, number: number): SimulatedRequest['prompt'] {
@@ -48,7 +56,11 @@
 }
 
 /** Plays sound traffic, from its tenth second on with the fatal request `perSecond` times a second at any entry; `disturb` runs in the middle. */
-function play({route, targetsPerRegion, sound, fatal}: Case, {seed, perSecond}: {seed: number; perSecond: number}, disturb?: (deployment: SimulatedDeployment) => void): {deployment: SimulatedDeployment; start: number} {
+function play(
+	{route, targetsPerRegion, sound, fatal}: Case,
+	{seed, perSecond}: {seed: number; perSecond: number},
+	disturb?: (deployment: SimulatedDeployment) => void,
+): {deployment: SimulatedDeployment; start: number} {
 	const deployment = new SimulatedDeployment({
 		seed, route, targetsPerRegion, fatalContents: new Set([fatalContent]),
 	});
