fix(edge): a forwarded request stays with the service that its first entry chose

Cause: a receiver refused only what was forwarded under a newer document than its own. Change: the forwarding entry names the service, the receiver runs the request there or, if its document does not lead there any more, refuses it as not run. Builds that name none are handled as before. Result: the two new tests of edge-core fail before; test/core/edge and test/server/routes, 178 passed.

--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -107,6 +107,7 @@
 			fresh: this.#options.idle.needsFreshConnection(route, service, now),
 			stream: route.kind === 'stream',
 			resumeAfter: lastEventId,
+			service,
 			origin: softwareVersion === undefined ? undefined : {service, softwareVersion},
 			documentVersion: table.version,
 		});
--- a/src/core/edge/create-request-record.ts
+++ b/src/core/edge/create-request-record.ts
@@ -4,14 +4,14 @@
 import type {EdgeRequest} from './edge-request.ts';
 import type {RequestRecord} from './request-record.ts';
 
-/** Creates the record of a request that has just arrived. A forwarded stream that has begun stays with its service; otherwise the route picks one. */
+/** Creates the record of a request that has just arrived. A forwarded request stays with the service that was chosen for it; otherwise the route picks one. */
 export function createRequestRecord(req: EdgeRequest, route: RouteRule, table: RouteTable): RequestRecord {
-	const origin = req.forwarded?.origin;
+	const {origin, service} = req.forwarded ?? {};
 	const limitMs = Math.min(req.budgetMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
 	return {
 		req,
 		route,
-		service: origin?.service ?? table.pickService(route, req.callerKey),
+		service: origin?.service ?? service ?? table.pickService(route, req.callerKey),
 		table,
 		deadlineAt: req.arrivedAt + limitMs as Millis,
 		mayHaveRunOn: new Set(),
--- a/src/core/edge/edge-action.ts
+++ b/src/core/edge/edge-action.ts
@@ -1,6 +1,7 @@
 import type {BegunStream} from '../control/begun-stream.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {RequestId} from '../ids/request-id.ts';
+import type {ServiceName} from '../ids/service-name.ts';
 import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {OutboxAction} from '../outbox-action.ts';
@@ -29,6 +30,7 @@
 		readonly resumeAfter?: string;
 		/** Where the stream began, if the caller has events of it; an entry that gets the request keeps to it. */
 		readonly origin?: BegunStream;
+		readonly service: ServiceName;
 		/** Version of the routes document under which the request is handled. */
 		readonly documentVersion: number;
 	}
--- a/src/core/edge/edge-refusal.ts
+++ b/src/core/edge/edge-refusal.ts
@@ -13,7 +13,7 @@
 	| 'contained'
 	/** The entry is stopping. */
 	| 'leaving'
-	/** The entry that forwarded the request applied a newer routes document than this one. */
+	/** The entry that forwarded the request applied another routes document: a newer one, or an older one under which its route led elsewhere. */
 	| 'outdated'
 	/** The attempts failed, or the answer was cut off. */
 	| 'target-failed'
--- a/src/core/edge/edge-request.ts
+++ b/src/core/edge/edge-request.ts
@@ -3,6 +3,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
 import type {RequestId} from '../ids/request-id.ts';
+import type {ServiceName} from '../ids/service-name.ts';
 import type {Prompt} from './prompt.ts';
 
 /** A caller's request as the core sees it: only the fields that routing and placement need; the body stays opaque. */
@@ -22,6 +23,14 @@
 	readonly resumeAfter?: string;
 	/** The caller's id of the request that brought the first event of the stream that it resumes. */
 	readonly resumes?: string;
-	/** Set if another entry forwarded the request: that entry's region, the version of the routes document it applied, and where the stream began if the caller has events of it. */
-	readonly forwarded?: {readonly region: Region; readonly documentVersion: number; readonly origin?: BegunStream};
+	/** Set if another entry forwarded the request. */
+	readonly forwarded?: {
+		readonly region: Region;
+		/** Version of the routes document that the entry applied. */
+		readonly documentVersion: number;
+		/** Service that the entry chose; absent from builds that do not send it. */
+		readonly service?: ServiceName;
+		/** Where the stream began, if the caller has events of it. */
+		readonly origin?: BegunStream;
+	};
 };
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -92,7 +92,8 @@
 		const record = createRequestRecord(req, route, table!);
 		this.#records.set(req.requestId, record);
 		if (!route.split.some(({service}) => service === record.service)) {
-			this.#refuse(record, 'no-target', now);
+			// Another entry chose the service, under a document that this one has replaced since.
+			this.#refuse(record, 'outdated', now);
 			return;
 		}
 
--- a/src/server/routes/relay-header.ts
+++ b/src/server/routes/relay-header.ts
@@ -1,11 +1,12 @@
 import type {EdgeRequest} from '../../core/edge/edge-request.ts';
 import type {BegunStream} from '../../core/control/begun-stream.ts';
+import type {ServiceName} from '../../core/ids/service-name.ts';
 import {toId} from '../../core/ids/to-id.ts';
 import {decodeHeaderText} from './decode-header-text.ts';
 
 type RelayedRequest = NonNullable<EdgeRequest['forwarded']>;
 
-/** Header of a forwarded request: region of the forwarding entry, version of its routes document and, for a stream that has begun, its service and software version. */
+/** Header of a forwarded request: region of the forwarding entry, version of its routes document, service that it chose and, for a stream that has begun, its software version. */
 const name = 'lovageferry-relayed';
 /** Header of an answer: the entry of the remote region refused the request, which has not run there. */
 const refusedName = 'lovageferry-refused';
@@ -19,15 +20,18 @@
 	refusedName,
 	softwareVersionName,
 	/** Formats the value of the header `name`. */
-	write({region, documentVersion, origin}: RelayedRequest): string {
-		return [region, documentVersion, ...origin === undefined ? [] : [encodeURIComponent(origin.service), encodeURIComponent(origin.softwareVersion)]].join(';');
+	write({region, documentVersion, service, origin}: RelayedRequest): string {
+		const optional = [service ?? origin?.service, origin?.softwareVersion].filter(value => value !== undefined);
+		return [region, documentVersion, ...optional.map(value => encodeURIComponent(value))].join(';');
 	},
 	/** Parses the value of the header `name`; undefined if it is missing or malformed. */
 	read(value: string | string[] | undefined): RelayedRequest | undefined {
 		const [region, version, service, softwareVersion] = typeof value === 'string' ? value.split(';') : [];
 		const documentVersion = Number(version);
 		return region && Number.isSafeInteger(documentVersion)
-			? {region: toId(region), documentVersion, origin: readOrigin(service, softwareVersion)}
+			? {
+				region: toId(region), documentVersion, service: service === undefined ? undefined : toId<ServiceName>(decodeHeaderText(service)), origin: readOrigin(service, softwareVersion),
+			}
 			: undefined;
 	},
 } as const;
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -120,12 +120,14 @@
 
 	#buildHeaders(action: StartAction, exchange: CallerExchange): string[] {
 		const {codec, region} = this.#options;
-		const {deadlineMs, targetId, urgency, resumeAfter, documentVersion, origin} = action;
+		const {deadlineMs, targetId, urgency, resumeAfter, documentVersion, service, origin} = action;
 		const headers = codec.outgoingHeaders(exchange.head, {
 			deadlineMs, targetId, urgency, resumeAfter,
 		});
 		if (targetId === undefined) {
-			headers.push(relayHeader.name, relayHeader.write({region, documentVersion, origin}));
+			headers.push(relayHeader.name, relayHeader.write({
+				region, documentVersion, service, origin,
+			}));
 		}
 
 		return headers;
--- a/test/core/edge/edge-core.test.ts
+++ b/test/core/edge/edge-core.test.ts
@@ -2,6 +2,7 @@
 import type {EdgeAction} from '../../../src/core/edge/edge-action.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
 import type {Region} from '../../../src/core/ids/region.ts';
+import type {TargetId} from '../../../src/core/ids/target-id.ts';
 import type {Zone} from '../../../src/core/ids/zone.ts';
 import type {ServiceName} from '../../../src/core/ids/service-name.ts';
 import {EdgeHarness} from '../../fixtures/edge-harness.ts';
@@ -100,6 +101,24 @@
 	t.deepEqual(harness.refusals().map(({reason, ran}) => [reason, ran]), [['outdated', 'no']]);
 });
 
+test('a request forwarded under an older routes document does not run at a service to which only this one leads', t => {
+	const moved = toId<ServiceName>('press');
+	const document = routesDocumentFixture({version: 2, route: {split: [{service: moved, weight: 1}]}});
+	const harness = new EdgeHarness({document});
+	harness.feed({targets: [listedTargetFixture('a'), listedTargetFixture('b', {service: moved})]});
+	harness.request({forwarded: {region: toId('winnipeg'), documentVersion: 1, service: toId<ServiceName>('desk')}});
+	t.deepEqual(harness.starts(), []);
+	t.deepEqual(harness.refusals().map(({reason, ran}) => [reason, ran]), [['outdated', 'no']]);
+});
+
+test('a request forwarded under an older routes document runs at the service that was chosen for it while its route leads there', t => {
+	const split = ['press', 'desk'].map(name => ({service: toId<ServiceName>(name), weight: name === 'press' ? 1000 : 1}));
+	const harness = new EdgeHarness({document: routesDocumentFixture({version: 2, route: {split}})});
+	harness.feed({targets: [listedTargetFixture('a'), listedTargetFixture('b', {service: toId<ServiceName>('press')})]});
+	harness.request({forwarded: {region: toId('winnipeg'), documentVersion: 1, service: toId<ServiceName>('desk')}});
+	t.is(harness.lastStart().targetId, toId<TargetId>('a'));
+});
+
 test('a request that a remote region forwarded is never forwarded again', t => {
 	const harness = new EdgeHarness();
 	harness.feed({regions: [remoteRegion]});
--- a/test/server/routes/relay-header.test.ts
+++ b/test/server/routes/relay-header.test.ts
@@ -5,17 +5,25 @@
 import {toId} from '../../../src/core/ids/to-id.ts';
 import {relayHeader} from '../../../src/server/routes/relay-header.ts';
 
-test('a forwarded request is read as it was written, whatever its software version', t => {
+test('a forwarded request is read as it was written, whatever its service and software version', t => {
+	const service = toId<ServiceName>('print;desk');
 	for (const softwareVersion of [undefined, '', 'v1.1', 'a;b %', 'ü']) {
 		const relayed = {
 			region: toId<Region>('regina'),
 			documentVersion: 7,
-			origin: softwareVersion === undefined ? undefined : {service: toId<ServiceName>('print;desk'), softwareVersion: toId<SoftwareVersion>(softwareVersion)},
+			service,
+			origin: softwareVersion === undefined ? undefined : {service, softwareVersion: toId<SoftwareVersion>(softwareVersion)},
 		};
 		t.deepEqual(relayHeader.read(relayHeader.write(relayed)), relayed);
 	}
 });
 
+test('a forwarded request of a build that does not name the service is read without one', t => {
+	t.deepEqual(relayHeader.read('regina;7'), {
+		region: toId<Region>('regina'), documentVersion: 7, service: undefined, origin: undefined,
+	});
+});
+
 test('a value without a region or a document version is not read', t => {
 	for (const value of ['', ';7', 'regina', 'regina;seven', undefined, ['regina;7']]) {
 		t.is(relayHeader.read(value), undefined);
