fix(edge): an entry returns to a control node of its region only on a current feed

Callers could see (suspected, CONFIG): a configuration in force late at the entries of a region whose control node is lost: every five seconds they left the node that they followed for the lost one and had no feed for 1.6 s, or 3.2 s if the next one was out of date; 3 s are allowed. Cause: the return was tried by following. Change: the entry asks first, and follows once a current feed has come.

--- a/src/core/edge/control-follower.ts
+++ b/src/core/edge/control-follower.ts
@@ -9,6 +9,8 @@
 import type {EntryStatus} from '../registry/entry-status.ts';
 
 type Feed = ControlMessage & {type: 'feed'};
+/** Position in a control node's registry up to which the entry has its targets. */
+type FeedPosition = (ControlMessage & {type: 'follow'})['have'];
 
 type ControlFollowerOptions = {
 	readonly self: {readonly nodeId: NodeId; readonly region: Region};
@@ -24,6 +26,7 @@
 /**
  * Follows one control node, preferably of the own region, and switches to another if its feeds stop or if it is no
  * longer current with the replicated log. While it knows no other control node, it stays with one that is not current.
+ * It returns to a node of the own region only once that has sent a current feed, so that it is never without one for it.
  */
 export class ControlFollower {
 	readonly #options: ControlFollowerOptions;
@@ -33,8 +36,10 @@
 	#lastFeedAt = Number.NEGATIVE_INFINITY;
 	#lastCurrentFeedAt = Number.NEGATIVE_INFINITY;
 	#lastReportAt = Number.NEGATIVE_INFINITY;
-	/** Position in the primary's registry up to which the entry has its targets; undefined until the first complete list. */
-	#position: {readonly epoch: string; readonly revision: number} | undefined;
+	/** The control node of the own region that was asked for a feed, to return to it. */
+	#candidate: NodeId | undefined;
+	/** Position in the primary's registry; undefined until the first complete list. */
+	#position: FeedPosition;
 	readonly #avoidUntil = new Map<NodeId, number>();
 
 	constructor(options: ControlFollowerOptions) {
@@ -74,18 +79,16 @@
 		}
 
 		this.#lastReportAt = now;
-		const {outbox, status, stateIndex, crashIndex} = this.#options;
-		outbox.send(this.#primary, {
-			part: 'control',
-			body: {
-				type: 'follow', status: status(now), have: this.#position, stateIndex: stateIndex(), crashIndex: crashIndex(),
-			},
-		});
+		this.#sendStatus(this.#primary, this.#position, now);
 	}
 
 	/** Handles a feed; returns `whole` if its targets are the complete list, `changes` if they update the last one, and undefined if they must not be used. */
 	handleFeed(from: NodeId, feed: Feed, now: Millis): 'whole' | 'changes' | undefined {
 		this.#updatePeers(feed.control);
+		if (from === this.#candidate && feed.current) {
+			this.#follow(from, now);
+		}
+
 		if (from !== this.#primary) {
 			return undefined;
 		}
@@ -95,7 +98,7 @@
 			this.#lastCurrentFeedAt = now;
 		}
 
-		this.#returnToOwnRegion(now);
+		this.#askOwnRegion(now);
 		// -1 marks a complete list.
 		if (feed.from === -1) {
 			this.#position = {epoch: feed.epoch, revision: feed.to};
@@ -134,8 +137,8 @@
 		this.#follow(next, now);
 	}
 
-	/** Returns to a control node of the own region once one is known that has not failed recently. */
-	#returnToOwnRegion(now: Millis): void {
+	/** Asks a control node of the own region that has not failed recently for a feed, to return to it. */
+	#askOwnRegion(now: Millis): void {
 		const {self} = this.#options;
 		const current = this.#peers.find(({nodeId}) => nodeId === this.#primary);
 		if (current?.region === self.region || now - this.#followedSince < controlTiming.avoidFailedNodeMs) {
@@ -144,14 +147,27 @@
 
 		const preferred = this.#rankedNodes(now).find(nodeId => this.#peers.some(peer => peer.nodeId === nodeId && peer.region === self.region));
 		if (preferred !== undefined && (this.#avoidUntil.get(preferred) ?? 0) <= now) {
-			this.#follow(preferred, now);
+			this.#candidate = preferred;
+			this.#avoidUntil.set(preferred, now + controlTiming.avoidFailedNodeMs);
+			this.#sendStatus(preferred, undefined, now);
 		}
 	}
 
+	#sendStatus(to: NodeId, have: FeedPosition, now: Millis): void {
+		const {outbox, status, stateIndex, crashIndex} = this.#options;
+		outbox.send(to, {
+			part: 'control',
+			body: {
+				type: 'follow', status: status(now), have, stateIndex: stateIndex(), crashIndex: crashIndex(),
+			},
+		});
+	}
+
 	#follow(nodeId: NodeId, now: Millis): void {
 		const {outbox} = this.#options;
 		outbox.event('control-followed', {control: nodeId, before: this.#primary, silentMs: Math.round(Math.min(this.silenceMs(now), 1e9))});
 		this.#primary = nodeId;
+		this.#candidate = undefined;
 		this.#followedSince = now;
 		this.#position = undefined;
 		this.report(now);
