fix(edge): entries that are cut off from all targets have others send their requests

Cause: a failed connection suspended its target until the next heartbeat, which control still hears; placement knew no other entry of its region; and entries that reach nothing still counted for their region, so that others forwarded to them. Change: a target that can't be reached from here stays unused until a probe has opened a connection; silent targets are probed; an entry that reaches no target of a service takes the other entries of its region as candidates beside the remote regions; summaries of regions list entries that reach targets; attempts at a target out of reach count as stalled soon.

--- a/src/core/edge/edge-action.ts
+++ b/src/core/edge/edge-action.ts
@@ -34,6 +34,8 @@
 		/** Version of the routes document under which the request is handled. */
 		readonly documentVersion: number;
 	}
+	/** Opens a connection to a target and closes it again; a `probe-result` follows. */
+	| {readonly type: 'probe'; readonly targetId: TargetId; readonly address: string}
 	/** Aborts an attempt and closes its connection; nothing more of it may reach the caller. */
 	| {readonly type: 'cancel'; readonly attempt: AttemptNumber}
 	/** Streams the attempt's answer to the caller: the head now, events as they arrive. An entry that forwarded the request is told the software version of the target. */
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -20,6 +20,7 @@
 import {StreamOrigins} from './stream-origins.ts';
 import {ServiceVersions} from './service-versions.ts';
 import {TargetPool} from './target-pool.ts';
+import {TargetProber} from './target-prober.ts';
 import {WaitQueue} from './wait-queue.ts';
 
 /** Assumed time until a full target has room for another request, in milliseconds. */
@@ -39,6 +40,7 @@
 	readonly #versions = new ServiceVersions();
 	readonly #origins: StreamOrigins;
 	readonly #containment: CrashContainment;
+	readonly #prober: TargetProber;
 	readonly #requests: RequestHandler;
 	#table: RouteTable | undefined;
 	#stateIndex = 0;
@@ -50,7 +52,7 @@
 		const {self, seeds, repeats, random} = options;
 		this.#queue = new ActionQueue(self.nodeId);
 		this.#pool = new TargetPool(self.nodeId);
-		this.#regions = new RegionSelector(self.region);
+		this.#regions = new RegionSelector(self);
 		this.#follower = new ControlFollower({
 			self, seeds, outbox: this.#queue, status: now => this.#status(now), stateIndex: () => this.#stateIndex, crashIndex: () => this.#containment.index,
 		});
@@ -60,7 +62,9 @@
 		this.#containment = new CrashContainment({
 			queue: this.#queue, primary: () => this.#follower.primary, targetCount: () => this.#pool.listings().length,
 		});
+		this.#prober = new TargetProber({pool: this.#pool, queue: this.#queue});
 		this.#requests = new RequestHandler({
+			prober: this.#prober,
 			containment: this.#containment,
 			origins: this.#origins,
 			placement: new PlacementPolicy({
@@ -125,6 +129,7 @@
 				this.#follower.tick(now);
 				this.#origins.tick(now);
 				this.#containment.tick(now);
+				this.#prober.tick(now);
 				this.#requests.tick(now);
 				break;
 			}
@@ -164,6 +169,11 @@
 				break;
 			}
 
+			case 'probe-result': {
+				this.#prober.recordConnection(event.targetId, event.reachable);
+				break;
+			}
+
 			case 'drain': {
 				this.#leaving = true;
 				this.#follower.report(now);
--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -37,7 +37,7 @@
  *
  * A region's peak may exceed the capacity of its own targets. A request goes where its predicted cost is lowest; to a
  * remote region only if the gain outweighs the traffic, or if no target of this region has room and would start it in
- * time. It waits only while it can still be served in time; otherwise it is refused at once. In a region with placers,
+ * time. An entry that can't reach the targets of its region has other entries of the region send it. It waits only while it can still be served in time; otherwise it is refused at once. In a region with placers,
  * an entry forwards each prompt once to the placer chosen for it, unless that is the entry itself.
  */
 export class PlacementPolicy {
@@ -63,7 +63,7 @@
 		const mayForward = req.forwarded === undefined || req.forwarded.region === this.#options.region;
 		const [remote] = mayForward
 			? regions.candidates({
-				service, homes: route.homes, prompt: req.prompt, origin: record.origin,
+				service, homes: route.homes, prompt: req.prompt, origin: record.origin, withOwn: req.forwarded === undefined && this.#options.pool.isCutOff(service, now),
 			}, now)
 			: [];
 		const remoteCostMs = remote === undefined ? Number.POSITIVE_INFINITY : remote.costMs + remoteRegionPenaltyMs;
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -22,6 +22,13 @@
 /** Part of the time of an engine's first step that does not depend on the prompt, in milliseconds. */
 const firstStepMs = 15;
 
+/** Time without a sign of a target that has attempts in progress after which it is probed, in milliseconds. */
+const silenceBeforeProbeMs = 1000;
+/** Interval between two probes of a silent target, in milliseconds. */
+const silentProbeIntervalMs = 2000;
+/** Interval between two probes of a target that could not be reached, in milliseconds. */
+const unreachableProbeIntervalMs = 1000;
+
 type NamedLimit = {
 	readonly perSecond: number;
 	/** Time at which this entry learnt that the target has a limit. */
@@ -55,6 +62,10 @@
 	#limit: NamedLimit | undefined;
 	#suspended: {readonly since: Millis; readonly sequence: number} | undefined;
 	#fullUntil = Number.NEGATIVE_INFINITY;
+	#reachable = true;
+	#probedAt = Number.NEGATIVE_INFINITY;
+	/** Time of the newest bytes from the target. */
+	#lastSignAt = Number.NEGATIVE_INFINITY;
 	#othersLoad = {count: 0, at: Number.NEGATIVE_INFINITY};
 
 	/** @param options - `phase`: see `LimitShare`. */
@@ -81,6 +92,7 @@
 			this.prefixCache.clear();
 			this.#suspended = undefined;
 			this.#limit = undefined;
+			this.#reachable = true;
 			this.#lastSequence = listed.sequence;
 			this.#othersLoad = {count: 0, at: Number.NEGATIVE_INFINITY};
 		}
@@ -108,8 +120,50 @@
 		this.#fullUntil = now + fullBackoffMs;
 	}
 
+	/** False from a failed connection until one succeeds. */
+	get reachable(): boolean {
+		return this.#reachable;
+	}
+
+	/** Returns whether that is a change. */
+	setReachable(reachable: boolean): boolean {
+		const changed = reachable !== this.#reachable;
+		this.#reachable = reachable;
+		return changed;
+	}
+
+	/** Records that bytes of the target arrived. */
+	recordSign(now: Millis): void {
+		this.#lastSignAt = now;
+	}
+
+	/** True if a connection should be opened to find out whether the target can be reached: it could not be, or it has been silent for long. */
+	needsProbe(now: Millis): boolean {
+		if (this.listed.state !== 'serving') {
+			return false;
+		}
+
+		if (!this.#reachable) {
+			return now - this.#probedAt >= unreachableProbeIntervalMs;
+		}
+
+		const [oldest] = this.attempts.values();
+		return oldest !== undefined
+			&& now - Math.max(this.#lastSignAt, oldest.sentAt) >= silenceBeforeProbeMs
+			&& now - this.#probedAt >= silentProbeIntervalMs;
+	}
+
+	recordProbeSent(now: Millis): void {
+		this.#probedAt = now;
+	}
+
 	/** True if the target may get new requests. */
 	usable(now: Millis): boolean {
+		return this.#reachable && this.isServing(now);
+	}
+
+	/** True if the target takes new requests, whether or not this entry reaches it. */
+	isServing(now: Millis): boolean {
 		const suspended = this.#suspended !== undefined && now - this.#suspended.since < maxSuspensionMs;
 		return this.listed.state === 'serving'
 			&& this.listed.goneInMs === undefined
--- a/src/core/edge/region-selector.ts
+++ b/src/core/edge/region-selector.ts
@@ -7,8 +7,9 @@
 import type {Prompt} from './prompt.ts';
 import type {StreamOrigin} from './stream-origin.ts';
 
-/** Assumed round trip to a remote region, in milliseconds. */
+/** Assumed round trips to a remote region, and to another entry of the own one, in milliseconds. */
 const assumedRoundTripMs = 120;
+const ownRegionRoundTripMs = 5;
 /** Prefill rate of a typical engine, in prompt tokens a millisecond. */
 const typicalPrefillRate = 45;
 /** Assumed duration of a call of a plain service in a remote region, in milliseconds. */
@@ -28,11 +29,21 @@
 /** A request sent to a remote region; `tokens` is the length of its prompt, or 1 for a call of a plain service. */
 type SentRequest = {readonly at: Millis; readonly tokens: number};
 
-/** A remote region that could take a request: the entry to forward it to, the predicted time to its start and the cost, in milliseconds. */
+/** A region that could take a request: the entry to forward it to, the predicted time to its start and the cost, in milliseconds. */
 type RegionCandidate = {readonly region: Region; readonly address: string; readonly startMs: number; readonly costMs: number};
 
+type CandidateQuery = {
+	readonly service: ServiceName;
+	readonly homes: readonly Region[];
+	readonly prompt?: Prompt;
+	readonly origin?: StreamOrigin;
+	/** @default false */
+	readonly withOwn?: boolean;
+};
+
 /**
- * Selects remote regions for requests, and the placer of the own region for prompts.
+ * Selects remote regions for requests, and other entries of the own region: the placer for prompts, and any that can
+ * reach the targets if this entry can't.
  *
  * Peaks move from one region to the next, and reported loads of regions are about a second old. The requests that this
  * entry has sent to a region since are therefore added to its load, multiplied by the number of entries that are
@@ -40,6 +51,8 @@
  */
 export class RegionSelector {
 	readonly #ownRegion: Region;
+	/** Address at which other entries forward requests to this one. */
+	readonly #ownAddress: string;
 	#loads: readonly RegionLoad[] = [];
 	/** Numbers of the own region's entries in the last `entryCountHoldMs`. */
 	#recentCounts: ReadonlyArray<{readonly at: Millis; readonly placing: number; readonly all: number}> = [];
@@ -48,8 +61,9 @@
 	readonly #avoidUntil = new Map<string, number>();
 	#rotation = 0;
 
-	constructor(own: Region) {
-		this.#ownRegion = own;
+	constructor(own: {readonly region: Region; readonly relayAddress: string}) {
+		this.#ownRegion = own.region;
+		this.#ownAddress = own.relayAddress;
 	}
 
 	/** Number of entries of the own region that place requests to model engines, at least 1. */
@@ -98,19 +112,19 @@
 		return address === undefined || load === undefined ? undefined : {address, startMs: load.startMs + (prompt.promptTokens / typicalPrefillRate)};
 	}
 
-	/** Remote regions that could take a request, or go on with the stream of that origin, the cheapest first. */
-	candidates({service, homes, prompt, origin}: {service: ServiceName; homes: readonly Region[]; prompt?: Prompt; origin?: StreamOrigin}, now: Millis): readonly RegionCandidate[] {
+	/** Remote regions that could take a request, or go on with the stream of that origin, the cheapest first; `withOwn` adds the other entries of the own region. */
+	candidates({service, homes, prompt, origin, withOwn = false}: CandidateQuery, now: Millis): readonly RegionCandidate[] {
 		if (this.#isStale(now)) {
 			return [];
 		}
 
 		const candidates: RegionCandidate[] = [];
-		for (const {region, hasPlacers, relayAddresses, loads} of this.#loads) {
-			const allowed = region !== this.#ownRegion && (homes.length === 0 || homes.includes(region));
+		const allowed = this.#loads.filter(({region}) => (withOwn || region !== this.#ownRegion) && (homes.length === 0 || homes.includes(region)));
+		for (const {region, hasPlacers, relayAddresses, loads} of allowed) {
 			const load = loads.find(serviceLoad => serviceLoad.service === service);
-			const addresses = relayAddresses.filter(address => !this.#isAvoided(address, service, now));
+			const addresses = relayAddresses.filter(address => address !== this.#ownAddress && !this.#isAvoided(address, service, now));
 			const mayContinue = origin === undefined || load?.softwareVersions?.some(softwareVersion => mayContinueAt(origin, softwareVersion)) === true;
-			if (!allowed || load === undefined || load.targets === 0 || addresses.length === 0 || !mayContinue) {
+			if (load === undefined || load.targets === 0 || addresses.length === 0 || !mayContinue) {
 				continue;
 			}
 
@@ -119,7 +133,7 @@
 			const queuedMs = prompt === undefined ? sentTokens * typicalCallMs / load.targets / typicalSlots : sentTokens / typicalPrefillRate / load.targets;
 			this.#rotation += 1;
 			const address = hasPlacers && prompt !== undefined ? this.#ranked(addresses, prompt)[0]! : addresses[this.#rotation % addresses.length]!;
-			const startMs = assumedRoundTripMs + load.startMs + queuedMs + serviceMs;
+			const startMs = (region === this.#ownRegion ? ownRegionRoundTripMs : assumedRoundTripMs) + load.startMs + queuedMs + serviceMs;
 			candidates.push({
 				region, address, startMs, costMs: startMs + load.extraMs,
 			});
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -27,6 +27,7 @@
 import type {RequestRecord} from './request-record.ts';
 import {TargetFeedback} from './target-feedback.ts';
 import type {StreamOrigins} from './stream-origins.ts';
+import type {TargetProber} from './target-prober.ts';
 import type {TargetPool} from './target-pool.ts';
 import type {WaitQueue} from './wait-queue.ts';
 
@@ -41,6 +42,7 @@
 	readonly waiting: WaitQueue;
 	readonly origins: StreamOrigins;
 	readonly containment: CrashContainment;
+	readonly prober: TargetProber;
 	readonly budget: WindowedRetryBudget;
 	readonly random: Random;
 	readonly queue: ActionQueue<EdgeAction>;
--- a/src/core/edge/retry-policy.ts
+++ b/src/core/edge/retry-policy.ts
@@ -4,14 +4,19 @@
 import type {WindowedRetryBudget} from './windowed-retry-budget.ts';
 import {mayRetry} from './may-retry.ts';
 import type {RequestRecord} from './request-record.ts';
+import type {TargetPool} from './target-pool.ts';
 import {stallTimeoutMs} from './stall-timeout-ms.ts';
 
 /** Share of the latency objective that must be left before the deadline for a retry after an error status. */
 const minRemainingShare = 0.25;
 
+/** Time without progress after which an attempt at a target that can't be reached counts as stalled, in milliseconds. */
+const unreachableTimeoutMs = 400;
+
 type RetryPolicyOptions = {
 	readonly placement: PlacementPolicy;
 	readonly regions: RegionSelector;
+	readonly pool: TargetPool;
 	readonly budget: WindowedRetryBudget;
 };
 
@@ -51,7 +56,10 @@
 		}
 
 		const failed = asIfFailed(record);
-		const limitMs = stallTimeoutMs(record.route, {predictedMs: running.predictedMs, events: running.events, forwarded: running.forwardedTo !== undefined});
+		const reachable = running.targetId === undefined || this.#options.pool.get(running.targetId)?.reachable !== false;
+		const limitMs = reachable
+			? stallTimeoutMs(record.route, {predictedMs: running.predictedMs, events: running.events, forwarded: running.forwardedTo !== undefined})
+			: unreachableTimeoutMs;
 		if (!mayRetry(failed) || now - running.lastProgressAt <= limitMs || !this.#hasDestination(failed, now)) {
 			return false;
 		}
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -7,6 +7,7 @@
 import type {IdleConnectionPolicy} from './idle-connection-policy.ts';
 import type {PooledTarget} from './pooled-target.ts';
 import type {RegionSelector} from './region-selector.ts';
+import type {TargetProber} from './target-prober.ts';
 import type {RequestRecord} from './request-record.ts';
 import type {TargetPool} from './target-pool.ts';
 
@@ -21,6 +22,7 @@
 	readonly regions: RegionSelector;
 	readonly idle: IdleConnectionPolicy;
 	readonly containment: CrashContainment;
+	readonly prober: TargetProber;
 	readonly queue: ActionQueue<EdgeAction>;
 };
 
@@ -39,6 +41,7 @@
 			return;
 		}
 
+		target.recordSign(now);
 		if (load !== undefined) {
 			target.updateLoad(load, now);
 		}
@@ -62,6 +65,7 @@
 	recordEvents(record: RequestRecord, count: number, now: Millis): void {
 		const {running, table, service} = record;
 		const target = this.#targetOf(record);
+		target?.recordSign(now);
 		if (running!.events === 0) {
 			target?.recordStart(running!.attempt, now);
 		} else {
@@ -88,7 +92,9 @@
 			this.#options.containment.recordBreak(record.req, target, now);
 		}
 
-		if (reason !== 'foreign-answer') {
+		if (target !== undefined && reason === 'connect') {
+			this.#options.prober.recordConnection(target.listed.targetId, false);
+		} else if (reason !== 'foreign-answer') {
 			target?.suspend(now);
 		}
 
--- a/src/core/edge/target-pool.ts
+++ b/src/core/edge/target-pool.ts
@@ -55,6 +55,11 @@
 		return [...this.#targets.values()].map(({listed}) => listed);
 	}
 
+	/** All targets, whatever their state. */
+	all(): Iterable<PooledTarget> {
+		return this.#targets.values();
+	}
+
 	get(targetId: TargetId): PooledTarget | undefined {
 		return this.#targets.get(targetId);
 	}
@@ -64,6 +69,12 @@
 		return this.#targetsOf(service).filter(target => target.usable(now) && !this.#evacuated.has(target.listed.zone));
 	}
 
+	/** True if a service has targets in use that this entry can't reach, and none that it can. */
+	isCutOff(service: ServiceName, now: Millis): boolean {
+		const serving = this.#targetsOf(service).filter(target => target.isServing(now) && !this.#evacuated.has(target.listed.zone));
+		return serving.length > 0 && serving.every(({reachable}) => !reachable);
+	}
+
 	/** Partition of a service's targets that the placer with number `index` of `count` fills first: every `count`-th target. Empty if `index` is -1. */
 	partition(service: ServiceName, {count, index}: {count: number; index: number}): ReadonlySet<PooledTarget> {
 		if (index === -1) {
--- a/src/core/registry/summarize-regions.ts
+++ b/src/core/registry/summarize-regions.ts
@@ -19,18 +19,25 @@
 	}
 
 	return [...byRegion].map(([region, list]) => {
-		const placers = choosePlacers(list);
+		const forwarding = withTargets(list);
+		const placers = choosePlacers(forwarding);
 		const hasPlacers = placers.length > 0;
 		return {
 			region,
 			entries: list.length,
 			hasPlacers,
-			relayAddresses: hasPlacers ? placers.map(({relayAddress}) => relayAddress) : sampleRelayAddresses(list, rotation),
-			loads: summarizeLoads(hasPlacers ? placers : list),
+			relayAddresses: hasPlacers ? placers.map(({relayAddress}) => relayAddress) : sampleRelayAddresses(forwarding, rotation),
+			loads: summarizeLoads(hasPlacers ? placers : forwarding),
 		};
 	});
 }
 
+/** Entries that reach targets of their region; all if none does. */
+function withTargets(entries: readonly EntryStatus[]): readonly EntryStatus[] {
+	const reaching = entries.filter(({loads}) => loads.some(({targets}) => targets > 0));
+	return reaching.length > 0 ? reaching : entries;
+}
+
 function sampleRelayAddresses(entries: readonly EntryStatus[], rotation: number): readonly string[] {
 	const sorted = entries.toSorted((left, right) => left.nodeId < right.nodeId ? -1 : 1);
 	const count = Math.min(sampleSize, sorted.length);
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -151,6 +151,11 @@
 				break;
 			}
 
+			case 'probe': {
+				void this.#probe(action);
+				break;
+			}
+
 			case 'cancel': {
 				this.#client.cancel(action.attempt);
 				break;
@@ -208,6 +213,11 @@
 		this.#client.start(action, exchange);
 	}
 
+	async #probe({targetId, address}: EdgeAction & {type: 'probe'}): Promise<void> {
+		const reachable = await this.#client.canConnect(address);
+		this.#host.step({type: 'probe-result', targetId, reachable});
+	}
+
 	#refuse({requestId, refusal}: EdgeAction & {type: 'refuse'}): void {
 		const exchange = this.#exchanges.get(requestId);
 		if (exchange === undefined) {
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -1,3 +1,4 @@
+import {connect} from 'node:net';
 import {Agent} from 'undici';
 import type {EdgeAction} from '../../core/edge/edge-action.ts';
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
@@ -85,6 +86,26 @@
 		this.#running.delete(attempt);
 	}
 
+	/** Opens a connection to a target and closes it again; false if it can't be opened in time. */
+	async canConnect(address: string): Promise<boolean> {
+		const [host, port] = (this.#options.forwards[address] ?? address).split(':');
+		return new Promise(resolve => {
+			const socket = connect({host, port: Number(port), timeout: targetConnectMs});
+			const finish = (reachable: boolean) => {
+				socket.destroy();
+				resolve(reachable);
+			};
+
+			socket.once('connect', () => {
+				finish(true);
+			}).once('timeout', () => {
+				finish(false);
+			}).once('error', () => {
+				finish(false);
+			});
+		});
+	}
+
 	async close(): Promise<void> {
 		await Promise.all([this.#targets, this.#shortKeepAliveTargets, this.#entries].map(async agent => agent.destroy()));
 	}
