feat(edge): the rejections that a brittle target stands are read and logged

Change: the adapter decodes it into the answer's head, the target keeps it as it keeps a named limit, target-brittle logs it. No decision uses it yet.

--- a/src/core/edge/answer-head.ts
+++ b/src/core/edge/answer-head.ts
@@ -16,6 +16,8 @@
 	readonly load?: TargetLoad;
 	/** Requests a second that the target takes from all entries together, for as long as its answers say so; undefined without a limit. */
 	readonly limitPerSecond?: number;
+	/** Requests a second that the target can reject for want of room before it falls over, for as long as its answers say so; undefined if it is not brittle. */
+	readonly rejectionsPerSecond?: number;
 	/** Set if the entry that the request was forwarded to refused it. */
 	readonly refusedBy?: 'entry';
 	/** In the answer of another entry: software version of the target that answers. */
--- a/src/core/edge/limit-share.ts
+++ b/src/core/edge/limit-share.ts
@@ -23,13 +23,15 @@
 export class LimitShare {
 	readonly #phase: number;
 	readonly #startedAt: Millis;
+	readonly #unusedExpire: boolean;
 	/** Start of the next slot; unset until the first call, which tells the period. */
 	#slotAt: number | undefined;
 
-	/** @param options - `phase`: the part of a period, 0 to 1, after which the first slot begins. */
-	constructor({phase, startedAt}: {phase: number; startedAt: Millis}) {
+	/** @param options - `phase`: the part of a period, 0 to 1, after which the first slot begins; `unusedExpire`: false if a slot that is not used stays open, for what entries do not cause on purpose. */
+	constructor({phase = 0, startedAt, unusedExpire = true}: {phase?: number; startedAt: Millis; unusedExpire?: boolean}) {
 		this.#phase = phase;
 		this.#startedAt = startedAt;
+		this.#unusedExpire = unusedExpire;
 	}
 
 	/** Time until a request may be sent, in milliseconds. */
@@ -45,7 +47,7 @@
 	/** Start of the next slot, which may have begun, without those that have run out. */
 	#nextSlot(limit: Limit, now: Millis): number {
 		const period = periodMs(limit);
-		const openMs = period * Math.min(1, burst / limit.entries);
+		const openMs = this.#unusedExpire ? period * Math.min(1, burst / limit.entries) : Number.POSITIVE_INFINITY;
 		// The period may have become shorter since the slot was set.
 		let slotAt = Math.min(this.#slotAt ?? this.#startedAt + (this.#phase * period), now + period);
 		if (now > slotAt + openMs) {
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -60,6 +60,8 @@
 	#lastSequence: number;
 	readonly #phase: number;
 	#limit: NamedLimit | undefined;
+	/** Set while the target says that it is brittle. */
+	#rejections: NamedLimit | undefined;
 	#suspended: {readonly since: Millis; readonly sequence: number} | undefined;
 	#fullUntil = Number.NEGATIVE_INFINITY;
 	#reachable = true;
@@ -92,6 +94,7 @@
 			this.prefixCache.clear();
 			this.#suspended = undefined;
 			this.#limit = undefined;
+			this.#rejections = undefined;
 			this.#reachable = true;
 			this.#lastSequence = listed.sequence;
 			this.#othersLoad = {count: 0, at: Number.NEGATIVE_INFINITY};
@@ -189,16 +192,15 @@
 	/** Takes the limit in an answer to an attempt sent at `sentAt`. An answer without one ends a limit, unless the attempt is older than it. Returns whether the limit changed. */
 	updateLimit(perSecond: number | undefined, sentAt: Millis, now: Millis): boolean {
 		const before = this.#limit;
-		if (perSecond === before?.perSecond || (perSecond === undefined && sentAt < before!.namedAt)) {
-			return false;
-		}
+		this.#limit = updatedLimit(before, perSecond, {sentAt, now, createShare: () => new LimitShare({phase: this.#phase, startedAt: now})});
+		return this.#limit !== before;
+	}
 
-		this.#limit = perSecond === undefined
-			? undefined
-			: {
-				perSecond, namedAt: before?.namedAt ?? now, share: before?.share ?? new LimitShare({phase: this.#phase, startedAt: now}),
-			};
-		return true;
+	/** Takes the number of rejections that a brittle target stands, in the same way; undefined if the answer names none. Returns whether it changed. */
+	updateRejections(perSecond: number | undefined, sentAt: Millis, now: Millis): boolean {
+		const before = this.#rejections;
+		this.#rejections = updatedLimit(before, perSecond, {sentAt, now, createShare: () => new LimitShare({startedAt: now, unusedExpire: false})});
+		return this.#rejections !== before;
 	}
 
 	/** Takes the load that the target reported; requests beyond this entry's own are those of other entries. */
@@ -274,3 +276,20 @@
 		}
 	}
 }
+
+/** The limit after an answer to an attempt sent at `sentAt`: a later answer without one ends it. */
+function updatedLimit(
+	before: NamedLimit | undefined,
+	perSecond: number | undefined,
+	{sentAt, now, createShare}: {sentAt: Millis; now: Millis; createShare: () => LimitShare},
+): NamedLimit | undefined {
+	if (perSecond === before?.perSecond) {
+		return before;
+	}
+
+	if (perSecond === undefined) {
+		return sentAt < before!.namedAt ? before : undefined;
+	}
+
+	return {perSecond, namedAt: before?.namedAt ?? now, share: before?.share ?? createShare()};
+}
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -34,8 +34,8 @@
 		this.#options = options;
 	}
 
-	/** Records the head of an answer, which may carry the target's load and its limit. */
-	recordHead(record: RequestRecord, {load, limitPerSecond, signed, notRun}: AnswerHead, now: Millis): void {
+	/** Records the head of an answer, which may carry the target's load, its limit and how many rejections it stands. */
+	recordHead(record: RequestRecord, {load, limitPerSecond, rejectionsPerSecond, signed, notRun}: AnswerHead, now: Millis): void {
 		const target = this.#targetOf(record);
 		if (target === undefined) {
 			return;
@@ -51,6 +51,10 @@
 		if ((limitPerSecond !== undefined || ownAnswer) && target.updateLimit(limitPerSecond, record.running!.sentAt, now)) {
 			this.#options.queue.event('target-limit', {target: target.listed.targetId, perSecond: limitPerSecond, request: record.req.callerKey});
 		}
+
+		if ((rejectionsPerSecond !== undefined || ownAnswer) && target.updateRejections(rejectionsPerSecond, record.running!.sentAt, now)) {
+			this.#options.queue.event('target-brittle', {target: target.listed.targetId, rejectionsPerSecond, request: record.req.callerKey});
+		}
 	}
 
 	/** Records that the head of a call's answer arrived; the time until then is taken as the duration of the call. */
--- a/test/platform/platform-request-codec.test.ts
+++ b/test/platform/platform-request-codec.test.ts
@@ -91,6 +91,11 @@
 	t.deepEqual(headers.filter(([name]) => name === 'request-priority'), [['request-priority', '3']]);
 });
 
+test('readAnswer reads how many rejections a brittle target stands, and none where the value is not a number', t => {
+	const rejections = (value: string) => platformRequestCodec.readAnswer(200, ['Server-Brittle', value]).head.rejectionsPerSecond;
+	t.deepEqual([rejections('4'), rejections('0'), rejections('2.5'), rejections('-1'), rejections('few'), rejections('')], [4, 0, 2.5, undefined, undefined, undefined]);
+});
+
 test('readAnswer reads a target\'s limit as a decimal number, and none where the value is not one', t => {
 	const limit = (value: string) => platformRequestCodec.readAnswer(200, ['Server-Limit', value]).head.limitPerSecond;
 	t.deepEqual([limit('1.8'), limit('12'), limit('0'), limit('-1'), limit('many'), limit('')], [1.8, 12, 0, undefined, undefined, undefined]);
