fix(edge): an attempt counts as out of reach only once a probe has failed too

Cause: one lost packet of a handshake made a target count as out of reach, and calls and prefills in progress there would be cancelled after 400 ms. Change: the shorter time holds only once no connection has succeeded for 800 ms.

--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -170,7 +170,7 @@
 			}
 
 			case 'probe-result': {
-				this.#prober.recordConnection(event.targetId, event.reachable);
+				this.#prober.recordConnection(event.targetId, event.reachable, now);
 				break;
 			}
 
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -64,7 +64,8 @@
 	#rejections: NamedLimit | undefined;
 	#suspended: {readonly since: Millis; readonly sequence: number} | undefined;
 	#fullUntil = Number.NEGATIVE_INFINITY;
-	#reachable = true;
+	/** Time of the first failed connection since the last that succeeded. */
+	#unreachableSince: Millis | undefined;
 	#probedAt = Number.NEGATIVE_INFINITY;
 	/** Time of the newest bytes from the target. */
 	#lastSignAt = Number.NEGATIVE_INFINITY;
@@ -94,7 +95,7 @@
 			this.prefixCache.clear();
 			this.#suspended = undefined;
 			this.#limit = undefined;
-			this.#reachable = true;
+			this.#unreachableSince = undefined;
 			this.#lastSequence = listed.sequence;
 			this.#othersLoad = {count: 0, waiting: 0, at: Number.NEGATIVE_INFINITY};
 		}
@@ -124,13 +125,18 @@
 
 	/** False from a failed connection until one succeeds. */
 	get reachable(): boolean {
-		return this.#reachable;
+		return this.#unreachableSince === undefined;
+	}
+
+	/** Time for which no connection has succeeded, in milliseconds; 0 for a target that can be reached. */
+	unreachableForMs(now: Millis): number {
+		return this.#unreachableSince === undefined ? 0 : now - this.#unreachableSince;
 	}
 
 	/** Returns whether that is a change. */
-	setReachable(reachable: boolean): boolean {
-		const changed = reachable !== this.#reachable;
-		this.#reachable = reachable;
+	setReachable(reachable: boolean, now: Millis): boolean {
+		const changed = reachable !== this.reachable;
+		this.#unreachableSince = reachable ? undefined : this.#unreachableSince ?? now;
 		return changed;
 	}
 
@@ -145,7 +151,7 @@
 			return false;
 		}
 
-		if (!this.#reachable) {
+		if (!this.reachable) {
 			return now - this.#probedAt >= unreachableProbeIntervalMs;
 		}
 
@@ -161,7 +167,7 @@
 
 	/** True if the target may get new requests. */
 	usable(now: Millis): boolean {
-		return this.#reachable && this.isServing(now);
+		return this.reachable && this.isServing(now);
 	}
 
 	/** True if the target takes new requests, whether or not this entry reaches it. */
--- a/src/core/edge/retry-policy.ts
+++ b/src/core/edge/retry-policy.ts
@@ -12,6 +12,8 @@
 
 /** Time without progress after which an attempt at a target that can't be reached counts as stalled, in milliseconds. */
 const unreachableTimeoutMs = 400;
+/** Time without a successful connection after which this holds, in milliseconds: one connection may fail because a packet was lost, and is followed by a probe. */
+const confirmUnreachableMs = 800;
 
 type RetryPolicyOptions = {
 	readonly placement: PlacementPolicy;
@@ -56,10 +58,11 @@
 		}
 
 		const failed = asIfFailed(record);
-		const reachable = running.targetId === undefined || this.#options.pool.get(running.targetId)?.reachable !== false;
-		const limitMs = reachable
-			? stallTimeoutMs(record.route, {predictedMs: running.predictedMs, events: running.events, forwarded: running.forwardedTo !== undefined})
-			: unreachableTimeoutMs;
+		const target = running.targetId === undefined ? undefined : this.#options.pool.get(running.targetId);
+		const isOutOfReach = (target?.unreachableForMs(now) ?? 0) >= confirmUnreachableMs;
+		const limitMs = isOutOfReach
+			? unreachableTimeoutMs
+			: stallTimeoutMs(record.route, {predictedMs: running.predictedMs, events: running.events, forwarded: running.forwardedTo !== undefined});
 		if (!mayRetry(failed) || now - running.lastProgressAt <= limitMs || !this.#hasDestination(failed, now)) {
 			return false;
 		}
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -102,7 +102,7 @@
 		}
 
 		if (target !== undefined && reason === 'connect') {
-			this.#options.prober.recordConnection(target.listed.targetId, false);
+			this.#options.prober.recordConnection(target.listed.targetId, false, now);
 		} else if (reason !== 'foreign-answer') {
 			target?.suspend(now);
 		}
--- a/src/core/edge/target-prober.ts
+++ b/src/core/edge/target-prober.ts
@@ -35,9 +35,9 @@
 	}
 
 	/** Records that a connection to a target could be opened, or could not. */
-	recordConnection(targetId: TargetId, reachable: boolean): void {
+	recordConnection(targetId: TargetId, reachable: boolean, now: Millis): void {
 		const {pool, queue} = this.#options;
-		if (pool.get(targetId)?.setReachable(reachable)) {
+		if (pool.get(targetId)?.setReachable(reachable, now)) {
 			queue.event(reachable ? 'target-reachable' : 'target-unreachable', {target: targetId});
 		}
 	}
