test(server): a target that refuses connections is left alone until it accepts one

Over real connections: the target goes on to report, gets no request while it refuses connections, and is used again once a probe gets through.

--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -43,6 +43,8 @@
 	readonly runs = new Map<string, number>();
 	readonly identifier: string;
 	readonly #server: Server;
+	/** 0 until the first `listen`. */
+	#port = 0;
 	readonly #sockets = new Set<Socket>();
 	readonly #lastUsedAt = new WeakMap<Socket, number>();
 
@@ -59,12 +61,16 @@
 	}
 
 	get address(): string {
-		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+		return `127.0.0.1:${this.#port}`;
 	}
 
+	/** Starts to accept connections; again at the same port after `close`. */
 	async listen(): Promise<void> {
 		return new Promise(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
+			this.#server.listen(this.#port, '127.0.0.1', () => {
+				this.#port = (this.#server.address() as AddressInfo).port;
+				resolve();
+			});
 		});
 	}
 
--- a/test/server/routes/routes-deployment.test.ts
+++ b/test/server/routes/routes-deployment.test.ts
@@ -254,6 +254,26 @@
 	t.true(await deployment.waitUntil(isRetried));
 });
 
+test('a target that refuses connections gets no request, though it reports, until it accepts one again', async t => {
+	const deployment = await start(t, {desk: ['d1', 'd2']});
+	const [lost, whole] = deployment.desk;
+	whole!.workMs = 100;
+	await lost!.close();
+	for (let round = 0; round < 20; round++) {
+		const res = await deployment.call({path: '/orders/1', body: 'order'}); // eslint-disable-line no-await-in-loop
+		t.is(await res.body.text(), 'answer of d2'); // eslint-disable-line no-await-in-loop
+	}
+
+	await lost!.listen();
+	const isUsed = async () => {
+		const res = await deployment.call();
+		await res.body.dump();
+		return lost!.receivedRequests.length > 0;
+	};
+
+	t.true(await deployment.waitUntil(isUsed));
+});
+
 test('a JSON answer that its connection cuts short fails a request that must not be retried', async t => {
 	const deployment = await start(t, {desk: ['d1']});
 	const [short] = deployment.desk;
