fix(edge): a forwarded request keeps the time limit of its first entry

Callers could see (suspected, CONFIG): a target gets a deadline by the newer document of the entry that a request was forwarded to, and the next ones from the first entry by its older one. Cause: the receiver cut the time left by the timeout of its own document. Change: it takes the time that the first entry left.

--- a/src/core/edge/create-request-record.ts
+++ b/src/core/edge/create-request-record.ts
@@ -7,7 +7,9 @@
 /** Creates the record of a request that has just arrived. A forwarded request stays with the service that was chosen for it; otherwise the route picks one. */
 export function createRequestRecord(req: EdgeRequest, route: RouteRule, table: RouteTable): RequestRecord {
 	const {origin, service} = req.forwarded ?? {};
-	const limitMs = Math.min(req.budgetMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
+	// The entry that forwarded a request has applied the timeout of its own document.
+	const timeoutMs = req.forwarded === undefined || req.budgetMs === undefined ? route.timeoutMs : Number.POSITIVE_INFINITY;
+	const limitMs = Math.min(req.budgetMs ?? Number.POSITIVE_INFINITY, timeoutMs);
 	return {
 		req,
 		route,
--- a/test/core/edge/edge-core.test.ts
+++ b/test/core/edge/edge-core.test.ts
@@ -119,6 +119,14 @@
 	t.is(harness.lastStart().targetId, toId<TargetId>('a'));
 });
 
+test('a forwarded request keeps the time limit of the entry that forwarded it, whatever the timeout of its route here', t => {
+	for (const timeoutMs of [1000, 3000]) {
+		const harness = harnessWith(['a'], {document: routesDocumentFixture({version: 2, route: {timeoutMs}})});
+		harness.request({budgetMs: 1400, forwarded: {region: toId('winnipeg'), documentVersion: 1, service: toId<ServiceName>('desk')}});
+		t.is(harness.lastStart().deadlineMs, 1400);
+	}
+});
+
 test('a request that a remote region forwarded is never forwarded again', t => {
 	const harness = new EdgeHarness();
 	harness.feed({regions: [remoteRegion]});
