--- a/src/core/edge/crash-containment.ts
+++ b/src/core/edge/crash-containment.ts
@@ -45,9 +45,9 @@
  * Keeps requests away from targets if what they have in common with others crashes each target that answers them.
  *
  * Callers send a fatal request again, or new ones with the same fatal part, to any entry, so neither a limit on the
- * attempts of a request nor the memory of one entry helps. Each entry reports what broke off with a target; the counts over all entries come
- * back through the replicated log, which also outlives restarts. Sound requests that happened to run on the targets are
- * blamed as well, until one of their kind is answered in full.
+ * attempts of a request nor the memory of one entry helps. Each entry reports what broke off with a target; the counts
+ * over all entries come back through the replicated log, which also outlives restarts. Sound requests that happened to
+ * run on the targets are blamed as well, until one of their kind is answered in full.
  */
 export class CrashContainment {
 	readonly trials: ContainmentTrials;
--- a/src/core/edge/limit-share.ts
+++ b/src/core/edge/limit-share.ts
@@ -18,7 +18,8 @@
  *
  * A limit holds for the sum over all entries, which do not hear of each other's requests in time. Each entry therefore
  * has one slot in every period of `entries / perSecond`, and the entries' phases are spread. Where there are many, a slot
- * that is not used runs out: all of them could save one up and use it at the same time.
+ * that is not used runs out: all of them could save one up and use it at the same time. For rejections, which entries
+ * avoid anyway, slots stay open: the next one is only put off by a rejection.
  */
 export class LimitShare {
 	readonly #phase: number;
@@ -27,7 +28,7 @@
 	/** Start of the next slot; unset until the first call, which tells the period. */
 	#slotAt: number | undefined;
 
-	/** @param options - `phase`: the part of a period, 0 to 1, after which the first slot begins; `unusedExpire`: false if a slot that is not used stays open, for what entries do not cause on purpose. */
+	/** @param options - `phase`: the part of a period, 0 to 1, after which the first slot begins; `unusedExpire`: false if a slot that is not used stays open. */
 	constructor({phase = 0, startedAt, unusedExpire = true}: {phase?: number; startedAt: Millis; unusedExpire?: boolean}) {
 		this.#phase = phase;
 		this.#startedAt = startedAt;
--- a/src/core/edge/retry-policy.ts
+++ b/src/core/edge/retry-policy.ts
@@ -12,7 +12,7 @@
 
 /** Time without progress after which an attempt at a target that can't be reached counts as stalled, in milliseconds. */
 const unreachableTimeoutMs = 400;
-/** Time without a successful connection after which this holds, in milliseconds: one connection may fail because a packet was lost, and is followed by a probe. */
+/** Time without a successful connection after which a target counts as out of reach for that, in milliseconds: a single failure may be a lost packet, and the probe that follows tells. */
 const confirmUnreachableMs = 800;
 
 type RetryPolicyOptions = {
