--- a/test/core/edge/brittle-targets.test.ts
+++ b/test/core/edge/brittle-targets.test.ts
@@ -1,8 +1,7 @@
 import test from 'ava';
-import type {RouteRule} from '../../../src/core/routes/route-rule.ts';
-import type {SimulatedCall} from '../../fixtures/simulated-call.ts';
+import {servedShare} from '../../fixtures/served-share.ts';
 import {SimulatedDeployment} from '../../fixtures/simulated-deployment.ts';
-import type {SimulatedRequest} from '../../fixtures/simulated-request.ts';
+import {simulatedTraffics} from '../../fixtures/simulated-traffics.ts';
 
 /** Time after targets first said that they are brittle from which on the bound holds, in milliseconds. */
 const graceMs = 5000;
@@ -14,15 +13,8 @@
 const leastServed = 0.5;
 const slots = 4;
 
-const prompt: SimulatedRequest['prompt'] = {parts: [{id: 'first', tokens: 300}, {id: 'own', tokens: 500}], promptTokens: 800, outputTokens: 24};
-const routes: ReadonlyArray<{readonly title: string; readonly route: Partial<RouteRule>; readonly request: SimulatedRequest}> = [
-	{title: 'safe calls', route: {kind: 'safe'}, request: {}},
-	{title: 'unsafe calls', route: {kind: 'unsafe', attempts: 1}, request: {}},
-	{title: 'streams', route: {}, request: {prompt}},
-];
-
 /** Plays 5 s of traffic, then 20 s in which all targets say that they are brittle and let none wait. Returns the falls after the grace period, and the calls before and after it. */
-function play({route, request}: (typeof routes)[number], {seed, perSecond, rejectionsPerSecond}: {seed: number; perSecond: number; rejectionsPerSecond: number}) {
+function play({route, request}: ReturnType<typeof simulatedTraffics>[number], {seed, perSecond, rejectionsPerSecond}: {seed: number; perSecond: number; rejectionsPerSecond: number}) {
 	const deployment = new SimulatedDeployment({
 		seed, route, slots, targetsPerRegion: 3,
 	});
@@ -54,11 +46,7 @@
 	};
 }
 
-function servedShare(calls: readonly SimulatedCall[]): number {
-	return calls.filter(({completed}) => completed).length / calls.length;
-}
-
-for (const played of routes) {
+for (const played of simulatedTraffics().slice(0, 3)) {
 	for (const rejectionsPerSecond of [0, 1, 4]) {
 		const title = `${played.title}, ${rejectionsPerSecond} a second`;
 		test(`targets that stand few rejections are not made to fall over under overload, ${title}`, t => {
--- a/test/core/edge/cut-entries.test.ts
+++ b/test/core/edge/cut-entries.test.ts
@@ -1,9 +1,8 @@
 import test from 'ava';
-import type {RouteRule} from '../../../src/core/routes/route-rule.ts';
 import type {CutManner} from '../../fixtures/cut-manner.ts';
-import type {SimulatedCall} from '../../fixtures/simulated-call.ts';
+import {servedShare} from '../../fixtures/served-share.ts';
 import {SimulatedDeployment} from '../../fixtures/simulated-deployment.ts';
-import type {SimulatedRequest} from '../../fixtures/simulated-request.ts';
+import {simulatedTraffics} from '../../fixtures/simulated-traffics.ts';
 
 /** Time after the cut began from which on callers of the entries that are cut off must be served like others, in milliseconds. */
 const graceMs = 5000;
@@ -12,26 +11,13 @@
 const load = {perSecond: 60, ms: 40_000};
 const cutMs = 20_000;
 
-const prompt: SimulatedRequest['prompt'] = {parts: [{id: 'first', tokens: 300}, {id: 'own', tokens: 500}], promptTokens: 800, outputTokens: 24};
-
-const routes: ReadonlyArray<{readonly title: string; readonly route: Partial<RouteRule>; readonly request: SimulatedRequest}> = [
-	{title: 'safe calls', route: {kind: 'safe'}, request: {}},
-	{title: 'unsafe calls', route: {kind: 'unsafe', attempts: 1}, request: {}},
-	{title: 'streams that may be resumed', route: {}, request: {prompt}},
-	{title: 'streams that may not be resumed', route: {resumable: false, attempts: 1}, request: {prompt}},
-];
-
 /** Entries 0 to 2 are of one region, 3 to 5 of the other. */
 const cuts: ReadonlyArray<{readonly title: string; readonly indexes: readonly number[]}> = [
 	{title: 'some of each region', indexes: [0, 1, 4]},
 	{title: 'all of a region', indexes: [0, 1, 2]},
 ];
 
-function servedShare(calls: readonly SimulatedCall[]): number {
-	return calls.filter(({completed}) => completed).length / calls.length;
-}
-
-for (const {title, route, request} of routes) {
+for (const {title, route, request} of simulatedTraffics()) {
 	for (const cut of cuts) {
 		for (const manner of ['hang', 'reset', 'live'] satisfies CutManner[]) {
 			test(`callers of entries that are cut off from all targets are served like others, ${title}, ${cut.title}, ${manner}`, t => {
--- a/test/core/edge/silent-targets.test.ts
+++ b/test/core/edge/silent-targets.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
-import type {RouteRule} from '../../../src/core/routes/route-rule.ts';
+import {servedShare} from '../../fixtures/served-share.ts';
 import {SimulatedDeployment} from '../../fixtures/simulated-deployment.ts';
-import type {SimulatedRequest} from '../../fixtures/simulated-request.ts';
+import {simulatedTraffics} from '../../fixtures/simulated-traffics.ts';
 
 /** How long a sound target falls silent before it goes on, in milliseconds. */
 const silentMs = 1200;
@@ -11,15 +11,7 @@
 const retryRatio = 0.2;
 const retrySlack = 100;
 
-const prompt: SimulatedRequest['prompt'] = {parts: [{id: 'first', tokens: 300}, {id: 'own', tokens: 500}], promptTokens: 800, outputTokens: 24};
-const routes: ReadonlyArray<{readonly title: string; readonly route: Partial<RouteRule>; readonly request: SimulatedRequest}> = [
-	{title: 'safe calls', route: {kind: 'safe'}, request: {}},
-	{title: 'unsafe calls', route: {kind: 'unsafe', attempts: 1}, request: {}},
-	{title: 'streams that may be resumed', route: {}, request: {prompt}},
-	{title: 'streams that may not be resumed', route: {resumable: false, attempts: 1}, request: {prompt}},
-];
-
-for (const {title, route, request} of routes) {
+for (const {title, route, request} of simulatedTraffics()) {
 	for (const [which, everyMs, silence] of [
 		['one after the other', 1500, ({targets}: SimulatedDeployment, round: number) => [targets[round % targets.length]!]],
 		['all of a region at once', 6000, ({targets}: SimulatedDeployment, round: number) => targets.filter(({region}) => region === targets[round % 2 === 0 ? 0 : targets.length - 1]!.region)],
@@ -40,8 +32,7 @@
 
 				deployment.run(5000);
 				const {calls, arrivals} = deployment;
-				const served = calls.filter(({completed}) => completed).length / calls.length;
-				t.true(served >= leastServed, `${served.toFixed(2)} served, seed ${seed}`);
+				t.true(servedShare(calls) >= leastServed, `${servedShare(calls).toFixed(2)} served, seed ${seed}`);
 				t.is(calls.filter(({refusal}) => refusal === 'contained').length, 0);
 				t.true(arrivals.length <= ((1 + retryRatio) * calls.length) + retrySlack, `${arrivals.length} requests reached targets, ${calls.length} calls`);
 			}
