refactor(edge): placing requests has a module of its own

What carries out a placement, for new requests, retries and those that wait, moves to RequestPlacer as it was.

--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -3,7 +3,6 @@
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {RequestId} from '../ids/request-id.ts';
-import type {RequestTrait} from '../ids/request-trait.ts';
 import type {RouteTable} from '../routes/route-table.ts';
 import type {AnswerHead} from './answer-head.ts';
 import {AttemptTracker} from './attempt-tracker.ts';
@@ -24,6 +23,7 @@
 import type {WindowedRetryBudget} from './windowed-retry-budget.ts';
 import {softwareVersionOf} from './software-version-of.ts';
 import {RetryPolicy} from './retry-policy.ts';
+import {RequestPlacer} from './request-placer.ts';
 import type {RequestRecord} from './request-record.ts';
 import {TargetFeedback} from './target-feedback.ts';
 import type {StreamOrigins} from './stream-origins.ts';
@@ -31,9 +31,6 @@
 import type {TargetPool} from './target-pool.ts';
 import type {WaitQueue} from './wait-queue.ts';
 
-/** Waiting requests of each service that one step tries to place. */
-const maxPlacementsPerStep = 16;
-
 type RequestHandlerOptions = {
 	readonly placement: PlacementPolicy;
 	readonly table: () => RouteTable | undefined;
@@ -48,13 +45,14 @@
 	readonly queue: ActionQueue<EdgeAction>;
 };
 
-/** Handles the requests of one entry from their arrival to their final answer: placement, waiting, retries and refusals. */
+/** Handles the requests of one entry from their arrival to their final answer: what callers, targets and the clock do to them. */
 export class RequestHandler {
 	readonly #options: RequestHandlerOptions;
 	readonly #records = new Map<RequestId, RequestRecord>();
 	readonly #attempts: AttemptTracker;
 	readonly #completion: RequestCompletion;
 	readonly #retryPolicy: RetryPolicy;
+	readonly #placer: RequestPlacer;
 	readonly #feedback: TargetFeedback;
 	#closed = false;
 	#capacityChanged = false;
@@ -66,6 +64,14 @@
 		this.#completion = new RequestCompletion(options);
 		this.#retryPolicy = new RetryPolicy(options);
 		this.#feedback = new TargetFeedback({...options, idle});
+		this.#placer = new RequestPlacer({
+			...options,
+			attempts: this.#attempts,
+			retryPolicy: this.#retryPolicy,
+			refuse: (record, reason, now) => {
+				this.#refuse(record, reason, now);
+			},
+		});
 	}
 
 	get inFlight(): number {
@@ -101,13 +107,13 @@
 
 		const mustLocate = route.kind === 'stream' && req.resumeAfter !== undefined && record.origin === undefined;
 		if (!mustLocate) {
-			this.#place(record, now);
+			this.#placer.place(record, now);
 			return;
 		}
 
 		this.#options.origins.locate(record, (refusal, locatedAt) => {
 			if (refusal === undefined) {
-				this.#place(record, locatedAt);
+				this.#placer.place(record, locatedAt);
 			} else {
 				this.#refuse(record, refusal, locatedAt);
 			}
@@ -221,7 +227,7 @@
 			this.#options.queue.event('attempt-not-sent', {request: record.req.callerKey, target: destinationOf(record), reason: failure.reason});
 			record.sends -= 1;
 			this.#releaseAttempt(record);
-			this.#place(record, now);
+			this.#placer.place(record, now);
 			return;
 		}
 
@@ -247,77 +253,7 @@
 		}
 
 		this.#capacityChanged = false;
-		const {waiting} = this.#options;
-		for (const service of waiting.services()) {
-			this.#placeWaiting(waiting.list(service).slice(0, maxPlacementsPerStep), now);
-		}
-	}
-
-	/** Places waiting requests in order up to the first that has to keep waiting. Requests behind it that can no longer be served are refused at once. */
-	#placeWaiting(records: readonly RequestRecord[], now: Millis): void {
-		const {waiting, placement} = this.#options;
-		let blocked = false;
-		for (const record of records) {
-			if (blocked && placement.decide(record, now).type !== 'refuse') {
-				continue;
-			}
-
-			waiting.remove(record);
-			this.#place(record, now);
-			blocked ||= waiting.has(record);
-		}
-	}
-
-	/** Sends a request to the best destination, queues it or refuses it. A retry has to fit the retry budget first. */
-	#place(record: RequestRecord, now: Millis): void {
-		const {placement, waiting, containment} = this.#options;
-		const contained = record.isTrial ? [] : containment.containedTraits(record.req);
-		if (contained.length > 0) {
-			this.#handleContained(record, contained, now);
-			return;
-		}
-
-		if (record.sends > 0 && !this.#retryPolicy.reserveRetry(record, now)) {
-			this.#refuse(record, 'target-failed', now);
-			return;
-		}
-
-		const decision = placement.decide(record, now);
-		switch (decision.type) {
-			case 'target': {
-				this.#attempts.send(record, decision.candidate, now);
-				break;
-			}
-
-			case 'away': {
-				this.#attempts.forward(record, decision, now);
-				break;
-			}
-
-			case 'wait': {
-				waiting.add(record);
-				break;
-			}
-
-			case 'refuse': {
-				record.retryAfterMs = Math.min(record.retryAfterMs ?? Number.POSITIVE_INFINITY, decision.retryAfterMs);
-				this.#refuse(record, decision.reason, now);
-			}
-		}
-	}
-
-	/** Refuses a contained request, unless it may run as a trial: a new request that only one trait keeps away. */
-	#handleContained(record: RequestRecord, [trait, ...others]: readonly RequestTrait[], now: Millis): void {
-		const {trials} = this.#options.containment;
-		if (record.sends > 0 || others.length > 0 || !trials.isDue(trait!, now)) {
-			this.#refuse(record, 'contained', now);
-			return;
-		}
-
-		trials.request(record.req.requestId, trait!, (granted, decidedAt) => {
-			record.isTrial = granted;
-			this.#place(record, decidedAt);
-		}, now);
+		this.#placer.placeWaiting(now);
 	}
 
 	/** Handles a status other than 2xx: discards the answer if the caller already has the head of an earlier one, or if the status is 5xx and the request may be retried. Otherwise the answer is read on and passed to the caller. */
@@ -341,7 +277,7 @@
 
 		record.retryAfterMs = head.retryAfterMs ?? record.retryAfterMs;
 		this.#releaseAttempt(record);
-		this.#place(record, now);
+		this.#placer.place(record, now);
 	}
 
 	/** Handles an attempt that may have run but gave no usable answer: retries the request if that is allowed, else refuses it. */
@@ -358,7 +294,7 @@
 		this.#options.queue.count('attempt_failures', reason);
 		this.#options.queue.event('attempt-failed', describeFailedAttempt(record, reason, now));
 		this.#releaseAttempt(record);
-		this.#place(record, now);
+		this.#placer.place(record, now);
 	}
 
 	#checkStall(record: RequestRecord, now: Millis): void {
--- /dev/null
+++ b/src/core/edge/request-placer.ts
@@ -0,0 +1,100 @@
+import type {Millis} from '../ids/millis.ts';
+import type {RequestTrait} from '../ids/request-trait.ts';
+import type {AttemptTracker} from './attempt-tracker.ts';
+import type {CrashContainment} from './crash-containment.ts';
+import type {EdgeRefusal} from './edge-refusal.ts';
+import type {PlacementPolicy} from './placement-policy.ts';
+import type {RequestRecord} from './request-record.ts';
+import type {RetryPolicy} from './retry-policy.ts';
+import type {WaitQueue} from './wait-queue.ts';
+
+/** Waiting requests of each service that one step tries to place. */
+const maxPlacementsPerStep = 16;
+
+type RequestPlacerOptions = {
+	readonly placement: PlacementPolicy;
+	readonly waiting: WaitQueue;
+	readonly containment: CrashContainment;
+	readonly attempts: AttemptTracker;
+	readonly retryPolicy: RetryPolicy;
+	/** Gives a request its final refusal. */
+	readonly refuse: (record: RequestRecord, reason: EdgeRefusal['reason'], now: Millis) => void;
+};
+
+/** Carries out the placement of requests that have no attempt in progress: new ones, retries and those that wait. */
+export class RequestPlacer {
+	readonly #options: RequestPlacerOptions;
+
+	constructor(options: RequestPlacerOptions) {
+		this.#options = options;
+	}
+
+	/** Sends a request to the best destination, queues it or refuses it. A retry has to fit the retry budget first. */
+	place(record: RequestRecord, now: Millis): void {
+		const {placement, waiting, containment, attempts, retryPolicy, refuse} = this.#options;
+		const contained = record.isTrial ? [] : containment.containedTraits(record.req);
+		if (contained.length > 0) {
+			this.#handleContained(record, contained, now);
+			return;
+		}
+
+		if (record.sends > 0 && !retryPolicy.reserveRetry(record, now)) {
+			refuse(record, 'target-failed', now);
+			return;
+		}
+
+		const decision = placement.decide(record, now);
+		switch (decision.type) {
+			case 'target': {
+				attempts.send(record, decision.candidate, now);
+				break;
+			}
+
+			case 'away': {
+				attempts.forward(record, decision, now);
+				break;
+			}
+
+			case 'wait': {
+				waiting.add(record);
+				break;
+			}
+
+			case 'refuse': {
+				record.retryAfterMs = Math.min(record.retryAfterMs ?? Number.POSITIVE_INFINITY, decision.retryAfterMs);
+				refuse(record, decision.reason, now);
+			}
+		}
+	}
+
+	/** Places waiting requests of each service in order, up to the first that has to keep waiting. Requests behind it that can no longer be served are refused at once. */
+	placeWaiting(now: Millis): void {
+		const {waiting, placement} = this.#options;
+		for (const service of waiting.services()) {
+			let blocked = false;
+			for (const record of waiting.list(service).slice(0, maxPlacementsPerStep)) {
+				if (blocked && placement.decide(record, now).type !== 'refuse') {
+					continue;
+				}
+
+				waiting.remove(record);
+				this.place(record, now);
+				blocked ||= waiting.has(record);
+			}
+		}
+	}
+
+	/** Refuses a contained request, unless it may run as a trial: a new request that only one trait keeps away. */
+	#handleContained(record: RequestRecord, [trait, ...others]: readonly RequestTrait[], now: Millis): void {
+		const {containment: {trials}, refuse} = this.#options;
+		if (record.sends > 0 || others.length > 0 || !trials.isDue(trait!, now)) {
+			refuse(record, 'contained', now);
+			return;
+		}
+
+		trials.request(record.req.requestId, trait!, (granted, decidedAt) => {
+			record.isTrial = granted;
+			this.place(record, decidedAt);
+		}, now);
+	}
+}
