--- a/test/core/edge/crashing-request.test.ts
+++ b/test/core/edge/crashing-request.test.ts
@@ -92,6 +92,7 @@
 				const before = begunShare(deployment.calls, start, start + 10_000);
 				const during = begunShare(deployment.calls, deployment.crashes.slice(0, crashesToContain).at(-1)! + (2 * containmentMs), start + 55_000);
 				t.true(during >= before / 2, `${during.toFixed(2)} of the sound requests begin, ${before.toFixed(2)} before`);
+				t.is(deployment.calls.filter(call => !isFatal(call) && call.refusal === 'contained').length, 0, 'no sound request is contained');
 			});
 
 			test(`a request that crashes targets stays contained through restarts of all processes, ${title}`, t => {
