fix(edge): a suspended target out of reach still shows that the entry is cut off

Callers would see (RECOVER): a request whose attempt stalls at the last target of a service is cancelled and ends as target-failed, though another entry of the region could take it. Cause: a stall suspends the target, and a suspended one did not count among those that the entry can't reach; the decision to cancel was made before, the next one after the suspension. Change: by listing alone it is decided which targets serve.

--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -167,17 +167,16 @@
 
 	/** True if the target may get new requests. */
 	usable(now: Millis): boolean {
-		return this.reachable && this.isServing(now);
+		const suspended = this.#suspended !== undefined && now - this.#suspended.since < maxSuspensionMs;
+		return this.reachable && !suspended && this.isServing(now);
 	}
 
-	/** True if the target takes new requests, whether or not this entry reaches it. */
+	/** True if the target takes new requests by its listing, whether or not this entry reaches it or has suspended it. */
 	isServing(now: Millis): boolean {
-		const suspended = this.#suspended !== undefined && now - this.#suspended.since < maxSuspensionMs;
 		return this.listed.state === 'serving'
 			&& this.listed.goneInMs === undefined
 			&& this.#coldUntil !== undefined
-			&& now >= this.#coldUntil
-			&& !suspended;
+			&& now >= this.#coldUntil;
 	}
 
 	isFull(now: Millis): boolean {
