refactor(targets): reachability of a target is a module of its own

For the completions path, which has the same fault: Reachability holds what PooledTarget knew of failed connections and probes, TargetProber probes whatever targets it is given, canConnect opens the connection.

--- a/src/core/edge/edge-action.ts
+++ b/src/core/edge/edge-action.ts
@@ -5,6 +5,7 @@
 import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {OutboxAction} from '../outbox-action.ts';
+import type {ProbeAction} from '../targets/probe-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 
 /** Actions that the server carries out for an entry's core. */
@@ -34,8 +35,7 @@
 		/** Version of the routes document under which the request is handled. */
 		readonly documentVersion: number;
 	}
-	/** Opens a connection to a target and closes it again; a `probe-result` follows. */
-	| {readonly type: 'probe'; readonly targetId: TargetId; readonly address: string}
+	| ProbeAction
 	/** Aborts an attempt and closes its connection; nothing more of it may reach the caller. */
 	| {readonly type: 'cancel'; readonly attempt: AttemptNumber}
 	/** Streams the attempt's answer to the caller: the head now, events as they arrive. An entry that forwarded the request is told the software version of the target. */
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -7,6 +7,7 @@
 import type {ServiceLoad} from '../registry/service-load.ts';
 import {RouteTable} from '../routes/route-table.ts';
 import type {StoredDocument} from '../routes/stored-document.ts';
+import {TargetProber} from '../targets/target-prober.ts';
 import {ControlFollower} from './control-follower.ts';
 import {CrashContainment} from './crash-containment.ts';
 import type {EdgeAction} from './edge-action.ts';
@@ -20,7 +21,6 @@
 import {StreamOrigins} from './stream-origins.ts';
 import {ServiceVersions} from './service-versions.ts';
 import {TargetPool} from './target-pool.ts';
-import {TargetProber} from './target-prober.ts';
 import {WaitQueue} from './wait-queue.ts';
 
 /** Assumed time until a full target has room for another request, in milliseconds. */
@@ -62,7 +62,14 @@
 		this.#containment = new CrashContainment({
 			queue: this.#queue, primary: () => this.#follower.primary, targetCount: () => this.#pool.listings().length,
 		});
-		this.#prober = new TargetProber({pool: this.#pool, queue: this.#queue});
+		this.#prober = new TargetProber({
+			targets: now => this.#probedTargets(now),
+			reachability: targetId => this.#pool.get(targetId)?.reachability,
+			outbox: this.#queue,
+			emit: action => {
+				this.#queue.push(action);
+			},
+		});
 		this.#requests = new RequestHandler({
 			prober: this.#prober,
 			containment: this.#containment,
@@ -225,6 +232,15 @@
 		}
 	}
 
+	* #probedTargets(now: Millis) {
+		for (const target of this.#pool.serving(now)) {
+			const {listed: {targetId, address}, reachability} = target;
+			yield {
+				targetId, address, reachability, silentMs: target.silentMs(now),
+			};
+		}
+	}
+
 	#recordVersions({current, regions}: ControlMessage & {type: 'feed'}, now: Millis): void {
 		if (!current) {
 			return;
--- a/src/core/edge/edge-event.ts
+++ b/src/core/edge/edge-event.ts
@@ -1,8 +1,8 @@
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {RequestId} from '../ids/request-id.ts';
-import type {TargetId} from '../ids/target-id.ts';
 import type {PeerMessage} from '../peer-message.ts';
+import type {ProbeResult} from '../targets/probe-result.ts';
 import type {AnswerHead} from './answer-head.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import type {EdgeRequest} from './edge-request.ts';
@@ -20,8 +20,7 @@
 	/** The answer was read to its end; `incompleteBytes` is the size of its last event, or of its document, if that has no end. */
 	| {readonly type: 'attempt-end'; readonly attempt: AttemptNumber; readonly incompleteBytes: number}
 	| {readonly type: 'attempt-failed'; readonly attempt: AttemptNumber; readonly failure: AttemptFailure}
-	/** A connection for a `probe` was opened, or could not be. */
-	| {readonly type: 'probe-result'; readonly targetId: TargetId; readonly reachable: boolean}
+	| ProbeResult
 	/** The entry is about to stop: it reports itself as leaving, and still accepts requests that are on their way. */
 	| {readonly type: 'drain'}
 	/** New requests are refused from now on. */
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -1,6 +1,7 @@
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {ListedTarget} from '../registry/listed-target.ts';
+import {Reachability} from '../targets/reachability.ts';
 import {LimitShare} from './limit-share.ts';
 import {MovingAverage} from './moving-average.ts';
 import type {PooledAttempt} from './pooled-attempt.ts';
@@ -22,13 +23,6 @@
 /** Part of the time of an engine's first step that does not depend on the prompt, in milliseconds. */
 const firstStepMs = 15;
 
-/** Time without a sign of a target that has attempts in progress after which it is probed, in milliseconds. */
-const silenceBeforeProbeMs = 1000;
-/** Interval between two probes of a silent target, in milliseconds. */
-const silentProbeIntervalMs = 2000;
-/** Interval between two probes of a target that could not be reached, in milliseconds. */
-const unreachableProbeIntervalMs = 1000;
-
 type NamedLimit = {
 	readonly perSecond: number;
 	/** Time at which this entry learnt that the target has a limit. */
@@ -64,9 +58,7 @@
 	#rejections: NamedLimit | undefined;
 	#suspended: {readonly since: Millis; readonly sequence: number} | undefined;
 	#fullUntil = Number.NEGATIVE_INFINITY;
-	/** Time of the first failed connection since the last that succeeded. */
-	#unreachableSince: Millis | undefined;
-	#probedAt = Number.NEGATIVE_INFINITY;
+	#reachability = new Reachability();
 	/** Time of the newest bytes from the target. */
 	#lastSignAt = Number.NEGATIVE_INFINITY;
 	#othersLoad = {count: 0, waiting: 0, at: Number.NEGATIVE_INFINITY};
@@ -95,7 +87,7 @@
 			this.prefixCache.clear();
 			this.#suspended = undefined;
 			this.#limit = undefined;
-			this.#unreachableSince = undefined;
+			this.#reachability = new Reachability();
 			this.#lastSequence = listed.sequence;
 			this.#othersLoad = {count: 0, waiting: 0, at: Number.NEGATIVE_INFINITY};
 		}
@@ -123,21 +115,9 @@
 		this.#fullUntil = now + fullBackoffMs;
 	}
 
-	/** False from a failed connection until one succeeds. */
-	get reachable(): boolean {
-		return this.#unreachableSince === undefined;
-	}
-
-	/** Time for which no connection has succeeded, in milliseconds; 0 for a target that can be reached. */
-	unreachableForMs(now: Millis): number {
-		return this.#unreachableSince === undefined ? 0 : now - this.#unreachableSince;
-	}
-
-	/** Returns whether that is a change. */
-	setReachable(reachable: boolean, now: Millis): boolean {
-		const changed = reachable !== this.reachable;
-		this.#unreachableSince = reachable ? undefined : this.#unreachableSince ?? now;
-		return changed;
+	/** Whether this entry can open connections to the present incarnation. */
+	get reachability(): Reachability {
+		return this.#reachability;
 	}
 
 	/** Records that bytes of the target arrived. */
@@ -145,30 +125,16 @@
 		this.#lastSignAt = now;
 	}
 
-	/** True if a connection should be opened to find out whether the target can be reached: it could not be, or it has been silent for long. */
-	needsProbe(now: Millis): boolean {
-		if (this.listed.state !== 'serving') {
-			return false;
-		}
-
-		if (!this.reachable) {
-			return now - this.#probedAt >= unreachableProbeIntervalMs;
-		}
-
+	/** Time without a sign of the target while this entry has attempts there, in milliseconds. */
+	silentMs(now: Millis): number {
 		const [oldest] = this.attempts.values();
-		return oldest !== undefined
-			&& now - Math.max(this.#lastSignAt, oldest.sentAt) >= silenceBeforeProbeMs
-			&& now - this.#probedAt >= silentProbeIntervalMs;
-	}
-
-	recordProbeSent(now: Millis): void {
-		this.#probedAt = now;
+		return oldest === undefined ? 0 : now - Math.max(this.#lastSignAt, oldest.sentAt);
 	}
 
 	/** True if the target may get new requests. */
 	usable(now: Millis): boolean {
 		const suspended = this.#suspended !== undefined && now - this.#suspended.since < maxSuspensionMs;
-		return this.reachable && !suspended && this.isServing(now);
+		return this.#reachability.reachable && !suspended && this.isServing(now);
 	}
 
 	/** True if the target takes new requests by its listing, whether or not this entry reaches it or has suspended it. */
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -4,6 +4,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {RouteTable} from '../routes/route-table.ts';
+import type {TargetProber} from '../targets/target-prober.ts';
 import type {AnswerHead} from './answer-head.ts';
 import {AttemptTracker} from './attempt-tracker.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
@@ -27,7 +28,6 @@
 import type {RequestRecord} from './request-record.ts';
 import {TargetFeedback} from './target-feedback.ts';
 import type {StreamOrigins} from './stream-origins.ts';
-import type {TargetProber} from './target-prober.ts';
 import type {TargetPool} from './target-pool.ts';
 import type {WaitQueue} from './wait-queue.ts';
 
--- a/src/core/edge/retry-policy.ts
+++ b/src/core/edge/retry-policy.ts
@@ -10,10 +10,8 @@
 /** Share of the latency objective that must be left before the deadline for a retry after an error status. */
 const minRemainingShare = 0.25;
 
-/** Time without progress after which an attempt at a target that can't be reached counts as stalled, in milliseconds. */
+/** Time without progress after which an attempt at a target that is confirmed out of reach counts as stalled, in milliseconds. */
 const unreachableTimeoutMs = 400;
-/** Time without a successful connection after which a target counts as out of reach for that, in milliseconds: a single failure may be a lost packet, and the probe that follows tells. */
-const confirmUnreachableMs = 800;
 
 type RetryPolicyOptions = {
 	readonly placement: PlacementPolicy;
@@ -59,7 +57,7 @@
 
 		const failed = asIfFailed(record);
 		const target = running.targetId === undefined ? undefined : this.#options.pool.get(running.targetId);
-		const isOutOfReach = (target?.unreachableForMs(now) ?? 0) >= confirmUnreachableMs;
+		const isOutOfReach = target?.reachability.isConfirmedOutOfReach(now) === true;
 		const limitMs = isOutOfReach
 			? unreachableTimeoutMs
 			: stallTimeoutMs(record.route, {predictedMs: running.predictedMs, events: running.events, forwarded: running.forwardedTo !== undefined});
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -1,5 +1,6 @@
 import type {ActionQueue} from '../action-queue.ts';
 import type {Millis} from '../ids/millis.ts';
+import type {TargetProber} from '../targets/target-prober.ts';
 import type {AnswerHead} from './answer-head.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import type {CrashContainment} from './crash-containment.ts';
@@ -7,7 +8,6 @@
 import type {IdleConnectionPolicy} from './idle-connection-policy.ts';
 import type {PooledTarget} from './pooled-target.ts';
 import type {RegionSelector} from './region-selector.ts';
-import type {TargetProber} from './target-prober.ts';
 import type {RequestRecord} from './request-record.ts';
 import type {TargetPool} from './target-pool.ts';
 
--- a/src/core/edge/target-pool.ts
+++ b/src/core/edge/target-pool.ts
@@ -55,9 +55,13 @@
 		return [...this.#targets.values()].map(({listed}) => listed);
 	}
 
-	/** All targets, whatever their state. */
-	all(): Iterable<PooledTarget> {
-		return this.#targets.values();
+	/** Targets that serve by their listings. */
+	* serving(now: Millis): Iterable<PooledTarget> {
+		for (const target of this.#targets.values()) {
+			if (target.isServing(now)) {
+				yield target;
+			}
+		}
 	}
 
 	get(targetId: TargetId): PooledTarget | undefined {
@@ -79,7 +83,7 @@
 	/** True if a service has targets in use that this entry can't reach, and none that it can. */
 	isCutOff(service: ServiceName, now: Millis): boolean {
 		const serving = this.#targetsOf(service).filter(target => target.isServing(now) && !this.#evacuated.has(target.listed.zone));
-		return serving.length > 0 && serving.every(({reachable}) => !reachable);
+		return serving.length > 0 && serving.every(({reachability}) => !reachability.reachable);
 	}
 
 	/** Partition of a service's targets that the placer with number `index` of `count` fills first: every `count`-th target. Empty if `index` is -1. */
--- /dev/null
+++ b/src/core/targets/reachability.ts
@@ -0,0 +1,46 @@
+import type {Millis} from '../ids/millis.ts';
+
+/** Time without a sign of a target that has attempts in progress after which it is probed, in milliseconds. */
+const silenceBeforeProbeMs = 1000;
+/** Interval between two probes of a silent target, in milliseconds. */
+const silentProbeIntervalMs = 2000;
+/** Interval between two probes of a target that could not be reached, in milliseconds. */
+const unreachableProbeIntervalMs = 1000;
+/** Time without a successful connection after which a target is confirmed out of reach, in milliseconds: a single failure may be a lost packet, and the probe that follows tells. */
+const confirmMs = 800;
+
+/** Whether this entry can open connections to one target, whatever others hear of the target. */
+export class Reachability {
+	/** Time of the first failed connection since the last that succeeded. */
+	#unreachableSince: Millis | undefined;
+	#probedAt = Number.NEGATIVE_INFINITY;
+
+	/** False from a failed connection until one succeeds. */
+	get reachable(): boolean {
+		return this.#unreachableSince === undefined;
+	}
+
+	/** True once no connection has succeeded for a while. */
+	isConfirmedOutOfReach(now: Millis): boolean {
+		return this.#unreachableSince !== undefined && now - this.#unreachableSince >= confirmMs;
+	}
+
+	/** Records that a connection could be opened, or could not; returns whether that is a change. */
+	set(reachable: boolean, now: Millis): boolean {
+		const changed = reachable !== this.reachable;
+		this.#unreachableSince = reachable ? undefined : this.#unreachableSince ?? now;
+		return changed;
+	}
+
+	/** True if a connection should be opened to find out: the last one failed, or the target has been silent for long. `silentMs` is the time without a sign of it; 0 while it has no attempts. */
+	needsProbe(silentMs: number, now: Millis): boolean {
+		const sinceProbeMs = now - this.#probedAt;
+		return this.reachable
+			? silentMs >= silenceBeforeProbeMs && sinceProbeMs >= silentProbeIntervalMs
+			: sinceProbeMs >= unreachableProbeIntervalMs;
+	}
+
+	recordProbe(now: Millis): void {
+		this.#probedAt = now;
+	}
+}
--- /dev/null
+++ b/src/server/can-connect.ts
@@ -0,0 +1,21 @@
+import {connect} from 'node:net';
+
+/** Opens a connection to `host:port` and closes it again; false if it can't be opened within `timeoutMs`. */
+export async function canConnect(address: string, timeoutMs: number): Promise<boolean> {
+	const [host, port] = address.split(':');
+	return new Promise(resolve => {
+		const socket = connect({host, port: Number(port), timeout: timeoutMs});
+		const finish = (reachable: boolean) => {
+			socket.destroy();
+			resolve(reachable);
+		};
+
+		socket.once('connect', () => {
+			finish(true);
+		}).once('timeout', () => {
+			finish(false);
+		}).once('error', () => {
+			finish(false);
+		});
+	});
+}
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -1,10 +1,10 @@
-import {connect} from 'node:net';
 import {Agent} from 'undici';
 import type {EdgeAction} from '../../core/edge/edge-action.ts';
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
 import type {AttemptNumber} from '../../core/ids/attempt-number.ts';
 import type {SoftwareVersion} from '../../core/ids/software-version.ts';
 import type {Region} from '../../core/ids/region.ts';
+import {canConnect} from '../can-connect.ts';
 import {isMalformedAnswer} from '../is-malformed-answer.ts';
 import {targetConnector} from '../target-connector.ts';
 import type {CallerExchange} from './caller-exchange.ts';
@@ -86,24 +86,9 @@
 		this.#running.delete(attempt);
 	}
 
-	/** Opens a connection to a target and closes it again; false if it can't be opened in time. */
+	/** True if a connection to the target can be opened. */
 	async canConnect(address: string): Promise<boolean> {
-		const [host, port] = (this.#options.forwards[address] ?? address).split(':');
-		return new Promise(resolve => {
-			const socket = connect({host, port: Number(port), timeout: targetConnectMs});
-			const finish = (reachable: boolean) => {
-				socket.destroy();
-				resolve(reachable);
-			};
-
-			socket.once('connect', () => {
-				finish(true);
-			}).once('timeout', () => {
-				finish(false);
-			}).once('error', () => {
-				finish(false);
-			});
-		});
+		return canConnect(this.#options.forwards[address] ?? address, targetConnectMs);
 	}
 
 	async close(): Promise<void> {
