fix(attempts): entries that reach no target forward to others of their region

Cause: on the completions path an entry cut off from all targets of its region tried one after the other with every request, ejected a third of them at most, and knew remote regions only as alternatives.

Change: targets carry the same Reachability and are probed by the same TargetProber as on the routes path; requests go to targets in reach; an entry without any forwards to other entries of its region as well, once a request. A silent attempt at a target confirmed out of reach fails over and blames no request for a crash.

--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -88,7 +88,7 @@
 	};
 	const self = toId<NodeId>('entry');
 	const table = new RegionalTargetTable({
-		self, entries: () => [self], outbox, random,
+		self, entries: () => [self], outbox, random, emit: () => undefined,
 	});
 	for (let index = 0; index < targets; index++) {
 		table.announce(announcementFixture({targetId: toId<TargetId>(`engine-${index}`), capacity: 16}), 0 as Millis);
--- a/bench/policy-entry.ts
+++ b/bench/policy-entry.ts
@@ -57,7 +57,7 @@
 		this.nodeId = options.nodeId;
 		this.region = options.region;
 		this.table = new RegionalTargetTable({
-			self: options.nodeId, entries: options.entries, outbox: options.outbox, random,
+			self: options.nodeId, entries: options.entries, outbox: options.outbox, random, emit: () => undefined,
 		});
 		this.#router = new PipelineRouter({random, steps: options.steps});
 		this.#admission = new FairAdmissionQueue({random});
--- a/src/core/actions.ts
+++ b/src/core/actions.ts
@@ -6,6 +6,7 @@
 import type {EngineOrder} from './orders/engine-order.ts';
 import type {OutboxAction} from './outbox-action.ts';
 import type {Refusal} from './results/refusal.ts';
+import type {ProbeAction} from './targets/probe-action.ts';
 import type {ChangeOutcome} from './tree/change-outcome.ts';
 
 /** Actions that the core returns and the server executes. */
@@ -19,7 +20,7 @@
 		readonly address: string;
 		/** Set if the request goes to a target of this region. */
 		readonly targetId?: TargetId;
-		/** Set if the request is forwarded to an entry of a remote region. */
+		/** Set if the request is forwarded to another entry. */
 		readonly forwardTo?: NodeId;
 		/** Settings revision under which the decision to forward was made. */
 		readonly revision: number;
@@ -36,6 +37,7 @@
 		/** Largest answer to return with `attempt-end` for storing, in bytes; 0 returns none. */
 		readonly keepBytes: number;
 	}
+	| ProbeAction
 	/** Cancels an attempt; nothing more of its answer may reach the caller. */
 	| {readonly type: 'cancel-attempt'; readonly attemptId: AttemptId}
 	/** Accepts the attempt's complete answer: the server ends the caller's response as complete. */
--- a/src/core/attempts/attempt-runner.ts
+++ b/src/core/attempts/attempt-runner.ts
@@ -88,7 +88,7 @@
 		this.#emitStart(state, settings, {attempt, address: announcement.address, targetId}, now);
 	}
 
-	/** Forwards a request to an entry of another region. */
+	/** Forwards a request to an entry of another region, or to another one of this region. */
 	forward(state: RequestState, settings: RouteSettings, choice: {entry: NodeInfo; region: Region}, now: Millis): void {
 		const {entry, region} = choice;
 		const attempt = this.#add(state, {destination: {type: 'peer', nodeId: entry.nodeId, region}, cachedTokens: 0, crashSuspectedAtStart: false}, now);
@@ -102,7 +102,7 @@
 
 	firstByte(attempt: AttemptState, now: Millis): void {
 		attempt.firstByteAt ??= now;
-		attempt.progressAt = now;
+		this.#recordSign(attempt, now);
 	}
 
 	/** Records progress of an answer; `totals` are those of the attempt so far. */
@@ -112,7 +112,7 @@
 		}
 
 		attempt.firstByteAt ??= now;
-		attempt.progressAt = now;
+		this.#recordSign(attempt, now);
 		attempt.tokens = totals.tokens;
 		attempt.bytes = totals.bytes;
 	}
@@ -139,6 +139,10 @@
 		}
 
 		state.deliveredTokens += failure.passedOn ? attempt.tokens : 0;
+		if (failure.reason === 'connect' && attempt.destination.type === 'target') {
+			this.#parts.targets.recordConnection(attempt.destination.targetId, false, now);
+		}
+
 		this.#suspectIfBroken(state, attempt, failure, now);
 		this.#finish(state, attempt, isClientError(failure.status) ? 'cancelled' : 'failed', now);
 	}
@@ -248,7 +252,18 @@
 		}
 	}
 
+	#recordSign(attempt: AttemptState, now: Millis): void {
+		attempt.progressAt = now;
+		if (attempt.destination.type === 'target') {
+			this.#parts.targets.recordSign(attempt.destination.targetId, now);
+		}
+	}
+
 	#countRemoteBytes(bytes: number, region: Region, now: Millis): void {
+		if (region === this.#parts.region) {
+			return;
+		}
+
 		this.#remoteBytes.add(bytes, now);
 		this.#parts.outbox.count('away_bytes', region, bytes);
 	}
--- a/src/core/attempts/request-dispatcher.ts
+++ b/src/core/attempts/request-dispatcher.ts
@@ -208,7 +208,8 @@
 	): void {
 		const {region} = choice.decision;
 		const view = this.#parts.membership.region(region, now);
-		const entry = pickEntry(view?.entries ?? [], this.#parts.membership, this.#parts.random);
+		const others = view?.entries.filter(nodeId => nodeId !== this.#parts.self) ?? [];
+		const entry = pickEntry(others, this.#parts.membership, this.#parts.random);
 		if (!entry) {
 			state.triedRegions.add(region);
 			this.dispatch(state, now);
--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -80,19 +80,19 @@
 		}
 
 		for (const attempt of lost) {
-			this.#failOverLost(attempt, now);
+			this.#failOverLost(attempt, 'reset', now);
 		}
 	}
 
-	/** Fails over a running request that was forwarded to a region now unreachable, or whose first byte is late. */
+	/** Fails over a running request that was forwarded to a region now unreachable, or is at a target out of reach, or whose first byte is late. */
 	checkRunning(state: RequestState, now: Millis): void {
 		const {attempt} = state;
 		if (!attempt) {
 			return;
 		}
 
-		if (attempt.destination.type === 'peer' && isSilent(attempt, now) && !this.#reachable(attempt.destination.region, now)) {
-			this.#failOverLost(attempt, now);
+		if (isSilent(attempt, now) && this.#isOutOfReach(attempt, now)) {
+			this.#failOverLost(attempt, attempt.destination.type === 'peer' ? 'reset' : 'silence', now);
 		} else if (attempt.firstByteAt === undefined && attempt.failoverAt !== undefined && now >= attempt.failoverAt) {
 			attempt.failoverAt = undefined;
 			this.#failOverSlow(state, now);
@@ -115,8 +115,8 @@
 		}
 	}
 
-	/** Fails over an attempt whose destination is lost; without an alternative it continues, in case its answer still arrives. */
-	#failOverLost(attempt: AttemptState, now: Millis): void {
+	/** Fails over an attempt whose destination is lost, or out of reach; without an alternative it continues, in case its answer still arrives. */
+	#failOverLost(attempt: AttemptState, reason: AttemptFailure['reason'], now: Millis): void {
 		const state = this.#options.findRequest(attempt.requestId)!;
 		const settings = this.#parts.tree().route(state.req.path);
 		if (!settings) {
@@ -125,7 +125,7 @@
 
 		const passedOn = attempt.firstByteAt !== undefined;
 		const failure: AttemptFailure = {
-			reason: 'reset', notSent: false, passedOn, tokens: attempt.tokens,
+			reason, notSent: false, passedOn, tokens: attempt.tokens,
 		};
 		const stateIfLost: RequestState = {
 			...state,
@@ -140,8 +140,11 @@
 		}
 	}
 
-	#reachable(region: Parameters<CoordinatorOptions['membership']['region']>[0], now: Millis): boolean {
-		return this.#parts.membership.region(region, now)?.reachable ?? false;
+	#isOutOfReach({destination}: AttemptState, now: Millis): boolean {
+		const {membership, targets} = this.#parts;
+		return destination.type === 'peer'
+			? membership.region(destination.region, now)?.reachable !== true
+			: targets.get(destination.targetId, now)?.reachability.isConfirmedOutOfReach(now) === true;
 	}
 
 	#retryOrResume(state: RequestState, settings: RouteSettings, now: Millis): void {
--- a/src/core/attempts/route-chooser.ts
+++ b/src/core/attempts/route-chooser.ts
@@ -25,7 +25,9 @@
 			return {type: 'refuse', refusal: {result: 'residency', ran: 'no'}};
 		}
 
-		const targets = this.#targets(state, settings, now);
+		const serving = this.#targets(state, settings, now);
+		const targets = serving.filter(({reachability}) => reachability.reachable);
+		const isCutOff = serving.length > 0 && targets.length === 0;
 		const excluded = this.#excluded(state, targets, context.alone, now);
 		const route = (excludedTargets: ReadonlySet<TargetId>) => router.choose({
 			req: remainingRequest(state),
@@ -33,7 +35,7 @@
 			now,
 			region,
 			targets,
-			regions: this.#regions(state, now),
+			regions: this.#regions(state, isCutOff, now),
 			waiting: context.waiting,
 			tried: {targets: excludedTargets, regions: state.triedRegions},
 			alone: context.alone,
@@ -77,14 +79,14 @@
 		return this.#parts.targets.serving(state.req.path, model, now);
 	}
 
-	/** Regions to forward to: none for a request that was forwarded already, or for a partial answer, which only a target of this region resumes. */
-	#regions(state: RequestState, now: Millis) {
+	/** Regions to forward to: none for a request that was forwarded already, or for a partial answer, which only a target of this region resumes. An entry that is cut off from its targets forwards to others of its own region too. */
+	#regions(state: RequestState, isCutOff: boolean, now: Millis) {
 		const staysHere = state.req.forwardedBy !== undefined || state.partiallyAnswered;
 		if (staysHere) {
 			return [];
 		}
 
-		return this.#parts.membership.regions(now).filter(view => view.region !== this.#parts.region);
+		return this.#parts.membership.regions(now).filter(view => isCutOff || view.region !== this.#parts.region);
 	}
 
 	#excluded(state: RequestState, targets: readonly TargetView[], alone: boolean, now: Millis): ReadonlySet<TargetId> {
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -7,6 +7,7 @@
 import type {Refusal} from './results/refusal.ts';
 import type {RequestInfo} from './settings/request-info.ts';
 import type {Announcement} from './targets/announcement.ts';
+import type {ProbeResult} from './targets/probe-result.ts';
 import type {Change} from './tree/change.ts';
 
 /** Input events of the core; `GatewayCore.step` handles one at a time. */
@@ -24,6 +25,7 @@
 	/** The answer is complete: its end marker arrived, or its declared length was reached. */
 	| {readonly type: 'attempt-end'; readonly attemptId: AttemptId; readonly tokens: number; readonly bytes: number; readonly answer?: StoredAnswer}
 	| {readonly type: 'attempt-failed'; readonly attemptId: AttemptId; readonly failure: AttemptFailure}
+	| ProbeResult
 	| {readonly type: 'written'; readonly journal: JournalName; readonly token: number}
 	| {readonly type: 'write-failed'; readonly journal: JournalName; readonly reason: string}
 	| {readonly type: 'change'; readonly change: Change}
--- a/src/core/gateway-core.ts
+++ b/src/core/gateway-core.ts
@@ -178,6 +178,11 @@
 				break;
 			}
 
+			case 'probe-result': {
+				targets.recordConnection(event.targetId, event.reachable, now);
+				break;
+			}
+
 			case 'written':
 			case 'write-failed': {
 				this.#handleJournalEvent(event, now);
--- a/src/core/gateway-parts.ts
+++ b/src/core/gateway-parts.ts
@@ -74,7 +74,13 @@
 			control: this.consensus && {consensus: this.consensus, state},
 		});
 		this.targets = new RegionalTargetTable({
-			self: self.nodeId, entries: () => this.#regionPeers(), outbox, random,
+			self: self.nodeId,
+			entries: () => this.#regionPeers(),
+			outbox,
+			random,
+			emit(action) {
+				outbox.push(action);
+			},
 		});
 		this.ledger = new ClaimLedger({
 			self: self.nodeId,
--- a/src/core/targets/regional-target-table.ts
+++ b/src/core/targets/regional-target-table.ts
@@ -10,9 +10,12 @@
 import type {LoadUpdate} from './load-update.ts';
 import {OutlierEjector} from './outlier-ejector.ts';
 import {equalExceptLoad} from './equal-except-load.ts';
+import type {ProbeAction} from './probe-action.ts';
+import {Reachability} from './reachability.ts';
 import type {ServiceSummary} from './service-summary.ts';
 import {summarizeTargets} from './summarize-targets.ts';
 import {TargetGossip} from './target-gossip.ts';
+import {TargetProber} from './target-prober.ts';
 import {TargetRecord} from './target-record.ts';
 import {TargetStore} from './target-store.ts';
 import type {TargetTable} from './target-table.ts';
@@ -28,18 +31,31 @@
 /** Interval at which targets whose lease ended long ago are removed, in milliseconds. */
 const pruneEveryMs = 10_000;
 
+type RegionalTargetTableOptions = {
+	readonly self: NodeId;
+	/** The other entries of this region. */
+	readonly entries: () => readonly NodeId[];
+	readonly outbox: Outbox;
+	readonly random: Random;
+	readonly emit: (action: ProbeAction) => void;
+};
+
 /** The targets of this node's region, each with a lease that announcements renew, kept in sync with the region's other entries by gossip. */
 export class RegionalTargetTable implements TargetTable {
 	readonly #outbox: Outbox;
 	readonly #gossip: TargetGossip;
 	readonly #store = new TargetStore();
 	readonly #ejectors = new Map<string, OutlierEjector>();
+	readonly #prober: TargetProber;
 	#lost = new Set<TargetId>();
 	#pruneAt = 0 as Millis;
 
-	constructor(options: {self: NodeId; entries: () => readonly NodeId[]; outbox: Outbox; random: Random}) {
+	constructor(options: RegionalTargetTableOptions) {
 		this.#outbox = options.outbox;
 		this.#gossip = new TargetGossip(options);
+		this.#prober = new TargetProber({
+			...options, targets: now => this.#probedTargets(now), reachability: targetId => this.#store.get(targetId)?.reachability,
+		});
 	}
 
 	announce(announcement: Announcement, now: Millis): 'accepted' | 'stale' {
@@ -93,6 +109,7 @@
 			this.#checkLease(record, entryCount, now);
 		}
 
+		this.#prober.tick(now);
 		this.#gossip.tick(now);
 		if (now >= this.#pruneAt) {
 			this.#pruneAt = now + pruneEveryMs as Millis;
@@ -118,6 +135,10 @@
 
 	recordStart(targetId: TargetId, work: {promptTokens: number; outputTokens: number; prefixBlocks: readonly string[]}, now: Millis): void {
 		const record = this.#store.get(targetId);
+		if (record?.inFlight === 0) {
+			record.lastSignAt = now;
+		}
+
 		record?.inFlightHistory.start(work.outputTokens, now);
 		record?.cachedBlockEstimate.recordUse(work.prefixBlocks);
 	}
@@ -133,6 +154,17 @@
 		this.#updateEjection(record, outcome, now);
 	}
 
+	recordConnection(targetId: TargetId, reachable: boolean, now: Millis): void {
+		this.#prober.recordConnection(targetId, reachable, now);
+	}
+
+	recordSign(targetId: TargetId, now: Millis): void {
+		const record = this.#store.get(targetId);
+		if (record !== undefined) {
+			record.lastSignAt = now;
+		}
+	}
+
 	summaries(now: Millis): readonly ServiceSummary[] {
 		const summaries: ServiceSummary[] = [];
 		for (const records of this.#store.services()) {
@@ -151,6 +183,17 @@
 		return lost;
 	}
 
+	* #probedTargets(now: Millis) {
+		for (const record of this.#store.all()) {
+			if (this.#leased(record, now) && record.announcement.state === 'serving') {
+				const {targetId, announcement: {address}, reachability, inFlight, lastSignAt} = record;
+				yield {
+					targetId, address, reachability, silentMs: inFlight === 0 ? 0 : now - lastSignAt,
+				};
+			}
+		}
+	}
+
 	#leased(record: TargetRecord, now: Millis): boolean {
 		return now - record.heardAt < leaseMs;
 	}
@@ -169,6 +212,7 @@
 		const changed = known.leaseEnded || !equalExceptLoad(announcement, known.announcement);
 		if (announcement.incarnation !== known.announcement.incarnation && !known.leaseEnded) {
 			this.#lost.add(known.targetId);
+			known.reachability = new Reachability();
 		}
 
 		this.#store.update(known, {announcement, heardAt, direct});
--- a/src/core/targets/target-record.ts
+++ b/src/core/targets/target-record.ts
@@ -4,6 +4,7 @@
 import type {Announcement} from './announcement.ts';
 import {CachedBlockEstimate} from './cached-block-estimate.ts';
 import {InFlightHistory} from './in-flight-history.ts';
+import {Reachability} from './reachability.ts';
 import {SpeedEstimate} from './speed-estimate.ts';
 import {targetHandle} from './target-handle.ts';
 import type {TargetView} from './target-view.ts';
@@ -34,6 +35,10 @@
 	readonly speedEstimate = new SpeedEstimate();
 	readonly cachedBlockEstimate = new CachedBlockEstimate();
 	readonly inFlightHistory = new InFlightHistory();
+	/** Whether this entry reaches the present incarnation. */
+	reachability = new Reachability();
+	/** Time of the newest bytes from the target, or of the start of the first request in flight there. */
+	lastSignAt = 0 as Millis;
 	/** Factor by which the target seems slower than estimated, from overdue answers; at least 1. */
 	#slowdown = 1;
 	/** Number of complete answers of earlier incarnations. */
--- a/src/core/targets/target-table.ts
+++ b/src/core/targets/target-table.ts
@@ -22,6 +22,10 @@
 	recordStart(targetId: TargetId, work: {promptTokens: number; outputTokens: number; prefixBlocks: readonly string[]}, now: Millis): void;
 	/** Updates the speed estimate and outlier ejection from the outcome of an attempt. */
 	recordOutcome(targetId: TargetId, outcome: AttemptOutcome, now: Millis): void;
+	/** Records that a connection to the target could be opened, or could not. */
+	recordConnection(targetId: TargetId, reachable: boolean, now: Millis): void;
+	/** Records that bytes of an answer arrived from the target. */
+	recordSign(targetId: TargetId, now: Millis): void;
 	/** Summaries of this region's services, which its region summary carries. */
 	summaries(now: Millis): readonly ServiceSummary[];
 	/** Returns the targets whose lease ended, or whose incarnation changed, since the last call. */
--- a/src/core/targets/target-view.ts
+++ b/src/core/targets/target-view.ts
@@ -1,6 +1,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Announcement} from './announcement.ts';
+import type {Reachability} from './reachability.ts';
 
 /** A target of this node's region with a valid lease, and this node's estimates for it. */
 export type TargetView = {
@@ -33,6 +34,8 @@
 	readonly callMs?: number;
 	/** True while outlier ejection excludes it from selection. */
 	readonly ejected: boolean;
+	/** Whether this entry reaches it. */
+	readonly reachability: Reachability;
 	/** Number of leading prefix blocks that are believed to be cached at the target. */
 	cachedBlocks(prefixBlocks: readonly string[]): number;
 };
--- a/src/server/action-performer.ts
+++ b/src/server/action-performer.ts
@@ -3,8 +3,10 @@
 import type {CoreEvent} from '../core/events.ts';
 import type {RequestId} from '../core/ids/request-id.ts';
 import type {Refusal} from '../core/results/refusal.ts';
+import {constants} from '../settings/constants.ts';
 import type {AttemptClient} from './attempt-client.ts';
 import type {CallerRequest} from './caller-request.ts';
+import {canConnect} from './can-connect.ts';
 import {log} from './log.ts';
 import type {Metrics} from './metrics.ts';
 import type {OperatorApi} from './operator-api.ts';
@@ -79,6 +81,11 @@
 				break;
 			}
 
+			case 'probe': {
+				void this.#probe(action);
+				break;
+			}
+
 			case 'cancel-attempt': {
 				this.#options.attempts.cancel(action.attemptId);
 				break;
@@ -138,6 +145,11 @@
 		});
 	}
 
+	async #probe({targetId, address}: Extract<Action, {type: 'probe'}>): Promise<void> {
+		const reachable = await canConnect(address, constants.probeTimeoutMs);
+		this.#options.step({type: 'probe-result', targetId, reachable});
+	}
+
 	#complete(action: Extract<Action, {type: 'complete'}>): void {
 		const request = this.#options.requests.get(action.requestId);
 		if (!request) {
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -38,6 +38,8 @@
 	peerClockSkewMs: 60_000,
 	/** Timeout for connecting to a target or to another entry. */
 	connectTimeoutMs: 2000,
+	/** Timeout for the connection that finds out whether a target can be reached. */
+	probeTimeoutMs: 1000,
 	/** Time that callers may use a list of entries. */
 	entriesTtlMs: 2000,
 	/** Minimum time between removal from the list of entries and closing: callers with an older list get a refusal that says so instead of a closed connection. */
--- a/test/core/attempts/cut-entries.test.ts
+++ b/test/core/attempts/cut-entries.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import type {NodeId} from '../../../src/core/ids/node-id.ts';
+import type {TargetId} from '../../../src/core/ids/target-id.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
 import {CoordinatorHarness} from '../../fixtures/attempts/coordinator-harness.ts';
 
@@ -49,6 +50,25 @@
 	t.like(harness.refusal('r2'), {ran: 'no'});
 });
 
+test('an entry uses its targets again once it reaches one', t => {
+	const harness = cutOffHarness();
+	harness.targets.recordConnection(toId('engine-2'), true, harness.now);
+	t.is(harness.request('r2')!.targetId, toId<TargetId>('engine-2'));
+});
+
+test('a silent attempt at a target that stays out of reach is replaced through another entry of the region, and blames no request', t => {
+	const harness = new CoordinatorHarness();
+	const target = harness.targets.add('engine-1');
+	harness.membership.addRegion('regina-a', {'entry-1': 1, 'entry-2': 1});
+	harness.request('r1');
+	harness.targets.recordConnection(target, false, harness.now);
+	harness.advance(500);
+	t.is(harness.starts('r1').length, 1);
+	harness.advance(1000);
+	t.is(harness.lastStart('r1')!.forwardTo, sibling);
+	t.deepEqual(harness.poison.crashes, []);
+});
+
 test('an entry that reaches no target and has no other beside it refuses at once', t => {
 	const harness = new CoordinatorHarness();
 	harness.targets.add('engine-1');
