perf(start): entries load only the parts of undici that they use; a bench of deployments at rest

Cause: the index of undici also loads fetch, WebSocket, caches and mocks, and with them Node's web streams. Change: createHttpAgent takes the agent and its methods from their own modules. 'npm run bench -- rest' measures messages, bytes and processor time of cores and codec by number of entries.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -33,6 +33,10 @@
 		const {benchEdge} = await import('./edge.ts');
 		return benchEdge;
 	},
+	async rest() {
+		const {benchRest} = await import('./rest.ts');
+		return benchRest;
+	},
 	async start() {
 		const {benchStart} = await import('./start.ts');
 		return benchStart;
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -1,10 +1,11 @@
-import {Agent} from 'undici';
+import type {Agent} from 'undici';
 import type {EdgeAction} from '../../core/edge/edge-action.ts';
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
 import type {AttemptNumber} from '../../core/ids/attempt-number.ts';
 import type {SoftwareVersion} from '../../core/ids/software-version.ts';
 import type {Region} from '../../core/ids/region.ts';
 import {canConnect} from '../can-connect.ts';
+import {createHttpAgent} from '../http-agent.ts';
 import {isMalformedAnswer} from '../is-malformed-answer.ts';
 import {targetConnector} from '../target-connector.ts';
 import type {CallerExchange} from './caller-exchange.ts';
@@ -142,7 +143,7 @@
 
 /** Creates a connection pool. `keepAliveMs` applies to targets that send no keep-alive hint; a hint replaces it, up to `maxHintMs`. */
 function createAgent({connectMs, keepAliveMs: keepAliveTimeout = defaultKeepAliveMs, maxHintMs = maxKeepAliveMs}: {connectMs: number; keepAliveMs?: number; maxHintMs?: number}): Agent {
-	return new Agent({
+	return createHttpAgent({
 		connect: targetConnector(connectMs),
 		pipelining: 1,
 		keepAliveTimeout,
--- a/src/server/target-connector.ts
+++ b/src/server/target-connector.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
-import {buildConnector} from 'undici';
+import type {buildConnector} from 'undici';
+import buildUndiciConnector from 'undici/lib/core/connect.js';
 
 /** Error code of a reset connection; replaces ECONNRESET, which the HTTP client treats as the end of the body. */
 const resetCode = 'ERR_CONNECTION_RESET';
@@ -13,7 +14,7 @@
  * replaced, and each end is confirmed by a write, which fails on a connection that was reset.
  */
 export function targetConnector(timeoutMs: number): buildConnector.connector {
-	const connect = buildConnector({timeout: timeoutMs, autoSelectFamily: false});
+	const connect = buildUndiciConnector({timeout: timeoutMs, autoSelectFamily: false});
 	return (options, callback) => {
 		connect(options, (...result) => {
 			const [, socket] = result;
