feat(edge): requests wait for routes and targets while an entry starts

Load pattern: everything comes back at once. Callers return in the first second, entries know no routes, and control nodes know targets only once these report again, up to a report interval later. Requests were refused with a retry delay of half a second to a second.

Change: StartupWait lets a request wait for the routes for a second or a third of its time, and for a target of a service of which none was listed yet, for one and a half report intervals after the first feed. Requests that other entries forwarded are refused at once as before. The test 'an entry without a routes document refuses requests' now looks for the same refusal after that second.

--- a/src/core/edge/edge-core-options.ts
+++ b/src/core/edge/edge-core-options.ts
@@ -19,6 +19,8 @@
 	readonly seeds: readonly NodeId[];
 	/** Bound on the retries of each service over all entries: `ratio` retries for each request, and `slack` further ones in each window of `windowMs`. */
 	readonly repeats: {readonly ratio: number; readonly slack: number; readonly windowMs: number};
+	/** Interval between two reports of a target, in milliseconds. @default 1000 */
+	readonly reportEveryMs?: number;
 	readonly parseDocument: ParseDocument;
 	readonly random: Random;
 };
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -18,6 +18,7 @@
 import {RegionSelector} from './region-selector.ts';
 import {WindowedRetryBudget} from './windowed-retry-budget.ts';
 import {RequestHandler} from './request-handler.ts';
+import {StartupWait} from './startup-wait.ts';
 import {StreamOrigins} from './stream-origins.ts';
 import {ServiceVersions} from './service-versions.ts';
 import {TargetPool} from './target-pool.ts';
@@ -25,6 +26,7 @@
 
 /** Assumed time until a full target has room for another request, in milliseconds. */
 const fullTargetWaitMs = 300;
+const defaultReportEveryMs = 1000;
 
 /**
  * Makes the decisions of an entry of a deployment with a routes document: which control node it follows, and
@@ -41,6 +43,7 @@
 	readonly #origins: StreamOrigins;
 	readonly #containment: CrashContainment;
 	readonly #prober: TargetProber;
+	readonly #startup: StartupWait;
 	readonly #requests: RequestHandler;
 	#table: RouteTable | undefined;
 	#stateIndex = 0;
@@ -49,7 +52,7 @@
 
 	constructor(options: EdgeCoreOptions) {
 		this.#options = options;
-		const {self, seeds, repeats, random} = options;
+		const {self, seeds, repeats, random, reportEveryMs = defaultReportEveryMs} = options;
 		this.#queue = new ActionQueue(self.nodeId);
 		this.#pool = new TargetPool(self.nodeId);
 		this.#regions = new RegionSelector(self);
@@ -70,12 +73,14 @@
 				this.#queue.push(action);
 			},
 		});
+		this.#startup = new StartupWait({reportEveryMs});
 		this.#requests = new RequestHandler({
+			startup: this.#startup,
 			prober: this.#prober,
 			containment: this.#containment,
 			origins: this.#origins,
 			placement: new PlacementPolicy({
-				region: self.region, relayAddress: self.relayAddress, pool: this.#pool, regions: this.#regions, random,
+				region: self.region, relayAddress: self.relayAddress, pool: this.#pool, regions: this.#regions, startup: this.#startup, random,
 			}),
 			table: () => this.#table,
 			pool: this.#pool,
@@ -225,6 +230,7 @@
 		}
 
 		if (targets !== undefined) {
+			this.#startup.recordFeed(now);
 			this.#pool.update(feed.targets, targets === 'whole', now);
 			this.#pool.recordHeartbeats(feed.signs);
 			this.#regions.update(feed.regions, now);
@@ -265,6 +271,7 @@
 
 		this.#table = new RouteTable(parsed.document);
 		this.#queue.push({type: 'document', version: stored.version});
+		this.#requests.handleWaitingForRoutes(now);
 		this.#follower.report(now);
 	}
 
--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -9,6 +9,7 @@
 import type {RegionSelector} from './region-selector.ts';
 import type {RequestRecord} from './request-record.ts';
 import {callerRetryAfterMs} from './caller-retry-after-ms.ts';
+import type {StartupWait} from './startup-wait.ts';
 import type {TargetPool} from './target-pool.ts';
 
 /** Amount by which the cost in a remote region must be lower than at a target of this region, in milliseconds: traffic between regions is expensive. */
@@ -29,6 +30,7 @@
 	readonly relayAddress: string;
 	readonly pool: TargetPool;
 	readonly regions: RegionSelector;
+	readonly startup: StartupWait;
 	readonly random: Random;
 };
 
@@ -81,6 +83,10 @@
 			return {type: 'wait'};
 		}
 
+		if (leftMs > 0 && this.#mayBeListedSoon(record, now)) {
+			return {type: 'wait'};
+		}
+
 		return {
 			type: 'refuse',
 			reason: local.length === 0 ? 'no-target' : 'overloaded',
@@ -88,6 +94,13 @@
 		};
 	}
 
+	/** True if no target is known for a request of a caller, but one may be listed soon, since this entry has just started. */
+	#mayBeListedSoon({req, service, route}: RequestRecord, now: Millis): boolean {
+		const {region, pool, startup} = this.#options;
+		const isLocal = route.homes.length === 0 || route.homes.includes(region);
+		return req.forwarded === undefined && isLocal && startup.expectsTargets(now) && !pool.knows(service);
+	}
+
 	/** The placer that a request has to be forwarded to; undefined if this entry places it. */
 	#placer({req, service, forwardCount}: RequestRecord, now: Millis): {address: string; startMs: number} | undefined {
 		const {regions, relayAddress} = this.#options;
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -26,6 +26,7 @@
 import {RetryPolicy} from './retry-policy.ts';
 import {RequestPlacer} from './request-placer.ts';
 import type {RequestRecord} from './request-record.ts';
+import type {StartupWait} from './startup-wait.ts';
 import {TargetFeedback} from './target-feedback.ts';
 import type {StreamOrigins} from './stream-origins.ts';
 import type {TargetPool} from './target-pool.ts';
@@ -40,6 +41,7 @@
 	readonly origins: StreamOrigins;
 	readonly containment: CrashContainment;
 	readonly prober: TargetProber;
+	readonly startup: StartupWait;
 	readonly budget: WindowedRetryBudget;
 	readonly random: Random;
 	readonly queue: ActionQueue<EdgeAction>;
@@ -49,6 +51,8 @@
 export class RequestHandler {
 	readonly #options: RequestHandlerOptions;
 	readonly #records = new Map<RequestId, RequestRecord>();
+	/** Requests that came before the routes. */
+	readonly #withoutRoutes = new Map<RequestId, EdgeRequest>();
 	readonly #attempts: AttemptTracker;
 	readonly #completion: RequestCompletion;
 	readonly #retryPolicy: RetryPolicy;
@@ -75,7 +79,7 @@
 	}
 
 	get inFlight(): number {
-		return this.#records.size;
+		return this.#records.size + this.#withoutRoutes.size;
 	}
 
 	/** True once new requests are refused. */
@@ -91,6 +95,11 @@
 	handleRequest(req: EdgeRequest, now: Millis): void {
 		const table = this.#options.table();
 		const refusalReason = earlyRefusalReason(req, {table, closed: this.#closed});
+		if (refusalReason === 'not-configured' && !this.#closed && this.#options.startup.mayWaitForRoutes(req, now)) {
+			this.#withoutRoutes.set(req.requestId, req);
+			return;
+		}
+
 		if (refusalReason !== undefined) {
 			this.#completion.refuseEarly(req, refusalReason, table?.version);
 			return;
@@ -120,7 +129,17 @@
 		}, now);
 	}
 
+	/** Handles the requests that came before the routes. */
+	handleWaitingForRoutes(now: Millis): void {
+		const waiting = [...this.#withoutRoutes.values()];
+		this.#withoutRoutes.clear();
+		for (const req of waiting) {
+			this.handleRequest(req, now);
+		}
+	}
+
 	handleCallerGone(requestId: RequestId, now: Millis): void {
+		this.#withoutRoutes.delete(requestId);
 		const record = this.#records.get(requestId);
 		if (record === undefined) {
 			return;
@@ -235,6 +254,8 @@
 	}
 
 	tick(now: Millis): void {
+		// Those that have waited long enough are refused.
+		this.handleWaitingForRoutes(now);
 		for (const record of this.#records.values()) {
 			if (now >= record.deadlineAt) {
 				this.#expire(record, now);
--- a/src/core/edge/target-pool.ts
+++ b/src/core/edge/target-pool.ts
@@ -64,6 +64,11 @@
 		}
 	}
 
+	/** True if a target of the service is listed, whatever its state. */
+	knows(service: ServiceName): boolean {
+		return this.#targetsOf(service).length > 0;
+	}
+
 	get(targetId: TargetId): PooledTarget | undefined {
 		return this.#targets.get(targetId);
 	}
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -46,7 +46,7 @@
 	constructor(options: EntryProcessOptions) {
 		const {settings, adapter, log} = options;
 		this.#options = options;
-		const {nodeId, region, zone, listen, seeds, repeats, cores} = settings;
+		const {nodeId, region, zone, listen, seeds, repeats, cores, reportEveryMs} = settings;
 		this.#core = new EdgeCore({
 			self: {
 				nodeId,
@@ -58,6 +58,7 @@
 			},
 			seeds,
 			repeats,
+			reportEveryMs,
 			parseDocument: adapter.control.parseDocument,
 			random: new SystemSeededRandom(),
 		});
--- a/test/core/edge/edge-core.test.ts
+++ b/test/core/edge/edge-core.test.ts
@@ -34,6 +34,7 @@
 test('an entry without a routes document refuses requests with a retry delay, and never as `no-route`', t => {
 	const harness = new EdgeHarness();
 	harness.request();
+	harness.run(1000);
 	const [refusal] = harness.refusals();
 	t.is(refusal!.reason, 'not-configured');
 	t.is(refusal!.ran, 'no');
