--- /dev/null
+++ b/test/server/routes/late-reads.test.ts
@@ -0,0 +1,71 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import type {EdgeEvent} from '../../../src/core/edge/edge-event.ts';
+import type {Millis} from '../../../src/core/ids/millis.ts';
+import {RequestServer} from '../../../src/server/routes/request-server.ts';
+import {platformRequestCodec} from '../../../platform/platform-request-codec.ts';
+import {PortBlock} from '../../harness/port-block.ts';
+
+const host = '127.0.0.1';
+const body = '{"artwork":"closure board"}';
+const request = `POST /orders/1 HTTP/1.1\r\nHost: prairie.example\r\nRequest-Identifier: 9c41d07be2a35f68\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+const settleMs = 200;
+
+/** A server whose process is behind with its events by `lagMs`, and the events that it passes on. */
+async function openServer(t: ExecutionContext, lagMs: number) {
+	const ports = await PortBlock.reserve();
+	const port = ports.next();
+	const events: EdgeEvent[] = [];
+	const server = new RequestServer({
+		key: 'listen.callers',
+		listen: {host, port},
+		relay: false,
+		codec: platformRequestCodec,
+		exchanges: new Map(),
+		step(event) {
+			events.push(event);
+		},
+		now: () => performance.now() as Millis,
+		leaving: () => false,
+		onError(error) {
+			t.fail(error.stack);
+		},
+	});
+	await server.open();
+	t.teardown(async () => {
+		await server.close();
+		ports.release();
+	});
+	const socket = connect({host, port});
+	await once(socket, 'connect');
+	await sleep(settleMs);
+	return {socket, events};
+}
+
+for (const manner of ['ended', 'reset'] as const) {
+	test(`a request that is read late, after its caller has left, is not passed on: connection ${manner}`, async t => {
+		const {socket, events} = await openServer(t, 1000);
+		// Both reach the server before it reads again.
+		socket.write(request);
+		if (manner === 'ended') {
+			socket.destroy();
+		} else {
+			socket.resetAndDestroy();
+		}
+
+		await sleep(settleMs);
+		t.deepEqual(events, []);
+	});
+}
+
+for (const lagMs of [0, 1000]) {
+	test(`a request whose caller waits is passed on, by a process that is behind by ${lagMs} ms`, async t => {
+		const {socket, events} = await openServer(t, lagMs);
+		socket.write(request);
+		await sleep(settleMs);
+		t.deepEqual(events.map(({type}) => type), ['request']);
+		socket.destroy();
+	});
+}
