fix(server): requests that are read late are not passed on once their caller has left

Cause: a process that is behind with its events reads a request and the end of its connection together, and passed the request on before it had read the end: a target got work for a caller that had left long before. Change: while the event loop is 100 ms behind or more, a request waits for two turns of it, in which the end of its connection is read; one whose connection has ended is dropped. Result: late-reads failed for ended and reset connections before, passes; server/routes passes.

--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -70,12 +70,14 @@
 				this.#perform(action);
 			},
 		});
-		const {step, now, metrics, logHandlerError: onError} = this.#host;
+		const {
+			step, now, lagMs, metrics, logHandlerError: onError,
+		} = this.#host;
 		this.#client = new TargetClient({
 			region: toId(region), forwards: settings.internal.forwards, codec: adapter.requests, step,
 		});
 		const sharedOptions = {
-			codec: adapter.requests, exchanges: this.#exchanges, step, now, onError, leaving: () => this.#core.leaving,
+			codec: adapter.requests, exchanges: this.#exchanges, step, now, lagMs, onError, leaving: () => this.#core.leaving,
 		};
 		this.#requestServers = [
 			new RequestServer({
--- a/src/server/routes/request-server.ts
+++ b/src/server/routes/request-server.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {setImmediate as nextLoopTurn} from 'node:timers/promises';
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
 import type {Millis} from '../../core/ids/millis.ts';
 import type {RequestId} from '../../core/ids/request-id.ts';
@@ -19,6 +20,10 @@
 };
 /** Margin added to the document's idle timeout, in milliseconds, so that callers close idle connections first and never send a request on one that the server is closing. */
 const idleMarginMs = 2000;
+/** Lag of the event loop from which on a request may be read together with the end of its connection, in milliseconds. */
+const lateReadMs = 100;
+/** Turns of the event loop after which what has reached the connection has been read: one for its data, one for its end. */
+const readTurns = 2;
 const bodyErrorStatuses: Readonly<Record<string, number>> = {tooLarge: 413, slowCaller: 408};
 
 type RequestServerOptions = {
@@ -30,6 +35,8 @@
 	readonly exchanges: Map<RequestId, CallerExchange>;
 	readonly step: (event: EdgeEvent) => void;
 	readonly now: () => Millis;
+	/** Time by which the event loop is behind, in milliseconds. */
+	readonly lagMs: () => number;
 	/** True while the entry drains: connections are then closed after their answer. */
 	readonly leaving: () => boolean;
 	readonly onError: (error: Error) => void;
@@ -77,7 +84,7 @@
 		const arrivedAt = now();
 		res.sendDate = false;
 		const body = await this.#readBody(req, res);
-		if (body === undefined) {
+		if (body === undefined || await this.#hasLeft(req, res)) {
 			return;
 		}
 
@@ -123,6 +130,20 @@
 		step({type: 'request', req: exchange.edgeRequest});
 	}
 
+	/**
+	 * True if the caller has closed the connection. A process that is behind reads requests long after they came; a
+	 * caller that has left meanwhile must not cost a target any work, so the end of the connection is looked for first.
+	 */
+	async #hasLeft({socket}: IncomingMessage, res: ServerResponse): Promise<boolean> {
+		if (this.#options.lagMs() >= lateReadMs) {
+			for (let turn = 0; turn < readTurns; turn++) {
+				await nextLoopTurn(); // eslint-disable-line no-await-in-loop
+			}
+		}
+
+		return res.destroyed || socket.destroyed || socket.readableEnded;
+	}
+
 	/** Reads the body. A request over the limits is refused here; the result is then undefined. */
 	async #readBody(req: IncomingMessage, res: ServerResponse): Promise<Buffer | undefined> {
 		if (headerLength(req) > this.#limits.headerBytes) {
--- a/test/server/routes/late-reads.test.ts
+++ b/test/server/routes/late-reads.test.ts
@@ -28,6 +28,7 @@
 			events.push(event);
 		},
 		now: () => performance.now() as Millis,
+		lagMs: () => lagMs,
 		leaving: () => false,
 		onError(error) {
 			t.fail(error.stack);
