test(edge): requests whose only home is the region of cut-off entries

With withOwn: false in placement-policy, which undoes the fix of entries cut off from targets, all 24 cases passed, since the other region had room. The 12 new ones fail then (0.00 served there), and pass with the fix.

--- a/test/core/edge/cut-entries.test.ts
+++ b/test/core/edge/cut-entries.test.ts
@@ -1,5 +1,7 @@
 import test from 'ava';
 import type {CutManner} from '../../fixtures/cut-manner.ts';
+import type {Region} from '../../../src/core/ids/region.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
 import {servedShare} from '../../fixtures/served-share.ts';
 import {SimulatedDeployment} from '../../fixtures/simulated-deployment.ts';
 import {simulatedTraffics} from '../../fixtures/simulated-traffics.ts';
@@ -12,9 +14,11 @@
 const cutMs = 20_000;
 
 /** Entries 0 to 2 are of one region, 3 to 5 of the other. */
-const cuts: ReadonlyArray<{readonly title: string; readonly indexes: readonly number[]}> = [
+const cuts: ReadonlyArray<{readonly title: string; readonly indexes: readonly number[]; readonly homes?: readonly Region[]}> = [
 	{title: 'some of each region', indexes: [0, 1, 4]},
 	{title: 'all of a region', indexes: [0, 1, 2]},
+	// Only the other entry of the region can send these requests.
+	{title: 'some of the only home', indexes: [0, 1], homes: [toId('regina')]},
 ];
 
 for (const {title, route, request} of simulatedTraffics()) {
@@ -22,7 +26,7 @@
 		for (const manner of ['hang', 'reset', 'live'] satisfies CutManner[]) {
 			test(`callers of entries that are cut off from all targets are served like others, ${title}, ${cut.title}, ${manner}`, t => {
 				for (const seed of [1, 2]) {
-					const deployment = new SimulatedDeployment({seed, route});
+					const deployment = new SimulatedDeployment({seed, route: {...route, homes: cut.homes ?? []}});
 					deployment.start();
 					deployment.run(3000);
 					deployment.load(load, () => request);
