feat(edge): targets that fail part of their requests get fewer

Load pattern: a target answers part of its requests with status 500 while its reports and health are good. Its idle slots made it the cheapest place, so requests that may run once only kept going there.

--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -2,6 +2,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {ListedTarget} from '../registry/listed-target.ts';
 import {Reachability} from '../targets/reachability.ts';
+import {FailureShare} from './failure-share.ts';
 import {LimitShare} from './limit-share.ts';
 import {MovingAverage} from './moving-average.ts';
 import type {PooledAttempt} from './pooled-attempt.ts';
@@ -49,6 +50,7 @@
 		weight: 0.1, initial: 60, min: 1, max: 2000,
 	});
 
+	#failureShare = new FailureShare();
 	#listed: ListedTarget;
 	#coldUntil: Millis | undefined;
 	#lastSequence: number;
@@ -87,6 +89,7 @@
 			this.prefixCache.clear();
 			this.#suspended = undefined;
 			this.#limit = undefined;
+			this.#failureShare = new FailureShare();
 			this.#reachability = new Reachability();
 			this.#lastSequence = listed.sequence;
 			this.#othersLoad = {count: 0, waiting: 0, at: Number.NEGATIVE_INFINITY};
@@ -120,6 +123,11 @@
 		return this.#reachability;
 	}
 
+	/** Share of its answers with which the present incarnation says that it has failed. */
+	get failureShare(): FailureShare {
+		return this.#failureShare;
+	}
+
 	/** Records that bytes of the target arrived. */
 	recordSign(now: Millis): void {
 		this.#lastSignAt = now;
--- a/src/core/edge/rank-local-targets.ts
+++ b/src/core/edge/rank-local-targets.ts
@@ -26,6 +26,8 @@
 const pastDeadlineMs = 3000;
 /** Cost of a target in the partition of another placer, whose queue this entry knows little about, in milliseconds. */
 const otherPartitionMs = 300;
+/** Cost of a request that its target fails, in milliseconds: its caller has to come again, or gets nothing. */
+const failedRequestMs = 2000;
 
 type RankOptions = {
 	readonly prompt?: Prompt;
@@ -73,7 +75,7 @@
 	return {
 		target,
 		startMs,
-		costMs: startMs,
+		costMs: startMs + failureCostMs(target, now),
 		completionMs: startMs,
 		uncachedTokens: 0,
 		aheadTokens: 0,
@@ -115,6 +117,7 @@
 		+ (backlogWeight * target.backlogMs(now))
 		+ (recomputedTokenMs * recomputedTokens)
 		+ (inOtherPartition ? otherPartitionMs : 0)
+		+ failureCostMs(target, now)
 		+ (startMs > lateStartShare * objectiveMs ? lateStartMs : 0)
 		+ (completionMs > leftMs ? pastDeadlineMs : 0);
 	return {
@@ -122,6 +125,11 @@
 	};
 }
 
+/** Expected cost of the target's failures. Engines that fail part of their requests may report that they serve, and say so to probes. */
+function failureCostMs({failureShare}: PooledTarget, now: Millis): number {
+	return failureShare.value(now) * failedRequestMs;
+}
+
 function sharedTokens(prompt: Prompt): number {
 	return sharedParts(prompt).reduce((sum, {tokens}) => sum + tokens, 0);
 }
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -14,6 +14,9 @@
 /** Status 421, Misdirected Request: the answer is from another target than the request names, or not vouched for by that target; the request has not run. */
 const misdirectedStatus = 421;
 
+/** Statuses with which a target says that it has failed a request; 504 is its answer to a deadline that has passed. */
+const failureStatuses: ReadonlySet<number> = new Set([500, 501, 502]);
+
 /** Reasons for which an attempt breaks off when its target crashes: the connection was reset, or it ended within the answer. */
 const crashReasons: ReadonlySet<string> = new Set<AttemptFailure['reason']>(['reset', 'truncated']);
 
@@ -35,13 +38,17 @@
 	}
 
 	/** Records the head of an answer, which may carry the target's load, its limit and how many rejections it stands. */
-	recordHead(record: RequestRecord, {load, limitPerSecond, rejectionsPerSecond, signed, notRun}: AnswerHead, now: Millis): void {
+	recordHead(record: RequestRecord, {status, load, limitPerSecond, rejectionsPerSecond, signed, notRun}: AnswerHead, now: Millis): void {
 		const target = this.#targetOf(record);
 		if (target === undefined) {
 			return;
 		}
 
 		target.recordSign(now);
+		if (!notRun) {
+			target.failureShare.record(failureStatuses.has(status), now);
+		}
+
 		if (load !== undefined) {
 			target.updateLoad(load, now);
 		}
