perf(start): entries accept callers before the rest of the process is loaded

Cause: on 0.24 of a core the modules for links and for targets take half a second to load. Callers that came meanwhile were refused a connection and lost one of their few tries.

--- a/src/server/routes/core-host.ts
+++ b/src/server/routes/core-host.ts
@@ -6,7 +6,7 @@
 import {CoreRunner} from '../core-runner.ts';
 import type {EventLog} from '../event-log.ts';
 import {Metrics} from '../metrics.ts';
-import {PeerConnections} from './peer-connections.ts';
+import type {PeerConnections} from './peer-connections.ts';
 
 /** Interval between ticks of the core, in milliseconds. */
 const tickIntervalMs = 50;
@@ -28,11 +28,14 @@
 	readonly #log: EventLog;
 	readonly #performProcessAction: (action: Action) => void;
 	readonly #runner: CoreRunner<Event | HostEvent, Action | SharedAction>;
-	readonly #peers: PeerConnections;
+	readonly #settings: RoutesSettings;
+	/** Undefined until `open`. */
+	#peers: PeerConnections | undefined;
 	#tickTimer: NodeJS.Timeout | undefined;
 	#lastTickAt = Number.POSITIVE_INFINITY;
 
 	constructor({settings, log, core, perform}: CoreHostOptions<Event, Action>) {
+		this.#settings = settings;
 		this.#log = log;
 		this.#performProcessAction = perform;
 		this.#runner = new CoreRunner({
@@ -41,13 +44,6 @@
 				this.#perform(action);
 			},
 		});
-		this.#peers = new PeerConnections({
-			settings,
-			metrics: this.metrics,
-			onMessage: (from, message) => {
-				this.#runner.step({type: 'peer', from, message});
-			},
-		});
 	}
 
 	/** Passes an event to the core. */
@@ -65,8 +61,17 @@
 		this.#log.warn('handler-failed', {error: error.stack});
 	};
 
+	/** Loads and opens the links to other nodes; they are a large part of a process's start, and an entry accepts callers before. */
 	async open(): Promise<void> {
-		return this.#peers.open();
+		const {PeerConnections} = await import('./peer-connections.ts');
+		this.#peers = new PeerConnections({
+			settings: this.#settings,
+			metrics: this.metrics,
+			onMessage: (from, message) => {
+				this.#runner.step({type: 'peer', from, message});
+			},
+		});
+		await this.#peers.open();
 	}
 
 	startTicking(): void {
@@ -82,7 +87,7 @@
 	}
 
 	async close(): Promise<void> {
-		return this.#peers.close();
+		await this.#peers?.close();
 	}
 
 	/** Carries out the actions common to all cores and passes the others to the process. */
@@ -94,7 +99,8 @@
 
 		switch (action.type) {
 			case 'send': {
-				this.#peers.send(action.to, action.message);
+				// The core sends nothing before its first tick, which follows `open`.
+				this.#peers?.send(action.to, action.message);
 				break;
 			}
 
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -16,7 +16,7 @@
 import {relayHeader} from './relay-header.ts';
 import {RequestServer} from './request-server.ts';
 import type {RoutesProcess} from './routes-process.ts';
-import {TargetClient} from './target-client.ts';
+import type {TargetClient} from './target-client.ts';
 
 /** Time after the stop signal during which new requests are accepted, in milliseconds, but at most a third of the grace period: callers may still use an older list of entries. */
 const acceptWhileDrainingMs = 2500;
@@ -38,7 +38,8 @@
 	readonly #exchanges = new Map<RequestId, CallerExchange>();
 	readonly #core: EdgeCore;
 	readonly #host: CoreHost<EdgeEvent, EntryProcessAction>;
-	readonly #client: TargetClient;
+	/** Undefined until `open` has loaded it; the core starts no attempt before it knows routes. */
+	#client: TargetClient | undefined;
 	readonly #requestServers: readonly RequestServer[];
 	readonly #statusServers: readonly HttpServer[];
 	#resolveDrained: (() => void) | undefined;
@@ -73,9 +74,6 @@
 		const {
 			step, now, lagMs, metrics, logHandlerError: onError,
 		} = this.#host;
-		this.#client = new TargetClient({
-			region: toId(region), forwards: settings.internal.forwards, codec: adapter.requests, step,
-		});
 		const sharedOptions = {
 			codec: adapter.requests, exchanges: this.#exchanges, step, now, lagMs, onError, leaving: () => this.#core.leaving,
 		};
@@ -93,12 +91,18 @@
 		metrics.gauge('control_silent_ms', () => this.#core.status(now()).controlSilentMs);
 	}
 
+	/** Accepts callers first, so that those who come while the rest is loaded wait instead of being refused. */
 	async open(): Promise<void> {
-		await this.#host.open();
 		for (const server of [...this.#requestServers, ...this.#statusServers]) {
 			await server.open(); // eslint-disable-line no-await-in-loop
 		}
 
+		const {settings, adapter} = this.#options;
+		const {TargetClient} = await import('./target-client.ts');
+		this.#client = new TargetClient({
+			region: toId(settings.region), forwards: settings.internal.forwards, codec: adapter.requests, step: this.#host.step,
+		});
+		await this.#host.open();
 		this.#host.startTicking();
 	}
 
@@ -117,7 +121,7 @@
 		await Promise.race([drained, sleep(graceMs - Math.min(acceptWhileDrainingMs, graceMs / 3) - graceMarginMs)]);
 		this.#host.stopTicking();
 		await Promise.all([...this.#requestServers, ...this.#statusServers].map(async server => server.close()));
-		await this.#client.close();
+		await this.#client?.close();
 		await this.#host.close();
 	}
 
@@ -160,18 +164,18 @@
 			}
 
 			case 'cancel': {
-				this.#client.cancel(action.attempt);
+				this.#client?.cancel(action.attempt);
 				break;
 			}
 
 			case 'pass': {
-				this.#client.startStreaming(action.attempt, action.softwareVersion);
+				this.#client?.startStreaming(action.attempt, action.softwareVersion);
 				break;
 			}
 
 			case 'complete': {
 				const exchange = this.#exchanges.get(action.requestId);
-				this.#client.complete(action.attempt);
+				this.#client?.complete(action.attempt);
 				if (exchange !== undefined) {
 					this.#host.metrics.time('answer', this.#host.now() - exchange.edgeRequest.arrivedAt);
 				}
@@ -213,11 +217,11 @@
 		}
 
 		this.#host.metrics.count('attempts', action.targetId === undefined ? 'away' : 'local');
-		this.#client.start(action, exchange);
+		this.#client?.start(action, exchange);
 	}
 
 	async #probe({targetId, address}: EdgeAction & {type: 'probe'}): Promise<void> {
-		const reachable = await this.#client.canConnect(address);
+		const reachable = await this.#client!.canConnect(address);
 		this.#host.step({type: 'probe-result', targetId, reachable});
 	}
 
