--- a/src/command-line.ts
+++ b/src/command-line.ts
@@ -51,6 +51,14 @@
 			explain(request, logs);
 		});
 
+	cli
+		.command('timeline [...logs]', 'Show how long each stage of the start of processes took, from their structured logs')
+		.example('lovageferry timeline entry-1.log entry-2.log control-1.log')
+		.action(async (logs: string[]) => {
+			const {timeline} = await import('./commands/timeline.ts');
+			timeline(logs);
+		});
+
 	const operatorCommand = (name: string, description: string) => cli
 		.command(name, description)
 		.option('--entry <address>', 'Address of the entry (ip:port); repeat the option to add fallbacks', {default: '127.0.0.1:7101'})
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -49,6 +49,8 @@
 	#stateIndex = 0;
 	#leaving = false;
 	#drainedReported = false;
+	/** True once a target that serves has been listed since the process started. */
+	#hasHadTarget = false;
 
 	constructor(options: EdgeCoreOptions) {
 		this.#options = options;
@@ -230,14 +232,30 @@
 		}
 
 		if (targets !== undefined) {
-			this.#startup.recordFeed(now);
+			if (this.#startup.recordFeed(now)) {
+				this.#queue.event('first-feed', {control: from, current: feed.current, targets: feed.targets.length});
+			}
+
 			this.#pool.update(feed.targets, targets === 'whole', now);
+			this.#logFirstTarget(now);
 			this.#pool.recordHeartbeats(feed.signs);
 			this.#regions.update(feed.regions, now);
 			this.#recordVersions(feed, now);
 		}
 	}
 
+	#logFirstTarget(now: Millis): void {
+		if (this.#hasHadTarget) {
+			return;
+		}
+
+		const [first] = this.#pool.serving(now);
+		if (first !== undefined) {
+			this.#hasHadTarget = true;
+			this.#queue.event('first-target', {target: first.listed.targetId, service: first.listed.service});
+		}
+	}
+
 	* #probedTargets(now: Millis) {
 		for (const target of this.#pool.serving(now)) {
 			const {listed: {targetId, address}, reachability} = target;
--- a/src/core/edge/request-completion.ts
+++ b/src/core/edge/request-completion.ts
@@ -23,6 +23,7 @@
 /** Completes requests: emits the final answer or refusal, with its log event and counter. */
 export class RequestCompletion {
 	readonly #options: RequestCompletionOptions;
+	#hasServed = false;
 
 	constructor(options: RequestCompletionOptions) {
 		this.#options = options;
@@ -34,6 +35,10 @@
 		const {queue, containment} = this.#options;
 		if (running?.head !== undefined && isSuccess(running.head.status)) {
 			containment.recordServed(req, now);
+			if (!this.#hasServed) {
+				this.#hasServed = true;
+				queue.event('first-served', {request: req.callerKey, target: destinationOf(record), tookMs: Math.round(now - req.arrivedAt)});
+			}
 		}
 
 		queue.push({type: 'complete', requestId: req.requestId, attempt});
--- a/src/core/edge/startup-wait.ts
+++ b/src/core/edge/startup-wait.ts
@@ -29,9 +29,11 @@
 		this.#options = options;
 	}
 
-	/** Records that control has sent its list of targets. */
-	recordFeed(now: Millis): void {
+	/** Records that control has sent targets; true for the first time. */
+	recordFeed(now: Millis): boolean {
+		const isFirst = this.#firstFeedAt === undefined;
 		this.#firstFeedAt ??= now;
+		return isFirst;
 	}
 
 	/** True if a request may wait for the routes. Another entry that forwarded a request should place it elsewhere instead. */
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -97,7 +97,8 @@
 			await server.open(); // eslint-disable-line no-await-in-loop
 		}
 
-		const {settings, adapter} = this.#options;
+		const {settings, adapter, log} = this.#options;
+		log.write('listening', {});
 		const {TargetClient} = await import('./target-client.ts');
 		this.#client = new TargetClient({
 			region: toId(settings.region), forwards: settings.internal.forwards, codec: adapter.requests, step: this.#host.step,
