feat(control): the log tells when the directory leads callers out of their region

Change: `directory-fallback` names the caller's host and region, the homes that the host's routes have in common, and the regions of the entries given. The query's host reaches the core, which parses the document once a version. Result: no change of what is answered; control-core, docs and routes-deployment tests pass.

--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -9,9 +9,11 @@
 import type {Region} from '../ids/region.ts';
 import type {Zone} from '../ids/zone.ts';
 import type {PeerMessage} from '../peer-message.ts';
+import type {CallerLocation} from '../registry/caller-location.ts';
 import {EntryDirectory} from '../registry/entry-directory.ts';
 import {summarizeRegions} from '../registry/summarize-regions.ts';
 import {TargetRegistry} from '../registry/target-registry.ts';
+import {HostHomes} from '../routes/host-homes.ts';
 import type {CommandOutcome} from '../tree/command-outcome.ts';
 import {SystemState} from '../tree/system-state.ts';
 import type {ControlAction} from './control-action.ts';
@@ -50,6 +52,8 @@
 	/** Number of ticks so far; rotates the sample of addresses in the summaries of regions. */
 	#tickCount = 0;
 	#loggedGroup = '';
+	/** Homes of the hosts of a document's version; parsed when a caller asks who is led out of its region. */
+	#homes: {readonly version: number; readonly hosts: HostHomes | undefined} | undefined;
 	#gossipUrgent = false;
 	#now = 0 as Millis;
 
@@ -121,9 +125,20 @@
 		return this.#queue.take();
 	}
 
-	/** Addresses of entries that a caller should connect to. */
-	addresses(caller: {region?: Region; zone?: Zone}, now: Millis): readonly EntryAddress[] {
-		return this.#directory.addresses(caller, now);
+	/** Addresses of entries that a caller should connect to; an answer that leads it out of its region is logged. */
+	addresses(caller: CallerLocation, now: Millis): readonly EntryAddress[] {
+		const entries = this.#directory.entriesFor(caller, now);
+		if (entries.some(({region}) => region !== caller.region)) {
+			this.#queue.event('directory-fallback', {
+				...caller,
+				homes: [...this.#homesOf(caller.host) ?? []],
+				regions: [...new Set(entries.map(({region}) => region))],
+				entries: entries.length,
+				version: this.#state.routes.document?.version,
+			});
+		}
+
+		return entries.map(({address}) => address);
 	}
 
 	/** Address that a target of the zone should send its next reports to; undefined if it should stay with this node. */
@@ -148,6 +163,25 @@
 		};
 	}
 
+	/** Homes that bind callers of a host; undefined if none do, or without a document. */
+	#homesOf(host: string | undefined): ReadonlySet<Region> | undefined {
+		const {document} = this.#state.routes;
+		if (host === undefined || document === undefined) {
+			return undefined;
+		}
+
+		if (this.#homes?.version !== document.version) {
+			const parsed = this.#options.parseDocument(document.text);
+			if ('problems' in parsed) {
+				this.#queue.event('document-unreadable', {version: document.version, problems: parsed.problems.slice(0, 3)});
+			}
+
+			this.#homes = {version: document.version, hosts: 'problems' in parsed ? undefined : new HostHomes(parsed.document)};
+		}
+
+		return this.#homes.hosts?.of(host);
+	}
+
 	#dispatch(event: ControlEvent, now: Millis): void {
 		switch (event.type) {
 			case 'tick': {
--- a/src/core/registry/entry-directory.ts
+++ b/src/core/registry/entry-directory.ts
@@ -1,8 +1,6 @@
-import type {EntryAddress} from '../ids/entry-address.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
-import type {Region} from '../ids/region.ts';
-import type {Zone} from '../ids/zone.ts';
+import type {CallerLocation} from './caller-location.ts';
 import type {EntryStatus} from './entry-status.ts';
 
 /** Time without a status after which an entry is no longer listed, in milliseconds: five status intervals. */
@@ -49,14 +47,13 @@
 			.map(({status}) => status);
 	}
 
-	/** Addresses for a caller to connect to: ready entries of its region, those of its zone first; all ready entries if its region has none. */
-	addresses(caller: {region?: Region; zone?: Zone}, now: Millis): readonly EntryAddress[] {
+	/** Entries for a caller to connect to: ready entries of its region, those of its zone first; all ready entries if its region has none. */
+	entriesFor(caller: CallerLocation, now: Millis): readonly EntryStatus[] {
 		const ready = this.readyEntries(now);
 		const sameRegion = ready.filter(({region}) => region === caller.region);
 		const chosen = sameRegion.length > 0 ? sameRegion : ready;
 		return chosen
 			.toSorted((left, right) => Number(right.zone === caller.zone) - Number(left.zone === caller.zone))
-			.slice(0, maxAddresses)
-			.map(({address}) => address);
+			.slice(0, maxAddresses);
 	}
 }
--- a/src/server/routes/control-codec.ts
+++ b/src/server/routes/control-codec.ts
@@ -1,7 +1,7 @@
+import type {CallerLocation} from '../../core/registry/caller-location.ts';
 import type {TargetReport} from '../../core/registry/target-report.ts';
 import type {ParseDocument} from '../../core/routes/parse-document.ts';
 import type {TargetId} from '../../core/ids/target-id.ts';
-import type {Region} from '../../core/ids/region.ts';
 import type {Zone} from '../../core/ids/zone.ts';
 
 /** A call of an operator or a target, as known from its method and path; the body is read separately. */
@@ -25,7 +25,7 @@
 	/** Body of the answer to a report; `reportAddress` is the address for the target's next reports. */
 	writeReportAnswer(reportAddress: string | undefined): string;
 	/** Reads a directory query; undefined for any other path. */
-	readDirectoryQuery(url: string): {region?: Region; zone?: Zone} | undefined;
+	readDirectoryQuery(url: string): CallerLocation | undefined;
 	/** Body of the directory's answer: the entries' addresses, which the caller may use for `ttlMs` milliseconds. */
 	writeDirectoryAnswer(addresses: readonly string[], ttlMs: number): string;
 }
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -54,6 +54,7 @@
 			zones: new Map(Object.entries(zones).map(([zone, name]) => [toId<Zone>(zone), toId<Region>(name)])),
 			toleratedLosses: toleratedDisks,
 			reportEveryMs,
+			parseDocument: adapter.control.parseDocument,
 			random: new SystemSeededRandom(),
 			// The process's clock counts from its start.
 			startedAt: 0 as Millis,
