fix(control): the directory keeps callers within the homes of their host's routes

Callers saw: during a rolling restart 67 of 750 requests with homes were sent to an entry of a third region (HOME), which had to forward them back. Cause: a directory answer for a region without a ready entry named the ready entries of all regions; the host of the query was not read. A control node without a document did the same. Change: HostHomes keeps, for each host, the regions that all its routes with homes have in common; callers without an entry in their own region get entries of these only, or none. A node without a readable document gives only entries of the caller's region.

--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -28,6 +28,8 @@
 import {StreamOriginAnswerer} from './stream-origin-answerer.ts';
 import {VoterPolicy} from './voter-policy.ts';
 
+const noRegions: ReadonlySet<Region> = new Set();
+
 /**
  * Core of a control node in a deployment with a routes document: the replicated state, the registry of targets,
  * the directory of entries and the feeds to entries. Does no I/O: `step` takes one event and returns the actions to perform.
@@ -125,13 +127,14 @@
 		return this.#queue.take();
 	}
 
-	/** Addresses of entries that a caller should connect to; an answer that leads it out of its region is logged. */
+	/** Addresses of entries that a caller should connect to, none if no entry may take its requests; an answer that leads it out of its region is logged. */
 	addresses(caller: CallerLocation, now: Millis): readonly EntryAddress[] {
-		const entries = this.#directory.entriesFor(caller, now);
-		if (entries.some(({region}) => region !== caller.region)) {
+		const homes = () => this.#homesOf(caller.host);
+		const entries = this.#directory.entriesFor(caller, homes, now);
+		if (entries.every(({region}) => region !== caller.region)) {
 			this.#queue.event('directory-fallback', {
 				...caller,
-				homes: [...this.#homesOf(caller.host) ?? []],
+				homes: [...homes() ?? []],
 				regions: [...new Set(entries.map(({region}) => region))],
 				entries: entries.length,
 				version: this.#state.routes.document?.version,
@@ -163,11 +166,11 @@
 		};
 	}
 
-	/** Homes that bind callers of a host; undefined if none do, or without a document. */
+	/** Regions whose entries may take any request for a host; undefined if all may, none while that is unknown: without a document that this node can read. */
 	#homesOf(host: string | undefined): ReadonlySet<Region> | undefined {
 		const {document} = this.#state.routes;
-		if (host === undefined || document === undefined) {
-			return undefined;
+		if (document === undefined) {
+			return noRegions;
 		}
 
 		if (this.#homes?.version !== document.version) {
@@ -179,7 +182,7 @@
 			this.#homes = {version: document.version, hosts: 'problems' in parsed ? undefined : new HostHomes(parsed.document)};
 		}
 
-		return this.#homes.hosts?.of(host);
+		return this.#homes.hosts === undefined ? noRegions : this.#homes.hosts.of(host ?? '');
 	}
 
 	#dispatch(event: ControlEvent, now: Millis): void {
--- a/src/core/registry/entry-directory.ts
+++ b/src/core/registry/entry-directory.ts
@@ -1,5 +1,6 @@
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
+import type {Region} from '../ids/region.ts';
 import type {CallerLocation} from './caller-location.ts';
 import type {EntryStatus} from './entry-status.ts';
 
@@ -47,12 +48,20 @@
 			.map(({status}) => status);
 	}
 
-	/** Entries for a caller to connect to: ready entries of its region, those of its zone first; all ready entries if its region has none. */
-	entriesFor(caller: CallerLocation, now: Millis): readonly EntryStatus[] {
+	/**
+	 * Entries for a caller to connect to: ready entries of its region, those of its zone first. If its region has none, ready
+	 * entries of the regions that `homes` returns, or of all regions if it returns undefined: an entry elsewhere would get
+	 * requests that must not leave their homes.
+	 */
+	entriesFor(caller: CallerLocation, homes: () => ReadonlySet<Region> | undefined, now: Millis): readonly EntryStatus[] {
 		const ready = this.readyEntries(now);
 		const sameRegion = ready.filter(({region}) => region === caller.region);
-		const chosen = sameRegion.length > 0 ? sameRegion : ready;
-		return chosen
+		if (sameRegion.length === 0) {
+			const allowed = homes();
+			return ready.filter(({region}) => allowed?.has(region) ?? true).slice(0, maxAddresses);
+		}
+
+		return sameRegion
 			.toSorted((left, right) => Number(right.zone === caller.zone) - Number(left.zone === caller.zone))
 			.slice(0, maxAddresses);
 	}
