feat(platform): entries read what a target says of leaving and pausing, and log it

Change: `leaving`, `retryAfterMs` and the names of unreadable headers are in the answer's head, decoded strictly (a repeated header counts as unreadable); `attempt-not-run` logs the first two. No decision depends on them yet, but a `Retry-After` of another form no longer sets a caller's.

--- a/src/core/edge/answer-head.ts
+++ b/src/core/edge/answer-head.ts
@@ -22,5 +22,10 @@
 	readonly refusedBy?: 'entry';
 	/** In the answer of another entry: software version of the target that answers. */
 	readonly softwareVersion?: SoftwareVersion;
+	/** Time for which the sender of the answer wants no further request, in milliseconds. */
 	readonly retryAfterMs?: number;
+	/** True if the target says that it leaves. */
+	readonly leaving?: boolean;
+	/** Names of headers whose values could not be read. */
+	readonly unreadableHeaders?: readonly string[];
 };
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -288,7 +288,9 @@
 	/** Places a request again whose target or entry guarantees that it has not run. */
 	#handleNotRun(record: RequestRecord, head: AnswerHead, now: Millis): void {
 		const {running} = record;
-		this.#options.queue.event('attempt-not-run', {request: record.req.callerKey, target: destinationOf(record), status: head.status});
+		this.#options.queue.event('attempt-not-run', {
+			request: record.req.callerKey, target: destinationOf(record), status: head.status, retryAfterMs: head.retryAfterMs, leaving: head.leaving,
+		});
 		this.#feedback.recordNotRun(record, head, now);
 		if (running?.targetId === undefined) {
 			record.sends -= 1;
--- a/test/platform/platform-request-codec.test.ts
+++ b/test/platform/platform-request-codec.test.ts
@@ -112,3 +112,18 @@
 	t.true(platformRequestCodec.readAnswer(503, ['Not-Executed', '1']).head.notRun);
 	t.is(platformRequestCodec.readAnswer(200, ['Server-Load', 'odd']).head.load, undefined);
 });
+
+test('readAnswer reads that a target leaves, and the pause it asks for; a header with another value, or given twice, counts as unreadable', t => {
+	const head = (...raw: string[]) => platformRequestCodec.readAnswer(503, raw).head;
+	t.like(head('Server-Leaving', '1'), {leaving: true, unreadableHeaders: undefined});
+	t.like(head(), {leaving: false, retryAfterMs: undefined, unreadableHeaders: undefined});
+	t.is(head('Retry-After', '3').retryAfterMs, 3000);
+	t.is(head('Retry-After', '0.25').retryAfterMs, 250);
+	for (const value of ['-1', 'NaN', '1e12', 'Infinity', 'soon', '', 'Fri, 04 Dec 2026 18:00:00 GMT']) {
+		t.like(head('Retry-After', value), {retryAfterMs: undefined, unreadableHeaders: ['retry-after']}, `value ${value}`);
+	}
+
+	t.like(head('Retry-After', '3', 'retry-after', '3'), {retryAfterMs: undefined, unreadableHeaders: ['retry-after']});
+	t.like(head('Server-Leaving', 'yes', 'Retry-After', '1'), {leaving: false, retryAfterMs: 1000, unreadableHeaders: ['server-leaving']});
+	t.like(head('Server-Leaving', '1', 'Server-Leaving', '1'), {leaving: false, unreadableHeaders: ['server-leaving']});
+});
