fix(edge): targets that ask for a pause get no requests until it ends

Cause: `Retry-After` of a target's 503 was passed on to the caller, and the target counted as full for 150 ms, whatever it asked for. Change: TargetSuspension holds why an incarnation gets no requests and until when (leaving, paused, suspected) in place of the suspension and the listing's state; it outlasts the listing, since a control node that starts anew does not list a target at first. Requests wait for a pause that ends in time, else they are refused at once with the time to its end, spread over a quarter of it. `maxTargetPauseMs` bounds what a target may ask for.

--- a/src/commands/explain-request.ts
+++ b/src/commands/explain-request.ts
@@ -10,6 +10,7 @@
 	'no-route': 'no route of the document in force matches the request: compare its version with the latest one',
 	overloaded: 'no target could start the request in time: see the lines before it for targets that refused it',
 	'no-target': 'no target of the service could be used from this region: look for target-changed, evacuation-began and attempt-failed',
+	paused: 'all targets of the service in this region had asked the entry for pauses that ended too late for the request: see target-paused',
 	contained: 'the request has a part in its prompt, or is one itself, that was blamed for crashes of targets and with which no request was answered since: see trait-contained',
 	'origin-unknown': 'the request takes up a stream, and neither the entry nor control knew at which software version it began: see stream-origin and restarts of both',
 	leaving: 'the entry was shutting down',
--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -41,7 +41,7 @@
 
 	send(record: RequestRecord, {target, startMs, uncachedTokens, aheadTokens, kvCacheTokens}: PlacementCandidate, now: Millis): void {
 		const {req: {prompt}, service, table} = record;
-		const {targetId, address, softwareVersion} = target.listed;
+		const {targetId, address, born, softwareVersion} = target.listed;
 		if (record.sends === 0 && record.req.forwarded === undefined) {
 			this.#options.budget.countRequest(service, now);
 		}
@@ -56,7 +56,7 @@
 		}
 
 		record.running = {
-			attempt, sentAt: now, targetId, softwareVersion, predictedMs: startMs, lastProgressAt: now, events: 0,
+			attempt, sentAt: now, targetId, targetBorn: born, softwareVersion, predictedMs: startMs, lastProgressAt: now, events: 0,
 		};
 		this.#start(record, {attempt, address, targetId}, now);
 	}
--- a/src/core/edge/edge-core-options.ts
+++ b/src/core/edge/edge-core-options.ts
@@ -21,6 +21,8 @@
 	readonly repeats: {readonly ratio: number; readonly slack: number; readonly windowMs: number};
 	/** Interval between two reports of a target, in milliseconds. @default 1000 */
 	readonly reportEveryMs?: number;
+	/** Longest pause that a target may ask for, in milliseconds; longer ones are ignored. @default 300000 */
+	readonly maxTargetPauseMs?: number;
 	readonly parseDocument: ParseDocument;
 	readonly random: Random;
 };
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -54,9 +54,9 @@
 
 	constructor(options: EdgeCoreOptions) {
 		this.#options = options;
-		const {self, seeds, repeats, random, reportEveryMs = defaultReportEveryMs} = options;
+		const {self, seeds, repeats, random, reportEveryMs = defaultReportEveryMs, maxTargetPauseMs} = options;
 		this.#queue = new ActionQueue(self.nodeId);
-		this.#pool = new TargetPool(self.nodeId);
+		this.#pool = new TargetPool(self.nodeId, {maxPauseMs: maxTargetPauseMs});
 		this.#regions = new RegionSelector(self);
 		this.#follower = new ControlFollower({
 			self, seeds, outbox: this.#queue, status: now => this.#status(now), stateIndex: () => this.#stateIndex, crashIndex: () => this.#containment.index,
--- a/src/core/edge/edge-refusal.ts
+++ b/src/core/edge/edge-refusal.ts
@@ -7,6 +7,8 @@
 	| 'overloaded'
 	/** No target of the service can be used from here now. */
 	| 'no-target'
+	/** All targets that could take the request asked for pauses that end too late for it. */
+	| 'paused'
 	/** It is unknown at which software version the stream began that the request takes up. */
 	| 'origin-unknown'
 	/** The request has a trait that crashes targets. */
--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -9,6 +9,7 @@
 import type {RegionSelector} from './region-selector.ts';
 import type {RequestRecord} from './request-record.ts';
 import {callerRetryAfterMs} from './caller-retry-after-ms.ts';
+import {retryAfterPauseMs} from './retry-after-pause-ms.ts';
 import type {StartupWait} from './startup-wait.ts';
 import type {TargetPool} from './target-pool.ts';
 
@@ -51,7 +52,7 @@
 	}
 
 	decide(record: RequestRecord, now: Millis): Placement {
-		const {regions, random} = this.#options;
+		const {regions} = this.#options;
 		const {req, route, service} = record;
 		const leftMs = record.deadlineAt - now - answerMarginMs;
 		const targets = this.#eligibleTargets(record, now);
@@ -79,26 +80,39 @@
 		}
 
 		const soonestMs = Math.min(...local.map(({startMs}) => startMs), remote?.startMs ?? Number.POSITIVE_INFINITY);
-		if (local.length > 0 && soonestMs < leftMs) {
-			return {type: 'wait'};
-		}
+		const mayWait = (local.length > 0 && soonestMs < leftMs)
+			|| this.#resumesMs(record, now) < leftMs
+			|| (leftMs > 0 && this.#mayBeListedSoon(record, now));
+		return mayWait ? {type: 'wait'} : this.#refusal(record, {hasLocal: local.length > 0, soonestMs}, now);
+	}
 
-		if (leftMs > 0 && this.#mayBeListedSoon(record, now)) {
-			return {type: 'wait'};
+	#refusal(record: RequestRecord, {hasLocal, soonestMs}: {hasLocal: boolean; soonestMs: number}, now: Millis): Placement {
+		const {random} = this.#options;
+		const pauses = this.#pausedTargets(record, now).map(({suspension}) => suspension.pausedMs(now));
+		if (!hasLocal && pauses.length > 0) {
+			return {type: 'refuse', reason: 'paused', retryAfterMs: retryAfterPauseMs(Math.min(...pauses), random)};
 		}
 
 		return {
 			type: 'refuse',
-			reason: local.length === 0 ? 'no-target' : 'overloaded',
+			reason: hasLocal ? 'overloaded' : 'no-target',
 			retryAfterMs: callerRetryAfterMs(Number.isFinite(soonestMs) ? soonestMs / 2 : 1000, random),
 		};
 	}
 
+	/** Predicted time until a target that pauses starts the request, in milliseconds; infinite if none may take it. */
+	#resumesMs(record: RequestRecord, now: Millis): number {
+		const times = this.#pausedTargets(record, now)
+			.filter(target => mayTake(record, target))
+			.map(({suspension, callMs}) => suspension.pausedMs(now) + callMs.value);
+		return Math.min(...times);
+	}
+
 	/** True if no target is known for a request of a caller, but one may be listed soon, since this entry has just started. */
-	#mayBeListedSoon({req, service, route}: RequestRecord, now: Millis): boolean {
-		const {region, pool, startup} = this.#options;
-		const isLocal = route.homes.length === 0 || route.homes.includes(region);
-		return req.forwarded === undefined && isLocal && startup.expectsTargets(now) && !pool.knows(service);
+	#mayBeListedSoon(record: RequestRecord, now: Millis): boolean {
+		const {req, service} = record;
+		const {pool, startup} = this.#options;
+		return req.forwarded === undefined && this.#mayStayHere(record) && startup.expectsTargets(now) && !pool.knows(service);
 	}
 
 	/** The placer that a request has to be forwarded to; undefined if this entry places it. */
@@ -113,13 +127,18 @@
 	}
 
 	/** Targets of this region that may get the request. */
-	#eligibleTargets({route, service, excludedTargets, origin}: RequestRecord, now: Millis): readonly PooledTarget[] {
-		const {region, pool} = this.#options;
-		if (route.homes.length > 0 && !route.homes.includes(region)) {
-			return [];
-		}
+	#eligibleTargets(record: RequestRecord, now: Millis): readonly PooledTarget[] {
+		return this.#mayStayHere(record) ? this.#options.pool.usable(record.service, now).filter(target => mayTake(record, target)) : [];
+	}
+
+	/** Targets of this region that may get requests of this kind once the pauses that they asked for are over. */
+	#pausedTargets(record: RequestRecord, now: Millis): readonly PooledTarget[] {
+		return this.#mayStayHere(record) ? this.#options.pool.paused(record.service, now) : [];
+	}
 
-		return pool.usable(service, now).filter(({listed}) => !excludedTargets.has(listed.targetId) && mayContinueAt(origin, listed.softwareVersion));
+	/** True if this region is a home of the request's route, or the route has none. */
+	#mayStayHere({route: {homes}}: RequestRecord): boolean {
+		return homes.length === 0 || homes.includes(this.#options.region);
 	}
 
 	/** Candidates among the targets for a request, the cheapest first. */
@@ -138,3 +157,8 @@
 		}, now);
 	}
 }
+
+/** True if the target has neither refused nor failed the request, and may go on with its stream. */
+function mayTake({excludedTargets, origin}: RequestRecord, {listed}: PooledTarget): boolean {
+	return !excludedTargets.has(listed.targetId) && mayContinueAt(origin, listed.softwareVersion);
+}
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -2,6 +2,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {ListedTarget} from '../registry/listed-target.ts';
 import {Reachability} from '../targets/reachability.ts';
+import {TargetSuspension} from '../targets/target-suspension.ts';
 import {FailureShare} from './failure-share.ts';
 import {LimitShare} from './limit-share.ts';
 import {MovingAverage} from './moving-average.ts';
@@ -58,16 +59,23 @@
 	#limit: NamedLimit | undefined;
 	/** Set while the target says that it is brittle. */
 	#rejections: NamedLimit | undefined;
-	#suspended: {readonly since: Millis; readonly sequence: number} | undefined;
+	#suspension: TargetSuspension;
+	/** Number of the newest report at the time at which the target was suspected of having failed. */
+	#suspectSequence = Number.POSITIVE_INFINITY;
+	/** Headers of the target that could not be read, as far as they were logged. */
+	readonly #unreadableHeaders = new Set<string>();
+	readonly #maxPauseMs: number | undefined;
 	#fullUntil = Number.NEGATIVE_INFINITY;
 	#reachability = new Reachability();
 	/** Time of the newest bytes from the target. */
 	#lastSignAt = Number.NEGATIVE_INFINITY;
 	#othersLoad = {count: 0, waiting: 0, at: Number.NEGATIVE_INFINITY};
 
-	/** @param options - `phase`: see `LimitShare`. */
-	constructor(listed: ListedTarget, {phase}: {phase: number}, now: Millis) {
+	/** @param options - `phase`: see `LimitShare`; `suspension`: what is known of this incarnation from before it was listed. */
+	constructor(listed: ListedTarget, {phase, maxPauseMs, suspension}: {phase: number; maxPauseMs?: number; suspension?: TargetSuspension}, now: Millis) {
 		this.#phase = phase;
+		this.#maxPauseMs = maxPauseMs;
+		this.#suspension = suspension ?? new TargetSuspension({maxPauseMs});
 		this.#listed = listed;
 		this.#lastSequence = listed.sequence;
 		this.update(listed, now);
@@ -87,7 +95,8 @@
 	update(listed: ListedTarget, now: Millis): void {
 		if (listed.born !== this.listed.born) {
 			this.prefixCache.clear();
-			this.#suspended = undefined;
+			this.#suspension = new TargetSuspension({maxPauseMs: this.#maxPauseMs});
+			this.#suspectSequence = Number.POSITIVE_INFINITY;
 			this.#limit = undefined;
 			this.#failureShare = new FailureShare();
 			this.#reachability = new Reachability();
@@ -95,6 +104,10 @@
 			this.#othersLoad = {count: 0, waiting: 0, at: Number.NEGATIVE_INFINITY};
 		}
 
+		if (listed.state === 'leaving') {
+			this.#suspension.leave();
+		}
+
 		this.#listed = listed;
 		this.#coldUntil = listed.coldForMs === 'unknown' ? undefined : now + listed.coldForMs + (listed.coldForMs > 0 ? coldMarginMs : 0) as Millis;
 		this.recordHeartbeat(listed.sequence);
@@ -103,14 +116,30 @@
 	/** Records that the target has reported with this sequence number; a newer one ends its suspension. */
 	recordHeartbeat(sequence: number): void {
 		this.#lastSequence = Math.max(sequence, this.#lastSequence);
-		if (this.#suspended !== undefined && this.#lastSequence > this.#suspended.sequence) {
-			this.#suspended = undefined;
+		if (this.#lastSequence > this.#suspectSequence) {
+			this.#suspension.clearSuspicion();
 		}
 	}
 
 	/** Suspends the target, as after a failed connection or a stall, until its next heartbeat, but for at most `maxSuspensionMs`. */
 	suspend(now: Millis): void {
-		this.#suspended = {since: now, sequence: this.#lastSequence};
+		this.#suspectSequence = this.#lastSequence;
+		this.#suspension.suspect(maxSuspensionMs, now);
+	}
+
+	/** Why the present incarnation gets no new requests, and until when. */
+	get suspension(): TargetSuspension {
+		return this.#suspension;
+	}
+
+	/** Returns those of the headers that were not unreadable in an earlier answer of the target. */
+	recordUnreadable(headers: readonly string[]): readonly string[] {
+		const fresh = headers.filter(name => !this.#unreadableHeaders.has(name));
+		for (const name of fresh) {
+			this.#unreadableHeaders.add(name);
+		}
+
+		return fresh;
 	}
 
 	/** Records that the target said that it is full. */
@@ -141,13 +170,18 @@
 
 	/** True if the target may get new requests. */
 	usable(now: Millis): boolean {
-		const suspended = this.#suspended !== undefined && now - this.#suspended.since < maxSuspensionMs;
-		return this.#reachability.reachable && !suspended && this.isServing(now);
+		return this.#reachability.reachable && this.#suspension.remainingMs(now) === 0 && this.isServing(now);
+	}
+
+	/** True if only a pause that the target asked for keeps requests away. */
+	isPaused(now: Millis): boolean {
+		return this.#reachability.reachable && this.#suspension.pausedMs(now) > 0 && this.isServing(now);
 	}
 
-	/** True if the target takes new requests by its listing, whether or not this entry reaches it or has suspended it. */
+	/** True if the target takes new requests by its listing and has not said that it leaves, whether or not this entry reaches it or has suspended it. */
 	isServing(now: Millis): boolean {
 		return this.listed.state === 'serving'
+			&& !this.#suspension.leaving
 			&& this.listed.goneInMs === undefined
 			&& this.#coldUntil !== undefined
 			&& now >= this.#coldUntil;
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -294,11 +294,12 @@
 		this.#feedback.recordNotRun(record, head, now);
 		if (running?.targetId === undefined) {
 			record.sends -= 1;
+			record.retryAfterMs = head.retryAfterMs ?? record.retryAfterMs;
 		} else {
+			// The pause that the target asks for is one of many that the placement weighs, if this request has to come back.
 			record.excludedTargets.add(running.targetId);
 		}
 
-		record.retryAfterMs = head.retryAfterMs ?? record.retryAfterMs;
 		this.#releaseAttempt(record);
 		this.#placer.place(record, now);
 	}
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -16,6 +16,8 @@
 	readonly sentAt: Millis;
 	/** Set for a target of this region. */
 	readonly targetId?: TargetId;
+	/** Start of the incarnation that it was sent to. */
+	readonly targetBorn?: number;
 	/** Software version of that target. */
 	readonly softwareVersion?: SoftwareVersion;
 	/** Set if the attempt was forwarded: to an entry of a remote region, or to a placer of this region. */
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -14,6 +14,9 @@
 /** Status 421, Misdirected Request: the answer is from another target than the request names, or not vouched for by that target; the request has not run. */
 const misdirectedStatus = 421;
 
+/** Status 503, Service Unavailable: with `Retry-After` the target asks for a pause. */
+const pauseStatus = 503;
+
 /** Statuses with which a target says that it has failed a request; 504 is its answer to a deadline that has passed. */
 const failureStatuses: ReadonlySet<number> = new Set([500, 501, 502]);
 
@@ -38,12 +41,14 @@
 	}
 
 	/** Records the head of an answer, which may carry the target's load, its limit and how many rejections it stands. */
-	recordHead(record: RequestRecord, {status, load, limitPerSecond, rejectionsPerSecond, signed, notRun}: AnswerHead, now: Millis): void {
+	recordHead(record: RequestRecord, head: AnswerHead, now: Millis): void {
 		const target = this.#targetOf(record);
 		if (target === undefined) {
 			return;
 		}
 
+		const {status, load, limitPerSecond, rejectionsPerSecond, signed, notRun} = head;
+		this.#recordSuspension(record, target, head, now);
 		target.recordSign(now);
 		if (!notRun) {
 			target.failureShare.record(failureStatuses.has(status), now);
@@ -132,6 +137,31 @@
 		return notRun || status === misdirectedStatus;
 	}
 
+	/** Records what the answer says of the target's wish for requests; one of an earlier incarnation, or of another target at its address, says nothing of it. */
+	#recordSuspension({req, running}: RequestRecord, target: PooledTarget, {status, retryAfterMs, unreadableHeaders = []}: AnswerHead, now: Millis): void {
+		const {queue} = this.#options;
+		const {listed: {targetId, born}, suspension} = target;
+		if (status === misdirectedStatus || running?.targetBorn !== born) {
+			return;
+		}
+
+		const unreadable = target.recordUnreadable(unreadableHeaders);
+		if (unreadable.length > 0) {
+			queue.event('target-headers-unreadable', {target: targetId, headers: unreadable, request: req.callerKey});
+		}
+
+		if (status !== pauseStatus || retryAfterMs === undefined) {
+			return;
+		}
+
+		const outcome = suspension.pause(retryAfterMs, now);
+		if (outcome !== 'extended') {
+			queue.event('target-paused', {
+				target: targetId, born, pauseMs: retryAfterMs, ignored: outcome === 'too-long' ? true : undefined, request: req.callerKey,
+			});
+		}
+	}
+
 	#targetOf({running}: RequestRecord): PooledTarget | undefined {
 		return running?.targetId === undefined ? undefined : this.#options.pool.get(running.targetId);
 	}
--- a/src/core/edge/target-pool.ts
+++ b/src/core/edge/target-pool.ts
@@ -5,19 +5,31 @@
 import type {TargetId} from '../ids/target-id.ts';
 import type {Zone} from '../ids/zone.ts';
 import type {ListedTarget} from '../registry/listed-target.ts';
+import type {TargetSuspension} from '../targets/target-suspension.ts';
 import {PooledTarget} from './pooled-target.ts';
 
+/** Time for which it is remembered that a target that is no longer listed leaves, in milliseconds. */
+const unlistedRetentionMs = 600_000;
+/** Most targets that are remembered after they were listed. */
+const maxUnlisted = 2048;
+
+type UnlistedTarget = {readonly born: number; readonly suspension: TargetSuspension; readonly removedAt: Millis};
+
 /** The targets of this entry's region. */
 export class TargetPool {
 	readonly #targets = new Map<TargetId, PooledTarget>();
 	/** Targets of each service in the order of their ids; cleared when listings change. */
 	readonly #sorted = new Map<ServiceName, readonly PooledTarget[]>();
+	/** Suspensions that outlast a listing: a control node that has just started may not list a target, and then list it again. */
+	readonly #unlisted = new Map<TargetId, UnlistedTarget>();
 	readonly #self: NodeId;
+	readonly #maxPauseMs: number | undefined;
 	#evacuated: ReadonlySet<Zone> = new Set();
 
-	/** @param self - this entry; entries differ in their phases of a target's limit. */
-	constructor(self: NodeId) {
+	/** @param self - this entry; entries differ in their phases of a target's limit. `maxPauseMs`: longest pause that a target may ask for. */
+	constructor(self: NodeId, {maxPauseMs}: {maxPauseMs?: number} = {}) {
 		this.#self = self;
+		this.#maxPauseMs = maxPauseMs;
 	}
 
 	/** Takes listings of control. If `whole`, they are the complete list, and other targets are removed once they have no attempts. */
@@ -34,9 +46,11 @@
 			const listedIds = new Set(listed.map(({targetId}) => targetId));
 			for (const [targetId, target] of this.#targets) {
 				if (!listedIds.has(targetId) && target.attempts.size === 0) {
-					this.#targets.delete(targetId);
+					this.#remove(target, now);
 				}
 			}
+
+			this.#forgetUnlisted(now);
 		}
 	}
 
@@ -78,6 +92,11 @@
 		return this.#targetsOf(service).filter(target => target.usable(now) && !this.#evacuated.has(target.listed.zone));
 	}
 
+	/** Targets of a service, outside evacuated zones, that only a pause keeps from getting new requests. */
+	paused(service: ServiceName, now: Millis): readonly PooledTarget[] {
+		return this.#targetsOf(service).filter(target => target.isPaused(now) && !this.#evacuated.has(target.listed.zone));
+	}
+
 	/** Takes all targets of a service for brittle, as one of them says it is; the others may not have answered yet. */
 	assumeBrittle(service: ServiceName, rejectionsPerSecond: number, now: Millis): void {
 		for (const target of this.#targetsOf(service)) {
@@ -106,10 +125,39 @@
 		return [...this.#targets.values()].filter(({listed}) => listed.service === service);
 	}
 
+	#remove(target: PooledTarget, now: Millis): void {
+		const {listed: {targetId, born}, suspension} = target;
+		this.#targets.delete(targetId);
+		if (suspension.remainingMs(now) > 0) {
+			this.#unlisted.set(targetId, {born, suspension, removedAt: now});
+		}
+	}
+
+	/** Suspension of this incarnation from before it was listed anew, if there is one. */
+	#takeUnlisted({targetId, born}: ListedTarget): TargetSuspension | undefined {
+		const known = this.#unlisted.get(targetId);
+		if (known === undefined || known.born > born) {
+			return undefined;
+		}
+
+		this.#unlisted.delete(targetId);
+		return known.born === born ? known.suspension : undefined;
+	}
+
+	#forgetUnlisted(now: Millis): void {
+		for (const [targetId, {suspension, removedAt}] of this.#unlisted) {
+			if (suspension.remainingMs(now) === 0 || now - removedAt > unlistedRetentionMs || this.#unlisted.size > maxUnlisted) {
+				this.#unlisted.delete(targetId);
+			}
+		}
+	}
+
 	#merge(listed: ListedTarget, now: Millis): void {
 		const known = this.#targets.get(listed.targetId);
 		if (known === undefined) {
-			const target = new PooledTarget(listed, {phase: hash32(`${this.#self}:${listed.targetId}`) / (2 ** 32)}, now);
+			const target = new PooledTarget(listed, {
+				phase: hash32(`${this.#self}:${listed.targetId}`) / (2 ** 32), maxPauseMs: this.#maxPauseMs, suspension: this.#takeUnlisted(listed),
+			}, now);
 			// A brittle target that fell over is back as another one, and has not answered yet.
 			const brittle = this.#targetsOf(listed.service).find(({rejectionsPerSecond}) => rejectionsPerSecond !== undefined);
 			if (brittle !== undefined) {
@@ -120,14 +168,12 @@
 			return;
 		}
 
-		const {born, sequence, state} = known.listed;
+		const {born, sequence} = known.listed;
 		const older = listed.born < born || (listed.born === born && listed.sequence < sequence && listed.state !== 'leaving');
 		if (older) {
 			return;
 		}
 
-		// An incarnation that was listed as leaving stays so, even if another control node does not know it yet.
-		const hasLeft = listed.born === born && state === 'leaving';
-		known.update(hasLeft ? {...listed, state: 'leaving'} : listed, now);
+		known.update(listed, now);
 	}
 }
--- a/src/server/routes/caller-exchange.ts
+++ b/src/server/routes/caller-exchange.ts
@@ -11,6 +11,7 @@
 	'no-route': 404,
 	overloaded: 503,
 	'no-target': 503,
+	paused: 503,
 	'origin-unknown': 503,
 	contained: 503,
 	leaving: 503,
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -47,7 +47,7 @@
 	constructor(options: EntryProcessOptions) {
 		const {settings, adapter, log} = options;
 		this.#options = options;
-		const {nodeId, region, zone, listen, seeds, repeats, cores, reportEveryMs} = settings;
+		const {nodeId, region, zone, listen, seeds, repeats, cores, reportEveryMs, maxTargetPauseMs} = settings;
 		this.#core = new EdgeCore({
 			self: {
 				nodeId,
@@ -60,6 +60,7 @@
 			seeds,
 			repeats,
 			reportEveryMs,
+			maxTargetPauseMs,
 			parseDocument: adapter.control.parseDocument,
 			random: new SystemSeededRandom(),
 		});
--- a/src/settings/routes-settings-schema.ts
+++ b/src/settings/routes-settings-schema.ts
@@ -48,6 +48,8 @@
 	toleratedDisks: z.number().int().min(0).max(4).default(1),
 	/** Interval between reports of a target, in milliseconds. */
 	reportEveryMs: positive.default(1000),
+	/** Longest pause that a target may ask an entry for, in milliseconds; longer ones are ignored. */
+	maxTargetPauseMs: positive.default(300_000),
 	/** Time between the stop signal and the forced end of the process, in milliseconds. */
 	graceMs: positive.default(10_000),
 	/** Time that a caller may use the directory's answer, in milliseconds. */
