fix(edge): targets that say in their answers that they leave get no new requests

Callers saw: requests sent to a target that was about to end, as long as control had not told the entry, or told it otherwise (DRAIN). Cause: `Server-Leaving` decided nothing; an entry knew that a target leaves from its listing alone. Change: the head of any answer of the incarnation that the request was sent to, but 421, marks it as leaving in TargetSuspension, for good. Answers of an earlier incarnation mark nothing.

--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -138,7 +138,7 @@
 	}
 
 	/** Records what the answer says of the target's wish for requests; one of an earlier incarnation, or of another target at its address, says nothing of it. */
-	#recordSuspension({req, running}: RequestRecord, target: PooledTarget, {status, retryAfterMs, unreadableHeaders = []}: AnswerHead, now: Millis): void {
+	#recordSuspension({req, running}: RequestRecord, target: PooledTarget, {status, leaving, retryAfterMs, unreadableHeaders = []}: AnswerHead, now: Millis): void {
 		const {queue} = this.#options;
 		const {listed: {targetId, born}, suspension} = target;
 		if (status === misdirectedStatus || running?.targetBorn !== born) {
@@ -150,6 +150,10 @@
 			queue.event('target-headers-unreadable', {target: targetId, headers: unreadable, request: req.callerKey});
 		}
 
+		if (leaving === true && suspension.leave()) {
+			queue.event('target-leaving', {target: targetId, born, request: req.callerKey});
+		}
+
 		if (status !== pauseStatus || retryAfterMs === undefined) {
 			return;
 		}
