test(control): the test of the directory's homes had no document in force, so it checked nothing of them

Change: replaced by a stricter one: the document has to be accepted, after an older one with other homes, hosts differ in case, the entries that a node knows are found without the code under test, and a run has to show callers of each host that are led out of their region.

--- a/test/core/control/directory-homes.test.ts
+++ b/test/core/control/directory-homes.test.ts
@@ -38,7 +38,7 @@
 	return {
 		...document,
 		routes: [
-			{...route!, host: homedHost, homes: [regina, saskatoon]},
+			{...route!, host: 'Homed.Example', homes: [regina, saskatoon]},
 			{
 				...route!, host: homedHost, prefix: '/open/', homes: [],
 			},
@@ -57,9 +57,24 @@
 	});
 	cluster.startAll();
 	const document = createDocument(1);
-	const callId = cluster.call(0, {type: 'change', command: {type: 'document', document: {version: 1, text: JSON.stringify(document)}}});
-	cluster.runUntil(() => cluster.answers.has(callId));
+	cluster.runUntil(() => cluster.leader() !== undefined);
 	cluster.run(1000);
+	// An older document with other homes is replaced, so that homes of a past version do not bind.
+	for (const [version, routes] of [[1, document.routes.map(route => ({...route, homes: [winnipeg]}))], [2, document.routes]] as const) {
+		const text = JSON.stringify({...document, version, routes});
+		const callId = cluster.call(0, {type: 'change', command: {type: 'document', document: {version, text}}});
+		cluster.runUntil(() => cluster.answers.has(callId));
+		if (cluster.answers.get(callId)!.type !== 'accepted') {
+			throw new Error(`the document was not accepted: ${JSON.stringify(cluster.answers.get(callId))}`);
+		}
+
+		cluster.run(1000);
+		for (const index of cluster.nodes.keys()) {
+			// Makes the node read this version's homes.
+			cluster.nodes[index]!.core!.addresses({host: homedHost, region: regina}, cluster.clock(index));
+		}
+	}
+
 	return cluster;
 }
 
@@ -127,19 +142,21 @@
 }
 
 /** Asks a control node for callers of all regions and hosts; returns entries that a caller must not be led to, and callers that got none although the node knows one that may serve them. */
-function ask(cluster: ControlCluster, index: number, entries: readonly Entry[]): {outside: readonly string[]; unserved: readonly string[]} {
+function ask(cluster: ControlCluster, index: number, entries: readonly Entry[]): {outside: readonly string[]; unserved: readonly string[]; ledOut: readonly string[]} {
 	const {core} = cluster.nodes[index]!;
 	const entriesFor = (caller: CallerLocation) => {
 		const addresses = new Set<string>(core?.addresses(caller, cluster.clock(index)));
 		return entries.filter(({nodeId}) => addresses.has(nodeId));
 	};
 
-	const known = entriesFor({host: openHost});
+	// Answers for an entry's own region depend on no homes: together they are the ready entries that the node knows.
+	const known = regions.flatMap(region => entriesFor({host: openHost, region}).filter(entry => entry.region === region));
 	const queries = regions.flatMap(region => [...allowedRegions].map(([host, allowed]) => ({
-		caller: `${host} from ${region}`, named: entriesFor({host, region}), isAllowed: (entry: Entry) => entry.region === region || allowed.includes(entry.region),
+		host, region, caller: `${host} from ${region}`, named: entriesFor({host, region}), isAllowed: (entry: Entry) => entry.region === region || allowed.includes(entry.region),
 	})));
 	return {
 		outside: queries.flatMap(({caller, named, isAllowed}) => named.filter(entry => !isAllowed(entry)).map(({nodeId}) => `${caller}: ${nodeId}`)),
+		ledOut: queries.filter(({named, region}) => named.some(entry => entry.region !== region)).map(({host}) => host),
 		unserved: queries.filter(({named, isAllowed}) => named.length === 0 && known.some(entry => isAllowed(entry))).map(({caller}) => caller),
 	};
 }
@@ -157,6 +174,7 @@
 		});
 		const outside = new Set<string>();
 		const unserved = new Set<string>();
+		const ledOut = new Set<string>();
 		const until = cluster.now + durationMs;
 		while (cluster.now < until) {
 			cluster.run(queryMs);
@@ -166,6 +184,10 @@
 					outside.add(text);
 				}
 
+				for (const host of answers.ledOut) {
+					ledOut.add(host);
+				}
+
 				for (const text of answers.unserved) {
 					unserved.add(text);
 				}
@@ -174,5 +196,6 @@
 
 		t.deepEqual([...outside], []);
 		t.deepEqual([...unserved], []);
+		t.deepEqual([...ledOut].toSorted(), [homedHost, openHost, splitHost].toSorted(), 'the run shows callers that are led out of their region');
 	});
 }
