fix(control): hosts that control does not know yet, or with a port, are not open to all regions

Cause: HostHomes took a host that no route names for one without homes, and kept the port of a host. Evidence: host-homes failed in both tests. Change: HostHomes knows hosts without homes too, and gives an unknown host no region; it reads hosts as RouteTable does. The log tells no homes from homes without a common region. Result: host-homes passes; core/routes, core/control, core/registry, server/routes, docs tests pass.

--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -134,7 +134,7 @@
 		if (entries.every(({region}) => region !== caller.region)) {
 			this.#queue.event('directory-fallback', {
 				...caller,
-				homes: [...homes() ?? []],
+				homes: homes() && [...homes()!],
 				regions: [...new Set(entries.map(({region}) => region))],
 				entries: entries.length,
 				version: this.#state.routes.document?.version,
--- a/src/core/routes/route-table.ts
+++ b/src/core/routes/route-table.ts
@@ -1,5 +1,6 @@
 import {hash32} from '../common/hash32.ts';
 import type {ServiceName} from '../ids/service-name.ts';
+import {normalizeHost} from './normalize-host.ts';
 import type {RouteRule} from './route-rule.ts';
 import type {RoutesDocument} from './routes-document.ts';
 import type {ServiceSpec} from './service-spec.ts';
@@ -41,9 +42,8 @@
 
 	/** Route of the host with the longest prefix of the path; a port in the host and a query in the path are ignored. */
 	match(host: string, path: string): RouteRule | undefined {
-		const name = host.toLowerCase().replace(/:\d+$/v, '');
 		const [pathname = ''] = path.split('?', 1);
-		return this.#byHost.get(name)?.find(({prefix}) => pathname.startsWith(prefix));
+		return this.#byHost.get(normalizeHost(host))?.find(({prefix}) => pathname.startsWith(prefix));
 	}
 
 	service(name: ServiceName): ServiceSpec | undefined {
