feat(server): the completions path reads what a target says of leaving and pausing, and logs it

Cause: on the completions path a target's 503 with `Retry-After` is a failed attempt like another, and nothing in an answer can say that the target leaves. The table logs notices; no decision depends on them yet.

--- a/src/core/attempts/request-coordinator.ts
+++ b/src/core/attempts/request-coordinator.ts
@@ -8,6 +8,7 @@
 import type {ResultName} from '../results/result-name.ts';
 import type {RequestInfo} from '../settings/request-info.ts';
 import type {RouteSettings} from '../settings/route-settings.ts';
+import type {TargetNotice} from '../targets/target-notice.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import {AttemptRunner} from './attempt-runner.ts';
 import {ClaimTracker} from './claim-tracker.ts';
@@ -99,6 +100,15 @@
 		this.#dispatcher.drainQueue(state.serviceKey, now);
 	}
 
+	/** The target of an attempt says something of the requests that it wants. */
+	targetNotice(attemptId: AttemptId, notice: TargetNotice, now: Millis): void {
+		const attempt = this.#runner.get(attemptId);
+		if (attempt?.destination.type === 'target') {
+			const {targetId, incarnation} = attempt.destination;
+			this.#parts.targets.recordNotice(targetId, {incarnation, notice, request: attempt.requestId}, now);
+		}
+	}
+
 	/** The first byte of a successful answer arrived. */
 	attemptFirstByte(attemptId: AttemptId, now: Millis): void {
 		const attempt = this.#runner.get(attemptId);
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -8,6 +8,7 @@
 import type {RequestInfo} from './settings/request-info.ts';
 import type {Announcement} from './targets/announcement.ts';
 import type {ProbeResult} from './targets/probe-result.ts';
+import type {TargetNotice} from './targets/target-notice.ts';
 import type {Change} from './tree/change.ts';
 
 /** Input events of the core; `GatewayCore.step` handles one at a time. */
@@ -18,6 +19,8 @@
 	| {readonly type: 'request'; readonly req: RequestInfo}
 	| {readonly type: 'caller-gone'; readonly requestId: RequestId}
 	| {readonly type: 'announcement'; readonly announcement: Announcement}
+	/** The head of the answer arrived, and says something of the requests that the target wants. */
+	| {readonly type: 'target-notice'; readonly attemptId: AttemptId; readonly notice: TargetNotice}
 	/** The first byte of the answer arrived, with a status that means success. */
 	| {readonly type: 'attempt-first-byte'; readonly attemptId: AttemptId}
 	/** More of the answer was sent to the caller, or assembled for a caller that did not ask for a stream; totals of this attempt. */
--- a/src/core/gateway-core.ts
+++ b/src/core/gateway-core.ts
@@ -158,6 +158,11 @@
 				break;
 			}
 
+			case 'target-notice': {
+				requests.targetNotice(event.attemptId, event.notice, now);
+				break;
+			}
+
 			case 'attempt-first-byte': {
 				requests.attemptFirstByte(event.attemptId, now);
 				break;
--- a/src/core/targets/regional-target-table.ts
+++ b/src/core/targets/regional-target-table.ts
@@ -2,6 +2,7 @@
 import type {Random} from '../common/random.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
+import type {RequestId} from '../ids/request-id.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Announcement} from './announcement.ts';
 import type {AttemptOutcome} from './attempt-outcome.ts';
@@ -15,6 +16,7 @@
 import type {ServiceSummary} from './service-summary.ts';
 import {summarizeTargets} from './summarize-targets.ts';
 import {TargetGossip} from './target-gossip.ts';
+import type {TargetNotice} from './target-notice.ts';
 import {TargetProber} from './target-prober.ts';
 import {TargetRecord} from './target-record.ts';
 import {TargetStore} from './target-store.ts';
@@ -158,6 +160,10 @@
 		this.#prober.recordConnection(targetId, reachable, now);
 	}
 
+	recordNotice(targetId: TargetId, {notice, request}: {incarnation: number; notice: TargetNotice; request: RequestId}): void {
+		this.#outbox.event('target-notice', {target: targetId, ...notice, request});
+	}
+
 	recordSign(targetId: TargetId, now: Millis): void {
 		const record = this.#store.get(targetId);
 		if (record !== undefined) {
--- a/src/core/targets/target-table.ts
+++ b/src/core/targets/target-table.ts
@@ -1,10 +1,12 @@
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
+import type {RequestId} from '../ids/request-id.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Announcement} from './announcement.ts';
 import type {AttemptOutcome} from './attempt-outcome.ts';
 import type {ServiceSummary} from './service-summary.ts';
 import type {TargetsMessage} from './targets-message.ts';
+import type {TargetNotice} from './target-notice.ts';
 import type {TargetView} from './target-view.ts';
 
 /** The targets of this node's region: announcements with a lease, gossiped between the region's entries. */
@@ -24,6 +26,8 @@
 	recordOutcome(targetId: TargetId, outcome: AttemptOutcome, now: Millis): void;
 	/** Records that a connection to the target could be opened, or could not. */
 	recordConnection(targetId: TargetId, reachable: boolean, now: Millis): void;
+	/** Records what an incarnation of the target said, in an answer to a request, of the requests that it wants. */
+	recordNotice(targetId: TargetId, said: {incarnation: number; notice: TargetNotice; request: RequestId}, now: Millis): void;
 	/** Records that bytes of an answer arrived from the target. */
 	recordSign(targetId: TargetId, now: Millis): void;
 	/** Summaries of this region's services, which its region summary carries. */
--- a/src/server/attempt-response-reader.ts
+++ b/src/server/attempt-response-reader.ts
@@ -11,6 +11,8 @@
 import type {ProblemDocument} from './problem-document.ts';
 import {describeAnswerBody} from './describe-answer-body.ts';
 import {incompleteBytesOf} from './incomplete-bytes-of.ts';
+import {readRetryAfterMs} from './read-retry-after-ms.ts';
+import {readTargetNotice} from './read-target-notice.ts';
 import {SseParser} from './sse-parser.ts';
 import {TargetError} from './target-error.ts';
 
@@ -52,6 +54,11 @@
 	/** @throws TargetError if the response is an error or a refusal, or if it is truncated. */
 	async read(res: Dispatcher.ResponseData): Promise<void> {
 		const head = {status: res.statusCode, contentType: header(res, 'content-type') ?? 'application/octet-stream'};
+		const notice = this.#action.forwardTo === undefined ? readTargetNotice(res.statusCode, res.headers) : undefined;
+		if (notice !== undefined) {
+			this.#step({type: 'target-notice', attemptId: this.#action.attemptId, notice});
+		}
+
 		await this.#throwOnFailure(res, head);
 		this.#step({type: 'attempt-first-byte', attemptId: this.#action.attemptId});
 		const streamed = this.#request.info.kind === 'completion' && head.contentType.startsWith('text/event-stream');
@@ -73,11 +80,10 @@
 
 		await res.body.dump();
 		const notRun = header(res, 'lovageferry-ran') === 'no';
-		const retryAfter = Number(header(res, 'retry-after'));
 		throw new TargetError(notRun ? 'refused' : 'error-status', {
 			status: head.status,
 			notRun,
-			retryAfterMs: Number.isFinite(retryAfter) && retryAfter > 0 ? retryAfter * 1000 : undefined,
+			retryAfterMs: readRetryAfterMs(header(res, 'retry-after')),
 		});
 	}
 
