fix(attempts): targets of the completions path that ask for a pause get no requests until it ends

Callers saw: requests sent to a target that had just asked for rest, and refused as failed after their tries were used up. Evidence: pausing-targets of the completions path failed in seven of eight tests. Change: the table of targets keeps a TargetSuspension for each incarnation; recordTargetNotice is the one rule of both paths. Requests wait for a pause that ends in time, else are told its end; a region whose targets all pause announces no room. A refusal for residency never waits for a pause. Result: pausing-targets passes (8 of 8); attempts, targets, routing, ledger and edge tests pass but for leaving-targets of this path, which stays listed.

--- a/src/core/attempts/route-chooser.ts
+++ b/src/core/attempts/route-chooser.ts
@@ -2,12 +2,17 @@
 import type {TargetId} from '../ids/target-id.ts';
 import type {RouteDecision} from '../routing/route-decision.ts';
 import type {RouteSettings} from '../settings/route-settings.ts';
+import type {Refusal} from '../results/refusal.ts';
+import {retryAfterPauseMs} from '../targets/retry-after-pause-ms.ts';
 import type {TargetView} from '../targets/target-view.ts';
 import type {CoordinatorOptions} from './coordinator-options.ts';
 import type {RequestState} from './request-state.ts';
 import {mayResumeOn} from './may-resume-on.ts';
 import {remainingRequest} from './remaining-request.ts';
 
+/** Refusals for want of a target that can take the request now. */
+const capacityResults: ReadonlySet<Refusal['result']> = new Set<Refusal['result']>(['noTarget', 'overloaded', 'deadline']);
+
 const noTargets: ReadonlySet<TargetId> = new Set();
 
 /** Builds the routing query of a request from the node's current state and returns the router's decision. */
@@ -26,8 +31,9 @@
 		}
 
 		const serving = this.#targets(state, settings, now);
-		const targets = serving.filter(({reachability}) => reachability.reachable);
-		const isCutOff = serving.length > 0 && targets.length === 0;
+		const reachable = serving.filter(({reachability}) => reachability.reachable);
+		const targets = reachable.filter(({suspension}) => suspension.remainingMs(now) === 0);
+		const isCutOff = serving.length > 0 && reachable.length === 0;
 		const excluded = this.#excluded(state, targets, context.alone, now);
 		const route = (excludedTargets: ReadonlySet<TargetId>) => router.choose({
 			req: remainingRequest(state),
@@ -49,7 +55,25 @@
 		}
 
 		const mayWait = context.alone && decision.type === 'refuse' && this.#mayBecomeAvailable(state, targets, now);
-		return mayWait ? {type: 'wait', predictedMs: 0} : decision;
+		if (mayWait) {
+			return {type: 'wait', predictedMs: 0};
+		}
+
+		const paused = reachable.filter(({suspension}) => suspension.pausedMs(now) > 0);
+		return decision.type === 'refuse' && capacityResults.has(decision.refusal.result) && paused.length > 0
+			? this.#awaitPauses(state, {refusal: decision.refusal, paused, hasTargets: targets.length > 0}, now)
+			: decision;
+	}
+
+	/** Decides on a request that would be refused while targets pause: it waits for the first that may take it in time, else it is told to return after the first pause. */
+	#awaitPauses(state: RequestState, {refusal, paused, hasTargets}: {refusal: Refusal; paused: readonly TargetView[]; hasTargets: boolean}, now: Millis): RouteDecision {
+		const firstEndMs = (views: readonly TargetView[]) => Math.min(...views.map(({suspension}) => suspension.pausedMs(now)));
+		const predictedMs = firstEndMs(paused.filter(view => !isTried(state, view) && mayResumeOn(state, view)));
+		if (now + predictedMs < state.deadlineAt) {
+			return {type: 'wait', predictedMs};
+		}
+
+		return {type: 'refuse', refusal: hasTargets ? refusal : {...refusal, retryAfterMs: retryAfterPauseMs(firstEndMs(paused), this.#parts.random)}};
 	}
 
 	/** Targets that may have crashed: chosen only if no other one has room. */
--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -1,6 +1,7 @@
 import type {Random} from '../common/random.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
+import {retryAfterPauseMs} from '../targets/retry-after-pause-ms.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import {rankLocalTargets} from './rank-local-targets.ts';
 import {mayContinueAt} from './may-continue-at.ts';
@@ -9,7 +10,6 @@
 import type {RegionSelector} from './region-selector.ts';
 import type {RequestRecord} from './request-record.ts';
 import {callerRetryAfterMs} from './caller-retry-after-ms.ts';
-import {retryAfterPauseMs} from './retry-after-pause-ms.ts';
 import type {StartupWait} from './startup-wait.ts';
 import type {TargetPool} from './target-pool.ts';
 
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -1,5 +1,6 @@
 import type {ActionQueue} from '../action-queue.ts';
 import type {Millis} from '../ids/millis.ts';
+import {recordTargetNotice} from '../targets/record-target-notice.ts';
 import type {TargetProber} from '../targets/target-prober.ts';
 import type {AnswerHead} from './answer-head.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
@@ -154,16 +155,8 @@
 			queue.event('target-leaving', {target: targetId, born, request: req.callerKey});
 		}
 
-		if (status !== pauseStatus || retryAfterMs === undefined) {
-			return;
-		}
-
-		const outcome = suspension.pause(retryAfterMs, now);
-		if (outcome !== 'extended') {
-			queue.event('target-paused', {
-				target: targetId, born, pauseMs: retryAfterMs, ignored: outcome === 'too-long' ? true : undefined, request: req.callerKey,
-			});
-		}
+		const notice = {leaving: leaving ?? false, pauseMs: status === pauseStatus ? retryAfterMs : undefined};
+		recordTargetNotice(suspension, notice, {source: {targetId, incarnation: born, request: req.callerKey}, outbox: queue}, now);
 	}
 
 	#targetOf({running}: RequestRecord): PooledTarget | undefined {
--- /dev/null
+++ b/src/core/targets/record-target-notice.ts
@@ -0,0 +1,27 @@
+import type {Outbox} from '../common/outbox.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {TargetNotice} from './target-notice.ts';
+import type {TargetSuspension} from './target-suspension.ts';
+
+type NoticeSource = {
+	readonly targetId: string;
+	/** Incarnation that sent the notice. */
+	readonly incarnation: number;
+	/** Request that it answered. */
+	readonly request: string;
+};
+
+/** Applies what a target said of the requests that it wants to its suspension, with a log line when a pause begins. */
+export function recordTargetNotice(
+	suspension: TargetSuspension,
+	{pauseMs}: TargetNotice,
+	{source: {targetId, incarnation, request}, outbox}: {readonly source: NoticeSource; readonly outbox: Pick<Outbox, 'event'>},
+	now: Millis,
+): void {
+	const outcome = pauseMs === undefined ? 'extended' : suspension.pause(pauseMs, now);
+	if (outcome !== 'extended') {
+		outbox.event('target-paused', {
+			target: targetId, born: incarnation, pauseMs, ignored: outcome === 'too-long' ? true : undefined, request,
+		});
+	}
+}
--- a/src/core/targets/regional-target-table.ts
+++ b/src/core/targets/regional-target-table.ts
@@ -13,6 +13,7 @@
 import {equalExceptLoad} from './equal-except-load.ts';
 import type {ProbeAction} from './probe-action.ts';
 import {Reachability} from './reachability.ts';
+import {recordTargetNotice} from './record-target-notice.ts';
 import type {ServiceSummary} from './service-summary.ts';
 import {summarizeTargets} from './summarize-targets.ts';
 import {TargetGossip} from './target-gossip.ts';
@@ -160,8 +161,11 @@
 		this.#prober.recordConnection(targetId, reachable, now);
 	}
 
-	recordNotice(targetId: TargetId, {notice, request}: {incarnation: number; notice: TargetNotice; request: RequestId}): void {
-		this.#outbox.event('target-notice', {target: targetId, ...notice, request});
+	recordNotice(targetId: TargetId, {incarnation, notice, request}: {incarnation: number; notice: TargetNotice; request: RequestId}, now: Millis): void {
+		const record = this.#store.get(targetId);
+		if (record?.announcement.incarnation === incarnation) {
+			recordTargetNotice(record.suspension, notice, {source: {targetId, incarnation, request}, outbox: this.#outbox}, now);
+		}
 	}
 
 	recordSign(targetId: TargetId, now: Millis): void {
@@ -174,7 +178,8 @@
 	summaries(now: Millis): readonly ServiceSummary[] {
 		const summaries: ServiceSummary[] = [];
 		for (const records of this.#store.services()) {
-			const serving = records.filter(record => this.#leased(record, now) && record.announcement.state === 'serving');
+			const serving = records.filter(record =>
+				this.#leased(record, now) && record.announcement.state === 'serving' && record.suspension.remainingMs(now) === 0);
 			if (serving.length > 0) {
 				summaries.push(summarizeTargets(serving));
 			}
--- a/src/core/targets/target-record.ts
+++ b/src/core/targets/target-record.ts
@@ -5,6 +5,7 @@
 import {CachedBlockEstimate} from './cached-block-estimate.ts';
 import {InFlightHistory} from './in-flight-history.ts';
 import {Reachability} from './reachability.ts';
+import {TargetSuspension} from './target-suspension.ts';
 import {SpeedEstimate} from './speed-estimate.ts';
 import {targetHandle} from './target-handle.ts';
 import type {TargetView} from './target-view.ts';
@@ -37,6 +38,8 @@
 	readonly inFlightHistory = new InFlightHistory();
 	/** Whether this entry reaches the present incarnation. */
 	reachability = new Reachability();
+	/** Why the present incarnation gets no new requests, and until when. */
+	suspension = new TargetSuspension();
 	/** Time of the newest bytes from the target, or of the start of the first request in flight there. */
 	lastSignAt = 0 as Millis;
 	/** Factor by which the target seems slower than estimated, from overdue answers; at least 1. */
@@ -108,6 +111,7 @@
 	update(announcement: Announcement, heardAt: Millis, direct: boolean): void {
 		if (announcement.incarnation !== this.announcement.incarnation) {
 			this.cachedBlockEstimate.clear();
+			this.suspension = new TargetSuspension();
 			this.#earlierAnswers = this.speedEstimate.answers;
 			this.handle = targetHandle(announcement.targetId, announcement.incarnation);
 		}
--- a/src/core/targets/target-view.ts
+++ b/src/core/targets/target-view.ts
@@ -2,6 +2,7 @@
 import type {TargetId} from '../ids/target-id.ts';
 import type {Announcement} from './announcement.ts';
 import type {Reachability} from './reachability.ts';
+import type {TargetSuspension} from './target-suspension.ts';
 
 /** A target of this node's region with a valid lease, and this node's estimates for it. */
 export type TargetView = {
@@ -36,6 +37,8 @@
 	readonly ejected: boolean;
 	/** Whether this entry reaches it. */
 	readonly reachability: Reachability;
+	/** Why this entry sends it no new requests, and until when. */
+	readonly suspension: TargetSuspension;
 	/** Number of leading prefix blocks that are believed to be cached at the target. */
 	cachedBlocks(prefixBlocks: readonly string[]): number;
 };
