fix(targets): targets of the completions path that say that they leave get no new requests

Callers saw: requests sent to an engine that was about to end, while its announcements, or those that other entries passed on, said that it served. Cause: only announcements could say that a target leaves. Change: `Lovageferry-Leaving: 1` in an answer, or an announcement, marks the incarnation as leaving in its TargetSuspension; requests, orders and the crash monitor go by that.

--- a/src/core/attempts/attempt-runner.ts
+++ b/src/core/attempts/attempt-runner.ts
@@ -24,7 +24,7 @@
 /** Share of the time to the deadline after which an attempt without a first byte may fail over to another target. */
 const failoverShare = 0.5;
 
-/** Interval between two checks for targets that announced `leaving`, in milliseconds. */
+/** Interval between two checks for targets that leave, in milliseconds. */
 const leavingCheckIntervalMs = 500;
 
 /** Starts, tracks and ends attempts, and reports their outcomes to the target table and the poison guard. */
@@ -195,7 +195,7 @@
 
 	#markLeavingTargets(now: Millis): void {
 		for (const view of this.#parts.targets.all(now)) {
-			if (view.announcement.state === 'leaving') {
+			if (view.suspension.leaving) {
 				for (const attempt of this.#table.attemptsOnTarget(view.targetId)) {
 					attempt.leaving = true;
 				}
--- a/src/core/attempts/attempt-state.ts
+++ b/src/core/attempts/attempt-state.ts
@@ -20,7 +20,7 @@
 	failoverAt?: Millis;
 	/** True if the target was suspected of a crash before the attempt started: a broken connection proves nothing then. */
 	readonly crashSuspectedAtStart: boolean;
-	/** True once the target announced `leaving`: the end of its lease is not a crash then. */
+	/** True once the target leaves: the end of its lease is not a crash then. */
 	leaving: boolean;
 	firstByteAt?: Millis;
 	/** When bytes of the answer were last received. */
--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -69,7 +69,7 @@
 
 	/**
 	 * Fails over the attempts on targets whose lease ended or that restarted as a new incarnation, except those with
-	 * recent progress and those on targets that announced `leaving`.
+	 * recent progress and those on targets that leave.
 	 */
 	targetsLost(targetIds: readonly TargetId[], now: Millis): void {
 		const lost = targetIds
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -151,10 +151,6 @@
 			queue.event('target-headers-unreadable', {target: targetId, headers: unreadable, request: req.callerKey});
 		}
 
-		if (leaving === true && suspension.leave()) {
-			queue.event('target-leaving', {target: targetId, born, request: req.callerKey});
-		}
-
 		const notice = {leaving: leaving ?? false, pauseMs: status === pauseStatus ? retryAfterMs : undefined};
 		recordTargetNotice(suspension, notice, {source: {targetId, incarnation: born, request: req.callerKey}, outbox: queue}, now);
 	}
--- a/src/core/orders/order-delegate.ts
+++ b/src/core/orders/order-delegate.ts
@@ -137,7 +137,7 @@
 
 	#engines(now: Millis): readonly EngineState[] {
 		return this.#targets.all(now)
-			.filter(({announcement}) => announcement.kind === 'engine' && announcement.state === 'serving')
+			.filter(({announcement, suspension}) => announcement.kind === 'engine' && !suspension.leaving)
 			.map(({targetId, announcement}) => ({
 				targetId,
 				service: `${announcement.firm}/${announcement.deployment}/${announcement.service}`,
--- a/src/core/targets/record-target-notice.ts
+++ b/src/core/targets/record-target-notice.ts
@@ -11,13 +11,17 @@
 	readonly request: string;
 };
 
-/** Applies what a target said of the requests that it wants to its suspension, with a log line when a pause begins. */
+/** Applies what a target said of the requests that it wants to its suspension, with a log line when it begins to leave or to pause. */
 export function recordTargetNotice(
 	suspension: TargetSuspension,
-	{pauseMs}: TargetNotice,
+	{leaving, pauseMs}: TargetNotice,
 	{source: {targetId, incarnation, request}, outbox}: {readonly source: NoticeSource; readonly outbox: Pick<Outbox, 'event'>},
 	now: Millis,
 ): void {
+	if (leaving && suspension.leave()) {
+		outbox.event('target-leaving', {target: targetId, born: incarnation, request});
+	}
+
 	const outcome = pauseMs === undefined ? 'extended' : suspension.pause(pauseMs, now);
 	if (outcome !== 'extended') {
 		outbox.event('target-paused', {
--- a/src/core/targets/regional-target-table.ts
+++ b/src/core/targets/regional-target-table.ts
@@ -123,7 +123,7 @@
 	serving(service: {firm: string; deployment: string; service: string}, model: string | undefined, now: Millis): readonly TargetView[] {
 		return this.#store.getByService(this.#store.serviceKey(service)).filter(record =>
 			this.#leased(record, now)
-			&& record.announcement.state === 'serving'
+			&& !record.suspension.leaving
 			&& (model === undefined || record.announcement.models.includes(model)));
 	}
 
@@ -179,7 +179,7 @@
 		const summaries: ServiceSummary[] = [];
 		for (const records of this.#store.services()) {
 			const serving = records.filter(record =>
-				this.#leased(record, now) && record.announcement.state === 'serving' && record.suspension.remainingMs(now) === 0);
+				this.#leased(record, now) && record.suspension.remainingMs(now) === 0);
 			if (serving.length > 0) {
 				summaries.push(summarizeTargets(serving));
 			}
--- a/src/core/targets/target-record.ts
+++ b/src/core/targets/target-record.ts
@@ -55,6 +55,7 @@
 		this.heardAt = heardAt;
 		this.loadAt = loadTime(announcement, heardAt);
 		this.direct = direct;
+		this.#recordLeaving();
 	}
 
 	get inFlight(): number {
@@ -120,6 +121,7 @@
 		this.heardAt = heardAt;
 		this.loadAt = loadTime(announcement, heardAt);
 		this.direct = direct;
+		this.#recordLeaving();
 		this.leaseEnded = false;
 	}
 
@@ -136,6 +138,12 @@
 		this.#slowdown = Math.max(1, overdue);
 	}
 
+	#recordLeaving(): void {
+		if (this.announcement.state === 'leaving') {
+			this.suspension.leave();
+		}
+	}
+
 	/** Number of complete answers of this incarnation. */
 	#answers(): number {
 		return this.speedEstimate.answers - this.#earlierAnswers;
