test(server): pauses and leaving over HTTP; engines of the soak ask for pauses

In the soak an engine that refuses asks for a pause in half of the cases; the draws of earlier seeds stay as they were.

--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -23,6 +23,10 @@
 /** In-process engine and service that implements the platform's protocol for targets. */
 export class PlatformEngine {
 	manner: Manner = 'well';
+	/** `Retry-After` of refusals with 503, in seconds; absent by default. */
+	pauseSeconds: string | undefined;
+	/** True while it says in its answers that it leaves. */
+	leaving = false;
 	/** Version of the engine's software, in its reports and in each event of a stream. */
 	softwareVersion = 'v1';
 	/** True if answers have neither a length nor chunks and end with their connection. */
@@ -125,7 +129,12 @@
 		}
 
 		if (manner === 'full') {
-			res.writeHead(503, {'not-executed': '1', 'request-identifier': req.headers['request-identifier']}).end();
+			res.writeHead(503, {
+				'not-executed': '1',
+				'request-identifier': req.headers['request-identifier'],
+				...this.pauseSeconds === undefined ? {} : {'retry-after': this.pauseSeconds},
+				...this.#leavingHeader(),
+			}).end();
 			return;
 		}
 
@@ -133,6 +142,7 @@
 			'request-identifier': manner === 'foreign' ? 'another' : req.headers['request-identifier'],
 			...manner === 'unsigned' ? {} : {'server-signature': `${this.identifier}.sig`},
 			'server-load': '1,0,6',
+			...this.#leavingHeader(),
 		};
 		if (this.workMs > 0) {
 			await sleep(this.workMs);
@@ -148,6 +158,10 @@
 		await this.#answerStream(req, res, headers);
 	}
 
+	#leavingHeader(): OutgoingHttpHeaders {
+		return this.leaving ? {'server-leaving': '1'} : {};
+	}
+
 	async #answerEndlessly(req: IncomingMessage, manner: 'endless-head' | 'endless-body'): Promise<void> {
 		const type = req.headers['token-counts'] === undefined ? 'application/json' : 'text/event-stream';
 		const head = `HTTP/1.1 200 OK\r\nRequest-Identifier: ${String(req.headers['request-identifier'])}\r\nServer-Signature: ${this.identifier}.sig\r\nContent-Type: ${type}\r\n`;
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -20,6 +20,8 @@
 const catchUpMs = 8000;
 /** Maximum length of the incomplete record that a torn write leaves. */
 const maxTornBytes = 11;
+/** Pause that an engine asks for, in seconds, as it stands in the header. */
+const enginePauseSeconds = '2.5';
 /** Range of the share of lost packets above its minimum of 0.03; the platform's links lose up to 30 %. */
 const maxExtraLoss = 0.27;
 
@@ -221,16 +223,20 @@
 		const {engine} = this.#pickItem(this.#deployment.engines);
 		const manner = this.#pickItem(faultyManners);
 		const unframed = this.#random.next() < 0.5;
+		// A refusal has no body to be framed. Another draw would change what the seeds of earlier failures play.
+		const pauseSeconds = manner === 'full' && unframed ? enginePauseSeconds : undefined;
 		return {
-			name: `${engine.identifier}: ${manner}${unframed ? ', unframed' : ''}`,
+			name: `${engine.identifier}: ${manner}${unframed ? ', unframed' : ''}${pauseSeconds === undefined ? '' : `, asks for pauses of ${pauseSeconds} s`}`,
 			nodes: [],
 			begin() {
 				engine.manner = manner;
 				engine.unframed = unframed;
+				engine.pauseSeconds = pauseSeconds;
 			},
 			end() {
 				engine.manner = 'well';
 				engine.unframed = false;
+				engine.pauseSeconds = undefined;
 			},
 		};
 	}
