test(edge): streams are taken up after kills of entries around releases

A similar system joined streams from two software versions when all its entries were killed around a release.

The answers of control may name the versions that it knows, a field that nothing sends yet.

--- a/src/core/control/control-message.ts
+++ b/src/core/control/control-message.ts
@@ -67,8 +67,8 @@
 	| {readonly type: 'streams-begun'; readonly streams: ReadonlyArray<readonly [callerKey: string, service: ServiceName, softwareVersion: SoftwareVersion]>}
 	/** An entry asks where a stream began that a request takes up; `service` is set if it can be only this one. */
 	| {readonly type: 'find-stream'; readonly requestId: RequestId; readonly callerKey: string; readonly service?: ServiceName}
-	/** `stream` is where it began, if the sender was told; otherwise `soleVersion` is set if the sender knows that it can't have begun elsewhere. */
-	| {readonly type: 'stream-found'; readonly requestId: RequestId; readonly stream?: BegunStream; readonly soleVersion?: BegunStream}
+	/** `stream` is where it began, if the sender was told; otherwise `soleVersion` is set if the sender knows that it can't have begun elsewhere. `versions` are those that the service has or had lately, as far as the sender knows; absent from builds that don't send them. */
+	| {readonly type: 'stream-found'; readonly requestId: RequestId; readonly stream?: BegunStream; readonly soleVersion?: BegunStream; readonly versions?: readonly SoftwareVersion[]}
 	/** What an entry saw of crashes: what broke off with targets, and blamed traits with which requests were answered in full since. */
 	| {readonly type: 'crashes-seen'; readonly reports: readonly CrashReport[]; readonly served: readonly RequestTrait[]}
 	/** An entry asks for trial `number` of a contained trait, for one request. */
--- a/test/core/control/stream-origin-answerer.test.ts
+++ b/test/core/control/stream-origin-answerer.test.ts
@@ -90,6 +90,23 @@
 	t.is(ask().sole, undefined);
 });
 
+test('no software version is named as the only one when targets have started again under their ids with another one', t => {
+	const {report, ask, wait} = start({isNewDeployment: true});
+	report('a', v1);
+	wait(1000);
+	report('a', v2);
+	t.is(ask().sole, undefined);
+	for (let waited = 0; waited <= controlTiming.streamRetentionMs; waited += 1000) {
+		t.is(ask().sole, undefined);
+		wait(1000);
+		report('a', v2);
+	}
+
+	wait(60_000);
+	report('a', v2);
+	t.is(ask().sole, v2);
+});
+
 test('a control node that may not know all targets names no only software version', t => {
 	const {report, ask, wait, state} = start();
 	wait(afterRetention);
--- a/test/core/edge/stream-origins.test.ts
+++ b/test/core/edge/stream-origins.test.ts
@@ -153,6 +153,40 @@
 	t.true(asksControl(), 'another version is leaving');
 });
 
+test('a version that one control node takes for the only one is not taken while another one knows better, or has not answered', t => {
+	for (const better of [{stream: begunAt(v1)}, {versions: [v1, v2]}, {versions: [v1]}]) {
+		const harness = startEntry();
+		resume(harness);
+		answer(harness, control, {soleVersion: begunAt(v2), versions: [v2]});
+		t.is(harness.starts().length, 0);
+		answer(harness, otherControl, better);
+		t.deepEqual(harness.starts().map(({targetId}) => targetId as string), better.stream === undefined ? [] : ['a']);
+		t.is(harness.refusals().length, better.stream === undefined ? 1 : 0);
+	}
+});
+
+test('a version that all control nodes that answer in time take for the only one is taken', t => {
+	const harness = startEntry();
+	resume(harness);
+	answer(harness, control, {soleVersion: begunAt(v2), versions: [v2]});
+	harness.run(controlTiming.streamQueryTimeoutMs + (2 * tickMs));
+	t.is(harness.lastStart().targetId as string, 'b');
+});
+
+test('a stream of a request that another entry forwarded is neither kept nor reported: only that one knows which events its caller has', t => {
+	const harness = startEntry();
+	harness.request({prompt, callerKey: 'began', forwarded: {region: toId('winnipeg'), documentVersion: 1}});
+	const {attempt} = harness.lastStart();
+	harness.head(attempt);
+	harness.step({
+		type: 'attempt-events', attempt, count: 1, lastId: '1',
+	});
+	harness.run(controlTiming.streamReportIntervalMs + tickMs);
+	t.deepEqual(sent(harness, 'streams-begun'), []);
+	resume(harness);
+	t.is(sent(harness, 'find-stream').length, 2);
+});
+
 test('no only software version is asked for if the stream may be older than what control remembers', t => {
 	for (const [timeoutMs, asked] of [[3000, service], [controlTiming.streamRetentionMs + 1, undefined]] as const) {
 		const harness = startEntry({timeoutMs});
