fix(control): versions that targets had before they started again under their ids count as recent

Callers saw: text joined from two software versions, answered 200, when entries were killed while targets started again under their ids with other software, and callers took their streams up. Cause: the registry keeps one report a target. The newest one replaced the older version at once, so the newer one passed for the only one that the service has had, and any control node that had not been told of a stream named it. A target that starts under another id is remembered for a minute. Change: the registry remembers for the same minute which software a target had that came back with another.

--- a/src/core/registry/target-registry.ts
+++ b/src/core/registry/target-registry.ts
@@ -20,6 +20,8 @@
 	readonly ageMs?: number;
 };
 
+type ReplacedSoftware = {readonly service: ServiceName; readonly softwareVersion: SoftwareVersion; readonly heardAt: Millis};
+
 type TargetRegistryOptions = {
 	/** Interval between two reports of a target, in milliseconds. */
 	readonly reportEveryMs: number;
@@ -36,6 +38,8 @@
 	readonly #records = new Map<TargetId, RegisteredTarget>();
 	/** Targets that are listed to entries as lost. */
 	readonly #announcedLost = new Set<TargetId>();
+	/** Software that targets had before they started again under their ids with another one. */
+	#replaced: readonly ReplacedSoftware[] = [];
 	#revision = 0;
 
 	constructor(options: TargetRegistryOptions) {
@@ -68,6 +72,11 @@
 			known, region, direct, sentAt: now - ageMs as Millis,
 		});
 		this.#records.set(report.targetId, target);
+		if (known !== undefined && (known.report.softwareVersion !== report.softwareVersion || known.report.service !== report.service)) {
+			const {report: {service, softwareVersion}, heardAt} = known;
+			this.#replaced = [...this.#replaced, {service, softwareVersion, heardAt}];
+		}
+
 		const changed = known === undefined || this.#differs(known, target, now);
 		if (changed) {
 			this.#bumpRevision(target);
@@ -130,6 +139,7 @@
 
 	/** Removes targets that have not reported for a long time, and marks those that are now lost as changed. */
 	tick(now: Millis): void {
+		this.#replaced = this.#replaced.filter(({heardAt}) => now - heardAt <= retentionMs);
 		for (const [targetId, target] of this.#records) {
 			const silence = now - target.heardAt;
 			if (silence > retentionMs) {
@@ -181,11 +191,10 @@
 		return known?.born === born ? known.sequence : undefined;
 	}
 
-	/** Software versions of a service's targets, each once, with those that ended lately. */
+	/** Software versions of a service's targets, each once, with those that ended or were replaced lately. */
 	softwareVersions(service: ServiceName): readonly SoftwareVersion[] {
-		return [...new Set([...this.#records.values()]
-			.filter(({report}) => report.service === service)
-			.map(({report}) => report.softwareVersion))];
+		const reported = [...this.#records.values()].map(({report}) => report);
+		return [...new Set([...reported, ...this.#replaced].filter(had => had.service === service).map(({softwareVersion}) => softwareVersion))];
 	}
 
 	/** Reports of the serving targets that are not lost, with their regions. */
