fix(edge): a service's only software version is taken only once all control nodes could object

Callers could see: text joined from two software versions, answered 200, when streams were taken up beside a cut between control nodes, or wherever one node's knowledge was behind. Cause: the first answer that named an only version ended the question. A control node cut off from those that hear another version's targets, though not from the leader, is current and names one; its answer overtook that of the node that had been told of the stream, or that knew both versions. Change: control nodes name the versions that they know. An entry waits for all answers, 300 ms at most; where none has the stream, an only version counts unless a node knows another one. A stream that is found ends the question at once, as before. The test 'a stream is taken up at the only software version' asked for a start after the first of two answers, which is the fault; it now asks for none after the first and for the start after the second. Price: an entry that takes a stream up by the only version waits for the slowest node, 300 ms if one is down.

--- a/src/core/control/stream-origin-answerer.ts
+++ b/src/core/control/stream-origin-answerer.ts
@@ -38,15 +38,10 @@
 
 	answer(from: NodeId, {requestId, callerKey, service}: ControlMessage & {type: 'find-stream'}, now: Millis): void {
 		const stream = this.#streams.get(callerKey);
-		this.#options.outbox.send(from, {
-			part: 'control',
-			body: {
-				type: 'stream-found',
-				requestId,
-				stream,
-				soleVersion: stream === undefined && service !== undefined ? this.#soleVersion(service, now) : undefined,
-			},
-		});
+		const found = stream !== undefined || service === undefined
+			? {stream}
+			: {soleVersion: this.#soleVersion(service, now), versions: this.#options.registry.softwareVersions(service)};
+		this.#options.outbox.send(from, {part: 'control', body: {type: 'stream-found', requestId, ...found}});
 	}
 
 	tick(now: Millis): void {
--- a/src/core/edge/stream-origins.ts
+++ b/src/core/edge/stream-origins.ts
@@ -7,6 +7,7 @@
 import type {NodeId} from '../ids/node-id.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {ServiceName} from '../ids/service-name.ts';
+import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {RequestRecord} from './request-record.ts';
@@ -19,7 +20,16 @@
 /** Called once it is known where the request's stream began, or with the reason to refuse the request. */
 type Located = (refusal: EdgeRefusal['reason'] | undefined, now: Millis) => void;
 
-type Query = {readonly record: RequestRecord; readonly sentAt: Millis; readonly unanswered: Set<NodeId>; readonly located: Located};
+type Query = {
+	readonly record: RequestRecord;
+	readonly sentAt: Millis;
+	readonly unanswered: Set<NodeId>;
+	readonly located: Located;
+	/** Software versions of the service that control nodes know. */
+	readonly versions: Set<SoftwareVersion>;
+	/** The only software version of the service, as far as a control node knows. */
+	sole?: BegunStream;
+};
 
 type StreamOriginsOptions = {
 	readonly queue: ActionQueue<EdgeAction>;
@@ -71,7 +81,7 @@
 		const own = this.#streams.get(callerKey);
 		const nodes = this.#options.controlNodes();
 		const query: Query = {
-			record, sentAt: now, unanswered: new Set(nodes), located,
+			record, sentAt: now, unanswered: new Set(nodes), located, versions: new Set(),
 		};
 		if (own !== undefined) {
 			this.#resolve(query, own, 'own', now);
@@ -101,7 +111,7 @@
 		this.#queries.delete(requestId);
 	}
 
-	handleAnswer(from: NodeId, {requestId, stream, soleVersion}: ControlMessage & {type: 'stream-found'}, now: Millis): void {
+	handleAnswer(from: NodeId, {requestId, stream, soleVersion, versions = []}: ControlMessage & {type: 'stream-found'}, now: Millis): void {
 		const query = this.#queries.get(requestId);
 		if (query === undefined) {
 			return;
@@ -110,10 +120,16 @@
 		query.unanswered.delete(from);
 		if (stream !== undefined) {
 			this.#resolve(query, stream, 'control', now);
-		} else if (soleVersion !== undefined) {
-			this.#resolve(query, soleVersion, 'sole-version', now);
-		} else if (query.unanswered.size === 0) {
-			this.#resolve(query, undefined, 'unknown', now);
+			return;
+		}
+
+		query.sole ??= soleVersion;
+		for (const version of soleVersion === undefined ? versions : [...versions, soleVersion.softwareVersion]) {
+			query.versions.add(version);
+		}
+
+		if (query.unanswered.size === 0) {
+			this.#conclude(query, now);
 		}
 	}
 
@@ -129,7 +145,7 @@
 		this.#streams.tick(now);
 		for (const query of this.#queries.values()) {
 			if (now - query.sentAt > controlTiming.streamQueryTimeoutMs) {
-				this.#resolve(query, undefined, 'unknown', now);
+				this.#conclude(query, now);
 			}
 		}
 
@@ -150,6 +166,16 @@
 		this.#options.queue.send(primary, {part: 'control', body: {type: 'streams-begun', streams}});
 	}
 
+	/** Ends a query that no control node answered with the stream. A node that is cut off from others may miss a version, so none that answered may know another one. */
+	#conclude(query: Query, now: Millis): void {
+		const {sole, versions} = query;
+		if (sole !== undefined && versions.size === 1) {
+			this.#resolve(query, sole, 'sole-version', now);
+		} else {
+			this.#resolve(query, undefined, 'unknown', now);
+		}
+	}
+
 	/** Ends a query. A stream stays with the service that began it, if the route still leads there. */
 	#resolve({record, located}: Query, stream: BegunStream | undefined, source: OriginSource, now: Millis): void {
 		const {req, route} = record;
--- a/test/core/control/stream-origin-answerer.test.ts
+++ b/test/core/control/stream-origin-answerer.test.ts
@@ -39,13 +39,13 @@
 			answerer.tick(state.now);
 			registry.tick(state.now);
 		},
-		/** What an entry that asks is answered: the version where the stream began, or the only one of the service. */
+		/** What an entry that asks is answered: the version where the stream began, or the only one of the service, and those that are known. */
 		ask(callerKey = 'began', of: ServiceName | undefined = service) {
 			answerer.answer(entry, {
 				type: 'find-stream', requestId: toId('r1'), callerKey, service: of,
 			}, state.now);
-			const {stream, soleVersion} = outbox.sent.at(-1)!.message.body as ControlMessage & {type: 'stream-found'};
-			return {stream: stream?.softwareVersion, sole: soleVersion?.softwareVersion};
+			const {stream, soleVersion, versions} = outbox.sent.at(-1)!.message.body as ControlMessage & {type: 'stream-found'};
+			return {stream: stream?.softwareVersion, sole: soleVersion?.softwareVersion, versions};
 		},
 	};
 }
@@ -107,6 +107,13 @@
 	t.is(ask().sole, v2);
 });
 
+test('a control node names all software versions that it knows, though it may not know all', t => {
+	const {report, ask} = start();
+	report('a', v1);
+	report('b', v2);
+	t.deepEqual(ask(), {stream: undefined, sole: undefined, versions: [v1, v2]});
+});
+
 test('a control node that may not know all targets names no only software version', t => {
 	const {report, ask, wait, state} = start();
 	wait(afterRetention);
--- a/test/core/edge/stream-origins.test.ts
+++ b/test/core/edge/stream-origins.test.ts
@@ -122,6 +122,8 @@
 	const harness = startEntry();
 	resume(harness);
 	answer(harness, control, {soleVersion: begunAt(v2)});
+	t.is(harness.starts().length, 0);
+	answer(harness, otherControl, {});
 	t.is(harness.lastStart().targetId as string, 'b');
 });
 
