fix(edge): an entry reports no streams that it ran for another entry

Callers could see: text joined from two software versions after their entry was killed. Cause: both the entry that forwarded a request and the one that ran it told their control nodes where the stream began, under the caller's id. If the first event did not get to the first entry (a cut, a stall) it began the stream elsewhere, at another version perhaps, and two control nodes named two origins for one stream; the nearer one's counted. The second entry, asked itself, answered by its own record. Price: a forwarded stream whose entry is killed within the report interval is unknown, like others.

--- a/src/core/edge/stream-origins.ts
+++ b/src/core/edge/stream-origins.ts
@@ -59,16 +59,16 @@
 		this.#options = options;
 	}
 
-	/** Records where a request's stream began, when its first event has been passed on. */
+	/** Records where a request's stream began, when its first event has been passed on. An entry that runs it for another one leaves that to it: the event may not get there, and the stream may then begin elsewhere. */
 	recordFirstEvent(record: RequestRecord, now: Millis): void {
 		if (record.origin !== undefined) {
 			return;
 		}
 
-		const {req: {callerKey}, service} = record;
+		const {req: {callerKey, forwarded}, service} = record;
 		const softwareVersion = softwareVersionOf(record.running!);
 		record.origin = {softwareVersion};
-		if (softwareVersion !== undefined && callerKey !== '') {
+		if (softwareVersion !== undefined && callerKey !== '' && forwarded === undefined) {
 			this.#streams.record(callerKey, {service, softwareVersion}, now);
 			this.#unreported.set(callerKey, {service, softwareVersion});
 		}
