--- a/test/core/edge/rejoined-streams.test.ts
+++ b/test/core/edge/rejoined-streams.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {SeededRandom} from '../../../src/core/common/seeded-random.ts';
 import {controlTiming} from '../../../src/core/control/control-timing.ts';
 import type {SoftwareVersion} from '../../../src/core/ids/software-version.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
@@ -11,6 +12,8 @@
 const targetsPerRegion = 3;
 const drainMs = 1500;
 const seeds = 10;
+/** Entries of a region that is large enough to have placers. */
+const entriesWithPlacers = 9;
 /** Latest time after the release at which processes are killed, in milliseconds. */
 const lastKillMs = 3000;
 
@@ -91,7 +94,7 @@
 		let whole = 0;
 		for (let seed = 1; seed <= seeds; seed++) {
 			const {callers, servingVersions} = play(scenario, seed);
-			joined += callers.filter(({pieces}) => new Set(pieces.map(({softwareVersion}) => softwareVersion)).size > 1).length;
+			joined += callers.filter(caller => isJoined(caller)).length;
 			const servable = callers.filter(({tookUp, pieces}) => tookUp && servingVersions.has(pieces[0]!.softwareVersion));
 			takenUp += servable.length;
 			whole += servable.filter(({completed}) => completed).length;
@@ -125,3 +128,76 @@
 	const servingVersions = new Set(deployment.targets.flatMap(target => target.report()?.state === 'serving' ? [target.softwareVersion] : []));
 	return {callers: callers.results(), servingVersions};
 }
+
+test('no stream is joined from two versions, whatever is released, killed and cut, and in which order', t => {
+	let takenUp = 0;
+	for (let seed = 1; seed <= seeds; seed++) {
+		const callers = playRandomSteps(seed);
+		t.deepEqual(callers.filter(caller => isJoined(caller)), [], `seed ${seed}`);
+		takenUp += callers.filter(({tookUp, completed}) => tookUp && completed).length;
+	}
+
+	t.true(takenUp >= 10 * seeds, `${takenUp}`);
+});
+
+function playRandomSteps(seed: number) {
+	const random = new SeededRandom(seed);
+	const pick = (count: number) => Math.floor(random.next() * count);
+	const deployment = new SimulatedDeployment({
+		seed, events: 20, targetsPerRegion, entriesPerRegion: seed % 3 === 0 ? entriesWithPlacers : 3,
+	});
+	const {control, entries, targets} = deployment;
+	let releases = 1;
+	const release = (where: readonly Zone[]) => {
+		releases += 1;
+		for (const zone of where) {
+			deployment.addTarget({name: `${zone}-${releases}`, zone, softwareVersion: toId<SoftwareVersion>(`v${releases}`)});
+		}
+	};
+
+	const steps = [
+		() => {
+			release(zones);
+		},
+		() => {
+			release(zones.slice(pick(zones.length)));
+		},
+		() => {
+			const old = [...targets];
+			release(zones);
+			for (const target of old) {
+				target.leave(drainMs);
+			}
+		},
+		() => {
+			const index = pick(control.nodes.length);
+			control.kill(index, 1);
+			control.start(index, {bootMs: pick(1500)});
+		},
+		() => {
+			const index = pick(control.nodes.length);
+			control.setPartition([index], [(index + 1) % control.nodes.length], random.next() < 0.6);
+		},
+		() => {
+			const killed = pick(2) === 0 ? entries : entries.filter(({region}) => region === entries[0]!.region);
+			for (const {index} of killed) {
+				deployment.startEntry(index);
+			}
+		},
+	];
+
+	deployment.start();
+	const callers = new ReturningCallers(deployment, seed);
+	callers.come({perSecond: 40, ms: 12_000});
+	for (let count = 0; count < 16; count++) {
+		deployment.run(300 + pick(900));
+		steps[pick(steps.length)]!();
+	}
+
+	deployment.run(6000);
+	return callers.results();
+}
+
+function isJoined({pieces}: ReturnType<ReturningCallers['results']>[number]): boolean {
+	return new Set(pieces.map(({softwareVersion}) => softwareVersion)).size > 1;
+}
