--- a/src/core/edge/stream-origins.ts
+++ b/src/core/edge/stream-origins.ts
@@ -7,6 +7,7 @@
 import type {NodeId} from '../ids/node-id.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {ServiceName} from '../ids/service-name.ts';
+import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {RequestRecord} from './request-record.ts';
@@ -19,7 +20,16 @@
 /** Called once it is known where the request's stream began, or with the reason to refuse the request. */
 type Located = (refusal: EdgeRefusal['reason'] | undefined, now: Millis) => void;
 
-type Query = {readonly record: RequestRecord; readonly sentAt: Millis; readonly unanswered: Set<NodeId>; readonly located: Located};
+type Query = {
+	readonly record: RequestRecord;
+	readonly sentAt: Millis;
+	readonly unanswered: Set<NodeId>;
+	readonly located: Located;
+	/** Software versions of the service that are known. */
+	readonly versions: Set<SoftwareVersion>;
+	/** The only software version of the service, as far as this entry or a control node knows. */
+	sole?: BegunStream;
+};
 
 type StreamOriginsOptions = {
 	readonly queue: ActionQueue<EdgeAction>;
@@ -49,42 +59,42 @@
 		this.#options = options;
 	}
 
-	/** Records where a request's stream began, when its first event has been passed on. */
+	/** Records where a request's stream began, when its first event has been passed on. An entry that runs it for another one leaves that to it: the event may not get there, and the stream may then begin elsewhere. */
 	recordFirstEvent(record: RequestRecord, now: Millis): void {
 		if (record.origin !== undefined) {
 			return;
 		}
 
-		const {req: {callerKey}, service} = record;
+		const {req: {callerKey, forwarded}, service} = record;
 		const softwareVersion = softwareVersionOf(record.running!);
 		record.origin = {softwareVersion};
-		if (softwareVersion !== undefined && callerKey !== '') {
+		if (softwareVersion !== undefined && callerKey !== '' && forwarded === undefined) {
 			this.#streams.record(callerKey, {service, softwareVersion}, now);
 			this.#unreported.set(callerKey, {service, softwareVersion});
 		}
 	}
 
-	/** Finds out where the stream began that a request takes up: at once if this entry knows it, else once control has answered or its time is up. */
+	/** Finds out where the stream began that a request takes up: at once if this entry knows it, else once all control nodes have answered or their time is up. */
 	locate(record: RequestRecord, located: Located, now: Millis): void {
 		const {req: {requestId}} = record;
 		const callerKey = keyOf(record);
 		const own = this.#streams.get(callerKey);
 		const nodes = this.#options.controlNodes();
+		const service = onlyServiceOf(record);
+		const softwareVersion = service && this.#options.versions.sole(service, now);
 		const query: Query = {
-			record, sentAt: now, unanswered: new Set(nodes), located,
+			record,
+			sentAt: now,
+			unanswered: new Set(nodes),
+			located,
+			versions: new Set(softwareVersion === undefined ? [] : [softwareVersion]),
+			sole: service === undefined || softwareVersion === undefined ? undefined : {service, softwareVersion},
 		};
 		if (own !== undefined) {
 			this.#resolve(query, own, 'own', now);
 			return;
 		}
 
-		const service = onlyServiceOf(record);
-		const softwareVersion = service && this.#options.versions.sole(service, now);
-		if (service !== undefined && softwareVersion !== undefined) {
-			this.#resolve(query, {service, softwareVersion}, 'sole-version', now);
-			return;
-		}
-
 		this.#queries.set(requestId, query);
 		for (const nodeId of nodes) {
 			this.#options.queue.send(nodeId, {
@@ -101,7 +111,7 @@
 		this.#queries.delete(requestId);
 	}
 
-	handleAnswer(from: NodeId, {requestId, stream, soleVersion}: ControlMessage & {type: 'stream-found'}, now: Millis): void {
+	handleAnswer(from: NodeId, {requestId, stream, soleVersion, versions = []}: ControlMessage & {type: 'stream-found'}, now: Millis): void {
 		const query = this.#queries.get(requestId);
 		if (query === undefined) {
 			return;
@@ -110,10 +120,16 @@
 		query.unanswered.delete(from);
 		if (stream !== undefined) {
 			this.#resolve(query, stream, 'control', now);
-		} else if (soleVersion !== undefined) {
-			this.#resolve(query, soleVersion, 'sole-version', now);
-		} else if (query.unanswered.size === 0) {
-			this.#resolve(query, undefined, 'unknown', now);
+			return;
+		}
+
+		query.sole ??= soleVersion;
+		for (const version of soleVersion === undefined ? versions : [...versions, soleVersion.softwareVersion]) {
+			query.versions.add(version);
+		}
+
+		if (query.unanswered.size === 0) {
+			this.#conclude(query, now);
 		}
 	}
 
@@ -129,7 +145,7 @@
 		this.#streams.tick(now);
 		for (const query of this.#queries.values()) {
 			if (now - query.sentAt > controlTiming.streamQueryTimeoutMs) {
-				this.#resolve(query, undefined, 'unknown', now);
+				this.#conclude(query, now);
 			}
 		}
 
@@ -150,6 +166,16 @@
 		this.#options.queue.send(primary, {part: 'control', body: {type: 'streams-begun', streams}});
 	}
 
+	/** Ends a query that no control node answered with the stream. What each of them has heard may be behind, so an only version counts unless one knows another. */
+	#conclude(query: Query, now: Millis): void {
+		const {sole, versions} = query;
+		if (sole !== undefined && versions.size === 1) {
+			this.#resolve(query, sole, 'sole-version', now);
+		} else {
+			this.#resolve(query, undefined, 'unknown', now);
+		}
+	}
+
 	/** Ends a query. A stream stays with the service that began it, if the route still leads there. */
 	#resolve({record, located}: Query, stream: BegunStream | undefined, source: OriginSource, now: Millis): void {
 		const {req, route} = record;
--- a/test/core/edge/leaving-targets.test.ts
+++ b/test/core/edge/leaving-targets.test.ts
@@ -51,7 +51,7 @@
 
 			deployment.run(5000);
 			// Control nodes that start anew know no target at first, and then list it as serving again.
-			deployment.restartControl();
+			deployment.control.restartAll();
 			deployment.run(6000);
 			deployment.startEntry(0);
 			deployment.run(13_000);
--- a/test/core/edge/pausing-targets.test.ts
+++ b/test/core/edge/pausing-targets.test.ts
@@ -46,7 +46,7 @@
 					deployment.run(2500);
 					// Control and an entry start anew while pauses hold; an entry that does may ask once more.
 					if (turn === 2) {
-						deployment.restartControl();
+						deployment.control.restartAll();
 					} else if (turn === 4) {
 						deployment.startEntry(0);
 					}
--- a/test/core/edge/stream-origins.test.ts
+++ b/test/core/edge/stream-origins.test.ts
@@ -122,10 +122,12 @@
 	const harness = startEntry();
 	resume(harness);
 	answer(harness, control, {soleVersion: begunAt(v2)});
+	t.is(harness.starts().length, 0);
+	answer(harness, otherControl, {});
 	t.is(harness.lastStart().targetId as string, 'b');
 });
 
-test('an entry that has long listed one software version alone asks nobody; after a gap in its feeds it asks again', t => {
+test('an entry that has long listed one software version alone needs no control node that names it, only none that objects', t => {
 	const harness = startEntry();
 	const targets = [listedTargetFixture('a', {softwareVersion: v1})];
 	const listFor = (ms: number, other: readonly ListedTarget[] = []) => {
@@ -135,22 +137,62 @@
 		}
 	};
 
-	const asksControl = () => {
-		const before = sent(harness, 'find-stream').length;
+	/** Takes a stream up that no control node knows; returns the target that it goes on at. */
+	const takeUp = (versions: readonly SoftwareVersion[] = []) => {
+		const [starts, queries] = [harness.starts().length, sent(harness, 'find-stream').length];
 		resume(harness);
-		return sent(harness, 'find-stream').length > before;
+		t.is(harness.starts().length, starts);
+		for (const {to} of sent(harness, 'find-stream').slice(queries)) {
+			answer(harness, to, {versions});
+		}
+
+		return harness.starts().slice(starts).map(({targetId}) => targetId as string)[0];
 	};
 
-	t.true(asksControl(), 'another version was listed lately');
+	t.is(takeUp(), undefined, 'another version was listed lately');
 	listFor(controlTiming.streamRetentionMs + 1000);
-	t.false(asksControl());
-	t.is(harness.lastStart().targetId as string, 'a');
+	t.is(takeUp([v1]), 'a');
+	t.is(takeUp([v1, v2]), undefined, 'a control node knows another version');
 	harness.run(controlTiming.feedTimeoutMs + 500);
-	t.true(asksControl(), 'no feed arrives');
+	t.is(takeUp(), undefined, 'no feed arrives');
 	listFor(2000);
-	t.true(asksControl(), 'a version may have come and gone');
+	t.is(takeUp(), undefined, 'a version may have come and gone');
 	listFor(controlTiming.streamRetentionMs + 1000, [listedTargetFixture('c', {softwareVersion: v2, state: 'leaving'})]);
-	t.true(asksControl(), 'another version is leaving');
+	t.is(takeUp(), undefined, 'another version is leaving');
+});
+
+test('a version that one control node takes for the only one is not taken while another one knows better, or has not answered', t => {
+	for (const better of [{stream: begunAt(v1)}, {versions: [v1, v2]}, {versions: [v1]}]) {
+		const harness = startEntry();
+		resume(harness);
+		answer(harness, control, {soleVersion: begunAt(v2), versions: [v2]});
+		t.is(harness.starts().length, 0);
+		answer(harness, otherControl, better);
+		t.deepEqual(harness.starts().map(({targetId}) => targetId as string), better.stream === undefined ? [] : ['a']);
+		t.is(harness.refusals().length, better.stream === undefined ? 1 : 0);
+	}
+});
+
+test('a version that all control nodes that answer in time take for the only one is taken', t => {
+	const harness = startEntry();
+	resume(harness);
+	answer(harness, control, {soleVersion: begunAt(v2), versions: [v2]});
+	harness.run(controlTiming.streamQueryTimeoutMs + (2 * tickMs));
+	t.is(harness.lastStart().targetId as string, 'b');
+});
+
+test('a stream of a request that another entry forwarded is neither kept nor reported: only that one knows which events its caller has', t => {
+	const harness = startEntry();
+	harness.request({prompt, callerKey: 'began', forwarded: {region: toId('winnipeg'), documentVersion: 1}});
+	const {attempt} = harness.lastStart();
+	harness.head(attempt);
+	harness.step({
+		type: 'attempt-events', attempt, count: 1, lastId: '1',
+	});
+	harness.run(controlTiming.streamReportIntervalMs + tickMs);
+	t.deepEqual(sent(harness, 'streams-begun'), []);
+	resume(harness);
+	t.is(sent(harness, 'find-stream').length, 2);
 });
 
 test('no only software version is asked for if the stream may be older than what control remembers', t => {
