test(server): requests read after their callers have left must not be passed on, whether the process lags or not

The test so far gave the server a lag; without one, a request that is read together with the end of its connection is passed on. An event loop whose turns are short accepts one connection in each turn, so requests wait unread for seconds although its timers are on time.

--- a/test/server/routes/late-reads.test.ts
+++ b/test/server/routes/late-reads.test.ts
@@ -1,5 +1,5 @@
 import {once} from 'node:events';
-import {connect} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import type {EdgeEvent} from '../../../src/core/edge/edge-event.ts';
@@ -13,8 +13,11 @@
 const request = `POST /orders/1 HTTP/1.1\r\nHost: prairie.example\r\nRequest-Identifier: 9c41d07be2a35f68\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
 const settleMs = 200;
 
+/** Callers that connect at once; a server accepts one connection with each turn of the event loop. */
+const callerCount = 20;
+
 /** A server whose process is behind with its events by `lagMs`, and the events that it passes on. */
-async function openServer(t: ExecutionContext, lagMs: number) {
+async function openServer(t: ExecutionContext, lagMs = 0) {
 	const ports = await PortBlock.reserve();
 	const port = ports.next();
 	const events: EdgeEvent[] = [];
@@ -39,21 +42,47 @@
 		await server.close();
 		ports.release();
 	});
+	return {port, events};
+}
+
+/** Sends a request and leaves; both reach the server before it reads again. */
+function sendAndLeave(socket: Socket, manner: 'ended' | 'reset'): void {
+	socket.write(request);
+	if (manner === 'ended') {
+		socket.destroy();
+	} else {
+		socket.resetAndDestroy();
+	}
+}
+
+async function openIdleConnection(port: number): Promise<Socket> {
 	const socket = connect({host, port});
 	await once(socket, 'connect');
 	await sleep(settleMs);
-	return {socket, events};
+	return socket;
 }
 
 for (const manner of ['ended', 'reset'] as const) {
 	test(`a request that is read late, after its caller has left, is not passed on: connection ${manner}`, async t => {
-		const {socket, events} = await openServer(t, 1000);
-		// Both reach the server before it reads again.
-		socket.write(request);
-		if (manner === 'ended') {
-			socket.destroy();
-		} else {
-			socket.resetAndDestroy();
+		const {port, events} = await openServer(t, 1000);
+		sendAndLeave(await openIdleConnection(port), manner);
+		await sleep(settleMs);
+		t.deepEqual(events, []);
+	});
+
+	test(`a request that is read after its caller has left is not passed on by a process that keeps up: connection ${manner}`, async t => {
+		const {port, events} = await openServer(t);
+		sendAndLeave(await openIdleConnection(port), manner);
+		await sleep(settleMs);
+		t.deepEqual(events, []);
+	});
+
+	test(`requests whose callers have left while their connections waited to be accepted are not passed on: connections ${manner}`, async t => {
+		const {port, events} = await openServer(t);
+		for (let caller = 0; caller < callerCount; caller++) {
+			const socket = connect({host, port}, () => {
+				sendAndLeave(socket, manner);
+			});
 		}
 
 		await sleep(settleMs);
@@ -63,7 +92,8 @@
 
 for (const lagMs of [0, 1000]) {
 	test(`a request whose caller waits is passed on, by a process that is behind by ${lagMs} ms`, async t => {
-		const {socket, events} = await openServer(t, lagMs);
+		const {port, events} = await openServer(t, lagMs);
+		const socket = await openIdleConnection(port);
 		socket.write(request);
 		await sleep(settleMs);
 		t.deepEqual(events.map(({type}) => type), ['request']);
