test(attempts): suspects start in a region that residency forbids while their permit is pending

Change: a suspect waits for a permit while the route's residency is narrowed to another region, with and without a region to forward to; a third test keeps the target where residency allows it. The coordinator's harness takes a router, its membership the services of a region.

--- /dev/null
+++ b/test/core/attempts/narrowed-residency.test.ts
@@ -0,0 +1,57 @@
+import test from 'ava';
+import {SeededRandom} from '../../../src/core/common/seeded-random.ts';
+import type {Region} from '../../../src/core/ids/region.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import {PipelineRouter} from '../../../src/core/routing/pipeline-router.ts';
+import {CoordinatorHarness} from '../../fixtures/attempts/coordinator-harness.ts';
+import {regionViewFixture} from '../../fixtures/region-view-fixture.ts';
+import {routeSettingsFixture} from '../../fixtures/route-settings-fixture.ts';
+
+const route = 'prairie/print/proofer/drafts';
+const ownRegion = toId<Region>('regina-a');
+const otherRegion = toId<Region>('saskatoon-a');
+const otherEntry = 'entry-5';
+/** Penalty with which requests stay in their region as long as it is allowed, in milliseconds. */
+const awayPenaltyMs = 10_000;
+
+/** A coordinator with the real router, and a suspect whose permit for engine-1 is pending. */
+function startSuspect(options: {otherRegionServes: boolean}): CoordinatorHarness {
+	const harness = new CoordinatorHarness({settings: {awayPenaltyMs}, router: new PipelineRouter({random: new SeededRandom(1)})});
+	const target = harness.targets.add('engine-1');
+	if (options.otherRegionServes) {
+		harness.membership.addRegion(otherRegion, {[otherEntry]: 1}, {services: regionViewFixture(otherRegion).services});
+	}
+
+	harness.poison.alone.add('odd');
+	harness.poison.permitted = false;
+	harness.request('r1', {fingerprint: 'odd'});
+	// The guard reserves the target for which a permit is pending.
+	harness.poison.occupiedTargets.add(target);
+	return harness;
+}
+
+/** Narrows the route's residency, grants the permit and returns where the suspect was started. */
+function narrow(harness: CoordinatorHarness, residency: readonly Region[]): readonly string[] {
+	harness.tree.settings.set(route, routeSettingsFixture({awayPenaltyMs, residency}));
+	harness.poison.permitted = true;
+	harness.advance(200);
+	return harness.starts('r1').map(({targetId, forwardTo}) => String(targetId ?? forwardTo));
+}
+
+test('a suspect with a pending permit does not start in a region that residency forbids meanwhile', t => {
+	const harness = startSuspect({otherRegionServes: true});
+	t.deepEqual(harness.starts('r1'), []);
+	t.deepEqual(narrow(harness, [otherRegion]), [otherEntry]);
+});
+
+test('a suspect with a pending permit does not start in a forbidden region beside a target with another suspect', t => {
+	const harness = startSuspect({otherRegionServes: false});
+	harness.poison.occupiedTargets.add(harness.targets.add('engine-2'));
+	t.deepEqual(narrow(harness, [otherRegion]), []);
+});
+
+test('a suspect with a pending permit keeps its target while residency allows its region', t => {
+	const harness = startSuspect({otherRegionServes: true});
+	harness.targets.add('engine-0');
+	t.deepEqual(narrow(harness, [ownRegion, otherRegion]), ['engine-1']);
+});
