fix(attempts): a pending permit does not keep a suspect in a region that residency forbids

Callers saw: a request ran in a region that a residency narrowed meanwhile forbids. Cause: the dispatcher replaced the router's decision by the target for which the permit is pending, unless the decision was a refusal for residency; `away`, and the `wait` that the chooser makes of such a refusal while a target is reserved, were replaced. Change: the target is kept only while residency allows the region. residencyAllows is the one check of the routing steps, the chooser and the dispatcher.

--- a/src/core/attempts/request-dispatcher.ts
+++ b/src/core/attempts/request-dispatcher.ts
@@ -2,6 +2,7 @@
 import type {RequestId} from '../ids/request-id.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Refusal} from '../results/refusal.ts';
+import {residencyAllows} from '../routing/residency-allows.ts';
 import type {RouteDecision} from '../routing/route-decision.ts';
 import type {RouteSettings} from '../settings/route-settings.ts';
 import type {AttemptRunner} from './attempt-runner.ts';
@@ -102,14 +103,13 @@
 
 		const alone = classification.type === 'alone';
 		const decision = this.#decide(state, settings, alone, now);
-		return {settings, alone, decision: alone ? this.#keepPendingPermitTarget(state, decision, now) : decision};
+		return {settings, alone, decision: alone ? this.#keepPendingPermitTarget(state, settings, decision, now) : decision};
 	}
 
-	/** Keeps a request with the target for which its permit is pending, as long as that target serves. */
-	#keepPendingPermitTarget(state: RequestState, decision: RouteDecision, now: Millis): RouteDecision {
+	/** Keeps a request with the target for which its permit is pending, as long as that target serves and residency allows this region. */
+	#keepPendingPermitTarget(state: RequestState, settings: RouteSettings, decision: RouteDecision, now: Millis): RouteDecision {
 		const view = state.pendingPermitTarget && this.#parts.targets.get(state.pendingPermitTarget, now);
-		const residencyForbids = decision.type === 'refuse' && decision.refusal.result === 'residency';
-		if (!view || residencyForbids || view.announcement.state !== 'serving') {
+		if (view?.announcement.state !== 'serving' || !residencyAllows({req: state.req, settings}, this.#parts.region)) {
 			return decision;
 		}
 
--- a/src/core/attempts/route-chooser.ts
+++ b/src/core/attempts/route-chooser.ts
@@ -1,5 +1,6 @@
 import type {Millis} from '../ids/millis.ts';
 import type {TargetId} from '../ids/target-id.ts';
+import {residencyAllows} from '../routing/residency-allows.ts';
 import type {RouteDecision} from '../routing/route-decision.ts';
 import type {RouteSettings} from '../settings/route-settings.ts';
 import type {TargetView} from '../targets/target-view.ts';
@@ -21,7 +22,8 @@
 	/** Decides where a request goes. `alone` excludes targets that run another suspect or may have crashed. */
 	choose(state: RequestState, settings: RouteSettings, context: {alone: boolean; remoteBytesLastSecond: number; waiting: number}, now: Millis): RouteDecision {
 		const {router, region} = this.#parts;
-		if (state.req.forwardedBy && !this.#residencyAllowsThisRegion(state, settings)) {
+		// The region that receives a forwarded request checks residency again, under its own settings.
+		if (state.req.forwardedBy && !residencyAllows({req: state.req, settings}, region)) {
 			return {type: 'refuse', refusal: {result: 'residency', ran: 'no'}};
 		}
 
@@ -99,14 +101,6 @@
 			isTried(state, view) || unavailable.has(view.targetId) || !mayResumeOn(state, view));
 		return new Set(excluded.map(view => view.targetId));
 	}
-
-	/** The region that receives a forwarded request checks residency again, under its own settings. */
-	#residencyAllowsThisRegion(state: RequestState, settings: RouteSettings): boolean {
-		const {region} = this.#parts;
-		const byRequest = state.req.residency?.includes(region) ?? true;
-		const bySettings = settings.residency?.includes(region) ?? true;
-		return byRequest && bySettings;
-	}
 }
 
 /** True if the request was tried on this incarnation of the target, or a later one. */
--- a/src/core/routing/remote-region-step.ts
+++ b/src/core/routing/remote-region-step.ts
@@ -5,7 +5,7 @@
 import {ForwardingHistory} from './forwarding-history.ts';
 import {objective} from './objective.ts';
 import {predictRemoteWork} from './predict-remote-work.ts';
-import {ResidencyStep} from './residency-step.ts';
+import {residencyAllows} from './residency-allows.ts';
 import type {RouteDecision} from './route-decision.ts';
 import type {RouteQuery} from './route-query.ts';
 import type {RoutingContext} from './routing-context.ts';
@@ -83,7 +83,7 @@
 	#candidate(view: RegionView, query: RouteQuery, history: ForwardingHistory): RemoteCandidate | undefined {
 		const summary = this.#summary(view, query);
 		history.observe(view, summary !== undefined, query.now);
-		if (!summary || query.tried.regions.has(view.region) || !ResidencyStep.allows(query, view.region)) {
+		if (!summary || query.tried.regions.has(view.region) || !residencyAllows(query, view.region)) {
 			return undefined;
 		}
 
