test(attempts): suspects that no region may serve wait instead of being refused

Cause: the chooser makes a refusal into a wait while a target is reserved; seen while the pending permits of suspects were examined.

--- a/test/core/attempts/narrowed-residency.test.ts
+++ b/test/core/attempts/narrowed-residency.test.ts
@@ -50,6 +50,12 @@
 	t.deepEqual(narrow(harness, [otherRegion]), []);
 });
 
+test('a suspect that residency forbids in every region is refused at once, although its target is reserved', t => {
+	const harness = startSuspect({otherRegionServes: false});
+	t.deepEqual(narrow(harness, [otherRegion]), []);
+	t.like(harness.refusal('r1'), {result: 'residency', ran: 'no'});
+});
+
 test('a suspect with a pending permit keeps its target while residency allows its region', t => {
 	const harness = startSuspect({otherRegionServes: true});
 	harness.targets.add('engine-0');
