fix(attempts): a suspect that no region may serve is refused at once

Callers saw: a request that residency forbids in every region waited, up to its deadline, while other suspects had reserved targets of its service. Cause: the chooser makes each refusal of a suspect into a wait while a target is reserved, also one for residency, which a free target does not change. Evidence: narrowed-residency failed each time. Change: refusals for residency stand. Result: narrowed-residency passes; core/attempts passes (45).

--- a/src/core/attempts/route-chooser.ts
+++ b/src/core/attempts/route-chooser.ts
@@ -50,7 +50,7 @@
 			return {type: 'refuse', refusal: {result: 'hopLimit', ran: 'no'}};
 		}
 
-		const mayWait = context.alone && decision.type === 'refuse' && this.#mayBecomeAvailable(state, targets, now);
+		const mayWait = context.alone && decision.type === 'refuse' && decision.refusal.result !== 'residency' && this.#mayBecomeAvailable(state, targets, now);
 		return mayWait ? {type: 'wait', predictedMs: 0} : decision;
 	}
 
