fix(server): claims and answers are kept in a home region that residency allows

Callers saw: nothing; the answer of a request bound to a region was kept in another one, for up to answerKeepMs (24 h). Cause: the home region was that of the key, else of the route, without regard to the residency of the other; the validator compares a key with its own node only. Change: the first of the two that the residency of both allows; if there is none, a request that needs a claim is refused as `residency`. The choice depends on settings only, so every entry picks the same one. Where it differs from before, claims of the old home are not known at the new one, as after a change of homeRegion (PROOFS); entries of the old build beside new ones pick the old home. The validator is not changed: it is part of the replicated state, so members would decide committed changes differently.

--- a/src/core/settings/request-info.ts
+++ b/src/core/settings/request-info.ts
@@ -19,8 +19,9 @@
 	/** Regions that both the route and the caller's key allow; undefined allows all. */
 	readonly residency?: readonly Region[];
 	/**
-	 * Region that keeps the request's claim: the caller's home region, else the route's, else the entry's own region.
-	 * Without the first two, a request that may not be repeated is refused, unless it was forwarded.
+	 * Region that keeps the request's claim and answer: the caller's home region, else the route's, if residency allows
+	 * it, else the entry's own region. Without one of the first two, a request that may not be repeated is refused,
+	 * unless it was forwarded.
 	 */
 	readonly homeRegion: Region;
 	readonly promptTokens: number;
--- a/src/server/request-reader.ts
+++ b/src/server/request-reader.ts
@@ -4,6 +4,7 @@
 import type {NodeId} from '../core/ids/node-id.ts';
 import type {Region} from '../core/ids/region.ts';
 import {toId} from '../core/ids/to-id.ts';
+import type {Refusal} from '../core/results/refusal.ts';
 import type {RequestInfo} from '../core/settings/request-info.ts';
 import type {RoutePath} from '../core/settings/route-path.ts';
 import type {RouteSettings} from '../core/settings/route-settings.ts';
@@ -27,6 +28,17 @@
 /** Largest number of messages of a prompt that are told apart; long conversations differ in their first ones. */
 const maxPromptParts = 32;
 
+const noHomeRegion: Refusal = {
+	result: 'ledgerUnavailable',
+	ran: 'maybe',
+	detail: 'Neither the caller key nor the route has a homeRegion; set one in the tree.',
+};
+const excludedHomeRegion: Refusal = {
+	result: 'residency',
+	ran: 'maybe',
+	detail: 'The residency of the caller key and the route excludes their homeRegion; set one within it in the tree.',
+};
+
 type RequestReaderOptions = {
 	readonly self: {readonly nodeId: string; readonly region: string};
 	readonly tree: () => SettingsTree;
@@ -53,7 +65,8 @@
 			throw new RequestError({result: 'unknownRoute', ran: 'no', detail: `There is no route ${path.firm}/${path.deployment}/${path.service}/${path.route}.`});
 		}
 
-		const homeRegion = this.#homeRegion(caller, settings, forwarded !== undefined);
+		const residency = intersectRestrictions(settings.residency, caller.key.residency);
+		const homeRegion = this.#homeRegion(caller, {settings, residency}, forwarded !== undefined);
 		const body = await readBodyOrRefuse(req, settings.maxBodyBytes);
 		const kind = destination.service === undefined ? 'completion' : 'call';
 		const chat = kind === 'completion' ? parseChatBody(body) : undefined;
@@ -66,7 +79,7 @@
 			kind,
 			streamed: chat?.streamed ?? false,
 			model: settings.model ?? chat?.model,
-			residency: intersectRestrictions(settings.residency, caller.key.residency),
+			residency,
 			homeRegion,
 			promptTokens: Math.ceil(prompt.length / constants.charactersPerToken),
 			prefixBlocks: prefixBlocks(prompt),
@@ -87,20 +100,17 @@
 	}
 
 	/**
-	 * Region that keeps the request's claim. A request that must not run twice needs one in the tree:
-	 * without it, a retry through another region could run again.
+	 * Region that keeps the request's claim and answer: the first home region that residency allows. A request that
+	 * must not run twice needs one in the tree: without it, a retry through another region could run again.
 	 */
-	#homeRegion(caller: Caller, settings: RouteSettings, forwarded: boolean): Region {
-		const homeRegion = caller.key.homeRegion ?? settings.homeRegion;
-		if (homeRegion === undefined && !settings.repeatable && !forwarded) {
-			throw new RequestError({
-				result: 'ledgerUnavailable',
-				ran: 'maybe',
-				detail: 'Neither the caller key nor the route has a homeRegion; set one in the tree.',
-			});
+	#homeRegion(caller: Caller, {settings, residency}: {settings: RouteSettings; residency?: readonly Region[]}, forwarded: boolean): Region {
+		const homeRegions = [caller.key.homeRegion, settings.homeRegion].filter(region => region !== undefined);
+		const allowed = homeRegions.find(region => residency?.includes(region) ?? true);
+		if (allowed === undefined && !settings.repeatable && !forwarded) {
+			throw new RequestError(homeRegions.length === 0 ? noHomeRegion : excludedHomeRegion);
 		}
 
-		return homeRegion ?? toId(this.#options.self.region);
+		return allowed ?? toId(this.#options.self.region);
 	}
 
 	#authenticate(req: IncomingMessage): Caller {
