test(server): the list of entries ignores the residency of the caller key

Change: callers with keys of one residency, of none, and of one beside that of their deployment ask an entry that knows entries of three regions.

--- a/test/server/http-interface.test.ts
+++ b/test/server/http-interface.test.ts
@@ -1,4 +1,5 @@
 import {connect} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
 import {request} from 'undici';
 import {sha256} from '../../src/server/sha256.ts';
@@ -10,9 +11,18 @@
 const spec = makeInstallationSpec({
 	entriesPerRegion: 1,
 	proxies: false,
-	operations: [{
-		op: 'set', path: 'prairie', key: `callerKeys/${sha256('no-home')}`, value: {organisation: 'no-home'},
-	}],
+	operations: [
+		{
+			op: 'set', path: 'prairie', key: `callerKeys/${sha256('no-home')}`, value: {organisation: 'no-home'},
+		},
+		{op: 'create', path: 'prairie/annex'},
+		{
+			op: 'set', path: 'prairie/annex', key: 'residency', value: ['regina-a', 'winnipeg-a'],
+		},
+		{
+			op: 'set', path: 'prairie/annex', key: `callerKeys/${sha256('annex')}`, value: {organisation: 'annex', residency: ['saskatoon-a', 'winnipeg-a']},
+		},
+	],
 });
 const entry = spec.nodes[0]!;
 let launcher: Launcher;
@@ -79,6 +89,28 @@
 	t.regex(problem.detail, /homeRegion/v);
 });
 
+/** Regions of the entries that a caller with the key is given; without a key, those of all entries that the node knows. */
+async function listedRegions(key?: string): Promise<readonly string[]> {
+	const res = await request(url('/v1/entries'), {headers: key === undefined ? {} : {authorization: `Bearer ${key}`}});
+	const {entries} = await res.body.json() as {entries: ReadonlyArray<{region: string}>};
+	return [...new Set(entries.map(({region}) => region))].sort();
+}
+
+test('the list of entries has none outside the residency of the caller key', async t => {
+	const regions = ['regina-a', 'saskatoon-a', 'winnipeg-a'];
+	let known = await listedRegions();
+	for (let tries = 0; known.length < regions.length && tries < 100; tries++) {
+		await delay(100); // eslint-disable-line no-await-in-loop
+		known = await listedRegions(); // eslint-disable-line no-await-in-loop
+	}
+
+	t.deepEqual(known, regions);
+	t.deepEqual(await listedRegions('regina-a-home'), regions, 'the key has no residency');
+	t.deepEqual(await listedRegions('regina-a-bound'), ['regina-a']);
+	t.deepEqual(await listedRegions('winnipeg-a-bound'), ['winnipeg-a']);
+	t.deepEqual(await listedRegions('annex'), ['winnipeg-a'], 'the deployment and the key both have one');
+});
+
 test('operator endpoints need an operator key', async t => {
 	for (const path of ['/v1/tree', '/v1/history', '/v1/status', '/v1/targets']) {
 		const res = await request(url(path)); // eslint-disable-line no-await-in-loop
