fix(server): the list of entries keeps to the residency of the caller key

Callers saw: a client whose key is bound to one region was given entries of other regions, and could send its prompts there. Cause: the list took the residency of the tree node that has the key, not that of the key. Change: both are intersected, by the function that the request reader used.

--- a/src/core/gateway-core.ts
+++ b/src/core/gateway-core.ts
@@ -1,5 +1,6 @@
 import type {Action} from './actions.ts';
 import {ActionQueue} from './action-queue.ts';
+import {intersectRestrictions} from './common/intersect-restrictions.ts';
 import type {EntryListing} from './entries/entry-listing.ts';
 import {listEntries} from './entries/list-entries.ts';
 import type {CoreEvent} from './events.ts';
@@ -72,8 +73,8 @@
 		return this.#parts.targets.all(now);
 	}
 
-	/** Lists entries for a caller; `path` is the settings tree node of the caller's key, whose residency limits the regions. */
-	entries(query: {zone?: Zone; path?: string}, now: Millis): readonly EntryListing[] {
+	/** Lists entries for a caller; `path` is the settings tree node of the caller's key, whose residency limits the regions beside `residency`, that of the key. */
+	entries(query: {zone?: Zone; path?: string; residency?: readonly Region[]}, now: Millis): readonly EntryListing[] {
 		const {membership} = this.#parts;
 		const remoteEntries = membership.regions(now)
 			.filter(view => view.region !== this.#options.self.region && view.reachable)
@@ -86,7 +87,7 @@
 			region: this.#options.self.region,
 			nodes: membership.nodes(),
 			remoteEntries,
-			residency: query.path === undefined ? undefined : this.tree.resolve(query.path)?.residency,
+			residency: intersectRestrictions(query.path === undefined ? undefined : this.tree.resolve(query.path)?.residency, query.residency),
 		});
 	}
 
--- a/src/server/caller-api.ts
+++ b/src/server/caller-api.ts
@@ -49,14 +49,14 @@
 		await this.#serve(req, res, {service, targetPath});
 	}
 
-	/** Lists the entries that callers may use. A key is optional; with one, the list is for the key's path in the tree. */
+	/** Lists the entries that callers may use. A key is optional; with one, the list is for the key's residency and path in the tree. */
 	entries(req: IncomingMessage, res: ServerResponse, url: URL): void {
 		const {node, runner} = this.#options;
 		const caller = node.tree.callerKey(sha256(bearerKey(req)));
 		const zone = url.searchParams.get('zone');
 		sendJson(res, {
 			ttlMs: constants.entriesTtlMs,
-			entries: node.entries({zone: zone ? toId<Zone>(zone) : undefined, path: caller?.path}, runner.now()),
+			entries: node.entries({zone: zone ? toId<Zone>(zone) : undefined, path: caller?.path, residency: caller?.key.residency}, runner.now()),
 		});
 	}
 
--- a/src/server/gateway-node.ts
+++ b/src/server/gateway-node.ts
@@ -3,6 +3,7 @@
 import type {CoreEvent} from '../core/events.ts';
 import type {Millis} from '../core/ids/millis.ts';
 import type {NodeId} from '../core/ids/node-id.ts';
+import type {Region} from '../core/ids/region.ts';
 import type {Zone} from '../core/ids/zone.ts';
 import type {NodeInfo} from '../core/membership/node-info.ts';
 import type {NodeStatus} from '../core/node-status.ts';
@@ -19,7 +20,7 @@
 	inFlight(): number;
 	status(now: Millis): NodeStatus;
 	targets(now: Millis): readonly TargetView[];
-	entries(query: {zone?: Zone; path?: string}, now: Millis): readonly EntryListing[];
+	entries(query: {zone?: Zone; path?: string; residency?: readonly Region[]}, now: Millis): readonly EntryListing[];
 	/** Starts a membership change of the settings log if this node is its leader; otherwise refuses with the leader's address, if known. */
 	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): {type: 'started'} | {type: 'refused'; leader?: string};
 	/** Accepts the loss of claims, by decision of an operator; false if this node does not wait for that decision. */
--- a/src/server/request-reader.ts
+++ b/src/server/request-reader.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {intersectRestrictions} from '../core/common/intersect-restrictions.ts';
 import type {Millis} from '../core/ids/millis.ts';
 import type {NodeId} from '../core/ids/node-id.ts';
 import type {Region} from '../core/ids/region.ts';
@@ -222,12 +223,3 @@
 	const requestedPriority = Number(header(req, 'lovageferry-priority') ?? Number.NaN);
 	return Number.isInteger(requestedPriority) && requestedPriority >= routePriority && requestedPriority <= 9 ? requestedPriority : routePriority;
 }
-
-/** Intersects two lists of allowed values; undefined means no restriction. */
-function intersectRestrictions<Item>(left?: readonly Item[], right?: readonly Item[]): readonly Item[] | undefined {
-	if (!left || !right) {
-		return left ?? right;
-	}
-
-	return left.filter(item => right.includes(item));
-}
