--- a/bench/policy-load.ts
+++ b/bench/policy-load.ts
@@ -101,6 +101,7 @@
 			...parts,
 			requestId: toId(`r${this.#count}`),
 			organisation: toId(`o${from.region}-${from.organisation}`),
+			callerKey: `key-of-o${from.region}-${from.organisation}`,
 			organisationWeight: 1,
 			streamed: true,
 			homeRegion: toId(this.#deployment.regions[from.region]!.name),
--- a/src/core/settings/request-info.ts
+++ b/src/core/settings/request-info.ts
@@ -10,6 +10,8 @@
 	readonly requestId: RequestId;
 	readonly path: RoutePath;
 	readonly organisation: OrganisationId;
+	/** SHA-256 of the caller's key, in hexadecimal, under which the tree has it. */
+	readonly callerKey: string;
 	/** Weight of the organisation in fair queueing. */
 	readonly organisationWeight: number;
 	/** `completion`: an engine generates tokens; `call`: a plain service responds. */
--- a/src/server/request-reader.ts
+++ b/src/server/request-reader.ts
@@ -23,7 +23,7 @@
 import {sha256} from './sha256.ts';
 
 type CallerKey = RouteSettings['callerKeys'][string];
-type Caller = {readonly path: string; readonly key: CallerKey};
+type Caller = {readonly path: string; readonly key: CallerKey; readonly sha256: string};
 
 const maxIdempotencyKeyCharacters = 256;
 /** Largest number of messages of a prompt that are told apart; long conversations differ in their first ones. */
@@ -76,6 +76,7 @@
 			requestId: toId(randomUUID()),
 			path,
 			organisation: toId(caller.key.organisation),
+			callerKey: caller.sha256,
 			organisationWeight: caller.key.weight ?? 1,
 			kind,
 			streamed: chat?.streamed ?? false,
@@ -116,12 +117,13 @@
 
 	#authenticate(req: IncomingMessage): Caller {
 		const key = bearerKey(req);
-		const caller = key === '' ? undefined : this.#options.tree().callerKey(sha256(key));
+		const digest = sha256(key);
+		const caller = key === '' ? undefined : this.#options.tree().callerKey(digest);
 		if (!caller) {
 			throw new RequestError({result: 'unauthenticated', ran: 'no'});
 		}
 
-		return caller;
+		return {...caller, sha256: digest};
 	}
 
 	#routePath(req: IncomingMessage, caller: Caller, service?: string): RoutePath {
