test(attempts): waiting requests start in regions that their caller key forbids meanwhile

Cause: the residency of the route is read at each decision, that of the key only on arrival. Change: a key is narrowed to another region while its request is queued. The fake tree has caller keys.

--- a/test/core/attempts/narrowed-residency.test.ts
+++ b/test/core/attempts/narrowed-residency.test.ts
@@ -11,6 +11,7 @@
 const ownRegion = toId<Region>('regina-a');
 const otherRegion = toId<Region>('saskatoon-a');
 const otherEntry = 'entry-5';
+const callerKey = 'a'.repeat(64);
 /** Penalty with which requests stay in their region as long as it is allowed, in milliseconds. */
 const awayPenaltyMs = 10_000;
 
@@ -35,9 +36,27 @@
 	harness.tree.settings.set(route, routeSettingsFixture({awayPenaltyMs, residency}));
 	harness.poison.permitted = true;
 	harness.advance(200);
-	return harness.starts('r1').map(({targetId, forwardTo}) => String(targetId ?? forwardTo));
+	return startsOf(harness, 'r1');
 }
 
+/** Targets and entries to which the attempts of a request went. */
+function startsOf(harness: CoordinatorHarness, requestId: string): readonly string[] {
+	return harness.starts(requestId).map(({targetId, forwardTo}) => String(targetId ?? forwardTo));
+}
+
+test('a request that waits does not start in a region that the residency of its caller key forbids meanwhile', t => {
+	const harness = new CoordinatorHarness({settings: {awayPenaltyMs, targetConcurrency: 1}, router: new PipelineRouter({random: new SeededRandom(1)})});
+	harness.targets.add('engine-1');
+	harness.membership.addRegion(otherRegion, {[otherEntry]: 1}, {services: regionViewFixture(otherRegion).services});
+	harness.tree.callerKeys.set(callerKey, {organisation: 'clerks'});
+	const first = harness.request('r1', {callerKey})!;
+	harness.request('r2', {callerKey});
+	t.deepEqual(harness.starts('r2'), []);
+	harness.tree.callerKeys.set(callerKey, {organisation: 'clerks', residency: [otherRegion]});
+	harness.end(first.attemptId);
+	t.deepEqual(startsOf(harness, 'r2'), [otherEntry]);
+});
+
 test('a suspect with a pending permit does not start in a region that residency forbids meanwhile', t => {
 	const harness = startSuspect({otherRegionServes: true});
 	t.deepEqual(harness.starts('r1'), []);
