fix(attempts): the residency of the caller key is read again while a request waits

Callers saw: a request ran in a region that its key's residency, narrowed while it waited, forbids. Cause: the residency of the key was taken on arrival only. Evidence: narrowed-residency failed each time. Change: the dispatcher narrows the route's residency by that of the key as the tree has it at each decision. A key that is unset while its request waits does not end the request.

--- a/src/core/attempts/request-dispatcher.ts
+++ b/src/core/attempts/request-dispatcher.ts
@@ -1,3 +1,4 @@
+import {intersectRestrictions} from '../common/intersect-restrictions.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {TargetId} from '../ids/target-id.ts';
@@ -65,7 +66,7 @@
 	/** The decision that the router would make for the request now, without carrying it out. */
 	preview(state: RequestState, settings: RouteSettings, now: Millis): RouteDecision {
 		const alone = classifyRequest(this.#parts.poison, state.req, now).type === 'alone';
-		return this.#decide(state, settings, alone, now);
+		return this.#decide(state, this.#narrowToCaller(state, settings), alone, now);
 	}
 
 	/** Dispatches waiting requests of a service in queue order, skipping up to `maxSkipped` that cannot be dispatched now. */
@@ -89,12 +90,13 @@
 
 	/** Decides where a request goes; refuses it and returns nothing if it may not run at all. */
 	#choose(state: RequestState, now: Millis): Choice | undefined {
-		const settings = this.#parts.tree().route(state.req.path);
-		if (!settings) {
+		const routeSettings = this.#parts.tree().route(state.req.path);
+		if (!routeSettings) {
 			this.#refuse(state, {result: 'unknownRoute'}, now);
 			return;
 		}
 
+		const settings = this.#narrowToCaller(state, routeSettings);
 		const classification = classifyRequest(this.#parts.poison, state.req, now);
 		if (classification.type === 'refused') {
 			this.#refuse(state, {result: 'poison', retryAfterMs: classification.retryAfterMs}, now);
@@ -106,6 +108,12 @@
 		return {settings, alone, decision: alone ? this.#keepPendingPermitTarget(state, settings, decision, now) : decision};
 	}
 
+	/** Narrows the route's residency by that of the caller's key, which may have changed since the request arrived. */
+	#narrowToCaller(state: RequestState, settings: RouteSettings): RouteSettings {
+		const caller = this.#parts.tree().callerKey(state.req.callerKey);
+		return caller?.key.residency ? {...settings, residency: intersectRestrictions(settings.residency, caller.key.residency)} : settings;
+	}
+
 	/** Keeps a request with the target for which its permit is pending, as long as that target serves and residency allows this region. */
 	#keepPendingPermitTarget(state: RequestState, settings: RouteSettings, decision: RouteDecision, now: Millis): RouteDecision {
 		const view = state.pendingPermitTarget && this.#parts.targets.get(state.pendingPermitTarget, now);
--- a/src/core/settings/request-info.ts
+++ b/src/core/settings/request-info.ts
@@ -18,7 +18,7 @@
 	readonly kind: 'completion' | 'call';
 	readonly streamed: boolean;
 	readonly model?: string;
-	/** Regions that both the route and the caller's key allow; undefined allows all. */
+	/** Regions that both the route and the caller's key allowed on arrival; undefined allows all. */
 	readonly residency?: readonly Region[];
 	/**
 	 * Region that keeps the request's claim and answer: the caller's home region, else the route's, if residency allows
