test(attempts): answers are stored in home regions that residency forbids meanwhile

Cause: the home region is chosen on arrival; its residency is not looked at when the answer is kept. Change: residency is narrowed while a claimed request runs, with and without its home region.

--- a/test/core/attempts/narrowed-residency.test.ts
+++ b/test/core/attempts/narrowed-residency.test.ts
@@ -57,6 +57,18 @@
 	t.deepEqual(startsOf(harness, 'r2'), [otherEntry]);
 });
 
+test('an answer is not stored in a home region that residency forbids meanwhile', t => {
+	for (const {residency, stored} of [{residency: [otherRegion], stored: false}, {residency: [ownRegion, otherRegion], stored: true}]) {
+		const harness = new CoordinatorHarness({settings: {repeatable: false}});
+		harness.targets.add('engine-1');
+		harness.request('r1', {idempotencyKey: 'order-7', homeRegion: ownRegion});
+		harness.resolveClaim('r1', {type: 'granted'});
+		harness.tree.settings.set(route, routeSettingsFixture({repeatable: false, residency}));
+		harness.end(harness.lastStart('r1')!.attemptId);
+		t.deepEqual(harness.ledger.settled.map(({as, answer}) => ({as, stored: answer !== undefined})), [{as: 'done', stored}]);
+	}
+});
+
 test('a suspect with a pending permit does not start in a region that residency forbids meanwhile', t => {
 	const harness = startSuspect({otherRegionServes: true});
 	t.deepEqual(harness.starts('r1'), []);
