fix(attempts): answers are not stored in a home region that residency forbids meanwhile

Callers saw: nothing; after residency was narrowed, the answer of a request that ran then was kept in a region outside it, for up to answerKeepMs (24 h). Cause: the home region is chosen on arrival, and not looked at again. Evidence: narrowed-residency failed each time. Change: such a claim is ended as done without its answer; a resend is told that it may have run. currentSettings is the one place that joins the route's residency with the key's of now; recovery uses it too. Result: narrowed-residency passes; core/attempts and claim-home-residency pass (52).

--- a/src/core/attempts/request-coordinator.ts
+++ b/src/core/attempts/request-coordinator.ts
@@ -6,11 +6,13 @@
 import type {StoredAnswer} from '../ledger/stored-answer.ts';
 import type {Refusal} from '../results/refusal.ts';
 import type {ResultName} from '../results/result-name.ts';
+import {residencyAllows} from '../routing/residency-allows.ts';
 import type {RequestInfo} from '../settings/request-info.ts';
 import type {RouteSettings} from '../settings/route-settings.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import {AttemptRunner} from './attempt-runner.ts';
 import {ClaimTracker} from './claim-tracker.ts';
+import {currentSettings} from './current-settings.ts';
 import {defaultRetryAfterMs} from './default-retry-after-ms.ts';
 import type {CoordinatorOptions} from './coordinator-options.ts';
 import {createRequestState} from './create-request-state.ts';
@@ -125,7 +127,7 @@
 		const state = this.#requests.get(attempt.requestId)!;
 		this.#runner.progress(attempt, end, now);
 		this.#runner.complete(state, attempt, now);
-		this.#claims.settleAnswered(state, end.answer, now);
+		this.#claims.settleAnswered(state, this.#homeRegionAllowed(state) ? end.answer : undefined, now);
 		this.#parts.outbox.count('answers', state.req.kind);
 		this.#parts.emit({type: 'complete', requestId: state.req.requestId, attemptId});
 		this.#requests.delete(state.req.requestId);
@@ -195,6 +197,12 @@
 		return this.#runner.remoteBytesLastSecond(now);
 	}
 
+	/** False if residency was narrowed so that it excludes the home region that the request had on arrival. */
+	#homeRegionAllowed({req}: RequestState): boolean {
+		const settings = currentSettings(req, this.#parts.tree());
+		return settings === undefined || residencyAllows({req, settings}, req.homeRegion);
+	}
+
 	#admit(state: RequestState, settings: RouteSettings, now: Millis): void {
 		const {req} = state;
 		if (this.#draining) {
--- a/src/core/attempts/request-dispatcher.ts
+++ b/src/core/attempts/request-dispatcher.ts
@@ -1,4 +1,3 @@
-import {intersectRestrictions} from '../common/intersect-restrictions.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {TargetId} from '../ids/target-id.ts';
@@ -9,6 +8,7 @@
 import type {AttemptRunner} from './attempt-runner.ts';
 import type {CoordinatorOptions} from './coordinator-options.ts';
 import {classifyRequest} from './classify-request.ts';
+import {currentSettings} from './current-settings.ts';
 import {pickEntry} from './pick-entry.ts';
 import type {RequestState} from './request-state.ts';
 import {RouteChooser} from './route-chooser.ts';
@@ -66,7 +66,7 @@
 	/** The decision that the router would make for the request now, without carrying it out. */
 	preview(state: RequestState, settings: RouteSettings, now: Millis): RouteDecision {
 		const alone = classifyRequest(this.#parts.poison, state.req, now).type === 'alone';
-		return this.#decide(state, this.#narrowToCaller(state, settings), alone, now);
+		return this.#decide(state, settings, alone, now);
 	}
 
 	/** Dispatches waiting requests of a service in queue order, skipping up to `maxSkipped` that cannot be dispatched now. */
@@ -90,13 +90,12 @@
 
 	/** Decides where a request goes; refuses it and returns nothing if it may not run at all. */
 	#choose(state: RequestState, now: Millis): Choice | undefined {
-		const routeSettings = this.#parts.tree().route(state.req.path);
-		if (!routeSettings) {
+		const settings = currentSettings(state.req, this.#parts.tree());
+		if (!settings) {
 			this.#refuse(state, {result: 'unknownRoute'}, now);
 			return;
 		}
 
-		const settings = this.#narrowToCaller(state, routeSettings);
 		const classification = classifyRequest(this.#parts.poison, state.req, now);
 		if (classification.type === 'refused') {
 			this.#refuse(state, {result: 'poison', retryAfterMs: classification.retryAfterMs}, now);
@@ -108,12 +107,6 @@
 		return {settings, alone, decision: alone ? this.#keepPendingPermitTarget(state, settings, decision, now) : decision};
 	}
 
-	/** Narrows the route's residency by that of the caller's key, which may have changed since the request arrived. */
-	#narrowToCaller(state: RequestState, settings: RouteSettings): RouteSettings {
-		const caller = this.#parts.tree().callerKey(state.req.callerKey);
-		return caller?.key.residency ? {...settings, residency: intersectRestrictions(settings.residency, caller.key.residency)} : settings;
-	}
-
 	/** Keeps a request with the target for which its permit is pending, as long as that target serves and residency allows this region. */
 	#keepPendingPermitTarget(state: RequestState, settings: RouteSettings, decision: RouteDecision, now: Millis): RouteDecision {
 		const view = state.pendingPermitTarget && this.#parts.targets.get(state.pendingPermitTarget, now);
--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -9,6 +9,7 @@
 import {defaultRetryAfterMs} from './default-retry-after-ms.ts';
 import type {CoordinatorOptions} from './coordinator-options.ts';
 import {isConnectionBroken} from './is-connection-broken.ts';
+import {currentSettings} from './current-settings.ts';
 import type {RequestDispatcher} from './request-dispatcher.ts';
 import type {RequestState} from './request-state.ts';
 import {softwareVersionOf} from './software-version-of.ts';
@@ -46,7 +47,7 @@
 	/** Retries or resumes the request of a failed attempt, or gives it up. */
 	attemptFailed(state: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Millis): void {
 		this.#runner.fail(state, attempt, failure, now);
-		const settings = this.#parts.tree().route(state.req.path);
+		const settings = currentSettings(state.req, this.#parts.tree());
 		if (!settings) {
 			this.#options.refuse(state, {result: 'unknownRoute'}, now);
 			return;
@@ -101,7 +102,7 @@
 
 	/** Cancels an attempt without a first byte if another target is predicted to answer before the deadline. */
 	#failOverSlow(state: RequestState, now: Millis): void {
-		const settings = this.#parts.tree().route(state.req.path);
+		const settings = currentSettings(state.req, this.#parts.tree());
 		if (!settings?.repeatable || state.attempts >= settings.maxAttempts) {
 			return;
 		}
@@ -118,7 +119,7 @@
 	/** Fails over an attempt whose destination is lost, or out of reach; without an alternative it continues, in case its answer still arrives. */
 	#failOverLost(attempt: AttemptState, reason: AttemptFailure['reason'], now: Millis): void {
 		const state = this.#options.findRequest(attempt.requestId)!;
-		const settings = this.#parts.tree().route(state.req.path);
+		const settings = currentSettings(state.req, this.#parts.tree());
 		if (!settings) {
 			return;
 		}
