--- a/src/core/attempts/request-dispatcher.ts
+++ b/src/core/attempts/request-dispatcher.ts
@@ -2,11 +2,13 @@
 import type {RequestId} from '../ids/request-id.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Refusal} from '../results/refusal.ts';
+import {residencyAllows} from '../routing/residency-allows.ts';
 import type {RouteDecision} from '../routing/route-decision.ts';
 import type {RouteSettings} from '../settings/route-settings.ts';
 import type {AttemptRunner} from './attempt-runner.ts';
 import type {CoordinatorOptions} from './coordinator-options.ts';
 import {classifyRequest} from './classify-request.ts';
+import {currentSettings} from './current-settings.ts';
 import {pickEntry} from './pick-entry.ts';
 import type {RequestState} from './request-state.ts';
 import {RouteChooser} from './route-chooser.ts';
@@ -88,7 +90,7 @@
 
 	/** Decides where a request goes; refuses it and returns nothing if it may not run at all. */
 	#choose(state: RequestState, now: Millis): Choice | undefined {
-		const settings = this.#parts.tree().route(state.req.path);
+		const settings = currentSettings(state.req, this.#parts.tree());
 		if (!settings) {
 			this.#refuse(state, {result: 'unknownRoute'}, now);
 			return;
@@ -102,14 +104,13 @@
 
 		const alone = classification.type === 'alone';
 		const decision = this.#decide(state, settings, alone, now);
-		return {settings, alone, decision: alone ? this.#keepPendingPermitTarget(state, decision, now) : decision};
+		return {settings, alone, decision: alone ? this.#keepPendingPermitTarget(state, settings, decision, now) : decision};
 	}
 
-	/** Keeps a request with the target for which its permit is pending, as long as that target serves. */
-	#keepPendingPermitTarget(state: RequestState, decision: RouteDecision, now: Millis): RouteDecision {
+	/** Keeps a request with the target for which its permit is pending, as long as that target serves and residency allows this region. */
+	#keepPendingPermitTarget(state: RequestState, settings: RouteSettings, decision: RouteDecision, now: Millis): RouteDecision {
 		const view = state.pendingPermitTarget && this.#parts.targets.get(state.pendingPermitTarget, now);
-		const residencyForbids = decision.type === 'refuse' && decision.refusal.result === 'residency';
-		if (!view || residencyForbids || view.announcement.state !== 'serving') {
+		if (view?.suspension.remainingMs(now) !== 0 || !residencyAllows({req: state.req, settings}, this.#parts.region)) {
 			return decision;
 		}
 
--- a/src/core/settings/request-info.ts
+++ b/src/core/settings/request-info.ts
@@ -10,17 +10,20 @@
 	readonly requestId: RequestId;
 	readonly path: RoutePath;
 	readonly organisation: OrganisationId;
+	/** SHA-256 of the caller's key, in hexadecimal, under which the tree has it. */
+	readonly callerKey: string;
 	/** Weight of the organisation in fair queueing. */
 	readonly organisationWeight: number;
 	/** `completion`: an engine generates tokens; `call`: a plain service responds. */
 	readonly kind: 'completion' | 'call';
 	readonly streamed: boolean;
 	readonly model?: string;
-	/** Regions that both the route and the caller's key allow; undefined allows all. */
+	/** Regions that both the route and the caller's key allowed on arrival; undefined allows all. */
 	readonly residency?: readonly Region[];
 	/**
-	 * Region that keeps the request's claim: the caller's home region, else the route's, else the entry's own region.
-	 * Without the first two, a request that may not be repeated is refused, unless it was forwarded.
+	 * Region that keeps the request's claim and answer: the caller's home region, else the route's, if residency allows
+	 * it, else the entry's own region. Without one of the first two, a request that may not be repeated is refused,
+	 * unless it was forwarded.
 	 */
 	readonly homeRegion: Region;
 	readonly promptTokens: number;
