fix(edge): requests that wait keep to homes that a newer document sets

Cause: placement took the homes of the route as it was when the request arrived; a request that waits or is retried could be placed outside the homes in force. Evidence: narrowed-homes failed in two of three tests. Change: homesOf joins the homes of both documents, for targets of this region and for forwarding. Result: narrowed-homes passes; edge-core, cut-entries and placers pass (76).

--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -82,7 +82,7 @@
 			containment: this.#containment,
 			origins: this.#origins,
 			placement: new PlacementPolicy({
-				region: self.region, relayAddress: self.relayAddress, pool: this.#pool, regions: this.#regions, startup: this.#startup, random,
+				region: self.region, relayAddress: self.relayAddress, pool: this.#pool, regions: this.#regions, startup: this.#startup, table: () => this.#table, random,
 			}),
 			table: () => this.#table,
 			pool: this.#pool,
--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -2,8 +2,10 @@
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
 import {retryAfterPauseMs} from '../targets/retry-after-pause-ms.ts';
+import type {RouteTable} from '../routes/route-table.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import {rankLocalTargets} from './rank-local-targets.ts';
+import {homesOf} from './homes-of.ts';
 import {mayContinueAt} from './may-continue-at.ts';
 import type {PlacementCandidate} from './placement-candidate.ts';
 import type {PooledTarget} from './pooled-target.ts';
@@ -32,6 +34,8 @@
 	readonly pool: TargetPool;
 	readonly regions: RegionSelector;
 	readonly startup: StartupWait;
+	/** Routes in force. */
+	readonly table: () => RouteTable | undefined;
 	readonly random: Random;
 };
 
@@ -53,7 +57,7 @@
 
 	decide(record: RequestRecord, now: Millis): Placement {
 		const {regions} = this.#options;
-		const {req, route, service} = record;
+		const {req, service} = record;
 		const leftMs = record.deadlineAt - now - answerMarginMs;
 		const targets = this.#eligibleTargets(record, now);
 		const placer = this.#placer(record, now);
@@ -67,7 +71,7 @@
 		const mayForward = req.forwarded === undefined || req.forwarded.region === this.#options.region;
 		const [remote] = mayForward
 			? regions.candidates({
-				service, homes: route.homes, prompt: req.prompt, origin: record.origin, withOwn: req.forwarded === undefined && this.#options.pool.isCutOff(service, now),
+				service, homes: this.#homesOf(record), prompt: req.prompt, origin: record.origin, withOwn: req.forwarded === undefined && this.#options.pool.isCutOff(service, now),
 			}, now)
 			: [];
 		const remoteCostMs = remote === undefined ? Number.POSITIVE_INFINITY : remote.costMs + remoteRegionPenaltyMs;
@@ -136,9 +140,13 @@
 		return this.#mayStayHere(record) ? this.#options.pool.paused(record.service, now) : [];
 	}
 
-	/** True if this region is a home of the request's route, or the route has none. */
-	#mayStayHere({route: {homes}}: RequestRecord): boolean {
-		return homes.length === 0 || homes.includes(this.#options.region);
+	/** True if this region may serve the request. */
+	#mayStayHere(record: RequestRecord): boolean {
+		return this.#homesOf(record)?.includes(this.#options.region) ?? true;
+	}
+
+	#homesOf(record: RequestRecord): readonly Region[] | undefined {
+		return homesOf(record, this.#options.table());
 	}
 
 	/** Candidates among the targets for a request, the cheapest first. */
--- a/src/core/edge/region-selector.ts
+++ b/src/core/edge/region-selector.ts
@@ -34,7 +34,8 @@
 
 type CandidateQuery = {
 	readonly service: ServiceName;
-	readonly homes: readonly Region[];
+	/** Regions that may serve the request; undefined if all may. */
+	readonly homes: readonly Region[] | undefined;
 	readonly prompt?: Prompt;
 	readonly origin?: StreamOrigin;
 	/** @default false */
@@ -119,7 +120,7 @@
 		}
 
 		const candidates: RegionCandidate[] = [];
-		const allowed = this.#loads.filter(({region}) => (withOwn || region !== this.#ownRegion) && (homes.length === 0 || homes.includes(region)));
+		const allowed = this.#loads.filter(({region}) => (withOwn || region !== this.#ownRegion) && (homes?.includes(region) ?? true));
 		for (const {region, hasPlacers, relayAddresses, loads} of allowed) {
 			const load = loads.find(serviceLoad => serviceLoad.service === service);
 			const addresses = relayAddresses.filter(address => address !== this.#ownAddress && !this.#isAvoided(address, service, now));
