--- a/src/core/edge/answer-head.ts
+++ b/src/core/edge/answer-head.ts
@@ -1,4 +1,5 @@
 import type {SoftwareVersion} from '../ids/software-version.ts';
+import type {LeavingTarget} from './leaving-target.ts';
 import type {TargetLoad} from './target-load.ts';
 
 /** Status and headers of an answer that the core's decisions depend on. */
@@ -26,6 +27,8 @@
 	readonly retryAfterMs?: number;
 	/** True if the target says that it leaves. */
 	readonly leaving?: boolean;
+	/** In the answer of another entry: the incarnation of a target of this region that answers and says that it leaves. */
+	readonly leavingTarget?: LeavingTarget;
 	/** Names of headers whose values could not be read. */
 	readonly unreadableHeaders?: readonly string[];
 };
--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -22,7 +22,7 @@
 	readonly queue: ActionQueue<EdgeAction>;
 };
 
-type Destination = Pick<EdgeAction & {type: 'start'}, 'attempt' | 'address' | 'targetId'>;
+type Destination = Pick<EdgeAction & {type: 'start'}, 'attempt' | 'address' | 'targetId' | 'targetBorn'>;
 
 /** Starts attempts and tracks those in progress, with their load on targets and remote regions. */
 export class AttemptTracker {
@@ -58,7 +58,9 @@
 		record.running = {
 			attempt, sentAt: now, targetId, targetBorn: born, softwareVersion, predictedMs: startMs, lastProgressAt: now, events: 0,
 		};
-		this.#start(record, {attempt, address, targetId}, now);
+		this.#start(record, {
+			attempt, address, targetId, targetBorn: born,
+		}, now);
 	}
 
 	forward(record: RequestRecord, {region, address, startMs}: {region: Region; address: string; startMs: number}, now: Millis): void {
--- a/src/core/edge/edge-action.ts
+++ b/src/core/edge/edge-action.ts
@@ -19,6 +19,8 @@
 		readonly address: string;
 		/** Set for a target: the request names it, so that any other target at the address refuses the request with status 421. */
 		readonly targetId?: TargetId;
+		/** Start of the target's process. */
+		readonly targetBorn?: number;
 		/** Time left for the whole answer, in milliseconds. */
 		readonly deadlineMs: number;
 		/** Priority for the engine's own scheduling, 0 (most urgent) to 9. */
--- a/src/server/routes/relay-header.ts
+++ b/src/server/routes/relay-header.ts
@@ -1,3 +1,4 @@
+import type {LeavingTarget} from '../../core/edge/leaving-target.ts';
 import type {EdgeRequest} from '../../core/edge/edge-request.ts';
 import type {BegunStream} from '../../core/control/begun-stream.ts';
 import type {ServiceName} from '../../core/ids/service-name.ts';
@@ -14,11 +15,25 @@
 /** Header of an answer: software version of the target that answers. */
 const softwareVersionName = 'lovageferry-software-version';
 
+/** Header of an answer: id and start of the target that answers, if it says that it leaves. */
+const leavingTargetName = 'lovageferry-leaving-target';
+
 /** Headers that entries add to requests and answers between regions. */
 export const relayHeader = {
 	name,
 	refusedName,
 	softwareVersionName,
+	leavingTargetName,
+	/** Formats the value of the header `leavingTargetName`. */
+	writeLeavingTarget({targetId, born}: LeavingTarget): string {
+		return `${encodeURIComponent(targetId)};${born}`;
+	},
+	/** Parses the value of the header `leavingTargetName`; undefined if it is missing or malformed. */
+	readLeavingTarget(value: string | undefined): LeavingTarget | undefined {
+		const [targetId, start] = value?.split(';') ?? [];
+		const born = Number(start);
+		return targetId && start && Number.isSafeInteger(born) ? {targetId: toId(decodeHeaderText(targetId)), born} : undefined;
+	},
 	/** Formats the value of the header `name`. */
 	write({region, documentVersion, service, origin}: RelayedRequest): string {
 		const optional = [service ?? origin?.service, origin?.softwareVersion].filter(value => value !== undefined);
--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -29,6 +29,8 @@
 	readonly #options: TargetResponseReaderOptions;
 	#headers: readonly string[] = [];
 	#status = 0;
+	/** True if the target says that it leaves. */
+	#leaving = false;
 	#body: Buffer = Buffer.alloc(0);
 	#streaming = false;
 	#stopped = false;
@@ -44,9 +46,9 @@
 
 	/** Streams the answer to the caller from now on, starting with its head. */
 	startStreaming(softwareVersion: SoftwareVersion | undefined): void {
-		const {exchange, codec} = this.#options;
+		const {exchange} = this.#options;
 		this.#streaming = true;
-		const headers = codec.callerHeaders(this.#headers);
+		const headers = this.#callerHeaders();
 		if (exchange.edgeRequest.forwarded !== undefined && softwareVersion !== undefined) {
 			headers.push(relayHeader.softwareVersionName, encodeURIComponent(softwareVersion));
 		}
@@ -56,13 +58,13 @@
 
 	/** Ends the caller's stream, or sends the buffered answer. */
 	complete(): void {
-		const {exchange, codec} = this.#options;
+		const {exchange} = this.#options;
 		if (exchange.streaming) {
 			exchange.endStream();
 			return;
 		}
 
-		exchange.sendAnswer(this.#status, codec.callerHeaders(this.#headers), this.#body);
+		exchange.sendAnswer(this.#status, this.#callerHeaders(), this.#body);
 	}
 
 	/** Reads an answer to its end. */
@@ -73,6 +75,7 @@
 		this.#status = res.statusCode;
 		this.#headers = res.headers as unknown as string[];
 		const {head, key} = codec.readAnswer(res.statusCode, this.#headers);
+		this.#leaving = head.leaving ?? false;
 		if (key !== undefined && key !== exchange.head.key) {
 			step({type: 'attempt-failed', attempt, failure: {reason: 'foreign-answer', notSent: false}});
 			res.body.destroy();
@@ -95,6 +98,17 @@
 		}
 	}
 
+	/** Headers of the answer for the caller; an entry that forwarded the request is told which target leaves. */
+	#callerHeaders(): string[] {
+		const {action: {targetId, targetBorn}, exchange, codec} = this.#options;
+		const headers = codec.callerHeaders(this.#headers);
+		if (this.#leaving && exchange.edgeRequest.forwarded !== undefined && targetId !== undefined && targetBorn !== undefined) {
+			headers.push(relayHeader.leavingTargetName, relayHeader.writeLeavingTarget({targetId, born: targetBorn}));
+		}
+
+		return headers;
+	}
+
 	/** Passes the complete events of a stream on; returns the size of a last event that has no end. */
 	async #readStream(res: Dispatcher.ResponseData): Promise<number> {
 		const {action: {attempt}, exchange, step} = this.#options;
--- a/test/core/edge/leaving-targets.test.ts
+++ b/test/core/edge/leaving-targets.test.ts
@@ -1,4 +1,7 @@
 import test from 'ava';
+import {EdgeHarness} from '../../fixtures/edge-harness.ts';
+import {listedTargetFixture} from '../../fixtures/listed-target-fixture.ts';
+import {regionLoadFixture} from '../../fixtures/region-load-fixture.ts';
 import {servedShare} from '../../fixtures/served-share.ts';
 import {SimulatedDeployment} from '../../fixtures/simulated-deployment.ts';
 import {simulatedTraffics} from '../../fixtures/simulated-traffics.ts';
@@ -78,3 +81,25 @@
 		}
 	});
 }
+
+test('a target that another entry passed on as leaving gets requests from the entry that forwarded to it', t => {
+	for (const isListed of [true, false]) {
+		const target = listedTargetFixture('a');
+		const harness = new EdgeHarness();
+		const regions = [regionLoadFixture('winnipeg', 'winnipeg:7101')];
+		harness.feed({targets: [], regions});
+		harness.request();
+		t.is(harness.lastStart().address, 'winnipeg:7101');
+		if (isListed) {
+			harness.feed({targets: [target], regions});
+		}
+
+		harness.head(harness.lastStart().attempt, {eventStream: false, leavingTarget: {targetId: target.targetId, born: target.born}});
+		harness.feed({targets: [target], regions});
+		harness.request();
+		t.is(harness.lastStart().address, 'winnipeg:7101');
+		harness.feed({targets: [{...target, born: target.born + 1}], regions});
+		harness.request();
+		t.is(harness.lastStart().targetId, target.targetId);
+	}
+});
--- a/test/core/edge/narrowed-homes.test.ts
+++ b/test/core/edge/narrowed-homes.test.ts
@@ -1,24 +1,15 @@
 import test from 'ava';
 import type {Region} from '../../../src/core/ids/region.ts';
-import type {ServiceName} from '../../../src/core/ids/service-name.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
-import type {RegionLoad} from '../../../src/core/registry/region-load.ts';
 import {EdgeHarness} from '../../fixtures/edge-harness.ts';
 import {listedTargetFixture} from '../../fixtures/listed-target-fixture.ts';
+import {regionLoadFixture} from '../../fixtures/region-load-fixture.ts';
 import {routesDocumentFixture} from '../../fixtures/routes-document-fixture.ts';
 
 /** Region of the entry under test, and two others. */
 const [regina, saskatoon, winnipeg] = ['regina', 'saskatoon', 'winnipeg'].map(name => toId<Region>(name)) as [Region, Region, Region];
 
-const loadOf = (region: Region): RegionLoad => ({
-	region,
-	entries: 1,
-	hasPlacers: false,
-	relayAddresses: [`${region}:7101`],
-	loads: [{
-		service: toId<ServiceName>('desk'), targets: 1, inFlight: 0, waiting: 0, startMs: 0, extraMs: 0,
-	}],
-});
+const loadOf = (region: Region) => regionLoadFixture(region, `${region}:7101`);
 
 /** An entry with a request that waits since its service has no target, once another document with these homes is in force. */
 function withWaitingRequest({before, after}: {before: readonly Region[]; after: readonly Region[]}): EdgeHarness {
--- a/test/server/routes/relay-header.test.ts
+++ b/test/server/routes/relay-header.test.ts
@@ -2,6 +2,7 @@
 import type {Region} from '../../../src/core/ids/region.ts';
 import type {ServiceName} from '../../../src/core/ids/service-name.ts';
 import type {SoftwareVersion} from '../../../src/core/ids/software-version.ts';
+import type {TargetId} from '../../../src/core/ids/target-id.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
 import {relayHeader} from '../../../src/server/routes/relay-header.ts';
 
@@ -29,3 +30,14 @@
 		t.is(relayHeader.read(value), undefined);
 	}
 });
+
+test('a target that leaves is read as it was written; other values are not read', t => {
+	for (const name of ['i-7f3a91c2', 'a;b %', 'ü']) {
+		const leaving = {targetId: toId<TargetId>(name), born: 1_796_000_000_000};
+		t.deepEqual(relayHeader.readLeavingTarget(relayHeader.writeLeavingTarget(leaving)), leaving);
+	}
+
+	for (const value of ['', 'i-7', ';5', 'i-7;', 'i-7;soon', undefined]) {
+		t.is(relayHeader.readLeavingTarget(value), undefined);
+	}
+});
