fix(edge): an entry that forwarded a request sends nothing more to a target that leaves

Callers saw: requests sent to a target of the entry's region about to end, though the entry had passed on its answer which says so (DRAIN). Cause: the entry that forwards a request did not learn which target answered. Evidence: leaving-targets, the test of forwarded answers, failed. Change: TargetPool takes the leaving target that an answer of another entry names, and remembers it if it is not listed; a later incarnation is not affected. Result: leaving-targets passes.

--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -43,6 +43,11 @@
 
 	/** Records the head of an answer, which may carry the target's load, its limit and how many rejections it stands. */
 	recordHead(record: RequestRecord, head: AnswerHead, now: Millis): void {
+		const {leavingTarget} = head;
+		if (leavingTarget !== undefined && this.#options.pool.recordLeaving(leavingTarget, now)) {
+			this.#options.queue.event('target-leaving', {target: leavingTarget.targetId, born: leavingTarget.born, request: record.req.callerKey});
+		}
+
 		const target = this.#targetOf(record);
 		if (target === undefined) {
 			return;
--- a/src/core/edge/target-pool.ts
+++ b/src/core/edge/target-pool.ts
@@ -5,7 +5,8 @@
 import type {TargetId} from '../ids/target-id.ts';
 import type {Zone} from '../ids/zone.ts';
 import type {ListedTarget} from '../registry/listed-target.ts';
-import type {TargetSuspension} from '../targets/target-suspension.ts';
+import {TargetSuspension} from '../targets/target-suspension.ts';
+import type {LeavingTarget} from './leaving-target.ts';
 import {PooledTarget} from './pooled-target.ts';
 
 /** Time for which it is remembered that a target that is no longer listed leaves, in milliseconds. */
@@ -97,6 +98,23 @@
 		return this.#targetsOf(service).filter(target => target.isPaused(now) && !this.#evacuated.has(target.listed.zone));
 	}
 
+	/** Records that an incarnation of a target leaves, whether or not it is listed; returns whether that is news. */
+	recordLeaving({targetId, born}: LeavingTarget, now: Millis): boolean {
+		const target = this.#targets.get(targetId);
+		if (target !== undefined && target.listed.born >= born) {
+			return target.listed.born === born && target.suspension.leave();
+		}
+
+		const known = this.#unlisted.get(targetId);
+		if (known !== undefined && known.born >= born) {
+			return known.born === born && known.suspension.leave();
+		}
+
+		const suspension = new TargetSuspension({maxPauseMs: this.#maxPauseMs});
+		this.#unlisted.set(targetId, {born, suspension, removedAt: now});
+		return suspension.leave();
+	}
+
 	/** Takes all targets of a service for brittle, as one of them says it is; the others may not have answered yet. */
 	assumeBrittle(service: ServiceName, rejectionsPerSecond: number, now: Millis): void {
 		for (const target of this.#targetsOf(service)) {
