--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -62,8 +62,6 @@
 	#suspension: TargetSuspension;
 	/** Number of the newest report at the time at which the target was suspected of having failed. */
 	#suspectSequence = Number.POSITIVE_INFINITY;
-	/** Headers of the target that could not be read, as far as they were logged. */
-	readonly #unreadableHeaders = new Set<string>();
 	readonly #maxPauseMs: number | undefined;
 	#fullUntil = Number.NEGATIVE_INFINITY;
 	#reachability = new Reachability();
@@ -132,16 +130,6 @@
 		return this.#suspension;
 	}
 
-	/** Returns those of the headers that were not unreadable in an earlier answer of the target. */
-	recordUnreadable(headers: readonly string[]): readonly string[] {
-		const fresh = headers.filter(name => !this.#unreadableHeaders.has(name));
-		for (const name of fresh) {
-			this.#unreadableHeaders.add(name);
-		}
-
-		return fresh;
-	}
-
 	/** Records that the target said that it is full. */
 	markFull(now: Millis): void {
 		this.#fullUntil = now + fullBackoffMs;
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -144,19 +144,14 @@
 	}
 
 	/** Records what the answer says of the target's wish for requests; one of an earlier incarnation, or of another target at its address, says nothing of it. */
-	#recordSuspension({req, running}: RequestRecord, target: PooledTarget, {status, leaving, retryAfterMs, unreadableHeaders = []}: AnswerHead, now: Millis): void {
+	#recordSuspension({req, running}: RequestRecord, target: PooledTarget, {status, leaving, retryAfterMs, unreadableHeaders}: AnswerHead, now: Millis): void {
 		const {queue} = this.#options;
 		const {listed: {targetId, born}, suspension} = target;
 		if (status === misdirectedStatus || running?.targetBorn !== born) {
 			return;
 		}
 
-		const unreadable = target.recordUnreadable(unreadableHeaders);
-		if (unreadable.length > 0) {
-			queue.event('target-headers-unreadable', {target: targetId, headers: unreadable, request: req.callerKey});
-		}
-
-		const notice = {leaving: leaving ?? false, pauseMs: status === pauseStatus ? retryAfterMs : undefined};
+		const notice = {leaving: leaving ?? false, pauseMs: status === pauseStatus ? retryAfterMs : undefined, unreadableHeaders};
 		recordTargetNotice(suspension, notice, {source: {targetId, incarnation: born, request: req.callerKey}, outbox: queue}, now);
 	}
 
--- a/src/core/targets/record-target-notice.ts
+++ b/src/core/targets/record-target-notice.ts
@@ -11,10 +11,10 @@
 	readonly request: string;
 };
 
-/** Applies what a target said of the requests that it wants to its suspension, with a log line when it begins to leave or to pause. */
+/** Applies what a target said of the requests that it wants to its suspension, with a log line for what is new. */
 export function recordTargetNotice(
 	suspension: TargetSuspension,
-	{leaving, pauseMs}: TargetNotice,
+	{leaving, pauseMs, unreadableHeaders = []}: TargetNotice,
 	{source: {targetId, incarnation, request}, outbox}: {readonly source: NoticeSource; readonly outbox: Pick<Outbox, 'event'>},
 	now: Millis,
 ): void {
@@ -22,10 +22,15 @@
 		outbox.event('target-leaving', {target: targetId, born: incarnation, request});
 	}
 
-	const outcome = pauseMs === undefined ? 'extended' : suspension.pause(pauseMs, now);
-	if (outcome !== 'extended') {
+	const news = pauseMs === undefined ? undefined : suspension.pause(pauseMs, now);
+	if (news !== undefined) {
 		outbox.event('target-paused', {
-			target: targetId, born: incarnation, pauseMs, ignored: outcome === 'too-long' ? true : undefined, request,
+			target: targetId, born: incarnation, pauseMs, ignored: news === 'too-long' ? true : undefined, request,
 		});
 	}
+
+	const unreadable = suspension.recordUnreadable(unreadableHeaders);
+	if (unreadable.length > 0) {
+		outbox.event('target-headers-unreadable', {target: targetId, headers: unreadable, request});
+	}
 }
--- a/src/core/targets/target-suspension.ts
+++ b/src/core/targets/target-suspension.ts
@@ -3,13 +3,8 @@
 /** Longest pause that a target may ask for by default, in milliseconds; longer ones are taken for a mistake. */
 const defaultMaxPauseMs = 300_000;
 
-type PauseOutcome =
-	/** The target pauses from now on. */
-	| 'begun'
-	/** It pauses already; the later end holds. */
-	| 'extended'
-	/** The time is longer than a target may ask for. */
-	| 'too-long';
+/** What is new after a target has asked for a pause: it pauses, or it asked, for the first time, for longer than it may. */
+type PauseNews = 'begun' | 'too-long' | undefined;
 
 /**
  * Why this node sends no new requests to one incarnation of a target, and until when, whatever reports and listings say
@@ -20,6 +15,8 @@
 	#leaving = false;
 	#pausedUntil = Number.NEGATIVE_INFINITY;
 	#suspectUntil = Number.NEGATIVE_INFINITY;
+	#askedTooLong = false;
+	readonly #unreadableHeaders = new Set<string>();
 
 	constructor({maxPauseMs = defaultMaxPauseMs}: {maxPauseMs?: number} = {}) {
 		this.#maxPauseMs = maxPauseMs;
@@ -37,15 +34,27 @@
 		return isNews;
 	}
 
-	/** Records that the target wants no requests for `ms` milliseconds. A shorter pause does not end a longer one. */
-	pause(ms: number, now: Millis): PauseOutcome {
+	/** Records that the target wants no requests for `ms` milliseconds. A shorter pause does not end a longer one; one that is longer than a target may ask for is ignored. */
+	pause(ms: number, now: Millis): PauseNews {
 		if (ms > this.#maxPauseMs) {
-			return 'too-long';
+			const isNews = !this.#askedTooLong;
+			this.#askedTooLong = true;
+			return isNews ? 'too-long' : undefined;
 		}
 
-		const outcome = this.pausedMs(now) > 0 ? 'extended' : 'begun';
+		const begins = ms > 0 && this.pausedMs(now) === 0;
 		this.#pausedUntil = Math.max(this.#pausedUntil, now + ms);
-		return outcome;
+		return begins ? 'begun' : undefined;
+	}
+
+	/** Records that headers of the target could not be read; returns those that are new. */
+	recordUnreadable(headers: readonly string[]): readonly string[] {
+		const fresh = headers.filter(name => !this.#unreadableHeaders.has(name));
+		for (const name of fresh) {
+			this.#unreadableHeaders.add(name);
+		}
+
+		return fresh;
 	}
 
 	/** Suspends the target for `ms` milliseconds since it seems to have failed, unless `clearSuspicion` ends that sooner. */
