fix(edge): requests that wait for the end of a pause hold up no others

Callers saw: nothing yet; found by the review of pauses: a request waited behind one that could only wait for a paused target, and was refused at its deadline though another target was free. Cause: the first waiting request that can't be placed blocks those behind it; that is right for want of capacity, not for a pause. Change: a wait says whether it is for a pause; such requests neither block nor count among the tries of a step. Result: the test passes with 1 and with 30 requests that wait.

--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -24,7 +24,11 @@
 type Placement =
 	| {readonly type: 'target'; readonly candidate: PlacementCandidate}
 	| {readonly type: 'away'; readonly region: Region; readonly address: string; readonly startMs: number}
-	| {readonly type: 'wait'}
+	| {
+		readonly type: 'wait';
+		/** True if no target could take it now: it waits for the end of a pause, and must not keep others from a free target. */
+		readonly forPause: boolean;
+	}
 	| {readonly type: 'refuse'; readonly reason: EdgeRefusal['reason']; readonly retryAfterMs: number};
 
 type PlacementPolicyOptions = {
@@ -84,10 +88,12 @@
 		}
 
 		const soonestMs = Math.min(...local.map(({startMs}) => startMs), remote?.startMs ?? Number.POSITIVE_INFINITY);
-		const mayWait = (local.length > 0 && soonestMs < leftMs)
-			|| this.#resumesMs(record, now) < leftMs
-			|| (leftMs > 0 && this.#mayBeListedSoon(record, now));
-		return mayWait ? {type: 'wait'} : this.#refusal(record, {hasLocal: local.length > 0, soonestMs}, now);
+		const mayWait = (local.length > 0 && soonestMs < leftMs) || (leftMs > 0 && this.#mayBeListedSoon(record, now));
+		if (mayWait || this.#resumesMs(record, now) < leftMs) {
+			return {type: 'wait', forPause: !mayWait};
+		}
+
+		return this.#refusal(record, {hasLocal: local.length > 0, soonestMs}, now);
 	}
 
 	#refusal(record: RequestRecord, {hasLocal, soonestMs}: {hasLocal: boolean; soonestMs: number}, now: Millis): Placement {
--- a/src/core/edge/request-placer.ts
+++ b/src/core/edge/request-placer.ts
@@ -8,8 +8,9 @@
 import type {RetryPolicy} from './retry-policy.ts';
 import type {WaitQueue} from './wait-queue.ts';
 
-/** Waiting requests of each service that one step tries to place. */
+/** Waiting requests of each service that one step tries to place, and those that it looks at in all. */
 const maxPlacementsPerStep = 16;
+const maxDecisionsPerStep = 128;
 
 type RequestPlacerOptions = {
 	readonly placement: PlacementPolicy;
@@ -67,13 +68,24 @@
 		}
 	}
 
-	/** Places waiting requests of each service in order, up to the first that has to keep waiting. Requests behind it that can no longer be served are refused at once. */
+	/** Places waiting requests of each service in order, up to the first that has to keep waiting for capacity; those that wait for the end of a pause hold up no other. Requests behind it that can no longer be served are refused at once. */
 	placeWaiting(now: Millis): void {
 		const {waiting, placement} = this.#options;
 		for (const service of waiting.services()) {
 			let blocked = false;
-			for (const record of waiting.list(service).slice(0, maxPlacementsPerStep)) {
-				if (blocked && placement.decide(record, now).type !== 'refuse') {
+			let tried = 0;
+			for (const record of waiting.list(service).slice(0, maxDecisionsPerStep)) {
+				const decision = placement.decide(record, now);
+				if (decision.type === 'wait' && decision.forPause) {
+					continue;
+				}
+
+				tried += 1;
+				if (tried > maxPlacementsPerStep) {
+					break;
+				}
+
+				if (blocked && decision.type !== 'refuse') {
 					continue;
 				}
 
--- a/test/core/edge/pausing-targets.test.ts
+++ b/test/core/edge/pausing-targets.test.ts
@@ -1,5 +1,9 @@
 import test from 'ava';
 import {SeededRandom} from '../../../src/core/common/seeded-random.ts';
+import type {AnswerHead} from '../../../src/core/edge/answer-head.ts';
+import {EdgeHarness} from '../../fixtures/edge-harness.ts';
+import {listedTargetFixture} from '../../fixtures/listed-target-fixture.ts';
+import {routesDocumentFixture} from '../../fixtures/routes-document-fixture.ts';
 import {servedShare} from '../../fixtures/served-share.ts';
 import {SimulatedDeployment} from '../../fixtures/simulated-deployment.ts';
 import {simulatedTraffics} from '../../fixtures/simulated-traffics.ts';
@@ -103,3 +107,34 @@
 		}
 	});
 }
+
+test('requests that wait for the end of a pause keep others from a target that is free', t => {
+	for (const waiting of [1, 30]) {
+		const harness = new EdgeHarness({document: routesDocumentFixture({route: {timeoutMs: 30_000}}), slack: 1000});
+		const targets = [listedTargetFixture('p'), listedTargetFixture('q')];
+		const turnAway = (head: Partial<AnswerHead> = {}) => {
+			harness.head(harness.lastStart().attempt, {
+				status: 503, notRun: true, eventStream: false, ...head,
+			});
+		};
+
+		harness.feed({targets});
+		harness.request({budgetMs: 30_000});
+		turnAway({retryAfterMs: 20_000});
+		for (let turn = 0; turn < waiting; turn++) {
+			// Turned away by the one that does not pause, it can only wait for the other.
+			harness.run(200);
+			harness.feed({targets});
+			harness.request({budgetMs: 30_000});
+			turnAway();
+		}
+
+		t.is(harness.refusals().length, 0);
+		const before = harness.starts().length;
+		harness.now += 10;
+		harness.request({budgetMs: 1500});
+		harness.run(1000);
+		t.is(harness.starts().length, before + 1, `${waiting} wait`);
+		t.is(harness.refusals().length, 0);
+	}
+});
