fix(edge): a forwarded request goes back instead of waiting for a pause

Callers saw: nothing yet; found by review: a request that another entry forwarded waited for a pause at the second one, though a third region may have room. Change: only an entry's own callers wait for pauses; a forwarded request is refused as not run.

--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -89,7 +89,9 @@
 
 		const soonestMs = Math.min(...local.map(({startMs}) => startMs), remote?.startMs ?? Number.POSITIVE_INFINITY);
 		const mayWait = (local.length > 0 && soonestMs < leftMs) || (leftMs > 0 && this.#mayBeListedSoon(record, now));
-		if (mayWait || this.#resumesMs(record, now) < leftMs) {
+		// Other regions may have room for a forwarded request.
+		const mayWaitForPause = req.forwarded === undefined && this.#resumesMs(record, now) < leftMs;
+		if (mayWait || mayWaitForPause) {
 			return {type: 'wait', forPause: !mayWait};
 		}
 
--- a/test/core/edge/pausing-targets.test.ts
+++ b/test/core/edge/pausing-targets.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {SeededRandom} from '../../../src/core/common/seeded-random.ts';
 import type {AnswerHead} from '../../../src/core/edge/answer-head.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
 import {EdgeHarness} from '../../fixtures/edge-harness.ts';
 import {listedTargetFixture} from '../../fixtures/listed-target-fixture.ts';
 import {routesDocumentFixture} from '../../fixtures/routes-document-fixture.ts';
@@ -138,3 +139,15 @@
 		t.is(harness.refusals().length, 0);
 	}
 });
+
+test('a request that another region forwarded waits for a pause instead of going back', t => {
+	const harness = new EdgeHarness();
+	harness.feed({targets: [listedTargetFixture('p')]});
+	harness.request();
+	harness.head(harness.lastStart().attempt, {
+		status: 503, notRun: true, eventStream: false, retryAfterMs: 1000,
+	});
+	const before = harness.refusals().length;
+	harness.request({forwarded: {region: toId('winnipeg'), documentVersion: 1}});
+	t.like(harness.refusals()[before], {reason: 'paused', ran: 'no'});
+});
