fix(edge): a request that has used up its tries is told when its targets take requests again

Callers saw: with the retry budget used up and the only target pausing for 10 s, a caller was told to come back after 378 ms, and was refused again. Cause: such a refusal took the default delay instead of that of the placement. Change: if the placement would refuse the request, its delay is given.

--- a/src/core/edge/request-placer.ts
+++ b/src/core/edge/request-placer.ts
@@ -39,12 +39,13 @@
 			return;
 		}
 
+		const decision = placement.decide(record, now);
 		if (record.sends > 0 && !retryPolicy.reserveRetry(record, now)) {
+			record.retryAfterMs = decision.type === 'refuse' ? decision.retryAfterMs : record.retryAfterMs;
 			refuse(record, 'target-failed', now);
 			return;
 		}
 
-		const decision = placement.decide(record, now);
 		switch (decision.type) {
 			case 'target': {
 				attempts.send(record, decision.candidate, now);
--- a/test/core/edge/pausing-targets.test.ts
+++ b/test/core/edge/pausing-targets.test.ts
@@ -151,3 +151,14 @@
 	harness.request({forwarded: {region: toId('winnipeg'), documentVersion: 1}});
 	t.like(harness.refusals()[before], {reason: 'paused', ran: 'no'});
 });
+
+test('a caller whose request has used up its tries is told to return before the only target does', t => {
+	const harness = new EdgeHarness({slack: 0, ratio: 0});
+	harness.feed({targets: [listedTargetFixture('p')]});
+	harness.request();
+	harness.head(harness.lastStart().attempt, {
+		status: 503, notRun: true, eventStream: false, retryAfterMs: 10_000,
+	});
+	const {retryAfterMs = 0} = harness.refusals().at(-1)!;
+	t.true(retryAfterMs >= 10_000 && retryAfterMs <= 12_500, `${retryAfterMs} ms`);
+});
