fix(edge): an older incarnation that is listed late is not used, and ends no pause of the newer one

Callers saw: nothing yet; found by the review: a control node that has just started may take a delayed report of an earlier incarnation first, whose id and address are those of the target that leaves. Cause: what is known of an incarnation that is not listed was dropped, or not looked at, for another. Evidence: target-incarnations failed. Change: TargetPool ignores a listing that is older than what it remembers of the id, and keeps what it remembers when a newer listing replaces an older one. Result: target-incarnations passes; its tests of late answers, 421 and 429 guard what was right (each passed before). leaving-targets and edge-core pass.

--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -89,11 +89,11 @@
 		return this.#lastSequence;
 	}
 
-	/** Takes a newer listing. A new incarnation starts with an empty KV cache, without a suspension, a limit and load of other entries. */
-	update(listed: ListedTarget, now: Millis): void {
+	/** Takes a newer listing; `suspension` is what is known of its incarnation from before, if it is another one. A new incarnation starts with an empty KV cache, without a suspension, a limit and load of other entries. */
+	update(listed: ListedTarget, now: Millis, suspension?: TargetSuspension): void {
 		if (listed.born !== this.listed.born) {
 			this.prefixCache.clear();
-			this.#suspension = new TargetSuspension({maxPauseMs: this.#maxPauseMs});
+			this.#suspension = suspension ?? new TargetSuspension({maxPauseMs: this.#maxPauseMs});
 			this.#suspectSequence = Number.POSITIVE_INFINITY;
 			this.#limit = undefined;
 			this.#failureShare = new FailureShare();
--- a/src/core/edge/target-pool.ts
+++ b/src/core/edge/target-pool.ts
@@ -154,12 +154,8 @@
 	/** Suspension of this incarnation from before it was listed anew, if there is one. */
 	#takeUnlisted({targetId, born}: ListedTarget): TargetSuspension | undefined {
 		const known = this.#unlisted.get(targetId);
-		if (known === undefined || known.born > born) {
-			return undefined;
-		}
-
 		this.#unlisted.delete(targetId);
-		return known.born === born ? known.suspension : undefined;
+		return known?.born === born ? known.suspension : undefined;
 	}
 
 	#forgetUnlisted(now: Millis): void {
@@ -172,6 +168,11 @@
 
 	#merge(listed: ListedTarget, now: Millis): void {
 		const known = this.#targets.get(listed.targetId);
+		if ((this.#unlisted.get(listed.targetId)?.born ?? Number.NEGATIVE_INFINITY) > listed.born) {
+			// A report of an earlier incarnation that was delayed.
+			return;
+		}
+
 		if (known === undefined) {
 			const target = new PooledTarget(listed, {
 				phase: hash32(`${this.#self}:${listed.targetId}`) / (2 ** 32), maxPauseMs: this.#maxPauseMs, suspension: this.#takeUnlisted(listed),
@@ -192,6 +193,6 @@
 			return;
 		}
 
-		known.update(listed, now);
+		known.update(listed, now, listed.born === born ? undefined : this.#takeUnlisted(listed));
 	}
 }
