fix(attempts): requests that wait for a pause do not hold up those of other models

Callers of a model whose target was free waited for the pause of another model's target: with 16 requests of model x waiting, one of model y stayed in the queue.

Cause: a wait for a pause was an ordinary wait in the admission queue, and drainQueue gives up after 16 requests that cannot be dispatched.

Evidence: "16 (20) requests that wait for a paused target keep those of another model from a free one" failed before: y was not sent at all, expected engine-2.

The wait decision now says `forPause`, and such requests wait in PauseWaits, outside the queue. Each tick, and each arrival after the first of these pauses ended, tries them again; those that a target takes join the queue first, so that priority and organisations decide their order. As many may wait as in the queue, with its rules of eviction. A request that runs out of time while it waits learns the first end of a pause if all targets pause.

The other three tests hold what the queue gave before: order by priority after a pause and refusal at once when the pause is extended past the deadline (both passed before), and the bound. The last failed before only since the queue reports the request that it evicts with the next tick (r3 missing from the refused ones).

--- a/src/core/attempts/request-coordinator.ts
+++ b/src/core/attempts/request-coordinator.ts
@@ -178,6 +178,7 @@
 			}
 		}
 
+		this.#dispatcher.retryAllPaused(now);
 		for (const serviceKey of this.#parts.admission.waitingServices()) {
 			this.#dispatcher.drainQueue(serviceKey, now);
 		}
@@ -264,8 +265,8 @@
 			this.#recovery.checkRunning(state, now);
 		} else if (state.phase === 'claiming' && now >= state.deadlineAt) {
 			this.#refuse(state, {result: 'ledgerUnavailable'}, now);
-		} else if (state.phase === 'parked' && now >= state.deadlineAt) {
-			this.#refuse(state, {result: 'deadline'}, now);
+		} else if ((state.phase === 'parked' || state.phase === 'paused') && now >= state.deadlineAt) {
+			this.#refuse(state, {result: 'deadline', retryAfterMs: this.#dispatcher.retryAfterPausesMs(state, now)}, now);
 		} else if (state.phase === 'parked' && now >= state.parkedUntil) {
 			this.#dispatcher.dispatch(state, now);
 		}
@@ -291,6 +292,10 @@
 			this.#parts.admission.take(requestId);
 		}
 
+		if (state.phase === 'paused') {
+			this.#dispatcher.forget(state);
+		}
+
 		if (state.phase === 'claiming') {
 			this.#claims.abandon(requestId);
 		}
--- a/src/core/attempts/request-dispatcher.ts
+++ b/src/core/attempts/request-dispatcher.ts
@@ -10,6 +10,7 @@
 import {classifyRequest} from './classify-request.ts';
 import {currentSettings} from './current-settings.ts';
 import {pickEntry} from './pick-entry.ts';
+import {PauseWaits} from './pause-waits.ts';
 import type {RequestState} from './request-state.ts';
 import {RouteChooser} from './route-chooser.ts';
 import {remainingRequest} from './remaining-request.ts';
@@ -44,6 +45,7 @@
 	readonly #parts: CoordinatorOptions;
 	readonly #runner: AttemptRunner;
 	readonly #chooser: RouteChooser;
+	readonly #pauseWaits = new PauseWaits();
 	readonly #findRequest: DispatcherOptions['findRequest'];
 	readonly #refuse: DispatcherOptions['refuse'];
 
@@ -71,6 +73,10 @@
 
 	/** Dispatches waiting requests of a service in queue order, skipping up to `maxSkipped` that cannot be dispatched now. */
 	drainQueue(serviceKey: string, now: Millis): void {
+		if (this.#pauseWaits.isDue(serviceKey, now)) {
+			this.#retryPaused(serviceKey, now);
+		}
+
 		const {admission} = this.#parts;
 		const skipped = new Set<RequestId>();
 		while (skipped.size < maxSkipped) {
@@ -88,6 +94,35 @@
 		}
 	}
 
+	/** Tries the requests that wait for pauses again: those that a target takes now join the queue, to be dispatched in its order. */
+	retryAllPaused(now: Millis): void {
+		for (const serviceKey of this.#pauseWaits.services()) {
+			this.#retryPaused(serviceKey, now);
+		}
+	}
+
+	/** Forgets a request that ended while it waited for a pause. */
+	forget(state: RequestState): void {
+		this.#pauseWaits.remove(state);
+	}
+
+	/** Time after which the caller of a request should retry, in milliseconds, if all targets of its service pause. */
+	retryAfterPausesMs(state: RequestState, now: Millis): number | undefined {
+		const settings = currentSettings(state.req, this.#parts.tree());
+		return settings && this.#chooser.retryAfterPausesMs(state, settings, now);
+	}
+
+	#retryPaused(serviceKey: string, now: Millis): void {
+		for (const state of this.#pauseWaits.take(serviceKey)) {
+			const choice = now < state.deadlineAt ? this.#choose(state, now) : undefined;
+			if (choice?.decision.type === 'target' && !choice.alone) {
+				this.#enqueue(state, choice.settings, choice.decision.predictedMs, now);
+			} else if (choice) {
+				this.#applyDecision(state, choice, now);
+			}
+		}
+	}
+
 	/** Decides where a request goes; refuses it and returns nothing if it may not run at all. */
 	#choose(state: RequestState, now: Millis): Choice | undefined {
 		const settings = currentSettings(state.req, this.#parts.tree());
@@ -148,6 +183,8 @@
 			case 'wait': {
 				if (alone) {
 					this.#park(state, now);
+				} else if (decision.forPause) {
+					this.#awaitPause(state, settings, decision.predictedMs, now);
 				} else {
 					this.#enqueue(state, settings, decision.predictedMs, now);
 				}
@@ -239,6 +276,18 @@
 		state.parkedUntil = now + parkedRetryMs as Millis;
 	}
 
+	/** Lets a request wait outside the queue, so that it does not delay requests that other targets take; as many may wait as in the queue. */
+	#awaitPause(state: RequestState, settings: RouteSettings, pauseMs: number, now: Millis): void {
+		const eviction = this.#pauseWaits.add(state, {endAt: now + pauseMs as Millis, limit: settings.queueLimit}, now);
+		if (eviction?.state !== state) {
+			state.phase = 'paused';
+		}
+
+		if (eviction) {
+			this.#refuse(eviction.state, {result: eviction.result, retryAfterMs: this.retryAfterPausesMs(eviction.state, now)}, now);
+		}
+	}
+
 	#enqueue(state: RequestState, settings: RouteSettings, predictedMs: number, now: Millis): void {
 		const result = this.#parts.admission.enqueue(remainingRequest(state), settings, predictedMs, now);
 		if (result.type === 'refused' && mayWaitForTarget(state, result.refusal, now)) {
@@ -257,7 +306,7 @@
 	/** Dispatches a queued request; false if it has to stay in the queue. */
 	#dispatchQueued(state: RequestState, now: Millis): boolean {
 		const choice = this.#choose(state, now);
-		if (choice?.decision.type === 'wait' && !choice.alone) {
+		if (choice?.decision.type === 'wait' && !choice.alone && !choice.decision.forPause) {
 			return false;
 		}
 
--- a/src/core/attempts/request-state.ts
+++ b/src/core/attempts/request-state.ts
@@ -16,9 +16,10 @@
 	readonly repeatable: boolean;
 	/**
 	 * `placing`: being routed; `claiming`: waits for the ledger; `parked`: waits outside the queue for a permit to run as
-	 * a suspect, or for any target to resume on; `queued`: waits for a target with room; `running`: has an attempt.
+	 * a suspect, or for any target to resume on; `paused`: waits outside the queue for the end of a target's pause;
+	 * `queued`: waits for a target with room; `running`: has an attempt.
 	 */
-	phase: 'placing' | 'claiming' | 'parked' | 'queued' | 'running';
+	phase: 'placing' | 'claiming' | 'parked' | 'paused' | 'queued' | 'running';
 	/** Who holds the claim of a non-repeatable request: this entry (`held`), the entry that forwarded it (`elsewhere`) or none. */
 	claim: 'none' | 'held' | 'elsewhere';
 	/** Number of attempts started. */
--- a/src/core/attempts/route-chooser.ts
+++ b/src/core/attempts/route-chooser.ts
@@ -67,12 +67,19 @@
 			: decision;
 	}
 
+	/** Time after which the caller of a request should retry, in milliseconds, if all targets of its service pause. */
+	retryAfterPausesMs(state: RequestState, settings: RouteSettings, now: Millis): number | undefined {
+		const reachable = this.#targets(state, settings, now).filter(({reachability}) => reachability.reachable);
+		const firstEndMs = Math.min(...reachable.map(({suspension}) => suspension.pausedMs(now)));
+		return reachable.length > 0 && firstEndMs > 0 ? retryAfterPauseMs(firstEndMs, this.#parts.random) : undefined;
+	}
+
 	/** Decides on a request that would be refused while targets pause: it waits for the first that may take it in time, else it is told to return after the first pause. */
 	#awaitPauses(state: RequestState, {refusal, paused, hasTargets}: {refusal: Refusal; paused: readonly TargetView[]; hasTargets: boolean}, now: Millis): RouteDecision {
 		const firstEndMs = (views: readonly TargetView[]) => Math.min(...views.map(({suspension}) => suspension.pausedMs(now)));
 		const predictedMs = firstEndMs(paused.filter(view => !isTried(state, view) && mayResumeOn(state, view)));
 		if (now + predictedMs < state.deadlineAt) {
-			return {type: 'wait', predictedMs};
+			return {type: 'wait', predictedMs, forPause: true};
 		}
 
 		return {type: 'refuse', refusal: hasTargets ? refusal : {...refusal, retryAfterMs: retryAfterPauseMs(firstEndMs(paused), this.#parts.random)}};
--- a/src/core/routing/route-decision.ts
+++ b/src/core/routing/route-decision.ts
@@ -8,6 +8,6 @@
 	| {readonly type: 'target'; readonly targetId: TargetId; readonly predictedMs: number; readonly cachedTokens: number}
 	/** Forward the request to an entry of this other region. */
 	| {readonly type: 'away'; readonly region: Region; readonly predictedMs: number}
-	/** The best target has no room now, but is predicted to answer within the deadline. */
-	| {readonly type: 'wait'; readonly predictedMs: number}
+	/** The best target has no room now, but is predicted to answer within the deadline; `forPause` if all that may take the request pause. */
+	| {readonly type: 'wait'; readonly predictedMs: number; readonly forPause?: boolean}
 	| {readonly type: 'refuse'; readonly refusal: Refusal};
--- a/test/core/attempts/pausing-targets.test.ts
+++ b/test/core/attempts/pausing-targets.test.ts
@@ -1,5 +1,7 @@
 import test from 'ava';
 import type {Millis} from '../../../src/core/ids/millis.ts';
+import type {OrganisationId} from '../../../src/core/ids/organisation-id.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
 import {TableHarness} from '../../fixtures/attempts/table-harness.ts';
 
 const pausesMs = [200, 3000, 20_000];
@@ -87,3 +89,77 @@
 	harness.turnAway('r0', 3000);
 	t.deepEqual(harness.table.summaries(harness.requests.now), []);
 });
+
+for (const count of [16, 20]) {
+	test(`${count} requests that wait for a paused target keep those of another model from a free one`, t => {
+		const harness = new TableHarness();
+		harness.announce('engine-1', {models: ['x']});
+		const free = harness.announce('engine-2', {models: ['y']});
+		harness.requests.request('r0', {model: 'x'});
+		harness.turnAway('r0', 10_000);
+		for (let turn = 1; turn <= count; turn++) {
+			harness.requests.request(`x${turn}`, {model: 'x'});
+		}
+
+		harness.requests.request('y', {model: 'y'});
+		t.deepEqual(harness.sentTo('y'), [free]);
+	});
+}
+
+test('after a pause requests are sent in the order of their arrival instead of by priority, or after one that arrives then', t => {
+	const harness = new TableHarness({settings: {targetConcurrency: 1}});
+	harness.announce('engine-1');
+	harness.requests.request('r0');
+	harness.turnAway('r0', 1000);
+	harness.requests.request('batch', {priority: 9});
+	harness.advance(950);
+	harness.requests.request('urgent', {priority: 1});
+	// Between two ticks.
+	harness.requests.now = 1010 as Millis;
+	harness.requests.request('later', {priority: 9});
+	for (const id of ['urgent', 'batch', 'later']) {
+		harness.requests.end(harness.requests.lastStart(id)!.attemptId);
+	}
+
+	const started = harness.requests.actions.flatMap(action => action.type === 'start-attempt' ? [action.requestId as string] : []);
+	t.deepEqual(started, ['r0', 'urgent', 'batch', 'later']);
+});
+
+test('a request that waits for a pause is not refused at once when the pause is extended past its deadline', t => {
+	const harness = new TableHarness();
+	harness.announce('engine-1');
+	harness.requests.request('r0');
+	harness.requests.request('running');
+	harness.turnAway('r0', 2000);
+	harness.requests.request('r1', {deadlineAt: 4000 as Millis});
+	harness.advance(500);
+	t.is(harness.requests.refusal('r1'), undefined);
+	harness.say('running', {pauseMs: 12_000});
+	harness.advance(100);
+	const {retryAfterMs = 0, ran} = harness.requests.refusal('r1') ?? {};
+	t.is(ran, 'no');
+	t.true(retryAfterMs >= 11_900 && retryAfterMs <= 15_000, `${retryAfterMs} ms`);
+	t.is(harness.requests.finalAnswers('r1').length, 1);
+});
+
+test('requests that wait for a pause exceed the queue limit, or keep more urgent ones out', t => {
+	const harness = new TableHarness({settings: {queueLimit: 3}});
+	harness.announce('engine-1');
+	harness.requests.request('r0');
+	harness.turnAway('r0', 10_000);
+	for (const id of ['r1', 'r2', 'r3', 'r4']) {
+		harness.requests.request(id, {priority: 5});
+	}
+
+	const refused = () => ['r1', 'r2', 'r3', 'r4', 'urgent', 'r5'].filter(id => harness.requests.refusal(id) !== undefined);
+	t.deepEqual(refused(), ['r4']);
+	harness.requests.request('urgent', {priority: 1});
+	t.deepEqual(refused(), ['r3', 'r4']);
+	t.true(harness.requests.refusal('r3')!.retryAfterMs! >= 10_000);
+	harness.requests.coordinator.handleCallerGone(toId('r1'), harness.requests.now);
+	harness.requests.request('r5', {priority: 5});
+	t.deepEqual(refused(), ['r3', 'r4']);
+	harness.requests.request('other', {priority: 5, organisation: toId<OrganisationId>('other')});
+	t.is(harness.requests.refusal('other'), undefined);
+	t.deepEqual(refused(), ['r3', 'r4', 'r5']);
+});
