fix(attempts): a running answer is not cancelled for a target that pauses

Callers lost an answer that was still running: once its target's lease had ended without recent bytes, the attempt was cancelled and the caller waited for another target's pause to end.

Cause: #failOverLost takes any preview but `refuse` for an alternative, and requests that only paused targets may take are no longer refused but wait.

Evidence: "an answer whose target lost its lease is cancelled for a target that pauses" failed before: r0/entry-1/1 was among the cancelled attempts.

A wait for a pause counts as no alternative there now. #failOverSlow was right already, as it wants a target; the test for it passed before, and fails once #failOverSlow accepts a wait.

--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -135,12 +135,18 @@
 			mayHaveRun: true,
 		};
 		const canFailOver = decideRetry(stateIfLost, failure, settings, now).type !== 'give-up';
-		if (canFailOver && this.#dispatcher.preview(stateIfLost, settings, now).type !== 'refuse') {
+		if (canFailOver && this.#hasAlternative(stateIfLost, settings, now)) {
 			this.#parts.emit({type: 'cancel-attempt', attemptId: attempt.attemptId});
 			this.attemptFailed(state, attempt, failure, now);
 		}
 	}
 
+	/** The end of a target's pause is no alternative: the answer may arrive before it. */
+	#hasAlternative(state: RequestState, settings: RouteSettings, now: Millis): boolean {
+		const decision = this.#dispatcher.preview(state, settings, now);
+		return decision.type === 'wait' ? !decision.forPause : decision.type !== 'refuse';
+	}
+
 	#isOutOfReach({destination}: AttemptState, now: Millis): boolean {
 		const {membership, targets} = this.#parts;
 		return destination.type === 'peer'
--- a/test/core/attempts/pausing-targets.test.ts
+++ b/test/core/attempts/pausing-targets.test.ts
@@ -163,3 +163,35 @@
 	t.is(harness.requests.refusal('other'), undefined);
 	t.deepEqual(refused(), ['r3', 'r4', 'r5']);
 });
+
+test('an answer whose target lost its lease is cancelled for a target that pauses', t => {
+	const harness = new TableHarness();
+	const first = harness.announce('engine-1');
+	harness.announce('engine-2');
+	const {attemptId} = harness.requests.request('r0', {streamed: true, kind: 'completion'})!;
+	const {coordinator} = harness.requests;
+	coordinator.attemptFirstByte(attemptId, harness.requests.now);
+	coordinator.attemptProgress(attemptId, {tokens: 5, bytes: 50}, harness.requests.now);
+	harness.requests.request('r1');
+	harness.requests.fail(harness.requests.lastStart('r1')!.attemptId, {reason: 'refused', notSent: true});
+	harness.turnAway('r1', 5000);
+	harness.advance(1500);
+	coordinator.targetsLost([first], harness.requests.now);
+	t.deepEqual(harness.requests.cancelled(), []);
+	harness.requests.end(attemptId);
+	t.like(harness.requests.finalAnswers('r0'), [{type: 'complete'}]);
+});
+
+test('a request whose first byte is late is cancelled for a target that pauses', t => {
+	const harness = new TableHarness();
+	harness.announce('engine-1');
+	harness.announce('engine-2');
+	const {attemptId} = harness.requests.request('r0', {streamed: true, kind: 'completion'})!;
+	harness.requests.request('r1');
+	harness.requests.fail(harness.requests.lastStart('r1')!.attemptId, {reason: 'refused', notSent: true});
+	harness.turnAway('r1', 28_000);
+	harness.advance(27_000);
+	t.deepEqual(harness.requests.cancelled(), []);
+	harness.requests.end(attemptId);
+	t.like(harness.requests.finalAnswers('r0'), [{type: 'complete'}]);
+});
