fix(attempts): callers do not get the Retry-After of one target

A caller whose attempts or retry budget were used up was told to return when the last target that it met had asked for: unspread, unbounded, and although other targets were free.

Cause: #giveUp passed the value of the failed attempt on.

Now the caller gets the default delay or, if all targets of the service that this entry reaches pause, the time to the first end, spread.

--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -176,7 +176,8 @@
 		decision: {readonly result: Refusal['result']; readonly retryable: boolean},
 		now: Millis,
 	): void {
-		const retryAfterMs = failure.retryAfterMs ?? failure.refusal?.retryAfterMs ?? defaultRetryAfterMs(this.#parts.random);
+		// What a target asked for holds for that target only; a peer's delay already accounts for the targets of its region.
+		const retryAfterMs = failure.refusal?.retryAfterMs ?? this.#dispatcher.retryAfterPausesMs(state, now) ?? defaultRetryAfterMs(this.#parts.random);
 		const detail = failure.refusal?.detail;
 		this.#options.refuse(state, {
 			result: decision.result,
--- a/test/core/attempts/pausing-targets.test.ts
+++ b/test/core/attempts/pausing-targets.test.ts
@@ -195,3 +195,62 @@
 	harness.requests.end(attemptId);
 	t.like(harness.requests.finalAnswers('r0'), [{type: 'complete'}]);
 });
+
+test('a caller whose attempts are used up gets the delay of a target although others are free', t => {
+	const harness = new TableHarness({settings: {maxAttempts: 1}});
+	for (const name of ['engine-1', 'engine-2', 'engine-3', 'engine-4']) {
+		harness.announce(name);
+	}
+
+	const delays = [3000, 3000, 1e12].map((pauseMs, turn) => {
+		harness.requests.request(`r${turn}`);
+		harness.turnAway(`r${turn}`, pauseMs);
+		return harness.requests.refusal(`r${turn}`)!.retryAfterMs!;
+	});
+	t.true(delays.every(ms => ms >= 500 && ms <= 1500), `${delays.join(', ')} ms`);
+	t.is(new Set(delays).size, 3);
+});
+
+test('a caller whose retry budget is used up gets the delay of a target although others are free', t => {
+	const harness = new TableHarness({settings: {retryBudget: 0}});
+	const names = Array.from({length: 30}, (_, index) => `engine-${index}`);
+	for (const name of names) {
+		harness.announce(name);
+	}
+
+	const delays = names.map(id => {
+		harness.requests.request(id);
+		harness.turnAway(id, 1e12);
+		return harness.requests.refusal(id)?.retryAfterMs;
+	}).filter(ms => ms !== undefined);
+	t.true(delays.length > 0);
+	t.true(delays.every(ms => ms >= 500 && ms <= 1500), `${delays.join(', ')} ms`);
+});
+
+test('callers whose attempts are used up while all targets pause return before the first pause ends, or all at once', t => {
+	const delays = new Set<number>();
+	const harness = new TableHarness({settings: {maxAttempts: 1}});
+	harness.announce('engine-1');
+	const ids = Array.from({length: 10}, (_, index) => `r${index}`);
+	for (const id of ids) {
+		harness.requests.request(id);
+	}
+
+	for (const id of ids) {
+		harness.turnAway(id, 8000);
+		delays.add(harness.requests.refusal(id)!.retryAfterMs!);
+	}
+
+	t.true(Math.min(...delays) >= 8000 && Math.max(...delays) <= 10_000, `${[...delays].join(', ')} ms`);
+	t.is(delays.size, ids.length);
+});
+
+test('a caller does not get the delay with which another region refused its request', t => {
+	const harness = new TableHarness({settings: {maxAttempts: 1}});
+	harness.requests.membership.addRegion('winnipeg-a', {'entry-6': 1});
+	const {attemptId} = harness.requests.request('r0')!;
+	harness.requests.fail(attemptId, {
+		reason: 'refused', notSent: true, retryAfterMs: 7000, refusal: {result: 'overloaded', ran: 'no', retryAfterMs: 7000},
+	});
+	t.like(harness.requests.refusal('r0'), {result: 'overloaded', retryAfterMs: 7000});
+});
