fix(targets): a target that said that it leaves is not probed

Operators saw probes of a target that had said in an answer that it leaves, until its announcements said so too.

Cause: #probedTargets looked at the announced state only.

It looks at the suspension now, which includes the announced state; the next incarnation is probed again.

--- a/src/core/targets/regional-target-table.ts
+++ b/src/core/targets/regional-target-table.ts
@@ -196,7 +196,7 @@
 
 	* #probedTargets(now: Millis) {
 		for (const record of this.#store.all()) {
-			if (this.#leased(record, now) && record.announcement.state === 'serving') {
+			if (this.#leased(record, now) && !record.suspension.leaving) {
 				const {targetId, announcement: {address}, reachability, inFlight, lastSignAt} = record;
 				yield {
 					targetId, address, reachability, silentMs: inFlight === 0 ? 0 : now - lastSignAt,
--- a/test/core/targets/regional-target-table.test.ts
+++ b/test/core/targets/regional-target-table.test.ts
@@ -201,3 +201,23 @@
 	run(region, 6900, 7000, announce);
 	t.is(probes.length, 1);
 });
+
+test('a target that said in an answer that it leaves is probed', t => {
+	const region = regionFixture(1);
+	const [{table, probes}] = region as [RegionFixture[number]];
+	const announce = (now: Millis, incarnation = 1) => {
+		table.announce(announcementFixture({incarnation, sequence: now + 1}), now);
+	};
+
+	announce(0 as Millis);
+	table.recordNotice(targetId, {incarnation: 1, notice: {leaving: true}, request: toId('r0')}, 0 as Millis);
+	table.recordConnection(targetId, false, 0 as Millis);
+	run(region, 100, 3000, announce);
+	t.is(probes.length, 0);
+	announce(3100 as Millis, 2);
+	table.recordConnection(targetId, false, 3100 as Millis);
+	run(region, 3200, 4000, now => {
+		announce(now, 2);
+	});
+	t.is(probes.length, 1, 'its next incarnation serves');
+});
