--- a/test/core/attempts/leaving-targets.test.ts
+++ b/test/core/attempts/leaving-targets.test.ts
@@ -35,3 +35,27 @@
 	harness.requests.request('r1');
 	t.deepEqual(harness.sentTo('r1'), [first]);
 });
+
+test('an answer of a target that said that it leaves is cancelled once its lease ends', t => {
+	const harness = new TableHarness();
+	const first = harness.announce('engine-1');
+	harness.announce('engine-2');
+	const {attemptId} = harness.requests.request('r0')!;
+	harness.say('r0', {leaving: true});
+	harness.advance(1500);
+	harness.requests.coordinator.targetsLost([first], harness.requests.now);
+	t.deepEqual(harness.requests.cancelled(), []);
+	harness.requests.end(attemptId);
+	t.like(harness.requests.finalAnswers('r0'), [{type: 'complete'}]);
+});
+
+test('an answer of a target that does not leave continues once its lease has ended', t => {
+	const harness = new TableHarness();
+	const first = harness.announce('engine-1');
+	const second = harness.announce('engine-2');
+	const {attemptId} = harness.requests.request('r0')!;
+	harness.advance(1500);
+	harness.requests.coordinator.targetsLost([first], harness.requests.now);
+	t.deepEqual(harness.requests.cancelled(), [attemptId]);
+	t.deepEqual(harness.sentTo('r0'), [first, second]);
+});
--- a/test/core/attempts/pausing-targets.test.ts
+++ b/test/core/attempts/pausing-targets.test.ts
@@ -254,3 +254,14 @@
 	});
 	t.like(harness.requests.refusal('r0'), {result: 'overloaded', retryAfterMs: 7000});
 });
+
+test('a request waits for the pause of a target that it tried', t => {
+	const harness = new TableHarness();
+	const first = harness.announce('engine-1');
+	harness.requests.request('r0');
+	harness.turnAway('r0', 1000);
+	t.like(harness.requests.refusal('r0'), {result: 'targetFailed'});
+	t.true(harness.requests.refusal('r0')!.retryAfterMs! >= 1000);
+	harness.advance(1500);
+	t.deepEqual(harness.sentTo('r0'), [first]);
+});
--- a/test/core/orders/order-manager.test.ts
+++ b/test/core/orders/order-manager.test.ts
@@ -1,11 +1,14 @@
 import test from 'ava';
 import fc from 'fast-check';
+import {SeededRandom} from '../../../src/core/common/seeded-random.ts';
 import type {Millis} from '../../../src/core/ids/millis.ts';
 import type {TargetId} from '../../../src/core/ids/target-id.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
 import {OrderDelegate} from '../../../src/core/orders/order-delegate.ts';
 import type {OrdersMessage} from '../../../src/core/orders/orders-message.ts';
 import type {RouteSettings} from '../../../src/core/settings/route-settings.ts';
+import {RegionalTargetTable} from '../../../src/core/targets/regional-target-table.ts';
+import {announcementFixture} from '../../fixtures/announcement-fixture.ts';
 import {FakeTargets} from '../../fixtures/attempts/fake-targets.ts';
 import {routeSettingsFixture} from '../../fixtures/route-settings-fixture.ts';
 import {OrdersNetwork} from '../../fixtures/orders/orders-network.ts';
@@ -115,3 +118,24 @@
 	t.deepEqual(reports.map(({fencing}) => fencing), [5, 9]);
 	t.deepEqual(delegate.takeOrders(), [], 'an order that was queued under the lower number is dropped');
 });
+
+test('an engine that said in an answer that it leaves is reported to the leader, which sends it orders', t => {
+	const now = 1000 as Millis;
+	const outbox = new RecordingOutbox();
+	const targets = new RegionalTargetTable({
+		self: toId('entry-1'), entries: () => [], outbox, random: new SeededRandom(1), emit: () => undefined,
+	});
+	const names = ['engine-1', 'engine-2'].map(name => toId<TargetId>(name));
+	for (const targetId of names) {
+		targets.announce(announcementFixture({targetId}), now);
+	}
+
+	const reports: Array<Extract<OrdersMessage, {type: 'report'}>> = [];
+	const delegate = new OrderDelegate({targets, outbox, report: (_, message) => reports.push(message as Extract<OrdersMessage, {type: 'report'}>)});
+	const listed = () => reports.at(-1)!.engines?.map(({targetId}) => targetId);
+	delegate.handleLead(toId('leader-1'), {type: 'lead', fencing: 5}, now);
+	t.deepEqual(listed(), names);
+	targets.recordNotice(names[0]!, {incarnation: 1, notice: {leaving: true}, request: toId('r0')}, now);
+	delegate.handleLead(toId('leader-1'), {type: 'lead', fencing: 5}, now);
+	t.deepEqual(listed(), [names[1]]);
+});
--- a/test/server/attempt-client.test.ts
+++ b/test/server/attempt-client.test.ts
@@ -2,6 +2,7 @@
 import {ServerResponse, IncomingMessage} from 'node:http';
 import {createServer, Socket, type AddressInfo} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
+import type {AttemptId} from '../../src/core/ids/attempt-id.ts';
 import type {TargetId} from '../../src/core/ids/target-id.ts';
 import {toId} from '../../src/core/ids/to-id.ts';
 import type {CoreEvent} from '../../src/core/events.ts';
@@ -12,6 +13,10 @@
 import {requestInfoFixture} from '../fixtures/request-info-fixture.ts';
 
 type Answer = {
+	/** @default '200 OK' */
+	readonly status?: string;
+	/** Further lines of the head, each with its line break. @default '' */
+	readonly headers?: string;
 	readonly contentType: string;
 	readonly text: string;
 	/** How the target ends the connection, which alone ends the answer; `never`: it sends bytes until the caller closes it. */
@@ -27,7 +32,7 @@
 }
 
 /** Starts a target whose answers have neither a length nor chunks. */
-async function listen(t: ExecutionContext, {contentType, text, end, filler = 'filler', onClosed}: Answer): Promise<string> {
+async function listen(t: ExecutionContext, {status = '200 OK', headers = '', contentType, text, end, filler = 'filler', onClosed}: Answer): Promise<string> {
 	const server = createServer(socket => {
 		socket.on('error', () => undefined);
 		socket.once('data', () => {
@@ -37,7 +42,7 @@
 				return;
 			}
 
-			socket.write(`HTTP/1.1 200 OK\r\nContent-Type: ${contentType}\r\nConnection: close\r\n\r\n${text}`, () => {
+			socket.write(`HTTP/1.1 ${status}\r\n${headers}Content-Type: ${contentType}\r\nConnection: close\r\n\r\n${text}`, () => {
 				setTimeout(() => {
 					if (end === 'reset') {
 						socket.resetAndDestroy();
@@ -57,8 +62,9 @@
 	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
-/** Sends one call to a target; returns the event that ends the attempt. */
-async function outcomeOf(t: ExecutionContext, answer: Answer, kind: 'call' | 'completion' = 'call'): Promise<CoreEvent> {
+/** Sends one request to a target; returns the events of the attempt. */
+async function eventsOf(t: ExecutionContext, answer: Answer, kind: 'call' | 'completion'): Promise<readonly CoreEvent[]> {
+	const events: CoreEvent[] = [];
 	const address = await listen(t, answer);
 	const info = requestInfoFixture({kind, streamed: false});
 	return new Promise(resolve => {
@@ -66,8 +72,9 @@
 			self: {nodeId: 'regina-1', region: 'regina'},
 			token: new PeerToken(() => ['key']),
 			step(event) {
+				events.push(event);
 				if (event.type === 'attempt-end' || event.type === 'attempt-failed') {
-					resolve(event);
+					resolve(events);
 				}
 			},
 		});
@@ -93,6 +100,12 @@
 	});
 }
 
+/** Sends one request to a target; returns the event that ends the attempt. */
+async function outcomeOf(t: ExecutionContext, answer: Answer, kind: 'call' | 'completion' = 'call'): Promise<CoreEvent> {
+	const events = await eventsOf(t, answer, kind);
+	return events.at(-1)!;
+}
+
 test('a whole answer without a length whose connection is reset is never taken for complete', async t => {
 	const outcome = await outcomeOf(t, {contentType: 'text/plain', text: 'half of it', end: 'reset'});
 	t.is(outcome.type, 'attempt-failed');
@@ -132,3 +145,21 @@
 		t.true(sentBytes! <= maxEndlessBytes, `${sentBytes} bytes were read`);
 	});
 }
+
+const plain = {contentType: 'text/plain', text: 'answer', end: 'close'} as const;
+
+for (const [title, answer, notice, type] of [
+	['a pause', {status: '503 Service Unavailable', headers: 'Retry-After: 2.5\r\n'}, {leaving: false, pauseMs: 2500}, 'attempt-failed'],
+	['that it leaves', {headers: 'Lovageferry-Leaving: 1\r\n'}, {leaving: true}, 'attempt-end'],
+] as const) {
+	test(`what a target says of the requests that it wants is lost: ${title}`, async t => {
+		const events = await eventsOf(t, {...plain, ...answer}, 'call');
+		t.like(events[0], {type: 'target-notice', attemptId: toId<AttemptId>('attempt-1'), notice});
+		t.is(events.at(-1)!.type, type);
+	});
+}
+
+test('a target that says nothing of the requests that it wants is taken to say something', async t => {
+	const events = await eventsOf(t, plain, 'call');
+	t.deepEqual(events.map(({type}) => type), ['attempt-first-byte', 'attempt-end']);
+});
