test(attempts): cover deadlines that pass while a request waits for a pause

Without the check of the phase `paused` in the tick such a request would never be answered, and no test noticed: tried, this test fails then. It passes with the present code.

--- a/test/core/attempts/pausing-targets.test.ts
+++ b/test/core/attempts/pausing-targets.test.ts
@@ -265,3 +265,22 @@
 	harness.advance(1500);
 	t.deepEqual(harness.sentTo('r0'), [first]);
 });
+
+test('a request whose deadline passes just after the pause that it waits for is never answered', t => {
+	const harness = new TableHarness();
+	harness.announce('engine-1');
+	harness.requests.request('r0');
+	harness.turnAway('r0', 990);
+	for (const id of ['r1', 'r2']) {
+		harness.requests.request(id, {deadlineAt: 995 as Millis});
+	}
+
+	harness.advance(900);
+	harness.requests.now = 996 as Millis;
+	harness.requests.request('later');
+	harness.advance(50);
+	for (const id of ['r1', 'r2']) {
+		t.like(harness.requests.finalAnswers(id), [{type: 'refuse', refusal: {result: 'deadline', ran: 'no'}}]);
+		t.deepEqual(harness.sentTo(id), []);
+	}
+});
