--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -6,16 +6,15 @@
 import type {EntryAddress} from '../ids/entry-address.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
-import type {Region} from '../ids/region.ts';
 import type {Zone} from '../ids/zone.ts';
 import type {PeerMessage} from '../peer-message.ts';
 import type {CallerLocation} from '../registry/caller-location.ts';
 import {EntryDirectory} from '../registry/entry-directory.ts';
 import {summarizeRegions} from '../registry/summarize-regions.ts';
 import {TargetRegistry} from '../registry/target-registry.ts';
-import {HostHomes} from '../routes/host-homes.ts';
 import type {CommandOutcome} from '../tree/command-outcome.ts';
 import {SystemState} from '../tree/system-state.ts';
+import {CallerDirectory} from './caller-directory.ts';
 import type {ControlAction} from './control-action.ts';
 import type {ControlCoreOptions} from './control-core-options.ts';
 import type {ControlEvent} from './control-event.ts';
@@ -28,8 +27,6 @@
 import {StreamOriginAnswerer} from './stream-origin-answerer.ts';
 import {VoterPolicy} from './voter-policy.ts';
 
-const noRegions: ReadonlySet<Region> = new Set();
-
 /**
  * Core of a control node in a deployment with a routes document: the replicated state, the registry of targets,
  * the directory of entries and the feeds to entries. Does no I/O: `step` takes one event and returns the actions to perform.
@@ -41,6 +38,7 @@
 	readonly #consensus: RaftMember<CommandOutcome>;
 	readonly #registry: TargetRegistry;
 	readonly #directory = new EntryDirectory();
+	readonly #callerDirectory: CallerDirectory;
 	readonly #operatorCalls: OperatorCallHandler;
 	readonly #feed: EntryFeed;
 	readonly #gossip: RegistryGossip;
@@ -54,8 +52,6 @@
 	/** Number of ticks so far; rotates the sample of addresses in the summaries of regions. */
 	#tickCount = 0;
 	#loggedGroup = '';
-	/** Homes of the hosts of a document's version; parsed when a caller asks who is led out of its region. */
-	#homes: {readonly version: number; readonly hosts: HostHomes | undefined} | undefined;
 	#gossipUrgent = false;
 	#now = 0 as Millis;
 
@@ -75,6 +71,9 @@
 			random,
 			startedAt: options.startedAt,
 		});
+		this.#callerDirectory = new CallerDirectory({
+			entries: this.#directory, state: this.#state.routes, parseDocument: options.parseDocument, outbox,
+		});
 		this.#registry = new TargetRegistry({reportEveryMs, regionOf: zone => zones.get(zone)});
 		this.#voterPolicy = new VoterPolicy(toleratedLosses);
 		this.#operatorCalls = new OperatorCallHandler({
@@ -127,21 +126,9 @@
 		return this.#queue.take();
 	}
 
-	/** Addresses of entries that a caller should connect to, none if no entry may take its requests; an answer that leads it out of its region is logged. */
+	/** Addresses of entries that a caller should connect to; none if no entry may take its requests. */
 	addresses(caller: CallerLocation, now: Millis): readonly EntryAddress[] {
-		const homes = () => this.#homesOf(caller.host);
-		const entries = this.#directory.entriesFor(caller, homes, now);
-		if (entries.every(({region}) => region !== caller.region)) {
-			this.#queue.event('directory-fallback', {
-				...caller,
-				homes: homes() && [...homes()!],
-				regions: [...new Set(entries.map(({region}) => region))],
-				entries: entries.length,
-				version: this.#state.routes.document?.version,
-			});
-		}
-
-		return entries.map(({address}) => address);
+		return this.#callerDirectory.addresses(caller, now);
 	}
 
 	/** Address that a target of the zone should send its next reports to; undefined if it should stay with this node. */
@@ -166,25 +153,6 @@
 		};
 	}
 
-	/** Regions whose entries may take any request for a host; undefined if all may, none while that is unknown: without a document that this node can read. */
-	#homesOf(host: string | undefined): ReadonlySet<Region> | undefined {
-		const {document} = this.#state.routes;
-		if (document === undefined) {
-			return noRegions;
-		}
-
-		if (this.#homes?.version !== document.version) {
-			const parsed = this.#options.parseDocument(document.text);
-			if ('problems' in parsed) {
-				this.#queue.event('document-unreadable', {version: document.version, problems: parsed.problems.slice(0, 3)});
-			}
-
-			this.#homes = {version: document.version, hosts: 'problems' in parsed ? undefined : new HostHomes(parsed.document)};
-		}
-
-		return this.#homes.hosts === undefined ? noRegions : this.#homes.hosts.of(host ?? '');
-	}
-
 	#dispatch(event: ControlEvent, now: Millis): void {
 		switch (event.type) {
 			case 'tick': {
