--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -1,5 +1,6 @@
 import type {ActionQueue} from '../action-queue.ts';
 import type {Millis} from '../ids/millis.ts';
+import {pauseStatus} from '../targets/pause-status.ts';
 import {recordTargetNotice} from '../targets/record-target-notice.ts';
 import type {TargetProber} from '../targets/target-prober.ts';
 import type {AnswerHead} from './answer-head.ts';
@@ -15,9 +16,6 @@
 /** Status 421, Misdirected Request: the answer is from another target than the request names, or not vouched for by that target; the request has not run. */
 const misdirectedStatus = 421;
 
-/** Status 503, Service Unavailable: with `Retry-After` the target asks for a pause. */
-const pauseStatus = 503;
-
 /** Statuses with which a target says that it has failed a request; 504 is its answer to a deadline that has passed. */
 const failureStatuses: ReadonlySet<number> = new Set([500, 501, 502]);
 
--- a/src/server/read-target-notice.ts
+++ b/src/server/read-target-notice.ts
@@ -1,9 +1,8 @@
+import {pauseStatus} from '../core/targets/pause-status.ts';
 import type {TargetNotice} from '../core/targets/target-notice.ts';
 import {readFlag} from './read-flag.ts';
 import {readRetryAfterMs} from './read-retry-after-ms.ts';
 
-/** Status 503, Service Unavailable: with `Retry-After` the target asks for a pause. */
-const pauseStatus = 503;
 const leavingHeader = 'lovageferry-leaving';
 const retryAfterHeader = 'retry-after';
 
