fix(edge): only an entry's answer names a leaving target

Cause: found by review: the header with which an entry names the target that leaves was taken from any answer, so a target could keep requests from another one. Change: it counts in answers of entries that the request was forwarded to.

--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -49,7 +49,7 @@
  * A region's peak may exceed the capacity of its own targets. A request goes where its predicted cost is lowest; to a
  * remote region only if the gain outweighs the traffic, or if no target of this region has room and would start it in
  * time. An entry that can't reach the targets of its region has other entries of the region send it. It waits only while
- * it can still be served in time; otherwise it is refused at once. In a region with placers, an entry forwards each prompt
+ * it can still be served in time, also for the end of a pause that a target asked for; otherwise it is refused at once. In a region with placers, an entry forwards each prompt
  * once to the placer chosen for it, unless that is the entry itself.
  */
 export class PlacementPolicy {
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -42,7 +42,7 @@
 	/** Records the head of an answer, which may carry the target's load, its limit and how many rejections it stands. */
 	recordHead(record: RequestRecord, head: AnswerHead, now: Millis): void {
 		const {leavingTarget} = head;
-		if (leavingTarget !== undefined && this.#options.pool.recordLeaving(leavingTarget, now)) {
+		if (record.running?.forwardedTo !== undefined && leavingTarget !== undefined && this.#options.pool.recordLeaving(leavingTarget, now)) {
 			this.#options.queue.event('target-leaving', {target: leavingTarget.targetId, born: leavingTarget.born, request: record.req.callerKey});
 		}
 
--- a/test/core/edge/leaving-targets.test.ts
+++ b/test/core/edge/leaving-targets.test.ts
@@ -103,3 +103,16 @@
 		t.is(harness.lastStart().targetId, target.targetId);
 	}
 });
+
+test('a target whose answer names another one as leaving keeps requests from that one', t => {
+	const harness = new EdgeHarness();
+	const [first, second] = [listedTargetFixture('a'), listedTargetFixture('b')];
+	harness.feed({targets: [first, second]});
+	harness.request();
+	const own = harness.lastStart();
+	const other = own.targetId === first.targetId ? second : first;
+	harness.head(own.attempt, {
+		status: 503, notRun: true, eventStream: false, leavingTarget: {targetId: other.targetId, born: other.born},
+	});
+	t.is(harness.lastStart().targetId, other.targetId);
+});
