feat(edge): log when the running attempt was sent if a caller leaves

caller-gone told how long after its arrival a request lost its caller, but not when it was sent on. Without that, a request that was read late cannot be told from one that was sent late.

--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -150,7 +150,13 @@
 			this.#options.queue.push({type: 'cancel', attempt: running.attempt});
 		}
 
-		this.#options.queue.event('caller-gone', {request: record.req.callerKey, afterMs: Math.round(now - record.req.arrivedAt), target: destinationOf(record)});
+		this.#options.queue.event('caller-gone', {
+			request: record.req.callerKey,
+			afterMs: Math.round(now - record.req.arrivedAt),
+			target: destinationOf(record),
+			sends: record.sends,
+			sentForMs: running === undefined ? undefined : Math.round(now - running.sentAt),
+		});
 		this.#releaseAttempt(record);
 		this.#forget(record);
 	}
