fix(server): attempts are started only after the end of their caller's connection has been looked for

Callers saw nothing; engines got requests seconds after their callers had left (GONE), through entries of the caller's region and, forwarded, of others. Cause: the end of a caller's connection was looked for once, when its request arrived on the routes path, and never on the completions path. A request that waits, or that is retried after a refusal, a failure or a stall, is sent by a later event. A process that has been busy calls its timers before it reads its connections, so it sent on what nobody waited for, and cancelled it a moment later. Change: CallerPresence, one for both paths, at the arrival of a request and at each start of an attempt that is not the arrival's own.

--- a/src/server/attempt-client.ts
+++ b/src/server/attempt-client.ts
@@ -33,7 +33,7 @@
 		this.#options = options;
 	}
 
-	/** Starts an attempt; its progress and its outcome are reported as core events. */
+	/** Starts an attempt, which fails as not sent if its caller has left; its progress and its outcome are reported as core events. */
 	start(action: StartAttempt, request: CallerRequest): void {
 		request.setOwner(action.attemptId);
 		if (!action.resume) {
@@ -58,6 +58,22 @@
 		this.#abortControllers.set(action.attemptId, abort);
 		const reader = new AttemptResponseReader(action, request, this.#options.step);
 		try {
+			const isPresent = await request.presence.confirm();
+			if (abort.signal.aborted) {
+				return;
+			}
+
+			if (!isPresent) {
+				this.#options.step({
+					type: 'attempt-failed',
+					attemptId: action.attemptId,
+					failure: {
+						reason: 'connect', notSent: true, passedOn: false, tokens: 0,
+					},
+				});
+				return;
+			}
+
 			const res = await this.#agent.request(this.#requestOptions(action, request, abort.signal));
 			await reader.read(res);
 		} catch (error) {
--- a/src/server/caller-api.ts
+++ b/src/server/caller-api.ts
@@ -81,6 +81,10 @@
 			throw error;
 		}
 
+		if (!await request.presence.confirm()) {
+			return;
+		}
+
 		const {requestId} = request.info;
 		requests.set(requestId, request);
 		res.on('close', () => {
@@ -89,7 +93,9 @@
 				runner.step({type: 'caller-gone', requestId});
 			}
 		});
-		runner.step({type: 'request', req: request.info});
+		request.presence.whileConfirmed(() => {
+			runner.step({type: 'request', req: request.info});
+		});
 	}
 
 	#refuse(res: ServerResponse, refusal: Refusal): void {
--- a/src/server/caller-request.ts
+++ b/src/server/caller-request.ts
@@ -4,6 +4,7 @@
 import type {StoredAnswer} from '../core/ledger/stored-answer.ts';
 import type {RequestInfo} from '../core/settings/request-info.ts';
 import {abortResponse} from './abort-response.ts';
+import {CallerPresence} from './caller-presence.ts';
 import {CompletionAssembler} from './completion-assembler.ts';
 import type {ProblemDocument} from './problem-document.ts';
 import {sendProblem} from './send-problem.ts';
@@ -13,6 +14,7 @@
 /** An open request of a caller: its body, its response, and the attempt that may write to the response. */
 export class CallerRequest {
 	readonly info: RequestInfo;
+	readonly presence: CallerPresence;
 	readonly body: Buffer;
 	readonly method: string;
 	/** Path and query to request from the target. */
@@ -43,6 +45,7 @@
 		this.targetPath = options.targetPath;
 		this.headers = options.headers;
 		this.#res = options.res;
+		this.presence = new CallerPresence(options.res);
 	}
 
 	/** True once the response headers were sent. */
--- a/src/server/routes/caller-exchange.ts
+++ b/src/server/routes/caller-exchange.ts
@@ -4,6 +4,7 @@
 import type {EdgeRequest} from '../../core/edge/edge-request.ts';
 import type {AttemptNumber} from '../../core/ids/attempt-number.ts';
 import {abortResponse} from '../abort-response.ts';
+import type {CallerPresence} from '../caller-presence.ts';
 import type {RequestHead} from './request-head.ts';
 
 const statusByReason: Readonly<Record<EdgeRefusal['reason'], number>> = {
@@ -22,6 +23,7 @@
 
 type CallerExchangeOptions = {
 	readonly res: ServerResponse;
+	readonly presence: CallerPresence;
 	readonly head: RequestHead;
 	readonly edgeRequest: EdgeRequest;
 	readonly body: Buffer;
@@ -29,6 +31,7 @@
 
 /** One caller's request and the HTTP response to it. Only one attempt at a time may write the response: `TargetClient` stops the reader of a cancelled one. */
 export class CallerExchange {
+	readonly presence: CallerPresence;
 	readonly head: RequestHead;
 	readonly edgeRequest: EdgeRequest;
 	readonly body: Buffer;
@@ -37,7 +40,8 @@
 	readonly #res: ServerResponse;
 	#streaming = false;
 
-	constructor({res, head, edgeRequest, body}: CallerExchangeOptions) {
+	constructor({res, presence, head, edgeRequest, body}: CallerExchangeOptions) {
+		this.presence = presence;
 		this.head = head;
 		this.edgeRequest = edgeRequest;
 		this.body = body;
--- a/src/server/routes/request-server.ts
+++ b/src/server/routes/request-server.ts
@@ -1,12 +1,12 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {setImmediate as nextLoopTurn} from 'node:timers/promises';
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
 import type {Millis} from '../../core/ids/millis.ts';
 import type {RequestId} from '../../core/ids/request-id.ts';
 import {toId} from '../../core/ids/to-id.ts';
 import type {CallerLimits} from '../../core/routes/caller-limits.ts';
 import {BodyError} from '../body-error.ts';
+import {CallerPresence} from '../caller-presence.ts';
 import {fingerprintOf} from '../fingerprint-of.ts';
 import {readBody} from '../read-body.ts';
 import {CallerExchange} from './caller-exchange.ts';
@@ -20,8 +20,6 @@
 };
 /** Margin added to the document's idle timeout, in milliseconds, so that callers close idle connections first and never send a request on one that the server is closing. */
 const idleMarginMs = 2000;
-/** Turns of the event loop after which what has reached the connection has been read: one for its data, one for its end. */
-const readTurns = 2;
 const bodyErrorStatuses: Readonly<Record<string, number>> = {tooLarge: 413, slowCaller: 408};
 
 type RequestServerOptions = {
@@ -80,7 +78,8 @@
 		const arrivedAt = now();
 		res.sendDate = false;
 		const body = await this.#readBody(req, res);
-		if (body === undefined || await this.#hasLeft(req, res)) {
+		const presence = new CallerPresence(res);
+		if (body === undefined || !await presence.confirm()) {
 			return;
 		}
 
@@ -94,6 +93,7 @@
 		const requestId = toId<RequestId>(String(lastRequestNumber));
 		const exchange = new CallerExchange({
 			res,
+			presence,
 			head,
 			body,
 			edgeRequest: {
@@ -118,25 +118,9 @@
 				step({type: 'caller-gone', requestId});
 			}
 		});
-		if (res.destroyed) {
-			exchanges.delete(requestId);
-			return;
-		}
-
-		step({type: 'request', req: exchange.edgeRequest});
-	}
-
-	/**
-	 * True if the caller has closed the connection. A request may be read long after it came: a busy process reads late,
-	 * and only one connection is accepted in each turn of the event loop, so others wait even while timers are on time.
-	 * A caller that has left meanwhile must not cost a target any work, so the end of the connection is looked for first.
-	 */
-	async #hasLeft({socket}: IncomingMessage, res: ServerResponse): Promise<boolean> {
-		for (let turn = 0; turn < readTurns; turn++) {
-			await nextLoopTurn(); // eslint-disable-line no-await-in-loop
-		}
-
-		return res.destroyed || socket.destroyed || socket.readableEnded;
+		presence.whileConfirmed(() => {
+			step({type: 'request', req: exchange.edgeRequest});
+		});
 	}
 
 	/** Reads the body. A request over the limits is refused here; the result is then undefined. */
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -54,7 +54,7 @@
 		this.#options = options;
 	}
 
-	/** Sends an attempt; its outcome is passed to the core as events. */
+	/** Sends an attempt, unless its caller has left; its outcome is passed to the core as events. */
 	start(action: StartAction, exchange: CallerExchange): void {
 		exchange.owner = action.attempt;
 		const {codec, step} = this.#options;
@@ -100,6 +100,10 @@
 		const {step} = this.#options;
 		const {attempt} = action;
 		try {
+			if (!await exchange.presence.confirm() || abortController.signal.aborted) {
+				return;
+			}
+
 			const agent = action.targetId === undefined ? this.#entries : (action.fresh ? this.#shortKeepAliveTargets : this.#targets);
 			const res = await agent.request({
 				origin: `http://${this.#options.forwards[action.address] ?? action.address}`,
