fix(server): an odd announcement no longer ends entries

Another writer left an entry with a port out of range among those of the engines; the entries that had it ended again and again. Cause: an announcement's address was checked by a pattern that takes any five digits as a port. The connection that probes such a target throws before it is opened (ERR_SOCKET_BAD_PORT), which nobody catches: the process ends, and so does each other entry of the region, since announcements are passed on. Change: the address has to be one (isAddress); canConnect of anything else is false, since an older build may still pass on such an announcement. Announcements have a limit of 1 MiB instead of 8, and targets one of their capacity.

--- a/src/server/can-connect.ts
+++ b/src/server/can-connect.ts
@@ -1,7 +1,12 @@
 import {connect} from 'node:net';
+import {isAddress} from '../settings/is-address.ts';
 
-/** Opens a connection to `host:port` and closes it again; false if it can't be opened within `timeoutMs`. */
+/** Opens a connection to `host:port` and closes it again; false if it can't be opened within `timeoutMs`, or if the address isn't valid. */
 export async function canConnect(address: string, timeoutMs: number): Promise<boolean> {
+	if (!isAddress(address)) {
+		return false;
+	}
+
 	const [host, port] = address.split(':');
 	return new Promise(resolve => {
 		const socket = connect({host, port: Number(port), timeout: timeoutMs});
--- a/src/server/target-api.ts
+++ b/src/server/target-api.ts
@@ -1,10 +1,14 @@
+import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {z} from 'zod';
+import type {ResultName} from '../core/results/result-name.ts';
 import type {SoftwareVersion} from '../core/ids/software-version.ts';
 import {toId} from '../core/ids/to-id.ts';
 import type {Announcement} from '../core/targets/announcement.ts';
 import {constants} from '../settings/constants.ts';
+import {isAddress} from '../settings/is-address.ts';
 import {bearerKey} from './bearer-key.ts';
+import {BodyError} from './body-error.ts';
 import type {CoreRunner} from './core-runner.ts';
 import type {GatewayNode} from './gateway-node.ts';
 import type {Metrics} from './metrics.ts';
@@ -30,12 +34,12 @@
 	firm: label,
 	deployment: label,
 	service: label,
-	address: z.string().regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/v),
+	address: z.string().refine(isAddress, 'must be an IPv4 address with a port'),
 	zone: label,
 	kind: z.enum(['engine', 'service']),
 	state: z.enum(['serving', 'leaving']),
 	models: z.array(label).max(64),
-	capacity: z.number().int().positive(),
+	capacity: z.number().int().positive().max(constants.maxTargetCapacity),
 	load: z.object({running: nonNegativeInteger, queued: nonNegativeInteger, ageMs: z.number().nonnegative()}),
 	tokensPerSecond: z.number().positive().optional(),
 	prefillTokensPerSecond: z.number().positive().optional(),
@@ -58,7 +62,11 @@
 	}
 
 	async announce(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const body = await readBody(req, constants.maxControlBodyBytes);
+		const body = await this.#readBody(req, res);
+		if (body === undefined) {
+			return;
+		}
+
 		const parsed = schema.safeParse(parseJson(body.toString('utf8')));
 		if (!parsed.success) {
 			const issue = parsed.error.issues[0]!;
@@ -85,7 +93,25 @@
 		return found !== undefined && (path === found.path || path.startsWith(`${found.path}/`));
 	}
 
-	#refuse(res: ServerResponse, result: 'malformed' | 'announcementRefused', detail: string): void {
+	/** Reads the body; an announcement that is too large or too slow is refused here, and the result is then undefined. */
+	async #readBody(req: IncomingMessage, res: ServerResponse): Promise<Buffer | undefined> {
+		try {
+			return await readBody(req, constants.maxAnnouncementBytes);
+		} catch (error) {
+			if (!(error instanceof BodyError)) {
+				throw error;
+			}
+
+			if (error.result !== 'callerGone') {
+				res.setHeader('connection', 'close');
+				this.#refuse(res, error.result, error.message);
+			}
+
+			return undefined;
+		}
+	}
+
+	#refuse(res: ServerResponse, result: ResultName, detail: string): void {
 		const {node, region, metrics} = this.#options;
 		metrics.count('refusals', result);
 		sendProblem(res, makeProblem({result, ran: 'no', detail}, {region, revision: node.tree.revision}));
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -8,8 +8,14 @@
 	bodyTimeoutMs: 30_000,
 	/** Maximum number of open connections from callers; further ones are closed at once. */
 	maxConnections: 20_000,
-	/** Largest body of an announcement or a change. */
+	/** Largest body of a change or a configuration, in bytes. */
 	maxControlBodyBytes: 8_388_608,
+	/** Largest announcement of a target, in bytes, with a full list of cached blocks. */
+	maxAnnouncementBytes: 1_048_576,
+	/** Largest report of a target in a deployment with a routes document, in bytes. Parsed JSON takes up to thirty times its size. */
+	maxReportBytes: 65_536,
+	/** Largest number of requests that a target may say it processes at the same time. */
+	maxTargetCapacity: 1_000_000,
 	/** Answers up to this size, in bytes, are buffered before they are sent to the caller, so that a truncated one can be retried. */
 	maxBufferedAnswerBytes: 262_144,
 	/** Largest whole answer, in bytes; one that goes on is given up, since targets in trouble may send bytes without end. */
--- a/test/server/http-interface.test.ts
+++ b/test/server/http-interface.test.ts
@@ -25,6 +25,8 @@
 	],
 });
 const entry = spec.nodes[0]!;
+/** Time within which an entry connects to a target that has just been announced, in milliseconds. */
+const probeTimeMs = 3000;
 let launcher: Launcher;
 
 test.before(async () => {
@@ -123,28 +125,51 @@
 	await res.body.dump();
 });
 
-test('an announcement without the target key of its service is refused', async t => {
-	const announcement = {
-		targetId: 'stranger',
-		incarnation: 1,
-		sequence: 1,
-		firm: spec.firm,
-		deployment: spec.deployment,
-		service: 'proofer',
-		address: '127.0.0.1:9',
-		zone: entry.zone,
-		kind: 'engine',
-		state: 'serving',
-		models: [],
-		capacity: 1,
-		load: {running: 0, queued: 0, ageMs: 0},
-		resumes: false,
-	};
-	const res = await request(url('/v1/announcements'), {method: 'POST', headers: {authorization: 'Bearer wrong'}, body: JSON.stringify(announcement)});
-	t.is(res.statusCode, 403);
+const stranger = {
+	targetId: 'stranger',
+	incarnation: 1,
+	sequence: 1,
+	firm: spec.firm,
+	deployment: spec.deployment,
+	service: 'proofer',
+	address: '127.0.0.1:9',
+	zone: entry.zone,
+	kind: 'engine',
+	state: 'serving',
+	models: [],
+	capacity: 1,
+	load: {running: 0, queued: 0, ageMs: 0},
+	resumes: false,
+};
+
+async function announce(body: string, key: string): Promise<number> {
+	const res = await request(url('/v1/announcements'), {method: 'POST', headers: {authorization: `Bearer ${key}`}, body});
 	await res.body.dump();
+	return res.statusCode;
+}
+
+async function isListed(id: string): Promise<boolean> {
 	const {targets} = await launcher.get(entry.node, '/v1/targets') as {targets: Array<{targetId: string}>};
-	t.false(targets.some(({targetId}) => targetId === 'stranger'));
+	return targets.some(({targetId}) => targetId === id);
+}
+
+test('an announcement without the target key of its service is refused', async t => {
+	t.is(await announce(JSON.stringify(stranger), 'wrong'), 403);
+	t.false(await isListed('stranger'));
+});
+
+test('an entry ends, or lists a target that it cannot use, after an odd announcement', async t => {
+	const nesting = 4_000_000;
+	const oddFields = {
+		address: '127.0.0.1:65536', capacity: 1e308, sequence: 2 ** 60, incarnation: -1, tokensPerSecond: '1e999',
+	};
+	for (const [field, value] of Object.entries(oddFields)) {
+		t.is(await announce(JSON.stringify({...stranger, targetId: 'odd', [field]: value}), spec.targetKey), 400, `${field} of the announcement`); // eslint-disable-line no-await-in-loop
+	}
+
+	t.is(await announce(`{"models":${'['.repeat(nesting)}${']'.repeat(nesting)}}`, spec.targetKey), 413);
+	await delay(probeTimeMs);
+	t.false(await isListed('odd'));
 });
 
 test('a forwarded request without the peer key is refused', async t => {
