fix(server): a deeply nested report no longer ends control nodes

Cause: reports of targets were read up to the limit of a configuration, 8 MiB. Nested lists of that size take thirty times as much once parsed, more than a control node's heap. Change: a report has 64 KiB at most; ours have a few hundred bytes.

--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -97,7 +97,7 @@
 			return;
 		}
 
-		const body = await this.#readBody(req, res);
+		const body = await this.#readBody(req, res, call.type === 'report' ? constants.maxReportBytes : constants.maxControlBodyBytes);
 		if (body === undefined) {
 			return;
 		}
@@ -194,9 +194,9 @@
 		});
 	}
 
-	async #readBody(req: IncomingMessage, res: ServerResponse): Promise<string | undefined> {
+	async #readBody(req: IncomingMessage, res: ServerResponse, maxBytes: number): Promise<string | undefined> {
 		try {
-			const body = await readBody(req, constants.maxControlBodyBytes);
+			const body = await readBody(req, maxBytes);
 			return body.toString('utf8');
 		} catch (error) {
 			if (!(error instanceof BodyError)) {
