fix(server): a new connection carries a request only after pending reads show that its caller still waits

Engines got requests 0.7 s after their callers had left (GONE). Cause: once an attempt is started its connection is opened, and the HTTP client writes the request in the event that tells that it is open. In a process with long turns of its event loop that event comes up to a turn later, and before the end of the caller's connection, which arrived meanwhile. The end itself was acted on only when the response was closed, some turns after it had been read. Change: a new connection is handed to the client after pending reads; callers' connections are watched for their end.

--- a/src/server/caller-api.ts
+++ b/src/server/caller-api.ts
@@ -87,9 +87,9 @@
 
 		const {requestId} = request.info;
 		requests.set(requestId, request);
-		res.on('close', () => {
+		request.presence.onceEnded(left => {
 			requests.delete(requestId);
-			if (!res.writableFinished) {
+			if (left) {
 				runner.step({type: 'caller-gone', requestId});
 			}
 		});
--- a/src/server/caller-presence.ts
+++ b/src/server/caller-presence.ts
@@ -1,9 +1,6 @@
 import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
-import {setImmediate as nextLoopTurn} from 'node:timers/promises';
-
-/** Turns of the event loop after which what has reached a connection has been read: one for its data, one for its end. */
-const readTurns = 2;
+import {pendingReads} from './pending-reads.ts';
 
 /**
  * Tells whether a caller still waits for its answer. A request may be read, and an attempt may be started, long after
@@ -19,16 +16,13 @@
 		this.#res = res;
 	}
 
-	/** False, once the response is closed, if the caller has left. Takes two turns of the event loop, except within `whileConfirmed`. */
+	/** False, once the response is closed, if the caller has left. Waits for pending reads, except within `whileConfirmed`. */
 	async confirm(): Promise<boolean> {
 		if (this.#isConfirmed) {
 			return true;
 		}
 
-		for (let turn = 0; turn < readTurns; turn++) {
-			await nextLoopTurn(); // eslint-disable-line no-await-in-loop
-		}
-
+		await pendingReads();
 		const {req: {socket}, closed, destroyed} = this.#res;
 		if (closed || destroyed || socket.destroyed) {
 			return false;
@@ -43,6 +37,23 @@
 		return true;
 	}
 
+	/** Calls `handle` once, as soon as the caller leaves or its answer is complete; `left` tells which. */
+	onceEnded(handle: (left: boolean) => void): void {
+		const res = this.#res;
+		const {socket} = res.req;
+		// The response is closed some turns of the event loop after the end of the connection was read.
+		const finish = () => {
+			socket.off('end', finish);
+			socket.off('error', finish);
+			res.off('close', finish);
+			handle(!res.writableFinished);
+		};
+
+		socket.once('end', finish);
+		socket.once('error', finish);
+		res.once('close', finish);
+	}
+
 	/** Performs an action right after `confirm`; what it starts need not look for the end of the connection again. */
 	whileConfirmed(action: () => void): void {
 		this.#isConfirmed = true;
--- a/src/server/routes/request-server.ts
+++ b/src/server/routes/request-server.ts
@@ -112,9 +112,9 @@
 			},
 		});
 		exchanges.set(requestId, exchange);
-		res.once('close', () => {
+		presence.onceEnded(left => {
 			exchanges.delete(requestId);
-			if (!res.writableFinished) {
+			if (left) {
 				step({type: 'caller-gone', requestId});
 			}
 		});
--- a/src/server/target-connector.ts
+++ b/src/server/target-connector.ts
@@ -1,6 +1,8 @@
 import type {Socket} from 'node:net';
 import type {buildConnector} from 'undici';
 import buildUndiciConnector from 'undici/lib/core/connect.js';
+import {closedUnusedCode} from './closed-unused-code.ts';
+import {pendingReads} from './pending-reads.ts';
 
 /** Error code of a reset connection; replaces ECONNRESET, which the HTTP client treats as the end of the body. */
 const resetCode = 'ERR_CONNECTION_RESET';
@@ -18,16 +20,32 @@
 	return (options, callback) => {
 		connect(options, (...result) => {
 			const [, socket] = result;
-			if (socket) {
-				renameReset(socket);
-				confirmEnd(socket);
+			if (!socket) {
+				callback(...result);
+				return;
 			}
 
-			callback(...result);
+			renameReset(socket);
+			confirmEnd(socket);
+			void handOver(socket, callback);
 		});
 	};
 }
 
+/**
+ * Hands a new connection to the HTTP client, which writes the request at once. In a busy process the caller may have
+ * left since the request was started, which other connections tell that have not been read yet.
+ */
+async function handOver(socket: Socket, callback: buildConnector.Callback): Promise<void> {
+	await pendingReads();
+	if (socket.destroyed) {
+		callback(Object.assign(new Error('the target closed the connection before a request was sent'), {code: closedUnusedCode}), null);
+		return;
+	}
+
+	callback(null, socket);
+}
+
 function renameReset(socket: Socket): void {
 	socket.prependListener('error', (error: NodeJS.ErrnoException) => {
 		if (error.code === 'ECONNRESET') {
--- a/test/server/routes/late-sends.test.ts
+++ b/test/server/routes/late-sends.test.ts
@@ -1,5 +1,7 @@
 import {once} from 'node:events';
-import {connect} from 'node:net';
+import {
+	connect, createServer, type AddressInfo, type Socket,
+} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {platformRequestCodec} from '../../../platform/platform-request-codec.ts';
@@ -60,6 +62,9 @@
 			step: event => {
 				this.events.push(event.type);
 				this.#lastRequest = event.type === 'request' ? event.req.requestId : this.#lastRequest;
+				if (event.type === 'caller-gone') {
+					this.#client.cancel(this.#lastAttempt as AttemptNumber);
+				}
 			},
 			now: () => performance.now() as Millis,
 			leaving: () => false,
@@ -119,6 +124,19 @@
 	}
 }
 
+async function openSocketPair(t: ExecutionContext): Promise<readonly [Socket, Socket]> {
+	const server = createServer().listen(0, host);
+	await once(server, 'listening');
+	const near = connect({host, port: (server.address() as AddressInfo).port});
+	const [far] = await once(server, 'connection') as [Socket];
+	t.teardown(() => {
+		near.destroy();
+		far.destroy();
+		server.close();
+	});
+	return [near, far];
+}
+
 for (const relay of [false, true]) {
 	for (const manner of ['ended', 'reset'] as const) {
 		test.serial(`an attempt that a late timer starts is not sent once the ${relay ? 'entry that forwarded the request' : 'caller'} has left: connection ${manner}`, async t => {
@@ -142,6 +160,23 @@
 		});
 	}
 
+	test.serial(`an attempt whose connection to the engine is established after the ${relay ? 'entry that forwarded the request' : 'caller'} has left is not sent`, async t => {
+		const entry = await HandDrivenEntry.open(t, {relay});
+		const {socket, exchange} = await entry.call();
+		const [near, far] = await openSocketPair(t);
+		// Both events are in one batch of the event loop: other work, in which the caller leaves, and the new connection.
+		near.once('data', () => {
+			socket.destroy();
+			blockEventLoop(stallMs);
+		});
+		far.write('work');
+		exchange.presence.whileConfirmed(() => {
+			entry.startAttempt(exchange);
+		});
+		await sleep(settleMs);
+		t.is(entry.engine.receivedRequests.length, 0);
+	});
+
 	test.serial(`an attempt that a late timer starts is sent while the ${relay ? 'entry that forwarded the request' : 'caller'} waits`, async t => {
 		const entry = await HandDrivenEntry.open(t, {relay});
 		await entry.warmUp();
