fix(edge): passes over waiting requests are bounded in number

Callers waited longer than needed, and engines got requests long after their callers had left (GONE). Cause: each answer, failure and departure of a caller started a pass over the requests that wait, which compares up to 16 of them with all targets of the region.

--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -19,6 +19,7 @@
 import {destinationOf} from './destination-of.ts';
 import type {CrashContainment} from './crash-containment.ts';
 import {isSuccess} from './is-success.ts';
+import {PlacementPacer} from './placement-pacer.ts';
 import type {PlacementPolicy} from './placement-policy.ts';
 import type {RegionSelector} from './region-selector.ts';
 import type {WindowedRetryBudget} from './windowed-retry-budget.ts';
@@ -58,6 +59,7 @@
 	readonly #retryPolicy: RetryPolicy;
 	readonly #placer: RequestPlacer;
 	readonly #feedback: TargetFeedback;
+	readonly #pacer = new PlacementPacer();
 	#closed = false;
 	#capacityChanged = false;
 
@@ -273,14 +275,15 @@
 		this.#capacityChanged = true;
 	}
 
-	/** Places waiting requests if capacity may have been freed since the last call. */
+	/** Places waiting requests if capacity may have been freed since the last pass, as often as the pacer allows. */
 	placeWaitingRequests(now: Millis): void {
-		if (!this.#capacityChanged) {
+		if (!this.#capacityChanged || !this.#pacer.mayPass(now)) {
 			return;
 		}
 
 		this.#capacityChanged = false;
 		this.#placer.placeWaiting(now);
+		this.#pacer.recordPass(now, {leftWaiting: !this.#options.waiting.isEmpty});
 	}
 
 	/** Handles a status other than 2xx: discards the answer if the caller already has the head of an earlier one, or if the status is 5xx and the request may be retried. Otherwise the answer is read on and passed to the caller. */
--- a/src/core/edge/wait-queue.ts
+++ b/src/core/edge/wait-queue.ts
@@ -27,6 +27,10 @@
 		return this.#queues.get(service)?.length ?? 0;
 	}
 
+	get isEmpty(): boolean {
+		return this.services().length === 0;
+	}
+
 	services(): readonly ServiceName[] {
 		return [...this.#queues].filter(([, queue]) => queue.length > 0).map(([service]) => service);
 	}
