fix(edge): an answer that is no stream never ends a stream that has begun as complete

Cause: a stream that broke off goes on at the next engine. An answer with another status than 2xx was treated as a failure there; one of 2xx that is no stream of events, such as a JSON document that names an error, was read to its end, and its end completed the caller's stream. The text itself was not passed on. Forwarded requests: an entry runs them on one target, and the one that forwarded uses the same rule. Change: only status 200 with a stream of events goes on with a stream; anything else is a failed attempt.

--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -189,6 +189,13 @@
 			return;
 		}
 
+		if (record.headPassed && !(head.status === 200 && head.eventStream)) {
+			// Its body is not the rest of the stream, and its end must not end the stream as complete.
+			this.#options.queue.push({type: 'cancel', attempt});
+			this.#handleAttemptFailure(record, 'no stream', now);
+			return;
+		}
+
 		// A forwarded request counts towards the retry budget only once the other entry has answered it: if that entry refuses it, the first attempt at a target counts it.
 		if (running.forwardedTo !== undefined && record.sends === 1) {
 			this.#options.budget.countRequest(record.service, now);
--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -15,6 +15,8 @@
  */
 type Manner = 'well' | 'cut' | 'short' | 'reset' | 'full' | 'silent' | 'foreign' | 'unsigned' | 'endless-head' | 'endless-body';
 
+type ResumeAnswer = {readonly status: number; readonly contentType: string; readonly text: string};
+
 type ReceivedRequest = {readonly method: string; readonly path: string; readonly headers: IncomingMessage['headers']; readonly body: string};
 
 /** Number of events in a complete stream. */
@@ -25,6 +27,8 @@
 	manner: Manner = 'well';
 	/** `Retry-After` of refusals with 503, in seconds; absent by default. */
 	pauseSeconds: string | undefined;
+	/** Answer to requests that resume a stream, in place of the rest of it; absent by default. */
+	resumeAnswer: ResumeAnswer | undefined;
 	/** True while it says in its answers that it leaves. */
 	leaving = false;
 	/** Version of the engine's software, in its reports and in each event of a stream. */
@@ -128,6 +132,12 @@
 			return;
 		}
 
+		if (this.resumeAnswer !== undefined && req.headers['last-event-id'] !== undefined) {
+			const {status, contentType, text} = this.resumeAnswer;
+			res.writeHead(status, {'request-identifier': req.headers['request-identifier'], 'server-signature': `${this.identifier}.sig`, 'content-type': contentType}).end(text);
+			return;
+		}
+
 		if (manner === 'full') {
 			res.writeHead(503, {
 				'not-executed': '1',
