fix(attempts): only a stream goes on with a stream that has begun, on the completions path

Callers of completions could get the text of an engine's error in the middle of their stream, or wait without an end. Cause: while a stream was resumed, an answer with a status other than five known ones was taken for a normal answer: a stream of events was passed on as the rest, a large body was written as it came, a small one was held and never sent, since a head had gone out before; the caller's stream stayed open. Evidence: attempt-client, seven answers to an attempt that resumes (400, 404, 501, 302, 200 with JSON, 206): all were read as answers; they fail the attempt now. An answer of another entry goes the same way.

--- a/src/server/attempt-response-reader.ts
+++ b/src/server/attempt-response-reader.ts
@@ -61,7 +61,7 @@
 
 		await this.#throwOnFailure(res, head);
 		this.#step({type: 'attempt-first-byte', attemptId: this.#action.attemptId});
-		const streamed = this.#request.info.kind === 'completion' && head.contentType.startsWith('text/event-stream');
+		const streamed = this.#request.info.kind === 'completion' && isEventStream(head);
 		await (streamed ? this.#readStream(res, head) : this.#readBuffered(res, head));
 	}
 
@@ -73,6 +73,12 @@
 			});
 		}
 
+		if (this.#action.resume && !(head.status === 200 && isEventStream(head))) {
+			// Its body is not the rest of the stream, and its end must not end the stream as complete.
+			await res.body.dump();
+			throw new TargetError('error-status', {status: head.status});
+		}
+
 		const isServiceAnswer = this.#request.info.kind === 'call' && relayedServiceStatuses.has(head.status);
 		if (!failureStatuses.has(head.status) || isServiceAnswer || this.#action.forwardTo) {
 			return;
@@ -268,6 +274,10 @@
 	}
 }
 
+function isEventStream({contentType}: ResponseHead): boolean {
+	return contentType.startsWith('text/event-stream');
+}
+
 function header(res: Dispatcher.ResponseData, name: string): string | undefined {
 	const value = res.headers[name];
 	return Array.isArray(value) ? value[0] : value;
--- a/test/server/attempt-client.test.ts
+++ b/test/server/attempt-client.test.ts
@@ -63,7 +63,7 @@
 }
 
 /** Sends one request to a target; returns the events of the attempt. */
-async function eventsOf(t: ExecutionContext, answer: Answer, kind: 'call' | 'completion'): Promise<readonly CoreEvent[]> {
+async function eventsOf(t: ExecutionContext, answer: Answer, kind: 'call' | 'completion', {resume = false} = {}): Promise<readonly CoreEvent[]> {
 	const events: CoreEvent[] = [];
 	const address = await listen(t, answer);
 	const info = requestInfoFixture({kind, streamed: false});
@@ -91,7 +91,7 @@
 			targetId: toId<TargetId>('d1'),
 			revision: 1,
 			claimed: false,
-			resume: false,
+			resume,
 			deadlineMs: 3000,
 			firstByteMs: 3000,
 			silenceMs: 3000,
@@ -163,3 +163,21 @@
 	const events = await eventsOf(t, plain, 'call');
 	t.deepEqual(events.map(({type}) => type), ['attempt-first-byte', 'attempt-end']);
 });
+
+for (const [status, contentType] of [
+	['400 Bad Request', 'text/plain'],
+	['400 Bad Request', 'text/event-stream'],
+	['404 Not Found', 'application/json'],
+	['501 Not Implemented', 'text/plain'],
+	['302 Found', 'text/plain'],
+	['200 OK', 'application/json'],
+	['206 Partial Content', 'text/event-stream'],
+] as const) {
+	test(`a stream that broke off gets the text of the next engine's error, or ends as complete: status ${status}, type ${contentType}`, async t => {
+		const events = await eventsOf(t, {
+			status, contentType, text: 'data: {"choices":[{"delta":{"content":"the engine failed"}}]}\n\ndata: [DONE]\n\n', end: 'close',
+		}, 'completion', {resume: true});
+		t.deepEqual(events.map(({type}) => type), ['attempt-failed']);
+		t.like(events[0], {failure: {reason: 'error-status', passedOn: false, notSent: false}});
+	});
+}
