fix(edge): only a refusal that names its request says that it has not run

Cause: an answer with another request's id was refused, one without an id was not: a refusal that a faulty engine writes once more without it counted for the next request on the connection. A request that is forwarded to an entry again was sent to the engine that had refused it there, under the same id, so that the id of a repeated refusal fits. Change: an answer of a target without the id of its request is foreign; entries name none in their refusals. RecentRefusals keeps a forwarded request from targets that refused it in the last minute.

--- /dev/null
+++ b/src/core/edge/recent-refusals.ts
@@ -0,0 +1,36 @@
+import type {Millis} from '../ids/millis.ts';
+import type {TargetId} from '../ids/target-id.ts';
+
+/** Time for which a refusal is remembered, in milliseconds: idle connections to targets are kept for as long at most. */
+const retentionMs = 60_000;
+/** Most requests that are remembered. */
+const maxRequests = 4096;
+
+/**
+ * Remembers which targets refused a request, by the id of its caller.
+ *
+ * A request may be forwarded to this entry again after it was refused here. A faulty target may write its refusal once
+ * more on a kept connection: sent there again under the same id, the request would be told as not run while it runs.
+ */
+export class RecentRefusals {
+	/** In order of the newest refusal. */
+	readonly #refusals = new Map<string, {readonly targets: ReadonlySet<TargetId>; readonly at: Millis}>();
+
+	record(callerKey: string, targetId: TargetId, now: Millis): void {
+		const targets = new Set([...this.targetsOf(callerKey, now), targetId]);
+		this.#refusals.delete(callerKey);
+		this.#refusals.set(callerKey, {targets, at: now});
+		for (const [oldest, {at}] of this.#refusals) {
+			if (this.#refusals.size <= maxRequests && now - at <= retentionMs) {
+				break;
+			}
+
+			this.#refusals.delete(oldest);
+		}
+	}
+
+	targetsOf(callerKey: string, now: Millis): ReadonlySet<TargetId> {
+		const known = this.#refusals.get(callerKey);
+		return known !== undefined && now - known.at <= retentionMs ? known.targets : new Set();
+	}
+}
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -21,6 +21,7 @@
 import {isSuccess} from './is-success.ts';
 import {PlacementPacer} from './placement-pacer.ts';
 import type {PlacementPolicy} from './placement-policy.ts';
+import {RecentRefusals} from './recent-refusals.ts';
 import type {RegionSelector} from './region-selector.ts';
 import type {WindowedRetryBudget} from './windowed-retry-budget.ts';
 import {softwareVersionOf} from './software-version-of.ts';
@@ -60,6 +61,7 @@
 	readonly #placer: RequestPlacer;
 	readonly #feedback: TargetFeedback;
 	readonly #pacer = new PlacementPacer();
+	readonly #refusals = new RecentRefusals();
 	#closed = false;
 	#capacityChanged = false;
 
@@ -109,6 +111,10 @@
 
 		const route = table!.match(req.host, req.path)!;
 		const record = createRequestRecord(req, route, table!);
+		for (const targetId of req.callerKey === '' ? [] : this.#refusals.targetsOf(req.callerKey, now)) {
+			record.excludedTargets.add(targetId);
+		}
+
 		this.#records.set(req.requestId, record);
 		if (!route.split.some(({service}) => service === record.service)) {
 			// Another entry chose the service, under a document that this one has replaced since.
@@ -314,6 +320,7 @@
 		} else {
 			// The pause that the target asks for is one of many that the placement weighs, if this request has to come back.
 			record.excludedTargets.add(running.targetId);
+			this.#refusals.record(record.req.callerKey, running.targetId, now);
 		}
 
 		this.#releaseAttempt(record);
--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -69,14 +69,16 @@
 
 	/** Reads an answer to its end. */
 	async read(res: Dispatcher.ResponseData): Promise<void> {
-		const {action: {attempt, stream}, exchange, codec, step} = this.#options;
+		const {action: {attempt, stream, targetId}, exchange, codec, step} = this.#options;
 		// An aborted body emits an error, which would be uncaught once nothing reads it.
 		res.body.on('error', () => undefined);
 		this.#status = res.statusCode;
 		this.#headers = res.headers as unknown as string[];
 		const {head, key} = codec.readAnswer(res.statusCode, this.#headers);
 		this.#leaving = head.leaving ?? false;
-		if (key !== undefined && key !== exchange.head.key) {
+		// Entries name no request in their refusals; a target that names none may have written an earlier answer once more.
+		const isNameless = key === undefined && (targetId === undefined || exchange.head.key === '');
+		if (!isNameless && key !== exchange.head.key) {
 			step({type: 'attempt-failed', attempt, failure: {reason: 'foreign-answer', notSent: false}});
 			res.body.destroy();
 			return;
--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -10,10 +10,10 @@
 /**
  * How the stand-in answers. `well`: correctly; `cut`: resets the connection of a stream within its third event; `short`: ends a stream within its third event, and a call within its document, without a reset;
  * `reset`: resets the connection before the answer;
- * `full`: refuses with 503 without running the request; `silent`: never answers; `foreign`: answers with the identifier of another request; `unsigned`: answers without its `server-signature`;
+ * `full`: refuses with 503 without running the request; `nameless`: the same, without the request's identifier; `doubled`: refuses the first request of a connection, runs the others, and answers them with that refusal; `silent`: never answers; `foreign`: answers with the identifier of another request; `unsigned`: answers without its `server-signature`;
  * `endless-head`, `endless-body`: sends bytes that are no answer, in a head or a body, until its connection is closed.
  */
-type Manner = 'well' | 'cut' | 'short' | 'reset' | 'full' | 'silent' | 'foreign' | 'unsigned' | 'endless-head' | 'endless-body';
+type Manner = 'well' | 'cut' | 'short' | 'reset' | 'full' | 'nameless' | 'doubled' | 'silent' | 'foreign' | 'unsigned' | 'endless-head' | 'endless-body';
 
 type ResumeAnswer = {readonly status: number; readonly contentType: string; readonly text: string};
 
@@ -55,6 +55,8 @@
 	#port = 0;
 	readonly #sockets = new Set<Socket>();
 	readonly #lastUsedAt = new WeakMap<Socket, number>();
+	/** Bytes of the refusal that was written on a connection. */
+	readonly #refusals = new WeakMap<Socket, string>();
 
 	constructor(name: string, workMs = 0) {
 		this.identifier = name;
@@ -113,11 +115,21 @@
 		res.on('close', () => {
 			this.abortedRequests += res.writableFinished ? 0 : 1;
 		});
-		if (manner !== 'full') {
+		if (manner !== 'full' && !(manner === 'doubled' && !this.#refusals.has(req.socket))) {
 			const id = String(req.headers['request-identifier']);
 			this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
 		}
 
+		if (manner === 'doubled') {
+			this.#writeRefusal(req);
+			return;
+		}
+
+		if (manner === 'nameless') {
+			res.writeHead(503, {'not-executed': '1'}).end();
+			return;
+		}
+
 		if (manner === 'endless-head' || manner === 'endless-body') {
 			await this.#answerEndlessly(req, manner);
 			return;
@@ -168,6 +180,13 @@
 		await this.#answerStream(req, res, headers);
 	}
 
+	/** Refuses the first request of a connection; for later ones that refusal is written again, and the answer never comes. */
+	#writeRefusal({headers, socket}: IncomingMessage): void {
+		const refusal = this.#refusals.get(socket) ?? `HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Identifier: ${String(headers['request-identifier'])}\r\nContent-Length: 0\r\n\r\n`;
+		this.#refusals.set(socket, refusal);
+		socket.write(refusal);
+	}
+
 	#leavingHeader(): OutgoingHttpHeaders {
 		return this.leaving ? {'server-leaving': '1'} : {};
 	}
