--- a/src/server/attempt-response-reader.ts
+++ b/src/server/attempt-response-reader.ts
@@ -25,6 +25,8 @@
 const relayedServiceStatuses = new Set([500, 429]);
 /** Minimum interval between `attempt-progress` events. */
 const progressIntervalMs = 100;
+/** Header of a request and of its answer: the id of the attempt. */
+const attemptHeader = 'lovageferry-attempt';
 
 /**
  * Reads the response of one attempt: counts tokens, detects the end, and streams it to the caller or holds it until it is complete.
@@ -59,6 +61,12 @@
 			this.#step({type: 'target-notice', attemptId: this.#action.attemptId, notice});
 		}
 
+		const answeredAttempt = header(res, attemptHeader);
+		if (answeredAttempt !== undefined && answeredAttempt !== this.#action.attemptId) {
+			res.body.on('error', () => undefined).destroy();
+			throw new TargetError('error-status');
+		}
+
 		await this.#throwOnFailure(res, head);
 		this.#step({type: 'attempt-first-byte', attemptId: this.#action.attemptId});
 		const streamed = this.#request.info.kind === 'completion' && isEventStream(head);
@@ -85,7 +93,8 @@
 		}
 
 		await res.body.dump();
-		const notRun = header(res, 'lovageferry-ran') === 'no';
+		// A refusal that does not name the attempt may be an earlier one that was written once more.
+		const notRun = header(res, 'lovageferry-ran') === 'no' && header(res, attemptHeader) === this.#action.attemptId;
 		throw new TargetError(notRun ? 'refused' : 'error-status', {
 			status: head.status,
 			notRun,
--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -120,27 +120,12 @@
 			this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
 		}
 
-		if (manner === 'doubled') {
-			this.#writeRefusal(req);
-			return;
-		}
-
-		if (manner === 'nameless') {
-			res.writeHead(503, {'not-executed': '1'}).end();
-			return;
-		}
-
 		if (manner === 'endless-head' || manner === 'endless-body') {
 			await this.#answerEndlessly(req, manner);
 			return;
 		}
 
-		if (manner === 'silent') {
-			return;
-		}
-
-		if (manner === 'reset') {
-			req.socket.resetAndDestroy();
+		if (manner === 'silent' || this.#misanswer(req, res)) {
 			return;
 		}
 
@@ -180,9 +165,27 @@
 		await this.#answerStream(req, res, headers);
 	}
 
+	/** Answers in a manner that is no answer to the request; false if it is to be answered otherwise. */
+	#misanswer(req: IncomingMessage, res: ServerResponse): boolean {
+		const {manner} = this;
+		if (manner === 'reset') {
+			req.socket.resetAndDestroy();
+		} else if (manner === 'doubled') {
+			this.#writeRefusal(req);
+		} else if (manner === 'nameless') {
+			res.writeHead(503, {'not-executed': '1'}).end();
+		} else {
+			return false;
+		}
+
+		return true;
+	}
+
 	/** Refuses the first request of a connection; for later ones that refusal is written again, and the answer never comes. */
 	#writeRefusal({headers, socket}: IncomingMessage): void {
-		const refusal = this.#refusals.get(socket) ?? `HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Identifier: ${String(headers['request-identifier'])}\r\nContent-Length: 0\r\n\r\n`;
+		const identifier = String(headers['request-identifier']);
+		const refusal = this.#refusals.get(socket)
+			?? ['HTTP/1.1 503 Service Unavailable', 'Not-Executed: 1', `Request-Identifier: ${identifier}`, 'Content-Length: 0', '', ''].join('\r\n');
 		this.#refusals.set(socket, refusal);
 		socket.write(refusal);
 	}
--- a/test/fakes/target-server.ts
+++ b/test/fakes/target-server.ts
@@ -59,6 +59,7 @@
 				return;
 			}
 
+			res.setHeader('lovageferry-attempt', req.headers['lovageferry-attempt'] ?? '');
 			this.#options.handle(req, res, body);
 		} catch {
 			res.destroy();
--- a/test/server/attempt-client.test.ts
+++ b/test/server/attempt-client.test.ts
@@ -181,3 +181,16 @@
 		t.like(events[0], {failure: {reason: 'error-status', passedOn: false, notSent: false}});
 	});
 }
+
+for (const [name, headers, notSent] of [
+	['names this attempt', 'Lovageferry-Attempt: attempt-1\r\n', true],
+	['names an earlier attempt, written again', 'Lovageferry-Attempt: attempt-0\r\n', false],
+	['names no attempt', '', false],
+] as const) {
+	test(`a request that a target runs is said not to have run: the refusal ${name}`, async t => {
+		const outcome = await outcomeOf(t, {
+			status: '503 Service Unavailable', headers: `Lovageferry-Ran: no\r\n${headers}`, contentType: 'text/plain', text: '', end: 'close',
+		});
+		t.like(outcome, {type: 'attempt-failed', failure: {notSent}});
+	});
+}
