--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -167,18 +167,20 @@
 
 	/** Answers in a manner that is no answer to the request; false if it is to be answered otherwise. */
 	#misanswer(req: IncomingMessage, res: ServerResponse): boolean {
-		const {manner} = this;
-		if (manner === 'reset') {
-			req.socket.resetAndDestroy();
-		} else if (manner === 'doubled') {
-			this.#writeRefusal(req);
-		} else if (manner === 'nameless') {
-			res.writeHead(503, {'not-executed': '1'}).end();
-		} else {
-			return false;
-		}
-
-		return true;
+		const answers: Partial<Record<Manner, () => void>> = {
+			reset() {
+				req.socket.resetAndDestroy();
+			},
+			doubled: () => {
+				this.#writeRefusal(req);
+			},
+			nameless() {
+				res.writeHead(503, {'not-executed': '1'}).end();
+			},
+		};
+		const answer = answers[this.manner];
+		answer?.();
+		return answer !== undefined;
 	}
 
 	/** Refuses the first request of a connection; for later ones that refusal is written again, and the answer never comes. */
