fix(attempts): passes over waiting requests are bounded in number, on the completions path

Cause: as on the routes path, each departure of a caller, answer and failure started a pass over the requests that wait, with up to 16 decisions that compare a request with all targets. Evidence: crowded-entries of the completions path: 8736 decisions in a second of 400 departures before; it passes. Change: PlacementPacer, moved to admission/, for each service; each tick tries again. 87 tests of attempts and admission pass.

--- a/src/core/attempts/request-dispatcher.ts
+++ b/src/core/attempts/request-dispatcher.ts
@@ -1,3 +1,4 @@
+import {PlacementPacer} from '../admission/placement-pacer.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {TargetId} from '../ids/target-id.ts';
@@ -46,6 +47,8 @@
 	readonly #runner: AttemptRunner;
 	readonly #chooser: RouteChooser;
 	readonly #pauseWaits = new PauseWaits();
+	/** By service. */
+	readonly #pacers = new Map<string, PlacementPacer>();
 	readonly #findRequest: DispatcherOptions['findRequest'];
 	readonly #refuse: DispatcherOptions['refuse'];
 
@@ -71,27 +74,20 @@
 		return this.#decide(state, settings, alone, now);
 	}
 
-	/** Dispatches waiting requests of a service in queue order, skipping up to `maxSkipped` that cannot be dispatched now. */
+	/** Dispatches waiting requests of a service in queue order, as often as the pacer allows; each tick tries again. */
 	drainQueue(serviceKey: string, now: Millis): void {
+		const pacer = this.#pacers.get(serviceKey) ?? new PlacementPacer();
+		this.#pacers.set(serviceKey, pacer);
+		if (!pacer.mayPass(now)) {
+			return;
+		}
+
 		if (this.#pauseWaits.isDue(serviceKey, now)) {
 			this.#retryPaused(serviceKey, now);
 		}
 
-		const {admission} = this.#parts;
-		const skipped = new Set<RequestId>();
-		while (skipped.size < maxSkipped) {
-			const req = admission.peek(serviceKey, now, skipped);
-			if (!req) {
-				return;
-			}
-
-			const state = this.#findRequest(req.requestId);
-			if (state?.phase !== 'queued') {
-				admission.take(req.requestId);
-			} else if (!this.#dispatchQueued(state, now)) {
-				skipped.add(req.requestId);
-			}
-		}
+		this.#dispatchWaiting(serviceKey, now);
+		pacer.recordPass(now, {leftWaiting: this.#parts.admission.depth(serviceKey) > 0});
 	}
 
 	/** Tries the requests that wait for pauses again: those that a target takes now join the queue, to be dispatched in its order. */
@@ -112,6 +108,25 @@
 		return settings && this.#chooser.retryAfterPausesMs(state, settings, now);
 	}
 
+	/** Dispatches waiting requests in queue order, skipping up to `maxSkipped` that cannot be dispatched now. */
+	#dispatchWaiting(serviceKey: string, now: Millis): void {
+		const {admission} = this.#parts;
+		const skipped = new Set<RequestId>();
+		while (skipped.size < maxSkipped) {
+			const req = admission.peek(serviceKey, now, skipped);
+			if (!req) {
+				return;
+			}
+
+			const state = this.#findRequest(req.requestId);
+			if (state?.phase !== 'queued') {
+				admission.take(req.requestId);
+			} else if (!this.#dispatchQueued(state, now)) {
+				skipped.add(req.requestId);
+			}
+		}
+	}
+
 	#retryPaused(serviceKey: string, now: Millis): void {
 		for (const state of this.#pauseWaits.take(serviceKey)) {
 			const choice = now < state.deadlineAt ? this.#choose(state, now) : undefined;
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -1,4 +1,5 @@
 import type {ActionQueue} from '../action-queue.ts';
+import {PlacementPacer} from '../admission/placement-pacer.ts';
 import type {Random} from '../common/random.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
@@ -19,7 +20,6 @@
 import {destinationOf} from './destination-of.ts';
 import type {CrashContainment} from './crash-containment.ts';
 import {isSuccess} from './is-success.ts';
-import {PlacementPacer} from './placement-pacer.ts';
 import type {PlacementPolicy} from './placement-policy.ts';
 import {RecentRefusals} from './recent-refusals.ts';
 import type {RegionSelector} from './region-selector.ts';
