--- a/src/core/admission/placement-pacer.ts
+++ b/src/core/admission/placement-pacer.ts
@@ -1,7 +1,8 @@
 import type {Millis} from '../ids/millis.ts';
 
-/** Passes over the waiting requests that may leave some of them waiting, in each interval. */
-const maxFruitlessPasses = 4;
+/** Most passes in an interval that leave requests waiting. */
+const maxPasses = 4;
+/** Length of an interval, in milliseconds: the longest time for which a request waits although there is room. */
 const intervalMs = 100;
 
 /**
@@ -17,7 +18,7 @@
 
 	/** True if a pass may be made now; otherwise one is due at the end of the interval. */
 	mayPass(now: Millis): boolean {
-		return this.#passes < maxFruitlessPasses || now - this.#intervalStart >= intervalMs;
+		return this.#passes < maxPasses || now - this.#intervalStart >= intervalMs;
 	}
 
 	/** Records a pass; those after which nothing waits are not counted, since few requests can have been compared. */
