fix(server): a target reads that its announcement is too large

Cause: the answer 413 closed the connection while the rest of the body was on its way, which resets it; the target got an error of its connection. Change: the rest is read and discarded, as for callers. http-interface passes.

--- a/src/server/target-api.ts
+++ b/src/server/target-api.ts
@@ -103,7 +103,8 @@
 			}
 
 			if (error.result !== 'callerGone') {
-				res.setHeader('connection', 'close');
+				// The rest of the body is read and discarded: closing the connection at once would reset it before the target reads the refusal.
+				req.resume();
 				this.#refuse(res, error.result, error.message);
 			}
 
