fix(edge): refusals are remembered for forwarded requests only

Cause: a caller that used one id for all its requests would have lost each target that refused one of them for a minute. Only a request that is forwarded again comes under an id that a target has refused before.

--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -111,8 +111,10 @@
 
 		const route = table!.match(req.host, req.path)!;
 		const record = createRequestRecord(req, route, table!);
-		for (const targetId of req.callerKey === '' ? [] : this.#refusals.targetsOf(req.callerKey, now)) {
-			record.excludedTargets.add(targetId);
+		if (req.forwarded !== undefined && req.callerKey !== '') {
+			for (const targetId of this.#refusals.targetsOf(req.callerKey, now)) {
+				record.excludedTargets.add(targetId);
+			}
 		}
 
 		this.#records.set(req.requestId, record);
