--- a/src/server/attempt-failure.ts
+++ b/src/server/attempt-failure.ts
@@ -1,13 +1,11 @@
 import type {CoreEvent} from '../core/events.ts';
 import type {AttemptResponseReader} from './attempt-response-reader.ts';
-import {closedUnusedCode} from './closed-unused-code.ts';
+import {connectErrorCodes} from './connect-error-codes.ts';
 import {isMalformedAnswer} from './is-malformed-answer.ts';
 import {TargetError} from './target-error.ts';
 
 type Failure = Extract<CoreEvent, {type: 'attempt-failed'}>['failure'];
 
-/** Codes of errors raised before the connection is established: no byte of the request was sent. */
-const connectErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT', closedUnusedCode]);
 const timeoutErrorCodes = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
 
 /** Converts an error of an attempt to the failure that is reported to the core; an error without a known code counts as `reset`. */
--- a/src/server/attempt-response-reader.ts
+++ b/src/server/attempt-response-reader.ts
@@ -7,6 +7,7 @@
 import type {Refusal} from '../core/results/refusal.ts';
 import {constants} from '../settings/constants.ts';
 import {AnswerLimitError} from './answer-limit-error.ts';
+import {attemptHeader} from './attempt-header.ts';
 import type {CallerRequest} from './caller-request.ts';
 import type {ProblemDocument} from './problem-document.ts';
 import {describeAnswerBody} from './describe-answer-body.ts';
@@ -25,8 +26,6 @@
 const relayedServiceStatuses = new Set([500, 429]);
 /** Minimum interval between `attempt-progress` events. */
 const progressIntervalMs = 100;
-/** Header of a request and of its answer: the id of the attempt. */
-const attemptHeader = 'lovageferry-attempt';
 
 /**
  * Reads the response of one attempt: counts tokens, detects the end, and streams it to the caller or holds it until it is complete.
--- a/src/server/build-attempt-request.ts
+++ b/src/server/build-attempt-request.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {Action} from '../core/actions.ts';
+import {attemptHeader} from './attempt-header.ts';
 import type {CallerRequest} from './caller-request.ts';
 import type {PeerToken} from './peer-token.ts';
 
@@ -20,7 +21,7 @@
 	request: CallerRequest,
 	options: {readonly self: {readonly nodeId: string; readonly region: string}; readonly token: PeerToken},
 ): {path: string; headers: Record<string, string>; body: Uint8Array} {
-	const headers: Record<string, string> = {'lovageferry-attempt': action.attemptId};
+	const headers: Record<string, string> = {[attemptHeader]: action.attemptId};
 	copyHeaders(request, copiedHeaders, headers);
 	if (action.forwardTo) {
 		copyHeaders(request, entryOnlyHeaders, headers);
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -5,7 +5,7 @@
 import type {SoftwareVersion} from '../../core/ids/software-version.ts';
 import type {Region} from '../../core/ids/region.ts';
 import {canConnect} from '../can-connect.ts';
-import {closedUnusedCode} from '../closed-unused-code.ts';
+import {connectErrorCodes} from '../connect-error-codes.ts';
 import {createHttpAgent} from '../http-agent.ts';
 import {isMalformedAnswer} from '../is-malformed-answer.ts';
 import {targetConnector} from '../target-connector.ts';
@@ -29,9 +29,6 @@
 /** Largest answer that is buffered before it is sent to the caller, in bytes. */
 const maxBufferedBytes = 16_777_216;
 
-/** Codes of errors raised before the connection is established, so no byte of the request was sent. */
-const connectErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT', closedUnusedCode]);
-
 type TargetClientOptions = {
 	readonly region: Region;
 	/** Addresses to connect to, by the address that another entry advertises, for example behind port forwarding. */
