--- a/src/core/admission/placement-pacer.ts
+++ b/src/core/admission/placement-pacer.ts
@@ -9,8 +9,8 @@
  * Bounds the work of placing requests that wait for capacity.
  *
  * While a region's targets are full, each answer, failure and departure of a caller may have freed capacity, hundreds of
- * times a second, and each pass compares the first waiting requests with all targets. Without a bound these passes take
- * most of the processor; turns of the event loop become so long that ends of connections are read after half a second.
+ * times a second, and each pass compares the first waiting requests with all targets. Without a bound these passes take up to
+ * half of the processor; turns of the event loop become so long that ends of connections are read after half a second.
  */
 export class PlacementPacer {
 	#intervalStart = Number.NEGATIVE_INFINITY;
