--- /dev/null
+++ b/review/1/run.js
@@ -0,0 +1,97 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {runCase} from '../support/run-case.js';
+
+/** Routes of the configuration: the dose of `big_config`. */
+const routeCount = 1400;
+/** Time between two changes, in milliseconds: the dose of `config_storm`. */
+const changeGapMs = 190;
+const changeCount = 200;
+/** Time for which the deployment is watched after the replacement, in milliseconds. */
+const watchMs = 45_000;
+/** Delay until the empty successor of a machine starts, in milliseconds. */
+const successorDelayMs = 1000;
+/** Own ends of one machine's processes, and machines on which there are as many, that make the day count 0. */
+const endsPerMachine = 3;
+const machines = 2;
+
+/** The whole configuration; successive versions differ in the timeout of one route. */
+function configuration(number) {
+	return {
+		routes: Array.from({length: routeCount}, (_, index) => ({
+			name: `r-${index}`,
+			host: 'shop.example',
+			'path-prefix': `/orders-${index}/`,
+			kind: 'unsafe',
+			'timeout-ms': index === 0 ? 1000 + number : 1200,
+			'target-latency-ms': 443,
+			priority: 2,
+			service: 'desk',
+			attempts: 1,
+			'sticky-sessions': false,
+			resumable: false,
+			'target-gap-ms': 600,
+			'home-regions': ['regina', 'saskatoon'],
+		})),
+		services: [{
+			name: 'desk', 'health-path': '/health', 'connection-limit': 96, protocol: 'h1', tls: false, 'cold-start-s': 0, 'cold-per-s': 0,
+		}],
+		limits: {
+			'max-header-bytes': 16_384, 'max-body-bytes': 4_194_304, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000,
+		},
+	};
+}
+
+/** Reads the configuration at one node after the other for at least `stability-window-ms`; returns the newest version that any of them gave. */
+async function readBack(deployment) {
+	const endsAt = Date.now() + 6000;
+	let newest = -1;
+	for (let turn = 0; Date.now() < endsAt; turn++) {
+		const {status, body} = await deployment.operateAt(deployment.controls[turn % deployment.controls.length], 'GET', '/configuration'); // eslint-disable-line no-await-in-loop
+		if (status === 200) {
+			newest = Math.max(newest, JSON.parse(body).version);
+		}
+
+		await sleep(200); // eslint-disable-line no-await-in-loop
+	}
+
+	return newest;
+}
+
+await runCase(import.meta.url, {
+	entryZones: ['regina-a', 'saskatoon-a'],
+	async play({deployment, record, trouble}) {
+		deployment.startAll();
+		await deployment.configure(configuration(0));
+		await deployment.untilReady();
+		const sent = [];
+		for (let number = 1; number <= changeCount; number++) {
+			sent.push(deployment.configure(configuration(number)));
+			await sleep(changeGapMs); // eslint-disable-line no-await-in-loop
+		}
+
+		const acknowledged = Math.max(...await Promise.all(sent));
+		record(`all ${changeCount} changes are acknowledged, the newest as version ${acknowledged}`);
+		const endsBefore = deployment.nodes.reduce((sum, {ownEnds}) => sum + ownEnds.length, 0);
+		if (endsBefore > 0) {
+			throw new Error('a process ended before the disruption');
+		}
+
+		if (trouble) {
+			const removed = deployment.controls.at(-1);
+			record(`${removed.name} is removed for good; an empty machine at another address follows`);
+			await removed.stop('SIGKILL');
+			deployment.remove(removed);
+			await sleep(successorDelayMs);
+			deployment.addControl('saskatoon-a').start();
+		}
+
+		await sleep(watchMs);
+		const looping = deployment.nodes.filter(({ownEnds}) => ownEnds.length >= endsPerMachine);
+		const version = await readBack(deployment);
+		record(`read back: version ${version}`);
+		return [
+			...looping.length >= machines ? [`Fault: the processes of ${looping.map(({name, ownEnds}) => `${name} (${ownEnds.length} times)`).join(', ')} ended by themselves`] : [],
+			...version < acknowledged ? [`CONFIG: version ${acknowledged} was acknowledged, and ${version < 0 ? 'no version' : `version ${version}`} is read back`] : [],
+		];
+	},
+});
