--- a/review/1/run.js
+++ b/review/1/run.js
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {runCase} from '../support/run-case.js';
 
@@ -5,11 +6,16 @@
 const routeCount = 1400;
 /** Time between two changes, in milliseconds: the dose of `config_storm`. */
 const changeGapMs = 190;
-const changeCount = 200;
-/** Time for which the deployment is watched after the replacement, in milliseconds. */
-const watchMs = 45_000;
+const changeCount = Number(process.env.CHANGES ?? 200);
 /** Delay until the empty successor of a machine starts, in milliseconds. */
 const successorDelayMs = 1000;
+/** Time from the start of the successor to the final fault: `catch-up-s` and `stability-window-ms` of the site, and one second more, in milliseconds. */
+const catchUpMs = 10_000;
+/** Machines that lose their disks in the final fault, as many as the deployment tolerates, and how long they are down, in milliseconds. */
+const wipedCount = 2;
+const downMs = 670;
+/** `recovery-s` of the site, in milliseconds. */
+const recoveryMs = 12_000;
 /** Own ends of one machine's processes, and machines on which there are as many, that make the day count 0. */
 const endsPerMachine = 3;
 const machines = 2;
@@ -83,14 +89,23 @@
 			deployment.remove(removed);
 			await sleep(successorDelayMs);
 			deployment.addControl('saskatoon-a').start();
+			await sleep(catchUpMs);
+			const wiped = deployment.controls.slice(0, wipedCount);
+			record(`final fault: ${wiped.map(({name}) => name).join(' and ')} lose their disks`);
+			await Promise.all(wiped.map(async node => node.stop('SIGKILL')));
+			await sleep(downMs);
+			for (const node of wiped) {
+				node.loseDisk();
+				node.start();
+			}
 		}
 
-		await sleep(watchMs);
+		await sleep(recoveryMs);
 		const looping = deployment.nodes.filter(({ownEnds}) => ownEnds.length >= endsPerMachine);
 		const version = await readBack(deployment);
 		record(`read back: version ${version}`);
 		return [
-			...looping.length >= machines ? [`Fault: the processes of ${looping.map(({name, ownEnds}) => `${name} (${ownEnds.length} times)`).join(', ')} ended by themselves`] : [],
+			...looping.length >= machines ? [`the processes of ${looping.map(({name, ownEnds}) => `${name} (${ownEnds.length} times)`).join(', ')} ended by themselves (Fault)`] : [],
 			...version < acknowledged ? [`CONFIG: version ${acknowledged} was acknowledged, and ${version < 0 ? 'no version' : `version ${version}`} is read back`] : [],
 		];
 	},
