--- a/review/3/run.js
+++ b/review/3/run.js
@@ -1,22 +1,39 @@
+import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {callHttp} from '../support/call-http.js';
+import {Engine} from '../support/engine.js';
 import {runCase} from '../support/run-case.js';
 
-/** Time after the first start at which the seed's machine loses its disk, in milliseconds. */
-const lossAfterMs = 500;
-/** Delay until the machine is back with an empty disk, in milliseconds. */
-const backAfterMs = 1000;
-/** `stability-window-ms` of the site: the core is stable this long after the last disruption. */
-const stabilityWindowMs = 5000;
-/** `acknowledge-ms` of the site, and the stretch for which the operator tries here, in milliseconds. */
-const acknowledgeMs = 6000;
-const stretchMs = 60_000;
+/** Requesters give a stream up after four times the objective or eight times the pause, whichever is longest: 8 s here. */
+const objectiveMs = 2000;
+const gapMs = 1000;
+const giveUpMs = 8000;
+/** Time budget of the requests and the route's timeout, in milliseconds. */
+const budgetMs = 12_000;
+/** Tokens of the stream that keeps the only slot busy: 450 events of 20 ms each. */
+const longTokens = 3600;
+/** Time from the SIGTERM to the request that has to wait, in milliseconds; entries take requests for 2.5 s more. */
+const sentAfterMs = 500;
+/** `loss-slack-ms` of the site. */
+const lossSlackMs = 200;
 
 const document = {
 	routes: [{
-		name: 'r-order', host: 'shop.example', 'path-prefix': '/orders/', kind: 'unsafe', 'timeout-ms': 1200, 'target-latency-ms': 443, priority: 2, service: 'desk', attempts: 1,
+		name: 'r-draft',
+		host: 'shop.example',
+		'path-prefix': '/drafts/',
+		kind: 'streaming',
+		'timeout-ms': budgetMs,
+		'target-latency-ms': objectiveMs,
+		'target-gap-ms': gapMs,
+		priority: 1,
+		service: 'writers',
+		attempts: 1,
+		'sticky-sessions': true,
+		resumable: false,
 	}],
 	services: [{
-		name: 'desk', 'health-path': '/health', 'connection-limit': 96, protocol: 'h1', tls: false, 'cold-start-s': 0, 'cold-per-s': 0,
+		name: 'writers', 'health-path': '/health', 'connection-limit': 96, protocol: 'h1', tls: false, 'cold-start-s': 0, 'cold-per-s': 0,
 	}],
 	limits: {
 		'max-header-bytes': 16_384, 'max-body-bytes': 4_194_304, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000,
@@ -26,34 +43,55 @@
 await runCase(import.meta.url, {
 	entryZones: ['regina-a', 'saskatoon-a'],
 	async play({deployment, record, trouble}) {
+		const engine = new Engine({
+			identifier: 'i-writer-1', service: 'writers', zone: 'regina-a', ip: '127.0.0.1', record, slots: 1,
+		});
+		await engine.listen();
+		deployment.engines.push(engine);
 		deployment.startAll();
-		const [seed] = deployment.controls;
-		if (trouble) {
-			await sleep(lossAfterMs);
-			record(`the machine of ${seed.name}, a seed, loses its disk`);
-			await seed.stop('SIGKILL');
-			seed.loseDisk();
-			await sleep(backAfterMs);
-			record(`${seed.name} is back at its address with an empty disk`);
-			seed.start();
-		}
+		await deployment.configure(document);
+		await deployment.untilReady();
+		deployment.reportEngines();
+		await sleep(2000);
+		const [entry] = deployment.entries;
+		const ask = async (id, tokens) => {
+			record(`requester: sends ${id} to ${entry.name}`);
+			const answer = await callHttp({
+				host: entry.ip,
+				port: deployment.ports.callers,
+				method: 'POST',
+				path: `/drafts/${id}`,
+				headers: {
+					host: 'shop.example',
+					'request-identifier': id,
+					'deadline-milliseconds': String(budgetMs),
+					model: 'm',
+					'token-counts': `1000,${tokens}`,
+					'prompt-prefix': `${process.pid.toString(16)}:1000`,
+				},
+				body: 'a brief',
+				timeoutMs: tokens === longTokens ? budgetMs : giveUpMs,
+			});
+			record(`requester: ${id} -> ${answer.status ?? answer.error}, ${answer.complete ? 'complete' : 'not complete'}, after ${answer.tookMs} ms`);
+			return answer;
+		};
 
-		await sleep(stabilityWindowMs);
-		record('from now on the core is stable: all its machines run and are connected');
-		const sentAt = Date.now();
-		let ackedAfterMs;
-		try {
-			await deployment.configure(document, stretchMs);
-			ackedAfterMs = Date.now() - sentAt;
-			record(`the first configuration is acknowledged after ${ackedAfterMs} ms`);
-		} catch (error) {
-			record(error.message);
+		const long = ask('q-long', longTokens);
+		await sleep(1000);
+		let stopped;
+		if (trouble) {
+			record(`${entry.name} gets SIGTERM`);
+			stopped = entry.stop('SIGTERM');
 		}
 
-		const isReady = await Promise.all(deployment.entries.map(async entry => deployment.ready(entry)));
-		record(`entries that are ready: ${isReady.filter(Boolean).length} of ${isReady.length}`);
-		return ackedAfterMs !== undefined && ackedAfterMs <= acknowledgeMs
-			? []
-			: [`Acks: a valid configuration had ${ackedAfterMs === undefined ? `no ack in ${stretchMs} ms` : `its ack after ${ackedAfterMs} ms`} in which the core was stable and no link disrupted`];
+		await sleep(sentAfterMs);
+		const answer = await ask('q-waiting', 8);
+		await long;
+		await stopped;
+		const wasCut = answer.error !== 'no answer in time' && !answer.complete;
+		const runs = engine.runs.filter(({id}) => id === 'q-waiting').length;
+		return wasCut && answer.tookMs > lossSlackMs
+			? [`LOST: q-waiting was read, and its channel ended without an answer after ${answer.tookMs} ms (${answer.error ?? answer.status}); it ran ${runs} times`]
+			: [];
 	},
 });
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# A seed's machine loses its disk during the first start of the deployment.
+# An entry is stopped while a request waits there for a free server.
 cd "$(dirname "$0")/../.." || exit 2
 exec node review/3/run.js
--- a/review/support/engine.js
+++ b/review/support/engine.js
@@ -9,6 +9,8 @@
 	sequence = 0;
 	reports = true;
 	state = 'ready';
+	/** Version of its software, in its reports and in each event of a stream. */
+	softwareVersion = 'v1';
 	/** Runs in order: `id`, `method`, `path`, `bytes` of the body, `at` and the `headers`. */
 	runs = [];
 	/** Called for each request that runs, before the answer; it answers the request itself if it returns true. */
@@ -18,6 +20,8 @@
 	/** Body of an answer to a call. */
 	answer = 'answer';
 	#server;
+	#port = 0;
+	#sockets = new Set();
 	#record;
 
 	constructor({identifier, service, zone, ip, record, slots = 6}) {
@@ -31,28 +35,66 @@
 		this.#server = createServer((req, res) => {
 			this.#handle(req, res);
 		});
+		this.#server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.on('close', () => {
+				this.#sockets.delete(socket);
+			});
+		});
 	}
 
 	get address() {
-		return `${this.ip}:${this.#server.address().port}`;
+		return `${this.ip}:${this.#port}`;
 	}
 
 	async listen() {
 		return new Promise(resolve => {
-			this.#server.listen({host: this.ip, port: 0}, resolve);
+			this.#server.listen({host: this.ip, port: 0}, () => {
+				this.#port = this.#server.address().port;
+				resolve();
+			});
+		});
+	}
+
+	/** Resets all channels and stops to listen, as in a crash. */
+	async crash() {
+		for (const socket of this.#sockets) {
+			socket.resetAndDestroy();
+		}
+
+		await this.close();
+	}
+
+	/** Starts again at its address under its identifier; it holds and knows nothing of before. */
+	async restart(softwareVersion) {
+		this.softwareVersion = softwareVersion;
+		this.sequence = 0;
+		this.born = Date.now();
+		return new Promise(resolve => {
+			this.#server.listen({host: this.ip, port: this.#port}, resolve);
 		});
 	}
 
 	async close() {
 		this.#server.closeAllConnections();
 		return new Promise(resolve => {
-			this.#server.close(resolve);
+			this.#server.close(() => {
+				resolve();
+			});
 		});
 	}
 
 	report() {
 		return {
-			service: this.service, address: this.address, zone: this.zone, version: 'v1', slots: this.slots, state: this.state, 'cold-remaining-ms': 0, sequence: this.sequence, born: this.born,
+			service: this.service,
+			address: this.address,
+			zone: this.zone,
+			version: this.softwareVersion,
+			slots: this.slots,
+			state: this.state,
+			'cold-remaining-ms': 0,
+			sequence: this.sequence,
+			born: this.born,
 		};
 	}
 
@@ -90,7 +132,7 @@
 		let next = Number(req.headers['last-event-id'] ?? 0) + 1;
 		res.writeHead(200, {...head, 'content-type': 'text/event-stream'});
 		const timer = setInterval(() => {
-			res.write(`id: ${next}\ndata: piece ${next}\n\n`);
+			res.write(`id: ${next}\ndata: piece ${next} of ${this.softwareVersion}\n\n`);
 			next += 1;
 			if (next > events) {
 				clearInterval(timer);
