--- a/review/1/run.js
+++ b/review/1/run.js
@@ -1,16 +1,18 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {runCase} from '../support/run-case.js';
 
 /** Routes of the configuration: the dose of `big_config`. */
 const routeCount = 1400;
 /** Time between two changes, in milliseconds: the dose of `config_storm`. */
 const changeGapMs = 190;
+const maxOrders = 8;
 const changeCount = Number(process.env.CHANGES ?? 200);
 /** Delay until the empty successor of a machine starts, in milliseconds. */
 const successorDelayMs = 1000;
 /** Time from the start of the successor to the final fault: `catch-up-s` and `stability-window-ms` of the site, and one second more, in milliseconds. */
 const catchUpMs = 10_000;
+/** Latest time of the final fault after the last change was sent, if that has no ack before (kinds: "5 to 400 ms after it was sent"), in milliseconds. */
+const strikeMs = 400;
 /** Machines that lose their disks in the final fault, as many as the deployment tolerates, and how long they are down, in milliseconds. */
 const wipedCount = 2;
 const downMs = 670;
@@ -63,50 +65,57 @@
 	return newest;
 }
 
-await runCase(import.meta.url, {
-	entryZones: ['regina-a', 'saskatoon-a'],
-	async play({deployment, record, trouble}) {
-		deployment.startAll();
-		await deployment.configure(configuration(0));
-		await deployment.untilReady();
-		const sent = [];
-		for (let number = 1; number <= changeCount; number++) {
-			sent.push(deployment.configure(configuration(number)));
-			await sleep(changeGapMs); // eslint-disable-line no-await-in-loop
-		}
+/** Plays the case; returns the ways in which the rule was broken. */
+async function play({deployment, record, trouble}) {
+	deployment.startAll();
+	await deployment.configure(configuration(0));
+	await deployment.untilReady();
+	const sent = [];
+	for (let number = 1; number <= changeCount; number++) {
+		// Up to eight orders of the operator may be in progress at once.
+		await sent.at(-maxOrders); // eslint-disable-line no-await-in-loop
+		sent.push(deployment.configure(configuration(number)));
+		await sleep(changeGapMs); // eslint-disable-line no-await-in-loop
+	}
 
-		const acknowledged = Math.max(...await Promise.all(sent));
-		record(`all ${changeCount} changes are acknowledged, the newest as version ${acknowledged}`);
-		const endsBefore = deployment.nodes.reduce((sum, {ownEnds}) => sum + ownEnds.length, 0);
-		if (endsBefore > 0) {
-			throw new Error('a process ended before the disruption');
-		}
+	let acknowledged = Math.max(...await Promise.all(sent));
+	record(`all ${changeCount} changes are acknowledged, the newest as version ${acknowledged}`);
+	const endsBefore = deployment.nodes.reduce((sum, {ownEnds}) => sum + ownEnds.length, 0);
+	if (endsBefore > 0) {
+		throw new Error('a process ended before the disruption');
+	}
 
-		if (trouble) {
-			const removed = deployment.controls.at(-1);
-			record(`${removed.name} is removed for good; an empty machine at another address follows`);
-			await removed.stop('SIGKILL');
-			deployment.remove(removed);
-			await sleep(successorDelayMs);
-			deployment.addControl('saskatoon-a').start();
-			await sleep(catchUpMs);
-			const wiped = deployment.controls.slice(0, wipedCount);
-			record(`final fault: ${wiped.map(({name}) => name).join(' and ')} lose their disks`);
-			await Promise.all(wiped.map(async node => node.stop('SIGKILL')));
-			await sleep(downMs);
-			for (const node of wiped) {
-				node.loseDisk();
-				node.start();
-			}
+	if (trouble) {
+		const removed = deployment.controls.at(-1);
+		record(`${removed.name} is removed for good; an empty machine at another address follows`);
+		await removed.stop('SIGKILL');
+		deployment.remove(removed);
+		await sleep(successorDelayMs);
+		deployment.addControl('saskatoon-a').start();
+		await sleep(catchUpMs);
+		const change = deployment.configure(configuration(changeCount + 1));
+		const struckAt = await Promise.race([change, sleep(strikeMs)]);
+		acknowledged = struckAt ?? acknowledged;
+		change.catch(() => undefined); // eslint-disable-line promise/prefer-await-to-then -- without an ack nothing is expected of it
+		const wiped = deployment.controls.slice(0, wipedCount);
+		record(struckAt === undefined ? `one more change was sent ${strikeMs} ms before and has no ack yet` : `version ${struckAt} has just been acknowledged`);
+		record(`final fault: ${wiped.map(({name}) => name).join(' and ')} lose their disks`);
+		await Promise.all(wiped.map(async node => node.stop('SIGKILL')));
+		await sleep(downMs);
+		for (const node of wiped) {
+			node.loseDisk();
+			node.start();
 		}
+	}
+
+	await sleep(recoveryMs);
+	const looping = deployment.nodes.filter(({ownEnds}) => ownEnds.length >= endsPerMachine);
+	const version = await readBack(deployment);
+	record(`read back: version ${version}`);
+	return [
+		...looping.length >= machines ? [`the processes of ${looping.map(({name, ownEnds}) => `${name} (${ownEnds.length} times)`).join(', ')} ended by themselves (Fault)`] : [],
+		...version < acknowledged ? [`CONFIG: version ${acknowledged} was acknowledged, and ${version < 0 ? 'no version' : `version ${version}`} is read back`] : [],
+	];
+}
 
-		await sleep(recoveryMs);
-		const looping = deployment.nodes.filter(({ownEnds}) => ownEnds.length >= endsPerMachine);
-		const version = await readBack(deployment);
-		record(`read back: version ${version}`);
-		return [
-			...looping.length >= machines ? [`the processes of ${looping.map(({name, ownEnds}) => `${name} (${ownEnds.length} times)`).join(', ')} ended by themselves (Fault)`] : [],
-			...version < acknowledged ? [`CONFIG: version ${acknowledged} was acknowledged, and ${version < 0 ? 'no version' : `version ${version}`} is read back`] : [],
-		];
-	},
-});
+export const reviewCase = {entryZones: ['regina-a', 'saskatoon-a'], play};
--- a/review/support/deployment.js
+++ b/review/support/deployment.js
@@ -14,6 +14,8 @@
 /** Addresses kept free for nodes that are added. */
 const spareAddresses = 2;
 const internalPorts = 16;
+/** Ports that a deployment uses on each of its addresses; 500 such blocks lie below the ports of outgoing channels. */
+const portBlock = 21;
 const reportEveryMs = 1200;
 const graceSeconds = 8;
 /** Time in which a fresh deployment has to accept its first configuration, in milliseconds. */
@@ -122,6 +124,14 @@
 		return answer;
 	}
 
+	/** The requests that an entry has in hand, by its own metrics. */
+	async requestsInFlight(entry) {
+		const {body = ''} = await callHttp({
+			host: entry.ip, port: this.#ports.metrics, method: 'GET', path: '/metrics', timeoutMs: 500,
+		});
+		return /^\S*requests_in_flight\S* .*$/mv.exec(body)?.[0] ?? 'unknown';
+	}
+
 	async ready(entry) {
 		const {status} = await callHttp({
 			host: entry.ip, port: this.#ports.readiness, method: 'GET', path: '/readiness', timeoutMs: 500,
@@ -172,10 +182,10 @@
 		this.#nextNumber = number + 1;
 		const name = `${role}-${number}`;
 		const ip = this.#address(number);
-		const {callers, readiness, operators, directory, internal} = this.#ports;
+		const {callers, readiness, operators, directory, metrics, internal} = this.#ports;
 		const listen = role === 'entry'
-			? {callers: `${ip}:${callers}`, readiness: `${ip}:${readiness}`}
-			: {operators: `${ip}:${operators}`, directory: `${ip}:${directory}`};
+			? {callers: `${ip}:${callers}`, readiness: `${ip}:${readiness}`, metricsPort: metrics}
+			: {operators: `${ip}:${operators}`, directory: `${ip}:${directory}`, metricsPort: metrics};
 		return new NodeProcess({
 			name,
 			role,
@@ -223,12 +233,12 @@
 /** Finds ports that are free on all addresses: a block for internal traffic and one for each server. */
 async function freePorts(ips) {
 	for (let attempt = 0; attempt < 50; attempt++) {
-		const base = 20_000 + (Math.floor(Math.random() * 1000) * 20);
-		const ports = Array.from({length: 20}, (_, offset) => base + offset);
+		const base = 20_000 + (Math.floor(Math.random() * 500) * portBlock);
+		const ports = Array.from({length: portBlock}, (_, offset) => base + offset);
 		const free = await Promise.all(ips.flatMap(ip => ports.map(async port => isFree(ip, port)))); // eslint-disable-line no-await-in-loop
 		if (free.every(Boolean)) {
 			return {
-				internal: base, callers: base + 16, readiness: base + 17, operators: base + 18, directory: base + 19,
+				internal: base, callers: base + 16, readiness: base + 17, operators: base + 18, directory: base + 19, metrics: base + 20,
 			};
 		}
 	}
--- a/review/support/run-case.js
+++ b/review/support/run-case.js
@@ -9,17 +9,18 @@
 const limitMs = 118_000;
 const exitCodes = {held: 0, broken: 1, couldNotRun: 2};
 
+/** Root of the repository, where the processes are started. */
+const root = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../..');
+
 /**
  * Runs a case on a fresh deployment and ends the process with its result: 0 if the rule held, 1 if it was broken, 2 if
  * the case could not run.
  *
- * @param {string} module - `import.meta.url` of the case; `record.txt` is written beside it.
+ * @param {string} file - Record of what was sent, answered and run.
  * @param {{entryZones: string[], play: (context: {deployment: Deployment, record: (text: string) => void, trouble: boolean}) => Promise<string[]>}} options
  * `play` returns the ways in which the rule was broken.
  */
-export async function runCase(module, {entryZones, play}) {
-	const folder = path.dirname(fileURLToPath(module));
-	const file = path.join(folder, 'record.txt');
+export async function runCase(file, {entryZones, play}) {
 	const trouble = process.env.TROUBLE !== '0';
 	writeFileSync(file, '');
 	const record = text => {
@@ -38,13 +39,20 @@
 		record('the case took too long');
 		finish();
 	}, limitMs).unref();
+	for (const event of ['uncaughtException', 'unhandledRejection']) {
+		process.once(event, error => {
+			record(`could not run: ${error.stack}`);
+			finish();
+		});
+	}
+
 	for (const signal of ['SIGINT', 'SIGTERM']) {
 		process.once(signal, finish);
 	}
 
 	try {
 		record(trouble ? 'with the disruption' : 'without the disruption');
-		deployment = await Deployment.create({record, root: path.resolve(folder, '../..'), entryZones});
+		deployment = await Deployment.create({record, root, entryZones});
 		const problems = await play({deployment, record, trouble});
 		for (const problem of problems) {
 			record(`broken: ${problem}`);
