test(soak): versions that callers can see, and probes of what entries have in force

The soak's versions changed nothing that callers see, so that no run could tell a configuration that was accepted and not in force from one that was.

Each version now adds a route, drops the one added 20 versions before, moves a route between two services every four versions and changes its timeout.

`--calm` lengthens the periods without faults.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -1,4 +1,4 @@
-// Runs real processes under random faults: `npm run soak -- --seed 1 --minutes 2 [--runs 5] [--entries 2] [--report folder]`.
+// Runs real processes under random faults: `npm run soak -- --seed 1 --minutes 2 [--runs 5] [--entries 2] [--calm 3000] [--report folder]`.
 import {mkdirSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
@@ -15,25 +15,34 @@
 		runs: {type: 'string', default: '1'},
 		/** Number of entries in each region. */
 		entries: {type: 'string', default: '2'},
+		/** Period without faults after each recovery, in milliseconds; a longer one lets the rules on configurations be judged more often. */
+		calm: {type: 'string'},
 		report: {type: 'string'},
 	},
 });
 
 for (let run = 0; run < Number(values.runs); run++) {
-	const report = await runSoak({seed: Number(values.seed) + run, minutes: Number(values.minutes), entriesPerRegion: Number(values.entries)}); // eslint-disable-line no-await-in-loop
+	// eslint-disable-next-line no-await-in-loop
+	const report = await runSoak({
+		seed: Number(values.seed) + run,
+		minutes: Number(values.minutes),
+		entriesPerRegion: Number(values.entries),
+		faultFreeMs: values.calm === undefined ? undefined : Number(values.calm),
+	});
 	printReport(report);
 	if (values.report !== undefined) {
 		writeReport(report, values.report);
 	}
 }
 
-function printReport({seed, lengthMs, faults, records, changes, reads, problems, folder}: SoakReport): void {
+function printReport({seed, lengthMs, faults, records, probes, changes, reads, problems, folder}: SoakReport): void {
 	const count = (outcome: string) => records.filter(record => record.outcome === outcome).length;
 	const outcomes = ['served', 'refused', 'failed', 'broken', 'unreachable'].map(outcome => `${count(outcome)} ${outcome}`).join(', ');
 	const verdict = problems.length === 0 ? 'pass' : 'fail';
 	const takenUp = records.filter(({resumedBy}) => resumedBy !== undefined);
 	const resumed = `${takenUp.filter(record => record.resumed).length} of ${takenUp.length} broken streams taken up`;
-	const totals = `${faults.length} faults, ${records.length} requests (${outcomes}; ${resumed}), ${changes} changes, ${reads} reads`;
+	const judged = probes.filter(({due, shown}) => due > 0 || shown > 0).length;
+	const totals = `${faults.length} faults, ${records.length} requests (${outcomes}; ${resumed}), ${changes} changes, ${reads} reads, ${judged} of ${probes.length} probes judged`;
 	console.log(`SOAK seed ${seed} ${verdict}: ${Math.round(lengthMs / 1000)} s, ${totals}`);
 	for (const problem of problems) {
 		console.log(`  - ${problem}`);
--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -1,11 +1,13 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SeededRandom} from '../../src/core/common/seeded-random.ts';
+import {checkProbes} from './check-probes.ts';
 import {checkRecords} from './check-records.ts';
 import {SoakCallers} from './soak-callers.ts';
 import {SoakDeployment} from './soak-deployment.ts';
 import {SoakFaults} from './soak-faults.ts';
 import {SoakOperator} from './soak-operator.ts';
+import {SoakProbes} from './soak-probes.ts';
 import type {SoakReport} from './soak-report.ts';
 
 type SoakOptions = {
@@ -16,6 +18,8 @@
 	readonly entriesPerRegion?: number;
 	/** @default 40 */
 	readonly requestsPerSecond?: number;
+	/** Period without faults after each recovery, in milliseconds. @default 3000 */
+	readonly faultFreeMs?: number;
 };
 
 /** Number of faults in a round, the period within which they begin, and the duration of each, in milliseconds. */
@@ -24,8 +28,8 @@
 const holdMs = {least: 300, most: 5000};
 /** Time within which requests must be served again after a round, and further time within which a change must then be accepted, in milliseconds; it equals the recovery time of the first deployments. */
 const recoveryTimeoutMs = 15_000;
-/** Period without faults after a recovery, in milliseconds, and the minimum share of requests that must be served in it. */
-const faultFreeMs = 3000;
+const defaultFaultFreeMs = 3000;
+/** Minimum share of requests that must be served in the period without faults after a recovery. */
 const minServedShare = 0.95;
 const startTimeoutMs = 20_000;
 const pollMs = 250;
@@ -51,6 +55,7 @@
 	readonly #random: SeededRandom;
 	readonly #callers: SoakCallers;
 	readonly #operator: SoakOperator;
+	readonly #probes: SoakProbes;
 	readonly #faults: SoakFaults;
 	readonly #injected: Array<SoakReport['faults'][number]> = [];
 	readonly #requestsPerSecond: number;
@@ -63,7 +68,11 @@
 		this.#requestsPerSecond = requestsPerSecond;
 		this.#random = new SeededRandom(seed);
 		this.#callers = new SoakCallers(deployment, {random: new SeededRandom(seed + 2), now: () => this.#now()});
-		this.#operator = new SoakOperator(deployment, new SeededRandom(seed + 3));
+		const now = () => this.#now();
+		this.#operator = new SoakOperator(deployment, {random: new SeededRandom(seed + 3), furtherRandom: new SeededRandom(seed + 4), now});
+		this.#probes = new SoakProbes({
+			deployment, operator: this.#operator, random: new SeededRandom(seed + 5), now,
+		});
 		this.#faults = new SoakFaults(deployment, this.#random);
 	}
 
@@ -75,6 +84,7 @@
 
 		this.#callers.start(this.#requestsPerSecond);
 		this.#operator.start();
+		this.#probes.start();
 		await this.#checkRecovery();
 		while (this.#now() < this.#options.minutes * 60_000 && this.problems.length === 0) {
 			await this.#injectRound(); // eslint-disable-line no-await-in-loop
@@ -82,7 +92,7 @@
 		}
 
 		this.#operator.stop();
-		await this.#callers.finish();
+		await Promise.all([this.#callers.finish(), this.#probes.finish()]);
 		await this.#checkFinalState();
 	}
 
@@ -93,6 +103,7 @@
 			problems: this.problems,
 			faults: this.#injected,
 			records: this.#callers.records,
+			probes: this.#probes.records,
 			changes: this.#operator.changes,
 			reads: this.#operator.reads,
 			folder: this.#deployment.folder,
@@ -135,7 +146,7 @@
 		}
 
 		const faultFreeFrom = this.#now();
-		await sleep(faultFreeMs);
+		await sleep(this.#options.faultFreeMs ?? defaultFaultFreeMs);
 		const share = this.#servedSince(faultFreeFrom);
 		if (share < minServedShare) {
 			this.problems.push(`only ${share.toFixed(3)} of the requests were served in the fault-free period from ${Math.round(faultFreeFrom)} ms on`);
@@ -149,7 +160,10 @@
 			}
 		}
 
-		this.problems.push(...this.#operator.problems, ...checkRecords(this.#callers.records, id => this.#deployment.runsOf(id)));
+		const {records} = this.#callers;
+		const calm = records.filter(({withoutRecentFault}) => withoutRecentFault);
+		const servedShare = calm.filter(({outcome}) => outcome === 'served').length / Math.max(1, calm.length);
+		this.problems.push(...this.#operator.problems, ...checkRecords(records, id => this.#deployment.runsOf(id)), ...checkProbes(this.#probes.records, servedShare));
 	}
 
 	/** Share of the requests sent since a time, and finished by now, that were served; 0 if there are fewer than are usually sent in a quarter of a second. */
--- /dev/null
+++ b/test/soak/soak-configuration.ts
@@ -0,0 +1,24 @@
+import {platformConfiguration} from '../fixtures/platform-configuration.ts';
+import {soakVersions} from './soak-versions.ts';
+
+type Configuration = {routes: object[]; services: object[]};
+
+const common = {
+	host: 'prairie.example', 'target-latency-ms': 400, kind: 'safe', attempts: 2,
+};
+
+/** A version of the soak's configuration: the routes of the callers, one that moves between services, and those added by the latest versions. */
+export function soakConfiguration(version: number, extraRoutes: readonly object[] = []): string {
+	const base = JSON.parse(platformConfiguration(version)) as Configuration;
+	const moved = {
+		...common, name: 'moved', 'path-prefix': soakVersions.movedPath, service: soakVersions.movedTo(version), 'timeout-ms': soakVersions.movedTimeoutMs(version),
+	};
+	const added = soakVersions.addedIn(version).map(number => ({
+		...common, name: `added-${number}`, 'path-prefix': soakVersions.addedPath(number), service: 'press', 'timeout-ms': 3000,
+	}));
+	return JSON.stringify({
+		...base,
+		routes: [...base.routes, moved, ...added, ...extraRoutes],
+		services: [...base.services, {name: 'press', 'connection-limit': 200}],
+	});
+}
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -8,8 +8,9 @@
 import {Links} from '../harness/links.ts';
 import {PortBlock} from '../harness/port-block.ts';
 import {SoakNode} from './soak-node.ts';
+import type {SoakService} from './soak-service.ts';
 
-type SoakEngine = {readonly engine: PlatformEngine; readonly service: 'desk' | 'writers'; readonly region: string; sequence: number};
+type SoakEngine = {readonly engine: PlatformEngine; readonly service: SoakService; readonly region: string; sequence: number};
 
 type NodePlan = Pick<ConstructorParameters<typeof SoakNode>[0], 'name' | 'role' | 'region' | 'ip'>;
 
@@ -35,6 +36,8 @@
 	readonly regions = regions;
 	readonly nodes: SoakNode[] = [];
 	readonly engines: SoakEngine[] = [];
+	/** Engines that only probes use; no fault is drawn for them. */
+	readonly probedEngines: SoakEngine[] = [];
 	readonly links: Links;
 	/** Folder of the processes' settings, logs and data. */
 	readonly folder = mkdtempSync(path.join(tmpdir(), 'lovageferry-soak-'));
@@ -88,7 +91,7 @@
 	async dispose(options: {keepFolder: boolean}): Promise<void> {
 		clearInterval(this.#reportTimer);
 		await Promise.all(this.nodes.map(async node => node.end('SIGKILL')));
-		await Promise.all(this.engines.map(async ({engine}) => engine.close()));
+		await Promise.all([...this.engines, ...this.probedEngines].map(async ({engine}) => engine.close()));
 		this.links.close();
 		this.#ports.release();
 		if (!options.keepFolder) {
@@ -134,6 +137,12 @@
 					});
 				}
 			}
+
+			const engine = new PlatformEngine(`${region}-press-1`);
+			await engine.listen(); // eslint-disable-line no-await-in-loop
+			this.probedEngines.push({
+				engine, service: 'press', region, sequence: 0,
+			});
 		}
 	}
 
@@ -159,7 +168,7 @@
 			return;
 		}
 
-		await Promise.all(this.engines.map(async target => {
+		await Promise.all([...this.engines, ...this.probedEngines].map(async target => {
 			target.sequence += 1;
 			const {engine: {identifier, address, softwareVersion}, service, region, sequence} = target;
 			await this.callOperatorApi(node, 'PUT', `/instances/${identifier}`, JSON.stringify({
--- a/test/soak/soak-node.ts
+++ b/test/soak/soak-node.ts
@@ -45,9 +45,10 @@
 	faults = 0;
 	/** Milliseconds from the start of the run to the end of the last fault that affected the node. */
 	lastFaultEndedAt = 0;
+	/** Number of runs of the process so far. */
+	lifetime = 0;
 	readonly #options: SoakNodeOptions;
 	readonly #process: ManagedProcess;
-	#started = false;
 
 	constructor(options: SoakNodeOptions) {
 		this.#options = options;
@@ -68,8 +69,8 @@
 
 	start(): void {
 		if (!this.up) {
-			this.#writeSettings({firstStart: !this.#started});
-			this.#started = true;
+			this.#writeSettings({firstStart: this.lifetime === 0});
+			this.lifetime += 1;
 			this.#process.start();
 		}
 	}
--- a/test/soak/soak-report.ts
+++ b/test/soak/soak-report.ts
@@ -1,3 +1,4 @@
+import type {ProbeRecord} from './probe-record.ts';
 import type {SoakCallers} from './soak-callers.ts';
 
 /** Results of a soak; times in milliseconds since its start. */
@@ -8,6 +9,8 @@
 	readonly problems: readonly string[];
 	readonly faults: ReadonlyArray<{readonly name: string; readonly at: number; readonly forMs: number}>;
 	readonly records: SoakCallers['records'];
+	/** Probes of what entries have in force. */
+	readonly probes: readonly ProbeRecord[];
 	/** Number of accepted configurations. */
 	readonly changes: number;
 	/** Number of answered reads of the configuration. */
