fix(edge): an entry keeps the control nodes that it knows while the one that it follows is cut off from them

What callers saw: an entry served an old configuration for as long as the control node that it followed was cut off from the others, though the entry reached those.

Cause: each feed replaced the entry's list of control nodes, also one of a node that is not current. A control node lists those that it has heard within 2.5 s, so that one that is cut off lists itself only. Besides, the entry knows the seeds of its settings; where these have been replaced, all that it could turn to was gone, and it stayed with the node that was out of date.

The list of a node that is not current is now only added to what is known; that of a current one replaces it, which bounds the list.

--- a/src/core/edge/control-follower.ts
+++ b/src/core/edge/control-follower.ts
@@ -84,7 +84,7 @@
 
 	/** Handles a feed; returns `whole` if its targets are the complete list, `changes` if they update the last one, and undefined if they must not be used. */
 	handleFeed(from: NodeId, feed: Feed, now: Millis): 'whole' | 'changes' | undefined {
-		this.#updatePeers(feed.control);
+		this.#updatePeers(feed);
 		if (from === this.#candidate && feed.current) {
 			this.#follow(from, now);
 		} else if (this.#startsAt(from, feed)) {
@@ -212,8 +212,9 @@
 		return hashed.toSorted((left, right) => cost(left) - cost(right)).map(({nodeId}) => nodeId);
 	}
 
-	#updatePeers(control: readonly ControlPeer[]): void {
-		const known = new Map(control.map(peer => [peer.nodeId, peer]));
+	/** Takes the list of a current node in place of the last one; a node that is not current may be cut off and not hear from those that are, so its list is only added. */
+	#updatePeers({control, current}: Feed): void {
+		const known = new Map([...(current ? [] : this.#peers), ...control].map(peer => [peer.nodeId, peer]));
 		for (const nodeId of this.#options.seeds) {
 			if (!known.has(nodeId)) {
 				known.set(nodeId, this.#peers.find(peer => peer.nodeId === nodeId) ?? {nodeId});
