feat(edge): retries and refusals by the retry budget are logged and counted

`retry-charged` and `retry-refused` carry the requests and retries of the window, the retries allowed in it and the number of entries; the counter `retries` gets `charged` and `budget_exhausted`. A stalled attempt, which asks again on each tick, is logged once.

--- a/src/core/edge/create-request-record.ts
+++ b/src/core/edge/create-request-record.ts
@@ -24,6 +24,7 @@
 		forwardedRuns: 0,
 		mayHaveRun: false,
 		retryReserved: false,
+		retryRefused: false,
 		isTrial: false,
 		headPassed: false,
 		lastEventId: req.resumeAfter,
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -56,6 +56,8 @@
 	mayHaveRun: boolean;
 	/** True if its next attempt is already charged to the retry budget. */
 	retryReserved: boolean;
+	/** True once a retry of it did not fit the retry budget. */
+	retryRefused: boolean;
 	/** True if its next attempt is a trial of a contained trait. */
 	isTrial: boolean;
 	/** True once the caller has the head of an answer: only events of the stream may follow. */
--- a/src/core/edge/retry-policy.ts
+++ b/src/core/edge/retry-policy.ts
@@ -1,4 +1,6 @@
+import type {ActionQueue} from '../action-queue.ts';
 import type {Millis} from '../ids/millis.ts';
+import type {EdgeAction} from './edge-action.ts';
 import type {PlacementPolicy} from './placement-policy.ts';
 import type {RegionSelector} from './region-selector.ts';
 import type {WindowedRetryBudget} from './windowed-retry-budget.ts';
@@ -18,6 +20,7 @@
 	readonly regions: RegionSelector;
 	readonly pool: TargetPool;
 	readonly budget: WindowedRetryBudget;
+	readonly queue: ActionQueue<EdgeAction>;
 };
 
 /**
@@ -74,9 +77,21 @@
 		return type === 'target' || type === 'away';
 	}
 
-	#withdrawRetry({service}: RequestRecord, now: Millis): boolean {
-		const {budget, regions} = this.#options;
-		return budget.withdraw(service, regions.entryCount, now);
+	#withdrawRetry(record: RequestRecord, now: Millis): boolean {
+		const {budget, regions, queue} = this.#options;
+		const {req, service} = record;
+		const entries = regions.entryCount;
+		const {granted, requests, retries, allowed} = budget.withdraw(service, entries, now);
+		// A stalled attempt asks again on each tick.
+		if (granted || !record.retryRefused) {
+			queue.count('retries', granted ? 'charged' : 'budget_exhausted');
+			queue.event(granted ? 'retry-charged' : 'retry-refused', {
+				request: req.callerKey, service, requests, retries, allowed: Math.round(allowed * 10) / 10, entries,
+			});
+		}
+
+		record.retryRefused ||= !granted;
+		return granted;
 	}
 }
 
--- a/src/core/edge/windowed-retry-budget.ts
+++ b/src/core/edge/windowed-retry-budget.ts
@@ -1,5 +1,6 @@
 import type {Millis} from '../ids/millis.ts';
 import type {ServiceName} from '../ids/service-name.ts';
+import type {RetryCharge} from './retry-charge.ts';
 
 /** Share of the deployment's bound that is used, so that entries that restart with empty counters or learn late of each other do not exceed it. */
 const safetyShare = 0.7;
@@ -35,8 +36,8 @@
 		this.#current(service, now).requests += 1;
 	}
 
-	/** Charges one retry to the budget; false if the budget is used up. `entries` is the number of entries that share the slack. */
-	withdraw(service: ServiceName, entries: number, now: Millis): boolean {
+	/** Charges one retry to the budget unless the budget is used up. `entries` is the number of entries that share the slack. */
+	withdraw(service: ServiceName, entries: number, now: Millis): RetryCharge {
 		const current = this.#current(service, now);
 		let requests = 0;
 		let retries = 0;
@@ -47,12 +48,14 @@
 
 		const {ratio, slack} = this.#options;
 		const allowed = safetyShare * ((ratio * requests) + (slack / Math.max(1, entries)));
-		if (retries + 1 > allowed) {
-			return false;
+		const granted = retries + 1 <= allowed;
+		if (granted) {
+			current.retries += 1;
 		}
 
-		current.retries += 1;
-		return true;
+		return {
+			granted, requests, retries, allowed,
+		};
 	}
 
 	/** The current bucket of a service; drops buckets that have left the window. */
--- a/test/core/edge/edge-core.test.ts
+++ b/test/core/edge/edge-core.test.ts
@@ -88,6 +88,16 @@
 	t.is(harness.refusals()[0]!.ran, 'maybe');
 });
 
+test('a stalled attempt whose retry does not fit the budget is logged once, with what the budget was decided on', t => {
+	const harness = harnessWith(['a', 'b'], {slack: 0, ratio: 0});
+	harness.request();
+	harness.run(2400);
+	const events = harness.actions.filter(action => action.type === 'event' && action.event === 'retry-refused');
+	t.deepEqual(events.map(action => action.type === 'event' && action.fields), [{
+		request: 'key-1', service: 'desk', requests: 1, retries: 0, allowed: 0, entries: 1,
+	}]);
+});
+
 test('a forwarded request runs on one target only: the entry that forwarded it keeps the rest of the attempts', t => {
 	const harness = harnessWith(['a', 'b']);
 	harness.request({forwarded: {region: toId('winnipeg'), documentVersion: 1}});
