fix(edge): an entry whose control node fails asks several others at once

What callers saw: for up to 6.3 s an entry served an old configuration, and placed requests by an old list of targets, though current control nodes could be reached; 3 s are allowed.

Cause: an entry asked one control node after the other and gave each 1.6 s. Seeds of its settings stay known when they have been replaced, and a lost node of its own region comes first, so that several lost ones in a row are usual. An entry whose own process had stood still also left a control node that worked: its timers ran before it had read the feeds that waited, and it followed the next node whether or not that one was there.

Evidence, the tests' output on the code before: "4600 ms without a current feed" (nodes 1 and 2, and 1, 2 and 5 lost), "6250 ms without a current feed" (2 and 4 lost); with 1 and 3 lost the test passed before. After a pause of 5 s it followed 'far:7104' instead of '10.1.0.1:7104'.

An entry without a current feed now asks three further nodes per 500 ms for one feed each, and follows the first that sends a current one, which may be the node before.

--- a/src/core/control/control-timing.ts
+++ b/src/core/control/control-timing.ts
@@ -1,4 +1,4 @@
-/** Timings of control nodes and of the entries that follow them, in milliseconds; derived from the time bounds that a deployment with a routes document must meet. */
+/** Timings of control nodes and of the entries that follow them, in milliseconds unless said otherwise; derived from the time bounds that a deployment with a routes document must meet. */
 export const controlTiming = {
 	/** Interval of an entry's statuses, and of gossip between control nodes. */
 	statusIntervalMs: 500,
@@ -6,6 +6,8 @@
 	feedTimeoutMs: 1600,
 	/** Time after a failure of a control node during which an entry prefers all others; also the shortest time before an entry returns to a control node of its own region. */
 	avoidFailedNodeMs: 5000,
+	/** Number of other control nodes that an entry without a current feed asks per `statusIntervalMs`. */
+	nodesAskedAtOnce: 3,
 	/** Silence after which an entry gets no more feeds, and after which a control node counts as unreachable. */
 	followLeaseMs: 2500,
 	/** Silence of the leader after which a control node reports itself as not current. */
--- a/src/core/edge/control-follower.ts
+++ b/src/core/edge/control-follower.ts
@@ -26,6 +26,7 @@
 /**
  * Follows one control node, at first the seed that answers first, later preferably one of the own region, and switches to another if its feeds stop or if it is no
  * longer current with the replicated log. While it knows no other control node, it stays with one that is not current.
+ * When its control node fails it asks several others, since the next one may be lost too, and follows the first that sends a current feed, which may be the one before.
  * It returns to a node of the own region only once that has sent a current feed, so that it is never without one for it.
  */
 export class ControlFollower {
@@ -41,6 +42,11 @@
 	/** Position in the primary's registry; undefined until the first complete list. */
 	#position: FeedPosition;
 	readonly #avoidUntil = new Map<NodeId, number>();
+	/** True from the failure of the primary until a control node has sent a current feed: the first one that does is followed. */
+	#searching = false;
+	/** Control nodes that the search has not asked yet, in order of preference. */
+	#unasked: readonly NodeId[] = [];
+	#lastAskedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: ControlFollowerOptions) {
 		this.#options = options;
@@ -67,6 +73,10 @@
 			this.#switchPrimary(now);
 		}
 
+		if (this.#unasked.length > 0 && now - this.#lastAskedAt >= controlTiming.statusIntervalMs) {
+			this.#askOthers(now);
+		}
+
 		if (now - this.#lastReportAt >= controlTiming.statusIntervalMs) {
 			this.report(now);
 		}
@@ -85,8 +95,8 @@
 	/** Handles a feed; returns `whole` if its targets are the complete list, `changes` if they update the last one, and undefined if they must not be used. */
 	handleFeed(from: NodeId, feed: Feed, now: Millis): 'whole' | 'changes' | undefined {
 		this.#updatePeers(feed);
-		if (from === this.#candidate && feed.current) {
-			this.#follow(from, now);
+		if (feed.current && from !== this.#primary && (from === this.#candidate || this.#searching)) {
+			this.#takeOver(from, feed, now);
 		} else if (this.#startsAt(from, feed)) {
 			this.#adopt(from, now);
 		}
@@ -98,6 +108,8 @@
 		this.#lastFeedAt = now;
 		if (feed.current) {
 			this.#lastCurrentFeedAt = now;
+			this.#searching = false;
+			this.#unasked = [];
 		}
 
 		this.#askOwnRegion(now);
@@ -148,6 +160,31 @@
 			for (const {nodeId} of this.#peers.filter(peer => peer.nodeId !== next)) {
 				this.#sendStatus(nodeId, {have: undefined, once: true}, now);
 			}
+
+			return;
+		}
+
+		this.#searching = true;
+		this.#unasked = ranked.filter(nodeId => nodeId !== next);
+		this.#askOthers(now);
+	}
+
+	/** Asks the next control nodes of the search for one feed each. */
+	#askOthers(now: Millis): void {
+		for (const nodeId of this.#unasked.slice(0, controlTiming.nodesAskedAtOnce)) {
+			this.#sendStatus(nodeId, {have: undefined, once: true}, now);
+		}
+
+		this.#unasked = this.#unasked.slice(controlTiming.nodesAskedAtOnce);
+		this.#lastAskedAt = now;
+	}
+
+	/** Follows the sender of a current feed. One that has sent a whole list was asked for it and needs no second request. */
+	#takeOver(from: NodeId, feed: Feed, now: Millis): void {
+		if (from !== this.#candidate && feed.from === -1) {
+			this.#adopt(from, now);
+		} else {
+			this.#follow(from, now);
 		}
 	}
 
--- a/test/core/edge/lost-control-nodes.test.ts
+++ b/test/core/edge/lost-control-nodes.test.ts
@@ -65,3 +65,31 @@
 	const silentMs = play(harness, 30_000, {'new-1': cutOff, 'new-2': others, 'new-3': others});
 	t.true(silentMs <= applyMs, `${silentMs} ms without a current feed`);
 });
+
+for (const lost of [['1', '2'], ['1', '3'], ['2', '4'], ['1', '2', '5']]) {
+	test(`an entry gets a current feed in time though its seeds are gone and control nodes ${lost.join(', ')} fail`, t => {
+		const harness = new EdgeHarness({seeds: [node('old-1'), node('old-2'), node('old-3')]});
+		const control = ['1', '2', '3', '4', '5'].map((name, index) => peer(name, index < 2 ? 'regina' : 'winnipeg'));
+		const answer = {current: true, control};
+		const nodes = Object.fromEntries(control.map(({nodeId}) => [nodeId.split(':', 1)[0]!, answer]));
+		play(harness, 1000, {'old-1': answer, 'old-2': answer, 'old-3': answer});
+		play(harness, 10_000, nodes);
+		const first = followed(harness)!.split(':', 1)[0]!;
+		const silentMs = play(harness, 30_000, {...nodes, [first]: undefined, ...Object.fromEntries(lost.map(name => [name, undefined]))});
+		t.true(silentMs <= applyMs, `${silentMs} ms without a current feed`);
+	});
+}
+
+test('an entry that stood still keeps the control node whose feeds waited meanwhile', t => {
+	const harness = new EdgeHarness();
+	const control = [peer('10.1.0.1'), peer('far', 'winnipeg')];
+	const answer = {current: true, control};
+	play(harness, 2000, {'10.1.0.1': answer, far: answer});
+	t.is(followed(harness), node('10.1.0.1'));
+	harness.now += 5000;
+	harness.step({type: 'tick'});
+	harness.feed({control, from: 3}, node('10.1.0.1'));
+	t.is(followed(harness), node('10.1.0.1'));
+	t.true(play(harness, 2000, {'10.1.0.1': answer}) <= applyMs);
+	t.is(followed(harness), node('10.1.0.1'));
+});
