fix(consensus): a member whose disk was full votes again without a restart

Seen: with five members whose disks are full for a moment, one after another, no change is accepted after the third, though all processes run and all disks have room.

Cause: RaftMember.writeFailed stopped the member until its process restarted. On the settings-tree path nothing restarted it. On the platform path the process ended itself once the disk could be written (a process that ends by itself costs, and takes the registry and the directory with it).

Why it works: after a failed write the end of the file is unknown, so the member still answers nothing and asks for no votes. Nothing was sent before that which the file lacks: answers wait for the sync of the rewrite as they would for a slow disk. If the process ends before, the old file has all that was ever reported as synced.

The code that waited for the disk and ended the process is removed, and the option `onRestartNeeded` with it. Tests changed: the two that called writeFailed on a member now also keep its disk full, since it would recover otherwise; the first of them checks the role once more. The random tests run as before, and once more with full disks.

--- a/src/commands/run.ts
+++ b/src/commands/run.ts
@@ -4,9 +4,6 @@
 import {CommandError} from './command-error.ts';
 import {exitCodes} from './exit-codes.ts';
 
-/** Delay before a process that must be restarted exits, in milliseconds, so that pending writes finish. */
-const restartDelayMs = 100;
-
 /** Runs one process of the system until SIGTERM or SIGINT; SIGHUP reloads what can change at run time. */
 export async function run(settings: string, adapter?: PlatformAdapter): Promise<void> {
 	if (readSettingsMode(settings) === 'routes') {
@@ -32,15 +29,7 @@
 	}
 
 	const {startRoutesProcess} = await import('../server/routes/start-routes-process.ts');
-	const {process: running, log} = await startRoutesProcess({
-		file,
-		adapter,
-		onRestartNeeded() {
-			setTimeout(() => {
-				process.exit(exitCodes.failed); // eslint-disable-line unicorn/no-process-exit
-			}, restartDelayMs);
-		},
-	});
+	const {process: running, log} = await startRoutesProcess({file, adapter});
 	stopOnSignal(async () => {
 		log.write('stopping', {});
 		await running.stop();
--- a/src/core/consensus/applied-log.ts
+++ b/src/core/consensus/applied-log.ts
@@ -38,6 +38,13 @@
 		}
 	}
 
+	/** Writes the whole journal anew; returns the token of the write. */
+	rewrite(): number {
+		return this.#commitIndex === 0
+			? this.#storage.rewriteUnapplied()
+			: this.#storage.compact(this.#commitIndex, this.#state.snapshot());
+	}
+
 	/** Replaces the state with a leader's snapshot of a later index. */
 	install(snapshot: LogSnapshot): void {
 		this.#storage.install(snapshot);
--- a/src/core/consensus/consensus.ts
+++ b/src/core/consensus/consensus.ts
@@ -10,7 +10,7 @@
 	tick(now: Millis): void;
 	/** Reports that a journal write was synced. */
 	written(token: number, now: Millis): void;
-	/** Reports that a journal write failed: the member steps down and ignores all messages until it is restarted. */
+	/** Reports that a journal write failed: the member steps down and ignores all messages until it has rewritten its journal. */
 	writeFailed(reason: string, now: Millis): void;
 	/**
 	 * Appends a command and returns its index, which `takeCommitted` reports unless leadership is lost first.
--- a/src/core/consensus/durable-writes.ts
+++ b/src/core/consensus/durable-writes.ts
@@ -16,8 +16,11 @@
 		this.#track(this.#outbox.append('consensus', records));
 	}
 
-	rewrite(records: readonly ConsensusRecord[]): void {
-		this.#track(this.#outbox.rewrite('consensus', records));
+	/** Returns the token of the write. */
+	rewrite(records: readonly ConsensusRecord[]): number {
+		const token = this.#outbox.rewrite('consensus', records);
+		this.#track(token);
+		return token;
 	}
 
 	/** Runs `callback` once all writes so far are synced, immediately if none is pending. */
@@ -31,11 +34,17 @@
 		callbacks.push(callback);
 	}
 
+	/** Handles the sync of a write. Earlier ones that failed are covered by it: after a failed write only a rewrite can succeed. */
 	written(token: number): void {
-		const callbacks = this.#pending.get(token) ?? [];
-		this.#pending.delete(token);
-		for (const callback of callbacks) {
-			callback();
+		for (const [pendingToken, callbacks] of this.#pending) {
+			if (pendingToken > token) {
+				break;
+			}
+
+			this.#pending.delete(pendingToken);
+			for (const callback of callbacks) {
+				callback();
+			}
 		}
 	}
 
--- a/src/core/consensus/member-storage.ts
+++ b/src/core/consensus/member-storage.ts
@@ -159,16 +159,29 @@
 		return count >= this.#limits.snapshotEntries || this.#appliedBytes >= this.#limits.snapshotBytes;
 	}
 
-	/** Replaces the journal's entries up to an applied index with a snapshot of the state at that index. */
-	compact(index: number, state: unknown): void {
+	/** Replaces the journal of a log without applied entries; returns the token of the write. */
+	rewriteUnapplied(): number {
+		const founder: readonly ConsensusRecord[] = this.#founder ? [{type: 'founder'}] : [];
+		const entries = this.log.slice(1);
+		return this.writes.rewrite([
+			this.#voteRecord(),
+			...founder,
+			{type: 'group', group: this.#group, voters: this.#promisedVoters},
+			...(entries.length > 0 ? [{type: 'entries', entries} as const] : []),
+		]);
+	}
+
+	/** Replaces the journal's entries up to an applied index with a snapshot of the state at that index; returns the token of the write. */
+	compact(index: number, state: unknown): number {
 		const snapshot = {
 			index, term: this.log.term(index)!, configuration: this.configurationAt(index)!, state,
 		};
 		this.#snapshotIndex = index;
 		this.#recordedCommitIndex = Math.max(index, this.#recordedCommitIndex);
-		this.#rewrite(snapshot);
+		const token = this.#rewrite(snapshot);
 		this.log.compact(this.#compactionIndex(index));
 		this.#configurations.compact(this.log.baseIndex);
+		return token;
 	}
 
 	/** Installs a leader's snapshot; entries after it are kept only if the log matches it at its index. */
@@ -198,9 +211,9 @@
 		});
 	}
 
-	#rewrite(snapshot: LogSnapshot): void {
+	#rewrite(snapshot: LogSnapshot): number {
 		this.#appliedBytes = 0;
-		this.writes.rewrite([
+		return this.writes.rewrite([
 			this.#voteRecord(),
 			{type: 'group', group: this.#group},
 			{type: 'snapshot', snapshot},
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -1,3 +1,4 @@
+import {JournalRecovery} from '../common/journal-recovery.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {StorageId} from '../ids/storage-id.ts';
@@ -42,7 +43,7 @@
 	#leader: NodeId | undefined;
 	/** Since when the leader's commit index has been ahead of this member's. */
 	#laggingSince: Millis | undefined;
-	#problem: string | undefined;
+	readonly #recovery = new JournalRecovery();
 
 	constructor(options: RaftMemberOptions<Outcome>) {
 		const {self, storageId, initialMembers, mayBootstrap = true, loadedJournal, state, outbox, random} = options;
@@ -72,7 +73,7 @@
 
 	handle(from: NodeId, message: ConsensusMessage, now: Millis): void {
 		const forAnother = message.to !== undefined && message.to !== this.#context.self.storageId;
-		if (this.#problem !== undefined || forAnother) {
+		if (this.#stopped || forAnother) {
 			return;
 		}
 
@@ -93,7 +94,8 @@
 	}
 
 	tick(now: Millis): void {
-		if (this.#problem !== undefined) {
+		if (this.#stopped) {
+			this.#recovery.tick(() => this.#applied.rewrite(), now);
 			return;
 		}
 
@@ -112,16 +114,23 @@
 	}
 
 	written(token: number, now: Millis): void {
-		if (this.#problem === undefined) {
+		if (this.#recovery.written(token)) {
+			this.#context.outbox.event('disk-regained', {});
+			// The leader, if there is one, is heard before the member asks for votes.
+			this.#election.cancel(now);
+		}
+
+		if (!this.#stopped) {
 			this.#storage.writes.written(token);
 			this.#advanceCommit(now);
 		}
 	}
 
 	writeFailed(reason: string, now: Millis): void {
-		this.#stepDown(now);
-		this.#problem = reason;
-		this.#context.outbox.log('consensus', `Journal write failed, the member stops until it is restarted: ${reason}`);
+		if (this.#recovery.failed(reason, now)) {
+			this.#stepDown(now);
+			this.#context.outbox.event('disk-failed', {reason});
+		}
 	}
 
 	propose(command: LogCommand, now: Millis): number | undefined {
@@ -188,13 +197,18 @@
 			logBytes: log.size(log.baseIndex, log.lastIndex),
 			voters: configuration?.voters.map(voter => voter.nodeId) ?? [],
 			learners: this.#leadership?.learners.map(({member}) => member.nodeId) ?? [],
-			problem: this.#problem,
+			problem: this.#recovery.reason,
 		};
 	}
 
+	/** True from a failed journal write until the journal is rewritten: nothing that the member would answer is sure to be on disk. */
+	get #stopped(): boolean {
+		return this.#recovery.reason !== undefined;
+	}
+
 	#role(): ConsensusStatus['role'] {
 		return memberRole({
-			stopped: this.#problem !== undefined,
+			stopped: this.#stopped,
 			isLeader: this.#leadership !== undefined,
 			starting: this.#bootstrap.starting,
 			isVoter: isVoter(this.#storage.configuration, this.#context.self),
--- a/src/core/control/control-action.ts
+++ b/src/core/control/control-action.ts
@@ -4,6 +4,4 @@
 /** Side effects that the server performs for a control node. */
 export type ControlAction =
 	| OutboxAction
-	| {readonly type: 'call-answer'; readonly callId: string; readonly answer: CallAnswer}
-	/** A journal write failed: the process must be restarted. */
-	| {readonly type: 'disk-failed'; readonly reason: string};
+	| {readonly type: 'call-answer'; readonly callId: string; readonly answer: CallAnswer};
--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -175,7 +175,6 @@
 
 			case 'write-failed': {
 				this.#consensus.writeFailed(event.reason, now);
-				this.#queue.push({type: 'disk-failed', reason: event.reason});
 				break;
 			}
 
--- a/src/server/event-log.ts
+++ b/src/server/event-log.ts
@@ -8,6 +8,8 @@
 const maxLinesPerSecond = 60;
 /** Kinds of event that are logged at level `debug`: answered requests. */
 const debugEvents = new Set(['answered']);
+/** Kinds of event that are logged at level `warn`. */
+const warnEvents = new Set(['disk-failed']);
 const secondMs = 1000;
 
 type EventLogOptions = {
@@ -39,9 +41,9 @@
 		this.#logger = pino({level, base: {node}, timestamp: stdTimeFunctions.isoTime}, destination);
 	}
 
-	/** Logs an event at level `info`, or `debug` for answered requests, within its rate limit. */
+	/** Logs an event at the level of its kind, `info` for most, within its rate limit. */
 	write(event: string, fields: Readonly<Record<string, unknown>> = {}): void {
-		const level = debugEvents.has(event) ? 'debug' : 'info';
+		const level = levelOf(event);
 		if (!this.#logger.isLevelEnabled(level) || !this.#allowLine(event)) {
 			return;
 		}
@@ -87,3 +89,11 @@
 		return true;
 	}
 }
+
+function levelOf(event: string): 'debug' | 'info' | 'warn' {
+	if (debugEvents.has(event)) {
+		return 'debug';
+	}
+
+	return warnEvents.has(event) ? 'warn' : 'info';
+}
--- a/src/server/journal/data-folder.ts
+++ b/src/server/journal/data-folder.ts
@@ -70,7 +70,7 @@
 		const storageId = existingId ?? await createIdentity(identityFile);
 		return new DataFolder({
 			storageId, lock, consensus, ledger,
-		}, folder);
+		});
 	}
 
 	readonly storageId: StorageId;
@@ -78,10 +78,8 @@
 	/** Contents of the journals when the folder was opened. */
 	readonly loads: {readonly consensus: LoadedJournal<ConsensusRecord>; readonly ledger: LoadedJournal<never>};
 	readonly #lock: FolderLock;
-	readonly #probeFile: string;
 
-	private constructor(opened: OpenedFolder, folder: string) {
-		this.#probeFile = path.join(folder, 'probe');
+	private constructor(opened: OpenedFolder) {
 		this.storageId = opened.storageId;
 		this.#lock = opened.lock;
 		this.journals = {consensus: opened.consensus.journal, ledger: opened.ledger.journal};
@@ -91,16 +89,6 @@
 		};
 	}
 
-	/** Checks that a small file can be written and synced in the folder now. */
-	async isWritable(): Promise<boolean> {
-		try {
-			await replaceFile(this.#probeFile, Buffer.from('probe'));
-			return true;
-		} catch {
-			return false;
-		}
-	}
-
 	async close(): Promise<void> {
 		await this.journals.consensus.close();
 		await this.journals.ledger.close();
--- a/src/server/journal/journal.ts
+++ b/src/server/journal/journal.ts
@@ -21,9 +21,9 @@
 };
 
 const damageRemedy = 'Move the data folder away and start again: the member rejoins with an empty one and is brought up to date';
-const writeFailureRemedy = 'Free space or replace the disk, then restart the process';
+const writeFailureRemedy = 'Free space on the disk or replace it';
 
-/** An append-only file of records. A write resolves once it is synced; writes complete in order. After a failed write all later ones fail. */
+/** An append-only file of records. A write resolves once it is synced; writes complete in order. After a failed write all later ones fail until a rewrite succeeds. */
 export class Journal {
 	/**
 	 * Opens a journal, reads it, and truncates a record at its end that was only partly written.
@@ -54,7 +54,9 @@
 	#fileLength: number;
 	readonly #queue: PendingWrite[] = [];
 	#processing: Promise<void> | undefined;
+	/** Failure of the last write; cleared by a rewrite. */
 	#failure: FolderError | undefined;
+	#closed = false;
 
 	private constructor(file: string, handle: FileHandle, length: number) {
 		this.#file = file;
@@ -75,9 +77,7 @@
 	/** Waits for the pending writes and closes the file; later writes are rejected. */
 	async close(): Promise<void> {
 		await this.#processing;
-		this.#failure ??= new FolderError({
-			result: 'folderFull', file: this.#file, problem: 'the journal is closed', remedy: 'Restart the process',
-		});
+		this.#closed = true;
 		await this.#handle.close();
 	}
 
@@ -115,12 +115,7 @@
 
 	async #writeBatch(batch: readonly PendingWrite[]): Promise<void> {
 		try {
-			if (this.#failure !== undefined) {
-				throw this.#failure;
-			}
-
-			const last = batch.at(-1)!;
-			await (last.kind === 'rewrite' ? this.#replaceBytes(recordCodec.encode(last.records)) : this.#appendBatch(batch));
+			await this.#write(batch);
 		} catch (error) {
 			this.#fail(error as Error, batch);
 			return;
@@ -131,6 +126,27 @@
 		}
 	}
 
+	async #write(batch: readonly PendingWrite[]): Promise<void> {
+		if (this.#closed) {
+			throw new FolderError({
+				result: 'folderFull', file: this.#file, problem: 'the journal is closed', remedy: 'Restart the process',
+			});
+		}
+
+		const last = batch.at(-1)!;
+		if (last.kind === 'rewrite') {
+			await this.#replaceBytes(recordCodec.encode(last.records));
+			this.#failure = undefined;
+			return;
+		}
+
+		if (this.#failure !== undefined) {
+			throw this.#failure;
+		}
+
+		await this.#appendBatch(batch);
+	}
+
 	/** Appends records in pieces, so that a long queue is never encoded as a whole, with one sync. */
 	async #appendBatch(batch: readonly PendingWrite[]): Promise<void> {
 		let position = this.#fileLength;
@@ -173,11 +189,13 @@
 		await old.close();
 	}
 
-	/** After a failed write or sync the end of the file is in an unknown state, so this and all later writes are rejected. */
+	/** After a failed write or sync the end of the file is in an unknown state, so appends are rejected until a rewrite replaces the file. */
 	#fail(error: Error, batch: readonly PendingWrite[]): void {
-		this.#failure ??= new FolderError({
-			result: 'folderFull', file: this.#file, problem: error.message, remedy: writeFailureRemedy, cause: error,
-		});
+		this.#failure = error instanceof FolderError
+			? error
+			: new FolderError({
+				result: 'folderFull', file: this.#file, problem: error.message, remedy: writeFailureRemedy, cause: error,
+			});
 		for (const write of batch) {
 			write.reject(this.#failure);
 		}
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -18,9 +18,6 @@
 import {MetricsServer} from './metrics-server.ts';
 import type {RoutesProcess} from './routes-process.ts';
 
-/** Interval between attempts to write to a failed disk, in milliseconds. */
-const diskProbeIntervalMs = 500;
-
 /** Longest wait for the answers to calls in progress when the process stops, in milliseconds; the core answers each within `controlTiming.callTimeoutMs`. */
 const maxCallWaitMs = 2000;
 /** Time for the last answers to reach their callers, in milliseconds. */
@@ -34,8 +31,6 @@
 	readonly adapter: PlatformAdapter;
 	readonly log: EventLog;
 	readonly folder: DataFolder;
-	/** Called when a failed disk is writable again; the process must then be restarted. */
-	readonly onDiskRecovered: () => void;
 };
 
 /** The process of a control node, which holds the replicated state, the registry of targets and the directory of entries. */
@@ -45,7 +40,6 @@
 	readonly #host: CoreHost<ControlEvent, ControlProcessAction>;
 	readonly #servers: ControlServers;
 	readonly #metricsServer: MetricsServer | undefined;
-	#waitingForDisk = false;
 
 	constructor(options: ControlProcessOptions) {
 		const {settings, adapter, log, folder} = options;
@@ -128,31 +122,9 @@
 				this.#servers.resolveCall(action.callId, action.answer);
 				break;
 			}
-
-			case 'disk-failed': {
-				this.#options.log.warn('disk-failed', {reason: action.reason});
-				void this.#waitForDisk();
-				break;
-			}
 		}
 	}
 
-	/** Waits until the disk is writable again and then requests a restart. Until then the node does not vote, but still serves its registry and directory. */
-	async #waitForDisk(): Promise<void> {
-		if (this.#waitingForDisk) {
-			return;
-		}
-
-		this.#waitingForDisk = true;
-		const {folder, log, onDiskRecovered} = this.#options;
-		do {
-			await sleep(diskProbeIntervalMs); // eslint-disable-line no-await-in-loop
-		} while (!await folder.isWritable()); // eslint-disable-line no-await-in-loop
-
-		log.write('disk-regained', {});
-		onDiskRecovered();
-	}
-
 	async #writeJournal({type, journal, records, token}: ControlAction & {type: 'append' | 'rewrite'}): Promise<void> {
 		const writer = this.#options.folder.journals[journal];
 		try {
--- a/src/server/routes/start-routes-process.ts
+++ b/src/server/routes/start-routes-process.ts
@@ -8,8 +8,6 @@
 type StartOptions = {
 	readonly file: string;
 	readonly adapter: PlatformAdapter;
-	/** Called when the process must be restarted. */
-	readonly onRestartNeeded: () => void;
 };
 
 type ProcessOptions = {
@@ -23,7 +21,7 @@
  *
  * @throws SettingsError, FolderError if the data folder cannot be used, or ListenError.
  */
-export async function startRoutesProcess({file, adapter, onRestartNeeded}: StartOptions): Promise<{process: RoutesProcess; log: EventLog}> {
+export async function startRoutesProcess({file, adapter}: StartOptions): Promise<{process: RoutesProcess; log: EventLog}> {
 	const settings = loadRoutesSettings(file);
 	const log = new EventLog({node: settings.node, level: settings.logLevel});
 	const {role, zone, region, nodeId, firstStart} = settings;
@@ -32,9 +30,7 @@
 	});
 	const process = role === 'entry'
 		? await createEntryProcess({settings, adapter, log})
-		: await createControlProcess({
-			settings, adapter, log, onDiskRecovered: onRestartNeeded,
-		});
+		: await createControlProcess({settings, adapter, log});
 	await process.open();
 	log.write('started', {role});
 	return {process, log};
@@ -46,7 +42,7 @@
 	return new EntryProcess(options);
 }
 
-async function createControlProcess(options: ProcessOptions & {readonly onDiskRecovered: () => void}): Promise<RoutesProcess> {
+async function createControlProcess(options: ProcessOptions): Promise<RoutesProcess> {
 	const [{ControlProcess}, {DataFolder}] = await Promise.all([import('./control-process.ts'), import('../journal/data-folder.ts')]);
 	return new ControlProcess({...options, folder: await DataFolder.open(options.settings.dataFolder!)});
 }
--- a/test/core/consensus/raft-member.test.ts
+++ b/test/core/consensus/raft-member.test.ts
@@ -239,10 +239,12 @@
 test('a member whose journal write fails stops, and the others continue', t => {
 	const cluster = startCluster();
 	const leader = cluster.leader()!;
+	cluster.node(leader).full = true;
 	cluster.act(leader, (process, now) => {
 		process.member!.writeFailed('no space left', now);
 	});
 	t.like(cluster.process(leader).member!.status(), {role: 'stopped', problem: 'no space left'});
 	t.true(acceptChange(cluster, 1));
 	t.not(cluster.leader(), leader);
+	t.is(cluster.process(leader).member!.status().role, 'stopped');
 });
--- a/test/core/consensus/random-faults.test.ts
+++ b/test/core/consensus/random-faults.test.ts
@@ -11,6 +11,8 @@
 	| {readonly type: 'resend'; readonly node: number; readonly change: number}
 	/** `isolate` cuts all links of the node, `join` restores them. */
 	| {readonly type: 'crash' | 'start' | 'isolate' | 'join' | 'lose-disk'; readonly node: number; readonly survivors: number}
+	/** Writes of the node fail, until its disk has room again. */
+	| {readonly type: 'disk'; readonly node: number; readonly full: boolean}
 	/** All control nodes lose power at the same time. */
 	| {readonly type: 'power-cut'; readonly survivors: number}
 	| {readonly type: 'links'; readonly loss: number; readonly duplicates: number};
@@ -30,6 +32,8 @@
 	{weight: 1, arbitrary: fc.record({type: fc.constant('links' as const), loss: fc.constantFrom(0, 0, 0.1, 0.3), duplicates: fc.constantFrom(0, 0.2)})},
 );
 
+const diskStep: fc.Arbitrary<Step> = fc.record({type: fc.constant('disk' as const), node, full: fc.boolean()});
+
 /** Runs one cluster through random steps; the checker throws when a safety property is violated. */
 class FaultDriver {
 	readonly #cluster: SimCluster;
@@ -77,6 +81,11 @@
 				break;
 			}
 
+			case 'disk': {
+				this.#cluster.node(this.#names[step.node % this.#names.length]!).full = step.full;
+				break;
+			}
+
 			case 'crash':
 			case 'start':
 			case 'isolate':
@@ -192,6 +201,7 @@
 		this.#cluster.loss = 0;
 		this.#cluster.duplicates = 0;
 		for (const name of this.#names) {
+			this.#cluster.node(name).full = false;
 			if (this.#cluster.node(name).process === undefined) {
 				this.#cluster.start(name);
 			}
@@ -213,10 +223,15 @@
 	}
 }
 
-for (const members of [3, 5]) {
-	test(`${members} members: answers hold under any order of crashes, lost data folders, network cuts and lost messages`, t => {
+for (const {members, faults, arbitrary} of [
+	{members: 3, faults: 'lost messages', arbitrary: step},
+	{members: 5, faults: 'lost messages', arbitrary: step},
+	{members: 3, faults: 'lost messages, and full disks', arbitrary: fc.oneof({weight: 20, arbitrary: step}, {weight: 5, arbitrary: diskStep})},
+	{members: 5, faults: 'lost messages, and full disks', arbitrary: fc.oneof({weight: 20, arbitrary: step}, {weight: 5, arbitrary: diskStep})},
+]) {
+	test(`${members} members: answers hold under any order of crashes, lost data folders, network cuts and ${faults}`, t => {
 		let answers = 0;
-		const steps = fc.array(step, {minLength: 30, maxLength: 60});
+		const steps = fc.array(arbitrary, {minLength: 30, maxLength: 60});
 		fc.assert(fc.property(fc.nat(1_000_000), steps, (seed, list) => {
 			const driver = new FaultDriver(t, {members, seed});
 			for (const step of list) {
--- a/test/core/control/random-schedules.test.ts
+++ b/test/core/control/random-schedules.test.ts
@@ -25,18 +25,25 @@
 	{weight: 1, arbitrary: fc.record({type: fc.constant('power-cut' as const), survivors: fc.nat(2), lost: fc.uniqueArray(node, {maxLength: 2})})},
 );
 
-test('accepted changes and answered reads stay valid under random crashes, pauses, lost disks, partitions and lost messages', t => {
-	const schedules = Number(process.env.SCHEDULES ?? usualSchedules);
-	let answers = 0;
-	fc.assert(fc.property(fc.nat(1_000_000), fc.array(step, {minLength: 30, maxLength: 60}), (seed, steps) => {
-		const driver = new ScheduleDriver(seed);
-		for (const next of steps) {
-			driver.perform(next);
-		}
+const diskStep: fc.Arbitrary<ScheduleStep> = fc.record({type: fc.constant('disk' as const), node, full: fc.boolean()});
 
-		driver.finish();
-		answers += driver.answers;
-	}), {seed: Number(process.env.SCHEDULE_SEED ?? 11), numRuns: schedules});
-	t.log(`${answers} answers checked in ${schedules} schedules`);
-	t.true(answers > 8 * schedules);
-});
+for (const {faults, arbitrary} of [
+	{faults: 'lost messages', arbitrary: step},
+	{faults: 'lost messages, and full disks', arbitrary: fc.oneof({weight: 20, arbitrary: step}, {weight: 4, arbitrary: diskStep})},
+]) {
+	test(`accepted changes and answered reads stay valid under random crashes, pauses, lost disks, partitions and ${faults}`, t => {
+		const schedules = Number(process.env.SCHEDULES ?? usualSchedules);
+		let answers = 0;
+		fc.assert(fc.property(fc.nat(1_000_000), fc.array(arbitrary, {minLength: 30, maxLength: 60}), (seed, steps) => {
+			const driver = new ScheduleDriver(seed);
+			for (const next of steps) {
+				driver.perform(next);
+			}
+
+			driver.finish();
+			answers += driver.answers;
+		}), {seed: Number(process.env.SCHEDULE_SEED ?? 11), numRuns: schedules});
+		t.log(`${answers} answers checked in ${schedules} schedules`);
+		t.true(answers > 8 * schedules);
+	});
+}
--- a/test/core/control/schedule-driver.ts
+++ b/test/core/control/schedule-driver.ts
@@ -88,6 +88,11 @@
 				break;
 			}
 
+			case 'disk': {
+				this.#cluster.nodes[step.node]!.full = step.full;
+				break;
+			}
+
 			case 'power-cut': {
 				this.#cutPower(step.survivors, step.lost);
 				break;
@@ -227,7 +232,9 @@
 		this.#cluster.cut.clear();
 		this.#cluster.loss = 0;
 		this.#cluster.duplicates = 0;
-		for (const [index, {core, held}] of this.#cluster.nodes.entries()) {
+		for (const [index, node] of this.#cluster.nodes.entries()) {
+			const {core, held} = node;
+			node.full = false;
 			if (core === undefined) {
 				this.#cluster.start(index);
 			} else if (held !== undefined) {
--- a/test/core/control/schedule-step.ts
+++ b/test/core/control/schedule-step.ts
@@ -9,6 +9,8 @@
 	| {readonly type: 'cut'; readonly nodes: readonly number[]; readonly direction: 'both' | 'in' | 'out'}
 	/** Restores all cut links. */
 	| {readonly type: 'join'}
+	/** Writes of the node fail, until its disk has room again. */
+	| {readonly type: 'disk'; readonly node: number; readonly full: boolean}
 	/** `survivors` is the number of unsynced writes that reach the disk all the same. */
 	| {readonly type: 'power-cut'; readonly survivors: number; readonly lost: readonly number[]}
 	| {readonly type: 'crash' | 'start' | 'freeze' | 'thaw' | 'lose-disk'; readonly node: number; readonly survivors: number};
--- a/test/core/tree/settings-service.test.ts
+++ b/test/core/tree/settings-service.test.ts
@@ -152,6 +152,7 @@
 	t.is(cluster.process(stale).state.tree.revision, 1);
 	cluster.cut.clear();
 	t.true(cluster.runUntil(() => cluster.process(stale).state.tree.revision === 9));
+	cluster.node(stale).full = true;
 	cluster.act(stale, (process, now) => {
 		process.member!.writeFailed('no space left', now);
 	});
--- a/test/server/journal/journal.test.ts
+++ b/test/server/journal/journal.test.ts
@@ -37,9 +37,9 @@
 }
 
 /** Starts the writer as a child process and collects the lines that it prints. */
-function startWriter(file: string, limit: number, prefix: readonly string[] = []) {
-	const [command, ...args] = [...prefix, process.execPath, '--import=tsx', writerFile, file, String(limit)];
-	const child = spawn(command, args, {stdio: ['ignore', 'pipe', 'inherit']});
+function startWriter(file: string, limit: number, prefix: readonly string[] = [], suffix: readonly string[] = []) {
+	const [command, ...args] = [...prefix, process.execPath, '--import=tsx', writerFile, file, String(limit), ...suffix] as const;
+	const child = spawn(command!, args, {stdio: ['ignore', 'pipe', 'inherit']});
 	const lines: string[] = [];
 	child.stdout.setEncoding('utf8').on('data', (text: string) => {
 		lines.push(...text.split('\n').filter(Boolean));
@@ -154,6 +154,33 @@
 	t.true(found.length >= first);
 });
 
+// Guards against a process that can't use its journal again once the disk has room.
+test('after a failed write nothing is appended until a rewrite succeeds; records appended after it are kept', async t => {
+	const file = await makeJournal(t);
+	const {journal} = await Journal.open(file);
+	const temporaryFile = `${file}.new`;
+	await mkdir(temporaryFile);
+	await t.throwsAsync(journal.rewrite([{first: true}]), {instanceOf: FolderError});
+	await t.throwsAsync(journal.append([{second: true}]), {instanceOf: FolderError});
+	await t.throwsAsync(journal.rewrite([{third: true}]), {instanceOf: FolderError});
+	await rm(temporaryFile, {recursive: true});
+	await t.throwsAsync(journal.append([{fourth: true}]), {instanceOf: FolderError});
+	await Promise.all([journal.rewrite([{fifth: true}]), journal.append([{sixth: true}])]);
+	await journal.append([{seventh: true}]);
+	await journal.close();
+	await t.throwsAsync(journal.rewrite([{eighth: true}]), {instanceOf: FolderError});
+	t.deepEqual(await load(file), {status: 'intact', records: [{fifth: true}, {sixth: true}, {seventh: true}]});
+});
+
+test('a rewrite after a write that did not fit leaves nothing of it', async t => {
+	const file = path.join(await makeFolder(t), 'j');
+	const {lines, ended} = startWriter(file, 60, ['bash', '-c', 'ulimit -f 16 && exec "$@"', 'bash'], ['rewrite']);
+	await ended;
+	t.true(lines.includes('folderFull'));
+	t.is(lines.at(-1), 'rewritten');
+	t.deepEqual(await load(file), {status: 'intact', records: [{rewritten: true}, {appended: true}]});
+});
+
 test('a failed rewrite leaves the old records', async t => {
 	const file = await makeJournal(t);
 	const {journal} = await Journal.open(file);
--- a/test/server/routes/stopping-control.test.ts
+++ b/test/server/routes/stopping-control.test.ts
@@ -40,11 +40,7 @@
 		listen: {operators: `127.0.0.1:${operators}`, directory: `127.0.0.1:${directory}`},
 		logLevel: 'silent',
 	}));
-	const {process} = await startRoutesProcess({
-		file, adapter: {requests: platformRequestCodec, control: platformControlCodec}, onRestartNeeded() {
-			throw new Error('the process failed');
-		},
-	});
+	const {process} = await startRoutesProcess({file, adapter: {requests: platformRequestCodec, control: platformControlCodec}});
 	t.teardown(() => {
 		ports.release();
 		rmSync(folder, {recursive: true, force: true});
