fix(consensus): a member whose disk is full knows who leads and passes changes on

Seen: while its disk was full, a control node answered operators' changes with "unavailable: the replicated log has no leader", though another node led.

Cause: a stopped member dropped all messages, the leader's among them, so it had no leader to pass a call on to.

Why it works: from appends of the highest term that it has heard the stopped member notes the leader, and forgets a silent one. It answers none of them and writes nothing. Its state does not advance, so it reports an infinite lag until it has caught up: the node is not current, as before, and entries leave it. Reads that arrive there still end with unavailable, since they wait for its own state.

--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -44,6 +44,8 @@
 	/** Since when the leader's commit index has been ahead of this member's. */
 	#laggingSince: Millis | undefined;
 	readonly #recovery = new JournalRecovery();
+	/** Highest term of a leader heard while stopped. */
+	#heardTerm = 0;
 
 	constructor(options: RaftMemberOptions<Outcome>) {
 		const {self, storageId, initialMembers, mayBootstrap = true, loadedJournal, state, outbox, random} = options;
@@ -72,8 +74,12 @@
 	}
 
 	handle(from: NodeId, message: ConsensusMessage, now: Millis): void {
-		const forAnother = message.to !== undefined && message.to !== this.#context.self.storageId;
-		if (this.#stopped || forAnother) {
+		if (message.to !== undefined && message.to !== this.#context.self.storageId) {
+			return;
+		}
+
+		if (this.#stopped) {
+			this.#observeLeader(from, message, now);
 			return;
 		}
 
@@ -95,6 +101,7 @@
 
 	tick(now: Millis): void {
 		if (this.#stopped) {
+			this.#clearSilentLeader(now);
 			this.#recovery.tick(() => this.#applied.rewrite(), now);
 			return;
 		}
@@ -129,6 +136,7 @@
 	writeFailed(reason: string, now: Millis): void {
 		if (this.#recovery.failed(reason, now)) {
 			this.#stepDown(now);
+			this.#laggingSince = Number.NEGATIVE_INFINITY as Millis;
 			this.#context.outbox.event('disk-failed', {reason});
 		}
 	}
@@ -163,7 +171,7 @@
 		return this.#leadership === undefined ? this.#election.leaderSilence(now) : 0;
 	}
 
-	/** Milliseconds for which the leader's commit index has been ahead of this member's; 0 if it is not, or while this member leads. */
+	/** Milliseconds for which the leader's commit index has been ahead of this member's; 0 if it is not, or while this member leads. Infinite after a failed write, until this member has caught up. */
 	lag(now: Millis): number {
 		return this.#leadership !== undefined || this.#laggingSince === undefined ? 0 : now - this.#laggingSince;
 	}
@@ -355,6 +363,14 @@
 		}
 	}
 
+	/** Notes who leads while the member is stopped, so that calls can be passed on; answers nothing and changes nothing on disk. */
+	#observeLeader(from: NodeId, {group, body}: ConsensusMessage, now: Millis): void {
+		if (body.type === 'append' && group !== '' && group === this.#storage.group && body.term >= Math.max(this.#heardTerm, this.#storage.term)) {
+			this.#heardTerm = body.term;
+			this.#recordLeaderContact(from, now);
+		}
+	}
+
 	#recordLeaderContact(nodeId: NodeId, now: Millis): void {
 		this.#leader = nodeId;
 		this.#election.heardLeader(now);
