fix(ledger): a keeper whose disk was full grants claims again without a restart

Cause: the core logged the failed write and did nothing else. Replies wait for the sync of their record, which never came.

Until then the keeper drops claims, finishes, fences and take-overs, whose senders send them again, so that what waits stays bounded. The record that makes a keeper active is part of the rewrite while it is being written; compaction, which had to wait for it, need not.

Tests: the property test runs as before, and once more with full disks.

--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -122,7 +122,7 @@
 
 	written(token: number, now: Millis): void {
 		if (this.#recovery.written(token)) {
-			this.#context.outbox.event('disk-regained', {});
+			this.#context.outbox.event('disk-regained', {journal: 'consensus'});
 			// The leader, if there is one, is heard before the member asks for votes.
 			this.#election.cancel(now);
 		}
@@ -137,7 +137,7 @@
 		if (this.#recovery.failed(reason, now)) {
 			this.#stepDown(now);
 			this.#laggingSince = Number.NEGATIVE_INFINITY as Millis;
-			this.#context.outbox.event('disk-failed', {reason});
+			this.#context.outbox.event('disk-failed', {journal: 'consensus', reason});
 		}
 	}
 
--- a/src/core/gateway-core.ts
+++ b/src/core/gateway-core.ts
@@ -304,6 +304,8 @@
 		this.#queue.log('disk', `a write to the ${event.journal} journal failed: ${event.reason}`);
 		if (event.journal === 'consensus') {
 			consensus?.writeFailed(event.reason, now);
+		} else {
+			ledger.writeFailed(event.reason, now);
 		}
 	}
 
--- a/src/core/ledger/claim-ledger.ts
+++ b/src/core/ledger/claim-ledger.ts
@@ -11,6 +11,7 @@
 import {ClaimStore} from './claim-store.ts';
 import type {KeeperSet} from './keeper-set.ts';
 import {KeeperReplica} from './keeper-replica.ts';
+import {LedgerJournal} from './ledger-journal.ts';
 import type {StoredAnswer} from './stored-answer.ts';
 import type {Ledger} from './ledger.ts';
 import type {LedgerMessage} from './ledger-message.ts';
@@ -35,6 +36,9 @@
 	readonly maxAnswerBytes?: number;
 };
 
+/** Messages that a keeper answers once what they ask for is on its disk; their senders send them again. */
+const recordedRequests: ReadonlySet<LedgerMessage['type']> = new Set(['claim', 'finish', 'fence', 'take-over']);
+
 type LoopbackMessage = {
 	readonly from: NodeId;
 	readonly message: LedgerMessage;
@@ -49,6 +53,7 @@
 	readonly #region: Region;
 	readonly #outbox: Outbox;
 	readonly #coordinator: ClaimCoordinator;
+	readonly #journal: LedgerJournal;
 	readonly #keeper: KeeperReplica;
 	readonly #sets = new Map<Region, KeeperSet>();
 	/** Messages of this node to itself, delivered before a public method returns. */
@@ -70,13 +75,14 @@
 		this.#coordinator = new ClaimCoordinator({
 			self, incarnation, sets: this.#sets, send, running,
 		});
+		this.#journal = new LedgerJournal({outbox, hasDisk});
 		this.#keeper = new KeeperReplica({
 			self,
 			incarnation: () => membership.node(self)?.info.incarnation ?? incarnation,
 			hasDisk,
 			loadedJournal: loadedJournal ?? {status: 'missing', records: []},
 			store: new ClaimStore({maxClaims, maxAnswerBytes}),
-			outbox,
+			journal: this.#journal,
 			send,
 			now,
 		});
@@ -117,10 +123,14 @@
 	}
 
 	written(token: number, now: Millis): void {
-		this.#keeper.written(token);
+		this.#journal.written(token);
 		this.#deliverLoopback(now);
 	}
 
+	writeFailed(reason: string, now: Millis): void {
+		this.#journal.writeFailed(reason, now);
+	}
+
 	applyKeeperSet(set: KeeperSet, now: Millis): void {
 		this.#adoptSet(set, now);
 		this.#deliverLoopback(now);
@@ -148,6 +158,10 @@
 	}
 
 	#handle(from: NodeId, message: LedgerMessage, now: Millis): void {
+		if (!this.#journal.writable && recordedRequests.has(message.type)) {
+			return;
+		}
+
 		switch (message.type) {
 			case 'claim': {
 				this.#keeper.handleClaim(from, message, now);
--- a/src/core/ledger/keeper-replica.ts
+++ b/src/core/ledger/keeper-replica.ts
@@ -1,5 +1,4 @@
 import type {LoadedJournal} from '../common/loaded-journal.ts';
-import type {Outbox} from '../common/outbox.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {ClaimRecord} from './claim-record.ts';
@@ -11,7 +10,7 @@
 import type {KeeperEpoch} from './keeper-epoch.ts';
 import type {KeeperSet} from './keeper-set.ts';
 import {existingClaimReply} from './existing-claim-reply.ts';
-import {LedgerJournal} from './ledger-journal.ts';
+import type {LedgerJournal} from './ledger-journal.ts';
 import type {LedgerMessage} from './ledger-message.ts';
 import type {LedgerRecord} from './ledger-record.ts';
 import {ClaimTransfer} from './claim-transfer.ts';
@@ -23,7 +22,7 @@
 	readonly hasDisk: boolean;
 	readonly loadedJournal: LoadedJournal<LedgerRecord>;
 	readonly store: ClaimStore;
-	readonly outbox: Outbox;
+	readonly journal: LedgerJournal;
 	readonly send: (to: NodeId, message: LedgerMessage) => void;
 	/** Start time; restored claims have their journaled age at this time. */
 	readonly now: Millis;
@@ -58,15 +57,15 @@
 	/** Sealed epoch known to be synced, which survives a restart. */
 	#syncedSealedEpoch = 0;
 	#transfer: ClaimTransfer | undefined;
-	/** True while the record that makes this node active is being written; compaction of the journal would drop it. */
-	#activating = false;
+	/** Set of the last record that makes this node active, while it is being written. */
+	#activating: KeeperSet | undefined;
 
-	constructor({self, incarnation, hasDisk, loadedJournal, store, outbox, send, now}: KeeperReplicaOptions) {
+	constructor({self, incarnation, hasDisk, loadedJournal, store, journal, send, now}: KeeperReplicaOptions) {
 		this.#self = self;
 		this.#incarnation = incarnation;
 		this.#journalIntact = hasDisk && loadedJournal.status !== 'missing';
 		this.#store = store;
-		this.#journal = new LedgerJournal({outbox, hasDisk});
+		this.#journal = journal;
 		this.#send = send;
 		for (const record of loadedJournal.records) {
 			this.#replay(record, now);
@@ -112,15 +111,12 @@
 			this.#store.expire(now);
 		}
 
-		if (!this.#activating && this.#journal.needsCompaction(this.#store.size + this.#fencedClaims.size)) {
+		this.#journal.recover(() => this.#snapshotRecords(now), now);
+		if (this.#journal.needsCompaction(this.#store.size + this.#fencedClaims.size)) {
 			this.#journal.rewrite(this.#snapshotRecords(now));
 		}
 	}
 
-	written(token: number): void {
-		this.#journal.written(token);
-	}
-
 	/** Continues without the claims that all members of the earlier epoch lost, on an operator's decision; false if they are not lost. */
 	acceptLoss(now: Millis): boolean {
 		if (!this.#transfer?.lost || !this.#set) {
@@ -326,17 +322,16 @@
 			}
 		}
 
-		this.#activating = true;
+		this.#activating = set;
 		const activated = () => {
-			this.#activating = false;
+			this.#activating = this.#activating === set ? undefined : this.#activating;
 			this.#activeEpoch = Math.max(this.#activeEpoch, set.epoch);
 		};
 
-		const record: LedgerRecord = {type: 'active', set};
 		if (claims) {
-			this.#journal.rewrite([...this.#snapshotRecords(now), record], activated);
+			this.#journal.rewrite(this.#snapshotRecords(now), activated);
 		} else {
-			this.#journal.append([{type: 'sealed', epoch: this.#sealedEpoch}, record], activated);
+			this.#journal.append([{type: 'sealed', epoch: this.#sealedEpoch}, {type: 'active', set}], activated);
 		}
 	}
 
@@ -348,6 +343,7 @@
 			{type: 'sealed', epoch: this.#sealedEpoch},
 			...this.#fencedClaims.all().map(claim => ({type: 'fenced', claim} as const)),
 			...this.#store.all(now).map(claim => ({type: 'claim', claim} as const)),
+			...(this.#activating ? [{type: 'active', set: this.#activating} as const] : []),
 		];
 	}
 
--- a/src/core/ledger/ledger-journal.ts
+++ b/src/core/ledger/ledger-journal.ts
@@ -1,4 +1,6 @@
+import {JournalRecovery} from '../common/journal-recovery.ts';
 import type {Outbox} from '../common/outbox.ts';
+import type {Millis} from '../ids/millis.ts';
 import type {LedgerRecord} from './ledger-record.ts';
 
 type LedgerJournalOptions = {
@@ -16,6 +18,7 @@
 	readonly #hasDisk: boolean;
 	/** Callbacks of each pending write, by its token. */
 	readonly #syncCallbacks = new Map<number, Array<() => void>>();
+	readonly #recovery = new JournalRecovery();
 	#lastToken = 0;
 	#recordCount = 0;
 
@@ -24,6 +27,11 @@
 		this.#hasDisk = hasDisk;
 	}
 
+	/** False from a failed write until the journal is rewritten: callbacks wait until then. */
+	get writable(): boolean {
+		return this.#recovery.reason === undefined;
+	}
+
 	/** Appends records and calls `onSynced` when they and all earlier ones are synced; without records it waits for the earlier ones only. */
 	append(records: readonly LedgerRecord[], onSynced: () => void): void {
 		if (this.#hasDisk && records.length > 0) {
@@ -48,14 +56,38 @@
 
 	/** True if most of the journal is outdated. */
 	needsCompaction(liveRecords: number): boolean {
-		return this.#hasDisk && this.#recordCount > (2 * liveRecords) + compactionSlack;
+		return this.#hasDisk && this.writable && this.#recordCount > (2 * liveRecords) + compactionSlack;
 	}
 
+	/** Rewrites the journal with `records`, which must be all that it has to hold, if that is due after a failed write. */
+	recover(records: () => readonly LedgerRecord[], now: Millis): void {
+		this.#recovery.tick(() => {
+			this.rewrite(records());
+			return this.#lastToken;
+		}, now);
+	}
+
+	/** Handles the sync of a write. Earlier ones that failed are covered by it: after a failed write only a rewrite can succeed. */
 	written(token: number): void {
-		const callbacks = this.#syncCallbacks.get(token) ?? [];
-		this.#syncCallbacks.delete(token);
-		for (const callback of callbacks) {
-			callback();
+		if (this.#recovery.written(token)) {
+			this.#outbox.event('disk-regained', {journal: 'ledger'});
+		}
+
+		for (const [pendingToken, callbacks] of this.#syncCallbacks) {
+			if (pendingToken > token) {
+				break;
+			}
+
+			this.#syncCallbacks.delete(pendingToken);
+			for (const callback of callbacks) {
+				callback();
+			}
+		}
+	}
+
+	writeFailed(reason: string, now: Millis): void {
+		if (this.#recovery.failed(reason, now)) {
+			this.#outbox.event('disk-failed', {journal: 'ledger', reason});
 		}
 	}
 
--- a/src/core/ledger/ledger.ts
+++ b/src/core/ledger/ledger.ts
@@ -21,6 +21,8 @@
 	tick(now: Millis): void;
 	/** A journal write was synced. */
 	written(token: number, now: Millis): void;
+	/** A journal write failed: as a keeper this node answers nothing that needs the journal until it is rewritten. */
+	writeFailed(reason: string, now: Millis): void;
 	/** Applies a region's keeper set, as committed in the replicated log. */
 	applyKeeperSet(set: KeeperSet, now: Millis): void;
 	/** Returns the outcomes of claims since the last call. */
--- a/test/core/ledger/claim-ledger.property.test.ts
+++ b/test/core/ledger/claim-ledger.property.test.ts
@@ -37,7 +37,11 @@
 	),
 	waitMs: fc.constantFrom(0, 0, 1, 5, 40, 300, 2000, 6000),
 });
-type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
+const diskStep = fc.record({
+	op: fc.record({type: fc.constant('disk' as const), ms: fc.constantFrom(300, 3000, 20_000)}),
+	waitMs: fc.constantFrom(0, 5, 40, 300),
+});
+type Step = typeof step extends fc.Arbitrary<infer Value> ? Value | (typeof diskStep extends fc.Arbitrary<infer DiskValue> ? DiskValue : never) : never;
 
 function runSchedule(steps: readonly Step[], options: Parameters<typeof ledgerFixture>[0]) {
 	const fixture = ledgerFixture(options);
@@ -90,6 +94,12 @@
 				break;
 			}
 
+			case 'disk': {
+				network.fullDisks.add(names[0]!);
+				scheduleAfter(op.ms, () => network.fullDisks.delete(names[0]!));
+				break;
+			}
+
 			case 'log': {
 				log.decides = false;
 				scheduleAfter(op.ms, () => {
@@ -106,13 +116,14 @@
 	return fixture;
 }
 
-for (const {title, options} of [
-	{title: 'links without loss', options: {}},
-	{title: 'links that lose, duplicate and reorder messages', options: {loss: 0.15}},
+for (const {title, options, arbitrary} of [
+	{title: 'links without loss', options: {}, arbitrary: step},
+	{title: 'links that lose, duplicate and reorder messages', options: {loss: 0.15}, arbitrary: step},
+	{title: 'full disks', options: {}, arbitrary: fc.oneof({weight: 5, arbitrary: step}, {weight: 1, arbitrary: diskStep})},
 ]) {
 	test(`no two requests with the same key run under random crashes, freezes, cut links and restarts: ${title}`, t => {
 		let granted = 0;
-		fc.assert(fc.property(fc.array(step, {minLength: 5, maxLength: 30}), fc.nat(), (steps, seed) => {
+		fc.assert(fc.property(fc.array<Step>(arbitrary, {minLength: 5, maxLength: 30}), fc.nat(), (steps, seed) => {
 			const {problems, runs, outcomes} = runSchedule(steps, {...options, seed});
 			granted += runs.size;
 			const refused = [...outcomes].filter(([, {type}]) => type !== 'granted').map(([requestId]) => requestId);
--- a/test/core/ledger/claim-ledger.test.ts
+++ b/test/core/ledger/claim-ledger.test.ts
@@ -44,6 +44,45 @@
 	t.is(ask(b, 'k'), 'granted');
 });
 
+// Guards against a region that refuses its orders for good, since its keeper's disk was full for a moment.
+test('new keys are granted again once the disk of a keeper has room, and its restart loses none', t => {
+	const {ask, claim, stop, start, advance, network, outcomes, status, a, b, c, x} = settled();
+	t.is(ask(b, 'k1'), 'granted');
+	network.fullDisks.add(a);
+	t.is(ask(b, 'k2'), 'unavailable');
+	const unfinished = claim(x, 'k3', {ending: 'unknown'});
+	advance(1000);
+	network.fullDisks.delete(a);
+	advance(3000);
+	t.is(status(a)?.role, 'active');
+	t.is(ask(b, 'k4'), 'granted');
+	t.is(ask(c, 'k1'), 'replay');
+	stop(a);
+	start(a);
+	advance(3000);
+	t.is(ask(c, 'k1'), 'replay');
+	t.is(ask(c, 'k4'), 'replay');
+	t.is(ask(c, 'k3'), outcomes.get(unfinished)?.type === 'granted' ? 'may-have-run' : 'granted');
+});
+
+// Guards against a keeper that is never active, since the record that makes it so could not be written.
+test('a keeper whose disk is full while it becomes active serves once the disk has room, and after a restart', t => {
+	const fixture = ledgerFixture();
+	const a = fixture.names[0]!;
+	const b = fixture.names[1]!;
+	fixture.network.fullDisks.add(a);
+	fixture.advance(3000);
+	t.not(fixture.status(a)?.role, 'active');
+	fixture.network.fullDisks.delete(a);
+	fixture.advance(3000);
+	t.is(fixture.status(a)?.role, 'active');
+	t.is(fixture.ask(b, 'k'), 'granted');
+	fixture.stop(a);
+	fixture.start(a);
+	fixture.advance(3000);
+	t.is(fixture.ask(b, 'k'), 'replay');
+});
+
 test('claims survive a killed keeper, a lost disk, and a restart of the whole region', t => {
 	const {ask, stop, start, advance, status, names, a, b, c} = settled();
 	t.is(ask(b, 'k1'), 'granted');
--- a/test/core/ledger/ledger-fixture.ts
+++ b/test/core/ledger/ledger-fixture.ts
@@ -176,6 +176,11 @@
 					ledger.written(token, now);
 				});
 			},
+			writeFailed(reason) {
+				act(now => {
+					ledger.writeFailed(reason, now);
+				});
+			},
 		});
 		sendSet(nodeId, 500);
 	};
