--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -1,3 +1,4 @@
+import {JournalRecovery} from '../common/journal-recovery.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {StorageId} from '../ids/storage-id.ts';
@@ -42,7 +43,9 @@
 	#leader: NodeId | undefined;
 	/** Since when the leader's commit index has been ahead of this member's. */
 	#laggingSince: Millis | undefined;
-	#problem: string | undefined;
+	readonly #recovery = new JournalRecovery();
+	/** Highest term of a leader heard while stopped. */
+	#heardTerm = 0;
 
 	constructor(options: RaftMemberOptions<Outcome>) {
 		const {self, storageId, initialMembers, mayBootstrap = true, loadedJournal, state, outbox, random} = options;
@@ -71,8 +74,12 @@
 	}
 
 	handle(from: NodeId, message: ConsensusMessage, now: Millis): void {
-		const forAnother = message.to !== undefined && message.to !== this.#context.self.storageId;
-		if (this.#problem !== undefined || forAnother) {
+		if (message.to !== undefined && message.to !== this.#context.self.storageId) {
+			return;
+		}
+
+		if (this.#stopped) {
+			this.#observeLeader(from, message, now);
 			return;
 		}
 
@@ -93,7 +100,9 @@
 	}
 
 	tick(now: Millis): void {
-		if (this.#problem !== undefined) {
+		if (this.#stopped) {
+			this.#clearSilentLeader(now);
+			this.#recovery.tick(() => this.#applied.rewrite(), now);
 			return;
 		}
 
@@ -112,16 +121,24 @@
 	}
 
 	written(token: number, now: Millis): void {
-		if (this.#problem === undefined) {
+		if (this.#recovery.written(token)) {
+			this.#context.outbox.event('disk-regained', {journal: 'consensus'});
+			// The leader, if there is one, is heard before the member asks for votes.
+			this.#election.cancel(now);
+		}
+
+		if (!this.#stopped) {
 			this.#storage.writes.written(token);
 			this.#advanceCommit(now);
 		}
 	}
 
 	writeFailed(reason: string, now: Millis): void {
-		this.#stepDown(now);
-		this.#problem = reason;
-		this.#context.outbox.log('consensus', `Journal write failed, the member stops until it is restarted: ${reason}`);
+		if (this.#recovery.failed(reason, now)) {
+			this.#stepDown(now);
+			this.#laggingSince = Number.NEGATIVE_INFINITY as Millis;
+			this.#context.outbox.event('disk-failed', {journal: 'consensus', reason});
+		}
 	}
 
 	propose(command: LogCommand, now: Millis): number | undefined {
@@ -154,7 +171,7 @@
 		return this.#leadership === undefined ? this.#election.leaderSilence(now) : 0;
 	}
 
-	/** Milliseconds for which the leader's commit index has been ahead of this member's; 0 if it is not, or while this member leads. */
+	/** Milliseconds for which the leader's commit index has been ahead of this member's; 0 if it is not, or while this member leads. Infinite after a failed write, until this member has caught up. */
 	lag(now: Millis): number {
 		return this.#leadership !== undefined || this.#laggingSince === undefined ? 0 : now - this.#laggingSince;
 	}
@@ -188,13 +205,18 @@
 			logBytes: log.size(log.baseIndex, log.lastIndex),
 			voters: configuration?.voters.map(voter => voter.nodeId) ?? [],
 			learners: this.#leadership?.learners.map(({member}) => member.nodeId) ?? [],
-			problem: this.#problem,
+			problem: this.#recovery.reason,
 		};
 	}
 
+	/** True from a failed journal write until the journal is rewritten: nothing that the member would answer is sure to be on disk. */
+	get #stopped(): boolean {
+		return this.#recovery.reason !== undefined;
+	}
+
 	#role(): ConsensusStatus['role'] {
 		return memberRole({
-			stopped: this.#problem !== undefined,
+			stopped: this.#stopped,
 			isLeader: this.#leadership !== undefined,
 			starting: this.#bootstrap.starting,
 			isVoter: isVoter(this.#storage.configuration, this.#context.self),
@@ -341,6 +363,14 @@
 		}
 	}
 
+	/** Notes who leads while the member is stopped, so that calls can be passed on; answers nothing and changes nothing on disk. */
+	#observeLeader(from: NodeId, {group, body}: ConsensusMessage, now: Millis): void {
+		if (body.type === 'append' && group !== '' && group === this.#storage.group && body.term >= Math.max(this.#heardTerm, this.#storage.term)) {
+			this.#heardTerm = body.term;
+			this.#recordLeaderContact(from, now);
+		}
+	}
+
 	#recordLeaderContact(nodeId: NodeId, now: Millis): void {
 		this.#leader = nodeId;
 		this.#election.heardLeader(now);
