fix(edge): a forwarded request that a target has rejected is retried within the budget

Cause: an entry that is forwarded a request sends it to a target, which rejects it, and refuses it as not run. The entry that forwarded it took that for "not sent" and set `sends` back to 0, so that its next attempt counted as the first. Rejections count as arrivals.

A refusal of the build before has no mark and is handled as before; that build ignores the mark.

--- a/src/core/edge/answer-head.ts
+++ b/src/core/edge/answer-head.ts
@@ -21,6 +21,8 @@
 	readonly rejectionsPerSecond?: number;
 	/** Set if the entry that the request was forwarded to refused it. */
 	readonly refusedBy?: 'entry';
+	/** Set if that entry had sent the request to a target, which turned it away. */
+	readonly reachedTarget?: boolean;
 	/** In the answer of another entry: software version of the target that answers. */
 	readonly softwareVersion?: SoftwareVersion;
 	/** Time for which the sender of the answer wants no further request, in milliseconds. */
--- a/src/core/edge/edge-refusal.ts
+++ b/src/core/edge/edge-refusal.ts
@@ -26,6 +26,8 @@
 export type EdgeRefusal = {
 	readonly reason: EdgeRefusalReason;
 	readonly ran: 'no' | 'maybe';
+	/** True if a target got the request, though it may have turned it away. */
+	readonly reachedTarget: boolean;
 	/** Time after which the caller should retry, in milliseconds. */
 	readonly retryAfterMs?: number;
 };
--- a/src/core/edge/request-completion.ts
+++ b/src/core/edge/request-completion.ts
@@ -66,6 +66,7 @@
 		const refusal: EdgeRefusal = {
 			reason,
 			ran: 'no',
+			reachedTarget: false,
 			retryAfterMs: reason === 'no-route' ? undefined : callerRetryAfterMs(reason === 'leaving' ? 0 : defaultRetryAfterMs, this.#options.random),
 		};
 		this.#emitRefusal(req, refusal, {path: req.path, version});
@@ -84,6 +85,7 @@
 		const refusal: EdgeRefusal = {
 			reason: finalReason(reason, mayHaveRun),
 			ran: mayHaveRun ? 'maybe' : 'no',
+			reachedTarget: sends > 0,
 			retryAfterMs: mayHaveRun ? undefined : retryAfterMs ?? callerRetryAfterMs(defaultRetryAfterMs, this.#options.random),
 		};
 		this.#emitRefusal(req, refusal, {
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -47,7 +47,7 @@
 	readonly mayHaveRunOn: Set<TargetId>;
 	/** Targets that refused the request or failed; it is not placed on them again. */
 	readonly excludedTargets: Set<TargetId>;
-	/** Number of attempts at targets and other entries, without those that could not be sent and those that another entry refused. */
+	/** Number of attempts at targets and other entries, without those that could not be sent and those that another entry refused before it reached a target. */
 	sends: number;
 	/** Number of times it was forwarded to another entry. */
 	forwardCount: number;
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -255,7 +255,7 @@
 		}
 
 		if (exchange.edgeRequest.forwarded !== undefined && refusal.ran === 'no') {
-			headers.push(relayHeader.refusedName, refusal.reason);
+			headers.push(relayHeader.refusedName, relayHeader.writeRefusal(refusal));
 		}
 
 		exchange.refuse(refusal, headers);
--- a/src/server/routes/relay-header.ts
+++ b/src/server/routes/relay-header.ts
@@ -1,4 +1,5 @@
 import type {LeavingTarget} from '../../core/edge/leaving-target.ts';
+import type {EdgeRefusal} from '../../core/edge/edge-refusal.ts';
 import type {EdgeRequest} from '../../core/edge/edge-request.ts';
 import type {BegunStream} from '../../core/control/begun-stream.ts';
 import type {ServiceName} from '../../core/ids/service-name.ts';
@@ -11,6 +12,8 @@
 const name = 'lovageferry-relayed';
 /** Header of an answer: the entry of the remote region refused the request, which has not run there. */
 const refusedName = 'lovageferry-refused';
+/** Follows the reason in that header if a target got the request and turned it away. */
+const reachedTargetMark = 'reached-target';
 
 /** Header of an answer: software version of the target that answers. */
 const softwareVersionName = 'lovageferry-software-version';
@@ -24,6 +27,14 @@
 	refusedName,
 	softwareVersionName,
 	leavingTargetName,
+	/** Formats the value of the header `refusedName`. */
+	writeRefusal({reason, reachedTarget}: Pick<EdgeRefusal, 'reason' | 'reachedTarget'>): string {
+		return reachedTarget ? `${reason};${reachedTargetMark}` : reason;
+	},
+	/** True if the value of the header `refusedName` says that a target got the request. */
+	readReachedTarget(value: string | undefined): boolean {
+		return value?.split(';').includes(reachedTargetMark) ?? false;
+	},
 	/** Formats the value of the header `leavingTargetName`. */
 	writeLeavingTarget({targetId, born}: LeavingTarget): string {
 		return `${encodeURIComponent(targetId)};${born}`;
--- a/test/server/routes/relay-header.test.ts
+++ b/test/server/routes/relay-header.test.ts
@@ -41,3 +41,12 @@
 		t.is(relayHeader.readLeavingTarget(value), undefined);
 	}
 });
+
+test('the header of a refusal says whether a target got the request; that of an earlier build, without the mark, that none did', t => {
+	for (const reachedTarget of [true, false]) {
+		t.is(relayHeader.readReachedTarget(relayHeader.writeRefusal({reason: 'overloaded', reachedTarget})), reachedTarget);
+	}
+
+	t.false(relayHeader.readReachedTarget('overloaded'));
+	t.false(relayHeader.readReachedTarget(undefined));
+});
