fix(server): an answer that stops after its head is not a whole, empty one

Seen by callers: status 200 with the target's signature and `Content-Length: 0`, where the target had sent its head and closed the connection before the first byte of the body. Safe and unsafe routes, sent on directly or forwarded; calls and JSON completions of the settings-tree path. Streams that are passed on were not affected.

Cause: an answer with neither a length nor chunks ends with its connection, so that a whole head is by itself a whole answer. `incompleteBytesOf` returned the size of an incomplete JSON document, 0 meaning "complete": of an empty body that size is 0. Texts had no check at all.

Fix: `isTruncated` answers yes or no. A success without a length or chunks that has no body has been broken off (statuses 204, 205 and 304, HEAD and failures excepted). `attempt-end` carries `truncated` in place of a size; tests of the core send `truncated: false` where they sent 0, nothing else in them is changed. A target whose successes are empty has to send `Content-Length: 0`.

--- a/bench/edge-region.ts
+++ b/bench/edge-region.ts
@@ -278,7 +278,7 @@
 
 		this.#step(core, {type: 'attempt-events', attempt, count: 1});
 		if (last) {
-			this.#step(core, {type: 'attempt-end', attempt, incompleteBytes: 0});
+			this.#step(core, {type: 'attempt-end', attempt, truncated: false});
 		}
 	}
 }
--- a/src/core/edge/edge-event.ts
+++ b/src/core/edge/edge-event.ts
@@ -17,8 +17,8 @@
 	| {readonly type: 'attempt-head'; readonly attempt: AttemptNumber; readonly head: AnswerHead}
 	/** Complete events of a stream were passed on to the caller; `lastId` is the id of the last one. */
 	| {readonly type: 'attempt-events'; readonly attempt: AttemptNumber; readonly count: number; readonly lastId?: string}
-	/** The answer was read to its end; `incompleteBytes` is the size of its last event, or of its document, if that has no end. */
-	| {readonly type: 'attempt-end'; readonly attempt: AttemptNumber; readonly incompleteBytes: number}
+	/** The answer was read to its end; `truncated` if that end shows that it was broken off. */
+	| {readonly type: 'attempt-end'; readonly attempt: AttemptNumber; readonly truncated: boolean}
 	| {readonly type: 'attempt-failed'; readonly attempt: AttemptNumber; readonly failure: AttemptFailure}
 	| ProbeResult
 	/** A target or another entry reset a connection, whether or not an attempt used it. */
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -243,8 +243,8 @@
 		record.lastEventId = lastId ?? record.lastEventId;
 	}
 
-	/** Completes a request, unless its answer was broken off: within an event or a document, or, if its connection alone ended it, before the first event. */
-	handleEnd(attempt: AttemptNumber, {incompleteBytes}: {incompleteBytes: number}, now: Millis): void {
+	/** Completes a request, unless its answer was broken off: by its bytes, or, if its connection alone ended it, before the first event. */
+	handleEnd(attempt: AttemptNumber, {truncated}: {truncated: boolean}, now: Millis): void {
 		const record = this.#attempts.recordOf(attempt);
 		if (record === undefined) {
 			return;
@@ -252,7 +252,7 @@
 
 		const {running, headPassed} = record;
 		const isEmpty = headPassed && running?.head?.unframed === true && running.events === 0;
-		if (incompleteBytes > 0 || isEmpty) {
+		if (truncated || isEmpty) {
 			this.handleFailure(attempt, {reason: 'truncated', notSent: false}, now);
 			return;
 		}
--- a/src/server/attempt-response-reader.ts
+++ b/src/server/attempt-response-reader.ts
@@ -13,7 +13,7 @@
 import {MemoryHold} from './memory-hold.ts';
 import type {ProcessMemory} from './process-memory.ts';
 import {describeAnswerBody} from './describe-answer-body.ts';
-import {incompleteBytesOf} from './incomplete-bytes-of.ts';
+import {isTruncated} from './is-truncated.ts';
 import {readRetryAfterMs} from './read-retry-after-ms.ts';
 import {readTargetNotice} from './read-target-notice.ts';
 import {SseParser} from './sse-parser.ts';
@@ -245,7 +245,7 @@
 
 		if (!this.passedOn) {
 			const description = describeAnswerBody({method: this.#request.method, status: head.status, header: name => header(res, name)});
-			if (incompleteBytesOf(Buffer.concat(pending), description) > 0) {
+			if (isTruncated(Buffer.concat(pending), description)) {
 				throw new TargetError('truncated');
 			}
 
--- a/src/server/describe-answer-body.ts
+++ b/src/server/describe-answer-body.ts
@@ -1,3 +1,4 @@
+import {isSuccess} from '../core/edge/is-success.ts';
 import type {AnswerBody} from './answer-body.ts';
 
 type AnswerHeaders = {
@@ -7,17 +8,15 @@
 	readonly header: (name: string) => string | undefined;
 };
 
-const statusesWithoutBody = new Set([204, 304]);
+const statusesWithoutBody = new Set([204, 205, 304]);
 const eventsTypePattern = /^text\/event-stream\b/iv;
 const jsonTypePattern = /^application\/(?:[^;]+\+)?json\b/iv;
 
 /** Reads from an answer's status and headers what its body is. */
 export function describeAnswerBody({method, status, header}: AnswerHeaders): AnswerBody {
 	const hasBody = method !== 'HEAD' && !statusesWithoutBody.has(status);
-	return {
-		format: readFormat(header),
-		unframed: hasBody && header('content-length') === undefined && header('transfer-encoding') === undefined,
-	};
+	const unframed = hasBody && header('content-length') === undefined && header('transfer-encoding') === undefined;
+	return {format: readFormat(header), unframed, mayBeEmpty: !unframed || !isSuccess(status)};
 }
 
 function readFormat(header: AnswerHeaders['header']): AnswerBody['format'] {
--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -8,7 +8,7 @@
 import {MemoryHold} from '../memory-hold.ts';
 import type {ProcessMemory} from '../process-memory.ts';
 import {describeAnswerBody} from '../describe-answer-body.ts';
-import {incompleteBytesOf} from '../incomplete-bytes-of.ts';
+import {isTruncated} from '../is-truncated.ts';
 import type {SoftwareVersion} from '../../core/ids/software-version.ts';
 import {SseSplitter} from '../sse-splitter.ts';
 import type {CallerExchange} from './caller-exchange.ts';
@@ -101,9 +101,9 @@
 			res.body.destroy(new AnswerLimitError('what is read of all answers', constants.maxHeldAnswerBytes));
 		});
 		try {
-			const incompleteBytes = await (this.#streaming ? this.#readStream(res, hold) : this.#readBuffered(res, description, hold));
+			const truncated = await (this.#streaming ? this.#readStream(res, description, hold) : this.#readBuffered(res, description, hold));
 			if (!this.#stopped) {
-				step({type: 'attempt-end', attempt, incompleteBytes});
+				step({type: 'attempt-end', attempt, truncated});
 			}
 		} finally {
 			hold.close();
@@ -121,11 +121,13 @@
 		return headers;
 	}
 
-	/** Passes the complete events of a stream on; returns the size of a last event that has no end. */
-	async #readStream(res: Dispatcher.ResponseData, hold: MemoryHold): Promise<number> {
+	/** Passes the complete events of a stream on; returns true if it was broken off. */
+	async #readStream(res: Dispatcher.ResponseData, {mayBeEmpty}: AnswerBody, hold: MemoryHold): Promise<boolean> {
 		const {action: {attempt}, exchange, step} = this.#options;
 		const splitter = new SseSplitter();
+		let isEmpty = true;
 		for await (const chunk of res.body as AsyncIterable<Buffer>) {
+			isEmpty = false;
 			const events = splitter.push(chunk);
 			hold.set(splitter.rest.length);
 			if (splitter.rest.length > constants.maxEventBytes) {
@@ -133,7 +135,7 @@
 			}
 
 			if (this.#stopped) {
-				return 0;
+				return false;
 			}
 
 			if (events !== undefined) {
@@ -150,11 +152,11 @@
 			await exchange.write(rest);
 		}
 
-		return incompleteBytes;
+		return incompleteBytes > 0 || (isEmpty && !mayBeEmpty);
 	}
 
-	/** Holds an answer back until it is whole; returns the size of the part that has no end. */
-	async #readBuffered(res: Dispatcher.ResponseData, description: AnswerBody, hold: MemoryHold): Promise<number> {
+	/** Holds an answer back until it is whole; returns true if it was broken off. */
+	async #readBuffered(res: Dispatcher.ResponseData, description: AnswerBody, hold: MemoryHold): Promise<boolean> {
 		const chunks: Buffer[] = [];
 		let size = 0;
 		for await (const chunk of res.body as AsyncIterable<Buffer>) {
@@ -168,7 +170,7 @@
 		}
 
 		this.#body = Buffer.concat(chunks);
-		return incompleteBytesOf(this.#body, description);
+		return isTruncated(this.#body, description);
 	}
 }
 
--- a/test/core/edge/crowded-entries.test.ts
+++ b/test/core/edge/crowded-entries.test.ts
@@ -65,7 +65,7 @@
 	harness.run(500);
 	const started = harness.starts().length;
 	harness.head(1 as AttemptNumber, {eventStream: false});
-	harness.step({type: 'attempt-end', attempt: 1 as AttemptNumber, incompleteBytes: 0});
+	harness.step({type: 'attempt-end', attempt: 1 as AttemptNumber, truncated: false});
 	t.is(harness.starts().length, started + 1);
 	for (let left = 0; left < 100; left++) {
 		harness.step({type: 'caller-gone', requestId: toId('r1')});
@@ -73,7 +73,7 @@
 
 	for (let attempt = 2; attempt < 12; attempt++) {
 		harness.head(attempt as AttemptNumber, {eventStream: false});
-		harness.step({type: 'attempt-end', attempt: attempt as AttemptNumber, incompleteBytes: 0});
+		harness.step({type: 'attempt-end', attempt: attempt as AttemptNumber, truncated: false});
 	}
 
 	harness.run(150);
--- a/test/core/edge/edge-core.test.ts
+++ b/test/core/edge/edge-core.test.ts
@@ -165,7 +165,7 @@
 	harness.request({prompt: {parts: [], promptTokens: 2000, outputTokens: 80}});
 	const first = harness.lastStart();
 	harness.head(first.attempt, {unframed: true});
-	t.false(types(harness.step({type: 'attempt-end', attempt: first.attempt, incompleteBytes: 0})).includes('complete'));
+	t.false(types(harness.step({type: 'attempt-end', attempt: first.attempt, truncated: false})).includes('complete'));
 	t.not(harness.lastStart().targetId, first.targetId);
 });
 
@@ -174,7 +174,7 @@
 	harness.request({prompt: {parts: [], promptTokens: 2000, outputTokens: 80}});
 	const {attempt} = harness.lastStart();
 	t.false(types(harness.head(attempt, {unframed: true, eventStream: false})).includes('pass'));
-	t.true(types(harness.step({type: 'attempt-end', attempt, incompleteBytes: 0})).includes('complete'));
+	t.true(types(harness.step({type: 'attempt-end', attempt, truncated: false})).includes('complete'));
 });
 
 test('a resumable stream on a stalled engine is moved to another one', t => {
@@ -246,7 +246,7 @@
 	harness.request();
 	t.is(harness.refusals()[0]!.reason, 'leaving');
 	harness.head(attempt);
-	t.true(types(harness.step({type: 'attempt-end', attempt, incompleteBytes: 0})).includes('drained'));
+	t.true(types(harness.step({type: 'attempt-end', attempt, truncated: false})).includes('drained'));
 });
 
 test('the deadline of a retry is shorter by the time already spent', t => {
@@ -276,7 +276,7 @@
 	harness.run(300);
 	const second = harness.starts().find(({targetId}) => targetId !== harness.starts()[0]!.targetId);
 	harness.head(second!.attempt);
-	harness.step({type: 'attempt-end', attempt: second!.attempt, incompleteBytes: 0});
+	harness.step({type: 'attempt-end', attempt: second!.attempt, truncated: false});
 	t.is(harness.starts().filter(({requestId}) => requestId === 'r1').length, 2);
 });
 
--- a/test/core/edge/failing-targets.test.ts
+++ b/test/core/edge/failing-targets.test.ts
@@ -34,7 +34,7 @@
 			harness.step({type: 'attempt-events', attempt, count: 1});
 		}
 
-		harness.step({type: 'attempt-end', attempt, incompleteBytes: 0});
+		harness.step({type: 'attempt-end', attempt, truncated: false});
 		harness.run(intervalMs - answerMs);
 		harness.feed({targets: [], from: 0});
 		result.sent += 1;
@@ -67,7 +67,7 @@
 		const {attempt} = harness.lastStart();
 		harness.run(intervalMs);
 		harness.head(attempt, {status: 500, eventStream: false});
-		harness.step({type: 'attempt-end', attempt, incompleteBytes: 0});
+		harness.step({type: 'attempt-end', attempt, truncated: false});
 	}
 
 	for (const name of names) {
--- a/test/core/edge/stopping-entry.test.ts
+++ b/test/core/edge/stopping-entry.test.ts
@@ -49,7 +49,7 @@
 	const {attempt} = harness.starts()[0]!;
 	harness.now += soonMs;
 	harness.head(attempt, {eventStream: false});
-	harness.step({type: 'attempt-end', attempt, incompleteBytes: 0});
+	harness.step({type: 'attempt-end', attempt, truncated: false});
 	harness.run(100);
 	t.is(harness.starts().length, placed + 1);
 	harness.run(answerMs - soonMs - 150);
--- a/test/core/edge/stream-origins.test.ts
+++ b/test/core/edge/stream-origins.test.ts
@@ -75,7 +75,7 @@
 	harness.step({
 		type: 'attempt-events', attempt, count: 1, lastId: '1',
 	});
-	harness.step({type: 'attempt-end', attempt, incompleteBytes: 0});
+	harness.step({type: 'attempt-end', attempt, truncated: false});
 	return (targetId as string) === 'a' ? v1 : v2;
 }
 
--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -11,10 +11,11 @@
  * How the stand-in answers. `well`: correctly; `cut`: resets the connection of a stream within its third event; `short`: ends a stream within its third event, and a call within its document, without a reset;
  * `reset`: resets the connection before the answer;
  * `full`: refuses with 503 without running the request; `nameless`: the same, without the request's identifier; `doubled`: refuses the first request of a connection, runs the others, and answers them with that refusal; `silent`: never answers; `foreign`: answers with the identifier of another request; `unsigned`: answers without its `server-signature`;
+ * `bodiless`: sends the head of an answer that has no length, and ends the connection;
  * `stalled-body`: sends a part of a long answer, below what one answer may have, and nothing more;
  * `endless-…`: sends bytes that are no answer, in a place of the answer, until its connection is closed.
  */
-type Manner = 'well' | 'cut' | 'short' | 'reset' | 'full' | 'nameless' | 'doubled' | 'silent' | 'foreign' | 'unsigned' | 'stalled-body' | keyof typeof endlessAnswers;
+type Manner = 'well' | 'cut' | 'short' | 'reset' | 'full' | 'nameless' | 'doubled' | 'silent' | 'foreign' | 'unsigned' | 'bodiless' | 'stalled-body' | keyof typeof endlessAnswers;
 
 type ResumeAnswer = {readonly status: number; readonly contentType: string; readonly text: string};
 
@@ -190,6 +191,10 @@
 			doubled: () => {
 				this.#writeRefusal(req);
 			},
+			bodiless: () => {
+				const type = req.headers['token-counts'] === undefined ? 'text/plain' : 'text/event-stream';
+				req.socket.end(`HTTP/1.1 200 OK\r\nRequest-Identifier: ${String(req.headers['request-identifier'])}\r\nServer-Signature: ${this.identifier}.sig\r\nContent-Type: ${type}\r\n\r\n`);
+			},
 			'stalled-body': () => {
 				res.writeHead(200, {
 					'request-identifier': req.headers['request-identifier'], 'server-signature': `${this.identifier}.sig`, 'content-type': 'text/plain', 'content-length': stalledPart.length * 2,
