fix(control): a configuration that is no UTF-8 is refused

What operators saw: a configuration with bytes that are not valid UTF-8 was acknowledged, and read back as another text than the one that was sent, with replacement characters; routes whose host or prefix had such bytes were in force under other names. What can't be read in full must be refused. The same held for changes of the settings tree and for what targets report.

Cause: the bodies were decoded with `toString('utf8')`, which replaces what it can't decode.

Bodies are checked before they are decoded: 400 for calls to control nodes, `malformed` for operators and targets of the settings-tree path.

--- a/src/server/operator-api.ts
+++ b/src/server/operator-api.ts
@@ -75,7 +75,7 @@
 		}
 
 		const body = await readBody(req, constants.maxControlBodyBytes);
-		const parsed = changeSchema.safeParse(parseJson(body.toString('utf8')));
+		const parsed = changeSchema.safeParse(parseJson(body));
 		if (!parsed.success) {
 			const issue = parsed.error.issues[0]!;
 			this.#refuse(res, 'malformed', `${issue.path.join('.')}: ${issue.message}`);
@@ -145,7 +145,7 @@
 		}
 
 		const body = await readBody(req, constants.maxControlBodyBytes);
-		const parsed = membersSchema.safeParse(parseJson(body.toString('utf8')));
+		const parsed = membersSchema.safeParse(parseJson(body));
 		if (!parsed.success) {
 			this.#refuse(res, 'malformed', 'The body needs type (add or remove) and node.');
 			return;
--- a/src/server/parse-json.ts
+++ b/src/server/parse-json.ts
@@ -1,7 +1,13 @@
-/** Parses JSON; returns undefined if the text is not valid JSON. */
-export function parseJson(text: string): unknown {
+import {type Buffer, isUtf8} from 'node:buffer';
+
+/** Parses JSON; returns undefined if the bytes are not valid JSON in UTF-8. */
+export function parseJson(body: Buffer): unknown {
+	if (!isUtf8(body)) {
+		return undefined;
+	}
+
 	try {
-		return JSON.parse(text);
+		return JSON.parse(body.toString('utf8'));
 	} catch {
 		return undefined;
 	}
--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -1,3 +1,4 @@
+import {isUtf8} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import process from 'node:process';
 import type {CallAnswer} from '../../core/control/call-answer.ts';
@@ -230,6 +231,12 @@
 				hold.close();
 			});
 			const body = await readBody(req, maxBytes, hold);
+			if (!isUtf8(body)) {
+				this.#options.log.write('body-refused', {path: req.url, reason: 'not UTF-8'});
+				sendText(res, 400, JSON.stringify({error: 'the body is not UTF-8: send it whole and unchanged'}));
+				return undefined;
+			}
+
 			return body.toString('utf8');
 		} catch (error) {
 			if (!(error instanceof BodyError)) {
--- a/src/server/target-api.ts
+++ b/src/server/target-api.ts
@@ -78,7 +78,7 @@
 			return;
 		}
 
-		const parsed = schema.safeParse(parseJson(body.toString('utf8')));
+		const parsed = schema.safeParse(parseJson(body));
 		if (!parsed.success) {
 			const issue = parsed.error.issues[0]!;
 			this.#refuse(res, 'malformed', `${issue.path.join('.')}: ${issue.message}`);
