fix(edge): a request adds to the retry budget once

Targets: the allowance for retries grew with attempts that never reached a target, and a request that went through a placer to another region counted at two entries.

Cause: a request was counted whenever an attempt started with `sends` 0, and an attempt that was not sent sets it back to 0; the head of a forwarded answer counted it again, also at an entry to which it had been forwarded itself.

Evidence: the new tests on the code before:

a request whose first target could not be reached adds to the retry budget once: starts 3 instead of 2 a request that a placer forwards to another region ...: requests 2 instead of 1

The record remembers that it was counted, and the budget decides: once, and only at the entry to which the caller sent the request.

--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -42,10 +42,7 @@
 	send(record: RequestRecord, {target, startMs, uncachedTokens, aheadTokens, kvCacheTokens}: PlacementCandidate, now: Millis): void {
 		const {req: {prompt}, service, table} = record;
 		const {targetId, address, born, softwareVersion} = target.listed;
-		if (record.sends === 0 && record.req.forwarded === undefined) {
-			this.#options.budget.countRequest(service, now);
-		}
-
+		this.#options.budget.countRequest(record, now);
 		const attempt = this.#register(record);
 		target.recordSend(this.#options.regions.limitEntries(prompt !== undefined), now);
 		target.attempts.set(attempt, {
--- a/src/core/edge/create-request-record.ts
+++ b/src/core/edge/create-request-record.ts
@@ -23,6 +23,7 @@
 		forwardCount: 0,
 		forwardedRuns: 0,
 		mayHaveRun: false,
+		counted: false,
 		retryReserved: false,
 		retryRefused: false,
 		isTrial: false,
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -208,10 +208,8 @@
 			return;
 		}
 
-		// A forwarded request counts towards the retry budget only once the other entry has answered it: if that entry refuses it, the first attempt at a target counts it.
-		if (running.forwardedTo !== undefined && record.sends === 1) {
-			this.#options.budget.countRequest(record.service, now);
-		}
+		// One that was forwarded counts towards the retry budget only now, since the other entry may refuse it before a target gets it.
+		this.#options.budget.countRequest(record, now);
 
 		if (record.route.kind === 'stream' && head.eventStream) {
 			record.headPassed = true;
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -54,6 +54,8 @@
 	/** Number of forwarded attempts after which it may have run. */
 	forwardedRuns: number;
 	mayHaveRun: boolean;
+	/** True once it has added to the retry budget. */
+	counted: boolean;
 	/** True if its next attempt is already charged to the retry budget. */
 	retryReserved: boolean;
 	/** True once a retry of it did not fit the retry budget. */
--- a/src/core/edge/windowed-retry-budget.ts
+++ b/src/core/edge/windowed-retry-budget.ts
@@ -1,5 +1,6 @@
 import type {Millis} from '../ids/millis.ts';
 import type {ServiceName} from '../ids/service-name.ts';
+import type {RequestRecord} from './request-record.ts';
 import type {RetryCharge} from './retry-charge.ts';
 
 /** Share of the deployment's bound that is used, so that entries that restart with empty counters or learn late of each other do not exceed it. */
@@ -31,9 +32,14 @@
 		this.#bucketMs = options.windowMs / bucketsPerWindow;
 	}
 
-	/** Counts a request, which adds to the budget. */
-	countRequest(service: ServiceName, now: Millis): void {
-		this.#current(service, now).requests += 1;
+	/** Counts a request that reaches a target, which adds to the budget: once, and at the entry to which its caller sent it. */
+	countRequest(record: Pick<RequestRecord, 'req' | 'service' | 'counted'>, now: Millis): void {
+		if (record.counted || record.req.forwarded !== undefined) {
+			return;
+		}
+
+		record.counted = true;
+		this.#current(record.service, now).requests += 1;
 	}
 
 	/** Charges one retry to the budget unless the budget is used up. `entries` is the number of entries that share the slack. */
--- a/test/core/edge/edge-core.test.ts
+++ b/test/core/edge/edge-core.test.ts
@@ -88,6 +88,27 @@
 	t.is(harness.refusals()[0]!.ran, 'maybe');
 });
 
+test('a request whose first target could not be reached adds to the retry budget once', t => {
+	const harness = harnessWith(['a', 'b', 'c'], {slack: 0, ratio: 1});
+	harness.request();
+	harness.step({type: 'attempt-failed', attempt: harness.lastStart().attempt, failure: {reason: 'connect', notSent: true}});
+	harness.step({type: 'attempt-failed', attempt: harness.lastStart().attempt, failure: {reason: 'reset', notSent: false}});
+	t.is(harness.starts().length, 2);
+});
+
+test('a request that a placer forwards to another region adds to the retry budget only where its caller sent it', t => {
+	const harness = new EdgeHarness({slack: 0});
+	harness.feed({regions: [remoteRegion]});
+	harness.request({forwarded: {region: toId('regina'), documentVersion: 1}});
+	harness.head(harness.lastStart().attempt);
+	harness.step({type: 'attempt-failed', attempt: harness.lastStart().attempt, failure: {reason: 'reset', notSent: false}});
+	harness.feed({targets: [listedTargetFixture('a')], regions: []});
+	harness.request();
+	harness.step({type: 'attempt-failed', attempt: harness.lastStart().attempt, failure: {reason: 'reset', notSent: false}});
+	const refused = harness.actions.find(action => action.type === 'event' && action.event === 'retry-refused');
+	t.is(refused?.type === 'event' && refused.fields.requests, 1);
+});
+
 test('a stalled attempt whose retry does not fit the budget is logged once, with what the budget was decided on', t => {
 	const harness = harnessWith(['a', 'b'], {slack: 0, ratio: 0});
 	harness.request();
