fix(edge): the slack for retries is divided by the largest number of entries lately

Cause: the slack was divided by the entries in the last feed. A control node that is cut off lists its own region only, and one that has just started lists few.

The largest number within ten minutes counts, and only feeds of control nodes that are up to date with the replicated log tell it; until the first one no slack is used. An entry that joins makes the parts smaller at once. After a scale-in the parts stay small for that time; the share of the requests is not affected.

--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -251,7 +251,7 @@
 			this.#pool.update(feed.targets, targets === 'whole', now);
 			this.#logFirstTarget(now);
 			this.#pool.recordHeartbeats(feed.signs);
-			this.#regions.update(feed.regions, now);
+			this.#regions.update(feed.regions, feed, now);
 			this.#recordVersions(feed, now);
 		}
 	}
--- a/src/core/edge/region-selector.ts
+++ b/src/core/edge/region-selector.ts
@@ -3,6 +3,7 @@
 import type {Region} from '../ids/region.ts';
 import type {ServiceName} from '../ids/service-name.ts';
 import type {RegionLoad} from '../registry/region-load.ts';
+import {HeldMaximum} from './held-maximum.ts';
 import {mayContinueAt} from './may-continue-at.ts';
 import type {Prompt} from './prompt.ts';
 import type {StreamOrigin} from './stream-origin.ts';
@@ -23,8 +24,10 @@
 /** Age from which on the reported loads of regions are no longer used, in milliseconds. */
 const maxLoadAgeMs = 10_000;
 
-/** Time for which a smaller number of entries is not relied on, in milliseconds. */
+/** Time for which a smaller number of entries of the own region is not relied on, in milliseconds. */
 const entryCountHoldMs = 5000;
+/** The same for the entries of the whole deployment, in milliseconds: longer than regions are cut off from each other. */
+const deploymentCountHoldMs = 600_000;
 
 /** A request sent to a remote region; `tokens` is the length of its prompt, or 1 for a call of a plain service. */
 type SentRequest = {readonly at: Millis; readonly tokens: number};
@@ -58,6 +61,7 @@
 	/** Numbers of the own region's entries in the last `entryCountHoldMs`. */
 	#recentCounts: ReadonlyArray<{readonly at: Millis; readonly placing: number; readonly all: number}> = [];
 	#updatedAt = Number.NEGATIVE_INFINITY;
+	readonly #deploymentCounts = new HeldMaximum(deploymentCountHoldMs);
 	readonly #recentSends = new Map<string, SentRequest[]>();
 	readonly #avoidUntil = new Map<string, number>();
 	#rotation = 0;
@@ -91,13 +95,18 @@
 		return Math.max(...this.#recentCounts.map(({placing, all}) => prompts ? placing : all), prompts ? this.placingEntryCount : this.#ownEntryCount);
 	}
 
-	/** Number of entries of the whole deployment, at least 1. */
-	get entryCount(): number {
-		return Math.max(1, this.#loads.reduce((sum, {entries}) => sum + entries, 0));
+	/** Number of entries of the whole deployment, at least 1: the largest one lately, since a control node that starts, or is cut off from other regions, knows few. Undefined until a control node that was up to date has told it. */
+	entryCount(now: Millis): number | undefined {
+		return this.#deploymentCounts.largest(now);
 	}
 
-	update(loads: readonly RegionLoad[], now: Millis): void {
+	/** Takes the loads of a feed; `current` is true if its control node is up to date with the replicated log. */
+	update(loads: readonly RegionLoad[], {current}: {current: boolean}, now: Millis): void {
 		this.#loads = loads;
+		if (current) {
+			this.#deploymentCounts.record(Math.max(1, loads.reduce((sum, {entries}) => sum + entries, 0)), now);
+		}
+
 		this.#updatedAt = now;
 		this.#recentCounts = [...this.#recentCounts.filter(({at}) => now - at <= entryCountHoldMs), {at: now, placing: this.placingEntryCount, all: this.#ownEntryCount}];
 	}
--- a/src/core/edge/retry-policy.ts
+++ b/src/core/edge/retry-policy.ts
@@ -80,7 +80,7 @@
 	#withdrawRetry(record: RequestRecord, now: Millis): boolean {
 		const {budget, regions, queue} = this.#options;
 		const {req, service} = record;
-		const entries = regions.entryCount;
+		const entries = regions.entryCount(now);
 		const {granted, requests, retries, allowed} = budget.withdraw(service, entries, now);
 		// A stalled attempt asks again on each tick.
 		if (granted || !record.retryRefused) {
--- a/src/core/edge/windowed-retry-budget.ts
+++ b/src/core/edge/windowed-retry-budget.ts
@@ -42,8 +42,8 @@
 		this.#current(record.service, now).requests += 1;
 	}
 
-	/** Charges one retry to the budget unless the budget is used up. `entries` is the number of entries that share the slack. */
-	withdraw(service: ServiceName, entries: number, now: Millis): RetryCharge {
+	/** Charges one retry to the budget unless the budget is used up. `entries` is the number of entries that share the slack; none of it is used while that is unknown. */
+	withdraw(service: ServiceName, entries: number | undefined, now: Millis): RetryCharge {
 		const current = this.#current(service, now);
 		let requests = 0;
 		let retries = 0;
@@ -53,7 +53,7 @@
 		}
 
 		const {ratio, slack} = this.#options;
-		const allowed = safetyShare * ((ratio * requests) + (slack / Math.max(1, entries)));
+		const allowed = safetyShare * ((ratio * requests) + ((entries === undefined ? 0 : slack / entries)));
 		const granted = retries + 1 <= allowed;
 		if (granted) {
 			current.retries += 1;
