--- a/test/server/journal/journal.test.ts
+++ b/test/server/journal/journal.test.ts
@@ -1,5 +1,6 @@
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
+import {existsSync} from 'node:fs';
 import {
 	mkdir, mkdtemp, readFile, rm, writeFile,
 } from 'node:fs/promises';
@@ -181,6 +182,16 @@
 	t.deepEqual(await load(file), {status: 'intact', records: [{rewritten: true}, {appended: true}]});
 });
 
+// Guards against a disk that stays full of the part that a failed rewrite has written.
+test('a rewrite that does not fit leaves no part of itself, and the old records', async t => {
+	const file = await makeJournal(t);
+	const {lines, ended} = startWriter(file, 0, ['bash', '-c', 'ulimit -f 16 && exec "$@"', 'bash'], ['rewrite', String(64 * 1024)]);
+	await ended;
+	t.deepEqual(lines, ['folderFull']);
+	t.false(existsSync(`${file}.new`));
+	t.deepEqual(await load(file), {status: 'intact', records});
+});
+
 test('a failed rewrite leaves the old records', async t => {
 	const file = await makeJournal(t);
 	const {journal} = await Journal.open(file);
