--- a/src/commands/exit-codes.ts
+++ b/src/commands/exit-codes.ts
@@ -11,7 +11,7 @@
 	notInForce: 4,
 	/** No entry could be reached, or the control members have no quorum. */
 	unavailable: 5,
-	/** The data folder is damaged, full or used by another process. */
+	/** The data folder is damaged, used by another process, or cannot be used. */
 	dataFolder: 6,
 	/** The process cannot listen on an address of its settings. */
 	listen: 7,
--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -14,7 +14,8 @@
 import {ApiServer} from './api-server.ts';
 import type {CallerRequest} from './caller-request.ts';
 import {CoreRunner} from './core-runner.ts';
-import {DataFolder} from './journal/data-folder.ts';
+import type {DataFolder} from './journal/data-folder.ts';
+import {openWhenWritable} from './journal/open-when-writable.ts';
 import {httpRoutes} from './http-routes.ts';
 import {log} from './log.ts';
 import {Metrics} from './metrics.ts';
@@ -32,14 +33,14 @@
 /** A running process of the system: the core with its servers, links, data folder and timers. */
 export class Daemon {
 	/**
-	 * Reads the settings file, opens the data folder and starts to serve.
+	 * Reads the settings file, opens the data folder, after a wait while its disk is full, and starts to serve.
 	 *
 	 * @throws SettingsError, a FolderError if the data folder cannot be used, or a ListenError.
 	 */
 	static async start(file: string): Promise<Daemon> {
 		const startedAt = Date.now();
 		const settings = loadSettings(file, startedAt);
-		const folder = settings.dataFolder === undefined ? undefined : await DataFolder.open(settings.dataFolder);
+		const folder = settings.dataFolder === undefined ? undefined : await openDataFolder(settings.dataFolder);
 		const daemon = new Daemon(settings, startedAt, folder);
 		try {
 			await daemon.#open();
@@ -190,3 +191,15 @@
 		this.#performer.perform(action);
 	}
 }
+
+async function openDataFolder(folder: string): Promise<DataFolder> {
+	const logDisk = log('disk');
+	return openWhenWritable(folder, {
+		onFailed(reason) {
+			logDisk(`waiting for the disk: ${reason}`);
+		},
+		onRegained() {
+			logDisk('the disk can be written');
+		},
+	});
+}
--- a/src/server/journal/data-folder.ts
+++ b/src/server/journal/data-folder.ts
@@ -64,13 +64,21 @@
 		const identityFile = path.join(folder, 'identity');
 		const existingId = await readIdentity(identityFile);
 		await checkCompleteness(folder, existingId);
-		const consensus = await Journal.open(journalFile(folder, 'consensus'));
-		const ledger = await Journal.open(journalFile(folder, 'ledger'));
-		// The identity is written last, so a folder with an identity has both journals.
-		const storageId = existingId ?? await createIdentity(identityFile);
-		return new DataFolder({
-			storageId, lock, consensus, ledger,
-		});
+		const opened: OpenedJournal[] = [];
+		try {
+			const consensus = await Journal.open(journalFile(folder, 'consensus'));
+			opened.push(consensus);
+			const ledger = await Journal.open(journalFile(folder, 'ledger'));
+			opened.push(ledger);
+			// The identity is written last, so a folder with an identity has both journals.
+			const storageId = existingId ?? await createIdentity(identityFile);
+			return new DataFolder({
+				storageId, lock, consensus, ledger,
+			});
+		} catch (error) {
+			await Promise.all(opened.map(async ({journal}) => journal.close()));
+			throw error;
+		}
 	}
 
 	readonly storageId: StorageId;
--- a/src/server/journal/journal.ts
+++ b/src/server/journal/journal.ts
@@ -41,9 +41,15 @@
 		}
 
 		const handle = await open(file, bytes === undefined ? 'wx+' : 'r+', 0o600);
-		await handle.truncate(decoded.validBytes);
-		await handle.sync();
-		await syncFolder(path.dirname(file));
+		try {
+			await handle.truncate(decoded.validBytes);
+			await handle.sync();
+			await syncFolder(path.dirname(file));
+		} catch (error) {
+			await handle.close();
+			throw error;
+		}
+
 		const existingStatus = decoded.tail === 'torn' ? 'torn' : 'intact';
 		const status = bytes === undefined ? 'missing' : existingStatus;
 		return {journal: new Journal(file, handle, decoded.validBytes), load: {status, records: decoded.records}};
--- a/src/server/routes/start-routes-process.ts
+++ b/src/server/routes/start-routes-process.ts
@@ -17,7 +17,8 @@
 };
 
 /**
- * Starts one process of a deployment with a routes document, in the role that its settings name.
+ * Starts one process of a deployment with a routes document, in the role that its settings name. A control node waits
+ * while the disk of its data folder is full.
  *
  * @throws SettingsError, FolderError if the data folder cannot be used, or ListenError.
  */
@@ -43,6 +44,15 @@
 }
 
 async function createControlProcess(options: ProcessOptions): Promise<RoutesProcess> {
-	const [{ControlProcess}, {DataFolder}] = await Promise.all([import('./control-process.ts'), import('../journal/data-folder.ts')]);
-	return new ControlProcess({...options, folder: await DataFolder.open(options.settings.dataFolder!)});
+	const [{ControlProcess}, {openWhenWritable}] = await Promise.all([import('./control-process.ts'), import('../journal/open-when-writable.ts')]);
+	const {settings, log} = options;
+	const folder = await openWhenWritable(settings.dataFolder!, {
+		onFailed(reason) {
+			log.warn('disk-failed', {reason});
+		},
+		onRegained() {
+			log.write('disk-regained');
+		},
+	});
+	return new ControlProcess({...options, folder});
 }
