fix(ledger): a node that leaves hands over the claims that it alone holds

What callers saw: after a rolling restart all orders of a region were refused with ledgerUnavailable (3004), until an operator would accept the loss of its claims; operators saw the keeper role "lost" at both nodes.

Cause: a node that drained waited for its requests only. Where the other keeper had been away for 3 s, it was the only member of the newest set, and left 2.5 s later with the claims in its memory. The set could not change in that time: the leader took a draining member for a dead one and waited 60 s, and in other regions did not see it at all.

Why it works: a leaving node goes once a member of the newest set that stays has said that it is active in it, and so has every granted claim; the leader replaces a set whose live members all leave at once, and hears of draining candidates in other regions. Messages keep their formats.

Tests changed: the ledger fixture's membership lists nodes, and processes can leave; the nodes of next-keepers can drain.

--- a/src/core/gateway-core.ts
+++ b/src/core/gateway-core.ts
@@ -208,6 +208,7 @@
 			case 'drain': {
 				this.#draining = true;
 				requests.drain();
+				this.#parts.ledger.drain(now);
 				this.#report(now);
 				break;
 			}
@@ -316,7 +317,7 @@
 		}
 
 		this.#reportSettings();
-		if (this.#draining && !this.#drainedReported && this.#parts.requests.drained()) {
+		if (this.#draining && !this.#drainedReported && this.#parts.requests.drained() && this.#parts.ledger.drained(now)) {
 			this.#drainedReported = true;
 			this.#queue.push({type: 'drained'});
 		}
--- a/src/core/ledger/claim-ledger.ts
+++ b/src/core/ledger/claim-ledger.ts
@@ -6,6 +6,7 @@
 import type {RequestId} from '../ids/request-id.ts';
 import type {Membership} from '../membership/membership.ts';
 import {ClaimCoordinator} from './claim-coordinator.ts';
+import {ClaimHandOver} from './claim-hand-over.ts';
 import type {ClaimId} from './claim-id.ts';
 import type {ClaimRequest} from './claim-request.ts';
 import {ClaimStore} from './claim-store.ts';
@@ -25,8 +26,8 @@
 	/** Records read from the journal `ledger`. */
 	readonly loadedJournal?: LoadedJournal<LedgerRecord>;
 	readonly outbox: Outbox;
-	/** Used to look up whether the coordinator of another claim still runs, and under which incarnation other nodes know this one. */
-	readonly membership: Pick<Membership, 'node'>;
+	/** Used to look up whether the coordinator of another claim still runs, under which incarnation other nodes know this one, and which nodes of the region stay. */
+	readonly membership: Pick<Membership, 'node' | 'nodes'>;
 	/** Start time, on the clock of the `now` arguments. */
 	readonly now: Millis;
 	/** Maximum number of keys that this node stores as a keeper. @default 100_000 */
@@ -50,6 +51,8 @@
 	readonly #outbox: Outbox;
 	readonly #coordinator: ClaimCoordinator;
 	readonly #keeper: KeeperReplica;
+	readonly #membership: ClaimLedgerOptions['membership'];
+	#handOver: ClaimHandOver | undefined;
 	readonly #sets = new Map<Region, KeeperSet>();
 	/** Messages of this node to itself, delivered before a public method returns. */
 	#loopback: LoopbackMessage[] = [];
@@ -58,6 +61,7 @@
 		this.#self = self;
 		this.#region = region;
 		this.#outbox = outbox;
+		this.#membership = membership;
 		const send = (to: NodeId, message: LedgerMessage) => {
 			this.#send(to, message);
 		};
@@ -113,6 +117,7 @@
 	tick(now: Millis): void {
 		this.#keeper.tick(now);
 		this.#coordinator.tick(now);
+		this.#handOver?.tick(now);
 		this.#deliverLoopback(now);
 	}
 
@@ -135,6 +140,24 @@
 		return outcomes;
 	}
 
+	/** This node is going to leave: it hands the claims over that it alone may hold. */
+	drain(now: Millis): void {
+		this.#handOver ??= new ClaimHandOver({
+			self: this.#self,
+			membership: this.#membership,
+			set: () => this.#keeper.set,
+			send: (to, message) => {
+				this.#send(to, message);
+			},
+			now,
+		});
+	}
+
+	/** True once this node may leave, after `drain`. */
+	drained(now: Millis): boolean {
+		return this.#handOver?.done(now) ?? true;
+	}
+
 	/** Status of this node as a keeper, for operators; in the role `lost` it waits for `acceptLoss`. */
 	status() {
 		return this.#keeper.status();
@@ -171,6 +194,7 @@
 			}
 
 			case 'state': {
+				this.#handOver?.handleState(from, message);
 				this.#keeper.handleState(from, message, now);
 				break;
 			}
--- a/src/core/ledger/keeper-placement.ts
+++ b/src/core/ledger/keeper-placement.ts
@@ -38,7 +38,9 @@
 
 		const since = this.#wantedSince.get(region) ?? now;
 		this.#wantedSince.set(region, since);
-		const settled = now - since >= this.#settleMs(next, live, current);
+		const settled = now - since >= this.#settleMs({
+			next, live, nodes, current,
+		});
 		if (!settled || now < (this.#nextProposalAt.get(region) ?? 0)) {
 			return undefined;
 		}
@@ -47,7 +49,7 @@
 		return next;
 	}
 
-	#settleMs(next: KeeperSet, live: readonly NodeView[], current: KeeperSet | undefined): number {
+	#settleMs({next, live, nodes, current}: {next: KeeperSet; live: readonly NodeView[]; nodes: readonly NodeView[]; current?: KeeperSet}): number {
 		if (!current) {
 			// A first set with a single member waits, since further nodes may still be starting.
 			return next.members.length > 1 ? 0 : settleMs;
@@ -55,7 +57,9 @@
 
 		const present = current.members.filter(member => live.some(({info}) => info.nodeId === member));
 		if (present.length === 0) {
-			return orphanedSettleMs;
+			// A member that drains still has the claims, and waits only a short time for others to take them over.
+			const leaving = nodes.some(({info, state, draining}) => state === 'alive' && draining && current.members.includes(info.nodeId));
+			return leaving ? 0 : orphanedSettleMs;
 		}
 
 		if (present.length < current.members.length) {
--- a/src/core/membership/own-region.ts
+++ b/src/core/membership/own-region.ts
@@ -20,7 +20,7 @@
 
 /** Largest number of entries listed in a region's summary. */
 const entryLimit = 3;
-/** Largest number of keeper candidates listed in a region's summary. */
+/** Largest number of keeper candidates listed in a region's summary, and of those that drain beside them. */
 const candidateLimit = 4;
 
 /** Nodes that exchange summaries and take forwarded requests for their region: entries that are not draining, or all nodes if there are none. */
@@ -38,12 +38,13 @@
 		return rank === -1 ? Infinity : rank;
 	},
 
-	/** Candidates for keepers of claims, best first: nodes with a disk, then by hash. */
+	/** Candidates for keepers of claims, best first: nodes with a disk, then by hash. Those that drain and may be keepers now come last, so that a leader in another region knows who can hand claims over. */
 	keeperCandidates(nodes: readonly RegionNode[]): RegionNode[] {
-		const usable = nodes.filter(({draining, info}) => !draining && (info.hasDisk || info.roles.includes('entry')));
-		return rankByHash(usable, ({info}) => info.nodeId)
-			.sort((a, b) => Number(b.info.hasDisk) - Number(a.info.hasDisk))
-			.slice(0, candidateLimit);
+		const ranked = rankByHash(nodes.filter(({info}) => info.hasDisk || info.roles.includes('entry')), ({info}) => info.nodeId)
+			.sort((a, b) => Number(b.info.hasDisk) - Number(a.info.hasDisk));
+		const staying = ranked.filter(({draining}) => !draining).slice(0, candidateLimit);
+		const leaving = ranked.slice(0, candidateLimit).filter(({draining}) => draining);
+		return [...staying, ...leaving];
 	},
 
 	/** Lowest settings revision in force at the entries, or at all nodes if there is no entry. */
--- a/test/core/ledger/keeper-replica.test.ts
+++ b/test/core/ledger/keeper-replica.test.ts
@@ -24,7 +24,7 @@
 function keeper(records: readonly LedgerRecord[] = []) {
 	const outbox = new RecordingOutbox();
 	const ledger = new ClaimLedger({
-		self: a, region, incarnation: 1, hasDisk: true, loadedJournal: {status: records.length > 0 ? 'intact' : 'missing', records}, outbox, membership: {node: () => undefined}, now,
+		self: a, region, incarnation: 1, hasDisk: true, loadedJournal: {status: records.length > 0 ? 'intact' : 'missing', records}, outbox, membership: {node: () => undefined, nodes: () => []}, now,
 	});
 	const journal: LedgerRecord[] = [...records];
 	const sync = () => {
--- a/test/core/ledger/ledger-fixture.ts
+++ b/test/core/ledger/ledger-fixture.ts
@@ -37,6 +37,7 @@
 	readonly ledger: ClaimLedger;
 	readonly incarnation: number;
 	frozen: boolean;
+	draining: boolean;
 };
 
 /** `a` has a disk, `b` and `c` have none; `x` is an entry of another region. The answer to a request is its key. */
@@ -46,6 +47,9 @@
 
 /** Time for which a coordinator waits for a keeper to confirm a release, in milliseconds; another claim may get the key meanwhile. */
 const releaseReplyTimeoutMs = 250;
+/** Time for which a process at least runs on after it was asked to stop, and the longest one, in milliseconds. */
+const minLeaveMs = 2500;
+const maxLeaveMs = 15_000;
 
 /** A region's keepers, an entry of another region, and a fake replicated log that decides the keeper sets. */
 export function ledgerFixture({seed = 1, loss = 0, maxClaims, maxAnswerBytes, farMs = 30, writeMs}: LedgerFixtureOptions = {}) {
@@ -84,7 +88,7 @@
 				nodeId, region: home, zone: toId(`z-${nodeId}`), roles: ['entry'], callerAddress: '', peerAddress: '', weight: 1, hasDisk: nodeId === 'a', incarnation: process?.incarnation ?? 0,
 			},
 			state: process && !process.frozen ? 'alive' : 'dead',
-			draining: false,
+			draining: process?.draining ?? false,
 			revision: 0,
 			load: 0,
 		};
@@ -149,12 +153,14 @@
 			hasDisk: nodeId === 'a',
 			loadedJournal: {status: records ? 'intact' : 'missing', records: records ?? []},
 			outbox: network.outbox(nodeId),
-			membership: {node: view},
+			membership: {node: view, nodes: () => keepers.map(name => view(name))},
 			now: network.now,
 			maxClaims,
 			maxAnswerBytes,
 		});
-		processes.set(nodeId, {ledger, incarnation: lastIncarnation, frozen: false});
+		processes.set(nodeId, {
+			ledger, incarnation: lastIncarnation, frozen: false, draining: false,
+		});
 		const act = (event: (now: Millis) => void) => {
 			event(network.now);
 			drain(nodeId, ledger);
@@ -211,6 +217,19 @@
 		}
 	};
 
+	/** Asks a process to stop, and runs until it has. */
+	const leave = (nodeId: NodeId) => {
+		const process = processes.get(nodeId)!;
+		process.draining = true;
+		process.ledger.drain(network.now);
+		const since = network.now;
+		while (network.now - since < maxLeaveMs && (network.now - since < minLeaveMs || !process.ledger.drained(network.now))) {
+			advance(50);
+		}
+
+		stop(nodeId);
+	};
+
 	let requests = 0;
 	/** Starts a claim for a caller's request at an entry; returns the request's id. */
 	const claim = (nodeId: NodeId, key: string, {ending = 'done', endMs = 200, fingerprint = 'f', keepMs = 86_400_000}: ClaimOptions = {}) => {
@@ -258,7 +277,7 @@
 	}
 
 	return {
-		names, network, processes, cuts, outcomes, grantedAt, runs, problems, log, start, stop, freeze, thaw, advance, claim, ask,
+		names, network, processes, cuts, outcomes, grantedAt, runs, problems, log, start, stop, leave, freeze, thaw, advance, claim, ask,
 		status: (nodeId: NodeId) => processes.get(nodeId)?.ledger.status(),
 	};
 }
--- a/test/core/ledger/next-keepers.test.ts
+++ b/test/core/ledger/next-keepers.test.ts
@@ -4,17 +4,20 @@
 import {toId} from '../../../src/core/ids/to-id.ts';
 import {KeeperPlacement} from '../../../src/core/ledger/keeper-placement.ts';
 import {nextKeepers} from '../../../src/core/ledger/next-keepers.ts';
+import {ownRegion} from '../../../src/core/membership/own-region.ts';
 import type {NodeView} from '../../../src/core/membership/node-view.ts';
 
 const region = toId<Region>('home');
 
-function node(name: string, {zone = 'z1', hasDisk = false, incarnation = 1, state = 'alive'}: {zone?: string; hasDisk?: boolean; incarnation?: number; state?: NodeView['state']} = {}): NodeView {
+type NodeOptions = {zone?: string; hasDisk?: boolean; incarnation?: number; state?: NodeView['state']; draining?: boolean};
+
+function node(name: string, {zone = 'z1', hasDisk = false, incarnation = 1, state = 'alive', draining = false}: NodeOptions = {}): NodeView {
 	return {
 		info: {
 			nodeId: toId(name), region, zone: toId(zone), roles: ['entry'], callerAddress: '', peerAddress: '', weight: 1, hasDisk, incarnation,
 		},
 		state,
-		draining: false,
+		draining,
 		revision: 0,
 		load: 0,
 	};
@@ -62,3 +65,12 @@
 	t.deepEqual(placement.propose({region, nodes: dead, current}, 8000 as Millis)?.members, ['n1', 'n3']);
 	t.is(placement.propose({region, nodes: dead.slice(2), current}, 12_000 as Millis), undefined);
 });
+
+test('a set whose only live member leaves is replaced at once, also by a leader in another region', t => {
+	const placement = new KeeperPlacement();
+	const current = placement.propose({region, nodes: [node('n1'), node('n2')]}, 0 as Millis)!;
+	const nodes = [node('n1', {draining: true}), node('n2', {state: 'dead'}), node('n3')];
+	const candidates = ownRegion.keeperCandidates(nodes.filter(({state}) => state === 'alive')).map(view => ({...view, state: 'alive'} as const));
+	t.deepEqual(placement.propose({region, nodes: candidates, current}, 5000 as Millis)?.members, ['n3']);
+	t.deepEqual(new KeeperPlacement().propose({region, nodes, current}, 5000 as Millis)?.members, ['n3']);
+});
