test: a failed test of real processes says what the machine did to them

A contributor whose run of proofs or soak failed could not tell a fault from a busy machine. Such a failure prints now, for each process and for the test itself, how long its main thread ran and waited for a processor (/proc, where the system has it) and how late its event loop was at most (perf_hooks, by a probe that is loaded before the program). No bound depends on it. Checks are unchanged.

--- a/scripts/proofs.ts
+++ b/scripts/proofs.ts
@@ -19,13 +19,15 @@
 const failures = new Map<string, string[]>();
 
 async function runOne({scenario, seed}: {scenario: Scenario; seed: number}): Promise<void> {
-	const {problems, notes, folder, summary} = await runScenario(scenario, seed);
+	const {
+		problems, notes, folder, summary, machine,
+	} = await runScenario(scenario, seed);
 	failures.set(scenario.id, [...failures.get(scenario.id) ?? [], ...problems.map(problem => `${problem} [${scenario.title}, seed ${seed}]`)]);
 	if (values.verbose || problems.length > 0 || notes.length > 0) {
 		console.log(`  ${scenario.id} seed ${seed}: ${[...notes, summary].join(' | ')}${problems.length > 0 ? ` (logs: ${folder})` : ''}`);
 	}
 
-	for (const problem of problems) {
+	for (const problem of [...problems, ...machine]) {
 		console.log(`  - ${problem}`);
 	}
 }
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -27,7 +27,7 @@
 	}
 }
 
-function printReport({seed, lengthMs, faults, records, changes, reads, problems, folder}: SoakReport): void {
+function printReport({seed, lengthMs, faults, records, changes, reads, problems, folder, machine}: SoakReport): void {
 	const count = (outcome: string) => records.filter(record => record.outcome === outcome).length;
 	const outcomes = ['served', 'refused', 'failed', 'broken', 'unreachable'].map(outcome => `${count(outcome)} ${outcome}`).join(', ');
 	const verdict = problems.length === 0 ? 'pass' : 'fail';
@@ -35,7 +35,7 @@
 	const resumed = `${takenUp.filter(record => record.resumed).length} of ${takenUp.length} broken streams taken up`;
 	const totals = `${faults.length} faults, ${records.length} requests (${outcomes}; ${resumed}), ${changes} changes, ${reads} reads`;
 	console.log(`SOAK seed ${seed} ${verdict}: ${Math.round(lengthMs / 1000)} s, ${totals}`);
-	for (const problem of problems) {
+	for (const problem of [...problems, ...machine]) {
 		console.log(`  - ${problem}`);
 	}
 
--- a/test/harness/run-scenario.ts
+++ b/test/harness/run-scenario.ts
@@ -2,6 +2,7 @@
 import {SeededRandom} from '../../src/core/common/seeded-random.ts';
 import {checkInvariants} from './check-invariants.ts';
 import {checkScenario} from './check-scenario.ts';
+import {describeMachine} from './describe-machine.ts';
 import {Launcher} from './launcher.ts';
 import {makeInstallationSpec} from './make-installation-spec.ts';
 import {groupBy} from './group-by.ts';
@@ -17,6 +18,8 @@
 	/** Folder of settings, data and logs; deleted unless there were problems or `KEEP_LOGS` is set. */
 	readonly folder: string;
 	readonly summary: string;
+	/** What the machine did to the processes, if a check failed. */
+	readonly machine: readonly string[];
 };
 
 /** Runs one scenario with one seed on a separate installation. */
@@ -39,10 +42,11 @@
 		monitor.stop();
 	}
 
+	const machine = state.problems.length > 0 ? [describeMachine(launcher.processes)] : [];
 	const keepFolder = state.problems.length > 0 || process.env.KEEP_LOGS !== undefined;
 	await launcher.dispose({keepFolder});
 	return {
-		problems: state.problems, notes: state.notes, folder: launcher.folder, summary: summarise(state),
+		problems: state.problems, notes: state.notes, folder: launcher.folder, summary: summarise(state), machine,
 	};
 }
 
--- a/test/proofs/proofs.test.ts
+++ b/test/proofs/proofs.test.ts
@@ -14,8 +14,8 @@
 	for (let seed = 1; seed <= Math.min(scenario.seeds, seedsInTests); seed++) {
 		test(`${scenario.id}: ${scenario.title}, seed ${seed}`, async t => {
 			t.timeout(maxMinutes * 60_000);
-			const {problems, notes, summary} = await limiter.run(async () => runScenario(scenario, seed));
-			t.log([...notes, summary].join(' | '));
+			const {problems, notes, summary, machine} = await limiter.run(async () => runScenario(scenario, seed));
+			t.log([...notes, summary, ...machine].join(' | '));
 			t.deepEqual(problems, []);
 		});
 	}
--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -1,6 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SeededRandom} from '../../src/core/common/seeded-random.ts';
+import {describeMachine} from '../harness/describe-machine.ts';
 import {checkRecords} from './check-records.ts';
 import {SoakCallers} from './soak-callers.ts';
 import {SoakDeployment} from './soak-deployment.ts';
@@ -96,6 +97,7 @@
 			changes: this.#operator.changes,
 			reads: this.#operator.reads,
 			folder: this.#deployment.folder,
+			machine: this.problems.length > 0 ? [describeMachine(this.#deployment.nodes.map(node => [node.name, node.process] as const))] : [],
 		};
 	}
 
--- a/test/soak/soak-node.ts
+++ b/test/soak/soak-node.ts
@@ -40,13 +40,13 @@
 	readonly name: string;
 	readonly role: 'entry' | 'control';
 	readonly region: string;
+	readonly process: ManagedProcess;
 	frozen = false;
 	/** Number of active faults that affect the node. */
 	faults = 0;
 	/** Milliseconds from the start of the run to the end of the last fault that affected the node. */
 	lastFaultEndedAt = 0;
 	readonly #options: SoakNodeOptions;
-	readonly #process: ManagedProcess;
 	#started = false;
 
 	constructor(options: SoakNodeOptions) {
@@ -55,11 +55,11 @@
 		this.role = options.role;
 		this.region = options.region;
 		mkdirSync(this.#dataFolder, {recursive: true});
-		this.#process = new ManagedProcess([options.program, 'run', this.#settingsFile], path.join(options.folder, `${options.name}.log`));
+		this.process = new ManagedProcess([options.program, 'run', this.#settingsFile], path.join(options.folder, `${options.name}.log`));
 	}
 
 	get up(): boolean {
-		return this.#process.up;
+		return this.process.up;
 	}
 
 	address(port: keyof NodePorts): string {
@@ -70,7 +70,7 @@
 		if (!this.up) {
 			this.#writeSettings({firstStart: !this.#started});
 			this.#started = true;
-			this.#process.start();
+			this.process.start();
 		}
 	}
 
@@ -79,12 +79,12 @@
 			this.setFrozen(false);
 		}
 
-		await this.#process.end(signal);
+		await this.process.end(signal);
 	}
 
 	setFrozen(frozen: boolean): void {
 		this.frozen = frozen;
-		this.#process.signal(frozen ? 'SIGSTOP' : 'SIGCONT');
+		this.process.signal(frozen ? 'SIGSTOP' : 'SIGCONT');
 	}
 
 	loseDisk(): void {
--- a/test/soak/soak-report.ts
+++ b/test/soak/soak-report.ts
@@ -14,4 +14,6 @@
 	readonly reads: number;
 	/** Folder of the processes' logs and data, kept if a check failed. */
 	readonly folder: string;
+	/** What the machine did to the processes, if a check failed. */
+	readonly machine: readonly string[];
 };
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -10,7 +10,7 @@
 	test.serial(`no check of a soak on real processes fails under random faults, seed ${seed}`, async t => {
 		t.timeout(180_000);
 		const report = await runSoak({seed, minutes});
-		t.deepEqual(report.problems, [], `logs: ${report.folder}`);
+		t.deepEqual(report.problems, [], `logs: ${report.folder}; ${report.machine.join('')}`);
 		t.true(report.faults.length > 0);
 		t.true(soakTimeline(report).endsWith('</svg>'));
 	});
