--- a/test/soak/soak-node.ts
+++ b/test/soak/soak-node.ts
@@ -40,6 +40,7 @@
 	readonly name: string;
 	readonly role: 'entry' | 'control';
 	readonly region: string;
+	readonly process: ManagedProcess;
 	frozen = false;
 	/** Number of active faults that affect the node. */
 	faults = 0;
@@ -48,7 +49,6 @@
 	/** Number of runs of the process so far. */
 	lifetime = 0;
 	readonly #options: SoakNodeOptions;
-	readonly #process: ManagedProcess;
 
 	constructor(options: SoakNodeOptions) {
 		this.#options = options;
@@ -56,11 +56,11 @@
 		this.role = options.role;
 		this.region = options.region;
 		mkdirSync(this.#dataFolder, {recursive: true});
-		this.#process = new ManagedProcess([options.program, 'run', this.#settingsFile], path.join(options.folder, `${options.name}.log`));
+		this.process = new ManagedProcess([options.program, 'run', this.#settingsFile], path.join(options.folder, `${options.name}.log`));
 	}
 
 	get up(): boolean {
-		return this.#process.up;
+		return this.process.up;
 	}
 
 	address(port: keyof NodePorts): string {
@@ -71,7 +71,7 @@
 		if (!this.up) {
 			this.#writeSettings({firstStart: this.lifetime === 0});
 			this.lifetime += 1;
-			this.#process.start();
+			this.process.start();
 		}
 	}
 
@@ -80,12 +80,12 @@
 			this.setFrozen(false);
 		}
 
-		await this.#process.end(signal);
+		await this.process.end(signal);
 	}
 
 	setFrozen(frozen: boolean): void {
 		this.frozen = frozen;
-		this.#process.signal(frozen ? 'SIGSTOP' : 'SIGCONT');
+		this.process.signal(frozen ? 'SIGSTOP' : 'SIGCONT');
 	}
 
 	loseDisk(): void {
