fix(commands): a process that waits for its disk at the start can be stopped

What operators would have seen: SIGTERM had no effect on a process that waits for a full disk at its start, until the disk had room again or SIGKILL came.

Signals that come while a process starts take effect once it has started, and a start waits for a full disk without end.

Evidence, the new test on the code before: "Test failed via `t.fail()`, at onRegained": the wait went on until the disk had room.

The wait takes an AbortSignal, which a request to stop aborts; the process has served nothing then and exits with 0. On both paths.

--- a/src/commands/process-signals.ts
+++ b/src/commands/process-signals.ts
@@ -8,15 +8,15 @@
 
 /** Handles the signals of a process from its construction on. Those that come while the process starts take effect once it has started: without a handler they would end it at once. */
 export class ProcessSignals {
+	readonly #stopWanted = new AbortController();
 	#handlers: SignalHandlers | undefined;
-	#stopWanted = false;
 	#reloadWanted = false;
 	#stopping = false;
 
 	constructor() {
 		for (const signal of ['SIGTERM', 'SIGINT']) {
 			process.on(signal, () => {
-				this.#stopWanted = true;
+				this.#stopWanted.abort();
 				this.#handle();
 			});
 		}
@@ -27,6 +27,11 @@
 		});
 	}
 
+	/** Aborted once the process is asked to stop. */
+	get stopWanted(): AbortSignal {
+		return this.#stopWanted.signal;
+	}
+
 	/** Called once the process has started. */
 	attach(handlers: SignalHandlers): void {
 		this.#handlers = handlers;
@@ -38,7 +43,7 @@
 			return;
 		}
 
-		if (this.#stopWanted) {
+		if (this.#stopWanted.signal.aborted) {
 			this.#stopping = true;
 			void this.#stop(this.#handlers);
 		} else if (this.#reloadWanted) {
--- a/src/commands/run.ts
+++ b/src/commands/run.ts
@@ -8,13 +8,21 @@
 /** Runs one process of the system until SIGTERM or SIGINT; SIGHUP reloads what can change at run time. */
 export async function run(settings: string, adapter?: PlatformAdapter): Promise<void> {
 	const signals = new ProcessSignals();
-	if (readSettingsMode(settings) === 'routes') {
-		await runRoutes(settings, {adapter, signals});
-		return;
+	try {
+		await (readSettingsMode(settings) === 'routes' ? runRoutes(settings, {adapter, signals}) : runTree(settings, signals));
+	} catch (error) {
+		if (!signals.stopWanted.aborted || (error as Error).name !== 'AbortError') {
+			throw error;
+		}
+
+		// The process waited for its disk and has served nothing.
+		process.exit(0); // eslint-disable-line unicorn/no-process-exit
 	}
+}
 
+async function runTree(settings: string, signals: ProcessSignals): Promise<void> {
 	const {Daemon} = await import('../server/daemon.ts');
-	const daemon = await Daemon.start(settings);
+	const daemon = await Daemon.start(settings, signals.stopWanted);
 	signals.attach({
 		stop: async () => daemon.stop(),
 		reload() {
@@ -33,7 +41,7 @@
 	}
 
 	const {startRoutesProcess} = await import('../server/routes/start-routes-process.ts');
-	const {process: running, log} = await startRoutesProcess({file, adapter});
+	const {process: running, log} = await startRoutesProcess({file, adapter, signal: signals.stopWanted});
 	signals.attach({
 		async stop() {
 			log.write('stopping', {});
--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -35,12 +35,12 @@
 	/**
 	 * Reads the settings file, opens the data folder, after a wait while its disk is full, and starts to serve.
 	 *
-	 * @throws SettingsError, a FolderError if the data folder cannot be used, or a ListenError.
+	 * @throws SettingsError, a FolderError if the data folder cannot be used, a ListenError, or an `AbortError` if `signal` ends the wait for a full disk.
 	 */
-	static async start(file: string): Promise<Daemon> {
+	static async start(file: string, signal?: AbortSignal): Promise<Daemon> {
 		const startedAt = Date.now();
 		const settings = loadSettings(file, startedAt);
-		const folder = settings.dataFolder === undefined ? undefined : await openDataFolder(settings.dataFolder);
+		const folder = settings.dataFolder === undefined ? undefined : await openDataFolder(settings.dataFolder, signal);
 		const daemon = new Daemon(settings, startedAt, folder);
 		try {
 			await daemon.#open();
@@ -192,7 +192,7 @@
 	}
 }
 
-async function openDataFolder(folder: string): Promise<DataFolder> {
+async function openDataFolder(folder: string, signal?: AbortSignal): Promise<DataFolder> {
 	const logDisk = log('disk');
 	return openWhenWritable(folder, {
 		onFailed(reason) {
@@ -201,5 +201,6 @@
 		onRegained() {
 			logDisk('the disk can be written');
 		},
+		signal,
 	});
 }
--- a/src/server/journal/open-when-writable.ts
+++ b/src/server/journal/open-when-writable.ts
@@ -7,17 +7,19 @@
 /** Errors of a disk that is full or fails, which may pass; others need an operator. */
 const diskErrorCodes: ReadonlySet<string | undefined> = new Set(['ENOSPC', 'EDQUOT', 'EFBIG', 'EIO']);
 
-type DiskListener = {
+type OpenOptions = {
 	readonly onFailed: (reason: string) => void;
 	readonly onRegained: () => void;
+	/** Ends the wait, for example since the process has to stop. */
+	readonly signal?: AbortSignal;
 };
 
 /**
  * Opens a data folder, after a wait if its disk is full or fails: for a supervisor that would look like a damaged folder.
  *
- * @throws FolderError if the folder cannot be used for another reason.
+ * @throws FolderError if the folder cannot be used for another reason, or an `AbortError` if the wait is ended.
  */
-export async function openWhenWritable(folder: string, {onFailed, onRegained}: DiskListener): Promise<DataFolder> {
+export async function openWhenWritable(folder: string, {onFailed, onRegained, signal}: OpenOptions): Promise<DataFolder> {
 	for (let failed = false; ; failed = true) {
 		try {
 			const opened = await DataFolder.open(folder); // eslint-disable-line no-await-in-loop
@@ -36,7 +38,7 @@
 			}
 		}
 
-		await sleep(retryIntervalMs); // eslint-disable-line no-await-in-loop
+		await sleep(retryIntervalMs, undefined, {signal}); // eslint-disable-line no-await-in-loop
 	}
 }
 
--- a/src/server/routes/start-routes-process.ts
+++ b/src/server/routes/start-routes-process.ts
@@ -8,6 +8,8 @@
 type StartOptions = {
 	readonly file: string;
 	readonly adapter: PlatformAdapter;
+	/** Ends the wait for a full disk. */
+	readonly signal?: AbortSignal;
 };
 
 type ProcessOptions = {
@@ -20,9 +22,9 @@
  * Starts one process of a deployment with a routes document, in the role that its settings name. A control node waits
  * while the disk of its data folder is full.
  *
- * @throws SettingsError, FolderError if the data folder cannot be used, or ListenError.
+ * @throws SettingsError, FolderError if the data folder cannot be used, ListenError, or an `AbortError` if the wait for a full disk is ended.
  */
-export async function startRoutesProcess({file, adapter}: StartOptions): Promise<{process: RoutesProcess; log: EventLog}> {
+export async function startRoutesProcess({file, adapter, signal}: StartOptions): Promise<{process: RoutesProcess; log: EventLog}> {
 	const settings = loadRoutesSettings(file);
 	const log = new EventLog({node: settings.node, level: settings.logLevel});
 	const {role, zone, region, nodeId, firstStart} = settings;
@@ -31,7 +33,7 @@
 	});
 	const process = role === 'entry'
 		? await createEntryProcess({settings, adapter, log})
-		: await createControlProcess({settings, adapter, log});
+		: await createControlProcess({settings, adapter, log}, signal);
 	await process.open();
 	log.write('started', {role});
 	return {process, log};
@@ -43,7 +45,7 @@
 	return new EntryProcess(options);
 }
 
-async function createControlProcess(options: ProcessOptions): Promise<RoutesProcess> {
+async function createControlProcess(options: ProcessOptions, signal?: AbortSignal): Promise<RoutesProcess> {
 	const [{ControlProcess}, {openWhenWritable}] = await Promise.all([import('./control-process.ts'), import('../journal/open-when-writable.ts')]);
 	const {settings, log} = options;
 	const folder = await openWhenWritable(settings.dataFolder!, {
@@ -53,6 +55,7 @@
 		onRegained() {
 			log.write('disk-regained');
 		},
+		signal,
 	});
 	return new ControlProcess({...options, folder});
 }
--- a/test/server/journal/full-disk-at-start.test.ts
+++ b/test/server/journal/full-disk-at-start.test.ts
@@ -63,3 +63,19 @@
 	writeFileSync(path.join(folder, 'file'), '');
 	await t.throwsAsync(refuse('file/below'), {message: /ENOTDIR/});
 });
+
+// Guards against a process that can't be stopped in order while it waits for its disk.
+test('the wait for a full disk ends once the process is asked to stop', async t => {
+	const folder = fullFolder(t);
+	const stopWanted = new AbortController();
+	await t.throwsAsync(openWhenWritable(folder, {
+		onFailed() {
+			stopWanted.abort();
+		},
+		onRegained() {
+			t.fail();
+		},
+		signal: stopWanted.signal,
+	}), {name: 'AbortError'});
+	t.deepEqual(openFiles(folder), []);
+});
