--- a/test/server/journal/journal.test.ts
+++ b/test/server/journal/journal.test.ts
@@ -1,7 +1,7 @@
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {
-	mkdir, mkdtemp, readFile, rm, writeFile,
+	mkdir, mkdtemp, readdir, readFile, rm, writeFile,
 } from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -223,3 +223,24 @@
 	await rm(path.join(folder, 'identity'));
 	await t.throwsAsync(DataFolder.open(folder), {instanceOf: FolderError, message: /identity is missing/});
 });
+
+// Guards against a file that keeps a full disk full, since it is left over from a rewrite that did not fit.
+test('a rewrite that does not fit leaves no part of it on the disk', async t => {
+	const folder = await makeFolder(t);
+	const file = path.join(folder, 'j');
+	const script = `
+		import {Journal} from ${JSON.stringify(new URL('../../../src/server/journal/journal.ts', import.meta.url).href)};
+		const {journal} = await Journal.open(process.argv[1]);
+		const outcome = await journal.rewrite([{filler: 'x'.repeat(100_000)}]).then(() => 'written', () => 'failed');
+		process.stdout.write(outcome);
+		await journal.close();
+	`;
+	const child = spawn('bash', ['-c', 'ulimit -f 16 && exec "$@"', 'bash', process.execPath, '--import=tsx', '--input-type=module', '--eval', script, file], {stdio: ['ignore', 'pipe', 'inherit']});
+	let outcome = '';
+	child.stdout.setEncoding('utf8').on('data', (text: string) => {
+		outcome += text;
+	});
+	await once(child, 'close');
+	t.is(outcome, 'failed');
+	t.deepEqual(await readdir(folder), ['j']);
+});
