fix(server): an answer with a transfer coding other than chunks ends with its connection

Cause: any `Transfer-Encoding` was taken for framing. Only `chunked` as the last coding tells where the body ends (RFC 9112, section 6.3).

--- a/src/server/describe-answer-body.ts
+++ b/src/server/describe-answer-body.ts
@@ -15,7 +15,9 @@
 /** Reads from an answer's status and headers what its body is. */
 export function describeAnswerBody({method, status, header}: AnswerHeaders): AnswerBody {
 	const hasBody = method !== 'HEAD' && !statusesWithoutBody.has(status);
-	const unframed = hasBody && header('content-length') === undefined && header('transfer-encoding') === undefined;
+	const lastCoding = header('transfer-encoding')?.split(',').at(-1)?.trim().toLowerCase();
+	// Of the transfer codings only chunks tell where the body ends (RFC 9112, section 6.3).
+	const unframed = hasBody && (lastCoding === undefined ? header('content-length') === undefined : lastCoding !== 'chunked');
 	return {format: readFormat(header), unframed, mayBeEmpty: !unframed || !isSuccess(status)};
 }
 
