--- a/test/core/consensus/single-member.test.ts
+++ b/test/core/consensus/single-member.test.ts
@@ -3,6 +3,7 @@
 import type {ConsensusMessage} from '../../../src/core/consensus/consensus-message.ts';
 import type {ConsensusRecord} from '../../../src/core/consensus/consensus-record.ts';
 import type {LogEntry} from '../../../src/core/consensus/log-entry.ts';
+import {memberKey} from '../../../src/core/consensus/member-key.ts';
 import {RaftMember} from '../../../src/core/consensus/raft-member.ts';
 import type {Millis} from '../../../src/core/ids/millis.ts';
 import type {NodeId} from '../../../src/core/ids/node-id.ts';
@@ -75,6 +76,36 @@
 	t.like(sent('vote-answer'), [{granted: false, term: 4}]);
 });
 
+// Guards against votes and entries that are confirmed though their write failed, and forgotten by a restart.
+test('after a failed write nothing is answered until the journal is rewritten with the vote and the entries', t => {
+	const {member, outbox, receive, sent} = restartMember();
+	member.tick(0 as Millis);
+	receive(2, {...append, entries: [lead(3, 3)]}, 10);
+	receive(2, {
+		type: 'vote', pre: false, term: 4, lastIndex: 3, lastTerm: 3,
+	}, 1500);
+	outbox.takeWrites();
+	sent('append-answer');
+	member.writeFailed('no space left', 1501 as Millis);
+	member.writeFailed('no space left', 1502 as Millis);
+	member.tick(1600 as Millis);
+	receive(3, {...append, term: 4, entries: [lead(3, 4)]}, 1700);
+	t.deepEqual([outbox.takeSent(), outbox.takeWrites()], [[], []]);
+	t.is(member.leader(), names[2]);
+	member.tick(2500 as Millis);
+	member.tick(2600 as Millis);
+	const writes = outbox.takeWrites();
+	t.deepEqual(writes.map(({rewrite}) => rewrite), [true]);
+	t.deepEqual(outbox.takeSent(), []);
+	const records = writes[0]!.records as ConsensusRecord[];
+	t.like(records.find(({type}) => type === 'vote'), {term: 4, votedFor: memberKey(voters[1]!)});
+	t.is(records.flatMap(record => record.type === 'entries' ? record.entries.map(({index}) => index) : []).at(-1), 3);
+	member.written(writes[0]!.token, 2601 as Millis);
+	const answers = outbox.takeSent().map(({to, message}) => ({to, body: (message.body as ConsensusMessage).body}));
+	t.like(answers, [{to: names[1], body: {type: 'vote-answer', granted: true, term: 4}}]);
+	t.is(member.status().problem, undefined);
+});
+
 test('entries are acknowledged only after their sync', t => {
 	const {receive, sync, sent} = restartMember();
 	receive(2, {...append, entries: [lead(3, 3)]}, 10);
