feat(edge): logs and metrics tell an entry without a current feed from one with a silent control node

`control_outdated_ms` is the time since the last feed of a node in touch with the log; `control-followed` names it and the number of control nodes known, `state-taken` whether its sender was current.

--- a/src/core/edge/control-follower.ts
+++ b/src/core/edge/control-follower.ts
@@ -68,6 +68,11 @@
 		return now - this.#lastFeedAt;
 	}
 
+	/** Time since the last feed that was up to date with the replicated log, in milliseconds. */
+	outdatedMs(now: Millis): number {
+		return now - this.#lastCurrentFeedAt;
+	}
+
 	tick(now: Millis): void {
 		if (this.#hasPrimaryFailed(now)) {
 			this.#switchPrimary(now);
@@ -230,7 +235,14 @@
 	#adopt(nodeId: NodeId, now: Millis): void {
 		const {outbox} = this.#options;
 		const silentMs = this.silenceMs(now);
-		outbox.event('control-followed', {control: nodeId, before: this.#primary, silentMs: Number.isFinite(silentMs) ? Math.round(silentMs) : undefined});
+		const outdatedMs = this.outdatedMs(now);
+		outbox.event('control-followed', {
+			control: nodeId,
+			before: this.#primary,
+			silentMs: Number.isFinite(silentMs) ? Math.round(silentMs) : undefined,
+			outdatedMs: Number.isFinite(outdatedMs) ? Math.round(outdatedMs) : undefined,
+			known: this.#peers.length,
+		});
 		this.#primary = nodeId;
 		this.#candidate = undefined;
 		this.#followedSince = now;
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -129,11 +129,12 @@
 		return this.#table;
 	}
 
-	status(now: Millis): EntryStatus & {control?: NodeId; controlSilentMs: number; documentVersion?: number; inFlight: number} {
+	status(now: Millis): EntryStatus & {control?: NodeId; controlSilentMs: number; controlOutdatedMs: number; documentVersion?: number; inFlight: number} {
 		return {
 			...this.#status(now),
 			control: this.#follower.primary,
 			controlSilentMs: Math.round(this.#follower.silenceMs(now)),
+			controlOutdatedMs: Math.round(this.#follower.outdatedMs(now)),
 			documentVersion: this.documentVersion,
 			inFlight: this.inFlight,
 		};
@@ -238,7 +239,7 @@
 			this.#stateIndex = feed.stateIndex;
 			this.#pool.setEvacuatedZones(feed.state.evacuated);
 			this.#queue.event('state-taken', {
-				index: feed.stateIndex, version: feed.state.document?.version, evacuated: feed.state.evacuated, control: from,
+				index: feed.stateIndex, version: feed.state.document?.version, evacuated: feed.state.evacuated, control: from, current: feed.current,
 			});
 			this.#install(feed.state.document, now);
 		}
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -98,6 +98,7 @@
 
 		metrics.gauge('document_version', () => this.#core.documentVersion ?? 0);
 		metrics.gauge('control_silent_ms', () => this.#core.status(now()).controlSilentMs);
+		metrics.gauge('control_outdated_ms', () => this.#core.status(now()).controlOutdatedMs);
 	}
 
 	/** Accepts callers first, so that those who come while the rest is loaded wait instead of being refused. */
--- a/test/core/edge/lost-control-nodes.test.ts
+++ b/test/core/edge/lost-control-nodes.test.ts
@@ -80,6 +80,18 @@
 	});
 }
 
+test('the status and the log of an entry tell that its control node answers and is out of date', t => {
+	const harness = new EdgeHarness();
+	const control = [peer('10.1.0.1')];
+	play(harness, 1000, {'10.1.0.1': {current: true, control}});
+	play(harness, 10_000, {'10.1.0.1': {current: false, control}});
+	const {controlSilentMs, controlOutdatedMs} = harness.core.status(harness.now as Millis);
+	t.true(controlSilentMs < applyMs);
+	t.true(controlOutdatedMs > applyMs);
+	const taken = harness.actions.find(action => action.type === 'event' && action.event === 'state-taken');
+	t.true(taken?.type === 'event' && taken.fields.current === true);
+});
+
 test('an entry that stood still keeps the control node whose feeds waited meanwhile', t => {
 	const harness = new EdgeHarness();
 	const control = [peer('10.1.0.1'), peer('far', 'winnipeg')];
