--- a/test/core/edge/lost-control-nodes.test.ts
+++ b/test/core/edge/lost-control-nodes.test.ts
@@ -80,6 +80,18 @@
 	});
 }
 
+test('the status and the log of an entry tell that its control node answers and is out of date', t => {
+	const harness = new EdgeHarness();
+	const control = [peer('10.1.0.1')];
+	play(harness, 1000, {'10.1.0.1': {current: true, control}});
+	play(harness, 10_000, {'10.1.0.1': {current: false, control}});
+	const {controlSilentMs, controlOutdatedMs} = harness.core.status(harness.now as Millis);
+	t.true(controlSilentMs < applyMs);
+	t.true(controlOutdatedMs > applyMs);
+	const taken = harness.actions.find(action => action.type === 'event' && action.event === 'state-taken');
+	t.true(taken?.type === 'event' && taken.fields.current === true);
+});
+
 test('an entry that stood still keeps the control node whose feeds waited meanwhile', t => {
 	const harness = new EdgeHarness();
 	const control = [peer('10.1.0.1'), peer('far', 'winnipeg')];
@@ -93,3 +105,11 @@
 	t.true(play(harness, 2000, {'10.1.0.1': answer}) <= applyMs);
 	t.is(followed(harness), node('10.1.0.1'));
 });
+
+test('an entry that starts with a seed that is out of date gets a current feed in time though the other seeds and a further node are lost', t => {
+	const harness = new EdgeHarness({seeds: [node('1'), node('2'), node('3')]});
+	const control = ['1', '2', '3', '4', '5'].map(name => peer(name));
+	const outdated = {current: false, control};
+	const silentMs = play(harness, 20_000, {1: outdated, 5: {current: true, control}});
+	t.true(silentMs <= applyMs, `${silentMs} ms without a current feed`);
+});
