fix(edge): an entry that has just started may use little of the slack for retries

Cause: what an entry has spent is in its memory only; `safetyShare` leaves 30 in 100 for that, a process that starts used 70 in 100 again.

Within its first window an entry may use the 30 in 100 that are left, as they accrue with its age; two retries of each service at once. However often a process restarts, what accrues in one window stays within that share; the two retries do with up to one restart of each entry in a window, not with many.

EdgeHarness: an entry is one window old by default, as its tests are about entries in service; the two tests of entries that start say so (`starts`) and check what they did. None of their bounds has changed.

--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -45,6 +45,7 @@
 	readonly #prober: TargetProber;
 	readonly #startup: StartupWait;
 	readonly #requests: RequestHandler;
+	readonly #budget: WindowedRetryBudget;
 	#table: RouteTable | undefined;
 	#stateIndex = 0;
 	#leaving = false;
@@ -63,6 +64,7 @@
 		this.#follower = new ControlFollower({
 			self, seeds, outbox: this.#queue, status: now => this.#status(now), stateIndex: () => this.#stateIndex, crashIndex: () => this.#containment.index,
 		});
+		this.#budget = new WindowedRetryBudget(repeats);
 		this.#origins = new StreamOrigins({
 			queue: this.#queue, versions: this.#versions, primary: () => this.#follower.primary, controlNodes: () => this.#follower.nodes,
 		});
@@ -90,7 +92,7 @@
 			pool: this.#pool,
 			regions: this.#regions,
 			waiting: this.#waiting,
-			budget: new WindowedRetryBudget(repeats),
+			budget: this.#budget,
 			random,
 			queue: this.#queue,
 		});
@@ -142,6 +144,7 @@
 	#handle(event: EdgeEvent, now: Millis): void {
 		switch (event.type) {
 			case 'tick': {
+				this.#budget.start(now);
 				this.#follower.tick(now);
 				this.#origins.tick(now);
 				this.#containment.tick(now);
--- a/src/core/edge/windowed-retry-budget.ts
+++ b/src/core/edge/windowed-retry-budget.ts
@@ -5,6 +5,10 @@
 
 /** Share of the deployment's bound that is used, so that entries that restart with empty counters or learn late of each other do not exceed it. */
 const safetyShare = 0.7;
+/** Share of an entry's part of the slack that accrues over its first window: processes before it may have used `safetyShare` of it in the same window. */
+const startingShare = 1 - safetyShare;
+/** Retries of each service that an entry may use of it at once when it starts: enough for a request that two targets fail. */
+const startingRetries = 2;
 /** Buckets into which the window is divided. */
 const bucketsPerWindow = 10;
 
@@ -25,6 +29,7 @@
 export class WindowedRetryBudget {
 	readonly #options: WindowedRetryBudgetOptions;
 	readonly #bucketMs: number;
+	#startedAt: Millis | undefined;
 	readonly #services = new Map<ServiceName, Bucket[]>();
 
 	constructor(options: WindowedRetryBudgetOptions) {
@@ -32,6 +37,11 @@
 		this.#bucketMs = options.windowMs / bucketsPerWindow;
 	}
 
+	/** Marks the start of the entry's process by the first call. */
+	start(now: Millis): void {
+		this.#startedAt ??= now;
+	}
+
 	/** Counts a request that reaches a target, which adds to the budget: once, and at the entry to which its caller sent it. */
 	countRequest(record: Pick<RequestRecord, 'req' | 'service' | 'counted'>, now: Millis): void {
 		if (record.counted || record.req.forwarded !== undefined) {
@@ -53,7 +63,8 @@
 		}
 
 		const {ratio, slack} = this.#options;
-		const allowed = safetyShare * ((ratio * requests) + ((entries === undefined ? 0 : slack / entries)));
+		const slackPart = entries === undefined ? 0 : slack / entries;
+		const allowed = (safetyShare * ratio * requests) + this.#usableSlack(slackPart, now);
 		const granted = retries + 1 <= allowed;
 		if (granted) {
 			current.retries += 1;
@@ -64,6 +75,17 @@
 		};
 	}
 
+	/** Retries out of the entry's part of the slack that it may use now. */
+	#usableSlack(slackPart: number, now: Millis): number {
+		const age = (now - (this.#startedAt ?? now)) / this.#options.windowMs;
+		if (age >= 1) {
+			return safetyShare * slackPart;
+		}
+
+		const startingSlack = startingShare * slackPart;
+		return Math.min(startingSlack, Math.max(startingRetries, startingSlack * age));
+	}
+
 	/** The current bucket of a service; drops buckets that have left the window. */
 	#current(service: ServiceName, now: Millis): Bucket {
 		const number = Math.floor(now / this.#bucketMs);
--- a/test/core/edge/control-follower.test.ts
+++ b/test/core/edge/control-follower.test.ts
@@ -71,7 +71,7 @@
 
 test('an entry that starts takes the state of the seed that answers first, though another one was asked first', t => {
 	for (const first of [near, far]) {
-		const harness = new EdgeHarness({seeds: [near, far]});
+		const harness = new EdgeHarness({seeds: [near, far], starts: true});
 		harness.run(50);
 		const asked = harness.actions.flatMap(action => action.type === 'send' ? [action.to] : []);
 		t.deepEqual([...new Set(asked)].sort(), [near, far]);
@@ -89,7 +89,7 @@
 });
 
 test('an entry that starts prefers a seed that is current to one that answered before and is not', t => {
-	const harness = new EdgeHarness({seeds: [near, far]});
+	const harness = new EdgeHarness({seeds: [near, far], starts: true});
 	harness.run(50);
 	harness.feed({control, current: false}, near);
 	harness.feed({control, current: true}, far);
--- a/test/core/edge/retry-excess.test.ts
+++ b/test/core/edge/retry-excess.test.ts
@@ -62,3 +62,26 @@
 		t.true(excess <= 0, `${excess} arrivals beyond the budget, seed ${seed}`);
 	}
 });
+
+const restarts: ReadonlyArray<{readonly title: string; readonly delayMs: (entry: number) => number}> = [
+	{title: 'all at once', delayMs: () => 5000},
+	{title: 'one after another', delayMs: entry => 2000 + (entry * 1000)},
+];
+
+for (const {title, delayMs} of restarts) {
+	test(`entries that restart, ${title}, do not use their parts of the retry budget anew`, t => {
+		for (const seed of [1, 2]) {
+			const deployment = lightlyLoaded(seed);
+			for (const index of deployment.entries.keys()) {
+				deployment.control.events.scheduleAfter(delayMs(index), () => {
+					deployment.startEntry(index);
+				});
+			}
+
+			breakAnswers(deployment);
+			deployment.run(breakMs);
+			const excess = excessOf(deployment);
+			t.true(excess <= 0, `${excess} arrivals beyond the budget, seed ${seed}`);
+		}
+	});
+}
