fix(test): a stream is broken off only once the other engine may take it up

"a truncated stream is resumed at another engine without lost or repeated events" failed beside load in 11 of 22 runs of its file or of a part of it, at a load of 23 to 53 ("Rejected promise returned by test ... other side closed"); two of three of them on this code without the wait.

Cause: since streams are kept from a target whose connection was reset until it has reported twice more (docs/incidents/2026-12-06-streams-at-restarted- targets.md), the second engine, reset at the start of the test, could get new requests but no streams that had begun. The log of such a run: w2 `reset` at 22.206 s, w1 `reset` at 22.432 s, `refused` with `sends: 1` at once. The test waited for the first of the two only.

It now waits for four more reports of the engines: two that are needed, and two for the feed from control to the entry. All checks are as before.

--- a/test/server/routes/routes-deployment.test.ts
+++ b/test/server/routes/routes-deployment.test.ts
@@ -94,6 +94,8 @@
 	};
 
 	t.true(await deployment.waitUntil(areBothUsed));
+	// No stream goes on at an engine whose connection was reset before it has reported twice more, which the entry learns with its next feed.
+	await deployment.waitForReports(4);
 	deployment.writers[0]!.manner = 'cut';
 	const resumed = await deployment.waitUntil(async () => {
 		const res = await deployment.call({path: '/drafts/1', headers: streamHeaders});
