fix(server): a process that stood still reads its links before it gives them up

What operators saw: on a busy machine a node ended its links to all other nodes within 2 ms ("connection aborted") though nothing was cut, and the replicated log changed its leader again and again.

Cause: the check for a missing heartbeat compared two times of the clock, in a timer, which runs before the sockets are read. After 1.2 s without a processor it ended links whose heartbeats were in the buffer.

Why it works: a check, every 300 ms, counts at most 600 ms of silence, so that at least one round of reading lies between a standstill and the end of a link.

--- a/src/server/link-monitor.ts
+++ b/src/server/link-monitor.ts
@@ -3,6 +3,8 @@
 
 /** Allowance for the network delay of a heartbeat, in milliseconds. */
 const heartbeatMarginMs = 200;
+/** Longest time between two checks that counts, in milliseconds: beyond it this process stood still, and heartbeats may wait unread in its socket. */
+const maxStepMs = 2 * constants.peerHeartbeatMs;
 
 /**
  * Detects a dead link by missing heartbeats. The receiver answers a frame with a heartbeat unless its last one is
@@ -11,27 +13,39 @@
  */
 export class LinkMonitor {
 	#lastHeartbeatAt = Number.NEGATIVE_INFINITY;
-	/** When the oldest unanswered frame that needs a heartbeat was sent; undefined if there is none. */
-	#unansweredSince: number | undefined;
+	/** Time at which the last check ended, or the oldest unanswered frame that needs a heartbeat was sent; undefined if there is none. */
+	#waitingSince: number | undefined;
+	/** Time without a heartbeat up to `#waitingSince`, in milliseconds. */
+	#silentMs = 0;
 
 	/** Starts to wait for the first heartbeat of a link that is being opened. */
 	recordOpen(): void {
-		this.#unansweredSince = performance.now();
+		this.#waitingSince = performance.now();
+		this.#silentMs = 0;
 	}
 
 	recordSent(): void {
 		const now = performance.now();
-		if (now - this.#lastHeartbeatAt >= constants.peerHeartbeatMs + heartbeatMarginMs) {
-			this.#unansweredSince ??= now;
+		if (this.#waitingSince === undefined && now - this.#lastHeartbeatAt >= constants.peerHeartbeatMs + heartbeatMarginMs) {
+			this.#waitingSince = now;
+			this.#silentMs = 0;
 		}
 	}
 
 	recordHeartbeat(): void {
 		this.#lastHeartbeatAt = performance.now();
-		this.#unansweredSince = undefined;
+		this.#waitingSince = undefined;
 	}
 
+	/** To be called every `constants.peerHeartbeatMs`. */
 	isTimedOut(): boolean {
-		return this.#unansweredSince !== undefined && performance.now() - this.#unansweredSince >= constants.peerHeartbeatTimeoutMs;
+		if (this.#waitingSince === undefined) {
+			return false;
+		}
+
+		const now = performance.now();
+		this.#silentMs += Math.min(now - this.#waitingSince, maxStepMs);
+		this.#waitingSince = now;
+		return this.#silentMs >= constants.peerHeartbeatTimeoutMs;
 	}
 }
