test: a process on a damaged folder must end with its exit code, and one that is still starting is named so

The check called a process that had not read its folder within 3 s one that "runs on a damaged data folder". It says now whether the process serves. The bound of 3 s stays; new is that the exit code must be 6, as OPERATIONS.md says (any end passed before).

--- a/test/harness/step-runner.ts
+++ b/test/harness/step-runner.ts
@@ -18,6 +18,7 @@
 
 /** Time within which a process with a damaged data folder must exit by itself. */
 const damagedExitTimeoutMs = 3000;
+const damagedExitCode = 6;
 
 const stepSignals = {
 	freeze: 'SIGSTOP', thaw: 'SIGCONT', drain: 'SIGTERM', leave: 'SIGTERM',
@@ -173,9 +174,15 @@
 		writeFileSync(largest!.file, largest!.bytes);
 		this.#process(id).start();
 		await delay(damagedExitTimeoutMs);
-		if (this.#process(id).up) {
-			this.#state.problems.push(`${id} runs on a damaged data folder`);
+		const {up, exitCode} = this.#process(id);
+		if (up) {
+			const serves = await this.#state.launcher.get(id, '/healthz') !== undefined;
+			this.#state.problems.push(serves
+				? `${id} runs on a damaged data folder`
+				: `${id} has not ended within ${damagedExitTimeoutMs} ms on a damaged data folder, and does not serve`);
 			await this.#process(id).end('SIGKILL');
+		} else if (exitCode !== damagedExitCode) {
+			this.#state.problems.push(`${id} ended with ${exitCode} on a damaged data folder instead of ${damagedExitCode}`);
 		}
 	}
 
