fix(ledger): the log tells which keepers a refused order waited for

What operators saw: an order refused with ledgerUnavailable, and nothing in any log on why.

Cause: the claim's keepers and their answers were dropped with the attempt.

Evidence, on the code before (the outbox recorded no events, and none was emitted): grep of src for an event of the ledger finds none.

Now a claim that its keepers did not all accept in time emits the event claim-unavailable with request, region, epoch, keepers and answers, one line for each such claim, beside the refusal that is counted already. Test: "a claim that its keepers did not accept in time is logged with the keepers that answered".

--- a/src/core/ledger/claim-attempt.ts
+++ b/src/core/ledger/claim-attempt.ts
@@ -88,6 +88,11 @@
 		return [...this.#replies.values()].some(({type}) => type === 'accepted');
 	}
 
+	/** Type of the reply of each keeper that has replied. */
+	get answers(): Readonly<Record<string, string>> {
+		return Object.fromEntries([...this.#replies].map(([keeper, {type}]) => [keeper, type]));
+	}
+
 	/** Retries requests without a reply; ends the attempt at its deadline. */
 	tick(now: Millis): AttemptStep | undefined {
 		if (now > this.#options.deadlineAt) {
--- a/src/core/ledger/claim-coordinator.ts
+++ b/src/core/ledger/claim-coordinator.ts
@@ -19,6 +19,8 @@
 	readonly send: (to: NodeId, message: LedgerMessage) => void;
 	/** Whether the coordinator process that made a claim is believed to be running. */
 	readonly running: (claimId: ClaimId) => boolean;
+	/** Called for a claim that ends because its keepers did not all accept it in time. */
+	readonly onUnavailable: (attempt: ClaimAttempt) => void;
 };
 
 type MessageOf<Type extends LedgerMessage['type']> = Extract<LedgerMessage, {type: Type}>;
@@ -222,6 +224,10 @@
 
 		const {outcome} = step;
 		const {requestId} = request;
+		if (outcome.type === 'unavailable') {
+			this.#options.onUnavailable(attempt);
+		}
+
 		// After a pause of this process the keepers may have been replaced, so their replies prove nothing about the key.
 		const paused = now > attempt.deadlineAt + releaseReplyTimeoutMs;
 		if (outcome.type === 'unavailable' && attempt.acceptedByAny && !paused) {
--- a/src/core/ledger/claim-ledger.ts
+++ b/src/core/ledger/claim-ledger.ts
@@ -72,7 +72,16 @@
 		};
 
 		this.#coordinator = new ClaimCoordinator({
-			self, incarnation, sets: this.#sets, send, running,
+			self,
+			incarnation,
+			sets: this.#sets,
+			send,
+			running,
+			onUnavailable({request: {requestId, homeRegion}, set: {epoch, members}, answers}) {
+				outbox.event('claim-unavailable', {
+					request: requestId, region: homeRegion, epoch, keepers: members, answers,
+				});
+			},
 		});
 		this.#keeper = new KeeperReplica({
 			self,
--- a/test/core/ledger/keeper-replica.test.ts
+++ b/test/core/ledger/keeper-replica.test.ts
@@ -40,7 +40,7 @@
 	ledger.applyKeeperSet(keeperSet(1, [a, c]), now);
 	sync();
 	return {
-		ledger, journal, sync, sent,
+		ledger, journal, sync, sent, outbox,
 	};
 }
 
@@ -119,3 +119,18 @@
 	ledger.tick(late);
 	t.deepEqual(ledger.takeOutcomes().map(({outcome}) => outcome.type), ['unavailable']);
 });
+
+// Guards against refused orders whose cause no log tells.
+test('a claim that its keepers did not accept in time is logged with the keepers that answered', t => {
+	const {ledger, sync, outbox} = keeper();
+	ledger.claim({
+		requestId: toId<RequestId>('r'), scope: 's', organisation: toId('o'), idempotencyKey: 'k', fingerprint: 'f', homeRegion: region, keepMs: 100_000, keepBytes: 100,
+	}, now);
+	sync();
+	ledger.tick(now + 5000 as Millis);
+	t.deepEqual(outbox.events, [{
+		event: 'claim-unavailable', fields: {
+			request: 'r', region, epoch: 1, keepers: [a, c], answers: {a: 'accepted'},
+		},
+	}]);
+});
