fix(edge): a request that a target of another region has rejected counts in the retry budget

Callers: since an entry charges the retry of a forwarded request that a target has rejected, but did not count the request itself, so that entries that forward much were allowed fewer retries than the rule.

Cause: `sends` stays 1 for such a request, and neither its next attempt at a target nor the head of a later forwarded answer counted it at that time.

The refusal itself counts the request, once, as each attempt that reaches a target does.

--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -2,6 +2,7 @@
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
+import type {AnswerHead} from './answer-head.ts';
 import {destinationOf} from './destination-of.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {IdleConnectionPolicy} from './idle-connection-policy.ts';
@@ -71,6 +72,15 @@
 		this.#start(record, {attempt, address}, now);
 	}
 
+	/** Records that another entry refused a request: the attempt counts if it reached a target there, so that the next one is a retry. */
+	recordRefusedForward(record: RequestRecord, {reachedTarget = false}: AnswerHead, now: Millis): void {
+		if (reachedTarget) {
+			this.#options.budget.countRequest(record, now);
+		} else {
+			record.sends -= 1;
+		}
+	}
+
 	/** Stops tracking a request's attempt and frees its load at the target; later events of it are ignored. */
 	release(record: RequestRecord): void {
 		const {running} = record;
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -320,8 +320,7 @@
 		});
 		this.#feedback.recordNotRun(record, head, now);
 		if (running?.targetId === undefined) {
-			// Where a target has turned it away, the next attempt is a retry.
-			record.sends -= head.reachedTarget ? 0 : 1;
+			this.#attempts.recordRefusedForward(record, head, now);
 			record.retryAfterMs = head.retryAfterMs ?? record.retryAfterMs;
 		} else {
 			// The pause that the target asks for is one of many that the placement weighs, if this request has to come back.
