test(edge): the entry that starts with an outdated seed is one that has just started

EdgeHarness plays an entry that is 10 s old by default since, and this test, which came beside it, is about one that starts: "3250 ms without a current feed" (3,000 allowed, unchanged) where the entry had been without any control node for 10 s before. With `starts` it plays what its title says.

--- a/test/core/edge/lost-control-nodes.test.ts
+++ b/test/core/edge/lost-control-nodes.test.ts
@@ -107,7 +107,7 @@
 });
 
 test('an entry that starts with a seed that is out of date gets a current feed in time though the other seeds and a further node are lost', t => {
-	const harness = new EdgeHarness({seeds: [node('1'), node('2'), node('3')]});
+	const harness = new EdgeHarness({seeds: [node('1'), node('2'), node('3')], starts: true});
 	const control = ['1', '2', '3', '4', '5'].map(name => peer(name));
 	const outdated = {current: false, control};
 	const silentMs = play(harness, 20_000, {1: outdated, 5: {current: true, control}});
