fix(control): control nodes without a leader send no lists to entries that look for a current one

The question carries `ifCurrent`, and a node that is not current does not answer it: the entry would not follow it.

Evidence, entry-feed on the code before: the first check gets 1 instead of 0.

--- a/src/core/control/control-message.ts
+++ b/src/core/control/control-message.ts
@@ -23,8 +23,19 @@
 
 /** Messages between control nodes, and between them and entries. */
 export type ControlMessage =
-	/** An entry's status, which also subscribes it to feeds; `have`, `stateIndex` and `crashIndex` say what it already has. With `once` it gets one feed and no subscription; builds that don't know `once` subscribe it. */
-	| {readonly type: 'follow'; readonly status: EntryStatus; readonly have?: FeedPosition; readonly stateIndex: number; readonly crashIndex?: number; readonly once?: boolean}
+	/**
+	 * An entry's status, which also subscribes it to feeds; `have`, `stateIndex` and `crashIndex` say what it already has. With `once` it gets one feed and no subscription;
+	 * builds that don't know `once` subscribe it. With `ifCurrent` a node that is not current answers nothing; builds that don't know it answer.
+	 */
+	| {
+		readonly type: 'follow';
+		readonly status: EntryStatus;
+		readonly have?: FeedPosition;
+		readonly stateIndex: number;
+		readonly crashIndex?: number;
+		readonly once?: boolean;
+		readonly ifCurrent?: boolean;
+	}
 	/** Changes for an entry since the position that it has; the whole list if it has no position in this run of the node. */
 	| {
 		readonly type: 'feed';
--- a/src/core/control/entry-feed.ts
+++ b/src/core/control/entry-feed.ts
@@ -37,7 +37,11 @@
 		this.#options = options;
 	}
 
-	follow(from: NodeId, {status, have, stateIndex, crashIndex = 0, once = false}: Follow, now: Millis): void {
+	follow(from: NodeId, {status, have, stateIndex, crashIndex = 0, once = false, ifCurrent = false}: Follow, now: Millis): void {
+		if (ifCurrent && !this.#options.isCurrent(now)) {
+			return;
+		}
+
 		const position = have?.epoch === this.#options.epoch ? have.revision : -1;
 		const follower = {
 			region: status.region, followedAt: now, sentRevision: position, sentStateIndex: stateIndex, sentCrashIndex: crashIndex,
--- a/src/core/edge/control-follower.ts
+++ b/src/core/edge/control-follower.ts
@@ -177,7 +177,8 @@
 	/** Asks the next control nodes of the search for one feed each. */
 	#askOthers(now: Millis): void {
 		for (const nodeId of this.#unasked.slice(0, controlTiming.nodesAskedAtOnce)) {
-			this.#sendStatus(nodeId, {have: undefined, once: true}, now);
+			// While the log has no leader all entries ask, and a whole list from each node would be of no use.
+			this.#sendStatus(nodeId, {have: undefined, once: true, ifCurrent: true}, now);
 		}
 
 		this.#unasked = this.#unasked.slice(controlTiming.nodesAskedAtOnce);
@@ -216,12 +217,12 @@
 		}
 	}
 
-	#sendStatus(to: NodeId, {have, once}: {have: FeedPosition; once?: boolean}, now: Millis): void {
+	#sendStatus(to: NodeId, {have, once, ifCurrent}: {have: FeedPosition; once?: boolean; ifCurrent?: boolean}, now: Millis): void {
 		const {outbox, status, stateIndex, crashIndex} = this.#options;
 		outbox.send(to, {
 			part: 'control',
 			body: {
-				type: 'follow', status: status(now), have, stateIndex: stateIndex(), crashIndex: crashIndex(), once,
+				type: 'follow', status: status(now), have, stateIndex: stateIndex(), crashIndex: crashIndex(), once, ifCurrent,
 			},
 		});
 	}
--- /dev/null
+++ b/test/core/control/entry-feed.test.ts
@@ -0,0 +1,44 @@
+import test from 'ava';
+import {EntryFeed} from '../../../src/core/control/entry-feed.ts';
+import type {Millis} from '../../../src/core/ids/millis.ts';
+import type {Region} from '../../../src/core/ids/region.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import {TargetRegistry} from '../../../src/core/registry/target-registry.ts';
+import {RoutesState} from '../../../src/core/routes/routes-state.ts';
+import {RecordingOutbox} from '../../fixtures/recording-outbox.ts';
+
+const now = 1000 as Millis;
+
+function feedOf({current}: {current: boolean}) {
+	const outbox = new RecordingOutbox();
+	const feed = new EntryFeed({
+		epoch: 'run-1',
+		registry: new TargetRegistry({reportEveryMs: 1000, regionOf: () => toId<Region>('regina')}),
+		state: new RoutesState(),
+		outbox,
+		isCurrent: () => current,
+		controlPeers: () => [],
+		regionLoads: () => [],
+	});
+	const follow = (ifCurrent?: boolean) => {
+		feed.follow(toId('entry-1'), {
+			type: 'follow',
+			status: {
+				nodeId: toId('entry-1'), region: toId('regina'), zone: toId('regina-a'), address: toId('10.1.0.9:80'), relayAddress: '10.1.0.9:7101', weight: 1, state: 'ready', loads: [],
+			},
+			stateIndex: 0,
+			once: true,
+			ifCurrent,
+		}, now);
+		return outbox.takeSent().length;
+	};
+
+	return {follow};
+}
+
+// Guards against whole lists from all control nodes to all entries while the log has no leader.
+test('a control node that is not current sends no list to an entry that looks for a current one', t => {
+	t.is(feedOf({current: false}).follow(true), 0);
+	t.is(feedOf({current: true}).follow(true), 1);
+	t.is(feedOf({current: false}).follow(), 1);
+});
