--- a/src/core/ledger/ledger-journal.ts
+++ b/src/core/ledger/ledger-journal.ts
@@ -1,5 +1,6 @@
 import {JournalRecovery} from '../common/journal-recovery.ts';
 import type {Outbox} from '../common/outbox.ts';
+import {PendingWrites} from '../common/pending-writes.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {LedgerRecord} from './ledger-record.ts';
 
@@ -16,8 +17,7 @@
 export class LedgerJournal {
 	readonly #outbox: Outbox;
 	readonly #hasDisk: boolean;
-	/** Callbacks of each pending write, by its token. */
-	readonly #syncCallbacks = new Map<number, Array<() => void>>();
+	readonly #pending = new PendingWrites();
 	readonly #recovery = new JournalRecovery();
 	#lastToken = 0;
 	#recordCount = 0;
@@ -39,7 +39,7 @@
 			this.#trackWrite(this.#outbox.append('ledger', records));
 		}
 
-		this.#afterLastWrite(onSynced);
+		this.#pending.whenSynced(onSynced);
 	}
 
 	/** Replaces the whole journal and calls `onSynced` when that is synced. */
@@ -50,7 +50,7 @@
 		}
 
 		if (onSynced) {
-			this.#afterLastWrite(onSynced);
+			this.#pending.whenSynced(onSynced);
 		}
 	}
 
@@ -67,22 +67,13 @@
 		}, now);
 	}
 
-	/** Handles the sync of a write. Earlier ones that failed are covered by it: after a failed write only a rewrite can succeed. */
+	/** Handles the sync of a write. */
 	written(token: number): void {
 		if (this.#recovery.written(token)) {
 			this.#outbox.event('disk-regained', {journal: 'ledger'});
 		}
 
-		for (const [pendingToken, callbacks] of this.#syncCallbacks) {
-			if (pendingToken > token) {
-				break;
-			}
-
-			this.#syncCallbacks.delete(pendingToken);
-			for (const callback of callbacks) {
-				callback();
-			}
-		}
+		this.#pending.written(token);
 	}
 
 	writeFailed(reason: string, now: Millis): void {
@@ -93,16 +84,6 @@
 
 	#trackWrite(token: number): void {
 		this.#lastToken = token;
-		this.#syncCallbacks.set(token, []);
-	}
-
-	/** Writes complete in order, so the callback waits for the last pending one. */
-	#afterLastWrite(onSynced: () => void): void {
-		const callbacks = this.#syncCallbacks.get(this.#lastToken);
-		if (callbacks) {
-			callbacks.push(onSynced);
-		} else {
-			onSynced();
-		}
+		this.#pending.add(token);
 	}
 }
