--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -4,6 +4,7 @@
 import {describeMachine} from '../harness/describe-machine.ts';
 import {checkProbes} from './check-probes.ts';
 import {checkRecords} from './check-records.ts';
+import {checkRetries} from './check-retries.ts';
 import {SoakCallers} from './soak-callers.ts';
 import {SoakDeployment} from './soak-deployment.ts';
 import {SoakFaults} from './soak-faults.ts';
@@ -165,7 +166,16 @@
 		const {records} = this.#callers;
 		const calm = records.filter(({withoutRecentFault}) => withoutRecentFault);
 		const servedShare = calm.filter(({outcome}) => outcome === 'served').length / Math.max(1, calm.length);
-		this.problems.push(...this.#operator.problems, ...checkRecords(records, id => this.#deployment.runsOf(id)), ...checkProbes(this.#probes.records, servedShare));
+		this.problems.push(...this.#operator.problems, ...checkRecords(records, id => this.#deployment.runsOf(id)), ...checkProbes(this.#probes.records, servedShare), ...this.#checkRetries());
+	}
+
+	/** Checks what arrived at targets against the requests of callers, and the other requests at their first arrival: the route of a probe may have moved since it was sent. */
+	#checkRetries(): string[] {
+		const {arrivals} = this.#deployment;
+		const calls = this.#callers.records.map(({kind, sentAt}) => ({service: kind === 'draft' ? 'writers' as const : 'desk' as const, at: sentAt + this.#startedAt}));
+		const called = new Set(this.#callers.records.map(({id}) => id));
+		const others = new Map(arrivals.filter(({key}) => !called.has(key)).toReversed().map(arrival => [arrival.key, arrival]));
+		return checkRetries([...calls, ...others.values()], arrivals);
 	}
 
 	/** Share of the requests sent since a time, and finished by now, that were served; 0 if there are fewer than are usually sent in a quarter of a second. */
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -82,6 +82,11 @@
 		}
 	}
 
+	/** Requests that reached targets, by their callers' identifiers; times by `performance.now()`. */
+	get arrivals(): ReadonlyArray<{readonly service: SoakService; readonly key: string; readonly at: number}> {
+		return this.engines.flatMap(({engine, service}) => engine.receivedRequests.map(({headers, receivedAt}) => ({service, key: String(headers['request-identifier']), at: receivedAt})));
+	}
+
 	/** Number of runs of a request over all targets. */
 	runsOf(requestId: string): number {
 		return this.engines.reduce((sum, {engine}) => sum + (engine.runs.get(requestId) ?? 0), 0);
