fix(control): a node that has gone is no standby

Cause: a voter that is removed because it is silent stays a learner of the leader for 10 s, caught up as of its end. VoterPolicy took the first learner that had caught up, however long it had been silent, and MembershipChanges gave it the vote.

Change: the leader's view names learners with the time since they were heard. Only one that answers is added, and votes; of several silent voters the one that has been silent longest is removed first.

--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -3,6 +3,7 @@
 import type {ConsensusMessage} from './consensus-message.ts';
 import {consensusTiming} from './consensus-timing.ts';
 import type {GroupView} from './group-view.ts';
+import {hasCaughtUp} from './has-caught-up.ts';
 import {isVoter} from './is-voter.ts';
 import type {LogCommand} from './log-command.ts';
 import type {LogEntry} from './log-entry.ts';
@@ -98,12 +99,13 @@
 		}
 
 		const silences = new Map(this.#replicator.peers().map(({member, heardAt}) => [memberKey(member), now - heardAt]));
-		const caughtUp = this.learners.filter(({matchIndex}) => matchIndex > 0 && log.lastIndex - matchIndex <= limits.learnerLag);
 		return {
 			configurationCommitted: !this.#configurationPending(),
 			wanted: configuration.wanted,
 			voters: configuration.voters.map(voter => ({nodeId: voter.nodeId, silentMs: silences.get(memberKey(voter)) ?? 0})),
-			standbys: caughtUp.map(({member}) => member.nodeId),
+			learners: this.learners.map(({member, heardAt, matchIndex}) => ({
+				nodeId: member.nodeId, silentMs: now - heardAt, caughtUp: hasCaughtUp(matchIndex, log.lastIndex, limits.learnerLag),
+			})),
 		};
 	}
 
@@ -155,7 +157,8 @@
 		}
 
 		const {lastIndex} = storage.log;
-		const configuration = this.#membershipChanges.next(storage.configuration!, {learners: this.learners, lastIndex, learnerLag: limits.learnerLag});
+		const learners = this.learners.filter(({heardAt}) => now - heardAt <= consensusTiming.silentMs);
+		const configuration = this.#membershipChanges.next(storage.configuration!, {learners, lastIndex, learnerLag: limits.learnerLag});
 		if (configuration !== undefined) {
 			this.#append({type: 'configuration', configuration}, now);
 			this.#replicator.tick(this.#applied.commitIndex, now);
--- a/src/core/consensus/membership-changes.ts
+++ b/src/core/consensus/membership-changes.ts
@@ -1,11 +1,12 @@
 import type {NodeId} from '../ids/node-id.ts';
 import type {Configuration} from './configuration.ts';
+import {hasCaughtUp} from './has-caught-up.ts';
 import type {LogMember} from './log-member.ts';
 import type {PeerProgress} from './peer-progress.ts';
 
 type Learner = Pick<PeerProgress, 'member' | 'matchIndex'>;
 
-/** Replication state from which a leader derives the next configuration. */
+/** Replication state from which a leader derives the next configuration; `learners` are those that answer. */
 type ReplicationProgress = {readonly learners: readonly Learner[]; readonly lastIndex: number; readonly learnerLag: number};
 
 /**
@@ -46,6 +47,6 @@
 }
 
 function caughtUpLearners({learners, lastIndex, learnerLag}: ReplicationProgress): readonly LogMember[] {
-	const caughtUp = learners.filter(({matchIndex}) => matchIndex > 0 && lastIndex - matchIndex <= learnerLag);
+	const caughtUp = learners.filter(({matchIndex}) => hasCaughtUp(matchIndex, lastIndex, learnerLag));
 	return caughtUp.map(({member}) => member);
 }
--- a/src/core/control/voter-policy.ts
+++ b/src/core/control/voter-policy.ts
@@ -8,6 +8,8 @@
 /**
  * Decides which control nodes vote: as many as leave a majority after the tolerated losses (2n + 1 for n losses).
  * A standby is added while voters are missing; a silent voter is removed only once a standby has replaced it.
+ *
+ * Load pattern: control nodes are replaced one after another, so that nodes that left a moment ago are still known.
  */
 export class VoterPolicy {
 	readonly #targetSize: number;
@@ -17,20 +19,23 @@
 		this.#targetSize = (2 * tolerated) + 1;
 	}
 
-	nextChange({configurationCommitted, wanted, voters, standbys}: GroupView, self: NodeId): MemberChange | undefined {
+	nextChange({configurationCommitted, wanted, voters, learners}: GroupView, self: NodeId): MemberChange | undefined {
 		const changePending = wanted.some(nodeId => !voters.some(voter => voter.nodeId === nodeId));
 		if (!configurationCommitted || changePending) {
 			return undefined;
 		}
 
-		const silentVoter = voters.find(({nodeId, silentMs}) => nodeId !== self && silentMs > controlTiming.replaceVoterMs);
+		const silentVoter = voters
+			.filter(({nodeId, silentMs}) => nodeId !== self && silentMs > controlTiming.replaceVoterMs)
+			.toSorted((left, right) => right.silentMs - left.silentMs)
+			.at(0);
 		if (wanted.length > this.#targetSize && silentVoter !== undefined) {
 			return {type: 'remove', nodeId: silentVoter.nodeId};
 		}
 
 		// A replacement votes before the silent voter is removed, so that there are never too few voters.
-		const standby = standbys.find(nodeId => !wanted.includes(nodeId));
+		const standby = learners.find(({nodeId, silentMs, caughtUp}) => caughtUp && silentMs <= controlTiming.replaceVoterMs && !wanted.includes(nodeId));
 		const needsVoter = wanted.length < this.#targetSize || (wanted.length === this.#targetSize && silentVoter !== undefined);
-		return needsVoter && standby !== undefined ? {type: 'add', nodeId: standby} : undefined;
+		return needsVoter && standby !== undefined ? {type: 'add', nodeId: standby.nodeId} : undefined;
 	}
 }
--- /dev/null
+++ b/test/core/control/replaced-voters.test.ts
@@ -0,0 +1,78 @@
+import test from 'ava';
+import {ControlCluster} from '../../fixtures/control-cluster.ts';
+
+const voters = 5;
+const replacements = 8;
+const seeds = [1, 2, 3, 4];
+/** Time from the loss of a node to the start of its replacement, in milliseconds. */
+const replacedAfterMs = 1000;
+/** Time within which running nodes have taken the votes of one that is gone while nothing else is disturbed, in milliseconds. */
+const replaceMs = 6000;
+/** Time in which all voters have the newest configuration on their disks, in milliseconds. */
+const settleMs = 1000;
+/** Time within which control nodes must serve again after the last fault, in milliseconds (required recovery time of the first deployments). */
+const recoveryMs = 15_000;
+
+/** Five voters, and further nodes that have not started. */
+function startCluster(seed: number, spares: number): ControlCluster {
+	const cluster = new ControlCluster({nodes: voters + spares, seed, seeds: voters});
+	for (let index = 0; index < voters; index++) {
+		cluster.start(index, {firstStart: true});
+	}
+
+	cluster.runUntil(() => cluster.voters() === voters);
+	cluster.run(1000);
+	return cluster;
+}
+
+/** True if a node leads and all voters of its configuration run. */
+function votersRun(cluster: ControlCluster): boolean {
+	const leader = cluster.leader();
+	if (leader === undefined) {
+		return false;
+	}
+
+	const {consensus} = cluster.nodes[leader]!.core!.status(cluster.clock(leader));
+	return consensus.voters.length === voters && consensus.voters.every(nodeId => cluster.nodes.find(node => node.nodeId === nodeId)?.core !== undefined);
+}
+
+/** Cuts the power of all nodes that run; two of them come back without their disks. */
+function losePower(cluster: ControlCluster, lost: readonly number[]): void {
+	const running = [...cluster.nodes.keys()].filter(index => cluster.nodes[index]!.core !== undefined);
+	for (const index of running) {
+		cluster.kill(index, 1);
+	}
+
+	cluster.run(1000);
+	for (const index of running) {
+		cluster.start(index, {emptyDisk: lost.includes(index)});
+	}
+}
+
+// Guards against a group that replaces one voter that is gone by another one that is gone too.
+for (const gapMs of [3000, 5000, 8000]) {
+	test(`voters that go for good one after another are replaced by nodes that run, ${gapMs} ms apart`, t => {
+		const failed: string[] = [];
+		for (const seed of seeds) {
+			const cluster = startCluster(seed, replacements);
+			for (let gone = 0; gone < replacements; gone++) {
+				cluster.kill(gone);
+				cluster.run(replacedAfterMs);
+				cluster.start(voters + gone, {seeds: [gone + 1, gone + 2, gone + 3]});
+				cluster.run(gapMs - replacedAfterMs);
+			}
+
+			if (!cluster.runUntil(() => votersRun(cluster), replaceMs)) {
+				failed.push(`seed ${seed}: a voter is gone`);
+			}
+
+			cluster.run(settleMs);
+			losePower(cluster, [replacements, replacements + 1]);
+			if (!cluster.runUntil(() => votersRun(cluster), recoveryMs)) {
+				failed.push(`seed ${seed}: no leader after the loss of two disks`);
+			}
+		}
+
+		t.deepEqual(failed, []);
+	});
+}
