fix(control): a standby that goes before it votes is withdrawn

A voter that has gone for good is counted for ever, and two lost disks then end the log.

Cause: a voter is added in two steps, wanted and voting. While a wanted node does not vote, VoterPolicy made no change and MembershipChanges refused every other one; nothing took the wish back when the node had gone, had lost its disk or had never caught up, or when the leader changed between the steps. Class: a promise that is not taken back when the other side is gone for good.

Change: a wanted node that the leader does not hear, or that lags while another standby is ready, is withdrawn; the next change takes another one.

--- a/src/core/control/voter-policy.ts
+++ b/src/core/control/voter-policy.ts
@@ -7,7 +7,8 @@
 
 /**
  * Decides which control nodes vote: as many as leave a majority after the tolerated losses (2n + 1 for n losses).
- * A standby is added while voters are missing; a silent voter is removed only once a standby has replaced it.
+ * A standby is added while voters are missing; a silent voter is removed only once a standby has replaced it. A standby
+ * that was added and goes before it votes, or falls behind while another one is ready, is withdrawn.
  *
  * Load pattern: control nodes are replaced one after another, so that nodes that left a moment ago are still known.
  */
@@ -20,11 +21,21 @@
 	}
 
 	nextChange({configurationCommitted, wanted, voters, learners}: GroupView, self: NodeId): MemberChange | undefined {
-		const changePending = wanted.some(nodeId => !voters.some(voter => voter.nodeId === nodeId));
-		if (!configurationCommitted || changePending) {
+		if (!configurationCommitted) {
 			return undefined;
 		}
 
+		const answering = learners.filter(({silentMs}) => silentMs <= controlTiming.replaceVoterMs);
+		const standbys = answering.filter(({caughtUp}) => caughtUp).map(({nodeId}) => nodeId);
+		const standby = standbys.find(nodeId => !wanted.includes(nodeId));
+		const pending = wanted.find(nodeId => !voters.some(voter => voter.nodeId === nodeId));
+		if (pending !== undefined) {
+			// One that has caught up votes with the next change. One that has gone would keep all others from voting.
+			const isReachable = answering.some(({nodeId}) => nodeId === pending);
+			const isLate = !standbys.includes(pending) && standby !== undefined;
+			return isReachable && !isLate ? undefined : {type: 'remove', nodeId: pending};
+		}
+
 		const silentVoter = voters
 			.filter(({nodeId, silentMs}) => nodeId !== self && silentMs > controlTiming.replaceVoterMs)
 			.toSorted((left, right) => right.silentMs - left.silentMs)
@@ -34,8 +45,7 @@
 		}
 
 		// A replacement votes before the silent voter is removed, so that there are never too few voters.
-		const standby = learners.find(({nodeId, silentMs, caughtUp}) => caughtUp && silentMs <= controlTiming.replaceVoterMs && !wanted.includes(nodeId));
 		const needsVoter = wanted.length < this.#targetSize || (wanted.length === this.#targetSize && silentVoter !== undefined);
-		return needsVoter && standby !== undefined ? {type: 'add', nodeId: standby.nodeId} : undefined;
+		return needsVoter && standby !== undefined ? {type: 'add', nodeId: standby} : undefined;
 	}
 }
--- a/test/core/control/replaced-voters.test.ts
+++ b/test/core/control/replaced-voters.test.ts
@@ -4,6 +4,8 @@
 const voters = 5;
 const replacements = 8;
 const seeds = [1, 2, 3, 4];
+/** Silence of a voter that has long been found to be gone, in milliseconds. */
+const silenceMs = 2000;
 /** Time from the loss of a node to the start of its replacement, in milliseconds. */
 const replacedAfterMs = 1000;
 /** Time within which running nodes have taken the votes of one that is gone while nothing else is disturbed, in milliseconds. */
@@ -15,7 +17,7 @@
 
 /** Five voters, and further nodes that have not started. */
 function startCluster(seed: number, spares: number): ControlCluster {
-	const cluster = new ControlCluster({nodes: voters + spares, seed, seeds: voters});
+	const cluster = new ControlCluster({nodes: voters + spares, seed, seeds: 3});
 	for (let index = 0; index < voters; index++) {
 		cluster.start(index, {firstStart: true});
 	}
@@ -76,3 +78,56 @@
 		t.deepEqual(failed, []);
 	});
 }
+
+for (const [title, lose] of [
+	['goes', (cluster: ControlCluster) => {
+		cluster.kill(voters);
+	}],
+	['loses its disk and starts again', (cluster: ControlCluster) => {
+		cluster.kill(voters);
+		cluster.run(replacedAfterMs);
+		cluster.start(voters, {emptyDisk: true});
+	}],
+	['has a full disk', (cluster: ControlCluster) => {
+		cluster.nodes[voters]!.full = true;
+	}],
+	['is cut off from the leader', (cluster: ControlCluster) => {
+		cluster.setPartition([cluster.leader()!], [voters], true);
+	}],
+	['goes together with the leader, which starts again', (cluster: ControlCluster) => {
+		const leader = cluster.leader()!;
+		cluster.kill(voters);
+		cluster.kill(leader, 1);
+		cluster.run(replacedAfterMs);
+		cluster.start(leader);
+	}],
+] as const) {
+	// Guards against a group that waits for good for a node that was to vote and has gone.
+	test(`a voter that goes for good is replaced though the first standby ${title} before it votes`, t => {
+		const failed: string[] = [];
+		for (const seed of seeds) {
+			for (let livedMs = 200; livedMs <= 400; livedMs += 20) {
+				const cluster = startCluster(seed, 2);
+				const gone = voters - 1;
+				cluster.kill(gone);
+				cluster.run(silenceMs);
+				cluster.start(voters, {seeds: [0, 1, 2]});
+				cluster.run(livedMs);
+				lose(cluster);
+				cluster.run(replacedAfterMs);
+				cluster.start(voters + 1, {seeds: [0, 1, 2]});
+				if (!cluster.runUntil(() => votersRun(cluster), replaceMs)) {
+					failed.push(`seed ${seed}, ${livedMs} ms: a voter is gone`);
+				}
+
+				cluster.run(settleMs);
+				losePower(cluster, [0, 1]);
+				if (!cluster.runUntil(() => votersRun(cluster), recoveryMs)) {
+					failed.push(`seed ${seed}, ${livedMs} ms: no leader after the loss of two disks`);
+				}
+			}
+		}
+
+		t.deepEqual(failed, []);
+	});
+}
--- /dev/null
+++ b/test/core/control/voter-policy.test.ts
@@ -0,0 +1,48 @@
+import test from 'ava';
+import {VoterPolicy} from '../../../src/core/control/voter-policy.ts';
+import type {GroupView} from '../../../src/core/consensus/group-view.ts';
+import type {NodeId} from '../../../src/core/ids/node-id.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+
+type Learner = GroupView['learners'][number];
+
+const tolerated = 1;
+const self = toId<NodeId>('a');
+const names = (text: string) => [...text].map(name => toId<NodeId>(name));
+
+/** Three voters `a` to `c`, all of which answer, with the nodes `wanted` to vote and further learners. */
+function groupView({wanted = 'abc', learners = []}: {wanted?: string; learners?: ReadonlyArray<Partial<Learner> & {readonly name: string}>}): GroupView {
+	return {
+		configurationCommitted: true,
+		wanted: names(wanted),
+		voters: names('abc').map(nodeId => ({nodeId, silentMs: 0})),
+		learners: learners.map(({name, ...learner}) => ({
+			nodeId: toId<NodeId>(name), silentMs: 0, caughtUp: true, ...learner,
+		})),
+	};
+}
+
+const nextChange = (view: GroupView) => new VoterPolicy(tolerated).nextChange(view, self);
+
+// Guards against a node that was to vote, has gone and keeps all others from voting.
+test('a standby that goes before it votes is withdrawn, known to the leader or not', t => {
+	t.deepEqual(nextChange(groupView({wanted: 'abcd'})), {type: 'remove', nodeId: toId('d')});
+	t.deepEqual(nextChange(groupView({wanted: 'abcd', learners: [{name: 'd', silentMs: 2000}]})), {type: 'remove', nodeId: toId('d')});
+});
+
+test('a standby that answers and has not caught up is waited for, unless another one is ready', t => {
+	const behind = {name: 'd', caughtUp: false};
+	t.is(nextChange(groupView({wanted: 'abcd', learners: [behind]})), undefined);
+	t.is(nextChange(groupView({wanted: 'abcd', learners: [behind, {name: 'e', silentMs: 2000}]})), undefined);
+	t.deepEqual(nextChange(groupView({wanted: 'abcd', learners: [behind, {name: 'e'}]})), {type: 'remove', nodeId: toId('d')});
+});
+
+test('a standby that has caught up is left to vote', t => {
+	t.is(nextChange(groupView({wanted: 'abcd', learners: [{name: 'd'}, {name: 'e'}]})), undefined);
+});
+
+// Guards against a voter that is replaced by one that has gone before it.
+test('a node that no longer answers is not added, however far its log goes', t => {
+	t.is(nextChange(groupView({wanted: 'ab', learners: [{name: 'd', silentMs: 2000}]})), undefined);
+	t.deepEqual(nextChange(groupView({wanted: 'ab', learners: [{name: 'd', silentMs: 2000}, {name: 'e'}]})), {type: 'add', nodeId: toId('e')});
+});
