--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -195,6 +195,7 @@
 
 	status(): ConsensusStatus {
 		const {log, configuration, term, snapshotIndex} = this.#storage;
+		const voters = configuration?.voters.map(voter => voter.nodeId) ?? [];
 		return {
 			role: this.#role(),
 			term,
@@ -203,7 +204,8 @@
 			lastIndex: log.lastIndex,
 			snapshotIndex,
 			logBytes: log.size(log.baseIndex, log.lastIndex),
-			voters: configuration?.voters.map(voter => voter.nodeId) ?? [],
+			voters,
+			pendingVoters: configuration?.wanted.filter(nodeId => !voters.includes(nodeId)) ?? [],
 			learners: this.#leadership?.learners.map(({member}) => member.nodeId) ?? [],
 			problem: this.#recovery.reason,
 		};
--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -222,12 +222,12 @@
 
 	/** Logs a change of role, leader or voters of the replicated log, as this node sees it. */
 	#logGroupChange(): void {
-		const {role, leader, voters, term, commitIndex} = this.#consensus.status();
-		const group = `${role} ${leader} ${voters.join(',')}`;
+		const {role, leader, voters, pendingVoters, term, commitIndex} = this.#consensus.status();
+		const group = `${role} ${leader} ${voters.join(',')} ${pendingVoters.join(',')}`;
 		if (group !== this.#loggedGroup) {
 			this.#loggedGroup = group;
 			this.#queue.event('group-changed', {
-				role, leader, voters, term, commitIndex, version: this.#state.routes.document?.version,
+				role, leader, voters, pendingVoters, term, commitIndex, version: this.#state.routes.document?.version,
 			});
 		}
 	}
@@ -353,7 +353,9 @@
 		const change = this.#voterPolicy.nextChange(group, this.#options.self.nodeId);
 		if (change !== undefined && this.#consensus.changeMembers(change, now)) {
 			this.#membersChangedAt = now;
-			this.#queue.event('member-change', {change: change.type, node: change.nodeId, voters: group.voters.length});
+			this.#queue.event('member-change', {
+				change: change.type, node: change.nodeId, reason: change.reason, voters: group.voters.length,
+			});
 		}
 	}
 
--- a/src/core/control/voter-policy.ts
+++ b/src/core/control/voter-policy.ts
@@ -2,8 +2,10 @@
 import type {NodeId} from '../ids/node-id.ts';
 import {controlTiming} from './control-timing.ts';
 
-/** A change of the set of voters by one node. */
-type MemberChange = {readonly type: 'add' | 'remove'; readonly nodeId: NodeId};
+/** A change of the set of wanted voters by one node. */
+type MemberChange =
+	| {readonly type: 'add'; readonly nodeId: NodeId; readonly reason: 'too-few-voters' | 'silent-voter'}
+	| {readonly type: 'remove'; readonly nodeId: NodeId; readonly reason: 'replaced' | 'standby-gone' | 'standby-late'};
 
 /**
  * Decides which control nodes vote: as many as leave a majority after the tolerated losses (2n + 1 for n losses).
@@ -33,7 +35,7 @@
 			// One that has caught up votes with the next change. One that has gone would keep all others from voting.
 			const isReachable = answering.some(({nodeId}) => nodeId === pending);
 			const isLate = !standbys.includes(pending) && standby !== undefined;
-			return isReachable && !isLate ? undefined : {type: 'remove', nodeId: pending};
+			return isReachable && !isLate ? undefined : {type: 'remove', nodeId: pending, reason: isReachable ? 'standby-late' : 'standby-gone'};
 		}
 
 		const silentVoter = voters
@@ -41,11 +43,11 @@
 			.toSorted((left, right) => right.silentMs - left.silentMs)
 			.at(0);
 		if (wanted.length > this.#targetSize && silentVoter !== undefined) {
-			return {type: 'remove', nodeId: silentVoter.nodeId};
+			return {type: 'remove', nodeId: silentVoter.nodeId, reason: 'replaced'};
 		}
 
 		// A replacement votes before the silent voter is removed, so that there are never too few voters.
 		const needsVoter = wanted.length < this.#targetSize || (wanted.length === this.#targetSize && silentVoter !== undefined);
-		return needsVoter && standby !== undefined ? {type: 'add', nodeId: standby} : undefined;
+		return needsVoter && standby !== undefined ? {type: 'add', nodeId: standby, reason: silentVoter === undefined ? 'too-few-voters' : 'silent-voter'} : undefined;
 	}
 }
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -80,6 +80,8 @@
 		});
 		metrics.gauge('document_version', () => this.#core.status(now()).documentVersion ?? 0);
 		metrics.gauge('commit_index', () => this.#core.status(now()).consensus.commitIndex);
+		metrics.gauge('voters', () => this.#core.status(now()).consensus.voters.length);
+		metrics.gauge('pending_voters', () => this.#core.status(now()).consensus.pendingVoters.length);
 		metrics.gauge('current', () => Number(this.#core.status(now()).current));
 	}
 
--- a/test/core/control/voter-policy.test.ts
+++ b/test/core/control/voter-policy.test.ts
@@ -26,15 +26,15 @@
 
 // Guards against a node that was to vote, has gone and keeps all others from voting.
 test('a standby that goes before it votes is withdrawn, known to the leader or not', t => {
-	t.deepEqual(nextChange(groupView({wanted: 'abcd'})), {type: 'remove', nodeId: toId('d')});
-	t.deepEqual(nextChange(groupView({wanted: 'abcd', learners: [{name: 'd', silentMs: 2000}]})), {type: 'remove', nodeId: toId('d')});
+	t.deepEqual(nextChange(groupView({wanted: 'abcd'})), {type: 'remove', nodeId: toId('d'), reason: 'standby-gone'});
+	t.deepEqual(nextChange(groupView({wanted: 'abcd', learners: [{name: 'd', silentMs: 2000}]})), {type: 'remove', nodeId: toId('d'), reason: 'standby-gone'});
 });
 
 test('a standby that answers and has not caught up is waited for, unless another one is ready', t => {
 	const behind = {name: 'd', caughtUp: false};
 	t.is(nextChange(groupView({wanted: 'abcd', learners: [behind]})), undefined);
 	t.is(nextChange(groupView({wanted: 'abcd', learners: [behind, {name: 'e', silentMs: 2000}]})), undefined);
-	t.deepEqual(nextChange(groupView({wanted: 'abcd', learners: [behind, {name: 'e'}]})), {type: 'remove', nodeId: toId('d')});
+	t.deepEqual(nextChange(groupView({wanted: 'abcd', learners: [behind, {name: 'e'}]})), {type: 'remove', nodeId: toId('d'), reason: 'standby-late'});
 });
 
 test('a standby that has caught up is left to vote', t => {
@@ -44,5 +44,5 @@
 // Guards against a voter that is replaced by one that has gone before it.
 test('a node that no longer answers is not added, however far its log goes', t => {
 	t.is(nextChange(groupView({wanted: 'ab', learners: [{name: 'd', silentMs: 2000}]})), undefined);
-	t.deepEqual(nextChange(groupView({wanted: 'ab', learners: [{name: 'd', silentMs: 2000}, {name: 'e'}]})), {type: 'add', nodeId: toId('e')});
+	t.deepEqual(nextChange(groupView({wanted: 'ab', learners: [{name: 'd', silentMs: 2000}, {name: 'e'}]})), {type: 'add', nodeId: toId('e'), reason: 'too-few-voters'});
 });
