fix(consensus): a new leader takes its silent predecessor for silent at once

Seen by callers: where machines are replaced every 2.5 s, so that two are missing most of the time as the deployment must bear, the log ended without a leader.

Cause: a new leader counts the silence of each voter from its own election. Its predecessor, which it had not heard for 1.2 s and more, was replaced 0.8 s later than it could have been, and the next voters went before.

Change: the member that is elected tells its leadership when it heard the predecessor last.

--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -1,4 +1,5 @@
 import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
 import type {AppliedLog} from './applied-log.ts';
 import type {ConsensusMessage} from './consensus-message.ts';
 import {consensusTiming} from './consensus-timing.ts';
@@ -18,6 +19,8 @@
 type LeadershipOptions<Outcome> = {
 	readonly context: MemberContext;
 	readonly applied: AppliedLog<Outcome>;
+	/** The leader before this one, and when this member heard it last. */
+	readonly predecessor?: {readonly nodeId: NodeId; readonly heardAt: number};
 	readonly now: Millis;
 };
 
@@ -30,10 +33,12 @@
 	/** Index of this leader's first entry: only its commit shows which entries of earlier terms are committed. */
 	readonly #firstIndex: number;
 
-	constructor({context, applied, now}: LeadershipOptions<Outcome>) {
+	constructor({context, applied, predecessor, now}: LeadershipOptions<Outcome>) {
 		this.#context = context;
 		this.#applied = applied;
-		this.#replicator = new Replicator(context, () => applied.snapshot(), now);
+		this.#replicator = new Replicator({
+			context, predecessor, takeSnapshot: () => applied.snapshot(), now,
+		});
 		this.#replicator.tick(applied.commitIndex, now);
 		this.#firstIndex = this.#append({type: 'command', command: {type: 'lead', nodeId: context.self.nodeId}}, now);
 	}
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -41,6 +41,8 @@
 	/** Set while this member leads. */
 	#leadership: Leadership<Outcome> | undefined;
 	#leader: NodeId | undefined;
+	/** The leader heard last, also once it is silent. */
+	#lastLeader: NodeId | undefined;
 	/** Since when the leader's commit index has been ahead of this member's. */
 	#laggingSince: Millis | undefined;
 	readonly #recovery = new JournalRecovery();
@@ -375,13 +377,17 @@
 
 	#recordLeaderContact(nodeId: NodeId, now: Millis): void {
 		this.#leader = nodeId;
+		this.#lastLeader = nodeId;
 		this.#election.heardLeader(now);
 	}
 
 	#becomeLeader(now: Millis): void {
 		this.#context.outbox.log('consensus', `Became leader of term ${this.#storage.term}`);
 		this.#leader = this.#context.self.nodeId;
-		this.#leadership = new Leadership({context: this.#context, applied: this.#applied, now});
+		const predecessor = this.#lastLeader === undefined ? undefined : {nodeId: this.#lastLeader, heardAt: now - this.#election.leaderSilence(now)};
+		this.#leadership = new Leadership({
+			context: this.#context, applied: this.#applied, predecessor, now,
+		});
 	}
 
 	#stepDown(now: Millis): void {
--- a/src/core/consensus/replicator.ts
+++ b/src/core/consensus/replicator.ts
@@ -1,4 +1,5 @@
 import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
 import type {ConsensusMessage} from './consensus-message.ts';
 import {consensusTiming} from './consensus-timing.ts';
 import {isVoter} from './is-voter.ts';
@@ -14,6 +15,14 @@
 type AppendAnswer = ConsensusMessage['body'] & {type: 'append-answer'};
 type SnapshotAnswer = ConsensusMessage['body'] & {type: 'snapshot-answer'};
 
+type ReplicatorOptions = {
+	readonly context: MemberContext;
+	/** The leader before this one, and when this member heard it last. */
+	readonly predecessor?: {readonly nodeId: NodeId; readonly heardAt: number};
+	readonly takeSnapshot: () => LogSnapshot;
+	readonly now: Millis;
+};
+
 /** Replicates the leader's log to the other members during one term, and finds what a majority has synced. */
 export class Replicator {
 	readonly #context: MemberContext;
@@ -22,10 +31,14 @@
 	readonly #electedAt: Millis;
 	#commitIndex = 0;
 
-	constructor(context: MemberContext, takeSnapshot: () => LogSnapshot, now: Millis) {
+	constructor({context, predecessor, takeSnapshot, now}: ReplicatorOptions) {
 		this.#context = context;
 		this.#snapshots = new SnapshotSender(context, takeSnapshot);
 		this.#electedAt = now;
+		for (const voter of context.storage.configuration!.voters.filter(({nodeId}) => nodeId !== context.self.nodeId)) {
+			// The predecessor has been silent for an election at least; it counts as silent from the first moment on.
+			this.#add(voter, voter.nodeId === predecessor?.nodeId ? predecessor.heardAt : now);
+		}
 	}
 
 	peers(): readonly PeerProgress[] {
@@ -128,7 +141,7 @@
 			other.member.nodeId === member.nodeId && other.member.storageId !== member.storageId && other.heardAt > heardAt);
 	}
 
-	#add(member: LogMember, now: Millis): PeerProgress {
+	#add(member: LogMember, heardAt: number): PeerProgress {
 		const peer: PeerProgress = {
 			member,
 			matchIndex: 0,
@@ -136,7 +149,7 @@
 			sentCommitIndex: 0,
 			probing: true,
 			ackedAt: Number.NEGATIVE_INFINITY,
-			heardAt: now,
+			heardAt,
 			sentAt: Number.NEGATIVE_INFINITY,
 		};
 		this.#peers.set(memberKey(member), peer);
--- a/test/core/control/replaced-voters.test.ts
+++ b/test/core/control/replaced-voters.test.ts
@@ -3,7 +3,8 @@
 
 const voters = 5;
 const replacements = 8;
-const seeds = [1, 2, 3, 4];
+const fewSeeds = [1, 2, 3, 4];
+const manySeeds = Array.from({length: 12}, (_, index) => index + 1);
 /** Silence of a voter that has long been found to be gone, in milliseconds. */
 const silenceMs = 2000;
 /** Time from the loss of a node to the start of its replacement, in milliseconds. */
@@ -51,8 +52,9 @@
 	}
 }
 
-// Guards against a group that replaces one voter that is gone by another one that is gone too.
-for (const gapMs of [3000, 5000, 8000]) {
+// Guards against a group that replaces one voter that is gone by another one that is gone too. With 2500 ms, two of five are
+// missing most of the time: guards against a new leader that waits for its predecessor before it has it replaced.
+for (const {gapMs, seeds} of [{gapMs: 2500, seeds: manySeeds}, {gapMs: 3000, seeds: fewSeeds}, {gapMs: 5000, seeds: fewSeeds}, {gapMs: 8000, seeds: fewSeeds}]) {
 	test(`voters that go for good one after another are replaced by nodes that run, ${gapMs} ms apart`, t => {
 		const failed: string[] = [];
 		for (const seed of seeds) {
@@ -105,7 +107,7 @@
 	// Guards against a group that waits for good for a node that was to vote and has gone.
 	test(`a voter that goes for good is replaced though the first standby ${title} before it votes`, t => {
 		const failed: string[] = [];
-		for (const seed of seeds) {
+		for (const seed of fewSeeds) {
 			for (let livedMs = 200; livedMs <= 400; livedMs += 20) {
 				const cluster = startCluster(seed, 2);
 				const gone = voters - 1;
