fix(control): a standby that came in place of a voter leaves once that is back

Seen by callers: nothing yet; a group of six voters needs four for a majority, so that the next loss is borne less well than with five.

Cause: a surplus voter was removed only while some voter was silent. A voter that was silent for a moment, such as a leader that starts again, left six voters.

Change: without a silent voter the newest one is removed; it stays a standby.

Test: voter-policy, 'once a silent voter is back', fails before (undefined).

--- a/src/core/control/voter-policy.ts
+++ b/src/core/control/voter-policy.ts
@@ -5,7 +5,7 @@
 /** A change of the set of wanted voters by one node. */
 type MemberChange =
 	| {readonly type: 'add'; readonly nodeId: NodeId; readonly reason: 'too-few-voters' | 'silent-voter'}
-	| {readonly type: 'remove'; readonly nodeId: NodeId; readonly reason: 'replaced' | 'standby-gone' | 'standby-late'};
+	| {readonly type: 'remove'; readonly nodeId: NodeId; readonly reason: 'replaced' | 'surplus' | 'standby-gone' | 'standby-late'};
 
 /**
  * Decides which control nodes vote: as many as leave a majority after the tolerated losses (2n + 1 for n losses).
@@ -42,8 +42,10 @@
 			.filter(({nodeId, silentMs}) => nodeId !== self && silentMs > controlTiming.replaceVoterMs)
 			.toSorted((left, right) => right.silentMs - left.silentMs)
 			.at(0);
-		if (wanted.length > this.#targetSize && silentVoter !== undefined) {
-			return {type: 'remove', nodeId: silentVoter.nodeId, reason: 'replaced'};
+		if (wanted.length > this.#targetSize) {
+			// The voter that was silent may be back; then the newest one becomes a standby again.
+			const surplus = silentVoter ?? voters.findLast(({nodeId}) => nodeId !== self)!;
+			return {type: 'remove', nodeId: surplus.nodeId, reason: silentVoter === undefined ? 'surplus' : 'replaced'};
 		}
 
 		// A replacement votes before the silent voter is removed, so that there are never too few voters.
--- a/test/core/control/voter-policy.test.ts
+++ b/test/core/control/voter-policy.test.ts
@@ -10,12 +10,14 @@
 const self = toId<NodeId>('a');
 const names = (text: string) => [...text].map(name => toId<NodeId>(name));
 
-/** Three voters `a` to `c`, all of which answer, with the nodes `wanted` to vote and further learners. */
-function groupView({wanted = 'abc', learners = []}: {wanted?: string; learners?: ReadonlyArray<Partial<Learner> & {readonly name: string}>}): GroupView {
+type ViewOptions = {readonly voters?: string; readonly wanted?: string; readonly silent?: string; readonly learners?: ReadonlyArray<Partial<Learner> & {readonly name: string}>};
+
+/** Voters, all of which answer except those that are `silent`, with the nodes `wanted` to vote and further learners. */
+function groupView({voters = 'abc', wanted = voters, silent = '', learners = []}: ViewOptions): GroupView {
 	return {
 		configurationCommitted: true,
 		wanted: names(wanted),
-		voters: names('abc').map(nodeId => ({nodeId, silentMs: 0})),
+		voters: names(voters).map(nodeId => ({nodeId, silentMs: silent.includes(nodeId) ? 2000 : 0})),
 		learners: learners.map(({name, ...learner}) => ({
 			nodeId: toId<NodeId>(name), silentMs: 0, caughtUp: true, ...learner,
 		})),
@@ -46,3 +48,10 @@
 	t.is(nextChange(groupView({wanted: 'ab', learners: [{name: 'd', silentMs: 2000}]})), undefined);
 	t.deepEqual(nextChange(groupView({wanted: 'ab', learners: [{name: 'd', silentMs: 2000}, {name: 'e'}]})), {type: 'add', nodeId: toId('e'), reason: 'too-few-voters'});
 });
+
+// Guards against a group that needs one more node for its majority than it was planned with.
+test('once a silent voter is back, the node that came in its place is a standby again', t => {
+	t.deepEqual(nextChange(groupView({voters: 'abcd', silent: 'b'})), {type: 'remove', nodeId: toId('b'), reason: 'replaced'});
+	t.deepEqual(nextChange(groupView({voters: 'abcd'})), {type: 'remove', nodeId: toId('d'), reason: 'surplus'});
+	t.deepEqual(nextChange(groupView({voters: 'bcda'})), {type: 'remove', nodeId: toId('d'), reason: 'surplus'});
+});
