fix(members): an added control VM that does not vote yet is shown and named

Seen by operators (settings tree): after 'members add' of a VM that never came up, was lost before it voted, or whose name was mistyped, 'members list' looked as before, and each further addition was refused with 'another change may be in progress'. What to withdraw was told nowhere; a later leader kept refusing.

Cause: the wish to have a voter is kept in the log until it is met or withdrawn (class: a promise that nothing takes back when the other side is gone), but the status named voters and learners only, and the refusal gave no reason.

Change: the status has 'wanted'; the leader's refusal names the pending node ('pending', and in 'detail' the remedy), which the command prints. The log does not withdraw it by itself: here the operator decides who votes.

--- a/src/commands/members.ts
+++ b/src/commands/members.ts
@@ -7,7 +7,7 @@
 import {printJson} from './print-json.ts';
 import {resolveClientOptions} from './resolve-client-options.ts';
 
-type MembersAnswer = {readonly started?: boolean; readonly leader?: string; readonly title?: string};
+type MembersAnswer = {readonly started?: boolean; readonly leader?: string; readonly title?: string; readonly detail?: string};
 
 /** Lists, adds or removes members of the replicated settings log. */
 export async function members(action: string, node: string | undefined, options: CommandLineOptions): Promise<void> {
@@ -36,7 +36,11 @@
 	process.stdout.write(`${action} ${node}: under way; watch members list\n`);
 }
 
-function describeRefusal(node: string, {title = 'Not possible now', leader}: MembersAnswer, entries: readonly string[]): string {
+function describeRefusal(node: string, {title = 'Not possible now', detail, leader}: MembersAnswer, entries: readonly string[]): string {
+	if (detail !== undefined) {
+		return `${title}: ${detail}`;
+	}
+
 	if (leader === undefined) {
 		return `${title}: this entry knows no leader. Name another control VM with --entry.`;
 	}
--- a/src/core/consensus/consensus-status.ts
+++ b/src/core/consensus/consensus-status.ts
@@ -11,6 +11,8 @@
 	/** Size of the entries held in memory, in bytes of JSON. */
 	readonly logBytes: number;
 	readonly voters: readonly NodeId[];
+	/** Nodes that should vote: a node that is among them and not among the voters was added and does not vote yet. */
+	readonly wanted: readonly NodeId[];
 	readonly learners: readonly NodeId[];
 	/** Why the member has stopped; set with the role `stopped`. */
 	readonly problem?: string;
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -204,6 +204,7 @@
 			snapshotIndex,
 			logBytes: log.size(log.baseIndex, log.lastIndex),
 			voters: configuration?.voters.map(voter => voter.nodeId) ?? [],
+			wanted: configuration?.wanted ?? [],
 			learners: this.#leadership?.learners.map(({member}) => member.nodeId) ?? [],
 			problem: this.#recovery.reason,
 		};
--- a/src/core/gateway-core.ts
+++ b/src/core/gateway-core.ts
@@ -1,6 +1,8 @@
 import type {Action} from './actions.ts';
 import {ActionQueue} from './action-queue.ts';
 import {intersectRestrictions} from './common/intersect-restrictions.ts';
+import type {MembersAnswer} from './consensus/members-answer.ts';
+import {pendingMember} from './consensus/pending-member.ts';
 import type {EntryListing} from './entries/entry-listing.ts';
 import {listEntries} from './entries/list-entries.ts';
 import type {CoreEvent} from './events.ts';
@@ -91,14 +93,15 @@
 		});
 	}
 
-	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): {type: 'started'} | {type: 'refused'; leader?: string} {
+	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): MembersAnswer {
 		const {consensus, membership} = this.#parts;
 		if (consensus?.changeMembers(change, now)) {
 			return {type: 'started'};
 		}
 
 		const leader = consensus?.leader();
-		return {type: 'refused', leader: leader && membership.info(leader)?.callerAddress};
+		const pending = change.type === 'add' && leader === this.#options.self.nodeId ? pendingMember(consensus!.status()) : undefined;
+		return {type: 'refused', leader: leader && membership.info(leader)?.callerAddress, pending};
 	}
 
 	/** Accepts the loss of claims after all keepers of this region lost them; false if this node is not waiting for that decision. */
--- a/src/server/gateway-node.ts
+++ b/src/server/gateway-node.ts
@@ -1,4 +1,5 @@
 import type {Action} from '../core/actions.ts';
+import type {MembersAnswer} from '../core/consensus/members-answer.ts';
 import type {EntryListing} from '../core/entries/entry-listing.ts';
 import type {CoreEvent} from '../core/events.ts';
 import type {Millis} from '../core/ids/millis.ts';
@@ -21,8 +22,8 @@
 	status(now: Millis): NodeStatus;
 	targets(now: Millis): readonly TargetView[];
 	entries(query: {zone?: Zone; path?: string; residency?: readonly Region[]}, now: Millis): readonly EntryListing[];
-	/** Starts a membership change of the settings log if this node is its leader; otherwise refuses with the leader's address, if known. */
-	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): {type: 'started'} | {type: 'refused'; leader?: string};
+	/** Starts a membership change of the settings log if this node is its leader; otherwise refuses. */
+	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): MembersAnswer;
 	/** Accepts the loss of claims, by decision of an operator; false if this node does not wait for that decision. */
 	acceptLoss(now: Millis): boolean;
 	info(nodeId: NodeId): NodeInfo | undefined;
--- a/src/server/operator-api.ts
+++ b/src/server/operator-api.ts
@@ -158,8 +158,10 @@
 			return;
 		}
 
-		const document = makeProblem({result: 'invalidMembership', ran: 'no'}, {region, revision: node.tree.revision});
-		sendJson(res, {...document, leader: answer.leader}, document.status);
+		const {leader, pending} = answer;
+		const detail = pending && `${pending} was added and does not vote yet: start it, or remove it again.`;
+		const document = makeProblem({result: 'invalidMembership', ran: 'no', detail}, {region, revision: node.tree.revision});
+		sendJson(res, {...document, leader, pending}, document.status);
 	}
 
 	/** Accepts, by decision of an operator, the loss of claims that no keeper of the region has any more. */
--- a/test/commands/cli.test.ts
+++ b/test/commands/cli.test.ts
@@ -145,6 +145,20 @@
 	t.regex(stdout, /^region +reachable/mv);
 });
 
+test.serial('an added control VM that never comes up is listed, named when another one is refused, and can be withdrawn', async t => {
+	const {leader} = await json<{leader: string}>(first, 'members', 'list');
+	t.like(await runAt(leader, 'members', 'add', 'never-up'), {code: exitCodes.ok});
+	const refused = await runAt(leader, 'members', 'add', 'another');
+	const list = async () => json<{voters: string[]; wanted?: string[]}>(leader, 'members', 'list');
+	const pending = await list();
+	t.like(await runAt(leader, 'members', 'remove', 'never-up'), {code: exitCodes.ok});
+	t.is(refused.code, exitCodes.refused);
+	t.regex(refused.stderr, /never-up was added and does not vote yet: start it, or remove it again/v);
+	t.deepEqual(pending.wanted?.filter(node => !pending.voters.includes(node)), ['never-up']);
+	const withdrawn = await list();
+	t.deepEqual(withdrawn.wanted?.toSorted(), withdrawn.voters.toSorted());
+});
+
 test.serial('invalid arguments end with exit code 2 and one line on stderr', async t => {
 	const wrong = [
 		'bogus',
