fix(orders): engines of a region that is gone are not counted for ever

Seen by callers (settings tree): after the loss of a region, models that only its engines held had no replica anywhere, until the log's leader changed. A missing replica that was planned in that region was never loaded either, and replicas elsewhere could be unloaded as surplus.

Cause: OrderLeader kept the engines of a region's last report without regard to its age. allRegionsKnown looks at reachable regions only, so a region that had gone counted as known and holding.

Change: engines of a region silent for 10 s (the time for which a replica may be missing before it is loaded) count no more, and are listed anew once it reports. A shorter cut loads nothing; surplus replicas go once the region is back.

Test: order-manager, two tests, failed before (no replica in the other region). They pass, with the other seven of the file.

--- a/src/core/orders/order-leader.ts
+++ b/src/core/orders/order-leader.ts
@@ -21,6 +21,9 @@
 /** Maximum age of a region's report at which its engines count as known, in milliseconds. */
 const maxReportAgeMs = 5000;
 
+/** Silence of a region after which its engines no longer count, so that what they held is loaded elsewhere, in milliseconds: as long as a missing replica may be missing before it is loaded. */
+const lostRegionMs = 10_000;
+
 /** Minimum validity of an order, in milliseconds; orders that would have less are not sent. */
 const minValidMs = 150;
 
@@ -116,6 +119,8 @@
 		for (const {region, entries} of this.#options.entriesByRegion()) {
 			this.#requestReport(region, entries, lease, now);
 		}
+
+		this.#forgetLostRegions(now);
 	}
 
 	/** Handles a delegate's report: updates the region's engines and pending orders, and answers with new orders. */
@@ -171,6 +176,16 @@
 		});
 	}
 
+	/** Forgets the engines of regions that have been silent for long; they are listed anew once one reports again. */
+	#forgetLostRegions(now: Millis): void {
+		for (const state of this.#regions.values()) {
+			if (now - state.reportedAt > lostRegionMs) {
+				state.engines = [];
+				state.version = undefined;
+			}
+		}
+	}
+
 	#state(region: Region): RegionState {
 		const state = this.#regions.get(region) ?? {
 			delegateIndex: 0, requestedAt: Number.NEGATIVE_INFINITY, reportedAt: Number.NEGATIVE_INFINITY, engines: [],
--- a/test/core/orders/order-manager.test.ts
+++ b/test/core/orders/order-manager.test.ts
@@ -42,6 +42,32 @@
 	t.is(network.started.length, 4, 'each replica is ordered once');
 });
 
+test('replicas in a region that is gone are loaded elsewhere, and given up once it is back', t => {
+	const network = networkWith({draft: {replicas: 2, bytes: 1000}}, {regions: {regina: [['draft'], ['draft'], []], winnipeg: [[], [], []]}});
+	network.lead('leader-1', 5, leaseMs, always);
+	network.advance(20_000);
+	const holders = (region: string) => network.holders('draft').filter(name => name.startsWith(region)).length;
+	t.is(holders('winnipeg'), 0);
+	network.lost.add('regina');
+	network.advance(5000);
+	t.is(holders('winnipeg'), 0, 'a short cut loads nothing');
+	network.advance(30_000);
+	t.is(holders('winnipeg'), 2);
+	t.is(network.started.length, 2, 'each replica is ordered once');
+	network.lost.delete('regina');
+	network.advance(120_000);
+	t.is(network.holders('draft').length, 2);
+});
+
+test('a replica that was to be loaded in a region that is gone is loaded elsewhere', t => {
+	const network = networkWith({draft: {replicas: 2, bytes: 1000}}, {regions: {regina: [[], [], []], winnipeg: [['draft'], [], []]}});
+	network.lead('leader-1', 5, leaseMs, always);
+	network.advance(5000);
+	network.lost.add('regina');
+	network.advance(40_000);
+	t.deepEqual(network.started.map(({order}) => order.targetId.split('-')[0]), ['winnipeg']);
+});
+
 test('surplus replicas are unloaded, except the last one of a model that a route names', t => {
 	const network = networkWith(
 		{draft: {replicas: 0, bytes: 1000}, check: {replicas: 1, bytes: 1000}},
