fix(ledger): a leaving keeper does not rely on a node that has started again

Seen by callers: an order whose claim was granted could run a second time after a rolling restart: the last node with the claims left, though the one that had taken them over had lost them meanwhile.

Cause: ClaimHandOver noted by name which nodes had answered that they were active in the newest keeper set, and kept that for as long as requests ran on. A node without a disk that went and came back was alive again under its name, and still counted as having the claims.

Change: the answer counts for the incarnation that gave it, and only until a node answers for a newer set.

Test: leaving-keepers, 'a leaving keeper stays while the node that took its claims over has lost them', failed before (drained while no other node had them). The five tests of the file pass.

--- a/src/core/ledger/claim-hand-over.ts
+++ b/src/core/ledger/claim-hand-over.ts
@@ -25,8 +25,10 @@
 export class ClaimHandOver {
 	readonly #options: ClaimHandOverOptions;
 	readonly #since: Millis;
-	/** Members of a set that replied that they were active in it. */
-	readonly #holders = new Set<NodeId>();
+	/** Incarnations of the nodes that replied that they were active in the newest set: one that starts again may have lost the claims. */
+	readonly #holders = new Map<NodeId, number>();
+	/** Epoch of the set that `#holders` are active in. */
+	#heldEpoch = 0;
 	#nextRequestAt: number;
 
 	constructor(options: ClaimHandOverOptions) {
@@ -49,10 +51,15 @@
 		}
 	}
 
-	handleState(from: NodeId, {setEpoch, epoch}: Extract<LedgerMessage, {type: 'state'}>): void {
+	handleState(from: NodeId, {setEpoch, epoch, incarnation}: Extract<LedgerMessage, {type: 'state'}>): void {
 		const set = this.#options.set();
 		if (set?.epoch === epoch && setEpoch === epoch && set.members.includes(from)) {
-			this.#holders.add(from);
+			if (epoch > this.#heldEpoch) {
+				this.#heldEpoch = epoch;
+				this.#holders.clear();
+			}
+
+			this.#holders.set(from, incarnation);
 		}
 	}
 
@@ -65,8 +72,8 @@
 
 		const staying = membership.nodes()
 			.filter(({info, state, draining}) => info.nodeId !== self && state === 'alive' && !draining && (info.hasDisk || info.roles.includes('entry')))
-			.map(({info}) => info.nodeId);
-		return now - this.#since >= hearingMs && (staying.length === 0 || staying.some(name => this.#holders.has(name)));
+			.map(({info}) => info);
+		return now - this.#since >= hearingMs && (staying.length === 0 || staying.some(({nodeId, incarnation}) => this.#holders.get(nodeId) === incarnation));
 	}
 
 	/** True if claims may have been granted in a set with this node that are nowhere else yet. */
--- a/test/core/ledger/leaving-keepers.test.ts
+++ b/test/core/ledger/leaving-keepers.test.ts
@@ -79,3 +79,29 @@
 	advance(12_000);
 	t.true(ledger.drained(network.now));
 });
+
+// Guards against claims that are lost since the node that took them over had started again, without a disk, before the last one left.
+test('a leaving keeper stays while the node that took its claims over has lost them', t => {
+	const {ask, advance, processes, network, stop, start, log, names: [a, b, c]} = ledgerFixture();
+	stop(a!);
+	advance(8000);
+	t.is(ask(c!, 'k1'), 'granted');
+	const leaving = processes.get(c!)!;
+	leaving.draining = true;
+	leaving.ledger.drain(network.now);
+	advance(2000);
+	log.decides = false;
+	stop(b!);
+	start(b!);
+	advance(2000);
+	t.false(leaving.ledger.drained(network.now), 'no other node has the claims');
+	log.decides = true;
+	while (!leaving.ledger.drained(network.now)) {
+		advance(50);
+	}
+
+	stop(c!);
+	advance(8000);
+	t.is(ask(b!, 'k1'), 'replay');
+	t.is(ask(b!, 'k2'), 'granted');
+});
