fix(ledger): an operator can accept the loss of claims whose keepers are gone for good

Seen by callers (settings tree): orders at home in a region were refused (3004) for good after all VMs of its keeper set had gone and did not come back under their names. 'keepers status' said 'joining: copies them, wait' for ever, and 'keepers accept-loss' was refused.

Cause: ClaimTransfer called the claims lost only once every member of the source epoch had answered that it no longer has them. One that is gone never answers.

Change: a source that has been silent for 60 s (after which a set without any member alive is replaced anyway) counts like one that lost them. It takes the operator's decision still; the sources are asked on, and one that comes back with its disk ends the role 'lost' by itself.

Test: claim-ledger, 'an operator can accept the loss of claims whose keepers are gone for good ...', failed before ('joining' instead of 'lost').

--- a/src/core/gateway-core.ts
+++ b/src/core/gateway-core.ts
@@ -130,7 +130,7 @@
 				region, reachable, revision, ageMs, roundTripMs,
 			})),
 			keepers: settings.keeperSets(),
-			keeper: this.#parts.ledger.status(),
+			keeper: this.#parts.ledger.status(now),
 		};
 	}
 
--- a/src/core/ledger/claim-ledger.ts
+++ b/src/core/ledger/claim-ledger.ts
@@ -178,8 +178,8 @@
 	}
 
 	/** Status of this node as a keeper, for operators; in the role `lost` it waits for `acceptLoss`. */
-	status() {
-		return this.#keeper.status();
+	status(now: Millis) {
+		return this.#keeper.status(now);
 	}
 
 	/** Continues without the claims that all keepers lost, on an operator's decision; false if they are not lost. */
--- a/src/core/ledger/claim-transfer.ts
+++ b/src/core/ledger/claim-transfer.ts
@@ -18,6 +18,9 @@
 /** Silence of the source after which the transfer restarts from any member, in milliseconds. */
 const sourceTimeoutMs = 1500;
 
+/** Silence of a source after which an operator may decide that its claims are lost, in milliseconds: as long as a set waits for its members before it is replaced without any of them. */
+const goneMs = 60_000;
+
 /**
  * Transfers the claims from one sealed member of an earlier epoch to a member of the new set.
  *
@@ -33,6 +36,10 @@
 	#sourceEpoch: number;
 	#sourceMembers: readonly NodeId[];
 	readonly #withoutClaims = new Set<NodeId>();
+	/** Time of the last page from each node; one without any counts from `#waitingSince` on. */
+	readonly #heardAt = new Map<NodeId, Millis>();
+	/** Time at which the sources were first asked for the epoch's claims. */
+	#waitingSince: Millis | undefined;
 	#source: NodeId | undefined;
 	#sourceIncarnation = 0;
 	#claims: ClaimRecord[] = [];
@@ -48,12 +55,13 @@
 		this.#sourceMembers = set.previous;
 	}
 
-	/** True if every member of the source epoch replied that it no longer has the claims. */
-	get lost(): boolean {
-		return this.#sourceMembers.every(member => this.#withoutClaims.has(member));
+	/** True if every member of the source epoch replied that it no longer has the claims, or has been silent for long; they are still asked. */
+	lost(now: Millis): boolean {
+		return this.#sourceMembers.every(member => this.#withoutClaims.has(member) || this.#silenceMs(member, now) >= goneMs);
 	}
 
 	tick(now: Millis): void {
+		this.#waitingSince ??= now;
 		if (this.#source !== undefined && now - this.#lastPageAt > sourceTimeoutMs) {
 			this.#restart();
 		}
@@ -70,6 +78,7 @@
 
 	/** Adds one page; returns all claims once the last page has arrived. */
 	handlePage(from: NodeId, message: MessageOf<'state'>, now: Millis): readonly ClaimRecord[] | undefined {
+		this.#heardAt.set(from, now);
 		const expected = this.#source === undefined || (this.#source === from && this.#sourceIncarnation === message.incarnation);
 		if (!expected || message.epoch !== this.#sourceEpoch || message.cursor !== this.#cursor) {
 			return undefined;
@@ -102,6 +111,7 @@
 		this.#sourceEpoch -= 1;
 		this.#sourceMembers = set.previous;
 		this.#withoutClaims.clear();
+		this.#waitingSince = undefined;
 		this.#nextRequestAt = 0;
 		this.#restart();
 		return false;
@@ -114,6 +124,10 @@
 		}
 	}
 
+	#silenceMs(member: NodeId, now: Millis): number {
+		return now - (this.#heardAt.get(member) ?? this.#waitingSince ?? now);
+	}
+
 	/** Members of the source epoch, and the other members of the new set, which have the claims too once they are active. */
 	#candidates(): NodeId[] {
 		const others = this.#set.members.filter(member => member !== this.#self);
--- a/src/core/ledger/keeper-replica.ts
+++ b/src/core/ledger/keeper-replica.ts
@@ -77,9 +77,9 @@
 		return this.#set;
 	}
 
-	/** Status for operators. Role `none`: not in the newest set; `active`: serves it; `joining`: copies the claims; `lost`: all sources lost them; `ineligible`: cannot serve it (yet). */
-	status(): {readonly role: 'none' | 'active' | 'joining' | 'lost' | 'ineligible'; readonly epoch: number; readonly claims: number} {
-		return {role: this.#role(), epoch: this.#set?.epoch ?? 0, claims: this.#store.size};
+	/** Status for operators. Role `none`: not in the newest set; `active`: serves it; `joining`: copies the claims; `lost`: all sources lost them or are gone; `ineligible`: cannot serve it (yet). */
+	status(now: Millis): {readonly role: 'none' | 'active' | 'joining' | 'lost' | 'ineligible'; readonly epoch: number; readonly claims: number} {
+		return {role: this.#role(now), epoch: this.#set?.epoch ?? 0, claims: this.#store.size};
 	}
 
 	/** Adopts a newer set; this node no longer serves older epochs. */
@@ -117,9 +117,9 @@
 		}
 	}
 
-	/** Continues without the claims that all members of the earlier epoch lost, on an operator's decision; false if they are not lost. */
+	/** Continues without the claims that all members of the earlier epoch lost or are gone with, on an operator's decision; false if they are not lost. */
 	acceptLoss(now: Millis): boolean {
-		if (!this.#transfer?.lost || !this.#set) {
+		if (!this.#transfer?.lost(now) || !this.#set) {
 			return false;
 		}
 
@@ -378,7 +378,7 @@
 		}
 	}
 
-	#role(): ReturnType<KeeperReplica['status']>['role'] {
+	#role(now: Millis): ReturnType<KeeperReplica['status']>['role'] {
 		if (!this.#set?.members.includes(this.#self)) {
 			return 'none';
 		}
@@ -388,7 +388,7 @@
 		}
 
 		if (this.#transfer) {
-			return this.#transfer.lost ? 'lost' : 'joining';
+			return this.#transfer.lost(now) ? 'lost' : 'joining';
 		}
 
 		return 'ineligible';
--- a/test/core/ledger/claim-ledger.test.ts
+++ b/test/core/ledger/claim-ledger.test.ts
@@ -129,6 +129,33 @@
 	t.is(ask(b, 'k2'), 'granted');
 });
 
+// Guards against a region that refuses its orders for good, since an operator cannot decide on keepers that never come back.
+test('an operator can accept the loss of claims whose keepers are gone for good, and not while one of them may still answer', t => {
+	const {ask, stop, start, advance, status, processes, network, outcomes, claim, a, b, c} = settled();
+	t.is(ask(b, 'k'), 'granted');
+	stop(a);
+	stop(c);
+	advance(90_000);
+	t.is(status(b)?.role, 'joining');
+	t.false(processes.get(b)!.ledger.acceptLoss(network.now));
+	advance(60_000);
+	t.is(status(b)?.role, 'lost');
+	t.is(ask(b, 'k'), 'unavailable');
+	start(a);
+	advance(8000);
+	t.is(ask(b, 'k'), 'replay', 'a keeper that comes back with its disk has them');
+	stop(a);
+	stop(b);
+	start(c);
+	advance(140_000);
+	t.is(status(c)?.role, 'lost');
+	t.true(processes.get(c)!.ledger.acceptLoss(network.now));
+	advance(2000);
+	const requestId = claim(c, 'k2');
+	advance(2500);
+	t.is(outcomes.get(requestId)?.type, 'granted');
+});
+
 test('without the replicated log a region grants claims while all its keepers run, and refuses them as not run while one is missing', t => {
 	const {ask, claim, advance, outcomes, freeze, thaw, log, b, c} = settled();
 	log.decides = false;
--- a/test/core/ledger/ledger-fixture.ts
+++ b/test/core/ledger/ledger-fixture.ts
@@ -283,6 +283,6 @@
 
 	return {
 		names, network, processes, cuts, outcomes, grantedAt, runs, problems, log, start, stop, leave, freeze, thaw, advance, claim, ask,
-		status: (nodeId: NodeId) => processes.get(nodeId)?.ledger.status(),
+		status: (nodeId: NodeId) => processes.get(nodeId)?.ledger.status(network.now),
 	};
 }
