--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -41,8 +41,6 @@
 	/** Set while this member leads. */
 	#leadership: Leadership<Outcome> | undefined;
 	#leader: NodeId | undefined;
-	/** The leader heard last, also once it is silent. */
-	#lastLeader: NodeId | undefined;
 	/** Since when the leader's commit index has been ahead of this member's. */
 	#laggingSince: Millis | undefined;
 	readonly #recovery = new JournalRecovery();
@@ -197,7 +195,6 @@
 
 	status(): ConsensusStatus {
 		const {log, configuration, term, snapshotIndex} = this.#storage;
-		const voters = configuration?.voters.map(voter => voter.nodeId) ?? [];
 		return {
 			role: this.#role(),
 			term,
@@ -206,8 +203,8 @@
 			lastIndex: log.lastIndex,
 			snapshotIndex,
 			logBytes: log.size(log.baseIndex, log.lastIndex),
-			voters,
-			pendingVoters: configuration?.wanted.filter(nodeId => !voters.includes(nodeId)) ?? [],
+			voters: configuration?.voters.map(voter => voter.nodeId) ?? [],
+			wanted: configuration?.wanted ?? [],
 			learners: this.#leadership?.learners.map(({member}) => member.nodeId) ?? [],
 			problem: this.#recovery.reason,
 		};
@@ -377,16 +374,14 @@
 
 	#recordLeaderContact(nodeId: NodeId, now: Millis): void {
 		this.#leader = nodeId;
-		this.#lastLeader = nodeId;
-		this.#election.heardLeader(now);
+		this.#election.heardLeader(nodeId, now);
 	}
 
 	#becomeLeader(now: Millis): void {
 		this.#context.outbox.log('consensus', `Became leader of term ${this.#storage.term}`);
 		this.#leader = this.#context.self.nodeId;
-		const predecessor = this.#lastLeader === undefined ? undefined : {nodeId: this.#lastLeader, heardAt: now - this.#election.leaderSilence(now)};
 		this.#leadership = new Leadership({
-			context: this.#context, applied: this.#applied, predecessor, now,
+			context: this.#context, applied: this.#applied, predecessor: this.#election.lastLeader, now,
 		});
 	}
 
--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -2,6 +2,7 @@
 import type {LoadedJournal} from '../common/loaded-journal.ts';
 import type {ConsensusRecord} from '../consensus/consensus-record.ts';
 import type {ConsensusStatus} from '../consensus/consensus-status.ts';
+import {pendingMember} from '../consensus/pending-member.ts';
 import {RaftMember} from '../consensus/raft-member.ts';
 import type {EntryAddress} from '../ids/entry-address.ts';
 import type {Millis} from '../ids/millis.ts';
@@ -222,12 +223,14 @@
 
 	/** Logs a change of role, leader or voters of the replicated log, as this node sees it. */
 	#logGroupChange(): void {
-		const {role, leader, voters, pendingVoters, term, commitIndex} = this.#consensus.status();
-		const group = `${role} ${leader} ${voters.join(',')} ${pendingVoters.join(',')}`;
+		const status = this.#consensus.status();
+		const {role, leader, voters, term, commitIndex} = status;
+		const pending = pendingMember(status);
+		const group = `${role} ${leader} ${voters.join(',')} ${pending}`;
 		if (group !== this.#loggedGroup) {
 			this.#loggedGroup = group;
 			this.#queue.event('group-changed', {
-				role, leader, voters, pendingVoters, term, commitIndex, version: this.#state.routes.document?.version,
+				role, leader, voters, pending, term, commitIndex, version: this.#state.routes.document?.version,
 			});
 		}
 	}
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -1,5 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {pendingMember} from '../../core/consensus/pending-member.ts';
 import {ControlCore} from '../../core/control/control-core.ts';
 import type {ControlAction} from '../../core/control/control-action.ts';
 import type {ControlEvent} from '../../core/control/control-event.ts';
@@ -81,7 +82,7 @@
 		metrics.gauge('document_version', () => this.#core.status(now()).documentVersion ?? 0);
 		metrics.gauge('commit_index', () => this.#core.status(now()).consensus.commitIndex);
 		metrics.gauge('voters', () => this.#core.status(now()).consensus.voters.length);
-		metrics.gauge('pending_voters', () => this.#core.status(now()).consensus.pendingVoters.length);
+		metrics.gauge('pending_voters', () => Number(pendingMember(this.#core.status(now()).consensus) !== undefined));
 		metrics.gauge('current', () => Number(this.#core.status(now()).current));
 	}
 
