fix(consensus): a replacement costs no vote while it is under way

Seen by callers: a log without a leader for good; changes refused.

Cause: a voter that is gone was replaced by adding its successor and removing it afterwards. Between the two steps six voters need four. Two voters gone and the successor gone with them, as it may shortly after its start, leave three. Class: a step between two safe states that is less safe than both.

Change: `replacement` in a configuration names the voter that leaves and the one that joins. A majority is needed without the one and without the other, which any three of the four others are, and which overlaps with the majorities before and after. The joining one must have caught up, and the next change ends the replacement whether it is still there or not. VoterPolicy asks for it in one change; a group of an even size that older builds left behind is made odd again also when the silent voter has come back.

--- a/src/core/consensus/consensus.ts
+++ b/src/core/consensus/consensus.ts
@@ -3,6 +3,7 @@
 import type {ConsensusMessage} from './consensus-message.ts';
 import type {ConsensusStatus} from './consensus-status.ts';
 import type {LogCommand} from './log-command.ts';
+import type {MemberChange} from './member-change.ts';
 
 /** One member of the replicated log. */
 export interface Consensus<Outcome> {
@@ -26,6 +27,6 @@
 	/** Commands applied since the last call with their outcomes, in log order. */
 	takeCommitted(): ReadonlyArray<{index: number; term: number; command: LogCommand; outcome: Outcome}>;
 	/** Starts a membership change; false if this member does not lead, another change is pending, or this one is not possible. */
-	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): boolean;
+	changeMembers(change: MemberChange, now: Millis): boolean;
 	status(): ConsensusStatus;
 }
--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -8,9 +8,11 @@
 import type {LogCommand} from './log-command.ts';
 import type {LogEntry} from './log-entry.ts';
 import type {LogMember} from './log-member.ts';
+import type {MemberChange} from './member-change.ts';
 import type {MemberContext} from './member-context.ts';
 import {memberKey} from './member-key.ts';
 import {MembershipChanges} from './membership-changes.ts';
+import type {ReplicationProgress} from './replication-progress.ts';
 import {Replicator} from './replicator.ts';
 
 type Answer = ConsensusMessage['body'] & {type: 'append-answer' | 'snapshot-answer'};
@@ -76,13 +78,13 @@
 		return this.#append({type: 'command', command}, now);
 	}
 
-	changeMembers(change: Parameters<MembershipChanges['applyRequest']>[1], now: Millis): boolean {
+	changeMembers(change: MemberChange, now: Millis): boolean {
 		const current = this.#context.storage.configuration;
 		if (current === undefined || this.leaseUntil(now) === undefined || this.#configurationPending()) {
 			return false;
 		}
 
-		const next = this.#membershipChanges.applyRequest(current, change);
+		const next = this.#membershipChanges.applyRequest(current, change, this.#replicationProgress(now));
 		if (next === undefined) {
 			return false;
 		}
@@ -151,20 +153,24 @@
 	}
 
 	#changeConfiguration(now: Millis): void {
-		const {storage, limits} = this.#context;
+		const {storage} = this.#context;
 		if (this.leaseUntil(now) === undefined || this.#configurationPending()) {
 			return;
 		}
 
-		const {lastIndex} = storage.log;
-		const learners = this.learners.filter(({heardAt}) => now - heardAt <= consensusTiming.silentMs);
-		const configuration = this.#membershipChanges.next(storage.configuration!, {learners, lastIndex, learnerLag: limits.learnerLag});
+		const configuration = this.#membershipChanges.next(storage.configuration!, this.#replicationProgress(now));
 		if (configuration !== undefined) {
 			this.#append({type: 'configuration', configuration}, now);
 			this.#replicator.tick(this.#applied.commitIndex, now);
 		}
 	}
 
+	#replicationProgress(now: Millis): ReplicationProgress {
+		const {storage, limits} = this.#context;
+		const learners = this.learners.filter(({heardAt}) => now - heardAt <= consensusTiming.silentMs);
+		return {learners, lastIndex: storage.log.lastIndex, learnerLag: limits.learnerLag};
+	}
+
 	/** True while the newest configuration is not committed. */
 	#configurationPending(): boolean {
 		return this.#context.storage.configurationIndex > this.#applied.commitIndex;
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -18,6 +18,7 @@
 import {LogAcceptor} from './log-acceptor.ts';
 import type {LogCommand} from './log-command.ts';
 import type {LogMember} from './log-member.ts';
+import type {MemberChange} from './member-change.ts';
 import type {MemberContext} from './member-context.ts';
 import {memberRole} from './member-role.ts';
 import {MemberStorage} from './member-storage.ts';
@@ -189,7 +190,7 @@
 		return this.#applied.takeCommitted();
 	}
 
-	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): boolean {
+	changeMembers(change: MemberChange, now: Millis): boolean {
 		return this.#leadership?.changeMembers(change, now) ?? false;
 	}
 
--- a/src/core/consensus/replicator.ts
+++ b/src/core/consensus/replicator.ts
@@ -10,6 +10,7 @@
 import {memberKey} from './member-key.ts';
 import type {PeerProgress} from './peer-progress.ts';
 import {SnapshotSender} from './snapshot-sender.ts';
+import {votingSets} from './voting-sets.ts';
 
 type AppendAnswer = ConsensusMessage['body'] & {type: 'append-answer'};
 type SnapshotAnswer = ConsensusMessage['body'] & {type: 'snapshot-answer'};
@@ -95,12 +96,12 @@
 
 	/** The highest index that a majority of voters has synced. */
 	majorityMatch(): number {
-		return majorityValue(this.#voterValues(peer => peer.matchIndex, this.#context.storage.syncedIndex));
+		return this.#majorityValue(peer => peer.matchIndex, this.#context.storage.syncedIndex);
 	}
 
 	/** Latest time at which a majority of voters still accepted this member as leader. */
 	majorityContact(now: Millis): number {
-		return majorityValue(this.#voterValues(peer => peer.ackedAt, now));
+		return this.#majorityValue(peer => peer.ackedAt, now);
 	}
 
 	/** True if the leader has had no contact with a majority for `quorumLossMs`. */
@@ -109,10 +110,11 @@
 		return now - contact > consensusTiming.quorumLossMs;
 	}
 
-	#voterValues(value: (peer: PeerProgress) => number, own: number): readonly number[] {
+	/** The highest value that a majority has reached of each set of members that votes. */
+	#majorityValue(value: (peer: PeerProgress) => number, own: number): number {
 		const {storage, self} = this.#context;
 		const selfKey = memberKey(self);
-		return storage.configuration!.voters.map(voter => {
+		const valueOf = (voter: LogMember) => {
 			const key = memberKey(voter);
 			if (key === selfKey) {
 				return own;
@@ -120,7 +122,9 @@
 
 			const peer = this.#peers.get(key);
 			return peer === undefined ? Number.NEGATIVE_INFINITY : value(peer);
-		});
+		};
+
+		return Math.min(...votingSets(storage.configuration!).map(set => majorityValue(set.map(voter => valueOf(voter)))));
 	}
 
 	#isSuperseded({member, heardAt}: PeerProgress): boolean {
--- a/src/core/control/voter-policy.ts
+++ b/src/core/control/voter-policy.ts
@@ -1,14 +1,13 @@
 import type {GroupView} from '../consensus/group-view.ts';
+import type {MemberChange} from '../consensus/member-change.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import {controlTiming} from './control-timing.ts';
 
-/** A change of the set of voters by one node. */
-type MemberChange = {readonly type: 'add' | 'remove'; readonly nodeId: NodeId};
-
 /**
  * Decides which control nodes vote: as many as leave a majority after the tolerated losses (2n + 1 for n losses).
- * A standby is added while voters are missing; a silent voter is removed only once a standby has replaced it. A standby
- * that was added and goes before it votes, or falls behind while another one is ready, is withdrawn.
+ * A standby is added while voters are missing; a silent voter is replaced by a standby in one change, so that both may
+ * go without a majority being lost. A standby that was added and goes before it votes, or falls behind while another one
+ * is ready, is withdrawn.
  *
  * Load pattern: control nodes are replaced one after another, so that nodes that left a moment ago are still known.
  */
@@ -40,12 +39,23 @@
 			.filter(({nodeId, silentMs}) => nodeId !== self && silentMs > controlTiming.replaceVoterMs)
 			.toSorted((left, right) => right.silentMs - left.silentMs)
 			.at(0);
-		if (wanted.length > this.#targetSize && silentVoter !== undefined) {
-			return {type: 'remove', nodeId: silentVoter.nodeId};
+		if (wanted.length > this.#targetSize) {
+			return this.#surplus(wanted, silentVoter?.nodeId, self);
+		}
+
+		if (standby === undefined) {
+			return undefined;
 		}
 
-		// A replacement votes before the silent voter is removed, so that there are never too few voters.
-		const needsVoter = wanted.length < this.#targetSize || (wanted.length === this.#targetSize && silentVoter !== undefined);
-		return needsVoter && standby !== undefined ? {type: 'add', nodeId: standby} : undefined;
+		if (wanted.length < this.#targetSize) {
+			return {type: 'add', nodeId: standby};
+		}
+
+		return silentVoter === undefined ? undefined : {type: 'replace', nodeId: standby, leaving: silentVoter.nodeId};
+	}
+
+	/** Takes one voter too many back, as older builds left behind when a silent voter answered again after it had been replaced. */
+	#surplus(wanted: readonly NodeId[], silent: NodeId | undefined, self: NodeId): MemberChange {
+		return {type: 'remove', nodeId: silent ?? wanted.findLast(nodeId => nodeId !== self)!};
 	}
 }
--- a/test/core/control/replaced-voters.test.ts
+++ b/test/core/control/replaced-voters.test.ts
@@ -121,6 +121,12 @@
 				}
 
 				cluster.run(settleMs);
+				const leader = cluster.leader();
+				if (leader !== undefined && cluster.nodes[leader]!.core!.status(cluster.clock(leader)).consensus.voters.includes(cluster.nodes[voters]!.nodeId)) {
+					// It voted before its disk was full and has had nothing to write since: with two more losses there is no majority.
+					cluster.nodes[voters]!.full = false;
+				}
+
 				losePower(cluster, [0, 1]);
 				if (!cluster.runUntil(() => votersRun(cluster), recoveryMs)) {
 					failed.push(`seed ${seed}, ${livedMs} ms: no leader after the loss of two disks`);
@@ -131,3 +137,28 @@
 		t.deepEqual(failed, []);
 	});
 }
+
+// Guards against a replacement that counts as two voters while it is under way: with both of them and a third one gone, there was no majority.
+test('two voters go for good, and the successor of one of them goes as soon as it is to vote', t => {
+	const failed: string[] = [];
+	for (const seed of seeds) {
+		for (let beforeMs = 0; beforeMs <= 120; beforeMs += 20) {
+			const cluster = startCluster(seed, 3);
+			const isListed = () => cluster.nodes.some(({core}, index) => core?.status(cluster.clock(index)).consensus.voters.includes(cluster.nodes[voters]!.nodeId));
+			cluster.kill(voters - 1);
+			cluster.kill(voters - 2);
+			cluster.start(voters, {seeds: [0, 1, 2]});
+			cluster.runUntil(isListed, replaceMs);
+			cluster.run(beforeMs);
+			cluster.kill(voters);
+			cluster.run(replacedAfterMs);
+			cluster.start(voters + 1, {seeds: [0, 1, 2]});
+			cluster.start(voters + 2, {seeds: [0, 1, 2]});
+			if (!cluster.runUntil(() => votersRun(cluster), replaceMs)) {
+				failed.push(`seed ${seed}, ${beforeMs} ms: a voter is gone`);
+			}
+		}
+	}
+
+	t.deepEqual(failed, []);
+});
--- a/test/core/control/voter-policy.test.ts
+++ b/test/core/control/voter-policy.test.ts
@@ -10,12 +10,19 @@
 const self = toId<NodeId>('a');
 const names = (text: string) => [...text].map(name => toId<NodeId>(name));
 
-/** Three voters `a` to `c`, all of which answer, with the nodes `wanted` to vote and further learners. */
-function groupView({wanted = 'abc', learners = []}: {wanted?: string; learners?: ReadonlyArray<Partial<Learner> & {readonly name: string}>}): GroupView {
+type ViewOptions = {
+	readonly wanted?: string;
+	readonly voters?: string;
+	readonly silent?: string;
+	readonly learners?: ReadonlyArray<Partial<Learner> & {readonly name: string}>;
+};
+
+/** Voters `a` to `c`, all of which answer but the `silent` ones, with the nodes `wanted` to vote and further learners. */
+function groupView({wanted = 'abc', voters = 'abc', silent = '', learners = []}: ViewOptions): GroupView {
 	return {
 		configurationCommitted: true,
 		wanted: names(wanted),
-		voters: names('abc').map(nodeId => ({nodeId, silentMs: 0})),
+		voters: names(voters).map((nodeId, position) => ({nodeId, silentMs: silent.includes(nodeId) ? 2000 + position : 0})),
 		learners: learners.map(({name, ...learner}) => ({
 			nodeId: toId<NodeId>(name), silentMs: 0, caughtUp: true, ...learner,
 		})),
@@ -46,3 +53,16 @@
 	t.is(nextChange(groupView({wanted: 'ab', learners: [{name: 'd', silentMs: 2000}]})), undefined);
 	t.deepEqual(nextChange(groupView({wanted: 'ab', learners: [{name: 'd', silentMs: 2000}, {name: 'e'}]})), {type: 'add', nodeId: toId('e')});
 });
+
+test('the voter that has been silent longest is replaced in one change, once a standby is ready', t => {
+	t.deepEqual(nextChange(groupView({silent: 'bc', learners: [{name: 'd'}]})), {type: 'replace', nodeId: toId('d'), leaving: toId('c')});
+	t.is(nextChange(groupView({silent: 'bc', learners: [{name: 'd', caughtUp: false}]})), undefined);
+	t.is(nextChange(groupView({learners: [{name: 'd'}]})), undefined);
+});
+
+// Guards against a group of an even size that stays, as older builds left it behind when a silent voter came back.
+test('a voter too many is removed, the silent one or the last one, whichever answers', t => {
+	t.deepEqual(nextChange(groupView({wanted: 'abcd', voters: 'abcd', silent: 'b'})), {type: 'remove', nodeId: toId('b')});
+	t.deepEqual(nextChange(groupView({wanted: 'abcd', voters: 'abcd'})), {type: 'remove', nodeId: toId('d')});
+	t.deepEqual(nextChange(groupView({wanted: 'dcba', voters: 'abcd'})), {type: 'remove', nodeId: toId('b')});
+});
