--- a/src/core/control/voter-policy.ts
+++ b/src/core/control/voter-policy.ts
@@ -1,16 +1,16 @@
 import type {GroupView} from '../consensus/group-view.ts';
+import type {MemberChange} from '../consensus/member-change.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import {controlTiming} from './control-timing.ts';
 
-/** A change of the set of wanted voters by one node. */
-type MemberChange =
-	| {readonly type: 'add'; readonly nodeId: NodeId; readonly reason: 'too-few-voters' | 'silent-voter'}
-	| {readonly type: 'remove'; readonly nodeId: NodeId; readonly reason: 'replaced' | 'surplus' | 'standby-gone' | 'standby-late'};
+/** A change of the voters, and why it is made. */
+type PlannedChange = MemberChange & {readonly reason: 'too-few-voters' | 'silent-voter' | 'surplus' | 'standby-gone' | 'standby-late'};
 
 /**
  * Decides which control nodes vote: as many as leave a majority after the tolerated losses (2n + 1 for n losses).
- * A standby is added while voters are missing; a silent voter is removed only once a standby has replaced it. A standby
- * that was added and goes before it votes, or falls behind while another one is ready, is withdrawn.
+ * A standby is added while voters are missing; a silent voter is replaced by a standby in one change, so that both may
+ * go without a majority being lost. A standby that was added and goes before it votes, or falls behind while another one
+ * is ready, is withdrawn.
  *
  * Load pattern: control nodes are replaced one after another, so that nodes that left a moment ago are still known.
  */
@@ -22,7 +22,7 @@
 		this.#targetSize = (2 * tolerated) + 1;
 	}
 
-	nextChange({configurationCommitted, wanted, voters, learners}: GroupView, self: NodeId): MemberChange | undefined {
+	nextChange({configurationCommitted, wanted, voters, learners}: GroupView, self: NodeId): PlannedChange | undefined {
 		if (!configurationCommitted) {
 			return undefined;
 		}
@@ -43,13 +43,21 @@
 			.toSorted((left, right) => right.silentMs - left.silentMs)
 			.at(0);
 		if (wanted.length > this.#targetSize) {
-			// The voter that was silent may be back; then the newest one becomes a standby again.
-			const surplus = silentVoter ?? voters.findLast(({nodeId}) => nodeId !== self)!;
-			return {type: 'remove', nodeId: surplus.nodeId, reason: silentVoter === undefined ? 'surplus' : 'replaced'};
+			// One voter too many is left behind by older builds, and by a silent voter that answers again.
+			const surplus = silentVoter?.nodeId ?? wanted.findLast(nodeId => nodeId !== self)!;
+			return {type: 'remove', nodeId: surplus, reason: 'surplus'};
 		}
 
-		// A replacement votes before the silent voter is removed, so that there are never too few voters.
-		const needsVoter = wanted.length < this.#targetSize || (wanted.length === this.#targetSize && silentVoter !== undefined);
-		return needsVoter && standby !== undefined ? {type: 'add', nodeId: standby, reason: silentVoter === undefined ? 'too-few-voters' : 'silent-voter'} : undefined;
+		if (standby === undefined) {
+			return undefined;
+		}
+
+		if (wanted.length < this.#targetSize) {
+			return {type: 'add', nodeId: standby, reason: 'too-few-voters'};
+		}
+
+		return silentVoter && {
+			type: 'replace', nodeId: standby, leaving: silentVoter.nodeId, reason: 'silent-voter',
+		};
 	}
 }
--- a/test/core/control/voter-policy.test.ts
+++ b/test/core/control/voter-policy.test.ts
@@ -10,14 +10,19 @@
 const self = toId<NodeId>('a');
 const names = (text: string) => [...text].map(name => toId<NodeId>(name));
 
-type ViewOptions = {readonly voters?: string; readonly wanted?: string; readonly silent?: string; readonly learners?: ReadonlyArray<Partial<Learner> & {readonly name: string}>};
+type ViewOptions = {
+	readonly wanted?: string;
+	readonly voters?: string;
+	readonly silent?: string;
+	readonly learners?: ReadonlyArray<Partial<Learner> & {readonly name: string}>;
+};
 
-/** Voters, all of which answer except those that are `silent`, with the nodes `wanted` to vote and further learners. */
+/** Voters `a` to `c`, all of which answer but the `silent` ones, with the nodes `wanted` to vote and further learners. */
 function groupView({voters = 'abc', wanted = voters, silent = '', learners = []}: ViewOptions): GroupView {
 	return {
 		configurationCommitted: true,
 		wanted: names(wanted),
-		voters: names(voters).map(nodeId => ({nodeId, silentMs: silent.includes(nodeId) ? 2000 : 0})),
+		voters: names(voters).map((nodeId, position) => ({nodeId, silentMs: silent.includes(nodeId) ? 2000 + position : 0})),
 		learners: learners.map(({name, ...learner}) => ({
 			nodeId: toId<NodeId>(name), silentMs: 0, caughtUp: true, ...learner,
 		})),
@@ -51,7 +56,16 @@
 
 // Guards against a group that needs one more node for its majority than it was planned with.
 test('once a silent voter is back, the node that came in its place is a standby again', t => {
-	t.deepEqual(nextChange(groupView({voters: 'abcd', silent: 'b'})), {type: 'remove', nodeId: toId('b'), reason: 'replaced'});
+	t.deepEqual(nextChange(groupView({voters: 'abcd', silent: 'b'})), {type: 'remove', nodeId: toId('b'), reason: 'surplus'});
 	t.deepEqual(nextChange(groupView({voters: 'abcd'})), {type: 'remove', nodeId: toId('d'), reason: 'surplus'});
 	t.deepEqual(nextChange(groupView({voters: 'bcda'})), {type: 'remove', nodeId: toId('d'), reason: 'surplus'});
+	t.deepEqual(nextChange(groupView({voters: 'abcd', wanted: 'dcba'})), {type: 'remove', nodeId: toId('b'), reason: 'surplus'});
+});
+
+test('the voter that has been silent longest is replaced in one change, once a standby is ready', t => {
+	t.deepEqual(nextChange(groupView({silent: 'bc', learners: [{name: 'd'}]})), {
+		type: 'replace', nodeId: toId('d'), leaving: toId('c'), reason: 'silent-voter',
+	});
+	t.is(nextChange(groupView({silent: 'bc', learners: [{name: 'd', caughtUp: false}]})), undefined);
+	t.is(nextChange(groupView({learners: [{name: 'd'}]})), undefined);
 });
