fix(consensus): a standby that does not hear the leader gets no vote

Seen by callers: none; a voter that is gone was replaced by a node that could follow nothing, so that the next loss was not borne.

Change: a standby is one that has answered the leader lately.

--- a/src/core/consensus/group-view.ts
+++ b/src/core/consensus/group-view.ts
@@ -7,6 +7,6 @@
 	readonly wanted: readonly NodeId[];
 	/** `silentMs` is the time since the leader last heard from a voter; 0 for the leader itself. */
 	readonly voters: ReadonlyArray<{readonly nodeId: NodeId; readonly silentMs: number}>;
-	/** Nodes without a vote that the leader replicates to, in the order in which they joined; `silentMs` is the time since the leader last heard from them. */
+	/** Nodes without a vote that the leader replicates to, in the order in which they joined; `silentMs` is the time since their last answer. */
 	readonly learners: ReadonlyArray<{readonly nodeId: NodeId; readonly silentMs: number; readonly caughtUp: boolean}>;
 };
--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -110,8 +110,8 @@
 			configurationCommitted: !this.#configurationPending(),
 			wanted: configuration.wanted,
 			voters: configuration.voters.map(voter => ({nodeId: voter.nodeId, silentMs: silences.get(memberKey(voter)) ?? 0})),
-			learners: this.learners.map(({member, heardAt, matchIndex}) => ({
-				nodeId: member.nodeId, silentMs: now - heardAt, caughtUp: hasCaughtUp(matchIndex, log.lastIndex, limits.learnerLag),
+			learners: this.learners.map(({member, answeredAt, matchIndex}) => ({
+				nodeId: member.nodeId, silentMs: now - answeredAt, caughtUp: hasCaughtUp(matchIndex, log.lastIndex, limits.learnerLag),
 			})),
 		};
 	}
@@ -172,7 +172,7 @@
 
 	#replicationProgress(now: Millis): ReplicationProgress {
 		const {storage, limits} = this.#context;
-		const learners = this.learners.filter(({heardAt}) => now - heardAt <= consensusTiming.silentMs);
+		const learners = this.learners.filter(({answeredAt}) => now - answeredAt <= consensusTiming.silentMs);
 		return {learners, lastIndex: storage.log.lastIndex, learnerLag: limits.learnerLag};
 	}
 
--- a/src/core/consensus/peer-progress.ts
+++ b/src/core/consensus/peer-progress.ts
@@ -13,6 +13,8 @@
 	probing: boolean;
 	/** Sending time of the newest answered message, on the leader's clock. */
 	ackedAt: number;
+	/** Time of the last answer to a message of this leader, on the leader's clock: the member hears the leader, too. */
+	answeredAt: number;
 	/** Time of the last message from the member, on the leader's clock. */
 	heardAt: number;
 	/** Time of the last message to the member, on the leader's clock. */
--- a/src/core/consensus/replicator.ts
+++ b/src/core/consensus/replicator.ts
@@ -149,6 +149,7 @@
 			sentCommitIndex: 0,
 			probing: true,
 			ackedAt: Number.NEGATIVE_INFINITY,
+			answeredAt: Number.NEGATIVE_INFINITY,
 			heardAt,
 			sentAt: Number.NEGATIVE_INFINITY,
 		};
@@ -186,6 +187,7 @@
 		const peer = this.#peers.get(memberKey(from));
 		if (peer !== undefined) {
 			peer.heardAt = now;
+			peer.answeredAt = now;
 			peer.ackedAt = Math.max(peer.ackedAt, sentAt);
 		}
 
--- a/test/core/control/replaced-voters.test.ts
+++ b/test/core/control/replaced-voters.test.ts
@@ -164,3 +164,24 @@
 
 	t.deepEqual(failed, []);
 });
+
+// Guards against a standby that votes and hears nothing: its own messages arrive, those of the leader don't.
+test('a standby that the leader cannot reach gets no vote', t => {
+	const failed: string[] = [];
+	for (const seed of fewSeeds) {
+		const cluster = startCluster(seed, 1);
+		cluster.start(voters, {seeds: [0, 1, 2]});
+		cluster.run(replaceMs);
+		const leader = cluster.leader()!;
+		cluster.cut.add(`${leader}>${voters}`);
+		cluster.run(silenceMs);
+		cluster.kill((leader + 1) % voters);
+		cluster.run(recoveryMs);
+		const {consensus} = cluster.nodes[leader]!.core!.status(cluster.clock(leader));
+		if (consensus.role !== 'leader' || consensus.voters.includes(cluster.nodes[voters]!.nodeId)) {
+			failed.push(`seed ${seed}: ${consensus.role}`);
+		}
+	}
+
+	t.deepEqual(failed, []);
+});
