fix(control): a new leader knows from gossip who has been silent

Other voters that had gone before the election were silent only 0.8 s after it.

Change: control nodes hear each other's gossip whoever leads. A voter that has not answered the new leader yet counts as silent since its last gossip.

--- a/src/core/consensus/election.ts
+++ b/src/core/consensus/election.ts
@@ -19,7 +19,6 @@
 	#votes = new Set<string>();
 	#deadlineAt: number | undefined;
 	#leaderHeardAt: Millis | undefined;
-	#lastLeader: {readonly nodeId: NodeId; readonly heardAt: Millis} | undefined;
 
 	constructor(context: MemberContext, onWon: (now: Millis) => void) {
 		this.#context = context;
@@ -31,20 +30,14 @@
 		return this.#phase !== 'none';
 	}
 
-	/** The leader heard last and when; undefined if there was none since the start of the process. */
-	get lastLeader(): {readonly nodeId: NodeId; readonly heardAt: Millis} | undefined {
-		return this.#lastLeader;
-	}
-
 	/** Milliseconds since the last contact with a leader; counts from the process's start, since there may have been contact just before a restart. */
 	leaderSilence(now: Millis): number {
 		this.#leaderHeardAt ??= now;
 		return now - this.#leaderHeardAt;
 	}
 
-	heardLeader(nodeId: NodeId, now: Millis): void {
+	heardLeader(now: Millis): void {
 		this.#leaderHeardAt = now;
-		this.#lastLeader = {nodeId, heardAt: now};
 		this.cancel(now);
 	}
 
--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -1,5 +1,4 @@
 import type {Millis} from '../ids/millis.ts';
-import type {NodeId} from '../ids/node-id.ts';
 import type {AppliedLog} from './applied-log.ts';
 import type {ConsensusMessage} from './consensus-message.ts';
 import {consensusTiming} from './consensus-timing.ts';
@@ -21,8 +20,6 @@
 type LeadershipOptions<Outcome> = {
 	readonly context: MemberContext;
 	readonly applied: AppliedLog<Outcome>;
-	/** The leader before this one, and when this member heard it last. */
-	readonly predecessor?: {readonly nodeId: NodeId; readonly heardAt: number};
 	readonly now: Millis;
 };
 
@@ -35,12 +32,10 @@
 	/** Index of this leader's first entry: only its commit shows which entries of earlier terms are committed. */
 	readonly #firstIndex: number;
 
-	constructor({context, applied, predecessor, now}: LeadershipOptions<Outcome>) {
+	constructor({context, applied, now}: LeadershipOptions<Outcome>) {
 		this.#context = context;
 		this.#applied = applied;
-		this.#replicator = new Replicator({
-			context, predecessor, takeSnapshot: () => applied.snapshot(), now,
-		});
+		this.#replicator = new Replicator(context, () => applied.snapshot(), now);
 		this.#replicator.tick(applied.commitIndex, now);
 		this.#firstIndex = this.#append({type: 'command', command: {type: 'lead', nodeId: context.self.nodeId}}, now);
 	}
@@ -105,11 +100,14 @@
 			return undefined;
 		}
 
-		const silences = new Map(this.#replicator.peers().map(({member, heardAt}) => [memberKey(member), now - heardAt]));
+		const peers = new Map(this.#replicator.peers().map(peer => [memberKey(peer.member), peer]));
 		return {
 			configurationCommitted: !this.#configurationPending(),
 			wanted: configuration.wanted,
-			voters: configuration.voters.map(voter => ({nodeId: voter.nodeId, silentMs: silences.get(memberKey(voter)) ?? 0})),
+			voters: configuration.voters.map(voter => {
+				const {heardAt = now, answeredAt = now} = peers.get(memberKey(voter)) ?? {};
+				return {nodeId: voter.nodeId, silentMs: now - heardAt, hasAnswered: answeredAt > Number.NEGATIVE_INFINITY};
+			}),
 			learners: this.learners.map(({member, answeredAt, matchIndex}) => ({
 				nodeId: member.nodeId, silentMs: now - answeredAt, caughtUp: hasCaughtUp(matchIndex, log.lastIndex, limits.learnerLag),
 			})),
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -375,15 +375,13 @@
 
 	#recordLeaderContact(nodeId: NodeId, now: Millis): void {
 		this.#leader = nodeId;
-		this.#election.heardLeader(nodeId, now);
+		this.#election.heardLeader(now);
 	}
 
 	#becomeLeader(now: Millis): void {
 		this.#context.outbox.log('consensus', `Became leader of term ${this.#storage.term}`);
 		this.#leader = this.#context.self.nodeId;
-		this.#leadership = new Leadership({
-			context: this.#context, applied: this.#applied, predecessor: this.#election.lastLeader, now,
-		});
+		this.#leadership = new Leadership({context: this.#context, applied: this.#applied, now});
 	}
 
 	#stepDown(now: Millis): void {
--- a/src/core/consensus/replicator.ts
+++ b/src/core/consensus/replicator.ts
@@ -1,5 +1,4 @@
 import type {Millis} from '../ids/millis.ts';
-import type {NodeId} from '../ids/node-id.ts';
 import type {ConsensusMessage} from './consensus-message.ts';
 import {consensusTiming} from './consensus-timing.ts';
 import {isVoter} from './is-voter.ts';
@@ -11,18 +10,11 @@
 import {memberKey} from './member-key.ts';
 import type {PeerProgress} from './peer-progress.ts';
 import {SnapshotSender} from './snapshot-sender.ts';
+import {votingSets} from './voting-sets.ts';
 
 type AppendAnswer = ConsensusMessage['body'] & {type: 'append-answer'};
 type SnapshotAnswer = ConsensusMessage['body'] & {type: 'snapshot-answer'};
 
-type ReplicatorOptions = {
-	readonly context: MemberContext;
-	/** The leader before this one, and when this member heard it last. */
-	readonly predecessor?: {readonly nodeId: NodeId; readonly heardAt: number};
-	readonly takeSnapshot: () => LogSnapshot;
-	readonly now: Millis;
-};
-
 /** Replicates the leader's log to the other members during one term, and finds what a majority has synced. */
 export class Replicator {
 	readonly #context: MemberContext;
@@ -31,14 +23,10 @@
 	readonly #electedAt: Millis;
 	#commitIndex = 0;
 
-	constructor({context, predecessor, takeSnapshot, now}: ReplicatorOptions) {
+	constructor(context: MemberContext, takeSnapshot: () => LogSnapshot, now: Millis) {
 		this.#context = context;
 		this.#snapshots = new SnapshotSender(context, takeSnapshot);
 		this.#electedAt = now;
-		for (const voter of context.storage.configuration!.voters.filter(({nodeId}) => nodeId !== context.self.nodeId)) {
-			// The predecessor has been silent for an election at least; it counts as silent from the first moment on.
-			this.#add(voter, voter.nodeId === predecessor?.nodeId ? predecessor.heardAt : now);
-		}
 	}
 
 	peers(): readonly PeerProgress[] {
@@ -108,12 +96,12 @@
 
 	/** The highest index that a majority of voters has synced. */
 	majorityMatch(): number {
-		return majorityValue(this.#voterValues(peer => peer.matchIndex, this.#context.storage.syncedIndex));
+		return this.#majorityValue(peer => peer.matchIndex, this.#context.storage.syncedIndex);
 	}
 
 	/** Latest time at which a majority of voters still accepted this member as leader. */
 	majorityContact(now: Millis): number {
-		return majorityValue(this.#voterValues(peer => peer.ackedAt, now));
+		return this.#majorityValue(peer => peer.ackedAt, now);
 	}
 
 	/** True if the leader has had no contact with a majority for `quorumLossMs`. */
@@ -122,10 +110,11 @@
 		return now - contact > consensusTiming.quorumLossMs;
 	}
 
-	#voterValues(value: (peer: PeerProgress) => number, own: number): readonly number[] {
+	/** The highest value that a majority has reached of each set of members that votes. */
+	#majorityValue(value: (peer: PeerProgress) => number, own: number): number {
 		const {storage, self} = this.#context;
 		const selfKey = memberKey(self);
-		return storage.configuration!.voters.map(voter => {
+		const valueOf = (voter: LogMember) => {
 			const key = memberKey(voter);
 			if (key === selfKey) {
 				return own;
@@ -133,7 +122,9 @@
 
 			const peer = this.#peers.get(key);
 			return peer === undefined ? Number.NEGATIVE_INFINITY : value(peer);
-		});
+		};
+
+		return Math.min(...votingSets(storage.configuration!).map(set => majorityValue(set.map(voter => valueOf(voter)))));
 	}
 
 	#isSuperseded({member, heardAt}: PeerProgress): boolean {
@@ -141,7 +132,7 @@
 			other.member.nodeId === member.nodeId && other.member.storageId !== member.storageId && other.heardAt > heardAt);
 	}
 
-	#add(member: LogMember, heardAt: number): PeerProgress {
+	#add(member: LogMember, now: Millis): PeerProgress {
 		const peer: PeerProgress = {
 			member,
 			matchIndex: 0,
@@ -150,7 +141,7 @@
 			probing: true,
 			ackedAt: Number.NEGATIVE_INFINITY,
 			answeredAt: Number.NEGATIVE_INFINITY,
-			heardAt,
+			heardAt: now,
 			sentAt: Number.NEGATIVE_INFINITY,
 		};
 		this.#peers.set(memberKey(member), peer);
--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -3,6 +3,7 @@
 import type {ConsensusRecord} from '../consensus/consensus-record.ts';
 import type {ConsensusStatus} from '../consensus/consensus-status.ts';
 import {pendingMember} from '../consensus/pending-member.ts';
+import type {GroupView} from '../consensus/group-view.ts';
 import {RaftMember} from '../consensus/raft-member.ts';
 import type {EntryAddress} from '../ids/entry-address.ts';
 import type {Millis} from '../ids/millis.ts';
@@ -55,6 +56,8 @@
 	#loggedGroup = '';
 	#gossipUrgent = false;
 	#now = 0 as Millis;
+	/** Time of the first step. */
+	#startedAt: Millis | undefined;
 
 	constructor(options: ControlCoreOptions) {
 		this.#options = options;
@@ -122,6 +125,7 @@
 
 	step(event: ControlEvent, now: Millis): readonly ControlAction[] {
 		this.#now = now;
+		this.#startedAt ??= now;
 		this.#dispatch(event, now);
 		this.#processPending(now);
 		return this.#queue.take();
@@ -353,7 +357,8 @@
 			return;
 		}
 
-		const change = this.#voterPolicy.nextChange(group, this.#options.self.nodeId);
+		const voters = group.voters.map(voter => ({...voter, silentMs: this.#silenceOf(voter, now)}));
+		const change = this.#voterPolicy.nextChange({...group, voters}, this.#options.self.nodeId);
 		if (change !== undefined && this.#consensus.changeMembers(change, now)) {
 			this.#membersChangedAt = now;
 			this.#queue.event('member-change', {
@@ -362,6 +367,11 @@
 		}
 	}
 
+	/** A new leader knows from gossip how long a voter has been silent that has not answered it yet. */
+	#silenceOf({nodeId, silentMs, hasAnswered}: GroupView['voters'][number], now: Millis): number {
+		return hasAnswered ? silentMs : now - (this.#lastGossipAt.get(nodeId) ?? this.#startedAt ?? now);
+	}
+
 	/** True if this node leads with a valid lease, or has heard the leader lately and lags little behind its commits. */
 	#isCurrent(now: Millis): boolean {
 		const consensus = this.#consensus;
--- a/test/core/control/voter-policy.test.ts
+++ b/test/core/control/voter-policy.test.ts
@@ -22,7 +22,7 @@
 	return {
 		configurationCommitted: true,
 		wanted: names(wanted),
-		voters: names(voters).map((nodeId, position) => ({nodeId, silentMs: silent.includes(nodeId) ? 2000 + position : 0})),
+		voters: names(voters).map((nodeId, position) => ({nodeId, silentMs: silent.includes(nodeId) ? 2000 + position : 0, hasAnswered: true})),
 		learners: learners.map(({name, ...learner}) => ({
 			nodeId: toId<NodeId>(name), silentMs: 0, caughtUp: true, ...learner,
 		})),
