fix(control): a node is current only once it has caught up with its leader

Callers saw: an entry that took its configuration from such a node could serve by a version older than one accepted before (CONFIG, HOME).

Cause: a control node counted as lagging only from its first contact with a leader on, so for the 500 ms that a lag may last it said `current: true` with whatever it had, after a cut or a restart. After an election the commit index of the new leader may also be older than what was accepted, and a node that had reached it said that it was current.

Why it works: from the loss of a leader on, a node lags until it has the leader's commit index, and that index names an entry of the leader's term. The first such entry comes after all that was accepted before.

--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -41,8 +41,8 @@
 	/** Set while this member leads. */
 	#leadership: Leadership<Outcome> | undefined;
 	#leader: NodeId | undefined;
-	/** Since when the leader's commit index has been ahead of this member's. */
-	#laggingSince: Millis | undefined;
+	/** Since when the leader's commit index has been ahead of this member's; always, for a member that has not caught up with its leader yet. */
+	#laggingSince: Millis | undefined = Number.NEGATIVE_INFINITY as Millis;
 	readonly #recovery = new JournalRecovery();
 	/** Highest term of a leader heard while stopped. */
 	#heardTerm = 0;
@@ -171,7 +171,7 @@
 		return this.#leadership === undefined ? this.#election.leaderSilence(now) : 0;
 	}
 
-	/** Milliseconds for which the leader's commit index has been ahead of this member's; 0 if it is not, or while this member leads. Infinite after a failed write, until this member has caught up. */
+	/** Milliseconds for which the leader's commit index has been ahead of this member's; 0 if it is not, or while this member leads. Infinite from the loss of a leader or a failed write on, until this member has caught up. */
 	lag(now: Millis): number {
 		return this.#leadership !== undefined || this.#laggingSince === undefined ? 0 : now - this.#laggingSince;
 	}
@@ -331,7 +331,9 @@
 			this.#applied.advance(Math.min(body.commit, matched));
 		}
 
-		this.#laggingSince = this.#applied.commitIndex < body.commit ? this.#laggingSince ?? now : undefined;
+		// A new leader's commit index covers all that was committed before only once it names an entry of its own term.
+		const hasCaughtUp = this.#applied.commitIndex >= body.commit && this.#storage.log.term(body.commit) === body.term;
+		this.#laggingSince = hasCaughtUp ? undefined : this.#laggingSince ?? now;
 	}
 
 	#handleSnapshot(from: LogMember, body: Body & {type: 'snapshot'}, now: Millis): void {
@@ -372,6 +374,10 @@
 	}
 
 	#recordLeaderContact(nodeId: NodeId, now: Millis): void {
+		if (this.#leader !== nodeId) {
+			this.#laggingSince = Number.NEGATIVE_INFINITY as Millis;
+		}
+
 		this.#leader = nodeId;
 		this.#election.heardLeader(now);
 	}
