fix(edge): an entry that starts takes no configuration that may be outdated

Callers saw: after a power loss, requests were handled as only an older version allows: sent by former homes and routes (HOME), or refused with 404 (CONFIG).

Cause: an entry became ready with the first document that a control node sent, also from a node that was not current. Until an election no node is; some lag by what they missed, and after a power loss none may know that the newest change, which its log holds, was accepted.

Why it works: an entry without routes asks all control nodes that it knows, and takes the newest state once a current node has sent a feed. To be ready before an election it needs the views of a majority of the voters: nodes that are not current add to their feeds (`log`, optional) the end of their log, its voters, and the newest change of the routes that is not known to be accepted. The newest of these logs could be elected by them, so it holds all that was accepted; if the highest commit index covers it, nothing is missing. Without proof the entry takes the newest state heard after 10 s, within the recovery bound, and logs `started-without-leader`.

--- a/src/commands/explain-request.ts
+++ b/src/commands/explain-request.ts
@@ -2,11 +2,11 @@
 import {readLogLines} from './read-log-lines.ts';
 
 /** Log events that show the state on which a process based its decisions. */
-const contextEvents = new Set(['state-taken', 'control-followed', 'started', 'stopping']);
+const contextEvents = new Set(['state-taken', 'started-without-leader', 'control-followed', 'started', 'stopping']);
 const standardFields = new Set(['level', 'time', 'node', 'msg', 'request']);
 
 const causesByReason: Readonly<Record<string, string>> = {
-	'not-configured': 'the entry had no routes document yet: see when it started and which control node it followed',
+	'not-configured': 'the entry had no routes document yet, or none that was sure to be the newest: see when it started and which control node it followed',
 	'no-route': 'no route of the document in force matches the request: compare its version with the latest one',
 	overloaded: 'no target could start the request in time: see the lines before it for targets that refused it',
 	'no-target': 'no target of the service could be used from this region: look for target-changed, evacuation-began and attempt-failed',
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -17,8 +17,10 @@
 import {Leadership} from './leadership.ts';
 import {LogAcceptor} from './log-acceptor.ts';
 import type {LogCommand} from './log-command.ts';
+import type {LogEntry} from './log-entry.ts';
 import type {LogMember} from './log-member.ts';
 import type {MemberContext} from './member-context.ts';
+import {memberKey} from './member-key.ts';
 import {memberRole} from './member-role.ts';
 import {MemberStorage} from './member-storage.ts';
 import type {RaftMemberOptions} from './raft-member-options.ts';
@@ -166,6 +168,19 @@
 		return this.#applied.commitIndex;
 	}
 
+	/** Entries in the log that are not known to be committed. */
+	uncommitted(): readonly LogEntry[] {
+		return this.#storage.log.slice(this.#applied.commitIndex + 1);
+	}
+
+	/** Key of this member, the end of its log, and the keys of the voters that it goes by. */
+	logEnd(): {readonly member: string; readonly lastTerm: number; readonly lastIndex: number; readonly voters: readonly string[]} {
+		const {configuration, log: {lastTerm, lastIndex}} = this.#storage;
+		return {
+			member: memberKey(this.#context.self), lastTerm, lastIndex, voters: configuration?.voters.map(voter => memberKey(voter)) ?? [],
+		};
+	}
+
 	/** Milliseconds since the last contact with a leader; 0 while this member leads. */
 	leaderSilence(now: Millis): number {
 		return this.#leadership === undefined ? this.#election.leaderSilence(now) : 0;
--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -22,6 +22,7 @@
 import {controlTiming} from './control-timing.ts';
 import {CrashReportHandler} from './crash-report-handler.ts';
 import {EntryFeed} from './entry-feed.ts';
+import type {LogView} from './log-view.ts';
 import {OperatorCallHandler} from './operator-call-handler.ts';
 import {RegistryGossip} from './registry-gossip.ts';
 import {StreamOriginAnswerer} from './stream-origin-answerer.ts';
@@ -113,6 +114,7 @@
 			state: this.#state.routes,
 			outbox,
 			isCurrent: now => this.#isCurrent(now),
+			logView: () => this.#logView(),
 			controlPeers: () => this.#gossip.controlPeers(this.#now),
 			regionLoads: now => summarizeRegions(this.#directory.readyEntries(now), this.#tickCount),
 		});
@@ -365,6 +367,12 @@
 			: consensus.leader() !== undefined && consensus.leaderSilence(now) < controlTiming.maxLeaderSilenceMs && consensus.lag(now) <= controlTiming.maxLagMs;
 	}
 
+	#logView(): LogView {
+		const consensus = this.#consensus;
+		const pending = consensus.uncommitted().findLast(({content}) => content.type === 'command' && (content.command.type === 'document' || content.command.type === 'evacuation'));
+		return {...consensus.logEnd(), commitIndex: consensus.commitIndex, pendingIndex: pending?.index};
+	}
+
 	/** The other control nodes: seeds, members of the replicated log and nodes that gossiped lately. */
 	#peers(): readonly NodeId[] {
 		const {voters, learners} = this.#consensus.status();
--- a/src/core/control/control-message.ts
+++ b/src/core/control/control-message.ts
@@ -17,6 +17,7 @@
 import type {SuspectTrait} from '../routes/suspect-trait.ts';
 import type {BegunStream} from './begun-stream.ts';
 import type {ControlPeer} from './control-peer.ts';
+import type {LogView} from './log-view.ts';
 
 /** A position in one control node's registry; revisions are comparable only within one `epoch`, a run of that node's process. */
 type FeedPosition = {readonly epoch: string; readonly revision: number};
@@ -48,6 +49,8 @@
 		readonly signs: ReadonlyArray<readonly [TargetId, number]>;
 		/** True if the node is up to date with the replicated log's leader, or is the leader itself. */
 		readonly current: boolean;
+		/** Sent by a node that is not current, for entries that start; absent from builds that don't know it. */
+		readonly log?: LogView;
 		readonly control: readonly ControlPeer[];
 		/** Log index of `state`, which is absent if the entry already has it. */
 		readonly stateIndex: number;
--- a/src/core/control/entry-feed.ts
+++ b/src/core/control/entry-feed.ts
@@ -8,6 +8,7 @@
 import type {ControlMessage} from './control-message.ts';
 import type {ControlPeer} from './control-peer.ts';
 import {controlTiming} from './control-timing.ts';
+import type {LogView} from './log-view.ts';
 
 type Follow = ControlMessage & {type: 'follow'};
 
@@ -19,6 +20,8 @@
 	readonly outbox: Outbox;
 	/** Whether this node is up to date with the replicated log. */
 	readonly isCurrent: (now: Millis) => boolean;
+	/** What this node holds of the replicated log. */
+	readonly logView: () => LogView;
 	/** Control nodes that entries may follow. */
 	readonly controlPeers: () => readonly ControlPeer[];
 	/** Summaries of the regions. */
@@ -66,8 +69,9 @@
 	}
 
 	#send(nodeId: NodeId, follower: Follower, now: Millis): void {
-		const {epoch, registry, state, outbox, isCurrent, controlPeers, regionLoads} = this.#options;
+		const {epoch, registry, state, outbox, isCurrent, logView, controlPeers, regionLoads} = this.#options;
 		const {crashes} = state;
+		const current = isCurrent(now);
 		const stateChanged = state.index > follower.sentStateIndex;
 		outbox.send(nodeId, {
 			part: 'control',
@@ -78,7 +82,8 @@
 				to: registry.revision,
 				targets: registry.changedSince(follower.sentRevision, now, entry => entry.region === follower.region),
 				signs: registry.heartbeats(follower.region),
-				current: isCurrent(now),
+				current,
+				log: current ? undefined : logView(),
 				control: controlPeers(),
 				stateIndex: state.index,
 				state: stateChanged ? {document: state.document, evacuated: state.evacuated()} : undefined,
--- a/src/core/edge/control-follower.ts
+++ b/src/core/edge/control-follower.ts
@@ -21,12 +21,15 @@
 	readonly stateIndex: () => number;
 	/** Log index of the newest change of blamed traits that the entry has. */
 	readonly crashIndex: () => number;
+	/** False while the entry starts and has no routes yet. */
+	readonly isConfigured: () => boolean;
 };
 
 /**
  * Follows one control node, at first the seed that answers first, later preferably one of the own region, and switches to another if its feeds stop or if it is no
  * longer current with the replicated log. While it knows no other control node, it stays with one that is not current.
  * When its control node fails it asks several others, since the next one may be lost too, and follows the first that sends a current feed, which may be the one before.
+ * While the entry has no routes it asks all control nodes that it knows, current or not, to compare what they have.
  * It returns to a node of the own region only once that has sent a current feed, so that it is never without one for it.
  */
 export class ControlFollower {
@@ -47,6 +50,8 @@
 	/** Control nodes that the search has not asked yet, in order of preference. */
 	#unasked: readonly NodeId[] = [];
 	#lastAskedAt = Number.NEGATIVE_INFINITY;
+	/** Time of the last feed of each control node, until the entry has routes. */
+	readonly #heardAt = new Map<NodeId, Millis>();
 
 	constructor(options: ControlFollowerOptions) {
 		this.#options = options;
@@ -78,7 +83,9 @@
 			this.#switchPrimary(now);
 		}
 
-		if (this.#unasked.length > 0 && now - this.#lastAskedAt >= controlTiming.statusIntervalMs) {
+		if (!this.#options.isConfigured() && now - this.#lastAskedAt >= controlTiming.statusIntervalMs) {
+			this.#askSilent(now);
+		} else if (this.#unasked.length > 0 && now - this.#lastAskedAt >= controlTiming.statusIntervalMs) {
 			this.#askOthers(now);
 		}
 
@@ -100,6 +107,7 @@
 	/** Handles a feed; returns `whole` if its targets are the complete list, `changes` if they update the last one, and undefined if they must not be used. */
 	handleFeed(from: NodeId, feed: Feed, now: Millis): 'whole' | 'changes' | undefined {
 		this.#updatePeers(feed);
+		this.#recordHeard(from, now);
 		if (feed.current && from !== this.#primary && (from === this.#candidate || this.#searching)) {
 			this.#takeOver(from, feed, now);
 		} else if (this.#startsAt(from, feed)) {
@@ -162,10 +170,7 @@
 		const isStart = this.#primary === undefined;
 		this.#follow(next, now);
 		if (isStart) {
-			for (const {nodeId} of this.#peers.filter(peer => peer.nodeId !== next)) {
-				this.#sendStatus(nodeId, {have: undefined, once: true}, now);
-			}
-
+			this.#askSilent(now);
 			return;
 		}
 
@@ -185,6 +190,26 @@
 		this.#lastAskedAt = now;
 	}
 
+	/** Asks all other control nodes that have not answered lately for one feed each, current or not: an entry that starts compares what they have. */
+	#askSilent(now: Millis): void {
+		for (const {nodeId} of this.#peers) {
+			const silentMs = now - (this.#heardAt.get(nodeId) ?? Number.NEGATIVE_INFINITY);
+			if (nodeId !== this.#primary && silentMs >= controlTiming.feedTimeoutMs - controlTiming.statusIntervalMs) {
+				this.#sendStatus(nodeId, {have: undefined, once: true}, now);
+			}
+		}
+
+		this.#lastAskedAt = now;
+	}
+
+	#recordHeard(from: NodeId, now: Millis): void {
+		if (this.#options.isConfigured()) {
+			this.#heardAt.clear();
+		} else {
+			this.#heardAt.set(from, now);
+		}
+	}
+
 	/** Follows the sender of a current feed. One that has sent a whole list was asked for it and needs no second request. */
 	#takeOver(from: NodeId, feed: Feed, now: Millis): void {
 		if (from !== this.#candidate && feed.from === -1) {
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -18,12 +18,15 @@
 import {RegionSelector} from './region-selector.ts';
 import {WindowedRetryBudget} from './windowed-retry-budget.ts';
 import {RequestHandler} from './request-handler.ts';
+import {StartConfiguration} from './start-configuration.ts';
 import {StartupWait} from './startup-wait.ts';
 import {StreamOrigins} from './stream-origins.ts';
 import {ServiceVersions} from './service-versions.ts';
 import {TargetPool} from './target-pool.ts';
 import {WaitQueue} from './wait-queue.ts';
 
+type Feed = ControlMessage & {type: 'feed'};
+
 /** Assumed time until a full target has room for another request, in milliseconds. */
 const fullTargetWaitMs = 300;
 const defaultReportEveryMs = 1000;
@@ -44,6 +47,8 @@
 	readonly #containment: CrashContainment;
 	readonly #prober: TargetProber;
 	readonly #startup: StartupWait;
+	/** What control nodes sent before the entry has a configuration. */
+	readonly #start = new StartConfiguration();
 	readonly #requests: RequestHandler;
 	readonly #budget: WindowedRetryBudget;
 	#table: RouteTable | undefined;
@@ -62,7 +67,13 @@
 		this.#pool = new TargetPool(self.nodeId, {maxPauseMs: maxTargetPauseMs});
 		this.#regions = new RegionSelector(self);
 		this.#follower = new ControlFollower({
-			self, seeds, outbox: this.#queue, status: now => this.#status(now), stateIndex: () => this.#stateIndex, crashIndex: () => this.#containment.index,
+			self,
+			seeds,
+			outbox: this.#queue,
+			status: now => this.#status(now),
+			stateIndex: () => Math.max(this.#stateIndex, this.#start.index),
+			crashIndex: () => this.#containment.index,
+			isConfigured: () => this.#table !== undefined,
 		});
 		this.#budget = new WindowedRetryBudget(repeats);
 		this.#origins = new StreamOrigins({
@@ -146,6 +157,7 @@
 		switch (event.type) {
 			case 'tick': {
 				this.#budget.start(now);
+				this.#takeFirstState(now);
 				this.#follower.tick(now);
 				this.#origins.tick(now);
 				this.#containment.tick(now);
@@ -231,20 +243,20 @@
 		}
 	}
 
-	#handleFeed(from: NodeId, feed: ControlMessage & {type: 'feed'}, now: Millis): void {
+	#handleFeed(from: NodeId, feed: Feed, now: Millis): void {
 		const targets = this.#follower.handleFeed(from, feed, now);
 		this.#containment.handleFeed(feed, now);
 		if (from === this.#follower.primary) {
 			this.#origins.handleFeed(feed.epoch);
 		}
 
-		if (feed.state !== undefined && feed.stateIndex > this.#stateIndex) {
-			this.#stateIndex = feed.stateIndex;
-			this.#pool.setEvacuatedZones(feed.state.evacuated);
-			this.#queue.event('state-taken', {
-				index: feed.stateIndex, version: feed.state.document?.version, evacuated: feed.state.evacuated, control: from, current: feed.current,
-			});
-			this.#install(feed.state.document, now);
+		if (this.#table === undefined) {
+			this.#start.record(from, feed, now);
+			this.#takeFirstState(now);
+		} else if (feed.state !== undefined) {
+			this.#takeState({
+				state: feed.state, index: feed.stateIndex, control: from, current: feed.current,
+			}, now);
 		}
 
 		if (targets !== undefined) {
@@ -260,6 +272,37 @@
 		}
 	}
 
+	/** Puts the configuration in force with which the entry becomes ready, once there is one. */
+	#takeFirstState(now: Millis): void {
+		const start = this.#table === undefined ? this.#start.take(now) : undefined;
+		if (start === undefined) {
+			return;
+		}
+
+		const {state, index, control, basis, waitedMs, heard} = start;
+		this.#takeState({
+			state, index, control, current: basis !== 'waited',
+		}, now);
+		if (this.#table !== undefined && basis !== 'current') {
+			this.#queue.event('started-without-leader', {
+				basis, index, version: state.document?.version, control, waitedMs: Math.round(waitedMs), heard,
+			});
+		}
+	}
+
+	#takeState({state, index, control, current}: {state: NonNullable<Feed['state']>; index: number; control: NodeId; current: boolean}, now: Millis): void {
+		if (index <= this.#stateIndex) {
+			return;
+		}
+
+		this.#stateIndex = index;
+		this.#pool.setEvacuatedZones(state.evacuated);
+		this.#queue.event('state-taken', {
+			index, version: state.document?.version, evacuated: state.evacuated, control, current,
+		});
+		this.#install(state.document, now);
+	}
+
 	/** Tells control at once when a service has no usable target any more, or one again: other regions forward requests by what control tells them. */
 	#reportUnserved(now: Millis): void {
 		const unserved = (this.#table?.document.services ?? []).filter(({name}) => !this.#pool.hasUsable(name, now)).map(({name}) => name).join(' ');
@@ -290,7 +333,7 @@
 		}
 	}
 
-	#recordVersions({current, regions}: ControlMessage & {type: 'feed'}, now: Millis): void {
+	#recordVersions({current, regions}: Feed, now: Millis): void {
 		if (!current) {
 			return;
 		}
--- /dev/null
+++ b/src/core/edge/start-configuration.ts
@@ -0,0 +1,100 @@
+import type {ControlMessage} from '../control/control-message.ts';
+import {controlTiming} from '../control/control-timing.ts';
+import type {LogView} from '../control/log-view.ts';
+import type {Millis} from '../ids/millis.ts';
+import type {NodeId} from '../ids/node-id.ts';
+import type {StartBasis} from './start-basis.ts';
+
+type Feed = ControlMessage & {type: 'feed'};
+type State = NonNullable<Feed['state']>;
+type Held = {readonly state: State; readonly index: number; readonly control: NodeId};
+type Start = Held & {readonly basis: StartBasis; readonly waitedMs: number; readonly heard: number};
+
+/** Time within which a deployment serves again once its machines are back, in milliseconds. */
+const recoveryMs = 12_000;
+/** Time within which targets have reported and are listed, in milliseconds. */
+const targetsListedMs = 2000;
+/** Longest time without proof that a configuration is the newest, from the first one on, in milliseconds. */
+const maxProofWaitMs = recoveryMs - targetsListedMs;
+
+/**
+ * Decides by which configuration an entry that starts becomes ready.
+ *
+ * Load pattern: everything comes back at once after a power loss, or one entry while control has no leader. For an
+ * election, 1.2 to 2 s, no control node is current; some lag by what they missed while they were cut off, or do not
+ * know yet that what they hold was accepted. By an older configuration requests would leave their home region or get
+ * 404 for routes that were added, which callers take for final, while 503 brings them back.
+ *
+ * Where a majority of the voters answers, the one with the newest log could be elected by them, so its log has all
+ * accepted changes. If the state with the highest commit index covers its changes of the routes, none newer was accepted,
+ * and the entry need not wait for an election. Otherwise it waits for a current control node, which an election of 2 s
+ * and the catch-up of a node, 4 s, must bring if a majority is there. A refused request comes back, while one that ran
+ * outside its home cannot be taken back. A region that stays cut off has no current node: once a deployment that is whole
+ * would serve again, its callers are better served by the newest configuration that anyone has than not at all.
+ */
+export class StartConfiguration {
+	readonly #views = new Map<string, LogView & {readonly heardAt: Millis}>();
+	#held: Held | undefined;
+	#highestIndex = 0;
+	/** Since when the entry has known a routes document. */
+	#heldSince: Millis | undefined;
+	/** Time of the last feed of a current control node. */
+	#currentAt = Number.NEGATIVE_INFINITY;
+
+	/** Log index of the newest state that was sent. */
+	get index(): number {
+		return this.#held?.index ?? 0;
+	}
+
+	record(control: NodeId, {state, stateIndex, current, log}: Feed, now: Millis): void {
+		this.#currentAt = current ? now : this.#currentAt;
+		this.#highestIndex = Math.max(stateIndex, this.#highestIndex);
+		if (state !== undefined && stateIndex > this.index) {
+			this.#held = {state, index: stateIndex, control};
+			this.#heldSince ??= state.document && now;
+		}
+
+		if (log !== undefined) {
+			this.#views.set(log.member, {...log, heardAt: now});
+		}
+	}
+
+	/** The configuration to become ready with; undefined while a newer one may still come. */
+	take(now: Millis): Start | undefined {
+		if (this.#held?.state.document === undefined || this.#heldSince === undefined) {
+			return undefined;
+		}
+
+		const waitedMs = now - this.#heldSince;
+		const basis = this.#basis(waitedMs, now);
+		return basis && {
+			...this.#held, basis, waitedMs, heard: this.#views.size,
+		};
+	}
+
+	#basis(waitedMs: number, now: Millis): StartBasis | undefined {
+		if (this.#held!.index === this.#highestIndex) {
+			if (now - this.#currentAt <= controlTiming.feedTimeoutMs) {
+				return 'current';
+			}
+
+			if (this.#isNewestOfMajority(now)) {
+				return 'majority';
+			}
+		}
+
+		return waitedMs >= maxProofWaitMs ? 'waited' : undefined;
+	}
+
+	#isNewestOfMajority(now: Millis): boolean {
+		const views = [...this.#views.values()].filter(({heardAt}) => now - heardAt <= controlTiming.feedTimeoutMs);
+		const [newest] = views.toSorted((left, right) => right.lastTerm - left.lastTerm || right.lastIndex - left.lastIndex);
+		if (newest === undefined) {
+			return false;
+		}
+
+		const {voters, pendingIndex = 0} = newest;
+		const heard = views.filter(({member}) => voters.includes(member));
+		return 2 * heard.length > voters.length && pendingIndex <= Math.max(...views.map(({commitIndex}) => commitIndex));
+	}
+}
--- a/test/core/control/entry-feed.test.ts
+++ b/test/core/control/entry-feed.test.ts
@@ -17,6 +17,9 @@
 		state: new RoutesState(),
 		outbox,
 		isCurrent: () => current,
+		logView: () => ({
+			member: 'node-1', lastTerm: 1, lastIndex: 1, commitIndex: 1, voters: ['node-1'],
+		}),
 		controlPeers: () => [],
 		regionLoads: () => [],
 	});
--- a/test/core/control/replaced-seeds.test.ts
+++ b/test/core/control/replaced-seeds.test.ts
@@ -1,104 +1,18 @@
 import test from 'ava';
-import {SeededRandom} from '../../../src/core/common/seeded-random.ts';
-import {EdgeCore} from '../../../src/core/edge/edge-core.ts';
-import type {EdgeEvent} from '../../../src/core/edge/edge-event.ts';
-import type {Millis} from '../../../src/core/ids/millis.ts';
-import type {NodeId} from '../../../src/core/ids/node-id.ts';
-import {toId} from '../../../src/core/ids/to-id.ts';
-import {ControlCluster} from '../../fixtures/control-cluster.ts';
-import {jsonCopy} from '../../fixtures/json-copy.ts';
-import {routesDocumentFixture} from '../../fixtures/routes-document-fixture.ts';
+import {FollowedControl} from '../../fixtures/followed-control.ts';
 
 /** Bounds of the first deployments, in milliseconds: for a change to be in force, for a machine to catch up, and for the core to count as stable again. */
 const applyMs = 3000;
 const catchUpMs = 4000;
 const stabilityWindowMs = 5000;
-const tickMs = 50;
-const delayMs = 5;
 const changeEveryMs = 700;
 const cutMs = 30_000;
 const nodeCount = 8;
 const entryCount = 6;
 
-/** Control nodes, of which the later ones start as others are replaced, and entries that follow them. */
-class Deployment {
-	readonly cluster: ControlCluster;
-	readonly entries: readonly EdgeCore[];
-	readonly #entryIds: readonly NodeId[];
-
-	constructor(seed: number) {
-		this.#entryIds = Array.from({length: entryCount}, (_, index) => toId<NodeId>(`10.1.0.${index + 1}:7100`));
-		this.cluster = new ControlCluster({
-			nodes: nodeCount,
-			seed,
-			parseDocument: text => ({document: routesDocumentFixture({version: Number(text)})}),
-			deliverOutside: (to, from, message) => {
-				this.cluster.events.scheduleAfter(delayMs, () => {
-					const index = this.#entryIds.indexOf(to);
-					if (index !== -1) {
-						this.#step(index, {type: 'peer', from, message});
-					}
-				});
-			},
-		});
-		this.entries = this.#entryIds.map((nodeId, index) => new EdgeCore({
-			self: {
-				nodeId, region: toId('regina'), zone: toId('regina-a'), address: toId(`10.1.0.${index + 1}:80`), relayAddress: `10.1.0.${index + 1}:7101`, weight: 1,
-			},
-			seeds: this.cluster.nodes.slice(0, 3).map(node => node.nodeId),
-			repeats: {ratio: 0.2, slack: 100, windowMs: 10_000},
-			parseDocument: text => ({document: routesDocumentFixture({version: Number(text)})}),
-			random: new SeededRandom(seed + index),
-		}));
-	}
-
-	startEntries(): void {
-		for (const index of this.entries.keys()) {
-			this.#tick(index);
-		}
-	}
-
-	/** Sends a version to a node; true if it is accepted. */
-	accept(node: number, version: number): boolean {
-		const {cluster} = this;
-		const callId = cluster.call(node, {type: 'change', command: {type: 'document', document: {version, text: String(version)}}});
-		cluster.runUntil(() => cluster.answers.has(callId), changeEveryMs);
-		return cluster.answers.get(callId)?.type === 'accepted';
-	}
-
-	/** Index of the control node that an entry follows. */
-	followed(entry: number): number {
-		const {control} = this.entries[entry]!.status(this.cluster.now as Millis);
-		return this.cluster.nodes.findIndex(({nodeId}) => nodeId === control);
-	}
-
-	#tick(index: number): void {
-		this.#step(index, {type: 'tick'});
-		this.cluster.events.scheduleAfter(tickMs, () => {
-			this.#tick(index);
-		});
-	}
-
-	#step(index: number, event: EdgeEvent): void {
-		for (const action of this.entries[index]!.step(event, this.cluster.now as Millis)) {
-			if (action.type !== 'send') {
-				continue;
-			}
-
-			const to = this.cluster.nodes.findIndex(({nodeId}) => nodeId === action.to);
-			const message = jsonCopy(action.message);
-			this.cluster.events.scheduleAfter(delayMs, () => {
-				if (to !== -1) {
-					this.cluster.step(to, {type: 'peer', from: this.#entryIds[index]!, message});
-				}
-			});
-		}
-	}
-}
-
 for (const seed of [2, 18, 27]) {
 	test(`accepted versions are in force at entries whose seeds are replaced and whose control node is cut off from the others, seed ${seed}`, t => {
-		const deployment = new Deployment(seed);
+		const deployment = new FollowedControl({seed, nodes: nodeCount, entries: entryCount});
 		const {cluster, entries} = deployment;
 		const initial = [0, 1, 2, 3, 4];
 		for (const index of initial) {
