--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -17,9 +17,11 @@
 import {Leadership} from './leadership.ts';
 import {LogAcceptor} from './log-acceptor.ts';
 import type {LogCommand} from './log-command.ts';
+import type {LogEntry} from './log-entry.ts';
 import type {LogMember} from './log-member.ts';
 import type {MemberChange} from './member-change.ts';
 import type {MemberContext} from './member-context.ts';
+import {memberKey} from './member-key.ts';
 import {memberRole} from './member-role.ts';
 import {MemberStorage} from './member-storage.ts';
 import type {RaftMemberOptions} from './raft-member-options.ts';
@@ -42,8 +44,8 @@
 	/** Set while this member leads. */
 	#leadership: Leadership<Outcome> | undefined;
 	#leader: NodeId | undefined;
-	/** Since when the leader's commit index has been ahead of this member's. */
-	#laggingSince: Millis | undefined;
+	/** Since when the leader's commit index has been ahead of this member's; always, for a member that has not caught up with its leader yet. */
+	#laggingSince: Millis | undefined = Number.NEGATIVE_INFINITY as Millis;
 	readonly #recovery = new JournalRecovery();
 	/** Highest term of a leader heard while stopped. */
 	#heardTerm = 0;
@@ -167,12 +169,25 @@
 		return this.#applied.commitIndex;
 	}
 
+	/** Entries in the log that are not known to be committed. */
+	uncommitted(): readonly LogEntry[] {
+		return this.#storage.log.slice(this.#applied.commitIndex + 1);
+	}
+
+	/** Key of this member, the end of its log, and the keys of the voters that it goes by. */
+	logEnd(): {readonly member: string; readonly lastTerm: number; readonly lastIndex: number; readonly voters: readonly string[]} {
+		const {configuration, log: {lastTerm, lastIndex}} = this.#storage;
+		return {
+			member: memberKey(this.#context.self), lastTerm, lastIndex, voters: configuration?.voters.map(voter => memberKey(voter)) ?? [],
+		};
+	}
+
 	/** Milliseconds since the last contact with a leader; 0 while this member leads. */
 	leaderSilence(now: Millis): number {
 		return this.#leadership === undefined ? this.#election.leaderSilence(now) : 0;
 	}
 
-	/** Milliseconds for which the leader's commit index has been ahead of this member's; 0 if it is not, or while this member leads. Infinite after a failed write, until this member has caught up. */
+	/** Milliseconds for which the leader's commit index has been ahead of this member's; 0 if it is not, or while this member leads. Infinite from the loss of a leader or a failed write on, until this member has caught up. */
 	lag(now: Millis): number {
 		return this.#leadership !== undefined || this.#laggingSince === undefined ? 0 : now - this.#laggingSince;
 	}
@@ -333,7 +348,9 @@
 			this.#applied.advance(Math.min(body.commit, matched));
 		}
 
-		this.#laggingSince = this.#applied.commitIndex < body.commit ? this.#laggingSince ?? now : undefined;
+		// A new leader's commit index covers all that was committed before only once it names an entry of its own term.
+		const hasCaughtUp = this.#applied.commitIndex >= body.commit && this.#storage.log.term(body.commit) === body.term;
+		this.#laggingSince = hasCaughtUp ? undefined : this.#laggingSince ?? now;
 	}
 
 	#handleSnapshot(from: LogMember, body: Body & {type: 'snapshot'}, now: Millis): void {
@@ -374,6 +391,10 @@
 	}
 
 	#recordLeaderContact(nodeId: NodeId, now: Millis): void {
+		if (this.#leader !== nodeId) {
+			this.#laggingSince = Number.NEGATIVE_INFINITY as Millis;
+		}
+
 		this.#leader = nodeId;
 		this.#election.heardLeader(now);
 	}
