fix(edge): a trial of a contained trait that its request did not use is not lost

Seen by callers (routes document): requests with a contained prompt part or content stay refused for 10 min, 1 h or for good, though the log had granted a trial: its answer came after the second for which the request waits (no leader for a moment), or its caller left before the request was sent.

Cause: the log counts a trial when it grants it, three at most; nothing took one back whose request had gone.

Change: an entry keeps a trial that was granted for a request that ended unsent or went on without the answer, and gives it to its next request with the trait, once the log is heard to have granted it. Each grant is used once at most, so that the bound of three trials holds. A trial whose entry goes for good is not given back: it may have run.

Test: containment-trials, 'a trial whose answer comes after its request went on without it ...', failed before; those with end() show the rest (the call is new).

--- a/src/core/edge/containment-trials.ts
+++ b/src/core/edge/containment-trials.ts
@@ -11,11 +11,17 @@
 const trialDelaysMs = [60_000, 600_000, 3_600_000];
 /** Time that control has to commit a trial, in milliseconds. */
 const answerTimeoutMs = 1000;
+/** Time after which no answer to a query is awaited any more, in milliseconds: well beyond the time in which control answers any call. */
+const lateAnswerMs = 10_000;
 
 /** Called once it is known whether the request may run as a trial. */
 type Decided = (granted: boolean, now: Millis) => void;
 
-type Query = {readonly trait: RequestTrait; readonly sentAt: Millis; readonly decided: Decided};
+/** A trial that was asked for or granted. */
+type Trial = {readonly trait: RequestTrait; readonly number: number};
+
+/** A query for a trial; without `decided`, its request went on or ended without an answer. */
+type Query = Trial & {readonly sentAt: Millis; decided?: Decided};
 
 /** A contained trait; `since` is the time at which this entry learnt of its containment or of its last trial. */
 type ContainedTrait = {readonly trials: number; since: Millis};
@@ -28,12 +34,17 @@
 
 /**
  * Lets single requests with a contained trait run, so that a trait that was blamed wrongly, or whose targets were mended,
- * is served again. Each trial may cost a target; the replicated log grants it once over all entries.
+ * is served again. Each trial may cost a target; the replicated log grants it once over all entries. One that its request
+ * did not use, since it had ended or the answer came late, is left to the next request with the trait.
  */
 export class ContainmentTrials {
 	readonly #options: ContainmentTrialsOptions;
 	#contained = new Map<RequestTrait, ContainedTrait>();
 	readonly #queries = new Map<RequestId, Query>();
+	/** Trials of requests that have not ended. */
+	readonly #granted = new Map<RequestId, Trial>();
+	/** Numbers of granted trials that no request used. */
+	readonly #unused = new Map<RequestTrait, number>();
 
 	constructor(options: ContainmentTrialsOptions) {
 		this.#options = options;
@@ -45,13 +56,18 @@
 			const before = this.#contained.get(trait);
 			return [trait, before?.trials === trials ? before : {trials, since: now}];
 		}));
+		for (const [trait, number] of this.#unused) {
+			if ((this.#contained.get(trait)?.trials ?? Number.POSITIVE_INFINITY) > number) {
+				this.#unused.delete(trait);
+			}
+		}
 	}
 
 	/** True if a request with this contained trait may ask for a trial now. */
 	isDue(trait: RequestTrait, now: Millis): boolean {
 		const contained = this.#contained.get(trait);
 		const delayMs = trialDelaysMs[contained?.trials ?? 0];
-		return contained !== undefined && delayMs !== undefined && now - contained.since >= delayMs;
+		return contained !== undefined && (this.#isUnused(trait) || (delayMs !== undefined && now - contained.since >= delayMs));
 	}
 
 	/** Asks for the next trial of a trait. */
@@ -63,42 +79,85 @@
 			return;
 		}
 
+		if (this.#isUnused(trait)) {
+			this.#unused.delete(trait);
+			this.#grant(requestId, {trait, number: contained.trials}, decided, now);
+			return;
+		}
+
 		// Whatever the answer is, this entry waits as long again before it asks once more.
 		contained.since = now;
-		this.#queries.set(requestId, {trait, sentAt: now, decided});
+		const number = contained.trials + 1;
+		this.#queries.set(requestId, {
+			trait, number, sentAt: now, decided,
+		});
 		this.#options.queue.send(primary, {
 			part: 'control',
 			body: {
-				type: 'trial-wanted', requestId, trait, number: contained.trials + 1,
+				type: 'trial-wanted', requestId, trait, number,
 			},
 		});
 	}
 
-	/** Drops the query of a request that has ended. */
-	cancel(requestId: RequestId): void {
-		this.#queries.delete(requestId);
+	/** Takes the end of a request; `isTrial` is true if it was granted a trial and was not sent to any target. */
+	end(requestId: RequestId, isTrial: boolean): void {
+		const query = this.#queries.get(requestId);
+		if (query !== undefined) {
+			query.decided = undefined;
+		}
+
+		const trial = this.#granted.get(requestId);
+		this.#granted.delete(requestId);
+		if (trial !== undefined && isTrial) {
+			this.#unused.set(trial.trait, trial.number);
+		}
 	}
 
 	handleAnswer({requestId, granted}: ControlMessage & {type: 'trial-answer'}, now: Millis): void {
-		this.#decide(requestId, granted, now);
+		const query = this.#queries.get(requestId);
+		if (query === undefined) {
+			return;
+		}
+
+		this.#queries.delete(requestId);
+		const {trait, number, decided} = query;
+		if (decided !== undefined && granted) {
+			this.#grant(requestId, {trait, number}, decided, now);
+		} else if (decided !== undefined) {
+			this.#refuse(trait, decided, now);
+		} else if (granted) {
+			this.#unused.set(trait, number);
+		}
 	}
 
 	tick(now: Millis): void {
-		for (const [requestId, {sentAt}] of this.#queries) {
-			if (now - sentAt > answerTimeoutMs) {
-				this.#decide(requestId, false, now);
+		for (const [requestId, query] of this.#queries) {
+			const {trait, sentAt, decided} = query;
+			if (now - sentAt > lateAnswerMs) {
+				this.#queries.delete(requestId);
+			}
+
+			if (decided !== undefined && now - sentAt > answerTimeoutMs) {
+				query.decided = undefined;
+				this.#refuse(trait, decided, now);
 			}
 		}
 	}
 
-	#decide(requestId: RequestId, granted: boolean, now: Millis): void {
-		const query = this.#queries.get(requestId);
-		if (query === undefined) {
-			return;
-		}
+	/** True once the log shows that the newest trial of the trait is one that no request used here. */
+	#isUnused(trait: RequestTrait): boolean {
+		const number = this.#unused.get(trait);
+		return number !== undefined && number === this.#contained.get(trait)?.trials;
+	}
 
-		this.#queries.delete(requestId);
-		this.#options.queue.event('containment-trial', {trait: query.trait, granted});
-		query.decided(granted, now);
+	#grant(requestId: RequestId, trial: Trial, decided: Decided, now: Millis): void {
+		this.#granted.set(requestId, trial);
+		this.#options.queue.event('containment-trial', {trait: trial.trait, granted: true});
+		decided(true, now);
+	}
+
+	#refuse(trait: RequestTrait, decided: Decided, now: Millis): void {
+		this.#options.queue.event('containment-trial', {trait, granted: false});
+		decided(false, now);
 	}
 }
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -391,7 +391,7 @@
 	#forget(record: RequestRecord): void {
 		this.#options.waiting.remove(record);
 		this.#options.origins.cancel(record.req.requestId);
-		this.#options.containment.trials.cancel(record.req.requestId);
+		this.#options.containment.trials.end(record.req.requestId, record.isTrial);
 		this.#records.delete(record.req.requestId);
 	}
 }
