fix(edge): targets that are gone for good are forgotten

Seen by callers (routes document): an entry that follows one control node for long counts each target that was replaced by one of another name. All targets in use could fall into the part of one placer, and none into that of another one (streams wait longer, KV caches are used less); after an update of the targets a service seemed to have several software versions for ever, so that a stream whose origin nobody knows was refused; of three targets that broke off at once too small a share was counted for the network to be blamed.

Cause: control tells of a target that it is lost or leaves, never that it was removed; the pool dropped targets only with a whole list, from another or a new control node. Class: the last known state is kept without regard to how long the target has been gone.

Change: a target that has been lost or leaving for 60 s, after which control forgets it too, is removed once no request runs there. One that returns is listed anew; that an incarnation leaves is remembered for 10 min as before.

Test: gone-targets, 5 of 6 failed before (16 targets listed instead of 4; 0 of 4 serving targets in a placer's part instead of 2); 'an incarnation that said that it leaves ...' guards the change. With target-incarnations, leaving-targets, placers, software-versions and restarted-targets: 35 tests pass.

--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -55,6 +55,7 @@
 
 	#failureShare = new FailureShare();
 	#listed: ListedTarget;
+	#goneSince: Millis | undefined;
 	#coldUntil: Millis | undefined;
 	#lastSequence: number;
 	readonly #phase: number;
@@ -88,6 +89,11 @@
 		return this.#listed;
 	}
 
+	/** Time since which it has been listed as lost or leaving; undefined if it serves. */
+	get goneSince(): Millis | undefined {
+		return this.#goneSince;
+	}
+
 	/** Number of the newest report that is known. */
 	get lastSequence(): number {
 		return this.#lastSequence;
@@ -112,6 +118,7 @@
 		}
 
 		this.#listed = listed;
+		this.#goneSince = listed.state === 'serving' ? undefined : this.#goneSince ?? now;
 		this.#coldUntil = listed.coldForMs === 'unknown' ? undefined : now + listed.coldForMs + (listed.coldForMs > 0 ? coldMarginMs : 0) as Millis;
 		this.recordHeartbeat(listed.sequence);
 	}
--- a/src/core/edge/target-pool.ts
+++ b/src/core/edge/target-pool.ts
@@ -9,6 +9,8 @@
 import type {LeavingTarget} from './leaving-target.ts';
 import {PooledTarget} from './pooled-target.ts';
 
+/** Time after which a target that is lost or leaves is removed, in milliseconds: control nodes, which tell of no removal, forget it after as long a silence. */
+const goneRetentionMs = 60_000;
 /** Time for which it is remembered that a target that is no longer listed leaves, in milliseconds. */
 const unlistedRetentionMs = 600_000;
 /** Most targets that are remembered after they were listed. */
@@ -33,7 +35,7 @@
 		this.#maxPauseMs = maxPauseMs;
 	}
 
-	/** Takes listings of control. If `whole`, they are the complete list, and other targets are removed once they have no attempts. */
+	/** Takes listings of control. If `whole`, they are the complete list, and other targets are removed once they have no attempts; so are targets that have been gone for long. */
 	update(listed: readonly ListedTarget[], whole: boolean, now: Millis): void {
 		if (listed.length > 0 || whole) {
 			this.#sorted.clear();
@@ -43,16 +45,16 @@
 			this.#merge(target, now);
 		}
 
-		if (whole) {
-			const listedIds = new Set(listed.map(({targetId}) => targetId));
-			for (const [targetId, target] of this.#targets) {
-				if (!listedIds.has(targetId) && target.attempts.size === 0) {
-					this.#remove(target, now);
-				}
+		const listedIds = new Set(listed.map(({targetId}) => targetId));
+		for (const [targetId, target] of this.#targets) {
+			const isUnlisted = whole && !listedIds.has(targetId);
+			const isGone = target.goneSince !== undefined && now - target.goneSince > goneRetentionMs;
+			if ((isUnlisted || isGone) && target.attempts.size === 0) {
+				this.#remove(target, now);
 			}
-
-			this.#forgetUnlisted(now);
 		}
+
+		this.#forgetUnlisted(now);
 	}
 
 	recordHeartbeats(heartbeats: ReadonlyArray<readonly [TargetId, number]>): void {
@@ -162,6 +164,7 @@
 	#remove(target: PooledTarget, now: Millis): void {
 		const {listed: {targetId, born}, suspension} = target;
 		this.#targets.delete(targetId);
+		this.#sorted.clear();
 		if (suspension.remainingMs(now) > 0) {
 			this.#unlisted.set(targetId, {born, suspension, removedAt: now});
 		}
