fix(registry): a target that returns for a moment is listed as lost again

Seen by callers (routes document): requests sent to a target that had gone, for up to the minute for which it is remembered and longer at the entry.

Cause: TargetRegistry notes which targets it has announced as lost, so as to do it once, and cleared that only on a tick at which the target was not lost. A late report or heartbeat that was still valid for less than a tick listed it as serving, and the note kept the second loss from being told. The note also stayed for ever for targets that were forgotten.

Change: the note ends with each listing of the target, and with its record.

Test: target-registry, three cases of 'a target that returns for a moment ...', failed before; the ten tests of the file pass.

--- a/src/core/registry/target-registry.ts
+++ b/src/core/registry/target-registry.ts
@@ -79,6 +79,7 @@
 
 		const changed = known === undefined || this.#differs(known, target, now);
 		if (changed) {
+			this.#announcedLost.delete(report.targetId);
 			this.#bumpRevision(target);
 		}
 
@@ -108,6 +109,7 @@
 		}
 
 		if (wasLost && !this.#isLost(known, now)) {
+			this.#announcedLost.delete(targetId);
 			this.#bumpRevision(known);
 		}
 
@@ -144,6 +146,7 @@
 			const silence = now - target.heardAt;
 			if (silence > retentionMs) {
 				this.#records.delete(targetId);
+				this.#announcedLost.delete(targetId);
 				this.#revision += 1;
 			} else if (this.#isLost(target, now) && !target.ended && target.report.state === 'serving' && !this.#announcedLost.has(targetId)) {
 				this.#announcedLost.add(targetId);
--- a/test/core/registry/target-registry.test.ts
+++ b/test/core/registry/target-registry.test.ts
@@ -86,3 +86,43 @@
 	registry.recordReport(targetReportFixture({sequence: 3, coldMs: 3000}), at(200));
 	t.is(cold(200), 3000);
 });
+
+// Guards against a lost target that entries take for serving, since it was lost once before, under the same id.
+for (const {title, waitMs, returns} of [
+	{
+		title: 'a later incarnation, after it was forgotten',
+		waitMs: 70_000,
+		returns(registry: TargetRegistry, now: Millis) {
+			registry.recordReport(targetReportFixture({born: 2000, sequence: 1}), now, {direct: false, ageMs: 3480});
+		},
+	},
+	{
+		title: 'a late report',
+		waitMs: 10_000,
+		returns(registry: TargetRegistry, now: Millis) {
+			registry.recordReport(targetReportFixture({sequence: 2}), now, {direct: false, ageMs: 3480});
+		},
+	},
+	{
+		title: 'a late heartbeat',
+		waitMs: 10_000,
+		returns(registry: TargetRegistry, now: Millis) {
+			registry.recordHeartbeat(engine, {born: 1000, sequence: 2, ageMs: 3480}, now);
+		},
+	},
+]) {
+	test(`a target that returns for a moment is listed as lost again: ${title}`, t => {
+		const registry = newRegistry();
+		registry.recordReport(targetReportFixture({sequence: 1}), at(0));
+		for (let now = 0; now < waitMs; now += 50) {
+			registry.tick(at(now));
+		}
+
+		t.not(stateOf(registry, waitMs), 'serving');
+		returns(registry, at(waitMs));
+		t.is(stateOf(registry, waitMs), 'serving');
+		const {revision} = registry;
+		registry.tick(at(waitMs + 50));
+		t.deepEqual(registry.changedSince(revision, at(waitMs + 50)).map(({state}) => state), ['lost']);
+	});
+}
