--- a/test/core/ledger/claim-ledger.test.ts
+++ b/test/core/ledger/claim-ledger.test.ts
@@ -215,3 +215,50 @@
 	advance(6000);
 	t.is(ask(b, 'k2495'), 'replay');
 });
+
+test('a new keeper that goes before it has taken the claims over is replaced, and no claim is lost', t => {
+	for (let seed = 1; seed <= 20; seed++) {
+		const {ask, stop, start, advance, log, status, a, b, c, x} = settled({seed});
+		t.is(ask(x, 'k'), 'granted', `seed ${seed}`);
+		const {epoch} = log.set!;
+		stop(c);
+		while (log.set!.epoch === epoch) {
+			advance(50);
+		}
+
+		advance(seed * 40);
+		stop(b);
+		advance(8000);
+		t.is(status(a)?.role, 'active', `seed ${seed}`);
+		t.is(ask(x, 'k'), 'replay', `seed ${seed}`);
+		start(c);
+		advance(8000);
+		t.is(ask(x, 'k'), 'replay', `seed ${seed}`);
+		t.is(ask(x, 'k2'), 'granted', `seed ${seed}`);
+		stop(a);
+		advance(8000);
+		t.is(ask(x, 'k2'), 'replay', `seed ${seed}`);
+	}
+});
+
+test('a keeper that comes back with its disk after many sets in which nothing was granted has its claims', t => {
+	const {ask, stop, start, advance, log, status, a, b, c, x} = settled();
+	t.is(ask(x, 'k'), 'granted');
+	stop(a);
+	stop(c);
+	advance(65_000);
+	const {epoch} = log.set!;
+	for (let count = 0; count < 4; count++) {
+		start(c);
+		advance(5000);
+		stop(c);
+		advance(5000);
+	}
+
+	t.true(log.set!.epoch >= epoch + 4, `${log.set!.epoch - epoch} sets`);
+	start(a);
+	advance(20_000);
+	t.is(status(a)?.role, 'active');
+	t.is(ask(b, 'k'), 'replay');
+	t.is(ask(b, 'k2'), 'granted');
+});
