fix(control): the leader forgets calls whose operators wait no more

Seen (routes document): while fewer control nodes vote than are needed to accept a change, for instance since some are gone for good, the leader keeps each call and each entry's report of crashes, and walks through all of them with every entry that is committed. Once enough vote, it answers them all at once.

Cause: OperatorCallHandler took proposals back only when they were answered or the leadership was lost; calls and reads had a time-out, proposals had none.

Change: a proposal is dropped after callTimeoutMs; the node that received the call has answered it as unavailable by then.

The 14 tests of it, control-core and full-disks of test/core/control pass.

--- a/src/core/control/operator-call-handler.ts
+++ b/src/core/control/operator-call-handler.ts
@@ -32,7 +32,7 @@
 };
 
 /** A command in this leader's log; `outcome` is set once it is committed. */
-type PendingProposal = {readonly callId: string; readonly from: NodeId; readonly index: number; readonly term: number; outcome?: RoutesOutcome};
+type PendingProposal = {readonly callId: string; readonly from: NodeId; readonly index: number; readonly term: number; readonly proposedAt: Millis; outcome?: RoutesOutcome};
 
 /** A read that arrived at `since` and waits until a majority has confirmed this node as leader after that time. */
 type PendingRead = {readonly callId: string; readonly from: NodeId; readonly since: Millis};
@@ -124,6 +124,8 @@
 			}
 		}
 
+		// The nodes that received these calls have answered them by now.
+		this.#proposals = this.#proposals.filter(({proposedAt}) => now - proposedAt <= controlTiming.callTimeoutMs);
 		this.#pendingReads = this.#pendingReads.filter(({since}) => now - since <= controlTiming.callTimeoutMs);
 		this.answerReady(now);
 	}
@@ -167,7 +169,7 @@
 		}
 
 		this.#proposals.push({
-			callId, from, index, term: consensus.status().term,
+			callId, from, index, term: consensus.status().term, proposedAt: now,
 		});
 	}
 
