fix(members): changes reach a leader that the settings do not name yet

Seen by operators (settings tree): after control VMs were replaced by others of another name ('members add', 'members remove', as in OPERATIONS), changes sent to any entry or control VM but the leader itself ended with 'The control members cannot accept changes now', until the settings files of all VMs were corrected and the VMs restarted.

Cause: ChangeSubmitter ignored a leader that a control node named unless its own settings list it among the control nodes, and asked the listed ones again and again. Its view of the members was that of its start.

Change: a named leader is asked, wherever it is; one that does not answer is given up after two tries, as before.

--- a/src/core/tree/change-submitter.ts
+++ b/src/core/tree/change-submitter.ts
@@ -100,13 +100,13 @@
 		}
 	}
 
-	/** The leader if it is known, else a random control node other than the one tried last. */
+	/** The leader if it is known, which this node's settings may not name yet, else a random control node other than the one tried last. */
 	#destination(lastTried: NodeId | undefined): NodeId | undefined {
-		const nodes = this.#options.controlNodes();
-		if (this.#leader !== undefined && nodes.includes(this.#leader)) {
+		if (this.#leader !== undefined) {
 			return this.#leader;
 		}
 
+		const nodes = this.#options.controlNodes();
 		const others = nodes.length > 1 ? nodes.filter(nodeId => nodeId !== lastTried) : nodes;
 		return others[Math.floor(this.#options.random.next() * others.length)];
 	}
--- a/test/core/consensus/replaced-members.test.ts
+++ b/test/core/consensus/replaced-members.test.ts
@@ -12,8 +12,10 @@
 
 /** Three members and three more nodes, `c4` to `c6`, that an operator can add. */
 function startCluster(seed: number): SimCluster {
-	const cluster = new SimCluster({members: 6, initialMembers: 3, seed});
-	for (const nodeId of cluster.controlIds.slice(0, 3)) {
+	const cluster = new SimCluster({
+		members: 6, initialMembers: 3, entries: 1, seed,
+	});
+	for (const nodeId of [...cluster.controlIds.slice(0, 3), 'e1']) {
 		cluster.start(nodeId);
 	}
 
@@ -100,6 +102,27 @@
 		t.true(settles(cluster, ['c1', 'c2', 'c3', 'c4']));
 	});
 
+	test(`changes are accepted at any node after all members were replaced by nodes that its settings do not name yet, seed ${seed}`, t => {
+		const cluster = startCluster(seed);
+		for (const [index, removed] of ['c1', 'c2', 'c3'].entries()) {
+			const added = `c${index + 4}`;
+			cluster.start(added);
+			t.true(change(cluster, 'add', added));
+			t.true(cluster.runUntil(() => cluster.leader() !== undefined && status(cluster).voters.includes(toId(added)), electionMs));
+			t.true(change(cluster, 'remove', removed));
+			t.true(cluster.runUntil(() => cluster.leader() !== undefined && !status(cluster).voters.includes(toId(removed)), electionMs));
+		}
+
+		t.true(settles(cluster, ['c4', 'c5', 'c6']));
+		for (const name of ['e1', 'c1', 'c4', 'c5', 'c6']) {
+			const number = cluster.process(cluster.leader()!).state.tree.revision + 1;
+			cluster.act(name, (process, now) => {
+				process.service.submit(makeChange({number}), now);
+			});
+			t.true(cluster.runUntil(() => cluster.process(cluster.leader()!).state.tree.revision === number, electionMs), `${name}, whose settings name c1 to c3`);
+		}
+	});
+
 	test(`a lost member is replaced by a node of another name, seed ${seed}`, t => {
 		const cluster = startCluster(seed);
 		const lost = cluster.leader()!;
