fix(consensus): a standby follows the next leader at once

Seen by callers: a log without a leader, with voters that go for good one after another, some of them leaders.

Cause: a learner asked to join only after 2 s without a leader, and a node that knew no leader then dropped the request. A leader that was elected 1.2 to 2 s after the loss of its predecessor had no standby to give the vote to.

Change: a learner asks after the election timeout (1 s). Nodes keep such requests for two intervals; the one that is elected answers them at once, the others name the leader as soon as they hear it.

Test: replaced-voters, 'a standby follows the next leader from its election on' (within one heartbeat, 40 seeds), failed before, passes.

--- a/src/core/consensus/join-requests.ts
+++ b/src/core/consensus/join-requests.ts
@@ -16,10 +16,10 @@
 		this.#initialMembers = initialMembers;
 	}
 
-	/** Sends `join` if `silenceMs`, the time since contact with a leader, reaches two election timeouts; an empty member sends it at once. */
+	/** Sends `join` if `silenceMs`, the time since contact with a leader, reaches the election timeout, so that the next leader knows of it from its start; an empty member sends it at once. */
 	tick(silenceMs: number, now: Millis): void {
 		const {electionTimeoutMs, joinIntervalMs} = consensusTiming;
-		if (now < this.#nextRequestAt || (silenceMs < 2 * electionTimeoutMs && !this.#context.storage.empty)) {
+		if (now < this.#nextRequestAt || (silenceMs < electionTimeoutMs && !this.#context.storage.empty)) {
 			return;
 		}
 
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -24,6 +24,7 @@
 import {MemberStorage} from './member-storage.ts';
 import type {RaftMemberOptions} from './raft-member-options.ts';
 import {SnapshotReceiver} from './snapshot-receiver.ts';
+import {WaitingLearners} from './waiting-learners.ts';
 
 type Body = ConsensusMessage['body'];
 type UngroupedMessage = Body & {type: 'hello' | 'hello-answer' | 'join-redirect'};
@@ -35,6 +36,7 @@
 	readonly #applied: AppliedLog<Outcome>;
 	readonly #groupFilter: GroupFilter;
 	readonly #joinRequests: JoinRequests;
+	readonly #waitingLearners = new WaitingLearners();
 	readonly #bootstrap: Bootstrap;
 	readonly #election: Election;
 	readonly #logAcceptor: LogAcceptor;
@@ -273,8 +275,19 @@
 	#handleJoin(from: LogMember, now: Millis): void {
 		if (this.#leadership !== undefined) {
 			this.#leadership.handleJoin(from, now);
-		} else if (this.#leader !== undefined && this.#leader !== from.nodeId) {
-			this.#send(from.nodeId, {type: 'join-redirect', leader: this.#leader}, from.storageId);
+			return;
+		}
+
+		// The leader that is known here may have gone a moment ago.
+		this.#waitingLearners.add(from, now);
+		if (this.#leader !== undefined) {
+			this.#redirect(from, this.#leader);
+		}
+	}
+
+	#redirect(member: LogMember, leader: NodeId): void {
+		if (leader !== member.nodeId) {
+			this.#send(member.nodeId, {type: 'join-redirect', leader}, member.storageId);
 		}
 	}
 
@@ -373,14 +386,23 @@
 	}
 
 	#recordLeaderContact(nodeId: NodeId, now: Millis): void {
+		const isNew = this.#leader !== nodeId;
 		this.#leader = nodeId;
 		this.#election.heardLeader(now);
+		if (isNew) {
+			for (const member of this.#waitingLearners.take(now)) {
+				this.#redirect(member, nodeId);
+			}
+		}
 	}
 
 	#becomeLeader(now: Millis): void {
 		this.#context.outbox.log('consensus', `Became leader of term ${this.#storage.term}`);
 		this.#leader = this.#context.self.nodeId;
 		this.#leadership = new Leadership({context: this.#context, applied: this.#applied, now});
+		for (const member of this.#waitingLearners.take(now)) {
+			this.#leadership.handleJoin(member, now);
+		}
 	}
 
 	#stepDown(now: Millis): void {
--- /dev/null
+++ b/src/core/consensus/waiting-learners.ts
@@ -0,0 +1,30 @@
+import type {Millis} from '../ids/millis.ts';
+import {consensusTiming} from './consensus-timing.ts';
+import type {LogMember} from './log-member.ts';
+import {memberKey} from './member-key.ts';
+
+/** Members that asked to join a short time ago. The next leader is named to them at once, so that it has standbys when it finds voters to be gone. */
+export class WaitingLearners {
+	readonly #asked = new Map<string, {readonly member: LogMember; readonly at: Millis}>();
+
+	add(member: LogMember, now: Millis): void {
+		this.#dropOld(now);
+		this.#asked.set(memberKey(member), {member, at: now});
+	}
+
+	/** The members that still wait: they ask again every `joinIntervalMs`. */
+	take(now: Millis): readonly LogMember[] {
+		this.#dropOld(now);
+		const members = [...this.#asked.values()].map(({member}) => member);
+		this.#asked.clear();
+		return members;
+	}
+
+	#dropOld(now: Millis): void {
+		for (const [key, {at}] of this.#asked) {
+			if (now - at > 2 * consensusTiming.joinIntervalMs) {
+				this.#asked.delete(key);
+			}
+		}
+	}
+}
--- a/test/core/control/replaced-voters.test.ts
+++ b/test/core/control/replaced-voters.test.ts
@@ -1,9 +1,12 @@
 import test from 'ava';
+import {consensusTiming} from '../../../src/core/consensus/consensus-timing.ts';
 import {ControlCluster} from '../../fixtures/control-cluster.ts';
 
 const voters = 5;
 const replacements = 8;
 const seeds = [1, 2, 3, 4];
+/** Seeds of plays that hang on the times of elections. */
+const electionSeeds = [...Array.from({length: 40}).keys()];
 /** Silence of a voter that has long been found to be gone, in milliseconds. */
 const silenceMs = 2000;
 /** Time from the loss of a node to the start of its replacement, in milliseconds. */
@@ -162,3 +165,23 @@
 
 	t.deepEqual(failed, []);
 });
+
+// Guards against a leader without standbys: those of its predecessor followed it only after 2 s of silence.
+test('a standby follows the next leader from its election on', t => {
+	const failed: string[] = [];
+	for (const seed of electionSeeds) {
+		const cluster = startCluster(seed, 1);
+		cluster.start(voters, {seeds: [0, 1, 2]});
+		cluster.run(settleMs);
+		cluster.kill(cluster.leader()!);
+		cluster.runUntil(() => cluster.leader() !== undefined, recoveryMs);
+		cluster.run(consensusTiming.heartbeatMs);
+		const leader = cluster.leader()!;
+		const status = cluster.nodes[leader]!.core!.status(cluster.clock(leader)).consensus;
+		if (![...status.learners, ...status.voters].includes(cluster.nodes[voters]!.nodeId)) {
+			failed.push(`seed ${seed}`);
+		}
+	}
+
+	t.deepEqual(failed, []);
+});
