fix(consensus): a new leader knows how long its predecessor has been silent

Seen by callers: a log without a leader for good, where voters went for good, two losses at a time, and each was the leader when it went.

Cause: a new leader counted the silence of all voters from its election on, also that of the one whose silence had caused it. The vote of a leader that was gone moved 0.8 s later than it could, and not at all if the next leader went before.

Change: the silence of the predecessor counts from its last message. If it answers in the first round, which the new leader's first commit takes too, it keeps its vote.

--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -12,6 +12,7 @@
 import type {MemberContext} from './member-context.ts';
 import {memberKey} from './member-key.ts';
 import {MembershipChanges} from './membership-changes.ts';
+import type {PredecessorContact} from './predecessor-contact.ts';
 import type {ReplicationProgress} from './replication-progress.ts';
 import {Replicator} from './replicator.ts';
 
@@ -20,6 +21,7 @@
 type LeadershipOptions<Outcome> = {
 	readonly context: MemberContext;
 	readonly applied: AppliedLog<Outcome>;
+	readonly predecessor: PredecessorContact | undefined;
 	readonly now: Millis;
 };
 
@@ -32,10 +34,12 @@
 	/** Index of this leader's first entry: only its commit shows which entries of earlier terms are committed. */
 	readonly #firstIndex: number;
 
-	constructor({context, applied, now}: LeadershipOptions<Outcome>) {
+	constructor({context, applied, predecessor, now}: LeadershipOptions<Outcome>) {
 		this.#context = context;
 		this.#applied = applied;
-		this.#replicator = new Replicator(context, () => applied.snapshot(), now);
+		this.#replicator = new Replicator({
+			context, takeSnapshot: () => applied.snapshot(), predecessor, now,
+		});
 		this.#replicator.tick(applied.commitIndex, now);
 		this.#firstIndex = this.#append({type: 'command', command: {type: 'lead', nodeId: context.self.nodeId}}, now);
 	}
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -44,6 +44,8 @@
 	/** Set while this member leads. */
 	#leadership: Leadership<Outcome> | undefined;
 	#leader: NodeId | undefined;
+	/** The leader heard last, also after it has fallen silent. */
+	#lastLeader: NodeId | undefined;
 	/** Since when the leader's commit index has been ahead of this member's. */
 	#laggingSince: Millis | undefined;
 	readonly #recovery = new JournalRecovery();
@@ -388,6 +390,7 @@
 	#recordLeaderContact(nodeId: NodeId, now: Millis): void {
 		const isNew = this.#leader !== nodeId;
 		this.#leader = nodeId;
+		this.#lastLeader = nodeId;
 		this.#election.heardLeader(now);
 		if (isNew) {
 			for (const member of this.#waitingLearners.take(now)) {
@@ -398,8 +401,12 @@
 
 	#becomeLeader(now: Millis): void {
 		this.#context.outbox.log('consensus', `Became leader of term ${this.#storage.term}`);
+		const predecessor = this.#lastLeader === undefined ? undefined : {nodeId: this.#lastLeader, heardAt: now - this.#election.leaderSilence(now)};
 		this.#leader = this.#context.self.nodeId;
-		this.#leadership = new Leadership({context: this.#context, applied: this.#applied, now});
+		this.#lastLeader = undefined;
+		this.#leadership = new Leadership({
+			context: this.#context, applied: this.#applied, predecessor, now,
+		});
 		for (const member of this.#waitingLearners.take(now)) {
 			this.#leadership.handleJoin(member, now);
 		}
--- a/src/core/consensus/replicator.ts
+++ b/src/core/consensus/replicator.ts
@@ -9,24 +9,35 @@
 import type {MemberContext} from './member-context.ts';
 import {memberKey} from './member-key.ts';
 import type {PeerProgress} from './peer-progress.ts';
+import type {PredecessorContact} from './predecessor-contact.ts';
 import {SnapshotSender} from './snapshot-sender.ts';
 import {votingSets} from './voting-sets.ts';
 
 type AppendAnswer = ConsensusMessage['body'] & {type: 'append-answer'};
 type SnapshotAnswer = ConsensusMessage['body'] & {type: 'snapshot-answer'};
 
+type ReplicatorOptions = {
+	readonly context: MemberContext;
+	readonly takeSnapshot: () => LogSnapshot;
+	readonly predecessor: PredecessorContact | undefined;
+	readonly now: Millis;
+};
+
 /** Replicates the leader's log to the other members during one term, and finds what a majority has synced. */
 export class Replicator {
 	readonly #context: MemberContext;
 	readonly #snapshots: SnapshotSender;
 	readonly #peers = new Map<string, PeerProgress>();
 	readonly #electedAt: Millis;
+	/** Its silence counts from before the election, as it caused it. */
+	readonly #predecessor: PredecessorContact | undefined;
 	#commitIndex = 0;
 
-	constructor(context: MemberContext, takeSnapshot: () => LogSnapshot, now: Millis) {
+	constructor({context, takeSnapshot, predecessor, now}: ReplicatorOptions) {
 		this.#context = context;
 		this.#snapshots = new SnapshotSender(context, takeSnapshot);
 		this.#electedAt = now;
+		this.#predecessor = predecessor;
 	}
 
 	peers(): readonly PeerProgress[] {
@@ -132,7 +143,7 @@
 			other.member.nodeId === member.nodeId && other.member.storageId !== member.storageId && other.heardAt > heardAt);
 	}
 
-	#add(member: LogMember, now: Millis): PeerProgress {
+	#add(member: LogMember, heardAt: number): PeerProgress {
 		const peer: PeerProgress = {
 			member,
 			matchIndex: 0,
@@ -140,7 +151,7 @@
 			sentCommitIndex: 0,
 			probing: true,
 			ackedAt: Number.NEGATIVE_INFINITY,
-			heardAt: now,
+			heardAt,
 			sentAt: Number.NEGATIVE_INFINITY,
 		};
 		this.#peers.set(memberKey(member), peer);
@@ -151,7 +162,7 @@
 		const {storage, self} = this.#context;
 		for (const voter of storage.configuration!.voters) {
 			if (!this.#peers.has(memberKey(voter)) && memberKey(voter) !== memberKey(self)) {
-				this.#add(voter, now);
+				this.#add(voter, voter.nodeId === this.#predecessor?.nodeId ? this.#predecessor.heardAt : now);
 			}
 		}
 
--- a/test/core/control/replaced-voters.test.ts
+++ b/test/core/control/replaced-voters.test.ts
@@ -13,6 +13,10 @@
 const replacedAfterMs = 1000;
 /** Time within which running nodes have taken the votes of one that is gone while nothing else is disturbed, in milliseconds. */
 const replaceMs = 6000;
+/** Time within which the successor of one that is gone must have taken its vote while another one may be lost, in milliseconds (catch-up of the first deployments). */
+const catchUpMs = 4000;
+/** Time for which a leader leads before it goes, in milliseconds: enough to make one change of the voters. */
+const leadsMs = 500;
 /** Time in which all voters have the newest configuration on their disks, in milliseconds. */
 const settleMs = 1000;
 /** Time within which control nodes must serve again after the last fault, in milliseconds (required recovery time of the first deployments). */
@@ -185,3 +189,27 @@
 
 	t.deepEqual(failed, []);
 });
+
+// Guards against a vote that moves too late for the next loss: a new leader waited for the silence of its predecessor anew.
+test('leaders that go for good one after another, each shortly after its election, leave a majority', t => {
+	const failed: string[] = [];
+	for (const seed of electionSeeds) {
+		const cluster = startCluster(seed, replacements);
+		const goneAt: number[] = [];
+		for (let gone = 0; gone < replacements; gone++) {
+			// Two losses at a time: a third one waits until the successor of the first has caught up.
+			cluster.runUntil(() => cluster.leader() !== undefined && (gone < 2 || cluster.now >= goneAt[gone - 2]! + catchUpMs), recoveryMs);
+			cluster.run(leadsMs);
+			const running = [...cluster.nodes.keys()].filter(index => cluster.nodes[index]!.core !== undefined);
+			cluster.kill(cluster.leader() ?? running.at(-1)!);
+			goneAt.push(cluster.now);
+			cluster.start(voters + gone, {seeds: running.slice(-3)});
+		}
+
+		if (!cluster.runUntil(() => votersRun(cluster), recoveryMs)) {
+			failed.push(`seed ${seed}`);
+		}
+	}
+
+	t.deepEqual(failed, []);
+});
