--- a/test/core/control/replaced-voters.test.ts
+++ b/test/core/control/replaced-voters.test.ts
@@ -1,16 +1,23 @@
 import test from 'ava';
+import {consensusTiming} from '../../../src/core/consensus/consensus-timing.ts';
 import {ControlCluster} from '../../fixtures/control-cluster.ts';
 
 const voters = 5;
 const replacements = 8;
 const fewSeeds = [1, 2, 3, 4];
 const manySeeds = Array.from({length: 12}, (_, index) => index + 1);
+/** Seeds of plays that hang on the times of elections. */
+const electionSeeds = [...Array.from({length: 40}).keys()];
 /** Silence of a voter that has long been found to be gone, in milliseconds. */
 const silenceMs = 2000;
 /** Time from the loss of a node to the start of its replacement, in milliseconds. */
 const replacedAfterMs = 1000;
 /** Time within which running nodes have taken the votes of one that is gone while nothing else is disturbed, in milliseconds. */
 const replaceMs = 6000;
+/** Time within which the successor of one that is gone must have taken its vote while another one may be lost, in milliseconds (catch-up of the first deployments). */
+const catchUpMs = 4000;
+/** Time for which a leader leads before it goes, in milliseconds: enough to make one change of the voters. */
+const leadsMs = 500;
 /** Time in which all voters have the newest configuration on their disks, in milliseconds. */
 const settleMs = 1000;
 /** Time within which control nodes must serve again after the last fault, in milliseconds (required recovery time of the first deployments). */
@@ -185,3 +192,47 @@
 
 	t.deepEqual(failed, []);
 });
+
+// Guards against a leader without standbys: those of its predecessor followed it only after 2 s of silence.
+test('a standby follows the next leader from its election on', t => {
+	const failed: string[] = [];
+	for (const seed of electionSeeds) {
+		const cluster = startCluster(seed, 1);
+		cluster.start(voters, {seeds: [0, 1, 2]});
+		cluster.run(settleMs);
+		cluster.kill(cluster.leader()!);
+		cluster.runUntil(() => cluster.leader() !== undefined, recoveryMs);
+		cluster.run(consensusTiming.heartbeatMs);
+		const leader = cluster.leader()!;
+		const status = cluster.nodes[leader]!.core!.status(cluster.clock(leader)).consensus;
+		if (![...status.learners, ...status.voters].includes(cluster.nodes[voters]!.nodeId)) {
+			failed.push(`seed ${seed}`);
+		}
+	}
+
+	t.deepEqual(failed, []);
+});
+
+// Guards against a vote that moves too late for the next loss: a new leader waited for the silence of its predecessor anew.
+test('leaders that go for good one after another, each shortly after its election, leave a majority', t => {
+	const failed: string[] = [];
+	for (const seed of electionSeeds) {
+		const cluster = startCluster(seed, replacements);
+		const goneAt: number[] = [];
+		for (let gone = 0; gone < replacements; gone++) {
+			// Two losses at a time: a third one waits until the successor of the first has caught up.
+			cluster.runUntil(() => cluster.leader() !== undefined && (gone < 2 || cluster.now >= goneAt[gone - 2]! + catchUpMs), recoveryMs);
+			cluster.run(leadsMs);
+			const running = [...cluster.nodes.keys()].filter(index => cluster.nodes[index]!.core !== undefined);
+			cluster.kill(cluster.leader() ?? running.at(-1)!);
+			goneAt.push(cluster.now);
+			cluster.start(voters + gone, {seeds: running.slice(-3)});
+		}
+
+		if (!cluster.runUntil(() => votersRun(cluster), recoveryMs)) {
+			failed.push(`seed ${seed}`);
+		}
+	}
+
+	t.deepEqual(failed, []);
+});
