test(soak): control nodes are replaced for good, and the power goes everywhere

Change: faults that replace control nodes (planned and unplanned, in series, overlapping, a new one that goes again) at new addresses with empty disks, started with the addresses of three running ones; losses of power with up to two lost disks, drawn, in the middle and right after a change at the end. LostDisks keeps the draws within two lost disks: one counts until the node that takes its place has run undisturbed for 4 s, longer after an excess of impaired control nodes. Restarted processes get current seeds. At the end a change must be accepted and exactly the running control nodes must vote. Each link has an address of its own, since the block of ports is too small for those of added nodes. Long delays of event loops are listed with their times.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -1,4 +1,4 @@
-// Runs real processes under random faults: `npm run soak -- --seed 1 --minutes 2 [--runs 5] [--entries 2] [--calm 3000] [--report folder]`.
+// Runs real processes under random faults: `npm run soak -- --seed 1 --minutes 2 [--runs 5] [--entries 2] [--calm 3000] [--replacements] [--report folder]`.
 import {mkdirSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
@@ -17,6 +17,8 @@
 		entries: {type: 'string', default: '2'},
 		/** Period without faults after each recovery, in milliseconds; a longer one lets the rules on configurations be judged more often. */
 		calm: {type: 'string'},
+		/** Draw no faults but replacements of control nodes and losses of power. */
+		replacements: {type: 'boolean', default: false},
 		report: {type: 'string'},
 	},
 });
@@ -27,6 +29,7 @@
 		seed: Number(values.seed) + run,
 		minutes: Number(values.minutes),
 		entriesPerRegion: Number(values.entries),
+		replacementsOnly: values.replacements,
 		faultFreeMs: values.calm === undefined ? undefined : Number(values.calm),
 	});
 	printReport(report);
--- a/test/harness/fault-proxy.ts
+++ b/test/harness/fault-proxy.ts
@@ -26,13 +26,15 @@
 	readonly #server: Server;
 	readonly #port: number;
 	readonly #baseDelayMs: number;
+	readonly #listenHost: string;
 
 	/**
-	 * Forwards connections from `port` on 127.0.0.1 to `targetPort` on `host`.
+	 * Forwards connections from `port` on `listenHost` to `targetPort` on `host`.
 	 * `baseDelayMs` is the one-way delay in milliseconds, in both directions, while no fault is set.
 	 */
-	constructor(port: number, readonly targetPort: number, {baseDelayMs = 0, host = '127.0.0.1'} = {}) {
+	constructor(port: number, readonly targetPort: number, {baseDelayMs = 0, host = '127.0.0.1', listenHost = '127.0.0.1'} = {}) {
 		this.#baseDelayMs = baseDelayMs;
+		this.#listenHost = listenHost;
 		this.#setFault('both', {delayMs: baseDelayMs});
 		this.#port = port;
 		this.#server = createServer({allowHalfOpen: true}, client => {
@@ -53,7 +55,7 @@
 	async listen(): Promise<void> {
 		return new Promise((resolve, reject) => {
 			this.#server.once('error', reject);
-			this.#server.listen(this.#port, '127.0.0.1', resolve);
+			this.#server.listen(this.#port, this.#listenHost, resolve);
 		});
 	}
 
--- a/test/harness/loop-probe.js
+++ b/test/harness/loop-probe.js
@@ -1,24 +1,47 @@
-// Loaded into a child process before its program: writes the longest delay of its event loop so far into a file, in milliseconds.
-import {writeFileSync} from 'node:fs';
+// Loaded into a child process before its program: writes the longest delay of its event loop so far into a file, in milliseconds, and each long one with its time into another one.
+import {appendFileSync, readFileSync, writeFileSync} from 'node:fs';
 import {monitorEventLoopDelay} from 'node:perf_hooks';
 import process from 'node:process';
 
 const resolutionMs = 20;
 const writeEveryMs = 500;
 const nanosecondsPerMs = 1e6;
+/** Delays from this one on are listed with their time. */
+const listedMs = 100;
 
 const delays = monitorEventLoopDelay({resolution: resolutionMs});
 delays.enable();
-let written = 0;
+let longest = 0;
+let times = processorTimes();
 setInterval(() => {
 	// The histogram's values include the timer's own interval.
-	const lateMs = Math.max(0, (delays.max / nanosecondsPerMs) - resolutionMs);
-	if (lateMs > written) {
-		written = lateMs;
-		try {
-			writeFileSync(`${process.env.LOOP_PROBE_FILE}.${process.pid}`, String(Math.round(lateMs)));
-		} catch {
-			// The run's folder was deleted.
+	const lateMs = Math.round(Math.max(0, (delays.max / nanosecondsPerMs) - resolutionMs));
+	delays.reset();
+	const last = times;
+	times = processorTimes();
+	try {
+		if (lateMs >= listedMs) {
+			const [ranMs, waitedMs] = times.map((ms, index) => Math.round(ms - last[index]));
+			appendFileSync(`${process.env.LOOP_PROBE_FILE}.delays`, `${JSON.stringify({
+				until: new Date().toISOString(), pid: process.pid, lateMs, ranMs, waitedMs,
+			})}\n`);
 		}
+
+		if (lateMs > longest) {
+			longest = lateMs;
+			writeFileSync(`${process.env.LOOP_PROBE_FILE}.${process.pid}`, String(lateMs));
+		}
+	} catch {
+		// The run's folder was deleted.
 	}
 }, writeEveryMs).unref();
+
+/** Time for which the main thread has run, and for which it has waited for a processor, in milliseconds. */
+function processorTimes() {
+	try {
+		const [ran, waited] = readFileSync('/proc/self/schedstat', 'utf8').split(' ');
+		return [Number(ran) / nanosecondsPerMs, Number(waited) / nanosecondsPerMs];
+	} catch {
+		return [0, 0];
+	}
+}
--- /dev/null
+++ b/test/soak/lost-disks.ts
@@ -0,0 +1,61 @@
+import type {SoakDeployment} from './soak-deployment.ts';
+import type {SoakNode} from './soak-node.ts';
+
+/** Disks that may be lost at the same time. */
+const maxLostDisks = 2;
+/** Time for which a node with an empty disk has to run undisturbed before its lost disk no longer counts, and time after an excess of impaired control nodes in which service may stay suspended, in milliseconds: `catch-up-s` and `recovery-s` of the first deployments. */
+const catchUpMs = 4000;
+const recoveryMs = 12_000;
+
+/** A lost disk, with the node that takes its place, and since when that has run undisturbed. */
+type LostDisk = {node: SoakNode; runningSince: number | undefined};
+
+/** Counts the lost disks of control nodes, so that the drawn faults stay within what a deployment must bear. */
+export class LostDisks {
+	readonly #deployment: SoakDeployment;
+	readonly #now: () => number;
+	#lost: LostDisk[] = [];
+	/** Last time at which more control nodes were impaired than may be lost: those that lost their disks catch up only afterwards. */
+	#suspendedAt = Number.NEGATIVE_INFINITY;
+
+	constructor(deployment: SoakDeployment, now: () => number) {
+		this.#deployment = deployment;
+		this.#now = now;
+	}
+
+	get mayLose(): boolean {
+		this.update();
+		return this.#lost.length < maxLostDisks;
+	}
+
+	/** Notes that a node loses its disk and starts again. */
+	add(node: SoakNode): void {
+		this.#lost.push({node, runningSince: undefined});
+	}
+
+	/** Notes that a node goes for good with its disk. */
+	replace(old: SoakNode, successor: SoakNode): void {
+		for (const lost of this.#lost.filter(({node}) => node === old)) {
+			lost.node = successor;
+			lost.runningSince = undefined;
+		}
+
+		this.add(successor);
+	}
+
+	/** Takes note of the nodes' state; called at short intervals and before each draw. */
+	update(): void {
+		const now = this.#now();
+		const impaired = new Set(this.#deployment.control.filter(({up, faults}) => !up || faults > 0));
+		for (const lost of this.#lost) {
+			lost.runningSince = impaired.has(lost.node) || !lost.node.up ? undefined : lost.runningSince ?? now;
+			impaired.add(lost.node);
+		}
+
+		if (impaired.size > maxLostDisks) {
+			this.#suspendedAt = now;
+		}
+
+		this.#lost = this.#lost.filter(({runningSince}) => runningSince === undefined || now - runningSince < catchUpMs || now - this.#suspendedAt < recoveryMs);
+	}
+}
--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -5,6 +5,7 @@
 import {checkProbes} from './check-probes.ts';
 import {checkRecords} from './check-records.ts';
 import {checkRetries} from './check-retries.ts';
+import {LostDisks} from './lost-disks.ts';
 import {SoakCallers} from './soak-callers.ts';
 import {SoakDeployment} from './soak-deployment.ts';
 import {SoakFaults} from './soak-faults.ts';
@@ -22,6 +23,8 @@
 	readonly requestsPerSecond?: number;
 	/** Period without faults after each recovery, in milliseconds. @default 3000 */
 	readonly faultFreeMs?: number;
+	/** True to draw no faults but replacements of control nodes and losses of power. @default false */
+	readonly replacementsOnly?: boolean;
 };
 
 /** Number of faults in a round, the period within which they begin, and the duration of each, in milliseconds. */
@@ -35,6 +38,9 @@
 const minServedShare = 0.95;
 const startTimeoutMs = 20_000;
 const pollMs = 250;
+const lostDisksPollMs = 100;
+/** Time for which requests and probes go on after the final fault and the recovery from it, in milliseconds: longer than the stability window and the time within which a version must be in force. */
+const finalCalmMs = 10_000;
 
 /** Runs real processes under random faults and checks the results that callers, operators and targets observe. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
@@ -59,6 +65,9 @@
 	readonly #operator: SoakOperator;
 	readonly #probes: SoakProbes;
 	readonly #faults: SoakFaults;
+	readonly #lostDisks: LostDisks;
+	/** True once the power has been taken in the second half of the run. */
+	#powerLost = false;
 	readonly #injected: Array<SoakReport['faults'][number]> = [];
 	readonly #requestsPerSecond: number;
 	readonly #startedAt = performance.now();
@@ -75,7 +84,15 @@
 		this.#probes = new SoakProbes({
 			deployment, operator: this.#operator, random: new SeededRandom(seed + 5), now,
 		});
-		this.#faults = new SoakFaults(deployment, this.#random);
+		this.#lostDisks = new LostDisks(deployment, now);
+		this.#faults = new SoakFaults(deployment, {
+			random: this.#random,
+			lostDisks: this.#lostDisks,
+			now,
+			log: name => {
+				this.#injected.push({name, at: this.#now(), forMs: 0});
+			},
+		});
 	}
 
 	async run(): Promise<void> {
@@ -88,11 +105,20 @@
 		this.#operator.start();
 		this.#probes.start();
 		await this.#checkRecovery();
-		while (this.#now() < this.#options.minutes * 60_000 && this.problems.length === 0) {
-			await this.#injectRound(); // eslint-disable-line no-await-in-loop
+		const timer = setInterval(() => {
+			this.#lostDisks.update();
+		}, lostDisksPollMs);
+		const endsAt = this.#options.minutes * 60_000;
+		while (this.#now() < endsAt && this.problems.length === 0) {
+			await this.#injectRound(this.#now() > endsAt / 2); // eslint-disable-line no-await-in-loop
 			await this.#checkRecovery(); // eslint-disable-line no-await-in-loop
 		}
 
+		if (this.problems.length === 0) {
+			await this.#injectFinalFault();
+		}
+
+		clearInterval(timer);
 		this.#operator.stop();
 		await Promise.all([this.#callers.finish(), this.#probes.finish()]);
 		await this.#checkFinalState();
@@ -109,30 +135,49 @@
 			changes: this.#operator.changes,
 			reads: this.#operator.reads,
 			folder: this.#deployment.folder,
-			machine: this.problems.length > 0 ? [describeMachine(this.#deployment.nodes.map(node => [node.name, node.process] as const))] : [],
+			machine: this.problems.length > 0 ? [describeMachine([...this.#deployment.removedNodes, ...this.#deployment.nodes].map(node => [node.name, node.process] as const))] : [],
 		};
 	}
 
-	async #injectRound(): Promise<void> {
+	/** Takes the power from all processes, and up to two disks, right after an acknowledged change. */
+	async #injectFinalFault(): Promise<void> {
+		await this.#waitUntil(async () => this.#operator.change(), recoveryTimeoutMs);
+		await this.#play(this.#faults.losePower());
+		await this.#checkRecovery();
+		await sleep(finalCalmMs);
+	}
+
+	/** @param late - True in the second half of the run, which begins with a loss of power amid the other faults. */
+	async #injectRound(late: boolean): Promise<void> {
 		const {least, most} = faultsPerRound;
 		const count = least + Math.floor(this.#random.next() * (most - least + 1));
-		await Promise.all(Array.from({length: count}, async () => this.#inject()));
+		const losesPower = late && !this.#powerLost;
+		this.#powerLost ||= losesPower;
+		await Promise.all([
+			this.#injectAt(() => this.#faults.replaceInSeries()),
+			...losesPower ? [this.#injectAt(() => this.#faults.losePower())] : [],
+			...Array.from({length: count}, async () => this.#injectAt(() => this.#options.replacementsOnly ? this.#faults.replaceInSeries() : this.#faults.pick())),
+		]);
 	}
 
-	async #inject(): Promise<void> {
+	async #injectAt(draw: () => ReturnType<SoakFaults['pick']>): Promise<void> {
 		await sleep(this.#random.next() * roundMs);
+		await this.#play(draw());
+	}
+
+	async #play(fault: ReturnType<SoakFaults['pick']>): Promise<void> {
 		const at = this.#now();
-		const fault = this.#faults.pick(at);
 		for (const node of fault.nodes) {
-			node.faults += 1;
+			node.beginFault();
 		}
 
+		this.#lostDisks.update();
 		await fault.begin();
-		await sleep(holdMs.least + (this.#random.next() * (holdMs.most - holdMs.least)));
+		await sleep(fault.holdMs ?? holdMs.least + (this.#random.next() * (holdMs.most - holdMs.least)));
 		await fault.end?.();
+		this.#lostDisks.update();
 		for (const node of fault.nodes) {
-			node.faults -= 1;
-			node.lastFaultEndedAt = this.#now();
+			node.endFault(this.#now());
 		}
 
 		this.#injected.push({name: fault.name, at, forMs: this.#now() - at});
@@ -157,18 +202,38 @@
 	}
 
 	async #checkFinalState(): Promise<void> {
+		if (!await this.#operator.change()) {
+			this.problems.push('a change was not accepted at the end');
+		}
+
 		for (const node of this.#deployment.control) {
 			if (!await this.#operator.read(node)) { // eslint-disable-line no-await-in-loop
 				this.problems.push(`${node.name} did not answer the read at the end`);
 			}
 		}
 
+		await this.#checkVoters();
+
 		const {records} = this.#callers;
 		const calm = records.filter(({withoutRecentFault}) => withoutRecentFault);
 		const servedShare = calm.filter(({outcome}) => outcome === 'served').length / Math.max(1, calm.length);
 		this.problems.push(...this.#operator.problems, ...checkRecords(records, id => this.#deployment.runsOf(id)), ...checkProbes(this.#probes.records, servedShare), ...this.#checkRetries());
 	}
 
+	/** Checks that each control node knows as many voters as the deployment needs, and none that is gone for good. */
+	async #checkVoters(): Promise<void> {
+		const {control} = this.#deployment;
+		const running = new Set(control.map(({peerAddress}) => peerAddress));
+		for (const node of control) {
+			const status = await this.#deployment.controlStatus(node); // eslint-disable-line no-await-in-loop
+			const voters = status?.consensus.voters ?? [];
+			const gone = voters.filter(voter => !running.has(voter));
+			if (voters.length !== control.length || gone.length > 0) {
+				this.problems.push(`${node.name} (${status?.consensus.role ?? 'no status'}) knows ${voters.length} voters at the end, ${gone.join(', ') || 'none'} of them gone`);
+			}
+		}
+	}
+
 	/** Checks what arrived at targets against the requests of callers, and the other requests at their first arrival: the route of a probe may have moved since it was sent. */
 	#checkRetries(): string[] {
 		const {arrivals} = this.#deployment;
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import {request} from 'undici';
 import type {Random} from '../../src/core/common/random.ts';
+import {sample} from '../../src/core/membership/sample.ts';
 import {PlatformEngine} from '../fakes/platform-engine.ts';
 import {bundle} from '../harness/bundle.ts';
 import {Links} from '../harness/links.ts';
@@ -12,12 +13,21 @@
 
 type SoakEngine = {readonly engine: PlatformEngine; readonly service: SoakService; readonly region: string; sequence: number};
 
-type NodePlan = Pick<ConstructorParameters<typeof SoakNode>[0], 'name' | 'role' | 'region' | 'ip'>;
+type NodePlan = Pick<ConstructorParameters<typeof SoakNode>[0], 'name' | 'role' | 'region' | 'ip'> & {
+	/** Number of the machine, from which the addresses of its proxies are made. */
+	readonly machine: number;
+};
+
+type ControlStatus = {readonly consensus: {readonly role: string; readonly voters: readonly string[]}};
 
 const regions = ['regina', 'saskatoon', 'winnipeg'];
 /** Regions of the control nodes; the settings list the first three as seeds. */
 const controlRegions = ['regina', 'saskatoon', 'winnipeg', 'regina', 'saskatoon'];
 const controlSeedCount = 3;
+/** Number of addresses for control nodes, with those that are added in the course of a run. */
+const maxControlNodes = 60;
+/** Addresses 127.0.N.x from this N on are those of proxies. */
+const firstProxyNet = 10;
 const enginesPerRegion = 2;
 /** Duration of a call and interval between two events of a stream, in milliseconds. */
 const workMs = 25;
@@ -34,7 +44,9 @@
 	}
 
 	readonly regions = regions;
-	readonly nodes: SoakNode[] = [];
+	nodes: SoakNode[] = [];
+	/** Nodes that were removed for good. */
+	readonly removedNodes: SoakNode[] = [];
 	readonly engines: SoakEngine[] = [];
 	/** Engines that only probes use; no fault is drawn for them. */
 	readonly probedEngines: SoakEngine[] = [];
@@ -43,6 +55,11 @@
 	readonly folder = mkdtempSync(path.join(tmpdir(), 'lovageferry-soak-'));
 	readonly #random: Random;
 	readonly #ports: PortBlock;
+	readonly #plans = new Map<SoakNode, NodePlan>();
+	#nodePorts!: ConstructorParameters<typeof SoakNode>[0]['ports'];
+	#program = '';
+	#entriesPerRegion = 0;
+	#controlCount = 0;
 	#reportTimer: NodeJS.Timeout | undefined;
 
 	private constructor(random: Random, ports: PortBlock) {
@@ -69,6 +86,44 @@
 		}, reportEveryMs);
 	}
 
+	/** False once each address for control nodes has been used. */
+	get hasAddresses(): boolean {
+		return this.#controlCount < maxControlNodes;
+	}
+
+	/** A new control node in the region of the one that it replaces, at an address of its own and with an empty data folder; it takes part after `add`. */
+	createControl(region: string): SoakNode {
+		this.#controlCount += 1;
+		return this.#createNode(this.#controlPlan(region, this.#controlCount), this.#controlCount <= controlRegions.length);
+	}
+
+	/** Opens the links of a node to and from all others and makes it one of the deployment. */
+	async add(node: SoakNode): Promise<void> {
+		const plan = this.#plans.get(node)!;
+		const others = this.nodes.map(other => this.#plans.get(other)!);
+		this.nodes.push(node);
+		await Promise.all(others.flatMap(other => [this.#openLinks(plan, other), this.#openLinks(other, plan)]));
+	}
+
+	/** Removes a machine for good; its address refuses connections from then on, or is silent. */
+	async remove(node: SoakNode, signal: 'SIGKILL' | 'SIGTERM', silent: boolean): Promise<void> {
+		node.removed = true;
+		this.nodes = this.nodes.filter(other => other !== node);
+		this.removedNodes.push(node);
+		await node.end(signal);
+		this.links.retire(node.name, silent);
+	}
+
+	/** State of a control node, as it shows it to operators; undefined if it doesn't answer. */
+	async controlStatus(node: SoakNode): Promise<ControlStatus | undefined> {
+		try {
+			const res = await request(`http://${node.address('metrics')}/status`, {headersTimeout: callTimeoutMs, bodyTimeout: callTimeoutMs});
+			return await res.body.json() as ControlStatus;
+		} catch {
+			return undefined;
+		}
+	}
+
 	/** Sends an operator's request to a control node; undefined if it fails without an HTTP answer. */
 	async callOperatorApi(node: SoakNode, method: 'GET' | 'PUT' | 'POST' | 'DELETE', callPath: string, body?: string): Promise<{status: number; text: string} | undefined> {
 		try {
@@ -95,7 +150,7 @@
 	/** Kills the processes, closes engines and proxies, and deletes the folder unless `keepFolder` is set. */
 	async dispose(options: {keepFolder: boolean}): Promise<void> {
 		clearInterval(this.#reportTimer);
-		await Promise.all(this.nodes.map(async node => node.end('SIGKILL')));
+		await Promise.all([...this.nodes, ...this.removedNodes].map(async node => node.end('SIGKILL')));
 		await Promise.all([...this.engines, ...this.probedEngines].map(async ({engine}) => engine.close()));
 		this.links.close();
 		this.#ports.release();
@@ -105,29 +160,22 @@
 	}
 
 	async #prepare(entriesPerRegion: number): Promise<void> {
-		const ports = {
-			callers: this.#ports.next(), readiness: this.#ports.next(), operators: this.#ports.next(), directory: this.#ports.next(), internal: this.#ports.next(),
+		this.#nodePorts = {
+			callers: this.#ports.next(), readiness: this.#ports.next(), operators: this.#ports.next(), directory: this.#ports.next(), metrics: this.#ports.next(), internal: this.#ports.next(),
 		};
 		// Reserves the rest of the range of internal ports.
 		for (let count = 0; count < 5; count++) {
 			this.#ports.next();
 		}
 
-		const program = await bundle('platform/main.ts');
-		const plans: NodePlan[] = [
-			...controlRegions.map((region, index) => ({
-				name: `control-${index + 1}`, role: 'control' as const, region, ip: `127.0.1.${index + 1}`,
-			})),
-			...regions.flatMap((region, at) => Array.from({length: entriesPerRegion}, (_, index) => ({
-				name: `${region}-${index + 1}`, role: 'entry' as const, region, ip: `127.0.2.${(at * entriesPerRegion) + index + 1}`,
-			}))),
-		];
-		const seeds = plans.slice(0, controlSeedCount).map(({ip}) => `${ip}:${ports.operators}`);
-		for (const plan of plans) {
-			const forwards = await this.#addPeerProxies(plan, plans, ports); // eslint-disable-line no-await-in-loop
-			this.nodes.push(new SoakNode({
-				...plan, folder: this.folder, program, ports, seeds, regions, forwards,
-			}));
+		this.#program = await bundle('platform/main.ts');
+		this.#entriesPerRegion = entriesPerRegion;
+		for (const region of controlRegions) {
+			await this.add(this.createControl(region)); // eslint-disable-line no-await-in-loop
+		}
+
+		for (const plan of this.#entryPlans()) {
+			await this.add(this.#createNode(plan, true)); // eslint-disable-line no-await-in-loop
 		}
 
 		for (const region of regions) {
@@ -151,18 +199,55 @@
 		}
 	}
 
-	/** Opens a proxy for each peer address that a node may connect to; returns the addresses of the proxies by the peer's own address. */
-	async #addPeerProxies(from: NodePlan, plans: readonly NodePlan[], ports: ConstructorParameters<typeof SoakNode>[0]['ports']): Promise<Record<string, string>> {
-		const forwards: Record<string, string> = {};
-		for (const to of plans.filter(plan => plan !== from)) {
-			for (const address of SoakNode.peerAddresses({...to, ports})) {
-				const [host, port] = address.split(':');
-				const delayMs = from.region === to.region ? 0 : regionDelayMs;
-				forwards[address] = `127.0.0.1:${await this.links.add(from.name, to.name, Number(port), {of: 'peers', delayMs, host})}`; // eslint-disable-line no-await-in-loop
-			}
+	#controlPlan(region: string, number: number): NodePlan {
+		return {
+			name: `control-${number}`, role: 'control', region, ip: `127.0.1.${number}`, machine: number,
+		};
+	}
+
+	#entryPlans(): NodePlan[] {
+		return regions.flatMap((region, at) => Array.from({length: this.#entriesPerRegion}, (_, index) => {
+			const number = (at * this.#entriesPerRegion) + index + 1;
+			return {
+				name: `${region}-${index + 1}`, role: 'entry', region, ip: `127.0.2.${number}`, machine: maxControlNodes + number,
+			};
+		}));
+	}
+
+	#createNode(plan: NodePlan, founding: boolean): SoakNode {
+		// The settings name the proxies of control nodes that are added later as well: a running process does not learn them.
+		const others = [
+			...Array.from({length: maxControlNodes}, (_, index) => this.#controlPlan(plan.region, index + 1)),
+			...this.#entryPlans(),
+		].filter(({ip}) => ip !== plan.ip);
+		const forwards = others.flatMap(other => SoakNode.peerAddresses({...other, ports: this.#nodePorts}).map(address => [address, `${proxyHost(plan, other)}:${address.split(':')[1]}`] as const));
+		const node: SoakNode = new SoakNode({
+			...plan, folder: this.folder, program: this.#program, ports: this.#nodePorts, seeds: () => this.#seedsFor(node), founding, regions, forwards: Object.fromEntries(forwards),
+		});
+		this.#plans.set(node, plan);
+		return node;
+	}
+
+	/** Seeds as the platform writes them: at the first start the same for all, later control nodes that run. */
+	#seedsFor(node: SoakNode): readonly string[] {
+		if (node.founding && node.lifetime === 0) {
+			return this.control.slice(0, controlSeedCount).map(control => control.address('operators'));
 		}
 
-		return forwards;
+		const others = this.control.filter(other => other !== node);
+		const running = sample(others.filter(({up}) => up), controlSeedCount, this.#random);
+		const rest = sample(others.filter(({up}) => !up), controlSeedCount, this.#random);
+		return [...running, ...rest].slice(0, controlSeedCount).map(control => control.address('operators'));
+	}
+
+	async #openLinks(from: NodePlan, to: NodePlan): Promise<void> {
+		const delayMs = from.region === to.region ? 0 : regionDelayMs;
+		for (const address of SoakNode.peerAddresses({...to, ports: this.#nodePorts})) {
+			// eslint-disable-next-line no-await-in-loop
+			await this.links.addAt(from.name, to.name, {
+				listenHost: proxyHost(from, to), host: to.ip, port: Number(address.split(':')[1]), delayMs,
+			});
+		}
 	}
 
 	/** Registers each target with a random control node that runs. */
@@ -182,3 +267,8 @@
 		}));
 	}
 }
+
+/** Address of the proxy from one machine to another, which no other link uses. */
+function proxyHost(from: NodePlan, to: NodePlan): string {
+	return `127.0.${firstProxyNet + from.machine}.${to.machine}`;
+}
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -1,12 +1,16 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Random} from '../../src/core/common/random.ts';
+import {sample} from '../../src/core/membership/sample.ts';
 import type {SoakDeployment} from './soak-deployment.ts';
+import type {LostDisks} from './lost-disks.ts';
 import type {SoakNode} from './soak-node.ts';
 
 type SoakFault = {
 	readonly name: string;
 	/** Nodes that the fault affects. */
 	readonly nodes: readonly SoakNode[];
+	/** Time from the begin to the end, in milliseconds; drawn if absent. */
+	readonly holdMs?: number;
 	begin(): Promise<void> | void;
 	/** Reverts the fault; absent if there is nothing to revert. */
 	end?(): Promise<void> | void;
@@ -15,11 +19,24 @@
 type Manner = SoakDeployment['engines'][number]['engine']['manner'];
 
 const faultyManners: readonly Manner[] = ['cut', 'short', 'reset', 'full', 'silent', 'foreign', 'unsigned'];
-/** Maximum number of disks lost within the time in which a control node catches up with the others, and that time in milliseconds. */
-const maxLostDisks = 2;
-const catchUpMs = 8000;
+/** Number of replacements in a series, time between two of them, time from the start of a planned successor to the stop of the old node, and time in which an unplanned one starts; in milliseconds. */
+const replacements = {least: 1, most: 5};
+const replacementGapMs = {least: 500, most: 6000};
+const overlapMs = {least: 200, most: 3000};
+const maxSuccessorDelayMs = 1000;
+/** Time after which no further replacement of a series begins, in milliseconds. */
+const maxSeriesMs = 15_000;
+/** Share of the replacements that take away the newest control node. */
+const newestGoesShare = 0.3;
+/** Time after its start in which a successor counts as lost, in milliseconds: `catch-up-s` of the first deployments. */
+const catchUpMs = 4000;
+/** Time in which all processes are back after a loss of power, in milliseconds. */
+const maxPowerOffMs = 1000;
+const pollMs = 50;
 /** Maximum length of the incomplete record that a torn write leaves. */
 const maxTornBytes = 11;
+/** Share of the control nodes that keep their disks in a loss of power whose journal ends with a torn write. */
+const tornShare = 0.3;
 /** Pause that an engine asks for, in seconds, as it stands in the header. */
 const enginePauseSeconds = '2.5';
 /** Range of the share of lost packets above its minimum of 0.03; the platform's links lose up to 30 %. */
@@ -29,18 +46,26 @@
 export class SoakFaults {
 	readonly #deployment: SoakDeployment;
 	readonly #random: Random;
-	#disksLostAt: number[] = [];
+	readonly #lostDisks: LostDisks;
+	readonly #now: () => number;
+	readonly #log: (text: string) => void;
+	/** Control nodes that are being replaced. */
+	readonly #leaving = new Set<SoakNode>();
 
-	constructor(deployment: SoakDeployment, random: Random) {
+	/** @param options.log - Called with each step of a fault that has several. */
+	constructor(deployment: SoakDeployment, {random, lostDisks, now, log}: {random: Random; lostDisks: LostDisks; now: () => number; log: (text: string) => void}) {
 		this.#deployment = deployment;
 		this.#random = random;
+		this.#lostDisks = lostDisks;
+		this.#now = now;
+		this.#log = log;
 	}
 
-	pick(now: number): SoakFault {
+	pick(): SoakFault {
 		const {nodes, control, entries} = this.#deployment;
 		return this.#pickItem([
-			() => this.#kill(this.#pickItem(nodes), now),
-			() => this.#kill(this.#pickItem(control), now),
+			() => this.#kill(this.#pickItem(nodes)),
+			() => this.#kill(this.#pickItem(control)),
 			() => this.#stop(this.#pickItem(entries)),
 			() => this.#freeze(this.#pickItem(nodes)),
 			() => this.#cutNode(this.#pickItem(nodes)),
@@ -51,16 +76,111 @@
 			() => this.#misbehavingEngine(),
 			() => this.#misbehavingEngine(),
 			() => this.#killAllControl(),
+			() => this.replaceInSeries(),
+			() => this.replaceInSeries(),
+			() => this.losePower(),
 		])();
 	}
 
+	/** Replaces control nodes for good by new ones at other addresses with empty disks, one after another or overlapping. */
+	replaceInSeries(): SoakFault {
+		const count = replacements.least + Math.floor(this.#random.next() * (replacements.most - replacements.least + 1));
+		return {
+			name: `${count} control nodes replaced for good`,
+			nodes: [],
+			begin: async () => {
+				const endsAt = this.#now() + maxSeriesMs;
+				const running: Array<Promise<void>> = [];
+				for (let index = 0; index < count; index++) {
+					if (index > 0) {
+						await sleep(this.#between(replacementGapMs)); // eslint-disable-line no-await-in-loop
+					}
+
+					while (!this.#lostDisks.mayLose && this.#now() < endsAt) {
+						await sleep(pollMs); // eslint-disable-line no-await-in-loop
+					}
+
+					if (this.#now() >= endsAt || !this.#deployment.hasAddresses) {
+						break;
+					}
+
+					running.push(this.#replace());
+				}
+
+				await Promise.all(running);
+			},
+		};
+	}
+
+	/** Kills all processes at once; up to as many control nodes as the deployment must bear come back without their disks. */
+	losePower(): SoakFault {
+		const {nodes, control} = this.#deployment;
+		const lost: SoakNode[] = [];
+		for (const node of sample(control, Math.floor(this.#random.next() * 3), this.#random)) {
+			if (this.#lostDisks.mayLose) {
+				this.#lostDisks.add(node);
+				lost.push(node);
+			}
+		}
+
+		const torn = control.filter(node => !lost.includes(node) && this.#random.next() < tornShare);
+		return {
+			name: `no power, disks lost: ${lost.map(({name}) => name).join(', ') || 'none'}`,
+			nodes,
+			holdMs: this.#random.next() * maxPowerOffMs,
+			async begin() {
+				await Promise.all(nodes.map(async node => node.end('SIGKILL')));
+			},
+			end: () => {
+				for (const node of lost.filter(({up}) => !up)) {
+					node.loseDisk();
+				}
+
+				for (const node of torn.filter(({up}) => !up)) {
+					node.appendTornWrite(1 + Math.floor(this.#random.next() * maxTornBytes));
+				}
+
+				for (const node of sample(nodes, nodes.length, this.#random)) {
+					node.start();
+				}
+			},
+		};
+	}
+
+	/** Replaces a control node: the new one starts before the old one gets SIGTERM, or after the old one was killed. */
+	async #replace(): Promise<void> {
+		const {control} = this.#deployment;
+		const staying = control.filter(node => !this.#leaving.has(node));
+		const old = this.#random.next() < newestGoesShare ? staying.at(-1)! : this.#pickItem(staying);
+		const successor = this.#deployment.createControl(old.region);
+		const planned = this.#random.next() < 0.5;
+		const silent = this.#random.next() < 0.5;
+		const waitMs = planned ? this.#between(overlapMs) : this.#random.next() * maxSuccessorDelayMs;
+		this.#leaving.add(old);
+		this.#lostDisks.replace(old, successor);
+		successor.lastFaultEndedAt = Number.POSITIVE_INFINITY;
+		await this.#deployment.add(successor);
+		this.#log(`${planned ? 'planned' : 'unplanned'}: ${successor.name} for ${old.name}${silent ? ', silent' : ''}, ${Math.round(waitMs)} ms apart`);
+		if (planned) {
+			successor.start();
+			const startedAt = this.#now();
+			await sleep(waitMs);
+			await this.#deployment.remove(old, 'SIGTERM', silent);
+			successor.lastFaultEndedAt = Math.max(startedAt + catchUpMs, this.#now());
+		} else {
+			await this.#deployment.remove(old, 'SIGKILL', silent);
+			await sleep(waitMs);
+			successor.start();
+			successor.lastFaultEndedAt = this.#now() + catchUpMs;
+		}
+	}
+
 	/** Kills a process; it restarts with its data folder intact, with a torn write at the end of its journal, or with an empty folder. */
-	#kill(node: SoakNode, now: number): SoakFault {
-		this.#disksLostAt = this.#disksLostAt.filter(at => now - at < catchUpMs);
+	#kill(node: SoakNode): SoakFault {
 		const drawnDisk = node.role === 'control' ? this.#pickItem(['kept', 'torn', 'lost'] as const) : 'kept';
-		const disk = drawnDisk === 'lost' && this.#disksLostAt.length >= maxLostDisks ? 'kept' : drawnDisk;
+		const disk = drawnDisk === 'lost' && !this.#lostDisks.mayLose ? 'kept' : drawnDisk;
 		if (disk === 'lost') {
-			this.#disksLostAt.push(now);
+			this.#lostDisks.add(node);
 		}
 
 		return {
@@ -255,6 +375,10 @@
 		return new Set(this.#deployment.nodes.filter(node => node.region === region).map(({name}) => name));
 	}
 
+	#between({least, most}: {readonly least: number; readonly most: number}): number {
+		return least + (this.#random.next() * (most - least));
+	}
+
 	#pickItem<Item>(items: readonly Item[]): Item {
 		return items[Math.floor(this.#random.next() * items.length)]!;
 	}
--- a/test/soak/soak-node.ts
+++ b/test/soak/soak-node.ts
@@ -14,15 +14,17 @@
 	readonly folder: string;
 	readonly program: string;
 	readonly ports: NodePorts;
-	/** Operators' addresses of the control nodes that the settings list as seeds. */
-	readonly seeds: readonly string[];
+	/** Operators' addresses of the control nodes that the settings list as seeds, as of now. */
+	readonly seeds: () => readonly string[];
+	/** True if the node is one of those with which the deployment starts for the first time. */
+	readonly founding: boolean;
 	readonly regions: readonly string[];
 	/** Addresses of the proxies to other nodes, by those nodes' own addresses. */
 	readonly forwards: Readonly<Record<string, string>>;
 };
 
 /** Port numbers, the same for all nodes. */
-type NodePorts = {readonly callers: number; readonly readiness: number; readonly operators: number; readonly directory: number; readonly internal: number};
+type NodePorts = {readonly callers: number; readonly readiness: number; readonly operators: number; readonly directory: number; readonly metrics: number; readonly internal: number};
 
 /** Offsets of the control peers' port and the relay port within the range of internal ports, as the settings define them. */
 const controlPeersOffset = 4;
@@ -48,6 +50,8 @@
 	lastFaultEndedAt = 0;
 	/** Number of runs of the process so far. */
 	lifetime = 0;
+	/** True once the machine is gone for good. */
+	removed = false;
 	readonly #options: SoakNodeOptions;
 
 	constructor(options: SoakNodeOptions) {
@@ -63,13 +67,32 @@
 		return this.process.up;
 	}
 
+	/** Address by which the other control nodes know a control node. */
+	get peerAddress(): string {
+		return SoakNode.peerAddresses(this.#options)[0]!;
+	}
+
+	beginFault(): void {
+		this.faults += 1;
+	}
+
+	/** @param at - milliseconds from the start of the run to the time from which the node counts as undisturbed by this fault. */
+	endFault(at: number): void {
+		this.faults -= 1;
+		this.lastFaultEndedAt = Math.max(this.lastFaultEndedAt, at);
+	}
+
+	get founding(): boolean {
+		return this.#options.founding;
+	}
+
 	address(port: keyof NodePorts): string {
 		return `${this.#options.ip}:${this.#options.ports[port]}`;
 	}
 
 	start(): void {
-		if (!this.up) {
-			this.#writeSettings({firstStart: this.lifetime === 0});
+		if (!this.up && !this.removed) {
+			this.#writeSettings({firstStart: this.#options.founding && this.lifetime === 0});
 			this.lifetime += 1;
 			this.process.start();
 		}
@@ -124,13 +147,13 @@
 			internal: {
 				ip, firstPort: ports.internal, lastPort: ports.internal + 5, forwards,
 			},
-			controlSeeds: seeds,
+			controlSeeds: seeds(),
 			firstStart,
 			toleratedDisks: 2,
 			reportEveryMs: 300,
 			graceMs,
 			dataFolder: role === 'control' ? this.#dataFolder : undefined,
-			listen,
+			listen: {...listen, metricsPort: ports.metrics},
 		}));
 	}
 }
