--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -1,5 +1,6 @@
 // Runs real processes under random faults: `npm run soak -- --seed 1 --minutes 2 [--runs 5] [--entries 2] [--calm 3000] [--replacements] [--report folder]`.
 import {mkdirSync, writeFileSync} from 'node:fs';
+import {loadavg} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
@@ -38,7 +39,7 @@
 	}
 }
 
-function printReport({seed, lengthMs, faults, records, probes, changes, reads, problems, folder, machine}: SoakReport): void {
+function printReport({seed, lengthMs, faults, records, probes, changes, reads, problems, folder, machine, loadMs}: SoakReport): void {
 	const count = (outcome: string) => records.filter(record => record.outcome === outcome).length;
 	const outcomes = ['served', 'refused', 'failed', 'broken', 'unreachable'].map(outcome => `${count(outcome)} ${outcome}`).join(', ');
 	const verdict = problems.length === 0 ? 'pass' : 'fail';
@@ -46,7 +47,8 @@
 	const resumed = `${takenUp.filter(record => record.resumed).length} of ${takenUp.length} broken streams taken up`;
 	const judged = probes.filter(({due, shown}) => due > 0 || shown > 0).length;
 	const totals = `${faults.length} faults, ${records.length} requests (${outcomes}; ${resumed}), ${changes} changes, ${reads} reads, ${judged} of ${probes.length} probes judged`;
-	console.log(`SOAK seed ${seed} ${verdict}: ${Math.round(lengthMs / 1000)} s, ${totals}`);
+	const conditions = `programs loaded within ${(loadMs / 1000).toFixed(1)} s, load ${loadavg()[0]!.toFixed(0)}`;
+	console.log(`SOAK seed ${seed} ${verdict}: ${Math.round(lengthMs / 1000)} s, ${totals}; ${conditions}`);
 	for (const problem of [...problems, ...machine]) {
 		console.log(`  - ${problem}`);
 	}
--- a/test/soak/soak-report.ts
+++ b/test/soak/soak-report.ts
@@ -17,6 +17,8 @@
 	readonly reads: number;
 	/** Folder of the processes' logs and data, kept if a check failed. */
 	readonly folder: string;
+	/** Longest time that a process took to load its program. */
+	readonly loadMs: number;
 	/** What the machine did to the processes, if a check failed. */
 	readonly machine: readonly string[];
 };
