test(soak): the loss of power in the middle follows the round's other faults; the soak lists its own delays

Cause: a loss of power in the middle of a round could be cut short by the faults after it, and delays of the soak's own process were not listed, so that a late probe could not be told from a late answer.

--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -1,4 +1,6 @@
+import path from 'node:path';
 import {performance} from 'node:perf_hooks';
+import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SeededRandom} from '../../src/core/common/seeded-random.ts';
 import {describeMachine} from '../harness/describe-machine.ts';
@@ -38,6 +40,7 @@
 const minServedShare = 0.95;
 const startTimeoutMs = 20_000;
 const pollMs = 250;
+const loopProbe = new URL('../harness/loop-probe.js', import.meta.url).href;
 const nodesPollMs = 100;
 /** Time for which requests and probes go on after the final fault and the recovery from it, in milliseconds: longer than the stability window and the time within which a version must be in force. */
 const finalCalmMs = 10_000;
@@ -96,6 +99,9 @@
 	}
 
 	async run(): Promise<void> {
+		// The callers' times are those of this process, so that its delays are listed like those of the nodes.
+		process.env.LOOP_PROBE_FILE = path.join(this.#deployment.folder, 'soak.log.late');
+		await import(loopProbe);
 		await this.#deployment.start();
 		if (!await this.#waitUntil(async () => this.#operator.change(), startTimeoutMs)) {
 			this.problems.push('the deployment did not start');
@@ -152,7 +158,7 @@
 		await sleep(finalCalmMs);
 	}
 
-	/** @param late - True in the second half of the run, which begins with a loss of power amid the other faults. */
+	/** @param late - True in the second half of the run, which ends with a loss of power right after the other faults. */
 	async #injectRound(late: boolean): Promise<void> {
 		const {least, most} = faultsPerRound;
 		const count = least + Math.floor(this.#random.next() * (most - least + 1));
@@ -160,9 +166,11 @@
 		this.#powerLost ||= losesPower;
 		await Promise.all([
 			this.#injectAt(() => this.#faults.replaceInSeries()),
-			...losesPower ? [this.#injectAt(() => this.#faults.losePower())] : [],
 			...Array.from({length: count}, async () => this.#injectAt(() => this.#options.replacementsOnly ? this.#faults.replaceInSeries() : this.#faults.pick())),
 		]);
+		if (losesPower) {
+			await this.#play(this.#faults.losePower());
+		}
 	}
 
 	async #injectAt(draw: () => ReturnType<SoakFaults['pick']>): Promise<void> {
--- a/test/soak/soak-faults.ts
+++ b/test/soak/soak-faults.ts
@@ -32,6 +32,8 @@
 const catchUpMs = 4000;
 /** Time in which all processes are back after a loss of power, in milliseconds. */
 const maxPowerOffMs = 1000;
+/** Numbers of disks that a loss of power takes, one of which is drawn. */
+const lostDiskCounts = [0, 1, 2, 2];
 const pollMs = 50;
 /** Maximum length of the incomplete record that a torn write leaves. */
 const maxTornBytes = 11;
@@ -116,7 +118,7 @@
 	losePower(): SoakFault {
 		const {nodes, control} = this.#deployment;
 		const lost: SoakNode[] = [];
-		for (const node of sample(control, Math.floor(this.#random.next() * 3), this.#random)) {
+		for (const node of sample(control, this.#pickItem(lostDiskCounts), this.#random)) {
 			if (this.#lostDisks.mayLose) {
 				this.#lostDisks.add(node);
 				lost.push(node);
