--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -103,10 +103,6 @@
 		process.env.LOOP_PROBE_FILE = path.join(this.#deployment.folder, 'soak.log.late');
 		await import(loopProbe);
 		await this.#deployment.start();
-		if (!await this.#waitUntil(async () => this.#operator.change(), startTimeoutMs)) {
-			this.problems.push('the deployment did not start');
-		}
-
 		const timer = setInterval(() => {
 			for (const node of this.#deployment.nodes) {
 				node.noteLoaded(this.#now());
@@ -114,6 +110,11 @@
 
 			this.#lostDisks.update();
 		}, nodesPollMs);
+		await this.#waitUntilLoaded();
+		if (!await this.#waitUntil(async () => this.#operator.change(), startTimeoutMs)) {
+			this.problems.push('the deployment did not start');
+		}
+
 		this.#callers.start(this.#requestsPerSecond);
 		this.#operator.start();
 		this.#probes.start();
@@ -198,8 +199,7 @@
 
 	/** Waits until requests are served and a change is accepted again, then checks the share of served requests in a period without faults. */
 	async #checkRecovery(): Promise<void> {
-		// A process that is still loaded by Node can't recover from anything yet.
-		await this.#waitUntil(() => this.#deployment.nodes.every(({loading}) => !loading), startTimeoutMs);
+		await this.#waitUntilLoaded();
 		const healedAt = Math.round(this.#now());
 		const served = await this.#waitUntil(() => this.#servedSince(this.#now() - 1000) >= minServedShare, recoveryTimeoutMs);
 		const changed = await this.#waitUntil(async () => this.#operator.change(), recoveryTimeoutMs);
@@ -264,6 +264,11 @@
 		return recent.length < this.#requestsPerSecond / 4 ? 0 : recent.filter(({outcome}) => outcome === 'served').length / recent.length;
 	}
 
+	/** Waits for Node to load the programs of processes that were started; until then they can neither start to serve nor recover. */
+	async #waitUntilLoaded(): Promise<void> {
+		await this.#waitUntil(() => this.#deployment.nodes.every(({loading}) => !loading), startTimeoutMs);
+	}
+
 	async #waitUntil(condition: () => Promise<boolean> | boolean, ms: number): Promise<boolean> {
 		for (const end = this.#now() + ms; this.#now() < end;) {
 			if (await condition()) { // eslint-disable-line no-await-in-loop
