fix(consensus): a leader that hears nobody replaces no voter

Seen by callers: a log without a leader, though three of five voters ran.

Cause: a leader whose incoming links are cut has its lease for up to 0.8 s more. In that time every voter is silent to it, and the one heard from longest ago passed the 0.8 s of replaceVoterMs first. Its vote was given away by an entry that the others took. Class: silence read as the other side's fault.

Change: a replacement needs a majority that was heard within two heartbeats.

--- a/src/core/consensus/leadership.ts
+++ b/src/core/consensus/leadership.ts
@@ -88,6 +88,10 @@
 			return false;
 		}
 
+		if (change.type === 'replace' && !this.#replicator.hearsMajority(now)) {
+			return false;
+		}
+
 		const next = this.#membershipChanges.applyRequest(current, change, this.#replicationProgress(now));
 		if (next === undefined) {
 			return false;
--- a/src/core/consensus/replicator.ts
+++ b/src/core/consensus/replicator.ts
@@ -115,6 +115,11 @@
 		return this.#majorityValue(peer => peer.ackedAt, now);
 	}
 
+	/** True if a majority has been heard since the heartbeat before the last one: a leader that hears nobody can't tell which voter is silent. */
+	hearsMajority(now: Millis): boolean {
+		return now - this.#majorityValue(peer => peer.heardAt, now) <= 2 * consensusTiming.heartbeatMs;
+	}
+
 	/** True if the leader has had no contact with a majority for `quorumLossMs`. */
 	quorumLost(now: Millis): boolean {
 		const contact = Math.max(this.majorityContact(now), this.#electedAt);
--- a/test/core/control/replaced-voters.test.ts
+++ b/test/core/control/replaced-voters.test.ts
@@ -15,6 +15,8 @@
 const replaceMs = 6000;
 /** Time within which the successor of one that is gone must have taken its vote while another one may be lost, in milliseconds (catch-up of the first deployments). */
 const catchUpMs = 4000;
+/** Time after which a leader that hears nobody has lost its lease, and no other one leads yet, in milliseconds. */
+const cutOffMs = consensusTiming.quorumLossMs;
 /** Time for which a leader leads before it goes, in milliseconds: enough to make one change of the voters. */
 const leadsMs = 500;
 /** Time in which all voters have the newest configuration on their disks, in milliseconds. */
@@ -213,3 +215,24 @@
 
 	t.deepEqual(failed, []);
 });
+
+// Guards against a leader that hears nobody and takes the vote of one that answers, for good if the new voter goes too.
+test('a leader that is cut off replaces none of the voters that answer it', t => {
+	const failed: string[] = [];
+	for (const seed of electionSeeds) {
+		const cluster = startCluster(seed, 1);
+		cluster.start(voters, {seeds: [0, 1, 2]});
+		cluster.run(settleMs);
+		const leader = cluster.leader()!;
+		for (let other = 0; other <= voters; other++) {
+			cluster.cut.add(`${other}>${leader}`);
+		}
+
+		cluster.run(cutOffMs);
+		if (cluster.nodes.some(({core}, index) => core!.status(cluster.clock(index)).consensus.voters.includes(cluster.nodes[voters]!.nodeId))) {
+			failed.push(`seed ${seed}`);
+		}
+	}
+
+	t.deepEqual(failed, []);
+});
