test(control): random schedules replace nodes for good

Nodes are removed for good and replaced at new addresses with empty disks, planned and not, again and again, with seeds up to 3 s old and power cuts in between, on five and seven machines. One test keeps to two losses at a time (a removed machine is lost until its successor has run for 4 s); the other goes beyond, with no more than two lost disks at a time. MachineLosses counts both; it stands in for the driver's count of lost disks, which lasted until a repair: it ends after 4 s without a disturbance too, or 15 s after one. Checks are the same as before; 'five voters' now also means that all of them run.

No node is removed before the log is founded.

--- a/test/core/control/schedule-driver.ts
+++ b/test/core/control/schedule-driver.ts
@@ -3,6 +3,7 @@
 import type {Zone} from '../../../src/core/ids/zone.ts';
 import type {OperatorCall} from '../../../src/core/control/operator-call.ts';
 import {ControlCluster} from '../../fixtures/control-cluster.ts';
+import {MachineLosses} from './machine-losses.ts';
 import type {ScheduleStep} from './schedule-step.ts';
 
 type SentCall =
@@ -12,9 +13,13 @@
 	| {readonly type: 'read'; readonly callId: string; readonly minVersion: number};
 
 const zones = [toId<Zone>('regina-a'), toId<Zone>('winnipeg-b')];
-const nodes = 5;
-/** Disks that may be lost at the same time in the first deployments. */
+/** Machines, and disks, that may be lost at the same time in the first deployments. */
 const tolerated = 2;
+const voters = (2 * tolerated) + 1;
+/** Nodes that may take the place of others in one schedule. */
+const successors = 24;
+/** Nodes that the settings list as seeds. */
+const seedCount = 3;
 /** Time within which control nodes must serve again after the last fault, in milliseconds (required recovery time of the first deployments). */
 const recoveryMs = 15_000;
 /** Time until the first records of all nodes are synced, in milliseconds; nothing can be required of a node before that. */
@@ -23,7 +28,15 @@
 const callMs = 2000;
 const checkEveryMs = 50;
 
-/** Drives five control nodes through a schedule of faults and calls; an assertion fails if an accepted change is lost or a read is stale. */
+type DriverOptions = {
+	readonly seed: number;
+	/** @default as many as vote */
+	readonly machines?: number;
+	/** Keeps to the losses that a deployment must bear without a suspension of its service, once all voters run; otherwise only to the number of lost disks. */
+	readonly servesThroughout?: boolean;
+};
+
+/** Drives control nodes through a schedule of faults and calls; an assertion fails if an accepted change is lost or a read is stale. */
 export class ScheduleDriver {
 	/** Number of answers checked so far. */
 	answers = 0;
@@ -36,15 +49,37 @@
 	#sentVersion = 0;
 	/** Newest document version that was accepted. */
 	#acceptedVersion = 0;
-	/** Disks lost since all nodes last caught up. Starts one below the limit: a log that loses the disks of most initial members before it exists looks like one that lost all of them. */
-	#lostDisks = tolerated - 1;
-
-	constructor(seed: number) {
+	readonly #servesThroughout: boolean;
+	readonly #losses: MachineLosses;
+	/** Index of the node on each machine. */
+	readonly #nodes: number[];
+	/** Times at which successors start, by machine. */
+	readonly #startsAt = new Map<number, number>();
+	/** Nodes on the machines at each time at which one of them changed. */
+	readonly #lists: Array<{readonly since: number; readonly nodes: readonly number[]}>;
+	/** Nodes with cut links. */
+	readonly #cutOff = new Set<number>();
+	#lastReplaced = 0;
+	#used: number;
+
+	constructor({seed, machines = voters, servesThroughout = false}: DriverOptions) {
+		this.#servesThroughout = servesThroughout;
+		this.#nodes = [...Array.from({length: machines}).keys()];
+		this.#lists = [{since: 0, nodes: [...this.#nodes]}];
+		this.#used = machines;
 		this.#cluster = new ControlCluster({
-			nodes, seed, tolerated, syncMs: {least: 0.5, most: 120},
+			nodes: machines + successors, seed, tolerated, syncMs: {least: 0.5, most: 120},
 		});
-		this.#cluster.startAll();
+		for (const index of this.#nodes) {
+			this.#cluster.start(index, {firstStart: true});
+		}
+
+		this.#losses = new MachineLosses({tolerated, machines, recoveryMs});
 		this.#cluster.run(firstSyncMs);
+		if (servesThroughout) {
+			assert.ok(this.#cluster.runUntil(() => this.#repaired(), recoveryMs), 'all voters in time after the first start');
+			this.#losses.endAll();
+		}
 	}
 
 	perform(step: ScheduleStep): void {
@@ -79,17 +114,28 @@
 			}
 
 			case 'cut': {
-				this.#cut(step.nodes, step.direction);
+				if (this.#mayDisturb(step.nodes)) {
+					this.#cut(step.nodes.map(machine => this.#nodes[machine]!), step.direction);
+				}
+
 				break;
 			}
 
 			case 'join': {
-				this.#cluster.cut.clear();
+				this.#join();
 				break;
 			}
 
 			case 'disk': {
-				this.#cluster.nodes[step.node]!.full = step.full;
+				if (!step.full || this.#mayDisturb([step.node])) {
+					this.#node(step.node).full = step.full;
+				}
+
+				break;
+			}
+
+			case 'replace': {
+				this.#replace(step);
 				break;
 			}
 
@@ -108,6 +154,7 @@
 			}
 		}
 
+		this.#observeLosses();
 		this.#check();
 	}
 
@@ -115,13 +162,13 @@
 	finish(): void {
 		assert.ok(this.#repair(), 'five voters again in time');
 		assert.ok(this.#changeAccepted(), 'a change is accepted again in time');
-		for (const node of this.#cluster.nodes.keys()) {
+		for (const node of this.#nodes.keys()) {
 			this.perform({type: 'read', node});
 		}
 
 		const {answers} = this;
 		this.#run(callMs);
-		assert.equal(this.answers - answers, nodes, 'every node answers a read after the repair');
+		assert.equal(this.answers - answers, this.#nodes.length, 'every node answers a read after the repair');
 		const leader = this.#cluster.leader()!;
 		const {evacuated} = this.#cluster.nodes[leader]!.core!.status(this.#cluster.clock(leader));
 		for (const [zone, active] of this.#expectedEvacuations) {
@@ -145,19 +192,118 @@
 	#run(ms: number): void {
 		for (let passed = 0; passed < ms; passed += checkEveryMs) {
 			this.#cluster.run(checkEveryMs);
+			for (const [machine, at] of this.#startsAt) {
+				if (at <= this.#cluster.now) {
+					this.#start(machine);
+				}
+			}
+
+			this.#observeLosses();
 			this.#check();
 		}
 	}
 
-	#call(node: number, call: OperatorCall, sent: (callId: string) => SentCall): void {
-		if (this.#cluster.nodes[node]!.core !== undefined) {
-			this.#calls.push(sent(this.#cluster.call(node, call)));
+	/** The node on a machine. */
+	#node(machine: number): ControlCluster['nodes'][number] {
+		return this.#cluster.nodes[this.#nodes[machine]!]!;
+	}
+
+	/** Starts the node of a machine with the settings in effect; with none replaced yet these are the first ones. */
+	#start(machine: number, emptyDisk = false, ageMs = 0, firstSeed = machine): void {
+		this.#startsAt.delete(machine);
+		const seeds = this.#used === this.#nodes.length ? undefined : this.#seeds(machine, ageMs, firstSeed);
+		this.#cluster.start(this.#nodes[machine]!, {emptyDisk, seeds});
+	}
+
+	/** Three of the nodes that were listed a time ago. */
+	#seeds(machine: number, ageMs: number, first: number): readonly number[] {
+		const {nodes} = this.#lists.findLast(({since}) => since <= this.#cluster.now - ageMs) ?? this.#lists[0]!;
+		const chosen = Array.from({length: seedCount}, (_, position) => nodes[(first + position) % nodes.length]!);
+		// With two losses at a time, one of three nodes that were listed a moment ago still is, beside the one that the successor replaces.
+		return ageMs === 0 || chosen.some(index => this.#nodes.includes(index) && index !== this.#nodes[machine]) ? chosen : this.#seeds(machine, 0, first);
+	}
+
+	/** Removes the node of a machine for good; another one takes its place at a new address and with an empty disk. */
+	#replace({node, again, waits, plannedMs, afterMs, seedAgeMs, firstSeed}: ScheduleStep & {type: 'replace'}): void {
+		const machine = this.#replaceable(again ? this.#lastReplaced : node, waits);
+		if (machine === undefined || this.#startsAt.has(machine) || this.#used === this.#cluster.nodes.length) {
+			return;
+		}
+
+		const old = this.#nodes[machine]!;
+		const successor = this.#used;
+		this.#used += 1;
+		this.#lastReplaced = machine;
+		const seeds = this.#seeds(machine, seedAgeMs, firstSeed);
+		if (plannedMs !== undefined && this.#cluster.nodes[old]!.core !== undefined) {
+			this.#cluster.start(successor, {seeds});
+			this.#run(plannedMs);
+			this.#cluster.kill(old);
+			this.#list(machine, successor);
+			// From the end of the old one, not from the start of its successor: one that has run for long enough would leave no time to hand on the vote.
+			this.#losses.loseDisk(machine, this.#cluster.now);
+			return;
+		}
+
+		this.#cluster.kill(old);
+		this.#list(machine, successor);
+		this.#losses.loseDisk(machine, this.#cluster.now);
+		if (afterMs > 0) {
+			this.#startsAt.set(machine, this.#cluster.now + afterMs);
+		} else {
+			this.#cluster.start(successor, {seeds});
+		}
+	}
+
+	#list(machine: number, node: number): void {
+		this.#nodes[machine] = node;
+		this.#lists.push({since: this.#cluster.now, nodes: [...this.#nodes]});
+	}
+
+	/** The machine whose node may be removed: the given one, after a wait if need be, or one that is lost already. */
+	#replaceable(machine: number, waits: boolean): number | undefined {
+		if (!this.#servesThroughout) {
+			// A node that goes for good before the log exists is a matter of its founding.
+			const isFormed = this.#losses.isFormed || this.#repair();
+			return isFormed && this.#mayLoseDisks([machine]) ? machine : undefined;
+		}
+
+		const mayGo = () => this.#losses.mayLose([machine], this.#cluster.now);
+		if (!mayGo() && !waits) {
+			return this.#losses.lostMachines(this.#cluster.now).at(0);
+		}
+
+		for (const until = this.#cluster.now + recoveryMs; !mayGo() && this.#cluster.now < until;) {
+			this.#run(checkEveryMs);
+		}
+
+		return mayGo() ? machine : undefined;
+	}
+
+	/** True if the machines may be lost without their disks. */
+	#mayDisturb(machines: readonly number[]): boolean {
+		return !this.#servesThroughout || this.#losses.mayLose(machines, this.#cluster.now);
+	}
+
+	#observeLosses(): void {
+		const impaired = [...this.#nodes.keys()].filter(machine => {
+			const {core, held, full, failed} = this.#node(machine);
+			const index = this.#nodes[machine]!;
+			return core === undefined || held !== undefined || full || failed.length > 0 || this.#cutOff.has(index);
+		});
+		const linksImpaired = this.#cluster.loss > 0 || this.#cluster.duplicates > 0;
+		this.#losses.observe(impaired, linksImpaired, this.#cluster.now);
+	}
+
+	#call(machine: number, call: OperatorCall, sent: (callId: string) => SentCall): void {
+		if (this.#node(machine).core !== undefined) {
+			this.#calls.push(sent(this.#cluster.call(this.#nodes[machine]!, call)));
 		}
 	}
 
 	/** Sends one command for a zone at a time, so that its last definite answer determines the zone's state. */
 	#evacuate(node: number, zone: Zone, active: boolean): void {
-		const {core} = this.#cluster.nodes[node]!;
+		const {core} = this.#node(node);
 		if (core === undefined || this.#calls.some(call => call.type === 'evacuation' && call.zone === zone)) {
 			return;
 		}
@@ -175,6 +321,7 @@
 
 	#cut(cutOff: readonly number[], direction: 'both' | 'in' | 'out'): void {
 		for (const index of cutOff) {
+			this.#cutOff.add(index);
 			for (const other of this.#cluster.nodes.keys()) {
 				if (!cutOff.includes(other)) {
 					if (direction !== 'in') {
@@ -189,74 +336,104 @@
 		}
 	}
 
-	#fault(type: 'crash' | 'start' | 'freeze' | 'thaw' | 'lose-disk', index: number, survivors: number): void {
-		const {core, held} = this.#cluster.nodes[index]!;
-		if (type === 'crash') {
-			this.#cluster.kill(index, survivors);
-		} else if (type === 'start' && core === undefined) {
-			this.#cluster.start(index);
-		} else if (type === 'freeze' && core !== undefined && held === undefined) {
-			this.#cluster.freeze(index, true);
+	#join(): void {
+		this.#cluster.cut.clear();
+		this.#cutOff.clear();
+	}
+
+	#fault(type: 'crash' | 'start' | 'freeze' | 'thaw' | 'lose-disk', machine: number, survivors: number): void {
+		const {core, held} = this.#node(machine);
+		const index = this.#nodes[machine]!;
+		if (type === 'start' && core === undefined && !this.#startsAt.has(machine)) {
+			this.#start(machine);
 		} else if (type === 'thaw' && held !== undefined) {
 			this.#cluster.freeze(index, false);
-		} else if (type === 'lose-disk' && this.#mayLoseDisks(1)) {
+		} else if (type === 'crash' && this.#mayDisturb([machine])) {
+			this.#cluster.kill(index, survivors);
+		} else if (type === 'freeze' && core !== undefined && held === undefined && this.#mayDisturb([machine])) {
+			this.#cluster.freeze(index, true);
+		} else if (type === 'lose-disk' && !this.#startsAt.has(machine) && this.#mayLoseDisks([machine])) {
 			this.#cluster.kill(index);
-			this.#cluster.start(index, {emptyDisk: true});
-			this.#lostDisks += 1;
+			this.#start(machine, true);
+			this.#losses.loseDisk(machine, this.#cluster.now);
 		}
 	}
 
-	/** All nodes lose power at once; the nodes in `lost` lose their disks too, if the tolerated number allows it. */
+	/** All nodes lose power at once; the machines in `lost` lose their disks too, if the tolerated number allows it. */
 	#cutPower(survivors: number, lost: readonly number[]): void {
-		const wiped = this.#mayLoseDisks(lost.length) ? lost : [];
-		this.#lostDisks += wiped.length;
-		for (const index of this.#cluster.nodes.keys()) {
-			this.#cluster.kill(index, survivors);
+		const wiped = this.#mayLoseDisks(lost) ? lost : [];
+		const powered = [...this.#nodes.keys()].filter(machine => !this.#startsAt.has(machine));
+		for (const machine of powered) {
+			this.#cluster.kill(this.#nodes[machine]!, survivors);
 		}
 
-		for (const index of this.#cluster.nodes.keys()) {
-			this.#cluster.start(index, {emptyDisk: wiped.includes(index)});
+		this.#observeLosses();
+		for (const machine of powered) {
+			this.#start(machine, wiped.includes(machine));
+			if (wiped.includes(machine)) {
+				this.#losses.loseDisk(machine, this.#cluster.now);
+			}
+		}
+
+		if (this.#servesThroughout) {
+			assert.ok(this.#repair(), 'five voters again in time after a loss of power');
 		}
 	}
 
-	/** True if that many more disks may be lost; repairs the cluster first when the tolerated number is used up. */
-	#mayLoseDisks(count: number): boolean {
-		if (this.#lostDisks + count > tolerated && this.#repair()) {
-			this.#lostDisks = 0;
+	/** True if these disks may be lost too; otherwise repairs the cluster first, unless it must serve throughout. */
+	#mayLoseDisks(machines: readonly number[]): boolean {
+		const mayLose = () => this.#losses.mayLoseDisks(machines, this.#cluster.now);
+		if (this.#servesThroughout) {
+			return this.#losses.mayLose(machines, this.#cluster.now);
+		}
+
+		if (!mayLose()) {
+			this.#repair();
 		}
 
-		return this.#lostDisks + count <= tolerated;
+		return mayLose();
 	}
 
 	#repair(): boolean {
-		this.#cluster.cut.clear();
+		this.#join();
 		this.#cluster.loss = 0;
 		this.#cluster.duplicates = 0;
-		for (const [index, node] of this.#cluster.nodes.entries()) {
-			const {core, held} = node;
+		for (const machine of this.#nodes.keys()) {
+			const node = this.#node(machine);
 			node.full = false;
-			if (core === undefined) {
-				this.#cluster.start(index);
-			} else if (held !== undefined) {
-				this.#cluster.freeze(index, false);
+			if (node.core === undefined) {
+				this.#start(machine);
+			} else if (node.held !== undefined) {
+				this.#cluster.freeze(this.#nodes[machine]!, false);
 			}
 		}
 
-		return this.#cluster.runUntil(() => {
+		const repaired = this.#cluster.runUntil(() => {
 			this.#check();
 			return this.#repaired();
 		}, recoveryMs);
+		if (repaired) {
+			this.#losses.endAll();
+		}
+
+		return repaired;
 	}
 
+	/** True if all voters run, all other nodes follow the log, and all are up to date. */
 	#repaired(): boolean {
 		const leader = this.#cluster.leader();
 		if (leader === undefined) {
 			return false;
 		}
 
-		const {voters, learners, commitIndex, lastIndex} = this.#cluster.nodes[leader]!.core!.status(this.#cluster.clock(leader)).consensus;
-		const commitIndexes = this.#cluster.nodes.map((node, index) => node.core!.status(this.#cluster.clock(index)).consensus.commitIndex);
-		return voters.length === nodes && learners.length === 0 && commitIndex === lastIndex && commitIndexes.every(level => level === commitIndex);
+		const {consensus} = this.#cluster.nodes[leader]!.core!.status(this.#cluster.clock(leader));
+		const {commitIndex, lastIndex} = consensus;
+		const listed = new Set(this.#nodes.map(index => this.#cluster.nodes[index]!.nodeId));
+		const commitIndexes = this.#nodes.map(index => this.#cluster.nodes[index]!.core!.status(this.#cluster.clock(index)).consensus.commitIndex);
+		// One that was removed stays a learner for a while.
+		const learners = consensus.learners.filter(nodeId => listed.has(nodeId));
+		return consensus.voters.length === voters && consensus.voters.every(nodeId => listed.has(nodeId))
+			&& learners.length === this.#nodes.length - voters && commitIndex === lastIndex && commitIndexes.every(level => level === commitIndex);
 	}
 
 	#check(): void {
