--- a/src/core/consensus/member-storage.ts
+++ b/src/core/consensus/member-storage.ts
@@ -5,9 +5,11 @@
 import type {ConsensusRecord} from './consensus-record.ts';
 import {DurableWrites} from './durable-writes.ts';
 import type {MemberLimits} from './member-limits.ts';
+import type {LogEnd} from './log-end.ts';
 import type {LogEntry} from './log-entry.ts';
 import type {LogMember} from './log-member.ts';
 import type {LogSnapshot} from './log-snapshot.ts';
+import {memberKey} from './member-key.ts';
 import {RaftLog} from './raft-log.ts';
 
 /**
@@ -103,6 +105,18 @@
 		return this.#configurations.at(index);
 	}
 
+	/** What this member holds beyond its commit index. */
+	logEnd(self: LogMember, commitIndex: number): LogEnd {
+		const {lastTerm, lastIndex} = this.log;
+		return {
+			member: memberKey(self),
+			lastTerm,
+			lastIndex,
+			uncommitted: this.log.slice(commitIndex + 1),
+			voters: this.configuration?.voters.map(voter => memberKey(voter)) ?? [],
+		};
+	}
+
 	takeLoadedSnapshot(): LogSnapshot | undefined {
 		const snapshot = this.#loadedSnapshot;
 		this.#loadedSnapshot = undefined;
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -10,22 +10,20 @@
 import type {ConsensusStatus} from './consensus-status.ts';
 import {consensusTiming} from './consensus-timing.ts';
 import {Election} from './election.ts';
+import {Follower} from './follower.ts';
 import {GroupFilter} from './group-filter.ts';
 import type {GroupView} from './group-view.ts';
 import {isVoter} from './is-voter.ts';
 import {JoinRequests} from './join-requests.ts';
 import {Leadership} from './leadership.ts';
-import {LogAcceptor} from './log-acceptor.ts';
 import type {LogCommand} from './log-command.ts';
-import type {LogEntry} from './log-entry.ts';
+import type {LogEnd} from './log-end.ts';
 import type {LogMember} from './log-member.ts';
 import type {MemberChange} from './member-change.ts';
 import type {MemberContext} from './member-context.ts';
-import {memberKey} from './member-key.ts';
 import {memberRole} from './member-role.ts';
 import {MemberStorage} from './member-storage.ts';
 import type {RaftMemberOptions} from './raft-member-options.ts';
-import {SnapshotReceiver} from './snapshot-receiver.ts';
 import {WaitingLearners} from './waiting-learners.ts';
 
 type Body = ConsensusMessage['body'];
@@ -38,16 +36,13 @@
 	readonly #applied: AppliedLog<Outcome>;
 	readonly #groupFilter: GroupFilter;
 	readonly #joinRequests: JoinRequests;
-	readonly #waitingLearners = new WaitingLearners();
+	readonly #waitingLearners: WaitingLearners;
 	readonly #bootstrap: Bootstrap;
 	readonly #election: Election;
-	readonly #logAcceptor: LogAcceptor;
-	readonly #snapshotReceiver: SnapshotReceiver;
+	readonly #follower: Follower<Outcome>;
 	/** Set while this member leads. */
 	#leadership: Leadership<Outcome> | undefined;
 	#leader: NodeId | undefined;
-	/** Since when the leader's commit index has been ahead of this member's; always, for a member that has not caught up with its leader yet. */
-	#laggingSince: Millis | undefined = Number.NEGATIVE_INFINITY as Millis;
 	readonly #recovery = new JournalRecovery();
 	/** Highest term of a leader heard while stopped. */
 	#heardTerm = 0;
@@ -71,8 +66,8 @@
 		this.#bootstrap = new Bootstrap(this.#context, initialMembers, mayBootstrap);
 		this.#groupFilter = new GroupFilter(this.#storage, this.#bootstrap);
 		this.#joinRequests = new JoinRequests(this.#context, initialMembers);
-		this.#logAcceptor = new LogAcceptor(this.#context);
-		this.#snapshotReceiver = new SnapshotReceiver(this.#context);
+		this.#waitingLearners = new WaitingLearners(this.#context);
+		this.#follower = new Follower(this.#context, this.#applied);
 		this.#election = new Election(this.#context, now => {
 			this.#becomeLeader(now);
 		});
@@ -141,7 +136,7 @@
 	writeFailed(reason: string, now: Millis): void {
 		if (this.#recovery.failed(reason, now)) {
 			this.#stepDown(now);
-			this.#laggingSince = Number.NEGATIVE_INFINITY as Millis;
+			this.#follower.loseTrack();
 			this.#context.outbox.event('disk-failed', {journal: 'consensus', reason});
 		}
 	}
@@ -171,17 +166,8 @@
 		return this.#applied.commitIndex;
 	}
 
-	/** Entries in the log that are not known to be committed. */
-	uncommitted(): readonly LogEntry[] {
-		return this.#storage.log.slice(this.#applied.commitIndex + 1);
-	}
-
-	/** Key of this member, the end of its log, and the keys of the voters that it goes by. */
-	logEnd(): {readonly member: string; readonly lastTerm: number; readonly lastIndex: number; readonly voters: readonly string[]} {
-		const {configuration, log: {lastTerm, lastIndex}} = this.#storage;
-		return {
-			member: memberKey(this.#context.self), lastTerm, lastIndex, voters: configuration?.voters.map(voter => memberKey(voter)) ?? [],
-		};
+	logEnd(): LogEnd {
+		return this.#storage.logEnd(this.#context.self, this.#applied.commitIndex);
 	}
 
 	/** Milliseconds since the last contact with a leader; 0 while this member leads. */
@@ -191,7 +177,7 @@
 
 	/** Milliseconds for which the leader's commit index has been ahead of this member's; 0 if it is not, or while this member leads. Infinite from the loss of a leader or a failed write on, until this member has caught up. */
 	lag(now: Millis): number {
-		return this.#leadership !== undefined || this.#laggingSince === undefined ? 0 : now - this.#laggingSince;
+		return this.#leadership === undefined ? this.#follower.lag(now) : 0;
 	}
 
 	/** The leader's view of the group; undefined unless this member leads with a valid lease. */
@@ -214,7 +200,13 @@
 	status(): ConsensusStatus {
 		const {log, configuration, term, snapshotIndex} = this.#storage;
 		return {
-			role: this.#role(),
+			role: memberRole({
+				stopped: this.#stopped,
+				isLeader: this.#leadership !== undefined,
+				starting: this.#bootstrap.starting,
+				isVoter: isVoter(configuration, this.#context.self),
+				isCandidate: this.#election.isCandidate,
+			}),
 			term,
 			leader: this.#leader,
 			commitIndex: this.#applied.commitIndex,
@@ -233,16 +225,6 @@
 		return this.#recovery.reason !== undefined;
 	}
 
-	#role(): ConsensusStatus['role'] {
-		return memberRole({
-			stopped: this.#stopped,
-			isLeader: this.#leadership !== undefined,
-			starting: this.#bootstrap.starting,
-			isVoter: isVoter(this.#storage.configuration, this.#context.self),
-			isCandidate: this.#election.isCandidate,
-		});
-	}
-
 	#send(to: NodeId, body: Body, storageId: StorageId | undefined): void {
 		const message: ConsensusMessage = {
 			group: this.#groupFilter.groupFor(body), storageId: this.#context.self.storageId, to: storageId, body,
@@ -297,13 +279,7 @@
 		// The leader that is known here may have gone a moment ago.
 		this.#waitingLearners.add(from, now);
 		if (this.#leader !== undefined) {
-			this.#redirect(from, this.#leader);
-		}
-	}
-
-	#redirect(member: LogMember, leader: NodeId): void {
-		if (leader !== member.nodeId) {
-			this.#send(member.nodeId, {type: 'join-redirect', leader}, member.storageId);
+			this.#waitingLearners.redirect(from, this.#leader);
 		}
 	}
 
@@ -351,37 +327,19 @@
 
 	#handleAppend(from: LogMember, body: Body & {type: 'append'}, now: Millis): void {
 		if (body.term < this.#storage.term) {
-			this.#logAcceptor.refuse(from.nodeId, body);
+			this.#follower.refuse(from.nodeId, body);
 			return;
 		}
 
 		this.#recordLeaderContact(from.nodeId, now);
-		const matched = this.#logAcceptor.accept(from.nodeId, body, this.#applied.commitIndex);
-		if (matched !== undefined) {
-			this.#applied.advance(Math.min(body.commit, matched));
-		}
-
-		// A new leader's commit index covers all that was committed before only once it names an entry of its own term.
-		const hasCaughtUp = this.#applied.commitIndex >= body.commit && this.#storage.log.term(body.commit) === body.term;
-		this.#laggingSince = hasCaughtUp ? undefined : this.#laggingSince ?? now;
+		this.#follower.append(from.nodeId, body, now);
 	}
 
 	#handleSnapshot(from: LogMember, body: Body & {type: 'snapshot'}, now: Millis): void {
-		if (body.term < this.#storage.term) {
-			return;
+		if (body.term >= this.#storage.term) {
+			this.#recordLeaderContact(from.nodeId, now);
+			this.#follower.install(from, body);
 		}
-
-		this.#recordLeaderContact(from.nodeId, now);
-		if (body.index > this.#applied.commitIndex) {
-			const snapshot = this.#snapshotReceiver.receive(from, body);
-			if (snapshot === undefined) {
-				return;
-			}
-
-			this.#applied.install(snapshot);
-		}
-
-		this.#snapshotReceiver.acknowledge(from, body);
 	}
 
 	#handleAnswer(from: LogMember, body: Body & {type: 'append-answer' | 'snapshot-answer'}, now: Millis): void {
@@ -408,10 +366,8 @@
 		this.#leader = nodeId;
 		this.#election.heardLeader(now);
 		if (isNew) {
-			this.#laggingSince = Number.NEGATIVE_INFINITY as Millis;
-			for (const member of this.#waitingLearners.take(now)) {
-				this.#redirect(member, nodeId);
-			}
+			this.#follower.loseTrack();
+			this.#waitingLearners.redirectAll(nodeId, now);
 		}
 	}
 
--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -383,9 +383,9 @@
 	}
 
 	#logView(): LogView {
-		const consensus = this.#consensus;
-		const pending = consensus.uncommitted().findLast(({content}) => content.type === 'command' && (content.command.type === 'document' || content.command.type === 'evacuation'));
-		return {...consensus.logEnd(), commitIndex: consensus.commitIndex, pendingIndex: pending?.index};
+		const {uncommitted, ...end} = this.#consensus.logEnd();
+		const pending = uncommitted.findLast(({content}) => content.type === 'command' && (content.command.type === 'document' || content.command.type === 'evacuation'));
+		return {...end, commitIndex: this.#consensus.commitIndex, pendingIndex: pending?.index};
 	}
 
 	/** The other control nodes: seeds, members of the replicated log and nodes that gossiped lately. */
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -279,11 +279,10 @@
 			return;
 		}
 
-		const {state, index, control, basis, waitedMs, heard} = start;
-		this.#takeState({
-			state, index, control, current: basis !== 'waited',
-		}, now);
+		const {basis, waitedMs, heard, ...taken} = start;
+		this.#takeState({...taken, current: basis !== 'waited'}, now);
 		if (this.#table !== undefined && basis !== 'current') {
+			const {index, state, control} = taken;
 			this.#queue.event('started-without-leader', {
 				basis, index, version: state.document?.version, control, waitedMs: Math.round(waitedMs), heard,
 			});
@@ -313,11 +312,7 @@
 	}
 
 	#logFirstTarget(now: Millis): void {
-		if (this.#hasHadTarget) {
-			return;
-		}
-
-		const [first] = this.#pool.serving(now);
+		const [first] = this.#hasHadTarget ? [] : this.#pool.serving(now);
 		if (first !== undefined) {
 			this.#hasHadTarget = true;
 			this.#queue.event('first-target', {target: first.listed.targetId, service: first.listed.service});
