--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -282,9 +282,8 @@
 		const {basis, waitedMs, heard, ...taken} = start;
 		this.#takeState({...taken, current: basis !== 'waited'}, now);
 		if (this.#table !== undefined && basis !== 'current') {
-			const {index, state, control} = taken;
 			this.#queue.event('started-without-leader', {
-				basis, index, version: state.document?.version, control, waitedMs: Math.round(waitedMs), heard,
+				basis, index: taken.index, version: taken.state.document?.version, control: taken.control, waitedMs: Math.round(waitedMs), heard,
 			});
 		}
 	}
