fix(edge): an entry that starts with a majority does not wait for the election

Cause: the change that was accepted in the last moment before the power loss is pending in every log, since no commit index on a disk covers it, and entries waited for the proof that it was accepted.

Change: where a majority of the voters answers within the first second, the election decides on pending changes within the 3 s in which an accepted change must be in force. The entry takes the newest state that is known to be accepted, as it did before; after that second, and without a majority, it waits for proof as before.

--- a/src/core/edge/start-configuration.ts
+++ b/src/core/edge/start-configuration.ts
@@ -14,6 +14,12 @@
 const recoveryMs = 12_000;
 /** Time within which targets have reported and are listed, in milliseconds. */
 const targetsListedMs = 2000;
+/** Time within which an accepted change must be in force, in milliseconds. */
+const applyMs = 3000;
+/** Longest time to an election where a majority of the voters runs, in milliseconds. */
+const electionMs = 2000;
+/** Time from the first configuration on in which one that may lack the changes of the last moments is taken, in milliseconds: the election that decides on them ends in time. */
+const maxPendingMs = applyMs - electionMs;
 /** Longest time without proof that a configuration is the newest, from the first one on, in milliseconds. */
 const maxProofWaitMs = recoveryMs - targetsListedMs;
 
@@ -27,9 +33,10 @@
  *
  * Where a majority of the voters answers, the one with the newest log could be elected by them, so its log has all
  * accepted changes. If the state with the highest commit index covers its changes of the routes, none newer was accepted,
- * and the entry need not wait for an election. Otherwise it waits for a current control node, which an election of 2 s
- * and the catch-up of a node, 4 s, must bring if a majority is there. A refused request comes back, while one that ran
- * outside its home cannot be taken back. A region that stays cut off has no current node: once a deployment that is whole
+ * and the entry need not wait for an election. If changes are pending, the election decides on them while they need not
+ * be in force yet, so that the entry does not wait for it either, unless it has waited for that majority already.
+ * Otherwise it waits for a current control node, which an election of 2 s and the catch-up of a node, 4 s, must bring if
+ * a majority is there. A refused request comes back, while one that ran outside its home cannot be taken back. A region that stays cut off has no current node: once a deployment that is whole
  * would serve again, its callers are better served by the newest configuration that anyone has than not at all.
  */
 export class StartConfiguration {
@@ -78,7 +85,7 @@
 				return 'current';
 			}
 
-			if (this.#isNewestOfMajority(now)) {
+			if (this.#isNewestOfMajority(waitedMs, now)) {
 				return 'majority';
 			}
 		}
@@ -86,7 +93,7 @@
 		return waitedMs >= maxProofWaitMs ? 'waited' : undefined;
 	}
 
-	#isNewestOfMajority(now: Millis): boolean {
+	#isNewestOfMajority(waitedMs: number, now: Millis): boolean {
 		const views = [...this.#views.values()].filter(({heardAt}) => now - heardAt <= controlTiming.feedTimeoutMs);
 		const [newest] = views.toSorted((left, right) => right.lastTerm - left.lastTerm || right.lastIndex - left.lastIndex);
 		if (newest === undefined) {
@@ -95,6 +102,7 @@
 
 		const {voters, pendingIndex = 0} = newest;
 		const heard = views.filter(({member}) => voters.includes(member));
-		return 2 * heard.length > voters.length && pendingIndex <= Math.max(...views.map(({commitIndex}) => commitIndex));
+		const hasPending = pendingIndex > Math.max(...views.map(({commitIndex}) => commitIndex));
+		return 2 * heard.length > voters.length && (!hasPending || waitedMs <= maxPendingMs);
 	}
 }
