--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -4,7 +4,6 @@
 import type {NodeId} from '../ids/node-id.ts';
 import type {PeerMessage} from '../peer-message.ts';
 import type {EntryStatus} from '../registry/entry-status.ts';
-import type {ServiceLoad} from '../registry/service-load.ts';
 import {RouteTable} from '../routes/route-table.ts';
 import type {StoredDocument} from '../routes/stored-document.ts';
 import {TargetProber} from '../targets/target-prober.ts';
@@ -13,7 +12,6 @@
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeCoreOptions} from './edge-core-options.ts';
 import type {EdgeEvent} from './edge-event.ts';
-import {rankLocalTargets} from './rank-local-targets.ts';
 import {PlacementPolicy} from './placement-policy.ts';
 import {RegionSelector} from './region-selector.ts';
 import {WindowedRetryBudget} from './windowed-retry-budget.ts';
@@ -21,14 +19,13 @@
 import {StartConfiguration} from './start-configuration.ts';
 import {StartupWait} from './startup-wait.ts';
 import {StreamOrigins} from './stream-origins.ts';
+import {serviceLoads} from './service-loads.ts';
 import {ServiceVersions} from './service-versions.ts';
 import {TargetPool} from './target-pool.ts';
 import {WaitQueue} from './wait-queue.ts';
 
 type Feed = ControlMessage & {type: 'feed'};
 
-/** Assumed time until a full target has room for another request, in milliseconds. */
-const fullTargetWaitMs = 300;
 const defaultReportEveryMs = 1000;
 
 /**
@@ -365,36 +362,9 @@
 			relayAddress,
 			weight,
 			state: this.#leaving ? 'leaving' : (this.#table === undefined ? 'starting' : 'ready'),
-			loads: this.#loads(now),
+			loads: serviceLoads({
+				table: this.#table, pool: this.#pool, regions: this.#regions, waiting: this.#waiting,
+			}, now),
 		};
 	}
-
-	#loads(now: Millis): readonly ServiceLoad[] {
-		const services = this.#table?.document.services ?? [];
-		return services.map(spec => {
-			const targets = this.#pool.usable(spec.name, now);
-			// A prompt of one token gives the times and costs that do not depend on the request.
-			const prompt = spec.engine && {parts: [], promptTokens: 1, outputTokens: 1};
-			const [best] = rankLocalTargets({
-				prompt,
-				spec,
-				targets,
-				entries: this.#regions.placingEntryCount,
-				limitEntries: this.#regions.limitEntries(prompt !== undefined),
-				objectiveMs: Number.POSITIVE_INFINITY,
-				leftMs: Number.POSITIVE_INFINITY,
-			}, now);
-			const waiting = this.#waiting.size(spec.name);
-			// `best.startMs` of a call is the time to its answer; without the duration of the call it is the time until the call starts.
-			return {
-				service: spec.name,
-				targets: targets.length,
-				softwareVersions: [...new Set(targets.map(({listed}) => listed.softwareVersion))],
-				inFlight: targets.reduce((sum, target) => sum + target.attempts.size, 0),
-				waiting,
-				startMs: best === undefined ? 0 : Math.round(best.startMs + (best.hasRoom ? 0 : fullTargetWaitMs) - (prompt === undefined ? best.target.callMs.value : 0)),
-				extraMs: best === undefined ? 0 : Math.round(best.costMs - best.startMs),
-			};
-		}).filter(({targets, waiting}) => targets > 0 || waiting > 0);
-	}
 }
