--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -1,8 +1,10 @@
 import type {ActionQueue} from '../action-queue.ts';
+import type {AwakeClock} from '../common/awake-clock.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
 import type {AnswerHead} from './answer-head.ts';
+import {describeFailedAttempt} from './describe-failed-attempt.ts';
 import {destinationOf} from './destination-of.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {IdleConnectionPolicy} from './idle-connection-policy.ts';
@@ -20,6 +22,7 @@
 	readonly regions: RegionSelector;
 	readonly budget: WindowedRetryBudget;
 	readonly idle: IdleConnectionPolicy;
+	readonly clock: AwakeClock;
 	readonly queue: ActionQueue<EdgeAction>;
 };
 
@@ -54,7 +57,7 @@
 		}
 
 		record.running = {
-			attempt, sentAt: now, targetId, targetBorn: born, softwareVersion, predictedMs: startMs, lastProgressAt: now, events: 0,
+			attempt, sentAt: now, targetId, targetBorn: born, softwareVersion, predictedMs: startMs, lastProgressAt: now, lastProgressAwakeAt: this.#options.clock.now, events: 0,
 		};
 		this.#start(record, {
 			attempt, address, targetId, targetBorn: born,
@@ -67,11 +70,36 @@
 		this.#options.regions.recordSent({region, service: record.service, prompt: record.req.prompt}, now);
 		this.#options.queue.count('away', region);
 		record.running = {
-			attempt, sentAt: now, forwardedTo: {region, address}, predictedMs: startMs, lastProgressAt: now, events: 0,
+			attempt, sentAt: now, forwardedTo: {region, address}, predictedMs: startMs, lastProgressAt: now, lastProgressAwakeAt: this.#options.clock.now, events: 0,
 		};
 		this.#start(record, {attempt, address}, now);
 	}
 
+	/** Records that the head or new events of a request's attempt have arrived. */
+	recordProgress({running}: RequestRecord, now: Millis): void {
+		if (running !== undefined) {
+			running.lastProgressAt = now;
+			running.lastProgressAwakeAt = this.#options.clock.now;
+		}
+	}
+
+	/** Records that a request's attempt gave no usable answer, though it may have run. */
+	recordFailed(record: RequestRecord, reason: string, now: Millis): void {
+		const {clock, queue} = this.#options;
+		const {running} = record;
+		if (running?.targetId === undefined) {
+			record.forwardedRuns += 1;
+		} else {
+			record.mayHaveRunOn.add(running.targetId);
+			record.excludedTargets.add(running.targetId);
+		}
+
+		record.mayHaveRun = true;
+		record.lastFailure = reason;
+		queue.count('attempt_failures', reason);
+		queue.event('attempt-failed', describeFailedAttempt(record, reason, clock, now));
+	}
+
 	/** Records that another entry refused a request: the attempt counts if it reached a target there, so that the next one is a retry. */
 	recordRefusedForward(record: RequestRecord, {reachedTarget = false}: AnswerHead, now: Millis): void {
 		if (reachedTarget) {
--- a/src/core/edge/create-request-record.ts
+++ b/src/core/edge/create-request-record.ts
@@ -28,6 +28,7 @@
 		retryRefused: false,
 		isTrial: false,
 		headPassed: false,
+		passedEvents: 0,
 		lastEventId: req.resumeAfter,
 		origin: origin && {softwareVersion: origin.softwareVersion},
 	};
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -1,4 +1,5 @@
 import {ActionQueue} from '../action-queue.ts';
+import {AwakeClock} from '../common/awake-clock.ts';
 import type {ControlMessage} from '../control/control-message.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
@@ -35,6 +36,7 @@
 export class EdgeCore {
 	readonly #options: EdgeCoreOptions;
 	readonly #queue: ActionQueue<EdgeAction>;
+	readonly #clock = new AwakeClock();
 	readonly #follower: ControlFollower;
 	readonly #pool: TargetPool;
 	readonly #regions: RegionSelector;
@@ -101,12 +103,14 @@
 			regions: this.#regions,
 			waiting: this.#waiting,
 			budget: this.#budget,
+			clock: this.#clock,
 			random,
 			queue: this.#queue,
 		});
 	}
 
 	step(event: EdgeEvent, now: Millis): readonly EdgeAction[] {
+		this.#clock.step(now);
 		this.#handle(event, now);
 		this.#requests.placeWaitingRequests(now);
 		if (this.#requests.closed && !this.#drainedReported && this.#requests.inFlight === 0) {
--- a/src/core/edge/request-completion.ts
+++ b/src/core/edge/request-completion.ts
@@ -80,7 +80,7 @@
 			return;
 		}
 
-		const {req, route, service, mayHaveRun, sends, headPassed, deadlineAt} = record;
+		const {req, route, service, mayHaveRun, sends, headPassed, passedEvents, lastFailure, cutByStop, deadlineAt} = record;
 		const retryAfterMs = reason === 'contained' ? containedRetryAfterMs : record.retryAfterMs;
 		const refusal: EdgeRefusal = {
 			reason: finalReason(reason, mayHaveRun),
@@ -88,8 +88,12 @@
 			reachedTarget: sends > 0,
 			retryAfterMs: mayHaveRun ? undefined : retryAfterMs ?? callerRetryAfterMs(defaultRetryAfterMs, this.#options.random),
 		};
+		if (headPassed) {
+			this.#options.queue.count('broken_answers', lastFailure ?? refusal.reason);
+		}
+
 		this.#emitRefusal(req, refusal, {
-			route: route.name, service, sends, passing: headPassed, afterMs: Math.round(now - req.arrivedAt), leftMs: Math.round(deadlineAt - now),
+			route: route.name, service, sends, passing: headPassed, passedEvents, lastFailure, cutByStop, afterMs: Math.round(now - req.arrivedAt), leftMs: Math.round(deadlineAt - now),
 		});
 	}
 
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -1,5 +1,6 @@
 import type {ActionQueue} from '../action-queue.ts';
 import {PlacementPacer} from '../admission/placement-pacer.ts';
+import type {AwakeClock} from '../common/awake-clock.ts';
 import type {Random} from '../common/random.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
@@ -14,7 +15,6 @@
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {EdgeRequest} from './edge-request.ts';
 import {describeCallerGone} from './describe-caller-gone.ts';
-import {describeFailedAttempt} from './describe-failed-attempt.ts';
 import {createRequestRecord} from './create-request-record.ts';
 import {RequestCompletion} from './request-completion.ts';
 import {IdleConnectionPolicy} from './idle-connection-policy.ts';
@@ -47,6 +47,7 @@
 	readonly prober: TargetProber;
 	readonly startup: StartupWait;
 	readonly budget: WindowedRetryBudget;
+	readonly clock: AwakeClock;
 	readonly random: Random;
 	readonly queue: ActionQueue<EdgeAction>;
 };
@@ -183,7 +184,7 @@
 		}
 
 		running.head = head;
-		running.lastProgressAt = now;
+		this.#attempts.recordProgress(record, now);
 		this.#feedback.recordHead(record, head, now);
 		if (this.#feedback.isNotRun(head)) {
 			this.#handleNotRun(record, head, now);
@@ -237,7 +238,8 @@
 		}
 
 		running.events += count;
-		running.lastProgressAt = now;
+		record.passedEvents += count;
+		this.#attempts.recordProgress(record, now);
 		record.lastEventId = lastId ?? record.lastEventId;
 	}
 
@@ -334,17 +336,7 @@
 
 	/** Handles an attempt that may have run but gave no usable answer: retries the request if that is allowed, else refuses it. */
 	#handleAttemptFailure(record: RequestRecord, reason: string, now: Millis): void {
-		const {running} = record;
-		if (running?.targetId === undefined) {
-			record.forwardedRuns += 1;
-		} else {
-			record.mayHaveRunOn.add(running.targetId);
-			record.excludedTargets.add(running.targetId);
-		}
-
-		record.mayHaveRun = true;
-		this.#options.queue.count('attempt_failures', reason);
-		this.#options.queue.event('attempt-failed', describeFailedAttempt(record, reason, now));
+		this.#attempts.recordFailed(record, reason, now);
 		this.#releaseAttempt(record);
 		this.#placer.place(record, now);
 	}
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -25,8 +25,10 @@
 	/** Predicted time to the first event of a stream or to the answer of a call, in milliseconds. */
 	readonly predictedMs: number;
 	head?: AnswerHead;
-	/** Time at which the attempt was sent, or at which its head or newest event arrived; stalls are measured from it. */
+	/** Time at which the attempt was sent, or at which its head or newest event arrived. */
 	lastProgressAt: Millis;
+	/** The same on the clock that stops while this process stands still. */
+	lastProgressAwakeAt: Millis;
 	events: number;
 };
 
@@ -64,6 +66,10 @@
 	isTrial: boolean;
 	/** True once the caller has the head of an answer: only events of the stream may follow. */
 	headPassed: boolean;
+	/** Number of events that this entry has passed to the caller. */
+	passedEvents: number;
+	/** Why the last attempt that failed did. */
+	lastFailure?: string;
 	/** Id of the last event that the caller has, from this request or, if it resumes a stream, from an earlier one. */
 	lastEventId?: string;
 	/** Origin of the stream, once the caller has an event of it. */
--- a/src/core/results/counter-name.ts
+++ b/src/core/results/counter-name.ts
@@ -2,6 +2,7 @@
  * Names of the counters in `/metrics`, each with a `reason` label where one applies.
  *
  * `away`: forwards to remote regions; `away_bytes`: the bytes sent with them. `changes`: outcomes of settings changes.
+ * `broken_answers`: answers that had begun and that this entry ended before they were complete, by the last failure.
  * `poison`: events about requests that are suspected of crashing targets. `stale_messages`: messages, requests and
  * outcomes that were ignored because they were late, repeated or not meant for this process.
  */
@@ -9,6 +10,7 @@
 	| 'requests'
 	| 'answers'
 	| 'unframed_answers'
+	| 'broken_answers'
 	| 'refusals'
 	| 'retries'
 	| 'resumes'
