fix(edge): a standstill of the entry is not its targets' silence

Callers saw all streams of an entry moved at once after its process had got no processor for a while, and those ended for which no target or retry was left; answers that waited in the socket as the process woke up past their deadline were replaced by 504. A tick runs before the sockets are read, and measured silence as the time since the last event.

Silence is measured on the clock that stops while the process stands still, so that a standstill of any length counts as 200 ms. Deadlines are those of real time, but the tick after a standstill ends no request: the next one, 50 ms later, runs after the sockets were read.

--- a/src/core/common/awake-clock.ts
+++ b/src/core/common/awake-clock.ts
@@ -12,10 +12,12 @@
 export class AwakeClock {
 	#lastStepAt: Millis | undefined;
 	#lostMs = 0;
+	#stoodStill = false;
 
 	/** To be called at the start of each step; returns the time of this clock, which can be compared with its earlier times only. */
 	step(now: Millis): Millis {
 		const sinceMs = now - (this.#lastStepAt ?? now);
+		this.#stoodStill = sinceMs > maxStepMs;
 		this.#lostMs += Math.max(0, sinceMs - maxStepMs);
 		this.#lastStepAt = now;
 		return this.now;
@@ -26,6 +28,11 @@
 		return (this.#lastStepAt ?? 0) - this.#lostMs as Millis;
 	}
 
+	/** True if the process stood still right before the current step: what others sent by now may be unread. */
+	get stoodStill(): boolean {
+		return this.#stoodStill;
+	}
+
 	/** Time for which the process has stood still so far, in milliseconds. */
 	get lostMs(): number {
 		return this.#lostMs;
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -284,7 +284,7 @@
 		this.handleWaitingForRoutes(now);
 		this.#refuseLeavers(now);
 		for (const record of this.#records.values()) {
-			if (now >= record.deadlineAt) {
+			if (now >= record.deadlineAt && !this.#options.clock.stoodStill) {
 				this.#expire(record, now);
 			} else {
 				this.#checkStall(record, now);
--- a/src/core/edge/retry-policy.ts
+++ b/src/core/edge/retry-policy.ts
@@ -1,4 +1,5 @@
 import type {ActionQueue} from '../action-queue.ts';
+import type {AwakeClock} from '../common/awake-clock.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {EdgeAction} from './edge-action.ts';
 import {asIfFailed} from './as-if-failed.ts';
@@ -21,6 +22,7 @@
 	readonly regions: RegionSelector;
 	readonly pool: TargetPool;
 	readonly budget: WindowedRetryBudget;
+	readonly clock: AwakeClock;
 	readonly queue: ActionQueue<EdgeAction>;
 };
 
@@ -60,12 +62,12 @@
 			&& [running, ...kept].every(attempt => this.#isSilent(record, attempt, now));
 	}
 
-	#isSilent({route}: RequestRecord, {targetId, forwardedTo, predictedMs, events, lastProgressAt}: RunningAttempt, now: Millis): boolean {
+	#isSilent({route}: RequestRecord, {targetId, forwardedTo, predictedMs, events, lastProgressAwakeAt}: RunningAttempt, now: Millis): boolean {
 		const target = targetId === undefined ? undefined : this.#options.pool.get(targetId);
 		const limitMs = target?.reachability.isConfirmedOutOfReach(now) === true
 			? unreachableTimeoutMs
 			: stallTimeoutMs(route, {predictedMs, events, forwarded: forwardedTo !== undefined});
-		return now - lastProgressAt > limitMs;
+		return this.#options.clock.now - lastProgressAwakeAt > limitMs;
 	}
 
 	#withdrawRetry(record: RequestRecord, now: Millis): boolean {
