fix(edge): a stream that waits to be resumed goes on as the entry stops accepting requests

Callers saw a stream broken off 2.5 s after a SIGTERM, with seconds left, if its target had broken off and it waited for a place at another one. As the entry stops accepting requests it refuses those that wait, since other entries have more time for them; that holds for requests that have not begun, which get 503, and ends a stream that has.

Evidence: the test in stopping-entry fails on: besides 'leaving' for the request that had not begun, the stream was refused with target-failed.

--- a/src/core/edge/stop-deadline.ts
+++ b/src/core/edge/stop-deadline.ts
@@ -26,8 +26,8 @@
 		}
 	}
 
-	/** Requests that wait, although another entry has more time for them. */
+	/** Requests that wait, although another entry has more time for them. A stream that has begun goes on as long as it can: refusing it would break it off. */
 	leavers(waiting: WaitQueue): readonly RequestRecord[] {
-		return waiting.services().flatMap(service => waiting.list(service)).filter(({cutByStop}) => cutByStop);
+		return waiting.services().flatMap(service => waiting.list(service)).filter(({cutByStop, headPassed}) => cutByStop && !headPassed);
 	}
 }
--- a/test/core/edge/stopping-entry.test.ts
+++ b/test/core/edge/stopping-entry.test.ts
@@ -56,3 +56,39 @@
 	harness.request({budgetMs});
 	t.deepEqual(harness.refusals().map(({reason, ran}) => ({reason, ran})), [{reason: 'leaving', ran: 'no'}]);
 });
+
+// Guards against streams that were broken off while they waited for a place, though the entry had time for them.
+test('a stream that waits to be resumed when the entry stops accepting requests goes on in a place that comes free', t => {
+	const harness = new EdgeHarness({
+		document: routesDocumentFixture({
+			route: {
+				kind: 'stream', resumable: true, timeoutMs: budgetMs, objectiveMs: budgetMs,
+			},
+		}),
+	});
+	harness.feed({targets: [listedTargetFixture('p')]});
+	harness.request({budgetMs});
+	const {attempt} = harness.lastStart();
+	harness.head(attempt);
+	harness.step({
+		type: 'attempt-events', attempt, count: 3, lastId: '3',
+	});
+	harness.feed({targets: [listedTargetFixture('q', {slots: 1})]});
+	let placed = 0;
+	do {
+		placed = harness.starts().length;
+		harness.request({budgetMs});
+	} while (harness.starts().length > placed);
+
+	harness.step({type: 'drain', answerMs});
+	harness.step({type: 'attempt-failed', attempt, failure: {reason: 'reset', notSent: false}});
+	harness.run(acceptMs);
+	t.is(harness.starts().length, placed, 'it waits');
+	harness.step({type: 'shut'});
+	t.deepEqual(harness.refusals().map(({reason, ran}) => ({reason, ran})), [{reason: 'leaving', ran: 'no'}], 'the one that has not begun');
+	const other = harness.lastStart().attempt;
+	harness.head(other);
+	harness.step({type: 'attempt-end', attempt: other, truncated: false});
+	harness.run(100);
+	t.like(harness.lastStart(), {targetId: 'q', resumeAfter: '3'});
+});
