fix(edge): a retry that has reached no target leaves its charge to the next one

The budget bounds what arrives at targets, so that the charge of such an attempt is left to the next one of its request.

--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -113,10 +113,16 @@
 		if (reachedTarget) {
 			this.#options.budget.countRequest(record, now);
 		} else {
-			record.sends -= 1;
+			this.recordUnsent(record);
 		}
 	}
 
+	/** Records that a request's attempt has reached no target. If it was a retry, the next one uses its charge to the retry budget. */
+	recordUnsent(record: RequestRecord): void {
+		record.sends -= 1;
+		record.retryReserved = record.sends > 0;
+	}
+
 	/** Keeps the current attempt of a stalled request beside the next one, which it may still outrun. */
 	keep(record: RequestRecord): void {
 		if (record.running !== undefined) {
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -271,7 +271,7 @@
 		this.#feedback.recordFailure(record, failure, now);
 		if (failure.notSent) {
 			this.#options.queue.event('attempt-not-sent', {request: record.req.callerKey, target: destinationOf(record), reason: failure.reason});
-			record.sends -= 1;
+			this.#attempts.recordUnsent(record);
 			this.#placeUnlessKept(record, now);
 			return;
 		}
--- a/test/core/edge/stalled-streams.test.ts
+++ b/test/core/edge/stalled-streams.test.ts
@@ -204,3 +204,22 @@
 		t.is(harness.core.inFlight, 0);
 	}
 });
+
+// Guards against a retry budget that is spent by forwards that other entries refuse before any target gets them.
+test('a retry that has reached no target leaves its charge to the next one', t => {
+	for (const way of ['refused by another entry', 'not sent']) {
+		const {harness, first, second} = stalledStream({other: 'region', slack: 2});
+		if (way === 'not sent') {
+			harness.step({type: 'attempt-failed', attempt: second.attempt, failure: {reason: 'connect', notSent: true}});
+		} else {
+			harness.head(second.attempt, {...refusal, refusedBy: 'entry', reachedTarget: false});
+		}
+
+		harness.feed({targets: [listedTargetFixture('p'), listedTargetFixture('q')], regions: []});
+		harness.run(100);
+		t.like(harness.lastStart(), {targetId: 'q', resumeAfter: '3'});
+		const charged = harness.actions.filter(action => action.type === 'event' && action.event === 'retry-charged');
+		t.is(charged.length, 1);
+		t.false(isCancelled(harness, first));
+	}
+});
