fix(attempts): an attempt is kept until another one has taken its request over

What callers saw, on the settings tree: a stream that had begun, or a request whose first byte was only late, ended with a refusal (`incomplete`, `targetFailed`) although its target might have gone on.

Cause: `#failOverLost` and `#failOverSlow` cancelled the attempt first and then looked for another target. If that came to nothing (full, not reached, broken off, no attempt or no retry left, no place until the deadline, queue full, another region that refuses), no attempt was left.

Now the attempt is kept (`RequestState.kept`) while the request is dispatched again; the next one starts on standby, and may not write to the caller. The first of the two that receives bytes goes on: the other one is cancelled, and one on standby is handed the request over (`hand-over`). A request with a kept attempt is never refused: it goes on with that one. A retry is withdrawn before anything is given up, and another target than one out of reach is looked for once a second, not with each tick, so that a full queue does not spend retries. Targets, budgets, residency and claims are decided as before; non-repeatable requests were not failed over and still are not.

A suspect never runs twice at once: its attempt is kept only if the crash of its target is counted already, and ends when the next one, which has a permit, starts. A refusal for poison gives an attempt up as before.

--- a/src/core/actions.ts
+++ b/src/core/actions.ts
@@ -12,7 +12,7 @@
 /** Actions that the core returns and the server executes. */
 export type Action =
 	| OutboxAction
-	/** Sends the request's body to `address`; the attempt is the request's only one until it ends or is cancelled. */
+	/** Sends the request's body to `address`; unless it is on standby, the attempt is the request's only one until it ends or is cancelled. */
 	| {
 		readonly type: 'start-attempt';
 		readonly requestId: RequestId;
@@ -28,6 +28,8 @@
 		readonly claimed: boolean;
 		/** True if the answer continues after the text already sent to the caller. */
 		readonly resume: boolean;
+		/** True if an earlier attempt may still write to the caller: this one may not until it is handed the request over. */
+		readonly standby: boolean;
 		/** Time left until the deadline for the first byte, in milliseconds; the entry that it is forwarded to counts from its arrival. */
 		readonly deadlineMs: number;
 		/** Longest time to the first byte, in milliseconds. */
@@ -38,6 +40,8 @@
 		readonly keepBytes: number;
 	}
 	| ProbeAction
+	/** An attempt on standby takes the request over: from now on, only this one may write to the caller. */
+	| {readonly type: 'hand-over'; readonly requestId: RequestId; readonly attemptId: AttemptId; readonly resume: boolean}
 	/** Cancels an attempt; nothing more of its answer may reach the caller. */
 	| {readonly type: 'cancel-attempt'; readonly attemptId: AttemptId}
 	/** Accepts the attempt's complete answer: the server ends the caller's response as complete. */
--- a/src/core/attempts/attempt-runner.ts
+++ b/src/core/attempts/attempt-runner.ts
@@ -131,22 +131,47 @@
 	fail(state: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Millis): void {
 		this.#parts.outbox.count('attempt_failures', failure.reason);
 		attempt.tokens = Math.max(attempt.tokens, failure.tokens);
-		const certainlyNotRun = failure.notSent || failure.refusal?.ran === 'no';
-		state.mayHaveRun ||= !certainlyNotRun;
+		state.mayHaveRun ||= !isCertainlyNotRun(failure);
 		if (failure.passedOn && !state.partiallyAnswered) {
 			state.partiallyAnswered = true;
 			state.softwareVersion = softwareVersionOf(attempt);
 		}
 
 		state.deliveredTokens += failure.passedOn ? attempt.tokens : 0;
-		if (failure.reason === 'connect' && attempt.destination.type === 'target') {
-			this.#parts.targets.recordConnection(attempt.destination.targetId, false, now);
+		this.#recordFailedConnection(attempt, failure, now);
+		this.#suspectIfBroken(state, attempt, failure, now);
+		this.#finish(state, attempt, isClientError(failure.status) ? 'cancelled' : 'failed', now);
+	}
+
+	/** Ends a kept attempt that failed; its request goes on without it. */
+	failKept(state: RequestState, failure: AttemptFailure, now: Millis): void {
+		const {attempt, stoppedForGuard} = state.kept!;
+		this.#parts.outbox.count('attempt_failures', failure.reason);
+		state.mayHaveRun ||= !isCertainlyNotRun(failure);
+		this.#recordFailedConnection(attempt, failure, now);
+		if (!stoppedForGuard) {
+			this.#suspectIfBroken(state, attempt, failure, now);
 		}
 
-		this.#suspectIfBroken(state, attempt, failure, now);
 		this.#finish(state, attempt, isClientError(failure.status) ? 'cancelled' : 'failed', now);
 	}
 
+	/** Cancels the request's kept attempt, if any, since another one takes the request over. */
+	dropKept(state: RequestState, now: Millis): void {
+		if (!state.kept) {
+			return;
+		}
+
+		const {attempt, result, reason} = state.kept;
+		if (reason !== undefined) {
+			this.#parts.outbox.count('attempt_failures', reason);
+		}
+
+		state.mayHaveRun = true;
+		this.#parts.emit({type: 'cancel-attempt', attemptId: attempt.attemptId});
+		this.#finish(state, attempt, result, now);
+	}
+
 	/** Cancels the request's attempt, if any; nothing more of it reaches the caller. */
 	cancel(state: RequestState, now: Millis): void {
 		const {attempt} = state;
@@ -184,6 +209,8 @@
 			outputTokens: remaining.outputTokens,
 			crashSuspectedAtStart: choice.crashSuspectedAtStart,
 			leaving: false,
+			standby: state.kept !== undefined,
+			resume: state.partiallyAnswered,
 			tokens: 0,
 			bytes: 0,
 		};
@@ -217,7 +244,8 @@
 			...destination,
 			revision: this.#parts.tree().revision,
 			claimed: state.claim !== 'none',
-			resume: state.partiallyAnswered,
+			resume: attempt.resume,
+			standby: attempt.standby,
 			deadlineMs: Math.max(0, state.deadlineAt - now),
 			...attemptTimeouts(state, settings, now),
 			keepBytes: state.claim === 'held' ? settings.answerKeepBytes : 0,
@@ -226,14 +254,23 @@
 
 	#finish(state: RequestState, attempt: AttemptState, result: AttemptOutcome['result'], now: Millis): void {
 		this.#table.remove(attempt);
-		state.attempt = undefined;
-		state.phase = 'placing';
+		const stoppedForGuard = state.kept?.attempt === attempt && state.kept.stoppedForGuard;
+		if (state.kept?.attempt === attempt) {
+			state.kept = undefined;
+		} else {
+			state.attempt = undefined;
+			state.phase = 'placing';
+		}
+
 		if (attempt.destination.type === 'peer') {
 			return;
 		}
 
 		const firstByteMs = attempt.firstByteAt === undefined ? undefined : attempt.firstByteAt - attempt.startedAt;
-		this.#parts.poison.attemptStopped(state.req.fingerprint, attempt.destination.targetId, now);
+		if (!stoppedForGuard) {
+			this.#parts.poison.attemptStopped(state.req.fingerprint, attempt.destination.targetId, now);
+		}
+
 		this.#parts.targets.recordOutcome(attempt.destination.targetId, {
 			result,
 			promptTokens: attempt.promptTokens,
@@ -252,6 +289,12 @@
 		}
 	}
 
+	#recordFailedConnection({destination}: AttemptState, failure: AttemptFailure, now: Millis): void {
+		if (failure.reason === 'connect' && destination.type === 'target') {
+			this.#parts.targets.recordConnection(destination.targetId, false, now);
+		}
+	}
+
 	#recordSign(attempt: AttemptState, now: Millis): void {
 		attempt.progressAt = now;
 		if (attempt.destination.type === 'target') {
@@ -281,3 +324,7 @@
 
 	return now + ((state.deadlineAt - now) * failoverShare) as Millis;
 }
+
+function isCertainlyNotRun(failure: AttemptFailure): boolean {
+	return failure.notSent || failure.refusal?.ran === 'no';
+}
--- a/src/core/attempts/attempt-state.ts
+++ b/src/core/attempts/attempt-state.ts
@@ -6,7 +6,7 @@
 import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
 
-/** An attempt in flight; a request has at most one. */
+/** An attempt in flight; a request has at most one, and one that is kept until that one has taken the request over. */
 export type AttemptState = {
 	readonly attemptId: AttemptId;
 	readonly requestId: RequestId;
@@ -22,6 +22,12 @@
 	readonly crashSuspectedAtStart: boolean;
 	/** True once the target leaves: the end of its lease is not a crash then. */
 	leaving: boolean;
+	/** True while another attempt may write to the caller: set if it started beside one that was kept. */
+	standby: boolean;
+	/** True if the answer continues after what the caller got of earlier attempts. */
+	readonly resume: boolean;
+	/** When to look again for another target than one that is out of reach. */
+	failOverAgainAt?: Millis;
 	firstByteAt?: Millis;
 	/** When bytes of the answer were last received. */
 	progressAt?: Millis;
--- a/src/core/attempts/request-coordinator.ts
+++ b/src/core/attempts/request-coordinator.ts
@@ -11,6 +11,7 @@
 import type {RouteSettings} from '../settings/route-settings.ts';
 import type {TargetNotice} from '../targets/target-notice.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
+import {AttemptHandover} from './attempt-handover.ts';
 import {AttemptRunner} from './attempt-runner.ts';
 import {ClaimTracker} from './claim-tracker.ts';
 import {currentSettings} from './current-settings.ts';
@@ -45,6 +46,7 @@
 export class RequestCoordinator {
 	readonly #parts: CoordinatorOptions;
 	readonly #dispatcher: RequestDispatcher;
+	readonly #handover: AttemptHandover;
 	readonly #recovery: RequestRecovery;
 	readonly #runner: AttemptRunner;
 	readonly #claims: ClaimTracker;
@@ -62,7 +64,8 @@
 			refuse: this.#refuse.bind(this),
 		};
 		this.#dispatcher = new RequestDispatcher(shared);
-		this.#recovery = new RequestRecovery({...shared, dispatcher: this.#dispatcher});
+		this.#handover = new AttemptHandover({...shared, dispatcher: this.#dispatcher});
+		this.#recovery = new RequestRecovery({...shared, dispatcher: this.#dispatcher, handover: this.#handover});
 	}
 
 	/** Accepts a request from a caller or from an entry of another region. */
@@ -97,6 +100,7 @@
 		}
 
 		this.#parts.outbox.count('refusals', 'callerGone');
+		this.#runner.dropKept(state, now);
 		this.#runner.cancel(state, now);
 		this.#close(state, now);
 		this.#dispatcher.drainQueue(state.serviceKey, now);
@@ -115,6 +119,7 @@
 	attemptFirstByte(attemptId: AttemptId, now: Millis): void {
 		const attempt = this.#runner.get(attemptId);
 		if (attempt) {
+			this.#handover.sign(this.#requests.get(attempt.requestId)!, attempt, now);
 			this.#runner.firstByte(attempt, now);
 		}
 	}
@@ -123,6 +128,7 @@
 	attemptProgress(attemptId: AttemptId, totals: {tokens: number; bytes: number}, now: Millis): void {
 		const attempt = this.#runner.get(attemptId);
 		if (attempt) {
+			this.#handover.sign(this.#requests.get(attempt.requestId)!, attempt, now);
 			this.#runner.progress(attempt, totals, now);
 		}
 	}
@@ -135,6 +141,7 @@
 		}
 
 		const state = this.#requests.get(attempt.requestId)!;
+		this.#handover.sign(state, attempt, now);
 		this.#runner.progress(attempt, end, now);
 		this.#runner.complete(state, attempt, now);
 		this.#claims.settleAnswered(state, this.#homeRegionAllowed(state) ? end.answer : undefined, now);
@@ -272,8 +279,13 @@
 		}
 	}
 
-	/** Refuses a request as its final answer: settles its claim, and adds a retry delay if a retry may succeed. */
+	/** Refuses a request as its final answer: settles its claim, and adds a retry delay if a retry may succeed. A request with a kept attempt goes on with that instead. */
 	#refuse(state: RequestState, reason: Omit<Refusal, 'ran'>, now: Millis): void {
+		if (state.kept) {
+			this.#handover.giveBack(state, now);
+			return;
+		}
+
 		const refusal = toFinalRefusal(state, reason);
 		const addRetryAfter = retryableResults.has(refusal.result) && refusal.retryAfterMs === undefined;
 		this.#close(state, now);
--- a/src/core/attempts/request-dispatcher.ts
+++ b/src/core/attempts/request-dispatcher.ts
@@ -245,6 +245,7 @@
 		}
 
 		this.#recordFirstAttempt(state, choice.settings, now);
+		this.#giveUpIfAlone(state, choice.alone, now);
 		this.#runner.start(state, choice.settings, {view, cachedTokens}, now);
 	}
 
@@ -275,9 +276,17 @@
 		}
 
 		this.#recordFirstAttempt(state, choice.settings, now);
+		this.#giveUpIfAlone(state, choice.alone, now);
 		this.#runner.forward(state, choice.settings, {entry, region}, now);
 	}
 
+	/** A suspect never runs twice at once: its kept attempt ends before the next one starts. */
+	#giveUpIfAlone(state: RequestState, alone: boolean, now: Millis): void {
+		if (alone) {
+			this.#runner.dropKept(state, now);
+		}
+	}
+
 	#recordFirstAttempt(state: RequestState, settings: RouteSettings, now: Millis): void {
 		if (state.attempts === 0) {
 			this.#parts.admission.recordDispatch(state.req, now);
--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -4,6 +4,7 @@
 import type {Refusal} from '../results/refusal.ts';
 import type {RouteSettings} from '../settings/route-settings.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
+import type {AttemptHandover} from './attempt-handover.ts';
 import type {AttemptRunner} from './attempt-runner.ts';
 import type {AttemptState} from './attempt-state.ts';
 import {defaultRetryAfterMs} from './default-retry-after-ms.ts';
@@ -20,10 +21,14 @@
 /** An attempt that started or received bytes within this time is not treated as lost, in milliseconds. */
 const recentProgressMs = 1000;
 
+/** Interval at which another target is looked for than one that is out of reach, in milliseconds. */
+const failOverIntervalMs = 1000;
+
 type RecoveryOptions = {
 	readonly parts: CoordinatorOptions;
 	readonly runner: AttemptRunner;
 	readonly dispatcher: RequestDispatcher;
+	readonly handover: AttemptHandover;
 	/** Finds a request that has no final answer yet. */
 	readonly findRequest: (requestId: RequestId) => RequestState | undefined;
 	/** Refuses a request as its final answer. */
@@ -36,16 +41,27 @@
 	readonly #parts: CoordinatorOptions;
 	readonly #runner: AttemptRunner;
 	readonly #dispatcher: RequestDispatcher;
+	readonly #handover: AttemptHandover;
 
 	constructor(options: RecoveryOptions) {
 		this.#options = options;
 		this.#parts = options.parts;
 		this.#runner = options.runner;
 		this.#dispatcher = options.dispatcher;
+		this.#handover = options.handover;
 	}
 
 	/** Retries or resumes the request of a failed attempt, or gives it up. */
 	attemptFailed(state: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Millis): void {
+		if (failure.passedOn && attempt.firstByteAt === undefined) {
+			this.#handover.sign(state, attempt, now);
+		}
+
+		if (state.kept?.attempt === attempt) {
+			this.#runner.failKept(state, failure, now);
+			return;
+		}
+
 		this.#runner.fail(state, attempt, failure, now);
 		const settings = currentSettings(state.req, this.#parts.tree());
 		if (!settings) {
@@ -59,9 +75,7 @@
 			return;
 		}
 
-		// After a target crash a request is retried even if the retry budget is exhausted: the poison guard already limits where a suspect runs again.
-		const crashed = attempt.destination.type === 'target' && isConnectionBroken(failure);
-		if (this.#withdrawRetry(state, failure.reason, now) || crashed) {
+		if (this.#mayRetry(state, attempt, failure, now)) {
 			this.#retryOrResume(state, settings, now);
 		} else {
 			this.#giveUp(state, failure, {result: failureResult(failure), retryable: true}, now);
@@ -81,7 +95,12 @@
 		}
 
 		for (const attempt of lost) {
-			this.#failOverLost(attempt, 'reset', now);
+			const state = this.#options.findRequest(attempt.requestId);
+			if (state?.attempt === attempt) {
+				this.#failOverLost(state, attempt, {reason: 'reset', isCrashCounted: true}, now);
+			} else if (state?.kept?.attempt === attempt) {
+				this.#handover.crashCounted(state, now);
+			}
 		}
 	}
 
@@ -92,15 +111,16 @@
 			return;
 		}
 
-		if (isSilent(attempt, now) && this.#isOutOfReach(attempt, now)) {
-			this.#failOverLost(attempt, attempt.destination.type === 'peer' ? 'reset' : 'silence', now);
+		const isDue = attempt.failOverAgainAt === undefined || now >= attempt.failOverAgainAt;
+		if (isDue && isSilent(attempt, now) && this.#isOutOfReach(attempt, now)) {
+			this.#failOverLost(state, attempt, {reason: attempt.destination.type === 'peer' ? 'reset' : 'silence', isCrashCounted: false}, now);
 		} else if (attempt.firstByteAt === undefined && attempt.failoverAt !== undefined && now >= attempt.failoverAt) {
 			attempt.failoverAt = undefined;
 			this.#failOverSlow(state, now);
 		}
 	}
 
-	/** Cancels an attempt without a first byte if another target is predicted to answer before the deadline. */
+	/** Starts another attempt beside one without a first byte if another target is predicted to answer before the deadline. */
 	#failOverSlow(state: RequestState, now: Millis): void {
 		const settings = currentSettings(state.req, this.#parts.tree());
 		if (!settings?.repeatable || state.attempts >= settings.maxAttempts) {
@@ -111,14 +131,18 @@
 		const decision = this.#dispatcher.preview(state, settings, now);
 		const better = free && decision.type === 'target' && now + decision.predictedMs < state.deadlineAt;
 		if (better && this.#withdrawRetry(state, 'first_byte', now)) {
-			this.#runner.cancel(state, now);
+			if (this.#handover.mayKeep(state, false, now)) {
+				this.#handover.keep(state, {}, now);
+			} else {
+				this.#runner.cancel(state, now);
+			}
+
 			this.#dispatcher.dispatch(state, now);
 		}
 	}
 
-	/** Fails over an attempt whose destination is lost, or out of reach; without an alternative it continues, in case its answer still arrives. */
-	#failOverLost(attempt: AttemptState, reason: AttemptFailure['reason'], now: Millis): void {
-		const state = this.#options.findRequest(attempt.requestId)!;
+	/** Fails over an attempt whose destination is lost, or out of reach; it continues without an alternative, and until that has taken the request over, in case its answer still arrives. */
+	#failOverLost(state: RequestState, attempt: AttemptState, {reason, isCrashCounted}: {reason: AttemptFailure['reason']; isCrashCounted: boolean}, now: Millis): void {
 		const settings = currentSettings(state.req, this.#parts.tree());
 		if (!settings) {
 			return;
@@ -135,10 +159,23 @@
 			mayHaveRun: true,
 		};
 		const canFailOver = decideRetry(stateIfLost, failure, settings, now).type !== 'give-up';
-		if (canFailOver && this.#hasAlternative(stateIfLost, settings, now)) {
+		if (!canFailOver || !this.#hasAlternative(stateIfLost, settings, now)) {
+			return;
+		}
+
+		attempt.failOverAgainAt = now + failOverIntervalMs as Millis;
+		if (!this.#mayRetry(state, attempt, failure, now)) {
+			return;
+		}
+
+		if (this.#handover.mayKeep(state, isCrashCounted, now)) {
+			this.#handover.keep(state, {failure, isCrashCounted}, now);
+		} else {
 			this.#parts.emit({type: 'cancel-attempt', attemptId: attempt.attemptId});
-			this.attemptFailed(state, attempt, failure, now);
+			this.#runner.fail(state, attempt, failure, now);
 		}
+
+		this.#retryOrResume(state, settings, now);
 	}
 
 	/** The end of a target's pause is no alternative: the answer may arrive before it. */
@@ -164,6 +201,12 @@
 		this.#dispatcher.dispatch(state, now);
 	}
 
+	/** After a target crash a request is retried even if the retry budget is exhausted: the poison guard already limits where a suspect runs again. */
+	#mayRetry(state: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Millis): boolean {
+		const crashed = attempt.destination.type === 'target' && isConnectionBroken(failure);
+		return this.#withdrawRetry(state, failure.reason, now) || crashed;
+	}
+
 	#withdrawRetry(state: RequestState, reason: string, now: Millis): boolean {
 		const allowed = this.#parts.retryBudget.withdraw(state.routeKey, now);
 		this.#parts.outbox.count('retries', allowed ? reason : 'budget_exhausted');
--- a/src/core/attempts/request-state.ts
+++ b/src/core/attempts/request-state.ts
@@ -4,6 +4,7 @@
 import type {TargetId} from '../ids/target-id.ts';
 import type {RequestInfo} from '../settings/request-info.ts';
 import type {AttemptState} from './attempt-state.ts';
+import type {KeptAttempt} from './kept-attempt.ts';
 
 /** State of a request from its arrival to its final answer. */
 export type RequestState = {
@@ -46,4 +47,6 @@
 	pendingPermitTarget?: TargetId;
 	/** The attempt in flight; undefined outside the phase `running`. */
 	attempt?: AttemptState;
+	/** The attempt that the request fails over from; while it is in flight, the request is never refused. */
+	kept?: KeptAttempt;
 };
--- a/src/server/action-performer.ts
+++ b/src/server/action-performer.ts
@@ -86,6 +86,11 @@
 				break;
 			}
 
+			case 'hand-over': {
+				this.#options.requests.get(action.requestId)?.handOver(action.attemptId, {resume: action.resume});
+				break;
+			}
+
 			case 'cancel-attempt': {
 				this.#options.attempts.cancel(action.attemptId);
 				break;
--- a/src/server/attempt-client.ts
+++ b/src/server/attempt-client.ts
@@ -38,9 +38,8 @@
 
 	/** Starts an attempt, which fails as not sent if its caller has left; its progress and its outcome are reported as core events. */
 	start(action: StartAttempt, request: CallerRequest): void {
-		request.setOwner(action.attemptId);
-		if (!action.resume) {
-			request.resetAnswer();
+		if (!action.standby) {
+			request.handOver(action.attemptId, {resume: action.resume});
 		}
 
 		void this.#run(action, request);
--- a/src/server/caller-request.ts
+++ b/src/server/caller-request.ts
@@ -63,14 +63,13 @@
 		return this.#res.destroyed && !this.#res.writableFinished;
 	}
 
-	/** Makes an attempt the only one that may write to the response, or none if undefined. Discards a held response. */
-	setOwner(attemptId: AttemptId | undefined): void {
-		this.#owner = attemptId;
-		this.#heldResponse = undefined;
-	}
+	/** Makes an attempt the only one that may write to the response; discards the answer text of earlier attempts unless it resumes. */
+	handOver(attemptId: AttemptId, {resume}: {resume: boolean}): void {
+		this.#setOwner(attemptId);
+		if (resume) {
+			return;
+		}
 
-	/** Discards the answer text of earlier attempts, for an attempt that does not resume. */
-	resetAnswer(): void {
 		this.answerText = '';
 		this.answerTokens = 0;
 		this.assembler = new CompletionAssembler();
@@ -129,7 +128,7 @@
 	 * connection is destroyed, so that the caller never takes a partial answer for a complete one.
 	 */
 	refuse(problem: ProblemDocument): void {
-		this.setOwner(undefined);
+		this.#setOwner(undefined);
 		if (!this.#res.headersSent) {
 			sendProblem(this.#res, problem);
 			return;
@@ -143,6 +142,12 @@
 		abortResponse(this.#res);
 	}
 
+	/** Makes an attempt the only one that may write to the response, or none if undefined. Discards a held response. */
+	#setOwner(attemptId: AttemptId | undefined): void {
+		this.#owner = attemptId;
+		this.#heldResponse = undefined;
+	}
+
 	#sendResponse(head: ResponseHead, body: Buffer, extraHeaders: Record<string, string>): void {
 		if (this.#res.destroyed || this.#res.headersSent) {
 			return;
--- a/test/core/attempts/leaving-targets.test.ts
+++ b/test/core/attempts/leaving-targets.test.ts
@@ -56,6 +56,8 @@
 	const {attemptId} = harness.requests.request('r0')!;
 	harness.advance(1500);
 	harness.requests.coordinator.targetsLost([first], harness.requests.now);
-	t.deepEqual(harness.requests.cancelled(), [attemptId]);
 	t.deepEqual(harness.sentTo('r0'), [first, second]);
+	t.deepEqual(harness.requests.cancelled(), []);
+	harness.requests.coordinator.attemptFirstByte(harness.requests.lastStart('r0')!.attemptId, harness.requests.now);
+	t.deepEqual(harness.requests.cancelled(), [attemptId]);
 });
--- a/test/core/attempts/request-coordinator.test.ts
+++ b/test/core/attempts/request-coordinator.test.ts
@@ -33,6 +33,8 @@
 	harness.targets.remove(lost);
 	harness.coordinator.targetsLost([lost], harness.now);
 	const second = harness.lastStart('r1')!;
+	t.deepEqual(harness.cancelled(), []);
+	harness.coordinator.attemptFirstByte(second.attemptId, harness.now);
 	t.deepEqual(harness.cancelled(), [first.attemptId]);
 	harness.end(first.attemptId);
 	t.is(harness.finalAnswers('r1').length, 0);
@@ -280,8 +282,10 @@
 	harness.coordinator.attemptFirstByte(slow.attemptId, harness.now);
 	const silent = harness.request('silent')!;
 	harness.advance(16_000);
-	t.deepEqual(harness.cancelled(), [silent.attemptId]);
 	t.is(harness.lastStart('silent')!.targetId, toId<TargetId>('engine-2'));
+	t.deepEqual(harness.cancelled(), []);
+	harness.coordinator.attemptFirstByte(harness.lastStart('silent')!.attemptId, harness.now);
+	t.deepEqual(harness.cancelled(), [silent.attemptId]);
 	harness.advance(600_000);
 	t.is(harness.starts('slow').length, 1);
 	t.false(harness.cancelled().includes(slow.attemptId));
@@ -312,8 +316,10 @@
 	t.deepEqual(harness.cancelled(), []);
 	harness.membership.removeRegion(remoteRegion);
 	harness.advance(100);
-	t.deepEqual(harness.cancelled(), [start.attemptId]);
 	t.is(harness.lastStart('r1')!.targetId, toId<TargetId>('engine-1'));
+	t.deepEqual(harness.cancelled(), []);
+	harness.coordinator.attemptFirstByte(harness.lastStart('r1')!.attemptId, harness.now);
+	t.deepEqual(harness.cancelled(), [start.attemptId]);
 
 	const claimed = new CoordinatorHarness({settings: {repeatable: false}});
 	const region = claimed.membership.addRegion('saskatoon-a', {'entry-5': 1});
--- a/test/server/attempt-client.test.ts
+++ b/test/server/attempt-client.test.ts
@@ -102,6 +102,7 @@
 			revision: 1,
 			claimed: false,
 			resume,
+			standby: false,
 			deadlineMs: 3000,
 			firstByteMs: 3000,
 			silenceMs: 3000,
--- a/test/server/cut-answers.test.ts
+++ b/test/server/cut-answers.test.ts
@@ -91,6 +91,7 @@
 			revision: 1,
 			claimed: false,
 			resume: false,
+			standby: false,
 			deadlineMs: 3000,
 			firstByteMs: 3000,
 			silenceMs: 3000,
--- a/test/server/late-reads.test.ts
+++ b/test/server/late-reads.test.ts
@@ -124,6 +124,7 @@
 			revision: 1,
 			claimed: false,
 			resume: false,
+			standby: false,
 			deadlineMs: 3000,
 			firstByteMs: 3000,
 			silenceMs: 3000,
