fix(attempts): a standstill of this process is not its targets' silence

What callers saw, on the settings tree: after a process got no processor time for a second or more, streams that had received events until then were failed over together, and an answer that waited for a target to resume on was refused.

Cause: `recentProgressMs` and `failoverAt` were compared with the real time, and ticks come before sockets are read. The runner now keeps both by an `AwakeClock`, and the time that an interrupted answer may wait for a target is extended by that for which the process stood still (the caller's own deadline before the first byte is not).

Checks: `CoordinatorHarness.advance` now ticks every 100 ms, as a process that runs does, and `standStill` stands for the jump that it made before; a jump of the clock in one test became `advance`. What the tests assert is the same.

--- a/src/core/attempts/attempt-runner.ts
+++ b/src/core/attempts/attempt-runner.ts
@@ -1,3 +1,4 @@
+import {AwakeClock} from '../common/awake-clock.ts';
 import type {AttemptId} from '../ids/attempt-id.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
@@ -33,6 +34,7 @@
 	readonly #table = new AttemptTable();
 	readonly #crashMonitor: CrashMonitor;
 	readonly #remoteBytes = new RateMeter();
+	readonly #awakeClock = new AwakeClock();
 	#leavingCheckedAt = 0 as Millis;
 
 	constructor(parts: CoordinatorOptions) {
@@ -59,6 +61,22 @@
 		return this.#remoteBytes.lastSecond(now);
 	}
 
+	/** Time for which an attempt has received nothing while this process ran, in milliseconds. */
+	silentMs(attempt: AttemptState, now: Millis): number {
+		return this.#awakeClock.step(now) - attempt.heardAt;
+	}
+
+	/** True once an attempt without a first byte may fail over to a faster target. */
+	isLate({firstByteAt, failoverAt}: AttemptState, now: Millis): boolean {
+		return firstByteAt === undefined && failoverAt !== undefined && this.#awakeClock.step(now) >= failoverAt;
+	}
+
+	/** Time for which this process has stood still so far, in milliseconds. */
+	lostMs(now: Millis): number {
+		this.#awakeClock.step(now);
+		return this.#awakeClock.lostMs;
+	}
+
 	tick(now: Millis): void {
 		this.#crashMonitor.tick(now);
 		if (now - this.#leavingCheckedAt >= leavingCheckIntervalMs) {
@@ -77,7 +95,7 @@
 		const crashSuspectedAtStart = this.#parts.poison.isCrashSuspected(targetId, announcement.incarnation);
 		const attempt = this.#add(state, {destination, cachedTokens: choice.cachedTokens, crashSuspectedAtStart}, now);
 		state.triedTargets.set(targetId, announcement.incarnation);
-		attempt.failoverAt = failoverTime(state, now);
+		attempt.failoverAt = failoverTime(state, attempt, now);
 		this.#parts.poison.attemptStarted(state.req.fingerprint, targetId, now);
 		this.#parts.targets.recordStart(targetId, {
 			promptTokens: attempt.promptTokens,
@@ -93,7 +111,7 @@
 		const {entry, region} = choice;
 		const attempt = this.#add(state, {destination: {type: 'peer', nodeId: entry.nodeId, region}, cachedTokens: 0, crashSuspectedAtStart: false}, now);
 		state.triedRegions.add(region);
-		attempt.failoverAt = failoverTime(state, now);
+		attempt.failoverAt = failoverTime(state, attempt, now);
 		this.#countRemoteBytes(state.req.bodyBytes, region, now);
 		this.#parts.outbox.count('away', region);
 		this.#parts.outbox.count('attempts', 'peer');
@@ -204,6 +222,7 @@
 			requestId: state.req.requestId,
 			destination: choice.destination,
 			startedAt: now,
+			heardAt: this.#awakeClock.step(now),
 			promptTokens: remaining.promptTokens,
 			cachedTokens: choice.cachedTokens,
 			outputTokens: remaining.outputTokens,
@@ -296,7 +315,7 @@
 	}
 
 	#recordSign(attempt: AttemptState, now: Millis): void {
-		attempt.progressAt = now;
+		attempt.heardAt = this.#awakeClock.step(now);
 		if (attempt.destination.type === 'target') {
 			this.#parts.targets.recordSign(attempt.destination.targetId, now);
 		}
@@ -316,13 +335,13 @@
  * When to look for a faster target if no byte came; undefined if failing over cannot help. Only a repeatable request
  * that is a service call or streamed qualifies: the first byte of an unstreamed completion comes with the whole answer.
  */
-function failoverTime(state: RequestState, now: Millis): Millis | undefined {
+function failoverTime(state: RequestState, {heardAt}: AttemptState, now: Millis): Millis | undefined {
 	const early = state.req.kind === 'call' || state.req.streamed;
 	if (!state.repeatable || !early || now >= state.deadlineAt) {
 		return undefined;
 	}
 
-	return now + ((state.deadlineAt - now) * failoverShare) as Millis;
+	return heardAt + ((state.deadlineAt - now) * failoverShare) as Millis;
 }
 
 function isCertainlyNotRun(failure: AttemptFailure): boolean {
--- a/src/core/attempts/attempt-state.ts
+++ b/src/core/attempts/attempt-state.ts
@@ -16,7 +16,7 @@
 	readonly promptTokens: number;
 	readonly cachedTokens: number;
 	readonly outputTokens: number;
-	/** When to look for a faster target if no byte came; undefined for never. */
+	/** When to look for a faster target if no byte came, by the runner's `AwakeClock`; undefined for never. */
 	failoverAt?: Millis;
 	/** True if the target was suspected of a crash before the attempt started: a broken connection proves nothing then. */
 	readonly crashSuspectedAtStart: boolean;
@@ -29,8 +29,8 @@
 	/** When to look again for another target than one that is out of reach. */
 	failOverAgainAt?: Millis;
 	firstByteAt?: Millis;
-	/** When bytes of the answer were last received. */
-	progressAt?: Millis;
+	/** When the attempt started or last received bytes, by the runner's `AwakeClock`. */
+	heardAt: Millis;
 	/** Output tokens of the answer so far. */
 	tokens: number;
 	/** Bytes of the answer so far. */
--- a/src/core/attempts/request-coordinator.ts
+++ b/src/core/attempts/request-coordinator.ts
@@ -52,6 +52,8 @@
 	readonly #claims: ClaimTracker;
 	readonly #requests = new Map<RequestId, RequestState>();
 	#draining = false;
+	/** Time for which this process had stood still at the last tick, in milliseconds. */
+	#lostMs = 0;
 
 	constructor(options: CoordinatorOptions) {
 		this.#parts = options;
@@ -177,6 +179,7 @@
 
 	/** Dispatches waiting requests, refuses those whose deadline has passed and fails over running ones; called about every 100 ms. */
 	tick(now: Millis): void {
+		this.#extendResumes(now);
 		this.#runner.tick(now);
 		for (const {req, refusal} of this.#parts.admission.expire(now)) {
 			const state = this.#requests.get(req.requestId);
@@ -267,6 +270,21 @@
 		}
 	}
 
+	/** An interrupted answer that waits for a target to resume on gets the time back for which this process stood still. */
+	#extendResumes(now: Millis): void {
+		const lostMs = this.#runner.lostMs(now) - this.#lostMs;
+		if (lostMs === 0) {
+			return;
+		}
+
+		this.#lostMs += lostMs;
+		for (const state of this.#requests.values()) {
+			if (state.partiallyAnswered) {
+				state.deadlineAt = state.deadlineAt + lostMs as Millis;
+			}
+		}
+	}
+
 	#tickRequest(state: RequestState, now: Millis): void {
 		if (state.phase === 'running') {
 			this.#recovery.checkRunning(state, now);
--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -89,7 +89,7 @@
 	targetsLost(targetIds: readonly TargetId[], now: Millis): void {
 		const lost = targetIds
 			.flatMap(targetId => this.#runner.attemptsOnTarget(targetId))
-			.filter(attempt => !attempt.leaving && isSilent(attempt, now));
+			.filter(attempt => !attempt.leaving && this.#isSilent(attempt, now));
 		for (const attempt of lost) {
 			this.#runner.suspectCrash(this.#options.findRequest(attempt.requestId)!, attempt, now);
 		}
@@ -112,9 +112,9 @@
 		}
 
 		const isDue = attempt.failOverAgainAt === undefined || now >= attempt.failOverAgainAt;
-		if (isDue && isSilent(attempt, now) && this.#isOutOfReach(attempt, now)) {
+		if (isDue && this.#isSilent(attempt, now) && this.#isOutOfReach(attempt, now)) {
 			this.#failOverLost(state, attempt, {reason: attempt.destination.type === 'peer' ? 'reset' : 'silence', isCrashCounted: false}, now);
-		} else if (attempt.firstByteAt === undefined && attempt.failoverAt !== undefined && now >= attempt.failoverAt) {
+		} else if (this.#runner.isLate(attempt, now)) {
 			attempt.failoverAt = undefined;
 			this.#failOverSlow(state, now);
 		}
@@ -184,6 +184,11 @@
 		return decision.type === 'wait' ? !decision.forPause : decision.type !== 'refuse';
 	}
 
+	/** Time for which this process stood still is not its target's silence: what came meanwhile may still be unread. */
+	#isSilent(attempt: AttemptState, now: Millis): boolean {
+		return this.#runner.silentMs(attempt, now) >= recentProgressMs;
+	}
+
 	#isOutOfReach({destination}: AttemptState, now: Millis): boolean {
 		const {membership, targets} = this.#parts;
 		return destination.type === 'peer'
@@ -229,7 +234,3 @@
 		}, now);
 	}
 }
-
-function isSilent(attempt: AttemptState, now: Millis): boolean {
-	return now - (attempt.progressAt ?? attempt.startedAt) >= recentProgressMs;
-}
--- a/test/core/attempts/kept-attempts.test.ts
+++ b/test/core/attempts/kept-attempts.test.ts
@@ -18,13 +18,6 @@
 const full = {reason: 'refused', notSent: true, refusal: {result: 'overloaded', ran: 'no'}} as const;
 const notReached = {reason: 'connect', notSent: true} as const;
 
-/** Moves the clock as ticks do while the process runs. */
-function pass(harness: CoordinatorHarness, ms: number): void {
-	for (let passed = 0; passed < ms; passed += 100) {
-		harness.advance(100);
-	}
-}
-
 /** Events of a stream that arrive now. */
 function progress(harness: CoordinatorHarness, attemptId: AttemptId, tokens: number): void {
 	harness.coordinator.attemptProgress(attemptId, {tokens, bytes: tokens * 50}, harness.now);
@@ -37,7 +30,7 @@
 	const {attemptId} = harness.request('r1')!;
 	harness.targets.add(second);
 	progress(harness, attemptId, 3);
-	pass(harness, 1500);
+	harness.advance(1500);
 	harness.targets.remove(lost);
 	harness.coordinator.targetsLost([lost], harness.now);
 	return {harness, attemptId};
@@ -59,7 +52,7 @@
 	harness.targets.add(first);
 	const {attemptId} = harness.request('r1')!;
 	harness.targets.add(second);
-	pass(harness, 16_000);
+	harness.advance(16_000);
 	return {harness, attemptId};
 }
 
@@ -101,7 +94,7 @@
 		const stream = lostStream();
 		t.is(stream.harness.lastStart('r1')!.targetId, toId<TargetId>(second));
 		stream.harness.fail(stream.harness.lastStart('r1')!.attemptId, failure);
-		pass(stream.harness, 1000);
+		stream.harness.advance(1000);
 		assertGoesOn(t, stream);
 	});
 
@@ -109,7 +102,7 @@
 		const late = lateRequest();
 		t.is(late.harness.lastStart('r1')!.targetId, toId<TargetId>(second));
 		late.harness.fail(late.harness.lastStart('r1')!.attemptId, failure);
-		pass(late.harness, 1000);
+		late.harness.advance(1000);
 		assertGoesOn(t, late);
 	});
 }
@@ -143,7 +136,7 @@
 	}
 
 	harness.tree.settings.set('prairie/print/proofer/drafts', {...harness.tree.settings.get('prairie/print/proofer/drafts')!, targetConcurrency: 8});
-	pass(harness, 60_000);
+	harness.advance(60_000);
 	assertGoesOn(t, {harness, attemptId});
 });
 
@@ -155,7 +148,7 @@
 	}
 
 	harness.tree.settings.set('prairie/print/proofer/drafts', {...harness.tree.settings.get('prairie/print/proofer/drafts')!, targetConcurrency: 8, queueLimit: 0});
-	pass(harness, 5000);
+	harness.advance(5000);
 	t.true(harness.outbox.counts.get('retries:silence')! <= 5, 'retries are not spent with each tick');
 	assertGoesOn(t, {harness, attemptId});
 });
@@ -165,9 +158,9 @@
 	const lost = harness.membership.addRegion('saskatoon-a', {'entry-5': 1});
 	const {attemptId} = harness.request('r1')!;
 	harness.membership.addRegion('winnipeg-a', {'entry-6': 1});
-	pass(harness, 2000);
+	harness.advance(2000);
 	harness.membership.removeRegion(lost);
-	pass(harness, 1000);
+	harness.advance(1000);
 	t.is(harness.lastStart('r1')!.forwardTo, toId<NodeId>('entry-6'));
 	harness.fail(harness.lastStart('r1')!.attemptId, {reason: 'refused', notSent: true, refusal: {result: 'noTarget', ran: 'no'}});
 	assertGoesOn(t, {harness, attemptId});
@@ -177,7 +170,7 @@
 	const stream = lostStream();
 	stream.harness.coordinator.drain();
 	stream.harness.fail(stream.harness.lastStart('r1')!.attemptId, full);
-	pass(stream.harness, 1000);
+	stream.harness.advance(1000);
 	assertGoesOn(t, stream);
 	t.true(stream.harness.coordinator.drained());
 });
@@ -248,11 +241,11 @@
 	const {attemptId} = harness.request('r1')!;
 	harness.targets.add(second);
 	progress(harness, attemptId, 3);
-	pass(harness, 1500);
+	harness.advance(1500);
 	harness.targets.remove(lost);
 	harness.coordinator.targetsLost([lost], harness.now);
 	t.is(poison.classify('content-of-r1', harness.now).type, 'alone');
-	pass(harness, 1000);
+	harness.advance(1000);
 	t.is(harness.starts('r1').length, 1, 'the other entry has not granted the permit');
 	t.deepEqual(harness.cancelled(), []);
 	const request = outbox.sent.map(({message}) => message).find(message => message.part === 'poison' && message.body.type === 'permit-request');
@@ -270,7 +263,7 @@
 	const gone = granted.targets.add(first);
 	const before = granted.request('r1')!;
 	granted.targets.add(second);
-	pass(granted, 1500);
+	granted.advance(1500);
 	granted.targets.remove(gone);
 	granted.coordinator.targetsLost([gone], granted.now);
 	t.deepEqual(granted.cancelled(), [before.attemptId], 'it ends once the other target is sure');
--- a/test/core/attempts/request-coordinator.test.ts
+++ b/test/core/attempts/request-coordinator.test.ts
@@ -29,7 +29,7 @@
 	const lost = harness.targets.add('engine-1');
 	harness.targets.add('engine-2');
 	const first = harness.request('r1')!;
-	harness.now = 5000 as Millis;
+	harness.advance(5000);
 	harness.targets.remove(lost);
 	harness.coordinator.targetsLost([lost], harness.now);
 	const second = harness.lastStart('r1')!;
