--- a/test/core/attempts/kept-attempts.test.ts
+++ b/test/core/attempts/kept-attempts.test.ts
@@ -175,6 +175,25 @@
 	t.true(stream.harness.coordinator.drained());
 });
 
+test('a stream that goes on while it waits for a place elsewhere is sent there all the same', t => {
+	const {harness, attemptId} = unreachableStream();
+	const busy = harness.targets.add(second);
+	for (let index = 0; index < 8; index++) {
+		harness.targets.recordStart(busy);
+	}
+
+	harness.tree.settings.set('prairie/print/proofer/drafts', {...harness.tree.settings.get('prairie/print/proofer/drafts')!, targetConcurrency: 8});
+	harness.advance(1500);
+	t.is(harness.outbox.counts.get('retries:silence'), 1);
+	progress(harness, attemptId, 4);
+	harness.targets.recordOutcome(busy, {
+		result: 'whole', promptTokens: 1, cachedTokens: 0, outputTokens: 1, predictedOutputTokens: 1, totalMs: 1,
+	});
+	harness.advance(900);
+	t.is(harness.starts('r1').length, 1);
+	assertGoesOn(t, {harness, attemptId});
+});
+
 test('a target goes on before another one has taken its stream over, and both run', t => {
 	const {harness, attemptId} = lostStream();
 	const successor = harness.lastStart('r1')!;
