--- a/src/core/attempts/attempt-runner.ts
+++ b/src/core/attempts/attempt-runner.ts
@@ -1,3 +1,4 @@
+import {AwakeClock} from '../common/awake-clock.ts';
 import type {AttemptId} from '../ids/attempt-id.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
@@ -33,6 +34,7 @@
 	readonly #table = new AttemptTable();
 	readonly #crashMonitor: CrashMonitor;
 	readonly #remoteBytes = new RateMeter();
+	readonly #awakeClock = new AwakeClock();
 	#leavingCheckedAt = 0 as Millis;
 
 	constructor(parts: CoordinatorOptions) {
@@ -59,6 +61,22 @@
 		return this.#remoteBytes.lastSecond(now);
 	}
 
+	/** Time for which an attempt has received nothing while this process ran, in milliseconds. */
+	silentMs(attempt: AttemptState, now: Millis): number {
+		return this.#awakeClock.step(now) - attempt.heardAt;
+	}
+
+	/** True once an attempt without a first byte may fail over to a faster target. */
+	isLate({firstByteAt, failoverAt}: AttemptState, now: Millis): boolean {
+		return firstByteAt === undefined && failoverAt !== undefined && this.#awakeClock.step(now) >= failoverAt;
+	}
+
+	/** Time for which this process has stood still so far, in milliseconds. */
+	lostMs(now: Millis): number {
+		this.#awakeClock.step(now);
+		return this.#awakeClock.lostMs;
+	}
+
 	tick(now: Millis): void {
 		this.#crashMonitor.tick(now);
 		if (now - this.#leavingCheckedAt >= leavingCheckIntervalMs) {
@@ -77,7 +95,7 @@
 		const crashSuspectedAtStart = this.#parts.poison.isCrashSuspected(targetId, announcement.incarnation);
 		const attempt = this.#add(state, {destination, cachedTokens: choice.cachedTokens, crashSuspectedAtStart}, now);
 		state.triedTargets.set(targetId, announcement.incarnation);
-		attempt.failoverAt = failoverTime(state, now);
+		attempt.failoverAt = failoverTime(state, attempt, now);
 		this.#parts.poison.attemptStarted(state.req.fingerprint, targetId, now);
 		this.#parts.targets.recordStart(targetId, {
 			promptTokens: attempt.promptTokens,
@@ -93,7 +111,7 @@
 		const {entry, region} = choice;
 		const attempt = this.#add(state, {destination: {type: 'peer', nodeId: entry.nodeId, region}, cachedTokens: 0, crashSuspectedAtStart: false}, now);
 		state.triedRegions.add(region);
-		attempt.failoverAt = failoverTime(state, now);
+		attempt.failoverAt = failoverTime(state, attempt, now);
 		this.#countRemoteBytes(state.req.bodyBytes, region, now);
 		this.#parts.outbox.count('away', region);
 		this.#parts.outbox.count('attempts', 'peer');
@@ -131,22 +149,47 @@
 	fail(state: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Millis): void {
 		this.#parts.outbox.count('attempt_failures', failure.reason);
 		attempt.tokens = Math.max(attempt.tokens, failure.tokens);
-		const certainlyNotRun = failure.notSent || failure.refusal?.ran === 'no';
-		state.mayHaveRun ||= !certainlyNotRun;
+		state.mayHaveRun ||= !isCertainlyNotRun(failure);
 		if (failure.passedOn && !state.partiallyAnswered) {
 			state.partiallyAnswered = true;
 			state.softwareVersion = softwareVersionOf(attempt);
 		}
 
 		state.deliveredTokens += failure.passedOn ? attempt.tokens : 0;
-		if (failure.reason === 'connect' && attempt.destination.type === 'target') {
-			this.#parts.targets.recordConnection(attempt.destination.targetId, false, now);
+		this.#recordFailedConnection(attempt, failure, now);
+		this.#suspectIfBroken(state, attempt, failure, now);
+		this.#finish(state, attempt, isClientError(failure.status) ? 'cancelled' : 'failed', now);
+	}
+
+	/** Ends a kept attempt that failed; its request goes on without it. */
+	failKept(state: RequestState, failure: AttemptFailure, now: Millis): void {
+		const {attempt, stoppedForGuard} = state.kept!;
+		this.#parts.outbox.count('attempt_failures', failure.reason);
+		state.mayHaveRun ||= !isCertainlyNotRun(failure);
+		this.#recordFailedConnection(attempt, failure, now);
+		if (!stoppedForGuard) {
+			this.#suspectIfBroken(state, attempt, failure, now);
 		}
 
-		this.#suspectIfBroken(state, attempt, failure, now);
 		this.#finish(state, attempt, isClientError(failure.status) ? 'cancelled' : 'failed', now);
 	}
 
+	/** Cancels the request's kept attempt, if any, since another one takes the request over. */
+	dropKept(state: RequestState, now: Millis): void {
+		if (!state.kept) {
+			return;
+		}
+
+		const {attempt, result, reason} = state.kept;
+		if (reason !== undefined) {
+			this.#parts.outbox.count('attempt_failures', reason);
+		}
+
+		state.mayHaveRun = true;
+		this.#parts.emit({type: 'cancel-attempt', attemptId: attempt.attemptId});
+		this.#finish(state, attempt, result, now);
+	}
+
 	/** Cancels the request's attempt, if any; nothing more of it reaches the caller. */
 	cancel(state: RequestState, now: Millis): void {
 		const {attempt} = state;
@@ -179,11 +222,14 @@
 			requestId: state.req.requestId,
 			destination: choice.destination,
 			startedAt: now,
+			heardAt: this.#awakeClock.step(now),
 			promptTokens: remaining.promptTokens,
 			cachedTokens: choice.cachedTokens,
 			outputTokens: remaining.outputTokens,
 			crashSuspectedAtStart: choice.crashSuspectedAtStart,
 			leaving: false,
+			standby: state.kept !== undefined,
+			resume: state.partiallyAnswered,
 			tokens: 0,
 			bytes: 0,
 		};
@@ -217,7 +263,8 @@
 			...destination,
 			revision: this.#parts.tree().revision,
 			claimed: state.claim !== 'none',
-			resume: state.partiallyAnswered,
+			resume: attempt.resume,
+			standby: attempt.standby,
 			deadlineMs: Math.max(0, state.deadlineAt - now),
 			...attemptTimeouts(state, settings, now),
 			keepBytes: state.claim === 'held' ? settings.answerKeepBytes : 0,
@@ -226,14 +273,23 @@
 
 	#finish(state: RequestState, attempt: AttemptState, result: AttemptOutcome['result'], now: Millis): void {
 		this.#table.remove(attempt);
-		state.attempt = undefined;
-		state.phase = 'placing';
+		const stoppedForGuard = state.kept?.attempt === attempt && state.kept.stoppedForGuard;
+		if (state.kept?.attempt === attempt) {
+			state.kept = undefined;
+		} else {
+			state.attempt = undefined;
+			state.phase = 'placing';
+		}
+
 		if (attempt.destination.type === 'peer') {
 			return;
 		}
 
 		const firstByteMs = attempt.firstByteAt === undefined ? undefined : attempt.firstByteAt - attempt.startedAt;
-		this.#parts.poison.attemptStopped(state.req.fingerprint, attempt.destination.targetId, now);
+		if (!stoppedForGuard) {
+			this.#parts.poison.attemptStopped(state.req.fingerprint, attempt.destination.targetId, now);
+		}
+
 		this.#parts.targets.recordOutcome(attempt.destination.targetId, {
 			result,
 			promptTokens: attempt.promptTokens,
@@ -252,8 +308,14 @@
 		}
 	}
 
+	#recordFailedConnection({destination}: AttemptState, failure: AttemptFailure, now: Millis): void {
+		if (failure.reason === 'connect' && destination.type === 'target') {
+			this.#parts.targets.recordConnection(destination.targetId, false, now);
+		}
+	}
+
 	#recordSign(attempt: AttemptState, now: Millis): void {
-		attempt.progressAt = now;
+		attempt.heardAt = this.#awakeClock.step(now);
 		if (attempt.destination.type === 'target') {
 			this.#parts.targets.recordSign(attempt.destination.targetId, now);
 		}
@@ -273,11 +335,15 @@
  * When to look for a faster target if no byte came; undefined if failing over cannot help. Only a repeatable request
  * that is a service call or streamed qualifies: the first byte of an unstreamed completion comes with the whole answer.
  */
-function failoverTime(state: RequestState, now: Millis): Millis | undefined {
+function failoverTime(state: RequestState, {heardAt}: AttemptState, now: Millis): Millis | undefined {
 	const early = state.req.kind === 'call' || state.req.streamed;
 	if (!state.repeatable || !early || now >= state.deadlineAt) {
 		return undefined;
 	}
 
-	return now + ((state.deadlineAt - now) * failoverShare) as Millis;
+	return heardAt + ((state.deadlineAt - now) * failoverShare) as Millis;
+}
+
+function isCertainlyNotRun(failure: AttemptFailure): boolean {
+	return failure.notSent || failure.refusal?.ran === 'no';
 }
--- a/src/core/attempts/request-coordinator.ts
+++ b/src/core/attempts/request-coordinator.ts
@@ -11,6 +11,7 @@
 import type {RouteSettings} from '../settings/route-settings.ts';
 import type {TargetNotice} from '../targets/target-notice.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
+import {AttemptHandover} from './attempt-handover.ts';
 import {AttemptRunner} from './attempt-runner.ts';
 import {ClaimTracker} from './claim-tracker.ts';
 import {currentSettings} from './current-settings.ts';
@@ -45,11 +46,14 @@
 export class RequestCoordinator {
 	readonly #parts: CoordinatorOptions;
 	readonly #dispatcher: RequestDispatcher;
+	readonly #handover: AttemptHandover;
 	readonly #recovery: RequestRecovery;
 	readonly #runner: AttemptRunner;
 	readonly #claims: ClaimTracker;
 	readonly #requests = new Map<RequestId, RequestState>();
 	#draining = false;
+	/** Time for which this process had stood still at the last tick, in milliseconds. */
+	#lostMs = 0;
 
 	constructor(options: CoordinatorOptions) {
 		this.#parts = options;
@@ -62,7 +66,8 @@
 			refuse: this.#refuse.bind(this),
 		};
 		this.#dispatcher = new RequestDispatcher(shared);
-		this.#recovery = new RequestRecovery({...shared, dispatcher: this.#dispatcher});
+		this.#handover = new AttemptHandover({...shared, dispatcher: this.#dispatcher});
+		this.#recovery = new RequestRecovery({...shared, dispatcher: this.#dispatcher, handover: this.#handover});
 	}
 
 	/** Accepts a request from a caller or from an entry of another region. */
@@ -97,6 +102,7 @@
 		}
 
 		this.#parts.outbox.count('refusals', 'callerGone');
+		this.#runner.dropKept(state, now);
 		this.#runner.cancel(state, now);
 		this.#close(state, now);
 		this.#dispatcher.drainQueue(state.serviceKey, now);
@@ -115,6 +121,7 @@
 	attemptFirstByte(attemptId: AttemptId, now: Millis): void {
 		const attempt = this.#runner.get(attemptId);
 		if (attempt) {
+			this.#handover.sign(this.#requests.get(attempt.requestId)!, attempt, now);
 			this.#runner.firstByte(attempt, now);
 		}
 	}
@@ -123,6 +130,7 @@
 	attemptProgress(attemptId: AttemptId, totals: {tokens: number; bytes: number}, now: Millis): void {
 		const attempt = this.#runner.get(attemptId);
 		if (attempt) {
+			this.#handover.sign(this.#requests.get(attempt.requestId)!, attempt, now);
 			this.#runner.progress(attempt, totals, now);
 		}
 	}
@@ -135,6 +143,7 @@
 		}
 
 		const state = this.#requests.get(attempt.requestId)!;
+		this.#handover.sign(state, attempt, now);
 		this.#runner.progress(attempt, end, now);
 		this.#runner.complete(state, attempt, now);
 		this.#claims.settleAnswered(state, this.#homeRegionAllowed(state) ? end.answer : undefined, now);
@@ -170,6 +179,7 @@
 
 	/** Dispatches waiting requests, refuses those whose deadline has passed and fails over running ones; called about every 100 ms. */
 	tick(now: Millis): void {
+		this.#extendResumes(now);
 		this.#runner.tick(now);
 		for (const {req, refusal} of this.#parts.admission.expire(now)) {
 			const state = this.#requests.get(req.requestId);
@@ -260,6 +270,21 @@
 		}
 	}
 
+	/** An interrupted answer that waits for a target to resume on gets the time back for which this process stood still. */
+	#extendResumes(now: Millis): void {
+		const lostMs = this.#runner.lostMs(now) - this.#lostMs;
+		if (lostMs === 0) {
+			return;
+		}
+
+		this.#lostMs += lostMs;
+		for (const state of this.#requests.values()) {
+			if (state.partiallyAnswered) {
+				state.deadlineAt = state.deadlineAt + lostMs as Millis;
+			}
+		}
+	}
+
 	#tickRequest(state: RequestState, now: Millis): void {
 		if (state.phase === 'running') {
 			this.#recovery.checkRunning(state, now);
@@ -272,8 +297,13 @@
 		}
 	}
 
-	/** Refuses a request as its final answer: settles its claim, and adds a retry delay if a retry may succeed. */
+	/** Refuses a request as its final answer: settles its claim, and adds a retry delay if a retry may succeed. A request with a kept attempt goes on with that instead. */
 	#refuse(state: RequestState, reason: Omit<Refusal, 'ran'>, now: Millis): void {
+		if (state.kept) {
+			this.#handover.giveBack(state, now);
+			return;
+		}
+
 		const refusal = toFinalRefusal(state, reason);
 		const addRetryAfter = retryableResults.has(refusal.result) && refusal.retryAfterMs === undefined;
 		this.#close(state, now);
