fix(entry): a standstill of the entry no longer counts as its control node's silence

Callers saw: after a standstill of an entry's process (frozen or busy VM), the entry left a control node that was well, forgot its position in the target list and asked several others, up to the next whole list.

Cause: `ControlFollower` compared times of the clock. Timers run before sockets are read, so the tick after a standstill of 1 s or more, feeds waiting unread, found its control node silent for longer than `feedTimeoutMs`.

Why it works: the silence is measured by `AwakeClock`, which counts at most 200 ms of a standstill. A control node that is gone is left within `feedTimeoutMs` of running time, as before. The silence in status and log stays real time.

--- a/src/core/edge/control-follower.ts
+++ b/src/core/edge/control-follower.ts
@@ -1,3 +1,4 @@
+import {AwakeClock} from '../common/awake-clock.ts';
 import type {ControlMessage} from '../control/control-message.ts';
 import type {ControlPeer} from '../control/control-peer.ts';
 import {controlTiming} from '../control/control-timing.ts';
@@ -34,11 +35,16 @@
  */
 export class ControlFollower {
 	readonly #options: ControlFollowerOptions;
+	readonly #awake = new AwakeClock();
 	#peers: readonly ControlPeer[];
 	#primary: NodeId | undefined;
 	#followedSince = Number.NEGATIVE_INFINITY;
 	#lastFeedAt = Number.NEGATIVE_INFINITY;
 	#lastCurrentFeedAt = Number.NEGATIVE_INFINITY;
+	/** Time, on the clock that stops with this process, of the primary's last feed, or at which it began to be followed. */
+	#contactAt = Number.NEGATIVE_INFINITY;
+	/** The same for its last current feed. */
+	#currentContactAt = Number.NEGATIVE_INFINITY;
 	#lastReportAt = Number.NEGATIVE_INFINITY;
 	/** The control node of the own region that was asked for a feed, to return to it. */
 	#candidate: NodeId | undefined;
@@ -79,7 +85,8 @@
 	}
 
 	tick(now: Millis): void {
-		if (this.#hasPrimaryFailed(now)) {
+		this.#awake.step(now);
+		if (this.#hasPrimaryFailed()) {
 			this.#switchPrimary(now);
 		}
 
@@ -106,6 +113,7 @@
 
 	/** Handles a feed; returns `whole` if its targets are the complete list, `changes` if they update the last one, and undefined if they must not be used. */
 	handleFeed(from: NodeId, feed: Feed, now: Millis): 'whole' | 'changes' | undefined {
+		this.#awake.step(now);
 		this.#updatePeers(feed);
 		this.#recordHeard(from, now);
 		if (feed.current && from !== this.#primary && (from === this.#candidate || this.#searching)) {
@@ -119,8 +127,10 @@
 		}
 
 		this.#lastFeedAt = now;
+		this.#contactAt = this.#awake.now;
 		if (feed.current) {
 			this.#lastCurrentFeedAt = now;
+			this.#currentContactAt = this.#awake.now;
 			this.#searching = false;
 			this.#unasked = [];
 		}
@@ -146,14 +156,14 @@
 		return 'changes';
 	}
 
-	#hasPrimaryFailed(now: Millis): boolean {
+	#hasPrimaryFailed(): boolean {
 		if (this.#primary === undefined) {
 			return true;
 		}
 
-		const lastContactAt = Math.max(this.#followedSince, this.#lastFeedAt);
-		const outOfDate = now - Math.max(this.#followedSince, this.#lastCurrentFeedAt) > controlTiming.feedTimeoutMs;
-		return now - lastContactAt > controlTiming.feedTimeoutMs || (outOfDate && this.#peers.length > 1);
+		const {now} = this.#awake;
+		const outOfDate = now - this.#currentContactAt > controlTiming.feedTimeoutMs;
+		return now - this.#contactAt > controlTiming.feedTimeoutMs || (outOfDate && this.#peers.length > 1);
 	}
 
 	#switchPrimary(now: Millis): void {
@@ -272,6 +282,8 @@
 		this.#primary = nodeId;
 		this.#candidate = undefined;
 		this.#followedSince = now;
+		this.#contactAt = this.#awake.now;
+		this.#currentContactAt = this.#awake.now;
 		this.#position = undefined;
 	}
 
--- a/test/core/edge/control-follower.test.ts
+++ b/test/core/edge/control-follower.test.ts
@@ -97,3 +97,28 @@
 	harness.feed({control, current: true}, near);
 	t.is(followed(harness), far, 'it has a current one already');
 });
+
+for (const standstillMs of [1000, 2000, 5000]) {
+	test(`an entry that stood still for ${standstillMs} ms stays with its control node, whose feeds wait unread`, t => {
+		const harness = new EdgeHarness();
+		harness.feed({control}, near);
+		harness.run(700);
+		harness.now += standstillMs;
+		harness.step({type: 'tick'});
+		t.is(followed(harness), near);
+		harness.feed({control}, near);
+		harness.run(controlTiming.feedTimeoutMs);
+		t.is(followed(harness), near);
+		t.false(harness.actions.some(action => action.type === 'send' && action.to === far), 'no other one was asked');
+	});
+
+	test(`a control node that is lost while an entry stands still for ${standstillMs} ms is left within the usual time`, t => {
+		const harness = new EdgeHarness();
+		harness.feed({control}, near);
+		harness.run(200);
+		harness.now += standstillMs;
+		harness.step({type: 'tick'});
+		harness.run(controlTiming.feedTimeoutMs + 50);
+		t.is(followed(harness), far);
+	});
+}
