fix(registry): targets are not lost because the control node stood still

Callers saw: after a standstill of a control node for longer than 3.5 report intervals, it told the entries that follow it that all targets were lost; requests waited or were refused until the reports, which had waited unread, were taken.

Cause: `TargetRegistry` compared the time of the last report with the clock, and its tick runs before the sockets are read.

Evidence: on the code before, "targets whose reports wait unread after a standstill of 1000 (2000, 5000) ms are not lost" failed: the state was `lost` instead of `serving`.

Why it works: the silence of a target is measured by `AwakeClock`, beside `heardAt`, which stays real time for the ages that other control nodes are told and for the removal after a minute. A target that goes is lost after 3.5 intervals of running time, as before.

Changed check: "a target that stops reporting is lost" went to 4000 ms in one step, which is a standstill now; it runs with ticks, and expects `serving` until 3500 ms and `lost` at 3550 ms, so that it is stricter.

--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -156,7 +156,7 @@
 			documentVersion: this.#state.routes.document?.version,
 			evacuated: this.#state.routes.evacuated(),
 			entries: this.#directory.readyEntries(now).length,
-			targets: this.#registry.servingTargets(now).length,
+			targets: this.#registry.servingTargets().length,
 		};
 	}
 
--- a/src/core/registry/registered-target.ts
+++ b/src/core/registry/registered-target.ts
@@ -8,6 +8,8 @@
 	readonly region: Region;
 	/** Time at which its newest report or heartbeat was sent. */
 	heardAt: Millis;
+	/** `heardAt` on the registry's clock that stops with the process. */
+	awakeHeardAt: Millis;
 	coldUntil: Millis;
 	goneAt?: Millis;
 	/** Time since which the target may have become cold; unset once it has reported after that time. */
--- a/src/core/registry/target-registry.ts
+++ b/src/core/registry/target-registry.ts
@@ -1,3 +1,4 @@
+import {AwakeClock} from '../common/awake-clock.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
 import type {ServiceName} from '../ids/service-name.ts';
@@ -35,6 +36,7 @@
  */
 export class TargetRegistry {
 	readonly #options: TargetRegistryOptions;
+	readonly #awake = new AwakeClock();
 	readonly #records = new Map<TargetId, RegisteredTarget>();
 	/** Targets that are listed to entries as lost. */
 	readonly #announcedLost = new Set<TargetId>();
@@ -53,11 +55,13 @@
 
 	/** Takes a report; returns whether it changed anything but the time of the last heartbeat. */
 	recordReport(report: TargetReport, now: Millis, {direct = true, ageMs = 0}: ReportOrigin = {}): boolean {
+		const awakeSentAt = this.#awake.step(now) - ageMs as Millis;
 		const known = this.#records.get(report.targetId);
 		if (report.state === 'leaving' && known?.ended === false && report.born >= known.report.born) {
 			// Accepted even if the sequence number is known: the target withdrew at another control node after this report.
 			this.#end(known, direct);
 			known.heardAt = Math.max(known.heardAt, now - ageMs) as Millis;
+			known.awakeHeardAt = Math.max(known.awakeHeardAt, awakeSentAt) as Millis;
 			known.goneAt = report.goneInMs === undefined ? known.goneAt : now - ageMs + report.goneInMs as Millis;
 			return true;
 		}
@@ -69,7 +73,7 @@
 		}
 
 		const target = toRecord(report, {
-			known, region, direct, sentAt: now - ageMs as Millis,
+			known, region, direct, sentAt: now - ageMs as Millis, awakeSentAt,
 		});
 		this.#records.set(report.targetId, target);
 		if (known !== undefined && (known.report.softwareVersion !== report.softwareVersion || known.report.service !== report.service)) {
@@ -88,6 +92,7 @@
 
 	/** Takes a heartbeat, which confirms that a known report is still valid; false if no report of that incarnation or a later one is known. */
 	recordHeartbeat(targetId: TargetId, heartbeat: {born: number; sequence: number; ageMs: number}, now: Millis): boolean {
+		const awakeSentAt = this.#awake.step(now) - heartbeat.ageMs as Millis;
 		const known = this.#records.get(targetId);
 		if (known?.report.born !== heartbeat.born) {
 			// The heartbeat is outdated if a later incarnation is known.
@@ -99,16 +104,17 @@
 		}
 
 		const sentAt = now - heartbeat.ageMs as Millis;
-		const wasLost = this.#isLost(known, now);
+		const wasLost = this.#isLost(known);
 		known.report = {...known.report, sequence: heartbeat.sequence};
 		known.heardAt = Math.max(known.heardAt, sentAt) as Millis;
+		known.awakeHeardAt = Math.max(known.awakeHeardAt, awakeSentAt) as Millis;
 		known.direct = false;
 		if (known.coldUnknownSince !== undefined && sentAt > known.coldUnknownSince) {
 			known.coldUnknownSince = undefined;
 			this.#bumpRevision(known);
 		}
 
-		if (wasLost && !this.#isLost(known, now)) {
+		if (wasLost && !this.#isLost(known)) {
 			this.#announcedLost.delete(targetId);
 			this.#bumpRevision(known);
 		}
@@ -141,6 +147,7 @@
 
 	/** Removes targets that have not reported for a long time, and marks those that are now lost as changed. */
 	tick(now: Millis): void {
+		this.#awake.step(now);
 		this.#replaced = this.#replaced.filter(({heardAt}) => now - heardAt <= retentionMs);
 		for (const [targetId, target] of this.#records) {
 			const silence = now - target.heardAt;
@@ -148,10 +155,10 @@
 				this.#records.delete(targetId);
 				this.#announcedLost.delete(targetId);
 				this.#revision += 1;
-			} else if (this.#isLost(target, now) && !target.ended && target.report.state === 'serving' && !this.#announcedLost.has(targetId)) {
+			} else if (this.#isLost(target) && !target.ended && target.report.state === 'serving' && !this.#announcedLost.has(targetId)) {
 				this.#announcedLost.add(targetId);
 				this.#bumpRevision(target);
-			} else if (!this.#isLost(target, now)) {
+			} else if (!this.#isLost(target)) {
 				this.#announcedLost.delete(targetId);
 			}
 		}
@@ -201,9 +208,9 @@
 	}
 
 	/** Reports of the serving targets that are not lost, with their regions. */
-	servingTargets(now: Millis): ReadonlyArray<{region: Region; report: TargetReport}> {
+	servingTargets(): ReadonlyArray<{region: Region; report: TargetReport}> {
 		return [...this.#records.values()]
-			.filter(target => target.report.state === 'serving' && !this.#isLost(target, now))
+			.filter(target => target.report.state === 'serving' && !this.#isLost(target))
 			.map(({region, report}) => ({region, report}));
 	}
 
@@ -211,15 +218,15 @@
 		const {coldMs: _, goneInMs: __, ...report} = target.report;
 		return {
 			...report,
-			state: this.#isLost(target, now) && report.state === 'serving' ? 'lost' : report.state,
+			state: this.#isLost(target) && report.state === 'serving' ? 'lost' : report.state,
 			region: target.region,
 			coldForMs: target.coldUnknownSince === undefined ? Math.max(0, Math.round(target.coldUntil - now)) : 'unknown',
 			goneInMs: target.goneAt === undefined ? undefined : Math.round(target.goneAt - now),
 		};
 	}
 
-	#isLost(target: RegisteredTarget, now: Millis): boolean {
-		return now - target.heardAt > maxMissedReports * this.#options.reportEveryMs;
+	#isLost({awakeHeardAt}: RegisteredTarget): boolean {
+		return this.#awake.now - awakeHeardAt > maxMissedReports * this.#options.reportEveryMs;
 	}
 
 	/** True if a target that started later holds the report's address. Targets that started earlier and hold it are ended. */
@@ -254,7 +261,7 @@
 			|| before.coldUnknownSince !== after.coldUnknownSince
 			|| before.goneAt !== after.goneAt
 			|| Math.max(before.coldUntil, now) !== Math.max(after.coldUntil, now)
-			|| this.#isLost(before, now);
+			|| this.#isLost(before);
 	}
 
 	/** Records the withdrawal of an unknown target, so that reports of incarnations up to `wallClock` are ignored. */
@@ -274,6 +281,7 @@
 			},
 			region: '' as Region,
 			heardAt: now,
+			awakeHeardAt: this.#awake.step(now),
 			coldUntil: now,
 			ended: true,
 			revision: 0,
@@ -300,10 +308,10 @@
 	return report.born > known.born || (report.born === known.born && report.sequence > known.sequence);
 }
 
-type RecordContext = {readonly known: RegisteredTarget | undefined; readonly region: Region; readonly direct: boolean; readonly sentAt: Millis};
+type RecordContext = {readonly known: RegisteredTarget | undefined; readonly region: Region; readonly direct: boolean; readonly sentAt: Millis; readonly awakeSentAt: Millis};
 
 /** State of a target after a report; an incarnation that is leaving stays so, and one that has possibly been cold since `coldUnknownSince` stays so until a report that was sent later. */
-function toRecord(report: TargetReport, {known, region, direct, sentAt}: RecordContext): RegisteredTarget {
+function toRecord(report: TargetReport, {known, region, direct, sentAt, awakeSentAt}: RecordContext): RegisteredTarget {
 	const earlier = known?.report.born === report.born ? known : undefined;
 	const ended = earlier?.ended === true || report.state === 'leaving';
 	const coldSince = known?.coldUnknownSince;
@@ -311,6 +319,7 @@
 		report: ended ? {...report, state: 'leaving'} : report,
 		region,
 		heardAt: sentAt,
+		awakeHeardAt: awakeSentAt,
 		coldUntil: sentAt + report.coldMs as Millis,
 		goneAt: report.goneInMs === undefined ? earlier?.goneAt : sentAt + report.goneInMs as Millis,
 		coldUnknownSince: coldSince !== undefined && sentAt <= coldSince ? coldSince : undefined,
--- a/test/core/registry/target-registry.test.ts
+++ b/test/core/registry/target-registry.test.ts
@@ -9,8 +9,15 @@
 const engine = toId<TargetId>('engine-1');
 const at = (ms: number) => ms as Millis;
 
-function newRegistry(): TargetRegistry {
-	return new TargetRegistry({reportEveryMs: 1000, regionOf: zone => zone === 'regina-a' ? toId<Region>('regina') : undefined});
+function newRegistry(reportEveryMs = 1000): TargetRegistry {
+	return new TargetRegistry({reportEveryMs, regionOf: zone => zone === 'regina-a' ? toId<Region>('regina') : undefined});
+}
+
+/** Ticks every 50 ms after `from`, up to `to`. */
+function run(registry: TargetRegistry, from: number, to: number): void {
+	for (let now = from + 50; now <= to; now += 50) {
+		registry.tick(at(now));
+	}
 }
 
 function stateOf(registry: TargetRegistry, now: number): string | undefined {
@@ -69,8 +76,10 @@
 test('a target that stops reporting is lost, and serves again with its next report', t => {
 	const registry = newRegistry();
 	registry.recordReport(targetReportFixture(), at(0));
-	registry.tick(at(4000));
-	t.is(stateOf(registry, 4000), 'lost');
+	run(registry, 0, 3500);
+	t.is(stateOf(registry, 3500), 'serving');
+	run(registry, 3500, 3550);
+	t.is(stateOf(registry, 3550), 'lost');
 	registry.recordReport(targetReportFixture({sequence: 2}), at(4100));
 	t.is(stateOf(registry, 4100), 'serving');
 });
@@ -87,6 +96,32 @@
 	t.is(cold(200), 3000);
 });
 
+for (const {standstillMs, reportEveryMs} of [{standstillMs: 1000, reportEveryMs: 300}, {standstillMs: 2000, reportEveryMs: 500}, {standstillMs: 5000, reportEveryMs: 1000}]) {
+	test(`targets whose reports wait unread after a standstill of ${standstillMs} ms are not lost`, t => {
+		const registry = newRegistry(reportEveryMs);
+		registry.recordReport(targetReportFixture({sequence: 1}), at(0));
+		run(registry, 0, reportEveryMs);
+		const {revision} = registry;
+		const woken = reportEveryMs + standstillMs;
+		registry.tick(at(woken));
+		t.is(stateOf(registry, woken), 'serving');
+		t.is(registry.revision, revision, 'entries are told nothing');
+		registry.recordReport(targetReportFixture({sequence: 2}), at(woken));
+		run(registry, woken, woken + (3 * reportEveryMs));
+		t.is(stateOf(registry, woken + (3 * reportEveryMs)), 'serving');
+	});
+
+	test(`a target that goes during a standstill of ${standstillMs} ms is lost within the usual time after it`, t => {
+		const registry = newRegistry(reportEveryMs);
+		registry.recordReport(targetReportFixture({sequence: 1}), at(0));
+		run(registry, 0, 100);
+		const lostAt = 100 + standstillMs + (3.5 * reportEveryMs);
+		registry.tick(at(100 + standstillMs));
+		run(registry, 100 + standstillMs, lostAt);
+		t.is(stateOf(registry, lostAt), 'lost');
+	});
+}
+
 // Guards against a lost target that entries take for serving, since it was lost once before, under the same id.
 for (const {title, waitMs, returns} of [
 	{
