fix(directory): entries stay listed though the control node stood still

Callers saw: after a standstill of a control node for more than 2.5 s, callers that asked it for entries got none (or those of other regions), and the entries that follow it were told that no region had any entry.

Cause: `EntryDirectory` compared the times of statuses with the clock, and its tick, or a query, comes before the statuses that waited unread.

Evidence: on the code before, "entries whose statuses wait unread after a standstill of 1000 (2000, 5000) ms are listed" failed at the query, for which 0 entries were listed instead of 1.

Why it works: the silence of an entry is measured by `AwakeClock`; ages for other control nodes stay real time. An entry that goes is no longer listed after 2.5 s of running time, as before.

--- a/src/core/registry/entry-directory.ts
+++ b/src/core/registry/entry-directory.ts
@@ -1,3 +1,4 @@
+import {AwakeClock} from '../common/awake-clock.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {Region} from '../ids/region.ts';
@@ -9,26 +10,32 @@
 /** Most addresses returned to a caller. */
 const maxAddresses = 64;
 
-type KnownEntry = {status: EntryStatus; heardAt: Millis; direct: boolean};
+/** An entry; `awakeHeardAt` is `heardAt` on the directory's clock that stops with the process. */
+type KnownEntry = {status: EntryStatus; heardAt: Millis; awakeHeardAt: Millis; direct: boolean};
 
 /** Directory of the entries that one control node knows, for callers that look up addresses, and for other entries. */
 export class EntryDirectory {
+	readonly #awake = new AwakeClock();
 	readonly #entries = new Map<NodeId, KnownEntry>();
 
 	/** Takes a status that was sent `ageMs` ago, unless a newer one is known. `direct` is true if the entry sent it to this node itself. */
 	update(status: EntryStatus, now: Millis, {direct = true, ageMs = 0}: {direct?: boolean; ageMs?: number} = {}): void {
 		const heardAt = now - ageMs as Millis;
+		const awakeHeardAt = this.#awake.step(now) - ageMs as Millis;
 		const known = this.#entries.get(status.nodeId);
 		if (known !== undefined && known.heardAt > heardAt) {
 			return;
 		}
 
-		this.#entries.set(status.nodeId, {status, heardAt, direct});
+		this.#entries.set(status.nodeId, {
+			status, heardAt, awakeHeardAt, direct,
+		});
 	}
 
 	tick(now: Millis): void {
-		for (const [nodeId, {heardAt}] of this.#entries) {
-			if (now - heardAt > statusLeaseMs) {
+		this.#awake.step(now);
+		for (const [nodeId, entry] of this.#entries) {
+			if (this.#isSilent(entry)) {
 				this.#entries.delete(nodeId);
 			}
 		}
@@ -43,8 +50,9 @@
 
 	/** Entries that accept requests and have sent a status recently. */
 	readyEntries(now: Millis): readonly EntryStatus[] {
+		this.#awake.step(now);
 		return [...this.#entries.values()]
-			.filter(({status, heardAt}) => status.state === 'ready' && now - heardAt <= statusLeaseMs)
+			.filter(entry => entry.status.state === 'ready' && !this.#isSilent(entry))
 			.map(({status}) => status);
 	}
 
@@ -65,4 +73,8 @@
 			.toSorted((left, right) => Number(right.zone === caller.zone) - Number(left.zone === caller.zone))
 			.slice(0, maxAddresses);
 	}
+
+	#isSilent({awakeHeardAt}: KnownEntry): boolean {
+		return this.#awake.now - awakeHeardAt > statusLeaseMs;
+	}
 }
