fix(server): a probe tells of a target, not of its own process's standstill

Callers saw: after a standstill of an entry for longer than the timeout of a probe (0.5 s with a routes document, 1 s with a settings tree), a target that was probed meanwhile counted as out of reach for a second, and got no requests.

Cause: in `canConnect` the socket's timeout is a timer, which runs before the event of the connection that is open.

Why it works: after the timeout the pending events are read (`pendingReads`) before the answer is given.

--- a/src/server/can-connect.ts
+++ b/src/server/can-connect.ts
@@ -1,5 +1,6 @@
 import {connect} from 'node:net';
 import {isAddress} from '../settings/is-address.ts';
+import {pendingReads} from './pending-reads.ts';
 
 /** Opens a connection to `host:port` and closes it again; false if it can't be opened within `timeoutMs`, or if the address isn't valid. */
 export async function canConnect(address: string, timeoutMs: number): Promise<boolean> {
@@ -17,7 +18,9 @@
 
 		socket.once('connect', () => {
 			finish(true);
-		}).once('timeout', () => {
+		}).once('timeout', async () => {
+			// This process may have stood still, and the connection may be open by now.
+			await pendingReads();
 			finish(false);
 		}).once('error', () => {
 			finish(false);
