test(soak): planned work on real processes, with streams that pause and targets that are full

Callers use open connections until the process is gone.

A channel that ends before its answer is complete counts as lost, unless the request was not read, its target broke it off, its time was up or its target was at work in the last sixth of the grace period. For each lost request the run prints its targets' runs and last silences, the late event loops of its entry and the log lines that name it.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -1,9 +1,10 @@
-// Runs real processes under random faults: `npm run soak -- --seed 1 --minutes 2 [--runs 5] [--entries 2] [--calm 3000] [--replacements] [--report folder]`.
+// Runs real processes under random faults: `npm run soak -- --seed 1 --minutes 2 [--runs 5] [--entries 2] [--calm 3000] [--replacements] [--planned] [--report folder]`.
 import {mkdirSync, writeFileSync} from 'node:fs';
 import {loadavg} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {runPlannedSoak} from '../test/soak/run-planned-soak.ts';
 import {runSoak} from '../test/soak/run-soak.ts';
 import type {SoakReport} from '../test/soak/soak-report.ts';
 import {soakTimeline} from '../test/soak/soak-timeline.ts';
@@ -20,11 +21,19 @@
 		calm: {type: 'string'},
 		/** Draw no faults but replacements of control nodes and losses of power. */
 		replacements: {type: 'boolean', default: false},
+		/** No faults: entries are stopped in series beside new configurations and targets that leave, and no request may be lost. */
+		planned: {type: 'boolean', default: false},
 		report: {type: 'string'},
 	},
 });
 
 for (let run = 0; run < Number(values.runs); run++) {
+	if (values.planned) {
+		// eslint-disable-next-line no-await-in-loop
+		printPlanned(await runPlannedSoak({seed: Number(values.seed) + run, minutes: Number(values.minutes), entriesPerRegion: Number(values.entries)}));
+		continue;
+	}
+
 	// eslint-disable-next-line no-await-in-loop
 	const report = await runSoak({
 		seed: Number(values.seed) + run,
@@ -62,6 +71,28 @@
 	}
 }
 
+function printPlanned({seed, lengthMs, problems, records, steps, startedAt, folder}: Awaited<ReturnType<typeof runPlannedSoak>>): void {
+	const count = (name: string) => records.filter(({outcome}) => outcome === name).length;
+	const answered = records.filter(({outcome}) => outcome === 'answered');
+	const statuses = [...new Set(answered.map(({status}) => status))].map(status => `${answered.filter(record => record.status === status).length} with ${status}`);
+	const reasons = [...new Set(records.map(({cutFor}) => cutFor))].filter(reason => reason !== undefined);
+	const cuts = reasons.map(reason => `${records.filter(({cutFor}) => cutFor === reason).length} ${reason}`);
+	const verdict = problems.length === 0 ? 'pass' : 'fail';
+	const totals = `${records.length} requests (${[...statuses, `${count('broken')} broken`, `${count('unreachable')} unreachable`].join(', ')}; ${cuts.join(', ') || 'none cut'})`;
+	console.log(`PLANNED SOAK seed ${seed} ${verdict}: ${Math.round(lengthMs / 1000)} s, ${totals}; load ${loadavg()[0]!.toFixed(0)}`);
+	for (const problem of problems) {
+		console.log(`  - ${problem}`);
+	}
+
+	if (problems.length > 0) {
+		process.exitCode = 1;
+		console.log(`  logs: ${folder}`);
+		for (const {name, at} of steps) {
+			console.log(`  ${Math.round(at - startedAt)} ms: ${name}`);
+		}
+	}
+}
+
 function writeReport(report: SoakReport, folder: string): void {
 	mkdirSync(folder, {recursive: true});
 	const records = report.records.map(({entry, ...record}) => ({...record, entry: entry.name}));
--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -5,6 +5,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {TargetRun} from './target-run.ts';
 import {writeEndlessly} from './write-endlessly.ts';
 
 /**
@@ -34,8 +35,8 @@
 
 /** Size of the part that `stalled-body` sends, in bytes. */
 const stalledPart = Buffer.alloc(12_000_000, 'x');
-/** Number of events in a complete stream. */
-const eventCount = 6;
+/** Default number of events in a complete stream. */
+const defaultEventCount = 6;
 
 /** In-process engine and service that implements the platform's protocol for targets. */
 export class PlatformEngine {
@@ -58,6 +59,12 @@
 	callAnswer: string | undefined;
 	/** Duration of a call and interval between two events of a stream, in milliseconds. */
 	workMs: number;
+	/** Number of events in a complete stream. */
+	eventCount = defaultEventCount;
+	/** Silence before an event of a stream beyond `workMs`, in milliseconds; none by default. */
+	pauseBeforeMs: ((event: {readonly id: number; readonly path: string}) => number) | undefined;
+	/** Runs of requests, in the order in which they began. */
+	readonly runRecords: TargetRun[] = [];
 	/** Requests received, in order. */
 	readonly receivedRequests: ReceivedRequest[] = [];
 	/** Number of requests whose connection closed before the answer was complete. */
@@ -74,6 +81,7 @@
 	readonly #lastUsedAt = new WeakMap<Socket, number>();
 	/** Bytes of the refusal that was written on a connection. */
 	readonly #refusals = new WeakMap<Socket, string>();
+	#closing = false;
 
 	constructor(name: string, workMs = 0) {
 		this.identifier = name;
@@ -93,6 +101,7 @@
 
 	/** Starts to accept connections; again at the same port after `close`. */
 	async listen(): Promise<void> {
+		this.#closing = false;
 		return new Promise(resolve => {
 			this.#server.listen(this.#port, '127.0.0.1', () => {
 				this.#port = (this.#server.address() as AddressInfo).port;
@@ -102,6 +111,7 @@
 	}
 
 	async close(): Promise<void> {
+		this.#closing = true;
 		this.#server.closeAllConnections();
 		return new Promise(resolve => {
 			this.#server.close(() => {
@@ -135,6 +145,7 @@
 		if (manner !== 'full' && !(manner === 'doubled' && !this.#refusals.has(req.socket))) {
 			const id = String(req.headers['request-identifier']);
 			this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
+			this.#recordRun(id, res);
 		}
 
 		if (manner in endlessAnswers) {
@@ -182,6 +193,16 @@
 		await this.#answerStream(req, res, headers);
 	}
 
+	#recordRun(key: string, res: ServerResponse): void {
+		const run: TargetRun = {key, startedAt: performance.now(), progressAt: []};
+		const breaksOff = !['well', 'silent'].includes(this.manner);
+		this.runRecords.push(run);
+		res.on('close', () => {
+			run.endedAt = performance.now();
+			run.end = breaksOff || (this.#closing && !res.writableFinished) ? 'broken off' : (res.writableFinished ? 'whole' : 'cancelled');
+		});
+	}
+
 	/** Answers in a manner that is no answer to the request; false if it is to be answered otherwise. */
 	#misanswer(req: IncomingMessage, res: ServerResponse): boolean {
 		const answers: Partial<Record<Manner, () => void>> = {
@@ -240,7 +261,17 @@
 		const {lineBreak, manner} = this;
 		res.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
 		const first = Number(req.headers['last-event-id'] ?? 0) + 1;
-		for (let id = first; id <= eventCount; id++) {
+		const run = this.runRecords.findLast(({key}) => key === req.headers['request-identifier']);
+		for (let id = first; id <= this.eventCount; id++) {
+			const pauseMs = this.pauseBeforeMs?.({id, path: req.url!}) ?? 0;
+			if (pauseMs > 0) {
+				await sleep(pauseMs); // eslint-disable-line no-await-in-loop
+			}
+
+			if (res.destroyed) {
+				return;
+			}
+
 			if (manner === 'cut' && id === first + 2) {
 				res.write(`id: ${id}\ndata: half`);
 				setTimeout(() => {
@@ -255,6 +286,7 @@
 			}
 
 			res.write(`id: ${id}${lineBreak}data: piece ${id}${lineBreak}version: ${this.softwareVersion}${lineBreak}${lineBreak}`);
+			run?.progressAt.push(performance.now());
 			if (this.workMs > 0) {
 				await sleep(this.workMs); // eslint-disable-line no-await-in-loop
 			}
--- /dev/null
+++ b/test/fakes/target-run.ts
@@ -0,0 +1,12 @@
+/** One run of a request at a stand-in target. Times by `performance.now()`. */
+export type TargetRun = {
+	/** Identifier of the request. */
+	readonly key: string;
+	readonly startedAt: number;
+	/** Times at which events of a stream were written. */
+	readonly progressAt: number[];
+	/** Undefined while the target works. */
+	endedAt?: number;
+	/** `broken off`: by the target; `cancelled`: by the other side. */
+	end?: 'whole' | 'broken off' | 'cancelled';
+};
--- /dev/null
+++ b/test/soak/run-planned-soak.ts
@@ -0,0 +1,111 @@
+import path from 'node:path';
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {SeededRandom} from '../../src/core/common/seeded-random.ts';
+import {judgeCut} from './check-lost.ts';
+import {describeLost} from './describe-lost.ts';
+import {PlannedCallers} from './planned-callers.ts';
+import type {PlannedRecord} from './planned-record.ts';
+import {PlannedWork} from './planned-work.ts';
+import {SoakDeployment} from './soak-deployment.ts';
+import {SoakOperator} from './soak-operator.ts';
+
+type PlannedSoakOptions = {
+	readonly seed: number;
+	/** Time after which no further round begins, in minutes. */
+	readonly minutes: number;
+	/** @default 2 */
+	readonly entriesPerRegion?: number;
+	/** @default 20 */
+	readonly requestsPerSecond?: number;
+};
+
+type PlannedSoakReport = {
+	readonly seed: number;
+	readonly lengthMs: number;
+	/** Messages of failed checks. */
+	readonly problems: readonly string[];
+	readonly records: readonly PlannedRecord[];
+	readonly steps: ReadonlyArray<{readonly name: string; readonly at: number}>;
+	readonly startedAt: number;
+	/** Folder of the processes' logs, kept if a check failed. */
+	readonly folder: string;
+};
+
+/** Time without any change after the start and after each round, in milliseconds; the first equals the stability window of the first deployments. */
+const stabilityWindowMs = 6000;
+const settleMs = 2000;
+const startTimeoutMs = 20_000;
+const pollMs = 100;
+const loopProbe = new URL('../harness/loop-probe.js', import.meta.url).href;
+
+/** Runs real processes with planned work only, entries stopped in series beside new configurations and targets that leave, and checks that no request is lost. */
+export async function runPlannedSoak({seed, minutes, entriesPerRegion = 2, requestsPerSecond = 20}: PlannedSoakOptions): Promise<PlannedSoakReport> {
+	const startedAt = performance.now();
+	const deployment = await SoakDeployment.create({entriesPerRegion, random: new SeededRandom(seed + 1)});
+	const now = () => performance.now() - startedAt;
+	const callers = new PlannedCallers(deployment, new SeededRandom(seed + 2));
+	const operator = new SoakOperator(deployment, {random: new SeededRandom(seed + 3), furtherRandom: new SeededRandom(seed + 4), now});
+	const work = new PlannedWork(deployment, new SeededRandom(seed));
+	const problems: string[] = [];
+	let timer: NodeJS.Timeout | undefined;
+	try {
+		// The callers' times are those of this process, so that its delays are listed like those of the nodes.
+		process.env.LOOP_PROBE_FILE = path.join(deployment.folder, 'soak.log.late');
+		await import(loopProbe);
+		work.prepareTargets();
+		await deployment.start();
+		timer = setInterval(() => {
+			for (const node of deployment.nodes) {
+				node.noteLoaded(now());
+			}
+		}, pollMs);
+		if (!await waitUntil(async () => deployment.nodes.every(({loading}) => !loading) && operator.change())) {
+			problems.push('the deployment did not start');
+		}
+
+		operator.start();
+		await sleep(stabilityWindowMs);
+		callers.start(requestsPerSecond);
+		const filling = work.fillTargets();
+		while (now() < minutes * 60_000 && problems.length === 0) {
+			await sleep(settleMs); // eslint-disable-line no-await-in-loop
+			await work.playRound(); // eslint-disable-line no-await-in-loop
+			if (!await waitUntil(() => deployment.nodes.every(({loading}) => !loading))) { // eslint-disable-line no-await-in-loop
+				problems.push('an entry did not start again');
+			}
+		}
+
+		work.stopFilling();
+		operator.stop();
+		await Promise.all([filling, callers.finish()]);
+		problems.push(...operator.problems, ...callers.records.flatMap(({id, problem}) => problem === undefined ? [] : [`${id}: ${problem}`]));
+		for (const record of callers.records) {
+			const runs = deployment.engines.flatMap(({engine}) => engine.runRecords.filter(({key}) => key === record.id));
+			record.cutFor = judgeCut(record, runs, work.stops);
+			if (record.cutFor === 'lost') {
+				problems.push(describeLost(record, {deployment, startedAt}));
+			}
+		}
+
+		return {
+			seed, lengthMs: now(), problems, records: callers.records, steps: work.steps, startedAt, folder: deployment.folder,
+		};
+	} finally {
+		clearInterval(timer);
+		await deployment.dispose({keepFolder: problems.length > 0});
+	}
+}
+
+async function waitUntil(condition: () => Promise<boolean> | boolean): Promise<boolean> {
+	for (let waited = 0; waited < startTimeoutMs; waited += pollMs) {
+		if (await condition()) { // eslint-disable-line no-await-in-loop
+			return true;
+		}
+
+		await sleep(pollMs); // eslint-disable-line no-await-in-loop
+	}
+
+	return false;
+}
--- a/test/soak/soak-callers.ts
+++ b/test/soak/soak-callers.ts
@@ -4,6 +4,7 @@
 import type {Random} from '../../src/core/common/random.ts';
 import type {SoakDeployment} from './soak-deployment.ts';
 import type {SoakNode} from './soak-node.ts';
+import {streamProblem} from './stream-problem.ts';
 
 const kinds = [
 	{name: 'call', path: '/calls/1', headers: {}},
@@ -41,7 +42,6 @@
 /** Time without a fault after which a process counts as stable, in milliseconds; it equals the stability window of the first deployments. */
 const stabilityWindowMs = 6000;
 const pollMs = 100;
-const wholeStream = Array.from({length: 6}, (_, index) => `id: ${index + 1}\ndata: piece ${index + 1}\n\n`).join('');
 
 /** Simulates callers that send requests to random entries at a constant rate over keep-alive connections. */
 export class SoakCallers {
@@ -184,13 +184,3 @@
 		}
 	}
 }
-
-/** What is wrong with a stream as its caller received it, over all its tries; undefined if it is whole and of one software version. */
-function streamProblem(text: string): string | undefined {
-	const versions = new Set([...text.matchAll(/^version: (.*)$/gmv)].map(match => match[1]));
-	if (versions.size > 1) {
-		return `events of the software versions ${[...versions].join(' and ')}`;
-	}
-
-	return text.replaceAll(/^version: .*\n/gmv, '') === wholeStream ? undefined : `unexpected body ${JSON.stringify(text.slice(0, 200))}`;
-}
--- a/test/soak/soak-configuration.ts
+++ b/test/soak/soak-configuration.ts
@@ -1,4 +1,5 @@
 import {platformConfiguration} from '../fixtures/platform-configuration.ts';
+import {soakStreams} from './soak-streams.ts';
 import {soakVersions} from './soak-versions.ts';
 
 type Configuration = {routes: object[]; services: object[]};
@@ -7,7 +8,7 @@
 	host: 'prairie.example', 'target-latency-ms': 400, kind: 'safe', attempts: 2,
 };
 
-/** A version of the soak's configuration: the routes of the callers, one that moves between services, and those added by the latest versions. */
+/** A version of the soak's configuration: the routes of the callers, those of long streams, one that moves between services, and those added by the latest versions. */
 export function soakConfiguration(version: number, extraRoutes: readonly object[] = []): string {
 	const base = JSON.parse(platformConfiguration(version)) as Configuration;
 	const moved = {
@@ -18,7 +19,7 @@
 	}));
 	return JSON.stringify({
 		...base,
-		routes: [...base.routes, moved, ...added, ...extraRoutes],
+		routes: [...base.routes, moved, ...added, ...soakStreams.routes, ...extraRoutes],
 		services: [...base.services, {name: 'press', 'connection-limit': 200}],
 	});
 }
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -11,7 +11,14 @@
 import {SoakNode} from './soak-node.ts';
 import type {SoakService} from './soak-service.ts';
 
-type SoakEngine = {readonly engine: PlatformEngine; readonly service: SoakService; readonly region: string; sequence: number};
+type SoakEngine = {
+	readonly engine: PlatformEngine;
+	readonly service: SoakService;
+	readonly region: string;
+	sequence: number;
+	/** What its reports say; none are sent for one that is gone. */
+	state: 'ready' | 'draining' | 'gone';
+};
 
 type NodePlan = Pick<ConstructorParameters<typeof SoakNode>[0], 'name' | 'role' | 'region' | 'ip'> & {
 	/** Number of the machine, from which the addresses of its proxies are made. */
@@ -114,6 +121,17 @@
 		this.links.retire(node.name, silent);
 	}
 
+	/** Starts a target that takes the place of another one, which it doesn't stop. */
+	async addSuccessor({engine: old, service, region}: SoakEngine, softwareVersion: string): Promise<void> {
+		const count = this.engines.filter(other => other.service === service && other.region === region).length;
+		const engine = new PlatformEngine(`${region}-${service}-${count + 1}`, old.workMs);
+		Object.assign(engine, {softwareVersion, eventCount: old.eventCount, pauseBeforeMs: old.pauseBeforeMs});
+		await engine.listen();
+		this.engines.push({
+			engine, service, region, sequence: 0, state: 'ready',
+		});
+	}
+
 	/** State of a control node, as it shows it to operators; undefined if it doesn't answer. */
 	async controlStatus(node: SoakNode): Promise<ControlStatus | undefined> {
 		try {
@@ -186,7 +204,7 @@
 					engine.softwareVersion = `v${index}`;
 					await engine.listen(); // eslint-disable-line no-await-in-loop
 					this.engines.push({
-						engine, service, region, sequence: 0,
+						engine, service, region, sequence: 0, state: 'ready',
 					});
 				}
 			}
@@ -194,7 +212,7 @@
 			const engine = new PlatformEngine(`${region}-press-1`);
 			await engine.listen(); // eslint-disable-line no-await-in-loop
 			this.probedEngines.push({
-				engine, service: 'press', region, sequence: 0,
+				engine, service: 'press', region, sequence: 0, state: 'ready',
 			});
 		}
 	}
@@ -258,11 +276,12 @@
 			return;
 		}
 
-		await Promise.all([...this.engines, ...this.probedEngines].map(async target => {
+		const reporting = [...this.engines, ...this.probedEngines].filter(({state}) => state !== 'gone');
+		await Promise.all(reporting.map(async target => {
 			target.sequence += 1;
-			const {engine: {identifier, address, softwareVersion}, service, region, sequence} = target;
+			const {engine: {identifier, address, softwareVersion}, service, region, sequence, state} = target;
 			await this.callOperatorApi(node, 'PUT', `/instances/${identifier}`, JSON.stringify({
-				service, address, zone: `${region}-a`, version: softwareVersion, slots: 8, state: 'ready', 'cold-remaining-ms': 0, born: 1000, sequence,
+				service, address, zone: `${region}-a`, version: softwareVersion, slots: 8, state, 'cold-remaining-ms': 0, born: 1000, sequence,
 			}));
 		}));
 	}
--- a/test/soak/soak-node.ts
+++ b/test/soak/soak-node.ts
@@ -75,7 +75,7 @@
 		this.role = options.role;
 		this.region = options.region;
 		mkdirSync(this.#dataFolder, {recursive: true});
-		this.process = new ManagedProcess([options.program, 'run', this.#settingsFile], this.#logFile);
+		this.process = new ManagedProcess([options.program, 'run', this.#settingsFile], this.logFile);
 	}
 
 	get up(): boolean {
@@ -105,7 +105,7 @@
 
 		this.#loadingSince ??= now;
 		const loadMs = now - this.#loadingSince;
-		if (loadMs > maxLoadMs || readFileSync(this.#logFile, 'utf8').split(loadedMark).length > this.#loadedCount) {
+		if (loadMs > maxLoadMs || readFileSync(this.logFile, 'utf8').split(loadedMark).length > this.#loadedCount) {
 			this.loadedAt = now;
 			this.longestLoadMs = Math.max(this.longestLoadMs, loadMs);
 			this.lastFaultEndedAt = Math.max(this.lastFaultEndedAt, now + this.settleMs);
@@ -115,7 +115,7 @@
 
 	/** True if the list of long delays has a new one of at least this length: the machine slowed the process. */
 	wasSlowed(leastMs: number): boolean {
-		const file = `${this.#logFile}.late.delays`;
+		const file = `${this.logFile}.late.delays`;
 		const size = existsSync(file) ? statSync(file).size : 0;
 		if (size === this.#delaysRead) {
 			return false;
@@ -150,7 +150,7 @@
 			this.lifetime += 1;
 			this.loadedAt = undefined;
 			this.#loadingSince = undefined;
-			this.#loadedCount = existsSync(this.#logFile) ? readFileSync(this.#logFile, 'utf8').split(loadedMark).length : 1;
+			this.#loadedCount = existsSync(this.logFile) ? readFileSync(this.logFile, 'utf8').split(loadedMark).length : 1;
 			this.process.start();
 		}
 	}
@@ -185,7 +185,7 @@
 		return path.join(this.#options.folder, `${this.#options.name}.yaml`);
 	}
 
-	get #logFile(): string {
+	get logFile(): string {
 		return path.join(this.#options.folder, `${this.#options.name}.log`);
 	}
 
