fix(edge): attempts that are kept or cancelled count towards their route's attempts

What targets saw: a stream with several pauses, or a call whose targets were silent in turn, ran on more targets than its route's attempts, and could be sent to a target that still ran it (rule BUDGET).

Cause: a stall counted the attempt that was kept, and only a failure counted the one that was sent after it. If the kept one went on first, the other one was cancelled without being counted; if events, a head or a failure of a kept one made another attempt the current one, the one that was sent last was among the kept ones and was not counted either.

--- a/src/core/edge/as-if-failed.ts
+++ b/src/core/edge/as-if-failed.ts
@@ -1,18 +1,19 @@
 import type {RequestRecord} from './request-record.ts';
 
-/** Copy of the record as it would be if the attempt in progress had failed after it may have run. */
+/** Copy of the record as it would be if all attempts in progress had failed after they may have run. */
 export function asIfFailed(record: RequestRecord): RequestRecord {
-	const {running, mayHaveRunOn, excludedTargets, forwardedRuns} = record;
+	const {running, kept, mayHaveRunOn, excludedTargets, forwardedRuns} = record;
 	if (running === undefined) {
 		return record;
 	}
 
-	const {attempt, targetId} = running;
+	const attempts = [running, ...kept];
+	const targetIds = attempts.flatMap(({targetId}) => targetId ?? []);
 	return {
 		...record,
 		mayHaveRun: true,
-		...targetId === undefined
-			? {forwardedRuns: new Set([...forwardedRuns, attempt])}
-			: {mayHaveRunOn: new Set([...mayHaveRunOn, targetId]), excludedTargets: new Set([...excludedTargets, targetId])},
+		mayHaveRunOn: new Set([...mayHaveRunOn, ...targetIds]),
+		excludedTargets: new Set([...excludedTargets, ...targetIds]),
+		forwardedRuns: new Set([...forwardedRuns, ...attempts.filter(({targetId}) => targetId === undefined).map(({attempt}) => attempt)]),
 	};
 }
--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -94,15 +94,7 @@
 	/** Records that a request's attempt gave no usable answer, though it may have run. */
 	recordFailed(record: RequestRecord, reason: string, now: Millis): void {
 		const {clock, queue} = this.#options;
-		const {running} = record;
-		if (running?.targetId === undefined) {
-			record.forwardedRuns.add(running!.attempt);
-		} else {
-			record.mayHaveRunOn.add(running.targetId);
-			record.excludedTargets.add(running.targetId);
-		}
-
-		record.mayHaveRun = true;
+		recordRun(record, record.running!);
 		record.lastFailure = reason;
 		queue.count('attempt_failures', reason);
 		queue.event('attempt-failed', describeFailedAttempt(record, reason, clock, now));
@@ -131,9 +123,10 @@
 		}
 	}
 
-	/** Aborts the attempts of a request that were kept, since the current one has answered. */
+	/** Aborts the attempts of a request that were kept, since the current one has answered. They may have run. */
 	cancelKept(record: RequestRecord): void {
 		for (const kept of record.kept.splice(0)) {
+			recordRun(record, kept);
 			this.#cancel(kept);
 		}
 	}
@@ -201,3 +194,14 @@
 		return attempt;
 	}
 }
+
+/** Records that an attempt may have run: it counts towards the route's attempts, and its target is not tried again. */
+function recordRun(record: RequestRecord, {attempt, targetId}: RunningAttempt): void {
+	record.mayHaveRun = true;
+	if (targetId === undefined) {
+		record.forwardedRuns.add(attempt);
+	} else {
+		record.mayHaveRunOn.add(targetId);
+		record.excludedTargets.add(targetId);
+	}
+}
--- a/test/core/edge/stalled-streams.test.ts
+++ b/test/core/edge/stalled-streams.test.ts
@@ -168,6 +168,20 @@
 	}
 });
 
+// Guards against streams with several pauses that ran on more targets than their route's attempts.
+test('an attempt that was cancelled for another one counts towards the attempts of its route', t => {
+	for (const winner of ['first', 'second'] as const) {
+		const {harness, first, second} = stalledStream({other: 'target', attempts: 2});
+		harness.head(second.attempt);
+		harness.feed({targets: ['p', 'q', 'r'].map(name => listedTargetFixture(name)), regions: []});
+		const won = winner === 'first' ? first : second;
+		events(harness, won, {count: 1, lastId: '4'});
+		harness.run(pauseMs);
+		t.is(harness.starts().length, 2);
+		t.false(isCancelled(harness, won));
+	}
+});
+
 test('a stalled call goes on at its target if the next one is full, and ends there if the next one answers', t => {
 	for (const isFull of [true, false]) {
 		const harness = new EdgeHarness();
