fix(entry): answers on where a stream began count though the entry stood still

Callers saw: a stream that they took up at an entry which then stood still for 0.3 s or more was refused as `origin-unknown`, though control nodes had named its version.

Cause: `StreamOrigins` gave up after 300 ms by the clock, in the tick that runs before the answers are read.

Evidence: on the code before, the three cases of "a stream is taken up by an answer that waited unread" failed (standstills of 0.5, 1 and 2 s; refused with `origin-unknown`).

A stream that nobody knows is refused within the same time of running.

--- a/src/core/edge/stream-origins.ts
+++ b/src/core/edge/stream-origins.ts
@@ -1,4 +1,5 @@
 import type {ActionQueue} from '../action-queue.ts';
+import {AwakeClock} from '../common/awake-clock.ts';
 import type {BegunStream} from '../control/begun-stream.ts';
 import {BegunStreams} from '../control/begun-streams.ts';
 import type {ControlMessage} from '../control/control-message.ts';
@@ -22,6 +23,7 @@
 
 type Query = {
 	readonly record: RequestRecord;
+	/** Time of its sending, on the clock that stops with this process. */
 	readonly sentAt: Millis;
 	readonly unanswered: Set<NodeId>;
 	readonly located: Located;
@@ -50,6 +52,7 @@
  */
 export class StreamOrigins {
 	readonly #options: StreamOriginsOptions;
+	readonly #awake = new AwakeClock();
 	readonly #streams = new BegunStreams();
 	readonly #queries = new Map<RequestId, Query>();
 	#unreported = new Map<string, BegunStream>();
@@ -86,7 +89,7 @@
 		const softwareVersion = service && this.#options.versions.sole(service, now);
 		const query: Query = {
 			record,
-			sentAt: now,
+			sentAt: this.#awake.step(now),
 			unanswered: new Set(nodes),
 			isAnswered: false,
 			located,
@@ -147,15 +150,25 @@
 
 	tick(now: Millis): void {
 		this.#streams.tick(now);
+		this.#concludeLate(now);
+		if (now - this.#reportedAt >= controlTiming.streamReportIntervalMs) {
+			this.#report(now);
+		}
+	}
+
+	/** Ends the queries whose time is up; not in the first tick after a standstill, since answers may wait unread. */
+	#concludeLate(now: Millis): void {
+		const {lostMs} = this.#awake;
+		const awakeAt = this.#awake.step(now);
+		if (this.#awake.lostMs > lostMs) {
+			return;
+		}
+
 		for (const query of this.#queries.values()) {
-			if (now - query.sentAt > controlTiming.streamQueryTimeoutMs) {
+			if (awakeAt - query.sentAt > controlTiming.streamQueryTimeoutMs) {
 				this.#conclude(query, now);
 			}
 		}
-
-		if (now - this.#reportedAt >= controlTiming.streamReportIntervalMs) {
-			this.#report(now);
-		}
 	}
 
 	#report(now: Millis): void {
--- a/test/core/edge/stream-origins.test.ts
+++ b/test/core/edge/stream-origins.test.ts
@@ -303,3 +303,28 @@
 		}), {seed: 20, numRuns: 200});
 	});
 });
+
+// Longer ones outlast the time that the caller gave.
+for (const standstillMs of [500, 1000, 2000]) {
+	test(`a stream is taken up by an answer that waited unread while the entry stood still for ${standstillMs} ms`, t => {
+		for (const waitedMs of [50, 150, 250]) {
+			const harness = startEntry();
+			resume(harness);
+			harness.run(waitedMs);
+			harness.now += standstillMs;
+			harness.step({type: 'tick'});
+			t.deepEqual(harness.refusals(), [], `${waitedMs} ms before`);
+			answer(harness, control, {stream: begunAt(v2)});
+			t.is(harness.lastStart().targetId as string, 'b');
+		}
+	});
+
+	test(`a stream that nobody knows is refused in time after a standstill of ${standstillMs} ms`, t => {
+		const harness = startEntry();
+		resume(harness);
+		harness.now += standstillMs;
+		harness.step({type: 'tick'});
+		harness.run(controlTiming.streamQueryTimeoutMs + tickMs);
+		t.deepEqual(harness.refusals().map(({reason, ran}) => [reason, ran]), [['origin-unknown', 'no']]);
+	});
+}
