fix(targets): leases of targets don't run while their entry stands still

Callers saw (settings tree): after a standstill of an entry for 3 s, or less if announcements were some time old, all its targets counted as lost, and every attempt there was given up at once, while the announcements waited unread.

Cause: the lease of 3 s was compared with the clock, and the tick runs before the sockets are read.

Evidence: on the code before, "targets whose announcements wait unread after a standstill of 1000 (2000, 5000) ms are not lost" failed (2.5 s after the last announcement).

Why it works: the lease is this node's own and is measured by `AwakeClock`; ages in gossip stay real time. A target that goes is lost after 3 s of running time, as before.

--- a/src/core/targets/regional-target-table.ts
+++ b/src/core/targets/regional-target-table.ts
@@ -1,3 +1,4 @@
+import {AwakeClock} from '../common/awake-clock.ts';
 import type {Outbox} from '../common/outbox.ts';
 import type {Random} from '../common/random.ts';
 import type {Millis} from '../ids/millis.ts';
@@ -46,6 +47,7 @@
 /** The targets of this node's region, each with a lease that announcements renew, kept in sync with the region's other entries by gossip. */
 export class RegionalTargetTable implements TargetTable {
 	readonly #outbox: Outbox;
+	readonly #awake = new AwakeClock();
 	readonly #gossip: TargetGossip;
 	readonly #store = new TargetStore();
 	readonly #ejectors = new Map<string, OutlierEjector>();
@@ -107,6 +109,7 @@
 	}
 
 	tick(now: Millis): void {
+		this.#awake.step(now);
 		const entryCount = this.#gossip.peers().length + 1;
 		for (const record of this.#store.all()) {
 			this.#checkLease(record, entryCount, now);
@@ -206,14 +209,15 @@
 	}
 
 	#leased(record: TargetRecord, now: Millis): boolean {
-		return now - record.heardAt < leaseMs;
+		return this.#awake.step(now) - record.awakeHeardAt < leaseMs;
 	}
 
 	/** Stores an announcement that supersedes the known one, and publishes it. */
 	#applyAnnouncement(announcement: Announcement, heardAt: Millis, direct: boolean, now: Millis): void {
 		const known = this.#store.get(announcement.targetId);
+		const awakeHeardAt = this.#awake.step(now) - (now - heardAt) as Millis;
 		if (!known) {
-			const record = new TargetRecord(announcement, heardAt, direct);
+			const record = new TargetRecord(announcement, heardAt, direct, awakeHeardAt);
 			record.entryCount = this.#gossip.peers().length + 1;
 			this.#store.add(record);
 			this.#publish(record, true, now);
@@ -226,7 +230,9 @@
 			known.reachability = new Reachability();
 		}
 
-		this.#store.update(known, {announcement, heardAt, direct});
+		this.#store.update(known, {
+			announcement, heardAt, awakeHeardAt, direct,
+		});
 		this.#publish(known, changed, now);
 	}
 
@@ -298,7 +304,7 @@
 			return;
 		}
 
-		if (leaseMs - (now - record.heardAt) < leaseRefreshMs) {
+		if (leaseMs - (this.#awake.now - record.awakeHeardAt) < leaseRefreshMs) {
 			this.#gossip.requestLoad(record.handle);
 		}
 	}
--- a/src/core/targets/target-record.ts
+++ b/src/core/targets/target-record.ts
@@ -25,6 +25,8 @@
 	handle: number;
 	/** When the target's last announcement was received from the target itself, by this node or by the entry that relayed it. */
 	heardAt: Millis;
+	/** `heardAt` on the table's clock that stops with the process. */
+	awakeHeardAt: Millis;
 	loadAt: Millis;
 	/** True if the last announcement came from the target itself and not through another entry. */
 	direct: boolean;
@@ -47,12 +49,13 @@
 	/** Number of complete answers of earlier incarnations. */
 	#earlierAnswers = 0;
 
-	constructor(announcement: Announcement, heardAt: Millis, direct: boolean) {
+	constructor(announcement: Announcement, heardAt: Millis, direct: boolean, awakeHeardAt = heardAt) {
 		this.targetId = announcement.targetId;
 		this.placementHash = hash32(announcement.targetId);
 		this.announcement = announcement;
 		this.handle = targetHandle(announcement.targetId, announcement.incarnation);
 		this.heardAt = heardAt;
+		this.awakeHeardAt = awakeHeardAt;
 		this.loadAt = loadTime(announcement, heardAt);
 		this.direct = direct;
 		this.#recordLeaving();
@@ -109,7 +112,7 @@
 	}
 
 	/** Applies a newer announcement. A restart clears the cached-block estimate and starts the limit from `initialLimit` again. */
-	update(announcement: Announcement, heardAt: Millis, direct: boolean): void {
+	update(announcement: Announcement, heardAt: Millis, direct: boolean, awakeHeardAt = heardAt): void {
 		if (announcement.incarnation !== this.announcement.incarnation) {
 			this.cachedBlockEstimate.clear();
 			this.suspension = new TargetSuspension();
@@ -119,6 +122,7 @@
 
 		this.announcement = announcement;
 		this.heardAt = heardAt;
+		this.awakeHeardAt = awakeHeardAt;
 		this.loadAt = loadTime(announcement, heardAt);
 		this.direct = direct;
 		this.#recordLeaving();
--- a/src/core/targets/target-store.ts
+++ b/src/core/targets/target-store.ts
@@ -44,17 +44,17 @@
 	}
 
 	/** Applies a newer announcement to a record and updates the indexes. */
-	update(record: TargetRecord, next: {announcement: Announcement; heardAt: Millis; direct: boolean}): void {
+	update(record: TargetRecord, next: {announcement: Announcement; heardAt: Millis; awakeHeardAt: Millis; direct: boolean}): void {
 		const known = record.announcement;
 		const keysChanged = known.incarnation !== next.announcement.incarnation
 			|| this.serviceKey(known) !== this.serviceKey(next.announcement);
 		if (!keysChanged) {
-			record.update(next.announcement, next.heardAt, next.direct);
+			record.update(next.announcement, next.heardAt, next.direct, next.awakeHeardAt);
 			return;
 		}
 
 		this.#remove(record);
-		record.update(next.announcement, next.heardAt, next.direct);
+		record.update(next.announcement, next.heardAt, next.direct, next.awakeHeardAt);
 		this.add(record);
 	}
 
