fix(test): a process that is still loaded is not taken for one that runs on a damaged folder

Cause: the check looked once, 3 s after the start of the process, whatever part of that time Node needed to load the program.

The check now looks every 50 ms from the start to the end of the process: it must never open one of its ports, must end with code 6, and must do so within 3 s from when it reads its settings file, told by the file's time of access; where the file system keeps none, from its start, as before.

--- a/test/harness/launcher.ts
+++ b/test/harness/launcher.ts
@@ -38,6 +38,7 @@
 	readonly processes = new Map<string, ManagedProcess>();
 	readonly #ports: PortBlock;
 	readonly #nodePorts = new Map<string, Ports>();
+	readonly #settingsFiles = new Map<string, string>();
 
 	private constructor(readonly spec: InstallationSpec, ports: PortBlock) {
 		this.#ports = ports;
@@ -62,6 +63,11 @@
 		return `127.0.0.1:${this.#nodePorts.get(node)!.callers}`;
 	}
 
+	/** Each `ip:port` at which a node listens. */
+	listening(node: string): string[] {
+		return Object.values(this.#nodePorts.get(node)!).map(port => `127.0.0.1:${port}`);
+	}
+
 	async waitUntilReady(node: string): Promise<void> {
 		await this.#waitForPage(node, '/readyz');
 	}
@@ -106,6 +112,10 @@
 		return path.join(this.folder, node, 'data');
 	}
 
+	settingsFile(node: string): string {
+		return this.#settingsFiles.get(node)!;
+	}
+
 	/** Kills every process, releases the ports and, unless `keepFolder` is set, deletes the folder. */
 	async dispose(options: {keepFolder: boolean}): Promise<void> {
 		await Promise.all([...this.processes.values()].map(async managed => managed.end('SIGKILL')));
@@ -136,6 +146,7 @@
 		const file = writeNodeSettings({
 			spec: this.spec, node, folder: path.join(this.folder, node.node), operatorKey, own: this.#nodePorts.get(node.node)!, others,
 		});
+		this.#settingsFiles.set(node.node, file);
 		this.processes.set(node.node, new ManagedProcess([program, 'run', file], path.join(this.folder, `${node.node}.log`)));
 	}
 
--- a/test/harness/step-runner.ts
+++ b/test/harness/step-runner.ts
@@ -5,6 +5,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {request} from 'undici';
 import type {Random} from '../../src/core/common/random.ts';
+import {damagedStart} from './damaged-start.ts';
 import type {FaultProxy} from './fault-proxy.ts';
 import {FaultMix} from './fault-mix.ts';
 import {LoadGenerator} from './load-generator.ts';
@@ -16,10 +17,6 @@
 type LinkStep = 'cut' | 'delay' | 'limit' | 'half-open' | 'reset';
 type Direction = 'forward' | 'backward' | 'both';
 
-/** Time within which a process with a damaged data folder must exit by itself. */
-const damagedExitTimeoutMs = 3000;
-const damagedExitCode = 6;
-
 const stepSignals = {
 	freeze: 'SIGSTOP', thaw: 'SIGCONT', drain: 'SIGTERM', leave: 'SIGTERM',
 } as const;
@@ -172,17 +169,10 @@
 		const [largest] = contents.sort((a, b) => b.bytes.length - a.bytes.length);
 		largest!.bytes.fill(0x5A, Math.floor(largest!.bytes.length / 3), Math.floor(largest!.bytes.length / 3) + 8);
 		writeFileSync(largest!.file, largest!.bytes);
-		this.#process(id).start();
-		await delay(damagedExitTimeoutMs);
-		const {up, exitCode} = this.#process(id);
-		if (up) {
-			const serves = await this.#state.launcher.get(id, '/healthz') !== undefined;
-			this.#state.problems.push(serves
-				? `${id} runs on a damaged data folder`
-				: `${id} has not ended within ${damagedExitTimeoutMs} ms on a damaged data folder, and does not serve`);
+		const problem = await damagedStart({managed: this.#process(id), settingsFile: this.#state.launcher.settingsFile(id), addresses: this.#state.launcher.listening(id)});
+		if (problem !== undefined) {
+			this.#state.problems.push(`${id} ${problem}`);
 			await this.#process(id).end('SIGKILL');
-		} else if (exitCode !== damagedExitCode) {
-			this.#state.problems.push(`${id} ended with ${exitCode} on a damaged data folder instead of ${damagedExitCode}`);
 		}
 	}
 
