fix(attempts): the head of a resumed stream does not take it over, its first event does

What callers saw, on the settings tree: a stream ended with `incomplete`, although its target might have gone on, since the target that was to take it over sent its head at once and broke off before its first event.

Cause: an attempt on standby was handed the request over with its first byte, which is the head of its answer; the kept attempt was cancelled then. The routes path keeps it until the first event.

Why it works: of a resumed stream only events are written, so that its progress is what takes it over.

--- a/src/core/attempts/attempt-handover.ts
+++ b/src/core/attempts/attempt-handover.ts
@@ -16,7 +16,8 @@
 
 /**
  * Hands requests over from one attempt to another: an attempt that its request fails over from is kept until another one
- * has received its first byte. Whichever of the two receives one first goes on, and the other one is cancelled.
+ * has received its first byte, or, if it resumes a stream, its first event. Whichever of the two receives one first goes on,
+ * and the other one is cancelled.
  */
 export class AttemptHandover {
 	readonly #parts: CoordinatorOptions;
--- a/src/core/attempts/request-coordinator.ts
+++ b/src/core/attempts/request-coordinator.ts
@@ -121,7 +121,11 @@
 	attemptFirstByte(attemptId: AttemptId, now: Millis): void {
 		const attempt = this.#runner.get(attemptId);
 		if (attempt) {
-			this.#handover.sign(this.#requests.get(attempt.requestId)!, attempt, now);
+			// The head of a resumed stream does not take the request over from a kept attempt: only events of it may follow.
+			if (!attempt.standby || !attempt.resume) {
+				this.#handover.sign(this.#requests.get(attempt.requestId)!, attempt, now);
+			}
+
 			this.#runner.firstByte(attempt, now);
 		}
 	}
--- a/src/core/attempts/request-recovery.ts
+++ b/src/core/attempts/request-recovery.ts
@@ -53,7 +53,7 @@
 
 	/** Retries or resumes the request of a failed attempt, or gives it up. */
 	attemptFailed(state: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Millis): void {
-		if (failure.passedOn && attempt.firstByteAt === undefined) {
+		if (failure.passedOn && (attempt.standby || attempt.firstByteAt === undefined)) {
 			this.#handover.sign(state, attempt, now);
 		}
 
--- a/src/server/attempt-response-reader.ts
+++ b/src/server/attempt-response-reader.ts
@@ -52,7 +52,7 @@
 	readonly #request: CallerRequest;
 	readonly #step: (event: CoreEvent) => void;
 	#bytes = 0;
-	#progressReportedAt = 0;
+	#progressReportedAt = Number.NEGATIVE_INFINITY;
 	/** Copy of the answer for the ledger; emptied once it exceeds `keepBytes`. */
 	#storedChunks: Buffer[] = [];
 	#storedBytes = 0;
@@ -177,6 +177,12 @@
 				throw new TargetError('truncated', {refusal: this.#action.forwardTo && peerRefusal(event.error as ProblemDocument)});
 			}
 
+			// The first event may make this attempt the one that writes, which has to be so before the event is recorded.
+			if (!this.passedOn) {
+				this.passedOn = true;
+				this.#reportProgress();
+			}
+
 			raw += text;
 			this.#recordEvent(event);
 		}
--- a/test/core/attempts/kept-attempts.test.ts
+++ b/test/core/attempts/kept-attempts.test.ts
@@ -107,6 +107,16 @@
 	});
 }
 
+test('a stream ends, since the target that was to take it over breaks off between its head and its first event', t => {
+	const stream = lostStream({maxAttempts: 2});
+	const {harness} = stream;
+	const successor = harness.lastStart('r1')!;
+	harness.coordinator.attemptFirstByte(successor.attemptId, harness.now);
+	harness.fail(successor.attemptId, {reason: 'reset'});
+	harness.advance(1000);
+	assertGoesOn(t, stream);
+});
+
 test('a stream ends, since its retries are used up when the target that was to take it over refuses it', t => {
 	const stream = lostStream({maxAttempts: 2});
 	stream.harness.fail(stream.harness.lastStart('r1')!.attemptId, full);
@@ -212,6 +222,8 @@
 	const successor = harness.lastStart('r1')!;
 	t.like(successor, {resume: true, standby: true});
 	harness.coordinator.attemptFirstByte(successor.attemptId, harness.now);
+	t.deepEqual(harness.cancelled(), [], 'its head brings no event');
+	progress(harness, successor.attemptId, 1);
 	const last = harness.actions.slice(-2);
 	t.like(last, [{type: 'cancel-attempt', attemptId}, {type: 'hand-over', attemptId: successor.attemptId, resume: true}]);
 	progress(harness, attemptId, 9);
@@ -228,6 +240,7 @@
 	harness.fail(attemptId, {reason: 'silence', passedOn: true, tokens: 3});
 	t.deepEqual(harness.finalAnswers('r1'), []);
 	harness.coordinator.attemptFirstByte(successor.attemptId, harness.now);
+	progress(harness, successor.attemptId, 1);
 	t.like(harness.actions.at(-1), {type: 'hand-over', attemptId: successor.attemptId});
 	harness.end(successor.attemptId);
 	t.like(harness.finalAnswers('r1'), [{type: 'complete', attemptId: successor.attemptId}]);
