fix(test): a stopping entry is judged by requests that have reached it and answers that it has handed over

What was seen: stopping-entry failed beside other work with "- 1 + 0" and "- 2 + 0" at the number of requests that the engine got (KNOWN-RED.txt).

Cause: the test read that number 500 ms after it had sent 24 requests, also if none had reached the engine yet, and stopped the entry then; the first ones arrived later.

The test now waits until the entry has all 24 requests and the engine as many as it runs at a time, and until the answer is handed over and not read, by the entry's own gauges (15 s, as its other waits); then 500 ms pass, as before. It also waits for the second version of the configuration. It is as strict: each check after the stop is unchanged, the number of requests at the engine must be 6 instead of any below 24, and the answer must wait unread before the stop.

--- a/test/server/routes/stopping-entry.test.ts
+++ b/test/server/routes/stopping-entry.test.ts
@@ -10,7 +10,11 @@
 const streamHeaders = {
 	...headers, 'token-counts': '100,48', 'prompt-prefix': 'a1:60,b2:40', model: 'm',
 };
-/** Time for requests to reach their targets or queues, in milliseconds. */
+const configurationVersion = 2;
+/** Requests that one engine runs at a time, from its reports. */
+const slots = 6;
+const callers = 24;
+/** Time for requests to reach their targets or queues once all have arrived, in milliseconds. */
 const arrivalMs = 500;
 const longAnswerBytes = 8_000_000;
 /** Time for which a slow caller reads nothing, in milliseconds. */
@@ -23,7 +27,7 @@
 	const common = {
 		host: 'prairie.example', 'timeout-ms': timeoutMs, 'target-latency-ms': timeoutMs, attempts: 1,
 	};
-	const status = await deployment.statusOf('PUT', '/configuration', platformConfiguration(2, [
+	const status = await deployment.statusOf('PUT', '/configuration', platformConfiguration(configurationVersion, [
 		{
 			...common, name: 'orders', 'path-prefix': '/orders/', kind: 'unsafe', service: 'desk',
 		},
@@ -32,6 +36,7 @@
 		},
 	]));
 	t.is(status, 200);
+	t.true(await deployment.waitUntil(async () => await deployment.gauge('document_version') === configurationVersion));
 	await sleep(arrivalMs);
 	return deployment;
 }
@@ -66,10 +71,13 @@
 		const deployment = await start(t, {writers: ['w1']});
 		const [engine] = deployment.writers;
 		engine!.manner = 'silent';
-		const outcomes = Array.from({length: 24}, async () => outcomeOf(deployment[way]({path: '/drafts/1', headers: streamHeaders})));
+		const outcomes = Array.from({length: callers}, async () => outcomeOf(deployment[way]({path: '/drafts/1', headers: streamHeaders})));
+		// Requests that are still on their way when the entry stops are no requests that wait.
+		const haveArrived = async () => engine!.receivedRequests.length >= slots && await deployment.gauge('requests_in_flight') === callers;
+		t.true(await deployment.waitUntil(haveArrived));
 		await sleep(arrivalMs);
 		const sentCount = engine!.receivedRequests.length;
-		t.true(sentCount < outcomes.length, 'some wait');
+		t.is(sentCount, slots, 'the others wait');
 		await deployment.stopEntry();
 		const answers = await Promise.all(outcomes);
 		t.is(engine!.receivedRequests.length, sentCount);
@@ -87,7 +95,14 @@
 	t.teardown(() => socket.destroy());
 	socket.pause();
 	socket.write(`POST /orders/1 HTTP/1.1\r\nHost: prairie.example\r\nRequest-Identifier: slow\r\nDeadline-Milliseconds: ${timeoutMs}\r\nContent-Length: 0\r\n\r\n`);
-	t.true(await deployment.waitUntil(() => deployment.desk[0]!.receivedRequests.length === 1));
+	const seen = await deployment.waitUntil(() => deployment.desk[0]!.receivedRequests.length === 1);
+	if (!seen) {
+		t.log(`${deployment.desk[0]!.receivedRequests.length} requests at the engine; the caller got: ${String(socket.read())}`);
+	}
+
+	t.true(seen);
+	// An answer that the entry has not handed over yet is no answer that waits for its caller.
+	t.true(await deployment.waitUntil(async () => await deployment.gauge('requests_in_flight') === 0 && await deployment.gauge('held_unread_bytes') > 0));
 	await sleep(arrivalMs);
 	const stopped = deployment.stopEntry();
 	await sleep(idleMs);
