fix(edge): a silent call is kept until another answer is whole

What callers saw: a call whose target was silent, though it might still have answered, ended with target-failed, since the target that it was sent to next broke off after the head of its answer.

Cause: answers other than streams are held back until they are whole, but the kept attempt was cancelled with the head of the next one, or with a status below 500 of it.

Evidence: the new test in stalled-streams fails on: no `complete` of the first attempt.

Why it works: the end of an answer cancels the other attempts, as it did before; its head does so only for a stream, whose head is passed to the caller at once. Each attempt buffers its own answer, so that two of them are never mixed.

Check that changed: the test of a stalled call asked for the cancel with the head of the second answer; it asks for none then, and for it with the end.

--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -206,11 +206,11 @@
 
 		// One that was forwarded counts towards the retry budget only now, since the other entry may refuse it before a target gets it.
 		this.#options.budget.countRequest(record, now);
-		if (!record.headPassed) {
-			this.#attempts.cancelKept(record);
-		}
-
 		if (record.route.kind === 'stream' && head.eventStream) {
+			if (!record.headPassed) {
+				this.#attempts.cancelKept(record);
+			}
+
 			record.headPassed = true;
 			this.#options.queue.push({
 				type: 'pass', requestId: record.req.requestId, attempt, softwareVersion: softwareVersionOf(running),
@@ -311,10 +311,7 @@
 		if (record.headPassed || (status >= 500 && mayAnswerElsewhere)) {
 			this.#options.queue.push({type: 'cancel', attempt: record.running!.attempt});
 			this.#handleAttemptFailure(record, `status ${status}`, now);
-			return;
 		}
-
-		this.#attempts.cancelKept(record);
 	}
 
 	/** Places a request again whose target or entry guarantees that it has not run. */
--- a/test/core/edge/stalled-streams.test.ts
+++ b/test/core/edge/stalled-streams.test.ts
@@ -192,18 +192,37 @@
 		const second = harness.lastStart();
 		t.not(second, first);
 		harness.head(second.attempt, isFull ? refusal : {eventStream: false});
-		t.is(isCancelled(harness, first), !isFull);
+		t.false(isCancelled(harness, first), 'the answer of the next one may break off');
 		if (isFull) {
 			harness.head(first.attempt, {eventStream: false});
 		}
 
 		const {attempt} = isFull ? first : second;
 		harness.step({type: 'attempt-end', attempt, truncated: false});
+		t.is(isCancelled(harness, first), !isFull);
 		t.like(harness.actions.findLast(({type}) => type === 'complete'), {attempt});
 		t.deepEqual(harness.refusals(), []);
 	}
 });
 
+// Guards against calls whose silent target was given up for an answer that broke off.
+test('a stalled call goes on at its target if the answer of the next one breaks off after its head', t => {
+	for (const status of [200, 404]) {
+		const harness = new EdgeHarness();
+		harness.feed({targets: [listedTargetFixture('p'), listedTargetFixture('q')]});
+		harness.request({budgetMs});
+		const first = harness.lastStart();
+		harness.run(1000);
+		const second = harness.lastStart();
+		harness.head(second.attempt, {status, eventStream: false});
+		harness.step({type: 'attempt-failed', attempt: second.attempt, failure: {reason: 'reset', notSent: false}});
+		harness.head(first.attempt, {eventStream: false});
+		harness.step({type: 'attempt-end', attempt: first.attempt, truncated: false});
+		t.like(harness.actions.findLast(({type}) => type === 'complete'), {attempt: first.attempt});
+		t.deepEqual(harness.refusals(), []);
+	}
+});
+
 test('all attempts of a stalled request end with its caller and at its deadline', t => {
 	for (const ending of ['caller', 'deadline']) {
 		const {harness, first, second} = stalledStream({other: 'target'});
