--- a/test/soak/run-planned-soak.ts
+++ b/test/soak/run-planned-soak.ts
@@ -13,7 +13,7 @@
 
 type PlannedSoakOptions = {
 	readonly seed: number;
-	/** Time after which no further round begins, in minutes. */
+	/** Time after the first request after which no further round begins, in minutes. */
 	readonly minutes: number;
 	/** @default 2 */
 	readonly entriesPerRegion?: number;
@@ -69,7 +69,7 @@
 		await sleep(stabilityWindowMs);
 		callers.start(requestsPerSecond);
 		const filling = work.fillTargets();
-		while (now() < minutes * 60_000 && problems.length === 0) {
+		for (const endsAt = now() + (minutes * 60_000); now() < endsAt && problems.length === 0;) {
 			await sleep(settleMs); // eslint-disable-line no-await-in-loop
 			await work.playRound(); // eslint-disable-line no-await-in-loop
 			if (!await waitUntil(() => deployment.nodes.every(({loading}) => !loading))) { // eslint-disable-line no-await-in-loop
@@ -80,6 +80,10 @@
 		work.stopFilling();
 		operator.stop();
 		await Promise.all([filling, callers.finish()]);
+		if (!callers.records.some(({outcome}) => outcome === 'answered') || work.stops.length === 0) {
+			problems.push('nothing was played');
+		}
+
 		problems.push(...operator.problems, ...callers.records.flatMap(({id, problem}) => problem === undefined ? [] : [`${id}: ${problem}`]));
 		for (const record of callers.records) {
 			const runs = deployment.engines.flatMap(({engine}) => engine.runRecords.filter(({key}) => key === record.id));
