fix(consensus): a leader stays though all control nodes stood still together

Callers saw: after a standstill of 1.6 s or more of the machine under several control nodes, changes and reads were refused for the time of an election, though no node had gone.

Cause: the leader's first tick found its contact with a majority too old and stepped down; the followers' first tick found the leader silent, so that they asked for votes and granted them.

Why it works: the leader's loss of its quorum and the followers' election times don't count standstills (`AwakeClock`). It is safe: a member votes later than before, never sooner, and the lease, by which a leader answers, still runs by the clock, as does the silence by which a node says that it is current.

--- a/src/core/consensus/election.ts
+++ b/src/core/consensus/election.ts
@@ -1,3 +1,4 @@
+import {AwakeClock} from '../common/awake-clock.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {ConsensusMessage} from './consensus-message.ts';
@@ -14,15 +15,21 @@
 /** Answers vote requests and runs the member's own candidacy: first a pre-vote, which changes no term, then the vote. */
 export class Election {
 	readonly #context: MemberContext;
+	/** A leader's silence is measured by it, while its messages may wait unread; it never runs faster than the clock, so that a lease ends before this member votes. */
+	readonly #awake = new AwakeClock();
 	readonly #onWon: (now: Millis) => void;
 	#phase: 'none' | 'pre' | 'vote' = 'none';
 	#votes = new Set<string>();
+	/** Time of the next pre-vote, on the clock that stops with this process. */
 	#deadlineAt: number | undefined;
 	#leaderHeardAt: Millis | undefined;
+	/** The same, on the clock that stops with this process. */
+	#awakeHeardAt: Millis | undefined;
 
 	constructor(context: MemberContext, onWon: (now: Millis) => void) {
 		this.#context = context;
 		this.#leaderHeardAt = context.startedAt;
+		this.#awakeHeardAt = context.startedAt;
 		this.#onWon = onWon;
 	}
 
@@ -36,25 +43,40 @@
 		return now - this.#leaderHeardAt;
 	}
 
+	/** The same, without the time for which this process stood still. */
+	awakeLeaderSilence(now: Millis): number {
+		const awakeAt = this.#awake.step(now);
+		this.#awakeHeardAt ??= awakeAt;
+		return awakeAt - this.#awakeHeardAt;
+	}
+
+	/** To be called in each tick of the member, also while it leads: that is no standstill. */
+	stepClock(now: Millis): void {
+		this.#awake.step(now);
+	}
+
 	heardLeader(now: Millis): void {
 		this.#leaderHeardAt = now;
+		this.#awakeHeardAt = this.#awake.step(now);
 		this.cancel(now);
 	}
 
 	/** Abandons a candidacy and sets a new election deadline. */
 	cancel(now: Millis): void {
 		this.#phase = 'none';
-		this.#resetElectionDeadline(now);
+		this.#resetElectionDeadline(this.#awake.step(now));
 	}
 
 	tick(now: Millis): void {
+		const awakeAt = this.#awake.step(now);
 		this.#leaderHeardAt ??= now;
+		this.#awakeHeardAt ??= awakeAt;
 		if (this.#deadlineAt === undefined) {
-			this.#resetElectionDeadline(this.#leaderHeardAt);
+			this.#resetElectionDeadline(this.#awakeHeardAt);
 		}
 
 		const {storage, self} = this.#context;
-		if (now >= this.#deadlineAt! && isVoter(storage.configuration, self)) {
+		if (awakeAt >= this.#deadlineAt! && isVoter(storage.configuration, self)) {
 			this.#startPreVote(now);
 		}
 	}
@@ -113,7 +135,7 @@
 			storage.setVote(request.term, key);
 		}
 
-		this.#resetElectionDeadline(now);
+		this.#resetElectionDeadline(this.#awake.step(now));
 		storage.writes.whenSynced(() => {
 			if (storage.term === request.term && storage.votedFor === key) {
 				this.#answer(from.nodeId, false, request.term, true);
@@ -149,7 +171,7 @@
 		const term = storage.term + 1;
 		this.#phase = 'vote';
 		this.#votes = new Set();
-		this.#resetElectionDeadline(now);
+		this.#resetElectionDeadline(this.#awake.step(now));
 		storage.setVote(term, memberKey(self));
 		outbox.count('elections');
 		storage.writes.whenSynced(() => {
@@ -191,7 +213,7 @@
 
 	/** Sets the time of the next pre-vote: with no leader alive it need not be a full election timeout away. */
 	#setRetryDeadline(now: Millis): void {
-		this.#deadlineAt = now + consensusTiming.preVoteRetryMs + this.#jitter();
+		this.#deadlineAt = this.#awake.step(now) + consensusTiming.preVoteRetryMs + this.#jitter();
 	}
 
 	#jitter(): number {
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -100,6 +100,7 @@
 	}
 
 	tick(now: Millis): void {
+		this.#election.stepClock(now);
 		if (this.#stopped) {
 			this.#clearSilentLeader(now);
 			this.#recovery.tick(() => this.#applied.rewrite(), now);
@@ -306,14 +307,14 @@
 	}
 
 	#clearSilentLeader(now: Millis): void {
-		if (this.#election.leaderSilence(now) > consensusTiming.electionTimeoutMs) {
+		if (this.#election.awakeLeaderSilence(now) > consensusTiming.electionTimeoutMs) {
 			this.#leader = undefined;
 		}
 	}
 
 	#requestJoin(now: Millis): void {
 		if (!this.#bootstrap.starting) {
-			this.#joinRequests.tick(this.#election.leaderSilence(now), now);
+			this.#joinRequests.tick(this.#election.awakeLeaderSilence(now), now);
 		}
 	}
 
@@ -322,7 +323,7 @@
 			return !this.#leadership.quorumLost(now);
 		}
 
-		return this.#election.leaderSilence(now) < consensusTiming.electionTimeoutMs;
+		return this.#election.awakeLeaderSilence(now) < consensusTiming.electionTimeoutMs;
 	}
 
 	#handleAppend(from: LogMember, body: Body & {type: 'append'}, now: Millis): void {
--- a/src/core/consensus/replicator.ts
+++ b/src/core/consensus/replicator.ts
@@ -1,3 +1,4 @@
+import {AwakeClock} from '../common/awake-clock.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {ConsensusMessage} from './consensus-message.ts';
 import {consensusTiming} from './consensus-timing.ts';
@@ -21,6 +22,9 @@
 	readonly #snapshots: SnapshotSender;
 	readonly #peers = new Map<string, PeerProgress>();
 	readonly #electedAt: Millis;
+	readonly #awake = new AwakeClock();
+	/** Latest standstills of this process, with the times at which they were noticed. */
+	#standstills: ReadonlyArray<{readonly endedAt: Millis; readonly lostMs: number}> = [];
 	#commitIndex = 0;
 
 	constructor(context: MemberContext, takeSnapshot: () => LogSnapshot, now: Millis) {
@@ -109,10 +113,21 @@
 		return now - this.#majorityValue(peer => peer.heardAt, now) <= 2 * consensusTiming.heartbeatMs;
 	}
 
-	/** True if the leader has had no contact with a majority for `quorumLossMs`. */
+	/** True if the leader has had no contact with a majority for `quorumLossMs`, not counting the time for which its process stood still. */
 	quorumLost(now: Millis): boolean {
+		this.#recordStandstill(now);
 		const contact = Math.max(this.majorityContact(now), this.#electedAt);
-		return now - contact > consensusTiming.quorumLossMs;
+		const lostMs = this.#standstills.reduce((sum, standstill) => sum + (standstill.endedAt > contact ? standstill.lostMs : 0), 0);
+		return now - contact - lostMs > consensusTiming.quorumLossMs;
+	}
+
+	#recordStandstill(now: Millis): void {
+		const {lostMs} = this.#awake;
+		this.#awake.step(now);
+		const standstill = {endedAt: now, lostMs: this.#awake.lostMs - lostMs};
+		if (standstill.lostMs > 0) {
+			this.#standstills = [...this.#standstills.filter(({endedAt}) => now - endedAt <= consensusTiming.quorumLossMs), standstill];
+		}
 	}
 
 	/** The highest value that a majority has reached of each set of members that votes. */
