fix(membership): nodes are not suspected or declared dead for their own observer's standstill

Callers saw (settings tree): after a standstill of 0.8 to 1.5 s of a process, nodes that had answered counted as suspect, and nodes that others suspected were declared dead, also to others, with their refutation unread: entries sent nothing there until the next acknowledgement or a new refutation.

Cause: probes (0.8 s) and suspicions (2 s) were compared with the clock. The pause detector covers pauses of more than 1.5 s and the probes only.

Evidence: on the code before, the three cases "a process that stood still for 800 (1000, 1400) ms suspects no node" failed (frozen 3020 ms after the start), and the four of "a suspect whose refutation waits unread" (1, 1.4, 2 and 5 s).

Why it works: probes, suspicions and the member table run on the `AwakeClock` of the pause detector. The pause detector does what it did. A suspect that is gone is dead after 2 s of running time (in the same tests).

--- a/src/core/membership/cluster-membership.ts
+++ b/src/core/membership/cluster-membership.ts
@@ -95,14 +95,14 @@
 			}
 
 			case 'ping-request': {
-				this.#ping(message.target, this.#detector.startHelperProbe(from, message.probe, now), now);
+				this.#ping(message.target, this.#detector.startHelperProbe(from, message.probe, this.#pauseDetector.awakeNow), now);
 				break;
 			}
 
 			case 'indirect-ack': {
 				this.#merge(from, [message.target], now);
 				if (this.#detector.ackedIndirectly(message.probe, message.target.nodeId)) {
-					this.#confirm(message.target, now);
+					this.#confirm(message.target);
 				}
 
 				break;
@@ -138,21 +138,21 @@
 
 	tick(now: Millis): void {
 		this.#checkPause(now);
-		for (const step of this.#detector.tick(this.#table.all(), now)) {
+		for (const step of this.#detector.tick(this.#table.all(), this.#pauseDetector.awakeNow)) {
 			if (step.type === 'ping') {
 				this.#ping(step.target, step.probe, now);
 			} else if (step.type === 'ask') {
 				this.#send(step.helper, {type: 'ping-request', probe: step.probe, target: step.target});
 			} else {
-				this.#suspect(step.target, now);
+				this.#suspect(step.target);
 			}
 		}
 
-		for (const nodeId of this.#table.expireSuspects(now)) {
+		for (const nodeId of this.#table.expireSuspects(this.#pauseDetector.awakeNow)) {
 			this.#gossip.add(nodeId, true, this.#nodeCount());
 		}
 
-		this.#table.removeExpired(now);
+		this.#table.removeExpired(this.#pauseDetector.awakeNow);
 		this.#sendUrgentGossip();
 		this.#syncIfDue(now);
 		this.#regionSummaries.tick(this.#ownRegionState(), now);
@@ -230,9 +230,9 @@
 			return;
 		}
 
-		this.#confirm(message.self, now);
+		this.#confirm(message.self);
 		this.#freshAgainAt = undefined;
-		const helper = this.#detector.acked(from, message.probe, now);
+		const helper = this.#detector.acked(from, message.probe, this.#pauseDetector.awakeNow);
 		if (helper) {
 			this.#send(helper.requester, {type: 'indirect-ack', probe: helper.requestProbe, target: message.self});
 		}
@@ -259,7 +259,7 @@
 		this.#freshAgainAt = undefined;
 		for (const update of message.updates) {
 			if (update.state === 'alive') {
-				this.#confirm(update, now);
+				this.#confirm(update);
 			}
 		}
 	}
@@ -274,7 +274,7 @@
 		}
 
 		for (const update of updates.filter(({nodeId}) => nodeId !== this.#ownRecord.info.nodeId)) {
-			const result = this.#table.merge(update, now);
+			const result = this.#table.merge(update, this.#pauseDetector.awakeNow);
 			if (result === 'unknown') {
 				unknown.push(update.nodeId);
 			} else if (result !== 'ignored') {
@@ -293,21 +293,21 @@
 	}
 
 	/** Clears a local suspicion after the member replied; a suspicion that was gossiped needs a refutation by the member. */
-	#confirm(update: MemberUpdate, now: Millis): void {
+	#confirm(update: MemberUpdate): void {
 		const member = this.#table.get(update.nodeId);
 		if (member?.local && member.info.incarnation === update.incarnation) {
-			this.#table.setState(member, 'alive', false, now);
+			this.#table.setState(member, 'alive', false, this.#pauseDetector.awakeNow);
 		}
 	}
 
-	#suspect(target: NodeId, now: Millis): void {
+	#suspect(target: NodeId): void {
 		const member = this.#table.get(target);
-		const local = !this.#detector.hasRecentAck(now);
+		const local = !this.#detector.hasRecentAck(this.#pauseDetector.awakeNow);
 		if (member?.state !== 'alive') {
 			return;
 		}
 
-		this.#table.setState(member, 'suspect', local, now);
+		this.#table.setState(member, 'suspect', local, this.#pauseDetector.awakeNow);
 		if (!local) {
 			this.#gossip.add(target, true, this.#nodeCount());
 		}
@@ -324,7 +324,7 @@
 		this.#detector.reset();
 		const alive = this.#table.alive();
 		for (const member of alive) {
-			this.#table.setState(member, 'suspect', true, now);
+			this.#table.setState(member, 'suspect', true, this.#pauseDetector.awakeNow);
 		}
 
 		const nonce = this.#syncSchedule.begin(now);
--- a/test/core/membership/cluster-membership.test.ts
+++ b/test/core/membership/cluster-membership.test.ts
@@ -132,6 +132,38 @@
 	t.true(part.fresh(network.now));
 });
 
+for (const standstillMs of [800, 1000, 1400]) {
+	test(`a process that stood still for ${standstillMs} ms suspects no node whose replies wait unread`, t => {
+		for (let offsetMs = 0; offsetMs < 300; offsetMs++) {
+			const {network, parts} = regionFixture({nodesPerRegion: 3, seed: offsetMs + 1});
+			network.run(3000 + offsetMs);
+			const part = parts.get(node('r0-1'))!;
+			network.freeze(node('r0-1'));
+			network.run(standstillMs);
+			part.tick(network.now);
+			t.deepEqual(part.nodes().map(({state}) => state), ['alive', 'alive', 'alive'], `${offsetMs} ms`);
+		}
+	});
+}
+
+for (const standstillMs of [1000, 1400, 2000, 5000]) {
+	test(`a suspect whose refutation waits unread after a standstill of ${standstillMs} ms is not declared dead, and one that is gone is in time`, t => {
+		const {network, parts} = regionFixture({nodesPerRegion: 3});
+		network.run(3000);
+		const [gone, still] = [node('r0-2'), node('r0-1')];
+		const part = parts.get(still)!;
+		network.freeze(gone);
+		t.true(network.run(3000, () => part.node(gone)!.state === 'suspect'));
+		network.run(1500);
+		network.freeze(still);
+		network.run(standstillMs);
+		part.tick(network.now);
+		t.is(part.node(gone)!.state, 'suspect');
+		network.thaw(still);
+		t.true(network.run(2000 + 100, () => part.node(gone)!.state === 'dead'));
+	});
+}
+
 test('two regions are unreachable to each other while the links in one direction are cut, and only then', t => {
 	const {network, parts, cuts, infos} = regionFixture({regions: 3, nodesPerRegion: 5});
 	network.run(10_000);
