fix(server): a server that stops reads what has arrived before it closes idle connections

Callers saw connections closed without an answer at the moment at which a stopping entry closes its idle connections, 1.3 to 2.5 s after its SIGTERM, though their requests had been sent up to 3.6 s before: the process had stood still, its timer ran before its sockets were read, and a connection whose request lies unread counts as idle. Control nodes and the settings tree's servers close their idle connections in the same way.

All of them read first what has arrived (pendingReads); such a request is answered, by a stopping entry with 503.

--- a/src/server/api-server.ts
+++ b/src/server/api-server.ts
@@ -45,7 +45,7 @@
 	/** Stops accepting connections and closes those on which nothing is answered; resolves once the others have ended. */
 	async close(): Promise<void> {
 		return new Promise(resolve => {
-			this.#connections.stopListening(resolve);
+			void this.#connections.stopListening(resolve);
 		});
 	}
 
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -96,7 +96,7 @@
 	/** Answers the calls in progress before it closes its servers: operators can't tell what a call that was cut off has done. */
 	async stop(): Promise<void> {
 		const {settings: {graceMs}} = this.#options;
-		this.#servers.stopAccepting();
+		await this.#servers.stopAccepting();
 		const answered = this.#servers.idle();
 		await Promise.race([answered, sleep(Math.min(maxCallWaitMs, graceMs / 2))]);
 		this.#servers.abandonCalls();
--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -69,11 +69,9 @@
 	}
 
 	/** Stops accepting connections and closes those on which nothing is answered; new calls on the others are answered as unavailable. */
-	stopAccepting(): void {
+	async stopAccepting(): Promise<void> {
 		this.#stopping = true;
-		for (const server of this.#servers) {
-			server.stopListening();
-		}
+		await Promise.all(this.#servers.map(async server => server.stopListening()));
 	}
 
 	/** Resolves once no call is read or answered. */
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -127,9 +127,7 @@
 		this.#host.step({type: 'drain', answerMs: Math.max(0, closeMs - answerMarginMs)});
 		await sleep(acceptMs);
 		this.#host.step({type: 'shut'});
-		for (const server of this.#requestServers) {
-			server.stopListening();
-		}
+		await Promise.all(this.#requestServers.map(async server => server.stopListening()));
 
 		await Promise.race([this.#answered(drained), sleep(closeMs - acceptMs)]);
 		this.#host.stopTicking();
--- a/src/server/routes/http-server.ts
+++ b/src/server/routes/http-server.ts
@@ -59,9 +59,9 @@
 		});
 	}
 
-	/** Stops accepting connections and closes those on which nothing is answered. */
-	stopListening(): void {
-		this.#connections.stopListening();
+	/** Stops accepting connections and closes those on which nothing is answered, once the requests that have arrived on them are read. */
+	async stopListening(): Promise<void> {
+		await this.#connections.stopListening();
 	}
 
 	/** Resolves once no request is read or answered. */
--- a/src/server/routes/request-server.ts
+++ b/src/server/routes/request-server.ts
@@ -71,8 +71,8 @@
 		this.#http.server.headersTimeout = 2 * limits.headerTimeoutMs;
 	}
 
-	stopListening(): void {
-		this.#http.stopListening();
+	async stopListening(): Promise<void> {
+		await this.#http.stopListening();
 	}
 
 	/** Resolves once no request is read or answered. */
--- a/src/server/server-connections.ts
+++ b/src/server/server-connections.ts
@@ -1,5 +1,6 @@
 import type {Server, ServerResponse} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
+import {pendingReads} from './pending-reads.ts';
 
 /**
  * Connections of an HTTP server, and its responses that are not written to their end.
@@ -27,8 +28,9 @@
 		});
 	}
 
-	/** Stops accepting connections and closes those on which nothing is answered; calls `onClosed` once all have ended. */
-	stopListening(onClosed?: () => void): void {
+	/** Stops accepting connections and closes those on which nothing is answered, once the requests that have arrived on them are read; calls `onClosed` once all have ended. */
+	async stopListening(onClosed?: () => void): Promise<void> {
+		await pendingReads();
 		NetServer.prototype.close.call(this.#server, onClosed);
 		const busy = new Set([...this.#open].map(({req}) => req.socket));
 		for (const socket of this.#sockets) {
