fix(test): an attempt is started by hand only once its request was read

Cause: the test took the request out of the map 200 ms after it had been written, also if the process had not read it yet, and started an attempt of undefined. In a process whose event loop was held up by up to 120 ms at a time the file ended with "TypeError: Cannot read properties of undefined (reading 'info')" from the timer of a test; the same line in the warm-up, which each of these tests begins with, rejects the promise of the test. That form was not seen with its error; nothing else in the test was found that could reject except a refused connection. With up to 60 and 200 ms, a test failed that counts one arrival after the same 200 ms.

The test now waits, for at most 10 s, until the request was read, until the warm-up has ended and its caller's leaving was noticed, until the caller's leaving was noticed, and until the attempt has arrived; each time the 200 ms pass after that, as before. It is as strict: its checks are unchanged (no arrival and one notice of the caller's leaving; one arrival), the leaving of the warm-up's caller can no longer be counted as the one that is meant, and what does not happen fails instead of passing unnoticed.

--- a/test/server/late-reads.test.ts
+++ b/test/server/late-reads.test.ts
@@ -26,6 +26,9 @@
 
 const host = '127.0.0.1';
 const settleMs = 200;
+/** Time for what must happen, in milliseconds. */
+const waitMs = 10_000;
+const pollMs = 10;
 /** Time for which the process reads nothing, in milliseconds. */
 const stallMs = 100;
 /** Callers that connect at once; a server accepts one connection with each turn of the event loop. */
@@ -33,6 +36,16 @@
 const maxBytes = 10_000;
 const request = 'POST /s/pressdesk/orders HTTP/1.1\r\nHost: prairie.example\r\nContent-Length: 5\r\n\r\norder';
 
+async function waitUntil(condition: () => boolean): Promise<void> {
+	for (const end = performance.now() + waitMs; !condition();) {
+		if (performance.now() > end) {
+			throw new Error(`not within ${waitMs} ms: ${String(condition)}`);
+		}
+
+		await sleep(pollMs); // eslint-disable-line no-await-in-loop
+	}
+}
+
 /** The API for callers and the client for targets, as in an entry, with one target; attempts are started by hand in place of the core. */
 class HandDrivenGateway {
 	static async open(t: ExecutionContext, {forwarded}: {forwarded: boolean}): Promise<HandDrivenGateway> {
@@ -107,11 +120,13 @@
 
 	/** Sends a request and waits until it was read. */
 	async call() {
+		const requestId = toId<RequestId>(`r${this.#lastRequest + 1}`);
 		const socket = this.connect();
 		await once(socket, 'connect');
 		socket.write(request);
+		await waitUntil(() => this.#requests.has(requestId));
 		await sleep(settleMs);
-		return {socket, request: this.#requests.get(toId(`r${this.#lastRequest}`))!};
+		return {socket, request: this.#requests.get(requestId)!};
 	}
 
 	startAttempt(request: CallerRequest): void {
@@ -135,8 +150,9 @@
 	async warmUp(): Promise<void> {
 		const {socket, request} = await this.call();
 		this.startAttempt(request);
-		await sleep(settleMs);
+		await waitUntil(() => this.events.some(({type}) => type === 'attempt-end'));
 		socket.destroy();
+		await waitUntil(() => this.events.some(({type}) => type === 'caller-gone'));
 		await sleep(settleMs);
 		this.arrivals = 0;
 		this.events.length = 0;
@@ -177,6 +193,7 @@
 			}, stallMs / 2);
 			leave(socket, manner);
 			blockEventLoop(stallMs);
+			await waitUntil(() => gateway.events.some(({type}) => type === 'caller-gone'));
 			await sleep(settleMs);
 			t.is(gateway.arrivals, 0);
 			t.is(gateway.events.filter(({type}) => type === 'caller-gone').length, 1);
@@ -191,6 +208,7 @@
 			gateway.startAttempt(request);
 		}, stallMs / 2);
 		blockEventLoop(stallMs);
+		await waitUntil(() => gateway.arrivals > 0);
 		await sleep(settleMs);
 		t.is(gateway.arrivals, 1);
 	});
