fix(edge): a caller that reads slowly is not taken for a silent target

Callers who read a stream slowly, and targets, saw it started at a second target: the reader of an answer waits until the caller takes more of it, the core heard nothing meanwhile and found the target silent. Each such stream cost a second run and one of the service's retries, and was ended if that came to nothing; one slow link slows several streams at once.

The reader tells the core while it does not read (attempt-held); such an attempt is not silent, and its time without a sign begins anew when it is read again.

The case in stalled-streams covers the core. CallerExchange.owner, which nothing read, is gone.

--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -91,6 +91,15 @@
 		}
 	}
 
+	/** Records that an answer is not read on until its caller takes more of it, or is read on again. */
+	recordHeld(attempt: AttemptNumber, held: boolean, now: Millis): void {
+		const record = this.select(attempt);
+		if (record?.running !== undefined) {
+			record.running.isHeld = held;
+			this.recordProgress(record, now);
+		}
+	}
+
 	/** Records that a request's attempt gave no usable answer, though it may have run. */
 	recordFailed(record: RequestRecord, reason: string, now: Millis): void {
 		const {clock, queue} = this.#options;
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -193,6 +193,11 @@
 				break;
 			}
 
+			case 'attempt-held': {
+				this.#requests.handleHeld(event.attempt, event.held, now);
+				break;
+			}
+
 			case 'attempt-end': {
 				this.#requests.handleEnd(event.attempt, event, now);
 				break;
--- a/src/core/edge/edge-event.ts
+++ b/src/core/edge/edge-event.ts
@@ -17,6 +17,8 @@
 	| {readonly type: 'attempt-head'; readonly attempt: AttemptNumber; readonly head: AnswerHead}
 	/** Complete events of a stream were passed on to the caller; `lastId` is the id of the last one. */
 	| {readonly type: 'attempt-events'; readonly attempt: AttemptNumber; readonly count: number; readonly lastId?: string}
+	/** The answer is not read on until its caller takes more of it, or is read on again. */
+	| {readonly type: 'attempt-held'; readonly attempt: AttemptNumber; readonly held: boolean}
 	/** The answer was read to its end; `truncated` if that end shows that it was broken off. */
 	| {readonly type: 'attempt-end'; readonly attempt: AttemptNumber; readonly truncated: boolean}
 	| {readonly type: 'attempt-failed'; readonly attempt: AttemptNumber; readonly failure: AttemptFailure}
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -242,6 +242,10 @@
 		record.lastEventId = lastId ?? record.lastEventId;
 	}
 
+	handleHeld(attempt: AttemptNumber, held: boolean, now: Millis): void {
+		this.#attempts.recordHeld(attempt, held, now);
+	}
+
 	/** Completes a request, unless its answer was broken off: by its bytes, or, if its connection alone ended it, before the first event. */
 	handleEnd(attempt: AttemptNumber, {truncated}: {truncated: boolean}, now: Millis): void {
 		const record = this.#attempts.select(attempt);
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -30,6 +30,8 @@
 	/** The same on the clock that stops while this process stands still. */
 	lastProgressAwakeAt: Millis;
 	events: number;
+	/** True while its answer is not read, since the caller takes no more of it: the silence is not the target's. */
+	isHeld?: boolean;
 };
 
 /** State of one request at an entry until its final answer. */
--- a/src/core/edge/retry-policy.ts
+++ b/src/core/edge/retry-policy.ts
@@ -62,12 +62,12 @@
 			&& [running, ...kept].every(attempt => this.#isSilent(record, attempt, now));
 	}
 
-	#isSilent({route}: RequestRecord, {targetId, forwardedTo, predictedMs, events, lastProgressAwakeAt}: RunningAttempt, now: Millis): boolean {
+	#isSilent({route}: RequestRecord, {targetId, forwardedTo, predictedMs, events, lastProgressAwakeAt, isHeld}: RunningAttempt, now: Millis): boolean {
 		const target = targetId === undefined ? undefined : this.#options.pool.get(targetId);
 		const limitMs = target?.reachability.isConfirmedOutOfReach(now) === true
 			? unreachableTimeoutMs
 			: stallTimeoutMs(route, {predictedMs, events, forwarded: forwardedTo !== undefined});
-		return this.#options.clock.now - lastProgressAwakeAt > limitMs;
+		return isHeld !== true && this.#options.clock.now - lastProgressAwakeAt > limitMs;
 	}
 
 	#withdrawRetry(record: RequestRecord, now: Millis): boolean {
--- a/src/server/routes/caller-exchange.ts
+++ b/src/server/routes/caller-exchange.ts
@@ -2,7 +2,6 @@
 import type {ServerResponse} from 'node:http';
 import type {EdgeRefusal} from '../../core/edge/edge-refusal.ts';
 import type {EdgeRequest} from '../../core/edge/edge-request.ts';
-import type {AttemptNumber} from '../../core/ids/attempt-number.ts';
 import {abortResponse} from '../abort-response.ts';
 import type {CallerPresence} from '../caller-presence.ts';
 import {holdUnread} from '../hold-unread.ts';
@@ -32,14 +31,12 @@
 	readonly body: Buffer;
 };
 
-/** One caller's request and the HTTP response to it. Only one attempt at a time may write the response: `TargetClient` stops the reader of a cancelled one. */
+/** One caller's request and the HTTP response to it. Several attempts may be read at a time, but only the one whose events or answer the core has accepted writes the response: `TargetClient` stops the readers of the others, which are cancelled then. */
 export class CallerExchange {
 	readonly presence: CallerPresence;
 	readonly head: RequestHead;
 	readonly edgeRequest: EdgeRequest;
 	readonly body: Buffer;
-	/** The attempt that was started last. */
-	owner: AttemptNumber | undefined;
 	readonly #res: ServerResponse;
 	readonly #memory: ProcessMemory;
 	#streaming = false;
@@ -69,13 +66,13 @@
 		this.#res.flushHeaders();
 	}
 
-	/** Writes bytes of a stream; resolves once the socket accepts more (backpressure) or is closed. */
-	async write(bytes: Uint8Array): Promise<void> {
+	/** Writes bytes of a stream; if the caller does not read them fast enough, returns a promise that resolves once it accepts more (backpressure) or is gone. */
+	write(bytes: Uint8Array): Promise<void> | undefined {
 		if (this.#res.destroyed || this.#res.write(bytes)) {
-			return;
+			return undefined;
 		}
 
-		await new Promise<void>(resolve => {
+		return new Promise<void>(resolve => {
 			const done = () => {
 				this.#res.off('drain', done);
 				this.#res.off('close', done);
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -67,7 +67,6 @@
 
 	/** Sends an attempt, unless its caller has left; its outcome is passed to the core as events. */
 	start(action: StartAction, exchange: CallerExchange): void {
-		exchange.owner = action.attempt;
 		const {codec, memory, step} = this.#options;
 		const running = {
 			abortController: new AbortController(),
--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -139,11 +139,15 @@
 			}
 
 			if (events !== undefined) {
-				const written = exchange.write(events.bytes);
+				const drained = exchange.write(events.bytes);
 				step({
 					type: 'attempt-events', attempt, count: events.count, lastId: events.lastId,
 				});
-				await written;
+				if (drained !== undefined) {
+					step({type: 'attempt-held', attempt, held: true});
+					await drained;
+					step({type: 'attempt-held', attempt, held: false});
+				}
 			}
 		}
 
--- a/test/core/edge/stalled-streams.test.ts
+++ b/test/core/edge/stalled-streams.test.ts
@@ -238,6 +238,25 @@
 	}
 });
 
+// Guards against a slow caller that is taken for a silent target, which costs a second run and a retry.
+test('a stream whose caller takes no more of it stays at its target, and may be sent elsewhere once it is read again', t => {
+	const harness = new EdgeHarness({document: routesDocumentFixture({route: {kind: 'stream', resumable: true, timeoutMs: budgetMs}})});
+	harness.feed({targets: [listedTargetFixture('p'), listedTargetFixture('q')]});
+	harness.request({budgetMs});
+	const first = harness.lastStart();
+	const {attempt} = first;
+	harness.head(attempt);
+	events(harness, first, {count: 3, lastId: '3'});
+	harness.step({type: 'attempt-held', attempt, held: true});
+	harness.run(3 * pauseMs);
+	t.is(harness.starts().length, 1);
+	harness.step({type: 'attempt-held', attempt, held: false});
+	harness.run(pauseMs / 2);
+	t.is(harness.starts().length, 1, 'its target may go on now');
+	harness.run(pauseMs);
+	t.is(harness.starts().length, 2);
+});
+
 // Guards against a retry budget that is spent by forwards that other entries refuse before any target gets them.
 test('a retry that has reached no target leaves its charge to the next one', t => {
 	for (const way of ['refused by another entry', 'not sent']) {
--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -61,6 +61,8 @@
 	workMs: number;
 	/** Number of events in a complete stream. */
 	eventCount = defaultEventCount;
+	/** Bytes by which each event of a stream is longer. */
+	eventPadding = 0;
 	/** Silence before an event of a stream beyond `workMs`, in milliseconds; none by default. */
 	pauseBeforeMs: ((event: {readonly id: number; readonly path: string}) => number) | undefined;
 	/** Runs of requests, in the order in which they began. */
@@ -285,7 +287,8 @@
 				return;
 			}
 
-			res.write(`id: ${id}${lineBreak}data: piece ${id}${lineBreak}version: ${this.softwareVersion}${lineBreak}${lineBreak}`);
+			const padding = this.eventPadding === 0 ? '' : `: ${'x'.repeat(this.eventPadding)}${lineBreak}`;
+			res.write(`id: ${id}${lineBreak}data: piece ${id}${lineBreak}version: ${this.softwareVersion}${lineBreak}${padding}${lineBreak}`);
 			run?.progressAt.push(performance.now());
 			if (this.workMs > 0) {
 				await sleep(this.workMs); // eslint-disable-line no-await-in-loop
