fix(ledger): a claim's holder is not fenced for its coordinator's own standstill

Callers saw: after a standstill of their entry for 0.5 to 1.4 s, an order whose key another claim held was refused as one that may have run, though the answer that the other one runs, or was given up, waited unread.

Cause: each stage of a holder check times out after 0.5 s by the clock, and the tick runs before the sockets are read.

Evidence: on the code before, "the status of the claim that holds the key counts though it waits unread after a standstill" failed (a fence was sent), and "replies to a fence count though they wait unread after a standstill" (outcome `may-have-run` in the first tick), each at 0.6, 1 and 1.4 s.

Why it works: the stages are measured by `AwakeClock`, and none times out in the first tick after a standstill.

Why safety does not depend on it: a later timeout grants nothing. A claim is granted by the replies of all keepers only, before the attempt's deadline, which stays by the true time. A holder is released only after its coordinator or a keeper said that it was never granted; a keeper that says so refuses it for 600 s from then on.

Not changed: the deadline of 1.5 s. A test asks that a coordinator paused beyond it grants nothing. Nor the wait of 0.25 s for a release: read later, it does not tell that nothing has run since.

--- a/src/core/ledger/claim-attempt.ts
+++ b/src/core/ledger/claim-attempt.ts
@@ -1,3 +1,4 @@
+import type {AwakeClock} from '../common/awake-clock.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {ClaimId} from './claim-id.ts';
@@ -17,6 +18,8 @@
 	readonly set: KeeperSet;
 	readonly claimId: ClaimId;
 	readonly deadlineAt: number;
+	/** Stops while this process stands still, since replies about a holder then wait unread; stepped by the coordinator. */
+	readonly awake: AwakeClock;
 	readonly send: (to: NodeId, message: LedgerMessage) => void;
 	/** Status of a claim made by this node. */
 	readonly ownStatus: (claimId: ClaimId) => ClaimStatus;
@@ -29,7 +32,7 @@
 type HolderCheck = {
 	readonly holder: ClaimId;
 	readonly stage: 'query' | 'fence';
-	/** Time at which the stage times out. */
+	/** Time at which the stage times out, on the clock `awake`. */
 	readonly until: number;
 	/** Keepers that replied to the fence that they hold the other claim. */
 	readonly heldBy: Set<NodeId>;
@@ -93,13 +96,13 @@
 		return Object.fromEntries([...this.#replies].map(([keeper, {type}]) => [keeper, type]));
 	}
 
-	/** Retries requests without a reply; ends the attempt at its deadline. */
-	tick(now: Millis): AttemptStep | undefined {
+	/** Retries requests without a reply; ends the attempt at its deadline. Holder checks do not time out while replies `mayBeUnread`. */
+	tick(now: Millis, mayBeUnread: boolean): AttemptStep | undefined {
 		if (now > this.#options.deadlineAt) {
 			return {type: 'end', outcome: this.#timeoutOutcome()};
 		}
 
-		if (this.#holderCheck && now > this.#holderCheck.until) {
+		if (this.#holderCheck && !mayBeUnread && this.#options.awake.now > this.#holderCheck.until) {
 			const step = this.#holderCheckTimedOut(this.#holderCheck, now);
 			if (step) {
 				return step;
@@ -195,7 +198,7 @@
 		}
 
 		this.#holderCheck = {
-			holder: by, stage: 'query', until: now + holderCheckMs, heldBy: new Set(),
+			holder: by, stage: 'query', until: this.#options.awake.now + holderCheckMs, heldBy: new Set(),
 		};
 		this.#options.send(by.coordinator, {type: 'query', claimId: by});
 		return undefined;
@@ -217,7 +220,7 @@
 
 	#fence(by: ClaimId, now: Millis): void {
 		this.#holderCheck = {
-			holder: by, stage: 'fence', until: now + holderCheckMs, heldBy: new Set(),
+			holder: by, stage: 'fence', until: this.#options.awake.now + holderCheckMs, heldBy: new Set(),
 		};
 		this.#nextSendAt = now;
 	}
--- a/src/core/ledger/claim-coordinator.ts
+++ b/src/core/ledger/claim-coordinator.ts
@@ -1,3 +1,4 @@
+import {AwakeClock} from '../common/awake-clock.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {Region} from '../ids/region.ts';
@@ -52,6 +53,9 @@
 export class ClaimCoordinator {
 	readonly #options: ClaimCoordinatorOptions;
 	readonly #finishes: FinishQueue;
+	readonly #awake = new AwakeClock();
+	/** Time lost to standstills by the last tick, in milliseconds. */
+	#lostMs = 0;
 	/** Attempts under way, by formatted claim id. */
 	readonly #attempts = new Map<string, ClaimAttempt>();
 	/** Granted claims whose requests have not ended. */
@@ -69,6 +73,7 @@
 	}
 
 	claim(request: ClaimRequest, now: Millis): void {
+		this.#awake.step(now);
 		this.#startAttempt(request, now + claimTimeoutMs, now);
 	}
 
@@ -106,8 +111,11 @@
 	}
 
 	tick(now: Millis): void {
+		this.#awake.step(now);
+		const mayBeUnread = this.#awake.lostMs > this.#lostMs;
+		this.#lostMs = this.#awake.lostMs;
 		for (const [id, attempt] of this.#attempts) {
-			this.#applyStep(id, attempt.tick(now), now);
+			this.#applyStep(id, attempt.tick(now, mayBeUnread), now);
 		}
 
 		for (const [id, {requestId, outcome, until}] of this.#abandoned) {
@@ -121,6 +129,7 @@
 	}
 
 	handleClaimReply(from: NodeId, {claimId, reply}: MessageOf<'claim-reply'>, now: Millis): void {
+		this.#awake.step(now);
 		const id = formatClaimId(claimId);
 		this.#applyStep(id, this.#attempts.get(id)?.handleClaimReply(from, reply, now), now);
 	}
@@ -136,6 +145,7 @@
 	}
 
 	handleQueryReply({claimId, status}: MessageOf<'query-reply'>, now: Millis): void {
+		this.#awake.step(now);
 		for (const [id, attempt] of this.#attempts) {
 			this.#applyStep(id, attempt.handleQueryReply(claimId, status, now), now);
 		}
@@ -190,6 +200,7 @@
 			set,
 			claimId,
 			deadlineAt,
+			awake: this.#awake,
 			send,
 			ownStatus: other => this.claimStatus(other),
 			self,
@@ -197,7 +208,7 @@
 		});
 		const id = formatClaimId(claimId);
 		this.#attempts.set(id, attempt);
-		this.#applyStep(id, attempt.tick(now), now);
+		this.#applyStep(id, attempt.tick(now, false), now);
 	}
 
 	#applyStep(id: string, step: ReturnType<ClaimAttempt['tick']>, now: Millis): void {
