--- a/test/core/edge/containment-trials.test.ts
+++ b/test/core/edge/containment-trials.test.ts
@@ -12,6 +12,7 @@
 const firstTrialMs = 60_000;
 /** Time after which an entry waits no more for the answer to its query, in milliseconds. */
 const lateMs = 1500;
+const tickMs = 50;
 
 /** An entry to which a trait is contained, at the time of its first trial; `ask` returns the decisions on a request. */
 function containedEntry() {
@@ -38,6 +39,13 @@
 			trials.handleAnswer({type: 'trial-answer', requestId: toId(name), granted}, now);
 		},
 		advance(ms: number) {
+			for (const end = now + ms; now < end;) {
+				now = now + tickMs as Millis;
+				trials.tick(now);
+			}
+		},
+		/** Stands still; the tick that follows comes before any answer. */
+		standStill(ms: number) {
 			now = now + ms as Millis;
 			trials.tick(now);
 		},
@@ -110,3 +118,28 @@
 	update(1);
 	t.false(isDue());
 });
+
+for (const standstillMs of [1000, 2000, 20_000]) {
+	test(`a request runs as a trial by an answer that waited unread while its entry stood still for ${standstillMs} ms`, t => {
+		for (const waitedMs of [50, 500, 950]) {
+			const {ask, answer, advance, standStill} = containedEntry();
+			advance(tickMs);
+			const decisions = ask('r1');
+			advance(waitedMs);
+			standStill(standstillMs);
+			t.deepEqual(decisions, [], `${waitedMs} ms before`);
+			answer('r1', true);
+			t.deepEqual(decisions, [true], `${waitedMs} ms before`);
+		}
+	});
+
+	test(`a request whose trial nobody answers goes on without it in time after a standstill of ${standstillMs} ms`, t => {
+		const {ask, advance, standStill} = containedEntry();
+		advance(tickMs);
+		const decisions = ask('r1');
+		advance(500);
+		standStill(standstillMs);
+		advance(500);
+		t.deepEqual(decisions, [false]);
+	});
+}
