--- a/src/core/edge/retry-policy.ts
+++ b/src/core/edge/retry-policy.ts
@@ -29,8 +29,9 @@
 /**
  * Decides whether a request is retried, within the rules of its route and the retry budget.
  *
- * Targets fail or stall under load, and a retry takes capacity that other requests wait for. It is therefore started
- * only if the route allows it, it can still finish in time and another destination can take it.
+ * Load pattern: targets fail or stall under load, and a retry takes capacity that other requests wait for. It is
+ * therefore started only if the route allows it, it can still finish in time and another destination can take it.
+ * Targets that pause mostly go on, while others are full at the same time: a stalled attempt goes on beside the retry.
  */
 export class RetryPolicy {
 	readonly #options: RetryPolicyOptions;
--- a/test/server/routes/streams-taken-over.test.ts
+++ b/test/server/routes/streams-taken-over.test.ts
@@ -7,6 +7,7 @@
 import {soakConfiguration} from '../../soak/soak-configuration.ts';
 import {soakStreams} from '../../soak/soak-streams.ts';
 import {streamProblem} from '../../soak/stream-problem.ts';
+import {waitUntil} from '../../soak/wait-until.ts';
 
 const streams = 6;
 const headers = {
@@ -14,7 +15,6 @@
 };
 const path = soakStreams.paths[0]!;
 const startTimeoutMs = 30_000;
-const pollMs = 100;
 /** Time after which entries know that targets have left, in milliseconds. */
 const leftMs = 1500;
 
@@ -26,11 +26,11 @@
 	t.true(await waitUntil(async () => {
 		const answer = await deployment.callOperatorApi(deployment.control[0]!, 'PUT', '/configuration', soakConfiguration(1));
 		return answer?.status === 200;
-	}));
+	}, startTimeoutMs));
 	t.true(await waitUntil(async () => {
 		const problems = await Promise.all(deployment.entries.map(async ({name}) => problemOf(deployment, name, 'first')));
 		return problems.every(problem => problem === undefined);
-	}));
+	}, startTimeoutMs));
 	for (const {engine} of deployment.engines) {
 		engine.eventCount = soakStreams.eventCount;
 		engine.runRecords.length = 0;
@@ -56,18 +56,6 @@
 	}
 }
 
-async function waitUntil(condition: () => Promise<boolean> | boolean): Promise<boolean> {
-	for (let waited = 0; waited < startTimeoutMs; waited += pollMs) {
-		if (await condition()) { // eslint-disable-line no-await-in-loop
-			return true;
-		}
-
-		await sleep(pollMs); // eslint-disable-line no-await-in-loop
-	}
-
-	return false;
-}
-
 function targetsIn(deployment: SoakDeployment, region: string) {
 	return deployment.engines.filter(target => target.service === 'writers' && target.region === region).map(({engine}) => engine);
 }
@@ -107,7 +95,7 @@
 		}
 
 		const answers = Promise.all(Array.from({length: streams}, async (_, index) => problemOf(deployment, 'regina-1', `forwarded-${index}`)));
-		t.true(await waitUntil(() => remote.reduce((sum, {runRecords}) => sum + runRecords.length, 0) === streams));
+		t.true(await waitUntil(() => remote.reduce((sum, {runRecords}) => sum + runRecords.length, 0) === streams, startTimeoutMs));
 		const busiest = remote.toSorted((left, right) => right.runRecords.length - left.runRecords.length)[0]!.identifier.split('-')[0];
 		await deployment.entries.find(({region}) => region === busiest)!.end('SIGTERM');
 		const problems = await answers;
--- a/test/soak/planned-callers.ts
+++ b/test/soak/planned-callers.ts
@@ -1,8 +1,8 @@
 import {performance} from 'node:perf_hooks';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {Agent} from 'undici';
 import type {Random} from '../../src/core/common/random.ts';
 import type {PlannedRecord} from './planned-record.ts';
+import {RequestLoop} from './request-loop.ts';
 import type {SoakDeployment} from './soak-deployment.ts';
 import type {SoakNode} from './soak-node.ts';
 import {soakStreams} from './soak-streams.ts';
@@ -12,7 +12,6 @@
 const streamShare = 0.6;
 const orderTimeoutMs = 3000;
 const callerTimeoutMs = 20_000;
-const pollMs = 100;
 /** Time for which callers stay away from an entry that refused a connection, in milliseconds. */
 const avoidMs = 1000;
 const streamHeaders = {'token-counts': '100,40', 'prompt-prefix': 'a1:60,b2:40', model: 'm'};
@@ -28,8 +27,7 @@
 
 	/** Time of the last refused connection, by entry. */
 	readonly #refusedAt = new Map<string, number>();
-	#open = 0;
-	#timer: NodeJS.Timeout | undefined;
+	readonly #loop = new RequestLoop(async () => this.#send());
 
 	constructor(deployment: SoakDeployment, random: Random) {
 		this.#deployment = deployment;
@@ -37,18 +35,12 @@
 	}
 
 	start(perSecond: number): void {
-		this.#timer = setInterval(() => {
-			void this.#send();
-		}, 1000 / perSecond);
+		this.#loop.start(perSecond);
 	}
 
 	/** Stops sending and waits for the requests in flight. */
 	async finish(): Promise<void> {
-		clearInterval(this.#timer);
-		while (this.#open > 0) {
-			await sleep(pollMs); // eslint-disable-line no-await-in-loop
-		}
-
+		await this.#loop.finish();
 		await this.#agent.close();
 	}
 
@@ -64,7 +56,6 @@
 			id: `s-${this.records.length + 1}`, path, entry: node.name, sentAt: performance.now(), budgetMs: isStream ? soakStreams.timeoutMs : orderTimeoutMs, outcome: 'broken', events: 0,
 		};
 		this.records.push(record);
-		this.#open += 1;
 		try {
 			await this.#exchange(record, node, isStream);
 			record.outcome = 'answered';
@@ -77,7 +68,6 @@
 		}
 
 		record.endedAt = performance.now();
-		this.#open -= 1;
 	}
 
 	async #exchange(record: PlannedRecord, node: SoakNode, isStream: boolean): Promise<void> {
--- a/test/soak/run-planned-soak.ts
+++ b/test/soak/run-planned-soak.ts
@@ -10,6 +10,7 @@
 import {PlannedWork} from './planned-work.ts';
 import {SoakDeployment} from './soak-deployment.ts';
 import {SoakOperator} from './soak-operator.ts';
+import {waitUntil} from './wait-until.ts';
 
 type PlannedSoakOptions = {
 	readonly seed: number;
@@ -37,6 +38,7 @@
 const stabilityWindowMs = 6000;
 const settleMs = 2000;
 const startTimeoutMs = 20_000;
+/** Interval at which processes that have loaded their programs are noted, in milliseconds. */
 const pollMs = 100;
 const loopProbe = new URL('../harness/loop-probe.js', import.meta.url).href;
 
@@ -61,7 +63,7 @@
 				node.noteLoaded(now());
 			}
 		}, pollMs);
-		if (!await waitUntil(async () => deployment.nodes.every(({loading}) => !loading) && operator.change())) {
+		if (!await waitUntil(async () => deployment.nodes.every(({loading}) => !loading) && operator.change(), startTimeoutMs)) {
 			problems.push('the deployment did not start');
 		}
 
@@ -72,7 +74,7 @@
 		for (const endsAt = now() + (minutes * 60_000); now() < endsAt && problems.length === 0;) {
 			await sleep(settleMs); // eslint-disable-line no-await-in-loop
 			await work.playRound(); // eslint-disable-line no-await-in-loop
-			if (!await waitUntil(() => deployment.nodes.every(({loading}) => !loading))) { // eslint-disable-line no-await-in-loop
+			if (!await waitUntil(() => deployment.nodes.every(({loading}) => !loading), startTimeoutMs)) { // eslint-disable-line no-await-in-loop
 				problems.push('an entry did not start again');
 			}
 		}
@@ -101,15 +103,3 @@
 		await deployment.dispose({keepFolder: problems.length > 0});
 	}
 }
-
-async function waitUntil(condition: () => Promise<boolean> | boolean): Promise<boolean> {
-	for (let waited = 0; waited < startTimeoutMs; waited += pollMs) {
-		if (await condition()) { // eslint-disable-line no-await-in-loop
-			return true;
-		}
-
-		await sleep(pollMs); // eslint-disable-line no-await-in-loop
-	}
-
-	return false;
-}
--- a/test/soak/soak-callers.ts
+++ b/test/soak/soak-callers.ts
@@ -1,7 +1,7 @@
 import type {Buffer} from 'node:buffer';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {Agent} from 'undici';
 import type {Random} from '../../src/core/common/random.ts';
+import {RequestLoop} from './request-loop.ts';
 import type {SoakDeployment} from './soak-deployment.ts';
 import type {SoakNode} from './soak-node.ts';
 import {streamProblem} from './stream-problem.ts';
@@ -41,7 +41,6 @@
 const callerTimeoutMs = 6000;
 /** Time without a fault after which a process counts as stable, in milliseconds; it equals the stability window of the first deployments. */
 const stabilityWindowMs = 6000;
-const pollMs = 100;
 
 /** Simulates callers that send requests to random entries at a constant rate over keep-alive connections. */
 export class SoakCallers {
@@ -55,9 +54,7 @@
 		connect: {timeout: 1000}, keepAliveTimeout: 10_000, headersTimeout: callerTimeoutMs, bodyTimeout: callerTimeoutMs,
 	});
 
-	/** Number of requests in flight. */
-	#openRequests = 0;
-	#timer: NodeJS.Timeout | undefined;
+	readonly #loop = new RequestLoop(async () => this.#send());
 	#requestCount = 0;
 
 	constructor(deployment: SoakDeployment, {random, now}: {random: Random; now: () => number}) {
@@ -67,23 +64,16 @@
 	}
 
 	start(perSecond: number): void {
-		this.#timer = setInterval(() => {
-			void this.#send();
-		}, 1000 / perSecond);
+		this.#loop.start(perSecond);
 	}
 
 	/** Stops sending and waits for the requests in flight. */
 	async finish(): Promise<void> {
-		clearInterval(this.#timer);
-		while (this.#openRequests > 0) {
-			await sleep(pollMs); // eslint-disable-line no-await-in-loop
-		}
-
+		await this.#loop.finish();
 		await this.#agent.close();
 	}
 
 	async #send(): Promise<void> {
-		this.#openRequests += 1;
 		const kind = kinds[Math.floor(this.#random.next() * kinds.length)]!;
 		const {entries, control} = this.#deployment;
 		const entry = entries[Math.floor(this.#random.next() * entries.length)]!;
@@ -104,7 +94,6 @@
 
 		record.endAt = this.#now();
 		this.records.push(record);
-		this.#openRequests -= 1;
 	}
 
 	/** Reads a body; if it breaks off, its whole events are kept for the request that takes the stream up. */
