feat(organisations): the routes document names organisations

Types and parsing only: Organisation with key digests, priority, homes and quota; open routes; EdgeRequest.organisation; refusals unauthorized (401), key-unverified (503) and quota (429).

--- a/src/core/edge/edge-refusal.ts
+++ b/src/core/edge/edge-refusal.ts
@@ -3,6 +3,12 @@
 	/** No routes document is known yet. */
 	| 'not-configured'
 	| 'no-route'
+	/** The route needs a key, and the request has none or one that no organisation has. */
+	| 'unauthorized'
+	/** The same for a key that a newer document may have: this entry may be behind. */
+	| 'key-unverified'
+	/** The organisation has used its quota. */
+	| 'quota'
 	/** No target could start the request in time. */
 	| 'overloaded'
 	/** No target of the service can be used from here now. */
--- a/src/core/edge/edge-request.ts
+++ b/src/core/edge/edge-request.ts
@@ -1,6 +1,8 @@
 import type {BegunStream} from '../control/begun-stream.ts';
 import type {ContentFingerprint} from '../ids/content-fingerprint.ts';
+import type {KeyDigest} from '../ids/key-digest.ts';
 import type {Millis} from '../ids/millis.ts';
+import type {OrganisationId} from '../ids/organisation-id.ts';
 import type {Region} from '../ids/region.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {ServiceName} from '../ids/service-name.ts';
@@ -18,6 +20,10 @@
 	readonly arrivedAt: Millis;
 	/** Time that the caller waits for the answer, in milliseconds from `arrivedAt`. */
 	readonly budgetMs?: number;
+	/** Digest of the key that the caller sent. */
+	readonly keyDigest?: KeyDigest;
+	/** The organisation whose request it is, once that is known: by its key, or from the entry that forwarded it. Set before the request is placed. */
+	readonly organisation?: OrganisationId;
 	readonly prompt?: Prompt;
 	/** Id of the last event that the caller received, if it resumes a stream. */
 	readonly resumeAfter?: string;
--- a/src/core/routes/route-rule.ts
+++ b/src/core/routes/route-rule.ts
@@ -22,6 +22,8 @@
 	readonly attempts: number;
 	/** True if a broken stream may be resumed at another target, after the last event that was passed on. */
 	readonly resumable: boolean;
+	/** True if its requests need no key where the document has organisations. */
+	readonly isOpen: boolean;
 	/** Regions that may serve the route; empty for all. */
 	readonly homes: readonly Region[];
 };
--- a/src/core/routes/routes-document.ts
+++ b/src/core/routes/routes-document.ts
@@ -1,3 +1,4 @@
+import type {Organisation} from '../organisations/organisation.ts';
 import type {CallerLimits} from './caller-limits.ts';
 import type {RouteRule} from './route-rule.ts';
 import type {ServiceSpec} from './service-spec.ts';
@@ -8,4 +9,6 @@
 	readonly routes: readonly RouteRule[];
 	readonly services: readonly ServiceSpec[];
 	readonly limits: CallerLimits;
+	/** Organisations whose callers need a key, except on open routes; empty if no request needs one. */
+	readonly organisations: readonly Organisation[];
 };
--- a/src/server/routes/caller-exchange.ts
+++ b/src/server/routes/caller-exchange.ts
@@ -11,6 +11,9 @@
 const statusByReason: Readonly<Record<EdgeRefusal['reason'], number>> = {
 	'not-configured': 503,
 	'no-route': 404,
+	unauthorized: 401,
+	'key-unverified': 503,
+	quota: 429,
 	overloaded: 503,
 	'no-target': 503,
 	paused: 503,
--- a/test/platform/read-document.test.ts
+++ b/test/platform/read-document.test.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import test from 'ava';
 import fc from 'fast-check';
 import {readDocument} from '../../platform/read-document.ts';
@@ -83,3 +84,34 @@
 	}), {seed: 11, numRuns: 500});
 	t.pass();
 });
+
+test('organisations keep digests of their keys only, and a rate of 0 is no quota', t => {
+	const {organisations, routes} = tableOf({
+		...whole,
+		routes: [{...route, anonymous: true}],
+		tenants: [
+			{
+				name: 'vosi', 'access-keys': ['k-1', 'k-2'], priority: 2, unit: 'tokens', 'uncached-tokens': 900, 'rate-per-s': 5000, burst: 200, 'home-regions': ['muscat'],
+			},
+			{
+				name: 'dape', 'access-keys': ['k-3'], 'rate-per-s': 0, burst: 7,
+			},
+		],
+	}).document;
+	t.true(routes[0]!.isOpen);
+	t.deepEqual(organisations.map(({name, priority, homes, quota}) => ({
+		name, priority, homes, quota,
+	})) as unknown, [
+		{
+			name: 'vosi', priority: 2, homes: ['muscat'], quota: {
+				unit: 'tokens', perSecond: 5000, burst: 200, defaultTokens: 900,
+			},
+		},
+		{
+			name: 'dape', priority: undefined, homes: [], quota: undefined,
+		},
+	]);
+	t.deepEqual([...organisations[1]!.keyDigests] as string[], [createHash('sha256').update('k-3').digest('hex')]);
+	t.notRegex(JSON.stringify(organisations), /k-[1-3]/v);
+	t.deepEqual(tableOf(whole).document.organisations, []);
+});
