feat(organisations): validate organisations, with field and remedy

A document with one key in two organisations, a duplicate or empty name, an empty key, amounts that are negative or not finite, an unknown unit or an unknown home region is refused whole, as are weights that are not finite. Regions are known where the settings name zones.

--- a/src/core/tree/keyed-setting-rules.ts
+++ b/src/core/tree/keyed-setting-rules.ts
@@ -1,10 +1,11 @@
 import {z} from 'zod';
+import {maxOrganisationNameLength} from '../organisations/max-organisation-name-length.ts';
 
 const sha256 = /^[\da-f]{64}$/;
 const modelName = /^\w[\w./:@+-]{0,127}$/;
 const largestModelBytes = 100_000_000_000_000;
 const regionName = z.string().regex(/^[a-z\d][\w.-]{0,62}$/i);
-const name = z.string().min(1).max(200);
+const name = z.string().min(1).max(maxOrganisationNameLength);
 
 /** Rules of keyed settings, which hold one value per subkey. `deepest` is the greatest node depth at which they may be set. */
 export const keyedSettingRules: Readonly<Record<string, {
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -70,8 +70,11 @@
 			},
 		});
 		const {step, now, metrics} = this.#host;
+		const regions = new Set(Object.values(zones).map(name => toId<Region>(name)));
 		this.#servers = new ControlServers({
-			operators, directory: listen.directory!, directoryTtlMs, codec: adapter.control, core: this.#core, step, now, log, onError: this.#host.logHandlerError,
+			operators,
+			regions: regions.size > 0 ? regions : undefined,
+			directory: listen.directory!, directoryTtlMs, codec: adapter.control, core: this.#core, step, now, log, onError: this.#host.logHandlerError,
 		});
 		this.#metricsServer = listen.metrics && new MetricsServer({
 			listen: listen.metrics,
--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -6,6 +6,7 @@
 import type {ControlEvent} from '../../core/control/control-event.ts';
 import type {OperatorCall} from '../../core/control/operator-call.ts';
 import type {Millis} from '../../core/ids/millis.ts';
+import type {Region} from '../../core/ids/region.ts';
 import {documentProblems} from '../../core/routes/document-problems.ts';
 import {constants} from '../../settings/constants.ts';
 import {BodyError} from '../body-error.ts';
@@ -20,6 +21,8 @@
 
 type ControlServersOptions = {
 	readonly operators: HostPort;
+	/** Regions of the deployment; undefined if the settings name none. */
+	readonly regions?: ReadonlySet<Region>;
 	readonly directory: HostPort;
 	readonly directoryTtlMs: number;
 	readonly codec: ControlCodec;
@@ -181,7 +184,7 @@
 	async #putDocument(text: string, res: ServerResponse): Promise<void> {
 		const {codec, log} = this.#options;
 		const parsed = codec.parseDocument(text);
-		const problems = 'problems' in parsed ? parsed.problems : documentProblems(parsed.document);
+		const problems = 'problems' in parsed ? parsed.problems : documentProblems(parsed.document, {regions: this.#options.regions});
 		if ('problems' in parsed || problems.length > 0) {
 			log.write('document-refused', {problems: problems.slice(0, 3)});
 			sendText(res, 400, JSON.stringify({error: 'the document is invalid', problems}));
--- a/test/platform/read-document.test.ts
+++ b/test/platform/read-document.test.ts
@@ -2,7 +2,10 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {readDocument} from '../../platform/read-document.ts';
+import type {Region} from '../../src/core/ids/region.ts';
+import {toId} from '../../src/core/ids/to-id.ts';
 import {documentProblems} from '../../src/core/routes/document-problems.ts';
+import type {RoutesDocument} from '../../src/core/routes/routes-document.ts';
 import {RouteTable} from '../../src/core/routes/route-table.ts';
 
 const route = {
@@ -115,3 +118,40 @@
 	t.notRegex(JSON.stringify(organisations), /k-[1-3]/v);
 	t.deepEqual(tableOf(whole).document.organisations, []);
 });
+
+// Guards against a document that takes effect in part, or whose refusal tells a key to whoever reads the log.
+test('each problem of an organisation is refused with its field and a remedy, without its key', t => {
+	const tenant = {name: 'vosi', 'access-keys': ['secret-1']};
+	const cases: ReadonlyArray<readonly [tenants: readonly object[], problem: RegExp]> = [
+		[[tenant, {...tenant, name: 'dape'}], /organisation dape: key 1 is also a key of vosi: remove/v],
+		[[tenant, {...tenant, 'access-keys': ['secret-2']}], /organisation vosi: another organisation has the same name: rename/v],
+		[[{...tenant, name: ''}], /organisation 1: the name is empty: set/v],
+		[[{...tenant, name: 'a\r\nb'}], /the name cannot be sent in a header: remove/v],
+		[[{...tenant, 'access-keys': ['secret-1', '']}], /tenants.0.access-keys.1: must not be empty/v],
+		[[{...tenant, 'access-keys': ['secret-1 ']}], /tenants.0.access-keys.0: must not/v],
+		[[{...tenant, unit: 'bytes'}], /tenants.0.unit: must be tokens or requests/v],
+		[[{...tenant, 'home-regions': ['muscat', 'nowhere']}], /organisation vosi: home region nowhere is not a region of this deployment: use muscat/v],
+		...['rate-per-s', 'burst', 'priority', 'uncached-tokens'].flatMap(field => [-1, 'MANY', '1'].map(value =>
+			[[{...tenant, [field]: value}], new RegExp(`tenants.0.${field}: must be a finite number of at least 0: correct`, 'v')] as const)),
+	];
+	for (const [tenants, problem] of cases) {
+		// JSON has no infinite number, but one too large for a number is read as infinite.
+		const result = readDocument(JSON.stringify({...whole, tenants}).replace('"MANY"', '1e999'));
+		const problems = 'problems' in result ? result.problems : documentProblems(result.document, {regions: new Set([toId<Region>('muscat')])});
+		t.is(problems.length, 1);
+		t.regex(problems[0]!, problem);
+		t.notRegex(problems[0]!, /secret/v);
+	}
+
+	t.deepEqual(problemsOf({...whole, tenants: [tenant, {name: 'dape', 'access-keys': ['secret-2', 'secret-2']}]}), []);
+	// Node quotes the text around the place where it stops being JSON.
+	t.deepEqual(problemsOf('{"access-keys": [secret-1]}').filter(problem => problem.includes('secret')), []);
+});
+
+test('weights that are not finite, and homes that are no region, are refused', t => {
+	const split = JSON.stringify({...whole, routes: [{...route, 'traffic-split': [{service: 'huvo11a', weight: 'MANY'}]}]}).replace('"MANY"', '1e999');
+	t.regex(problemsOf(split)[0]!, /routes.0.traffic-split.0.weight: must be a finite number of at least 0: correct/v);
+	const {document} = readDocument(JSON.stringify(whole)) as {document: RoutesDocument};
+	t.deepEqual(documentProblems(document, {regions: new Set([toId<Region>('muscat'), toId<Region>('sohar')])}), []);
+	t.regex(documentProblems(document, {regions: new Set([toId<Region>('sohar')])})[0]!, /route r-1: home region muscat is not a region of this deployment: use sohar/v);
+});
