feat(organisations): an organisation's priority and homes apply to its requests

Its priority goes before the route's in the waiting order and at engines; homes are those that route and organisation have in common, under the document on arrival and the one in force.

--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -3,6 +3,7 @@
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
+import type {RouteTable} from '../routes/route-table.ts';
 import type {AnswerHead} from './answer-head.ts';
 import {describeFailedAttempt} from './describe-failed-attempt.ts';
 import {destinationOf} from './destination-of.ts';
@@ -23,6 +24,8 @@
 	readonly budget: WindowedRetryBudget;
 	readonly idle: IdleConnectionPolicy;
 	readonly clock: AwakeClock;
+	/** Routes in force. */
+	readonly table: () => RouteTable | undefined;
 	readonly queue: ActionQueue<EdgeAction>;
 };
 
@@ -186,13 +189,15 @@
 			...destination,
 			requestId: req.requestId,
 			deadlineMs: Math.max(1, Math.floor(record.deadlineAt - now)),
-			urgency: Math.min(lowestUrgency, (route.priority * 2) + 1),
+			urgency: Math.min(lowestUrgency, (record.priority * 2) + 1),
 			fresh: this.#options.idle.needsFreshConnection(route, service, now),
 			stream: route.kind === 'stream',
 			resumeAfter: lastEventId,
 			service,
 			origin: softwareVersion === undefined ? undefined : {service, softwareVersion},
 			documentVersion: table.version,
+			organisation: req.organisation,
+			passesCredentials: req.organisation === undefined && table.organisations.isEmpty && this.#options.table()?.organisations.isEmpty !== false,
 		});
 	}
 
--- a/src/core/edge/create-request-record.ts
+++ b/src/core/edge/create-request-record.ts
@@ -10,9 +10,11 @@
 	// The entry that forwarded a request has applied the timeout of its own document.
 	const timeoutMs = req.forwarded === undefined || req.budgetMs === undefined ? route.timeoutMs : Number.POSITIVE_INFINITY;
 	const limitMs = Math.min(req.budgetMs ?? Number.POSITIVE_INFINITY, timeoutMs);
+	const organisation = req.organisation === undefined ? undefined : table.organisations.get(req.organisation);
 	return {
 		req,
 		route,
+		priority: organisation?.priority ?? route.priority,
 		service: origin?.service ?? service ?? table.pickService(route, req.callerKey),
 		table,
 		deadlineAt: req.arrivedAt + limitMs as Millis,
--- a/src/core/edge/edge-action.ts
+++ b/src/core/edge/edge-action.ts
@@ -1,5 +1,6 @@
 import type {BegunStream} from '../control/begun-stream.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
+import type {OrganisationId} from '../ids/organisation-id.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {ServiceName} from '../ids/service-name.ts';
 import type {SoftwareVersion} from '../ids/software-version.ts';
@@ -36,6 +37,10 @@
 		readonly service: ServiceName;
 		/** Version of the routes document under which the request is handled. */
 		readonly documentVersion: number;
+		/** The organisation whose request it is: its target and another entry are told its name. */
+		readonly organisation?: OrganisationId;
+		/** True if the caller's own headers with a key and an organisation are sent on as they came, since no organisations are configured. @default false */
+		readonly passesCredentials?: boolean;
 	}
 	| ProbeAction
 	/** Aborts an attempt and closes its connection; nothing more of it may reach the caller. */
--- a/src/core/edge/homes-of.ts
+++ b/src/core/edge/homes-of.ts
@@ -1,11 +1,23 @@
+import {intersectRestrictions} from '../common/intersect-restrictions.ts';
 import type {Region} from '../ids/region.ts';
+import type {RouteRule} from '../routes/route-rule.ts';
 import type {RouteTable} from '../routes/route-table.ts';
 import type {RequestRecord} from './request-record.ts';
 
-/** Regions that may serve a request: homes of its route, as they were on arrival and as they are in the document in force. Undefined if all may. */
+/** Regions that may serve a request: homes of its route and of its organisation, as they were on arrival and as they are in the document in force. Undefined if all may. */
 export function homesOf({req, route, table}: RequestRecord, current: RouteTable | undefined): readonly Region[] | undefined {
-	const routeInForce = current === undefined || current === table ? route : current.match(req.host, req.path);
-	const restrictions = [route.homes, routeInForce?.homes ?? []].filter(homes => homes.length > 0);
-	const [first, second] = restrictions;
-	return second === undefined ? first : first!.filter(region => second.includes(region));
+	const homes = homesUnder(table, route, req.organisation);
+	return current === undefined || current === table
+		? homes
+		: intersectRestrictions(homes, homesUnder(current, current.match(req.host, req.path), req.organisation));
+}
+
+function homesUnder({organisations}: RouteTable, route: RouteRule | undefined, name: RequestRecord['req']['organisation']): readonly Region[] | undefined {
+	const organisation = name === undefined ? undefined : organisations.get(name);
+	return intersectRestrictions(toRestriction(route?.homes), toRestriction(organisation?.homes));
+}
+
+/** Homes as a restriction: an empty list allows all regions. */
+function toRestriction(homes: readonly Region[] | undefined): readonly Region[] | undefined {
+	return homes?.length === 0 ? undefined : homes;
 }
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -38,6 +38,8 @@
 export type RequestRecord = {
 	readonly req: EdgeRequest;
 	readonly route: RouteRule;
+	/** Priority of the request's organisation, else of its route; 0 is the most urgent. */
+	readonly priority: number;
 	/** Chosen when the request arrives; a stream that is taken up stays with the service that began it. */
 	service: ServiceName;
 	/** Routes in force when the request arrived; a newer document does not change how it is handled. */
--- a/src/core/edge/wait-queue.ts
+++ b/src/core/edge/wait-queue.ts
@@ -46,7 +46,7 @@
 }
 
 function goesBefore(left: RequestRecord, right: RequestRecord): boolean {
-	return left.route.priority === right.route.priority
+	return left.priority === right.priority
 		? left.req.arrivedAt < right.req.arrivedAt
-		: left.route.priority < right.route.priority;
+		: left.priority < right.priority;
 }
--- a/src/core/routes/route-table.ts
+++ b/src/core/routes/route-table.ts
@@ -1,5 +1,6 @@
 import {hash32} from '../common/hash32.ts';
 import type {ServiceName} from '../ids/service-name.ts';
+import {OrganisationTable} from '../organisations/organisation-table.ts';
 import {normalizeHost} from './normalize-host.ts';
 import type {RouteRule} from './route-rule.ts';
 import type {RoutesDocument} from './routes-document.ts';
@@ -10,12 +11,14 @@
 
 /** A routes document indexed for lookups. */
 export class RouteTable {
+	readonly organisations: OrganisationTable;
 	readonly #document: RoutesDocument;
 	readonly #byHost = new Map<string, RouteRule[]>();
 	readonly #services = new Map<ServiceName, ServiceSpec>();
 
 	constructor(document: RoutesDocument) {
 		this.#document = document;
+		this.organisations = new OrganisationTable(document.organisations);
 		for (const route of document.routes) {
 			const host = route.host.toLowerCase();
 			const routes = this.#byHost.get(host) ?? [];
