feat(organisations): a key decides whose request it is, before it is placed

Where organisations are configured, a request without a known key is refused with unauthorized, except on open routes; nothing is sent. An unknown key is refused with key-unverified and a time to come back while the entry may be behind: no current control node has answered a status sent in the last second, it has announced a newer state than the entry's, or the newest document can't be read. Statuses carry the entry's time and feeds return it, since a feed may have lain in a buffer while a process stood still.

--- a/src/core/control/control-message.ts
+++ b/src/core/control/control-message.ts
@@ -1,4 +1,5 @@
 import type {CrashId} from '../ids/crash-id.ts';
+import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {RequestTrait} from '../ids/request-trait.ts';
@@ -36,6 +37,8 @@
 		readonly crashIndex?: number;
 		readonly once?: boolean;
 		readonly ifCurrent?: boolean;
+		/** Time of the entry's own clock. */
+		readonly sentAt?: Millis;
 	}
 	/** Changes for an entry since the position that it has; the whole list if it has no position in this run of the node. */
 	| {
@@ -58,6 +61,8 @@
 		readonly regions: readonly RegionLoad[];
 		/** Traits blamed for crashes, with the log index of their newest change; absent if the entry already has them. */
 		readonly crashes?: {readonly index: number; readonly suspects: readonly SuspectTrait[]};
+		/** `sentAt` of the entry's last status; absent from builds that don't know it. */
+		readonly answers?: Millis;
 	}
 	/** What a control node heard directly from targets and entries, sent to the other control nodes. */
 	| {
--- a/src/core/control/entry-feed.ts
+++ b/src/core/control/entry-feed.ts
@@ -28,8 +28,8 @@
 	readonly regionLoads: (now: Millis) => readonly RegionLoad[];
 };
 
-/** An entry that follows this node; `sentRevision` (registry), `sentStateIndex` and `sentCrashIndex` (log) are what it was sent last, or said that it has. */
-type Follower = {readonly region: Region; followedAt: Millis; sentRevision: number; sentStateIndex: number; sentCrashIndex: number};
+/** An entry that follows this node, with `sentAt` of its last status; `sentRevision` (registry), `sentStateIndex` and `sentCrashIndex` (log) are what it was sent last, or said that it has. */
+type Follower = {readonly region: Region; followedAt: Millis; sentRevision: number; sentStateIndex: number; sentCrashIndex: number; readonly sentAt?: Millis};
 
 /** Sends feeds to the entries that follow this control node: at once when something changes, and in answer to each status. */
 export class EntryFeed {
@@ -40,14 +40,14 @@
 		this.#options = options;
 	}
 
-	follow(from: NodeId, {status, have, stateIndex, crashIndex = 0, once = false, ifCurrent = false}: Follow, now: Millis): void {
+	follow(from: NodeId, {status, have, stateIndex, crashIndex = 0, once = false, ifCurrent = false, sentAt}: Follow, now: Millis): void {
 		if (ifCurrent && !this.#options.isCurrent(now)) {
 			return;
 		}
 
 		const position = have?.epoch === this.#options.epoch ? have.revision : -1;
 		const follower = {
-			region: status.region, followedAt: now, sentRevision: position, sentStateIndex: stateIndex, sentCrashIndex: crashIndex,
+			region: status.region, followedAt: now, sentRevision: position, sentStateIndex: stateIndex, sentCrashIndex: crashIndex, sentAt,
 		};
 		if (!once) {
 			this.#followers.set(from, follower);
@@ -89,6 +89,7 @@
 				state: stateChanged ? {document: state.document, evacuated: state.evacuated()} : undefined,
 				regions: regionLoads(now),
 				crashes: crashes.index > follower.sentCrashIndex ? {index: crashes.index, suspects: crashes.suspects()} : undefined,
+				answers: follower.sentAt,
 			},
 		});
 		follower.sentRevision = registry.revision;
--- a/src/core/edge/control-follower.ts
+++ b/src/core/edge/control-follower.ts
@@ -257,7 +257,7 @@
 		outbox.send(to, {
 			part: 'control',
 			body: {
-				type: 'follow', status: status(now), have, stateIndex: stateIndex(), crashIndex: crashIndex(), once, ifCurrent,
+				type: 'follow', status: status(now), have, stateIndex: stateIndex(), crashIndex: crashIndex(), once, ifCurrent, sentAt: now,
 			},
 		});
 	}
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -8,6 +8,7 @@
 import {RouteTable} from '../routes/route-table.ts';
 import type {StoredDocument} from '../routes/stored-document.ts';
 import {TargetProber} from '../targets/target-prober.ts';
+import {ConfigurationFreshness} from './configuration-freshness.ts';
 import {ControlFollower} from './control-follower.ts';
 import {CrashContainment} from './crash-containment.ts';
 import type {EdgeAction} from './edge-action.ts';
@@ -48,6 +49,7 @@
 	readonly #startup: StartupWait;
 	/** What control nodes sent before the entry has a configuration. */
 	readonly #start = new StartConfiguration();
+	readonly #freshness = new ConfigurationFreshness();
 	readonly #requests: RequestHandler;
 	readonly #budget: WindowedRetryBudget;
 	#table: RouteTable | undefined;
@@ -92,6 +94,7 @@
 		this.#startup = new StartupWait({reportEveryMs});
 		this.#requests = new RequestHandler({
 			startup: this.#startup,
+			mayBeBehind: now => this.#freshness.mayBeBehind(now),
 			prober: this.#prober,
 			containment: this.#containment,
 			origins: this.#origins,
@@ -265,6 +268,7 @@
 			}, now);
 		}
 
+		this.#freshness.record(feed, this.#stateIndex, now);
 		if (targets !== undefined) {
 			if (this.#startup.recordFeed(now)) {
 				this.#queue.event('first-feed', {control: from, current: feed.current, targets: feed.targets.length});
@@ -350,6 +354,7 @@
 		}
 
 		const parsed = this.#options.parseDocument(stored.text);
+		this.#freshness.recordDocument({version: stored.version, isReadable: !('problems' in parsed)});
 		if ('problems' in parsed) {
 			this.#queue.event('document-unreadable', {version: stored.version, problems: parsed.problems.slice(0, 3)});
 			return;
--- a/src/core/edge/request-completion.ts
+++ b/src/core/edge/request-completion.ts
@@ -2,6 +2,7 @@
 import type {Random} from '../common/random.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
+import {OrganisationLabels} from '../organisations/organisation-labels.ts';
 import type {CrashContainment} from './crash-containment.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
@@ -23,12 +24,20 @@
 /** Completes requests: emits the final answer or refusal, with its log event and counter. */
 export class RequestCompletion {
 	readonly #options: RequestCompletionOptions;
+	readonly #labels = new OrganisationLabels();
 	#hasServed = false;
 
 	constructor(options: RequestCompletionOptions) {
 		this.#options = options;
 	}
 
+	/** Counts a request of an organisation; one that another entry forwarded is counted there. */
+	countOrganisation(counter: 'requests' | 'answers' | 'refusals', {organisation, forwarded}: EdgeRequest): void {
+		if (organisation !== undefined && forwarded === undefined) {
+			this.#options.queue.count(`organisation_${counter}`, this.#labels.of(organisation));
+		}
+	}
+
 	/** Completes a request whose answer was read to its end. */
 	complete(record: RequestRecord, attempt: AttemptNumber, now: Millis): void {
 		const {req, running, service, route, sends} = record;
@@ -43,12 +52,14 @@
 
 		queue.push({type: 'complete', requestId: req.requestId, attempt});
 		queue.count('answers', route.kind);
+		this.countOrganisation('answers', req);
 		if (running?.head?.unframed === true) {
 			queue.count('unframed_answers', route.kind);
 		}
 
 		queue.event('answered', {
 			request: req.callerKey,
+			organisation: req.organisation,
 			route: route.name,
 			service,
 			status: running?.head?.status,
@@ -67,7 +78,7 @@
 			reason,
 			ran: 'no',
 			reachedTarget: false,
-			retryAfterMs: reason === 'no-route' ? undefined : callerRetryAfterMs(reason === 'leaving' ? 0 : defaultRetryAfterMs, this.#options.random),
+			retryAfterMs: reason === 'no-route' || reason === 'unauthorized' ? undefined : callerRetryAfterMs(reason === 'leaving' ? 0 : defaultRetryAfterMs, this.#options.random),
 		};
 		this.#emitRefusal(req, refusal, {path: req.path, version});
 	}
@@ -97,11 +108,15 @@
 		});
 	}
 
-	#emitRefusal({requestId, callerKey}: EdgeRequest, refusal: EdgeRefusal, details: Readonly<Record<string, unknown>>): void {
+	#emitRefusal(req: EdgeRequest, refusal: EdgeRefusal, details: Readonly<Record<string, unknown>>): void {
 		const {queue} = this.#options;
+		const {requestId, callerKey, organisation} = req;
 		queue.push({type: 'refuse', requestId, refusal});
 		queue.count('refusals', refusal.reason);
-		queue.event('refused', {request: callerKey, ...refusal, ...details});
+		this.countOrganisation('refusals', req);
+		queue.event('refused', {
+			request: callerKey, organisation, ...refusal, ...details,
+		});
 	}
 }
 
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -17,6 +17,7 @@
 import {describeCallerGone} from './describe-caller-gone.ts';
 import {createRequestRecord} from './create-request-record.ts';
 import {RequestCompletion} from './request-completion.ts';
+import {identifyCaller} from './identify-caller.ts';
 import {IdleConnectionPolicy} from './idle-connection-policy.ts';
 import {destinationOf} from './destination-of.ts';
 import type {CrashContainment} from './crash-containment.ts';
@@ -46,6 +47,8 @@
 	readonly containment: CrashContainment;
 	readonly prober: TargetProber;
 	readonly startup: StartupWait;
+	/** True if a newer document may have been accepted that this entry does not have. */
+	readonly mayBeBehind: (now: Millis) => boolean;
 	readonly budget: WindowedRetryBudget;
 	readonly clock: AwakeClock;
 	readonly random: Random;
@@ -125,7 +128,14 @@
 		}
 
 		const route = table!.match(req.host, req.path)!;
-		const record = createRequestRecord(req, route, table!);
+		const identity = identifyCaller(req, {route, table: table!, mayBeBehind: this.#options.mayBeBehind(now)});
+		if ('refusal' in identity) {
+			this.#completion.refuseEarly(req, identity.refusal, table!.version);
+			return;
+		}
+
+		const record = createRequestRecord({...req, organisation: identity.organisation}, route, table!);
+		this.#completion.countOrganisation('requests', record.req);
 		this.#stopDeadline.apply(record);
 		this.#refusals.exclude(record, now);
 		this.#records.set(req.requestId, record);
--- a/src/core/results/counter-name.ts
+++ b/src/core/results/counter-name.ts
@@ -3,6 +3,7 @@
  *
  * `away`: forwards to remote regions; `away_bytes`: the bytes sent with them. `changes`: outcomes of settings changes.
  * `broken_answers`: answers that had begun and that this entry ended before they were complete, by the last failure.
+ * `organisation_...`: requests that callers sent to this entry, by organisation.
  * `poison`: events about requests that are suspected of crashing targets. `stale_messages`: messages, requests and
  * outcomes that were ignored because they were late, repeated or not meant for this process.
  */
@@ -24,6 +25,9 @@
 	| 'poison'
 	| 'announcements'
 	| 'changes'
+	| 'organisation_requests'
+	| 'organisation_answers'
+	| 'organisation_refusals'
 	| 'settings_updates'
 	| 'elections'
 	| 'peer_messages'
--- a/src/server/metrics.ts
+++ b/src/server/metrics.ts
@@ -57,7 +57,7 @@
 		for (const [name, reasons] of this.#counters) {
 			yield `# TYPE lovageferry_${name}_total counter`;
 			for (const [reason, value] of reasons) {
-				const label = reason === '' ? '' : `{reason="${reason}"}`;
+				const label = reason === '' ? '' : `{reason="${escapeLabel(reason)}"}`;
 				yield `lovageferry_${name}_total${label} ${value}`;
 			}
 		}
@@ -83,3 +83,8 @@
 		}
 	}
 }
+
+/** Escapes a label's value, which may be a name from a document. */
+function escapeLabel(value: string): string {
+	return value.replaceAll('\\', '\\\\').replaceAll('"', String.raw`\"`).replaceAll('\n', String.raw`\n`);
+}
