feat(organisations): keys reach no target and no other entry

The request codec reads the digest of the key and sets aside the headers Authorization and Tenant, which are sent on only where no organisations are configured; targets get the organisation's name in Tenant. Entries tell each other the name in a header of its own, since older builds read a further field of the relay header as a software version.

--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -253,6 +253,10 @@
 			headers.push('Retry-After', this.#options.adapter.requests.formatRetryAfter(refusal.retryAfterMs));
 		}
 
+		if (refusal.reason === 'unauthorized') {
+			headers.push('WWW-Authenticate', this.#options.adapter.requests.challenge);
+		}
+
 		if (exchange.edgeRequest.forwarded !== undefined && refusal.ran === 'no') {
 			headers.push(relayHeader.refusedName, relayHeader.writeRefusal(refusal));
 		}
--- a/src/server/routes/outgoing-header-options.ts
+++ b/src/server/routes/outgoing-header-options.ts
@@ -1,3 +1,4 @@
+import type {OrganisationId} from '../../core/ids/organisation-id.ts';
 import type {TargetId} from '../../core/ids/target-id.ts';
 
 /** Values of the headers that the gateway adds to a request it sends. */
@@ -10,4 +11,8 @@
 	readonly urgency: number;
 	/** Id of the event after which a stream is to be resumed. */
 	readonly resumeAfter?: string;
+	/** The organisation whose request it is; the receiver gets its name. */
+	readonly organisation?: OrganisationId;
+	/** True if the head's `credentialHeaders` are copied. @default false */
+	readonly passesCredentials?: boolean;
 };
--- a/src/server/routes/relay-header.ts
+++ b/src/server/routes/relay-header.ts
@@ -2,6 +2,7 @@
 import type {EdgeRefusal} from '../../core/edge/edge-refusal.ts';
 import type {EdgeRequest} from '../../core/edge/edge-request.ts';
 import type {BegunStream} from '../../core/control/begun-stream.ts';
+import type {OrganisationId} from '../../core/ids/organisation-id.ts';
 import type {ServiceName} from '../../core/ids/service-name.ts';
 import {toId} from '../../core/ids/to-id.ts';
 import {decodeHeaderText} from './decode-header-text.ts';
@@ -10,6 +11,8 @@
 
 /** Header of a forwarded request: region of the forwarding entry, version of its routes document, service that it chose and, for a stream that has begun, its software version. */
 const name = 'lovageferry-relayed';
+/** Header of a forwarded request: the organisation whose request it is. A field at the end of `name` would not do: builds before it take the fourth field of a request without an origin for a software version. */
+const organisationName = 'lovageferry-organisation';
 /** Header of an answer: the entry of the remote region refused the request, which has not run there. */
 const refusedName = 'lovageferry-refused';
 /** Follows the reason in that header if a target got the request and turned it away. */
@@ -24,6 +27,7 @@
 /** Headers that entries add to requests and answers between regions. */
 export const relayHeader = {
 	name,
+	organisationName,
 	refusedName,
 	softwareVersionName,
 	leavingTargetName,
@@ -45,6 +49,14 @@
 		const born = Number(start);
 		return targetId && start && Number.isSafeInteger(born) ? {targetId: toId(decodeHeaderText(targetId)), born} : undefined;
 	},
+	/** Formats the value of the header `organisationName`. */
+	writeOrganisation(organisation: OrganisationId): string {
+		return encodeURIComponent(organisation);
+	},
+	/** Parses the value of the header `organisationName`; undefined if it is missing. */
+	readOrganisation(value: string | string[] | undefined): OrganisationId | undefined {
+		return typeof value === 'string' && value !== '' ? toId<OrganisationId>(decodeHeaderText(value)) : undefined;
+	},
 	/** Formats the value of the header `name`. */
 	write({region, documentVersion, service, origin}: RelayedRequest): string {
 		const optional = [service ?? origin?.service, origin?.softwareVersion].filter(value => value !== undefined);
--- a/src/server/routes/request-codec.ts
+++ b/src/server/routes/request-codec.ts
@@ -7,6 +7,8 @@
 
 /** Reads and writes the heads of requests and answers of callers, entries and targets, in one platform's formats. */
 export interface RequestCodec {
+	/** Value of the `WWW-Authenticate` header in the answer to a request that lacks a key. */
+	readonly challenge: string;
 	readRequest(req: {method: string; url: string; rawHeaders: RawHeaders}): RequestHead;
 	/** Headers of a request to a target or to another entry, without those that describe its body. */
 	outgoingHeaders(head: RequestHead, options: OutgoingHeaderOptions): string[];
--- a/src/server/routes/request-server.ts
+++ b/src/server/routes/request-server.ts
@@ -106,6 +106,7 @@
 		const head = codec.readRequest({method: req.method ?? 'GET', url: req.url ?? '/', rawHeaders: req.rawHeaders});
 		lastRequestNumber += 1;
 		const requestId = toId<RequestId>(String(lastRequestNumber));
+		const forwarded = relay ? relayHeader.read(req.headers[relayHeader.name]) : undefined;
 		const exchange = new CallerExchange({
 			res,
 			memory,
@@ -124,7 +125,9 @@
 				prompt: head.prompt,
 				resumeAfter: head.resumeAfter,
 				resumes: head.resumes,
-				forwarded: relay ? relayHeader.read(req.headers[relayHeader.name]) : undefined,
+				keyDigest: head.keyDigest,
+				organisation: forwarded && relayHeader.readOrganisation(req.headers[relayHeader.organisationName]),
+				forwarded,
 			},
 		});
 		exchanges.set(requestId, exchange);
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -141,14 +141,17 @@
 
 	#buildHeaders(action: StartAction, exchange: CallerExchange): string[] {
 		const {codec, region} = this.#options;
-		const {deadlineMs, targetId, urgency, resumeAfter, documentVersion, service, origin} = action;
+		const {deadlineMs, targetId, urgency, resumeAfter, documentVersion, service, origin, organisation, passesCredentials} = action;
 		const headers = codec.outgoingHeaders(exchange.head, {
-			deadlineMs, targetId, urgency, resumeAfter,
+			deadlineMs, targetId, urgency, resumeAfter, organisation, passesCredentials,
 		});
 		if (targetId === undefined) {
 			headers.push(relayHeader.name, relayHeader.write({
 				region, documentVersion, service, origin,
 			}));
+			if (organisation !== undefined) {
+				headers.push(relayHeader.organisationName, relayHeader.writeOrganisation(organisation));
+			}
 		}
 
 		return headers;
--- a/test/server/routes/cut-answers.test.ts
+++ b/test/server/routes/cut-answers.test.ts
@@ -90,7 +90,7 @@
 			memory: new ProcessMemory(),
 			presence: new CallerPresence(res),
 			head: {
-				method: 'POST', path, host: 'prairie.example', key, copiedHeaders: ['Host', 'prairie.example', 'Request-Identifier', key],
+				method: 'POST', path, host: 'prairie.example', key, copiedHeaders: ['Host', 'prairie.example', 'Request-Identifier', key], credentialHeaders: [],
 			},
 			body: Buffer.from('order'),
 			edgeRequest: {
