--- a/test/core/control/entry-feed.test.ts
+++ b/test/core/control/entry-feed.test.ts
@@ -23,7 +23,7 @@
 		controlPeers: () => [],
 		regionLoads: () => [],
 	});
-	const follow = (ifCurrent?: boolean) => {
+	const follow = (ifCurrent?: boolean, sentAt?: Millis) => {
 		feed.follow(toId('entry-1'), {
 			type: 'follow',
 			status: {
@@ -32,8 +32,9 @@
 			stateIndex: 0,
 			once: true,
 			ifCurrent,
+			sentAt,
 		}, now);
-		return outbox.takeSent().length;
+		return outbox.takeSent();
 	};
 
 	return {follow};
@@ -41,7 +42,13 @@
 
 // Guards against whole lists from all control nodes to all entries while the log has no leader.
 test('a control node that is not current sends no list to an entry that looks for a current one', t => {
-	t.is(feedOf({current: false}).follow(true), 0);
-	t.is(feedOf({current: true}).follow(true), 1);
-	t.is(feedOf({current: false}).follow(), 1);
+	t.is(feedOf({current: false}).follow(true).length, 0);
+	t.is(feedOf({current: true}).follow(true).length, 1);
+	t.is(feedOf({current: false}).follow().length, 1);
+});
+
+// Guards against an entry that takes a feed for fresh that lay in a buffer while one of the two stood still.
+test('a feed names the status that it answers', t => {
+	const [sent] = feedOf({current: true}).follow(false, 700 as Millis);
+	t.like(sent, {message: {body: {type: 'feed', answers: 700}}});
 });
