--- a/src/command-line.ts
+++ b/src/command-line.ts
@@ -37,10 +37,13 @@
 		});
 
 	cli
-		.command('check <settings>', 'Check a settings file: prints every problem, exit code 2 if there is one')
-		.action(async (settings: string) => {
+		.command('check <file>', 'Check a settings file, or a routes document before it is sent: prints every problem, exit code 2 if there is an error')
+		.option('--against <source>', 'With a routes document: file or control node (ip:port) to compare with')
+		.option('--json', 'With a routes document: print JSON')
+		.example('lovageferry check routes.json --against 10.0.0.4:8080')
+		.action(async (file: string, {against, json}: CommandLineOptions) => {
 			const {check} = await import('./commands/check.ts');
-			check(settings);
+			await check(file, {adapter, against: against === undefined ? undefined : String(against), json: json === true});
 		});
 
 	cli
--- a/src/commands/command-line-options.ts
+++ b/src/commands/command-line-options.ts
@@ -3,6 +3,8 @@
 	readonly entry?: string | string[];
 	readonly keyFile?: string;
 	readonly json?: boolean;
+	/** File or address of the document to compare with. */
+	readonly against?: string;
 	readonly zone?: string;
 	readonly resolved?: boolean;
 	readonly prune?: boolean;
--- a/src/commands/exit-codes.ts
+++ b/src/commands/exit-codes.ts
@@ -15,4 +15,6 @@
 	dataFolder: 6,
 	/** The process cannot listen on an address of its settings. */
 	listen: 7,
+	/** The document is valid, but has entries without effect or limits that contradict each other. */
+	findings: 8,
 } as const;
--- a/src/server/routes/control-codec.ts
+++ b/src/server/routes/control-codec.ts
@@ -16,6 +16,8 @@
 export interface ControlCodec {
 	/** Parses an operator's routes document. */
 	readonly parseDocument: ParseDocument;
+	/** Path at which control nodes answer with the document in force. */
+	readonly documentPath: string;
 	/** Path of an entry's readiness check. */
 	readonly readinessPath: string;
 	/** Reads a call from its method and URL; undefined if they are unknown. */
