perf(build): the code cache holds the request path

An entry that had just started compiled the functions of its request path while its first callers waited, on a quarter of a core: the processes that the build runs for the cache served no request.

--- a/scripts/build-platform.ts
+++ b/scripts/build-platform.ts
@@ -34,7 +34,7 @@
 	for (let attempt = 1; attempt <= cacheAttempts; attempt++) {
 		try {
 			execFileSync(process.execPath, [...nodeFlags, '--import=tsx', 'scripts/platform-build/write-code-cache.ts', folder], {
-				stdio: ['ignore', 'ignore', 'pipe'], timeout: cacheTimeoutMs,
+				stdio: ['ignore', 'ignore', 'inherit'], timeout: cacheTimeoutMs,
 			});
 			return;
 		} catch (error) {
--- a/scripts/platform-build/write-code-cache.ts
+++ b/scripts/platform-build/write-code-cache.ts
@@ -8,9 +8,10 @@
 import {stringify} from 'yaml';
 import {bundleFiles} from '../../src/bundle/bundle-files.ts';
 import {loadBundle} from '../../src/bundle/load-bundle.ts';
+import {serveSampleTraffic} from './serve-sample-traffic.ts';
 
-/** Time for which the processes run before the cache is written, in milliseconds: until the entry follows the control node. */
-const warmUpMs = 2500;
+/** Time for which the processes run on after the traffic, in milliseconds: they exchange further statuses and feeds. */
+const idleMs = 600;
 const firstPort = 20_000 + Math.floor(Math.random() * 10_000);
 const ip = '127.0.0.1';
 
@@ -20,9 +21,10 @@
 	rmSync(scratch, {recursive: true, force: true});
 });
 
+const portOf = (offset: number) => `${ip}:${firstPort + offset}`;
+
 /** Settings of one process of a deployment of two on this machine. */
 function writeSettings(role: 'entry' | 'control'): string {
-	const portOf = (offset: number) => `${ip}:${firstPort + offset}`;
 	const file = path.join(scratch, `${role}.yaml`);
 	writeFileSync(file, stringify({
 		mode: 'routes',
@@ -45,7 +47,8 @@
 	return file;
 }
 
-// Functions are in the cache only once they have been compiled, so a process of each role runs for a moment.
+// Functions are in the cache only once they have been compiled, so a process of each role runs and serves requests: an
+// entry that has just started has a part of a core to compile them with, while its first callers wait.
 const file = path.join(folder, bundleFiles.bundle);
 const bundle = loadBundle({file: path.resolve(file), source: readFileSync(file, 'latin1')});
 for (const role of ['control', 'entry'] as const) {
@@ -53,6 +56,12 @@
 	bundle.run();
 }
 
-await sleep(warmUpMs);
+try {
+	await serveSampleTraffic({operators: portOf(16), callers: portOf(17), relay: portOf(1)});
+} catch (error) {
+	process.stderr.write(`The code cache lacks the request path: ${(error as Error).message}\n`);
+}
+
+await sleep(idleMs);
 writeFileSync(path.join(folder, bundleFiles.codeCache), bundle.script.createCachedData());
 process.exit(0); // eslint-disable-line unicorn/no-process-exit
