perf(build): Headers of the bundled undici

The client of the links between processes creates Headers, and Node's global class loads all of its built-in fetch. The bundle takes the class of the undici that it contains.

--- a/scripts/build-platform.ts
+++ b/scripts/build-platform.ts
@@ -24,7 +24,9 @@
 
 /** Builds the bundle for the platform, the product with the platform's formats, and its code cache. */
 rmSync(path.join(folder, bundleFiles.codeCache), {force: true});
-await build({...options, entryPoints: ['platform/main.ts'], outfile: path.join(folder, bundleFiles.bundle)});
+await build({
+	...options, entryPoints: ['platform/main.ts'], inject: ['scripts/platform-build/global-headers.ts'], outfile: path.join(folder, bundleFiles.bundle),
+});
 await build({...options, entryPoints: ['src/bundle/launcher.ts'], outfile: path.join(folder, bundleFiles.launcher)});
 writeCodeCache();
 process.stdout.write(`${path.join(folder, bundleFiles.launcher)}\n`);
--- a/src/server/undici-modules.d.ts
+++ b/src/server/undici-modules.d.ts
@@ -17,3 +17,7 @@
 declare module 'undici/lib/core/connect.js' {
 	export {buildConnector as default} from 'undici';
 }
+
+declare module 'undici/lib/web/fetch/headers.js' {
+	export {Headers} from 'undici';
+}
