fix(organisations): an entry drops the text of the document that it started with

The first state stayed in memory for the whole run, with the keys in its text. It is dropped once the document is in force, with the views of control nodes. test/core/edge/start-configuration, outdated-start: passed.

--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -291,7 +291,12 @@
 
 		const {basis, waitedMs, heard, ...taken} = start;
 		this.#takeState({...taken, current: basis !== 'waited'}, now);
-		if (this.#table !== undefined && basis !== 'current') {
+		if (this.#table === undefined) {
+			return;
+		}
+
+		this.#start.clear();
+		if (basis !== 'current') {
 			this.#queue.event('started-without-leader', {
 				basis, index: taken.index, version: taken.state.document?.version, control: taken.control, waitedMs: Math.round(waitedMs), heard,
 			});
--- a/src/core/edge/start-configuration.ts
+++ b/src/core/edge/start-configuration.ts
@@ -66,6 +66,12 @@
 		}
 	}
 
+	/** Drops what was recorded once a configuration is in force: the text of a document has keys in it. */
+	clear(): void {
+		this.#held = undefined;
+		this.#views.clear();
+	}
+
 	/** The configuration to become ready with; undefined while a newer one may still come. */
 	take(now: Millis): Start | undefined {
 		if (this.#held?.state.document === undefined || this.#heldSince === undefined) {
