--- a/src/commands/explain-request.ts
+++ b/src/commands/explain-request.ts
@@ -8,6 +8,9 @@
 const causesByReason: Readonly<Record<string, string>> = {
 	'not-configured': 'the entry had no routes document yet, or none that was sure to be the newest: see when it started and which control node it followed',
 	'no-route': 'no route of the document in force matches the request: compare its version with the latest one',
+	unauthorized: 'the route needs a key, and the request had none in its header, or one that no organisation of the document in force has: compare version with the latest one',
+	'key-unverified': 'the key was not known, but the entry may have been behind: see control-followed and control_outdated_ms for its contact with control, and document-unreadable',
+	quota: 'the organisation had used its quota: see organisation',
 	overloaded: 'no target could start the request in time: see the lines before it for targets that refused it',
 	'no-target': 'no target of the service could be used from this region: look for target-changed, evacuation-began and attempt-failed',
 	paused: 'all targets of the service in this region had asked the entry for pauses that ended too late for the request: see target-paused',
