--- a/test/platform/platform-request-codec.test.ts
+++ b/test/platform/platform-request-codec.test.ts
@@ -1,6 +1,8 @@
+import {Buffer} from 'node:buffer';
 import test from 'ava';
 import {platformRequestCodec} from '../../platform/platform-request-codec.ts';
 import {toId} from '../../src/core/ids/to-id.ts';
+import {digestOf} from '../fixtures/digest-of.ts';
 
 const options = {deadlineMs: 1500, targetId: toId<never>('i-7'), urgency: 3};
 
@@ -35,6 +37,14 @@
 	});
 });
 
+// Guards against a valid key that gets 401: the last byte of "à" in UTF-8 is a no-break space as Latin-1.
+test('a key is read whole, whatever bytes its last letter has in UTF-8', t => {
+	for (const key of ['k-1', 'voilà', 'k Р']) {
+		const value = Buffer.from(`Token  ${key}`, 'utf8').toString('latin1');
+		t.is(headOf(['Authorization', value]).keyDigest, digestOf(key));
+	}
+});
+
 test('invalid or missing header values are ignored', t => {
 	const head = headOf(['Deadline-Milliseconds', 'soon', 'Token-Counts', 'many', 'Prompt-Prefix', ':::,zz:1']);
 	t.is(head.budgetMs, undefined);
