--- a/test/platform/read-document.test.ts
+++ b/test/platform/read-document.test.ts
@@ -129,6 +129,7 @@
 		[[{...tenant, name: 'a\r\nb'}], /the name cannot be sent in a header: remove/v],
 		[[{...tenant, 'access-keys': ['secret-1', '']}], /tenants.0.access-keys.1: must not be empty/v],
 		[[{...tenant, 'access-keys': ['secret-1 ']}], /tenants.0.access-keys.0: must not/v],
+		...['\u0001secret-1', 'secret-1\u007F', '\u0000'].map(key => [[{...tenant, 'access-keys': [key]}], /tenants.0.access-keys.0: must not/v] as const),
 		[[{...tenant, unit: 'bytes'}], /tenants.0.unit: must be tokens or requests/v],
 		[[{...tenant, 'home-regions': ['muscat', 'nowhere']}], /organisation vosi: home region nowhere is not a region of this deployment: use muscat/v],
 		...['rate-per-s', 'burst', 'priority', 'uncached-tokens'].flatMap(field => [-1, 'MANY', '1'].map(value =>
