--- a/test/core/edge/organisations.test.ts
+++ b/test/core/edge/organisations.test.ts
@@ -166,6 +166,31 @@
 	});
 }
 
+// Guards against requests that leave the homes of an organisation that a newer document adds or renames while they wait.
+for (const {title, before} of [
+	{title: 'before any organisation was configured', before: []},
+	{title: 'before its organisation was renamed', before: [organisationFixture('dape', ['k-1'])]},
+]) {
+	test(`a request that came ${title} stays in the homes of its key's organisation`, t => {
+		const harness = new EdgeHarness({document: documentOf(before)});
+		harness.feed({targets: []});
+		harness.request(known);
+		harness.run(200);
+		harness.install(documentOf([organisationFixture('vosi', ['k-1'], {homes: [winnipeg]})], {version: 2}), 2);
+		harness.feed({targets: [listedTargetFixture('a')], regions: [saskatoon, winnipeg].map(region => regionLoadFixture(region, `${region}:7101`))});
+		harness.run(200);
+		t.deepEqual(harness.starts().map(({address}) => address), ['winnipeg:7101']);
+	});
+}
+
+test('a request of an entry with an older document stays in the homes of its key\'s organisation', t => {
+	const harness = new EdgeHarness({document: documentOf([organisationFixture('vosi', ['k-1'], {homes: [winnipeg]})], {version: 2})});
+	harness.feed({targets: [listedTargetFixture('a')]});
+	harness.request({...known, forwarded: {region: winnipeg, documentVersion: 1}});
+	t.deepEqual(harness.starts(), []);
+	t.like(harness.refusals()[0], {reason: 'no-target', ran: 'no'});
+});
+
 test('a forwarded request keeps the organisation that the other entry names, and needs no key', t => {
 	const forwarded = {region: winnipeg, documentVersion: 1, service: toId<ServiceName>('desk')};
 	const harness = entryWith();
