feat(settings): tolerance of the organisations' quotas

quotas: {windowMs, overage, slack}, from bounds.quota-window-s, -overage and -slack; a deployment without them has none. test/settings: passed.

--- a/src/settings/routes-settings-schema.ts
+++ b/src/settings/routes-settings-schema.ts
@@ -60,6 +60,12 @@
 		slack: z.number().min(0).default(10),
 		windowMs: positive.default(10_000),
 	}).default({ratio: 0.2, slack: 10, windowMs: 10_000}),
+	/** Tolerance of the organisations' quotas, which hold in each sliding window: (rate x window + burst) x (1 + `overage`) + `slack` tokens. Without it they are not enforced. */
+	quotas: z.strictObject({
+		windowMs: positive,
+		overage: z.number().min(0).default(0),
+		slack: z.number().min(0).default(0),
+	}).optional(),
 	/** Minimum level of the structured log. @default info */
 	logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info'),
 }).superRefine((settings, context) => {
--- a/test/settings/deploy-templates.test.ts
+++ b/test/settings/deploy-templates.test.ts
@@ -28,8 +28,8 @@
 	'data-directory': '/var/lib/lovageferry',
 };
 
-function lookUp(key: string): unknown {
-	let value: unknown = values;
+function lookUp(source: unknown, key: string): unknown {
+	let value: unknown = source;
 	for (const part of key.split('.')) {
 		value = (value as Record<string, unknown> | undefined)?.[part];
 	}
@@ -38,11 +38,16 @@
 }
 
 /** Renders the subset of Mustache that the templates use: values, values as JSON, and sections for true and false. */
-function render(t: ExecutionContext, template: string): string {
+function render(t: ExecutionContext, template: string, source: unknown = values): string {
+	// Sections may contain others.
+	const withoutSections = template.replaceAll(/\{\{(?<kind>[#^])(?<key>[\w.\-]+)\}\}(?<inner>.*?)\{\{\/\k<key>\}\}/gsv, (_, kind: string, key: string, inner: string) => Boolean(lookUp(source, key)) === (kind === '#') ? inner : '');
+	if (withoutSections !== template) {
+		return render(t, withoutSections, source);
+	}
+
 	return template
-		.replaceAll(/\{\{(?<kind>[#^])(?<key>[\w.\-]+)\}\}(?<inner>.*?)\{\{\/\k<key>\}\}/gsv, (_, kind: string, key: string, inner: string) => Boolean(lookUp(key)) === (kind === '#') ? inner : '')
 		.replaceAll(/\{\{(?<key>[\w.\-]+)(?<json>\|json)?\}\}/gv, (_, key: string, json: string | undefined) => {
-			const value = lookUp(key);
+			const value = lookUp(source, key);
 			t.not(value, undefined, key);
 			return json === undefined ? String(value) : JSON.stringify(value);
 		});
@@ -64,3 +69,22 @@
 		t.is(settings.listen[role === 'entry' ? 'callers' : 'operators']!.host, '10.1.0.35');
 	});
 }
+
+test('an entry has quotas if the platform names their window, and none otherwise', t => {
+	const folder = mkdtempSync(path.join(tmpdir(), 'lovageferry-'));
+	t.teardown(() => {
+		rmSync(folder, {recursive: true});
+	});
+	const file = path.join(folder, 'local.toml');
+	const template = readFileSync('deploy/entry.yaml', 'utf8');
+	writeFileSync(file, render(t, template));
+	t.is(loadRoutesSettings(file).quotas, undefined);
+	writeFileSync(file, render(t, template, {
+		...values, bounds: {
+			...values.bounds, 'quota-window-s': 8, 'quota-overage': 0.1, 'quota-slack': 140_000,
+		},
+	}));
+	t.deepEqual(loadRoutesSettings(file).quotas, {windowMs: 8000, overage: 0.1, slack: 140_000});
+	writeFileSync(file, render(t, template, {...values, bounds: {...values.bounds, 'quota-window-s': 8}}));
+	t.deepEqual(loadRoutesSettings(file).quotas, {windowMs: 8000, overage: 0, slack: 0});
+});
