feat(quotas): entries enforce quotas with what control sums up

Statuses carry the demand, feeds the use at other entries; both at once, at most every 100 ms, when demand has risen. A request over the quota is refused (429, Retry-After) before it is placed, and a charge is refunded if no target ran the request. Forwarded requests are not charged again.

--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -9,6 +9,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {Zone} from '../ids/zone.ts';
+import {QuotaSums} from '../organisations/quota/quota-sums.ts';
 import type {PeerMessage} from '../peer-message.ts';
 import type {CallerLocation} from '../registry/caller-location.ts';
 import {EntryDirectory} from '../registry/entry-directory.ts';
@@ -41,6 +42,7 @@
 	readonly #consensus: RaftMember<CommandOutcome>;
 	readonly #registry: TargetRegistry;
 	readonly #directory = new EntryDirectory();
+	readonly #quotas = new QuotaSums();
 	readonly #callerDirectory: CallerDirectory;
 	readonly #operatorCalls: OperatorCallHandler;
 	readonly #feed: EntryFeed;
@@ -56,6 +58,10 @@
 	#tickCount = 0;
 	#loggedGroup = '';
 	#gossipUrgent = false;
+	/** True if the demand of an organisation has risen: other control nodes and the followers are told at once. */
+	#gossipDemand = false;
+	#demandRose = false;
+	#demandGossipedAt = Number.NEGATIVE_INFINITY;
 	#now = 0 as Millis;
 	/** Time of the first step. */
 	#startedAt: Millis | undefined;
@@ -104,7 +110,7 @@
 			leads: now => this.#consensus.leads(now),
 		});
 		this.#gossip = new RegistryGossip({
-			...self, self: self.nodeId, epoch, registry: this.#registry, directory: this.#directory, outbox, peers: () => this.#peers(),
+			...self, self: self.nodeId, epoch, registry: this.#registry, directory: this.#directory, quotas: this.#quotas, outbox, peers: () => this.#peers(),
 		});
 		this.#streamOrigins = new StreamOriginAnswerer({
 			registry: this.#registry,
@@ -116,6 +122,7 @@
 			epoch,
 			registry: this.#registry,
 			state: this.#state.routes,
+			quotas: this.#quotas,
 			outbox,
 			isCurrent: now => this.#isCurrent(now),
 			logView: () => this.#logView(),
@@ -220,6 +227,7 @@
 		this.#consensus.tick(now);
 		this.#registry.tick(now);
 		this.#directory.tick(now);
+		this.#quotas.tick(now);
 		this.#streamOrigins.tick(now);
 		this.#crashReports.tick(now);
 		this.#operatorCalls.tick(now);
@@ -256,6 +264,12 @@
 			case 'follow': {
 				this.#gossipUrgent ||= this.#readinessChanged(message.status.nodeId, message.status.state, now);
 				this.#directory.update(message.status, now);
+				this.#quotas.record(message.status.nodeId, message.status.demand, {left: message.status.state === 'leaving'}, now);
+				if (message.status.demand?.urgent === true) {
+					this.#demandRose = true;
+					this.#gossipDemand = true;
+				}
+
 				this.#feed.follow(from, message, now);
 				break;
 			}
@@ -263,6 +277,8 @@
 			case 'gossip': {
 				this.#lastGossipAt.set(from, now);
 				this.#gossip.handle(from, message, now);
+				// The reports of a sender's urgent gossip are new; those of its regular one go out with the regular feeds too.
+				this.#demandRose ||= message.entries.some(({status, ageMs}) => status.demand?.urgent === true && ageMs < controlTiming.quotaFeedIntervalMs);
 				break;
 			}
 
@@ -327,10 +343,25 @@
 		this.#applyEvacuationChanges(now);
 		this.#operatorCalls.answerReady(now);
 		this.#feed.push(now);
+		this.#spreadDemand(now);
 		this.#gossip.push(now, this.#gossipUrgent);
 		this.#gossipUrgent = false;
 	}
 
+	/** Gossips and feeds risen demand, but not more often than `quotaFeedIntervalMs`. */
+	#spreadDemand(now: Millis): void {
+		if (this.#demandRose) {
+			this.#demandRose = false;
+			this.#feed.pushQuotas(now);
+		}
+
+		if (this.#gossipDemand && now - this.#demandGossipedAt >= controlTiming.quotaFeedIntervalMs) {
+			this.#gossipDemand = false;
+			this.#demandGossipedAt = now;
+			this.#gossipUrgent = true;
+		}
+	}
+
 	/**
 	 * Logs the beginning and end of evacuations. When one ends, the zone's targets are marked as possibly cold: they
 	 * may have become cold without having reported it yet, so entries send them no requests before their next report.
--- a/src/core/control/control-message.ts
+++ b/src/core/control/control-message.ts
@@ -7,6 +7,7 @@
 import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Zone} from '../ids/zone.ts';
+import type {QuotaFeed} from '../organisations/quota/quota-feed.ts';
 import type {EntryStatus} from '../registry/entry-status.ts';
 import type {ListedTarget} from '../registry/listed-target.ts';
 import type {RegionLoad} from '../registry/region-load.ts';
@@ -61,6 +62,8 @@
 		readonly regions: readonly RegionLoad[];
 		/** Traits blamed for crashes, with the log index of their newest change; absent if the entry already has them. */
 		readonly crashes?: {readonly index: number; readonly suspects: readonly SuspectTrait[]};
+		/** Use of the quotas at other entries; absent if no entry reports any, from a node that is not current and from builds that don't know it. */
+		readonly quotas?: QuotaFeed;
 		/** `sentAt` of the entry's last status; absent from builds that don't know it. */
 		readonly answers?: Millis;
 	}
--- a/src/core/control/control-timing.ts
+++ b/src/core/control/control-timing.ts
@@ -22,6 +22,8 @@
 	replaceVoterMs: 800,
 	/** Silence after which a control node that is neither a seed nor a member of the replicated log is forgotten. */
 	peerExpiryMs: 10_000,
+	/** Shortest time between two messages that are sent because the demand of an organisation has risen. */
+	quotaFeedIntervalMs: 100,
 	/** Time for which a stream can still be taken up: longer than callers wait for one. */
 	streamRetentionMs: 30_000,
 	/** Shortest time between two reports of an entry on the streams that began at it; streams younger than this may be lost with their entry. */
--- a/src/core/control/entry-feed.ts
+++ b/src/core/control/entry-feed.ts
@@ -2,6 +2,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {Region} from '../ids/region.ts';
+import type {QuotaSums} from '../organisations/quota/quota-sums.ts';
 import type {RegionLoad} from '../registry/region-load.ts';
 import type {TargetRegistry} from '../registry/target-registry.ts';
 import type {RoutesState} from '../routes/routes-state.ts';
@@ -24,12 +25,13 @@
 	readonly logView: () => LogView;
 	/** Control nodes that entries may follow. */
 	readonly controlPeers: () => readonly ControlPeer[];
+	readonly quotas: QuotaSums;
 	/** Summaries of the regions. */
 	readonly regionLoads: (now: Millis) => readonly RegionLoad[];
 };
 
 /** An entry that follows this node, with `sentAt` of its last status; `sentRevision` (registry), `sentStateIndex` and `sentCrashIndex` (log) are what it was sent last, or said that it has. */
-type Follower = {readonly region: Region; followedAt: Millis; sentRevision: number; sentStateIndex: number; sentCrashIndex: number; readonly sentAt?: Millis};
+type Follower = {readonly region: Region; followedAt: Millis; sentRevision: number; sentStateIndex: number; sentCrashIndex: number; sentQuotasAt: number; readonly sentAt?: Millis};
 
 /** Sends feeds to the entries that follow this control node: at once when something changes, and in answer to each status. */
 export class EntryFeed {
@@ -47,7 +49,7 @@
 
 		const position = have?.epoch === this.#options.epoch ? have.revision : -1;
 		const follower = {
-			region: status.region, followedAt: now, sentRevision: position, sentStateIndex: stateIndex, sentCrashIndex: crashIndex, sentAt,
+			region: status.region, followedAt: now, sentRevision: position, sentStateIndex: stateIndex, sentCrashIndex: crashIndex, sentAt, sentQuotasAt: now,
 		};
 		if (!once) {
 			this.#followers.set(from, follower);
@@ -68,8 +70,17 @@
 		}
 	}
 
+	/** Sends all followers a feed since demand has risen at some entry; each at most every `quotaFeedIntervalMs`. */
+	pushQuotas(now: Millis): void {
+		for (const [nodeId, follower] of this.#followers) {
+			if (now - follower.sentQuotasAt >= controlTiming.quotaFeedIntervalMs) {
+				this.#send(nodeId, follower, now);
+			}
+		}
+	}
+
 	#send(nodeId: NodeId, follower: Follower, now: Millis): void {
-		const {epoch, registry, state, outbox, isCurrent, logView, controlPeers, regionLoads} = this.#options;
+		const {epoch, registry, state, outbox, isCurrent, logView, controlPeers, regionLoads, quotas} = this.#options;
 		const {crashes} = state;
 		const current = isCurrent(now);
 		const stateChanged = state.index > follower.sentStateIndex;
@@ -89,9 +100,11 @@
 				state: stateChanged ? {document: state.document, evacuated: state.evacuated()} : undefined,
 				regions: regionLoads(now),
 				crashes: crashes.index > follower.sentCrashIndex ? {index: crashes.index, suspects: crashes.suspects()} : undefined,
+				quotas: current ? quotas.feedFor(nodeId, now) : undefined,
 				answers: follower.sentAt,
 			},
 		});
+		follower.sentQuotasAt = now;
 		follower.sentRevision = registry.revision;
 		follower.sentStateIndex = Math.max(state.index, follower.sentStateIndex);
 		follower.sentCrashIndex = Math.max(crashes.index, follower.sentCrashIndex);
--- a/src/core/control/registry-gossip.ts
+++ b/src/core/control/registry-gossip.ts
@@ -4,6 +4,7 @@
 import type {Region} from '../ids/region.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {EntryDirectory} from '../registry/entry-directory.ts';
+import type {QuotaSums} from '../organisations/quota/quota-sums.ts';
 import type {TargetRegistry} from '../registry/target-registry.ts';
 import type {ControlMessage} from './control-message.ts';
 import type {ControlPeer} from './control-peer.ts';
@@ -19,6 +20,7 @@
 	readonly operatorAddress: string;
 	readonly registry: TargetRegistry;
 	readonly directory: EntryDirectory;
+	readonly quotas: QuotaSums;
 	readonly outbox: Outbox;
 	/** The other control nodes. */
 	readonly peers: () => readonly NodeId[];
@@ -73,7 +75,7 @@
 	}
 
 	handle(from: NodeId, message: Gossip, now: Millis): void {
-		const {registry, directory, epoch} = this.#options;
+		const {registry, directory, quotas, epoch} = this.#options;
 		const peer = this.#peerState(from);
 		if (peer.epoch !== message.epoch) {
 			peer.epoch = message.epoch;
@@ -97,6 +99,7 @@
 			.map(([targetId]) => targetId);
 		for (const {status, ageMs} of message.entries) {
 			directory.update(status, now, {direct: false, ageMs});
+			quotas.record(status.nodeId, status.demand, {ageMs, left: status.state === 'leaving'}, now);
 		}
 
 		peer.ackedRevision = message.have?.epoch === epoch ? message.have.revision : 0;
--- a/src/core/edge/edge-core-options.ts
+++ b/src/core/edge/edge-core-options.ts
@@ -1,3 +1,4 @@
+import type {QuotaBounds} from '../organisations/quota/quota-bounds.ts';
 import type {Random} from '../common/random.ts';
 import type {EntryAddress} from '../ids/entry-address.ts';
 import type {NodeId} from '../ids/node-id.ts';
@@ -23,6 +24,8 @@
 	readonly reportEveryMs?: number;
 	/** Longest pause that a target may ask for, in milliseconds; longer ones are ignored. @default 300000 */
 	readonly maxTargetPauseMs?: number;
+	/** Tolerance of the organisations' quotas; without it they are not enforced. */
+	readonly quotas?: QuotaBounds;
 	readonly parseDocument: ParseDocument;
 	readonly random: Random;
 };
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -3,6 +3,7 @@
 import type {ControlMessage} from '../control/control-message.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
+import {QuotaGate} from '../organisations/quota/quota-gate.ts';
 import type {PeerMessage} from '../peer-message.ts';
 import type {EntryStatus} from '../registry/entry-status.ts';
 import {RouteTable} from '../routes/route-table.ts';
@@ -52,6 +53,8 @@
 	readonly #freshness = new ConfigurationFreshness();
 	readonly #requests: RequestHandler;
 	readonly #budget: WindowedRetryBudget;
+	/** Undefined if the settings have no quotas. */
+	readonly #quotas: QuotaGate | undefined;
 	#table: RouteTable | undefined;
 	#stateIndex = 0;
 	#leaving = false;
@@ -63,15 +66,16 @@
 
 	constructor(options: EdgeCoreOptions) {
 		this.#options = options;
-		const {self, seeds, repeats, random, reportEveryMs = defaultReportEveryMs, maxTargetPauseMs} = options;
+		const {self, seeds, repeats, random, reportEveryMs = defaultReportEveryMs, maxTargetPauseMs, quotas} = options;
 		this.#queue = new ActionQueue(self.nodeId);
+		this.#quotas = quotas && new QuotaGate({bounds: quotas, run: Math.floor(random.next() * Number.MAX_SAFE_INTEGER), random});
 		this.#pool = new TargetPool(self.nodeId, {maxPauseMs: maxTargetPauseMs});
 		this.#regions = new RegionSelector(self);
 		this.#follower = new ControlFollower({
 			self,
 			seeds,
 			outbox: this.#queue,
-			status: now => this.#status(now),
+			status: now => ({...this.#status(now), demand: this.#quotas?.demand(now)}),
 			stateIndex: () => Math.max(this.#stateIndex, this.#start.index),
 			crashIndex: () => this.#containment.index,
 			isConfigured: () => this.#table !== undefined,
@@ -106,6 +110,7 @@
 			regions: this.#regions,
 			waiting: this.#waiting,
 			budget: this.#budget,
+			quotas: this.#quotas,
 			clock: this.#clock,
 			random,
 			queue: this.#queue,
@@ -116,6 +121,10 @@
 		this.#clock.step(now);
 		this.#handle(event, now);
 		this.#requests.placeWaitingRequests(now);
+		if (this.#quotas?.mustReport(now) === true) {
+			this.#follower.report(now);
+		}
+
 		if (this.#requests.closed && !this.#drainedReported && this.#requests.inFlight === 0) {
 			this.#drainedReported = true;
 			this.#queue.push({type: 'drained'});
@@ -161,6 +170,7 @@
 		switch (event.type) {
 			case 'tick': {
 				this.#budget.start(now);
+				this.#quotas?.tick(now);
 				this.#takeFirstState(now);
 				this.#follower.tick(now);
 				this.#origins.tick(now);
@@ -278,6 +288,10 @@
 			this.#logFirstTarget(now);
 			this.#pool.recordHeartbeats(feed.signs);
 			this.#regions.update(feed.regions, feed, now);
+			if (feed.quotas !== undefined) {
+				this.#quotas?.update(feed.quotas, now);
+			}
+
 			this.#recordVersions(feed, now);
 		}
 	}
@@ -366,6 +380,7 @@
 		}
 
 		this.#table = new RouteTable(parsed.document);
+		this.#quotas?.setQuotas(parsed.document.organisations);
 		this.#queue.push({type: 'document', version: stored.version});
 		this.#requests.handleWaitingForRoutes(now);
 		this.#follower.report(now);
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -5,6 +5,8 @@
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {RequestId} from '../ids/request-id.ts';
+import type {QuotaGate} from '../organisations/quota/quota-gate.ts';
+import {requestCost} from '../organisations/quota/request-cost.ts';
 import type {RouteTable} from '../routes/route-table.ts';
 import type {TargetProber} from '../targets/target-prober.ts';
 import type {AnswerHead} from './answer-head.ts';
@@ -50,6 +52,8 @@
 	/** True if a newer document may have been accepted that this entry does not have. */
 	readonly mayBeBehind: (now: Millis) => boolean;
 	readonly budget: WindowedRetryBudget;
+	/** Undefined if quotas are not enforced. */
+	readonly quotas: QuotaGate | undefined;
 	readonly clock: AwakeClock;
 	readonly random: Random;
 	readonly queue: ActionQueue<EdgeAction>;
@@ -145,6 +149,11 @@
 			return;
 		}
 
+		if (!this.#chargeQuota(record, now)) {
+			this.#refuse(record, 'quota', now);
+			return;
+		}
+
 		const mustLocate = route.kind === 'stream' && req.resumeAfter !== undefined && record.origin === undefined;
 		if (!mustLocate) {
 			this.#placer.place(record, now);
@@ -177,6 +186,10 @@
 		}
 
 		this.#options.queue.event('caller-gone', describeCallerGone(record, now));
+		if (!record.mayHaveRun && record.running === undefined && record.kept.length === 0) {
+			this.#refund(record, now);
+		}
+
 		this.#cancelAttempts(record);
 		this.#forget(record);
 	}
@@ -384,7 +397,37 @@
 		this.#refuse(record, record.mayHaveRun ? 'timeout' : 'overloaded', now);
 	}
 
+	/** Charges a request to its organisation's quota, at the entry that has it from its caller; false if it is over the quota. */
+	#chargeQuota(record: RequestRecord, now: Millis): boolean {
+		const {req: {organisation: name, forwarded, prompt}, table} = record;
+		const {quotas} = this.#options;
+		const quota = name === undefined || forwarded !== undefined ? undefined : table.organisations.get(name)?.quota;
+		if (name === undefined || quota === undefined || quotas === undefined) {
+			return true;
+		}
+
+		const decision = quotas.admit({organisation: name, cost: requestCost(quota, prompt)}, now);
+		if (decision.admitted) {
+			record.charge = decision.charge;
+		} else {
+			record.retryAfterMs = decision.retryAfterMs;
+		}
+
+		return decision.admitted;
+	}
+
+	#refund(record: RequestRecord, now: Millis): void {
+		if (record.charge !== undefined) {
+			this.#options.quotas?.refund(record.charge, now);
+			record.charge = undefined;
+		}
+	}
+
 	#refuse(record: RequestRecord, reason: EdgeRefusal['reason'], now: Millis): void {
+		if (!record.mayHaveRun) {
+			this.#refund(record, now);
+		}
+
 		this.#completion.refuse(record, reason, now);
 		this.#forget(record);
 	}
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -4,6 +4,7 @@
 import type {ServiceName} from '../ids/service-name.ts';
 import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
+import type {QuotaCharge} from '../organisations/quota/quota-charge.ts';
 import type {RouteRule} from '../routes/route-rule.ts';
 import type {RouteTable} from '../routes/route-table.ts';
 import type {AnswerHead} from './answer-head.ts';
@@ -81,6 +82,8 @@
 	lastEventId?: string;
 	/** Origin of the stream, once the caller has an event of it. */
 	origin?: StreamOrigin;
+	/** What its organisation's quota was charged. */
+	charge?: QuotaCharge;
 	/** Retry delay to report to the caller, from the refusals seen so far, in milliseconds. */
 	retryAfterMs?: number;
 };
--- a/src/core/organisations/quota/entry-demand.ts
+++ b/src/core/organisations/quota/entry-demand.ts
@@ -6,5 +6,7 @@
 	readonly run: number;
 	/** True if demand rose so much that other entries should know at once. */
 	readonly urgent?: boolean;
+	/** Length of the sliding window, in milliseconds. */
+	readonly windowMs: number;
 	readonly organisations: readonly OrganisationUse[];
 };
--- a/src/core/organisations/quota/organisation-gate.ts
+++ b/src/core/organisations/quota/organisation-gate.ts
@@ -16,8 +16,8 @@
 const freshMs = 1200;
 /** Age of the sums at which an entry gives up its safe share too, before control nodes take it for stopped, in milliseconds. */
 const safeShareEndsMs = 50_000;
-/** Multiple of the quota's rate from which use counts as steeply rising: requests that move to other entries are at most twice it in the reports. */
-const steepRate = 2;
+/** Multiple of the quota's rate from which use counts as steeply rising: requests that move to other entries are about twice it in the reports. */
+const steepRate = 3;
 /** Time for which reports of steeply rising use are behind, in milliseconds; simulated, see docs/design/quotas.md. */
 const unheardMs = 200;
 /** Steps at which a time to retry is searched within the window. */
--- a/src/core/organisations/quota/quota-gate.ts
+++ b/src/core/organisations/quota/quota-gate.ts
@@ -132,7 +132,9 @@
 		const urgent = this.#surprising.size > 0;
 		this.#surprising.clear();
 		this.#reportedAt = at;
-		return {run: this.#options.run, urgent: urgent || undefined, organisations};
+		return {
+			run: this.#options.run, urgent: urgent || undefined, windowMs: this.#options.bounds.windowMs, organisations,
+		};
 	}
 
 	/** Takes the sums over the other entries that a control node in touch with the others has sent. */
--- a/src/core/organisations/quota/quota-sums.ts
+++ b/src/core/organisations/quota/quota-sums.ts
@@ -30,17 +30,14 @@
  * each is moved on to the present. The use of an entry that restarted or stopped counts until it has left the window.
  */
 export class QuotaSums {
-	readonly #windowMs: number;
+	/** Length of the window, from the reports; 0 until one has come, and where no entry has quotas. */
+	#windowMs = 0;
 	readonly #entries = new Map<NodeId, Report>();
 	/** Reports of earlier runs of entries. */
 	#earlier: Report[] = [];
 	/** Sums at a moment ago; reports that came since are included. */
 	#sums: Sums | undefined;
 
-	constructor({windowMs}: {windowMs: number}) {
-		this.#windowMs = windowMs;
-	}
-
 	/** Takes a report that was sent `ageMs` ago, unless a newer one is known. `left` is true for an entry that stops. */
 	record(nodeId: NodeId, demand: EntryDemand | undefined, {ageMs = 0, left = false}: {ageMs?: number; left?: boolean}, now: Millis): void {
 		const at = now - ageMs as Millis;
@@ -54,7 +51,8 @@
 			this.#earlier.push(known);
 		}
 
-		const windowMs = this.#windowMs;
+		const windowMs = demand?.windowMs ?? this.#windowMs;
+		this.#windowMs = windowMs;
 		const report = {
 			at, left, run, uses: new Map(demand?.organisations.map(use => [use[0], new ReportedUse(use, {at, windowMs})])),
 		};
@@ -77,8 +75,12 @@
 		}
 	}
 
-	/** Use at all entries but one. */
-	feedFor(nodeId: NodeId, now: Millis): QuotaFeed {
+	/** Use at all entries but one; undefined if no entry has quotas. */
+	feedFor(nodeId: NodeId, now: Millis): QuotaFeed | undefined {
+		if (this.#windowMs === 0) {
+			return undefined;
+		}
+
 		const {at, totals} = this.#currentSums(now);
 		const own = this.#entries.get(nodeId);
 		const notable = [];
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -51,7 +51,7 @@
 	constructor(options: EntryProcessOptions) {
 		const {settings, adapter, log} = options;
 		this.#options = options;
-		const {nodeId, region, zone, listen, seeds, repeats, cores, reportEveryMs, maxTargetPauseMs} = settings;
+		const {nodeId, region, zone, listen, seeds, repeats, cores, reportEveryMs, maxTargetPauseMs, quotas} = settings;
 		this.#core = new EdgeCore({
 			self: {
 				nodeId,
@@ -65,6 +65,7 @@
 			repeats,
 			reportEveryMs,
 			maxTargetPauseMs,
+			quotas,
 			parseDocument: adapter.control.parseDocument,
 			random: new SystemSeededRandom(),
 		});
--- a/test/core/control/entry-feed.test.ts
+++ b/test/core/control/entry-feed.test.ts
@@ -4,6 +4,7 @@
 import type {Region} from '../../../src/core/ids/region.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
 import {TargetRegistry} from '../../../src/core/registry/target-registry.ts';
+import {QuotaSums} from '../../../src/core/organisations/quota/quota-sums.ts';
 import {RoutesState} from '../../../src/core/routes/routes-state.ts';
 import {RecordingOutbox} from '../../fixtures/recording-outbox.ts';
 
@@ -21,7 +22,7 @@
 			member: 'node-1', lastTerm: 1, lastIndex: 1, commitIndex: 1, voters: ['node-1'],
 		}),
 		controlPeers: () => [],
-		regionLoads: () => [],
+		regionLoads: () => [], quotas: new QuotaSums(),
 	});
 	const follow = (ifCurrent?: boolean, sentAt?: Millis) => {
 		feed.follow(toId('entry-1'), {
--- a/test/core/organisations/quota-simulation.ts
+++ b/test/core/organisations/quota-simulation.ts
@@ -55,7 +55,7 @@
 		gate: create(), nodeId: `entry-${index}` as NodeId, region: index % regions, down: false, clockOffset: 0, reportedAt: 1000 - (Math.floor(random.next() * statusMs / stepMs) * stepMs),
 	}));
 	const controls = Array.from({length: regions}, () => ({
-		sums: new QuotaSums(bounds), heard: new Map<NodeId, {demand: EntryDemand; at: number}>(), urgent: false, pushedAt: 0, gossipAt: 1000 - (Math.floor(random.next() * statusMs / stepMs) * stepMs),
+		sums: new QuotaSums(), heard: new Map<NodeId, {demand: EntryDemand; at: number}>(), urgent: false, pushedAt: 0, gossipAt: 1000 - (Math.floor(random.next() * statusMs / stepMs) * stepMs),
 	}));
 	const usages = organisations.map((): Usage => ({
 		asked: 0, refused: 0, sent: [], askedLog: [], askedFrom: 0, askedSum: 0,
@@ -67,7 +67,7 @@
 	};
 
 	const sendFeed = (control: (typeof controls)[number], entry: Entry, now: Millis) => {
-		const feed = control.sums.feedFor(entry.nodeId, now);
+		const feed = control.sums.feedFor(entry.nodeId, now)!;
 		const current = !isCut(entry.region, now - startMs);
 		at(now + hopMs, () => {
 			if (current && !entry.down) {
