feat(edge): read and filter the speed that targets report of their VMs

The fourth figure of Server-Load (100 is normal) was discarded. It is decoded, and filtered on two time scales in its logarithm. Figures that are negative, not a number or beyond ten times the last are ignored, requests beyond ten times the slots are cut, and both are counted (ignored_load_figures). Nothing predicts with it yet.

--- a/src/core/edge/answer-head.ts
+++ b/src/core/edge/answer-head.ts
@@ -15,6 +15,8 @@
 	readonly eventStream: boolean;
 	/** Load that the target reported with the answer. */
 	readonly load?: TargetLoad;
+	/** True if the target reported a load that could not be read. */
+	readonly hasUnreadableLoad?: boolean;
 	/** Requests a second that the target takes from all entries together, for as long as its answers say so; undefined without a limit. */
 	readonly limitPerSecond?: number;
 	/** Requests a second that the target can reject for want of room before it falls over, for as long as its answers say so; undefined if it is not brittle. */
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -1,3 +1,4 @@
+import {SlowdownFilter} from '../cost/slowdown-filter.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {ListedTarget} from '../registry/listed-target.ts';
@@ -20,6 +21,8 @@
 const fullBackoffMs = 150;
 /** Half-life of the load of other entries that a target reported, in milliseconds. */
 const loadHalfLifeMs = 1000;
+/** Largest accepted ratio of the reported requests at a target to its slots, or to those that were known before; a larger number is cut to it, since a false one must not exclude the target for long. */
+const maxLoadJump = 10;
 /** Fewest prompt tokens for which the time to the first event is taken as a sample of the prefill rate. */
 const minRateSampleTokens = 1000;
 /** Work of one output token in a batch, in prompt tokens. From step times of engines in the first deployments. */
@@ -73,6 +76,7 @@
 	/** Time of the newest bytes from the target. */
 	#lastSignAt = Number.NEGATIVE_INFINITY;
 	#othersLoad = {count: 0, waiting: 0, at: Number.NEGATIVE_INFINITY};
+	#slowdown = new SlowdownFilter();
 
 	/** @param options - `phase`: see `LimitShare`; `suspension`: what is known of this incarnation from before it was listed. */
 	constructor(listed: ListedTarget, {phase, maxPauseMs, suspension}: {phase: number; maxPauseMs?: number; suspension?: TargetSuspension}, now: Millis) {
@@ -111,6 +115,7 @@
 			this.#reachability = new Reachability();
 			this.#lastSequence = listed.sequence;
 			this.#othersLoad = {count: 0, waiting: 0, at: Number.NEGATIVE_INFINITY};
+			this.#slowdown = new SlowdownFilter();
 		}
 
 		if (listed.state === 'leaving') {
@@ -255,10 +260,28 @@
 		this.#rejections?.share.use({perSecond: this.#rejections.perSecond, entries}, now);
 	}
 
-	/** Takes the load that the target reported; requests beyond this entry's own are those of other entries. */
-	updateLoad(load: TargetLoad, now: Millis): void {
-		const count = Math.max(0, load.running + load.waiting - this.attempts.size);
-		this.#othersLoad = {count, waiting: load.waiting, at: now};
+	/** Takes the load that the target reported; requests beyond this entry's own are those of other entries. Returns the figures that were implausible, and were ignored or cut. */
+	updateLoad({running, waiting, slowdown}: TargetLoad, now: Millis): ReadonlyArray<'requests' | 'speed'> {
+		const ignored: Array<'requests' | 'speed'> = [];
+		const slots = Math.max(1, this.listed.slots);
+		const known = this.attempts.size + this.#othersLoad.count;
+		const limit = maxLoadJump * Math.max(slots, known);
+		if (running + waiting > limit) {
+			ignored.push('requests');
+		}
+
+		this.#othersLoad = {count: Math.max(0, Math.min(limit, running + waiting) - this.attempts.size), waiting, at: now};
+
+		if (slowdown !== undefined && !this.#slowdown.add(slowdown, now)) {
+			ignored.push('speed');
+		}
+
+		return ignored;
+	}
+
+	/** How many times as long as normally work takes at the target now; 1 if it tells nothing of it. */
+	slowdown(now: Millis): number {
+		return this.#slowdown.value(now);
 	}
 
 	/** Estimated number of requests of other entries at the target. */
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -51,15 +51,16 @@
 			return;
 		}
 
-		const {status, load, limitPerSecond, rejectionsPerSecond, signed, notRun} = head;
+		const {status, load, hasUnreadableLoad, limitPerSecond, rejectionsPerSecond, signed, notRun} = head;
 		this.#recordSuspension(record, target, head, now);
 		target.recordSign(now);
 		if (!notRun) {
 			target.failureShare.record(failureStatuses.has(status), now);
 		}
 
-		if (load !== undefined) {
-			target.updateLoad(load, now);
+		const ignored = hasUnreadableLoad ? ['unreadable'] : load && target.updateLoad(load, now);
+		for (const figure of ignored ?? []) {
+			this.#options.queue.count('ignored_load_figures', figure);
 		}
 
 		// An answer that the target does not vouch for proves nothing about the end of a limit.
--- a/src/core/results/counter-name.ts
+++ b/src/core/results/counter-name.ts
@@ -2,6 +2,7 @@
  * Names of the counters in `/metrics`, each with a `reason` label where one applies.
  *
  * `away`: forwards to remote regions; `away_bytes`: the bytes sent with them. `changes`: outcomes of settings changes.
+ * `ignored_load_figures`: figures in targets' reports of their load that were not plausible.
  * `broken_answers`: answers that had begun and that this entry ended before they were complete, by the last failure.
  * `poison`: events about requests that are suspected of crashing targets. `stale_messages`: messages, requests and
  * outcomes that were ignored because they were late, repeated or not meant for this process.
@@ -18,6 +19,7 @@
 	| 'away_bytes'
 	| 'attempts'
 	| 'attempt_failures'
+	| 'ignored_load_figures'
 	| 'claims'
 	| 'replays'
 	| 'ejections'
--- a/test/platform/platform-request-codec.test.ts
+++ b/test/platform/platform-request-codec.test.ts
@@ -113,6 +113,21 @@
 	t.is(platformRequestCodec.readAnswer(200, ['Server-Load', 'odd']).head.load, undefined);
 });
 
+test('readAnswer reads the load of a target with and without its speed; a load that cannot be read is told, so that it is counted', t => {
+	const head = (value: string) => platformRequestCodec.readAnswer(200, ['Server-Load', value]).head;
+	t.deepEqual(head('3,1,8,250').load, {
+		running: 3, waiting: 1, slots: 8, slowdown: 2.5,
+	});
+	t.deepEqual(head('3,1,8').load, {running: 3, waiting: 1, slots: 8});
+	t.is(head('3,1,8').hasUnreadableLoad, undefined);
+	for (const value of ['odd', '-3,1,8', '3,,8', '3,1', '1e999,0,8', '']) {
+		t.is(head(value).load, undefined, `load ${value}`);
+		t.true(head(value).hasUnreadableLoad, `load ${value}`);
+	}
+
+	t.is(head('3,1,8,fast').load?.slowdown, Number.NaN);
+});
+
 test('readAnswer reads that a target leaves, and the pause it asks for; a header with another value, or given twice, counts as unreadable', t => {
 	const head = (...raw: string[]) => platformRequestCodec.readAnswer(503, raw).head;
 	t.like(head('Server-Leaving', '1'), {leaving: true, unreadableHeaders: undefined});
