feat(edge): learn work times and output lengths without constants of one deployment

Prefill, call and event times, their typical values for other regions and the weight of an output token were constants of the first deployments. They are learned per target, at normal speed of its VM, with the service's other targets as prior, and for a new entry the means that control passes on (ServiceLoad.costs). An estimate that ignores the VM's speed figure takes over where that figure makes predictions worse. Length-Hint is read and its error learned as a distribution; memory counts its 0.9 quantile, time the median. Not run to their end on a busy machine: crashing-*, placers, target-limit, brittle-targets and the other slow edge tests.

--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -58,9 +58,12 @@
 		const attempt = this.#register(record);
 		target.recordSend(this.#options.regions.limitEntries(prompt !== undefined), now);
 		target.attempts.set(attempt, {
-			sentAt: now, uncachedTokens, aheadTokens, kvCacheTokens, outputTokens: prompt?.outputTokens ?? 0,
+			sentAt: now, predictedMs: startMs, uncachedTokens, aheadTokens, kvCacheTokens, outputTokens: prompt === undefined ? 0 : target.costs.outputTokens(prompt),
 		});
 		if (prompt !== undefined) {
+			target.costs.promptTokens.add(prompt.promptTokens);
+			target.costs.uncachedTokens.add(uncachedTokens);
+			target.costs.kvCacheTokens.add(kvCacheTokens);
 			target.prefixCache.recordUse(prompt, table.service(service)?.engine?.cacheTokens ?? 0);
 		}
 
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -1,5 +1,6 @@
 import {ActionQueue} from '../action-queue.ts';
 import {AwakeClock} from '../common/awake-clock.ts';
+import {CostBook} from '../cost/cost-book.ts';
 import type {ControlMessage} from '../control/control-message.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
@@ -40,6 +41,7 @@
 	readonly #follower: ControlFollower;
 	readonly #pool: TargetPool;
 	readonly #regions: RegionSelector;
+	readonly #costs = new CostBook();
 	readonly #waiting = new WaitQueue();
 	readonly #versions = new ServiceVersions();
 	readonly #origins: StreamOrigins;
@@ -63,8 +65,8 @@
 		this.#options = options;
 		const {self, seeds, repeats, random, reportEveryMs = defaultReportEveryMs, maxTargetPauseMs} = options;
 		this.#queue = new ActionQueue(self.nodeId);
-		this.#pool = new TargetPool(self.nodeId, {maxPauseMs: maxTargetPauseMs});
-		this.#regions = new RegionSelector(self);
+		this.#pool = new TargetPool(self.nodeId, {maxPauseMs: maxTargetPauseMs, costs: this.#costs});
+		this.#regions = new RegionSelector(self, {costs: this.#costs});
 		this.#follower = new ControlFollower({
 			self,
 			seeds,
--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -116,7 +116,7 @@
 	#resumesMs(record: RequestRecord, now: Millis): number {
 		const times = this.#pausedTargets(record, now)
 			.filter(target => mayTake(record, target))
-			.map(({suspension, callMs}) => suspension.pausedMs(now) + callMs.value);
+			.map(target => target.suspension.pausedMs(now) + target.callMs(now));
 		return Math.min(...times);
 	}
 
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -1,3 +1,5 @@
+import {LearnedTime} from '../cost/learned-time.ts';
+import {ServiceCosts} from '../cost/service-costs.ts';
 import {SlowdownFilter} from '../cost/slowdown-filter.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
@@ -6,7 +8,6 @@
 import {TargetSuspension} from '../targets/target-suspension.ts';
 import {FailureShare} from './failure-share.ts';
 import {LimitShare} from './limit-share.ts';
-import {MovingAverage} from './moving-average.ts';
 import type {PooledAttempt} from './pooled-attempt.ts';
 import {PrefixCacheEstimate} from './prefix-cache-estimate.ts';
 import type {TargetLoad} from './target-load.ts';
@@ -23,12 +24,14 @@
 const loadHalfLifeMs = 1000;
 /** Largest accepted ratio of the reported requests at a target to its slots, or to those that were known before; a larger number is cut to it, since a false one must not exclude the target for long. */
 const maxLoadJump = 10;
-/** Fewest prompt tokens for which the time to the first event is taken as a sample of the prefill rate. */
-const minRateSampleTokens = 1000;
-/** Work of one output token in a batch, in prompt tokens. From step times of engines in the first deployments. */
-const outputTokenWeight = 8;
-/** Part of the time of an engine's first step that does not depend on the prompt, in milliseconds. */
-const firstStepMs = 15;
+/** Fewest prompt tokens for which the time to the first event is taken as a sample of the prefill time, as a share of the mean prompt of the service: with fewer, as of a cached prompt, the rest of the time outweighs the prefill. */
+const minSampleShare = 0.3;
+/** Weight of a new sample in the times of one target. */
+const timeWeight = 0.1;
+/** Shortest and longest accepted time of a unit of work, in milliseconds. */
+const minUnitMs = 1e-6;
+/** Smallest share of the time to the first event that is taken for prefill; the rest is decoding up to the first event. */
+const minPrefillShare = 0.5;
 
 type NamedLimit = {
 	readonly perSecond: number;
@@ -37,25 +40,17 @@
 	readonly share: LimitShare;
 };
 
+type PooledTargetOptions = {readonly phase: number; readonly maxPauseMs?: number; readonly suspension?: TargetSuspension; readonly costs?: ServiceCosts};
+
 /** A target of this entry's region: its listing by control, this entry's attempts there, and estimates of its speed and load. */
 export class PooledTarget {
 	readonly attempts = new Map<AttemptNumber, PooledAttempt>();
 	readonly prefixCache = new PrefixCacheEstimate();
-	/** Prefill rate, in prompt tokens a millisecond. The initial value is that of a typical engine of the first deployments. */
-	readonly prefillRate = new MovingAverage({
-		weight: 0.15, initial: 45, min: 4, max: 120,
-	});
-
-	/** Duration of a call of a plain service up to the head of its answer, in milliseconds. */
-	readonly callMs = new MovingAverage({
-		weight: 0.1, initial: 40, min: 1, max: 5000,
-	});
-
-	/** Time between two events of a stream, in milliseconds. */
-	readonly gapMs = new MovingAverage({
-		weight: 0.1, initial: 60, min: 1, max: 2000,
-	});
-
+	/** Costs of its service, whose times are the priors of its own. */
+	readonly costs: ServiceCosts;
+	readonly #prefill: LearnedTime;
+	readonly #call: LearnedTime;
+	readonly #event: LearnedTime;
 	#failureShare = new FailureShare();
 	#listed: ListedTarget;
 	#goneSince: Millis | undefined;
@@ -78,8 +73,13 @@
 	#othersLoad = {count: 0, waiting: 0, at: Number.NEGATIVE_INFINITY};
 	#slowdown = new SlowdownFilter();
 
-	/** @param options - `phase`: see `LimitShare`; `suspension`: what is known of this incarnation from before it was listed. */
-	constructor(listed: ListedTarget, {phase, maxPauseMs, suspension}: {phase: number; maxPauseMs?: number; suspension?: TargetSuspension}, now: Millis) {
+	/** @param options - `phase`: see `LimitShare`; `suspension`: what is known of this incarnation from before it was listed; `costs`: those of its service. */
+	constructor(listed: ListedTarget, {phase, maxPauseMs, suspension, costs = new ServiceCosts()}: PooledTargetOptions, now: Millis) {
+		this.costs = costs;
+		this.#prefill = new LearnedTime({weight: timeWeight, prior: slowdown => costs.prefillMs.at(slowdown)});
+		this.#call = new LearnedTime({weight: timeWeight, prior: slowdown => costs.callMs.at(slowdown)});
+		this.#event = new LearnedTime({weight: timeWeight, prior: slowdown => costs.eventMs.at(slowdown)});
+		costs.slots.add(Math.max(1, listed.slots));
 		this.#phase = phase;
 		this.#maxPauseMs = maxPauseMs;
 		this.#suspension = suspension ?? new TargetSuspension({maxPauseMs});
@@ -293,37 +293,37 @@
 		return this.attempts.size + this.othersInFlight(now);
 	}
 
-	/** Estimated prompt tokens of this entry's requests there that are not prefilled yet. */
-	pendingPrefillTokens(now: Millis): number {
-		let pending = 0;
-		for (const {startedAt, sentAt, uncachedTokens, aheadTokens} of this.attempts.values()) {
-			if (startedAt === undefined) {
-				const done = ((now - sentAt) * this.prefillRate.value) - aheadTokens;
-				pending += Math.max(0, uncachedTokens - Math.max(0, done));
-			}
-		}
-
-		return pending;
+	/** Predicted time to prefill a prompt token now, in milliseconds; greater than 0. */
+	prefillMs(now: Millis): number {
+		return Math.max(minUnitMs, this.#prefill.at(this.slowdown(now)) ?? 0);
 	}
 
-	/** Estimated time that the target needs for the outstanding prefill and output of this entry's requests, in milliseconds. */
-	backlogMs(now: Millis): number {
-		let output = 0;
-		for (const {outputTokens} of this.attempts.values()) {
-			output += outputTokens;
-		}
+	/** Predicted duration of a call of a plain service up to the head of its answer, in milliseconds. */
+	callMs(now: Millis): number {
+		return this.#call.at(this.slowdown(now)) ?? 0;
+	}
 
-		return (this.pendingPrefillTokens(now) + (output * outputTokenWeight)) / this.prefillRate.value;
+	/** Predicted time between two events of a stream, in milliseconds; 0 if unknown. */
+	eventMs(now: Millis): number {
+		return this.#event.at(this.slowdown(now)) ?? 0;
 	}
 
-	/** Tokens that this entry's requests occupy in the target's KV cache at their end. */
-	kvCacheTokens(): number {
-		let sum = 0;
-		for (const {kvCacheTokens} of this.attempts.values()) {
-			sum += kvCacheTokens;
+	/** Work of this entry's requests that the target has not finished: estimated prompt tokens to prefill, output tokens, and tokens in its KV cache at their end. */
+	ownWork(now: Millis): {readonly prefillTokens: number; readonly outputTokens: number; readonly kvCacheTokens: number} {
+		let prefillTokens = 0;
+		let outputTokens = 0;
+		let kvCacheTokens = 0;
+		const prefillMs = this.attempts.size === 0 ? minUnitMs : this.prefillMs(now);
+		for (const attempt of this.attempts.values()) {
+			outputTokens += attempt.outputTokens;
+			kvCacheTokens += attempt.kvCacheTokens;
+			if (attempt.startedAt === undefined) {
+				const done = ((now - attempt.sentAt) / prefillMs) - attempt.aheadTokens;
+				prefillTokens += Math.max(0, attempt.uncachedTokens - Math.max(0, done));
+			}
 		}
 
-		return sum;
+		return {prefillTokens, outputTokens, kvCacheTokens};
 	}
 
 	/** Records the first event of a stream, or the head of a call. */
@@ -335,21 +335,39 @@
 
 		pooled.startedAt = now;
 		pooled.lastEventAt = now;
+		const elapsedMs = Math.max(1, now - pooled.sentAt);
+		this.costs.startErrors.add(elapsedMs / Math.max(1, pooled.predictedMs));
 		const tokens = pooled.aheadTokens + pooled.uncachedTokens;
-		if (tokens >= minRateSampleTokens) {
-			this.prefillRate.add(tokens / Math.max(1, now - pooled.sentAt - firstStepMs));
+		if (tokens >= minSampleShare * (this.costs.promptTokens.value ?? 0)) {
+			this.#learn('prefill', Math.max(minPrefillShare * elapsedMs, elapsedMs - this.eventMs(now)) / tokens, now);
 		}
 	}
 
+	/** Records the duration of a call up to the head of its answer, in milliseconds. */
+	recordCall(durationMs: number, now: Millis): void {
+		this.#learn('call', Math.max(1, durationMs), now);
+	}
+
 	/** Records further events of a stream. */
 	recordProgress(attempt: AttemptNumber, {events, tokens}: {events: number; tokens: number}, now: Millis): void {
 		const pooled = this.attempts.get(attempt);
 		if (pooled?.lastEventAt !== undefined && events > 0) {
 			pooled.outputTokens = Math.max(0, pooled.outputTokens - tokens);
-			this.gapMs.add((now - pooled.lastEventAt) / events);
+			this.#learn('event', Math.max(1, now - pooled.lastEventAt) / events, now);
 			pooled.lastEventAt = now;
 		}
 	}
+
+	#learn(work: 'prefill' | 'call' | 'event', time: number, now: Millis): void {
+		const slowdown = this.slowdown(now);
+		const {own, ofService} = {
+			prefill: {own: this.#prefill, ofService: this.costs.prefillMs},
+			call: {own: this.#call, ofService: this.costs.callMs},
+			event: {own: this.#event, ofService: this.costs.eventMs},
+		}[work];
+		own.add(time, slowdown);
+		ofService.add(time, slowdown);
+	}
 }
 
 /** The limit after an answer to an attempt sent at `sentAt`: a later answer without one ends it. */
--- a/src/core/edge/prompt.ts
+++ b/src/core/edge/prompt.ts
@@ -3,5 +3,8 @@
 	/** Parts in order. Requests share leading parts; the last part is the request's own. */
 	readonly parts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
 	readonly promptTokens: number;
+	/** Announced maximum of output tokens. */
 	readonly outputTokens: number;
+	/** The caller's estimate of output tokens: right at the median, often far off. */
+	readonly lengthHint?: number;
 };
--- a/src/core/edge/rank-local-targets.ts
+++ b/src/core/edge/rank-local-targets.ts
@@ -1,13 +1,12 @@
 import {hash32} from '../common/hash32.ts';
 import type {Millis} from '../ids/millis.ts';
+import {fullBatchSlowdown} from '../targets/full-batch-slowdown.ts';
 import type {ServiceSpec} from '../routes/service-spec.ts';
 import type {PlacementCandidate} from './placement-candidate.ts';
 import type {PooledTarget} from './pooled-target.ts';
 import type {Prompt} from './prompt.ts';
 import {sharedParts} from './shared-parts.ts';
 
-/** Time to the first event of an engine in addition to the prefill, in milliseconds. */
-const firstEventMs = 25;
 /** Requests beyond its slots that a target of a plain service may get, so that its own queue covers the round trip. */
 const maxQueuedCalls = 2;
 /** Share of an engine's KV cache that requests may fill; the rest is left to shared prompt parts. */
@@ -53,6 +52,10 @@
  * same shared part prefer the same engine until its backlog outweighs the cached tokens.
  */
 export function rankLocalTargets({prompt, targets, partition, ...rest}: RankOptions, now: Millis): readonly PlacementCandidate[] {
+	if (prompt !== undefined) {
+		targets[0]?.costs.recordObjective(prompt, rest.objectiveMs);
+	}
+
 	const partitionTargets = partition === undefined ? [] : targets.filter(target => partition.has(target));
 	const preferred = prompt === undefined ? undefined : preferredTarget(prompt, partitionTargets.length > 0 ? partitionTargets : targets);
 	return targets
@@ -67,11 +70,12 @@
 function callCandidate(target: PooledTarget, limitEntries: number, now: Millis): PlacementCandidate {
 	const slots = Math.max(1, target.listed.slots);
 	const inFlight = target.inFlight(now);
-	const waitMs = Math.max(0, inFlight + 1 - slots) / slots * target.callMs.value;
+	const callMs = target.callMs(now);
+	const waitMs = Math.max(0, inFlight + 1 - slots) / slots * callMs;
 	// The last term breaks ties in favour of the less loaded target.
 	const limitWaitMs = target.limitWaitMs(limitEntries, now);
 	const isBrittle = target.rejectionsPerSecond !== undefined;
-	const startMs = limitWaitMs + waitMs + target.callMs.value + (inFlight / slots);
+	const startMs = limitWaitMs + waitMs + callMs + (inFlight / slots);
 	return {
 		target,
 		startMs,
@@ -96,25 +100,31 @@
 	const cached = target.prefixCache.cachedTokens(prompt);
 	const assumed = preferred ? assumedCachedShare * shared : 0;
 	const uncachedTokens = Math.max(1, prompt.promptTokens - Math.max(cached, assumed));
-	const aheadTokens = target.pendingPrefillTokens(now);
+	const {prefillTokens: aheadTokens, outputTokens: outputAhead, kvCacheTokens: ownKvCacheTokens} = target.ownWork(now);
+	const prefillMs = target.prefillMs(now);
+	const eventMs = target.eventMs(now);
 	const limitWaitMs = target.limitWaitMs(limitEntries, now);
-	const startMs = limitWaitMs + firstEventMs + ((aheadTokens + uncachedTokens) / target.prefillRate.value);
-	const events = prompt.outputTokens / (spec?.engine?.tokensPerEvent ?? 1);
-	const kvCacheTokens = prompt.promptTokens - shared + prompt.outputTokens;
+	const startMs = limitWaitMs + eventMs + ((aheadTokens + uncachedTokens) * prefillMs);
+	const tokensPerEvent = spec?.engine?.tokensPerEvent ?? 1;
+	const events = target.costs.outputTokens(prompt) / tokensPerEvent;
+	const kvCacheTokens = prompt.promptTokens - shared + target.costs.outputTokens(prompt, {cautious: true});
 	const capacity = kvCacheShare * (spec?.engine?.cacheTokens ?? Number.POSITIVE_INFINITY);
 	const others = target.othersInFlight(now);
-	const meanKvCacheTokens = target.attempts.size === 0 ? kvCacheTokens : target.kvCacheTokens() / target.attempts.size;
-	const expectedKvCacheTokens = target.kvCacheTokens() + (others * meanKvCacheTokens) + kvCacheTokens;
+	const meanKvCacheTokens = target.attempts.size === 0 ? kvCacheTokens : ownKvCacheTokens / target.attempts.size;
+	const expectedKvCacheTokens = ownKvCacheTokens + (others * meanKvCacheTokens) + kvCacheTokens;
 	const slots = Math.max(1, target.listed.slots);
 	// Even if its KV cache is expected to be full, a target may get up to an eighth of its slots, divided between the entries.
 	const isBrittle = target.rejectionsPerSecond !== undefined;
 	const hasMemory = expectedKvCacheTokens <= capacity || (!isBrittle && target.attempts.size < slots / 8 / entries);
 	const hasSlot = isBrittle ? target.hasCertainRoom(limitEntries, now) : target.inFlight(now) < slots;
 	const hasRoom = limitWaitMs === 0 && !target.isFull(now) && hasSlot && hasMemory;
-	const completionMs = startMs + (events * target.gapMs.value);
+	const completionMs = startMs + (events * eventMs);
+	// Each output token takes the share of a step by which a further stream prolongs it.
+	const outputMs = fullBatchSlowdown * eventMs / tokensPerEvent / (slots + target.attempts.size + others);
+	const backlogMs = (aheadTokens * prefillMs) + (outputAhead * outputMs);
 	const recomputedTokens = Math.max(0, shared - Math.max(cached, assumed));
 	const costMs = startMs
-		+ (backlogWeight * target.backlogMs(now))
+		+ (backlogWeight * backlogMs)
 		+ (recomputedTokenMs * recomputedTokens)
 		+ (inOtherPartition ? otherPartitionMs : 0)
 		+ failureCostMs(target, now)
--- a/src/core/edge/region-selector.ts
+++ b/src/core/edge/region-selector.ts
@@ -1,4 +1,5 @@
 import {hash32} from '../common/hash32.ts';
+import {CostBook} from '../cost/cost-book.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
 import type {ServiceName} from '../ids/service-name.ts';
@@ -11,12 +12,6 @@
 /** Assumed round trips to a remote region, and to another entry of the own one, in milliseconds. */
 const assumedRoundTripMs = 120;
 const ownRegionRoundTripMs = 5;
-/** Prefill rate of a typical engine, in prompt tokens a millisecond. */
-const typicalPrefillRate = 45;
-/** Assumed duration of a call of a plain service in a remote region, in milliseconds. */
-const typicalCallMs = 45;
-/** Assumed slots of a target of a plain service in a remote region. */
-const typicalSlots = 6;
 /** Time for which requests sent to a region are not yet included in its reported load, in milliseconds. */
 const reportLagMs = 1500;
 /** Time for which an entry that refused a request or could not be reached is avoided, in milliseconds. */
@@ -57,6 +52,7 @@
 	readonly #ownRegion: Region;
 	/** Address at which other entries forward requests to this one. */
 	readonly #ownAddress: string;
+	readonly #costs: CostBook;
 	#loads: readonly RegionLoad[] = [];
 	/** Numbers of the own region's entries in the last `entryCountHoldMs`. */
 	#recentCounts: ReadonlyArray<{readonly at: Millis; readonly placing: number; readonly all: number}> = [];
@@ -66,7 +62,9 @@
 	readonly #avoidUntil = new Map<string, number>();
 	#rotation = 0;
 
-	constructor(own: {readonly region: Region; readonly relayAddress: string}) {
+	/** @param options - `costs`: those of the services, from which work in other regions is predicted. */
+	constructor(own: {readonly region: Region; readonly relayAddress: string}, {costs = new CostBook()}: {readonly costs?: CostBook} = {}) {
+		this.#costs = costs;
 		this.#ownRegion = own.region;
 		this.#ownAddress = own.relayAddress;
 	}
@@ -103,6 +101,7 @@
 	/** Takes the loads of a feed; `current` is true if its control node is up to date with the replicated log. */
 	update(loads: readonly RegionLoad[], {current}: {current: boolean}, now: Millis): void {
 		this.#loads = loads;
+		this.#costs.update(loads, this.#ownRegion);
 		if (current) {
 			this.#deploymentCounts.record(Math.max(1, loads.reduce((sum, {entries}) => sum + entries, 0)), now);
 		}
@@ -119,7 +118,7 @@
 
 		const address = this.#ranked(this.placers, prompt).find(candidate => !this.#isAvoided(candidate, service, now));
 		const load = this.#ownLoad?.loads.find(serviceLoad => serviceLoad.service === service);
-		return address === undefined || load === undefined ? undefined : {address, startMs: load.startMs + (prompt.promptTokens / typicalPrefillRate)};
+		return address === undefined || load === undefined ? undefined : {address, startMs: load.startMs + (prompt.promptTokens * this.#prefillMs(service))};
 	}
 
 	/** Remote regions that could take a request, or go on with the stream of that origin, the cheapest first; `withOwn` adds the other entries of the own region. */
@@ -138,14 +137,17 @@
 				continue;
 			}
 
-			const sentTokens = this.#sentTokens(region, service, now) * (prompt === undefined ? this.#ownEntryCount : this.placingEntryCount);
-			const serviceMs = prompt === undefined ? typicalCallMs : prompt.promptTokens / typicalPrefillRate;
-			const queuedMs = prompt === undefined ? sentTokens * typicalCallMs / load.targets / typicalSlots : sentTokens / typicalPrefillRate / load.targets;
+			const {typicalSlots} = this.#costs.of(service);
+			const unitMs = prompt === undefined ? this.#callMs(service) : this.#prefillMs(service);
+			const serviceMs = unitMs * (prompt?.promptTokens ?? 1);
+			const senders = prompt === undefined ? this.#ownEntryCount : this.placingEntryCount;
+			// A guess of what others do at the same time: it spreads requests over the regions, but refuses none.
+			const queuedMs = this.#unreportedTokens(region, service, now) * senders * unitMs / load.targets / (prompt === undefined ? typicalSlots : 1);
 			this.#rotation += 1;
 			const address = hasPlacers && prompt !== undefined ? this.#ranked(addresses, prompt)[0]! : addresses[this.#rotation % addresses.length]!;
-			const startMs = (region === this.#ownRegion ? ownRegionRoundTripMs : assumedRoundTripMs) + load.startMs + queuedMs + serviceMs;
+			const startMs = (region === this.#ownRegion ? ownRegionRoundTripMs : assumedRoundTripMs) + load.startMs + serviceMs;
 			candidates.push({
-				region, address, startMs, costMs: startMs + load.extraMs,
+				region, address, startMs, costMs: startMs + queuedMs + load.extraMs,
 			});
 		}
 
@@ -154,7 +156,7 @@
 
 	recordSent({region, service, prompt}: {region: Region; service: ServiceName; prompt?: Prompt}, now: Millis): void {
 		const key = `${region} ${service}`;
-		const sent = (this.#recentSends.get(key) ?? []).filter(({at}) => now - at < reportLagMs);
+		const sent = (this.#recentSends.get(key) ?? []).filter(({at}) => now - at < 2 * reportLagMs);
 		sent.push({at: now, tokens: prompt?.promptTokens ?? 1});
 		this.#recentSends.set(key, sent);
 	}
@@ -176,16 +178,27 @@
 		return now - this.#updatedAt > maxLoadAgeMs;
 	}
 
+	/** Predicted time to prefill a prompt token, and duration of a call, at a target whose measurements are unknown. */
+	#prefillMs(service: ServiceName): number {
+		return this.#costs.of(service).prefillMs.at(1) ?? 0;
+	}
+
+	#callMs(service: ServiceName): number {
+		return this.#costs.of(service).callMs.at(1) ?? 0;
+	}
+
 	#isAvoided(address: string, service: ServiceName, now: Millis): boolean {
 		return (this.#avoidUntil.get(`${address} ${service}`) ?? 0) > now;
 	}
 
-	#sentTokens(region: Region, service: ServiceName, now: Millis): number {
+	/** Tokens sent to a region that its reported load does not include: those by which the last period of `reportLagMs` exceeds the one before, since the load includes a steady rate. */
+	#unreportedTokens(region: Region, service: ServiceName, now: Millis): number {
 		let sum = 0;
 		for (const {at, tokens} of this.#recentSends.get(`${region} ${service}`) ?? []) {
-			sum += now - at < reportLagMs ? tokens : 0;
+			const ageMs = now - at;
+			sum += ageMs < reportLagMs ? tokens : (ageMs < 2 * reportLagMs ? -tokens : 0);
 		}
 
-		return sum;
+		return Math.max(0, sum);
 	}
 }
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -261,6 +261,7 @@
 		}
 
 		this.#attempts.cancelKept(record);
+		this.#feedback.recordEnd(record);
 		this.#completion.complete(record, attempt, now);
 		this.#releaseAttempt(record);
 		this.#forget(record);
--- a/src/core/edge/service-loads.ts
+++ b/src/core/edge/service-loads.ts
@@ -33,14 +33,16 @@
 			leftMs: Number.POSITIVE_INFINITY,
 		}, now);
 		// `best.startMs` of a call is the time to its answer; without the duration of the call it is the time until the call starts.
+		const costs = pool.costs.of(spec.name).summary();
 		return {
 			service: spec.name,
 			targets: targets.length,
 			softwareVersions: [...new Set(targets.map(({listed}) => listed.softwareVersion))],
 			inFlight: targets.reduce((sum, target) => sum + target.attempts.size, 0),
 			waiting: waiting.size(spec.name),
-			startMs: best === undefined ? 0 : Math.round(best.startMs + (best.hasRoom ? 0 : fullTargetWaitMs) - (prompt === undefined ? best.target.callMs.value : 0)),
+			startMs: best === undefined ? 0 : Math.round(best.startMs + (best.hasRoom ? 0 : fullTargetWaitMs) - (prompt === undefined ? best.target.callMs(now) : 0)),
 			extraMs: best === undefined ? 0 : Math.round(best.costMs - best.startMs),
+			...costs !== undefined && {costs},
 		};
 	}).filter(({targets, waiting: count}) => targets > 0 || count > 0);
 }
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -83,7 +83,7 @@
 		const {attempt, sentAt} = record.running!;
 		const target = this.#targetOf(record);
 		target?.recordStart(attempt, now);
-		target?.callMs.add(now - sentAt);
+		target?.recordCall(now - sentAt, now);
 	}
 
 	/** Records new events of a stream; to be called before they are added to `running.events`. */
@@ -98,6 +98,14 @@
 		}
 	}
 
+	/** Records that an answer was read to its end; the length of a stream that this attempt brought whole, unless its caller took it up, tells how far off the announced lengths are. */
+	recordEnd({req: {prompt, resumeAfter}, running, passedEvents, table, service, route}: RequestRecord): void {
+		const isWhole = running?.head?.eventStream === true && running.events === passedEvents && resumeAfter === undefined;
+		if (prompt !== undefined && route.kind === 'stream' && isWhole && running.targetId !== undefined) {
+			this.#options.pool.costs.of(service).recordOutput(prompt, running.events * (table.service(service)?.engine?.tokensPerEvent ?? 1));
+		}
+	}
+
 	/** Records that the target or entry states that it has not run the request. */
 	recordNotRun(record: RequestRecord, {status}: AnswerHead, now: Millis): void {
 		const target = this.#targetOf(record);
--- a/src/core/edge/target-pool.ts
+++ b/src/core/edge/target-pool.ts
@@ -1,4 +1,5 @@
 import {hash32} from '../common/hash32.ts';
+import {CostBook} from '../cost/cost-book.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {ServiceName} from '../ids/service-name.ts';
@@ -20,6 +21,8 @@
 
 /** The targets of this entry's region. */
 export class TargetPool {
+	/** Learned costs of the services. */
+	readonly costs: CostBook;
 	readonly #targets = new Map<TargetId, PooledTarget>();
 	/** Targets of each service in the order of their ids; cleared when listings change. */
 	readonly #sorted = new Map<ServiceName, readonly PooledTarget[]>();
@@ -29,8 +32,9 @@
 	readonly #maxPauseMs: number | undefined;
 	#evacuated: ReadonlySet<Zone> = new Set();
 
-	/** @param self - this entry; entries differ in their phases of a target's limit. `maxPauseMs`: longest pause that a target may ask for. */
-	constructor(self: NodeId, {maxPauseMs}: {maxPauseMs?: number} = {}) {
+	/** @param self - this entry; entries differ in their phases of a target's limit. `maxPauseMs`: longest pause that a target may ask for; `costs`: those of its services. */
+	constructor(self: NodeId, {maxPauseMs, costs = new CostBook()}: {maxPauseMs?: number; costs?: CostBook} = {}) {
+		this.costs = costs;
 		this.#self = self;
 		this.#maxPauseMs = maxPauseMs;
 	}
@@ -194,7 +198,7 @@
 
 		if (known === undefined) {
 			const target = new PooledTarget(listed, {
-				phase: hash32(`${this.#self}:${listed.targetId}`) / (2 ** 32), maxPauseMs: this.#maxPauseMs, suspension: this.#takeUnlisted(listed),
+				phase: hash32(`${this.#self}:${listed.targetId}`) / (2 ** 32), maxPauseMs: this.#maxPauseMs, suspension: this.#takeUnlisted(listed), costs: this.costs.of(listed.service),
 			}, now);
 			// A brittle target that fell over is back as another one, and has not answered yet.
 			const brittle = this.#targetsOf(listed.service).find(({rejectionsPerSecond}) => rejectionsPerSecond !== undefined);
--- a/src/core/registry/region-load.ts
+++ b/src/core/registry/region-load.ts
@@ -10,6 +10,6 @@
 	readonly hasPlacers: boolean;
 	/** `ip:port` of the placers, or else of a sample of the entries, for forwarded requests. */
 	readonly relayAddresses: readonly string[];
-	/** Load of each service over the placers, or else over all entries: `targets` is the maximum, `softwareVersions` has those of all, `startMs` and `extraMs` are means, the rest are sums. */
+	/** Load of each service over the placers, or else over all entries: `targets` is the maximum, `softwareVersions` has those of all, `startMs`, `extraMs` and the figures of `costs` are means, the rest are sums. */
 	readonly loads: readonly ServiceLoad[];
 };
--- a/src/core/registry/service-load.ts
+++ b/src/core/registry/service-load.ts
@@ -1,3 +1,4 @@
+import type {ServiceCostSummary} from '../cost/service-cost-summary.ts';
 import type {ServiceName} from '../ids/service-name.ts';
 import type {SoftwareVersion} from '../ids/software-version.ts';
 
@@ -16,4 +17,6 @@
 	readonly startMs: number;
 	/** Estimated cost of placing a request there beyond `startMs`, in milliseconds. */
 	readonly extraMs: number;
+	/** What the entry has measured of the service's targets; absent without measurements, and in the loads of builds that don't report it. */
+	readonly costs?: ServiceCostSummary;
 };
--- a/src/core/registry/summarize-regions.ts
+++ b/src/core/registry/summarize-regions.ts
@@ -1,6 +1,7 @@
+import {meanCostSummary} from '../cost/mean-cost-summary.ts';
+import type {ServiceCostSummary} from '../cost/service-cost-summary.ts';
 import type {Region} from '../ids/region.ts';
 import type {ServiceName} from '../ids/service-name.ts';
-import type {SoftwareVersion} from '../ids/software-version.ts';
 import {choosePlacers} from './choose-placers.ts';
 import type {EntryStatus} from './entry-status.ts';
 import type {RegionLoad} from './region-load.ts';
@@ -9,6 +10,8 @@
 /** Number of addresses in the sample of a region without placers. */
 const sampleSize = 4;
 
+type LoadSum = Omit<Required<ServiceLoad>, 'service' | 'costs'> & {readonly reports: number; readonly costs: readonly ServiceCostSummary[]};
+
 /** Summarizes the loads of entries by region, so that the size of a summary does not grow with the number of entries. `rotation` shifts the sample of addresses. */
 export function summarizeRegions(entries: readonly EntryStatus[], rotation: number): readonly RegionLoad[] {
 	const byRegion = new Map<Region, EntryStatus[]>();
@@ -45,11 +48,11 @@
 }
 
 function summarizeLoads(entries: readonly EntryStatus[]): readonly ServiceLoad[] {
-	const sums = new Map<ServiceName, {targets: number; softwareVersions: readonly SoftwareVersion[]; inFlight: number; waiting: number; startMs: number; extraMs: number; reports: number}>();
+	const sums = new Map<ServiceName, LoadSum>();
 	for (const {loads} of entries) {
 		for (const load of loads) {
 			const sum = sums.get(load.service) ?? {
-				targets: 0, softwareVersions: [], inFlight: 0, waiting: 0, startMs: 0, extraMs: 0, reports: 0,
+				targets: 0, softwareVersions: [], inFlight: 0, waiting: 0, startMs: 0, extraMs: 0, reports: 0, costs: [],
 			};
 			sums.set(load.service, {
 				targets: Math.max(sum.targets, load.targets),
@@ -59,11 +62,16 @@
 				startMs: sum.startMs + load.startMs,
 				extraMs: sum.extraMs + load.extraMs,
 				reports: sum.reports + 1,
+				costs: load.costs === undefined ? sum.costs : [...sum.costs, load.costs],
 			});
 		}
 	}
 
-	return [...sums].map(([service, {reports, startMs, extraMs, ...rest}]) => ({
-		...rest, service, startMs: Math.round(startMs / reports), extraMs: Math.round(extraMs / reports),
+	return [...sums].map(([service, {reports, startMs, extraMs, costs, ...rest}]) => ({
+		...rest,
+		service,
+		startMs: Math.round(startMs / reports),
+		extraMs: Math.round(extraMs / reports),
+		...costs.length > 0 && {costs: meanCostSummary(costs)},
 	}));
 }
