fix(edge): count other entries' requests in an engine's KV cache by the service's mean

They were counted by the mean of the entry's own requests there, or by the request at hand, and each entry could send one request more to a full engine: with 14 placers, 14. Such a request now runs only alone.

--- a/src/core/edge/rank-local-targets.ts
+++ b/src/core/edge/rank-local-targets.ts
@@ -95,7 +95,7 @@
 	readonly inOtherPartition: boolean;
 };
 
-function streamCandidate(target: PooledTarget, {prompt, spec, preferred, inOtherPartition, entries, limitEntries, objectiveMs, leftMs}: StreamOptions, now: Millis): PlacementCandidate {
+function streamCandidate(target: PooledTarget, {prompt, spec, preferred, inOtherPartition, limitEntries, objectiveMs, leftMs}: StreamOptions, now: Millis): PlacementCandidate {
 	const shared = sharedTokens(prompt);
 	const cached = target.prefixCache.cachedTokens(prompt);
 	const assumed = preferred ? assumedCachedShare * shared : 0;
@@ -110,12 +110,12 @@
 	const kvCacheTokens = prompt.promptTokens - shared + target.costs.outputTokens(prompt, {cautious: true});
 	const capacity = kvCacheShare * (spec?.engine?.cacheTokens ?? Number.POSITIVE_INFINITY);
 	const others = target.othersInFlight(now);
-	const meanKvCacheTokens = target.attempts.size === 0 ? kvCacheTokens : ownKvCacheTokens / target.attempts.size;
+	const meanKvCacheTokens = target.costs.kvCacheTokens.value ?? kvCacheTokens;
 	const expectedKvCacheTokens = ownKvCacheTokens + (others * meanKvCacheTokens) + kvCacheTokens;
 	const slots = Math.max(1, target.listed.slots);
-	// Even if its KV cache is expected to be full, a target may get up to an eighth of its slots, divided between the entries.
+	// A request larger than the whole KV cache may run alone.
 	const isBrittle = target.rejectionsPerSecond !== undefined;
-	const hasMemory = expectedKvCacheTokens <= capacity || (!isBrittle && target.attempts.size < slots / 8 / entries);
+	const hasMemory = expectedKvCacheTokens <= capacity || (!isBrittle && target.inFlight(now) < 1);
 	const hasSlot = isBrittle ? target.hasCertainRoom(limitEntries, now) : target.inFlight(now) < slots;
 	const hasRoom = limitWaitMs === 0 && !target.isFull(now) && hasSlot && hasMemory;
 	const completionMs = startMs + (events * eventMs);
