--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -51,15 +51,16 @@
 			return;
 		}
 
-		const {status, load, limitPerSecond, rejectionsPerSecond, signed, notRun} = head;
+		const {status, load, hasUnreadableLoad, limitPerSecond, rejectionsPerSecond, signed, notRun} = head;
 		this.#recordSuspension(record, target, head, now);
 		target.recordSign(now);
 		if (!notRun) {
 			target.failureShare.record(failureStatuses.has(status), now);
 		}
 
-		if (load !== undefined) {
-			target.updateLoad(load, now);
+		const ignored = hasUnreadableLoad ? ['unreadable'] : load && target.updateLoad(load, now);
+		for (const figure of ignored ?? []) {
+			this.#options.queue.count('ignored_load_figures', figure);
 		}
 
 		// An answer that the target does not vouch for proves nothing about the end of a limit.
@@ -82,7 +83,7 @@
 		const {attempt, sentAt} = record.running!;
 		const target = this.#targetOf(record);
 		target?.recordStart(attempt, now);
-		target?.callMs.add(now - sentAt);
+		target?.recordCall(now - sentAt, now);
 	}
 
 	/** Records new events of a stream; to be called before they are added to `running.events`. */
@@ -97,6 +98,14 @@
 		}
 	}
 
+	/** Records that an answer was read to its end; the length of a stream that this attempt brought whole, unless its caller took it up, tells how far off the announced lengths are. */
+	recordEnd({req: {prompt, resumeAfter}, running, passedEvents, table, service, route}: RequestRecord): void {
+		const isWhole = running?.head?.eventStream === true && running.events === passedEvents && resumeAfter === undefined;
+		if (prompt !== undefined && route.kind === 'stream' && isWhole && running.targetId !== undefined) {
+			this.#options.pool.costs.of(service).recordOutput(prompt, running.events * (table.service(service)?.engine?.tokensPerEvent ?? 1));
+		}
+	}
+
 	/** Records that the target or entry states that it has not run the request. */
 	recordNotRun(record: RequestRecord, {status}: AnswerHead, now: Millis): void {
 		const target = this.#targetOf(record);
--- a/src/core/results/counter-name.ts
+++ b/src/core/results/counter-name.ts
@@ -2,6 +2,7 @@
  * Names of the counters in `/metrics`, each with a `reason` label where one applies.
  *
  * `away`: forwards to remote regions; `away_bytes`: the bytes sent with them. `changes`: outcomes of settings changes.
+ * `ignored_load_figures`: figures in targets' reports of their load that were not plausible.
  * `broken_answers`: answers that had begun and that this entry ended before they were complete, by the last failure.
  * `organisation_...`: requests that callers sent to this entry, by organisation.
  * `poison`: events about requests that are suspected of crashing targets. `stale_messages`: messages, requests and
@@ -19,6 +20,7 @@
 	| 'away_bytes'
 	| 'attempts'
 	| 'attempt_failures'
+	| 'ignored_load_figures'
 	| 'claims'
 	| 'replays'
 	| 'ejections'
