fix(quotas): the whole tolerance is left to late reports

It is taken to go on for a second, and an organisation that asks for more than its quota gets the quota, not a fifth of the tolerance more.

--- a/src/core/organisations/quota/reported-use.ts
+++ b/src/core/organisations/quota/reported-use.ts
@@ -4,8 +4,8 @@
 import {recentPart} from './recent-part.ts';
 import {refusalShare} from './refusal-share.ts';
 
-/** Longest time for which use is taken to go on as in the newest part of a report, in milliseconds: about the age of the sums while demand changes. */
-const continuedMs = 500;
+/** Longest time for which use is taken to go on as in the newest part of a report, in milliseconds: entries that have no processor time left report late. */
+const continuedMs = 1000;
 
 /** Use that was reported some time ago, moved on to the present: what has left the window since is left out, and it is taken to go on as at last. */
 export class ReportedUse {
