fix(cost): targets that were not measured are tried, and short prompts teach no prefill time

At rest a target without measurements, or with one sample of a short prompt that a new connection made slow, never got another request: the service's mean stood for it, and another target was a little faster. Unmeasured targets count with 0.8 of the mean, and prompts below 500 tokens are no samples.

--- a/src/core/cost/learned-time.ts
+++ b/src/core/cost/learned-time.ts
@@ -10,6 +10,8 @@
 	readonly weight: number;
 	/** Estimate at a slowdown before there are samples, for example over all targets of the service. */
 	readonly prior?: (slowdown: number) => number | undefined;
+	/** Factor of the prior, below 1 so that a target without samples is tried while others are idle too. @default 1 */
+	readonly priorFactor?: number;
 };
 
 /** Geometric moving average of a duration; its first sample replaces the prior. */
@@ -68,7 +70,9 @@
 
 	/** Predicted time at a slowdown; undefined without samples and prior. */
 	at(slowdown: number): number | undefined {
-		const prior = this.#options.prior?.(slowdown);
+		const {prior: priorAt, priorFactor = 1} = this.#options;
+		const assumed = priorAt?.(slowdown);
+		const prior = assumed === undefined ? undefined : assumed * priorFactor;
 		if (this.samples === 0) {
 			return prior;
 		}
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -26,8 +26,12 @@
 const maxLoadJump = 10;
 /** Fewest prompt tokens for which the time to the first event is taken as a sample of the prefill time, as a share of the mean prompt of the service: with fewer, as of a cached prompt, the rest of the time outweighs the prefill. */
 const minSampleShare = 0.3;
+/** Fewest prompt tokens of such a sample: of a shorter prompt the connection takes more time than the prefill. */
+const minSampleTokens = 500;
 /** Weight of a new sample in the times of one target. */
 const timeWeight = 0.1;
+/** Factor of the times of the service's other targets for one that has not been measured: it would never get a request while another one that is as fast is idle. */
+const priorFactor = 0.8;
 /** Shortest and longest accepted time of a unit of work, in milliseconds. */
 const minUnitMs = 1e-6;
 /** Smallest share of the time to the first event that is taken for prefill; the rest is decoding up to the first event. */
@@ -76,9 +80,9 @@
 	/** @param options - `phase`: see `LimitShare`; `suspension`: what is known of this incarnation from before it was listed; `costs`: those of its service. */
 	constructor(listed: ListedTarget, {phase, maxPauseMs, suspension, costs = new ServiceCosts()}: PooledTargetOptions, now: Millis) {
 		this.costs = costs;
-		this.#prefill = new LearnedTime({weight: timeWeight, prior: slowdown => costs.prefillMs.at(slowdown)});
-		this.#call = new LearnedTime({weight: timeWeight, prior: slowdown => costs.callMs.at(slowdown)});
-		this.#event = new LearnedTime({weight: timeWeight, prior: slowdown => costs.eventMs.at(slowdown)});
+		this.#prefill = new LearnedTime({weight: timeWeight, priorFactor, prior: slowdown => costs.prefillMs.at(slowdown)});
+		this.#call = new LearnedTime({weight: timeWeight, priorFactor, prior: slowdown => costs.callMs.at(slowdown)});
+		this.#event = new LearnedTime({weight: timeWeight, priorFactor, prior: slowdown => costs.eventMs.at(slowdown)});
 		costs.slots.add(Math.max(1, listed.slots));
 		this.#phase = phase;
 		this.#maxPauseMs = maxPauseMs;
@@ -338,7 +342,7 @@
 		const elapsedMs = Math.max(1, now - pooled.sentAt);
 		this.costs.startErrors.add(elapsedMs / Math.max(1, pooled.predictedMs));
 		const tokens = pooled.aheadTokens + pooled.uncachedTokens;
-		if (tokens >= minSampleShare * (this.costs.promptTokens.value ?? 0)) {
+		if (tokens >= Math.max(minSampleTokens, minSampleShare * (this.costs.promptTokens.value ?? 0))) {
 			this.#learn('prefill', Math.max(minPrefillShare * elapsedMs, elapsedMs - this.eventMs(now)) / tokens, now);
 		}
 	}
