feat(settings): memoryMb scales the bounds on what a process holds of its requests

The bounds on bodies, answers and unread answers were constants, whatever memory the VM has, and a test could not lower them. memoryMb (limits.memory-mb of the platform, optional) scales them; 210 MB, the smallest VM, is the default and gives the values that were in force. It may be empty where the platform names no memory.

--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -95,7 +95,7 @@
 		this.#links = new PeerLinks({
 			self, token, metrics: this.#metrics, budget, address: nodeId => this.#core.info(nodeId)?.peerAddress,
 		});
-		const memory = new ProcessMemory();
+		const memory = new ProcessMemory(settings.memoryMb);
 		this.#attemptClient = new AttemptClient({
 			self, token, memory, step,
 		});
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -45,7 +45,7 @@
 	constructor(options: ControlProcessOptions) {
 		const {settings, adapter, log, folder} = options;
 		this.#options = options;
-		const {nodeId, region, zones, listen, seeds, firstStart, toleratedDisks, reportEveryMs, directoryTtlMs} = settings;
+		const {nodeId, region, zones, listen, seeds, firstStart, toleratedDisks, reportEveryMs, directoryTtlMs, memoryMb} = settings;
 		const operators = listen.operators!;
 		this.#core = new ControlCore({
 			self: {nodeId, region: toId(region), operatorAddress: `${operators.host}:${operators.port}`},
@@ -71,7 +71,7 @@
 		});
 		const {step, now, metrics} = this.#host;
 		this.#servers = new ControlServers({
-			operators, directory: listen.directory!, directoryTtlMs, codec: adapter.control, core: this.#core, step, now, log, onError: this.#host.logHandlerError,
+			operators, directory: listen.directory!, directoryTtlMs, memoryMb, codec: adapter.control, core: this.#core, step, now, log, onError: this.#host.logHandlerError,
 		});
 		this.#metricsServer = listen.metrics && new MetricsServer({
 			listen: listen.metrics,
--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -22,6 +22,8 @@
 	readonly operators: HostPort;
 	readonly directory: HostPort;
 	readonly directoryTtlMs: number;
+	/** Memory of the VM, in MB. */
+	readonly memoryMb: number;
 	readonly codec: ControlCodec;
 	readonly core: ControlCore;
 	readonly step: (event: ControlEvent) => void;
@@ -39,13 +41,14 @@
 export class ControlServers {
 	readonly #options: ControlServersOptions;
 	readonly #servers: readonly HttpServer[];
-	readonly #memory = new ProcessMemory();
+	readonly #memory: ProcessMemory;
 	readonly #pendingCalls = new Map<string, (answer: CallAnswer) => void>();
 	#lastCallNumber = 0;
 	#stopping = false;
 
 	constructor(options: ControlServersOptions) {
 		this.#options = options;
+		this.#memory = new ProcessMemory(options.memoryMb);
 		const {onError} = options;
 		this.#servers = [
 			new HttpServer({
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -39,7 +39,7 @@
 export class EntryProcess implements RoutesProcess {
 	readonly #options: EntryProcessOptions;
 	readonly #exchanges = new Map<RequestId, CallerExchange>();
-	readonly #memory = new ProcessMemory();
+	readonly #memory: ProcessMemory;
 	readonly #core: EdgeCore;
 	readonly #host: CoreHost<EdgeEvent, EntryProcessAction>;
 	/** Undefined until `open` has loaded it; the core starts no attempt before it knows routes. */
@@ -51,6 +51,7 @@
 	constructor(options: EntryProcessOptions) {
 		const {settings, adapter, log} = options;
 		this.#options = options;
+		this.#memory = new ProcessMemory(settings.memoryMb);
 		const {nodeId, region, zone, listen, seeds, repeats, cores, reportEveryMs, maxTargetPauseMs} = settings;
 		this.#core = new EdgeCore({
 			self: {
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -22,6 +22,8 @@
 	maxAnswerBytes: 67_108_864,
 	/** Largest stream of events whose text is collected, in bytes: to resume it, or to assemble one answer. */
 	maxCollectedStreamBytes: 16_777_216,
+	/** Memory that a process may use unless its settings say otherwise, in MB: the smallest VM of the known deployments. The bounds on what a process holds of its requests apply to this size and are scaled to others. */
+	defaultMemoryMb: 210,
 	/** Largest total size of the bodies of all requests in progress, in bytes. */
 	maxHeldBodyBytes: 33_554_432,
 	/** Largest total size of the parts of all answers that are read and not passed on, in bytes. */
--- a/src/settings/load-settings.ts
+++ b/src/settings/load-settings.ts
@@ -39,6 +39,7 @@
 		self: selfInfo(settings, startedAt),
 		listen: {callers: hostPort(settings.listen.callers), peers: hostPort(settings.listen.peers)},
 		dataFolder: settings.dataFolder && path.resolve(folder, settings.dataFolder),
+		memoryMb: settings.memoryMb,
 		seeds: settings.peers.map(peer => seedInfo(peer)),
 		controlMembers: settings.control.members.map(member => toId(member)),
 		keys,
--- a/src/settings/process-settings-schema.ts
+++ b/src/settings/process-settings-schema.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {constants} from './constants.ts';
 import {isAddress} from './is-address.ts';
 
 const address = z.string().refine(isAddress, 'must be an IPv4 address and a port, such as 10.0.0.1:7101');
@@ -16,6 +17,8 @@
 	advertise: z.strictObject({callers: address.optional(), peers: address.optional()}).optional(),
 	/** Relative size of the VM. @default 1 */
 	weight: z.number().positive().max(1000).default(1),
+	/** Memory of the VM, in MB; the bounds on what the process holds of its requests follow from it. @default 210 */
+	memoryMb: z.number().positive().default(constants.defaultMemoryMb),
 	dataFolder: z.string().min(1).optional(),
 	/** File with the keys shared by all processes, separated by white space: the first signs, the others are accepted as well. */
 	peerKeyFile: z.string().min(1),
--- a/src/settings/resolved-settings.ts
+++ b/src/settings/resolved-settings.ts
@@ -8,6 +8,8 @@
 	readonly listen: {readonly callers: HostPort; readonly peers: HostPort};
 	/** Absolute path; undefined if the process has no disk. */
 	readonly dataFolder?: string;
+	/** Memory of the VM, in MB. */
+	readonly memoryMb: number;
 	readonly seeds: readonly NodeInfo[];
 	readonly controlMembers: readonly NodeId[];
 	readonly keys: ProcessKeys;
--- a/src/settings/routes-settings-schema.ts
+++ b/src/settings/routes-settings-schema.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {constants} from './constants.ts';
 import {isAddress} from './is-address.ts';
 
 const address = z.string().refine(isAddress, 'must be an IPv4 address and a port, such as 10.0.0.1:7101');
@@ -44,6 +45,8 @@
 	peerKeyFile: z.string().min(1).optional(),
 	/** CPU cores of the VM; may be a fraction. @default 1 */
 	cores: positive.default(1),
+	/** Memory of the VM, in MB; the bounds on what the process holds of its requests follow from it. Empty where the platform names none. @default 210 */
+	memoryMb: positive.nullish().transform(value => value ?? constants.defaultMemoryMb),
 	/** Number of control nodes' disks that may be lost at the same time. @default 1 */
 	toleratedDisks: z.number().int().min(0).max(4).default(1),
 	/** Interval between reports of a target, in milliseconds. */
--- a/test/settings/deploy-templates.test.ts
+++ b/test/settings/deploy-templates.test.ts
@@ -16,7 +16,7 @@
 	'internal-port-range': [7660, 7675],
 	'seed-nodes': ['10.1.0.37:8146', '10.2.0.31:8146'],
 	bootstrap: true,
-	limits: {'cpu-share': 0.81},
+	limits: {'cpu-share': 0.81, 'memory-mb': 490},
 	'heartbeat-interval-ms': 800,
 	bounds: {
 		'grace-period-s': 8, 'retry-budget-ratio': 0.2, 'retry-budget-slack': 12, 'budget-window-s': 10,
@@ -48,6 +48,16 @@
 		});
 }
 
+test('a platform that names no memory leaves the default', t => {
+	const folder = mkdtempSync(path.join(tmpdir(), 'lovageferry-'));
+	t.teardown(() => {
+		rmSync(folder, {recursive: true});
+	});
+	const file = path.join(folder, 'local.toml');
+	writeFileSync(file, render(t, readFileSync('deploy/entry.yaml', 'utf8').replace('{{limits.memory-mb}}', '')));
+	t.is(loadRoutesSettings(file).memoryMb, 210);
+});
+
 for (const role of ['entry', 'control'] as const) {
 	test(`the template of the role ${role} renders valid settings`, t => {
 		const folder = mkdtempSync(path.join(tmpdir(), 'lovageferry-'));
@@ -61,6 +71,7 @@
 		t.true(settings.firstStart);
 		t.is(settings.graceMs, 8000);
 		t.is(settings.toleratedDisks, 2);
+		t.is(settings.memoryMb, 490);
 		t.is(settings.listen[role === 'entry' ? 'callers' : 'operators']!.host, '10.1.0.35');
 	});
 }
