--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -161,14 +161,14 @@
 
 		if (this.resumeAnswer !== undefined && req.headers['last-event-id'] !== undefined) {
 			const {status, contentType, text} = this.resumeAnswer;
-			res.writeHead(status, {'request-identifier': req.headers['request-identifier'], 'server-signature': `${this.identifier}.sig`, 'content-type': contentType}).end(text);
+			res.writeHead(status, {'request-identifier': identifierOf(req), 'server-signature': `${this.identifier}.sig`, 'content-type': contentType}).end(text);
 			return;
 		}
 
 		if (manner === 'full') {
 			res.writeHead(503, {
 				'not-executed': '1',
-				'request-identifier': req.headers['request-identifier'],
+				'request-identifier': identifierOf(req),
 				...this.pauseSeconds === undefined ? {} : {'retry-after': this.pauseSeconds},
 				...this.#leavingHeader(),
 			}).end();
@@ -176,7 +176,7 @@
 		}
 
 		const headers = {
-			'request-identifier': manner === 'foreign' ? 'another' : req.headers['request-identifier'],
+			'request-identifier': manner === 'foreign' ? 'another' : identifierOf(req),
 			...manner === 'unsigned' ? {} : {'server-signature': `${this.identifier}.sig`},
 			'server-load': '1,0,6',
 			...this.#leavingHeader(),
@@ -220,7 +220,7 @@
 			},
 			'stalled-body': () => {
 				res.writeHead(200, {
-					'request-identifier': req.headers['request-identifier'], 'server-signature': `${this.identifier}.sig`, 'content-type': 'text/plain', 'content-length': stalledPart.length * 2,
+					'request-identifier': identifierOf(req), 'server-signature': `${this.identifier}.sig`, 'content-type': 'text/plain', 'content-length': stalledPart.length * 2,
 				}).write(stalledPart);
 			},
 			nameless() {
@@ -298,3 +298,8 @@
 		res.end();
 	}
 }
+
+/** Identifier of a request; empty if it names none, since a header of the answer needs a value. */
+function identifierOf({headers}: IncomingMessage): string {
+	return String(headers['request-identifier'] ?? '');
+}
