fix(server): bound what clients without regard for limits cost a process

Bodies were counted by their payload, while each chunk kept a Buffer of some hundred bytes, also after the request was refused; Node's server parses up to 64 KB at a time, so that thousands of requests of one connection were in progress, and ten thousand chunks were handled in one turn; responses behind another one were never let go when their connection closed.

Small chunks are copied into blocks and counted by the memory that they take (BodyBuffer, HeldBodies); near the bound stalled bodies are given up first, then the largest of the address that holds most. What a connection receives is parsed in slices (RequestPacer, ParseQueue): the next request once the one before is answered, reading stops meanwhile, 8 ms in a turn, connections that cost little first. Heads and unparsed bytes are counted. clients_turned_away counts each kind.

--- a/src/server/api-server.ts
+++ b/src/server/api-server.ts
@@ -5,6 +5,7 @@
 import {ListenError} from './listen-error.ts';
 import type {HttpRoute} from './http-route.ts';
 import {log} from './log.ts';
+import {ProcessMemory} from './process-memory.ts';
 import {ServerConnections} from './server-connections.ts';
 
 /** HTTP server for callers, targets and operators. */
@@ -15,7 +16,8 @@
 	readonly #listen: {readonly host: string; readonly port: number};
 	readonly #log = log('http');
 
-	constructor(options: {listen: {host: string; port: number}; routes: readonly HttpRoute[]}) {
+	/** @param options.memory - Bounds on what the requests of the whole process hold; of this server alone by default. */
+	constructor(options: {listen: {host: string; port: number}; routes: readonly HttpRoute[]; memory?: ProcessMemory}) {
 		this.#listen = options.listen;
 		this.#routes = options.routes;
 		this.#server = createServer({
@@ -23,10 +25,10 @@
 			requestTimeout: constants.headersTimeoutMs + constants.bodyTimeoutMs,
 			keepAliveTimeout: 5000,
 			noDelay: true,
-		}, (req, res) => {
+		});
+		this.#connections = new ServerConnections(this.#server, options.memory ?? new ProcessMemory(), (req, res) => {
 			void this.#handle(req, res);
 		});
-		this.#connections = new ServerConnections(this.#server);
 		this.#server.maxConnections = constants.maxConnections;
 	}
 
--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -95,7 +95,12 @@
 		this.#links = new PeerLinks({
 			self, token, metrics: this.#metrics, budget, address: nodeId => this.#core.info(nodeId)?.peerAddress,
 		});
-		const memory = new ProcessMemory(settings.memoryMb);
+		const memory = new ProcessMemory({
+			memoryMb: settings.memoryMb,
+			onTurnedAway: kind => {
+				this.#metrics.count('clients_turned_away', kind);
+			},
+		});
 		this.#attemptClient = new AttemptClient({
 			self, token, memory, step,
 		});
@@ -128,7 +133,7 @@
 				ready: () => this.#resolveDrained === undefined && this.#core.ready(this.#runner.now()),
 			}),
 		});
-		this.#apiServer = new ApiServer({listen: settings.listen.callers, routes});
+		this.#apiServer = new ApiServer({listen: settings.listen.callers, routes, memory});
 		this.#performer = new ActionPerformer({
 			region: self.region,
 			revision: () => this.#core.tree.revision,
--- a/src/server/request-reader.ts
+++ b/src/server/request-reader.ts
@@ -14,7 +14,7 @@
 import {bearerKey} from './bearer-key.ts';
 import {BodyError} from './body-error.ts';
 import {CallerRequest} from './caller-request.ts';
-import {MemoryHold} from './memory-hold.ts';
+import {BodyHold} from './body-hold.ts';
 import type {ProcessMemory} from './process-memory.ts';
 import {fingerprintOf} from './fingerprint-of.ts';
 import {parseChatBody} from './parse-chat-body.ts';
@@ -75,11 +75,7 @@
 		const residency = intersectRestrictions(settings.residency, caller.key.residency);
 		const homeRegion = this.#homeRegion(caller, {settings, residency}, forwarded !== undefined);
 		const {memory} = this.#options;
-		const hold = new MemoryHold(memory.bodies);
-		res.once('close', () => {
-			hold.close();
-		});
-		const body = await readBodyOrRefuse(req, settings.maxBodyBytes, hold);
+		const body = await readBodyOrRefuse(req, settings.maxBodyBytes, new BodyHold(memory, req, res));
 		const kind = destination.service === undefined ? 'completion' : 'call';
 		const chat = kind === 'completion' ? parseChatBody(body) : undefined;
 		const prompt = chat?.prompt ?? '';
@@ -205,7 +201,7 @@
 	return fingerprintOf(`${req.method} ${targetPath} ${firm}/${deployment}/${service}/${route} ${scope.organisation}`, body);
 }
 
-async function readBodyOrRefuse(req: IncomingMessage, maxBytes: number, hold: MemoryHold) {
+async function readBodyOrRefuse(req: IncomingMessage, maxBytes: number, hold: BodyHold) {
 	try {
 		return await readBody(req, maxBytes, hold);
 	} catch (error) {
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -13,6 +13,7 @@
 import {SystemSeededRandom} from '../system-seeded-random.ts';
 import type {EventLog} from '../event-log.ts';
 import {type DataFolder} from '../journal/data-folder.ts';
+import {ProcessMemory} from '../process-memory.ts';
 import {ControlServers} from './control-servers.ts';
 import {CoreHost} from './core-host.ts';
 import type {PlatformAdapter} from './platform-adapter.ts';
@@ -70,8 +71,14 @@
 			},
 		});
 		const {step, now, metrics} = this.#host;
+		const memory = new ProcessMemory({
+			memoryMb,
+			onTurnedAway(kind) {
+				metrics.count('clients_turned_away', kind);
+			},
+		});
 		this.#servers = new ControlServers({
-			operators, directory: listen.directory!, directoryTtlMs, memoryMb, codec: adapter.control, core: this.#core, step, now, log, onError: this.#host.logHandlerError,
+			operators, directory: listen.directory!, directoryTtlMs, memory, codec: adapter.control, core: this.#core, step, now, log, onError: this.#host.logHandlerError,
 		});
 		this.#metricsServer = listen.metrics && new MetricsServer({
 			listen: listen.metrics,
--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -10,8 +10,8 @@
 import {constants} from '../../settings/constants.ts';
 import {BodyError} from '../body-error.ts';
 import type {EventLog} from '../event-log.ts';
-import {MemoryHold} from '../memory-hold.ts';
-import {ProcessMemory} from '../process-memory.ts';
+import {BodyHold} from '../body-hold.ts';
+import type {ProcessMemory} from '../process-memory.ts';
 import {readBody} from '../read-body.ts';
 import type {ControlCodec} from './control-codec.ts';
 import {HttpServer} from './http-server.ts';
@@ -22,8 +22,8 @@
 	readonly operators: HostPort;
 	readonly directory: HostPort;
 	readonly directoryTtlMs: number;
-	/** Memory of the VM, in MB. */
-	readonly memoryMb: number;
+	/** Bounds on what the requests of the whole process hold. */
+	readonly memory: ProcessMemory;
 	readonly codec: ControlCodec;
 	readonly core: ControlCore;
 	readonly step: (event: ControlEvent) => void;
@@ -34,6 +34,7 @@
 };
 
 const stoppingAnswer: CallAnswer = {type: 'unavailable', reason: 'this control node stops'};
+const bodyErrorStatuses: Readonly<Record<string, number>> = {tooLarge: 413, slowCaller: 408, overloaded: 503};
 /** `Retry-After` of a call that the control nodes could not process, in seconds. */
 const operatorRetryAfterSeconds = 1;
 
@@ -41,22 +42,21 @@
 export class ControlServers {
 	readonly #options: ControlServersOptions;
 	readonly #servers: readonly HttpServer[];
-	readonly #memory: ProcessMemory;
 	readonly #pendingCalls = new Map<string, (answer: CallAnswer) => void>();
 	#lastCallNumber = 0;
 	#stopping = false;
 
 	constructor(options: ControlServersOptions) {
 		this.#options = options;
-		this.#memory = new ProcessMemory(options.memoryMb);
-		const {onError} = options;
+		const {onError, memory} = options;
 		this.#servers = [
 			new HttpServer({
-				key: 'listen.operators', listen: options.operators, onError, handle: async (req, res) => this.#handleControlCall(req, res),
+				key: 'listen.operators', listen: options.operators, memory, onError, handle: async (req, res) => this.#handleControlCall(req, res),
 			}),
 			new HttpServer({
 				key: 'listen.directory',
 				listen: options.directory,
+				memory,
 				onError,
 				handle: (req, res) => {
 					this.#handleDirectoryQuery(req, res);
@@ -227,11 +227,7 @@
 
 	async #readBody(req: IncomingMessage, res: ServerResponse, maxBytes: number): Promise<string | undefined> {
 		try {
-			const hold = new MemoryHold(this.#memory.bodies);
-			res.once('close', () => {
-				hold.close();
-			});
-			const body = await readBody(req, maxBytes, hold);
+			const body = await readBody(req, maxBytes, new BodyHold(this.#options.memory, req, res));
 			if (!isUtf8(body)) {
 				this.#options.log.write('body-refused', {path: req.url, reason: 'not UTF-8'});
 				sendText(res, 400, JSON.stringify({error: 'the body is not UTF-8: send it whole and unchanged'}));
@@ -249,7 +245,9 @@
 			}
 
 			if (!res.destroyed) {
-				sendText(res, error.result === 'overloaded' ? 503 : 413, JSON.stringify({error: error.message}));
+				// The rest of the body is not read.
+				res.setHeader('Connection', 'close');
+				sendText(res, bodyErrorStatuses[error.result] ?? 413, JSON.stringify({error: error.message}));
 			}
 
 			return undefined;
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -51,7 +51,6 @@
 	constructor(options: EntryProcessOptions) {
 		const {settings, adapter, log} = options;
 		this.#options = options;
-		this.#memory = new ProcessMemory(settings.memoryMb);
 		const {nodeId, region, zone, listen, seeds, repeats, cores, reportEveryMs, maxTargetPauseMs} = settings;
 		this.#core = new EdgeCore({
 			self: {
@@ -80,6 +79,12 @@
 		const {
 			step, now, metrics, logHandlerError: onError,
 		} = this.#host;
+		this.#memory = new ProcessMemory({
+			memoryMb: settings.memoryMb,
+			onTurnedAway(kind) {
+				metrics.count('clients_turned_away', kind);
+			},
+		});
 		const sharedOptions = {
 			codec: adapter.requests, memory: this.#memory, exchanges: this.#exchanges, step, now, onError, leaving: () => this.#core.leaving,
 		};
@@ -93,7 +98,7 @@
 		];
 		this.#statusServers = this.#createStatusServers();
 		metrics.gauge('requests_in_flight', () => this.#core.inFlight);
-		for (const kind of ['bodies', 'answers', 'unread'] as const) {
+		for (const kind of ['bodies', 'heads', 'answers', 'unread'] as const) {
 			metrics.gauge(`held_${kind}_bytes`, () => this.#memory[kind].bytes);
 		}
 
--- a/src/server/routes/http-server.ts
+++ b/src/server/routes/http-server.ts
@@ -1,7 +1,8 @@
 import {
-	createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse,
+	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {ListenError} from '../listen-error.ts';
+import {ProcessMemory} from '../process-memory.ts';
 import {ServerConnections} from '../server-connections.ts';
 
 /** Default keep-alive timeout, in milliseconds. */
@@ -20,6 +21,8 @@
 	readonly handle: (req: IncomingMessage, res: ServerResponse) => Promise<void> | void;
 	/** Called with an error that `handle` throws; the client gets status 500, or its connection is aborted if the answer has begun. */
 	readonly onError: (error: Error) => void;
+	/** Bounds on what the requests of the whole process hold; of this server alone by default. */
+	readonly memory?: ProcessMemory;
 	/** Time after which the server closes an idle connection, in milliseconds. @default 10_000 */
 	readonly keepAliveMs?: number;
 };
@@ -32,10 +35,6 @@
 
 	constructor(options: HttpServerOptions) {
 		this.#options = options;
-		const listener: RequestListener = (req, res) => {
-			void this.#handle(req, res);
-		};
-
 		this.server = createServer({
 			keepAliveTimeout: options.keepAliveMs ?? defaultKeepAliveMs,
 			// `readBody` bounds the time for the body.
@@ -43,8 +42,10 @@
 			maxHeaderSize: maxHeaderBytes,
 			noDelay: true,
 			connectionsCheckingInterval: connectionCheckIntervalMs,
-		}, listener);
-		this.#connections = new ServerConnections(this.server);
+		});
+		this.#connections = new ServerConnections(this.server, options.memory ?? new ProcessMemory(), (req, res) => {
+			void this.#handle(req, res);
+		});
 	}
 
 	async open(): Promise<void> {
--- a/src/server/routes/request-server.ts
+++ b/src/server/routes/request-server.ts
@@ -7,7 +7,7 @@
 import type {CallerLimits} from '../../core/routes/caller-limits.ts';
 import {BodyError} from '../body-error.ts';
 import {CallerPresence} from '../caller-presence.ts';
-import {MemoryHold} from '../memory-hold.ts';
+import {BodyHold} from '../body-hold.ts';
 import type {ProcessMemory} from '../process-memory.ts';
 import {fingerprintOf} from '../fingerprint-of.ts';
 import {readBody} from '../read-body.ts';
@@ -88,11 +88,7 @@
 		const {codec, memory, exchanges, step, now, relay, leaving} = this.#options;
 		const arrivedAt = now();
 		res.sendDate = false;
-		const bodyHold = new MemoryHold(memory.bodies);
-		res.once('close', () => {
-			bodyHold.close();
-		});
-		const body = await this.#readBody(req, res, bodyHold);
+		const body = await this.#readBody(req, res);
 		const presence = new CallerPresence(res);
 		if (body === undefined || !await presence.confirm()) {
 			return;
@@ -140,8 +136,9 @@
 	}
 
 	/** Reads the body. A request over the limits is refused here; the result is then undefined. */
-	async #readBody(req: IncomingMessage, res: ServerResponse, hold: MemoryHold): Promise<Buffer | undefined> {
+	async #readBody(req: IncomingMessage, res: ServerResponse): Promise<Buffer | undefined> {
 		if (headerLength(req) > this.#limits.headerBytes) {
+			this.#options.memory.turnedAway('oversized-head');
 			refuse(res, 431, 'the headers are too large');
 			return undefined;
 		}
@@ -152,7 +149,7 @@
 		}
 
 		try {
-			return await readBody(req, this.#limits.bodyBytes, hold);
+			return await readBody(req, this.#limits.bodyBytes, new BodyHold(this.#options.memory, req, res));
 		} catch (error) {
 			if (!(error instanceof BodyError)) {
 				throw error;
--- a/src/server/server-connections.ts
+++ b/src/server/server-connections.ts
@@ -1,9 +1,11 @@
-import type {Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import {pendingReads} from './pending-reads.ts';
+import type {ProcessMemory} from './process-memory.ts';
+import {RequestPacer} from './request-pacer.ts';
 
 /**
- * Connections of an HTTP server, and its responses that are not written to their end.
+ * Connections of an HTTP server, whose requests are paced, and its responses that are not written to their end.
  *
  * `close` and `closeIdleConnections` of Node's server take a connection as idle once its response was handed over,
  * also while most of it waits for a caller that reads slowly, and cut it off.
@@ -14,17 +16,25 @@
 	readonly #open = new Set<ServerResponse>();
 	readonly #idleListeners: Array<() => void> = [];
 
-	constructor(server: Server) {
+	/** @param handle - Called with each request, in place of listeners of the server. */
+	constructor(server: Server, memory: ProcessMemory, handle: (req: IncomingMessage, res: ServerResponse) => void) {
 		this.#server = server;
+		const pacer = new RequestPacer(memory);
 		server.on('connection', (socket: Socket) => {
 			this.#sockets.add(socket);
+			pacer.accept(socket);
 			socket.once('close', () => this.#sockets.delete(socket));
 		});
-		server.prependListener('request', (_req, res: ServerResponse) => {
+		server.on('request', (req, res: ServerResponse) => {
+			if (!pacer.begin(req, res)) {
+				return;
+			}
+
 			this.#open.add(res);
 			res.once('close', () => {
 				this.#recordEnd(res);
 			});
+			handle(req, res);
 		});
 	}
 
--- a/src/server/target-api.ts
+++ b/src/server/target-api.ts
@@ -14,7 +14,7 @@
 import type {Metrics} from './metrics.ts';
 import {makeProblem} from './make-problem.ts';
 import {parseJson} from './parse-json.ts';
-import {MemoryHold} from './memory-hold.ts';
+import {BodyHold} from './body-hold.ts';
 import type {ProcessMemory} from './process-memory.ts';
 import {readBody} from './read-body.ts';
 import {sendJson} from './send-json.ts';
@@ -107,11 +107,7 @@
 	/** Reads the body; an announcement that is too large or too slow is refused here, and the result is then undefined. */
 	async #readBody(req: IncomingMessage, res: ServerResponse): Promise<Buffer | undefined> {
 		try {
-			const hold = new MemoryHold(this.#options.memory.bodies);
-			res.once('close', () => {
-				hold.close();
-			});
-			return await readBody(req, constants.maxAnnouncementBytes, hold);
+			return await readBody(req, constants.maxAnnouncementBytes, new BodyHold(this.#options.memory, req, res));
 		} catch (error) {
 			if (!(error instanceof BodyError)) {
 				throw error;
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -26,6 +26,10 @@
 	defaultMemoryMb: 210,
 	/** Largest total size of the bodies of all requests in progress, in bytes. */
 	maxHeldBodyBytes: 33_554_432,
+	/** Largest total size of the heads that are not whole and of what is read and not parsed yet, over all connections, in bytes; a head in progress has at most 64 KB. */
+	maxHeldHeadBytes: 16_777_216,
+	/** Requests of one connection that may be in progress at a time; the connection is closed at one more. Reading stops behind the first, so that only those in one piece of 16 KB count. */
+	maxPipelinedRequests: 128,
 	/** Largest total size of the parts of all answers that are read and not passed on, in bytes. */
 	maxHeldAnswerBytes: 50_331_648,
 	/** Largest total size of all whole answers that their callers have not read, in bytes. */
