fix(server): statuses that are none, and answers that end before the upload was written, are faults of the target

600 and 999 were passed on to callers. A target that ended its side while a long upload was being written was noticed at the request's timeout only, with 504, since the write that verifies an end waits behind the upload. Both paths check the final status (200 to 599; the HTTP client takes all below 200 for interim ones) and end the attempt as malformed; an end with unwritten bytes of the request counts as a reset.

Resets gave 502 before as well. What remains: an upload that has left whole and lies unread at the target can't be told from one that was taken.

--- a/src/server/attempt-client.ts
+++ b/src/server/attempt-client.ts
@@ -10,6 +10,7 @@
 import type {CallerRequest} from './caller-request.ts';
 import {buildAttemptRequest} from './build-attempt-request.ts';
 import type {PeerToken} from './peer-token.ts';
+import {checkInterimStatus} from './check-interim-status.ts';
 import {targetConnector} from './target-connector.ts';
 
 type StartAttempt = Extract<Action, {type: 'start-attempt'}>;
@@ -101,6 +102,7 @@
 			body: request.method === 'GET' || request.method === 'HEAD' ? undefined : Buffer.from(outgoing.body),
 			headersTimeout: action.firstByteMs,
 			bodyTimeout: action.silenceMs,
+			onInfo: checkInterimStatus,
 			signal,
 		};
 	}
--- a/src/server/attempt-response-reader.ts
+++ b/src/server/attempt-response-reader.ts
@@ -12,6 +12,7 @@
 import type {ProblemDocument} from './problem-document.ts';
 import {MemoryHold} from './memory-hold.ts';
 import type {ProcessMemory} from './process-memory.ts';
+import {checkFinalStatus} from './check-final-status.ts';
 import {describeAnswerBody} from './describe-answer-body.ts';
 import {isTruncated} from './is-truncated.ts';
 import {readRetryAfterMs} from './read-retry-after-ms.ts';
@@ -77,6 +78,13 @@
 	/** @throws TargetError if the response is an error or a refusal, or if it is truncated. */
 	async read(res: Dispatcher.ResponseData): Promise<void> {
 		this.#body = res.body;
+		try {
+			checkFinalStatus(res.statusCode);
+		} catch (error) {
+			res.body.on('error', () => undefined).destroy();
+			throw error;
+		}
+
 		const head = {status: res.statusCode, contentType: header(res, 'content-type') ?? 'application/octet-stream'};
 		const notice = this.#action.forwardTo === undefined ? readTargetNotice(res.statusCode, res.headers) : undefined;
 		if (notice !== undefined) {
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -5,6 +5,7 @@
 import type {SoftwareVersion} from '../../core/ids/software-version.ts';
 import type {Region} from '../../core/ids/region.ts';
 import {canConnect} from '../can-connect.ts';
+import {checkInterimStatus} from '../check-interim-status.ts';
 import {connectErrorCodes} from '../connect-error-codes.ts';
 import {createHttpAgent} from '../http-agent.ts';
 import type {ProcessMemory} from '../process-memory.ts';
@@ -125,6 +126,7 @@
 				headersTimeout: 0,
 				bodyTimeout: 0,
 				responseHeaders: 'raw',
+				onInfo: checkInterimStatus,
 				signal: abortController.signal,
 			});
 			await reader.read(res);
--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -7,6 +7,7 @@
 import {AnswerLimitError} from '../answer-limit-error.ts';
 import {MemoryHold} from '../memory-hold.ts';
 import type {ProcessMemory} from '../process-memory.ts';
+import {checkFinalStatus} from '../check-final-status.ts';
 import {describeAnswerBody} from '../describe-answer-body.ts';
 import {isTruncated} from '../is-truncated.ts';
 import type {SoftwareVersion} from '../../core/ids/software-version.ts';
@@ -75,6 +76,13 @@
 		const {action: {attempt, stream, targetId}, exchange, codec, step} = this.#options;
 		// An aborted body emits an error, which would be uncaught once nothing reads it.
 		res.body.on('error', () => undefined);
+		try {
+			checkFinalStatus(res.statusCode);
+		} catch (error) {
+			res.body.destroy();
+			throw error;
+		}
+
 		this.#status = res.statusCode;
 		this.#headers = res.headers as unknown as string[];
 		const {head, key} = codec.readAnswer(res.statusCode, this.#headers);
--- a/src/server/target-connector.ts
+++ b/src/server/target-connector.ts
@@ -86,6 +86,12 @@
 			return emitEvent(event, ...args);
 		}
 
+		// The target ended its side before it can have taken the whole request: nothing that only this end completes is whole.
+		if (socket.writableLength > 0) {
+			socket.destroy(Object.assign(new Error('the target ended the connection before the request was written'), {code: resetCode}));
+			return true;
+		}
+
 		socket.write(probe, error => {
 			if (!error) {
 				emitEvent('end');
--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -14,9 +14,10 @@
  * `full`: refuses with 503 without running the request; `nameless`: the same, without the request's identifier; `doubled`: refuses the first request of a connection, runs the others, and answers them with that refusal; `silent`: never answers; `foreign`: answers with the identifier of another request; `unsigned`: answers without its `server-signature`;
  * `bodiless`: sends the head of an answer that has no length, and ends the connection;
  * `stalled-body`: sends a part of a long answer, below what one answer may have, and nothing more;
+ * `raw`: sends `rawAnswer` once the head of a request has arrived, reads no body, and ends the connection;
  * `endless-…`: sends bytes that are no answer, in a place of the answer, until its connection is closed.
  */
-type Manner = 'well' | 'cut' | 'short' | 'reset' | 'full' | 'nameless' | 'doubled' | 'silent' | 'foreign' | 'unsigned' | 'bodiless' | 'stalled-body' | keyof typeof endlessAnswers;
+type Manner = 'well' | 'cut' | 'short' | 'reset' | 'full' | 'nameless' | 'doubled' | 'silent' | 'foreign' | 'unsigned' | 'bodiless' | 'stalled-body' | 'raw' | keyof typeof endlessAnswers;
 
 type ResumeAnswer = {readonly status: number; readonly contentType: string; readonly text: string};
 
@@ -35,12 +36,16 @@
 
 /** Size of the part that `stalled-body` sends, in bytes. */
 const stalledPart = Buffer.alloc(12_000_000, 'x');
+/** Time between the manner `raw`'s answer and the end of its connection, in milliseconds. */
+const rawEndDelayMs = 50;
 /** Default number of events in a complete stream. */
 const defaultEventCount = 6;
 
 /** In-process engine and service that implements the platform's protocol for targets. */
 export class PlatformEngine {
 	manner: Manner = 'well';
+	/** Answer of the manner `raw`: its status line, the text after its head, and how its connection ends. */
+	rawAnswer: {readonly statusLine: string; readonly headers: string; readonly text: string; readonly end: 'close' | 'reset'} | undefined;
 	/** `Retry-After` of refusals with 503, in seconds; absent by default. */
 	pauseSeconds: string | undefined;
 	/** Answer to requests that resume a stream, in place of the rest of it; absent by default. */
@@ -132,6 +137,11 @@
 		res.on('finish', () => {
 			this.#lastUsedAt.set(req.socket, performance.now());
 		});
+		if (this.manner === 'raw') {
+			this.#answerRaw(req);
+			return;
+		}
+
 		const chunks: Buffer[] = [];
 		for await (const chunk of req) {
 			chunks.push(chunk as Buffer);
@@ -195,6 +205,20 @@
 		await this.#answerStream(req, res, headers);
 	}
 
+	#answerRaw(req: IncomingMessage): void {
+		const {statusLine, headers, text, end} = this.rawAnswer!;
+		req.pause();
+		req.socket.write(`${statusLine}\r\nRequest-Identifier: ${identifierOf(req)}\r\nServer-Signature: ${this.identifier}.sig\r\nContent-Type: text/plain\r\n${headers}\r\n${text}`, () => {
+			setTimeout(() => {
+				if (end === 'reset') {
+					req.socket.resetAndDestroy();
+				} else {
+					req.socket.end();
+				}
+			}, rawEndDelayMs);
+		});
+	}
+
 	#recordRun(key: string, res: ServerResponse): void {
 		const run: TargetRun = {key, startedAt: performance.now(), progressAt: []};
 		const breaksOff = !['well', 'silent'].includes(this.manner);
--- a/test/server/attempt-client.test.ts
+++ b/test/server/attempt-client.test.ts
@@ -26,6 +26,8 @@
 	readonly filler?: string;
 	/** Sent in place of the head and the text if the connection has no end. */
 	readonly statusLine?: string;
+	/** True if the target reads nothing beyond the first bytes of the request. @default false */
+	readonly leavesUnread?: boolean;
 	/** Called with the number of bytes sent once a connection without end is closed. */
 	readonly onClosed?: (bytes: number) => void;
 };
@@ -35,10 +37,14 @@
 }
 
 /** Starts a target whose answers have neither a length nor chunks. */
-async function listen(t: ExecutionContext, {status = '200 OK', headers = '', contentType, text, end, filler = 'filler', statusLine, onClosed}: Answer): Promise<string> {
+async function listen(t: ExecutionContext, {status = '200 OK', headers = '', contentType, text, end, filler = 'filler', statusLine, onClosed, leavesUnread = false}: Answer): Promise<string> {
 	const server = createServer(socket => {
 		socket.on('error', () => undefined);
 		socket.once('data', () => {
+			if (leavesUnread) {
+				socket.pause();
+			}
+
 			if (end === 'never') {
 				socket.write(statusLine ?? `HTTP/1.1 200 OK\r\nContent-Type: ${contentType}\r\nConnection: close\r\n${text}`);
 				void sendEndlessly(socket, {filler, onClosed});
@@ -66,7 +72,7 @@
 }
 
 /** Sends one request to a target; returns the events of the attempt. */
-async function eventsOf(t: ExecutionContext, answer: Answer, kind: 'call' | 'completion', {resume = false} = {}): Promise<readonly CoreEvent[]> {
+async function eventsOf(t: ExecutionContext, answer: Answer, kind: 'call' | 'completion', {resume = false, body = ''} = {}): Promise<readonly CoreEvent[]> {
 	const events: CoreEvent[] = [];
 	const address = await listen(t, answer);
 	const info = requestInfoFixture({kind, streamed: false});
@@ -86,7 +92,7 @@
 		const res = new ServerResponse(new IncomingMessage(new Socket()));
 		const request = new CallerRequest({
 			info,
-			body: Buffer.from(kind === 'call' ? 'order' : '{"messages":[{"role":"user","content":"hello"}]}'),
+			body: Buffer.from(kind === 'call' ? `order${body}` : '{"messages":[{"role":"user","content":"hello"}]}'),
 			method: 'POST',
 			targetPath: '/orders',
 			headers: {},
@@ -211,3 +217,27 @@
 		t.like(outcome, {type: 'attempt-failed', failure: {notSent}});
 	});
 }
+
+/** Larger than what the sockets of a connection hold, so that it is still being written when its target answers. */
+const longUpload = 'x'.repeat(33_554_432);
+
+for (const end of ['close', 'reset'] as const) {
+	// Guards against half an answer that is passed on as whole because its connection ended in order before the request was sent.
+	test(`an answer without a length that ends before the request was written is never taken for complete, ${end}`, async t => {
+		const events = await eventsOf(t, {
+			contentType: 'text/plain', text: 'half of it', end, leavesUnread: true,
+		}, 'call', {body: longUpload});
+		t.is(events.at(-1)!.type, 'attempt-failed');
+	});
+}
+
+for (const status of ['000 None', '099 None', '600 Odd', '999 Odd']) {
+	// Guards against statuses that are none, which callers' clients can't handle.
+	test(`an answer with status ${status} is a fault of its target`, async t => {
+		const outcome = await outcomeOf(t, {
+			status, headers: 'Content-Length: 5\r\n', contentType: 'text/plain', text: 'whole', end: 'close',
+		});
+		t.is(outcome.type, 'attempt-failed');
+		t.is(outcome.type === 'attempt-failed' ? outcome.failure.reason : undefined, 'malformed');
+	});
+}
