--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -13,6 +13,7 @@
 import {SystemSeededRandom} from '../system-seeded-random.ts';
 import type {EventLog} from '../event-log.ts';
 import {type DataFolder} from '../journal/data-folder.ts';
+import {ProcessMemory} from '../process-memory.ts';
 import {ControlServers} from './control-servers.ts';
 import {CoreHost} from './core-host.ts';
 import type {PlatformAdapter} from './platform-adapter.ts';
@@ -45,7 +46,7 @@
 	constructor(options: ControlProcessOptions) {
 		const {settings, adapter, log, folder} = options;
 		this.#options = options;
-		const {nodeId, region, zones, listen, seeds, firstStart, toleratedDisks, reportEveryMs, directoryTtlMs} = settings;
+		const {nodeId, region, zones, listen, seeds, firstStart, toleratedDisks, reportEveryMs, directoryTtlMs, memoryMb} = settings;
 		const operators = listen.operators!;
 		this.#core = new ControlCore({
 			self: {nodeId, region: toId(region), operatorAddress: `${operators.host}:${operators.port}`},
@@ -71,10 +72,16 @@
 		});
 		const {step, now, metrics} = this.#host;
 		const regions = new Set(Object.values(zones).map(name => toId<Region>(name)));
+		const memory = new ProcessMemory({
+			memoryMb,
+			onTurnedAway(kind) {
+				metrics.count('clients_turned_away', kind);
+			},
+		});
 		this.#servers = new ControlServers({
 			operators,
 			regions: regions.size > 0 ? regions : undefined,
-			directory: listen.directory!, directoryTtlMs, codec: adapter.control, core: this.#core, step, now, log, onError: this.#host.logHandlerError,
+			directory: listen.directory!, directoryTtlMs, memory, codec: adapter.control, core: this.#core, step, now, log, onError: this.#host.logHandlerError,
 		});
 		this.#metricsServer = listen.metrics && new MetricsServer({
 			listen: listen.metrics,
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -39,7 +39,7 @@
 export class EntryProcess implements RoutesProcess {
 	readonly #options: EntryProcessOptions;
 	readonly #exchanges = new Map<RequestId, CallerExchange>();
-	readonly #memory = new ProcessMemory();
+	readonly #memory: ProcessMemory;
 	readonly #core: EdgeCore;
 	readonly #host: CoreHost<EdgeEvent, EntryProcessAction>;
 	/** Undefined until `open` has loaded it; the core starts no attempt before it knows routes. */
@@ -80,6 +80,12 @@
 		const {
 			step, now, metrics, logHandlerError: onError,
 		} = this.#host;
+		this.#memory = new ProcessMemory({
+			memoryMb: settings.memoryMb,
+			onTurnedAway(kind) {
+				metrics.count('clients_turned_away', kind);
+			},
+		});
 		const sharedOptions = {
 			codec: adapter.requests, memory: this.#memory, exchanges: this.#exchanges, step, now, onError, leaving: () => this.#core.leaving,
 		};
@@ -93,7 +99,7 @@
 		];
 		this.#statusServers = this.#createStatusServers();
 		metrics.gauge('requests_in_flight', () => this.#core.inFlight);
-		for (const kind of ['bodies', 'answers', 'unread'] as const) {
+		for (const kind of ['bodies', 'heads', 'answers', 'unread'] as const) {
 			metrics.gauge(`held_${kind}_bytes`, () => this.#memory[kind].bytes);
 		}
 
