feat(edge): admit, keep and refuse waiting requests by their predicted start

In a burst nearly nobody was refused: all that could have started at an empty engine waited, and a third of the requests failed at their deadline; new requests took room before those that waited, and the first request that did not fit held up all others.

--- a/src/core/admission/admission-control.ts
+++ b/src/core/admission/admission-control.ts
@@ -3,6 +3,7 @@
 import type {ServiceName} from '../ids/service-name.ts';
 import {PredictionError} from './prediction-error.ts';
 import {RoomForecast} from './room-forecast.ts';
+import {WorkRate} from './work-rate.ts';
 
 /** Confidence with which a request that has to wait must be predicted to start before its deadline. */
 const admitConfidence = 0.7;
@@ -11,12 +12,37 @@
 /** Confidence below which a request that a target has room for is not sent there; low, since a refusal would leave the room unused. */
 const roomConfidence = 0.1;
 
+/** Smallest share of the room that is assumed to be left to late requests; it only bounds the prediction. */
+const minLateShare = 0.01;
+
 type Prediction = {readonly predictedMs: number; readonly measuredMs: number};
 
-/** Predicted time until a request gets room, and from then on to its start, in milliseconds. */
-type WaitingTimes = {readonly waitMs: number; readonly startMs: number; readonly isWaiting: boolean};
+type WaitQuery = {
+	/** Predicted time from its sending to its start, in milliseconds. */
+	readonly startMs: number;
+	/** Time within which it has to get room to meet its latency objective, in milliseconds. */
+	readonly slackMs: number;
+	/** Work of the requests that go before it in the queue of this entry, and of those that do once it is late. */
+	readonly workAhead: number;
+	readonly workAheadIfLate: number;
+	/** Number of requests that wait at this entry. */
+	readonly waiting: number;
+	/** Load of the service over the entries of the region, as reported last; undefined if it is unknown. */
+	readonly region?: {readonly inFlight: number; readonly waiting: number};
+	/** True if it waits already. */
+	readonly isWaiting: boolean;
+};
+
+type WaitPrediction = {
+	/** Predicted time until it gets room, without the error of the prediction, in milliseconds; 0 if it is unknown. */
+	readonly waitMs: number;
+	/** Time within which it starts, with the confidence asked for, in milliseconds. */
+	readonly expectedMs: number;
+	/** True if it gets room within its latency objective, with that confidence. */
+	readonly isOnTime: boolean;
+};
 
-type Estimates = {readonly room: RoomForecast; readonly waitError: PredictionError; readonly startError: PredictionError};
+type Estimates = {readonly room: RoomForecast; readonly onTimeInflow: WorkRate; readonly waitError: PredictionError; readonly startError: PredictionError};
 
 /**
  * Predicts, by service, when a request starts that has to wait, with the measured error of earlier predictions.
@@ -56,21 +82,31 @@
 		this.#estimates(service).waitError.record(prediction, now);
 	}
 
-	/** Predicted time until a request gets room, without the error of the prediction, in milliseconds. */
-	waitMs(service: ServiceName, query: Parameters<RoomForecast['waitMs']>[0]): number {
-		return this.#services.get(service)?.room.waitMs(query) ?? 0;
+	/** Records that a request that is to meet its latency objective was admitted. */
+	recordOnTime(service: ServiceName, work: number, now: Millis): void {
+		this.#estimates(service).onTimeInflow.record(work, now);
 	}
 
-	/** Predicted rate at which room frees for requests of a service that wait here, in work a millisecond; 0 if it is unknown. */
-	workPerMs(service: ServiceName, query: Parameters<RoomForecast['workPerMs']>[0]): number {
-		return this.#services.get(service)?.room.workPerMs(query) ?? 0;
-	}
+	/**
+	 * Predicts when a request starts that has to wait. One that will not get room within its latency objective is passed
+	 * over by those that will, also by those still to come: only the room that they leave counts for it.
+	 */
+	predict(service: ServiceName, query: WaitQuery, now: Millis): WaitPrediction {
+		const {startMs, slackMs, workAhead, workAheadIfLate, waiting, region, isWaiting} = query;
+		const estimates = this.#services.get(service);
+		const workPerMs = estimates?.room.workPerMs({waiting, region}) ?? 0;
+		if (estimates === undefined || workPerMs === 0) {
+			return {waitMs: 0, expectedMs: startMs, isOnTime: slackMs >= 0};
+		}
 
-	/** Time within which a request starts that has to wait, with the confidence asked of one that is admitted or, if it `isWaiting` already, of one that is kept, in milliseconds. */
-	waitingStartMs(service: ServiceName, {waitMs, startMs, isWaiting}: WaitingTimes, now: Millis): number {
-		const {waitError, startError} = this.#services.get(service) ?? {};
+		const {room, waitError, startError, onTimeInflow} = estimates;
 		const confidence = isWaiting ? keepConfidence : admitConfidence;
-		return (waitMs * (waitError?.factor(confidence, now) ?? 1)) + (startMs * (startError?.factor(confidence, now) ?? 1));
+		const errorFactor = waitError.factor(confidence, now);
+		const onTimeMs = (workAhead + (room.meanWork / 2)) / workPerMs;
+		const isOnTime = slackMs >= 0 && onTimeMs * errorFactor <= slackMs;
+		const lateWorkPerMs = Math.max(minLateShare * workPerMs, workPerMs - onTimeInflow.perMs(now));
+		const waitMs = isOnTime ? onTimeMs : (workAheadIfLate + (room.meanWork / 2)) / lateWorkPerMs;
+		return {waitMs, expectedMs: (waitMs * errorFactor) + (startMs * startError.factor(confidence, now)), isOnTime};
 	}
 
 	/** Time before which a request that a target has room for hardly starts, in milliseconds. */
@@ -79,7 +115,9 @@
 	}
 
 	#estimates(service: ServiceName): Estimates {
-		const known = this.#services.get(service) ?? {room: new RoomForecast(), waitError: new PredictionError(), startError: new PredictionError()};
+		const known = this.#services.get(service) ?? {
+			room: new RoomForecast(), onTimeInflow: new WorkRate(), waitError: new PredictionError(), startError: new PredictionError(),
+		};
 		this.#services.set(service, known);
 		return known;
 	}
--- a/src/core/admission/deadline-queue.ts
+++ b/src/core/admission/deadline-queue.ts
@@ -15,6 +15,7 @@
 	/** Those that can still meet their objective, in order; then the others. */
 	readonly #onTime: Array<QueuedRequest<Item>> = [];
 	readonly #late: Array<QueuedRequest<Item>> = [];
+	#work = 0;
 	readonly #passedOver = new Map<string, number>();
 	readonly #classSizes = new Map<string, number>();
 
@@ -22,6 +23,11 @@
 		return this.#onTime.length + this.#late.length;
 	}
 
+	/** Sum of the work of all requests. */
+	get work(): number {
+		return this.#work;
+	}
+
 	/** Sum of the work of requests that a new one would wait for. */
 	workAhead(request: Pick<QueuedRequest<Item>, 'priority' | 'onTimeUntil' | 'deadlineAt'>, now: Millis): number {
 		this.#demote(now);
@@ -39,6 +45,7 @@
 	}
 
 	add(request: QueuedRequest<Item>, now: Millis): void {
+		this.#work += request.work;
 		this.#classSizes.set(request.className, (this.#classSizes.get(request.className) ?? 0) + 1);
 		if (request.onTimeUntil < now) {
 			insert(this.#late, request, compareLate);
@@ -52,6 +59,7 @@
 			return;
 		}
 
+		this.#work -= request.work;
 		const left = this.#classSizes.get(request.className)! - 1;
 		this.#classSizes.set(request.className, left);
 		if (left === 0) {
--- a/src/core/admission/room-forecast.ts
+++ b/src/core/admission/room-forecast.ts
@@ -52,6 +52,11 @@
 		this.#held.delete(attempt);
 	}
 
+	/** Mean work of completed attempts; 0 while there was none. */
+	get meanWork(): number {
+		return this.#meanWork;
+	}
+
 	/** Predicted time until a request gets room, in milliseconds; 0 while nothing is known. */
 	waitMs({workAhead, waiting, region}: WaitQuery): number {
 		const workPerMs = this.workPerMs({waiting, region});
--- a/src/core/admission/waiting-requests.ts
+++ b/src/core/admission/waiting-requests.ts
@@ -57,6 +57,11 @@
 		return this.#queues.get(service)?.ordered(now) ?? [];
 	}
 
+	/** Sum of the work of all requests of a service that wait. */
+	work(service: ServiceName): number {
+		return this.#queues.get(service)?.work ?? 0;
+	}
+
 	/** Sum of the work that a request of a service would wait for. */
 	workAhead(service: ServiceName, request: Pick<QueuedRequest<Item>, 'priority' | 'onTimeUntil' | 'deadlineAt'>, now: Millis): number {
 		return this.#queues.get(service)?.workAhead(request, now) ?? 0;
--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -1,4 +1,5 @@
 import type {ActionQueue} from '../action-queue.ts';
+import type {AdmissionControl} from '../admission/admission-control.ts';
 import type {AwakeClock} from '../common/awake-clock.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
@@ -13,6 +14,7 @@
 import type {WindowedRetryBudget} from './windowed-retry-budget.ts';
 import type {RequestRecord} from './request-record.ts';
 import type {TargetPool} from './target-pool.ts';
+import {workOf} from './work-of.ts';
 
 /** Least urgent priority that engines accept. */
 const lowestUrgency = 9;
@@ -21,6 +23,7 @@
 	readonly pool: TargetPool;
 	readonly regions: RegionSelector;
 	readonly budget: WindowedRetryBudget;
+	readonly admission: AdmissionControl;
 	readonly idle: IdleConnectionPolicy;
 	readonly clock: AwakeClock;
 	readonly queue: ActionQueue<EdgeAction>;
@@ -56,6 +59,7 @@
 		const {targetId, address, born, softwareVersion} = target.listed;
 		this.#options.budget.countRequest(record, now);
 		const attempt = this.#register(record);
+		this.#options.admission.recordSent(service, {attempt, work: workOf(record)}, now);
 		target.recordSend(this.#options.regions.limitEntries(prompt !== undefined), now);
 		target.attempts.set(attempt, {
 			sentAt: now, uncachedTokens, aheadTokens, kvCacheTokens, outputTokens: prompt?.outputTokens ?? 0,
@@ -165,6 +169,7 @@
 	/** Frees the load of an attempt at its target; later events of it are ignored. */
 	#forget({attempt, targetId}: RunningAttempt): void {
 		this.#records.delete(attempt);
+		this.#options.admission.recordReleased(attempt);
 		if (targetId !== undefined) {
 			this.#options.pool.get(targetId)?.attempts.delete(attempt);
 		}
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -1,3 +1,5 @@
+import {AdmissionControl} from '../admission/admission-control.ts';
+import {WaitingRequests} from '../admission/waiting-requests.ts';
 import {ActionQueue} from '../action-queue.ts';
 import {AwakeClock} from '../common/awake-clock.ts';
 import type {ControlMessage} from '../control/control-message.ts';
@@ -17,13 +19,13 @@
 import {RegionSelector} from './region-selector.ts';
 import {WindowedRetryBudget} from './windowed-retry-budget.ts';
 import {RequestHandler} from './request-handler.ts';
+import type {RequestRecord} from './request-record.ts';
 import {StartConfiguration} from './start-configuration.ts';
 import {StartupWait} from './startup-wait.ts';
 import {StreamOrigins} from './stream-origins.ts';
 import {serviceLoads} from './service-loads.ts';
 import {ServiceVersions} from './service-versions.ts';
 import {TargetPool} from './target-pool.ts';
-import {WaitQueue} from './wait-queue.ts';
 
 type Feed = ControlMessage & {type: 'feed'};
 
@@ -40,7 +42,8 @@
 	readonly #follower: ControlFollower;
 	readonly #pool: TargetPool;
 	readonly #regions: RegionSelector;
-	readonly #waiting = new WaitQueue();
+	readonly #waiting = new WaitingRequests<RequestRecord>();
+	readonly #admission = new AdmissionControl();
 	readonly #versions = new ServiceVersions();
 	readonly #origins: StreamOrigins;
 	readonly #containment: CrashContainment;
@@ -96,12 +99,21 @@
 			containment: this.#containment,
 			origins: this.#origins,
 			placement: new PlacementPolicy({
-				region: self.region, relayAddress: self.relayAddress, pool: this.#pool, regions: this.#regions, startup: this.#startup, table: () => this.#table, random,
+				region: self.region,
+				relayAddress: self.relayAddress,
+				pool: this.#pool,
+				regions: this.#regions,
+				startup: this.#startup,
+				waiting: this.#waiting,
+				admission: this.#admission,
+				table: () => this.#table,
+				random,
 			}),
 			table: () => this.#table,
 			pool: this.#pool,
 			regions: this.#regions,
 			waiting: this.#waiting,
+			admission: this.#admission,
 			budget: this.#budget,
 			clock: this.#clock,
 			random,
--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -1,3 +1,5 @@
+import type {AdmissionControl} from '../admission/admission-control.ts';
+import type {WaitingRequests} from '../admission/waiting-requests.ts';
 import type {Random} from '../common/random.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
@@ -13,6 +15,7 @@
 import type {RequestRecord} from './request-record.ts';
 import {callerRetryAfterMs} from './caller-retry-after-ms.ts';
 import type {StartupWait} from './startup-wait.ts';
+import {queueKey} from './queue-key.ts';
 import type {TargetPool} from './target-pool.ts';
 
 /** Amount by which the cost in a remote region must be lower than at a target of this region, in milliseconds: traffic between regions is expensive. */
@@ -28,6 +31,11 @@
 		readonly type: 'wait';
 		/** True if no target could take it now: it waits for the end of a pause, and must not keep others from a free target. */
 		readonly forPause: boolean;
+		/** Predicted time until a target has room, and from then on to its start, in milliseconds. */
+		readonly waitMs: number;
+		readonly startMs: number;
+		/** True if that meets its latency objective. */
+		readonly isOnTime: boolean;
 	}
 	| {readonly type: 'refuse'; readonly reason: EdgeRefusal['reason']; readonly retryAfterMs: number};
 
@@ -38,6 +46,8 @@
 	readonly pool: TargetPool;
 	readonly regions: RegionSelector;
 	readonly startup: StartupWait;
+	readonly waiting: WaitingRequests<RequestRecord>;
+	readonly admission: AdmissionControl;
 	/** Routes in force. */
 	readonly table: () => RouteTable | undefined;
 	readonly random: Random;
@@ -60,7 +70,7 @@
 	}
 
 	decide(record: RequestRecord, now: Millis): Placement {
-		const {regions} = this.#options;
+		const {regions, admission} = this.#options;
 		const {req, service} = record;
 		const leftMs = record.deadlineAt - now - answerMarginMs;
 		const targets = this.#eligibleTargets(record, now);
@@ -70,7 +80,7 @@
 		}
 
 		const local = this.#localCandidates(record, targets, now);
-		const best = local.find(({hasRoom, startMs}) => hasRoom && startMs < leftMs);
+		const best = local.find(({hasRoom, startMs}) => hasRoom && admission.soonestStartMs(service, startMs, now) < leftMs);
 		// A placer may forward requests that entries of its own region forwarded to it, but not those of a remote region.
 		const mayForward = req.forwarded === undefined || req.forwarded.region === this.#options.region;
 		const [remote] = mayForward
@@ -83,21 +93,52 @@
 			return {type: 'target', candidate: best};
 		}
 
-		if (remote !== undefined && remote.startMs < leftMs) {
+		const {startMs, waitMs, expectedMs, isOnTime} = this.#predictWait(record, local, now);
+		// Room is predicted to be free here before a remote region could start it.
+		const isSoonerHere = waitMs > 0 && expectedMs < Math.min(leftMs, remoteCostMs);
+		if (remote !== undefined && remote.startMs < leftMs && !isSoonerHere) {
 			return {type: 'away', ...remote};
 		}
 
-		const soonestMs = Math.min(...local.map(({startMs}) => startMs), remote?.startMs ?? Number.POSITIVE_INFINITY);
-		const mayWait = (local.length > 0 && soonestMs < leftMs) || (leftMs > 0 && this.#mayBeListedSoon(record, now));
+		const soonestMs = Math.min(expectedMs, remote?.startMs ?? Number.POSITIVE_INFINITY);
+		const mayWait = expectedMs < leftMs || (leftMs > 0 && this.#mayBeListedSoon(record, now));
 		// Other regions may have room for a forwarded request.
 		const mayWaitForPause = req.forwarded === undefined && this.#resumesMs(record, now) < leftMs;
 		if (mayWait || mayWaitForPause) {
-			return {type: 'wait', forPause: !mayWait};
+			return {
+				type: 'wait', forPause: !mayWait, waitMs, startMs, isOnTime,
+			};
 		}
 
 		return this.#refusal(record, {hasLocal: local.length > 0, soonestMs}, now);
 	}
 
+	/** Predicted times of a request that waits for room at a target of this region, in milliseconds: until there is room, from then on to its start, and the sum of both with the confidence asked for. */
+	#predictWait(record: RequestRecord, local: readonly PlacementCandidate[], now: Millis): {waitMs: number; startMs: number; expectedMs: number; isOnTime: boolean} {
+		if (local.length === 0) {
+			return {
+				waitMs: 0, startMs: 0, expectedMs: Number.POSITIVE_INFINITY, isOnTime: false,
+			};
+		}
+
+		const {admission, waiting, regions} = this.#options;
+		const {service} = record;
+		const startMs = Math.min(...local.map(candidate => candidate.startMs));
+		const queued = waiting.get(record);
+		const key = queued ?? queueKey(record, startMs);
+		const ownWork = queued?.work ?? 0;
+		const prediction = admission.predict(service, {
+			startMs,
+			slackMs: key.onTimeUntil - now,
+			workAhead: waiting.workAhead(service, key, now) - ownWork,
+			workAheadIfLate: waiting.work(service) - ownWork,
+			waiting: waiting.size(service),
+			region: regions.ownServiceLoad(service, now),
+			isWaiting: queued !== undefined,
+		}, now);
+		return {startMs, ...prediction};
+	}
+
 	#refusal(record: RequestRecord, {hasLocal, soonestMs}: {hasLocal: boolean; soonestMs: number}, now: Millis): Placement {
 		const {random} = this.#options;
 		const pauses = this.#pausedTargets(record, now).map(({suspension}) => suspension.pausedMs(now));
--- a/src/core/edge/region-selector.ts
+++ b/src/core/edge/region-selector.ts
@@ -3,6 +3,7 @@
 import type {Region} from '../ids/region.ts';
 import type {ServiceName} from '../ids/service-name.ts';
 import type {RegionLoad} from '../registry/region-load.ts';
+import type {ServiceLoad} from '../registry/service-load.ts';
 import {HeldMaximum} from './held-maximum.ts';
 import {mayContinueAt} from './may-continue-at.ts';
 import type {Prompt} from './prompt.ts';
@@ -90,6 +91,11 @@
 		return this.#loads.find(({region}) => region === this.#ownRegion);
 	}
 
+	/** Load of a service over the entries of the own region that place its requests, as control told it last; undefined if it is unknown or too old. */
+	ownServiceLoad(service: ServiceName, now: Millis): ServiceLoad | undefined {
+		return this.#isStale(now) ? undefined : this.#ownLoad?.loads.find(load => load.service === service);
+	}
+
 	/** Number of entries of the own region that send prompts, or calls, to its targets, at least 1: the largest one lately, since control nodes that start anew know few entries at first. */
 	limitEntries(prompts: boolean): number {
 		return Math.max(...this.#recentCounts.map(({placing, all}) => prompts ? placing : all), prompts ? this.placingEntryCount : this.#ownEntryCount);
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -1,5 +1,7 @@
 import type {ActionQueue} from '../action-queue.ts';
+import type {AdmissionControl} from '../admission/admission-control.ts';
 import {PlacementPacer} from '../admission/placement-pacer.ts';
+import type {WaitingRequests} from '../admission/waiting-requests.ts';
 import type {AwakeClock} from '../common/awake-clock.ts';
 import type {Random} from '../common/random.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
@@ -34,14 +36,14 @@
 import {StopDeadline} from './stop-deadline.ts';
 import type {StreamOrigins} from './stream-origins.ts';
 import type {TargetPool} from './target-pool.ts';
-import type {WaitQueue} from './wait-queue.ts';
 
 type RequestHandlerOptions = {
 	readonly placement: PlacementPolicy;
 	readonly table: () => RouteTable | undefined;
 	readonly pool: TargetPool;
 	readonly regions: RegionSelector;
-	readonly waiting: WaitQueue;
+	readonly waiting: WaitingRequests<RequestRecord>;
+	readonly admission: AdmissionControl;
 	readonly origins: StreamOrigins;
 	readonly containment: CrashContainment;
 	readonly prober: TargetProber;
@@ -80,6 +82,9 @@
 			...options,
 			attempts: this.#attempts,
 			retryPolicy: this.#retryPolicy,
+			requestPass: () => {
+				this.#capacityChanged = true;
+			},
 			refuse: (record, reason, now) => {
 				this.#refuse(record, reason, now);
 			},
@@ -261,6 +266,7 @@
 		}
 
 		this.#attempts.cancelKept(record);
+		this.#options.admission.recordServed(attempt, now);
 		this.#completion.complete(record, attempt, now);
 		this.#releaseAttempt(record);
 		this.#forget(record);
@@ -305,8 +311,8 @@
 		}
 
 		this.#capacityChanged = false;
-		this.#placer.placeWaiting(now);
-		this.#pacer.recordPass(now, {leftWaiting: !this.#options.waiting.isEmpty});
+		const decisions = this.#placer.placeWaiting(now);
+		this.#pacer.recordPass(now, {leftWaiting: !this.#options.waiting.isEmpty, decisions});
 	}
 
 	/** Handles a status other than 2xx: discards the answer if the caller already has the head of an earlier one, or if the status is 5xx and the request may be retried or another attempt is in progress. Otherwise the answer is read on and passed to the caller. */
--- a/src/core/edge/service-loads.ts
+++ b/src/core/edge/service-loads.ts
@@ -1,10 +1,11 @@
+import type {WaitingRequests} from '../admission/waiting-requests.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {ServiceLoad} from '../registry/service-load.ts';
 import type {RouteTable} from '../routes/route-table.ts';
 import {rankLocalTargets} from './rank-local-targets.ts';
 import type {RegionSelector} from './region-selector.ts';
+import type {RequestRecord} from './request-record.ts';
 import type {TargetPool} from './target-pool.ts';
-import type {WaitQueue} from './wait-queue.ts';
 
 /** Assumed time until a full target has room for another request, in milliseconds. */
 const fullTargetWaitMs = 300;
@@ -13,7 +14,7 @@
 	readonly table: RouteTable | undefined;
 	readonly pool: TargetPool;
 	readonly regions: RegionSelector;
-	readonly waiting: WaitQueue;
+	readonly waiting: WaitingRequests<RequestRecord>;
 };
 
 /** Load of each service at this entry and its targets, as the entry reports it to control; services without targets and waiting requests are left out. */
--- a/src/core/edge/stop-deadline.ts
+++ b/src/core/edge/stop-deadline.ts
@@ -1,6 +1,6 @@
 import type {Millis} from '../ids/millis.ts';
+import type {WaitingRequests} from '../admission/waiting-requests.ts';
 import type {RequestRecord} from './request-record.ts';
-import type {WaitQueue} from './wait-queue.ts';
 
 /**
  * Decides until when requests may go on at an entry that stops.
@@ -27,7 +27,7 @@
 	}
 
 	/** Requests that wait, although another entry has more time for them. A stream that has begun goes on as long as it can: refusing it would break it off. */
-	leavers(waiting: WaitQueue): readonly RequestRecord[] {
-		return waiting.services().flatMap(service => waiting.list(service)).filter(({cutByStop, headPassed}) => cutByStop && !headPassed);
+	leavers(waiting: WaitingRequests<RequestRecord>): readonly RequestRecord[] {
+		return waiting.items().filter(({cutByStop, headPassed}) => cutByStop && !headPassed);
 	}
 }
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -3,6 +3,7 @@
 import {pauseStatus} from '../targets/pause-status.ts';
 import {recordTargetNotice} from '../targets/record-target-notice.ts';
 import type {TargetProber} from '../targets/target-prober.ts';
+import type {AdmissionControl} from '../admission/admission-control.ts';
 import type {AnswerHead} from './answer-head.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import type {CrashContainment} from './crash-containment.ts';
@@ -25,6 +26,7 @@
 type TargetFeedbackOptions = {
 	readonly pool: TargetPool;
 	readonly regions: RegionSelector;
+	readonly admission: AdmissionControl;
 	readonly idle: IdleConnectionPolicy;
 	readonly containment: CrashContainment;
 	readonly prober: TargetProber;
@@ -83,6 +85,7 @@
 		const target = this.#targetOf(record);
 		target?.recordStart(attempt, now);
 		target?.callMs.add(now - sentAt);
+		this.#recordStart(record, now);
 	}
 
 	/** Records new events of a stream; to be called before they are added to `running.events`. */
@@ -92,6 +95,7 @@
 		target?.recordSign(now);
 		if (running!.events === 0) {
 			target?.recordStart(running!.attempt, now);
+			this.#recordStart(record, now);
 		} else {
 			target?.recordProgress(running!.attempt, {events: count, tokens: count * (table.service(service)?.engine?.tokensPerEvent ?? 1)}, now);
 		}
@@ -157,6 +161,13 @@
 		recordTargetNotice(suspension, notice, {source: {targetId, incarnation: born, request: req.callerKey}, outbox: queue}, now);
 	}
 
+	/** Compares the measured start of an attempt at a target with the predicted one. */
+	#recordStart({running, service}: RequestRecord, now: Millis): void {
+		if (running?.targetId !== undefined) {
+			this.#options.admission.recordStart(service, {predictedMs: running.predictedMs, measuredMs: now - running.sentAt}, now);
+		}
+	}
+
 	#targetOf({running}: RequestRecord): PooledTarget | undefined {
 		return running?.targetId === undefined ? undefined : this.#options.pool.get(running.targetId);
 	}
