feat(admission): refused callers get places in a virtual queue

Callers refused in one burst were told about the same delay, returned together and were refused again. Retry-After is now the next free place of the service: after the requests that wait, spaced by the work of the request over the predicted rate of room that on-time requests leave, at least a quarter of it. A caller without time for its place is told the true time and takes none.

--- a/src/core/admission/admission-control.ts
+++ b/src/core/admission/admission-control.ts
@@ -1,7 +1,9 @@
+import type {Random} from '../common/random.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {ServiceName} from '../ids/service-name.ts';
 import {PredictionError} from './prediction-error.ts';
+import {ReturnSchedule} from './return-schedule.ts';
 import {RoomForecast} from './room-forecast.ts';
 import {WorkRate} from './work-rate.ts';
 
@@ -15,6 +17,9 @@
 /** Smallest share of the room that is assumed to be left to late requests; it only bounds the prediction. */
 const minLateShare = 0.01;
 
+/** Share of the room that is kept for callers that return, while requests that are on time would use all of it: bursts end. */
+const minReturnShare = 0.25;
+
 type Prediction = {readonly predictedMs: number; readonly measuredMs: number};
 
 type WaitQuery = {
@@ -33,6 +38,14 @@
 	readonly isWaiting: boolean;
 };
 
+type ReturnQuery = Pick<WaitQuery, 'waiting' | 'region'> & {
+	readonly work: number;
+	/** Work of the requests that wait at this entry. */
+	readonly queuedWork: number;
+	/** Time until the deadline of the request, in milliseconds. */
+	readonly leftMs: number;
+};
+
 type WaitPrediction = {
 	/** Predicted time until it gets room, without the error of the prediction, in milliseconds; 0 if it is unknown. */
 	readonly waitMs: number;
@@ -42,7 +55,7 @@
 	readonly isOnTime: boolean;
 };
 
-type Estimates = {readonly room: RoomForecast; readonly onTimeInflow: WorkRate; readonly waitError: PredictionError; readonly startError: PredictionError};
+type Estimates = {readonly room: RoomForecast; readonly onTimeInflow: WorkRate; readonly waitError: PredictionError; readonly startError: PredictionError; readonly returns: ReturnSchedule};
 
 /**
  * Predicts, by service, when a request starts that has to wait, with the measured error of earlier predictions.
@@ -51,9 +64,14 @@
  * been served nor been told in time to come again.
  */
 export class AdmissionControl {
+	readonly #random: Random;
 	readonly #services = new Map<ServiceName, Estimates>();
 	readonly #roomOf = new Map<AttemptNumber, RoomForecast>();
 
+	constructor({random}: {random: Random}) {
+		this.#random = random;
+	}
+
 	/** Records that an attempt was sent to a target; `work` is the number of its tokens, or 1 for a call. */
 	recordSent(service: ServiceName, {attempt, work}: {attempt: AttemptNumber; work: number}, now: Millis): void {
 		const {room} = this.#estimates(service);
@@ -109,6 +127,23 @@
 		return {waitMs, expectedMs: (waitMs * errorFactor) + (startMs * startError.factor(confidence, now)), isOnTime};
 	}
 
+	/** Time after which the caller of a refused request is to return, in milliseconds; undefined if the rate at which room frees is unknown. */
+	returnDelayMs(service: ServiceName, {work, queuedWork, leftMs, waiting, region}: ReturnQuery, now: Millis): number | undefined {
+		const estimates = this.#services.get(service);
+		const workPerMs = estimates?.room.workPerMs({waiting, region}) ?? 0;
+		if (estimates === undefined || workPerMs === 0) {
+			return undefined;
+		}
+
+		const {onTimeInflow, returns, waitError} = estimates;
+		return returns.delayMs({
+			work,
+			workPerMs: Math.max(minReturnShare * workPerMs, workPerMs - onTimeInflow.perMs(now)),
+			backlogMs: queuedWork / workPerMs * waitError.factor(admitConfidence, now),
+			leftMs,
+		}, now);
+	}
+
 	/** Time before which a request that a target has room for hardly starts, in milliseconds. */
 	soonestStartMs(service: ServiceName, startMs: number, now: Millis): number {
 		return startMs * Math.max(1, this.#services.get(service)?.startError.factor(roomConfidence, now) ?? 1);
@@ -116,7 +151,7 @@
 
 	#estimates(service: ServiceName): Estimates {
 		const known = this.#services.get(service) ?? {
-			room: new RoomForecast(), onTimeInflow: new WorkRate(), waitError: new PredictionError(), startError: new PredictionError(),
+			room: new RoomForecast(), onTimeInflow: new WorkRate(), waitError: new PredictionError(), startError: new PredictionError(), returns: new ReturnSchedule(this.#random),
 		};
 		this.#services.set(service, known);
 		return known;
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -43,7 +43,7 @@
 	readonly #pool: TargetPool;
 	readonly #regions: RegionSelector;
 	readonly #waiting = new WaitingRequests<RequestRecord>();
-	readonly #admission = new AdmissionControl();
+	readonly #admission: AdmissionControl;
 	readonly #versions = new ServiceVersions();
 	readonly #origins: StreamOrigins;
 	readonly #containment: CrashContainment;
@@ -66,6 +66,7 @@
 		this.#options = options;
 		const {self, seeds, repeats, random, reportEveryMs = defaultReportEveryMs, maxTargetPauseMs} = options;
 		this.#queue = new ActionQueue(self.nodeId);
+		this.#admission = new AdmissionControl({random});
 		this.#pool = new TargetPool(self.nodeId, {maxPauseMs: maxTargetPauseMs});
 		this.#regions = new RegionSelector(self);
 		this.#follower = new ControlFollower({
--- a/src/core/edge/request-placer.ts
+++ b/src/core/edge/request-placer.ts
@@ -204,12 +204,28 @@
 			}
 
 			case 'refuse': {
-				record.retryAfterMs = Math.min(record.retryAfterMs ?? Number.POSITIVE_INFINITY, decision.retryAfterMs);
+				record.retryAfterMs = Math.min(record.retryAfterMs ?? Number.POSITIVE_INFINITY, this.#returnDelayMs(record, decision, now));
 				refuse(record, decision.reason, now);
 			}
 		}
 	}
 
+	/** Time after which the caller of a refused request is to return. A forwarded one gets no place in the virtual queue here: the entry that its caller chose gives it one. */
+	#returnDelayMs({req, service, deadlineAt}: RequestRecord, {reason, retryAfterMs}: Decision & {type: 'refuse'}, now: Millis): number {
+		if (reason !== 'overloaded' || req.forwarded !== undefined) {
+			return retryAfterMs;
+		}
+
+		const {admission, waiting, regions} = this.#options;
+		return admission.returnDelayMs(service, {
+			work: workOf({req}),
+			queuedWork: waiting.work(service),
+			waiting: waiting.size(service),
+			region: regions.ownServiceLoad(service, now),
+			leftMs: deadlineAt - now,
+		}, now) ?? retryAfterMs;
+	}
+
 	#queue(record: RequestRecord, {waitMs, startMs, forPause, isOnTime}: Omit<Decision & {type: 'wait'}, 'type'>, now: Millis): void {
 		if (isOnTime && !forPause) {
 			this.#options.admission.recordOnTime(record.service, workOf(record), now);
