--- a/bench/edge-engine.ts
+++ b/bench/edge-engine.ts
@@ -48,18 +48,24 @@
 		this.#computedParts = computedParts;
 	}
 
-	submit({prompt, urgency, onEvent}: Pick<Job, 'prompt' | 'urgency' | 'onEvent'>): void {
+	/** Returns a function that aborts the job. */
+	submit({prompt, urgency, onEvent}: Pick<Job, 'prompt' | 'urgency' | 'onEvent'>): () => void {
 		this.#order += 1;
 		const prefillTokens = this.#cachePrompt(prompt);
 		this.prefilledTokens += prefillTokens;
-		this.#jobs.push({
+		const job = {
 			prompt, urgency, order: this.#order, prefillTokensLeft: prefillTokens, output: prompt.outputTokens, tokensInEvent: 0, onEvent,
-		});
+		};
+		this.#jobs.push(job);
 		this.#jobs.sort((a, b) => a.urgency - b.urgency || a.order - b.order);
 		if (!this.#stepping) {
 			this.#stepping = true;
 			this.#step();
 		}
+
+		return () => {
+			this.#jobs = this.#jobs.filter(other => other !== job);
+		};
 	}
 
 	#step(): void {
@@ -79,7 +85,7 @@
 
 		const ms = (stepMs + (stepMsPerSlot * running.length) + ((prefillChunkTokens - chunkTokensLeft) / prefillTokensPerMs)) / this.#speed;
 		this.#queue.scheduleAfter(ms, () => {
-			for (const job of decoding) {
+			for (const job of decoding.filter(job => this.#jobs.includes(job))) {
 				this.#decode(job);
 			}
 
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -33,6 +33,10 @@
 		const {benchEdge} = await import('./edge.ts');
 		return benchEdge;
 	},
+	async room() {
+		const {benchRoom} = await import('./room.ts');
+		return benchRoom;
+	},
 	async rest() {
 		const {benchRest} = await import('./rest.ts');
 		return benchRest;
