feat(admission): shed optional work, count admissions, learn from starts that are overdue

While requests of a service wait, contained traits get no trial, a stalled request no further attempt that would take their room, and a request that may have run is not queued for a retry. Attempts that have not started count as lower bounds of the prediction error, kept by service and route: long prompts that never start were known only after their deadline. A full entry reports its queue to other regions. Counters 'admission' and 'predictions'.

--- a/src/core/admission/admission-control.ts
+++ b/src/core/admission/admission-control.ts
@@ -11,8 +11,8 @@
 const admitConfidence = 0.7;
 /** Confidence below which a request that waits is refused, lower than the one that admits it: a short rise of the prediction must not undo its admission. */
 const keepConfidence = 0.3;
-/** Confidence below which a request that a target has room for is not sent there; low, since a refusal would leave the room unused. */
-const roomConfidence = 0.1;
+/** Confidence below which a request that a target has room for is not sent there: it is more likely to end at its deadline than to start, and would delay others. */
+const roomConfidence = 0.5;
 
 /** Smallest share of the room that is assumed to be left to late requests; it only bounds the prediction. */
 const minLateShare = 0.01;
@@ -20,6 +20,9 @@
 /** Share of the room that is kept for callers that return, while requests that are on time would use all of it: bursts end. */
 const minReturnShare = 0.25;
 
+/** Requests of one service and route: engines serve routes of a more urgent priority first, so that their starts differ. */
+type Kind = {readonly service: ServiceName; readonly className: string};
+
 type Prediction = {readonly predictedMs: number; readonly measuredMs: number};
 
 type WaitQuery = {
@@ -55,7 +58,13 @@
 	readonly isOnTime: boolean;
 };
 
-type Estimates = {readonly room: RoomForecast; readonly onTimeInflow: WorkRate; readonly waitError: PredictionError; readonly startError: PredictionError; readonly returns: ReturnSchedule};
+type Estimates = {
+	readonly room: RoomForecast;
+	readonly onTimeInflow: WorkRate;
+	readonly waitError: PredictionError;
+	readonly startErrors: Map<string, PredictionError>;
+	readonly returns: ReturnSchedule;
+};
 
 /**
  * Predicts, by service, when a request starts that has to wait, with the measured error of earlier predictions.
@@ -66,33 +75,38 @@
 export class AdmissionControl {
 	readonly #random: Random;
 	readonly #services = new Map<ServiceName, Estimates>();
-	readonly #roomOf = new Map<AttemptNumber, RoomForecast>();
+	readonly #attempts = new Map<AttemptNumber, {readonly room: RoomForecast; readonly startError: PredictionError}>();
 
 	constructor({random}: {random: Random}) {
 		this.#random = random;
 	}
 
-	/** Records that an attempt was sent to a target; `work` is the number of its tokens, or 1 for a call. */
-	recordSent(service: ServiceName, {attempt, work}: {attempt: AttemptNumber; work: number}, now: Millis): void {
-		const {room} = this.#estimates(service);
+	/** Records that an attempt was sent to a target; `work`: its tokens, or 1 for a call; `predictedMs`: time to its first event or, for a call, to its answer. */
+	recordSent({service, className}: Kind, {attempt, work, predictedMs}: {attempt: AttemptNumber; work: number; predictedMs: number}, now: Millis): void {
+		const {room, startErrors} = this.#estimates(service);
+		const startError = startErrors.get(className) ?? new PredictionError();
+		startErrors.set(className, startError);
 		room.recordSent(attempt, work, now);
-		this.#roomOf.set(attempt, room);
+		startError.open(attempt, predictedMs, now);
+		this.#attempts.set(attempt, {room, startError});
+	}
+
+	/** Records that an attempt has brought the first event of a stream, or the answer of a call; or that it was given up, and would have started even later. */
+	recordStart(attempt: AttemptNumber, now: Millis): void {
+		this.#attempts.get(attempt)?.startError.close(attempt, now);
 	}
 
 	/** Records that an attempt has served its request; to be called before `recordReleased`. */
 	recordServed(attempt: AttemptNumber, now: Millis): void {
-		this.#roomOf.get(attempt)?.recordServed(attempt, now);
+		this.#attempts.get(attempt)?.room.recordServed(attempt, now);
 	}
 
 	/** Records that an attempt no longer occupies its target. */
 	recordReleased(attempt: AttemptNumber): void {
-		this.#roomOf.get(attempt)?.recordReleased(attempt);
-		this.#roomOf.delete(attempt);
-	}
-
-	/** Records the time from an attempt's sending to the first event of a stream, or to the answer of a call. */
-	recordStart(service: ServiceName, prediction: Prediction, now: Millis): void {
-		this.#estimates(service).startError.record(prediction, now);
+		const known = this.#attempts.get(attempt);
+		known?.room.recordReleased(attempt);
+		known?.startError.drop(attempt);
+		this.#attempts.delete(attempt);
 	}
 
 	/** Records for how long a request waited until there was room. */
@@ -109,7 +123,7 @@
 	 * Predicts when a request starts that has to wait. One that will not get room within its latency objective is passed
 	 * over by those that will, also by those still to come: only the room that they leave counts for it.
 	 */
-	predict(service: ServiceName, query: WaitQuery, now: Millis): WaitPrediction {
+	predict({service, className}: Kind, query: WaitQuery, now: Millis): WaitPrediction {
 		const {startMs, slackMs, workAhead, workAheadIfLate, waiting, region, isWaiting} = query;
 		const estimates = this.#services.get(service);
 		const workPerMs = estimates?.room.workPerMs({waiting, region}) ?? 0;
@@ -117,14 +131,19 @@
 			return {waitMs: 0, expectedMs: startMs, isOnTime: slackMs >= 0};
 		}
 
-		const {room, waitError, startError, onTimeInflow} = estimates;
+		const {room, waitError, startErrors, onTimeInflow} = estimates;
 		const confidence = isWaiting ? keepConfidence : admitConfidence;
 		const errorFactor = waitError.factor(confidence, now);
 		const onTimeMs = (workAhead + (room.meanWork / 2)) / workPerMs;
 		const isOnTime = slackMs >= 0 && onTimeMs * errorFactor <= slackMs;
 		const lateWorkPerMs = Math.max(minLateShare * workPerMs, workPerMs - onTimeInflow.perMs(now));
 		const waitMs = isOnTime ? onTimeMs : (workAheadIfLate + (room.meanWork / 2)) / lateWorkPerMs;
-		return {waitMs, expectedMs: (waitMs * errorFactor) + (startMs * startError.factor(confidence, now)), isOnTime};
+		return {waitMs, expectedMs: (waitMs * errorFactor) + (startMs * (startErrors.get(className)?.factor(confidence, now) ?? 1)), isOnTime};
+	}
+
+	/** Predicted time until a new request gets room that goes behind all that wait here, in milliseconds; 0 if it is unknown. */
+	queueMs(service: ServiceName, query: Parameters<RoomForecast['waitMs']>[0]): number {
+		return this.#services.get(service)?.room.waitMs(query) ?? 0;
 	}
 
 	/** Time after which the caller of a refused request is to return, in milliseconds; undefined if the rate at which room frees is unknown. */
@@ -145,13 +164,13 @@
 	}
 
 	/** Time before which a request that a target has room for hardly starts, in milliseconds. */
-	soonestStartMs(service: ServiceName, startMs: number, now: Millis): number {
-		return startMs * Math.max(1, this.#services.get(service)?.startError.factor(roomConfidence, now) ?? 1);
+	soonestStartMs({service, className}: Kind, startMs: number, now: Millis): number {
+		return startMs * Math.max(1, this.#services.get(service)?.startErrors.get(className)?.factor(roomConfidence, now) ?? 1);
 	}
 
 	#estimates(service: ServiceName): Estimates {
 		const known = this.#services.get(service) ?? {
-			room: new RoomForecast(), onTimeInflow: new WorkRate(), waitError: new PredictionError(), startError: new PredictionError(), returns: new ReturnSchedule(this.#random),
+			room: new RoomForecast(), onTimeInflow: new WorkRate(), waitError: new PredictionError(), startErrors: new Map(), returns: new ReturnSchedule(this.#random),
 		};
 		this.#services.set(service, known);
 		return known;
--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -59,7 +59,7 @@
 		const {targetId, address, born, softwareVersion} = target.listed;
 		this.#options.budget.countRequest(record, now);
 		const attempt = this.#register(record);
-		this.#options.admission.recordSent(service, {attempt, work: workOf(record)}, now);
+		this.#options.admission.recordSent({service, className: record.route.name}, {attempt, work: workOf(record), predictedMs: startMs}, now);
 		target.recordSend(this.#options.regions.limitEntries(prompt !== undefined), now);
 		target.attempts.set(attempt, {
 			sentAt: now, uncachedTokens, aheadTokens, kvCacheTokens, outputTokens: prompt?.outputTokens ?? 0,
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -385,7 +385,7 @@
 			weight,
 			state: this.#leaving ? 'leaving' : (this.#table === undefined ? 'starting' : 'ready'),
 			loads: serviceLoads({
-				table: this.#table, pool: this.#pool, regions: this.#regions, waiting: this.#waiting,
+				table: this.#table, pool: this.#pool, regions: this.#regions, waiting: this.#waiting, admission: this.#admission,
 			}, now),
 		};
 	}
--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -34,6 +34,8 @@
 		/** Predicted time until a target has room, and from then on to its start, in milliseconds. */
 		readonly waitMs: number;
 		readonly startMs: number;
+		/** Time within which it starts, with the confidence asked for, in milliseconds; infinite if that is unknown. */
+		readonly expectedMs: number;
 		/** True if that meets its latency objective. */
 		readonly isOnTime: boolean;
 	}
@@ -80,7 +82,7 @@
 		}
 
 		const local = this.#localCandidates(record, targets, now);
-		const best = local.find(({hasRoom, startMs}) => hasRoom && admission.soonestStartMs(service, startMs, now) < leftMs);
+		const best = local.find(({hasRoom, startMs}) => hasRoom && admission.soonestStartMs({service, className: record.route.name}, startMs, now) < leftMs);
 		// A placer may forward requests that entries of its own region forwarded to it, but not those of a remote region.
 		const mayForward = req.forwarded === undefined || req.forwarded.region === this.#options.region;
 		const [remote] = mayForward
@@ -106,7 +108,7 @@
 		const mayWaitForPause = req.forwarded === undefined && this.#resumesMs(record, now) < leftMs;
 		if (mayWait || mayWaitForPause) {
 			return {
-				type: 'wait', forPause: !mayWait, waitMs, startMs, isOnTime,
+				type: 'wait', forPause: !mayWait, waitMs, startMs, expectedMs, isOnTime,
 			};
 		}
 
@@ -127,7 +129,7 @@
 		const queued = waiting.get(record);
 		const key = queued ?? queueKey(record, startMs);
 		const ownWork = queued?.work ?? 0;
-		const prediction = admission.predict(service, {
+		const prediction = admission.predict({service, className: record.route.name}, {
 			startMs,
 			slackMs: key.onTimeUntil - now,
 			workAhead: waiting.workAhead(service, key, now) - ownWork,
--- a/src/core/edge/request-completion.ts
+++ b/src/core/edge/request-completion.ts
@@ -15,6 +15,10 @@
 /** Retry delay given to callers if nothing is known about the wait for capacity, in milliseconds. */
 const defaultRetryAfterMs = 500;
 
+/** Age up to which a refusal counts as immediate, and time left from which on it counts as one at the deadline, in milliseconds. */
+const atOnceMs = 50;
+const atDeadlineMs = 50;
+
 /** Retry delay for a request that is contained, in milliseconds: a sooner retry is refused as well. */
 const containedRetryAfterMs = 60_000;
 
@@ -80,6 +84,7 @@
 			return;
 		}
 
+		const {queue} = this.#options;
 		const {req, route, service, mayHaveRun, sends, headPassed, passedEvents, lastFailure, cutByStop, deadlineAt} = record;
 		const retryAfterMs = reason === 'contained' ? containedRetryAfterMs : record.retryAfterMs;
 		const refusal: EdgeRefusal = {
@@ -88,8 +93,12 @@
 			reachedTarget: sends > 0,
 			retryAfterMs: mayHaveRun ? undefined : retryAfterMs ?? callerRetryAfterMs(defaultRetryAfterMs, this.#options.random),
 		};
+		if (!mayHaveRun) {
+			queue.count('admission', refusalAge(now - req.arrivedAt, deadlineAt - now));
+		}
+
 		if (headPassed) {
-			this.#options.queue.count('broken_answers', lastFailure ?? refusal.reason);
+			queue.count('broken_answers', lastFailure ?? refusal.reason);
 		}
 
 		this.#emitRefusal(req, refusal, {
@@ -105,6 +114,15 @@
 	}
 }
 
+/** How early a request is refused that has not run. */
+function refusalAge(afterMs: number, leftMs: number): string {
+	if (leftMs <= atDeadlineMs) {
+		return 'refused-at-deadline';
+	}
+
+	return afterMs <= atOnceMs ? 'refused-at-once' : 'refused-later';
+}
+
 /** A request that may have run is never reported as not run, and one that has not run never as failed. */
 function finalReason(reason: EdgeRefusal['reason'], mayHaveRun: boolean): EdgeRefusal['reason'] {
 	if (mayHaveRun) {
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -376,6 +376,10 @@
 
 	#expire(record: RequestRecord, now: Millis): void {
 		record.mayHaveRun ||= record.running !== undefined;
+		if (record.running?.head === undefined) {
+			this.#feedback.recordStart(record, now);
+		}
+
 		this.#cancelAttempts(record);
 		this.#refuse(record, record.mayHaveRun ? 'timeout' : 'overloaded', now);
 	}
--- a/src/core/edge/request-placer.ts
+++ b/src/core/edge/request-placer.ts
@@ -1,3 +1,4 @@
+import type {ActionQueue} from '../action-queue.ts';
 import type {AdmissionControl} from '../admission/admission-control.ts';
 import type {QueuedRequest} from '../admission/queued-request.ts';
 import type {WaitingRequests} from '../admission/waiting-requests.ts';
@@ -7,6 +8,7 @@
 import {asIfFailed} from './as-if-failed.ts';
 import type {AttemptTracker} from './attempt-tracker.ts';
 import type {CrashContainment} from './crash-containment.ts';
+import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {PlacementPolicy} from './placement-policy.ts';
 import {queueKey} from './queue-key.ts';
@@ -34,6 +36,7 @@
 	readonly regions: RegionSelector;
 	readonly containment: CrashContainment;
 	readonly attempts: AttemptTracker;
+	readonly queue: ActionQueue<EdgeAction>;
 	readonly retryPolicy: RetryPolicy;
 	/** Has a pass over the waiting requests made soon. */
 	readonly requestPass: () => void;
@@ -57,16 +60,20 @@
 			return;
 		}
 
-		const {placement, admission} = this.#options;
+		const {placement, admission, queue} = this.#options;
 		const decision = placement.decide(record, now);
 		if (decision.type === 'target' && record.sends === 0 && this.#othersGoFirst(record, decision.candidate.startMs, now)) {
 			this.#queue(record, {
-				waitMs: 0, startMs: decision.candidate.startMs, forPause: false, isOnTime: true,
+				waitMs: 0, startMs: decision.candidate.startMs, expectedMs: decision.candidate.startMs, forPause: false, isOnTime: true,
 			}, now);
 			this.#options.requestPass();
 			return;
 		}
 
+		if (decision.type === 'target' || decision.type === 'away') {
+			queue.count('admission', 'accepted');
+		}
+
 		if (decision.type === 'target') {
 			admission.recordOnTime(record.service, workOf(record), now);
 		}
@@ -75,7 +82,8 @@
 	}
 
 	/**
-	 * Sends a stalled request to a further destination, if one can take it now and the retry fits the retry budget.
+	 * Sends a stalled request to a further destination, if one can take it now, no request that waits is to have the
+	 * room, and the retry fits the retry budget.
 	 * Its present attempt is kept: the other destination may be full, or out of reach.
 	 *
 	 * @param onStall - Called before, while the stalled attempt is still the current one.
@@ -83,7 +91,7 @@
 	placeStalled(record: RequestRecord, onStall: () => void, now: Millis): void {
 		const {placement, containment, attempts, retryPolicy} = this.#options;
 		const decision = placement.decide(asIfFailed(record), now);
-		const isPlaced = decision.type === 'target' || decision.type === 'away';
+		const isPlaced = decision.type === 'away' || (decision.type === 'target' && !this.#othersGoFirst(record, decision.candidate.startMs, now));
 		if (!isPlaced || containment.containedTraits(record.req).length > 0 || !retryPolicy.reserveRetry(record, now)) {
 			return;
 		}
@@ -113,7 +121,7 @@
 		let decisions = 0;
 		for (const queued of waiting.ordered(service, now)) {
 			const {item: record, work, className} = queued;
-			const {waitMs, expectedMs} = admission.predict(service, {
+			const {waitMs, expectedMs} = admission.predict({service, className}, {
 				...load, startMs: queued.startMs, slackMs: queued.onTimeUntil - now, workAhead, workAheadIfLate: queued.onTimeUntil < now ? workAhead : waiting.work(service) - work, isWaiting: true,
 			}, now);
 			const hopeless = !queued.forPause && expectedMs > record.deadlineAt - now;
@@ -184,7 +192,13 @@
 	}
 
 	#carryOut(record: RequestRecord, decision: Decision, now: Millis): void {
-		const {retryPolicy, refuse} = this.#options;
+		const {retryPolicy, waiting, refuse} = this.#options;
+		if (decision.type === 'wait' && record.mayHaveRun && !record.headPassed && waiting.size(record.service) > 0) {
+			// Nothing is retried into a full service: the room is left to requests that have not run.
+			refuse(record, 'target-failed', now);
+			return;
+		}
+
 		if (record.sends > 0 && !retryPolicy.reserveRetry(record, now)) {
 			record.retryAfterMs = decision.type === 'refuse' ? decision.retryAfterMs : record.retryAfterMs;
 			refuse(record, 'target-failed', now);
@@ -226,7 +240,9 @@
 		}, now) ?? retryAfterMs;
 	}
 
-	#queue(record: RequestRecord, {waitMs, startMs, forPause, isOnTime}: Omit<Decision & {type: 'wait'}, 'type'>, now: Millis): void {
+	#queue(record: RequestRecord, {waitMs, startMs, expectedMs, forPause, isOnTime}: Omit<Decision & {type: 'wait'}, 'type'>, now: Millis): void {
+		this.#options.queue.count('admission', 'waiting');
+		record.expectedStartAt = Number.isFinite(expectedMs) ? now + expectedMs as Millis : undefined;
 		if (isOnTime && !forPause) {
 			this.#options.admission.recordOnTime(record.service, workOf(record), now);
 		}
@@ -250,10 +266,10 @@
 		}
 	}
 
-	/** Refuses a contained request, unless it may run as a trial: a new request that only one trait keeps away. */
+	/** Refuses a contained request, unless it may run as a trial: a new request that only one trait keeps away, while no other request waits for the room. */
 	#handleContained(record: RequestRecord, [trait, ...others]: readonly RequestTrait[], now: Millis): void {
-		const {containment: {trials}, refuse} = this.#options;
-		if (record.sends > 0 || others.length > 0 || !trials.isDue(trait!, now)) {
+		const {containment: {trials}, waiting, refuse} = this.#options;
+		if (record.sends > 0 || waiting.size(record.service) > 0 || others.length > 0 || !trials.isDue(trait!, now)) {
 			refuse(record, 'contained', now);
 			return;
 		}
--- a/src/core/edge/request-record.ts
+++ b/src/core/edge/request-record.ts
@@ -79,6 +79,8 @@
 	lastEventId?: string;
 	/** Origin of the stream, once the caller has an event of it. */
 	origin?: StreamOrigin;
+	/** Time at which it was predicted to start when it was queued; undefined once it has started. */
+	expectedStartAt?: Millis;
 	/** Retry delay to report to the caller, from the refusals seen so far, in milliseconds. */
 	retryAfterMs?: number;
 };
--- a/src/core/edge/service-loads.ts
+++ b/src/core/edge/service-loads.ts
@@ -1,3 +1,4 @@
+import type {AdmissionControl} from '../admission/admission-control.ts';
 import type {WaitingRequests} from '../admission/waiting-requests.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {ServiceLoad} from '../registry/service-load.ts';
@@ -7,7 +8,7 @@
 import type {RequestRecord} from './request-record.ts';
 import type {TargetPool} from './target-pool.ts';
 
-/** Assumed time until a full target has room for another request, in milliseconds. */
+/** Least time until a full target is reported to have room for another request, in milliseconds. */
 const fullTargetWaitMs = 300;
 
 type Options = {
@@ -15,15 +16,17 @@
 	readonly pool: TargetPool;
 	readonly regions: RegionSelector;
 	readonly waiting: WaitingRequests<RequestRecord>;
+	readonly admission: AdmissionControl;
 };
 
 /** Load of each service at this entry and its targets, as the entry reports it to control; services without targets and waiting requests are left out. */
-export function serviceLoads({table, pool, regions, waiting}: Options, now: Millis): readonly ServiceLoad[] {
+export function serviceLoads({table, pool, regions, waiting, admission}: Options, now: Millis): readonly ServiceLoad[] {
 	const services = table?.document.services ?? [];
 	return services.map(spec => {
 		const targets = pool.usable(spec.name, now);
 		// A prompt of one token gives the times and costs that do not depend on the request.
 		const prompt = spec.engine && {parts: [], promptTokens: 1, outputTokens: 1};
+		const queueMs = admission.queueMs(spec.name, {workAhead: waiting.work(spec.name), waiting: waiting.size(spec.name), region: regions.ownServiceLoad(spec.name, now)});
 		const [best] = rankLocalTargets({
 			prompt,
 			spec,
@@ -40,7 +43,7 @@
 			softwareVersions: [...new Set(targets.map(({listed}) => listed.softwareVersion))],
 			inFlight: targets.reduce((sum, target) => sum + target.attempts.size, 0),
 			waiting: waiting.size(spec.name),
-			startMs: best === undefined ? 0 : Math.round(best.startMs + (best.hasRoom ? 0 : fullTargetWaitMs) - (prompt === undefined ? best.target.callMs.value : 0)),
+			startMs: best === undefined ? 0 : Math.round(best.startMs + (best.hasRoom ? 0 : Math.max(fullTargetWaitMs, queueMs)) - (prompt === undefined ? best.target.callMs.value : 0)),
 			extraMs: best === undefined ? 0 : Math.round(best.costMs - best.startMs),
 		};
 	}).filter(({targets, waiting: count}) => targets > 0 || count > 0);
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -85,7 +85,7 @@
 		const target = this.#targetOf(record);
 		target?.recordStart(attempt, now);
 		target?.callMs.add(now - sentAt);
-		this.#recordStart(record, now);
+		this.recordStart(record, now);
 	}
 
 	/** Records new events of a stream; to be called before they are added to `running.events`. */
@@ -95,7 +95,7 @@
 		target?.recordSign(now);
 		if (running!.events === 0) {
 			target?.recordStart(running!.attempt, now);
-			this.#recordStart(record, now);
+			this.recordStart(record, now);
 		} else {
 			target?.recordProgress(running!.attempt, {events: count, tokens: count * (table.service(service)?.engine?.tokensPerEvent ?? 1)}, now);
 		}
@@ -149,6 +149,19 @@
 		return notRun || status === misdirectedStatus;
 	}
 
+	/** Compares the measured start of an attempt at a target with the predicted one; also for an attempt that is given up before it starts. */
+	recordStart(record: RequestRecord, now: Millis): void {
+		const {running, expectedStartAt} = record;
+		if (expectedStartAt !== undefined) {
+			this.#options.queue.count('predictions', now <= expectedStartAt ? 'kept' : 'broken');
+			record.expectedStartAt = undefined;
+		}
+
+		if (running !== undefined) {
+			this.#options.admission.recordStart(running.attempt, now);
+		}
+	}
+
 	/** Records what the answer says of the target's wish for requests; one of an earlier incarnation, or of another target at its address, says nothing of it. */
 	#recordSuspension({req, running}: RequestRecord, target: PooledTarget, {status, leaving, retryAfterMs, unreadableHeaders}: AnswerHead, now: Millis): void {
 		const {queue} = this.#options;
@@ -161,13 +174,6 @@
 		recordTargetNotice(suspension, notice, {source: {targetId, incarnation: born, request: req.callerKey}, outbox: queue}, now);
 	}
 
-	/** Compares the measured start of an attempt at a target with the predicted one. */
-	#recordStart({running, service}: RequestRecord, now: Millis): void {
-		if (running?.targetId !== undefined) {
-			this.#options.admission.recordStart(service, {predictedMs: running.predictedMs, measuredMs: now - running.sentAt}, now);
-		}
-	}
-
 	#targetOf({running}: RequestRecord): PooledTarget | undefined {
 		return running?.targetId === undefined ? undefined : this.#options.pool.get(running.targetId);
 	}
