--- a/src/core/admission/prediction-error.ts
+++ b/src/core/admission/prediction-error.ts
@@ -7,8 +7,8 @@
 const maxOpen = 64;
 /** Fewest samples from which a distribution is estimated; a smaller number says nothing of its tails. */
 const minSamples = 6;
-/** Age from which on a sample is forgotten, in milliseconds: bursts end within seconds. */
-const maxSampleAgeMs = 10_000;
+/** Age from which on a sample is forgotten, in milliseconds. With 10 s, requests were refused for seconds after the engines had drained. */
+const maxSampleAgeMs = 2000;
 /** Added to both times so that errors of times near zero do not dominate, in milliseconds: about two turns of a busy event loop. */
 const resolutionMs = 20;
 /** Time for which an estimate is used again, in milliseconds. */
