fix(edge): a stream that has begun is not given up for a late prediction

Attempts that had been silent for 2.5 s made a predicted start of 122 ms count as later than the 4.8 s left, and a stream that waited to be resumed was broken off though a place had come free (stopping-entry.test.ts). The error of predictions no longer applies to streams that have begun.

--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -82,7 +82,10 @@
 		}
 
 		const local = this.#localCandidates(record, targets, now);
-		const best = local.find(({hasRoom, startMs}) => hasRoom && admission.soonestStartMs({service, className: record.route.name}, startMs, now) < leftMs);
+		const className = record.route.name;
+		// A stream that has begun goes on as long as it can: a refusal would break it off.
+		const soonestStartMs = (startMs: number) => record.headPassed ? startMs : admission.soonestStartMs({service, className}, startMs, now);
+		const best = local.find(({hasRoom, startMs}) => hasRoom && soonestStartMs(startMs) < leftMs);
 		// A placer may forward requests that entries of its own region forwarded to it, but not those of a remote region.
 		const mayForward = req.forwarded === undefined || req.forwarded.region === this.#options.region;
 		const [remote] = mayForward
@@ -138,7 +141,7 @@
 			region: regions.ownServiceLoad(service, now),
 			isWaiting: queued !== undefined,
 		}, now);
-		return {startMs, ...prediction};
+		return {startMs, ...prediction, expectedMs: record.headPassed ? startMs : prediction.expectedMs};
 	}
 
 	#refusal(record: RequestRecord, {hasLocal, soonestMs}: {hasLocal: boolean; soonestMs: number}, now: Millis): Placement {
--- a/src/core/edge/request-placer.ts
+++ b/src/core/edge/request-placer.ts
@@ -124,7 +124,7 @@
 			const {waitMs, expectedMs} = admission.predict({service, className}, {
 				...load, startMs: queued.startMs, slackMs: queued.onTimeUntil - now, workAhead, workAheadIfLate: queued.onTimeUntil < now ? workAhead : waiting.work(service) - work, isWaiting: true,
 			}, now);
-			const hopeless = !queued.forPause && expectedMs > record.deadlineAt - now;
+			const hopeless = !queued.forPause && !record.headPassed && expectedMs > record.deadlineAt - now;
 			const isBlocked = (isUnrestricted(record) && work >= (smallestBlocked.get(className) ?? Number.POSITIVE_INFINITY)) || blocked.some(other => isReserved(other, now));
 			if ((isBlocked && !hopeless) || decisions === maxDecisionsPerPass) {
 				workAhead += work;
