--- a/bench/edge-region.ts
+++ b/bench/edge-region.ts
@@ -104,7 +104,7 @@
 		const arrivalsPerMs = load * engines * enginePrefillTokensPerMs * meanSpeed / meanPromptTokens;
 		const peak = Math.max(...Array.from({length: seconds * 10}, (_, tenth) => surge(tenth * 100)));
 		const scheduleArrivals = () => {
-			if (this.#random.next() * peak < surge(this.#queue.now)) {
+			if (peak === 1 || this.#random.next() * peak < surge(this.#queue.now)) {
 				this.#arrive();
 			}
 
