feat(cost): the status tells the error of predicted starts

It was learned and shown nowhere. The ratio of measured to predicted start, at the median and nine of ten, stands in /status by service; figures of a service that no decision read, and the number of entries that rankLocalTargets no longer needs, are gone. 49 tests of cost, placing and docs pass.

--- a/src/core/cost/cost-book.ts
+++ b/src/core/cost/cost-book.ts
@@ -3,6 +3,7 @@
 import type {RegionLoad} from '../registry/region-load.ts';
 import {meanCostSummary} from './mean-cost-summary.ts';
 import {ServiceCosts} from './service-costs.ts';
+import type {StartError} from './start-error.ts';
 
 /** Learned costs of each service at this entry. */
 export class CostBook {
@@ -34,8 +35,11 @@
 		}
 	}
 
-	/** All services with their costs. */
-	entries(): Iterable<readonly [ServiceName, ServiceCosts]> {
-		return this.#services;
+	/** Errors of the predicted starts, of each service with any. */
+	startErrors(): readonly StartError[] {
+		return [...this.#services].flatMap(([service, {startErrors}]) => {
+			const [median, p90] = [startErrors.quantile(0.5), startErrors.quantile(0.9)];
+			return median === undefined || p90 === undefined ? [] : [{service, median: Number(median.toPrecision(3)), p90: Number(p90.toPrecision(3))}];
+		});
 	}
 }
--- a/src/core/cost/service-costs.ts
+++ b/src/core/cost/service-costs.ts
@@ -35,14 +35,7 @@
 	readonly startErrors = new RatioSketch();
 	/** Tokens that a request occupies in an engine's KV cache at its end. */
 	readonly kvCacheTokens = new Mean(requestWeight);
-	/** Prompt tokens of a request, and those that have to be prefilled. */
 	readonly promptTokens = new Mean(requestWeight);
-	readonly uncachedTokens = new Mean(requestWeight);
-	/** Times from sending a stream to its first event and to its end, in milliseconds. */
-	readonly startMs = new Mean(requestWeight);
-	readonly totalMs = new Mean(requestWeight);
-	/** Requests of other entries at a target, as a share of its slots. */
-	readonly othersPerSlot = new Mean(requestWeight);
 	/** Slots of a target, from its listing. */
 	readonly slots = new Mean(timeWeight);
 	readonly #hintErrors = new RatioSketch();
@@ -102,11 +95,6 @@
 		return lengthHint !== undefined && lengthHint > 0 ? Math.min(outputTokens, lengthHint * hint) : outputTokens * limit;
 	}
 
-	/** Share of a stream's time at a target that passes before its first event; 0 if unknown. */
-	get startShare(): number {
-		return Math.min(1, (this.startMs.value ?? 0) / Math.max(1, this.totalMs.value ?? 1));
-	}
-
 	/** Summary for control; undefined without any measurement. */
 	summary(): ServiceCostSummary | undefined {
 		const prefillMsPer1000 = measured(this.prefillMs, summaryTokens);
--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -65,7 +65,6 @@
 		});
 		if (prompt !== undefined) {
 			target.costs.promptTokens.add(prompt.promptTokens);
-			target.costs.uncachedTokens.add(uncachedTokens);
 			target.costs.kvCacheTokens.add(kvCacheTokens);
 			target.prefixCache.recordUse(prompt, table.service(service)?.engine?.cacheTokens ?? 0);
 		}
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -1,6 +1,7 @@
 import {ActionQueue} from '../action-queue.ts';
 import {AwakeClock} from '../common/awake-clock.ts';
 import {CostBook} from '../cost/cost-book.ts';
+import type {StartError} from '../cost/start-error.ts';
 import type {ControlMessage} from '../control/control-message.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
@@ -157,7 +158,9 @@
 		return this.#table;
 	}
 
-	status(now: Millis): EntryStatus & {control?: NodeId; controlSilentMs: number; controlOutdatedMs: number; documentVersion?: number; inFlight: number} {
+	status(now: Millis): EntryStatus & {
+		control?: NodeId; controlSilentMs: number; controlOutdatedMs: number; documentVersion?: number; inFlight: number; startErrors: readonly StartError[];
+	} {
 		return {
 			...this.#status(now),
 			control: this.#follower.primary,
@@ -165,6 +168,7 @@
 			controlOutdatedMs: Math.round(this.#follower.outdatedMs(now)),
 			documentVersion: this.documentVersion,
 			inFlight: this.inFlight,
+			startErrors: this.#costs.startErrors(),
 		};
 	}
 
--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -166,7 +166,6 @@
 			spec: table.service(service),
 			targets,
 			partition: pool.partition(service, {count: placers.length, index: placers.indexOf(relayAddress)}),
-			entries: regions.placingEntryCount,
 			limitEntries: regions.limitEntries(req.prompt !== undefined),
 			objectiveMs: route.objectiveMs - (now - req.arrivedAt),
 			leftMs: deadlineAt - now,
--- a/src/core/edge/rank-local-targets.ts
+++ b/src/core/edge/rank-local-targets.ts
@@ -34,8 +34,6 @@
 	readonly targets: readonly PooledTarget[];
 	/** Targets that this entry fills first as a placer; empty or undefined if it has no preference. */
 	readonly partition?: ReadonlySet<PooledTarget>;
-	/** Entries of this region that share the targets. */
-	readonly entries: number;
 	/** Entries of this region that share the limits that targets name. */
 	readonly limitEntries: number;
 	/** Time left for the first event within the latency objective, in milliseconds. */
--- a/src/core/edge/service-loads.ts
+++ b/src/core/edge/service-loads.ts
@@ -27,7 +27,6 @@
 			prompt,
 			spec,
 			targets,
-			entries: regions.placingEntryCount,
 			limitEntries: regions.limitEntries(prompt !== undefined),
 			objectiveMs: Number.POSITIVE_INFINITY,
 			leftMs: Number.POSITIVE_INFINITY,
--- a/test/core/cost/service-costs.test.ts
+++ b/test/core/cost/service-costs.test.ts
@@ -49,3 +49,16 @@
 	costs.prefillMs.add(0.05, 1);
 	t.true(costs.summary()!.prefillMsPer1000! > 12);
 });
+
+test('operators are told how far off predicted starts were, not the mean alone', t => {
+	const book = new CostBook();
+	t.deepEqual(book.startErrors(), [], 'nothing is told of services without measurements');
+	const {startErrors} = book.of(service);
+	for (let count = 0; count < 10; count++) {
+		startErrors.add(count < 8 ? 1 : 4);
+	}
+
+	const [error] = book.startErrors();
+	t.is(error!.median, 1);
+	t.true(Math.abs(error!.p90 - 4) < 0.4);
+});
--- a/test/core/edge/kv-cache-admission.test.ts
+++ b/test/core/edge/kv-cache-admission.test.ts
@@ -16,7 +16,7 @@
 	target.costs.kvCacheTokens.add(meanTokens);
 	target.updateLoad({running: others, waiting: 0, slots: 64}, now);
 	return rankLocalTargets({
-		prompt, spec, targets: [target], entries: 14, limitEntries: 14, objectiveMs: 1000, leftMs: 10_000,
+		prompt, spec, targets: [target], limitEntries: 14, objectiveMs: 1000, leftMs: 10_000,
 	}, now)[0]!.hasRoom;
 }
 
