--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -6,7 +6,6 @@
 import type {Millis} from '../ids/millis.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {QuotaGate} from '../organisations/quota/quota-gate.ts';
-import {requestCost} from '../organisations/quota/request-cost.ts';
 import type {RouteTable} from '../routes/route-table.ts';
 import type {TargetProber} from '../targets/target-prober.ts';
 import type {AnswerHead} from './answer-head.ts';
@@ -25,6 +24,7 @@
 import type {CrashContainment} from './crash-containment.ts';
 import {isSuccess} from './is-success.ts';
 import type {PlacementPolicy} from './placement-policy.ts';
+import {QuotaCharges} from './quota-charges.ts';
 import {RecentRefusals} from './recent-refusals.ts';
 import type {RegionSelector} from './region-selector.ts';
 import type {WindowedRetryBudget} from './windowed-retry-budget.ts';
@@ -73,11 +73,13 @@
 	readonly #pacer = new PlacementPacer();
 	readonly #refusals = new RecentRefusals();
 	readonly #stopDeadline = new StopDeadline();
+	readonly #quotas: QuotaCharges;
 	#closed = false;
 	#capacityChanged = false;
 
 	constructor(options: RequestHandlerOptions) {
 		this.#options = options;
+		this.#quotas = new QuotaCharges(options.quotas);
 		const idle = new IdleConnectionPolicy();
 		this.#attempts = new AttemptTracker({...options, idle});
 		this.#completion = new RequestCompletion(options);
@@ -149,7 +151,7 @@
 			return;
 		}
 
-		if (!this.#chargeQuota(record, now)) {
+		if (!this.#quotas.charge(record, now)) {
 			this.#refuse(record, 'quota', now);
 			return;
 		}
@@ -187,7 +189,7 @@
 
 		this.#options.queue.event('caller-gone', describeCallerGone(record, now));
 		if (!record.mayHaveRun && record.running === undefined && record.kept.length === 0) {
-			this.#refund(record, now);
+			this.#quotas.refund(record, now);
 		}
 
 		this.#cancelAttempts(record);
@@ -398,35 +400,9 @@
 		this.#refuse(record, record.mayHaveRun ? 'timeout' : 'overloaded', now);
 	}
 
-	/** Charges a request to its organisation's quota, at the entry that has it from its caller; false if it is over the quota. */
-	#chargeQuota(record: RequestRecord, now: Millis): boolean {
-		const {req: {organisation: name, forwarded, prompt}, table} = record;
-		const {quotas} = this.#options;
-		const quota = name === undefined || forwarded !== undefined ? undefined : table.organisations.get(name)?.quota;
-		if (name === undefined || quota === undefined || quotas === undefined) {
-			return true;
-		}
-
-		const decision = quotas.admit({organisation: name, cost: requestCost(quota, prompt)}, now);
-		if (decision.admitted) {
-			record.charge = decision.charge;
-		} else {
-			record.retryAfterMs = decision.retryAfterMs;
-		}
-
-		return decision.admitted;
-	}
-
-	#refund(record: RequestRecord, now: Millis): void {
-		if (record.charge !== undefined) {
-			this.#options.quotas?.refund(record.charge, now);
-			record.charge = undefined;
-		}
-	}
-
 	#refuse(record: RequestRecord, reason: EdgeRefusal['reason'], now: Millis): void {
 		if (!record.mayHaveRun) {
-			this.#refund(record, now);
+			this.#quotas.refund(record, now);
 		}
 
 		this.#completion.refuse(record, reason, now);
