--- a/review/support-2/case-10.js
+++ b/review/support-2/case-10.js
@@ -17,7 +17,7 @@
 const fastMs = 50;
 const slowMs = 550;
 
-await runCase(9, {
+await runCase(10, {
 	entryZones: ['muscat-a', 'muscat-a', 'muscat-a', 'sohar-a', 'sohar-a', 'salalah-a', 'salalah-a'],
 	async play({deployment, record, hasTrouble}) {
 		const runs = [];
