test(review): case 9, idle channels to the directory stop the installation

Cause: the servers of control have no time limit for a head, since Node takes 0 for it where requestTimeout is 0, and no limit of connections, which the directory shares with the operator and the engines.

Nothing is mended.

--- a/review/support-2/deployment.js
+++ b/review/support-2/deployment.js
@@ -31,10 +31,12 @@
 	#folder = mkdtempSync(path.join(tmpdir(), 'review-'));
 	#root;
 	#isClosing = false;
+	#descriptors;
 	#nextHost = 1;
 
-	/** @param options - `record`, `root` (of the repository) and `entryZones`, one for each entry. */
-	constructor({record, root, entryZones}) {
+	/** @param options - `record`, `root` (of the repository), `entryZones`, one for each entry, and `descriptors`, the limit of each process, if any. */
+	constructor({record, root, entryZones, descriptors}) {
+		this.#descriptors = descriptors;
 		this.#record = record;
 		this.#root = root;
 		this.#subnet = `127.${20 + Math.floor(Math.random() * 200)}.${1 + Math.floor(Math.random() * 250)}`;
@@ -80,7 +82,11 @@
 	/** Starts the process of a machine with the command of the deploy file. */
 	launch(machine, {firstStart = false} = {}) {
 		writeFileSync(machine.settings, JSON.stringify({...machine.content, firstStart}));
-		const child = spawn('node', ['--max-old-space-size=192', 'target/lovageferry.cjs', 'run', machine.settings], {cwd: this.#root, stdio: ['ignore', 'pipe', 'pipe']});
+		const command = ['node', '--max-old-space-size=192', 'target/lovageferry.cjs', 'run', machine.settings];
+		const options = {cwd: this.#root, stdio: ['ignore', 'pipe', 'pipe']};
+		const child = this.#descriptors === undefined
+			? spawn(command[0], command.slice(1), options)
+			: spawn('sh', ['-c', `ulimit -n ${this.#descriptors} && exec "$@"`, 'sh', ...command], options);
 		machine.child = child;
 		machine.isEndWanted = false;
 		machine.log = '';
--- a/review/support-2/run-case.js
+++ b/review/support-2/run-case.js
@@ -12,13 +12,15 @@
  * Runs a case and ends the process: with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
  *
  * @param number - Number of the case, which names its folder.
- * @param options - `entryZones`: one for each entry. `play({deployment, record, hasTrouble})` resolves with the breaks of the rule, as texts.
+ * @param options - `entryZones`: one for each entry; `descriptors`: limit of each process, if the case needs it. `play({deployment, record, hasTrouble})` resolves with the breaks of the rule, as texts.
  */
-export async function runCase(number, {entryZones, play}) {
+export async function runCase(number, {entryZones, descriptors, play}) {
 	const hasTrouble = process.env.TROUBLE !== '0';
 	const record = new CaseRecord(path.join(root, 'review', String(number)));
 	record.add(`case ${number}, ${hasTrouble ? 'with' : 'without'} the disruption`);
-	const deployment = new Deployment({record, root, entryZones});
+	const deployment = new Deployment({
+		record, root, entryZones, descriptors,
+	});
 	let code = 2;
 	let timer;
 	try {
