test(review): case 10, streams at an engine restarted with other software

Cause: streams go by the software version that control has listed, and only a reset of a connection makes the entry doubt it; a process that ends with idle channels closes them in order.

Nothing is mended.

--- a/review/support-2/case-10.js
+++ b/review/support-2/case-10.js
@@ -1,84 +1,94 @@
-import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {answerAtOnce} from './answer-at-once.js';
 import {call} from './call.js';
 import {configuration} from './configuration.js';
+import {randomHex} from './random-hex.js';
 import {runCase} from './run-case.js';
-import {smallEngines} from './small-engines.js';
 
-/** Time for which the rule lets the engine before work on, once the request goes on at another one, in milliseconds. */
-const boundMs = 400;
-const streams = 4;
-const events = 14;
-/** Event before which the first engine pauses. */
-const pausedEvent = 9;
-const pauseMs = 4000;
-/** Time between two events before the pause, and after it or at the engine at which the stream goes on, in milliseconds: within `target-gap-ms`, 600. */
-const fastMs = 50;
-const slowMs = 550;
+const streams = 8;
+/** Requests before, which open channels to the engines, and of which the retry budget allows a share. */
+const ordinary = 80;
+const events = 20;
+const eventMs = 150;
+/** Event after which the second engine crashes. */
+const crashAfter = 6;
+/** Time for which the first engine is down, and until its first liveness report: heartbeat-interval-ms is 1,200. */
+const downMs = 50;
+const reportAfterMs = 1100;
+/** Most streams that may hold events of two versions. */
+const allowed = 2;
+const region = 'sohar-a';
+const writers = {'muscat-a': 4, 'sohar-a': 2, 'salalah-a': 1};
 
 await runCase(10, {
-	entryZones: ['muscat-a', 'muscat-a', 'muscat-a', 'sohar-a', 'sohar-a', 'salalah-a', 'salalah-a'],
+	entryZones: ['muscat-a', 'muscat-a', 'sohar-a', 'sohar-a', 'salalah-a', 'salalah-a'],
 	async play({deployment, record, hasTrouble}) {
-		const runs = [];
-		/** An event holds 8 tokens. The head is sent with the first token, at which the run starts; the first event follows once its tokens are made. */
 		const runStream = async (req, res, body, engine) => {
-			if (req.headers['token-counts'] === undefined) {
+			if (!req.headers['request-identifier'].startsWith('stream')) {
 				answerAtOnce(req, res, body, engine);
 				return;
 			}
 
-			const id = req.headers['request-identifier'];
 			const after = Number(req.headers['last-event-id'] ?? 0);
-			const run = {
-				id, engine: engine.id, after, startedAt: performance.now(), endedAt: undefined,
-			};
-			runs.push(run);
-			record.add(`${engine.id} starts to run ${id} after event ${after}`);
-			res.on('close', () => {
-				run.endedAt = performance.now();
-				record.add(`${engine.id} ends its run of ${id}: ${res.writableFinished ? 'complete' : 'its connection was closed'}`);
-			});
-			res.writeHead(200, {...engine.answerHeaders(req), 'Content-Type': 'text/event-stream'}).flushHeaders();
-			for (let event = after + 1; event <= events; event++) {
-				if (hasTrouble && after === 0 && event === pausedEvent) {
-					record.add(`${engine.id} preempts ${id} and reads it in again, for ${pauseMs} ms`);
-					await sleep(pauseMs); // eslint-disable-line no-await-in-loop
-				}
-
-				await sleep(after === 0 && event <= pausedEvent ? fastMs : slowMs); // eslint-disable-line no-await-in-loop
-				if (res.destroyed) {
-					return;
-				}
-
-				res.write(`id: ${event}\ndata: piece ${event}\n\n`);
+			const {version} = engine;
+			record.add(`${engine.id}, software ${version}, runs ${req.headers['request-identifier']} after event ${after}`);
+			res.writeHead(200, {...engine.answerHeaders(req), 'Content-Type': 'text/event-stream'});
+			for (let event = after + 1; event <= events && !res.destroyed; event++) {
+				res.write(`id: ${event}\ndata: piece ${event} of ${version}\n\n`);
+				await sleep(eventMs); // eslint-disable-line no-await-in-loop
 			}
 
 			res.end();
 		};
 
-		await deployment.start({configuration: configuration(1), engines: smallEngines(runStream)});
-		const {host, port} = deployment.entries[0];
-		const answers = await Promise.all(Array.from({length: streams}, async (_, index) => call({
-			host, port, method: 'POST', path: '/lohu930/2f', body: 'draft', timeoutMs: 15_000, headers: {
-				Host: 'ficu95.example',
-				'Request-Identifier': `stream-${index}`,
-				'Deadline-Milliseconds': '12000',
-				Model: 'm',
-				'Token-Counts': '1460,112',
-				'Prompt-Prefix': `5c1e07a2:800,91bd3f06:410,${index}e4402b7:250`,
+		const engines = [
+			...Object.entries(writers).flatMap(([zone, count]) => Array.from({length: count}, () => ({
+				service: 'writers', zone, slots: 64, run: runStream,
+			}))),
+			{
+				service: 'desk', zone: region, slots: 6, run: answerAtOnce,
 			},
-		})));
+		];
+		await deployment.start({configuration: configuration(1), engines});
+		const entry = deployment.entries.find(({zone}) => zone === region);
+		const [restarted, crashing] = deployment.engines.filter(({zone}) => zone === region);
+		const send = async (id, part) => call({
+			host: entry.host, port: entry.port, method: 'POST', path: '/lohu930/2f', body: 'draft', timeoutMs: 15_000, headers: {
+				Host: 'ficu95.example', 'Request-Identifier': id, 'Deadline-Milliseconds': '12000', Model: 'm', 'Token-Counts': '1460,160', 'Prompt-Prefix': `${part}:1210,${randomHex(4)}:250`,
+			},
+		});
+		// Ordinary requests open channels to both engines of the region, and show which parts of prompts lead to the second one.
+		const parts = new Set();
+		for (let tries = 0; tries < 200 && (parts.size < streams || tries < ordinary); tries++) {
+			const part = randomHex(4);
+			const before = crashing.arrivals.length;
+			await send(randomHex(8), part); // eslint-disable-line no-await-in-loop
+			if (crashing.arrivals.length > before && parts.size < streams) {
+				parts.add(part);
+			}
+		}
+
+		record.add(`${restarted.id} has got ${restarted.arrivals.length} requests, ${crashing.id} ${crashing.arrivals.length}`);
+		const calls = [...parts].map(async (part, index) => send(`stream-${index}`, part));
+		await sleep((crashAfter * eventMs) - 400);
+		if (hasTrouble) {
+			await restarted.end();
+			await sleep(downMs);
+			await restarted.startAgain({version: 'v2', reportAfterMs});
+			record.add(`${restarted.id}, which runs nothing, ends and starts again with software v2; its first liveness report follows ${reportAfterMs} ms later`);
+			await sleep(400 - downMs);
+			record.add(`${crashing.id} crashes`);
+			await crashing.end();
+		}
+
+		let mixed = 0;
+		const answers = await Promise.all(calls);
 		for (const [index, {status, text}] of answers.entries()) {
-			const ids = [...text.matchAll(/^id: (\d+)$/gmv)].map(match => match[1]);
-			record.add(`stream-${index} is answered with ${status} and events ${ids.join(' ')}`);
+			const versions = [...new Set([...text.matchAll(/ of (v\d)$/gmv)].map(match => match[1]))];
+			mixed += versions.length > 1 ? 1 : 0;
+			record.add(`stream-${index} is answered with ${status} and ${text.split('\n\n').length - 1} events of ${versions.join(' and ')}`);
 		}
 
-		await sleep(boundMs);
-		return runs.flatMap(next => runs
-			.filter(before => before.id === next.id && before.engine !== next.engine && before.startedAt < next.startedAt && next.after > 0)
-			.map(before => ({before, overlapMs: Math.round((before.endedAt ?? performance.now()) - next.startedAt)}))
-			.filter(({overlapMs}) => overlapMs > boundMs)
-			.map(({before, overlapMs}) => `${next.id} went on at ${next.engine} while ${before.engine} still worked on it for ${overlapMs} ms`));
+		return mixed > allowed ? [`${mixed} streams hold events of engines of two software versions in one answer`] : [];
 	},
 });
--- a/review/support-2/deployment.js
+++ b/review/support-2/deployment.js
@@ -44,12 +44,32 @@
 		this.entries = entryZones.map((zone, index) => this.#createMachine('entry', zone, index + 1));
 	}
 
-	/** Starts all processes, puts a configuration in force and starts engines. */
-	async start({configuration, engines}) {
+	/** Starts all processes for the first time. */
+	launchAll() {
 		for (const machine of [...this.controls, ...this.entries]) {
 			this.launch(machine, {firstStart: true});
 		}
+	}
+
+	/** Kills the process of a machine, as at a loss of power. */
+	async kill(machine) {
+		const {child} = machine;
+		machine.isEndWanted = true;
+		const ended = new Promise(resolve => {
+			child.once('exit', resolve);
+		});
+		child.kill('SIGKILL');
+		await ended;
+	}
+
+	/** Removes what is on the disk of a machine that doesn't run. */
+	loseDisk({content}) {
+		rmSync(content.dataFolder, {recursive: true, force: true});
+	}
 
+	/** Starts all processes, puts a configuration in force and starts engines. */
+	async start({configuration, engines}) {
+		this.launchAll();
 		await this.waitFor('an accepted configuration', async () => {
 			const {status} = await this.putConfiguration(configuration);
 			return status === 200;
--- a/review/support-2/engine.js
+++ b/review/support-2/engine.js
@@ -15,6 +15,9 @@
 	#born = Date.now();
 	#timer;
 	#control = 0;
+	/** Version of the engine's software. */
+	#version = 'v1';
+	#sockets = new Set();
 
 	/** @param options - `id`, `host`, `port`, `service`, `zone`, `slots`, `controls` (host and port of each), `heartbeatMs` and `run(req, res, body, engine)`. */
 	constructor(options) {
@@ -25,6 +28,10 @@
 		this.#server.on('clientError', (error, socket) => {
 			socket.destroy();
 		});
+		this.#server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.on('close', () => this.#sockets.delete(socket));
+		});
 	}
 
 	get zone() {
@@ -35,13 +42,42 @@
 		return this.#options.id;
 	}
 
+	get version() {
+		return this.#version;
+	}
+
 	async start() {
-		const {host, port, heartbeatMs} = this.#options;
+		await this.#listen();
+		await this.#report();
+		this.#reportSteadily();
+	}
+
+	/** Ends the process: what it runs is broken off by a reset, and channels on which nothing runs are closed, as the kernel does for a process that is killed. */
+	async end() {
+		clearInterval(this.#timer);
+		for (const socket of this.#sockets) {
+			if (this.#running.has(socket)) {
+				socket.resetAndDestroy();
+			} else {
+				socket.destroy();
+			}
+		}
+
 		await new Promise(resolve => {
-			this.#server.listen({host, port, backlog: 1024}, resolve);
+			this.#server.close(resolve);
 		});
-		await this.#report();
-		this.#timer = setInterval(async () => this.#report(), heartbeatMs);
+	}
+
+	/** Starts again under the same identifier and at the same address, and reports itself `reportAfterMs` later. */
+	async startAgain({version, reportAfterMs}) {
+		this.#version = version;
+		this.#born = Date.now();
+		this.#sequence = 0;
+		await this.#listen();
+		this.#timer = setTimeout(async () => {
+			await this.#report();
+			this.#reportSteadily();
+		}, reportAfterMs);
 	}
 
 	async stop() {
@@ -59,7 +95,22 @@
 		};
 	}
 
+	#running = new Set();
+
+	async #listen() {
+		const {host, port} = this.#options;
+		await new Promise(resolve => {
+			this.#server.listen({host, port, backlog: 1024}, resolve);
+		});
+	}
+
+	#reportSteadily() {
+		this.#timer = setInterval(async () => this.#report(), this.#options.heartbeatMs);
+	}
+
 	async #handle(req, res) {
+		this.#running.add(req.socket);
+		res.on('close', () => this.#running.delete(req.socket));
 		const chunks = [];
 		try {
 			for await (const chunk of req) {
@@ -83,7 +134,7 @@
 		const {id, host, port, service, zone, slots, controls} = this.#options;
 		this.#sequence += 1;
 		const body = JSON.stringify({
-			service, address: `${host}:${port}`, zone, version: 'v1', slots, state: 'ready', 'cold-remaining-ms': 0, born: this.#born, sequence: this.#sequence,
+			service, address: `${host}:${port}`, zone, version: this.#version, slots, state: 'ready', 'cold-remaining-ms': 0, born: this.#born, sequence: this.#sequence,
 		});
 		for (let tried = 0; tried < controls.length; tried++) {
 			const {status} = await this.#options.call({ // eslint-disable-line no-await-in-loop
