test: isolated tests run one at a time, after all others

Tests that measure the memory and descriptors of processes shared the machine with up to three other files, so that a peak could be another file's work. `npm test` now runs AVA twice: all other tests, then test/isolated with one file and one test at a time. The verdict judges both TAP documents together; each has to be whole.

--- a/ava.config.js
+++ b/ava.config.js
@@ -4,7 +4,7 @@
 const concurrency = Math.max(1, Math.floor(os.availableParallelism() / 2));
 
 const config = {
-	files: ['test/**/*.test.ts'],
+	files: ['test/**/*.test.ts', '!test/isolated/**'],
 	extensions: {ts: 'module'},
 	nodeArguments: ['--import=tsx'],
 	workerThreads: false,
--- a/scripts/verdict/tap-run.ts
+++ b/scripts/verdict/tap-run.ts
@@ -24,7 +24,7 @@
 		];
 	}
 
-	count(outcome: TestResult['outcome']): number {
+	#count(outcome: TestResult['outcome']): number {
 		return this.results.filter(result => result.outcome === outcome).length;
 	}
 
@@ -34,9 +34,9 @@
 	}
 
 	#compare({tests, pass, skip = '0', fail}: Readonly<Record<string, string | undefined>>): string[] {
-		const errors = Number(fail) - this.count('to do') - (Number(tests) - Number(pass) - Number(skip));
+		const errors = Number(fail) - this.#count('to do') - (Number(tests) - Number(pass) - Number(skip));
 		const counted = `${pass} passed, ${fail} failed and ${skip} skipped`;
-		const named = `${this.count('passed')} passed, ${this.count('failed') + this.count('to do')} failed and ${this.count('skipped')} skipped`;
+		const named = `${this.#count('passed')} passed, ${this.#count('failed') + this.#count('to do')} failed and ${this.#count('skipped')} skipped`;
 		return [
 			...(this.results.length === 0 || Number(tests) === 0 ? ['The run executed no test.'] : []),
 			...(counted === named ? [] : [`The output of the tests counts ${counted} tests, but names ${named}.`]),
--- a/test/ci/verdict.test.ts
+++ b/test/ci/verdict.test.ts
@@ -56,6 +56,15 @@
 	t.false(passed);
 });
 
+test('the runs of AVA are judged together: each has to be whole, and a listed test may be in any', t => {
+	const first = tap({passed: ['a'], failed: ['b']});
+	const second = tap({passed: ['c', 'd']});
+	t.deepEqual(judge({output: first + second, exitCode: 1, list: listOf('b')}), {lines: ['known red: b', 'known red: 1 of 1 listed tests failed, 0 passed', '3 passed, 1 failed'], passed: true});
+	t.false(judge({output: first + second, exitCode: 1}).passed);
+	t.false(judge({output: tap({passed: ['a']}) + second.slice(0, -20), exitCode: 0}).passed);
+	t.false(judge({output: tap({passed: ['a']}).slice(0, -20) + second, exitCode: 0}).passed);
+});
+
 test('a run passes only over the tests that the list names in full', t => {
 	t.true(judge({passed: ['a'], failed: ['b: "c"'], list: listOf('b: "c"')}).passed);
 	t.false(judge({passed: ['b'], failed: ['b: "c"'], list: listOf('b')}).passed);
--- a/xo.config.js
+++ b/xo.config.js
@@ -39,6 +39,14 @@
 	},
 };
 
+const isolatedTests = {
+	files: ['test/isolated/**/*.ts'],
+	rules: {
+		// The rule reads ava.config.js only; these are run with isolated.config.js.
+		'ava/no-ignored-test-files': ['error', {files: ['test/isolated/**/*.test.ts']}],
+	},
+};
+
 /** @type {import('xo').FlatXoConfig} */
 const config = [
 	{ignores: ['src/gen/**', 'dist/**']},
@@ -70,6 +78,7 @@
 	core,
 	product,
 	platform,
+	isolatedTests,
 ];
 
 export default config;
