fix(edge): prompts of many small parts no longer end an entry out of memory

Cause: PrefixCacheEstimate remembered each part until the tokens of all exceeded the engine's KV cache: a bound in tokens, not in entries or bytes.

StateMemory is the owner, in bytes, of state that outlives a request and whose keys clients choose. Each kind needs a share there; CountedMap keeps such state and can't be made without a budget. The estimate forgets its oldest parts, of the engine with most.

--- a/bench/edge-region.ts
+++ b/bench/edge-region.ts
@@ -10,6 +10,7 @@
 import type {AttemptNumber} from '../src/core/ids/attempt-number.ts';
 import type {NodeId} from '../src/core/ids/node-id.ts';
 import type {RequestId} from '../src/core/ids/request-id.ts';
+import type {PromptPartId} from '../src/core/ids/prompt-part-id.ts';
 import {toId} from '../src/core/ids/to-id.ts';
 import {choosePlacers} from '../src/core/registry/choose-placers.ts';
 import type {RegionLoad} from '../src/core/registry/region-load.ts';
@@ -197,9 +198,9 @@
 		const [first, second] = long ? [512, 4870] : [341, 227];
 		const [firstPartCount, secondPartCount] = long ? [3, 558] : [16, 3236];
 		const parts = [
-			{id: `${long}-a${Math.floor(this.#random.next() * firstPartCount)}`, tokens: first},
-			{id: `${long}-b${Math.floor((this.#random.next() ** 1.4) * secondPartCount)}`, tokens: second},
-			{id: requestId, tokens: unshared},
+			{id: toId<PromptPartId>(`${long}-a${Math.floor(this.#random.next() * firstPartCount)}`), tokens: first},
+			{id: toId<PromptPartId>(`${long}-b${Math.floor((this.#random.next() ** 1.4) * secondPartCount)}`), tokens: second},
+			{id: toId<PromptPartId>(requestId), tokens: unshared},
 		];
 		return {parts, promptTokens: first + second + unshared, outputTokens: long ? 380 : 23};
 	}
--- a/src/core/edge/edge-core-options.ts
+++ b/src/core/edge/edge-core-options.ts
@@ -4,6 +4,7 @@
 import type {NodeId} from '../ids/node-id.ts';
 import type {Region} from '../ids/region.ts';
 import type {Zone} from '../ids/zone.ts';
+import type {StateMemory} from '../memory/state-memory.ts';
 import type {ParseDocument} from '../routes/parse-document.ts';
 
 /** Options of an entry's core. */
@@ -26,6 +27,8 @@
 	readonly maxTargetPauseMs?: number;
 	/** Tolerance of the organisations' quotas; without it they are not enforced. */
 	readonly quotas?: QuotaBounds;
+	/** Owner of the state that is kept for callers. @default one with the default bounds */
+	readonly state?: StateMemory;
 	readonly parseDocument: ParseDocument;
 	readonly random: Random;
 };
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -5,6 +5,7 @@
 import type {ControlMessage} from '../control/control-message.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
+import {StateMemory} from '../memory/state-memory.ts';
 import {QuotaGate} from '../organisations/quota/quota-gate.ts';
 import type {PeerMessage} from '../peer-message.ts';
 import type {EntryStatus} from '../registry/entry-status.ts';
@@ -69,10 +70,10 @@
 
 	constructor(options: EdgeCoreOptions) {
 		this.#options = options;
-		const {self, seeds, repeats, random, reportEveryMs = defaultReportEveryMs, maxTargetPauseMs, quotas} = options;
+		const {self, seeds, repeats, random, reportEveryMs = defaultReportEveryMs, maxTargetPauseMs, quotas, state = new StateMemory()} = options;
 		this.#queue = new ActionQueue(self.nodeId);
 		this.#quotas = quotas && new QuotaGate({bounds: quotas, run: Math.floor(random.next() * Number.MAX_SAFE_INTEGER), random});
-		this.#pool = new TargetPool(self.nodeId, {maxPauseMs: maxTargetPauseMs, costs: this.#costs});
+		this.#pool = new TargetPool(self.nodeId, {maxPauseMs: maxTargetPauseMs, costs: this.#costs, state});
 		this.#regions = new RegionSelector(self, {costs: this.#costs});
 		this.#follower = new ControlFollower({
 			self,
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -3,6 +3,7 @@
 import {SlowdownFilter} from '../cost/slowdown-filter.ts';
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
+import {StateMemory} from '../memory/state-memory.ts';
 import type {ListedTarget} from '../registry/listed-target.ts';
 import {Reachability} from '../targets/reachability.ts';
 import {TargetSuspension} from '../targets/target-suspension.ts';
@@ -44,12 +45,12 @@
 	readonly share: LimitShare;
 };
 
-type PooledTargetOptions = {readonly phase: number; readonly maxPauseMs?: number; readonly suspension?: TargetSuspension; readonly costs?: ServiceCosts};
+type PooledTargetOptions = {readonly phase: number; readonly maxPauseMs?: number; readonly suspension?: TargetSuspension; readonly costs?: ServiceCosts; readonly state?: StateMemory};
 
 /** A target of this entry's region: its listing by control, this entry's attempts there, and estimates of its speed and load. */
 export class PooledTarget {
 	readonly attempts = new Map<AttemptNumber, PooledAttempt>();
-	readonly prefixCache = new PrefixCacheEstimate();
+	readonly prefixCache: PrefixCacheEstimate;
 	/** Costs of its service, whose times are the priors of its own. */
 	readonly costs: ServiceCosts;
 	readonly #prefill: LearnedTime;
@@ -77,9 +78,10 @@
 	#othersLoad = {count: 0, waiting: 0, at: Number.NEGATIVE_INFINITY};
 	#slowdown = new SlowdownFilter();
 
-	/** @param options - `phase`: see `LimitShare`; `suspension`: what is known of this incarnation from before it was listed; `costs`: those of its service. */
-	constructor(listed: ListedTarget, {phase, maxPauseMs, suspension, costs = new ServiceCosts()}: PooledTargetOptions, now: Millis) {
+	/** @param options - `phase`: see `LimitShare`; `suspension`: what is known of this incarnation from before it was listed; `costs`: those of its service; `state`: owner of what it keeps for callers. */
+	constructor(listed: ListedTarget, {phase, maxPauseMs, suspension, costs = new ServiceCosts(), state = new StateMemory()}: PooledTargetOptions, now: Millis) {
 		this.costs = costs;
+		this.prefixCache = new PrefixCacheEstimate(state.budget('prompt-parts'));
 		this.#prefill = new LearnedTime({weight: timeWeight, priorFactor, prior: slowdown => costs.prefillMs.at(slowdown)});
 		this.#call = new LearnedTime({weight: timeWeight, priorFactor, prior: slowdown => costs.callMs.at(slowdown)});
 		this.#event = new LearnedTime({weight: timeWeight, priorFactor, prior: slowdown => costs.eventMs.at(slowdown)});
--- a/src/core/edge/prefix-cache-estimate.ts
+++ b/src/core/edge/prefix-cache-estimate.ts
@@ -1,13 +1,26 @@
+import type {PromptPartId} from '../ids/prompt-part-id.ts';
+import {CountedMap} from '../memory/counted-map.ts';
+import type {StateBudget} from '../memory/state-budget.ts';
 import type {Prompt} from './prompt.ts';
 
 /**
  * Estimates which prompt parts an engine has in its KV cache, from the requests sent to it. The least recently used
- * parts are dropped when their tokens exceed the engine's capacity.
+ * parts are dropped when their tokens exceed the engine's capacity, or the estimates of all engines their memory.
  */
 export class PrefixCacheEstimate {
-	readonly #tokens = new Map<string, number>();
+	readonly #tokens: CountedMap<PromptPartId, number>;
 	#totalTokens = 0;
 
+	constructor(budget: StateBudget) {
+		this.#tokens = new CountedMap({
+			budget,
+			whenFull: 'forget',
+			onForgotten: tokens => {
+				this.#totalTokens -= tokens;
+			},
+		});
+	}
+
 	/** Tokens at the start of a prompt that are expected to be cached. */
 	cachedTokens({parts}: Prompt): number {
 		let cached = 0;
@@ -26,7 +39,6 @@
 	recordUse({parts}: Prompt, capacity: number): void {
 		for (const {id, tokens} of parts) {
 			this.#totalTokens += tokens - (this.#tokens.get(id) ?? 0);
-			this.#tokens.delete(id);
 			this.#tokens.set(id, tokens);
 		}
 
--- a/src/core/edge/target-pool.ts
+++ b/src/core/edge/target-pool.ts
@@ -5,6 +5,7 @@
 import type {ServiceName} from '../ids/service-name.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Zone} from '../ids/zone.ts';
+import {StateMemory} from '../memory/state-memory.ts';
 import type {ListedTarget} from '../registry/listed-target.ts';
 import {TargetSuspension} from '../targets/target-suspension.ts';
 import type {LeavingTarget} from './leaving-target.ts';
@@ -30,13 +31,15 @@
 	readonly #unlisted = new Map<TargetId, UnlistedTarget>();
 	readonly #self: NodeId;
 	readonly #maxPauseMs: number | undefined;
+	readonly #state: StateMemory;
 	#evacuated: ReadonlySet<Zone> = new Set();
 
-	/** @param self - this entry; entries differ in their phases of a target's limit. `maxPauseMs`: longest pause that a target may ask for; `costs`: those of its services. */
-	constructor(self: NodeId, {maxPauseMs, costs = new CostBook()}: {maxPauseMs?: number; costs?: CostBook} = {}) {
+	/** @param self - this entry; entries differ in their phases of a target's limit. `maxPauseMs`: longest pause that a target may ask for; `costs`: those of its services; `state`: owner of what is kept for callers. */
+	constructor(self: NodeId, {maxPauseMs, costs = new CostBook(), state = new StateMemory()}: {maxPauseMs?: number; costs?: CostBook; state?: StateMemory} = {}) {
 		this.costs = costs;
 		this.#self = self;
 		this.#maxPauseMs = maxPauseMs;
+		this.#state = state;
 	}
 
 	/** Takes listings of control. If `whole`, they are the complete list, and other targets are removed once they have no attempts; so are targets that have been gone for long. */
@@ -168,6 +171,7 @@
 	#remove(target: PooledTarget, now: Millis): void {
 		const {listed: {targetId, born}, suspension} = target;
 		this.#targets.delete(targetId);
+		target.prefixCache.clear();
 		this.#sorted.clear();
 		if (suspension.remainingMs(now) > 0) {
 			this.#unlisted.set(targetId, {born, suspension, removedAt: now});
@@ -198,7 +202,11 @@
 
 		if (known === undefined) {
 			const target = new PooledTarget(listed, {
-				phase: hash32(`${this.#self}:${listed.targetId}`) / (2 ** 32), maxPauseMs: this.#maxPauseMs, suspension: this.#takeUnlisted(listed), costs: this.costs.of(listed.service),
+				phase: hash32(`${this.#self}:${listed.targetId}`) / (2 ** 32),
+				maxPauseMs: this.#maxPauseMs,
+				suspension: this.#takeUnlisted(listed),
+				costs: this.costs.of(listed.service),
+				state: this.#state,
 			}, now);
 			// A brittle target that fell over is back as another one, and has not answered yet.
 			const brittle = this.#targetsOf(listed.service).find(({rejectionsPerSecond}) => rejectionsPerSecond !== undefined);
--- a/src/server/process-memory.ts
+++ b/src/server/process-memory.ts
@@ -1,5 +1,7 @@
+import {getHeapStatistics} from 'node:v8';
 import {HeldBodies} from '../core/memory/held-bodies.ts';
 import {HeldBytes} from '../core/memory/held-bytes.ts';
+import {StateMemory} from '../core/memory/state-memory.ts';
 import {constants} from '../settings/constants.ts';
 import type {BodyHold} from './body-hold.ts';
 import type {MemoryHold} from './memory-hold.ts';
@@ -8,11 +10,13 @@
 type ProcessMemoryOptions = {
 	/** Memory that the process may use, in MB; the bounds are proportional to it. @default constants.defaultMemoryMb */
 	readonly memoryMb?: number;
+	/** Limit of the JavaScript heap, in bytes; the bounds of what lies there are proportional to it, if that is less. @default that of this process */
+	readonly heapBytes?: number;
 	/** Called with each client that is turned away to protect the process. */
 	readonly onTurnedAway?: (kind: TurnedAway) => void;
 };
 
-/** Bounds on what a process holds of all its requests together. */
+/** Bounds on what a process holds of all its requests together, and on the state that it keeps for clients. */
 export class ProcessMemory {
 	/** Bodies of requests, from their first byte until the request has ended. */
 	readonly bodies: HeldBodies<BodyHold>;
@@ -22,14 +26,17 @@
 	readonly answers: HeldBytes<MemoryHold>;
 	/** Whole answers that their callers have not read yet. */
 	readonly unread: HeldBytes<MemoryHold>;
+	/** What is kept beyond the requests, by ids that clients choose. */
+	readonly state: StateMemory;
 	readonly turnedAway: (kind: TurnedAway) => void;
 
-	constructor({memoryMb = constants.defaultMemoryMb, onTurnedAway = () => undefined}: ProcessMemoryOptions = {}) {
+	constructor({memoryMb = constants.defaultMemoryMb, heapBytes = getHeapStatistics().heap_size_limit, onTurnedAway = () => undefined}: ProcessMemoryOptions = {}) {
 		const share = memoryMb / constants.defaultMemoryMb;
 		this.bodies = new HeldBodies({maxBytes: share * constants.maxHeldBodyBytes});
 		this.heads = new HeldBytes(share * constants.maxHeldHeadBytes);
 		this.answers = new HeldBytes(share * constants.maxHeldAnswerBytes);
 		this.unread = new HeldBytes(share * constants.maxUnreadAnswerBytes);
+		this.state = new StateMemory(Math.min(share, heapBytes / constants.defaultHeapBytes) * constants.maxStateBytes);
 		this.turnedAway = onTurnedAway;
 	}
 }
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -4,6 +4,7 @@
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
 import type {RequestId} from '../../core/ids/request-id.ts';
 import {toId} from '../../core/ids/to-id.ts';
+import {StateMemory} from '../../core/memory/state-memory.ts';
 import type {SharedAction} from '../../core/shared-action.ts';
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
 import {ProcessMemory} from '../process-memory.ts';
@@ -52,6 +53,12 @@
 		const {settings, adapter, log} = options;
 		this.#options = options;
 		const {nodeId, region, zone, listen, seeds, repeats, cores, reportEveryMs, maxTargetPauseMs, quotas} = settings;
+		this.#memory = new ProcessMemory({
+			memoryMb: settings.memoryMb,
+			onTurnedAway: kind => {
+				this.#host.metrics.count('clients_turned_away', kind);
+			},
+		});
 		this.#core = new EdgeCore({
 			self: {
 				nodeId,
@@ -66,6 +73,7 @@
 			reportEveryMs,
 			maxTargetPauseMs,
 			quotas,
+			state: this.#memory.state,
 			parseDocument: adapter.control.parseDocument,
 			random: new SystemSeededRandom(),
 		});
@@ -80,12 +88,6 @@
 		const {
 			step, now, metrics, logHandlerError: onError,
 		} = this.#host;
-		this.#memory = new ProcessMemory({
-			memoryMb: settings.memoryMb,
-			onTurnedAway(kind) {
-				metrics.count('clients_turned_away', kind);
-			},
-		});
 		const sharedOptions = {
 			codec: adapter.requests, memory: this.#memory, exchanges: this.#exchanges, step, now, onError, leaving: () => this.#core.leaving,
 		};
@@ -103,6 +105,10 @@
 			metrics.gauge(`held_${kind}_bytes`, () => this.#memory[kind].bytes);
 		}
 
+		for (const kind of StateMemory.kinds) {
+			metrics.gauge(`state_${kind.replaceAll('-', '_')}_bytes`, () => this.#memory.state.budget(kind).bytes);
+		}
+
 		metrics.gauge('document_version', () => this.#core.documentVersion ?? 0);
 		metrics.gauge('control_silent_ms', () => this.#core.status(now()).controlSilentMs);
 		metrics.gauge('control_outdated_ms', () => this.#core.status(now()).controlOutdatedMs);
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -24,6 +24,10 @@
 	maxCollectedStreamBytes: 16_777_216,
 	/** Memory that a process may use unless its settings say otherwise, in MB: the smallest VM of the known deployments. The bounds on what a process holds of its requests apply to this size and are scaled to others. */
 	defaultMemoryMb: 210,
+	/** Limit of the JavaScript heap to which the bounds on what lies there apply, in bytes; they are scaled to smaller heaps. */
+	defaultHeapBytes: 251_658_240,
+	/** Largest total size of the state that is kept for clients beyond their requests, in bytes. */
+	maxStateBytes: 50_331_648,
 	/** Largest total size of the bodies of all requests in progress, in bytes. */
 	maxHeldBodyBytes: 33_554_432,
 	/** Largest total size of the heads that are not whole and of what is read and not parsed yet, over all connections, in bytes; a head in progress has at most 64 KB. */
--- a/test/core/edge/crashing-prompt-part.test.ts
+++ b/test/core/edge/crashing-prompt-part.test.ts
@@ -4,6 +4,7 @@
 import type {SimulatedRequest} from '../../fixtures/simulated-request.ts';
 import {SimulatedDeployment} from '../../fixtures/simulated-deployment.ts';
 import type {SimulatedTarget} from '../../fixtures/simulated-target.ts';
+import {promptPart} from '../../fixtures/prompt-part.ts';
 
 const fatalPart = 'fatal';
 /** Time after the fifth crash from which on requests with the part may reach targets three times more, in milliseconds. */
@@ -26,7 +27,7 @@
 
 function makeRequest(shared: readonly string[], number: number): SimulatedRequest {
 	return {
-		prompt: {parts: [...shared.map(id => ({id, tokens: 300})), {id: `own-${number}`, tokens: 500}], promptTokens: 1100, outputTokens: 24},
+		prompt: {parts: [...shared.map(id => promptPart(id, 300)), promptPart(`own-${number}`, 500)], promptTokens: 1100, outputTokens: 24},
 	};
 }
 
--- a/test/core/edge/crashing-request.test.ts
+++ b/test/core/edge/crashing-request.test.ts
@@ -4,6 +4,7 @@
 import type {SimulatedCall} from '../../fixtures/simulated-call.ts';
 import {SimulatedDeployment} from '../../fixtures/simulated-deployment.ts';
 import type {SimulatedRequest} from '../../fixtures/simulated-request.ts';
+import {promptPart} from '../../fixtures/prompt-part.ts';
 
 const fatalContent = 'fatal';
 /** Time after the third crash from which on the request may reach targets three times more, in milliseconds. */
@@ -28,7 +29,7 @@
 /** A prompt whose parts but the last many have. */
 function makePrompt(random: Random, number: number): SimulatedRequest['prompt'] {
 	return {
-		parts: [{id: `first-${Math.floor(random.next() * 4)}`, tokens: 300}, {id: `own-${number}`, tokens: 500}], promptTokens: 800, outputTokens: 24,
+		parts: [promptPart(`first-${Math.floor(random.next() * 4)}`, 300), promptPart(`own-${number}`, 500)], promptTokens: 800, outputTokens: 24,
 	};
 }
 
--- a/test/core/edge/failing-targets.test.ts
+++ b/test/core/edge/failing-targets.test.ts
@@ -4,6 +4,7 @@
 import {EdgeHarness} from '../../fixtures/edge-harness.ts';
 import {listedTargetFixture} from '../../fixtures/listed-target-fixture.ts';
 import {routesDocumentFixture} from '../../fixtures/routes-document-fixture.ts';
+import {promptPart} from '../../fixtures/prompt-part.ts';
 
 const names = ['a', 'b', 'c', 'd'];
 const failing = 'a';
@@ -12,7 +13,7 @@
 const mostFailures = 0.4;
 const answerMs = 40;
 const intervalMs = 50;
-const prompt = {parts: [{id: 'own', tokens: 800}], promptTokens: 800, outputTokens: 8};
+const prompt = {parts: [promptPart('own', 800)], promptTokens: 800, outputTokens: 8};
 
 type Traffic = {readonly title: string; readonly route: Partial<RouteRule>; readonly hasPrompt: boolean};
 
--- a/test/core/edge/placers.test.ts
+++ b/test/core/edge/placers.test.ts
@@ -7,6 +7,7 @@
 import {EdgeHarness} from '../../fixtures/edge-harness.ts';
 import {listedTargetFixture} from '../../fixtures/listed-target-fixture.ts';
 import {routesDocumentFixture} from '../../fixtures/routes-document-fixture.ts';
+import {promptPart} from '../../fixtures/prompt-part.ts';
 
 /** Address at which the harness's entry takes forwarded requests. */
 const self = '10.1.0.9:7101';
@@ -25,7 +26,7 @@
 	...overrides,
 });
 
-const promptOf = (part: string) => ({parts: [{id: part, tokens: 500}, {id: `${part}-own`, tokens: 1500}], promptTokens: 2000, outputTokens: 80});
+const promptOf = (part: string) => ({parts: [promptPart(part, 500), promptPart(`${part}-own`, 1500)], promptTokens: 2000, outputTokens: 80});
 
 function harnessIn(regions: readonly RegionLoad[], {engine = true, homes = [] as readonly Region[]} = {}): EdgeHarness {
 	const harness = new EdgeHarness({document: routesDocumentFixture({route: {kind: engine ? 'stream' : 'safe', resumable: true, homes}, engine})});
--- a/test/core/edge/target-limit.test.ts
+++ b/test/core/edge/target-limit.test.ts
@@ -2,6 +2,7 @@
 import type {Random} from '../../../src/core/common/random.ts';
 import {SimulatedDeployment} from '../../fixtures/simulated-deployment.ts';
 import type {SimulatedRequest} from '../../fixtures/simulated-request.ts';
+import {promptPart} from '../../fixtures/prompt-part.ts';
 
 /** Bound on the requests in any window: this share of what the limit allows, and some more. */
 const windowMs = 4000;
@@ -16,7 +17,7 @@
 
 function makeRequest(random: Random, number: number): SimulatedRequest {
 	return {
-		prompt: {parts: [{id: `first-${Math.floor(random.next() * 40)}`, tokens: 300}, {id: `own-${number}`, tokens: 500}], promptTokens: 800, outputTokens: 24},
+		prompt: {parts: [promptPart(`first-${Math.floor(random.next() * 40)}`, 300), promptPart(`own-${number}`, 500)], promptTokens: 800, outputTokens: 24},
 	};
 }
 
