fix(control): streams with long ids no longer end control nodes and entries

Cause: BegunStreams kept each id whole for 30 s, at the entry and at the control node that it follows; neither the ids nor their number were bounded. What an entry could not report, as no control node was reached, was kept without end.

An id is bounded where a request's head is read: itself up to 64 characters, else its digest (CallerKey). What is remembered is counted by StateMemory. An origin that others rely on gives way nowhere while a caller can come back for it: at the bound an entry refuses new streams as not run. A control node, which hears of streams only after they began, forgets the oldest; such a stream goes on only if its service has had one software version, as for any stream that nobody knows. Reports are cut into messages of 1,000 streams.

Core tests hold the bounds and the refusals.

--- a/bench/edge-region.ts
+++ b/bench/edge-region.ts
@@ -163,7 +163,7 @@
 			type: 'request',
 			req: {
 				requestId,
-				callerKey: requestId,
+				callerKey: toId(requestId),
 				host: 'prairie.example',
 				path: long ? '/long/1' : '/short/1',
 				fingerprint: toId(requestId),
--- a/src/core/control/control-core-options.ts
+++ b/src/core/control/control-core-options.ts
@@ -5,6 +5,7 @@
 import type {Region} from '../ids/region.ts';
 import type {StorageId} from '../ids/storage-id.ts';
 import type {Zone} from '../ids/zone.ts';
+import type {StateMemory} from '../memory/state-memory.ts';
 import type {ParseDocument} from '../routes/parse-document.ts';
 
 /** Dependencies and settings of a control node's core. */
@@ -19,6 +20,8 @@
 	readonly toleratedLosses: number;
 	/** Interval of a target's reports, in milliseconds. */
 	readonly reportEveryMs: number;
+	/** Owner of the state that is kept for clients. @default one with the default bounds */
+	readonly state?: StateMemory;
 	readonly parseDocument: ParseDocument;
 	readonly random: Random;
 	/** Time at which the process started, on the clock of the steps. @default the first step */
--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -9,6 +9,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {Zone} from '../ids/zone.ts';
+import {StateMemory} from '../memory/state-memory.ts';
 import {QuotaSums} from '../organisations/quota/quota-sums.ts';
 import type {PeerMessage} from '../peer-message.ts';
 import type {CallerLocation} from '../registry/caller-location.ts';
@@ -68,7 +69,7 @@
 
 	constructor(options: ControlCoreOptions) {
 		this.#options = options;
-		const {self, seeds, firstStart, zones, toleratedLosses, reportEveryMs, random, epoch, storage} = options;
+		const {self, seeds, firstStart, zones, toleratedLosses, reportEveryMs, random, epoch, storage, state = new StateMemory()} = options;
 		this.#queue = new ActionQueue(self.nodeId);
 		const outbox = this.#queue;
 		this.#consensus = new RaftMember({
@@ -114,6 +115,7 @@
 		});
 		this.#streamOrigins = new StreamOriginAnswerer({
 			registry: this.#registry,
+			state,
 			outbox,
 			isNewDeployment: firstStart && storage.consensus.records.length === 0,
 			isCurrent: now => this.#isCurrent(now),
--- a/src/core/control/control-message.ts
+++ b/src/core/control/control-message.ts
@@ -1,3 +1,4 @@
+import type {CallerKey} from '../ids/caller-key.ts';
 import type {CrashId} from '../ids/crash-id.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {Region} from '../ids/region.ts';
@@ -86,9 +87,9 @@
 		readonly missing: readonly TargetId[];
 	}
 	/** Streams that began at an entry: the caller's id of the request that brought the first event, the service and the software version of the target. */
-	| {readonly type: 'streams-begun'; readonly streams: ReadonlyArray<readonly [callerKey: string, service: ServiceName, softwareVersion: SoftwareVersion]>}
+	| {readonly type: 'streams-begun'; readonly streams: ReadonlyArray<readonly [callerKey: CallerKey, service: ServiceName, softwareVersion: SoftwareVersion]>}
 	/** An entry asks where a stream began that a request takes up; `service` is set if it can be only this one. */
-	| {readonly type: 'find-stream'; readonly requestId: RequestId; readonly callerKey: string; readonly service?: ServiceName}
+	| {readonly type: 'find-stream'; readonly requestId: RequestId; readonly callerKey: CallerKey; readonly service?: ServiceName}
 	/** `stream` is where it began, if the sender was told; otherwise `soleVersion` is set if the sender knows that it can't have begun elsewhere. `versions` are those that the service has or had lately, as far as the sender knows; absent from builds that don't send them. */
 	| {readonly type: 'stream-found'; readonly requestId: RequestId; readonly stream?: BegunStream; readonly soleVersion?: BegunStream; readonly versions?: readonly SoftwareVersion[]}
 	/** What an entry saw of crashes: what broke off with targets, and blamed traits with which requests were answered in full since. */
--- a/src/core/control/stream-origin-answerer.ts
+++ b/src/core/control/stream-origin-answerer.ts
@@ -2,6 +2,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {ServiceName} from '../ids/service-name.ts';
+import type {StateMemory} from '../memory/state-memory.ts';
 import type {TargetRegistry} from '../registry/target-registry.ts';
 import type {BegunStream} from './begun-stream.ts';
 import {BegunStreams} from './begun-streams.ts';
@@ -10,6 +11,8 @@
 
 type AnswererOptions = {
 	readonly registry: TargetRegistry;
+	/** Owner of what is kept for callers. */
+	readonly state: StateMemory;
 	readonly outbox: Outbox;
 	/** True if the whole deployment starts for the first time, so that no stream can have begun before. */
 	readonly isNewDeployment: boolean;
@@ -23,11 +26,13 @@
  */
 export class StreamOriginAnswerer {
 	readonly #options: AnswererOptions;
-	readonly #streams = new BegunStreams();
+	readonly #streams: BegunStreams;
 	#startedAt: Millis | undefined;
 
 	constructor(options: AnswererOptions) {
 		this.#options = options;
+		// Without its origin a stream is taken up only if its service has had no other software version; the oldest have most likely ended.
+		this.#streams = new BegunStreams({budget: options.state.budget('stream-origins'), whenFull: 'forget'});
 	}
 
 	handleBegun({streams}: ControlMessage & {type: 'streams-begun'}, now: Millis): void {
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -86,7 +86,7 @@
 		});
 		this.#budget = new WindowedRetryBudget(repeats);
 		this.#origins = new StreamOrigins({
-			queue: this.#queue, versions: this.#versions, primary: () => this.#follower.primary, controlNodes: () => this.#follower.nodes,
+			queue: this.#queue, state, versions: this.#versions, primary: () => this.#follower.primary, controlNodes: () => this.#follower.nodes,
 		});
 		this.#containment = new CrashContainment({
 			queue: this.#queue, primary: () => this.#follower.primary, targetCount: () => this.#pool.listings().length,
--- a/src/core/edge/edge-request.ts
+++ b/src/core/edge/edge-request.ts
@@ -1,4 +1,5 @@
 import type {BegunStream} from '../control/begun-stream.ts';
+import type {CallerKey} from '../ids/caller-key.ts';
 import type {ContentFingerprint} from '../ids/content-fingerprint.ts';
 import type {KeyDigest} from '../ids/key-digest.ts';
 import type {Millis} from '../ids/millis.ts';
@@ -12,7 +13,7 @@
 export type EdgeRequest = {
 	readonly requestId: RequestId;
 	/** The caller's own id of the request, for logs and for the choice among the services of a split route. */
-	readonly callerKey: string;
+	readonly callerKey: CallerKey;
 	readonly host: string;
 	readonly path: string;
 	/** Equal for requests with the same method, host, path and body, whichever id the caller gave them. */
@@ -28,7 +29,7 @@
 	/** Id of the last event that the caller received, if it resumes a stream. */
 	readonly resumeAfter?: string;
 	/** The caller's id of the request that brought the first event of the stream that it resumes. */
-	readonly resumes?: string;
+	readonly resumes?: CallerKey;
 	/** Set if another entry forwarded the request. */
 	readonly forwarded?: {
 		readonly region: Region;
--- a/src/core/edge/recent-refusals.ts
+++ b/src/core/edge/recent-refusals.ts
@@ -1,3 +1,4 @@
+import type {CallerKey} from '../ids/caller-key.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {RequestRecord} from './request-record.ts';
@@ -15,9 +16,9 @@
  */
 export class RecentRefusals {
 	/** In order of the newest refusal. */
-	readonly #refusals = new Map<string, {readonly targets: ReadonlySet<TargetId>; readonly at: Millis}>();
+	readonly #refusals = new Map<CallerKey, {readonly targets: ReadonlySet<TargetId>; readonly at: Millis}>();
 
-	record(callerKey: string, targetId: TargetId, now: Millis): void {
+	record(callerKey: CallerKey, targetId: TargetId, now: Millis): void {
 		const targets = new Set([...this.#targetsOf(callerKey, now), targetId]);
 		this.#refusals.delete(callerKey);
 		this.#refusals.set(callerKey, {targets, at: now});
@@ -41,7 +42,7 @@
 		}
 	}
 
-	#targetsOf(callerKey: string, now: Millis): ReadonlySet<TargetId> {
+	#targetsOf(callerKey: CallerKey, now: Millis): ReadonlySet<TargetId> {
 		const known = this.#refusals.get(callerKey);
 		return known !== undefined && now - known.at <= retentionMs ? known.targets : new Set();
 	}
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -6,6 +6,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {QuotaGate} from '../organisations/quota/quota-gate.ts';
+import type {RouteRule} from '../routes/route-rule.ts';
 import type {RouteTable} from '../routes/route-table.ts';
 import type {TargetProber} from '../targets/target-prober.ts';
 import type {AnswerHead} from './answer-head.ts';
@@ -140,6 +141,11 @@
 			return;
 		}
 
+		if (this.#mustNotBegin(req, route)) {
+			this.#completion.refuseEarly(req, 'overloaded', table!.version);
+			return;
+		}
+
 		const record = createRequestRecord({...req, organisation: identity.organisation}, route, table!);
 		this.#completion.countOrganisation('requests', record.req);
 		this.#stopDeadline.apply(record);
@@ -409,6 +415,11 @@
 		this.#forget(record);
 	}
 
+	/** True for a stream that could not be taken up later, since there is no memory left for where it began; another entry that forwards it keeps that itself. */
+	#mustNotBegin({callerKey, resumeAfter, forwarded}: EdgeRequest, {kind}: RouteRule): boolean {
+		return kind === 'stream' && callerKey !== '' && resumeAfter === undefined && forwarded === undefined && this.#options.origins.isFull;
+	}
+
 	#releaseAttempt(record: RequestRecord): void {
 		if (record.running !== undefined) {
 			this.#attempts.release(record);
--- a/src/core/edge/stream-origins.ts
+++ b/src/core/edge/stream-origins.ts
@@ -4,11 +4,15 @@
 import {BegunStreams} from '../control/begun-streams.ts';
 import type {ControlMessage} from '../control/control-message.ts';
 import {controlTiming} from '../control/control-timing.ts';
+import type {CallerKey} from '../ids/caller-key.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {ServiceName} from '../ids/service-name.ts';
 import type {SoftwareVersion} from '../ids/software-version.ts';
+import {CountedMap} from '../memory/counted-map.ts';
+import type {StateBudget} from '../memory/state-budget.ts';
+import type {StateMemory} from '../memory/state-memory.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
 import type {RequestRecord} from './request-record.ts';
@@ -18,6 +22,10 @@
 /** Who knew where a stream began: this entry, a control node that was told, or either of them because the service has had no other version; or nobody. */
 type OriginSource = 'own' | 'control' | 'sole-version' | 'unknown';
 
+/** Streams in one report to control, and reports that are sent at a time. */
+const maxStreamsPerReport = 1000;
+const maxReportsAtOnce = 20;
+
 /** Called once it is known where the request's stream began, or with the reason to refuse the request. */
 type Located = (refusal: EdgeRefusal['reason'] | undefined, now: Millis) => void;
 
@@ -38,6 +46,8 @@
 type StreamOriginsOptions = {
 	readonly queue: ActionQueue<EdgeAction>;
 	readonly versions: ServiceVersions;
+	/** Owner of what is kept for callers. */
+	readonly state: StateMemory;
 	/** The control node that is told of streams. */
 	readonly primary: () => NodeId | undefined;
 	/** The control nodes that are asked. */
@@ -53,15 +63,26 @@
 export class StreamOrigins {
 	readonly #options: StreamOriginsOptions;
 	readonly #awake = new AwakeClock();
-	readonly #streams = new BegunStreams();
+	readonly #streams: BegunStreams;
 	readonly #queries = new Map<RequestId, Query>();
-	#unreported = new Map<string, BegunStream>();
+	/** Those of `#streams` that control was not told of. */
+	readonly #unreported: CountedMap<CallerKey, BegunStream>;
+	readonly #budget: StateBudget;
 	#reportedAt = Number.NEGATIVE_INFINITY;
 	/** The run of the control node that was told of all streams. */
 	#toldEpoch: string | undefined;
 
 	constructor(options: StreamOriginsOptions) {
 		this.#options = options;
+		const budget = options.state.budget('stream-origins');
+		this.#budget = budget;
+		this.#streams = new BegunStreams({budget, whenFull: 'keep'});
+		this.#unreported = new CountedMap({budget, whenFull: 'keep'});
+	}
+
+	/** True if no further stream may begin, since those that began take all of their memory. */
+	get isFull(): boolean {
+		return this.#budget.isFull;
 	}
 
 	/** Records where a request's stream began, when its first event has been passed on. An entry that runs it for another one leaves that to it: the event may not get there, and the stream may then begin elsewhere. */
@@ -144,12 +165,15 @@
 	handleFeed(epoch: string): void {
 		if (epoch !== this.#toldEpoch) {
 			this.#toldEpoch = epoch;
-			this.#unreported = new Map(this.#streams.list());
+			for (const [callerKey, stream] of this.#streams.list()) {
+				this.#unreported.set(callerKey, stream);
+			}
 		}
 	}
 
 	tick(now: Millis): void {
 		this.#streams.tick(now);
+		this.#forgetUnreported();
 		this.#concludeLate(now);
 		if (now - this.#reportedAt >= controlTiming.streamReportIntervalMs) {
 			this.#report(now);
@@ -178,9 +202,34 @@
 		}
 
 		this.#reportedAt = now;
-		const streams = [...this.#unreported].map(([callerKey, {service, softwareVersion}]) => [callerKey, service, softwareVersion] as const);
-		this.#unreported.clear();
-		this.#options.queue.send(primary, {part: 'control', body: {type: 'streams-begun', streams}});
+		for (let sent = 0; sent < maxReportsAtOnce && this.#unreported.size > 0; sent++) {
+			this.#options.queue.send(primary, {part: 'control', body: {type: 'streams-begun', streams: this.#takeUnreported()}});
+		}
+	}
+
+	#takeUnreported(): ReadonlyArray<readonly [CallerKey, ServiceName, SoftwareVersion]> {
+		const streams: Array<readonly [CallerKey, ServiceName, SoftwareVersion]> = [];
+		for (const [callerKey, {service, softwareVersion}] of this.#unreported) {
+			if (streams.length >= maxStreamsPerReport) {
+				break;
+			}
+
+			this.#unreported.delete(callerKey);
+			streams.push([callerKey, service, softwareVersion]);
+		}
+
+		return streams;
+	}
+
+	/** Forgets streams that control was not told of, as no control node was reached, once they can no longer be taken up. */
+	#forgetUnreported(): void {
+		for (const [callerKey] of this.#unreported) {
+			if (this.#streams.get(callerKey) !== undefined) {
+				return;
+			}
+
+			this.#unreported.delete(callerKey);
+		}
 	}
 
 	/**
@@ -218,7 +267,7 @@
 }
 
 /** The caller's id of the request that brought the stream's first event; an entry that forwards a stream within one answer keeps the id of that request. */
-function keyOf({req: {callerKey, resumes}}: RequestRecord): string {
+function keyOf({req: {callerKey, resumes}}: RequestRecord): CallerKey {
 	return resumes ?? callerKey;
 }
 
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -7,6 +7,7 @@
 import type {Millis} from '../../core/ids/millis.ts';
 import type {Region} from '../../core/ids/region.ts';
 import {toId} from '../../core/ids/to-id.ts';
+import {StateMemory} from '../../core/memory/state-memory.ts';
 import type {Zone} from '../../core/ids/zone.ts';
 import type {SharedAction} from '../../core/shared-action.ts';
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
@@ -48,6 +49,12 @@
 		this.#options = options;
 		const {nodeId, region, zones, listen, seeds, firstStart, toleratedDisks, reportEveryMs, directoryTtlMs, memoryMb} = settings;
 		const operators = listen.operators!;
+		const memory = new ProcessMemory({
+			memoryMb,
+			onTurnedAway: kind => {
+				this.#host.metrics.count('clients_turned_away', kind);
+			},
+		});
 		this.#core = new ControlCore({
 			self: {nodeId, region: toId(region), operatorAddress: `${operators.host}:${operators.port}`},
 			seeds,
@@ -55,6 +62,7 @@
 			zones: new Map(Object.entries(zones).map(([zone, name]) => [toId<Zone>(zone), toId<Region>(name)])),
 			toleratedLosses: toleratedDisks,
 			reportEveryMs,
+			state: memory.state,
 			parseDocument: adapter.control.parseDocument,
 			random: new SystemSeededRandom(),
 			// The process's clock counts from its start.
@@ -72,12 +80,6 @@
 		});
 		const {step, now, metrics} = this.#host;
 		const regions = new Set(Object.values(zones).map(name => toId<Region>(name)));
-		const memory = new ProcessMemory({
-			memoryMb,
-			onTurnedAway(kind) {
-				metrics.count('clients_turned_away', kind);
-			},
-		});
 		this.#servers = new ControlServers({
 			operators,
 			regions: regions.size > 0 ? regions : undefined,
@@ -93,6 +95,10 @@
 		metrics.gauge('commit_index', () => this.#core.status(now()).consensus.commitIndex);
 		metrics.gauge('voters', () => this.#core.status(now()).consensus.voters.length);
 		metrics.gauge('pending_voters', () => Number(pendingMember(this.#core.status(now()).consensus) !== undefined));
+		for (const kind of StateMemory.kinds) {
+			metrics.gauge(`state_${kind.replaceAll('-', '_')}_bytes`, () => memory.state.budget(kind).bytes);
+		}
+
 		metrics.gauge('current', () => Number(this.#core.status(now()).current));
 	}
 
--- a/src/server/routes/request-server.ts
+++ b/src/server/routes/request-server.ts
@@ -1,12 +1,14 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
+import type {CallerKey} from '../../core/ids/caller-key.ts';
 import type {Millis} from '../../core/ids/millis.ts';
 import type {RequestId} from '../../core/ids/request-id.ts';
 import {toId} from '../../core/ids/to-id.ts';
 import type {CallerLimits} from '../../core/routes/caller-limits.ts';
 import {BodyError} from '../body-error.ts';
 import {CallerPresence} from '../caller-presence.ts';
+import {boundedId} from '../bounded-id.ts';
 import {BodyHold} from '../body-hold.ts';
 import type {ProcessMemory} from '../process-memory.ts';
 import {fingerprintOf} from '../fingerprint-of.ts';
@@ -111,7 +113,7 @@
 			body,
 			edgeRequest: {
 				requestId,
-				callerKey: head.key,
+				callerKey: boundedId(head.key),
 				host: head.host,
 				path: head.path,
 				// Headers are left out: callers send a request again under another id and with another deadline.
@@ -120,7 +122,7 @@
 				budgetMs: head.budgetMs,
 				prompt: head.prompt,
 				resumeAfter: head.resumeAfter,
-				resumes: head.resumes,
+				resumes: head.resumes === undefined ? undefined : boundedId<CallerKey>(head.resumes),
 				keyDigest: head.keyDigest,
 				organisation: forwarded && relayHeader.readOrganisation(req.headers[relayHeader.organisationName]),
 				forwarded,
--- a/test/core/control/stream-origin-answerer.test.ts
+++ b/test/core/control/stream-origin-answerer.test.ts
@@ -9,6 +9,7 @@
 import type {SoftwareVersion} from '../../../src/core/ids/software-version.ts';
 import type {TargetId} from '../../../src/core/ids/target-id.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
+import {StateMemory} from '../../../src/core/memory/state-memory.ts';
 import {TargetRegistry} from '../../../src/core/registry/target-registry.ts';
 import {RecordingOutbox} from '../../fixtures/recording-outbox.ts';
 import {targetReportFixture} from '../../fixtures/target-report-fixture.ts';
@@ -19,31 +20,31 @@
 const entry = toId<NodeId>('10.1.0.9:7100');
 const afterRetention = controlTiming.streamRetentionMs + 1;
 
-function start({isNewDeployment = false} = {}) {
+function start({isNewDeployment = false, state = new StateMemory()} = {}) {
 	const outbox = new RecordingOutbox();
 	const registry = new TargetRegistry({reportEveryMs: 1000, regionOf: () => toId<Region>('regina')});
-	const state = {current: true, now: 0 as Millis};
+	const situation = {current: true, now: 0 as Millis};
 	const answerer = new StreamOriginAnswerer({
-		registry, outbox, isNewDeployment, isCurrent: () => state.current,
+		registry, outbox, state, isNewDeployment, isCurrent: () => situation.current,
 	});
-	answerer.tick(state.now);
+	answerer.tick(situation.now);
 	return {
-		state, registry, answerer,
+		situation, registry, answerer,
 		report(targetId: string, softwareVersion: SoftwareVersion, address = `${targetId}:80`) {
 			registry.recordReport(targetReportFixture({
-				targetId: toId<TargetId>(targetId), softwareVersion, address, sequence: state.now + 1,
-			}), state.now);
+				targetId: toId<TargetId>(targetId), softwareVersion, address, sequence: situation.now + 1,
+			}), situation.now);
 		},
 		wait(ms: number) {
-			state.now = state.now + ms as Millis;
-			answerer.tick(state.now);
-			registry.tick(state.now);
+			situation.now = situation.now + ms as Millis;
+			answerer.tick(situation.now);
+			registry.tick(situation.now);
 		},
 		/** What an entry that asks is answered: the version where the stream began, or the only one of the service, and those that are known. */
 		ask(callerKey = 'began', of: ServiceName | undefined = service) {
 			answerer.answer(entry, {
-				type: 'find-stream', requestId: toId('r1'), callerKey, service: of,
-			}, state.now);
+				type: 'find-stream', requestId: toId('r1'), callerKey: toId(callerKey), service: of,
+			}, situation.now);
 			const {stream, soleVersion, versions} = outbox.sent.at(-1)!.message.body as ControlMessage & {type: 'stream-found'};
 			return {stream: stream?.softwareVersion, sole: soleVersion?.softwareVersion, versions};
 		},
@@ -51,14 +52,28 @@
 }
 
 test('a stream that an entry reported is found until it can no longer be taken up', t => {
-	const {answerer, ask, wait, state} = start();
-	answerer.handleBegun({type: 'streams-begun', streams: [['began', service, v2]]}, state.now);
+	const {answerer, ask, wait, situation} = start();
+	answerer.handleBegun({type: 'streams-begun', streams: [[toId('began'), service, v2]]}, situation.now);
 	t.is(ask().stream, v2);
 	t.is(ask('another').stream, undefined);
 	wait(afterRetention);
 	t.is(ask().stream, undefined);
 });
 
+test('of too many streams the oldest are forgotten, and nothing is said of where they began', t => {
+	const state = new StateMemory(50_000);
+	const {answerer, ask, situation} = start({state});
+	for (let index = 0; index < 1000; index++) {
+		answerer.handleBegun({type: 'streams-begun', streams: [[toId(`stream-${index}`), service, index % 2 === 0 ? v1 : v2]]}, situation.now);
+	}
+
+	const budget = state.budget('stream-origins');
+	t.true(budget.bytes <= budget.maxBytes);
+	t.is(ask('stream-999').stream, v2);
+	t.is(ask('stream-998').stream, v1);
+	t.deepEqual(ask('stream-0'), {stream: undefined, sole: undefined, versions: []});
+});
+
 test('the only software version of a service is named only after all targets that began recent streams are known', t => {
 	const {report, ask, wait} = start();
 	report('a', v1);
@@ -79,12 +94,12 @@
 });
 
 test('no software version is named as the only one while another serves, or served lately', t => {
-	const {report, ask, wait, registry, state} = start();
+	const {report, ask, wait, registry, situation} = start();
 	wait(afterRetention);
 	report('a', v1);
 	report('b', v2);
 	t.is(ask().sole, undefined);
-	registry.withdraw(toId('a'), state.now, state.now);
+	registry.withdraw(toId('a'), situation.now, situation.now);
 	wait(controlTiming.streamRetentionMs - 1000);
 	report('b', v2);
 	t.is(ask().sole, undefined);
@@ -115,11 +130,11 @@
 });
 
 test('a control node that may not know all targets names no only software version', t => {
-	const {report, ask, wait, state} = start();
+	const {report, ask, wait, situation} = start();
 	wait(afterRetention);
 	report('a', v1);
-	state.current = false;
+	situation.current = false;
 	t.is(ask().sole, undefined);
-	state.current = true;
+	situation.current = true;
 	t.is(ask().sole, v1);
 });
--- a/test/core/edge/doubled-refusals.test.ts
+++ b/test/core/edge/doubled-refusals.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import type {CallerKey} from '../../../src/core/ids/caller-key.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
 import type {Region} from '../../../src/core/ids/region.ts';
 import type {ServiceName} from '../../../src/core/ids/service-name.ts';
@@ -11,7 +12,7 @@
 	const forwarded = {region: toId<Region>('winnipeg'), documentVersion: 1, service: toId<ServiceName>('desk')};
 	const refusedBy = new Set<unknown>();
 	for (let sent = 0; sent < 2; sent++) {
-		harness.request({callerKey: 'one', forwarded});
+		harness.request({callerKey: toId<CallerKey>('one'), forwarded});
 		const {attempt, targetId} = harness.lastStart();
 		t.false(refusedBy.has(targetId));
 		refusedBy.add(targetId);
--- a/test/core/edge/stream-origins.test.ts
+++ b/test/core/edge/stream-origins.test.ts
@@ -3,11 +3,13 @@
 import type {BegunStream} from '../../../src/core/control/begun-stream.ts';
 import type {ControlMessage} from '../../../src/core/control/control-message.ts';
 import {controlTiming} from '../../../src/core/control/control-timing.ts';
+import type {CallerKey} from '../../../src/core/ids/caller-key.ts';
 import type {NodeId} from '../../../src/core/ids/node-id.ts';
 import type {Region} from '../../../src/core/ids/region.ts';
 import type {ServiceName} from '../../../src/core/ids/service-name.ts';
 import type {SoftwareVersion} from '../../../src/core/ids/software-version.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
+import {StateMemory} from '../../../src/core/memory/state-memory.ts';
 import type {ListedTarget} from '../../../src/core/registry/listed-target.ts';
 import type {RouteRule} from '../../../src/core/routes/route-rule.ts';
 import {EdgeHarness} from '../../fixtures/edge-harness.ts';
@@ -27,8 +29,9 @@
 const tickMs = 50;
 
 /** An entry with one target of each version, which knows two control nodes. */
-function startEntry(route: Partial<RouteRule> = {}): EdgeHarness {
+function startEntry(route: Partial<RouteRule> = {}, state?: StateMemory): EdgeHarness {
 	const harness = new EdgeHarness({
+		state,
 		document: routesDocumentFixture({
 			route: {
 				kind: 'stream', resumable: true, attempts: 3, ...route,
@@ -58,7 +61,7 @@
 /** A caller takes up the stream that the request `resumes` began. */
 function resume(harness: EdgeHarness, resumes = 'began'): void {
 	harness.request({
-		prompt, callerKey: 'again', resumeAfter: '3', resumes,
+		prompt, callerKey: toId<CallerKey>('again'), resumeAfter: '3', resumes: toId<CallerKey>(resumes),
 	});
 }
 
@@ -69,7 +72,7 @@
 
 /** Lets a stream begin at the entry; returns the version of its target. */
 function begin(harness: EdgeHarness, callerKey: string): SoftwareVersion {
-	harness.request({prompt, callerKey});
+	harness.request({prompt, callerKey: toId<CallerKey>(callerKey)});
 	const {attempt, targetId} = harness.lastStart();
 	harness.head(attempt);
 	harness.step({
@@ -173,7 +176,7 @@
 
 			const forwarded = way === 'forwarded' ? {region: toId<Region>('winnipeg'), documentVersion: 1} : undefined;
 			harness.request({
-				prompt, callerKey: 'again', resumeAfter: '3', resumes: 'began', forwarded,
+				prompt, callerKey: toId<CallerKey>('again'), resumeAfter: '3', resumes: toId<CallerKey>('began'), forwarded,
 			});
 			if (outOfStep === 'cut off') {
 				harness.run(controlTiming.streamQueryTimeoutMs + (2 * tickMs));
@@ -212,7 +215,7 @@
 
 test('a stream of a request that another entry forwarded is neither kept nor reported: only that one knows which events its caller has', t => {
 	const harness = startEntry();
-	harness.request({prompt, callerKey: 'began', forwarded: {region: toId('winnipeg'), documentVersion: 1}});
+	harness.request({prompt, callerKey: toId<CallerKey>('began'), forwarded: {region: toId('winnipeg'), documentVersion: 1}});
 	const {attempt} = harness.lastStart();
 	harness.head(attempt);
 	harness.step({
@@ -252,6 +255,42 @@
 	t.deepEqual(sent(harness, 'streams-begun').at(-1)!.body.streams as unknown[], versions);
 });
 
+test('streams that began are remembered though they take all of their memory: further ones are refused as not run until there is room', t => {
+	const harness = startEntry({}, new StateMemory(50_000));
+	const versions = new Map<string, SoftwareVersion>();
+	while (harness.refusals().length === 0 && versions.size < 1000) {
+		const callerKey = `stream-${versions.size}`;
+		versions.set(callerKey, begin(harness, callerKey));
+	}
+
+	t.true(versions.size > 20 && versions.size < 1000);
+	t.is(harness.refusals()[0]!.ran, 'no');
+	t.true(harness.refusals()[0]!.retryAfterMs! > 0);
+	versions.delete(`stream-${versions.size - 1}`);
+	for (const [callerKey, version] of versions) {
+		resume(harness, callerKey);
+		t.is(harness.lastStart().targetId as string, version === v1 ? 'a' : 'b');
+	}
+
+	t.is(harness.refusals().length, 1);
+	harness.run(controlTiming.streamRetentionMs + tickMs);
+	feed(harness, 'run-1');
+	const refused = harness.refusals().length;
+	begin(harness, 'later');
+	t.is(harness.refusals().length, refused);
+});
+
+test('streams that control can\'t be told of are forgotten once they can\'t be taken up', t => {
+	const state = new StateMemory();
+	const harness = new EdgeHarness({state, document: routesDocumentFixture({route: {kind: 'stream', resumable: true}, engine: true}), seeds: []});
+	feed(harness, 'run-1');
+	harness.run(controlTiming.followLeaseMs);
+	begin(harness, 'began');
+	t.true(state.budget('stream-origins').bytes > 0);
+	harness.run(controlTiming.streamRetentionMs + tickMs);
+	t.is(state.budget('stream-origins').bytes, 0);
+});
+
 test('a stream is never taken up at another software version, whatever control nodes answer and when', t => {
 	const step = fc.constantFrom('begin', 'resume', 'answer', 'no answer', 'wait', 'other control');
 	t.notThrows(() => {
--- a/test/server/routes/cut-answers.test.ts
+++ b/test/server/routes/cut-answers.test.ts
@@ -94,7 +94,7 @@
 			},
 			body: Buffer.from('order'),
 			edgeRequest: {
-				requestId, callerKey: key, host: 'prairie.example', path, fingerprint: toId('f'), arrivedAt: 0 as Millis,
+				requestId, callerKey: toId(key), host: 'prairie.example', path, fingerprint: toId('f'), arrivedAt: 0 as Millis,
 			},
 		});
 		this.#client.start({
