fix(server): heads of requests in progress are bounded together

Cause: a head was counted until it was whole only. Afterwards its strings, the dictionary of its headers, the list that is copied to the target and the parts of its prompt take ten times its bytes for as long as it runs.

Each request is counted from the end of its head until its response is closed, by what its lines and parts take on the heap, in ProcessMemory.requests. At the bound the largest is given up: refused as not run (503 with Retry-After) if no target can have got it, else cancelled there and answered with 502, or reset in a stream. Ordinary requests are the smallest, and so come last; one alone is never given up. On other servers a request that is being handled is reset, since its outcome is unknown. A refusal of a forwarded request for want of memory now says so to the entry that forwarded it, which sends it elsewhere; it took it for a failure.

--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -203,6 +203,11 @@
 				break;
 			}
 
+			case 'given-up': {
+				this.#requests.handleGivenUp(event.requestId, now);
+				break;
+			}
+
 			case 'attempt-head': {
 				this.#requests.handleHead(event.attempt, event.head, now);
 				break;
--- a/src/server/api-server.ts
+++ b/src/server/api-server.ts
@@ -26,8 +26,10 @@
 			keepAliveTimeout: 5000,
 			noDelay: true,
 		});
-		this.#connections = new ServerConnections(this.#server, options.memory ?? new ProcessMemory(), (req, res) => {
-			void this.#handle(req, res);
+		this.#connections = new ServerConnections(this.#server, options.memory ?? new ProcessMemory(), (req, res, hold) => {
+			if (hold.start()) {
+				void this.#handle(req, res);
+			}
 		});
 		this.#server.maxConnections = constants.maxConnections;
 	}
--- a/src/server/process-memory.ts
+++ b/src/server/process-memory.ts
@@ -22,6 +22,8 @@
 	readonly bodies: HeldBodies<BodyHold>;
 	/** Heads that are not whole, and bytes that are read and not parsed yet, by connection. */
 	readonly heads: HeldBytes<MemoryHold>;
+	/** Requests in progress, with their heads. */
+	readonly requests: HeldBytes<MemoryHold>;
 	/** Parts of answers that are read and not passed on yet. */
 	readonly answers: HeldBytes<MemoryHold>;
 	/** Whole answers that their callers have not read yet. */
@@ -36,7 +38,9 @@
 		this.heads = new HeldBytes(share * constants.maxHeldHeadBytes);
 		this.answers = new HeldBytes(share * constants.maxHeldAnswerBytes);
 		this.unread = new HeldBytes(share * constants.maxUnreadAnswerBytes);
-		this.state = new StateMemory(Math.min(share, heapBytes / constants.defaultHeapBytes) * constants.maxStateBytes);
+		const heapShare = Math.min(share, heapBytes / constants.defaultHeapBytes);
+		this.requests = new HeldBytes(heapShare * constants.maxHeldRequestBytes);
+		this.state = new StateMemory(heapShare * constants.maxStateBytes);
 		this.turnedAway = onTurnedAway;
 	}
 }
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -101,7 +101,7 @@
 		];
 		this.#statusServers = this.#createStatusServers();
 		metrics.gauge('requests_in_flight', () => this.#core.inFlight);
-		for (const kind of ['bodies', 'heads', 'answers', 'unread'] as const) {
+		for (const kind of ['bodies', 'heads', 'requests', 'answers', 'unread'] as const) {
 			metrics.gauge(`held_${kind}_bytes`, () => this.#memory[kind].bytes);
 		}
 
--- a/src/server/routes/http-server.ts
+++ b/src/server/routes/http-server.ts
@@ -3,6 +3,7 @@
 } from 'node:http';
 import {ListenError} from '../listen-error.ts';
 import {ProcessMemory} from '../process-memory.ts';
+import type {RequestHold} from '../request-hold.ts';
 import {ServerConnections} from '../server-connections.ts';
 
 /** Default keep-alive timeout, in milliseconds. */
@@ -18,7 +19,10 @@
 	/** Settings key of the address, named in a ListenError. */
 	readonly key: string;
 	readonly listen: {readonly host: string; readonly port: number};
-	readonly handle: (req: IncomingMessage, res: ServerResponse) => Promise<void> | void;
+	/** `hold`: what the request holds of the memory of the process. */
+	readonly handle: (req: IncomingMessage, res: ServerResponse, hold: RequestHold) => Promise<void> | void;
+	/** Refuses a request as not run, for which the process has no memory. @default with status 503 */
+	readonly refuseOverloaded?: (res: ServerResponse) => void;
 	/** Called with an error that `handle` throws; the client gets status 500, or its connection is aborted if the answer has begun. */
 	readonly onError: (error: Error) => void;
 	/** Bounds on what the requests of the whole process hold; of this server alone by default. */
@@ -43,8 +47,8 @@
 			noDelay: true,
 			connectionsCheckingInterval: connectionCheckIntervalMs,
 		});
-		this.#connections = new ServerConnections(this.server, options.memory ?? new ProcessMemory(), (req, res) => {
-			void this.#handle(req, res);
+		this.#connections = new ServerConnections(this.server, options.memory ?? new ProcessMemory(), (req, res, hold) => {
+			void this.#handle(req, res, hold);
 		});
 	}
 
@@ -79,9 +83,17 @@
 		});
 	}
 
-	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+	async #handle(req: IncomingMessage, res: ServerResponse, hold: RequestHold): Promise<void> {
+		const {handle, refuseOverloaded} = this.#options;
+		const isCounted = hold.start(refuseOverloaded && (() => {
+			refuseOverloaded(res);
+		}));
+		if (!isCounted) {
+			return;
+		}
+
 		try {
-			await this.#options.handle(req, res);
+			await handle(req, res, hold);
 		} catch (error) {
 			this.#options.onError(error as Error);
 			if (res.headersSent) {
--- a/src/server/routes/request-server.ts
+++ b/src/server/routes/request-server.ts
@@ -11,6 +11,7 @@
 import {boundedId} from '../bounded-id.ts';
 import {BodyHold} from '../body-hold.ts';
 import type {ProcessMemory} from '../process-memory.ts';
+import type {RequestHold} from '../request-hold.ts';
 import {fingerprintOf} from '../fingerprint-of.ts';
 import {readBody} from '../read-body.ts';
 import {CallerExchange} from './caller-exchange.ts';
@@ -24,9 +25,10 @@
 };
 /** Margin added to the document's idle timeout, in milliseconds, so that callers close idle connections first and never send a request on one that the server is closing. */
 const idleMarginMs = 2000;
-const bodyErrorStatuses: Readonly<Record<string, number>> = {tooLarge: 413, slowCaller: 408, overloaded: 503};
-/** Retry delay of a request whose body the process has no memory for, in milliseconds. */
-const bodyRetryAfterMs = 1000;
+const bodyErrorStatuses: Readonly<Record<string, number>> = {tooLarge: 413, slowCaller: 408};
+const overloadedStatus = 503;
+/** Retry delay of a request that the process has no memory for, in milliseconds. */
+const overloadRetryAfterMs = 1000;
 
 type RequestServerOptions = {
 	readonly key: string;
@@ -57,7 +59,10 @@
 		this.#http = new HttpServer({
 			...options,
 			keepAliveMs: initialLimits.idleTimeoutMs + idleMarginMs,
-			handle: async (req, res) => this.#handle(req, res),
+			handle: async (req, res, hold) => this.#handle(req, res, hold),
+			refuseOverloaded: res => {
+				this.#refuseOverloaded(res);
+			},
 		});
 		this.setLimits(initialLimits);
 	}
@@ -86,10 +91,13 @@
 		return this.#http.close();
 	}
 
-	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+	async #handle(req: IncomingMessage, res: ServerResponse, hold: RequestHold): Promise<void> {
 		const {codec, memory, exchanges, step, now, relay, leaving} = this.#options;
 		const arrivedAt = now();
 		res.sendDate = false;
+		hold.onGivenUp(() => {
+			this.#refuseOverloaded(res);
+		});
 		const body = await this.#readBody(req, res);
 		const presence = new CallerPresence(res);
 		if (body === undefined || !await presence.confirm()) {
@@ -102,6 +110,11 @@
 		}
 
 		const head = codec.readRequest({method: req.method ?? 'GET', url: req.url ?? '/', rawHeaders: req.rawHeaders});
+		hold.addItems(head.prompt?.parts.length ?? 0);
+		if (res.headersSent) {
+			return;
+		}
+
 		lastRequestNumber += 1;
 		const requestId = toId<RequestId>(String(lastRequestNumber));
 		const forwarded = relay ? relayHeader.read(req.headers[relayHeader.name]) : undefined;
@@ -129,6 +142,9 @@
 			},
 		});
 		exchanges.set(requestId, exchange);
+		hold.onGivenUp(() => {
+			step({type: 'given-up', requestId});
+		});
 		presence.onceEnded(left => {
 			exchanges.delete(requestId);
 			if (left) {
@@ -162,22 +178,35 @@
 			}
 
 			const status = bodyErrorStatuses[error.result];
-			if (status === bodyErrorStatuses.overloaded) {
-				res.setHeader('retry-after', this.#options.codec.formatRetryAfter(bodyRetryAfterMs));
-			}
-
-			if (status !== undefined) {
+			if (error.result === 'overloaded') {
+				this.#refuseOverloaded(res, error.message);
+			} else if (status !== undefined) {
 				refuse(res, status, error.message);
 			}
 
 			return undefined;
 		}
 	}
+
+	#refuseOverloaded(res: ServerResponse, title = 'the requests in progress take too much memory'): void {
+		if (res.headersSent) {
+			return;
+		}
+
+		const {codec, relay} = this.#options;
+		res.setHeader('retry-after', codec.formatRetryAfter(overloadRetryAfterMs));
+		if (relay) {
+			// The entry that forwarded the request may send it elsewhere.
+			res.setHeader(relayHeader.refusedName, relayHeader.writeRefusal({reason: 'overloaded', reachedTarget: false}));
+		}
+
+		refuse(res, overloadedStatus, title);
+	}
 }
 
 /** Refuses a request that exceeds the document's limits and closes its connection, so that the rest is not read. */
 function refuse(res: ServerResponse, status: number, title: string): void {
-	if (!res.destroyed) {
+	if (!res.destroyed && !res.headersSent) {
 		res.writeHead(status, {connection: 'close', 'content-type': 'application/problem+json'}).end(JSON.stringify({title, ran: 'no'}));
 	}
 }
--- a/src/server/server-connections.ts
+++ b/src/server/server-connections.ts
@@ -2,6 +2,7 @@
 import {Server as NetServer, type Socket} from 'node:net';
 import {pendingReads} from './pending-reads.ts';
 import type {ProcessMemory} from './process-memory.ts';
+import {RequestHold} from './request-hold.ts';
 import {RequestPacer} from './request-pacer.ts';
 
 /**
@@ -16,8 +17,8 @@
 	readonly #open = new Set<ServerResponse>();
 	readonly #idleListeners: Array<() => void> = [];
 
-	/** @param handle - Called with each request, in place of listeners of the server. */
-	constructor(server: Server, memory: ProcessMemory, handle: (req: IncomingMessage, res: ServerResponse) => void) {
+	/** @param handle - Called with each request, in place of listeners of the server, and with what it is to hold. */
+	constructor(server: Server, memory: ProcessMemory, handle: (req: IncomingMessage, res: ServerResponse, hold: RequestHold) => void) {
 		this.#server = server;
 		const pacer = new RequestPacer(memory);
 		server.on('connection', (socket: Socket) => {
@@ -34,7 +35,7 @@
 			res.once('close', () => {
 				this.#recordEnd(res);
 			});
-			handle(req, res);
+			handle(req, res, new RequestHold(memory, req, res));
 		});
 	}
 
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -32,6 +32,8 @@
 	maxHeldBodyBytes: 33_554_432,
 	/** Largest total size of the heads that are not whole and of what is read and not parsed yet, over all connections, in bytes; a head in progress has at most 64 KB. */
 	maxHeldHeadBytes: 16_777_216,
+	/** Largest total size of all requests in progress with their heads, but without their bodies, in bytes. */
+	maxHeldRequestBytes: 33_554_432,
 	/** Requests of one connection that may be in progress at a time; the connection is closed at one more. Reading stops behind the first, so that only those in one piece of 16 KB count. */
 	maxPipelinedRequests: 128,
 	/** Largest total size of the parts of all answers that are read and not passed on, in bytes. */
