fix(server): accepted connections are bounded by the descriptors of the process

Control's servers had no time limit for a head: Node takes requestTimeout 0 for headersTimeout too. All kinds of callers drew on the same descriptors.

HeldConnections, part of ProcessMemory, decides which connection is closed when there are too many: those that have sent nothing whole for 250 ms, idle ones, those whose body is not whole, new ones; the oldest of the address with most, never one with a request in progress. Each kind has a part that no other can take, so the operator and the engines don't compete with the directory. The rest, for files, links and targets, is never given to clients; requests in progress are bounded too, as each may need a connection to a target. The number follows from `descriptors`, which the platform's templates pass.

--- a/src/server/api-server.ts
+++ b/src/server/api-server.ts
@@ -26,12 +26,11 @@
 			keepAliveTimeout: 5000,
 			noDelay: true,
 		});
-		this.#connections = new ServerConnections(this.#server, options.memory ?? new ProcessMemory(), (req, res, hold) => {
+		this.#connections = new ServerConnections(this.#server, {memory: options.memory ?? new ProcessMemory(), kind: 'callers'}, (req, res, hold) => {
 			if (hold.start()) {
 				void this.#handle(req, res);
 			}
 		});
-		this.#server.maxConnections = constants.maxConnections;
 	}
 
 	async open(): Promise<void> {
--- a/src/server/process-memory.ts
+++ b/src/server/process-memory.ts
@@ -1,8 +1,11 @@
 import {getHeapStatistics} from 'node:v8';
+import type {Socket} from 'node:net';
 import {HeldBodies} from '../core/memory/held-bodies.ts';
 import {HeldBytes} from '../core/memory/held-bytes.ts';
+import {HeldConnections} from '../core/memory/held-connections.ts';
 import {StateMemory} from '../core/memory/state-memory.ts';
 import {constants} from '../settings/constants.ts';
+import {descriptorLimit} from './descriptor-limit.ts';
 import type {BodyHold} from './body-hold.ts';
 import type {MemoryHold} from './memory-hold.ts';
 import type {TurnedAway} from './turned-away.ts';
@@ -12,6 +15,8 @@
 	readonly memoryMb?: number;
 	/** Limit of the JavaScript heap, in bytes; the bounds of what lies there are proportional to it, if that is less. @default that of this process */
 	readonly heapBytes?: number;
+	/** Descriptors that the process may have open. @default what the system allows it */
+	readonly descriptors?: number;
 	/** Called with each client that is turned away to protect the process. */
 	readonly onTurnedAway?: (kind: TurnedAway) => void;
 };
@@ -28,16 +33,23 @@
 	readonly answers: HeldBytes<MemoryHold>;
 	/** Whole answers that their callers have not read yet. */
 	readonly unread: HeldBytes<MemoryHold>;
+	/** Connections that the servers have accepted; the descriptors left are for files, links between processes and connections to targets. */
+	readonly connections: HeldConnections<Socket>;
+	/** Requests that may be in progress: each may need a connection to a target. */
+	readonly maxRequests: number;
 	/** What is kept beyond the requests, by ids that clients choose. */
 	readonly state: StateMemory;
 	readonly turnedAway: (kind: TurnedAway) => void;
 
-	constructor({memoryMb = constants.defaultMemoryMb, heapBytes = getHeapStatistics().heap_size_limit, onTurnedAway = () => undefined}: ProcessMemoryOptions = {}) {
+	constructor({memoryMb = constants.defaultMemoryMb, heapBytes = getHeapStatistics().heap_size_limit, descriptors = descriptorLimit(), onTurnedAway = () => undefined}: ProcessMemoryOptions = {}) {
 		const share = memoryMb / constants.defaultMemoryMb;
 		this.bodies = new HeldBodies({maxBytes: share * constants.maxHeldBodyBytes});
 		this.heads = new HeldBytes(share * constants.maxHeldHeadBytes);
 		this.answers = new HeldBytes(share * constants.maxHeldAnswerBytes);
 		this.unread = new HeldBytes(share * constants.maxUnreadAnswerBytes);
+		const own = Math.min(constants.maxOwnDescriptors, Math.floor(descriptors / 4));
+		this.connections = new HeldConnections(Math.floor((descriptors - own) * constants.acceptedShare));
+		this.maxRequests = Math.floor((descriptors - own) * constants.requestShare);
 		const heapShare = Math.min(share, heapBytes / constants.defaultHeapBytes);
 		this.requests = new HeldBytes(heapShare * constants.maxHeldRequestBytes);
 		this.state = new StateMemory(heapShare * constants.maxStateBytes);
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -47,10 +47,11 @@
 	constructor(options: ControlProcessOptions) {
 		const {settings, adapter, log, folder} = options;
 		this.#options = options;
-		const {nodeId, region, zones, listen, seeds, firstStart, toleratedDisks, reportEveryMs, directoryTtlMs, memoryMb} = settings;
+		const {nodeId, region, zones, listen, seeds, firstStart, toleratedDisks, reportEveryMs, directoryTtlMs, memoryMb, descriptors} = settings;
 		const operators = listen.operators!;
 		const memory = new ProcessMemory({
 			memoryMb,
+			descriptors,
 			onTurnedAway: kind => {
 				this.#host.metrics.count('clients_turned_away', kind);
 			},
@@ -89,12 +90,14 @@
 			listen: listen.metrics,
 			metrics,
 			status: () => this.#core.status(now()),
+			memory,
 			onError: this.#host.logHandlerError,
 		});
 		metrics.gauge('document_version', () => this.#core.status(now()).documentVersion ?? 0);
 		metrics.gauge('commit_index', () => this.#core.status(now()).consensus.commitIndex);
 		metrics.gauge('voters', () => this.#core.status(now()).consensus.voters.length);
 		metrics.gauge('pending_voters', () => Number(pendingMember(this.#core.status(now()).consensus) !== undefined));
+		metrics.gauge('accepted_connections', () => memory.connections.size);
 		for (const kind of StateMemory.kinds) {
 			metrics.gauge(`state_${kind.replaceAll('-', '_')}_bytes`, () => memory.state.budget(kind).bytes);
 		}
--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -54,11 +54,12 @@
 		const {onError, memory} = options;
 		this.#servers = [
 			new HttpServer({
-				key: 'listen.operators', listen: options.operators, memory, onError, handle: async (req, res) => this.#handleControlCall(req, res),
+				key: 'listen.operators', listen: options.operators, kind: 'operators', memory, onError, handle: async (req, res) => this.#handleControlCall(req, res),
 			}),
 			new HttpServer({
 				key: 'listen.directory',
 				listen: options.directory,
+				kind: 'directory',
 				memory,
 				onError,
 				handle: (req, res) => {
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -55,6 +55,7 @@
 		const {nodeId, region, zone, listen, seeds, repeats, cores, reportEveryMs, maxTargetPauseMs, quotas} = settings;
 		this.#memory = new ProcessMemory({
 			memoryMb: settings.memoryMb,
+			descriptors: settings.descriptors,
 			onTurnedAway: kind => {
 				this.#host.metrics.count('clients_turned_away', kind);
 			},
@@ -105,6 +106,7 @@
 			metrics.gauge(`held_${kind}_bytes`, () => this.#memory[kind].bytes);
 		}
 
+		metrics.gauge('accepted_connections', () => this.#memory.connections.size);
 		for (const kind of StateMemory.kinds) {
 			metrics.gauge(`state_${kind.replaceAll('-', '_')}_bytes`, () => this.#memory.state.budget(kind).bytes);
 		}
@@ -166,6 +168,8 @@
 		const servers = [new HttpServer({
 			key: 'listen.readiness',
 			listen: listen.readiness!,
+			kind: 'status',
+			memory: this.#memory,
 			onError,
 			handle: (req, res) => {
 				const ready = req.url === adapter.control.readinessPath && this.#core.ready;
@@ -174,7 +178,7 @@
 		})];
 		if (listen.metrics !== undefined) {
 			servers.push(new MetricsServer({
-				listen: listen.metrics, metrics, status: () => this.#core.status(now()), onError,
+				listen: listen.metrics, metrics, status: () => this.#core.status(now()), onError, memory: this.#memory,
 			}));
 		}
 
--- a/src/server/routes/http-server.ts
+++ b/src/server/routes/http-server.ts
@@ -1,6 +1,8 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {ConnectionKind} from '../../core/memory/connection-kind.ts';
+import {constants} from '../../settings/constants.ts';
 import {ListenError} from '../listen-error.ts';
 import {ProcessMemory} from '../process-memory.ts';
 import type {RequestHold} from '../request-hold.ts';
@@ -19,6 +21,8 @@
 	/** Settings key of the address, named in a ListenError. */
 	readonly key: string;
 	readonly listen: {readonly host: string; readonly port: number};
+	/** Who opens connections to it. */
+	readonly kind: ConnectionKind;
 	/** `hold`: what the request holds of the memory of the process. */
 	readonly handle: (req: IncomingMessage, res: ServerResponse, hold: RequestHold) => Promise<void> | void;
 	/** Refuses a request as not run, for which the process has no memory. @default with status 503 */
@@ -41,13 +45,14 @@
 		this.#options = options;
 		this.server = createServer({
 			keepAliveTimeout: options.keepAliveMs ?? defaultKeepAliveMs,
+			headersTimeout: constants.headersTimeoutMs,
 			// `readBody` bounds the time for the body.
 			requestTimeout: 0,
 			maxHeaderSize: maxHeaderBytes,
 			noDelay: true,
 			connectionsCheckingInterval: connectionCheckIntervalMs,
 		});
-		this.#connections = new ServerConnections(this.server, options.memory ?? new ProcessMemory(), (req, res, hold) => {
+		this.#connections = new ServerConnections(this.server, {memory: options.memory ?? new ProcessMemory(), kind: options.kind}, (req, res, hold) => {
 			void this.#handle(req, res, hold);
 		});
 	}
--- a/src/server/routes/metrics-server.ts
+++ b/src/server/routes/metrics-server.ts
@@ -1,4 +1,5 @@
 import type {Metrics} from '../metrics.ts';
+import type {ProcessMemory} from '../process-memory.ts';
 import {HttpServer} from './http-server.ts';
 
 type MetricsServerOptions = {
@@ -7,6 +8,7 @@
 	/** Current state of the process, as shown to operators. */
 	readonly status: () => unknown;
 	readonly onError: (error: Error) => void;
+	readonly memory: ProcessMemory;
 };
 
 /** Keep-alive timeout, in milliseconds; the same as Node's default. */
@@ -14,10 +16,12 @@
 
 /** Serves `/metrics` in the Prometheus text format and `/status` as JSON. */
 export class MetricsServer extends HttpServer {
-	constructor({listen, metrics, status, onError}: MetricsServerOptions) {
+	constructor({listen, metrics, status, onError, memory}: MetricsServerOptions) {
 		super({
 			key: 'listen.metricsPort',
 			listen,
+			kind: 'status',
+			memory,
 			onError,
 			keepAliveMs,
 			handle(req, res) {
--- a/src/server/routes/request-server.ts
+++ b/src/server/routes/request-server.ts
@@ -58,6 +58,7 @@
 		this.#options = options;
 		this.#http = new HttpServer({
 			...options,
+			kind: options.relay ? 'entries' : 'callers',
 			keepAliveMs: initialLimits.idleTimeoutMs + idleMarginMs,
 			handle: async (req, res, hold) => this.#handle(req, res, hold),
 			refuseOverloaded: res => {
@@ -115,6 +116,12 @@
 			return;
 		}
 
+		if (exchanges.size >= memory.maxRequests) {
+			memory.turnedAway('too-many-requests');
+			this.#refuseOverloaded(res, 'too many requests are in progress');
+			return;
+		}
+
 		lastRequestNumber += 1;
 		const requestId = toId<RequestId>(String(lastRequestNumber));
 		const forwarded = relay ? relayHeader.read(req.headers[relayHeader.name]) : undefined;
--- a/src/server/server-connections.ts
+++ b/src/server/server-connections.ts
@@ -1,5 +1,8 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import type {Millis} from '../core/ids/millis.ts';
+import type {ConnectionKind} from '../core/memory/connection-kind.ts';
 import {pendingReads} from './pending-reads.ts';
 import type {ProcessMemory} from './process-memory.ts';
 import {RequestHold} from './request-hold.ts';
@@ -15,16 +18,33 @@
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 	readonly #open = new Set<ServerResponse>();
+	/** Number of those of each connection. */
+	readonly #openCounts = new WeakMap<Socket, number>();
 	readonly #idleListeners: Array<() => void> = [];
 
 	/** @param handle - Called with each request, in place of listeners of the server, and with what it is to hold. */
-	constructor(server: Server, memory: ProcessMemory, handle: (req: IncomingMessage, res: ServerResponse, hold: RequestHold) => void) {
+	constructor(server: Server, {memory, kind}: {readonly memory: ProcessMemory; readonly kind: ConnectionKind}, handle: (req: IncomingMessage, res: ServerResponse, hold: RequestHold) => void) {
 		this.#server = server;
 		const pacer = new RequestPacer(memory);
+		const {connections} = memory;
+		connections.open(kind);
 		server.on('connection', (socket: Socket) => {
+			const excess = connections.add(socket, {kind, address: socket.remoteAddress ?? ''}, now());
+			if (excess !== undefined) {
+				memory.turnedAway('too-many-connections');
+				excess.destroy();
+			}
+
+			if (socket.destroyed) {
+				return;
+			}
+
 			this.#sockets.add(socket);
 			pacer.accept(socket);
-			socket.once('close', () => this.#sockets.delete(socket));
+			socket.once('close', () => {
+				this.#sockets.delete(socket);
+				connections.delete(socket);
+			});
 		});
 		server.on('request', (req, res: ServerResponse) => {
 			if (!pacer.begin(req, res)) {
@@ -32,7 +52,21 @@
 			}
 
 			this.#open.add(res);
+			const {socket} = req;
+			this.#openCounts.set(socket, this.#countOf(socket) + 1);
+			connections.set(socket, 'receiving', now());
+			req.once('end', () => {
+				// The rest of a request that was answered before its end is read later.
+				if (this.#open.has(res)) {
+					connections.set(socket, 'busy', now());
+				}
+			});
 			res.once('close', () => {
+				this.#openCounts.set(socket, this.#countOf(socket) - 1);
+				if (this.#countOf(socket) === 0) {
+					connections.set(socket, 'idle', now());
+				}
+
 				this.#recordEnd(res);
 			});
 			handle(req, res, new RequestHold(memory, req, res));
@@ -60,6 +94,10 @@
 		}
 	}
 
+	#countOf(socket: Socket): number {
+		return this.#openCounts.get(socket) ?? 0;
+	}
+
 	#recordEnd(res: ServerResponse): void {
 		this.#open.delete(res);
 		if (this.#open.size === 0) {
@@ -69,3 +107,7 @@
 		}
 	}
 }
+
+function now(): Millis {
+	return performance.now() as Millis;
+}
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -6,8 +6,12 @@
 	headersTimeoutMs: 10_000,
 	/** Maximum time for a caller to send the body. */
 	bodyTimeoutMs: 30_000,
-	/** Maximum number of open connections from callers; further ones are closed at once. */
-	maxConnections: 20_000,
+	/** Descriptors that a process keeps for its files and its links to other processes, at most; a quarter of all if that is less. */
+	maxOwnDescriptors: 512,
+	/** Share of the other descriptors that accepted connections may take; the rest is for connections to targets. */
+	acceptedShare: 0.7,
+	/** The same for requests in progress, each of which may need a connection to a target. */
+	requestShare: 0.25,
 	/** Largest body of a change or a configuration, in bytes. */
 	maxControlBodyBytes: 8_388_608,
 	/** Largest announcement of a target, in bytes, with a full list of cached blocks. */
--- a/src/settings/routes-settings-schema.ts
+++ b/src/settings/routes-settings-schema.ts
@@ -47,6 +47,8 @@
 	cores: positive.default(1),
 	/** Memory of the VM, in MB; the bounds on what the process holds of its requests follow from it. Empty where the platform names none. @default 210 */
 	memoryMb: positive.nullish().transform(value => value ?? constants.defaultMemoryMb),
+	/** Descriptors that the process may have open; the number of connections that it accepts follows from it. Empty where the platform names none. @default what the system allows the process */
+	descriptors: z.number().int().positive().nullish().transform(value => value ?? undefined),
 	/** Number of control nodes' disks that may be lost at the same time. @default 1 */
 	toleratedDisks: z.number().int().min(0).max(4).default(1),
 	/** Interval between reports of a target, in milliseconds. */
--- a/test/server/request-framing.test.ts
+++ b/test/server/request-framing.test.ts
@@ -38,6 +38,7 @@
 
 	private constructor(t: ExecutionContext) {
 		this.#server = new HttpServer({
+			kind: 'callers',
 			key: 'test',
 			listen: {host: '127.0.0.1', port: 0},
 			memory: this.memory,
--- a/test/settings/deploy-templates.test.ts
+++ b/test/settings/deploy-templates.test.ts
@@ -16,7 +16,7 @@
 	'internal-port-range': [7660, 7675],
 	'seed-nodes': ['10.1.0.37:8146', '10.2.0.31:8146'],
 	bootstrap: true,
-	limits: {'cpu-share': 0.81, 'memory-mb': 490},
+	limits: {'cpu-share': 0.81, 'memory-mb': 490, 'file-descriptors': 4100},
 	'heartbeat-interval-ms': 800,
 	bounds: {
 		'grace-period-s': 8, 'retry-budget-ratio': 0.2, 'retry-budget-slack': 12, 'budget-window-s': 10,
