fix(edge): requests that fail wherever they run no longer keep a service from others

Cause: each broken attempt suspended its target until its next report. With all targets suspended, ordinary requests were refused with no-target, though only the one client's requests fail.

A target is suspended for a broken attempt only if it breaks off more than three times the share of attempts that the other targets of its service do: requests that fail everywhere say nothing of a target. One that is suspended for failed requests alone, and not since it is silent, out of reach or another one, still gets requests if there is no other target here and no region to forward to; a target that has crashed refuses the connection, and the request is then known as not sent.

A target that fails where others don't still gets none until it reports.

--- a/src/core/edge/failure-share.ts
+++ b/src/core/edge/failure-share.ts
@@ -30,6 +30,12 @@
 		return share < minShare ? 0 : share;
 	}
 
+	/** Failures and outcomes of late, each with its present weight. */
+	counts(now: Millis): {readonly failures: number; readonly outcomes: number} {
+		const decay = this.#decay(now);
+		return {failures: this.#failures * decay, outcomes: this.#outcomes * decay};
+	}
+
 	#decay(now: Millis): number {
 		return 2 ** ((this.#at - now) / halfLifeMs);
 	}
--- a/src/core/edge/placement-policy.ts
+++ b/src/core/edge/placement-policy.ts
@@ -60,8 +60,6 @@
 	}
 
 	decide(record: RequestRecord, now: Millis): Placement {
-		const {regions} = this.#options;
-		const {req, service} = record;
 		const leftMs = record.deadlineAt - now - answerMarginMs;
 		const targets = this.#eligibleTargets(record, now);
 		const placer = this.#placer(record, now);
@@ -69,15 +67,10 @@
 			return {type: 'away', region: this.#options.region, ...placer};
 		}
 
-		const local = this.#localCandidates(record, targets, now);
+		const remote = this.#remoteCandidate(record, now);
+		const isWithoutTarget = targets.length === 0 && remote === undefined;
+		const local = this.#localCandidates(record, isWithoutTarget ? this.#suspectedTargets(record, now) : targets, now);
 		const best = local.find(({hasRoom, startMs}) => hasRoom && startMs < leftMs);
-		// A placer may forward requests that entries of its own region forwarded to it, but not those of a remote region.
-		const mayForward = req.forwarded === undefined || req.forwarded.region === this.#options.region;
-		const [remote] = mayForward
-			? regions.candidates({
-				service, homes: this.#homesOf(record), prompt: req.prompt, origin: record.origin, withOwn: req.forwarded === undefined && this.#options.pool.isCutOff(service, now),
-			}, now)
-			: [];
 		const remoteCostMs = remote === undefined ? Number.POSITIVE_INFINITY : remote.costMs + remoteRegionPenaltyMs;
 		if (best !== undefined && best.costMs <= remoteCostMs) {
 			return {type: 'target', candidate: best};
@@ -90,7 +83,7 @@
 		const soonestMs = Math.min(...local.map(({startMs}) => startMs), remote?.startMs ?? Number.POSITIVE_INFINITY);
 		const mayWait = (local.length > 0 && soonestMs < leftMs) || (leftMs > 0 && this.#mayBeListedSoon(record, now));
 		// Other regions may have room for a forwarded request.
-		const mayWaitForPause = req.forwarded === undefined && this.#resumesMs(record, now) < leftMs;
+		const mayWaitForPause = record.req.forwarded === undefined && this.#resumesMs(record, now) < leftMs;
 		if (mayWait || mayWaitForPause) {
 			return {type: 'wait', forPause: !mayWait};
 		}
@@ -143,6 +136,27 @@
 		return this.#mayStayHere(record) ? this.#options.pool.usable(record.service, now).filter(target => mayTake(record, target)) : [];
 	}
 
+	/** Where to forward the request to, if it may be forwarded. */
+	#remoteCandidate(record: RequestRecord, now: Millis): ReturnType<RegionSelector['candidates']>[number] | undefined {
+		const {regions, region, pool} = this.#options;
+		const {req: {forwarded, prompt}, service, origin} = record;
+		// A placer may forward requests that entries of its own region forwarded to it, but not those of a remote region.
+		if (forwarded !== undefined && forwarded.region !== region) {
+			return undefined;
+		}
+
+		const withOwn = forwarded === undefined && pool.isCutOff(service, now);
+		const [candidate] = regions.candidates({
+			service, homes: this.#homesOf(record), prompt, origin, withOwn,
+		}, now);
+		return candidate;
+	}
+
+	/** Targets of this region that have failed other requests, which is no reason to refuse this one. */
+	#suspectedTargets(record: RequestRecord, now: Millis): readonly PooledTarget[] {
+		return this.#mayStayHere(record) ? this.#options.pool.suspected(record.service, now).filter(target => mayTake(record, target)) : [];
+	}
+
 	/** Targets of this region that may get requests of this kind once the pauses that they asked for are over. */
 	#pausedTargets(record: RequestRecord, now: Millis): readonly PooledTarget[] {
 		return this.#mayStayHere(record) ? this.#options.pool.paused(record.service, now) : [];
--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -57,6 +57,7 @@
 	readonly #call: LearnedTime;
 	readonly #event: LearnedTime;
 	#failureShare = new FailureShare();
+	#breakShare = new FailureShare();
 	#listed: ListedTarget;
 	#goneSince: Millis | undefined;
 	#coldUntil: Millis | undefined;
@@ -118,6 +119,7 @@
 			this.#doubtedSequence = Number.NEGATIVE_INFINITY;
 			this.#limit = undefined;
 			this.#failureShare = new FailureShare();
+			this.#breakShare = new FailureShare();
 			this.#reachability = new Reachability();
 			this.#lastSequence = listed.sequence;
 			this.#othersLoad = {count: 0, waiting: 0, at: Number.NEGATIVE_INFINITY};
@@ -142,10 +144,10 @@
 		}
 	}
 
-	/** Suspends the target, as after a failed connection or a stall, until its next heartbeat, but for at most `maxSuspensionMs`. */
-	suspend(now: Millis): void {
+	/** Suspends the target, as after a failed request or a stall, until its next heartbeat, but for at most `maxSuspensionMs`; `mayServe` as for `TargetSuspension`. */
+	suspend(now: Millis, options: {mayServe?: boolean} = {}): void {
 		this.#suspectSequence = this.#lastSequence;
-		this.#suspension.suspect(maxSuspensionMs, now);
+		this.#suspension.suspect(maxSuspensionMs, now, options);
 	}
 
 	/** Records that a connection of the target was reset: it may have started again with other software, which its next report will tell. A report of the process before may still be on its way. */
@@ -178,6 +180,11 @@
 		return this.#failureShare;
 	}
 
+	/** Share of its attempts of late that broke off or brought no valid answer. */
+	get breakShare(): FailureShare {
+		return this.#breakShare;
+	}
+
 	/** Records that bytes of the target arrived. */
 	recordSign(now: Millis): void {
 		this.#lastSignAt = now;
@@ -199,6 +206,11 @@
 		return this.#reachability.reachable && this.#suspension.pausedMs(now) > 0 && this.isServing(now);
 	}
 
+	/** True if only failed requests keep new ones away, which other requests need not share. */
+	isSuspected(now: Millis): boolean {
+		return this.#reachability.reachable && this.#suspension.mayServe(now) && this.isServing(now);
+	}
+
 	/** True if the target takes new requests by its listing and has not said that it leaves, whether or not this entry reaches it or has suspended it. */
 	isServing(now: Millis): boolean {
 		return this.listed.state === 'serving'
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -54,6 +54,7 @@
 		const {status, load, hasUnreadableLoad, limitPerSecond, rejectionsPerSecond, signed, notRun} = head;
 		this.#recordSuspension(record, target, head, now);
 		target.recordSign(now);
+		target.breakShare.record(false, now);
 		if (!notRun) {
 			target.failureShare.record(failureStatuses.has(status), now);
 		}
@@ -132,8 +133,11 @@
 
 		if (target !== undefined && reason === 'connect') {
 			this.#options.prober.recordConnection(target.listed.targetId, false, now);
-		} else if (reason !== 'foreign-answer') {
-			target?.suspend(now);
+		} else if (target !== undefined && reason !== 'foreign-answer') {
+			target.breakShare.record(true, now);
+			if (this.#options.pool.isOutlier(target, now)) {
+				target.suspend(now, {mayServe: true});
+			}
 		}
 
 		if (reason === 'reset' && record.running?.targetId !== undefined && record.running.head === undefined) {
--- a/src/core/edge/target-pool.ts
+++ b/src/core/edge/target-pool.ts
@@ -18,6 +18,11 @@
 /** Most targets that are remembered after they were listed. */
 const maxUnlisted = 2048;
 
+/** Fewest failures of a service's other targets, by their present weight, that are held against the failures of one. */
+const minOtherFailures = 1;
+/** Factor by which the share of broken attempts of an outlier exceeds that of the others. */
+const minOutlierFactor = 3;
+
 type UnlistedTarget = {readonly born: number; readonly suspension: TargetSuspension; readonly removedAt: Millis};
 
 /** The targets of this entry's region. */
@@ -118,6 +123,30 @@
 		return this.#targetsOf(service).some(target => target.usable(now) && !this.#evacuated.has(target.listed.zone));
 	}
 
+	/** Targets of a service, outside evacuated zones, that only failed requests keep from getting new ones. */
+	suspected(service: ServiceName, now: Millis): readonly PooledTarget[] {
+		return this.#targetsOf(service).filter(target => target.isSuspected(now) && !this.#evacuated.has(target.listed.zone));
+	}
+
+	/**
+	 * True if a target breaks off more of its attempts than the other targets of its service together. Requests that break
+	 * off wherever they run say nothing of a target.
+	 */
+	isOutlier(target: PooledTarget, now: Millis): boolean {
+		let failures = 0;
+		let outcomes = 0;
+		for (const other of this.#targetsOf(target.listed.service)) {
+			if (other !== target) {
+				const counts = other.breakShare.counts(now);
+				failures += counts.failures;
+				outcomes += counts.outcomes;
+			}
+		}
+
+		const own = target.breakShare.counts(now);
+		return failures < minOtherFailures || own.failures / own.outcomes > minOutlierFactor * failures / outcomes;
+	}
+
 	/** Targets of a service, outside evacuated zones, that only a pause keeps from getting new requests. */
 	paused(service: ServiceName, now: Millis): readonly PooledTarget[] {
 		return this.#targetsOf(service).filter(target => target.isPaused(now) && !this.#evacuated.has(target.listed.zone));
--- a/src/core/targets/target-suspension.ts
+++ b/src/core/targets/target-suspension.ts
@@ -15,6 +15,8 @@
 	#leaving = false;
 	#pausedUntil = Number.NEGATIVE_INFINITY;
 	#suspectUntil = Number.NEGATIVE_INFINITY;
+	/** True if the suspicion rests on failed requests alone: other requests may be answered. */
+	#mayServe = true;
 	#askedTooLong = false;
 	readonly #unreadableHeaders = new Set<string>();
 
@@ -57,8 +59,9 @@
 		return fresh;
 	}
 
-	/** Suspends the target for `ms` milliseconds since it seems to have failed, unless `clearSuspicion` ends that sooner. */
-	suspect(ms: number, now: Millis): void {
+	/** Suspends the target for `ms` milliseconds since it seems to have failed, unless `clearSuspicion` ends that sooner. `mayServe` is true if it has failed a request, and false if it gives no sign or another target is at its address. */
+	suspect(ms: number, now: Millis, {mayServe = false}: {mayServe?: boolean} = {}): void {
+		this.#mayServe = mayServe && (this.#mayServe || this.#suspectUntil <= now);
 		this.#suspectUntil = now + ms;
 	}
 
@@ -66,6 +69,11 @@
 		this.#suspectUntil = Number.NEGATIVE_INFINITY;
 	}
 
+	/** True if only failed requests keep new ones away. */
+	mayServe(now: Millis): boolean {
+		return !this.#leaving && this.pausedMs(now) === 0 && this.#suspectUntil > now && this.#mayServe;
+	}
+
 	/** Time left of the pause that the target asked for, in milliseconds. */
 	pausedMs(now: Millis): number {
 		return Math.max(0, this.#pausedUntil - now);
