fix(edge): prompts that no engine can hold no longer keep the engines from others

Callers would see their streams wait or be refused while one client sends prompts that are larger than an engine's memory: each is rejected as if the engine were full, whereupon the entry sent nothing there for 150 ms, and its length counted in the mean by which other entries' requests are taken into account. Shared parts that are stated to be longer than the whole prompt made that mean negative, so that nothing limited it; numbers such as 1e400 made it infinite. Found on reading the list of what clients choose; not seen in a deployment.

A prompt beyond the KV cache of its service says nothing of the engine that rejects it, nor of other prompts, and isn't added to what is cached. Shared parts count for the whole prompt at most, and numbers of tokens that are no counts aren't taken.

--- a/src/core/edge/attempt-tracker.ts
+++ b/src/core/edge/attempt-tracker.ts
@@ -7,6 +7,7 @@
 import type {AnswerHead} from './answer-head.ts';
 import {describeFailedAttempt} from './describe-failed-attempt.ts';
 import {destinationOf} from './destination-of.ts';
+import {exceedsCache} from './exceeds-cache.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {IdleConnectionPolicy} from './idle-connection-policy.ts';
 import type {PlacementCandidate} from './placement-candidate.ts';
@@ -63,7 +64,7 @@
 		target.attempts.set(attempt, {
 			sentAt: now, predictedMs: startMs, uncachedTokens, aheadTokens, kvCacheTokens, outputTokens: prompt === undefined ? 0 : target.costs.outputTokens(prompt),
 		});
-		if (prompt !== undefined) {
+		if (prompt !== undefined && !exceedsCache(record)) {
 			target.costs.promptTokens.add(prompt.promptTokens);
 			target.costs.kvCacheTokens.add(kvCacheTokens);
 			target.prefixCache.recordUse(prompt, table.service(service)?.engine?.cacheTokens ?? 0);
--- a/src/core/edge/prefix-cache-estimate.ts
+++ b/src/core/edge/prefix-cache-estimate.ts
@@ -35,8 +35,12 @@
 		return cached;
 	}
 
-	/** Records that a request with this prompt was sent to the engine, whose KV cache holds at most `capacity` tokens. */
+	/** Records that a request with this prompt was sent to the engine, whose KV cache holds at most `capacity` tokens; a larger prompt is not kept there. */
 	recordUse({parts}: Prompt, capacity: number): void {
+		if (parts.reduce((sum, {tokens}) => sum + tokens, 0) > capacity) {
+			return;
+		}
+
 		for (const {id, tokens} of parts) {
 			this.#totalTokens += tokens - (this.#tokens.get(id) ?? 0);
 			this.#tokens.set(id, tokens);
--- a/src/core/edge/rank-local-targets.ts
+++ b/src/core/edge/rank-local-targets.ts
@@ -138,8 +138,9 @@
 	return failureShare.value(now) * failedRequestMs;
 }
 
+/** Tokens of the shared parts; a caller may state more than the whole prompt has. */
 function sharedTokens(prompt: Prompt): number {
-	return sharedParts(prompt).reduce((sum, {tokens}) => sum + tokens, 0);
+	return Math.min(prompt.promptTokens, sharedParts(prompt).reduce((sum, {tokens}) => sum + tokens, 0));
 }
 
 /** Target preferred for a prompt, by rendezvous hashing over its last shared part: entries that know the same targets prefer the same one. */
--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -6,6 +6,7 @@
 import type {AnswerHead} from './answer-head.ts';
 import type {AttemptFailure} from './attempt-failure.ts';
 import type {CrashContainment} from './crash-containment.ts';
+import {exceedsCache} from './exceeds-cache.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {IdleConnectionPolicy} from './idle-connection-policy.ts';
 import type {PooledTarget} from './pooled-target.ts';
@@ -113,7 +114,10 @@
 		if (status === misdirectedStatus) {
 			target?.suspend(now);
 		} else {
-			target?.markFull(now);
+			if (!exceedsCache(record)) {
+				target?.markFull(now);
+			}
+
 			target?.recordRejection(this.#options.regions.limitEntries(record.req.prompt !== undefined), now);
 		}
 
--- a/test/core/edge/kv-cache-admission.test.ts
+++ b/test/core/edge/kv-cache-admission.test.ts
@@ -5,6 +5,7 @@
 import type {ServiceSpec} from '../../../src/core/routes/service-spec.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
 import {listedTargetFixture} from '../../fixtures/listed-target-fixture.ts';
+import {promptPart} from '../../fixtures/prompt-part.ts';
 
 const now = 1000 as Millis;
 const spec: ServiceSpec = {name: toId('desk'), engine: {slots: 64, cacheTokens: 100_000, tokensPerEvent: 8}};
@@ -27,6 +28,21 @@
 	t.true(hasRoom(60, 1000));
 });
 
+// Guards against estimates that one caller spoils for all with numbers that don't fit each other.
+test('a prompt whose shared parts are stated to be longer than the whole takes no less than nothing of a KV cache', t => {
+	const target = new PooledTarget(listedTargetFixture('a', {slots: 64}), {phase: 0}, now);
+	const prompt = {...shortPrompt, parts: [promptPart('shared', 1e15), promptPart('own', 1)]};
+	const [candidate] = rankLocalTargets({
+		prompt, spec, targets: [target], limitEntries: 14, objectiveMs: 1000, leftMs: 10_000,
+	}, now);
+	t.true(candidate!.kvCacheTokens >= 0);
+	t.true(candidate!.uncachedTokens >= 1);
+	t.true(Number.isFinite(candidate!.costMs));
+	target.prefixCache.recordUse({...shortPrompt, parts: [promptPart('a', 400), promptPart('b', 100)]}, 100_000);
+	target.prefixCache.recordUse(prompt, 100_000);
+	t.is(target.prefixCache.cachedTokens({...shortPrompt, parts: [promptPart('a', 400)]}), 400);
+});
+
 test('a request larger than the KV cache may run alone', t => {
 	const large = {...shortPrompt, promptTokens: 120_000};
 	t.true(hasRoom(0, 10_000, large));
--- a/test/platform/platform-request-codec.test.ts
+++ b/test/platform/platform-request-codec.test.ts
@@ -152,3 +152,14 @@
 	t.like(head('Server-Leaving', 'yes', 'Retry-After', '1'), {leaving: false, retryAfterMs: 1000, unreadableHeaders: ['server-leaving']});
 	t.like(head('Server-Leaving', '1', 'Server-Leaving', '1'), {leaving: false, unreadableHeaders: ['server-leaving']});
 });
+
+test('numbers of tokens that are no counts are not taken', t => {
+	const read = (counts: string, parts = 'aa:10,bb:5') => platformRequestCodec.readRequest({
+		method: 'POST', url: '/', rawHeaders: ['Token-Counts', counts, 'Prompt-Prefix', parts],
+	}).prompt;
+	for (const counts of ['1e400,8', '8,1e400', 'Infinity,8', '-1,8', 'NaN,8', '1e300,8', '8', '']) {
+		t.is(read(counts), undefined);
+	}
+
+	t.deepEqual(read('100,8', `aa:10,bb:${'9'.repeat(400)},cc:5`)!.parts.map(({tokens}) => tokens), [10, 5]);
+});
