fix(server): bodies whose values take many times their size no longer end a process

Found on reading the list of what grows with a body; not seen in a deployment.

Cause: bodies are bounded by their bytes. Parsed, `{},` takes thirty times as much, and the checks of a schema a kilobyte for each item that is wrong.

--- a/src/server/parse-chat-body.ts
+++ b/src/server/parse-chat-body.ts
@@ -1,5 +1,6 @@
 import type {Buffer} from 'node:buffer';
 import {z} from 'zod';
+import {parseJsonText} from './parse-json-text.ts';
 import {RequestError} from './request-error.ts';
 
 const maxMessages = 10_000;
@@ -27,9 +28,9 @@
 export function parseChatBody(body: Buffer): ChatBody {
 	let json: unknown;
 	try {
-		json = JSON.parse(body.toString('utf8'));
+		json = parseJsonText(body.toString('utf8'));
 	} catch {
-		throw new RequestError({result: 'malformed', ran: 'no', detail: 'The body is not JSON.'});
+		throw new RequestError({result: 'malformed', ran: 'no', detail: 'The body is not JSON, or has too many values.'});
 	}
 
 	const result = schema.safeParse(json);
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -18,6 +18,8 @@
 	maxAnnouncementBytes: 1_048_576,
 	/** Largest report of a target in a deployment with a routes document, in bytes. Parsed JSON takes up to thirty times its size. */
 	maxReportBytes: 65_536,
+	/** Largest memory that the values of a client's JSON text may take once it is parsed, in bytes. */
+	maxParsedJsonBytes: 33_554_432,
 	/** Largest number of requests that a target may say it processes at the same time. */
 	maxTargetCapacity: 1_000_000,
 	/** Answers up to this size, in bytes, are buffered before they are sent to the caller, so that a truncated one can be retried. */
