fix(control): targets that anybody reports are bounded together, and state by clients' ids can't be kept uncounted

Callers would see control nodes, and entries that follow them, end after some thousands of reports of targets that don't exist. Found on reading the list of what clients choose: the port of engines takes reports from anybody.

Cause: a report was kept for 60 s whatever its length (up to 64 KB) and however many there were, passed on to the other control nodes and listed to the entries. Versions that a target had before were kept without a bound.

Traits answered lately, refusals by the caller's id and the traits of crashes that control has not confirmed are counted or cut as well. A lint rule holds the class: in the core, a Map or Set by ids that clients choose has to be a CountedMap, and on the request paths one by plain strings has to say why not.

--- a/src/core/attempts/suspect-poison-guard.ts
+++ b/src/core/attempts/suspect-poison-guard.ts
@@ -2,6 +2,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {TargetId} from '../ids/target-id.ts';
+import {StateMemory} from '../memory/state-memory.ts';
 import {RecentSet} from '../common/recent-set.ts';
 import {partFingerprint} from './part-fingerprint.ts';
 import {PermitArbiter} from './permit-arbiter.ts';
@@ -36,6 +37,8 @@
 	/** Live entries of each other reachable region. */
 	readonly remoteEntries: () => ReadonlyArray<readonly NodeId[]>;
 	readonly outbox: Outbox;
+	/** Owner of the state that is kept for callers. @default one with the default bounds */
+	readonly state?: StateMemory;
 	/** Largest number of suspects kept. @default 4096 */
 	readonly maxSuspects?: number;
 	/** How long a request stays a suspect after its record last changed, in milliseconds. @default 600_000 */
@@ -64,7 +67,7 @@
 	readonly #arbiter: PermitArbiter;
 	/** Number of attempts in flight on this node by fingerprint and target, of suspects and of other requests. */
 	readonly #running = new Map<string, Map<TargetId, number>>();
-	readonly #servedParts = new RecentSet<string>({keepMs: recentlyServedMs, maxSize: maxServedParts});
+	readonly #servedParts: RecentSet<string>;
 	#startupQueries = 0;
 	#queriedAt = Number.NEGATIVE_INFINITY;
 	#exchangeCount = 0;
@@ -74,6 +77,8 @@
 		this.#peers = options.peers;
 		this.#remoteEntries = options.remoteEntries;
 		this.#outbox = options.outbox;
+		const {state = new StateMemory()} = options;
+		this.#servedParts = new RecentSet({budget: state.budget('served-traits'), keepMs: recentlyServedMs, maxSize: maxServedParts});
 		this.#table = new SuspectTable(options);
 		const {self, peers, remoteEntries, outbox} = options;
 		const table = this.#table;
--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -8,6 +8,7 @@
 import type {EntryAddress} from '../ids/entry-address.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
+import type {TargetId} from '../ids/target-id.ts';
 import type {Zone} from '../ids/zone.ts';
 import {StateMemory} from '../memory/state-memory.ts';
 import {QuotaSums} from '../organisations/quota/quota-sums.ts';
@@ -86,7 +87,7 @@
 		this.#callerDirectory = new CallerDirectory({
 			entries: this.#directory, state: this.#state.routes, parseDocument: options.parseDocument, outbox,
 		});
-		this.#registry = new TargetRegistry({reportEveryMs, regionOf: zone => zones.get(zone)});
+		this.#registry = new TargetRegistry({reportEveryMs, regionOf: zone => zones.get(zone), budget: state.budget('targets')});
 		this.#voterPolicy = new VoterPolicy(toleratedLosses);
 		this.#operatorCalls = new OperatorCallHandler({
 			self: self.nodeId,
@@ -134,6 +135,11 @@
 		this.#evacuated = new Set(this.#state.routes.evacuated());
 	}
 
+	/** False if there is no memory for a target that is not known. */
+	hasRoomFor(targetId: TargetId): boolean {
+		return this.#registry.hasRoomFor(targetId);
+	}
+
 	step(event: ControlEvent, now: Millis): readonly ControlAction[] {
 		this.#now = now;
 		this.#startedAt ??= now;
--- a/src/core/control/crash-report-handler.ts
+++ b/src/core/control/crash-report-handler.ts
@@ -33,6 +33,7 @@
 export class CrashReportHandler {
 	readonly #options: CrashReportHandlerOptions;
 	/** Entries that wait for the outcome of a call. */
+	// eslint-disable-next-line no-restricted-syntax -- by calls of this node, each of which ends in time
 	readonly #waiting = new Map<string, WaitingEntry>();
 	#lastCall = 0;
 	#withdrawnAt = Number.NEGATIVE_INFINITY;
--- a/src/core/control/operator-call-handler.ts
+++ b/src/core/control/operator-call-handler.ts
@@ -45,6 +45,7 @@
  */
 export class OperatorCallHandler {
 	readonly #options: OperatorCallHandlerOptions;
+	// eslint-disable-next-line no-restricted-syntax -- by calls of this node, each of which ends in time
 	readonly #openCalls = new Map<string, OpenCall>();
 	#proposals: PendingProposal[] = [];
 	#pendingReads: PendingRead[] = [];
--- a/src/core/edge/containment-trials.ts
+++ b/src/core/edge/containment-trials.ts
@@ -47,11 +47,13 @@
 	readonly #awake = new AwakeClock();
 	/** Time lost to standstills by the last tick, in milliseconds. */
 	#lostMs = 0;
+	// eslint-disable-next-line no-restricted-syntax -- those that control names, whose number is bounded
 	#contained = new Map<RequestTrait, ContainedTrait>();
 	readonly #queries = new Map<RequestId, Query>();
 	/** Trials of requests that have not ended. */
 	readonly #granted = new Map<RequestId, Trial>();
 	/** Numbers of granted trials that no request used. */
+	// eslint-disable-next-line no-restricted-syntax -- of the contained ones only
 	readonly #unused = new Map<RequestTrait, number>();
 
 	constructor(options: ContainmentTrialsOptions) {
--- a/src/core/edge/crash-containment.ts
+++ b/src/core/edge/crash-containment.ts
@@ -6,6 +6,7 @@
 import type {NodeId} from '../ids/node-id.ts';
 import type {RequestTrait} from '../ids/request-trait.ts';
 import {toId} from '../ids/to-id.ts';
+import type {StateMemory} from '../memory/state-memory.ts';
 import type {CrashReport} from '../routes/crash-report.ts';
 import {ContainmentTrials} from './containment-trials.ts';
 import type {EdgeAction} from './edge-action.ts';
@@ -35,6 +36,8 @@
 
 type CrashContainmentOptions = {
 	readonly queue: ActionQueue<EdgeAction>;
+	/** Owner of what is kept for callers. */
+	readonly state: StateMemory;
 	/** The control node that is told of crashes. */
 	readonly primary: () => NodeId | undefined;
 	/** Number of targets in use. */
@@ -59,14 +62,16 @@
 	readonly #pending = new Map<CrashId, PendingReport>();
 	/** Crashes since the last report. */
 	#fresh = new Map<CrashId, CrashReport>();
-	readonly #recentlyServed = new RecentSet<RequestTrait>({keepMs: recentlyServedMs, maxSize: maxServedTraits});
+	readonly #recentlyServed: RecentSet<RequestTrait>;
 	/** Blamed traits with which requests were answered since the last report. */
+	// eslint-disable-next-line no-restricted-syntax -- of the suspects only, whose number is bounded
 	readonly #served = new Set<RequestTrait>();
 	#reportedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: CrashContainmentOptions) {
 		this.#options = options;
 		this.trials = new ContainmentTrials(options);
+		this.#recentlyServed = new RecentSet({budget: options.state.budget('served-traits'), keepMs: recentlyServedMs, maxSize: maxServedTraits});
 	}
 
 	/** Log index of the newest change of blamed traits that this entry has. */
@@ -158,7 +163,7 @@
 
 		for (const report of crashes) {
 			const pending = this.#pending.get(report.crash)?.report;
-			const traits = [...new Set([...pending?.traits ?? [], ...report.traits])];
+			const traits = [...new Set([...report.traits, ...pending?.traits ?? []])].slice(0, maxTraitsPerReport);
 			this.#pending.set(report.crash, {report: {...report, traits}, sentAt: Number.NEGATIVE_INFINITY});
 			this.#options.queue.event('crash-suspected', {target: report.targetId, traits: report.traits});
 		}
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -89,7 +89,7 @@
 			queue: this.#queue, state, versions: this.#versions, primary: () => this.#follower.primary, controlNodes: () => this.#follower.nodes,
 		});
 		this.#containment = new CrashContainment({
-			queue: this.#queue, primary: () => this.#follower.primary, targetCount: () => this.#pool.listings().length,
+			queue: this.#queue, state, primary: () => this.#follower.primary, targetCount: () => this.#pool.listings().length,
 		});
 		this.#prober = new TargetProber({
 			targets: now => this.#probedTargets(now),
@@ -105,6 +105,7 @@
 			mayBeBehind: now => this.#freshness.mayBeBehind(now),
 			prober: this.#prober,
 			containment: this.#containment,
+			state,
 			origins: this.#origins,
 			placement: new PlacementPolicy({
 				region: self.region, relayAddress: self.relayAddress, pool: this.#pool, regions: this.#regions, startup: this.#startup, table: () => this.#table, random,
--- a/src/core/edge/prefix-cache-estimate.ts
+++ b/src/core/edge/prefix-cache-estimate.ts
@@ -43,7 +43,7 @@
 
 		for (const {id, tokens} of parts) {
 			this.#totalTokens += tokens - (this.#tokens.get(id) ?? 0);
-			this.#tokens.set(id, tokens);
+			this.#tokens.renew(id, tokens);
 		}
 
 		for (const [id, tokens] of this.#tokens) {
--- a/src/core/edge/recent-refusals.ts
+++ b/src/core/edge/recent-refusals.ts
@@ -1,10 +1,15 @@
 import type {CallerKey} from '../ids/caller-key.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {TargetId} from '../ids/target-id.ts';
+import {CountedMap} from '../memory/counted-map.ts';
+import type {StateBudget} from '../memory/state-budget.ts';
 import type {RequestRecord} from './request-record.ts';
 
 /** Time for which a refusal is remembered, in milliseconds: idle connections to targets are kept for as long at most. */
 const retentionMs = 60_000;
+/** Memory of a record beside its key, and of a target in it, in bytes. */
+const recordBytes = 256;
+const targetBytes = 64;
 /** Most requests that are remembered. */
 const maxRequests = 4096;
 
@@ -16,12 +21,15 @@
  */
 export class RecentRefusals {
 	/** In order of the newest refusal. */
-	readonly #refusals = new Map<CallerKey, {readonly targets: ReadonlySet<TargetId>; readonly at: Millis}>();
+	readonly #refusals: CountedMap<CallerKey, {readonly targets: ReadonlySet<TargetId>; readonly at: Millis}>;
+
+	constructor(budget: StateBudget) {
+		this.#refusals = new CountedMap({budget, whenFull: 'forget', valueBytes: ({targets}) => recordBytes + (targets.size * targetBytes)});
+	}
 
 	record(callerKey: CallerKey, targetId: TargetId, now: Millis): void {
 		const targets = new Set([...this.#targetsOf(callerKey, now), targetId]);
-		this.#refusals.delete(callerKey);
-		this.#refusals.set(callerKey, {targets, at: now});
+		this.#refusals.renew(callerKey, {targets, at: now});
 		for (const [oldest, {at}] of this.#refusals) {
 			if (this.#refusals.size <= maxRequests && now - at <= retentionMs) {
 				break;
--- a/src/core/edge/region-selector.ts
+++ b/src/core/edge/region-selector.ts
@@ -58,7 +58,9 @@
 	#recentCounts: ReadonlyArray<{readonly at: Millis; readonly placing: number; readonly all: number}> = [];
 	#updatedAt = Number.NEGATIVE_INFINITY;
 	readonly #deploymentCounts = new HeldMaximum(deploymentCountHoldMs);
+	// eslint-disable-next-line no-restricted-syntax -- by region and service
 	readonly #recentSends = new Map<string, SentRequest[]>();
+	// eslint-disable-next-line no-restricted-syntax -- by entry and service
 	readonly #avoidUntil = new Map<string, number>();
 	#rotation = 0;
 
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -5,6 +5,7 @@
 import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {RequestId} from '../ids/request-id.ts';
+import type {StateMemory} from '../memory/state-memory.ts';
 import type {QuotaGate} from '../organisations/quota/quota-gate.ts';
 import type {RouteRule} from '../routes/route-rule.ts';
 import type {RouteTable} from '../routes/route-table.ts';
@@ -48,6 +49,8 @@
 	readonly waiting: WaitQueue;
 	readonly origins: StreamOrigins;
 	readonly containment: CrashContainment;
+	/** Owner of what is kept for callers. */
+	readonly state: StateMemory;
 	readonly prober: TargetProber;
 	readonly startup: StartupWait;
 	/** True if a newer document may have been accepted that this entry does not have. */
@@ -72,7 +75,7 @@
 	readonly #placer: RequestPlacer;
 	readonly #feedback: TargetFeedback;
 	readonly #pacer = new PlacementPacer();
-	readonly #refusals = new RecentRefusals();
+	readonly #refusals: RecentRefusals;
 	readonly #stopDeadline = new StopDeadline();
 	readonly #quotas: QuotaCharges;
 	#closed = false;
@@ -81,6 +84,7 @@
 	constructor(options: RequestHandlerOptions) {
 		this.#options = options;
 		this.#quotas = new QuotaCharges(options.quotas);
+		this.#refusals = new RecentRefusals(options.state.budget('refusals'));
 		const idle = new IdleConnectionPolicy();
 		this.#attempts = new AttemptTracker({...options, idle});
 		this.#completion = new RequestCompletion(options);
--- a/src/core/edge/start-configuration.ts
+++ b/src/core/edge/start-configuration.ts
@@ -40,6 +40,7 @@
  * would serve again, its callers are better served by the newest configuration that anyone has than not at all.
  */
 export class StartConfiguration {
+	// eslint-disable-next-line no-restricted-syntax -- by control node
 	readonly #views = new Map<string, LogView & {readonly heardAt: Millis}>();
 	#held: Held | undefined;
 	#highestIndex = 0;
--- a/src/core/gateway-core-options.ts
+++ b/src/core/gateway-core-options.ts
@@ -4,6 +4,7 @@
 import type {NodeId} from './ids/node-id.ts';
 import type {StorageId} from './ids/storage-id.ts';
 import type {NodeInfo} from './membership/node-info.ts';
+import type {StateMemory} from './memory/state-memory.ts';
 
 /** Constructor options of `GatewayCore`. */
 export type GatewayCoreOptions = {
@@ -13,6 +14,8 @@
 	/** Initial members of the replicated log. */
 	readonly controlMembers: readonly NodeId[];
 	readonly random: Random;
+	/** Owner of the state that is kept for callers. @default one with the default bounds */
+	readonly state?: StateMemory;
 	/** Start time, on the clock of the later events. */
 	readonly startedAt: Millis;
 	/** Contents of the data folder at start; absent on a process without one. */
--- a/src/core/gateway-parts.ts
+++ b/src/core/gateway-parts.ts
@@ -97,6 +97,7 @@
 			peers: () => this.#regionPeers(),
 			remoteEntries: () => this.#entriesByRegion().filter(({region}) => region !== self.region).map(({entries}) => entries),
 			outbox,
+			state: options.state,
 		});
 		this.orders = new OrderManager({
 			tree: () => this.settings.tree,
--- a/src/core/memory/counted-map.ts
+++ b/src/core/memory/counted-map.ts
@@ -14,7 +14,7 @@
 const entryBytes = 128;
 
 /** A `Map` in the order of insertion whose keys clients choose, and whose memory is counted. */
-export class CountedMap<Key extends string, Value> implements Iterable<readonly [Key, Value]> {
+export class CountedMap<Key extends string, Value extends number | object> implements Iterable<readonly [Key, Value]> {
 	readonly #budget: StateBudget;
 	readonly #isForgetful: boolean;
 	readonly #valueBytes: (value: Value) => number;
@@ -46,19 +46,29 @@
 		return this.#entries.has(key);
 	}
 
-	/** Sets the value of a key, which becomes the newest. */
+	/** Sets the value of a key, which keeps its place if it has one. */
 	set(key: Key, value: Value): void {
-		this.delete(key);
-		const bytes = this.#sizeOf(key, value);
 		if (this.#isForgetful && this.#entries.size === 0) {
 			this.#budget.register(this);
 		}
 
+		const known = this.#entries.get(key);
+		const bytes = this.#sizeOf(key, value) - (known === undefined ? 0 : this.#sizeOf(key, known));
 		this.#entries.set(key, value);
 		this.#bytes += bytes;
 		this.#budget.add(bytes);
 	}
 
+	/** Sets the value of a key, which becomes the newest. */
+	renew(key: Key, value: Value): void {
+		this.delete(key);
+		this.set(key, value);
+	}
+
+	values(): IterableIterator<Value> {
+		return this.#entries.values();
+	}
+
 	delete(key: Key): void {
 		const value = this.#entries.get(key);
 		if (!this.#entries.delete(key)) {
--- a/src/core/registry/target-registry.ts
+++ b/src/core/registry/target-registry.ts
@@ -5,6 +5,8 @@
 import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {TargetId} from '../ids/target-id.ts';
 import type {Zone} from '../ids/zone.ts';
+import {CountedMap} from '../memory/counted-map.ts';
+import type {StateBudget} from '../memory/state-budget.ts';
 import type {ListedTarget} from './listed-target.ts';
 import type {RegisteredTarget} from './registered-target.ts';
 import type {TargetReport} from './target-report.ts';
@@ -14,6 +16,11 @@
 /** Report intervals without a report after which a target counts as lost. */
 const maxMissedReports = 3.5;
 
+/** Memory of a target's record beside its id and texts, in bytes. */
+const recordBytes = 512;
+/** Most earlier versions of targets' software that are remembered. */
+const maxReplaced = 1000;
+
 type ReportOrigin = {
 	/** True if the target sent the report to this node, and not through another control node. */
 	readonly direct?: boolean;
@@ -27,6 +34,8 @@
 	/** Interval between two reports of a target, in milliseconds. */
 	readonly reportEveryMs: number;
 	readonly regionOf: (zone: Zone) => Region | undefined;
+	/** Memory that the targets may take; at the bound, those that are known are kept and no others taken. */
+	readonly budget: StateBudget;
 };
 
 /**
@@ -37,7 +46,7 @@
 export class TargetRegistry {
 	readonly #options: TargetRegistryOptions;
 	readonly #awake = new AwakeClock();
-	readonly #records = new Map<TargetId, RegisteredTarget>();
+	readonly #records: CountedMap<TargetId, RegisteredTarget>;
 	/** Targets that are listed to entries as lost. */
 	readonly #announcedLost = new Set<TargetId>();
 	/** Software that targets had before they started again under their ids with another one. */
@@ -46,6 +55,7 @@
 
 	constructor(options: TargetRegistryOptions) {
 		this.#options = options;
+		this.#records = new CountedMap({budget: options.budget, whenFull: 'keep', valueBytes: ({report}) => recordBytes + report.service.length + report.address.length + report.softwareVersion.length});
 	}
 
 	/** Grows with every change that entries have to learn of. */
@@ -53,6 +63,11 @@
 		return this.#revision;
 	}
 
+	/** False if there is no memory for a target that is not known. */
+	hasRoomFor(targetId: TargetId): boolean {
+		return !this.#options.budget.isFull || this.#records.has(targetId);
+	}
+
 	/** Takes a report; returns whether it changed anything but the time of the last heartbeat. */
 	recordReport(report: TargetReport, now: Millis, {direct = true, ageMs = 0}: ReportOrigin = {}): boolean {
 		const awakeSentAt = this.#awake.step(now) - ageMs as Millis;
@@ -68,7 +83,8 @@
 
 		const region = this.#options.regionOf(report.zone);
 		const older = known ? !isNewer(report, known.report) : false;
-		if (region === undefined || older || this.#losesAddressConflict(report, known)) {
+		const isExcessive = !this.hasRoomFor(report.targetId) || (known !== undefined && this.#replaced.length >= maxReplaced && hasOtherSoftware(known.report, report));
+		if (region === undefined || older || isExcessive || this.#losesAddressConflict(report, known)) {
 			return false;
 		}
 
@@ -76,9 +92,10 @@
 			known, region, direct, sentAt: now - ageMs as Millis, awakeSentAt,
 		});
 		this.#records.set(report.targetId, target);
-		if (known !== undefined && (known.report.softwareVersion !== report.softwareVersion || known.report.service !== report.service)) {
+		if (known !== undefined && hasOtherSoftware(known.report, report)) {
 			const {report: {service, softwareVersion}, heardAt} = known;
-			this.#replaced = [...this.#replaced, {service, softwareVersion, heardAt}];
+			const others = this.#replaced.filter(replaced => replaced.service !== service || replaced.softwareVersion !== softwareVersion);
+			this.#replaced = [...others, {service, softwareVersion, heardAt}];
 		}
 
 		const changed = known === undefined || this.#differs(known, target, now);
@@ -125,6 +142,10 @@
 	/** Takes the withdrawal of a target: later reports of its incarnation are ignored. Returns whether a known target ended by it. `wallClock` is the present time as Unix time in milliseconds, to be compared with `born`. */
 	withdraw(targetId: TargetId, wallClock: number, now: Millis): boolean {
 		const known = this.#records.get(targetId);
+		if (!this.hasRoomFor(targetId)) {
+			return false;
+		}
+
 		if (known === undefined) {
 			this.#addWithdrawn(targetId, wallClock, now);
 		} else if (!known.ended) {
@@ -304,6 +325,10 @@
 	}
 }
 
+function hasOtherSoftware(left: TargetReport, right: TargetReport): boolean {
+	return left.softwareVersion !== right.softwareVersion || left.service !== right.service;
+}
+
 function isNewer(report: TargetReport, known: TargetReport): boolean {
 	return report.born > known.born || (report.born === known.born && report.sequence > known.sequence);
 }
--- a/src/core/routes/crash-ledger.ts
+++ b/src/core/routes/crash-ledger.ts
@@ -24,6 +24,7 @@
  */
 export class CrashLedger {
 	#index = 0;
+	// eslint-disable-next-line no-restricted-syntax -- replicated, so that all nodes have to drop the same ones: `maxTraits` bounds it
 	readonly #traits = new Map<RequestTrait, TraitRecord>();
 	readonly #crashes = new Map<CrashId, KnownCrash>();
 
--- a/src/core/routes/document-problems.ts
+++ b/src/core/routes/document-problems.ts
@@ -11,6 +11,7 @@
 export function documentProblems({version, routes, services, organisations}: RoutesDocument, options: Options = {}): readonly string[] {
 	const problems = [...organisationProblems(organisations, options)];
 	const known = new Set(services.map(({name}) => name));
+	// eslint-disable-next-line no-restricted-syntax -- for one check
 	const hostPrefixes = new Set<string>();
 	if (!Number.isSafeInteger(version) || version < 0) {
 		problems.push('the version must be a whole number: raise the last one');
--- a/src/core/routes/host-homes.ts
+++ b/src/core/routes/host-homes.ts
@@ -7,6 +7,7 @@
 /** Homes of the routes of each host: a caller that asks for a host may call any of its routes. */
 export class HostHomes {
 	/** Regions that all of the host's routes with homes have in common; undefined for a host whose routes have none. */
+	// eslint-disable-next-line no-restricted-syntax -- by host of the document
 	readonly #common = new Map<string, ReadonlySet<Region> | undefined>();
 
 	constructor({routes}: RoutesDocument) {
--- a/src/core/routes/route-table.ts
+++ b/src/core/routes/route-table.ts
@@ -13,6 +13,7 @@
 export class RouteTable {
 	readonly organisations: OrganisationTable;
 	readonly #document: RoutesDocument;
+	// eslint-disable-next-line no-restricted-syntax -- by host of the document
 	readonly #byHost = new Map<string, RouteRule[]>();
 	readonly #services = new Map<ServiceName, ServiceSpec>();
 
--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -76,7 +76,14 @@
 		this.#folder = folder;
 		const token = new PeerToken(() => this.#settings.keys.peer);
 		const {self} = settings;
+		const memory = new ProcessMemory({
+			memoryMb: settings.memoryMb,
+			onTurnedAway: kind => {
+				this.#metrics.count('clients_turned_away', kind);
+			},
+		});
 		this.#core = new GatewayCore({
+			state: memory.state,
 			self,
 			seeds: settings.seeds,
 			controlMembers: settings.controlMembers,
@@ -95,12 +102,6 @@
 		this.#links = new PeerLinks({
 			self, token, metrics: this.#metrics, budget, address: nodeId => this.#core.info(nodeId)?.peerAddress,
 		});
-		const memory = new ProcessMemory({
-			memoryMb: settings.memoryMb,
-			onTurnedAway: kind => {
-				this.#metrics.count('clients_turned_away', kind);
-			},
-		});
 		this.#attemptClient = new AttemptClient({
 			self, token, memory, step,
 		});
--- a/src/server/parsed-json-size.ts
+++ b/src/server/parsed-json-size.ts
@@ -7,7 +7,7 @@
 export function parsedJsonSize(text: string): number {
 	let size = 0;
 	for (let index = 0; index < text.length; index++) {
-		switch (text[index]) {
+		switch (text.charAt(index)) {
 			case '"': {
 				const end = endOfString(text, index + 1);
 				size += stringBytes + end - index;
--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -172,6 +172,13 @@
 					break;
 				}
 
+				if (!core.hasRoomFor(report.targetId)) {
+					this.#options.memory.turnedAway('too-many-targets');
+					res.setHeader('Retry-After', String(operatorRetryAfterSeconds));
+					sendText(res, 503, '{"error":"too many targets have reported"}');
+					break;
+				}
+
 				step({type: 'report', report});
 				sendText(res, 200, codec.writeReportAnswer(core.reportAddress(report.zone, now())));
 				break;
--- a/test/core/control/entry-feed.test.ts
+++ b/test/core/control/entry-feed.test.ts
@@ -3,6 +3,7 @@
 import type {Millis} from '../../../src/core/ids/millis.ts';
 import type {Region} from '../../../src/core/ids/region.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
+import {StateBudget} from '../../../src/core/memory/state-budget.ts';
 import {TargetRegistry} from '../../../src/core/registry/target-registry.ts';
 import {QuotaSums} from '../../../src/core/organisations/quota/quota-sums.ts';
 import {RoutesState} from '../../../src/core/routes/routes-state.ts';
@@ -14,7 +15,7 @@
 	const outbox = new RecordingOutbox();
 	const feed = new EntryFeed({
 		epoch: 'run-1',
-		registry: new TargetRegistry({reportEveryMs: 1000, regionOf: () => toId<Region>('regina')}),
+		registry: new TargetRegistry({budget: new StateBudget(10_000_000), reportEveryMs: 1000, regionOf: () => toId<Region>('regina')}),
 		state: new RoutesState(),
 		outbox,
 		isCurrent: () => current,
--- a/test/core/control/stream-origin-answerer.test.ts
+++ b/test/core/control/stream-origin-answerer.test.ts
@@ -9,6 +9,7 @@
 import type {SoftwareVersion} from '../../../src/core/ids/software-version.ts';
 import type {TargetId} from '../../../src/core/ids/target-id.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
+import {StateBudget} from '../../../src/core/memory/state-budget.ts';
 import {StateMemory} from '../../../src/core/memory/state-memory.ts';
 import {TargetRegistry} from '../../../src/core/registry/target-registry.ts';
 import {RecordingOutbox} from '../../fixtures/recording-outbox.ts';
@@ -22,7 +23,7 @@
 
 function start({isNewDeployment = false, state = new StateMemory()} = {}) {
 	const outbox = new RecordingOutbox();
-	const registry = new TargetRegistry({reportEveryMs: 1000, regionOf: () => toId<Region>('regina')});
+	const registry = new TargetRegistry({budget: new StateBudget(10_000_000), reportEveryMs: 1000, regionOf: () => toId<Region>('regina')});
 	const situation = {current: true, now: 0 as Millis};
 	const answerer = new StreamOriginAnswerer({
 		registry, outbox, state, isNewDeployment, isCurrent: () => situation.current,
--- a/test/core/edge/oversized-prompts.test.ts
+++ b/test/core/edge/oversized-prompts.test.ts
@@ -14,11 +14,13 @@
 		const harness = new EdgeHarness({document: routesDocumentFixture({engine: true, route: {kind: 'stream', resumable: false, attempts: 1}})});
 		harness.feed({targets: names.map(name => listedTargetFixture(name, {slots: 8}))});
 		for (let round = 0; round < rounds; round++) {
-			for (let count = 0; count < names.length; count++) {
+			for (const name of names) {
 				const before = harness.starts().length;
-				harness.request({prompt: {parts: [], promptTokens, outputTokens: 80}, budgetMs: 500});
-				for (let sent = before; sent < harness.starts().length; sent++) {
-					harness.head(harness.starts()[sent]!.attempt, {status: 503, notRun: true, load: {running: 2, waiting: 0, slots: 8}});
+				harness.request({path: `/orders/${name}`, prompt: {parts: [], promptTokens, outputTokens: 80}, budgetMs: 500});
+				let rejected = before;
+				while (rejected < harness.starts().length) {
+					harness.head(harness.starts()[rejected]!.attempt, {status: 503, notRun: true, load: {running: 2, waiting: 0, slots: 8}});
+					rejected += 1;
 				}
 			}
 
--- a/test/core/memory/counted-map.test.ts
+++ b/test/core/memory/counted-map.test.ts
@@ -34,7 +34,7 @@
 	t.is(budget.bytes, 0);
 });
 
-test('the oldest entries are forgotten at the bound; one that is set again is the newest', t => {
+test('the oldest entries are forgotten at the bound; one that is renewed is the newest', t => {
 	const budget = new StateBudget(100 * entryBytes());
 	const forgotten: number[] = [];
 	const map = new CountedMap<string, number>({
@@ -49,7 +49,8 @@
 	}
 
 	t.is(map.size, 100);
-	map.set(keyOf(0), 0);
+	map.renew(keyOf(0), 0);
+	map.set(keyOf(50), 50);
 	map.set(keyOf(100), 100);
 	t.true(budget.bytes <= budget.maxBytes);
 	t.true(map.has(keyOf(0)));
--- a/test/core/registry/target-registry.test.ts
+++ b/test/core/registry/target-registry.test.ts
@@ -3,6 +3,7 @@
 import type {Region} from '../../../src/core/ids/region.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
 import type {TargetId} from '../../../src/core/ids/target-id.ts';
+import {StateBudget} from '../../../src/core/memory/state-budget.ts';
 import {TargetRegistry} from '../../../src/core/registry/target-registry.ts';
 import {targetReportFixture} from '../../fixtures/target-report-fixture.ts';
 
@@ -10,7 +11,7 @@
 const at = (ms: number) => ms as Millis;
 
 function newRegistry(reportEveryMs = 1000): TargetRegistry {
-	return new TargetRegistry({reportEveryMs, regionOf: zone => zone === 'regina-a' ? toId<Region>('regina') : undefined});
+	return new TargetRegistry({budget: new StateBudget(10_000_000), reportEveryMs, regionOf: zone => zone === 'regina-a' ? toId<Region>('regina') : undefined});
 }
 
 /** Ticks every 50 ms after `from`, up to `to`. */
--- a/test/platform/odd-reports.test.ts
+++ b/test/platform/odd-reports.test.ts
@@ -8,6 +8,7 @@
 import type {Region} from '../../src/core/ids/region.ts';
 import {toId} from '../../src/core/ids/to-id.ts';
 import type {Zone} from '../../src/core/ids/zone.ts';
+import {StateBudget} from '../../src/core/memory/state-budget.ts';
 import type {ListedTarget} from '../../src/core/registry/listed-target.ts';
 import {TargetRegistry} from '../../src/core/registry/target-registry.ts';
 import {isAddress} from '../../src/settings/is-address.ts';
@@ -56,7 +57,7 @@
 		return undefined;
 	}
 
-	const registry = new TargetRegistry({reportEveryMs: 1000, regionOf: (zone: Zone) => zone === toId<Zone>('regina-a') ? toId<Region>('regina') : undefined});
+	const registry = new TargetRegistry({budget: new StateBudget(10_000_000), reportEveryMs: 1000, regionOf: (zone: Zone) => zone === toId<Zone>('regina-a') ? toId<Region>('regina') : undefined});
 	registry.recordReport(report, 1000 as Millis);
 	registry.tick(2000 as Millis);
 	// Control and entries exchange lists as JSON.
--- a/test/server/parsed-json-size.test.ts
+++ b/test/server/parsed-json-size.test.ts
@@ -4,7 +4,7 @@
 
 test('values count, but not what looks like them within strings', t => {
 	t.is(parsedJsonSize('{"a":[1,2,{}]}'), (3 * 64) + (2 * 24) + 24 + 2);
-	t.is(parsedJsonSize('"[,{\\",["'), 24 + 8);
+	t.is(parsedJsonSize(String.raw`"[,{\",["`), 24 + 8);
 	t.is(parsedJsonSize('"no end, '), 24 + 9);
 	t.is(parsedJsonSize(''), 0);
 });
--- a/xo.config.js
+++ b/xo.config.js
@@ -3,6 +3,17 @@
 	message: 'One export a file.',
 };
 
+/** Ids that clients choose: state that is kept by them has to be counted. */
+const clientIds = 'CallerKey|PromptPartId|RequestTrait';
+const countedState = {
+	selector: `:matches(NewExpression[callee.name=/^(Map|Set)$/], TSTypeReference[typeName.name=/^(Map|Set)$/]) > TSTypeParameterInstantiation > TSTypeReference.params:first-child[typeName.name=/^(${clientIds})$/]`,
+	message: 'State that is kept by ids that clients choose belongs in a CountedMap, with a budget of StateMemory.',
+};
+const namedKeys = {
+	selector: ':matches(NewExpression[callee.name=/^(Map|Set)$/], TSTypeReference[typeName.name=/^(Map|Set)$/]) > TSTypeParameterInstantiation > TSStringKeyword.params:first-child',
+	message: 'Say whose ids the keys are: use a branded id, and a CountedMap if clients choose them.',
+};
+
 const core = {
 	files: ['src/core/**/*.ts'],
 	rules: {
@@ -16,11 +27,19 @@
 		'no-restricted-syntax': [
 			'error',
 			oneExport,
+			countedState,
 			{selector: 'AwaitExpression', message: 'The core is synchronous.'},
 		],
 	},
 };
 
+const requestPaths = {
+	files: ['src/core/edge/**/*.ts', 'src/core/control/**/*.ts', 'src/core/routes/**/*.ts'],
+	rules: {
+		'no-restricted-syntax': [...core.rules['no-restricted-syntax'], namedKeys],
+	},
+};
+
 // Only platform/ knows the names and formats of the platform; the product gets them as a PlatformAdapter (RequestCodec and ControlCodec).
 const product = {
 	files: ['src/**/*.ts', 'bench/**/*.ts', 'scripts/**/*.ts'],
@@ -76,6 +95,7 @@
 		},
 	},
 	core,
+	requestPaths,
 	product,
 	platform,
 	isolatedTests,
