fix(server): connections between processes on which there is no link are bounded

A client that reaches the port on which processes link up could take every descriptor of a process by connections on which it sends nothing: 256 of 256 in use at an entry, a control node and a node with a settings tree. Found by playing the connection test on these ports; sessions had neither a limit nor a time to open a link.

Sessions with a link aren't counted.

--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -114,6 +114,7 @@
 			token,
 			metrics: this.#metrics,
 			budget,
+			maxUnlinked: memory.maxUnlinked,
 			onMessage(from, message) {
 				step({type: 'peer', from, message});
 			},
--- a/src/server/peer-server.ts
+++ b/src/server/peer-server.ts
@@ -17,6 +17,7 @@
 import type {PeerQueueBudget} from './peer-queue-budget.ts';
 import type {PeerToken} from './peer-token.ts';
 import {replyIdentity} from './reply-identity.ts';
+import {UnlinkedSessions} from './unlinked-sessions.ts';
 
 const maxFrameBytes = 67_108_864;
 
@@ -27,6 +28,8 @@
 	readonly metrics: Metrics;
 	/** Bounds the queues of all peers of the process together. */
 	readonly budget: PeerQueueBudget;
+	/** Connections without a link that may be open. @default constants.maxUnlinkedSessions */
+	readonly maxUnlinked?: number;
 	readonly onMessage: (from: NodeId, message: PeerMessage) => void;
 };
 
@@ -35,12 +38,14 @@
 	readonly #options: PeerServerOptions;
 	readonly #server: Http2Server;
 	readonly #sessions = new Set<ServerHttp2Session>();
+	readonly #unlinked: UnlinkedSessions;
 	/** Messages for peers that take them on the links that they have opened. */
 	readonly #replies = new Map<NodeId, MessageBatches>();
 	readonly #log = log('peers');
 
 	constructor(options: PeerServerOptions) {
 		this.#options = options;
+		this.#unlinked = new UnlinkedSessions(options.maxUnlinked ?? constants.maxUnlinkedSessions);
 		const routes = (router: ConnectRouter) => {
 			router.service(PeerService, {link: (frames, context) => this.#link(frames, context)});
 		};
@@ -50,6 +55,7 @@
 		}));
 		this.#server.on('session', session => {
 			this.#sessions.add(session);
+			this.#unlinked.add(session);
 			session.on('close', () => this.#sessions.delete(session));
 			session.on('error', () => undefined);
 		});
--- a/src/server/process-memory.ts
+++ b/src/server/process-memory.ts
@@ -35,6 +35,8 @@
 	readonly unread: HeldBytes<MemoryHold>;
 	/** Connections that the servers have accepted; the descriptors left are for files, links between processes and connections to targets. */
 	readonly connections: HeldConnections<Socket>;
+	/** Connections of peers without a link that may be open. */
+	readonly maxUnlinked: number;
 	/** Requests that may be in progress: each may need a connection to a target. */
 	readonly maxRequests: number;
 	/** What is kept beyond the requests, by ids that clients choose. */
@@ -49,6 +51,7 @@
 		this.unread = new HeldBytes(share * constants.maxUnreadAnswerBytes);
 		const own = Math.min(constants.maxOwnDescriptors, Math.floor(descriptors / 4));
 		this.connections = new HeldConnections(Math.floor((descriptors - own) * constants.acceptedShare));
+		this.maxUnlinked = Math.min(constants.maxUnlinkedSessions, Math.floor(own / 4));
 		this.maxRequests = Math.floor((descriptors - own) * constants.requestShare);
 		const heapShare = Math.min(share, heapBytes / constants.defaultHeapBytes);
 		this.requests = new HeldBytes(heapShare * constants.maxHeldRequestBytes);
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -75,6 +75,7 @@
 			settings,
 			log,
 			core: this.#core,
+			memory,
 			perform: action => {
 				this.#perform(action);
 			},
--- a/src/server/routes/core-host.ts
+++ b/src/server/routes/core-host.ts
@@ -5,6 +5,7 @@
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
 import {CoreRunner} from '../core-runner.ts';
 import type {EventLog} from '../event-log.ts';
+import type {ProcessMemory} from '../process-memory.ts';
 import {Metrics} from '../metrics.ts';
 import type {PeerConnections} from './peer-connections.ts';
 
@@ -18,6 +19,8 @@
 	readonly settings: RoutesSettings;
 	readonly log: EventLog;
 	readonly core: {step(event: Event | HostEvent, now: Millis): ReadonlyArray<Action | SharedAction>};
+	/** Bounds on what the process holds. */
+	readonly memory: ProcessMemory;
 	/** Carries out the actions that are specific to this kind of core. */
 	readonly perform: (action: Action) => void;
 };
@@ -29,13 +32,15 @@
 	readonly #performProcessAction: (action: Action) => void;
 	readonly #runner: CoreRunner<Event | HostEvent, Action | SharedAction>;
 	readonly #settings: RoutesSettings;
+	readonly #maxUnlinked: number;
 	/** Undefined until `open`. */
 	#peers: PeerConnections | undefined;
 	#tickTimer: NodeJS.Timeout | undefined;
 
-	constructor({settings, log, core, perform}: CoreHostOptions<Event, Action>) {
+	constructor({settings, log, core, memory, perform}: CoreHostOptions<Event, Action>) {
 		this.#settings = settings;
 		this.#log = log;
+		this.#maxUnlinked = memory.maxUnlinked;
 		this.#performProcessAction = perform;
 		this.#runner = new CoreRunner({
 			node: core,
@@ -63,6 +68,7 @@
 		this.#peers = new PeerConnections({
 			settings: this.#settings,
 			metrics: this.metrics,
+			maxUnlinked: this.#maxUnlinked,
 			onMessage: (from, message) => {
 				this.#runner.step({type: 'peer', from, message});
 			},
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -82,6 +82,7 @@
 			settings,
 			log,
 			core: this.#core,
+			memory: this.#memory,
 			perform: action => {
 				this.#perform(action);
 			},
--- a/src/server/routes/peer-connections.ts
+++ b/src/server/routes/peer-connections.ts
@@ -11,6 +11,8 @@
 type PeerConnectionsOptions = {
 	readonly settings: RoutesSettings;
 	readonly metrics: Metrics;
+	/** Connections without a link that may be open. */
+	readonly maxUnlinked: number;
 	readonly onMessage: (from: NodeId, message: PeerMessage) => void;
 };
 
@@ -19,7 +21,7 @@
 	readonly #links: PeerLinks;
 	readonly #server: PeerServer;
 
-	constructor({settings, metrics, onMessage}: PeerConnectionsOptions) {
+	constructor({settings, metrics, maxUnlinked, onMessage}: PeerConnectionsOptions) {
 		const self = {nodeId: settings.nodeId, incarnation: Date.now()};
 		const token = new PeerToken(() => settings.peerKeys);
 		const budget = new PeerQueueBudget(constants.maxPeerQueuesBytes);
@@ -33,7 +35,7 @@
 			onReply: settings.role === 'entry' ? onMessage : undefined,
 		});
 		this.#server = new PeerServer({
-			self, listen: settings.listen.peers, token, metrics, budget, onMessage,
+			self, listen: settings.listen.peers, token, metrics, budget, maxUnlinked, onMessage,
 		});
 	}
 
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -8,6 +8,8 @@
 	bodyTimeoutMs: 30_000,
 	/** Descriptors that a process keeps for its files and its links to other processes, at most; a quarter of all if that is less. */
 	maxOwnDescriptors: 512,
+	/** Connections of peers on which there is no link, at most; a quarter of the process's own descriptors if that is less. */
+	maxUnlinkedSessions: 128,
 	/** Share of the other descriptors that accepted connections may take; the rest is for connections to targets. */
 	acceptedShare: 0.7,
 	/** The same for requests in progress, each of which may need a connection to a target. */
--- a/test/isolated/connections.test.ts
+++ b/test/isolated/connections.test.ts
@@ -11,10 +11,10 @@
 /** More than all descriptors of a process. */
 const connections = 300;
 
-type Port = 'callers' | 'readiness' | 'operators' | 'directory' | 'tree' | 'relay';
+type Port = 'callers' | 'readiness' | 'operators' | 'directory' | 'tree' | 'relay' | 'entry links' | 'control links' | 'tree links';
 
 const paths: Readonly<Record<Port, string>> = {
-	callers: '/calls/1', relay: '/calls/1', readiness: '/readiness', operators: '/configuration', directory: '/resolve?name=prairie.example&region=regina&zone=regina-a', tree: '/healthz',
+	callers: '/calls/1', relay: '/calls/1', readiness: '/readiness', operators: '/configuration', directory: '/resolve?name=prairie.example&region=regina&zone=regina-a', tree: '/healthz', 'entry links': '/', 'control links': '/', 'tree links': '/',
 };
 
 /** What each connection sends before it is kept open. */
@@ -25,6 +25,13 @@
 	'are kept after a request': () => 'GET /unknown HTTP/1.1\r\nHost: prairie.example\r\n\r\n',
 };
 
+function portOf({ports, relayPort, linkPorts}: ProcessDeployment, name: Port): number {
+	const internal: Partial<Record<Port, number>> = {
+		relay: relayPort, 'entry links': linkPorts.entry, 'control links': linkPorts.control, 'tree links': linkPorts.tree,
+	};
+	return internal[name] ?? ports[name as keyof typeof ports];
+}
+
 function assertDescriptors(t: ExecutionContext, deployment: ProcessDeployment): void {
 	for (const role of ['entry', 'control', 'tree'] as const) {
 		const pid = deployment.pid(role);
@@ -53,7 +60,7 @@
 		test(`${name}: connections that ${title}`, async t => {
 			const deployment = await ProcessDeployment.start({memoryMb, descriptors});
 			const clients = new OpenConnections({
-				port: name === 'relay' ? deployment.relayPort : deployment.ports[name], count: connections, bytes: () => bytes(path), reopens: true,
+				port: portOf(deployment, name), count: connections, bytes: () => bytes(path), reopens: true,
 			});
 			t.teardown(async () => {
 				clients.close();
