--- a/src/core/registry/target-registry.ts
+++ b/src/core/registry/target-registry.ts
@@ -55,7 +55,11 @@
 
 	constructor(options: TargetRegistryOptions) {
 		this.#options = options;
-		this.#records = new CountedMap({budget: options.budget, whenFull: 'keep', valueBytes: ({report}) => recordBytes + report.service.length + report.address.length + report.softwareVersion.length});
+		this.#records = new CountedMap({
+			budget: options.budget,
+			whenFull: 'keep',
+			valueBytes: ({report: {service, address, softwareVersion}}) => recordBytes + service.length + address.length + softwareVersion.length,
+		});
 	}
 
 	/** Grows with every change that entries have to learn of. */
@@ -83,8 +87,7 @@
 
 		const region = this.#options.regionOf(report.zone);
 		const older = known ? !isNewer(report, known.report) : false;
-		const isExcessive = !this.hasRoomFor(report.targetId) || (known !== undefined && this.#replaced.length >= maxReplaced && hasOtherSoftware(known.report, report));
-		if (region === undefined || older || isExcessive || this.#losesAddressConflict(report, known)) {
+		if (region === undefined || older || this.#isExcessive(report, known) || this.#losesAddressConflict(report, known)) {
 			return false;
 		}
 
@@ -250,6 +253,11 @@
 		return this.#awake.now - awakeHeardAt > maxMissedReports * this.#options.reportEveryMs;
 	}
 
+	/** True if there is no memory for the target, or for the software that it had before. */
+	#isExcessive(report: TargetReport, known: RegisteredTarget | undefined): boolean {
+		return !this.hasRoomFor(report.targetId) || (known !== undefined && this.#replaced.length >= maxReplaced && hasOtherSoftware(known.report, report));
+	}
+
 	/** True if a target that started later holds the report's address. Targets that started earlier and hold it are ended. */
 	#losesAddressConflict(report: TargetReport, known: RegisteredTarget | undefined): boolean {
 		for (const other of this.#records.values()) {
--- a/test/isolated/connections.test.ts
+++ b/test/isolated/connections.test.ts
@@ -14,7 +14,15 @@
 type Port = 'callers' | 'readiness' | 'operators' | 'directory' | 'tree' | 'relay' | 'entry links' | 'control links' | 'tree links';
 
 const paths: Readonly<Record<Port, string>> = {
-	callers: '/calls/1', relay: '/calls/1', readiness: '/readiness', operators: '/configuration', directory: '/resolve?name=prairie.example&region=regina&zone=regina-a', tree: '/healthz', 'entry links': '/', 'control links': '/', 'tree links': '/',
+	callers: '/calls/1',
+	relay: '/calls/1',
+	readiness: '/readiness',
+	operators: '/configuration',
+	directory: '/resolve?name=prairie.example&region=regina&zone=regina-a',
+	tree: '/healthz',
+	'entry links': '/',
+	'control links': '/',
+	'tree links': '/',
 };
 
 /** What each connection sends before it is kept open. */
--- a/test/isolated/registrations.test.ts
+++ b/test/isolated/registrations.test.ts
@@ -8,6 +8,11 @@
 const descriptors = 200;
 const connections = 16;
 
+/** Of a target that leaves: it is no target for ordinary calls. */
+const report = {
+	service: 'desk', zone: 'regina-a', slots: 6, state: 'draining', 'cold-remaining-ms': 0, sequence: 1,
+};
+
 type Registrations = {readonly count: number; readonly identifier: (index: number) => string; readonly version: (index: number) => string};
 
 const registrations: Readonly<Record<string, Registrations>> = {
@@ -27,7 +32,7 @@
 			await deployment.close();
 		});
 		let next = 0;
-		const report = async () => {
+		const sendReports = async () => {
 			while (next < count) {
 				const index = next;
 				next += 1;
@@ -37,7 +42,7 @@
 						dispatcher,
 						method: 'PUT',
 						body: JSON.stringify({
-							service: 'desk', address: `127.9.${Math.floor(index / 250) % 250}.${index % 250}:9`, zone: 'regina-a', version: version(index), slots: 6, state: 'draining', 'cold-remaining-ms': 0, born: 1000 + index, sequence: 1,
+							...report, address: `127.9.${Math.floor(index / 250) % 250}.${index % 250}:9`, version: version(index), born: 1000 + index,
 						}),
 					});
 					await res.body.dump(); // eslint-disable-line no-await-in-loop
@@ -47,7 +52,7 @@
 			}
 		};
 
-		await Promise.all(Array.from({length: connections}, report));
+		await Promise.all(Array.from({length: connections}, sendReports));
 		assertAlive(t, deployment, {memoryMb, descriptors});
 		t.true(await deployment.isConfigured(), 'a change of the configuration was not accepted');
 		t.true(await deployment.isCallServed(), 'an ordinary call was not answered');
--- a/xo.config.js
+++ b/xo.config.js
@@ -5,12 +5,13 @@
 
 /** Ids that clients choose: state that is kept by them has to be counted. */
 const clientIds = 'CallerKey|PromptPartId|RequestTrait';
+const mutableCollection = ':matches(NewExpression[callee.name=/^(Map|Set)$/], TSTypeReference[typeName.name=/^(Map|Set)$/]) > TSTypeParameterInstantiation';
 const countedState = {
-	selector: `:matches(NewExpression[callee.name=/^(Map|Set)$/], TSTypeReference[typeName.name=/^(Map|Set)$/]) > TSTypeParameterInstantiation > TSTypeReference.params:first-child[typeName.name=/^(${clientIds})$/]`,
+	selector: `${mutableCollection} > TSTypeReference.params:first-child[typeName.name=/^(${clientIds})$/]`,
 	message: 'State that is kept by ids that clients choose belongs in a CountedMap, with a budget of StateMemory.',
 };
 const namedKeys = {
-	selector: ':matches(NewExpression[callee.name=/^(Map|Set)$/], TSTypeReference[typeName.name=/^(Map|Set)$/]) > TSTypeParameterInstantiation > TSStringKeyword.params:first-child',
+	selector: `${mutableCollection} > TSStringKeyword.params:first-child`,
 	message: 'Say whose ids the keys are: use a branded id, and a CountedMap if clients choose them.',
 };
 
