--- a/src/core/memory/held-connections.ts
+++ b/src/core/memory/held-connections.ts
@@ -1,13 +1,13 @@
 import type {Millis} from '../ids/millis.ts';
 import type {ConnectionKind} from './connection-kind.ts';
 
-/** `fresh`: no request has arrived whole up to its body; `idle`: all requests are answered; `receiving`: a body is being received; `busy`: a request is in progress. */
+/** `fresh`: the head of its first request has not arrived; `idle`: all requests are answered; `receiving`: a body is being received; `busy`: a request is in progress. */
 type Stage = 'fresh' | 'idle' | 'receiving' | 'busy';
 
 type Held = {readonly kind: ConnectionKind; readonly address: string; stage: Stage; since: Millis};
 
 /** Connections of one kind in one stage, by address, each in the order in which they came to the stage. */
-type Waiting<Connection> = Map<string, Set<Connection>>;
+type ByAddress<Connection> = Map<string, Set<Connection>>;
 
 /** Share of the connections that no other kind can take, where a process accepts those of the kind. */
 const reservedShares: Readonly<Record<ConnectionKind, number>> = {
@@ -37,7 +37,7 @@
 export class HeldConnections<Connection> {
 	readonly #connections = new Map<Connection, Held>();
 	readonly #counts = new Map<ConnectionKind, number>();
-	readonly #waiting = new Map<ConnectionKind, Readonly<Record<Stage, Waiting<Connection>>>>();
+	readonly #byStage = new Map<ConnectionKind, Readonly<Record<Stage, ByAddress<Connection>>>>();
 
 	/** @param maxCount - Number of connections that the process may have accepted. */
 	constructor(readonly maxCount: number) {}
@@ -50,7 +50,7 @@
 	open(kind: ConnectionKind): void {
 		if (!this.#counts.has(kind)) {
 			this.#counts.set(kind, 0);
-			this.#waiting.set(kind, {
+			this.#byStage.set(kind, {
 				fresh: new Map(), idle: new Map(), receiving: new Map(), busy: new Map(),
 			});
 		}
@@ -119,17 +119,17 @@
 	}
 
 	#enter(connection: Connection, {kind, stage, address}: Held): void {
-		const waiting = this.#waiting.get(kind)![stage];
-		const ofAddress = waiting.get(address) ?? new Set();
-		waiting.set(address, ofAddress.add(connection));
+		const byAddress = this.#byStage.get(kind)![stage];
+		const ofAddress = byAddress.get(address) ?? new Set();
+		byAddress.set(address, ofAddress.add(connection));
 	}
 
 	#leave(connection: Connection, {kind, stage, address}: Held): void {
-		const waiting = this.#waiting.get(kind)![stage];
-		const ofAddress = waiting.get(address)!;
+		const byAddress = this.#byStage.get(kind)![stage];
+		const ofAddress = byAddress.get(address)!;
 		ofAddress.delete(connection);
 		if (ofAddress.size === 0) {
-			waiting.delete(address);
+			byAddress.delete(address);
 		}
 	}
 
@@ -137,7 +137,7 @@
 	#victim(kinds: readonly ConnectionKind[], now: Millis): Connection | undefined {
 		for (const {stage, afterMs} of evictions) {
 			let found: {readonly connection: Connection; readonly ofAddress: number; readonly since: Millis} | undefined;
-			for (const connections of kinds.flatMap(kind => [...this.#waiting.get(kind)![stage].values()])) {
+			for (const connections of kinds.flatMap(kind => [...this.#byStage.get(kind)![stage].values()])) {
 				const [connection] = connections;
 				const {since} = this.#connections.get(connection!)!;
 				const ofAddress = connections.size;
