fix(control): a control node has the memory for where streams began that it does not need for other state

An origin that a control node forgets for want of memory can be taken up only at a service that has had one software version: a promise that should give way last. Its process kept memory for parts of prompts and for refusals, which only entries keep. StateMemory now divides among the kinds that a process names; a control node has room for some 160,000 streams in 30 s in place of 100,000. Reckoned from the sizes of its entries, not played at that rate.

--- a/src/core/memory/state-memory.ts
+++ b/src/core/memory/state-memory.ts
@@ -4,8 +4,8 @@
 /** Memory that all kinds together may take by default, in bytes. */
 const defaultMaxBytes = 50_331_648;
 
-/** Share of each kind; a new kind needs one. */
-const shares: Readonly<Record<StateKind, number>> = {
+/** Weight of each kind in the memory of a process that keeps it; a new kind needs one. */
+const weights: Readonly<Record<StateKind, number>> = {
 	'prompt-parts': 0.25,
 	'stream-origins': 0.4,
 	'served-traits': 0.05,
@@ -13,6 +13,15 @@
 	targets: 0.2,
 };
 
+const allKinds = Object.keys(weights) as readonly StateKind[];
+
+type StateMemoryOptions = {
+	/** Memory that all kinds together may take, in bytes. @default 50_331_648 */
+	readonly maxBytes?: number;
+	/** Kinds that the process keeps. @default all */
+	readonly kinds?: readonly StateKind[];
+};
+
 /**
  * Owner of the state that outlives a request and whose keys clients choose, counted in bytes.
  *
@@ -20,17 +29,23 @@
  * number, the age or the tokens of what is remembered then don't bound its memory.
  */
 export class StateMemory {
-	static readonly kinds = Object.keys(shares) as readonly StateKind[];
+	/** Kinds that the process keeps. */
+	readonly kinds: readonly StateKind[];
+	readonly #budgets: ReadonlyMap<StateKind, StateBudget>;
 
-	readonly #budgets: Readonly<Record<StateKind, StateBudget>>;
-
-	/** @param maxBytes - Memory that all kinds together may take, in bytes. */
-	constructor(maxBytes: number = defaultMaxBytes) {
-		const budgets = StateMemory.kinds.map(kind => [kind, new StateBudget(maxBytes * shares[kind])]);
-		this.#budgets = Object.fromEntries(budgets) as Record<StateKind, StateBudget>;
+	constructor({maxBytes = defaultMaxBytes, kinds = allKinds}: StateMemoryOptions = {}) {
+		this.kinds = kinds;
+		const total = kinds.reduce((sum, kind) => sum + weights[kind], 0);
+		this.#budgets = new Map(kinds.map(kind => [kind, new StateBudget(maxBytes * weights[kind] / total)]));
 	}
 
+	/** @throws Error if the process was not meant to keep state of this kind. */
 	budget(kind: StateKind): StateBudget {
-		return this.#budgets[kind];
+		const budget = this.#budgets.get(kind);
+		if (budget === undefined) {
+			throw new Error(`this process has no memory for state of the kind ${kind}: name it where its StateMemory is created`);
+		}
+
+		return budget;
 	}
 }
--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -78,6 +78,7 @@
 		const {self} = settings;
 		const memory = new ProcessMemory({
 			memoryMb: settings.memoryMb,
+			stateKinds: ['served-traits'],
 			onTurnedAway: kind => {
 				this.#metrics.count('clients_turned_away', kind);
 			},
--- a/src/server/process-memory.ts
+++ b/src/server/process-memory.ts
@@ -3,6 +3,7 @@
 import {HeldBodies} from '../core/memory/held-bodies.ts';
 import {HeldBytes} from '../core/memory/held-bytes.ts';
 import {HeldConnections} from '../core/memory/held-connections.ts';
+import type {StateKind} from '../core/memory/state-kind.ts';
 import {StateMemory} from '../core/memory/state-memory.ts';
 import {constants} from '../settings/constants.ts';
 import {descriptorLimit} from './descriptor-limit.ts';
@@ -17,6 +18,8 @@
 	readonly heapBytes?: number;
 	/** Descriptors that the process may have open. @default what the system allows it */
 	readonly descriptors?: number;
+	/** Kinds of state that the process keeps for clients. @default all */
+	readonly stateKinds?: readonly StateKind[];
 	/** Called with each client that is turned away to protect the process. */
 	readonly onTurnedAway?: (kind: TurnedAway) => void;
 };
@@ -43,7 +46,13 @@
 	readonly state: StateMemory;
 	readonly turnedAway: (kind: TurnedAway) => void;
 
-	constructor({memoryMb = constants.defaultMemoryMb, heapBytes = getHeapStatistics().heap_size_limit, descriptors = descriptorLimit(), onTurnedAway = () => undefined}: ProcessMemoryOptions = {}) {
+	constructor({
+		memoryMb = constants.defaultMemoryMb,
+		heapBytes = getHeapStatistics().heap_size_limit,
+		descriptors = descriptorLimit(),
+		stateKinds,
+		onTurnedAway = () => undefined,
+	}: ProcessMemoryOptions = {}) {
 		const share = memoryMb / constants.defaultMemoryMb;
 		this.bodies = new HeldBodies({maxBytes: share * constants.maxHeldBodyBytes});
 		this.heads = new HeldBytes(share * constants.maxHeldHeadBytes);
@@ -55,7 +64,7 @@
 		this.maxRequests = Math.floor((descriptors - own) * constants.requestShare);
 		const heapShare = Math.min(share, heapBytes / constants.defaultHeapBytes);
 		this.requests = new HeldBytes(heapShare * constants.maxHeldRequestBytes);
-		this.state = new StateMemory(heapShare * constants.maxStateBytes);
+		this.state = new StateMemory({maxBytes: heapShare * constants.maxStateBytes, kinds: stateKinds});
 		this.turnedAway = onTurnedAway;
 	}
 }
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -7,7 +7,6 @@
 import type {Millis} from '../../core/ids/millis.ts';
 import type {Region} from '../../core/ids/region.ts';
 import {toId} from '../../core/ids/to-id.ts';
-import {StateMemory} from '../../core/memory/state-memory.ts';
 import type {Zone} from '../../core/ids/zone.ts';
 import type {SharedAction} from '../../core/shared-action.ts';
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
@@ -52,6 +51,7 @@
 		const memory = new ProcessMemory({
 			memoryMb,
 			descriptors,
+			stateKinds: ['stream-origins', 'targets'],
 			onTurnedAway: kind => {
 				this.#host.metrics.count('clients_turned_away', kind);
 			},
@@ -99,7 +99,7 @@
 		metrics.gauge('voters', () => this.#core.status(now()).consensus.voters.length);
 		metrics.gauge('pending_voters', () => Number(pendingMember(this.#core.status(now()).consensus) !== undefined));
 		metrics.gauge('accepted_connections', () => memory.connections.size);
-		for (const kind of StateMemory.kinds) {
+		for (const kind of memory.state.kinds) {
 			metrics.gauge(`state_${kind.replaceAll('-', '_')}_bytes`, () => memory.state.budget(kind).bytes);
 		}
 
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -4,7 +4,6 @@
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
 import type {RequestId} from '../../core/ids/request-id.ts';
 import {toId} from '../../core/ids/to-id.ts';
-import {StateMemory} from '../../core/memory/state-memory.ts';
 import type {SharedAction} from '../../core/shared-action.ts';
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
 import {ProcessMemory} from '../process-memory.ts';
@@ -56,6 +55,7 @@
 		this.#memory = new ProcessMemory({
 			memoryMb: settings.memoryMb,
 			descriptors: settings.descriptors,
+			stateKinds: ['prompt-parts', 'stream-origins', 'served-traits', 'refusals'],
 			onTurnedAway: kind => {
 				this.#host.metrics.count('clients_turned_away', kind);
 			},
@@ -108,7 +108,7 @@
 		}
 
 		metrics.gauge('accepted_connections', () => this.#memory.connections.size);
-		for (const kind of StateMemory.kinds) {
+		for (const kind of this.#memory.state.kinds) {
 			metrics.gauge(`state_${kind.replaceAll('-', '_')}_bytes`, () => this.#memory.state.budget(kind).bytes);
 		}
 
--- a/test/core/control/stream-origin-answerer.test.ts
+++ b/test/core/control/stream-origin-answerer.test.ts
@@ -62,7 +62,7 @@
 });
 
 test('of too many streams the oldest are forgotten, and nothing is said of where they began', t => {
-	const state = new StateMemory(50_000);
+	const state = new StateMemory({maxBytes: 50_000});
 	const {answerer, ask, situation} = start({state});
 	for (let index = 0; index < 1000; index++) {
 		answerer.handleBegun({type: 'streams-begun', streams: [[toId(`stream-${index}`), service, index % 2 === 0 ? v1 : v2]]}, situation.now);
--- a/test/core/edge/stream-origins.test.ts
+++ b/test/core/edge/stream-origins.test.ts
@@ -256,7 +256,7 @@
 });
 
 test('streams that began are remembered though they take all of their memory: further ones are refused as not run until there is room', t => {
-	const harness = startEntry({}, new StateMemory(50_000));
+	const harness = startEntry({}, new StateMemory({maxBytes: 50_000}));
 	const versions = new Map<string, SoftwareVersion>();
 	while (harness.refusals().length === 0 && versions.size < 1000) {
 		const callerKey = `stream-${versions.size}`;
--- a/test/core/memory/counted-map.test.ts
+++ b/test/core/memory/counted-map.test.ts
@@ -87,7 +87,10 @@
 
 test('the kinds together take no more than the memory for state', t => {
 	const maxBytes = 1_000_000;
-	const state = new StateMemory(maxBytes);
-	t.true(StateMemory.kinds.reduce((sum, kind) => sum + state.budget(kind).maxBytes, 0) <= maxBytes);
-	t.true(StateMemory.kinds.every(kind => state.budget(kind).maxBytes > 0));
+	for (const state of [new StateMemory({maxBytes}), new StateMemory({maxBytes, kinds: ['stream-origins', 'targets']})]) {
+		const sum = state.kinds.reduce((before, kind) => before + state.budget(kind).maxBytes, 0);
+		t.true(sum > 0.99 * maxBytes && sum < 1.01 * maxBytes);
+	}
+
+	t.throws(() => new StateMemory({kinds: ['targets']}).budget('refusals'));
 });
