fix(server): a request that has begun is not given up for the memory of another one

Callers would see streams that run broken off, or calls answered with 502, as others arrive: at the bound on requests in progress the largest was given up, whether or not a target was at work on it. And once a crowd had taken a quarter of the descriptors by requests in progress, everybody else was refused.

HeldRequests decides before anything runs. Requests whose body is not whole are given up, the largest first; one whose head is large may begin only while half of the memory is left to ordinary ones; one address may have as many in progress as there is room for others. The settings tree's calls count too. So the core needs no event for requests that are given up, and its test goes with it: what it checked, that such a refusal is true, holds by construction.

--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -204,11 +204,6 @@
 				break;
 			}
 
-			case 'given-up': {
-				this.#requests.handleGivenUp(event.requestId, now);
-				break;
-			}
-
 			case 'attempt-head': {
 				this.#requests.handleHead(event.attempt, event.head, now);
 				break;
--- a/src/core/edge/edge-event.ts
+++ b/src/core/edge/edge-event.ts
@@ -14,8 +14,6 @@
 	| {readonly type: 'peer'; readonly from: NodeId; readonly message: PeerMessage}
 	| {readonly type: 'request'; readonly req: EdgeRequest}
 	| {readonly type: 'caller-gone'; readonly requestId: RequestId}
-	/** The process has no memory left for a request: it is the largest of too many. */
-	| {readonly type: 'given-up'; readonly requestId: RequestId}
 	| {readonly type: 'attempt-head'; readonly attempt: AttemptNumber; readonly head: AnswerHead}
 	/** Complete events of a stream were passed on to the caller; `lastId` is the id of the last one. */
 	| {readonly type: 'attempt-events'; readonly attempt: AttemptNumber; readonly count: number; readonly lastId?: string}
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -206,18 +206,6 @@
 		this.#forget(record);
 	}
 
-	/** Ends a request that takes too much memory; it is refused as not run if no target can have got it. */
-	handleGivenUp(requestId: RequestId, now: Millis): void {
-		const waiting = this.#withoutRoutes.get(requestId);
-		const record = this.#records.get(requestId);
-		if (waiting !== undefined) {
-			this.#withoutRoutes.delete(requestId);
-			this.#completion.refuseEarly(waiting, 'overloaded', undefined);
-		} else if (record !== undefined) {
-			this.#giveUp(record, 'overloaded', now);
-		}
-	}
-
 	handleHead(attempt: AttemptNumber, head: AnswerHead, now: Millis): void {
 		const record = this.#attempts.select(attempt);
 		const running = record?.running;
@@ -417,14 +405,9 @@
 	}
 
 	#expire(record: RequestRecord, now: Millis): void {
-		this.#giveUp(record, record.mayHaveRun || record.running !== undefined ? 'timeout' : 'overloaded', now);
-	}
-
-	/** Cancels the attempts of a request, which may have run, and refuses it. */
-	#giveUp(record: RequestRecord, reason: EdgeRefusal['reason'], now: Millis): void {
 		record.mayHaveRun ||= record.running !== undefined;
 		this.#cancelAttempts(record);
-		this.#refuse(record, reason, now);
+		this.#refuse(record, record.mayHaveRun ? 'timeout' : 'overloaded', now);
 	}
 
 	#refuse(record: RequestRecord, reason: EdgeRefusal['reason'], now: Millis): void {
--- a/src/server/api-server.ts
+++ b/src/server/api-server.ts
@@ -6,6 +6,7 @@
 import type {HttpRoute} from './http-route.ts';
 import {log} from './log.ts';
 import {ProcessMemory} from './process-memory.ts';
+import {refuseRequest} from './refuse-request.ts';
 import {ServerConnections} from './server-connections.ts';
 
 /** HTTP server for callers, targets and operators. */
@@ -29,6 +30,8 @@
 		this.#connections = new ServerConnections(this.#server, {memory: options.memory ?? new ProcessMemory(), kind: 'callers'}, (req, res, hold) => {
 			if (hold.start()) {
 				void this.#handle(req, res);
+			} else {
+				refuseRequest(res);
 			}
 		});
 	}
--- a/src/server/body-hold.ts
+++ b/src/server/body-hold.ts
@@ -2,17 +2,23 @@
 import {performance} from 'node:perf_hooks';
 import type {Millis} from '../core/ids/millis.ts';
 import type {ProcessMemory} from './process-memory.ts';
+import {RequestHold} from './request-hold.ts';
 
 type GiveUp = (reason: 'stalled' | 'largest') => void;
 
 /** What the body of one request holds of the bound that all bodies share, until the request has ended. */
 export class BodyHold {
 	readonly #memory: ProcessMemory;
+	readonly #request: RequestHold | undefined;
 	#giveUp: GiveUp | undefined;
 
 	constructor(memory: ProcessMemory, req: IncomingMessage, res: ServerResponse) {
 		this.#memory = memory;
 		memory.bodies.add(this, req.socket.remoteAddress ?? '', performance.now() as Millis);
+		this.#request = RequestHold.of(res);
+		this.#request?.onGivenUp(() => {
+			this.#giveUp?.('largest');
+		});
 		res.once('close', () => {
 			memory.bodies.delete(this);
 		});
@@ -46,9 +52,10 @@
 		this.#memory.turnedAway(kind);
 	}
 
-	/** Records that the body was received whole and takes this much memory. */
-	complete(bytes: number): void {
+	/** Records that the body was received whole and takes this much memory; false if the request must not begin. */
+	complete(bytes: number): boolean {
 		this.#memory.bodies.complete(this, bytes);
+		return this.#request?.begin() ?? true;
 	}
 
 	/** Records that nothing of the body is kept. */
--- a/src/server/process-memory.ts
+++ b/src/server/process-memory.ts
@@ -3,12 +3,14 @@
 import {HeldBodies} from '../core/memory/held-bodies.ts';
 import {HeldBytes} from '../core/memory/held-bytes.ts';
 import {HeldConnections} from '../core/memory/held-connections.ts';
+import {HeldRequests} from '../core/memory/held-requests.ts';
 import type {StateKind} from '../core/memory/state-kind.ts';
 import {StateMemory} from '../core/memory/state-memory.ts';
 import {constants} from '../settings/constants.ts';
 import {descriptorLimit} from './descriptor-limit.ts';
 import type {BodyHold} from './body-hold.ts';
 import type {MemoryHold} from './memory-hold.ts';
+import type {RequestHold} from './request-hold.ts';
 import type {TurnedAway} from './turned-away.ts';
 
 type ProcessMemoryOptions = {
@@ -31,7 +33,7 @@
 	/** Heads that are not whole, and bytes that are read and not parsed yet, by connection. */
 	readonly heads: HeldBytes<MemoryHold>;
 	/** Requests in progress, with their heads. */
-	readonly requests: HeldBytes<MemoryHold>;
+	readonly requests: HeldRequests<RequestHold>;
 	/** Parts of answers that are read and not passed on yet. */
 	readonly answers: HeldBytes<MemoryHold>;
 	/** Whole answers that their callers have not read yet. */
@@ -40,8 +42,6 @@
 	readonly connections: HeldConnections<Socket>;
 	/** Connections of peers without a link that may be open. */
 	readonly maxUnlinked: number;
-	/** Requests that may be in progress: each may need a connection to a target. */
-	readonly maxRequests: number;
 	/** What is kept beyond the requests, by ids that clients choose. */
 	readonly state: StateMemory;
 	readonly turnedAway: (kind: TurnedAway) => void;
@@ -61,9 +61,8 @@
 		const own = Math.min(constants.maxOwnDescriptors, Math.floor(descriptors / 4));
 		this.connections = new HeldConnections(Math.floor((descriptors - own) * constants.acceptedShare));
 		this.maxUnlinked = Math.min(constants.maxUnlinkedSessions, Math.floor(own / 4));
-		this.maxRequests = Math.floor((descriptors - own) * constants.requestShare);
 		const heapShare = Math.min(share, heapBytes / constants.defaultHeapBytes);
-		this.requests = new HeldBytes(heapShare * constants.maxHeldRequestBytes);
+		this.requests = new HeldRequests({maxBytes: heapShare * constants.maxHeldRequestBytes, maxCount: Math.floor((descriptors - own) * constants.requestShare)});
 		this.state = new StateMemory({maxBytes: heapShare * constants.maxStateBytes, kinds: stateKinds});
 		this.turnedAway = onTurnedAway;
 	}
--- a/src/server/read-body.ts
+++ b/src/server/read-body.ts
@@ -43,7 +43,12 @@
 			}
 
 			const whole = body.take();
-			hold?.complete(whole.length);
+			if (hold?.complete(whole.length) === false) {
+				hold.release();
+				reject(new BodyError('overloaded', 'the requests in progress take too much memory'));
+				return;
+			}
+
 			resolve(whole);
 		};
 
--- a/src/server/request-hold.ts
+++ b/src/server/request-hold.ts
@@ -1,69 +1,76 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {abortResponse} from './abort-response.ts';
-import {MemoryHold} from './memory-hold.ts';
 import type {ProcessMemory} from './process-memory.ts';
 
-/** Memory that a request in progress takes beside its head and body: its connection, its response, and its record, in bytes. */
+/** Memory of a request beside its head and body: its connection, its response, and its record, in bytes. */
 const requestBytes = 8192;
 /** Memory of a header line beside its characters: its strings, in the lists and the dictionary of the headers, and in those that are copied, in bytes. */
 const lineBytes = 160;
 /** Memory of an item that is read from a header, such as a part of a prompt, in bytes. */
 const itemBytes = 112;
 
-/** What a request in progress holds of the bound that all requests share, from the end of its head until its response is closed. */
+const holds = new WeakMap<ServerResponse, RequestHold>();
+
+/** What a request holds of the bound that all requests share, from the end of its head until its response is closed. */
 export class RequestHold {
+	/** The hold of a request, by its response; undefined if its server counts none. */
+	static of(res: ServerResponse): RequestHold | undefined {
+		return holds.get(res);
+	}
+
+	readonly #memory: ProcessMemory;
+	readonly #req: IncomingMessage;
 	readonly #res: ServerResponse;
-	readonly #hold: MemoryHold;
 	#giveUp: (() => void) | undefined;
-	#bytes: number;
 
-	constructor({requests, turnedAway}: ProcessMemory, req: IncomingMessage, res: ServerResponse) {
+	constructor(memory: ProcessMemory, req: IncomingMessage, res: ServerResponse) {
+		this.#memory = memory;
+		this.#req = req;
 		this.#res = res;
-		this.#bytes = headBytes(req);
-		this.#hold = new MemoryHold(requests, () => {
-			turnedAway('large-request');
-			this.#end();
-		});
-		res.once('close', () => {
-			this.#hold.close();
-		});
 	}
 
-	/**
-	 * Starts to count the request, which has not been handled; false if it was refused, since it is the largest and all together are too large.
-	 *
-	 * @param refuse - Refuses it as not run. @default with status 503
-	 */
-	start(refuse: () => void = () => {
-		this.#refuse();
-	}): boolean {
-		this.#giveUp = refuse;
-		this.#hold.set(this.#bytes);
+	/** Starts to count the request; false if it has to be refused, since there is no memory for it. One without a body begins at once. */
+	start(): boolean {
+		const {requests} = this.#memory;
+		let isRefused = false;
+
+		this.#giveUp = () => {
+			isRefused = true;
+		};
+
+		this.#refuse(requests.add(this, {address: this.#req.socket.remoteAddress ?? '', bytes: headBytes(this.#req)}));
 		this.#giveUp = undefined;
-		return !this.#res.headersSent;
+		if (isRefused) {
+			return false;
+		}
+
+		holds.set(this.#res, this);
+		this.#res.once('close', () => {
+			requests.delete(this);
+		});
+		const hasBody = this.#req.headers['content-length'] !== undefined || this.#req.headers['transfer-encoding'] !== undefined;
+		return hasBody || this.begin();
 	}
 
-	/** Sets what is called once if the request has to be given up. By default its connection is reset: what it has done is unknown. */
+	/** Sets what is called if the request has to be refused while its body is received. */
 	onGivenUp(giveUp: () => void): void {
 		this.#giveUp = giveUp;
 	}
 
-	/** Counts items that were read from the head. */
-	addItems(count: number): void {
-		this.#bytes += count * itemBytes;
-		this.#hold.set(this.#bytes);
-	}
+	/** Lets the request begin; false if it has to be refused. `items` were read from its head; `isCounted` is true if it may need a connection to a target. */
+	begin({items = 0, isCounted = false}: {items?: number; isCounted?: boolean} = {}): boolean {
+		const {isAdmitted, evicted} = this.#memory.requests.begin(this, {bytes: items * itemBytes, isCounted});
+		this.#refuse(evicted);
+		if (!isAdmitted) {
+			this.#memory.turnedAway(isCounted ? 'too-many-requests' : 'large-request');
+		}
 
-	#refuse(): void {
-		this.#res.writeHead(503, {connection: 'close', 'content-type': 'application/problem+json', 'retry-after': '1'})
-			.end(JSON.stringify({title: 'the requests in progress take too much memory', ran: 'no'}));
+		return isAdmitted;
 	}
 
-	#end(): void {
-		if (this.#giveUp === undefined) {
-			abortResponse(this.#res);
-		} else {
-			this.#giveUp();
+	#refuse(evicted: readonly RequestHold[]): void {
+		for (const hold of evicted) {
+			this.#memory.turnedAway('large-request');
+			hold.#giveUp?.();
 		}
 	}
 }
--- a/src/server/request-reader.ts
+++ b/src/server/request-reader.ts
@@ -22,13 +22,14 @@
 import {prefixBlocks} from './prefix-blocks.ts';
 import {readBody} from './read-body.ts';
 import {RequestError} from './request-error.ts';
+import {RequestHold} from './request-hold.ts';
 import {sha256} from './sha256.ts';
 
 type CallerKey = RouteSettings['callerKeys'][string];
 type Caller = {readonly path: string; readonly key: CallerKey; readonly sha256: string};
 
-/** Retry delay of a request whose body the process has no memory for, in milliseconds. */
-const bodyRetryAfterMs = 1000;
+/** Retry delay of a request that the process has no memory for, in milliseconds. */
+const overloadRetryAfterMs = 1000;
 const maxIdempotencyKeyCharacters = 256;
 /** Largest number of messages of a prompt that are told apart; long conversations differ in their first ones. */
 const maxPromptParts = 32;
@@ -76,6 +77,7 @@
 		const homeRegion = this.#homeRegion(caller, {settings, residency}, forwarded !== undefined);
 		const {memory} = this.#options;
 		const body = await readBodyOrRefuse(req, settings.maxBodyBytes, new BodyHold(memory, req, res));
+		beginOrRefuse(res);
 		const kind = destination.service === undefined ? 'completion' : 'call';
 		const chat = kind === 'completion' ? parseChatBody(body) : undefined;
 		const prompt = chat?.prompt ?? '';
@@ -207,7 +209,7 @@
 	} catch (error) {
 		if (error instanceof BodyError) {
 			throw new RequestError({
-				result: error.result, ran: 'no', detail: error.message, retryAfterMs: error.result === 'overloaded' ? bodyRetryAfterMs : undefined,
+				result: error.result, ran: 'no', detail: error.message, retryAfterMs: error.result === 'overloaded' ? overloadRetryAfterMs : undefined,
 			});
 		}
 
@@ -215,6 +217,14 @@
 	}
 }
 
+function beginOrRefuse(res: ServerResponse): void {
+	if (RequestHold.of(res)?.begin({isCounted: true}) === false) {
+		throw new RequestError({
+			result: 'overloaded', ran: 'no', detail: 'Too many requests are in progress.', retryAfterMs: overloadRetryAfterMs,
+		});
+	}
+}
+
 function header(req: IncomingMessage, name: string): string | undefined {
 	const value = req.headers[name];
 	return typeof value === 'string' && value !== '' ? value : undefined;
--- a/src/server/routes/http-server.ts
+++ b/src/server/routes/http-server.ts
@@ -6,6 +6,7 @@
 import {ListenError} from '../listen-error.ts';
 import {ProcessMemory} from '../process-memory.ts';
 import type {RequestHold} from '../request-hold.ts';
+import {refuseRequest} from '../refuse-request.ts';
 import {ServerConnections} from '../server-connections.ts';
 
 /** Default keep-alive timeout, in milliseconds. */
@@ -89,11 +90,9 @@
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse, hold: RequestHold): Promise<void> {
-		const {handle, refuseOverloaded} = this.#options;
-		const isCounted = hold.start(refuseOverloaded && (() => {
+		const {handle, refuseOverloaded = refuseRequest} = this.#options;
+		if (!hold.start()) {
 			refuseOverloaded(res);
-		}));
-		if (!isCounted) {
 			return;
 		}
 
--- a/src/server/routes/request-server.ts
+++ b/src/server/routes/request-server.ts
@@ -96,9 +96,6 @@
 		const {codec, memory, exchanges, step, now, relay, leaving} = this.#options;
 		const arrivedAt = now();
 		res.sendDate = false;
-		hold.onGivenUp(() => {
-			this.#refuseOverloaded(res);
-		});
 		const body = await this.#readBody(req, res);
 		const presence = new CallerPresence(res);
 		if (body === undefined || !await presence.confirm()) {
@@ -111,14 +108,8 @@
 		}
 
 		const head = codec.readRequest({method: req.method ?? 'GET', url: req.url ?? '/', rawHeaders: req.rawHeaders});
-		hold.addItems(head.prompt?.parts.length ?? 0);
-		if (res.headersSent) {
-			return;
-		}
-
-		if (exchanges.size >= memory.maxRequests) {
-			memory.turnedAway('too-many-requests');
-			this.#refuseOverloaded(res, 'too many requests are in progress');
+		if (!hold.begin({items: head.prompt?.parts.length, isCounted: true})) {
+			this.#refuseOverloaded(res);
 			return;
 		}
 
@@ -149,9 +140,6 @@
 			},
 		});
 		exchanges.set(requestId, exchange);
-		hold.onGivenUp(() => {
-			step({type: 'given-up', requestId});
-		});
 		presence.onceEnded(left => {
 			exchanges.delete(requestId);
 			if (left) {
@@ -195,7 +183,7 @@
 		}
 	}
 
-	#refuseOverloaded(res: ServerResponse, title = 'the requests in progress take too much memory'): void {
+	#refuseOverloaded(res: ServerResponse, title = 'too many requests are in progress, or they take too much memory'): void {
 		if (res.headersSent) {
 			return;
 		}
