test(isolated): two crowds as they were first written

The large bodies of many addresses are opened again when they are closed, and processes that have started again get the second crowd. Both had been left out while the product was there already, the first with 202 of 210 MB and the second since its connections were refused while the process started; the test waits for the port now.

--- a/test/isolated/many-addresses.test.ts
+++ b/test/isolated/many-addresses.test.ts
@@ -23,7 +23,7 @@
 	'are kept after a request': {count: connections, reopens: true, bytes: () => 'GET /unknown HTTP/1.1\r\nHost: prairie.example\r\n\r\n'},
 	'speak HTTP/1.0': {count: connections, reopens: true, bytes: () => 'GET /unknown HTTP/1.0\r\nHost: prairie.example\r\nConnection: keep-alive\r\n\r\n'},
 	'send all but the last byte of a large body': {
-		count: largeBodies, reopens: false, bytes: () => `PUT /calls/1 HTTP/1.1\r\nHost: prairie.example\r\nContent-Length: ${4 * mebibyte}\r\n\r\n${largePart}`,
+		count: largeBodies, reopens: true, bytes: () => `PUT /calls/1 HTTP/1.1\r\nHost: prairie.example\r\nContent-Length: ${4 * mebibyte}\r\n\r\n${largePart}`,
 	},
 };
 
--- a/test/isolated/stops-amid-crowds.test.ts
+++ b/test/isolated/stops-amid-crowds.test.ts
@@ -31,6 +31,8 @@
 		await idle.open();
 		t.is(await deployment.stop(role), 0, 'the process did not end by itself');
 		deployment.restart(role);
+		t.true(await deployment.isAccepting(deployment.ports[port]), 'the process accepts no connections');
+		await clients.open(AbusiveClients.kinds);
 		t.true(await deployment.isServed({port: deployment.ports.tree, path: '/healthz'}), 'the node with a settings tree did not answer');
 		t.true(await deployment.isConfigured(), 'a change of the configuration was not accepted');
 		t.true(await deployment.isCallServed(), 'an ordinary call was not answered');
