fix(control): origins of streams give way to no others at control nodes

What was recorded is kept now. A control node that is full says so in its feeds, and the entries that follow it let no further stream begin, refused as not run with a time to come back; for the time until they have heard it takes a quarter more. Streams that are refused for it are counted.

--- a/src/core/control/begun-streams.ts
+++ b/src/core/control/begun-streams.ts
@@ -5,12 +5,6 @@
 import type {BegunStream} from './begun-stream.ts';
 import {controlTiming} from './control-timing.ts';
 
-type BegunStreamsOptions = {
-	readonly budget: StateBudget;
-	/** What becomes of the oldest streams when all take too much memory: see `CountedMap`. */
-	readonly whenFull: 'forget' | 'keep';
-};
-
 /** Memory of the record of a stream, beyond its key, in bytes. */
 const recordBytes = 64;
 
@@ -21,8 +15,9 @@
 	/** The stream that was recorded last: most began at the same software version, and share it. */
 	#last: BegunStream | undefined;
 
-	constructor({budget, whenFull}: BegunStreamsOptions) {
-		this.#streams = new CountedMap({budget, whenFull, valueBytes: () => recordBytes});
+	/** @param budget - Whoever records streams has to see that it has room: what was recorded is kept. */
+	constructor(budget: StateBudget) {
+		this.#streams = new CountedMap({budget, whenFull: 'keep', valueBytes: () => recordBytes});
 	}
 
 	get(callerKey: CallerKey): BegunStream | undefined {
--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -123,6 +123,7 @@
 		});
 		this.#feed = new EntryFeed({
 			epoch,
+			isFullOfStreams: () => this.#streamOrigins.isFull,
 			registry: this.#registry,
 			state: this.#state.routes,
 			quotas: this.#quotas,
--- a/src/core/control/control-message.ts
+++ b/src/core/control/control-message.ts
@@ -67,6 +67,8 @@
 		readonly quotas?: QuotaFeed;
 		/** `sentAt` of the entry's last status; absent from builds that don't know it. */
 		readonly answers?: Millis;
+		/** Set while the node has no memory for where further streams begin: its followers let none begin. Builds that don't know it take no notice. */
+		readonly streamsFull?: true;
 	}
 	/** What a control node heard directly from targets and entries, sent to the other control nodes. */
 	| {
--- a/src/core/control/entry-feed.ts
+++ b/src/core/control/entry-feed.ts
@@ -26,6 +26,8 @@
 	/** Control nodes that entries may follow. */
 	readonly controlPeers: () => readonly ControlPeer[];
 	readonly quotas: QuotaSums;
+	/** Whether this node has no memory for where further streams begin. */
+	readonly isFullOfStreams: () => boolean;
 	/** Summaries of the regions. */
 	readonly regionLoads: (now: Millis) => readonly RegionLoad[];
 };
@@ -80,7 +82,7 @@
 	}
 
 	#send(nodeId: NodeId, follower: Follower, now: Millis): void {
-		const {epoch, registry, state, outbox, isCurrent, logView, controlPeers, regionLoads, quotas} = this.#options;
+		const {epoch, registry, state, outbox, isCurrent, logView, controlPeers, regionLoads, quotas, isFullOfStreams} = this.#options;
 		const {crashes} = state;
 		const current = isCurrent(now);
 		const stateChanged = state.index > follower.sentStateIndex;
@@ -102,6 +104,7 @@
 				crashes: crashes.index > follower.sentCrashIndex ? {index: crashes.index, suspects: crashes.suspects()} : undefined,
 				quotas: current ? quotas.feedFor(nodeId, now) : undefined,
 				answers: follower.sentAt,
+				streamsFull: isFullOfStreams() ? true : undefined,
 			},
 		});
 		follower.sentQuotasAt = now;
--- a/src/core/control/stream-origin-answerer.ts
+++ b/src/core/control/stream-origin-answerer.ts
@@ -2,6 +2,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {ServiceName} from '../ids/service-name.ts';
+import type {StateBudget} from '../memory/state-budget.ts';
 import type {StateMemory} from '../memory/state-memory.ts';
 import type {TargetRegistry} from '../registry/target-registry.ts';
 import type {BegunStream} from './begun-stream.ts';
@@ -9,6 +10,9 @@
 import type {ControlMessage} from './control-message.ts';
 import {controlTiming} from './control-timing.ts';
 
+/** Share of the memory for streams up to which this node remembers those that began before their entries heard that it is full. */
+const lateShare = 1.25;
+
 type AnswererOptions = {
 	readonly registry: TargetRegistry;
 	/** Owner of what is kept for callers. */
@@ -27,16 +31,23 @@
 export class StreamOriginAnswerer {
 	readonly #options: AnswererOptions;
 	readonly #streams: BegunStreams;
+	readonly #budget: StateBudget;
 	#startedAt: Millis | undefined;
 
 	constructor(options: AnswererOptions) {
 		this.#options = options;
-		// Without its origin a stream is taken up only if its service has had no other software version; the oldest have most likely ended.
-		this.#streams = new BegunStreams({budget: options.state.budget('stream-origins'), whenFull: 'forget'});
+		this.#budget = options.state.budget('stream-origins');
+		this.#streams = new BegunStreams(this.#budget);
+	}
+
+	/** True if entries must let no further stream begin, since those that began take all of their memory. */
+	get isFull(): boolean {
+		return this.#budget.isFull;
 	}
 
 	handleBegun({streams}: ControlMessage & {type: 'streams-begun'}, now: Millis): void {
-		for (const [callerKey, service, softwareVersion] of streams) {
+		// Entries hear of it with the next feed.
+		for (const [callerKey, service, softwareVersion] of this.#budget.bytes < lateShare * this.#budget.maxBytes ? streams : []) {
 			this.#streams.record(callerKey, {service, softwareVersion}, now);
 		}
 	}
--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -274,7 +274,7 @@
 		const targets = this.#follower.handleFeed(from, feed, now);
 		this.#containment.handleFeed(feed, now);
 		if (from === this.#follower.primary) {
-			this.#origins.handleFeed(feed.epoch);
+			this.#origins.handleFeed(feed);
 		}
 
 		if (this.#table === undefined) {
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -146,6 +146,7 @@
 		}
 
 		if (this.#mustNotBegin(req, route)) {
+			this.#options.queue.count('clients_turned_away', 'too-many-streams');
 			this.#completion.refuseEarly(req, 'overloaded', table!.version);
 			return;
 		}
--- a/src/core/edge/stream-origins.ts
+++ b/src/core/edge/stream-origins.ts
@@ -71,18 +71,19 @@
 	#reportedAt = Number.NEGATIVE_INFINITY;
 	/** The run of the control node that was told of all streams. */
 	#toldEpoch: string | undefined;
+	#isControlFull = false;
 
 	constructor(options: StreamOriginsOptions) {
 		this.#options = options;
 		const budget = options.state.budget('stream-origins');
 		this.#budget = budget;
-		this.#streams = new BegunStreams({budget, whenFull: 'keep'});
+		this.#streams = new BegunStreams(budget);
 		this.#unreported = new CountedMap({budget, whenFull: 'keep'});
 	}
 
-	/** True if no further stream may begin, since those that began take all of their memory. */
+	/** True if no further stream may begin, since those that began take all of their memory, here or at the control node that is told of them. */
 	get isFull(): boolean {
-		return this.#budget.isFull;
+		return this.#budget.isFull || this.#isControlFull;
 	}
 
 	/** Records where a request's stream began, when its first event has been passed on. An entry that runs it for another one leaves that to it: the event may not get there, and the stream may then begin elsewhere. */
@@ -161,8 +162,9 @@
 		}
 	}
 
-	/** Tells a control node that has started, or that is followed newly, of all streams that it may be asked about. */
-	handleFeed(epoch: string): void {
+	/** Takes what the control node that is told of streams says. One that has started, or is followed newly, is told of all streams that it may be asked about. */
+	handleFeed({epoch, streamsFull}: Pick<ControlMessage & {type: 'feed'}, 'epoch' | 'streamsFull'>): void {
+		this.#isControlFull = streamsFull ?? false;
 		if (epoch !== this.#toldEpoch) {
 			this.#toldEpoch = epoch;
 			for (const [callerKey, stream] of this.#streams.list()) {
--- a/src/core/results/counter-name.ts
+++ b/src/core/results/counter-name.ts
@@ -1,6 +1,7 @@
 /**
  * Names of the counters in `/metrics`, each with a `reason` label where one applies.
  *
+ * `clients_turned_away`: clients that were refused to protect the process.
  * `away`: forwards to remote regions; `away_bytes`: the bytes sent with them. `changes`: outcomes of settings changes.
  * `ignored_load_figures`: figures in targets' reports of their load that were not plausible.
  * `broken_answers`: answers that had begun and that this entry ended before they were complete, by the last failure.
@@ -9,6 +10,7 @@
  * outcomes that were ignored because they were late, repeated or not meant for this process.
  */
 export type CounterName =
+	| 'clients_turned_away'
 	| 'requests'
 	| 'answers'
 	| 'unframed_answers'
--- a/test/core/control/entry-feed.test.ts
+++ b/test/core/control/entry-feed.test.ts
@@ -14,6 +14,7 @@
 function feedOf({current}: {current: boolean}) {
 	const outbox = new RecordingOutbox();
 	const feed = new EntryFeed({
+		isFullOfStreams: () => false,
 		epoch: 'run-1',
 		registry: new TargetRegistry({budget: new StateBudget(10_000_000), reportEveryMs: 1000, regionOf: () => toId<Region>('regina')}),
 		state: new RoutesState(),
