fix(control): answers about streams don't grow with the versions that targets report

Each request that takes up a stream asks every control node; each answered with all versions that the service has had lately, up to 1,000 of 256 characters. An entry kept every version that it was ever listed. Found on reading the messages between nodes; not seen.

Two versions show as well as more that there is no only one, which is all that the entry asks of them. It forgets versions once no stream of them can be taken up, from when on it did not count them either.

--- a/src/core/control/stream-origin-answerer.ts
+++ b/src/core/control/stream-origin-answerer.ts
@@ -10,6 +10,8 @@
 import type {ControlMessage} from './control-message.ts';
 import {controlTiming} from './control-timing.ts';
 
+/** Versions of a service that are named to an entry: two show as well as more that there is no only one. */
+const namedVersions = 2;
 /** Share of the memory for streams up to which this node remembers those that began before their entries heard that it is full. */
 const lateShare = 1.25;
 
@@ -56,7 +58,7 @@
 		const stream = this.#streams.get(callerKey);
 		const found = stream !== undefined || service === undefined
 			? {stream}
-			: {soleVersion: this.#soleVersion(service, now), versions: this.#options.registry.softwareVersions(service)};
+			: {soleVersion: this.#soleVersion(service, now), versions: this.#options.registry.softwareVersions(service).slice(0, namedVersions)};
 		this.#options.outbox.send(from, {part: 'control', body: {type: 'stream-found', requestId, ...found}});
 	}
 
--- a/src/core/edge/service-versions.ts
+++ b/src/core/edge/service-versions.ts
@@ -25,6 +25,14 @@
 			versions.set(softwareVersion, now);
 			this.#listedAt.set(service, versions);
 		}
+
+		for (const versions of this.#listedAt.values()) {
+			for (const [softwareVersion, listedAt] of versions) {
+				if (now - listedAt > controlTiming.streamRetentionMs) {
+					versions.delete(softwareVersion);
+				}
+			}
+		}
 	}
 
 	/** The software version of a service, if it has had no other one for as long as a stream can be taken up. */
--- a/test/core/control/stream-origin-answerer.test.ts
+++ b/test/core/control/stream-origin-answerer.test.ts
@@ -66,35 +66,39 @@
 	const state = new StateMemory({maxBytes: 50_000});
 	const budget = state.budget('stream-origins');
 	const {answerer, ask, situation, wait} = start({state});
-	let reported = 0;
-	const report = () => {
-		answerer.handleBegun({type: 'streams-begun', streams: [[toId(`stream-${reported}`), service, reported % 2 === 0 ? v1 : v2]]}, situation.now);
-		reported += 1;
+	const report = (index: number) => {
+		answerer.handleBegun({type: 'streams-begun', streams: [[toId(`stream-${index}`), service, index % 2 === 0 ? v1 : v2]]}, situation.now);
 	};
 
-	while (!answerer.isFull) {
-		report();
+	let inTime = 0;
+	for (let index = 0; index < 2000; index++) {
+		inTime += answerer.isFull ? 0 : 1;
+		report(index);
 	}
 
-	const late = reported + Math.floor(reported / 10);
-	while (reported < late) {
-		report();
-	}
-
-	for (let index = 0; index < late; index++) {
+	t.true(inTime > 20 && inTime < 1000);
+	for (let index = 0; index < 1.1 * inTime; index++) {
 		t.is(ask(`stream-${index}`).stream, index % 2 === 0 ? v1 : v2);
 	}
 
-	for (let index = 0; index < 1000; index++) {
-		report();
-	}
-
 	t.true(budget.bytes < 1.3 * budget.maxBytes);
-	t.deepEqual(ask(`stream-${reported - 1}`), {stream: undefined, sole: undefined, versions: []});
+	t.deepEqual(ask('stream-1999'), {stream: undefined, sole: undefined, versions: []});
 	wait(afterRetention);
 	t.false(answerer.isFull);
 });
 
+// Guards against answers that grow with the versions that targets report.
+test('no more versions of a service are named than show that it has several', t => {
+	const {report, ask, wait} = start();
+	for (let index = 0; index < 500; index++) {
+		wait(1);
+		report('a', toId<SoftwareVersion>(`v${index}`));
+	}
+
+	t.is(ask().versions?.length, 2);
+	t.is(ask().sole, undefined);
+});
+
 test('the only software version of a service is named only after all targets that began recent streams are known', t => {
 	const {report, ask, wait} = start();
 	report('a', v1);
