fix(edge): requests that targets reject for what they lack leave the targets to others

Callers would see their requests wait or be refused while one client sends requests without an id: each target answers with 400 and that it has not run it, which was taken for a full target. The entry sent nothing there for 150 ms and tried the next one, so that one request marked every target of the service. Its own caller got 503 and came again. Found on reading what an answer without a run does; not seen.

Status 400 says that the request lacks what every target needs. It is passed on as the answer, as other statuses below 500 are.

--- a/src/core/edge/target-feedback.ts
+++ b/src/core/edge/target-feedback.ts
@@ -17,6 +17,9 @@
 /** Status 421, Misdirected Request: the answer is from another target than the request names, or not vouched for by that target; the request has not run. */
 const misdirectedStatus = 421;
 
+/** Status 400, Bad Request: the request lacks what every target needs, which says nothing of the target. */
+const malformedStatus = 400;
+
 /** Statuses with which a target says that it has failed a request; 504 is its answer to a deadline that has passed. */
 const failureStatuses: ReadonlySet<number> = new Set([500, 501, 502]);
 
@@ -157,9 +160,9 @@
 		this.#avoidEntry(record, now);
 	}
 
-	/** True if the head guarantees that the request has not run. */
+	/** True if the head guarantees that the request has not run, and another target may run it. */
 	isNotRun({notRun, status}: AnswerHead): boolean {
-		return notRun || status === misdirectedStatus;
+		return (notRun && status !== malformedStatus) || status === misdirectedStatus;
 	}
 
 	/** Records what the answer says of the target's wish for requests; one of an earlier incarnation, or of another target at its address, says nothing of it. */
