--- a/test/core/edge/client-made-failures.test.ts
+++ b/test/core/edge/client-made-failures.test.ts
@@ -8,6 +8,7 @@
 const reportMs = 1200;
 const rounds = 400;
 const ordinaryEvery = 4;
+const silentEvery = 10;
 
 function start(names: readonly string[]): EdgeHarness {
 	const harness = new EdgeHarness({document: routesDocumentFixture({route: {kind: 'safe', attempts: 1}})});
@@ -62,6 +63,25 @@
 	});
 }
 
+// Guards against a client whose requests get no answer anywhere, and which so kept everybody else from the service.
+test('calls that no target answers leave targets that answer others to them', t => {
+	const names = ['a', 'b'];
+	const harness = new EdgeHarness({document: routesDocumentFixture({route: {kind: 'safe', attempts: 2}})});
+	harness.feed({targets: names.map(name => listedTargetFixture(name, {slots: 64}))});
+	for (let round = 0; round < rounds; round++) {
+		if (round % silentEvery === 0) {
+			harness.request();
+		}
+
+		harness.run(stepMs);
+		for (const name of names) {
+			t.true(names.includes(call(harness) ?? ''), `an ordinary call was refused beside ${name} in round ${round}`);
+		}
+
+		harness.feed({targets: [], from: 0});
+	}
+});
+
 test('a target that fails where others do not gets no calls until it reports', t => {
 	const names = ['a', 'b', 'c'];
 	const harness = start(names);
