fix(server): every limit on clients counts what it turned away

A number of descriptors that leaves no room to serve was accepted.

Node answers a late head itself where nobody listens to its event, so that the event is counted on its way.

--- a/src/server/parse-json-text.ts
+++ b/src/server/parse-json-text.ts
@@ -1,17 +1,13 @@
-import {constants} from '../settings/constants.ts';
-import {parsedJsonSize} from './parsed-json-size.ts';
-
-/** Text up to this length, in characters, can't take too much once it is parsed. */
-const smallCharacters = 65_536;
+import {hasTooManyValues} from './has-too-many-values.ts';
 
 /**
  * Parses a JSON text of a client.
  *
- * @throws SyntaxError if it is not JSON, or if its values would take more than `constants.maxParsedJsonBytes`.
+ * @throws SyntaxError if it is not JSON, or if it has too many values.
  */
 export function parseJsonText(text: string): unknown {
-	if (text.length > smallCharacters && parsedJsonSize(text) > constants.maxParsedJsonBytes) {
-		throw new SyntaxError('the values take too much memory');
+	if (hasTooManyValues(text)) {
+		throw new SyntaxError('the text has too many values');
 	}
 
 	return JSON.parse(text);
--- a/src/server/peer-server.ts
+++ b/src/server/peer-server.ts
@@ -45,7 +45,12 @@
 
 	constructor(options: PeerServerOptions) {
 		this.#options = options;
-		this.#unlinked = new UnlinkedSessions(options.maxUnlinked ?? constants.maxUnlinkedSessions);
+		this.#unlinked = new UnlinkedSessions({
+			maxCount: options.maxUnlinked ?? constants.maxUnlinkedSessions,
+			onClosed() {
+				options.metrics.count('refusals', 'peer-unlinked');
+			},
+		});
 		const routes = (router: ConnectRouter) => {
 			router.service(PeerService, {link: (frames, context) => this.#link(frames, context)});
 		};
--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -13,6 +13,7 @@
 import type {EventLog} from '../event-log.ts';
 import {BodyHold} from '../body-hold.ts';
 import type {ProcessMemory} from '../process-memory.ts';
+import {hasTooManyValues} from '../has-too-many-values.ts';
 import {readBody} from '../read-body.ts';
 import type {ControlCodec} from './control-codec.ts';
 import {HttpServer} from './http-server.ts';
@@ -168,6 +169,7 @@
 			case 'report': {
 				const report = codec.readReport(call.targetId, body);
 				if (report === undefined) {
+					this.#options.memory.turnedAway('unusable-report');
 					sendText(res, 400, '{"error":"the report cannot be used"}');
 					break;
 				}
@@ -245,7 +247,14 @@
 				return undefined;
 			}
 
-			return body.toString('utf8');
+			const text = body.toString('utf8');
+			if (hasTooManyValues(text)) {
+				this.#options.memory.turnedAway('too-many-values');
+				sendText(res, 400, JSON.stringify({error: 'the body has too many values: send fewer'}));
+				return undefined;
+			}
+
+			return text;
 		} catch (error) {
 			if (!(error instanceof BodyError)) {
 				throw error;
--- a/src/server/server-connections.ts
+++ b/src/server/server-connections.ts
@@ -46,6 +46,7 @@
 				connections.delete(socket);
 			});
 		});
+		countSlowHeads(server, memory);
 		server.on('request', (req, res: ServerResponse) => {
 			if (!pacer.begin(req, res)) {
 				return;
@@ -108,6 +109,18 @@
 	}
 }
 
+/** Counts clients whose head did not arrive in time. Node answers them only where nobody listens to the event, which is therefore looked at on its way. */
+function countSlowHeads(server: Server, memory: ProcessMemory): void {
+	const emitEvent = server.emit.bind(server) as (event: string | symbol, ...args: unknown[]) => boolean;
+	server.emit = (event: string | symbol, ...args: unknown[]) => {
+		if (event === 'clientError' && (args[0] as NodeJS.ErrnoException).code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+			memory.turnedAway('slow-head');
+		}
+
+		return emitEvent(event, ...args);
+	};
+}
+
 function now(): Millis {
 	return performance.now() as Millis;
 }
--- a/src/server/turned-away.ts
+++ b/src/server/turned-away.ts
@@ -12,4 +12,7 @@
 	| 'large-request'
 	| 'too-many-connections'
 	| 'too-many-requests'
-	| 'too-many-targets';
+	| 'too-many-targets'
+	| 'too-many-values'
+	| 'unusable-report'
+	| 'slow-head';
--- a/src/server/unlinked-sessions.ts
+++ b/src/server/unlinked-sessions.ts
@@ -3,14 +3,21 @@
 /** Time that a session has to open a link, in milliseconds. */
 const linkTimeoutMs = 5000;
 
+type UnlinkedSessionsOptions = {
+	/** Sessions without a link that may be open. */
+	readonly maxCount: number;
+	/** Called with each session that is closed. */
+	readonly onClosed: () => void;
+};
+
 /** Closes sessions of peers on which there is no link: one that has opened none in time, and the oldest if there are too many. */
 export class UnlinkedSessions {
-	readonly #maxCount: number;
+	readonly #options: UnlinkedSessionsOptions;
 	/** With the timer that closes each, in the order in which they came. */
 	readonly #timers = new Map<ServerHttp2Session, NodeJS.Timeout>();
 
-	constructor(maxCount: number) {
-		this.#maxCount = maxCount;
+	constructor(options: UnlinkedSessionsOptions) {
+		this.#options = options;
 	}
 
 	/** Watches a session that was just accepted. */
@@ -34,15 +41,20 @@
 
 	#wait(session: ServerHttp2Session): void {
 		this.#timers.set(session, setTimeout(() => {
-			session.destroy();
+			this.#close(session);
 		}, linkTimeoutMs));
 		const [oldest] = this.#timers.keys();
-		if (this.#timers.size > this.#maxCount) {
-			oldest!.destroy();
-			this.#end(oldest!);
+		if (this.#timers.size > this.#options.maxCount) {
+			this.#close(oldest!);
 		}
 	}
 
+	#close(session: ServerHttp2Session): void {
+		this.#options.onClosed();
+		this.#end(session);
+		session.destroy();
+	}
+
 	#end(session: ServerHttp2Session): void {
 		clearTimeout(this.#timers.get(session));
 		this.#timers.delete(session);
--- a/src/settings/routes-settings-schema.ts
+++ b/src/settings/routes-settings-schema.ts
@@ -6,6 +6,9 @@
 const name = z.string().min(1).max(128);
 const positive = z.number().positive();
 
+/** Fewest descriptors with which a process can serve beside its own files and links. */
+const minDescriptors = 128;
+
 /** Schema of the settings file of one process in a deployment with a routes document. */
 export const routesSettingsSchema = z.strictObject({
 	/** Distinguishes this file from one of a deployment with a settings tree. */
@@ -48,7 +51,7 @@
 	/** Memory of the VM, in MB; the bounds on what the process holds of its requests follow from it. Empty where the platform names none. @default 210 */
 	memoryMb: positive.nullish().transform(value => value ?? constants.defaultMemoryMb),
 	/** Descriptors that the process may have open; the number of connections that it accepts follows from it. Empty where the platform names none. @default what the system allows the process */
-	descriptors: z.number().int().positive().nullish().transform(value => value ?? undefined),
+	descriptors: z.number().int().min(minDescriptors).nullish().transform(value => value ?? undefined),
 	/** Number of control nodes' disks that may be lost at the same time. @default 1 */
 	toleratedDisks: z.number().int().min(0).max(4).default(1),
 	/** Interval between reports of a target, in milliseconds. */
--- a/test/settings/load-routes-settings.test.ts
+++ b/test/settings/load-routes-settings.test.ts
@@ -38,6 +38,12 @@
 	t.is(settings.repeats.windowMs, 10_000);
 });
 
+test('a process needs descriptors beside its own', t => {
+	t.throws(() => loadRoutesSettings(write(t, entry + 'descriptors: 100\n')), {instanceOf: SettingsError, message: /descriptors/v});
+	t.is(loadRoutesSettings(write(t, entry + 'descriptors: 4100\n')).descriptors, 4100);
+	t.is(loadRoutesSettings(write(t, entry + 'descriptors:\n')).descriptors, undefined);
+});
+
 test('every invalid key is reported with file, key and remedy', t => {
 	const file = write(t, entry.replace('role: entry', 'role: control').replace('firstPort: 7660', 'firstPort: 0') + 'colour: red\n');
 	const error = t.throws(() => loadRoutesSettings(file), {instanceOf: SettingsError});
