fix(ledger): answers that keepers don't take are bounded in bytes

An entry of a deployment with a settings tree would end out of memory while the keepers of a region are out of reach: up to 5,000 outcomes wait for them for ten minutes, each with an answer of up to 262,144 bytes. Found on reading the other request path; not seen.

The answers in the queue take 8 MB at most, as those that a keeper stores. The oldest outcomes are delivered without theirs: that a claim is done is the promise, and is kept; a retry is then told that its answer is not stored.

--- a/src/core/ledger/finish-queue.ts
+++ b/src/core/ledger/finish-queue.ts
@@ -17,7 +17,7 @@
 };
 
 type QueuedFinish = {
-	readonly finish: Finish;
+	finish: Finish;
 	readonly expiresAt: number;
 	readonly ackedBy: Set<NodeId>;
 	nextSendAt: number;
@@ -36,12 +36,15 @@
 const deliveryTimeoutMs = 600_000;
 /** Maximum queue length; the oldest are dropped beyond that. */
 const maxQueued = 5000;
+/** Maximum total size of the answers in the queue, in bytes of base64; beyond that the oldest outcomes are delivered without theirs. */
+const maxAnswerBytes = 8_388_608;
 
 /** Delivers `finish` messages to the keepers, with retries until every member of the region's newest set has acknowledged. */
 export class FinishQueue {
 	readonly #sets: ReadonlyMap<Region, KeeperSet>;
 	readonly #send: FinishQueueOptions['send'];
 	readonly #queue = new Map<string, QueuedFinish>();
+	#answerBytes = 0;
 
 	constructor({sets, send}: FinishQueueOptions) {
 		this.#sets = sets;
@@ -53,11 +56,13 @@
 			finish, expiresAt: now + deliveryTimeoutMs, ackedBy: new Set(), nextSendAt: now, retryDelayMs: initialRetryDelayMs,
 		};
 		this.#queue.set(formatClaimId(finish.claimId), queued);
+		this.#answerBytes += sizeOf(finish);
 		if (this.#queue.size > maxQueued) {
-			this.#queue.delete(this.#queue.keys().next().value!);
+			this.#remove(this.#queue.keys().next().value!);
 		}
 
 		this.#sendFinish(queued, now);
+		this.#dropAnswers();
 	}
 
 	/** How the claim ended; undefined once delivered or dropped. */
@@ -76,7 +81,7 @@
 
 		queued.ackedBy.add(from);
 		if (set.members.every(member => queued.ackedBy.has(member))) {
-			this.#queue.delete(id);
+			this.#remove(id);
 		}
 	}
 
@@ -94,13 +99,33 @@
 	tick(now: Millis): void {
 		for (const [id, queued] of this.#queue) {
 			if (now > queued.expiresAt) {
-				this.#queue.delete(id);
+				this.#remove(id);
 			} else if (now >= queued.nextSendAt) {
 				this.#sendFinish(queued, now);
 			}
 		}
 	}
 
+	#remove(id: string): void {
+		const queued = this.#queue.get(id);
+		if (queued !== undefined) {
+			this.#answerBytes -= sizeOf(queued.finish);
+			this.#queue.delete(id);
+		}
+	}
+
+	/** Drops the oldest answers until the others fit: that a claim is done has to be delivered, its answer need not be. */
+	#dropAnswers(): void {
+		for (const queued of this.#answerBytes > maxAnswerBytes ? this.#queue.values() : []) {
+			if (this.#answerBytes <= maxAnswerBytes) {
+				return;
+			}
+
+			this.#answerBytes -= sizeOf(queued.finish);
+			queued.finish = {...queued.finish, answer: undefined};
+		}
+	}
+
 	#sendFinish(queued: QueuedFinish, now: Millis): void {
 		queued.nextSendAt = now + queued.retryDelayMs;
 		queued.retryDelayMs = Math.min(queued.retryDelayMs * 2, maxRetryDelayMs);
@@ -111,3 +136,7 @@
 		}
 	}
 }
+
+function sizeOf({answer}: Finish): number {
+	return answer?.body.length ?? 0;
+}
