fix(ledger): claims are bounded by the memory of their keys, not by their number alone

A keeper stored up to 100,000 claims whatever their keys take, of up to 256 characters beside their scope, in no sum of the process: some 60 MB where its VM has 210. Found on reading the other request path; not seen.

The claims are a kind of StateMemory. At its bound a keeper refuses further keys, as it does at the number; no claim is forgotten. Ordinary keys reach the number first.

--- a/bench/ledger.ts
+++ b/bench/ledger.ts
@@ -8,6 +8,7 @@
 import type {ClaimRecord} from '../src/core/ledger/claim-record.ts';
 import {ClaimStore} from '../src/core/ledger/claim-store.ts';
 import {ledgerFixture} from '../test/core/ledger/ledger-fixture.ts';
+import {StateMemory} from '../src/core/memory/state-memory.ts';
 import {measureLogLatencies} from './ledger-log.ts';
 import {printRows} from './print-rows.ts';
 
@@ -106,7 +107,7 @@
 	const random = new SeededRandom(1);
 	collect();
 	const before = process.memoryUsage().heapUsed;
-	const store = new ClaimStore({maxAnswerBytes: Number.MAX_SAFE_INTEGER});
+	const store = new ClaimStore({budget: new StateMemory().budget('claims'), maxAnswerBytes: Number.MAX_SAFE_INTEGER});
 	for (let index = 0; index < keptClaims; index++) {
 		const digest = String(random.next());
 		const claim = {
--- a/src/core/gateway-parts.ts
+++ b/src/core/gateway-parts.ts
@@ -91,6 +91,7 @@
 			outbox,
 			membership: this.membership,
 			now: options.startedAt,
+			state: options.state,
 		});
 		this.poison = new SuspectPoisonGuard({
 			self: self.nodeId,
--- a/src/core/ledger/claim-ledger.ts
+++ b/src/core/ledger/claim-ledger.ts
@@ -5,6 +5,7 @@
 import type {Region} from '../ids/region.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {Membership} from '../membership/membership.ts';
+import {StateMemory} from '../memory/state-memory.ts';
 import {ClaimCoordinator} from './claim-coordinator.ts';
 import {ClaimHandOver} from './claim-hand-over.ts';
 import type {ClaimId} from './claim-id.ts';
@@ -31,6 +32,8 @@
 	readonly membership: Pick<Membership, 'node' | 'nodes'>;
 	/** Start time, on the clock of the `now` arguments. */
 	readonly now: Millis;
+	/** Owner of the state that is kept for callers. @default one with the default bounds */
+	readonly state?: StateMemory;
 	/** Maximum number of keys that this node stores as a keeper. @default 100_000 */
 	readonly maxClaims?: number;
 	/** Maximum total size of the answers that this node stores as a keeper, in bytes of base64. @default 8_388_608 */
@@ -62,7 +65,7 @@
 	/** Messages of this node to itself, delivered before a public method returns. */
 	#loopback: LoopbackMessage[] = [];
 
-	constructor({self, region, incarnation, hasDisk, loadedJournal, outbox, membership, now, maxClaims, maxAnswerBytes}: ClaimLedgerOptions) {
+	constructor({self, region, incarnation, hasDisk, loadedJournal, outbox, membership, now, maxClaims, maxAnswerBytes, state = new StateMemory()}: ClaimLedgerOptions) {
 		this.#self = self;
 		this.#region = region;
 		this.#outbox = outbox;
@@ -94,7 +97,7 @@
 			incarnation: () => membership.node(self)?.info.incarnation ?? incarnation,
 			hasDisk,
 			loadedJournal: loadedJournal ?? {status: 'missing', records: []},
-			store: new ClaimStore({maxClaims, maxAnswerBytes}),
+			store: new ClaimStore({budget: state.budget('claims'), maxClaims, maxAnswerBytes}),
 			journal: this.#journal,
 			send,
 			now,
--- a/src/core/ledger/claim-store.ts
+++ b/src/core/ledger/claim-store.ts
@@ -1,4 +1,6 @@
 import type {Millis} from '../ids/millis.ts';
+import {CountedMap} from '../memory/counted-map.ts';
+import type {StateBudget} from '../memory/state-budget.ts';
 import type {ClaimRecord} from './claim-record.ts';
 import type {StoredAnswer} from './stored-answer.ts';
 
@@ -11,8 +13,13 @@
 	answer?: StoredAnswer;
 };
 
+/** Memory of a claim beside its key, in bytes. */
+const claimBytes = 256;
+
 type ClaimStoreOptions = {
-	/** Maximum number of keys; further ones are refused. @default 100_000 */
+	/** Memory that the claims may take with their keys, but without their answers. */
+	readonly budget: StateBudget;
+	/** Maximum number of keys; further ones are refused, also if their memory is used up. @default 100_000 */
 	readonly maxClaims?: number;
 	/** Maximum total size of the answers, in bytes of base64; the oldest are dropped beyond that. @default 8_388_608 */
 	readonly maxAnswerBytes?: number;
@@ -30,14 +37,17 @@
 export class ClaimStore {
 	readonly #maxClaims: number;
 	readonly #maxAnswerBytes: number;
-	readonly #claims = new Map<string, StoredClaim>();
+	readonly #claims: CountedMap<string, StoredClaim>;
+	readonly #budget: StateBudget;
 	/** Keys with a stored answer, oldest first. */
 	readonly #answered = new Set<string>();
 	#answerBytes = 0;
 	#lastOrder = 0;
 	#sweepIterator: Iterator<[string, StoredClaim]> | undefined;
 
-	constructor({maxClaims = 100_000, maxAnswerBytes = 8_388_608}: ClaimStoreOptions = {}) {
+	constructor({budget, maxClaims = 100_000, maxAnswerBytes = 8_388_608}: ClaimStoreOptions) {
+		this.#budget = budget;
+		this.#claims = new CountedMap({budget, whenFull: 'keep', valueBytes: () => claimBytes});
 		this.#maxClaims = maxClaims;
 		this.#maxAnswerBytes = maxAnswerBytes;
 	}
@@ -47,7 +57,7 @@
 	}
 
 	get full(): boolean {
-		return this.#claims.size >= this.#maxClaims;
+		return this.#claims.size >= this.#maxClaims || this.#budget.isFull;
 	}
 
 	get(key: string, now: Millis): ClaimRecord | undefined {
--- a/src/core/memory/counted-map.ts
+++ b/src/core/memory/counted-map.ts
@@ -65,6 +65,10 @@
 		this.set(key, value);
 	}
 
+	entries(): IterableIterator<[Key, Value]> {
+		return this.#entries.entries();
+	}
+
 	values(): IterableIterator<Value> {
 		return this.#entries.values();
 	}
--- a/src/core/memory/state-kind.ts
+++ b/src/core/memory/state-kind.ts
@@ -9,4 +9,6 @@
 	/** Targets that refused a request. */
 	| 'refusals'
 	/** Targets that have reported themselves. */
-	| 'targets';
+	| 'targets'
+	/** Claims of idempotency keys. */
+	| 'claims';
--- a/src/core/memory/state-memory.ts
+++ b/src/core/memory/state-memory.ts
@@ -11,6 +11,7 @@
 	'served-traits': 0.05,
 	refusals: 0.1,
 	targets: 0.2,
+	claims: 0.8,
 };
 
 const allKinds = Object.keys(weights) as readonly StateKind[];
--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -78,7 +78,7 @@
 		const {self} = settings;
 		const memory = new ProcessMemory({
 			memoryMb: settings.memoryMb,
-			stateKinds: ['served-traits'],
+			stateKinds: ['served-traits', 'claims'],
 			onTurnedAway: kind => {
 				this.#metrics.count('clients_turned_away', kind);
 			},
