fix(server): ids of events don't keep the bytes that they came with

For each stream in progress an entry kept the id of its last event, as a part of the text of all events that arrived with it: up to a megabyte a stream, of the target's choice, in no sum. An id longer than a head may be could not be sent to another engine, so that the stream would have failed there again and again. Found on looking for strings that a target chooses; not seen.

The id is copied, and an event whose id has more than 1,024 characters ends the attempt as its target's fault before it is passed on.

--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -146,6 +146,10 @@
 				return false;
 			}
 
+			if ((events?.lastId?.length ?? 0) > constants.maxEventIdCharacters) {
+				throw new AnswerLimitError('the id of an event', constants.maxEventIdCharacters);
+			}
+
 			if (events !== undefined) {
 				const drained = exchange.write(events.bytes);
 				step({
--- a/src/server/sse-splitter.ts
+++ b/src/server/sse-splitter.ts
@@ -79,5 +79,6 @@
 		last = match[1];
 	}
 
-	return last;
+	// A part of a string keeps the whole of it.
+	return last === undefined ? undefined : Buffer.from(last, 'utf8').toString('utf8');
 }
--- a/src/settings/constants.ts
+++ b/src/settings/constants.ts
@@ -48,6 +48,8 @@
 	maxHeldAnswerBytes: 50_331_648,
 	/** Largest total size of all whole answers that their callers have not read, in bytes. */
 	maxUnreadAnswerBytes: 50_331_648,
+	/** Longest id of an event, in characters: it has to fit in the head of a request that resumes the stream. */
+	maxEventIdCharacters: 1024,
 	/** Largest event of a stream, in bytes. */
 	maxEventBytes: 1_048_576,
 	/** Bytes that are read after the end marker of a stream, so that its connection can be reused. */
--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -66,6 +66,8 @@
 	workMs: number;
 	/** Number of events in a complete stream. */
 	eventCount = defaultEventCount;
+	/** Text that follows the number in the id of each event of a stream. */
+	eventIdSuffix = '';
 	/** Bytes by which each event of a stream is longer. */
 	eventPadding = 0;
 	/** Silence before an event of a stream beyond `workMs`, in milliseconds; none by default. */
@@ -312,7 +314,7 @@
 			}
 
 			const padding = this.eventPadding === 0 ? '' : `: ${'x'.repeat(this.eventPadding)}${lineBreak}`;
-			res.write(`id: ${id}${lineBreak}data: piece ${id}${lineBreak}version: ${this.softwareVersion}${lineBreak}${padding}${lineBreak}`);
+			res.write(`id: ${id}${this.eventIdSuffix}${lineBreak}data: piece ${id}${lineBreak}version: ${this.softwareVersion}${lineBreak}${padding}${lineBreak}`);
 			run?.progressAt.push(performance.now());
 			if (this.workMs > 0) {
 				await sleep(this.workMs); // eslint-disable-line no-await-in-loop
