fix(edge): traits of a crash that control has not confirmed give way to no others

A request that crashes its targets would run again after a client has sent requests with many new prompt parts whose connections the target resets: since the newest 256 traits of a crash were kept until control had confirmed it, so that those of the fatal request were pushed out while no control node was reached.

Evidence: test/core/edge/unconfirmed-crashes.test.ts (80 requests of 200 parts): on the parent the first request's traits are gone. The tests of fatal requests and parts pass unchanged.

--- a/src/core/edge/crash-containment.ts
+++ b/src/core/edge/crash-containment.ts
@@ -24,6 +24,8 @@
 const reportIntervalMs = 100;
 /** Time after which a report that control has not confirmed is sent again, in milliseconds. */
 const resendMs = 600;
+/** Largest number of traits that wait for control's confirmation. */
+const maxPendingTraits = 8192;
 /** Largest number of reports that wait for control's confirmation. */
 const maxPendingReports = 64;
 /** Largest number of traits in one report, for a target that ran dozens of requests; those of the attempts that broke off last come first. */
@@ -163,7 +165,8 @@
 
 		for (const report of crashes) {
 			const pending = this.#pending.get(report.crash)?.report;
-			const traits = [...new Set([...report.traits, ...pending?.traits ?? []])].slice(0, maxTraitsPerReport);
+			const known = pending?.traits ?? [];
+			const traits = [...new Set([...known, ...report.traits])].slice(0, known.length + this.#traitsLeft());
 			this.#pending.set(report.crash, {report: {...report, traits}, sentAt: Number.NEGATIVE_INFINITY});
 			this.#options.queue.event('crash-suspected', {target: report.targetId, traits: report.traits});
 		}
@@ -173,6 +176,16 @@
 		}
 	}
 
+	/** Further traits that may wait for control's confirmation; those that wait already are kept, since requests with them may be fatal. */
+	#traitsLeft(): number {
+		let count = 0;
+		for (const {report} of this.#pending.values()) {
+			count += report.traits.length;
+		}
+
+		return Math.max(0, maxPendingTraits - count);
+	}
+
 	#report(now: Millis): void {
 		const due = [...this.#pending.values()].filter(({sentAt}) => now - sentAt >= resendMs);
 		const primary = this.#options.primary();
