refactor(edge): limits that targets name have a class of their own

A pooled target kept two limits with a function that made the next one of each. NamedLimit keeps one, with the share that this entry has of it.

--- a/src/core/edge/pooled-target.ts
+++ b/src/core/edge/pooled-target.ts
@@ -9,6 +9,7 @@
 import {TargetSuspension} from '../targets/target-suspension.ts';
 import {FailureShare} from './failure-share.ts';
 import {LimitShare} from './limit-share.ts';
+import {NamedLimit} from './named-limit.ts';
 import type {PooledAttempt} from './pooled-attempt.ts';
 import {PrefixCacheEstimate} from './prefix-cache-estimate.ts';
 import type {TargetLoad} from './target-load.ts';
@@ -38,13 +39,6 @@
 /** Smallest share of the time to the first event that is taken for prefill; the rest is decoding up to the first event. */
 const minPrefillShare = 0.5;
 
-type NamedLimit = {
-	readonly perSecond: number;
-	/** Time at which this entry learnt that the target has a limit. */
-	readonly namedAt: Millis;
-	readonly share: LimitShare;
-};
-
 type PooledTargetOptions = {readonly phase: number; readonly maxPauseMs?: number; readonly suspension?: TargetSuspension; readonly costs?: ServiceCosts; readonly state?: StateMemory};
 
 /** A target of this entry's region: its listing by control, this entry's attempts there, and estimates of its speed and load. */
@@ -62,10 +56,9 @@
 	#goneSince: Millis | undefined;
 	#coldUntil: Millis | undefined;
 	#lastSequence: number;
-	readonly #phase: number;
-	#limit: NamedLimit | undefined;
+	readonly #limit: NamedLimit;
 	/** Set while the target says that it is brittle. */
-	#rejections: NamedLimit | undefined;
+	readonly #rejections = new NamedLimit(startedAt => new LimitShare({startedAt, unusedExpire: false}));
 	#suspension: TargetSuspension;
 	/** Number of the newest report at the time at which the target was suspected of having failed. */
 	#suspectSequence = Number.POSITIVE_INFINITY;
@@ -87,7 +80,7 @@
 		this.#call = new LearnedTime({weight: timeWeight, priorFactor, prior: slowdown => costs.callMs.at(slowdown)});
 		this.#event = new LearnedTime({weight: timeWeight, priorFactor, prior: slowdown => costs.eventMs.at(slowdown)});
 		costs.slots.add(Math.max(1, listed.slots));
-		this.#phase = phase;
+		this.#limit = new NamedLimit(startedAt => new LimitShare({phase, startedAt}));
 		this.#maxPauseMs = maxPauseMs;
 		this.#suspension = suspension ?? new TargetSuspension({maxPauseMs});
 		this.#listed = listed;
@@ -117,7 +110,7 @@
 			this.#suspension = suspension ?? new TargetSuspension({maxPauseMs: this.#maxPauseMs});
 			this.#suspectSequence = Number.POSITIVE_INFINITY;
 			this.#doubtedSequence = Number.NEGATIVE_INFINITY;
-			this.#limit = undefined;
+			this.#limit.clear();
 			this.#failureShare = new FailureShare();
 			this.#breakShare = new FailureShare();
 			this.#reachability = new Reachability();
@@ -226,36 +219,32 @@
 
 	/** Time until the target's limit lets this entry send a request, in milliseconds; 0 without a limit. `entries` is the number of entries that share the limit. */
 	limitWaitMs(entries: number, now: Millis): number {
-		return this.#limit === undefined ? 0 : this.#limit.share.waitMs({perSecond: this.#limit.perSecond, entries}, now);
+		return this.#limit.waitMs(entries, now);
 	}
 
 	/** Records that a request is sent, which counts towards the limit. */
 	recordSend(entries: number, now: Millis): void {
-		this.#limit?.share.use({perSecond: this.#limit.perSecond, entries}, now);
+		this.#limit.use(entries, now);
 	}
 
 	/** Takes the limit in an answer to an attempt sent at `sentAt`. An answer without one ends a limit, unless the attempt is older than it. Returns whether the limit changed. */
 	updateLimit(perSecond: number | undefined, sentAt: Millis, now: Millis): boolean {
-		const before = this.#limit;
-		this.#limit = updatedLimit(before, perSecond, {sentAt, now, createShare: () => new LimitShare({phase: this.#phase, startedAt: now})});
-		return this.#limit !== before;
+		return this.#limit.update(perSecond, sentAt, now);
 	}
 
 	/** Takes the number of rejections that a brittle target stands, in the same way; undefined if the answer names none. Returns whether it changed. */
 	updateRejections(perSecond: number | undefined, sentAt: Millis, now: Millis): boolean {
-		const before = this.#rejections;
-		this.#rejections = updatedLimit(before, perSecond, {sentAt, now, createShare: () => new LimitShare({startedAt: now, unusedExpire: false})});
-		return this.#rejections !== before;
+		return this.#rejections.update(perSecond, sentAt, now);
 	}
 
 	/** Rejections a second that a brittle target stands; undefined if it is not brittle. */
 	get rejectionsPerSecond(): number | undefined {
-		return this.#rejections?.perSecond;
+		return this.#rejections.perSecond;
 	}
 
 	/** Takes a target for brittle, as others of its service are, until an answer of its own says otherwise. */
 	assumeBrittle(perSecond: number, now: Millis): void {
-		if (this.#rejections === undefined) {
+		if (this.#rejections.perSecond === undefined) {
 			this.updateRejections(perSecond, now, now);
 		}
 	}
@@ -270,12 +259,12 @@
 		return this.attempts.size < Math.max(1, Math.floor(slots / entries))
 			&& this.inFlight(now) < slots
 			&& (waiting === 0 || now - at > loadHalfLifeMs)
-			&& (this.#rejections?.share.waitMs({perSecond: this.#rejections.perSecond, entries}, now) ?? 0) === 0;
+			&& this.#rejections.waitMs(entries, now) === 0;
 	}
 
 	/** Records that the target rejected a request of this entry, which counts towards what a brittle target stands. */
 	recordRejection(entries: number, now: Millis): void {
-		this.#rejections?.share.use({perSecond: this.#rejections.perSecond, entries}, now);
+		this.#rejections.use(entries, now);
 	}
 
 	/** Takes the load that the target reported; requests beyond this entry's own are those of other entries. Returns the figures that were implausible, and were ignored or cut. */
@@ -387,20 +376,3 @@
 		ofService.add(time, slowdown);
 	}
 }
-
-/** The limit after an answer to an attempt sent at `sentAt`: a later answer without one ends it. */
-function updatedLimit(
-	before: NamedLimit | undefined,
-	perSecond: number | undefined,
-	{sentAt, now, createShare}: {sentAt: Millis; now: Millis; createShare: () => LimitShare},
-): NamedLimit | undefined {
-	if (perSecond === before?.perSecond) {
-		return before;
-	}
-
-	if (perSecond === undefined) {
-		return sentAt < before!.namedAt ? before : undefined;
-	}
-
-	return {perSecond, namedAt: before?.namedAt ?? now, share: before?.share ?? createShare()};
-}
