refactor(edge): answers to attempts and the configuration in force out of the large classes

AnswerHandler takes what targets and other entries answer, which was half of RequestHandler; EntryConfiguration takes the state that control sends up to the route table, which was in EdgeCore.

--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -9,20 +9,18 @@
 import {QuotaGate} from '../organisations/quota/quota-gate.ts';
 import type {PeerMessage} from '../peer-message.ts';
 import type {EntryStatus} from '../registry/entry-status.ts';
-import {RouteTable} from '../routes/route-table.ts';
-import type {StoredDocument} from '../routes/stored-document.ts';
+import type {RouteTable} from '../routes/route-table.ts';
 import {TargetProber} from '../targets/target-prober.ts';
-import {ConfigurationFreshness} from './configuration-freshness.ts';
 import {ControlFollower} from './control-follower.ts';
 import {CrashContainment} from './crash-containment.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeCoreOptions} from './edge-core-options.ts';
 import type {EdgeEvent} from './edge-event.ts';
+import {EntryConfiguration} from './entry-configuration.ts';
 import {PlacementPolicy} from './placement-policy.ts';
 import {RegionSelector} from './region-selector.ts';
 import {WindowedRetryBudget} from './windowed-retry-budget.ts';
 import {RequestHandler} from './request-handler.ts';
-import {StartConfiguration} from './start-configuration.ts';
 import {StartupWait} from './startup-wait.ts';
 import {StreamOrigins} from './stream-origins.ts';
 import {serviceLoads} from './service-loads.ts';
@@ -52,15 +50,11 @@
 	readonly #containment: CrashContainment;
 	readonly #prober: TargetProber;
 	readonly #startup: StartupWait;
-	/** What control nodes sent before the entry has a configuration. */
-	readonly #start = new StartConfiguration();
-	readonly #freshness = new ConfigurationFreshness();
+	readonly #configuration: EntryConfiguration;
 	readonly #requests: RequestHandler;
 	readonly #budget: WindowedRetryBudget;
 	/** Undefined if the settings have no quotas. */
 	readonly #quotas: QuotaGate | undefined;
-	#table: RouteTable | undefined;
-	#stateIndex = 0;
 	#leaving = false;
 	#drainedReported = false;
 	/** Services of the routes in force without a usable target, as control was told last. */
@@ -74,15 +68,23 @@
 		this.#queue = new ActionQueue(self.nodeId);
 		this.#quotas = quotas && new QuotaGate({bounds: quotas, run: Math.floor(random.next() * Number.MAX_SAFE_INTEGER), random});
 		this.#pool = new TargetPool(self.nodeId, {maxPauseMs: maxTargetPauseMs, costs: this.#costs, state});
+		this.#configuration = new EntryConfiguration({
+			queue: this.#queue,
+			pool: this.#pool,
+			parseDocument: options.parseDocument,
+			onInstalled: (table, now) => {
+				this.#handleInstalled(table, now);
+			},
+		});
 		this.#regions = new RegionSelector(self, {costs: this.#costs});
 		this.#follower = new ControlFollower({
 			self,
 			seeds,
 			outbox: this.#queue,
 			status: now => ({...this.#status(now), demand: this.#quotas?.demand(now)}),
-			stateIndex: () => Math.max(this.#stateIndex, this.#start.index),
+			stateIndex: () => this.#configuration.index,
 			crashIndex: () => this.#containment.index,
-			isConfigured: () => this.#table !== undefined,
+			isConfigured: () => this.table !== undefined,
 		});
 		this.#budget = new WindowedRetryBudget(repeats);
 		this.#origins = new StreamOrigins({
@@ -102,15 +104,15 @@
 		this.#startup = new StartupWait({reportEveryMs});
 		this.#requests = new RequestHandler({
 			startup: this.#startup,
-			mayBeBehind: now => this.#freshness.mayBeBehind(now),
+			mayBeBehind: now => this.#configuration.mayBeBehind(now),
 			prober: this.#prober,
 			containment: this.#containment,
 			state,
 			origins: this.#origins,
 			placement: new PlacementPolicy({
-				region: self.region, relayAddress: self.relayAddress, pool: this.#pool, regions: this.#regions, startup: this.#startup, table: () => this.#table, random,
+				region: self.region, relayAddress: self.relayAddress, pool: this.#pool, regions: this.#regions, startup: this.#startup, table: () => this.#configuration.table, random,
 			}),
-			table: () => this.#table,
+			table: () => this.#configuration.table,
 			pool: this.#pool,
 			regions: this.#regions,
 			waiting: this.#waiting,
@@ -140,7 +142,7 @@
 
 	/** True if the entry has a routes document and is not leaving; while it leaves it still accepts requests until `shut`. */
 	get ready(): boolean {
-		return this.#table !== undefined && !this.#leaving;
+		return this.table !== undefined && !this.#leaving;
 	}
 
 	get leaving(): boolean {
@@ -152,12 +154,12 @@
 	}
 
 	get documentVersion(): number | undefined {
-		return this.#table?.version;
+		return this.table?.version;
 	}
 
 	/** Routes in force; undefined until the first document arrives. */
 	get table(): RouteTable | undefined {
-		return this.#table;
+		return this.#configuration.table;
 	}
 
 	status(now: Millis): EntryStatus & {
@@ -179,7 +181,7 @@
 			case 'tick': {
 				this.#budget.start(now);
 				this.#quotas?.tick(now);
-				this.#takeFirstState(now);
+				this.#configuration.takeFirst(now);
 				this.#follower.tick(now);
 				this.#origins.tick(now);
 				this.#containment.tick(now);
@@ -205,27 +207,27 @@
 			}
 
 			case 'attempt-head': {
-				this.#requests.handleHead(event.attempt, event.head, now);
+				this.#requests.answers.handleHead(event.attempt, event.head, now);
 				break;
 			}
 
 			case 'attempt-events': {
-				this.#requests.handleEvents(event.attempt, event, now);
+				this.#requests.answers.handleEvents(event.attempt, event, now);
 				break;
 			}
 
 			case 'attempt-held': {
-				this.#requests.handleHeld(event.attempt, event.held, now);
+				this.#requests.answers.handleHeld(event.attempt, event.held, now);
 				break;
 			}
 
 			case 'attempt-end': {
-				this.#requests.handleEnd(event.attempt, event, now);
+				this.#requests.answers.handleEnd(event.attempt, event, now);
 				break;
 			}
 
 			case 'attempt-failed': {
-				this.#requests.handleFailure(event.attempt, event.failure, now);
+				this.#requests.answers.handleFailure(event.attempt, event.failure, now);
 				break;
 			}
 
@@ -277,16 +279,7 @@
 			this.#origins.handleFeed(feed);
 		}
 
-		if (this.#table === undefined) {
-			this.#start.record(from, feed, now);
-			this.#takeFirstState(now);
-		} else if (feed.state !== undefined) {
-			this.#takeState({
-				state: feed.state, index: feed.stateIndex, control: from, current: feed.current,
-			}, now);
-		}
-
-		this.#freshness.record(feed, this.#stateIndex, now);
+		this.#configuration.handleFeed(from, feed, now);
 		if (targets !== undefined) {
 			if (this.#startup.recordFeed(now)) {
 				this.#queue.event('first-feed', {control: from, current: feed.current, targets: feed.targets.length});
@@ -304,43 +297,9 @@
 		}
 	}
 
-	/** Puts the configuration in force with which the entry becomes ready, once there is one. */
-	#takeFirstState(now: Millis): void {
-		const start = this.#table === undefined ? this.#start.take(now) : undefined;
-		if (start === undefined) {
-			return;
-		}
-
-		const {basis, waitedMs, heard, ...taken} = start;
-		this.#takeState({...taken, current: basis !== 'waited'}, now);
-		if (this.#table === undefined) {
-			return;
-		}
-
-		this.#start.clear();
-		if (basis !== 'current') {
-			this.#queue.event('started-without-leader', {
-				basis, index: taken.index, version: taken.state.document?.version, control: taken.control, waitedMs: Math.round(waitedMs), heard,
-			});
-		}
-	}
-
-	#takeState({state, index, control, current}: {state: NonNullable<Feed['state']>; index: number; control: NodeId; current: boolean}, now: Millis): void {
-		if (index <= this.#stateIndex) {
-			return;
-		}
-
-		this.#stateIndex = index;
-		this.#pool.setEvacuatedZones(state.evacuated);
-		this.#queue.event('state-taken', {
-			index, version: state.document?.version, evacuated: state.evacuated, control, current,
-		});
-		this.#install(state.document, now);
-	}
-
 	/** Tells control at once when a service has no usable target any more, or one again: other regions forward requests by what control tells them. */
 	#reportUnserved(now: Millis): void {
-		const unserved = (this.#table?.document.services ?? []).filter(({name}) => !this.#pool.hasUsable(name, now)).map(({name}) => name).join(' ');
+		const unserved = (this.table?.document.services ?? []).filter(({name}) => !this.#pool.hasUsable(name, now)).map(({name}) => name).join(' ');
 		if (unserved !== this.#unservedServices) {
 			this.#unservedServices = unserved;
 			this.#follower.report(now);
@@ -374,22 +333,9 @@
 		this.#versions.update([...this.#pool.listings(), ...remote], now);
 	}
 
-	/** Puts a newer document in force. A document that this entry cannot parse is logged and skipped, and the last one stays in force. */
-	#install(stored: StoredDocument | undefined, now: Millis): void {
-		if (stored === undefined || stored.version <= (this.#table?.version ?? -1)) {
-			return;
-		}
-
-		const parsed = this.#options.parseDocument(stored.text);
-		this.#freshness.recordDocument({version: stored.version, isReadable: !('problems' in parsed)});
-		if ('problems' in parsed) {
-			this.#queue.event('document-unreadable', {version: stored.version, problems: parsed.problems.slice(0, 3)});
-			return;
-		}
-
-		this.#table = new RouteTable(parsed.document);
-		this.#quotas?.setQuotas(parsed.document.organisations);
-		this.#queue.push({type: 'document', version: stored.version});
+	#handleInstalled({document, version}: RouteTable, now: Millis): void {
+		this.#quotas?.setQuotas(document.organisations);
+		this.#queue.push({type: 'document', version});
 		this.#requests.handleWaitingForRoutes(now);
 		this.#follower.report(now);
 	}
@@ -403,9 +349,9 @@
 			address,
 			relayAddress,
 			weight,
-			state: this.#leaving ? 'leaving' : (this.#table === undefined ? 'starting' : 'ready'),
+			state: this.#leaving ? 'leaving' : (this.table === undefined ? 'starting' : 'ready'),
 			loads: serviceLoads({
-				table: this.#table, pool: this.#pool, regions: this.#regions, waiting: this.#waiting,
+				table: this.table, pool: this.#pool, regions: this.#regions, waiting: this.#waiting,
 			}, now),
 		};
 	}
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -2,7 +2,6 @@
 import {PlacementPacer} from '../admission/placement-pacer.ts';
 import type {AwakeClock} from '../common/awake-clock.ts';
 import type {Random} from '../common/random.ts';
-import type {AttemptNumber} from '../ids/attempt-number.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {RequestId} from '../ids/request-id.ts';
 import type {StateMemory} from '../memory/state-memory.ts';
@@ -10,9 +9,8 @@
 import type {RouteRule} from '../routes/route-rule.ts';
 import type {RouteTable} from '../routes/route-table.ts';
 import type {TargetProber} from '../targets/target-prober.ts';
-import type {AnswerHead} from './answer-head.ts';
+import {AnswerHandler} from './answer-handler.ts';
 import {AttemptTracker} from './attempt-tracker.ts';
-import type {AttemptFailure} from './attempt-failure.ts';
 import {earlyRefusalReason} from './early-refusal-reason.ts';
 import type {EdgeAction} from './edge-action.ts';
 import type {EdgeRefusal} from './edge-refusal.ts';
@@ -22,15 +20,12 @@
 import {RequestCompletion} from './request-completion.ts';
 import {identifyCaller} from './identify-caller.ts';
 import {IdleConnectionPolicy} from './idle-connection-policy.ts';
-import {destinationOf} from './destination-of.ts';
 import type {CrashContainment} from './crash-containment.ts';
-import {isSuccess} from './is-success.ts';
 import type {PlacementPolicy} from './placement-policy.ts';
 import {QuotaCharges} from './quota-charges.ts';
 import {RecentRefusals} from './recent-refusals.ts';
 import type {RegionSelector} from './region-selector.ts';
 import type {WindowedRetryBudget} from './windowed-retry-budget.ts';
-import {softwareVersionOf} from './software-version-of.ts';
 import {RetryPolicy} from './retry-policy.ts';
 import {RequestPlacer} from './request-placer.ts';
 import type {RequestRecord} from './request-record.ts';
@@ -63,8 +58,10 @@
 	readonly queue: ActionQueue<EdgeAction>;
 };
 
-/** Handles the requests of one entry from their arrival to their final answer: what callers, targets and the clock do to them. */
+/** Handles the requests of one entry from their arrival to their final answer: what callers and the clock do to them, and, in `answers`, what targets do. */
 export class RequestHandler {
+	/** Handles the answers to attempts. */
+	readonly answers: AnswerHandler;
 	readonly #options: RequestHandlerOptions;
 	readonly #records = new Map<RequestId, RequestRecord>();
 	/** Requests that came before the routes. */
@@ -98,6 +95,21 @@
 				this.#refuse(record, reason, now);
 			},
 		});
+		this.answers = new AnswerHandler({
+			...options,
+			attempts: this.#attempts,
+			feedback: this.#feedback,
+			retryPolicy: this.#retryPolicy,
+			placer: this.#placer,
+			completion: this.#completion,
+			refusals: this.#refusals,
+			onCapacity: () => {
+				this.#capacityChanged = true;
+			},
+			onComplete: record => {
+				this.#forget(record);
+			},
+		});
 	}
 
 	get inFlight(): number {
@@ -207,119 +219,6 @@
 		this.#forget(record);
 	}
 
-	handleHead(attempt: AttemptNumber, head: AnswerHead, now: Millis): void {
-		const record = this.#attempts.select(attempt);
-		const running = record?.running;
-		if (record === undefined || running === undefined) {
-			return;
-		}
-
-		running.head = head;
-		this.#attempts.recordProgress(record, now);
-		this.#feedback.recordHead(record, head, now);
-		if (this.#feedback.isNotRun(head)) {
-			this.#handleNotRun(record, head, now);
-			return;
-		}
-
-		if (!isSuccess(head.status)) {
-			this.#handleErrorStatus(record, head, now);
-			return;
-		}
-
-		if (!head.signed) {
-			this.#options.queue.push({type: 'cancel', attempt});
-			this.#handleAttemptFailure(record, 'unsigned answer', now);
-			return;
-		}
-
-		if (record.headPassed && !(head.status === 200 && head.eventStream)) {
-			// Its body is not the rest of the stream, and its end must not end the stream as complete.
-			this.#options.queue.push({type: 'cancel', attempt});
-			this.#handleAttemptFailure(record, 'no stream', now);
-			return;
-		}
-
-		// One that was forwarded counts towards the retry budget only now, since the other entry may refuse it before a target gets it.
-		this.#options.budget.countRequest(record, now);
-		if (record.route.kind === 'stream' && head.eventStream) {
-			if (!record.headPassed) {
-				this.#attempts.cancelKept(record);
-			}
-
-			record.headPassed = true;
-			this.#options.queue.push({
-				type: 'pass', requestId: record.req.requestId, attempt, softwareVersion: softwareVersionOf(running),
-			});
-			return;
-		}
-
-		this.#feedback.recordCall(record, now);
-	}
-
-	handleEvents(attempt: AttemptNumber, {count, lastId}: {count: number; lastId?: string}, now: Millis): void {
-		const record = this.#attempts.select(attempt);
-		const running = record?.running;
-		if (record === undefined || running === undefined) {
-			return;
-		}
-
-		this.#feedback.recordEvents(record, count, now);
-		// The first event shows that the prefill has ended, which shortens the predicted start of waiting requests.
-		this.#capacityChanged ||= running.events === 0;
-		if (count > 0) {
-			this.#attempts.cancelKept(record);
-			this.#options.origins.recordFirstEvent(record, now);
-		}
-
-		running.events += count;
-		record.passedEvents += count;
-		this.#attempts.recordProgress(record, now);
-		record.lastEventId = lastId ?? record.lastEventId;
-	}
-
-	handleHeld(attempt: AttemptNumber, held: boolean, now: Millis): void {
-		this.#attempts.recordHeld(attempt, held, now);
-	}
-
-	/** Completes a request, unless its answer was broken off: by its bytes, or, if its connection alone ended it, before the first event. */
-	handleEnd(attempt: AttemptNumber, {truncated}: {truncated: boolean}, now: Millis): void {
-		const record = this.#attempts.select(attempt);
-		if (record === undefined) {
-			return;
-		}
-
-		const {running, headPassed} = record;
-		const isEmpty = headPassed && running?.head?.unframed === true && running.events === 0;
-		if (truncated || isEmpty) {
-			this.handleFailure(attempt, {reason: 'truncated', notSent: false}, now);
-			return;
-		}
-
-		this.#attempts.cancelKept(record);
-		this.#feedback.recordEnd(record);
-		this.#completion.complete(record, attempt, now);
-		this.#releaseAttempt(record);
-		this.#forget(record);
-	}
-
-	handleFailure(attempt: AttemptNumber, failure: AttemptFailure, now: Millis): void {
-		const record = this.#attempts.select(attempt);
-		if (record?.running === undefined) {
-			return;
-		}
-
-		this.#feedback.recordFailure(record, failure, now);
-		if (failure.notSent) {
-			this.#options.queue.event('attempt-not-sent', {request: record.req.callerKey, target: destinationOf(record), reason: failure.reason});
-			this.#attempts.recordUnsent(record);
-			this.#placeUnlessKept(record, now);
-			return;
-		}
-
-		this.#handleAttemptFailure(record, failure.reason, now);
-	}
-
 	tick(now: Millis): void {
 		// Those that have waited long enough are refused.
 		this.handleWaitingForRoutes(now);
@@ -346,48 +245,6 @@
 		this.#pacer.recordPass(now, {leftWaiting: !this.#options.waiting.isEmpty});
 	}
 
-	/** Handles a status other than 2xx: discards the answer if the caller already has the head of an earlier one, or if the status is 5xx and the request may be retried or another attempt is in progress. Otherwise the answer is read on and passed to the caller. */
-	#handleErrorStatus(record: RequestRecord, {status}: AnswerHead, now: Millis): void {
-		const mayAnswerElsewhere = record.kept.length > 0 || this.#retryPolicy.mayRetryAnswer(record, now);
-		if (record.headPassed || (status >= 500 && mayAnswerElsewhere)) {
-			this.#options.queue.push({type: 'cancel', attempt: record.running!.attempt});
-			this.#handleAttemptFailure(record, `status ${status}`, now);
-		}
-	}
-
-	/** Places a request again whose target or entry guarantees that it has not run. */
-	#handleNotRun(record: RequestRecord, head: AnswerHead, now: Millis): void {
-		const {running} = record;
-		this.#options.queue.event('attempt-not-run', {
-			request: record.req.callerKey, target: destinationOf(record), status: head.status, retryAfterMs: head.retryAfterMs, leaving: head.leaving,
-		});
-		this.#feedback.recordNotRun(record, head, now);
-		if (running?.targetId === undefined) {
-			this.#attempts.recordRefusedForward(record, head, now);
-			record.retryAfterMs = head.retryAfterMs ?? record.retryAfterMs;
-		} else {
-			// The pause that the target asks for is one of many that the placement weighs, if this request has to come back.
-			record.excludedTargets.add(running.targetId);
-			this.#refusals.record(record.req.callerKey, running.targetId, now);
-		}
-
-		this.#placeUnlessKept(record, now);
-	}
-
-	/** Handles an attempt that may have run but gave no usable answer: retries the request if that is allowed, else refuses it. */
-	#handleAttemptFailure(record: RequestRecord, reason: string, now: Millis): void {
-		this.#attempts.recordFailed(record, reason, now);
-		this.#placeUnlessKept(record, now);
-	}
-
-	/** Ends the current attempt without an answer. The request goes on with an attempt that was kept, or is placed again. */
-	#placeUnlessKept(record: RequestRecord, now: Millis): void {
-		this.#releaseAttempt(record);
-		if (record.running === undefined) {
-			this.#placer.place(record, now);
-		}
-	}
-
 	#checkStall(record: RequestRecord, now: Millis): void {
 		if (!this.#retryPolicy.isStalled(record, now)) {
 			return;
@@ -425,13 +282,6 @@
 		return kind === 'stream' && callerKey !== '' && resumeAfter === undefined && forwarded === undefined && this.#options.origins.isFull;
 	}
 
-	#releaseAttempt(record: RequestRecord): void {
-		if (record.running !== undefined) {
-			this.#attempts.release(record);
-			this.#capacityChanged = true;
-		}
-	}
-
 	#cancelAttempts(record: RequestRecord): void {
 		this.#capacityChanged ||= record.running !== undefined;
 		this.#attempts.cancelAll(record);
