--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -2,8 +2,6 @@
 import type {LoadedJournal} from '../common/loaded-journal.ts';
 import type {ConsensusRecord} from '../consensus/consensus-record.ts';
 import type {ConsensusStatus} from '../consensus/consensus-status.ts';
-import {pendingMember} from '../consensus/pending-member.ts';
-import type {GroupView} from '../consensus/group-view.ts';
 import {RaftMember} from '../consensus/raft-member.ts';
 import type {EntryAddress} from '../ids/entry-address.ts';
 import type {Millis} from '../ids/millis.ts';
@@ -27,11 +25,13 @@
 import {controlTiming} from './control-timing.ts';
 import {CrashReportHandler} from './crash-report-handler.ts';
 import {EntryFeed} from './entry-feed.ts';
+import {EvacuationChanges} from './evacuation-changes.ts';
+import {GroupLog} from './group-log.ts';
 import type {LogView} from './log-view.ts';
+import {MemberChanges} from './member-changes.ts';
 import {OperatorCallHandler} from './operator-call-handler.ts';
 import {RegistryGossip} from './registry-gossip.ts';
 import {StreamOriginAnswerer} from './stream-origin-answerer.ts';
-import {VoterPolicy} from './voter-policy.ts';
 
 /**
  * Core of a control node in a deployment with a routes document: the replicated state, the registry of targets,
@@ -51,14 +51,13 @@
 	readonly #gossip: RegistryGossip;
 	readonly #streamOrigins: StreamOriginAnswerer;
 	readonly #crashReports: CrashReportHandler;
-	readonly #voterPolicy: VoterPolicy;
+	readonly #memberChanges: MemberChanges;
+	readonly #evacuations: EvacuationChanges;
+	readonly #groupLog: GroupLog;
 	/** Time of the last gossip message from each other control node. */
 	readonly #lastGossipAt = new Map<NodeId, Millis>();
-	#membersChangedAt = Number.NEGATIVE_INFINITY;
-	#evacuated: ReadonlySet<Zone> = new Set();
 	/** Number of ticks so far; rotates the sample of addresses in the summaries of regions. */
 	#tickCount = 0;
-	#loggedGroup = '';
 	#gossipUrgent = false;
 	/** True if the demand of an organisation has risen: other control nodes and the followers are told at once. */
 	#gossipDemand = false;
@@ -88,7 +87,9 @@
 			entries: this.#directory, state: this.#state.routes, parseDocument: options.parseDocument, outbox,
 		});
 		this.#registry = new TargetRegistry({reportEveryMs, regionOf: zone => zones.get(zone), budget: state.budget('targets')});
-		this.#voterPolicy = new VoterPolicy(toleratedLosses);
+		this.#memberChanges = new MemberChanges({
+			self: self.nodeId, consensus: this.#consensus, toleratedLosses, heardAt: nodeId => this.#lastGossipAt.get(nodeId) ?? this.#startedAt, outbox,
+		});
 		this.#operatorCalls = new OperatorCallHandler({
 			self: self.nodeId,
 			consensus: this.#consensus,
@@ -133,7 +134,8 @@
 			controlPeers: () => this.#gossip.controlPeers(this.#now),
 			regionLoads: now => summarizeRegions(this.#directory.readyEntries(now), this.#tickCount),
 		});
-		this.#evacuated = new Set(this.#state.routes.evacuated());
+		this.#evacuations = new EvacuationChanges({state: this.#state.routes, registry: this.#registry, outbox});
+		this.#groupLog = new GroupLog(outbox);
 	}
 
 	/** False if there is no memory for a target that is not known. */
@@ -240,22 +242,8 @@
 		this.#streamOrigins.tick(now);
 		this.#crashReports.tick(now);
 		this.#operatorCalls.tick(now);
-		this.#changeMembers(now);
-		this.#logGroupChange();
-	}
-
-	/** Logs a change of role, leader or voters of the replicated log, as this node sees it. */
-	#logGroupChange(): void {
-		const status = this.#consensus.status();
-		const {role, leader, voters, term, commitIndex} = status;
-		const pending = pendingMember(status);
-		const group = `${role} ${leader} ${voters.join(',')} ${pending}`;
-		if (group !== this.#loggedGroup) {
-			this.#loggedGroup = group;
-			this.#queue.event('group-changed', {
-				role, leader, voters, pending, term, commitIndex, version: this.#state.routes.document?.version,
-			});
-		}
+		this.#memberChanges.tick(now);
+		this.#groupLog.record(this.#consensus.status(), this.#state.routes.document?.version);
 	}
 
 	#handlePeerMessage(from: NodeId, message: PeerMessage, now: Millis): void {
@@ -349,7 +337,7 @@
 			this.#operatorCalls.recordOutcomes(committed);
 		}
 
-		this.#applyEvacuationChanges(now);
+		this.#evacuations.apply(now);
 		this.#operatorCalls.answerReady(now);
 		this.#feed.push(now);
 		this.#spreadDemand(now);
@@ -371,49 +359,6 @@
 		}
 	}
 
-	/**
-	 * Logs the beginning and end of evacuations. When one ends, the zone's targets are marked as possibly cold: they
-	 * may have become cold without having reported it yet, so entries send them no requests before their next report.
-	 */
-	#applyEvacuationChanges(now: Millis): void {
-		const evacuated = new Set(this.#state.routes.evacuated());
-		for (const zone of this.#evacuated) {
-			if (!evacuated.has(zone)) {
-				this.#registry.markMaybeCold(zone, now);
-				this.#queue.event('evacuation-ended', {zone, index: this.#state.routes.index});
-			}
-		}
-
-		for (const zone of evacuated) {
-			if (!this.#evacuated.has(zone)) {
-				this.#queue.event('evacuation-began', {zone, index: this.#state.routes.index});
-			}
-		}
-
-		this.#evacuated = evacuated;
-	}
-
-	#changeMembers(now: Millis): void {
-		const group = this.#consensus.groupView(now);
-		if (group === undefined || now - this.#membersChangedAt < controlTiming.memberChangeIntervalMs) {
-			return;
-		}
-
-		const voters = group.voters.map(voter => ({...voter, silentMs: this.#silenceOf(voter, now)}));
-		const change = this.#voterPolicy.nextChange({...group, voters}, this.#options.self.nodeId);
-		if (change !== undefined && this.#consensus.changeMembers(change, now)) {
-			this.#membersChangedAt = now;
-			this.#queue.event('member-change', {
-				change: change.type, node: change.nodeId, reason: change.reason, voters: group.voters.length,
-			});
-		}
-	}
-
-	/** A new leader knows from gossip how long a voter has been silent that has not answered it yet. */
-	#silenceOf({nodeId, silentMs, hasAnswered}: GroupView['voters'][number], now: Millis): number {
-		return hasAnswered ? silentMs : now - (this.#lastGossipAt.get(nodeId) ?? this.#startedAt ?? now);
-	}
-
 	/** True if this node leads with a valid lease, or has heard the leader lately and lags little behind its commits. */
 	#isCurrent(now: Millis): boolean {
 		const consensus = this.#consensus;
