test(control): the driver of schedules without what it checks

What was called and must be answered, links that are cut, nodes that settings list, and the state after a repair are files of their own.

--- a/test/core/control/schedule-driver.ts
+++ b/test/core/control/schedule-driver.ts
@@ -3,23 +3,19 @@
 import type {Zone} from '../../../src/core/ids/zone.ts';
 import type {OperatorCall} from '../../../src/core/control/operator-call.ts';
 import {ControlCluster} from '../../fixtures/control-cluster.ts';
+import {CutLinks} from './cut-links.ts';
+import {isRepaired} from './is-repaired.ts';
+import {ListedNodes} from './listed-nodes.ts';
 import {MachineLosses} from './machine-losses.ts';
+import {ScheduleChecker} from './schedule-checker.ts';
 import type {ScheduleStep} from './schedule-step.ts';
 
-type SentCall =
-	| {readonly type: 'document'; readonly callId: string; readonly version: number}
-	| {readonly type: 'evacuation'; readonly callId: string; readonly zone: Zone; readonly active: boolean}
-	/** A read; `minVersion` is the newest version that was accepted before it was sent. */
-	| {readonly type: 'read'; readonly callId: string; readonly minVersion: number};
-
 const zones = [toId<Zone>('regina-a'), toId<Zone>('winnipeg-b')];
 /** Machines, and disks, that may be lost at the same time in the first deployments. */
 const tolerated = 2;
 const voters = (2 * tolerated) + 1;
 /** Nodes that may take the place of others in one schedule. */
 const successors = 24;
-/** Nodes that the settings list as seeds. */
-const seedCount = 3;
 /** Time within which control nodes must serve again after the last fault, in milliseconds (required recovery time of the first deployments). */
 const recoveryMs = 15_000;
 /** Time until the first records of all nodes are synced, in milliseconds; nothing can be required of a node before that. */
@@ -38,38 +34,30 @@
 
 /** Drives control nodes through a schedule of faults and calls; an assertion fails if an accepted change is lost or a read is stale. */
 export class ScheduleDriver {
-	/** Number of answers checked so far. */
-	answers = 0;
 	readonly #cluster: ControlCluster;
-	/** Newest document version seen at each run of a node. */
-	readonly #seenVersions = new Map<string, number>();
-	/** Expected evacuation of each zone after its last accepted command; undefined after a command without a definite answer. */
-	readonly #expectedEvacuations = new Map<Zone, boolean | undefined>();
-	#calls: SentCall[] = [];
+	readonly #checker: ScheduleChecker;
 	#sentVersion = 0;
-	/** Newest document version that was accepted. */
-	#acceptedVersion = 0;
 	readonly #servesThroughout: boolean;
 	readonly #losses: MachineLosses;
 	/** Index of the node on each machine. */
 	readonly #nodes: number[];
 	/** Times at which successors start, by machine. */
 	readonly #startsAt = new Map<number, number>();
-	/** Nodes on the machines at each time at which one of them changed. */
-	readonly #lists: Array<{readonly since: number; readonly nodes: readonly number[]}>;
-	/** Nodes with cut links. */
-	readonly #cutOff = new Set<number>();
+	readonly #lists: ListedNodes;
+	readonly #links: CutLinks;
 	#lastReplaced = 0;
 	#used: number;
 
 	constructor({seed, machines = voters, servesThroughout = false}: DriverOptions) {
 		this.#servesThroughout = servesThroughout;
 		this.#nodes = [...Array.from({length: machines}).keys()];
-		this.#lists = [{since: 0, nodes: [...this.#nodes]}];
+		this.#lists = new ListedNodes(this.#nodes);
 		this.#used = machines;
 		this.#cluster = new ControlCluster({
 			nodes: machines + successors, seed, tolerated, syncMs: {least: 0.5, most: 120},
 		});
+		this.#checker = new ScheduleChecker(this.#cluster);
+		this.#links = new CutLinks(this.#cluster);
 		for (const index of this.#nodes) {
 			this.#cluster.start(index, {firstStart: true});
 		}
@@ -77,11 +65,16 @@
 		this.#losses = new MachineLosses({tolerated, machines, recoveryMs});
 		this.#cluster.run(firstSyncMs);
 		if (servesThroughout) {
-			assert.ok(this.#cluster.runUntil(() => this.#repaired(), recoveryMs), 'all voters in time after the first start');
+			assert.ok(this.#cluster.runUntil(() => isRepaired(this.#cluster, this.#nodes, voters), recoveryMs), 'all voters in time after the first start');
 			this.#losses.endAll();
 		}
 	}
 
+	/** Number of answers checked so far. */
+	get answers(): number {
+		return this.#checker.answers;
+	}
+
 	perform(step: ScheduleStep): void {
 		switch (step.type) {
 			case 'run': {
@@ -102,7 +95,7 @@
 			}
 
 			case 'read': {
-				const minVersion = this.#acceptedVersion;
+				const minVersion = this.#checker.acceptedVersion;
 				this.#call(step.node, {type: 'read'}, callId => ({type: 'read', callId, minVersion}));
 				break;
 			}
@@ -115,14 +108,14 @@
 
 			case 'cut': {
 				if (this.#mayDisturb(step.nodes)) {
-					this.#cut(step.nodes.map(machine => this.#nodes[machine]!), step.direction);
+					this.#links.cut(step.nodes.map(machine => this.#nodes[machine]!), step.direction);
 				}
 
 				break;
 			}
 
 			case 'join': {
-				this.#join();
+				this.#links.mend();
 				break;
 			}
 
@@ -155,7 +148,7 @@
 		}
 
 		this.#observeLosses();
-		this.#check();
+		this.#checker.check();
 	}
 
 	/** Ends all faults and checks that the nodes serve again in time with every accepted change. */
@@ -171,22 +164,18 @@
 		assert.equal(this.answers - answers, this.#nodes.length, 'every node answers a read after the repair');
 		const leader = this.#cluster.leader()!;
 		const {evacuated} = this.#cluster.nodes[leader]!.core!.status(this.#cluster.clock(leader));
-		for (const [zone, active] of this.#expectedEvacuations) {
-			if (active !== undefined) {
-				assert.equal(evacuated.includes(zone), active, `evacuation of ${zone}`);
-			}
-		}
+		this.#checker.checkEvacuated(evacuated);
 	}
 
 	/** Sends changes until one is accepted, as an election may still be under way; false if none is accepted in time. */
 	#changeAccepted(): boolean {
-		const before = this.#acceptedVersion;
-		for (const until = this.#cluster.now + recoveryMs; this.#acceptedVersion === before && this.#cluster.now < until;) {
+		const before = this.#checker.acceptedVersion;
+		for (const until = this.#cluster.now + recoveryMs; this.#checker.acceptedVersion === before && this.#cluster.now < until;) {
 			this.perform({type: 'document', node: 1, ahead: 1});
 			this.#run(callMs);
 		}
 
-		return this.#acceptedVersion > before;
+		return this.#checker.acceptedVersion > before;
 	}
 
 	#run(ms: number): void {
@@ -199,7 +188,7 @@
 			}
 
 			this.#observeLosses();
-			this.#check();
+			this.#checker.check();
 		}
 	}
 
@@ -217,8 +206,7 @@
 
 	/** Three of the nodes that were listed a time ago. */
 	#seeds(machine: number, ageMs: number, first: number): readonly number[] {
-		const {nodes} = this.#lists.findLast(({since}) => since <= this.#cluster.now - ageMs) ?? this.#lists[0]!;
-		const chosen = Array.from({length: seedCount}, (_, position) => nodes[(first + position) % nodes.length]!);
+		const chosen = this.#lists.seeds(first, this.#cluster.now - ageMs);
 		// With two losses at a time, one of three nodes that were listed a moment ago still is, beside the one that the successor replaces.
 		return ageMs === 0 || chosen.some(index => this.#nodes.includes(index) && index !== this.#nodes[machine]) ? chosen : this.#seeds(machine, 0, first);
 	}
@@ -257,7 +245,7 @@
 
 	#list(machine: number, node: number): void {
 		this.#nodes[machine] = node;
-		this.#lists.push({since: this.#cluster.now, nodes: [...this.#nodes]});
+		this.#lists.add(this.#nodes, this.#cluster.now);
 	}
 
 	/** The machine whose node may be removed: the given one, after a wait if need be, or one that is lost already. */
@@ -289,26 +277,25 @@
 		const impaired = [...this.#nodes.keys()].filter(machine => {
 			const {core, held, full, failed} = this.#node(machine);
 			const index = this.#nodes[machine]!;
-			return core === undefined || held !== undefined || full || failed.length > 0 || this.#cutOff.has(index);
+			return core === undefined || held !== undefined || full || failed.length > 0 || this.#links.isCut(index);
 		});
 		const linksImpaired = this.#cluster.loss > 0 || this.#cluster.duplicates > 0;
 		this.#losses.observe(impaired, linksImpaired, this.#cluster.now);
 	}
 
-	#call(machine: number, call: OperatorCall, sent: (callId: string) => SentCall): void {
+	#call(machine: number, call: OperatorCall, sent: (callId: string) => Parameters<ScheduleChecker['add']>[0]): void {
 		if (this.#node(machine).core !== undefined) {
-			this.#calls.push(sent(this.#cluster.call(this.#nodes[machine]!, call)));
+			this.#checker.add(sent(this.#cluster.call(this.#nodes[machine]!, call)));
 		}
 	}
 
 	/** Sends one command for a zone at a time, so that its last definite answer determines the zone's state. */
 	#evacuate(node: number, zone: Zone, active: boolean): void {
 		const {core} = this.#node(node);
-		if (core === undefined || this.#calls.some(call => call.type === 'evacuation' && call.zone === zone)) {
+		if (core === undefined || this.#checker.isEvacuating(zone)) {
 			return;
 		}
 
-		this.#expectedEvacuations.set(zone, undefined);
 		this.#call(node, {
 			type: 'change',
 			command: {
@@ -319,28 +306,6 @@
 		}));
 	}
 
-	#cut(cutOff: readonly number[], direction: 'both' | 'in' | 'out'): void {
-		for (const index of cutOff) {
-			this.#cutOff.add(index);
-			for (const other of this.#cluster.nodes.keys()) {
-				if (!cutOff.includes(other)) {
-					if (direction !== 'in') {
-						this.#cluster.cut.add(`${index}>${other}`);
-					}
-
-					if (direction !== 'out') {
-						this.#cluster.cut.add(`${other}>${index}`);
-					}
-				}
-			}
-		}
-	}
-
-	#join(): void {
-		this.#cluster.cut.clear();
-		this.#cutOff.clear();
-	}
-
 	#fault(type: 'crash' | 'start' | 'freeze' | 'thaw' | 'lose-disk', machine: number, survivors: number): void {
 		const {core, held} = this.#node(machine);
 		const index = this.#nodes[machine]!;
@@ -395,7 +360,7 @@
 	}
 
 	#repair(): boolean {
-		this.#join();
+		this.#links.mend();
 		this.#cluster.loss = 0;
 		this.#cluster.duplicates = 0;
 		for (const machine of this.#nodes.keys()) {
@@ -409,8 +374,8 @@
 		}
 
 		const repaired = this.#cluster.runUntil(() => {
-			this.#check();
-			return this.#repaired();
+			this.#checker.check();
+			return isRepaired(this.#cluster, this.#nodes, voters);
 		}, recoveryMs);
 		if (repaired) {
 			this.#losses.endAll();
@@ -418,57 +383,4 @@
 
 		return repaired;
 	}
-
-	/** True if all voters run, all other nodes follow the log, and all are up to date. */
-	#repaired(): boolean {
-		const leader = this.#cluster.leader();
-		if (leader === undefined) {
-			return false;
-		}
-
-		const {consensus} = this.#cluster.nodes[leader]!.core!.status(this.#cluster.clock(leader));
-		const {commitIndex, lastIndex} = consensus;
-		const listed = new Set(this.#nodes.map(index => this.#cluster.nodes[index]!.nodeId));
-		const commitIndexes = this.#nodes.map(index => this.#cluster.nodes[index]!.core!.status(this.#cluster.clock(index)).consensus.commitIndex);
-		// One that was removed stays a learner for a while.
-		const learners = consensus.learners.filter(nodeId => listed.has(nodeId));
-		return consensus.voters.length === voters && consensus.voters.every(nodeId => listed.has(nodeId))
-			&& learners.length === this.#nodes.length - voters && commitIndex === lastIndex && commitIndexes.every(level => level === commitIndex);
-	}
-
-	#check(): void {
-		this.#checkVersions();
-		this.#calls = this.#calls.filter(call => {
-			const answer = this.#cluster.answers.get(call.callId);
-			if (answer !== undefined && answer.type !== 'unavailable') {
-				this.answers += 1;
-				this.#checkAnswer(call, answer);
-			}
-
-			return answer === undefined;
-		});
-	}
-
-	#checkAnswer(call: SentCall, answer: {type: 'accepted'} | {type: 'document'; document: {version: number; text: string} | undefined}): void {
-		if (call.type === 'document') {
-			this.#acceptedVersion = Math.max(this.#acceptedVersion, call.version);
-		} else if (call.type === 'evacuation') {
-			this.#expectedEvacuations.set(call.zone, call.active);
-		} else if (answer.type === 'document') {
-			const version = answer.document?.version ?? 0;
-			assert.ok(version >= call.minVersion, `a read gave version ${version} after ${call.minVersion} had been accepted`);
-			assert.equal(answer.document?.text, version === 0 ? undefined : `document ${version}`);
-		}
-	}
-
-	/** Checks that no process goes back to an older document version. */
-	#checkVersions(): void {
-		for (const [index, {core, run}] of this.#cluster.nodes.entries()) {
-			const version = core?.status(this.#cluster.clock(index)).documentVersion ?? 0;
-			const key = `${index} ${run}`;
-			const before = this.#seenVersions.get(key) ?? 0;
-			assert.ok(core === undefined || version >= before, `node ${index} went from version ${before} back to ${version}`);
-			this.#seenVersions.set(key, Math.max(version, before));
-		}
-	}
 }
