--- a/test/isolated/prompt-parts.test.ts
+++ b/test/isolated/prompt-parts.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {assertAlive} from '../fixtures/assert-alive.ts';
-import {callRepeatedly} from '../fixtures/call-repeatedly.ts';
 import {ProcessDeployment} from '../fixtures/process-deployment.ts';
+import {sendDrafts} from '../fixtures/send-drafts.ts';
 
 const memoryMb = 210;
 const heapMb = 64;
@@ -24,13 +24,7 @@
 	test(`prompts of ${parts} parts of ${tokens} tokens leave the entry within its memory`, async t => {
 		const deployment = await ProcessDeployment.start({memoryMb, heapMb, cacheTokens});
 		t.teardown(async () => deployment.close());
-		const statuses = await callRepeatedly({
-			port: deployment.ports.callers,
-			count: requests,
-			connections,
-			path: () => '/drafts/1',
-			headers: index => ({...deployment.streamHeaders, 'request-identifier': `parts-${index}`, 'prompt-prefix': promptOf(index, tokens)}),
-		});
+		const statuses = await sendDrafts(deployment, {count: requests, connections, headers: index => ({'request-identifier': `parts-${index}`, 'prompt-prefix': promptOf(index, tokens)})});
 		t.log([...statuses]);
 		assertAlive(t, deployment, {memoryMb, descriptors});
 		t.true(await deployment.isStreamServed(), 'an ordinary stream was not answered');
--- a/test/isolated/stream-ids.test.ts
+++ b/test/isolated/stream-ids.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {assertAlive} from '../fixtures/assert-alive.ts';
-import {callRepeatedly} from '../fixtures/call-repeatedly.ts';
 import {ProcessDeployment} from '../fixtures/process-deployment.ts';
+import {sendDrafts} from '../fixtures/send-drafts.ts';
 
 const memoryMb = 210;
 const heapMb = 64;
@@ -15,13 +15,7 @@
 test('streams with long ids leave the entry and the control node within their memory', async t => {
 	const deployment = await ProcessDeployment.start({memoryMb, heapMb});
 	t.teardown(async () => deployment.close());
-	const statuses = await callRepeatedly({
-		port: deployment.ports.callers,
-		count: requests,
-		connections,
-		path: () => '/drafts/1',
-		headers: index => ({...deployment.streamHeaders, 'request-identifier': `${index}-`.padEnd(longId, 'i')}),
-	});
+	const statuses = await sendDrafts(deployment, {count: requests, connections, headers: index => ({'request-identifier': `${index}-`.padEnd(longId, 'i')})});
 	t.log([...statuses]);
 	assertAlive(t, deployment, {memoryMb, descriptors});
 	t.true(await deployment.isStreamServed(), 'an ordinary stream was not answered');
