feat(server): nodes with a settings tree export what they keep for clients

Entries and control nodes of a deployment with a routes document had a gauge for each kind of kept state; the other kind of node, which counts its claims since, had none. One function makes them for all three.

--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -14,6 +14,7 @@
 import {ApiServer} from './api-server.ts';
 import type {CallerRequest} from './caller-request.ts';
 import {CoreRunner} from './core-runner.ts';
+import {exportStateGauges} from './export-state-gauges.ts';
 import type {DataFolder} from './journal/data-folder.ts';
 import {openWhenWritable} from './journal/open-when-writable.ts';
 import {httpRoutes} from './http-routes.ts';
@@ -136,6 +137,7 @@
 				ready: () => this.#resolveDrained === undefined && this.#core.ready(this.#runner.now()),
 			}),
 		});
+		exportStateGauges(this.#metrics, memory.state);
 		this.#apiServer = new ApiServer({listen: settings.listen.callers, routes, memory});
 		this.#performer = new ActionPerformer({
 			region: self.region,
--- a/src/server/routes/control-process.ts
+++ b/src/server/routes/control-process.ts
@@ -12,6 +12,7 @@
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
 import {SystemSeededRandom} from '../system-seeded-random.ts';
 import type {EventLog} from '../event-log.ts';
+import {exportStateGauges} from '../export-state-gauges.ts';
 import {type DataFolder} from '../journal/data-folder.ts';
 import {ProcessMemory} from '../process-memory.ts';
 import {ControlServers} from './control-servers.ts';
@@ -99,10 +100,7 @@
 		metrics.gauge('voters', () => this.#core.status(now()).consensus.voters.length);
 		metrics.gauge('pending_voters', () => Number(pendingMember(this.#core.status(now()).consensus) !== undefined));
 		metrics.gauge('accepted_connections', () => memory.connections.size);
-		for (const kind of memory.state.kinds) {
-			metrics.gauge(`state_${kind.replaceAll('-', '_')}_bytes`, () => memory.state.budget(kind).bytes);
-		}
-
+		exportStateGauges(metrics, memory.state);
 		metrics.gauge('current', () => Number(this.#core.status(now()).current));
 	}
 
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -9,6 +9,7 @@
 import {ProcessMemory} from '../process-memory.ts';
 import {SystemSeededRandom} from '../system-seeded-random.ts';
 import type {EventLog} from '../event-log.ts';
+import {exportStateGauges} from '../export-state-gauges.ts';
 import type {CallerExchange} from './caller-exchange.ts';
 import {CoreHost} from './core-host.ts';
 import type {PlatformAdapter} from './platform-adapter.ts';
@@ -108,10 +109,7 @@
 		}
 
 		metrics.gauge('accepted_connections', () => this.#memory.connections.size);
-		for (const kind of this.#memory.state.kinds) {
-			metrics.gauge(`state_${kind.replaceAll('-', '_')}_bytes`, () => this.#memory.state.budget(kind).bytes);
-		}
-
+		exportStateGauges(metrics, this.#memory.state);
 		metrics.gauge('document_version', () => this.#core.documentVersion ?? 0);
 		metrics.gauge('control_silent_ms', () => this.#core.status(now()).controlSilentMs);
 		metrics.gauge('control_outdated_ms', () => this.#core.status(now()).controlOutdatedMs);
