--- a/test/harness/installation-spec.ts
+++ b/test/harness/installation-spec.ts
@@ -16,4 +16,6 @@
 	readonly regionDelayMs: number;
 	/** Key with which every target authenticates its announcements. */
 	readonly targetKey: string;
+	/** Starts nodes as a deployment does: the bundle that is shipped, with this heap in MB. */
+	readonly shippedHeapMb?: number;
 };
--- a/test/harness/launcher.ts
+++ b/test/harness/launcher.ts
@@ -132,7 +132,11 @@
 		}
 
 		mkdirSync(path.join(this.folder, 'runs'));
-		const bundles = {cli: await bundle('src/cli.ts'), engine: await bundle('test/fakes/engine.ts'), service: await bundle('test/fakes/service.ts')};
+		const bundles = {
+			cli: await bundle('src/cli.ts', {asShipped: this.spec.shippedHeapMb !== undefined}),
+			engine: await bundle('test/fakes/engine.ts'),
+			service: await bundle('test/fakes/service.ts'),
+		};
 		await Promise.all(this.spec.nodes.map(async node => this.#addNode(node, bundles.cli)));
 		await Promise.all(this.spec.targets.map(async target => this.#addTarget(target, bundles[target.kind])));
 	}
@@ -147,7 +151,8 @@
 			spec: this.spec, node, folder: path.join(this.folder, node.node), operatorKey, own: this.#nodePorts.get(node.node)!, others,
 		});
 		this.#settingsFiles.set(node.node, file);
-		this.processes.set(node.node, new ManagedProcess([program, 'run', file], path.join(this.folder, `${node.node}.log`)));
+		const heap = this.spec.shippedHeapMb === undefined ? [] : [`--max-old-space-size=${this.spec.shippedHeapMb}`];
+		this.processes.set(node.node, new ManagedProcess([...heap, program, 'run', file], path.join(this.folder, `${node.node}.log`)));
 	}
 
 	/** Ports at which one node reaches another: those of the proxies, if there are any. */
--- a/test/harness/make-installation-spec.ts
+++ b/test/harness/make-installation-spec.ts
@@ -33,6 +33,8 @@
 	readonly regionDelayMs?: number;
 	/** Operations appended to those of the initial change. */
 	readonly operations?: readonly TreeOperation[];
+	/** Starts nodes as a deployment does: the bundle that is shipped, with this heap in MB. */
+	readonly shippedHeapMb?: number;
 };
 
 const targetKey = 'test-target-key';
@@ -51,6 +53,7 @@
 		proxies,
 		regionDelayMs,
 		targetKey,
+		shippedHeapMb: options.shippedHeapMb,
 	};
 }
 
--- a/test/harness/managed-process.ts
+++ b/test/harness/managed-process.ts
@@ -44,6 +44,11 @@
 		return this.#child !== undefined;
 	}
 
+	/** Undefined while the process does not run. */
+	get pid(): number | undefined {
+		return this.#child?.pid;
+	}
+
 	/** Exit code of the last run; undefined while the process runs or after a signal ended it. */
 	get exitCode(): number | undefined {
 		return this.#exitCode;
