fix(edge): a crash that control has not confirmed gives way to no other

Found on reading the change again; not seen.

The reports that wait are kept, and no more than 64 are added.

Evidence: a test of 100 crashes; on the parent the first report is that of target-36, now it is that of target-0. The number of reports is 64 in both.

--- a/src/core/edge/crash-containment.ts
+++ b/src/core/edge/crash-containment.ts
@@ -26,7 +26,7 @@
 const resendMs = 600;
 /** Largest number of traits that wait for control's confirmation. */
 const maxPendingTraits = 8192;
-/** Largest number of reports that wait for control's confirmation. */
+/** Largest number of reports that wait for control's confirmation; further ones are not added. */
 const maxPendingReports = 64;
 /** Largest number of traits in one report, for a target that ran dozens of requests; those of the attempts that broke off last come first. */
 const maxTraitsPerReport = 256;
@@ -165,15 +165,15 @@
 
 		for (const report of crashes) {
 			const pending = this.#pending.get(report.crash)?.report;
+			if (pending === undefined && this.#pending.size >= maxPendingReports) {
+				continue;
+			}
+
 			const known = pending?.traits ?? [];
 			const traits = [...new Set([...known, ...report.traits])].slice(0, known.length + this.#traitsLeft());
 			this.#pending.set(report.crash, {report: {...report, traits}, sentAt: Number.NEGATIVE_INFINITY});
 			this.#options.queue.event('crash-suspected', {target: report.targetId, traits: report.traits});
 		}
-
-		for (const crash of [...this.#pending.keys()].slice(0, -maxPendingReports)) {
-			this.#pending.delete(crash);
-		}
 	}
 
 	/** Further traits that may wait for control's confirmation; those that wait already are kept, since requests with them may be fatal. */
--- a/test/core/edge/unconfirmed-crashes.test.ts
+++ b/test/core/edge/unconfirmed-crashes.test.ts
@@ -1,4 +1,12 @@
 import test from 'ava';
+import {ActionQueue} from '../../../src/core/action-queue.ts';
+import {CrashContainment} from '../../../src/core/edge/crash-containment.ts';
+import type {EdgeAction} from '../../../src/core/edge/edge-action.ts';
+import {PooledTarget} from '../../../src/core/edge/pooled-target.ts';
+import type {Millis} from '../../../src/core/ids/millis.ts';
+import type {NodeId} from '../../../src/core/ids/node-id.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import {StateMemory} from '../../../src/core/memory/state-memory.ts';
 import {EdgeHarness} from '../../fixtures/edge-harness.ts';
 import {listedTargetFixture} from '../../fixtures/listed-target-fixture.ts';
 import {promptPart} from '../../fixtures/prompt-part.ts';
@@ -7,6 +15,10 @@
 const partCount = 200;
 const requests = 80;
 const maxTraits = 8192;
+const crashedTargets = 100;
+const maxReports = 64;
+const reportMs = 150;
+const resendMs = 1000;
 
 // Guards against a client that makes an entry forget what another request may be blamed for.
 test('the traits of a crash that control has not confirmed are kept when more come, and are bounded', t => {
@@ -28,3 +40,26 @@
 	t.true(traits.includes('part:1-0'));
 	t.true(traits.length > 1000 && traits.length <= maxTraits, `${traits.length} traits`);
 });
+
+// Guards against the crashes of many targets that push out the one that a fatal request is blamed for.
+test('a crash that control has not confirmed is kept when more targets crash, and their number is bounded', t => {
+	const queue = new ActionQueue<EdgeAction>(toId('entry-1'));
+	const containment = new CrashContainment({
+		queue, state: new StateMemory(), primary: () => toId<NodeId>('control-1'), targetCount: () => crashedTargets,
+	});
+	let now = 0 as Millis;
+	for (let index = 0; index < crashedTargets; index++) {
+		const target = new PooledTarget(listedTargetFixture(`target-${index}`), {phase: 0}, now);
+		containment.recordBreak({
+			requestId: toId(`${index}`), callerKey: toId(`key-${index}`), host: 'prairie.example', path: '/drafts/1', fingerprint: toId(`content-${index}`), arrivedAt: now,
+		}, target, now);
+		now = now + reportMs as Millis;
+		containment.tick(now);
+	}
+
+	queue.take();
+	containment.tick(now + resendMs as Millis);
+	const [reports] = queue.take().flatMap(action => action.type === 'send' && action.message.part === 'control' && action.message.body.type === 'crashes-seen' ? [action.message.body.reports] : []);
+	t.is(reports!.length, maxReports);
+	t.is(String(reports![0]!.targetId), 'target-0');
+});
