fix(control): a withdrawal that can't be kept is not acknowledged

A target that withdraws at a control node without memory for targets it does not know got status 200, and nothing was kept: a late report of it would list it again, and callers would be sent to a target that has gone. Found on reading the change again; not seen.

Such a withdrawal is refused with 503, Retry-After and the label too-many-targets, as a report is. That of a target that is known is taken.

--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -7,6 +7,7 @@
 import type {OperatorCall} from '../../core/control/operator-call.ts';
 import type {Millis} from '../../core/ids/millis.ts';
 import type {Region} from '../../core/ids/region.ts';
+import type {TargetId} from '../../core/ids/target-id.ts';
 import {documentProblems} from '../../core/routes/document-problems.ts';
 import {constants} from '../../settings/constants.ts';
 import {BodyError} from '../body-error.ts';
@@ -174,10 +175,7 @@
 					break;
 				}
 
-				if (!core.hasRoomFor(report.targetId)) {
-					this.#options.memory.turnedAway('too-many-targets');
-					res.setHeader('Retry-After', String(operatorRetryAfterSeconds));
-					sendText(res, 503, '{"error":"too many targets have reported"}');
+				if (this.#refuseUnknown(report.targetId, res)) {
 					break;
 				}
 
@@ -187,6 +185,10 @@
 			}
 
 			case 'withdraw': {
+				if (this.#refuseUnknown(call.targetId, res)) {
+					break;
+				}
+
 				step({type: 'withdraw', targetId: call.targetId, wallClock: Date.now()});
 				sendText(res, 200, '{}');
 				break;
@@ -194,6 +196,19 @@
 		}
 	}
 
+	/** Refuses what a target that is not known sends, if there is no memory for it; returns whether it did. */
+	#refuseUnknown(targetId: TargetId, res: ServerResponse): boolean {
+		const {core, memory} = this.#options;
+		if (core.hasRoomFor(targetId)) {
+			return false;
+		}
+
+		memory.turnedAway('too-many-targets');
+		res.setHeader('Retry-After', String(operatorRetryAfterSeconds));
+		sendText(res, 503, '{"error":"too many targets have reported"}');
+		return true;
+	}
+
 	async #putDocument(text: string, res: ServerResponse): Promise<void> {
 		const {codec, log} = this.#options;
 		const parsed = codec.parseDocument(text);
