fix(ledger): the types of kept answers count towards their bound

Keepers and the queue of outcomes bounded kept answers by their bodies. A target chooses the type of an answer as well, as long as a head may be: 100,000 answers without a body would take over a gigabyte, in no sum. Found on reading the change again; not seen.

The size of an answer is that of its body and its type, in both places.

--- a/src/core/ledger/claim-store.ts
+++ b/src/core/ledger/claim-store.ts
@@ -1,6 +1,7 @@
 import type {Millis} from '../ids/millis.ts';
 import {CountedMap} from '../memory/counted-map.ts';
 import type {StateBudget} from '../memory/state-budget.ts';
+import {answerSize} from './answer-size.ts';
 import type {ClaimRecord} from './claim-record.ts';
 import type {StoredAnswer} from './stored-answer.ts';
 
@@ -21,7 +22,7 @@
 	readonly budget: StateBudget;
 	/** Maximum number of keys; further ones are refused, also if their memory is used up. @default 100_000 */
 	readonly maxClaims?: number;
-	/** Maximum total size of the answers, in bytes of base64; the oldest are dropped beyond that. @default 8_388_608 */
+	/** Maximum total size of the answers, in bytes, with their types and with bodies in base64; the oldest are dropped beyond that. @default 8_388_608 */
 	readonly maxAnswerBytes?: number;
 };
 
@@ -114,7 +115,7 @@
 			}
 
 			claims.push(this.#toRecord(stored, now));
-			bytes += stored.answer?.body.length ?? 0;
+			bytes += answerSize(stored.answer);
 			last = stored.order;
 		}
 
@@ -146,7 +147,7 @@
 	#keepAnswer(key: string, answer: StoredAnswer): void {
 		this.#claims.get(key)!.answer = answer;
 		this.#answered.add(key);
-		this.#answerBytes += answer.body.length;
+		this.#answerBytes += answerSize(answer);
 		for (const oldest of this.#answered) {
 			if (this.#answerBytes <= this.#maxAnswerBytes) {
 				break;
@@ -159,7 +160,7 @@
 	#dropAnswer(key: string): void {
 		const stored = this.#claims.get(key);
 		if (stored?.answer) {
-			this.#answerBytes -= stored.answer.body.length;
+			this.#answerBytes -= answerSize(stored.answer);
 			stored.answer = undefined;
 			this.#answered.delete(key);
 		}
--- a/src/core/ledger/finish-queue.ts
+++ b/src/core/ledger/finish-queue.ts
@@ -1,6 +1,7 @@
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
 import type {Region} from '../ids/region.ts';
+import {answerSize} from './answer-size.ts';
 import type {ClaimId} from './claim-id.ts';
 import {formatClaimId} from './format-claim-id.ts';
 import type {KeeperSet} from './keeper-set.ts';
@@ -36,7 +37,7 @@
 const deliveryTimeoutMs = 600_000;
 /** Maximum queue length; the oldest are dropped beyond that. */
 const maxQueued = 5000;
-/** Maximum total size of the answers in the queue, in bytes of base64; beyond that the oldest outcomes are delivered without theirs. */
+/** Maximum total size of the answers in the queue, in bytes; beyond that the oldest outcomes are delivered without theirs. */
 const maxAnswerBytes = 8_388_608;
 
 /** Delivers `finish` messages to the keepers, with retries until every member of the region's newest set has acknowledged. */
@@ -56,7 +57,7 @@
 			finish, expiresAt: now + deliveryTimeoutMs, ackedBy: new Set(), nextSendAt: now, retryDelayMs: initialRetryDelayMs,
 		};
 		this.#queue.set(formatClaimId(finish.claimId), queued);
-		this.#answerBytes += sizeOf(finish);
+		this.#answerBytes += answerSize(finish.answer);
 		if (this.#queue.size > maxQueued) {
 			this.#remove(this.#queue.keys().next().value!);
 		}
@@ -109,7 +110,7 @@
 	#remove(id: string): void {
 		const queued = this.#queue.get(id);
 		if (queued !== undefined) {
-			this.#answerBytes -= sizeOf(queued.finish);
+			this.#answerBytes -= answerSize(queued.finish.answer);
 			this.#queue.delete(id);
 		}
 	}
@@ -121,7 +122,7 @@
 				return;
 			}
 
-			this.#answerBytes -= sizeOf(queued.finish);
+			this.#answerBytes -= answerSize(queued.finish.answer);
 			queued.finish = {...queued.finish, answer: undefined};
 		}
 	}
@@ -136,7 +137,3 @@
 		}
 	}
 }
-
-function sizeOf({answer}: Finish): number {
-	return answer?.body.length ?? 0;
-}
--- a/test/core/ledger/claim-store.test.ts
+++ b/test/core/ledger/claim-store.test.ts
@@ -5,6 +5,9 @@
 import {StateBudget} from '../../../src/core/memory/state-budget.ts';
 
 const maxBytes = 1_000_000;
+const maxAnswerBytes = 100_000;
+const typeCharacters = 10_000;
+const answers = 100;
 const now = 0 as Millis;
 
 // Guards against claims that are bounded by their number only, whatever their keys take.
@@ -26,3 +29,23 @@
 	t.is(budget.bytes, 0);
 	t.false(store.full);
 });
+
+// Guards against answers whose types take the memory that their bodies do not.
+test('the types of stored answers count towards the bound of the answers', t => {
+	const store = new ClaimStore({budget: new StateBudget(maxBytes), maxAnswerBytes});
+	for (let number = 1; number <= answers; number++) {
+		store.put({
+			key: `key-${number}`,
+			claimId: {coordinator: toId('entry-1'), incarnation: 1, number},
+			fingerprint: 'f',
+			state: 'done',
+			keepMs: 60_000,
+			ageMs: 0,
+			answer: {status: 200, contentType: 'x'.repeat(typeCharacters), body: ''},
+		}, now);
+	}
+
+	const kept = store.all(now).filter(({answer}) => answer !== undefined);
+	t.is(store.size, answers);
+	t.is(kept.length, maxAnswerBytes / typeCharacters);
+});
