fix(server): text beyond Latin-1 counts two bytes for each character

A body whose strings have one character beyond Latin-1 each took twice the memory that the bound on parsed values, and that on targets at a control node, counted: up to 64 MB for 32. Found on looking for sizes counted in characters where bytes decide; no process was seen to end by it.

V8 keeps such a string in two bytes for each character. The estimate looks at each string; the texts of a target count twice, whatever they are. Ids and keys from heads are Latin-1 always.

--- a/src/core/registry/target-registry.ts
+++ b/src/core/registry/target-registry.ts
@@ -18,6 +18,8 @@
 
 /** Memory of a target's record beside its id and texts, in bytes. */
 const recordBytes = 512;
+/** Memory of a character of a text that need not be Latin-1, in bytes. */
+const characterBytes = 2;
 /** Most earlier versions of targets' software that are remembered. */
 const maxReplaced = 1000;
 
@@ -58,7 +60,7 @@
 		this.#records = new CountedMap({
 			budget: options.budget,
 			whenFull: 'keep',
-			valueBytes: ({report: {service, address, softwareVersion}}) => recordBytes + service.length + address.length + softwareVersion.length,
+			valueBytes: ({report: {service, address, softwareVersion}}) => recordBytes + (characterBytes * (service.length + address.length + softwareVersion.length)),
 		});
 	}
 
--- a/src/server/parsed-json-size.ts
+++ b/src/server/parsed-json-size.ts
@@ -2,6 +2,8 @@
 const containerBytes = 64;
 const itemBytes = 24;
 const stringBytes = 24;
+/** Last character that V8 keeps in one byte. */
+const maxLatin1 = 0xFF;
 
 /** Estimates the memory that the values of a JSON text take once it is parsed, in bytes. The text need not be valid. */
 export function parsedJsonSize(text: string): number {
@@ -10,7 +12,7 @@
 		switch (text.charAt(index)) {
 			case '"': {
 				const end = endOfString(text, index + 1);
-				size += stringBytes + end - index;
+				size += stringBytes + ((end - index) * (isWide(text, index, end) ? 2 : 1));
 				index = end;
 				break;
 			}
@@ -44,3 +46,14 @@
 
 	return index;
 }
+
+/** True if a part of the text has a character beyond Latin-1: V8 then keeps each of its characters in two bytes. */
+function isWide(text: string, start: number, end: number): boolean {
+	for (let index = start; index < end; index++) {
+		if (text.codePointAt(index)! > maxLatin1) {
+			return true;
+		}
+	}
+
+	return false;
+}
