--- a/src/server/api-server.ts
+++ b/src/server/api-server.ts
@@ -9,6 +9,15 @@
 import {refuseRequest} from './refuse-request.ts';
 import {ServerConnections} from './server-connections.ts';
 
+type ApiServerOptions = {
+	readonly listen: {readonly host: string; readonly port: number};
+	readonly routes: readonly HttpRoute[];
+	/** Bounds on what the requests of the whole process hold; of this server alone by default. */
+	readonly memory?: ProcessMemory;
+	/** Refuses a request that was not read any further, for which the process has no memory. @default with status 503 */
+	readonly refuseOverloaded?: (res: ServerResponse) => void;
+};
+
 /** HTTP server for callers, targets and operators. */
 export class ApiServer {
 	readonly #server: Server;
@@ -17,8 +26,8 @@
 	readonly #listen: {readonly host: string; readonly port: number};
 	readonly #log = log('http');
 
-	/** @param options.memory - Bounds on what the requests of the whole process hold; of this server alone by default. */
-	constructor(options: {listen: {host: string; port: number}; routes: readonly HttpRoute[]; memory?: ProcessMemory}) {
+	constructor(options: ApiServerOptions) {
+		const {memory = new ProcessMemory(), refuseOverloaded = refuseRequest} = options;
 		this.#listen = options.listen;
 		this.#routes = options.routes;
 		this.#server = createServer({
@@ -27,11 +36,11 @@
 			keepAliveTimeout: 5000,
 			noDelay: true,
 		});
-		this.#connections = new ServerConnections(this.#server, {memory: options.memory ?? new ProcessMemory(), kind: 'callers'}, (req, res, hold) => {
+		this.#connections = new ServerConnections(this.#server, {memory, kind: 'callers'}, (req, res, hold) => {
 			if (hold.start()) {
 				void this.#handle(req, res);
 			} else {
-				refuseRequest(res);
+				refuseOverloaded(res);
 			}
 		});
 	}
--- a/src/server/caller-api.ts
+++ b/src/server/caller-api.ts
@@ -17,6 +17,8 @@
 import {sha256} from './sha256.ts';
 
 const notReadyRetryAfterMs = 1000;
+/** Retry delay of a request that the process has no memory for, in milliseconds. */
+const overloadRetryAfterMs = 1000;
 const servicePrefix = '/s/';
 
 type CallerApiOptions = {
@@ -60,6 +62,14 @@
 		});
 	}
 
+	/** Refuses a request that was not read any further, for which the process has no memory. */
+	refuseOverloaded(res: ServerResponse): void {
+		res.setHeader('connection', 'close');
+		this.#refuse(res, {
+			result: 'overloaded', ran: 'no', retryAfterMs: overloadRetryAfterMs, detail: 'The requests in progress take too much memory.',
+		});
+	}
+
 	async #serve(req: IncomingMessage, res: ServerResponse, destination: {service?: string; targetPath: string}): Promise<void> {
 		const {node, runner, reader, requests} = this.#options;
 		if (!node.ready(runner.now())) {
--- a/src/server/daemon.ts
+++ b/src/server/daemon.ts
@@ -138,7 +138,14 @@
 			}),
 		});
 		exportStateGauges(this.#metrics, memory.state);
-		this.#apiServer = new ApiServer({listen: settings.listen.callers, routes, memory});
+		this.#apiServer = new ApiServer({
+			listen: settings.listen.callers,
+			routes,
+			memory,
+			refuseOverloaded(res) {
+				callers.refuseOverloaded(res);
+			},
+		});
 		this.#performer = new ActionPerformer({
 			region: self.region,
 			revision: () => this.#core.tree.revision,
