feat(control): the log tells a late operator's call from one whose operator waits

Its `operator-call` line looked like that of any other order, and `answer.index` was the commit index of the node that answered, not the log index that decided.

The line now has the basis of the order, the index that decided, the age of the call at this node and whether its sender was still there.

--- a/src/core/control/control-message.ts
+++ b/src/core/control/control-message.ts
@@ -103,8 +103,8 @@
 	| {readonly type: 'crashes-recorded'; readonly crashes: readonly CrashId[]}
 	/** Asks the leader to append an operator's command to the replicated log. */
 	| {readonly type: 'propose'; readonly callId: string; readonly command: RoutesCommand}
-	/** Outcome of the committed command; undefined if the receiver of `propose` does not lead. */
-	| {readonly type: 'proposed'; readonly callId: string; readonly outcome: RoutesOutcome | undefined}
+	/** Outcome of the committed command, with its log index; undefined if the receiver of `propose` does not lead. `index` is absent from builds that don't know it. */
+	| {readonly type: 'proposed'; readonly callId: string; readonly outcome: RoutesOutcome | undefined; readonly index?: number}
 	/** Asks the leader for the log index that a read must reflect. */
 	| {readonly type: 'confirm'; readonly callId: string}
 	/** The log index that the receiver must have committed before it answers the read. */
--- a/src/core/control/operator-call-handler.ts
+++ b/src/core/control/operator-call-handler.ts
@@ -34,6 +34,9 @@
 /** A command in this leader's log; `outcome` is set once it is committed. */
 type PendingProposal = {readonly callId: string; readonly from: NodeId; readonly index: number; readonly term: number; readonly proposedAt: Millis; outcome?: RoutesOutcome};
 
+/** Outcome of a proposal and the log index that decided it; no outcome if the node that was asked does not lead. */
+type Decision = {readonly outcome: RoutesOutcome | undefined; readonly index?: number};
+
 /** A read that arrived at `since` and waits until a majority has confirmed this node as leader after that time. */
 type PendingRead = {readonly callId: string; readonly from: NodeId; readonly since: Millis};
 
@@ -67,7 +70,7 @@
 			}
 
 			case 'proposed': {
-				this.#handleOutcome(message.callId, message.outcome, now);
+				this.#handleOutcome(message.callId, message, now);
 				break;
 			}
 
@@ -165,7 +168,7 @@
 		const {consensus} = this.#options;
 		const index = consensus.propose(command, now);
 		if (index === undefined) {
-			this.#sendOutcome(callId, from, undefined, now);
+			this.#sendOutcome(callId, from, {outcome: undefined}, now);
 			return;
 		}
 
@@ -194,8 +197,8 @@
 
 		const answerable = this.#proposals.filter(({outcome}) => outcome !== undefined);
 		this.#proposals = this.#proposals.filter(({outcome}) => outcome === undefined);
-		for (const {callId, from, outcome} of answerable) {
-			this.#sendOutcome(callId, from, outcome, now);
+		for (const {callId, from, outcome, index} of answerable) {
+			this.#sendOutcome(callId, from, {outcome, index}, now);
 		}
 	}
 
@@ -225,15 +228,15 @@
 		}
 	}
 
-	#sendOutcome(callId: string, from: NodeId, outcome: RoutesOutcome | undefined, now: Millis): void {
+	#sendOutcome(callId: string, from: NodeId, decision: Decision, now: Millis): void {
 		if (from === this.#options.self) {
-			this.#handleOutcome(callId, outcome, now);
+			this.#handleOutcome(callId, decision, now);
 		} else {
-			this.#options.outbox.send(from, {part: 'control', body: {type: 'proposed', callId, outcome}});
+			this.#options.outbox.send(from, {part: 'control', body: {type: 'proposed', callId, ...decision}});
 		}
 	}
 
-	#handleOutcome(callId: string, outcome: RoutesOutcome | undefined, now: Millis): void {
+	#handleOutcome(callId: string, {outcome, index}: Decision, now: Millis): void {
 		const open = this.#openCalls.get(callId);
 		if (open === undefined) {
 			return;
@@ -246,11 +249,11 @@
 		}
 
 		if (outcome.result === 'stale') {
-			this.#answer(callId, {type: 'unavailable', reason: 'a newer order went first'});
+			this.#answer(callId, {type: 'unavailable', reason: 'a newer order went first', index});
 			return;
 		}
 
-		this.#answer(callId, {type: 'accepted', index: this.#options.consensus.commitIndex});
+		this.#answer(callId, {type: 'accepted', index});
 	}
 
 	#answer(callId: string, answer: CallAnswer): void {
--- a/src/server/caller-presence.ts
+++ b/src/server/caller-presence.ts
@@ -16,6 +16,12 @@
 		this.#res = res;
 	}
 
+	/** True once the end of the connection was read, or the connection broke. */
+	get hasLeft(): boolean {
+		const {req: {socket}, closed, destroyed} = this.#res;
+		return closed || destroyed || socket.destroyed || socket.readableEnded;
+	}
+
 	/** False, once the response is closed, if the caller has left. Waits for pending reads, except within `whileConfirmed`. */
 	async confirm(): Promise<boolean> {
 		if (this.#isConfirmed) {
@@ -24,17 +30,12 @@
 
 		await pendingReads();
 		const {req: {socket}, closed, destroyed} = this.#res;
-		if (closed || destroyed || socket.destroyed) {
-			return false;
-		}
-
-		if (socket.readableEnded) {
+		if (socket.readableEnded && !closed && !destroyed && !socket.destroyed) {
 			// The server closes its side as well.
 			await once(this.#res, 'close');
-			return false;
 		}
 
-		return true;
+		return !this.hasLeft;
 	}
 
 	/** Calls `handle` once, as soon as the caller leaves or its answer is complete; `left` tells which. */
--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -13,6 +13,7 @@
 import {BodyError} from '../body-error.ts';
 import type {EventLog} from '../event-log.ts';
 import {BodyHold} from '../body-hold.ts';
+import {CallerPresence} from '../caller-presence.ts';
 import type {ProcessMemory} from '../process-memory.ts';
 import {hasTooManyValues} from '../has-too-many-values.ts';
 import {readBody} from '../read-body.ts';
@@ -124,6 +125,7 @@
 
 	async #handleControlCall(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {codec, step, core, now} = this.#options;
+		const receivedAt = now();
 		const call = codec.readCall(req.method ?? '', req.url ?? '');
 		if (call === undefined) {
 			res.writeHead(404).end();
@@ -137,7 +139,7 @@
 
 		switch (call.type) {
 			case 'put-document': {
-				await this.#putDocument(body, res);
+				await this.#putDocument(body, res, receivedAt);
 				break;
 			}
 
@@ -154,14 +156,15 @@
 
 			case 'evacuation': {
 				const {zone, active} = call;
+				const basis = core.evacuationBasis(zone);
 				const answer = await this.#callCore({
 					type: 'change',
 					command: {
-						type: 'evacuation', zone, active, basis: core.evacuationBasis(zone),
+						type: 'evacuation', zone, active, basis,
 					},
 				});
-				this.#options.log.write('operator-call', {
-					call: 'evacuation', zone, active, answer,
+				this.#logCall(res, receivedAt, {
+					call: 'evacuation', zone, active, basis, answer,
 				});
 				this.#acknowledge(res, answer);
 				break;
@@ -209,7 +212,7 @@
 		return true;
 	}
 
-	async #putDocument(text: string, res: ServerResponse): Promise<void> {
+	async #putDocument(text: string, res: ServerResponse, receivedAt: Millis): Promise<void> {
 		const {codec, log} = this.#options;
 		const parsed = codec.parseDocument(text);
 		const problems = 'problems' in parsed ? parsed.problems : documentProblems(parsed.document, {regions: this.#options.regions});
@@ -221,10 +224,15 @@
 
 		const {version} = parsed.document;
 		const answer = await this.#callCore({type: 'change', command: {type: 'document', document: {version, text}}});
-		log.write('operator-call', {call: 'put-document', version, answer});
+		this.#logCall(res, receivedAt, {call: 'put-document', version, answer});
 		this.#acknowledge(res, answer);
 	}
 
+	/** Logs what an operator's call did here; `ageMs` and `callerLeft` tell a late call from one whose operator waits. */
+	#logCall(res: ServerResponse, receivedAt: Millis, fields: Readonly<Record<string, unknown>>): void {
+		this.#options.log.write('operator-call', {...fields, ageMs: Math.round(this.#options.now() - receivedAt), callerLeft: new CallerPresence(res).hasLeft});
+	}
+
 	#acknowledge(res: ServerResponse, answer: CallAnswer): void {
 		if (answer.type === 'accepted') {
 			sendText(res, 200, '{}');
