fix(control): an order is carried out only while its operator waits for it

The order to take it back, acknowledged by another node, reached the first one 4.5 s late with the end of its connection, and was carried out: engines of the zone got requests again, for good.

Cause: an evacuation carries no version. Its basis is read when the call is handled, so a late order is compared with the state of its arrival. Whether anybody waited for it was looked at nowhere, and what waited for a leader was proposed until 1,500 ms after it was read, while operators leave after 1,000.

Change: an order is taken up 200 ms after it was read, unless its connection has ended by then, since an end that was held up with it can arrive a round trip later. An operator who leaves takes an order along that is not proposed yet, and nothing is proposed a second after it was read. This works since a sender that waits has no newer order elsewhere.

--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -108,7 +108,7 @@
 			registry: this.#registry,
 			outbox,
 			submit: (callId, command, now) => {
-				this.#operatorCalls.call(callId, {type: 'change', command}, now);
+				this.#operatorCalls.call(callId, {type: 'change', command}, now, now);
 			},
 			leads: now => this.#consensus.leads(now),
 		});
@@ -204,7 +204,12 @@
 			}
 
 			case 'call': {
-				this.#operatorCalls.call(event.callId, event.call, now);
+				this.#operatorCalls.call(event.callId, event.call, event.receivedAt ?? now, now);
+				break;
+			}
+
+			case 'call-abandoned': {
+				this.#operatorCalls.abandon(event.callId);
 				break;
 			}
 
--- a/src/core/control/control-timing.ts
+++ b/src/core/control/control-timing.ts
@@ -16,6 +16,8 @@
 	maxLagMs: 500,
 	/** Time after which an operator's call is answered as unavailable; callers wait about a second. */
 	callTimeoutMs: 1500,
+	/** Time after which an operator has taken an order that carries no version to another node, where newer ones may follow it. */
+	orderTimeoutMs: 1000,
 	/** Time after which a call to the leader is retried. */
 	callRetryMs: 600,
 	/** Silence after which a standby, if there is one, replaces a voter. */
--- a/src/core/control/operator-call-handler.ts
+++ b/src/core/control/operator-call-handler.ts
@@ -57,11 +57,17 @@
 		this.#options = options;
 	}
 
-	call(callId: string, call: OperatorCall, now: Millis): void {
-		this.#openCalls.set(callId, {call, receivedAt: now, submittedAt: Number.NEGATIVE_INFINITY});
+	/** @param receivedAt - Time at which the call was read. */
+	call(callId: string, call: OperatorCall, receivedAt: Millis, now: Millis): void {
+		this.#openCalls.set(callId, {call, receivedAt, submittedAt: Number.NEGATIVE_INFINITY});
 		this.tick(now);
 	}
 
+	/** Drops a call whose operator waits no more; what is proposed already may still be applied. */
+	abandon(callId: string): void {
+		this.#openCalls.delete(callId);
+	}
+
 	handle(from: NodeId, message: ControlMessage, now: Millis): void {
 		switch (message.type) {
 			case 'propose': {
@@ -119,7 +125,7 @@
 	tick(now: Millis): void {
 		const leader = this.#options.consensus.leader();
 		for (const [callId, open] of this.#openCalls) {
-			if (now - open.receivedAt > controlTiming.callTimeoutMs) {
+			if (now - open.receivedAt > timeoutOf(open.call)) {
 				this.#answer(callId, {type: 'unavailable', reason: leader === undefined ? 'the replicated log has no leader' : 'the leader did not confirm in time'});
 			} else if (leader !== undefined && open.requiredIndex === undefined && (open.submittedTo !== leader || now - open.submittedAt > controlTiming.callRetryMs)) {
 				open.submittedTo = leader;
@@ -261,3 +267,13 @@
 		this.#options.answer(callId, answer);
 	}
 }
+
+/** Time for which an operator waits for the answer to a call. */
+function timeoutOf(call: OperatorCall): number {
+	return isOrder(call) ? controlTiming.orderTimeoutMs : controlTiming.callTimeoutMs;
+}
+
+/** True for a change without a version, which takes the place of whatever was ordered before it. */
+function isOrder(call: OperatorCall): call is OperatorCall & {command: {type: 'evacuation'}} {
+	return call.type === 'change' && call.command.type === 'evacuation';
+}
--- a/src/server/caller-presence.ts
+++ b/src/server/caller-presence.ts
@@ -1,7 +1,11 @@
 import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {pendingReads} from './pending-reads.ts';
 
+/** Time by which the end of a connection may arrive after the bytes before it, in milliseconds: a round trip between regions, if both were held up and are sent again. */
+const maxEndDelayMs = 200;
+
 /**
  * Tells whether a caller still waits for its answer. A request may be read, and an attempt may be started, long after
  * the caller has left: a busy process reads late, accepts only one connection in each turn of its event loop, and calls
@@ -38,6 +42,15 @@
 		return !this.hasLeft;
 	}
 
+	/**
+	 * Like `confirm`, for a change that its caller may have ordered elsewhere since: a request that was held up on the way
+	 * may arrive before the end of its connection.
+	 */
+	async confirmSettled(): Promise<boolean> {
+		await sleep(maxEndDelayMs);
+		return this.confirm();
+	}
+
 	/** Calls `handle` once, as soon as the caller leaves or its answer is complete; `left` tells which. */
 	onceEnded(handle: (left: boolean) => void): void {
 		const res = this.#res;
--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -40,6 +40,7 @@
 };
 
 const stoppingAnswer: CallAnswer = {type: 'unavailable', reason: 'this control node stops'};
+const abandonedAnswer: CallAnswer = {type: 'unavailable', reason: 'the operator has left'};
 const bodyErrorStatuses: Readonly<Record<string, number>> = {tooLarge: 413, slowCaller: 408, overloaded: 503};
 /** `Retry-After` of a call that the control nodes could not process, in seconds. */
 const operatorRetryAfterSeconds = 1;
@@ -156,13 +157,13 @@
 
 			case 'evacuation': {
 				const {zone, active} = call;
+				const presence = new CallerPresence(res);
+				const isPresent = await presence.confirmSettled();
 				const basis = core.evacuationBasis(zone);
-				const answer = await this.#callCore({
-					type: 'change',
-					command: {
-						type: 'evacuation', zone, active, basis,
-					},
-				});
+				const command = {
+					type: 'evacuation', zone, active, basis,
+				} as const;
+				const answer = isPresent ? await this.#callCore({type: 'change', command}, {receivedAt, presence}) : abandonedAnswer;
 				this.#logCall(res, receivedAt, {
 					call: 'evacuation', zone, active, basis, answer,
 				});
@@ -248,7 +249,8 @@
 		sendText(res, 503, JSON.stringify({error: reason}));
 	}
 
-	async #callCore(call: OperatorCall): Promise<CallAnswer> {
+	/** Passes a call on to the core; with `presence` it is abandoned once its operator leaves. */
+	async #callCore(call: OperatorCall, {receivedAt, presence}: {receivedAt?: Millis; presence?: CallerPresence} = {}): Promise<CallAnswer> {
 		if (this.#stopping) {
 			return stoppingAnswer;
 		}
@@ -257,7 +259,15 @@
 		const callId = `${process.pid}-${Date.now()}-${this.#lastCallNumber}`;
 		return new Promise(resolve => {
 			this.#pendingCalls.set(callId, resolve);
-			this.#options.step({type: 'call', callId, call});
+			presence?.onceEnded(left => {
+				if (left && this.#pendingCalls.has(callId)) {
+					this.#options.step({type: 'call-abandoned', callId});
+					this.resolveCall(callId, abandonedAnswer);
+				}
+			});
+			this.#options.step({
+				type: 'call', callId, call, receivedAt,
+			});
 		});
 	}
 
