fix(control): an order held up between two nodes undoes no newer one

Callers would see: the last acknowledged evacuation of a zone, or the last acknowledged end of one, is undone by an order of before. Not seen on real processes.

Cause: the replicated state remembers the index of the last order that changed a zone. One that was acknowledged as changing nothing leaves no trace, so that an order with an older basis is applied after it. And a leader took a proposal however old it was.

Change: a node opens an order at the leader before it proposes it. The leader takes only what is open there in its term, while the operator waits, and nothing contrary to an order that was appended since. The state machine stays as it is, since builds that run side by side must agree. The basis is now the leader's end of the log: a node that lags no longer turns a proper order away as older than the one before.

--- a/src/core/control/control-message.ts
+++ b/src/core/control/control-message.ts
@@ -101,11 +101,14 @@
 	| {readonly type: 'trial-answer'; readonly requestId: RequestId; readonly granted: boolean}
 	/** Crashes whose reports are committed, or change nothing. */
 	| {readonly type: 'crashes-recorded'; readonly crashes: readonly CrashId[]}
-	/** Asks the leader to append an operator's command to the replicated log. */
-	| {readonly type: 'propose'; readonly callId: string; readonly command: RoutesCommand}
+	/** Asks the leader to append an operator's command to the replicated log. With `isOpened` the sender has opened it as an order; absent for other commands and from builds that don't open orders. */
+	| {readonly type: 'propose'; readonly callId: string; readonly command: RoutesCommand; readonly isOpened?: true}
 	/** Outcome of the committed command, with its log index; undefined if the receiver of `propose` does not lead. `index` is absent from builds that don't know it. */
 	| {readonly type: 'proposed'; readonly callId: string; readonly outcome: RoutesOutcome | undefined; readonly index?: number}
-	/** Asks the leader for the log index that a read must reflect. */
-	| {readonly type: 'confirm'; readonly callId: string}
-	/** The log index that the receiver must have committed before it answers the read. */
+	/**
+	 * Asks the leader for the log index that a read must reflect. With `opensOrderMs` it opens an order instead, for which the operator waits that
+	 * much longer, in milliseconds; builds that don't know it answer as to a read.
+	 */
+	| {readonly type: 'confirm'; readonly callId: string; readonly opensOrderMs?: number}
+	/** The log index that the receiver must have committed before it answers the read, or at which the order is open. */
 	| {readonly type: 'confirmed'; readonly callId: string; readonly index: number};
--- a/src/core/control/control-timing.ts
+++ b/src/core/control/control-timing.ts
@@ -20,6 +20,8 @@
 	orderTimeoutMs: 1000,
 	/** Time after which a call to the leader is retried. */
 	callRetryMs: 600,
+	/** Time after which a leader that has not opened an order is asked again: a new leader opens none before its first entry is committed. */
+	openRetryMs: 200,
 	/** Silence after which a standby, if there is one, replaces a voter. */
 	replaceVoterMs: 800,
 	/** Silence after which a control node that is neither a seed nor a member of the replicated log is forgotten. */
--- /dev/null
+++ b/src/core/control/opened-orders.ts
@@ -0,0 +1,59 @@
+import type {Millis} from '../ids/millis.ts';
+import type {Zone} from '../ids/zone.ts';
+import type {RoutesCommand} from '../routes/routes-command.ts';
+
+type Evacuation = RoutesCommand & {type: 'evacuation'};
+
+/** `index` is the end of the leader's log when the order was opened. */
+type OpenedOrder = {readonly index: number; readonly expiresAt: Millis};
+
+/** `superseded`: a contrary order for the zone was appended since the order was opened; `unknown`: it was not opened here, or its operator waits no more. */
+type OrderState = 'current' | 'superseded' | 'unknown';
+
+/**
+ * Orders that control nodes have opened at a leader while their operators wait, in one term. An order is appended only
+ * if it was opened, so that a message that was held up between two nodes is not taken for a new order. The replicated
+ * state can't tell an order that has changed nothing, but the contrary order that was opened before it must not follow it.
+ */
+export class OpenedOrders {
+	// eslint-disable-next-line no-restricted-syntax -- by open calls of control nodes, each of which expires in time
+	readonly #orders = new Map<string, OpenedOrder>();
+	/** The newest order that was appended for each zone. */
+	readonly #newest = new Map<Zone, {readonly active: boolean; readonly index: number}>();
+
+	constructor(readonly term: number) {}
+
+	/** Opens an order at the present end of the log, unless it is open; returns the index at which it was opened. */
+	open(callId: string, {index, expiresAt}: OpenedOrder): number {
+		const order = this.#orders.get(callId) ?? {index, expiresAt};
+		this.#orders.set(callId, order);
+		return order.index;
+	}
+
+	stateOf(callId: string, {zone, active}: Evacuation, now: Millis): OrderState {
+		const order = this.#orders.get(callId);
+		if (order === undefined || now > order.expiresAt) {
+			return 'unknown';
+		}
+
+		const newest = this.#newest.get(zone);
+		return newest !== undefined && newest.active !== active && newest.index > order.index ? 'superseded' : 'current';
+	}
+
+	/** Records an order that was appended. A repetition of the newest one that was opened before it is not newer. */
+	recordAppended(callId: string, {zone, active}: Evacuation, index: number): void {
+		const newest = this.#newest.get(zone);
+		const openedAt = this.#orders.get(callId)?.index ?? index;
+		if (newest?.active !== active || openedAt >= newest.index) {
+			this.#newest.set(zone, {active, index});
+		}
+	}
+
+	expire(now: Millis): void {
+		for (const [callId, {expiresAt}] of this.#orders) {
+			if (now > expiresAt) {
+				this.#orders.delete(callId);
+			}
+		}
+	}
+}
--- a/src/core/control/operator-call-handler.ts
+++ b/src/core/control/operator-call-handler.ts
@@ -2,14 +2,15 @@
 import type {Outbox} from '../common/outbox.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
-import type {RoutesCommand} from '../routes/routes-command.ts';
 import type {RoutesOutcome} from '../routes/routes-outcome.ts';
 import type {RoutesState} from '../routes/routes-state.ts';
 import type {CommandOutcome} from '../tree/command-outcome.ts';
 import type {CallAnswer} from './call-answer.ts';
 import type {ControlMessage} from './control-message.ts';
 import {controlTiming} from './control-timing.ts';
+import {OpenedOrders} from './opened-orders.ts';
 import type {OperatorCall} from './operator-call.ts';
+import type {OperatorCommand} from './operator-command.ts';
 
 type OperatorCallHandlerOptions = {
 	readonly self: NodeId;
@@ -27,10 +28,17 @@
 	readonly receivedAt: Millis;
 	submittedAt: number;
 	submittedTo?: NodeId;
+	/** True once the leader has opened the order. */
+	isOpened?: boolean;
 	/** Log index that this node must have committed before it answers a read; set by the leader's confirmation. */
 	requiredIndex?: number;
 };
 
+/** A change without a version, which takes the place of whatever was ordered before it. */
+type Order = {readonly type: 'change'; readonly command: OperatorCommand & {type: 'evacuation'}};
+
+type Propose = ControlMessage & {type: 'propose'};
+
 /** A command in this leader's log; `outcome` is set once it is committed. */
 type PendingProposal = {readonly callId: string; readonly from: NodeId; readonly index: number; readonly term: number; readonly proposedAt: Millis; outcome?: RoutesOutcome};
 
@@ -43,14 +51,16 @@
 /**
  * Handles operators' changes and reads. A change is accepted once its log entry is committed and the group has enough
  * voters that a majority survives the tolerated disk losses. A read is linearizable: it is answered from a state that
- * a majority confirmed after the read arrived. A node that does not lead passes calls to the leader. A call without
- * a definite outcome in time is answered as `unavailable`.
+ * a majority confirmed after the read arrived. A node that does not lead passes calls to the leader. An order, which
+ * has no version, is opened at the leader first. A call without a definite outcome in time is answered as `unavailable`.
  */
 export class OperatorCallHandler {
 	readonly #options: OperatorCallHandlerOptions;
 	// eslint-disable-next-line no-restricted-syntax -- by calls of this node, each of which ends in time
 	readonly #openCalls = new Map<string, OpenCall>();
 	#proposals: PendingProposal[] = [];
+	/** Set while this node leads and nodes have opened orders. */
+	#orders: OpenedOrders | undefined;
 	#pendingReads: PendingRead[] = [];
 
 	constructor(options: OperatorCallHandlerOptions) {
@@ -71,7 +81,7 @@
 	handle(from: NodeId, message: ControlMessage, now: Millis): void {
 		switch (message.type) {
 			case 'propose': {
-				this.#propose(message.callId, from, message.command, now);
+				this.#propose(from, message, now);
 				break;
 			}
 
@@ -81,18 +91,19 @@
 			}
 
 			case 'confirm': {
-				this.#pendingReads.push({callId: message.callId, from, since: now});
-				this.answerReady(now);
+				const {callId, opensOrderMs} = message;
+				if (opensOrderMs === undefined) {
+					this.#pendingReads.push({callId, from, since: now});
+					this.answerReady(now);
+				} else {
+					this.#openOrder(from, callId, now + opensOrderMs as Millis, now);
+				}
+
 				break;
 			}
 
 			case 'confirmed': {
-				const open = this.#openCalls.get(message.callId);
-				if (open !== undefined) {
-					open.requiredIndex = message.index;
-					this.answerReady(now);
-				}
-
+				this.#handleConfirmed(from, message, now);
 				break;
 			}
 
@@ -127,13 +138,16 @@
 		for (const [callId, open] of this.#openCalls) {
 			if (now - open.receivedAt > timeoutOf(open.call)) {
 				this.#answer(callId, {type: 'unavailable', reason: leader === undefined ? 'the replicated log has no leader' : 'the leader did not confirm in time'});
-			} else if (leader !== undefined && open.requiredIndex === undefined && (open.submittedTo !== leader || now - open.submittedAt > controlTiming.callRetryMs)) {
+			} else if (leader !== undefined && open.requiredIndex === undefined && (open.submittedTo !== leader || now - open.submittedAt > retryMs(open))) {
 				open.submittedTo = leader;
+				open.isOpened = false;
 				open.submittedAt = now;
-				this.#submit(leader, callId, open.call, now);
+				this.#submit(leader, callId, open, now);
 			}
 		}
 
+		this.#orders?.expire(now);
+
 		// The nodes that received these calls have answered them by now.
 		this.#proposals = this.#proposals.filter(({proposedAt}) => now - proposedAt <= controlTiming.callTimeoutMs);
 		this.#pendingReads = this.#pendingReads.filter(({since}) => now - since <= controlTiming.callTimeoutMs);
@@ -151,35 +165,93 @@
 		}
 	}
 
-	#submit(leader: NodeId, callId: string, call: OperatorCall, now: Millis): void {
+	#submit(leader: NodeId, callId: string, {call, receivedAt}: OpenCall, now: Millis): void {
 		const {self, outbox} = this.#options;
-		if (call.type === 'read') {
+		const command = call.type === 'change' ? call.command : undefined;
+		if (command === undefined) {
 			if (leader === self) {
 				this.#pendingReads.push({callId, from: self, since: now});
 			} else {
 				outbox.send(leader, {part: 'control', body: {type: 'confirm', callId}});
 			}
+		} else if (command.type === 'evacuation') {
+			const waitsUntil = receivedAt + controlTiming.orderTimeoutMs as Millis;
+			if (leader === self) {
+				this.#openOrder(self, callId, waitsUntil, now);
+			} else {
+				outbox.send(leader, {part: 'control', body: {type: 'confirm', callId, opensOrderMs: waitsUntil - now}});
+			}
 		} else if (leader === self) {
-			this.#propose(callId, self, call.command, now);
+			this.#propose(self, {callId, command}, now);
 		} else {
-			outbox.send(leader, {part: 'control', body: {type: 'propose', callId, command: call.command}});
+			outbox.send(leader, {part: 'control', body: {type: 'propose', callId, command}});
 		}
 	}
 
-	#propose(callId: string, from: NodeId, command: RoutesCommand, now: Millis): void {
+	/** Opens an order of this or another node, if this node leads, until its operator waits no more. */
+	#openOrder(from: NodeId, callId: string, expiresAt: Millis, now: Millis): void {
+		const {consensus, self, outbox} = this.#options;
+		if (!consensus.leads(now)) {
+			return;
+		}
+
+		const {term, lastIndex} = consensus.status();
+		if (this.#orders?.term !== term) {
+			this.#orders = new OpenedOrders(term);
+		}
+
+		const index = this.#orders.open(callId, {index: lastIndex, expiresAt});
+		if (from === self) {
+			this.#handleConfirmed(self, {callId, index}, now);
+		} else {
+			outbox.send(from, {part: 'control', body: {type: 'confirmed', callId, index}});
+		}
+	}
+
+	#handleConfirmed(from: NodeId, {callId, index}: {readonly callId: string; readonly index: number}, now: Millis): void {
+		const open = this.#openCalls.get(callId);
+		if (open === undefined) {
+			return;
+		}
+
+		const {call, receivedAt, submittedTo} = open;
+		if (!isOrder(call)) {
+			open.requiredIndex = index;
+			this.answerReady(now);
+		} else if (from === submittedTo && now - receivedAt <= controlTiming.orderTimeoutMs) {
+			open.isOpened = true;
+			const {basis = index, ...command} = call.command;
+			const proposal = {callId, command: {...command, basis}, isOpened: true} as const;
+			if (from === this.#options.self) {
+				this.#propose(from, proposal, now);
+			} else {
+				this.#options.outbox.send(from, {part: 'control', body: {type: 'propose', ...proposal}});
+			}
+		}
+	}
+
+	#propose(from: NodeId, {callId, command, isOpened}: Omit<Propose, 'type'>, now: Millis): void {
 		if (this.#proposals.some(proposal => proposal.callId === callId)) {
 			return;
 		}
 
 		const {consensus} = this.#options;
-		const index = consensus.propose(command, now);
+		const {term} = consensus.status();
+		const order = command.type === 'evacuation' ? command : undefined;
+		const orders = this.#orders?.term === term ? this.#orders : undefined;
+		const state = order === undefined || isOpened === undefined ? 'current' : orders?.stateOf(callId, order, now) ?? 'unknown';
+		const index = state === 'current' ? consensus.propose(command, now) : undefined;
 		if (index === undefined) {
-			this.#sendOutcome(callId, from, {outcome: undefined}, now);
+			this.#sendOutcome(callId, from, {outcome: state === 'superseded' ? {type: 'routes', result: 'stale'} : undefined}, now);
 			return;
 		}
 
+		if (order !== undefined) {
+			orders?.recordAppended(callId, order, index);
+		}
+
 		this.#proposals.push({
-			callId, from, index, term: consensus.status().term, proposedAt: now,
+			callId, from, index, term, proposedAt: now,
 		});
 	}
 
@@ -251,6 +323,7 @@
 		if (outcome === undefined) {
 			// The node that was asked does not lead: the call is retried after the usual interval, or when the leader changes.
 			open.submittedAt = now;
+			open.isOpened = false;
 			return;
 		}
 
@@ -273,7 +346,11 @@
 	return isOrder(call) ? controlTiming.orderTimeoutMs : controlTiming.callTimeoutMs;
 }
 
-/** True for a change without a version, which takes the place of whatever was ordered before it. */
-function isOrder(call: OperatorCall): call is OperatorCall & {command: {type: 'evacuation'}} {
+function isOrder(call: OperatorCall): call is Order {
 	return call.type === 'change' && call.command.type === 'evacuation';
 }
+
+/** Time after which a call is submitted again, unless it is answered. */
+function retryMs({call, isOpened}: OpenCall): number {
+	return isOrder(call) && isOpened !== true ? controlTiming.openRetryMs : controlTiming.callRetryMs;
+}
--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -158,12 +158,11 @@
 			case 'evacuation': {
 				const {zone, active} = call;
 				const presence = new CallerPresence(res);
-				const isPresent = await presence.confirmSettled();
 				const basis = core.evacuationBasis(zone);
-				const command = {
-					type: 'evacuation', zone, active, basis,
-				} as const;
-				const answer = isPresent ? await this.#callCore({type: 'change', command}, {receivedAt, presence}) : abandonedAnswer;
+				const isPresent = await presence.confirmSettled();
+				const answer = isPresent
+					? await this.#callCore({type: 'change', command: {type: 'evacuation', zone, active}}, {receivedAt, presence})
+					: abandonedAnswer;
 				this.#logCall(res, receivedAt, {
 					call: 'evacuation', zone, active, basis, answer,
 				});
