fix(control): a late withdrawal does not end the target's next lifetime

Cause: DELETE /instances/ID names no lifetime, and the registry ended whatever lifetime it knew. What it had ended stayed so for its life.

Change: a withdrawal on a connection that has carried reports of its target ends the lifetime of the last of them. On any other connection it is taken up 200 ms after it was read, if its target still waits then; a target that waits is the lifetime that is alive. A process that stood still for a second meanwhile takes nobody for waiting any more.

--- a/src/core/control/control-core.ts
+++ b/src/core/control/control-core.ts
@@ -223,8 +223,8 @@
 			}
 
 			case 'withdraw': {
-				if (this.#registry.withdraw(event.targetId, event.wallClock, now)) {
-					this.#queue.event('target-withdrawn', {target: event.targetId});
+				if (this.#registry.withdraw(event.targetId, event.wallClock, now, event.born)) {
+					this.#queue.event('target-withdrawn', {target: event.targetId, born: event.born});
 				}
 
 				break;
--- a/src/core/control/control-event.ts
+++ b/src/core/control/control-event.ts
@@ -18,5 +18,5 @@
 	/** The operator waits for the answer no more; a change that is not proposed yet is dropped. */
 	| {readonly type: 'call-abandoned'; readonly callId: string}
 	| {readonly type: 'report'; readonly report: TargetReport}
-	/** A target deregisters; `wallClock` is this machine's Unix time in milliseconds. */
-	| {readonly type: 'withdraw'; readonly targetId: TargetId; readonly wallClock: number};
+	/** A target deregisters; `born` is that of the incarnation, if known, and `wallClock` this machine's Unix time in milliseconds. */
+	| {readonly type: 'withdraw'; readonly targetId: TargetId; readonly born?: number; readonly wallClock: number};
--- a/src/core/registry/target-registry.ts
+++ b/src/core/registry/target-registry.ts
@@ -144,16 +144,21 @@
 		return true;
 	}
 
-	/** Takes the withdrawal of a target: later reports of its incarnation are ignored. Returns whether a known target ended by it. `wallClock` is the present time as Unix time in milliseconds, to be compared with `born`. */
-	withdraw(targetId: TargetId, wallClock: number, now: Millis): boolean {
+	/**
+	 * Takes the withdrawal of a target: later reports of its incarnation are ignored. Returns whether a known target ended by it.
+	 *
+	 * @param wallClock - The present time as Unix time in milliseconds, to be compared with `born`.
+	 * @param born - Start of the incarnation that withdraws: a later one does not end by it. By default, the one that is known.
+	 */
+	withdraw(targetId: TargetId, wallClock: number, now: Millis, born?: number): boolean {
 		const known = this.#records.get(targetId);
 		if (!this.hasRoomFor(targetId)) {
 			return false;
 		}
 
 		if (known === undefined) {
-			this.#addWithdrawn(targetId, wallClock, now);
-		} else if (!known.ended) {
+			this.#addWithdrawn(targetId, born ?? wallClock, now);
+		} else if (!known.ended && known.report.born <= (born ?? Number.POSITIVE_INFINITY)) {
 			this.#end(known, true);
 			return true;
 		}
@@ -295,8 +300,8 @@
 			|| this.#isLost(before);
 	}
 
-	/** Records the withdrawal of an unknown target, so that reports of incarnations up to `wallClock` are ignored. */
-	#addWithdrawn(targetId: TargetId, wallClock: number, now: Millis): void {
+	/** Records the withdrawal of an unknown target, so that reports of incarnations up to `born` are ignored. */
+	#addWithdrawn(targetId: TargetId, born: number, now: Millis): void {
 		this.#records.set(targetId, {
 			report: {
 				targetId,
@@ -307,7 +312,7 @@
 				slots: 0,
 				state: 'leaving',
 				coldMs: 0,
-				born: wallClock,
+				born,
 				sequence: Number.MAX_SAFE_INTEGER,
 			},
 			region: '' as Region,
--- a/src/server/caller-presence.ts
+++ b/src/server/caller-presence.ts
@@ -1,10 +1,13 @@
 import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
+import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {pendingReads} from './pending-reads.ts';
 
 /** Time by which the end of a connection may arrive after the bytes before it, in milliseconds: a round trip between regions, if both were held up and are sent again. */
 const maxEndDelayMs = 200;
+/** Time after which operators and targets make a call at another node, in milliseconds. */
+const maxPatienceMs = 1000;
 
 /**
  * Tells whether a caller still waits for its answer. A request may be read, and an attempt may be started, long after
@@ -44,11 +47,12 @@
 
 	/**
 	 * Like `confirm`, for a change that its caller may have ordered elsewhere since: a request that was held up on the way
-	 * may arrive before the end of its connection.
+	 * may arrive before the end of its connection. False too if the process stood still until the caller has moved on.
 	 */
 	async confirmSettled(): Promise<boolean> {
+		const since = performance.now();
 		await sleep(maxEndDelayMs);
-		return this.confirm();
+		return await this.confirm() && performance.now() - since < maxPatienceMs;
 	}
 
 	/** Calls `handle` once, as soon as the caller leaves or its answer is complete; `left` tells which. */
--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -1,5 +1,6 @@
 import {isUtf8} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import process from 'node:process';
 import type {CallAnswer} from '../../core/control/call-answer.ts';
 import type {ControlCore} from '../../core/control/control-core.ts';
@@ -8,6 +9,7 @@
 import type {Millis} from '../../core/ids/millis.ts';
 import type {Region} from '../../core/ids/region.ts';
 import type {TargetId} from '../../core/ids/target-id.ts';
+import type {TargetReport} from '../../core/registry/target-report.ts';
 import {documentProblems} from '../../core/routes/document-problems.ts';
 import {constants} from '../../settings/constants.ts';
 import {BodyError} from '../body-error.ts';
@@ -49,6 +51,8 @@
 export class ControlServers {
 	readonly #options: ControlServersOptions;
 	readonly #servers: readonly HttpServer[];
+	/** The last report on each connection. */
+	readonly #lastReports = new WeakMap<Socket, TargetReport>();
 	readonly #pendingCalls = new Map<string, (answer: CallAnswer) => void>();
 	#lastCallNumber = 0;
 	#stopping = false;
@@ -182,23 +186,40 @@
 					break;
 				}
 
+				this.#lastReports.set(req.socket, report);
 				step({type: 'report', report});
 				sendText(res, 200, codec.writeReportAnswer(core.reportAddress(report.zone, now())));
 				break;
 			}
 
 			case 'withdraw': {
-				if (this.#refuseUnknown(call.targetId, res)) {
-					break;
-				}
-
-				step({type: 'withdraw', targetId: call.targetId, wallClock: Date.now()});
-				sendText(res, 200, '{}');
+				await this.#withdraw(call.targetId, res);
 				break;
 			}
 		}
 	}
 
+	/**
+	 * Withdraws the incarnation that reported on the same connection. On any other connection the call tells no incarnation:
+	 * it is that of the target that waits for the answer, and unknown once it has left.
+	 */
+	async #withdraw(targetId: TargetId, res: ServerResponse): Promise<void> {
+		const {step, log} = this.#options;
+		const last = this.#lastReports.get(res.req.socket);
+		const born = last?.targetId === targetId ? last.born : undefined;
+		if (born === undefined && !(await new CallerPresence(res).confirmSettled())) {
+			log.write('withdrawal-dropped', {target: targetId});
+			return;
+		}
+
+		if (!this.#refuseUnknown(targetId, res)) {
+			step({
+				type: 'withdraw', targetId, born, wallClock: Date.now(),
+			});
+			sendText(res, 200, '{}');
+		}
+	}
+
 	/** Refuses what a target that is not known sends, if there is no memory for it; returns whether it did. */
 	#refuseUnknown(targetId: TargetId, res: ServerResponse): boolean {
 		const {core, memory} = this.#options;
--- a/test/server/routes/routes-deployment.test.ts
+++ b/test/server/routes/routes-deployment.test.ts
@@ -353,7 +353,7 @@
 	t.true(await deployment.waitUntil(refused));
 	t.is(await deployment.statusOf('DELETE', '/evacuations/regina-a'), 200);
 	t.true(await deployment.waitUntil(async () => !await refused()));
-	deployment.stopReports();
+	await deployment.stopReports();
 	t.is(await deployment.statusOf('DELETE', '/instances/d1'), 200);
 	t.true(await deployment.waitUntil(refused));
 });
