fix(registry): a late report does not revive a lifetime known only as leaving

Callers would see: requests go to a target that has said that it leaves (DRAIN).

Cause: a control node that knows a target's earlier lifetime and hears from another node that a later one leaves ended the earlier one and kept its born. A report of the later lifetime that was held up between two nodes was then newer than all it knew, whatever its number.

Change: such a report is recorded like any other, as a lifetime that has ended. Only a withdrawal of a target that its node didn't know, which has no zone, ends just what is known: its born is a time of day.

--- a/src/core/registry/target-registry.ts
+++ b/src/core/registry/target-registry.ts
@@ -78,7 +78,10 @@
 	recordReport(report: TargetReport, now: Millis, {direct = true, ageMs = 0}: ReportOrigin = {}): boolean {
 		const awakeSentAt = this.#awake.step(now) - ageMs as Millis;
 		const known = this.#records.get(report.targetId);
-		if (report.state === 'leaving' && known?.ended === false && report.born >= known.report.born) {
+		const region = this.#options.regionOf(report.zone);
+		// A withdrawal of a target that its control node didn't know has no zone; its `born` is the time of the withdrawal.
+		const endsKnown = known !== undefined && (region === undefined ? report.born >= known.report.born : report.born === known.report.born);
+		if (report.state === 'leaving' && known?.ended === false && endsKnown) {
 			// Accepted even if the sequence number is known: the target withdrew at another control node after this report.
 			this.#end(known, direct);
 			known.heardAt = Math.max(known.heardAt, now - ageMs) as Millis;
@@ -87,7 +90,6 @@
 			return true;
 		}
 
-		const region = this.#options.regionOf(report.zone);
 		const older = known ? !isNewer(report, known.report) : false;
 		if (region === undefined || older || this.#isExcessive(report, known) || this.#losesAddressConflict(report, known)) {
 			return false;
--- a/test/core/registry/target-registry.test.ts
+++ b/test/core/registry/target-registry.test.ts
@@ -162,3 +162,16 @@
 		t.deepEqual(registry.changedSince(revision, at(waitMs + 50)).map(({state}) => state), ['lost']);
 	});
 }
+
+// Guards against a report that was held up between control nodes and revives a lifetime whose end another node has told.
+test('a late report of a lifetime that is known only as leaving does not revive it', t => {
+	const registry = newRegistry();
+	registry.recordReport(targetReportFixture({born: 1000, sequence: 9}), at(0));
+	registry.recordReport(targetReportFixture({born: 2000, sequence: 5, state: 'leaving'}), at(10), {direct: false});
+	registry.recordReport(targetReportFixture({born: 2000, sequence: 4}), at(20), {direct: false});
+	t.is(stateOf(registry, 30), 'leaving');
+	registry.recordReport(targetReportFixture({born: 2000, sequence: 6}), at(40), {direct: false});
+	t.is(stateOf(registry, 50), 'leaving');
+	registry.recordReport(targetReportFixture({born: 3000, sequence: 1}), at(60));
+	t.is(stateOf(registry, 70), 'serving');
+});
