fix(server): late decisions of operators of the settings tree are not carried out

Operators would see: a member that they have removed since is added again, or a loss of claims is accepted that nobody has looked at, so that an order may run twice. Not seen on real installations.

Cause: POST /v1/members and /v1/keepers/accept-loss name nothing that they follow, and were carried out whenever they were read, also when nobody waited any more.

Change: after names the log index of the members that the operator saw, and epoch the keepers; the leader, or the keeper, refuses if there are newer ones. The command line sends both. Without them a call is carried out only while its operator waits, as an evacuation is.

The tests of the command line that add and withdraw a member, once each, pass.

--- a/src/commands/keepers.ts
+++ b/src/commands/keepers.ts
@@ -20,7 +20,8 @@
 		return;
 	}
 
-	const {status} = await client.call('POST', '/v1/keepers/accept-loss', {});
+	const {keeper} = await client.get('/v1/status') as NodeStatus;
+	const {status} = await client.call('POST', '/v1/keepers/accept-loss', {epoch: keeper.epoch});
 	if (status !== 200) {
 		throw new CommandError('This node is not waiting for keepers accept-loss: see keepers status.', exitCodes.refused);
 	}
--- a/src/commands/members.ts
+++ b/src/commands/members.ts
@@ -27,7 +27,8 @@
 		return;
 	}
 
-	const {status, body} = await client.call('POST', '/v1/members', {type: action, node});
+	const {control: listed} = await client.get('/v1/status') as NodeStatus;
+	const {status, body} = await client.call('POST', '/v1/members', {type: action, node, after: listed?.configurationIndex});
 	const answer = body as MembersAnswer;
 	if (status !== 200) {
 		throw new CommandError(describeRefusal(node!, answer, [options.entry ?? []].flat()), exitCodes.refused);
--- a/src/core/consensus/consensus-status.ts
+++ b/src/core/consensus/consensus-status.ts
@@ -14,6 +14,8 @@
 	/** Nodes that should vote: a node that is among them and not among the voters was added and does not vote yet. */
 	readonly wanted: readonly NodeId[];
 	readonly learners: readonly NodeId[];
+	/** Log index of the newest change of the members, which the next change may name as the one that it follows. */
+	readonly configurationIndex: number;
 	/** Why the member has stopped; set with the role `stopped`. */
 	readonly problem?: string;
 };
--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -216,6 +216,7 @@
 			logBytes: log.size(log.baseIndex, log.lastIndex),
 			voters: configuration?.voters.map(voter => voter.nodeId) ?? [],
 			wanted: configuration?.wanted ?? [],
+			configurationIndex: this.#storage.configurationIndex,
 			learners: this.#leadership?.learners.map(({member}) => member.nodeId) ?? [],
 			problem: this.#recovery.reason,
 		};
--- a/src/core/gateway-core.ts
+++ b/src/core/gateway-core.ts
@@ -93,20 +93,25 @@
 		});
 	}
 
-	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): MembersAnswer {
+	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, after: number | undefined, now: Millis): MembersAnswer {
 		const {consensus, membership} = this.#parts;
+		const leader = consensus?.leader();
+		if (leader === this.#options.self.nodeId && after !== undefined && consensus!.status().configurationIndex !== after) {
+			return {type: 'refused', leader: membership.info(leader)?.callerAddress, isOutdated: true};
+		}
+
 		if (consensus?.changeMembers(change, now)) {
 			return {type: 'started'};
 		}
 
-		const leader = consensus?.leader();
 		const pending = change.type === 'add' && leader === this.#options.self.nodeId ? pendingMember(consensus!.status()) : undefined;
 		return {type: 'refused', leader: leader && membership.info(leader)?.callerAddress, pending};
 	}
 
-	/** Accepts the loss of claims after all keepers of this region lost them; false if this node is not waiting for that decision. */
-	acceptLoss(now: Millis): boolean {
-		return this.#parts.ledger.acceptLoss(now);
+	/** Accepts the loss of claims after all keepers of this region lost them, up to those of `epoch`, if given; false if this node is not waiting for that decision. */
+	acceptLoss(epoch: number | undefined, now: Millis): boolean {
+		const {ledger} = this.#parts;
+		return (epoch === undefined || ledger.status(now).epoch === epoch) && ledger.acceptLoss(now);
 	}
 
 	status(now: Millis): NodeStatus {
--- a/src/server/caller-presence.ts
+++ b/src/server/caller-presence.ts
@@ -7,7 +7,7 @@
 /** Time by which the end of a connection may arrive after the bytes before it, in milliseconds: a round trip between regions, if both were held up and are sent again. */
 const maxEndDelayMs = 200;
 /** Time after which operators and targets make a call at another node, in milliseconds. */
-const maxPatienceMs = 1000;
+const defaultPatienceMs = 1000;
 
 /**
  * Tells whether a caller still waits for its answer. A request may be read, and an attempt may be started, long after
@@ -49,7 +49,7 @@
 	 * Like `confirm`, for a change that its caller may have ordered elsewhere since: a request that was held up on the way
 	 * may arrive before the end of its connection. False too if the process stood still until the caller has moved on.
 	 */
-	async confirmSettled(): Promise<boolean> {
+	async confirmSettled({maxPatienceMs = defaultPatienceMs}: {readonly maxPatienceMs?: number} = {}): Promise<boolean> {
 		const since = performance.now();
 		await sleep(maxEndDelayMs);
 		return await this.confirm() && performance.now() - since < maxPatienceMs;
--- a/src/server/gateway-node.ts
+++ b/src/server/gateway-node.ts
@@ -22,9 +22,9 @@
 	status(now: Millis): NodeStatus;
 	targets(now: Millis): readonly TargetView[];
 	entries(query: {zone?: Zone; path?: string; residency?: readonly Region[]}, now: Millis): readonly EntryListing[];
-	/** Starts a membership change of the settings log if this node is its leader; otherwise refuses. */
-	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, now: Millis): MembersAnswer;
-	/** Accepts the loss of claims, by decision of an operator; false if this node does not wait for that decision. */
-	acceptLoss(now: Millis): boolean;
+	/** Starts a membership change of the settings log if this node is its leader, and the members are still those of the log index `after`, if given; otherwise refuses. */
+	changeMembers(change: {type: 'add' | 'remove'; nodeId: NodeId}, after: number | undefined, now: Millis): MembersAnswer;
+	/** Accepts the loss of claims, by decision of an operator on the keepers of an epoch, or of the current one; false if this node does not wait for that decision. */
+	acceptLoss(epoch: number | undefined, now: Millis): boolean;
 	info(nodeId: NodeId): NodeInfo | undefined;
 }
--- a/src/server/http-routes.ts
+++ b/src/server/http-routes.ts
@@ -23,9 +23,7 @@
 		route('POST', '/v1/announcements', async (req, res) => targets.announce(req, res)),
 		route('POST', '/v1/changes', async (req, res) => operators.change(req, res)),
 		route('POST', '/v1/members', async (req, res) => operators.members(req, res)),
-		route('POST', '/v1/keepers/accept-loss', (req, res) => {
-			operators.acceptLoss(req, res);
-		}),
+		route('POST', '/v1/keepers/accept-loss', async (req, res) => operators.acceptLoss(req, res)),
 		route('GET', '/v1/tree', (req, res, url) => {
 			operators.tree(req, res, url);
 		}),
--- a/src/server/operator-api.ts
+++ b/src/server/operator-api.ts
@@ -7,6 +7,7 @@
 import {resultCodes} from '../core/results/result-codes.ts';
 import {constants} from '../settings/constants.ts';
 import {bearerKey} from './bearer-key.ts';
+import {CallerPresence} from './caller-presence.ts';
 import type {CoreRunner} from './core-runner.ts';
 import type {GatewayNode} from './gateway-node.ts';
 import {makeProblem} from './make-problem.ts';
@@ -33,7 +34,9 @@
 	])).min(1).max(maxOperations),
 });
 
-const membersSchema = z.strictObject({type: z.enum(['add', 'remove']), node: z.string().min(1)});
+const membersSchema = z.strictObject({type: z.enum(['add', 'remove']), node: z.string().min(1), after: z.number().int().nonnegative().optional()});
+const acceptLossSchema = z.object({epoch: z.number().int().nonnegative().optional()});
+const outdatedDetail = 'The members have changed since they were listed: look at members list again.';
 
 const outcomeResults: Partial<Record<ChangeOutcome['type'], ResultName>> = {
 	'number-taken': 'numberTaken',
@@ -138,7 +141,7 @@
 		sendJson(res, {targets: node.targets(runner.now()).map(target => targetListing(target))});
 	}
 
-	/** Adds or removes a member of the settings log. Only the leader can; other nodes refuse with its address, if known. */
+	/** Adds or removes a member of the settings log. Only the leader can; other nodes refuse with its address, if known. A change that names no index which it follows is carried out only while its operator waits. */
 	async members(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		if (this.#authenticate(req, res) === undefined) {
 			return;
@@ -147,31 +150,48 @@
 		const body = await readBody(req, constants.maxControlBodyBytes);
 		const parsed = membersSchema.safeParse(parseJson(body));
 		if (!parsed.success) {
-			this.#refuse(res, 'malformed', 'The body needs type (add or remove) and node.');
+			this.#refuse(res, 'malformed', 'The body needs type (add or remove) and node, and may name after, a log index.');
+			return;
+		}
+
+		const {type, node: nodeId, after} = parsed.data;
+		if (after === undefined && !await isAwaited(res)) {
 			return;
 		}
 
 		const {node, runner, region} = this.#options;
-		const answer = node.changeMembers({type: parsed.data.type, nodeId: toId(parsed.data.node)}, runner.now());
+		const answer = node.changeMembers({type, nodeId: toId(nodeId)}, after, runner.now());
 		if (answer.type === 'started') {
 			sendJson(res, {started: true});
 			return;
 		}
 
-		const {leader, pending} = answer;
-		const detail = pending && `${pending} was added and does not vote yet: start it, or remove it again.`;
+		const {leader, pending, isOutdated} = answer;
+		const detail = isOutdated ? outdatedDetail : pending && `${pending} was added and does not vote yet: start it, or remove it again.`;
 		const document = makeProblem({result: 'invalidMembership', ran: 'no', detail}, {region, revision: node.tree.revision});
 		sendJson(res, {...document, leader, pending}, document.status);
 	}
 
-	/** Accepts, by decision of an operator, the loss of claims that no keeper of the region has any more. */
-	acceptLoss(req: IncomingMessage, res: ServerResponse): void {
+	/** Accepts, by decision of an operator, the loss of claims that no keeper of the region has any more. A decision that names no epoch is carried out only while its operator waits. */
+	async acceptLoss(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		if (this.#authenticate(req, res) === undefined) {
 			return;
 		}
 
+		const body = await readBody(req, constants.maxControlBodyBytes);
+		const parsed = acceptLossSchema.safeParse(body.length === 0 ? {} : parseJson(body));
+		if (!parsed.success) {
+			this.#refuse(res, 'malformed', 'The body may name epoch, a number.');
+			return;
+		}
+
+		const {epoch} = parsed.data;
+		if (epoch === undefined && !await isAwaited(res)) {
+			return;
+		}
+
 		const {node, runner} = this.#options;
-		const accepted = node.acceptLoss(runner.now());
+		const accepted = node.acceptLoss(epoch, runner.now());
 		sendJson(res, {accepted}, accepted ? 200 : 409);
 	}
 
@@ -215,3 +235,8 @@
 		sendProblem(res, makeProblem({result, ran: 'no', detail}, {region, revision: node.tree.revision}));
 	}
 }
+
+/** False if the operator has left: newer changes may have been made since. */
+async function isAwaited(res: ServerResponse): Promise<boolean> {
+	return new CallerPresence(res).confirmSettled({maxPatienceMs: Number.POSITIVE_INFINITY});
+}
--- a/src/server/routes/control-servers.ts
+++ b/src/server/routes/control-servers.ts
@@ -42,7 +42,7 @@
 };
 
 const stoppingAnswer: CallAnswer = {type: 'unavailable', reason: 'this control node stops'};
-const abandonedAnswer: CallAnswer = {type: 'unavailable', reason: 'the operator has left'};
+const abandonedAnswer: CallAnswer = {type: 'unavailable', reason: 'the caller has moved on'};
 const bodyErrorStatuses: Readonly<Record<string, number>> = {tooLarge: 413, slowCaller: 408, overloaded: 503};
 /** `Retry-After` of a call that the control nodes could not process, in seconds. */
 const operatorRetryAfterSeconds = 1;
@@ -209,6 +209,7 @@
 		const born = last?.targetId === targetId ? last.born : undefined;
 		if (born === undefined && !(await new CallerPresence(res).confirmSettled())) {
 			log.write('withdrawal-dropped', {target: targetId});
+			this.#sendUnavailable(res, abandonedAnswer);
 			return;
 		}
 
--- a/test/commands/cli.test.ts
+++ b/test/commands/cli.test.ts
@@ -5,7 +5,9 @@
 import path from 'node:path';
 import process from 'node:process';
 import test from 'ava';
+import {request} from 'undici';
 import {exitCodes} from '../../src/commands/exit-codes.ts';
+import {sendAndLeave} from '../fixtures/send-and-leave.ts';
 import {bundle} from '../harness/bundle.ts';
 import {Launcher} from '../harness/launcher.ts';
 import {makeInstallationSpec} from '../harness/make-installation-spec.ts';
@@ -159,6 +161,25 @@
 	t.deepEqual(withdrawn.wanted?.toSorted(), withdrawn.voters.toSorted());
 });
 
+// Guards against a change of the members that was held up on its way and is carried out after newer ones.
+test.serial('a change of the members that follows an older list of them, or whose operator has left, is not carried out', async t => {
+	const list = async () => json<{leader: string; configurationIndex: number; wanted: string[]}>(first, 'members', 'list');
+	const {leader, configurationIndex} = await list();
+	t.like(await runAt(leader, 'members', 'add', 'never-up'), {code: exitCodes.ok});
+	t.like(await runAt(leader, 'members', 'remove', 'never-up'), {code: exitCodes.ok});
+	const {statusCode, body} = await request(`http://${launcher.address(leader)}/v1/members`, {
+		method: 'POST', headers: {authorization: 'Bearer test-operator-key'}, body: JSON.stringify({type: 'add', node: 'never-up', after: configurationIndex}),
+	});
+	t.is(statusCode, 409);
+	t.regex(await body.text(), /have changed since/v);
+	const [, port] = launcher.address(leader).split(':');
+	await sendAndLeave(Number(port), {
+		method: 'POST', path: '/v1/members', headers: {authorization: 'Bearer test-operator-key'}, body: JSON.stringify({type: 'add', node: 'never-up'}),
+	});
+	const {wanted} = await json<{wanted: string[]}>(leader, 'members', 'list');
+	t.false(wanted.includes('never-up'));
+});
+
 test.serial('invalid arguments end with exit code 2 and one line on stderr', async t => {
 	const wrong = [
 		'bogus',
