fix(control): a repeated opening revives no order that has expired

Cause: a node asks a leader again that has not opened its order within 200 ms. If the leader's answer comes just after that, and what the node sends from then on is held up, the repetition and the proposal arrive together, seconds late: the first opens the order anew, at the present end of the log, and the second is taken for current.

Change: the leader numbers its openings, and a proposal names the one that it follows. An opening that has expired is never open again.

--- a/src/core/control/control-message.ts
+++ b/src/core/control/control-message.ts
@@ -101,8 +101,8 @@
 	| {readonly type: 'trial-answer'; readonly requestId: RequestId; readonly granted: boolean}
 	/** Crashes whose reports are committed, or change nothing. */
 	| {readonly type: 'crashes-recorded'; readonly crashes: readonly CrashId[]}
-	/** Asks the leader to append an operator's command to the replicated log. With `isOpened` the sender has opened it as an order; absent for other commands and from builds that don't open orders. */
-	| {readonly type: 'propose'; readonly callId: string; readonly command: RoutesCommand; readonly isOpened?: true}
+	/** Asks the leader to append an operator's command to the replicated log. `opening` is that of an order; absent for other commands and from builds that don't open orders. */
+	| {readonly type: 'propose'; readonly callId: string; readonly command: RoutesCommand; readonly opening?: string}
 	/** Outcome of the committed command, with its log index; undefined if the receiver of `propose` does not lead. `index` is absent from builds that don't know it. */
 	| {readonly type: 'proposed'; readonly callId: string; readonly outcome: RoutesOutcome | undefined; readonly index?: number}
 	/**
@@ -110,5 +110,5 @@
 	 * much longer, in milliseconds; builds that don't know it answer as to a read.
 	 */
 	| {readonly type: 'confirm'; readonly callId: string; readonly opensOrderMs?: number}
-	/** The log index that the receiver must have committed before it answers the read, or at which the order is open. */
-	| {readonly type: 'confirmed'; readonly callId: string; readonly index: number};
+	/** The log index that the receiver must have committed before it answers the read, or at which the order is open; `opening` identifies that of an order, and is absent from builds that open none. */
+	| {readonly type: 'confirmed'; readonly callId: string; readonly index: number; readonly opening?: string};
--- a/src/core/control/opened-orders.ts
+++ b/src/core/control/opened-orders.ts
@@ -4,8 +4,8 @@
 
 type Evacuation = RoutesCommand & {type: 'evacuation'};
 
-/** `index` is the end of the leader's log when the order was opened. */
-type OpenedOrder = {readonly index: number; readonly expiresAt: Millis};
+/** `opening` tells it from an earlier opening of the same order, which has expired; `index` is the end of the leader's log at that time. */
+type OpenedOrder = {readonly opening: string; readonly index: number; readonly expiresAt: Millis};
 
 /** `superseded`: a contrary order for the zone was appended since the order was opened; `unknown`: it was not opened here, or its operator waits no more. */
 type OrderState = 'current' | 'superseded' | 'unknown';
@@ -20,19 +20,26 @@
 	readonly #orders = new Map<string, OpenedOrder>();
 	/** The newest order that was appended for each zone. */
 	readonly #newest = new Map<Zone, {readonly active: boolean; readonly index: number}>();
+	#lastOpening = 0;
 
 	constructor(readonly term: number) {}
 
-	/** Opens an order at the present end of the log, unless it is open; returns the index at which it was opened. */
-	open(callId: string, {index, expiresAt}: OpenedOrder): number {
-		const order = this.#orders.get(callId) ?? {index, expiresAt};
+	/** Opens an order at the present end of the log, unless it is open. */
+	open(callId: string, {index, expiresAt}: Omit<OpenedOrder, 'opening'>): OpenedOrder {
+		const known = this.#orders.get(callId);
+		if (known !== undefined) {
+			return known;
+		}
+
+		this.#lastOpening += 1;
+		const order = {opening: `${this.term}-${this.#lastOpening}`, index, expiresAt};
 		this.#orders.set(callId, order);
-		return order.index;
+		return order;
 	}
 
-	stateOf(callId: string, {zone, active}: Evacuation, now: Millis): OrderState {
+	stateOf(callId: string, opening: string, {zone, active}: Evacuation, now: Millis): OrderState {
 		const order = this.#orders.get(callId);
-		if (order === undefined || now > order.expiresAt) {
+		if (order?.opening !== opening || now > order.expiresAt) {
 			return 'unknown';
 		}
 
--- a/src/core/control/operator-call-handler.ts
+++ b/src/core/control/operator-call-handler.ts
@@ -38,6 +38,7 @@
 type Order = {readonly type: 'change'; readonly command: OperatorCommand & {type: 'evacuation'}};
 
 type Propose = ControlMessage & {type: 'propose'};
+type Confirmed = ControlMessage & {type: 'confirmed'};
 
 /** A command in this leader's log; `outcome` is set once it is committed. */
 type PendingProposal = {readonly callId: string; readonly from: NodeId; readonly index: number; readonly term: number; readonly proposedAt: Millis; outcome?: RoutesOutcome};
@@ -200,15 +201,19 @@
 			this.#orders = new OpenedOrders(term);
 		}
 
-		const index = this.#orders.open(callId, {index: lastIndex, expiresAt});
+		const {opening, index} = this.#orders.open(callId, {index: lastIndex, expiresAt});
 		if (from === self) {
-			this.#handleConfirmed(self, {callId, index}, now);
+			this.#handleConfirmed(self, {callId, index, opening}, now);
 		} else {
-			outbox.send(from, {part: 'control', body: {type: 'confirmed', callId, index}});
+			outbox.send(from, {
+				part: 'control', body: {
+					type: 'confirmed', callId, index, opening,
+				},
+			});
 		}
 	}
 
-	#handleConfirmed(from: NodeId, {callId, index}: {readonly callId: string; readonly index: number}, now: Millis): void {
+	#handleConfirmed(from: NodeId, {callId, index, opening}: Omit<Confirmed, 'type'>, now: Millis): void {
 		const open = this.#openCalls.get(callId);
 		if (open === undefined) {
 			return;
@@ -221,7 +226,7 @@
 		} else if (from === submittedTo && now - receivedAt <= controlTiming.orderTimeoutMs) {
 			open.isOpened = true;
 			const {basis = index, ...command} = call.command;
-			const proposal = {callId, command: {...command, basis}, isOpened: true} as const;
+			const proposal = {callId, command: {...command, basis}, opening};
 			if (from === this.#options.self) {
 				this.#propose(from, proposal, now);
 			} else {
@@ -230,7 +235,7 @@
 		}
 	}
 
-	#propose(from: NodeId, {callId, command, isOpened}: Omit<Propose, 'type'>, now: Millis): void {
+	#propose(from: NodeId, {callId, command, opening}: Omit<Propose, 'type'>, now: Millis): void {
 		if (this.#proposals.some(proposal => proposal.callId === callId)) {
 			return;
 		}
@@ -239,7 +244,7 @@
 		const {term} = consensus.status();
 		const order = command.type === 'evacuation' ? command : undefined;
 		const orders = this.#orders?.term === term ? this.#orders : undefined;
-		const state = order === undefined || isOpened === undefined ? 'current' : orders?.stateOf(callId, order, now) ?? 'unknown';
+		const state = order === undefined || opening === undefined ? 'current' : orders?.stateOf(callId, opening, order, now) ?? 'unknown';
 		const index = state === 'current' ? consensus.propose(command, now) : undefined;
 		if (index === undefined) {
 			this.#sendOutcome(callId, from, {outcome: state === 'superseded' ? {type: 'routes', result: 'stale'} : undefined}, now);
--- a/test/core/control/late-orders.test.ts
+++ b/test/core/control/late-orders.test.ts
@@ -121,7 +121,7 @@
 			type: 'peer', from: cluster.nodes[follower]!.nodeId, message: {
 				part: 'control',
 				body: {
-					type: 'propose', callId: late, isOpened: true, command: {
+					type: 'propose', callId: late, opening: '1-1', command: {
 						type: 'evacuation', zone, active: false, basis: Number.MAX_SAFE_INTEGER,
 					},
 				},
@@ -163,3 +163,30 @@
 		orderEverywhere('another node leads');
 	}
 });
+
+// Guards against an order that was opened anew by a repetition of its opening, which was held up together with it.
+test('an order that is held up behind a repetition of its opening is not applied', t => {
+	for (const seed of seeds) {
+		let openings = 0;
+		const cluster = startCluster(seed, message => {
+			const body = message.part === 'control' ? message.body : undefined;
+			if (body?.type === 'confirm' && body.opensOrderMs !== undefined) {
+				openings += 1;
+				return openings > 1 ? 4000 : 0;
+			}
+
+			// The answer to the opening is late, so that the node asks again before it proposes.
+			return body?.type === 'confirmed' ? 300 : (body?.type === 'propose' ? 4000 : 0);
+		});
+		const first = order(cluster, cluster.leader()!, true);
+		cluster.runUntil(() => cluster.answers.get(first)?.type === 'accepted');
+		cluster.run(500);
+		const [follower] = followerAndOthers(cluster);
+		const late = order(cluster, follower, false);
+		cluster.run(patienceMs + 100);
+		t.is(cluster.answers.get(late)?.type, 'unavailable', `seed ${seed}`);
+		t.true(openings > 1, `seed ${seed}`);
+		cluster.run(6000);
+		t.deepEqual(evacuated(cluster), [zone], `seed ${seed}`);
+	}
+});
