--- a/src/core/control/opened-orders.ts
+++ b/src/core/control/opened-orders.ts
@@ -11,9 +11,9 @@
 type OrderState = 'current' | 'superseded' | 'unknown';
 
 /**
- * Orders that control nodes have opened at a leader while their operators wait, in one term. An order is appended only
- * if it was opened, so that a message that was held up between two nodes is not taken for a new order. The replicated
- * state can't tell an order that has changed nothing, but the contrary order that was opened before it must not follow it.
+ * Orders that control nodes have opened at a leader in one term, while their operators wait. Only an order that is open
+ * is appended, so that a proposal that was held up between two nodes is not taken for a new one. An order that changes
+ * nothing leaves no trace in the replicated state, so contrary orders that were opened before it are refused here.
  */
 export class OpenedOrders {
 	// eslint-disable-next-line no-restricted-syntax -- by open calls of control nodes, each of which expires in time
