fix(entry): a standstill at the end of a stop cuts off no requests

Callers of a stopping entry got a closed connection in place of their final answer if the process stood still over the end of its grace period.

Cause: the answers, given in a tick 400 ms before the connections are closed, and that close are timers of their own. After a standstill over both, the close can come first. It waits for a last tick now.

Measured: the two new tests of stopping-entry fail before ("other side closed", called and forwarded) and pass now.

--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -144,6 +144,8 @@
 		await Promise.all(this.#requestServers.map(async server => server.stopListening()));
 
 		await Promise.race([this.#answered(drained), sleep(closeMs - acceptMs)]);
+		// After a standstill, the end of the sleep can come before the tick in which the core answers what is left.
+		this.#host.step({type: 'tick'});
 		this.#host.stopTicking();
 		await Promise.all([...this.#requestServers, ...this.#statusServers].map(async server => server.close()));
 		await this.#client?.close();
--- a/test/server/routes/stopping-entry.test.ts
+++ b/test/server/routes/stopping-entry.test.ts
@@ -1,6 +1,7 @@
 import {createConnection} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
+import {blockEventLoop} from '../../fixtures/block-event-loop.ts';
 import {platformConfiguration} from '../../fixtures/platform-configuration.ts';
 import {readToEnd} from '../../fixtures/read-to-end.ts';
 import {RoutesDeployment} from '../../fixtures/routes-deployment.ts';
@@ -19,6 +20,9 @@
 const longAnswerBytes = 8_000_000;
 /** Time for which a slow caller reads nothing, in milliseconds. */
 const idleMs = 2500;
+/** A standstill within the grace period of 4 s, from before the last answers are due until after the connections are to be closed. */
+const standstillAfterMs = 2500;
+const standstillMs = 1500;
 
 /** Starts a deployment whose routes allow far more time than a stopping entry has. */
 async function start(t: ExecutionContext, options: Parameters<typeof RoutesDeployment.start>[0]): Promise<RoutesDeployment> {
@@ -66,6 +70,20 @@
 		t.deepEqual(await outcome, {status: 504, retryAfter: false, ran: 'maybe'});
 	});
 
+	// Guards against requests cut off by an entry that stood still from before their last moment until its connections were to be closed.
+	test.serial(`an unsafe request is answered by an entry that stands still while it stops, ${way}`, async t => {
+		const deployment = await start(t, {desk: ['d1']});
+		const [engine] = deployment.desk;
+		engine!.manner = 'silent';
+		const outcome = outcomeOf(deployment[way]({path: '/orders/1', headers, body: 'order'}));
+		t.true(await deployment.waitUntil(() => engine!.receivedRequests.length === 1));
+		const stopped = deployment.stopEntry();
+		await sleep(standstillAfterMs);
+		blockEventLoop(standstillMs);
+		await stopped;
+		t.deepEqual(await outcome, {status: 504, retryAfter: false, ran: 'maybe'});
+	});
+
 	// Guards against requests that waited for capacity and were cut off, though they had not run anywhere.
 	test(`a request that waits when the entry stops is told that it has not run, ${way}`, async t => {
 		const deployment = await start(t, {writers: ['w1']});
