fix(control): a late report of served traits clears no later crash

Callers would have got a request that crashes targets run again: a report that requests with a trait were served cleared the trait of all crashes at the moment at which its log entry was applied, however late that was.

Cause: neither the report nor the proposal said which crashes were known when the requests were answered. Entries name them now, and the leader leaves out a trait that its log blames for another one. The replicated state is as before, so that builds that run side by side agree.

--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -167,6 +167,11 @@
 		return this.#applied.commitIndex;
 	}
 
+	/** Commands in this member's log that are not known to be committed, in order. */
+	uncommittedCommands(): readonly LogCommand[] {
+		return this.#storage.log.slice(this.commitIndex + 1).flatMap(({content}) => content.type === 'command' ? [content.command] : []);
+	}
+
 	logEnd(): LogEnd {
 		return this.#storage.logEnd(this.#context.self, this.#applied.commitIndex);
 	}
--- a/src/core/control/control-message.ts
+++ b/src/core/control/control-message.ts
@@ -94,8 +94,11 @@
 	| {readonly type: 'find-stream'; readonly requestId: RequestId; readonly callerKey: CallerKey; readonly service?: ServiceName}
 	/** `stream` is where it began, if the sender was told; otherwise `soleVersion` is set if the sender knows that it can't have begun elsewhere. `versions` are those that the service has or had lately, as far as the sender knows; absent from builds that don't send them. */
 	| {readonly type: 'stream-found'; readonly requestId: RequestId; readonly stream?: BegunStream; readonly soleVersion?: BegunStream; readonly versions?: readonly SoftwareVersion[]}
-	/** What an entry saw of crashes: what broke off with targets, and blamed traits with which requests were answered in full since. */
-	| {readonly type: 'crashes-seen'; readonly reports: readonly CrashReport[]; readonly served: readonly RequestTrait[]}
+	/**
+	 * What an entry saw of crashes: what broke off with targets, and blamed traits with which requests were answered in full since. `servedCrashes`
+	 * are the crashes of each of these traits that the entry knew of at the answer; absent from builds that don't name them.
+	 */
+	| {readonly type: 'crashes-seen'; readonly reports: readonly CrashReport[]; readonly served: readonly RequestTrait[]; readonly servedCrashes?: ReadonlyArray<readonly CrashId[]>}
 	/** An entry asks for trial `number` of a contained trait, for one request. */
 	| {readonly type: 'trial-wanted'; readonly requestId: RequestId; readonly trait: RequestTrait; readonly number: number}
 	| {readonly type: 'trial-answer'; readonly requestId: RequestId; readonly granted: boolean}
--- a/src/core/control/crash-report-handler.ts
+++ b/src/core/control/crash-report-handler.ts
@@ -42,7 +42,7 @@
 		this.#options = options;
 	}
 
-	handleSeen(from: NodeId, {reports, served}: ControlMessage & {type: 'crashes-seen'}, now: Millis): void {
+	handleSeen(from: NodeId, {reports, served, servedCrashes}: ControlMessage & {type: 'crashes-seen'}, now: Millis): void {
 		const {ledger, registry} = this.#options;
 		if (reports.length > 0) {
 			const crashes = reports.map(({crash}) => crash);
@@ -57,10 +57,12 @@
 			}
 		}
 
-		const suspects = new Set(ledger.suspects().map(({trait}) => trait));
-		const traits = served.filter(trait => suspects.has(trait));
-		if (traits.length > 0) {
-			this.#submit({type: 'traits-served', traits}, now);
+		const suspects = new Map(ledger.suspects().map(({trait, crashes}) => [trait, crashes]));
+		const cleared = served
+			.map((trait, position) => ({trait, crashes: servedCrashes?.[position] ?? suspects.get(trait) ?? []}))
+			.filter(({trait}) => suspects.has(trait));
+		if (cleared.length > 0) {
+			this.#submit({type: 'traits-served', traits: cleared.map(({trait}) => trait), crashes: cleared.map(({crashes}) => crashes)}, now);
 		}
 	}
 
--- a/src/core/control/operator-call-handler.ts
+++ b/src/core/control/operator-call-handler.ts
@@ -2,6 +2,7 @@
 import type {Outbox} from '../common/outbox.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {NodeId} from '../ids/node-id.ts';
+import type {RoutesCommand} from '../routes/routes-command.ts';
 import type {RoutesOutcome} from '../routes/routes-outcome.ts';
 import type {RoutesState} from '../routes/routes-state.ts';
 import type {CommandOutcome} from '../tree/command-outcome.ts';
@@ -11,6 +12,7 @@
 import {OpenedOrders} from './opened-orders.ts';
 import type {OperatorCall} from './operator-call.ts';
 import type {OperatorCommand} from './operator-command.ts';
+import {withoutOutdatedTraits} from './without-outdated-traits.ts';
 
 type OperatorCallHandlerOptions = {
 	readonly self: NodeId;
@@ -37,6 +39,7 @@
 /** A change without a version, which takes the place of whatever was ordered before it. */
 type Order = {readonly type: 'change'; readonly command: OperatorCommand & {type: 'evacuation'}};
 
+type TraitsServed = RoutesCommand & {type: 'traits-served'};
 type Propose = ControlMessage & {type: 'propose'};
 type Confirmed = ControlMessage & {type: 'confirmed'};
 
@@ -242,12 +245,13 @@
 
 		const {consensus} = this.#options;
 		const {term} = consensus.status();
+		const current = command.type === 'traits-served' ? this.#withoutOutdatedTraits(from, command) : command;
 		const order = command.type === 'evacuation' ? command : undefined;
 		const orders = this.#orders?.term === term ? this.#orders : undefined;
 		const state = order === undefined || opening === undefined ? 'current' : orders?.stateOf(callId, opening, order, now) ?? 'unknown';
-		const index = state === 'current' ? consensus.propose(command, now) : undefined;
+		const index = state === 'current' && current !== undefined ? consensus.propose(current, now) : undefined;
 		if (index === undefined) {
-			this.#sendOutcome(callId, from, {outcome: state === 'superseded' ? {type: 'routes', result: 'stale'} : undefined}, now);
+			this.#sendOutcome(callId, from, {outcome: state === 'superseded' || current === undefined ? {type: 'routes', result: 'stale'} : undefined}, now);
 			return;
 		}
 
@@ -260,6 +264,18 @@
 		});
 	}
 
+	/** The command with what is left of it, undefined if nothing is. */
+	#withoutOutdatedTraits(from: NodeId, command: TraitsServed): TraitsServed | undefined {
+		const {consensus, state, outbox} = this.#options;
+		const current = withoutOutdatedTraits(command, {ledger: state.crashes, uncommitted: consensus.uncommittedCommands()});
+		const outdated = command.traits.filter(trait => !current.traits.includes(trait));
+		if (outdated.length > 0) {
+			outbox.event('served-traits-dropped', {from, traits: outdated});
+		}
+
+		return current.traits.length > 0 ? current : undefined;
+	}
+
 	#answerProposals(now: Millis): void {
 		if (this.#proposals.length === 0) {
 			return;
--- a/src/core/edge/crash-containment.ts
+++ b/src/core/edge/crash-containment.ts
@@ -65,9 +65,9 @@
 	/** Crashes since the last report. */
 	#fresh = new Map<CrashId, CrashReport>();
 	readonly #recentlyServed: RecentSet<RequestTrait>;
-	/** Blamed traits with which requests were answered since the last report. */
+	/** Blamed traits with which requests were answered since the last report, and the crashes of each that were known at the last answer. */
 	// eslint-disable-next-line no-restricted-syntax -- of the suspects only, whose number is bounded
-	readonly #served = new Set<RequestTrait>();
+	readonly #served = new Map<RequestTrait, readonly CrashId[]>();
 	#reportedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(options: CrashContainmentOptions) {
@@ -83,7 +83,7 @@
 
 	/** Traits of the request that must keep it away from targets. */
 	containedTraits(req: EdgeRequest): readonly RequestTrait[] {
-		return this.#suspects.size === 0 && this.#pending.size === 0 ? [] : traitsOf(req).filter(trait => this.#crashCount(trait) >= crashesToContain);
+		return this.#suspects.size === 0 && this.#pending.size === 0 ? [] : traitsOf(req).filter(trait => this.#crashesOf(trait).size >= crashesToContain);
 	}
 
 	/** Blames the traits of a request whose attempt broke off at a target. */
@@ -105,7 +105,7 @@
 		for (const trait of traitsOf(req)) {
 			this.#recentlyServed.add(trait, now);
 			if (this.#suspects.has(trait)) {
-				this.#served.add(trait);
+				this.#served.set(trait, [...this.#crashesOf(trait)]);
 			}
 
 			this.#clearPending(trait);
@@ -199,13 +199,15 @@
 
 		this.#options.queue.send(primary, {
 			part: 'control',
-			body: {type: 'crashes-seen', reports: due.map(({report}) => report), served: [...this.#served]},
+			body: {
+				type: 'crashes-seen', reports: due.map(({report}) => report), served: [...this.#served.keys()], servedCrashes: [...this.#served.values()],
+			},
 		});
 		this.#served.clear();
 	}
 
 	/** Crashes that a trait is blamed for, with those that only this entry knows of. */
-	#crashCount(trait: RequestTrait): number {
+	#crashesOf(trait: RequestTrait): ReadonlySet<CrashId> {
 		const crashes = new Set(this.#suspects.get(trait));
 		for (const [crash, {report}] of this.#pending) {
 			if (report.traits.includes(trait)) {
@@ -213,7 +215,7 @@
 			}
 		}
 
-		return crashes.size;
+		return crashes;
 	}
 
 	#clearPending(trait: RequestTrait): void {
--- a/src/core/routes/crash-ledger.ts
+++ b/src/core/routes/crash-ledger.ts
@@ -44,6 +44,11 @@
 		return record !== undefined && (record.blamed.includes(crash) || record.cleared.includes(crash));
 	}
 
+	/** Crashes that the trait is blamed for. */
+	blamedFor(trait: RequestTrait): readonly CrashId[] {
+		return this.#traits.get(trait)?.blamed ?? [];
+	}
+
 	/** Traits that entries have to know of. */
 	suspects(): readonly SuspectTrait[] {
 		return [...this.#traits]
