--- a/test/core/control/late-orders.test.ts
+++ b/test/core/control/late-orders.test.ts
@@ -1,4 +1,4 @@
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import {toId} from '../../../src/core/ids/to-id.ts';
 import type {Zone} from '../../../src/core/ids/zone.ts';
 import {ControlCluster} from '../../fixtures/control-cluster.ts';
@@ -84,27 +84,30 @@
 	};
 }
 
+function assertNotApplied(t: ExecutionContext, {cluster, held, late}: ReturnType<typeof startWithHeldUpOrder>, seed: number): void {
+	t.true(held.count > 0, `seed ${seed}`);
+	t.is(cluster.answers.get(late)?.type, 'unavailable', `seed ${seed}`);
+	t.deepEqual(evacuated(cluster), [zone], `seed ${seed}`);
+}
+
 // Guards against an order that was acknowledged as changing nothing, so that one of before it still undoes it.
 test('an order that was proposed before one that was acknowledged as changing nothing does not undo that one', t => {
 	for (const seed of seeds) {
-		const {cluster, held, late} = startWithHeldUpOrder(seed, 700);
+		const late = startWithHeldUpOrder(seed, 700);
+		const {cluster} = late;
 		const again = order(cluster, cluster.leader()!, true);
 		t.true(cluster.runUntil(() => cluster.answers.get(again)?.type === 'accepted', 200), `seed ${seed}`);
 		cluster.run(3000);
-		t.true(held.count > 0, `seed ${seed}`);
-		t.is(cluster.answers.get(late)?.type, 'unavailable', `seed ${seed}`);
-		t.deepEqual(evacuated(cluster), [zone], `seed ${seed}`);
+		assertNotApplied(t, late, seed);
 	}
 });
 
 // Guards against a proposal that takes effect after the node that sent it has given it up.
 test('an order that is held up between two nodes until its operator has left is not applied', t => {
 	for (const seed of seeds) {
-		const {cluster, held, late} = startWithHeldUpOrder(seed, 2000);
-		cluster.run(4000);
-		t.true(held.count > 0, `seed ${seed}`);
-		t.is(cluster.answers.get(late)?.type, 'unavailable', `seed ${seed}`);
-		t.deepEqual(evacuated(cluster), [zone], `seed ${seed}`);
+		const late = startWithHeldUpOrder(seed, 2000);
+		late.cluster.run(4000);
+		assertNotApplied(t, late, seed);
 	}
 });
 
