--- a/src/core/control/operator-call-handler.ts
+++ b/src/core/control/operator-call-handler.ts
@@ -264,7 +264,7 @@
 		});
 	}
 
-	/** The command with what is left of it, undefined if nothing is. */
+	/** Leaves out outdated traits and logs them; undefined if no trait is left. */
 	#withoutOutdatedTraits(from: NodeId, command: TraitsServed): TraitsServed | undefined {
 		const {consensus, state, outbox} = this.#options;
 		const current = withoutOutdatedTraits(command, {ledger: state.crashes, uncommitted: consensus.uncommittedCommands()});
