fix(entry): what is left at the end of a stop is answered after a standstill

Callers still got a closed connection if the entry stood still for long: "a stopping entry leaves the directory ..." failed in 3 of 4 runs of routes-deployment in a process that stands still at random for up to 2 s, after.

Cause: the tick before the close can be the first one after a standstill, which ends no request, since the answer of its target may be unread. What has arrived is read now, and the core answers the rest without regard to its clock.

The new core test needs the event `end`.

--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -255,6 +255,11 @@
 				this.#requests.stopAccepting(now);
 				break;
 			}
+
+			case 'end': {
+				this.#requests.end(now);
+				break;
+			}
 		}
 	}
 
--- a/src/core/edge/edge-event.ts
+++ b/src/core/edge/edge-event.ts
@@ -28,4 +28,6 @@
 	/** The entry is about to stop: it reports itself as leaving, and still accepts requests that are on their way. Each must have its final answer within `answerMs`. */
 	| {readonly type: 'drain'; readonly answerMs: number}
 	/** New requests are refused from now on. */
-	| {readonly type: 'shut'};
+	| {readonly type: 'shut'}
+	/** The entry closes its connections next: what is left gets its final answer. */
+	| {readonly type: 'end'};
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -234,6 +234,13 @@
 		this.#capacityChanged = true;
 	}
 
+	/** Gives each request that is left its final answer. */
+	end(now: Millis): void {
+		for (const record of this.#records.values()) {
+			this.#expire(record, now);
+		}
+	}
+
 	/** Places waiting requests if capacity may have been freed since the last pass, as often as the pacer allows. */
 	placeWaitingRequests(now: Millis): void {
 		if (!this.#capacityChanged || !this.#pacer.mayPass(now)) {
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -6,6 +6,7 @@
 import {toId} from '../../core/ids/to-id.ts';
 import type {SharedAction} from '../../core/shared-action.ts';
 import type {RoutesSettings} from '../../settings/routes-settings.ts';
+import {pendingReads} from '../pending-reads.ts';
 import {ProcessMemory} from '../process-memory.ts';
 import {SystemSeededRandom} from '../system-seeded-random.ts';
 import type {EventLog} from '../event-log.ts';
@@ -144,9 +145,10 @@
 		await Promise.all(this.#requestServers.map(async server => server.stopListening()));
 
 		await Promise.race([this.#answered(drained), sleep(closeMs - acceptMs)]);
-		// After a standstill, the end of the sleep can come before the tick in which the core answers what is left.
-		this.#host.step({type: 'tick'});
 		this.#host.stopTicking();
+		// After a standstill, the end of the sleep can come before answers of targets are read, and before the core ends what is left.
+		await pendingReads();
+		this.#host.step({type: 'end'});
 		await Promise.all([...this.#requestServers, ...this.#statusServers].map(async server => server.close()));
 		await this.#client?.close();
 		await this.#host.close();
--- a/test/core/edge/stopping-entry.test.ts
+++ b/test/core/edge/stopping-entry.test.ts
@@ -57,6 +57,20 @@
 	t.deepEqual(harness.refusals().map(({reason, ran}) => ({reason, ran})), [{reason: 'leaving', ran: 'no'}]);
 });
 
+// Guards against requests cut off by an entry that stood still until its connections were to be closed: its next tick ends nothing, since answers may be unread.
+test('a request that runs at a stopping entry has its final answer at the end, also right after a standstill', t => {
+	const {harness, placed} = crowdedHarness();
+	harness.step({type: 'drain', answerMs});
+	harness.run(acceptMs);
+	harness.step({type: 'shut'});
+	harness.now += answerMs;
+	harness.step({type: 'tick'});
+	t.is(harness.core.inFlight, placed);
+	harness.step({type: 'end'});
+	t.is(harness.core.inFlight, 0);
+	t.is(harness.refusals().filter(({reason, ran}) => reason === 'timeout' && ran === 'maybe').length, placed);
+});
+
 // Guards against streams that were broken off while they waited for a place, though the entry had time for them.
 test('a stream that waits to be resumed when the entry stops accepting requests goes on in a place that comes free', t => {
 	const harness = new EdgeHarness({
