feat(gateway): the log names the connection behind each answer that says "not run"

`attempt-not-run` named the request, the target's id and the status. It now names the connection too, how many requests that connection had carried, how many of them had no complete, successful answer, and whether this request is among them, in which case the answer may be an earlier one. `lovageferry explain` says so in one line.

The HTTP client's own pool tells nobody which connection it takes, so attempts of both request paths use a pool of ours over the client's single connections. It takes the first idle one, as the client's pool did.

--- a/src/commands/explain-request.ts
+++ b/src/commands/explain-request.ts
@@ -38,7 +38,7 @@
 	const context = [...nodes].flatMap(node => latestContext(lines, node, first!.time));
 	const lastWithReason = decisions.findLast(({reason}) => reason !== undefined);
 	const cause = causesByReason[lastWithReason?.reason ?? ''] ?? lastWithReason?.reason ?? `${decisions.at(-1)!.msg}: see the last line`;
-	return [...[...context, ...decisions].map(line => format(line)), ...describeOverlaps(decisions), `cause: ${cause}`];
+	return [...[...context, ...decisions].map(line => format(line)), ...describeOverlaps(decisions), ...describeNotRun(decisions), `cause: ${cause}`];
 }
 
 /** For how long two targets were at work on the request at once, in one line; none if they never were. */
@@ -52,6 +52,17 @@
 	return overlaps.length === 0 ? [] : [`overlap: two targets were at work at once: ${overlaps.join('; ')}`];
 }
 
+/** What says that attempts of the request have not run, in one line: the answers of targets, with the connections on which they came. */
+function describeNotRun(decisions: readonly LogLine[]): readonly string[] {
+	const answers = decisions
+		.filter(({msg, connection}) => msg === 'attempt-not-run' && typeof connection === 'number')
+		.map(({node, target, status, connection, earlierRequests, isRepeat}) => {
+			const carried = isRepeat === true ? 'this request among them' : 'none of them this request';
+			return `${String(target)} with ${String(status)} at ${node} on connection ${connection as number} after ${String(earlierRequests)} requests, ${carried}`;
+		});
+	return answers.length === 0 ? [] : [`not run: by the answer of ${answers.join('; ')}`];
+}
+
 /** The latest line of each context event that a node had logged up to a time. */
 function latestContext(lines: readonly LogLine[], node: string, time: string): readonly LogLine[] {
 	const newest = new Map<string, LogLine>();
--- /dev/null
+++ b/src/core/common/connection-use.ts
@@ -0,0 +1,10 @@
+/** The connection that carried a request, and what it had carried before. */
+export type ConnectionUse = {
+	/** Number of the connection in its process. */
+	readonly connection: number;
+	readonly earlierRequests: number;
+	/** Earlier requests that had no complete, successful answer. */
+	readonly earlierFailures: number;
+	/** True if the same request is among them, so that an answer on this connection may be its earlier one. */
+	readonly isRepeat: boolean;
+};
--- a/src/core/edge/answer-handler.ts
+++ b/src/core/edge/answer-handler.ts
@@ -182,7 +182,14 @@
 	#handleNotRun(record: RequestRecord, head: AnswerHead, now: Millis): void {
 		const {running} = record;
 		this.#options.queue.event('attempt-not-run', {
-			request: record.req.callerKey, target: destinationOf(record), status: head.status, retryAfterMs: head.retryAfterMs, leaving: head.leaving,
+			request: record.req.callerKey,
+			target: destinationOf(record),
+			attempt: running?.attempt,
+			status: head.status,
+			retryAfterMs: head.retryAfterMs,
+			leaving: head.leaving,
+			afterMs: Math.round(now - (running?.sentAt ?? now)),
+			...head.use,
 		});
 		this.#options.feedback.recordNotRun(record, head, now);
 		record.resendReason = 'not-run';
--- a/src/core/edge/answer-head.ts
+++ b/src/core/edge/answer-head.ts
@@ -1,3 +1,4 @@
+import type {ConnectionUse} from '../common/connection-use.ts';
 import type {SoftwareVersion} from '../ids/software-version.ts';
 import type {LeavingTarget} from './leaving-target.ts';
 import type {TargetLoad} from './target-load.ts';
@@ -33,6 +34,8 @@
 	readonly leaving?: boolean;
 	/** In the answer of another entry: the incarnation of a target of this region that answers and says that it leaves. */
 	readonly leavingTarget?: LeavingTarget;
+	/** The connection on which the answer came. */
+	readonly use?: ConnectionUse;
 	/** Names of headers whose values could not be read. */
 	readonly unreadableHeaders?: readonly string[];
 };
--- a/src/server/attempt-client.ts
+++ b/src/server/attempt-client.ts
@@ -1,5 +1,4 @@
 import {Buffer} from 'node:buffer';
-import {Agent, type Dispatcher} from 'undici';
 import type {Action} from '../core/actions.ts';
 import type {CoreEvent} from '../core/events.ts';
 import type {AttemptId} from '../core/ids/attempt-id.ts';
@@ -11,6 +10,7 @@
 import {buildAttemptRequest} from './build-attempt-request.ts';
 import type {PeerToken} from './peer-token.ts';
 import {checkInterimStatus} from './check-interim-status.ts';
+import {ConnectionPool} from './connection-pool.ts';
 import {targetConnector} from './target-connector.ts';
 
 type StartAttempt = Extract<Action, {type: 'start-attempt'}>;
@@ -27,9 +27,8 @@
 export class AttemptClient {
 	readonly #options: AttemptClientOptions;
 	readonly #abortControllers = new Map<AttemptId, AbortController>();
-	readonly #agent = new Agent({
+	readonly #connections = new ConnectionPool({
 		connect: targetConnector(constants.connectTimeoutMs),
-		pipelining: 1,
 		keepAliveTimeout: 4000,
 	});
 
@@ -53,7 +52,7 @@
 	}
 
 	async close(): Promise<void> {
-		await this.#agent.close();
+		await this.#connections.close();
 	}
 
 	async #run(action: StartAttempt, request: CallerRequest): Promise<void> {
@@ -80,8 +79,9 @@
 				return;
 			}
 
-			const res = await this.#agent.request(this.#requestOptions(action, request, abort.signal));
+			const {res, complete} = await this.#connections.request(this.#requestOptions(action, request, abort.signal));
 			await reader.read(res);
+			complete();
 		} catch (error) {
 			if (!abort.signal.aborted && !reader.ended) {
 				this.#options.step({type: 'attempt-failed', attemptId: action.attemptId, failure: attemptFailure(error, reader)});
@@ -92,10 +92,11 @@
 		}
 	}
 
-	#requestOptions(action: StartAttempt, request: CallerRequest, signal: AbortSignal): Dispatcher.RequestOptions {
+	#requestOptions(action: StartAttempt, request: CallerRequest, signal: AbortSignal): Parameters<ConnectionPool['request']>[0] {
 		const outgoing = buildAttemptRequest(action, request, this.#options);
 		return {
 			origin: `http://${action.address}`,
+			requestKey: action.attemptId,
 			method: request.method,
 			path: outgoing.path,
 			headers: outgoing.headers,
--- /dev/null
+++ b/src/server/connection-pool.ts
@@ -0,0 +1,111 @@
+import type {Client, Dispatcher} from 'undici';
+import methods from 'undici/lib/api/index.js';
+import ClientClass from 'undici/lib/dispatcher/client.js';
+import DispatcherClass from 'undici/lib/dispatcher/dispatcher.js';
+import type {ConnectionUse} from '../core/common/connection-use.ts';
+import {PooledConnection} from './pooled-connection.ts';
+
+// The index of undici does the same, but also loads fetch, WebSocket, caches and mocks, which lengthen the start of an entry.
+Object.assign(DispatcherClass.prototype, methods);
+
+type PooledRequest = Omit<Dispatcher.RequestOptions, 'origin'> & {
+	readonly origin: string;
+	/** Identifies the request in its answer. */
+	readonly requestKey: string;
+};
+
+type PooledResponse = {
+	readonly res: Dispatcher.ResponseData;
+	readonly use: ConnectionUse;
+	/** To be called once the answer was read to its end, if it is a complete, successful one. */
+	readonly complete: () => void;
+};
+
+/** HTTP connections by origin, each of which carries one request at a time. */
+export class ConnectionPool {
+	readonly #options: Client.Options;
+	readonly #connections = new Map<string, Set<PooledConnection>>();
+	#isClosed = false;
+
+	constructor(options: Client.Options) {
+		this.#options = options;
+	}
+
+	/** Sends a request on an idle connection, or on a new one; resolves with the head of its answer. */
+	async request({requestKey, ...options}: PooledRequest): Promise<PooledResponse> {
+		if (this.#isClosed) {
+			throw new Error('the connection pool is closed');
+		}
+
+		const connection = this.#take(options.origin);
+		const use = connection.begin(requestKey);
+		try {
+			const res = await connection.client.request(options);
+			return {
+				res,
+				use,
+				complete() {
+					connection.complete(requestKey);
+				},
+			};
+		} catch (error) {
+			this.#remove(options.origin, connection);
+			throw error;
+		}
+	}
+
+	/** Closes all connections once their requests are answered. */
+	async close(): Promise<void> {
+		await Promise.all(this.#end().map(async client => client.close()));
+	}
+
+	/** Closes all connections at once. */
+	async destroy(): Promise<void> {
+		await Promise.all(this.#end().map(async client => client.destroy()));
+	}
+
+	#take(origin: string): PooledConnection {
+		for (const connection of this.#connections.get(origin) ?? []) {
+			if (!connection.isBusy) {
+				return connection;
+			}
+		}
+
+		return this.#open(origin);
+	}
+
+	#open(origin: string): PooledConnection {
+		const connection = new PooledConnection(new ClientClass(origin, {...this.#options, pipelining: 1}));
+		connection.client
+			.on('drain', () => {
+				connection.isBusy = false;
+			})
+			.on('disconnect', () => {
+				this.#remove(origin, connection);
+			});
+		const connections = this.#connections.get(origin) ?? new Set();
+		this.#connections.set(origin, connections.add(connection));
+		return connection;
+	}
+
+	/** Takes a connection out of the pool; it is closed once its request, if any, is answered. */
+	#remove(origin: string, connection: PooledConnection): void {
+		const connections = this.#connections.get(origin);
+		if (connections?.delete(connection) !== true) {
+			return;
+		}
+
+		if (connections.size === 0) {
+			this.#connections.delete(origin);
+		}
+
+		connection.client.close(() => undefined);
+	}
+
+	#end(): readonly Client[] {
+		this.#isClosed = true;
+		const clients = [...this.#connections.values()].flatMap(connections => [...connections].map(({client}) => client));
+		this.#connections.clear();
+		return clients;
+	}
+}
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -1,4 +1,3 @@
-import type {Agent} from 'undici';
 import type {EdgeAction} from '../../core/edge/edge-action.ts';
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
 import type {AttemptNumber} from '../../core/ids/attempt-number.ts';
@@ -7,7 +6,7 @@
 import {canConnect} from '../can-connect.ts';
 import {checkInterimStatus} from '../check-interim-status.ts';
 import {ConnectError} from '../connect-error.ts';
-import {createHttpAgent} from '../http-agent.ts';
+import {ConnectionPool} from '../connection-pool.ts';
 import type {ProcessMemory} from '../process-memory.ts';
 import {isMalformedAnswer} from '../is-malformed-answer.ts';
 import {targetConnector} from '../target-connector.ts';
@@ -47,10 +46,10 @@
 export class TargetClient {
 	readonly #options: TargetClientOptions;
 	readonly #running = new Map<AttemptNumber, RunningAttempt>();
-	readonly #targets: Agent;
+	readonly #targets: ConnectionPool;
 	/** Pool with the short keep-alive timeout, for attempts marked `fresh`: a connection that was idle for longer may have been dropped by the target. */
-	readonly #shortKeepAliveTargets: Agent;
-	readonly #entries = createAgent({connectMs: entryConnectMs});
+	readonly #shortKeepAliveTargets: ConnectionPool;
+	readonly #entries = createPool({connectMs: entryConnectMs});
 
 	constructor(options: TargetClientOptions) {
 		this.#options = options;
@@ -62,8 +61,8 @@
 				step({type: 'connection-reset', address: advertised.get(address) ?? address});
 			},
 		};
-		this.#targets = createAgent(connection);
-		this.#shortKeepAliveTargets = createAgent({...connection, keepAliveMs: shortKeepAliveMs, maxHintMs: shortKeepAliveMs});
+		this.#targets = createPool(connection);
+		this.#shortKeepAliveTargets = createPool({...connection, keepAliveMs: shortKeepAliveMs, maxHintMs: shortKeepAliveMs});
 	}
 
 	/** Sends an attempt, unless its caller has left; its outcome is passed to the core as events. */
@@ -104,7 +103,7 @@
 	}
 
 	async close(): Promise<void> {
-		await Promise.all([this.#targets, this.#shortKeepAliveTargets, this.#entries].map(async agent => agent.destroy()));
+		await Promise.all([this.#targets, this.#shortKeepAliveTargets, this.#entries].map(async pool => pool.destroy()));
 	}
 
 	async #run(action: StartAction, exchange: CallerExchange, {abortController, reader}: RunningAttempt): Promise<void> {
@@ -115,9 +114,10 @@
 				return;
 			}
 
-			const agent = action.targetId === undefined ? this.#entries : (action.fresh ? this.#shortKeepAliveTargets : this.#targets);
-			const res = await agent.request({
+			const pool = action.targetId === undefined ? this.#entries : (action.fresh ? this.#shortKeepAliveTargets : this.#targets);
+			const {res, use, complete} = await pool.request({
 				origin: `http://${this.#options.forwards[action.address] ?? action.address}`,
+				requestKey: exchange.edgeRequest.callerKey,
 				method: exchange.head.method,
 				path: exchange.head.path,
 				headers: this.#buildHeaders(action, exchange),
@@ -135,7 +135,9 @@
 				},
 				signal: abortController.signal,
 			});
-			await reader.read(res);
+			if (await reader.read(res, use)) {
+				complete();
+			}
 		} catch (error) {
 			const {code = ''} = error as {code?: string};
 			if (this.#running.has(attempt)) {
@@ -170,7 +172,7 @@
 	}
 }
 
-type AgentOptions = {
+type PoolOptions = {
 	readonly connectMs: number;
 	readonly onReset?: (address: string) => void;
 	/** Keep-alive timeout of connections to targets that send no hint; a hint replaces it, up to `maxHintMs`. */
@@ -179,10 +181,9 @@
 };
 
 /** Creates a connection pool. */
-function createAgent({connectMs, onReset, keepAliveMs: keepAliveTimeout = defaultKeepAliveMs, maxHintMs = maxKeepAliveMs}: AgentOptions): Agent {
-	return createHttpAgent({
+function createPool({connectMs, onReset, keepAliveMs: keepAliveTimeout = defaultKeepAliveMs, maxHintMs = maxKeepAliveMs}: PoolOptions): ConnectionPool {
+	return new ConnectionPool({
 		connect: targetConnector(connectMs, {onReset}),
-		pipelining: 1,
 		keepAliveTimeout,
 		keepAliveMaxTimeout: maxHintMs,
 		// Subtracted from a target's hint, in milliseconds, so that this side closes an idle connection first.
--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
+import type {ConnectionUse} from '../../core/common/connection-use.ts';
 import type {EdgeAction} from '../../core/edge/edge-action.ts';
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
 import {isSuccess} from '../../core/edge/is-success.ts';
@@ -72,8 +73,8 @@
 		exchange.sendAnswer(this.#status, this.#callerHeaders(), this.#body);
 	}
 
-	/** Reads an answer to its end. */
-	async read(res: Dispatcher.ResponseData): Promise<void> {
+	/** Reads an answer to its end; returns true if it is complete and successful. */
+	async read(res: Dispatcher.ResponseData, use: ConnectionUse): Promise<boolean> {
 		const {action: {attempt, stream, targetId}, exchange, codec, step} = this.#options;
 		// An aborted body emits an error, which would be uncaught once nothing reads it.
 		res.body.on('error', () => undefined);
@@ -93,7 +94,7 @@
 		if (!isNameless && key !== exchange.head.key) {
 			step({type: 'attempt-failed', attempt, failure: {reason: 'foreign-answer', notSent: false}});
 			res.body.destroy();
-			return;
+			return false;
 		}
 
 		const header = (name: string) => findHeader(this.#headers, name);
@@ -101,9 +102,13 @@
 		const {format, unframed} = description;
 		// A target need not name the type of a stream.
 		const eventStream = format === 'events' || (stream && header('content-type') === undefined);
-		step({type: 'attempt-head', attempt, head: {...head, unframed, eventStream}});
+		step({
+			type: 'attempt-head', attempt, head: {
+				...head, unframed, eventStream, use,
+			},
+		});
 		if (this.#stopped) {
-			return;
+			return false;
 		}
 
 		if (!this.#streaming && isSuccess(res.statusCode)) {
@@ -115,9 +120,12 @@
 		});
 		try {
 			const truncated = await (this.#streaming ? this.#readStream(res, description, hold) : this.#readBuffered(res, description, hold));
-			if (!this.#stopped) {
-				step({type: 'attempt-end', attempt, truncated});
+			if (this.#stopped) {
+				return false;
 			}
+
+			step({type: 'attempt-end', attempt, truncated});
+			return !truncated && isSuccess(res.statusCode);
 		} finally {
 			hold.close();
 		}
--- a/src/server/undici-modules.d.ts
+++ b/src/server/undici-modules.d.ts
@@ -1,6 +1,6 @@
 // Modules of undici that its index loads among others; it has types for the index only.
-declare module 'undici/lib/dispatcher/agent.js' {
-	export {Agent as default} from 'undici';
+declare module 'undici/lib/dispatcher/client.js' {
+	export {Client as default} from 'undici';
 }
 
 declare module 'undici/lib/dispatcher/dispatcher.js' {
--- a/test/commands/explain-request.test.ts
+++ b/test/commands/explain-request.test.ts
@@ -38,6 +38,20 @@
 	t.regex(explainRequest('r1', [entry]).at(-1)!, /^cause: /v);
 });
 
+test('what says that attempts have not run is one line, with what their connections had carried before', t => {
+	const answers = [
+		{
+			target: 'i-1', status: 503, connection: 4, earlierRequests: 7, isRepeat: false,
+		},
+		{
+			target: 'i-2', status: 421, connection: 5, earlierRequests: 1, isRepeat: true,
+		},
+	].map((fields, index) => line(`03.${index}00`, 'entry-1', 'attempt-not-run', {request: 'r1', ...fields}));
+	t.deepEqual(explainRequest('r1', [answers.join('\n')]).filter(each => each.startsWith('not run: ')), [
+		'not run: by the answer of i-1 with 503 at entry-1 on connection 4 after 7 requests, none of them this request; i-2 with 421 at entry-1 on connection 5 after 1 requests, this request among them',
+	]);
+});
+
 test('a request that no log line names has an empty timeline', t => {
 	t.deepEqual(explainRequest('r9', [entry, relay]), []);
 });
