test(gateway): reproduce requests that are refused as not run, and ran

An engine refuses a request, runs it when it comes again on the same connection, and writes its refusal once more. Callers get 503, which promises that the request has not run.

--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -11,13 +11,13 @@
 /**
  * How the stand-in answers. `well`: correctly; `cut`: resets the connection of a stream within its third event; `short`: ends a stream within its third event, and a call within its document, without a reset;
  * `reset`: resets the connection before the answer;
- * `full`: refuses with 503 without running the request; `nameless`: the same, without the request's identifier; `doubled`: refuses the first request of a connection, runs the others, and answers them with that refusal; `silent`: never answers; `foreign`: answers with the identifier of another request; `unsigned`: answers without its `server-signature`;
+ * `full`: refuses with 503 without running the request; `nameless`: the same, without the request's identifier; `doubled`: refuses the first request of a connection, runs the others, and answers them with that refusal; `copied`: refuses each request with `copiedStatus`, runs it when it is sent again, and, if that is on the same connection, writes the refusal once more before its answer; `silent`: never answers; `foreign`: answers with the identifier of another request; `unsigned`: answers without its `server-signature`;
  * `bodiless`: sends the head of an answer that has no length, and ends the connection;
  * `stalled-body`: sends a part of a long answer, below what one answer may have, and nothing more;
  * `raw`: sends `rawAnswer` once the head of a request has arrived, reads no body, and ends the connection;
  * `endless-…`: sends bytes that are no answer, in a place of the answer, until its connection is closed.
  */
-type Manner = 'well' | 'cut' | 'short' | 'reset' | 'full' | 'nameless' | 'doubled' | 'silent' | 'foreign' | 'unsigned' | 'bodiless' | 'stalled-body' | 'raw' | keyof typeof endlessAnswers;
+type Manner = 'well' | 'cut' | 'short' | 'reset' | 'full' | 'nameless' | 'doubled' | 'copied' | 'silent' | 'foreign' | 'unsigned' | 'bodiless' | 'stalled-body' | 'raw' | keyof typeof endlessAnswers;
 
 type ResumeAnswer = {readonly status: number; readonly contentType: string; readonly text: string};
 
@@ -38,6 +38,8 @@
 const stalledPart = Buffer.alloc(12_000_000, 'x');
 /** Time between the manner `raw`'s answer and the end of its connection, in milliseconds. */
 const rawEndDelayMs = 50;
+/** Time between the arrival of a request and the copy of its earlier refusal, in milliseconds. */
+const copyDelayMs = 5;
 /** Default number of events in a complete stream. */
 const defaultEventCount = 6;
 
@@ -46,6 +48,8 @@
 	manner: Manner = 'well';
 	/** Answer of the manner `raw`: its status line, the text after its head, and how its connection ends. */
 	rawAnswer: {readonly statusLine: string; readonly headers: string; readonly text: string; readonly end: 'close' | 'reset'} | undefined;
+	/** Status of the refusals of the manner `copied`; 421 says by itself that the request has not run. */
+	copiedStatus: 421 | 429 | 503 = 503;
 	/** `Retry-After` of refusals with 503, in seconds; absent by default. */
 	pauseSeconds: string | undefined;
 	/** Answer to requests that resume a stream, in place of the rest of it; absent by default. */
@@ -93,6 +97,8 @@
 	readonly #openRuns = new WeakMap<ServerResponse, TargetRun>();
 	/** Bytes of the refusal that was written on a connection. */
 	readonly #refusals = new WeakMap<Socket, string>();
+	/** Refusals of the manner `copied`, by the identifier of the request. */
+	readonly #copies = new Map<string, {readonly socket: Socket; readonly refusal: string}>();
 	#closing = false;
 
 	constructor(name: string, workMs = 0) {
@@ -159,8 +165,10 @@
 		res.on('close', () => {
 			this.abortedRequests += res.writableFinished ? 0 : 1;
 		});
-		if (manner !== 'full' && !(manner === 'doubled' && !this.#refusals.has(req.socket))) {
-			const id = String(req.headers['request-identifier']);
+		const id = String(req.headers['request-identifier']);
+		const copy = this.#copies.get(id);
+		const isFirst = (manner === 'doubled' && !this.#refusals.has(req.socket)) || (manner === 'copied' && copy === undefined);
+		if (manner !== 'full' && !isFirst) {
 			this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
 			this.#recordRun(id, res);
 		}
@@ -190,6 +198,10 @@
 			return;
 		}
 
+		if (copy?.socket === req.socket) {
+			setTimeout(() => req.socket.write(copy.refusal), copyDelayMs);
+		}
+
 		await this.#answerInTime(req, res, manner);
 	}
 
@@ -268,6 +280,11 @@
 			doubled: () => {
 				this.#writeRefusal(req);
 			},
+			...!this.#copies.has(identifierOf(req)) && {
+				copied: () => {
+					this.#refuseOnce(req);
+				},
+			},
 			bodiless: () => {
 				const type = req.headers['token-counts'] === undefined ? 'text/plain' : 'text/event-stream';
 				req.socket.end(`HTTP/1.1 200 OK\r\nRequest-Identifier: ${String(req.headers['request-identifier'])}\r\nServer-Signature: ${this.identifier}.sig\r\nContent-Type: ${type}\r\n\r\n`);
@@ -296,6 +313,14 @@
 		socket.write(refusal);
 	}
 
+	#refuseOnce({headers, socket}: IncomingMessage): void {
+		const identifier = String(headers['request-identifier']);
+		const status = this.copiedStatus;
+		const refusal = [`HTTP/1.1 ${status} Refused`, ...status === 421 ? [] : ['Not-Executed: 1'], `Request-Identifier: ${identifier}`, 'Content-Length: 0', '', ''].join('\r\n');
+		this.#copies.set(identifier, {socket, refusal});
+		socket.write(refusal);
+	}
+
 	#leavingHeader(): OutgoingHttpHeaders {
 		return this.leaving ? {'server-leaving': '1'} : {};
 	}
--- /dev/null
+++ b/test/server/routes/copied-refusals.test.ts
@@ -0,0 +1,104 @@
+import {EventEmitter, once} from 'node:events';
+import test, {type ExecutionContext} from 'ava';
+import {platformRequestCodec} from '../../../platform/platform-request-codec.ts';
+import type {EdgeEvent} from '../../../src/core/edge/edge-event.ts';
+import type {AttemptNumber} from '../../../src/core/ids/attempt-number.ts';
+import type {TargetId} from '../../../src/core/ids/target-id.ts';
+import {toId} from '../../../src/core/ids/to-id.ts';
+import {ProcessMemory} from '../../../src/server/process-memory.ts';
+import {TargetClient} from '../../../src/server/routes/target-client.ts';
+import {PlatformEngine} from '../../fakes/platform-engine.ts';
+import {callerExchangeFixture} from '../../fixtures/caller-exchange-fixture.ts';
+import {platformConfiguration} from '../../fixtures/platform-configuration.ts';
+import {RoutesDeployment} from '../../fixtures/routes-deployment.ts';
+
+/** Work of an engine, in milliseconds: longer than the time until it writes a refusal once more. */
+const workMs = 100;
+/** Reports of an engine after which an entry uses it again, whatever it refused before. */
+const reportsUntilUsed = 4;
+const common = {
+	host: 'prairie.example', 'timeout-ms': 3000, 'target-latency-ms': 400, 'target-gap-ms': 600, service: 'desk',
+};
+/** Neither kind may run twice: connections are kept longer for streams than for orders. */
+const routes = [
+	{
+		...common, name: 'calls', 'path-prefix': '/calls/', kind: 'safe', attempts: 2,
+	},
+	{
+		...common, name: 'orders', 'path-prefix': '/orders/', kind: 'unsafe', attempts: 1,
+	},
+	{
+		...common, name: 'drafts', 'path-prefix': '/drafts/', kind: 'streaming', attempts: 2, resumable: false,
+	},
+];
+const order = {path: '/orders/1', body: 'order', headers: {'request-identifier': 'r-1'}};
+const stream = {path: '/drafts/1', body: 'draft', headers: {'request-identifier': 'r-1', 'token-counts': '10,10'}};
+
+async function start(t: ExecutionContext, copiedStatus: 421 | 429 | 503) {
+	const deployment = await RoutesDeployment.start({desk: ['d1']});
+	t.teardown(async () => deployment.close());
+	t.is(await deployment.statusOf('PUT', '/configuration', platformConfiguration(2, routes)), 200);
+	await deployment.waitForReports(reportsUntilUsed);
+	const [engine] = deployment.desk;
+	Object.assign(engine!, {manner: 'copied', copiedStatus, workMs});
+	return {deployment, engine: engine!};
+}
+
+for (const sender of ['call', 'forward'] as const) {
+	const place = sender === 'call' ? 'the entry that was called' : 'an entry that it was forwarded to';
+	for (const status of [503, 429, 421] as const) {
+		test(`a stream that its caller sends again is said not to have run though it ran, since its engine writes the refusal once more: ${status} at ${place}`, async t => {
+			const {deployment, engine} = await start(t, status);
+			const refused = await deployment[sender](stream);
+			await refused.body.dump();
+			t.is(refused.statusCode, 503);
+			await deployment.waitForReports(reportsUntilUsed);
+			const ran = await deployment[sender](stream);
+			await ran.body.dump();
+			t.is(engine.runs.get('r-1'), 1);
+			t.is(ran.statusCode, 200);
+		});
+	}
+
+	test(`an order that its caller sends again at once is said not to have run though it ran, since its engine writes the refusal once more, at ${place}`, async t => {
+		const {deployment, engine} = await start(t, 503);
+		const refused = await deployment[sender](order);
+		await refused.body.dump();
+		t.is(refused.statusCode, 503);
+		const ran = await deployment[sender](order);
+		await ran.body.dump();
+		t.is(engine.runs.get('r-1'), 1);
+		t.is(ran.statusCode, 200);
+	});
+}
+
+test('an order that an entry sends to the new id of an engine that has refused it is said not to have run though it ran, since the engine writes the refusal once more', async t => {
+	const engine = new PlatformEngine('d2');
+	Object.assign(engine, {manner: 'copied', copiedStatus: 421, workMs});
+	await engine.listen();
+	t.teardown(async () => engine.close());
+	const events = new EventEmitter();
+	const client = new TargetClient({
+		region: toId('regina'),
+		forwards: {},
+		codec: platformRequestCodec,
+		memory: new ProcessMemory(),
+		step(event) {
+			events.emit(event.type, event);
+		},
+	});
+	t.teardown(async () => client.close());
+	const heads: EdgeEvent[] = [];
+	for (const [index, targetId] of ['d1', 'd2'].entries()) {
+		const head = once(events, 'attempt-head') as Promise<[EdgeEvent]>;
+		client.start({
+			type: 'start', attempt: index as AttemptNumber, requestId: toId('r'), address: engine.address, targetId: toId<TargetId>(targetId),
+			deadlineMs: 3000, urgency: 1,
+			fresh: true, stream: false, service: toId('desk'), documentVersion: 1,
+		}, callerExchangeFixture('r-1'));
+		heads.push(...await head); // eslint-disable-line no-await-in-loop
+	}
+
+	t.is(engine.runs.get('r-1'), 1);
+	t.like(heads, [{head: {status: 421}}, {head: {status: 200}}]);
+});
