fix(gateway): no connection carries a request again that it carried without success

Callers got 503, "not run", for requests that ran. An engine had refused the request, got it again on the same connection, ran it, and wrote its refusal once more; the copy names the same request, so that nothing in the answer tells it from a true refusal. What kept a request from its refuser was a set of target ids and, for forwarded requests, a bounded memory of them. Neither knows connections: a caller may send its request again, and a target may start again under a new id at its address.

The pool of connections now keeps, for each connection, the requests that had no complete, successful answer on it, and never sends one of them there again. If only such connections are idle, one of them is replaced, so that the target has no more connections than before. After 64 failed requests a connection is replaced too, instead of forgetting any. The memory of targets that refused forwarded requests is not needed any more: they may be sent to the same target, on another connection.

A target that refuses each of 1,000 requests gets at most 20 connections (connection-pool).

--- a/src/core/edge/answer-handler.ts
+++ b/src/core/edge/answer-handler.ts
@@ -9,7 +9,6 @@
 import {isIdempotent} from './is-idempotent.ts';
 import {isPromise} from './is-promise.ts';
 import {isSuccess} from './is-success.ts';
-import type {RecentRefusals} from './recent-refusals.ts';
 import type {RequestCompletion} from './request-completion.ts';
 import type {RequestPlacer} from './request-placer.ts';
 import type {RequestRecord} from './request-record.ts';
@@ -25,7 +24,6 @@
 	readonly retryPolicy: RetryPolicy;
 	readonly placer: RequestPlacer;
 	readonly completion: RequestCompletion;
-	readonly refusals: RecentRefusals;
 	readonly origins: StreamOrigins;
 	readonly budget: WindowedRetryBudget;
 	readonly queue: ActionQueue<EdgeAction>;
@@ -199,7 +197,6 @@
 		} else {
 			// The pause that the target asks for is one of many that the placement weighs, if this request has to come back.
 			record.excludedTargets.add(running.targetId);
-			this.#options.refusals.record(record.req.callerKey, running.targetId, now);
 		}
 
 		this.#placeUnlessKept(record, now);
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -24,7 +24,6 @@
 import type {CrashContainment} from './crash-containment.ts';
 import type {PlacementPolicy} from './placement-policy.ts';
 import {QuotaCharges} from './quota-charges.ts';
-import {RecentRefusals} from './recent-refusals.ts';
 import type {RegionSelector} from './region-selector.ts';
 import type {WindowedRetryBudget} from './windowed-retry-budget.ts';
 import {RetryPolicy} from './retry-policy.ts';
@@ -73,7 +72,6 @@
 	readonly #placer: RequestPlacer;
 	readonly #feedback: TargetFeedback;
 	readonly #pacer = new PlacementPacer();
-	readonly #refusals: RecentRefusals;
 	readonly #stopDeadline = new StopDeadline();
 	readonly #quotas: QuotaCharges;
 	#closed = false;
@@ -82,7 +80,6 @@
 	constructor(options: RequestHandlerOptions) {
 		this.#options = options;
 		this.#quotas = new QuotaCharges(options.quotas);
-		this.#refusals = new RecentRefusals(options.state.budget('refusals'));
 		const idle = new IdleConnectionPolicy();
 		this.#attempts = new AttemptTracker({...options, idle});
 		this.#completion = new RequestCompletion(options);
@@ -103,7 +100,6 @@
 			retryPolicy: this.#retryPolicy,
 			placer: this.#placer,
 			completion: this.#completion,
-			refusals: this.#refusals,
 			onCapacity: () => {
 				this.#capacityChanged = true;
 			},
@@ -167,7 +163,6 @@
 		const record = createRequestRecord({...req, organisation: identity.organisation}, route, table!);
 		this.#completion.countOrganisation('requests', record.req);
 		this.#stopDeadline.apply(record);
-		this.#refusals.exclude(record, now);
 		this.#records.set(req.requestId, record);
 		if (!route.split.some(({service}) => service === record.service)) {
 			// Another entry chose the service, under a document that this one has replaced since.
--- a/src/core/memory/state-kind.ts
+++ b/src/core/memory/state-kind.ts
@@ -7,7 +7,6 @@
 	/** Traits of requests that were answered in full. */
 	| 'served-traits'
 	/** Targets that refused a request. */
-	| 'refusals'
 	/** Targets that have reported themselves. */
 	| 'targets'
 	/** Claims of idempotency keys. */
--- a/src/core/memory/state-memory.ts
+++ b/src/core/memory/state-memory.ts
@@ -9,7 +9,6 @@
 	'prompt-parts': 0.25,
 	'stream-origins': 0.4,
 	'served-traits': 0.05,
-	refusals: 0.1,
 	targets: 0.2,
 	claims: 0.8,
 };
--- a/src/server/connection-pool.ts
+++ b/src/server/connection-pool.ts
@@ -21,7 +21,12 @@
 	readonly complete: () => void;
 };
 
-/** HTTP connections by origin, each of which carries one request at a time. */
+/**
+ * HTTP connections by origin, each of which carries one request at a time.
+ *
+ * A request is never sent twice on one connection, unless it was answered successfully: a faulty target may write an
+ * earlier answer once more, which nothing tells from the answer to the request that is in progress under the same key.
+ */
 export class ConnectionPool {
 	readonly #options: Client.Options;
 	readonly #connections = new Map<string, Set<PooledConnection>>();
@@ -31,13 +36,13 @@
 		this.#options = options;
 	}
 
-	/** Sends a request on an idle connection, or on a new one; resolves with the head of its answer. */
+	/** Sends a request on an idle connection that has not carried it, or on a new one; resolves with the head of its answer. */
 	async request({requestKey, ...options}: PooledRequest): Promise<PooledResponse> {
 		if (this.#isClosed) {
 			throw new Error('the connection pool is closed');
 		}
 
-		const connection = this.#take(options.origin);
+		const connection = this.#take(options.origin, requestKey);
 		const use = connection.begin(requestKey);
 		try {
 			const res = await connection.client.request(options);
@@ -64,11 +69,24 @@
 		await Promise.all(this.#end().map(async client => client.destroy()));
 	}
 
-	#take(origin: string): PooledConnection {
+	/** An idle connection that has not carried the request, or a new one. */
+	#take(origin: string, requestKey: string): PooledConnection {
+		let last: PooledConnection | undefined;
 		for (const connection of this.#connections.get(origin) ?? []) {
-			if (!connection.isBusy) {
+			if (connection.isBusy) {
+				continue;
+			}
+
+			if (!connection.hasFailed(requestKey) && !connection.isWornOut) {
 				return connection;
 			}
+
+			last = connection;
+		}
+
+		if (last !== undefined) {
+			// The new connection takes its place: the target may be at its limit.
+			this.#remove(origin, last);
 		}
 
 		return this.#open(origin);
--- a/src/server/pooled-connection.ts
+++ b/src/server/pooled-connection.ts
@@ -1,6 +1,9 @@
 import type {Client} from 'undici';
 import type {ConnectionUse} from '../core/common/connection-use.ts';
 
+/** Number of failed requests from which on a connection is not reused, which bounds what is remembered of them. */
+const maxFailed = 64;
+
 /** A connection that carries one request at a time. */
 export class PooledConnection {
 	static #count = 0;
@@ -17,10 +20,20 @@
 		this.client = client;
 	}
 
+	/** True if it has carried the request without a complete, successful answer. */
+	hasFailed(requestKey: string): boolean {
+		return this.#failed.has(requestKey);
+	}
+
+	/** True if it has carried too many failed requests to remember more of them. */
+	get isWornOut(): boolean {
+		return this.#failed.size >= maxFailed;
+	}
+
 	/** Records a request that is about to be sent. */
 	begin(requestKey: string): ConnectionUse {
 		const use = {
-			connection: this.#number, earlierRequests: this.#requests, earlierFailures: this.#failed.size, isRepeat: this.#failed.has(requestKey),
+			connection: this.#number, earlierRequests: this.#requests, earlierFailures: this.#failed.size, isRepeat: this.hasFailed(requestKey),
 		};
 		this.isBusy = true;
 		this.#requests += 1;
--- a/src/server/routes/entry-process.ts
+++ b/src/server/routes/entry-process.ts
@@ -57,7 +57,7 @@
 		this.#memory = new ProcessMemory({
 			memoryMb: settings.memoryMb,
 			descriptors: settings.descriptors,
-			stateKinds: ['prompt-parts', 'stream-origins', 'served-traits', 'refusals'],
+			stateKinds: ['prompt-parts', 'stream-origins', 'served-traits'],
 			onTurnedAway: kind => {
 				this.#host.metrics.count('clients_turned_away', kind);
 			},
--- a/test/core/memory/counted-map.test.ts
+++ b/test/core/memory/counted-map.test.ts
@@ -92,5 +92,5 @@
 		t.true(sum > 0.99 * maxBytes && sum < 1.01 * maxBytes);
 	}
 
-	t.throws(() => new StateMemory({kinds: ['targets']}).budget('refusals'));
+	t.throws(() => new StateMemory({kinds: ['targets']}).budget('prompt-parts'));
 });
--- /dev/null
+++ b/test/server/connection-pool.test.ts
@@ -0,0 +1,104 @@
+import {createServer, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {setImmediate as nextCycle, setTimeout as sleep} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {ConnectionPool} from '../../src/server/connection-pool.ts';
+import {targetConnector} from '../../src/server/target-connector.ts';
+
+const connectTimeoutMs = 2000;
+
+/** A target that answers as `answer` says, and a pool of connections to it. */
+async function start(t: ExecutionContext, answer: (res: ServerResponse) => void) {
+	const server = createServer((req, res) => {
+		req.resume();
+		answer(res);
+	});
+	const opened: string[] = [];
+	const open = new Set<string>();
+	server.on('connection', socket => {
+		const name = String(socket.remotePort);
+		opened.push(name);
+		open.add(name);
+		socket.on('close', () => open.delete(name));
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const pool = new ConnectionPool({connect: targetConnector(connectTimeoutMs), keepAliveTimeout: 10_000});
+	t.teardown(async () => {
+		await pool.destroy();
+		server.closeAllConnections();
+		server.close();
+	});
+	const origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+	const send = async (requestKey: string) => {
+		const {res, use, complete} = await pool.request({
+			origin, requestKey, path: '/', method: 'POST',
+		});
+		await res.body.dump();
+		if (res.statusCode === 200) {
+			complete();
+		}
+
+		// The HTTP client uses a connection again in the next cycle.
+		await nextCycle();
+		return use;
+	};
+
+	/** Number of open connections once those that are closed have gone. */
+	const openAfterwards = async () => {
+		for (let waited = 0; open.size > 1 && waited < 2000; waited += 20) {
+			await sleep(20); // eslint-disable-line no-await-in-loop
+		}
+
+		return open.size;
+	};
+
+	return {opened, openAfterwards, send};
+}
+
+test('a request that was refused goes out on the same connection again', async t => {
+	const {send, openAfterwards} = await start(t, res => res.writeHead(503).end());
+	const first = await send('a');
+	const other = await send('b');
+	t.is(other.connection, first.connection);
+	const again = await send('a');
+	t.not(again.connection, first.connection);
+	t.false(again.isRepeat);
+	t.is(await openAfterwards(), 1);
+});
+
+test('a target that refuses everything gets a new connection for each request', async t => {
+	const requests = 1000;
+	const {send, opened, openAfterwards} = await start(t, res => res.writeHead(503).end());
+	for (let count = 0; count < requests; count++) {
+		await send(`r${count}`); // eslint-disable-line no-await-in-loop
+	}
+
+	t.true(opened.length <= requests / 50, `${opened.length} connections for ${requests} requests`);
+	t.is(await openAfterwards(), 1);
+});
+
+test('a target that answers gets a new connection once its connection has carried many requests', async t => {
+	const {send, opened} = await start(t, res => res.writeHead(200).end('answer'));
+	for (let count = 0; count < 1000; count++) {
+		await send(`r${count}`); // eslint-disable-line no-await-in-loop
+	}
+
+	t.is(opened.length, 1);
+});
+
+test('requests that are in progress at once share a connection', async t => {
+	const waiting: ServerResponse[] = [];
+	const {send, opened} = await start(t, res => {
+		waiting.push(res);
+		if (waiting.length === 3) {
+			for (const each of waiting) {
+				each.writeHead(200).end('answer');
+			}
+		}
+	});
+	const uses = await Promise.all(['a', 'a', 'b'].map(async key => send(key)));
+	t.is(new Set(uses.map(({connection}) => connection)).size, 3);
+	t.is(opened.length, 3);
+});
