fix(gateway): a connection that is not used again is closed when it becomes idle, and later

A connection that had carried 64 failed requests was closed only when the next request needed another one, so that a target at its connection limit saw the new one before it had let go of the old one, and reset it: a request that may not run twice is then answered 502, though it was never taken. It is closed as soon as it is idle now, and after 256 failed requests.

--- a/src/server/connection-pool.ts
+++ b/src/server/connection-pool.ts
@@ -77,7 +77,7 @@
 				continue;
 			}
 
-			if (!connection.hasFailed(requestKey) && !connection.isWornOut) {
+			if (!connection.hasFailed(requestKey)) {
 				return connection;
 			}
 
@@ -97,6 +97,10 @@
 		connection.client
 			.on('drain', () => {
 				connection.isBusy = false;
+				if (connection.isWornOut) {
+					// Not only once a new connection takes its place: a target at its limit resets one that comes before it has noticed.
+					this.#remove(origin, connection);
+				}
 			})
 			.on('disconnect', () => {
 				this.#remove(origin, connection);
--- a/src/server/pooled-connection.ts
+++ b/src/server/pooled-connection.ts
@@ -2,7 +2,7 @@
 import type {ConnectionUse} from '../core/common/connection-use.ts';
 
 /** Number of failed requests from which on a connection is not reused, which bounds what is remembered of them. */
-const maxFailed = 64;
+const maxFailed = 256;
 
 /** A connection that carries one request at a time. */
 export class PooledConnection {
--- a/test/server/connection-pool.test.ts
+++ b/test/server/connection-pool.test.ts
@@ -54,7 +54,9 @@
 		return open.size;
 	};
 
-	return {opened, openAfterwards, send};
+	return {
+		opened, open, openAfterwards, send,
+	};
 }
 
 test('a request that was refused goes out on the same connection again', async t => {
@@ -79,6 +81,17 @@
 	t.is(await openAfterwards(), 1);
 });
 
+test('a target at its connection limit resets a new connection, since one that is not used again stays open until then', async t => {
+	const {send, opened, open} = await start(t, res => res.writeHead(503).end());
+	for (let count = 0; (count === 0 || open.size > 0) && count < 600; count++) {
+		await send(`r${count}`); // eslint-disable-line no-await-in-loop
+		await sleep(2); // eslint-disable-line no-await-in-loop
+	}
+
+	t.is(open.size, 0);
+	t.is(opened.length, 1);
+});
+
 test('a target that answers gets a new connection once its connection has carried many requests', async t => {
 	const {send, opened} = await start(t, res => res.writeHead(200).end('answer'));
 	for (let count = 0; count < 1000; count++) {
