fix(gateway): a connection takes the place of another once the target has ended that too

If the only idle connections had carried the request before, one was closed and a new one opened at once, which a target at its connection limit reset before it had noticed the end of the old one. The pool now ends its side and waits until the target has ended its own, for 100 ms at most.

--- a/src/server/connection-pool.ts
+++ b/src/server/connection-pool.ts
@@ -1,4 +1,4 @@
-import type {Client, Dispatcher} from 'undici';
+import type {buildConnector, Client, Dispatcher} from 'undici';
 import methods from 'undici/lib/api/index.js';
 import ClientClass from 'undici/lib/dispatcher/client.js';
 import DispatcherClass from 'undici/lib/dispatcher/dispatcher.js';
@@ -8,6 +8,8 @@
 // The index of undici does the same, but also loads fetch, WebSocket, caches and mocks, which lengthen the start of an entry.
 Object.assign(DispatcherClass.prototype, methods);
 
+type ConnectionPoolOptions = Client.Options & {readonly connect: buildConnector.connector};
+
 type PooledRequest = Omit<Dispatcher.RequestOptions, 'origin'> & {
 	readonly origin: string;
 	/** Identifies the request in its answer. */
@@ -28,21 +30,22 @@
  * earlier answer once more, which nothing tells from the answer to the request that is in progress under the same key.
  */
 export class ConnectionPool {
-	readonly #options: Client.Options;
+	readonly #options: ConnectionPoolOptions;
 	readonly #connections = new Map<string, Set<PooledConnection>>();
 	#isClosed = false;
 
-	constructor(options: Client.Options) {
+	constructor(options: ConnectionPoolOptions) {
 		this.#options = options;
 	}
 
 	/** Sends a request on an idle connection that has not carried it, or on a new one; resolves with the head of its answer. */
 	async request({requestKey, ...options}: PooledRequest): Promise<PooledResponse> {
-		if (this.#isClosed) {
-			throw new Error('the connection pool is closed');
+		let connection = this.#findIdle(options.origin, requestKey);
+		if (connection === undefined) {
+			await this.#endIdle(options.origin);
+			connection = this.#open(options.origin);
 		}
 
-		const connection = this.#take(options.origin, requestKey);
 		const use = connection.begin(requestKey);
 		try {
 			const res = await connection.client.request(options);
@@ -69,36 +72,39 @@
 		await Promise.all(this.#end().map(async client => client.destroy()));
 	}
 
-	/** An idle connection that has not carried the request, or a new one. */
-	#take(origin: string, requestKey: string): PooledConnection {
-		let last: PooledConnection | undefined;
+	/** An idle connection that has not carried the request. */
+	#findIdle(origin: string, requestKey: string): PooledConnection | undefined {
 		for (const connection of this.#connections.get(origin) ?? []) {
-			if (connection.isBusy) {
-				continue;
-			}
-
-			if (!connection.hasFailed(requestKey)) {
+			if (!connection.isBusy && !connection.hasFailed(requestKey)) {
 				return connection;
 			}
-
-			last = connection;
 		}
 
-		if (last !== undefined) {
-			// The new connection takes its place: the target may be at its limit.
-			this.#remove(origin, last);
-		}
+		return undefined;
+	}
 
-		return this.#open(origin);
+	/** Ends an idle connection, if there is one, before a new one takes its place: a target at its limit would reset that. */
+	async #endIdle(origin: string): Promise<void> {
+		for (const connection of this.#connections.get(origin) ?? []) {
+			if (!connection.isBusy) {
+				await connection.end(); // eslint-disable-line no-await-in-loop
+				this.#remove(origin, connection);
+				return;
+			}
+		}
 	}
 
 	#open(origin: string): PooledConnection {
-		const connection = new PooledConnection(new ClientClass(origin, {...this.#options, pipelining: 1}));
+		if (this.#isClosed) {
+			throw new Error('the connection pool is closed');
+		}
+
+		const connection = new PooledConnection(this.#options.connect, connect => new ClientClass(origin, {...this.#options, connect, pipelining: 1}));
 		connection.client
 			.on('drain', () => {
 				connection.isBusy = false;
 				if (connection.isWornOut) {
-					// Not only once a new connection takes its place: a target at its limit resets one that comes before it has noticed.
+					// Not only once a new connection takes its place, which would wait for its end.
 					this.#remove(origin, connection);
 				}
 			})
--- a/src/server/pooled-connection.ts
+++ b/src/server/pooled-connection.ts
@@ -1,9 +1,13 @@
-import type {Client} from 'undici';
+import type {Socket} from 'node:net';
+import type {buildConnector, Client} from 'undici';
 import type {ConnectionUse} from '../core/common/connection-use.ts';
 
 /** Number of failed requests from which on a connection is not reused, which bounds what is remembered of them. */
 const maxFailed = 256;
 
+/** Time for which a target may take to end its side of a connection, in milliseconds. */
+const maxEndMs = 100;
+
 /** A connection that carries one request at a time. */
 export class PooledConnection {
 	static #count = 0;
@@ -13,11 +17,17 @@
 	/** Requests that had no complete, successful answer. */
 	readonly #failed = new Set<string>();
 	#requests = 0;
+	#socket: Socket | undefined;
 
-	constructor(client: Client) {
+	constructor(connect: buildConnector.connector, createClient: (connect: buildConnector.connector) => Client) {
 		PooledConnection.#count += 1;
 		this.#number = PooledConnection.#count;
-		this.client = client;
+		this.client = createClient((options, callback) => {
+			connect(options, (...result) => {
+				this.#socket = result[1] ?? undefined;
+				callback(...result);
+			});
+		});
 	}
 
 	/** True if it has carried the request without a complete, successful answer. */
@@ -45,4 +55,22 @@
 	complete(requestKey: string): void {
 		this.#failed.delete(requestKey);
 	}
+
+	/** Ends an idle connection; resolves once the target has ended it too, and no longer counts it. */
+	async end(): Promise<void> {
+		this.isBusy = true;
+		const socket = this.#socket;
+		if (socket === undefined || socket.destroyed) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(resolve, maxEndMs);
+			socket.once('close', () => {
+				clearTimeout(timer);
+				resolve();
+			});
+			socket.end();
+		});
+	}
 }
--- a/test/server/connection-pool.test.ts
+++ b/test/server/connection-pool.test.ts
@@ -15,8 +15,11 @@
 	});
 	const opened: string[] = [];
 	const open = new Set<string>();
+	/** Number of connections that were open when each one was opened. */
+	const openBeside: number[] = [];
 	server.on('connection', socket => {
 		const name = String(socket.remotePort);
+		openBeside.push(open.size);
 		opened.push(name);
 		open.add(name);
 		socket.on('close', () => open.delete(name));
@@ -55,7 +58,7 @@
 	};
 
 	return {
-		opened, open, openAfterwards, send,
+		opened, open, openBeside, openAfterwards, send,
 	};
 }
 
@@ -92,6 +95,15 @@
 	t.is(opened.length, 1);
 });
 
+test('a target at its connection limit resets a new connection, since the one whose place it takes is still open', async t => {
+	const {send, openBeside} = await start(t, res => res.writeHead(503).end());
+	for (let count = 0; count < 50; count++) {
+		await send('a'); // eslint-disable-line no-await-in-loop
+	}
+
+	t.deepEqual(openBeside, Array.from({length: 50}, () => 0));
+});
+
 test('a target that answers gets a new connection once its connection has carried many requests', async t => {
 	const {send, opened} = await start(t, res => res.writeHead(200).end('answer'));
 	for (let count = 0; count < 1000; count++) {
