fix(gateway): a cancelled request opens no second connection to its target

Targets had two connections for each attempt that was cancelled: the HTTP client puts the cancelled request back into its queue when its connection closes, and connects once more before it drops it. Nothing is sent there, but the target may hold a slot for it, and it counts towards its limit.

A connection whose request has its head or has failed is now destroyed as it leaves the pool. Only a request that may not have been sent yet, since its idle connection was closing, still goes out on a replacement.

--- a/src/server/connection-pool.ts
+++ b/src/server/connection-pool.ts
@@ -8,6 +8,8 @@
 // The index of undici does the same, but also loads fetch, WebSocket, caches and mocks, which lengthen the start of an entry.
 Object.assign(DispatcherClass.prototype, methods);
 
+const ignore = () => undefined;
+
 type ConnectionPoolOptions = Client.Options & {readonly connect: buildConnector.connector};
 
 type PooledRequest = Omit<Dispatcher.RequestOptions, 'origin'> & {
@@ -49,6 +51,7 @@
 		const use = connection.begin(requestKey);
 		try {
 			const res = await connection.client.request(options);
+			connection.isAwaited = false;
 			return {
 				res,
 				use,
@@ -57,7 +60,9 @@
 				},
 			};
 		} catch (error) {
+			// Not only closed: for a request that was cancelled, the HTTP client would open another connection in vain.
 			this.#remove(options.origin, connection);
+			connection.client.destroy(ignore);
 			throw error;
 		}
 	}
@@ -88,7 +93,7 @@
 		for (const connection of this.#connections.get(origin) ?? []) {
 			if (!connection.isBusy) {
 				await connection.end(); // eslint-disable-line no-await-in-loop
-				this.#remove(origin, connection);
+				this.#retire(origin, connection);
 				return;
 			}
 		}
@@ -105,11 +110,17 @@
 				connection.isBusy = false;
 				if (connection.isWornOut) {
 					// Not only once a new connection takes its place, which would wait for its end.
-					this.#remove(origin, connection);
+					this.#retire(origin, connection);
 				}
 			})
 			.on('disconnect', () => {
-				this.#remove(origin, connection);
+				if (connection.isAwaited) {
+					// A request that came while the connection was being closed is still sent, on one that replaces it.
+					this.#retire(origin, connection);
+				} else {
+					this.#remove(origin, connection);
+					connection.client.destroy(ignore);
+				}
 			});
 		const connections = this.#connections.get(origin) ?? new Set();
 		this.#connections.set(origin, connections.add(connection));
@@ -117,17 +128,17 @@
 	}
 
 	/** Takes a connection out of the pool; it is closed once its request, if any, is answered. */
+	#retire(origin: string, connection: PooledConnection): void {
+		this.#remove(origin, connection);
+		connection.client.close(ignore);
+	}
+
 	#remove(origin: string, connection: PooledConnection): void {
 		const connections = this.#connections.get(origin);
-		if (connections?.delete(connection) !== true) {
-			return;
-		}
-
-		if (connections.size === 0) {
+		connections?.delete(connection);
+		if (connections?.size === 0) {
 			this.#connections.delete(origin);
 		}
-
-		connection.client.close(() => undefined);
 	}
 
 	#end(): readonly Client[] {
--- a/src/server/pooled-connection.ts
+++ b/src/server/pooled-connection.ts
@@ -13,6 +13,8 @@
 	static #count = 0;
 	readonly client: Client;
 	isBusy = false;
+	/** True while its request may not have been sent yet: neither the head of an answer nor a failure has come. */
+	isAwaited = false;
 	readonly #number: number;
 	/** Requests that had no complete, successful answer. */
 	readonly #failed = new Set<string>();
@@ -46,6 +48,7 @@
 			connection: this.#number, earlierRequests: this.#requests, earlierFailures: this.#failed.size, isRepeat: this.hasFailed(requestKey),
 		};
 		this.isBusy = true;
+		this.isAwaited = true;
 		this.#requests += 1;
 		this.#failed.add(requestKey);
 		return use;
--- a/test/server/connection-pool.test.ts
+++ b/test/server/connection-pool.test.ts
@@ -6,6 +6,8 @@
 import {targetConnector} from '../../src/server/target-connector.ts';
 
 const connectTimeoutMs = 2000;
+/** Time within which a connection is opened or closed, in milliseconds. */
+const settleMs = 100;
 
 /** A target that answers as `answer` says, and a pool of connections to it. */
 async function start(t: ExecutionContext, answer: (res: ServerResponse) => void) {
@@ -58,7 +60,7 @@
 	};
 
 	return {
-		opened, open, openBeside, openAfterwards, send,
+		pool, origin, opened, open, openBeside, openAfterwards, send,
 	};
 }
 
@@ -127,3 +129,30 @@
 	t.is(new Set(uses.map(({connection}) => connection)).size, 3);
 	t.is(opened.length, 3);
 });
+
+for (const cut of ['head', 'end'] as const) {
+	// Guards against work and connections that targets have for requests that are not sent on them.
+	test(`a request that is cancelled before the ${cut} of its answer opens another connection, on which nothing is sent`, async t => {
+		const {pool, origin, opened} = await start(t, res => {
+			if (cut === 'end') {
+				res.writeHead(200).write('half');
+			}
+		});
+		const abort = new AbortController();
+		const answer = pool.request({
+			origin, requestKey: 'a', path: '/', method: 'POST', signal: abort.signal,
+		});
+		if (cut === 'end') {
+			const {res} = await answer;
+			res.body.on('error', () => undefined).destroy();
+		} else {
+			setTimeout(() => {
+				abort.abort();
+			}, settleMs);
+			await t.throwsAsync(answer, {any: true});
+		}
+
+		await sleep(settleMs);
+		t.is(opened.length, 1);
+	});
+}
