fix(gateway): a refusal of another entry counts only for the attempt that it names

A service's own problem document (422, "out of stock") became 502 or 409 for the caller instead of being passed on, and one with "ran": "no", or a refusal of an earlier request of the connection, told of an order that runs that it has not run, so that it was sent again. Unlike targets, entries named no attempt in their answers. Also, a service's 429 with Lovageferry-Ran: no was passed on as its answer, also if it named no attempt.

A refusal without the attempt's id, as from earlier builds, counts as one after which the request may have run.

--- a/src/server/api-server.ts
+++ b/src/server/api-server.ts
@@ -2,6 +2,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {constants} from '../settings/constants.ts';
+import {attemptHeader} from './attempt-header.ts';
 import {ListenError} from './listen-error.ts';
 import type {HttpRoute} from './http-route.ts';
 import {log} from './log.ts';
@@ -37,6 +38,12 @@
 			noDelay: true,
 		});
 		this.#connections = new ServerConnections(this.#server, {memory, kind: 'callers'}, (req, res, hold) => {
+			const attemptId = req.headers[attemptHeader];
+			if (attemptId !== undefined) {
+				// Whatever the answer is, the entry that forwarded the request can tell which attempt it is for.
+				res.setHeader(attemptHeader, attemptId);
+			}
+
 			if (hold.start()) {
 				void this.#handle(req, res);
 			} else {
--- a/src/server/attempt-response-reader.ts
+++ b/src/server/attempt-response-reader.ts
@@ -12,6 +12,7 @@
 import type {ProblemDocument} from './problem-document.ts';
 import {MemoryHold} from './memory-hold.ts';
 import type {ProcessMemory} from './process-memory.ts';
+import {ranHeader} from './ran-header.ts';
 import {checkFinalStatus} from './check-final-status.ts';
 import {describeAnswerBody} from './describe-answer-body.ts';
 import {isTruncated} from './is-truncated.ts';
@@ -104,10 +105,13 @@
 	}
 
 	async #throwOnFailure(res: Dispatcher.ResponseData, head: ResponseHead): Promise<void> {
-		if (this.#action.forwardTo && head.contentType.startsWith('application/problem+json')) {
-			const problem = await readProblem(res);
+		const isNamed = header(res, attemptHeader) === this.#action.attemptId;
+		const ran = header(res, ranHeader);
+		// Without `ran` it is the document of a service, unless the entry is of an earlier build, which names no attempt.
+		if (this.#action.forwardTo && head.contentType.startsWith('application/problem+json') && (ran !== undefined || !isNamed)) {
+			const refusal = peerRefusal(await readProblem(res), isNamed && ran === 'no' ? 'no' : 'maybe');
 			throw new TargetError('refused', {
-				refusal: peerRefusal(problem), status: head.status, notRun: problem.ran === 'no', retryAfterMs: problem.retryAfterMs,
+				refusal, status: head.status, notRun: refusal.ran === 'no', retryAfterMs: refusal.retryAfterMs,
 			});
 		}
 
@@ -117,14 +121,14 @@
 			throw new TargetError('error-status', {status: head.status});
 		}
 
-		const isServiceAnswer = this.#request.info.kind === 'call' && relayedServiceStatuses.has(head.status);
+		const isServiceAnswer = this.#request.info.kind === 'call' && relayedServiceStatuses.has(head.status) && ran !== 'no';
 		if (!failureStatuses.has(head.status) || isServiceAnswer || this.#action.forwardTo) {
 			return;
 		}
 
 		await res.body.dump();
 		// A refusal that does not name the attempt may be an earlier one that was written once more.
-		const notRun = header(res, 'lovageferry-ran') === 'no' && header(res, attemptHeader) === this.#action.attemptId;
+		const notRun = ran === 'no' && isNamed;
 		throw new TargetError(notRun ? 'refused' : 'error-status', {
 			status: head.status,
 			notRun,
@@ -182,7 +186,7 @@
 
 			if (event.type === 'error') {
 				await this.#writeText(raw, head); // eslint-disable-line no-await-in-loop
-				throw new TargetError('truncated', {refusal: this.#action.forwardTo && peerRefusal(event.error as ProblemDocument)});
+				throw new TargetError('truncated', {refusal: this.#action.forwardTo && peerRefusal(event.error as ProblemDocument, 'maybe')});
 			}
 
 			// The first event may make this attempt the one that writes, which has to be so before the event is recorded.
@@ -356,8 +360,8 @@
 	return Array.isArray(value) ? value[0] : value;
 }
 
-function peerRefusal(problem: ProblemDocument): Refusal {
+function peerRefusal({result, retryAfterMs, detail}: ProblemDocument, ran: Refusal['ran']): Refusal {
 	return {
-		result: problem.result, ran: problem.ran, retryAfterMs: problem.retryAfterMs, detail: problem.detail,
+		result, ran, retryAfterMs, detail,
 	};
 }
--- a/src/server/send-problem.ts
+++ b/src/server/send-problem.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {ProblemDocument} from './problem-document.ts';
+import {ranHeader} from './ran-header.ts';
 
 /** Sends a problem document, with `Retry-After` in whole seconds (at least 1) if it has `retryAfterMs`. Does nothing if a response was started. */
 export function sendProblem(res: ServerResponse, problem: ProblemDocument): void {
@@ -7,7 +8,7 @@
 		return;
 	}
 
-	const headers: Record<string, string> = {'content-type': 'application/problem+json'};
+	const headers: Record<string, string> = {'content-type': 'application/problem+json', [ranHeader]: problem.ran};
 	if (problem.retryAfterMs !== undefined) {
 		headers['retry-after'] = String(Math.max(1, Math.ceil(problem.retryAfterMs / 1000)));
 	}
--- /dev/null
+++ b/test/server/refusals-of-entries.test.ts
@@ -0,0 +1,100 @@
+import {Buffer} from 'node:buffer';
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {Socket} from 'node:net';
+import test, {type ExecutionContext} from 'ava';
+import type {AttemptId} from '../../src/core/ids/attempt-id.ts';
+import type {CoreEvent} from '../../src/core/events.ts';
+import type {NodeId} from '../../src/core/ids/node-id.ts';
+import type {TargetId} from '../../src/core/ids/target-id.ts';
+import {toId} from '../../src/core/ids/to-id.ts';
+import {ApiServer} from '../../src/server/api-server.ts';
+import {AttemptClient} from '../../src/server/attempt-client.ts';
+import {CallerRequest} from '../../src/server/caller-request.ts';
+import {PeerToken} from '../../src/server/peer-token.ts';
+import {ProcessMemory} from '../../src/server/process-memory.ts';
+import {makeProblem} from '../../src/server/make-problem.ts';
+import {sendProblem} from '../../src/server/send-problem.ts';
+import {PortBlock} from '../harness/port-block.ts';
+import {RawTarget} from '../fakes/raw-target.ts';
+import {requestInfoFixture} from '../fixtures/request-info-fixture.ts';
+
+const refusal = JSON.stringify(makeProblem({result: 'overloaded', ran: 'no', retryAfterMs: 1000}, {region: 'winnipeg', revision: 1}));
+
+function answer(status: string, headers: readonly string[], body: string): string {
+	return [`HTTP/1.1 ${status}`, ...headers, `Content-Length: ${body.length}`, '', body].join('\r\n');
+}
+
+/** Sends an order to another entry, or to a target, that sends these bytes; returns the event that ends the attempt. */
+async function outcomeOf(t: ExecutionContext, bytes: string, hop: 'entry' | 'target'): Promise<CoreEvent> {
+	const target = new RawTarget(() => ({bytes, end: 'never'}));
+	await target.listen();
+	t.teardown(async () => target.close());
+	return send(t, target.address, hop);
+}
+
+async function send(t: ExecutionContext, address: string, hop: 'entry' | 'target'): Promise<CoreEvent> {
+	const info = requestInfoFixture({kind: 'call', streamed: false});
+	return new Promise(resolve => {
+		const client = new AttemptClient({
+			self: {nodeId: 'regina-1', region: 'regina'},
+			token: new PeerToken(() => ['key']),
+			memory: new ProcessMemory(),
+			step(event) {
+				if (event.type === 'attempt-end' || event.type === 'attempt-failed') {
+					resolve(event);
+				}
+			},
+		});
+		t.teardown(async () => client.close());
+		client.start({
+			type: 'start-attempt', requestId: info.requestId, attemptId: toId<AttemptId>('attempt-2'), address,
+			...hop === 'entry' ? {forwardTo: toId<NodeId>('winnipeg-1')} : {targetId: toId<TargetId>('d1')},
+			revision: 1, claimed: true, resume: false, standby: false, deadlineMs: 3000, firstByteMs: 3000, silenceMs: 3000, keepBytes: 0,
+		}, new CallerRequest({
+			info, body: Buffer.from('order'), method: 'POST', targetPath: '/orders', headers: {}, res: new ServerResponse(new IncomingMessage(new Socket())), memory: new ProcessMemory(),
+		}));
+	});
+}
+
+const problem = 'Content-Type: application/problem+json';
+
+for (const [name, headers] of [
+	['names an earlier attempt, written again', ['Lovageferry-Attempt: attempt-1', 'Lovageferry-Ran: no']],
+	['names no attempt', []],
+] as const) {
+	test(`an order that runs behind another entry is said not to have run: the refusal ${name}`, async t => {
+		const outcome = await outcomeOf(t, answer('503 Service Unavailable', [problem, ...headers], refusal), 'entry');
+		t.like(outcome, {type: 'attempt-failed', failure: {notSent: false}});
+		t.not(outcome.type === 'attempt-failed' && outcome.failure.refusal?.ran, 'no');
+	});
+}
+
+test('the problem document of a service behind another entry is taken for a refusal of that entry', async t => {
+	const outcome = await outcomeOf(t, answer('422 Unprocessable Content', [problem, 'Lovageferry-Attempt: attempt-2'], '{"title":"out of stock","ran":"no"}'), 'entry');
+	t.is(outcome.type, 'attempt-end');
+});
+
+test('an entry whose refusal names no attempt can\'t be believed that an order has not run', async t => {
+	const ports = await PortBlock.reserve();
+	const port = ports.next();
+	const server = new ApiServer({
+		listen: {host: '127.0.0.1', port},
+		routes: [{
+			method: '*', path: '/', handle(_req, res) {
+				sendProblem(res, makeProblem({result: 'overloaded', ran: 'no', retryAfterMs: 1000}, {region: 'winnipeg', revision: 1}));
+			},
+		}],
+	});
+	await server.open();
+	t.teardown(async () => {
+		await server.close();
+		ports.release();
+	});
+	const outcome = await send(t, `127.0.0.1:${port}`, 'entry');
+	t.like(outcome, {type: 'attempt-failed', failure: {reason: 'refused', notSent: true, refusal: {result: 'overloaded', ran: 'no'}}});
+});
+
+test('the refusal of a service that names no attempt is passed on as its answer', async t => {
+	const outcome = await outcomeOf(t, answer('429 Too Many Requests', ['Lovageferry-Ran: no'], ''), 'target');
+	t.like(outcome, {type: 'attempt-failed', failure: {reason: 'error-status', notSent: false}});
+});
