--- a/src/core/attempts/attempt-log.ts
+++ b/src/core/attempts/attempt-log.ts
@@ -1,10 +1,11 @@
 import type {Outbox} from '../common/outbox.ts';
 import type {Millis} from '../ids/millis.ts';
+import type {AttemptFailure} from './attempt-failure.ts';
 import type {AttemptState} from './attempt-state.ts';
 import type {CancelCause} from './cancel-cause.ts';
 import type {RequestState} from './request-state.ts';
 
-/** Logs how the attempts of a request begin and are cancelled, so that it can be read for how long two targets had it at once. Nothing is logged of a request with a single attempt. */
+/** Logs how the attempts of a request begin and are cancelled, so that it can be read for how long two targets had it at once, and what says of an attempt that it has not run. Nothing else is logged of a request with a single attempt. */
 export class AttemptLog {
 	readonly #outbox: Outbox;
 
@@ -46,6 +47,21 @@
 		});
 	}
 
+	/** Logs that an attempt has certainly not run, and what says so: an answer, or that no connection was made. */
+	notRun({req}: RequestState, attempt: AttemptState, {reason, status, retryAfterMs, refusal, use}: AttemptFailure, now: Millis): void {
+		const fields = {
+			request: req.requestId, target: placeOf(attempt), attempt: attempt.attemptId, afterMs: Math.round(now - attempt.startedAt),
+		};
+		if (reason === 'connect') {
+			this.#outbox.event('attempt-not-sent', {...fields, reason});
+			return;
+		}
+
+		this.#outbox.event('attempt-not-run', {
+			...fields, reason: refusal?.result ?? reason, status, retryAfterMs, ...use,
+		});
+	}
+
 	#logStart({req}: RequestState, attempt: AttemptState, fields: Readonly<Record<string, unknown>>, now: Millis): void {
 		this.#outbox.event('attempt-started', {
 			request: req.requestId,
--- a/src/core/attempts/attempt-runner.ts
+++ b/src/core/attempts/attempt-runner.ts
@@ -157,7 +157,7 @@
 	fail(state: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Millis): void {
 		this.#parts.outbox.count('attempt_failures', failure.reason);
 		attempt.tokens = Math.max(attempt.tokens, failure.tokens);
-		state.mayHaveRun ||= !isCertainlyNotRun(failure);
+		this.#recordWhetherRun(state, attempt, failure, now);
 		if (failure.passedOn && !state.partiallyAnswered) {
 			state.partiallyAnswered = true;
 			state.softwareVersion = softwareVersionOf(attempt);
@@ -173,7 +173,7 @@
 	failKept(state: RequestState, failure: AttemptFailure, now: Millis): void {
 		const {attempt, stoppedForGuard} = state.kept!;
 		this.#parts.outbox.count('attempt_failures', failure.reason);
-		state.mayHaveRun ||= !isCertainlyNotRun(failure);
+		this.#recordWhetherRun(state, attempt, failure, now);
 		this.#recordFailedConnection(attempt, failure, now);
 		if (!stoppedForGuard) {
 			this.#suspectIfBroken(state, attempt, failure, now);
@@ -322,6 +322,14 @@
 		}, now);
 	}
 
+	#recordWhetherRun(state: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Millis): void {
+		if (isCertainlyNotRun(failure)) {
+			this.#log.notRun(state, attempt, failure, now);
+		} else {
+			state.mayHaveRun = true;
+		}
+	}
+
 	/** A connection that breaks after the request was sent may mean a crash: the request becomes a suspect at once. */
 	#suspectIfBroken(state: RequestState, attempt: AttemptState, failure: AttemptFailure, now: Millis): void {
 		if (isConnectionBroken(failure)) {
--- a/src/core/events.ts
+++ b/src/core/events.ts
@@ -1,3 +1,4 @@
+import type {ConnectionUse} from './common/connection-use.ts';
 import type {JournalName} from './common/journal-name.ts';
 import type {AttemptId} from './ids/attempt-id.ts';
 import type {NodeId} from './ids/node-id.ts';
@@ -51,4 +52,6 @@
 	/** HTTP status of the target's response, if it sent one. */
 	readonly status?: number;
 	readonly retryAfterMs?: number;
+	/** The connection on which an answer came; absent without one. */
+	readonly use?: ConnectionUse;
 };
--- a/src/server/attempt-client.ts
+++ b/src/server/attempt-client.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {Action} from '../core/actions.ts';
+import type {ConnectionUse} from '../core/common/connection-use.ts';
 import type {CoreEvent} from '../core/events.ts';
 import type {AttemptId} from '../core/ids/attempt-id.ts';
 import {constants} from '../settings/constants.ts';
@@ -62,6 +63,7 @@
 		const reader = new AttemptResponseReader({
 			action, request, step, memory,
 		});
+		let use: ConnectionUse | undefined;
 		try {
 			const isPresent = await request.presence.confirm();
 			if (abort.signal.aborted) {
@@ -79,12 +81,13 @@
 				return;
 			}
 
-			const {res, complete} = await this.#connections.request(this.#requestOptions(action, request, abort.signal));
-			await reader.read(res);
-			complete();
+			const answer = await this.#connections.request(this.#requestOptions(action, request, abort.signal));
+			use = answer.use;
+			await reader.read(answer.res);
+			answer.complete();
 		} catch (error) {
 			if (!abort.signal.aborted && !reader.ended) {
-				this.#options.step({type: 'attempt-failed', attemptId: action.attemptId, failure: attemptFailure(error, reader)});
+				this.#options.step({type: 'attempt-failed', attemptId: action.attemptId, failure: attemptFailure(error, reader, use)});
 			}
 		} finally {
 			this.#abortControllers.delete(action.attemptId);
--- a/src/server/attempt-failure.ts
+++ b/src/server/attempt-failure.ts
@@ -1,3 +1,4 @@
+import type {ConnectionUse} from '../core/common/connection-use.ts';
 import type {CoreEvent} from '../core/events.ts';
 import type {AttemptResponseReader} from './attempt-response-reader.ts';
 import {ConnectError} from './connect-error.ts';
@@ -8,9 +9,9 @@
 
 const timeoutErrorCodes = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
 
-/** Converts an error of an attempt to the failure that is reported to the core; an error without a known code counts as `reset`. */
-export function attemptFailure(error: unknown, reader: Pick<AttemptResponseReader, 'passedOn' | 'tokens'>): Failure {
-	const base = {passedOn: reader.passedOn, tokens: reader.tokens};
+/** Converts an error of an attempt to the failure that is reported to the core; an error without a known code counts as `reset`. `use` is the connection on which an answer came, if any. */
+export function attemptFailure(error: unknown, reader: Pick<AttemptResponseReader, 'passedOn' | 'tokens'>, use?: ConnectionUse): Failure {
+	const base = {passedOn: reader.passedOn, tokens: reader.tokens, use};
 	if (error instanceof TargetError) {
 		return {
 			...base,
--- a/test/core/attempts/two-targets-at-work.test.ts
+++ b/test/core/attempts/two-targets-at-work.test.ts
@@ -194,3 +194,20 @@
 		request: 'r1', target: 'engine-2', attempt: successor, reason: 'outrun', sentForMs: 500, other: 'engine-1', overlapMs: undefined, bothSentMs: 500,
 	}]);
 });
+
+// Guards against refusals as not run of which the log doesn't tell what they rest on.
+test('the log does not tell which answer, on which connection, says that an attempt has not run', t => {
+	const harness = new CoordinatorHarness();
+	harness.targets.add('engine-1');
+	const use = {
+		connection: 7, earlierRequests: 3, earlierFailures: 1, isRepeat: false,
+	};
+	const {attemptId} = harness.request('r1')!;
+	harness.advance(20);
+	harness.fail(attemptId, {
+		reason: 'refused', notSent: true, status: 503, use,
+	});
+	t.like(events(harness, 'attempt-not-run'), [{
+		request: 'r1', target: 'engine-1', attempt: attemptId, reason: 'refused', status: 503, afterMs: 20, ...use,
+	}]);
+});
