fix(gateway): a connection whose refusal named no request carries no other one

Callers got 503, "not run", for a request that ran: the target (or an entry of an earlier build) had refused an earlier request without naming it, and wrote that refusal once more while this one, which had no id (at an entry: whatever its id), was under way on the same connection. No connection carries a request again under its id, but an answer that names none fits each.

An unsuccessful answer that names no request now takes its connection out of the pool, so that a refusal of an earlier build's entry is still understood, and no copy of it finds another request.

--- a/src/server/connection-pool.ts
+++ b/src/server/connection-pool.ts
@@ -2,8 +2,8 @@
 import methods from 'undici/lib/api/index.js';
 import ClientClass from 'undici/lib/dispatcher/client.js';
 import DispatcherClass from 'undici/lib/dispatcher/dispatcher.js';
-import type {ConnectionUse} from '../core/common/connection-use.ts';
 import {PooledConnection} from './pooled-connection.ts';
+import type {PooledResponse} from './pooled-response.ts';
 
 // The index of undici does the same, but also loads fetch, WebSocket, caches and mocks, which lengthen the start of an entry.
 Object.assign(DispatcherClass.prototype, methods);
@@ -18,13 +18,6 @@
 	readonly requestKey: string;
 };
 
-type PooledResponse = {
-	readonly res: Dispatcher.ResponseData;
-	readonly use: ConnectionUse;
-	/** To be called once the answer was read to its end, if it is a complete, successful one. */
-	readonly complete: () => void;
-};
-
 /**
  * HTTP connections by origin, each of which carries one request at a time.
  *
@@ -58,6 +51,9 @@
 				complete() {
 					connection.complete(requestKey);
 				},
+				retire: () => {
+					this.#remove(options.origin, connection);
+				},
 			};
 		} catch (error) {
 			// Not only closed: for a request that was cancelled, the HTTP client would open another connection in vain.
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -115,7 +115,7 @@
 			}
 
 			const pool = action.targetId === undefined ? this.#entries : (action.fresh ? this.#shortKeepAliveTargets : this.#targets);
-			const {res, use, complete} = await pool.request({
+			const answer = await pool.request({
 				origin: `http://${this.#options.forwards[action.address] ?? action.address}`,
 				requestKey: exchange.edgeRequest.callerKey,
 				method: exchange.head.method,
@@ -135,9 +135,7 @@
 				},
 				signal: abortController.signal,
 			});
-			if (await reader.read(res, use)) {
-				complete();
-			}
+			await reader.read(answer);
 		} catch (error) {
 			const {code = ''} = error as {code?: string};
 			if (this.#running.has(attempt)) {
--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -1,6 +1,5 @@
 import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
-import type {ConnectionUse} from '../../core/common/connection-use.ts';
 import type {EdgeAction} from '../../core/edge/edge-action.ts';
 import type {EdgeEvent} from '../../core/edge/edge-event.ts';
 import {isSuccess} from '../../core/edge/is-success.ts';
@@ -8,6 +7,7 @@
 import type {AnswerBody} from '../answer-body.ts';
 import {AnswerLimitError} from '../answer-limit-error.ts';
 import {MemoryHold} from '../memory-hold.ts';
+import type {PooledResponse} from '../pooled-response.ts';
 import type {ProcessMemory} from '../process-memory.ts';
 import {checkFinalStatus} from '../check-final-status.ts';
 import {describeAnswerBody} from '../describe-answer-body.ts';
@@ -73,8 +73,8 @@
 		exchange.sendAnswer(this.#status, this.#callerHeaders(), this.#body);
 	}
 
-	/** Reads an answer to its end; returns true if it is complete and successful. */
-	async read(res: Dispatcher.ResponseData, use: ConnectionUse): Promise<boolean> {
+	/** Reads an answer to its end. */
+	async read({res, use, complete, retire}: PooledResponse): Promise<void> {
 		const {action: {attempt, stream, targetId}, exchange, codec, step} = this.#options;
 		// An aborted body emits an error, which would be uncaught once nothing reads it.
 		res.body.on('error', () => undefined);
@@ -89,12 +89,16 @@
 		this.#headers = res.headers as unknown as string[];
 		const {head, key} = codec.readAnswer(res.statusCode, this.#headers);
 		this.#leaving = head.leaving ?? false;
+		if (key === undefined && !isSuccess(res.statusCode)) {
+			retire();
+		}
+
 		// Entries of earlier builds name no request in their refusals; a target that names none may have written an earlier answer once more.
 		const isNameless = key === undefined && (targetId === undefined || exchange.head.key === '');
 		if (!isNameless && key !== exchange.head.key) {
 			step({type: 'attempt-failed', attempt, failure: {reason: 'foreign-answer', notSent: false}});
 			res.body.destroy();
-			return false;
+			return;
 		}
 
 		const header = (name: string) => findHeader(this.#headers, name);
@@ -108,7 +112,7 @@
 			},
 		});
 		if (this.#stopped) {
-			return false;
+			return;
 		}
 
 		if (!this.#streaming && isSuccess(res.statusCode)) {
@@ -121,11 +125,13 @@
 		try {
 			const truncated = await (this.#streaming ? this.#readStream(res, description, hold) : this.#readBuffered(res, description, hold));
 			if (this.#stopped) {
-				return false;
+				return;
 			}
 
 			step({type: 'attempt-end', attempt, truncated});
-			return !truncated && isSuccess(res.statusCode);
+			if (!truncated && isSuccess(res.statusCode)) {
+				complete();
+			}
 		} finally {
 			hold.close();
 		}
