fix(gateway): only an entry can say that an entry refused a request

A target whose answer bears the header lovageferry-refused was taken for one that had not run the request, whatever its status and voucher: the caller got 503, and a successful answer was thrown away; the header was passed on, so that an entry that had forwarded the request believed the same.

--- a/src/server/routes/request-codec.ts
+++ b/src/server/routes/request-codec.ts
@@ -12,8 +12,8 @@
 	readRequest(req: {method: string; url: string; rawHeaders: RawHeaders}): RequestHead;
 	/** Headers of a request to a target or to another entry, without those that describe its body. */
 	outgoingHeaders(head: RequestHead, options: OutgoingHeaderOptions): string[];
-	/** Reads the platform's part of the head of an answer; `key` is the caller's id of the request that it answers, undefined if the answer names none. */
-	readAnswer(status: number, rawHeaders: RawHeaders): {head: Omit<AnswerHead, 'unframed' | 'eventStream'>; key?: string};
+	/** Reads the platform's part of the head of an answer; `key` is the caller's id of the request that it answers, undefined if the answer names none. What entries tell each other is read from an entry only. `sender`: `target` by default. */
+	readAnswer(status: number, rawHeaders: RawHeaders, sender?: 'target' | 'entry'): {head: Omit<AnswerHead, 'unframed' | 'eventStream'>; key?: string};
 	/** Headers by which an answer names the request with the caller's id `key`, in alternating names and values; none for a request without an id. */
 	namingHeaders(key: string): string[];
 	/** Headers of a target's answer that the caller receives, without those that describe its body. */
--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -87,7 +87,7 @@
 
 		this.#status = res.statusCode;
 		this.#headers = res.headers as unknown as string[];
-		const {head, key} = codec.readAnswer(res.statusCode, this.#headers);
+		const {head, key} = codec.readAnswer(res.statusCode, this.#headers, targetId === undefined ? 'entry' : 'target');
 		this.#leaving = head.leaving ?? false;
 		if (key === undefined && !isSuccess(res.statusCode)) {
 			retire();
