fix(gateway): a connection that carries no other request is closed once its answer has been read

Targets kept a connection that nothing more would come on, up to its keep-alive timeout, and counted it towards their limit: after an answer that names no request the connection left the pool, but was not closed. It is closed once its answer has been read.

--- a/src/server/connection-pool.ts
+++ b/src/server/connection-pool.ts
@@ -52,7 +52,7 @@
 					connection.complete(requestKey);
 				},
 				retire: () => {
-					this.#remove(options.origin, connection);
+					this.#retire(options.origin, connection);
 				},
 			};
 		} catch (error) {
