--- a/test/server/http-interface.test.ts
+++ b/test/server/http-interface.test.ts
@@ -179,6 +179,13 @@
 	t.like(problem, {code: 1001, ran: 'no'});
 });
 
+// Guards against refusals that the entry that forwarded the request can't tell from those of earlier requests, or from answers of services.
+test('a refusal of an entry names no attempt, or does not say whether it ran', async t => {
+	const res = await request(url('/v1/chat/completions'), {method: 'POST', headers: {'lovageferry-attempt': 'attempt-1'}, body: validBody});
+	await res.body.dump();
+	t.like(res.headers, {'lovageferry-attempt': 'attempt-1', 'lovageferry-ran': 'no'});
+});
+
 test('a connection whose headers never end is closed within 45 seconds', async t => {
 	const [host, port] = launcher.address(entry.node).split(':');
 	const socket = connect(Number(port), host);
--- a/test/server/routes/manners-of-copies.test.ts
+++ b/test/server/routes/manners-of-copies.test.ts
@@ -117,7 +117,8 @@
 			for (const isNamed of [true, false]) {
 				const refusal = isNamed ? 'refusal' : 'refusal without an id';
 				test(`a request that runs is said not to have run, by a copy of a ${refusal} of this ${hop} that comes ${manner}; it has ${name}`, async t => {
-					const {address, runs} = await listen(t, options, key => ['HTTP/1.1 503 Refused', marks[hop], ...isNamed ? [`Request-Identifier: ${key}`] : [], 'Content-Length: 7', '', 'refused'].join('\r\n'));
+					const id = (key: string) => isNamed ? [`Request-Identifier: ${key}`] : [];
+					const {address, runs} = await listen(t, options, key => ['HTTP/1.1 503 Refused', marks[hop], ...id(key), 'Content-Length: 7', '', 'refused'].join('\r\n'));
 					const [, second] = await sendBoth(t, address, keys, {hop, body: options.body});
 					t.is(runs.length, 1);
 					t.false(second!.type === 'attempt-head' && second.head.notRun);
