fix(gateway): a promise that no entry wrote is not passed on as a service's answer

On the settings tree whatever an entry that a request was forwarded to answered without a problem document was passed on: also a 503, 429, 408 or 421 of something in front of that entry, which tells callers that an order that runs there has not run. An entry names the attempt in each answer; these statuses without it now count as a failure after which the request may have run. Nor is any 502, 503 or 504 passed on any more: an entry passes on none of a service. A service's own 429 behind another entry still is; one behind an entry of an earlier build, which names no attempt, counts as a failure.

--- a/src/server/attempt-response-reader.ts
+++ b/src/server/attempt-response-reader.ts
@@ -2,6 +2,7 @@
 import {StringDecoder} from 'node:string_decoder';
 import type {Dispatcher} from 'undici';
 import type {Action} from '../core/actions.ts';
+import {isPromise} from '../core/edge/is-promise.ts';
 import type {CoreEvent} from '../core/events.ts';
 import type {StoredAnswer} from '../core/ledger/stored-answer.ts';
 import type {Refusal} from '../core/results/refusal.ts';
@@ -122,7 +123,9 @@
 		}
 
 		const isServiceAnswer = this.#request.info.kind === 'call' && relayedServiceStatuses.has(head.status) && ran !== 'no';
-		if (!failureStatuses.has(head.status) || isServiceAnswer || this.#action.forwardTo) {
+		// An entry names the attempt in each answer: what stands in front of it knows nothing of the request.
+		const isForeignPromise = this.#action.forwardTo !== undefined && !isNamed && isPromise(head.status);
+		if (!isForeignPromise && (!failureStatuses.has(head.status) || isServiceAnswer)) {
 			return;
 		}
 
--- a/test/server/refusals-of-entries.test.ts
+++ b/test/server/refusals-of-entries.test.ts
@@ -98,3 +98,16 @@
 	const outcome = await outcomeOf(t, answer('429 Too Many Requests', ['Lovageferry-Ran: no'], ''), 'target');
 	t.like(outcome, {type: 'attempt-failed', failure: {reason: 'error-status', notSent: false}});
 });
+
+for (const status of ['503 Service Unavailable', '429 Too Many Requests', '408 Request Timeout', '421 Misdirected Request']) {
+	// Guards against an order that runs behind another entry, while something in front of that entry answers for it.
+	test(`a status that says "not run", of an answer that no entry wrote, is passed on as the answer of a service: ${status}`, async t => {
+		const outcome = await outcomeOf(t, answer(status, ['Content-Type: text/html'], '<html></html>'), 'entry');
+		t.like(outcome, {type: 'attempt-failed', failure: {reason: 'error-status', notSent: false}});
+	});
+}
+
+test('a service behind another entry can\'t ask its callers for fewer requests', async t => {
+	const outcome = await outcomeOf(t, answer('429 Too Many Requests', ['Content-Type: text/plain', 'Lovageferry-Attempt: attempt-2'], 'later'), 'entry');
+	t.is(outcome.type, 'attempt-end');
+});
