test(gateway): forwarded requests and the end of an entry under any order of events

The random events of attempt-invariants had neither. A request that was being run when its entry ended, or when it was forwarded on and failed, must not be refused as not run: both mutations (no record of the attempt in progress at the end, none of a forwarded one that failed) fail the test.

--- a/test/core/edge/attempt-invariants.test.ts
+++ b/test/core/edge/attempt-invariants.test.ts
@@ -5,6 +5,7 @@
 import type {AttemptNumber} from '../../../src/core/ids/attempt-number.ts';
 import type {RequestId} from '../../../src/core/ids/request-id.ts';
 import type {SoftwareVersion} from '../../../src/core/ids/software-version.ts';
+import type {Region} from '../../../src/core/ids/region.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
 import type {RouteRule} from '../../../src/core/routes/route-rule.ts';
 import {EdgeHarness} from '../../fixtures/edge-harness.ts';
@@ -33,6 +34,8 @@
 	readonly attempts: Attempt[];
 	answers: number;
 	isGone: boolean;
+	/** True if another entry has forwarded it, which keeps the further attempts of its route. */
+	readonly isForwarded: boolean;
 };
 
 const budgetMs = 20_000;
@@ -101,10 +104,15 @@
 		this.#check();
 	}
 
-	/** Lets what is left come to its end and checks that nothing remains. */
+	/** Lets what is left come to its end, or ends the entry, and checks that nothing remains. */
 	finish(): void {
 		this.#feed(names);
-		this.#harness.run(2 * budgetMs);
+		if (this.#pick(2) === 0) {
+			this.#harness.step({type: 'end'});
+		} else {
+			this.#harness.run(2 * budgetMs);
+		}
+
 		this.#check();
 		assert(this.#harness.core.inFlight === 0, 'a request is in flight');
 		const {loads} = this.#harness.core.status(this.#harness.now as never);
@@ -120,10 +128,12 @@
 	}
 
 	#request(): void {
+		const isForwarded = this.#pick(4) === 0;
 		this.#requests.set(toId(`r${this.#requests.size + 1}`), {
-			lastId: 0, attempts: [], answers: 0, isGone: false,
+			lastId: 0, attempts: [], answers: 0, isGone: false, isForwarded,
 		});
-		this.#harness.request({budgetMs});
+		const region = toId<Region>(this.#pick(2) === 0 ? 'regina' : 'winnipeg');
+		this.#harness.request({budgetMs, ...isForwarded && {forwarded: {region, documentVersion: 1}}});
 	}
 
 	#head(): void {
@@ -308,8 +318,8 @@
 
 	#recordStart(start: Start): void {
 		const request = this.#requests.get(start.requestId)!;
-		const {attempts, lastId} = request;
-		const limit = this.#route.attempts!;
+		const {attempts, lastId, isForwarded} = request;
+		const limit = isForwarded ? 1 : this.#route.attempts!;
 		const mayRepeat = this.#route.kind === 'safe' || (this.#route.kind === 'stream' && this.#route.resumable === true);
 		assert(request.answers === 0 && !request.isGone, 'an attempt starts after the end of its request');
 		assert(start.resumeAfter === (lastId === 0 ? undefined : String(lastId)), 'an attempt resumes at another event than the caller\'s last one');
