test(soak): targets refuse requests and write the refusals once more, and callers send them again

No stand-in of the soak wrote a refusal once more under the identifier of the refused request, and no caller sent a refused request again, so that the soak could not see copies of refusals that are taken for answers.

Targets of the soak refuse a share of the requests (2 in 100, 15 in 100 during rounds of faults) with 503, 429 or 421, and write most refusals once more on the same connection: after the refusal, when any further request has arrived on it, or when the same one has; in parts, with a body, several times. Callers send refused requests again under the same identifier, at once or after Retry-After, to the same entry or another one, also streams that may not be resumed (a new route). Each sending that was refused must not have run, what must not run twice runs once over all sendings. Sendings that were refused count as not served in the calm after faults, and each sending counts as a request for the retry budget. The draws of callers have changed with the new kind of request, those of faults haven't.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -56,7 +56,7 @@
 	}
 }
 
-function printReport({seed, lengthMs, faults, records, overlaps, probes, changes, reads, problems, folder, machine, loadMs}: SoakReport): void {
+function printReport({seed, lengthMs, faults, records, refusals, overlaps, probes, changes, reads, problems, folder, machine, loadMs}: SoakReport): void {
 	const count = (outcome: string) => records.filter(record => record.outcome === outcome).length;
 	const outcomes = ['served', 'refused', 'failed', 'broken', 'unreachable'].map(outcome => `${count(outcome)} ${outcome}`).join(', ');
 	const verdict = problems.length === 0 ? 'pass' : 'fail';
@@ -65,7 +65,7 @@
 	const judged = probes.filter(({due, shown}) => due > 0 || shown > 0).length;
 	const totals = `${faults.length} faults, ${records.length} requests (${outcomes}; ${resumed}), ${changes} changes, ${reads} reads, ${judged} of ${probes.length} probes judged`;
 	const conditions = `programs loaded within ${(loadMs / 1000).toFixed(1)} s, load ${loadavg()[0]!.toFixed(0)}`;
-	console.log(`SOAK seed ${seed} ${verdict}: ${Math.round(lengthMs / 1000)} s, ${totals}; ${describeOverlaps(overlaps)}; ${conditions}`);
+	console.log(`SOAK seed ${seed} ${verdict}: ${Math.round(lengthMs / 1000)} s, ${totals}; ${describeRefusals(refusals, records)}; ${describeOverlaps(overlaps)}; ${conditions}`);
 	for (const problem of [...problems, ...machine]) {
 		console.log(`  - ${problem}`);
 	}
@@ -111,6 +111,13 @@
 	return `${atTwoTargets} requests at two targets, ${count} overlaps, ${judged} judged, ${lengths}`;
 }
 
+function describeRefusals({refused, copied, copiedInProgress, connections}: SoakReport['refusals'], records: SoakReport['records']): string {
+	const again = records.filter(({refusedSendings}) => refusedSendings.length > 0);
+	const served = again.filter(({outcome}) => outcome === 'served').length;
+	const byTargets = `${refused} refused by targets on ${connections} connections, ${copied} of these written once more, ${copiedInProgress} with the request under way again`;
+	return `${byTargets}; ${again.length} refused requests sent again, ${served} served`;
+}
+
 function writeReport(report: SoakReport, folder: string): void {
 	mkdirSync(folder, {recursive: true});
 	const records = report.records.map(({entry, ...record}) => ({...record, entry: entry.name}));
--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -5,6 +5,8 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {RefusalPlan} from './refusal-plan.ts';
+import {Refusals} from './refusals.ts';
 import type {TargetRun} from './target-run.ts';
 import {writeEndlessly} from './write-endlessly.ts';
 
@@ -78,6 +80,12 @@
 	pauseBeforeMs: ((event: {readonly id: number; readonly path: string; readonly isFirst: boolean}) => number) | undefined;
 	/** Work before the head of a stream beyond `workMs`, in milliseconds; none by default. */
 	prefillMs: ((path: string) => number) | undefined;
+	/** Drawn for each request while the engine answers well; the request runs if it gives none. */
+	planRefusal: (() => RefusalPlan | undefined) | undefined;
+	/** Refusals that were planned so. */
+	readonly refusals = new Refusals();
+	/** Number of connections accepted. */
+	connectionCount = 0;
 	/** Runs of requests, in the order in which they began. */
 	readonly runRecords: TargetRun[] = [];
 	/** Requests received, in order. */
@@ -108,6 +116,7 @@
 			void this.#handle(req, res);
 		});
 		this.#server.on('connection', socket => {
+			this.connectionCount += 1;
 			this.#sockets.add(socket);
 			socket.on('close', () => this.#sockets.delete(socket));
 		});
@@ -153,6 +162,7 @@
 			return;
 		}
 
+		this.refusals.noteArrival(req.socket, identifierOf(req));
 		const chunks: Buffer[] = [];
 		for await (const chunk of req) {
 			chunks.push(chunk as Buffer);
@@ -166,11 +176,15 @@
 			this.abortedRequests += res.writableFinished ? 0 : 1;
 		});
 		const id = String(req.headers['request-identifier']);
+		if (this.#refuseAsPlanned(req, res)) {
+			return;
+		}
+
 		const copy = this.#copies.get(id);
 		const isFirst = (manner === 'doubled' && !this.#refusals.has(req.socket)) || (manner === 'copied' && copy === undefined);
 		if (manner !== 'full' && !isFirst) {
 			this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
-			this.#recordRun(id, res);
+			this.#recordRun(req, res);
 		}
 
 		if (manner in endlessAnswers) {
@@ -189,12 +203,7 @@
 		}
 
 		if (manner === 'full') {
-			res.writeHead(503, {
-				'not-executed': '1',
-				'request-identifier': identifierOf(req),
-				...this.pauseSeconds === undefined ? {} : {'retry-after': this.pauseSeconds},
-				...this.#leavingHeader(),
-			}).end();
+			this.#refuseAsFull(req, res);
 			return;
 		}
 
@@ -205,6 +214,25 @@
 		await this.#answerInTime(req, res, manner);
 	}
 
+	/** False if the request is to run. */
+	#refuseAsPlanned(req: IncomingMessage, res: ServerResponse): boolean {
+		const plan = this.manner === 'well' ? this.planRefusal?.() : undefined;
+		if (plan !== undefined) {
+			this.refusals.write(res, identifierOf(req), plan);
+		}
+
+		return plan !== undefined;
+	}
+
+	#refuseAsFull(req: IncomingMessage, res: ServerResponse): void {
+		res.writeHead(503, {
+			'not-executed': '1',
+			'request-identifier': identifierOf(req),
+			...this.pauseSeconds === undefined ? {} : {'retry-after': this.pauseSeconds},
+			...this.#leavingHeader(),
+		}).end();
+	}
+
 	/** Answers after the time that the work takes. */
 	async #answerInTime(req: IncomingMessage, res: ServerResponse, manner: Manner): Promise<void> {
 		const headers = {
@@ -252,8 +280,11 @@
 		});
 	}
 
-	#recordRun(key: string, res: ServerResponse): void {
-		const run: TargetRun = {key, startedAt: performance.now(), progressAt: []};
+	#recordRun({headers}: IncomingMessage, res: ServerResponse): void {
+		const {sending} = headers;
+		const run: TargetRun = {
+			key: String(headers['request-identifier']), sending: sending === undefined ? undefined : Number(sending), startedAt: performance.now(), progressAt: [],
+		};
 		const breaksOff = !['well', 'silent'].includes(this.manner);
 		this.runRecords.push(run);
 		this.#openRuns.set(res, run);
--- a/test/fakes/target-run.ts
+++ b/test/fakes/target-run.ts
@@ -2,6 +2,8 @@
 export type TargetRun = {
 	/** Identifier of the request. */
 	readonly key: string;
+	/** Number of the sending by the caller, from 1 on; undefined if the request names none. */
+	readonly sending?: number;
 	/** When the request had arrived. */
 	readonly startedAt: number;
 	/** When the head of an answer that its requester can accept was written. */
--- a/test/soak/check-records.ts
+++ b/test/soak/check-records.ts
@@ -1,7 +1,14 @@
-import type {SoakReport} from './soak-report.ts';
+import type {TargetRun} from '../fakes/target-run.ts';
+import type {SoakRecord} from './soak-record.ts';
 
-/** Maximum number of runs of a request over all targets, by the route's attempts in the soak's configuration. */
-const maxRuns = {order: 1, call: 2, draft: 2};
+type CheckedRecord = SoakRecord<{readonly name: string}>;
+
+type Run = Pick<TargetRun, 'sending'> & {readonly target: string};
+
+/** Maximum number of runs of a request over all targets and sendings, by the route's attempts in the soak's configuration; a sending that was refused must not have run. */
+const maxRuns = {
+	order: 1, note: 1, call: 2, draft: 2,
+};
 /** Timeout of the routes, and the time after it within which the final answer must arrive, in milliseconds. */
 const routeTimeoutMs = 3000;
 const answerGraceMs = 500;
@@ -12,22 +19,20 @@
 const lateAnswersThreshold = 8;
 const maxLateShare = 0.25;
 
-/** Checks the callers' records against the runs counted by the targets; returns a message for each violation. */
-export function checkRecords(records: SoakReport['records'], runsOf: (requestId: string) => number): string[] {
+/** Checks the callers' records against the runs at the targets, by the identifier of the request; returns a message for each violation. To be asked once no request is under way. */
+export function checkRecords(records: readonly CheckedRecord[], runsById: ReadonlyMap<string, readonly Run[]>): string[] {
 	const problems: string[] = [];
 	for (const record of records) {
-		const runs = runsOf(record.id);
+		const runs = runsById.get(record.id) ?? [];
 		if (record.problem !== undefined) {
 			problems.push(record.problem);
 		}
 
-		if (runs > maxRuns[record.kind]) {
-			problems.push(`${record.kind} ${record.id} at ${record.entry.name} ran ${runs} times`);
+		if (runs.length > maxRuns[record.kind]) {
+			problems.push(`${record.kind} ${record.id} at ${record.entry.name} ran ${runs.length} times`);
 		}
 
-		if (record.outcome === 'refused' && runs > 0) {
-			problems.push(`${record.kind} ${record.id} at ${record.entry.name} was refused with ${record.status}, but it ran`);
-		}
+		problems.push(...refusedAndRun(record, runs));
 	}
 
 	const timedOut = records.filter(({withoutRecentFault, sentAt, endAt}) => withoutRecentFault && endAt - sentAt > routeTimeoutMs);
@@ -38,3 +43,13 @@
 
 	return problems;
 }
+
+/** A message for each sending that was refused as not run, and ran, before or after the refusal; a run that names no sending counts for each of them. */
+function refusedAndRun({id, kind, entry, outcome, status, sentAt, refusedSendings}: CheckedRecord, runs: readonly Run[]): string[] {
+	const refused = [...refusedSendings, ...outcome === 'refused' ? [{entry: entry.name, status, sentAt}] : []];
+	return refused.flatMap((sending, index) => {
+		const ran = runs.filter(run => run.sending === undefined || run.sending === index + 1);
+		const at = `sending ${index + 1} at ${sending.entry}, from ${Math.round(sending.sentAt)} ms`;
+		return ran.length === 0 ? [] : [`${kind} ${id} was refused with ${sending.status}, but it ran at ${ran.map(({target}) => target).join(', ')} (${at})`];
+	});
+}
--- a/test/soak/check-soak-overlaps.ts
+++ b/test/soak/check-soak-overlaps.ts
@@ -1,6 +1,5 @@
 import path from 'node:path';
 import {performance} from 'node:perf_hooks';
-import {groupBy} from '../harness/group-by.ts';
 import {checkOverlaps} from './check-overlaps.ts';
 import {linesOf} from './lines-of.ts';
 import {listedStandstillMs} from './listed-standstill-ms.ts';
@@ -28,7 +27,7 @@
 
 /** Checks the runs at the targets of a deployment for overlaps that last too long. The targets run in this process. */
 export function checkSoakOverlaps(deployment: SoakDeployment, requests: readonly SoakRequest[], {startedAt, isInTouch = () => true}: SoakOverlapOptions): ReturnType<typeof checkOverlaps> {
-	const runs = groupBy(deployment.engines.flatMap(({engine}) => engine.runRecords.map(run => ({...run, target: engine.identifier}))), ({key}) => key);
+	const {runs} = deployment;
 	const regions = new Map(deployment.engines.map(({engine, region}) => [engine.identifier, region]));
 	const entryOf = new Map(requests.map(({id, entry}) => [id, entry]));
 	const since = (at: number | undefined) => at === undefined ? 'never' : `${Math.round(at - startedAt)}`;
--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -9,6 +9,7 @@
 import {checkRetries} from './check-retries.ts';
 import {checkSoakOverlaps} from './check-soak-overlaps.ts';
 import {LostDisks} from './lost-disks.ts';
+import {RefusalManners} from './refusal-manners.ts';
 import {SoakCallers} from './soak-callers.ts';
 import {SoakDeployment} from './soak-deployment.ts';
 import {SoakFaults} from './soak-faults.ts';
@@ -56,6 +57,10 @@
 const streamEvents = 6;
 const pausesPerStream = 0.15;
 const pauseMs = {least: 800, most: 4000};
+/** Range of the pauses of streams that no other target may take up, in milliseconds: shorter than the stall timeout. */
+const notePauseMs = {least: 800, most: 1400};
+/** Share of the requests that targets refuse, without faults and in a round of faults. */
+const refusedShare = {calm: 0.02, round: 0.15};
 
 /** Runs real processes under random faults and checks the results that callers, operators and targets observe. */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
@@ -81,6 +86,7 @@
 	readonly #callers: SoakCallers;
 	readonly #operator: SoakOperator;
 	readonly #probes: SoakProbes;
+	readonly #refusals: RefusalManners;
 	readonly #faults: SoakFaults;
 	readonly #lostDisks: LostDisks;
 	/** True once the power has been taken in the second half of the run. */
@@ -98,12 +104,13 @@
 		this.#deployment = deployment;
 		this.#requestsPerSecond = requestsPerSecond;
 		this.#random = new SeededRandom(seed);
-		this.#callers = new SoakCallers(deployment, {random: new SeededRandom(seed + 2), now: () => this.#now()});
+		this.#callers = new SoakCallers(deployment, {random: new SeededRandom(seed + 2), refusedRandom: new SeededRandom(seed + 8), now: () => this.#now()});
 		const now = () => this.#now();
 		this.#operator = new SoakOperator(deployment, {random: new SeededRandom(seed + 3), furtherRandom: new SeededRandom(seed + 4), now});
 		this.#probes = new SoakProbes({
 			deployment, operator: this.#operator, random: new SeededRandom(seed + 5), now,
 		});
+		this.#refusals = new RefusalManners(new SeededRandom(seed + 7));
 		this.#lostDisks = new LostDisks(deployment, now);
 		this.#faults = new SoakFaults(deployment, {
 			random: this.#random,
@@ -161,6 +168,7 @@
 			problems: this.problems,
 			faults: this.#injected,
 			records: this.#callers.records,
+			refusals: this.#deployment.refusals,
 			overlaps: this.#overlaps,
 			probes: this.#probes.records,
 			changes: this.#operator.changes,
@@ -171,12 +179,20 @@
 		};
 	}
 
-	/** Lets the targets of streams write them late and with pauses. */
+	/** Lets all targets refuse requests, and those of streams write them late and with pauses. */
 	#prepareTargets(): void {
 		const random = new SeededRandom(this.#options.seed + 6);
 		const manners = new StreamManners({
-			random, eventCount: streamEvents, pausesPerStream, pauseMs: () => pauseMs.least + (random.next() * (pauseMs.most - pauseMs.least)),
+			random, eventCount: streamEvents, pausesPerStream, pauseMs(path) {
+				const {least, most} = path.startsWith('/notes/') ? notePauseMs : pauseMs;
+				return least + (random.next() * (most - least));
+			},
 		});
+		this.#refusals.share = refusedShare.calm;
+		for (const {engine} of this.#deployment.engines) {
+			this.#refusals.apply(engine);
+		}
+
 		for (const {engine} of this.#deployment.engines.filter(({service}) => service === 'writers')) {
 			manners.apply(engine);
 		}
@@ -196,10 +212,12 @@
 		const count = least + Math.floor(this.#random.next() * (most - least + 1));
 		const losesPower = late && !this.#powerLost;
 		this.#powerLost ||= losesPower;
+		this.#refusals.share = refusedShare.round;
 		await Promise.all([
 			this.#injectAt(() => this.#faults.replaceInSeries()),
 			...Array.from({length: count}, async () => this.#injectAt(() => this.#options.replacementsOnly ? this.#faults.replaceInSeries() : this.#faults.pick())),
 		]);
+		this.#refusals.share = refusedShare.calm;
 		if (losesPower) {
 			await this.#play(this.#faults.losePower());
 		}
@@ -267,9 +285,9 @@
 		const calm = records.filter(({withoutRecentFault}) => withoutRecentFault);
 		const servedShare = calm.filter(({outcome}) => outcome === 'served').length / Math.max(1, calm.length);
 		this.#overlaps = checkSoakOverlaps(this.#deployment, records.map(({id, kind, entry}) => ({
-			id, name: kind, unsafe: kind === 'order', entry: entry.name,
+			id, name: kind, unsafe: kind === 'order' || kind === 'note', entry: entry.name,
 		})), {startedAt: this.#startedAt, isInTouch: (names, at) => this.#isInTouch(names, at - this.#startedAt)});
-		const fromRecords = checkRecords(records, id => this.#deployment.runsOf(id));
+		const fromRecords = checkRecords(records, this.#deployment.runs);
 		this.problems.push(...this.#operator.problems, ...fromRecords, ...checkProbes(this.#probes.records, servedShare), ...this.#checkRetries(), ...this.#overlaps.problems);
 	}
 
@@ -295,15 +313,19 @@
 	/** Checks what arrived at targets against the requests of callers, and the other requests at their first arrival: the route of a probe may have moved since it was sent. */
 	#checkRetries(): string[] {
 		const {arrivals} = this.#deployment;
-		const calls = this.#callers.records.map(({kind, sentAt}) => ({service: kind === 'draft' ? 'writers' as const : 'desk' as const, at: sentAt + this.#startedAt}));
+		const calls = this.#callers.records.flatMap(({kind, sentAt, refusedSendings}) => [...refusedSendings, {sentAt}].map(sending => ({
+			service: kind === 'draft' || kind === 'note' ? 'writers' as const : 'desk' as const, at: sending.sentAt + this.#startedAt,
+		})));
 		const called = new Set(this.#callers.records.map(({id}) => id));
-		const others = new Map(arrivals.filter(({key}) => !called.has(key)).toReversed().map(arrival => [arrival.key, arrival]));
+		const others = new Map(arrivals.filter(({id}) => !called.has(id)).toReversed().map(arrival => [arrival.key, arrival]));
 		return checkRetries([...calls, ...others.values()], arrivals);
 	}
 
-	/** Share of the requests sent since a time, and finished by now, that were served; 0 if there are fewer than are usually sent in a quarter of a second. */
+	/** Share of the sendings since a time, of requests that are finished by now, that were served; 0 if there are fewer than are usually sent in a quarter of a second. */
 	#servedSince(since: number): number {
-		const recent = this.#callers.records.filter(({sentAt}) => sentAt >= since);
+		const recent = this.#callers.records
+			.flatMap(({sentAt, outcome, refusedSendings}) => [...refusedSendings.map(sending => ({sentAt: sending.sentAt, outcome: 'refused'})), {sentAt, outcome}])
+			.filter(({sentAt}) => sentAt >= since);
 		return recent.length < this.#requestsPerSecond / 4 ? 0 : recent.filter(({outcome}) => outcome === 'served').length / recent.length;
 	}
 
--- a/test/soak/soak-callers.ts
+++ b/test/soak/soak-callers.ts
@@ -1,40 +1,22 @@
 import type {Buffer} from 'node:buffer';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Agent} from 'undici';
 import type {Random} from '../../src/core/common/random.ts';
+import {RefusedCallers} from './refused-callers.ts';
 import {RequestLoop} from './request-loop.ts';
 import type {SoakDeployment} from './soak-deployment.ts';
 import type {SoakNode} from './soak-node.ts';
+import type {SoakRecord} from './soak-record.ts';
 import {streamProblem} from './stream-problem.ts';
 
+const streamHeaders = {'token-counts': '100,48', 'prompt-prefix': 'a1:60,b2:40', model: 'm'};
 const kinds = [
 	{name: 'call', path: '/calls/1', headers: {}},
 	{name: 'order', path: '/orders/1', headers: {}},
-	{name: 'draft', path: '/drafts/1', headers: {'token-counts': '100,48', 'prompt-prefix': 'a1:60,b2:40', model: 'm'}},
+	{name: 'draft', path: '/drafts/1', headers: streamHeaders},
+	{name: 'note', path: '/notes/1', headers: streamHeaders},
 ] as const;
 
-/** Outcome of one request, as its caller saw it. Times are milliseconds since the start of the run. */
-type SoakRecord = {
-	readonly id: string;
-	readonly kind: typeof kinds[number]['name'];
-	readonly entry: SoakNode;
-	/** Identifier of the request with which the caller took up its stream after it broke off. */
-	resumedBy?: string;
-	/** True if that request brought the rest of the stream. */
-	resumed?: boolean;
-	readonly sentAt: number;
-	/** True if, when the request was sent, no fault had affected its entry or any control node within the stability window. */
-	readonly withoutRecentFault: boolean;
-	endAt: number;
-	/**
-	 * `refused`: a status that says that the request has not run; `failed`: any other status than 200;
-	 * `broken`: the connection ended before the answer was complete; `unreachable`: no connection to the entry.
-	 */
-	outcome: 'served' | 'refused' | 'failed' | 'broken' | 'unreachable';
-	status?: number;
-	/** Message of a violation, if the answer is not the one to this request. */
-	problem?: string;
-};
-
 /** Statuses by which an entry states that the request has not run. */
 const notRunStatuses = new Set([404, 408, 413, 421, 429, 431, 503]);
 /** Time without data after which a caller disconnects, in milliseconds; longer than the routes' timeout of 3 s. */
@@ -55,11 +37,13 @@
 	});
 
 	readonly #loop = new RequestLoop(async () => this.#send());
+	readonly #refused: RefusedCallers;
 	#requestCount = 0;
 
-	constructor(deployment: SoakDeployment, {random, now}: {random: Random; now: () => number}) {
+	constructor(deployment: SoakDeployment, {random, refusedRandom, now}: {random: Random; refusedRandom: Random; now: () => number}) {
 		this.#deployment = deployment;
 		this.#random = random;
+		this.#refused = new RefusedCallers(refusedRandom);
 		this.#now = now;
 	}
 
@@ -75,25 +59,59 @@
 
 	async #send(): Promise<void> {
 		const kind = kinds[Math.floor(this.#random.next() * kinds.length)]!;
-		const {entries, control} = this.#deployment;
-		const entry = entries[Math.floor(this.#random.next() * entries.length)]!;
 		this.#requestCount += 1;
-		const now = this.#now();
 		const record: SoakRecord = {
-			id: `r-${this.#requestCount}`, kind: kind.name, entry, sentAt: now, endAt: now, outcome: 'unreachable',
-			withoutRecentFault: [entry, ...control].every(node => node.isCalm(now, stabilityWindowMs)),
+			id: `r-${this.#requestCount}`, kind: kind.name, refusedSendings: [], ...this.#sendingTo(this.#pickEntry()),
 		};
+		await this.#sendUntilNotRefused(record, kind);
+		await this.#resume(record, kind);
+
+		record.endAt = this.#now();
+		this.records.push(record);
+	}
+
+	/** Sends a request under its identifier until it is not refused as not run, or its caller gives up. */
+	async #sendUntilNotRefused(record: SoakRecord, kind: typeof kinds[number]): Promise<void> {
+		const retryAfter = await this.#sendOnce(record, kind);
+		const {status, sentAt, entry} = record;
+		const next = this.#refused.next({status, retryAfter, sendings: record.refusedSendings.length + 1});
+		if (next === undefined) {
+			return;
+		}
+
+		if (next.delayMs > 0) {
+			await sleep(next.delayMs);
+		}
+
+		record.refusedSendings.push({entry: entry.name, sentAt, status: status!});
+		Object.assign(record, this.#sendingTo(next.sameEntry ? entry : this.#pickEntry(entry)));
+		await this.#sendUntilNotRefused(record, kind);
+	}
+
+	#pickEntry(except?: SoakNode): SoakNode {
+		const entries = this.#deployment.entries.filter(entry => entry !== except);
+		return entries[Math.floor(this.#random.next() * entries.length)]!;
+	}
+
+	/** What a record says of a sending that begins now. */
+	#sendingTo(entry: SoakNode) {
+		const now = this.#now();
+		return {
+			entry, sentAt: now, endAt: now, outcome: 'unreachable' as SoakRecord['outcome'], status: undefined,
+			withoutRecentFault: [entry, ...this.#deployment.control].every(node => node.isCalm(now, stabilityWindowMs)),
+		};
+	}
+
+	/** Sends a request once; gives the `Retry-After` of its answer. */
+	async #sendOnce(record: SoakRecord, kind: typeof kinds[number]): Promise<string | undefined> {
 		try {
-			await this.#exchange(record, kind);
+			return await this.#exchange(record, kind);
 		} catch (error) {
 			const {code} = error as {code?: string};
 			record.outcome = code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT' ? 'unreachable' : 'broken';
+			record.status = undefined;
+			return undefined;
 		}
-
-		await this.#resume(record, kind);
-
-		record.endAt = this.#now();
-		this.records.push(record);
 	}
 
 	/** Reads a body; if it breaks off, its whole events are kept for the request that takes the stream up. */
@@ -147,13 +165,13 @@
 		}
 	}
 
-	async #exchange(record: SoakRecord, kind: typeof kinds[number]): Promise<void> {
+	async #exchange(record: SoakRecord, kind: typeof kinds[number]): Promise<string | undefined> {
 		const res = await this.#agent.request({
 			origin: `http://${record.entry.address('callers')}`,
 			path: kind.path,
 			method: 'POST',
 			headers: {
-				host: 'prairie.example', 'request-identifier': record.id, 'deadline-milliseconds': '5000', ...kind.headers,
+				host: 'prairie.example', 'request-identifier': record.id, sending: String(record.refusedSendings.length + 1), 'deadline-milliseconds': '5000', ...kind.headers,
 			},
 			body: `order of ${record.id}`,
 		});
@@ -161,15 +179,17 @@
 		record.status = res.statusCode;
 		record.outcome = res.statusCode === 200 ? 'served' : (notRunStatuses.has(res.statusCode) ? 'refused' : 'failed');
 		if (res.statusCode !== 200) {
-			return;
+			return res.headers['retry-after'] as string | undefined;
 		}
 
 		const target = String(res.headers['server-signature']).replace(/\.sig$/v, '');
-		const problem = kind.name === 'draft' ? streamProblem(text) : (text === `answer of ${target}` ? undefined : `unexpected body ${JSON.stringify(text.slice(0, 120))}`);
+		const problem = kind.name === 'draft' || kind.name === 'note' ? streamProblem(text) : (text === `answer of ${target}` ? undefined : `unexpected body ${JSON.stringify(text.slice(0, 120))}`);
 		if (problem !== undefined) {
 			record.problem = `${kind.name} ${record.id} at ${record.entry.name} got status 200: ${problem}`;
 		} else if (res.headers['request-identifier'] !== record.id) {
 			record.problem = `${kind.name} ${record.id} got the answer to ${String(res.headers['request-identifier'])}`;
 		}
+
+		return undefined;
 	}
 }
--- a/test/soak/soak-configuration.ts
+++ b/test/soak/soak-configuration.ts
@@ -14,12 +14,15 @@
 	const moved = {
 		...common, name: 'moved', 'path-prefix': soakVersions.movedPath, service: soakVersions.movedTo(version), 'timeout-ms': soakVersions.movedTimeoutMs(version),
 	};
+	const notes = {
+		...common, name: 'notes', 'path-prefix': '/notes/', kind: 'streaming', service: 'writers', 'timeout-ms': 3000, 'target-gap-ms': 600, resumable: false,
+	};
 	const added = soakVersions.addedIn(version).map(number => ({
 		...common, name: `added-${number}`, 'path-prefix': soakVersions.addedPath(number), service: 'press', 'timeout-ms': 3000,
 	}));
 	return JSON.stringify({
 		...base,
-		routes: [...base.routes, moved, ...added, ...soakStreams.routes, ...extraRoutes],
+		routes: [...base.routes, notes, moved, ...added, ...soakStreams.routes, ...extraRoutes],
 		services: [...base.services, {name: 'press', 'connection-limit': 200}],
 	});
 }
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -5,10 +5,13 @@
 import type {Random} from '../../src/core/common/random.ts';
 import {sample} from '../../src/core/membership/sample.ts';
 import {PlatformEngine} from '../fakes/platform-engine.ts';
+import type {TargetRun} from '../fakes/target-run.ts';
 import {bundle} from '../harness/bundle.ts';
+import {groupBy} from '../harness/group-by.ts';
 import {Links} from '../harness/links.ts';
 import {PortBlock} from '../harness/port-block.ts';
 import {SoakNode} from './soak-node.ts';
+import type {SoakRefusals} from './soak-refusals.ts';
 import type {SoakService} from './soak-service.ts';
 
 type SoakEngine = {
@@ -143,7 +146,7 @@
 		const count = this.engines.filter(other => other.service === service && other.region === region).length;
 		const engine = new PlatformEngine(`${region}-${service}-${count + 1}`, old.workMs);
 		Object.assign(engine, {
-			softwareVersion, eventCount: old.eventCount, pauseBeforeMs: old.pauseBeforeMs, prefillMs: old.prefillMs,
+			softwareVersion, eventCount: old.eventCount, pauseBeforeMs: old.pauseBeforeMs, prefillMs: old.prefillMs, planRefusal: old.planRefusal,
 		});
 		await engine.listen();
 		this.engines.push({
@@ -174,14 +177,30 @@
 		}
 	}
 
-	/** Requests that reached targets, by their callers' identifiers; times by `performance.now()`. */
-	get arrivals(): ReadonlyArray<{readonly service: SoakService; readonly key: string; readonly at: number}> {
-		return this.engines.flatMap(({engine, service}) => engine.receivedRequests.map(({headers, receivedAt}) => ({service, key: String(headers['request-identifier']), at: receivedAt})));
+	/** Requests that reached targets, by their callers' identifiers, with a key for each sending by a caller; times by `performance.now()`. */
+	get arrivals(): ReadonlyArray<{readonly service: SoakService; readonly id: string; readonly key: string; readonly at: number}> {
+		return this.engines.flatMap(({engine, service}) => engine.receivedRequests.map(({headers, receivedAt}) => {
+			const id = String(headers['request-identifier']);
+			return {
+				service, id, key: `${id} ${String(headers.sending ?? 1)}`, at: receivedAt,
+			};
+		}));
 	}
 
-	/** Number of runs of a request over all targets. */
-	runsOf(requestId: string): number {
-		return this.engines.reduce((sum, {engine}) => sum + (engine.runs.get(requestId) ?? 0), 0);
+	/** Runs over all targets, by the identifier of the request. */
+	get runs(): ReadonlyMap<string, ReadonlyArray<TargetRun & {readonly target: string}>> {
+		return groupBy(this.engines.flatMap(({engine}) => engine.runRecords.map(run => ({...run, target: engine.identifier}))), ({key}) => key);
+	}
+
+	/** What targets refused as planned, what they wrote once more of it, and the connections that they accepted. */
+	get refusals(): SoakRefusals {
+		const sum = (count: (engine: PlatformEngine) => number) => this.engines.reduce((total, {engine}) => total + count(engine), 0);
+		return {
+			refused: sum(({refusals}) => refusals.count),
+			copied: sum(({refusals}) => refusals.copied),
+			copiedInProgress: sum(({refusals}) => refusals.copiedInProgress),
+			connections: sum(({connectionCount}) => connectionCount),
+		};
 	}
 
 	/** Kills the processes, closes engines and proxies, and deletes the folder unless `keepFolder` is set. */
--- a/test/soak/soak-report.ts
+++ b/test/soak/soak-report.ts
@@ -1,6 +1,7 @@
 import type {checkSoakOverlaps} from './check-soak-overlaps.ts';
 import type {ProbeRecord} from './probe-record.ts';
 import type {SoakCallers} from './soak-callers.ts';
+import type {SoakRefusals} from './soak-refusals.ts';
 
 /** Results of a soak; times in milliseconds since its start. */
 export type SoakReport = {
@@ -12,6 +13,8 @@
 	readonly records: SoakCallers['records'];
 	/** What became of the requests that ran at two targets; absent if the run ended before its last checks. */
 	readonly overlaps?: ReturnType<typeof checkSoakOverlaps>;
+	/** Refusals by targets, and copies of them. */
+	readonly refusals: SoakRefusals;
 	/** Probes of what entries have in force. */
 	readonly probes: readonly ProbeRecord[];
 	/** Number of accepted configurations. */
