--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -79,7 +79,7 @@
 	}
 }
 
-function printPlanned({seed, lengthMs, problems, records, steps, startedAt, overlaps, folder}: Awaited<ReturnType<typeof runPlannedSoak>>): void {
+function printPlanned({seed, lengthMs, problems, records, steps, startedAt, refusals, overlaps, folder}: Awaited<ReturnType<typeof runPlannedSoak>>): void {
 	const count = (name: string) => records.filter(({outcome}) => outcome === name).length;
 	const answered = records.filter(({outcome}) => outcome === 'answered');
 	const statuses = [...new Set(answered.map(({status}) => status))].map(status => `${answered.filter(record => record.status === status).length} with ${status}`);
@@ -87,7 +87,8 @@
 	const cuts = reasons.map(reason => `${records.filter(({cutFor}) => cutFor === reason).length} ${reason}`);
 	const verdict = problems.length === 0 ? 'pass' : 'fail';
 	const totals = `${records.length} requests (${[...statuses, `${count('broken')} broken`, `${count('unreachable')} unreachable`].join(', ')}; ${cuts.join(', ') || 'none cut'})`;
-	console.log(`PLANNED SOAK seed ${seed} ${verdict}: ${Math.round(lengthMs / 1000)} s, ${totals}; ${describeOverlaps(overlaps)}; load ${loadavg()[0]!.toFixed(0)}`);
+	const checked = `${describeRefusals(refusals, records)}; ${describeOverlaps(overlaps)}`;
+	console.log(`PLANNED SOAK seed ${seed} ${verdict}: ${Math.round(lengthMs / 1000)} s, ${totals}; ${checked}; load ${loadavg()[0]!.toFixed(0)}`);
 	for (const problem of problems) {
 		console.log(`  - ${problem}`);
 	}
@@ -111,9 +112,11 @@
 	return `${atTwoTargets} requests at two targets, ${count} overlaps, ${judged} judged, ${lengths}`;
 }
 
-function describeRefusals({refused, copied, copiedInProgress, connections}: SoakReport['refusals'], records: SoakReport['records']): string {
-	const again = records.filter(({refusedSendings}) => refusedSendings.length > 0);
-	const served = again.filter(({outcome}) => outcome === 'served').length;
+type SentAgain = {readonly refusedSendings?: readonly unknown[]; readonly status?: number};
+
+function describeRefusals({refused, copied, copiedInProgress, connections}: SoakReport['refusals'], records: readonly SentAgain[]): string {
+	const again = records.filter(({refusedSendings = []}) => refusedSendings.length > 0);
+	const served = again.filter(({status}) => status === 200).length;
 	const byTargets = `${refused} refused by targets on ${connections} connections, ${copied} of these written once more, ${copiedInProgress} with the request under way again`;
 	return `${byTargets}; ${again.length} refused requests sent again, ${served} served`;
 }
--- a/test/soak/check-records.ts
+++ b/test/soak/check-records.ts
@@ -1,4 +1,5 @@
 import type {TargetRun} from '../fakes/target-run.ts';
+import {refusedAndRun} from './refused-and-run.ts';
 import type {SoakRecord} from './soak-record.ts';
 
 type CheckedRecord = SoakRecord<{readonly name: string}>;
@@ -32,7 +33,10 @@
 			problems.push(`${record.kind} ${record.id} at ${record.entry.name} ran ${runs.length} times`);
 		}
 
-		problems.push(...refusedAndRun(record, runs));
+		const last = record.outcome === 'refused' ? [{entry: record.entry.name, sentAt: record.sentAt, status: record.status!}] : [];
+		problems.push(...refusedAndRun({
+			id: record.id, name: record.kind, refused: [...record.refusedSendings, ...last], runs,
+		}));
 	}
 
 	const timedOut = records.filter(({withoutRecentFault, sentAt, endAt}) => withoutRecentFault && endAt - sentAt > routeTimeoutMs);
@@ -43,13 +47,3 @@
 
 	return problems;
 }
-
-/** A message for each sending that was refused as not run, and ran, before or after the refusal; a run that names no sending counts for each of them. */
-function refusedAndRun({id, kind, entry, outcome, status, sentAt, refusedSendings}: CheckedRecord, runs: readonly Run[]): string[] {
-	const refused = [...refusedSendings, ...outcome === 'refused' ? [{entry: entry.name, status, sentAt}] : []];
-	return refused.flatMap((sending, index) => {
-		const ran = runs.filter(run => run.sending === undefined || run.sending === index + 1);
-		const at = `sending ${index + 1} at ${sending.entry}, from ${Math.round(sending.sentAt)} ms`;
-		return ran.length === 0 ? [] : [`${kind} ${id} was refused with ${sending.status}, but it ran at ${ran.map(({target}) => target).join(', ')} (${at})`];
-	});
-}
--- a/test/soak/planned-record.ts
+++ b/test/soak/planned-record.ts
@@ -1,12 +1,15 @@
 import type {judgeCut} from './check-lost.ts';
+import type {RefusedSending} from './refused-sending.ts';
 
-/** One request of a soak of planned work, as its caller saw it. Times by `performance.now()`. */
+/** One request of a soak of planned work, as its caller saw it, over all its sendings under one identifier; what does not name a sending is of the last one. Times by `performance.now()`. */
 export type PlannedRecord = {
 	readonly id: string;
 	readonly path: string;
+	/** Earlier sendings, in order; absent if there were none. */
+	readonly refusedSendings?: readonly RefusedSending[];
 	/** Name of the entry that the caller connected to. */
-	readonly entry: string;
-	readonly sentAt: number;
+	entry: string;
+	sentAt: number;
 	/** Time within which the request is answered, by its own budget and its route's timeout, in milliseconds. */
 	readonly budgetMs: number;
 	/** Undefined until the last byte or the end of the channel. */
--- a/test/soak/planned-work.ts
+++ b/test/soak/planned-work.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Random} from '../../src/core/common/random.ts';
 import {sample} from '../../src/core/membership/sample.ts';
+import {RefusalManners} from './refusal-manners.ts';
 import type {SoakDeployment} from './soak-deployment.ts';
 import {soakStreams} from './soak-streams.ts';
 import {StreamManners} from './stream-manners.ts';
@@ -24,6 +25,8 @@
 const pausesPerStream = 1;
 const pauseFactor = {least: 0.5, most: 4};
 const eventEveryMs = 40;
+/** Share of the orders that targets refuse. */
+const refusedShare = 0.15;
 const pollMs = 50;
 
 /** What happens without any fault: entries that are stopped, targets that leave, are full at times, or pause in the middle of a stream. */
@@ -41,8 +44,10 @@
 		this.#random = random;
 	}
 
-	/** Lets the targets of streams write long ones, with pauses. */
-	prepareTargets(random: Random): void {
+	/** Lets the targets of streams write long ones, with pauses, and the others refuse requests. */
+	prepareTargets(random: Random, refusedRandom: Random): void {
+		const refusals = new RefusalManners(refusedRandom);
+		refusals.share = refusedShare;
 		const manners = new StreamManners({
 			random, eventCount: soakStreams.eventCount, pausesPerStream, pauseMs: path => this.#between(pauseFactor) * soakStreams.stallMs(path),
 		});
@@ -51,6 +56,8 @@
 			if (service === 'writers') {
 				engine.eventCount = soakStreams.eventCount;
 				manners.apply(engine);
+			} else {
+				refusals.apply(engine);
 			}
 		}
 	}
--- a/test/soak/run-planned-soak.ts
+++ b/test/soak/run-planned-soak.ts
@@ -9,8 +9,11 @@
 import {PlannedCallers} from './planned-callers.ts';
 import type {PlannedRecord} from './planned-record.ts';
 import {PlannedWork} from './planned-work.ts';
+import {refusedAndRun} from './refused-and-run.ts';
+import type {RefusedSending} from './refused-sending.ts';
 import {SoakDeployment} from './soak-deployment.ts';
 import {SoakOperator} from './soak-operator.ts';
+import type {SoakRefusals} from './soak-refusals.ts';
 import {waitUntil} from './wait-until.ts';
 
 type PlannedSoakOptions = {
@@ -33,6 +36,8 @@
 	readonly records: readonly PlannedRecord[];
 	readonly steps: ReadonlyArray<{readonly name: string; readonly at: number}>;
 	readonly startedAt: number;
+	/** Refusals by targets, and copies of them. */
+	readonly refusals: SoakRefusals;
 	/** What became of the requests that ran at two targets. */
 	readonly overlaps: ReturnType<typeof checkSoakOverlaps>;
 	/** Folder of the processes' logs, kept if a check failed. */
@@ -45,6 +50,8 @@
 const startTimeoutMs = 20_000;
 /** Interval at which processes that have loaded their programs are noted, in milliseconds. */
 const pollMs = 100;
+/** Statuses that state that a request has not run. */
+const notRunStatuses = new Set([408, 421, 429, 503]);
 const loopProbe = new URL('../harness/loop-probe.js', import.meta.url).href;
 
 /** Runs real processes with planned work only, entries stopped in series beside new configurations and targets that leave, and checks that no request is lost and that none runs at two targets for too long. */
@@ -52,7 +59,7 @@
 	const startedAt = performance.now();
 	const deployment = await SoakDeployment.create({entriesPerRegion, random: new SeededRandom(seed + 1), forwarded});
 	const now = () => performance.now() - startedAt;
-	const callers = new PlannedCallers(deployment, new SeededRandom(seed + 2));
+	const callers = new PlannedCallers(deployment, {random: new SeededRandom(seed + 2), refusedRandom: new SeededRandom(seed + 8)});
 	const operator = new SoakOperator(deployment, {random: new SeededRandom(seed + 3), furtherRandom: new SeededRandom(seed + 4), now});
 	const work = new PlannedWork(deployment, new SeededRandom(seed));
 	const problems: string[] = [];
@@ -61,7 +68,7 @@
 		// The callers' times are those of this process, so that its delays are listed like those of the nodes.
 		process.env.LOOP_PROBE_FILE = path.join(deployment.folder, 'soak.log.late');
 		await import(loopProbe);
-		work.prepareTargets(new SeededRandom(seed + 5));
+		work.prepareTargets(new SeededRandom(seed + 5), new SeededRandom(seed + 7));
 		await deployment.start();
 		timer = setInterval(() => {
 			for (const node of deployment.nodes) {
@@ -92,8 +99,12 @@
 		}
 
 		problems.push(...operator.problems, ...callers.records.flatMap(({id, problem}) => problem === undefined ? [] : [`${id}: ${problem}`]));
+		const runsById = deployment.runs;
 		for (const record of callers.records) {
-			const runs = deployment.engines.flatMap(({engine}) => engine.runRecords.filter(({key}) => key === record.id));
+			const runs = runsById.get(record.id) ?? [];
+			problems.push(...refusedAndRun({
+				id: record.id, name: record.path, refused: refusedSendingsOf(record).map(sending => ({...sending, sentAt: sending.sentAt - startedAt})), runs,
+			}));
 			record.cutFor = judgeCut(record, runs, work.stops);
 			if (record.cutFor === 'lost') {
 				problems.push(describeLost(record, {deployment, startedAt}));
@@ -105,10 +116,15 @@
 		})), {startedAt});
 		problems.push(...overlaps.problems);
 		return {
-			seed, lengthMs: now(), problems, records: callers.records, steps: work.steps, startedAt, overlaps, folder: deployment.folder,
+			seed, lengthMs: now(), problems, records: callers.records, steps: work.steps, startedAt, refusals: deployment.refusals, overlaps, folder: deployment.folder,
 		};
 	} finally {
 		clearInterval(timer);
 		await deployment.dispose({keepFolder: problems.length > 0});
 	}
 }
+
+/** Sendings of a request that were refused as not run, the last one included. */
+function refusedSendingsOf({entry, sentAt, status, refusedSendings = []}: PlannedRecord): readonly RefusedSending[] {
+	return status !== undefined && notRunStatuses.has(status) ? [...refusedSendings, {entry, sentAt, status}] : refusedSendings;
+}
--- a/test/soak/soak-record.ts
+++ b/test/soak/soak-record.ts
@@ -1,3 +1,4 @@
+import type {RefusedSending} from './refused-sending.ts';
 import type {SoakNode} from './soak-node.ts';
 
 /** One request of a soak, as its caller saw it, over all its sendings under one identifier; what does not name a sending is of the last one. Times are milliseconds since the start of the run. */
@@ -5,8 +6,8 @@
 	readonly id: string;
 	/** `note`: a stream that no other target may take up. */
 	readonly kind: 'call' | 'order' | 'draft' | 'note';
-	/** Earlier sendings, in order; each was refused as not run. */
-	readonly refusedSendings: Array<{readonly entry: string; readonly sentAt: number; readonly status: number}>;
+	/** Earlier sendings, in order. */
+	readonly refusedSendings: RefusedSending[];
 	entry: Entry;
 	/** Identifier of the request with which the caller took up its stream after it broke off. */
 	resumedBy?: string;
