test(gateway): a request that was refused while it waited for control starts nothing

A stream whose origin is asked for may be refused meanwhile, at its deadline or at the end of its entry. The answer that comes later must not start it. Without the withdrawal of the query both tests fail (a start, and a second refusal).

--- a/test/core/edge/stream-origins.test.ts
+++ b/test/core/edge/stream-origins.test.ts
@@ -104,6 +104,26 @@
 	}
 });
 
+for (const end of ['its deadline', 'the end of the entry'] as const) {
+	// Guards against requests that run after their callers were told that they never will.
+	test(`a stream that is refused while it waits for a control node runs once that has answered: ${end}`, t => {
+		const harness = startEntry();
+		harness.request({
+			prompt, callerKey: toId<CallerKey>('again'), resumeAfter: '3', resumes: toId<CallerKey>('began'), ...end === 'its deadline' && {budgetMs: tickMs},
+		});
+		if (end === 'its deadline') {
+			harness.run(tickMs);
+		} else {
+			harness.step({type: 'end'});
+		}
+
+		t.like(harness.refusals(), [{reason: 'overloaded', ran: 'no'}]);
+		answer(harness, control, {stream: begunAt(v1)});
+		t.is(harness.starts().length, 0);
+		t.is(harness.refusals().length, 1);
+	});
+}
+
 test('a stream whose software version nobody knows is refused as not run, at once or when control does not answer', t => {
 	for (const answered of [true, false]) {
 		const harness = startEntry();
