refactor(core): drop the comment on a kind of state that is gone

The kind `refusals` went with the memory of targets that had refused requests; its doc comment stayed and stood before another kind. No change of behaviour.

--- a/src/core/memory/state-kind.ts
+++ b/src/core/memory/state-kind.ts
@@ -6,7 +6,6 @@
 	| 'stream-origins'
 	/** Traits of requests that were answered in full. */
 	| 'served-traits'
-	/** Targets that refused a request. */
 	/** Targets that have reported themselves. */
 	| 'targets'
 	/** Claims of idempotency keys. */
