fix(gateway): a pool that is closed or destroyed leaves no connection open

Targets kept connections of an entry that had closed its pool: those that carry no other request had left the pool at once, so that destroy() and close() passed over the ones whose last answer was still on its way. Retired connections are kept until their answer has ended. A client that is being destroyed can't be closed, only be waited for, which close() does.

connection-pool: one connection was open after destroy() instead of none before; the case of close() failed with the first half alone (ClientDestroyedError).

--- a/src/server/connection-pool.ts
+++ b/src/server/connection-pool.ts
@@ -27,6 +27,8 @@
 export class ConnectionPool {
 	readonly #options: ConnectionPoolOptions;
 	readonly #connections = new Map<string, Set<PooledConnection>>();
+	/** Connections that are taken out of the pool, until their last request is answered. */
+	readonly #retired = new Set<PooledConnection>();
 	#isClosed = false;
 
 	constructor(options: ConnectionPoolOptions) {
@@ -65,7 +67,8 @@
 
 	/** Closes all connections once their requests are answered. */
 	async close(): Promise<void> {
-		await Promise.all(this.#end().map(async client => client.close()));
+		// A client that is being destroyed can't be closed, only be waited for.
+		await Promise.all(this.#end().map(async client => client.destroyed ? client.destroy() : client.close()));
 	}
 
 	/** Closes all connections at once. */
@@ -126,7 +129,10 @@
 	/** Takes a connection out of the pool; it is closed once its request, if any, is answered. */
 	#retire(origin: string, connection: PooledConnection): void {
 		this.#remove(origin, connection);
-		connection.client.close(ignore);
+		this.#retired.add(connection);
+		connection.client.close(() => {
+			this.#retired.delete(connection);
+		});
 	}
 
 	#remove(origin: string, connection: PooledConnection): void {
@@ -139,8 +145,8 @@
 
 	#end(): readonly Client[] {
 		this.#isClosed = true;
-		const clients = [...this.#connections.values()].flatMap(connections => [...connections].map(({client}) => client));
+		const connections = [...this.#retired, ...[...this.#connections.values()].flatMap(ofOrigin => [...ofOrigin])];
 		this.#connections.clear();
-		return clients;
+		return connections.map(({client}) => client);
 	}
 }
--- a/test/server/connection-pool.test.ts
+++ b/test/server/connection-pool.test.ts
@@ -156,3 +156,30 @@
 		t.is(opened.length, 1);
 	});
 }
+
+test('an answer that is still being read keeps its connection open after the pool was destroyed, since the connection carries no other request', async t => {
+	const {pool, origin, open} = await start(t, res => {
+		res.writeHead(503).write('half');
+	});
+	const {res, retire} = await pool.request({
+		origin, requestKey: 'a', path: '/', method: 'POST',
+	});
+	res.body.on('error', () => undefined);
+	retire();
+	await pool.destroy();
+	await sleep(settleMs);
+	t.is(open.size, 0);
+});
+
+test('closing the pool fails, since a connection that carries no other request is just being closed', async t => {
+	const {pool, origin, open} = await start(t, res => res.writeHead(503).end());
+	const {res, retire} = await pool.request({
+		origin, requestKey: 'a', path: '/', method: 'POST',
+	});
+	retire();
+	await res.body.dump();
+	await nextCycle();
+	await t.notThrowsAsync(pool.close());
+	await sleep(settleMs);
+	t.is(open.size, 0);
+});
