fix(gateway): a request that is cancelled while another connection ends opens none

Targets had a connection on which nothing is sent: a request waits until an idle connection has ended in its favour, and opened a new one though its caller had left meanwhile. Its signal is looked at once more before connecting.

connection-pool: two connections were opened instead of one before; passes.

--- a/src/server/connection-pool.ts
+++ b/src/server/connection-pool.ts
@@ -16,6 +16,7 @@
 	readonly origin: string;
 	/** Identifies the request in its answer. */
 	readonly requestKey: string;
+	readonly signal?: AbortSignal;
 };
 
 /**
@@ -40,6 +41,7 @@
 		let connection = this.#findIdle(options.origin, requestKey);
 		if (connection === undefined) {
 			await this.#endIdle(options.origin);
+			options.signal?.throwIfAborted();
 			connection = this.#open(options.origin);
 		}
 
--- a/test/server/connection-pool.test.ts
+++ b/test/server/connection-pool.test.ts
@@ -183,3 +183,16 @@
 	await sleep(settleMs);
 	t.is(open.size, 0);
 });
+
+test('a request that is cancelled while another connection ends opens a connection, on which nothing is sent', async t => {
+	const {pool, origin, opened, send} = await start(t, res => res.writeHead(503).end());
+	await send('a');
+	const abort = new AbortController();
+	const answer = pool.request({
+		origin, requestKey: 'a', path: '/', method: 'POST', signal: abort.signal,
+	});
+	abort.abort();
+	await t.throwsAsync(answer, {any: true});
+	await sleep(settleMs);
+	t.is(opened.length, 1);
+});
