fix(gateway): a service's answer that says "not run" is never taken for that to a later order

Callers on a settings tree got 408, 421 or 429 for an order that ran. Such an answer of a service that names no attempt is passed on as its own, and the connection was used again; written once more while the next order ran on it, the same answer was given to that order's caller. After such an answer the connection carries no other request, as with a routes document.

--- a/src/server/attempt-client.ts
+++ b/src/server/attempt-client.ts
@@ -83,7 +83,7 @@
 
 			const answer = await this.#connections.request(this.#requestOptions(action, request, abort.signal));
 			use = answer.use;
-			await reader.read(answer.res);
+			await reader.read(answer);
 			answer.complete();
 		} catch (error) {
 			if (!abort.signal.aborted && !reader.ended) {
--- a/src/server/attempt-response-reader.ts
+++ b/src/server/attempt-response-reader.ts
@@ -10,6 +10,7 @@
 import {AnswerLimitError} from './answer-limit-error.ts';
 import {attemptHeader} from './attempt-header.ts';
 import type {CallerRequest} from './caller-request.ts';
+import type {PooledResponse} from './pooled-response.ts';
 import type {ProblemDocument} from './problem-document.ts';
 import {MemoryHold} from './memory-hold.ts';
 import type {ProcessMemory} from './process-memory.ts';
@@ -78,7 +79,7 @@
 	}
 
 	/** @throws TargetError if the response is an error or a refusal, or if it is truncated. */
-	async read(res: Dispatcher.ResponseData): Promise<void> {
+	async read({res, retire}: PooledResponse): Promise<void> {
 		this.#body = res.body;
 		try {
 			checkFinalStatus(res.statusCode);
@@ -94,6 +95,10 @@
 		}
 
 		const answeredAttempt = header(res, attemptHeader);
+		if (answeredAttempt === undefined && isPromise(res.statusCode)) {
+			retire();
+		}
+
 		if (answeredAttempt !== undefined && answeredAttempt !== this.#action.attemptId) {
 			res.body.on('error', () => undefined).destroy();
 			throw new TargetError('error-status');
--- a/test/server/connection-pool.test.ts
+++ b/test/server/connection-pool.test.ts
@@ -171,19 +171,6 @@
 	t.is(open.size, 0);
 });
 
-test('closing the pool fails, since a connection that carries no other request is just being closed', async t => {
-	const {pool, origin, open} = await start(t, res => res.writeHead(503).end());
-	const {res, retire} = await pool.request({
-		origin, requestKey: 'a', path: '/', method: 'POST',
-	});
-	retire();
-	await res.body.dump();
-	await nextCycle();
-	await t.notThrowsAsync(pool.close());
-	await sleep(settleMs);
-	t.is(open.size, 0);
-});
-
 test('a request that is cancelled while another connection ends opens a connection, on which nothing is sent', async t => {
 	const {pool, origin, opened, send} = await start(t, res => res.writeHead(503).end());
 	await send('a');
@@ -196,3 +183,16 @@
 	await sleep(settleMs);
 	t.is(opened.length, 1);
 });
+
+test('closing the pool fails, since a connection that carries no other request is just being closed', async t => {
+	const {pool, origin, open} = await start(t, res => res.writeHead(503).end());
+	const {res, retire} = await pool.request({
+		origin, requestKey: 'a', path: '/', method: 'POST',
+	});
+	retire();
+	await res.body.dump();
+	await nextCycle();
+	await t.notThrowsAsync(pool.close());
+	await sleep(settleMs);
+	t.is(open.size, 0);
+});
