test(soak): a run at a stand-in ends with its connection, and those beside another run are counted

A stand-in's run that began while the answer to an earlier request of the connection was due was recorded as at work for good: Node tells only the first of the waiting answers of the connection's end.

--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -84,6 +84,8 @@
 	planRefusal: (() => RefusalPlan | undefined) | undefined;
 	/** Refusals that were planned so. */
 	readonly refusals = new Refusals();
+	/** Number of runs that began on a connection on which another one was in progress. */
+	sentBesideRuns = 0;
 	/** Number of connections accepted. */
 	connectionCount = 0;
 	/** Runs of requests, in the order in which they began. */
@@ -102,6 +104,8 @@
 	#port = 0;
 	readonly #sockets = new Set<Socket>();
 	readonly #lastUsedAt = new WeakMap<Socket, number>();
+	/** Number of runs in progress on a connection. */
+	readonly #openRunCounts = new WeakMap<Socket, number>();
 	readonly #openRuns = new WeakMap<ServerResponse, TargetRun>();
 	/** Bytes of the refusal that was written on a connection. */
 	readonly #refusals = new WeakMap<Socket, string>();
@@ -258,7 +262,7 @@
 			await sleep(prefillMs);
 		}
 
-		if (res.destroyed) {
+		if (res.destroyed || req.socket.destroyed) {
 			return;
 		}
 
@@ -280,7 +284,7 @@
 		});
 	}
 
-	#recordRun({headers}: IncomingMessage, res: ServerResponse): void {
+	#recordRun({headers, socket}: IncomingMessage, res: ServerResponse): void {
 		const {sending} = headers;
 		const run: TargetRun = {
 			key: String(headers['request-identifier']), sending: sending === undefined ? undefined : Number(sending), startedAt: performance.now(), progressAt: [],
@@ -288,10 +292,20 @@
 		const breaksOff = !['well', 'silent'].includes(this.manner);
 		this.runRecords.push(run);
 		this.#openRuns.set(res, run);
-		res.on('close', () => {
+		const openRuns = this.#openRunCounts.get(socket) ?? 0;
+		this.#openRunCounts.set(socket, openRuns + 1);
+		this.sentBesideRuns += openRuns > 0 ? 1 : 0;
+		// An answer that waits for an earlier one of its connection doesn't hear of the connection's end.
+		const end = () => {
+			socket.off('close', end);
+			res.off('close', end);
+			this.#openRunCounts.set(socket, this.#openRunCounts.get(socket)! - 1);
 			run.endedAt = performance.now();
 			run.end = breaksOff || (this.#closing && !res.writableFinished) ? 'broken off' : (res.writableFinished ? 'whole' : 'cancelled');
-		});
+		};
+
+		res.on('close', end);
+		socket.on('close', end);
 	}
 
 	/** Records the head of an answer, unless it is one that its requester can't accept. */
@@ -382,7 +396,7 @@
 				await sleep(pauseMs); // eslint-disable-line no-await-in-loop
 			}
 
-			if (res.destroyed) {
+			if (res.destroyed || req.socket.destroyed) {
 				return;
 			}
 
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -199,6 +199,7 @@
 			refused: sum(({refusals}) => refusals.count),
 			copied: sum(({refusals}) => refusals.copied),
 			copiedInProgress: sum(({refusals}) => refusals.copiedInProgress),
+			sentBesideRuns: sum(({sentBesideRuns}) => sentBesideRuns),
 			connections: sum(({connectionCount}) => connectionCount),
 		};
 	}
--- a/test/soak/soak-refusals.ts
+++ b/test/soak/soak-refusals.ts
@@ -6,6 +6,8 @@
 	readonly copied: number;
 	/** Refusals that were written once more while the same request was under way again on their connection. */
 	readonly copiedInProgress: number;
+	/** Requests that were sent on a connection on which their target worked on another one. */
+	readonly sentBesideRuns: number;
 	/** Connections that targets accepted. */
 	readonly connections: number;
 };
