fix(gateway): a connection whose answer was not accepted carries no other request

Callers got 502 for requests that ran: after a copy of a refusal that came under another request's name the attempt failed, but an answer that had arrived whole left its connection in the pool, while the target still worked there. The next request was sent behind that run and got the answer that was due to it. A cancel closed the connection of an answer that had arrived whole just as little.

--- a/src/server/attempt-response-reader.ts
+++ b/src/server/attempt-response-reader.ts
@@ -79,12 +79,13 @@
 	}
 
 	/** @throws TargetError if the response is an error or a refusal, or if it is truncated. */
-	async read({res, retire}: PooledResponse): Promise<void> {
+	async read({res, retire, destroy}: PooledResponse): Promise<void> {
 		this.#body = res.body;
 		try {
 			checkFinalStatus(res.statusCode);
 		} catch (error) {
-			res.body.on('error', () => undefined).destroy();
+			res.body.on('error', () => undefined);
+			destroy();
 			throw error;
 		}
 
@@ -100,7 +101,8 @@
 		}
 
 		if (answeredAttempt !== undefined && answeredAttempt !== this.#action.attemptId) {
-			res.body.on('error', () => undefined).destroy();
+			res.body.on('error', () => undefined);
+			destroy();
 			throw new TargetError('error-status');
 		}
 
--- a/src/server/connection-pool.ts
+++ b/src/server/connection-pool.ts
@@ -58,11 +58,15 @@
 				retire: () => {
 					this.#retire(options.origin, connection);
 				},
+				destroy: () => {
+					if (connection.isLatest(use)) {
+						this.#destroy(options.origin, connection);
+					}
+				},
 			};
 		} catch (error) {
 			// Not only closed: for a request that was cancelled, the HTTP client would open another connection in vain.
-			this.#remove(options.origin, connection);
-			connection.client.destroy(ignore);
+			this.#destroy(options.origin, connection);
 			throw error;
 		}
 	}
@@ -119,8 +123,7 @@
 					// A request that came while the connection was being closed is still sent, on one that replaces it.
 					this.#retire(origin, connection);
 				} else {
-					this.#remove(origin, connection);
-					connection.client.destroy(ignore);
+					this.#destroy(origin, connection);
 				}
 			});
 		const connections = this.#connections.get(origin) ?? new Set();
@@ -137,6 +140,12 @@
 		});
 	}
 
+	/** Takes a connection out of the pool and closes it at once. */
+	#destroy(origin: string, connection: PooledConnection): void {
+		this.#remove(origin, connection);
+		connection.client.destroy(ignore);
+	}
+
 	#remove(origin: string, connection: PooledConnection): void {
 		const connections = this.#connections.get(origin);
 		connections?.delete(connection);
--- a/src/server/pooled-connection.ts
+++ b/src/server/pooled-connection.ts
@@ -54,6 +54,11 @@
 		return use;
 	}
 
+	/** True unless it has begun another request since. */
+	isLatest({earlierRequests}: ConnectionUse): boolean {
+		return earlierRequests === this.#requests - 1;
+	}
+
 	/** Records that a request had a complete, successful answer. */
 	complete(requestKey: string): void {
 		this.#failed.delete(requestKey);
--- a/src/server/pooled-response.ts
+++ b/src/server/pooled-response.ts
@@ -9,4 +9,6 @@
 	readonly complete: () => void;
 	/** To be called if the answer names no request and is no successful one, before anything else is awaited: written once more, it could be taken for the answer to any request. The connection carries no other one. */
 	readonly retire: () => void;
+	/** To be called if the answer is not that to the request: the target may still work on the request, and its answer would come to the next one. Ends the connection, unless it carries another request by now. */
+	readonly destroy: () => void;
 };
--- a/src/server/routes/target-client.ts
+++ b/src/server/routes/target-client.ts
@@ -7,6 +7,7 @@
 import {checkInterimStatus} from '../check-interim-status.ts';
 import {ConnectError} from '../connect-error.ts';
 import {ConnectionPool} from '../connection-pool.ts';
+import type {PooledResponse} from '../pooled-response.ts';
 import type {ProcessMemory} from '../process-memory.ts';
 import {isMalformedAnswer} from '../is-malformed-answer.ts';
 import {targetConnector} from '../target-connector.ts';
@@ -40,7 +41,12 @@
 	readonly step: (event: EdgeEvent) => void;
 };
 
-type RunningAttempt = {readonly abortController: AbortController; readonly reader: TargetResponseReader};
+type RunningAttempt = {
+	readonly abortController: AbortController;
+	readonly reader: TargetResponseReader;
+	/** Set once the head of its answer has arrived. */
+	answer?: PooledResponse;
+};
 
 /** HTTP client for targets and for entries of remote regions, with one connection pool for each kind of request. */
 export class TargetClient {
@@ -68,7 +74,7 @@
 	/** Sends an attempt, unless its caller has left; its outcome is passed to the core as events. */
 	start(action: StartAction, exchange: CallerExchange): void {
 		const {codec, memory, step} = this.#options;
-		const running = {
+		const running: RunningAttempt = {
 			abortController: new AbortController(),
 			reader: new TargetResponseReader({
 				action, exchange, codec, memory, step, maxBufferedBytes,
@@ -84,6 +90,8 @@
 		this.#running.delete(attempt);
 		running?.reader.stop();
 		running?.abortController.abort();
+		// An answer that has arrived whole is not aborted, but need not be the one to this attempt.
+		running?.answer?.destroy();
 	}
 
 	/** Streams the attempt's answer to the caller from now on; an entry that forwarded the request is told the target's software version. */
@@ -106,16 +114,17 @@
 		await Promise.all([this.#targets, this.#shortKeepAliveTargets, this.#entries].map(async pool => pool.destroy()));
 	}
 
-	async #run(action: StartAction, exchange: CallerExchange, {abortController, reader}: RunningAttempt): Promise<void> {
+	async #run(action: StartAction, exchange: CallerExchange, running: RunningAttempt): Promise<void> {
 		const {step} = this.#options;
 		const {attempt} = action;
+		const {abortController, reader} = running;
 		try {
 			if (!await exchange.presence.confirm() || abortController.signal.aborted) {
 				return;
 			}
 
 			const pool = action.targetId === undefined ? this.#entries : (action.fresh ? this.#shortKeepAliveTargets : this.#targets);
-			const answer = await pool.request({
+			running.answer = await pool.request({
 				origin: `http://${this.#options.forwards[action.address] ?? action.address}`,
 				requestKey: exchange.edgeRequest.callerKey,
 				method: exchange.head.method,
@@ -135,7 +144,7 @@
 				},
 				signal: abortController.signal,
 			});
-			await reader.read(answer);
+			await reader.read(running.answer);
 		} catch (error) {
 			const {code = ''} = error as {code?: string};
 			if (this.#running.has(attempt)) {
--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -74,14 +74,14 @@
 	}
 
 	/** Reads an answer to its end. */
-	async read({res, use, complete, retire}: PooledResponse): Promise<void> {
+	async read({res, use, complete, retire, destroy}: PooledResponse): Promise<void> {
 		const {action: {attempt, stream, targetId}, exchange, codec, step} = this.#options;
 		// An aborted body emits an error, which would be uncaught once nothing reads it.
 		res.body.on('error', () => undefined);
 		try {
 			checkFinalStatus(res.statusCode);
 		} catch (error) {
-			res.body.destroy();
+			destroy();
 			throw error;
 		}
 
@@ -96,8 +96,8 @@
 		// Entries of earlier builds name no request in their refusals; a target that names none may have written an earlier answer once more.
 		const isNameless = key === undefined && (targetId === undefined || exchange.head.key === '');
 		if (!isNameless && key !== exchange.head.key) {
+			destroy();
 			step({type: 'attempt-failed', attempt, failure: {reason: 'foreign-answer', notSent: false}});
-			res.body.destroy();
 			return;
 		}
 
--- a/test/server/routes/answers-after-copies.test.ts
+++ b/test/server/routes/answers-after-copies.test.ts
@@ -48,3 +48,18 @@
 	t.is(engine.sentBesideRuns, 0);
 	t.is(engine.runs.get('r-3'), 1);
 });
+
+test('a request is sent on a connection whose last answer was not accepted', async t => {
+	const deployment = await RoutesDeployment.start({desk: ['d1']});
+	t.teardown(async () => deployment.close());
+	const [engine] = deployment.desk as readonly [PlatformEngine];
+	const connections: number[] = [];
+	for (const manner of ['well', 'unsigned', 'well'] as const) {
+		engine.manner = manner;
+		const res = await deployment.call({path: '/orders/1', body: 'order'}); // eslint-disable-line no-await-in-loop
+		await res.body.dump(); // eslint-disable-line no-await-in-loop
+		connections.push(engine.connectionCount);
+	}
+
+	t.is(connections[2], connections[1]! + 1);
+});
