refactor(gateway): names in the pool of connections say what is remembered

Names and comments of the pool of connections spoke of failures; what is remembered are requests without a complete, successful answer, the one in progress among them. No change of behaviour: connection-pool, copied-refusals and answers-after-copies pass, 22 tests.

--- a/src/server/connection-pool.ts
+++ b/src/server/connection-pool.ts
@@ -22,8 +22,9 @@
 /**
  * HTTP connections by origin, each of which carries one request at a time.
  *
- * A request is never sent twice on one connection, unless it was answered successfully: a faulty target may write an
- * earlier answer once more, which nothing tells from the answer to the request that is in progress under the same key.
+ * A faulty target may write an earlier answer once more, where the next one is due. The key in it tells requests apart,
+ * but not two attempts of one request. Therefore a request is never sent twice on one connection, unless it was answered
+ * successfully, and a connection is not reused after an answer without a key.
  */
 export class ConnectionPool {
 	readonly #options: ConnectionPoolOptions;
@@ -85,7 +86,7 @@
 	/** An idle connection that has not carried the request. */
 	#findIdle(origin: string, requestKey: string): PooledConnection | undefined {
 		for (const connection of this.#connections.get(origin) ?? []) {
-			if (!connection.isBusy && !connection.hasFailed(requestKey)) {
+			if (!connection.isBusy && !connection.hasCarried(requestKey)) {
 				return connection;
 			}
 		}
--- a/src/server/pooled-connection.ts
+++ b/src/server/pooled-connection.ts
@@ -2,8 +2,8 @@
 import type {buildConnector, Client} from 'undici';
 import type {ConnectionUse} from '../core/common/connection-use.ts';
 
-/** Number of failed requests from which on a connection is not reused, which bounds what is remembered of them. */
-const maxFailed = 256;
+/** Number of requests without a successful answer after which a connection is not reused. */
+const maxUnanswered = 256;
 
 /** Time for which a target may take to end its side of a connection, in milliseconds. */
 const maxEndMs = 100;
@@ -12,12 +12,13 @@
 export class PooledConnection {
 	static #count = 0;
 	readonly client: Client;
+	/** True while a request is in progress, and once the connection is being ended. */
 	isBusy = false;
-	/** True while its request may not have been sent yet: neither the head of an answer nor a failure has come. */
+	/** True until its request has the head of an answer or has failed: it may not have been sent yet. */
 	isAwaited = false;
 	readonly #number: number;
-	/** Requests that had no complete, successful answer. */
-	readonly #failed = new Set<string>();
+	/** Requests without a complete, successful answer, the one in progress among them. */
+	readonly #unanswered = new Set<string>();
 	#requests = 0;
 	#socket: Socket | undefined;
 
@@ -33,24 +34,24 @@
 	}
 
 	/** True if it has carried the request without a complete, successful answer. */
-	hasFailed(requestKey: string): boolean {
-		return this.#failed.has(requestKey);
+	hasCarried(requestKey: string): boolean {
+		return this.#unanswered.has(requestKey);
 	}
 
-	/** True if it has carried too many failed requests to remember more of them. */
+	/** True if it has carried too many such requests to remember more of them. */
 	get isWornOut(): boolean {
-		return this.#failed.size >= maxFailed;
+		return this.#unanswered.size >= maxUnanswered;
 	}
 
 	/** Records a request that is about to be sent. */
 	begin(requestKey: string): ConnectionUse {
 		const use = {
-			connection: this.#number, earlierRequests: this.#requests, earlierFailures: this.#failed.size, isRepeat: this.hasFailed(requestKey),
+			connection: this.#number, earlierRequests: this.#requests, earlierFailures: this.#unanswered.size, isRepeat: this.hasCarried(requestKey),
 		};
 		this.isBusy = true;
 		this.isAwaited = true;
 		this.#requests += 1;
-		this.#failed.add(requestKey);
+		this.#unanswered.add(requestKey);
 		return use;
 	}
 
@@ -61,10 +62,10 @@
 
 	/** Records that a request had a complete, successful answer. */
 	complete(requestKey: string): void {
-		this.#failed.delete(requestKey);
+		this.#unanswered.delete(requestKey);
 	}
 
-	/** Ends an idle connection; resolves once the target has ended it too, and no longer counts it. */
+	/** Ends an idle connection; resolves once the target has ended it too, or after `maxEndMs`. */
 	async end(): Promise<void> {
 		this.isBusy = true;
 		const socket = this.#socket;
--- a/src/server/pooled-response.ts
+++ b/src/server/pooled-response.ts
@@ -7,8 +7,8 @@
 	readonly use: ConnectionUse;
 	/** To be called once the answer was read to its end, if it is a complete, successful one. */
 	readonly complete: () => void;
-	/** To be called if the answer names no request and is no successful one, before anything else is awaited: written once more, it could be taken for the answer to any request. The connection carries no other one. */
+	/** Keeps other requests from the connection. To be called before anything else is awaited, if the answer is unsuccessful and names no request. */
 	readonly retire: () => void;
-	/** To be called if the answer is not that to the request: the target may still work on the request, and its answer would come to the next one. Ends the connection, unless it carries another request by now. */
+	/** Ends the connection, unless it carries another request by now. To be called if the answer is not accepted: the target may still work on the request, and its answer would come to the next one. */
 	readonly destroy: () => void;
 };
