fix(orders): an engine's answer to one order is never taken for that to the next one

An order that its engine refused was reported as done, so that a model counted as loaded that wasn't: the engine had written its answer to an earlier order once more on the connection. Answers to orders name no order, and nothing else told them apart. Orders are rare, and each has a connection of its own now.

doubled-answers-to-orders failed before (ok instead of status 409) and passes.

--- a/src/server/order-sender.ts
+++ b/src/server/order-sender.ts
@@ -29,6 +29,8 @@
 					orderId, fencing, validMs, action,
 				}),
 				headersTimeout: validMs,
+				// Answers name no order: one that is written once more would be taken for that of the next one.
+				reset: true,
 			});
 			await res.body.dump();
 			const ok = res.statusCode < 300;
