--- a/src/core/consensus/raft-member.ts
+++ b/src/core/consensus/raft-member.ts
@@ -24,6 +24,7 @@
 import {memberRole} from './member-role.ts';
 import {MemberStorage} from './member-storage.ts';
 import type {RaftMemberOptions} from './raft-member-options.ts';
+import {storageStatus} from './storage-status.ts';
 import {WaitingLearners} from './waiting-learners.ts';
 
 type Body = ConsensusMessage['body'];
@@ -204,8 +205,9 @@
 	}
 
 	status(): ConsensusStatus {
-		const {log, configuration, term, snapshotIndex} = this.#storage;
+		const {configuration} = this.#storage;
 		return {
+			...storageStatus(this.#storage, this.#applied.commitIndex),
 			role: memberRole({
 				stopped: this.#stopped,
 				isLeader: this.#leadership !== undefined,
@@ -213,15 +215,7 @@
 				isVoter: isVoter(configuration, this.#context.self),
 				isCandidate: this.#election.isCandidate,
 			}),
-			term,
 			leader: this.#leader,
-			commitIndex: this.#applied.commitIndex,
-			lastIndex: log.lastIndex,
-			snapshotIndex,
-			logBytes: log.size(log.baseIndex, log.lastIndex),
-			voters: configuration?.voters.map(voter => voter.nodeId) ?? [],
-			wanted: configuration?.wanted ?? [],
-			configurationIndex: this.#storage.configurationIndex,
 			learners: this.#leadership?.learners.map(({member}) => member.nodeId) ?? [],
 			problem: this.#recovery.reason,
 		};
