--- a/src/server/attempt-response-reader.ts
+++ b/src/server/attempt-response-reader.ts
@@ -12,6 +12,7 @@
 import type {CallerRequest} from './caller-request.ts';
 import type {PooledResponse} from './pooled-response.ts';
 import type {ProblemDocument} from './problem-document.ts';
+import {problemTypePrefix} from './problem-type-prefix.ts';
 import {MemoryHold} from './memory-hold.ts';
 import type {ProcessMemory} from './process-memory.ts';
 import {ranHeader} from './ran-header.ts';
@@ -37,6 +38,7 @@
 const failureStatuses = new Set([500, 502, 503, 504, 429]);
 /** Failure status codes that may be the answer of a plain service itself; they are relayed to the caller. */
 const relayedServiceStatuses = new Set([500, 429]);
+const lowestErrorStatus = 400;
 /** Minimum interval between `attempt-progress` events. */
 const progressIntervalMs = 100;
 /** Copies of the text of a stream that a process holds: the text, and the answer that is assembled of it. */
@@ -96,7 +98,8 @@
 		}
 
 		const answeredAttempt = header(res, attemptHeader);
-		if (answeredAttempt === undefined && isPromise(res.statusCode)) {
+		// Written once more, it would say the same of any other attempt.
+		if (answeredAttempt === undefined && (isPromise(res.statusCode) || (this.#action.forwardTo !== undefined && res.statusCode >= lowestErrorStatus))) {
 			retire();
 		}
 
@@ -117,7 +120,8 @@
 		const ran = header(res, ranHeader);
 		// Without `ran` it is the document of a service, unless the entry is of an earlier build, which names no attempt.
 		if (this.#action.forwardTo && head.contentType.startsWith('application/problem+json') && (ran !== undefined || !isNamed)) {
-			const refusal = peerRefusal(await readProblem(res), isNamed && ran === 'no' ? 'no' : 'maybe');
+			const problem = await readProblem(res);
+			const refusal = peerRefusal(problem, (isNamed ? ran : ranAtEarlierBuild(problem)) === 'no' ? 'no' : 'maybe');
 			throw new TargetError('refused', {
 				refusal, status: head.status, notRun: refusal.ran === 'no', retryAfterMs: refusal.retryAfterMs,
 			});
@@ -370,6 +374,11 @@
 	return Array.isArray(value) ? value[0] : value;
 }
 
+/** Whether a request ran by a document that names no attempt: an entry of an earlier build is believed, a service behind it isn't. */
+function ranAtEarlierBuild({type, ran}: ProblemDocument): Refusal['ran'] {
+	return typeof type === 'string' && type.startsWith(problemTypePrefix) ? ran : 'maybe';
+}
+
 function peerRefusal({result, retryAfterMs, detail}: ProblemDocument, ran: Refusal['ran']): Refusal {
 	return {
 		result, ran, retryAfterMs, detail,
