refactor(gateway): a pooled connection keeps its own state

The pool wrote isBusy and isAwaited of its connections, and made their HTTP clients through a constructor with two callbacks. PooledConnection makes its client and sends requests itself now; the pool reads isIdle and isAwaitingHead.

--- a/src/core/edge/edge-core.ts
+++ b/src/core/edge/edge-core.ts
@@ -107,7 +107,6 @@
 			mayBeBehind: now => this.#configuration.mayBeBehind(now),
 			prober: this.#prober,
 			containment: this.#containment,
-			state,
 			origins: this.#origins,
 			placement: new PlacementPolicy({
 				region: self.region, relayAddress: self.relayAddress, pool: this.#pool, regions: this.#regions, startup: this.#startup, table: () => this.#configuration.table, random,
--- a/src/core/edge/request-handler.ts
+++ b/src/core/edge/request-handler.ts
@@ -4,7 +4,6 @@
 import type {Random} from '../common/random.ts';
 import type {Millis} from '../ids/millis.ts';
 import type {RequestId} from '../ids/request-id.ts';
-import type {StateMemory} from '../memory/state-memory.ts';
 import type {QuotaGate} from '../organisations/quota/quota-gate.ts';
 import type {RouteRule} from '../routes/route-rule.ts';
 import type {RouteTable} from '../routes/route-table.ts';
@@ -44,8 +43,6 @@
 	readonly waiting: WaitQueue;
 	readonly origins: StreamOrigins;
 	readonly containment: CrashContainment;
-	/** Owner of what is kept for callers. */
-	readonly state: StateMemory;
 	readonly prober: TargetProber;
 	readonly startup: StartupWait;
 	/** True if a newer document may have been accepted that this entry does not have. */
--- a/src/server/connection-pool.ts
+++ b/src/server/connection-pool.ts
@@ -1,6 +1,5 @@
 import type {buildConnector, Client, Dispatcher} from 'undici';
 import methods from 'undici/lib/api/index.js';
-import ClientClass from 'undici/lib/dispatcher/client.js';
 import DispatcherClass from 'undici/lib/dispatcher/dispatcher.js';
 import {PooledConnection} from './pooled-connection.ts';
 import type {PooledResponse} from './pooled-response.ts';
@@ -46,10 +45,8 @@
 			connection = this.#open(options.origin);
 		}
 
-		const use = connection.begin(requestKey);
 		try {
-			const res = await connection.client.request(options);
-			connection.isAwaited = false;
+			const {res, use} = await connection.request(requestKey, options);
 			return {
 				res,
 				use,
@@ -86,7 +83,7 @@
 	/** An idle connection that has not carried the request. */
 	#findIdle(origin: string, requestKey: string): PooledConnection | undefined {
 		for (const connection of this.#connections.get(origin) ?? []) {
-			if (!connection.isBusy && !connection.hasCarried(requestKey)) {
+			if (connection.isIdle && !connection.hasCarried(requestKey)) {
 				return connection;
 			}
 		}
@@ -97,7 +94,7 @@
 	/** Ends an idle connection, if there is one, before a new one takes its place: a target at its limit would reset that. */
 	async #endIdle(origin: string): Promise<void> {
 		for (const connection of this.#connections.get(origin) ?? []) {
-			if (!connection.isBusy) {
+			if (connection.isIdle) {
 				await connection.end(); // eslint-disable-line no-await-in-loop
 				this.#retire(origin, connection);
 				return;
@@ -110,17 +107,16 @@
 			throw new Error('the connection pool is closed');
 		}
 
-		const connection = new PooledConnection(this.#options.connect, connect => new ClientClass(origin, {...this.#options, connect, pipelining: 1}));
+		const connection = new PooledConnection({...this.#options, origin});
 		connection.client
 			.on('drain', () => {
-				connection.isBusy = false;
 				if (connection.isWornOut) {
 					// Not only once a new connection takes its place, which would wait for its end.
 					this.#retire(origin, connection);
 				}
 			})
 			.on('disconnect', () => {
-				if (connection.isAwaited) {
+				if (connection.isAwaitingHead) {
 					// A request that came while the connection was being closed is still sent, on one that replaces it.
 					this.#retire(origin, connection);
 				} else {
--- a/src/server/pooled-connection.ts
+++ b/src/server/pooled-connection.ts
@@ -1,7 +1,13 @@
 import type {Socket} from 'node:net';
-import type {buildConnector, Client} from 'undici';
+import type {buildConnector, Client, Dispatcher} from 'undici';
+import ClientClass from 'undici/lib/dispatcher/client.js';
 import type {ConnectionUse} from '../core/common/connection-use.ts';
 
+type PooledConnectionOptions = Client.Options & {
+	readonly origin: string;
+	readonly connect: buildConnector.connector;
+};
+
 /** Number of requests without a successful answer after which a connection is not reused. */
 const maxUnanswered = 256;
 
@@ -12,25 +18,40 @@
 export class PooledConnection {
 	static #count = 0;
 	readonly client: Client;
-	/** True while a request is in progress, and once the connection is being ended. */
-	isBusy = false;
-	/** True until its request has the head of an answer or has failed: it may not have been sent yet. */
-	isAwaited = false;
 	readonly #number: number;
 	/** Requests without a complete, successful answer, the one in progress among them. */
 	readonly #unanswered = new Set<string>();
 	#requests = 0;
+	#isIdle = true;
+	#isAwaitingHead = false;
 	#socket: Socket | undefined;
 
-	constructor(connect: buildConnector.connector, createClient: (connect: buildConnector.connector) => Client) {
+	constructor({origin, connect, ...options}: PooledConnectionOptions) {
 		PooledConnection.#count += 1;
 		this.#number = PooledConnection.#count;
-		this.client = createClient((options, callback) => {
-			connect(options, (...result) => {
-				this.#socket = result[1] ?? undefined;
-				callback(...result);
-			});
+		const client = new ClientClass(origin, {
+			...options,
+			pipelining: 1,
+			connect: (target, callback) => {
+				connect(target, (...result) => {
+					this.#socket = result[1] ?? undefined;
+					callback(...result);
+				});
+			},
 		});
+		this.client = client.on('drain', () => {
+			this.#isIdle = true;
+		});
+	}
+
+	/** True if no request is in progress on it, and it is not being ended. */
+	get isIdle(): boolean {
+		return this.#isIdle;
+	}
+
+	/** True until its request has the head of an answer or has failed: it may not have been sent yet. */
+	get isAwaitingHead(): boolean {
+		return this.#isAwaitingHead;
 	}
 
 	/** True if it has carried the request without a complete, successful answer. */
@@ -43,16 +64,20 @@
 		return this.#unanswered.size >= maxUnanswered;
 	}
 
-	/** Records a request that is about to be sent. */
-	begin(requestKey: string): ConnectionUse {
+	/** Sends a request; resolves with the head of its answer. To be called only while the connection is idle. */
+	async request(requestKey: string, options: Dispatcher.RequestOptions): Promise<{readonly res: Dispatcher.ResponseData; readonly use: ConnectionUse}> {
 		const use = {
 			connection: this.#number, earlierRequests: this.#requests, earlierFailures: this.#unanswered.size, isRepeat: this.hasCarried(requestKey),
 		};
-		this.isBusy = true;
-		this.isAwaited = true;
 		this.#requests += 1;
 		this.#unanswered.add(requestKey);
-		return use;
+		this.#isIdle = false;
+		this.#isAwaitingHead = true;
+		try {
+			return {res: await this.client.request(options), use};
+		} finally {
+			this.#isAwaitingHead = false;
+		}
 	}
 
 	/** True unless it has begun another request since. */
@@ -67,7 +92,7 @@
 
 	/** Ends an idle connection; resolves once the target has ended it too, or after `maxEndMs`. */
 	async end(): Promise<void> {
-		this.isBusy = true;
+		this.#isIdle = false;
 		const socket = this.#socket;
 		if (socket === undefined || socket.destroyed) {
 			return;
