fix(gateway): a refusal with a status of success doesn't free its connection for the same request

A target that answers 2xx with `Not-Executed` is taken for one that has not run the request, whatever its status. The pool, though, took the status for a success: it forgot the request, and an answer without an id left its connection in use. The request could be sent again there, where the refusal, written once more, was taken for its answer: the request was said not to have run while it ran.

Cause: `complete` and `retire` looked at the status alone. They now look at whether the answer says "not run", as the core does.

--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -89,7 +89,8 @@
 		this.#headers = res.headers as unknown as string[];
 		const {head, key} = codec.readAnswer(res.statusCode, this.#headers, targetId === undefined ? 'entry' : 'target');
 		this.#leaving = head.leaving ?? false;
-		if (key === undefined && !isSuccess(res.statusCode)) {
+		const isSuccessful = isSuccess(res.statusCode) && !head.notRun;
+		if (key === undefined && !isSuccessful) {
 			retire();
 		}
 
@@ -129,7 +130,7 @@
 			}
 
 			step({type: 'attempt-end', attempt, truncated});
-			if (!truncated && isSuccess(res.statusCode)) {
+			if (!truncated && isSuccessful) {
 				complete();
 			}
 		} finally {
--- a/test/server/routes/manners-of-copies.test.ts
+++ b/test/server/routes/manners-of-copies.test.ts
@@ -130,3 +130,14 @@
 		}
 	}
 }
+
+for (const [name, key] of [['an id', 'r-1'], ['no id', '']] as const) {
+	test(`a request with ${name} that runs is said not to have run, by a copy of a refusal of this target that came with status 200`, async t => {
+		const id = key === '' ? [] : [`Request-Identifier: ${key}`];
+		const {address, runs} = await listen(t, manners['before the answer']!, () => ['HTTP/1.1 200 OK', marks.target, ...id, 'Content-Length: 7', '', 'refused'].join('\r\n'));
+		const [first, second] = await sendBoth(t, address, [key, key], {hop: 'target'});
+		t.like(first, {type: 'attempt-head', head: {status: 200, notRun: true}});
+		t.is(runs.length, 1);
+		t.like(second, {type: 'attempt-head', head: {status: 200, notRun: false}});
+	});
+}
