fix(gateway): no connection carries a request twice, whatever became of it

What had succeeded was told by the status, which needed a call from each reader.

Each connection now keeps the keys of all its requests and is closed after 256 of them.

--- a/src/server/attempt-client.ts
+++ b/src/server/attempt-client.ts
@@ -84,7 +84,6 @@
 			const answer = await this.#connections.request(this.#requestOptions(action, request, abort.signal));
 			use = answer.use;
 			await reader.read(answer);
-			answer.complete();
 		} catch (error) {
 			if (!abort.signal.aborted && !reader.ended) {
 				this.#options.step({type: 'attempt-failed', attemptId: action.attemptId, failure: attemptFailure(error, reader, use)});
--- a/src/server/connection-pool.ts
+++ b/src/server/connection-pool.ts
@@ -22,8 +22,8 @@
  * HTTP connections by origin, each of which carries one request at a time.
  *
  * A faulty target may write an earlier answer once more, where the next one is due. The key in it tells requests apart,
- * but not two attempts of one request. Therefore a request is never sent twice on one connection, unless it was answered
- * successfully, and a connection is not reused after an answer without a key.
+ * but not two attempts of one request. Therefore a request is never sent twice on one connection, and a connection is
+ * not reused after an unsuccessful answer without a key.
  */
 export class ConnectionPool {
 	readonly #options: ConnectionPoolOptions;
@@ -50,9 +50,6 @@
 			return {
 				res,
 				use,
-				complete() {
-					connection.complete(requestKey);
-				},
 				retire: () => {
 					this.#retire(options.origin, connection);
 				},
--- a/src/server/pooled-connection.ts
+++ b/src/server/pooled-connection.ts
@@ -8,8 +8,8 @@
 	readonly connect: buildConnector.connector;
 };
 
-/** Number of requests without a successful answer after which a connection is not reused. */
-const maxUnanswered = 256;
+/** Number of requests after which a connection is not reused, which bounds what is remembered of them. */
+const maxRequests = 256;
 
 /** Time for which a target may take to end its side of a connection, in milliseconds. */
 const maxEndMs = 100;
@@ -19,9 +19,8 @@
 	static #count = 0;
 	readonly client: Client;
 	readonly #number: number;
-	/** Requests without a complete, successful answer, the one in progress among them. */
-	readonly #unanswered = new Set<string>();
-	#requests = 0;
+	/** Keys of all requests, the one in progress among them. */
+	readonly #carried = new Set<string>();
 	#isIdle = true;
 	#isAwaitingHead = false;
 	#socket: Socket | undefined;
@@ -54,23 +53,20 @@
 		return this.#isAwaitingHead;
 	}
 
-	/** True if it has carried the request without a complete, successful answer. */
+	/** True if it has carried the request. */
 	hasCarried(requestKey: string): boolean {
-		return this.#unanswered.has(requestKey);
+		return this.#carried.has(requestKey);
 	}
 
-	/** True if it has carried too many such requests to remember more of them. */
+	/** True if it has carried as many requests as are remembered. */
 	get isWornOut(): boolean {
-		return this.#unanswered.size >= maxUnanswered;
+		return this.#carried.size >= maxRequests;
 	}
 
-	/** Sends a request; resolves with the head of its answer. To be called only while the connection is idle. */
+	/** Sends a request; resolves with the head of its answer. To be called only if the connection is idle and has not carried the request. */
 	async request(requestKey: string, options: Dispatcher.RequestOptions): Promise<{readonly res: Dispatcher.ResponseData; readonly use: ConnectionUse}> {
-		const use = {
-			connection: this.#number, earlierRequests: this.#requests, earlierFailures: this.#unanswered.size, isRepeat: this.hasCarried(requestKey),
-		};
-		this.#requests += 1;
-		this.#unanswered.add(requestKey);
+		const use = {connection: this.#number, earlierRequests: this.#carried.size, isRepeat: this.hasCarried(requestKey)};
+		this.#carried.add(requestKey);
 		this.#isIdle = false;
 		this.#isAwaitingHead = true;
 		try {
@@ -82,12 +78,7 @@
 
 	/** True unless it has begun another request since. */
 	isLatest({earlierRequests}: ConnectionUse): boolean {
-		return earlierRequests === this.#requests - 1;
-	}
-
-	/** Records that a request had a complete, successful answer. */
-	complete(requestKey: string): void {
-		this.#unanswered.delete(requestKey);
+		return earlierRequests === this.#carried.size - 1;
 	}
 
 	/** Ends an idle connection; resolves once the target has ended it too, or after `maxEndMs`. */
--- a/src/server/pooled-response.ts
+++ b/src/server/pooled-response.ts
@@ -5,8 +5,6 @@
 export type PooledResponse = {
 	readonly res: Dispatcher.ResponseData;
 	readonly use: ConnectionUse;
-	/** To be called once the answer was read to its end, if it is a complete, successful one. */
-	readonly complete: () => void;
 	/** Keeps other requests from the connection. To be called before anything else is awaited, if the answer is unsuccessful and names no request. */
 	readonly retire: () => void;
 	/** Ends the connection, unless it carries another request by now. To be called if the answer is not accepted: the target may still work on the request, and its answer would come to the next one. */
--- a/src/server/routes/target-response-reader.ts
+++ b/src/server/routes/target-response-reader.ts
@@ -74,7 +74,7 @@
 	}
 
 	/** Reads an answer to its end. */
-	async read({res, use, complete, retire, destroy}: PooledResponse): Promise<void> {
+	async read({res, use, retire, destroy}: PooledResponse): Promise<void> {
 		const {action: {attempt, stream, targetId}, exchange, codec, step} = this.#options;
 		// An aborted body emits an error, which would be uncaught once nothing reads it.
 		res.body.on('error', () => undefined);
@@ -89,8 +89,7 @@
 		this.#headers = res.headers as unknown as string[];
 		const {head, key} = codec.readAnswer(res.statusCode, this.#headers, targetId === undefined ? 'entry' : 'target');
 		this.#leaving = head.leaving ?? false;
-		const isSuccessful = isSuccess(res.statusCode) && !head.notRun;
-		if (key === undefined && !isSuccessful) {
+		if (key === undefined && (head.notRun || !isSuccess(res.statusCode))) {
 			retire();
 		}
 
@@ -125,13 +124,8 @@
 		});
 		try {
 			const truncated = await (this.#streaming ? this.#readStream(res, description, hold) : this.#readBuffered(res, description, hold));
-			if (this.#stopped) {
-				return;
-			}
-
-			step({type: 'attempt-end', attempt, truncated});
-			if (!truncated && isSuccessful) {
-				complete();
+			if (!this.#stopped) {
+				step({type: 'attempt-end', attempt, truncated});
 			}
 		} finally {
 			hold.close();
