refactor(test): the stand-in engine's endless answers, refusals and runs have files of their own

Change: `EndlessAnswer` and `endlessAnswers`, `DoubledRefusals`, `TargetRuns` and `EngineManner` are split off. The manner `copied` is now a plan, `refuseOnce`, drawn by the identifier of each request; `planRefusal` gets it.

--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -5,53 +5,31 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {DoubledRefusals} from './doubled-refusals.ts';
+import type {EndlessAnswer} from './endless-answer.ts';
+import {endlessAnswers} from './endless-answers.ts';
+import type {EngineManner} from './engine-manner.ts';
 import type {RefusalPlan} from './refusal-plan.ts';
 import {Refusals} from './refusals.ts';
 import type {TargetRun} from './target-run.ts';
-import {writeEndlessly} from './write-endlessly.ts';
-
-/**
- * How the stand-in answers. `well`: correctly; `cut`: resets the connection of a stream within its third event; `short`: ends a stream within its third event, and a call within its document, without a reset;
- * `reset`: resets the connection before the answer;
- * `full`: refuses with 503 without running the request; `nameless`: the same, without the request's identifier; `doubled`: refuses the first request of a connection, runs the others, and answers them with that refusal; `copied`: refuses each request with `copiedStatus`, runs it when it is sent again, and, if that is on the same connection, writes the refusal once more before its answer; `silent`: never answers; `foreign`: answers with the identifier of another request; `unsigned`: answers without its `server-signature`;
- * `bodiless`: sends the head of an answer that has no length, and ends the connection;
- * `stalled-body`: sends a part of a long answer, below what one answer may have, and nothing more;
- * `raw`: sends `rawAnswer` once the head of a request has arrived, reads no body, and ends the connection;
- * `endless-…`: sends bytes that are no answer, in a place of the answer, until its connection is closed.
- */
-type Manner = 'well' | 'cut' | 'short' | 'reset' | 'full' | 'nameless' | 'doubled' | 'copied' | 'silent' | 'foreign' | 'unsigned' | 'bodiless' | 'stalled-body' | 'raw' | keyof typeof endlessAnswers;
+import {TargetRuns} from './target-runs.ts';
 
 type ResumeAnswer = {readonly status: number; readonly contentType: string; readonly text: string};
 
 type ReceivedRequest = {readonly method: string; readonly path: string; readonly headers: IncomingMessage['headers']; readonly body: string; readonly receivedAt: number};
 
-type EndlessAnswer = {readonly start: (statusLine: string, fields: string) => string; readonly filler: string};
-
-/** What is sent before the filler that has no end, and that filler. */
-const endlessAnswers = {
-	'endless-head': {start: (statusLine, fields) => `${statusLine}\r\n${fields}`, filler: 'X-Filler: filler\r\n'},
-	'endless-body': {start: (statusLine, fields) => `${statusLine}\r\n${fields}\r\n`, filler: 'filler'},
-	'endless-reason': {start: statusLine => statusLine, filler: 'filler'},
-	'endless-interim': {start: () => '', filler: 'HTTP/1.1 103 Early Hints\r\nLink: </filler>\r\n\r\n'},
-	'endless-extension': {start: (statusLine, fields) => `${statusLine}\r\n${fields}Transfer-Encoding: chunked\r\n\r\n5;`, filler: 'filler'},
-} as const satisfies Readonly<Record<string, EndlessAnswer>>;
-
 /** Size of the part that `stalled-body` sends, in bytes. */
 const stalledPart = Buffer.alloc(12_000_000, 'x');
 /** Time between the manner `raw`'s answer and the end of its connection, in milliseconds. */
 const rawEndDelayMs = 50;
-/** Time between the arrival of a request and the copy of its earlier refusal, in milliseconds. */
-const copyDelayMs = 5;
 /** Default number of events in a complete stream. */
 const defaultEventCount = 6;
 
 /** In-process engine and service that implements the platform's protocol for targets. */
 export class PlatformEngine {
-	manner: Manner = 'well';
+	manner: EngineManner = 'well';
 	/** Answer of the manner `raw`: its status line, the text after its head, and how its connection ends. */
 	rawAnswer: {readonly statusLine: string; readonly headers: string; readonly text: string; readonly end: 'close' | 'reset'} | undefined;
-	/** Status of the refusals of the manner `copied`; 421 says by itself that the request has not run. */
-	copiedStatus: 421 | 429 | 503 = 503;
 	/** `Retry-After` of refusals with 503, in seconds; absent by default. */
 	pauseSeconds: string | undefined;
 	/** Answer to requests that resume a stream, in place of the rest of it; absent by default. */
@@ -80,16 +58,12 @@
 	pauseBeforeMs: ((event: {readonly id: number; readonly path: string; readonly isFirst: boolean}) => number) | undefined;
 	/** Work before the head of a stream beyond `workMs`, in milliseconds; none by default. */
 	prefillMs: ((path: string) => number) | undefined;
-	/** Drawn for each request while the engine answers well; the request runs if it gives none. */
-	planRefusal: (() => RefusalPlan | undefined) | undefined;
+	/** Drawn for each request, by its identifier, while the engine answers well; the request runs if it gives none. */
+	planRefusal: ((id: string) => RefusalPlan | undefined) | undefined;
 	/** Refusals that were planned so. */
 	readonly refusals = new Refusals();
-	/** Number of runs that began on a connection on which another one was in progress. */
-	sentBesideRuns = 0;
 	/** Number of connections accepted. */
 	connectionCount = 0;
-	/** Runs of requests, in the order in which they began. */
-	readonly runRecords: TargetRun[] = [];
 	/** Requests received, in order. */
 	readonly receivedRequests: ReceivedRequest[] = [];
 	/** Number of requests whose connection closed before the answer was complete. */
@@ -104,13 +78,8 @@
 	#port = 0;
 	readonly #sockets = new Set<Socket>();
 	readonly #lastUsedAt = new WeakMap<Socket, number>();
-	/** Number of runs in progress on a connection. */
-	readonly #openRunCounts = new WeakMap<Socket, number>();
-	readonly #openRuns = new WeakMap<ServerResponse, TargetRun>();
-	/** Bytes of the refusal that was written on a connection. */
-	readonly #refusals = new WeakMap<Socket, string>();
-	/** Refusals of the manner `copied`, by the identifier of the request. */
-	readonly #copies = new Map<string, {readonly socket: Socket; readonly refusal: string}>();
+	readonly #runs = new TargetRuns();
+	readonly #doubledRefusals = new DoubledRefusals();
 	#closing = false;
 
 	constructor(name: string, workMs = 0) {
@@ -130,6 +99,16 @@
 		return `127.0.0.1:${this.#port}`;
 	}
 
+	/** Runs of requests, in the order in which they began. */
+	get runRecords(): TargetRun[] {
+		return this.#runs.records;
+	}
+
+	/** Number of runs that began on a connection on which another one was in progress. */
+	get sentBesideRuns(): number {
+		return this.#runs.besideOthers;
+	}
+
 	/** Starts to accept connections; again at the same port after `close`. */
 	async listen(): Promise<void> {
 		this.#closing = false;
@@ -184,8 +163,7 @@
 			return;
 		}
 
-		const copy = this.#copies.get(id);
-		const isFirst = (manner === 'doubled' && !this.#refusals.has(req.socket)) || (manner === 'copied' && copy === undefined);
+		const isFirst = manner === 'doubled' && !this.#doubledRefusals.has(req.socket);
 		if (manner !== 'full' && !isFirst) {
 			this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
 			this.#recordRun(req, res);
@@ -211,16 +189,12 @@
 			return;
 		}
 
-		if (copy?.socket === req.socket) {
-			setTimeout(() => req.socket.write(copy.refusal), copyDelayMs);
-		}
-
 		await this.#answerInTime(req, res, manner);
 	}
 
 	/** False if the request is to run. */
 	#refuseAsPlanned(req: IncomingMessage, res: ServerResponse): boolean {
-		const plan = this.manner === 'well' ? this.planRefusal?.() : undefined;
+		const plan = this.manner === 'well' ? this.planRefusal?.(identifierOf(req)) : undefined;
 		if (plan !== undefined) {
 			this.refusals.write(res, identifierOf(req), plan);
 		}
@@ -238,7 +212,7 @@
 	}
 
 	/** Answers after the time that the work takes. */
-	async #answerInTime(req: IncomingMessage, res: ServerResponse, manner: Manner): Promise<void> {
+	async #answerInTime(req: IncomingMessage, res: ServerResponse, manner: EngineManner): Promise<void> {
 		const headers = {
 			'request-identifier': manner === 'foreign' ? 'another' : identifierOf(req),
 			...manner === 'unsigned' ? {} : {'server-signature': `${this.identifier}.sig`},
@@ -284,51 +258,26 @@
 		});
 	}
 
-	#recordRun({headers, socket}: IncomingMessage, res: ServerResponse): void {
-		const {sending} = headers;
-		const run: TargetRun = {
-			key: String(headers['request-identifier']), sending: sending === undefined ? undefined : Number(sending), startedAt: performance.now(), progressAt: [],
-		};
+	#recordRun(req: IncomingMessage, res: ServerResponse): void {
 		const breaksOff = !['well', 'silent'].includes(this.manner);
-		this.runRecords.push(run);
-		this.#openRuns.set(res, run);
-		const openRuns = this.#openRunCounts.get(socket) ?? 0;
-		this.#openRunCounts.set(socket, openRuns + 1);
-		this.sentBesideRuns += openRuns > 0 ? 1 : 0;
-		// An answer that waits for an earlier one of its connection doesn't hear of the connection's end.
-		const end = () => {
-			socket.off('close', end);
-			res.off('close', end);
-			this.#openRunCounts.set(socket, this.#openRunCounts.get(socket)! - 1);
-			run.endedAt = performance.now();
-			run.end = breaksOff || (this.#closing && !res.writableFinished) ? 'broken off' : (res.writableFinished ? 'whole' : 'cancelled');
-		};
-
-		res.on('close', end);
-		socket.on('close', end);
+		this.#runs.begin(req, res, () => breaksOff || (this.#closing && !res.writableFinished));
 	}
 
 	/** Records the head of an answer, unless it is one that its requester can't accept. */
-	#noteHead(res: ServerResponse, manner: Manner): void {
-		const run = this.#openRuns.get(res);
-		if (run !== undefined && manner !== 'foreign' && manner !== 'unsigned') {
-			run.headAt = performance.now();
+	#noteHead(res: ServerResponse, manner: EngineManner): void {
+		if (manner !== 'foreign' && manner !== 'unsigned') {
+			this.#runs.noteHead(res);
 		}
 	}
 
 	/** Answers in a manner that is no answer to the request; false if it is to be answered otherwise. */
 	#misanswer(req: IncomingMessage, res: ServerResponse): boolean {
-		const answers: Partial<Record<Manner, () => void>> = {
+		const answers: Partial<Record<EngineManner, () => void>> = {
 			reset() {
 				req.socket.resetAndDestroy();
 			},
 			doubled: () => {
-				this.#writeRefusal(req);
-			},
-			...!this.#copies.has(identifierOf(req)) && {
-				copied: () => {
-					this.#refuseOnce(req);
-				},
+				this.#doubledRefusals.write(req);
 			},
 			bodiless: () => {
 				const type = req.headers['token-counts'] === undefined ? 'text/plain' : 'text/event-stream';
@@ -349,32 +298,14 @@
 		return answer !== undefined;
 	}
 
-	/** Refuses the first request of a connection; for later ones that refusal is written again, and the answer never comes. */
-	#writeRefusal({headers, socket}: IncomingMessage): void {
-		const identifier = String(headers['request-identifier']);
-		const refusal = this.#refusals.get(socket)
-			?? ['HTTP/1.1 503 Service Unavailable', 'Not-Executed: 1', `Request-Identifier: ${identifier}`, 'Content-Length: 0', '', ''].join('\r\n');
-		this.#refusals.set(socket, refusal);
-		socket.write(refusal);
-	}
-
-	#refuseOnce({headers, socket}: IncomingMessage): void {
-		const identifier = String(headers['request-identifier']);
-		const status = this.copiedStatus;
-		const refusal = [`HTTP/1.1 ${status} Refused`, ...status === 421 ? [] : ['Not-Executed: 1'], `Request-Identifier: ${identifier}`, 'Content-Length: 0', '', ''].join('\r\n');
-		this.#copies.set(identifier, {socket, refusal});
-		socket.write(refusal);
-	}
-
 	#leavingHeader(): OutgoingHttpHeaders {
 		return this.leaving ? {'server-leaving': '1'} : {};
 	}
 
-	async #answerEndlessly(req: IncomingMessage, {start, filler}: EndlessAnswer): Promise<void> {
+	async #answerEndlessly(req: IncomingMessage, answer: EndlessAnswer): Promise<void> {
 		const type = req.headers['token-counts'] === undefined ? 'application/json' : 'text/event-stream';
 		const fields = `Request-Identifier: ${String(req.headers['request-identifier'])}\r\nServer-Signature: ${this.identifier}.sig\r\nContent-Type: ${type}\r\n`;
-		req.socket.write(start('HTTP/1.1 200 OK', fields));
-		this.endlessBytes.push(await writeEndlessly(req.socket, filler));
+		this.endlessBytes.push(await answer.write(req.socket, fields));
 	}
 
 	#answerCall(res: ServerResponse, headers: OutgoingHttpHeaders): void {
@@ -388,7 +319,6 @@
 		const {lineBreak, manner} = this;
 		res.writeHead(200, {...headers, 'content-type': 'text/event-stream'}).flushHeaders();
 		const first = Number(req.headers['last-event-id'] ?? 0) + 1;
-		const run = this.#openRuns.get(res);
 		for (let id = first; id <= this.eventCount; id++) {
 			const pauseMs = this.pauseBeforeMs?.({id, path: req.url!, isFirst: id === first}) ?? 0;
 			if (pauseMs > 0) {
@@ -415,7 +345,7 @@
 
 			const padding = this.eventPadding === 0 ? '' : `: ${'x'.repeat(this.eventPadding)}${lineBreak}`;
 			res.write(`id: ${id}${this.eventIdSuffix}${lineBreak}data: piece ${id}${lineBreak}version: ${this.softwareVersion}${lineBreak}${padding}${lineBreak}`);
-			run?.progressAt.push(performance.now());
+			this.#runs.noteProgress(res);
 			if (this.workMs > 0) {
 				await sleep(this.workMs); // eslint-disable-line no-await-in-loop
 			}
--- a/test/server/routes/copied-refusals.test.ts
+++ b/test/server/routes/copied-refusals.test.ts
@@ -8,6 +8,8 @@
 import {ProcessMemory} from '../../../src/server/process-memory.ts';
 import {TargetClient} from '../../../src/server/routes/target-client.ts';
 import {PlatformEngine} from '../../fakes/platform-engine.ts';
+import type {RefusalPlan} from '../../fakes/refusal-plan.ts';
+import {refuseOnce} from '../../fakes/refuse-once.ts';
 import {callerExchangeFixture} from '../../fixtures/caller-exchange-fixture.ts';
 import {platformConfiguration} from '../../fixtures/platform-configuration.ts';
 import {RoutesDeployment} from '../../fixtures/routes-deployment.ts';
@@ -34,13 +36,13 @@
 const order = {path: '/orders/1', body: 'order', headers: {'request-identifier': 'r-1'}};
 const stream = {path: '/drafts/1', body: 'draft', headers: {'request-identifier': 'r-1', 'token-counts': '10,10'}};
 
-async function start(t: ExecutionContext, copiedStatus: 421 | 429 | 503) {
+async function start(t: ExecutionContext, status: RefusalPlan['status']) {
 	const deployment = await RoutesDeployment.start({desk: ['d1']});
 	t.teardown(async () => deployment.close());
 	t.is(await deployment.statusOf('PUT', '/configuration', platformConfiguration(2, routes)), 200);
 	await deployment.waitForReports(reportsUntilUsed);
 	const [engine] = deployment.desk;
-	Object.assign(engine!, {manner: 'copied', copiedStatus, workMs});
+	Object.assign(engine!, {planRefusal: refuseOnce(status), workMs});
 	return {deployment, engine: engine!};
 }
 
@@ -74,7 +76,7 @@
 
 test('an order that an entry sends to the new id of an engine that has refused it is said not to have run though it ran, since the engine writes the refusal once more', async t => {
 	const engine = new PlatformEngine('d2');
-	Object.assign(engine, {manner: 'copied', copiedStatus: 421, workMs});
+	Object.assign(engine, {planRefusal: refuseOnce(421), workMs});
 	await engine.listen();
 	t.teardown(async () => engine.close());
 	const events = new EventEmitter();
--- a/test/server/routes/false-refusals-of-forwards.test.ts
+++ b/test/server/routes/false-refusals-of-forwards.test.ts
@@ -8,7 +8,8 @@
 import {toId} from '../../../src/core/ids/to-id.ts';
 import {ProcessMemory} from '../../../src/server/process-memory.ts';
 import {TargetClient} from '../../../src/server/routes/target-client.ts';
-import type {PlatformEngine} from '../../fakes/platform-engine.ts';
+import type {EngineManner} from '../../fakes/engine-manner.ts';
+import {refuseOnce} from '../../fakes/refuse-once.ts';
 import {callerExchangeFixture} from '../../fixtures/caller-exchange-fixture.ts';
 import {RoutesDeployment} from '../../fixtures/routes-deployment.ts';
 
@@ -47,12 +48,13 @@
 	return heads;
 }
 
-for (const manner of ['full', 'nameless', 'doubled', 'copied', 'foreign', 'unsigned', 'reset', 'bodiless'] as const satisfies ReadonlyArray<PlatformEngine['manner']>) {
+/** `copied`: refuses an order once, and writes the refusal once more if the order comes again on the same connection. */
+for (const manner of ['full', 'nameless', 'doubled', 'copied', 'foreign', 'unsigned', 'reset', 'bodiless'] as const satisfies ReadonlyArray<EngineManner | 'copied'>) {
 	test(`an entry refuses an order that was forwarded to it as not run, though its engine ran it, or got it twice on one connection: ${manner}`, async t => {
 		const deployment = await RoutesDeployment.start({desk: ['d1']});
 		t.teardown(async () => deployment.close());
 		const [engine] = deployment.desk;
-		Object.assign(engine!, {manner, workMs});
+		Object.assign(engine!, {workMs, ...manner === 'copied' ? {planRefusal: refuseOnce()} : {manner}});
 		const heads = await forwardAll(t, deployment);
 		const carried = heads.flatMap((head, index) => head?.use === undefined || head.status === 200 ? [] : [`${keys[index]!} on ${head.use.connection}`]);
 		t.is(new Set(carried).size, carried.length, carried.join(', '));
