refactor(test): one fixture for a client that sends an attempt

Change: `attemptClientFixture` does so, with options for what differs. Cases, titles and checks are the same.

--- a/test/server/attempt-client.test.ts
+++ b/test/server/attempt-client.test.ts
@@ -1,17 +1,10 @@
-import {Buffer} from 'node:buffer';
-import {ServerResponse, IncomingMessage} from 'node:http';
-import {createServer, Socket, type AddressInfo} from 'node:net';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
+import type {CoreEvent} from '../../src/core/events.ts';
 import type {AttemptId} from '../../src/core/ids/attempt-id.ts';
-import type {TargetId} from '../../src/core/ids/target-id.ts';
 import {toId} from '../../src/core/ids/to-id.ts';
-import type {CoreEvent} from '../../src/core/events.ts';
-import {AttemptClient} from '../../src/server/attempt-client.ts';
-import {CallerRequest} from '../../src/server/caller-request.ts';
-import {PeerToken} from '../../src/server/peer-token.ts';
-import {ProcessMemory} from '../../src/server/process-memory.ts';
 import {writeEndlessly} from '../fakes/write-endlessly.ts';
-import {requestInfoFixture} from '../fixtures/request-info-fixture.ts';
+import {attemptClientFixture} from '../fixtures/attempt-client-fixture.ts';
 
 type Answer = {
 	/** @default '200 OK' */
@@ -73,47 +66,9 @@
 
 /** Sends one request to a target; returns the events of the attempt. */
 async function eventsOf(t: ExecutionContext, answer: Answer, kind: 'call' | 'completion', {resume = false, body = ''} = {}): Promise<readonly CoreEvent[]> {
-	const events: CoreEvent[] = [];
 	const address = await listen(t, answer);
-	const info = requestInfoFixture({kind, streamed: false});
-	return new Promise(resolve => {
-		const client = new AttemptClient({
-			self: {nodeId: 'regina-1', region: 'regina'},
-			token: new PeerToken(() => ['key']),
-			memory: new ProcessMemory(),
-			step(event) {
-				events.push(event);
-				if (event.type === 'attempt-end' || event.type === 'attempt-failed') {
-					resolve(events);
-				}
-			},
-		});
-		t.teardown(async () => client.close());
-		const res = new ServerResponse(new IncomingMessage(new Socket()));
-		const request = new CallerRequest({
-			info,
-			body: Buffer.from(kind === 'call' ? `order${body}` : '{"messages":[{"role":"user","content":"hello"}]}'),
-			method: 'POST',
-			targetPath: '/orders',
-			headers: {},
-			res,
-			memory: new ProcessMemory(),
-		});
-		client.start({
-			type: 'start-attempt',
-			requestId: info.requestId,
-			attemptId: toId('attempt-1'),
-			address,
-			targetId: toId<TargetId>('d1'),
-			revision: 1,
-			claimed: false,
-			resume,
-			standby: false,
-			deadlineMs: 3000,
-			firstByteMs: 3000,
-			silenceMs: 3000,
-			keepBytes: 0,
-		}, request);
+	return attemptClientFixture(t).send({
+		address, kind, resume, ...kind === 'call' && {body: `order${body}`},
 	});
 }
 
--- a/test/server/cut-answers.test.ts
+++ b/test/server/cut-answers.test.ts
@@ -1,22 +1,10 @@
-import {Buffer} from 'node:buffer';
-import {IncomingMessage, ServerResponse} from 'node:http';
-import {Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
-import type {CoreEvent} from '../../src/core/events.ts';
-import type {AttemptId} from '../../src/core/ids/attempt-id.ts';
-import type {NodeId} from '../../src/core/ids/node-id.ts';
-import type {TargetId} from '../../src/core/ids/target-id.ts';
-import {toId} from '../../src/core/ids/to-id.ts';
 import type {RequestInfo} from '../../src/core/settings/request-info.ts';
-import {AttemptClient} from '../../src/server/attempt-client.ts';
-import {CallerRequest} from '../../src/server/caller-request.ts';
-import {PeerToken} from '../../src/server/peer-token.ts';
-import {ProcessMemory} from '../../src/server/process-memory.ts';
 import type {ConnectionEnd} from '../fakes/connection-end.ts';
 import {RawTarget} from '../fakes/raw-target.ts';
+import {attemptClientFixture} from '../fixtures/attempt-client-fixture.ts';
 import type {CutAnswer} from '../fixtures/cut-answer.ts';
 import {cutAnswers} from '../fixtures/cut-answers.ts';
-import {requestInfoFixture} from '../fixtures/request-info-fixture.ts';
 
 const document = {type: 'application/json', pieces: ['{"choices":', '[{"index":0,"message":{"content":"whole"}}]}']};
 const text = {type: 'text/plain', pieces: ['the whole of it']};
@@ -31,74 +19,34 @@
 /** The client for targets and for other entries, with one of them; attempts are started by hand in place of the core. */
 class HandDrivenAttempts {
 	static async open(t: ExecutionContext, answers: ReadonlyMap<string, CutAnswer>): Promise<HandDrivenAttempts> {
-		const attempts = new HandDrivenAttempts(answers);
+		const attempts = new HandDrivenAttempts(attemptClientFixture(t), answers);
 		await attempts.#target.listen();
-		t.teardown(async () => {
-			await attempts.#target.close();
-			await attempts.#client.close();
-		});
+		t.teardown(async () => attempts.#target.close());
 		return attempts;
 	}
 
 	/** Number of cut answers that were sent on a connection which had served before. */
 	warmAnswers = 0;
 	readonly #target: RawTarget;
-	readonly #client: AttemptClient;
-	readonly #outcomes = new Map<AttemptId, (event: CoreEvent) => void>();
+	readonly #client: ReturnType<typeof attemptClientFixture>;
 	#lastAttempt = 0;
 
-	private constructor(answers: ReadonlyMap<string, CutAnswer>) {
+	private constructor(client: ReturnType<typeof attemptClientFixture>, answers: ReadonlyMap<string, CutAnswer>) {
+		this.#client = client;
 		this.#target = new RawTarget(({path, earlier}) => {
 			const answer = answers.get(path.slice(path.lastIndexOf('/cut/')));
 			this.warmAnswers += answer !== undefined && earlier > 0 ? 1 : 0;
 			return answer ?? {bytes: wholeAnswer, end: 'never'};
 		});
-		this.#client = new AttemptClient({
-			self: {nodeId: 'regina-1', region: 'regina'},
-			token: new PeerToken(() => ['key']),
-			memory: new ProcessMemory(),
-			step: event => {
-				if (event.type === 'attempt-end' || event.type === 'attempt-failed') {
-					this.#outcomes.get(event.attemptId)?.(event);
-				}
-			},
-		});
 	}
 
 	/** Sends a request; true if its answer is taken for whole. */
 	async isWhole(targetPath: string, hop: Hop, kind: Kind): Promise<boolean> {
 		this.#lastAttempt += 1;
-		const attemptId = toId<AttemptId>(`attempt-${this.#lastAttempt}`);
-		const info = requestInfoFixture(kind);
-		const request = new CallerRequest({
-			info,
-			body: Buffer.from(kind.kind === 'call' ? 'order' : '{"messages":[{"role":"user","content":"hello"}]}'),
-			method: 'POST',
-			targetPath,
-			headers: {},
-			res: new ServerResponse(new IncomingMessage(new Socket())),
-			memory: new ProcessMemory(),
-		});
-		const outcome = new Promise<CoreEvent>(resolve => {
-			this.#outcomes.set(attemptId, resolve);
+		const events = await this.#client.send({
+			...kind, hop, targetPath, attemptId: `attempt-${this.#lastAttempt}`, address: this.#target.address,
 		});
-		this.#client.start({
-			type: 'start-attempt',
-			requestId: info.requestId,
-			attemptId,
-			address: this.#target.address,
-			...hop === 'target' ? {targetId: toId<TargetId>('d1')} : {forwardTo: toId<NodeId>('winnipeg-1')},
-			revision: 1,
-			claimed: false,
-			resume: false,
-			standby: false,
-			deadlineMs: 3000,
-			firstByteMs: 3000,
-			silenceMs: 3000,
-			keepBytes: 0,
-		}, request);
-		const {type} = await outcome;
-		return type === 'attempt-end';
+		return events.at(-1)!.type === 'attempt-end';
 	}
 }
 
--- a/test/server/refusals-of-entries.test.ts
+++ b/test/server/refusals-of-entries.test.ts
@@ -1,23 +1,12 @@
-import {Buffer} from 'node:buffer';
-import {IncomingMessage, ServerResponse} from 'node:http';
-import {Socket} from 'node:net';
 import {setImmediate as nextCycle} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import type {AttemptId} from '../../src/core/ids/attempt-id.ts';
 import type {CoreEvent} from '../../src/core/events.ts';
-import type {NodeId} from '../../src/core/ids/node-id.ts';
-import type {TargetId} from '../../src/core/ids/target-id.ts';
-import {toId} from '../../src/core/ids/to-id.ts';
 import {ApiServer} from '../../src/server/api-server.ts';
-import {AttemptClient} from '../../src/server/attempt-client.ts';
-import {CallerRequest} from '../../src/server/caller-request.ts';
-import {PeerToken} from '../../src/server/peer-token.ts';
-import {ProcessMemory} from '../../src/server/process-memory.ts';
 import {makeProblem} from '../../src/server/make-problem.ts';
 import {sendProblem} from '../../src/server/send-problem.ts';
 import {PortBlock} from '../harness/port-block.ts';
 import {RawTarget} from '../fakes/raw-target.ts';
-import {requestInfoFixture} from '../fixtures/request-info-fixture.ts';
+import {attemptClientFixture} from '../fixtures/attempt-client-fixture.ts';
 
 const refusal = JSON.stringify(makeProblem({result: 'overloaded', ran: 'no', retryAfterMs: 1000}, {region: 'winnipeg', revision: 1}));
 
@@ -34,34 +23,10 @@
 }
 
 async function send(t: ExecutionContext, address: string, hop: 'entry' | 'target'): Promise<CoreEvent> {
-	return startClient(t)(address, hop);
-}
-
-/** Returns a function that sends an order and resolves with the event that ends the attempt. */
-function startClient(t: ExecutionContext) {
-	let settle: ((event: CoreEvent) => void) | undefined;
-	const client = new AttemptClient({
-		self: {nodeId: 'regina-1', region: 'regina'},
-		token: new PeerToken(() => ['key']),
-		memory: new ProcessMemory(),
-		step(event) {
-			if (event.type === 'attempt-end' || event.type === 'attempt-failed') {
-				settle?.(event);
-			}
-		},
-	});
-	t.teardown(async () => client.close());
-	return async (address: string, hop: 'entry' | 'target') => new Promise<CoreEvent>(resolve => {
-		settle = resolve;
-		const info = requestInfoFixture({kind: 'call', streamed: false});
-		client.start({
-			type: 'start-attempt', requestId: info.requestId, attemptId: toId<AttemptId>('attempt-2'), address,
-			...hop === 'entry' ? {forwardTo: toId<NodeId>('winnipeg-1')} : {targetId: toId<TargetId>('d1')},
-			revision: 1, claimed: true, resume: false, standby: false, deadlineMs: 3000, firstByteMs: 3000, silenceMs: 3000, keepBytes: 0,
-		}, new CallerRequest({
-			info, body: Buffer.from('order'), method: 'POST', targetPath: '/orders', headers: {}, res: new ServerResponse(new IncomingMessage(new Socket())), memory: new ProcessMemory(),
-		}));
+	const events = await attemptClientFixture(t).send({
+		attemptId: 'attempt-2', address, hop, claimed: true,
 	});
+	return events.at(-1)!;
 }
 
 const problem = 'Content-Type: application/problem+json';
@@ -83,10 +48,10 @@
 		const target = new RawTarget(({earlier}) => ({bytes: answer(earlier === 0 ? status : '200 OK', [problem], refusal), end: 'never'}));
 		await target.listen();
 		t.teardown(async () => target.close());
-		const sendOrder = startClient(t);
+		const client = attemptClientFixture(t);
 		for (let count = 0; count < 2; count++) {
-			const outcome = await sendOrder(target.address, 'entry'); // eslint-disable-line no-await-in-loop
-			t.like(outcome, {type: 'attempt-failed', failure: {notSent: true, use: {earlierRequests: 0}}});
+			const events = await client.send({address: target.address, hop: 'entry', claimed: true}); // eslint-disable-line no-await-in-loop
+			t.like(events.at(-1), {type: 'attempt-failed', failure: {notSent: true, use: {earlierRequests: 0}}});
 			await nextCycle(); // eslint-disable-line no-await-in-loop
 		}
 	});
--- a/test/server/standing-still.test.ts
+++ b/test/server/standing-still.test.ts
@@ -1,18 +1,11 @@
-import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {createServer, IncomingMessage, ServerResponse} from 'node:http';
-import {Socket, type AddressInfo} from 'node:net';
+import {createServer, type ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import type {CoreEvent} from '../../src/core/events.ts';
-import type {TargetId} from '../../src/core/ids/target-id.ts';
-import {toId} from '../../src/core/ids/to-id.ts';
-import {AttemptClient} from '../../src/server/attempt-client.ts';
-import {CallerRequest} from '../../src/server/caller-request.ts';
-import {PeerToken} from '../../src/server/peer-token.ts';
-import {ProcessMemory} from '../../src/server/process-memory.ts';
+import {attemptClientFixture} from '../fixtures/attempt-client-fixture.ts';
 import {blockEventLoop} from '../fixtures/block-event-loop.ts';
-import {requestInfoFixture} from '../fixtures/request-info-fixture.ts';
 
 const host = '127.0.0.1';
 const eventsEveryMs = 50;
@@ -64,48 +57,14 @@
 	});
 	target.listen(0, host);
 	await once(target, 'listening');
-	const info = requestInfoFixture({kind: 'completion', streamed: false});
-	const outcome = new Promise<CoreEvent>(resolve => {
-		const client = new AttemptClient({
-			self: {nodeId: 'regina-1', region: 'regina'},
-			token: new PeerToken(() => ['key']),
-			memory: new ProcessMemory(),
-			step(event) {
-				if (event.type === 'attempt-end' || event.type === 'attempt-failed') {
-					resolve(event);
-				}
-			},
-		});
-		t.teardown(async () => {
-			target.closeAllConnections();
-			target.close();
-			await client.close();
-		});
-		client.start({
-			type: 'start-attempt',
-			requestId: info.requestId,
-			attemptId: toId('attempt-1'),
-			address: `${host}:${(target.address() as AddressInfo).port}`,
-			targetId: toId<TargetId>('d1'),
-			revision: 1,
-			claimed: false,
-			resume: false,
-			standby: false,
-			deadlineMs: timeoutMs,
-			firstByteMs: timeoutMs,
-			silenceMs: timeoutMs,
-			keepBytes: 0,
-		}, new CallerRequest({
-			info,
-			body: Buffer.from('{"messages":[{"role":"user","content":"hello"}]}'),
-			method: 'POST',
-			targetPath: '/v1/chat/completions',
-			headers: {},
-			res: new ServerResponse(new IncomingMessage(new Socket())),
-			memory: new ProcessMemory(),
-		}));
+	t.teardown(() => {
+		target.closeAllConnections();
+		target.close();
 	});
-	return outcome;
+	const events = await attemptClientFixture(t).send({
+		address: `${host}:${(target.address() as AddressInfo).port}`, kind: 'completion', targetPath: '/v1/chat/completions', deadlineMs: timeoutMs, firstByteMs: timeoutMs, silenceMs: timeoutMs,
+	});
+	return events.at(-1)!;
 }
 
 for (const waiting of ['for the head', 'within the answer'] as const) {
