--- a/test/server/attempt-client.test.ts
+++ b/test/server/attempt-client.test.ts
@@ -1,10 +1,11 @@
-import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {createServer, type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import type {CoreEvent} from '../../src/core/events.ts';
 import type {AttemptId} from '../../src/core/ids/attempt-id.ts';
 import {toId} from '../../src/core/ids/to-id.ts';
 import {writeEndlessly} from '../fakes/write-endlessly.ts';
 import {attemptClientFixture} from '../fixtures/attempt-client-fixture.ts';
+import {listenOnLoopback} from '../fixtures/listen-on-loopback.ts';
 
 type Answer = {
 	/** @default '200 OK' */
@@ -55,13 +56,7 @@
 			});
 		});
 	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	t.teardown(() => {
-		server.close();
-	});
-	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	return listenOnLoopback(t, server);
 }
 
 /** Sends one request to a target; returns the events of the attempt. */
--- a/test/server/routes/copied-refusals.test.ts
+++ b/test/server/routes/copied-refusals.test.ts
@@ -1,18 +1,14 @@
-import {EventEmitter, once} from 'node:events';
 import test, {type ExecutionContext} from 'ava';
-import {platformRequestCodec} from '../../../platform/platform-request-codec.ts';
 import type {EdgeEvent} from '../../../src/core/edge/edge-event.ts';
-import type {AttemptNumber} from '../../../src/core/ids/attempt-number.ts';
+import type {RequestId} from '../../../src/core/ids/request-id.ts';
 import type {TargetId} from '../../../src/core/ids/target-id.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
-import {ProcessMemory} from '../../../src/server/process-memory.ts';
-import {TargetClient} from '../../../src/server/routes/target-client.ts';
 import {PlatformEngine} from '../../fakes/platform-engine.ts';
 import type {RefusalPlan} from '../../fakes/refusal-plan.ts';
 import {refuseOnce} from '../../fakes/refuse-once.ts';
-import {callerExchangeFixture} from '../../fixtures/caller-exchange-fixture.ts';
 import {platformConfiguration} from '../../fixtures/platform-configuration.ts';
 import {RoutesDeployment} from '../../fixtures/routes-deployment.ts';
+import {targetClientFixture} from '../../fixtures/target-client-fixture.ts';
 
 /** Work of an engine, in milliseconds: longer than the time until it writes a refusal once more. */
 const workMs = 100;
@@ -79,26 +75,13 @@
 	Object.assign(engine, {planRefusal: refuseOnce(421), workMs});
 	await engine.listen();
 	t.teardown(async () => engine.close());
-	const events = new EventEmitter();
-	const client = new TargetClient({
-		region: toId('regina'),
-		forwards: {},
-		codec: platformRequestCodec,
-		memory: new ProcessMemory(),
-		step(event) {
-			events.emit(event.type, event);
-		},
-	});
-	t.teardown(async () => client.close());
+	const client = targetClientFixture(t);
 	const heads: EdgeEvent[] = [];
-	for (const [index, targetId] of ['d1', 'd2'].entries()) {
-		const head = once(events, 'attempt-head') as Promise<[EdgeEvent]>;
-		client.start({
-			type: 'start', attempt: index as AttemptNumber, requestId: toId('r'), address: engine.address, targetId: toId<TargetId>(targetId),
-			deadlineMs: 3000, urgency: 1,
-			fresh: true, stream: false, service: toId('desk'), documentVersion: 1,
-		}, callerExchangeFixture('r-1'));
-		heads.push(...await head); // eslint-disable-line no-await-in-loop
+	for (const targetId of ['d1', 'd2'].map(name => toId<TargetId>(name))) {
+		// eslint-disable-next-line no-await-in-loop
+		heads.push(await client.send({
+			key: 'r-1', requestId: toId<RequestId>('r'), address: engine.address, targetId, fresh: true,
+		}));
 	}
 
 	t.is(engine.runs.get('r-1'), 1);
--- a/test/server/routes/cut-answers.test.ts
+++ b/test/server/routes/cut-answers.test.ts
@@ -17,6 +17,7 @@
 import type {CutAnswer} from '../../fixtures/cut-answer.ts';
 import {RoutesDeployment} from '../../fixtures/routes-deployment.ts';
 import {cutAnswers} from '../../fixtures/cut-answers.ts';
+import {startActionFixture} from '../../fixtures/start-action-fixture.ts';
 
 const key = '9c41d07be2a35f68';
 const fields = `Request-Identifier: ${key}\r\nServer-Signature: 3e1b.07.5a2\r\n`;
@@ -97,19 +98,9 @@
 				requestId, callerKey: toId(key), host: 'prairie.example', path, fingerprint: toId('f'), arrivedAt: 0 as Millis,
 			},
 		});
-		this.#client.start({
-			type: 'start',
-			attempt,
-			requestId,
-			address: this.#target.address,
-			...hop === 'target' ? {targetId: toId<TargetId>('d1')} : {},
-			deadlineMs: 3000,
-			urgency: 1,
-			fresh: false,
-			stream,
-			service: toId('desk'),
-			documentVersion: 1,
-		}, exchange);
+		this.#client.start(startActionFixture({
+			attempt, requestId, address: this.#target.address, stream, ...hop === 'target' && {targetId: toId<TargetId>('d1')},
+		}), exchange);
 		const event = await outcome;
 		return event.type === 'attempt-end' && !event.truncated;
 	}
--- a/test/server/routes/false-refusals-of-forwards.test.ts
+++ b/test/server/routes/false-refusals-of-forwards.test.ts
@@ -1,17 +1,10 @@
 import {Buffer} from 'node:buffer';
-import {EventEmitter, once} from 'node:events';
 import test, {type ExecutionContext} from 'ava';
-import {platformRequestCodec} from '../../../platform/platform-request-codec.ts';
 import type {AnswerHead} from '../../../src/core/edge/answer-head.ts';
-import type {EdgeEvent} from '../../../src/core/edge/edge-event.ts';
-import type {AttemptNumber} from '../../../src/core/ids/attempt-number.ts';
-import {toId} from '../../../src/core/ids/to-id.ts';
-import {ProcessMemory} from '../../../src/server/process-memory.ts';
-import {TargetClient} from '../../../src/server/routes/target-client.ts';
 import type {EngineManner} from '../../fakes/engine-manner.ts';
 import {refuseOnce} from '../../fakes/refuse-once.ts';
-import {callerExchangeFixture} from '../../fixtures/caller-exchange-fixture.ts';
 import {RoutesDeployment} from '../../fixtures/routes-deployment.ts';
+import {targetClientFixture} from '../../fixtures/target-client-fixture.ts';
 
 /** Reports of an engine after which an entry uses it again, whatever it refused before. */
 const reportsUntilUsed = 4;
@@ -20,27 +13,10 @@
 
 /** Forwards orders to an entry in turn; returns the heads of its answers, undefined for failed attempts. */
 async function forwardAll(t: ExecutionContext, deployment: RoutesDeployment): Promise<ReadonlyArray<AnswerHead | undefined>> {
-	const events = new EventEmitter();
-	const client = new TargetClient({
-		region: toId('winnipeg'),
-		forwards: {},
-		codec: platformRequestCodec,
-		memory: new ProcessMemory(),
-		step(event) {
-			if (event.type === 'attempt-head' || event.type === 'attempt-failed') {
-				events.emit('outcome', event);
-			}
-		},
-	});
-	t.teardown(async () => client.close());
+	const client = targetClientFixture(t, {region: 'winnipeg'});
 	const heads: Array<AnswerHead | undefined> = [];
-	for (const [index, key] of keys.entries()) {
-		const outcome = once(events, 'outcome') as Promise<[EdgeEvent]>;
-		client.start({
-			type: 'start', attempt: index as AttemptNumber, requestId: toId(`r${index}`),
-			address: `127.0.0.1:${deployment.relayPort}`, deadlineMs: 3000, urgency: 1, fresh: false, stream: false, service: toId('desk'), documentVersion: 1,
-		}, callerExchangeFixture(key, Buffer.from('order')));
-		const [event] = await outcome; // eslint-disable-line no-await-in-loop
+	for (const key of keys) {
+		const event = await client.send({key, address: `127.0.0.1:${deployment.relayPort}`, body: Buffer.from('order')}); // eslint-disable-line no-await-in-loop
 		heads.push(event.type === 'attempt-head' ? event.head : undefined);
 		await deployment.waitForReports(reportsUntilUsed); // eslint-disable-line no-await-in-loop
 	}
--- a/test/server/routes/kinds-that-change.test.ts
+++ b/test/server/routes/kinds-that-change.test.ts
@@ -1,15 +1,10 @@
 import {once} from 'node:events';
 import {createServer, type IncomingMessage} from 'node:http';
-import type {AddressInfo} from 'node:net';
 import test from 'ava';
-import {platformRequestCodec} from '../../../platform/platform-request-codec.ts';
-import type {AttemptNumber} from '../../../src/core/ids/attempt-number.ts';
-import {toId} from '../../../src/core/ids/to-id.ts';
-import {ProcessMemory} from '../../../src/server/process-memory.ts';
 import {relayHeader} from '../../../src/server/routes/relay-header.ts';
-import {TargetClient} from '../../../src/server/routes/target-client.ts';
-import {callerExchangeFixture} from '../../fixtures/caller-exchange-fixture.ts';
+import {listenOnLoopback} from '../../fixtures/listen-on-loopback.ts';
 import {RoutesDeployment} from '../../fixtures/routes-deployment.ts';
+import {targetClientFixture} from '../../fixtures/target-client-fixture.ts';
 
 const {idempotentName} = relayHeader;
 const mark = {[idempotentName]: relayHeader.writeIdempotent()};
@@ -36,29 +31,10 @@
 	test(`an entry tells another one ${isIdempotent ? 'that a request may run more than once' : 'nothing of the kind of a request that must not run twice'}`, async t => {
 		const server = createServer((_req, res) => {
 			res.end();
-		}).listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		t.teardown(() => {
-			server.close();
 		});
-		const client = new TargetClient({
-			region: toId('regina'), forwards: {}, codec: platformRequestCodec, memory: new ProcessMemory(), step: () => undefined,
-		});
-		t.teardown(async () => client.close());
+		const address = await listenOnLoopback(t, server);
 		const received = once(server, 'request') as Promise<[IncomingMessage]>;
-		client.start({
-			type: 'start',
-			attempt: 1 as AttemptNumber,
-			requestId: toId('r1'),
-			address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-			deadlineMs: 3000,
-			urgency: 1,
-			fresh: false,
-			stream: false,
-			service: toId('desk'),
-			documentVersion: 1,
-			isIdempotent,
-		}, callerExchangeFixture('id-1'));
+		await targetClientFixture(t).send({key: 'id-1', address, isIdempotent});
 		const [{headers}] = await received;
 		t.is(relayHeader.readIdempotent(headers[idempotentName]), isIdempotent ? true : undefined);
 	});
--- a/test/server/routes/late-sends.test.ts
+++ b/test/server/routes/late-sends.test.ts
@@ -5,7 +5,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {platformRequestCodec} from '../../../platform/platform-request-codec.ts';
-import type {EdgeAction} from '../../../src/core/edge/edge-action.ts';
 import type {AttemptNumber} from '../../../src/core/ids/attempt-number.ts';
 import type {Millis} from '../../../src/core/ids/millis.ts';
 import type {RequestId} from '../../../src/core/ids/request-id.ts';
@@ -18,6 +17,7 @@
 import {TargetClient} from '../../../src/server/routes/target-client.ts';
 import {PlatformEngine} from '../../fakes/platform-engine.ts';
 import {blockEventLoop} from '../../fixtures/block-event-loop.ts';
+import {startActionFixture} from '../../fixtures/start-action-fixture.ts';
 import {PortBlock} from '../../harness/port-block.ts';
 
 const host = '127.0.0.1';
@@ -100,20 +100,9 @@
 
 	startAttempt(exchange: CallerExchange): void {
 		this.#lastAttempt += 1;
-		const action: EdgeAction & {type: 'start'} = {
-			type: 'start',
-			attempt: this.#lastAttempt as AttemptNumber,
-			requestId: exchange.edgeRequest.requestId,
-			address: this.engine.address,
-			targetId: toId<TargetId>('d1'),
-			deadlineMs: 3000,
-			urgency: 1,
-			fresh: false,
-			stream: false,
-			service: toId('desk'),
-			documentVersion: 1,
-		};
-		this.#client.start(action, exchange);
+		this.#client.start(startActionFixture({
+			attempt: this.#lastAttempt as AttemptNumber, requestId: exchange.edgeRequest.requestId, address: this.engine.address, targetId: toId<TargetId>('d1'),
+		}), exchange);
 	}
 
 	/** Opens a connection to the engine and leaves it idle, so that the next attempt is written at once. */
--- a/test/server/routes/manners-of-copies.test.ts
+++ b/test/server/routes/manners-of-copies.test.ts
@@ -1,16 +1,12 @@
 import {Buffer} from 'node:buffer';
-import {EventEmitter, once} from 'node:events';
-import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {createServer, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import {platformRequestCodec} from '../../../platform/platform-request-codec.ts';
 import type {EdgeEvent} from '../../../src/core/edge/edge-event.ts';
-import type {AttemptNumber} from '../../../src/core/ids/attempt-number.ts';
 import type {TargetId} from '../../../src/core/ids/target-id.ts';
 import {toId} from '../../../src/core/ids/to-id.ts';
-import {ProcessMemory} from '../../../src/server/process-memory.ts';
-import {TargetClient} from '../../../src/server/routes/target-client.ts';
-import {callerExchangeFixture} from '../../fixtures/caller-exchange-fixture.ts';
+import {listenOnLoopback} from '../../fixtures/listen-on-loopback.ts';
+import {targetClientFixture} from '../../fixtures/target-client-fixture.ts';
 
 /** Time after which a connection is idle again, in milliseconds. */
 const settleMs = 30;
@@ -66,38 +62,18 @@
 			}
 		});
 	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	t.teardown(() => {
-		server.close();
-	});
-	return {address: `127.0.0.1:${(server.address() as AddressInfo).port}`, runs};
+	return {address: await listenOnLoopback(t, server), runs};
 }
 
 /** Sends two requests in turn; returns the first event of each. */
 async function sendBoth(t: ExecutionContext, address: string, keys: readonly string[], {hop, body}: {hop: Hop; body?: Buffer}): Promise<readonly EdgeEvent[]> {
-	const events = new EventEmitter();
-	const client = new TargetClient({
-		region: toId('regina'),
-		forwards: {},
-		codec: platformRequestCodec,
-		memory: new ProcessMemory(),
-		step(event) {
-			if (event.type !== 'attempt-working') {
-				events.emit('event', event);
-			}
-		},
-	});
-	t.teardown(async () => client.close());
+	const client = targetClientFixture(t, {isOutcome: ({type}) => type !== 'attempt-working'});
 	const outcomes: EdgeEvent[] = [];
 	for (const [index, key] of keys.entries()) {
-		const first = once(events, 'event') as Promise<[EdgeEvent]>;
-		client.start({
-			type: 'start', attempt: index as AttemptNumber, requestId: toId(`r${index}`), address, deadlineMs: 3000, urgency: 1, fresh: false, stream: false, service: toId('desk'), documentVersion: 1,
-			...hop === 'target' ? {targetId: toId<TargetId>('d1')} : {},
-		}, callerExchangeFixture(key, index === 0 ? undefined : body));
-		outcomes.push(...await first); // eslint-disable-line no-await-in-loop
+		// eslint-disable-next-line no-await-in-loop
+		outcomes.push(await client.send({
+			key, address, body: index === 0 ? undefined : body, ...hop === 'target' && {targetId: toId<TargetId>('d1')},
+		}));
 		await sleep(settleMs); // eslint-disable-line no-await-in-loop
 	}
 
--- a/test/server/routes/refusals-of-earlier-forwards.test.ts
+++ b/test/server/routes/refusals-of-earlier-forwards.test.ts
@@ -1,58 +1,31 @@
-import {EventEmitter, once} from 'node:events';
-import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import {platformRequestCodec} from '../../../platform/platform-request-codec.ts';
 import type {EdgeEvent} from '../../../src/core/edge/edge-event.ts';
-import type {AttemptNumber} from '../../../src/core/ids/attempt-number.ts';
-import {toId} from '../../../src/core/ids/to-id.ts';
-import {ProcessMemory} from '../../../src/server/process-memory.ts';
-import {TargetClient} from '../../../src/server/routes/target-client.ts';
-import {callerExchangeFixture} from '../../fixtures/caller-exchange-fixture.ts';
+import {RawTarget} from '../../fakes/raw-target.ts';
 import {RoutesDeployment} from '../../fixtures/routes-deployment.ts';
+import {targetClientFixture} from '../../fixtures/target-client-fixture.ts';
 
 /** Time after which a connection is idle again, in milliseconds. */
 const settleMs = 50;
 
 /** An entry that refuses the first request of a connection and writes that refusal again for the next one; `named`: it names the request in it. */
 async function listen(t: ExecutionContext, {named}: {named: boolean}): Promise<string> {
-	const server = createServer((socket: Socket) => {
-		let refusal: string | undefined;
-		socket.on('error', () => undefined).on('data', bytes => {
-			const id = /request-identifier: (?<id>\S+)/iv.exec(bytes.toString('latin1'))!.groups!.id!;
-			refusal ??= `HTTP/1.1 503 Service Unavailable\r\nlovageferry-refused: overloaded\r\n${named ? `Request-Identifier: ${id}\r\n` : ''}Content-Length: 0\r\n\r\n`;
-			socket.write(refusal);
-		});
+	let refusal: string | undefined;
+	const entry = new RawTarget(({headers}) => {
+		refusal ??= `HTTP/1.1 503 Service Unavailable\r\nlovageferry-refused: overloaded\r\n${named ? `Request-Identifier: ${headers.get('request-identifier')!}\r\n` : ''}Content-Length: 0\r\n\r\n`;
+		return {bytes: refusal, end: 'never'};
 	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	t.teardown(() => {
-		server.close();
-	});
-	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	await entry.listen();
+	t.teardown(async () => entry.close());
+	return entry.address;
 }
 
 /** Forwards two requests in turn over one connection; returns the first event of each. */
 async function forwardTwice(t: ExecutionContext, address: string): Promise<readonly EdgeEvent[]> {
-	const events = new EventEmitter();
-	const client = new TargetClient({
-		region: toId('regina'),
-		forwards: {},
-		codec: platformRequestCodec,
-		memory: new ProcessMemory(),
-		step(event) {
-			events.emit('event', event);
-		},
-	});
-	t.teardown(async () => client.close());
+	const client = targetClientFixture(t, {isOutcome: () => true});
 	const outcomes: EdgeEvent[] = [];
-	for (const attempt of [1, 2] as AttemptNumber[]) {
-		const firstEvent = once(events, 'event') as Promise<[EdgeEvent]>;
-		client.start({
-			type: 'start', attempt, requestId: toId(`r${attempt}`), address, deadlineMs: 3000, urgency: 1, fresh: false, stream: false, service: toId('desk'), documentVersion: 1,
-		}, callerExchangeFixture(`id-${attempt}`));
-		outcomes.push(...await firstEvent); // eslint-disable-line no-await-in-loop
+	for (const key of ['id-1', 'id-2']) {
+		outcomes.push(await client.send({key, address})); // eslint-disable-line no-await-in-loop
 		await sleep(settleMs); // eslint-disable-line no-await-in-loop
 	}
 
