--- a/test/server/routes/copied-refusals.test.ts
+++ b/test/server/routes/copied-refusals.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import type {EdgeEvent} from '../../../src/core/edge/edge-event.ts';
 import type {RequestId} from '../../../src/core/ids/request-id.ts';
@@ -10,6 +11,8 @@
 import {RoutesDeployment} from '../../fixtures/routes-deployment.ts';
 import {targetClientFixture} from '../../fixtures/target-client-fixture.ts';
 
+/** Time after which a connection is idle again, in milliseconds. */
+const settleMs = 50;
 /** Work of an engine, in milliseconds: longer than the time until it writes a refusal once more. */
 const workMs = 100;
 /** Reports of an engine after which an entry uses it again, whatever it refused before. */
@@ -87,3 +90,18 @@
 	t.is(engine.runs.get('r-1'), 1);
 	t.like(heads, [{head: {status: 421}}, {head: {status: 200}}]);
 });
+
+test('a request whose id is used again after a success is sent on a connection that has carried it', async t => {
+	const engine = new PlatformEngine('d1');
+	await engine.listen();
+	t.teardown(async () => engine.close());
+	const client = targetClientFixture(t, {isOutcome: ({type}) => type === 'attempt-head'});
+	const connections: unknown[] = [];
+	for (let count = 0; count < 3; count++) {
+		const event = await client.send({key: 'r-1', address: engine.address, targetId: toId<TargetId>('d1')}); // eslint-disable-line no-await-in-loop
+		connections.push(event.type === 'attempt-head' && event.head.use?.connection);
+		await sleep(settleMs); // eslint-disable-line no-await-in-loop
+	}
+
+	t.is(new Set(connections).size, 3);
+});
