fix(test): requests of cut answers have ids of their own

The requests before the cut answers now have ids of their own, which the answers repeat, as does the answer that precedes the rest of another one.

--- a/test/server/routes/cut-answers.test.ts
+++ b/test/server/routes/cut-answers.test.ts
@@ -20,16 +20,23 @@
 import {startActionFixture} from '../../fixtures/start-action-fixture.ts';
 
 const key = '9c41d07be2a35f68';
-const fields = `Request-Identifier: ${key}\r\nServer-Signature: 3e1b.07.5a2\r\n`;
+const fields = fieldsOf(key);
 const document = {type: 'application/json', pieces: ['{"answer":', '"the whole of it"}']};
 const text = {type: 'text/plain', pieces: ['the whole of it']};
 const events = {type: 'text/event-stream', pieces: ['id: 1\ndata: one\n\n', 'id: 2\ndata: two\n\n', 'id: 3\ndata: three\n\n']};
-const wholeAnswer = `HTTP/1.1 200 OK\r\n${fields}Content-Type: text/plain\r\nContent-Length: 5\r\n\r\nwhole`;
 /** Requests under way at a time. */
 const parallel = 12;
 
 type Hop = 'target' | 'entry';
 
+function fieldsOf(requestKey: string): string {
+	return `Request-Identifier: ${requestKey}\r\nServer-Signature: 3e1b.07.5a2\r\n`;
+}
+
+function wholeAnswer(requestKey: string): string {
+	return `HTTP/1.1 200 OK\r\n${fieldsOf(requestKey)}Content-Type: text/plain\r\nContent-Length: 5\r\n\r\nwhole`;
+}
+
 /** The client for targets and for other entries, with one of them; attempts are started by hand in place of the core. */
 class HandDrivenClient {
 	static async open(t: ExecutionContext, answers: ReadonlyMap<string, CutAnswer>): Promise<HandDrivenClient> {
@@ -51,10 +58,10 @@
 	#lastAttempt = 0;
 
 	private constructor(answers: ReadonlyMap<string, CutAnswer>) {
-		this.#target = new RawTarget(({path, earlier}) => {
+		this.#target = new RawTarget(({path, headers, earlier}) => {
 			const answer = answers.get(path);
 			this.warmAnswers += answer !== undefined && earlier > 0 ? 1 : 0;
-			return answer ?? {bytes: wholeAnswer, end: 'never'};
+			return answer ?? {bytes: wholeAnswer(headers.get('request-identifier')!), end: 'never'};
 		});
 		this.#client = new TargetClient({
 			region: toId('regina'),
@@ -74,7 +81,7 @@
 	}
 
 	/** Sends a request; true if its answer is taken for whole. */
-	async isWhole(path: string, hop: Hop, stream: boolean): Promise<boolean> {
+	async isWhole(path: string, hop: Hop, {stream = false, requestKey = key}: {stream?: boolean; requestKey?: string} = {}): Promise<boolean> {
 		this.#lastAttempt += 1;
 		const attempt = this.#lastAttempt as AttemptNumber;
 		if (stream) {
@@ -91,11 +98,11 @@
 			memory: new ProcessMemory(),
 			presence: new CallerPresence(res),
 			head: {
-				method: 'POST', path, host: 'prairie.example', key, copiedHeaders: ['Host', 'prairie.example', 'Request-Identifier', key], credentialHeaders: [],
+				method: 'POST', path, host: 'prairie.example', key: requestKey, copiedHeaders: ['Host', 'prairie.example', 'Request-Identifier', requestKey], credentialHeaders: [],
 			},
 			body: Buffer.from('order'),
 			edgeRequest: {
-				requestId, callerKey: toId(key), host: 'prairie.example', path, fingerprint: toId('f'), arrivedAt: 0 as Millis,
+				requestId, callerKey: toId(requestKey), host: 'prairie.example', path, fingerprint: toId('f'), arrivedAt: 0 as Millis,
 			},
 		});
 		this.#client.start(startActionFixture({
@@ -114,10 +121,10 @@
 		for (let next = rest.pop(); next !== undefined; next = rest.pop()) {
 			const [path, answer] = next;
 			if (answer.warm) {
-				await client.isWhole('/whole', hop, false); // eslint-disable-line no-await-in-loop
+				await client.isWhole('/whole', hop, {requestKey: `before ${path}`}); // eslint-disable-line no-await-in-loop
 			}
 
-			if (await client.isWhole(path, hop, stream)) { // eslint-disable-line no-await-in-loop
+			if (await client.isWhole(path, hop, {stream})) { // eslint-disable-line no-await-in-loop
 				taken.push(answer.title);
 			}
 		}
@@ -140,7 +147,7 @@
 					fields, content, ends, warm, step,
 				}).map((answer, index) => [`/cut/${index}`, answer]));
 				const client = await HandDrivenClient.open(t, answers);
-				t.true(await client.isWhole('/whole', hop, false));
+				t.true(await client.isWhole('/whole', hop, {requestKey: 'first'}));
 				t.deepEqual(await takenForWhole(client, answers, {hop, stream}), []);
 				t.true(!warm || client.warmAnswers > answers.size / 2);
 				t.log(`${answers.size} cut answers`);
@@ -153,12 +160,12 @@
 	test(`the rest of an answer that nobody asked for answers the next request on its connection: from ${hop}`, async t => {
 		const shared = {title: '', end: 'never', warm: false} as const;
 		const client = await HandDrivenClient.open(t, new Map<string, CutAnswer>([
-			['/joined', {...shared, bytes: `${wholeAnswer}HTTP/1.1 200 OK\r\n${fields}Content-Length: 5\r\n`}],
+			['/joined', {...shared, bytes: `${wholeAnswer('joined')}HTTP/1.1 200 OK\r\n${fields}Content-Length: 5\r\n`}],
 			['/rest', {...shared, bytes: '\r\nwrong', end: 'later'}],
 		]));
 		for (let round = 0; round < 5; round++) {
-			await client.isWhole('/joined', hop, false); // eslint-disable-line no-await-in-loop
-			t.false(await client.isWhole('/rest', hop, false)); // eslint-disable-line no-await-in-loop
+			await client.isWhole('/joined', hop, {requestKey: 'joined'}); // eslint-disable-line no-await-in-loop
+			t.false(await client.isWhole('/rest', hop)); // eslint-disable-line no-await-in-loop
 		}
 	});
 }
