test(soak): targets take new ids at their address

A target that starts again at its address has a new id, while connections to it may last: a request for the old id gets 421 and is sent to the new one, on a connection that may still bring a copy of that refusal. Tests on real sockets have this case, the soak had not. The report counts the new ids.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -114,11 +114,11 @@
 
 type SentAgain = {readonly refusedSendings?: readonly unknown[]; readonly status?: number};
 
-function describeRefusals({refused, copied, copiedInProgress, sentBesideRuns, connections}: SoakReport['refusals'], records: readonly SentAgain[]): string {
+function describeRefusals({refused, copied, copiedInProgress, sentBesideRuns, newIds, connections}: SoakReport['refusals'], records: readonly SentAgain[]): string {
 	const again = records.filter(({refusedSendings = []}) => refusedSendings.length > 0);
 	const served = again.filter(({status}) => status === 200).length;
 	const onConnections = `on ${connections} connections, ${sentBesideRuns} sent beside a run on their connection`;
-	const byTargets = `${refused} refused by targets ${onConnections}, ${copied} of these written once more, ${copiedInProgress} with the request under way again`;
+	const byTargets = `${refused} refused by targets ${onConnections}, ${newIds} new ids, ${copied} of these written once more, ${copiedInProgress} with the request under way again`;
 	return `${byTargets}; ${again.length} refused requests sent again, ${served} served`;
 }
 
--- a/test/fakes/platform-engine.ts
+++ b/test/fakes/platform-engine.ts
@@ -60,6 +60,10 @@
 	prefillMs: ((path: string) => number) | undefined;
 	/** Drawn for each request, by its identifier, while the engine answers well; the request runs if it gives none. */
 	planRefusal: ((id: string) => RefusalPlan | undefined) | undefined;
+	/** Id in its reports, which requests have to expect; absent by default: it is `identifier`, and nothing is expected. */
+	instanceId: string | undefined;
+	/** Drawn for each request that expects another instance, in place of a plain refusal with 421. */
+	planMisdirected: (() => RefusalPlan) | undefined;
 	/** Refusals that were planned so. */
 	readonly refusals = new Refusals();
 	/** Number of connections accepted. */
@@ -194,7 +198,7 @@
 
 	/** False if the request is to run. */
 	#refuseAsPlanned(req: IncomingMessage, res: ServerResponse): boolean {
-		const plan = this.manner === 'well' ? this.planRefusal?.(identifierOf(req)) : undefined;
+		const plan = this.#misdirectedPlan(req) ?? (this.manner === 'well' ? this.planRefusal?.(identifierOf(req)) : undefined);
 		if (plan !== undefined) {
 			this.refusals.write(res, identifierOf(req), plan);
 		}
@@ -202,6 +206,12 @@
 		return plan !== undefined;
 	}
 
+	/** Undefined unless the request expects another instance. */
+	#misdirectedPlan({headers}: IncomingMessage): RefusalPlan | undefined {
+		const expected = headers['expected-instance'];
+		return this.instanceId === undefined || expected === undefined || expected === this.instanceId ? undefined : this.planMisdirected?.() ?? {status: 421, body: ''};
+	}
+
 	#refuseAsFull(req: IncomingMessage, res: ServerResponse): void {
 		res.writeHead(503, {
 			'not-executed': '1',
--- a/test/fakes/refusals.test.ts
+++ b/test/fakes/refusals.test.ts
@@ -55,3 +55,19 @@
 		t.is(engine.refusals.copiedInProgress, copied && next === 'r-1' ? 1 : 0);
 	});
 }
+
+test('a stand-in engine that has taken a new id runs what was meant for the old one', async t => {
+	const engine = new PlatformEngine('d-1');
+	await engine.listen();
+	t.teardown(async () => engine.close());
+	engine.instanceId = 'd-1-1';
+	const statuses: number[] = [];
+	for (const expected of [{}, {'expected-instance': 'd-1'}, {'expected-instance': 'd-1-1'}] as ReadonlyArray<Record<string, string>>) {
+		const res = await fetch(`http://${engine.address}/`, {headers: {...expected, 'request-identifier': 'r-1'}}); // eslint-disable-line no-await-in-loop
+		await res.arrayBuffer(); // eslint-disable-line no-await-in-loop
+		statuses.push(res.status);
+	}
+
+	t.deepEqual(statuses, [200, 421, 200]);
+	t.is(engine.runs.get('r-1'), 2);
+});
--- a/test/soak/refusal-manners.ts
+++ b/test/soak/refusal-manners.ts
@@ -29,11 +29,11 @@
 	}
 
 	apply(engine: PlatformEngine): void {
-		engine.planRefusal = () => this.#random.next() < this.share ? this.#draw() : undefined;
+		engine.planRefusal = () => this.#random.next() < this.share ? this.#draw(this.#pick(statuses)) : undefined;
+		engine.planMisdirected = () => this.#draw(421);
 	}
 
-	#draw(): RefusalPlan {
-		const status = this.#pick(statuses);
+	#draw(status: RefusalPlan['status']): RefusalPlan {
 		return {
 			status,
 			retryAfter: status !== 421 && this.#random.next() < pauseShare ? pauseSeconds : undefined,
--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -4,6 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {SeededRandom} from '../../src/core/common/seeded-random.ts';
 import {describeMachine} from '../harness/describe-machine.ts';
+import {ChangingIds} from './changing-ids.ts';
 import {checkProbes} from './check-probes.ts';
 import {checkRecords} from './check-records.ts';
 import {checkRetries} from './check-retries.ts';
@@ -87,6 +88,7 @@
 	readonly #operator: SoakOperator;
 	readonly #probes: SoakProbes;
 	readonly #refusals: RefusalManners;
+	readonly #changingIds: ChangingIds;
 	readonly #faults: SoakFaults;
 	readonly #lostDisks: LostDisks;
 	/** True once the power has been taken in the second half of the run. */
@@ -111,6 +113,7 @@
 			deployment, operator: this.#operator, random: new SeededRandom(seed + 5), now,
 		});
 		this.#refusals = new RefusalManners(new SeededRandom(seed + 7));
+		this.#changingIds = new ChangingIds(deployment, new SeededRandom(seed + 9));
 		this.#lostDisks = new LostDisks(deployment, now);
 		this.#faults = new SoakFaults(deployment, {
 			random: this.#random,
@@ -144,6 +147,7 @@
 		this.#callers.start(this.#requestsPerSecond);
 		this.#operator.start();
 		this.#probes.start();
+		this.#changingIds.start();
 		await this.#checkRecovery();
 		const endsAt = this.#options.minutes * 60_000;
 		while (this.#now() < endsAt && this.problems.length === 0) {
@@ -156,6 +160,7 @@
 		}
 
 		clearInterval(timer);
+		this.#changingIds.stop();
 		this.#operator.stop();
 		await Promise.all([this.#callers.finish(), this.#probes.finish()]);
 		await this.#checkFinalState();
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -19,6 +19,8 @@
 	readonly service: SoakService;
 	readonly region: string;
 	sequence: number;
+	/** Number of times that it took a new id. */
+	newIds: number;
 	/** What its reports say; none are sent for one that is gone. */
 	state: 'ready' | 'draining' | 'gone';
 };
@@ -150,10 +152,16 @@
 		});
 		await engine.listen();
 		this.engines.push({
-			engine, service, region, sequence: 0, state: 'ready',
+			engine, service, region, sequence: 0, newIds: 0, state: 'ready',
 		});
 	}
 
+	/** Lets a target answer under a new id at its address, as after a start; its connections last. */
+	takeNewId(target: SoakEngine): void {
+		target.newIds += 1;
+		target.engine.instanceId = `${target.engine.identifier}-${target.newIds}`;
+	}
+
 	/** State of a control node, as it shows it to operators; undefined if it doesn't answer. */
 	async controlStatus(node: SoakNode): Promise<ControlStatus | undefined> {
 		try {
@@ -200,6 +208,7 @@
 			copied: sum(({refusals}) => refusals.copied),
 			copiedInProgress: sum(({refusals}) => refusals.copiedInProgress),
 			sentBesideRuns: sum(({sentBesideRuns}) => sentBesideRuns),
+			newIds: this.engines.reduce((total, {newIds}) => total + newIds, 0),
 			connections: sum(({connectionCount}) => connectionCount),
 		};
 	}
@@ -247,7 +256,7 @@
 					engine.softwareVersion = `v${index % 2 === 0 ? 2 : 1}`;
 					await engine.listen(); // eslint-disable-line no-await-in-loop
 					this.engines.push({
-						engine, service, region, sequence: 0, state: 'ready',
+						engine, service, region, sequence: 0, newIds: 0, state: 'ready',
 					});
 				}
 			}
@@ -255,7 +264,7 @@
 			const engine = new PlatformEngine(`${region}-press-1`);
 			await engine.listen(); // eslint-disable-line no-await-in-loop
 			this.probedEngines.push({
-				engine, service: 'press', region, sequence: 0, state: 'ready',
+				engine, service: 'press', region, sequence: 0, newIds: 0, state: 'ready',
 			});
 		}
 	}
@@ -357,9 +366,9 @@
 		const reporting = [...this.engines, ...this.probedEngines].filter(({state}) => state !== 'gone');
 		await Promise.all(reporting.map(async target => {
 			target.sequence += 1;
-			const {engine: {identifier, address, softwareVersion}, service, region, sequence, state} = target;
-			await this.callOperatorApi(node, 'PUT', `/instances/${identifier}`, JSON.stringify({
-				service, address, zone: `${region}-a`, version: softwareVersion, slots: 8, state, 'cold-remaining-ms': 0, born: 1000, sequence,
+			const {engine: {identifier, instanceId = identifier, address, softwareVersion}, service, region, sequence, newIds, state} = target;
+			await this.callOperatorApi(node, 'PUT', `/instances/${instanceId}`, JSON.stringify({
+				service, address, zone: `${region}-a`, version: softwareVersion, slots: 8, state, 'cold-remaining-ms': 0, born: 1000 + newIds, sequence,
 			}));
 		}));
 	}
--- a/test/soak/soak-refusals.ts
+++ b/test/soak/soak-refusals.ts
@@ -8,6 +8,8 @@
 	readonly copiedInProgress: number;
 	/** Requests that were sent on a connection on which their target worked on another one. */
 	readonly sentBesideRuns: number;
+	/** Times that a target took a new id at its address. */
+	readonly newIds: number;
 	/** Connections that targets accepted. */
 	readonly connections: number;
 };
